--- /dev/null
+++ b/Source/Base/SystemClock.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "Base/Clock.h"
+
+namespace Lavenderloft::Base {
+
+// The clock of the operating system.
+class SystemClock final : public Clock {
+public:
+    TimePoint now() const override;
+    WallTime wallTime() const override;
+};
+
+} // namespace Lavenderloft::Base
--- /dev/null
+++ b/Source/Http/HttpClient.cpp
@@ -0,0 +1,231 @@
+#include "Http/HttpClient.h"
+
+#include <array>
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <future>
+#include <limits>
+#include <optional>
+#include <thread>
+
+namespace Lavenderloft::Http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+struct HttpClient::State {
+    asio::io_context context;
+    asio::executor_work_guard<asio::io_context::executor_type> work { asio::make_work_guard(context) };
+    std::vector<std::thread> threads;
+};
+
+namespace {
+
+    constexpr size_t readBufferBytes = 16 * 1024;
+
+    class Call final : public HttpCall, public std::enable_shared_from_this<Call> {
+    public:
+        Call(asio::io_context& context, Endpoint endpoint, std::chrono::milliseconds idleTimeout, std::shared_ptr<ResponseSink> sink)
+            : m_stream(asio::make_strand(context))
+            , m_endpoint(std::move(endpoint))
+            , m_idleTimeout(idleTimeout)
+            , m_sink(std::move(sink))
+        {
+        }
+
+        void start(HttpRequest request)
+        {
+            m_request.method_string(request.method);
+            m_request.target(request.target);
+            m_request.version(11);
+            for (auto& header : request.headers)
+                m_request.set(header.name, header.value);
+            m_request.set(http::field::host, m_endpoint.toString());
+            m_request.set(http::field::connection, "close");
+            m_request.body() = std::move(request.body);
+            m_request.prepare_payload();
+            m_parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+            asio::dispatch(m_stream.get_executor(), [self = shared_from_this()] { self->connect(); });
+        }
+
+        void cancel() override
+        {
+            asio::post(m_stream.get_executor(), [self = shared_from_this()] {
+                self->m_cancelled = true;
+                self->m_stream.close();
+                self->fail(HttpErrorKind::Cancelled, "the request was cancelled");
+            });
+        }
+
+    private:
+        void connect()
+        {
+            boost::system::error_code error;
+            auto address = asio::ip::make_address(m_endpoint.host, error);
+            if (error)
+                return fail(HttpErrorKind::NotSent, error.message());
+            m_stream.expires_after(m_idleTimeout);
+            m_stream.async_connect(tcp::endpoint(address, m_endpoint.port), [self = shared_from_this()](beast::error_code connectError) {
+                if (connectError)
+                    return self->fail(HttpErrorKind::NotSent, connectError.message());
+                beast::error_code ignored;
+                self->m_stream.socket().set_option(tcp::no_delay(true), ignored);
+                self->sendRequest();
+            });
+        }
+
+        void sendRequest()
+        {
+            m_stream.expires_after(m_idleTimeout);
+            http::async_write(m_stream, m_request, [self = shared_from_this()](beast::error_code error, size_t) {
+                if (error)
+                    return self->failWith(error);
+                self->readHead();
+            });
+        }
+
+        void readHead()
+        {
+            m_stream.expires_after(m_idleTimeout);
+            http::async_read_header(m_stream, m_buffer, m_parser, [self = shared_from_this()](beast::error_code error, size_t) {
+                if (error)
+                    return self->failWith(error);
+                HttpHeaders headers;
+                for (auto& field : self->m_parser.get())
+                    headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+                self->m_sink->head(self->m_parser.get().result_int(), std::move(headers));
+                self->readBody();
+            });
+        }
+
+        void readBody()
+        {
+            if (m_ended)
+                return;
+            if (m_parser.is_done())
+                return succeed();
+            m_parser.get().body().data = m_block.data();
+            m_parser.get().body().size = m_block.size();
+            m_stream.expires_after(m_idleTimeout);
+            http::async_read_some(m_stream, m_buffer, m_parser, [self = shared_from_this()](beast::error_code error, size_t) {
+                if (error == http::error::need_buffer)
+                    error = {};
+                if (error)
+                    return self->failWith(error);
+                self->deliver();
+            });
+        }
+
+        void deliver()
+        {
+            auto count = m_block.size() - m_parser.get().body().size;
+            if (!count)
+                return readBody();
+            // The reader may pause for as long as it likes.
+            m_stream.expires_never();
+            m_sink->data(std::string(m_block.data(), count), [self = shared_from_this()] {
+                asio::post(self->m_stream.get_executor(), [self] { self->readBody(); });
+            });
+        }
+
+        void succeed()
+        {
+            if (std::exchange(m_ended, true))
+                return;
+            m_stream.close();
+            m_sink->end(Base::Done {});
+            m_sink.reset();
+        }
+
+        void failWith(beast::error_code error)
+        {
+            fail(error == beast::error::timeout ? HttpErrorKind::TimedOut : HttpErrorKind::Broken, error.message());
+        }
+
+        void fail(HttpErrorKind kind, const std::string& reason)
+        {
+            if (std::exchange(m_ended, true))
+                return;
+            m_stream.close();
+            m_sink->end(HttpError { m_cancelled ? HttpErrorKind::Cancelled : kind, "request to " + m_endpoint.toString() + " failed: " + reason, "check that the address is right and the server runs" });
+            m_sink.reset();
+        }
+
+        beast::tcp_stream m_stream;
+        Endpoint m_endpoint;
+        std::chrono::milliseconds m_idleTimeout;
+        std::shared_ptr<ResponseSink> m_sink;
+        http::request<http::string_body> m_request;
+        http::response_parser<http::buffer_body> m_parser;
+        beast::flat_buffer m_buffer;
+        std::array<char, readBufferBytes> m_block {};
+        bool m_cancelled = false;
+        bool m_ended = false;
+    };
+
+    // Collects a whole response for fetch().
+    class Collector final : public ResponseSink {
+    public:
+        void head(unsigned status, HttpHeaders headers) override
+        {
+            m_response.status = status;
+            m_response.headers = std::move(headers);
+        }
+
+        void data(std::string bytes, std::function<void()> resume) override
+        {
+            m_response.body += bytes;
+            resume();
+        }
+
+        void end(Base::Result<Base::Done, HttpError> result) override
+        {
+            if (Base::succeeded(result))
+                m_promise.set_value(std::move(m_response));
+            else
+                m_promise.set_value(Base::errorOf(result));
+        }
+
+        std::future<Base::Result<HttpResponse, HttpError>> future() { return m_promise.get_future(); }
+
+    private:
+        HttpResponse m_response;
+        std::promise<Base::Result<HttpResponse, HttpError>> m_promise;
+    };
+
+} // namespace
+
+HttpClient::HttpClient(unsigned threads)
+    : m_state(std::make_shared<State>())
+{
+    for (unsigned i = 0; i < threads; ++i)
+        m_state->threads.emplace_back([state = m_state.get()] { state->context.run(); });
+}
+
+HttpClient::~HttpClient()
+{
+    m_state->work.reset();
+    m_state->context.stop();
+    for (auto& thread : m_state->threads)
+        thread.join();
+}
+
+std::shared_ptr<HttpCall> HttpClient::send(const Endpoint& endpoint, HttpRequest request, std::chrono::milliseconds idleTimeout, std::shared_ptr<ResponseSink> sink)
+{
+    auto call = std::make_shared<Call>(m_state->context, endpoint, idleTimeout, std::move(sink));
+    call->start(std::move(request));
+    return call;
+}
+
+Base::Result<HttpResponse, HttpError> HttpClient::fetch(const Endpoint& endpoint, HttpRequest request, std::chrono::milliseconds idleTimeout)
+{
+    auto collector = std::make_shared<Collector>();
+    auto future = collector->future();
+    send(endpoint, std::move(request), idleTimeout, collector);
+    return future.get();
+}
+
+} // namespace Lavenderloft::Http
--- /dev/null
+++ b/Source/Http/HttpMessage.cpp
@@ -0,0 +1,48 @@
+#include "Http/HttpMessage.h"
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <charconv>
+
+namespace Lavenderloft::Http {
+
+namespace {
+
+    bool equalIgnoringCase(std::string_view a, std::string_view b)
+    {
+        return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
+    }
+
+    EndpointError malformedEndpoint(std::string_view text)
+    {
+        return { EndpointErrorKind::Malformed, "address \"" + std::string(text) + "\" is not IP:port", "give an IP number and a port, such as 127.0.0.1:8080" };
+    }
+
+} // namespace
+
+std::string_view headerValue(const HttpHeaders& headers, std::string_view name)
+{
+    for (auto& header : headers) {
+        if (equalIgnoringCase(header.name, name))
+            return header.value;
+    }
+    return {};
+}
+
+Base::Result<Endpoint, EndpointError> parseEndpoint(std::string_view text)
+{
+    auto colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return malformedEndpoint(text);
+    Endpoint endpoint;
+    endpoint.host = std::string(text.substr(0, colon));
+    auto digits = text.substr(colon + 1);
+    auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), endpoint.port);
+    boost::system::error_code addressError;
+    boost::asio::ip::make_address(endpoint.host, addressError);
+    if (addressError || error != std::errc() || end != digits.data() + digits.size())
+        return malformedEndpoint(text);
+    return endpoint;
+}
+
+} // namespace Lavenderloft::Http
--- /dev/null
+++ b/Source/Http/HttpMessage.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "Base/Result.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Lavenderloft::Http {
+
+struct HttpHeader {
+    std::string name;
+    std::string value;
+};
+
+using HttpHeaders = std::vector<HttpHeader>;
+
+// Value of the first header with that name, compared without regard to case; empty if there is none.
+std::string_view headerValue(const HttpHeaders&, std::string_view name);
+
+struct HttpRequest {
+    std::string method = "GET";
+    // Path and query.
+    std::string target = "/";
+    HttpHeaders headers;
+    std::string body;
+};
+
+struct HttpResponse {
+    unsigned status = 0;
+    HttpHeaders headers;
+    std::string body;
+};
+
+// IP number and port of a TCP server.
+struct Endpoint {
+    std::string host;
+    uint16_t port = 0;
+
+    std::string toString() const { return host + ":" + std::to_string(port); }
+    bool operator==(const Endpoint&) const = default;
+};
+
+enum class EndpointErrorKind {
+    Malformed,
+};
+
+using EndpointError = Base::Error<EndpointErrorKind>;
+
+// Reads "IP:port".
+Base::Result<Endpoint, EndpointError> parseEndpoint(std::string_view);
+
+} // namespace Lavenderloft::Http
--- /dev/null
+++ b/Source/Http/HttpServer.cpp
@@ -0,0 +1,458 @@
+#include "Http/HttpServer.h"
+
+#include <atomic>
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <mutex>
+#include <optional>
+#include <thread>
+
+namespace Lavenderloft::Http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+    // A connection as the server sees it when it stops.
+    class Closable {
+    public:
+        virtual ~Closable() = default;
+        virtual void close() = 0;
+    };
+
+} // namespace
+
+struct HttpServer::State {
+    explicit State(HttpServerOptions serverOptions)
+        : options(std::move(serverOptions))
+        , context(static_cast<int>(options.threads))
+        , acceptor(asio::make_strand(context))
+        , work(asio::make_work_guard(context))
+    {
+    }
+
+    HttpServerOptions options;
+    std::shared_ptr<HttpHandler> handler;
+    asio::io_context context;
+    tcp::acceptor acceptor;
+    asio::executor_work_guard<asio::io_context::executor_type> work;
+    std::vector<std::thread> threads;
+    std::atomic<size_t> connections { 0 };
+    std::atomic<bool> draining { false };
+    std::atomic<bool> stopped { false };
+    std::mutex openLock;
+    std::vector<std::weak_ptr<Closable>> open;
+
+    void addConnection(std::weak_ptr<Closable> connection)
+    {
+        std::lock_guard guard(openLock);
+        std::erase_if(open, [](auto& candidate) { return candidate.expired(); });
+        open.push_back(std::move(connection));
+    }
+
+    void closeConnections()
+    {
+        std::lock_guard guard(openLock);
+        for (auto& candidate : open) {
+            if (auto connection = candidate.lock())
+                connection->close();
+        }
+    }
+};
+
+namespace {
+
+    // One connection. Reads a request, hands it to the handler and reads the next one after the response.
+    // While a response is pending it waits for the peer to close, so that the handler learns of it.
+    template <typename State>
+    class Connection final : public Closable, public std::enable_shared_from_this<Connection<State>> {
+    public:
+        Connection(tcp::socket socket, std::shared_ptr<State> state)
+            : m_stream(std::move(socket))
+            , m_state(std::move(state))
+        {
+            ++m_state->connections;
+        }
+
+        ~Connection() override
+        {
+            --m_state->connections;
+        }
+
+        void readRequest()
+        {
+            m_parser.emplace();
+            m_parser->header_limit(static_cast<uint32_t>(m_state->options.maximumHeaderBytes));
+            m_parser->body_limit(m_state->options.maximumBodyBytes);
+            m_stream.expires_after(m_state->options.requestTimeout);
+            auto self = this->shared_from_this();
+            http::async_read(m_stream, m_buffer, *m_parser, [self](beast::error_code error, size_t) { self->requestRead(error); });
+        }
+
+        void post(std::function<void()> work) { asio::dispatch(m_stream.get_executor(), std::move(work)); }
+
+        void respond(HttpResponse response)
+        {
+            auto self = this->shared_from_this();
+            post([self, response = std::move(response)]() mutable { self->sendWhole(std::move(response)); });
+        }
+
+        void start(unsigned status, HttpHeaders headers)
+        {
+            auto self = this->shared_from_this();
+            post([self, status, headers = std::move(headers)] { self->sendHead(status, headers); });
+        }
+
+        void write(std::string bytes, ResponseStream::WrittenCallback written)
+        {
+            auto self = this->shared_from_this();
+            post([self, bytes = std::move(bytes), written = std::move(written)]() mutable { self->enqueue(std::move(bytes), std::move(written)); });
+        }
+
+        void finish()
+        {
+            auto self = this->shared_from_this();
+            post([self] { self->m_finishing = true; self->sendNext(); });
+        }
+
+        void close() override
+        {
+            auto self = this->shared_from_this();
+            post([self] { self->closeNow(); });
+        }
+
+        void onDisconnect(std::function<void()> callback)
+        {
+            auto self = this->shared_from_this();
+            post([self, callback = std::move(callback)]() mutable {
+                if (self->m_closed)
+                    callback();
+                else
+                    self->m_disconnected = std::move(callback);
+            });
+        }
+
+    private:
+        struct Part {
+            std::string bytes;
+            ResponseStream::WrittenCallback written;
+        };
+
+        class Stream;
+
+        void requestRead(beast::error_code error)
+        {
+            if (error == http::error::body_limit || error == http::error::header_limit)
+                return refuse(error == http::error::body_limit ? 413 : 431);
+            if (error == http::error::end_of_stream || !m_parser->is_done())
+                return error && error != http::error::end_of_stream && m_parser->got_some() && error.category() == http::make_error_code(http::error::bad_method).category()
+                    ? refuse(400)
+                    : closeNow();
+            if (error)
+                return closeNow();
+            auto message = m_parser->release();
+            m_keepAlive = message.keep_alive();
+            HttpRequest request;
+            request.method = std::string(message.method_string());
+            request.target = std::string(message.target());
+            for (auto& field : message)
+                request.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+            request.body = std::move(message.body());
+            m_responding = true;
+            // The handler is in charge of time from here on.
+            m_stream.expires_never();
+            watchForClose();
+            m_state->handler->handle(std::move(request), std::make_shared<Stream>(this->shared_from_this()));
+        }
+
+        void refuse(unsigned status)
+        {
+            m_keepAlive = false;
+            HttpResponse response;
+            response.status = status;
+            response.headers = { { "Content-Type", "application/json" } };
+            std::string code = status == 413 ? "body_too_large" : status == 431 ? "header_too_large"
+                                                                                : "malformed_request";
+            response.body = R"({"error":{"code":")" + code + R"(","message":"the request could not be read","remedy":"send a smaller or well-formed HTTP/1.1 request","outcome":"not_run"}})";
+            sendWhole(std::move(response));
+        }
+
+        void watchForClose()
+        {
+            auto self = this->shared_from_this();
+            m_stream.socket().async_wait(tcp::socket::wait_read, [self](beast::error_code error) {
+                if (error || self->m_closed || !self->m_responding)
+                    return;
+                char byte = 0;
+                beast::error_code peekError;
+                self->m_stream.socket().non_blocking(true, peekError);
+                auto count = self->m_stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, peekError);
+                if (count == 0 && peekError != asio::error::would_block)
+                    self->closeNow();
+            });
+        }
+
+        void sendWhole(HttpResponse response)
+        {
+            if (m_closed)
+                return;
+            auto message = std::make_shared<http::response<http::string_body>>();
+            message->result(response.status);
+            message->version(11);
+            for (auto& header : response.headers)
+                message->insert(header.name, header.value);
+            bool last = !m_keepAlive || m_state->draining;
+            message->keep_alive(!last);
+            message->body() = std::move(response.body);
+            message->prepare_payload();
+            m_stream.expires_after(m_state->options.writeTimeout);
+            auto self = this->shared_from_this();
+            http::async_write(m_stream, *message, [self, message, last](beast::error_code error, size_t) {
+                self->responseSent(error, last);
+            });
+        }
+
+        void sendHead(unsigned status, const HttpHeaders& headers)
+        {
+            if (m_closed)
+                return;
+            m_head = std::make_shared<http::response<http::empty_body>>();
+            m_head->result(status);
+            m_head->version(11);
+            for (auto& header : headers)
+                m_head->insert(header.name, header.value);
+            m_last = !m_keepAlive || m_state->draining;
+            m_head->keep_alive(!m_last);
+            m_head->chunked(true);
+            m_serializer = std::make_shared<http::response_serializer<http::empty_body>>(*m_head);
+            m_writing = true;
+            m_stream.expires_after(m_state->options.writeTimeout);
+            auto self = this->shared_from_this();
+            http::async_write_header(m_stream, *m_serializer, [self](beast::error_code error, size_t) {
+                self->m_writing = false;
+                if (error)
+                    return self->closeNow();
+                self->sendNext();
+            });
+        }
+
+        void enqueue(std::string bytes, ResponseStream::WrittenCallback written)
+        {
+            if (m_closed) {
+                if (written)
+                    written(false);
+                return;
+            }
+            m_part.emplace(Part { std::move(bytes), std::move(written) });
+            sendNext();
+        }
+
+        void sendNext()
+        {
+            if (m_writing || m_closed)
+                return;
+            if (m_part)
+                return sendPart();
+            if (m_finishing)
+                sendFinalChunk();
+        }
+
+        void sendPart()
+        {
+            auto part = std::make_shared<Part>(std::move(*m_part));
+            m_part.reset();
+            if (part->bytes.empty()) {
+                // An empty chunk would end the response.
+                if (part->written)
+                    part->written(true);
+                return;
+            }
+            m_writing = true;
+            m_stream.expires_after(m_state->options.writeTimeout);
+            auto self = this->shared_from_this();
+            asio::async_write(m_stream, http::make_chunk(asio::buffer(part->bytes)), [self, part](beast::error_code error, size_t) {
+                self->m_writing = false;
+                if (part->written)
+                    part->written(!error);
+                if (error)
+                    return self->closeNow();
+                self->sendNext();
+            });
+        }
+
+        void sendFinalChunk()
+        {
+            m_finishing = false;
+            m_writing = true;
+            auto self = this->shared_from_this();
+            asio::async_write(m_stream, http::make_chunk_last(), [self](beast::error_code error, size_t) {
+                self->m_writing = false;
+                self->responseSent(error, self->m_last);
+            });
+        }
+
+        void responseSent(beast::error_code error, bool last)
+        {
+            m_responding = false;
+            m_disconnected = nullptr;
+            if (error || last || m_state->stopped)
+                return closeNow();
+            beast::error_code ignored;
+            m_stream.socket().cancel(ignored);
+            readRequest();
+        }
+
+        void closeNow()
+        {
+            if (m_closed)
+                return;
+            m_closed = true;
+            beast::error_code ignored;
+            m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+            m_stream.close();
+            if (m_part && m_part->written)
+                m_part->written(false);
+            m_part.reset();
+            if (auto callback = std::exchange(m_disconnected, nullptr))
+                callback();
+        }
+
+        beast::tcp_stream m_stream;
+        std::shared_ptr<State> m_state;
+        beast::flat_buffer m_buffer;
+        std::optional<http::request_parser<http::string_body>> m_parser;
+        std::shared_ptr<http::response<http::empty_body>> m_head;
+        std::shared_ptr<http::response_serializer<http::empty_body>> m_serializer;
+        std::optional<Part> m_part;
+        std::function<void()> m_disconnected;
+        bool m_keepAlive = true;
+        bool m_last = false;
+        bool m_responding = false;
+        bool m_writing = false;
+        bool m_finishing = false;
+        bool m_closed = false;
+    };
+
+    // The handle given to the handler; a handle that is dropped without an end closes the connection.
+    template <typename State>
+    class Connection<State>::Stream final : public ResponseStream {
+    public:
+        explicit Stream(std::shared_ptr<Connection> connection)
+            : m_connection(std::move(connection))
+        {
+        }
+
+        ~Stream() override
+        {
+            if (!m_ended)
+                m_connection->close();
+        }
+
+        void respond(HttpResponse response) override
+        {
+            m_ended = true;
+            m_connection->respond(std::move(response));
+        }
+
+        void start(unsigned status, HttpHeaders headers) override { m_connection->start(status, std::move(headers)); }
+        void write(std::string bytes, WrittenCallback written) override { m_connection->write(std::move(bytes), std::move(written)); }
+
+        void finish() override
+        {
+            m_ended = true;
+            m_connection->finish();
+        }
+
+        void abort() override
+        {
+            m_ended = true;
+            m_connection->close();
+        }
+
+        void onDisconnect(std::function<void()> callback) override { m_connection->onDisconnect(std::move(callback)); }
+
+    private:
+        std::shared_ptr<Connection> m_connection;
+        std::atomic<bool> m_ended { false };
+    };
+
+    template <typename State>
+    void acceptNext(const std::shared_ptr<State>& state)
+    {
+        state->acceptor.async_accept(asio::make_strand(state->context), [state](beast::error_code error, tcp::socket socket) {
+            if (error == asio::error::operation_aborted || state->stopped)
+                return;
+            if (!error && state->connections < state->options.maximumConnections) {
+                beast::error_code ignored;
+                socket.set_option(tcp::no_delay(true), ignored);
+                if (state->options.sendBufferBytes)
+                    socket.set_option(asio::socket_base::send_buffer_size(state->options.sendBufferBytes), ignored);
+                auto connection = std::make_shared<Connection<State>>(std::move(socket), state);
+                state->addConnection(connection);
+                connection->readRequest();
+            }
+            acceptNext(state);
+        });
+    }
+
+} // namespace
+
+HttpServer::HttpServer(HttpServerOptions options, std::shared_ptr<HttpHandler> handler)
+    : m_state(std::make_shared<State>(std::move(options)))
+{
+    m_state->handler = std::move(handler);
+    tcp::endpoint endpoint(asio::ip::make_address(m_state->options.listen.host), m_state->options.listen.port);
+    beast::error_code error;
+    m_state->acceptor.open(endpoint.protocol(), error);
+    m_state->acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    m_state->acceptor.bind(endpoint, error);
+    if (!error)
+        m_state->acceptor.listen(1024, error);
+    if (error)
+        throw std::runtime_error("cannot listen on " + m_state->options.listen.toString() + ": " + error.message() + "; give a free address in the settings");
+    acceptNext(m_state);
+    for (unsigned i = 0; i < std::max(1u, m_state->options.threads); ++i)
+        m_state->threads.emplace_back([state = m_state] { state->context.run(); });
+}
+
+HttpServer::~HttpServer()
+{
+    stop();
+}
+
+uint16_t HttpServer::port() const
+{
+    return m_state->acceptor.local_endpoint().port();
+}
+
+size_t HttpServer::connectionCount() const
+{
+    return m_state->connections;
+}
+
+void HttpServer::drain()
+{
+    m_state->draining = true;
+    asio::post(m_state->acceptor.get_executor(), [state = m_state] {
+        beast::error_code ignored;
+        state->acceptor.close(ignored);
+    });
+}
+
+void HttpServer::stop()
+{
+    if (m_state->stopped.exchange(true))
+        return;
+    // The pending operations hold the state; closing everything lets the threads run out of work.
+    drain();
+    m_state->closeConnections();
+    m_state->work.reset();
+    for (auto& thread : m_state->threads)
+        thread.join();
+}
+
+} // namespace Lavenderloft::Http
--- /dev/null
+++ b/Source/Observability/Event.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <string_view>
+
+namespace Lavenderloft::Observability {
+
+enum class Level {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+// A kind of log line. Numbers are unique and never reused; docs/events.md lists all of them.
+struct Event {
+    int number;
+    std::string_view name;
+    Level level;
+    std::string_view meaning;
+};
+
+} // namespace Lavenderloft::Observability
--- /dev/null
+++ b/Source/Observability/Log.cpp
@@ -0,0 +1,115 @@
+#include "Observability/Log.h"
+
+#include <atomic>
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+#include <nlohmann/json.hpp>
+
+namespace Lavenderloft::Observability {
+
+namespace {
+
+    std::atomic<bool> s_configured { false };
+    std::atomic<Level> s_minimum { Level::Info };
+    std::atomic<Layout> s_layout { Layout::Plain };
+
+    const log4cxx::LoggerPtr& logger()
+    {
+        static const log4cxx::LoggerPtr instance = log4cxx::Logger::getLogger("lavenderloft");
+        return instance;
+    }
+
+    log4cxx::LevelPtr toLog4cxx(Level level)
+    {
+        switch (level) {
+        case Level::Debug:
+            return log4cxx::Level::getDebug();
+        case Level::Info:
+            return log4cxx::Level::getInfo();
+        case Level::Warning:
+            return log4cxx::Level::getWarn();
+        case Level::Error:
+            return log4cxx::Level::getError();
+        }
+        return log4cxx::Level::getInfo();
+    }
+
+    std::string_view levelName(Level level)
+    {
+        switch (level) {
+        case Level::Debug:
+            return "debug";
+        case Level::Info:
+            return "info";
+        case Level::Warning:
+            return "warning";
+        case Level::Error:
+            return "error";
+        }
+        return "info";
+    }
+
+    std::string plainLine(const Event& event, std::initializer_list<Field> fields)
+    {
+        std::string line = "LL" + std::to_string(event.number);
+        line.append(" ").append(event.name);
+        for (auto& field : fields) {
+            line.append(" ").append(field.name).append("=");
+            if (field.value.find_first_of(" \"\n") == std::string::npos)
+                line.append(field.value);
+            else
+                line.append(nlohmann::json(field.value).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+        }
+        return line;
+    }
+
+    std::string jsonLine(const Event& event, std::initializer_list<Field> fields)
+    {
+        nlohmann::ordered_json line;
+        line["event"] = "LL" + std::to_string(event.number);
+        line["name"] = event.name;
+        line["level"] = levelName(event.level);
+        for (auto& field : fields)
+            line[std::string(field.name)] = field.value;
+        return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    }
+
+} // namespace
+
+void configureLogging(Level minimum, Layout layout)
+{
+    // The JSON layout keeps one JSON object a line, so the time goes in as its own prefix-free field.
+    const auto* pattern = layout == Layout::Json
+        ? "{\"time\":\"%d{yyyy-MM-ddTHH:mm:ss.SSS}\",\"entry\":%m}%n"
+        : "%d{yyyy-MM-ddTHH:mm:ss.SSS} %-5p %m%n";
+    auto patternLayout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR(""));
+    log4cxx::LogString converted;
+    log4cxx::helpers::Transcoder::decode(std::string(pattern), converted);
+    patternLayout->setConversionPattern(converted);
+    auto appender = std::make_shared<log4cxx::ConsoleAppender>(patternLayout, log4cxx::ConsoleAppender::getSystemErr());
+    log4cxx::BasicConfigurator::resetConfiguration();
+    log4cxx::BasicConfigurator::configure(appender);
+    logger()->setLevel(toLog4cxx(minimum));
+    s_minimum = minimum;
+    s_layout = layout;
+    s_configured = true;
+}
+
+bool isLogged(const Event& event)
+{
+    return s_configured && event.level >= s_minimum.load();
+}
+
+void logEvent(const Event& event, std::initializer_list<Field> fields)
+{
+    if (!isLogged(event))
+        return;
+    auto line = s_layout.load() == Layout::Json ? jsonLine(event, fields) : plainLine(event, fields);
+    log4cxx::LogString converted;
+    log4cxx::helpers::Transcoder::decode(line, converted);
+    logger()->forcedLog(toLog4cxx(event.level), converted, log4cxx::spi::LocationInfo::getLocationUnavailable());
+}
+
+} // namespace Lavenderloft::Observability
--- /dev/null
+++ b/Source/Settings/ProcessSettings.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "Observability/Log.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Lavenderloft::Settings {
+
+enum class TargetKind {
+    Model,
+    Service,
+};
+
+struct TargetSettings {
+    TargetKind kind = TargetKind::Model;
+    // IP:port of the model engine or plain service.
+    std::string endpoint;
+    // Name of the plain service; empty for a model engine.
+    std::string service;
+};
+
+struct LogSettings {
+    Observability::Level level = Observability::Level::Info;
+    Observability::Layout layout = Observability::Layout::Plain;
+};
+
+// Settings of one process, checked when they are read. Addresses are IP:port.
+struct ProcessSettings {
+    std::string vm;
+    std::string region;
+    std::string dataCentre;
+    std::string inner;
+    std::string admin;
+    // Where callers connect; routers only.
+    std::string callers;
+    std::string configurationService;
+    std::string vmList;
+    std::string weightStore;
+    // Seed addresses of other processes, beside the VM list.
+    std::vector<std::string> peers;
+    std::optional<TargetSettings> target;
+    uint64_t weightMemoryBytes = 4294967296;
+    uint64_t streamBudgetBytes = 67108864;
+    uint64_t interRegionLinkBitsPerSecond = 25000000;
+    double rolloutShareOfLink = 0.6;
+    LogSettings log;
+};
+
+} // namespace Lavenderloft::Settings
--- /dev/null
+++ b/Source/main.cpp
@@ -0,0 +1,6 @@
+#include "CommandLine/CommandTable.h"
+
+int main(int argc, char** argv)
+{
+    return Lavenderloft::CommandLine::runCommand(argc, argv);
+}
--- /dev/null
+++ b/Tests/Http/HttpTest.cpp
@@ -0,0 +1,105 @@
+#include "Http/HttpClient.h"
+#include "Http/HttpServer.h"
+
+#include <criterion/criterion.h>
+
+using namespace Lavenderloft;
+using namespace Lavenderloft::Http;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Answers /stream in parts, /cut with a response that breaks off, anything else with the body it got.
+class EchoHandler final : public HttpHandler {
+public:
+    void handle(HttpRequest request, std::shared_ptr<ResponseStream> stream) override
+    {
+        if (request.target == "/stream" || request.target == "/cut") {
+            stream->start(200, {});
+            writeParts(stream, 100, request.target == "/cut");
+            return;
+        }
+        stream->respond({ 200, {}, request.body });
+    }
+
+private:
+    static void writeParts(const std::shared_ptr<ResponseStream>& stream, int left, bool cut)
+    {
+        if (left == 0)
+            return cut ? stream->abort() : stream->finish();
+        stream->write(std::string(1000, 'x'), [stream, left, cut](bool ok) {
+            if (ok)
+                writeParts(stream, left - 1, cut);
+        });
+    }
+};
+
+HttpRequest makeRequest(std::string target, std::string body = {})
+{
+    HttpRequest request;
+    request.method = body.empty() ? "GET" : "POST";
+    request.target = std::move(target);
+    request.body = std::move(body);
+    return request;
+}
+
+} // namespace
+
+// Guards against lost or doubled bytes in whole and in streamed responses.
+Test(Http, carriesWholeAndStreamedResponses)
+{
+    HttpServer server({}, std::make_shared<EchoHandler>());
+    HttpClient client;
+    Endpoint endpoint { "127.0.0.1", server.port() };
+    auto echo = client.fetch(endpoint, makeRequest("/echo", "hello"), 5s);
+    cr_assert(Base::succeeded(echo));
+    cr_assert(Base::valueOf(echo).body == "hello");
+    auto streamed = client.fetch(endpoint, makeRequest("/stream"), 5s);
+    cr_assert(Base::succeeded(streamed));
+    cr_assert_eq(Base::valueOf(streamed).body.size(), 100000);
+}
+
+// Guards against a response that breaks off being taken for whole.
+Test(Http, reportsAResponseThatBreaksOff)
+{
+    HttpServer server({}, std::make_shared<EchoHandler>());
+    HttpClient client;
+    auto cut = client.fetch({ "127.0.0.1", server.port() }, makeRequest("/cut"), 5s);
+    cr_assert_not(Base::succeeded(cut));
+    cr_assert(Base::errorOf(cut).kind == HttpErrorKind::Broken);
+}
+
+// Guards against a body beyond the limit being held in memory.
+Test(Http, refusesABodyBeyondTheLimit)
+{
+    HttpServerOptions options;
+    options.maximumBodyBytes = 1000;
+    HttpServer server(options, std::make_shared<EchoHandler>());
+    HttpClient client;
+    auto refused = client.fetch({ "127.0.0.1", server.port() }, makeRequest("/echo", std::string(2000, 'x')), 5s);
+    cr_assert(Base::succeeded(refused));
+    cr_assert_eq(Base::valueOf(refused).status, 413);
+}
+
+// Guards against a connection failure being reported as if the request might have run.
+Test(Http, tellsThatARequestWasNotSent)
+{
+    uint16_t port = 0;
+    {
+        HttpServer server({}, std::make_shared<EchoHandler>());
+        port = server.port();
+    }
+    HttpClient client;
+    auto refused = client.fetch({ "127.0.0.1", port }, makeRequest("/echo"), 5s);
+    cr_assert_not(Base::succeeded(refused));
+    cr_assert(Base::errorOf(refused).kind == HttpErrorKind::NotSent);
+}
+
+// Guards against addresses that are names or lack a port.
+Test(Http, parsesOnlyIpNumbersWithPorts)
+{
+    cr_assert(Base::succeeded(parseEndpoint("127.0.0.1:80")));
+    cr_assert_not(Base::succeeded(parseEndpoint("localhost:80")));
+    cr_assert_not(Base::succeeded(parseEndpoint("127.0.0.1:99999")));
+    cr_assert_not(Base::succeeded(parseEndpoint("127.0.0.1")));
+}
