Add membership, document spread and the control service

Cause: processes need one view of each other and of the desired state in force, without a coordinator and within the control budget of a node. Change: member table with incarnations, versions, suspicion and refutation; gossip with a logarithmic number of neighbours, relays between data centres and pages for views that differ; documents as zstd deltas against the held one; control service over gRPC; ControlNode with reader election. Conclusion: base for routers and agents; bytes and times are measured next.

--- /dev/null
+++ b/Source/Membership/Commands/ChangeStatus.cpp
@@ -0,0 +1,60 @@
+#include "Membership/Commands/ChangeStatus.h"
+
+#include "Membership/Events.h"
+#include "Observability/Log.h"
+
+#include <vector>
+
+namespace Lavenderloft::Membership::Commands {
+
+void ChangeStatus::recordFailedProbe(const std::string& vm, Base::TimePoint now)
+{
+    raise(vm, Status::Alive, Status::Suspect, now);
+    // A leaving member that stops answering has left.
+    raise(vm, Status::Leaving, Status::Dead, now);
+}
+
+void ChangeStatus::recordLeaving(const std::string& vm, Base::TimePoint now)
+{
+    raise(vm, Status::Alive, Status::Leaving, now);
+    raise(vm, Status::Suspect, Status::Leaving, now);
+}
+
+void ChangeStatus::expire(Base::TimePoint now)
+{
+    std::vector<std::string> silent;
+    m_table.entries().forEach([&](const std::string& vm, const MemberTable::Entry& entry) {
+        if (entry.member.status == Status::Suspect && now - entry.statusSince >= suspicionTime)
+            silent.push_back(vm);
+    });
+    for (auto& vm : silent)
+        raise(vm, Status::Suspect, Status::Dead, now);
+    m_table.entries().eraseIf([&](const std::string&, const MemberTable::Entry& entry) {
+        if (entry.member.status != Status::Dead || now - entry.statusSince < tombstoneTime)
+            return false;
+        m_table.recordChange(MemberTable::hashOf(entry.member), 0);
+        return true;
+    });
+}
+
+void ChangeStatus::raise(const std::string& vm, Status from, Status to, Base::TimePoint now)
+{
+    if (vm == m_table.selfVm())
+        return;
+    m_table.entries().withShard(vm, [&](auto& entries) {
+        auto found = entries.find(vm);
+        if (found == entries.end() || found->second.member.status != from)
+            return;
+        auto& entry = found->second;
+        auto oldHash = MemberTable::hashOf(entry.member);
+        entry.member.status = to;
+        entry.statusSince = now;
+        entry.timesSent = 0;
+        m_table.recordChange(oldHash, MemberTable::hashOf(entry.member));
+        Observability::logEvent(to == Status::Suspect ? MemberSuspected : to == Status::Dead ? MemberDied
+                                                                                             : MemberLeaving,
+            { { "vm", vm } });
+    });
+}
+
+} // namespace Lavenderloft::Membership::Commands
--- /dev/null
+++ b/Source/Membership/Commands/MergeMembers.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "Base/Clock.h"
+#include "Membership/Member.h"
+#include "Membership/MemberTable.h"
+
+#include <vector>
+
+namespace Lavenderloft::Membership::Commands {
+
+// Merges reports of members into the view. Of two reports the one with the higher incarnation wins,
+// then the higher version, then the later status. A report that this process is suspect or dead is
+// refuted by raising the own version.
+class MergeMembers {
+public:
+    explicit MergeMembers(MemberTable& table)
+        : m_table(table)
+    {
+    }
+
+    void execute(const std::vector<Member>& reports, Base::TimePoint now);
+
+private:
+    void mergeOther(const Member& report, Base::TimePoint now);
+    void mergeSelf(const Member& report, Base::TimePoint now);
+
+    MemberTable& m_table;
+};
+
+} // namespace Lavenderloft::Membership::Commands
--- /dev/null
+++ b/Source/Membership/Commands/UpdateSelf.cpp
@@ -0,0 +1,63 @@
+#include "Membership/Commands/UpdateSelf.h"
+
+namespace Lavenderloft::Membership::Commands {
+
+namespace {
+
+    // Progress of a transfer is announced in steps of this share.
+    constexpr unsigned progressSteps = 10;
+
+    unsigned progressStep(const Replica& replica)
+    {
+        return replica.chunksTotal ? replica.chunksHeld * progressSteps / replica.chunksTotal : 0;
+    }
+
+    bool isWorthAnnouncing(const Replica& before, const Replica& after)
+    {
+        return before.pool != after.pool || before.servingDigest != after.servingDigest || before.wantedDigest != after.wantedDigest
+            || before.phase != after.phase || before.reason != after.reason || progressStep(before) != progressStep(after);
+    }
+
+    bool isWorthAnnouncing(const Member& before, const Member& after)
+    {
+        if (before.status != after.status || before.revision != after.revision || before.refusedDocument != after.refusedDocument)
+            return true;
+        if (before.load.accepting != after.load.accepting || before.load.limit != after.load.limit)
+            return true;
+        if (before.replicas.size() != after.replicas.size() || before.address != after.address)
+            return true;
+        for (size_t i = 0; i < before.replicas.size(); ++i) {
+            if (isWorthAnnouncing(before.replicas[i], after.replicas[i]))
+                return true;
+        }
+        return false;
+    }
+
+} // namespace
+
+void UpdateSelf::introduce(const Member& self, Base::TimePoint now)
+{
+    m_table.entries().set(self.vm, { self, now });
+    m_table.recordChange(0, MemberTable::hashOf(self));
+}
+
+void UpdateSelf::execute(const std::function<void(Member&)>& change, Base::TimePoint now)
+{
+    m_table.entries().withShard(m_table.selfVm(), [&](auto& entries) {
+        auto found = entries.find(m_table.selfVm());
+        if (found == entries.end())
+            return;
+        auto& entry = found->second;
+        auto before = entry.member;
+        change(entry.member);
+        if (!isWorthAnnouncing(before, entry.member))
+            return;
+        if (before.status != entry.member.status)
+            entry.statusSince = now;
+        ++entry.member.version;
+        entry.timesSent = 0;
+        m_table.recordChange(MemberTable::hashOf(before), MemberTable::hashOf(entry.member));
+    });
+}
+
+} // namespace Lavenderloft::Membership::Commands
--- /dev/null
+++ b/Source/Membership/Commands/UpdateSelf.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "Membership/MemberTable.h"
+
+#include <functional>
+
+namespace Lavenderloft::Membership::Commands {
+
+// Changes the record of this process in the view. The version grows, and the record is sent on, when
+// anything but the load and small progress of a transfer changed: those change too often to be gossiped.
+class UpdateSelf {
+public:
+    explicit UpdateSelf(MemberTable& table)
+        : m_table(table)
+    {
+    }
+
+    // Enters the record for the first time.
+    void introduce(const Member&, Base::TimePoint now);
+
+    void execute(const std::function<void(Member&)>& change, Base::TimePoint now);
+
+private:
+    MemberTable& m_table;
+};
+
+} // namespace Lavenderloft::Membership::Commands
--- /dev/null
+++ b/Source/Membership/Queries/ComposeGossip.cpp
@@ -0,0 +1,50 @@
+#include "Membership/Queries/ComposeGossip.h"
+
+#include "Membership/Queries/SelectUpdates.h"
+
+namespace Lavenderloft::Membership::Queries {
+
+namespace {
+
+    // Members in a page when the views differ by little. Keeps the cost of constant change below 2 KB an exchange.
+    constexpr size_t smallPage = 12;
+
+    // A peer that knows less than this share of the members gets large pages.
+    constexpr double newcomerShare = 0.9;
+
+} // namespace
+
+GossipMessage ComposeGossip::request(const DocumentState& document, uint64_t pageCursor) const
+{
+    auto message = compose(document);
+    message.pageCursor = pageCursor;
+    return message;
+}
+
+GossipMessage ComposeGossip::response(const GossipMessage& request, const DocumentState& document) const
+{
+    auto message = compose(document);
+    if (request.viewHash == message.viewHash)
+        return message;
+    bool newcomer = static_cast<double>(request.memberCount) < newcomerShare * static_cast<double>(message.memberCount);
+    auto page = SelectUpdates(m_table).page(request.pageCursor, newcomer ? maximumPage : smallPage);
+    for (auto& member : page.members)
+        message.members.push_back(std::move(member));
+    message.pageCursor = page.nextCursor;
+    return message;
+}
+
+GossipMessage ComposeGossip::compose(const DocumentState& document) const
+{
+    GossipMessage message;
+    message.fromVm = m_table.selfVm();
+    message.revision = document.revision;
+    message.documentDigest = document.digest;
+    message.confirmationAge = document.confirmationAge;
+    message.viewHash = m_table.viewHash();
+    message.memberCount = m_table.entries().size();
+    message.members = SelectUpdates(m_table).recent();
+    return message;
+}
+
+} // namespace Lavenderloft::Membership::Queries
--- /dev/null
+++ b/Source/Membership/Queries/LiveMembers.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "Membership/MemberTable.h"
+
+#include <optional>
+#include <vector>
+
+namespace Lavenderloft::Membership::Queries {
+
+// Reads members of the view.
+class LiveMembers {
+public:
+    explicit LiveMembers(const MemberTable& table)
+        : m_table(table)
+    {
+    }
+
+    // All members that are not dead, sorted by name.
+    std::vector<Member> all() const;
+
+    std::optional<Member> find(const std::string& vm) const;
+
+    Member self() const;
+
+private:
+    const MemberTable& m_table;
+};
+
+} // namespace Lavenderloft::Membership::Queries
--- /dev/null
+++ b/Source/Membership/Queries/SelectPeers.cpp
@@ -0,0 +1,91 @@
+#include "Membership/Queries/SelectPeers.h"
+
+#include "Base/RendezvousHash.h"
+#include "Membership/Queries/LiveMembers.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace Lavenderloft::Membership::Queries {
+
+namespace {
+
+    constexpr auto relayKey = "data-centre-relays";
+
+} // namespace
+
+std::vector<Member> SelectPeers::inDataCentre(size_t count) const
+{
+    auto candidates = neighbours();
+    std::vector<Member> chosen;
+    while (chosen.size() < count && !candidates.empty()) {
+        auto index = m_random.below(candidates.size());
+        chosen.push_back(std::move(candidates[index]));
+        candidates[index] = std::move(candidates.back());
+        candidates.pop_back();
+    }
+    return chosen;
+}
+
+std::vector<Member> SelectPeers::neighbours() const
+{
+    auto self = LiveMembers(m_table).self();
+    std::vector<std::pair<uint64_t, Member>> ring;
+    m_table.entries().forEach([&](const std::string& vm, const MemberTable::Entry& entry) {
+        if (entry.member.dataCentre == self.dataCentre)
+            ring.emplace_back(Base::stableHash(vm), entry.member);
+    });
+    std::sort(ring.begin(), ring.end(), [](auto& a, auto& b) { return a.first < b.first; });
+    auto own = std::find_if(ring.begin(), ring.end(), [&](auto& candidate) { return candidate.second.vm == self.vm; });
+    std::vector<Member> neighbours;
+    if (own == ring.end())
+        return neighbours;
+    auto position = static_cast<size_t>(own - ring.begin());
+    for (size_t step = 1; step < ring.size(); step *= 2)
+        neighbours.push_back(ring[(position + step) % ring.size()].second);
+    return neighbours;
+}
+
+std::vector<Member> SelectPeers::acrossDataCentres() const
+{
+    auto self = LiveMembers(m_table).self();
+    auto ownRelays = relaysOf(self.dataCentre);
+    auto isSelf = [&](const Member& member) { return member.vm == self.vm; };
+    if (std::none_of(ownRelays.begin(), ownRelays.end(), isSelf))
+        return {};
+    std::set<std::string> others;
+    m_table.entries().forEach([&](const std::string&, const MemberTable::Entry& entry) {
+        if (entry.member.dataCentre != self.dataCentre)
+            others.insert(entry.member.dataCentre);
+    });
+    if (others.empty())
+        return {};
+    auto dataCentre = *std::next(others.begin(), static_cast<long>(m_random.below(others.size())));
+    auto relays = relaysOf(dataCentre);
+    if (relays.empty())
+        return {};
+    return { relays[m_random.below(relays.size())] };
+}
+
+std::vector<Member> SelectPeers::relaysOf(const std::string& dataCentre) const
+{
+    std::map<std::string, Member> alive;
+    std::map<std::string, Member> rest;
+    m_table.entries().forEach([&](const std::string& vm, const MemberTable::Entry& entry) {
+        if (entry.member.dataCentre == dataCentre)
+            (entry.member.status == Status::Alive ? alive : rest).emplace(vm, entry.member);
+    });
+    // A data centre that seems gone is still tried, so that a healed partition is found.
+    auto& candidates = alive.empty() ? rest : alive;
+    std::vector<std::string> names;
+    for (auto& [vm, member] : candidates)
+        names.push_back(vm);
+    auto ranked = Base::rankMembers(relayKey, names);
+    std::vector<Member> relays;
+    for (size_t i = 0; i < ranked.size() && i < relaysPerDataCentre; ++i)
+        relays.push_back(candidates.at(ranked[i]));
+    return relays;
+}
+
+} // namespace Lavenderloft::Membership::Queries
--- /dev/null
+++ b/Source/Membership/Queries/SelectUpdates.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "Membership/MemberTable.h"
+
+#include <vector>
+
+namespace Lavenderloft::Membership::Queries {
+
+// Updates in one message. With about 130 bytes a member this keeps a message near 3 KB.
+inline constexpr size_t maximumUpdates = 24;
+
+// Members in one page sent to a process that knows far fewer.
+inline constexpr size_t maximumPage = 256;
+
+// A part of the view in the order of member hashes.
+struct MemberPage {
+    std::vector<Member> members;
+    // Position after the last member; zero when the page reached the end.
+    uint64_t nextCursor = 0;
+};
+
+// Chooses what to tell a peer.
+class SelectUpdates {
+public:
+    explicit SelectUpdates(const MemberTable& table)
+        : m_table(table)
+    {
+    }
+
+    // Changed members that have been sent fewer times than the spread through the fleet needs, the
+    // least sent first; this process's own record is always the first.
+    std::vector<Member> recent() const;
+
+    // Members after a position, for a peer whose view differs.
+    MemberPage page(uint64_t cursor, size_t count) const;
+
+private:
+    const MemberTable& m_table;
+};
+
+} // namespace Lavenderloft::Membership::Queries
--- /dev/null
+++ b/Source/Process/ControlNode.cpp
@@ -0,0 +1,476 @@
+#include "Process/ControlNode.h"
+
+#include "Base/RendezvousHash.h"
+#include "Configuration/Commands/AcceptDocument.h"
+#include "Configuration/Events.h"
+#include "Configuration/Queries/DocumentDelta.h"
+#include "Membership/Commands/ChangeStatus.h"
+#include "Membership/Commands/MergeMembers.h"
+#include "Membership/Commands/RecordTransmission.h"
+#include "Membership/Commands/UpdateSelf.h"
+#include "Membership/Queries/ComposeGossip.h"
+#include "Membership/Queries/LiveMembers.h"
+#include "Membership/Queries/SelectPeers.h"
+#include "Observability/Log.h"
+#include "Process/Events.h"
+
+#include <algorithm>
+
+namespace Lavenderloft::Process {
+
+using namespace std::chrono_literals;
+using Membership::Commands::ChangeStatus;
+using Membership::Commands::MergeMembers;
+using Membership::Commands::RecordTransmission;
+using Membership::Commands::UpdateSelf;
+using Membership::Queries::ComposeGossip;
+using Membership::Queries::LiveMembers;
+using Membership::Queries::SelectPeers;
+
+namespace {
+
+    constexpr auto tickInterval = 250ms;
+    // One exchange every two ticks keeps control traffic within 12 KB a second.
+    constexpr uint64_t ticksPerExchange = 2;
+    constexpr uint64_t ticksPerCrossExchange = 4;
+    // A longer gap between two ticks means that the process was paused.
+    constexpr auto pauseLimit = 2s;
+    // A process that reaches no peer for this long after its start or a pause goes on alone.
+    constexpr auto peerWait = 3s;
+    constexpr auto exchangeTimeout = 1000ms;
+    constexpr auto documentTimeout = 3000ms;
+    constexpr auto watchTime = 10000ms;
+    // A process that is no reader reads by itself when no confirmation reached it for this long.
+    constexpr auto confirmationLimit = 15s;
+    constexpr auto ownReadInterval = 10s;
+    constexpr auto readerListInterval = 5s;
+    constexpr auto listInterval = 30s;
+    constexpr size_t readersPerDataCentre = 2;
+    // Peers that hear of a new document at once; each of them tells as many again.
+    constexpr size_t spreadFanout = 3;
+
+    uint64_t startIncarnation(const Base::Clock& clock)
+    {
+        return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(clock.wallTime().time_since_epoch()).count());
+    }
+
+    Membership::Queries::DocumentState documentState(const Configuration::RevisionStore& revisions, Base::Duration confirmationAge)
+    {
+        auto current = revisions.current();
+        if (!current)
+            return { 0, {}, confirmationAge };
+        return { current->document.revision, current->digest, confirmationAge };
+    }
+
+} // namespace
+
+ControlNode::ControlNode(const Settings::ProcessSettings& settings, Membership::Role role, const std::string& address, ControlNodeParts parts)
+    : m_settings(settings)
+    , m_parts(parts)
+    , m_table(settings.vm)
+    , m_confirmedAt(parts.clock.now() - std::chrono::hours(1))
+    , m_synchronisingSince(parts.clock.now())
+{
+    Membership::Member self;
+    self.vm = settings.vm;
+    self.address = address;
+    self.dataCentre = settings.dataCentre;
+    self.region = settings.region;
+    self.role = role;
+    self.incarnation = startIncarnation(parts.clock);
+    self.version = 1;
+    UpdateSelf(m_table).introduce(self, parts.clock.now());
+    for (auto& peer : settings.peers) {
+        if (peer != address)
+            m_unknownContacts.emplace_back(peer, std::string());
+    }
+}
+
+ControlNode::~ControlNode()
+{
+    stop();
+}
+
+void ControlNode::start()
+{
+    m_threads.emplace_back([this] { gossipLoop(); });
+    m_threads.emplace_back([this] { readLoop(); });
+    m_threads.emplace_back([this] { vmListLoop(); });
+}
+
+void ControlNode::stop()
+{
+    {
+        std::lock_guard guard(m_stopLock);
+        m_stopped = true;
+    }
+    m_stopCondition.notify_all();
+    for (auto& thread : m_threads)
+        thread.join();
+    m_threads.clear();
+}
+
+bool ControlNode::wait(std::chrono::milliseconds duration)
+{
+    std::unique_lock guard(m_stopLock);
+    m_stopCondition.wait_for(guard, duration, [this] { return m_stopped; });
+    return !m_stopped;
+}
+
+std::shared_ptr<const DesiredState::Document> ControlNode::document() const
+{
+    auto current = m_revisions.current();
+    if (!current)
+        return nullptr;
+    return { current, &current->document };
+}
+
+std::vector<Membership::Member> ControlNode::members() const
+{
+    return LiveMembers(m_table).all();
+}
+
+Membership::Member ControlNode::self() const
+{
+    return LiveMembers(m_table).self();
+}
+
+bool ControlNode::isSynchronised() const
+{
+    return m_synchronised;
+}
+
+void ControlNode::publish(const Membership::TargetLoad& load, const std::vector<Membership::Replica>& replicas)
+{
+    auto change = [&](Membership::Member& self) {
+        self.load = load;
+        self.replicas = replicas;
+    };
+    UpdateSelf(m_table).execute(change, m_parts.clock.now());
+    notifyIfChanged();
+}
+
+void ControlNode::publishLeaving()
+{
+    UpdateSelf(m_table).execute([](Membership::Member& self) { self.status = Membership::Status::Leaving; }, m_parts.clock.now());
+    spreadNow();
+    notifyIfChanged();
+}
+
+void ControlNode::onChange(std::function<void()> callback)
+{
+    std::lock_guard guard(m_callbacksLock);
+    m_callbacks.push_back(std::move(callback));
+}
+
+Membership::GossipMessage ControlNode::exchange(const Membership::GossipMessage& request)
+{
+    receive(request);
+    auto sender = LiveMembers(m_table).find(request.fromVm);
+    if (sender)
+        learnDocument(sender->address, request);
+    auto response = ComposeGossip(m_table).response(request, documentState(m_revisions, confirmationAge()));
+    RecordTransmission(m_table).execute(response.members);
+    return response;
+}
+
+Membership::DocumentReply ControlNode::documentFor(const std::string& heldDigest)
+{
+    auto current = m_revisions.current();
+    if (!current)
+        return {};
+    Membership::DocumentReply reply;
+    reply.digest = current->digest;
+    if (auto base = m_revisions.findRecent(heldDigest))
+        reply.delta = Configuration::Queries::makeDelta(base->bytes, current->bytes);
+    if (reply.delta.empty())
+        reply.document = current->bytes;
+    return reply;
+}
+
+Membership::FleetStatus ControlNode::fleetStatus()
+{
+    Membership::FleetStatus status;
+    status.self = self();
+    status.members = members();
+    status.confirmationAge = confirmationAge();
+    if (auto current = m_revisions.current()) {
+        status.revision = current->document.revision;
+        status.documentDigest = current->digest;
+    }
+    if (auto refused = m_revisions.refused())
+        status.refusedDocument = refused->reason;
+    return status;
+}
+
+void ControlNode::gossipLoop()
+{
+    do {
+        tick();
+    } while (wait(tickInterval));
+}
+
+void ControlNode::tick()
+{
+    detectPause();
+    auto now = m_parts.clock.now();
+    ChangeStatus(m_table).expire(now);
+    auto ticks = m_ticks++;
+    contactUnknown();
+    if (ticks % ticksPerExchange == 0) {
+        for (auto& peer : SelectPeers(m_table, m_parts.random).inDataCentre(1))
+            gossipWith(peer);
+    }
+    if (ticks % ticksPerCrossExchange == 0) {
+        for (auto& peer : SelectPeers(m_table, m_parts.random).acrossDataCentres())
+            gossipWith(peer);
+    }
+    // Without any peer, or with none that answers, the process goes on with what it has.
+    if (!m_synchronised && (m_heardPeer || now - m_synchronisingSince.load() >= peerWait))
+        finishSynchronising();
+    notifyIfChanged();
+    updateMetrics();
+}
+
+void ControlNode::detectPause()
+{
+    auto now = m_parts.clock.now();
+    auto last = std::exchange(m_lastTick, now);
+    if (last == Base::TimePoint {} || now - last <= pauseLimit)
+        return;
+    Observability::logEvent(ProcessPaused, { { "gap", now - last } });
+    m_parts.metrics.count("process_pauses_total");
+    m_heardPeer = false;
+    m_synchronised = false;
+    m_synchronisingSince = now;
+    notifyIfChanged();
+}
+
+void ControlNode::finishSynchronising()
+{
+    m_synchronised = true;
+    Observability::logEvent(Configuration::Synchronised, { { "heard_peer", m_heardPeer.load() } });
+}
+
+void ControlNode::gossipWith(const Membership::Member& peer)
+{
+    contact(peer.address, peer.vm);
+}
+
+void ControlNode::contact(const std::string& address, const std::string& vm)
+{
+    auto message = ComposeGossip(m_table).request(documentState(m_revisions, confirmationAge()), m_pageCursor);
+    RecordTransmission(m_table).execute(message.members);
+    m_parts.peers.exchange(address, message, exchangeTimeout, [this, address, vm](std::optional<Membership::GossipMessage> response) {
+        if (!response) {
+            if (!vm.empty())
+                ChangeStatus(m_table).recordFailedProbe(vm, m_parts.clock.now());
+            return;
+        }
+        m_heardPeer = true;
+        m_pageCursor = response->pageCursor;
+        receive(*response);
+        learnDocument(address, *response);
+        notifyIfChanged();
+    });
+}
+
+void ControlNode::contactUnknown()
+{
+    std::pair<std::string, std::string> contactAddress;
+    {
+        std::lock_guard guard(m_contactsLock);
+        auto known = members();
+        std::erase_if(m_unknownContacts, [&](auto& candidate) {
+            return std::any_of(known.begin(), known.end(), [&](auto& member) { return member.address == candidate.first; });
+        });
+        if (m_unknownContacts.empty())
+            return;
+        contactAddress = m_unknownContacts[m_parts.random.below(m_unknownContacts.size())];
+    }
+    contact(contactAddress.first, {});
+}
+
+void ControlNode::receive(const Membership::GossipMessage& message)
+{
+    auto now = m_parts.clock.now();
+    MergeMembers(m_table).execute(message.members, now);
+    // A confirmation by the service counts only for the document that this process holds too.
+    auto current = m_revisions.current();
+    if (!current || current->digest != message.documentDigest)
+        return;
+    auto confirmed = now - message.confirmationAge;
+    if (confirmed > m_confirmedAt.load())
+        m_confirmedAt = confirmed;
+}
+
+void ControlNode::learnDocument(const std::string& address, const Membership::GossipMessage& message)
+{
+    auto current = m_revisions.current();
+    auto revision = current ? current->document.revision : 0;
+    auto digest = current ? current->digest : std::string();
+    if (message.documentDigest.empty() || !Configuration::isGreater(message.revision, message.documentDigest, revision, digest))
+        return;
+    if (m_fetching.exchange(true))
+        return;
+    m_parts.peers.fetchDocument(address, digest, documentTimeout, [this](std::optional<Membership::DocumentReply> reply) {
+        m_fetching = false;
+        if (reply)
+            acceptFromPeer(*reply);
+    });
+}
+
+void ControlNode::acceptFromPeer(const Membership::DocumentReply& reply)
+{
+    if (reply.delta.empty()) {
+        if (!reply.document.empty())
+            accept(reply.document, "peer");
+        return;
+    }
+    auto current = m_revisions.current();
+    if (!current)
+        return;
+    auto bytes = Configuration::Queries::applyDelta(current->bytes, reply.delta);
+    if (!Base::succeeded(bytes) || DesiredState::documentDigest(Base::valueOf(bytes)) != reply.digest) {
+        // The next exchange fetches again; the document in force may have changed meanwhile.
+        Observability::logEvent(Configuration::DeltaUnusable, { { "digest", reply.digest } });
+        return;
+    }
+    accept(Base::valueOf(bytes), "peer");
+}
+
+void ControlNode::accept(const std::string& bytes, const char* origin)
+{
+    auto result = Configuration::Commands::AcceptDocument(m_revisions).execute(bytes, origin);
+    auto refused = m_revisions.refused();
+    auto current = m_revisions.current();
+    auto change = [&](Membership::Member& self) {
+        self.revision = current ? current->document.revision : 0;
+        self.refusedDocument = refused ? refused->reason : std::string();
+    };
+    UpdateSelf(m_table).execute(change, m_parts.clock.now());
+    if (Base::succeeded(result))
+        spreadNow();
+    notifyIfChanged();
+}
+
+void ControlNode::spreadNow()
+{
+    SelectPeers select(m_table, m_parts.random);
+    for (auto& peer : select.inDataCentre(spreadFanout))
+        gossipWith(peer);
+    for (auto& peer : select.acrossDataCentres())
+        gossipWith(peer);
+}
+
+bool ControlNode::isReader() const
+{
+    auto own = self();
+    std::vector<std::string> names;
+    for (auto& member : members()) {
+        if (member.dataCentre == own.dataCentre && member.status != Membership::Status::Suspect)
+            names.push_back(member.vm);
+    }
+    auto ranked = Base::rankMembers("configuration-readers", names);
+    ranked.resize(std::min(ranked.size(), readersPerDataCentre));
+    return std::find(ranked.begin(), ranked.end(), own.vm) != ranked.end();
+}
+
+void ControlNode::readLoop()
+{
+    // Peers are asked first, since a restarted process may meet a stale service.
+    while (!m_synchronised && m_parts.clock.now() - m_synchronisingSince.load() < peerWait) {
+        if (!wait(100ms))
+            return;
+    }
+    do {
+        if (isReader()) {
+            readOnce();
+            continue;
+        }
+        if (confirmationAge() < confirmationLimit)
+            continue;
+        readOnce();
+        auto jitter = std::chrono::milliseconds(m_parts.random.below(std::chrono::milliseconds(ownReadInterval).count() / 2));
+        if (!wait(std::chrono::milliseconds(ownReadInterval) + jitter))
+            return;
+    } while (wait(500ms));
+}
+
+void ControlNode::readOnce()
+{
+    auto current = m_revisions.current();
+    auto revision = current ? current->document.revision : 0;
+    m_parts.metrics.count("configuration_calls_total");
+    auto result = m_parts.source.read(revision, isReader() ? std::chrono::milliseconds(watchTime) : 0ms);
+    if (!Base::succeeded(result)) {
+        Observability::logEvent(Configuration::SourceUnavailable, { { "reason", Base::errorOf(result).describe() } });
+        wait(1000ms);
+        return;
+    }
+    confirm();
+    auto& bytes = Base::valueOf(result);
+    if (bytes)
+        accept(*bytes, "service");
+}
+
+void ControlNode::confirm()
+{
+    m_confirmedAt = m_parts.clock.now();
+}
+
+Base::Duration ControlNode::confirmationAge() const
+{
+    return m_parts.clock.now() - m_confirmedAt.load();
+}
+
+void ControlNode::vmListLoop()
+{
+    std::chrono::milliseconds interval {};
+    while (wait(interval)) {
+        interval = isReader() ? readerListInterval : listInterval;
+        auto result = m_parts.source.listVms();
+        if (!Base::succeeded(result)) {
+            Observability::logEvent(Configuration::SourceUnavailable, { { "reason", Base::errorOf(result).describe() } });
+            continue;
+        }
+        auto own = self();
+        for (auto& vm : Base::valueOf(result)) {
+            if (vm.leaving && vm.name == own.vm && own.status == Membership::Status::Alive)
+                publishLeaving();
+            else if (vm.leaving)
+                ChangeStatus(m_table).recordLeaving(vm.name, m_parts.clock.now());
+            if (vm.name == own.vm || vm.leaving || LiveMembers(m_table).find(vm.name))
+                continue;
+            std::lock_guard guard(m_contactsLock);
+            auto entry = std::make_pair(vm.address, vm.name);
+            if (std::find(m_unknownContacts.begin(), m_unknownContacts.end(), entry) == m_unknownContacts.end())
+                m_unknownContacts.push_back(entry);
+        }
+    }
+}
+
+void ControlNode::notifyIfChanged()
+{
+    auto current = m_revisions.current();
+    auto change = m_table.changeCount() + (current ? current->document.revision : 0);
+    if (m_notifiedChange.exchange(change) == change)
+        return;
+    std::vector<std::function<void()>> callbacks;
+    {
+        std::lock_guard guard(m_callbacksLock);
+        callbacks = m_callbacks;
+    }
+    for (auto& callback : callbacks)
+        callback();
+}
+
+void ControlNode::updateMetrics()
+{
+    auto current = m_revisions.current();
+    m_parts.metrics.set("configuration_revision", {}, current ? static_cast<double>(current->document.revision) : 0);
+    m_parts.metrics.set("configuration_confirmation_age_seconds", {}, std::chrono::duration<double>(confirmationAge()).count());
+    m_parts.metrics.set("members_known", {}, static_cast<double>(m_table.entries().size()));
+}
+
+} // namespace Lavenderloft::Process
--- /dev/null
+++ b/Source/Process/ControlNode.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "Base/Clock.h"
+#include "Base/RandomSource.h"
+#include "Configuration/RevisionStore.h"
+#include "Membership/ControlHandler.h"
+#include "Membership/MemberTable.h"
+#include "Membership/PeerClient.h"
+#include "Observability/Metrics.h"
+#include "Process/ConfigurationSource.h"
+#include "Process/ControlView.h"
+#include "Settings/ProcessSettings.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+namespace Lavenderloft::Process {
+
+// What a control node works with; all referenced objects must outlive it.
+struct ControlNodeParts {
+    const Base::Clock& clock;
+    Base::RandomSource& random;
+    Membership::PeerClient& peers;
+    ConfigurationSource& source;
+    Observability::Metrics& metrics;
+};
+
+// The control plane of one process: gossips members and documents, watches the configuration service
+// when it is its turn, and shows the rest of the process what is in force.
+class ControlNode final : public ControlView, public Membership::ControlHandler {
+public:
+    // The address is that of the inner port in use.
+    ControlNode(const Settings::ProcessSettings&, Membership::Role, const std::string& address, ControlNodeParts);
+    ~ControlNode() override;
+
+    // Starts the threads. To be called once the inner port answers.
+    void start();
+
+    // Ends the threads.
+    void stop();
+
+    std::shared_ptr<const DesiredState::Document> document() const override;
+    std::vector<Membership::Member> members() const override;
+    Membership::Member self() const override;
+    bool isSynchronised() const override;
+    void publish(const Membership::TargetLoad&, const std::vector<Membership::Replica>&) override;
+    void publishLeaving() override;
+    void onChange(std::function<void()>) override;
+
+    Membership::GossipMessage exchange(const Membership::GossipMessage& request) override;
+    Membership::DocumentReply documentFor(const std::string& heldDigest) override;
+    Membership::FleetStatus fleetStatus() override;
+
+    const Configuration::RevisionStore& revisions() const { return m_revisions; }
+
+private:
+    void gossipLoop();
+    void readLoop();
+    void vmListLoop();
+    void tick();
+    void detectPause();
+    void gossipWith(const Membership::Member&);
+    void contact(const std::string& address, const std::string& vm);
+    void contactUnknown();
+    void receive(const Membership::GossipMessage&);
+    void learnDocument(const std::string& address, const Membership::GossipMessage&);
+    void acceptFromPeer(const Membership::DocumentReply&);
+    void accept(const std::string& bytes, const char* origin);
+    void readOnce();
+    bool isReader() const;
+    bool wait(std::chrono::milliseconds);
+    void confirm();
+    void notifyIfChanged();
+    void spreadNow();
+    void finishSynchronising();
+    void updateMetrics();
+    Base::Duration confirmationAge() const;
+
+    const Settings::ProcessSettings m_settings;
+    ControlNodeParts m_parts;
+    Membership::MemberTable m_table;
+    Configuration::RevisionStore m_revisions;
+
+    std::atomic<Base::TimePoint> m_confirmedAt;
+    std::atomic<Base::TimePoint> m_synchronisingSince;
+    std::atomic<bool> m_synchronised { false };
+    std::atomic<bool> m_heardPeer { false };
+    std::atomic<bool> m_fetching { false };
+    std::atomic<uint64_t> m_pageCursor { 0 };
+    std::atomic<uint64_t> m_notifiedChange { 0 };
+    std::atomic<uint64_t> m_ticks { 0 };
+    Base::TimePoint m_lastTick {};
+
+    std::mutex m_contactsLock;
+    std::vector<std::pair<std::string, std::string>> m_unknownContacts;
+
+    std::mutex m_callbacksLock;
+    std::vector<std::function<void()>> m_callbacks;
+
+    std::mutex m_stopLock;
+    std::condition_variable m_stopCondition;
+    bool m_stopped = false;
+    std::vector<std::thread> m_threads;
+};
+
+} // namespace Lavenderloft::Process
