Parse and check settings and desired state

Every process needs the document in force and its own settings, and operators need all faults of a file at once.

parseDocument, documentDigest, parseSettings and SettingsBuilder are the entry points. The builder runs the same checks as the file.

--- /dev/null
+++ b/Source/DesiredState/Queries/ParseDocument.cpp
@@ -0,0 +1,178 @@
+#include "DesiredState/Queries/ParseDocument.h"
+
+#include "Base/Digest.h"
+#include "DesiredState/Queries/CheckDocument.h"
+#include "Json/ObjectReader.h"
+
+namespace Lavenderloft::DesiredState {
+
+namespace {
+
+    using Json::ObjectReader;
+    using Json::ParsedFile;
+    using Json::Range;
+    using Json::Value;
+    using namespace std::chrono_literals;
+
+    // The greatest whole number that every JSON library keeps exactly.
+    constexpr Range<uint64_t> revisionRange { 1, (1ULL << 53) - 1 };
+    // Fifteen times the replicas of the two-year plan.
+    constexpr Range<uint64_t> replicasRange { 0, 100000 };
+    constexpr Range<uint64_t> unavailableRange { 1, 100000 };
+    constexpr Range<uint64_t> priorityRange { 0, 1000000 };
+    constexpr Range<uint64_t> limitRange { 1, 100000 };
+    constexpr Range<uint64_t> shareRange { 1, 1000000 };
+    constexpr Range<std::chrono::milliseconds> warmWindowRange { 1ms, 1h };
+    // An agent that starts runs no key without an issue time for this long.
+    constexpr Range<std::chrono::milliseconds> resendWindowRange { 1s, 24h };
+
+    unsigned toUnsigned(uint64_t value)
+    {
+        return static_cast<unsigned>(value);
+    }
+
+    Region readRegion(ObjectReader& reader)
+    {
+        return { reader.requiredText("name") };
+    }
+
+    DataCentre readDataCentre(ObjectReader& reader)
+    {
+        DataCentre dataCentre;
+        dataCentre.name = reader.requiredText("name");
+        dataCentre.region = reader.requiredText("region");
+        dataCentre.state = reader.optionalChoice<DataCentreState>("state",
+            { { "in", DataCentreState::In }, { "out", DataCentreState::Out } }, DataCentreState::In);
+        return dataCentre;
+    }
+
+    // An empty list would read as "none" but mean "all", so it is refused.
+    void checkListIsFilled(ParsedFile& file, const ObjectReader& reader, std::string_view field, bool isEmpty, const std::string& remedy)
+    {
+        if (reader.has(field) && isEmpty)
+            file.addProblem(Json::ProblemKind::OutOfRange, reader.pointerTo(field), "the list is empty", remedy);
+    }
+
+    Pool readPool(ParsedFile& file, ObjectReader& reader)
+    {
+        Pool pool;
+        pool.name = reader.requiredText("name");
+        pool.manifest = reader.requiredText("manifest");
+        pool.adapters = reader.optionalTexts("adapters");
+        pool.replicas = toUnsigned(reader.requiredCount("replicas", replicasRange));
+        pool.priority = toUnsigned(reader.optionalCount("priority", priorityRange, pool.priority));
+        pool.dataCentres = reader.optionalTexts("dataCentres");
+        checkListIsFilled(file, reader, "dataCentres", pool.dataCentres.empty(), "name data centres, or remove the field to allow all that are in");
+        pool.maxUnavailable = toUnsigned(reader.optionalCount("maxUnavailable", unavailableRange, pool.maxUnavailable));
+        pool.coldLimit = toUnsigned(reader.optionalCount("coldLimit", limitRange, pool.coldLimit));
+        pool.fullLimit = toUnsigned(reader.optionalCount("fullLimit", limitRange, pool.fullLimit));
+        pool.warmWindow = reader.optionalMilliseconds("warmWindowMs", warmWindowRange, pool.warmWindow);
+        pool.checksFence = reader.optionalFlag("checksFence", pool.checksFence);
+        return pool;
+    }
+
+    Service readService(ParsedFile& file, ObjectReader& reader)
+    {
+        Service service;
+        service.name = reader.requiredText("name");
+        service.vms = reader.requiredTexts("vms");
+        checkListIsFilled(file, reader, "vms", service.vms.empty(), "name the VMs that run the service");
+        service.limit = toUnsigned(reader.optionalCount("limit", limitRange, service.limit));
+        service.paused = reader.optionalFlag("paused", service.paused);
+        service.resendWindow = reader.optionalMilliseconds("resendWindowMs", resendWindowRange, service.resendWindow);
+        return service;
+    }
+
+    PriorityClass readClass(ObjectReader& reader)
+    {
+        return reader.optionalChoice<PriorityClass>("class",
+            { { "hazard", PriorityClass::Hazard }, { "interactive", PriorityClass::Interactive }, { "summary", PriorityClass::Summary } },
+            PriorityClass::Interactive);
+    }
+
+    Route readRoute(ParsedFile& file, ObjectReader& reader)
+    {
+        Route route;
+        route.path = reader.requiredText("path");
+        auto pool = reader.optionalText("pool");
+        auto service = reader.optionalText("service");
+        if (reader.has("pool") == reader.has("service")) {
+            file.addProblem(Json::ProblemKind::Contradiction, reader.pointer(),
+                "a route leads to one pool or one service", "give either \"pool\" or \"service\"");
+        }
+        route.kind = reader.has("pool") ? RouteKind::ToPool : RouteKind::ToService;
+        route.destination = reader.has("pool") ? pool : service;
+        bool isToPool = route.kind == RouteKind::ToPool;
+        route.repeatable = reader.optionalFlag("repeatable", isToPool);
+        if (isToPool && !route.repeatable) {
+            file.addProblem(Json::ProblemKind::Contradiction, reader.pointerTo("repeatable"),
+                "a route whose calls may not be repeated leads to a pool", "remove \"repeatable\" or lead the route to a service");
+        }
+        route.priorityClass = readClass(reader);
+        return route;
+    }
+
+    Organisation readOrganisation(ObjectReader& reader)
+    {
+        Organisation organisation;
+        organisation.name = reader.requiredText("name");
+        organisation.share = toUnsigned(reader.optionalCount("share", shareRange, organisation.share));
+        return organisation;
+    }
+
+    // Makes a function that reads one object of a list into the vector. A faulty object is kept, so that
+    // the indices of the vector equal those of the file.
+    template <typename Entry, typename ReadEntry>
+    ObjectReader::ReadElement readInto(ParsedFile& file, std::vector<Entry>& entries, ReadEntry readEntry)
+    {
+        return [&file, &entries, readEntry](const Value& value, const std::string& pointer) {
+            ObjectReader reader(file, value, pointer);
+            if (!value.asObject()) {
+                entries.emplace_back();
+                return;
+            }
+            entries.push_back(readEntry(reader));
+            reader.finish();
+        };
+    }
+
+    Document readDocument(ParsedFile& file)
+    {
+        Document document;
+        ObjectReader reader(file, file.root(), "");
+        if (!file.root().asObject())
+            return document;
+        document.revision = reader.requiredCount("revision", revisionRange);
+        reader.requiredList("regions", readInto(file, document.regions, readRegion));
+        checkListIsFilled(file, reader, "regions", document.regions.empty(), "name at least one region");
+        reader.requiredList("dataCentres", readInto(file, document.dataCentres, readDataCentre));
+        checkListIsFilled(file, reader, "dataCentres", document.dataCentres.empty(), "name at least one data centre");
+        reader.requiredList("pools", readInto(file, document.pools, [&](ObjectReader& entry) { return readPool(file, entry); }));
+        reader.requiredList("services", readInto(file, document.services, [&](ObjectReader& entry) { return readService(file, entry); }));
+        reader.requiredList("routes", readInto(file, document.routes, [&](ObjectReader& entry) { return readRoute(file, entry); }));
+        reader.optionalList("organisations", readInto(file, document.organisations, readOrganisation));
+        document.drains = reader.optionalTexts("drains");
+        reader.finish();
+        return document;
+    }
+
+} // namespace
+
+Base::Result<Document, Json::CheckError> parseDocument(std::string_view bytes)
+{
+    ParsedFile file(bytes);
+    if (!file.isReadable())
+        return file.takeProblems();
+    auto document = readDocument(file);
+    checkDocument(document, file);
+    if (file.hasProblems())
+        return file.takeProblems();
+    return document;
+}
+
+std::string documentDigest(std::string_view bytes)
+{
+    return Base::sha256(bytes);
+}
+
+} // namespace Lavenderloft::DesiredState
--- /dev/null
+++ b/Source/Json/ObjectReader.cpp
@@ -0,0 +1,213 @@
+#include "Json/ObjectReader.h"
+
+#include <algorithm>
+
+namespace Lavenderloft::Json {
+
+namespace {
+
+    std::string join(const std::vector<std::string_view>& words)
+    {
+        std::string text;
+        for (auto word : words) {
+            if (!text.empty())
+                text += ", ";
+            text += word;
+        }
+        return text;
+    }
+
+    std::string describeRange(Range<uint64_t> range)
+    {
+        return "from " + std::to_string(range.least) + " to " + std::to_string(range.greatest);
+    }
+
+} // namespace
+
+ObjectReader::ObjectReader(ParsedFile& file, const Value& value, std::string pointer)
+    : m_file(file)
+    , m_value(value)
+    , m_pointer(std::move(pointer))
+{
+    if (!value.asObject())
+        addWrongType(m_pointer, value, "an object");
+}
+
+std::string ObjectReader::requiredText(std::string_view field)
+{
+    return text(field, findRequired(field));
+}
+
+std::string ObjectReader::optionalText(std::string_view field)
+{
+    return text(field, findOptional(field));
+}
+
+uint64_t ObjectReader::requiredCount(std::string_view field, Range<uint64_t> range)
+{
+    return count(field, findRequired(field), range, range.least);
+}
+
+uint64_t ObjectReader::optionalCount(std::string_view field, Range<uint64_t> range, uint64_t fallback)
+{
+    return count(field, findOptional(field), range, fallback);
+}
+
+std::chrono::milliseconds ObjectReader::optionalMilliseconds(std::string_view field, Range<std::chrono::milliseconds> range, std::chrono::milliseconds fallback)
+{
+    auto toCount = [](std::chrono::milliseconds time) { return static_cast<uint64_t>(time.count()); };
+    auto value = optionalCount(field, { toCount(range.least), toCount(range.greatest) }, toCount(fallback));
+    return std::chrono::milliseconds(value);
+}
+
+double ObjectReader::optionalNumber(std::string_view field, double fallback)
+{
+    auto* value = findOptional(field);
+    if (!value)
+        return fallback;
+    if (auto* number = std::get_if<double>(&value->data))
+        return *number;
+    if (auto* number = std::get_if<uint64_t>(&value->data))
+        return static_cast<double>(*number);
+    if (auto* number = std::get_if<int64_t>(&value->data))
+        return static_cast<double>(*number);
+    addWrongType(pointerTo(field), *value, "a number");
+    return fallback;
+}
+
+bool ObjectReader::optionalFlag(std::string_view field, bool fallback)
+{
+    auto* value = findOptional(field);
+    if (!value)
+        return fallback;
+    if (auto* flag = std::get_if<bool>(&value->data))
+        return *flag;
+    addWrongType(pointerTo(field), *value, "true or false");
+    return fallback;
+}
+
+std::vector<std::string> ObjectReader::optionalTexts(std::string_view field)
+{
+    return texts(field, findOptional(field));
+}
+
+std::vector<std::string> ObjectReader::requiredTexts(std::string_view field)
+{
+    return texts(field, findRequired(field));
+}
+
+void ObjectReader::requiredList(std::string_view field, const ReadElement& readElement)
+{
+    list(field, findRequired(field), readElement);
+}
+
+void ObjectReader::optionalList(std::string_view field, const ReadElement& readElement)
+{
+    list(field, findOptional(field), readElement);
+}
+
+void ObjectReader::optionalObject(std::string_view field, const ReadElement& readElement)
+{
+    if (auto* value = findOptional(field))
+        readElement(*value, pointerTo(field));
+}
+
+void ObjectReader::finish()
+{
+    auto* object = m_value.asObject();
+    if (!object)
+        return;
+    for (auto& member : *object) {
+        if (std::find(m_knownFields.begin(), m_knownFields.end(), member.name) != m_knownFields.end())
+            continue;
+        m_file.addProblemAt(member.value.offset, ProblemKind::UnknownField, pointerTo(member.name),
+            "the field is not known", "remove it or use one of: " + join(m_knownFields));
+    }
+}
+
+const Value* ObjectReader::findOptional(std::string_view field)
+{
+    m_knownFields.push_back(field);
+    return m_value.find(field);
+}
+
+const Value* ObjectReader::findRequired(std::string_view field)
+{
+    auto* value = findOptional(field);
+    if (!value && m_value.asObject())
+        m_file.addProblem(ProblemKind::MissingField, pointerTo(field), "the field is missing", "add it");
+    return value;
+}
+
+std::string ObjectReader::text(std::string_view field, const Value* value)
+{
+    if (!value)
+        return {};
+    return text(*value, pointerTo(field));
+}
+
+std::string ObjectReader::text(const Value& value, const std::string& pointer)
+{
+    auto* text = value.asText();
+    if (!text) {
+        addWrongType(pointer, value, "a string");
+        return {};
+    }
+    if (text->empty())
+        m_file.addProblemAt(value.offset, ProblemKind::Malformed, pointer, "the text is empty", "fill it in or remove it");
+    return *text;
+}
+
+uint64_t ObjectReader::count(std::string_view field, const Value* value, Range<uint64_t> range, uint64_t fallback)
+{
+    if (!value)
+        return fallback;
+    // Negative whole numbers and fractions are numbers of JSON, hence out of range rather than of the wrong type.
+    bool isNumber = std::holds_alternative<int64_t>(value->data) || std::holds_alternative<double>(value->data);
+    auto* number = std::get_if<uint64_t>(&value->data);
+    if (!number && !isNumber) {
+        addWrongType(pointerTo(field), *value, "a whole number");
+        return fallback;
+    }
+    if (number && *number >= range.least && *number <= range.greatest)
+        return *number;
+    m_file.addProblem(ProblemKind::OutOfRange, pointerTo(field), "the number is out of range", "use a whole number " + describeRange(range));
+    return fallback;
+}
+
+void ObjectReader::list(std::string_view field, const Value* value, const ReadElement& readElement)
+{
+    if (!value)
+        return;
+    auto pointer = pointerTo(field);
+    auto* array = value->asArray();
+    if (!array) {
+        addWrongType(pointer, *value, "an array");
+        return;
+    }
+    for (size_t i = 0; i < array->size(); ++i)
+        readElement((*array)[i], childPointer(pointer, i));
+}
+
+std::vector<std::string> ObjectReader::texts(std::string_view field, const Value* value)
+{
+    std::vector<std::string> texts;
+    list(field, value, [&](const Value& element, const std::string& pointer) {
+        // An empty text in place of a faulty one keeps the indices equal to those of the file.
+        texts.push_back(text(element, pointer));
+    });
+    return texts;
+}
+
+void ObjectReader::addWrongType(const std::string& pointer, const Value& value, std::string_view expected)
+{
+    m_file.addProblemAt(value.offset, ProblemKind::WrongType, pointer,
+        "the value is " + std::string(value.describeType()), "write " + std::string(expected));
+}
+
+void ObjectReader::addUnknownChoice(std::string_view field, const std::vector<std::string_view>& words)
+{
+    m_file.addProblem(ProblemKind::Malformed, pointerTo(field), "the word is not known", "use one of: " + join(words));
+}
+
+} // namespace Lavenderloft::Json
--- /dev/null
+++ b/Source/Json/ProblemSink.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "Json/Problem.h"
+
+#include <string>
+
+namespace Lavenderloft::Json {
+
+// Where the checks of a value report what they find.
+class ProblemSink {
+public:
+    virtual ~ProblemSink() = default;
+
+    virtual void addProblem(ProblemKind, std::string pointer, std::string message, std::string remedy) = 0;
+};
+
+} // namespace Lavenderloft::Json
--- /dev/null
+++ b/Source/Json/TextChecks.cpp
@@ -0,0 +1,93 @@
+#include "Json/TextChecks.h"
+
+#include "Base/Digest.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <charconv>
+
+namespace Lavenderloft::Json {
+
+namespace {
+
+    bool isNameCharacter(char c)
+    {
+        bool isLetter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+        bool isNumeral = c >= '0' && c <= '9';
+        return isLetter || isNumeral || c == '-' || c == '_' || c == '.';
+    }
+
+    bool isPort(std::string_view text, PortRule rule)
+    {
+        uint16_t port = 0;
+        auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), port);
+        bool isNumber = error == std::errc() && end == text.data() + text.size();
+        return isNumber && (port || rule == PortRule::MayBeZero);
+    }
+
+    bool isIpAddress(int family, std::string_view text)
+    {
+        in6_addr buffer {};
+        return inet_pton(family, std::string(text).c_str(), &buffer) == 1;
+    }
+
+} // namespace
+
+bool isName(std::string_view text)
+{
+    return !text.empty() && text.size() <= maxNameLength && std::all_of(text.begin(), text.end(), isNameCharacter);
+}
+
+void checkName(ProblemSink& problems, const std::string& pointer, const std::string& text)
+{
+    if (text.empty() || isName(text))
+        return;
+    problems.addProblem(ProblemKind::Malformed, pointer, "the text is no name",
+        "use 1 to " + std::to_string(maxNameLength) + " ASCII letters, digits, '-', '_' or '.'");
+}
+
+void checkDigest(ProblemSink& problems, const std::string& pointer, const std::string& text)
+{
+    if (text.empty() || Base::isDigest(text))
+        return;
+    problems.addProblem(ProblemKind::Malformed, pointer, "the text is no digest",
+        "use the SHA-256 of the manifest as " + std::to_string(Base::digestLength) + " lower-case hexadecimal digits");
+}
+
+bool isAddress(std::string_view text, PortRule rule)
+{
+    auto colon = text.rfind(':');
+    // An embedded zero byte would end the text early for inet_pton.
+    if (colon == std::string_view::npos || text.find('\0') != std::string_view::npos)
+        return false;
+    auto host = text.substr(0, colon);
+    if (!isPort(text.substr(colon + 1), rule))
+        return false;
+    if (host.starts_with('[') && host.ends_with(']'))
+        return isIpAddress(AF_INET6, host.substr(1, host.size() - 2));
+    return isIpAddress(AF_INET, host);
+}
+
+void checkAddress(ProblemSink& problems, const std::string& pointer, const std::string& text, PortRule rule)
+{
+    if (text.empty() || isAddress(text, rule))
+        return;
+    std::string least = rule == PortRule::MayBeZero ? "0" : "1";
+    problems.addProblem(ProblemKind::Malformed, pointer, "the text is no address", "use IPv4:port or [IPv6]:port with a port from " + least + " to 65535");
+}
+
+UniquenessCheck::UniquenessCheck(ProblemSink& problems, std::string what)
+    : m_problems(problems)
+    , m_what(std::move(what))
+{
+}
+
+void UniquenessCheck::add(const std::string& pointer, const std::string& text)
+{
+    if (text.empty() || m_seen.insert(text).second)
+        return;
+    auto message = "the " + m_what + " occurs more than once";
+    m_problems.addProblem(ProblemKind::DuplicateName, pointer, std::move(message), "remove it or give it another name");
+}
+
+} // namespace Lavenderloft::Json
--- /dev/null
+++ b/Source/Settings/Queries/CheckSettings.cpp
@@ -0,0 +1,95 @@
+#include "Settings/Queries/CheckSettings.h"
+
+#include "Json/TextChecks.h"
+
+namespace Lavenderloft::Settings {
+
+namespace {
+
+    using Json::PortRule;
+    using Json::ProblemKind;
+    using Json::ProblemSink;
+
+    // One stream buffers up to 64 KiB, and a budget that holds no stream would abort every answer.
+    constexpr uint64_t minStreamBudgetBytes = 64 * 1024;
+    constexpr uint64_t minWeightMemoryBytes = 64 * 1024;
+    constexpr uint64_t maxBytes = 1ULL << 44;
+    constexpr uint64_t maxBitsPerSecond = 1000000000000;
+
+    void checkRange(ProblemSink& problems, const std::string& pointer, uint64_t value, uint64_t least, uint64_t greatest)
+    {
+        if (value >= least && value <= greatest)
+            return;
+        problems.addProblem(ProblemKind::OutOfRange, pointer, "the number is out of range",
+            "use a whole number from " + std::to_string(least) + " to " + std::to_string(greatest));
+    }
+
+    void checkSizes(const ProcessSettings& settings, ProblemSink& problems)
+    {
+        checkRange(problems, "/weightMemoryBytes", settings.weightMemoryBytes, minWeightMemoryBytes, maxBytes);
+        checkRange(problems, "/streamBudgetBytes", settings.streamBudgetBytes, minStreamBudgetBytes, maxBytes);
+        checkRange(problems, "/interRegionLinkBitsPerSecond", settings.interRegionLinkBitsPerSecond, 1000, maxBitsPerSecond);
+        bool isShare = settings.rolloutShareOfLink > 0 && settings.rolloutShareOfLink <= 1;
+        if (!isShare) {
+            problems.addProblem(ProblemKind::OutOfRange, "/rolloutShareOfLink", "the number is out of range",
+                "use a number greater than 0 and at most 1");
+        }
+    }
+
+    void checkPeers(const ProcessSettings& settings, ProblemSink& problems)
+    {
+        Json::UniquenessCheck unique(problems, "peer");
+        for (size_t i = 0; i < settings.peers.size(); ++i) {
+            auto pointer = Json::childPointer("/peers", i);
+            Json::checkAddress(problems, pointer, settings.peers[i], PortRule::MustBeFixed);
+            unique.add(pointer, settings.peers[i]);
+        }
+    }
+
+    void checkTarget(const TargetSettings& target, const ProcessSettings& settings, ProblemSink& problems)
+    {
+        Json::checkAddress(problems, "/target/endpoint", target.endpoint, PortRule::MustBeFixed);
+        Json::checkName(problems, "/target/name", target.service);
+        if (target.kind == TargetKind::Service && target.service.empty())
+            problems.addProblem(ProblemKind::MissingField, "/target/name", "a service has no name", "add the name that the desired state gives it");
+        if (target.kind == TargetKind::Model && !target.service.empty())
+            problems.addProblem(ProblemKind::Contradiction, "/target/name", "a model engine has a service's name", "remove it or set kind to \"service\"");
+        if (target.kind == TargetKind::Model && settings.weightStore.empty())
+            problems.addProblem(ProblemKind::MissingField, "/weightStore", "the agent of a model engine has no weight store", "add its address");
+    }
+
+    // A process is a router or an agent; its settings say which.
+    void checkRole(const ProcessSettings& settings, ProblemSink& problems)
+    {
+        if (settings.callers.empty() && !settings.target) {
+            problems.addProblem(ProblemKind::MissingField, "", "the settings are neither a router's nor an agent's",
+                "add \"callers\" for a router or \"target\" for an agent");
+        }
+        if (!settings.callers.empty() && settings.target) {
+            problems.addProblem(ProblemKind::Contradiction, "/callers", "the settings are both a router's and an agent's",
+                "remove \"target\" for a router or \"callers\" for an agent");
+        }
+    }
+
+} // namespace
+
+void checkSettings(const ProcessSettings& settings, ProblemSink& problems)
+{
+    Json::checkName(problems, "/vm", settings.vm);
+    Json::checkName(problems, "/region", settings.region);
+    Json::checkName(problems, "/dataCentre", settings.dataCentre);
+    // Port 0 is for a process's own ports only, which tests let the system choose.
+    Json::checkAddress(problems, "/inner", settings.inner, PortRule::MayBeZero);
+    Json::checkAddress(problems, "/admin", settings.admin, PortRule::MayBeZero);
+    Json::checkAddress(problems, "/callers", settings.callers, PortRule::MayBeZero);
+    Json::checkAddress(problems, "/configurationService", settings.configurationService, PortRule::MustBeFixed);
+    Json::checkAddress(problems, "/vmList", settings.vmList, PortRule::MustBeFixed);
+    Json::checkAddress(problems, "/weightStore", settings.weightStore, PortRule::MustBeFixed);
+    checkPeers(settings, problems);
+    checkRole(settings, problems);
+    if (settings.target)
+        checkTarget(*settings.target, settings, problems);
+    checkSizes(settings, problems);
+}
+
+} // namespace Lavenderloft::Settings
--- /dev/null
+++ b/Source/Settings/Queries/CheckSettings.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "Settings/ProcessSettings.h"
+#include "Json/ProblemSink.h"
+
+namespace Lavenderloft::Settings {
+
+// Reports what is wrong with the values of settings and between them. Empty texts stand for fields
+// that are absent.
+void checkSettings(const ProcessSettings&, Json::ProblemSink&);
+
+} // namespace Lavenderloft::Settings
--- /dev/null
+++ b/Source/Settings/Queries/ParseSettings.cpp
@@ -0,0 +1,96 @@
+#include "Settings/Queries/ParseSettings.h"
+
+#include "Settings/Queries/CheckSettings.h"
+#include "Json/ObjectReader.h"
+
+#include <limits>
+
+namespace Lavenderloft::Settings {
+
+namespace {
+
+    using Json::ObjectReader;
+    using Json::ParsedFile;
+    using Json::Value;
+    using Observability::Layout;
+    using Observability::Level;
+
+    // checkSettings knows the range of each number.
+    constexpr Json::Range<uint64_t> anyCount { 0, std::numeric_limits<uint64_t>::max() };
+
+    TargetSettings readTarget(ParsedFile& file, const Value& value, const std::string& pointer)
+    {
+        TargetSettings target;
+        ObjectReader reader(file, value, pointer);
+        if (!value.asObject())
+            return target;
+        target.kind = reader.requiredChoice<TargetKind>("kind", { { "model", TargetKind::Model }, { "service", TargetKind::Service } }, TargetKind::Model);
+        target.endpoint = reader.requiredText("endpoint");
+        target.service = reader.optionalText("name");
+        reader.finish();
+        return target;
+    }
+
+    LogSettings readLog(ParsedFile& file, const Value& value, const std::string& pointer)
+    {
+        LogSettings log;
+        ObjectReader reader(file, value, pointer);
+        if (!value.asObject())
+            return log;
+        log.level = reader.optionalChoice<Level>("level",
+            { { "debug", Level::Debug }, { "info", Level::Info }, { "warning", Level::Warning }, { "error", Level::Error } }, log.level);
+        log.layout = reader.optionalChoice<Layout>("layout", { { "plain", Layout::Plain }, { "json", Layout::Json } }, log.layout);
+        reader.finish();
+        return log;
+    }
+
+    void readAddresses(ObjectReader& reader, ProcessSettings& settings)
+    {
+        settings.inner = reader.requiredText("inner");
+        settings.admin = reader.requiredText("admin");
+        settings.callers = reader.optionalText("callers");
+        settings.configurationService = reader.requiredText("configurationService");
+        settings.vmList = reader.requiredText("vmList");
+        settings.weightStore = reader.optionalText("weightStore");
+        settings.peers = reader.optionalTexts("peers");
+    }
+
+    void readSizes(ObjectReader& reader, ProcessSettings& settings)
+    {
+        settings.weightMemoryBytes = reader.optionalCount("weightMemoryBytes", anyCount, settings.weightMemoryBytes);
+        settings.streamBudgetBytes = reader.optionalCount("streamBudgetBytes", anyCount, settings.streamBudgetBytes);
+        settings.interRegionLinkBitsPerSecond = reader.optionalCount("interRegionLinkBitsPerSecond", anyCount, settings.interRegionLinkBitsPerSecond);
+        settings.rolloutShareOfLink = reader.optionalNumber("rolloutShareOfLink", settings.rolloutShareOfLink);
+    }
+
+    ProcessSettings readSettings(ParsedFile& file)
+    {
+        ProcessSettings settings;
+        ObjectReader reader(file, file.root(), "");
+        settings.vm = reader.requiredText("vm");
+        settings.region = reader.requiredText("region");
+        settings.dataCentre = reader.requiredText("dataCentre");
+        readAddresses(reader, settings);
+        reader.optionalObject("target", [&](const Value& value, const std::string& pointer) { settings.target = readTarget(file, value, pointer); });
+        readSizes(reader, settings);
+        reader.optionalObject("log", [&](const Value& value, const std::string& pointer) { settings.log = readLog(file, value, pointer); });
+        reader.finish();
+        return settings;
+    }
+
+} // namespace
+
+Base::Result<ProcessSettings, Json::CheckError> parseSettings(std::string_view bytes)
+{
+    ParsedFile file(bytes);
+    if (!file.isReadable())
+        return file.takeProblems();
+    auto settings = readSettings(file);
+    if (file.root().asObject())
+        checkSettings(settings, file);
+    if (file.hasProblems())
+        return file.takeProblems();
+    return settings;
+}
+
+} // namespace Lavenderloft::Settings
--- /dev/null
+++ b/Tests/Settings/ParseSettingsTest.cpp
@@ -0,0 +1,85 @@
+#include "Settings/Queries/ParseSettings.h"
+#include "Settings/SettingsBuilder.h"
+
+#include <criterion/criterion.h>
+
+using namespace Lavenderloft;
+using namespace Lavenderloft::Settings;
+using Json::ProblemKind;
+
+namespace {
+
+const std::string agentSettings = R"({
+  "vm": "mak-t1", "region": "makedonia", "dataCentre": "mak-1",
+  "inner": "127.0.0.1:7001", "admin": "[::1]:0",
+  "configurationService": "127.0.0.1:6001", "vmList": "127.0.0.1:6003", "weightStore": "127.0.0.1:6002",
+  "peers": ["127.0.0.1:7011"],
+  "target": { "kind": "service", "endpoint": "127.0.0.1:9001", "name": "ledger" },
+  "weightMemoryBytes": 1000000, "streamBudgetBytes": 2000000,
+  "interRegionLinkBitsPerSecond": 3000000, "rolloutShareOfLink": 1,
+  "log": { "level": "warning", "layout": "json" }
+})";
+
+bool reports(const Json::CheckError& error, ProblemKind kind, const std::string& pointer)
+{
+    return std::any_of(error.problems.begin(), error.problems.end(),
+        [&](auto& problem) { return problem.kind == kind && problem.pointer == pointer; });
+}
+
+} // namespace
+
+// Guards against a field that is parsed into the wrong member or lost.
+Test(ParseSettings, readsEveryField)
+{
+    auto result = parseSettings(agentSettings);
+    cr_assert(Base::succeeded(result));
+    auto& settings = Base::valueOf(result);
+    cr_assert(settings.vm == "mak-t1" && settings.region == "makedonia" && settings.dataCentre == "mak-1");
+    cr_assert(settings.inner == "127.0.0.1:7001" && settings.admin == "[::1]:0" && settings.callers.empty());
+    cr_assert(settings.configurationService == "127.0.0.1:6001" && settings.vmList == "127.0.0.1:6003" && settings.weightStore == "127.0.0.1:6002");
+    cr_assert(settings.peers == std::vector<std::string> { "127.0.0.1:7011" });
+    cr_assert(settings.target->kind == TargetKind::Service && settings.target->service == "ledger" && settings.target->endpoint == "127.0.0.1:9001");
+    cr_assert(settings.weightMemoryBytes == 1000000 && settings.streamBudgetBytes == 2000000);
+    cr_assert(settings.interRegionLinkBitsPerSecond == 3000000 && settings.rolloutShareOfLink == 1);
+    cr_assert(settings.log.level == Observability::Level::Warning && settings.log.layout == Observability::Layout::Json);
+}
+
+// Guards against a process that starts with addresses or sizes that it cannot use.
+Test(ParseSettings, reportsAllProblemsAtOnce)
+{
+    auto result = parseSettings(R"({ "vm": "a/b", "region": 3, "inner": "host:1", "admin": "127.0.0.1:65536",
+        "callers": "127.0.0.1:1", "target": { "kind": "model", "endpoint": "127.0.0.1:0", "name": "x" },
+        "configurationService": "127.0.0.1", "vmList": "127.0.0.1:1", "peers": ["127.0.0.1:1", "127.0.0.1:1"],
+        "streamBudgetBytes": 1, "rolloutShareOfLink": 1.5, "log": { "level": "loud" }, "vmlist": 1 })");
+    cr_assert_not(Base::succeeded(result));
+    auto& error = Base::errorOf(result);
+    cr_assert(reports(error, ProblemKind::Malformed, "/vm"));
+    cr_assert(reports(error, ProblemKind::WrongType, "/region"));
+    cr_assert(reports(error, ProblemKind::MissingField, "/dataCentre"));
+    cr_assert(reports(error, ProblemKind::Malformed, "/inner"));
+    cr_assert(reports(error, ProblemKind::Malformed, "/admin"));
+    cr_assert(reports(error, ProblemKind::Contradiction, "/callers"));
+    cr_assert(reports(error, ProblemKind::Malformed, "/target/endpoint"));
+    cr_assert(reports(error, ProblemKind::Contradiction, "/target/name"));
+    cr_assert(reports(error, ProblemKind::MissingField, "/weightStore"));
+    cr_assert(reports(error, ProblemKind::Malformed, "/configurationService"));
+    cr_assert(reports(error, ProblemKind::DuplicateName, "/peers/1"));
+    cr_assert(reports(error, ProblemKind::OutOfRange, "/streamBudgetBytes"));
+    cr_assert(reports(error, ProblemKind::OutOfRange, "/rolloutShareOfLink"));
+    cr_assert(reports(error, ProblemKind::Malformed, "/log/level"));
+    cr_assert(reports(error, ProblemKind::UnknownField, "/vmlist"));
+    cr_assert_eq(error.problems.size(), 15);
+}
+
+// Guards against a builder that skips the checks of the file.
+Test(SettingsBuilder, checksLikeTheParser)
+{
+    SettingsBuilder builder;
+    builder.vm("mak-1", "makedonia", "mak-1").listen("127.0.0.1:0", "127.0.0.1:0").platform("127.0.0.1:1", "127.0.0.1:2");
+    auto incomplete = builder.build();
+    cr_assert_not(Base::succeeded(incomplete));
+    cr_assert(reports(Base::errorOf(incomplete), ProblemKind::MissingField, ""));
+    auto complete = builder.callers("127.0.0.1:0").build();
+    cr_assert(Base::succeeded(complete));
+    cr_assert(Base::valueOf(complete).callers == "127.0.0.1:0");
+}
