--- a/Source/Process/ControlNode.cpp
+++ b/Source/Process/ControlNode.cpp
@@ -4,6 +4,7 @@
 #include "Configuration/Commands/AcceptDocument.h"
 #include "Configuration/Events.h"
 #include "Configuration/Queries/DocumentDelta.h"
+#include "DesiredState/Queries/ParseDocument.h"
 #include "Membership/Commands/ChangeStatus.h"
 #include "Membership/Commands/MergeMembers.h"
 #include "Membership/Commands/RecordTransmission.h"
--- a/Tests/Membership/MembershipTest.cpp
+++ b/Tests/Membership/MembershipTest.cpp
@@ -8,6 +8,8 @@
 #include "Membership/Queries/SelectPeers.h"
 
 #include <criterion/criterion.h>
+#include <algorithm>
+#include <map>
 #include <memory>
 
 using namespace Lavenderloft;
