Add the stand-ins for the weight store, the VM list and plain services

The store serves models that are generated from a seed and never kept in memory; its chunks are counted, rate limited and corrupted on request. A model's first chunk describes it, so that an engine can rebuild the manifest from the bytes it received. The list of VMs shows changes after a lag. The plain service counts runs by call and can lose its answer.

--- /dev/null
+++ b/Utilities/Standin/Commands/PlainServiceCommands.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "Base/Result.h"
+#include "Standin/PlainServiceState.h"
+
+namespace Lavenderloft::Standin::Commands {
+
+enum class DropErrorKind {
+    NoneLeft,
+};
+
+using DropError = Base::Error<DropErrorKind>;
+
+void recordExecution(PlainServiceState&, const std::string& callId);
+
+// Take one of the drops that are due; an error if none is left.
+Base::Result<Base::Done, DropError> takeDropBeforeRun(PlainServiceState&);
+Base::Result<Base::Done, DropError> takeDropAfterRun(PlainServiceState&);
+
+} // namespace Lavenderloft::Standin::Commands
--- a/Utilities/Standin/ConfigurationService.cpp
+++ b/Utilities/Standin/ConfigurationService.cpp
@@ -64,7 +64,7 @@
         if (request.method == "GET" && path.startsWith({ "v1", "config", "desired-state" }))
             return read(path, stream);
         if (path.segment(0) == "test")
-            return control(path.segment(1), request, stream);
+            return respondToControl(stream, [&] { control(path.segment(1), request, stream); });
         respondNotFound(stream, request);
     }
 
--- a/Utilities/Standin/JsonAnswer.h
+++ b/Utilities/Standin/JsonAnswer.h
@@ -37,6 +37,17 @@
 
 void respondNotFound(const std::shared_ptr<Http::ResponseStream>&, const Http::HttpRequest&);
 
+// Runs the function; if a member of the JSON body has the wrong type, answers with status 400 instead.
+template <typename Function>
+void respondToControl(const std::shared_ptr<Http::ResponseStream>& stream, Function&& function)
+{
+    try {
+        function();
+    } catch (const nlohmann::json::exception& error) {
+        respondError(stream, 400, "malformed_body", error.what(), "see docs/standins.md for the members");
+    }
+}
+
 // Sends an empty response with status 204.
 void respondDone(const std::shared_ptr<Http::ResponseStream>&);
 
--- /dev/null
+++ b/Utilities/Standin/SyntheticModel.cpp
@@ -0,0 +1,140 @@
+#include "Standin/SyntheticModel.h"
+
+#include "Base/Digest.h"
+#include "Base/RendezvousHash.h"
+
+#include <algorithm>
+#include <cstring>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <random>
+
+namespace Lavenderloft::Standin {
+
+namespace {
+
+    using Json = nlohmann::ordered_json;
+
+    constexpr uint64_t maximumChunkSize = 64 * 1024 * 1024;
+
+    std::string describe(const ModelDescription& description)
+    {
+        Json text { { "model", description.model }, { "version", description.version }, { "sizeBytes", description.sizeBytes }, { "chunkSize", description.chunkSize } };
+        return text.dump();
+    }
+
+    std::optional<ModelDescription> parseDescription(std::string_view bytes)
+    {
+        auto text = Json::parse(bytes, nullptr, false);
+        if (!text.is_object())
+            return std::nullopt;
+        try {
+            return ModelDescription { text.at("model"), text.at("version"), text.at("sizeBytes"), text.at("chunkSize") };
+        } catch (const Json::exception&) {
+            return std::nullopt;
+        }
+    }
+
+    uint64_t weightChunkCount(const ModelDescription& description)
+    {
+        return (description.sizeBytes + description.chunkSize - 1) / description.chunkSize;
+    }
+
+    uint64_t weightChunkSize(const ModelDescription& description, uint64_t index)
+    {
+        return std::min(description.chunkSize, description.sizeBytes - index * description.chunkSize);
+    }
+
+    bool isValid(const ModelDescription& description)
+    {
+        return description.sizeBytes > 0 && description.chunkSize > 0 && description.chunkSize <= maximumChunkSize;
+    }
+
+    std::string randomBytes(uint64_t seed, size_t size)
+    {
+        std::mt19937_64 engine(seed);
+        std::string bytes(size, '\0');
+        for (size_t offset = 0; offset < size; offset += sizeof(uint64_t)) {
+            uint64_t word = engine();
+            std::memcpy(bytes.data() + offset, &word, std::min(sizeof(word), size - offset));
+        }
+        return bytes;
+    }
+
+} // namespace
+
+std::string buildManifest(const ModelDescription& description, const std::string& descriptionChunk, const std::vector<std::string>& weightDigests)
+{
+    Json manifest;
+    manifest["model"] = description.model;
+    manifest["version"] = description.version;
+    manifest["chunkSize"] = description.chunkSize;
+    manifest["files"] = Json::array();
+    manifest["files"].push_back({ { "name", "model.json" }, { "size", descriptionChunk.size() }, { "chunks", { Base::sha256(descriptionChunk) } } });
+    manifest["files"].push_back({ { "name", "weights.bin" }, { "size", description.sizeBytes }, { "chunks", weightDigests } });
+    return manifest.dump();
+}
+
+Base::Result<SyntheticModel, ModelError> SyntheticModel::generate(ModelSpec spec)
+{
+    if (!isValid(spec.description) || describe(spec.description).size() > spec.description.chunkSize || spec.sharedPercent > 100)
+        return ModelError { ModelErrorKind::BadSpec, "the size, the chunk size or the shared part of the model is out of range", "give sizes above zero, a chunk size from 256 bytes to 64 MiB and a shared part up to 100" };
+    SyntheticModel model;
+    model.m_spec = std::move(spec);
+    auto& description = model.m_spec.description;
+    std::vector<std::string> weightDigests;
+    for (uint64_t i = 0; i < weightChunkCount(description); ++i)
+        weightDigests.push_back(Base::sha256(model.weightChunk(i)));
+    auto first = describe(description);
+    model.m_manifest = buildManifest(description, first, weightDigests);
+    model.m_digest = Base::sha256(model.m_manifest);
+    model.m_chunkDigests.push_back(Base::sha256(first));
+    model.m_chunkDigests.insert(model.m_chunkDigests.end(), weightDigests.begin(), weightDigests.end());
+    return model;
+}
+
+uint64_t SyntheticModel::totalBytes() const
+{
+    return m_spec.description.sizeBytes + describe(m_spec.description).size();
+}
+
+std::string SyntheticModel::chunk(size_t index) const
+{
+    return index == 0 ? describe(m_spec.description) : weightChunk(index - 1);
+}
+
+std::string SyntheticModel::weightChunk(uint64_t index) const
+{
+    auto& description = m_spec.description;
+    bool isShared = index * 100 < weightChunkCount(description) * m_spec.sharedPercent;
+    auto seed = Base::stableHash(description.model + (isShared ? "" : "/" + description.version) + "/" + std::to_string(index), m_spec.seed);
+    return randomBytes(seed, weightChunkSize(description, index));
+}
+
+Base::Result<Base::Done, ModelError> ModelVerifier::add(std::string_view bytes)
+{
+    if (m_received == 0) {
+        auto description = parseDescription(bytes);
+        if (!description || !isValid(*description))
+            return ModelError { ModelErrorKind::NotAModel, "the first chunk is not the description of a model", "deliver the chunks in the order of the manifest" };
+        m_description = std::move(*description);
+        m_descriptionChunk = std::string(bytes);
+        m_received = 1;
+        return Base::Done {};
+    }
+    auto index = m_weightDigests.size();
+    if (index >= weightChunkCount(m_description) || bytes.size() != weightChunkSize(m_description, index))
+        return ModelError { ModelErrorKind::WrongSize, "chunk " + std::to_string(m_received) + " has the wrong size or is one too many", "deliver the chunks of the manifest unchanged" };
+    m_weightDigests.push_back(Base::sha256(bytes));
+    ++m_received;
+    return Base::Done {};
+}
+
+Base::Result<std::string, ModelError> ModelVerifier::digest() const
+{
+    if (m_received == 0 || m_weightDigests.size() < weightChunkCount(m_description))
+        return ModelError { ModelErrorKind::Incomplete, std::to_string(m_received) + " chunks were received, which is not all", "deliver all chunks before the order to load" };
+    return Base::sha256(buildManifest(m_description, m_descriptionChunk, m_weightDigests));
+}
+
+} // namespace Lavenderloft::Standin
--- /dev/null
+++ b/Utilities/Standin/SyntheticModel.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "Base/Result.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+// Models of the stand-ins. A model has two files: `model.json`, one chunk that describes the model,
+// and `weights.bin`, pseudo-random bytes. The manifest is a function of the description and of the
+// digests of the chunks, so whoever received all chunks in order can rebuild the manifest and with it
+// the digest of the version.
+namespace Lavenderloft::Standin {
+
+struct ModelDescription {
+    std::string model;
+    std::string version;
+    // Size of weights.bin and of its chunks, in bytes.
+    uint64_t sizeBytes = 0;
+    uint64_t chunkSize = 0;
+
+    bool operator==(const ModelDescription&) const = default;
+};
+
+struct ModelSpec {
+    ModelDescription description;
+    uint64_t seed = 1;
+    // The leading part of weights.bin, in percent, that is equal in all versions of the model.
+    unsigned sharedPercent = 0;
+};
+
+enum class ModelErrorKind {
+    BadSpec,
+    NotAModel,
+    WrongSize,
+    Incomplete,
+};
+
+using ModelError = Base::Error<ModelErrorKind>;
+
+// The manifest of a model as JSON text.
+std::string buildManifest(const ModelDescription&, const std::string& descriptionChunk, const std::vector<std::string>& weightDigests);
+
+// A model generated from a seed. Chunk 0 is model.json; chunks are generated anew at each call.
+class SyntheticModel {
+public:
+    static Base::Result<SyntheticModel, ModelError> generate(ModelSpec);
+
+    const ModelSpec& spec() const { return m_spec; }
+    const std::string& manifest() const { return m_manifest; }
+    const std::string& digest() const { return m_digest; }
+    const std::vector<std::string>& chunkDigests() const { return m_chunkDigests; }
+
+    // Bytes of all chunks together.
+    uint64_t totalBytes() const;
+
+    std::string chunk(size_t index) const;
+
+private:
+    std::string weightChunk(uint64_t index) const;
+
+    ModelSpec m_spec;
+    std::string m_manifest;
+    std::string m_digest;
+    std::vector<std::string> m_chunkDigests;
+};
+
+// Computes the digest of the version that received chunks make up. Keeps digests, not the bytes.
+class ModelVerifier {
+public:
+    // Takes the next chunk in the order of the manifest.
+    Base::Result<Base::Done, ModelError> add(std::string_view bytes);
+
+    size_t chunksReceived() const { return m_received; }
+
+    // SHA-256 of the manifest rebuilt from the chunks; an error while chunks are missing.
+    Base::Result<std::string, ModelError> digest() const;
+
+private:
+    ModelDescription m_description;
+    std::string m_descriptionChunk;
+    std::vector<std::string> m_weightDigests;
+    size_t m_received = 0;
+};
+
+} // namespace Lavenderloft::Standin
--- /dev/null
+++ b/Utilities/Standin/VmList.cpp
@@ -0,0 +1,164 @@
+#include "Standin/VmList.h"
+
+#include "Base/SystemClock.h"
+#include "Http/HttpServer.h"
+#include "Standin/Commands/VmListCommands.h"
+#include "Standin/FileContent.h"
+#include "Standin/JsonAnswer.h"
+#include "Standin/Queries/VmListQueries.h"
+
+#include <stdexcept>
+
+namespace Lavenderloft::Standin {
+
+namespace {
+
+    nlohmann::json toJson(const std::vector<VmEntry>& entries)
+    {
+        auto vms = nlohmann::json::array();
+        for (auto& vm : entries)
+            vms.push_back({ { "name", vm.name }, { "address", vm.address }, { "dataCentre", vm.dataCentre }, { "region", vm.region }, { "role", vm.role }, { "state", vm.state } });
+        return { { "vms", vms } };
+    }
+
+    std::vector<VmEntry> fromJson(const nlohmann::json& list)
+    {
+        std::vector<VmEntry> entries;
+        for (auto& vm : list.at("vms"))
+            entries.push_back({ vm.at("name"), vm.at("address"), vm.at("dataCentre"), vm.at("region"), vm.at("role"), vm.at("state") });
+        return entries;
+    }
+
+} // namespace
+
+class VmList::Front final : public Http::HttpHandler, public std::enable_shared_from_this<Front> {
+public:
+    explicit Front(VmListOptions options)
+        : m_options(std::move(options))
+    {
+        Commands::setVmListLag(m_state, m_options.lag);
+        if (!m_options.file.empty())
+            Commands::replaceVms(m_state, readEntries(m_options.file), m_clock.now());
+    }
+
+    void start()
+    {
+        Http::HttpServerOptions options;
+        options.listen = m_options.listen;
+        m_server = std::make_unique<Http::HttpServer>(options, shared_from_this());
+    }
+
+    void stop()
+    {
+        m_server->stop();
+        m_server.reset();
+    }
+
+    uint16_t port() const { return m_server->port(); }
+    VmListState& state() { return m_state; }
+
+    void replace(std::vector<VmEntry> entries) { Commands::replaceVms(m_state, std::move(entries), m_clock.now()); }
+
+    Base::Result<Base::Done, Commands::VmListError> setState(const std::string& name, const std::string& state)
+    {
+        return Commands::setVmState(m_state, name, state, m_clock.now());
+    }
+
+    void handle(Http::HttpRequest request, std::shared_ptr<Http::ResponseStream> stream) override
+    {
+        auto path = parseRequestPath(request.target);
+        if (path.segment(0) == "test")
+            return respondToControl(stream, [&] { control(path, request, stream); });
+        if (Queries::isVmListDown(m_state))
+            return stream->abort();
+        if (request.method == "GET" && path.startsWith({ "v1", "vms" }))
+            return respondJson(stream, 200, toJson(Queries::visibleVms(m_state, m_clock.now())));
+        respondNotFound(stream, request);
+    }
+
+private:
+    static std::vector<VmEntry> readEntries(const std::string& file)
+    {
+        try {
+            return fromJson(nlohmann::json::parse(readFile(file)));
+        } catch (const nlohmann::json::exception& error) {
+            throw std::runtime_error("file \"" + file + "\" is not a list of VMs: " + error.what());
+        }
+    }
+
+    void control(const RequestPath& path, const Http::HttpRequest& request, const std::shared_ptr<Http::ResponseStream>& stream)
+    {
+        auto body = parseObject(request.body);
+        if (request.method != "PUT" || !body)
+            return respondNotFound(stream, request);
+        if (path.segments.size() == 2 && path.segment(1) == "vms") {
+            replace(fromJson(*body));
+            return respondDone(stream);
+        }
+        if (path.segments.size() == 3 && path.segment(1) == "vms")
+            return changeState(path.segment(2), body->at("state"), stream);
+        if (path.segment(1) == "faults")
+            return setFaults(*body, stream);
+        respondNotFound(stream, request);
+    }
+
+    void changeState(const std::string& name, const std::string& state, const std::shared_ptr<Http::ResponseStream>& stream)
+    {
+        auto changed = setState(name, state);
+        if (!Base::succeeded(changed))
+            return respondError(stream, 404, "unknown_vm", Base::errorOf(changed).message, Base::errorOf(changed).remedy);
+        respondDone(stream);
+    }
+
+    void setFaults(const nlohmann::json& body, const std::shared_ptr<Http::ResponseStream>& stream)
+    {
+        if (body.contains("down"))
+            Commands::setVmListDown(m_state, body.at("down"));
+        if (body.contains("lagMs"))
+            Commands::setVmListLag(m_state, std::chrono::milliseconds(body.at("lagMs").get<uint32_t>()));
+        respondDone(stream);
+    }
+
+    VmListOptions m_options;
+    VmListState m_state;
+    Base::SystemClock m_clock;
+    std::unique_ptr<Http::HttpServer> m_server;
+};
+
+VmList::VmList(VmListOptions options)
+    : m_front(std::make_shared<Front>(std::move(options)))
+{
+    m_front->start();
+}
+
+VmList::~VmList()
+{
+    m_front->stop();
+}
+
+uint16_t VmList::port() const
+{
+    return m_front->port();
+}
+
+void VmList::replace(std::vector<VmEntry> entries)
+{
+    m_front->replace(std::move(entries));
+}
+
+bool VmList::setState(const std::string& name, const std::string& state)
+{
+    return Base::succeeded(m_front->setState(name, state));
+}
+
+void VmList::setLag(std::chrono::milliseconds lag)
+{
+    Commands::setVmListLag(m_front->state(), lag);
+}
+
+void VmList::setDown(bool down)
+{
+    Commands::setVmListDown(m_front->state(), down);
+}
+
+} // namespace Lavenderloft::Standin
--- /dev/null
+++ b/Utilities/Standin/WeightStore.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "Http/HttpMessage.h"
+#include "Standin/WeightStoreState.h"
+
+#include <memory>
+
+namespace Lavenderloft::Standin {
+
+struct WeightStoreOptions {
+    Http::Endpoint listen { "127.0.0.1", 0 };
+    // Rate of all chunk responses together.
+    double bytesPerSecond = 1e9;
+};
+
+// Stand-in for the weight store and the origin of weights.
+class WeightStore {
+public:
+    // Throws std::runtime_error if the address cannot be bound.
+    explicit WeightStore(WeightStoreOptions);
+    ~WeightStore();
+
+    uint16_t port() const;
+
+    // Generates a model and serves it. Throws std::invalid_argument if the spec is out of range.
+    std::shared_ptr<const SyntheticModel> addModel(ModelSpec);
+
+    void setRate(double bytesPerSecond);
+
+    // Serves the chunk with one byte changed for the given number of times.
+    void corruptChunk(const std::string& digest, unsigned times);
+
+    // While down, the store cuts off every call.
+    void setDown(bool);
+
+    // While stalled, chunk responses stop after their first part; they are cut off when the stall ends.
+    void setStalled(bool);
+
+    WeightStoreCounters counters() const;
+    void resetCounters();
+
+private:
+    class Front;
+    std::shared_ptr<Front> m_front;
+};
+
+} // namespace Lavenderloft::Standin
