Measure how changes spread: lavenderloft-bench spread

Cause: the control plane's cost a node and its time to spread are to be measured before the fleet grows. Change: real control nodes over loopback with loss, an unreachable service and partitions; the control node learns its address at its start.

--- a/Source/Process/ControlNode.cpp
+++ b/Source/Process/ControlNode.cpp
@@ -65,7 +65,7 @@
 
 } // namespace
 
-ControlNode::ControlNode(const Settings::ProcessSettings& settings, Membership::Role role, const std::string& address, ControlNodeParts parts)
+ControlNode::ControlNode(const Settings::ProcessSettings& settings, Membership::Role role, ControlNodeParts parts)
     : m_settings(settings)
     , m_parts(parts)
     , m_table(settings.vm)
@@ -74,17 +74,13 @@
 {
     Membership::Member self;
     self.vm = settings.vm;
-    self.address = address;
+    self.address = settings.inner;
     self.dataCentre = settings.dataCentre;
     self.region = settings.region;
     self.role = role;
     self.incarnation = startIncarnation(parts.clock);
     self.version = 1;
     UpdateSelf(m_table).introduce(self, parts.clock.now());
-    for (auto& peer : settings.peers) {
-        if (peer != address)
-            m_unknownContacts.emplace_back(peer, std::string());
-    }
 }
 
 ControlNode::~ControlNode()
@@ -92,8 +88,13 @@
     stop();
 }
 
-void ControlNode::start()
+void ControlNode::start(const std::string& address)
 {
+    UpdateSelf(m_table).execute([&](Membership::Member& self) { self.address = address; }, m_parts.clock.now());
+    for (auto& peer : m_settings.peers) {
+        if (peer != address)
+            m_unknownContacts.emplace_back(peer, std::string());
+    }
     m_threads.emplace_back([this] { gossipLoop(); });
     m_threads.emplace_back([this] { readLoop(); });
     m_threads.emplace_back([this] { vmListLoop(); });
--- a/Source/Process/ControlNode.h
+++ b/Source/Process/ControlNode.h
@@ -31,12 +31,11 @@
 // when it is its turn, and shows the rest of the process what is in force.
 class ControlNode final : public ControlView, public Membership::ControlHandler {
 public:
-    // The address is that of the inner port in use.
-    ControlNode(const Settings::ProcessSettings&, Membership::Role, const std::string& address, ControlNodeParts);
+    ControlNode(const Settings::ProcessSettings&, Membership::Role, ControlNodeParts);
     ~ControlNode() override;
 
-    // Starts the threads. To be called once the inner port answers.
-    void start();
+    // Starts the threads. To be called once the inner port answers, with its address as IP:port.
+    void start(const std::string& address);
 
     // Ends the threads.
     void stop();
--- a/Tests/Membership/MembershipTest.cpp
+++ b/Tests/Membership/MembershipTest.cpp
@@ -7,8 +7,8 @@
 #include "Membership/Queries/LiveMembers.h"
 #include "Membership/Queries/SelectPeers.h"
 
-#include <criterion/criterion.h>
 #include <algorithm>
+#include <criterion/criterion.h>
 #include <map>
 #include <memory>
 
--- /dev/null
+++ b/Utilities/Bench/BenchTable.cpp
@@ -0,0 +1,14 @@
+#include "Bench/BenchTable.h"
+
+#include "Bench/Spread/SpreadCommand.h"
+
+namespace Lavenderloft::Bench {
+
+std::vector<std::unique_ptr<CommandLine::Command>> makeBenchmarks()
+{
+    std::vector<std::unique_ptr<CommandLine::Command>> commands;
+    commands.push_back(std::make_unique<Spread::SpreadCommand>());
+    return commands;
+}
+
+} // namespace Lavenderloft::Bench
--- /dev/null
+++ b/Utilities/Bench/Spread/FaultyPeerClient.cpp
@@ -0,0 +1,43 @@
+#include "Bench/Spread/FaultyPeerClient.h"
+
+namespace Lavenderloft::Bench::Spread {
+
+void NetworkFaults::separate(std::set<std::string> addresses)
+{
+    std::lock_guard guard(m_lock);
+    m_separated = std::move(addresses);
+}
+
+bool NetworkFaults::areSeparated(const std::string& a, const std::string& b) const
+{
+    std::lock_guard guard(m_lock);
+    return m_separated.count(a) != m_separated.count(b);
+}
+
+FaultyPeerClient::FaultyPeerClient(Membership::PeerClient& client, const NetworkFaults& faults, Base::RandomSource& random)
+    : m_client(client)
+    , m_faults(faults)
+    , m_random(random)
+{
+}
+
+void FaultyPeerClient::exchange(const std::string& address, const Membership::GossipMessage& message, std::chrono::milliseconds timeout, ExchangeCallback callback)
+{
+    if (isLost(address))
+        return callback(std::nullopt);
+    m_client.exchange(address, message, timeout, std::move(callback));
+}
+
+void FaultyPeerClient::fetchDocument(const std::string& address, const std::string& heldDigest, std::chrono::milliseconds timeout, DocumentCallback callback)
+{
+    if (isLost(address))
+        return callback(std::nullopt);
+    m_client.fetchDocument(address, heldDigest, timeout, std::move(callback));
+}
+
+bool FaultyPeerClient::isLost(const std::string& address)
+{
+    return m_faults.areSeparated(m_ownAddress, address) || m_random.fraction() < m_faults.lossShare.load();
+}
+
+} // namespace Lavenderloft::Bench::Spread
--- /dev/null
+++ b/Utilities/Bench/Spread/FaultyPeerClient.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "Base/RandomSource.h"
+#include "Membership/PeerClient.h"
+
+#include <atomic>
+#include <mutex>
+#include <set>
+#include <string>
+
+namespace Lavenderloft::Bench::Spread {
+
+// Which addresses cannot reach each other, and which share of calls is lost; shared by all nodes of a fleet.
+struct NetworkFaults {
+    std::atomic<double> lossShare { 0 };
+
+    // Separates the given addresses from all others; an empty set heals the partition.
+    void separate(std::set<std::string> addresses);
+    bool areSeparated(const std::string& a, const std::string& b) const;
+
+private:
+    mutable std::mutex m_lock;
+    std::set<std::string> m_separated;
+};
+
+// Passes calls on to another client unless the faults swallow them.
+class FaultyPeerClient final : public Membership::PeerClient {
+public:
+    FaultyPeerClient(Membership::PeerClient&, const NetworkFaults&, Base::RandomSource&);
+
+    void setOwnAddress(std::string address) { m_ownAddress = std::move(address); }
+
+    void exchange(const std::string& address, const Membership::GossipMessage&, std::chrono::milliseconds timeout, ExchangeCallback) override;
+    void fetchDocument(const std::string& address, const std::string& heldDigest, std::chrono::milliseconds timeout, DocumentCallback) override;
+
+private:
+    bool isLost(const std::string& address);
+
+    Membership::PeerClient& m_client;
+    const NetworkFaults& m_faults;
+    Base::RandomSource& m_random;
+    std::string m_ownAddress;
+};
+
+} // namespace Lavenderloft::Bench::Spread
--- /dev/null
+++ b/Utilities/Bench/Spread/FleetNode.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "Base/SeededRandom.h"
+#include "Base/SystemClock.h"
+#include "Bench/Spread/FaultyPeerClient.h"
+#include "Process/ControlNode.h"
+#include "Process/HttpConfigurationSource.h"
+#include "Transport/ControlServiceClient.h"
+#include "Transport/ControlServiceServer.h"
+
+#include <memory>
+#include <string>
+
+namespace grpc {
+class Server;
+}
+
+namespace Lavenderloft::Bench::Spread {
+
+// Reads the platform's services unless the fleet's faults separate this node from them.
+class SeparableSource final : public Process::ConfigurationSource {
+public:
+    SeparableSource(Process::ConfigurationSource& source, const std::atomic<bool>& separated)
+        : m_source(source)
+        , m_separated(separated)
+    {
+    }
+
+    Base::Result<std::optional<std::string>, Process::SourceError> read(uint64_t afterRevision, std::chrono::milliseconds wait) override;
+    Base::Result<std::vector<Process::ListedVm>, Process::SourceError> listVms() override;
+
+private:
+    Process::ConfigurationSource& m_source;
+    const std::atomic<bool>& m_separated;
+};
+
+// The control plane of one process with its own gRPC server on loopback.
+class FleetNode {
+public:
+    FleetNode(const Settings::ProcessSettings&, Membership::Role, uint64_t seed, const NetworkFaults&, Process::ConfigurationSource&);
+    ~FleetNode();
+
+    void start(std::vector<std::string> seeds);
+    void stop();
+
+    const std::string& address() const { return m_address; }
+    const std::string& dataCentre() const { return m_settings.dataCentre; }
+    const Process::ControlNode& control() const { return *m_control; }
+    uint64_t bytesTransferred() const { return m_client.bytesTransferred(); }
+
+    // Cuts the node off from the platform's services, or joins it again.
+    void setSeparatedFromPlatform(bool separated) { m_separated = separated; }
+
+private:
+    Settings::ProcessSettings m_settings;
+    Membership::Role m_role;
+    Base::SystemClock m_clock;
+    Base::SeededRandom m_random;
+    Observability::Metrics m_metrics;
+    Transport::ControlServiceClient m_client;
+    FaultyPeerClient m_peers;
+    std::atomic<bool> m_separated { false };
+    SeparableSource m_source;
+    std::unique_ptr<Process::ControlNode> m_control;
+    std::unique_ptr<Transport::ControlServiceServer> m_service;
+    std::unique_ptr<grpc::Server> m_server;
+    std::string m_address;
+};
+
+} // namespace Lavenderloft::Bench::Spread
