Add the subcommands check and diff

Operators had no way to see faults and consequences before publishing. `check` prints all problems of a desired state or of settings. `diff` prints what changes for pools, data centres, services, routes and organisations, and refuses a revision that does not grow and a one-step move of key homes.

--- a/Source/CommandLine/CommandTable.cpp
+++ b/Source/CommandLine/CommandTable.cpp
@@ -1,5 +1,8 @@
 #include "CommandLine/CommandTable.h"
 
+#include "CommandLine/CheckCommand.h"
+#include "CommandLine/DiffCommand.h"
+
 #include <iostream>
 #include <popt.h>
 
@@ -27,6 +30,8 @@
 std::vector<std::unique_ptr<Command>> makeCommands()
 {
     std::vector<std::unique_ptr<Command>> commands;
+    commands.push_back(std::make_unique<CheckCommand>());
+    commands.push_back(std::make_unique<DiffCommand>());
     return commands;
 }
 
--- /dev/null
+++ b/Source/CommandLine/InputFile.cpp
@@ -0,0 +1,27 @@
+#include "CommandLine/InputFile.h"
+
+#include "Json/ParsedFile.h"
+
+#include <cerrno>
+#include <cstring>
+#include <fstream>
+
+namespace Lavenderloft::CommandLine {
+
+Base::Result<std::string, InputError> readInputFile(const std::string& path)
+{
+    errno = 0;
+    std::ifstream file(path, std::ios::binary);
+    // One byte more than the limit shows that the file is too large; the rest stays unread.
+    std::string bytes(Json::maxFileBytes + 1, '\0');
+    if (file)
+        file.read(bytes.data(), static_cast<std::streamsize>(bytes.size()));
+    if (!file && !file.eof())
+        return InputError { InputErrorKind::NotReadable, path + ": the file cannot be read: " + std::strerror(errno), "name a file that you may read" };
+    bytes.resize(static_cast<size_t>(file.gcount()));
+    if (bytes.size() > Json::maxFileBytes)
+        return InputError { InputErrorKind::TooLarge, path + ": the file has more than " + std::to_string(Json::maxFileBytes) + " bytes", "make the file smaller" };
+    return bytes;
+}
+
+} // namespace Lavenderloft::CommandLine
--- /dev/null
+++ b/Tests/CommandLine/CheckAndDiffTest.cpp
@@ -0,0 +1,175 @@
+#include "CommandLine/CommandTable.h"
+
+#include <criterion/criterion.h>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <unistd.h>
+
+using namespace Lavenderloft;
+
+namespace {
+
+// Takes what a stream prints while it lives.
+class Capture {
+public:
+    explicit Capture(std::ostream& stream)
+        : m_stream(stream)
+        , m_original(stream.rdbuf(m_text.rdbuf()))
+    {
+    }
+
+    ~Capture() { m_stream.rdbuf(m_original); }
+
+    std::string text() const { return m_text.str(); }
+
+private:
+    std::ostringstream m_text;
+    std::ostream& m_stream;
+    std::streambuf* m_original;
+};
+
+struct Outcome {
+    int code;
+    std::string output;
+    std::string errors;
+
+    bool prints(const std::string& text) const { return output.find(text) != std::string::npos; }
+    bool complains(const std::string& text) const { return errors.find(text) != std::string::npos; }
+};
+
+Outcome run(std::vector<std::string> arguments)
+{
+    arguments.insert(arguments.begin(), "lavenderloft");
+    std::vector<char*> argv;
+    for (auto& argument : arguments)
+        argv.push_back(argument.data());
+    argv.push_back(nullptr);
+    Capture output(std::cout);
+    Capture errors(std::cerr);
+    int code = CommandLine::runCommand(static_cast<int>(arguments.size()), argv.data());
+    return { code, output.text(), errors.text() };
+}
+
+// Files that are removed at the end of a test.
+class Folder {
+public:
+    Folder()
+    {
+        auto pattern = (std::filesystem::temp_directory_path() / "lavenderloft-XXXXXX").string();
+        m_path = mkdtemp(pattern.data());
+    }
+
+    ~Folder() { std::filesystem::remove_all(m_path); }
+
+    std::string write(const std::string& name, const std::string& bytes) const
+    {
+        auto path = m_path / name;
+        std::ofstream(path, std::ios::binary) << bytes;
+        return path.string();
+    }
+
+private:
+    std::filesystem::path m_path;
+};
+
+nlohmann::json document()
+{
+    return nlohmann::json::parse(R"({
+        "revision": 5,
+        "regions": [{ "name": "kutch" }],
+        "dataCentres": [{ "name": "kut-1", "region": "kutch" }, { "name": "kut-2", "region": "kutch" }],
+        "pools": [{ "name": "hazard", "manifest": ")"
+        + std::string(64, 'a') + R"(", "replicas": 10, "maxUnavailable": 2, "coldLimit": 2, "fullLimit": 8 }],
+        "services": [{ "name": "signs", "vms": ["s1", "s2"] }],
+        "routes": [{ "path": "/hazard", "pool": "hazard" }, { "path": "/signs", "service": "signs" }] })");
+}
+
+Outcome diff(const nlohmann::json& before, const nlohmann::json& after)
+{
+    Folder folder;
+    return run({ "diff", folder.write("old.json", before.dump()), folder.write("new.json", after.dump()) });
+}
+
+} // namespace
+
+// Guards against exit codes that a publishing script cannot rely on.
+Test(CheckCommand, tellsValidRefusedAndUsageApart)
+{
+    Folder folder;
+    auto valid = folder.write("valid.json", document().dump());
+    auto faulty = folder.write("faulty.json", R"({ "revision": 1, "regionz": [] })");
+    auto large = folder.write("large.json", std::string(10'000'000, ' '));
+    cr_assert_eq(run({ "check", valid }).code, 0);
+    cr_assert(run({ "check", valid }).prints("revision 5"));
+    auto refused = run({ "check", faulty });
+    cr_assert_eq(refused.code, 1);
+    cr_assert(refused.complains("/regionz") && refused.complains("/pools") && refused.complains("line 1, column"));
+    cr_assert_eq(run({ "check", large }).code, 1);
+    cr_assert_eq(run({ "check", "--settings", valid }).code, 1);
+    cr_assert_eq(run({ "check" }).code, 2);
+    cr_assert_eq(run({ "check", valid, faulty }).code, 2);
+    cr_assert_eq(run({ "check", "--colour", valid }).code, 2);
+    cr_assert_eq(run({ "check", valid + ".missing" }).code, 2);
+    cr_assert_eq(run({ "check", std::filesystem::temp_directory_path().string() }).code, 2);
+    auto help = run({ "check", "--help" });
+    cr_assert(help.code == 0 && help.prints("--settings"));
+}
+
+// Guards against a published document that moves key homes while calls run, or that is never accepted.
+Test(DiffCommand, refusesUnsafeSteps)
+{
+    auto before = document();
+    auto same = diff(before, before);
+    cr_assert_eq(same.code, 1);
+    cr_assert(same.prints("revision 5 is not greater than 5"));
+
+    auto moved = document();
+    moved["revision"] = 6;
+    moved["services"][0]["vms"] = { "s1", "s3" };
+    auto direct = diff(before, moved);
+    cr_assert_eq(direct.code, 1);
+    cr_assert(direct.prints("refused: service signs: VMs added: s3; removed: s2"));
+
+    // A pause in the same document is not a pause before it.
+    moved["services"][0]["paused"] = true;
+    cr_assert_eq(diff(before, moved).code, 1);
+    before["services"][0]["paused"] = true;
+    cr_assert_eq(diff(before, moved).code, 0);
+
+    auto reordered = document();
+    reordered["revision"] = 6;
+    reordered["services"][0]["vms"] = { "s2", "s1" };
+    cr_assert_eq(diff(document(), reordered).code, 0);
+}
+
+// Guards against consequences that an operator learns of only after publishing.
+Test(DiffCommand, showsConsequences)
+{
+    auto after = document();
+    after["revision"] = 6;
+    after["dataCentres"][1]["state"] = "out";
+    after["pools"][0]["manifest"] = std::string(64, 'b');
+    after["pools"][0]["replicas"] = 6;
+    after["routes"][1]["repeatable"] = true;
+    after["routes"].push_back({ { "path", "/signs/status" }, { "service", "signs" }, { "class", "summary" } });
+    auto outcome = diff(document(), after);
+    cr_assert_eq(outcome.code, 0);
+    cr_assert(outcome.prints("data centre kut-2: is taken out"));
+    cr_assert(outcome.prints("pool hazard: version aaaaaaaaaaaa -> bbbbbbbbbbbb"));
+    cr_assert(outcome.prints("pool hazard: capacity in requests at a time 80 -> 48"));
+    cr_assert(outcome.prints("capacity while replicas switch: at least 32"));
+    cr_assert(outcome.prints("warning: route /signs: calls may now be repeated"));
+    cr_assert(outcome.prints("route /signs/status: takes over calls that matched /signs"));
+    cr_assert(outcome.prints("route /signs/status: class interactive -> summary"));
+    cr_assert_not(outcome.prints("refused"));
+
+    auto narrowed = document();
+    narrowed["revision"] = 6;
+    narrowed["pools"][0]["dataCentres"] = { "kut-1" };
+    cr_assert(diff(document(), narrowed).prints("warning: data centre kut-2: is left without replicas"));
+    narrowed["dataCentres"][0]["state"] = "out";
+    cr_assert(diff(document(), narrowed).prints("warning: pool hazard: none of its data centres is in"));
+}
