--- a/Source/DesiredState/Queries/CheckDocument.cpp
+++ b/Source/DesiredState/Queries/CheckDocument.cpp
@@ -35,7 +35,8 @@
 
     void checkReference(ProblemSink& problems, const std::string& pointer, const std::string& name, bool exists, const std::string& what)
     {
-        if (name.empty() || exists)
+        Json::checkName(problems, pointer, name);
+        if (exists || !Json::isName(name))
             return;
         problems.addProblem(ProblemKind::DanglingReference, pointer, "no " + what + " has this name", "declare the " + what + " or correct the name");
     }
--- a/Source/DesiredState/Queries/DiffDocuments.cpp
+++ b/Source/DesiredState/Queries/DiffDocuments.cpp
@@ -103,7 +103,7 @@
 {
     for (auto& old : before.organisations) {
         if (!after.findOrganisation(old.name))
-            consequences.note("organisation " + old.name, "is removed; it keeps the default share of 1");
+            consequences.note("organisation " + old.name, "is removed");
     }
     for (auto& organisation : after.organisations) {
         auto subject = "organisation " + organisation.name;
--- a/Source/DesiredState/Queries/ParseDocument.cpp
+++ b/Source/DesiredState/Queries/ParseDocument.cpp
@@ -3,6 +3,7 @@
 #include "Base/Digest.h"
 #include "DesiredState/Queries/CheckDocument.h"
 #include "Json/ObjectReader.h"
+#include "Json/TextChecks.h"
 
 namespace Lavenderloft::DesiredState {
 
@@ -99,6 +100,8 @@
         if (reader.has("pool") == reader.has("service")) {
             file.addProblem(Json::ProblemKind::Contradiction, reader.pointer(),
                 "a route leads to one pool or one service", "give either \"pool\" or \"service\"");
+            // Of two destinations only the pool is kept and checked later.
+            Json::checkName(file, reader.pointerTo("service"), service);
         }
         route.kind = reader.has("pool") ? RouteKind::ToPool : RouteKind::ToService;
         route.destination = reader.has("pool") ? pool : service;
