Keep the wait for peers also between fruitless calls

After a pause a reader in a small view could call the service before its peers had answered, because the interval after a fruitless call left the wait out. The plan now takes the later of the two; the test of the fresh process covers it.

--- a/Source/Configuration/Queries/NextRead.cpp
+++ b/Source/Configuration/Queries/NextRead.cpp
@@ -60,7 +60,7 @@
             return startEnd(state) + scaled(spread, state.jitter);
         }
         if (state.fruitlessCalls && isViewSmall(situation))
-            return afterOwnInterval(state);
+            return std::max(startEnd(state), afterOwnInterval(state));
         auto doublings = std::min(state.fruitlessCalls, 2u);
         auto interval = std::min<Duration>(greatestReaderInterval, leastReaderInterval * (1 << doublings));
         return std::max(startEnd(state), *state.lastCallAt + interval);
--- a/Source/Json/ParsedFile.h
+++ b/Source/Json/ParsedFile.h
@@ -12,7 +12,7 @@
 inline constexpr size_t maxFileBytes = 1000000;
 // Deepest nesting; the deepest value of a valid file is at level 4.
 inline constexpr size_t maxNesting = 16;
-// Bounds the memory of a parsed file: one megabyte of empty arrays would otherwise take 30 MB.
+// Bounds the memory of a parsed file, in which a small value takes many times its bytes.
 inline constexpr size_t maxValues = 100000;
 // Problems listed for one file; those beyond are counted only.
 inline constexpr size_t maxProblems = 1000;
--- a/Tests/Configuration/ReadTest.cpp
+++ b/Tests/Configuration/ReadTest.cpp
@@ -160,10 +160,15 @@
     cr_assert(next.mayTrustService(clock.now()));
     cr_assert(next.plan(situation).isDue(clock.now()));
 
-    // A pause starts the wait anew.
+    // A pause starts the wait anew, also in a view so small that fruitless calls are 10 s apart.
+    record.callStarted(clock.now());
+    record.callEnded(clock.now(), ReadOutcome::Failed);
     clock.advance(1h);
     record.started(clock.now(), 1);
     cr_assert_not(next.mayTrustService(clock.now()));
+    cr_assert(next.plan(situation).at == clock.now() + 3s);
+    situation.candidateCount = 1;
+    cr_assert(next.plan(situation).at == clock.now() + 3s);
     clock.advance(3s);
     cr_assert(next.mayTrustService(clock.now()));
 }
