Add the stand-in for a model engine

It takes weights in order, computes their digest from the bytes received and never from an order, batches continuously, honours priorities, and shows in each token which weights generated it. Cold starts, crashes, fencing, the memory limit and a lagging status are settable.

--- /dev/null
+++ b/Tests/Standin/ModelEngineTest.cpp
@@ -0,0 +1,198 @@
+#include "Standin/ModelEngine.h"
+#include "Http/HttpClient.h"
+#include "Standin/Queries/EngineQueries.h"
+#include "Standin/TokenText.h"
+
+#include <criterion/criterion.h>
+#include <future>
+#include <sstream>
+#include <thread>
+
+using namespace Lavenderloft;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto hangLimit = 20s;
+
+Standin::SyntheticModel makeModel(const std::string& version)
+{
+    return Base::takeValue(Standin::SyntheticModel::generate({ { "assistant", version, 100'000, 16'384 }, 7, 0 }));
+}
+
+// An engine with a client.
+class EngineFixture {
+public:
+    explicit EngineFixture(const Standin::EngineBehaviour& behaviour = {})
+        : engine({ { "127.0.0.1", 0 }, behaviour })
+    {
+    }
+
+    // The status of the response, or 0 if it broke off.
+    unsigned send(const std::string& method, const std::string& target, const std::string& body, uint64_t fence = 0)
+    {
+        auto response = client.fetch({ "127.0.0.1", engine.port() }, { method, target, { { "X-Fence", std::to_string(fence) } }, body }, hangLimit);
+        return Base::succeeded(response) ? Base::valueOf(response).status : 0;
+    }
+
+    void deliver(const Standin::SyntheticModel& model, uint64_t fence)
+    {
+        for (size_t i = 0; i < model.chunkDigests().size(); ++i)
+            cr_assert_eq(send("PUT", "/engine/weights/" + model.digest() + "/" + std::to_string(i), model.chunk(i), fence), 204);
+    }
+
+    unsigned load(const std::string& digest, uint64_t fence)
+    {
+        return send("POST", "/engine/orders", R"({"order":"load","fence":)" + std::to_string(fence) + R"(,"digest":")" + digest + "\"}");
+    }
+
+    Base::Result<Http::HttpResponse, Http::HttpError> generate(const std::string& prompt, unsigned maxTokens)
+    {
+        auto body = R"({"prompt":")" + prompt + R"(","maxTokens":)" + std::to_string(maxTokens) + "}";
+        return client.fetch({ "127.0.0.1", engine.port() }, { "POST", "/engine/generate", {}, body }, hangLimit);
+    }
+
+    void waitFor(Standin::EngineMode mode)
+    {
+        while (engine.status().mode != mode)
+            std::this_thread::sleep_for(1ms);
+    }
+
+    Standin::ModelEngine engine;
+    Http::HttpClient client;
+};
+
+std::vector<std::string> linesOf(const std::string& text)
+{
+    std::vector<std::string> lines;
+    std::istringstream input(text);
+    for (std::string line; std::getline(input, line);)
+        lines.push_back(line);
+    return lines;
+}
+
+} // namespace
+
+// Guards against an engine that answers from weights other than those it was given in full.
+Test(ModelEngine, loadsOnlyWeightsWithTheDigestOrdered)
+{
+    EngineFixture fixture;
+    auto model = makeModel("1");
+    cr_assert_eq(fixture.load(model.digest(), 1), 409);
+    fixture.deliver(model, 1);
+    cr_assert_eq(fixture.load(makeModel("2").digest(), 1), 409);
+    cr_assert_eq(fixture.send("PUT", "/engine/weights/" + model.digest() + "/3", model.chunk(3), 1), 409);
+    cr_assert_eq(fixture.load(model.digest(), 1), 202);
+    fixture.waitFor(Standin::EngineMode::Ready);
+    cr_assert(fixture.engine.status().digest == model.digest());
+    auto answer = Base::valueOf(fixture.generate("r-17 hello", 5));
+    cr_assert(Http::headerValue(answer.headers, "X-Weights-Digest") == model.digest());
+    auto lines = linesOf(answer.body);
+    cr_assert_eq(lines.size(), 6);
+    for (unsigned i = 0; i < 5; ++i) {
+        auto token = Standin::parseToken(lines[i]);
+        cr_assert(token && token->identifier == "r-17" && token->number == i);
+        cr_assert(model.digest().starts_with(token->digestPrefix));
+    }
+    cr_assert(lines[5] == Standin::doneLine);
+}
+
+// Guards against an engine that checks fencing although it is set to ignore it, and the reverse.
+Test(ModelEngine, checksFencingTokensOnlyWhenToldTo)
+{
+    EngineFixture fixture;
+    auto model = makeModel("1");
+    fixture.deliver(model, 9);
+    cr_assert_eq(fixture.load(model.digest(), 8), 409);
+    auto behaviour = fixture.engine.behaviour();
+    behaviour.checksFence = false;
+    fixture.engine.setBehaviour(behaviour);
+    cr_assert_eq(fixture.load(model.digest(), 8), 202);
+    cr_assert_eq(fixture.engine.status().highestFence, 9);
+}
+
+// Guards against a cold engine that survives a load that tests expect to crash it.
+Test(ModelEngine, crashesWhenItGetsTooMuchWhileCold)
+{
+    Standin::EngineBehaviour behaviour;
+    behaviour.coldTime = 1h;
+    behaviour.coldLimit = 2;
+    EngineFixture fixture(behaviour);
+    auto model = makeModel("1");
+    fixture.deliver(model, 1);
+    cr_assert_eq(fixture.load(model.digest(), 1), 202);
+    fixture.waitFor(Standin::EngineMode::Cold);
+    auto incarnation = fixture.engine.status().incarnation;
+    std::vector<std::future<bool>> answers;
+    for (int i = 0; i < 3; ++i) {
+        while (fixture.engine.counters().started < static_cast<uint64_t>(i))
+            std::this_thread::sleep_for(1ms);
+        answers.push_back(std::async(std::launch::async, [&] { return Base::succeeded(fixture.generate("x", 1'000'000)); }));
+    }
+    for (auto& answer : answers)
+        cr_assert_not(answer.get());
+    cr_assert_eq(fixture.engine.counters().crashes, 1);
+    cr_assert(fixture.engine.status().incarnation != incarnation);
+    cr_assert(fixture.engine.status().mode == Standin::EngineMode::Empty);
+    cr_assert_eq(fixture.engine.status().highestFence, 0);
+}
+
+// Guards against mixed weights that a caller could not see in the answer.
+Test(ModelEngine, showsWeightsThatChangeDuringAnAnswer)
+{
+    EngineFixture fixture;
+    auto first = makeModel("1");
+    auto second = makeModel("2");
+    fixture.deliver(first, 1);
+    fixture.load(first.digest(), 1);
+    fixture.waitFor(Standin::EngineMode::Ready);
+    auto answer = std::async(std::launch::async, [&] { return fixture.generate("x", 200); });
+    while (fixture.engine.status().memoryBytes < 10'000)
+        std::this_thread::sleep_for(1ms);
+    fixture.deliver(second, 2);
+    fixture.load(second.digest(), 2);
+    auto lines = linesOf(Base::valueOf(answer.get()).body);
+    cr_assert_eq(lines.size(), 201);
+    cr_assert(first.digest().starts_with(Standin::parseToken(lines[0])->digestPrefix));
+    cr_assert(second.digest().starts_with(Standin::parseToken(lines[199])->digestPrefix));
+}
+
+// Guards against a prompt that should crash the engine and does not, and against a lost memory limit.
+Test(ModelEngine, crashesOnTheMarkerAndBeyondItsMemory)
+{
+    Standin::EngineBehaviour behaviour;
+    behaviour.crashMarker = "poison";
+    EngineFixture fixture(behaviour);
+    auto model = makeModel("1");
+    fixture.deliver(model, 1);
+    fixture.load(model.digest(), 1);
+    fixture.waitFor(Standin::EngineMode::Ready);
+    cr_assert_not(Base::succeeded(fixture.generate("r poison", 5)));
+    cr_assert_eq(fixture.engine.counters().crashes, 1);
+
+    fixture.deliver(model, 1);
+    fixture.load(model.digest(), 1);
+    fixture.waitFor(Standin::EngineMode::Ready);
+    behaviour.memoryLimitBytes = 20 * behaviour.bytesPerToken;
+    fixture.engine.setBehaviour(behaviour);
+    cr_assert(Base::succeeded(fixture.generate("r", 10)));
+    cr_assert_not(Base::succeeded(fixture.generate("r", 30)));
+    cr_assert_eq(fixture.engine.counters().crashes, 2);
+}
+
+// Guards against a scheduler that ignores priorities.
+Test(ModelEngine, runsHigherPrioritiesFirst)
+{
+    Standin::EngineState state;
+    state.model.behaviour.maximumBatch = 2;
+    for (int priority : { 0, 2, 1 }) {
+        auto generation = std::make_shared<Standin::Generation>();
+        generation->number = static_cast<uint64_t>(10 - priority);
+        generation->request.priority = priority;
+        state.generations.set(generation->number, generation);
+    }
+    auto batch = Standin::Queries::nextBatch(state);
+    cr_assert_eq(batch.size(), 2);
+    cr_assert_eq(batch[0]->request.priority, 2);
+    cr_assert_eq(batch[1]->request.priority, 1);
+}
--- /dev/null
+++ b/Utilities/Standin/Commands/EngineCommands.cpp
@@ -0,0 +1,180 @@
+#include "Standin/Commands/EngineCommands.h"
+
+#include "Standin/Queries/EngineQueries.h"
+
+#include <algorithm>
+
+namespace Lavenderloft::Standin::Commands {
+
+namespace {
+
+    void changeMode(EngineModel& model, EngineMode mode)
+    {
+        model.mode = mode;
+        ++model.modeChange;
+    }
+
+    bool hasModel(const EngineModel& model)
+    {
+        return model.mode == EngineMode::Cold || model.mode == EngineMode::Ready;
+    }
+
+    EngineResult checkFence(EngineModel& model, uint64_t fence)
+    {
+        if (fence < model.highestFence && model.behaviour.checksFence) {
+            ++model.counters.staleFences;
+            return EngineError { EngineErrorKind::StaleFence, "fencing token " + std::to_string(fence) + " is older than " + std::to_string(model.highestFence), "send an order with a newer token" };
+        }
+        model.highestFence = std::max(model.highestFence, fence);
+        return Base::Done {};
+    }
+
+    EngineError badWeights(const ModelError& error)
+    {
+        return { EngineErrorKind::BadWeights, error.message, error.remedy };
+    }
+
+    // Starts anew or checks that the chunk is the next one of the same model.
+    EngineResult prepareStaging(EngineModel& model, const std::string& manifestDigest, uint64_t index)
+    {
+        if (index == 0) {
+            model.staged = ModelVerifier();
+            model.stagedManifest = manifestDigest;
+            return Base::Done {};
+        }
+        if (manifestDigest == model.stagedManifest && index == model.staged.chunksReceived())
+            return Base::Done {};
+        return EngineError { EngineErrorKind::OutOfOrder, "chunk " + std::to_string(index) + " is not the next one", "deliver the chunks of one manifest in order, from 0" };
+    }
+
+} // namespace
+
+void setBehaviour(EngineState& state, const EngineBehaviour& behaviour)
+{
+    std::lock_guard guard(state.model.lock);
+    state.model.behaviour = behaviour;
+}
+
+EngineResult acceptChunk(EngineState& state, const std::string& manifestDigest, uint64_t index, uint64_t fence, std::string_view bytes)
+{
+    auto& model = state.model;
+    std::lock_guard guard(model.lock);
+    auto fenceChecked = checkFence(model, fence);
+    if (!Base::succeeded(fenceChecked))
+        return fenceChecked;
+    auto prepared = prepareStaging(model, manifestDigest, index);
+    if (!Base::succeeded(prepared))
+        return prepared;
+    auto added = model.staged.add(bytes);
+    if (!Base::succeeded(added))
+        return badWeights(Base::errorOf(added));
+    return Base::Done {};
+}
+
+EngineResult acceptLoadOrder(EngineState& state, uint64_t fence, const std::string& digest)
+{
+    auto& model = state.model;
+    std::lock_guard guard(model.lock);
+    auto fenceChecked = checkFence(model, fence);
+    if (!Base::succeeded(fenceChecked))
+        return fenceChecked;
+    if (digest == model.digest && model.mode != EngineMode::Empty)
+        return Base::Done {};
+    auto staged = model.staged.digest();
+    if (!Base::succeeded(staged))
+        return badWeights(Base::errorOf(staged));
+    if (Base::valueOf(staged) != digest)
+        return EngineError { EngineErrorKind::BadWeights, "the weights received have the digest " + Base::valueOf(staged) + ", not " + digest, "deliver the chunks of that manifest" };
+    model.digest = digest;
+    model.staged = ModelVerifier();
+    model.stagedManifest.clear();
+    ++model.counters.loads;
+    changeMode(model, EngineMode::Loading);
+    return Base::Done {};
+}
+
+void finishLoading(EngineState& state, uint64_t modeChange)
+{
+    auto& model = state.model;
+    std::lock_guard guard(model.lock);
+    if (model.modeChange != modeChange || model.mode != EngineMode::Loading)
+        return;
+    changeMode(model, model.behaviour.coldTime.count() > 0 ? EngineMode::Cold : EngineMode::Ready);
+}
+
+void finishWarming(EngineState& state, uint64_t modeChange)
+{
+    auto& model = state.model;
+    std::lock_guard guard(model.lock);
+    if (model.modeChange == modeChange && model.mode == EngineMode::Cold)
+        changeMode(model, EngineMode::Ready);
+}
+
+void finishRestart(EngineState& state, uint64_t modeChange)
+{
+    auto& model = state.model;
+    std::lock_guard guard(model.lock);
+    if (model.modeChange == modeChange && model.mode == EngineMode::Restarting)
+        changeMode(model, EngineMode::Empty);
+}
+
+void coolDown(EngineState& state)
+{
+    auto& model = state.model;
+    std::lock_guard guard(model.lock);
+    if (model.mode == EngineMode::Ready)
+        changeMode(model, EngineMode::Cold);
+}
+
+void crashEngine(EngineState& state, std::string incarnation)
+{
+    {
+        auto& model = state.model;
+        std::lock_guard guard(model.lock);
+        model.incarnation = std::move(incarnation);
+        model.digest.clear();
+        model.staged = ModelVerifier();
+        model.stagedManifest.clear();
+        model.highestFence = 0;
+        ++model.counters.crashes;
+        changeMode(model, model.behaviour.restartTime.count() > 0 ? EngineMode::Restarting : EngineMode::Empty);
+    }
+    state.generations.eraseIf([](auto&, auto&) { return true; });
+}
+
+EngineResult admitGeneration(EngineState& state, const std::shared_ptr<Generation>& generation)
+{
+    {
+        std::lock_guard guard(state.model.lock);
+        if (!hasModel(state.model))
+            return EngineError { EngineErrorKind::NotReady, "the engine has no weights loaded", "send the request to a ready engine" };
+    }
+    generation->number = state.nextNumber++;
+    generation->nextToken = generation->request.firstToken;
+    state.generations.set(generation->number, generation);
+    auto held = state.generations.size();
+    auto memory = Queries::requestMemory(state);
+    std::lock_guard guard(state.model.lock);
+    auto& model = state.model;
+    ++model.counters.started;
+    model.counters.peakHeld = std::max(model.counters.peakHeld, held);
+    bool isCold = model.mode == EngineMode::Cold;
+    if (isCold)
+        model.counters.peakHeldCold = std::max(model.counters.peakHeldCold, held);
+    if ((isCold && held > model.behaviour.coldLimit) || memory > model.behaviour.memoryLimitBytes)
+        return EngineError { EngineErrorKind::Overloaded, std::to_string(held) + " requests are more than the engine can bear now", "send less to a cold engine" };
+    return Base::Done {};
+}
+
+void removeGeneration(EngineState& state, uint64_t number)
+{
+    state.generations.erase(number);
+}
+
+void countCompletion(EngineState& state)
+{
+    std::lock_guard guard(state.model.lock);
+    ++state.model.counters.completed;
+}
+
+} // namespace Lavenderloft::Standin::Commands
--- /dev/null
+++ b/Utilities/Standin/ModelEngine.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "Http/HttpMessage.h"
+#include "Standin/EngineState.h"
+
+#include <memory>
+
+namespace Lavenderloft::Standin {
+
+struct EngineOptions {
+    Http::Endpoint listen { "127.0.0.1", 0 };
+    EngineBehaviour behaviour;
+};
+
+// Stand-in for a model engine: weights, orders to load, continuous batching, cold starts and crashes.
+//
+// How it knows the digest of its weights: it hashes each chunk as it arrives and keeps no bytes. Chunk 0
+// of a generated model is its description, from which, with the digests of the other chunks, it rebuilds
+// the manifest (see SyntheticModel.h). The SHA-256 of that manifest is the digest reported in the status
+// and carried by each token; it is never copied from an order. An order to load that names another
+// digest is refused with `bad_weights`.
+//
+// Each token is a line "PREFIX IDENTIFIER NUMBER": the first digits of the digest of the weights loaded
+// when the token is generated, the first word of the prompt, and the number of the token. A request that
+// is running while other weights are loaded goes on with these, so that mixed answers can be seen.
+class ModelEngine {
+public:
+    // Throws std::runtime_error if the address cannot be bound.
+    explicit ModelEngine(EngineOptions);
+    ~ModelEngine();
+
+    uint16_t port() const;
+
+    EngineStatus status() const;
+    EngineCounters counters() const;
+
+    EngineBehaviour behaviour() const;
+    void setBehaviour(const EngineBehaviour&);
+
+    // Loses everything and takes a new incarnation, as a restart without notice does.
+    void crash();
+
+    // Turns a ready engine cold for the cold time of the behaviour.
+    void coolDown();
+
+    // Leaves the requests held now without an answer for good; their connections stay open.
+    void stallHeldRequests();
+
+private:
+    class Front;
+    std::shared_ptr<Front> m_front;
+};
+
+} // namespace Lavenderloft::Standin
