--- /dev/null
+++ b/Tests/Standin/LoadDriverTest.cpp
@@ -0,0 +1,104 @@
+#include "Standin/LoadDriver.h"
+#include "Http/HttpClient.h"
+#include "Standin/AnswerChecker.h"
+#include "Standin/ModelEngine.h"
+#include "Standin/TokenText.h"
+
+#include <criterion/criterion.h>
+#include <thread>
+
+using namespace Lavenderloft;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto hangLimit = 20s;
+
+Standin::SyntheticModel makeModel(const std::string& version)
+{
+    return Base::takeValue(Standin::SyntheticModel::generate({ { "assistant", version, 100'000, 16'384 }, 7, 0 }));
+}
+
+void load(Standin::ModelEngine& engine, const Standin::SyntheticModel& model)
+{
+    Http::HttpClient client;
+    Http::Endpoint endpoint { "127.0.0.1", engine.port() };
+    for (size_t i = 0; i < model.chunkDigests().size(); ++i)
+        client.fetch(endpoint, { "PUT", "/engine/weights/" + model.digest() + "/" + std::to_string(i), { { "X-Fence", "1" } }, model.chunk(i) }, hangLimit);
+    client.fetch(endpoint, { "POST", "/engine/orders", {}, R"({"order":"load","fence":1,"digest":")" + model.digest() + "\"}" }, hangLimit);
+    while (engine.status().mode != Standin::EngineMode::Ready)
+        std::this_thread::sleep_for(1ms);
+}
+
+Standin::AnswerVerdict verdictOn(const std::string& answer)
+{
+    Standin::AnswerChecker checker("a", 2);
+    checker.setDigest("0123456789abcdef");
+    checker.add(answer.substr(0, 5));
+    checker.add(answer.substr(5));
+    return checker.verdict();
+}
+
+} // namespace
+
+// Guards against a driver that takes a faulty answer for a whole one.
+Test(LoadDriver, tellsEveryKindOfFaultyAnswer)
+{
+    using Standin::AnswerVerdict;
+    cr_assert(verdictOn("0123456789ab a 0\n0123456789ab a 1\n[DONE]\n") == AnswerVerdict::Whole);
+    cr_assert(verdictOn("0123456789ab a 0\n0123456789ab a 1\n") == AnswerVerdict::Incomplete);
+    cr_assert(verdictOn("0123456789ab a 0\n[DONE]\n") == AnswerVerdict::Incomplete);
+    cr_assert(verdictOn("0123456789ab a 1\n0123456789ab a 0\n[DONE]\n") == AnswerVerdict::Incomplete);
+    cr_assert(verdictOn("0123456789ab a 0\n0123456789ab a 1\n[DONE]\nmore") == AnswerVerdict::Incomplete);
+    cr_assert(verdictOn("0123456789ab a 0\nfedcba987654 a 1\n[DONE]\n") == AnswerVerdict::MixedWeights);
+    cr_assert(verdictOn("0123456789ab a 0\n0123456789ab b 1\n[DONE]\n") == AnswerVerdict::Foreign);
+}
+
+// Guards against lost requests in the driver's own figures, and against versions counted as one.
+Test(LoadDriver, accountsForEveryRequest)
+{
+    Standin::ModelEngine first({});
+    Standin::ModelEngine second({});
+    Standin::ModelEngine empty({});
+    auto oldModel = makeModel("1");
+    auto newModel = makeModel("2");
+    load(first, oldModel);
+    load(second, newModel);
+    Standin::LoadOptions options;
+    options.path = "/engine/generate";
+    options.tokens = 4;
+    options.errorPause = 1ms;
+    for (auto port : { first.port(), second.port(), empty.port() })
+        options.routers.push_back({ "127.0.0.1", port });
+    Standin::LoadDriver driver(options);
+    driver.start();
+    while (driver.summary().sent < 200)
+        std::this_thread::sleep_for(1ms);
+    auto summary = driver.finish();
+    cr_assert_not(summary.hasBrokenInvariant());
+    cr_assert_eq(summary.whole, summary.wholeByDigest[oldModel.digest()] + summary.wholeByDigest[newModel.digest()]);
+    cr_assert_eq(summary.failedByCode["not_ready"], summary.failed());
+    cr_assert_eq(summary.sent, summary.whole + summary.failed());
+    cr_assert_gt(summary.failed(), 0);
+    cr_assert_eq(summary.total.size(), summary.whole);
+}
+
+// Guards against answers from mixed weights that go unnoticed from end to end.
+Test(LoadDriver, seesWeightsThatChangeUnderRunningRequests)
+{
+    Standin::ModelEngine engine({});
+    load(engine, makeModel("1"));
+    Standin::LoadOptions options;
+    options.path = "/engine/generate";
+    options.tokens = 200;
+    options.callers = 4;
+    options.routers = { { "127.0.0.1", engine.port() } };
+    Standin::LoadDriver driver(options);
+    driver.start();
+    while (engine.status().memoryBytes < 10'000)
+        std::this_thread::sleep_for(1ms);
+    load(engine, makeModel("2"));
+    auto summary = driver.finish();
+    cr_assert_gt(summary.mixedWeights, 0);
+    cr_assert(summary.hasBrokenInvariant());
+}
--- /dev/null
+++ b/Utilities/Standin/AnswerChecker.cpp
@@ -0,0 +1,60 @@
+#include "Standin/AnswerChecker.h"
+
+#include "Standin/TokenText.h"
+
+namespace Lavenderloft::Standin {
+
+AnswerChecker::AnswerChecker(std::string identifier, unsigned tokens)
+    : m_identifier(std::move(identifier))
+    , m_tokens(tokens)
+{
+}
+
+void AnswerChecker::setDigest(std::string digest)
+{
+    m_digest = std::move(digest);
+    m_prefix = m_digest.substr(0, tokenDigestLength);
+}
+
+void AnswerChecker::add(std::string_view bytes)
+{
+    while (!bytes.empty()) {
+        auto end = bytes.find('\n');
+        m_partialLine += bytes.substr(0, end);
+        if (end == std::string_view::npos)
+            return;
+        checkLine(m_partialLine);
+        m_partialLine.clear();
+        bytes.remove_prefix(end + 1);
+    }
+}
+
+AnswerVerdict AnswerChecker::verdict() const
+{
+    if (m_fault)
+        return *m_fault;
+    bool isWhole = m_done && !m_malformed && m_partialLine.empty() && m_received == m_tokens;
+    return isWhole ? AnswerVerdict::Whole : AnswerVerdict::Incomplete;
+}
+
+void AnswerChecker::checkLine(std::string_view line)
+{
+    if (line == doneLine && !m_done) {
+        m_done = true;
+        return;
+    }
+    auto token = parseToken(line);
+    if (!token || m_done) {
+        m_malformed = true;
+        return;
+    }
+    if (token->identifier != m_identifier)
+        m_fault = AnswerVerdict::Foreign;
+    else if (token->digestPrefix != m_prefix)
+        m_fault = m_fault.value_or(AnswerVerdict::MixedWeights);
+    if (token->number != m_received)
+        m_malformed = true;
+    ++m_received;
+}
+
+} // namespace Lavenderloft::Standin
--- /dev/null
+++ b/Utilities/Standin/AnswerChecker.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Lavenderloft::Standin {
+
+enum class AnswerVerdict {
+    // Every token of the request was there, in order, from one version of the weights, and the last line.
+    Whole,
+    // A token or the last line is missing, or a line is malformed or out of order.
+    Incomplete,
+    // Tokens carry different digests, or one that differs from the head of the response.
+    MixedWeights,
+    // A token carries the identifier of another request.
+    Foreign,
+};
+
+// Checks the answer to one request as its bytes arrive.
+class AnswerChecker {
+public:
+    AnswerChecker(std::string identifier, unsigned tokens);
+
+    // The value of X-Weights-Digest.
+    void setDigest(std::string);
+    const std::string& digest() const { return m_digest; }
+
+    void add(std::string_view bytes);
+
+    unsigned tokensReceived() const { return m_received; }
+
+    // A fault that is one also in a part of an answer.
+    std::optional<AnswerVerdict> faultSoFar() const { return m_fault; }
+
+    // The verdict on an answer that was said to be complete.
+    AnswerVerdict verdict() const;
+
+private:
+    void checkLine(std::string_view line);
+
+    std::string m_identifier;
+    unsigned m_tokens;
+    std::string m_digest;
+    std::string m_prefix;
+    std::string m_partialLine;
+    unsigned m_received = 0;
+    bool m_done = false;
+    bool m_malformed = false;
+    std::optional<AnswerVerdict> m_fault;
+};
+
+} // namespace Lavenderloft::Standin
--- /dev/null
+++ b/Utilities/Standin/Subcommands/LoadSubcommand.cpp
@@ -0,0 +1,62 @@
+#include "Standin/Subcommands/LoadSubcommand.h"
+
+#include "Standin/FileContent.h"
+#include "Standin/StopSignal.h"
+
+#include <algorithm>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace Lavenderloft::Standin {
+
+namespace {
+
+    constexpr std::chrono::milliseconds reportInterval { 1000 };
+
+} // namespace
+
+void LoadSubcommand::addOptions(OptionTable& options)
+{
+    options.texts("router", m_routers, "IP:port where a router takes callers; may be repeated")
+        .text("path", m_options.path, "Path of the route")
+        .number("callers", m_callers, "Requests at a time")
+        .milliseconds("time-ms", m_time, "Time for which requests are started; SIGTERM ends it early")
+        .number("tokens", m_tokens, "Tokens of each answer")
+        .number("prompt-bytes", m_promptBytes, "Bytes added to each prompt")
+        .texts("organisation", m_options.organisations, "X-Organisation, taken in turn by the callers; may be repeated")
+        .text("priority", m_options.priority, "X-Priority")
+        .milliseconds("pause-ms", m_options.pause, "Pause of a caller after an answer")
+        .milliseconds("error-pause-ms", m_options.errorPause, "Pause of a caller after an error")
+        .milliseconds("idle-timeout-ms", m_options.idleTimeout, "Time without progress after which a response is given up")
+        .number("seed", m_options.seed, "Seed of the choice of routers")
+        .text("report", m_report, "File that holds the summary so far, replaced every second");
+}
+
+ExitCode LoadSubcommand::runWithOptions()
+{
+    if (m_routers.empty())
+        throw std::invalid_argument("option --router is missing; give the address of a router");
+    for (auto& router : m_routers)
+        m_options.routers.push_back(endpointOption("router", router));
+    m_options.callers = static_cast<unsigned>(m_callers);
+    m_options.tokens = static_cast<unsigned>(m_tokens);
+    m_options.promptBytes = m_promptBytes;
+    StopSignal stop;
+    LoadDriver driver(m_options);
+    driver.start();
+    bool stopped = false;
+    for (auto left = m_time; left.count() > 0 && !stopped; left -= reportInterval) {
+        stopped = stop.waitFor(std::min(left, reportInterval));
+        if (!m_report.empty())
+            writeFile(m_report, toJson(driver.summary()).dump() + "\n");
+    }
+    auto summary = driver.finish();
+    auto text = toJson(summary).dump(2) + "\n";
+    if (!m_report.empty())
+        writeFile(m_report, text);
+    std::cout << text;
+    return summary.hasBrokenInvariant() ? ExitCode::Refused : ExitCode::Success;
+}
+
+} // namespace Lavenderloft::Standin
--- /dev/null
+++ b/Utilities/Standin/Subcommands/LoadSubcommand.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "Standin/LoadDriver.h"
+#include "Standin/Subcommands/Subcommand.h"
+
+namespace Lavenderloft::Standin {
+
+// Sends requests for a time or until a stop signal and prints the summary as JSON.
+class LoadSubcommand final : public Subcommand {
+public:
+    std::string name() const override { return "load"; }
+    std::string summary() const override { return "Send requests through routers and check every answer; exit code 1 if an invariant was broken"; }
+
+protected:
+    void addOptions(OptionTable&) override;
+    ExitCode runWithOptions() override;
+
+private:
+    std::vector<std::string> m_routers;
+    std::chrono::milliseconds m_time { 10000 };
+    std::string m_report;
+    uint64_t m_callers = 8;
+    uint64_t m_tokens = 32;
+    uint64_t m_promptBytes = 0;
+    LoadOptions m_options;
+};
+
+} // namespace Lavenderloft::Standin
