Let the engine stand-in take a manifest and refuse wrong weights with 422

Agents send the manifest before the chunks and read 409 as an old fencing token, so 409 now means only that.

--- a/Tests/Standin/ModelEngineTest.cpp
+++ b/Tests/Standin/ModelEngineTest.cpp
@@ -78,10 +78,10 @@
 {
     EngineFixture fixture;
     auto model = makeModel("1");
-    cr_assert_eq(fixture.load(model.digest(), 1), 409);
+    cr_assert_eq(fixture.load(model.digest(), 1), 422);
     fixture.deliver(model, 1);
-    cr_assert_eq(fixture.load(makeModel("2").digest(), 1), 409);
-    cr_assert_eq(fixture.send("PUT", "/engine/weights/" + model.digest() + "/3", model.chunk(3), 1), 409);
+    cr_assert_eq(fixture.load(makeModel("2").digest(), 1), 422);
+    cr_assert_eq(fixture.send("PUT", "/engine/weights/" + model.digest() + "/3", model.chunk(3), 1), 422);
     cr_assert_eq(fixture.load(model.digest(), 1), 202);
     fixture.waitFor(Standin::EngineMode::Ready);
     cr_assert(fixture.engine.status().digest == model.digest());
@@ -97,6 +97,23 @@
     cr_assert(lines[5] == Standin::doneLine);
 }
 
+// Guards against a manifest that is taken without a check, or that chunks need not match.
+Test(ModelEngine, comparesChunksWithAManifestThatItWasGiven)
+{
+    EngineFixture fixture;
+    auto model = makeModel("1");
+    auto other = makeModel("2");
+    auto path = "/engine/weights/" + model.digest() + "/";
+    cr_assert_eq(fixture.send("PUT", path + "manifest", other.manifest(), 1), 422);
+    cr_assert_eq(fixture.send("PUT", path + "manifest", model.manifest(), 1), 204);
+    cr_assert_eq(fixture.send("PUT", path + "0", other.chunk(0), 1), 422);
+    cr_assert_eq(fixture.load(model.digest(), 1), 422);
+    fixture.deliver(model, 1);
+    cr_assert_eq(fixture.load(model.digest(), 1), 202);
+    fixture.waitFor(Standin::EngineMode::Ready);
+    cr_assert(fixture.engine.status().digest == model.digest());
+}
+
 // Guards against an engine that checks fencing although it is set to ignore it, and the reverse.
 Test(ModelEngine, checksFencingTokensOnlyWhenToldTo)
 {
--- a/Utilities/Standin/Commands/EngineCommands.cpp
+++ b/Utilities/Standin/Commands/EngineCommands.cpp
@@ -38,7 +38,10 @@
     EngineResult prepareStaging(EngineModel& model, const std::string& manifestDigest, uint64_t index)
     {
         if (index == 0) {
-            model.staged = ModelVerifier();
+            if (manifestDigest == model.stagedManifest)
+                model.staged.restart();
+            else
+                model.staged = ModelVerifier();
             model.stagedManifest = manifestDigest;
             return Base::Done {};
         }
@@ -55,6 +58,20 @@
     state.model.behaviour = behaviour;
 }
 
+EngineResult acceptManifest(EngineState& state, const std::string& manifestDigest, uint64_t fence, std::string_view bytes)
+{
+    auto& model = state.model;
+    std::lock_guard guard(model.lock);
+    auto fenceChecked = checkFence(model, fence);
+    if (!Base::succeeded(fenceChecked))
+        return fenceChecked;
+    auto accepted = model.staged.setManifest(bytes, manifestDigest);
+    if (!Base::succeeded(accepted))
+        return badWeights(Base::errorOf(accepted));
+    model.stagedManifest = manifestDigest;
+    return Base::Done {};
+}
+
 EngineResult acceptChunk(EngineState& state, const std::string& manifestDigest, uint64_t index, uint64_t fence, std::string_view bytes)
 {
     auto& model = state.model;
--- a/Utilities/Standin/Commands/EngineCommands.h
+++ b/Utilities/Standin/Commands/EngineCommands.h
@@ -19,6 +19,9 @@
 
 void setBehaviour(EngineState&, const EngineBehaviour&);
 
+// Takes the manifest of the chunks that follow and starts anew.
+EngineResult acceptManifest(EngineState&, const std::string& manifestDigest, uint64_t fence, std::string_view bytes);
+
 // Takes the next chunk of a model; index 0 starts anew.
 EngineResult acceptChunk(EngineState&, const std::string& manifestDigest, uint64_t index, uint64_t fence, std::string_view bytes);
 
--- a/Utilities/Standin/ModelEngine.cpp
+++ b/Utilities/Standin/ModelEngine.cpp
@@ -25,9 +25,9 @@
         case Kind::StaleFence:
             return respond(409, "stale_fence");
         case Kind::OutOfOrder:
-            return respond(409, "out_of_order");
+            return respond(422, "out_of_order");
         case Kind::BadWeights:
-            return respond(409, "bad_weights");
+            return respond(422, "bad_weights");
         case Kind::NotReady:
         case Kind::Overloaded:
             return respond(503, "not_ready");
@@ -149,11 +149,13 @@
 
     void takeChunk(const RequestPath& path, const Http::HttpRequest& request, const std::shared_ptr<Http::ResponseStream>& stream)
     {
-        auto index = parseNumber(path.segment(3));
+        bool isManifest = path.segment(3) == "manifest";
+        auto index = isManifest ? 0 : parseNumber(path.segment(3));
         auto fence = parseNumber(Http::headerValue(request.headers, "X-Fence"));
         if (!index || !fence)
             return respondError(stream, 400, "malformed_request", "the chunk index or the header X-Fence is not a number", "send PUT /engine/weights/{digest}/{index} with X-Fence");
-        auto accepted = Commands::acceptChunk(m_state, path.segment(2), *index, *fence, request.body);
+        auto accepted = isManifest ? Commands::acceptManifest(m_state, path.segment(2), *fence, request.body)
+                                   : Commands::acceptChunk(m_state, path.segment(2), *index, *fence, request.body);
         if (!Base::succeeded(accepted))
             return respondEngineError(stream, Base::errorOf(accepted));
         respondDone(stream);
--- a/Utilities/Standin/ModelEngine.h
+++ b/Utilities/Standin/ModelEngine.h
@@ -14,11 +14,12 @@
 
 // Stand-in for a model engine: weights, orders to load, continuous batching, cold starts and crashes.
 //
-// How it knows the digest of its weights: it hashes each chunk as it arrives and keeps no bytes. Chunk 0
-// of a generated model is its description, from which, with the digests of the other chunks, it rebuilds
-// the manifest (see SyntheticModel.h). The SHA-256 of that manifest is the digest reported in the status
-// and carried by each token; it is never copied from an order. An order to load that names another
-// digest is refused with `bad_weights`.
+// How it knows the digest of its weights: it hashes each chunk as it arrives and keeps no bytes. A
+// manifest may come first, as PUT /engine/weights/{digest}/manifest; its SHA-256 must be the digest, and
+// each chunk must be the one that it names. Without a manifest, the engine rebuilds it from chunk 0, which
+// is the description of a generated model, and the digests of the other chunks (see SyntheticModel.h).
+// The SHA-256 of the manifest is the digest reported in the status and carried by each token; it is never
+// copied from an order. An order to load that names another digest is refused with `bad_weights`.
 //
 // Each token is a line "PREFIX IDENTIFIER NUMBER": the first digits of the digest of the weights loaded
 // when the token is generated, the first word of the prompt, and the number of the token. A request that
--- a/Utilities/Standin/Queries/EngineQueries.cpp
+++ b/Utilities/Standin/Queries/EngineQueries.cpp
@@ -27,7 +27,7 @@
     auto& model = state.model;
     status.incarnation = model.incarnation;
     status.mode = model.mode;
-    status.digest = model.mode == EngineMode::Loading ? std::string() : model.digest;
+    status.digest = model.digest;
     status.running = std::min<uint64_t>(held, model.behaviour.maximumBatch);
     status.queued = held - status.running;
     status.memoryLimitBytes = model.behaviour.memoryLimitBytes;
--- a/Utilities/Standin/SyntheticModel.cpp
+++ b/Utilities/Standin/SyntheticModel.cpp
@@ -37,6 +37,8 @@
 
     uint64_t weightChunkCount(const ModelDescription& description)
     {
+        if (description.chunkSize == 0)
+            return 0;
         return (description.sizeBytes + description.chunkSize - 1) / description.chunkSize;
     }
 
@@ -50,6 +52,22 @@
         return description.sizeBytes > 0 && description.chunkSize > 0 && description.chunkSize <= maximumChunkSize;
     }
 
+    // The digests of all chunks in the order of the files.
+    std::optional<std::vector<std::string>> chunksOfManifest(std::string_view manifest)
+    {
+        try {
+            std::vector<std::string> chunks;
+            auto object = Json::parse(manifest);
+            for (auto& file : object.at("files")) {
+                for (auto& chunk : file.at("chunks"))
+                    chunks.push_back(chunk);
+            }
+            return chunks;
+        } catch (const Json::exception&) {
+            return std::nullopt;
+        }
+    }
+
     std::string randomBytes(uint64_t seed, size_t size)
     {
         std::mt19937_64 engine(seed);
@@ -111,29 +129,68 @@
     return randomBytes(seed, weightChunkSize(description, index));
 }
 
+Base::Result<Base::Done, ModelError> ModelVerifier::setManifest(std::string_view manifest, const std::string& digest)
+{
+    auto chunks = chunksOfManifest(manifest);
+    if (Base::sha256(manifest) != digest || !chunks)
+        return ModelError { ModelErrorKind::BadManifest, "the manifest is malformed or does not have the digest " + digest, "send the bytes of that manifest" };
+    *this = ModelVerifier();
+    m_manifestDigest = digest;
+    m_expectedChunks = std::move(*chunks);
+    return Base::Done {};
+}
+
+void ModelVerifier::restart()
+{
+    ModelVerifier fresh;
+    fresh.m_manifestDigest = std::move(m_manifestDigest);
+    fresh.m_expectedChunks = std::move(m_expectedChunks);
+    *this = std::move(fresh);
+}
+
 Base::Result<Base::Done, ModelError> ModelVerifier::add(std::string_view bytes)
 {
-    if (m_received == 0) {
-        auto description = parseDescription(bytes);
-        if (!description || !isValid(*description))
-            return ModelError { ModelErrorKind::NotAModel, "the first chunk is not the description of a model", "deliver the chunks in the order of the manifest" };
-        m_description = std::move(*description);
-        m_descriptionChunk = std::string(bytes);
-        m_received = 1;
-        return Base::Done {};
-    }
+    auto added = !m_manifestDigest.empty() ? addExpected(bytes) : m_received == 0 ? addDescription(bytes)
+                                                                                  : addWeights(bytes);
+    if (Base::succeeded(added))
+        ++m_received;
+    return added;
+}
+
+Base::Result<Base::Done, ModelError> ModelVerifier::addExpected(std::string_view bytes)
+{
+    if (m_received >= m_expectedChunks.size() || Base::sha256(bytes) != m_expectedChunks[m_received])
+        return ModelError { ModelErrorKind::WrongChunk, "chunk " + std::to_string(m_received) + " is not the one that the manifest names", "deliver the chunks of the manifest unchanged" };
+    return Base::Done {};
+}
+
+Base::Result<Base::Done, ModelError> ModelVerifier::addDescription(std::string_view bytes)
+{
+    auto description = parseDescription(bytes);
+    if (!description || !isValid(*description))
+        return ModelError { ModelErrorKind::NotAModel, "the first chunk is not the description of a model", "deliver the chunks in the order of the manifest" };
+    m_description = std::move(*description);
+    m_descriptionChunk = std::string(bytes);
+    return Base::Done {};
+}
+
+Base::Result<Base::Done, ModelError> ModelVerifier::addWeights(std::string_view bytes)
+{
     auto index = m_weightDigests.size();
     if (index >= weightChunkCount(m_description) || bytes.size() != weightChunkSize(m_description, index))
-        return ModelError { ModelErrorKind::WrongSize, "chunk " + std::to_string(m_received) + " has the wrong size or is one too many", "deliver the chunks of the manifest unchanged" };
+        return ModelError { ModelErrorKind::WrongChunk, "chunk " + std::to_string(m_received) + " has the wrong size or is one too many", "deliver the chunks of the manifest unchanged" };
     m_weightDigests.push_back(Base::sha256(bytes));
-    ++m_received;
     return Base::Done {};
 }
 
 Base::Result<std::string, ModelError> ModelVerifier::digest() const
 {
-    if (m_received == 0 || m_weightDigests.size() < weightChunkCount(m_description))
+    bool hasManifest = !m_manifestDigest.empty();
+    auto expected = hasManifest ? m_expectedChunks.size() : 1 + weightChunkCount(m_description);
+    if (m_received == 0 || m_received < expected)
         return ModelError { ModelErrorKind::Incomplete, std::to_string(m_received) + " chunks were received, which is not all", "deliver all chunks before the order to load" };
+    if (hasManifest)
+        return m_manifestDigest;
     return Base::sha256(buildManifest(m_description, m_descriptionChunk, m_weightDigests));
 }
 
--- a/Utilities/Standin/SyntheticModel.h
+++ b/Utilities/Standin/SyntheticModel.h
@@ -33,7 +33,8 @@
 enum class ModelErrorKind {
     BadSpec,
     NotAModel,
-    WrongSize,
+    BadManifest,
+    WrongChunk,
     Incomplete,
 };
 
@@ -66,18 +67,31 @@
     std::vector<std::string> m_chunkDigests;
 };
 
-// Computes the digest of the version that received chunks make up. Keeps digests, not the bytes.
+// Computes the digest of the version that received chunks make up. Keeps digests, not the bytes. With a
+// manifest each chunk is compared with it; without one the manifest is rebuilt from the chunks.
 class ModelVerifier {
 public:
+    // Starts anew with a manifest, whose SHA-256 must be the digest.
+    Base::Result<Base::Done, ModelError> setManifest(std::string_view manifest, const std::string& digest);
+
+    // Starts anew without chunks and keeps the manifest.
+    void restart();
+
     // Takes the next chunk in the order of the manifest.
     Base::Result<Base::Done, ModelError> add(std::string_view bytes);
 
     size_t chunksReceived() const { return m_received; }
 
-    // SHA-256 of the manifest rebuilt from the chunks; an error while chunks are missing.
+    // SHA-256 of the manifest that the chunks make up; an error while chunks are missing.
     Base::Result<std::string, ModelError> digest() const;
 
 private:
+    Base::Result<Base::Done, ModelError> addExpected(std::string_view bytes);
+    Base::Result<Base::Done, ModelError> addDescription(std::string_view bytes);
+    Base::Result<Base::Done, ModelError> addWeights(std::string_view bytes);
+
+    std::string m_manifestDigest;
+    std::vector<std::string> m_expectedChunks;
     ModelDescription m_description;
     std::string m_descriptionChunk;
     std::vector<std::string> m_weightDigests;
