--- a/Utilities/Standin/EngineState.h
+++ b/Utilities/Standin/EngineState.h
@@ -54,7 +54,9 @@
 
     // False if the reader is so far behind that the request has to wait.
     virtual bool write(std::string text) = 0;
-    virtual void finish() = 0;
+
+    // Writes the last text, whatever the reader has taken so far, and ends the answer.
+    virtual void finish(std::string lastText) = 0;
 
     // Ends the answer so that it cannot be taken for whole.
     virtual void abort() = 0;
--- a/Utilities/Standin/HttpTokenSink.cpp
+++ b/Utilities/Standin/HttpTokenSink.cpp
@@ -33,9 +33,10 @@
     return true;
 }
 
-void HttpTokenSink::finish()
+void HttpTokenSink::finish(std::string lastText)
 {
     std::unique_lock guard(m_lock);
+    m_pending += lastText;
     m_finishing = true;
     sendPending(std::move(guard));
 }
--- a/Utilities/Standin/HttpTokenSink.h
+++ b/Utilities/Standin/HttpTokenSink.h
@@ -14,7 +14,7 @@
     void start(Http::HttpHeaders);
 
     bool write(std::string text) override;
-    void finish() override;
+    void finish(std::string lastText) override;
     void abort() override;
 
 private:
--- a/Utilities/Standin/ModelEngine.cpp
+++ b/Utilities/Standin/ModelEngine.cpp
@@ -246,11 +246,10 @@
         }
         if (generation.nextToken < generation.request.maxTokens)
             return;
-        if (!generation.sink->write(std::string(doneLine) + '\n'))
-            return;
-        generation.sink->finish();
+        // The request is no longer held once its sender can know that it ended.
         Commands::removeGeneration(m_state, generation.number);
         Commands::countCompletion(m_state);
+        generation.sink->finish(std::string(doneLine) + '\n');
     }
 
     void control(const std::string& name, const Http::HttpRequest& request, const std::shared_ptr<Http::ResponseStream>& stream)
