Add permits, limits, key memory and the target service of the agent

Routers must not enforce a target's limit, so the agent grants single-use permits on its own clock, bound to the agent's and the engine's incarnation.

KEY_REUSED joins the refusal reasons: a key sent again with another body must not be answered with the answer of the first call.

--- /dev/null
+++ b/Source/Admission/Commands/AdjustLimit.cpp
@@ -0,0 +1,98 @@
+#include "Admission/Commands/AdjustLimit.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Lavenderloft::Admission::Commands {
+
+namespace {
+
+    constexpr int slowdownFactor = 4;
+    // A mean of fewer requests says too little to let the limit fall.
+    constexpr unsigned minimumSample = 4;
+    // Weight of one window in the warm average is one in this many.
+    constexpr int averageWeight = 5;
+
+    using Data = LimitState::Data;
+
+    void restartWindow(Data& data, Base::TimePoint now)
+    {
+        data.windowStart = now;
+        data.completedInWindow = 0;
+        data.serviceTimeInWindow = {};
+    }
+
+    void fallToCold(Data& data, Base::TimePoint now)
+    {
+        data.limit = data.engine.isUsable ? std::min(data.settings.coldLimit, data.settings.fullLimit) : 0;
+        restartWindow(data, now);
+    }
+
+    bool isSlow(const Data& data)
+    {
+        if (data.completedInWindow < minimumSample || data.warmAverage == Base::Duration::zero())
+            return false;
+        return data.serviceTimeInWindow > data.completedInWindow * slowdownFactor * data.warmAverage;
+    }
+
+    void updateAverage(Data& data)
+    {
+        if (!data.completedInWindow || data.limit < data.settings.fullLimit)
+            return;
+        auto mean = data.serviceTimeInWindow / data.completedInWindow;
+        if (data.warmAverage == Base::Duration::zero())
+            data.warmAverage = mean;
+        else
+            data.warmAverage += (mean - data.warmAverage) / averageWeight;
+    }
+
+} // namespace
+
+void configureLimit(LimitState& state, const LimitSettings& settings)
+{
+    state.withData([&](Data& data) {
+        if (data.settings == settings)
+            return;
+        data.settings = settings;
+        data.limit = std::min(data.limit, settings.fullLimit);
+        if (data.engine.isUsable)
+            data.limit = std::max(data.limit, std::min(settings.coldLimit, settings.fullLimit));
+    });
+}
+
+void observeEngine(LimitState& state, const EngineCondition& condition, Base::TimePoint now)
+{
+    state.withData([&](Data& data) {
+        auto previous = std::exchange(data.engine, condition);
+        bool isOther = previous.incarnation != condition.incarnation || previous.digest != condition.digest;
+        if (isOther)
+            data.warmAverage = {};
+        bool turnedCold = previous.isWarm && !condition.isWarm;
+        if (isOther || turnedCold || previous.isUsable != condition.isUsable)
+            fallToCold(data, now);
+    });
+}
+
+void observeCompletion(LimitState& state, Base::Duration serviceTime)
+{
+    state.withData([&](Data& data) {
+        ++data.completedInWindow;
+        data.serviceTimeInWindow += serviceTime;
+    });
+}
+
+void closeWindow(LimitState& state, Base::TimePoint now)
+{
+    state.withData([&](Data& data) {
+        if (now - data.windowStart < data.settings.warmWindow)
+            return;
+        if (isSlow(data))
+            return fallToCold(data, now);
+        updateAverage(data);
+        if (data.engine.isWarm && data.limit > 0 && data.completedInWindow >= data.limit)
+            data.limit = std::min(data.limit * 2, data.settings.fullLimit);
+        restartWindow(data, now);
+    });
+}
+
+} // namespace Lavenderloft::Admission::Commands
--- /dev/null
+++ b/Source/Admission/Commands/AdmitRequest.cpp
@@ -0,0 +1,119 @@
+#include "Admission/Commands/AdmitRequest.h"
+
+#include "Admission/Commands/GrantPermit.h"
+#include "Admission/Commands/QueueRequest.h"
+#include "Admission/Queries/FindRefusal.h"
+#include "Admission/Queries/KeyHome.h"
+#include "Admission/Queries/QueueLength.h"
+
+#include <algorithm>
+
+namespace Lavenderloft::Admission::Commands {
+
+namespace {
+
+    bool needsKey(const Situation& situation, const AdmitRequest& request)
+    {
+        return situation.kind == Settings::TargetKind::Service && !request.repeatable;
+    }
+
+    std::optional<Refusal> findKeyRefusal(const Situation& situation, const DesiredState::Service& service, const AdmitRequest& request)
+    {
+        auto home = Queries::keyHome(service, request.organisation, request.idempotencyKey);
+        if (home != situation.vm)
+            return makeRefusal(RefusalReason::NotKeyHome, "the home of this idempotency key is VM " + home, "send the call to its home");
+        if (service.paused)
+            return makeRefusal(RefusalReason::NotReady, "service " + service.name + " is paused for calls that may not be repeated", "retry later");
+        return std::nullopt;
+    }
+
+    // Reserves the key of a call that may not be repeated.
+    Base::Result<Base::Done, Refusal> takeKey(TargetState& state, const Situation& situation, const AdmitRequest& request, const Base::Clock& clock)
+    {
+        auto* service = situation.document->findService(request.pool);
+        if (auto refusal = findKeyRefusal(situation, *service, request))
+            return *refusal;
+        return reserveKey(state.keys, request, service->resendWindow, clock);
+    }
+
+    unsigned shareOf(const Situation& situation, const AdmitRequest& request)
+    {
+        auto* organisation = situation.document->findOrganisation(request.organisation);
+        return organisation ? organisation->share : 1;
+    }
+
+    Base::TimePoint waitLimit(const AdmitRequest& request, const Base::Clock& clock)
+    {
+        auto wait = request.deadline.count() ? std::min(request.deadline, std::chrono::milliseconds(maximumWait)) : maximumWait;
+        return clock.now() + wait;
+    }
+
+    bool isTooLarge(const TargetState& state, const AdmitRequest& request)
+    {
+        return request.bodyBytes > state.permits.occupancy.figures().byteLimit;
+    }
+
+    // Grants at once when nobody waits and a slot is free, else queues.
+    AdmissionResult grantOrQueue(TargetState& state, const Situation& situation, const AdmitRequest& request, std::shared_ptr<Waiter> waiter, const Base::Clock& clock, Base::RandomSource& random)
+    {
+        if (isTooLarge(state, request))
+            return makeRefusal(RefusalReason::TooLarge, "the body is larger than the target's memory for requests", "send a smaller request");
+        if (!Queries::queueFigures(state.queue).requests) {
+            auto granted = grantPermit(state.permits, request, clock, random);
+            if (Base::succeeded(granted))
+                return Base::valueOf(granted);
+            if (Base::errorOf(granted).kind != RefusalReason::AtLimit)
+                return Base::errorOf(granted);
+        }
+        auto queued = queueRequest(state.queue, { request, shareOf(situation, request), waitLimit(request, clock), std::move(waiter) });
+        if (!Base::succeeded(queued))
+            return Base::errorOf(queued);
+        return Queued {};
+    }
+
+} // namespace
+
+AdmissionResult admitRequest(TargetState& state, const Situation& situation, const AdmitRequest& request, std::shared_ptr<Waiter> waiter, const Base::Clock& clock, Base::RandomSource& random)
+{
+    bool keyed = needsKey(situation, request);
+    if (keyed && request.idempotencyKey.empty())
+        return makeRefusal(RefusalReason::KeyRequired, "a call that may not be repeated has no idempotency key", "send the header Idempotency-Key");
+    // A call that is known has an answer even when the target takes on no new work.
+    if (keyed) {
+        if (auto known = recallKey(state.keys, request))
+            return std::visit([](auto&& value) -> AdmissionResult { return value; }, *known);
+    }
+    if (auto refusal = Queries::findRefusal(situation, request))
+        return *refusal;
+    if (keyed) {
+        auto taken = takeKey(state, situation, request, clock);
+        if (!Base::succeeded(taken))
+            return Base::errorOf(taken);
+    }
+    auto result = grantOrQueue(state, situation, request, std::move(waiter), clock, random);
+    if (keyed && std::holds_alternative<Refusal>(result))
+        releaseKey(state.keys, request);
+    return result;
+}
+
+void grantWaiting(TargetState& state, const Base::Clock& clock, Base::RandomSource& random)
+{
+    while (true) {
+        auto figures = state.permits.occupancy.figures();
+        if (figures.taken >= figures.limit)
+            return;
+        auto next = takeNext(state.queue);
+        if (!next)
+            return;
+        auto granted = grantPermit(state.permits, next->request, clock, random);
+        if (Base::succeeded(granted)) {
+            next->waiter->granted(Base::valueOf(granted));
+            continue;
+        }
+        if (Base::errorOf(granted).kind == RefusalReason::AtLimit)
+            return putBack(state.queue, std::move(*next));
+        next->waiter->refused(Base::errorOf(granted));
+    }
+}
+
+} // namespace Lavenderloft::Admission::Commands
--- /dev/null
+++ b/Source/Admission/Commands/ConsumePermit.cpp
@@ -0,0 +1,39 @@
+#include "Admission/Commands/ConsumePermit.h"
+
+namespace Lavenderloft::Admission::Commands {
+
+namespace {
+
+    enum class Verdict {
+        Valid,
+        Unknown,
+        Expired,
+    };
+
+} // namespace
+
+Base::Result<Base::Done, Refusal> consumePermit(PermitTable& table, const std::string& attemptId, const std::string& permitId, const Base::Clock& clock)
+{
+    uint64_t freedBytes = 0;
+    auto verdict = table.attempts.withShard(attemptId, [&](auto& records) {
+        auto entry = records.find(attemptId);
+        if (entry == records.end() || entry->second.state != AttemptState::Granted || entry->second.permit.id != permitId)
+            return Verdict::Unknown;
+        auto& record = entry->second;
+        record.changedAt = clock.now();
+        if (clock.now() < record.permit.expiresAt && record.permit.engineIncarnation == table.engineIncarnation) {
+            record.state = AttemptState::Running;
+            return Verdict::Valid;
+        }
+        record.state = AttemptState::NotRun;
+        freedBytes = record.permit.bodyBytes;
+        return Verdict::Expired;
+    });
+    if (verdict == Verdict::Valid)
+        return Base::Done {};
+    if (verdict == Verdict::Expired)
+        table.occupancy.giveBack(freedBytes);
+    return makeRefusal(RefusalReason::PermitExpired, "the permit of attempt " + attemptId + " has expired, was revoked or was used", "ask for a new permit");
+}
+
+} // namespace Lavenderloft::Admission::Commands
--- /dev/null
+++ b/Source/Admission/Commands/GrantPermit.cpp
@@ -0,0 +1,36 @@
+#include "Admission/Commands/GrantPermit.h"
+
+namespace Lavenderloft::Admission::Commands {
+
+namespace {
+
+    Permit makePermit(const PermitTable& table, const AdmitRequest& request, const Base::Clock& clock, Base::RandomSource& random)
+    {
+        Permit permit;
+        permit.id = random.identifier();
+        permit.attemptId = request.attemptId;
+        permit.agentIncarnation = table.agentIncarnation;
+        permit.engineIncarnation = table.engineIncarnation;
+        permit.expiresAt = clock.now() + permitLifetime;
+        permit.bodyBytes = request.bodyBytes;
+        permit.fingerprint = request.fingerprint;
+        return permit;
+    }
+
+} // namespace
+
+Base::Result<Permit, Refusal> grantPermit(PermitTable& table, const AdmitRequest& request, const Base::Clock& clock, Base::RandomSource& random)
+{
+    if (!table.occupancy.tryTake(request.bodyBytes))
+        return makeRefusal(RefusalReason::AtLimit, "the target is at its limit", "try another target or retry later");
+    auto permit = makePermit(table, request, clock, random);
+    bool isNew = table.attempts.withShard(request.attemptId, [&](auto& records) {
+        return records.try_emplace(request.attemptId, AttemptRecord { AttemptState::Granted, permit, clock.now() }).second;
+    });
+    if (isNew)
+        return permit;
+    table.occupancy.giveBack(request.bodyBytes);
+    return makeRefusal(RefusalReason::PermitExpired, "attempt " + request.attemptId + " was revoked or used before", "draw a new attempt identity");
+}
+
+} // namespace Lavenderloft::Admission::Commands
--- /dev/null
+++ b/Source/Admission/Commands/QueueRequest.cpp
@@ -0,0 +1,193 @@
+#include "Admission/Commands/QueueRequest.h"
+
+#include "Admission/Queries/QueueLength.h"
+
+#include <algorithm>
+
+namespace Lavenderloft::Admission::Commands {
+
+namespace {
+
+    // At least 5% of grants go to the lowest class that waits.
+    constexpr unsigned grantsPerLowestGrant = 20;
+
+    using ClassQueue = WaitingQueue::ClassQueue;
+    using OrganisationQueue = WaitingQueue::OrganisationQueue;
+
+    size_t classIndex(const AdmitRequest& request)
+    {
+        return static_cast<size_t>(request.priorityClass);
+    }
+
+    void account(ClassQueue& queue, const WaitingRequest& added)
+    {
+        ++queue.count;
+        queue.bytes += added.request.bodyBytes;
+    }
+
+    void discount(ClassQueue& queue, const WaitingRequest& removed)
+    {
+        --queue.count;
+        queue.bytes -= removed.request.bodyBytes;
+    }
+
+    void dropIdleOrganisations(ClassQueue& queue)
+    {
+        std::erase_if(queue.organisations, [&](auto& entry) {
+            return entry.second.requests.empty() && entry.second.virtualTime <= queue.virtualTime;
+        });
+    }
+
+    std::optional<WaitingRequest> takeFromClass(ClassQueue& queue)
+    {
+        std::lock_guard guard(queue.lock);
+        OrganisationQueue* next = nullptr;
+        for (auto& [name, organisation] : queue.organisations) {
+            if (!organisation.requests.empty() && (!next || organisation.virtualTime < next->virtualTime))
+                next = &organisation;
+        }
+        if (!next)
+            return std::nullopt;
+        auto taken = std::move(next->requests.front());
+        next->requests.pop_front();
+        discount(queue, taken);
+        queue.virtualTime = std::max(queue.virtualTime, next->virtualTime);
+        next->virtualTime += 1.0 / std::max(taken.share, 1u);
+        dropIdleOrganisations(queue);
+        return taken;
+    }
+
+    // Removes the newest request of the organisation that has the most waiting.
+    std::optional<WaitingRequest> shedFromClass(ClassQueue& queue)
+    {
+        std::lock_guard guard(queue.lock);
+        OrganisationQueue* longest = nullptr;
+        for (auto& [name, organisation] : queue.organisations) {
+            if (!longest || organisation.requests.size() > longest->requests.size())
+                longest = &organisation;
+        }
+        if (!longest || longest->requests.empty())
+            return std::nullopt;
+        auto shed = std::move(longest->requests.back());
+        longest->requests.pop_back();
+        discount(queue, shed);
+        return shed;
+    }
+
+    bool shedBelow(WaitingQueue& queue, size_t incomingClass)
+    {
+        for (size_t index = queue.classes.size(); index-- > incomingClass + 1;) {
+            if (auto shed = shedFromClass(queue.classes[index])) {
+                shed->waiter->refused(makeRefusal(RefusalReason::AtLimit, "the queue gave way to a higher class", "try another target or retry later"));
+                return true;
+            }
+        }
+        return false;
+    }
+
+    bool fits(const WaitingQueue& queue, const WaitingRequest& incoming)
+    {
+        auto figures = Queries::queueFigures(queue);
+        return figures.requests < queue.maximumRequests && figures.bytes + incoming.request.bodyBytes <= queue.maximumBytes;
+    }
+
+    std::vector<size_t> waitingClasses(const WaitingQueue& queue)
+    {
+        std::vector<size_t> waiting;
+        for (size_t index = 0; index < queue.classes.size(); ++index) {
+            std::lock_guard guard(queue.classes[index].lock);
+            if (queue.classes[index].count)
+                waiting.push_back(index);
+        }
+        return waiting;
+    }
+
+    size_t chooseClass(WaitingQueue& queue, const std::vector<size_t>& waiting)
+    {
+        if (waiting.size() < 2)
+            return waiting.front();
+        std::lock_guard guard(queue.turn.lock);
+        if (++queue.turn.grantsPastLowest < grantsPerLowestGrant)
+            return waiting.front();
+        queue.turn.grantsPastLowest = 0;
+        return waiting.back();
+    }
+
+    // Removes all requests for which the predicate holds.
+    template <typename Predicate>
+    std::vector<WaitingRequest> removeIf(ClassQueue& queue, Predicate&& predicate)
+    {
+        std::vector<WaitingRequest> removed;
+        std::lock_guard guard(queue.lock);
+        for (auto& [name, organisation] : queue.organisations) {
+            auto& requests = organisation.requests;
+            auto kept = std::stable_partition(requests.begin(), requests.end(), [&](auto& entry) { return !predicate(entry); });
+            std::move(kept, requests.end(), std::back_inserter(removed));
+            requests.erase(kept, requests.end());
+        }
+        for (auto& entry : removed)
+            discount(queue, entry);
+        dropIdleOrganisations(queue);
+        return removed;
+    }
+
+} // namespace
+
+Base::Result<Base::Done, Refusal> queueRequest(WaitingQueue& queue, WaitingRequest incoming)
+{
+    while (!fits(queue, incoming)) {
+        if (!shedBelow(queue, classIndex(incoming.request)))
+            return makeRefusal(RefusalReason::AtLimit, "the target and its queue are full", "try another target or retry later");
+    }
+    auto& classQueue = queue.classes[classIndex(incoming.request)];
+    std::lock_guard guard(classQueue.lock);
+    account(classQueue, incoming);
+    auto& organisation = classQueue.organisations[incoming.request.organisation];
+    if (organisation.requests.empty())
+        organisation.virtualTime = std::max(organisation.virtualTime, classQueue.virtualTime);
+    organisation.requests.push_back(std::move(incoming));
+    return Base::Done {};
+}
+
+std::optional<WaitingRequest> takeNext(WaitingQueue& queue)
+{
+    auto waiting = waitingClasses(queue);
+    if (waiting.empty())
+        return std::nullopt;
+    return takeFromClass(queue.classes[chooseClass(queue, waiting)]);
+}
+
+void putBack(WaitingQueue& queue, WaitingRequest taken)
+{
+    auto& classQueue = queue.classes[classIndex(taken.request)];
+    std::lock_guard guard(classQueue.lock);
+    account(classQueue, taken);
+    auto [entry, isNew] = classQueue.organisations.try_emplace(taken.request.organisation);
+    auto& organisation = entry->second;
+    organisation.virtualTime = isNew ? classQueue.virtualTime : organisation.virtualTime - 1.0 / std::max(taken.share, 1u);
+    organisation.requests.push_front(std::move(taken));
+}
+
+bool withdrawRequest(WaitingQueue& queue, const AdmitRequest& request)
+{
+    auto removed = removeIf(queue.classes[classIndex(request)], [&](const WaitingRequest& entry) { return entry.request.attemptId == request.attemptId; });
+    return !removed.empty();
+}
+
+void refuseOverdue(WaitingQueue& queue, Base::TimePoint now)
+{
+    for (auto& classQueue : queue.classes) {
+        for (auto& overdue : removeIf(classQueue, [&](const WaitingRequest& entry) { return entry.deadline <= now; }))
+            overdue.waiter->refused(makeRefusal(RefusalReason::AtLimit, "no slot became free in time", "try another target or retry later"));
+    }
+}
+
+void refuseAll(WaitingQueue& queue, const Refusal& refusal)
+{
+    for (auto& classQueue : queue.classes) {
+        for (auto& waiting : removeIf(classQueue, [](const WaitingRequest&) { return true; }))
+            waiting.waiter->refused(refusal);
+    }
+}
+
+} // namespace Lavenderloft::Admission::Commands
--- /dev/null
+++ b/Source/Admission/Commands/ReserveKey.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "Admission/KeyMemory.h"
+#include "Admission/Refusal.h"
+
+#include <optional>
+#include <variant>
+
+namespace Lavenderloft::Admission::Commands {
+
+using StoredAnswerPointer = std::shared_ptr<const StoredAnswer>;
+
+// What a record says to a call that is sent again: the stored answer or a refusal; nothing if there is no record.
+using KnownCall = std::variant<StoredAnswerPointer, Refusal>;
+std::optional<KnownCall> recallKey(const KeyMemory&, const AdmitRequest&);
+
+// Reserves the key of a call for its attempt, or tells why the call may not run here.
+Base::Result<Base::Done, Refusal> reserveKey(KeyMemory&, const AdmitRequest&, std::chrono::milliseconds resendWindow, const Base::Clock&);
+
+// Frees the key of an attempt that did not run.
+void releaseKey(KeyMemory&, const AdmitRequest&);
+
+// Notes that the attempt that reserved the key runs; false if it no longer holds the reservation.
+bool startKey(KeyMemory&, const AdmitRequest&);
+
+// Notes how the running call ended. The answer is kept if it is given and there is room for it.
+void settleKey(KeyMemory&, const AdmitRequest&, KeyState, StoredAnswerPointer, const Base::Clock&);
+
+// Forgets calls that ended longer ago than the resend window.
+void forgetKeys(KeyMemory&, std::chrono::milliseconds resendWindow, const Base::Clock&);
+
+} // namespace Lavenderloft::Admission::Commands
--- /dev/null
+++ b/Source/Admission/Commands/RunRequest.cpp
@@ -0,0 +1,120 @@
+#include "Admission/Commands/RunRequest.h"
+
+#include "Admission/Commands/AdjustLimit.h"
+#include "Admission/Commands/CompleteRequest.h"
+#include "Admission/Commands/ConsumePermit.h"
+#include "Admission/Commands/QueueRequest.h"
+#include "Admission/Commands/RevokePermit.h"
+#include "Admission/Queries/AttemptOutcome.h"
+#include "Admission/Queries/CurrentLimit.h"
+
+#include <unordered_set>
+
+namespace Lavenderloft::Admission::Commands {
+
+namespace {
+
+    // Frees the keys whose attempts lost their permits without running.
+    void releaseKeysOfRevoked(TargetState& state)
+    {
+        std::vector<std::pair<std::string, KeyRecord>> reserved;
+        state.keys.records.forEach([&](const std::string& name, const KeyRecord& record) {
+            if (record.state == KeyState::Reserved)
+                reserved.emplace_back(name, record);
+        });
+        for (auto& [name, record] : reserved) {
+            auto attempt = state.permits.attempts.find(record.attemptId);
+            if (!attempt || attempt->state != AttemptState::NotRun)
+                continue;
+            bool released = state.keys.records.withShard(name, [&](auto& records) {
+                auto entry = records.find(name);
+                if (entry == records.end() || entry->second.state != KeyState::Reserved || entry->second.attemptId != record.attemptId)
+                    return false;
+                records.erase(entry);
+                return true;
+            });
+            if (released)
+                --state.keys.recordCount;
+        }
+    }
+
+    KeyState keyStateOf(AttemptState state)
+    {
+        return state == AttemptState::Complete ? KeyState::Complete : KeyState::OutcomeUnknown;
+    }
+
+} // namespace
+
+Base::Result<Base::Done, Refusal> startRequest(TargetState& state, const AdmitRequest& request, const std::string& permitId, const Base::Clock& clock)
+{
+    auto consumed = consumePermit(state.permits, request.attemptId, permitId, clock);
+    if (!Base::succeeded(consumed)) {
+        releaseKey(state.keys, request);
+        return consumed;
+    }
+    if (request.idempotencyKey.empty() || request.repeatable || startKey(state.keys, request))
+        return Base::Done {};
+    completeRequest(state.permits, request.attemptId, AttemptState::NotRun, clock);
+    return makeRefusal(RefusalReason::PermitExpired, "the reservation of the idempotency key has ended", "ask for a new permit");
+}
+
+void finishRequest(TargetState& state, const AdmitRequest& request, const RunResult& result, const Base::Clock& clock)
+{
+    if (auto attempt = state.permits.attempts.find(request.attemptId); attempt && result.state == AttemptState::Complete && result.isSuccess)
+        observeCompletion(state.limit, clock.now() - attempt->changedAt);
+    if (!request.idempotencyKey.empty() && !request.repeatable) {
+        if (result.state == AttemptState::NotRun)
+            releaseKey(state.keys, request);
+        else
+            settleKey(state.keys, request, keyStateOf(result.state), result.answer, clock);
+    }
+    completeRequest(state.permits, request.attemptId, result.state, clock);
+}
+
+void withdrawAttempt(TargetState& state, const AdmitRequest& request, const Base::Clock& clock)
+{
+    withdrawRequest(state.queue, request);
+    // Without a permit identity the attempt is noted as not run even if it has no record.
+    revokePermit(state.permits, request.attemptId, {}, clock);
+    auto attempt = state.permits.attempts.find(request.attemptId);
+    if (!attempt || attempt->state == AttemptState::NotRun)
+        releaseKey(state.keys, request);
+}
+
+void expireRecords(TargetState& state, std::chrono::milliseconds resendWindow, const Base::Clock& clock)
+{
+    expirePermits(state.permits, clock);
+    releaseKeysOfRevoked(state);
+    refuseOverdue(state.queue, clock.now());
+    closeWindow(state.limit, clock.now());
+    applyLimit(state);
+    forgetKeys(state.keys, resendWindow, clock);
+}
+
+std::vector<uint64_t> applyEngineCondition(TargetState& state, const EngineCondition& condition, const Base::Clock& clock)
+{
+    auto previous = state.limit.data().engine;
+    observeEngine(state.limit, condition, clock.now());
+    applyLimit(state);
+    bool restarted = previous.incarnation != condition.incarnation;
+    std::vector<uint64_t> crashed;
+    if (restarted && previous.incarnation)
+        crashed = Queries::runningFingerprints(state.permits);
+    state.permits.engineIncarnation = condition.incarnation;
+    if (restarted || previous.digest != condition.digest)
+        dropPermits(state, clock);
+    return crashed;
+}
+
+void dropPermits(TargetState& state, const Base::Clock& clock)
+{
+    revokeAllPermits(state.permits, clock);
+    releaseKeysOfRevoked(state);
+}
+
+void applyLimit(TargetState& state)
+{
+    state.permits.occupancy.setLimit(Queries::currentLimit(state.limit));
+}
+
+} // namespace Lavenderloft::Admission::Commands
--- /dev/null
+++ b/Source/Admission/KeyMemory.cpp
@@ -0,0 +1,11 @@
+#include "Admission/KeyMemory.h"
+
+namespace Lavenderloft::Admission {
+
+std::string keyName(const std::string& organisation, const std::string& key)
+{
+    // The separator keeps ("ab", "c") and ("a", "bc") apart; header values hold no zero byte.
+    return organisation + '\0' + key;
+}
+
+} // namespace Lavenderloft::Admission
--- /dev/null
+++ b/Source/Admission/KeyMemory.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "Admission/AdmitRequest.h"
+#include "Admission/TargetPort.h"
+#include "Base/Clock.h"
+#include "Base/ShardedMap.h"
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace Lavenderloft::Admission {
+
+// The answer of a completed call, to be given again when the call is resent.
+struct StoredAnswer {
+    AnswerHead head;
+    std::string body;
+};
+
+enum class KeyState {
+    // An attempt holds a permit; nothing has run.
+    Reserved,
+    Running,
+    Complete,
+    // The target broke off; whether the call took effect is not known.
+    OutcomeUnknown,
+};
+
+struct KeyRecord {
+    KeyState state = KeyState::Reserved;
+    std::string attemptId;
+    uint64_t fingerprint = 0;
+    Base::TimePoint firstUsed;
+    Base::WallTime firstUsedWall;
+    Base::TimePoint endedAt;
+    // Null when the answer was too large to be kept.
+    std::shared_ptr<const StoredAnswer> answer;
+};
+
+// Bound on the difference between the clocks of any two VMs and callers.
+inline constexpr std::chrono::seconds clockSkewBound { 5 };
+
+// Largest answer that is kept, in bytes of its body.
+inline constexpr size_t maximumStoredAnswerBytes = 64 * 1024;
+
+// Calls that may not be repeated, by organisation and key.
+class KeyMemory {
+public:
+    explicit KeyMemory(const Base::Clock& clock)
+        : m_completeSince { clock.now(), clock.wallTime() }
+    {
+    }
+
+    // Every call first used after this time, and not released, has a record.
+    struct Horizon {
+        Base::TimePoint time;
+        Base::WallTime wallTime;
+    };
+
+    Horizon completeSince() const
+    {
+        std::lock_guard guard(m_lock);
+        return m_completeSince;
+    }
+
+    // Moves the horizon forward to the first use of a record that is forgotten.
+    void forgetUpTo(const KeyRecord& record)
+    {
+        std::lock_guard guard(m_lock);
+        m_completeSince.time = std::max(m_completeSince.time, record.firstUsed);
+        m_completeSince.wallTime = std::max(m_completeSince.wallTime, record.firstUsedWall);
+    }
+
+    // Bounds on records and on the bytes of stored answers.
+    size_t maximumRecords = 100000;
+    size_t maximumAnswerBytes = 16 * 1024 * 1024;
+
+    Base::ShardedMap<std::string, KeyRecord> records;
+    std::atomic<size_t> recordCount { 0 };
+    std::atomic<size_t> answerBytes { 0 };
+
+private:
+    mutable std::mutex m_lock;
+    Horizon m_completeSince;
+};
+
+// The name of a call's record.
+std::string keyName(const std::string& organisation, const std::string& key);
+
+} // namespace Lavenderloft::Admission
--- /dev/null
+++ b/Source/Admission/Queries/FindRefusal.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "Admission/AdmitRequest.h"
+#include "Admission/Refusal.h"
+#include "Admission/Situation.h"
+
+#include <optional>
+
+namespace Lavenderloft::Admission::Queries {
+
+// The reason why the target takes on no work of this kind now, whatever its load; nothing if it may.
+std::optional<Refusal> findRefusal(const Situation&, const AdmitRequest&);
+
+// Whether the target takes on any work.
+bool isAccepting(const Situation&);
+
+} // namespace Lavenderloft::Admission::Queries
--- /dev/null
+++ b/Source/Admission/Queries/QueueLength.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "Admission/WaitingQueue.h"
+
+namespace Lavenderloft::Admission::Queries {
+
+struct QueueFigures {
+    size_t requests = 0;
+    // Announced sizes of the bodies, which are not held yet.
+    uint64_t bytes = 0;
+};
+
+QueueFigures queueFigures(const WaitingQueue&);
+
+} // namespace Lavenderloft::Admission::Queries
--- /dev/null
+++ b/Source/Admission/TargetState.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "Admission/KeyMemory.h"
+#include "Admission/LimitState.h"
+#include "Admission/PermitTable.h"
+#include "Admission/WaitingQueue.h"
+
+namespace Lavenderloft::Admission {
+
+// All that the agent remembers of the work at its target.
+class TargetState {
+public:
+    TargetState(uint64_t agentIncarnation, const Base::Clock& clock)
+        : permits(agentIncarnation)
+        , keys(clock)
+    {
+    }
+
+    PermitTable permits;
+    LimitState limit;
+    WaitingQueue queue;
+    KeyMemory keys;
+};
+
+} // namespace Lavenderloft::Admission
--- /dev/null
+++ b/Source/Process/AgentExchange.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "Admission/Commands/AdmitRequest.h"
+#include "Admission/TargetPort.h"
+#include "Process/TargetRun.h"
+
+#include <mutex>
+
+namespace Lavenderloft::Process {
+
+// The agent's side of one exchange: asks Admission and carries out what it decides.
+class AgentExchange final : public Admission::TargetExchange, public Admission::Waiter, public std::enable_shared_from_this<AgentExchange> {
+public:
+    AgentExchange(std::shared_ptr<TargetContext>, std::shared_ptr<Admission::AnswerSink>);
+
+    void admit(Admission::AdmitRequest) override;
+    void head(Admission::RequestHead) override;
+    void body(std::string bytes) override;
+    void endOfBody() override;
+    void cancelled() override;
+
+    void granted(const Admission::Permit&) override;
+    void refused(const Admission::Refusal&) override;
+
+private:
+    enum class Phase {
+        Opened,
+        // Waits for a permit or for the body.
+        Admitted,
+        Running,
+        Ended,
+    };
+
+    // Takes the sink for the last message; null if the exchange has ended already.
+    std::shared_ptr<Admission::AnswerSink> endExchange();
+    void endWithRefusal(const Admission::Refusal&);
+    void replay(std::shared_ptr<const Admission::StoredAnswer>);
+    void run();
+    Http::HttpRequest makeTargetRequest();
+    void countRefusal(const Admission::Refusal&);
+
+    std::shared_ptr<TargetContext> m_context;
+    std::mutex m_lock;
+    Phase m_phase = Phase::Opened;
+    std::shared_ptr<Admission::AnswerSink> m_sink;
+    std::shared_ptr<TargetRun> m_run;
+    Admission::AdmitRequest m_request;
+    // Digest that the engine served when the request was admitted.
+    std::string m_admittedDigest;
+    Admission::RequestHead m_head;
+    std::string m_body;
+};
+
+} // namespace Lavenderloft::Process
--- /dev/null
+++ b/Source/Process/TargetContext.cpp
@@ -0,0 +1,34 @@
+#include "Process/TargetContext.h"
+
+#include "Admission/Commands/AdmitRequest.h"
+#include "Admission/Queries/FindRefusal.h"
+#include "Admission/Queries/QueueLength.h"
+#include "Admission/Queries/TargetLoad.h"
+
+namespace Lavenderloft::Process {
+
+TargetContext::TargetContext(uint64_t agentIncarnation, Settings::TargetKind targetKind, Http::Endpoint targetEndpoint, const Admission::SituationSource& source, Http::HttpClient& httpClient, const Base::Clock& timeSource, Base::RandomSource& randomSource, Observability::Metrics& registry)
+    : kind(targetKind)
+    , endpoint(std::move(targetEndpoint))
+    , state(agentIncarnation, timeSource)
+    , situations(source)
+    , client(httpClient)
+    , clock(timeSource)
+    , random(randomSource)
+    , metrics(registry)
+{
+}
+
+void TargetContext::grantWaiting()
+{
+    if (Admission::Queries::isAccepting(situations.situation()))
+        Admission::Commands::grantWaiting(state, clock, random);
+}
+
+Membership::TargetLoad TargetContext::load() const
+{
+    auto queued = Admission::Queries::queueFigures(state.queue).requests;
+    return Admission::Queries::targetLoad(state.permits, static_cast<unsigned>(queued), Admission::Queries::isAccepting(situations.situation()));
+}
+
+} // namespace Lavenderloft::Process
--- /dev/null
+++ b/Source/Process/TargetContext.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "Admission/SituationSource.h"
+#include "Admission/TargetState.h"
+#include "Base/RandomSource.h"
+#include "Http/HttpClient.h"
+#include "Membership/Member.h"
+#include "Observability/Metrics.h"
+#include "Settings/ProcessSettings.h"
+
+namespace Lavenderloft::Process {
+
+// What all exchanges of one agent share. The references must outlive the HTTP client's threads.
+struct TargetContext {
+    TargetContext(uint64_t agentIncarnation, Settings::TargetKind targetKind, Http::Endpoint targetEndpoint, const Admission::SituationSource&, Http::HttpClient&, const Base::Clock&, Base::RandomSource&, Observability::Metrics&);
+
+    // Grants free slots to requests that wait.
+    void grantWaiting();
+
+    Membership::TargetLoad load() const;
+
+    Settings::TargetKind kind;
+    Http::Endpoint endpoint;
+    Admission::TargetState state;
+    const Admission::SituationSource& situations;
+    Http::HttpClient& client;
+    const Base::Clock& clock;
+    Base::RandomSource& random;
+    Observability::Metrics& metrics;
+};
+
+} // namespace Lavenderloft::Process
--- /dev/null
+++ b/Source/Process/TargetNode.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "Admission/TargetPort.h"
+#include "Process/TargetContext.h"
+
+namespace Lavenderloft::Process {
+
+// Offers the target to routers.
+class TargetNode final : public Admission::TargetPort {
+public:
+    explicit TargetNode(std::shared_ptr<TargetContext>);
+
+    std::shared_ptr<Admission::TargetExchange> open(std::shared_ptr<Admission::AnswerSink>) override;
+    Admission::AttemptResolution resolve(const std::string& attemptId, const std::string& permitId, uint64_t agentIncarnation) override;
+
+private:
+    std::shared_ptr<TargetContext> m_context;
+};
+
+} // namespace Lavenderloft::Process
--- /dev/null
+++ b/Source/Process/TargetRun.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "Admission/TargetPort.h"
+#include "Process/TargetContext.h"
+
+#include <mutex>
+
+namespace Lavenderloft::Process {
+
+// One request that runs at the target: passes the answer to the sink, part by part.
+class TargetRun final : public Http::ResponseSink, public std::enable_shared_from_this<TargetRun> {
+public:
+    TargetRun(std::shared_ptr<TargetContext>, Admission::AdmitRequest, std::string admittedDigest, std::shared_ptr<Admission::AnswerSink>);
+
+    void start(Http::HttpRequest);
+
+    // The router is gone. A call that may be repeated is cancelled; any other runs to its end, for its answer to be kept.
+    void abandon();
+
+    void head(unsigned status, Http::HttpHeaders) override;
+    void data(std::string bytes, std::function<void()> resume) override;
+    void end(Base::Result<Base::Done, Http::HttpError>) override;
+
+private:
+    bool isKeyed() const { return m_context->kind == Settings::TargetKind::Service && !m_request.repeatable; }
+    void cancelCall();
+    void resumeReading();
+    void noteBytes(const std::string&);
+    Admission::AnswerEnd judgeEnd(const Base::Result<Base::Done, Http::HttpError>&) const;
+    void finish(const Admission::AnswerEnd&);
+
+    std::shared_ptr<TargetContext> m_context;
+    Admission::AdmitRequest m_request;
+    std::string m_admittedDigest;
+
+    std::mutex m_lock;
+    // Null once the exchange has ended.
+    std::shared_ptr<Admission::AnswerSink> m_sink;
+    std::shared_ptr<Http::HttpCall> m_call;
+    std::function<void()> m_resume;
+    bool m_isCancelled = false;
+
+    // Used by the client's calls only, which come one at a time.
+    Admission::StoredAnswer m_answer;
+    bool m_isAnswerTooLarge = false;
+    bool m_hasOtherDigest = false;
+    std::string m_tail;
+    uint64_t m_totalBytes = 0;
+};
+
+} // namespace Lavenderloft::Process
--- /dev/null
+++ b/Tests/Transport/TargetFixture.h
@@ -0,0 +1,219 @@
+#pragma once
+
+#include "Admission/SituationSource.h"
+#include "Base/ManualClock.h"
+#include "Base/SeededRandom.h"
+#include "Http/HttpServer.h"
+#include "Process/TargetNode.h"
+#include "Transport/TargetServiceServer.h"
+
+#include "lavenderloft.grpc.pb.h"
+
+#include <condition_variable>
+#include <grpcpp/grpcpp.h>
+#include <mutex>
+
+namespace Lavenderloft::Testing {
+
+namespace protocol = ::lavenderloft::v1;
+
+// A situation that a test sets by hand.
+class FixedSituation final : public Admission::SituationSource {
+public:
+    Admission::Situation situation() const override
+    {
+        std::lock_guard guard(m_lock);
+        return m_situation;
+    }
+
+    void change(const std::function<void(Admission::Situation&)>& function)
+    {
+        std::lock_guard guard(m_lock);
+        function(m_situation);
+    }
+
+private:
+    mutable std::mutex m_lock;
+    Admission::Situation m_situation;
+};
+
+// A target that answers what the test tells it, and that may hold its answers back.
+class ScriptedTarget final : public Http::HttpHandler {
+public:
+    void handle(Http::HttpRequest request, std::shared_ptr<Http::ResponseStream> stream) override
+    {
+        std::unique_lock guard(m_lock);
+        ++m_requests;
+        m_changed.notify_all();
+        m_changed.wait(guard, [&] { return !m_isHeld; });
+        auto response = m_response;
+        response.body += request.body;
+        guard.unlock();
+        stream->respond(response);
+    }
+
+    void answerWith(Http::HttpResponse response)
+    {
+        std::lock_guard guard(m_lock);
+        m_response = std::move(response);
+    }
+
+    void hold(bool isHeld)
+    {
+        std::lock_guard guard(m_lock);
+        m_isHeld = isHeld;
+        m_changed.notify_all();
+    }
+
+    void waitForRequests(int count)
+    {
+        std::unique_lock guard(m_lock);
+        m_changed.wait(guard, [&] { return m_requests >= count; });
+    }
+
+    int requests() const
+    {
+        std::lock_guard guard(m_lock);
+        return m_requests;
+    }
+
+private:
+    mutable std::mutex m_lock;
+    std::condition_variable m_changed;
+    int m_requests = 0;
+    bool m_isHeld = false;
+    Http::HttpResponse m_response { 200, {}, "" };
+};
+
+// An agent's target service on loopback, in front of a scripted plain service named "ledger".
+struct TargetFixture {
+    explicit TargetFixture(uint64_t agentIncarnation = 1, Settings::TargetKind kind = Settings::TargetKind::Service)
+        : target(std::make_shared<ScriptedTarget>())
+        , targetServer({}, target)
+    {
+        situation.change([&](Admission::Situation& state) {
+            auto document = std::make_shared<DesiredState::Document>();
+            document->services.push_back({ "ledger", { "vm-1" } });
+            state.document = document;
+            state.vm = "vm-1";
+            state.kind = kind;
+            state.service = "ledger";
+            state.isSynchronised = true;
+        });
+        context = std::make_shared<Process::TargetContext>(agentIncarnation, kind, Http::Endpoint { "127.0.0.1", targetServer.port() }, situation, client, clock, random, metrics);
+        context->state.permits.occupancy.setLimit(4);
+        context->state.permits.occupancy.setByteLimit(1024 * 1024);
+        node = std::make_unique<Process::TargetNode>(context);
+        service = Transport::makeTargetService(*node, clock);
+        grpc::ServerBuilder builder;
+        int port = 0;
+        builder.AddListeningPort("127.0.0.1:0", grpc::InsecureServerCredentials(), &port);
+        builder.RegisterService(service.get());
+        server = builder.BuildAndStart();
+        stub = protocol::TargetService::NewStub(grpc::CreateChannel("127.0.0.1:" + std::to_string(port), grpc::InsecureChannelCredentials()));
+    }
+
+    ~TargetFixture()
+    {
+        target->hold(false);
+        server->Shutdown(std::chrono::system_clock::now() + std::chrono::seconds(1));
+    }
+
+    std::shared_ptr<ScriptedTarget> target;
+    Http::HttpServer targetServer;
+    FixedSituation situation;
+    Base::ManualClock clock;
+    Base::SeededRandom random { 1 };
+    Observability::Metrics metrics;
+    Http::HttpClient client;
+    std::shared_ptr<Process::TargetContext> context;
+    std::unique_ptr<Process::TargetNode> node;
+    std::shared_ptr<grpc::Service> service;
+    std::unique_ptr<grpc::Server> server;
+    std::unique_ptr<protocol::TargetService::Stub> stub;
+};
+
+// The router's side of one exchange, with blocking calls.
+class RouterCall {
+public:
+    explicit RouterCall(TargetFixture& fixture)
+        : m_stream(fixture.stub->Execute(&m_context))
+    {
+    }
+
+    static protocol::Admit makeAdmit(const std::string& attemptId, const std::string& key, uint64_t bodyBytes)
+    {
+        protocol::Admit admit;
+        admit.set_attempt_id(attemptId);
+        admit.set_organisation("school-1");
+        admit.set_pool("ledger");
+        admit.set_idempotency_key(key);
+        admit.set_repeatable(key.empty());
+        admit.set_body_bytes(bodyBytes);
+        return admit;
+    }
+
+    protocol::ExecuteResponse admit(const protocol::Admit& admit)
+    {
+        protocol::ExecuteRequest request;
+        *request.mutable_admit() = admit;
+        m_stream->Write(request);
+        return read();
+    }
+
+    void sendBody(const std::string& permitId, const std::string& body)
+    {
+        protocol::ExecuteRequest request;
+        request.mutable_head()->set_permit_id(permitId);
+        request.mutable_head()->set_method("POST");
+        request.mutable_head()->set_path("/ledger/bookings");
+        m_stream->Write(request);
+        request.set_body(body);
+        m_stream->Write(request);
+        request.set_end_of_body(true);
+        m_stream->Write(request);
+    }
+
+    // The next message; without a kind at the end of the stream.
+    protocol::ExecuteResponse read()
+    {
+        protocol::ExecuteResponse response;
+        if (!m_stream->Read(&response))
+            response.Clear();
+        return response;
+    }
+
+    // Reads up to the end of the answer and returns its body; the end is kept in `end`.
+    std::string readAnswer()
+    {
+        std::string body;
+        while (true) {
+            auto response = read();
+            if (response.has_head())
+                head = response.head();
+            else if (response.has_data())
+                body += response.data().bytes();
+            else {
+                end = response;
+                return body;
+            }
+        }
+    }
+
+    void cancel()
+    {
+        m_context.TryCancel();
+        protocol::ExecuteResponse response;
+        while (m_stream->Read(&response)) { }
+        m_stream->Finish();
+    }
+
+    protocol::ResponseHead head;
+    protocol::ExecuteResponse end;
+
+private:
+    grpc::ClientContext m_context;
+    std::unique_ptr<grpc::ClientReaderWriter<protocol::ExecuteRequest, protocol::ExecuteResponse>> m_stream;
+};
+
+} // namespace Lavenderloft::Testing
