Add placement, engine orders and the agent process

An agent has to bring its engine to the desired weights by itself and must stop grants whenever it does not know enough. Source/Placement assigns pools by rendezvous hashing with deferred acceptance, decides the next step from the state machine of the replica, and settles maxUnavailable by published claims.

WeightProvider gains manifestBytes, which the upload sends first.

--- a/Source/Admission/Commands/AdjustLimit.cpp
+++ b/Source/Admission/Commands/AdjustLimit.cpp
@@ -64,6 +64,8 @@
 {
     state.withData([&](Data& data) {
         auto previous = std::exchange(data.engine, condition);
+        if (condition.isReachable)
+            data.engineSeenAt = now;
         bool isOther = previous.incarnation != condition.incarnation || previous.digest != condition.digest;
         if (isOther)
             data.warmAverage = {};
--- a/Source/Admission/Commands/RunRequest.cpp
+++ b/Source/Admission/Commands/RunRequest.cpp
@@ -93,13 +93,15 @@
 
 std::vector<uint64_t> applyEngineCondition(TargetState& state, const EngineCondition& condition, const Base::Clock& clock)
 {
-    auto previous = state.limit.data().engine;
+    auto before = state.limit.data();
+    auto& previous = before.engine;
     observeEngine(state.limit, condition, clock.now());
     applyLimit(state);
     bool restarted = previous.incarnation != condition.incarnation;
     std::vector<uint64_t> crashed;
+    // Requests break off with the engine, before the poll that tells of its new incarnation.
     if (restarted && previous.incarnation)
-        crashed = Queries::runningFingerprints(state.permits);
+        crashed = Queries::fingerprintsRunningSince(state.permits, before.engineSeenAt);
     state.permits.engineIncarnation = condition.incarnation;
     if (restarted || previous.digest != condition.digest)
         dropPermits(state, clock);
--- a/Source/Admission/LimitState.h
+++ b/Source/Admission/LimitState.h
@@ -21,6 +21,8 @@
 
 // What the limit depends on of the engine's state.
 struct EngineCondition {
+    // Whether the engine answered the last poll; the incarnation and digest are those of the last answer.
+    bool isReachable = false;
     uint64_t incarnation = 0;
     std::string digest;
     // Whether the engine can run requests at all.
@@ -37,6 +39,8 @@
     struct Data {
         LimitSettings settings;
         EngineCondition engine;
+        // Time of the engine's last answer.
+        Base::TimePoint engineSeenAt;
         unsigned limit = 0;
         Base::TimePoint windowStart;
         unsigned completedInWindow = 0;
--- a/Source/Admission/Queries/AttemptOutcome.cpp
+++ b/Source/Admission/Queries/AttemptOutcome.cpp
@@ -23,11 +23,12 @@
     return AttemptOutcome::Unknown;
 }
 
-std::vector<uint64_t> runningFingerprints(const PermitTable& table)
+std::vector<uint64_t> fingerprintsRunningSince(const PermitTable& table, Base::TimePoint time)
 {
     std::vector<uint64_t> fingerprints;
     table.attempts.forEach([&](const std::string&, const AttemptRecord& record) {
-        if (record.state == AttemptState::Running)
+        bool brokeOff = record.state == AttemptState::Broken && record.changedAt >= time;
+        if (record.state == AttemptState::Running || brokeOff)
             fingerprints.push_back(record.permit.fingerprint);
     });
     return fingerprints;
--- a/Source/Admission/Queries/AttemptOutcome.h
+++ b/Source/Admission/Queries/AttemptOutcome.h
@@ -19,7 +19,7 @@
 // The outcome of an attempt that got its permit from the agent of the given incarnation. To be asked after revokePermit.
 AttemptOutcome attemptOutcome(const PermitTable&, const std::string& attemptId, uint64_t agentIncarnation);
 
-// Fingerprints of the requests that are running.
-std::vector<uint64_t> runningFingerprints(const PermitTable&);
+// Fingerprints of the requests that run, or that broke off after the given time.
+std::vector<uint64_t> fingerprintsRunningSince(const PermitTable&, Base::TimePoint);
 
 } // namespace Lavenderloft::Admission::Queries
--- /dev/null
+++ b/Source/Http/EngineHttpClient.cpp
@@ -0,0 +1,146 @@
+#include "Http/EngineHttpClient.h"
+
+#include "Base/RendezvousHash.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Lavenderloft::Http {
+
+namespace {
+
+    using Placement::EngineError;
+    using Placement::EngineErrorKind;
+    using Placement::EngineMode;
+    using Placement::EngineStatus;
+
+    // Shorter than the pause limit, so that an engine that hangs is not taken for a pause of the agent.
+    constexpr std::chrono::milliseconds statusTimeout { 1000 };
+    constexpr std::chrono::milliseconds orderTimeout { 10000 };
+    constexpr unsigned conflictStatus = 409;
+
+    bool isSuccess(unsigned status)
+    {
+        return status >= 200 && status < 300;
+    }
+
+    EngineError unreachable(const HttpError& error)
+    {
+        return { EngineErrorKind::Unreachable, "the engine does not answer: " + error.message, error.remedy };
+    }
+
+    EngineError refused(const HttpResponse& response)
+    {
+        auto kind = response.status == conflictStatus ? EngineErrorKind::OldFence : EngineErrorKind::Refused;
+        return { kind, "the engine answered " + std::to_string(response.status) + ": " + response.body.substr(0, 200), "look at the engine's log" };
+    }
+
+    // An engine may name its incarnation by a number or a text.
+    uint64_t readIncarnation(const nlohmann::json& value)
+    {
+        if (value.is_number_unsigned())
+            return value.get<uint64_t>();
+        auto hash = Base::stableHash(value.get<std::string>());
+        return hash ? hash : 1;
+    }
+
+    EngineMode readMode(const std::string& name)
+    {
+        if (name == "empty")
+            return EngineMode::Empty;
+        if (name == "loading")
+            return EngineMode::Loading;
+        if (name == "cold")
+            return EngineMode::Cold;
+        if (name == "ready")
+            return EngineMode::Ready;
+        throw std::invalid_argument("state \"" + name + "\" is not known");
+    }
+
+    EngineStatus readStatus(const nlohmann::json& object)
+    {
+        EngineStatus status;
+        status.incarnation = readIncarnation(object.at("incarnation"));
+        status.mode = readMode(object.at("state").get<std::string>());
+        status.digest = object.at("digest").is_null() ? std::string() : object.at("digest").get<std::string>();
+        status.running = object.value("running", 0u);
+        status.queued = object.value("queued", 0u);
+        status.memoryBytes = object.value("memoryBytes", uint64_t { 0 });
+        status.memoryLimitBytes = object.value("memoryLimitBytes", uint64_t { 0 });
+        status.highestFence = object.value("highestFence", uint64_t { 0 });
+        status.checksFence = object.value("checksFence", false);
+        return status;
+    }
+
+    HttpRequest makeUpload(const std::string& digest, const std::string& part, const std::string& bytes, uint64_t fence)
+    {
+        HttpRequest request;
+        request.method = "PUT";
+        request.target = "/engine/weights/" + digest + "/" + part;
+        request.headers.push_back({ "X-Fence", std::to_string(fence) });
+        request.body = bytes;
+        return request;
+    }
+
+} // namespace
+
+Base::Result<EngineStatus, EngineError> parseEngineStatus(const std::string& body)
+{
+    try {
+        return readStatus(nlohmann::json::parse(body));
+    } catch (const std::exception& error) {
+        return EngineError { EngineErrorKind::Malformed, std::string("the engine's status cannot be read: ") + error.what(), "check that the endpoint is a model engine" };
+    }
+}
+
+EngineHttpClient::EngineHttpClient(Endpoint endpoint)
+    : m_endpoint(std::move(endpoint))
+{
+}
+
+Base::Result<EngineStatus, EngineError> EngineHttpClient::status()
+{
+    HttpRequest request;
+    request.target = "/engine/status";
+    auto response = m_client.fetch(m_endpoint, std::move(request), statusTimeout);
+    if (!Base::succeeded(response))
+        return unreachable(Base::errorOf(response));
+    if (!isSuccess(Base::valueOf(response).status))
+        return refused(Base::valueOf(response));
+    return parseEngineStatus(Base::valueOf(response).body);
+}
+
+Base::Result<Base::Done, EngineError> EngineHttpClient::order(HttpRequest request)
+{
+    auto response = m_client.fetch(m_endpoint, std::move(request), orderTimeout);
+    if (!Base::succeeded(response))
+        return unreachable(Base::errorOf(response));
+    if (!isSuccess(Base::valueOf(response).status))
+        return refused(Base::valueOf(response));
+    return Base::Done {};
+}
+
+Base::Result<Base::Done, EngineError> EngineHttpClient::sendManifest(const std::string& digest, const std::string& bytes, uint64_t fence)
+{
+    auto result = order(makeUpload(digest, "manifest", bytes, fence));
+    // An engine that has no use for the manifest refuses it; the digest it names after the load decides.
+    if (!Base::succeeded(result) && Base::errorOf(result).kind == EngineErrorKind::Refused)
+        return Base::Done {};
+    return result;
+}
+
+Base::Result<Base::Done, EngineError> EngineHttpClient::sendChunk(const std::string& digest, unsigned index, const std::string& bytes, uint64_t fence)
+{
+    return order(makeUpload(digest, std::to_string(index), bytes, fence));
+}
+
+Base::Result<Base::Done, EngineError> EngineHttpClient::load(const std::string& digest, uint64_t fence)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/engine/orders";
+    request.headers.push_back({ "Content-Type", "application/json" });
+    request.body = nlohmann::json { { "fence", fence }, { "order", "load" }, { "digest", digest } }.dump();
+    return order(std::move(request));
+}
+
+} // namespace Lavenderloft::Http
--- /dev/null
+++ b/Source/Placement/Commands/ApplyOrder.cpp
@@ -0,0 +1,115 @@
+#include "Placement/Commands/ApplyOrder.h"
+
+namespace Lavenderloft::Placement::Commands {
+
+namespace {
+
+    using Queries::Observation;
+    using Queries::Order;
+    using Queries::OrderKind;
+
+    // Versions of past documents that are remembered.
+    constexpr size_t maximumManifests = 1024;
+
+    void restart(ReplicaRecord& record, ReplicaEvent event, std::string reason)
+    {
+        record.state.apply(event);
+        record.upload = {};
+        record.reason = std::move(reason);
+    }
+
+    void adopt(ReplicaRecord& record, const DesiredReplica& desired)
+    {
+        record.wanted = desired;
+        restart(record, ReplicaEvent::Wanted, {});
+    }
+
+    void noteSent(ReplicaRecord& record, const Order& order, const Observation& seen)
+    {
+        auto& upload = record.upload;
+        upload.engineIncarnation = seen.engine->incarnation;
+        if (order.kind == OrderKind::SendManifest)
+            upload.isManifestSent = true;
+        else if (order.kind == OrderKind::SendChunk)
+            upload.nextChunk = order.chunk + 1;
+        else
+            upload.loadOrderedAt = seen.now;
+    }
+
+} // namespace
+
+std::optional<DesiredReplica> settleAssignment(ReplicaRecord& record, const std::optional<DesiredReplica>& desired, Base::TimePoint now)
+{
+    if (record.proposed != desired) {
+        bool isSamePool = record.proposed && desired && record.proposed->pool == desired->pool;
+        record.proposed = desired;
+        if (!isSamePool)
+            record.proposedSince = now;
+    }
+    if (now - record.proposedSince >= assignmentSettleTime)
+        return desired;
+    if (record.state.phase() == Membership::ReplicaPhase::Idle)
+        return std::nullopt;
+    return record.wanted;
+}
+
+void learnDocument(ReplicaRecord& record, const DesiredState::Document& document)
+{
+    if (record.poolOfManifest.size() > maximumManifests)
+        record.poolOfManifest.clear();
+    for (auto& pool : document.pools)
+        record.poolOfManifest[pool.manifest] = pool.name;
+}
+
+void noteDone(ReplicaRecord& record, const Order& order, const Observation& seen)
+{
+    switch (order.kind) {
+    case OrderKind::None:
+        return;
+    case OrderKind::Adopt:
+        return adopt(record, *seen.desired);
+    case OrderKind::Release:
+        record.wanted = {};
+        return restart(record, ReplicaEvent::Released, {});
+    case OrderKind::MarkFetched:
+        record.state.apply(ReplicaEvent::Fetched);
+        return;
+    case OrderKind::Claim:
+        record.claimedAt = seen.now;
+        record.upload = {};
+        record.state.apply(ReplicaEvent::Claimed);
+        return;
+    case OrderKind::Withdraw:
+        return restart(record, ReplicaEvent::Withdrawn, {});
+    case OrderKind::BeginUpload:
+        record.upload.isBegun = true;
+        return;
+    case OrderKind::SendManifest:
+    case OrderKind::SendChunk:
+    case OrderKind::SendLoad:
+        return noteSent(record, order, seen);
+    case OrderKind::Confirm:
+        return restart(record, ReplicaEvent::Confirmed, {});
+    case OrderKind::Repair:
+        return restart(record, ReplicaEvent::Drifted, order.reason);
+    case OrderKind::Fail:
+        record.retryAt = seen.now + retryDelay;
+        return restart(record, ReplicaEvent::Failed, order.reason);
+    case OrderKind::Retry:
+        return restart(record, ReplicaEvent::Retried, record.reason);
+    }
+}
+
+void noteRefused(ReplicaRecord& record, const std::string& reason, Base::TimePoint now)
+{
+    record.retryAt = now + retryDelay;
+    restart(record, ReplicaEvent::Failed, reason);
+}
+
+void dropOrders(ReplicaRecord& record)
+{
+    if (record.state.phase() == Membership::ReplicaPhase::Loading)
+        restart(record, ReplicaEvent::Drifted, "the process was paused");
+}
+
+} // namespace Lavenderloft::Placement::Commands
--- /dev/null
+++ b/Source/Placement/EngineClient.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "Base/Result.h"
+
+#include <cstdint>
+#include <string>
+
+namespace Lavenderloft::Placement {
+
+enum class EngineMode {
+    Empty,
+    Loading,
+    // Weights are loaded, but the engine bears little load yet.
+    Cold,
+    Ready,
+};
+
+// What a model engine tells of itself.
+struct EngineStatus {
+    // Changes with each start of the engine; never zero.
+    uint64_t incarnation = 0;
+    EngineMode mode = EngineMode::Empty;
+    // Digest of the weights loaded or being loaded.
+    std::string digest;
+    unsigned running = 0;
+    unsigned queued = 0;
+    uint64_t memoryBytes = 0;
+    uint64_t memoryLimitBytes = 0;
+    uint64_t highestFence = 0;
+    bool checksFence = false;
+
+    // Whether the engine answers requests, and from which weights.
+    bool isServing() const { return (mode == EngineMode::Cold || mode == EngineMode::Ready) && !digest.empty(); }
+    bool serves(const std::string& manifest) const { return isServing() && digest == manifest; }
+};
+
+enum class EngineErrorKind {
+    Unreachable,
+    // The fencing token is older than one that the engine has seen.
+    OldFence,
+    Refused,
+    Malformed,
+};
+
+using EngineError = Base::Error<EngineErrorKind>;
+
+// Orders to a model engine. The calls wait for the engine's answer.
+class EngineClient {
+public:
+    virtual ~EngineClient() = default;
+
+    virtual Base::Result<EngineStatus, EngineError> status() = 0;
+    virtual Base::Result<Base::Done, EngineError> sendManifest(const std::string& digest, const std::string& bytes, uint64_t fence) = 0;
+    virtual Base::Result<Base::Done, EngineError> sendChunk(const std::string& digest, unsigned index, const std::string& bytes, uint64_t fence) = 0;
+    virtual Base::Result<Base::Done, EngineError> load(const std::string& digest, uint64_t fence) = 0;
+};
+
+} // namespace Lavenderloft::Placement
--- /dev/null
+++ b/Source/Placement/Queries/SwitchAllowed.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "DesiredState/Document.h"
+#include "Membership/Member.h"
+
+#include <string>
+#include <vector>
+
+namespace Lavenderloft::Placement::Queries {
+
+// A replica that could switch to other weights.
+struct SwitchCandidate {
+    std::string vm;
+    // Pool whose weights it is to load.
+    std::string pool;
+    // Pool that it serves now; empty if it serves none, so that the switch takes nothing away.
+    std::string servedPool;
+};
+
+// Whether the replica may claim to switch: fewer replicas than maxUnavailable are out, and its rank among
+// those that wait to switch is below the difference. All decide alike from the same view.
+bool maySwitch(const DesiredState::Document&, const std::vector<Membership::Member>&, const SwitchCandidate&);
+
+// Whether a claim published a while ago still stands: with all claims seen since, no more than
+// maxUnavailable replicas are out. Two that claimed without knowing of each other both give up.
+bool claimStands(const DesiredState::Document&, const std::vector<Membership::Member>&, const SwitchCandidate&);
+
+} // namespace Lavenderloft::Placement::Queries
--- /dev/null
+++ b/Source/Process/AgentAdminHandler.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "Admission/SituationSource.h"
+#include "Http/HttpServer.h"
+#include "Observability/Metrics.h"
+
+namespace Lavenderloft::Process {
+
+// Answers /metrics, /healthz and /readyz on an agent's admin port.
+class AgentAdminHandler final : public Http::HttpHandler {
+public:
+    AgentAdminHandler(const Observability::Metrics&, const Admission::SituationSource&);
+
+    void handle(Http::HttpRequest, std::shared_ptr<Http::ResponseStream>) override;
+
+private:
+    Http::HttpResponse respondTo(const Http::HttpRequest&) const;
+
+    const Observability::Metrics& m_metrics;
+    const Admission::SituationSource& m_situations;
+};
+
+} // namespace Lavenderloft::Process
--- /dev/null
+++ b/Source/Process/AgentBuilder.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "Base/Result.h"
+#include "Process/AgentProcess.h"
+
+#include <optional>
+
+namespace Lavenderloft::Process {
+
+enum class AgentErrorKind {
+    // A part that an agent cannot do without was not given.
+    MissingPart,
+    // A port cannot be bound or an address is malformed.
+    Address,
+};
+
+using AgentError = Base::Error<AgentErrorKind>;
+
+// Collects the parts of an agent. Parts given by reference must outlive the agent.
+class AgentBuilder {
+public:
+    AgentBuilder& settings(Settings::ProcessSettings);
+    AgentBuilder& control(ControlView&);
+    AgentBuilder& weights(Weights::WeightProvider&);
+    AgentBuilder& clock(const Base::Clock&);
+    AgentBuilder& random(Base::RandomSource&);
+    AgentBuilder& metrics(Observability::Metrics&);
+    AgentBuilder& service(std::shared_ptr<grpc::Service>);
+    AgentBuilder& crashObserver(Admission::CrashObserver&);
+    // Replaces the HTTP client to the engine at the endpoint of the settings.
+    AgentBuilder& engine(std::unique_ptr<Placement::EngineClient>);
+
+    Base::Result<std::unique_ptr<AgentProcess>, AgentError> build();
+
+private:
+    // Name of the first part that is missing, or an empty text.
+    std::string missingPart() const;
+
+    std::optional<Settings::ProcessSettings> m_settings;
+    ControlView* m_control = nullptr;
+    Weights::WeightProvider* m_weights = nullptr;
+    const Base::Clock* m_clock = nullptr;
+    Base::RandomSource* m_random = nullptr;
+    Observability::Metrics* m_metrics = nullptr;
+    std::vector<std::shared_ptr<grpc::Service>> m_services;
+    Admission::CrashObserver* m_crashObserver = nullptr;
+    std::unique_ptr<Placement::EngineClient> m_engine;
+};
+
+} // namespace Lavenderloft::Process
--- /dev/null
+++ b/Source/Process/AgentSituation.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "Admission/PauseDetector.h"
+#include "Admission/SituationSource.h"
+#include "Placement/Queries/ServedPool.h"
+#include "Process/ControlView.h"
+#include "Settings/ProcessSettings.h"
+
+#include <atomic>
+#include <mutex>
+
+namespace Lavenderloft::Process {
+
+// Brings together what the parts of an agent know, for the decisions on requests.
+class AgentSituation final : public Admission::SituationSource {
+public:
+    AgentSituation(const Settings::ProcessSettings&, const ControlView&, const Base::Clock&);
+
+    Admission::Situation situation() const override;
+
+    void setServed(Placement::Queries::Served, bool isSwitching);
+    void setLeaving() { m_isLeaving = true; }
+    bool isLeaving() const { return m_isLeaving; }
+
+    Admission::PauseDetector& pauseDetector() { return m_pauseDetector; }
+
+private:
+    const Settings::ProcessSettings& m_settings;
+    const ControlView& m_control;
+    Admission::PauseDetector m_pauseDetector;
+    std::atomic<bool> m_isLeaving { false };
+    mutable std::mutex m_lock;
+    Placement::Queries::Served m_served;
+    bool m_isSwitching = false;
+};
+
+} // namespace Lavenderloft::Process
--- /dev/null
+++ b/Source/Process/ReplicaDriver.cpp
@@ -0,0 +1,215 @@
+#include "Process/ReplicaDriver.h"
+
+#include "Observability/Log.h"
+#include "Placement/Commands/ApplyOrder.h"
+#include "Placement/Events.h"
+#include "Placement/Queries/DesiredWeights.h"
+#include "Placement/Queries/ServedPool.h"
+#include "Placement/Queries/SwitchAllowed.h"
+
+#include <algorithm>
+#include <array>
+
+namespace Lavenderloft::Process {
+
+namespace {
+
+    using Placement::Queries::OrderKind;
+
+    const char* orderName(OrderKind kind)
+    {
+        static constexpr std::array names {
+            "none", "adopt", "release", "mark-fetched", "claim", "withdraw", "begin-upload", "send-manifest",
+            "send-chunk", "send-load", "confirm", "repair", "fail", "retry"
+        };
+        return names.at(static_cast<size_t>(kind));
+    }
+
+} // namespace
+
+ReplicaDriver::ReplicaDriver(Parts parts)
+    : m_parts(std::move(parts))
+{
+}
+
+ReplicaDriver::~ReplicaDriver()
+{
+    stop();
+}
+
+void ReplicaDriver::start()
+{
+    m_thread = std::thread([this] { run(); });
+}
+
+void ReplicaDriver::stop()
+{
+    {
+        std::lock_guard guard(m_wakeLock);
+        m_isStopping = true;
+    }
+    m_changed.notify_all();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+void ReplicaDriver::wake()
+{
+    {
+        std::lock_guard guard(m_wakeLock);
+        m_isAwake = true;
+    }
+    m_changed.notify_all();
+}
+
+void ReplicaDriver::run()
+{
+    while (true) {
+        {
+            std::unique_lock guard(m_wakeLock);
+            m_changed.wait(guard, [&] { return m_isAwake || m_isStopping; });
+            if (m_isStopping)
+                return;
+            m_isAwake = false;
+        }
+        while (!isStopping() && step()) { }
+    }
+}
+
+bool ReplicaDriver::isStopping()
+{
+    std::lock_guard guard(m_wakeLock);
+    return m_isStopping;
+}
+
+Placement::Queries::Served ReplicaDriver::observeEngine(const std::optional<Placement::EngineStatus>& status)
+{
+    std::lock_guard guard(m_lock);
+    m_engine = status;
+    updateSituation();
+    return Placement::Queries::servedPool(m_record, m_engine);
+}
+
+void ReplicaDriver::dropOrders()
+{
+    std::lock_guard guard(m_lock);
+    ++m_generation;
+    // The state of the engine is unknown until the next poll.
+    m_engine.reset();
+    Placement::Commands::dropOrders(m_record);
+    updateSituation();
+}
+
+void ReplicaDriver::updateSituation()
+{
+    m_parts.situation.setServed(Placement::Queries::servedPool(m_record, m_engine), Placement::Queries::isSwitching(m_record));
+}
+
+void ReplicaDriver::observeDesired(Observation& seen)
+{
+    auto document = m_parts.control.document();
+    auto members = m_parts.control.members();
+    Placement::Commands::learnDocument(m_record, *document);
+    auto assigned = Placement::Queries::desiredReplica(*document, members, m_parts.vm, m_record);
+    seen.desired = Placement::Commands::settleAssignment(m_record, assigned, seen.now);
+    if (!seen.desired)
+        return want({});
+    auto served = Placement::Queries::servedPool(m_record, m_engine);
+    Placement::Queries::SwitchCandidate candidate { m_parts.vm, seen.desired->pool, served.pool };
+    seen.maySwitch = Placement::Queries::maySwitch(*document, members, candidate);
+    seen.claimStands = Placement::Queries::claimStands(*document, members, candidate);
+    want(Placement::Queries::wantedManifests(*document, *seen.desired));
+}
+
+void ReplicaDriver::want(std::vector<Weights::WantedManifest> manifests)
+{
+    auto isSame = [](const Weights::WantedManifest& left, const Weights::WantedManifest& right) { return left.digest == right.digest && left.priority == right.priority; };
+    if (std::equal(manifests.begin(), manifests.end(), m_wantedManifests.begin(), m_wantedManifests.end(), isSame))
+        return;
+    m_wantedManifests = std::move(manifests);
+    m_parts.weights.want(m_wantedManifests);
+}
+
+ReplicaDriver::Observation ReplicaDriver::observe()
+{
+    Observation seen;
+    seen.now = m_parts.clock.now();
+    seen.engine = m_engine;
+    seen.running = m_parts.target.state.permits.occupancy.figures().taken;
+    observeDesired(seen);
+    if (seen.desired)
+        seen.progress = m_parts.weights.progress(seen.desired->manifest);
+    return seen;
+}
+
+bool ReplicaDriver::isForEngine(const Order& order)
+{
+    return order.kind == OrderKind::SendManifest || order.kind == OrderKind::SendChunk || order.kind == OrderKind::SendLoad;
+}
+
+bool ReplicaDriver::step()
+{
+    std::unique_lock guard(m_lock);
+    // Without a document in force nothing is known; what the engine serves stays.
+    if (!m_parts.control.isSynchronised() || !m_parts.control.document())
+        return false;
+    auto seen = observe();
+    auto order = Placement::Queries::nextOrder(m_record, seen);
+    if (order.kind == OrderKind::None) {
+        updateSituation();
+        return false;
+    }
+    if (order.kind != OrderKind::SendChunk)
+        Observability::logEvent(Placement::OrderDecided, { { "order", orderName(order.kind) }, { "pool", seen.desired ? seen.desired->pool : std::string() }, { "manifest", seen.desired ? seen.desired->manifest : std::string() }, { "reason", order.reason } });
+    if (isForEngine(order))
+        carryOut(guard, order, seen);
+    else
+        Placement::Commands::noteDone(m_record, order, seen);
+    updateSituation();
+    guard.unlock();
+    publish();
+    return true;
+}
+
+void ReplicaDriver::carryOut(std::unique_lock<std::mutex>& guard, const Order& order, const Observation& seen)
+{
+    auto fence = Placement::Queries::nextFence(m_record, *seen.engine, m_parts.clock.wallTime());
+    m_record.lastFence = fence;
+    auto manifest = m_record.wanted.manifest;
+    auto generation = m_generation;
+    guard.unlock();
+    auto result = send(order, manifest, fence);
+    guard.lock();
+    if (generation != m_generation)
+        return;
+    if (Base::succeeded(result))
+        return Placement::Commands::noteDone(m_record, order, seen);
+    auto reason = Base::errorOf(result).describe();
+    Observability::logEvent(Placement::OrderRefused, { { "order", orderName(order.kind) }, { "manifest", manifest }, { "reason", reason } });
+    Placement::Commands::noteRefused(m_record, reason, m_parts.clock.now());
+}
+
+Base::Result<Base::Done, Placement::EngineError> ReplicaDriver::send(const Order& order, const std::string& manifest, uint64_t fence)
+{
+    if (order.kind == OrderKind::SendLoad)
+        return m_parts.engine.load(manifest, fence);
+    auto bytes = order.kind == OrderKind::SendManifest ? m_parts.weights.manifestBytes(manifest) : m_parts.weights.chunk(manifest, order.chunk);
+    if (!bytes)
+        return Placement::EngineError { Placement::EngineErrorKind::Refused, "the chunk is no longer held", "wait until it is fetched again" };
+    if (order.kind == OrderKind::SendManifest)
+        return m_parts.engine.sendManifest(manifest, *bytes, fence);
+    return m_parts.engine.sendChunk(manifest, order.chunk, *bytes, fence);
+}
+
+void ReplicaDriver::publish()
+{
+    std::vector<Membership::Replica> replicas;
+    {
+        std::lock_guard guard(m_lock);
+        auto progress = m_record.wanted.manifest.empty() ? Weights::TransferProgress {} : m_parts.weights.progress(m_record.wanted.manifest);
+        replicas = Placement::Queries::reportedReplicas(m_record, Placement::Queries::servedPool(m_record, m_engine), progress);
+    }
+    m_parts.control.publish(m_parts.target.load(), replicas);
+}
+
+} // namespace Lavenderloft::Process
--- /dev/null
+++ b/Source/Process/ReplicaDriver.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "Placement/EngineClient.h"
+#include "Placement/Queries/NextOrder.h"
+#include "Placement/ReplicaRecord.h"
+#include "Process/AgentSituation.h"
+#include "Process/ControlView.h"
+#include "Process/TargetContext.h"
+#include "Weights/WeightProvider.h"
+
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+namespace Lavenderloft::Process {
+
+// Carries out the steps that bring the engine to its desired weights, on a thread of its own, because an
+// upload must not delay the polls of the engine.
+class ReplicaDriver {
+public:
+    struct Parts {
+        ControlView& control;
+        Weights::WeightProvider& weights;
+        Placement::EngineClient& engine;
+        AgentSituation& situation;
+        TargetContext& target;
+        const Base::Clock& clock;
+        std::string vm;
+    };
+
+    explicit ReplicaDriver(Parts);
+    ~ReplicaDriver();
+
+    void start();
+    void stop();
+
+    // Looks for the next step; called after a poll of the engine and after a change of document or members.
+    void wake();
+
+    // Takes over the engine's state; nothing when it does not answer. Returns what it serves.
+    Placement::Queries::Served observeEngine(const std::optional<Placement::EngineStatus>&);
+
+    // Drops what is under way, after a pause of the process.
+    void dropOrders();
+
+    // Publishes load and replicas.
+    void publish();
+
+private:
+    using Order = Placement::Queries::Order;
+    using Observation = Placement::Queries::Observation;
+
+    void run();
+    bool isStopping();
+    // Takes one step; false if there is nothing to do.
+    bool step();
+    Observation observe();
+    void observeDesired(Observation&);
+    void want(std::vector<Weights::WantedManifest>);
+    // Whether the order goes to the engine.
+    static bool isForEngine(const Order&);
+    Base::Result<Base::Done, Placement::EngineError> send(const Order&, const std::string& manifest, uint64_t fence);
+    void carryOut(std::unique_lock<std::mutex>&, const Order&, const Observation&);
+    void updateSituation();
+
+    Parts m_parts;
+    // Guards the two flags alone: wake() may come from a thread that holds locks of the control plane.
+    std::mutex m_wakeLock;
+    std::condition_variable m_changed;
+    bool m_isStopping = false;
+    bool m_isAwake = true;
+
+    std::mutex m_lock;
+    // Grows when orders are dropped, so that the result of one under way is ignored.
+    uint64_t m_generation = 0;
+    Placement::ReplicaRecord m_record;
+    std::optional<Placement::EngineStatus> m_engine;
+    std::vector<Weights::WantedManifest> m_wantedManifests;
+    std::thread m_thread;
+};
+
+} // namespace Lavenderloft::Process
--- a/Source/Weights/WeightProvider.h
+++ b/Source/Weights/WeightProvider.h
@@ -40,6 +40,9 @@
 
     virtual TransferProgress progress(const std::string& manifestDigest) const = 0;
 
+    // The bytes of a manifest, whose SHA-256 is the digest; null if it is not held.
+    virtual std::shared_ptr<const std::string> manifestBytes(const std::string& manifestDigest) const = 0;
+
     // A verified chunk, in the order of the manifest's files; null if it is not held.
     virtual std::shared_ptr<const std::string> chunk(const std::string& manifestDigest, unsigned index) const = 0;
 };
--- /dev/null
+++ b/Tests/Admission/LimitTest.cpp
@@ -0,0 +1,199 @@
+#include "Admission/AdmissionFixture.h"
+
+#include "Admission/Commands/QueueRequest.h"
+#include "Admission/Queries/CurrentLimit.h"
+#include "Admission/Queries/QueueLength.h"
+
+#include <criterion/criterion.h>
+
+using namespace Lavenderloft;
+using namespace Lavenderloft::Admission;
+using namespace Lavenderloft::Testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A limit whose engine is warm, with the methods that the tests need.
+struct LimitFixture {
+    LimitFixture()
+    {
+        Commands::configureLimit(state, { 2, 16, 1000ms });
+        observe({ true, 1, "digest", true, true });
+    }
+
+    void observe(const EngineCondition& condition) { Commands::observeEngine(state, condition, clock.now()); }
+
+    void passWindow(unsigned completions, Base::Duration serviceTime)
+    {
+        for (unsigned i = 0; i < completions; ++i)
+            Commands::observeCompletion(state, serviceTime);
+        clock.advance(1s);
+        Commands::closeWindow(state, clock.now());
+    }
+
+    void warmUp()
+    {
+        while (limit() < 16)
+            passWindow(limit(), 100ms);
+        passWindow(16, 100ms);
+    }
+
+    unsigned limit() const { return Queries::currentLimit(state); }
+
+    Base::ManualClock clock;
+    LimitState state;
+};
+
+} // namespace
+
+// Guards against full load on a target that has just started.
+Test(Limit, doublesOnlyAfterWindowsOfProvenWork)
+{
+    LimitFixture fixture;
+    cr_assert_eq(fixture.limit(), 2);
+    fixture.passWindow(1, 100ms);
+    cr_assert_eq(fixture.limit(), 2);
+    fixture.passWindow(2, 100ms);
+    cr_assert_eq(fixture.limit(), 4);
+    fixture.observe({ true, 1, "digest", true, false });
+    cr_assert_eq(fixture.limit(), 2);
+    fixture.passWindow(10, 100ms);
+    cr_assert_eq(fixture.limit(), 2);
+    fixture.observe({ true, 1, "digest", true, true });
+    fixture.warmUp();
+    cr_assert_eq(fixture.limit(), 16);
+}
+
+// Guards against load on an engine that restarted, turned cold, took other weights or slowed down without notice.
+Test(Limit, fallsBackWhenTheEngineChanges)
+{
+    LimitFixture fixture;
+    fixture.warmUp();
+    fixture.observe({ true, 2, "digest", true, true });
+    cr_assert_eq(fixture.limit(), 2);
+    fixture.warmUp();
+    fixture.observe({ true, 2, "digest", true, false });
+    cr_assert_eq(fixture.limit(), 2);
+    fixture.observe({ true, 2, "digest", true, true });
+    fixture.warmUp();
+    fixture.observe({ true, 2, "other", false, false });
+    cr_assert_eq(fixture.limit(), 0);
+    fixture.observe({ true, 2, "digest", true, true });
+    cr_assert_eq(fixture.limit(), 2);
+    fixture.warmUp();
+    fixture.passWindow(16, 390ms);
+    cr_assert_eq(fixture.limit(), 16);
+    fixture.passWindow(16, 2s);
+    cr_assert_eq(fixture.limit(), 2);
+}
+
+// Guards against an engine whose memory is filled by request bodies.
+Test(Limit, leavesAReserveOfTheEnginesMemory)
+{
+    cr_assert_eq(Queries::requestByteLimit(1000, 100), 800);
+    cr_assert_eq(Queries::requestByteLimit(1000, 950), 0);
+    cr_assert_gt(Queries::requestByteLimit(0, 0), 0);
+}
+
+namespace {
+
+// Fills the target, then grants one slot at a time.
+struct QueueFixture : AdmissionFixture {
+    QueueFixture() { state.permits.occupancy.setLimit(0); }
+
+    std::shared_ptr<RecordingWaiter> wait(const std::string& name, const std::string& organisation, DesiredState::PriorityClass priorityClass)
+    {
+        auto request = makeRequest(name + "-" + std::to_string(m_next++));
+        request.organisation = organisation;
+        request.priorityClass = priorityClass;
+        request.bodyBytes = 0;
+        auto waiter = std::make_shared<RecordingWaiter>(name, grants);
+        auto result = admit(request, waiter);
+        if (auto* refusal = std::get_if<Refusal>(&result))
+            waiter->refused(*refusal);
+        return waiter;
+    }
+
+    void grant(unsigned count)
+    {
+        for (unsigned i = 0; i < count; ++i) {
+            state.permits.occupancy.setLimit(state.permits.occupancy.figures().limit + 1);
+            Commands::grantWaiting(state, clock, random);
+        }
+    }
+
+    long count(const std::string& name) const { return std::count(grants.begin(), grants.end(), name); }
+
+private:
+    int m_next = 0;
+};
+
+constexpr auto hazard = DesiredState::PriorityClass::Hazard;
+constexpr auto interactive = DesiredState::PriorityClass::Interactive;
+constexpr auto summary = DesiredState::PriorityClass::Summary;
+
+} // namespace
+
+// Guards against summaries before hazard messages, and against a class that is starved.
+Test(Queue, prefersHigherClassesAndStarvesNone)
+{
+    QueueFixture fixture;
+    for (int i = 0; i < 100; ++i) {
+        fixture.wait("summary", "small", summary);
+        fixture.wait("hazard", "small", hazard);
+    }
+    fixture.grant(10);
+    cr_assert_eq(fixture.count("hazard"), 10);
+    fixture.grant(90);
+    cr_assert_eq(fixture.count("summary"), 5);
+}
+
+// Guards against an organisation that crowds out others, and against capacity that stays idle.
+Test(Queue, dividesByShareAndLendsWhatIsNotUsed)
+{
+    QueueFixture fixture;
+    for (int i = 0; i < 80; ++i)
+        fixture.wait("large", "large", interactive);
+    for (int i = 0; i < 20; ++i)
+        fixture.wait("small", "small", interactive);
+    fixture.grant(40);
+    cr_assert_geq(fixture.count("small"), 9);
+    cr_assert_leq(fixture.count("small"), 11);
+    fixture.grant(60);
+    cr_assert_eq(fixture.count("large"), 80);
+}
+
+// Guards against a queue without bound, and against a hazard message refused for the sake of summaries.
+Test(Queue, shedsTheLowestClassWhenFull)
+{
+    QueueFixture fixture;
+    fixture.state.queue.maximumRequests = 2;
+    auto first = fixture.wait("summary", "small", summary);
+    auto second = fixture.wait("summary", "small", summary);
+    auto urgent = fixture.wait("hazard", "small", hazard);
+    cr_assert_not(first->refusal.has_value());
+    cr_assert(second->refusal.has_value());
+    cr_assert_not(urgent->refusal.has_value());
+    auto third = fixture.wait("summary", "small", summary);
+    cr_assert(third->refusal->kind == RefusalReason::AtLimit);
+    cr_assert_eq(Queries::queueFigures(fixture.state.queue).requests, 2);
+}
+
+// Guards against a request that waits past its deadline, or whose place is kept after the router left.
+Test(Queue, endsOverdueAndWithdrawnRequests)
+{
+    QueueFixture fixture;
+    auto request = fixture.makeRequest("deadline");
+    request.deadline = 300ms;
+    auto overdue = std::make_shared<RecordingWaiter>("deadline", fixture.grants);
+    fixture.admit(request, overdue);
+    auto left = fixture.makeRequest("left");
+    fixture.admit(left);
+    Commands::withdrawAttempt(fixture.state, left, fixture.clock);
+    fixture.clock.advance(300ms);
+    Commands::expireRecords(fixture.state, 10s, fixture.clock);
+    cr_assert(overdue->refusal->kind == RefusalReason::AtLimit);
+    cr_assert_eq(Queries::queueFigures(fixture.state.queue).requests, 0);
+    fixture.grant(2);
+    cr_assert(fixture.grants.empty());
+}
--- /dev/null
+++ b/Tests/Admission/PermitTest.cpp
@@ -0,0 +1,210 @@
+#include "Admission/AdmissionFixture.h"
+
+#include "Admission/Commands/ConsumePermit.h"
+#include "Admission/Commands/RevokePermit.h"
+#include "Admission/PauseDetector.h"
+#include "Admission/Queries/AttemptOutcome.h"
+#include "Admission/Queries/FindRefusal.h"
+#include "Admission/Queries/TargetLoad.h"
+
+#include <atomic>
+#include <criterion/criterion.h>
+#include <thread>
+
+using namespace Lavenderloft;
+using namespace Lavenderloft::Admission;
+using namespace Lavenderloft::Testing;
+using namespace std::chrono_literals;
+
+// Guards against a late body that runs after its permit expired, and against slots lost with expired permits.
+Test(Permit, expiresOnTheAgentsClock)
+{
+    AdmissionFixture fixture;
+    auto request = fixture.makeRequest("a");
+    auto result = fixture.admit(request);
+    cr_assert(std::holds_alternative<Permit>(result));
+    auto permit = std::get<Permit>(result);
+    fixture.clock.advance(permitLifetime);
+    auto started = Commands::startRequest(fixture.state, request, permit.id, fixture.clock);
+    cr_assert_not(Base::succeeded(started));
+    cr_assert(Base::errorOf(started).kind == RefusalReason::PermitExpired);
+    cr_assert_eq(fixture.state.permits.occupancy.figures().taken, 0);
+    cr_assert(Queries::attemptOutcome(fixture.state.permits, "a", 1) == Queries::AttemptOutcome::NotRun);
+}
+
+// Guards against a body sent twice with one permit.
+Test(Permit, isSingleUse)
+{
+    AdmissionFixture fixture;
+    auto request = fixture.makeRequest("a");
+    auto permit = std::get<Permit>(fixture.admit(request));
+    cr_assert(Base::succeeded(Commands::startRequest(fixture.state, request, permit.id, fixture.clock)));
+    cr_assert_not(Base::succeeded(Commands::startRequest(fixture.state, request, permit.id, fixture.clock)));
+    fixture.finish(request);
+    cr_assert_not(Base::succeeded(Commands::startRequest(fixture.state, request, permit.id, fixture.clock)));
+    cr_assert_not(Base::succeeded(Commands::consumePermit(fixture.state.permits, "a", "another", fixture.clock)));
+}
+
+// Guards against permits that outlive the engine that they were granted for.
+Test(Permit, diesWithTheEnginesIncarnation)
+{
+    AdmissionFixture fixture;
+    fixture.becomeModel();
+    Commands::configureLimit(fixture.state.limit, { 2, 8, 1000ms });
+    Commands::applyEngineCondition(fixture.state, { true, 5, "digest-1", true, true }, fixture.clock);
+    auto waiting = fixture.makeRequest("a");
+    auto running = fixture.makeRequest("b");
+    auto permit = std::get<Permit>(fixture.admit(waiting));
+    cr_assert(fixture.run(running));
+    auto crashed = Commands::applyEngineCondition(fixture.state, { true, 6, "digest-1", true, true }, fixture.clock);
+    cr_assert_eq(crashed.size(), 1);
+    cr_assert_eq(crashed.front(), running.fingerprint);
+    cr_assert_not(Base::succeeded(Commands::startRequest(fixture.state, waiting, permit.id, fixture.clock)));
+    cr_assert_eq(fixture.state.permits.occupancy.figures().taken, 1);
+}
+
+// Guards against crash evidence lost because the request broke off before the poll that tells of the restart.
+Test(Permit, namesRequestsThatBrokeOffWithTheEngine)
+{
+    AdmissionFixture fixture;
+    fixture.becomeModel();
+    Commands::configureLimit(fixture.state.limit, { 2, 8, 1000ms });
+    Commands::applyEngineCondition(fixture.state, { true, 5, "digest-1", true, true }, fixture.clock);
+    auto earlier = fixture.makeRequest("earlier");
+    earlier.fingerprint = 8;
+    cr_assert(fixture.run(earlier));
+    fixture.finish(earlier, AttemptState::Broken);
+    fixture.clock.advance(250ms);
+    Commands::applyEngineCondition(fixture.state, { true, 5, "digest-1", true, true }, fixture.clock);
+    auto request = fixture.makeRequest("a");
+    cr_assert(fixture.run(request));
+    fixture.clock.advance(10ms);
+    fixture.finish(request, AttemptState::Broken);
+    auto crashed = Commands::applyEngineCondition(fixture.state, { true, 6, "", false, false }, fixture.clock);
+    cr_assert(crashed == std::vector<uint64_t> { 7 });
+}
+
+// Guards against an attempt that is told 'not run' and runs when its delayed request arrives.
+Test(Permit, refusesAnAttemptThatWasRevokedBeforeItArrived)
+{
+    AdmissionFixture fixture;
+    Commands::revokePermit(fixture.state.permits, "late", {}, fixture.clock);
+    cr_assert(Queries::attemptOutcome(fixture.state.permits, "late", 1) == Queries::AttemptOutcome::NotRun);
+    cr_assert(AdmissionFixture::reasonOf(fixture.admit(fixture.makeRequest("late"))) == RefusalReason::PermitExpired);
+    cr_assert_eq(fixture.state.permits.occupancy.figures().taken, 0);
+}
+
+// Guards against more requests than the limit when many threads ask at once.
+Test(Permit, limitHoldsAmongThreads)
+{
+    AdmissionFixture fixture;
+    fixture.state.queue.maximumRequests = 0;
+    std::atomic<int> granted { 0 };
+    auto ask = [&](int thread) {
+        for (int i = 0; i < 500; ++i) {
+            auto request = fixture.makeRequest(std::to_string(thread) + "-" + std::to_string(i));
+            auto result = fixture.admit(request);
+            auto* permit = std::get_if<Permit>(&result);
+            if (!permit)
+                continue;
+            ++granted;
+            cr_assert_leq(fixture.state.permits.occupancy.figures().taken, 2);
+            Commands::startRequest(fixture.state, request, permit->id, fixture.clock);
+            fixture.finish(request);
+        }
+    };
+    std::vector<std::thread> threads;
+    for (int thread = 0; thread < 4; ++thread)
+        threads.emplace_back(ask, thread);
+    for (auto& thread : threads)
+        thread.join();
+    cr_assert_gt(granted.load(), 0);
+    cr_assert_eq(fixture.state.permits.occupancy.figures().taken, 0);
+    cr_assert_eq(fixture.state.permits.occupancy.figures().heldBytes, 0);
+}
+
+// Guards against request bodies that together exceed the engine's memory.
+Test(Permit, boundsTheBytesHeld)
+{
+    AdmissionFixture fixture;
+    auto large = fixture.makeRequest("a");
+    large.bodyBytes = 700;
+    auto other = fixture.makeRequest("b");
+    other.bodyBytes = 400;
+    cr_assert(std::holds_alternative<Permit>(fixture.admit(large)));
+    cr_assert(std::holds_alternative<Commands::Queued>(fixture.admit(other)));
+    other.attemptId = "c";
+    other.bodyBytes = 1001;
+    cr_assert(AdmissionFixture::reasonOf(fixture.admit(other)) == RefusalReason::TooLarge);
+}
+
+// Guards against work that reaches a target which is drained, leaving, out, switching or not synchronised,
+// and against a drain that cuts a request or a permit already granted.
+Test(Permit, drainStopsGrantsAndCutsNothing)
+{
+    AdmissionFixture fixture;
+    auto running = fixture.makeRequest("a");
+    auto permitted = fixture.makeRequest("b");
+    cr_assert(fixture.run(running));
+    auto permit = std::get<Permit>(fixture.admit(permitted));
+    auto drained = std::make_shared<DesiredState::Document>(*fixture.document);
+    drained->drains.push_back("vm-1");
+    fixture.situation.document = drained;
+    cr_assert(AdmissionFixture::reasonOf(fixture.admit(fixture.makeRequest("c"))) == RefusalReason::Leaving);
+    cr_assert(Base::succeeded(Commands::startRequest(fixture.state, permitted, permit.id, fixture.clock)));
+    fixture.finish(running);
+    cr_assert(Queries::attemptOutcome(fixture.state.permits, "a", 1) == Queries::AttemptOutcome::Complete);
+    auto out = std::make_shared<DesiredState::Document>(*fixture.document);
+    out->dataCentres.front().state = DesiredState::DataCentreState::Out;
+    fixture.situation.document = out;
+    cr_assert(AdmissionFixture::reasonOf(fixture.admit(fixture.makeRequest("d"))) == RefusalReason::DataCentreOut);
+    fixture.situation.document = fixture.document;
+    fixture.situation.isLeaving = true;
+    cr_assert(AdmissionFixture::reasonOf(fixture.admit(fixture.makeRequest("e"))) == RefusalReason::Leaving);
+    fixture.situation.isLeaving = false;
+    fixture.situation.isSynchronised = false;
+    cr_assert(AdmissionFixture::reasonOf(fixture.admit(fixture.makeRequest("f"))) == RefusalReason::NotReady);
+    fixture.situation.isSynchronised = true;
+    fixture.becomeModel();
+    auto wrong = fixture.makeRequest("g");
+    wrong.weightsDigest = "digest-2";
+    cr_assert(AdmissionFixture::reasonOf(fixture.admit(wrong)) == RefusalReason::WrongDigest);
+    fixture.situation.isSwitching = true;
+    cr_assert(AdmissionFixture::reasonOf(fixture.admit(fixture.makeRequest("h"))) == RefusalReason::NotReady);
+    cr_assert_not(Queries::isAccepting(fixture.situation));
+}
+
+// Guards against a paused agent that acts on old state, also on a thread that wakes before the timer.
+Test(PauseDetector, holdsUntilTheStateIsLearntAnew)
+{
+    Base::ManualClock clock;
+    PauseDetector detector(clock);
+    cr_assert_not(detector.isRunning());
+    detector.resume();
+    cr_assert(detector.isRunning());
+    clock.advance(1999ms);
+    cr_assert_not(detector.tick());
+    cr_assert(detector.isRunning());
+    clock.advance(2001ms);
+    cr_assert_not(detector.isRunning());
+    cr_assert(detector.tick());
+    cr_assert_not(detector.isRunning());
+    clock.advance(250ms);
+    cr_assert_not(detector.tick());
+    cr_assert_not(detector.isRunning());
+    detector.resume();
+    cr_assert(detector.isRunning());
+}
+
+// Guards against permits that survive a pause.
+Test(Permit, pauseDropsPermits)
+{
+    AdmissionFixture fixture;
+    auto request = fixture.makeRequest("a", "opaque");
+    fixture.clock.advance(601s);
+    auto permit = std::get<Permit>(fixture.admit(request));
+    Commands::dropPermits(fixture.state, fixture.clock);
+    cr_assert_not(Base::succeeded(Commands::startRequest(fixture.state, request, permit.id, fixture.clock)));
+    cr_assert_eq(fixture.state.permits.occupancy.figures().taken, 0);
+    cr_assert_eq(fixture.state.keys.recordCount.load(), 0);
+}
