--- /dev/null
+++ b/Tests/Placement/AssignmentTest.cpp
@@ -0,0 +1,120 @@
+#include "Placement/PlacementFixture.h"
+
+#include "Placement/Queries/AssignedPools.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+#include <map>
+
+using namespace Lavenderloft;
+using namespace Lavenderloft::Placement;
+using namespace Lavenderloft::Testing;
+using Queries::assignedPools;
+using Queries::Assignment;
+
+namespace {
+
+std::map<std::string, unsigned> countPools(const Assignment& assignment)
+{
+    std::map<std::string, unsigned> counts;
+    for (auto& [vm, pool] : assignment)
+        ++counts[pool];
+    return counts;
+}
+
+// Replicas that load other weights: VMs that serve another pool than before, or one for the first time.
+unsigned countMoves(const Assignment& before, const Assignment& after)
+{
+    unsigned moves = 0;
+    for (auto& [vm, pool] : after) {
+        auto earlier = before.find(vm);
+        moves += earlier == before.end() || earlier->second != pool;
+    }
+    return moves;
+}
+
+} // namespace
+
+// Guards against pools with too few or too many replicas, or with all of them in one data centre.
+Test(Assignment, respectsCountsAndSpreadsOverDataCentres)
+{
+    Fleet fleet(10);
+    fleet.document.pools = { makePool("assistant", 9), makePool("summaries", 7, 50) };
+    auto assignment = assignedPools(fleet.document, fleet.members);
+    cr_assert_eq(countPools(assignment)["assistant"], 9);
+    cr_assert_eq(countPools(assignment)["summaries"], 7);
+    std::map<std::string, int> perDataCentre;
+    for (auto& [vm, pool] : assignment)
+        perDataCentre[pool + vm.substr(0, 4)]++;
+    for (const char* dataCentre : { "dc-1", "dc-2", "dc-3" }) {
+        cr_assert_eq(perDataCentre[std::string("assistant") + dataCentre], 3);
+        cr_assert_geq(perDataCentre[std::string("summaries") + dataCentre], 2);
+    }
+}
+
+// Guards against replicas in data centres that a pool does not name, on drained VMs, on VMs of services,
+// in data centres taken out and on members that leave.
+Test(Assignment, usesOnlyMembersThatMayServe)
+{
+    Fleet fleet(4);
+    fleet.document.pools = { makePool("assistant", 100) };
+    fleet.document.pools.front().dataCentres = { "dc-1", "dc-2" };
+    fleet.document.drains = { "dc-1-vm-0" };
+    fleet.document.services.push_back({ "ledger", { "dc-1-vm-1" } });
+    fleet.members[2].status = Membership::Status::Leaving;
+    fleet.members[3].role = Membership::Role::Router;
+    auto assignment = assignedPools(fleet.document, fleet.members);
+    cr_assert_eq(assignment.size(), 4);
+    for (auto& [vm, pool] : assignment)
+        cr_assert(vm.starts_with("dc-2"));
+    fleet.document.dataCentres[1].state = DesiredState::DataCentreState::Out;
+    cr_assert(assignedPools(fleet.document, fleet.members).empty());
+}
+
+// Guards against a low pool that keeps replicas from a high one when there are too few members.
+Test(Assignment, prefersHigherPriorities)
+{
+    Fleet fleet(2);
+    fleet.document.pools = { makePool("low", 4, 10), makePool("high", 5, 200) };
+    auto counts = countPools(assignedPools(fleet.document, fleet.members));
+    cr_assert_eq(counts["high"], 5);
+    cr_assert_eq(counts["low"], 1);
+}
+
+// Guards against a fleet that reloads because of one member: over all members that could be lost, a loss
+// moves few replicas, and the order in which members are known changes nothing.
+Test(Assignment, movesFewReplicasWhenAMemberLeaves)
+{
+    Fleet fleet(20);
+    fleet.document.pools = { makePool("a", 20), makePool("b", 15), makePool("c", 10) };
+    auto before = assignedPools(fleet.document, fleet.members);
+    unsigned worst = 0;
+    unsigned total = 0;
+    for (auto& lost : fleet.members) {
+        auto members = fleet.members;
+        std::erase_if(members, [&](auto& member) { return member.vm == lost.vm; });
+        std::reverse(members.begin(), members.end());
+        auto after = assignedPools(fleet.document, members);
+        cr_assert(countPools(after) == countPools(before));
+        auto moves = countMoves(before, after);
+        worst = std::max(worst, moves);
+        total += moves;
+    }
+    // The replacement itself, and for each of the two other pools one replica that gives way.
+    cr_assert_leq(worst, 2 * fleet.document.pools.size());
+    cr_assert_leq(total, fleet.document.pools.size() * fleet.members.size());
+}
+
+// Guards against moves when only the load or the phase of members changes.
+Test(Assignment, doesNotDependOnLoad)
+{
+    Fleet fleet(5);
+    fleet.document.pools = { makePool("a", 5), makePool("b", 5) };
+    auto before = assignedPools(fleet.document, fleet.members);
+    for (auto& member : fleet.members) {
+        member.load.running = 10;
+        member.status = Membership::Status::Suspect;
+        member.replicas.push_back({ "a", "a-v1" });
+    }
+    cr_assert(assignedPools(fleet.document, fleet.members) == before);
+}
--- /dev/null
+++ b/Tests/Placement/ReconcileTest.cpp
@@ -0,0 +1,263 @@
+#include "Placement/Commands/ApplyOrder.h"
+#include "Placement/Queries/DesiredWeights.h"
+#include "Placement/Queries/ServedPool.h"
+
+#include "Placement/PlacementFixture.h"
+
+#include "Base/ManualClock.h"
+
+#include <criterion/criterion.h>
+
+using namespace Lavenderloft;
+using namespace Lavenderloft::Placement;
+using namespace Lavenderloft::Testing;
+using namespace std::chrono_literals;
+using Membership::ReplicaPhase;
+using Queries::OrderKind;
+
+namespace {
+
+constexpr unsigned chunkCount = 3;
+
+// A replica with an engine that obeys; the test changes what is seen between the steps.
+struct Reconciliation {
+    Reconciliation()
+    {
+        seen.desired = DesiredReplica { "assistant", "v1" };
+        seen.engine = EngineStatus { 1 };
+        seen.maySwitch = true;
+        seen.claimStands = true;
+    }
+
+    Queries::Order next()
+    {
+        seen.now = clock.now();
+        return Queries::nextOrder(record, seen);
+    }
+
+    // Takes steps until there is nothing to do, and returns their kinds.
+    std::vector<OrderKind> settle()
+    {
+        std::vector<OrderKind> kinds;
+        while (true) {
+            auto order = next();
+            if (order.kind == OrderKind::None || kinds.size() > 50)
+                return kinds;
+            kinds.push_back(order.kind);
+            Commands::noteDone(record, order, seen);
+        }
+    }
+
+    void fetchAll() { seen.progress = { Weights::TransferStatus::Complete, chunkCount, chunkCount, {} }; }
+
+    void serve(const std::string& digest)
+    {
+        seen.engine->mode = EngineMode::Ready;
+        seen.engine->digest = digest;
+    }
+
+    // Brings the replica to Ready with version v1.
+    void becomeReady()
+    {
+        fetchAll();
+        settle();
+        serve("v1");
+        settle();
+        cr_assert(phase() == ReplicaPhase::Ready);
+    }
+
+    ReplicaPhase phase() const { return record.state.phase(); }
+
+    Base::ManualClock clock;
+    ReplicaRecord record;
+    Queries::Observation seen;
+};
+
+} // namespace
+
+// Guards against chunks out of order, a load order before the last chunk, and a load that is believed
+// before the engine names the digest.
+Test(Reconcile, loadsAnEmptyEngineInOrderAndBelievesOnlyItsStatus)
+{
+    Reconciliation replica;
+    cr_assert(replica.settle() == std::vector { OrderKind::Adopt });
+    replica.fetchAll();
+    std::vector expected { OrderKind::MarkFetched, OrderKind::Claim, OrderKind::BeginUpload, OrderKind::SendManifest,
+        OrderKind::SendChunk, OrderKind::SendChunk, OrderKind::SendChunk, OrderKind::SendLoad };
+    cr_assert(replica.settle() == expected);
+    replica.seen.engine->mode = EngineMode::Loading;
+    replica.seen.engine->digest = "v1";
+    replica.clock.advance(60s);
+    cr_assert(replica.settle().empty());
+    cr_assert(replica.phase() == ReplicaPhase::Loading);
+    replica.serve("v1");
+    cr_assert(replica.settle() == std::vector { OrderKind::Confirm });
+    cr_assert(replica.phase() == ReplicaPhase::Ready);
+}
+
+// Guards against a switch that cuts requests, and against old weights that stop serving before the new are complete.
+Test(Reconcile, servesOldWeightsUntilItsTurnAndWaitsForRequests)
+{
+    Reconciliation replica;
+    replica.becomeReady();
+    replica.seen.desired->manifest = "v2";
+    replica.seen.progress = { Weights::TransferStatus::Fetching, 1, chunkCount, {} };
+    replica.seen.maySwitch = false;
+    replica.seen.running = 1;
+    replica.settle();
+    cr_assert(replica.phase() == ReplicaPhase::Fetching);
+    replica.record.poolOfManifest["v1"] = "assistant";
+    cr_assert(Queries::servedPool(replica.record, replica.seen.engine) == (Queries::Served { "assistant", "v1" }));
+    replica.fetchAll();
+    replica.settle();
+    cr_assert(replica.phase() == ReplicaPhase::Waiting);
+    replica.seen.maySwitch = true;
+    replica.settle();
+    cr_assert_not(Queries::isSwitching(replica.record));
+    replica.clock.advance(claimSettleTime);
+    cr_assert(replica.settle() == std::vector { OrderKind::BeginUpload });
+    cr_assert(Queries::isSwitching(replica.record));
+    replica.seen.running = 0;
+    replica.seen.engine->queued = 1;
+    cr_assert(replica.settle().empty());
+    replica.seen.engine->queued = 0;
+    cr_assert(replica.next().kind == OrderKind::SendManifest);
+}
+
+// Guards against a claim that is acted on although another replica claimed as well.
+Test(Reconcile, givesUpAClaimThatDoesNotStand)
+{
+    Reconciliation replica;
+    replica.becomeReady();
+    replica.seen.desired->manifest = "v2";
+    replica.settle();
+    cr_assert(replica.phase() == ReplicaPhase::Loading);
+    replica.seen.claimStands = false;
+    replica.seen.maySwitch = false;
+    replica.clock.advance(claimSettleTime);
+    cr_assert(replica.settle() == std::vector { OrderKind::Withdraw });
+    cr_assert(replica.phase() == ReplicaPhase::Waiting);
+}
+
+// Guards against an engine that restarts, turns cold or names another digest and is left so.
+Test(Reconcile, repairsDrift)
+{
+    Reconciliation replica;
+    replica.becomeReady();
+    replica.seen.engine = EngineStatus { 2 };
+    cr_assert(replica.next().kind == OrderKind::Repair);
+    replica.settle();
+    cr_assert(replica.record.upload.loadOrderedAt.has_value());
+    replica.seen.engine->incarnation = 3;
+    cr_assert(replica.next().kind == OrderKind::Repair);
+    replica.settle();
+    cr_assert_eq(replica.record.upload.engineIncarnation, 3);
+    replica.serve("v1");
+    replica.settle();
+    replica.serve("other");
+    cr_assert(replica.next().kind == OrderKind::Repair);
+    replica.serve("v1");
+    replica.seen.engine->mode = EngineMode::Cold;
+    cr_assert(replica.settle().empty());
+}
+
+// Guards against a load order that is lost without an error.
+Test(Reconcile, startsOverWhenTheEngineDoesNotLoad)
+{
+    Reconciliation replica;
+    replica.fetchAll();
+    replica.settle();
+    replica.clock.advance(loadAcceptanceTime);
+    cr_assert(replica.next().kind == OrderKind::Repair);
+    Commands::noteRefused(replica.record, "refused", replica.clock.now());
+    cr_assert(replica.phase() == ReplicaPhase::Failed);
+    cr_assert(replica.settle().empty());
+    replica.clock.advance(retryDelay);
+    cr_assert(replica.next().kind == OrderKind::Retry);
+}
+
+// Guards against a transfer that goes on after its version was withdrawn or replaced.
+Test(Reconcile, followsTheDocumentAtOnce)
+{
+    Reconciliation replica;
+    replica.settle();
+    replica.seen.desired->manifest = "v2";
+    cr_assert(replica.settle() == std::vector { OrderKind::Adopt });
+    cr_assert(replica.record.wanted.manifest == "v2");
+    replica.seen.desired.reset();
+    cr_assert(replica.settle() == std::vector { OrderKind::Release });
+    cr_assert(replica.phase() == ReplicaPhase::Idle);
+}
+
+// Guards against orders decided before a pause that are sent after it.
+Test(Reconcile, pauseDropsOrdersUnderWay)
+{
+    Reconciliation replica;
+    replica.fetchAll();
+    replica.settle();
+    cr_assert(replica.phase() == ReplicaPhase::Loading);
+    Commands::dropOrders(replica.record);
+    cr_assert(replica.phase() == ReplicaPhase::Fetching);
+    cr_assert_not(replica.record.upload.isBegun);
+}
+
+// Guards against moves on the incomplete view of the members at the start, and against a delay of new versions.
+Test(Reconcile, waitsUntilTheAssignmentIsSettled)
+{
+    Reconciliation replica;
+    DesiredReplica first { "a", "a-v1" };
+    DesiredReplica second { "b", "b-v1" };
+    auto settle = [&](const std::optional<DesiredReplica>& desired) { return Commands::settleAssignment(replica.record, desired, replica.clock.now()); };
+    cr_assert_not(settle(first).has_value());
+    replica.clock.advance(1900ms);
+    cr_assert_not(settle(second).has_value());
+    replica.clock.advance(1900ms);
+    cr_assert_not(settle(second).has_value());
+    replica.clock.advance(100ms);
+    cr_assert(settle(second) == second);
+    DesiredReplica newer { "b", "b-v2" };
+    cr_assert(settle(newer) == newer);
+}
+
+// Guards against an order that an engine takes for an old one after the agent restarted or its clock was set back.
+Test(Reconcile, fencingTokensAlwaysGrow)
+{
+    ReplicaRecord record;
+    EngineStatus engine;
+    Base::WallTime now(1000s);
+    cr_assert_eq(Queries::nextFence(record, engine, now), 1000000000);
+    engine.highestFence = 2000000000;
+    cr_assert_eq(Queries::nextFence(record, engine, now), 2000000001);
+    record.lastFence = 2000000001;
+    cr_assert_eq(Queries::nextFence(record, engine, now), 2000000002);
+}
+
+// Guards against weights that are served under the name of a pool that they do not belong to.
+Test(Reconcile, servesOnlyWeightsOfAKnownPool)
+{
+    ReplicaRecord record;
+    EngineStatus engine { 1, EngineMode::Ready, "unknown" };
+    cr_assert(Queries::servedPool(record, engine).pool.empty());
+    DesiredState::Document document;
+    document.pools.push_back(makePool("assistant", 1));
+    Commands::learnDocument(record, document);
+    engine.digest = "assistant-v1";
+    cr_assert(Queries::servedPool(record, engine).pool == "assistant");
+    engine.mode = EngineMode::Loading;
+    cr_assert(Queries::servedPool(record, engine).pool.empty());
+    cr_assert(Queries::servedPool(record, std::nullopt).pool.empty());
+}
+
+// Guards against a VM that loses its weights because its data centre is out for a while.
+Test(Reconcile, keepsWeightsWhileTheDataCentreIsOut)
+{
+    Reconciliation replica;
+    replica.seen.desired = DesiredReplica { "assistant", "assistant-v1" };
+    replica.settle();
+    Fleet fleet(1);
+    fleet.document.pools = { makePool("assistant", 3) };
+    fleet.document.dataCentres.front().state = DesiredState::DataCentreState::Out;
+    auto kept = Queries::desiredReplica(fleet.document, fleet.members, fleet.members.front().vm, replica.record);
+    cr_assert(kept == replica.seen.desired);
+    cr_assert_not(Queries::desiredReplica(fleet.document, fleet.members, fleet.members.front().vm, ReplicaRecord {}).has_value());
+}
--- /dev/null
+++ b/Tests/Placement/SwitchTest.cpp
@@ -0,0 +1,127 @@
+#include "Placement/PlacementFixture.h"
+
+#include "Base/SeededRandom.h"
+#include "Placement/Queries/SwitchAllowed.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+
+using namespace Lavenderloft;
+using namespace Lavenderloft::Placement;
+using namespace Lavenderloft::Testing;
+using Membership::ReplicaPhase;
+
+namespace {
+
+// A pool of nine replicas that all serve the old version and hold the new one.
+struct Rollout : Fleet {
+    explicit Rollout(unsigned maxUnavailable)
+        : Fleet(3)
+    {
+        document.pools = { makePool("assistant", 9) };
+        document.pools.front().manifest = "v2";
+        document.pools.front().maxUnavailable = maxUnavailable;
+        for (auto& member : members)
+            member.replicas = { { "assistant", "v1", "v2", ReplicaPhase::Waiting } };
+    }
+
+    static Queries::SwitchCandidate candidate(const Membership::Member& member) { return { member.vm, "assistant", "assistant" }; }
+};
+
+} // namespace
+
+// Guards against more replicas out at once than the bound, and against a rollout that never begins.
+Test(Switch, admitsAsManyAsMayBeOut)
+{
+    for (unsigned bound = 1; bound <= 3; ++bound) {
+        Rollout rollout(bound);
+        auto allowed = std::count_if(rollout.members.begin(), rollout.members.end(), [&](auto& member) { return Queries::maySwitch(rollout.document, rollout.members, Rollout::candidate(member)); });
+        cr_assert_eq(allowed, bound);
+    }
+}
+
+// Guards against a switch while another replica is loading, or is out for another reason.
+Test(Switch, countsReplicasThatAreOut)
+{
+    Rollout rollout(1);
+    rollout.members[4].replicas.front().phase = ReplicaPhase::Loading;
+    for (auto& member : rollout.members) {
+        if (member.vm != rollout.members[4].vm)
+            cr_assert_not(Queries::maySwitch(rollout.document, rollout.members, Rollout::candidate(member)));
+    }
+    cr_assert(Queries::claimStands(rollout.document, rollout.members, Rollout::candidate(rollout.members[4])));
+    rollout.members[4].replicas.front() = { "assistant", "", "v2", ReplicaPhase::Fetching };
+    cr_assert_not(Queries::claimStands(rollout.document, rollout.members, Rollout::candidate(rollout.members[0])));
+}
+
+// Guards against a replica without weights that waits for its turn although its switch takes nothing away.
+Test(Switch, letsAnEmptyEngineLoadAtOnce)
+{
+    Rollout rollout(1);
+    rollout.members[4].replicas.front().phase = ReplicaPhase::Loading;
+    cr_assert(Queries::maySwitch(rollout.document, rollout.members, { rollout.members[0].vm, "assistant", "" }));
+}
+
+// Guards against more replicas out than the bound when agents decide from views that lack one report or
+// one member. Each step takes a random agent; it decides from the state of the previous step, in which one
+// random other member may be missing, and acts on its claim only a settle time later.
+Test(Switch, boundHoldsWhenViewsDifferByOne)
+{
+    for (uint64_t seed = 1; seed <= 200; ++seed) {
+        Base::SeededRandom random(seed);
+        unsigned bound = 1 + random.below(2);
+        Rollout rollout(bound);
+        auto& members = rollout.members;
+        std::vector<bool> isBegun(members.size(), false);
+        std::vector<unsigned> claimedAt(members.size(), 0);
+        std::vector<unsigned> begunAt(members.size(), 0);
+        constexpr unsigned settleSteps = 4;
+        constexpr unsigned loadSteps = 3;
+        auto previous = members;
+        unsigned step = 0;
+        auto isDone = [](auto& member) { return member.replicas.front().servingDigest == "v2"; };
+        while (!std::all_of(members.begin(), members.end(), isDone)) {
+            cr_assert_lt(++step, 1000u, "the rollout does not end with seed %lu", seed);
+            auto snapshot = members;
+            for (size_t i = 0; i < members.size(); ++i) {
+                // The view of one step ago, with one member less in one of three cases.
+                auto view = previous;
+                auto missing = random.below(members.size() * 3);
+                if (missing < view.size() && missing != i)
+                    view.erase(view.begin() + static_cast<long>(missing));
+                auto& replica = members[i].replicas.front();
+                if (replica.phase == ReplicaPhase::Waiting) {
+                    if (Queries::maySwitch(rollout.document, view, Rollout::candidate(members[i]))) {
+                        replica.phase = ReplicaPhase::Loading;
+                        claimedAt[i] = step;
+                    }
+                } else if (replica.phase == ReplicaPhase::Loading && !isBegun[i] && step - claimedAt[i] >= settleSteps) {
+                    // After the settle time every claim is known.
+                    isBegun[i] = Queries::claimStands(rollout.document, previous, Rollout::candidate(members[i]));
+                    begunAt[i] = step;
+                    if (!isBegun[i])
+                        replica.phase = ReplicaPhase::Waiting;
+                } else if (isBegun[i] && replica.phase == ReplicaPhase::Loading && step - begunAt[i] >= loadSteps)
+                    replica = { "assistant", "v2", "", ReplicaPhase::Ready };
+            }
+            unsigned out = 0;
+            for (size_t i = 0; i < members.size(); ++i)
+                out += isBegun[i] && members[i].replicas.front().phase == ReplicaPhase::Loading;
+            cr_assert_leq(out, bound, "%u replicas are out with seed %lu", out, seed);
+            previous = snapshot;
+        }
+    }
+}
+
+// Guards against a pool that is emptied because its members move to another pool.
+Test(Switch, keepsEnoughReplicasInThePoolThatIsLeft)
+{
+    Fleet fleet(2);
+    fleet.document.pools = { makePool("old", 3), makePool("new", 3) };
+    for (size_t i = 0; i < 3; ++i)
+        fleet.members[i].replicas = { { "old", "old-v1", "", ReplicaPhase::Ready } };
+    Queries::SwitchCandidate candidate { fleet.members[0].vm, "new", "old" };
+    cr_assert(Queries::maySwitch(fleet.document, fleet.members, candidate));
+    fleet.members[1].replicas.front().phase = ReplicaPhase::Loading;
+    cr_assert_not(Queries::maySwitch(fleet.document, fleet.members, candidate));
+}
