--- a/Source/Admission/Commands/ReserveKey.cpp
+++ b/Source/Admission/Commands/ReserveKey.cpp
@@ -86,6 +86,19 @@
         --memory.recordCount;
 }
 
+void releaseReservation(KeyMemory& memory, const std::string& name, const std::string& attemptId)
+{
+    bool released = memory.records.withShard(name, [&](auto& records) {
+        auto entry = records.find(name);
+        if (entry == records.end() || entry->second.state != KeyState::Reserved || entry->second.attemptId != attemptId)
+            return false;
+        records.erase(entry);
+        return true;
+    });
+    if (released)
+        --memory.recordCount;
+}
+
 bool startKey(KeyMemory& memory, const AdmitRequest& request)
 {
     auto name = nameOf(request);
--- a/Source/Admission/Commands/ReserveKey.h
+++ b/Source/Admission/Commands/ReserveKey.h
@@ -20,6 +20,9 @@
 // Frees the key of an attempt that did not run.
 void releaseKey(KeyMemory&, const AdmitRequest&);
 
+// Frees the key with the given name if the attempt still holds it without running.
+void releaseReservation(KeyMemory&, const std::string& name, const std::string& attemptId);
+
 // Notes that the attempt that reserved the key runs; false if it no longer holds the reservation.
 bool startKey(KeyMemory&, const AdmitRequest&);
 
--- a/Source/Admission/Commands/RunRequest.cpp
+++ b/Source/Admission/Commands/RunRequest.cpp
@@ -14,27 +14,28 @@
 
 namespace {
 
-    // Frees the keys whose attempts lost their permits without running.
-    void releaseKeysOfRevoked(TargetState& state)
+    struct Reservation {
+        std::string name;
+        std::string attemptId;
+    };
+
+    std::vector<Reservation> findReservations(const KeyMemory& keys)
     {
-        std::vector<std::pair<std::string, KeyRecord>> reserved;
-        state.keys.records.forEach([&](const std::string& name, const KeyRecord& record) {
+        std::vector<Reservation> reservations;
+        keys.records.forEach([&](const std::string& name, const KeyRecord& record) {
             if (record.state == KeyState::Reserved)
-                reserved.emplace_back(name, record);
+                reservations.push_back({ name, record.attemptId });
         });
-        for (auto& [name, record] : reserved) {
-            auto attempt = state.permits.attempts.find(record.attemptId);
-            if (!attempt || attempt->state != AttemptState::NotRun)
-                continue;
-            bool released = state.keys.records.withShard(name, [&](auto& records) {
-                auto entry = records.find(name);
-                if (entry == records.end() || entry->second.state != KeyState::Reserved || entry->second.attemptId != record.attemptId)
-                    return false;
-                records.erase(entry);
-                return true;
-            });
-            if (released)
-                --state.keys.recordCount;
+        return reservations;
+    }
+
+    // Frees the keys whose attempts lost their permits without running.
+    void releaseKeysOfRevoked(TargetState& state)
+    {
+        for (auto& reservation : findReservations(state.keys)) {
+            auto attempt = state.permits.attempts.find(reservation.attemptId);
+            if (attempt && attempt->state == AttemptState::NotRun)
+                releaseReservation(state.keys, reservation.name, reservation.attemptId);
         }
     }
 
--- a/Source/Placement/ReplicaState.cpp
+++ b/Source/Placement/ReplicaState.cpp
@@ -35,7 +35,9 @@
 
         using initial_state = Idle;
 
-        struct transition_table : boost::mpl::vector<
+        // The name is the one that Boost.MSM looks for.
+        struct transition_table : boost::mpl::vector< // NOLINT(readability-identifier-naming)
+
                                       Row<Idle, WantedEvent, Fetching, none, none>,
                                       Row<Fetching, WantedEvent, Fetching, none, none>,
                                       Row<Fetching, ReleasedEvent, Idle, none, none>,
--- a/Source/Process/AgentExchange.cpp
+++ b/Source/Process/AgentExchange.cpp
@@ -74,7 +74,7 @@
     return std::exchange(m_sink, nullptr);
 }
 
-void AgentExchange::replay(std::shared_ptr<const Admission::StoredAnswer> answer)
+void AgentExchange::replay(const std::shared_ptr<const Admission::StoredAnswer>& answer)
 {
     auto sink = endExchange();
     if (!sink)
--- a/Source/Process/AgentExchange.h
+++ b/Source/Process/AgentExchange.h
@@ -34,7 +34,7 @@
     // Takes the sink for the last message; null if the exchange has ended already.
     std::shared_ptr<Admission::AnswerSink> endExchange();
     void endWithRefusal(const Admission::Refusal&);
-    void replay(std::shared_ptr<const Admission::StoredAnswer>);
+    void replay(const std::shared_ptr<const Admission::StoredAnswer>&);
     void run();
     Http::HttpRequest makeTargetRequest();
     void countRefusal(const Admission::Refusal&);
--- a/Source/Process/AgentProcess.h
+++ b/Source/Process/AgentProcess.h
@@ -12,7 +12,7 @@
 #include <memory>
 #include <vector>
 
-namespace grpc {
+namespace grpc { // NOLINT(readability-identifier-naming)
 class Service;
 }
 
--- a/Source/Transport/TargetServiceServer.h
+++ b/Source/Transport/TargetServiceServer.h
@@ -5,7 +5,7 @@
 
 #include <memory>
 
-namespace grpc {
+namespace grpc { // NOLINT(readability-identifier-naming)
 class Service;
 }
 
