Release surplus replicas only when their successors serve; guard orders after a pause

A pool that shrank kept surplus replicas in service, and a replica that lost its place to a new member would have stopped before that member served. An order decided before a pause is no longer sent after it.

--- a/Source/Placement/Queries/NextOrder.cpp
+++ b/Source/Placement/Queries/NextOrder.cpp
@@ -73,7 +73,7 @@
 {
     auto phase = record.state.phase();
     if (!seen.desired)
-        return make(phase == ReplicaPhase::Idle ? OrderKind::None : OrderKind::Release);
+        return make(phase != ReplicaPhase::Idle && seen.mayRelease ? OrderKind::Release : OrderKind::None);
     if (phase == ReplicaPhase::Idle || record.wanted != *seen.desired)
         return make(OrderKind::Adopt);
     if (phase == ReplicaPhase::Failed)
--- a/Source/Placement/Queries/NextOrder.h
+++ b/Source/Placement/Queries/NextOrder.h
@@ -21,6 +21,8 @@
     unsigned running = 0;
     bool maySwitch = false;
     bool claimStands = false;
+    // Whether a replica that is no longer wanted may stop serving.
+    bool mayRelease = false;
 };
 
 enum class OrderKind {
--- a/Source/Placement/Queries/ServedPool.cpp
+++ b/Source/Placement/Queries/ServedPool.cpp
@@ -35,7 +35,8 @@
 
 Served servedPool(const ReplicaRecord& record, const std::optional<EngineStatus>& engine)
 {
-    if (!engine || !engine->isServing())
+    // A VM that is to serve nothing takes no requests, whatever its engine holds.
+    if (!engine || !engine->isServing() || record.state.phase() == ReplicaPhase::Idle)
         return {};
     if (engine->digest == record.wanted.manifest)
         return { record.wanted.pool, engine->digest };
--- a/Source/Placement/Queries/SwitchAllowed.cpp
+++ b/Source/Placement/Queries/SwitchAllowed.cpp
@@ -95,4 +95,10 @@
     return isWithinBound(document, members, candidate, false);
 }
 
+bool mayRelease(const Document& document, const std::vector<Member>& members, const std::string& vm, const std::string& servedPool)
+{
+    auto* pool = document.findPool(servedPool);
+    return !pool || !countOut(document, members, *pool, vm);
+}
+
 } // namespace Lavenderloft::Placement::Queries
--- a/Source/Placement/Queries/SwitchAllowed.h
+++ b/Source/Placement/Queries/SwitchAllowed.h
@@ -25,4 +25,7 @@
 // maxUnavailable replicas are out. Two that claimed without knowing of each other both give up.
 bool claimStands(const DesiredState::Document&, const std::vector<Membership::Member>&, const SwitchCandidate&);
 
+// Whether a replica that is no longer wanted may stop serving: all members that are to serve its pool do.
+bool mayRelease(const DesiredState::Document&, const std::vector<Membership::Member>&, const std::string& vm, const std::string& servedPool);
+
 } // namespace Lavenderloft::Placement::Queries
--- a/Source/Process/AgentExchange.cpp
+++ b/Source/Process/AgentExchange.cpp
@@ -1,8 +1,10 @@
 #include "Process/AgentExchange.h"
 
 #include "Admission/Commands/RunRequest.h"
+#include "Admission/Events.h"
 #include "Http/EngineRequest.h"
 #include "Http/ForwardedHeaders.h"
+#include "Observability/Log.h"
 
 namespace Lavenderloft::Process {
 
@@ -57,6 +59,7 @@
 
 void AgentExchange::countRefusal(const Admission::Refusal& refusal)
 {
+    Observability::logEvent(Admission::RequestRefused, { { "request", m_request.requestId }, { "attempt", m_request.attemptId }, { "reason", refusal.message } });
     m_context->metrics.count("lavenderloft_refusals_total", { { "reason", std::to_string(static_cast<int>(refusal.kind)) } });
 }
 
--- a/Source/Process/AgentProcess.cpp
+++ b/Source/Process/AgentProcess.cpp
@@ -3,6 +3,7 @@
 #include "Admission/Commands/AdjustLimit.h"
 #include "Admission/Commands/QueueRequest.h"
 #include "Admission/Commands/RunRequest.h"
+#include "Admission/Events.h"
 #include "Admission/Queries/CurrentLimit.h"
 #include "Admission/Queries/FindRefusal.h"
 #include "Http/HttpServer.h"
@@ -31,6 +32,9 @@
     constexpr unsigned clientThreads = 2;
     // Routers ping every 2 s; a server that finds that too often would close the connection.
     constexpr int shortestPingIntervalMs = 1000;
+    constexpr int keepAliveMs = 2000;
+    // With the part under way, a stream holds less than 64 KiB.
+    constexpr int writeBufferBytes = 32 * 1024;
 
     Http::Endpoint endpointOf(const std::string& address, const char* name)
     {
@@ -99,6 +103,10 @@
         builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
         builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, shortestPingIntervalMs);
         builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
+        // A router whose VM is gone must not hold a running request for good.
+        builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIME_MS, keepAliveMs);
+        builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, keepAliveMs);
+        builder.AddChannelArgument(GRPC_ARG_HTTP2_WRITE_BUFFER_SIZE, writeBufferBytes);
         builder.AddListeningPort(parts.settings.inner, grpc::InsecureServerCredentials(), &innerPort);
         builder.RegisterService(service.get());
         for (auto& further : parts.services)
@@ -195,6 +203,8 @@
         parts.metrics.set("lavenderloft_target_limit", {}, load.limit);
         parts.metrics.set("lavenderloft_target_queued", {}, load.queued);
         parts.metrics.set("lavenderloft_target_held_bytes", {}, static_cast<double>(load.heldBytes));
+        if (std::exchange(lastLimit, load.limit) != load.limit)
+            Observability::logEvent(Admission::LimitChanged, { { "vm", parts.settings.vm }, { "limit", load.limit } });
         if (driver)
             return driver->publish();
         Membership::Replica replica;
@@ -211,6 +221,7 @@
     std::shared_ptr<grpc::Service> service;
     std::shared_ptr<ReplicaDriver> driver;
     std::unique_ptr<EngineMonitor> monitor;
+    unsigned lastLimit = 0;
     int innerPort = 0;
     std::unique_ptr<grpc::Server> server;
     std::unique_ptr<Http::HttpServer> admin;
--- a/Source/Process/ReplicaDriver.cpp
+++ b/Source/Process/ReplicaDriver.cpp
@@ -112,9 +112,13 @@
     Placement::Commands::learnDocument(m_record, *document);
     auto assigned = Placement::Queries::desiredReplica(*document, members, m_parts.vm, m_record);
     seen.desired = Placement::Commands::settleAssignment(m_record, assigned, seen.now);
-    if (!seen.desired)
-        return want({});
     auto served = Placement::Queries::servedPool(m_record, m_engine);
+    if (!seen.desired) {
+        seen.mayRelease = Placement::Queries::mayRelease(*document, members, m_parts.vm, served.pool);
+        if (seen.mayRelease)
+            want({});
+        return;
+    }
     Placement::Queries::SwitchCandidate candidate { m_parts.vm, seen.desired->pool, served.pool };
     seen.maySwitch = Placement::Queries::maySwitch(*document, members, candidate);
     seen.claimStands = Placement::Queries::claimStands(*document, members, candidate);
@@ -147,11 +151,16 @@
     return order.kind == OrderKind::SendManifest || order.kind == OrderKind::SendChunk || order.kind == OrderKind::SendLoad;
 }
 
+bool ReplicaDriver::mayAct() const
+{
+    return m_parts.situation.pauseDetector().isRunning() && m_parts.control.isSynchronised();
+}
+
 bool ReplicaDriver::step()
 {
     std::unique_lock guard(m_lock);
     // Without a document in force nothing is known; what the engine serves stays.
-    if (!m_parts.control.isSynchronised() || !m_parts.control.document())
+    if (!mayAct() || !m_parts.control.document())
         return false;
     auto seen = observe();
     auto order = Placement::Queries::nextOrder(m_record, seen);
@@ -178,6 +187,9 @@
     auto manifest = m_record.wanted.manifest;
     auto generation = m_generation;
     guard.unlock();
+    // The process may have been paused since the decision.
+    if (!mayAct())
+        return guard.lock();
     auto result = send(order, manifest, fence);
     guard.lock();
     if (generation != m_generation)
--- a/Source/Process/ReplicaDriver.h
+++ b/Source/Process/ReplicaDriver.h
@@ -52,6 +52,8 @@
 
     void run();
     bool isStopping();
+    // Whether the process knows enough to give orders.
+    bool mayAct() const;
     // Takes one step; false if there is nothing to do.
     bool step();
     Observation observe();
--- a/Tests/Placement/ReconcileTest.cpp
+++ b/Tests/Placement/ReconcileTest.cpp
@@ -185,6 +185,8 @@
     cr_assert(replica.settle() == std::vector { OrderKind::Adopt });
     cr_assert(replica.record.wanted.manifest == "v2");
     replica.seen.desired.reset();
+    cr_assert(replica.settle().empty());
+    replica.seen.mayRelease = true;
     cr_assert(replica.settle() == std::vector { OrderKind::Release });
     cr_assert(replica.phase() == ReplicaPhase::Idle);
 }
@@ -241,11 +243,15 @@
     DesiredState::Document document;
     document.pools.push_back(makePool("assistant", 1));
     Commands::learnDocument(record, document);
+    record.state.apply(ReplicaEvent::Wanted);
     engine.digest = "assistant-v1";
     cr_assert(Queries::servedPool(record, engine).pool == "assistant");
     engine.mode = EngineMode::Loading;
     cr_assert(Queries::servedPool(record, engine).pool.empty());
     cr_assert(Queries::servedPool(record, std::nullopt).pool.empty());
+    engine.mode = EngineMode::Ready;
+    record.state.apply(ReplicaEvent::Released);
+    cr_assert(Queries::servedPool(record, engine).pool.empty());
 }
 
 // Guards against a VM that loses its weights because its data centre is out for a while.
--- a/Tests/Placement/SwitchTest.cpp
+++ b/Tests/Placement/SwitchTest.cpp
@@ -1,6 +1,7 @@
 #include "Placement/PlacementFixture.h"
 
 #include "Base/SeededRandom.h"
+#include "Placement/Queries/AssignedPools.h"
 #include "Placement/Queries/SwitchAllowed.h"
 
 #include <algorithm>
@@ -125,3 +126,19 @@
     fleet.members[1].replicas.front().phase = ReplicaPhase::Loading;
     cr_assert_not(Queries::maySwitch(fleet.document, fleet.members, candidate));
 }
+
+// Guards against a replica that stops serving before the member that takes its place serves.
+Test(Switch, releasesAReplicaOnlyWhenItsSuccessorServes)
+{
+    Fleet fleet(1);
+    fleet.document.pools = { makePool("assistant", 2) };
+    auto assignment = Queries::assignedPools(fleet.document, fleet.members);
+    auto surplus = std::find_if(fleet.members.begin(), fleet.members.end(), [&](auto& member) { return !assignment.contains(member.vm); });
+    for (auto& member : fleet.members)
+        member.replicas = { { "assistant", "assistant-v1", "", ReplicaPhase::Ready } };
+    cr_assert(Queries::mayRelease(fleet.document, fleet.members, surplus->vm, "assistant"));
+    auto& successor = surplus == fleet.members.begin() ? fleet.members[1] : fleet.members[0];
+    successor.replicas.front() = { "assistant", "", "assistant-v1", ReplicaPhase::Fetching };
+    cr_assert_not(Queries::mayRelease(fleet.document, fleet.members, surplus->vm, "assistant"));
+    cr_assert(Queries::mayRelease(fleet.document, fleet.members, surplus->vm, "removed-pool"));
+}
