--- /dev/null
+++ b/Source/Process/CallerHandler.cpp
@@ -0,0 +1,145 @@
+#include "Process/CallerHandler.h"
+
+#include "Routing/Queries/ReadRequest.h"
+#include "Routing/RequestCoordinator.h"
+
+#include <algorithm>
+#include <array>
+#include <nlohmann/json.hpp>
+#include <strings.h>
+
+namespace Lavenderloft::Process {
+
+namespace {
+
+    using Routing::ErrorCode;
+
+    // Headers that belong to one connection (RFC 9110, section 7.6.1) or that the next hop sets itself.
+    constexpr std::array hopHeaders { "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "TE", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Host", "Expect" };
+
+    bool isHopHeader(const std::string& name)
+    {
+        return std::any_of(hopHeaders.begin(), hopHeaders.end(), [&](auto* hop) { return !strcasecmp(hop, name.c_str()); });
+    }
+
+    Routing::CallerRequest decodeRequest(Http::HttpRequest&& request)
+    {
+        Routing::CallerRequest decoded;
+        decoded.method = std::move(request.method);
+        decoded.path = std::move(request.target);
+        decoded.body = std::move(request.body);
+        for (auto& header : request.headers) {
+            if (!isHopHeader(header.name))
+                decoded.headers.push_back({ std::move(header.name), std::move(header.value) });
+        }
+        return decoded;
+    }
+
+    unsigned httpStatus(ErrorCode code)
+    {
+        switch (code) {
+        case ErrorCode::MalformedHeader:
+            return 400;
+        case ErrorCode::NoRoute:
+            return 404;
+        case ErrorCode::KeyNotVouched:
+        case ErrorCode::KeyRunning:
+            return 409;
+        case ErrorCode::TooLarge:
+            return 413;
+        case ErrorCode::Quarantined:
+            return 422;
+        case ErrorCode::OutcomeUnknown:
+            return 502;
+        case ErrorCode::DeadlineExceeded:
+            return 504;
+        default:
+            return 503;
+        }
+    }
+
+    Http::HttpResponse encodeError(const std::string& requestId, const Routing::RoutingError& error)
+    {
+        nlohmann::ordered_json fields;
+        fields["code"] = Routing::codeName(error.code);
+        fields["message"] = error.message;
+        fields["remedy"] = error.remedy;
+        fields["outcome"] = Routing::outcomeName(error.outcome);
+        fields["retryAfterMs"] = error.retryAfter.count();
+        Http::HttpResponse response;
+        response.status = httpStatus(error.code);
+        response.headers = { { "Content-Type", "application/json" } };
+        if (!requestId.empty())
+            response.headers.push_back({ "X-Request-Id", requestId });
+        if (error.retryAfter.count())
+            response.headers.push_back({ "Retry-After", std::to_string(std::chrono::ceil<std::chrono::seconds>(error.retryAfter).count()) });
+        response.body = nlohmann::ordered_json { { "error", std::move(fields) } }.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+        return response;
+    }
+
+    Http::HttpHeaders encodeHeaders(const std::string& requestId, const Routing::AnswerHead& head)
+    {
+        Http::HttpHeaders headers;
+        for (auto& header : head.headers) {
+            if (!isHopHeader(header.name) && strcasecmp(header.name.c_str(), "X-Weights-Digest") && strcasecmp(header.name.c_str(), "X-Request-Id"))
+                headers.push_back({ header.name, header.value });
+        }
+        headers.push_back({ "X-Request-Id", requestId });
+        if (!head.weightsDigest.empty())
+            headers.push_back({ "X-Weights-Digest", head.weightsDigest });
+        if (head.replayed)
+            headers.push_back({ "Idempotency-Replayed", "true" });
+        return headers;
+    }
+
+    // Encodes one answer as HTTP.
+    class HttpAnswerSink final : public Routing::AnswerSink {
+    public:
+        explicit HttpAnswerSink(std::shared_ptr<Http::ResponseStream> stream)
+            : m_stream(std::move(stream))
+        {
+        }
+
+        void reject(const std::string& requestId, const Routing::RoutingError& error) override { m_stream->respond(encodeError(requestId, error)); }
+        void head(const std::string& requestId, const Routing::AnswerHead& head) override { m_stream->start(head.status, encodeHeaders(requestId, head)); }
+        void data(std::string bytes, std::function<void(bool)> written) override { m_stream->write(std::move(bytes), std::move(written)); }
+        void complete() override { m_stream->finish(); }
+        void abort() override { m_stream->abort(); }
+
+    private:
+        std::shared_ptr<Http::ResponseStream> m_stream;
+    };
+
+    Routing::RoutingError notSynchronised()
+    {
+        return { ErrorCode::NotSynchronised, "this router does not yet know the desired state", "retry; the platform's balancer should use /readyz of the admin port", Routing::Outcome::NotRun, std::chrono::seconds(1) };
+    }
+
+} // namespace
+
+CallerHandler::CallerHandler(std::weak_ptr<Routing::RoutingContext> context, const ControlView& control)
+    : m_context(std::move(context))
+    , m_control(control)
+{
+}
+
+void CallerHandler::handle(Http::HttpRequest request, std::shared_ptr<Http::ResponseStream> stream)
+{
+    auto context = m_context.lock();
+    auto document = m_control.document();
+    if (!context || !document || !m_control.isSynchronised())
+        return stream->respond(encodeError({}, notSynchronised()));
+    auto read = Routing::Queries::readRequest(decodeRequest(std::move(request)), *document, { context->clock.now(), context->clock.wallTime() }, context->random);
+    if (!Base::succeeded(read)) {
+        context->metrics.count("errors_total", { { "code", std::string(Routing::codeName(Base::errorOf(read).code)) }, { "outcome", "not_run" } });
+        return stream->respond(encodeError({}, Base::errorOf(read)));
+    }
+    auto coordinator = std::make_shared<Routing::RequestCoordinator>(context, Base::takeValue(std::move(read)), std::make_shared<HttpAnswerSink>(stream));
+    stream->onDisconnect([weak = std::weak_ptr(coordinator)] {
+        if (auto running = weak.lock())
+            running->callerGone();
+    });
+    coordinator->start();
+}
+
+} // namespace Lavenderloft::Process
--- /dev/null
+++ b/Source/Routing/AnswerMatcher.cpp
@@ -0,0 +1,38 @@
+#include "Routing/AnswerMatcher.h"
+
+namespace Lavenderloft::Routing {
+
+AnswerMatcher::AnswerMatcher(std::string attemptId, std::string weightsDigest)
+    : m_attemptId(std::move(attemptId))
+    , m_weightsDigest(std::move(weightsDigest))
+{
+}
+
+FrameVerdict AnswerMatcher::head(const AnswerHead& head)
+{
+    if (head.attemptId != m_attemptId || m_headSeen)
+        return FrameVerdict::Drop;
+    m_headSeen = true;
+    return head.weightsDigest == m_weightsDigest || m_weightsDigest.empty() ? FrameVerdict::Accept : FrameVerdict::Unusable;
+}
+
+FrameVerdict AnswerMatcher::data(const AnswerData& data)
+{
+    if (data.attemptId != m_attemptId)
+        return FrameVerdict::Drop;
+    if (!m_headSeen)
+        return FrameVerdict::Unusable;
+    m_receivedBytes += data.bytes.size();
+    return FrameVerdict::Accept;
+}
+
+FrameVerdict AnswerMatcher::end(const AnswerEnd& end)
+{
+    if (end.attemptId != m_attemptId)
+        return FrameVerdict::Drop;
+    if (end.kind != EndKind::Complete)
+        return FrameVerdict::Accept;
+    return m_headSeen && end.totalBytes == m_receivedBytes ? FrameVerdict::Accept : FrameVerdict::Unusable;
+}
+
+} // namespace Lavenderloft::Routing
--- /dev/null
+++ b/Source/Routing/AnswerMatcher.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "Routing/TargetChannel.h"
+
+#include <cstdint>
+#include <string>
+
+namespace Lavenderloft::Routing {
+
+enum class FrameVerdict {
+    Accept,
+    // The frame belongs to another attempt or repeats one; the answer goes on without it.
+    Drop,
+    // The answer can't be the whole and right one.
+    Unusable,
+};
+
+// Matches the frames of a stream to one attempt and counts its bytes, so that a late, doubled, crossed
+// or truncated answer is never taken for whole.
+class AnswerMatcher {
+public:
+    AnswerMatcher() = default;
+
+    // An empty digest stands for a plain service, of which any is accepted.
+    AnswerMatcher(std::string attemptId, std::string weightsDigest);
+
+    FrameVerdict head(const AnswerHead&);
+    FrameVerdict data(const AnswerData&);
+    FrameVerdict end(const AnswerEnd&);
+
+    uint64_t receivedBytes() const { return m_receivedBytes; }
+
+private:
+    std::string m_attemptId;
+    std::string m_weightsDigest;
+    uint64_t m_receivedBytes = 0;
+    bool m_headSeen = false;
+};
+
+} // namespace Lavenderloft::Routing
--- /dev/null
+++ b/Source/Routing/Commands/RecordCrash.cpp
@@ -0,0 +1,109 @@
+#include "Routing/Commands/RecordCrash.h"
+
+#include <algorithm>
+
+namespace Lavenderloft::Routing::Commands {
+
+namespace {
+
+    using Fingerprints = std::set<uint64_t>;
+
+    void addFingerprint(CrashRecord& record, uint64_t fingerprint)
+    {
+        if (record.fingerprints.size() < QuarantineTable::fingerprintsPerCrash)
+            record.fingerprints.insert(fingerprint);
+        else if (!record.fingerprints.contains(fingerprint))
+            record.overflowed = true;
+    }
+
+    Fingerprints fingerprintsUnderWay(QuarantineTable& table, const std::string& target)
+    {
+        return table.underWay().withShard(target, [&](QuarantineTable::UnderWay::Entries& entries) {
+            Fingerprints fingerprints;
+            if (auto entry = entries.find(target); entry != entries.end()) {
+                for (auto& [fingerprint, count] : entry->second)
+                    fingerprints.insert(fingerprint);
+            }
+            return fingerprints;
+        });
+    }
+
+    // The record of the crash at that time, made if there is none.
+    CrashRecord& recordAt(std::vector<CrashRecord>& records, Base::TimePoint at)
+    {
+        auto same = std::find_if(records.begin(), records.end(), [&](auto& record) {
+            return at < record.at + QuarantineTable::crashWindow && record.at < at + QuarantineTable::crashWindow;
+        });
+        if (same != records.end())
+            return *same;
+        if (records.size() >= QuarantineTable::crashesPerTarget)
+            records.erase(std::min_element(records.begin(), records.end(), [](auto& a, auto& b) { return a.at < b.at; }));
+        records.push_back({ at, at, {}, false });
+        return records.back();
+    }
+
+    void addToRecord(QuarantineTable& table, const std::string& target, Base::TimePoint at, Base::TimePoint countsFrom, const Fingerprints& fingerprints)
+    {
+        bool full = table.crashes().size() >= QuarantineTable::maximumTargets;
+        table.crashes().withShard(target, [&](QuarantineTable::Crashes::Entries& entries) {
+            if (full && !entries.contains(target))
+                return;
+            auto& record = recordAt(entries[target], at);
+            record.countsFrom = std::max(record.countsFrom, countsFrom);
+            for (auto fingerprint : fingerprints)
+                addFingerprint(record, fingerprint);
+        });
+    }
+
+} // namespace
+
+void recordRunStart(QuarantineTable& table, const std::string& target, uint64_t fingerprint)
+{
+    table.underWay().withShard(target, [&](auto& entries) { ++entries[target][fingerprint]; });
+}
+
+void recordRunEnd(QuarantineTable& table, const std::string& target, uint64_t fingerprint)
+{
+    table.underWay().withShard(target, [&](QuarantineTable::UnderWay::Entries& entries) {
+        auto entry = entries.find(target);
+        if (entry == entries.end())
+            return;
+        auto count = entry->second.find(fingerprint);
+        if (count != entry->second.end() && !--count->second)
+            entry->second.erase(count);
+        if (entry->second.empty())
+            entries.erase(entry);
+    });
+}
+
+void recordCrash(QuarantineTable& table, const std::string& target, uint64_t fingerprint, Base::TimePoint now)
+{
+    auto fingerprints = fingerprintsUnderWay(table, target);
+    fingerprints.insert(fingerprint);
+    addToRecord(table, target, now, now, fingerprints);
+}
+
+void mergeSuspicions(QuarantineTable& table, const std::vector<Suspicion>& suspicions, Base::TimePoint now)
+{
+    for (auto& suspicion : suspicions) {
+        if (suspicion.age >= QuarantineTable::retention)
+            continue;
+        auto at = now - suspicion.age;
+        bool known = table.crashes().withShard(suspicion.target, [&](QuarantineTable::Crashes::Entries& entries) {
+            auto entry = entries.find(suspicion.target);
+            return entry != entries.end() && std::any_of(entry->second.begin(), entry->second.end(), [&](auto& record) {
+                return record.fingerprints.contains(suspicion.fingerprint) && at < record.at + QuarantineTable::crashWindow && record.at < at + QuarantineTable::crashWindow;
+            });
+        });
+        if (!known)
+            addToRecord(table, suspicion.target, at, now + QuarantineTable::exchangeTime, { suspicion.fingerprint });
+    }
+}
+
+void forgetOldCrashes(QuarantineTable& table, Base::TimePoint now)
+{
+    auto isOld = [&](auto& record) { return now - record.at >= QuarantineTable::retention; };
+    table.crashes().eraseIf([&](auto&, auto& records) { return std::all_of(records.begin(), records.end(), isOld); });
+}
+
+} // namespace Lavenderloft::Routing::Commands
--- /dev/null
+++ b/Source/Routing/Commands/UpdateTargets.cpp
@@ -0,0 +1,110 @@
+#include "Routing/Commands/UpdateTargets.h"
+
+#include "Base/RendezvousHash.h"
+
+#include <algorithm>
+#include <set>
+
+namespace Lavenderloft::Routing::Commands {
+
+namespace {
+
+    using Membership::Member;
+
+    Tier tierOf(const Member& member, const Member& self)
+    {
+        if (member.dataCentre == self.dataCentre)
+            return Tier::SameDataCentre;
+        return member.region == self.region ? Tier::SameRegion : Tier::OtherRegion;
+    }
+
+    // Whether operators and the VM itself let it take new work.
+    bool takesWork(const Member& member, const DesiredState::Document& document)
+    {
+        if (member.status == Membership::Status::Leaving || member.status == Membership::Status::Dead)
+            return false;
+        return member.load.accepting && !document.isDataCentreOut(member.dataCentre) && !document.isDrained(member.vm);
+    }
+
+    bool serves(const Member& member, const std::string& destination, const std::string& digest)
+    {
+        return std::any_of(member.replicas.begin(), member.replicas.end(), [&](const Membership::Replica& replica) {
+            return replica.pool == destination && replica.servingDigest == digest;
+        });
+    }
+
+    // Keeps the entry of a process that has neither moved nor restarted.
+    std::shared_ptr<Target> refreshTarget(TargetTable& table, const Member& member, const Member& self)
+    {
+        auto target = table.vms().withShard(member.vm, [&](TargetTable::Vms::Entries& entries) {
+            auto& entry = entries[member.vm];
+            if (!entry || entry->address() != member.address || entry->incarnation() != member.incarnation || entry->dataCentre() != member.dataCentre)
+                entry = std::make_shared<Target>(member.vm, member.address, member.dataCentre, tierOf(member, self), member.incarnation);
+            return entry;
+        });
+        target->setLoad(member.load);
+        return target;
+    }
+
+    // Orders by distance and then by the rendezvous hash of this router's name, so that the routers of a
+    // large fleet spread over a pool.
+    Targets chooseSubset(Targets targets, const std::string& router)
+    {
+        std::sort(targets.begin(), targets.end(), [&](auto& a, auto& b) {
+            if (a->tier() != b->tier())
+                return a->tier() < b->tier();
+            return Base::rendezvousWeight(router, a->vm()) > Base::rendezvousWeight(router, b->vm());
+        });
+        if (targets.size() <= subsetSize)
+            return targets;
+        auto firstElsewhere = std::find_if(targets.begin(), targets.end(), [](auto& target) { return target->tier() != Tier::SameDataCentre; });
+        auto near = static_cast<size_t>(firstElsewhere - targets.begin());
+        auto elsewhere = std::min(targets.size() - near, subsetReserve);
+        if (near > subsetSize - elsewhere)
+            targets.erase(targets.begin() + static_cast<std::ptrdiff_t>(subsetSize - elsewhere), firstElsewhere);
+        targets.resize(std::min(targets.size(), subsetSize));
+        return targets;
+    }
+
+    void publish(TargetTable& table, const std::string& name, Targets targets, const std::string& router)
+    {
+        table.pools().set(name, std::make_shared<const Targets>(chooseSubset(std::move(targets), router)));
+    }
+
+} // namespace
+
+void updateTargets(TargetTable& table, const DesiredState::Document& document, const std::vector<Member>& members, const Member& self)
+{
+    std::set<std::string> live;
+    std::vector<std::pair<const Member*, std::shared_ptr<Target>>> ready;
+    for (auto& member : members) {
+        if (member.role != Membership::Role::Agent || member.status == Membership::Status::Dead)
+            continue;
+        live.insert(member.vm);
+        auto target = refreshTarget(table, member, self);
+        if (takesWork(member, document))
+            ready.emplace_back(&member, std::move(target));
+    }
+    table.vms().eraseIf([&](auto& vm, auto&) { return !live.contains(vm); });
+
+    auto select = [&](const std::string& destination, const std::string& digest) {
+        Targets targets;
+        for (auto& [member, target] : ready) {
+            if (serves(*member, destination, digest))
+                targets.push_back(target);
+        }
+        return targets;
+    };
+    std::set<std::string> declared;
+    for (auto& pool : document.pools) {
+        declared.insert(pool.name);
+        publish(table, pool.name, select(pool.name, pool.manifest), self.vm);
+    }
+    for (auto& service : document.services) {
+        declared.insert(service.name);
+        publish(table, service.name, select(service.name, {}), self.vm);
+    }
+    table.pools().eraseIf([&](auto& name, auto&) { return !declared.contains(name); });
+}
+
+} // namespace Lavenderloft::Routing::Commands
--- /dev/null
+++ b/Source/Routing/Queries/DecideRetry.cpp
@@ -0,0 +1,60 @@
+#include "Routing/Queries/DecideRetry.h"
+
+namespace Lavenderloft::Routing::Queries {
+
+namespace {
+
+    RetryVerdict failure(const RetryFacts& facts)
+    {
+        return facts.mayHaveRun ? RetryVerdict::FailUnknown : RetryVerdict::FailNotRun;
+    }
+
+    bool isRefusalFree(const RetryFacts& facts)
+    {
+        // Refusals for other reasons than load cost once for each target, which is then left alone for a
+        // while; hazard messages come before the protection against retries.
+        return facts.failure == FailureKind::RefusedElsewhere || facts.loadRefusals < freeLoadRefusals
+            || facts.priorityClass == DesiredState::PriorityClass::Hazard;
+    }
+
+} // namespace
+
+RetryVerdict decideRetry(const RetryFacts& facts)
+{
+    if (facts.answerStarted)
+        return RetryVerdict::Cut;
+    bool exhausted = facts.attempts >= maximumAttempts;
+    switch (facts.failure) {
+    case FailureKind::RefusedForGood:
+        return failure(facts);
+    case FailureKind::RefusedForLoad:
+    case FailureKind::RefusedElsewhere:
+        // A call that may not be repeated has one home and no other target to go to.
+        if (!facts.repeatable || exhausted)
+            return failure(facts);
+        return isRefusalFree(facts) ? RetryVerdict::RetryFree : RetryVerdict::RetryFromBudget;
+    case FailureKind::NotRun:
+        return exhausted ? failure(facts) : RetryVerdict::RetryFromBudget;
+    case FailureKind::BrokenAfterSend:
+        if (!facts.repeatable)
+            return RetryVerdict::Resolve;
+        return exhausted ? RetryVerdict::FailUnknown : RetryVerdict::RetryFromBudget;
+    case FailureKind::Failed:
+        return facts.repeatable && !exhausted ? RetryVerdict::RetryFromBudget : RetryVerdict::FailUnknown;
+    }
+    return RetryVerdict::FailUnknown;
+}
+
+FailureKind classifyRefusal(const Refusal& refusal)
+{
+    switch (refusal.kind) {
+    case RefusalKind::AtLimit:
+        return FailureKind::RefusedForLoad;
+    case RefusalKind::PermitExpired:
+        return FailureKind::NotRun;
+    default:
+        return refusal.retryElsewhere ? FailureKind::RefusedElsewhere : FailureKind::RefusedForGood;
+    }
+}
+
+} // namespace Lavenderloft::Routing::Queries
--- /dev/null
+++ b/Source/Routing/RequestCoordinator.cpp
@@ -0,0 +1,516 @@
+#include "Routing/RequestCoordinator.h"
+
+#include "Observability/Log.h"
+#include "Routing/Commands/ChargeRetryBudget.h"
+#include "Routing/Commands/RecordCrash.h"
+#include "Routing/Events.h"
+#include "Routing/Queries/DescribeRefusal.h"
+#include "Routing/Queries/FindQuarantine.h"
+#include "Routing/Queries/SelectTarget.h"
+#include "Streaming/Commands/ChargeStream.h"
+#include "Streaming/Queries/FindLongestBlocked.h"
+
+namespace Lavenderloft::Routing {
+
+using Observability::logEvent;
+using Queries::FailureKind;
+using Queries::RetryVerdict;
+using namespace std::chrono_literals;
+
+namespace {
+
+    // How long a target is left alone that refused for load, that refused for another reason, or that broke.
+    constexpr auto loadPause = 50ms;
+    constexpr auto unreadyPause = 500ms;
+    constexpr auto brokenPause = 1000ms;
+
+    // Pause between two rounds of attempts of a hazard message.
+    constexpr auto waitPause = 50ms;
+
+    // Advice to callers on when a target may be free again.
+    constexpr auto retryAdvice = 1000ms;
+
+    // An agent that does not tell the outcome within this time leaves it unknown.
+    constexpr Base::Duration resolveTimeout = 2s;
+
+    // Bytes that the transport may have read ahead for a blocked stream.
+    constexpr uint64_t readAheadBytes = 32 * 1024;
+
+    Base::Duration pauseAfter(const Refusal& refusal)
+    {
+        if (refusal.kind == RefusalKind::AtLimit)
+            return std::max<Base::Duration>(refusal.retryAfter, loadPause);
+        return std::max<Base::Duration>(refusal.retryAfter, unreadyPause);
+    }
+
+} // namespace
+
+// Hands the events of one attempt to the coordinator together with the attempt's identity.
+class RequestCoordinator::AttemptSink final : public AttemptEvents {
+public:
+    AttemptSink(std::shared_ptr<RequestCoordinator> coordinator, std::string attemptId)
+        : m_coordinator(std::move(coordinator))
+        , m_attemptId(std::move(attemptId))
+    {
+    }
+
+    void permitted(const Permit& permit) override { m_coordinator->permitted(m_attemptId, permit); }
+    void refused(const Refusal& refusal) override { m_coordinator->refused(m_attemptId, refusal); }
+    void head(AnswerHead head) override { m_coordinator->head(m_attemptId, std::move(head)); }
+    void data(AnswerData data, std::function<void()> resume) override { m_coordinator->data(m_attemptId, std::move(data), std::move(resume)); }
+    void ended(const AnswerEnd& end) override { m_coordinator->ended(m_attemptId, end); }
+    void closed(const std::string& reason) override { m_coordinator->closed(m_attemptId, reason); }
+    void loadReported(const Membership::TargetLoad& load) override { m_coordinator->loadReported(m_attemptId, load); }
+
+private:
+    std::shared_ptr<RequestCoordinator> m_coordinator;
+    std::string m_attemptId;
+};
+
+RequestCoordinator::RequestCoordinator(std::shared_ptr<RoutingContext> context, LiveRequest request, std::shared_ptr<AnswerSink> sink)
+    : m_contextOwner(std::move(context))
+    , m_context(*m_contextOwner)
+    , m_request(std::move(request))
+    , m_sink(std::move(sink))
+    , m_startedAt(m_context.clock.now())
+{
+}
+
+void RequestCoordinator::start()
+{
+    Commands::creditRequest(m_context.retryBudget);
+    m_context.running.set(m_request.id, shared_from_this());
+    beginAttempt(Lock(m_lock));
+}
+
+void RequestCoordinator::beginAttempt(Lock lock)
+{
+    if (m_state == State::Ended)
+        return;
+    auto now = m_context.clock.now();
+    if (now >= m_request.deadline)
+        return fail(std::move(lock), { ErrorCode::DeadlineExceeded, "the deadline passed before a target took the request", "send a longer X-Deadline-Ms or retry", Outcome::NotRun, retryAdvice });
+    if (Queries::isQuarantined(m_context.quarantine, m_request.fingerprint, now)) {
+        logEvent(RequestQuarantined, { { "request", m_request.id }, { "fingerprint", m_request.fingerprint } });
+        return fail(std::move(lock), { ErrorCode::Quarantined, "the request crashed two targets and is not run for now", "change the request; the quarantine ends after ten minutes", Outcome::NotRun, QuarantineTable::retention });
+    }
+    auto selection = Queries::selectTarget(m_context.targets, m_request, m_tried, m_context.policy, m_context.random, now);
+    // A target that broke off is better than none; one that refused is not.
+    if (!selection.target)
+        selection = Queries::selectTarget(m_context.targets, m_request, m_refused, m_context.policy, m_context.random, now);
+    if (!selection.target) {
+        auto code = m_request.repeatable ? ErrorCode::NoTarget : ErrorCode::HomeUnreachable;
+        return waitOrFail(std::move(lock), { code, "no target of " + m_request.destination + " can take the request: " + std::string(selection.reason), "retry later; operators find the state of targets with lavenderloft status", Outcome::NotRun, retryAdvice });
+    }
+    openAttempt(std::move(lock), std::move(selection.target), selection.reason);
+}
+
+void RequestCoordinator::openAttempt(Lock lock, std::shared_ptr<Target> target, std::string_view reason)
+{
+    m_state = State::Admitting;
+    ++m_attempts;
+    m_target = std::move(target);
+    m_target->attemptStarted();
+    m_tried.push_back(m_target);
+    m_attemptId = m_context.random.identifier();
+    m_matcher = AnswerMatcher(m_attemptId, m_request.weightsDigest);
+    Admission admission;
+    admission.attemptId = m_attemptId;
+    admission.requestId = m_request.id;
+    admission.organisation = m_request.organisation;
+    admission.priorityClass = m_request.priorityClass;
+    admission.timeLeft = m_request.deadline - m_context.clock.now();
+    admission.destination = m_request.destination;
+    admission.weightsDigest = m_request.weightsDigest;
+    admission.key = m_request.key;
+    admission.repeatable = m_request.repeatable;
+    admission.bodyBytes = m_request.message.body.size();
+    admission.revision = m_request.revision;
+    admission.fingerprint = m_request.fingerprint;
+    m_channel = m_context.channels.channelTo(m_target->address());
+    m_attempt = m_channel->open(admission, std::make_shared<AttemptSink>(shared_from_this(), m_attemptId));
+    auto attempt = m_attempt;
+    if (Observability::isLogged(AttemptRouted))
+        logEvent(AttemptRouted, { { "request", m_request.id }, { "destination", m_request.destination }, { "target", m_target->vm() }, { "attempt", m_attempts }, { "reason", reason } });
+    lock.unlock();
+    attempt->start();
+}
+
+bool RequestCoordinator::isCurrent(const std::string& attemptId) const
+{
+    return m_attempt && m_attemptId == attemptId && (m_state == State::Admitting || m_state == State::Running);
+}
+
+void RequestCoordinator::dropFrame(const char* frame)
+{
+    m_context.metrics.count("frames_dropped_total", { { "frame", frame } });
+    logEvent(FrameDropped, { { "request", m_request.id }, { "frame", frame } });
+}
+
+void RequestCoordinator::permitted(const std::string& attemptId, const Permit& permit)
+{
+    Lock lock(m_lock);
+    if (!isCurrent(attemptId) || m_state != State::Admitting)
+        return dropFrame("permit");
+    m_state = State::Running;
+    m_permit = permit;
+    Commands::recordRunStart(m_context.quarantine, m_target->vm(), m_request.fingerprint);
+    auto attempt = m_attempt;
+    lock.unlock();
+    attempt->send(permit.id, m_request.message);
+}
+
+void RequestCoordinator::refused(const std::string& attemptId, const Refusal& refusal)
+{
+    Lock lock(m_lock);
+    if (!isCurrent(attemptId))
+        return dropFrame("refusal");
+    logEvent(AttemptRefused, { { "request", m_request.id }, { "target", m_target->vm() }, { "message", refusal.message } });
+    m_context.metrics.count("attempts_refused_total", { { "destination", m_request.destination } });
+    m_target->avoidUntil(m_context.clock.now() + pauseAfter(refusal));
+    m_refused.push_back(m_target);
+    if (refusal.kind == RefusalKind::AtLimit)
+        ++m_loadRefusals;
+    leaveAttempt();
+    auto failed = failureOf(refusal);
+    attemptFailed(std::move(lock), failed);
+}
+
+void RequestCoordinator::head(const std::string& attemptId, AnswerHead head)
+{
+    Lock lock(m_lock);
+    if (!isCurrent(attemptId))
+        return dropFrame("head");
+    auto verdict = m_matcher.head(head);
+    if (verdict == FrameVerdict::Drop)
+        return dropFrame("head");
+    if (verdict == FrameVerdict::Unusable) {
+        recordBreak("the answer comes from other weights than admitted");
+        auto attempt = leaveAttempt();
+        lock.unlock();
+        attempt->cancel();
+        lock.lock();
+        return attemptFailed(std::move(lock), failure(FailureKind::Failed, ErrorCode::OutcomeUnknown, "a target answered from other weights than the pool's", "retry"));
+    }
+    // The head goes to the caller with the first byte of the body, so that a break in between can be retried.
+    m_head = std::move(head);
+}
+
+void RequestCoordinator::data(const std::string& attemptId, AnswerData data, std::function<void()> resume)
+{
+    Lock lock(m_lock);
+    auto verdict = isCurrent(attemptId) ? m_matcher.data(data) : FrameVerdict::Drop;
+    if (verdict == FrameVerdict::Drop) {
+        dropFrame("data");
+        lock.unlock();
+        return resume();
+    }
+    if (verdict == FrameVerdict::Unusable) {
+        recordBreak("a part of the answer came before its head");
+        auto attempt = leaveAttempt();
+        lock.unlock();
+        attempt->cancel();
+        lock.lock();
+        return attemptFailed(std::move(lock), failure(FailureKind::Failed, ErrorCode::OutcomeUnknown, "a target's answer was malformed", "retry"));
+    }
+    if (m_callerGone || data.bytes.empty()) {
+        lock.unlock();
+        return resume();
+    }
+    bool isFirst = !std::exchange(m_answerStarted, true);
+    lock.unlock();
+    if (isFirst)
+        m_sink->head(m_request.id, m_head);
+    forward(std::move(data.bytes), std::move(resume));
+}
+
+void RequestCoordinator::forward(std::string bytes, std::function<void()> resume)
+{
+    if (!chargeBudget(bytes.size() + readAheadBytes))
+        return;
+    m_sink->data(std::move(bytes), [self = shared_from_this(), resume = std::move(resume)](bool ok) {
+        Streaming::Commands::releaseStream(self->m_context.byteBudget, self->m_request.id);
+        if (!ok)
+            self->callerGone();
+        resume();
+    });
+}
+
+bool RequestCoordinator::chargeBudget(uint64_t bytes)
+{
+    auto& budget = m_context.byteBudget;
+    while (!Base::succeeded(Streaming::Commands::chargeStream(budget, m_request.id, bytes, m_context.clock.now()))) {
+        auto longest = Streaming::Queries::findLongestBlocked(budget);
+        if (!longest || *longest == m_request.id) {
+            abortSlowReader();
+            return false;
+        }
+        if (auto blocked = m_context.running.find(*longest))
+            (*blocked)->abortSlowReader();
+        Streaming::Commands::releaseStream(budget, *longest);
+    }
+    return true;
+}
+
+void RequestCoordinator::ended(const std::string& attemptId, const AnswerEnd& end)
+{
+    Lock lock(m_lock);
+    if (!isCurrent(attemptId))
+        return dropFrame("end");
+    auto verdict = m_matcher.end(end);
+    if (verdict == FrameVerdict::Drop)
+        return dropFrame("end");
+    if (end.engineCrashed)
+        noteCrash();
+    if (verdict == FrameVerdict::Accept && end.kind == EndKind::Complete)
+        return completeAnswer(std::move(lock));
+    recordBreak(verdict == FrameVerdict::Unusable ? "the answer is not as long as its end says" : end.message);
+    leaveAttempt();
+    if (end.kind == EndKind::NotRun)
+        return attemptFailed(std::move(lock), failure(FailureKind::NotRun, ErrorCode::NotRun, "the target could not be reached by its agent", "retry"));
+    attemptFailed(std::move(lock), failure(FailureKind::Failed, ErrorCode::OutcomeUnknown, "the target broke off: " + end.message, "find out whether the call ran before you send it again"));
+}
+
+void RequestCoordinator::closed(const std::string& attemptId, const std::string& reason)
+{
+    Lock lock(m_lock);
+    if (!isCurrent(attemptId))
+        return;
+    recordBreak(reason);
+    m_target->avoidUntil(m_context.clock.now() + brokenPause);
+    auto kind = isSent() ? FailureKind::BrokenAfterSend : FailureKind::NotRun;
+    leaveAttempt();
+    if (kind == FailureKind::NotRun)
+        return attemptFailed(std::move(lock), failure(kind, m_request.repeatable ? ErrorCode::NotRun : ErrorCode::HomeUnreachable, "the target could not be reached before the request was sent", "retry"));
+    attemptFailed(std::move(lock), failure(kind, ErrorCode::OutcomeUnknown, "the connection to the target broke after the request was sent", "find out whether the call ran before you send it again"));
+}
+
+void RequestCoordinator::loadReported(const std::string& attemptId, const Membership::TargetLoad& load)
+{
+    Lock lock(m_lock);
+    if (m_target && m_attemptId == attemptId)
+        m_target->setLoad(load);
+}
+
+void RequestCoordinator::attemptFailed(Lock lock, const Failure& failed)
+{
+    if (m_state == State::Ended)
+        return;
+    Queries::RetryFacts facts;
+    facts.failure = failed.kind;
+    facts.repeatable = m_request.repeatable && !m_callerGone;
+    facts.answerStarted = m_answerStarted;
+    facts.mayHaveRun = m_mayHaveRun;
+    facts.attempts = m_attempts;
+    facts.loadRefusals = m_loadRefusals;
+    facts.priorityClass = m_request.priorityClass;
+    switch (Queries::decideRetry(facts)) {
+    case RetryVerdict::RetryFree:
+        return retry(std::move(lock), failed, false);
+    case RetryVerdict::RetryFromBudget:
+        return retry(std::move(lock), failed, true);
+    case RetryVerdict::Resolve:
+        return resolve(std::move(lock));
+    case RetryVerdict::FailNotRun:
+        return failed.kind == FailureKind::RefusedForGood ? fail(std::move(lock), failed.error) : waitOrFail(std::move(lock), failed.error);
+    case RetryVerdict::FailUnknown:
+        m_mayHaveRun = true;
+        return fail(std::move(lock), failed.error);
+    case RetryVerdict::Cut:
+        return cut(std::move(lock), failed.error.message);
+    }
+}
+
+void RequestCoordinator::retry(Lock lock, const Failure& failed, bool fromBudget)
+{
+    if (failed.kind == FailureKind::BrokenAfterSend || failed.kind == FailureKind::Failed)
+        m_mayHaveRun = true;
+    if (fromBudget && !Base::succeeded(Commands::chargeRetry(m_context.retryBudget))) {
+        m_context.metrics.count("retries_denied_total");
+        if (failed.kind == FailureKind::RefusedForLoad)
+            return fail(std::move(lock), failed.error);
+        return fail(std::move(lock), { ErrorCode::RetryBudgetSpent, failed.error.message + "; the retry budget is spent", "retry later", Outcome::NotRun, retryAdvice });
+    }
+    m_context.metrics.count("retries_total", { { "paid", fromBudget ? "true" : "false" } });
+    logEvent(AttemptRetried, { { "request", m_request.id }, { "reason", failed.error.message } });
+    beginAttempt(std::move(lock));
+}
+
+void RequestCoordinator::resolve(Lock lock)
+{
+    m_state = State::Resolving;
+    auto channel = m_channel;
+    auto attemptId = m_attemptId;
+    auto permit = m_permit;
+    lock.unlock();
+    channel->resolve(attemptId, permit, resolveTimeout, [self = shared_from_this(), attemptId](const Resolution& resolution) {
+        self->resolved(attemptId, resolution);
+    });
+}
+
+void RequestCoordinator::resolved(const std::string& attemptId, const Resolution& resolution)
+{
+    Lock lock(m_lock);
+    if (m_state != State::Resolving || m_attemptId != attemptId)
+        return;
+    // An agent that restarted has no record of the attempt.
+    bool isSameAgent = resolution.agentIncarnation == m_permit.agentIncarnation;
+    auto outcome = isSameAgent ? resolution.outcome : AttemptOutcome::Unknown;
+    logEvent(AttemptResolved, { { "request", m_request.id }, { "target", m_target->vm() }, { "notRun", outcome == AttemptOutcome::NotRun }, { "sameAgent", isSameAgent } });
+    if (outcome == AttemptOutcome::NotRun)
+        return attemptFailed(std::move(lock), failure(FailureKind::NotRun, ErrorCode::NotRun, "the connection to the target broke and the permit was revoked", "retry"));
+    m_mayHaveRun = true;
+    RoutingError error { ErrorCode::OutcomeUnknown, "the connection to the target broke after the request was sent", "find out whether the call ran, or send it again with Idempotency-Key: " + m_request.key, Outcome::Unknown, retryAdvice };
+    if (outcome == AttemptOutcome::Complete)
+        error.outcome = Outcome::Complete;
+    fail(std::move(lock), std::move(error));
+}
+
+void RequestCoordinator::waitOrFail(Lock lock, const RoutingError& error)
+{
+    auto resumeAt = m_context.clock.now() + waitPause;
+    bool mayWait = m_request.priorityClass == DesiredState::PriorityClass::Hazard && !m_callerGone && resumeAt < m_request.deadline;
+    if (!mayWait)
+        return fail(std::move(lock), error);
+    logEvent(RequestWaiting, { { "request", m_request.id }, { "reason", error.message } });
+    m_state = State::Waiting;
+    m_resumeAt = resumeAt;
+    m_tried.clear();
+    m_refused.clear();
+    m_attempts = 0;
+    m_loadRefusals = 0;
+}
+
+void RequestCoordinator::tick(Base::TimePoint now)
+{
+    Lock lock(m_lock);
+    if (m_state == State::Ended)
+        return;
+    if (now >= m_request.deadline) {
+        if (m_answerStarted)
+            return cut(std::move(lock), "the deadline passed");
+        m_mayHaveRun = m_mayHaveRun || isSent() || m_state == State::Resolving;
+        return fail(std::move(lock), { ErrorCode::DeadlineExceeded, "the deadline passed before the answer began", "send a longer X-Deadline-Ms", Outcome::NotRun, retryAdvice });
+    }
+    if (m_state == State::Waiting && now >= m_resumeAt && m_resumeAt != Base::TimePoint())
+        beginAttempt(std::move(lock));
+}
+
+void RequestCoordinator::callerGone()
+{
+    Lock lock(m_lock);
+    m_callerGone = true;
+    // A call that may not be repeated runs to its end, so that its key's outcome becomes known.
+    if (m_state == State::Ended || (!m_request.repeatable && m_state != State::Waiting && m_state != State::Admitting))
+        return;
+    auto attempt = end("caller-gone");
+    lock.unlock();
+    if (attempt)
+        attempt->cancel();
+    m_sink->abort();
+}
+
+void RequestCoordinator::abortSlowReader()
+{
+    Lock lock(m_lock);
+    if (m_state == State::Ended)
+        return;
+    logEvent(SlowReaderCut, { { "request", m_request.id }, { "sent", m_matcher.receivedBytes() } });
+    m_context.metrics.count("slow_readers_cut_total");
+    cut(std::move(lock), "slow_reader");
+}
+
+void RequestCoordinator::abandon()
+{
+    Lock lock(m_lock);
+    if (m_state != State::Ended)
+        cut(std::move(lock), "the router stopped");
+}
+
+void RequestCoordinator::fail(Lock lock, RoutingError error)
+{
+    if (m_mayHaveRun && error.outcome == Outcome::NotRun)
+        error.outcome = Outcome::Unknown;
+    logEvent(RequestFailed, { { "request", m_request.id }, { "code", codeName(error.code) }, { "outcome", outcomeName(error.outcome) }, { "reason", error.message } });
+    m_context.metrics.count("errors_total", { { "code", std::string(codeName(error.code)) }, { "outcome", std::string(outcomeName(error.outcome)) } });
+    auto attempt = end("failed");
+    lock.unlock();
+    if (attempt)
+        attempt->cancel();
+    m_sink->reject(m_request.id, error);
+}
+
+void RequestCoordinator::cut(Lock lock, const std::string& reason)
+{
+    logEvent(RequestCut, { { "request", m_request.id }, { "reason", reason } });
+    auto attempt = end("cut");
+    lock.unlock();
+    if (attempt)
+        attempt->cancel();
+    m_sink->abort();
+}
+
+void RequestCoordinator::completeAnswer(Lock lock)
+{
+    bool isFirst = !std::exchange(m_answerStarted, true);
+    bool callerGone = m_callerGone;
+    end("complete");
+    lock.unlock();
+    if (callerGone)
+        return m_sink->abort();
+    if (isFirst)
+        m_sink->head(m_request.id, m_head);
+    m_sink->complete();
+}
+
+std::shared_ptr<Attempt> RequestCoordinator::leaveAttempt()
+{
+    if (!m_attempt)
+        return nullptr;
+    if (isSent())
+        Commands::recordRunEnd(m_context.quarantine, m_target->vm(), m_request.fingerprint);
+    m_target->attemptEnded();
+    m_state = State::Waiting;
+    m_resumeAt = {};
+    return std::exchange(m_attempt, nullptr);
+}
+
+std::shared_ptr<Attempt> RequestCoordinator::end(const char* result)
+{
+    auto attempt = leaveAttempt();
+    m_state = State::Ended;
+    Streaming::Commands::releaseStream(m_context.byteBudget, m_request.id);
+    m_context.running.erase(m_request.id);
+    m_context.metrics.count("requests_total", { { "destination", m_request.destination }, { "result", result } });
+    std::chrono::duration<double> seconds = m_context.clock.now() - m_startedAt;
+    m_context.metrics.observe("request_seconds", { { "destination", m_request.destination } }, seconds.count());
+    return attempt;
+}
+
+void RequestCoordinator::noteCrash()
+{
+    Commands::recordCrash(m_context.quarantine, m_target->vm(), m_request.fingerprint, m_context.clock.now());
+    logEvent(CrashRecorded, { { "request", m_request.id }, { "target", m_target->vm() }, { "fingerprint", m_request.fingerprint } });
+    m_context.metrics.count("engine_crashes_seen_total");
+}
+
+void RequestCoordinator::recordBreak(const std::string& reason)
+{
+    logEvent(AttemptBroken, { { "request", m_request.id }, { "target", m_target->vm() }, { "sent", isSent() }, { "reason", reason } });
+    m_context.metrics.count("attempts_broken_total", { { "destination", m_request.destination } });
+}
+
+RequestCoordinator::Failure RequestCoordinator::failure(FailureKind kind, ErrorCode code, std::string message, std::string remedy) const
+{
+    return { kind, { code, std::move(message), std::move(remedy), Outcome::NotRun, retryAdvice } };
+}
+
+RequestCoordinator::Failure RequestCoordinator::failureOf(const Refusal& refusal) const
+{
+    Failure failed { Queries::classifyRefusal(refusal), { Queries::refusalCode(refusal.kind), refusal.message, Queries::refusalRemedy(refusal.kind), Queries::refusalOutcome(refusal.kind, m_request.keyFromCaller), refusal.retryAfter } };
+    if (!failed.error.retryAfter.count())
+        failed.error.retryAfter = retryAdvice;
+    return failed;
+}
+
+} // namespace Lavenderloft::Routing
--- /dev/null
+++ b/Source/Routing/RequestCoordinator.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "Routing/AnswerMatcher.h"
+#include "Routing/AnswerSink.h"
+#include "Routing/Queries/DecideRetry.h"
+#include "Routing/RoutingContext.h"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+
+namespace Lavenderloft::Routing {
+
+// Carries one request from its caller to a target and the answer back: a state machine whose inputs are
+// the events of the current attempt, the caller's departure and the passing of time. Inputs may come
+// from any thread; no lock is held during calls to channels and sinks.
+class RequestCoordinator final : public std::enable_shared_from_this<RequestCoordinator> {
+public:
+    RequestCoordinator(std::shared_ptr<RoutingContext>, LiveRequest, std::shared_ptr<AnswerSink>);
+
+    // Makes the first attempt. The request is in RunningRequests until its end.
+    void start();
+
+    // The caller closed its connection.
+    void callerGone();
+
+    // Ends the request at its deadline and resumes it after a wait.
+    void tick(Base::TimePoint now);
+
+    // Ends the answer because its reader is the one that has blocked longest.
+    void abortSlowReader();
+
+    // Ends the request because the router stops before its end.
+    void abandon();
+
+private:
+    class AttemptSink;
+
+    enum class State {
+        // No target is free; a new attempt follows.
+        Waiting,
+        Admitting,
+        // The body was sent.
+        Running,
+        // The stream broke and the agent was asked for the outcome.
+        Resolving,
+        Ended,
+    };
+
+    using Lock = std::unique_lock<std::mutex>;
+
+    // How an attempt failed, for the log and for the caller if no other attempt follows.
+    struct Failure {
+        Queries::FailureKind kind;
+        RoutingError error;
+    };
+
+    void permitted(const std::string& attemptId, const Permit&);
+    void refused(const std::string& attemptId, const Refusal&);
+    void head(const std::string& attemptId, AnswerHead);
+    void data(const std::string& attemptId, AnswerData, std::function<void()> resume);
+    void ended(const std::string& attemptId, const AnswerEnd&);
+    void closed(const std::string& attemptId, const std::string& reason);
+    void loadReported(const std::string& attemptId, const Membership::TargetLoad&);
+    void resolved(const std::string& attemptId, const Resolution&);
+
+    // These take the lock and release it before they call out.
+    void beginAttempt(Lock);
+    void openAttempt(Lock, std::shared_ptr<Target>, std::string_view reason);
+    void attemptFailed(Lock, const Failure&);
+    void retry(Lock, const Failure&, bool fromBudget);
+    void resolve(Lock);
+    void waitOrFail(Lock, const RoutingError&);
+    void fail(Lock, RoutingError);
+    void cut(Lock, const std::string& reason);
+    void completeAnswer(Lock);
+    void forward(std::string bytes, std::function<void()> resume);
+
+    bool isCurrent(const std::string& attemptId) const;
+    bool isSent() const { return m_state == State::Running; }
+    bool chargeBudget(uint64_t bytes);
+    void noteCrash();
+    void recordBreak(const std::string& reason);
+
+    // Ends the attempt's bookkeeping and returns it, so that it can be cancelled without the lock.
+    std::shared_ptr<Attempt> leaveAttempt();
+
+    // Ends the request; returns the attempt to cancel.
+    std::shared_ptr<Attempt> end(const char* result);
+
+    Failure failure(Queries::FailureKind, ErrorCode, std::string message, std::string remedy) const;
+    Failure failureOf(const Refusal&) const;
+    void dropFrame(const char* frame);
+
+    const std::shared_ptr<RoutingContext> m_contextOwner;
+    RoutingContext& m_context;
+    const LiveRequest m_request;
+    const std::shared_ptr<AnswerSink> m_sink;
+    const Base::TimePoint m_startedAt;
+
+    std::mutex m_lock;
+    State m_state = State::Waiting;
+    Base::TimePoint m_resumeAt;
+    Targets m_tried;
+    // Those of the tried targets that refused.
+    Targets m_refused;
+    unsigned m_attempts = 0;
+    unsigned m_loadRefusals = 0;
+    bool m_mayHaveRun = false;
+    bool m_answerStarted = false;
+    bool m_callerGone = false;
+
+    // The current attempt.
+    std::string m_attemptId;
+    std::shared_ptr<Target> m_target;
+    std::shared_ptr<TargetChannel> m_channel;
+    std::shared_ptr<Attempt> m_attempt;
+    Permit m_permit;
+    AnswerMatcher m_matcher;
+    AnswerHead m_head;
+};
+
+} // namespace Lavenderloft::Routing
--- /dev/null
+++ b/Source/Routing/Target.cpp
@@ -0,0 +1,40 @@
+#include "Routing/Target.h"
+
+#include <algorithm>
+
+namespace Lavenderloft::Routing {
+
+Target::Target(std::string vm, std::string address, std::string dataCentre, Tier tier, uint64_t incarnation)
+    : m_vm(std::move(vm))
+    , m_address(std::move(address))
+    , m_dataCentre(std::move(dataCentre))
+    , m_tier(tier)
+    , m_incarnation(incarnation)
+{
+}
+
+double Target::relativeLoad() const
+{
+    auto busy = std::max(m_running.load() + m_queued.load(), m_underWay.load());
+    // A target without a known limit is taken for one with a single slot.
+    return static_cast<double>(busy) / std::max(1u, m_limit.load());
+}
+
+bool Target::isAvoided(Base::TimePoint now) const
+{
+    return now < m_avoidUntil.load();
+}
+
+void Target::setLoad(const Membership::TargetLoad& load)
+{
+    m_running = load.running;
+    m_queued = load.queued;
+    m_limit = load.limit;
+}
+
+void Target::avoidUntil(Base::TimePoint until)
+{
+    m_avoidUntil = until;
+}
+
+} // namespace Lavenderloft::Routing
--- /dev/null
+++ b/Source/Routing/TwoChoicesPolicy.cpp
@@ -0,0 +1,43 @@
+#include "Routing/TwoChoicesPolicy.h"
+
+#include "Base/RendezvousHash.h"
+
+namespace Lavenderloft::Routing {
+
+namespace {
+
+    constexpr double affinityFactor = 1.5;
+
+    size_t prefixHolder(const Targets& targets, uint64_t prefix)
+    {
+        size_t best = 0;
+        uint64_t bestWeight = 0;
+        for (size_t i = 0; i < targets.size(); ++i) {
+            auto weight = Base::stableHash(targets[i]->vm(), prefix);
+            if (weight >= bestWeight) {
+                best = i;
+                bestWeight = weight;
+            }
+        }
+        return best;
+    }
+
+    // A random index other than the given one.
+    size_t anotherIndex(size_t index, size_t count, Base::RandomSource& random)
+    {
+        return (index + 1 + random.below(count - 1)) % count;
+    }
+
+} // namespace
+
+size_t TwoChoicesPolicy::choose(const Targets& targets, uint64_t prefix, Base::RandomSource& random) const
+{
+    if (targets.size() == 1)
+        return 0;
+    auto first = prefix ? prefixHolder(targets, prefix) : random.below(targets.size());
+    auto second = anotherIndex(first, targets.size(), random);
+    auto factor = prefix ? affinityFactor : 1.0;
+    return targets[first]->relativeLoad() <= factor * targets[second]->relativeLoad() ? first : second;
+}
+
+} // namespace Lavenderloft::Routing
--- /dev/null
+++ b/Source/Streaming/Commands/ChargeStream.cpp
@@ -0,0 +1,46 @@
+#include "Streaming/Commands/ChargeStream.h"
+
+namespace Lavenderloft::Streaming::Commands {
+
+namespace {
+
+    // Adds to the sum unless it would exceed the limit.
+    bool reserve(ByteBudget& budget, uint64_t bytes)
+    {
+        auto held = budget.held().load();
+        do {
+            if (held + bytes > budget.limitBytes())
+                return false;
+        } while (!budget.held().compare_exchange_weak(held, held + bytes));
+        auto peak = budget.peak().load();
+        while (peak < held + bytes && !budget.peak().compare_exchange_weak(peak, held + bytes)) { }
+        return true;
+    }
+
+} // namespace
+
+Base::Result<Base::Done, ChargeError> chargeStream(ByteBudget& budget, const std::string& stream, uint64_t bytes, Base::TimePoint now)
+{
+    if (!reserve(budget, bytes))
+        return ChargeError { ChargeErrorKind::OverBudget, "the streams hold the whole of streamBudgetBytes", "abort the stream blocked longest" };
+    budget.streams().withShard(stream, [&](ByteBudget::Streams::Entries& entries) {
+        auto [entry, isNew] = entries.try_emplace(stream, BlockedStream { now, 0 });
+        entry->second.bytes += bytes;
+    });
+    return Base::Done {};
+}
+
+void releaseStream(ByteBudget& budget, const std::string& stream)
+{
+    auto bytes = budget.streams().withShard(stream, [&](ByteBudget::Streams::Entries& entries) -> uint64_t {
+        auto entry = entries.find(stream);
+        if (entry == entries.end())
+            return 0;
+        auto held = entry->second.bytes;
+        entries.erase(entry);
+        return held;
+    });
+    budget.held() -= bytes;
+}
+
+} // namespace Lavenderloft::Streaming::Commands
--- /dev/null
+++ b/Source/Streaming/Commands/ChargeStream.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "Base/Result.h"
+#include "Streaming/ByteBudget.h"
+
+namespace Lavenderloft::Streaming::Commands {
+
+enum class ChargeErrorKind {
+    // The streams together would hold more than the budget.
+    OverBudget,
+};
+
+using ChargeError = Base::Error<ChargeErrorKind>;
+
+// Charges the bytes that a stream holds until its reader has taken them. The budget is never exceeded.
+Base::Result<Base::Done, ChargeError> chargeStream(ByteBudget&, const std::string& stream, uint64_t bytes, Base::TimePoint now);
+
+// Releases what the stream holds.
+void releaseStream(ByteBudget&, const std::string& stream);
+
+} // namespace Lavenderloft::Streaming::Commands
--- /dev/null
+++ b/Source/Streaming/Queries/FindLongestBlocked.cpp
@@ -0,0 +1,18 @@
+#include "Streaming/Queries/FindLongestBlocked.h"
+
+namespace Lavenderloft::Streaming::Queries {
+
+std::optional<std::string> findLongestBlocked(const ByteBudget& budget)
+{
+    std::optional<std::string> longest;
+    Base::TimePoint since;
+    budget.streams().forEach([&](const std::string& stream, const BlockedStream& blocked) {
+        if (longest && blocked.since >= since)
+            return;
+        longest = stream;
+        since = blocked.since;
+    });
+    return longest;
+}
+
+} // namespace Lavenderloft::Streaming::Queries
--- /dev/null
+++ b/Source/Transport/TargetClient.cpp
@@ -0,0 +1,133 @@
+#include "Transport/TargetClient.h"
+
+#include "Observability/Log.h"
+#include "Routing/Events.h"
+#include "Transport/ExecuteCall.h"
+#include "Transport/TargetCodec.h"
+
+#include <atomic>
+
+namespace Lavenderloft::Transport {
+
+namespace {
+
+    // Design, section 4.10: a silent connection is found within 4 s.
+    constexpr int keepAliveTimeMs = 2000;
+    constexpr int keepAliveTimeoutMs = 2000;
+    constexpr int minimumReconnectMs = 100;
+    constexpr int maximumReconnectMs = 1000;
+
+    // What a stream may read ahead of its reader, and the largest message, in bytes.
+    constexpr int readAheadBytes = 32 * 1024;
+    constexpr int maximumMessageBytes = 1024 * 1024;
+
+    // Failures in a row after which the whole channel is replaced.
+    constexpr unsigned failuresUntilReplaced = 3;
+
+    grpc::ChannelArguments channelArguments()
+    {
+        grpc::ChannelArguments arguments;
+        arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, keepAliveTimeMs);
+        arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, keepAliveTimeoutMs);
+        arguments.SetInt(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
+        arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
+        arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, minimumReconnectMs);
+        arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, maximumReconnectMs);
+        arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, maximumReconnectMs);
+        // Without these a blocked stream could hold megabytes.
+        arguments.SetInt(GRPC_ARG_HTTP2_BDP_PROBE, 0);
+        arguments.SetInt(GRPC_ARG_HTTP2_STREAM_LOOKAHEAD_BYTES, readAheadBytes);
+        arguments.SetMaxReceiveMessageSize(maximumMessageBytes);
+        // A replaced channel must not share its predecessor's connection.
+        arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+        return arguments;
+    }
+
+    // A ResolveAttempt call under way.
+    struct ResolveCall {
+        grpc::ClientContext context;
+        v1::ResolveAttemptRequest request;
+        v1::ResolveAttemptResponse response;
+    };
+
+} // namespace
+
+struct TargetClient::Connection {
+    explicit Connection(const std::string& address)
+        : stub(v1::TargetService::NewStub(grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), channelArguments())))
+    {
+    }
+
+    std::shared_ptr<v1::TargetService::Stub> stub;
+    std::atomic<unsigned> failures { 0 };
+};
+
+TargetClient::TargetClient(std::string address)
+    : m_address(std::move(address))
+{
+}
+
+TargetClient::~TargetClient() = default;
+
+std::shared_ptr<TargetClient::Connection> TargetClient::connection()
+{
+    std::lock_guard guard(m_lock);
+    if (!m_connection)
+        m_connection = std::make_shared<Connection>(m_address);
+    return m_connection;
+}
+
+void TargetClient::callFinished(const std::shared_ptr<Connection>& connection, bool connectionWorked)
+{
+    if (connectionWorked) {
+        connection->failures = 0;
+        return;
+    }
+    if (++connection->failures < failuresUntilReplaced)
+        return;
+    std::lock_guard guard(m_lock);
+    if (m_connection != connection)
+        return;
+    m_connection.reset();
+    Observability::logEvent(Routing::ChannelReplaced, { { "address", m_address } });
+}
+
+std::shared_ptr<Routing::Attempt> TargetClient::open(const Routing::Admission& admission, std::shared_ptr<Routing::AttemptEvents> events)
+{
+    auto current = connection();
+    return std::make_shared<ExecuteCall>(current->stub, admission, std::move(events), [self = shared_from_this(), current](bool worked) {
+        self->callFinished(current, worked);
+    });
+}
+
+void TargetClient::resolve(const std::string& attemptId, const Routing::Permit& permit, Base::Duration timeout, std::function<void(Routing::Resolution)> done)
+{
+    auto call = std::make_shared<ResolveCall>();
+    call->request.set_attempt_id(attemptId);
+    call->request.set_permit_id(permit.id);
+    call->request.set_agent_incarnation(permit.agentIncarnation);
+    // The stream has just broken; the question waits for the connection to come back.
+    call->context.set_wait_for_ready(true);
+    call->context.set_deadline(std::chrono::system_clock::now() + timeout);
+    auto current = connection();
+    current->stub->async()->ResolveAttempt(&call->context, &call->request, &call->response, [call, current, done = std::move(done)](const grpc::Status& status) {
+        done(status.ok() ? decodeResolution(call->response) : Routing::Resolution {});
+    });
+}
+
+std::shared_ptr<Routing::TargetChannel> TargetClients::channelTo(const std::string& address)
+{
+    return m_clients.withShard(address, [&](auto& entries) {
+        auto& client = entries[address];
+        if (!client)
+            client = std::make_shared<TargetClient>(address);
+        return client;
+    });
+}
+
+void TargetClients::retain(const std::set<std::string>& addresses)
+{
+    m_clients.eraseIf([&](auto& address, auto&) { return !addresses.contains(address); });
+}
+
+} // namespace Lavenderloft::Transport
--- /dev/null
+++ b/Source/Transport/TargetClient.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "Base/ShardedMap.h"
+#include "Routing/TargetChannel.h"
+
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+
+namespace Lavenderloft::Transport {
+
+// The gRPC connection to one agent. Keep-alive pings find a connection that has gone silent; after
+// repeated failures the connection is replaced by a new one.
+class TargetClient final : public Routing::TargetChannel, public std::enable_shared_from_this<TargetClient> {
+public:
+    // The address is IP:port of the agent's inner port.
+    explicit TargetClient(std::string address);
+    ~TargetClient() override;
+
+    std::shared_ptr<Routing::Attempt> open(const Routing::Admission&, std::shared_ptr<Routing::AttemptEvents>) override;
+    void resolve(const std::string& attemptId, const Routing::Permit&, Base::Duration timeout, std::function<void(Routing::Resolution)>) override;
+
+private:
+    struct Connection;
+
+    std::shared_ptr<Connection> connection();
+    void callFinished(const std::shared_ptr<Connection>&, bool connectionWorked);
+
+    const std::string m_address;
+    std::mutex m_lock;
+    std::shared_ptr<Connection> m_connection;
+};
+
+// The clients of all agents, one for each address.
+class TargetClients final : public Routing::TargetChannels {
+public:
+    std::shared_ptr<Routing::TargetChannel> channelTo(const std::string& address) override;
+
+    // Closes the connections to all other addresses once their attempts have ended.
+    void retain(const std::set<std::string>& addresses);
+
+private:
+    Base::ShardedMap<std::string, std::shared_ptr<TargetClient>> m_clients;
+};
+
+} // namespace Lavenderloft::Transport
--- /dev/null
+++ b/Source/Transport/TargetCodec.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "Routing/TargetChannel.h"
+#include "lavenderloft.pb.h"
+
+// Transport turns the calls between processes into gRPC messages and back; it makes no decisions.
+namespace Lavenderloft::Transport {
+
+namespace v1 = ::lavenderloft::v1;
+
+v1::Admit encodeAdmission(const Routing::Admission&);
+v1::RequestHead encodeHead(const std::string& permitId, const Routing::CallerRequest&);
+
+Routing::Permit decodePermit(const v1::Permit&);
+Routing::Refusal decodeRefusal(const v1::Refusal&);
+Routing::AnswerHead decodeHead(v1::ResponseHead&&);
+Routing::AnswerEnd decodeEnd(const v1::ResponseEnd&);
+Routing::Resolution decodeResolution(const v1::ResolveAttemptResponse&);
+Membership::TargetLoad decodeLoad(const v1::TargetLoad&);
+
+} // namespace Lavenderloft::Transport
