Test each failure of the live path with a fake clock and fake targets

Cause: the failure sentences of the design (sections 4.2, 4.8 and 4.10) had no checks. Change: tests for refusals, broken streams, crossed, doubled, late and truncated frames, at-most-once over random faults, the retry budget, quarantine, data centres taken out, key homes, headers and slow readers. Attempts that break are limited to three for each request, because one unreachable home would otherwise have used eight retries of the shared budget.

--- a/Source/Routing/Queries/DecideRetry.cpp
+++ b/Source/Routing/Queries/DecideRetry.cpp
@@ -23,7 +23,7 @@
 {
     if (facts.answerStarted)
         return RetryVerdict::Cut;
-    bool exhausted = facts.attempts >= maximumAttempts;
+    bool exhausted = facts.attempts >= maximumAttempts || facts.breaks >= maximumBreaks;
     switch (facts.failure) {
     case FailureKind::RefusedForGood:
         return failure(facts);
--- a/Source/Routing/Queries/DecideRetry.h
+++ b/Source/Routing/Queries/DecideRetry.h
@@ -8,6 +8,9 @@
 // Attempts for one request, refusals included.
 inline constexpr unsigned maximumAttempts = 8;
 
+// Attempts for one request that broke, so that a target that can't be reached doesn't use up the budget.
+inline constexpr unsigned maximumBreaks = 3;
+
 // Refusals for load after which further attempts are paid from the retry budget.
 inline constexpr unsigned freeLoadRefusals = 2;
 
@@ -35,6 +38,8 @@
     // Whether an earlier attempt of the request may have run.
     bool mayHaveRun = false;
     unsigned attempts = 0;
+    // Attempts that broke, this one included.
+    unsigned breaks = 0;
     unsigned loadRefusals = 0;
     DesiredState::PriorityClass priorityClass = DesiredState::PriorityClass::Interactive;
 };
--- a/Source/Routing/RequestCoordinator.cpp
+++ b/Source/Routing/RequestCoordinator.cpp
@@ -302,6 +302,7 @@
     facts.answerStarted = m_answerStarted;
     facts.mayHaveRun = m_mayHaveRun;
     facts.attempts = m_attempts;
+    facts.breaks = m_breaks;
     facts.loadRefusals = m_loadRefusals;
     facts.priorityClass = m_request.priorityClass;
     switch (Queries::decideRetry(facts)) {
@@ -378,6 +379,7 @@
     m_tried.clear();
     m_refused.clear();
     m_attempts = 0;
+    m_breaks = 0;
     m_loadRefusals = 0;
 }
 
@@ -496,6 +498,7 @@
 
 void RequestCoordinator::recordBreak(const std::string& reason)
 {
+    ++m_breaks;
     logEvent(AttemptBroken, { { "request", m_request.id }, { "target", m_target->vm() }, { "sent", isSent() }, { "reason", reason } });
     m_context.metrics.count("attempts_broken_total", { { "destination", m_request.destination } });
 }
--- a/Source/Routing/RequestCoordinator.h
+++ b/Source/Routing/RequestCoordinator.h
@@ -105,6 +105,7 @@
     // Those of the tried targets that refused.
     Targets m_refused;
     unsigned m_attempts = 0;
+    unsigned m_breaks = 0;
     unsigned m_loadRefusals = 0;
     bool m_mayHaveRun = false;
     bool m_answerStarted = false;
--- /dev/null
+++ b/Tests/Routing/CoordinatorTest.cpp
@@ -0,0 +1,297 @@
+#include "Routing/RoutingFixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace Lavenderloft;
+using namespace Lavenderloft::Routing;
+using namespace std::chrono_literals;
+
+// Guards against a refusal that reaches the caller although another target is free.
+Test(Coordinator, triesAnotherTargetAfterARefusal)
+{
+    RoutingFixture fixture;
+    auto caller = fixture.start(fixture.poolRequest());
+    fixture.channels.last().refuse(RefusalKind::AtLimit);
+    cr_assert_eq(fixture.channels.attempts.size(), 2);
+    cr_assert(fixture.channels.attempts[0]->address != fixture.channels.attempts[1]->address);
+    cr_assert(fixture.channels.attempts[0]->id() != fixture.channels.attempts[1]->id());
+    fixture.channels.last().permit();
+    fixture.channels.last().answer("hello");
+    cr_assert(caller->whole);
+    cr_assert(caller->body == "hello");
+    cr_assert_eq(fixture.running.size(), 0);
+}
+
+// Guards against a request lost when the stream breaks before its body was sent.
+Test(Coordinator, triesAgainWhenTheStreamBreaksBeforeTheBody)
+{
+    RoutingFixture fixture;
+    auto caller = fixture.start(fixture.poolRequest());
+    fixture.channels.last().breakOff();
+    cr_assert_not(caller->isOver());
+    fixture.channels.last().permit();
+    fixture.channels.last().answer("hello");
+    cr_assert(caller->whole);
+}
+
+// Guards against an unreachable key home being reported as anything but 'not run'.
+Test(Coordinator, reportsNotRunWhenTheHomeIsUnreachable)
+{
+    RoutingFixture fixture;
+    fixture.channels.onStart = [](FakeAttempt& attempt) { attempt.breakOff(); };
+    auto caller = fixture.start(fixture.booking("k1"));
+    cr_assert(caller->error);
+    cr_assert(caller->error->code == ErrorCode::HomeUnreachable);
+    cr_assert(caller->error->outcome == Outcome::NotRun);
+    for (auto& attempt : fixture.channels.attempts)
+        cr_assert(attempt->address == fixture.channels.attempts[0]->address, "only the key's home may run the call");
+}
+
+// Guards against the loss of a repeatable call, and against a break after the head reaching the caller.
+Test(Coordinator, repeatsACallWhoseStreamBrokeBeforeTheFirstByte)
+{
+    RoutingFixture fixture;
+    auto caller = fixture.start(fixture.poolRequest());
+    fixture.channels.last().permit();
+    fixture.channels.last().head();
+    fixture.channels.last().breakOff();
+    cr_assert_eq(fixture.channels.attempts.size(), 2);
+    cr_assert_not(caller->started);
+    fixture.channels.last().permit();
+    fixture.channels.last().answer("hello");
+    cr_assert(caller->whole);
+    cr_assert(caller->body == "hello");
+}
+
+// Guards against a second answer being appended to a part of the first.
+Test(Coordinator, cutsAnAnswerThatBreaksAfterItsFirstByte)
+{
+    RoutingFixture fixture;
+    auto caller = fixture.start(fixture.poolRequest());
+    fixture.channels.last().permit();
+    fixture.channels.last().head();
+    fixture.channels.last().data("hel");
+    fixture.channels.last().breakOff();
+    cr_assert(caller->aborted);
+    cr_assert_not(caller->whole);
+    cr_assert_eq(fixture.channels.attempts.size(), 1);
+}
+
+// Guards against frames of other attempts, repeated heads and frames after the end reaching a caller.
+Test(Coordinator, dropsCrossedDoubledAndLateFrames)
+{
+    RoutingFixture fixture;
+    auto caller = fixture.start(fixture.poolRequest());
+    auto& attempt = fixture.channels.last();
+    attempt.permit();
+    attempt.head();
+    attempt.head();
+    attempt.events->head({ "other", 500, {}, RoutingFixture::digest, false });
+    bool resumed = false;
+    attempt.events->data({ "other", "crossed" }, [&] { resumed = true; });
+    cr_assert(resumed, "a dropped frame must not stop the stream");
+    attempt.data("hello");
+    attempt.events->ended({ "other", EndKind::Complete, 5, "", false });
+    cr_assert_not(caller->whole);
+    attempt.end(5);
+    cr_assert(caller->whole);
+    attempt.data("late");
+    attempt.end(9);
+    cr_assert(caller->body == "hello");
+    cr_assert(fixture.metrics.serialize().find("frames_dropped_total{frame=\"data\"} 2") != std::string::npos);
+}
+
+// Guards against frames of an earlier attempt that arrive while the next one runs.
+Test(Coordinator, dropsFramesOfAnEarlierAttempt)
+{
+    RoutingFixture fixture;
+    auto caller = fixture.start(fixture.poolRequest());
+    auto first = fixture.channels.attempts[0];
+    first->permit();
+    first->breakOff();
+    fixture.channels.last().permit();
+    first->answer("late answer");
+    fixture.channels.last().answer("hello");
+    cr_assert(caller->whole);
+    cr_assert(caller->body == "hello");
+}
+
+// Guards against truncated and doubled answers being taken for whole.
+Test(Coordinator, neverCompletesAnAnswerOfTheWrongLength)
+{
+    for (uint64_t total : { 4, 6, 10 }) {
+        RoutingFixture fixture;
+        auto caller = fixture.start(fixture.poolRequest());
+        fixture.channels.last().permit();
+        fixture.channels.last().head();
+        fixture.channels.last().data("hello");
+        fixture.channels.last().end(total);
+        cr_assert(caller->aborted);
+        cr_assert_not(caller->whole);
+    }
+    RoutingFixture fixture;
+    auto caller = fixture.start(fixture.poolRequest());
+    fixture.channels.last().permit();
+    fixture.channels.last().end(0);
+    cr_assert_not(caller->isOver(), "an end without a head is tried again elsewhere");
+}
+
+// Guards against an answer from other weights than the pool's (invariant I1).
+Test(Coordinator, refusesAnAnswerFromOtherWeights)
+{
+    RoutingFixture fixture;
+    auto caller = fixture.start(fixture.poolRequest());
+    auto first = fixture.channels.attempts[0];
+    first->permit();
+    first->events->head({ first->id(), 200, {}, "another digest", false });
+    cr_assert(first->cancelled);
+    cr_assert_eq(fixture.channels.attempts.size(), 2);
+    cr_assert_not(caller->started);
+}
+
+// Guards against 'not run' for a call that may have run, and against a second run of it.
+Test(Coordinator, resolvesABrokenCallThatMayNotBeRepeated)
+{
+    struct Case {
+        Resolution resolution;
+        Outcome outcome;
+        size_t attempts;
+    };
+    for (auto& expected : { Case { { AttemptOutcome::Unknown, 1 }, Outcome::Unknown, 1 }, Case { { AttemptOutcome::Running, 1 }, Outcome::Unknown, 1 },
+             Case { { AttemptOutcome::Complete, 1 }, Outcome::Complete, 1 }, Case { { AttemptOutcome::NotRun, 2 }, Outcome::Unknown, 1 } }) {
+        RoutingFixture fixture;
+        fixture.channels.onResolve = [&](auto&) { return expected.resolution; };
+        auto caller = fixture.start(fixture.booking("k1"));
+        fixture.channels.last().permit();
+        fixture.channels.last().breakOff();
+        cr_assert(caller->error);
+        cr_assert(caller->error->outcome == expected.outcome);
+        cr_assert_eq(fixture.channels.attempts.size(), expected.attempts);
+    }
+    RoutingFixture fixture;
+    fixture.channels.onResolve = [](auto&) { return Resolution { AttemptOutcome::NotRun, 1 }; };
+    auto caller = fixture.start(fixture.booking("k1"));
+    fixture.channels.last().permit();
+    fixture.channels.last().breakOff();
+    cr_assert_not(caller->isOver(), "a revoked permit is certain, so the home is asked again");
+    cr_assert(fixture.channels.attempts[0]->address == fixture.channels.attempts[1]->address);
+}
+
+// Guards against a deadline that turns a call that may have run into 'not run'.
+Test(Coordinator, tellsTheOutcomeAtTheDeadline)
+{
+    RoutingFixture fixture;
+    auto waiting = fixture.start(fixture.booking("k1"));
+    auto sent = fixture.start(fixture.booking("k2"));
+    fixture.channels.attempts[1]->permit();
+    fixture.pass(31s);
+    cr_assert(waiting->error->code == ErrorCode::DeadlineExceeded);
+    cr_assert(waiting->error->outcome == Outcome::NotRun);
+    cr_assert(fixture.channels.attempts[0]->cancelled);
+    cr_assert(sent->error->outcome == Outcome::Unknown);
+    fixture.channels.attempts[0]->permit();
+    cr_assert_not(fixture.channels.attempts[0]->sent, "a permit after the deadline must not be used");
+}
+
+// Guards against a body sent for a caller that was already told 'not run', over random faults:
+// a call that may not be repeated runs at most once, and 'not run' is true whenever it is said.
+Test(Coordinator, runsACallAtMostOnceUnderBrokenStreams)
+{
+    RoutingFixture fixture(5, 64 * 1024 * 1024, 4711);
+    std::map<std::string, unsigned> runs;
+    std::map<std::string, AttemptOutcome> outcomes;
+    fixture.channels.onStart = [&](FakeAttempt& attempt) {
+        auto dice = fixture.random.below(10);
+        if (dice == 0)
+            return attempt.breakOff();
+        if (dice == 1)
+            return attempt.refuse(RefusalKind::AtLimit);
+        attempt.permit();
+    };
+    fixture.channels.onSend = [&](FakeAttempt& attempt) {
+        auto dice = fixture.random.below(10);
+        outcomes[attempt.id()] = dice < 2 ? AttemptOutcome::NotRun : AttemptOutcome::Unknown;
+        if (dice >= 2)
+            ++runs[attempt.admission.key];
+        if (dice < 6)
+            return attempt.breakOff();
+        attempt.answer("booked");
+    };
+    fixture.channels.onResolve = [&](const std::string& id) { return fixture.random.below(3) ? Resolution { outcomes[id], 1 } : Resolution {}; };
+    unsigned notRun = 0;
+    unsigned unknown = 0;
+    for (int i = 0; i < 2000; ++i) {
+        auto key = "key-" + std::to_string(i);
+        auto caller = fixture.start(fixture.booking(key));
+        cr_assert(caller->isOver());
+        cr_assert_leq(runs[key], 1);
+        cr_assert(!caller->whole || runs[key] == 1);
+        bool saidNotRun = caller->error && caller->error->outcome == Outcome::NotRun;
+        cr_assert(!saidNotRun || runs[key] == 0);
+        notRun += saidNotRun;
+        unknown += caller->error && caller->error->outcome == Outcome::Unknown;
+    }
+    cr_assert_gt(notRun, 0);
+    cr_assert_gt(unknown, 0);
+}
+
+// Guards against retries that multiply the traffic while every target fails.
+Test(Coordinator, holdsARetryStormWithinTheBudget)
+{
+    RoutingFixture fixture(10);
+    fixture.channels.onStart = [](FakeAttempt& attempt) { attempt.permit(); };
+    fixture.channels.onSend = [](FakeAttempt& attempt) { attempt.breakOff(); };
+    constexpr size_t requests = 5000;
+    for (size_t i = 0; i < requests; ++i) {
+        auto caller = fixture.start(fixture.poolRequest(std::to_string(i)));
+        cr_assert(caller->error);
+        cr_assert(caller->error->outcome == Outcome::Unknown);
+    }
+    cr_assert_leq(fixture.channels.attempts.size(), requests + requests / RetryBudget::requestsPerRetry + RetryBudget::burstRetries);
+    fixture.channels.attempts.clear();
+    fixture.channels.onStart = [](FakeAttempt& attempt) { attempt.refuse(RefusalKind::AtLimit); };
+    for (size_t i = 0; i < requests; ++i)
+        fixture.start(fixture.poolRequest(std::to_string(i)));
+    cr_assert_leq(fixture.channels.attempts.size(), requests * Queries::freeLoadRefusals + requests / RetryBudget::requestsPerRetry + RetryBudget::burstRetries);
+}
+
+// Guards against a hazard message lost because all targets were busy for a moment.
+Test(Coordinator, letsAHazardMessageWaitForATarget)
+{
+    RoutingFixture fixture(1);
+    auto request = fixture.poolRequest();
+    request.priorityClass = DesiredState::PriorityClass::Hazard;
+    auto caller = fixture.start(std::move(request));
+    fixture.channels.last().refuse(RefusalKind::AtLimit);
+    cr_assert_not(caller->isOver());
+    fixture.pass(60ms);
+    cr_assert_eq(fixture.channels.attempts.size(), 2);
+    fixture.channels.last().permit();
+    fixture.channels.last().answer("ice on the bridge");
+    cr_assert(caller->whole);
+    auto summary = fixture.start(fixture.poolRequest());
+    fixture.channels.last().refuse(RefusalKind::AtLimit);
+    cr_assert(summary->error);
+    cr_assert(summary->error->code == ErrorCode::NoTarget || summary->error->code == ErrorCode::AtLimit);
+    cr_assert(summary->error->outcome == Outcome::NotRun);
+}
+
+// Guards against a caller's departure that leaves an attempt running, or that stops a booking half way.
+Test(Coordinator, cancelsOnlyRepeatableCallsWhenTheCallerLeaves)
+{
+    RoutingFixture fixture;
+    auto repeatable = fixture.poolRequest();
+    auto booking = fixture.booking("k1");
+    auto repeatableId = repeatable.id;
+    auto bookingId = booking.id;
+    fixture.start(std::move(repeatable));
+    fixture.channels.last().permit();
+    (*fixture.running.find(repeatableId))->callerGone();
+    cr_assert(fixture.channels.attempts[0]->cancelled);
+    fixture.start(std::move(booking));
+    fixture.channels.last().permit();
+    (*fixture.running.find(bookingId))->callerGone();
+    cr_assert_not(fixture.channels.attempts[1]->cancelled);
+    fixture.channels.last().answer("booked");
+    cr_assert_eq(fixture.running.size(), 0);
+}
--- /dev/null
+++ b/Tests/Routing/QuarantineTest.cpp
@@ -0,0 +1,112 @@
+#include "Routing/Commands/RecordCrash.h"
+#include "Routing/Queries/FindQuarantine.h"
+#include "Routing/RoutingFixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace Lavenderloft;
+using namespace Lavenderloft::Routing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr uint64_t culprit = 1;
+constexpr uint64_t innocent = 2;
+
+void crash(QuarantineTable& table, const std::string& target, std::initializer_list<uint64_t> running, Base::TimePoint now)
+{
+    for (auto fingerprint : running)
+        Commands::recordRunStart(table, target, fingerprint);
+    for (auto fingerprint : running)
+        Commands::recordCrash(table, target, fingerprint, now);
+    for (auto fingerprint : running)
+        Commands::recordRunEnd(table, target, fingerprint);
+}
+
+} // namespace
+
+// Guards against a request that crashes one target after the other, and against the blame of requests
+// that ran beside it.
+Test(Quarantine, blamesOnlyTheRequestCommonToTwoCrashes)
+{
+    Base::ManualClock clock;
+    QuarantineTable table;
+    crash(table, "t1", { culprit, innocent, 3 }, clock.now());
+    crash(table, "t1", { culprit, 4 }, clock.now() + 10s);
+    cr_assert_not(Queries::isQuarantined(table, culprit, clock.now()), "crashes of one target alone prove nothing");
+    crash(table, "t2", { culprit, 5 }, clock.now());
+    cr_assert(Queries::isQuarantined(table, culprit, clock.now()));
+    for (uint64_t other : { innocent, uint64_t(3), uint64_t(4), uint64_t(5) })
+        cr_assert_not(Queries::isQuarantined(table, other, clock.now()));
+}
+
+// Guards against blame when two requests ran at both crashes, whatever the order of the reports.
+Test(Quarantine, blamesNobodyWhileTwoRequestsAreCommon)
+{
+    Base::ManualClock clock;
+    QuarantineTable table;
+    crash(table, "t1", { innocent, culprit }, clock.now());
+    Commands::recordRunStart(table, "t2", innocent);
+    Commands::recordRunStart(table, "t2", culprit);
+    Commands::recordCrash(table, "t2", innocent, clock.now());
+    cr_assert_not(Queries::isQuarantined(table, innocent, clock.now()), "the first report must count all that ran");
+    Commands::recordCrash(table, "t2", culprit, clock.now());
+    cr_assert_not(Queries::isQuarantined(table, culprit, clock.now()));
+    crash(table, "t3", { culprit }, clock.now());
+    cr_assert(Queries::isQuarantined(table, culprit, clock.now()));
+    cr_assert_not(Queries::isQuarantined(table, innocent, clock.now()));
+}
+
+// Guards against a quarantine without end and a table that grows without bound.
+Test(Quarantine, forgetsAndStaysBounded)
+{
+    Base::ManualClock clock;
+    QuarantineTable table;
+    crash(table, "t1", { culprit }, clock.now());
+    crash(table, "t2", { culprit }, clock.now());
+    cr_assert(Queries::isQuarantined(table, culprit, clock.now()));
+    clock.advance(QuarantineTable::retention);
+    cr_assert_not(Queries::isQuarantined(table, culprit, clock.now()));
+    Commands::forgetOldCrashes(table, clock.now());
+    cr_assert_eq(table.crashes().size(), 0);
+    for (int i = 0; i < 1000; ++i)
+        crash(table, "target-" + std::to_string(i), { culprit }, clock.now());
+    cr_assert_leq(table.crashes().size(), QuarantineTable::maximumTargets);
+    cr_assert_eq(table.underWay().size(), 0);
+}
+
+// Guards against a request that crashes targets through several routers, and against a conviction from
+// reports of which some are still under way.
+Test(Quarantine, sharesSuspicionsBetweenRouters)
+{
+    Base::ManualClock clock;
+    QuarantineTable first;
+    QuarantineTable second;
+    crash(first, "t1", { culprit, innocent }, clock.now());
+    crash(second, "t2", { culprit }, clock.now());
+    Commands::mergeSuspicions(second, Queries::listSuspicions(first, clock.now()), clock.now());
+    cr_assert_not(Queries::isQuarantined(second, culprit, clock.now()));
+    clock.advance(QuarantineTable::exchangeTime);
+    cr_assert(Queries::isQuarantined(second, culprit, clock.now()));
+    cr_assert_not(Queries::isQuarantined(second, innocent, clock.now()));
+    auto before = Queries::listSuspicions(second, clock.now());
+    Commands::mergeSuspicions(second, before, clock.now());
+    cr_assert(Queries::isQuarantined(second, culprit, clock.now()), "a repeated exchange must not restart the wait");
+}
+
+// Guards against a third target lost to a request that has crashed two.
+Test(Quarantine, stopsARequestAfterTwoCrashes)
+{
+    RoutingFixture fixture(5);
+    fixture.channels.onStart = [](FakeAttempt& attempt) { attempt.permit(); };
+    fixture.channels.onSend = [](FakeAttempt& attempt) { attempt.crashEngine(); };
+    auto caller = fixture.start(fixture.poolRequest("poison"));
+    cr_assert_eq(fixture.channels.attempts.size(), 2);
+    cr_assert(caller->error->code == ErrorCode::Quarantined);
+    auto again = fixture.start(fixture.poolRequest("poison"));
+    cr_assert_eq(fixture.channels.attempts.size(), 2);
+    cr_assert(again->error->code == ErrorCode::Quarantined);
+    cr_assert(again->error->outcome == Outcome::NotRun);
+    fixture.channels.onSend = [](FakeAttempt& attempt) { attempt.answer("fine"); };
+    cr_assert(fixture.start(fixture.poolRequest("harmless"))->whole);
+}
--- /dev/null
+++ b/Tests/Routing/SelectionTest.cpp
@@ -0,0 +1,170 @@
+#include "Base/RendezvousHash.h"
+#include "Routing/Queries/ReadRequest.h"
+#include "Routing/Queries/SelectTarget.h"
+#include "Routing/RoundRobinPolicy.h"
+#include "Routing/RoutingFixture.h"
+
+#include <criterion/criterion.h>
+#include <set>
+
+using namespace Lavenderloft;
+using namespace Lavenderloft::Routing;
+using namespace std::chrono_literals;
+
+namespace {
+
+Queries::Selection select(RoutingFixture& fixture, const Targets& tried = {})
+{
+    return Queries::selectTarget(fixture.targets, fixture.poolRequest(), tried, fixture.policy, fixture.random, fixture.clock.now());
+}
+
+std::set<std::string> targetsOf(RoutingFixture& fixture, const TargetPolicy& policy, int draws = 500)
+{
+    std::set<std::string> vms;
+    for (int i = 0; i < draws; ++i) {
+        auto selection = Queries::selectTarget(fixture.targets, fixture.poolRequest(), {}, policy, fixture.random, fixture.clock.now());
+        if (selection.target)
+            vms.insert(selection.target->vm());
+    }
+    return vms;
+}
+
+void addMembers(RoutingFixture& fixture, const std::string& prefix, unsigned count, const std::string& dataCentre, const std::string& region)
+{
+    for (unsigned i = 1; i <= count; ++i)
+        fixture.members.push_back(RoutingFixture::makeMember(prefix + std::to_string(i), dataCentre, region, "pool", RoutingFixture::digest));
+    fixture.update();
+}
+
+Base::Result<LiveRequest, RoutingError> read(RoutingFixture& fixture, std::string path, Headers headers)
+{
+    CallerRequest message { "POST", std::move(path), std::move(headers), "body" };
+    return Queries::readRequest(std::move(message), fixture.document, { fixture.clock.now(), fixture.clock.wallTime() }, fixture.random);
+}
+
+} // namespace
+
+// Guards against new work for a data centre taken out, a drained or leaving VM, one with other weights
+// and one that does not accept (invariants I3 and I7).
+Test(Selection, givesNothingToTargetsThatTakeNoWork)
+{
+    RoutingFixture fixture(1);
+    addMembers(fixture, "out", 3, "dc-2", "r-1");
+    addMembers(fixture, "bad", 4, "dc-1", "r-1");
+    fixture.document.dataCentres[1].state = DesiredState::DataCentreState::Out;
+    fixture.document.drains = { "bad1" };
+    for (auto& member : fixture.members) {
+        if (member.vm == "bad2")
+            member.status = Membership::Status::Leaving;
+        if (member.vm == "bad3")
+            member.replicas[0].servingDigest = "old";
+        if (member.vm == "bad4")
+            member.load.accepting = false;
+    }
+    fixture.update();
+    cr_assert(targetsOf(fixture, fixture.policy) == std::set<std::string> { "t1" });
+    cr_assert(targetsOf(fixture, RoundRobinPolicy()) == std::set<std::string> { "t1" });
+    fixture.document.dataCentres[0].state = DesiredState::DataCentreState::Out;
+    fixture.document.dataCentres[1].state = DesiredState::DataCentreState::In;
+    fixture.update();
+    cr_assert(targetsOf(fixture, fixture.policy) == (std::set<std::string> { "out1", "out2", "out3" }), "a data centre that is back gets work again");
+}
+
+// Guards against traffic over thin links while near targets are free, and against a tier that is never left.
+Test(Selection, usesNearTiersFirstAndLeavesThemAfterRefusals)
+{
+    RoutingFixture fixture(4);
+    addMembers(fixture, "region", 4, "dc-2", "r-1");
+    addMembers(fixture, "far", 4, "dc-3", "r-2");
+    Targets tried;
+    std::vector<std::string_view> reasons;
+    for (int i = 0; i < 6; ++i) {
+        auto selection = select(fixture, tried);
+        tried.push_back(selection.target);
+        reasons.push_back(selection.reason);
+    }
+    cr_assert(reasons == (std::vector<std::string_view> { "same-data-centre", "same-data-centre", "same-region", "same-region", "other-region", "other-region" }));
+}
+
+// Guards against a full mesh at the planned size, and against a subset without a way out of the data centre.
+Test(Selection, keepsASubsetOfALargePool)
+{
+    RoutingFixture fixture(0);
+    addMembers(fixture, "near", 200, "dc-1", "r-1");
+    addMembers(fixture, "far", 200, "dc-3", "r-2");
+    auto subset = *fixture.targets.pools().find("pool");
+    auto far = std::count_if(subset->begin(), subset->end(), [](auto& target) { return target->tier() == Tier::OtherRegion; });
+    cr_assert_eq(subset->size(), Commands::subsetSize);
+    cr_assert_eq(far, Commands::subsetReserve);
+}
+
+// Guards against a load report that is ignored, and a prefix hint that overloads a target.
+Test(Selection, prefersTheLessLoadedTarget)
+{
+    RoutingFixture fixture(2);
+    auto load = [&](const std::string& vm, unsigned running) {
+        (*fixture.targets.vms().find(vm))->setLoad({ running, 16, 0, 0, true });
+    };
+    load("t1", 16);
+    load("t2", 1);
+    cr_assert(targetsOf(fixture, fixture.policy) == std::set<std::string> { "t2" });
+    auto request = fixture.poolRequest();
+    request.prefix = 5;
+    auto choose = [&] { return Queries::selectTarget(fixture.targets, request, {}, fixture.policy, fixture.random, fixture.clock.now()).target->vm(); };
+    load("t1", 4);
+    load("t2", 4);
+    auto holder = choose();
+    auto other = holder == "t1" ? "t2" : "t1";
+    load(holder, 6);
+    cr_assert(choose() == holder, "1.5 times the load is within the hint's limit");
+    load(holder, 7);
+    cr_assert(choose() == other);
+}
+
+// Guards against two homes for one key, and a home that moves when the state of VMs changes.
+Test(Selection, keepsTheKeyHomeWhileVmsComeAndGo)
+{
+    RoutingFixture fixture(5);
+    auto request = fixture.booking("k1");
+    auto home = Queries::keyHome(request);
+    auto chosen = [&] { return Queries::selectTarget(fixture.targets, request, {}, fixture.policy, fixture.random, fixture.clock.now()).target; };
+    cr_assert(chosen()->vm() == home);
+    std::erase_if(fixture.members, [&](auto& member) { return member.vm == home; });
+    fixture.update();
+    cr_assert_not(chosen(), "a key whose home is gone must not run elsewhere");
+}
+
+// Guards against headers that are guessed at or ignored.
+Test(ReadRequest, readsHeadersAndNamesTheOneAtFault)
+{
+    RoutingFixture fixture;
+    fixture.document.routes = { { "/pool", DesiredState::RouteKind::ToPool, "pool", true, {} }, { "/ledger", DesiredState::RouteKind::ToService, "ledger", false, {} } };
+    auto good = read(fixture, "/pool", { { "x-organisation", "school-2" }, { "X-Priority", "hazard" }, { "X-Deadline-Ms", "1500" } });
+    cr_assert(Base::succeeded(good));
+    cr_assert(Base::valueOf(good).organisation == "school-2");
+    cr_assert(Base::valueOf(good).priorityClass == DesiredState::PriorityClass::Hazard);
+    cr_assert(Base::valueOf(good).deadline == fixture.clock.now() + 1500ms);
+    for (auto& header : Headers { { "X-Priority", "urgent" }, { "X-Deadline-Ms", "-1" }, { "X-Deadline-Ms", "10s" }, { "X-Organisation", "" }, { "Idempotency-Key", std::string(200, 'k') } }) {
+        auto bad = read(fixture, "/ledger", { header });
+        cr_assert_not(Base::succeeded(bad));
+        cr_assert(Base::errorOf(bad).code == ErrorCode::MalformedHeader);
+        cr_assert(Base::errorOf(bad).message.find(header.name) != std::string::npos);
+    }
+    cr_assert(Base::errorOf(read(fixture, "/other", {})).code == ErrorCode::NoRoute);
+}
+
+// Guards against two calls without a key sharing one, which would suppress the second.
+Test(ReadRequest, givesEachCallWithoutAKeyOneOfItsOwn)
+{
+    RoutingFixture fixture;
+    fixture.document.routes = { { "/ledger", DesiredState::RouteKind::ToService, "ledger", false, {} } };
+    auto first = Base::valueOf(read(fixture, "/ledger", {})).key;
+    auto second = Base::valueOf(read(fixture, "/ledger", {})).key;
+    cr_assert(first != second);
+    cr_assert_eq(first.size(), 36);
+    cr_assert_eq(first[14], '7');
+    auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(fixture.clock.wallTime().time_since_epoch()).count();
+    cr_assert_eq(std::stoll(first.substr(0, 8) + first.substr(9, 4), nullptr, 16), milliseconds);
+    fixture.document.services[0].paused = true;
+    cr_assert(Base::errorOf(read(fixture, "/ledger", {})).code == ErrorCode::ServicePaused);
+}
--- /dev/null
+++ b/Tests/Streaming/ByteBudgetTest.cpp
@@ -0,0 +1,93 @@
+#include "Routing/RoutingFixture.h"
+#include "Streaming/Commands/ChargeStream.h"
+#include "Streaming/Queries/FindLongestBlocked.h"
+
+#include <criterion/criterion.h>
+#include <thread>
+
+using namespace Lavenderloft;
+using namespace std::chrono_literals;
+
+// Guards against a sum that exceeds the budget or drifts when streams end.
+Test(ByteBudget, neverExceedsItsLimit)
+{
+    Base::ManualClock clock;
+    Streaming::ByteBudget budget(1000);
+    cr_assert(Base::succeeded(Streaming::Commands::chargeStream(budget, "a", 600, clock.now())));
+    clock.advance(1ms);
+    cr_assert(Base::succeeded(Streaming::Commands::chargeStream(budget, "b", 400, clock.now())));
+    cr_assert_not(Base::succeeded(Streaming::Commands::chargeStream(budget, "c", 1, clock.now())));
+    cr_assert(Streaming::Queries::findLongestBlocked(budget) == "a");
+    Streaming::Commands::releaseStream(budget, "a");
+    Streaming::Commands::releaseStream(budget, "a");
+    cr_assert(Streaming::Queries::findLongestBlocked(budget) == "b");
+    Streaming::Commands::releaseStream(budget, "b");
+    cr_assert_eq(budget.heldBytes(), 0);
+}
+
+// Guards against threads that together exceed the budget.
+Test(ByteBudget, holdsUnderSeveralThreads)
+{
+    Base::ManualClock clock;
+    Streaming::ByteBudget budget(10000);
+    auto work = [&](const std::string& name) {
+        for (int i = 0; i < 2000; ++i) {
+            auto stream = name + std::to_string(i % 50);
+            if (!Base::succeeded(Streaming::Commands::chargeStream(budget, stream, 700, clock.now())))
+                Streaming::Commands::releaseStream(budget, stream);
+        }
+        for (int i = 0; i < 50; ++i)
+            Streaming::Commands::releaseStream(budget, name + std::to_string(i));
+    };
+    std::thread first(work, "a");
+    std::thread second(work, "b");
+    first.join();
+    second.join();
+    cr_assert_leq(budget.peakBytes(), budget.limitBytes());
+    cr_assert_eq(budget.heldBytes(), 0);
+}
+
+// Guards against memory that grows with the number of slow readers, against cutting any other stream
+// than the one blocked longest, and against a cut answer that looks whole.
+Test(SlowReaders, stayWithinTheBudget)
+{
+    constexpr uint64_t partBytes = 32 * 1024;
+    constexpr uint64_t budgetBytes = 640 * 1024;
+    Routing::RoutingFixture fixture(3, budgetBytes);
+    std::vector<std::shared_ptr<Routing::FakeCaller>> callers;
+    std::vector<std::shared_ptr<Routing::FakeAttempt>> attempts;
+    for (int i = 0; i < 100; ++i) {
+        callers.push_back(fixture.start(fixture.poolRequest(std::to_string(i)), false));
+        attempts.push_back(fixture.channels.attempts.back());
+        attempts.back()->permit();
+        attempts.back()->head();
+        attempts.back()->data(std::string(partBytes, 'x'));
+        fixture.clock.advance(1ms);
+        cr_assert_leq(fixture.byteBudget.heldBytes(), budgetBytes);
+    }
+    for (int i = 0; i < 100; ++i) {
+        cr_assert_eq(callers[i]->aborted, i < 90, "the ten newest streams fit into the budget");
+        cr_assert_eq(attempts[i]->cancelled, i < 90);
+        cr_assert_not(callers[i]->whole);
+    }
+    auto fast = fixture.start(fixture.poolRequest("fast"));
+    fixture.channels.last().permit();
+    fixture.channels.last().answer("hello");
+    cr_assert(fast->whole);
+}
+
+// Guards against a stream that is read on although its reader has not taken the last part.
+Test(SlowReaders, giveBackPressureToTheTarget)
+{
+    Routing::RoutingFixture fixture;
+    auto caller = fixture.start(fixture.poolRequest(), false);
+    auto& attempt = fixture.channels.last();
+    attempt.permit();
+    attempt.head();
+    bool resumed = false;
+    attempt.events->data({ attempt.id(), "part" }, [&] { resumed = true; });
+    cr_assert_not(resumed);
+    caller->pending(true);
+    cr_assert(resumed);
+    cr_assert_eq(fixture.byteBudget.heldBytes(), 0);
+}
