--- a/Source/Routing/RequestCoordinator.cpp
+++ b/Source/Routing/RequestCoordinator.cpp
@@ -91,7 +91,7 @@
     if (now >= m_request.deadline)
         return fail(std::move(lock), { ErrorCode::DeadlineExceeded, "the deadline passed before a target took the request", "send a longer X-Deadline-Ms or retry", Outcome::NotRun, retryAdvice });
     if (Queries::isQuarantined(m_context.quarantine, m_request.fingerprint, now)) {
-        logEvent(RequestQuarantined, { { "request", m_request.id }, { "fingerprint", m_request.fingerprint } });
+        logEvent(requestQuarantined, { { "request", m_request.id }, { "fingerprint", m_request.fingerprint } });
         return fail(std::move(lock), { ErrorCode::Quarantined, "the request crashed two targets and is not run for now", "change the request; the quarantine ends after ten minutes", Outcome::NotRun, QuarantineTable::retention });
     }
     auto selection = Queries::selectTarget(m_context.targets, m_request, m_tried, m_context.policy, m_context.random, now);
@@ -130,8 +130,8 @@
     m_channel = m_context.channels.channelTo(m_target->address());
     m_attempt = m_channel->open(admission, std::make_shared<AttemptSink>(shared_from_this(), m_attemptId));
     auto attempt = m_attempt;
-    if (Observability::isLogged(AttemptRouted))
-        logEvent(AttemptRouted, { { "request", m_request.id }, { "destination", m_request.destination }, { "target", m_target->vm() }, { "attempt", m_attempts }, { "reason", reason } });
+    if (Observability::isLogged(attemptRouted))
+        logEvent(attemptRouted, { { "request", m_request.id }, { "destination", m_request.destination }, { "target", m_target->vm() }, { "attempt", m_attempts }, { "reason", reason } });
     lock.unlock();
     attempt->start();
 }
@@ -144,7 +144,7 @@
 void RequestCoordinator::dropFrame(const char* frame)
 {
     m_context.metrics.count("frames_dropped_total", { { "frame", frame } });
-    logEvent(FrameDropped, { { "request", m_request.id }, { "frame", frame } });
+    logEvent(frameDropped, { { "request", m_request.id }, { "frame", frame } });
 }
 
 void RequestCoordinator::permitted(const std::string& attemptId, const Permit& permit)
@@ -165,7 +165,7 @@
     Lock lock(m_lock);
     if (!isCurrent(attemptId))
         return dropFrame("refusal");
-    logEvent(AttemptRefused, { { "request", m_request.id }, { "target", m_target->vm() }, { "message", refusal.message } });
+    logEvent(attemptRefused, { { "request", m_request.id }, { "target", m_target->vm() }, { "message", refusal.message } });
     m_context.metrics.count("attempts_refused_total", { { "destination", m_request.destination } });
     m_target->avoidUntil(m_context.clock.now() + pauseAfter(refusal));
     m_refused.push_back(m_target);
@@ -333,7 +333,7 @@
         return fail(std::move(lock), { ErrorCode::RetryBudgetSpent, failed.error.message + "; the retry budget is spent", "retry later", Outcome::NotRun, retryAdvice });
     }
     m_context.metrics.count("retries_total", { { "paid", fromBudget ? "true" : "false" } });
-    logEvent(AttemptRetried, { { "request", m_request.id }, { "reason", failed.error.message } });
+    logEvent(attemptRetried, { { "request", m_request.id }, { "reason", failed.error.message } });
     beginAttempt(std::move(lock));
 }
 
@@ -357,7 +357,7 @@
     // An agent that restarted has no record of the attempt.
     bool isSameAgent = resolution.agentIncarnation == m_permit.agentIncarnation;
     auto outcome = isSameAgent ? resolution.outcome : AttemptOutcome::Unknown;
-    logEvent(AttemptResolved, { { "request", m_request.id }, { "target", m_target->vm() }, { "notRun", outcome == AttemptOutcome::NotRun }, { "sameAgent", isSameAgent } });
+    logEvent(attemptResolved, { { "request", m_request.id }, { "target", m_target->vm() }, { "notRun", outcome == AttemptOutcome::NotRun }, { "sameAgent", isSameAgent } });
     if (outcome == AttemptOutcome::NotRun)
         return attemptFailed(std::move(lock), failure(FailureKind::NotRun, ErrorCode::NotRun, "the connection to the target broke and the permit was revoked", "retry"));
     m_mayHaveRun = true;
@@ -373,7 +373,7 @@
     bool mayWait = m_request.priorityClass == DesiredState::PriorityClass::Hazard && !m_callerGone && resumeAt < m_request.deadline;
     if (!mayWait)
         return fail(std::move(lock), error);
-    logEvent(RequestWaiting, { { "request", m_request.id }, { "reason", error.message } });
+    logEvent(requestWaiting, { { "request", m_request.id }, { "reason", error.message } });
     m_state = State::Waiting;
     m_resumeAt = resumeAt;
     m_tried.clear();
@@ -417,7 +417,7 @@
     Lock lock(m_lock);
     if (m_state == State::Ended)
         return;
-    logEvent(SlowReaderCut, { { "request", m_request.id }, { "sent", m_matcher.receivedBytes() } });
+    logEvent(slowReaderCut, { { "request", m_request.id }, { "sent", m_matcher.receivedBytes() } });
     m_context.metrics.count("slow_readers_cut_total");
     cut(std::move(lock), "slow_reader");
 }
@@ -433,7 +433,7 @@
 {
     if (m_mayHaveRun && error.outcome == Outcome::NotRun)
         error.outcome = Outcome::Unknown;
-    logEvent(RequestFailed, { { "request", m_request.id }, { "code", codeName(error.code) }, { "outcome", outcomeName(error.outcome) }, { "reason", error.message } });
+    logEvent(requestFailed, { { "request", m_request.id }, { "code", codeName(error.code) }, { "outcome", outcomeName(error.outcome) }, { "reason", error.message } });
     m_context.metrics.count("errors_total", { { "code", std::string(codeName(error.code)) }, { "outcome", std::string(outcomeName(error.outcome)) } });
     auto attempt = end("failed");
     lock.unlock();
@@ -444,7 +444,7 @@
 
 void RequestCoordinator::cut(Lock lock, const std::string& reason)
 {
-    logEvent(RequestCut, { { "request", m_request.id }, { "reason", reason } });
+    logEvent(requestCut, { { "request", m_request.id }, { "reason", reason } });
     auto attempt = end("cut");
     lock.unlock();
     if (attempt)
@@ -492,14 +492,14 @@
 void RequestCoordinator::noteCrash()
 {
     Commands::recordCrash(m_context.quarantine, m_target->vm(), m_request.fingerprint, m_context.clock.now());
-    logEvent(CrashRecorded, { { "request", m_request.id }, { "target", m_target->vm() }, { "fingerprint", m_request.fingerprint } });
+    logEvent(crashRecorded, { { "request", m_request.id }, { "target", m_target->vm() }, { "fingerprint", m_request.fingerprint } });
     m_context.metrics.count("engine_crashes_seen_total");
 }
 
 void RequestCoordinator::recordBreak(const std::string& reason)
 {
     ++m_breaks;
-    logEvent(AttemptBroken, { { "request", m_request.id }, { "target", m_target->vm() }, { "sent", isSent() }, { "reason", reason } });
+    logEvent(attemptBroken, { { "request", m_request.id }, { "target", m_target->vm() }, { "sent", isSent() }, { "reason", reason } });
     m_context.metrics.count("attempts_broken_total", { { "destination", m_request.destination } });
 }
 
--- a/Source/Transport/TargetClient.cpp
+++ b/Source/Transport/TargetClient.cpp
@@ -89,7 +89,7 @@
     if (m_connection != connection)
         return;
     m_connection.reset();
-    Observability::logEvent(Routing::ChannelReplaced, { { "address", m_address } });
+    Observability::logEvent(Routing::channelReplaced, { { "address", m_address } });
 }
 
 std::shared_ptr<Routing::Attempt> TargetClient::open(const Routing::Admission& admission, std::shared_ptr<Routing::AttemptEvents> events)
