Add the load benchmark

Cause: the router's overhead and rate had not been measured. Change: lavenderloft-bench load runs agents, router (two processors) and load as processes of their own and prints JSON.

--- a/Utilities/Bench/BenchTable.cpp
+++ b/Utilities/Bench/BenchTable.cpp
@@ -1,10 +1,13 @@
 #include "Bench/BenchTable.h"
 
+#include "Bench/LoadBench.h"
+
 namespace Lavenderloft::Bench {
 
 std::vector<std::unique_ptr<CommandLine::Command>> makeBenchmarks()
 {
     std::vector<std::unique_ptr<CommandLine::Command>> commands;
+    commands.push_back(std::make_unique<LoadBench>());
     return commands;
 }
 
--- /dev/null
+++ b/Utilities/Bench/LoadBench.cpp
@@ -0,0 +1,128 @@
+#include "Bench/LoadBench.h"
+
+#include "Base/SeededRandom.h"
+#include "Base/SystemClock.h"
+#include "Bench/BenchFleet.h"
+#include "Bench/BenchOptions.h"
+#include "Bench/ChildProcess.h"
+#include "Bench/LoadGenerator.h"
+#include "Process/RouterBuilder.h"
+
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace Lavenderloft::Bench {
+
+namespace {
+
+    constexpr unsigned agentCount = 4;
+    constexpr unsigned routerProcessors = 2;
+    constexpr uint64_t streamBudgetBytes = 64 * 1024 * 1024;
+
+    struct LoadOptions {
+        int seconds = 5;
+        int connections = 64;
+        int rate = 1000;
+        int seed = 1;
+    };
+
+    void runAgents(ParentLink& parent)
+    {
+        FakeAgentOptions options;
+        options.limit = 1000;
+        options.weightsDigest = benchDigest;
+        std::vector<std::unique_ptr<FakeAgent>> agents;
+        std::string addresses;
+        for (unsigned i = 0; i < agentCount; ++i) {
+            agents.push_back(std::make_unique<FakeAgent>(options));
+            addresses += agents.back()->address() + " ";
+        }
+        parent.writeLine(addresses);
+        parent.readLine();
+    }
+
+    void runRouter(ParentLink& parent, uint64_t seed)
+    {
+        Base::SystemClock clock;
+        Observability::Metrics metrics;
+        FakeControl control(makeRouterMember("router-1", "dc-1"));
+        control.setDocument(makeDocument({ "dc-1" }, { "small" }));
+        std::istringstream addresses(*parent.readLine());
+        std::vector<Membership::Member> members;
+        std::string address;
+        while (addresses >> address)
+            members.push_back(makeAgentMember("agent-" + std::to_string(members.size()), address, "dc-1", "small", { 0, 1000, 0, 0, true }));
+        control.setMembers(members);
+        auto router = Process::RouterBuilder(makeRouterSettings("router-1", streamBudgetBytes), control, clock, metrics)
+                          .random(std::make_shared<Base::SeededRandom>(seed))
+                          .build();
+        parent.writeLine(std::to_string(router->callersPort()));
+        parent.readLine();
+    }
+
+    PlannedCall smallCall(size_t index)
+    {
+        PlannedCall call;
+        call.request.method = "POST";
+        call.request.target = "/small";
+        call.request.headers = { { "X-Organisation", "school-" + std::to_string(index % 10) } };
+        call.request.body = "request " + std::to_string(index);
+        return call;
+    }
+
+    bool any(const CallResult&) { return true; }
+
+    nlohmann::ordered_json summarise(const std::vector<CallResult>& results, double seconds)
+    {
+        auto answered = std::count_if(results.begin(), results.end(), [](auto& result) { return result.status == 200; });
+        return {
+            { "calls", results.size() },
+            { "failed", results.size() - static_cast<size_t>(answered) },
+            { "callsPerSecond", static_cast<double>(answered) / seconds },
+            { "medianMs", percentile(results, 0.5, any) },
+            { "p95Ms", percentile(results, 0.95, any) },
+            { "p99Ms", percentile(results, 0.99, any) },
+        };
+    }
+
+    // Runs a phase and adds the processor time that the router used for each call.
+    nlohmann::ordered_json measure(const ChildProcess& router, const std::function<std::vector<CallResult>()>& phase)
+    {
+        auto usedBefore = router.processorSeconds();
+        auto startedAt = std::chrono::steady_clock::now();
+        auto results = phase();
+        std::chrono::duration<double> elapsed = std::chrono::steady_clock::now() - startedAt;
+        auto summary = summarise(results, elapsed.count());
+        summary["routerMicrosecondsPerCall"] = (router.processorSeconds() - usedBefore) * 1e6 / static_cast<double>(std::max<size_t>(1, results.size()));
+        return summary;
+    }
+
+} // namespace
+
+CommandLine::ExitCode LoadBench::run(const std::vector<std::string>& arguments)
+{
+    LoadOptions options;
+    if (!parseOptions(arguments, { { "seconds", &options.seconds, "length of each phase" }, { "connections", &options.connections, "connections of the closed loop" }, { "rate", &options.rate, "calls a second of the paced phase" }, { "seed", &options.seed, "seed of the router's random source" } }))
+        return CommandLine::ExitCode::Usage;
+    ChildProcess agents(runAgents);
+    ChildProcess router([&](ParentLink& parent) { runRouter(parent, static_cast<uint64_t>(options.seed)); });
+    router.useProcessors(0, routerProcessors);
+    router.writeLine(agents.readLine());
+    LoadGenerator generator({ { "127.0.0.1", static_cast<uint16_t>(std::stoi(router.readLine())) } });
+    std::chrono::seconds duration(options.seconds);
+    constexpr std::chrono::seconds warmUp { 1 };
+    generator.runClosed(8, warmUp, smallCall);
+    nlohmann::ordered_json report;
+    report["benchmark"] = "load";
+    report["seed"] = options.seed;
+    report["routerProcessors"] = routerProcessors;
+    report["sequential"] = measure(router, [&] { return generator.runClosed(1, duration, smallCall); });
+    report["paced"] = measure(router, [&] { return generator.runPaced(options.rate, duration, smallCall); });
+    report["saturated"] = measure(router, [&] { return generator.runClosed(static_cast<size_t>(options.connections), duration, smallCall); });
+    report["routerResidentBytes"] = router.residentBytes();
+    std::cout << report.dump(2) << '\n';
+    return CommandLine::ExitCode::Success;
+}
+
+} // namespace Lavenderloft::Bench
