--- a/Source/Base/ShardedMap.h
+++ b/Source/Base/ShardedMap.h
@@ -27,6 +27,15 @@
         return std::forward<Function>(function)(shard.entries);
     }
 
+    // As above for operations that only read, without a copy of the entry.
+    template <typename Function>
+    auto withShard(const Key& key, Function&& function) const
+    {
+        auto& shard = shardOf(key);
+        std::lock_guard guard(shard.lock);
+        return std::forward<Function>(function)(std::as_const(shard.entries));
+    }
+
     std::optional<Value> find(const Key& key) const
     {
         auto& shard = shardOf(key);
--- /dev/null
+++ b/Source/Process/ChunkDownload.cpp
@@ -0,0 +1,105 @@
+#include "Process/ChunkDownload.h"
+
+#include "Observability/Log.h"
+#include "Weights/Commands/DownloadCommands.h"
+#include "Weights/Commands/PeerCommands.h"
+#include "Weights/Commands/TransferCommands.h"
+#include "Weights/Events.h"
+#include "Weights/Queries/SourceDecisions.h"
+
+namespace Lavenderloft::Process {
+
+using Weights::SourceKind;
+using Weights::WeightError;
+using Weights::WeightErrorKind;
+
+const char* sourceName(SourceKind source)
+{
+    switch (source) {
+    case SourceKind::Origin:
+        return "origin";
+    case SourceKind::Peer:
+        return "peer";
+    case SourceKind::RemotePeer:
+        return "remote";
+    }
+    return "origin";
+}
+
+ChunkDownload::ChunkDownload(std::shared_ptr<WeightRuntime> runtime, Weights::ManifestChunk chunk, SourceKind source, std::string vm)
+    : m_runtime(std::move(runtime))
+    , m_chunk(std::move(chunk))
+    , m_source(source)
+    , m_vm(std::move(vm))
+{
+}
+
+void ChunkDownload::part(std::string_view bytes)
+{
+    countReceived(bytes.size());
+    m_tooLong = m_tooLong || m_bytes.size() + bytes.size() > m_chunk.bytes;
+    if (m_tooLong)
+        return;
+    if (m_bytes.empty())
+        m_bytes.reserve(m_chunk.bytes);
+    m_bytes.append(bytes);
+    Weights::Commands::recordDownloadProgress(m_runtime->state->downloads, m_chunk.digest, m_runtime->clock.now());
+}
+
+void ChunkDownload::end(const Base::Result<Base::Done, WeightError>& result)
+{
+    auto stored = store(result);
+    // Recorded before the download ends, so that the next choice of a source knows of it.
+    if (!Base::succeeded(stored))
+        recordFailure(Base::errorOf(stored));
+    if (!m_vm.empty())
+        Weights::Commands::recordDownloadEnded(m_runtime->state->peers, m_vm);
+    Weights::Commands::endDownload(m_runtime->state->downloads, m_chunk.digest);
+    m_runtime->wake();
+}
+
+void ChunkDownload::countReceived(uint64_t bytes)
+{
+    auto& counters = m_runtime->state->counters;
+    auto& counter = m_source == SourceKind::Origin ? counters.originBytes : m_source == SourceKind::Peer ? counters.peerBytes
+                                                                                                         : counters.remoteBytes;
+    counter += bytes;
+    m_runtime->metrics->count("weight_bytes_total", { { "source", sourceName(m_source) } }, static_cast<double>(bytes));
+}
+
+Base::Result<Base::Done, WeightError> ChunkDownload::store(const Base::Result<Base::Done, WeightError>& result)
+{
+    if (!Base::succeeded(result))
+        return result;
+    if (m_tooLong || m_bytes.size() != m_chunk.bytes)
+        return WeightError { WeightErrorKind::WrongDigest, "chunk " + m_chunk.digest + " has another length than the manifest says", "" };
+    auto& state = *m_runtime->state;
+    auto stored = Weights::Commands::acceptChunk(state.transfers, state.chunks, m_chunk.digest, std::move(m_bytes), m_runtime->clock.now());
+    if (Base::succeeded(stored) && m_source == SourceKind::Origin) {
+        std::lock_guard guard(m_runtime->lock);
+        m_runtime->originFailures = 0;
+    }
+    return stored;
+}
+
+void ChunkDownload::recordFailure(const WeightError& error)
+{
+    auto now = m_runtime->clock.now();
+    auto& counters = m_runtime->state->counters;
+    if (error.kind == WeightErrorKind::NotWanted || error.kind == WeightErrorKind::Cancelled)
+        return;
+    if (error.kind == WeightErrorKind::WrongDigest) {
+        ++counters.corruptChunks;
+        m_runtime->metrics->count("weight_chunks_refused_total", { { "source", sourceName(m_source) } });
+        Observability::logEvent(Weights::ChunkRefused, { { "chunk", m_chunk.digest }, { "source", sourceName(m_source) }, { "vm", m_vm } });
+    } else {
+        ++counters.failedDownloads;
+        Observability::logEvent(Weights::DownloadFailed, { { "chunk", m_chunk.digest }, { "source", sourceName(m_source) }, { "vm", m_vm }, { "reason", error.describe() } });
+    }
+    if (m_source != SourceKind::Origin)
+        return Weights::Commands::avoidPeer(m_runtime->state->peers, m_vm, now + Weights::Queries::avoidanceAfter(error.kind));
+    std::lock_guard guard(m_runtime->lock);
+    m_runtime->originPauseUntil = now + Weights::Queries::originPause(++m_runtime->originFailures);
+}
+
+} // namespace Lavenderloft::Process
--- /dev/null
+++ b/Source/Process/TransferDriver.cpp
@@ -0,0 +1,255 @@
+#include "Process/TransferDriver.h"
+
+#include "Observability/Log.h"
+#include "Process/ChunkDownload.h"
+#include "Weights/Commands/DownloadCommands.h"
+#include "Weights/Commands/PeerCommands.h"
+#include "Weights/Commands/TransferCommands.h"
+#include "Weights/Events.h"
+#include "Weights/Queries/Neighbours.h"
+#include "Weights/Queries/Participants.h"
+#include "Weights/Queries/SourceDecisions.h"
+#include "Weights/TransferLimits.h"
+
+#include <algorithm>
+
+namespace Lavenderloft::Process {
+
+namespace Commands = Weights::Commands;
+namespace Queries = Weights::Queries;
+using Queries::TransferSnapshot;
+using Weights::TransferPhase;
+
+namespace {
+
+    // Members may change many times a second during a rollout; the ranking need not follow each change.
+    constexpr std::chrono::milliseconds planRefreshInterval { 1000 };
+
+    const char* reasonName(Queries::AssignmentReason reason)
+    {
+        switch (reason) {
+        case Queries::AssignmentReason::RarestFirst:
+            return "rarest-first";
+        case Queries::AssignmentReason::FirstInRank:
+            return "first-in-rank";
+        case Queries::AssignmentReason::TakenOver:
+            return "taken-over";
+        }
+        return "";
+    }
+
+} // namespace
+
+TransferDriver::TransferDriver(Environment environment)
+    : m_environment(std::move(environment))
+{
+}
+
+void TransferDriver::run()
+{
+    dropStalledDownloads();
+    auto snapshots = Queries::snapshotTransfers(m_environment.runtime->state->transfers);
+    std::erase_if(m_plans, [&](auto& entry) {
+        return std::none_of(snapshots.begin(), snapshots.end(), [&](auto& snapshot) { return snapshot.digest == entry.first; });
+    });
+    for (auto& snapshot : snapshots) {
+        auto& plan = m_plans[snapshot.digest];
+        reportPhase(plan, snapshot);
+        if (snapshot.phase != TransferPhase::FetchingManifest && snapshot.phase != TransferPhase::FetchingChunks)
+            continue;
+        refreshPlan(plan, snapshot);
+        if (snapshot.phase == TransferPhase::FetchingManifest)
+            fetchManifest(plan, snapshot);
+        else
+            fetchChunks(plan, snapshot);
+    }
+}
+
+void TransferDriver::cancelAll()
+{
+    for (auto& download : Queries::stalledDownloads(m_environment.runtime->state->downloads, Base::TimePoint::max())) {
+        if (download.fetch)
+            download.fetch->cancel();
+    }
+}
+
+void TransferDriver::refreshPlan(Plan& plan, const TransferSnapshot& snapshot)
+{
+    auto now = m_environment.runtime->clock.now();
+    bool needsDuties = snapshot.manifest && !plan.duties;
+    if (!needsDuties && plan.refreshedAt != Base::TimePoint {} && now - plan.refreshedAt < planRefreshInterval)
+        return;
+    plan.refreshedAt = now;
+    auto document = m_environment.control.document();
+    auto participants = Queries::findParticipants(m_environment.control.members(), document.get(), snapshot.digest, m_environment.self);
+    if (participants == plan.participants && !needsDuties)
+        return;
+    plan.participants = std::move(participants);
+    plan.neighbours = Queries::chooseNeighbours(m_environment.self, plan.participants);
+    plan.byVm.clear();
+    for (auto& participant : plan.participants)
+        plan.byVm.emplace(participant.vm, participant);
+    if (snapshot.manifest)
+        plan.duties = std::make_shared<const Queries::ChunkDuties>(Queries::assignDuties(*snapshot.manifest, plan.participants, m_environment.self.region, m_environment.storeRegion));
+    auto senders = std::count_if(plan.participants.begin(), plan.participants.end(), [&](auto& participant) { return participant.region == m_environment.self.region; });
+    m_environment.limiter->setSenders(static_cast<size_t>(senders), now);
+}
+
+void TransferDriver::reportPhase(Plan& plan, const TransferSnapshot& snapshot)
+{
+    if (plan.reportedPhase == snapshot.phase)
+        return;
+    auto progress = Queries::transferProgress(m_environment.runtime->state->transfers, snapshot.digest);
+    if (snapshot.phase == TransferPhase::Complete)
+        Observability::logEvent(Weights::TransferComplete, { { "manifest", snapshot.digest }, { "chunks", progress.chunksTotal } });
+    else if (snapshot.phase == TransferPhase::Failed)
+        Observability::logEvent(Weights::TransferFailed, { { "manifest", snapshot.digest }, { "reason", progress.reason } });
+    else if (snapshot.phase == TransferPhase::FetchingChunks)
+        Observability::logEvent(Weights::ManifestAccepted, { { "manifest", snapshot.digest }, { "chunks", progress.chunksTotal } });
+    plan.reportedPhase = snapshot.phase;
+}
+
+void TransferDriver::fetchManifest(Plan& plan, const TransferSnapshot& snapshot)
+{
+    auto now = m_environment.runtime->clock.now();
+    if (now < plan.nextManifestAttempt || plan.manifestPending->exchange(true))
+        return;
+    auto duty = Queries::assignManifestDuty(snapshot.digest, plan.participants, m_environment.self.region, m_environment.storeRegion);
+    auto source = Queries::chooseManifestSource(duty, m_environment.self, plan.neighbours, plan.manifestAttempts, now - snapshot.phaseSince, *m_environment.random);
+    plan.nextManifestAttempt = now + Queries::manifestRetryPause(plan.manifestAttempts);
+    ++plan.manifestAttempts;
+    auto received = [runtime = m_environment.runtime, digest = snapshot.digest, pending = plan.manifestPending](const Base::Result<std::string, Weights::WeightError>& result) {
+        auto& state = *runtime->state;
+        if (Base::succeeded(result))
+            Commands::acceptManifest(state.transfers, state.chunks, digest, Base::valueOf(result), runtime->clock.now());
+        else
+            Commands::setDelayReason(state.transfers, digest, "the manifest has not arrived: " + Base::errorOf(result).describe());
+        pending->store(false);
+        runtime->wake();
+    };
+    if (source.origin)
+        return m_environment.origin->fetchManifest(snapshot.digest, received);
+    m_environment.peers->getManifest(plan.byVm.at(source.vm), snapshot.digest, received);
+}
+
+void TransferDriver::fetchChunks(Plan& plan, const TransferSnapshot& snapshot)
+{
+    auto& state = *m_environment.runtime->state;
+    auto now = m_environment.runtime->clock.now();
+    auto peers = Queries::viewPeers(state.peers, plan.participants, snapshot.digest, now);
+    auto underWay = Queries::chunksUnderWay(state.downloads);
+    Queries::ScheduleInput input {
+        *snapshot.manifest,
+        snapshot.held,
+        underWay,
+        Queries::countDownloads(state.downloads),
+        *plan.duties,
+        peers,
+        m_environment.self,
+        haveNeighboursAnswered(plan, peers),
+        isOriginUsable(),
+        now,
+    };
+    askPeers(plan, snapshot, input);
+    for (auto& assignment : Queries::scheduleChunks(input, *m_environment.random))
+        beginDownload(plan, snapshot, assignment);
+    reportDelay(plan, snapshot, input);
+}
+
+void TransferDriver::askPeers(Plan& plan, const TransferSnapshot& snapshot, const Queries::ScheduleInput& input)
+{
+    auto isDue = [&](const Weights::Participant& peer, std::chrono::milliseconds interval) {
+        auto& progress = input.peers.at(peer.vm).progress;
+        return !progress.askPending && input.now - progress.askedAt >= interval;
+    };
+    for (auto& neighbour : plan.neighbours) {
+        if (isDue(neighbour, Weights::holdingsInterval))
+            ask(neighbour, snapshot.digest);
+    }
+    if (input.now < plan.nextWatch)
+        return;
+    plan.nextWatch = input.now + Weights::holdingsInterval;
+    auto watched = Queries::choosePeersToWatch(input);
+    for (auto& vm : watched.upstream) {
+        if (plan.byVm.contains(vm) && isDue(plan.byVm.at(vm), Weights::holdingsInterval))
+            ask(plan.byVm.at(vm), snapshot.digest);
+    }
+    for (auto& vm : watched.ranked) {
+        if (plan.byVm.contains(vm) && isDue(plan.byVm.at(vm), Weights::watchInterval))
+            ask(plan.byVm.at(vm), snapshot.digest);
+    }
+}
+
+void TransferDriver::ask(const Weights::Participant& peer, const std::string& manifestDigest)
+{
+    auto runtime = m_environment.runtime;
+    Commands::recordAsked(runtime->state->peers, peer.vm, manifestDigest, runtime->clock.now());
+    m_environment.peers->getHoldings(peer, manifestDigest, [runtime, vm = peer.vm, manifestDigest](const Base::Result<Weights::Holdings, Weights::WeightError>& result) {
+        auto now = runtime->clock.now();
+        if (Base::succeeded(result))
+            Commands::recordHoldings(runtime->state->peers, vm, manifestDigest, Base::valueOf(result), now);
+        else
+            Commands::recordUnreachable(runtime->state->peers, vm, manifestDigest, now);
+        runtime->wake();
+    });
+}
+
+void TransferDriver::beginDownload(const Plan& plan, const TransferSnapshot& snapshot, const Queries::ChunkAssignment& assignment)
+{
+    auto runtime = m_environment.runtime;
+    auto now = runtime->clock.now();
+    auto& chunk = snapshot.manifest->chunks[assignment.chunk];
+    auto begun = Commands::beginDownload(runtime->state->downloads, chunk.digest, { snapshot.digest, assignment.chunk, assignment.source, assignment.vm, now, now, nullptr });
+    if (!Base::succeeded(begun))
+        return;
+    Observability::logEvent(Weights::ChunkAssigned, { { "manifest", snapshot.digest }, { "chunk", assignment.chunk }, { "source", sourceName(assignment.source) }, { "vm", assignment.vm }, { "reason", reasonName(assignment.reason) } });
+    auto sink = std::make_shared<ChunkDownload>(runtime, chunk, assignment.source, assignment.vm);
+    if (assignment.source == Weights::SourceKind::Origin) {
+        Commands::attachFetch(runtime->state->downloads, chunk.digest, m_environment.origin->fetchChunk(chunk.digest, sink));
+        return;
+    }
+    Commands::recordDownloadBegun(runtime->state->peers, assignment.vm);
+    Commands::attachFetch(runtime->state->downloads, chunk.digest, m_environment.peers->fetchChunk(plan.byVm.at(assignment.vm), { chunk.digest, snapshot.priority }, sink));
+}
+
+void TransferDriver::dropStalledDownloads()
+{
+    auto runtime = m_environment.runtime;
+    auto now = runtime->clock.now();
+    for (auto& download : Queries::stalledDownloads(runtime->state->downloads, now - Weights::stallLimit)) {
+        // The weight store is rate-limited and may make receivers wait; its client has a longer limit.
+        if (download.source == Weights::SourceKind::Origin || !download.fetch)
+            continue;
+        ++runtime->state->counters.stalledDownloads;
+        Observability::logEvent(Weights::DownloadStalled, { { "manifest", download.manifestDigest }, { "chunk", download.chunk }, { "vm", download.vm } });
+        Commands::avoidPeer(runtime->state->peers, download.vm, now + Queries::avoidanceAfter(Weights::WeightErrorKind::Stalled));
+        download.fetch->cancel();
+    }
+}
+
+void TransferDriver::reportDelay(Plan& plan, const TransferSnapshot& snapshot, const Queries::ScheduleInput& input)
+{
+    if (input.now - snapshot.progressAt < Weights::delayReportLimit || input.now < plan.nextDelayReport)
+        return;
+    plan.nextDelayReport = input.now + Weights::delayReportLimit;
+    auto missing = Queries::countMissingEverywhere(input);
+    auto reason = std::to_string(missing) + " of " + std::to_string(snapshot.held.size()) + " chunks are held by no agent that can be reached";
+    Commands::setDelayReason(m_environment.runtime->state->transfers, snapshot.digest, reason);
+    Observability::logEvent(Weights::TransferDelayed, { { "manifest", snapshot.digest }, { "missing", missing } });
+}
+
+bool TransferDriver::isOriginUsable() const
+{
+    std::lock_guard guard(m_environment.runtime->lock);
+    return m_environment.runtime->clock.now() >= m_environment.runtime->originPauseUntil;
+}
+
+bool TransferDriver::haveNeighboursAnswered(const Plan& plan, const Queries::PeerViews& peers) const
+{
+    return std::all_of(plan.neighbours.begin(), plan.neighbours.end(), [&](auto& neighbour) {
+        auto& progress = peers.at(neighbour.vm).progress;
+        return progress.heardAt != Base::TimePoint {} || progress.failedAt != Base::TimePoint {};
+    });
+}
+
+} // namespace Lavenderloft::Process
--- /dev/null
+++ b/Source/Process/WeightNode.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "Base/RandomSource.h"
+#include "Process/ControlView.h"
+#include "Settings/ProcessSettings.h"
+#include "Weights/LinkLimiter.h"
+#include "Weights/PeerClient.h"
+#include "Weights/WeightCounters.h"
+#include "Weights/WeightProvider.h"
+
+#include "Base/Clock.h"
+#include "Observability/Metrics.h"
+
+#include <memory>
+
+namespace grpc {
+class Service;
+}
+
+namespace Lavenderloft::Process {
+
+// The distribution of weights on one VM: fetches wanted versions from the weight store and from other agents and
+// serves them to other agents. Composes Weights, Transport and Http; runs one thread.
+class WeightNode final : public Weights::WeightProvider {
+public:
+    ~WeightNode() override;
+
+    void want(const std::vector<Weights::WantedManifest>&) override;
+    Weights::TransferProgress progress(const std::string& manifestDigest) const override;
+    std::shared_ptr<const std::string> chunk(const std::string& manifestDigest, unsigned index) const override;
+
+    // The WeightService, to be registered with the process's gRPC server, which must be shut down before this object
+    // is destroyed.
+    grpc::Service& service();
+
+    // Begins to fetch what is wanted; to be called once the gRPC server runs.
+    void start();
+
+    // Cancels all downloads and ends the thread.
+    void stop();
+
+    const Weights::WeightCounters& counters() const;
+
+    // Bytes of memory that held chunks take up.
+    uint64_t heldBytes() const;
+
+private:
+    friend class WeightNodeBuilder;
+    class Implementation;
+    explicit WeightNode(std::unique_ptr<Implementation>);
+
+    std::unique_ptr<Implementation> m_implementation;
+};
+
+// Builds a WeightNode. The control view and the clock must outlive it.
+class WeightNodeBuilder {
+public:
+    WeightNodeBuilder(const Settings::ProcessSettings&, ControlView&, const Base::Clock&);
+
+    WeightNodeBuilder& withMetrics(std::shared_ptr<Observability::Metrics>);
+    WeightNodeBuilder& withRandom(std::shared_ptr<Base::RandomSource>);
+    // A limiter in addition to that for links between regions.
+    WeightNodeBuilder& withLinkLimiter(std::shared_ptr<Weights::LinkLimiter>);
+    // Replaces the gRPC client, or wraps it: the function gets the default client.
+    WeightNodeBuilder& withPeerClient(std::function<std::shared_ptr<Weights::PeerClient>(std::shared_ptr<Weights::PeerClient>)>);
+
+    // Fails if weightStore is not an address.
+    Base::Result<std::unique_ptr<WeightNode>, Weights::WeightError> build();
+
+private:
+    Settings::ProcessSettings m_settings;
+    ControlView& m_control;
+    const Base::Clock& m_clock;
+    std::shared_ptr<Observability::Metrics> m_metrics;
+    std::shared_ptr<Base::RandomSource> m_random;
+    std::shared_ptr<Weights::LinkLimiter> m_linkLimiter;
+    std::function<std::shared_ptr<Weights::PeerClient>(std::shared_ptr<Weights::PeerClient>)> m_wrapPeerClient;
+};
+
+} // namespace Lavenderloft::Process
--- /dev/null
+++ b/Source/Process/WeightRuntime.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "Base/Clock.h"
+#include "Observability/Metrics.h"
+#include "Weights/WeightState.h"
+
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+
+namespace Lavenderloft::Process {
+
+// What the callbacks of a WeightNode need; outlives the node while calls are pending.
+struct WeightRuntime {
+    WeightRuntime(uint64_t memoryBudgetBytes, const Base::Clock& nodeClock, std::shared_ptr<Observability::Metrics> nodeMetrics)
+        : state(std::make_shared<Weights::WeightState>(memoryBudgetBytes))
+        , clock(nodeClock)
+        , metrics(std::move(nodeMetrics))
+    {
+    }
+
+    std::shared_ptr<Weights::WeightState> state;
+    const Base::Clock& clock;
+    std::shared_ptr<Observability::Metrics> metrics;
+
+    // Lets the transfer thread run at once.
+    void wake()
+    {
+        {
+            std::lock_guard guard(lock);
+            awake = true;
+        }
+        condition.notify_one();
+    }
+
+    std::mutex lock;
+    std::condition_variable condition;
+    bool awake = false;
+    bool stopping = false;
+    // Failures of the origin in sequence, and the end of the pause after the last one.
+    unsigned originFailures = 0;
+    Base::TimePoint originPauseUntil;
+};
+
+} // namespace Lavenderloft::Process
--- a/Source/Settings/ProcessSettings.h
+++ b/Source/Settings/ProcessSettings.h
@@ -39,6 +39,8 @@
     std::string configurationService;
     std::string vmList;
     std::string weightStore;
+    // Region whose agents read the weight store; empty if no region is nearer to it than the others.
+    std::string weightStoreRegion;
     // Seed addresses of other processes, beside the VM list.
     std::vector<std::string> peers;
     std::optional<TargetSettings> target;
--- /dev/null
+++ b/Source/Transport/GrpcPeerClient.cpp
@@ -0,0 +1,187 @@
+#include "Transport/GrpcPeerClient.h"
+
+#include "Base/ShardedMap.h"
+#include "Transport/WeightMessages.h"
+#include "Weights/TransferLimits.h"
+#include "lavenderloft.grpc.pb.h"
+
+#include <grpcpp/grpcpp.h>
+
+namespace Lavenderloft::Transport {
+
+namespace {
+
+    namespace protocol = lavenderloft::v1;
+    using Weights::WeightError;
+    using Weights::WeightErrorKind;
+    using Stub = protocol::WeightService::Stub;
+
+    // HTTP/2 frames and compressed headers of one unary call, request and response together.
+    constexpr size_t callOverheadBytes = 120;
+    constexpr int keepAliveIntervalMs = 2000;
+    constexpr int keepAliveTimeoutMs = 2000;
+
+    WeightErrorKind toErrorKind(grpc::StatusCode code)
+    {
+        switch (code) {
+        case grpc::StatusCode::NOT_FOUND:
+            return WeightErrorKind::NotHeld;
+        case grpc::StatusCode::RESOURCE_EXHAUSTED:
+            return WeightErrorKind::Busy;
+        case grpc::StatusCode::CANCELLED:
+            return WeightErrorKind::Cancelled;
+        case grpc::StatusCode::DEADLINE_EXCEEDED:
+            return WeightErrorKind::Stalled;
+        default:
+            return WeightErrorKind::Unreachable;
+        }
+    }
+
+    WeightError toWeightError(const Weights::Participant& peer, const grpc::Status& status)
+    {
+        return { toErrorKind(status.error_code()), "agent " + peer.vm + " at " + peer.address + ": " + status.error_message(), "" };
+    }
+
+    // Everything that one unary call needs until its callback.
+    template <typename Request, typename Response>
+    struct UnaryCall {
+        std::shared_ptr<Stub> stub;
+        grpc::ClientContext context;
+        Request request;
+        Response response;
+    };
+
+    template <typename Request, typename Response>
+    std::shared_ptr<UnaryCall<Request, Response>> makeCall(std::shared_ptr<Stub> stub)
+    {
+        auto call = std::make_shared<UnaryCall<Request, Response>>();
+        call->stub = std::move(stub);
+        call->context.set_deadline(std::chrono::system_clock::now() + Weights::peerCallTimeout);
+        return call;
+    }
+
+    // Reads the stream of one chunk; keeps itself alive until the call has ended.
+    class ChunkReader final : public grpc::ClientReadReactor<protocol::ChunkPart>, public Weights::ChunkFetch {
+    public:
+        ChunkReader(std::shared_ptr<Stub> stub, Weights::Participant peer, std::shared_ptr<Weights::ChunkSink> sink)
+            : m_stub(std::move(stub))
+            , m_peer(std::move(peer))
+            , m_sink(std::move(sink))
+        {
+        }
+
+        void start(const std::shared_ptr<ChunkReader>& self, protocol::FetchChunkRequest request)
+        {
+            m_self = self;
+            m_request = std::move(request);
+            m_stub->async()->FetchChunk(&m_context, &m_request, this);
+            StartRead(&m_part);
+            StartCall();
+        }
+
+        void OnReadDone(bool ok) override
+        {
+            if (!ok)
+                return;
+            m_sink->part(m_part.bytes());
+            StartRead(&m_part);
+        }
+
+        void OnDone(const grpc::Status& status) override
+        {
+            auto self = std::move(m_self);
+            if (status.ok())
+                m_sink->end(Base::Done {});
+            else
+                m_sink->end(toWeightError(m_peer, status));
+        }
+
+        void cancel() override { m_context.TryCancel(); }
+
+    private:
+        std::shared_ptr<Stub> m_stub;
+        Weights::Participant m_peer;
+        std::shared_ptr<Weights::ChunkSink> m_sink;
+        std::shared_ptr<ChunkReader> m_self;
+        grpc::ClientContext m_context;
+        protocol::FetchChunkRequest m_request;
+        protocol::ChunkPart m_part;
+    };
+
+} // namespace
+
+struct GrpcPeerClient::Channels {
+    Base::ShardedMap<std::string, std::shared_ptr<Stub>> stubs;
+
+    std::shared_ptr<Stub> stubFor(const std::string& address)
+    {
+        return stubs.withShard(address, [&](auto& entries) {
+            auto& stub = entries[address];
+            if (!stub) {
+                grpc::ChannelArguments arguments;
+                arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, keepAliveIntervalMs);
+                arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, keepAliveTimeoutMs);
+                // A peer that restarts is to be found again within a second.
+                arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 200);
+                arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 1000);
+                stub = protocol::WeightService::NewStub(grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments));
+            }
+            return stub;
+        });
+    }
+};
+
+GrpcPeerClient::GrpcPeerClient(Weights::Participant self, std::shared_ptr<Weights::WeightState> state)
+    : m_self(std::move(self))
+    , m_state(std::move(state))
+    , m_channels(std::make_unique<Channels>())
+{
+}
+
+GrpcPeerClient::~GrpcPeerClient() = default;
+
+void GrpcPeerClient::getHoldings(const Weights::Participant& peer, const std::string& manifestDigest, Weights::HoldingsCallback callback)
+{
+    auto call = makeCall<protocol::GetHoldingsRequest, protocol::GetHoldingsResponse>(m_channels->stubFor(peer.address));
+    call->request.set_digest(manifestDigest);
+    call->request.set_from_vm(m_self.vm);
+    call->stub->async()->GetHoldings(&call->context, &call->request, &call->response, [call, peer, state = m_state, callback = std::move(callback)](const grpc::Status& status) {
+        state->counters.controlBytes += callOverheadBytes + call->request.ByteSizeLong() + call->response.ByteSizeLong();
+        if (!status.ok())
+            return callback(toWeightError(peer, status));
+        Weights::Holdings holdings;
+        holdings.known = call->response.known();
+        holdings.held = decodeBitmap(call->response.held());
+        holdings.assigned.assign(call->response.assigned().begin(), call->response.assigned().end());
+        holdings.freeUploadSlots = call->response.free_upload_slots();
+        callback(std::move(holdings));
+    });
+}
+
+void GrpcPeerClient::getManifest(const Weights::Participant& peer, const std::string& manifestDigest, Weights::ManifestCallback callback)
+{
+    auto call = makeCall<protocol::GetManifestRequest, protocol::GetManifestResponse>(m_channels->stubFor(peer.address));
+    call->request.set_digest(manifestDigest);
+    call->stub->async()->GetManifest(&call->context, &call->request, &call->response, [call, peer, state = m_state, callback = std::move(callback)](const grpc::Status& status) {
+        state->counters.controlBytes += callOverheadBytes + call->request.ByteSizeLong() + call->response.ByteSizeLong();
+        if (!status.ok())
+            return callback(toWeightError(peer, status));
+        if (call->response.document().empty())
+            return callback(WeightError { WeightErrorKind::NotHeld, "agent " + peer.vm + " does not hold the manifest", "" });
+        callback(std::string(call->response.document()));
+    });
+}
+
+std::shared_ptr<Weights::ChunkFetch> GrpcPeerClient::fetchChunk(const Weights::Participant& peer, const Weights::ChunkRequest& request, std::shared_ptr<Weights::ChunkSink> sink)
+{
+    protocol::FetchChunkRequest message;
+    message.set_chunk_digest(request.chunkDigest);
+    message.set_from_vm(m_self.vm);
+    message.set_from_region(m_self.region);
+    message.set_priority(request.priority);
+    auto reader = std::make_shared<ChunkReader>(m_channels->stubFor(peer.address), peer, std::move(sink));
+    reader->start(reader, std::move(message));
+    return reader;
+}
+
+} // namespace Lavenderloft::Transport
--- /dev/null
+++ b/Source/Transport/GrpcPeerClient.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "Weights/PeerClient.h"
+#include "Weights/WeightState.h"
+
+#include <memory>
+
+namespace Lavenderloft::Transport {
+
+// Calls the WeightService of other agents. Encoding only.
+class GrpcPeerClient final : public Weights::PeerClient {
+public:
+    GrpcPeerClient(Weights::Participant self, std::shared_ptr<Weights::WeightState>);
+    ~GrpcPeerClient() override;
+
+    void getHoldings(const Weights::Participant&, const std::string& manifestDigest, Weights::HoldingsCallback) override;
+    void getManifest(const Weights::Participant&, const std::string& manifestDigest, Weights::ManifestCallback) override;
+    std::shared_ptr<Weights::ChunkFetch> fetchChunk(const Weights::Participant&, const Weights::ChunkRequest&, std::shared_ptr<Weights::ChunkSink>) override;
+
+private:
+    struct Channels;
+
+    Weights::Participant m_self;
+    std::shared_ptr<Weights::WeightState> m_state;
+    std::unique_ptr<Channels> m_channels;
+};
+
+} // namespace Lavenderloft::Transport
--- /dev/null
+++ b/Source/Weights/Commands/PeerCommands.cpp
@@ -0,0 +1,78 @@
+#include "Weights/Commands/PeerCommands.h"
+
+#include <algorithm>
+
+namespace Lavenderloft::Weights::Commands {
+
+namespace {
+
+    template <typename Function>
+    void changePeer(PeerTable& table, const std::string& vm, Function&& function)
+    {
+        table.peers.withShard(vm, [&](auto& peers) { function(peers[vm]); });
+    }
+
+    template <typename Function>
+    void changeProgress(PeerTable& table, const std::string& vm, const std::string& manifestDigest, Function&& function)
+    {
+        changePeer(table, vm, [&](Peer& peer) { function(peer.transfers[manifestDigest]); });
+    }
+
+} // namespace
+
+void recordAsked(PeerTable& table, const std::string& vm, const std::string& manifestDigest, Base::TimePoint now)
+{
+    changeProgress(table, vm, manifestDigest, [&](PeerProgress& progress) {
+        progress.askPending = true;
+        progress.askedAt = now;
+        if (progress.progressAt == Base::TimePoint {})
+            progress.progressAt = now;
+    });
+}
+
+void recordHoldings(PeerTable& table, const std::string& vm, const std::string& manifestDigest, const Holdings& holdings, Base::TimePoint now)
+{
+    auto heldCount = static_cast<size_t>(std::count(holdings.held.begin(), holdings.held.end(), true));
+    changeProgress(table, vm, manifestDigest, [&](PeerProgress& progress) {
+        progress.askPending = false;
+        progress.heardAt = now;
+        progress.holdings = std::make_shared<const Holdings>(holdings);
+        if (heldCount > progress.heldCount)
+            progress.progressAt = now;
+        progress.heldCount = heldCount;
+    });
+}
+
+void recordUnreachable(PeerTable& table, const std::string& vm, const std::string& manifestDigest, Base::TimePoint now)
+{
+    changeProgress(table, vm, manifestDigest, [&](PeerProgress& progress) {
+        progress.askPending = false;
+        progress.failedAt = now;
+        progress.holdings = nullptr;
+    });
+}
+
+void recordDownloadBegun(PeerTable& table, const std::string& vm)
+{
+    changePeer(table, vm, [](Peer& peer) { ++peer.activeDownloads; });
+}
+
+void recordDownloadEnded(PeerTable& table, const std::string& vm)
+{
+    changePeer(table, vm, [](Peer& peer) { peer.activeDownloads -= std::min(peer.activeDownloads, 1u); });
+}
+
+void avoidPeer(PeerTable& table, const std::string& vm, Base::TimePoint until)
+{
+    changePeer(table, vm, [&](Peer& peer) { peer.avoidUntil = std::max(peer.avoidUntil, until); });
+}
+
+void forgetTransfer(PeerTable& table, const std::string& manifestDigest)
+{
+    std::vector<std::string> vms;
+    table.peers.forEach([&](auto& vm, auto&) { vms.push_back(vm); });
+    for (auto& vm : vms)
+        changePeer(table, vm, [&](Peer& peer) { peer.transfers.erase(manifestDigest); });
+}
+
+} // namespace Lavenderloft::Weights::Commands
--- /dev/null
+++ b/Source/Weights/Commands/UploadCommands.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "Weights/UploadTable.h"
+
+namespace Lavenderloft::Weights::Commands {
+
+// Adds an upload that waits for a slot. Fails with Busy if too many wait already.
+Base::Result<Base::Done, WeightError> enqueueUpload(UploadTable&, uint64_t number, Upload);
+
+// Gives a waiting upload a slot. Fails with Busy if none is free and with NotWanted if it has ended.
+Base::Result<Base::Done, WeightError> startUpload(UploadTable&, uint64_t number);
+
+void endUpload(UploadTable&, uint64_t number);
+
+} // namespace Lavenderloft::Weights::Commands
--- /dev/null
+++ b/Source/Weights/PeerClient.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "Weights/ChunkSource.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace Lavenderloft::Weights {
+
+// Which chunks of a manifest an agent holds, one entry for each chunk.
+using ChunkBitmap = std::vector<bool>;
+
+// An agent that wants the same manifest.
+struct Participant {
+    std::string vm;
+    // IP:port of the inner port.
+    std::string address;
+    std::string dataCentre;
+    std::string region;
+
+    bool operator==(const Participant&) const = default;
+};
+
+// What an agent answers about one manifest.
+struct Holdings {
+    // False when the agent does not know the manifest yet.
+    bool known = false;
+    ChunkBitmap held;
+    // Chunks that the agent itself is fetching from the origin or from another region.
+    std::vector<unsigned> assigned;
+    unsigned freeUploadSlots = 0;
+};
+
+using HoldingsCallback = std::function<void(const Base::Result<Holdings, WeightError>&)>;
+
+struct ChunkRequest {
+    std::string chunkDigest;
+    // Requests of a higher number are served first.
+    unsigned priority = 100;
+};
+
+// Calls to other agents. Callbacks come from any thread, never from inside the call.
+class PeerClient {
+public:
+    virtual ~PeerClient() = default;
+
+    virtual void getHoldings(const Participant&, const std::string& manifestDigest, HoldingsCallback) = 0;
+    virtual void getManifest(const Participant&, const std::string& manifestDigest, ManifestCallback) = 0;
+    virtual std::shared_ptr<ChunkFetch> fetchChunk(const Participant&, const ChunkRequest&, std::shared_ptr<ChunkSink>) = 0;
+};
+
+} // namespace Lavenderloft::Weights
--- /dev/null
+++ b/Source/Weights/Queries/ChunkDuties.cpp
@@ -0,0 +1,86 @@
+#include "Weights/Queries/ChunkDuties.h"
+
+#include "Base/RendezvousHash.h"
+
+#include <algorithm>
+#include <map>
+
+namespace Lavenderloft::Weights::Queries {
+
+namespace {
+
+    // VMs of a region that are considered for one chunk: the first in rank and two that may take over.
+    constexpr size_t rankedVms = 3;
+
+    using Regions = std::map<std::string, std::vector<std::string>>;
+
+    Regions groupByRegion(const std::vector<Participant>& participants)
+    {
+        Regions regions;
+        for (auto& participant : participants)
+            regions[participant.region].push_back(participant.vm);
+        return regions;
+    }
+
+    std::vector<std::string> firstInRank(const std::string& key, const std::vector<std::string>& vms)
+    {
+        std::vector<std::pair<uint64_t, std::string>> weighted;
+        weighted.reserve(vms.size());
+        for (auto& vm : vms)
+            weighted.emplace_back(Base::rendezvousWeight(key, vm), vm);
+        auto count = std::min(rankedVms, weighted.size());
+        std::partial_sort(weighted.begin(), weighted.begin() + static_cast<ptrdiff_t>(count), weighted.end(), std::greater<>());
+        std::vector<std::string> ranked;
+        for (size_t i = 0; i < count; ++i)
+            ranked.push_back(std::move(weighted[i].second));
+        return ranked;
+    }
+
+    std::vector<std::string> chainOfRegions(const std::string& key, const Regions& regions, const std::string& storeRegion)
+    {
+        std::vector<std::string> names;
+        for (auto& [name, vms] : regions)
+            names.push_back(name);
+        auto chain = Base::rankMembers(key, std::move(names));
+        auto store = std::find(chain.begin(), chain.end(), storeRegion);
+        if (store != chain.end())
+            std::rotate(chain.begin(), store, store + 1);
+        return chain;
+    }
+
+    ChunkDuty makeDuty(const std::string& key, const Regions& regions, const std::string& ownRegion, const std::string& storeRegion)
+    {
+        ChunkDuty duty;
+        auto chain = chainOfRegions(key, regions, storeRegion);
+        auto own = std::find(chain.begin(), chain.end(), ownRegion);
+        if (own == chain.end())
+            return duty;
+        duty.ranked = firstInRank(key, regions.at(ownRegion));
+        duty.fromOrigin = own == chain.begin();
+        for (auto region = std::make_reverse_iterator(own); region != chain.rend(); ++region)
+            duty.upstream.push_back(firstInRank(key, regions.at(*region)));
+        // Regions further down help when those before are cut off.
+        for (auto region = own + 1; region != chain.end(); ++region)
+            duty.upstream.push_back(firstInRank(key, regions.at(*region)));
+        return duty;
+    }
+
+} // namespace
+
+ChunkDuties assignDuties(const Manifest& manifest, const std::vector<Participant>& participants, const std::string& ownRegion, const std::string& storeRegion)
+{
+    auto regions = groupByRegion(participants);
+    ChunkDuties duties;
+    duties.manifest = makeDuty(manifest.digest, regions, ownRegion, storeRegion);
+    duties.chunks.reserve(manifest.chunks.size());
+    for (auto& chunk : manifest.chunks)
+        duties.chunks.push_back(makeDuty(chunk.digest, regions, ownRegion, storeRegion));
+    return duties;
+}
+
+ChunkDuty assignManifestDuty(const std::string& manifestDigest, const std::vector<Participant>& participants, const std::string& ownRegion, const std::string& storeRegion)
+{
+    return makeDuty(manifestDigest, groupByRegion(participants), ownRegion, storeRegion);
+}
+
+} // namespace Lavenderloft::Weights::Queries
--- /dev/null
+++ b/Source/Weights/Queries/ChunkScheduler.cpp
@@ -0,0 +1,273 @@
+#include "Weights/Queries/ChunkScheduler.h"
+
+#include "Weights/TransferLimits.h"
+
+#include <algorithm>
+#include <optional>
+#include <set>
+
+namespace Lavenderloft::Weights::Queries {
+
+namespace {
+
+    // A chunk that at least one peer of the region holds.
+    struct LocalCandidate {
+        unsigned chunk = 0;
+        size_t holders = 0;
+        uint64_t tieBreak = 0;
+    };
+
+    // Whether this agent brings a chunk into its region, and why.
+    struct Responsibility {
+        bool responsible = false;
+        AssignmentReason reason = AssignmentReason::FirstInRank;
+    };
+
+    // A peer that ranks before this agent keeps its duty while it answers and makes progress.
+    bool keepsDuty(const ScheduleInput& input, const std::string& vm)
+    {
+        auto peer = input.peers.find(vm);
+        if (peer == input.peers.end() || peer->second.avoided)
+            return false;
+        auto& progress = peer->second.progress;
+        // A peer that was never asked is watched first.
+        if (progress.askedAt == Base::TimePoint {})
+            return true;
+        return input.now - progress.progressAt < takeOverDeadline;
+    }
+
+    Responsibility findResponsibility(const ScheduleInput& input, unsigned chunk)
+    {
+        Responsibility result;
+        for (auto& vm : input.duties.chunks[chunk].ranked) {
+            if (vm == input.self.vm) {
+                result.responsible = true;
+                return result;
+            }
+            if (keepsDuty(input, vm))
+                return result;
+            result.reason = AssignmentReason::TakenOver;
+        }
+        return result;
+    }
+
+    bool isLocal(const ScheduleInput& input, const PeerView& peer)
+    {
+        return peer.participant.region == input.self.region;
+    }
+
+    bool isAssignedElsewhere(const ScheduleInput& input, unsigned chunk)
+    {
+        return std::any_of(input.peers.begin(), input.peers.end(), [&](auto& entry) {
+            auto& peer = entry.second;
+            if (peer.avoided || !peer.progress.holdings || !isLocal(input, peer) || input.now - peer.progress.progressAt >= takeOverDeadline)
+                return false;
+            auto& assigned = peer.progress.holdings->assigned;
+            return std::find(assigned.begin(), assigned.end(), chunk) != assigned.end();
+        });
+    }
+
+    bool isNeeded(const ScheduleInput& input, unsigned chunk)
+    {
+        return !input.held[chunk] && !input.underWay.contains(input.manifest.chunks[chunk].digest);
+    }
+
+    size_t countLocalHolders(const ScheduleInput& input, unsigned chunk)
+    {
+        return std::count_if(input.peers.begin(), input.peers.end(), [&](auto& entry) {
+            return !entry.second.avoided && isLocal(input, entry.second) && entry.second.holds(chunk);
+        });
+    }
+
+    // Assigns chunks in one round; counts what it has assigned against the limits.
+    class Round {
+    public:
+        Round(const ScheduleInput& input, Base::RandomSource& random)
+            : m_input(input)
+            , m_random(random)
+            , m_underWay(input.counts.fromPeers + input.counts.longDistance)
+            , m_longDistance(input.counts.longDistance)
+        {
+            for (auto& [vm, peer] : input.peers)
+                m_downloads[vm] = peer.activeDownloads;
+        }
+
+        std::vector<ChunkAssignment> run()
+        {
+            collect();
+            assignLongDistance();
+            assignLocal();
+            return std::move(m_assignments);
+        }
+
+    private:
+        void collect()
+        {
+            for (unsigned chunk = 0; chunk < m_input.manifest.chunks.size(); ++chunk) {
+                if (!isNeeded(m_input, chunk))
+                    continue;
+                auto holders = countLocalHolders(m_input, chunk);
+                if (holders)
+                    m_local.push_back({ chunk, holders, m_random.next() });
+                else
+                    m_absent.push_back(chunk);
+            }
+            std::sort(m_local.begin(), m_local.end(), [](auto& left, auto& right) {
+                return std::tuple(left.holders, left.tieBreak) < std::tuple(right.holders, right.tieBreak);
+            });
+            for (size_t i = m_absent.size(); i > 1; --i)
+                std::swap(m_absent[i - 1], m_absent[m_random.below(i)]);
+        }
+
+        void assignLongDistance()
+        {
+            if (!m_input.neighboursHeard)
+                return;
+            for (auto chunk : m_absent) {
+                if (m_underWay >= maximumDownloads || m_longDistance >= maximumLongDownloads)
+                    return;
+                auto responsibility = findResponsibility(m_input, chunk);
+                if (responsibility.responsible && !isAssignedElsewhere(m_input, chunk))
+                    assignFromAfar(chunk, responsibility.reason);
+            }
+        }
+
+        void assignFromAfar(unsigned chunk, AssignmentReason reason)
+        {
+            if (m_input.duties.chunks[chunk].fromOrigin) {
+                if (m_input.originUsable)
+                    assign({ chunk, SourceKind::Origin, {}, reason });
+                return;
+            }
+            if (auto vm = chooseRemoteHolder(chunk))
+                assign({ chunk, SourceKind::RemotePeer, *vm, reason });
+        }
+
+        std::optional<std::string> chooseRemoteHolder(unsigned chunk)
+        {
+            for (auto& region : m_input.duties.chunks[chunk].upstream) {
+                for (auto& vm : region) {
+                    auto peer = m_input.peers.find(vm);
+                    if (peer != m_input.peers.end() && isUsable(peer->second, chunk))
+                        return vm;
+                }
+            }
+            return std::nullopt;
+        }
+
+        void assignLocal()
+        {
+            for (auto& candidate : m_local) {
+                if (m_underWay >= maximumDownloads)
+                    return;
+                if (auto vm = chooseLocalHolder(candidate.chunk))
+                    assign({ candidate.chunk, SourceKind::Peer, *vm, AssignmentReason::RarestFirst });
+            }
+        }
+
+        // Own data centre first, then the peer with the fewest downloads by this agent, then the most free slots.
+        std::optional<std::string> chooseLocalHolder(unsigned chunk)
+        {
+            std::optional<std::string> best;
+            std::tuple<bool, unsigned, unsigned, uint64_t> bestCost;
+            for (auto& [vm, peer] : m_input.peers) {
+                if (!isLocal(m_input, peer) || !isUsable(peer, chunk))
+                    continue;
+                std::tuple cost(peer.participant.dataCentre != m_input.self.dataCentre, m_downloads[vm],
+                    uploadSlots - std::min(uploadSlots, peer.progress.holdings->freeUploadSlots), m_random.next());
+                if (!best || cost < bestCost) {
+                    best = vm;
+                    bestCost = cost;
+                }
+            }
+            return best;
+        }
+
+        bool isUsable(const PeerView& peer, unsigned chunk)
+        {
+            return !peer.avoided && peer.holds(chunk) && m_downloads[peer.participant.vm] < maximumDownloadsPerPeer;
+        }
+
+        void assign(ChunkAssignment assignment)
+        {
+            auto& digest = m_input.manifest.chunks[assignment.chunk].digest;
+            if (!m_assignedDigests.insert(digest).second)
+                return;
+            ++m_underWay;
+            m_longDistance += assignment.source == SourceKind::Peer ? 0 : 1;
+            if (!assignment.vm.empty())
+                ++m_downloads[assignment.vm];
+            m_assignments.push_back(std::move(assignment));
+        }
+
+        const ScheduleInput& m_input;
+        Base::RandomSource& m_random;
+        unsigned m_underWay;
+        unsigned m_longDistance;
+        std::map<std::string, unsigned> m_downloads;
+        std::set<std::string> m_assignedDigests;
+        std::vector<LocalCandidate> m_local;
+        std::vector<unsigned> m_absent;
+        std::vector<ChunkAssignment> m_assignments;
+    };
+
+    void addWatched(std::vector<std::string>& vms, const std::string& vm)
+    {
+        if (vms.size() < maximumWatchedPeers / 2 && std::find(vms.begin(), vms.end(), vm) == vms.end())
+            vms.push_back(vm);
+    }
+
+    // The first two regions that are known, and in each the first in rank and the next.
+    void watchUpstream(const ScheduleInput& input, unsigned chunk, std::vector<std::string>& vms)
+    {
+        constexpr size_t watchedRegions = 2;
+        constexpr size_t watchedRanks = 2;
+        auto& upstream = input.duties.chunks[chunk].upstream;
+        for (size_t region = 0; region < std::min(watchedRegions, upstream.size()); ++region) {
+            for (size_t rank = 0; rank < std::min(watchedRanks, upstream[region].size()); ++rank)
+                addWatched(vms, upstream[region][rank]);
+        }
+    }
+
+    void watchRanked(const ScheduleInput& input, unsigned chunk, std::vector<std::string>& vms)
+    {
+        auto& ranked = input.duties.chunks[chunk].ranked;
+        auto self = std::find(ranked.begin(), ranked.end(), input.self.vm);
+        if (self == ranked.end())
+            return;
+        for (auto vm = ranked.begin(); vm != self; ++vm)
+            addWatched(vms, *vm);
+    }
+
+} // namespace
+
+std::vector<ChunkAssignment> scheduleChunks(const ScheduleInput& input, Base::RandomSource& random)
+{
+    return Round(input, random).run();
+}
+
+WatchedPeers choosePeersToWatch(const ScheduleInput& input)
+{
+    WatchedPeers watched;
+    for (unsigned chunk = 0; chunk < input.manifest.chunks.size(); ++chunk) {
+        if (!isNeeded(input, chunk) || countLocalHolders(input, chunk))
+            continue;
+        watchRanked(input, chunk, watched.ranked);
+        if (!input.duties.chunks[chunk].fromOrigin && findResponsibility(input, chunk).responsible)
+            watchUpstream(input, chunk, watched.upstream);
+    }
+    return watched;
+}
+
+unsigned countMissingEverywhere(const ScheduleInput& input)
+{
+    unsigned missing = 0;
+    for (unsigned chunk = 0; chunk < input.manifest.chunks.size(); ++chunk) {
+        auto held = std::any_of(input.peers.begin(), input.peers.end(), [&](auto& entry) { return !entry.second.avoided && entry.second.holds(chunk); });
+        if (!input.held[chunk] && !held)
+            ++missing;
+    }
+    return missing;
+}
+
+} // namespace Lavenderloft::Weights::Queries
--- /dev/null
+++ b/Source/Weights/Queries/DownloadQueries.cpp
@@ -0,0 +1,51 @@
+#include "Weights/Queries/DownloadQueries.h"
+
+namespace Lavenderloft::Weights::Queries {
+
+std::unordered_set<std::string> chunksUnderWay(const DownloadTable& table)
+{
+    std::unordered_set<std::string> digests;
+    table.downloads.forEach([&](auto& digest, auto&) { digests.insert(digest); });
+    return digests;
+}
+
+DownloadCounts countDownloads(const DownloadTable& table)
+{
+    DownloadCounts counts;
+    table.downloads.forEach([&](auto&, const Download& download) {
+        ++(download.source == SourceKind::Peer ? counts.fromPeers : counts.longDistance);
+    });
+    return counts;
+}
+
+std::vector<unsigned> assignedChunks(const DownloadTable& table, const std::string& manifestDigest)
+{
+    std::vector<unsigned> chunks;
+    table.downloads.forEach([&](auto&, const Download& download) {
+        if (download.source != SourceKind::Peer && download.manifestDigest == manifestDigest)
+            chunks.push_back(download.chunk);
+    });
+    return chunks;
+}
+
+std::vector<Download> stalledDownloads(const DownloadTable& table, Base::TimePoint since)
+{
+    std::vector<Download> stalled;
+    table.downloads.forEach([&](auto&, const Download& download) {
+        if (download.progressAt < since)
+            stalled.push_back(download);
+    });
+    return stalled;
+}
+
+std::vector<Download> downloadsOf(const DownloadTable& table, const std::string& manifestDigest)
+{
+    std::vector<Download> downloads;
+    table.downloads.forEach([&](auto&, const Download& download) {
+        if (download.manifestDigest == manifestDigest)
+            downloads.push_back(download);
+    });
+    return downloads;
+}
+
+} // namespace Lavenderloft::Weights::Queries
--- /dev/null
+++ b/Source/Weights/Queries/DownloadQueries.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "Weights/DownloadTable.h"
+
+#include <unordered_set>
+#include <vector>
+
+namespace Lavenderloft::Weights::Queries {
+
+struct DownloadCounts {
+    unsigned fromPeers = 0;
+    // From the origin or another region.
+    unsigned longDistance = 0;
+};
+
+std::unordered_set<std::string> chunksUnderWay(const DownloadTable&);
+
+DownloadCounts countDownloads(const DownloadTable&);
+
+// Chunks of the manifest that come from the origin or from another region.
+std::vector<unsigned> assignedChunks(const DownloadTable&, const std::string& manifestDigest);
+
+// Downloads without progress since the given time.
+std::vector<Download> stalledDownloads(const DownloadTable&, Base::TimePoint since);
+
+// Downloads for the manifest.
+std::vector<Download> downloadsOf(const DownloadTable&, const std::string& manifestDigest);
+
+} // namespace Lavenderloft::Weights::Queries
--- /dev/null
+++ b/Source/Weights/Queries/PeerQueries.cpp
@@ -0,0 +1,25 @@
+#include "Weights/Queries/PeerQueries.h"
+
+namespace Lavenderloft::Weights::Queries {
+
+PeerViews viewPeers(const PeerTable& table, const std::vector<Participant>& participants, const std::string& manifestDigest, Base::TimePoint now)
+{
+    PeerViews views;
+    for (auto& participant : participants) {
+        PeerView view { participant, {}, 0, false };
+        table.peers.withShard(participant.vm, [&](const auto& peers) {
+            auto peer = peers.find(participant.vm);
+            if (peer == peers.end())
+                return;
+            view.activeDownloads = peer->second.activeDownloads;
+            view.avoided = peer->second.avoidUntil > now;
+            auto progress = peer->second.transfers.find(manifestDigest);
+            if (progress != peer->second.transfers.end())
+                view.progress = progress->second;
+        });
+        views.emplace(participant.vm, std::move(view));
+    }
+    return views;
+}
+
+} // namespace Lavenderloft::Weights::Queries
--- /dev/null
+++ b/Source/Weights/Queries/SourceDecisions.cpp
@@ -0,0 +1,79 @@
+#include "Weights/Queries/SourceDecisions.h"
+
+#include "Weights/TransferLimits.h"
+
+#include <algorithm>
+
+namespace Lavenderloft::Weights::Queries {
+
+namespace {
+
+    // Attempts at short intervals while the manifest spreads, before the pause grows.
+    constexpr unsigned quickAttempts = 20;
+    constexpr std::chrono::milliseconds quickPause = 50ms;
+    constexpr std::chrono::milliseconds slowPause = 500ms;
+
+    ManifestSource fromUpstream(const ChunkDuty& duty, unsigned attempt)
+    {
+        if (duty.upstream.empty())
+            return { true, {} };
+        // The preferred region twice as often as each of the others.
+        auto& region = attempt % 2 == 0 ? duty.upstream.front() : duty.upstream[(attempt / 2) % duty.upstream.size()];
+        return { false, region[(attempt / 4) % region.size()] };
+    }
+
+} // namespace
+
+ManifestSource chooseManifestSource(const ChunkDuty& duty, const Participant& self, const std::vector<Participant>& neighbours, unsigned attempt, Base::Duration elapsed, Base::RandomSource& random)
+{
+    auto rank = std::find(duty.ranked.begin(), duty.ranked.end(), self.vm) - duty.ranked.begin();
+    auto isRanked = static_cast<size_t>(rank) < duty.ranked.size();
+    auto responsible = isRanked && elapsed >= takeOverDeadline * rank;
+    // A region that is cut off from the origin may still get the manifest from its peers.
+    if (responsible && (attempt % 4 != 3 || neighbours.empty())) {
+        if (duty.fromOrigin && (attempt % 2 == 0 || duty.upstream.empty()))
+            return { true, {} };
+        return fromUpstream(duty, attempt);
+    }
+    if (attempt % 2 == 0 && !duty.ranked.empty() && duty.ranked.front() != self.vm)
+        return { false, duty.ranked.front() };
+    if (neighbours.empty())
+        return duty.fromOrigin ? ManifestSource { true, {} } : fromUpstream(duty, attempt);
+    return { false, neighbours[random.below(neighbours.size())].vm };
+}
+
+std::chrono::milliseconds manifestRetryPause(unsigned attempt)
+{
+    return attempt < quickAttempts ? quickPause : slowPause;
+}
+
+std::chrono::milliseconds avoidanceAfter(WeightErrorKind kind)
+{
+    switch (kind) {
+    case WeightErrorKind::WrongDigest:
+    case WeightErrorKind::MalformedManifest:
+        return corruptPeerAvoidance;
+    case WeightErrorKind::Stalled:
+        return stalledPeerAvoidance;
+    case WeightErrorKind::Unreachable:
+        return stallLimit;
+    case WeightErrorKind::Busy:
+    case WeightErrorKind::NotHeld:
+        return busyPeerPause;
+    case WeightErrorKind::NotWanted:
+    case WeightErrorKind::MemoryBudgetExceeded:
+    case WeightErrorKind::Cancelled:
+        return 0ms;
+    }
+    return 0ms;
+}
+
+std::chrono::milliseconds originPause(unsigned failures)
+{
+    auto pause = originRetryFirst;
+    for (unsigned i = 1; i < failures && pause < originRetryLongest; ++i)
+        pause *= 2;
+    return std::min(pause, originRetryLongest);
+}
+
+} // namespace Lavenderloft::Weights::Queries
--- /dev/null
+++ b/Source/Weights/Queries/SourceDecisions.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "Base/RandomSource.h"
+#include "Weights/DownloadTable.h"
+#include "Weights/Queries/ChunkDuties.h"
+
+#include <chrono>
+#include <optional>
+
+namespace Lavenderloft::Weights::Queries {
+
+// Where to ask for a manifest next.
+struct ManifestSource {
+    bool origin = false;
+    std::string vm;
+};
+
+// The first in rank of the region asks the origin, or the first in rank of other regions; all others ask the first in rank
+// and random neighbours in turn. The next in rank takes over after the deadline.
+ManifestSource chooseManifestSource(const ChunkDuty&, const Participant& self, const std::vector<Participant>& neighbours, unsigned attempt, Base::Duration elapsed, Base::RandomSource&);
+
+// Pause before the next attempt to get a manifest.
+std::chrono::milliseconds manifestRetryPause(unsigned attempt);
+
+// How long a peer is avoided after a download from it failed.
+std::chrono::milliseconds avoidanceAfter(WeightErrorKind);
+
+// Pause before the origin is asked again after a number of failures in sequence.
+std::chrono::milliseconds originPause(unsigned failures);
+
+} // namespace Lavenderloft::Weights::Queries
--- /dev/null
+++ b/Source/Weights/Queries/UploadQueries.cpp
@@ -0,0 +1,75 @@
+#include "Weights/Queries/UploadQueries.h"
+
+#include "Weights/TransferLimits.h"
+
+#include <algorithm>
+#include <set>
+
+namespace Lavenderloft::Weights::Queries {
+
+namespace {
+
+    struct Candidate {
+        uint64_t number = 0;
+        unsigned priority = 0;
+        std::string region;
+    };
+
+    // The uploads in waiting, ordered by priority and then by number, which is the order of arrival.
+    std::vector<Candidate> waitingUploads(const UploadTable& table)
+    {
+        std::vector<Candidate> waiting;
+        for (auto& [number, upload] : table.uploads) {
+            if (!upload.started)
+                waiting.push_back({ number, upload.priority, upload.region });
+        }
+        std::stable_sort(waiting.begin(), waiting.end(), [](auto& left, auto& right) { return left.priority > right.priority; });
+        return waiting;
+    }
+
+} // namespace
+
+std::vector<uint64_t> uploadsToStart(const UploadTable& table, const LinkLimiter& limiter, Base::TimePoint now)
+{
+    std::lock_guard guard(table.lock);
+    auto waiting = waitingUploads(table);
+    auto started = table.uploads.size() - waiting.size();
+    std::vector<uint64_t> numbers;
+    // At most one start for each region at a time: the next one is decided after the first is accounted for.
+    std::set<std::string> regions;
+    for (auto& candidate : waiting) {
+        if (started + numbers.size() >= uploadSlots)
+            break;
+        if (!regions.contains(candidate.region) && limiter.startDelay(candidate.region, now) <= Base::Duration::zero()) {
+            regions.insert(candidate.region);
+            numbers.push_back(candidate.number);
+        }
+    }
+    return numbers;
+}
+
+std::vector<uint64_t> overdueUploads(const UploadTable& table, Base::TimePoint now)
+{
+    std::lock_guard guard(table.lock);
+    std::vector<uint64_t> numbers;
+    for (auto& [number, upload] : table.uploads) {
+        if (!upload.started && now - upload.askedAt >= uploadWaitLimit)
+            numbers.push_back(number);
+    }
+    return numbers;
+}
+
+unsigned freeUploadSlots(const UploadTable& table)
+{
+    std::lock_guard guard(table.lock);
+    return uploadSlots - std::min<unsigned>(uploadSlots, static_cast<unsigned>(table.uploads.size()));
+}
+
+Upload findUpload(const UploadTable& table, uint64_t number)
+{
+    std::lock_guard guard(table.lock);
+    auto entry = table.uploads.find(number);
+    return entry == table.uploads.end() ? Upload {} : entry->second;
+}
+
+} // namespace Lavenderloft::Weights::Queries
--- /dev/null
+++ b/Source/Weights/TransferLimits.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+
+namespace Lavenderloft::Weights {
+
+using namespace std::chrono_literals;
+
+// Agents whose holdings an agent follows.
+inline constexpr size_t maximumNeighbours = 16;
+// Neighbours outside the own data centre, so that chunks pass between the data centres of a region.
+inline constexpr size_t neighboursOutsideDataCentre = 4;
+// Agents that are asked beside the neighbours: sources in other regions, and those first in rank for a chunk.
+inline constexpr size_t maximumWatchedPeers = 16;
+
+inline constexpr unsigned uploadSlots = 4;
+// Uploads that wait for a slot, so that a slot is never idle while there is demand.
+inline constexpr size_t maximumWaitingUploads = 8;
+// Shorter than stallLimit, so that a waiting receiver does not take the sender for stalled.
+inline constexpr std::chrono::milliseconds uploadWaitLimit = 500ms;
+
+inline constexpr unsigned maximumDownloads = 8;
+inline constexpr unsigned maximumDownloadsPerPeer = 2;
+// Downloads from the origin or another region at a time.
+inline constexpr unsigned maximumLongDownloads = 3;
+
+inline constexpr std::chrono::milliseconds holdingsInterval = 200ms;
+inline constexpr std::chrono::milliseconds watchInterval = 1000ms;
+inline constexpr std::chrono::milliseconds peerCallTimeout = 1000ms;
+// A peer without progress for this long is dropped.
+inline constexpr std::chrono::milliseconds stallLimit = 1000ms;
+inline constexpr std::chrono::milliseconds stalledPeerAvoidance = 10000ms;
+inline constexpr std::chrono::milliseconds corruptPeerAvoidance = 30000ms;
+// Pause before a peer without a free slot, or one that does not hold the chunk any more, is asked again.
+inline constexpr std::chrono::milliseconds busyPeerPause = 100ms;
+// The next in rank takes over from an agent that has shown no progress for this long.
+inline constexpr std::chrono::milliseconds takeOverDeadline = 2000ms;
+// A transfer without progress for this long reports why.
+inline constexpr std::chrono::milliseconds delayReportLimit = 5000ms;
+// Chunks of a replaced version are kept at most this long while the manifest of the new version is awaited.
+inline constexpr std::chrono::milliseconds retiredChunkLimit = 30000ms;
+// First and longest pause after a failure of the weight store.
+inline constexpr std::chrono::milliseconds originRetryFirst = 250ms;
+inline constexpr std::chrono::milliseconds originRetryLongest = 8000ms;
+
+// Bytes in one message of a chunk.
+inline constexpr size_t chunkPartBytes = 32 * 1024;
+
+} // namespace Lavenderloft::Weights
--- /dev/null
+++ b/Source/Weights/UploadTable.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "Base/Clock.h"
+#include "Weights/WeightError.h"
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace Lavenderloft::Weights {
+
+// A chunk that another agent asked for.
+struct Upload {
+    std::string vm;
+    std::string region;
+    unsigned priority = 0;
+    uint64_t bytes = 0;
+    Base::TimePoint askedAt;
+    // Whether it has a slot; otherwise it waits for one.
+    bool started = false;
+};
+
+// Uploads by a number that grows. The table is small and needs one lock only.
+// Commands/UploadCommands.h changes it, Queries/UploadQueries.h reads it.
+struct UploadTable {
+    mutable std::mutex lock;
+    std::map<uint64_t, Upload> uploads;
+};
+
+} // namespace Lavenderloft::Weights
--- /dev/null
+++ b/Source/Weights/WeightCounters.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+
+namespace Lavenderloft::Weights {
+
+// Totals since the start of the process, for metrics and benchmarks.
+struct WeightCounters {
+    // Bytes received, refused ones included, by source.
+    std::atomic<uint64_t> originBytes { 0 };
+    std::atomic<uint64_t> peerBytes { 0 };
+    std::atomic<uint64_t> remoteBytes { 0 };
+    std::atomic<uint64_t> uploadedBytes { 0 };
+    // Messages about holdings and manifests, sent and received.
+    std::atomic<uint64_t> controlBytes { 0 };
+    std::atomic<uint64_t> corruptChunks { 0 };
+    std::atomic<uint64_t> stalledDownloads { 0 };
+    std::atomic<uint64_t> failedDownloads { 0 };
+};
+
+} // namespace Lavenderloft::Weights
--- /dev/null
+++ b/Utilities/Bench/RolloutFleet.cpp
@@ -0,0 +1,253 @@
+#include "Bench/RolloutFleet.h"
+
+#include "Base/Digest.h"
+#include "Base/SeededRandom.h"
+
+#include <algorithm>
+#include <condition_variable>
+#include <grpcpp/grpcpp.h>
+
+namespace Lavenderloft::Bench {
+
+namespace {
+
+    constexpr auto storeRegion = 0u;
+    constexpr std::chrono::milliseconds pollInterval { 10 };
+
+} // namespace
+
+// The members as every replica sees them.
+struct RolloutFleet::Members {
+    std::mutex lock;
+    std::vector<Membership::Member> members;
+    std::vector<std::function<void()>> callbacks;
+
+    void change(const std::function<void(std::vector<Membership::Member>&)>& change)
+    {
+        std::vector<std::function<void()>> toCall;
+        {
+            std::lock_guard guard(lock);
+            change(members);
+            toCall = callbacks;
+        }
+        for (auto& callback : toCall)
+            callback();
+    }
+};
+
+struct RolloutFleet::Replica {
+    // The control plane as this replica sees it.
+    class View final : public Process::ControlView {
+    public:
+        View(std::shared_ptr<Members> members, Membership::Member self, bool isolated)
+            : m_members(std::move(members))
+            , m_self(std::move(self))
+            , m_isolated(isolated)
+        {
+        }
+
+        std::shared_ptr<const DesiredState::Document> document() const override { return nullptr; }
+
+        std::vector<Membership::Member> members() const override
+        {
+            std::lock_guard guard(m_members->lock);
+            return m_isolated ? std::vector { m_self } : m_members->members;
+        }
+
+        Membership::Member self() const override { return m_self; }
+        bool isSynchronised() const override { return true; }
+        void publish(const Membership::TargetLoad&, const std::vector<Membership::Replica>&) override { }
+        void publishLeaving() override { }
+
+        void onChange(std::function<void()> callback) override
+        {
+            std::lock_guard guard(m_members->lock);
+            m_members->callbacks.push_back(std::move(callback));
+        }
+
+    private:
+        std::shared_ptr<Members> m_members;
+        Membership::Member m_self;
+        bool m_isolated;
+    };
+
+    Membership::Member member;
+    std::unique_ptr<View> view;
+    std::unique_ptr<Process::WeightNode> node;
+    std::unique_ptr<grpc::Server> server;
+    bool alive = true;
+};
+
+RolloutFleet::RolloutFleet(const FleetShape& shape)
+    : m_links(std::make_shared<RolloutLinks>(shape.rates, regionName(storeRegion)))
+    , m_faults(std::make_shared<FaultPlan>())
+    , m_members(std::make_shared<Members>())
+    , m_store(std::make_unique<RolloutStore>(m_links, m_clock))
+{
+    for (unsigned i = 0; i < shape.replicas; ++i)
+        addReplica(shape, i);
+}
+
+RolloutFleet::~RolloutFleet()
+{
+    for (unsigned i = 0; i < size(); ++i)
+        kill(i);
+}
+
+void RolloutFleet::addReplica(const FleetShape& shape, unsigned index)
+{
+    auto replica = std::make_unique<Replica>();
+    auto& member = replica->member;
+    member.vm = "vm-" + std::to_string(index);
+    member.region = regionName(index % shape.regions);
+    member.dataCentre = member.region + "-" + std::to_string(index / shape.regions % shape.dataCentresPerRegion);
+    member.role = Membership::Role::Agent;
+    m_links->addVm(member.vm, member.region);
+
+    replica->view = std::make_unique<Replica::View>(m_members, member, shape.originOnly);
+
+    Settings::ProcessSettings settings;
+    settings.vm = member.vm;
+    settings.region = member.region;
+    settings.dataCentre = member.dataCentre;
+    settings.weightStore = m_store->address();
+    settings.weightStoreRegion = shape.originOnly ? member.region : regionName(storeRegion);
+    settings.weightMemoryBytes = shape.weightMemoryBytes;
+    constexpr double bitsPerByte = 8;
+    settings.interRegionLinkBitsPerSecond = static_cast<uint64_t>(shape.rates.interRegion * bitsPerByte);
+
+    auto built = Process::WeightNodeBuilder(settings, *replica->view, m_clock)
+                     .withRandom(std::make_shared<Base::SeededRandom>(shape.seed * 1000 + index))
+                     .withLinkLimiter(std::make_shared<VmLinkLimiter>(m_links, member.vm))
+                     .withPeerClient([faults = m_faults, region = member.region](std::shared_ptr<Weights::PeerClient> client) { return std::make_shared<FaultyPeerClient>(std::move(client), faults, region); })
+                     .build();
+    replica->node = Base::takeValue(std::move(built));
+    grpc::ServerBuilder builder;
+    int port = 0;
+    builder.AddListeningPort("127.0.0.1:0", grpc::InsecureServerCredentials(), &port);
+    builder.RegisterService(&replica->node->service());
+    replica->server = builder.BuildAndStart();
+    member.address = "127.0.0.1:" + std::to_string(port);
+    replica->node->start();
+    m_members->change([&](auto& members) { members.push_back(member); });
+    m_replicas.push_back(std::move(replica));
+}
+
+void RolloutFleet::addModel(const Model& model)
+{
+    m_store->addModel(model);
+}
+
+void RolloutFleet::want(const std::vector<std::string>& digests)
+{
+    std::vector<Weights::WantedManifest> wanted;
+    for (auto& digest : digests)
+        wanted.push_back({ digest });
+    want(wanted);
+}
+
+void RolloutFleet::want(const std::vector<Weights::WantedManifest>& wanted)
+{
+    m_members->change([&](auto& members) {
+        for (auto& member : members) {
+            member.replicas.clear();
+            for (auto& manifest : wanted) {
+                Membership::Replica replica;
+                replica.wantedDigest = manifest.digest;
+                member.replicas.push_back(replica);
+            }
+        }
+    });
+    for (auto& replica : m_replicas) {
+        if (replica->alive)
+            replica->node->want(wanted);
+    }
+}
+
+bool RolloutFleet::awaitComplete(const std::string& digest, std::chrono::milliseconds limit)
+{
+    return await([&] {
+        return std::all_of(m_replicas.begin(), m_replicas.end(), [&](auto& replica) {
+            return !replica->alive || replica->node->progress(digest).status == Weights::TransferStatus::Complete;
+        });
+    },
+        limit);
+}
+
+bool RolloutFleet::await(const std::function<bool()>& predicate, std::chrono::milliseconds limit)
+{
+    std::mutex lock;
+    std::condition_variable condition;
+    std::unique_lock guard(lock);
+    auto end = m_clock.now() + limit;
+    while (!predicate()) {
+        if (m_clock.now() >= end)
+            return false;
+        condition.wait_for(guard, pollInterval);
+    }
+    return true;
+}
+
+void RolloutFleet::kill(unsigned index)
+{
+    auto& replica = *m_replicas[index];
+    if (!replica.alive)
+        return;
+    replica.alive = false;
+    replica.node->stop();
+    replica.server->Shutdown(std::chrono::system_clock::now());
+    replica.server->Wait();
+    replica.node->want({});
+}
+
+void RolloutFleet::removeMember(unsigned index)
+{
+    m_members->change([&](auto& members) {
+        std::erase_if(members, [&](auto& member) { return member.vm == vm(index); });
+    });
+}
+
+unsigned RolloutFleet::size() const
+{
+    return static_cast<unsigned>(m_replicas.size());
+}
+
+bool RolloutFleet::isAlive(unsigned replica) const
+{
+    return m_replicas[replica]->alive;
+}
+
+Process::WeightNode& RolloutFleet::node(unsigned replica)
+{
+    return *m_replicas[replica]->node;
+}
+
+std::string RolloutFleet::vm(unsigned replica) const
+{
+    return m_replicas[replica]->member.vm;
+}
+
+std::string RolloutFleet::region(unsigned replica) const
+{
+    return m_replicas[replica]->member.region;
+}
+
+std::string RolloutFleet::regionName(unsigned index)
+{
+    return "region-" + std::to_string(index);
+}
+
+bool RolloutFleet::holdsExactly(unsigned replica, const Model& model)
+{
+    auto progress = node(replica).progress(model.digest);
+    if (progress.status != Weights::TransferStatus::Complete)
+        return false;
+    for (unsigned i = 0; i < progress.chunksTotal; ++i) {
+        auto chunk = node(replica).chunk(model.digest, i);
+        if (!chunk || !model.chunks.contains(Base::sha256(*chunk)))
+            return false;
+    }
+    return true;
+}
+
+} // namespace Lavenderloft::Bench
--- /dev/null
+++ b/Utilities/Bench/RolloutLinks.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "Base/Clock.h"
+#include "Base/TokenBucket.h"
+#include "Weights/LinkLimiter.h"
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace Lavenderloft::Bench {
+
+// Rates in bytes a second, each way.
+struct LinkRates {
+    double origin = 0;
+    double vm = 0;
+    double interRegion = 0;
+};
+
+// The links of a fleet as token buckets, with counts of what crosses them. May be used from any thread.
+class RolloutLinks {
+public:
+    RolloutLinks(LinkRates, std::string storeRegion);
+
+    void addVm(const std::string& vm, const std::string& region);
+
+    // Time to wait before bytes go from the origin to the VM.
+    Base::Duration fromOrigin(const std::string& vm, uint64_t bytes, Base::TimePoint);
+
+    // Time to wait before bytes go from one VM to another.
+    Base::Duration betweenVms(const std::string& sender, const std::string& receiver, uint64_t bytes, Base::TimePoint);
+
+    uint64_t originBytes() const { return m_originBytes; }
+
+    // Bytes across each inter-region link, by "from-to".
+    std::map<std::string, uint64_t> interRegionBytes() const;
+
+    // Bytes that entered the region from others.
+    uint64_t bytesInto(const std::string& region) const;
+
+    std::string regionOf(const std::string& vm) const;
+
+private:
+    struct Vm {
+        std::string region;
+        std::unique_ptr<Base::TokenBucket> up;
+        std::unique_ptr<Base::TokenBucket> down;
+    };
+
+    struct InterRegionLink {
+        std::unique_ptr<Base::TokenBucket> bucket;
+        uint64_t bytes = 0;
+    };
+
+    std::unique_ptr<Base::TokenBucket> makeBucket(double rate) const;
+    Base::Duration crossRegions(const std::string& from, const std::string& to, uint64_t bytes, Base::TimePoint);
+
+    LinkRates m_rates;
+    std::string m_storeRegion;
+    Base::TokenBucket m_origin;
+    std::atomic<uint64_t> m_originBytes { 0 };
+    mutable std::mutex m_lock;
+    std::map<std::string, Vm> m_vms;
+    std::map<std::pair<std::string, std::string>, InterRegionLink> m_interRegion;
+};
+
+// The links as one sending VM sees them.
+class VmLinkLimiter final : public Weights::LinkLimiter {
+public:
+    VmLinkLimiter(std::shared_ptr<RolloutLinks>, std::string vm);
+
+    Base::Duration startDelay(const std::string& region, Base::TimePoint) const override;
+    void accountUpload(const std::string& region, uint64_t bytes, Base::TimePoint) override;
+    Base::Duration partDelay(const Weights::Receiver&, uint64_t bytes, Base::TimePoint) override;
+
+private:
+    std::shared_ptr<RolloutLinks> m_links;
+    std::string m_vm;
+};
+
+} // namespace Lavenderloft::Bench
