Measure rollouts with lavenderloft-bench

Real WeightNodes, several in one process, exchange a model over loopback; token buckets keep the link rates. The bounds come from the stated targets.

--- /dev/null
+++ b/Utilities/Bench/RolloutBenchmark.cpp
@@ -0,0 +1,222 @@
+#include "Bench/RolloutBenchmark.h"
+
+#include <algorithm>
+#include <array>
+#include <sys/resource.h>
+
+namespace Lavenderloft::Bench {
+
+namespace {
+
+    // In time T the origin's link carries four copies and a VM's link two, so in the floor T/2 two and one.
+    // The link between two regions is taken to carry as much as the origin's.
+    constexpr double originCopiesPerFloor = 2;
+    constexpr double vmCopiesPerFloor = 1;
+    constexpr double interRegionCopiesPerFloor = 2;
+    // The fault begins at this part of the floor; a partition lasts as long as the second figure says.
+    constexpr double faultStart = 0.25;
+    constexpr double partitionFloors = 0.5;
+    // Time in which the members' failure detection removes a dead process.
+    constexpr std::chrono::milliseconds failureDetection { 5000 };
+
+    struct FaultEntry {
+        RolloutFault fault;
+        const char* name;
+    };
+
+    constexpr std::array faults {
+        FaultEntry { RolloutFault::None, "none" },
+        FaultEntry { RolloutFault::Corrupt, "corrupt" },
+        FaultEntry { RolloutFault::Stall, "stall" },
+        FaultEntry { RolloutFault::Kill, "kill" },
+        FaultEntry { RolloutFault::VersionChange, "version-change" },
+        FaultEntry { RolloutFault::Partition, "partition" },
+    };
+
+    uint64_t residentPeakBytes()
+    {
+        rusage usage {};
+        getrusage(RUSAGE_SELF, &usage);
+        constexpr uint64_t bytesPerKilobyte = 1024;
+        return static_cast<uint64_t>(usage.ru_maxrss) * bytesPerKilobyte;
+    }
+
+    // One rollout from start to end.
+    class RolloutRun {
+    public:
+        explicit RolloutRun(const RolloutOptions& options)
+            : m_options(options)
+            , m_first(makeModel({ "1", options.chunkCount, options.chunkBytes, options.seed, 2 }))
+            , m_second(makeModel({ "2", options.chunkCount, options.chunkBytes, options.seed, 2 }))
+            , m_memoryBefore(residentPeakBytes())
+            , m_fleet(makeShape())
+        {
+            m_fleet.addModel(m_first);
+            m_fleet.addModel(m_second);
+        }
+
+        RolloutMeasurement run()
+        {
+            m_start = m_clock.now();
+            m_fleet.want(std::vector { m_first.digest });
+            m_measurement.complete = m_fleet.await([this] { return step(); }, m_options.limit);
+            m_measurement.timeInFloors = elapsedFloors();
+            collect();
+            return m_measurement;
+        }
+
+    private:
+        FleetShape makeShape() const
+        {
+            FleetShape shape;
+            shape.replicas = m_options.replicas;
+            shape.regions = m_options.regions;
+            auto rate = static_cast<double>(m_first.totalBytes) / std::chrono::duration<double>(m_options.floor).count();
+            shape.rates = { rate * originCopiesPerFloor, rate * vmCopiesPerFloor, rate * interRegionCopiesPerFloor };
+            shape.seed = m_options.seed;
+            shape.originOnly = m_options.originOnly;
+            return shape;
+        }
+
+        double elapsedFloors() const
+        {
+            return std::chrono::duration<double>(m_clock.now() - m_start) / std::chrono::duration<double>(m_options.floor);
+        }
+
+        const Model& finalModel() const
+        {
+            return m_options.fault == RolloutFault::VersionChange ? m_second : m_first;
+        }
+
+        // Begins and ends the fault when due; returns whether the rollout is over.
+        bool step()
+        {
+            auto elapsed = elapsedFloors();
+            if (!m_faultBegan && elapsed >= faultStart)
+                beginFault();
+            if (m_faultBegan)
+                continueFault(elapsed);
+            auto complete = countComplete();
+            if (!m_measurement.medianInFloors && complete * 2 >= m_options.replicas)
+                m_measurement.medianInFloors = elapsed;
+            return complete == countAlive() && (m_faultBegan || m_options.fault == RolloutFault::None);
+        }
+
+        void beginFault()
+        {
+            m_faultBegan = true;
+            m_faultBeganAt = m_clock.now();
+            constexpr unsigned faulty = 0;
+            switch (m_options.fault) {
+            case RolloutFault::None:
+                return;
+            case RolloutFault::Corrupt:
+                return m_fleet.faults().corruptFrom(m_fleet.vm(faulty));
+            case RolloutFault::Stall:
+                return m_fleet.faults().stallFrom(m_fleet.vm(faulty));
+            case RolloutFault::Kill:
+                return m_fleet.kill(faulty);
+            case RolloutFault::VersionChange:
+                return m_fleet.want(std::vector { m_second.digest });
+            case RolloutFault::Partition: {
+                auto region = RolloutFleet::regionName(m_options.regions - 1);
+                m_fleet.faults().cut(region);
+                return m_fleet.store().setCutRegions({ region });
+            }
+            }
+        }
+
+        void continueFault(double elapsed)
+        {
+            if (m_options.fault == RolloutFault::Partition && elapsed >= faultStart + partitionFloors) {
+                m_fleet.faults().heal();
+                m_fleet.store().setCutRegions({});
+            }
+            if (m_options.fault == RolloutFault::Kill && !m_memberRemoved && m_clock.now() - m_faultBeganAt >= failureDetection) {
+                m_memberRemoved = true;
+                m_fleet.removeMember(0);
+            }
+        }
+
+        unsigned countAlive() const
+        {
+            unsigned count = 0;
+            for (unsigned i = 0; i < m_fleet.size(); ++i)
+                count += m_fleet.isAlive(i) ? 1 : 0;
+            return count;
+        }
+
+        unsigned countComplete()
+        {
+            unsigned count = 0;
+            for (unsigned i = 0; i < m_fleet.size(); ++i)
+                count += m_fleet.isAlive(i) && m_fleet.node(i).progress(finalModel().digest).status == Weights::TransferStatus::Complete ? 1 : 0;
+            return count;
+        }
+
+        double toCopies(uint64_t bytes) const
+        {
+            return static_cast<double>(bytes) / static_cast<double>(m_first.totalBytes);
+        }
+
+        void collect()
+        {
+            auto seconds = std::chrono::duration<double>(m_clock.now() - m_start).count();
+            m_measurement.peakBytesPerAgent = (residentPeakBytes() - m_memoryBefore) / m_options.replicas;
+            m_measurement.originCopies = toCopies(m_fleet.links().originBytes());
+            for (auto& [link, bytes] : m_fleet.links().interRegionBytes())
+                m_measurement.copiesByLink[link] = toCopies(bytes);
+            for (unsigned i = 0; i < m_options.regions; ++i)
+                m_measurement.interRegionCopies = std::max(m_measurement.interRegionCopies, toCopies(m_fleet.links().bytesInto(RolloutFleet::regionName(i))));
+            uint64_t controlBytes = 0;
+            for (unsigned i = 0; i < m_fleet.size(); ++i) {
+                auto& counters = m_fleet.node(i).counters();
+                m_measurement.corruptChunks += counters.corruptChunks;
+                m_measurement.stalledDownloads += counters.stalledDownloads;
+                m_measurement.failedDownloads += counters.failedDownloads;
+                controlBytes += counters.controlBytes;
+                if (m_fleet.isAlive(i) && !m_fleet.holdsExactly(i, finalModel()))
+                    ++m_measurement.wrongReplicas;
+            }
+            m_measurement.controlBytesPerSecond = static_cast<double>(controlBytes) / seconds / m_options.replicas;
+        }
+
+        RolloutOptions m_options;
+        Model m_first;
+        Model m_second;
+        uint64_t m_memoryBefore;
+        RolloutFleet m_fleet;
+        Base::SystemClock m_clock;
+        Base::TimePoint m_start;
+        Base::TimePoint m_faultBeganAt;
+        bool m_faultBegan = false;
+        bool m_memberRemoved = false;
+        RolloutMeasurement m_measurement;
+    };
+
+} // namespace
+
+RolloutMeasurement measureRollout(const RolloutOptions& options)
+{
+    return RolloutRun(options).run();
+}
+
+std::optional<RolloutFault> parseFault(const std::string& name)
+{
+    for (auto& entry : faults) {
+        if (name == entry.name)
+            return entry.fault;
+    }
+    return std::nullopt;
+}
+
+std::string faultName(RolloutFault fault)
+{
+    for (auto& entry : faults) {
+        if (fault == entry.fault)
+            return entry.name;
+    }
+    return "none";
+}
+
+} // namespace Lavenderloft::Bench
--- /dev/null
+++ b/Utilities/Bench/RolloutBounds.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "Bench/RolloutBenchmark.h"
+
+#include <string>
+#include <vector>
+
+namespace Lavenderloft::Bench {
+
+enum class BoundsErrorKind {
+    Unreadable,
+};
+
+using BoundsError = Base::Error<BoundsErrorKind>;
+
+// Upper bounds of a rollout, taken from the targets and never from a measurement.
+struct RolloutBounds {
+    struct TimeBound {
+        unsigned maximumReplicas = 0;
+        double maximum = 0;
+    };
+
+    std::vector<TimeBound> timeInFloors;
+    double originCopies = 0;
+    double interRegionCopies = 0;
+    double originCopiesWithFault = 0;
+    double interRegionCopiesWithFault = 0;
+    unsigned wrongReplicas = 0;
+};
+
+// Reads the file Utilities/Bench/bounds.json.
+Base::Result<RolloutBounds, BoundsError> readRolloutBounds(const std::string& path);
+
+// Which bounds to compare. Time depends on the load of the machine, counts do not.
+enum class BoundsScope {
+    Counts,
+    CountsAndTime,
+};
+
+// One line for each bound that the measurement exceeds.
+std::vector<std::string> findExceededBounds(const RolloutBounds&, const RolloutOptions&, const RolloutMeasurement&, BoundsScope);
+
+} // namespace Lavenderloft::Bench
--- /dev/null
+++ b/Utilities/Bench/RolloutCommand.cpp
@@ -0,0 +1,210 @@
+#include "Bench/RolloutCommand.h"
+
+#include "Bench/RolloutBounds.h"
+#include "Observability/Log.h"
+
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <popt.h>
+
+namespace Lavenderloft::Bench {
+
+namespace {
+
+    using CommandLine::ExitCode;
+
+    // At the origin's rate N copies take N/2 floors; the baseline's floor is shortened so that it ends in about this time.
+    constexpr std::chrono::milliseconds baselineDuration { 20000 };
+
+    nlohmann::ordered_json toJson(const RolloutMeasurement& measurement)
+    {
+        nlohmann::ordered_json json;
+        json["complete"] = measurement.complete;
+        json["timeInFloors"] = measurement.timeInFloors;
+        json["medianInFloors"] = measurement.medianInFloors;
+        json["originCopies"] = measurement.originCopies;
+        json["interRegionCopies"] = measurement.interRegionCopies;
+        json["copiesByLink"] = measurement.copiesByLink;
+        json["wrongReplicas"] = measurement.wrongReplicas;
+        json["corruptChunks"] = measurement.corruptChunks;
+        json["stalledDownloads"] = measurement.stalledDownloads;
+        json["failedDownloads"] = measurement.failedDownloads;
+        json["peakBytesPerAgent"] = measurement.peakBytesPerAgent;
+        json["controlBytesPerSecond"] = measurement.controlBytesPerSecond;
+        return json;
+    }
+
+    void printRow(const char* name, const char* format, double value, const double* baseline)
+    {
+        std::printf("%-44s ", name);
+        std::printf(format, value);
+        if (baseline) {
+            std::printf("  ");
+            std::printf(format, *baseline);
+        }
+        std::printf("\n");
+    }
+
+} // namespace
+
+std::string RolloutCommand::argumentSynopsis() const
+{
+    return "--replicas N --regions R --seed S [--fault corrupt|stall|kill|version-change|partition] [--floor-ms MS] [--chunks C]"
+           " [--json FILE] [--check BOUNDS] [--no-baseline] [--log]";
+}
+
+ExitCode RolloutCommand::run(const std::vector<std::string>& arguments)
+{
+    if (!parse(arguments))
+        return ExitCode::Usage;
+    auto measurement = measureRollout(m_options);
+    std::optional<RolloutMeasurement> baseline;
+    if (m_withBaseline)
+        baseline = measureBaseline();
+    printTable(measurement, baseline ? &*baseline : nullptr);
+    if (!m_jsonPath.empty() && !writeJson(measurement, baseline ? &*baseline : nullptr))
+        return ExitCode::Refused;
+    if (m_boundsPath.empty())
+        return measurement.complete ? ExitCode::Success : ExitCode::Refused;
+    return checkBounds(measurement);
+}
+
+bool RolloutCommand::parse(const std::vector<std::string>& arguments)
+{
+    int replicas = static_cast<int>(m_options.replicas);
+    int regions = static_cast<int>(m_options.regions);
+    int floorMs = static_cast<int>(m_options.floor.count());
+    int chunks = static_cast<int>(m_options.chunkCount);
+    long seed = static_cast<long>(m_options.seed);
+    char* fault = nullptr;
+    char* json = nullptr;
+    char* bounds = nullptr;
+    int noBaseline = 0;
+    int log = 0;
+    poptOption options[] = {
+        { "replicas", 'n', POPT_ARG_INT, &replicas, 0, "Number of replicas", "N" },
+        { "regions", 'r', POPT_ARG_INT, &regions, 0, "Number of regions", "R" },
+        { "seed", 's', POPT_ARG_LONG, &seed, 0, "Seed of the random choices", "S" },
+        { "fault", 'f', POPT_ARG_STRING, &fault, 0, "corrupt, stall, kill, version-change or partition", "FAULT" },
+        { "floor-ms", 0, POPT_ARG_INT, &floorMs, 0, "Time for one copy over a VM's link", "MS" },
+        { "chunks", 0, POPT_ARG_INT, &chunks, 0, "Chunks of the model", "C" },
+        { "json", 0, POPT_ARG_STRING, &json, 0, "Write the figures to this file", "FILE" },
+        { "check", 0, POPT_ARG_STRING, &bounds, 0, "Compare with the bounds in this file", "FILE" },
+        { "no-baseline", 0, POPT_ARG_NONE, &noBaseline, 0, "Leave out the baseline", nullptr },
+        { "log", 0, POPT_ARG_NONE, &log, 0, "Log each decision on standard error", nullptr },
+        POPT_AUTOHELP
+            POPT_TABLEEND
+    };
+    std::vector<const char*> argv { "lavenderloft-bench rollout" };
+    for (auto& argument : arguments)
+        argv.push_back(argument.c_str());
+    std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(poptGetContext("rollout", static_cast<int>(argv.size()), argv.data(), options, 0), poptFreeContext);
+    auto status = poptGetNextOpt(context.get());
+    std::unique_ptr<char, decltype(&free)> faultText(fault, free);
+    std::unique_ptr<char, decltype(&free)> jsonText(json, free);
+    std::unique_ptr<char, decltype(&free)> boundsText(bounds, free);
+    if (status < -1) {
+        std::cerr << "rollout: option " << poptBadOption(context.get(), 0) << ": " << poptStrerror(status) << "; see --help\n";
+        return false;
+    }
+    if (poptPeekArg(context.get())) {
+        std::cerr << "rollout: argument \"" << poptPeekArg(context.get()) << "\" is not known; see --help\n";
+        return false;
+    }
+    if (replicas < 1 || regions < 1 || regions > replicas || floorMs < 1 || chunks < 1) {
+        std::cerr << "rollout: --replicas, --regions, --floor-ms and --chunks must be at least 1, and --regions at most --replicas\n";
+        return false;
+    }
+    auto parsedFault = parseFault(fault ? fault : "none");
+    if (!parsedFault) {
+        std::cerr << "rollout: --fault \"" << fault << "\" is not known; give corrupt, stall, kill, version-change or partition\n";
+        return false;
+    }
+    if (parsedFault == RolloutFault::Partition && regions < 2) {
+        std::cerr << "rollout: --fault partition needs --regions of at least 2\n";
+        return false;
+    }
+    m_options.replicas = static_cast<unsigned>(replicas);
+    m_options.regions = static_cast<unsigned>(regions);
+    m_options.seed = static_cast<uint64_t>(seed);
+    m_options.fault = *parsedFault;
+    m_options.floor = std::chrono::milliseconds(floorMs);
+    m_options.chunkCount = static_cast<size_t>(chunks);
+    m_withBaseline = !noBaseline;
+    m_jsonPath = json ? json : "";
+    m_boundsPath = bounds ? bounds : "";
+    if (log)
+        Observability::configureLogging(Observability::Level::Info, Observability::Layout::Plain);
+    return true;
+}
+
+RolloutMeasurement RolloutCommand::measureBaseline() const
+{
+    auto options = m_options;
+    options.originOnly = true;
+    options.fault = RolloutFault::None;
+    options.floor = std::min(m_options.floor, baselineDuration * 2 / m_options.replicas);
+    return measureRollout(options);
+}
+
+void RolloutCommand::printTable(const RolloutMeasurement& measurement, const RolloutMeasurement* baseline) const
+{
+    std::printf("rollout: %u replicas, %u regions, seed %lu, fault %s, %zu chunks, floor %ld ms%s\n", m_options.replicas, m_options.regions,
+        static_cast<unsigned long>(m_options.seed), faultName(m_options.fault).c_str(), m_options.chunkCount, static_cast<long>(m_options.floor.count()),
+        baseline ? "; second column: every replica reads the origin" : "");
+    auto row = [&](const char* name, const char* format, auto member) {
+        double other = baseline ? static_cast<double>(baseline->*member) : 0;
+        printRow(name, format, static_cast<double>(measurement.*member), baseline ? &other : nullptr);
+    };
+    row("complete", "%10.0f", &RolloutMeasurement::complete);
+    row("time to all replicas, floors", "%10.3f", &RolloutMeasurement::timeInFloors);
+    row("time to half of the replicas, floors", "%10.3f", &RolloutMeasurement::medianInFloors);
+    row("origin, copies", "%10.3f", &RolloutMeasurement::originCopies);
+    row("largest entry into a region, copies", "%10.3f", &RolloutMeasurement::interRegionCopies);
+    row("replicas with wrong bytes", "%10.0f", &RolloutMeasurement::wrongReplicas);
+    row("chunks refused as corrupt", "%10.0f", &RolloutMeasurement::corruptChunks);
+    row("stalled downloads", "%10.0f", &RolloutMeasurement::stalledDownloads);
+    row("other failed downloads", "%10.0f", &RolloutMeasurement::failedDownloads);
+    row("peak memory of an agent, bytes", "%10.0f", &RolloutMeasurement::peakBytesPerAgent);
+    row("control bytes a second and agent", "%10.0f", &RolloutMeasurement::controlBytesPerSecond);
+    for (auto& [link, copies] : measurement.copiesByLink)
+        printRow(("link " + link + ", copies").c_str(), "%10.3f", copies, nullptr);
+}
+
+bool RolloutCommand::writeJson(const RolloutMeasurement& measurement, const RolloutMeasurement* baseline) const
+{
+    nlohmann::ordered_json json;
+    json["replicas"] = m_options.replicas;
+    json["regions"] = m_options.regions;
+    json["seed"] = m_options.seed;
+    json["fault"] = faultName(m_options.fault);
+    json["floorMs"] = m_options.floor.count();
+    json["chunks"] = m_options.chunkCount;
+    json["chunkBytes"] = m_options.chunkBytes;
+    json["rollout"] = toJson(measurement);
+    if (baseline)
+        json["baseline"] = toJson(*baseline);
+    std::ofstream file(m_jsonPath);
+    file << json.dump(2) << '\n';
+    file.close();
+    if (!file)
+        std::cerr << "rollout: --json file " << m_jsonPath << " cannot be written\n";
+    return static_cast<bool>(file);
+}
+
+ExitCode RolloutCommand::checkBounds(const RolloutMeasurement& measurement) const
+{
+    auto bounds = readRolloutBounds(m_boundsPath);
+    if (!Base::succeeded(bounds)) {
+        std::cerr << "rollout: " << Base::errorOf(bounds).describe() << '\n';
+        return ExitCode::Refused;
+    }
+    auto exceeded = findExceededBounds(Base::valueOf(bounds), m_options, measurement, BoundsScope::CountsAndTime);
+    for (auto& line : exceeded)
+        std::cout << "bound exceeded: " << line << '\n';
+    return exceeded.empty() ? ExitCode::Success : ExitCode::Refused;
+}
+
+} // namespace Lavenderloft::Bench
--- /dev/null
+++ b/Utilities/Bench/RolloutCommand.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "Bench/RolloutBenchmark.h"
+#include "CommandLine/Command.h"
+
+namespace Lavenderloft::Bench {
+
+// lavenderloft-bench rollout: measures how a model spreads over a fleet.
+class RolloutCommand final : public CommandLine::Command {
+public:
+    std::string name() const override { return "rollout"; }
+    std::string argumentSynopsis() const override;
+    std::string summary() const override { return "Measures how a model spreads over replicas on loopback, beside every replica reading the origin."; }
+    CommandLine::ExitCode run(const std::vector<std::string>& arguments) override;
+
+private:
+    bool parse(const std::vector<std::string>& arguments);
+    RolloutMeasurement measureBaseline() const;
+    void printTable(const RolloutMeasurement&, const RolloutMeasurement* baseline) const;
+    bool writeJson(const RolloutMeasurement&, const RolloutMeasurement* baseline) const;
+    CommandLine::ExitCode checkBounds(const RolloutMeasurement&) const;
+
+    RolloutOptions m_options;
+    bool m_withBaseline = true;
+    std::string m_jsonPath;
+    std::string m_boundsPath;
+};
+
+} // namespace Lavenderloft::Bench
