--- a/Source/Weights/Queries/ChunkScheduler.cpp
+++ b/Source/Weights/Queries/ChunkScheduler.cpp
@@ -151,6 +151,10 @@
                     if (peer != m_input.peers.end() && isUsable(peer->second, chunk))
                         return vm;
                 }
+                // Waiting for the preferred region spreads the load; without it the store's region sends every chunk to
+                // every other region.
+                if (!region.empty() && keepsDuty(m_input, region.front()))
+                    return std::nullopt;
             }
             return std::nullopt;
         }
