Limit the agents with duties and tell busy peers from faulty ones

Causes at 100 replicas: with 34 agents reading from the origin at once the first chunks arrived after 2 s, and the next in rank took over; the fixed part of the inter-region link that each of 33 senders may use did not match the random number of chunks it had to send; and a peer without a free upload slot lost its duties to the next in rank.

Changes: eight agents of a region have duties, a region reads 12 chunks from the origin at a time, and a refusal for want of a slot pauses requests to the peer but leaves its duties and holdings in force.

--- a/Source/Process/ChunkDownload.cpp
+++ b/Source/Process/ChunkDownload.cpp
@@ -6,6 +6,7 @@
 #include "Weights/Commands/TransferCommands.h"
 #include "Weights/Events.h"
 #include "Weights/Queries/SourceDecisions.h"
+#include "Weights/TransferLimits.h"
 
 namespace Lavenderloft::Process {
 
@@ -96,6 +97,8 @@
         ++counters.failedDownloads;
         Observability::logEvent(Weights::DownloadFailed, { { "chunk", m_chunk.digest }, { "source", sourceName(m_source) }, { "vm", m_vm }, { "reason", error.describe() } });
     }
+    if (error.kind == WeightErrorKind::Busy && m_source != SourceKind::Origin)
+        return Weights::Commands::pausePeer(m_runtime->state->peers, m_vm, now + Weights::busyPeerPause);
     if (m_source != SourceKind::Origin)
         return Weights::Commands::avoidPeer(m_runtime->state->peers, m_vm, now + Weights::Queries::avoidanceAfter(error.kind));
     std::lock_guard guard(m_runtime->lock);
--- a/Source/Process/TransferDriver.cpp
+++ b/Source/Process/TransferDriver.cpp
@@ -91,8 +91,8 @@
         plan.byVm.emplace(participant.vm, participant);
     if (snapshot.manifest)
         plan.duties = std::make_shared<const Queries::ChunkDuties>(Queries::assignDuties(*snapshot.manifest, plan.participants, m_environment.self.region, m_environment.storeRegion));
-    auto senders = std::count_if(plan.participants.begin(), plan.participants.end(), [&](auto& participant) { return participant.region == m_environment.self.region; });
-    m_environment.limiter->setSenders(static_cast<size_t>(senders), now);
+    size_t agents = std::count_if(plan.participants.begin(), plan.participants.end(), [&](auto& participant) { return participant.region == m_environment.self.region; });
+    m_environment.limiter->setSenders(std::min(agents, Weights::dutyAgentsPerRegion), now);
 }
 
 void TransferDriver::reportPhase(Plan& plan, const TransferSnapshot& snapshot)
@@ -221,7 +221,7 @@
         if (download.source == Weights::SourceKind::Origin || !download.fetch)
             continue;
         ++runtime->state->counters.stalledDownloads;
-        Observability::logEvent(Weights::DownloadStalled, { { "manifest", download.manifestDigest }, { "chunk", download.chunk }, { "vm", download.vm } });
+        Observability::logEvent(Weights::DownloadStalled, { { "manifest", download.manifestDigest }, { "chunk", download.chunk }, { "source", sourceName(download.source) }, { "vm", download.vm } });
         Commands::avoidPeer(runtime->state->peers, download.vm, now + Queries::avoidanceAfter(Weights::WeightErrorKind::Stalled));
         download.fetch->cancel();
     }
--- a/Source/Weights/Commands/PeerCommands.cpp
+++ b/Source/Weights/Commands/PeerCommands.cpp
@@ -67,6 +67,11 @@
     changePeer(table, vm, [&](Peer& peer) { peer.avoidUntil = std::max(peer.avoidUntil, until); });
 }
 
+void pausePeer(PeerTable& table, const std::string& vm, Base::TimePoint until)
+{
+    changePeer(table, vm, [&](Peer& peer) { peer.busyUntil = std::max(peer.busyUntil, until); });
+}
+
 void forgetTransfer(PeerTable& table, const std::string& manifestDigest)
 {
     std::vector<std::string> vms;
--- a/Source/Weights/Commands/PeerCommands.h
+++ b/Source/Weights/Commands/PeerCommands.h
@@ -17,6 +17,9 @@
 // Excludes the peer as a source; a later end of the exclusion stays.
 void avoidPeer(PeerTable&, const std::string& vm, Base::TimePoint until);
 
+// Pauses requests for chunks to a peer that is in order but has no free slot.
+void pausePeer(PeerTable&, const std::string& vm, Base::TimePoint until);
+
 // Drops what is known of the peers' part in the transfer.
 void forgetTransfer(PeerTable&, const std::string& manifestDigest);
 
--- a/Source/Weights/PeerTable.h
+++ b/Source/Weights/PeerTable.h
@@ -23,8 +23,10 @@
 };
 
 struct Peer {
-    // The peer is not a source before this time.
+    // The peer is not trusted as a source before this time.
     Base::TimePoint avoidUntil;
+    // The peer had no free upload slot and is not asked for chunks before this time.
+    Base::TimePoint busyUntil;
     unsigned activeDownloads = 0;
     std::unordered_map<std::string, PeerProgress> transfers;
 };
--- a/Source/Weights/Queries/ChunkDuties.cpp
+++ b/Source/Weights/Queries/ChunkDuties.cpp
@@ -1,6 +1,7 @@
 #include "Weights/Queries/ChunkDuties.h"
 
 #include "Base/RendezvousHash.h"
+#include "Weights/TransferLimits.h"
 
 #include <algorithm>
 #include <map>
@@ -14,11 +15,16 @@
 
     using Regions = std::map<std::string, std::vector<std::string>>;
 
-    Regions groupByRegion(const std::vector<Participant>& participants)
+    // The agents of each region that have duties.
+    Regions chooseDutyAgents(const std::string& manifestDigest, const std::vector<Participant>& participants)
     {
         Regions regions;
         for (auto& participant : participants)
             regions[participant.region].push_back(participant.vm);
+        for (auto& [region, vms] : regions) {
+            vms = Base::rankMembers(manifestDigest, std::move(vms));
+            vms.resize(std::min(vms.size(), dutyAgentsPerRegion));
+        }
         return regions;
     }
 
@@ -69,7 +75,7 @@
 
 ChunkDuties assignDuties(const Manifest& manifest, const std::vector<Participant>& participants, const std::string& ownRegion, const std::string& storeRegion)
 {
-    auto regions = groupByRegion(participants);
+    auto regions = chooseDutyAgents(manifest.digest, participants);
     ChunkDuties duties;
     duties.manifest = makeDuty(manifest.digest, regions, ownRegion, storeRegion);
     duties.chunks.reserve(manifest.chunks.size());
@@ -80,7 +86,7 @@
 
 ChunkDuty assignManifestDuty(const std::string& manifestDigest, const std::vector<Participant>& participants, const std::string& ownRegion, const std::string& storeRegion)
 {
-    return makeDuty(manifestDigest, groupByRegion(participants), ownRegion, storeRegion);
+    return makeDuty(manifestDigest, chooseDutyAgents(manifestDigest, participants), ownRegion, storeRegion);
 }
 
 } // namespace Lavenderloft::Weights::Queries
--- a/Source/Weights/Queries/ChunkDuties.h
+++ b/Source/Weights/Queries/ChunkDuties.h
@@ -24,7 +24,9 @@
     std::vector<ChunkDuty> chunks;
 };
 
-// Ranks by rendezvous hashing of the chunk's digest. The regions form a chain for each chunk: the store's region
+// The first agents of each region by rendezvous hashing of the manifest's digest have duties; among them each chunk's
+// digest ranks. Few agents with duties share the link to another region more evenly than many, because the
+// part of the link that a sender may use is fixed and the number of its chunks is left to chance. The regions form a chain for each chunk: the store's region
 // first, the others in an order that depends on the chunk. Each region takes the chunk from the one before it, so
 // that the store's region sends a chunk out once and each region receives it once.
 ChunkDuties assignDuties(const Manifest&, const std::vector<Participant>&, const std::string& ownRegion, const std::string& storeRegion);
--- a/Source/Weights/Queries/ChunkScheduler.cpp
+++ b/Source/Weights/Queries/ChunkScheduler.cpp
@@ -23,8 +23,16 @@
         AssignmentReason reason = AssignmentReason::FirstInRank;
     };
 
+    bool isAssignedTo(const PeerView& peer, unsigned chunk)
+    {
+        if (!peer.progress.holdings)
+            return false;
+        auto& assigned = peer.progress.holdings->assigned;
+        return std::find(assigned.begin(), assigned.end(), chunk) != assigned.end();
+    }
+
     // A peer that ranks before this agent keeps its duty while it answers and makes progress.
-    bool keepsDuty(const ScheduleInput& input, const std::string& vm)
+    bool keepsDuty(const ScheduleInput& input, const std::string& vm, unsigned chunk)
     {
         auto peer = input.peers.find(vm);
         if (peer == input.peers.end() || peer->second.avoided)
@@ -33,7 +41,7 @@
         // A peer that was never asked is watched first.
         if (progress.askedAt == Base::TimePoint {})
             return true;
-        return input.now - progress.progressAt < takeOverDeadline;
+        return input.now - progress.progressAt < (isAssignedTo(peer->second, chunk) ? assignedTakeOverDeadline : takeOverDeadline);
     }
 
     Responsibility findResponsibility(const ScheduleInput& input, unsigned chunk)
@@ -44,7 +52,7 @@
                 result.responsible = true;
                 return result;
             }
-            if (keepsDuty(input, vm))
+            if (keepsDuty(input, vm, chunk))
                 return result;
             result.reason = AssignmentReason::TakenOver;
         }
@@ -60,13 +68,17 @@
     {
         return std::any_of(input.peers.begin(), input.peers.end(), [&](auto& entry) {
             auto& peer = entry.second;
-            if (peer.avoided || !peer.progress.holdings || !isLocal(input, peer) || input.now - peer.progress.progressAt >= takeOverDeadline)
-                return false;
-            auto& assigned = peer.progress.holdings->assigned;
-            return std::find(assigned.begin(), assigned.end(), chunk) != assigned.end();
+            return !peer.avoided && isLocal(input, peer) && isAssignedTo(peer, chunk) && input.now - peer.progress.progressAt < assignedTakeOverDeadline;
         });
     }
 
+    unsigned originDownloadLimit(const ScheduleInput& input)
+    {
+        size_t agents = 1 + std::count_if(input.peers.begin(), input.peers.end(), [&](auto& entry) { return entry.first != input.self.vm && isLocal(input, entry.second); });
+        auto dutyAgents = static_cast<unsigned>(std::min(agents, dutyAgentsPerRegion));
+        return std::clamp<unsigned>(originDownloadsPerRegion / dutyAgents, 1, maximumLongDownloads);
+    }
+
     bool isNeeded(const ScheduleInput& input, unsigned chunk)
     {
         return !input.held[chunk] && !input.underWay.contains(input.manifest.chunks[chunk].digest);
@@ -87,6 +99,7 @@
             , m_random(random)
             , m_underWay(input.counts.fromPeers + input.counts.longDistance)
             , m_longDistance(input.counts.longDistance)
+            , m_originLimit(originDownloadLimit(input))
         {
             for (auto& [vm, peer] : input.peers)
                 m_downloads[vm] = peer.activeDownloads;
@@ -135,7 +148,7 @@
         void assignFromAfar(unsigned chunk, AssignmentReason reason)
         {
             if (m_input.duties.chunks[chunk].fromOrigin) {
-                if (m_input.originUsable)
+                if (m_input.originUsable && m_longDistance < m_originLimit)
                     assign({ chunk, SourceKind::Origin, {}, reason });
                 return;
             }
@@ -153,7 +166,7 @@
                 }
                 // Waiting for the preferred region spreads the load; without it the store's region sends every chunk to
                 // every other region.
-                if (!region.empty() && keepsDuty(m_input, region.front()))
+                if (!region.empty() && keepsDuty(m_input, region.front(), chunk))
                     return std::nullopt;
             }
             return std::nullopt;
@@ -189,7 +202,7 @@
 
         bool isUsable(const PeerView& peer, unsigned chunk)
         {
-            return !peer.avoided && peer.holds(chunk) && m_downloads[peer.participant.vm] < maximumDownloadsPerPeer;
+            return !peer.avoided && !peer.busy && peer.holds(chunk) && m_downloads[peer.participant.vm] < maximumDownloadsPerPeer;
         }
 
         void assign(ChunkAssignment assignment)
@@ -208,6 +221,7 @@
         Base::RandomSource& m_random;
         unsigned m_underWay;
         unsigned m_longDistance;
+        unsigned m_originLimit;
         std::map<std::string, unsigned> m_downloads;
         std::set<std::string> m_assignedDigests;
         std::vector<LocalCandidate> m_local;
--- a/Source/Weights/Queries/PeerQueries.cpp
+++ b/Source/Weights/Queries/PeerQueries.cpp
@@ -6,13 +6,14 @@
 {
     PeerViews views;
     for (auto& participant : participants) {
-        PeerView view { participant, {}, 0, false };
+        PeerView view { participant, {}, 0, false, false };
         table.peers.withShard(participant.vm, [&](const auto& peers) {
             auto peer = peers.find(participant.vm);
             if (peer == peers.end())
                 return;
             view.activeDownloads = peer->second.activeDownloads;
             view.avoided = peer->second.avoidUntil > now;
+            view.busy = peer->second.busyUntil > now;
             auto progress = peer->second.transfers.find(manifestDigest);
             if (progress != peer->second.transfers.end())
                 view.progress = progress->second;
--- a/Source/Weights/Queries/PeerQueries.h
+++ b/Source/Weights/Queries/PeerQueries.h
@@ -12,8 +12,10 @@
     Participant participant;
     PeerProgress progress;
     unsigned activeDownloads = 0;
-    // Avoided because it sent corrupt bytes, stalled or had no free slot.
+    // Not trusted because it sent corrupt bytes, stalled or broke off.
     bool avoided = false;
+    // Without a free upload slot a moment ago; its holdings still count.
+    bool busy = false;
 
     bool holds(size_t chunk) const
     {
--- a/Source/Weights/TransferLimits.h
+++ b/Source/Weights/TransferLimits.h
@@ -22,8 +22,13 @@
 
 inline constexpr unsigned maximumDownloads = 8;
 inline constexpr unsigned maximumDownloadsPerPeer = 2;
+// Agents of a region that read from the origin and from other regions.
+inline constexpr size_t dutyAgentsPerRegion = 8;
 // Downloads from the origin or another region at a time.
 inline constexpr unsigned maximumLongDownloads = 3;
+// Downloads from the origin at a time by all agents of a region, as far as one for each allows. Many at once share the
+// link, so that the first chunks arrive late and cannot be passed on.
+inline constexpr unsigned originDownloadsPerRegion = 12;
 
 inline constexpr std::chrono::milliseconds holdingsInterval = 200ms;
 inline constexpr std::chrono::milliseconds watchInterval = 1000ms;
@@ -36,6 +41,8 @@
 inline constexpr std::chrono::milliseconds busyPeerPause = 100ms;
 // The next in rank takes over from an agent that has shown no progress for this long.
 inline constexpr std::chrono::milliseconds takeOverDeadline = 2000ms;
+// The same for an agent that says that it is fetching the chunk, which may share a slow link with others.
+inline constexpr std::chrono::milliseconds assignedTakeOverDeadline = 6000ms;
 // A transfer without progress for this long reports why.
 inline constexpr std::chrono::milliseconds delayReportLimit = 5000ms;
 // Chunks of a replaced version are kept at most this long while the manifest of the new version is awaited.
