Serve receivers in other regions before those in the own one

A chunk that goes to another region is awaited by all its agents, so it passes the queue for upload slots, and such requests have a queue limit of their own.

--- a/Source/Process/WeightNode.cpp
+++ b/Source/Process/WeightNode.cpp
@@ -31,9 +31,9 @@
 
 class WeightNode::Implementation {
 public:
-    Implementation(std::shared_ptr<WeightRuntime> runtime, TransferDriver::Environment environment, std::shared_ptr<Weights::LinkLimiter> uploadLimiter)
+    Implementation(std::shared_ptr<WeightRuntime> runtime, TransferDriver::Environment environment, std::shared_ptr<Weights::LinkLimiter> uploadLimiter, const std::string& ownRegion)
         : m_runtime(std::move(runtime))
-        , m_service(m_runtime->state, std::move(uploadLimiter), m_runtime->clock)
+        , m_service(m_runtime->state, std::move(uploadLimiter), m_runtime->clock, ownRegion)
         , m_driver(std::move(environment))
     {
     }
@@ -235,7 +235,7 @@
         m_settings.weightStoreRegion,
     };
     auto limiter = std::make_shared<Weights::LimiterChain>(std::move(limiters));
-    auto implementation = std::make_unique<WeightNode::Implementation>(runtime, std::move(environment), limiter);
+    auto implementation = std::make_unique<WeightNode::Implementation>(runtime, std::move(environment), limiter, self.region);
     return std::unique_ptr<WeightNode>(new WeightNode(std::move(implementation)));
 }
 
--- a/Source/Transport/WeightService.cpp
+++ b/Source/Transport/WeightService.cpp
@@ -162,10 +162,11 @@
 
 class WeightService::Implementation final : public protocol::WeightService::CallbackService {
 public:
-    Implementation(std::shared_ptr<Weights::WeightState> state, std::shared_ptr<Weights::LinkLimiter> limiter, const Base::Clock& clock)
+    Implementation(std::shared_ptr<Weights::WeightState> state, std::shared_ptr<Weights::LinkLimiter> limiter, const Base::Clock& clock, std::string ownRegion)
         : m_state(std::move(state))
         , m_limiter(std::move(limiter))
         , m_clock(clock)
+        , m_ownRegion(std::move(ownRegion))
     {
     }
 
@@ -193,7 +194,7 @@
         if (!bytes)
             return new Refusal({ grpc::StatusCode::NOT_FOUND, "the chunk is not held" });
         auto number = ++m_lastNumber;
-        Weights::Upload upload { request->from_vm(), request->from_region(), request->priority(), bytes->size(), m_clock.now(), false };
+        Weights::Upload upload { request->from_vm(), request->from_region(), request->from_region() != m_ownRegion, request->priority(), bytes->size(), m_clock.now(), false };
         auto writer = std::make_shared<ChunkWriter>(m_state, m_limiter, m_clock, std::move(bytes), Weights::Receiver { request->from_vm(), request->from_region() });
         // Registered before it is queued, because another thread may start it at once.
         writer->onEnded([this, number] { endUpload(number); });
@@ -257,12 +258,13 @@
     std::shared_ptr<Weights::WeightState> m_state;
     std::shared_ptr<Weights::LinkLimiter> m_limiter;
     const Base::Clock& m_clock;
+    std::string m_ownRegion;
     std::atomic<uint64_t> m_lastNumber { 0 };
     Base::ShardedMap<uint64_t, std::shared_ptr<ChunkWriter>> m_writers;
 };
 
-WeightService::WeightService(std::shared_ptr<Weights::WeightState> state, std::shared_ptr<Weights::LinkLimiter> limiter, const Base::Clock& clock)
-    : m_implementation(std::make_unique<Implementation>(std::move(state), std::move(limiter), clock))
+WeightService::WeightService(std::shared_ptr<Weights::WeightState> state, std::shared_ptr<Weights::LinkLimiter> limiter, const Base::Clock& clock, std::string ownRegion)
+    : m_implementation(std::make_unique<Implementation>(std::move(state), std::move(limiter), clock, std::move(ownRegion)))
 {
 }
 
--- a/Source/Transport/WeightService.h
+++ b/Source/Transport/WeightService.h
@@ -5,6 +5,7 @@
 #include "Weights/WeightState.h"
 
 #include <memory>
+#include <string>
 
 namespace grpc {
 class Service;
@@ -16,7 +17,7 @@
 // by Weights::Queries::uploadsToStart.
 class WeightService {
 public:
-    WeightService(std::shared_ptr<Weights::WeightState>, std::shared_ptr<Weights::LinkLimiter>, const Base::Clock&);
+    WeightService(std::shared_ptr<Weights::WeightState>, std::shared_ptr<Weights::LinkLimiter>, const Base::Clock&, std::string ownRegion);
     ~WeightService();
 
     // To be registered with the gRPC server, which must be shut down before this object is destroyed.
--- a/Source/Weights/Commands/UploadCommands.cpp
+++ b/Source/Weights/Commands/UploadCommands.cpp
@@ -8,6 +8,11 @@
 
 namespace {
 
+    size_t waitingUploads(const UploadTable& table, bool isRemote)
+    {
+        return std::count_if(table.uploads.begin(), table.uploads.end(), [&](auto& entry) { return !entry.second.started && entry.second.isRemote == isRemote; });
+    }
+
     size_t startedUploads(const UploadTable& table)
     {
         return std::count_if(table.uploads.begin(), table.uploads.end(), [](auto& entry) { return entry.second.started; });
@@ -23,7 +28,7 @@
 Base::Result<Base::Done, WeightError> enqueueUpload(UploadTable& table, uint64_t number, Upload upload)
 {
     std::lock_guard guard(table.lock);
-    if (table.uploads.size() - startedUploads(table) >= maximumWaitingUploads)
+    if (waitingUploads(table, upload.isRemote) >= maximumWaitingUploads)
         return busy();
     upload.started = false;
     table.uploads.insert_or_assign(number, std::move(upload));
--- a/Source/Weights/Commands/UploadCommands.h
+++ b/Source/Weights/Commands/UploadCommands.h
@@ -4,7 +4,8 @@
 
 namespace Lavenderloft::Weights::Commands {
 
-// Adds an upload that waits for a slot. Fails with Busy if too many wait already.
+// Adds an upload that waits for a slot. Fails with Busy if too many wait already; receivers of
+// other regions are counted apart.
 Base::Result<Base::Done, WeightError> enqueueUpload(UploadTable&, uint64_t number, Upload);
 
 // Gives a waiting upload a slot. Fails with Busy if none is free and with NotWanted if it has ended.
--- a/Source/Weights/Queries/UploadQueries.cpp
+++ b/Source/Weights/Queries/UploadQueries.cpp
@@ -12,18 +12,19 @@
     struct Candidate {
         uint64_t number = 0;
         unsigned priority = 0;
+        bool isRemote = false;
         std::string region;
     };
 
-    // The uploads in waiting, ordered by priority and then by number, which is the order of arrival.
+    // The uploads in waiting, ordered by priority, distance and number, which is the order of arrival.
     std::vector<Candidate> waitingUploads(const UploadTable& table)
     {
         std::vector<Candidate> waiting;
         for (auto& [number, upload] : table.uploads) {
             if (!upload.started)
-                waiting.push_back({ number, upload.priority, upload.region });
+                waiting.push_back({ number, upload.priority, upload.isRemote, upload.region });
         }
-        std::stable_sort(waiting.begin(), waiting.end(), [](auto& left, auto& right) { return left.priority > right.priority; });
+        std::stable_sort(waiting.begin(), waiting.end(), [](auto& left, auto& right) { return std::pair(left.priority, left.isRemote) > std::pair(right.priority, right.isRemote); });
         return waiting;
     }
 
--- a/Source/Weights/Queries/UploadQueries.h
+++ b/Source/Weights/Queries/UploadQueries.h
@@ -7,8 +7,8 @@
 
 namespace Lavenderloft::Weights::Queries {
 
-// Numbers of the waiting uploads that may start now, in order: the highest priority first, then the longest
-// wait. An upload whose link is at its limit does not hold back uploads over other links.
+// Numbers of the waiting uploads that may start now, in order: the highest priority first, then receivers in other
+// regions, then the longest wait. An upload whose link is at its limit does not hold back uploads over other links.
 std::vector<uint64_t> uploadsToStart(const UploadTable&, const LinkLimiter&, Base::TimePoint);
 
 // Numbers of the uploads that have waited too long and are to be refused.
--- a/Source/Weights/UploadTable.h
+++ b/Source/Weights/UploadTable.h
@@ -14,6 +14,8 @@
 struct Upload {
     std::string vm;
     std::string region;
+    // Whether the receiver is in another region, whose agents all wait for this one copy.
+    bool isRemote = false;
     unsigned priority = 0;
     uint64_t bytes = 0;
     Base::TimePoint askedAt;
