Look at possible sources only and bound the rate of rounds

Cause: each event of a transfer, about 150 a second and agent, started a round that copied every participant.

Change: a round looks at neighbours and agents with duties only, and two rounds are at least 10 ms apart.

--- a/Source/Process/TransferDriver.cpp
+++ b/Source/Process/TransferDriver.cpp
@@ -90,11 +90,21 @@
     for (auto& participant : plan.participants)
         plan.byVm.emplace(participant.vm, participant);
     if (snapshot.manifest)
-        plan.duties = std::make_shared<const Queries::ChunkDuties>(Queries::assignDuties(*snapshot.manifest, plan.participants, m_environment.self.region, m_environment.storeRegion));
+        chooseSources(plan, snapshot);
     size_t agents = std::count_if(plan.participants.begin(), plan.participants.end(), [&](auto& participant) { return participant.region == m_environment.self.region; });
     m_environment.limiter->setSenders(std::min(agents, Weights::dutyAgentsPerRegion), now);
 }
 
+void TransferDriver::chooseSources(Plan& plan, const TransferSnapshot& snapshot)
+{
+    plan.duties = std::make_shared<const Queries::ChunkDuties>(Queries::assignDuties(*snapshot.manifest, plan.participants, m_environment.self.region, m_environment.storeRegion));
+    plan.sources = plan.neighbours;
+    for (auto& agent : plan.duties->agents) {
+        if (agent.vm != m_environment.self.vm && std::find(plan.neighbours.begin(), plan.neighbours.end(), agent) == plan.neighbours.end())
+            plan.sources.push_back(agent);
+    }
+}
+
 void TransferDriver::reportPhase(Plan& plan, const TransferSnapshot& snapshot)
 {
     if (plan.reportedPhase == snapshot.phase)
@@ -136,7 +146,7 @@
 {
     auto& state = *m_environment.runtime->state;
     auto now = m_environment.runtime->clock.now();
-    auto peers = Queries::viewPeers(state.peers, plan.participants, snapshot.digest, now);
+    auto peers = Queries::viewPeers(state.peers, plan.sources, snapshot.digest, now);
     auto underWay = Queries::chunksUnderWay(state.downloads);
     Queries::ScheduleInput input {
         *snapshot.manifest,
@@ -190,7 +200,6 @@
             Commands::recordHoldings(runtime->state->peers, vm, manifestDigest, Base::valueOf(result), now);
         else
             Commands::recordUnreachable(runtime->state->peers, vm, manifestDigest, now);
-        runtime->wake();
     });
 }
 
--- a/Source/Process/TransferDriver.h
+++ b/Source/Process/TransferDriver.h
@@ -39,6 +39,8 @@
     struct Plan {
         std::vector<Weights::Participant> participants;
         std::vector<Weights::Participant> neighbours;
+        // Neighbours and agents with duties, the only peers that are ever sources of chunks.
+        std::vector<Weights::Participant> sources;
         std::map<std::string, Weights::Participant> byVm;
         std::shared_ptr<const Weights::Queries::ChunkDuties> duties;
         Base::TimePoint refreshedAt;
@@ -51,6 +53,7 @@
     };
 
     void refreshPlan(Plan&, const Weights::Queries::TransferSnapshot&);
+    void chooseSources(Plan&, const Weights::Queries::TransferSnapshot&);
     void reportPhase(Plan&, const Weights::Queries::TransferSnapshot&);
     void fetchManifest(Plan&, const Weights::Queries::TransferSnapshot&);
     void fetchChunks(Plan&, const Weights::Queries::TransferSnapshot&);
--- a/Source/Process/WeightNode.cpp
+++ b/Source/Process/WeightNode.cpp
@@ -24,8 +24,10 @@
 namespace {
 
     constexpr double bitsPerByte = 8;
-    // Longest time between two rounds of the driver.
+    // Longest and shortest time between two rounds of the driver. Without the latter each of the many events of a
+    // transfer would cost a round.
     constexpr std::chrono::milliseconds roundInterval { 50 };
+    constexpr std::chrono::milliseconds minimumRoundInterval { 10 };
 
 } // namespace
 
@@ -110,7 +112,8 @@
     {
         std::unique_lock guard(m_runtime->lock);
         while (!m_runtime->stopping) {
-            m_runtime->condition.wait_for(guard, roundInterval, [&] { return m_runtime->awake || m_runtime->stopping; });
+            m_runtime->condition.wait_for(guard, minimumRoundInterval, [&] { return m_runtime->stopping; });
+            m_runtime->condition.wait_for(guard, roundInterval - minimumRoundInterval, [&] { return m_runtime->awake || m_runtime->stopping; });
             m_runtime->awake = false;
             guard.unlock();
             m_driver.run();
--- a/Source/Weights/Queries/ChunkDuties.cpp
+++ b/Source/Weights/Queries/ChunkDuties.cpp
@@ -78,6 +78,11 @@
     auto regions = chooseDutyAgents(manifest.digest, participants);
     ChunkDuties duties;
     duties.manifest = makeDuty(manifest.digest, regions, ownRegion, storeRegion);
+    for (auto& participant : participants) {
+        auto& vms = regions.at(participant.region);
+        if (std::find(vms.begin(), vms.end(), participant.vm) != vms.end())
+            duties.agents.push_back(participant);
+    }
     duties.chunks.reserve(manifest.chunks.size());
     for (auto& chunk : manifest.chunks)
         duties.chunks.push_back(makeDuty(chunk.digest, regions, ownRegion, storeRegion));
--- a/Source/Weights/Queries/ChunkDuties.h
+++ b/Source/Weights/Queries/ChunkDuties.h
@@ -22,6 +22,8 @@
     // For the manifest itself, then for each chunk.
     ChunkDuty manifest;
     std::vector<ChunkDuty> chunks;
+    // Agents of all regions that have duties.
+    std::vector<Participant> agents;
 };
 
 // The first agents of each region by rendezvous hashing of the manifest's digest have duties; among them each chunk's
--- a/Source/Weights/Queries/ChunkScheduler.cpp
+++ b/Source/Weights/Queries/ChunkScheduler.cpp
@@ -61,7 +61,7 @@
 
     bool isLocal(const ScheduleInput& input, const PeerView& peer)
     {
-        return peer.participant.region == input.self.region;
+        return peer.participant->region == input.self.region;
     }
 
     bool isAssignedElsewhere(const ScheduleInput& input, unsigned chunk)
@@ -190,7 +190,7 @@
             for (auto& [vm, peer] : m_input.peers) {
                 if (!isLocal(m_input, peer) || !isUsable(peer, chunk))
                     continue;
-                std::tuple cost(peer.participant.dataCentre != m_input.self.dataCentre, m_downloads[vm],
+                std::tuple cost(peer.participant->dataCentre != m_input.self.dataCentre, m_downloads[vm],
                     uploadSlots - std::min(uploadSlots, peer.progress.holdings->freeUploadSlots), m_random.next());
                 if (!best || cost < bestCost) {
                     best = vm;
@@ -202,7 +202,7 @@
 
         bool isUsable(const PeerView& peer, unsigned chunk)
         {
-            return !peer.avoided && !peer.busy && peer.holds(chunk) && m_downloads[peer.participant.vm] < maximumDownloadsPerPeer;
+            return !peer.avoided && !peer.busy && peer.holds(chunk) && m_downloads[peer.participant->vm] < maximumDownloadsPerPeer;
         }
 
         void assign(ChunkAssignment assignment)
--- a/Source/Weights/Queries/PeerQueries.cpp
+++ b/Source/Weights/Queries/PeerQueries.cpp
@@ -6,7 +6,7 @@
 {
     PeerViews views;
     for (auto& participant : participants) {
-        PeerView view { participant, {}, 0, false, false };
+        PeerView view { &participant, {}, 0, false, false };
         table.peers.withShard(participant.vm, [&](const auto& peers) {
             auto peer = peers.find(participant.vm);
             if (peer == peers.end())
--- a/Source/Weights/Queries/PeerQueries.h
+++ b/Source/Weights/Queries/PeerQueries.h
@@ -9,7 +9,8 @@
 
 // A peer as the choice of sources sees it.
 struct PeerView {
-    Participant participant;
+    // Points into the list that viewPeers was given.
+    const Participant* participant = nullptr;
     PeerProgress progress;
     unsigned activeDownloads = 0;
     // Not trusted because it sent corrupt bytes, stalled or broke off.
@@ -25,7 +26,7 @@
 
 using PeerViews = std::map<std::string, PeerView>;
 
-// The participants as they are known now, by the name of their VM.
+// The participants as they are known now, by the name of their VM. The list must outlive the result.
 PeerViews viewPeers(const PeerTable&, const std::vector<Participant>&, const std::string& manifestDigest, Base::TimePoint);
 
 } // namespace Lavenderloft::Weights::Queries
--- a/Source/Weights/TransferLimits.h
+++ b/Source/Weights/TransferLimits.h
@@ -20,7 +20,7 @@
 // Shorter than stallLimit, so that a waiting receiver does not take the sender for stalled.
 inline constexpr std::chrono::milliseconds uploadWaitLimit = 500ms;
 
-inline constexpr unsigned maximumDownloads = 8;
+inline constexpr unsigned maximumDownloads = 6;
 inline constexpr unsigned maximumDownloadsPerPeer = 2;
 // Agents of a region that read from the origin and from other regions.
 inline constexpr size_t dutyAgentsPerRegion = 8;
--- a/Utilities/Bench/RolloutBenchmark.h
+++ b/Utilities/Bench/RolloutBenchmark.h
@@ -30,7 +30,7 @@
     uint64_t seed = 1;
     RolloutFault fault = RolloutFault::None;
     // Time that one copy needs over a VM's link, which is the minimum for any number of replicas.
-    std::chrono::milliseconds floor { 8000 };
+    std::chrono::milliseconds floor { 20000 };
     size_t chunkCount = 200;
     size_t chunkBytes = 40960;
     bool originOnly = false;
