Compose agents and routers from their settings; add status

Cause: the modules have landed side by side and no process ran yet. Change: launchers put control plane, weights, admission and routing together; agent, router and status subcommands; crash evidence travels by gossip to the quarantine of routers; weightStoreRegion as a setting.

--- a/Source/CommandLine/CommandTable.cpp
+++ b/Source/CommandLine/CommandTable.cpp
@@ -1,7 +1,10 @@
 #include "CommandLine/CommandTable.h"
 
+#include "CommandLine/AgentCommand.h"
 #include "CommandLine/CheckCommand.h"
 #include "CommandLine/DiffCommand.h"
+#include "CommandLine/RouterCommand.h"
+#include "CommandLine/StatusCommand.h"
 
 #include <iostream>
 #include <popt.h>
@@ -30,8 +33,11 @@
 std::vector<std::unique_ptr<Command>> makeCommands()
 {
     std::vector<std::unique_ptr<Command>> commands;
+    commands.push_back(std::make_unique<AgentCommand>());
     commands.push_back(std::make_unique<CheckCommand>());
     commands.push_back(std::make_unique<DiffCommand>());
+    commands.push_back(std::make_unique<RouterCommand>());
+    commands.push_back(std::make_unique<StatusCommand>());
     return commands;
 }
 
--- a/Source/Process/ControlNode.cpp
+++ b/Source/Process/ControlNode.cpp
@@ -159,6 +159,18 @@
     notifyIfChanged();
 }
 
+void ControlNode::addCrashEvidence(uint64_t fingerprint, const std::string& target)
+{
+    m_evidence.merge({ { fingerprint, target, {} } }, m_parts.clock.now());
+    spreadNow();
+    notifyIfChanged();
+}
+
+std::vector<Membership::CrashEvidence> ControlNode::crashEvidence() const
+{
+    return m_evidence.recent(m_parts.clock.now());
+}
+
 void ControlNode::onChange(std::function<void()> callback)
 {
     std::lock_guard guard(m_callbacksLock);
@@ -172,6 +184,7 @@
     if (sender)
         learnDocument(sender->address, request);
     auto response = ComposeGossip(m_table).response(request, documentState(m_revisions, confirmationAge()));
+    response.crashEvidence = m_evidence.newest(m_parts.clock.now());
     RecordTransmission(m_table).execute(response.members);
     return response;
 }
@@ -262,6 +275,7 @@
 void ControlNode::contact(const std::string& address, const std::string& vm)
 {
     auto message = ComposeGossip(m_table).request(documentState(m_revisions, confirmationAge()), m_pageCursor);
+    message.crashEvidence = m_evidence.newest(m_parts.clock.now());
     RecordTransmission(m_table).execute(message.members);
     m_parts.peers.exchange(address, message, exchangeTimeout, [this, address, vm](std::optional<Membership::GossipMessage> response) {
         if (!response) {
@@ -297,6 +311,7 @@
 {
     auto now = m_parts.clock.now();
     MergeMembers(m_table).execute(message.members, now);
+    m_evidence.merge(message.crashEvidence, now);
     // A confirmation by the service counts only for the document that this process holds too.
     auto current = m_revisions.current();
     if (!current || current->digest != message.documentDigest)
@@ -455,7 +470,7 @@
 void ControlNode::notifyIfChanged()
 {
     auto current = m_revisions.current();
-    auto change = m_table.changeCount() + (current ? current->document.revision : 0);
+    auto change = m_table.changeCount() + m_evidence.changeCount() + (current ? current->document.revision : 0);
     if (m_notifiedChange.exchange(change) == change)
         return;
     std::vector<std::function<void()>> callbacks;
--- a/Source/Process/ControlNode.h
+++ b/Source/Process/ControlNode.h
@@ -4,6 +4,7 @@
 #include "Base/RandomSource.h"
 #include "Configuration/RevisionStore.h"
 #include "Membership/ControlHandler.h"
+#include "Membership/CrashEvidenceTable.h"
 #include "Membership/MemberTable.h"
 #include "Membership/PeerClient.h"
 #include "Observability/Metrics.h"
@@ -52,6 +53,12 @@
     Membership::DocumentReply documentFor(const std::string& heldDigest) override;
     Membership::FleetStatus fleetStatus() override;
 
+    // Publishes that the target crashed while a request with the fingerprint ran.
+    void addCrashEvidence(uint64_t fingerprint, const std::string& target);
+
+    // Evidence of the last minutes from all processes.
+    std::vector<Membership::CrashEvidence> crashEvidence() const;
+
     const Configuration::RevisionStore& revisions() const { return m_revisions; }
 
 private:
@@ -81,6 +88,7 @@
     ControlNodeParts m_parts;
     Membership::MemberTable m_table;
     Configuration::RevisionStore m_revisions;
+    Membership::CrashEvidenceTable m_evidence;
 
     std::atomic<Base::TimePoint> m_confirmedAt;
     std::atomic<Base::TimePoint> m_synchronisingSince;
--- /dev/null
+++ b/Source/Process/ControlStack.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "Base/SeededRandom.h"
+#include "Base/SystemClock.h"
+#include "Observability/Metrics.h"
+#include "Process/ControlNode.h"
+#include "Process/HttpConfigurationSource.h"
+#include "Settings/ProcessSettings.h"
+#include "Transport/ControlServiceClient.h"
+#include "Transport/ControlServiceServer.h"
+
+#include <memory>
+
+namespace Lavenderloft::Process {
+
+// What every process is built on: clock, random source, metrics and the control plane with its transport.
+class ControlStack {
+public:
+    // Throws std::runtime_error with the setting at fault.
+    ControlStack(const Settings::ProcessSettings&, Membership::Role);
+
+    const Base::Clock& clock() const { return m_clock; }
+    const std::shared_ptr<Base::RandomSource>& random() const { return m_random; }
+    const std::shared_ptr<Observability::Metrics>& metrics() const { return m_metrics; }
+    ControlNode& node() { return *m_node; }
+    Transport::ControlServiceServer& service() { return *m_service; }
+
+private:
+    Base::SystemClock m_clock;
+    std::shared_ptr<Base::RandomSource> m_random;
+    std::shared_ptr<Observability::Metrics> m_metrics;
+    Transport::ControlServiceClient m_peers;
+    std::unique_ptr<HttpConfigurationSource> m_source;
+    std::unique_ptr<ControlNode> m_node;
+    std::unique_ptr<Transport::ControlServiceServer> m_service;
+};
+
+} // namespace Lavenderloft::Process
--- a/Source/Process/WeightNode.cpp
+++ b/Source/Process/WeightNode.cpp
@@ -156,6 +156,11 @@
     return Queries::findChunk(state.chunks, manifest->chunks[index].digest);
 }
 
+std::shared_ptr<const std::string> WeightNode::manifestBytes(const std::string& manifestDigest) const
+{
+    return Queries::documentOf(m_implementation->runtime().state->transfers, manifestDigest);
+}
+
 grpc::Service& WeightNode::service()
 {
     return m_implementation->service().service();
--- a/Source/Process/WeightNode.h
+++ b/Source/Process/WeightNode.h
@@ -29,6 +29,8 @@
     Weights::TransferProgress progress(const std::string& manifestDigest) const override;
     std::shared_ptr<const std::string> chunk(const std::string& manifestDigest, unsigned index) const override;
 
+    std::shared_ptr<const std::string> manifestBytes(const std::string& manifestDigest) const override;
+
     // The WeightService, to be registered with the process's gRPC server, which must be shut down before this object
     // is destroyed.
     grpc::Service& service();
--- a/Source/Settings/Queries/ParseSettings.cpp
+++ b/Source/Settings/Queries/ParseSettings.cpp
@@ -52,6 +52,7 @@
         settings.configurationService = reader.requiredText("configurationService");
         settings.vmList = reader.requiredText("vmList");
         settings.weightStore = reader.optionalText("weightStore");
+        settings.weightStoreRegion = reader.optionalText("weightStoreRegion");
         settings.peers = reader.optionalTexts("peers");
     }
 
