Route to the previous version until the new one is loaded

Cause: a router counted only targets that serve the declared digest as ready. From the publication of a version until its first replica was loaded every request failed with no_target; ruled out were the agents, which went on serving, and the permits. Change: a target of a pool is ready while it serves whole weights of any version; each attempt expects the digest of its target. The selection test that took any other digest for unready now guards against missing weights, and a new one against this fault.

--- a/Source/Process/RouterLauncher.cpp
+++ b/Source/Process/RouterLauncher.cpp
@@ -45,7 +45,7 @@
     {
         boost::asio::io_context context;
         boost::asio::signal_set signals(context, SIGTERM, SIGINT);
-        signals.async_wait([](const boost::system::error_code&, int) { });
+        signals.async_wait([](const boost::system::error_code&, int) {});
         context.run();
     }
 
--- a/Source/Routing/Commands/UpdateTargets.cpp
+++ b/Source/Routing/Commands/UpdateTargets.cpp
@@ -26,11 +26,15 @@
         return member.load.accepting && !document.isDataCentreOut(member.dataCentre) && !document.isDrained(member.vm);
     }
 
-    bool serves(const Member& member, const std::string& destination, const std::string& digest)
+    // The replica by which a member serves a destination, or null. A pool's replica serves while it holds
+    // whole weights of any version: old ones go on until the new ones are loaded.
+    const Membership::Replica* findServing(const Member& member, const std::string& destination, bool needsWeights)
     {
-        return std::any_of(member.replicas.begin(), member.replicas.end(), [&](const Membership::Replica& replica) {
-            return replica.pool == destination && replica.servingDigest == digest;
-        });
+        for (auto& replica : member.replicas) {
+            if (replica.pool == destination && replica.servingDigest.empty() != needsWeights)
+                return &replica;
+        }
+        return nullptr;
     }
 
     // Keeps the entry of a process that has neither moved nor restarted.
@@ -87,22 +91,25 @@
     }
     table.vms().eraseIf([&](auto& vm, auto&) { return !live.contains(vm); });
 
-    auto select = [&](const std::string& destination, const std::string& digest) {
+    auto select = [&](const std::string& destination, bool needsWeights) {
         Targets targets;
         for (auto& [member, target] : ready) {
-            if (serves(*member, destination, digest))
-                targets.push_back(target);
+            auto* replica = findServing(*member, destination, needsWeights);
+            if (!replica)
+                continue;
+            target->setServingDigest(replica->servingDigest);
+            targets.push_back(target);
         }
         return targets;
     };
     std::set<std::string> declared;
     for (auto& pool : document.pools) {
         declared.insert(pool.name);
-        publish(table, pool.name, select(pool.name, pool.manifest), self.vm);
+        publish(table, pool.name, select(pool.name, true), self.vm);
     }
     for (auto& service : document.services) {
         declared.insert(service.name);
-        publish(table, service.name, select(service.name, {}), self.vm);
+        publish(table, service.name, select(service.name, false), self.vm);
     }
     table.pools().eraseIf([&](auto& name, auto&) { return !declared.contains(name); });
 }
--- a/Source/Routing/LiveRequest.h
+++ b/Source/Routing/LiveRequest.h
@@ -38,8 +38,6 @@
     DesiredState::RouteKind kind = DesiredState::RouteKind::ToPool;
     // Name of the pool or service.
     std::string destination;
-    // Digest that the target has to serve; empty for a plain service.
-    std::string weightsDigest;
     bool repeatable = false;
     // Key of a call that may not be repeated; empty for others.
     std::string key;
--- a/Source/Routing/Queries/ReadRequest.cpp
+++ b/Source/Routing/Queries/ReadRequest.cpp
@@ -93,8 +93,6 @@
         request.priorityClass = route->priorityClass;
         request.revision = document.revision;
         request.repeatable = route->kind == DesiredState::RouteKind::ToPool || route->repeatable;
-        if (auto* pool = document.findPool(route->destination); pool && route->kind == DesiredState::RouteKind::ToPool)
-            request.weightsDigest = pool->manifest;
         auto* service = route->kind == DesiredState::RouteKind::ToService ? document.findService(route->destination) : nullptr;
         if (!service || request.repeatable)
             return std::nullopt;
--- a/Source/Routing/RequestCoordinator.cpp
+++ b/Source/Routing/RequestCoordinator.cpp
@@ -113,7 +113,9 @@
     m_target->attemptStarted();
     m_tried.push_back(m_target);
     m_attemptId = m_context.random.identifier();
-    m_matcher = AnswerMatcher(m_attemptId, m_request.weightsDigest);
+    // The answer must come from the version that this target serves; the request is bound to no version.
+    auto weightsDigest = m_target->servingDigest();
+    m_matcher = AnswerMatcher(m_attemptId, weightsDigest);
     Admission admission;
     admission.attemptId = m_attemptId;
     admission.requestId = m_request.id;
@@ -121,7 +123,7 @@
     admission.priorityClass = m_request.priorityClass;
     admission.timeLeft = m_request.deadline - m_context.clock.now();
     admission.destination = m_request.destination;
-    admission.weightsDigest = m_request.weightsDigest;
+    admission.weightsDigest = weightsDigest;
     admission.key = m_request.key;
     admission.repeatable = m_request.repeatable;
     admission.bodyBytes = m_request.message.body.size();
--- a/Source/Routing/Target.cpp
+++ b/Source/Routing/Target.cpp
@@ -25,6 +25,18 @@
     return now < m_avoidUntil.load();
 }
 
+std::string Target::servingDigest() const
+{
+    std::lock_guard guard(m_digestLock);
+    return m_servingDigest;
+}
+
+void Target::setServingDigest(std::string digest)
+{
+    std::lock_guard guard(m_digestLock);
+    m_servingDigest = std::move(digest);
+}
+
 void Target::setLoad(const Membership::TargetLoad& load)
 {
     m_running = load.running;
--- a/Source/Routing/Target.h
+++ b/Source/Routing/Target.h
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <mutex>
 #include <string>
 
 namespace Lavenderloft::Routing {
@@ -19,7 +20,7 @@
 inline constexpr size_t tierCount = 3;
 
 // A target as the router knows it. The identity does not change; the load is updated by gossip and by
-// every answer of the agent, without a lock.
+// every answer of the agent.
 class Target {
 public:
     Target(std::string vm, std::string address, std::string dataCentre, Tier tier, uint64_t incarnation);
@@ -37,6 +38,11 @@
     // Whether the target refused or broke lately and is better left alone until then.
     bool isAvoided(Base::TimePoint now) const;
 
+    // Digest of the whole weights that the target serves; empty for a plain service. During a rollout it
+    // may be that of the version before the declared one.
+    std::string servingDigest() const;
+    void setServingDigest(std::string);
+
     void setLoad(const Membership::TargetLoad&);
     void avoidUntil(Base::TimePoint);
     void attemptStarted() { ++m_underWay; }
@@ -48,6 +54,8 @@
     const std::string m_dataCentre;
     const Tier m_tier;
     const uint64_t m_incarnation;
+    mutable std::mutex m_digestLock;
+    std::string m_servingDigest;
     std::atomic<unsigned> m_running { 0 };
     std::atomic<unsigned> m_queued { 0 };
     std::atomic<unsigned> m_limit { 0 };
--- a/Tests/Routing/RoutingFixture.h
+++ b/Tests/Routing/RoutingFixture.h
@@ -177,7 +177,6 @@
         request.organisation = "school-1";
         request.deadline = clock.now() + std::chrono::seconds(30);
         request.destination = "pool";
-        request.weightsDigest = digest;
         request.repeatable = true;
         request.fingerprint = std::hash<std::string> {}(body);
         request.message.body = std::move(body);
@@ -189,7 +188,6 @@
         auto request = poolRequest("booking " + key);
         request.kind = DesiredState::RouteKind::ToService;
         request.destination = "ledger";
-        request.weightsDigest.clear();
         request.repeatable = false;
         request.key = std::move(key);
         request.keyFromCaller = true;
--- a/Tests/Routing/SelectionTest.cpp
+++ b/Tests/Routing/SelectionTest.cpp
@@ -44,8 +44,8 @@
 
 } // namespace
 
-// Guards against new work for a data centre taken out, a drained or leaving VM, one with other weights
-// and one that does not accept (invariants I3 and I7).
+// Guards against new work for a data centre taken out, a drained or leaving VM, one without
+// whole weights and one that does not accept (invariants I3 and I7).
 Test(Selection, givesNothingToTargetsThatTakeNoWork)
 {
     RoutingFixture fixture(1);
@@ -57,7 +57,7 @@
         if (member.vm == "bad2")
             member.status = Membership::Status::Leaving;
         if (member.vm == "bad3")
-            member.replicas[0].servingDigest = "old";
+            member.replicas[0].servingDigest.clear();
         if (member.vm == "bad4")
             member.load.accepting = false;
     }
@@ -70,6 +70,19 @@
     cr_assert(targetsOf(fixture, fixture.policy) == (std::set<std::string> { "out1", "out2", "out3" }), "a data centre that is back gets work again");
 }
 
+// Guards against a rollout during which no target counts as ready: old weights serve until the new ones
+// are whole, and each answer is bound to the version of its target.
+Test(Selection, usesTargetsThatStillServeThePreviousVersion)
+{
+    RoutingFixture fixture(2);
+    for (auto& member : fixture.members)
+        member.replicas[0].servingDigest = member.vm == "t1" ? "old" : RoutingFixture::digest;
+    fixture.update();
+    cr_assert(targetsOf(fixture, fixture.policy) == (std::set<std::string> { "t1", "t2" }));
+    cr_assert(fixture.targets.vms().find("t1").value()->servingDigest() == "old");
+    cr_assert(fixture.targets.vms().find("t2").value()->servingDigest() == RoutingFixture::digest);
+}
+
 // Guards against traffic over thin links while near targets are free, and against a tier that is never left.
 Test(Selection, usesNearTiersFirstAndLeavesThemAfterRefusals)
 {
