--- a/Utilities/Bench/FakeAgent.cpp
+++ b/Utilities/Bench/FakeAgent.cpp
@@ -1,5 +1,6 @@
 #include "Bench/FakeAgent.h"
 
+#include "Base/SeededRandom.h"
 #include "lavenderloft.grpc.pb.h"
 
 #include <array>
@@ -65,11 +66,19 @@
 struct FakeAgent::State {
     explicit State(FakeAgentOptions agentOptions)
         : options(std::move(agentOptions))
+        , random(options.seed)
         , limit(options.limit)
     {
     }
 
+    std::chrono::microseconds drawServiceTime()
+    {
+        auto factor = 1 + options.serviceTimeSpread * (2 * random.fraction() - 1);
+        return std::chrono::microseconds(static_cast<int64_t>(static_cast<double>(options.serviceTime.count()) * factor));
+    }
+
     const FakeAgentOptions options;
+    Base::SeededRandom random;
     mutable std::mutex lock;
     unsigned limit;
     unsigned running = 0;
@@ -279,7 +288,7 @@
                 return finish(grpc::Status(grpc::StatusCode::UNAVAILABLE, "broken off by the test"));
             if (m_state->options.serviceTime.count() == 0)
                 return writeNext();
-            TimerThread::instance().after(m_state->options.serviceTime, [self = this->shared_from_this()] { self->writeNext(); });
+            TimerThread::instance().after(m_state->drawServiceTime(), [self = this->shared_from_this()] { self->writeNext(); });
         }
 
         void writeNext()
--- a/Utilities/Bench/FakeAgent.h
+++ b/Utilities/Bench/FakeAgent.h
@@ -17,6 +17,10 @@
     unsigned queueLimit = 64;
     // Time that a request takes; zero answers at once.
     std::chrono::microseconds serviceTime { 0 };
+    // Each request takes up to this share more or less. Equal times would keep the slots of a busy
+    // target in step, so that all become free at once.
+    double serviceTimeSpread = 0;
+    uint64_t seed = 1;
     // The answer's parts.
     unsigned parts = 1;
     size_t partBytes = 64;
--- a/Utilities/Bench/ZoneLeaveBench.cpp
+++ b/Utilities/Bench/ZoneLeaveBench.cpp
@@ -27,6 +27,7 @@
     constexpr unsigned coldLimit = 2;
     constexpr unsigned queueLimit = 64;
     constexpr std::chrono::milliseconds serviceTime { 100 };
+    constexpr double serviceTimeSpread = 0.2;
     constexpr uint64_t streamBudgetBytes = 64 * 1024 * 1024;
 
     // Gossip brings the load of agents to routers at this interval.
@@ -63,8 +64,11 @@
             agentOptions.queueLimit = queueLimit;
             agentOptions.serviceTime = serviceTime;
             agentOptions.weightsDigest = benchDigest;
-            for (size_t i = 0; i < dataCentreCount * agentsPerDataCentre; ++i)
+            agentOptions.serviceTimeSpread = serviceTimeSpread;
+            for (size_t i = 0; i < dataCentreCount * agentsPerDataCentre; ++i) {
+                agentOptions.seed = static_cast<uint64_t>(options.seed) * 100 + i;
                 m_agents.push_back(std::make_unique<FakeAgent>(agentOptions));
+            }
             for (size_t i = 0; i < dataCentreCount; ++i) {
                 auto vm = "router-" + std::to_string(i + 1);
                 auto& control = *m_controls.emplace_back(std::make_unique<FakeControl>(makeRouterMember(vm, dataCentreName(i))));
