Test transfers, the choice of sources and rollouts with faults

Decisions are tested with ManualClock; rollouts run several WeightNodes over loopback beside corrupt, lying, stalled and dying agents, version changes and partitions. One test compares a small rollout with the counting bounds.

--- /dev/null
+++ b/Tests/Weights/ManifestTest.cpp
@@ -0,0 +1,70 @@
+#include "Weights/Manifest.h"
+#include "Base/Digest.h"
+
+#include <criterion/criterion.h>
+
+using namespace Lavenderloft;
+using namespace Lavenderloft::Weights;
+
+namespace {
+
+std::string documentWith(const std::string& files, const std::string& more = "")
+{
+    return R"({"model":"m","version":"1","chunkSize":4,"files":)" + files + more + "}";
+}
+
+std::string fileWith(const std::string& name, unsigned size, std::initializer_list<const char*> contents)
+{
+    std::string chunks;
+    for (auto* content : contents)
+        chunks += (chunks.empty() ? "\"" : ",\"") + Base::sha256(content) + "\"";
+    return R"({"name":")" + name + R"(","size":)" + std::to_string(size) + R"(,"chunks":[)" + chunks + "]}";
+}
+
+bool isMalformed(const std::string& document)
+{
+    auto parsed = parseManifest(document);
+    return !Base::succeeded(parsed) && Base::errorOf(parsed).kind == WeightErrorKind::MalformedManifest;
+}
+
+} // namespace
+
+// Guards against chunks out of file order, wrong sizes of last chunks and shared chunks that are counted twice.
+Test(Manifest, listsChunksInFileOrderWithTheirSizes)
+{
+    auto document = documentWith("[" + fileWith("a", 6, { "aaaa", "bb" }) + "," + fileWith("b", 4, { "aaaa" }) + "]");
+    auto parsed = parseManifest(document, Base::sha256(document));
+    cr_assert(Base::succeeded(parsed));
+    auto& manifest = Base::valueOf(parsed);
+    cr_assert_eq(manifest.chunks.size(), 3);
+    cr_assert_eq(manifest.chunks[1].bytes, 2);
+    cr_assert(manifest.chunks[0].digest == manifest.chunks[2].digest);
+    cr_assert_eq(manifest.positions.at(manifest.chunks[0].digest).size(), 2);
+    cr_assert_eq(manifest.distinctBytes, 6);
+}
+
+// Guards against manifests that are read although they are ambiguous or contradict themselves.
+Test(Manifest, rejectsWhatIsNotStrictlyValid)
+{
+    auto file = fileWith("a", 4, { "aaaa" });
+    cr_assert_not(isMalformed(documentWith("[" + file + "]")));
+    cr_assert(isMalformed(documentWith("[" + file + "]", R"(,"unknown":1)")));
+    cr_assert(isMalformed(documentWith("[" + file + "]", R"(,"model":"n")")));
+    cr_assert(isMalformed(documentWith("[" + file + "," + file + "]")));
+    cr_assert(isMalformed(documentWith("[" + fileWith("a", 9, { "aaaa" }) + "]")));
+    cr_assert(isMalformed(documentWith("[" + fileWith("a", 3, { "aaaa" }) + "," + fileWith("b", 4, { "aaaa" }) + "]")));
+    cr_assert(isMalformed(documentWith("[]")));
+    cr_assert(isMalformed(documentWith("[" + file)));
+    cr_assert(isMalformed(R"({"model":"m","version":"1","chunkSize":0,"files":[]})"));
+    cr_assert(isMalformed(R"({"model":"m","version":"1","chunkSize":4,"files":[{"name":"a","size":-4,"chunks":[]}]})"));
+    cr_assert(isMalformed(R"({"model":"m","version":"1","chunkSize":4,"files":[{"name":"a","size":4,"chunks":["AB"]}]})"));
+}
+
+// Guards against a manifest that was altered on the way.
+Test(Manifest, rejectsBytesWithAnotherDigest)
+{
+    auto document = documentWith("[" + fileWith("a", 4, { "aaaa" }) + "]");
+    auto parsed = parseManifest(document + " ", Base::sha256(document));
+    cr_assert_not(Base::succeeded(parsed));
+    cr_assert(Base::errorOf(parsed).kind == WeightErrorKind::WrongDigest);
+}
--- a/Tests/Weights/RolloutTest.cpp
+++ b/Tests/Weights/RolloutTest.cpp
@@ -1,3 +1,4 @@
+#include "Bench/RolloutBounds.h"
 #include "Bench/RolloutFleet.h"
 
 #include <criterion/criterion.h>
@@ -9,22 +10,188 @@
 namespace {
 
 // Ends a hang; no verdict depends on it.
-constexpr auto hangLimit = 60s;
+constexpr auto hangLimit = 120s;
+
+// A fleet in one region or several and one model, small enough for a loaded machine.
+struct Rollout {
+    explicit Rollout(FleetShape shape, size_t chunkCount = 24)
+        : fleet(shape)
+        , model(makeModel({ "1", chunkCount, 4096, shape.seed, 2 }))
+        , successor(makeModel({ "2", chunkCount, 4096, shape.seed, 2 }))
+    {
+        fleet.addModel(model);
+        fleet.addModel(successor);
+    }
+
+    // Waits until every live replica holds exactly the right bytes.
+    bool endsWell(const Model& wanted)
+    {
+        if (!fleet.awaitComplete(wanted.digest, hangLimit))
+            return false;
+        for (unsigned i = 0; i < fleet.size(); ++i) {
+            if (fleet.isAlive(i) && !fleet.holdsExactly(i, wanted))
+                return false;
+        }
+        return true;
+    }
+
+    bool awaitChunks(unsigned replica, unsigned count)
+    {
+        return fleet.await([&] { return fleet.node(replica).progress(model.digest).chunksHeld >= count; }, hangLimit);
+    }
+
+    uint64_t sum(std::atomic<uint64_t> Weights::WeightCounters::*counter)
+    {
+        uint64_t total = 0;
+        for (unsigned i = 0; i < fleet.size(); ++i)
+            total += fleet.node(i).counters().*counter;
+        return total;
+    }
+
+    RolloutFleet fleet;
+    Model model;
+    Model successor;
+};
+
+// Links on which the small model takes a few seconds, so that a fault falls into the transfer.
+LinkRates slowRates()
+{
+    return { 60000, 30000, 60000 };
+}
 
 } // namespace
 
 // Guards against replicas that each read the whole model from the origin, and against wrong bytes.
 Test(Rollout, bringsAModelToAllReplicasOfThreeRegions)
 {
-    FleetShape shape;
-    shape.replicas = 6;
-    shape.regions = 3;
-    RolloutFleet fleet(shape);
-    auto model = makeModel({ .chunkCount = 24 });
-    fleet.addModel(model);
-    fleet.want(std::vector { model.digest });
-    cr_assert(fleet.awaitComplete(model.digest, hangLimit));
-    for (unsigned i = 0; i < fleet.size(); ++i)
-        cr_assert(fleet.holdsExactly(i, model));
-    cr_assert_lt(fleet.links().originBytes(), 2 * model.totalBytes);
+    Rollout rollout({ .replicas = 6, .regions = 3 });
+    rollout.fleet.want(std::vector { rollout.model.digest });
+    cr_assert(rollout.endsWell(rollout.model));
+}
+
+// Guards against corrupt bytes that are stored, served or passed on.
+Test(Rollout, completesBesideASenderOfCorruptChunks)
+{
+    Rollout rollout({ .replicas = 4 });
+    rollout.fleet.faults().corruptFrom(rollout.fleet.vm(0));
+    rollout.fleet.want(std::vector { rollout.model.digest });
+    cr_assert(rollout.endsWell(rollout.model));
+    cr_assert_gt(rollout.sum(&Weights::WeightCounters::corruptChunks), 0);
+}
+
+// Guards against corrupt bytes from the weight store itself.
+Test(Rollout, fetchesAChunkAgainThatTheOriginDamaged)
+{
+    Rollout rollout({ .replicas = 2 });
+    rollout.fleet.store().corruptNextChunks(2);
+    rollout.fleet.want(std::vector { rollout.model.digest });
+    cr_assert(rollout.endsWell(rollout.model));
+    cr_assert_eq(rollout.sum(&Weights::WeightCounters::corruptChunks), 2);
+}
+
+// Guards against a peer that claims to hold chunks it does not hold and blocks them for all.
+Test(Rollout, completesBesideALiar)
+{
+    Rollout rollout({ .replicas = 4, .rates = slowRates() });
+    rollout.fleet.faults().lieAbout(rollout.fleet.vm(0));
+    rollout.fleet.want(std::vector { rollout.model.digest });
+    cr_assert(rollout.endsWell(rollout.model));
+}
+
+// Guards against a transfer that waits for a stalled sender.
+Test(Rollout, completesBesideAStalledSender)
+{
+    Rollout rollout({ .replicas = 4 });
+    rollout.fleet.faults().stallFrom(rollout.fleet.vm(0));
+    rollout.fleet.want(std::vector { rollout.model.digest });
+    cr_assert(rollout.endsWell(rollout.model));
+    cr_assert_gt(rollout.sum(&Weights::WeightCounters::stalledDownloads), 0);
+}
+
+// Guards against chunks that are lost with the agent that ranked first for them.
+Test(Rollout, completesWhenAnAgentWithDutiesDies)
+{
+    Rollout rollout({ .replicas = 4, .regions = 2, .rates = slowRates() });
+    rollout.fleet.want(std::vector { rollout.model.digest });
+    cr_assert(rollout.awaitChunks(0, 2));
+    rollout.fleet.kill(0);
+    cr_assert(rollout.endsWell(rollout.model));
+}
+
+// Guards against a replaced version that goes on, keeps its memory, or whose shared chunks are fetched again.
+Test(Rollout, changesTheVersionDuringATransfer)
+{
+    Rollout rollout({ .replicas = 3, .rates = slowRates() });
+    rollout.fleet.want(std::vector { rollout.model.digest });
+    cr_assert(rollout.awaitChunks(0, 6));
+    rollout.fleet.want(std::vector { rollout.successor.digest });
+    cr_assert(rollout.endsWell(rollout.successor));
+    for (unsigned i = 0; i < rollout.fleet.size(); ++i) {
+        cr_assert(rollout.fleet.node(i).progress(rollout.model.digest).status == Weights::TransferStatus::Unknown);
+        cr_assert_eq(rollout.fleet.node(i).heldBytes(), rollout.successor.totalBytes);
+    }
+}
+
+// Guards against a second fetch of the chunks that a held version shares with the next one.
+Test(Rollout, fetchesOnlyWhatDiffersFromTheHeldVersion)
+{
+    Rollout rollout({ .replicas = 1 });
+    rollout.fleet.want(std::vector { rollout.model.digest });
+    cr_assert(rollout.endsWell(rollout.model));
+    rollout.fleet.want(std::vector { rollout.successor.digest });
+    cr_assert(rollout.endsWell(rollout.successor));
+    cr_assert_eq(rollout.sum(&Weights::WeightCounters::originBytes), rollout.model.totalBytes + rollout.model.totalBytes / 2);
+}
+
+// Guards against a transfer that fills the memory, and a reason that does not name the setting.
+Test(Rollout, reportsAModelBeyondTheMemoryBudget)
+{
+    Rollout rollout({ .replicas = 1, .weightMemoryBytes = 5000 });
+    rollout.fleet.want(std::vector { rollout.model.digest });
+    cr_assert(rollout.fleet.await([&] { return rollout.fleet.node(0).progress(rollout.model.digest).status == Weights::TransferStatus::Failed; }, hangLimit));
+    cr_assert(rollout.fleet.node(0).progress(rollout.model.digest).reason.find("weightMemoryBytes") != std::string::npos);
+    cr_assert_eq(rollout.fleet.node(0).heldBytes(), 0);
+}
+
+// Guards against a region that cannot complete from its own agents while it is cut off.
+Test(Rollout, completesInAPartitionFromWhatItsAgentsHold)
+{
+    Rollout rollout({ .replicas = 4, .regions = 2 });
+    std::vector<Weights::WantedManifest> wanted { { rollout.model.digest } };
+    rollout.fleet.wantAt(0, wanted);
+    rollout.fleet.wantAt(1, wanted);
+    cr_assert(rollout.awaitChunks(1, 24));
+    rollout.fleet.faults().cut(rollout.fleet.region(1));
+    rollout.fleet.store().setCutRegions({ rollout.fleet.region(1) });
+    rollout.fleet.wantAt(3, wanted);
+    cr_assert(rollout.awaitChunks(3, 24));
+    cr_assert(rollout.fleet.holdsExactly(3, rollout.model));
+}
+
+// Guards against a silent wait for chunks that nobody in a partition holds, and one that does not end when it heals.
+Test(Rollout, reportsTheMissingChunksOfAPartition)
+{
+    Rollout rollout({ .replicas = 4, .regions = 2, .rates = slowRates() });
+    rollout.fleet.want(std::vector { rollout.model.digest });
+    cr_assert(rollout.awaitChunks(1, 1));
+    rollout.fleet.faults().cut(rollout.fleet.region(1));
+    rollout.fleet.store().setCutRegions({ rollout.fleet.region(1) });
+    cr_assert(rollout.fleet.await([&] { return rollout.fleet.node(1).progress(rollout.model.digest).reason.find("of 24 chunks are held by no agent") != std::string::npos; }, hangLimit));
+    rollout.fleet.faults().heal();
+    rollout.fleet.store().setCutRegions({});
+    cr_assert(rollout.endsWell(rollout.model));
+}
+
+// Guards against regressions in what a rollout costs the origin and the links between regions.
+Test(Rollout, staysWithinTheCountingBounds)
+{
+    auto bounds = readRolloutBounds(LAVENDERLOFT_SOURCE_DIR "/Utilities/Bench/bounds.json");
+    cr_assert(Base::succeeded(bounds));
+    RolloutOptions options;
+    options.replicas = 6;
+    options.chunkCount = 60;
+    options.floor = 3000ms;
+    auto measurement = measureRollout(options);
+    auto exceeded = findExceededBounds(Base::valueOf(bounds), options, measurement, BoundsScope::Counts);
+    cr_assert(exceeded.empty(), "%s", exceeded.empty() ? "" : exceeded.front().c_str());
 }
--- /dev/null
+++ b/Tests/Weights/TransferTest.cpp
@@ -0,0 +1,156 @@
+#include "Base/ManualClock.h"
+#include "Bench/RolloutModel.h"
+#include "Weights/Commands/ChunkCommands.h"
+#include "Weights/Commands/TransferCommands.h"
+#include "Weights/Queries/ChunkQueries.h"
+#include "Weights/Queries/TransferQueries.h"
+
+#include <criterion/criterion.h>
+
+using namespace Lavenderloft;
+using namespace Lavenderloft::Weights;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr size_t chunkBytes = 100;
+
+// A transfer table and store of one VM.
+struct Holder {
+    explicit Holder(uint64_t budget = 1 << 20)
+        : store(budget)
+    {
+    }
+
+    Base::Result<Base::Done, WeightError> begin(const Bench::Model& model)
+    {
+        Commands::beginTransfer(table, model.digest, 100, clock.now());
+        return Commands::acceptManifest(table, store, model.digest, model.document, clock.now());
+    }
+
+    void fill(const Bench::Model& model)
+    {
+        for (auto& [digest, bytes] : model.chunks)
+            Commands::acceptChunk(table, store, digest, bytes, clock.now());
+    }
+
+    void withdraw(const Bench::Model& model)
+    {
+        Commands::withdrawTransfer(table, model.digest, clock.now());
+        Commands::releaseRetired(table, store, clock.now() - 30s);
+    }
+
+    TransferProgress progress(const Bench::Model& model) const { return Queries::transferProgress(table, model.digest); }
+
+    Base::ManualClock clock;
+    TransferTable table;
+    ChunkStore store;
+};
+
+Bench::Model versionOf(const std::string& version)
+{
+    return Bench::makeModel({ version, 8, chunkBytes, 1, 2 });
+}
+
+} // namespace
+
+// Guards against corrupt bytes being stored or counted as held.
+Test(Transfer, refusesACorruptChunk)
+{
+    Holder holder;
+    auto model = versionOf("1");
+    holder.begin(model);
+    auto& [digest, bytes] = *model.chunks.begin();
+    auto refused = Commands::acceptChunk(holder.table, holder.store, digest, bytes + "x", holder.clock.now());
+    cr_assert_not(Base::succeeded(refused));
+    cr_assert(Base::errorOf(refused).kind == WeightErrorKind::WrongDigest);
+    cr_assert_null(Queries::findChunk(holder.store, digest).get());
+    cr_assert_eq(holder.progress(model).chunksHeld, 0);
+}
+
+// Guards against 'complete' before the last chunk is held.
+Test(Transfer, isCompleteWithTheLastChunk)
+{
+    Holder holder;
+    auto model = versionOf("1");
+    holder.begin(model);
+    auto last = *model.chunks.rbegin();
+    for (auto& [digest, bytes] : model.chunks) {
+        cr_assert(holder.progress(model).status == TransferStatus::Fetching);
+        Commands::acceptChunk(holder.table, holder.store, digest, bytes, holder.clock.now());
+    }
+    cr_assert(holder.progress(model).status == TransferStatus::Complete);
+}
+
+// Guards against a model larger than the budget being fetched in part, and an error that does not say what to change.
+Test(Transfer, namesTheSettingWhenTheModelIsTooLarge)
+{
+    Holder holder(8 * chunkBytes - 1);
+    auto model = versionOf("1");
+    auto begun = holder.begin(model);
+    cr_assert_not(Base::succeeded(begun));
+    cr_assert(Base::errorOf(begun).kind == WeightErrorKind::MemoryBudgetExceeded);
+    cr_assert(holder.progress(model).status == TransferStatus::Failed);
+    cr_assert(holder.progress(model).reason.find("weightMemoryBytes") != std::string::npos);
+    cr_assert_eq(holder.store.reservedBytes.load(), 0);
+}
+
+// Guards against memory that stays taken after a version is withdrawn.
+Test(Transfer, freesTheMemoryOfAWithdrawnVersion)
+{
+    Holder holder;
+    auto model = versionOf("1");
+    holder.begin(model);
+    holder.fill(model);
+    holder.withdraw(model);
+    cr_assert_eq(holder.store.reservedBytes.load(), 0);
+    cr_assert_eq(Queries::heldBytes(holder.store), 0);
+    cr_assert(holder.progress(model).status == TransferStatus::Unknown);
+}
+
+// Guards against a second fetch of chunks that the replaced version shares with the new one, also when both do not fit.
+Test(Transfer, keepsSharedChunksWhenAVersionIsReplaced)
+{
+    Holder holder(10 * chunkBytes);
+    auto first = versionOf("1");
+    auto second = versionOf("2");
+    holder.begin(first);
+    holder.fill(first);
+    Commands::withdrawTransfer(holder.table, first.digest, holder.clock.now());
+    Commands::beginTransfer(holder.table, second.digest, 100, holder.clock.now());
+    Commands::releaseRetired(holder.table, holder.store, holder.clock.now() - 30s);
+    cr_assert(Base::succeeded(holder.begin(second)));
+    cr_assert_eq(holder.progress(second).chunksHeld, 4);
+    Commands::releaseRetired(holder.table, holder.store, holder.clock.now() - 30s);
+    cr_assert_eq(holder.store.reservedBytes.load(), 8 * chunkBytes);
+}
+
+// Guards against chunks of a replaced version that stay in memory because the new manifest never arrives.
+Test(Transfer, freesAReplacedVersionWhenItsSuccessorDoesNotArrive)
+{
+    Holder holder;
+    auto first = versionOf("1");
+    holder.begin(first);
+    holder.fill(first);
+    Commands::withdrawTransfer(holder.table, first.digest, holder.clock.now());
+    Commands::beginTransfer(holder.table, versionOf("2").digest, 100, holder.clock.now());
+    holder.clock.advance(31s);
+    Commands::releaseRetired(holder.table, holder.store, holder.clock.now() - 30s);
+    cr_assert_eq(holder.store.reservedBytes.load(), 0);
+}
+
+// Guards against a base model's chunks being freed while an adapter still needs them.
+Test(Transfer, freesASharedChunkWithItsLastManifest)
+{
+    Holder holder;
+    auto base = versionOf("1");
+    auto adapter = versionOf("2");
+    holder.begin(base);
+    holder.begin(adapter);
+    holder.fill(base);
+    cr_assert_eq(holder.progress(adapter).chunksHeld, 4);
+    cr_assert_eq(holder.store.reservedBytes.load(), 12 * chunkBytes);
+    holder.withdraw(base);
+    cr_assert_eq(holder.progress(adapter).chunksHeld, 4);
+    cr_assert_eq(Queries::heldBytes(holder.store), 4 * chunkBytes);
+}
--- /dev/null
+++ b/Tests/Weights/UploadTest.cpp
@@ -0,0 +1,82 @@
+#include "Base/ManualClock.h"
+#include "Weights/Commands/UploadCommands.h"
+#include "Weights/InterRegionLimiter.h"
+#include "Weights/Queries/UploadQueries.h"
+#include "Weights/TransferLimits.h"
+
+#include <criterion/criterion.h>
+
+using namespace Lavenderloft;
+using namespace Lavenderloft::Weights;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr uint64_t chunkBytes = 1000;
+
+Upload uploadTo(const std::string& region, unsigned priority, Base::TimePoint now)
+{
+    return { "vm", region, region != "own", priority, chunkBytes, now, false };
+}
+
+} // namespace
+
+// Guards against more uploads at a time than there are slots, and a queue without a bound.
+Test(Upload, startsAsManyAsThereAreSlots)
+{
+    Base::ManualClock clock;
+    UploadTable table;
+    InterRegionLimiter limiter("own", 1000);
+    for (uint64_t i = 0; i < maximumWaitingUploads; ++i)
+        cr_assert(Base::succeeded(Commands::enqueueUpload(table, i, uploadTo("own", 1, clock.now()))));
+    auto refused = Commands::enqueueUpload(table, 99, uploadTo("own", 1, clock.now()));
+    cr_assert(Base::errorOf(refused).kind == WeightErrorKind::Busy);
+    unsigned started = 0;
+    for (;;) {
+        auto numbers = Queries::uploadsToStart(table, limiter, clock.now());
+        if (numbers.empty())
+            break;
+        for (auto number : numbers)
+            started += Base::succeeded(Commands::startUpload(table, number)) ? 1 : 0;
+    }
+    cr_assert_eq(started, uploadSlots);
+    Commands::endUpload(table, 0);
+    cr_assert_eq(Queries::uploadsToStart(table, limiter, clock.now()).size(), 1);
+    clock.advance(uploadWaitLimit);
+    cr_assert_eq(Queries::overdueUploads(table, clock.now()).size(), maximumWaitingUploads - uploadSlots);
+}
+
+// Guards against a rollout of low priority that holds back one of high priority or a whole region.
+Test(Upload, servesHighPriorityThenOtherRegionsFirst)
+{
+    Base::ManualClock clock;
+    UploadTable table;
+    InterRegionLimiter limiter("own", 1e9);
+    Commands::enqueueUpload(table, 1, uploadTo("own", 1, clock.now()));
+    Commands::enqueueUpload(table, 2, uploadTo("far", 1, clock.now()));
+    Commands::enqueueUpload(table, 3, uploadTo("own", 9, clock.now()));
+    auto numbers = Queries::uploadsToStart(table, limiter, clock.now());
+    cr_assert_eq(numbers.size(), 2);
+    cr_assert_eq(numbers[0], 3);
+    cr_assert_eq(numbers[1], 2);
+}
+
+// Guards against rollouts that take more than their share of a link, and a full link that blocks the own region.
+Test(Upload, keepsWithinTheShareOfTheLink)
+{
+    Base::ManualClock clock;
+    UploadTable table;
+    InterRegionLimiter limiter("own", 2 * chunkBytes);
+    limiter.setSenders(2, clock.now());
+    Commands::enqueueUpload(table, 1, uploadTo("far", 1, clock.now()));
+    Commands::enqueueUpload(table, 2, uploadTo("own", 1, clock.now()));
+    limiter.accountUpload("far", chunkBytes, clock.now());
+    auto numbers = Queries::uploadsToStart(table, limiter, clock.now());
+    cr_assert_eq(numbers.size(), 1);
+    cr_assert_eq(numbers[0], 2);
+    // Two senders share 2,000 bytes a second; a quarter of a second had been saved up.
+    cr_assert(limiter.startDelay("far", clock.now()) == 750ms);
+    cr_assert(limiter.startDelay("other", clock.now()) == 0ms);
+    clock.advance(750ms);
+    cr_assert_eq(Queries::uploadsToStart(table, limiter, clock.now()).size(), 2);
+}
--- a/Utilities/Bench/RolloutFleet.cpp
+++ b/Utilities/Bench/RolloutFleet.cpp
@@ -147,21 +147,35 @@
 }
 
 void RolloutFleet::want(const std::vector<Weights::WantedManifest>& wanted)
+{
+    // All members are changed first, so that no replica starts with a view in which it is alone.
+    for (unsigned i = 0; i < size(); ++i)
+        announce(i, wanted);
+    for (auto& replica : m_replicas) {
+        if (replica->alive)
+            replica->node->want(wanted);
+    }
+}
+
+void RolloutFleet::wantAt(unsigned replica, const std::vector<Weights::WantedManifest>& wanted)
+{
+    announce(replica, wanted);
+    node(replica).want(wanted);
+}
+
+void RolloutFleet::announce(unsigned replica, const std::vector<Weights::WantedManifest>& wanted)
 {
     m_members->change([&](auto& members) {
         for (auto& member : members) {
+            if (member.vm != vm(replica))
+                continue;
             member.replicas.clear();
             for (auto& manifest : wanted) {
-                Membership::Replica replica;
-                replica.wantedDigest = manifest.digest;
-                member.replicas.push_back(replica);
+                member.replicas.emplace_back();
+                member.replicas.back().wantedDigest = manifest.digest;
             }
         }
     });
-    for (auto& replica : m_replicas) {
-        if (replica->alive)
-            replica->node->want(wanted);
-    }
 }
 
 bool RolloutFleet::awaitComplete(const std::string& digest, std::chrono::milliseconds limit)
--- a/Utilities/Bench/RolloutFleet.h
+++ b/Utilities/Bench/RolloutFleet.h
@@ -36,6 +36,9 @@
     void want(const std::vector<std::string>& digests);
     void want(const std::vector<Weights::WantedManifest>&);
 
+    // The same for one replica.
+    void wantAt(unsigned replica, const std::vector<Weights::WantedManifest>&);
+
     // Waits until every live replica holds the manifest; false after the limit, which only ends a hang.
     bool awaitComplete(const std::string& digest, std::chrono::milliseconds limit);
 
@@ -66,6 +69,8 @@
     struct Members;
     struct Replica;
 
+    // Lets the members list say what the replica wants.
+    void announce(unsigned replica, const std::vector<Weights::WantedManifest>&);
     void addReplica(const FleetShape&, unsigned index);
 
     Base::SystemClock m_clock;
