--- a/Source/Process/ChunkDownload.cpp
+++ b/Source/Process/ChunkDownload.cpp
@@ -92,10 +92,10 @@
     if (error.kind == WeightErrorKind::WrongDigest) {
         ++counters.corruptChunks;
         m_runtime->metrics->count("weight_chunks_refused_total", { { "source", sourceName(m_source) } });
-        Observability::logEvent(Weights::ChunkRefused, { { "chunk", m_chunk.digest }, { "source", sourceName(m_source) }, { "vm", m_vm } });
+        Observability::logEvent(Weights::chunkRefused, { { "chunk", m_chunk.digest }, { "source", sourceName(m_source) }, { "vm", m_vm } });
     } else {
         ++counters.failedDownloads;
-        Observability::logEvent(Weights::DownloadFailed, { { "chunk", m_chunk.digest }, { "source", sourceName(m_source) }, { "vm", m_vm }, { "reason", error.describe() } });
+        Observability::logEvent(Weights::downloadFailed, { { "chunk", m_chunk.digest }, { "source", sourceName(m_source) }, { "vm", m_vm }, { "reason", error.describe() } });
     }
     if (error.kind == WeightErrorKind::Busy && m_source != SourceKind::Origin)
         return Weights::Commands::pausePeer(m_runtime->state->peers, m_vm, now + Weights::busyPeerPause);
--- a/Source/Process/TransferDriver.cpp
+++ b/Source/Process/TransferDriver.cpp
@@ -111,11 +111,11 @@
         return;
     auto progress = Queries::transferProgress(m_environment.runtime->state->transfers, snapshot.digest);
     if (snapshot.phase == TransferPhase::Complete)
-        Observability::logEvent(Weights::TransferComplete, { { "manifest", snapshot.digest }, { "chunks", progress.chunksTotal } });
+        Observability::logEvent(Weights::transferComplete, { { "manifest", snapshot.digest }, { "chunks", progress.chunksTotal } });
     else if (snapshot.phase == TransferPhase::Failed)
-        Observability::logEvent(Weights::TransferFailed, { { "manifest", snapshot.digest }, { "reason", progress.reason } });
+        Observability::logEvent(Weights::transferFailed, { { "manifest", snapshot.digest }, { "reason", progress.reason } });
     else if (snapshot.phase == TransferPhase::FetchingChunks)
-        Observability::logEvent(Weights::ManifestAccepted, { { "manifest", snapshot.digest }, { "chunks", progress.chunksTotal } });
+        Observability::logEvent(Weights::manifestAccepted, { { "manifest", snapshot.digest }, { "chunks", progress.chunksTotal } });
     plan.reportedPhase = snapshot.phase;
 }
 
@@ -211,7 +211,7 @@
     auto begun = Commands::beginDownload(runtime->state->downloads, chunk.digest, { snapshot.digest, assignment.chunk, assignment.source, assignment.vm, now, now, nullptr });
     if (!Base::succeeded(begun))
         return;
-    Observability::logEvent(Weights::ChunkAssigned, { { "manifest", snapshot.digest }, { "chunk", assignment.chunk }, { "source", sourceName(assignment.source) }, { "vm", assignment.vm }, { "reason", reasonName(assignment.reason) } });
+    Observability::logEvent(Weights::chunkAssigned, { { "manifest", snapshot.digest }, { "chunk", assignment.chunk }, { "source", sourceName(assignment.source) }, { "vm", assignment.vm }, { "reason", reasonName(assignment.reason) } });
     auto sink = std::make_shared<ChunkDownload>(runtime, chunk, assignment.source, assignment.vm);
     if (assignment.source == Weights::SourceKind::Origin) {
         Commands::attachFetch(runtime->state->downloads, chunk.digest, m_environment.origin->fetchChunk(chunk.digest, sink));
@@ -230,7 +230,7 @@
         if (download.source == Weights::SourceKind::Origin || !download.fetch)
             continue;
         ++runtime->state->counters.stalledDownloads;
-        Observability::logEvent(Weights::DownloadStalled, { { "manifest", download.manifestDigest }, { "chunk", download.chunk }, { "source", sourceName(download.source) }, { "vm", download.vm } });
+        Observability::logEvent(Weights::downloadStalled, { { "manifest", download.manifestDigest }, { "chunk", download.chunk }, { "source", sourceName(download.source) }, { "vm", download.vm } });
         Commands::avoidPeer(runtime->state->peers, download.vm, now + Queries::avoidanceAfter(Weights::WeightErrorKind::Stalled));
         download.fetch->cancel();
     }
@@ -244,7 +244,7 @@
     auto missing = Queries::countMissingEverywhere(input);
     auto reason = std::to_string(missing) + " of " + std::to_string(snapshot.held.size()) + " chunks are held by no agent that can be reached";
     Commands::setDelayReason(m_environment.runtime->state->transfers, snapshot.digest, reason);
-    Observability::logEvent(Weights::TransferDelayed, { { "manifest", snapshot.digest }, { "missing", missing } });
+    Observability::logEvent(Weights::transferDelayed, { { "manifest", snapshot.digest }, { "missing", missing } });
 }
 
 bool TransferDriver::isOriginUsable() const
--- a/Source/Process/WeightNode.cpp
+++ b/Source/Process/WeightNode.cpp
@@ -53,7 +53,7 @@
         auto known = Queries::transferDigests(state.transfers);
         for (auto& manifest : wanted) {
             if (std::find(known.begin(), known.end(), manifest.digest) == known.end())
-                Observability::logEvent(Weights::TransferBegan, { { "manifest", manifest.digest }, { "priority", manifest.priority } });
+                Observability::logEvent(Weights::transferBegan, { { "manifest", manifest.digest }, { "priority", manifest.priority } });
             Commands::beginTransfer(state.transfers, manifest.digest, manifest.priority, m_runtime->clock.now());
         }
         releaseRetired();
@@ -92,7 +92,7 @@
             if (download.fetch)
                 download.fetch->cancel();
         }
-        Observability::logEvent(Weights::TransferWithdrawn, { { "manifest", digest } });
+        Observability::logEvent(Weights::transferWithdrawn, { { "manifest", digest } });
     }
 
     void releaseRetired()
--- a/Source/Transport/GrpcPeerClient.cpp
+++ b/Source/Transport/GrpcPeerClient.cpp
@@ -52,10 +52,10 @@
     };
 
     template <typename Request, typename Response>
-    std::shared_ptr<UnaryCall<Request, Response>> makeCall(std::shared_ptr<Stub> stub)
+    std::shared_ptr<UnaryCall<Request, Response>> makeCall(const std::shared_ptr<Stub>& stub)
     {
         auto call = std::make_shared<UnaryCall<Request, Response>>();
-        call->stub = std::move(stub);
+        call->stub = stub;
         call->context.set_deadline(std::chrono::system_clock::now() + Weights::peerCallTimeout);
         return call;
     }
