Ask neighbours less often while there are many chunks to choose from

Also: nothing is fetched from afar before the list of participants has settled, transfers that failed for want of memory begin anew when a version is withdrawn, and the time in each phase becomes a metric.

--- a/Source/Process/TransferDriver.cpp
+++ b/Source/Process/TransferDriver.cpp
@@ -24,6 +24,25 @@
 
     // Members may change many times a second during a rollout; the ranking need not follow each change.
     constexpr std::chrono::milliseconds planRefreshInterval { 1000 };
+    // The same while the participants of a new transfer become known.
+    constexpr std::chrono::milliseconds settlingRefreshInterval { 100 };
+
+    const char* phaseName(TransferPhase phase)
+    {
+        switch (phase) {
+        case TransferPhase::FetchingManifest:
+            return "fetching-manifest";
+        case TransferPhase::FetchingChunks:
+            return "fetching-chunks";
+        case TransferPhase::Complete:
+            return "complete";
+        case TransferPhase::Failed:
+            return "failed";
+        case TransferPhase::Stopped:
+            return "stopped";
+        }
+        return "";
+    }
 
     const char* reasonName(Queries::AssignmentReason reason)
     {
@@ -77,13 +96,16 @@
 {
     auto now = m_environment.runtime->clock.now();
     bool needsDuties = snapshot.manifest && !plan.duties;
-    if (!needsDuties && plan.refreshedAt != Base::TimePoint {} && now - plan.refreshedAt < planRefreshInterval)
+    auto interval = Queries::areParticipantsSettled(snapshot.phaseSince, plan.participantsChangedAt, now) ? planRefreshInterval : settlingRefreshInterval;
+    if (!needsDuties && plan.refreshedAt != Base::TimePoint {} && now - plan.refreshedAt < interval)
         return;
     plan.refreshedAt = now;
     auto document = m_environment.control.document();
     auto participants = Queries::findParticipants(m_environment.control.members(), document.get(), snapshot.digest, m_environment.self);
     if (participants == plan.participants && !needsDuties)
         return;
+    if (participants != plan.participants)
+        plan.participantsChangedAt = now;
     plan.participants = std::move(participants);
     plan.neighbours = Queries::chooseNeighbours(m_environment.self, plan.participants);
     plan.byVm.clear();
@@ -107,8 +129,12 @@
 
 void TransferDriver::reportPhase(Plan& plan, const TransferSnapshot& snapshot)
 {
+    if (plan.reportedPhaseSince == Base::TimePoint {})
+        plan.reportedPhaseSince = snapshot.phaseSince;
     if (plan.reportedPhase == snapshot.phase)
         return;
+    m_environment.runtime->metrics->observe("weight_phase_seconds", { { "phase", phaseName(plan.reportedPhase) } }, std::chrono::duration<double>(snapshot.phaseSince - plan.reportedPhaseSince).count());
+    plan.reportedPhaseSince = snapshot.phaseSince;
     auto progress = Queries::transferProgress(m_environment.runtime->state->transfers, snapshot.digest);
     if (snapshot.phase == TransferPhase::Complete)
         Observability::logEvent(Weights::transferComplete, { { "manifest", snapshot.digest }, { "chunks", progress.chunksTotal } });
@@ -156,7 +182,7 @@
         *plan.duties,
         peers,
         m_environment.self,
-        haveNeighboursAnswered(plan, peers),
+        haveNeighboursAnswered(plan, peers) && Queries::areParticipantsSettled(snapshot.phaseSince, plan.participantsChangedAt, now),
         isOriginUsable(),
         now,
     };
@@ -172,8 +198,9 @@
         auto& progress = input.peers.at(peer.vm).progress;
         return !progress.askPending && input.now - progress.askedAt >= interval;
     };
+    auto neighbourInterval = Queries::chooseHoldingsInterval(input);
     for (auto& neighbour : plan.neighbours) {
-        if (isDue(neighbour, Weights::holdingsInterval))
+        if (isDue(neighbour, neighbourInterval))
             ask(neighbour, snapshot.digest);
     }
     if (input.now < plan.nextWatch)
@@ -243,6 +270,8 @@
     plan.nextDelayReport = input.now + Weights::delayReportLimit;
     auto missing = Queries::countMissingEverywhere(input);
     auto reason = std::to_string(missing) + " of " + std::to_string(snapshot.held.size()) + " chunks are held by no agent that can be reached";
+    if (!input.originUsable)
+        reason += ", and the weight store failed at the last request";
     Commands::setDelayReason(m_environment.runtime->state->transfers, snapshot.digest, reason);
     Observability::logEvent(Weights::transferDelayed, { { "manifest", snapshot.digest }, { "missing", missing } });
 }
--- a/Source/Process/TransferDriver.h
+++ b/Source/Process/TransferDriver.h
@@ -44,10 +44,12 @@
         std::map<std::string, Weights::Participant> byVm;
         std::shared_ptr<const Weights::Queries::ChunkDuties> duties;
         Base::TimePoint refreshedAt;
+        Base::TimePoint participantsChangedAt;
         unsigned manifestAttempts = 0;
         Base::TimePoint nextManifestAttempt;
         std::shared_ptr<std::atomic<bool>> manifestPending = std::make_shared<std::atomic<bool>>(false);
         Weights::TransferPhase reportedPhase = Weights::TransferPhase::FetchingManifest;
+        Base::TimePoint reportedPhaseSince;
         Base::TimePoint nextWatch;
         Base::TimePoint nextDelayReport;
     };
--- a/Source/Process/WeightNode.cpp
+++ b/Source/Process/WeightNode.cpp
@@ -46,10 +46,15 @@
     {
         std::lock_guard guard(m_wantLock);
         auto& state = *m_runtime->state;
+        bool withdrawn = false;
         for (auto& digest : Queries::transferDigests(state.transfers)) {
-            if (std::none_of(wanted.begin(), wanted.end(), [&](auto& manifest) { return manifest.digest == digest; }))
-                withdraw(digest);
+            if (std::any_of(wanted.begin(), wanted.end(), [&](auto& manifest) { return manifest.digest == digest; }))
+                continue;
+            withdraw(digest);
+            withdrawn = true;
         }
+        if (withdrawn)
+            Commands::restartFailedTransfers(state.transfers, m_runtime->clock.now());
         auto known = Queries::transferDigests(state.transfers);
         for (auto& manifest : wanted) {
             if (std::find(known.begin(), known.end(), manifest.digest) == known.end())
--- a/Source/Weights/Commands/TransferCommands.cpp
+++ b/Source/Weights/Commands/TransferCommands.cpp
@@ -83,6 +83,21 @@
     });
 }
 
+void restartFailedTransfers(TransferTable& table, Base::TimePoint now)
+{
+    for (auto& manifestDigest : Queries::transferDigests(table)) {
+        table.transfers.withShard(manifestDigest, [&](auto& transfers) {
+            auto entry = transfers.find(manifestDigest);
+            if (entry == transfers.end() || entry->second.lifeCycle.phase() != TransferPhase::Failed)
+                return;
+            Transfer fresh;
+            fresh.priority = entry->second.priority;
+            fresh.phaseSince = now;
+            entry->second = std::move(fresh);
+        });
+    }
+}
+
 void withdrawTransfer(TransferTable& table, const std::string& manifestDigest, Base::TimePoint now)
 {
     auto manifest = table.transfers.withShard(manifestDigest, [&](auto& transfers) -> std::shared_ptr<const Manifest> {
--- a/Source/Weights/Commands/TransferCommands.h
+++ b/Source/Weights/Commands/TransferCommands.h
@@ -8,6 +8,9 @@
 // Begins a transfer, or sets the priority of one that has begun.
 void beginTransfer(TransferTable&, const std::string& manifestDigest, unsigned priority, Base::TimePoint);
 
+// Begins transfers anew that failed, because memory may have become free.
+void restartFailedTransfers(TransferTable&, Base::TimePoint);
+
 // Stops a transfer and forgets it. Its chunks stay in memory until releaseRetired().
 void withdrawTransfer(TransferTable&, const std::string& manifestDigest, Base::TimePoint);
 
--- a/Source/Weights/Queries/ChunkScheduler.cpp
+++ b/Source/Weights/Queries/ChunkScheduler.cpp
@@ -134,7 +134,7 @@
 
         void assignLongDistance()
         {
-            if (!m_input.neighboursHeard)
+            if (!m_input.mayReachOut)
                 return;
             for (auto chunk : m_absent) {
                 if (m_underWay >= maximumDownloads || m_longDistance >= maximumLongDownloads)
@@ -277,6 +277,14 @@
     return watched;
 }
 
+std::chrono::milliseconds chooseHoldingsInterval(const ScheduleInput& input)
+{
+    size_t choice = 0;
+    for (unsigned chunk = 0; chunk < input.manifest.chunks.size() && choice < relaxedChoice; ++chunk)
+        choice += isNeeded(input, chunk) && countLocalHolders(input, chunk) ? 1 : 0;
+    return choice < relaxedChoice ? holdingsInterval : relaxedHoldingsInterval;
+}
+
 unsigned countMissingEverywhere(const ScheduleInput& input)
 {
     unsigned missing = 0;
--- a/Source/Weights/Queries/ChunkScheduler.h
+++ b/Source/Weights/Queries/ChunkScheduler.h
@@ -35,8 +35,9 @@
     const ChunkDuties& duties;
     const PeerViews& peers;
     Participant self;
-    // Whether each neighbour has answered once or failed to; before that nothing is fetched from afar.
-    bool neighboursHeard = false;
+    // Whether the participants are known and each neighbour has answered once or failed to; before that nothing is fetched
+    // from afar.
+    bool mayReachOut = false;
     // False during the pause after a failure of the origin.
     bool originUsable = true;
     Base::TimePoint now;
@@ -55,6 +56,9 @@
 
 WatchedPeers choosePeersToWatch(const ScheduleInput&);
 
+// Time between two questions to a neighbour, longer while there are many chunks to choose from.
+std::chrono::milliseconds chooseHoldingsInterval(const ScheduleInput&);
+
 // Chunks not held here that no peer that answers holds either.
 unsigned countMissingEverywhere(const ScheduleInput&);
 
--- a/Source/Weights/Queries/SourceDecisions.cpp
+++ b/Source/Weights/Queries/SourceDecisions.cpp
@@ -68,6 +68,11 @@
     return 0ms;
 }
 
+bool areParticipantsSettled(Base::TimePoint transferSince, Base::TimePoint participantsChangedAt, Base::TimePoint now)
+{
+    return now - participantsChangedAt >= participantsSettleTime || now - transferSince >= participantsSettleLimit;
+}
+
 std::chrono::milliseconds originPause(unsigned failures)
 {
     auto pause = originRetryFirst;
--- a/Source/Weights/Queries/SourceDecisions.h
+++ b/Source/Weights/Queries/SourceDecisions.h
@@ -25,6 +25,9 @@
 // How long a peer is avoided after a download from it failed.
 std::chrono::milliseconds avoidanceAfter(WeightErrorKind);
 
+// Whether the list of participants can be relied on, so that agents that rank differ no more than the list does.
+bool areParticipantsSettled(Base::TimePoint transferSince, Base::TimePoint participantsChangedAt, Base::TimePoint now);
+
 // Pause before the origin is asked again after a number of failures in sequence.
 std::chrono::milliseconds originPause(unsigned failures);
 
--- a/Source/Weights/TransferLimits.h
+++ b/Source/Weights/TransferLimits.h
@@ -30,7 +30,10 @@
 // link, so that the first chunks arrive late and cannot be passed on.
 inline constexpr unsigned originDownloadsPerRegion = 12;
 
+// Time between two questions to a neighbour: while there is little to choose from, and while many chunks can be had.
 inline constexpr std::chrono::milliseconds holdingsInterval = 200ms;
+inline constexpr std::chrono::milliseconds relaxedHoldingsInterval = 800ms;
+inline constexpr size_t relaxedChoice = 4 * maximumDownloads;
 inline constexpr std::chrono::milliseconds watchInterval = 1000ms;
 inline constexpr std::chrono::milliseconds peerCallTimeout = 1000ms;
 // A peer without progress for this long is dropped.
@@ -43,6 +46,10 @@
 inline constexpr std::chrono::milliseconds takeOverDeadline = 2000ms;
 // The same for an agent that says that it is fetching the chunk, which may share a slow link with others.
 inline constexpr std::chrono::milliseconds assignedTakeOverDeadline = 6000ms;
+// Nothing is fetched from afar before the list of participants has been unchanged for this long; early in a rollout an agent
+// may not know yet who else wants the version.
+inline constexpr std::chrono::milliseconds participantsSettleTime = 400ms;
+inline constexpr std::chrono::milliseconds participantsSettleLimit = 3000ms;
 // A transfer without progress for this long reports why.
 inline constexpr std::chrono::milliseconds delayReportLimit = 5000ms;
 // Chunks of a replaced version are kept at most this long while the manifest of the new version is awaited.
--- a/Tests/Weights/TransferTest.cpp
+++ b/Tests/Weights/TransferTest.cpp
@@ -125,6 +125,20 @@
     cr_assert_eq(holder.store.reservedBytes.load(), 8 * chunkBytes);
 }
 
+// Guards against a version that stays rejected for want of memory after another one was withdrawn.
+Test(Transfer, beginsAnewWhenMemoryBecomesFree)
+{
+    Holder holder(8 * chunkBytes);
+    auto first = versionOf("1");
+    auto second = Bench::makeModel({ "2", 8, chunkBytes, 2, 1 });
+    holder.begin(first);
+    cr_assert_not(Base::succeeded(holder.begin(second)));
+    holder.withdraw(first);
+    Commands::restartFailedTransfers(holder.table, holder.clock.now());
+    cr_assert(holder.progress(second).status == TransferStatus::Fetching);
+    cr_assert(Base::succeeded(holder.begin(second)));
+}
+
 // Guards against chunks of a replaced version that stay in memory because the new manifest never arrives.
 Test(Transfer, freesAReplacedVersionWhenItsSuccessorDoesNotArrive)
 {
