--- a/Source/Process/TransferDriver.cpp
+++ b/Source/Process/TransferDriver.cpp
@@ -24,6 +24,25 @@
 
     // Members may change many times a second during a rollout; the ranking need not follow each change.
     constexpr std::chrono::milliseconds planRefreshInterval { 1000 };
+    // The same while the participants of a new transfer become known.
+    constexpr std::chrono::milliseconds settlingRefreshInterval { 100 };
+
+    const char* phaseName(TransferPhase phase)
+    {
+        switch (phase) {
+        case TransferPhase::FetchingManifest:
+            return "fetching-manifest";
+        case TransferPhase::FetchingChunks:
+            return "fetching-chunks";
+        case TransferPhase::Complete:
+            return "complete";
+        case TransferPhase::Failed:
+            return "failed";
+        case TransferPhase::Stopped:
+            return "stopped";
+        }
+        return "";
+    }
 
     const char* reasonName(Queries::AssignmentReason reason)
     {
@@ -77,13 +96,16 @@
 {
     auto now = m_environment.runtime->clock.now();
     bool needsDuties = snapshot.manifest && !plan.duties;
-    if (!needsDuties && plan.refreshedAt != Base::TimePoint {} && now - plan.refreshedAt < planRefreshInterval)
+    auto interval = Queries::areParticipantsSettled(snapshot.phaseSince, plan.participantsChangedAt, now) ? planRefreshInterval : settlingRefreshInterval;
+    if (!needsDuties && plan.refreshedAt != Base::TimePoint {} && now - plan.refreshedAt < interval)
         return;
     plan.refreshedAt = now;
     auto document = m_environment.control.document();
     auto participants = Queries::findParticipants(m_environment.control.members(), document.get(), snapshot.digest, m_environment.self);
     if (participants == plan.participants && !needsDuties)
         return;
+    if (participants != plan.participants)
+        plan.participantsChangedAt = now;
     plan.participants = std::move(participants);
     plan.neighbours = Queries::chooseNeighbours(m_environment.self, plan.participants);
     plan.byVm.clear();
@@ -107,15 +129,19 @@
 
 void TransferDriver::reportPhase(Plan& plan, const TransferSnapshot& snapshot)
 {
+    if (plan.reportedPhaseSince == Base::TimePoint {})
+        plan.reportedPhaseSince = snapshot.phaseSince;
     if (plan.reportedPhase == snapshot.phase)
         return;
+    m_environment.runtime->metrics->observe("weight_phase_seconds", { { "phase", phaseName(plan.reportedPhase) } }, std::chrono::duration<double>(snapshot.phaseSince - plan.reportedPhaseSince).count());
+    plan.reportedPhaseSince = snapshot.phaseSince;
     auto progress = Queries::transferProgress(m_environment.runtime->state->transfers, snapshot.digest);
     if (snapshot.phase == TransferPhase::Complete)
-        Observability::logEvent(Weights::TransferComplete, { { "manifest", snapshot.digest }, { "chunks", progress.chunksTotal } });
+        Observability::logEvent(Weights::transferComplete, { { "manifest", snapshot.digest }, { "chunks", progress.chunksTotal } });
     else if (snapshot.phase == TransferPhase::Failed)
-        Observability::logEvent(Weights::TransferFailed, { { "manifest", snapshot.digest }, { "reason", progress.reason } });
+        Observability::logEvent(Weights::transferFailed, { { "manifest", snapshot.digest }, { "reason", progress.reason } });
     else if (snapshot.phase == TransferPhase::FetchingChunks)
-        Observability::logEvent(Weights::ManifestAccepted, { { "manifest", snapshot.digest }, { "chunks", progress.chunksTotal } });
+        Observability::logEvent(Weights::manifestAccepted, { { "manifest", snapshot.digest }, { "chunks", progress.chunksTotal } });
     plan.reportedPhase = snapshot.phase;
 }
 
@@ -156,7 +182,7 @@
         *plan.duties,
         peers,
         m_environment.self,
-        haveNeighboursAnswered(plan, peers),
+        haveNeighboursAnswered(plan, peers) && Queries::areParticipantsSettled(snapshot.phaseSince, plan.participantsChangedAt, now),
         isOriginUsable(),
         now,
     };
@@ -172,8 +198,9 @@
         auto& progress = input.peers.at(peer.vm).progress;
         return !progress.askPending && input.now - progress.askedAt >= interval;
     };
+    auto neighbourInterval = Queries::chooseHoldingsInterval(input);
     for (auto& neighbour : plan.neighbours) {
-        if (isDue(neighbour, Weights::holdingsInterval))
+        if (isDue(neighbour, neighbourInterval))
             ask(neighbour, snapshot.digest);
     }
     if (input.now < plan.nextWatch)
@@ -211,7 +238,7 @@
     auto begun = Commands::beginDownload(runtime->state->downloads, chunk.digest, { snapshot.digest, assignment.chunk, assignment.source, assignment.vm, now, now, nullptr });
     if (!Base::succeeded(begun))
         return;
-    Observability::logEvent(Weights::ChunkAssigned, { { "manifest", snapshot.digest }, { "chunk", assignment.chunk }, { "source", sourceName(assignment.source) }, { "vm", assignment.vm }, { "reason", reasonName(assignment.reason) } });
+    Observability::logEvent(Weights::chunkAssigned, { { "manifest", snapshot.digest }, { "chunk", assignment.chunk }, { "source", sourceName(assignment.source) }, { "vm", assignment.vm }, { "reason", reasonName(assignment.reason) } });
     auto sink = std::make_shared<ChunkDownload>(runtime, chunk, assignment.source, assignment.vm);
     if (assignment.source == Weights::SourceKind::Origin) {
         Commands::attachFetch(runtime->state->downloads, chunk.digest, m_environment.origin->fetchChunk(chunk.digest, sink));
@@ -230,7 +257,7 @@
         if (download.source == Weights::SourceKind::Origin || !download.fetch)
             continue;
         ++runtime->state->counters.stalledDownloads;
-        Observability::logEvent(Weights::DownloadStalled, { { "manifest", download.manifestDigest }, { "chunk", download.chunk }, { "source", sourceName(download.source) }, { "vm", download.vm } });
+        Observability::logEvent(Weights::downloadStalled, { { "manifest", download.manifestDigest }, { "chunk", download.chunk }, { "source", sourceName(download.source) }, { "vm", download.vm } });
         Commands::avoidPeer(runtime->state->peers, download.vm, now + Queries::avoidanceAfter(Weights::WeightErrorKind::Stalled));
         download.fetch->cancel();
     }
@@ -243,8 +270,10 @@
     plan.nextDelayReport = input.now + Weights::delayReportLimit;
     auto missing = Queries::countMissingEverywhere(input);
     auto reason = std::to_string(missing) + " of " + std::to_string(snapshot.held.size()) + " chunks are held by no agent that can be reached";
+    if (!input.originUsable)
+        reason += ", and the weight store failed at the last request";
     Commands::setDelayReason(m_environment.runtime->state->transfers, snapshot.digest, reason);
-    Observability::logEvent(Weights::TransferDelayed, { { "manifest", snapshot.digest }, { "missing", missing } });
+    Observability::logEvent(Weights::transferDelayed, { { "manifest", snapshot.digest }, { "missing", missing } });
 }
 
 bool TransferDriver::isOriginUsable() const
