--- a/Source/Placement/Queries/DesiredWeights.cpp
+++ b/Source/Placement/Queries/DesiredWeights.cpp
@@ -1,7 +1,5 @@
 #include "Placement/Queries/DesiredWeights.h"
 
-#include "Placement/Queries/AssignedPools.h"
-
 #include <algorithm>
 
 namespace Lavenderloft::Placement::Queries {
@@ -18,15 +16,15 @@
 
 } // namespace
 
-std::optional<DesiredReplica> desiredReplica(const DesiredState::Document& document, const std::vector<Membership::Member>& members, const std::string& vm, const ReplicaRecord& record)
+std::optional<DesiredReplica> desiredReplica(const PlacementView& view, const std::string& vm, const ReplicaRecord& record)
 {
-    if (keepsWhatItHas(document, members, vm) && record.state.phase() != Membership::ReplicaPhase::Idle) {
+    auto& document = view.document;
+    if (keepsWhatItHas(document, view.members, vm) && record.state.phase() != Membership::ReplicaPhase::Idle) {
         auto* pool = document.findPool(record.wanted.pool);
         return pool ? std::optional(DesiredReplica { pool->name, pool->manifest }) : std::nullopt;
     }
-    auto assignment = assignedPools(document, members);
-    auto assigned = assignment.find(vm);
-    if (assigned == assignment.end())
+    auto assigned = view.assignment.find(vm);
+    if (assigned == view.assignment.end())
         return std::nullopt;
     return DesiredReplica { assigned->second, document.findPool(assigned->second)->manifest };
 }
--- a/Source/Placement/Queries/SwitchAllowed.cpp
+++ b/Source/Placement/Queries/SwitchAllowed.cpp
@@ -1,7 +1,6 @@
 #include "Placement/Queries/SwitchAllowed.h"
 
 #include "Base/RendezvousHash.h"
-#include "Placement/Queries/AssignedPools.h"
 
 #include <algorithm>
 
@@ -9,7 +8,6 @@
 
 namespace {
 
-    using DesiredState::Document;
     using DesiredState::Pool;
     using Membership::Member;
     using Membership::Replica;
@@ -34,13 +32,12 @@
     }
 
     // Replicas of the pool, without the candidate, that do not serve now.
-    unsigned countOut(const Document& document, const std::vector<Member>& members, const Pool& pool, const std::string& candidate)
+    unsigned countOut(const PlacementView& view, const Pool& pool, const std::string& candidate)
     {
-        auto assignment = assignedPools(document, members);
         unsigned out = 0;
-        for (auto& member : members) {
-            auto assigned = assignment.find(member.vm);
-            bool belongs = assigned != assignment.end() && assigned->second == pool.name;
+        for (auto& member : view.members) {
+            auto assigned = view.assignment.find(member.vm);
+            bool belongs = assigned != view.assignment.end() && assigned->second == pool.name;
             if (belongs && member.vm != candidate && !isServing(member, pool.name))
                 ++out;
         }
@@ -66,39 +63,39 @@
         return static_cast<uint64_t>(others) + pool.maxUnavailable >= pool.replicas;
     }
 
-    bool isWithinBound(const Document& document, const std::vector<Member>& members, const SwitchCandidate& candidate, bool useRank)
+    bool isWithinBound(const PlacementView& view, const SwitchCandidate& candidate, bool useRank)
     {
         if (candidate.servedPool.empty())
             return true;
         if (candidate.servedPool != candidate.pool) {
-            auto* left = document.findPool(candidate.servedPool);
-            return !left || mayLeave(members, *left, candidate.vm);
+            auto* left = view.document.findPool(candidate.servedPool);
+            return !left || mayLeave(view.members, *left, candidate.vm);
         }
-        auto* pool = document.findPool(candidate.pool);
+        auto* pool = view.document.findPool(candidate.pool);
         if (!pool)
             return false;
-        auto taken = countOut(document, members, *pool, candidate.vm);
+        auto taken = countOut(view, *pool, candidate.vm);
         if (useRank)
-            taken += rankOf(members, *pool, candidate.vm);
+            taken += rankOf(view.members, *pool, candidate.vm);
         return taken < pool->maxUnavailable;
     }
 
 } // namespace
 
-bool maySwitch(const Document& document, const std::vector<Member>& members, const SwitchCandidate& candidate)
+bool maySwitch(const PlacementView& view, const SwitchCandidate& candidate)
 {
-    return isWithinBound(document, members, candidate, true);
+    return isWithinBound(view, candidate, true);
 }
 
-bool claimStands(const Document& document, const std::vector<Member>& members, const SwitchCandidate& candidate)
+bool claimStands(const PlacementView& view, const SwitchCandidate& candidate)
 {
-    return isWithinBound(document, members, candidate, false);
+    return isWithinBound(view, candidate, false);
 }
 
-bool mayRelease(const Document& document, const std::vector<Member>& members, const std::string& vm, const std::string& servedPool)
+bool mayRelease(const PlacementView& view, const std::string& vm, const std::string& servedPool)
 {
-    auto* pool = document.findPool(servedPool);
-    return !pool || !countOut(document, members, *pool, vm);
+    auto* pool = view.document.findPool(servedPool);
+    return !pool || !countOut(view, *pool, vm);
 }
 
 } // namespace Lavenderloft::Placement::Queries
--- a/Source/Process/ReplicaDriver.cpp
+++ b/Source/Process/ReplicaDriver.cpp
@@ -110,18 +110,19 @@
     auto document = m_parts.control.document();
     auto members = m_parts.control.members();
     Placement::Commands::learnDocument(m_record, *document);
-    auto assigned = Placement::Queries::desiredReplica(*document, members, m_parts.vm, m_record);
+    Placement::Queries::PlacementView view { *document, members, m_assignments.assignment(document, members) };
+    auto assigned = Placement::Queries::desiredReplica(view, m_parts.vm, m_record);
     seen.desired = Placement::Commands::settleAssignment(m_record, assigned, seen.now);
     auto served = Placement::Queries::servedPool(m_record, m_engine);
     if (!seen.desired) {
-        seen.mayRelease = Placement::Queries::mayRelease(*document, members, m_parts.vm, served.pool);
+        seen.mayRelease = Placement::Queries::mayRelease(view, m_parts.vm, served.pool);
         if (seen.mayRelease)
             want({});
         return;
     }
     Placement::Queries::SwitchCandidate candidate { m_parts.vm, seen.desired->pool, served.pool };
-    seen.maySwitch = Placement::Queries::maySwitch(*document, members, candidate);
-    seen.claimStands = Placement::Queries::claimStands(*document, members, candidate);
+    seen.maySwitch = Placement::Queries::maySwitch(view, candidate);
+    seen.claimStands = Placement::Queries::claimStands(view, candidate);
     want(Placement::Queries::wantedManifests(*document, *seen.desired));
 }
 
--- a/Source/Process/ReplicaDriver.h
+++ b/Source/Process/ReplicaDriver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Placement/AssignmentCache.h"
 #include "Placement/EngineClient.h"
 #include "Placement/Queries/NextOrder.h"
 #include "Placement/ReplicaRecord.h"
@@ -78,6 +79,7 @@
     Placement::ReplicaRecord m_record;
     std::optional<Placement::EngineStatus> m_engine;
     std::vector<Weights::WantedManifest> m_wantedManifests;
+    Placement::AssignmentCache m_assignments;
     std::thread m_thread;
 };
 
--- a/Tests/Placement/AssignmentTest.cpp
+++ b/Tests/Placement/AssignmentTest.cpp
@@ -1,6 +1,6 @@
 #include "Placement/PlacementFixture.h"
 
-#include "Placement/Queries/AssignedPools.h"
+#include "Placement/AssignmentCache.h"
 
 #include <algorithm>
 #include <criterion/criterion.h>
@@ -118,3 +118,20 @@
     }
     cr_assert(assignedPools(fleet.document, fleet.members) == before);
 }
+
+// Guards against an assignment that is kept after the document or the members changed.
+Test(Assignment, cacheFollowsDocumentAndMembers)
+{
+    Fleet fleet(3);
+    fleet.document.pools = { makePool("a", 4) };
+    auto document = std::make_shared<DesiredState::Document>(fleet.document);
+    AssignmentCache cache;
+    cr_assert(cache.assignment(document, fleet.members) == assignedPools(*document, fleet.members));
+    auto larger = std::make_shared<DesiredState::Document>(fleet.document);
+    larger->pools.front().replicas = 6;
+    cr_assert_eq(cache.assignment(larger, fleet.members).size(), 6);
+    for (auto& member : fleet.members) {
+        member.status = Membership::Status::Leaving;
+        cr_assert(cache.assignment(larger, fleet.members) == assignedPools(*larger, fleet.members));
+    }
+}
--- a/Tests/Placement/ReconcileTest.cpp
+++ b/Tests/Placement/ReconcileTest.cpp
@@ -263,7 +263,9 @@
     Fleet fleet(1);
     fleet.document.pools = { makePool("assistant", 3) };
     fleet.document.dataCentres.front().state = DesiredState::DataCentreState::Out;
-    auto kept = Queries::desiredReplica(fleet.document, fleet.members, fleet.members.front().vm, replica.record);
+    auto assignment = Queries::assignedPools(fleet.document, fleet.members);
+    Queries::PlacementView view { fleet.document, fleet.members, assignment };
+    auto kept = Queries::desiredReplica(view, fleet.members.front().vm, replica.record);
     cr_assert(kept == replica.seen.desired);
-    cr_assert_not(Queries::desiredReplica(fleet.document, fleet.members, fleet.members.front().vm, ReplicaRecord {}).has_value());
+    cr_assert_not(Queries::desiredReplica(view, fleet.members.front().vm, ReplicaRecord {}).has_value());
 }
--- a/Tests/Placement/SwitchTest.cpp
+++ b/Tests/Placement/SwitchTest.cpp
@@ -14,6 +14,21 @@
 
 namespace {
 
+bool maySwitch(const DesiredState::Document& document, const std::vector<Membership::Member>& members, const Queries::SwitchCandidate& candidate)
+{
+    return Queries::maySwitch({ document, members, Queries::assignedPools(document, members) }, candidate);
+}
+
+bool claimStands(const DesiredState::Document& document, const std::vector<Membership::Member>& members, const Queries::SwitchCandidate& candidate)
+{
+    return Queries::claimStands({ document, members, Queries::assignedPools(document, members) }, candidate);
+}
+
+bool mayRelease(const Fleet& fleet, const std::string& vm, const std::string& pool)
+{
+    return Queries::mayRelease({ fleet.document, fleet.members, Queries::assignedPools(fleet.document, fleet.members) }, vm, pool);
+}
+
 // A pool of nine replicas that all serve the old version and hold the new one.
 struct Rollout : Fleet {
     explicit Rollout(unsigned maxUnavailable)
@@ -36,7 +51,7 @@
 {
     for (unsigned bound = 1; bound <= 3; ++bound) {
         Rollout rollout(bound);
-        auto allowed = std::count_if(rollout.members.begin(), rollout.members.end(), [&](auto& member) { return Queries::maySwitch(rollout.document, rollout.members, Rollout::candidate(member)); });
+        auto allowed = std::count_if(rollout.members.begin(), rollout.members.end(), [&](auto& member) { return maySwitch(rollout.document, rollout.members, Rollout::candidate(member)); });
         cr_assert_eq(allowed, bound);
     }
 }
@@ -48,11 +63,11 @@
     rollout.members[4].replicas.front().phase = ReplicaPhase::Loading;
     for (auto& member : rollout.members) {
         if (member.vm != rollout.members[4].vm)
-            cr_assert_not(Queries::maySwitch(rollout.document, rollout.members, Rollout::candidate(member)));
+            cr_assert_not(maySwitch(rollout.document, rollout.members, Rollout::candidate(member)));
     }
-    cr_assert(Queries::claimStands(rollout.document, rollout.members, Rollout::candidate(rollout.members[4])));
+    cr_assert(claimStands(rollout.document, rollout.members, Rollout::candidate(rollout.members[4])));
     rollout.members[4].replicas.front() = { "assistant", "", "v2", ReplicaPhase::Fetching };
-    cr_assert_not(Queries::claimStands(rollout.document, rollout.members, Rollout::candidate(rollout.members[0])));
+    cr_assert_not(claimStands(rollout.document, rollout.members, Rollout::candidate(rollout.members[0])));
 }
 
 // Guards against a replica without weights that waits for its turn although its switch takes nothing away.
@@ -60,7 +75,7 @@
 {
     Rollout rollout(1);
     rollout.members[4].replicas.front().phase = ReplicaPhase::Loading;
-    cr_assert(Queries::maySwitch(rollout.document, rollout.members, { rollout.members[0].vm, "assistant", "" }));
+    cr_assert(maySwitch(rollout.document, rollout.members, { rollout.members[0].vm, "assistant", "" }));
 }
 
 // Guards against more replicas out than the bound when agents decide from views that lack one report or
@@ -92,13 +107,13 @@
                     view.erase(view.begin() + static_cast<long>(missing));
                 auto& replica = members[i].replicas.front();
                 if (replica.phase == ReplicaPhase::Waiting) {
-                    if (Queries::maySwitch(rollout.document, view, Rollout::candidate(members[i]))) {
+                    if (maySwitch(rollout.document, view, Rollout::candidate(members[i]))) {
                         replica.phase = ReplicaPhase::Loading;
                         claimedAt[i] = step;
                     }
                 } else if (replica.phase == ReplicaPhase::Loading && !isBegun[i] && step - claimedAt[i] >= settleSteps) {
                     // After the settle time every claim is known.
-                    isBegun[i] = Queries::claimStands(rollout.document, previous, Rollout::candidate(members[i]));
+                    isBegun[i] = claimStands(rollout.document, previous, Rollout::candidate(members[i]));
                     begunAt[i] = step;
                     if (!isBegun[i])
                         replica.phase = ReplicaPhase::Waiting;
@@ -122,9 +137,9 @@
     for (size_t i = 0; i < 3; ++i)
         fleet.members[i].replicas = { { "old", "old-v1", "", ReplicaPhase::Ready } };
     Queries::SwitchCandidate candidate { fleet.members[0].vm, "new", "old" };
-    cr_assert(Queries::maySwitch(fleet.document, fleet.members, candidate));
+    cr_assert(maySwitch(fleet.document, fleet.members, candidate));
     fleet.members[1].replicas.front().phase = ReplicaPhase::Loading;
-    cr_assert_not(Queries::maySwitch(fleet.document, fleet.members, candidate));
+    cr_assert_not(maySwitch(fleet.document, fleet.members, candidate));
 }
 
 // Guards against a replica that stops serving before the member that takes its place serves.
@@ -136,9 +151,9 @@
     auto surplus = std::find_if(fleet.members.begin(), fleet.members.end(), [&](auto& member) { return !assignment.contains(member.vm); });
     for (auto& member : fleet.members)
         member.replicas = { { "assistant", "assistant-v1", "", ReplicaPhase::Ready } };
-    cr_assert(Queries::mayRelease(fleet.document, fleet.members, surplus->vm, "assistant"));
+    cr_assert(mayRelease(fleet, surplus->vm, "assistant"));
     auto& successor = surplus == fleet.members.begin() ? fleet.members[1] : fleet.members[0];
     successor.replicas.front() = { "assistant", "", "assistant-v1", ReplicaPhase::Fetching };
-    cr_assert_not(Queries::mayRelease(fleet.document, fleet.members, surplus->vm, "assistant"));
-    cr_assert(Queries::mayRelease(fleet.document, fleet.members, surplus->vm, "removed-pool"));
+    cr_assert_not(mayRelease(fleet, surplus->vm, "assistant"));
+    cr_assert(mayRelease(fleet, surplus->vm, "removed-pool"));
 }
