Test the plain service agent, crash evidence and the engine client

The clock of the agent tests moves with the agent's polls, so that a slow machine is not taken for a pause of the process.

--- a/Tests/Transport/AgentFixture.h
+++ b/Tests/Transport/AgentFixture.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "Base/SeededRandom.h"
-#include "Base/SystemClock.h"
 #include "Process/AgentBuilder.h"
 #include "Transport/FakeEngine.h"
 #include "Transport/TargetFixture.h"
@@ -89,10 +88,34 @@
     std::shared_ptr<const std::string> chunk(const std::string& digest, unsigned index) const override { return std::make_shared<std::string>(digest + "-" + std::to_string(index)); }
 };
 
-// A whole agent on loopback beside a fake engine, with pool "assistant".
+// Notes crash evidence.
+class RecordingCrashObserver final : public Admission::CrashObserver {
+public:
+    void engineCrashed(const std::vector<uint64_t>& fingerprints) override
+    {
+        std::lock_guard guard(m_lock);
+        m_fingerprints = fingerprints;
+        m_changed.notify_all();
+    }
+
+    std::vector<uint64_t> waitForEvidence()
+    {
+        std::unique_lock guard(m_lock);
+        m_changed.wait(guard, [&] { return !m_fingerprints.empty(); });
+        return m_fingerprints;
+    }
+
+private:
+    std::mutex m_lock;
+    std::condition_variable m_changed;
+    std::vector<uint64_t> m_fingerprints;
+};
+
+// A whole agent on loopback beside a fake engine, with pool "assistant". Its clock moves with its polls, so
+// that a slow machine is not taken for a pause, and stands still once the agent serves, so that permits last.
 struct AgentFixture {
     AgentFixture()
-        : engine(std::make_shared<FakeEngine>())
+        : engine(std::make_shared<FakeEngine>([this] { passTime(); }))
         , engineServer({}, engine)
     {
         control.setDocument(makeDocument("v1"));
@@ -102,7 +125,7 @@
         settings.inner = "127.0.0.1:0";
         settings.admin = "127.0.0.1:0";
         settings.target = Settings::TargetSettings { Settings::TargetKind::Model, "127.0.0.1:" + std::to_string(engineServer.port()), {} };
-        auto built = Process::AgentBuilder().settings(settings).control(control).weights(weights).clock(clock).random(random).metrics(metrics).build();
+        auto built = Process::AgentBuilder().settings(settings).control(control).weights(weights).clock(clock).random(random).metrics(metrics).crashObserver(crashObserver).build();
         agent = Base::takeValue(std::move(built));
         stub = protocol::TargetService::NewStub(grpc::CreateChannel("127.0.0.1:" + std::to_string(agent->innerPort()), grpc::InsecureChannelCredentials()));
         thread = std::thread([this] { agent->run(); });
@@ -110,6 +133,7 @@
 
     ~AgentFixture()
     {
+        isClockRunning = true;
         engine->hold(false);
         agent->requestStop();
         if (thread.joinable())
@@ -137,11 +161,19 @@
         return admit;
     }
 
+    void passTime()
+    {
+        if (isClockRunning)
+            clock.advance(std::chrono::milliseconds(250));
+    }
+
     void waitUntilServing(const std::string& digest)
     {
+        isClockRunning = true;
         control.waitFor([&](const Membership::Member& self) {
             return self.load.accepting && self.load.limit > 0 && !self.replicas.empty() && self.replicas.front().servingDigest == digest && self.replicas.front().phase == Membership::ReplicaPhase::Ready;
         });
+        isClockRunning = false;
     }
 
     // Status of the answer on the admin port.
@@ -150,17 +182,19 @@
         Http::HttpClient client;
         Http::HttpRequest request;
         request.target = path;
-        auto response = client.fetch({ "127.0.0.1", agent->adminPort() }, request, std::chrono::seconds(5));
+        auto response = client.fetch({ "127.0.0.1", agent->adminPort() }, request, std::chrono::seconds(60));
         return Base::succeeded(response) ? Base::valueOf(response).status : 0;
     }
 
+    Base::ManualClock clock;
+    std::atomic<bool> isClockRunning { true };
     std::shared_ptr<FakeEngine> engine;
     Http::HttpServer engineServer;
     FakeControl control;
     FakeWeights weights;
-    Base::SystemClock clock;
     Base::SeededRandom random { 1 };
     Observability::Metrics metrics;
+    RecordingCrashObserver crashObserver;
     std::unique_ptr<Process::AgentProcess> agent;
     std::unique_ptr<protocol::TargetService::Stub> stub;
     std::thread thread;
--- a/Tests/Transport/AgentProcessTest.cpp
+++ b/Tests/Transport/AgentProcessTest.cpp
@@ -72,6 +72,7 @@
     call.sendBody(permit.permit().permit_id(), "\"hi\"");
     fixture.engine->waitForRequests(1);
     fixture.control.setDocument(AgentFixture::makeDocument("v2"));
+    fixture.isClockRunning = true;
     fixture.control.waitFor([](const Membership::Member& self) { return !self.load.accepting; });
     cr_assert_eq(fixture.engine->uploads().size(), 4);
     RouterCall refused(*fixture.stub);
@@ -123,3 +124,69 @@
     auto incomplete = Process::AgentBuilder().settings(settings).build();
     cr_assert(Base::errorOf(incomplete).kind == Process::AgentErrorKind::MissingPart);
 }
+
+// Guards against a crash without evidence, and against an answer of a crashed engine that is taken for whole.
+Test(AgentProcess, publishesTheRequestsThatRanWhenTheEngineCrashed)
+{
+    AgentFixture fixture;
+    fixture.waitUntilServing("v1");
+    fixture.engine->hold(true);
+    RouterCall call(*fixture.stub);
+    auto admit = AgentFixture::makeAdmit("a", "v1");
+    admit.set_fingerprint(42);
+    auto permit = call.admit(admit);
+    call.sendBody(permit.permit().permit_id(), "\"hi\"");
+    fixture.engine->waitForRequests(1);
+    fixture.engine->restart();
+    cr_assert(call.readAnswer().empty());
+    cr_assert_eq(call.end.end().status(), protocol::END_STATUS_BROKEN);
+    cr_assert(call.end.end().engine_crashed());
+    cr_assert(fixture.crashObserver.waitForEvidence() == std::vector<uint64_t> { 42 });
+}
+
+// Guards against an agent beside a plain service that runs more than the declared limit, or that goes on
+// when its VM is drained.
+Test(AgentProcess, servesAPlainService)
+{
+    auto target = std::make_shared<ScriptedTarget>();
+    Http::HttpServer server({}, target);
+    FakeControl control;
+    DesiredState::Document document;
+    document.services.push_back({ "ledger", { "vm-1" }, 1 });
+    control.setDocument(document);
+    FakeWeights weights;
+    Base::ManualClock clock;
+    Base::SeededRandom random(1);
+    Observability::Metrics metrics;
+    Settings::ProcessSettings settings;
+    settings.vm = "vm-1";
+    settings.inner = "127.0.0.1:0";
+    settings.admin = "127.0.0.1:0";
+    settings.target = Settings::TargetSettings { Settings::TargetKind::Service, "127.0.0.1:" + std::to_string(server.port()), "ledger" };
+    auto built = Process::AgentBuilder().settings(settings).control(control).weights(weights).clock(clock).random(random).metrics(metrics).build();
+    auto agent = Base::takeValue(std::move(built));
+    std::thread thread([&] { agent->run(); });
+    auto stub = protocol::TargetService::NewStub(grpc::CreateChannel("127.0.0.1:" + std::to_string(agent->innerPort()), grpc::InsecureChannelCredentials()));
+    control.waitFor([](const Membership::Member& self) { return self.load.accepting && self.load.limit == 1; });
+    {
+        RouterCall first(*stub);
+        auto permit = first.admit(RouterCall::makeAdmit("first", "", 5));
+        cr_assert(permit.has_permit());
+        cr_assert_eq(permit.load().running(), 1);
+        RouterCall second(*stub);
+        auto brief = RouterCall::makeAdmit("second", "", 5);
+        brief.set_deadline_ms(300);
+        std::thread waiting([&] { cr_assert_eq(second.admit(brief).refusal().reason(), protocol::REFUSAL_REASON_AT_LIMIT); });
+        control.waitFor([](const Membership::Member& self) { return self.load.queued == 1; });
+        clock.advance(300ms);
+        waiting.join();
+        first.sendBody(permit.permit().permit_id(), "hello");
+        cr_assert(first.readAnswer() == "hello");
+    }
+    document.drains.push_back("vm-1");
+    control.setDocument(document);
+    RouterCall drained(*stub);
+    cr_assert_eq(drained.admit(RouterCall::makeAdmit("drained", "", 5)).refusal().reason(), protocol::REFUSAL_REASON_LEAVING);
+    agent->requestStop();
+    thread.join();
+}
--- /dev/null
+++ b/Tests/Transport/EngineHttpClientTest.cpp
@@ -0,0 +1,45 @@
+#include "Http/EngineHttpClient.h"
+#include "Http/EngineRequest.h"
+#include "Http/ForwardedHeaders.h"
+
+#include <criterion/criterion.h>
+#include <string>
+
+using namespace Lavenderloft;
+using Placement::EngineErrorKind;
+using Placement::EngineMode;
+
+// Guards against a status that is half read: a field missing or of another kind must be an error.
+Test(EngineHttpClient, refusesAMalformedStatus)
+{
+    for (const char* body : { "", "[]", "{}", R"({"incarnation":1,"state":"hot","digest":""})", R"({"incarnation":true,"state":"ready","digest":""})",
+             R"({"incarnation":1,"state":"ready"})", R"({"incarnation":1,"state":"ready","digest":"d","running":"many"})" }) {
+        auto status = Http::parseEngineStatus(body);
+        cr_assert_not(Base::succeeded(status), "accepted %s", body);
+        cr_assert(Base::errorOf(status).kind == EngineErrorKind::Malformed);
+    }
+}
+
+// Guards against incarnations that are told by text and that no longer differ.
+Test(EngineHttpClient, readsIncarnationsOfBothKinds)
+{
+    auto read = [](const std::string& incarnation) {
+        return Base::valueOf(Http::parseEngineStatus(R"({"incarnation":)" + incarnation + R"(,"state":"cold","digest":"d","running":2})"));
+    };
+    cr_assert_eq(read("7").incarnation, 7);
+    cr_assert_neq(read("\"a\"").incarnation, read("\"b\"").incarnation);
+    cr_assert(read("7").mode == EngineMode::Cold);
+    cr_assert_eq(read("7").running, 2);
+    cr_assert(read("7").serves("d"));
+}
+
+// Guards against callers that choose their own priority at the engine, and against a body damaged on the way.
+Test(EngineRequest, setsThePriorityOfTheClass)
+{
+    using DesiredState::PriorityClass;
+    cr_assert(Http::withPriority(R"({"priority":9,"prompt":"x"})", PriorityClass::Hazard) == R"({"priority":2,"prompt":"x"})");
+    cr_assert(Http::withPriority(R"({"prompt":"x"})", PriorityClass::Summary) == R"({"priority":0,"prompt":"x"})");
+    cr_assert(Http::withPriority("not json", PriorityClass::Hazard) == "not json");
+    cr_assert_not(Http::isForwarded("Transfer-Encoding"));
+    cr_assert(Http::isForwarded("Content-Type"));
+}
--- a/Tests/Transport/FakeEngine.h
+++ b/Tests/Transport/FakeEngine.h
@@ -3,6 +3,7 @@
 #include "Http/HttpServer.h"
 
 #include <condition_variable>
+#include <functional>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -13,8 +14,16 @@
 // A model engine that takes weights in order, answers with its digest and may be told to misbehave.
 class FakeEngine final : public Http::HttpHandler {
 public:
+    // The function is called at each poll.
+    explicit FakeEngine(std::function<void()> onStatus)
+        : m_onStatus(std::move(onStatus))
+    {
+    }
+
     void handle(Http::HttpRequest request, std::shared_ptr<Http::ResponseStream> stream) override
     {
+        if (request.target == "/engine/status")
+            m_onStatus();
         std::unique_lock guard(m_lock);
         if (request.target == "/engine/status")
             return stream->respond({ 200, {}, status().dump() });
@@ -25,13 +34,14 @@
         generate(guard, request, stream);
     }
 
-    // A new start of the engine, without weights.
+    // A new start of the engine, without weights; requests that run break off.
     void restart()
     {
         std::lock_guard guard(m_lock);
         ++m_incarnation;
         m_digest.clear();
         m_uploads.clear();
+        m_changed.notify_all();
     }
 
     // Answers from other weights than the status tells, as an engine does that was changed between two polls.
@@ -97,12 +107,16 @@
         ++m_requests;
         ++m_running;
         m_changed.notify_all();
-        m_changed.wait(guard, [&] { return !m_isHeld; });
+        auto incarnation = m_incarnation;
+        m_changed.wait(guard, [&] { return !m_isHeld || m_incarnation != incarnation; });
         --m_running;
+        if (m_incarnation != incarnation)
+            return stream->abort();
         auto digest = m_answerDigest.empty() ? m_digest : m_answerDigest;
         stream->respond({ 200, { { "X-Weights-Digest", digest } }, request.body + "\n[DONE]\n" });
     }
 
+    const std::function<void()> m_onStatus;
     mutable std::mutex m_lock;
     std::condition_variable m_changed;
     unsigned m_incarnation = 1;
