Stop grants at the first sign that the engine lost its weights

Errors of a model engine now end the attempt (503 as not run, others as broken), and a request that fails this way stops grants until the engine answers the next poll.

--- a/Source/Admission/Commands/AdjustLimit.cpp
+++ b/Source/Admission/Commands/AdjustLimit.cpp
@@ -64,8 +64,10 @@
 {
     state.withData([&](Data& data) {
         auto previous = std::exchange(data.engine, condition);
-        if (condition.isReachable)
+        if (condition.isReachable) {
             data.engineSeenAt = now;
+            data.isSuspect = false;
+        }
         bool isOther = previous.incarnation != condition.incarnation || previous.digest != condition.digest;
         if (isOther)
             data.warmAverage = {};
@@ -75,6 +77,11 @@
     });
 }
 
+void suspectEngine(LimitState& state)
+{
+    state.withData([](Data& data) { data.isSuspect = true; });
+}
+
 void observeCompletion(LimitState& state, Base::Duration serviceTime)
 {
     state.withData([&](Data& data) {
--- a/Source/Admission/Commands/AdjustLimit.h
+++ b/Source/Admission/Commands/AdjustLimit.h
@@ -11,6 +11,9 @@
 // changes or the engine turns cold, and to zero while the engine is not usable.
 void observeEngine(LimitState&, const EngineCondition&, Base::TimePoint now);
 
+// Stops grants until the engine answers the next poll, after a request that broke off or was refused by the engine.
+void suspectEngine(LimitState&);
+
 // Counts a completed request.
 void observeCompletion(LimitState&, Base::Duration serviceTime);
 
--- a/Source/Admission/LimitState.h
+++ b/Source/Admission/LimitState.h
@@ -41,6 +41,8 @@
         EngineCondition engine;
         // Time of the engine's last answer.
         Base::TimePoint engineSeenAt;
+        // Whether a request gave reason to ask the engine before more are sent.
+        bool isSuspect = false;
         unsigned limit = 0;
         Base::TimePoint windowStart;
         unsigned completedInWindow = 0;
--- a/Source/Admission/Queries/CurrentLimit.cpp
+++ b/Source/Admission/Queries/CurrentLimit.cpp
@@ -13,7 +13,8 @@
 
 unsigned currentLimit(const LimitState& state)
 {
-    return state.data().limit;
+    auto data = state.data();
+    return data.isSuspect ? 0 : data.limit;
 }
 
 uint64_t requestByteLimit(uint64_t memoryLimitBytes, uint64_t idleMemoryBytes)
--- a/Source/Process/TargetRun.cpp
+++ b/Source/Process/TargetRun.cpp
@@ -1,5 +1,6 @@
 #include "Process/TargetRun.h"
 
+#include "Admission/Commands/AdjustLimit.h"
 #include "Admission/Commands/RunRequest.h"
 #include "Http/ForwardedHeaders.h"
 
@@ -11,6 +12,8 @@
 
     constexpr std::chrono::milliseconds longestSilence { 60000 };
     constexpr unsigned firstServerError = 500;
+    // An engine that has no weights answers so; it has not run the request.
+    constexpr unsigned notReadyStatus = 503;
     constexpr std::string_view lastLine = "[DONE]";
     // Room for the last line and its line end.
     constexpr size_t tailBytes = 16;
@@ -94,6 +97,11 @@
         m_hasOtherDigest = true;
         return cancelCall();
     }
+    // A model engine's error is no answer to the caller; another replica may do better.
+    if (isModel && status >= firstServerError) {
+        m_engineError = status;
+        return cancelCall();
+    }
     m_answer.head.status = status;
     m_answer.head.weightsDigest = isModel ? digest : std::string();
     for (auto& header : headers) {
@@ -121,7 +129,7 @@
 
 void TargetRun::data(std::string bytes, std::function<void()> resume)
 {
-    if (m_hasOtherDigest)
+    if (m_hasOtherDigest || m_engineError)
         return;
     noteBytes(bytes);
     std::shared_ptr<Admission::AnswerSink> sink;
@@ -155,6 +163,11 @@
         end.message = "the engine answered from other weights than " + m_admittedDigest;
         return end;
     }
+    if (m_engineError) {
+        end.status = m_engineError == notReadyStatus ? Admission::EndStatus::NotRun : Admission::EndStatus::Broken;
+        end.message = "the engine answered with status " + std::to_string(m_engineError);
+        return end;
+    }
     if (!Base::succeeded(result)) {
         auto& error = Base::errorOf(result);
         end.status = Admission::EndStatus::Broken;
@@ -178,8 +191,19 @@
     finish(judgeEnd(result));
 }
 
+bool TargetRun::isSuspicious(const Admission::AnswerEnd& end) const
+{
+    if (m_context->kind != Settings::TargetKind::Model)
+        return false;
+    return end.status == Admission::EndStatus::Broken || end.status == Admission::EndStatus::NotRun || end.status == Admission::EndStatus::WrongDigest;
+}
+
 void TargetRun::finish(const Admission::AnswerEnd& end)
 {
+    if (isSuspicious(end)) {
+        Admission::Commands::suspectEngine(m_context->state.limit);
+        Admission::Commands::applyLimit(m_context->state);
+    }
     Admission::Commands::RunResult result { attemptStateOf(end.status), m_answer.head.status < firstServerError, nullptr };
     if (isKeyed() && end.status == Admission::EndStatus::Complete && !m_isAnswerTooLarge)
         result.answer = std::make_shared<Admission::StoredAnswer>(m_answer);
--- a/Source/Process/TargetRun.h
+++ b/Source/Process/TargetRun.h
@@ -27,6 +27,8 @@
     void resumeReading();
     void noteBytes(const std::string&);
     Admission::AnswerEnd judgeEnd(const Base::Result<Base::Done, Http::HttpError>&) const;
+    // Whether the answer gives reason to ask the engine before more requests are sent.
+    bool isSuspicious(const Admission::AnswerEnd&) const;
     void finish(const Admission::AnswerEnd&);
 
     std::shared_ptr<TargetContext> m_context;
@@ -44,6 +46,8 @@
     Admission::StoredAnswer m_answer;
     bool m_isAnswerTooLarge = false;
     bool m_hasOtherDigest = false;
+    // Status of an engine's own error; zero if there is none.
+    unsigned m_engineError = 0;
     std::string m_tail;
     uint64_t m_totalBytes = 0;
 };
--- a/Tests/Admission/LimitTest.cpp
+++ b/Tests/Admission/LimitTest.cpp
@@ -87,6 +87,20 @@
     cr_assert_eq(fixture.limit(), 2);
 }
 
+// Guards against more requests sent to an engine that has just broken off one, and against a limit lost
+// when the engine turns out to be well.
+Test(Limit, waitsForTheEnginesWordAfterASuspicion)
+{
+    LimitFixture fixture;
+    fixture.warmUp();
+    Commands::suspectEngine(fixture.state);
+    cr_assert_eq(fixture.limit(), 0);
+    fixture.observe({ false, 1, "digest", true, true });
+    cr_assert_eq(fixture.limit(), 0);
+    fixture.observe({ true, 1, "digest", true, true });
+    cr_assert_eq(fixture.limit(), 16);
+}
+
 // Guards against an engine whose memory is filled by request bodies.
 Test(Limit, leavesAReserveOfTheEnginesMemory)
 {
--- a/Tests/Transport/AgentFixture.h
+++ b/Tests/Transport/AgentFixture.h
@@ -116,7 +116,7 @@
 struct AgentFixture {
     AgentFixture()
         : engine(std::make_shared<FakeEngine>([this] { passTime(); }))
-        , engineServer({}, engine)
+        , engineServer(engineOptions(), engine)
     {
         control.setDocument(makeDocument("v1"));
         Settings::ProcessSettings settings;
@@ -140,6 +140,14 @@
             thread.join();
     }
 
+    // Threads for polls and requests that the engine holds.
+    static Http::HttpServerOptions engineOptions()
+    {
+        Http::HttpServerOptions options;
+        options.threads = 8;
+        return options;
+    }
+
     static DesiredState::Document makeDocument(const std::string& version)
     {
         DesiredState::Document document;
--- a/Tests/Transport/AgentProcessTest.cpp
+++ b/Tests/Transport/AgentProcessTest.cpp
@@ -190,3 +190,21 @@
     agent->requestStop();
     thread.join();
 }
+
+// Guards against an engine's own error passed on as an answer, and against requests that go on to an engine
+// that has just lost its weights without notice.
+Test(AgentProcess, sendsNothingMoreToAnEngineThatLostItsWeights)
+{
+    AgentFixture fixture;
+    fixture.waitUntilServing("v1");
+    fixture.engine->holdStatus(true);
+    fixture.engine->restart();
+    RouterCall first(*fixture.stub);
+    cr_assert(runToEnd(first, "a", "v1").empty());
+    cr_assert_eq(first.head.status(), 0);
+    cr_assert_eq(first.end.end().status(), protocol::END_STATUS_NOT_RUN);
+    RouterCall second(*fixture.stub);
+    std::thread waiting([&] { cr_assert(second.admit(AgentFixture::makeAdmit("b", "v1")).has_refusal()); });
+    fixture.engine->holdStatus(false);
+    waiting.join();
+}
--- a/Tests/Transport/FakeEngine.h
+++ b/Tests/Transport/FakeEngine.h
@@ -26,7 +26,7 @@
             m_onStatus();
         std::unique_lock guard(m_lock);
         if (request.target == "/engine/status")
-            return stream->respond({ 200, {}, status().dump() });
+            return respondStatus(guard, *stream);
         if (request.target == "/engine/orders")
             return load(request, *stream);
         if (request.method == "PUT")
@@ -58,6 +58,14 @@
         m_changed.notify_all();
     }
 
+    // Delays the answers to polls.
+    void holdStatus(bool isHeld)
+    {
+        std::lock_guard guard(m_lock);
+        m_isStatusHeld = isHeld;
+        m_changed.notify_all();
+    }
+
     void waitForRequests(unsigned count)
     {
         std::unique_lock guard(m_lock);
@@ -71,6 +79,12 @@
     }
 
 private:
+    void respondStatus(std::unique_lock<std::mutex>& guard, Http::ResponseStream& stream)
+    {
+        m_changed.wait(guard, [&] { return !m_isStatusHeld; });
+        stream.respond({ 200, {}, status().dump() });
+    }
+
     nlohmann::json status() const
     {
         return { { "incarnation", "engine-" + std::to_string(m_incarnation) }, { "state", m_digest.empty() ? "empty" : "ready" }, { "digest", m_digest },
@@ -112,6 +126,8 @@
         --m_running;
         if (m_incarnation != incarnation)
             return stream->abort();
+        if (m_digest.empty())
+            return stream->respond({ 503, {}, "no weights" });
         auto digest = m_answerDigest.empty() ? m_digest : m_answerDigest;
         stream->respond({ 200, { { "X-Weights-Digest", digest } }, request.body + "\n[DONE]\n" });
     }
@@ -126,6 +142,7 @@
     unsigned m_running = 0;
     unsigned m_requests = 0;
     bool m_isHeld = false;
+    bool m_isStatusHeld = false;
     std::vector<std::string> m_uploads;
 };
 
