Test that no call runs twice in random sequences; grant at once after queuing

A request queued just as a slot became free no longer waits for the next tick, a leaving agent gives no more orders to its engine, and further gRPC services are taken by reference.

--- a/Source/Process/AgentBuilder.cpp
+++ b/Source/Process/AgentBuilder.cpp
@@ -40,9 +40,9 @@
     return *this;
 }
 
-AgentBuilder& AgentBuilder::service(std::shared_ptr<grpc::Service> service)
+AgentBuilder& AgentBuilder::service(grpc::Service& service)
 {
-    m_services.push_back(std::move(service));
+    m_services.push_back(&service);
     return *this;
 }
 
--- a/Source/Process/AgentBuilder.h
+++ b/Source/Process/AgentBuilder.h
@@ -25,7 +25,8 @@
     AgentBuilder& clock(const Base::Clock&);
     AgentBuilder& random(Base::RandomSource&);
     AgentBuilder& metrics(Observability::Metrics&);
-    AgentBuilder& service(std::shared_ptr<grpc::Service>);
+    // A further service of the inner port, for instance ControlService or WeightService.
+    AgentBuilder& service(grpc::Service&);
     AgentBuilder& crashObserver(Admission::CrashObserver&);
     // Replaces the HTTP client to the engine at the endpoint of the settings.
     AgentBuilder& engine(std::unique_ptr<Placement::EngineClient>);
@@ -42,7 +43,7 @@
     const Base::Clock* m_clock = nullptr;
     Base::RandomSource* m_random = nullptr;
     Observability::Metrics* m_metrics = nullptr;
-    std::vector<std::shared_ptr<grpc::Service>> m_services;
+    std::vector<grpc::Service*> m_services;
     Admission::CrashObserver* m_crashObserver = nullptr;
     std::unique_ptr<Placement::EngineClient> m_engine;
 };
--- a/Source/Process/AgentExchange.cpp
+++ b/Source/Process/AgentExchange.cpp
@@ -33,11 +33,16 @@
     if (auto* refusal = std::get_if<Admission::Refusal>(&result))
         return refused(*refusal);
     // A router that left while the request was queued must not hold its place.
-    std::unique_lock guard(m_lock);
-    if (m_phase == Phase::Ended) {
-        guard.unlock();
+    if (hasEnded())
         Admission::Commands::withdrawAttempt(m_context->state, request, m_context->clock);
-    }
+    // A slot may have become free between the refusal of a permit and the place in the queue.
+    m_context->grantWaiting();
+}
+
+bool AgentExchange::hasEnded()
+{
+    std::lock_guard guard(m_lock);
+    return m_phase == Phase::Ended;
 }
 
 void AgentExchange::granted(const Admission::Permit& permit)
--- a/Source/Process/AgentExchange.h
+++ b/Source/Process/AgentExchange.h
@@ -31,6 +31,7 @@
         Ended,
     };
 
+    bool hasEnded();
     // Takes the sink for the last message; null if the exchange has ended already.
     std::shared_ptr<Admission::AnswerSink> endExchange();
     void endWithRefusal(const Admission::Refusal&);
--- a/Source/Process/AgentProcess.cpp
+++ b/Source/Process/AgentProcess.cpp
@@ -110,7 +110,7 @@
         builder.AddListeningPort(parts.settings.inner, grpc::InsecureServerCredentials(), &innerPort);
         builder.RegisterService(service.get());
         for (auto& further : parts.services)
-            builder.RegisterService(further.get());
+            builder.RegisterService(further);
         server = builder.BuildAndStart();
         if (!server || !innerPort)
             throw std::runtime_error("setting \"inner\": " + parts.settings.inner + " cannot be bound; check that no other process uses it");
--- a/Source/Process/AgentProcess.h
+++ b/Source/Process/AgentProcess.h
@@ -27,7 +27,7 @@
     Base::RandomSource& random;
     Observability::Metrics& metrics;
     // Further services of the inner port, for instance ControlService and WeightService.
-    std::vector<std::shared_ptr<grpc::Service>> services;
+    std::vector<grpc::Service*> services;
     // Null for a plain service.
     std::unique_ptr<Placement::EngineClient> engine;
     // May be null.
--- a/Source/Process/ReplicaDriver.cpp
+++ b/Source/Process/ReplicaDriver.cpp
@@ -154,7 +154,8 @@
 
 bool ReplicaDriver::mayAct() const
 {
-    return m_parts.situation.pauseDetector().isRunning() && m_parts.control.isSynchronised();
+    auto& situation = m_parts.situation;
+    return !situation.isLeaving() && situation.pauseDetector().isRunning() && m_parts.control.isSynchronised();
 }
 
 bool ReplicaDriver::step()
--- a/Tests/Admission/KeyMemoryTest.cpp
+++ b/Tests/Admission/KeyMemoryTest.cpp
@@ -174,3 +174,138 @@
     keyless.repeatable = false;
     cr_assert(AdmissionFixture::reasonOf(fixture.admit(keyless)) == RefusalReason::KeyRequired);
 }
+
+namespace {
+
+// Callers that keep to the rules: they send a call again only within the resend window of its first use, and
+// their clocks are off by less than the skew bound. The agent restarts, permits expire, runs break off.
+class ResendingCallers {
+public:
+    explicit ResendingCallers(uint64_t seed)
+        : m_random(seed)
+    {
+        m_fixture.document->services.front().resendWindow = m_window;
+        restart();
+    }
+
+    // Runs of one key, at most, over all keys.
+    int run()
+    {
+        for (int step = 0; step < 2000; ++step)
+            takeStep();
+        return m_mostRuns;
+    }
+
+    int answered() const { return m_answered; }
+
+private:
+    struct Call {
+        std::string key;
+        Base::TimePoint firstUsed;
+        int runs = 0;
+    };
+
+    struct Running {
+        AdmitRequest request;
+        std::string permitId;
+        bool hasStarted = false;
+    };
+
+    void restart()
+    {
+        m_running.clear();
+        m_state = std::make_unique<TargetState>(++m_incarnation, m_fixture.clock);
+        m_state->permits.occupancy.setByteLimit(1000);
+        Commands::configureLimit(m_state->limit, { 8, 8, 1000ms });
+        Commands::applyEngineCondition(*m_state, { true, 1, {}, true, true }, m_fixture.clock);
+    }
+
+    void takeStep()
+    {
+        m_fixture.clock.advance(std::chrono::milliseconds(m_random.below(1500)));
+        if (!m_random.below(200))
+            return restart();
+        auto choice = m_random.below(100);
+        if (choice < 5)
+            return Commands::expireRecords(*m_state, m_window, m_fixture.clock);
+        if (choice < 30 && !m_running.empty())
+            return advanceOne();
+        send(choice < 60 || m_calls.empty() ? newCall() : m_random.below(m_calls.size()));
+    }
+
+    size_t newCall()
+    {
+        auto skew = std::chrono::milliseconds(m_random.below(9998)) - 4999ms;
+        bool isVersion7 = m_random.below(2);
+        auto key = isVersion7 ? makeUuid7(m_fixture.clock.wallTime() + skew) : "opaque";
+        // Calls of one millisecond need keys of their own.
+        key += isVersion7 ? "" : std::to_string(m_calls.size());
+        for (auto& call : m_calls) {
+            if (call.key == key)
+                return m_random.below(m_calls.size());
+        }
+        m_calls.push_back({ key, m_fixture.clock.now() });
+        return m_calls.size() - 1;
+    }
+
+    void send(size_t index)
+    {
+        if (m_calls.empty() || m_fixture.clock.now() - m_calls[index].firstUsed >= m_window)
+            return;
+        auto request = m_fixture.makeRequest("attempt-" + std::to_string(++m_attempts), m_calls[index].key);
+        request.fingerprint = index;
+        m_waiter = std::make_shared<RecordingWaiter>("", m_fixture.grants);
+        auto result = Commands::admitRequest(*m_state, m_fixture.situation, request, m_waiter, m_fixture.clock, m_fixture.random);
+        if (auto* permit = std::get_if<Permit>(&result))
+            m_running.push_back({ request, permit->id });
+        m_answered += std::holds_alternative<Commands::StoredAnswerPointer>(result);
+    }
+
+    // Sends the body of a permitted call, or ends one that runs.
+    void advanceOne()
+    {
+        auto index = m_random.below(m_running.size());
+        auto& running = m_running[index];
+        if (!running.hasStarted && Base::succeeded(Commands::startRequest(*m_state, running.request, running.permitId, m_fixture.clock))) {
+            running.hasStarted = true;
+            m_mostRuns = std::max(m_mostRuns, ++m_calls[running.request.fingerprint].runs);
+            return;
+        }
+        if (running.hasStarted)
+            finish(running.request);
+        m_running.erase(m_running.begin() + static_cast<long>(index));
+    }
+
+    void finish(const AdmitRequest& request)
+    {
+        auto outcome = m_random.below(3) ? AttemptState::Complete : AttemptState::Broken;
+        auto answer = outcome == AttemptState::Complete ? std::make_shared<StoredAnswer>() : nullptr;
+        Commands::finishRequest(*m_state, request, { outcome, true, answer }, m_fixture.clock);
+    }
+
+    AdmissionFixture m_fixture;
+    Base::SeededRandom m_random;
+    std::unique_ptr<TargetState> m_state;
+    std::shared_ptr<RecordingWaiter> m_waiter;
+    std::chrono::milliseconds m_window { 60000 };
+    uint64_t m_incarnation = 0;
+    std::vector<Call> m_calls;
+    std::vector<Running> m_running;
+    int m_attempts = 0;
+    int m_mostRuns = 0;
+    int m_answered = 0;
+};
+
+} // namespace
+
+// Guards against any sequence of resends, expiries, breaks and restarts in which a call runs twice.
+Test(KeyMemory, noCallRunsTwiceInRandomSequences)
+{
+    int answered = 0;
+    for (uint64_t seed = 1; seed <= 100; ++seed) {
+        ResendingCallers callers(seed);
+        cr_assert_eq(callers.run(), 1, "a call ran twice, or none ran, with seed %lu", seed);
+        answered += callers.answered();
+    }
+    cr_assert_gt(answered, 0);
+}
