--- a/Source/Configuration/Events.h
+++ b/Source/Configuration/Events.h
@@ -8,10 +8,10 @@
 using Observability::Event;
 using Observability::Level;
 
-inline constexpr Event DocumentAccepted { 5001, "document-accepted", Level::Info, "A desired state is in force in this process." };
-inline constexpr Event DocumentRefused { 5002, "document-refused", Level::Error, "A desired state was refused; the last accepted one stays in force." };
-inline constexpr Event SourceUnavailable { 5003, "configuration-unavailable", Level::Warning, "The configuration service or the list of VMs did not answer." };
-inline constexpr Event DeltaUnusable { 5004, "delta-unusable", Level::Warning, "A document delta from a peer did not give the announced digest." };
-inline constexpr Event Synchronised { 5005, "synchronised", Level::Info, "The process has asked its peers after a start or a pause and may take on work." };
+inline constexpr Event documentAccepted { 5001, "document-accepted", Level::Info, "A desired state is in force in this process." };
+inline constexpr Event documentRefused { 5002, "document-refused", Level::Error, "A desired state was refused; the last accepted one stays in force." };
+inline constexpr Event sourceUnavailable { 5003, "configuration-unavailable", Level::Warning, "The configuration service or the list of VMs did not answer." };
+inline constexpr Event deltaUnusable { 5004, "delta-unusable", Level::Warning, "A document delta from a peer did not give the announced digest." };
+inline constexpr Event synchronised { 5005, "synchronised", Level::Info, "The process has asked its peers after a start or a pause and may take on work." };
 
 } // namespace Lavenderloft::Configuration
--- a/Source/Http/HttpClient.cpp
+++ b/Source/Http/HttpClient.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http.hpp>
 #include <future>
 #include <limits>
+#include <mutex>
 #include <optional>
 #include <thread>
 
@@ -20,6 +21,18 @@
     asio::io_context context;
     asio::executor_work_guard<asio::io_context::executor_type> work { asio::make_work_guard(context) };
     std::vector<std::thread> threads;
+    std::mutex lock;
+    std::vector<std::weak_ptr<HttpCall>> calls;
+    bool shutDown = false;
+
+    // Whether the call may start; it is remembered for cancellation.
+    bool add(const std::shared_ptr<HttpCall>& call)
+    {
+        std::lock_guard guard(lock);
+        std::erase_if(calls, [](auto& candidate) { return candidate.expired(); });
+        calls.push_back(call);
+        return !shutDown;
+    }
 };
 
 namespace {
@@ -222,6 +235,8 @@
 {
     auto call = std::make_shared<Call>(m_state->context, endpoint, idleTimeout, std::move(sink));
     call->start(std::move(request));
+    if (!m_state->add(call))
+        call->cancel();
     return call;
 }
 
@@ -233,4 +248,18 @@
     return future.get();
 }
 
+void HttpClient::shutDown()
+{
+    std::vector<std::weak_ptr<HttpCall>> calls;
+    {
+        std::lock_guard guard(m_state->lock);
+        m_state->shutDown = true;
+        calls = m_state->calls;
+    }
+    for (auto& candidate : calls) {
+        if (auto call = candidate.lock())
+            call->cancel();
+    }
+}
+
 } // namespace Lavenderloft::Http
--- a/Source/Http/HttpClient.h
+++ b/Source/Http/HttpClient.h
@@ -53,6 +53,9 @@
     // Sends a request and waits for the whole response; not to be called on a thread of this client.
     Base::Result<HttpResponse, HttpError> fetch(const Endpoint&, HttpRequest, std::chrono::milliseconds idleTimeout);
 
+    // Cancels every request under way and refuses new ones, so that no thread waits in fetch().
+    void shutDown();
+
 private:
     struct State;
     std::shared_ptr<State> m_state;
--- a/Source/Membership/Commands/ChangeStatus.cpp
+++ b/Source/Membership/Commands/ChangeStatus.cpp
@@ -51,8 +51,8 @@
         entry.statusSince = now;
         entry.timesSent = 0;
         m_table.recordChange(oldHash, MemberTable::hashOf(entry.member));
-        Observability::logEvent(to == Status::Suspect ? MemberSuspected : to == Status::Dead ? MemberDied
-                                                                                             : MemberLeaving,
+        Observability::logEvent(to == Status::Suspect ? memberSuspected : to == Status::Dead ? memberDied
+                                                                                             : memberLeaving,
             { { "vm", vm } });
     });
 }
--- a/Source/Membership/Commands/MergeMembers.cpp
+++ b/Source/Membership/Commands/MergeMembers.cpp
@@ -17,17 +17,17 @@
     void logTransition(const Member& before, const Member& after, bool isNew)
     {
         if (isNew || after.incarnation != before.incarnation) {
-            Observability::logEvent(MemberJoined, { { "vm", after.vm }, { "incarnation", after.incarnation }, { "data_centre", after.dataCentre } });
+            Observability::logEvent(memberJoined, { { "vm", after.vm }, { "incarnation", after.incarnation }, { "data_centre", after.dataCentre } });
             return;
         }
         if (after.status == before.status)
             return;
         if (after.status == Status::Suspect)
-            Observability::logEvent(MemberSuspected, { { "vm", after.vm } });
+            Observability::logEvent(memberSuspected, { { "vm", after.vm } });
         if (after.status == Status::Dead)
-            Observability::logEvent(MemberDied, { { "vm", after.vm } });
+            Observability::logEvent(memberDied, { { "vm", after.vm } });
         if (after.status == Status::Leaving)
-            Observability::logEvent(MemberLeaving, { { "vm", after.vm } });
+            Observability::logEvent(memberLeaving, { { "vm", after.vm } });
     }
 
 } // namespace
@@ -83,7 +83,7 @@
         auto oldHash = MemberTable::hashOf(self);
         if (report.incarnation > self.incarnation && report.status != Status::Dead && self.status != Status::Leaving) {
             // Two live processes must not act under one name; the newer one keeps it.
-            Observability::logEvent(Superseded, { { "vm", self.vm }, { "incarnation", self.incarnation }, { "newer", report.incarnation } });
+            Observability::logEvent(superseded, { { "vm", self.vm }, { "incarnation", self.incarnation }, { "newer", report.incarnation } });
             self.status = Status::Leaving;
             ++self.version;
             entry.statusSince = now;
@@ -91,11 +91,11 @@
             self.status = Status::Leaving;
             self.version = std::max(self.version, report.version) + 1;
             entry.statusSince = now;
-            Observability::logEvent(MemberLeaving, { { "vm", self.vm } });
+            Observability::logEvent(memberLeaving, { { "vm", self.vm } });
         } else if (report.incarnation == self.incarnation && report.version >= self.version
             && (report.status == Status::Suspect || report.status == Status::Dead)) {
             self.version = report.version + 1;
-            Observability::logEvent(SuspicionRefuted, { { "vm", self.vm }, { "version", self.version } });
+            Observability::logEvent(suspicionRefuted, { { "vm", self.vm }, { "version", self.version } });
         } else {
             return;
         }
--- a/Source/Process/AgentLauncher.cpp
+++ b/Source/Process/AgentLauncher.cpp
@@ -32,12 +32,6 @@
         const std::string m_target;
     };
 
-    // A service that another object owns.
-    std::shared_ptr<grpc::Service> borrow(grpc::Service& service)
-    {
-        return { std::shared_ptr<void>(), &service };
-    }
-
     std::string hostOf(const std::string& address)
     {
         return address.substr(0, address.rfind(':'));
@@ -78,9 +72,9 @@
         .random(*stack.random())
         .metrics(*stack.metrics())
         .crashObserver(crashes)
-        .service(borrow(stack.service().service()));
+        .service(stack.service().service());
     if (weights)
-        builder.weights(*weights).service(borrow(weights->service()));
+        builder.weights(*weights).service(weights->service());
     else
         builder.weights(noWeights);
     auto built = builder.build();
--- a/Source/Process/AgentProcess.cpp
+++ b/Source/Process/AgentProcess.cpp
@@ -118,7 +118,7 @@
 
     void run()
     {
-        Observability::logEvent(ProcessStarted, { { "role", "agent" }, { "vm", parts.settings.vm }, { "innerPort", innerPort }, { "adminPort", admin->port() } });
+        Observability::logEvent(processStarted, { { "role", "agent" }, { "vm", parts.settings.vm }, { "innerPort", innerPort }, { "adminPort", admin->port() } });
         signals.async_wait([this](const boost::system::error_code& error, int) {
             if (!error)
                 beginStop();
@@ -130,14 +130,14 @@
         server->Shutdown(std::chrono::system_clock::now() + streamEndTime);
         if (driver)
             driver->stop();
-        Observability::logEvent(ProcessStopped, { { "vm", parts.settings.vm } });
+        Observability::logEvent(processStopped, { { "vm", parts.settings.vm } });
     }
 
     void beginStop()
     {
         if (situation.isLeaving())
             return;
-        Observability::logEvent(ProcessStopping, { { "vm", parts.settings.vm }, { "running", target->load().running } });
+        Observability::logEvent(processStopping, { { "vm", parts.settings.vm }, { "running", target->load().running } });
         situation.setLeaving();
         parts.control.publishLeaving();
     }
@@ -167,7 +167,7 @@
 
     void dropStaleState()
     {
-        Observability::logEvent(ProcessPaused, { { "vm", parts.settings.vm } });
+        Observability::logEvent(processPaused, { { "vm", parts.settings.vm } });
         Admission::Commands::dropPermits(target->state, parts.clock);
         if (driver)
             driver->dropOrders();
--- a/Source/Process/ConfigurationSource.h
+++ b/Source/Process/ConfigurationSource.h
@@ -33,6 +33,9 @@
     virtual Base::Result<std::optional<std::string>, SourceError> read(uint64_t afterRevision, std::chrono::milliseconds wait) = 0;
 
     virtual Base::Result<std::vector<ListedVm>, SourceError> listVms() = 0;
+
+    // Ends pending calls and refuses new ones; from any thread.
+    virtual void shutDown() = 0;
 };
 
 } // namespace Lavenderloft::Process
--- a/Source/Process/ControlNode.cpp
+++ b/Source/Process/ControlNode.cpp
@@ -1,9 +1,10 @@
 #include "Process/ControlNode.h"
 
-#include "Base/RendezvousHash.h"
 #include "Configuration/Commands/AcceptDocument.h"
+#include "Configuration/Commands/RecordRead.h"
 #include "Configuration/Events.h"
 #include "Configuration/Queries/DocumentDelta.h"
+#include "Configuration/Queries/ReaderElection.h"
 #include "DesiredState/Queries/ParseDocument.h"
 #include "Membership/Commands/ChangeStatus.h"
 #include "Membership/Commands/MergeMembers.h"
@@ -20,6 +21,10 @@
 namespace Lavenderloft::Process {
 
 using namespace std::chrono_literals;
+using Configuration::Commands::ReadOutcome;
+using Configuration::Commands::RecordRead;
+using Configuration::Queries::NextRead;
+using Configuration::Queries::ReaderElection;
 using Membership::Commands::ChangeStatus;
 using Membership::Commands::MergeMembers;
 using Membership::Commands::RecordTransmission;
@@ -36,17 +41,15 @@
     constexpr uint64_t ticksPerCrossExchange = 4;
     // A longer gap between two ticks means that the process was paused.
     constexpr auto pauseLimit = 2s;
-    // A process that reaches no peer for this long after its start or a pause goes on alone.
-    constexpr auto peerWait = 3s;
     constexpr auto exchangeTimeout = 1000ms;
     constexpr auto documentTimeout = 3000ms;
-    constexpr auto watchTime = 10000ms;
-    // A process that is no reader reads by itself when no confirmation reached it for this long.
-    constexpr auto confirmationLimit = 15s;
-    constexpr auto ownReadInterval = 10s;
+    // Bounds of the sleep between two looks at the schedule of reads.
+    constexpr Base::Duration leastReadSleep = 20ms;
+    constexpr Base::Duration greatestReadSleep = 500ms;
+    // Stands for a document that the service has never confirmed here.
+    constexpr auto neverConfirmed = std::chrono::hours(1);
     constexpr auto readerListInterval = 5s;
     constexpr auto listInterval = 30s;
-    constexpr size_t readersPerDataCentre = 2;
     // Peers that hear of a new document at once; each of them tells as many again.
     constexpr size_t spreadFanout = 3;
 
@@ -69,8 +72,6 @@
     : m_settings(settings)
     , m_parts(parts)
     , m_table(settings.vm)
-    , m_confirmedAt(parts.clock.now() - std::chrono::hours(1))
-    , m_synchronisingSince(parts.clock.now())
 {
     Membership::Member self;
     self.vm = settings.vm;
@@ -95,6 +96,7 @@
         if (peer != address)
             m_unknownContacts.emplace_back(peer, std::string());
     }
+    RecordRead(m_schedule, m_parts.random).started(m_parts.clock.now(), Configuration::Queries::peersAskedAtStart);
     m_threads.emplace_back([this] { gossipLoop(); });
     m_threads.emplace_back([this] { readLoop(); });
     m_threads.emplace_back([this] { vmListLoop(); });
@@ -107,6 +109,7 @@
         m_stopped = true;
     }
     m_stopCondition.notify_all();
+    m_parts.source.shutDown();
     for (auto& thread : m_threads)
         thread.join();
     m_threads.clear();
@@ -139,7 +142,8 @@
 
 bool ControlNode::isSynchronised() const
 {
-    return m_synchronised;
+    // The clock is read at each call, since the tick that notices a pause may come after it.
+    return m_synchronised && m_parts.clock.now() - m_lastTick.load() <= pauseLimit;
 }
 
 void ControlNode::publish(const Membership::TargetLoad& load, const std::vector<Membership::Replica>& replicas)
@@ -241,7 +245,7 @@
             gossipWith(peer);
     }
     // Without any peer, or with none that answers, the process goes on with what it has.
-    if (!m_synchronised && (m_heardPeer || now - m_synchronisingSince.load() >= peerWait))
+    if (!m_synchronised && (m_heardPeer || NextRead(m_schedule).mayTrustService(now)))
         finishSynchronising();
     notifyIfChanged();
     updateMetrics();
@@ -250,21 +254,21 @@
 void ControlNode::detectPause()
 {
     auto now = m_parts.clock.now();
-    auto last = std::exchange(m_lastTick, now);
+    auto last = m_lastTick.exchange(now);
     if (last == Base::TimePoint {} || now - last <= pauseLimit)
         return;
-    Observability::logEvent(ProcessPaused, { { "gap", now - last } });
+    Observability::logEvent(processPaused, { { "gap", now - last } });
     m_parts.metrics.count("process_pauses_total");
     m_heardPeer = false;
     m_synchronised = false;
-    m_synchronisingSince = now;
+    RecordRead(m_schedule, m_parts.random).started(now, Configuration::Queries::peersAskedAtStart);
     notifyIfChanged();
 }
 
 void ControlNode::finishSynchronising()
 {
     m_synchronised = true;
-    Observability::logEvent(Configuration::Synchronised, { { "heard_peer", m_heardPeer.load() } });
+    Observability::logEvent(Configuration::synchronised, { { "heard_peer", m_heardPeer.load() } });
 }
 
 void ControlNode::gossipWith(const Membership::Member& peer)
@@ -284,6 +288,7 @@
             return;
         }
         m_heardPeer = true;
+        RecordRead(m_schedule, m_parts.random).peerAnswered(m_parts.clock.now());
         m_pageCursor = response->pageCursor;
         receive(*response);
         learnDocument(address, *response);
@@ -316,9 +321,7 @@
     auto current = m_revisions.current();
     if (!current || current->digest != message.documentDigest)
         return;
-    auto confirmed = now - message.confirmationAge;
-    if (confirmed > m_confirmedAt.load())
-        m_confirmedAt = confirmed;
+    RecordRead(m_schedule, m_parts.random).confirmed(now - message.confirmationAge);
 }
 
 void ControlNode::learnDocument(const std::string& address, const Membership::GossipMessage& message)
@@ -350,7 +353,7 @@
     auto bytes = Configuration::Queries::applyDelta(current->bytes, reply.delta);
     if (!Base::succeeded(bytes) || DesiredState::documentDigest(Base::valueOf(bytes)) != reply.digest) {
         // The next exchange fetches again; the document in force may have changed meanwhile.
-        Observability::logEvent(Configuration::DeltaUnusable, { { "digest", reply.digest } });
+        Observability::logEvent(Configuration::deltaUnusable, { { "digest", reply.digest } });
         return;
     }
     accept(Base::valueOf(bytes), "peer");
@@ -380,65 +383,56 @@
         gossipWith(peer);
 }
 
-bool ControlNode::isReader() const
+Configuration::Queries::ReadSituation ControlNode::readSituation() const
 {
+    auto all = members();
     auto own = self();
-    std::vector<std::string> names;
-    for (auto& member : members()) {
-        if (member.dataCentre == own.dataCentre && member.status != Membership::Status::Suspect)
-            names.push_back(member.vm);
-    }
-    auto ranked = Base::rankMembers("configuration-readers", names);
-    ranked.resize(std::min(ranked.size(), readersPerDataCentre));
-    return std::find(ranked.begin(), ranked.end(), own.vm) != ranked.end();
+    ReaderElection election(all);
+    return { election.isReader(own.vm, own.dataCentre), election.candidateCount(own.dataCentre), m_fleetSize, m_revisions.current() != nullptr };
+}
+
+bool ControlNode::isReader() const
+{
+    return readSituation().isReader;
 }
 
 void ControlNode::readLoop()
 {
-    // Peers are asked first, since a restarted process may meet a stale service.
-    while (!m_synchronised && m_parts.clock.now() - m_synchronisingSince.load() < peerWait) {
-        if (!wait(100ms))
-            return;
+    Base::Duration sleep {};
+    while (wait(std::chrono::duration_cast<std::chrono::milliseconds>(sleep))) {
+        auto plan = NextRead(m_schedule).plan(readSituation());
+        auto now = m_parts.clock.now();
+        if (plan.isDue(now))
+            readOnce(plan.kind);
+        sleep = std::clamp(plan.at - now, leastReadSleep, greatestReadSleep);
     }
-    do {
-        if (isReader()) {
-            readOnce();
-            continue;
-        }
-        if (confirmationAge() < confirmationLimit)
-            continue;
-        readOnce();
-        auto jitter = std::chrono::milliseconds(m_parts.random.below(std::chrono::milliseconds(ownReadInterval).count() / 2));
-        if (!wait(std::chrono::milliseconds(ownReadInterval) + jitter))
-            return;
-    } while (wait(500ms));
 }
 
-void ControlNode::readOnce()
+void ControlNode::readOnce(Configuration::Queries::ReadKind kind)
 {
-    auto current = m_revisions.current();
-    auto revision = current ? current->document.revision : 0;
-    m_parts.metrics.count("configuration_calls_total");
-    auto result = m_parts.source.read(revision, isReader() ? std::chrono::milliseconds(watchTime) : 0ms);
+    RecordRead record(m_schedule, m_parts.random);
+    auto before = m_revisions.current();
+    auto revision = before ? before->document.revision : 0;
+    auto isWatch = kind == Configuration::Queries::ReadKind::Watch;
+    m_parts.metrics.count("configuration_calls_total", { { "kind", isWatch ? "watch" : "read" } });
+    record.callStarted(m_parts.clock.now());
+    auto result = m_parts.source.read(revision, isWatch ? Configuration::Queries::watchTime : 0ms);
     if (!Base::succeeded(result)) {
-        Observability::logEvent(Configuration::SourceUnavailable, { { "reason", Base::errorOf(result).describe() } });
-        wait(1000ms);
+        Observability::logEvent(Configuration::sourceUnavailable, { { "reason", Base::errorOf(result).describe() } });
+        record.callEnded(m_parts.clock.now(), ReadOutcome::Failed);
         return;
     }
-    confirm();
     auto& bytes = Base::valueOf(result);
     if (bytes)
         accept(*bytes, "service");
-}
-
-void ControlNode::confirm()
-{
-    m_confirmedAt = m_parts.clock.now();
+    auto isNew = m_revisions.current() != before;
+    record.callEnded(m_parts.clock.now(), isNew ? ReadOutcome::NewDocument : ReadOutcome::NothingNew);
 }
 
 Base::Duration ControlNode::confirmationAge() const
 {
-    return m_parts.clock.now() - m_confirmedAt.load();
+    auto confirmedAt = m_schedule.state().confirmedAt;
+    return confirmedAt ? m_parts.clock.now() - *confirmedAt : Base::Duration(neverConfirmed);
 }
 
 void ControlNode::vmListLoop()
@@ -448,9 +442,10 @@
         interval = isReader() ? readerListInterval : listInterval;
         auto result = m_parts.source.listVms();
         if (!Base::succeeded(result)) {
-            Observability::logEvent(Configuration::SourceUnavailable, { { "reason", Base::errorOf(result).describe() } });
+            Observability::logEvent(Configuration::sourceUnavailable, { { "reason", Base::errorOf(result).describe() } });
             continue;
         }
+        m_fleetSize = Base::valueOf(result).size();
         auto own = self();
         for (auto& vm : Base::valueOf(result)) {
             if (vm.leaving && vm.name == own.vm && own.status == Membership::Status::Alive)
--- a/Source/Process/ControlNode.h
+++ b/Source/Process/ControlNode.h
@@ -2,6 +2,8 @@
 
 #include "Base/Clock.h"
 #include "Base/RandomSource.h"
+#include "Configuration/Queries/NextRead.h"
+#include "Configuration/ReadSchedule.h"
 #include "Configuration/RevisionStore.h"
 #include "Membership/ControlHandler.h"
 #include "Membership/CrashEvidenceTable.h"
@@ -74,10 +76,10 @@
     void learnDocument(const std::string& address, const Membership::GossipMessage&);
     void acceptFromPeer(const Membership::DocumentReply&);
     void accept(const std::string& bytes, const char* origin);
-    void readOnce();
+    void readOnce(Configuration::Queries::ReadKind);
+    Configuration::Queries::ReadSituation readSituation() const;
     bool isReader() const;
     bool wait(std::chrono::milliseconds);
-    void confirm();
     void notifyIfChanged();
     void spreadNow();
     void finishSynchronising();
@@ -90,15 +92,16 @@
     Configuration::RevisionStore m_revisions;
     Membership::CrashEvidenceTable m_evidence;
 
-    std::atomic<Base::TimePoint> m_confirmedAt;
-    std::atomic<Base::TimePoint> m_synchronisingSince;
+    Configuration::ReadSchedule m_schedule;
     std::atomic<bool> m_synchronised { false };
     std::atomic<bool> m_heardPeer { false };
     std::atomic<bool> m_fetching { false };
     std::atomic<uint64_t> m_pageCursor { 0 };
     std::atomic<uint64_t> m_notifiedChange { 0 };
     std::atomic<uint64_t> m_ticks { 0 };
-    Base::TimePoint m_lastTick {};
+    // Processes in the list of VMs; 0 until it was read.
+    std::atomic<size_t> m_fleetSize { 0 };
+    std::atomic<Base::TimePoint> m_lastTick { Base::TimePoint {} };
 
     std::mutex m_contactsLock;
     std::vector<std::pair<std::string, std::string>> m_unknownContacts;
--- a/Source/Process/Events.h
+++ b/Source/Process/Events.h
@@ -8,9 +8,9 @@
 using Observability::Event;
 using Observability::Level;
 
-inline constexpr Event ProcessStarted { 1001, "process-started", Level::Info, "A process serves on its ports." };
-inline constexpr Event ProcessStopping { 1002, "process-stopping", Level::Info, "A planned stop began; no new work is taken on." };
-inline constexpr Event ProcessStopped { 1003, "process-stopped", Level::Info, "All running requests have ended." };
-inline constexpr Event ProcessPaused { 1004, "process-paused", Level::Warning, "The process did not run for longer than the pause limit." };
+inline constexpr Event processStarted { 1001, "process-started", Level::Info, "A process serves on its ports." };
+inline constexpr Event processStopping { 1002, "process-stopping", Level::Info, "A planned stop began; no new work is taken on." };
+inline constexpr Event processStopped { 1003, "process-stopped", Level::Info, "All running requests have ended." };
+inline constexpr Event processPaused { 1004, "process-paused", Level::Warning, "The process did not run for longer than the pause limit." };
 
 } // namespace Lavenderloft::Process
--- a/Source/Process/HttpConfigurationSource.h
+++ b/Source/Process/HttpConfigurationSource.h
@@ -12,6 +12,7 @@
 
     Base::Result<std::optional<std::string>, SourceError> read(uint64_t afterRevision, std::chrono::milliseconds wait) override;
     Base::Result<std::vector<ListedVm>, SourceError> listVms() override;
+    void shutDown() override { m_client.shutDown(); }
 
 private:
     Http::Endpoint m_configurationService;
--- a/Source/Process/RouterLauncher.cpp
+++ b/Source/Process/RouterLauncher.cpp
@@ -59,15 +59,15 @@
     auto router = RouterBuilder(settings, stack.node(), stack.clock(), *stack.metrics()).random(stack.random()).build();
     shareCrashEvidence(stack.node(), *router);
     stack.node().start(settings.inner.substr(0, settings.inner.rfind(':')) + ':' + std::to_string(innerPort));
-    Observability::logEvent(ProcessStarted, { { "role", "router" }, { "vm", settings.vm }, { "innerPort", innerPort }, { "callersPort", router->callersPort() }, { "adminPort", router->adminPort() } });
+    Observability::logEvent(processStarted, { { "role", "router" }, { "vm", settings.vm }, { "innerPort", innerPort }, { "callersPort", router->callersPort() }, { "adminPort", router->adminPort() } });
 
     waitForStopSignal();
-    Observability::logEvent(ProcessStopping, { { "vm", settings.vm }, { "running", router->runningRequests() } });
+    Observability::logEvent(processStopping, { { "vm", settings.vm }, { "running", router->runningRequests() } });
     stack.node().publishLeaving();
     router->drain(drainLimit);
     stack.node().stop();
     server->Shutdown(std::chrono::system_clock::now() + std::chrono::seconds(1));
-    Observability::logEvent(ProcessStopped, { { "vm", settings.vm } });
+    Observability::logEvent(processStopped, { { "vm", settings.vm } });
 }
 
 } // namespace Lavenderloft::Process
--- a/Source/Process/RouterProcess.cpp
+++ b/Source/Process/RouterProcess.cpp
@@ -182,7 +182,7 @@
         released->set_value();
     });
     m_state->start();
-    logEvent(ProcessStarted, { { "role", "router" }, { "vm", m_state->parts.settings.vm }, { "callersPort", callersPort() }, { "adminPort", adminPort() } });
+    logEvent(processStarted, { { "role", "router" }, { "vm", m_state->parts.settings.vm }, { "callersPort", callersPort() }, { "adminPort", adminPort() } });
 }
 
 RouterProcess::~RouterProcess()
@@ -191,7 +191,7 @@
     m_state->callers->stop();
     m_state->admin->stop();
     auto abandoned = Routing::Commands::abandonRequests(m_state->running);
-    logEvent(ProcessStopped, { { "role", "router" }, { "vm", m_state->parts.settings.vm }, { "abandoned", abandoned } });
+    logEvent(processStopped, { { "role", "router" }, { "vm", m_state->parts.settings.vm }, { "abandoned", abandoned } });
     // Callbacks of attempts that were just cancelled may still use the state.
     m_state.reset();
     m_released.wait();
@@ -229,7 +229,7 @@
 
 bool RouterProcess::drain(Base::Duration limit)
 {
-    logEvent(ProcessStopping, { { "role", "router" }, { "running", runningRequests() } });
+    logEvent(processStopping, { { "role", "router" }, { "running", runningRequests() } });
     m_state->draining = true;
     m_state->parts.control.publishLeaving();
     m_state->callers->drain();
--- a/Utilities/Bench/BenchTable.cpp
+++ b/Utilities/Bench/BenchTable.cpp
@@ -1,6 +1,7 @@
 #include "Bench/BenchTable.h"
 
 #include "Bench/LoadBench.h"
+#include "Bench/PermitsBench.h"
 #include "Bench/RolloutCommand.h"
 #include "Bench/SlowReadersBench.h"
 #include "Bench/Spread/SpreadCommand.h"
@@ -12,6 +13,7 @@
 {
     std::vector<std::unique_ptr<CommandLine::Command>> commands;
     commands.push_back(std::make_unique<LoadBench>());
+    commands.push_back(std::make_unique<PermitsBench>());
     commands.push_back(std::make_unique<RolloutCommand>());
     commands.push_back(std::make_unique<SlowReadersBench>());
     commands.push_back(std::make_unique<Spread::SpreadCommand>());
--- a/Utilities/Bench/Spread/FleetNode.cpp
+++ b/Utilities/Bench/Spread/FleetNode.cpp
@@ -33,12 +33,13 @@
     return m_source.listVms();
 }
 
-FleetNode::FleetNode(const Settings::ProcessSettings& settings, Membership::Role role, uint64_t seed, const NetworkFaults& faults, Process::ConfigurationSource& source)
+FleetNode::FleetNode(const Settings::ProcessSettings& settings, Membership::Role role, uint64_t seed, const NetworkFaults& faults, std::unique_ptr<Process::ConfigurationSource> source)
     : m_settings(settings)
     , m_role(role)
     , m_random(seed)
     , m_peers(m_client, faults, m_random)
-    , m_source(source, m_separated)
+    , m_platform(std::move(source))
+    , m_source(*m_platform, m_separated)
 {
 }
 
--- a/Utilities/Bench/Spread/FleetNode.h
+++ b/Utilities/Bench/Spread/FleetNode.h
@@ -28,6 +28,7 @@
 
     Base::Result<std::optional<std::string>, Process::SourceError> read(uint64_t afterRevision, std::chrono::milliseconds wait) override;
     Base::Result<std::vector<Process::ListedVm>, Process::SourceError> listVms() override;
+    void shutDown() override { m_source.shutDown(); }
 
 private:
     Process::ConfigurationSource& m_source;
@@ -37,7 +38,7 @@
 // The control plane of one process with its own gRPC server on loopback.
 class FleetNode {
 public:
-    FleetNode(const Settings::ProcessSettings&, Membership::Role, uint64_t seed, const NetworkFaults&, Process::ConfigurationSource&);
+    FleetNode(const Settings::ProcessSettings&, Membership::Role, uint64_t seed, const NetworkFaults&, std::unique_ptr<Process::ConfigurationSource>);
     ~FleetNode();
 
     void start(std::vector<std::string> seeds);
@@ -60,6 +61,7 @@
     Transport::ControlServiceClient m_client;
     FaultyPeerClient m_peers;
     std::atomic<bool> m_separated { false };
+    std::unique_ptr<Process::ConfigurationSource> m_platform;
     SeparableSource m_source;
     std::unique_ptr<Process::ControlNode> m_control;
     std::unique_ptr<Transport::ControlServiceServer> m_service;
--- a/Utilities/Bench/Spread/SpreadBenchmark.cpp
+++ b/Utilities/Bench/Spread/SpreadBenchmark.cpp
@@ -55,8 +55,6 @@
     , m_service(Standin::ConfigurationOptions {})
     , m_vmList(Standin::VmListOptions {})
 {
-    m_source = std::make_unique<Process::HttpConfigurationSource>(
-        Http::Endpoint { "127.0.0.1", m_service.port() }, Http::Endpoint { "127.0.0.1", m_vmList.port() });
 }
 
 SpreadReport SpreadBenchmark::run()
@@ -97,13 +95,19 @@
         settings.region = "region-" + std::to_string(i % m_options.dataCentres / 4);
         settings.inner = "127.0.0.1:0";
         auto role = i % 8 ? Membership::Role::Agent : Membership::Role::Router;
-        m_nodes.push_back(std::make_unique<FleetNode>(settings, role, m_options.seed * 100003 + i, m_faults, *m_source));
+        m_nodes.push_back(std::make_unique<FleetNode>(settings, role, m_options.seed * 100003 + i, m_faults, makeSource()));
         std::vector<std::string> seeds(addresses.begin(), addresses.begin() + static_cast<long>(std::min(seedsPerNode, addresses.size())));
         m_nodes.back()->start(seeds);
         addresses.push_back(m_nodes.back()->address());
     }
 }
 
+std::unique_ptr<Process::ConfigurationSource> SpreadBenchmark::makeSource() const
+{
+    return std::make_unique<Process::HttpConfigurationSource>(
+        Http::Endpoint { "127.0.0.1", m_service.port() }, Http::Endpoint { "127.0.0.1", m_vmList.port() });
+}
+
 size_t SpreadBenchmark::countHolding(uint64_t revision)
 {
     size_t holding = 0;
@@ -201,6 +205,7 @@
 {
     nlohmann::ordered_json document;
     document["revision"] = revision;
+    document["services"] = nlohmann::ordered_json::array();
     for (size_t i = 0; i <= (m_options.dataCentres - 1) / 4; ++i)
         document["regions"].push_back({ { "name", "region-" + std::to_string(i) } });
     for (size_t i = 0; i < m_options.dataCentres; ++i)
--- a/Utilities/Bench/Spread/SpreadBenchmark.h
+++ b/Utilities/Bench/Spread/SpreadBenchmark.h
@@ -58,6 +58,7 @@
 
 private:
     void startNodes();
+    std::unique_ptr<Process::ConfigurationSource> makeSource() const;
     bool waitForMembers();
     bool waitForRevision(uint64_t revision);
     void measureQuietTime();
@@ -72,7 +73,6 @@
     NetworkFaults m_faults;
     Standin::ConfigurationService m_service;
     Standin::VmList m_vmList;
-    std::unique_ptr<Process::HttpConfigurationSource> m_source;
     std::vector<std::unique_ptr<FleetNode>> m_nodes;
     // Greatest revision seen in force at each node.
     std::vector<uint64_t> m_seenRevisions;
--- a/Utilities/Bench/Spread/SpreadCommand.cpp
+++ b/Utilities/Bench/Spread/SpreadCommand.cpp
@@ -1,6 +1,7 @@
 #include "Bench/Spread/SpreadCommand.h"
 
 #include "Bench/Spread/SpreadBenchmark.h"
+#include "Observability/Log.h"
 
 #include <algorithm>
 #include <iostream>
@@ -83,6 +84,7 @@
     spread.changes = static_cast<size_t>(changes);
     spread.pools = static_cast<size_t>(pools);
     spread.fault = faultNames.at(fault);
+    Observability::configureLogging(Observability::Level::Info, Observability::Layout::Plain);
     auto report = SpreadBenchmark(spread).run();
     std::cout << toJson(spread, fault, report).dump(2) << '\n';
     bool held = report.converged && !report.revisionsLost && !report.reverted;
