Announce revisions at a rate that does not grow with the fleet

Updates were also sent on three times as often as needed. Change: the revision travels in direct exchanges and is announced at most once in 50 ms for each member; updates are sent on log2(n) + 2 times.

--- a/Source/Membership/Commands/MergeMembers.cpp
+++ b/Source/Membership/Commands/MergeMembers.cpp
@@ -60,6 +60,7 @@
             return;
         if (precedence(report) == precedence(entry.member)) {
             entry.member.load = report.load;
+            entry.member.revision = std::max(entry.member.revision, report.revision);
             return;
         }
         auto oldHash = MemberTable::hashOf(entry.member);
--- a/Source/Membership/Commands/UpdateSelf.cpp
+++ b/Source/Membership/Commands/UpdateSelf.cpp
@@ -20,7 +20,7 @@
 
     bool isWorthAnnouncing(const Member& before, const Member& after)
     {
-        if (before.status != after.status || before.revision != after.revision || before.refusedDocument != after.refusedDocument)
+        if (before.status != after.status || before.refusedDocument != after.refusedDocument)
             return true;
         if (before.load.accepting != after.load.accepting || before.load.limit != after.load.limit)
             return true;
@@ -41,6 +41,19 @@
     m_table.recordChange(0, MemberTable::hashOf(self));
 }
 
+void UpdateSelf::announce()
+{
+    m_table.entries().withShard(m_table.selfVm(), [&](auto& entries) {
+        auto found = entries.find(m_table.selfVm());
+        if (found == entries.end())
+            return;
+        auto oldHash = MemberTable::hashOf(found->second.member);
+        ++found->second.member.version;
+        found->second.timesSent = 0;
+        m_table.recordChange(oldHash, MemberTable::hashOf(found->second.member));
+    });
+}
+
 void UpdateSelf::execute(const std::function<void(Member&)>& change, Base::TimePoint now)
 {
     m_table.entries().withShard(m_table.selfVm(), [&](auto& entries) {
--- a/Source/Membership/Commands/UpdateSelf.h
+++ b/Source/Membership/Commands/UpdateSelf.h
@@ -7,7 +7,8 @@
 namespace Lavenderloft::Membership::Commands {
 
 // Changes the record of this process in the view. The version grows, and the record is sent on, when
-// anything but the load and small progress of a transfer changed: those change too often to be gossiped.
+// anything but the load, the revision and small progress of a transfer changed: those change too often to
+// be gossiped.
 class UpdateSelf {
 public:
     explicit UpdateSelf(MemberTable& table)
@@ -18,6 +19,9 @@
     // Enters the record for the first time.
     void introduce(const Member&, Base::TimePoint now);
 
+    // Sends the record on although nothing that is worth it changed, such as the revision alone.
+    void announce();
+
     void execute(const std::function<void(Member&)>& change, Base::TimePoint now);
 
 private:
--- a/Source/Membership/Queries/SelectUpdates.cpp
+++ b/Source/Membership/Queries/SelectUpdates.cpp
@@ -10,11 +10,11 @@
 
 namespace {
 
-    // An update sent this often by each process that learns of it reaches all but about one process
-    // in n squared; the pages of differing views reach the rest.
+    // An update sent this often by each process that learns of it reaches nearly all; the pages of
+    // differing views reach the rest.
     unsigned transmissionLimit(size_t members)
     {
-        return 3 * static_cast<unsigned>(std::bit_width(members));
+        return 2 + static_cast<unsigned>(std::bit_width(members));
     }
 
 } // namespace
--- a/Source/Process/ControlNode.cpp
+++ b/Source/Process/ControlNode.cpp
@@ -50,6 +50,9 @@
     constexpr auto neverConfirmed = std::chrono::hours(1);
     constexpr auto readerListInterval = 5s;
     constexpr auto listInterval = 30s;
+    // Time for each member of the fleet between two announcements of the revision in force: every process
+    // hears of every announcement, so that the bytes a second must not grow with the fleet.
+    constexpr auto announcementInterval = 50ms;
     // Peers that hear of a new document at once; each of them tells as many again.
     constexpr size_t spreadFanout = 3;
 
@@ -247,6 +250,7 @@
     // Without any peer, or with none that answers, the process goes on with what it has.
     if (!m_synchronised && (m_heardPeer || NextRead(m_schedule).mayTrustService(now)))
         finishSynchronising();
+    announceRevision();
     notifyIfChanged();
     updateMetrics();
 }
@@ -477,6 +481,17 @@
         callback();
 }
 
+void ControlNode::announceRevision()
+{
+    auto revision = self().revision;
+    auto now = m_parts.clock.now();
+    if (revision == m_announcedRevision || now - m_announcedAt < announcementInterval * m_table.entries().size())
+        return;
+    m_announcedRevision = revision;
+    m_announcedAt = now;
+    UpdateSelf(m_table).announce();
+}
+
 void ControlNode::updateMetrics()
 {
     auto current = m_revisions.current();
--- a/Source/Process/ControlNode.h
+++ b/Source/Process/ControlNode.h
@@ -83,6 +83,7 @@
     void notifyIfChanged();
     void spreadNow();
     void finishSynchronising();
+    void announceRevision();
     void updateMetrics();
     Base::Duration confirmationAge() const;
 
@@ -98,6 +99,8 @@
     std::atomic<bool> m_fetching { false };
     std::atomic<uint64_t> m_pageCursor { 0 };
     std::atomic<uint64_t> m_notifiedChange { 0 };
+    uint64_t m_announcedRevision = 0;
+    Base::TimePoint m_announcedAt {};
     std::atomic<uint64_t> m_ticks { 0 };
     // Processes in the list of VMs; 0 until it was read.
     std::atomic<size_t> m_fleetSize { 0 };
--- a/Tests/Membership/MembershipTest.cpp
+++ b/Tests/Membership/MembershipTest.cpp
@@ -95,8 +95,8 @@
     cr_assert(statusOf(*table, "self") == Status::Leaving);
 }
 
-// Guards against gossip traffic that grows with load reports instead of with changes.
-Test(Membership, loadAloneIsNotAnnounced)
+// Guards against gossip traffic that grows with load reports, or with the fleet at each new revision.
+Test(Membership, loadAndRevisionAloneAreNotAnnounced)
 {
     Base::ManualClock clock;
     auto table = makeTable("self", clock.now());
@@ -104,6 +104,8 @@
     Commands::UpdateSelf(*table).execute([](Member& self) { self.load.running = 7; }, clock.now());
     cr_assert_eq(table->viewHash(), before);
     Commands::UpdateSelf(*table).execute([](Member& self) { self.revision = 7; }, clock.now());
+    cr_assert_eq(table->viewHash(), before);
+    Commands::UpdateSelf(*table).execute([](Member& self) { self.status = Status::Leaving; }, clock.now());
     cr_assert_neq(table->viewHash(), before);
 }
 
