Leave a tier whose targets have no free slot

Cause: after a data centre returned, its router sent all its requests to its own cold targets, whose queues grew while the others had room: nothing refused, so the tier was never left. Change: the nearest tier whose choice has a free slot is used; when none has one, the shortest wait wins. A test covers it.

--- a/Source/Routing/Queries/SelectTarget.cpp
+++ b/Source/Routing/Queries/SelectTarget.cpp
@@ -21,18 +21,38 @@
         return static_cast<size_t>(std::count_if(targets.begin(), targets.end(), [&](auto& target) { return target->tier() == tier; }));
     }
 
-    // Targets of the first tier that has some left and was not left after refusals; else any that are left.
-    Targets bestTier(const Targets& left, const Targets& tried)
+    // The targets of each tier that has some left and was not left after refusals, the nearest first;
+    // when every tier was left, all targets together.
+    std::vector<Targets> listTiers(const Targets& left, const Targets& tried)
     {
+        std::vector<Targets> tiers;
         for (auto tier : { Tier::SameDataCentre, Tier::SameRegion, Tier::OtherRegion }) {
             if (countOfTier(tried, tier) >= refusalsPerTier)
                 continue;
             Targets candidates;
             std::copy_if(left.begin(), left.end(), std::back_inserter(candidates), [&](auto& target) { return target->tier() == tier; });
             if (!candidates.empty())
-                return candidates;
+                tiers.push_back(std::move(candidates));
         }
-        return left;
+        if (tiers.empty())
+            tiers.push_back(left);
+        return tiers;
+    }
+
+    // The choice of the nearest tier whose choice has a free slot. Without this, a data centre that has
+    // just returned would keep its own requests waiting at cold targets while others have room. When no
+    // choice has a free slot, the shortest wait wins.
+    std::shared_ptr<Target> chooseAcrossTiers(const std::vector<Targets>& tiers, const TargetPolicy& policy, uint64_t prefix, Base::RandomSource& random)
+    {
+        std::shared_ptr<Target> best;
+        for (auto& candidates : tiers) {
+            auto& target = candidates[policy.choose(candidates, prefix, random)];
+            if (target->relativeLoad() < 1)
+                return target;
+            if (!best || target->relativeLoad() < best->relativeLoad())
+                best = target;
+        }
+        return best;
     }
 
     // Targets that refused or broke lately are used only when no other is left.
@@ -69,10 +89,10 @@
     if (left.empty())
         return { nullptr, "all-targets-tried" };
     auto candidates = preferResponsive(std::move(left), now);
-    if (!policy.wantsAllTiers())
-        candidates = bestTier(candidates, tried);
-    auto& target = candidates[policy.choose(candidates, request.prefix, random)];
-    return { target, policy.wantsAllTiers() ? policy.name() : tierReasons[static_cast<size_t>(target->tier())] };
+    if (policy.wantsAllTiers())
+        return { candidates[policy.choose(candidates, request.prefix, random)], policy.name() };
+    auto target = chooseAcrossTiers(listTiers(candidates, tried), policy, request.prefix, random);
+    return { target, tierReasons[static_cast<size_t>(target->tier())] };
 }
 
 } // namespace Lavenderloft::Routing::Queries
--- a/Tests/Routing/SelectionTest.cpp
+++ b/Tests/Routing/SelectionTest.cpp
@@ -86,6 +86,24 @@
     cr_assert(reasons == (std::vector<std::string_view> { "same-data-centre", "same-data-centre", "same-region", "same-region", "other-region", "other-region" }));
 }
 
+// Guards against requests that wait at full or cold targets of the own data centre while others have room.
+Test(Selection, leavesATierWithoutAFreeSlot)
+{
+    RoutingFixture fixture(2);
+    addMembers(fixture, "region", 2, "dc-2", "r-1");
+    auto load = [&](const std::string& vm, unsigned running, unsigned limit) {
+        (*fixture.targets.vms().find(vm))->setLoad({ running, limit, 0, 0, true });
+    };
+    load("t1", 2, 2);
+    load("t2", 3, 2);
+    cr_assert(targetsOf(fixture, fixture.policy) == (std::set<std::string> { "region1", "region2" }));
+    load("region1", 32, 16);
+    load("region2", 32, 16);
+    cr_assert(targetsOf(fixture, fixture.policy) == std::set<std::string> { "t1" }, "with no free slot the shortest wait wins");
+    load("t2", 1, 2);
+    cr_assert(targetsOf(fixture, fixture.policy) == std::set<std::string> { "t2" });
+}
+
 // Guards against a full mesh at the planned size, and against a subset without a way out of the data centre.
 Test(Selection, keepsASubsetOfALargePool)
 {
