Add counting bounds of the live path to ctest and a bounds file

Cause: the benchmarks' counts had no check and the readers could not tell a cut answer from a whole one before they had read to its end. Change: slow readers read on to the end after the measurement; test-LivePath checks the counts; lavenderloft-bench bounds compares reports with the stated targets in live-path-bounds.json.

--- /dev/null
+++ b/Tests/LivePath/LivePathTest.cpp
@@ -0,0 +1,40 @@
+#include "Bench/SlowReadersBench.h"
+#include "Bench/ZoneLeaveBench.h"
+
+#include <criterion/criterion.h>
+
+using namespace Lavenderloft::Bench;
+
+// Guards against calls that are lost, cut or run twice while a data centre leaves and returns, and
+// against new work in it once everyone knows (invariants I3, I4, I6 and I7).
+Test(LivePath, losesNothingWhileADataCentreLeaves)
+{
+    ZoneLeaveOptions options;
+    options.undisturbedSeconds = 2;
+    options.outSeconds = 3;
+    options.returnSeconds = 3;
+    options.seed = 5;
+    auto result = runZoneLeave(options, false);
+    cr_assert_gt(result.calls, 0);
+    cr_assert_eq(result.lostOrCut, 0);
+    cr_assert_eq(result.doubled, 0);
+    cr_assert_eq(result.refusedHazard, 0);
+    cr_assert_eq(result.permitsWhileOut, 0);
+    cr_assert_gt(result.permitsAfterReturn, 0, "the data centre must get work again");
+}
+
+// Guards against memory that grows with the number of slow readers, against a cut answer that looks
+// whole or a whole one that is short, and against fast callers who fail beside them.
+Test(LivePath, holdsSlowReadersWithinTheBudget)
+{
+    SlowReadersOptions options;
+    options.readers = 300;
+    options.seconds = 1;
+    options.budgetMebibytes = 8;
+    auto result = runSlowReaders(options, false);
+    cr_assert_leq(result.peakHeldBytes, result.budgetBytes);
+    cr_assert_gt(result.readersCut, 0, "300 readers hold more than 8 MiB");
+    cr_assert_eq(result.answersCut, result.readersCut);
+    cr_assert_eq(result.answersWhole, result.readers - result.readersCut);
+    cr_assert_eq(result.fastFailed, 0);
+}
--- a/Utilities/Bench/BenchTable.cpp
+++ b/Utilities/Bench/BenchTable.cpp
@@ -1,5 +1,6 @@
 #include "Bench/BenchTable.h"
 
+#include "Bench/BoundsCommand.h"
 #include "Bench/LoadBench.h"
 #include "Bench/SlowReadersBench.h"
 #include "Bench/ZoneLeaveBench.h"
@@ -12,6 +13,7 @@
     commands.push_back(std::make_unique<LoadBench>());
     commands.push_back(std::make_unique<SlowReadersBench>());
     commands.push_back(std::make_unique<ZoneLeaveBench>());
+    commands.push_back(std::make_unique<BoundsCommand>());
     return commands;
 }
 
--- /dev/null
+++ b/Utilities/Bench/BoundsCommand.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "CommandLine/Command.h"
+
+namespace Lavenderloft::Bench {
+
+// Compares reports of benchmarks with a bounds file: a list of objects with the benchmark's name, a
+// JSON pointer into its report and "max" or "min". Bounds come from the stated targets.
+class BoundsCommand final : public CommandLine::Command {
+public:
+    std::string name() const override { return "bounds"; }
+    std::string argumentSynopsis() const override { return "BOUNDS REPORT..."; }
+    std::string summary() const override { return "Compares JSON reports of benchmarks with a bounds file; exit code 1 if one is missed."; }
+    CommandLine::ExitCode run(const std::vector<std::string>& arguments) override;
+};
+
+} // namespace Lavenderloft::Bench
--- a/Utilities/Bench/SlowReaders.cpp
+++ b/Utilities/Bench/SlowReaders.cpp
@@ -1,6 +1,7 @@
 #include "Bench/SlowReaders.h"
 
 #include <boost/asio.hpp>
+#include <condition_variable>
 #include <mutex>
 #include <string_view>
 #include <thread>
@@ -16,6 +17,10 @@
     // A small window, so that the kernel does not read on the reader's behalf.
     constexpr int receiveBufferBytes = 8 * 1024;
 
+    // Reading at full speed.
+    constexpr size_t fastBytesPerRead = 64 * 1024;
+    constexpr std::chrono::milliseconds fastInterval { 1 };
+
     constexpr std::string_view finalChunk = "\r\n0\r\n\r\n";
 
 } // namespace
@@ -39,6 +44,7 @@
     std::chrono::milliseconds interval {};
     std::thread thread;
     mutable std::mutex lock;
+    std::condition_variable ended;
     SlowReaderCounts counts;
 
     void connect(const Http::Endpoint& endpoint, const std::string& path)
@@ -62,7 +68,8 @@
         std::lock_guard guard(lock);
         if (error) {
             reader.closed = true;
-            ++counts.closed;
+            ++counts.cut;
+            ended.notify_all();
             return;
         }
         counts.bytesRead += count;
@@ -72,6 +79,7 @@
             return;
         reader.closed = true;
         ++counts.whole;
+        ended.notify_all();
         reader.socket.close(error);
     }
 
@@ -106,9 +114,14 @@
     m_state->thread.join();
 }
 
-SlowReaderCounts SlowReaders::counts() const
+SlowReaderCounts SlowReaders::finish(std::chrono::seconds limit)
 {
-    std::lock_guard guard(m_state->lock);
+    asio::post(m_state->context, [state = m_state.get()] {
+        state->bytesPerRead = fastBytesPerRead;
+        state->interval = fastInterval;
+    });
+    std::unique_lock guard(m_state->lock);
+    m_state->ended.wait_for(guard, limit, [this] { return m_state->counts.cut + m_state->counts.whole == m_state->counts.connected; });
     return m_state->counts;
 }
 
--- a/Utilities/Bench/SlowReaders.h
+++ b/Utilities/Bench/SlowReaders.h
@@ -9,8 +9,8 @@
 
 struct SlowReaderCounts {
     unsigned connected = 0;
-    // Connections that the router has closed, and those of them that had got the final chunk.
-    unsigned closed = 0;
+    // Answers that ended without the final chunk, and with it.
+    unsigned cut = 0;
     unsigned whole = 0;
     uint64_t bytesRead = 0;
 };
@@ -22,7 +22,8 @@
     SlowReaders(Http::Endpoint, std::string path, unsigned count, size_t bytesPerRead, std::chrono::milliseconds interval);
     ~SlowReaders();
 
-    SlowReaderCounts counts() const;
+    // Reads on at full speed until every answer has ended, at most for the time given.
+    SlowReaderCounts finish(std::chrono::seconds limit);
 
 private:
     struct State;
--- a/Utilities/Bench/SlowReadersBench.cpp
+++ b/Utilities/Bench/SlowReadersBench.cpp
@@ -25,6 +25,9 @@
     constexpr size_t partBytes = 16 * 1024;
     constexpr size_t bytesPerRead = 256;
     constexpr std::chrono::milliseconds readInterval { 200 };
+    // Ends a hang.
+    constexpr std::chrono::seconds finishLimit { 60 };
+
     constexpr unsigned manyRequests = 100000;
 
     void runAgents(ParentLink& parent, const SlowReadersOptions& options)
@@ -88,12 +91,15 @@
         return {
             { "budgetBytes", result.budgetBytes },
             { "peakHeldBytes", result.peakHeldBytes },
+            { "heldOfBudget", static_cast<double>(result.peakHeldBytes) / static_cast<double>(result.budgetBytes) },
             { "residentBytesBefore", result.residentBytesBefore },
             { "residentBytesBurst", result.residentBytesBurst },
             { "residentBytesSettled", result.residentBytesSettled },
             { "readers", result.readers },
             { "readersCut", result.readersCut },
-            { "cutButWhole", result.cutButWhole },
+            { "answersCut", result.answersCut },
+            { "answersWhole", result.answersWhole },
+            { "cutButWhole", static_cast<int>(result.readersCut) - static_cast<int>(result.answersCut) },
             { "fastCalls", result.fastCalls },
             { "fastFailed", result.fastFailed },
             { "medianAloneMs", result.medianAloneMs },
@@ -130,12 +136,13 @@
     result.residentBytesBurst = router.residentBytes();
     auto beside = generator.runPaced(options.rate, duration, fastCall);
     result.residentBytesSettled = router.residentBytes();
+    auto counts = readers.finish(finishLimit);
     router.writeLine("report");
     result.peakHeldBytes = std::stoull(router.readLine());
     result.readersCut = static_cast<unsigned>(std::stoul(router.readLine()));
-    auto counts = readers.counts();
     result.readers = counts.connected;
-    result.cutButWhole = counts.whole;
+    result.answersCut = counts.cut;
+    result.answersWhole = counts.whole;
     result.fastCalls = alone.size() + beside.size();
     result.fastFailed = countFailed(alone) + countFailed(beside);
     result.medianAloneMs = percentile(alone, 0.5, any);
--- a/Utilities/Bench/SlowReadersBench.h
+++ b/Utilities/Bench/SlowReadersBench.h
@@ -25,8 +25,10 @@
     uint64_t residentBytesBurst = 0;
     uint64_t residentBytesSettled = 0;
     unsigned readers = 0;
+    // Streams that the router cut, and answers that ended without and with the final chunk.
     unsigned readersCut = 0;
-    unsigned cutButWhole = 0;
+    unsigned answersCut = 0;
+    unsigned answersWhole = 0;
     size_t fastCalls = 0;
     size_t fastFailed = 0;
     double medianAloneMs = 0;
--- a/Utilities/Bench/ZoneLeaveBench.cpp
+++ b/Utilities/Bench/ZoneLeaveBench.cpp
@@ -278,6 +278,7 @@
             { "interactiveP95UndisturbedMs", result.interactiveP95UndisturbedMs },
             { "interactiveP95DisturbedMs", result.interactiveP95DisturbedMs },
             { "newWorkEndsAfterMs", result.newWorkEndsAfterMs },
+            { "permitsWhileOut", result.permitsWhileOut },
             { "permitsAfterReturn", result.permitsAfterReturn },
         };
     }
@@ -293,6 +294,7 @@
     SteadyClock::duration returnAt = leaveAt + std::chrono::seconds(options.outSeconds);
     SteadyClock::duration endAt = returnAt + std::chrono::seconds(options.returnSeconds);
     auto startAt = SteadyClock::now();
+    uint64_t permitsWhenKnown = 0;
     uint64_t permitsAtReturn = 0;
     SteadyClock::time_point lastPermit;
 
@@ -305,6 +307,7 @@
             script.at(returnAt + routerDelays[i], [&fleet, i] { fleet.tellRouter(i, false); });
         }
         script.at(leaveAt + agentDelay, [&] { fleet.tellAgents(true); });
+        script.at(leaveAt + routerDelays.back() + 1ms, [&] { permitsWhenKnown = fleet.permitsOfLeaver(); });
         script.at(returnAt, [&] {
             permitsAtReturn = fleet.permitsOfLeaver();
             lastPermit = fleet.lastPermitOfLeaver();
@@ -321,6 +324,7 @@
     }
     countCalls(results, result);
     result.doubled = fleet.countDoubled();
+    result.permitsWhileOut = permitsAtReturn - permitsWhenKnown;
     result.permitsAfterReturn = fleet.permitsOfLeaver() - permitsAtReturn;
     result.newWorkEndsAfterMs = std::chrono::duration<double, std::milli>(lastPermit - (startAt + leaveAt)).count();
     auto within = [](Group group, SteadyClock::duration from, SteadyClock::duration to) {
--- a/Utilities/Bench/ZoneLeaveBench.h
+++ b/Utilities/Bench/ZoneLeaveBench.h
@@ -35,6 +35,8 @@
     double interactiveP95DisturbedMs = 0;
     // From the order of the operators to the last permit in the data centre that left.
     double newWorkEndsAfterMs = 0;
+    // Permits in the data centre that left, from when all routers and agents knew to its return.
+    uint64_t permitsWhileOut = 0;
     uint64_t permitsAfterReturn = 0;
 };
 
