Test that a silent connection is replaced

Cause: keep-alive was configured but no test showed that a connection which stops responding while new ones work is left. Change: a proxy freezes the open connection between router and agent.

--- a/Tests/Routing/RouterProcessTest.cpp
+++ b/Tests/Routing/RouterProcessTest.cpp
@@ -4,6 +4,7 @@
 #include "Bench/FakeControl.h"
 #include "Http/HttpClient.h"
 #include "Process/RouterBuilder.h"
+#include "Routing/FreezingProxy.h"
 
 #include <boost/asio.hpp>
 #include <criterion/criterion.h>
@@ -22,6 +23,7 @@
 public:
     explicit Fleet(Bench::FakeAgentOptions options = {})
         : model(withDigest(options))
+        , modelProxy(model.address())
         , service(options)
         , control(self())
     {
@@ -37,7 +39,7 @@
         document.routes = { { "/assistant", DesiredState::RouteKind::ToPool, "assistant", true, {} },
             { "/bookings", DesiredState::RouteKind::ToService, "ledger", false, {} } };
         control.setDocument(document);
-        control.setMembers({ agent("mak-t1", "assistant", digest, model), agent("ledger-1", "ledger", "", service) });
+        control.setMembers({ agent("mak-t1", "assistant", digest, model.load(), modelProxy.address()), agent("ledger-1", "ledger", "", service.load(), service.address()) });
         Settings::ProcessSettings settings;
         settings.vm = "router-1";
         settings.callers = "127.0.0.1:0";
@@ -58,6 +60,7 @@
     }
 
     Bench::FakeAgent model;
+    FreezingProxy modelProxy;
     Bench::FakeAgent service;
     Bench::FakeControl control;
     Base::SystemClock clock;
@@ -81,13 +84,13 @@
         return member;
     }
 
-    static Membership::Member agent(std::string vm, std::string pool, std::string serving, Bench::FakeAgent& agent)
+    static Membership::Member agent(std::string vm, std::string pool, std::string serving, const Membership::TargetLoad& load, std::string address)
     {
         Membership::Member member = self();
         member.vm = std::move(vm);
-        member.address = agent.address();
+        member.address = std::move(address);
         member.role = Membership::Role::Agent;
-        member.load = agent.load();
+        member.load = load;
         member.replicas.resize(1);
         member.replicas[0].pool = std::move(pool);
         member.replicas[0].servingDigest = std::move(serving);
@@ -164,6 +167,18 @@
     cr_assert_eq(Base::valueOf(response).status, 200);
 }
 
+// Guards against requests that hang until their deadline on a connection that has stopped responding
+// for good while new connections work.
+Test(RouterProcess, replacesASilentConnection)
+{
+    Fleet fleet;
+    cr_assert_eq(Base::valueOf(fleet.post("/assistant", "before")).status, 200);
+    fleet.modelProxy.freeze();
+    auto response = fleet.post("/assistant", "after", { { "X-Deadline-Ms", "15000" } });
+    cr_assert(Base::succeeded(response));
+    cr_assert_eq(Base::valueOf(response).status, 200);
+}
+
 // Guards against malformed and slow senders that keep others from being served.
 Test(RouterProcess, servesOthersBesideMalformedAndSlowSenders)
 {
