--- a/Utilities/Bench/LoadBench.cpp
+++ b/Utilities/Bench/LoadBench.cpp
@@ -6,8 +6,10 @@
 #include "Bench/BenchOptions.h"
 #include "Bench/ChildProcess.h"
 #include "Bench/LoadGenerator.h"
+#include "Observability/Log.h"
 #include "Process/RouterBuilder.h"
 
+#include <cstdio>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -25,6 +27,8 @@
         int connections = 64;
         int rate = 1000;
         int seed = 1;
+        // Whether the router writes its log lines, to /dev/null.
+        int log = 1;
     };
 
     void runAgents(ParentLink& parent)
@@ -42,8 +46,10 @@
         parent.readLine();
     }
 
-    void runRouter(ParentLink& parent, uint64_t seed)
+    void runRouter(ParentLink& parent, const LoadOptions& options)
     {
+        if (options.log && std::freopen("/dev/null", "w", stderr))
+            Observability::configureLogging(Observability::Level::Info, Observability::Layout::Plain);
         Base::SystemClock clock;
         Observability::Metrics metrics;
         FakeControl control(makeRouterMember("router-1", "dc-1"));
@@ -55,7 +61,7 @@
             members.push_back(makeAgentMember("agent-" + std::to_string(members.size()), address, "dc-1", "small", { 0, 1000, 0, 0, true }));
         control.setMembers(members);
         auto router = Process::RouterBuilder(makeRouterSettings("router-1", streamBudgetBytes), control, clock, metrics)
-                          .random(std::make_shared<Base::SeededRandom>(seed))
+                          .random(std::make_shared<Base::SeededRandom>(static_cast<uint64_t>(options.seed)))
                           .build();
         parent.writeLine(std::to_string(router->callersPort()));
         parent.readLine();
@@ -103,10 +109,10 @@
 CommandLine::ExitCode LoadBench::run(const std::vector<std::string>& arguments)
 {
     LoadOptions options;
-    if (!parseOptions(arguments, { { "seconds", &options.seconds, "length of each phase" }, { "connections", &options.connections, "connections of the closed loop" }, { "rate", &options.rate, "calls a second of the paced phase" }, { "seed", &options.seed, "seed of the router's random source" } }))
+    if (!parseOptions(arguments, { { "seconds", &options.seconds, "length of each phase" }, { "connections", &options.connections, "connections of the closed loop" }, { "rate", &options.rate, "calls a second of the paced phase" }, { "seed", &options.seed, "seed of the router's random source" }, { "log", &options.log, "1 to write the router's log lines to /dev/null, 0 for no log" } }))
         return CommandLine::ExitCode::Usage;
     ChildProcess agents(runAgents);
-    ChildProcess router([&](ParentLink& parent) { runRouter(parent, static_cast<uint64_t>(options.seed)); });
+    ChildProcess router([&](ParentLink& parent) { runRouter(parent, options); });
     router.useProcessors(0, routerProcessors);
     router.writeLine(agents.readLine());
     LoadGenerator generator({ { "127.0.0.1", static_cast<uint16_t>(std::stoi(router.readLine())) } });
@@ -116,6 +122,7 @@
     nlohmann::ordered_json report;
     report["benchmark"] = "load";
     report["seed"] = options.seed;
+    report["log"] = options.log != 0;
     report["routerProcessors"] = routerProcessors;
     report["sequential"] = measure(router, [&] { return generator.runClosed(1, duration, smallCall); });
     report["paced"] = measure(router, [&] { return generator.runPaced(options.rate, duration, smallCall); });
