Bound request bytes, close unused channels, send no chunks without a body

Cause: bodies of requests under way were bounded only by the number of connections; channels to agents that had left stayed open with their pings; an answer to HEAD or with status 204 or 304 was sent with chunks. Change: request bodies under way are charged to a budget of streamBudgetBytes; channels to unknown addresses are closed with each change of the members; such answers are sent as a head alone. Tests cover the first and the last.

--- a/Source/Process/CallerHandler.cpp
+++ b/Source/Process/CallerHandler.cpp
@@ -95,19 +95,47 @@
     // Encodes one answer as HTTP.
     class HttpAnswerSink final : public Routing::AnswerSink {
     public:
-        explicit HttpAnswerSink(std::shared_ptr<Http::ResponseStream> stream)
+        HttpAnswerSink(std::shared_ptr<Http::ResponseStream> stream, bool isHeadRequest)
             : m_stream(std::move(stream))
+            , m_isHeadRequest(isHeadRequest)
         {
         }
 
         void reject(const std::string& requestId, const Routing::RoutingError& error) override { m_stream->respond(encodeError(requestId, error)); }
-        void head(const std::string& requestId, const Routing::AnswerHead& head) override { m_stream->start(head.status, encodeHeaders(requestId, head)); }
-        void data(std::string bytes, std::function<void(bool)> written) override { m_stream->write(std::move(bytes), std::move(written)); }
-        void complete() override { m_stream->finish(); }
+
+        void head(const std::string& requestId, const Routing::AnswerHead& head) override
+        {
+            // Such answers have no body, so chunks would be taken for the next answer (RFC 9112, section 6.3).
+            m_isBodiless = m_isHeadRequest || head.status == 204 || head.status == 304;
+            if (m_isBodiless)
+                m_bodiless = { head.status, encodeHeaders(requestId, head), {} };
+            else
+                m_stream->start(head.status, encodeHeaders(requestId, head));
+        }
+
+        void data(std::string bytes, std::function<void(bool)> written) override
+        {
+            if (m_isBodiless)
+                written(true);
+            else
+                m_stream->write(std::move(bytes), std::move(written));
+        }
+
+        void complete() override
+        {
+            if (m_isBodiless)
+                m_stream->respond(std::move(m_bodiless));
+            else
+                m_stream->finish();
+        }
+
         void abort() override { m_stream->abort(); }
 
     private:
         std::shared_ptr<Http::ResponseStream> m_stream;
+        const bool m_isHeadRequest;
+        bool m_isBodiless = false;
+        Http::HttpResponse m_bodiless;
     };
 
     Routing::RoutingError notSynchronised()
@@ -126,6 +154,7 @@
 void CallerHandler::handle(Http::HttpRequest request, std::shared_ptr<Http::ResponseStream> stream)
 {
     auto context = m_context.lock();
+    bool isHeadRequest = request.method == "HEAD";
     auto document = m_control.document();
     if (!context || !document || !m_control.isSynchronised())
         return stream->respond(encodeError({}, notSynchronised()));
@@ -134,7 +163,7 @@
         context->metrics.count("errors_total", { { "code", std::string(Routing::codeName(Base::errorOf(read).code)) }, { "outcome", "not_run" } });
         return stream->respond(encodeError({}, Base::errorOf(read)));
     }
-    auto coordinator = std::make_shared<Routing::RequestCoordinator>(context, Base::takeValue(std::move(read)), std::make_shared<HttpAnswerSink>(stream));
+    auto coordinator = std::make_shared<Routing::RequestCoordinator>(context, Base::takeValue(std::move(read)), std::make_shared<HttpAnswerSink>(stream, isHeadRequest));
     stream->onDisconnect([weak = std::weak_ptr(coordinator)] {
         if (auto running = weak.lock())
             running->callerGone();
--- a/Source/Process/RouterProcess.cpp
+++ b/Source/Process/RouterProcess.cpp
@@ -11,6 +11,7 @@
 
 #include <condition_variable>
 #include <malloc.h>
+#include <set>
 #include <thread>
 
 namespace Lavenderloft::Process {
@@ -66,7 +67,8 @@
     explicit State(Parts routerParts)
         : parts(std::move(routerParts))
         , byteBudget(parts.settings.streamBudgetBytes)
-        , context { parts.clock, *parts.random, parts.metrics, *parts.policy, *parts.channels, targets, retryBudget, quarantine, running, byteBudget }
+        , requestBudget(parts.settings.streamBudgetBytes)
+        , context { parts.clock, *parts.random, parts.metrics, *parts.policy, *parts.channels, targets, retryBudget, quarantine, running, byteBudget, requestBudget }
     {
     }
 
@@ -115,8 +117,13 @@
 
     void refreshTargets()
     {
-        if (auto document = parts.control.document())
-            Routing::Commands::updateTargets(targets, *document, parts.control.members(), parts.control.self());
+        auto document = parts.control.document();
+        if (!document)
+            return;
+        Routing::Commands::updateTargets(targets, *document, parts.control.members(), parts.control.self());
+        std::set<std::string> addresses;
+        targets.vms().forEach([&](auto&, auto& target) { addresses.insert(target->address()); });
+        parts.channels->retain(addresses);
     }
 
     void keepHouse(Base::TimePoint now)
@@ -125,6 +132,7 @@
         returnFreedMemory();
         parts.metrics.set("requests_running", {}, static_cast<double>(running.size()));
         parts.metrics.set("stream_bytes_held", {}, static_cast<double>(byteBudget.heldBytes()));
+        parts.metrics.set("request_bytes_held", {}, static_cast<double>(requestBudget.heldBytes()));
         parts.metrics.set("stream_bytes_peak", {}, static_cast<double>(byteBudget.peakBytes()));
         parts.metrics.set("caller_connections", {}, static_cast<double>(callers->connectionCount()));
         targets.pools().forEach([&](auto& name, auto& subset) {
@@ -156,6 +164,7 @@
     Routing::QuarantineTable quarantine;
     Routing::RunningRequests running;
     Streaming::ByteBudget byteBudget;
+    Streaming::ByteBudget requestBudget;
     Routing::RoutingContext context;
     std::atomic<bool> draining { false };
 
--- a/Source/Routing/RequestCoordinator.cpp
+++ b/Source/Routing/RequestCoordinator.cpp
@@ -76,8 +76,12 @@
 void RequestCoordinator::start()
 {
     Commands::creditRequest(m_context.retryBudget);
+    auto charged = Streaming::Commands::chargeStream(m_context.requestBudget, m_request.id, m_request.message.body.size(), m_startedAt);
     m_context.running.set(m_request.id, shared_from_this());
-    beginAttempt(Lock(m_lock));
+    Lock lock(m_lock);
+    if (!Base::succeeded(charged))
+        return fail(std::move(lock), { ErrorCode::AtLimit, "the requests under way at this router hold streamBudgetBytes", "retry after retryAfterMs", Outcome::NotRun, retryAdvice });
+    beginAttempt(std::move(lock));
 }
 
 void RequestCoordinator::beginAttempt(Lock lock)
@@ -480,6 +484,7 @@
     auto attempt = leaveAttempt();
     m_state = State::Ended;
     Streaming::Commands::releaseStream(m_context.byteBudget, m_request.id);
+    Streaming::Commands::releaseStream(m_context.requestBudget, m_request.id);
     m_context.running.erase(m_request.id);
     m_context.metrics.count("requests_total", { { "destination", m_request.destination }, { "result", result } });
     std::chrono::duration<double> seconds = m_context.clock.now() - m_startedAt;
--- a/Source/Routing/RoutingContext.h
+++ b/Source/Routing/RoutingContext.h
@@ -32,7 +32,10 @@
     RetryBudget& retryBudget;
     QuarantineTable& quarantine;
     RunningRequests& running;
+    // Bytes of answers that wait for their readers.
     Streaming::ByteBudget& byteBudget;
+    // Bytes of requests under way.
+    Streaming::ByteBudget& requestBudget;
 };
 
 } // namespace Lavenderloft::Routing
--- a/Source/Routing/TargetChannel.h
+++ b/Source/Routing/TargetChannel.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace Lavenderloft::Routing {
@@ -164,6 +165,9 @@
 public:
     virtual ~TargetChannels() = default;
     virtual std::shared_ptr<TargetChannel> channelTo(const std::string& address) = 0;
+
+    // Closes the channels to all other addresses once their attempts have ended.
+    virtual void retain(const std::set<std::string>& addresses) = 0;
 };
 
 } // namespace Lavenderloft::Routing
--- a/Source/Transport/TargetClient.h
+++ b/Source/Transport/TargetClient.h
@@ -37,8 +37,7 @@
 public:
     std::shared_ptr<Routing::TargetChannel> channelTo(const std::string& address) override;
 
-    // Closes the connections to all other addresses once their attempts have ended.
-    void retain(const std::set<std::string>& addresses);
+    void retain(const std::set<std::string>& addresses) override;
 
 private:
     Base::ShardedMap<std::string, std::shared_ptr<TargetClient>> m_clients;
--- a/Tests/Routing/CoordinatorTest.cpp
+++ b/Tests/Routing/CoordinatorTest.cpp
@@ -255,6 +255,21 @@
     cr_assert_leq(fixture.channels.attempts.size(), requests * Queries::freeLoadRefusals + requests / RetryBudget::requestsPerRetry + RetryBudget::burstRetries);
 }
 
+// Guards against a router that runs out of memory while slow targets hold many large requests.
+Test(Coordinator, boundsTheBytesOfRequestsUnderWay)
+{
+    RoutingFixture fixture(3, 1000);
+    auto first = fixture.start(fixture.poolRequest(std::string(600, 'a')));
+    auto second = fixture.start(fixture.poolRequest(std::string(600, 'b')));
+    cr_assert_not(first->isOver());
+    cr_assert(second->error);
+    cr_assert(second->error->code == ErrorCode::AtLimit);
+    cr_assert(second->error->outcome == Outcome::NotRun);
+    fixture.pass(31s);
+    cr_assert_eq(fixture.requestBudget.heldBytes(), 0);
+    cr_assert_not(fixture.start(fixture.poolRequest(std::string(600, 'b')))->isOver());
+}
+
 // Guards against a hazard message lost because all targets were busy for a moment.
 Test(Coordinator, letsAHazardMessageWaitForATarget)
 {
--- a/Tests/Routing/RouterProcessTest.cpp
+++ b/Tests/Routing/RouterProcessTest.cpp
@@ -167,6 +167,22 @@
     cr_assert_eq(Base::valueOf(response).status, 200);
 }
 
+// Guards against chunks after an answer without a body, which a caller would take for the next answer.
+Test(RouterProcess, sendsNoBodyInAnswerToHead)
+{
+    Fleet fleet;
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket caller(context);
+    caller.connect({ boost::asio::ip::make_address("127.0.0.1"), fleet.router->callersPort() });
+    boost::asio::write(caller, boost::asio::buffer(std::string("HEAD /assistant HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")));
+    std::string answer;
+    boost::system::error_code error;
+    boost::asio::read(caller, boost::asio::dynamic_buffer(answer), error);
+    cr_assert(answer.starts_with("HTTP/1.1 200"));
+    cr_assert(answer.ends_with("\r\n\r\n"));
+    cr_assert(answer.find("Transfer-Encoding") == std::string::npos);
+}
+
 // Guards against requests that hang until their deadline on a connection that has stopped responding
 // for good while new connections work.
 Test(RouterProcess, replacesASilentConnection)
--- a/Tests/Routing/RoutingFixture.h
+++ b/Tests/Routing/RoutingFixture.h
@@ -91,6 +91,7 @@
     };
 
     std::shared_ptr<TargetChannel> channelTo(const std::string& address) override { return std::make_shared<Channel>(*this, address); }
+    void retain(const std::set<std::string>&) override { }
     FakeAttempt& last() { return *attempts.back(); }
 };
 
@@ -129,7 +130,8 @@
     explicit RoutingFixture(unsigned targetCount = 3, uint64_t budgetBytes = 64 * 1024 * 1024, uint64_t seed = 11)
         : random(seed)
         , byteBudget(budgetBytes)
-        , context(new RoutingContext { clock, random, metrics, policy, channels, targets, retryBudget, quarantine, running, byteBudget })
+        , requestBudget(budgetBytes)
+        , context(new RoutingContext { clock, random, metrics, policy, channels, targets, retryBudget, quarantine, running, byteBudget, requestBudget })
     {
         document.revision = 1;
         document.dataCentres = { { "dc-1", "r-1", {} }, { "dc-2", "r-1", {} }, { "dc-3", "r-2", {} } };
@@ -221,6 +223,7 @@
     QuarantineTable quarantine;
     RunningRequests running;
     Streaming::ByteBudget byteBudget;
+    Streaming::ByteBudget requestBudget;
     DesiredState::Document document;
     std::vector<Membership::Member> members;
     std::shared_ptr<RoutingContext> context;
--- a/Utilities/Bench/UnboundedChannels.h
+++ b/Utilities/Bench/UnboundedChannels.h
@@ -11,6 +11,7 @@
     explicit UnboundedChannels(std::shared_ptr<Routing::TargetChannels>);
 
     std::shared_ptr<Routing::TargetChannel> channelTo(const std::string& address) override;
+    void retain(const std::set<std::string>& addresses) override { m_inner->retain(addresses); }
 
 private:
     std::shared_ptr<Routing::TargetChannels> m_inner;
