--- a/Utilities/Bench/LoadGenerator.cpp
+++ b/Utilities/Bench/LoadGenerator.cpp
@@ -26,7 +26,7 @@
     // A kept-alive connection that carries one call at a time.
     class Caller : public std::enable_shared_from_this<Caller> {
     public:
-        using Done = std::function<void(unsigned status, std::string body)>;
+        using Done = std::function<void(unsigned status, const std::string& body)>;
 
         Caller(asio::io_context& context, Http::Endpoint endpoint)
             : m_stream(context)
@@ -78,18 +78,18 @@
                 auto message = self->m_parser->release();
                 if (!message.keep_alive())
                     self->m_stream.close();
-                self->finish(message.result_int(), std::move(message.body()));
+                self->finish(message.result_int(), message.body());
             });
         }
 
-        void finish(unsigned status, std::string body)
+        void finish(unsigned status, const std::string& body)
         {
             if (!status) {
                 m_stream.close();
                 m_buffer.clear();
             }
             auto done = std::move(m_done);
-            done(status, std::move(body));
+            done(status, body);
         }
 
         beast::tcp_stream m_stream;
@@ -115,7 +115,7 @@
         {
             auto planned = m_plan(m_index++);
             auto caller = takeCaller(planned.endpoint);
-            caller->call(planned.request, [this, caller, group = planned.group, endpoint = planned.endpoint, due, next](unsigned status, std::string body) {
+            caller->call(planned.request, [this, caller, group = planned.group, endpoint = planned.endpoint, due, next](unsigned status, const std::string& body) {
                 CallResult result { group, due - m_startedAt, SteadyClock::now() - due, status, body.size(), {} };
                 if (status != 200)
                     result.error = body.substr(0, errorPrefixBytes);
--- a/Utilities/Bench/SlowReaders.cpp
+++ b/Utilities/Bench/SlowReaders.cpp
@@ -97,7 +97,7 @@
     }
 };
 
-SlowReaders::SlowReaders(Http::Endpoint endpoint, std::string path, unsigned count, size_t bytesPerRead, std::chrono::milliseconds interval)
+SlowReaders::SlowReaders(const Http::Endpoint& endpoint, const std::string& path, unsigned count, size_t bytesPerRead, std::chrono::milliseconds interval)
     : m_state(std::make_shared<State>())
 {
     m_state->bytesPerRead = bytesPerRead;
--- a/Utilities/Bench/SlowReaders.h
+++ b/Utilities/Bench/SlowReaders.h
@@ -19,7 +19,7 @@
 class SlowReaders {
 public:
     // Each reader takes `bytesPerRead` every `interval`.
-    SlowReaders(Http::Endpoint, std::string path, unsigned count, size_t bytesPerRead, std::chrono::milliseconds interval);
+    SlowReaders(const Http::Endpoint&, const std::string& path, unsigned count, size_t bytesPerRead, std::chrono::milliseconds interval);
     ~SlowReaders();
 
     // Reads on at full speed until every answer has ended, at most for the time given.
