Release the callbacks of test callers that do not read

Cause: a build with the address sanitizer reported 100 test callers kept alive by their own callbacks in test-Streaming; test-Routing was clean. Change: the fake caller drops its callback when it is aborted.

--- a/Tests/Routing/RoutingFixture.h
+++ b/Tests/Routing/RoutingFixture.h
@@ -118,7 +118,14 @@
     }
 
     void complete() override { whole = true; }
-    void abort() override { aborted = true; }
+
+    void abort() override
+    {
+        aborted = true;
+        // The callback holds the request, which holds this caller.
+        pending = nullptr;
+    }
+
     bool isOver() const { return error || whole || aborted; }
 };
 
--- a/Tests/Streaming/ByteBudgetTest.cpp
+++ b/Tests/Streaming/ByteBudgetTest.cpp
@@ -87,7 +87,7 @@
     bool resumed = false;
     attempt.events->data({ attempt.id(), "part" }, [&] { resumed = true; });
     cr_assert_not(resumed);
-    caller->pending(true);
+    std::exchange(caller->pending, nullptr)(true);
     cr_assert(resumed);
     cr_assert_eq(fixture.byteBudget.heldBytes(), 0);
 }
