Shorten the queue for upload slots and spread requests over peers

Cause: up to eight receivers waited for the slots of a busy peer while other peers had free slots, so that at 100 replicas the upload links carried 70 to 75 of 100 parts of their rate.

Changes: two uploads wait instead of eight, an agent with many peers downloads one chunk from each at a time, and a busy peer is asked again after 250 ms. The test of the queue fills the slots first, because the queue is now shorter than the number of slots. Also: a peer that does not send what it claims to hold is avoided for ten seconds, and a stalled download is dropped once.

--- a/Source/Process/TransferDriver.cpp
+++ b/Source/Process/TransferDriver.cpp
@@ -86,7 +86,7 @@
 
 void TransferDriver::cancelAll()
 {
-    for (auto& download : Queries::stalledDownloads(m_environment.runtime->state->downloads, Base::TimePoint::max())) {
+    for (auto& download : Queries::allDownloads(m_environment.runtime->state->downloads)) {
         if (download.fetch)
             download.fetch->cancel();
     }
@@ -252,10 +252,8 @@
 {
     auto runtime = m_environment.runtime;
     auto now = runtime->clock.now();
-    for (auto& download : Queries::stalledDownloads(runtime->state->downloads, now - Weights::stallLimit)) {
-        // The weight store is rate-limited and may make receivers wait; its client has a longer limit.
-        if (download.source == Weights::SourceKind::Origin || !download.fetch)
-            continue;
+    for (auto& [chunkDigest, download] : Queries::stalledDownloads(runtime->state->downloads, now - Weights::stallLimit)) {
+        Commands::dropDownload(runtime->state->downloads, chunkDigest);
         ++runtime->state->counters.stalledDownloads;
         Observability::logEvent(Weights::downloadStalled, { { "manifest", download.manifestDigest }, { "chunk", download.chunk }, { "source", sourceName(download.source) }, { "vm", download.vm } });
         Commands::avoidPeer(runtime->state->peers, download.vm, now + Queries::avoidanceAfter(Weights::WeightErrorKind::Stalled));
--- a/Source/Transport/GrpcPeerClient.cpp
+++ b/Source/Transport/GrpcPeerClient.cpp
@@ -63,8 +63,9 @@
     // Reads the stream of one chunk; keeps itself alive until the call has ended.
     class ChunkReader final : public grpc::ClientReadReactor<protocol::ChunkPart>, public Weights::ChunkFetch {
     public:
-        ChunkReader(std::shared_ptr<Stub> stub, Weights::Participant peer, std::shared_ptr<Weights::ChunkSink> sink)
+        ChunkReader(std::shared_ptr<Stub> stub, std::shared_ptr<Weights::WeightState> state, Weights::Participant peer, std::shared_ptr<Weights::ChunkSink> sink)
             : m_stub(std::move(stub))
+            , m_state(std::move(state))
             , m_peer(std::move(peer))
             , m_sink(std::move(sink))
         {
@@ -90,6 +91,7 @@
         void OnDone(const grpc::Status& status) override
         {
             auto self = std::move(m_self);
+            m_state->counters.controlBytes += callOverheadBytes + m_request.ByteSizeLong() + status.error_message().size();
             if (status.ok())
                 m_sink->end(Base::Done {});
             else
@@ -100,6 +102,7 @@
 
     private:
         std::shared_ptr<Stub> m_stub;
+        std::shared_ptr<Weights::WeightState> m_state;
         Weights::Participant m_peer;
         std::shared_ptr<Weights::ChunkSink> m_sink;
         std::shared_ptr<ChunkReader> m_self;
@@ -179,7 +182,7 @@
     message.set_from_vm(m_self.vm);
     message.set_from_region(m_self.region);
     message.set_priority(request.priority);
-    auto reader = std::make_shared<ChunkReader>(m_channels->stubFor(peer.address), peer, std::move(sink));
+    auto reader = std::make_shared<ChunkReader>(m_channels->stubFor(peer.address), m_state, peer, std::move(sink));
     reader->start(reader, std::move(message));
     return reader;
 }
--- a/Source/Weights/Commands/DownloadCommands.cpp
+++ b/Source/Weights/Commands/DownloadCommands.cpp
@@ -29,6 +29,15 @@
     });
 }
 
+void dropDownload(DownloadTable& table, const std::string& chunkDigest)
+{
+    table.downloads.withShard(chunkDigest, [&](auto& downloads) {
+        auto entry = downloads.find(chunkDigest);
+        if (entry != downloads.end())
+            entry->second.dropped = true;
+    });
+}
+
 void endDownload(DownloadTable& table, const std::string& chunkDigest)
 {
     table.downloads.erase(chunkDigest);
--- a/Source/Weights/Commands/DownloadCommands.h
+++ b/Source/Weights/Commands/DownloadCommands.h
@@ -12,6 +12,9 @@
 
 void recordDownloadProgress(DownloadTable&, const std::string& chunkDigest, Base::TimePoint);
 
+// Marks a stalled download that is being cancelled.
+void dropDownload(DownloadTable&, const std::string& chunkDigest);
+
 void endDownload(DownloadTable&, const std::string& chunkDigest);
 
 } // namespace Lavenderloft::Weights::Commands
--- a/Source/Weights/DownloadTable.h
+++ b/Source/Weights/DownloadTable.h
@@ -25,6 +25,8 @@
     Base::TimePoint startedAt;
     Base::TimePoint progressAt;
     std::shared_ptr<ChunkFetch> fetch;
+    // Cancelled because it stalled; it is about to end.
+    bool dropped = false;
 };
 
 // Downloads under way by the digest of the chunk, so that a chunk is fetched once. Commands/DownloadCommands.h
--- a/Source/Weights/Queries/ChunkScheduler.cpp
+++ b/Source/Weights/Queries/ChunkScheduler.cpp
@@ -79,6 +79,13 @@
         return std::clamp<unsigned>(originDownloadsPerRegion / dutyAgents, 1, maximumLongDownloads);
     }
 
+    // With many peers one download from each spreads the load; with few, a second one hides the time between two chunks.
+    unsigned downloadsPerPeer(const ScheduleInput& input)
+    {
+        auto localPeers = std::count_if(input.peers.begin(), input.peers.end(), [&](auto& entry) { return isLocal(input, entry.second); });
+        return localPeers >= maximumDownloads ? 1 : maximumDownloadsPerPeer;
+    }
+
     bool isNeeded(const ScheduleInput& input, unsigned chunk)
     {
         return !input.held[chunk] && !input.underWay.contains(input.manifest.chunks[chunk].digest);
@@ -100,6 +107,7 @@
             , m_underWay(input.counts.fromPeers + input.counts.longDistance)
             , m_longDistance(input.counts.longDistance)
             , m_originLimit(originDownloadLimit(input))
+            , m_downloadsPerPeer(downloadsPerPeer(input))
         {
             for (auto& [vm, peer] : input.peers)
                 m_downloads[vm] = peer.activeDownloads;
@@ -202,7 +210,7 @@
 
         bool isUsable(const PeerView& peer, unsigned chunk)
         {
-            return !peer.avoided && !peer.busy && peer.holds(chunk) && m_downloads[peer.participant->vm] < maximumDownloadsPerPeer;
+            return !peer.avoided && !peer.busy && peer.holds(chunk) && m_downloads[peer.participant->vm] < m_downloadsPerPeer;
         }
 
         void assign(ChunkAssignment assignment)
@@ -222,6 +230,7 @@
         unsigned m_underWay;
         unsigned m_longDistance;
         unsigned m_originLimit;
+        unsigned m_downloadsPerPeer;
         std::map<std::string, unsigned> m_downloads;
         std::set<std::string> m_assignedDigests;
         std::vector<LocalCandidate> m_local;
--- a/Source/Weights/Queries/DownloadQueries.cpp
+++ b/Source/Weights/Queries/DownloadQueries.cpp
@@ -28,16 +28,23 @@
     return chunks;
 }
 
-std::vector<Download> stalledDownloads(const DownloadTable& table, Base::TimePoint since)
+std::vector<StalledDownload> stalledDownloads(const DownloadTable& table, Base::TimePoint since)
 {
-    std::vector<Download> stalled;
-    table.downloads.forEach([&](auto&, const Download& download) {
-        if (download.progressAt < since)
-            stalled.push_back(download);
+    std::vector<StalledDownload> stalled;
+    table.downloads.forEach([&](auto& digest, const Download& download) {
+        if (download.source != SourceKind::Origin && download.fetch && !download.dropped && download.progressAt < since)
+            stalled.push_back({ digest, download });
     });
     return stalled;
 }
 
+std::vector<Download> allDownloads(const DownloadTable& table)
+{
+    std::vector<Download> downloads;
+    table.downloads.forEach([&](auto&, const Download& download) { downloads.push_back(download); });
+    return downloads;
+}
+
 std::vector<Download> downloadsOf(const DownloadTable& table, const std::string& manifestDigest)
 {
     std::vector<Download> downloads;
--- a/Source/Weights/Queries/DownloadQueries.h
+++ b/Source/Weights/Queries/DownloadQueries.h
@@ -20,8 +20,16 @@
 // Chunks of the manifest that come from the origin or from another region.
 std::vector<unsigned> assignedChunks(const DownloadTable&, const std::string& manifestDigest);
 
-// Downloads without progress since the given time.
-std::vector<Download> stalledDownloads(const DownloadTable&, Base::TimePoint since);
+struct StalledDownload {
+    std::string chunkDigest;
+    Download download;
+};
+
+// Downloads from other agents without progress since the given time that have not been dropped yet. The weight store
+// is rate-limited and may make receivers wait; its client has a longer limit.
+std::vector<StalledDownload> stalledDownloads(const DownloadTable&, Base::TimePoint since);
+
+std::vector<Download> allDownloads(const DownloadTable&);
 
 // Downloads for the manifest.
 std::vector<Download> downloadsOf(const DownloadTable&, const std::string& manifestDigest);
--- a/Source/Weights/Queries/SourceDecisions.cpp
+++ b/Source/Weights/Queries/SourceDecisions.cpp
@@ -54,11 +54,12 @@
     case WeightErrorKind::MalformedManifest:
         return corruptPeerAvoidance;
     case WeightErrorKind::Stalled:
+    // Chunks are never lost while a version is wanted, so the peer's holdings are not to be believed.
+    case WeightErrorKind::NotHeld:
         return stalledPeerAvoidance;
     case WeightErrorKind::Unreachable:
         return stallLimit;
     case WeightErrorKind::Busy:
-    case WeightErrorKind::NotHeld:
         return busyPeerPause;
     case WeightErrorKind::NotWanted:
     case WeightErrorKind::MemoryBudgetExceeded:
--- a/Source/Weights/TransferLimits.h
+++ b/Source/Weights/TransferLimits.h
@@ -16,7 +16,8 @@
 
 inline constexpr unsigned uploadSlots = 4;
 // Uploads that wait for a slot, so that a slot is never idle while there is demand.
-inline constexpr size_t maximumWaitingUploads = 8;
+// A longer queue made receivers wait at busy peers while others had free slots.
+inline constexpr size_t maximumWaitingUploads = 2;
 // Shorter than stallLimit, so that a waiting receiver does not take the sender for stalled.
 inline constexpr std::chrono::milliseconds uploadWaitLimit = 500ms;
 
@@ -40,8 +41,8 @@
 inline constexpr std::chrono::milliseconds stallLimit = 1000ms;
 inline constexpr std::chrono::milliseconds stalledPeerAvoidance = 10000ms;
 inline constexpr std::chrono::milliseconds corruptPeerAvoidance = 30000ms;
-// Pause before a peer without a free slot, or one that does not hold the chunk any more, is asked again.
-inline constexpr std::chrono::milliseconds busyPeerPause = 100ms;
+// Pause before a peer without a free slot is asked again.
+inline constexpr std::chrono::milliseconds busyPeerPause = 250ms;
 // The next in rank takes over from an agent that has shown no progress for this long.
 inline constexpr std::chrono::milliseconds takeOverDeadline = 2000ms;
 // The same for an agent that says that it is fetching the chunk, which may share a slow link with others.
--- a/Source/Weights/WeightCounters.h
+++ b/Source/Weights/WeightCounters.h
@@ -12,7 +12,7 @@
     std::atomic<uint64_t> peerBytes { 0 };
     std::atomic<uint64_t> remoteBytes { 0 };
     std::atomic<uint64_t> uploadedBytes { 0 };
-    // Messages about holdings and manifests, sent and received.
+    // Messages about holdings and manifests and requests for chunks, sent and received, without the chunks themselves.
     std::atomic<uint64_t> controlBytes { 0 };
     std::atomic<uint64_t> corruptChunks { 0 };
     std::atomic<uint64_t> stalledDownloads { 0 };
--- a/Tests/Weights/UploadTest.cpp
+++ b/Tests/Weights/UploadTest.cpp
@@ -27,23 +27,27 @@
     Base::ManualClock clock;
     UploadTable table;
     InterRegionLimiter limiter("own", 1000);
-    for (uint64_t i = 0; i < maximumWaitingUploads; ++i)
-        cr_assert(Base::succeeded(Commands::enqueueUpload(table, i, uploadTo("own", 1, clock.now()))));
-    auto refused = Commands::enqueueUpload(table, 99, uploadTo("own", 1, clock.now()));
-    cr_assert(Base::errorOf(refused).kind == WeightErrorKind::Busy);
-    unsigned started = 0;
-    for (;;) {
-        auto numbers = Queries::uploadsToStart(table, limiter, clock.now());
-        if (numbers.empty())
-            break;
-        for (auto number : numbers)
-            started += Base::succeeded(Commands::startUpload(table, number)) ? 1 : 0;
+    uint64_t number = 0;
+    for (; number < uploadSlots; ++number) {
+        cr_assert(Base::succeeded(Commands::enqueueUpload(table, number, uploadTo("own", 1, clock.now()))));
+        cr_assert_eq(Queries::uploadsToStart(table, limiter, clock.now()).size(), 1);
+        cr_assert(Base::succeeded(Commands::startUpload(table, number)));
     }
-    cr_assert_eq(started, uploadSlots);
+    cr_assert_eq(Queries::freeUploadSlots(table), 0);
+    for (; number < uploadSlots + maximumWaitingUploads; ++number)
+        cr_assert(Base::succeeded(Commands::enqueueUpload(table, number, uploadTo("own", 1, clock.now()))));
+    cr_assert(Queries::uploadsToStart(table, limiter, clock.now()).empty());
+    cr_assert(Base::errorOf(Commands::startUpload(table, uploadSlots)).kind == WeightErrorKind::Busy);
+    auto refused = Commands::enqueueUpload(table, number, uploadTo("own", 1, clock.now()));
+    cr_assert(Base::errorOf(refused).kind == WeightErrorKind::Busy);
+    // A receiver in another region does not compete for the places of the queue.
+    cr_assert(Base::succeeded(Commands::enqueueUpload(table, number, uploadTo("far", 1, clock.now()))));
     Commands::endUpload(table, 0);
-    cr_assert_eq(Queries::uploadsToStart(table, limiter, clock.now()).size(), 1);
+    auto next = Queries::uploadsToStart(table, limiter, clock.now());
+    cr_assert_eq(next.size(), 1);
+    cr_assert_eq(next[0], number);
     clock.advance(uploadWaitLimit);
-    cr_assert_eq(Queries::overdueUploads(table, clock.now()).size(), maximumWaitingUploads - uploadSlots);
+    cr_assert_eq(Queries::overdueUploads(table, clock.now()).size(), maximumWaitingUploads + 1);
 }
 
 // Guards against a rollout of low priority that holds back one of high priority or a whole region.
--- a/Utilities/Bench/RolloutFleet.cpp
+++ b/Utilities/Bench/RolloutFleet.cpp
@@ -125,6 +125,9 @@
     grpc::ServerBuilder builder;
     int port = 0;
     builder.AddListeningPort("127.0.0.1:0", grpc::InsecureServerCredentials(), &port);
+    // Receivers send keep-alive pings every two seconds.
+    constexpr int minimumPingIntervalMs = 1000;
+    builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, minimumPingIntervalMs);
     builder.RegisterService(&replica->node->service());
     replica->server = builder.BuildAndStart();
     member.address = "127.0.0.1:" + std::to_string(port);
