Keep the weight store's record with the state of the module

The pause after failures of the weight store was kept in Process, which owns no state. It is now a record of the weights module with its own commands and queries. Manifests that are not accepted are logged.

--- a/Source/Process/ChunkDownload.cpp
+++ b/Source/Process/ChunkDownload.cpp
@@ -2,6 +2,7 @@
 
 #include "Observability/Log.h"
 #include "Weights/Commands/DownloadCommands.h"
+#include "Weights/Commands/OriginCommands.h"
 #include "Weights/Commands/PeerCommands.h"
 #include "Weights/Commands/TransferCommands.h"
 #include "Weights/Events.h"
@@ -76,10 +77,8 @@
         return WeightError { WeightErrorKind::WrongDigest, "chunk " + m_chunk.digest + " has another length than the manifest says", "" };
     auto& state = *m_runtime->state;
     auto stored = Weights::Commands::acceptChunk(state.transfers, state.chunks, m_chunk.digest, std::move(m_bytes), m_runtime->clock.now());
-    if (Base::succeeded(stored) && m_source == SourceKind::Origin) {
-        std::lock_guard guard(m_runtime->lock);
-        m_runtime->originFailures = 0;
-    }
+    if (Base::succeeded(stored) && m_source == SourceKind::Origin)
+        Weights::Commands::recordOriginSuccess(state.origin);
     return stored;
 }
 
@@ -101,8 +100,7 @@
         return Weights::Commands::pausePeer(m_runtime->state->peers, m_vm, now + Weights::busyPeerPause);
     if (m_source != SourceKind::Origin)
         return Weights::Commands::avoidPeer(m_runtime->state->peers, m_vm, now + Weights::Queries::avoidanceAfter(error.kind));
-    std::lock_guard guard(m_runtime->lock);
-    m_runtime->originPauseUntil = now + Weights::Queries::originPause(++m_runtime->originFailures);
+    Weights::Commands::recordOriginFailure(m_runtime->state->origin, now);
 }
 
 } // namespace Lavenderloft::Process
--- a/Source/Process/TransferDriver.cpp
+++ b/Source/Process/TransferDriver.cpp
@@ -7,6 +7,7 @@
 #include "Weights/Commands/TransferCommands.h"
 #include "Weights/Events.h"
 #include "Weights/Queries/Neighbours.h"
+#include "Weights/Queries/OriginQueries.h"
 #include "Weights/Queries/Participants.h"
 #include "Weights/Queries/SourceDecisions.h"
 #include "Weights/TransferLimits.h"
@@ -156,10 +157,13 @@
     ++plan.manifestAttempts;
     auto received = [runtime = m_environment.runtime, digest = snapshot.digest, pending = plan.manifestPending](const Base::Result<std::string, Weights::WeightError>& result) {
         auto& state = *runtime->state;
-        if (Base::succeeded(result))
-            Commands::acceptManifest(state.transfers, state.chunks, digest, Base::valueOf(result), runtime->clock.now());
-        else
+        if (!Base::succeeded(result)) {
             Commands::setDelayReason(state.transfers, digest, "the manifest has not arrived: " + Base::errorOf(result).describe());
+        } else {
+            auto accepted = Commands::acceptManifest(state.transfers, state.chunks, digest, Base::valueOf(result), runtime->clock.now());
+            if (!Base::succeeded(accepted))
+                Observability::logEvent(Weights::manifestRefused, { { "manifest", digest }, { "reason", Base::errorOf(accepted).describe() } });
+        }
         pending->store(false);
         runtime->wake();
     };
@@ -183,7 +187,7 @@
         peers,
         m_environment.self,
         haveNeighboursAnswered(plan, peers) && Queries::areParticipantsSettled(snapshot.phaseSince, plan.participantsChangedAt, now),
-        isOriginUsable(),
+        Queries::isOriginUsable(state.origin, now),
         now,
     };
     askPeers(plan, snapshot, input);
@@ -274,12 +278,6 @@
     Observability::logEvent(Weights::transferDelayed, { { "manifest", snapshot.digest }, { "missing", missing } });
 }
 
-bool TransferDriver::isOriginUsable() const
-{
-    std::lock_guard guard(m_environment.runtime->lock);
-    return m_environment.runtime->clock.now() >= m_environment.runtime->originPauseUntil;
-}
-
 bool TransferDriver::haveNeighboursAnswered(const Plan& plan, const Queries::PeerViews& peers) const
 {
     return std::all_of(plan.neighbours.begin(), plan.neighbours.end(), [&](auto& neighbour) {
--- a/Source/Process/TransferDriver.h
+++ b/Source/Process/TransferDriver.h
@@ -64,7 +64,6 @@
     void beginDownload(const Plan&, const Weights::Queries::TransferSnapshot&, const Weights::Queries::ChunkAssignment&);
     void dropStalledDownloads();
     void reportDelay(Plan&, const Weights::Queries::TransferSnapshot&, const Weights::Queries::ScheduleInput&);
-    bool isOriginUsable() const;
     bool haveNeighboursAnswered(const Plan&, const Weights::Queries::PeerViews&) const;
 
     Environment m_environment;
--- a/Source/Process/WeightRuntime.h
+++ b/Source/Process/WeightRuntime.h
@@ -37,9 +37,6 @@
     std::condition_variable condition;
     bool awake = false;
     bool stopping = false;
-    // Failures of the origin in sequence, and the end of the pause after the last one.
-    unsigned originFailures = 0;
-    Base::TimePoint originPauseUntil;
 };
 
 } // namespace Lavenderloft::Process
--- /dev/null
+++ b/Source/Weights/Commands/OriginCommands.cpp
@@ -0,0 +1,19 @@
+#include "Weights/Commands/OriginCommands.h"
+
+#include "Weights/Queries/SourceDecisions.h"
+
+namespace Lavenderloft::Weights::Commands {
+
+void recordOriginSuccess(OriginRecord& record)
+{
+    std::lock_guard guard(record.lock);
+    record.failures = 0;
+}
+
+void recordOriginFailure(OriginRecord& record, Base::TimePoint now)
+{
+    std::lock_guard guard(record.lock);
+    record.pauseUntil = now + Queries::originPause(++record.failures);
+}
+
+} // namespace Lavenderloft::Weights::Commands
--- a/Source/Weights/Events.h
+++ b/Source/Weights/Events.h
@@ -19,4 +19,6 @@
 inline constexpr Event transferComplete { 2009, "transfer-complete", Level::Info, "Every chunk of a manifest is held and verified." };
 inline constexpr Event transferDelayed { 2010, "transfer-delayed", Level::Warning, "A transfer has made no progress for some time." };
 
+inline constexpr Event manifestRefused { 2011, "manifest-refused", Level::Warning, "The bytes of a manifest were not accepted." };
+
 } // namespace Lavenderloft::Weights
--- /dev/null
+++ b/Source/Weights/Queries/OriginQueries.cpp
@@ -0,0 +1,11 @@
+#include "Weights/Queries/OriginQueries.h"
+
+namespace Lavenderloft::Weights::Queries {
+
+bool isOriginUsable(const OriginRecord& record, Base::TimePoint now)
+{
+    std::lock_guard guard(record.lock);
+    return now >= record.pauseUntil;
+}
+
+} // namespace Lavenderloft::Weights::Queries
--- a/Source/Weights/WeightState.h
+++ b/Source/Weights/WeightState.h
@@ -2,6 +2,7 @@
 
 #include "Weights/ChunkStore.h"
 #include "Weights/DownloadTable.h"
+#include "Weights/OriginRecord.h"
 #include "Weights/PeerTable.h"
 #include "Weights/TransferTable.h"
 #include "Weights/UploadTable.h"
@@ -21,6 +22,7 @@
     PeerTable peers;
     DownloadTable downloads;
     UploadTable uploads;
+    OriginRecord origin;
     WeightCounters counters;
 };
 
--- a/Utilities/Bench/RolloutCommand.cpp
+++ b/Utilities/Bench/RolloutCommand.cpp
@@ -167,7 +167,8 @@
     row("chunks refused as corrupt", "%10.0f", &RolloutMeasurement::corruptChunks);
     row("stalled downloads", "%10.0f", &RolloutMeasurement::stalledDownloads);
     row("other failed downloads", "%10.0f", &RolloutMeasurement::failedDownloads);
-    row("peak memory of an agent, bytes", "%10.0f", &RolloutMeasurement::peakBytesPerAgent);
+    // The baseline runs in the same process after the rollout, whose peak hides its own.
+    printRow("peak memory of an agent, bytes", "%10.0f", static_cast<double>(measurement.peakBytesPerAgent), nullptr);
     row("control bytes a second and agent", "%10.0f", &RolloutMeasurement::controlBytesPerSecond);
     for (auto& [link, copies] : measurement.copiesByLink)
         printRow(("link " + link + ", copies").c_str(), "%10.3f", copies, nullptr);
