--- a/Source/Process/TransferDriver.cpp
+++ b/Source/Process/TransferDriver.cpp
@@ -7,6 +7,7 @@
 #include "Weights/Commands/TransferCommands.h"
 #include "Weights/Events.h"
 #include "Weights/Queries/Neighbours.h"
+#include "Weights/Queries/OriginQueries.h"
 #include "Weights/Queries/Participants.h"
 #include "Weights/Queries/SourceDecisions.h"
 #include "Weights/TransferLimits.h"
@@ -86,7 +87,7 @@
 
 void TransferDriver::cancelAll()
 {
-    for (auto& download : Queries::stalledDownloads(m_environment.runtime->state->downloads, Base::TimePoint::max())) {
+    for (auto& download : Queries::allDownloads(m_environment.runtime->state->downloads)) {
         if (download.fetch)
             download.fetch->cancel();
     }
@@ -156,10 +157,13 @@
     ++plan.manifestAttempts;
     auto received = [runtime = m_environment.runtime, digest = snapshot.digest, pending = plan.manifestPending](const Base::Result<std::string, Weights::WeightError>& result) {
         auto& state = *runtime->state;
-        if (Base::succeeded(result))
-            Commands::acceptManifest(state.transfers, state.chunks, digest, Base::valueOf(result), runtime->clock.now());
-        else
+        if (!Base::succeeded(result)) {
             Commands::setDelayReason(state.transfers, digest, "the manifest has not arrived: " + Base::errorOf(result).describe());
+        } else {
+            auto accepted = Commands::acceptManifest(state.transfers, state.chunks, digest, Base::valueOf(result), runtime->clock.now());
+            if (!Base::succeeded(accepted))
+                Observability::logEvent(Weights::manifestRefused, { { "manifest", digest }, { "reason", Base::errorOf(accepted).describe() } });
+        }
         pending->store(false);
         runtime->wake();
     };
@@ -183,7 +187,7 @@
         peers,
         m_environment.self,
         haveNeighboursAnswered(plan, peers) && Queries::areParticipantsSettled(snapshot.phaseSince, plan.participantsChangedAt, now),
-        isOriginUsable(),
+        Queries::isOriginUsable(state.origin, now),
         now,
     };
     askPeers(plan, snapshot, input);
@@ -252,10 +256,8 @@
 {
     auto runtime = m_environment.runtime;
     auto now = runtime->clock.now();
-    for (auto& download : Queries::stalledDownloads(runtime->state->downloads, now - Weights::stallLimit)) {
-        // The weight store is rate-limited and may make receivers wait; its client has a longer limit.
-        if (download.source == Weights::SourceKind::Origin || !download.fetch)
-            continue;
+    for (auto& [chunkDigest, download] : Queries::stalledDownloads(runtime->state->downloads, now - Weights::stallLimit)) {
+        Commands::dropDownload(runtime->state->downloads, chunkDigest);
         ++runtime->state->counters.stalledDownloads;
         Observability::logEvent(Weights::downloadStalled, { { "manifest", download.manifestDigest }, { "chunk", download.chunk }, { "source", sourceName(download.source) }, { "vm", download.vm } });
         Commands::avoidPeer(runtime->state->peers, download.vm, now + Queries::avoidanceAfter(Weights::WeightErrorKind::Stalled));
@@ -276,12 +278,6 @@
     Observability::logEvent(Weights::transferDelayed, { { "manifest", snapshot.digest }, { "missing", missing } });
 }
 
-bool TransferDriver::isOriginUsable() const
-{
-    std::lock_guard guard(m_environment.runtime->lock);
-    return m_environment.runtime->clock.now() >= m_environment.runtime->originPauseUntil;
-}
-
 bool TransferDriver::haveNeighboursAnswered(const Plan& plan, const Queries::PeerViews& peers) const
 {
     return std::all_of(plan.neighbours.begin(), plan.neighbours.end(), [&](auto& neighbour) {
