Protect the connections between processes with mutual TLS

Any process that reached an inner port could read the fleet's state, fetch weights and open TargetService, and weights crossed regions in plain text.

All gRPC servers and clients of the system now take a Transport::Credentials. Settings gain tls (certificateFile, keyFile, authorityFile, reloadSeconds) and plainTextOnLoopback; without either they are refused with both remedies.

--- a/Source/CommandLine/StatusCommand.cpp
+++ b/Source/CommandLine/StatusCommand.cpp
@@ -1,8 +1,11 @@
 #include "CommandLine/StatusCommand.h"
 
+#include "CommandLine/CheckedInput.h"
 #include "CommandLine/OptionParser.h"
 #include "Membership/Queries/SummarizeFleet.h"
 #include "Transport/ControlServiceClient.h"
+#include "Transport/Credentials.h"
+#include "Json/TextChecks.h"
 
 #include <iomanip>
 #include <iostream>
@@ -16,6 +19,58 @@
 
     constexpr std::chrono::milliseconds answerTimeout { 3000 };
 
+    // How the call is to be protected.
+    struct ProtectionOptions {
+        std::string settingsFile;
+        Settings::TlsSettings tls;
+
+        bool hasTlsOption() const { return !tls.certificateFile.empty() || !tls.keyFile.empty() || !tls.authorityFile.empty(); }
+        bool hasAllTlsOptions() const { return !tls.certificateFile.empty() && !tls.keyFile.empty() && !tls.authorityFile.empty(); }
+    };
+
+    using CredentialsOrExit = std::variant<Transport::SharedCredentials, ExitCode>;
+
+    CredentialsOrExit refuseUsage(const std::string& message)
+    {
+        std::cerr << "lavenderloft status: " << message << '\n';
+        return ExitCode::Usage;
+    }
+
+    CredentialsOrExit takeCredentials(Base::Result<Transport::SharedCredentials, Transport::CredentialsError> result)
+    {
+        if (Base::succeeded(result))
+            return Base::takeValue(std::move(result));
+        std::cerr << "lavenderloft status: " << Base::errorOf(result).describe() << '\n';
+        return ExitCode::Refused;
+    }
+
+    // The settings also give the address, unless an option does.
+    CredentialsOrExit credentialsFromSettings(const std::string& path, std::string& address)
+    {
+        auto settings = readSettingsInput(path);
+        if (auto* code = std::get_if<ExitCode>(&settings))
+            return *code;
+        auto& checked = std::get<Settings::ProcessSettings>(settings);
+        if (address.empty())
+            address = checked.inner;
+        return takeCredentials(Transport::makeCredentials(checked));
+    }
+
+    CredentialsOrExit makeStatusCredentials(const ProtectionOptions& options, std::string& address)
+    {
+        if (!options.settingsFile.empty() && options.hasTlsOption())
+            return refuseUsage("options --settings and --tls-... are both given; use one of them");
+        if (!options.settingsFile.empty())
+            return credentialsFromSettings(options.settingsFile, address);
+        if (options.hasTlsOption() && !options.hasAllTlsOptions())
+            return refuseUsage("options --tls-certificate, --tls-key and --tls-authority belong together; give all three");
+        if (options.hasTlsOption())
+            return takeCredentials(Transport::makeTlsCredentials(options.tls));
+        if (!address.empty() && !Json::isLoopbackAddress(address))
+            return refuseUsage("without a certificate only loopback addresses can be asked; give --tls-certificate, --tls-key and --tls-authority, or --settings");
+        return Transport::makeLoopbackCredentials();
+    }
+
     nlohmann::ordered_json toJson(const Membership::FleetStatus& status, const FleetSummary& summary)
     {
         nlohmann::ordered_json json;
@@ -76,17 +131,25 @@
 {
     std::string address;
     bool json = false;
+    ProtectionOptions protection;
     OptionParser parser(*this);
     parser.addText("address", 'a', address, "IP:PORT", "Inner address of a router or agent");
+    parser.addText("settings", 's', protection.settingsFile, "FILE", "Settings of a process, whose certificate and inner address are used");
+    parser.addText("tls-certificate", 'c', protection.tls.certificateFile, "FILE", "Certificate to show, PEM");
+    parser.addText("tls-key", 'k', protection.tls.keyFile, "FILE", "Private key of the certificate, PEM");
+    parser.addText("tls-authority", 'u', protection.tls.authorityFile, "FILE", "Authorities to accept, PEM");
     parser.addFlag("json", 'j', json, "Print JSON");
     auto parsed = parser.parse(arguments);
     if (auto* code = std::get_if<ExitCode>(&parsed))
         return *code;
+    auto made = makeStatusCredentials(protection, address);
+    if (auto* code = std::get_if<ExitCode>(&made))
+        return *code;
     if (address.empty()) {
         std::cerr << "lavenderloft status: option --address is missing; use " << argumentSynopsis() << '\n';
         return ExitCode::Usage;
     }
-    Transport::ControlServiceClient client;
+    Transport::ControlServiceClient client(std::get<Transport::SharedCredentials>(made));
     auto result = client.fetchStatus(address, answerTimeout);
     if (!Base::succeeded(result)) {
         std::cerr << "lavenderloft status: " << Base::errorOf(result).describe() << '\n';
--- a/Source/Json/TextChecks.cpp
+++ b/Source/Json/TextChecks.cpp
@@ -68,6 +68,18 @@
     return isIpAddress(AF_INET, host);
 }
 
+bool isLoopbackAddress(std::string_view text)
+{
+    if (!isAddress(text, PortRule::MayBeZero))
+        return false;
+    auto host = text.substr(0, text.rfind(':'));
+    if (!host.starts_with('['))
+        return host.starts_with("127.");
+    in6_addr address {};
+    inet_pton(AF_INET6, std::string(host.substr(1, host.size() - 2)).c_str(), &address);
+    return IN6_IS_ADDR_LOOPBACK(&address);
+}
+
 void checkAddress(ProblemSink& problems, const std::string& pointer, const std::string& text, PortRule rule)
 {
     if (text.empty() || isAddress(text, rule))
--- a/Source/Json/TextChecks.h
+++ b/Source/Json/TextChecks.h
@@ -31,6 +31,9 @@
 // Whether the text is IPv4:port or [IPv6]:port.
 bool isAddress(std::string_view text, PortRule);
 
+// Whether the text is an address of 127.0.0.0/8 or ::1, with a port.
+bool isLoopbackAddress(std::string_view text);
+
 // Reports a text that is no address.
 void checkAddress(ProblemSink&, const std::string& pointer, const std::string& text, PortRule);
 
--- a/Source/Process/AgentBuilder.cpp
+++ b/Source/Process/AgentBuilder.cpp
@@ -52,6 +52,12 @@
     return *this;
 }
 
+AgentBuilder& AgentBuilder::credentials(Transport::SharedCredentials credentials)
+{
+    m_credentials = std::move(credentials);
+    return *this;
+}
+
 AgentBuilder& AgentBuilder::engine(std::unique_ptr<Placement::EngineClient> engine)
 {
     m_engine = std::move(engine);
@@ -85,8 +91,14 @@
             return AgentError { AgentErrorKind::Address, "setting \"target.endpoint\": " + Base::errorOf(endpoint).message, Base::errorOf(endpoint).remedy };
         m_engine = std::make_unique<Http::EngineHttpClient>(Base::valueOf(endpoint));
     }
+    if (!m_credentials) {
+        auto credentials = Transport::makeCredentials(*m_settings);
+        if (!Base::succeeded(credentials))
+            return AgentError { AgentErrorKind::Credentials, Base::errorOf(credentials).message, Base::errorOf(credentials).remedy };
+        m_credentials = Base::takeValue(std::move(credentials));
+    }
     try {
-        return std::make_unique<AgentProcess>(AgentParts { *m_settings, *m_control, *m_weights, *m_clock, *m_random, *m_metrics, m_services, std::move(m_engine), m_crashObserver });
+        return std::make_unique<AgentProcess>(AgentParts { *m_settings, *m_control, *m_weights, *m_clock, *m_random, *m_metrics, m_services, m_credentials, std::move(m_engine), m_crashObserver });
     } catch (const std::runtime_error& error) {
         return AgentError { AgentErrorKind::Address, error.what(), "use a free IP:port of this VM" };
     }
--- a/Source/Process/AgentBuilder.h
+++ b/Source/Process/AgentBuilder.h
@@ -12,6 +12,8 @@
     MissingPart,
     // A port cannot be bound or an address is malformed.
     Address,
+    // The settings give no usable certificates.
+    Credentials,
 };
 
 using AgentError = Base::Error<AgentErrorKind>;
@@ -27,6 +29,8 @@
     AgentBuilder& metrics(Observability::Metrics&);
     AgentBuilder& service(std::shared_ptr<grpc::Service>);
     AgentBuilder& crashObserver(Admission::CrashObserver&);
+    // Protection of the inner port; made from the settings by default.
+    AgentBuilder& credentials(Transport::SharedCredentials);
     // Replaces the HTTP client to the engine at the endpoint of the settings.
     AgentBuilder& engine(std::unique_ptr<Placement::EngineClient>);
 
@@ -43,6 +47,7 @@
     Base::RandomSource* m_random = nullptr;
     Observability::Metrics* m_metrics = nullptr;
     std::vector<std::shared_ptr<grpc::Service>> m_services;
+    Transport::SharedCredentials m_credentials;
     Admission::CrashObserver* m_crashObserver = nullptr;
     std::unique_ptr<Placement::EngineClient> m_engine;
 };
--- a/Source/Process/AgentLauncher.cpp
+++ b/Source/Process/AgentLauncher.cpp
@@ -54,7 +54,7 @@
 
     std::unique_ptr<WeightNode> makeWeightNode(const Settings::ProcessSettings& settings, ControlStack& stack)
     {
-        auto node = WeightNodeBuilder(settings, stack.node(), stack.clock()).withMetrics(stack.metrics()).withRandom(stack.random()).build();
+        auto node = WeightNodeBuilder(settings, stack.node(), stack.clock()).withMetrics(stack.metrics()).withRandom(stack.random()).withCredentials(stack.credentials()).build();
         if (!Base::succeeded(node))
             throw std::runtime_error(Base::errorOf(node).describe());
         return Base::takeValue(std::move(node));
@@ -78,6 +78,7 @@
         .random(*stack.random())
         .metrics(*stack.metrics())
         .crashObserver(crashes)
+        .credentials(stack.credentials())
         .service(borrow(stack.service().service()));
     if (weights)
         builder.weights(*weights).service(borrow(weights->service()));
--- a/Source/Process/AgentProcess.cpp
+++ b/Source/Process/AgentProcess.cpp
@@ -107,7 +107,7 @@
         builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIME_MS, keepAliveMs);
         builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, keepAliveMs);
         builder.AddChannelArgument(GRPC_ARG_HTTP2_WRITE_BUFFER_SIZE, writeBufferBytes);
-        builder.AddListeningPort(parts.settings.inner, grpc::InsecureServerCredentials(), &innerPort);
+        builder.AddListeningPort(parts.settings.inner, parts.credentials->server(), &innerPort);
         builder.RegisterService(service.get());
         for (auto& further : parts.services)
             builder.RegisterService(further.get());
--- a/Source/Process/AgentProcess.h
+++ b/Source/Process/AgentProcess.h
@@ -7,6 +7,7 @@
 #include "Placement/EngineClient.h"
 #include "Process/ControlView.h"
 #include "Settings/ProcessSettings.h"
+#include "Transport/Credentials.h"
 #include "Weights/WeightProvider.h"
 
 #include <memory>
@@ -28,6 +29,7 @@
     Observability::Metrics& metrics;
     // Further services of the inner port, for instance ControlService and WeightService.
     std::vector<std::shared_ptr<grpc::Service>> services;
+    Transport::SharedCredentials credentials;
     // Null for a plain service.
     std::unique_ptr<Placement::EngineClient> engine;
     // May be null.
--- a/Source/Process/ControlStack.h
+++ b/Source/Process/ControlStack.h
@@ -8,6 +8,7 @@
 #include "Settings/ProcessSettings.h"
 #include "Transport/ControlServiceClient.h"
 #include "Transport/ControlServiceServer.h"
+#include "Transport/Credentials.h"
 
 #include <memory>
 
@@ -22,6 +23,7 @@
     const Base::Clock& clock() const { return m_clock; }
     const std::shared_ptr<Base::RandomSource>& random() const { return m_random; }
     const std::shared_ptr<Observability::Metrics>& metrics() const { return m_metrics; }
+    const Transport::SharedCredentials& credentials() const { return m_credentials; }
     ControlNode& node() { return *m_node; }
     Transport::ControlServiceServer& service() { return *m_service; }
 
@@ -29,6 +31,7 @@
     Base::SystemClock m_clock;
     std::shared_ptr<Base::RandomSource> m_random;
     std::shared_ptr<Observability::Metrics> m_metrics;
+    Transport::SharedCredentials m_credentials;
     Transport::ControlServiceClient m_peers;
     std::unique_ptr<HttpConfigurationSource> m_source;
     std::unique_ptr<ControlNode> m_node;
--- a/Source/Process/RouterBuilder.cpp
+++ b/Source/Process/RouterBuilder.cpp
@@ -1,6 +1,7 @@
 #include "Process/RouterBuilder.h"
 
 #include "Base/SeededRandom.h"
+#include "Process/ProcessCredentials.h"
 #include "Routing/TwoChoicesPolicy.h"
 #include "Transport/TargetClient.h"
 
@@ -29,6 +30,12 @@
     return *this;
 }
 
+RouterBuilder& RouterBuilder::credentials(Transport::SharedCredentials credentials)
+{
+    m_credentials = std::move(credentials);
+    return *this;
+}
+
 RouterBuilder& RouterBuilder::callerThreads(unsigned threads)
 {
     m_parts.callerThreads = threads;
@@ -43,7 +50,7 @@
     if (!parts.policy)
         parts.policy = std::make_shared<Routing::TwoChoicesPolicy>();
     if (!parts.channels)
-        parts.channels = std::make_shared<Transport::TargetClients>();
+        parts.channels = std::make_shared<Transport::TargetClients>(m_credentials ? m_credentials : credentialsOf(parts.settings));
     return std::make_unique<RouterProcess>(std::move(parts));
 }
 
--- a/Source/Process/RouterBuilder.h
+++ b/Source/Process/RouterBuilder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Process/RouterProcess.h"
+#include "Transport/Credentials.h"
 
 namespace Lavenderloft::Process {
 
@@ -13,14 +14,17 @@
     RouterBuilder& policy(std::shared_ptr<const Routing::TargetPolicy>);
     RouterBuilder& channels(std::shared_ptr<Routing::TargetChannels>);
     RouterBuilder& random(std::shared_ptr<Base::RandomSource>);
+    // Protection of the connections to agents; made from the settings by default.
+    RouterBuilder& credentials(Transport::SharedCredentials);
     // Threads that serve callers' connections.
     RouterBuilder& callerThreads(unsigned);
 
-    // Throws std::runtime_error with the setting at fault if a port can't be bound.
+    // Throws std::runtime_error with the setting at fault if a port can't be bound or a certificate is unusable.
     std::unique_ptr<RouterProcess> build();
 
 private:
     RouterProcess::Parts m_parts;
+    Transport::SharedCredentials m_credentials;
 };
 
 } // namespace Lavenderloft::Process
--- a/Source/Process/RouterLauncher.cpp
+++ b/Source/Process/RouterLauncher.cpp
@@ -17,12 +17,12 @@
     // The platform gives a VM this long after SIGTERM.
     constexpr std::chrono::seconds drainLimit { 60 };
 
-    std::unique_ptr<grpc::Server> startInnerServer(const std::string& address, grpc::Service& service, int& port)
+    std::unique_ptr<grpc::Server> startInnerServer(const std::string& address, grpc::Service& service, const Transport::Credentials& credentials, int& port)
     {
         grpc::ServerBuilder builder;
         // Only one process at a time may serve a VM's name.
         builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
-        builder.AddListeningPort(address, grpc::InsecureServerCredentials(), &port);
+        builder.AddListeningPort(address, credentials.server(), &port);
         builder.RegisterService(&service);
         auto server = builder.BuildAndStart();
         if (!server || !port)
@@ -55,8 +55,8 @@
 {
     ControlStack stack(settings, Membership::Role::Router);
     int innerPort = 0;
-    auto server = startInnerServer(settings.inner, stack.service().service(), innerPort);
-    auto router = RouterBuilder(settings, stack.node(), stack.clock(), *stack.metrics()).random(stack.random()).build();
+    auto server = startInnerServer(settings.inner, stack.service().service(), *stack.credentials(), innerPort);
+    auto router = RouterBuilder(settings, stack.node(), stack.clock(), *stack.metrics()).random(stack.random()).credentials(stack.credentials()).build();
     shareCrashEvidence(stack.node(), *router);
     stack.node().start(settings.inner.substr(0, settings.inner.rfind(':')) + ':' + std::to_string(innerPort));
     Observability::logEvent(ProcessStarted, { { "role", "router" }, { "vm", settings.vm }, { "innerPort", innerPort }, { "callersPort", router->callersPort() }, { "adminPort", router->adminPort() } });
--- a/Source/Process/WeightNode.cpp
+++ b/Source/Process/WeightNode.cpp
@@ -210,6 +210,12 @@
     return *this;
 }
 
+WeightNodeBuilder& WeightNodeBuilder::withCredentials(Transport::SharedCredentials credentials)
+{
+    m_credentials = std::move(credentials);
+    return *this;
+}
+
 WeightNodeBuilder& WeightNodeBuilder::withLinkLimiter(std::shared_ptr<Weights::LinkLimiter> limiter)
 {
     m_linkLimiter = std::move(limiter);
@@ -227,9 +233,15 @@
     auto store = Http::parseEndpoint(m_settings.weightStore);
     if (!Base::succeeded(store))
         return Weights::WeightError { Weights::WeightErrorKind::Unreachable, "weightStore \"" + m_settings.weightStore + "\" is not an address", "give it as IP:port in the settings" };
+    if (!m_credentials) {
+        auto credentials = Transport::makeCredentials(m_settings);
+        if (!Base::succeeded(credentials))
+            return Weights::WeightError { Weights::WeightErrorKind::Unreachable, Base::errorOf(credentials).message, Base::errorOf(credentials).remedy };
+        m_credentials = Base::takeValue(std::move(credentials));
+    }
     auto runtime = std::make_shared<WeightRuntime>(m_settings.weightMemoryBytes, m_clock, m_metrics ? m_metrics : std::make_shared<Observability::Metrics>());
     Weights::Participant self { m_settings.vm, m_settings.inner, m_settings.dataCentre, m_settings.region };
-    std::shared_ptr<Weights::PeerClient> peers = std::make_shared<Transport::GrpcPeerClient>(self, runtime->state);
+    std::shared_ptr<Weights::PeerClient> peers = std::make_shared<Transport::GrpcPeerClient>(self, runtime->state, m_credentials);
     if (m_wrapPeerClient)
         peers = m_wrapPeerClient(peers);
     auto shareRate = static_cast<double>(m_settings.interRegionLinkBitsPerSecond) / bitsPerByte * m_settings.rolloutShareOfLink;
--- a/Source/Process/WeightNode.h
+++ b/Source/Process/WeightNode.h
@@ -3,6 +3,7 @@
 #include "Base/RandomSource.h"
 #include "Process/ControlView.h"
 #include "Settings/ProcessSettings.h"
+#include "Transport/Credentials.h"
 #include "Weights/LinkLimiter.h"
 #include "Weights/PeerClient.h"
 #include "Weights/WeightCounters.h"
@@ -61,12 +62,14 @@
 
     WeightNodeBuilder& withMetrics(std::shared_ptr<Observability::Metrics>);
     WeightNodeBuilder& withRandom(std::shared_ptr<Base::RandomSource>);
+    // Protection of the connections to other agents; made from the settings by default.
+    WeightNodeBuilder& withCredentials(Transport::SharedCredentials);
     // A limiter in addition to that for links between regions.
     WeightNodeBuilder& withLinkLimiter(std::shared_ptr<Weights::LinkLimiter>);
     // Replaces the gRPC client, or wraps it: the function gets the default client.
     WeightNodeBuilder& withPeerClient(std::function<std::shared_ptr<Weights::PeerClient>(std::shared_ptr<Weights::PeerClient>)>);
 
-    // Fails if weightStore is not an address.
+    // Fails if weightStore is not an address or the settings give no usable certificates.
     Base::Result<std::unique_ptr<WeightNode>, Weights::WeightError> build();
 
 private:
@@ -75,6 +78,7 @@
     const Base::Clock& m_clock;
     std::shared_ptr<Observability::Metrics> m_metrics;
     std::shared_ptr<Base::RandomSource> m_random;
+    Transport::SharedCredentials m_credentials;
     std::shared_ptr<Weights::LinkLimiter> m_linkLimiter;
     std::function<std::shared_ptr<Weights::PeerClient>(std::shared_ptr<Weights::PeerClient>)> m_wrapPeerClient;
 };
--- a/Source/Settings/Queries/CheckSettings.cpp
+++ b/Source/Settings/Queries/CheckSettings.cpp
@@ -14,6 +14,8 @@
     constexpr uint64_t minStreamBudgetBytes = 64 * 1024;
     constexpr uint64_t minWeightMemoryBytes = 64 * 1024;
     constexpr uint64_t maxBytes = 1ULL << 44;
+    constexpr uint64_t minReloadSeconds = 1;
+    constexpr uint64_t maxReloadSeconds = 86400;
     constexpr uint64_t maxBitsPerSecond = 1000000000000;
 
     void checkRange(ProblemSink& problems, const std::string& pointer, uint64_t value, uint64_t least, uint64_t greatest)
@@ -58,6 +60,34 @@
             problems.addProblem(ProblemKind::MissingField, "/weightStore", "the agent of a model engine has no weight store", "add its address");
     }
 
+    void checkLoopback(ProblemSink& problems, const std::string& pointer, const std::string& address)
+    {
+        // An address that is malformed is reported as such.
+        if (!Json::isAddress(address, PortRule::MayBeZero) || Json::isLoopbackAddress(address))
+            return;
+        problems.addProblem(ProblemKind::Contradiction, pointer, "the address is no loopback address although \"plainTextOnLoopback\" is true",
+            "use \"tls\" instead of \"plainTextOnLoopback\", or a loopback address");
+    }
+
+    // Connections between processes are protected by TLS or cannot leave the machine.
+    void checkConnections(const ProcessSettings& settings, ProblemSink& problems)
+    {
+        if (settings.tls) {
+            checkRange(problems, "/tls/reloadSeconds", static_cast<uint64_t>(settings.tls->reloadInterval.count()), minReloadSeconds, maxReloadSeconds);
+            if (settings.plainTextOnLoopback)
+                problems.addProblem(ProblemKind::Contradiction, "/plainTextOnLoopback", "the settings ask for both TLS and plain text", "remove it or \"tls\"");
+            return;
+        }
+        if (!settings.plainTextOnLoopback) {
+            problems.addProblem(ProblemKind::MissingField, "/tls", "the connections between processes have no protection",
+                "add \"tls\" with \"certificateFile\", \"keyFile\" and \"authorityFile\"; or, if every inner address is a loopback address, set \"plainTextOnLoopback\": true");
+            return;
+        }
+        checkLoopback(problems, "/inner", settings.inner);
+        for (size_t i = 0; i < settings.peers.size(); ++i)
+            checkLoopback(problems, Json::childPointer("/peers", i), settings.peers[i]);
+    }
+
     // A process is a router or an agent; its settings say which.
     void checkRole(const ProcessSettings& settings, ProblemSink& problems)
     {
@@ -89,6 +119,7 @@
     checkRole(settings, problems);
     if (settings.target)
         checkTarget(*settings.target, settings, problems);
+    checkConnections(settings, problems);
     checkSizes(settings, problems);
 }
 
--- a/Source/Settings/Queries/ParseSettings.cpp
+++ b/Source/Settings/Queries/ParseSettings.cpp
@@ -18,6 +18,9 @@
     // checkSettings knows the range of each number.
     constexpr Json::Range<uint64_t> anyCount { 0, std::numeric_limits<uint64_t>::max() };
 
+    // Greatest number of seconds that std::chrono::seconds holds.
+    constexpr uint64_t maxSeconds = std::numeric_limits<int64_t>::max();
+
     TargetSettings readTarget(ParsedFile& file, const Value& value, const std::string& pointer)
     {
         TargetSettings target;
@@ -31,6 +34,21 @@
         return target;
     }
 
+    TlsSettings readTls(ParsedFile& file, const Value& value, const std::string& pointer)
+    {
+        TlsSettings tls;
+        ObjectReader reader(file, value, pointer);
+        if (!value.asObject())
+            return tls;
+        tls.certificateFile = reader.requiredText("certificateFile");
+        tls.keyFile = reader.requiredText("keyFile");
+        tls.authorityFile = reader.requiredText("authorityFile");
+        auto seconds = reader.optionalCount("reloadSeconds", { 0, maxSeconds }, static_cast<uint64_t>(tls.reloadInterval.count()));
+        tls.reloadInterval = std::chrono::seconds(seconds);
+        reader.finish();
+        return tls;
+    }
+
     LogSettings readLog(ParsedFile& file, const Value& value, const std::string& pointer)
     {
         LogSettings log;
@@ -73,6 +91,8 @@
         settings.dataCentre = reader.requiredText("dataCentre");
         readAddresses(reader, settings);
         reader.optionalObject("target", [&](const Value& value, const std::string& pointer) { settings.target = readTarget(file, value, pointer); });
+        reader.optionalObject("tls", [&](const Value& value, const std::string& pointer) { settings.tls = readTls(file, value, pointer); });
+        settings.plainTextOnLoopback = reader.optionalFlag("plainTextOnLoopback", settings.plainTextOnLoopback);
         readSizes(reader, settings);
         reader.optionalObject("log", [&](const Value& value, const std::string& pointer) { settings.log = readLog(file, value, pointer); });
         reader.finish();
--- a/Source/Settings/SettingsBuilder.cpp
+++ b/Source/Settings/SettingsBuilder.cpp
@@ -95,6 +95,18 @@
     return *this;
 }
 
+SettingsBuilder& SettingsBuilder::tls(TlsSettings tls)
+{
+    m_settings.tls = std::move(tls);
+    return *this;
+}
+
+SettingsBuilder& SettingsBuilder::plainTextOnLoopback()
+{
+    m_settings.plainTextOnLoopback = true;
+    return *this;
+}
+
 SettingsBuilder& SettingsBuilder::log(Observability::Level level, Observability::Layout layout)
 {
     m_settings.log = { level, layout };
@@ -113,6 +125,11 @@
     problems.requireText("/vmList", m_settings.vmList);
     if (m_settings.target)
         problems.requireText("/target/endpoint", m_settings.target->endpoint);
+    if (m_settings.tls) {
+        problems.requireText("/tls/certificateFile", m_settings.tls->certificateFile);
+        problems.requireText("/tls/keyFile", m_settings.tls->keyFile);
+        problems.requireText("/tls/authorityFile", m_settings.tls->authorityFile);
+    }
     checkSettings(m_settings, problems);
     if (!problems.isEmpty())
         return problems.takeError();
--- a/Source/Settings/SettingsBuilder.h
+++ b/Source/Settings/SettingsBuilder.h
@@ -38,6 +38,10 @@
     // Speed of the link to other regions and the share of it that rollouts may use, from 0 to 1.
     SettingsBuilder& interRegionLink(uint64_t bitsPerSecond, double rolloutShare);
 
+    // Connections between processes: either mutual TLS, or plain text between loopback addresses.
+    SettingsBuilder& tls(TlsSettings);
+    SettingsBuilder& plainTextOnLoopback();
+
     SettingsBuilder& log(Observability::Level, Observability::Layout);
 
     // The settings, or all that is wrong with them; pointers are those of a settings file.
--- a/Source/Transport/ControlServiceClient.cpp
+++ b/Source/Transport/ControlServiceClient.cpp
@@ -39,6 +39,12 @@
 struct ControlServiceClient::State {
     using Stub = std::shared_ptr<proto::ControlService::Stub>;
 
+    explicit State(SharedCredentials sharedCredentials)
+        : credentials(std::move(sharedCredentials))
+    {
+    }
+
+    const SharedCredentials credentials;
     std::mutex lock;
     std::condition_variable idle;
     std::list<std::pair<std::string, Stub>> channels;
@@ -55,7 +61,7 @@
             channels.splice(channels.begin(), channels, found->second);
             return channels.front().second;
         }
-        auto channel = grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), channelArguments());
+        auto channel = grpc::CreateCustomChannel(address, credentials->channel(address), channelArguments());
         channels.emplace_front(address, proto::ControlService::NewStub(channel));
         byAddress[address] = channels.begin();
         if (channels.size() > maximumChannels) {
@@ -95,8 +101,8 @@
 
 } // namespace
 
-ControlServiceClient::ControlServiceClient()
-    : m_state(std::make_shared<State>())
+ControlServiceClient::ControlServiceClient(SharedCredentials credentials)
+    : m_state(std::make_shared<State>(std::move(credentials)))
 {
 }
 
--- a/Source/Transport/ControlServiceClient.h
+++ b/Source/Transport/ControlServiceClient.h
@@ -3,6 +3,7 @@
 #include "Base/Result.h"
 #include "Membership/ControlHandler.h"
 #include "Membership/PeerClient.h"
+#include "Transport/Credentials.h"
 
 #include <memory>
 
@@ -17,7 +18,7 @@
 // Calls the control service of other processes over gRPC.
 class ControlServiceClient final : public Membership::PeerClient {
 public:
-    ControlServiceClient();
+    explicit ControlServiceClient(SharedCredentials);
     // Waits for the callbacks of calls under way.
     ~ControlServiceClient() override;
 
--- a/Source/Transport/GrpcPeerClient.cpp
+++ b/Source/Transport/GrpcPeerClient.cpp
@@ -111,6 +111,12 @@
 } // namespace
 
 struct GrpcPeerClient::Channels {
+    explicit Channels(SharedCredentials sharedCredentials)
+        : credentials(std::move(sharedCredentials))
+    {
+    }
+
+    const SharedCredentials credentials;
     Base::ShardedMap<std::string, std::shared_ptr<Stub>> stubs;
 
     std::shared_ptr<Stub> stubFor(const std::string& address)
@@ -124,17 +130,17 @@
                 // A peer that restarts is to be found again within a second.
                 arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 200);
                 arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 1000);
-                stub = protocol::WeightService::NewStub(grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments));
+                stub = protocol::WeightService::NewStub(grpc::CreateCustomChannel(address, credentials->channel(address), arguments));
             }
             return stub;
         });
     }
 };
 
-GrpcPeerClient::GrpcPeerClient(Weights::Participant self, std::shared_ptr<Weights::WeightState> state)
+GrpcPeerClient::GrpcPeerClient(Weights::Participant self, std::shared_ptr<Weights::WeightState> state, SharedCredentials credentials)
     : m_self(std::move(self))
     , m_state(std::move(state))
-    , m_channels(std::make_unique<Channels>())
+    , m_channels(std::make_unique<Channels>(std::move(credentials)))
 {
 }
 
--- a/Source/Transport/GrpcPeerClient.h
+++ b/Source/Transport/GrpcPeerClient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Transport/Credentials.h"
 #include "Weights/PeerClient.h"
 #include "Weights/WeightState.h"
 
@@ -10,7 +11,7 @@
 // Calls the WeightService of other agents. Encoding only.
 class GrpcPeerClient final : public Weights::PeerClient {
 public:
-    GrpcPeerClient(Weights::Participant self, std::shared_ptr<Weights::WeightState>);
+    GrpcPeerClient(Weights::Participant self, std::shared_ptr<Weights::WeightState>, SharedCredentials);
     ~GrpcPeerClient() override;
 
     void getHoldings(const Weights::Participant&, const std::string& manifestDigest, Weights::HoldingsCallback) override;
--- a/Source/Transport/TargetClient.cpp
+++ b/Source/Transport/TargetClient.cpp
@@ -53,8 +53,8 @@
 } // namespace
 
 struct TargetClient::Connection {
-    explicit Connection(const std::string& address)
-        : stub(v1::TargetService::NewStub(grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), channelArguments())))
+    Connection(const std::string& address, const Credentials& credentials)
+        : stub(v1::TargetService::NewStub(grpc::CreateCustomChannel(address, credentials.channel(address), channelArguments())))
     {
     }
 
@@ -62,8 +62,9 @@
     std::atomic<unsigned> failures { 0 };
 };
 
-TargetClient::TargetClient(std::string address)
+TargetClient::TargetClient(std::string address, SharedCredentials credentials)
     : m_address(std::move(address))
+    , m_credentials(std::move(credentials))
 {
 }
 
@@ -73,7 +74,7 @@
 {
     std::lock_guard guard(m_lock);
     if (!m_connection)
-        m_connection = std::make_shared<Connection>(m_address);
+        m_connection = std::make_shared<Connection>(m_address, *m_credentials);
     return m_connection;
 }
 
@@ -115,12 +116,17 @@
     });
 }
 
+TargetClients::TargetClients(SharedCredentials credentials)
+    : m_credentials(std::move(credentials))
+{
+}
+
 std::shared_ptr<Routing::TargetChannel> TargetClients::channelTo(const std::string& address)
 {
     return m_clients.withShard(address, [&](auto& entries) {
         auto& client = entries[address];
         if (!client)
-            client = std::make_shared<TargetClient>(address);
+            client = std::make_shared<TargetClient>(address, m_credentials);
         return client;
     });
 }
--- a/Source/Transport/TargetClient.h
+++ b/Source/Transport/TargetClient.h
@@ -2,6 +2,7 @@
 
 #include "Base/ShardedMap.h"
 #include "Routing/TargetChannel.h"
+#include "Transport/Credentials.h"
 
 #include <memory>
 #include <mutex>
@@ -15,7 +16,7 @@
 class TargetClient final : public Routing::TargetChannel, public std::enable_shared_from_this<TargetClient> {
 public:
     // The address is IP:port of the agent's inner port.
-    explicit TargetClient(std::string address);
+    TargetClient(std::string address, SharedCredentials);
     ~TargetClient() override;
 
     std::shared_ptr<Routing::Attempt> open(const Routing::Admission&, std::shared_ptr<Routing::AttemptEvents>) override;
@@ -28,6 +29,7 @@
     void callFinished(const std::shared_ptr<Connection>&, bool connectionWorked);
 
     const std::string m_address;
+    const SharedCredentials m_credentials;
     std::mutex m_lock;
     std::shared_ptr<Connection> m_connection;
 };
@@ -35,12 +37,15 @@
 // The clients of all agents, one for each address.
 class TargetClients final : public Routing::TargetChannels {
 public:
+    explicit TargetClients(SharedCredentials);
+
     std::shared_ptr<Routing::TargetChannel> channelTo(const std::string& address) override;
 
     // Closes the connections to all other addresses once their attempts have ended.
     void retain(const std::set<std::string>& addresses);
 
 private:
+    const SharedCredentials m_credentials;
     Base::ShardedMap<std::string, std::shared_ptr<TargetClient>> m_clients;
 };
 
--- a/Tests/Fuzzing/SettingsFuzzer.cpp
+++ b/Tests/Fuzzing/SettingsFuzzer.cpp
@@ -20,6 +20,8 @@
     require(Json::isAddress(settings.configurationService, Json::PortRule::MustBeFixed));
     require(settings.callers.empty() == settings.target.has_value());
     require(settings.rolloutShareOfLink > 0 && settings.rolloutShareOfLink <= 1);
+    require(settings.tls.has_value() != settings.plainTextOnLoopback);
+    require(settings.tls || Json::isLoopbackAddress(settings.inner));
     if (settings.target)
         require(Json::isAddress(settings.target->endpoint, Json::PortRule::MustBeFixed));
     return 0;
--- a/Tests/Routing/RouterProcessTest.cpp
+++ b/Tests/Routing/RouterProcessTest.cpp
@@ -41,6 +41,7 @@
         Settings::ProcessSettings settings;
         settings.vm = "router-1";
         settings.callers = "127.0.0.1:0";
+        settings.plainTextOnLoopback = true;
         settings.admin = "127.0.0.1:0";
         router = Process::RouterBuilder(settings, control, clock, metrics).random(std::make_shared<Base::SeededRandom>(7)).build();
     }
--- a/Tests/Schemas/SchemaTest.cpp
+++ b/Tests/Schemas/SchemaTest.cpp
@@ -60,7 +60,7 @@
 {
     auto sample = json::parse(readFile(sourceFolder + "/Examples/hatkeshwar/agent.json"));
     Tests::SchemaWalker walker(json::parse(readFile(sourceFolder + "/docs/settings.schema.json")), sample, settingsProblems);
-    expectAgreement(walker, 21);
+    expectAgreement(walker, 28);
 }
 
 // Guards against examples that no longer pass the checks.
--- a/Tests/Transport/AgentFixture.h
+++ b/Tests/Transport/AgentFixture.h
@@ -123,6 +123,7 @@
         settings.vm = "vm-1";
         settings.dataCentre = "dc-1";
         settings.inner = "127.0.0.1:0";
+        settings.plainTextOnLoopback = true;
         settings.admin = "127.0.0.1:0";
         settings.target = Settings::TargetSettings { Settings::TargetKind::Model, "127.0.0.1:" + std::to_string(engineServer.port()), {} };
         auto built = Process::AgentBuilder().settings(settings).control(control).weights(weights).clock(clock).random(random).metrics(metrics).crashObserver(crashObserver).build();
--- a/Tests/Transport/AgentProcessTest.cpp
+++ b/Tests/Transport/AgentProcessTest.cpp
@@ -115,6 +115,7 @@
     FakeControl control;
     Settings::ProcessSettings settings;
     settings.inner = "127.0.0.1:" + std::to_string(fixture.agent->innerPort());
+    settings.plainTextOnLoopback = true;
     settings.admin = "127.0.0.1:0";
     settings.target = Settings::TargetSettings { Settings::TargetKind::Service, "127.0.0.1:1", "ledger" };
     auto second = Process::AgentBuilder().settings(settings).control(control).weights(fixture.weights).clock(fixture.clock).random(fixture.random).metrics(fixture.metrics).build();
@@ -161,6 +162,7 @@
     Settings::ProcessSettings settings;
     settings.vm = "vm-1";
     settings.inner = "127.0.0.1:0";
+    settings.plainTextOnLoopback = true;
     settings.admin = "127.0.0.1:0";
     settings.target = Settings::TargetSettings { Settings::TargetKind::Service, "127.0.0.1:" + std::to_string(server.port()), "ledger" };
     auto built = Process::AgentBuilder().settings(settings).control(control).weights(weights).clock(clock).random(random).metrics(metrics).build();
--- a/Utilities/Bench/BenchFleet.cpp
+++ b/Utilities/Bench/BenchFleet.cpp
@@ -46,6 +46,7 @@
     Settings::ProcessSettings settings;
     settings.vm = vm;
     settings.callers = "127.0.0.1:0";
+    settings.plainTextOnLoopback = true;
     settings.admin = "127.0.0.1:0";
     settings.streamBudgetBytes = streamBudgetBytes;
     return settings;
--- a/Utilities/Bench/RolloutFleet.cpp
+++ b/Utilities/Bench/RolloutFleet.cpp
@@ -111,6 +111,7 @@
     settings.region = member.region;
     settings.dataCentre = member.dataCentre;
     settings.weightStore = m_store->address();
+    settings.plainTextOnLoopback = true;
     settings.weightStoreRegion = shape.originOnly ? member.region : regionName(storeRegion);
     settings.weightMemoryBytes = shape.weightMemoryBytes;
     constexpr double bitsPerByte = 8;
--- a/Utilities/Bench/SlowReadersBench.cpp
+++ b/Utilities/Bench/SlowReadersBench.cpp
@@ -53,7 +53,7 @@
         auto large = makeAgentMember("agent-2", *parent.readLine(), "dc-1", "large", load);
         control.setMembers({ small, large });
         auto budget = unbounded ? std::numeric_limits<uint64_t>::max() / 2 : static_cast<uint64_t>(options.budgetMebibytes) * 1024 * 1024;
-        std::shared_ptr<Routing::TargetChannels> channels = std::make_shared<Transport::TargetClients>();
+        std::shared_ptr<Routing::TargetChannels> channels = std::make_shared<Transport::TargetClients>(Transport::makeLoopbackCredentials());
         if (unbounded)
             channels = std::make_shared<UnboundedChannels>(channels);
         auto router = Process::RouterBuilder(makeRouterSettings("router-1", budget), control, clock, metrics)
--- a/Utilities/Bench/Spread/FleetNode.h
+++ b/Utilities/Bench/Spread/FleetNode.h
@@ -57,7 +57,7 @@
     Base::SystemClock m_clock;
     Base::SeededRandom m_random;
     Observability::Metrics m_metrics;
-    Transport::ControlServiceClient m_client;
+    Transport::ControlServiceClient m_client { Transport::makeLoopbackCredentials() };
     FaultyPeerClient m_peers;
     std::atomic<bool> m_separated { false };
     SeparableSource m_source;
