Test that only processes of the system pass the inner port

Nothing guarded the handshake: a client without a certificate, of another authority, with an expired certificate or in plain text must not reach any of the eight calls, and a rotation must need no restart.

--- /dev/null
+++ b/Tests/Security/CredentialsTest.cpp
@@ -0,0 +1,89 @@
+#include "Transport/Credentials.h"
+#include "CommandLine/StatusCommand.h"
+#include "Security/SecureAgent.h"
+
+#include <criterion/criterion.h>
+
+using namespace Lavenderloft;
+using namespace Lavenderloft::Testing;
+using CommandLine::ExitCode;
+using Transport::CredentialsErrorKind;
+
+namespace {
+
+// Expects that the files are refused with an error of this kind that names the text and a remedy.
+void expectRefusal(const TlsFolder& folder, CredentialsErrorKind kind, const std::string& text)
+{
+    auto result = Transport::makeTlsCredentials(folder.settings());
+    cr_assert_not(Base::succeeded(result), "%s", text.c_str());
+    auto& error = Base::errorOf(result);
+    cr_assert(error.kind == kind, "%s", error.describe().c_str());
+    cr_assert(error.message.find(text) != std::string::npos, "%s", error.describe().c_str());
+    cr_assert_not(error.remedy.empty());
+}
+
+ExitCode runStatus(std::vector<std::string> arguments)
+{
+    return CommandLine::StatusCommand().run(arguments);
+}
+
+} // namespace
+
+// Guards against a process that starts with certificates that no other process accepts.
+Test(Credentials, refusesFilesThatDoNotFit)
+{
+    TestAuthority authority("authority");
+    TestAuthority other("other");
+    auto identity = authority.issue();
+    TlsFolder folder;
+    expectRefusal(folder, CredentialsErrorKind::UnreadableFile, "certificate.pem");
+    folder.write(identity, "no PEM");
+    expectRefusal(folder, CredentialsErrorKind::UnreadableFile, "authority.pem");
+    folder.write({ identity.certificate, "no PEM" }, authority.certificate());
+    expectRefusal(folder, CredentialsErrorKind::UnreadableFile, "key.pem");
+    folder.write({ identity.certificate, authority.issue().key }, authority.certificate());
+    expectRefusal(folder, CredentialsErrorKind::UnusableCertificate, "another certificate");
+    folder.write(identity, other.certificate());
+    expectRefusal(folder, CredentialsErrorKind::UnusableCertificate, "issuer");
+    folder.write(authority.issue(std::chrono::seconds(-60)), authority.certificate());
+    expectRefusal(folder, CredentialsErrorKind::UnusableCertificate, "expired");
+    folder.write(authority.issue(std::chrono::hours(1), "serverAuth"), authority.certificate());
+    expectRefusal(folder, CredentialsErrorKind::UnusableCertificate, "purpose");
+    folder.write(authority.issue(std::chrono::hours(1), "serverAuth,clientAuth"), authority.certificate());
+    cr_assert(Base::succeeded(Transport::makeTlsCredentials(folder.settings())));
+}
+
+// Guards against settings made in code that pass by the checks of the file.
+Test(Credentials, needsCertificatesOrLoopback)
+{
+    Settings::ProcessSettings settings;
+    settings.inner = "127.0.0.1:0";
+    cr_assert(Base::errorOf(Transport::makeCredentials(settings)).kind == CredentialsErrorKind::NotConfigured);
+    settings.plainTextOnLoopback = true;
+    cr_assert(Base::succeeded(Transport::makeCredentials(settings)));
+    settings.inner = "10.0.0.1:0";
+    cr_assert(Base::errorOf(Transport::makeCredentials(settings)).kind == CredentialsErrorKind::NotConfigured);
+}
+
+// Guards against a status command that operators cannot use with TLS, or that works without a certificate.
+Test(Credentials, statusCommandNeedsACertificate)
+{
+    TestAuthority authority("authority");
+    TlsFolder folder;
+    folder.write(authority.issue(), authority.certificate());
+    SecureAgent agent(folder.settings());
+    auto certificate = folder.path("certificate.pem");
+    auto key = folder.path("key.pem");
+    auto trusted = folder.path("authority.pem");
+    cr_assert(runStatus({ "--address", agent.address() }) == ExitCode::Refused);
+    cr_assert(runStatus({ "--address", "10.0.0.1:1" }) == ExitCode::Usage);
+    cr_assert(runStatus({ "--address", agent.address(), "--tls-certificate", certificate }) == ExitCode::Usage);
+    cr_assert_eq(agent.handler.calls, 0);
+    cr_assert(runStatus({ "--address", agent.address(), "--tls-certificate", certificate, "--tls-key", key, "--tls-authority", trusted }) == ExitCode::Success);
+    folder.write("settings.json", R"({ "vm": "a", "region": "r", "dataCentre": "d", "callers": "127.0.0.1:0", "admin": "127.0.0.1:0",
+        "configurationService": "127.0.0.1:1", "vmList": "127.0.0.1:2", "inner": ")"
+            + agent.address() + R"(", "tls": { "certificateFile": ")" + certificate + R"(", "keyFile": ")" + key + R"(", "authorityFile": ")" + trusted + "\" } }");
+    cr_assert(runStatus({ "--settings", folder.path("settings.json") }) == ExitCode::Success);
+    cr_assert_eq(agent.handler.calls, 2);
+    cr_assert(runStatus({ "--settings", folder.path("settings.json"), "--tls-key", key }) == ExitCode::Usage);
+}
--- /dev/null
+++ b/Tests/Security/RotationTest.cpp
@@ -0,0 +1,91 @@
+#include "Security/InnerCalls.h"
+#include "Transport/Credentials.h"
+
+#include <criterion/criterion.h>
+
+using namespace Lavenderloft;
+using namespace Lavenderloft::Testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+// The files of one process and the credentials made from them once.
+struct Peer {
+    Peer(const TestAuthority& issuer, const std::string& authorities)
+    {
+        folder.write(issuer.issue(), authorities);
+        credentials = Base::takeValue(Transport::makeTlsCredentials(folder.settings()));
+    }
+
+    // The outcome of a call on a new connection.
+    grpc::StatusCode call(const std::string& address) const
+    {
+        return InnerCalls(address, credentials->channel(address)).getStatus();
+    }
+
+    // Tries new connections until one ends so; the limit of tries only ends a hang.
+    bool callsUntil(const std::string& address, grpc::StatusCode wanted) const
+    {
+        for (int i = 0; i < 600; ++i) {
+            if (call(address) == wanted)
+                return true;
+            std::this_thread::sleep_for(100ms);
+        }
+        return false;
+    }
+
+    TlsFolder folder;
+    Transport::SharedCredentials credentials;
+};
+
+} // namespace
+
+// Guards against certificates that take a restart to replace, and against a replacement that breaks connections.
+// The whole authority is replaced, which is the largest rotation there is.
+Test(Rotation, replacesTheAuthorityWithoutARestart)
+{
+    TestAuthority first("first");
+    TestAuthority second("second");
+    auto both = first.certificate() + second.certificate();
+    TlsFolder files;
+    files.write(first.issue(), first.certificate());
+    SecureAgent agent(files.settings());
+    Peer oldPeer(first, first.certificate());
+    Peer newPeer(second, second.certificate());
+    cr_assert_eq(oldPeer.call(agent.address()), grpc::StatusCode::OK);
+    cr_assert_eq(newPeer.call(agent.address()), grpc::StatusCode::UNAVAILABLE);
+
+    InnerCalls openConnection(agent.address(), oldPeer.credentials->channel(agent.address()));
+    auto stub = openConnection.targetStub();
+    RouterCall openCall(*stub);
+    auto permit = openCall.admit(RouterCall::makeAdmit("a", "", 5));
+    cr_assert(permit.has_permit());
+
+    files.write(second.issue(), second.certificate());
+    cr_assert(newPeer.callsUntil(agent.address(), grpc::StatusCode::OK));
+    cr_assert(oldPeer.callsUntil(agent.address(), grpc::StatusCode::UNAVAILABLE));
+
+    openCall.sendBody(permit.permit().permit_id(), "hello");
+    cr_assert(openCall.readAnswer() == "hello");
+    cr_assert_eq(openCall.end.end().status(), protocol::END_STATUS_COMPLETE);
+    cr_assert_eq(openConnection.getStatus(), grpc::StatusCode::OK);
+
+    // The same client, with new files, connects anew.
+    oldPeer.folder.write(second.issue(), both);
+    cr_assert(oldPeer.callsUntil(agent.address(), grpc::StatusCode::OK));
+}
+
+// Guards against an outage when a file is lost or half written while the process runs.
+Test(Rotation, keepsTheLastUsableFiles)
+{
+    TestAuthority authority("authority");
+    TlsFolder files;
+    files.write(authority.issue(), authority.certificate());
+    SecureAgent agent(files.settings());
+    Peer peer(authority, authority.certificate());
+    std::filesystem::remove(files.path("key.pem"));
+    std::filesystem::remove(files.path("authority.pem"));
+    // Long enough for the files to be read again.
+    std::this_thread::sleep_for(2500ms);
+    cr_assert_eq(peer.call(agent.address()), grpc::StatusCode::OK);
+}
