Reject manifests whose total size wraps

fuzz-Manifest found that two chunks of 2^63 bytes summed to 0 bytes, which passes any memory budget, and that a key with a line break reached the error message and so the log.

The sum is checked and control characters of messages are replaced.

--- a/Source/Weights/Manifest.cpp
+++ b/Source/Weights/Manifest.cpp
@@ -2,6 +2,9 @@
 
 #include "Base/Digest.h"
 
+#include <algorithm>
+#include <cctype>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <set>
 
@@ -16,9 +19,13 @@
         std::string message;
     };
 
+    // The message goes into log lines, which keys with control characters must not break.
     [[noreturn]] void reject(const std::string& where, const std::string& what)
     {
-        throw MalformedDocument { "manifest " + where + ": " + what };
+        auto message = "manifest " + where + ": " + what;
+        std::replace_if(
+            message.begin(), message.end(), [](unsigned char c) { return std::iscntrl(c); }, '?');
+        throw MalformedDocument { std::move(message) };
     }
 
     // Reads JSON and rejects keys that occur twice in an object, which the parser alone would drop.
@@ -94,6 +101,9 @@
     void appendChunk(Manifest& manifest, const std::string& digest, uint64_t bytes)
     {
         auto& positions = manifest.positions[digest];
+        // A sum that wraps would pass the check against the memory budget.
+        if (positions.empty() && bytes > std::numeric_limits<uint64_t>::max() - manifest.distinctBytes)
+            reject("/files", "must hold less than 2^64 bytes in total");
         if (positions.empty())
             manifest.distinctBytes += bytes;
         else if (manifest.chunks[positions.front()].bytes != bytes)
--- a/Tests/Weights/ManifestTest.cpp
+++ b/Tests/Weights/ManifestTest.cpp
@@ -68,3 +68,17 @@
     cr_assert_not(Base::succeeded(parsed));
     cr_assert(Base::errorOf(parsed).kind == WeightErrorKind::WrongDigest);
 }
+
+// Guards against a manifest whose size wraps to a small one and so passes the memory budget, and against an error
+// that breaks a log line. Found by fuzz-Manifest.
+Test(Manifest, rejectsSizesThatWrapAndPrintsErrorsOnOneLine)
+{
+    auto half = std::to_string(1ULL << 63);
+    auto file = [&](const std::string& name) { return R"({"name":")" + name + R"(","size":)" + half + R"(,"chunks":[")" + Base::sha256(name) + "\"]}"; };
+    auto head = R"({"model":"m","version":"1","chunkSize":)" + half + R"(,"files":[)";
+    cr_assert_not(isMalformed(head + file("a") + "]}"));
+    cr_assert(isMalformed(head + file("a") + "," + file("b") + "]}"));
+    auto parsed = parseManifest(documentWith("[]", R"(,"line\u000abreak":1)"));
+    cr_assert(Base::errorOf(parsed).message.find('\n') == std::string::npos);
+    cr_assert(Base::errorOf(parsed).message.find("line?break") != std::string::npos);
+}
