--- a/Tests/Fuzzing/FuzzingChecks.h
+++ b/Tests/Fuzzing/FuzzingChecks.h
@@ -16,14 +16,19 @@
         std::abort();
 }
 
+// The text holds no character that would break a log line.
+inline void checkPrintable(const std::string& text)
+{
+    require(!text.empty() && std::none_of(text.begin(), text.end(), [](char c) { return (c >= 0 && c < ' ') || c == 0x7f; }));
+}
+
 // Errors are bounded, printable and complete.
 inline void checkError(const Json::CheckError& error)
 {
     require(!error.problems.empty() && error.problems.size() <= Json::maxProblems + 1);
     for (auto& problem : error.problems) {
-        auto text = problem.describe();
         require(!problem.message.empty() && !problem.remedy.empty());
-        require(std::none_of(text.begin(), text.end(), [](char c) { return (c >= 0 && c < ' ') || c == 0x7f; }));
+        checkPrintable(problem.describe());
     }
 }
 
