Number the events of refused handshakes

gRPC prints failed handshakes on standard error in its own form and tells callers nothing of them; it also prints an error for every accepted connection because certificates name no addresses.

GrpcLog receives what the library prints while a process runs and writes it as LL6001 handshake-failed, LL6002 certificates-not-read or LL6003 grpc-fault.

--- a/Source/Process/ControlStack.h
+++ b/Source/Process/ControlStack.h
@@ -9,6 +9,7 @@
 #include "Transport/ControlServiceClient.h"
 #include "Transport/ControlServiceServer.h"
 #include "Transport/Credentials.h"
+#include "Transport/GrpcLog.h"
 
 #include <memory>
 
@@ -28,6 +29,7 @@
     Transport::ControlServiceServer& service() { return *m_service; }
 
 private:
+    Transport::GrpcLog m_grpcLog;
     Base::SystemClock m_clock;
     std::shared_ptr<Base::RandomSource> m_random;
     std::shared_ptr<Observability::Metrics> m_metrics;
--- /dev/null
+++ b/Source/Transport/Events.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "Observability/Event.h"
+
+// Events 6000 to 6499: connections between the system's processes.
+namespace Lavenderloft::Transport {
+
+using Observability::Event;
+using Observability::Level;
+
+inline constexpr Event HandshakeFailed { 6001, "handshake-failed", Level::Warning, "The TLS handshake of an incoming or outgoing connection between processes failed." };
+inline constexpr Event CertificatesNotRead { 6002, "certificates-not-read", Level::Warning, "Certificate files could not be read again; the last usable ones stay in force." };
+inline constexpr Event GrpcFault { 6003, "grpc-fault", Level::Warning, "The gRPC library reported another fault." };
+
+} // namespace Lavenderloft::Transport
--- a/Tests/Security/CredentialsTest.cpp
+++ b/Tests/Security/CredentialsTest.cpp
@@ -1,8 +1,13 @@
 #include "Transport/Credentials.h"
 #include "CommandLine/StatusCommand.h"
 #include "Security/SecureAgent.h"
+#include "Transport/Events.h"
+#include "Transport/GrpcLog.h"
 
+#include <algorithm>
+#include <condition_variable>
 #include <criterion/criterion.h>
+#include <mutex>
 
 using namespace Lavenderloft;
 using namespace Lavenderloft::Testing;
@@ -87,3 +92,37 @@
     cr_assert_eq(agent.handler.calls, 2);
     cr_assert(runStatus({ "--settings", folder.path("settings.json"), "--tls-key", key }) == ExitCode::Usage);
 }
+
+// Guards against refused connections that the operator cannot see, and against a line for each accepted one.
+Test(Credentials, refusedHandshakesAreEvents)
+{
+    std::mutex lock;
+    std::condition_variable changed;
+    std::vector<int> numbers;
+    Transport::GrpcLog log([&](const Observability::Event& event, const std::string& message) {
+        std::lock_guard guard(lock);
+        cr_expect_not(message.empty());
+        numbers.push_back(event.number);
+        changed.notify_all();
+    });
+    TestAuthority authority("authority");
+    TestAuthority other("other");
+    TlsFolder folder;
+    folder.write(authority.issue(), authority.certificate());
+    SecureAgent agent(folder.settings());
+    auto status = [&](const TlsFolder& files) {
+        return runStatus({ "--address", agent.address(), "--tls-certificate", files.path("certificate.pem"), "--tls-key", files.path("key.pem"), "--tls-authority", files.path("authority.pem") });
+    };
+    cr_assert(status(folder) == ExitCode::Success);
+    {
+        std::lock_guard guard(lock);
+        cr_assert(numbers.empty());
+    }
+    TlsFolder foreign;
+    foreign.write(other.issue(), other.certificate() + authority.certificate());
+    cr_assert(status(foreign) == ExitCode::Refused);
+    std::unique_lock guard(lock);
+    changed.wait(guard, [&] { return std::count(numbers.begin(), numbers.end(), Transport::HandshakeFailed.number) > 0; });
+    cr_assert(Transport::classifyGrpcMessage("grpc_tls_certificate_provider.cc", "All retry attempts failed.")->number == Transport::CertificatesNotRead.number);
+    cr_assert(Transport::classifyGrpcMessage("tcp.cc", "x")->number == Transport::GrpcFault.number);
+}
