Compose agents and routers as classes, and test a rollout end to end

Cause: the launchers composed a process inside one function, so that no test could run a whole agent or router. Stopping a control node did not wait for calls to peers under way, whose callbacks then used a destroyed node.

AgentProcess::abort() ends an agent at once. ControlNode::stop() waits for its calls. TestFleet runs real processes beside the stand-ins; its first test rolls out two versions under load.

--- a/Source/Process/AgentProcess.cpp
+++ b/Source/Process/AgentProcess.cpp
@@ -127,7 +127,7 @@
             driver->start();
         tick();
         context.run();
-        server->Shutdown(std::chrono::system_clock::now() + streamEndTime);
+        server->Shutdown(std::chrono::system_clock::now() + (isAborted ? std::chrono::seconds(0) : streamEndTime));
         if (driver)
             driver->stop();
         Observability::logEvent(ProcessStopped, { { "vm", parts.settings.vm } });
@@ -142,6 +142,12 @@
         parts.control.publishLeaving();
     }
 
+    void abort()
+    {
+        isAborted = true;
+        context.stop();
+    }
+
     void tick()
     {
         if (situation.pauseDetector().tick())
@@ -222,6 +228,7 @@
     std::shared_ptr<ReplicaDriver> driver;
     std::unique_ptr<EngineMonitor> monitor;
     unsigned lastLimit = 0;
+    std::atomic<bool> isAborted { false };
     int innerPort = 0;
     std::unique_ptr<grpc::Server> server;
     std::unique_ptr<Http::HttpServer> admin;
@@ -247,6 +254,11 @@
     asio::post(m_state->context, [state = m_state.get()] { state->beginStop(); });
 }
 
+void AgentProcess::abort()
+{
+    m_state->abort();
+}
+
 uint16_t AgentProcess::innerPort() const
 {
     return static_cast<uint16_t>(m_state->innerPort);
--- a/Source/Process/AgentProcess.h
+++ b/Source/Process/AgentProcess.h
@@ -47,6 +47,9 @@
     // Begins a graceful shutdown: stops grants, waits for running requests, then ends run(). From any thread.
     void requestStop();
 
+    // Ends run() at once and cuts running requests. From any thread.
+    void abort();
+
     uint16_t innerPort() const;
     uint16_t adminPort() const;
 
--- a/Source/Process/ControlNode.cpp
+++ b/Source/Process/ControlNode.cpp
@@ -110,6 +110,25 @@
     for (auto& thread : m_threads)
         thread.join();
     m_threads.clear();
+    std::unique_lock guard(m_stopLock);
+    m_stopCondition.wait(guard, [this] { return !m_callsUnderWay; });
+}
+
+bool ControlNode::beginCall()
+{
+    std::lock_guard guard(m_stopLock);
+    if (m_stopped)
+        return false;
+    ++m_callsUnderWay;
+    return true;
+}
+
+void ControlNode::endCall()
+{
+    // Notifies under the lock, since the object may go as soon as the lock is free.
+    std::lock_guard guard(m_stopLock);
+    if (!--m_callsUnderWay)
+        m_stopCondition.notify_all();
 }
 
 bool ControlNode::wait(std::chrono::milliseconds duration)
@@ -274,23 +293,29 @@
 
 void ControlNode::contact(const std::string& address, const std::string& vm)
 {
+    if (!beginCall())
+        return;
     auto message = ComposeGossip(m_table).request(documentState(m_revisions, confirmationAge()), m_pageCursor);
     message.crashEvidence = m_evidence.newest(m_parts.clock.now());
     RecordTransmission(m_table).execute(message.members);
     m_parts.peers.exchange(address, message, exchangeTimeout, [this, address, vm](std::optional<Membership::GossipMessage> response) {
-        if (!response) {
-            if (!vm.empty())
-                ChangeStatus(m_table).recordFailedProbe(vm, m_parts.clock.now());
-            return;
-        }
-        m_heardPeer = true;
-        m_pageCursor = response->pageCursor;
-        receive(*response);
-        learnDocument(address, *response);
-        notifyIfChanged();
+        if (response)
+            noteResponse(address, *response);
+        else if (!vm.empty())
+            ChangeStatus(m_table).recordFailedProbe(vm, m_parts.clock.now());
+        endCall();
     });
 }
 
+void ControlNode::noteResponse(const std::string& address, const Membership::GossipMessage& response)
+{
+    m_heardPeer = true;
+    m_pageCursor = response.pageCursor;
+    receive(response);
+    learnDocument(address, response);
+    notifyIfChanged();
+}
+
 void ControlNode::contactUnknown()
 {
     std::pair<std::string, std::string> contactAddress;
@@ -328,12 +353,13 @@
     auto digest = current ? current->digest : std::string();
     if (message.documentDigest.empty() || !Configuration::isGreater(message.revision, message.documentDigest, revision, digest))
         return;
-    if (m_fetching.exchange(true))
+    if (m_fetching.exchange(true) || !beginCall())
         return;
     m_parts.peers.fetchDocument(address, digest, documentTimeout, [this](std::optional<Membership::DocumentReply> reply) {
         m_fetching = false;
         if (reply)
             acceptFromPeer(*reply);
+        endCall();
     });
 }
 
--- a/Source/Process/ControlNode.h
+++ b/Source/Process/ControlNode.h
@@ -38,7 +38,7 @@
     // Starts the threads. To be called once the inner port answers, with its address as IP:port.
     void start(const std::string& address);
 
-    // Ends the threads.
+    // Ends the threads and waits for the calls to peers under way, whose callbacks use this object.
     void stop();
 
     std::shared_ptr<const DesiredState::Document> document() const override;
@@ -69,6 +69,7 @@
     void detectPause();
     void gossipWith(const Membership::Member&);
     void contact(const std::string& address, const std::string& vm);
+    void noteResponse(const std::string& address, const Membership::GossipMessage&);
     void contactUnknown();
     void receive(const Membership::GossipMessage&);
     void learnDocument(const std::string& address, const Membership::GossipMessage&);
@@ -77,6 +78,8 @@
     void readOnce();
     bool isReader() const;
     bool wait(std::chrono::milliseconds);
+    bool beginCall();
+    void endCall();
     void confirm();
     void notifyIfChanged();
     void spreadNow();
@@ -109,6 +112,7 @@
     std::mutex m_stopLock;
     std::condition_variable m_stopCondition;
     bool m_stopped = false;
+    size_t m_callsUnderWay = 0;
     std::vector<std::thread> m_threads;
 };
 
--- a/Source/Process/ControlStack.cpp
+++ b/Source/Process/ControlStack.cpp
@@ -14,14 +14,25 @@
         return Base::valueOf(endpoint);
     }
 
+    OutsideParts complete(OutsideParts parts, const Settings::ProcessSettings& settings)
+    {
+        if (!parts.clock)
+            parts.clock = std::make_shared<Base::SystemClock>();
+        if (!parts.peers)
+            parts.peers = std::make_shared<Transport::ControlServiceClient>();
+        if (!parts.source)
+            parts.source = std::make_shared<HttpConfigurationSource>(endpointOf(settings.configurationService, "configurationService"), endpointOf(settings.vmList, "vmList"));
+        return parts;
+    }
+
 } // namespace
 
-ControlStack::ControlStack(const Settings::ProcessSettings& settings, Membership::Role role)
-    : m_random(std::make_shared<Base::SeededRandom>(Base::SeededRandom::fromDevice()))
+ControlStack::ControlStack(const Settings::ProcessSettings& settings, Membership::Role role, OutsideParts outside)
+    : m_outside(complete(std::move(outside), settings))
+    , m_random(std::make_shared<Base::SeededRandom>(Base::SeededRandom::fromDevice()))
     , m_metrics(std::make_shared<Observability::Metrics>())
-    , m_source(std::make_unique<HttpConfigurationSource>(endpointOf(settings.configurationService, "configurationService"), endpointOf(settings.vmList, "vmList")))
 {
-    m_node = std::make_unique<ControlNode>(settings, role, ControlNodeParts { m_clock, *m_random, m_peers, *m_source, *m_metrics });
+    m_node = std::make_unique<ControlNode>(settings, role, ControlNodeParts { *m_outside.clock, *m_random, *m_outside.peers, *m_outside.source, *m_metrics });
     m_service = std::make_unique<Transport::ControlServiceServer>(*m_node);
 }
 
--- a/Source/Process/ControlStack.h
+++ b/Source/Process/ControlStack.h
@@ -13,24 +13,29 @@
 
 namespace Lavenderloft::Process {
 
+// Replacements for what connects a process to the outside; a null part stands for the real one.
+struct OutsideParts {
+    std::shared_ptr<const Base::Clock> clock;
+    std::shared_ptr<Membership::PeerClient> peers;
+    std::shared_ptr<ConfigurationSource> source;
+};
+
 // What every process is built on: clock, random source, metrics and the control plane with its transport.
 class ControlStack {
 public:
     // Throws std::runtime_error with the setting at fault.
-    ControlStack(const Settings::ProcessSettings&, Membership::Role);
+    ControlStack(const Settings::ProcessSettings&, Membership::Role, OutsideParts = {});
 
-    const Base::Clock& clock() const { return m_clock; }
+    const Base::Clock& clock() const { return *m_outside.clock; }
     const std::shared_ptr<Base::RandomSource>& random() const { return m_random; }
     const std::shared_ptr<Observability::Metrics>& metrics() const { return m_metrics; }
     ControlNode& node() { return *m_node; }
     Transport::ControlServiceServer& service() { return *m_service; }
 
 private:
-    Base::SystemClock m_clock;
+    const OutsideParts m_outside;
     std::shared_ptr<Base::RandomSource> m_random;
     std::shared_ptr<Observability::Metrics> m_metrics;
-    Transport::ControlServiceClient m_peers;
-    std::unique_ptr<HttpConfigurationSource> m_source;
     std::unique_ptr<ControlNode> m_node;
     std::unique_ptr<Transport::ControlServiceServer> m_service;
 };
--- /dev/null
+++ b/Source/Process/RouterComposition.cpp
@@ -0,0 +1,60 @@
+#include "Process/RouterComposition.h"
+
+#include "Process/RouterBuilder.h"
+
+#include <grpcpp/grpcpp.h>
+#include <stdexcept>
+
+namespace Lavenderloft::Process {
+
+RouterComposition::RouterComposition(const Settings::ProcessSettings& settings, OutsideParts outside)
+    : m_host(settings.inner.substr(0, settings.inner.rfind(':')))
+    , m_stack(settings, Membership::Role::Router, std::move(outside))
+    , m_server(startInnerServer(settings.inner))
+    , m_router(RouterBuilder(settings, m_stack.node(), m_stack.clock(), *m_stack.metrics()).random(m_stack.random()).build())
+{
+    shareCrashEvidence();
+}
+
+void RouterComposition::start()
+{
+    m_stack.node().start(m_host + ':' + std::to_string(m_innerPort));
+}
+
+RouterComposition::~RouterComposition()
+{
+    // Whatever may call the router ends before it does.
+    m_server->Shutdown(std::chrono::system_clock::now() + std::chrono::seconds(1));
+    m_stack.node().stop();
+}
+
+bool RouterComposition::drain(Base::Duration limit)
+{
+    return m_router->drain(limit);
+}
+
+std::unique_ptr<grpc::Server> RouterComposition::startInnerServer(const std::string& address)
+{
+    grpc::ServerBuilder builder;
+    // Only one process at a time may serve a VM's name.
+    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    builder.AddListeningPort(address, grpc::InsecureServerCredentials(), &m_innerPort);
+    builder.RegisterService(&m_stack.service().service());
+    auto server = builder.BuildAndStart();
+    if (!server || !m_innerPort)
+        throw std::runtime_error("setting \"inner\": " + address + " cannot be bound; check that no other process uses it");
+    return server;
+}
+
+// Gives the router's quarantine what agents report of crashes.
+void RouterComposition::shareCrashEvidence()
+{
+    m_stack.node().onChange([this] {
+        std::vector<Routing::Suspicion> suspicions;
+        for (auto& evidence : m_stack.node().crashEvidence())
+            suspicions.push_back({ evidence.fingerprint, evidence.target, evidence.age });
+        m_router->merge(suspicions);
+    });
+}
+
+} // namespace Lavenderloft::Process
--- /dev/null
+++ b/Tests/EndToEnd/FaultSwitches.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "Base/SeededRandom.h"
+#include "Base/SystemClock.h"
+#include "Bench/Spread/FaultyPeerClient.h"
+#include "Process/HttpConfigurationSource.h"
+#include "Transport/ControlServiceClient.h"
+
+#include <algorithm>
+#include <atomic>
+
+namespace Lavenderloft::Testing {
+
+// The clock of the operating system, which a test can let jump as for a process that was paused.
+class SkippingClock final : public Base::Clock {
+public:
+    Base::TimePoint now() const override { return m_clock.now() + m_skipped.load(); }
+    Base::WallTime wallTime() const override { return m_clock.wallTime() + m_skipped.load(); }
+
+    void skip(Base::Duration duration) { m_skipped = m_skipped.load() + duration; }
+
+private:
+    Base::SystemClock m_clock;
+    std::atomic<Base::Duration> m_skipped { Base::Duration::zero() };
+};
+
+// The platform's services as one process sees them. Watches are short, so that a process ends soon.
+class SwitchedSource final : public Process::ConfigurationSource {
+public:
+    SwitchedSource(Http::Endpoint configurationService, Http::Endpoint vmList)
+        : m_source(std::move(configurationService), std::move(vmList))
+    {
+    }
+
+    Base::Result<std::optional<std::string>, Process::SourceError> read(uint64_t afterRevision, std::chrono::milliseconds wait) override
+    {
+        if (isCutOff)
+            return unavailable();
+        return m_source.read(afterRevision, std::min(wait, longestWatch));
+    }
+
+    Base::Result<std::vector<Process::ListedVm>, Process::SourceError> listVms() override
+    {
+        if (isCutOff)
+            return unavailable();
+        return m_source.listVms();
+    }
+
+    std::atomic<bool> isCutOff { false };
+
+private:
+    static constexpr std::chrono::milliseconds longestWatch { 300 };
+
+    static Process::SourceError unavailable() { return { Process::SourceErrorKind::Unavailable, "the test cut the process off", "" }; }
+
+    Process::HttpConfigurationSource m_source;
+};
+
+// The gRPC client of one process behind the network faults that the fleet shares.
+struct SwitchedPeers {
+    explicit SwitchedPeers(const Bench::Spread::NetworkFaults& faults)
+        : faulty(client, faults, random)
+    {
+    }
+
+    Transport::ControlServiceClient client;
+    Base::SeededRandom random { 1 };
+    Bench::Spread::FaultyPeerClient faulty;
+};
+
+} // namespace Lavenderloft::Testing
--- /dev/null
+++ b/Tests/EndToEnd/TestFleet.cpp
@@ -0,0 +1,199 @@
+#include "EndToEnd/TestFleet.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+
+namespace Lavenderloft::Testing {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+    // Ends a hang; no test measures time against it.
+    constexpr std::chrono::seconds hangLimit { 60 };
+    constexpr std::chrono::milliseconds pollInterval { 10 };
+    constexpr uint64_t modelBytes = 256 * 1024;
+    constexpr uint64_t chunkBytes = 64 * 1024;
+
+    std::string loopback(uint16_t port)
+    {
+        return "127.0.0.1:" + std::to_string(port);
+    }
+
+    std::string errorField(const std::string& body, const char* field)
+    {
+        auto json = nlohmann::json::parse(body, nullptr, false);
+        if (!json.is_object() || !json.contains("error"))
+            return {};
+        return json["error"].value(field, "");
+    }
+
+} // namespace
+
+void waitUntil(const std::string& what, const std::function<bool()>& condition)
+{
+    auto end = std::chrono::steady_clock::now() + hangLimit;
+    while (!condition()) {
+        cr_assert(std::chrono::steady_clock::now() < end, "waited in vain: %s", what.c_str());
+        std::this_thread::sleep_for(pollInterval);
+    }
+}
+
+std::string Answer::errorCode() const
+{
+    return errorField(body, "code");
+}
+
+std::string Answer::outcome() const
+{
+    return errorField(body, "outcome");
+}
+
+TestFleet::TestFleet(const std::vector<std::string>& dataCentres)
+    : configuration({})
+    , vmList({})
+    , store({})
+{
+    desired = { { "revision", 0 }, { "regions", nlohmann::json::array() }, { "dataCentres", nlohmann::json::array() }, { "pools", nlohmann::json::array() }, { "services", nlohmann::json::array() }, { "routes", nlohmann::json::array() }, { "drains", nlohmann::json::array() } };
+    for (auto& name : dataCentres) {
+        desired["regions"].push_back({ { "name", "region-" + name } });
+        desired["dataCentres"].push_back({ { "name", name }, { "region", "region-" + name }, { "state", "in" } });
+    }
+}
+
+TestFleet::~TestFleet() = default;
+
+uint64_t TestFleet::publish()
+{
+    auto revision = desired["revision"].get<uint64_t>() + 1;
+    desired["revision"] = revision;
+    configuration.publish(desired.dump());
+    return revision;
+}
+
+std::string TestFleet::addVersion(const std::string& version)
+{
+    Standin::ModelSpec spec;
+    spec.description = { "assistant", version, modelBytes, chunkBytes };
+    spec.seed = std::hash<std::string> {}(version);
+    return store.addModel(spec)->digest();
+}
+
+nlohmann::json& TestFleet::declarePool(const std::string& digest, unsigned replicas)
+{
+    desired["routes"].push_back({ { "path", "/assistant" }, { "pool", "assistant" }, { "class", "interactive" } });
+    desired["pools"].push_back({ { "name", "assistant" }, { "manifest", digest }, { "replicas", replicas }, { "priority", 100 }, { "maxUnavailable", 1 }, { "coldLimit", 2 }, { "fullLimit", 8 }, { "warmWindowMs", 300 }, { "checksFence", true } });
+    return desired["pools"].back();
+}
+
+nlohmann::json& TestFleet::declareService(const std::vector<std::string>& vms)
+{
+    desired["routes"].push_back({ { "path", "/bookings" }, { "service", "ledger" }, { "repeatable", false }, { "class", "interactive" } });
+    desired["services"].push_back({ { "name", "ledger" }, { "vms", vms }, { "limit", 16 }, { "paused", false }, { "resendWindowMs", 600000 } });
+    return desired["services"].back();
+}
+
+Settings::ProcessSettings TestFleet::makeSettings(const std::string& vm, const std::string& dataCentre) const
+{
+    Settings::ProcessSettings settings;
+    settings.vm = vm;
+    settings.dataCentre = dataCentre;
+    settings.region = "region-" + dataCentre;
+    settings.inner = "127.0.0.1:0";
+    settings.admin = "127.0.0.1:0";
+    settings.configurationService = loopback(configuration.port());
+    settings.vmList = loopback(vmList.port());
+    settings.weightStore = loopback(store.port());
+    for (auto& entry : m_vms)
+        settings.peers.push_back(entry.address);
+    return settings;
+}
+
+void TestFleet::enlist(const std::string& vm, const std::string& dataCentre, const std::string& role, const std::string& address)
+{
+    std::erase_if(m_vms, [&](auto& entry) { return entry.name == vm; });
+    m_vms.push_back({ vm, address, dataCentre, "region-" + dataCentre, role, "live" });
+    vmList.replace(m_vms);
+}
+
+std::unique_ptr<TestRouter> TestFleet::startRouter(const std::string& vm, const std::string& dataCentre, uint64_t streamBudgetBytes)
+{
+    auto settings = makeSettings(vm, dataCentre);
+    settings.callers = "127.0.0.1:0";
+    settings.streamBudgetBytes = streamBudgetBytes;
+    auto router = std::make_unique<TestRouter>(ProcessPlace { settings, faults });
+    enlist(vm, dataCentre, "entry", router->switches().address());
+    return router;
+}
+
+std::unique_ptr<TestAgent> TestFleet::startModelAgent(const std::string& vm, const std::string& dataCentre, const Standin::ModelEngine& engine)
+{
+    auto settings = makeSettings(vm, dataCentre);
+    settings.target = Settings::TargetSettings { Settings::TargetKind::Model, loopback(engine.port()), {} };
+    auto agent = std::make_unique<TestAgent>(ProcessPlace { settings, faults });
+    enlist(vm, dataCentre, "target", agent->switches().address());
+    return agent;
+}
+
+std::unique_ptr<TestAgent> TestFleet::startServiceAgent(const std::string& vm, const std::string& dataCentre, const Standin::PlainService& service)
+{
+    auto settings = makeSettings(vm, dataCentre);
+    settings.target = Settings::TargetSettings { Settings::TargetKind::Service, loopback(service.port()), "ledger" };
+    auto agent = std::make_unique<TestAgent>(ProcessPlace { settings, faults });
+    enlist(vm, dataCentre, "target", agent->switches().address());
+    return agent;
+}
+
+void TestFleet::leave(const std::string& vm)
+{
+    cr_assert(vmList.setState(vm, "leaving"));
+}
+
+void TestFleet::waitForReplicas(TestRouter& router, const std::string& digest, unsigned count)
+{
+    waitUntil("replicas that serve " + digest, [&] {
+        auto members = router.control().members();
+        return static_cast<unsigned>(std::count_if(members.begin(), members.end(), [&](auto& member) {
+            return member.load.accepting && std::any_of(member.replicas.begin(), member.replicas.end(), [&](auto& replica) { return replica.servingDigest == digest; });
+        })) >= count;
+    });
+}
+
+Answer TestFleet::call(const Http::Endpoint& router, const std::string& path, const std::string& body, Http::HttpHeaders headers)
+{
+    auto response = m_client.fetch(router, { "POST", path, std::move(headers), body }, hangLimit);
+    if (!Base::succeeded(response))
+        return {};
+    auto& answer = Base::valueOf(response);
+    return { answer.status, answer.headers, answer.body };
+}
+
+Answer TestFleet::generate(const Http::Endpoint& router, const std::string& prompt, unsigned tokens)
+{
+    return call(router, "/assistant", nlohmann::json { { "prompt", prompt }, { "maxTokens", tokens } }.dump(), { { "Content-Type", "application/json" } });
+}
+
+void TestFleet::waitForAnswer(TestRouter& router)
+{
+    waitUntil("an answer of the pool", [&] { return generate(router.callers(), "probe", 1).status == 200; });
+}
+
+Standin::LoadOptions makeLoad(const std::vector<Http::Endpoint>& routers, unsigned callers, unsigned tokens)
+{
+    Standin::LoadOptions options;
+    options.routers = routers;
+    options.path = "/assistant";
+    options.callers = callers;
+    options.tokens = tokens;
+    return options;
+}
+
+void requireAllWhole(const Standin::LoadSummary& summary)
+{
+    auto text = toJson(summary).dump();
+    cr_assert(!summary.hasBrokenInvariant(), "%s", text.c_str());
+    cr_assert_eq(summary.failed(), 0, "%s", text.c_str());
+    cr_assert_eq(summary.lost(), 0, "%s", text.c_str());
+}
+
+} // namespace Lavenderloft::Testing
