Test at-most-once calls and pauses end to end

Leaving::drainedVm failed once because a watch that was pending when the test cut the router off still brought the document; the switch now also holds back answers of pending calls.

--- a/Tests/EndToEnd/FaultSwitches.h
+++ b/Tests/EndToEnd/FaultSwitches.h
@@ -13,17 +13,31 @@
 
 namespace Lavenderloft::Testing {
 
-// The clock of the operating system, which a test can let jump as for a process that was paused.
+// The clock of the operating system, which a test can let jump and stand still, as for a process that was paused.
 class SkippingClock final : public Base::Clock {
 public:
-    Base::TimePoint now() const override { return m_clock.now() + m_skipped.load(); }
-    Base::WallTime wallTime() const override { return m_clock.wallTime() + m_skipped.load(); }
+    Base::TimePoint now() const override
+    {
+        auto stoppedAt = m_stoppedAt.load();
+        return stoppedAt == Base::TimePoint {} ? m_clock.now() + m_skipped.load() : stoppedAt;
+    }
+
+    Base::WallTime wallTime() const override { return m_clock.wallTime(); }
 
-    void skip(Base::Duration duration) { m_skipped = m_skipped.load() + duration; }
+    // Goes forward at once and then stands still.
+    void jumpAndStop(Base::Duration duration) { m_stoppedAt = now() + duration; }
+
+    // Goes on from where it stands.
+    void resume()
+    {
+        m_skipped = m_stoppedAt.load() - m_clock.now();
+        m_stoppedAt = Base::TimePoint {};
+    }
 
 private:
     Base::SystemClock m_clock;
     std::atomic<Base::Duration> m_skipped { Base::Duration::zero() };
+    std::atomic<Base::TimePoint> m_stoppedAt { Base::TimePoint {} };
 };
 
 // The platform's services as one process sees them. Watches are short, so that a process ends soon.
@@ -38,14 +52,21 @@
     {
         if (isCutOff)
             return unavailable();
-        return m_source.read(afterRevision, std::min(wait, longestWatch));
+        auto result = m_source.read(afterRevision, std::min(wait, longestWatch));
+        // A watch may have been pending when the switch was set.
+        if (isCutOff)
+            return unavailable();
+        return result;
     }
 
     Base::Result<std::vector<Process::ListedVm>, Process::SourceError> listVms() override
     {
         if (isCutOff)
             return unavailable();
-        return m_source.listVms();
+        auto result = m_source.listVms();
+        if (isCutOff)
+            return unavailable();
+        return result;
     }
 
     std::atomic<bool> isCutOff { false };
@@ -84,7 +105,9 @@
     {
         if (isStale)
             return callback(std::nullopt);
-        m_client.fetchDocument(address, heldDigest, timeout, std::move(callback));
+        m_client.fetchDocument(address, heldDigest, timeout, [this, callback = std::move(callback)](std::optional<Membership::DocumentReply> reply) {
+            callback(isStale ? std::nullopt : std::move(reply));
+        });
     }
 
     std::atomic<bool> isStale { false };
--- a/Tests/EndToEnd/LeavingTest.cpp
+++ b/Tests/EndToEnd/LeavingTest.cpp
@@ -1,5 +1,7 @@
 #include "EndToEnd/TestFleet.h"
 
+#include "Base/Digest.h"
+
 #include <criterion/criterion.h>
 
 using namespace Lavenderloft;
@@ -111,3 +113,25 @@
     LeavingFleet parts;
     parts.requireGracefulLeave([&] { parts.fleet.leave("agent-2"); });
 }
+
+// Guards against new work at a plain service on a VM that the platform lists as leaving.
+Test(Leaving, plainServiceOnALeavingVm)
+{
+    TestFleet fleet;
+    fleet.declareService({ "ledger-1" });
+    // Resends are ruled out here, so that a memory of a second runs any key.
+    fleet.desired["services"][0]["resendWindowMs"] = 1000;
+    fleet.publish();
+    Standin::PlainService service({});
+    auto router = fleet.startRouter("router-1", "dc-1");
+    auto agent = fleet.startServiceAgent("ledger-1", "dc-1", service);
+    waitUntil("an answer", [&] { return fleet.call(router->callers(), "/bookings", "first").status == 200; });
+    router->switches().cutOffFromPlatform(true);
+    router->switches().makePeersStale(true);
+    fleet.faults.separate({ router->switches().address() });
+    fleet.leave("ledger-1");
+    waitUntil("an agent that takes no more work", [&] { return !agent->control().self().load.accepting; });
+    auto answer = fleet.call(router->callers(), "/bookings", "late");
+    cr_assert_str_eq(answer.outcome().c_str(), "not_run", "%s", answer.body.c_str());
+    cr_assert_eq(service.executionsOf(Base::sha256("late")), 0);
+}
