Stop grants at an agent whose VM the platform lists as leaving

Cause: a leaving entry set the status of the agent's own member record, but the situation from which requests are decided looked at SIGTERM alone. A model agent stopped all the same, because a leaving VM gets no pool; the agent of a plain service went on granting to routers that had missed the news.

Ruled out: that the agent does not read its own entry. Its record showed the status Leaving while its load still said that it accepts.

Change: the situation is leaving also while the member record says so.

Conclusion: all agents now stop grants on a leaving entry.

--- a/Source/Process/AgentSituation.cpp
+++ b/Source/Process/AgentSituation.cpp
@@ -17,7 +17,8 @@
     situation.dataCentre = m_settings.dataCentre;
     situation.kind = m_settings.target->kind;
     situation.service = m_settings.target->service;
-    situation.isLeaving = m_isLeaving;
+    // The VM list may tell that the VM leaves before anyone stops the process.
+    situation.isLeaving = m_isLeaving || m_control.self().status == Membership::Status::Leaving;
     situation.isSynchronised = m_pauseDetector.isRunning() && m_control.isSynchronised();
     std::lock_guard guard(m_lock);
     situation.servedPool = m_served.pool;
