--- a/Tests/Security/SecureAgent.h
+++ b/Tests/Security/SecureAgent.h
@@ -57,7 +57,7 @@
         settings.admin = "127.0.0.1:0";
         settings.tls = tls;
         settings.target = Settings::TargetSettings { Settings::TargetKind::Service, "127.0.0.1:" + std::to_string(targetServer.port()), "ledger" };
-        auto built = Process::AgentBuilder().settings(settings).control(control).weights(weights).clock(clock).random(random).metrics(metrics).service(borrow(controlService.service())).service(borrow(weightService.service())).build();
+        auto built = Process::AgentBuilder().settings(settings).control(control).weights(weights).clock(clock).random(random).metrics(metrics).service(controlService.service()).service(weightService.service()).build();
         agent = Base::takeValue(std::move(built));
         thread = std::thread([this] { agent->run(); });
         control.waitFor([](const Membership::Member& self) { return self.load.accepting && self.load.limit > 0; });
@@ -69,7 +69,6 @@
         thread.join();
     }
 
-    static std::shared_ptr<grpc::Service> borrow(grpc::Service& service) { return { std::shared_ptr<void>(), &service }; }
 
     std::string address() const { return "127.0.0.1:" + std::to_string(agent->innerPort()); }
 
