--- a/Source/Transport/ControlServiceClient.cpp
+++ b/Source/Transport/ControlServiceClient.cpp
@@ -144,7 +144,7 @@
     auto result = call->stub->GetStatus(&call->context, call->request, &call->response);
     m_state->callEnded();
     if (!result.ok())
-        return ControlError { ControlErrorKind::Unreachable, "no status from " + address + ": " + result.error_message(), "give the inner address of a running router or agent" };
+        return ControlError { ControlErrorKind::Unreachable, "no status from " + address + ": " + result.error_message(), "give the inner address of a running router or agent, and a certificate that it accepts" };
     Membership::FleetStatus status;
     status.self = decode(call->response.self());
     for (auto& member : call->response.members())
--- a/Source/Transport/Events.h
+++ b/Source/Transport/Events.h
@@ -10,6 +10,7 @@
 
 inline constexpr Event HandshakeFailed { 6001, "handshake-failed", Level::Warning, "The TLS handshake of an incoming or outgoing connection between processes failed." };
 inline constexpr Event CertificatesNotRead { 6002, "certificates-not-read", Level::Warning, "Certificate files could not be read again; the last usable ones stay in force." };
+inline constexpr Event CertificatesRejected { 6004, "certificates-rejected", Level::Error, "The certificate files in force do not fit each other; new connections fail until they are replaced." };
 inline constexpr Event GrpcFault { 6003, "grpc-fault", Level::Warning, "The gRPC library reported another fault." };
 
 } // namespace Lavenderloft::Transport
--- a/Source/Transport/GrpcLog.cpp
+++ b/Source/Transport/GrpcLog.cpp
@@ -70,12 +70,14 @@
         return std::nullopt;
     if (contains(message, "Handshake failed"))
         return HandshakeFailed;
-    if (!contains(sourceFile, "grpc_tls_certificate_provider"))
-        return GrpcFault;
-    // Each attempt of a round is printed, and then that the round failed.
-    if (contains(message, "Start retrying"))
+    if (contains(message, "Update handshaker factory failed"))
+        return CertificatesRejected;
+    if (contains(sourceFile, "grpc_tls_certificate_provider"))
+        return CertificatesNotRead;
+    // The provider of certificates reports the same with its own line.
+    if (contains(sourceFile, "stat_posix"))
         return std::nullopt;
-    return CertificatesNotRead;
+    return GrpcFault;
 }
 
 } // namespace Lavenderloft::Transport
--- a/Tests/Security/RotationTest.cpp
+++ b/Tests/Security/RotationTest.cpp
@@ -1,7 +1,11 @@
 #include "Security/InnerCalls.h"
 #include "Transport/Credentials.h"
+#include "Transport/Events.h"
+#include "Transport/GrpcLog.h"
 
+#include <condition_variable>
 #include <criterion/criterion.h>
+#include <mutex>
 
 using namespace Lavenderloft;
 using namespace Lavenderloft::Testing;
@@ -89,3 +93,32 @@
     std::this_thread::sleep_for(2500ms);
     cr_assert_eq(peer.call(agent.address()), grpc::StatusCode::OK);
 }
+
+// Guards against a faulty replacement that goes unseen, that breaks open connections or that only a restart mends.
+Test(Rotation, recoversFromAKeyOfAnotherCertificate)
+{
+    std::mutex lock;
+    std::condition_variable changed;
+    bool isReported = false;
+    Transport::GrpcLog log([&](const Observability::Event& event, const std::string&) {
+        std::lock_guard guard(lock);
+        isReported |= event.number == Transport::CertificatesRejected.number;
+        changed.notify_all();
+    });
+    TestAuthority authority("authority");
+    TlsFolder files;
+    auto identity = authority.issue();
+    files.write(identity, authority.certificate());
+    SecureAgent agent(files.settings());
+    Peer peer(authority, authority.certificate());
+    InnerCalls openConnection(agent.address(), peer.credentials->channel(agent.address()));
+    cr_assert_eq(openConnection.getStatus(), grpc::StatusCode::OK);
+    files.write("key.pem", authority.issue().key);
+    {
+        std::unique_lock guard(lock);
+        changed.wait(guard, [&] { return isReported; });
+    }
+    cr_assert_eq(openConnection.getStatus(), grpc::StatusCode::OK);
+    files.write("key.pem", identity.key);
+    cr_assert(peer.callsUntil(agent.address(), grpc::StatusCode::OK));
+}
