--- a/Source/Transport/GrpcLog.cpp
+++ b/Source/Transport/GrpcLog.cpp
@@ -69,15 +69,15 @@
     if (contains(message, "No match found for server name"))
         return std::nullopt;
     if (contains(message, "Handshake failed"))
-        return HandshakeFailed;
+        return handshakeFailed;
     if (contains(message, "Update handshaker factory failed"))
-        return CertificatesRejected;
+        return certificatesRejected;
     if (contains(sourceFile, "grpc_tls_certificate_provider"))
-        return CertificatesNotRead;
+        return certificatesNotRead;
     // The provider of certificates reports the same with its own line.
     if (contains(sourceFile, "stat_posix"))
         return std::nullopt;
-    return GrpcFault;
+    return grpcFault;
 }
 
 } // namespace Lavenderloft::Transport
--- a/Tests/Security/CredentialsTest.cpp
+++ b/Tests/Security/CredentialsTest.cpp
@@ -122,7 +122,7 @@
     foreign.write(other.issue(), other.certificate() + authority.certificate());
     cr_assert(status(foreign) == ExitCode::Refused);
     std::unique_lock guard(lock);
-    changed.wait(guard, [&] { return std::count(numbers.begin(), numbers.end(), Transport::HandshakeFailed.number) > 0; });
-    cr_assert(Transport::classifyGrpcMessage("grpc_tls_certificate_provider.cc", "All retry attempts failed.")->number == Transport::CertificatesNotRead.number);
-    cr_assert(Transport::classifyGrpcMessage("tcp.cc", "x")->number == Transport::GrpcFault.number);
+    changed.wait(guard, [&] { return std::count(numbers.begin(), numbers.end(), Transport::handshakeFailed.number) > 0; });
+    cr_assert(Transport::classifyGrpcMessage("grpc_tls_certificate_provider.cc", "All retry attempts failed.")->number == Transport::certificatesNotRead.number);
+    cr_assert(Transport::classifyGrpcMessage("tcp.cc", "x")->number == Transport::grpcFault.number);
 }
--- a/Tests/Security/RotationTest.cpp
+++ b/Tests/Security/RotationTest.cpp
@@ -102,7 +102,7 @@
     bool isReported = false;
     Transport::GrpcLog log([&](const Observability::Event& event, const std::string&) {
         std::lock_guard guard(lock);
-        isReported |= event.number == Transport::CertificatesRejected.number;
+        isReported |= event.number == Transport::certificatesRejected.number;
         changed.notify_all();
     });
     TestAuthority authority("authority");
