--- a/Source/Transport/GrpcLog.cpp
+++ b/Source/Transport/GrpcLog.cpp
@@ -69,13 +69,15 @@
     if (contains(message, "No match found for server name"))
         return std::nullopt;
     if (contains(message, "Handshake failed"))
-        return HandshakeFailed;
-    if (!contains(sourceFile, "grpc_tls_certificate_provider"))
-        return GrpcFault;
-    // Each attempt of a round is printed, and then that the round failed.
-    if (contains(message, "Start retrying"))
+        return handshakeFailed;
+    if (contains(message, "Update handshaker factory failed"))
+        return certificatesRejected;
+    if (contains(sourceFile, "grpc_tls_certificate_provider"))
+        return certificatesNotRead;
+    // The provider of certificates reports the same with its own line.
+    if (contains(sourceFile, "stat_posix"))
         return std::nullopt;
-    return CertificatesNotRead;
+    return grpcFault;
 }
 
 } // namespace Lavenderloft::Transport
