--- a/Tests/EndToEnd/FaultSwitches.h
+++ b/Tests/EndToEnd/FaultSwitches.h
@@ -52,7 +52,7 @@
     {
         if (isCutOff)
             return unavailable();
-        auto result = m_source.read(afterRevision, std::min(wait, longestWatch));
+        auto result = m_source.read(ignoresPosition ? 0 : afterRevision, std::min(wait, longestWatch));
         // A watch may have been pending when the switch was set.
         if (isCutOff)
             return unavailable();
@@ -70,6 +70,8 @@
     }
 
     std::atomic<bool> isCutOff { false };
+    // Whether reads return the service's document although it is not newer.
+    std::atomic<bool> ignoresPosition { false };
 
 private:
     static constexpr std::chrono::milliseconds longestWatch { 300 };
--- a/Tests/EndToEnd/TestProcess.h
+++ b/Tests/EndToEnd/TestProcess.h
@@ -31,6 +31,9 @@
     // Whether the process reaches the configuration service and the VM list.
     void cutOffFromPlatform(bool cutOff) { m_source->isCutOff = cutOff; }
 
+    // Makes the configuration service return its document also when it is older than the one in force.
+    void readWhateverServiceHolds() { m_source->ignoresPosition = true; }
+
     // Whether answers of peers show what they said last.
     void makePeersStale(bool stale) { m_peers->stale.isStale = stale; }
 
