Let the benchmark's faults strike the replica with the most duties

With more than eight agents in a region the first replica may have no duties, so that its failure cost nothing; the fault now strikes the agent of the store's region that ranks first for the most chunks.

--- a/Utilities/Bench/RolloutBenchmark.cpp
+++ b/Utilities/Bench/RolloutBenchmark.cpp
@@ -1,5 +1,7 @@
 #include "Bench/RolloutBenchmark.h"
 
+#include "Weights/Queries/ChunkDuties.h"
+
 #include <algorithm>
 #include <array>
 #include <sys/resource.h>
@@ -53,6 +55,7 @@
         {
             m_fleet.addModel(m_first);
             m_fleet.addModel(m_second);
+            m_faulty = findBusiestReplica();
         }
 
         RolloutMeasurement run()
@@ -78,6 +81,25 @@
             return shape;
         }
 
+        // The replica of the store's region that ranks first for the most chunks, whose failure costs the most.
+        unsigned findBusiestReplica() const
+        {
+            std::vector<Weights::Participant> participants;
+            for (unsigned i = 0; i < m_fleet.size(); ++i)
+                participants.push_back({ m_fleet.vm(i), "", "", m_fleet.region(i) });
+            auto storeRegion = RolloutFleet::regionName(0);
+            auto manifest = Base::takeValue(Weights::parseManifest(m_first.document));
+            std::map<std::string, unsigned> chunksByVm;
+            for (auto& duty : Weights::Queries::assignDuties(manifest, participants, storeRegion, storeRegion).chunks)
+                ++chunksByVm[duty.ranked.front()];
+            unsigned busiest = 0;
+            for (unsigned i = 0; i < m_fleet.size(); ++i) {
+                if (chunksByVm[m_fleet.vm(i)] > chunksByVm[m_fleet.vm(busiest)])
+                    busiest = i;
+            }
+            return busiest;
+        }
+
         double elapsedFloors() const
         {
             return std::chrono::duration<double>(m_clock.now() - m_start) / std::chrono::duration<double>(m_options.floor);
@@ -106,7 +128,7 @@
         {
             m_faultBegan = true;
             m_faultBeganAt = m_clock.now();
-            constexpr unsigned faulty = 0;
+            auto faulty = m_faulty;
             switch (m_options.fault) {
             case RolloutFault::None:
                 return;
@@ -134,7 +156,7 @@
             }
             if (m_options.fault == RolloutFault::Kill && !m_memberRemoved && m_clock.now() - m_faultBeganAt >= failureDetection) {
                 m_memberRemoved = true;
-                m_fleet.removeMember(0);
+                m_fleet.removeMember(m_faulty);
             }
         }
 
@@ -189,6 +211,7 @@
         Base::SystemClock m_clock;
         Base::TimePoint m_start;
         Base::TimePoint m_faultBeganAt;
+        unsigned m_faulty = 0;
         bool m_faultBegan = false;
         bool m_memberRemoved = false;
         RolloutMeasurement m_measurement;
--- a/Utilities/Bench/RolloutBenchmark.h
+++ b/Utilities/Bench/RolloutBenchmark.h
@@ -12,11 +12,11 @@
 
 enum class RolloutFault {
     None,
-    // One replica sends only damaged chunks.
+    // The replica that has the most duties in the store's region sends only damaged chunks.
     Corrupt,
-    // One replica announces chunks and sends nothing.
+    // The same replica announces chunks and sends nothing.
     Stall,
-    // One replica dies.
+    // The same replica dies.
     Kill,
     // A second version replaces the first during the transfer; half of the chunks are shared.
     VersionChange,
