--- a/Source/Transport/WeightService.cpp
+++ b/Source/Transport/WeightService.cpp
@@ -109,7 +109,7 @@
         {
             if (m_offset >= m_bytes->size())
                 return finishOnce(grpc::Status::OK);
-            auto count = std::min(Weights::chunkPartBytes, m_bytes->size() - m_offset);
+            auto count = std::min(m_partBytes, m_bytes->size() - m_offset);
             m_part.set_bytes(m_bytes->data() + m_offset, count);
             m_offset += count;
             auto delay = m_limiter->partDelay(m_receiver, count, m_clock.now());
@@ -143,6 +143,7 @@
         std::shared_ptr<ChunkWriter> m_self;
         std::function<void()> m_ended;
         protocol::ChunkPart m_part;
+        size_t m_partBytes = std::clamp(m_bytes->size() / Weights::partsPerChunk, Weights::minimumPartBytes, Weights::maximumPartBytes);
         size_t m_offset = 0;
         std::atomic<bool> m_finished { false };
         std::mutex m_lock;
--- a/Source/Weights/TransferLimits.h
+++ b/Source/Weights/TransferLimits.h
@@ -59,7 +59,9 @@
 inline constexpr std::chrono::milliseconds originRetryFirst = 250ms;
 inline constexpr std::chrono::milliseconds originRetryLongest = 8000ms;
 
-// Bytes in one message of a chunk.
-inline constexpr size_t chunkPartBytes = 32 * 1024;
+// Messages of one chunk, so that the receiver sees progress on a slow link before the stall limit, and bounds for their size.
+inline constexpr size_t partsPerChunk = 8;
+inline constexpr size_t minimumPartBytes = 4 * 1024;
+inline constexpr size_t maximumPartBytes = 32 * 1024;
 
 } // namespace Lavenderloft::Weights
