Make the callers of the slow reader test slow

Cause: SlowReaders/areHeldWithinTheBudget failed in 3 of 17 runs. A trace shows why: the stand-in shortens identifiers, so that the answers were 24 KB long and fitted into the kernel's buffers. No caller was slow. The streams that were cut had been under way for less than 1 ms (25 of 29 cuts), because a stream is charged 88 KiB for each part under way, so that the budget of 256 KiB held two of them.

Change: answers of 320 KB and a budget of 2 MiB. The test first waits until 18 streams are blocked for good with none cut, then adds 18 more, and then sends fast callers.

Conclusion: the test now proves what its comment says.

--- a/Tests/EndToEnd/SlowReaderTest.cpp
+++ b/Tests/EndToEnd/SlowReaderTest.cpp
@@ -1,5 +1,7 @@
 #include "EndToEnd/TestFleet.h"
 
+#include "Routing/RequestCoordinator.h"
+
 #include <boost/asio.hpp>
 #include <criterion/criterion.h>
 
@@ -8,32 +10,35 @@
 
 namespace {
 
-constexpr unsigned slowCallers = 24;
-constexpr uint64_t budgetBytes = 256 * 1024;
-// An answer of 600 KB, more than the buffers on its way hold.
-constexpr unsigned tokens = 300;
-constexpr size_t identifierBytes = 2000;
+constexpr uint64_t budgetBytes = 2 * 1024 * 1024;
+// As many blocked streams as fit in the budget with room for a few that are not blocked.
+constexpr unsigned callersWithinBudget = 18;
+// An answer of 320 KB, more than the buffers of the kernel on its way hold.
+constexpr unsigned tokens = 4000;
+constexpr size_t identifierBytes = 64;
+// Polls in a row that find the same bytes held by streams that are blocked.
+constexpr int steadyPolls = 30;
 constexpr int receiveBufferBytes = 4 * 1024;
 
 // Callers that send a request and read nothing of its answer.
 class NonReadingCallers {
 public:
-    explicit NonReadingCallers(const Http::Endpoint& router)
+    NonReadingCallers(const Http::Endpoint& router, const std::string& name, unsigned count)
     {
-        for (unsigned i = 0; i < slowCallers; ++i)
-            connect(router, i);
+        for (unsigned i = 0; i < count; ++i)
+            connect(router, name + "-" + std::to_string(i) + "-");
     }
 
 private:
     using tcp = boost::asio::ip::tcp;
 
-    void connect(const Http::Endpoint& router, unsigned number)
+    void connect(const Http::Endpoint& router, const std::string& identifier)
     {
         auto& socket = m_sockets.emplace_back(m_context);
         socket.open(tcp::v4());
         socket.set_option(boost::asio::socket_base::receive_buffer_size(receiveBufferBytes));
         socket.connect({ boost::asio::ip::make_address(router.host), router.port });
-        auto prompt = "slow-" + std::to_string(number) + std::string(identifierBytes, 's');
+        auto prompt = identifier + std::string(identifierBytes - identifier.size(), 's');
         auto body = nlohmann::json { { "prompt", prompt }, { "maxTokens", tokens } }.dump();
         boost::asio::write(socket, boost::asio::buffer("POST /assistant HTTP/1.1\r\nHost: router\r\nX-Deadline-Ms: 600000\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body));
     }
@@ -57,13 +62,22 @@
     Standin::EngineOptions options;
     options.behaviour.maximumBatch = 64;
     options.behaviour.tokensPerSecond = 1e6;
+    options.behaviour.stepTime = std::chrono::milliseconds(1);
     Standin::ModelEngine engine(options);
     auto router = fleet.startRouter("router-1", "dc-1", budgetBytes);
     auto agent = fleet.startModelAgent("agent-1", "dc-1", engine);
     fleet.waitForReplicas(*router, digest, 1);
     fleet.waitForAnswer(*router);
 
-    NonReadingCallers slow(router->callers());
+    NonReadingCallers slow(router->callers(), "slow", callersWithinBudget);
+    int steady = 0;
+    waitUntil("streams that are blocked", [&] {
+        bool areBlocked = router->process().heldStreamBytes() >= callersWithinBudget * Routing::blockedStreamBytes;
+        steady = areBlocked ? steady + 1 : 0;
+        return steady >= steadyPolls;
+    });
+    cr_assert_eq(router->process().slowReadersCut(), 0);
+    NonReadingCallers more(router->callers(), "more", callersWithinBudget);
     waitUntil("slow readers that exceed the budget", [&] {
         cr_assert_leq(router->process().peakStreamBytes(), budgetBytes);
         return router->process().slowReadersCut() > 0;
