Record that a burst of reading callers is cut as slow readers

A part on its way to a caller is charged with 88 KiB beside its own bytes, and above the budget the stream whose part has waited longest is cut, even after 40 microseconds.

Ruled out: a slow caller (the answers have 24 KB and are read at once), and a leak of charged bytes (the held bytes were those of two streams).

With the default of 64 MiB it takes more than 744 parts under way at once.

Conclusion: open.

--- /dev/null
+++ b/Tests/StreamBudget/BurstTest.cpp
@@ -0,0 +1,48 @@
+#include "Base/SeededRandom.h"
+#include "Base/SystemClock.h"
+#include "Bench/BenchFleet.h"
+#include "Bench/FakeAgent.h"
+#include "Bench/FakeControl.h"
+#include "Http/HttpClient.h"
+#include "Process/RouterBuilder.h"
+
+#include <criterion/criterion.h>
+#include <future>
+
+using namespace Lavenderloft;
+using namespace std::chrono_literals;
+
+// Guards against cutting callers that read: a part that is on its way for less than a millisecond is no sign of a
+// slow reader, also when more parts are on their way at once than the budget holds.
+Test(StreamBudget, callersThatReadAreNotCut)
+{
+    constexpr unsigned callers = 24;
+    constexpr uint64_t budgetBytes = 256 * 1024;
+    Bench::FakeAgentOptions options;
+    options.limit = callers;
+    options.weightsDigest = Bench::benchDigest;
+    options.parts = 300;
+    options.partBytes = 80;
+    Bench::FakeAgent agent(options);
+    Bench::FakeControl control(Bench::makeRouterMember("router-1", "dc-1"));
+    control.setDocument(Bench::makeDocument({ "dc-1" }, { "assistant" }));
+    control.setMembers({ Bench::makeAgentMember("agent-1", agent.address(), "dc-1", "assistant", { 0, callers, 0, 0, true }) });
+    Base::SystemClock clock;
+    Observability::Metrics metrics;
+    auto router = Process::RouterBuilder(Bench::makeRouterSettings("router-1", budgetBytes), control, clock, metrics).random(std::make_shared<Base::SeededRandom>(7)).build();
+
+    Http::HttpClient client { 2 };
+    std::vector<std::future<bool>> answers;
+    for (unsigned i = 0; i < callers; ++i) {
+        answers.push_back(std::async(std::launch::async, [&, i] {
+            Http::HttpRequest request { "POST", "/assistant", {}, "request " + std::to_string(i) };
+            auto response = client.fetch({ "127.0.0.1", router->callersPort() }, request, 60s);
+            return Base::succeeded(response) && Base::valueOf(response).status == 200;
+        }));
+    }
+    unsigned whole = 0;
+    for (auto& answer : answers)
+        whole += answer.get();
+    cr_assert_eq(router->slowReadersCut(), 0, "%lu callers that read were cut", static_cast<unsigned long>(router->slowReadersCut()));
+    cr_assert_eq(whole, callers);
+}
