Name all events in the linter's case

Cause: Utilities/lint rejected the constants of two Events.h files and the namespace that protobuf generates.

--- a/Source/Admission/Events.h
+++ b/Source/Admission/Events.h
@@ -8,8 +8,8 @@
 using Observability::Event;
 using Observability::Level;
 
-inline constexpr Event LimitChanged { 3001, "limit-changed", Level::Info, "The number of requests that the target may run at a time has changed." };
-inline constexpr Event RequestRefused { 3002, "request-refused", Level::Debug, "A request was refused at the target; it was not run." };
-inline constexpr Event EngineCrashed { 3003, "engine-crashed", Level::Error, "The engine restarted while requests ran." };
+inline constexpr Event limitChanged { 3001, "limit-changed", Level::Info, "The number of requests that the target may run at a time has changed." };
+inline constexpr Event requestRefused { 3002, "request-refused", Level::Debug, "A request was refused at the target; it was not run." };
+inline constexpr Event engineCrashed { 3003, "engine-crashed", Level::Error, "The engine restarted while requests ran." };
 
 } // namespace Lavenderloft::Admission
--- a/Source/Process/AgentExchange.cpp
+++ b/Source/Process/AgentExchange.cpp
@@ -64,7 +64,7 @@
 
 void AgentExchange::countRefusal(const Admission::Refusal& refusal)
 {
-    Observability::logEvent(Admission::RequestRefused, { { "request", m_request.requestId }, { "attempt", m_request.attemptId }, { "reason", refusal.message } });
+    Observability::logEvent(Admission::requestRefused, { { "request", m_request.requestId }, { "attempt", m_request.attemptId }, { "reason", refusal.message } });
     m_context->metrics.count("lavenderloft_refusals_total", { { "reason", std::to_string(static_cast<int>(refusal.kind)) } });
 }
 
--- a/Source/Process/AgentProcess.cpp
+++ b/Source/Process/AgentProcess.cpp
@@ -210,7 +210,7 @@
         parts.metrics.set("lavenderloft_target_queued", {}, load.queued);
         parts.metrics.set("lavenderloft_target_held_bytes", {}, static_cast<double>(load.heldBytes));
         if (std::exchange(lastLimit, load.limit) != load.limit)
-            Observability::logEvent(Admission::LimitChanged, { { "vm", parts.settings.vm }, { "limit", load.limit } });
+            Observability::logEvent(Admission::limitChanged, { { "vm", parts.settings.vm }, { "limit", load.limit } });
         if (driver)
             return driver->publish();
         Membership::Replica replica;
--- a/Source/Process/EngineMonitor.cpp
+++ b/Source/Process/EngineMonitor.cpp
@@ -49,7 +49,7 @@
 {
     if (++m_silentPolls != pollsUntilSilent)
         return;
-    Observability::logEvent(Placement::EngineUnreachable, { { "reason", reason } });
+    Observability::logEvent(Placement::engineUnreachable, { { "reason", reason } });
     apply(std::nullopt);
 }
 
@@ -57,7 +57,7 @@
 {
     if (m_last && m_last->incarnation == status.incarnation && m_last->mode == status.mode && m_last->digest == status.digest)
         return;
-    Observability::logEvent(Placement::EngineChanged, { { "incarnation", status.incarnation }, { "mode", static_cast<int>(status.mode) }, { "digest", status.digest } });
+    Observability::logEvent(Placement::engineChanged, { { "incarnation", status.incarnation }, { "mode", static_cast<int>(status.mode) }, { "digest", status.digest } });
 }
 
 void EngineMonitor::updateByteLimit(const Placement::EngineStatus& status)
@@ -90,7 +90,7 @@
     auto crashed = Admission::Commands::applyEngineCondition(m_target.state, condition, m_target.clock);
     if (crashed.empty())
         return;
-    Observability::logEvent(Admission::EngineCrashed, { { "requests", crashed.size() } });
+    Observability::logEvent(Admission::engineCrashed, { { "requests", crashed.size() } });
     m_target.metrics.count("lavenderloft_engine_crashes_total");
     if (m_crashObserver)
         m_crashObserver->engineCrashed(crashed);
--- a/Source/Process/ReplicaDriver.cpp
+++ b/Source/Process/ReplicaDriver.cpp
@@ -171,7 +171,7 @@
         return false;
     }
     if (order.kind != OrderKind::SendChunk)
-        Observability::logEvent(Placement::OrderDecided, { { "order", orderName(order.kind) }, { "pool", seen.desired ? seen.desired->pool : std::string() }, { "manifest", seen.desired ? seen.desired->manifest : std::string() }, { "reason", order.reason } });
+        Observability::logEvent(Placement::orderDecided, { { "order", orderName(order.kind) }, { "pool", seen.desired ? seen.desired->pool : std::string() }, { "manifest", seen.desired ? seen.desired->manifest : std::string() }, { "reason", order.reason } });
     if (isForEngine(order))
         carryOut(guard, order, seen);
     else
@@ -199,7 +199,7 @@
     if (Base::succeeded(result))
         return Placement::Commands::noteDone(m_record, order, seen);
     auto reason = Base::errorOf(result).describe();
-    Observability::logEvent(Placement::OrderRefused, { { "order", orderName(order.kind) }, { "manifest", manifest }, { "reason", reason } });
+    Observability::logEvent(Placement::orderRefused, { { "order", orderName(order.kind) }, { "manifest", manifest }, { "reason", reason } });
     Placement::Commands::noteRefused(m_record, reason, m_parts.clock.now());
 }
 
--- a/Tests/Security/SecureAgent.h
+++ b/Tests/Security/SecureAgent.h
@@ -69,7 +69,6 @@
         thread.join();
     }
 
-
     std::string address() const { return "127.0.0.1:" + std::to_string(agent->innerPort()); }
 
     std::shared_ptr<ScriptedTarget> target;
