Mirror the folder Queries in the namespaces of settings and desired state

Cause: namespaces mirror folders, and two modules left out Queries. Change: parseDocument, documentDigest, diffDocuments and parseSettings live in DesiredState::Queries and Settings::Queries.

--- a/Source/CommandLine/CheckedInput.cpp
+++ b/Source/CommandLine/CheckedInput.cpp
@@ -30,11 +30,11 @@
     auto bytes = readInputFile(path);
     if (!Base::succeeded(bytes))
         return reportInputError(Base::errorOf(bytes));
-    auto document = DesiredState::parseDocument(Base::valueOf(bytes));
+    auto document = DesiredState::Queries::parseDocument(Base::valueOf(bytes));
     if (!Base::succeeded(document))
         return reportProblems(path, Base::errorOf(document));
     auto& text = Base::valueOf(bytes);
-    return DocumentInput { Base::takeValue(std::move(document)), DesiredState::documentDigest(text), text.size() };
+    return DocumentInput { Base::takeValue(std::move(document)), DesiredState::Queries::documentDigest(text), text.size() };
 }
 
 std::variant<Settings::ProcessSettings, ExitCode> readSettingsInput(const std::string& path)
@@ -42,7 +42,7 @@
     auto bytes = readInputFile(path);
     if (!Base::succeeded(bytes))
         return reportInputError(Base::errorOf(bytes));
-    auto settings = Settings::parseSettings(Base::valueOf(bytes));
+    auto settings = Settings::Queries::parseSettings(Base::valueOf(bytes));
     if (!Base::succeeded(settings))
         return reportProblems(path, Base::errorOf(settings));
     return Base::takeValue(std::move(settings));
--- a/Source/CommandLine/DiffCommand.cpp
+++ b/Source/CommandLine/DiffCommand.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-    using DesiredState::Consequence;
-    using DesiredState::Severity;
+    using DesiredState::Queries::Consequence;
+    using DesiredState::Queries::Severity;
 
     std::string_view describeSeverity(Severity severity)
     {
@@ -53,7 +53,7 @@
     if (auto* code = std::get_if<ExitCode>(&after))
         return *code;
 
-    auto consequences = DesiredState::diffDocuments(std::get<DocumentInput>(before).document, std::get<DocumentInput>(after).document);
+    auto consequences = DesiredState::Queries::diffDocuments(std::get<DocumentInput>(before).document, std::get<DocumentInput>(after).document);
     for (auto& consequence : consequences)
         print(consequence);
     bool isRefused = std::any_of(consequences.begin(), consequences.end(),
--- a/Source/Configuration/Commands/AcceptDocument.cpp
+++ b/Source/Configuration/Commands/AcceptDocument.cpp
@@ -8,13 +8,13 @@
 
 Base::Result<Base::Done, AcceptError> AcceptDocument::execute(const std::string& bytes, std::string_view origin)
 {
-    auto digest = DesiredState::documentDigest(bytes);
+    auto digest = DesiredState::Queries::documentDigest(bytes);
     auto current = m_store.current();
     if (current && current->digest == digest)
         return AcceptError { AcceptErrorKind::NotGreater, "the document is in force already", "publish a greater revision" };
     if (auto refused = m_store.refused(); refused && refused->digest == digest)
         return AcceptError { AcceptErrorKind::Invalid, refused->reason, "correct the document and publish a greater revision" };
-    auto parsed = DesiredState::parseDocument(bytes);
+    auto parsed = DesiredState::Queries::parseDocument(bytes);
     if (!Base::succeeded(parsed)) {
         auto reason = Base::errorOf(parsed).describe();
         Observability::logEvent(documentRefused, { { "digest", digest }, { "origin", origin }, { "reason", reason } });
--- a/Source/DesiredState/Queries/CheckDocument.cpp
+++ b/Source/DesiredState/Queries/CheckDocument.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-namespace Lavenderloft::DesiredState {
+namespace Lavenderloft::DesiredState::Queries {
 
 namespace {
 
@@ -158,4 +158,4 @@
     checkDrains(problems, document);
 }
 
-} // namespace Lavenderloft::DesiredState
+} // namespace Lavenderloft::DesiredState::Queries
--- a/Source/DesiredState/Queries/DiffDocuments.cpp
+++ b/Source/DesiredState/Queries/DiffDocuments.cpp
@@ -2,7 +2,7 @@
 
 #include "DesiredState/Queries/DiffSections.h"
 
-namespace Lavenderloft::DesiredState {
+namespace Lavenderloft::DesiredState::Queries {
 
 namespace {
 
@@ -140,4 +140,4 @@
     return consequences.take();
 }
 
-} // namespace Lavenderloft::DesiredState
+} // namespace Lavenderloft::DesiredState::Queries
--- a/Source/DesiredState/Queries/DiffDocuments.h
+++ b/Source/DesiredState/Queries/DiffDocuments.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-namespace Lavenderloft::DesiredState {
+namespace Lavenderloft::DesiredState::Queries {
 
 enum class Severity {
     Note,
@@ -28,4 +28,4 @@
 // What changes for callers and operators when the second document takes the place of the first.
 std::vector<Consequence> diffDocuments(const Document& before, const Document& after);
 
-} // namespace Lavenderloft::DesiredState
+} // namespace Lavenderloft::DesiredState::Queries
--- a/Source/DesiredState/Queries/DiffPools.cpp
+++ b/Source/DesiredState/Queries/DiffPools.cpp
@@ -1,6 +1,6 @@
 #include "DesiredState/Queries/DiffSections.h"
 
-namespace Lavenderloft::DesiredState {
+namespace Lavenderloft::DesiredState::Queries {
 
 namespace {
 
@@ -100,4 +100,4 @@
     }
 }
 
-} // namespace Lavenderloft::DesiredState
+} // namespace Lavenderloft::DesiredState::Queries
--- a/Source/DesiredState/Queries/DiffSections.h
+++ b/Source/DesiredState/Queries/DiffSections.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 // The parts of diffDocuments, one for each section of the document.
-namespace Lavenderloft::DesiredState {
+namespace Lavenderloft::DesiredState::Queries {
 
 // Collects the consequences for one subject after another.
 class ConsequenceList {
@@ -54,4 +54,4 @@
 // The names of the first list that the second lacks.
 std::vector<std::string> namesMissing(const std::vector<std::string>& from, const std::vector<std::string>& in);
 
-} // namespace Lavenderloft::DesiredState
+} // namespace Lavenderloft::DesiredState::Queries
--- a/Source/DesiredState/Queries/DiffServices.cpp
+++ b/Source/DesiredState/Queries/DiffServices.cpp
@@ -2,7 +2,7 @@
 
 #include <set>
 
-namespace Lavenderloft::DesiredState {
+namespace Lavenderloft::DesiredState::Queries {
 
 namespace {
 
@@ -140,4 +140,4 @@
     }
 }
 
-} // namespace Lavenderloft::DesiredState
+} // namespace Lavenderloft::DesiredState::Queries
--- a/Source/DesiredState/Queries/ParseDocument.cpp
+++ b/Source/DesiredState/Queries/ParseDocument.cpp
@@ -5,7 +5,7 @@
 #include "Json/ObjectReader.h"
 #include "Json/TextChecks.h"
 
-namespace Lavenderloft::DesiredState {
+namespace Lavenderloft::DesiredState::Queries {
 
 namespace {
 
@@ -178,4 +178,4 @@
     return Base::sha256(bytes);
 }
 
-} // namespace Lavenderloft::DesiredState
+} // namespace Lavenderloft::DesiredState::Queries
--- a/Source/Process/ControlNode.cpp
+++ b/Source/Process/ControlNode.cpp
@@ -384,7 +384,7 @@
     if (!current)
         return;
     auto bytes = Configuration::Queries::applyDelta(current->bytes, reply.delta);
-    if (!Base::succeeded(bytes) || DesiredState::documentDigest(Base::valueOf(bytes)) != reply.digest) {
+    if (!Base::succeeded(bytes) || DesiredState::Queries::documentDigest(Base::valueOf(bytes)) != reply.digest) {
         // The next exchange fetches again; the document in force may have changed meanwhile.
         Observability::logEvent(Configuration::deltaUnusable, { { "digest", reply.digest } });
         return;
--- a/Source/Settings/Queries/CheckSettings.cpp
+++ b/Source/Settings/Queries/CheckSettings.cpp
@@ -2,7 +2,7 @@
 
 #include "Json/TextChecks.h"
 
-namespace Lavenderloft::Settings {
+namespace Lavenderloft::Settings::Queries {
 
 namespace {
 
@@ -123,4 +123,4 @@
     checkSizes(settings, problems);
 }
 
-} // namespace Lavenderloft::Settings
+} // namespace Lavenderloft::Settings::Queries
--- a/Source/Settings/Queries/ParseSettings.cpp
+++ b/Source/Settings/Queries/ParseSettings.cpp
@@ -5,7 +5,7 @@
 
 #include <limits>
 
-namespace Lavenderloft::Settings {
+namespace Lavenderloft::Settings::Queries {
 
 namespace {
 
@@ -114,4 +114,4 @@
     return settings;
 }
 
-} // namespace Lavenderloft::Settings
+} // namespace Lavenderloft::Settings::Queries
--- a/Source/Settings/Queries/ParseSettings.h
+++ b/Source/Settings/Queries/ParseSettings.h
@@ -6,9 +6,9 @@
 
 #include <string_view>
 
-namespace Lavenderloft::Settings {
+namespace Lavenderloft::Settings::Queries {
 
 // Reads and checks the settings file of a process.
 Base::Result<ProcessSettings, Json::CheckError> parseSettings(std::string_view bytes);
 
-} // namespace Lavenderloft::Settings
+} // namespace Lavenderloft::Settings::Queries
--- a/Source/Settings/SettingsBuilder.cpp
+++ b/Source/Settings/SettingsBuilder.cpp
@@ -130,7 +130,7 @@
         problems.requireText("/tls/keyFile", m_settings.tls->keyFile);
         problems.requireText("/tls/authorityFile", m_settings.tls->authorityFile);
     }
-    checkSettings(m_settings, problems);
+    Queries::checkSettings(m_settings, problems);
     if (!problems.isEmpty())
         return problems.takeError();
     return m_settings;
--- a/Tests/Configuration/RevisionTest.cpp
+++ b/Tests/Configuration/RevisionTest.cpp
@@ -44,7 +44,7 @@
     cr_assert(Base::errorOf(stale).kind == AcceptErrorKind::NotGreater);
     cr_assert_eq(currentRevision(store), 7);
     cr_assert(store.current()->bytes == documentBytes(7));
-    cr_assert(store.current()->digest == DesiredState::documentDigest(documentBytes(7)));
+    cr_assert(store.current()->digest == DesiredState::Queries::documentDigest(documentBytes(7)));
     cr_assert_not(Queries::CurrentDocument(store).wouldBeReplacedBy(6, std::string(64, 'f')));
     cr_assert(Queries::CurrentDocument(store).wouldBeReplacedBy(8, ""));
 }
@@ -53,7 +53,7 @@
 Test(RevisionStore, ordersDocumentsWithOneRevisionAlikeInEveryOrderOfArrival)
 {
     std::vector<std::string> documents { documentBytes(6), documentBytes(7, "a"), documentBytes(7, "b"), documentBytes(7, "c") };
-    auto digest = [](const std::string& bytes) { return DesiredState::documentDigest(bytes); };
+    auto digest = [](const std::string& bytes) { return DesiredState::Queries::documentDigest(bytes); };
     auto greatest = *std::max_element(documents.begin() + 1, documents.end(), [&](auto& one, auto& other) { return digest(one) < digest(other); });
     std::sort(documents.begin(), documents.end());
     do {
@@ -74,7 +74,7 @@
     auto result = AcceptDocument(store).execute(faulty, "service");
     cr_assert(Base::errorOf(result).kind == AcceptErrorKind::Invalid);
     cr_assert_eq(currentRevision(store), 7);
-    cr_assert(store.refused()->digest == DesiredState::documentDigest(faulty));
+    cr_assert(store.refused()->digest == DesiredState::Queries::documentDigest(faulty));
     cr_assert(store.refused()->reason.find("/polls") != std::string::npos);
     accept(store, documentBytes(9));
     cr_assert_not(store.refused().has_value());
--- a/Tests/DesiredState/ParseDocumentTest.cpp
+++ b/Tests/DesiredState/ParseDocumentTest.cpp
@@ -5,6 +5,7 @@
 
 using namespace Lavenderloft;
 using namespace Lavenderloft::DesiredState;
+using namespace Lavenderloft::DesiredState::Queries;
 using Json::ProblemKind;
 using namespace std::chrono_literals;
 
--- a/Tests/Fuzzing/DesiredStateFuzzer.cpp
+++ b/Tests/Fuzzing/DesiredStateFuzzer.cpp
@@ -7,6 +7,7 @@
 
 using namespace Lavenderloft;
 using namespace Lavenderloft::DesiredState;
+using namespace Lavenderloft::DesiredState::Queries;
 using Fuzzing::require;
 
 namespace {
--- a/Tests/Fuzzing/SettingsFuzzer.cpp
+++ b/Tests/Fuzzing/SettingsFuzzer.cpp
@@ -9,7 +9,7 @@
 
 extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size)
 {
-    auto result = Settings::parseSettings({ reinterpret_cast<const char*>(data), size });
+    auto result = Settings::Queries::parseSettings({ reinterpret_cast<const char*>(data), size });
     if (!Base::succeeded(result)) {
         Fuzzing::checkError(Base::errorOf(result));
         return 0;
--- a/Tests/Json/ParsedFileTest.cpp
+++ b/Tests/Json/ParsedFileTest.cpp
@@ -11,7 +11,7 @@
 // What the parser of the desired state reports first.
 Json::Problem firstProblem(const std::string& bytes)
 {
-    auto result = DesiredState::parseDocument(bytes);
+    auto result = DesiredState::Queries::parseDocument(bytes);
     cr_assert_not(Base::succeeded(result));
     return Base::errorOf(result).problems.front();
 }
@@ -61,7 +61,7 @@
     std::string bytes = "{";
     for (int i = 0; i < 50000; ++i)
         bytes += "\"x\":1,";
-    auto result = DesiredState::parseDocument(bytes + "\"x\":1}");
+    auto result = DesiredState::Queries::parseDocument(bytes + "\"x\":1}");
     auto& problems = Base::errorOf(result).problems;
     cr_assert_eq(problems.size(), Json::maxProblems + 1);
     cr_assert(problems.back().message.find("more problems") != std::string::npos);
--- a/Tests/Schemas/SchemaTest.cpp
+++ b/Tests/Schemas/SchemaTest.cpp
@@ -22,13 +22,13 @@
 
 std::vector<Json::Problem> documentProblems(const std::string& bytes)
 {
-    auto result = DesiredState::parseDocument(bytes);
+    auto result = DesiredState::Queries::parseDocument(bytes);
     return Base::succeeded(result) ? std::vector<Json::Problem> {} : Base::errorOf(result).problems;
 }
 
 std::vector<Json::Problem> settingsProblems(const std::string& bytes)
 {
-    auto result = Settings::parseSettings(bytes);
+    auto result = Settings::Queries::parseSettings(bytes);
     return Base::succeeded(result) ? std::vector<Json::Problem> {} : Base::errorOf(result).problems;
 }
 
@@ -70,7 +70,7 @@
         auto folder = sourceFolder + "/Examples/" + deployment;
         cr_assert(documentProblems(readFile(folder + "/desired-state.json")).empty());
         for (std::string role : { "router", "agent" }) {
-            auto settings = Settings::parseSettings(readFile(folder + "/" + role + ".json"));
+            auto settings = Settings::Queries::parseSettings(readFile(folder + "/" + role + ".json"));
             cr_assert(Base::succeeded(settings), "%s %s", deployment.c_str(), role.c_str());
             cr_assert_eq(Base::valueOf(settings).target.has_value(), role == "agent");
         }
@@ -82,7 +82,7 @@
 Test(Examples, haveTheSizesOfTheDeployments)
 {
     for (std::string deployment : { "kalamos", "hatkeshwar" }) {
-        auto result = DesiredState::parseDocument(readFile(sourceFolder + "/Examples/" + deployment + "/desired-state.json"));
+        auto result = DesiredState::Queries::parseDocument(readFile(sourceFolder + "/Examples/" + deployment + "/desired-state.json"));
         auto& document = Base::valueOf(result);
         cr_assert(document.regions.size() == 3 && document.dataCentres.size() == 3 && document.organisations.size() == 10);
         cr_assert(document.pools.size() == 1 && document.pools[0].replicas == 10);
@@ -104,7 +104,7 @@
     // Pools of ten replicas, the size of today's, make the largest document.
     for (int i = 0; i < 670; ++i) {
         auto name = "pool-of-one-model-" + std::to_string(i);
-        document["pools"].push_back({ { "name", name }, { "manifest", DesiredState::documentDigest(name) }, { "adapters", { DesiredState::documentDigest(name + "a") } },
+        document["pools"].push_back({ { "name", name }, { "manifest", DesiredState::Queries::documentDigest(name) }, { "adapters", { DesiredState::Queries::documentDigest(name + "a") } },
             { "replicas", 10 }, { "priority", 100 }, { "dataCentres", dataCentres }, { "maxUnavailable", 2 }, { "coldLimit", 2 },
             { "fullLimit", 16 }, { "warmWindowMs", 1000 }, { "checksFence", true } });
         document["routes"].push_back({ { "path", "/v1/models/" + name }, { "pool", name }, { "class", "interactive" } });
@@ -117,7 +117,7 @@
     auto bytes = document.dump();
     std::printf("planned fleet: %zu bytes\n", bytes.size());
     cr_assert_leq(bytes.size(), 1000000);
-    auto result = DesiredState::parseDocument(bytes);
+    auto result = DesiredState::Queries::parseDocument(bytes);
     cr_assert(Base::succeeded(result));
     uint64_t replicas = 0;
     for (auto& pool : Base::valueOf(result).pools)
--- a/Tests/Settings/ParseSettingsTest.cpp
+++ b/Tests/Settings/ParseSettingsTest.cpp
@@ -5,6 +5,7 @@
 
 using namespace Lavenderloft;
 using namespace Lavenderloft::Settings;
+using namespace Lavenderloft::Settings::Queries;
 using Json::ProblemKind;
 
 namespace {
