--- a/Utilities/Standin/SubcommandTable.cpp
+++ b/Utilities/Standin/SubcommandTable.cpp
@@ -15,13 +15,15 @@
 
 namespace Lavenderloft::Standin {
 
+using namespace Subcommands;
+
 namespace {
 
-    using Subcommands = std::vector<std::unique_ptr<Subcommand>>;
+    using SubcommandList = std::vector<std::unique_ptr<Subcommand>>;
 
-    Subcommands makeSubcommands()
+    SubcommandList makeSubcommands()
     {
-        Subcommands subcommands;
+        SubcommandList subcommands;
         subcommands.push_back(std::make_unique<ConfigurationSubcommand>());
         subcommands.push_back(std::make_unique<VmListSubcommand>());
         subcommands.push_back(std::make_unique<WeightStoreSubcommand>());
@@ -34,7 +36,7 @@
         return subcommands;
     }
 
-    void printHelp(std::ostream& output, const Subcommands& subcommands)
+    void printHelp(std::ostream& output, const SubcommandList& subcommands)
     {
         output << "Usage: lavenderloft-standin SUBCOMMAND [OPTIONS]\n\nSubcommands:\n";
         for (auto& subcommand : subcommands)
--- a/Utilities/Standin/Subcommands/ConfigurationSubcommand.cpp
+++ b/Utilities/Standin/Subcommands/ConfigurationSubcommand.cpp
@@ -2,7 +2,7 @@
 
 #include "Standin/StopSignal.h"
 
-namespace Lavenderloft::Standin {
+namespace Lavenderloft::Standin::Subcommands {
 
 void ConfigurationSubcommand::addOptions(OptionTable& options)
 {
@@ -21,4 +21,4 @@
     return ExitCode::Success;
 }
 
-} // namespace Lavenderloft::Standin
+} // namespace Lavenderloft::Standin::Subcommands
--- a/Utilities/Standin/Subcommands/ConfigurationSubcommand.h
+++ b/Utilities/Standin/Subcommands/ConfigurationSubcommand.h
@@ -3,7 +3,7 @@
 #include "Standin/ConfigurationService.h"
 #include "Standin/Subcommands/Subcommand.h"
 
-namespace Lavenderloft::Standin {
+namespace Lavenderloft::Standin::Subcommands {
 
 // Runs a ConfigurationService until a stop signal.
 class ConfigurationSubcommand final : public Subcommand {
@@ -20,4 +20,4 @@
     ConfigurationOptions m_options;
 };
 
-} // namespace Lavenderloft::Standin
+} // namespace Lavenderloft::Standin::Subcommands
--- a/Utilities/Standin/Subcommands/EngineSubcommand.cpp
+++ b/Utilities/Standin/Subcommands/EngineSubcommand.cpp
@@ -2,7 +2,7 @@
 
 #include "Standin/StopSignal.h"
 
-namespace Lavenderloft::Standin {
+namespace Lavenderloft::Standin::Subcommands {
 
 void EngineSubcommand::addOptions(OptionTable& options)
 {
@@ -35,4 +35,4 @@
     return ExitCode::Success;
 }
 
-} // namespace Lavenderloft::Standin
+} // namespace Lavenderloft::Standin::Subcommands
--- a/Utilities/Standin/Subcommands/EngineSubcommand.h
+++ b/Utilities/Standin/Subcommands/EngineSubcommand.h
@@ -3,7 +3,7 @@
 #include "Standin/ModelEngine.h"
 #include "Standin/Subcommands/Subcommand.h"
 
-namespace Lavenderloft::Standin {
+namespace Lavenderloft::Standin::Subcommands {
 
 // Runs a ModelEngine until a stop signal.
 class EngineSubcommand final : public Subcommand {
@@ -23,4 +23,4 @@
     EngineOptions m_options;
 };
 
-} // namespace Lavenderloft::Standin
+} // namespace Lavenderloft::Standin::Subcommands
--- a/Utilities/Standin/Subcommands/FreePortsSubcommand.cpp
+++ b/Utilities/Standin/Subcommands/FreePortsSubcommand.cpp
@@ -8,7 +8,7 @@
 #include <stdexcept>
 #include <vector>
 
-namespace Lavenderloft::Standin {
+namespace Lavenderloft::Standin::Subcommands {
 
 namespace {
 
@@ -52,4 +52,4 @@
     return ExitCode::Success;
 }
 
-} // namespace Lavenderloft::Standin
+} // namespace Lavenderloft::Standin::Subcommands
--- a/Utilities/Standin/Subcommands/FreePortsSubcommand.h
+++ b/Utilities/Standin/Subcommands/FreePortsSubcommand.h
@@ -2,7 +2,7 @@
 
 #include "Standin/Subcommands/Subcommand.h"
 
-namespace Lavenderloft::Standin {
+namespace Lavenderloft::Standin::Subcommands {
 
 // Prints TCP ports of 127.0.0.1 that are free, one a line. They lie below the range from which the
 // operating system takes ports for outgoing connections, so that they stay free until they are used.
@@ -19,4 +19,4 @@
     uint64_t m_count = 1;
 };
 
-} // namespace Lavenderloft::Standin
+} // namespace Lavenderloft::Standin::Subcommands
--- a/Utilities/Standin/Subcommands/LoadSubcommand.cpp
+++ b/Utilities/Standin/Subcommands/LoadSubcommand.cpp
@@ -8,7 +8,7 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
-namespace Lavenderloft::Standin {
+namespace Lavenderloft::Standin::Subcommands {
 
 namespace {
 
@@ -59,4 +59,4 @@
     return summary.hasBrokenInvariant() ? ExitCode::Refused : ExitCode::Success;
 }
 
-} // namespace Lavenderloft::Standin
+} // namespace Lavenderloft::Standin::Subcommands
--- a/Utilities/Standin/Subcommands/LoadSubcommand.h
+++ b/Utilities/Standin/Subcommands/LoadSubcommand.h
@@ -3,7 +3,7 @@
 #include "Standin/LoadDriver.h"
 #include "Standin/Subcommands/Subcommand.h"
 
-namespace Lavenderloft::Standin {
+namespace Lavenderloft::Standin::Subcommands {
 
 // Sends requests for a time or until a stop signal and prints the summary as JSON.
 class LoadSubcommand final : public Subcommand {
@@ -25,4 +25,4 @@
     LoadOptions m_options;
 };
 
-} // namespace Lavenderloft::Standin
+} // namespace Lavenderloft::Standin::Subcommands
--- a/Utilities/Standin/Subcommands/RequestSubcommand.cpp
+++ b/Utilities/Standin/Subcommands/RequestSubcommand.cpp
@@ -7,7 +7,7 @@
 #include <iostream>
 #include <stdexcept>
 
-namespace Lavenderloft::Standin {
+namespace Lavenderloft::Standin::Subcommands {
 
 namespace {
 
@@ -47,4 +47,4 @@
     return status >= 200 && status < 300 ? ExitCode::Success : ExitCode::Refused;
 }
 
-} // namespace Lavenderloft::Standin
+} // namespace Lavenderloft::Standin::Subcommands
--- a/Utilities/Standin/Subcommands/RequestSubcommand.h
+++ b/Utilities/Standin/Subcommands/RequestSubcommand.h
@@ -2,7 +2,7 @@
 
 #include "Standin/Subcommands/Subcommand.h"
 
-namespace Lavenderloft::Standin {
+namespace Lavenderloft::Standin::Subcommands {
 
 // Sends one HTTP request and prints the body, or one value of its JSON, for scripts without curl and jq.
 class RequestSubcommand final : public Subcommand {
@@ -25,4 +25,4 @@
     std::chrono::milliseconds m_timeout { 5000 };
 };
 
-} // namespace Lavenderloft::Standin
+} // namespace Lavenderloft::Standin::Subcommands
--- a/Utilities/Standin/Subcommands/ServiceSubcommand.cpp
+++ b/Utilities/Standin/Subcommands/ServiceSubcommand.cpp
@@ -2,7 +2,7 @@
 
 #include "Standin/StopSignal.h"
 
-namespace Lavenderloft::Standin {
+namespace Lavenderloft::Standin::Subcommands {
 
 void ServiceSubcommand::addOptions(OptionTable& options)
 {
@@ -20,4 +20,4 @@
     return ExitCode::Success;
 }
 
-} // namespace Lavenderloft::Standin
+} // namespace Lavenderloft::Standin::Subcommands
--- a/Utilities/Standin/Subcommands/ServiceSubcommand.h
+++ b/Utilities/Standin/Subcommands/ServiceSubcommand.h
@@ -3,7 +3,7 @@
 #include "Standin/PlainService.h"
 #include "Standin/Subcommands/Subcommand.h"
 
-namespace Lavenderloft::Standin {
+namespace Lavenderloft::Standin::Subcommands {
 
 // Runs a PlainService until a stop signal.
 class ServiceSubcommand final : public Subcommand {
@@ -20,4 +20,4 @@
     PlainServiceOptions m_options;
 };
 
-} // namespace Lavenderloft::Standin
+} // namespace Lavenderloft::Standin::Subcommands
--- a/Utilities/Standin/Subcommands/Subcommand.cpp
+++ b/Utilities/Standin/Subcommands/Subcommand.cpp
@@ -3,7 +3,7 @@
 #include <iostream>
 #include <stdexcept>
 
-namespace Lavenderloft::Standin {
+namespace Lavenderloft::Standin::Subcommands {
 
 ExitCode Subcommand::run(const std::vector<std::string>& arguments)
 {
@@ -43,4 +43,4 @@
     std::cout << "ready " << host << ':' << port << std::endl;
 }
 
-} // namespace Lavenderloft::Standin
+} // namespace Lavenderloft::Standin::Subcommands
--- a/Utilities/Standin/Subcommands/Subcommand.h
+++ b/Utilities/Standin/Subcommands/Subcommand.h
@@ -4,7 +4,7 @@
 #include "Http/HttpMessage.h"
 #include "Standin/OptionTable.h"
 
-namespace Lavenderloft::Standin {
+namespace Lavenderloft::Standin::Subcommands {
 
 using CommandLine::ExitCode;
 
@@ -29,4 +29,4 @@
 // Prints that a server is ready, which scripts wait for.
 void announceReady(const std::string& host, uint16_t port);
 
-} // namespace Lavenderloft::Standin
+} // namespace Lavenderloft::Standin::Subcommands
--- a/Utilities/Standin/Subcommands/ValueSubcommand.cpp
+++ b/Utilities/Standin/Subcommands/ValueSubcommand.cpp
@@ -5,7 +5,7 @@
 
 #include <iostream>
 
-namespace Lavenderloft::Standin {
+namespace Lavenderloft::Standin::Subcommands {
 
 void ValueSubcommand::addOptions(OptionTable& options)
 {
@@ -18,4 +18,4 @@
     return ExitCode::Success;
 }
 
-} // namespace Lavenderloft::Standin
+} // namespace Lavenderloft::Standin::Subcommands
--- a/Utilities/Standin/Subcommands/ValueSubcommand.h
+++ b/Utilities/Standin/Subcommands/ValueSubcommand.h
@@ -2,7 +2,7 @@
 
 #include "Standin/Subcommands/Subcommand.h"
 
-namespace Lavenderloft::Standin {
+namespace Lavenderloft::Standin::Subcommands {
 
 // Prints one value of a JSON file, for scripts without jq.
 class ValueSubcommand final : public Subcommand {
@@ -19,4 +19,4 @@
     std::string m_pointer;
 };
 
-} // namespace Lavenderloft::Standin
+} // namespace Lavenderloft::Standin::Subcommands
--- a/Utilities/Standin/Subcommands/VmListSubcommand.cpp
+++ b/Utilities/Standin/Subcommands/VmListSubcommand.cpp
@@ -2,7 +2,7 @@
 
 #include "Standin/StopSignal.h"
 
-namespace Lavenderloft::Standin {
+namespace Lavenderloft::Standin::Subcommands {
 
 void VmListSubcommand::addOptions(OptionTable& options)
 {
@@ -21,4 +21,4 @@
     return ExitCode::Success;
 }
 
-} // namespace Lavenderloft::Standin
+} // namespace Lavenderloft::Standin::Subcommands
--- a/Utilities/Standin/Subcommands/VmListSubcommand.h
+++ b/Utilities/Standin/Subcommands/VmListSubcommand.h
@@ -3,7 +3,7 @@
 #include "Standin/Subcommands/Subcommand.h"
 #include "Standin/VmList.h"
 
-namespace Lavenderloft::Standin {
+namespace Lavenderloft::Standin::Subcommands {
 
 // Runs a VmList until a stop signal.
 class VmListSubcommand final : public Subcommand {
@@ -20,4 +20,4 @@
     VmListOptions m_options;
 };
 
-} // namespace Lavenderloft::Standin
+} // namespace Lavenderloft::Standin::Subcommands
--- a/Utilities/Standin/Subcommands/WeightStoreSubcommand.cpp
+++ b/Utilities/Standin/Subcommands/WeightStoreSubcommand.cpp
@@ -5,7 +5,7 @@
 
 #include <iostream>
 
-namespace Lavenderloft::Standin {
+namespace Lavenderloft::Standin::Subcommands {
 
 void WeightStoreSubcommand::addOptions(OptionTable& options)
 {
@@ -29,4 +29,4 @@
     return ExitCode::Success;
 }
 
-} // namespace Lavenderloft::Standin
+} // namespace Lavenderloft::Standin::Subcommands
--- a/Utilities/Standin/Subcommands/WeightStoreSubcommand.h
+++ b/Utilities/Standin/Subcommands/WeightStoreSubcommand.h
@@ -3,7 +3,7 @@
 #include "Standin/Subcommands/Subcommand.h"
 #include "Standin/WeightStore.h"
 
-namespace Lavenderloft::Standin {
+namespace Lavenderloft::Standin::Subcommands {
 
 // Runs a WeightStore until a stop signal.
 class WeightStoreSubcommand final : public Subcommand {
@@ -21,4 +21,4 @@
     WeightStoreOptions m_options;
 };
 
-} // namespace Lavenderloft::Standin
+} // namespace Lavenderloft::Standin::Subcommands
