Cut only readers that are slow; let other parts wait for the budget

Cause: each part under way is charged 88 KiB, and above the budget the stream with the oldest part was cut, even after 40 us, so that callers that read were cut when more than streamBudgetBytes / 88 KiB parts were under way at once. A first try resumed waiting parts inside the release of a stream, which cutting a slow reader also calls; with it test-LivePath did not end. Ruled out was the test itself: it passes when parts are resumed only after a reader has taken its part. Change: a part waits for room; only streams blocked for 250 ms are cut; the stream that has waited longest goes on when a part was taken, and each tick tries again. test-Streaming advances the clock by 250 ms a stream in place of 1 ms, so that each of the streams that it expects to be cut is slow; the numbers that it expects are unchanged.

--- a/Source/Routing/RequestCoordinator.cpp
+++ b/Source/Routing/RequestCoordinator.cpp
@@ -230,24 +230,25 @@
 void RequestCoordinator::forward(std::string bytes, std::function<void()> resume)
 {
     if (!chargeBudget(bytes.size() + blockedStreamBytes))
-        return;
+        return waitForBudget(std::move(bytes), std::move(resume));
     m_sink->data(std::move(bytes), [self = shared_from_this(), resume = std::move(resume)](bool ok) {
-        Streaming::Commands::releaseStream(self->m_context.byteBudget, self->m_request.id);
+        auto& budget = self->m_context.byteBudget;
+        Streaming::Commands::releaseStream(budget, self->m_request.id);
         if (!ok)
             self->callerGone();
         resume();
+        Streaming::Commands::resumeWaitingStream(budget);
     });
 }
 
 bool RequestCoordinator::chargeBudget(uint64_t bytes)
 {
     auto& budget = m_context.byteBudget;
-    while (!Base::succeeded(Streaming::Commands::chargeStream(budget, m_request.id, bytes, m_context.clock.now()))) {
-        auto longest = Streaming::Queries::findLongestBlocked(budget);
-        if (!longest || *longest == m_request.id) {
-            abortSlowReader();
+    auto now = m_context.clock.now();
+    while (!Base::succeeded(Streaming::Commands::chargeStream(budget, m_request.id, bytes, now))) {
+        auto longest = Streaming::Queries::findLongestBlocked(budget, now - Streaming::slowReaderTime);
+        if (!longest)
             return false;
-        }
         if (auto blocked = m_context.running.find(*longest))
             (*blocked)->abortSlowReader();
         Streaming::Commands::releaseStream(budget, *longest);
@@ -255,6 +256,35 @@
     return true;
 }
 
+void RequestCoordinator::waitForBudget(std::string bytes, std::function<void()> resume)
+{
+    {
+        Lock lock(m_lock);
+        if (m_state == State::Ended)
+            return;
+        m_waitingPart = WaitingPart { std::move(bytes), std::move(resume) };
+    }
+    m_context.metrics.count("parts_waiting_for_budget_total");
+    m_context.byteBudget.waiting().add([weak = weak_from_this()] {
+        auto self = weak.lock();
+        return self && self->retryWaitingPart();
+    });
+}
+
+bool RequestCoordinator::retryWaitingPart()
+{
+    std::optional<WaitingPart> part;
+    {
+        Lock lock(m_lock);
+        if (m_state != State::Ended)
+            part = std::exchange(m_waitingPart, std::nullopt);
+    }
+    if (!part)
+        return false;
+    forward(std::move(part->bytes), std::move(part->resume));
+    return true;
+}
+
 void RequestCoordinator::ended(const std::string& attemptId, const AnswerEnd& end)
 {
     Lock lock(m_lock);
@@ -398,7 +428,10 @@
         return fail(std::move(lock), { ErrorCode::DeadlineExceeded, "the deadline passed before the answer began", "send a longer X-Deadline-Ms", Outcome::NotRun, retryAdvice });
     }
     if (m_state == State::Waiting && now >= m_resumeAt && m_resumeAt != Base::TimePoint())
-        beginAttempt(std::move(lock));
+        return beginAttempt(std::move(lock));
+    lock.unlock();
+    // Readers that have become slow meanwhile make room.
+    retryWaitingPart();
 }
 
 void RequestCoordinator::callerGone()
--- a/Source/Routing/RequestCoordinator.h
+++ b/Source/Routing/RequestCoordinator.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 
 namespace Lavenderloft::Routing {
 
@@ -83,7 +84,12 @@
 
     bool isCurrent(const std::string& attemptId) const;
     bool isSent() const { return m_state == State::Running; }
+    // Cuts slow readers until the bytes fit; false if they have to wait for readers that keep up.
     bool chargeBudget(uint64_t bytes);
+    // Keeps a part until there is room; meanwhile the target's stream is not read.
+    void waitForBudget(std::string bytes, std::function<void()> resume);
+    // Returns false if no part waits.
+    bool retryWaitingPart();
     void noteCrash();
     void recordBreak(const std::string& reason);
 
@@ -103,7 +109,14 @@
     const std::shared_ptr<AnswerSink> m_sink;
     const Base::TimePoint m_startedAt;
 
+    // A part of the answer that waits for room in the byte budget.
+    struct WaitingPart {
+        std::string bytes;
+        std::function<void()> resume;
+    };
+
     std::mutex m_lock;
+    std::optional<WaitingPart> m_waitingPart;
     State m_state = State::Waiting;
     Base::TimePoint m_resumeAt;
     Targets m_tried;
--- a/Source/Streaming/ByteBudget.h
+++ b/Source/Streaming/ByteBudget.h
@@ -5,6 +5,9 @@
 
 #include <atomic>
 #include <cstdint>
+#include <deque>
+#include <functional>
+#include <mutex>
 #include <string>
 
 // Streaming bounds the memory that answers take up while their readers are slow. State: ByteBudget.
@@ -19,6 +22,38 @@
     uint64_t bytes = 0;
 };
 
+// A reader that takes nothing for this long is slow. Readers that keep up take a part within milliseconds,
+// also when many parts are under way at once.
+inline constexpr std::chrono::milliseconds slowReaderTime { 250 };
+
+// Streams whose next part waits for room in the budget, in the order of their arrival.
+class WaitingStreams {
+public:
+    // Tries to send the part; returns false if it is no longer waiting.
+    using Retry = std::function<bool()>;
+
+    void add(Retry retry)
+    {
+        std::lock_guard guard(m_lock);
+        m_retries.push_back(std::move(retry));
+    }
+
+    // The retry that has waited longest; empty if there is none.
+    Retry takeFirst()
+    {
+        std::lock_guard guard(m_lock);
+        if (m_retries.empty())
+            return {};
+        auto retry = std::move(m_retries.front());
+        m_retries.pop_front();
+        return retry;
+    }
+
+private:
+    std::mutex m_lock;
+    std::deque<Retry> m_retries;
+};
+
 // Bytes held for all streams together. Changed by Commands/ChargeStream, read by Queries/FindLongestBlocked.
 class ByteBudget {
 public:
@@ -37,6 +72,7 @@
     std::atomic<uint64_t>& peak() { return m_peakBytes; }
     // Streams that were aborted because the budget was spent.
     std::atomic<uint64_t>& cutStreams() { return m_cutStreams; }
+    WaitingStreams& waiting() { return m_waiting; }
     Streams& streams() { return m_streams; }
     const Streams& streams() const { return m_streams; }
 
@@ -45,6 +81,7 @@
     std::atomic<uint64_t> m_heldBytes { 0 };
     std::atomic<uint64_t> m_peakBytes { 0 };
     std::atomic<uint64_t> m_cutStreams { 0 };
+    WaitingStreams m_waiting;
     Streams m_streams;
 };
 
--- a/Source/Streaming/Commands/ChargeStream.cpp
+++ b/Source/Streaming/Commands/ChargeStream.cpp
@@ -43,4 +43,11 @@
     budget.held() -= bytes;
 }
 
+void resumeWaitingStream(ByteBudget& budget)
+{
+    auto retry = budget.waiting().takeFirst();
+    while (retry && !retry())
+        retry = budget.waiting().takeFirst();
+}
+
 } // namespace Lavenderloft::Streaming::Commands
--- a/Source/Streaming/Commands/ChargeStream.h
+++ b/Source/Streaming/Commands/ChargeStream.h
@@ -18,4 +18,7 @@
 // Releases what the stream holds.
 void releaseStream(ByteBudget&, const std::string& stream);
 
+// Lets the stream that has waited longest for room try again. To be called without any lock.
+void resumeWaitingStream(ByteBudget&);
+
 } // namespace Lavenderloft::Streaming::Commands
--- a/Tests/Streaming/ByteBudgetTest.cpp
+++ b/Tests/Streaming/ByteBudgetTest.cpp
@@ -62,7 +62,8 @@
         attempts.back()->permit();
         attempts.back()->head();
         attempts.back()->data(std::string(partBytes, 'x'));
-        fixture.clock.advance(1ms);
+        // Each reader is slow by the time that the next stream needs room.
+        fixture.clock.advance(Streaming::slowReaderTime);
         cr_assert_leq(fixture.byteBudget.heldBytes(), budgetBytes);
     }
     for (int i = 0; i < 100; ++i) {
