Hold a request while reports on its second crash are awaited

A report of another router on a known crash restarts the wait of that crash's record (countsFrom), and until it ends the record convicted nobody, so that the request ran on a third target in the meantime. Ruled out: that the first router missed a crash (it recorded both before it answered); dropping the wait (an innocent request that ran beside would be blamed until the reports are complete). Change: findQuarantine returns Free, Pending or Quarantined. A request that is the only one common to two crashes is refused as quarantine_pending with the rest of the wait until the reports are complete, and quarantined or freed afterwards. Event LL4014. Conclusion: two crashes are the most that one router allows a request, whatever the order of the reports.

--- a/Source/Routing/Events.h
+++ b/Source/Routing/Events.h
@@ -21,5 +21,6 @@
 inline constexpr Event requestQuarantined { 4011, "request-quarantined", Level::Warning, "A request was refused because it crashed two targets." };
 inline constexpr Event requestWaiting { 4012, "request-waiting", Level::Info, "A hazard message waits for a free target." };
 inline constexpr Event channelReplaced { 4013, "channel-replaced", Level::Warning, "A silent or broken connection to an agent is replaced." };
+inline constexpr Event requestHeld { 4014, "request-held", Level::Warning, "A request that ran on two crashed targets was refused until the reports on the crashes are complete." };
 
 } // namespace Lavenderloft::Routing
--- a/Source/Routing/QuarantineTable.h
+++ b/Source/Routing/QuarantineTable.h
@@ -31,6 +31,20 @@
     bool operator==(const Suspicion&) const = default;
 };
 
+enum class QuarantineState {
+    Free,
+    // The request would be quarantined, but reports that may clear it are still awaited.
+    Pending,
+    Quarantined,
+};
+
+// What the crashes known so far say of one request.
+struct QuarantineFinding {
+    QuarantineState state = QuarantineState::Free;
+    // Time until the awaited reports should have arrived; zero unless the state is Pending.
+    Base::Duration pendingFor {};
+};
+
 // Requests under way and crashes, by target. A request is quarantined after two crashes on two targets
 // in which it was the only fingerprint common to both. Changed by Commands/RecordCrash, read by
 // Queries/FindQuarantine.
--- a/Source/Routing/Queries/FindQuarantine.cpp
+++ b/Source/Routing/Queries/FindQuarantine.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <optional>
 
 namespace Lavenderloft::Routing::Queries {
 
@@ -9,39 +10,59 @@
 
     struct TargetCrash {
         std::string target;
-        std::set<uint64_t> fingerprints;
+        CrashRecord record;
     };
 
-    bool convicts(const CrashRecord& record, uint64_t fingerprint, Base::TimePoint now)
+    bool mayConvict(const CrashRecord& record, uint64_t fingerprint, Base::TimePoint now)
     {
-        return !record.overflowed && record.countsFrom <= now && now - record.at < QuarantineTable::retention && record.fingerprints.contains(fingerprint);
+        return !record.overflowed && now - record.at < QuarantineTable::retention && record.fingerprints.contains(fingerprint);
     }
 
-    bool hasSingleCommonFingerprint(const TargetCrash& a, const TargetCrash& b)
+    bool hasSingleCommonFingerprint(const CrashRecord& a, const CrashRecord& b)
     {
         std::vector<uint64_t> common;
         std::set_intersection(a.fingerprints.begin(), a.fingerprints.end(), b.fingerprints.begin(), b.fingerprints.end(), std::back_inserter(common));
         return common.size() == 1;
     }
 
+    std::vector<TargetCrash> crashesWith(const QuarantineTable& table, uint64_t fingerprint, Base::TimePoint now)
+    {
+        std::vector<TargetCrash> crashes;
+        table.crashes().forEach([&](auto& target, auto& records) {
+            for (auto& record : records) {
+                if (mayConvict(record, fingerprint, now))
+                    crashes.push_back({ target, record });
+            }
+        });
+        return crashes;
+    }
+
+    // From when on the pair of crashes convicts the only request common to both; nothing if it does not.
+    std::optional<Base::TimePoint> convictionTime(const TargetCrash& a, const TargetCrash& b)
+    {
+        if (a.target == b.target || !hasSingleCommonFingerprint(a.record, b.record))
+            return std::nullopt;
+        return std::max(a.record.countsFrom, b.record.countsFrom);
+    }
+
 } // namespace
 
-bool isQuarantined(const QuarantineTable& table, uint64_t fingerprint, Base::TimePoint now)
+QuarantineFinding findQuarantine(const QuarantineTable& table, uint64_t fingerprint, Base::TimePoint now)
 {
-    std::vector<TargetCrash> crashes;
-    table.crashes().forEach([&](auto& target, auto& records) {
-        for (auto& record : records) {
-            if (convicts(record, fingerprint, now))
-                crashes.push_back({ target, record.fingerprints });
-        }
-    });
+    auto crashes = crashesWith(table, fingerprint, now);
+    std::optional<Base::TimePoint> earliest;
     for (size_t i = 0; i < crashes.size(); ++i) {
         for (size_t j = 0; j < i; ++j) {
-            if (crashes[i].target != crashes[j].target && hasSingleCommonFingerprint(crashes[i], crashes[j]))
-                return true;
+            auto time = convictionTime(crashes[i], crashes[j]);
+            if (time && (!earliest || *time < *earliest))
+                earliest = time;
         }
     }
-    return false;
+    if (!earliest)
+        return {};
+    if (*earliest > now)
+        return { QuarantineState::Pending, *earliest - now };
+    return { QuarantineState::Quarantined, {} };
 }
 
 std::vector<Suspicion> listSuspicions(const QuarantineTable& table, Base::TimePoint now)
--- a/Source/Routing/RequestCoordinator.cpp
+++ b/Source/Routing/RequestCoordinator.cpp
@@ -91,10 +91,8 @@
     auto now = m_context.clock.now();
     if (now >= m_request.deadline)
         return fail(std::move(lock), { ErrorCode::DeadlineExceeded, "the deadline passed before a target took the request", "send a longer X-Deadline-Ms or retry", Outcome::NotRun, retryAdvice });
-    if (Queries::isQuarantined(m_context.quarantine, m_request.fingerprint, now)) {
-        logEvent(requestQuarantined, { { "request", m_request.id }, { "fingerprint", m_request.fingerprint } });
-        return fail(std::move(lock), { ErrorCode::Quarantined, "the request crashed two targets and is not run for now", "change the request; the quarantine ends after ten minutes", Outcome::NotRun, QuarantineTable::retention });
-    }
+    if (auto finding = Queries::findQuarantine(m_context.quarantine, m_request.fingerprint, now); finding.state != QuarantineState::Free)
+        return failQuarantined(std::move(lock), finding);
     auto selection = Queries::selectTarget(m_context.targets, m_request, m_tried, m_context.policy, m_context.random, now);
     // A target that broke off is better than none; one that refused is not.
     if (!selection.target)
@@ -106,6 +104,17 @@
     openAttempt(std::move(lock), std::move(selection.target), selection.reason);
 }
 
+void RequestCoordinator::failQuarantined(Lock lock, const QuarantineFinding& finding)
+{
+    bool isPending = finding.state == QuarantineState::Pending;
+    logEvent(isPending ? requestHeld : requestQuarantined, { { "request", m_request.id }, { "fingerprint", m_request.fingerprint } });
+    if (isPending) {
+        auto wait = std::chrono::ceil<std::chrono::milliseconds>(finding.pendingFor);
+        return fail(std::move(lock), { ErrorCode::QuarantinePending, "the request ran on two targets that crashed, and reports of other routers are awaited", "retry after retryAfterMs", Outcome::NotRun, wait });
+    }
+    fail(std::move(lock), { ErrorCode::Quarantined, "the request crashed two targets and is not run for now", "change the request; the quarantine ends after ten minutes", Outcome::NotRun, QuarantineTable::retention });
+}
+
 void RequestCoordinator::openAttempt(Lock lock, std::shared_ptr<Target> target, std::string_view reason)
 {
     m_state = State::Admitting;
--- a/Source/Routing/RequestCoordinator.h
+++ b/Source/Routing/RequestCoordinator.h
@@ -72,6 +72,7 @@
 
     // These take the lock and release it before they call out.
     void beginAttempt(Lock);
+    void failQuarantined(Lock, const QuarantineFinding&);
     void openAttempt(Lock, std::shared_ptr<Target>, std::string_view reason);
     void attemptFailed(Lock, const Failure&);
     void retry(Lock, const Failure&, bool fromBudget);
--- a/Source/Routing/RoutingError.cpp
+++ b/Source/Routing/RoutingError.cpp
@@ -29,6 +29,8 @@
         return "retry_budget_spent";
     case ErrorCode::Quarantined:
         return "quarantined";
+    case ErrorCode::QuarantinePending:
+        return "quarantine_pending";
     case ErrorCode::KeyNotVouched:
         return "key_not_vouched";
     case ErrorCode::KeyRunning:
--- a/Source/Routing/RoutingError.h
+++ b/Source/Routing/RoutingError.h
@@ -19,6 +19,7 @@
     DeadlineExceeded,
     RetryBudgetSpent,
     Quarantined,
+    QuarantinePending,
     KeyNotVouched,
     KeyRunning,
     KeyMemoryFull,
--- a/Tests/Routing/QuarantineTest.cpp
+++ b/Tests/Routing/QuarantineTest.cpp
@@ -23,6 +23,11 @@
         Commands::recordRunEnd(table, target, fingerprint);
 }
 
+bool isQuarantined(const QuarantineTable& table, uint64_t fingerprint, Base::TimePoint now)
+{
+    return Queries::findQuarantine(table, fingerprint, now).state == QuarantineState::Quarantined;
+}
+
 } // namespace
 
 // Guards against a request that crashes one target after the other, and against the blame of requests
@@ -33,11 +38,11 @@
     QuarantineTable table;
     crash(table, "t1", { culprit, innocent, 3 }, clock.now());
     crash(table, "t1", { culprit, 4 }, clock.now() + 10s);
-    cr_assert_not(Queries::isQuarantined(table, culprit, clock.now()), "crashes of one target alone prove nothing");
+    cr_assert_not(isQuarantined(table, culprit, clock.now()), "crashes of one target alone prove nothing");
     crash(table, "t2", { culprit, 5 }, clock.now());
-    cr_assert(Queries::isQuarantined(table, culprit, clock.now()));
+    cr_assert(isQuarantined(table, culprit, clock.now()));
     for (uint64_t other : { innocent, uint64_t(3), uint64_t(4), uint64_t(5) })
-        cr_assert_not(Queries::isQuarantined(table, other, clock.now()));
+        cr_assert_not(isQuarantined(table, other, clock.now()));
 }
 
 // Guards against blame when two requests ran at both crashes, whatever the order of the reports.
@@ -49,12 +54,12 @@
     Commands::recordRunStart(table, "t2", innocent);
     Commands::recordRunStart(table, "t2", culprit);
     Commands::recordCrash(table, "t2", innocent, clock.now());
-    cr_assert_not(Queries::isQuarantined(table, innocent, clock.now()), "the first report must count all that ran");
+    cr_assert_not(isQuarantined(table, innocent, clock.now()), "the first report must count all that ran");
     Commands::recordCrash(table, "t2", culprit, clock.now());
-    cr_assert_not(Queries::isQuarantined(table, culprit, clock.now()));
+    cr_assert_not(isQuarantined(table, culprit, clock.now()));
     crash(table, "t3", { culprit }, clock.now());
-    cr_assert(Queries::isQuarantined(table, culprit, clock.now()));
-    cr_assert_not(Queries::isQuarantined(table, innocent, clock.now()));
+    cr_assert(isQuarantined(table, culprit, clock.now()));
+    cr_assert_not(isQuarantined(table, innocent, clock.now()));
 }
 
 // Guards against a quarantine without end and a table that grows without bound.
@@ -64,9 +69,9 @@
     QuarantineTable table;
     crash(table, "t1", { culprit }, clock.now());
     crash(table, "t2", { culprit }, clock.now());
-    cr_assert(Queries::isQuarantined(table, culprit, clock.now()));
+    cr_assert(isQuarantined(table, culprit, clock.now()));
     clock.advance(QuarantineTable::retention);
-    cr_assert_not(Queries::isQuarantined(table, culprit, clock.now()));
+    cr_assert_not(isQuarantined(table, culprit, clock.now()));
     Commands::forgetOldCrashes(table, clock.now());
     cr_assert_eq(table.crashes().size(), 0);
     for (int i = 0; i < 1000; ++i)
@@ -85,13 +90,14 @@
     crash(first, "t1", { culprit, innocent }, clock.now());
     crash(second, "t2", { culprit }, clock.now());
     Commands::mergeSuspicions(second, Queries::listSuspicions(first, clock.now()), clock.now());
-    cr_assert_not(Queries::isQuarantined(second, culprit, clock.now()));
+    cr_assert_not(isQuarantined(second, culprit, clock.now()));
+    cr_assert(Queries::findQuarantine(second, culprit, clock.now()).state == QuarantineState::Pending);
     clock.advance(QuarantineTable::exchangeTime);
-    cr_assert(Queries::isQuarantined(second, culprit, clock.now()));
-    cr_assert_not(Queries::isQuarantined(second, innocent, clock.now()));
+    cr_assert(isQuarantined(second, culprit, clock.now()));
+    cr_assert_not(isQuarantined(second, innocent, clock.now()));
     auto before = Queries::listSuspicions(second, clock.now());
     Commands::mergeSuspicions(second, before, clock.now());
-    cr_assert(Queries::isQuarantined(second, culprit, clock.now()), "a repeated exchange must not restart the wait");
+    cr_assert(isQuarantined(second, culprit, clock.now()), "a repeated exchange must not restart the wait");
 }
 
 // Guards against a third target lost to a request that has crashed two.
@@ -110,3 +116,35 @@
     fixture.channels.onSend = [](FakeAttempt& attempt) { attempt.answer("fine"); };
     cr_assert(fixture.start(fixture.poolRequest("harmless"))->whole);
 }
+
+// Guards against a third target lost while the reports of other routers, which may clear the request, are still under way.
+Test(Quarantine, holdsARequestWhileReportsAreAwaited)
+{
+    RoutingFixture fixture(5);
+    fixture.channels.onStart = [](FakeAttempt& attempt) { attempt.permit(); };
+    fixture.channels.onSend = [](FakeAttempt& attempt) { attempt.crashEngine(); };
+    fixture.start(fixture.poolRequest("poison"));
+    cr_assert_eq(fixture.channels.attempts.size(), 2);
+    auto crashes = Queries::listSuspicions(fixture.context->quarantine, fixture.clock.now());
+    Commands::mergeSuspicions(fixture.context->quarantine, { { innocent, crashes.front().target, 0s } }, fixture.clock.now());
+
+    auto held = fixture.start(fixture.poolRequest("poison"));
+    cr_assert_eq(fixture.channels.attempts.size(), 2);
+    cr_assert(held->error->code == ErrorCode::QuarantinePending);
+    cr_assert(held->error->outcome == Outcome::NotRun);
+    cr_assert(held->error->retryAfter == QuarantineTable::exchangeTime);
+    fixture.clock.advance(QuarantineTable::exchangeTime);
+    cr_assert(fixture.start(fixture.poolRequest("poison"))->error->code == ErrorCode::Quarantined);
+    cr_assert_eq(fixture.channels.attempts.size(), 2);
+}
+
+// Guards against holding back a request that only ran beside two crashes once the reports have shown a second common one.
+Test(Quarantine, doesNotHoldARequestThatSharesBothCrashes)
+{
+    Base::ManualClock clock;
+    QuarantineTable table;
+    crash(table, "t1", { culprit, innocent }, clock.now());
+    crash(table, "t2", { culprit, innocent }, clock.now());
+    Commands::mergeSuspicions(table, { { 3, "t1", 0s } }, clock.now());
+    cr_assert(Queries::findQuarantine(table, innocent, clock.now()).state == QuarantineState::Free);
+}
