Share the HTTP side of four stand-ins

Cause: the configuration service, the plain service, the weight store and the VM list each held the same code to start and stop a server and to tell control paths from those of the service. Change: StandinFront holds the server, the timer and the dispatch; the four stand-ins answer serve() and control() only. Conclusion: one place for the order in which a stand-in shuts down.

--- a/Utilities/Standin/ConfigurationService.cpp
+++ b/Utilities/Standin/ConfigurationService.cpp
@@ -2,12 +2,10 @@
 
 #include "Base/SystemClock.h"
 #include "Base/TokenBucket.h"
-#include "Http/HttpServer.h"
 #include "Standin/Commands/ConfigurationCommands.h"
 #include "Standin/FileContent.h"
-#include "Standin/JsonAnswer.h"
 #include "Standin/Queries/ConfigurationQueries.h"
-#include "Standin/Timer.h"
+#include "Standin/StandinFront.h"
 
 #include <algorithm>
 #include <list>
@@ -30,41 +28,23 @@
 
 } // namespace
 
-class ConfigurationService::Front final : public Http::HttpHandler, public std::enable_shared_from_this<Front> {
+class ConfigurationService::Front final : public StandinFront {
 public:
     explicit Front(ConfigurationOptions options)
-        : m_options(std::move(options))
+        : StandinFront(options.listen)
+        , m_options(std::move(options))
         , m_calls(m_options.callsPerSecond, m_options.callsPerSecond)
     {
         if (!m_options.file.empty())
             Commands::publishDocument(m_state, readFile(m_options.file));
     }
 
-    void start()
-    {
-        Http::HttpServerOptions options;
-        options.listen = m_options.listen;
-        m_server = std::make_unique<Http::HttpServer>(options, shared_from_this());
-    }
-
-    void stop()
-    {
-        m_server->stop();
-        m_timer.stop();
-        takeWatches([](auto&) { return true; });
-        m_server.reset();
-    }
-
-    uint16_t port() const { return m_server->port(); }
     ConfigurationState& state() { return m_state; }
 
-    void handle(Http::HttpRequest request, std::shared_ptr<Http::ResponseStream> stream) override
+    void serve(const RequestPath& path, const Http::HttpRequest& request, const Stream& stream) override
     {
-        auto path = parseRequestPath(request.target);
         if (request.method == "GET" && path.startsWith({ "v1", "config", "desired-state" }))
             return read(path, stream);
-        if (path.segment(0) == "test")
-            return respondToControl(stream, [&] { control(path.segment(1), request, stream); });
         respondNotFound(stream, request);
     }
 
@@ -96,9 +76,14 @@
     }
 
 private:
+    void dropWaiting() override
+    {
+        takeWatches([](auto&) { return true; });
+    }
+
     using Watches = std::list<std::shared_ptr<Watch>>;
 
-    void read(const RequestPath& path, const std::shared_ptr<Http::ResponseStream>& stream)
+    void read(const RequestPath& path, const Stream& stream)
     {
         auto after = path.queryNumber("after");
         if (Queries::isConfigurationDown(m_state)) {
@@ -119,20 +104,20 @@
         addWatch(*after, wait, stream);
     }
 
-    void addWatch(uint64_t after, std::chrono::milliseconds wait, const std::shared_ptr<Http::ResponseStream>& stream)
+    void addWatch(uint64_t after, std::chrono::milliseconds wait, const Stream& stream)
     {
         auto watch = std::make_shared<Watch>(Watch { after, stream });
         {
             std::lock_guard guard(m_watchLock);
             m_watches.push_back(watch);
         }
-        std::weak_ptr<Front> weak = weak_from_this();
+        auto weak = weakFrom(this);
         std::weak_ptr<Watch> weakWatch = watch;
         stream->onDisconnect([weak, weakWatch] {
             if (auto self = weak.lock())
                 self->removeWatch(weakWatch.lock());
         });
-        m_timer.runAfter(wait, [weak, weakWatch] {
+        timer().runAfter(wait, [weak, weakWatch] {
             auto self = weak.lock();
             auto due = weakWatch.lock();
             if (self && due && self->removeWatch(due))
@@ -170,8 +155,9 @@
             respondDocument(watch->stream, *document);
     }
 
-    void control(const std::string& name, const Http::HttpRequest& request, const std::shared_ptr<Http::ResponseStream>& stream)
+    void control(const RequestPath& path, const Http::HttpRequest& request, const Stream& stream) override
     {
+        auto name = path.segment(1);
         if (name == "counters")
             return respondCounters(stream);
         if (name == "desired-state" && request.method == "PUT") {
@@ -185,7 +171,7 @@
         respondNotFound(stream, request);
     }
 
-    void reload(const std::shared_ptr<Http::ResponseStream>& stream)
+    void reload(const Stream& stream)
     {
         try {
             publish(readFile(m_options.file));
@@ -195,7 +181,7 @@
         respondDone(stream);
     }
 
-    void setFaults(const std::string& body, const std::shared_ptr<Http::ResponseStream>& stream)
+    void setFaults(const std::string& body, const Stream& stream)
     {
         auto faults = parseObject(body);
         if (!faults)
@@ -215,7 +201,7 @@
         respondDone(stream);
     }
 
-    void respondCounters(const std::shared_ptr<Http::ResponseStream>& stream)
+    void respondCounters(const Stream& stream)
     {
         auto counters = Queries::configurationCounters(m_state);
         respondJson(stream, 200, { { "reads", counters.reads }, { "watches", counters.watches }, { "limited", counters.limited }, { "cutOff", counters.cutOff }, { "pendingWatches", pendingWatches() } });
@@ -227,8 +213,6 @@
     Base::TokenBucket m_calls;
     mutable std::mutex m_watchLock;
     Watches m_watches;
-    Timer m_timer;
-    std::unique_ptr<Http::HttpServer> m_server;
 };
 
 ConfigurationService::ConfigurationService(ConfigurationOptions options)
--- a/Utilities/Standin/PlainService.cpp
+++ b/Utilities/Standin/PlainService.cpp
@@ -1,38 +1,21 @@
 #include "Standin/PlainService.h"
 
 #include "Base/Digest.h"
-#include "Http/HttpServer.h"
 #include "Standin/Commands/PlainServiceCommands.h"
-#include "Standin/JsonAnswer.h"
 #include "Standin/Queries/PlainServiceQueries.h"
-#include "Standin/Timer.h"
+#include "Standin/StandinFront.h"
 
 namespace Lavenderloft::Standin {
 
-class PlainService::Front final : public Http::HttpHandler, public std::enable_shared_from_this<Front> {
+class PlainService::Front final : public StandinFront {
 public:
     explicit Front(PlainServiceOptions options)
-        : m_options(std::move(options))
+        : StandinFront(options.listen)
+        , m_options(std::move(options))
     {
         m_state.delay = m_options.delay;
     }
 
-    void start()
-    {
-        Http::HttpServerOptions options;
-        options.listen = m_options.listen;
-        m_server = std::make_unique<Http::HttpServer>(options, shared_from_this());
-    }
-
-    void stop()
-    {
-        m_server->stop();
-        m_timer.stop();
-        takeSilenced();
-        m_server.reset();
-    }
-
-    uint16_t port() const { return m_server->port(); }
     PlainServiceState& state() { return m_state; }
 
     void setSilent(bool silent)
@@ -44,18 +27,17 @@
             stream->abort();
     }
 
-    void handle(Http::HttpRequest request, std::shared_ptr<Http::ResponseStream> stream) override
+    void serve(const RequestPath& path, const Http::HttpRequest& request, const Stream& stream) override
     {
-        auto path = parseRequestPath(request.target);
-        if (path.segment(0) == "test")
-            return respondToControl(stream, [&] { control(path, request, stream); });
         if (Base::succeeded(Commands::takeDropBeforeRun(m_state)))
             return stream->abort();
         run(request, stream);
     }
 
 private:
-    void run(const Http::HttpRequest& request, const std::shared_ptr<Http::ResponseStream>& stream)
+    void dropWaiting() override { takeSilenced(); }
+
+    void run(const Http::HttpRequest& request, const Stream& stream)
     {
         std::string callId(Http::headerValue(request.headers, "X-Call-Id"));
         if (callId.empty())
@@ -64,13 +46,13 @@
         auto delay = m_state.delay.load();
         if (delay.count() == 0)
             return answer(callId, request, stream);
-        m_timer.runAfter(delay, [weak = weak_from_this(), callId, request, stream] {
+        timer().runAfter(delay, [weak = weakFrom(this), callId, request, stream] {
             if (auto self = weak.lock())
                 self->answer(callId, request, stream);
         });
     }
 
-    void answer(const std::string& callId, const Http::HttpRequest& request, const std::shared_ptr<Http::ResponseStream>& stream)
+    void answer(const std::string& callId, const Http::HttpRequest& request, const Stream& stream)
     {
         if (Base::succeeded(Commands::takeDropAfterRun(m_state)))
             return stream->abort();
@@ -80,7 +62,7 @@
         respondJson(stream, 200, { { "callId", callId }, { "execution", execution }, { "method", request.method }, { "target", request.target }, { "body", request.body } });
     }
 
-    void silence(const std::shared_ptr<Http::ResponseStream>& stream)
+    void silence(const Stream& stream)
     {
         std::lock_guard guard(m_silencedLock);
         m_silenced.push_back(stream);
@@ -92,7 +74,7 @@
         return std::exchange(m_silenced, {});
     }
 
-    void control(const RequestPath& path, const Http::HttpRequest& request, const std::shared_ptr<Http::ResponseStream>& stream)
+    void control(const RequestPath& path, const Http::HttpRequest& request, const Stream& stream) override
     {
         if (path.segment(1) == "executions" && request.method == "GET") {
             auto summary = Queries::executionSummary(m_state);
@@ -116,8 +98,6 @@
     PlainServiceState m_state;
     std::mutex m_silencedLock;
     std::vector<std::shared_ptr<Http::ResponseStream>> m_silenced;
-    Timer m_timer;
-    std::unique_ptr<Http::HttpServer> m_server;
 };
 
 PlainService::PlainService(PlainServiceOptions options)
--- a/Utilities/Standin/VmList.cpp
+++ b/Utilities/Standin/VmList.cpp
@@ -1,11 +1,10 @@
 #include "Standin/VmList.h"
 
 #include "Base/SystemClock.h"
-#include "Http/HttpServer.h"
 #include "Standin/Commands/VmListCommands.h"
 #include "Standin/FileContent.h"
-#include "Standin/JsonAnswer.h"
 #include "Standin/Queries/VmListQueries.h"
+#include "Standin/StandinFront.h"
 
 #include <stdexcept>
 
@@ -31,30 +30,17 @@
 
 } // namespace
 
-class VmList::Front final : public Http::HttpHandler, public std::enable_shared_from_this<Front> {
+class VmList::Front final : public StandinFront {
 public:
     explicit Front(VmListOptions options)
-        : m_options(std::move(options))
+        : StandinFront(options.listen)
+        , m_options(std::move(options))
     {
         Commands::setVmListLag(m_state, m_options.lag);
         if (!m_options.file.empty())
             Commands::replaceVms(m_state, readEntries(m_options.file), m_clock.now());
     }
 
-    void start()
-    {
-        Http::HttpServerOptions options;
-        options.listen = m_options.listen;
-        m_server = std::make_unique<Http::HttpServer>(options, shared_from_this());
-    }
-
-    void stop()
-    {
-        m_server->stop();
-        m_server.reset();
-    }
-
-    uint16_t port() const { return m_server->port(); }
     VmListState& state() { return m_state; }
 
     void replace(std::vector<VmEntry> entries) { Commands::replaceVms(m_state, std::move(entries), m_clock.now()); }
@@ -64,11 +50,8 @@
         return Commands::setVmState(m_state, name, state, m_clock.now());
     }
 
-    void handle(Http::HttpRequest request, std::shared_ptr<Http::ResponseStream> stream) override
+    void serve(const RequestPath& path, const Http::HttpRequest& request, const Stream& stream) override
     {
-        auto path = parseRequestPath(request.target);
-        if (path.segment(0) == "test")
-            return respondToControl(stream, [&] { control(path, request, stream); });
         if (Queries::isVmListDown(m_state))
             return stream->abort();
         if (request.method == "GET" && path.startsWith({ "v1", "vms" }))
@@ -86,7 +69,7 @@
         }
     }
 
-    void control(const RequestPath& path, const Http::HttpRequest& request, const std::shared_ptr<Http::ResponseStream>& stream)
+    void control(const RequestPath& path, const Http::HttpRequest& request, const Stream& stream) override
     {
         auto body = parseObject(request.body);
         if (request.method != "PUT" || !body)
@@ -102,7 +85,7 @@
         respondNotFound(stream, request);
     }
 
-    void changeState(const std::string& name, const std::string& state, const std::shared_ptr<Http::ResponseStream>& stream)
+    void changeState(const std::string& name, const std::string& state, const Stream& stream)
     {
         auto changed = setState(name, state);
         if (!Base::succeeded(changed))
@@ -110,7 +93,7 @@
         respondDone(stream);
     }
 
-    void setFaults(const nlohmann::json& body, const std::shared_ptr<Http::ResponseStream>& stream)
+    void setFaults(const nlohmann::json& body, const Stream& stream)
     {
         if (body.contains("down"))
             Commands::setVmListDown(m_state, body.at("down"));
@@ -122,7 +105,6 @@
     VmListOptions m_options;
     VmListState m_state;
     Base::SystemClock m_clock;
-    std::unique_ptr<Http::HttpServer> m_server;
 };
 
 VmList::VmList(VmListOptions options)
--- a/Utilities/Standin/WeightStore.cpp
+++ b/Utilities/Standin/WeightStore.cpp
@@ -2,12 +2,10 @@
 
 #include "Base/SystemClock.h"
 #include "Base/TokenBucket.h"
-#include "Http/HttpServer.h"
 #include "Standin/Commands/WeightStoreCommands.h"
-#include "Standin/JsonAnswer.h"
 #include "Standin/ModelOptions.h"
 #include "Standin/Queries/WeightStoreQueries.h"
-#include "Standin/Timer.h"
+#include "Standin/StandinFront.h"
 
 #include <algorithm>
 #include <stdexcept>
@@ -28,30 +26,15 @@
 
 } // namespace
 
-class WeightStore::Front final : public Http::HttpHandler, public std::enable_shared_from_this<Front> {
+class WeightStore::Front final : public StandinFront {
 public:
     explicit Front(WeightStoreOptions options)
-        : m_options(std::move(options))
+        : StandinFront(options.listen)
+        , m_options(std::move(options))
         , m_bucket(m_options.bytesPerSecond, partBytes)
     {
     }
 
-    void start()
-    {
-        Http::HttpServerOptions options;
-        options.listen = m_options.listen;
-        m_server = std::make_unique<Http::HttpServer>(options, shared_from_this());
-    }
-
-    void stop()
-    {
-        m_server->stop();
-        m_timer.stop();
-        takeStalled();
-        m_server.reset();
-    }
-
-    uint16_t port() const { return m_server->port(); }
     WeightStoreState& state() { return m_state; }
     void setRate(double bytesPerSecond) { m_bucket.setRate(bytesPerSecond, m_clock.now()); }
 
@@ -74,11 +57,8 @@
             download->stream->abort();
     }
 
-    void handle(Http::HttpRequest request, std::shared_ptr<Http::ResponseStream> stream) override
+    void serve(const RequestPath& path, const Http::HttpRequest& request, const Stream& stream) override
     {
-        auto path = parseRequestPath(request.target);
-        if (path.segment(0) == "test")
-            return respondToControl(stream, [&] { control(path.segment(1), request, stream); });
         if (m_state.down)
             return stream->abort();
         if (request.method == "GET" && path.startsWith({ "v1", "manifests" }))
@@ -89,7 +69,9 @@
     }
 
 private:
-    void sendManifest(const std::string& digest, const std::shared_ptr<Http::ResponseStream>& stream)
+    void dropWaiting() override { takeStalled(); }
+
+    void sendManifest(const std::string& digest, const Stream& stream)
     {
         ++m_state.manifestRequests;
         auto model = m_state.models.find(digest);
@@ -98,7 +80,7 @@
         stream->respond({ 200, { { "Content-Type", "application/json" } }, (*model)->manifest() });
     }
 
-    void sendChunk(const std::string& digest, const std::shared_ptr<Http::ResponseStream>& stream)
+    void sendChunk(const std::string& digest, const Stream& stream)
     {
         auto bytes = Queries::chunkBytes(m_state, digest);
         if (!bytes)
@@ -121,7 +103,7 @@
         auto delay = m_bucket.take(static_cast<double>(size), m_clock.now());
         if (delay <= Base::Duration::zero())
             return sendPart(download, size);
-        m_timer.runAfter(delay, [weak = weak_from_this(), download, size] {
+        timer().runAfter(delay, [weak = weakFrom(this), download, size] {
             if (auto self = weak.lock())
                 self->sendPart(download, size);
         });
@@ -132,7 +114,7 @@
         auto part = download->bytes.substr(download->sent, size);
         download->sent += size;
         Commands::countChunkBytes(m_state, download->digest, size);
-        download->stream->write(std::move(part), [weak = weak_from_this(), download](bool ok) {
+        download->stream->write(std::move(part), [weak = weakFrom(this), download](bool ok) {
             auto self = weak.lock();
             if (ok && self)
                 self->sendPartWhenAllowed(download);
@@ -151,8 +133,9 @@
         return std::exchange(m_stalled, {});
     }
 
-    void control(const std::string& name, const Http::HttpRequest& request, const std::shared_ptr<Http::ResponseStream>& stream)
+    void control(const RequestPath& path, const Http::HttpRequest& request, const Stream& stream) override
     {
+        auto name = path.segment(1);
         if (name == "counters" && request.method == "GET")
             return respondCounters(stream);
         if (name == "counters" && request.method == "DELETE") {
@@ -171,7 +154,7 @@
         respondNotFound(stream, request);
     }
 
-    void createModel(const nlohmann::json& body, const std::shared_ptr<Http::ResponseStream>& stream)
+    void createModel(const nlohmann::json& body, const Stream& stream)
     {
         try {
             auto model = addModel(modelSpecFromJson(body));
@@ -181,7 +164,7 @@
         }
     }
 
-    void setCorruption(const nlohmann::json& body, const std::shared_ptr<Http::ResponseStream>& stream)
+    void setCorruption(const nlohmann::json& body, const Stream& stream)
     {
         if (!body.contains("digest") || !body["digest"].is_string())
             return respondError(stream, 400, "malformed_body", "\"digest\" is missing", R"(send {"digest": "...", "times": 1})");
@@ -189,7 +172,7 @@
         respondDone(stream);
     }
 
-    void setFaults(const nlohmann::json& body, const std::shared_ptr<Http::ResponseStream>& stream)
+    void setFaults(const nlohmann::json& body, const Stream& stream)
     {
         if (body.contains("down"))
             m_state.down = body["down"] == true;
@@ -200,7 +183,7 @@
         respondDone(stream);
     }
 
-    void respondCounters(const std::shared_ptr<Http::ResponseStream>& stream)
+    void respondCounters(const Stream& stream)
     {
         auto counters = Queries::weightStoreCounters(m_state);
         nlohmann::json chunks = nlohmann::json::object();
@@ -215,8 +198,6 @@
     Base::TokenBucket m_bucket;
     std::mutex m_stalledLock;
     std::vector<std::shared_ptr<Download>> m_stalled;
-    Timer m_timer;
-    std::unique_ptr<Http::HttpServer> m_server;
 };
 
 WeightStore::WeightStore(WeightStoreOptions options)
