Guard key homes that move in the agent

Cause: a call that ran at its old home and is resent after the VM names of its service changed reaches a home whose memory is older than the resend window, has no record, and runs the call a second time. Change: an agent that sees the VM names of its service change moves the start of its key memory to that time plus 8 s, the bound within which a document is in force everywhere. Not covered: names that change and change back in revisions that the agent never sees. Conclusion: a move costs refusals of older keys for the resend window instead of a possible double run.

--- a/Source/Admission/Commands/AdmitRequest.cpp
+++ b/Source/Admission/Commands/AdmitRequest.cpp
@@ -2,6 +2,7 @@
 
 #include "Admission/Commands/GrantPermit.h"
 #include "Admission/Commands/QueueRequest.h"
+#include "Admission/Commands/ReserveKey.h"
 #include "Admission/Queries/FindRefusal.h"
 #include "Admission/Queries/KeyHome.h"
 #include "Admission/Queries/QueueLength.h"
@@ -31,6 +32,7 @@
     Base::Result<Base::Done, Refusal> takeKey(TargetState& state, const Situation& situation, const AdmitRequest& request, const Base::Clock& clock)
     {
         auto* service = situation.document->findService(request.pool);
+        updateHomes(state.keys, *service, clock);
         if (auto refusal = findKeyRefusal(situation, *service, request))
             return *refusal;
         return reserveKey(state.keys, request, service->resendWindow, clock);
--- a/Source/Admission/Commands/ReserveKey.cpp
+++ b/Source/Admission/Commands/ReserveKey.cpp
@@ -1,6 +1,8 @@
 #include "Admission/Commands/ReserveKey.h"
 
+#include "Admission/Events.h"
 #include "Admission/Queries/KeyVouching.h"
+#include "Observability/Log.h"
 
 #include <vector>
 
@@ -70,6 +72,12 @@
     return makeRefusal(RefusalReason::KeyRunning, "a call with this idempotency key is under way", "resend later to get its answer");
 }
 
+void updateHomes(KeyMemory& memory, const DesiredState::Service& service, const Base::Clock& clock)
+{
+    if (memory.updateHomes(service.vms, { clock.now() + documentSpreadBound, clock.wallTime() + documentSpreadBound }))
+        Observability::logEvent(keyHomesChanged, { { "service", service.name }, { "vms", service.vms.size() } });
+}
+
 void releaseKey(KeyMemory& memory, const AdmitRequest& request)
 {
     auto name = nameOf(request);
--- a/Source/Admission/Commands/ReserveKey.h
+++ b/Source/Admission/Commands/ReserveKey.h
@@ -2,6 +2,7 @@
 
 #include "Admission/KeyMemory.h"
 #include "Admission/Refusal.h"
+#include "DesiredState/Document.h"
 
 #include <optional>
 #include <variant>
@@ -17,6 +18,10 @@
 // Reserves the key of a call for its attempt, or tells why the call may not run here.
 Base::Result<Base::Done, Refusal> reserveKey(KeyMemory&, const AdmitRequest&, std::chrono::milliseconds resendWindow, const Base::Clock&);
 
+// Takes over the VMs of the service. After a change of them the memory does not vouch for calls that an
+// earlier home may have run.
+void updateHomes(KeyMemory&, const DesiredState::Service&, const Base::Clock&);
+
 // Frees the key of an attempt that did not run.
 void releaseKey(KeyMemory&, const AdmitRequest&);
 
--- a/Source/Admission/KeyMemory.h
+++ b/Source/Admission/KeyMemory.h
@@ -5,12 +5,14 @@
 #include "Base/Clock.h"
 #include "Base/ShardedMap.h"
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 namespace Lavenderloft::Admission {
 
@@ -43,6 +45,10 @@
 // Bound on the difference between the clocks of any two VMs and callers.
 inline constexpr std::chrono::seconds clockSkewBound { 5 };
 
+// Time within which a new document is in force on all VMs that are not cut off; until then an old home of a
+// key may still run calls.
+inline constexpr std::chrono::seconds documentSpreadBound { 8 };
+
 // Largest answer that is kept, in bytes of its body.
 inline constexpr size_t maximumStoredAnswerBytes = 64 * 1024;
 
@@ -74,6 +80,20 @@
         m_completeSince.wallTime = std::max(m_completeSince.wallTime, record.firstUsedWall);
     }
 
+    // Takes over the VM names among which the homes of keys are chosen. When they change, another VM may have
+    // run calls whose home is now here, so that the horizon moves. Names seen for the first time move nothing.
+    // Returns whether the horizon moved.
+    bool updateHomes(std::vector<std::string> vms, const Horizon& horizon)
+    {
+        std::sort(vms.begin(), vms.end());
+        std::lock_guard guard(m_lock);
+        bool moved = !m_homes.empty() && m_homes != vms;
+        m_homes = std::move(vms);
+        if (moved)
+            m_completeSince = { std::max(m_completeSince.time, horizon.time), std::max(m_completeSince.wallTime, horizon.wallTime) };
+        return moved;
+    }
+
     // Bounds on records and on the bytes of stored answers.
     size_t maximumRecords = 100000;
     size_t maximumAnswerBytes = 16 * 1024 * 1024;
@@ -85,6 +105,8 @@
 private:
     mutable std::mutex m_lock;
     Horizon m_completeSince;
+    // Sorted names of the VMs among which the home of a key is chosen.
+    std::vector<std::string> m_homes;
 };
 
 // The name of a call's record.
--- a/Source/Process/AgentProcess.cpp
+++ b/Source/Process/AgentProcess.cpp
@@ -2,6 +2,7 @@
 
 #include "Admission/Commands/AdjustLimit.h"
 #include "Admission/Commands/QueueRequest.h"
+#include "Admission/Commands/ReserveKey.h"
 #include "Admission/Commands/RunRequest.h"
 #include "Admission/Events.h"
 #include "Admission/Queries/CurrentLimit.h"
@@ -196,6 +197,8 @@
         auto document = parts.control.document();
         auto* declared = document ? document->findService(parts.settings.target->service) : nullptr;
         auto window = declared ? declared->resendWindow : std::chrono::milliseconds(windowOfUndeclaredService);
+        if (declared)
+            Admission::Commands::updateHomes(target->state.keys, *declared, parts.clock);
         Admission::Commands::expireRecords(target->state, window, parts.clock);
         if (Admission::Queries::isAccepting(situation.situation()))
             return target->grantWaiting();
--- a/Tests/Admission/KeyMemoryTest.cpp
+++ b/Tests/Admission/KeyMemoryTest.cpp
@@ -309,3 +309,33 @@
     }
     cr_assert_gt(answered, 0);
 }
+
+// Guards against a second run of a call that ran at its old home before the VMs of the service changed.
+Test(KeyMemory, doesNotVouchForCallsOfAnEarlierHome)
+{
+    OldMemory fixture;
+    auto publishVms = [&](std::vector<std::string> vms) {
+        auto changed = std::make_shared<DesiredState::Document>(*fixture.document);
+        changed->services.front().vms = std::move(vms);
+        fixture.situation.document = changed;
+        return changed->services.front();
+    };
+    auto before = publishVms({ "vm-1", "vm-2" });
+    std::string moved;
+    for (int i = 0; moved.empty(); ++i) {
+        if (Queries::keyHome(before, "small", std::to_string(i)) == "vm-2")
+            moved = std::to_string(i);
+    }
+    cr_assert(fixture.reasonFor("a", moved) == RefusalReason::NotKeyHome);
+    publishVms({ "vm-2", "vm-1" });
+    cr_assert(fixture.reasonFor("b", moved) == RefusalReason::NotKeyHome);
+    publishVms({ "vm-1" });
+    cr_assert(fixture.reasonFor("c", moved) == RefusalReason::KeyNotVouched);
+    cr_assert(fixture.reasonFor("d", makeUuid7(fixture.clock.wallTime())) == RefusalReason::KeyNotVouched);
+
+    fixture.clock.advance(documentSpreadBound + 2 * clockSkewBound);
+    cr_assert(std::holds_alternative<Permit>(fixture.admit(fixture.makeRequest("e", makeUuid7(fixture.clock.wallTime())))));
+    cr_assert(fixture.reasonFor("f", moved) == RefusalReason::KeyNotVouched);
+    fixture.clock.advance(fixture.document->services.front().resendWindow);
+    cr_assert(std::holds_alternative<Permit>(fixture.admit(fixture.makeRequest("g", moved))));
+}
