Read the command lines of all three programs with one table

Cause: options were read with popt in OptionParser (main program), OptionTable (stand-ins), BenchOptions, RolloutCommand and SpreadCommand, and subcommands were dispatched in three places, with different help texts and errors. Ruled out: keeping OptionParser as a wrapper (its only own parts were letters and arguments, which are now in OptionTable). Change: OptionTable moves to Source/CommandLine and takes letters, value names and arguments; CommandTable dispatches for all programs; ProgramCommands and StandinCommands list the subcommands. Conclusion: one manner of options, help and errors.

--- a/Source/CommandLine/CheckCommand.cpp
+++ b/Source/CommandLine/CheckCommand.cpp
@@ -1,7 +1,7 @@
 #include "CommandLine/CheckCommand.h"
 
 #include "CommandLine/CheckedInput.h"
-#include "CommandLine/OptionParser.h"
+#include "CommandLine/OptionTable.h"
 
 #include <iostream>
 
@@ -10,14 +10,12 @@
 ExitCode CheckCommand::run(const std::vector<std::string>& arguments)
 {
     bool isSettings = false;
-    OptionParser options(*this);
-    options.addFlag("settings", 's', isSettings, "FILE holds the settings of a process");
-    options.expectArguments(1, 1);
-    auto parsed = options.parse(arguments);
-    if (auto* code = std::get_if<ExitCode>(&parsed))
+    std::vector<std::string> paths;
+    OptionTable options(programName, *this);
+    options.flag("settings", isSettings, "FILE holds the settings of a process").shownAs('s').arguments(paths, 1, 1);
+    if (auto code = options.parseOrExplain(arguments))
         return *code;
-    auto& path = std::get<OptionParser::Arguments>(parsed).front();
-    return isSettings ? checkSettingsFile(path) : checkDesiredState(path);
+    return isSettings ? checkSettingsFile(paths.front()) : checkDesiredState(paths.front());
 }
 
 ExitCode CheckCommand::checkDesiredState(const std::string& path)
--- a/Source/CommandLine/Command.h
+++ b/Source/CommandLine/Command.h
@@ -5,6 +5,9 @@
 
 namespace Lavenderloft::CommandLine {
 
+// Name of the program, as users type it.
+inline constexpr const char* programName = "lavenderloft";
+
 // Exit codes of the program.
 enum class ExitCode {
     Success = 0,
--- a/Source/CommandLine/CommandTable.cpp
+++ b/Source/CommandLine/CommandTable.cpp
@@ -1,49 +1,23 @@
 #include "CommandLine/CommandTable.h"
 
-#include "CommandLine/AgentCommand.h"
-#include "CommandLine/CheckCommand.h"
-#include "CommandLine/DiffCommand.h"
-#include "CommandLine/RouterCommand.h"
-#include "CommandLine/StatusCommand.h"
-
 #include <iostream>
 #include <popt.h>
 
 namespace Lavenderloft::CommandLine {
 
-namespace {
-
-    void printHelp(std::ostream& output, const std::vector<std::unique_ptr<Command>>& commands)
-    {
-        output << "Usage: lavenderloft COMMAND [ARGUMENTS]\n"
-                  "       lavenderloft --help | --version\n\n"
-                  "Commands:\n";
-        for (auto& command : commands)
-            output << "  " << command->name() << ' ' << command->argumentSynopsis() << "\n      " << command->summary() << '\n';
-        output << "\nExit codes: 0 success, 1 the input was refused, 2 usage.\n";
-    }
-
-    int exitStatus(ExitCode code)
-    {
-        return static_cast<int>(code);
-    }
-
-} // namespace
+CommandTable::CommandTable(std::string program, CommandList commands)
+    : m_program(std::move(program))
+    , m_commands(std::move(commands))
+{
+}
 
-std::vector<std::unique_ptr<Command>> makeCommands()
+int CommandTable::run(int argc, char** argv)
 {
-    std::vector<std::unique_ptr<Command>> commands;
-    commands.push_back(std::make_unique<AgentCommand>());
-    commands.push_back(std::make_unique<CheckCommand>());
-    commands.push_back(std::make_unique<DiffCommand>());
-    commands.push_back(std::make_unique<RouterCommand>());
-    commands.push_back(std::make_unique<StatusCommand>());
-    return commands;
+    return static_cast<int>(dispatch(argc, argv));
 }
 
-int runCommand(int argc, char** argv)
+ExitCode CommandTable::dispatch(int argc, char** argv)
 {
-    auto commands = makeCommands();
     int showHelp = 0;
     int showVersion = 0;
     poptOption options[] = {
@@ -53,35 +27,47 @@
     };
     // Options after the subcommand belong to the subcommand.
     std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(
-        poptGetContext("lavenderloft", argc, const_cast<const char**>(argv), options, POPT_CONTEXT_POSIXMEHARDER), poptFreeContext);
+        poptGetContext(m_program.c_str(), argc, const_cast<const char**>(argv), options, POPT_CONTEXT_POSIXMEHARDER), poptFreeContext);
     auto status = poptGetNextOpt(context.get());
     if (status < -1) {
-        std::cerr << "lavenderloft: option " << poptBadOption(context.get(), 0) << ": " << poptStrerror(status)
-                  << "; see lavenderloft --help\n";
-        return exitStatus(ExitCode::Usage);
+        std::cerr << m_program << ": option " << poptBadOption(context.get(), 0) << ": " << poptStrerror(status) << "; see " << m_program << " --help\n";
+        return ExitCode::Usage;
     }
     if (showHelp) {
-        printHelp(std::cout, commands);
-        return exitStatus(ExitCode::Success);
+        printHelp(std::cout);
+        return ExitCode::Success;
     }
     if (showVersion) {
-        std::cout << "lavenderloft " << LAVENDERLOFT_VERSION << '\n';
-        return exitStatus(ExitCode::Success);
+        std::cout << m_program << ' ' << LAVENDERLOFT_VERSION << '\n';
+        return ExitCode::Success;
     }
     const char* name = poptGetArg(context.get());
     if (!name) {
-        printHelp(std::cerr, commands);
-        return exitStatus(ExitCode::Usage);
+        printHelp(std::cerr);
+        return ExitCode::Usage;
     }
     std::vector<std::string> arguments;
     while (const char* argument = poptGetArg(context.get()))
         arguments.emplace_back(argument);
-    for (auto& command : commands) {
+    return runNamed(name, arguments);
+}
+
+ExitCode CommandTable::runNamed(const std::string& name, const std::vector<std::string>& arguments)
+{
+    for (auto& command : m_commands) {
         if (command->name() == name)
-            return exitStatus(command->run(arguments));
+            return command->run(arguments);
     }
-    std::cerr << "lavenderloft: no command is named \"" << name << "\"; see lavenderloft --help\n";
-    return exitStatus(ExitCode::Usage);
+    std::cerr << m_program << ": no command is named \"" << name << "\"; see " << m_program << " --help\n";
+    return ExitCode::Usage;
+}
+
+void CommandTable::printHelp(std::ostream& output) const
+{
+    output << "Usage: " << m_program << " COMMAND [ARGUMENTS]\n       " << m_program << " --help | --version\n\nCommands:\n";
+    for (auto& command : m_commands)
+        output << "  " << command->name() << ' ' << command->argumentSynopsis() << "\n      " << command->summary() << '\n';
+    output << "\nEach command explains its options with --help. Exit codes: 0 success, 1 the input was refused, 2 usage.\n";
 }
 
 } // namespace Lavenderloft::CommandLine
--- a/Source/CommandLine/DiffCommand.cpp
+++ b/Source/CommandLine/DiffCommand.cpp
@@ -1,7 +1,7 @@
 #include "CommandLine/DiffCommand.h"
 
 #include "CommandLine/CheckedInput.h"
-#include "CommandLine/OptionParser.h"
+#include "CommandLine/OptionTable.h"
 #include "DesiredState/Queries/DiffDocuments.h"
 
 #include <algorithm>
@@ -39,12 +39,10 @@
 
 ExitCode DiffCommand::run(const std::vector<std::string>& arguments)
 {
-    OptionParser options(*this);
-    options.expectArguments(2, 2);
-    auto parsed = options.parse(arguments);
-    if (auto* code = std::get_if<ExitCode>(&parsed))
+    std::vector<std::string> paths;
+    OptionTable options(programName, *this);
+    if (auto code = options.arguments(paths, 2, 2).parseOrExplain(arguments))
         return *code;
-    auto& paths = std::get<OptionParser::Arguments>(parsed);
     // Both files are read before either failure ends the command, so that all problems are printed.
     auto before = readDocumentInput(paths[0]);
     auto after = readDocumentInput(paths[1]);
--- a/Source/CommandLine/ServeCommand.cpp
+++ b/Source/CommandLine/ServeCommand.cpp
@@ -1,7 +1,7 @@
 #include "CommandLine/ServeCommand.h"
 
 #include "CommandLine/CheckedInput.h"
-#include "CommandLine/OptionParser.h"
+#include "CommandLine/OptionTable.h"
 #include "Observability/Log.h"
 
 #include <iostream>
@@ -12,10 +12,9 @@
 ExitCode serve(const Command& command, const std::vector<std::string>& arguments, const std::function<void(const Settings::ProcessSettings&)>& run)
 {
     std::string settingsFile;
-    OptionParser parser(command);
-    parser.addText("settings", 's', settingsFile, "FILE", "Settings of the process");
-    auto parsed = parser.parse(arguments);
-    if (auto* code = std::get_if<ExitCode>(&parsed))
+    OptionTable options(programName, command);
+    options.text("settings", settingsFile, "Settings of the process").shownAs('s', "FILE");
+    if (auto code = options.parseOrExplain(arguments))
         return *code;
     if (settingsFile.empty()) {
         std::cerr << "lavenderloft " << command.name() << ": option --settings is missing; use " << command.argumentSynopsis() << '\n';
--- a/Source/CommandLine/StatusCommand.cpp
+++ b/Source/CommandLine/StatusCommand.cpp
@@ -1,7 +1,7 @@
 #include "CommandLine/StatusCommand.h"
 
 #include "CommandLine/CheckedInput.h"
-#include "CommandLine/OptionParser.h"
+#include "CommandLine/OptionTable.h"
 #include "Membership/Queries/SummarizeFleet.h"
 #include "Transport/ControlServiceClient.h"
 #include "Transport/Credentials.h"
@@ -132,15 +132,14 @@
     std::string address;
     bool json = false;
     ProtectionOptions protection;
-    OptionParser parser(*this);
-    parser.addText("address", 'a', address, "IP:PORT", "Inner address of a router or agent");
-    parser.addText("settings", 's', protection.settingsFile, "FILE", "Settings of a process, whose certificate and inner address are used");
-    parser.addText("tls-certificate", 'c', protection.tls.certificateFile, "FILE", "Certificate to show, PEM");
-    parser.addText("tls-key", 'k', protection.tls.keyFile, "FILE", "Private key of the certificate, PEM");
-    parser.addText("tls-authority", 'u', protection.tls.authorityFile, "FILE", "Authorities to accept, PEM");
-    parser.addFlag("json", 'j', json, "Print JSON");
-    auto parsed = parser.parse(arguments);
-    if (auto* code = std::get_if<ExitCode>(&parsed))
+    OptionTable options(programName, *this);
+    options.text("address", address, "Inner address of a router or agent").shownAs('a', "IP:PORT");
+    options.text("settings", protection.settingsFile, "Settings of a process, whose certificate and inner address are used").shownAs('s', "FILE");
+    options.text("tls-certificate", protection.tls.certificateFile, "Certificate to show, PEM").shownAs('c', "FILE");
+    options.text("tls-key", protection.tls.keyFile, "Private key of the certificate, PEM").shownAs('k', "FILE");
+    options.text("tls-authority", protection.tls.authorityFile, "Authorities to accept, PEM").shownAs('u', "FILE");
+    options.flag("json", json, "Print JSON").shownAs('j');
+    if (auto code = options.parseOrExplain(arguments))
         return *code;
     auto made = makeStatusCredentials(protection, address);
     if (auto* code = std::get_if<ExitCode>(&made))
--- a/Source/main.cpp
+++ b/Source/main.cpp
@@ -1,6 +1,7 @@
-#include "CommandLine/CommandTable.h"
+#include "CommandLine/ProgramCommands.h"
 
 int main(int argc, char** argv)
 {
-    return Lavenderloft::CommandLine::runCommand(argc, argv);
+    using namespace Lavenderloft::CommandLine;
+    return CommandTable(programName, makeProgramCommands()).run(argc, argv);
 }
--- a/Tests/CommandLine/CheckAndDiffTest.cpp
+++ b/Tests/CommandLine/CheckAndDiffTest.cpp
@@ -1,4 +1,4 @@
-#include "CommandLine/CommandTable.h"
+#include "CommandLine/ProgramCommands.h"
 
 #include <criterion/criterion.h>
 #include <filesystem>
@@ -49,7 +49,7 @@
     argv.push_back(nullptr);
     Capture output(std::cout);
     Capture errors(std::cerr);
-    int code = CommandLine::runCommand(static_cast<int>(arguments.size()), argv.data());
+    int code = CommandLine::CommandTable(CommandLine::programName, CommandLine::makeProgramCommands()).run(static_cast<int>(arguments.size()), argv.data());
     return { code, output.text(), errors.text() };
 }
 
--- a/Utilities/Bench/BenchOptions.h
+++ b/Utilities/Bench/BenchOptions.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "CommandLine/Command.h"
+
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -12,7 +15,7 @@
     const char* description;
 };
 
-// Reads "--name number" options with popt. Writes what is wrong to standard error and returns false.
-bool parseOptions(const std::vector<std::string>& arguments, const std::vector<BenchOption>&);
+// Reads "--name number" options. Gives the exit code if help was asked for or an option is wrong.
+std::optional<CommandLine::ExitCode> parseOptions(const CommandLine::Command&, const std::vector<std::string>& arguments, const std::vector<BenchOption>&);
 
 } // namespace Lavenderloft::Bench
--- a/Utilities/Bench/BenchTable.cpp
+++ b/Utilities/Bench/BenchTable.cpp
@@ -10,9 +10,9 @@
 
 namespace Lavenderloft::Bench {
 
-std::vector<std::unique_ptr<CommandLine::Command>> makeBenchmarks()
+CommandLine::CommandList makeBenchmarks()
 {
-    std::vector<std::unique_ptr<CommandLine::Command>> commands;
+    CommandLine::CommandList commands;
     commands.push_back(std::make_unique<LoadBench>());
     commands.push_back(std::make_unique<PermitsBench>());
     commands.push_back(std::make_unique<RolloutCommand>());
--- a/Utilities/Bench/BenchTable.h
+++ b/Utilities/Bench/BenchTable.h
@@ -1,13 +1,10 @@
 #pragma once
 
-#include "CommandLine/Command.h"
-
-#include <memory>
-#include <vector>
+#include "CommandLine/CommandTable.h"
 
 // Benchmarks with regression bounds; each is a subcommand of lavenderloft-bench.
 namespace Lavenderloft::Bench {
 
-std::vector<std::unique_ptr<CommandLine::Command>> makeBenchmarks();
+CommandLine::CommandList makeBenchmarks();
 
 } // namespace Lavenderloft::Bench
--- a/Utilities/Bench/LoadBench.cpp
+++ b/Utilities/Bench/LoadBench.cpp
@@ -112,8 +112,8 @@
 CommandLine::ExitCode LoadBench::run(const std::vector<std::string>& arguments)
 {
     LoadOptions options;
-    if (!parseOptions(arguments, { { "seconds", &options.seconds, "length of each phase" }, { "connections", &options.connections, "connections of the closed loop" }, { "rate", &options.rate, "calls a second of the paced phase" }, { "seed", &options.seed, "seed of the router's random source" }, { "log", &options.log, "1 to write the router's log lines to /dev/null, 0 for no log" }, { "parts", &options.parts, "parts of 64 bytes in each answer" } }))
-        return CommandLine::ExitCode::Usage;
+    if (auto code = parseOptions(*this, arguments, { { "seconds", &options.seconds, "length of each phase" }, { "connections", &options.connections, "connections of the closed loop" }, { "rate", &options.rate, "calls a second of the paced phase" }, { "seed", &options.seed, "seed of the router's random source" }, { "log", &options.log, "1 to write the router's log lines to /dev/null, 0 for no log" }, { "parts", &options.parts, "parts of 64 bytes in each answer" } }))
+        return *code;
     ChildProcess agents([&](ParentLink& parent) { runAgents(parent, options); });
     ChildProcess router([&](ParentLink& parent) { runRouter(parent, options); });
     router.useProcessors(0, routerProcessors);
--- a/Utilities/Bench/SlowReadersBench.cpp
+++ b/Utilities/Bench/SlowReadersBench.cpp
@@ -155,8 +155,8 @@
 CommandLine::ExitCode SlowReadersBench::run(const std::vector<std::string>& arguments)
 {
     SlowReadersOptions options;
-    if (!parseOptions(arguments, { { "readers", &options.readers, "slow readers" }, { "seconds", &options.seconds, "length of each phase" }, { "rate", &options.rate, "fast calls a second" }, { "budget-mebibytes", &options.budgetMebibytes, "budget of all streams" }, { "answer-kibibytes", &options.answerKibibytes, "length of the answers read slowly" }, { "seed", &options.seed, "seed of the router's random source" } }))
-        return CommandLine::ExitCode::Usage;
+    if (auto code = parseOptions(*this, arguments, { { "readers", &options.readers, "slow readers" }, { "seconds", &options.seconds, "length of each phase" }, { "rate", &options.rate, "fast calls a second" }, { "budget-mebibytes", &options.budgetMebibytes, "budget of all streams" }, { "answer-kibibytes", &options.answerKibibytes, "length of the answers read slowly" }, { "seed", &options.seed, "seed of the router's random source" } }))
+        return *code;
     nlohmann::ordered_json report;
     report["benchmark"] = "slow-readers";
     report["seed"] = options.seed;
--- a/Utilities/Bench/ZoneLeaveBench.cpp
+++ b/Utilities/Bench/ZoneLeaveBench.cpp
@@ -343,8 +343,8 @@
 CommandLine::ExitCode ZoneLeaveBench::run(const std::vector<std::string>& arguments)
 {
     ZoneLeaveOptions options;
-    if (!parseOptions(arguments, { { "undisturbed-seconds", &options.undisturbedSeconds, "time before the data centre leaves" }, { "out-seconds", &options.outSeconds, "time for which it is out" }, { "return-seconds", &options.returnSeconds, "time after its return" }, { "load-percent", &options.loadPercent, "offered load in percent of the capacity" }, { "seed", &options.seed, "seed of the load and the routers" } }))
-        return CommandLine::ExitCode::Usage;
+    if (auto code = parseOptions(*this, arguments, { { "undisturbed-seconds", &options.undisturbedSeconds, "time before the data centre leaves" }, { "out-seconds", &options.outSeconds, "time for which it is out" }, { "return-seconds", &options.returnSeconds, "time after its return" }, { "load-percent", &options.loadPercent, "offered load in percent of the capacity" }, { "seed", &options.seed, "seed of the load and the routers" } }))
+        return *code;
     nlohmann::ordered_json report;
     report["benchmark"] = "zone-leave";
     report["seed"] = options.seed;
--- a/Utilities/Standin/Subcommands/Subcommand.cpp
+++ b/Utilities/Standin/Subcommands/Subcommand.cpp
@@ -7,18 +7,10 @@
 
 ExitCode Subcommand::run(const std::vector<std::string>& arguments)
 {
-    OptionTable options(name());
+    OptionTable options("lavenderloft-standin", *this);
     addOptions(options);
-    auto parsed = options.parse(arguments);
-    if (!Base::succeeded(parsed)) {
-        auto& error = Base::errorOf(parsed);
-        if (error.kind == OptionErrorKind::HelpRequested) {
-            std::cout << error.message;
-            return ExitCode::Success;
-        }
-        std::cerr << "lavenderloft-standin: " << error.describe() << '\n';
-        return ExitCode::Usage;
-    }
+    if (auto code = options.parseOrExplain(arguments))
+        return *code;
     try {
         return runWithOptions();
     } catch (const std::invalid_argument& error) {
--- a/Utilities/Standin/Subcommands/Subcommand.h
+++ b/Utilities/Standin/Subcommands/Subcommand.h
@@ -1,12 +1,13 @@
 #pragma once
 
 #include "CommandLine/Command.h"
+#include "CommandLine/OptionTable.h"
 #include "Http/HttpMessage.h"
-#include "Standin/OptionTable.h"
 
 namespace Lavenderloft::Standin::Subcommands {
 
 using CommandLine::ExitCode;
+using CommandLine::OptionTable;
 
 // A subcommand of lavenderloft-standin whose arguments are options only.
 class Subcommand : public CommandLine::Command {
--- a/Utilities/Standin/main.cpp
+++ b/Utilities/Standin/main.cpp
@@ -1,6 +1,7 @@
-#include "Standin/SubcommandTable.h"
+#include "Standin/StandinCommands.h"
 
 int main(int argc, char** argv)
 {
-    return Lavenderloft::Standin::runSubcommand(argc, argv);
+    using namespace Lavenderloft;
+    return CommandLine::CommandTable("lavenderloft-standin", Standin::makeStandinCommands()).run(argc, argv);
 }
