Measure requests, refusals and the lag of the process in the rollout benchmark

Ruled out: logging each decision, which costs processor time that the measurement itself lacks at 200 replicas.

Change: WeightCounters counts questions for holdings, requests for chunks and refusals for want of a slot. A wrapping peer client times each question for holdings, which no simulated link limits. The table and the JSON show them with the processor time of the process.

--- a/Source/Process/ChunkDownload.cpp
+++ b/Source/Process/ChunkDownload.cpp
@@ -96,8 +96,10 @@
         ++counters.failedDownloads;
         Observability::logEvent(Weights::downloadFailed, { { "chunk", m_chunk.digest }, { "source", sourceName(m_source) }, { "vm", m_vm }, { "reason", error.describe() } });
     }
-    if (error.kind == WeightErrorKind::Busy && m_source != SourceKind::Origin)
+    if (error.kind == WeightErrorKind::Busy && m_source != SourceKind::Origin) {
+        ++counters.busyRefusals;
         return Weights::Commands::pausePeer(m_runtime->state->peers, m_vm, now + Weights::busyPeerPause);
+    }
     if (m_source != SourceKind::Origin)
         return Weights::Commands::avoidPeer(m_runtime->state->peers, m_vm, now + Weights::Queries::avoidanceAfter(error.kind));
     Weights::Commands::recordOriginFailure(m_runtime->state->origin, now);
--- a/Source/Process/TransferDriver.cpp
+++ b/Source/Process/TransferDriver.cpp
@@ -224,6 +224,7 @@
 void TransferDriver::ask(const Weights::Participant& peer, const std::string& manifestDigest)
 {
     auto runtime = m_environment.runtime;
+    ++runtime->state->counters.holdingsRequests;
     Commands::recordAsked(runtime->state->peers, peer.vm, manifestDigest, runtime->clock.now());
     m_environment.peers->getHoldings(peer, manifestDigest, [runtime, vm = peer.vm, manifestDigest](const Base::Result<Weights::Holdings, Weights::WeightError>& result) {
         auto now = runtime->clock.now();
@@ -248,6 +249,7 @@
         Commands::attachFetch(runtime->state->downloads, chunk.digest, m_environment.origin->fetchChunk(chunk.digest, sink));
         return;
     }
+    ++runtime->state->counters.chunkRequests;
     Commands::recordDownloadBegun(runtime->state->peers, assignment.vm);
     Commands::attachFetch(runtime->state->downloads, chunk.digest, m_environment.peers->fetchChunk(plan.byVm.at(assignment.vm), { chunk.digest, snapshot.priority }, sink));
 }
--- a/Source/Weights/WeightCounters.h
+++ b/Source/Weights/WeightCounters.h
@@ -14,6 +14,10 @@
     std::atomic<uint64_t> uploadedBytes { 0 };
     // Messages about holdings and manifests and requests for chunks, sent and received, without the chunks themselves.
     std::atomic<uint64_t> controlBytes { 0 };
+    std::atomic<uint64_t> holdingsRequests { 0 };
+    // Chunks asked of other agents, and those of them that were refused for want of an upload slot.
+    std::atomic<uint64_t> chunkRequests { 0 };
+    std::atomic<uint64_t> busyRefusals { 0 };
     std::atomic<uint64_t> corruptChunks { 0 };
     std::atomic<uint64_t> stalledDownloads { 0 };
     std::atomic<uint64_t> failedDownloads { 0 };
--- a/Utilities/Bench/RolloutBenchmark.cpp
+++ b/Utilities/Bench/RolloutBenchmark.cpp
@@ -43,6 +43,14 @@
         return static_cast<uint64_t>(usage.ru_maxrss) * bytesPerKilobyte;
     }
 
+    std::chrono::duration<double> processorTime()
+    {
+        rusage usage {};
+        getrusage(RUSAGE_SELF, &usage);
+        auto toDuration = [](const timeval& time) { return std::chrono::seconds(time.tv_sec) + std::chrono::microseconds(time.tv_usec); };
+        return toDuration(usage.ru_utime) + toDuration(usage.ru_stime);
+    }
+
     // One rollout from start to end.
     class RolloutRun {
     public:
@@ -61,6 +69,7 @@
         RolloutMeasurement run()
         {
             m_start = m_clock.now();
+            m_processorBefore = processorTime();
             m_fleet.want(std::vector { m_first.digest });
             m_measurement.complete = m_fleet.await([this] { return step(); }, m_options.limit);
             m_measurement.timeInFloors = elapsedFloors();
@@ -184,6 +193,10 @@
         void collect()
         {
             auto seconds = std::chrono::duration<double>(m_clock.now() - m_start).count();
+            m_measurement.processorCores = (processorTime() - m_processorBefore).count() / seconds;
+            auto roundTrips = m_fleet.roundTrips().summarise();
+            m_measurement.holdingsRoundTripP99Ms = roundTrips.p99.count();
+            m_measurement.holdingsRoundTripMaxMs = roundTrips.maximum.count();
             m_measurement.peakBytesPerAgent = (residentPeakBytes() - m_memoryBefore) / m_options.replicas;
             m_measurement.originCopies = toCopies(m_fleet.links().originBytes());
             for (auto& [link, bytes] : m_fleet.links().interRegionBytes())
@@ -191,16 +204,26 @@
             for (unsigned i = 0; i < m_options.regions; ++i)
                 m_measurement.interRegionCopies = std::max(m_measurement.interRegionCopies, toCopies(m_fleet.links().bytesInto(RolloutFleet::regionName(i))));
             uint64_t controlBytes = 0;
+            uint64_t holdingsRequests = 0;
+            uint64_t chunkRequests = 0;
+            uint64_t busyRefusals = 0;
             for (unsigned i = 0; i < m_fleet.size(); ++i) {
                 auto& counters = m_fleet.node(i).counters();
                 m_measurement.corruptChunks += counters.corruptChunks;
                 m_measurement.stalledDownloads += counters.stalledDownloads;
                 m_measurement.failedDownloads += counters.failedDownloads;
                 controlBytes += counters.controlBytes;
+                holdingsRequests += counters.holdingsRequests;
+                chunkRequests += counters.chunkRequests;
+                busyRefusals += counters.busyRefusals;
                 if (m_fleet.isAlive(i) && !m_fleet.holdsExactly(i, finalModel()))
                     ++m_measurement.wrongReplicas;
             }
-            m_measurement.controlBytesPerSecond = static_cast<double>(controlBytes) / seconds / m_options.replicas;
+            auto perSecondAndAgent = [&](uint64_t count) { return static_cast<double>(count) / seconds / m_options.replicas; };
+            m_measurement.controlBytesPerSecond = perSecondAndAgent(controlBytes);
+            m_measurement.holdingsRequestsPerSecond = perSecondAndAgent(holdingsRequests);
+            m_measurement.chunkRequestsPerSecond = perSecondAndAgent(chunkRequests);
+            m_measurement.refusedShare = chunkRequests ? static_cast<double>(busyRefusals) / static_cast<double>(chunkRequests) : 0;
         }
 
         RolloutOptions m_options;
@@ -210,6 +233,7 @@
         RolloutFleet m_fleet;
         Base::SystemClock m_clock;
         Base::TimePoint m_start;
+        std::chrono::duration<double> m_processorBefore { 0 };
         Base::TimePoint m_faultBeganAt;
         unsigned m_faulty = 0;
         bool m_faultBegan = false;
--- a/Utilities/Bench/RolloutBenchmark.h
+++ b/Utilities/Bench/RolloutBenchmark.h
@@ -55,6 +55,16 @@
     uint64_t failedDownloads = 0;
     uint64_t peakBytesPerAgent = 0;
     double controlBytesPerSecond = 0;
+    // Questions for holdings and requests for chunks, a second and agent.
+    double holdingsRequestsPerSecond = 0;
+    double chunkRequestsPerSecond = 0;
+    // Share of the requests for chunks that found no free upload slot.
+    double refusedShare = 0;
+    // Processor time of the process divided by the duration. Without a fault a question for holdings that takes long
+    // shows a process that lags, because no link limits these messages.
+    double processorCores = 0;
+    double holdingsRoundTripP99Ms = 0;
+    double holdingsRoundTripMaxMs = 0;
 };
 
 // Rolls a model out over a fleet in this process and measures it.
--- a/Utilities/Bench/RolloutCommand.cpp
+++ b/Utilities/Bench/RolloutCommand.cpp
@@ -33,6 +33,12 @@
         json["failedDownloads"] = measurement.failedDownloads;
         json["peakBytesPerAgent"] = measurement.peakBytesPerAgent;
         json["controlBytesPerSecond"] = measurement.controlBytesPerSecond;
+        json["holdingsRequestsPerSecond"] = measurement.holdingsRequestsPerSecond;
+        json["chunkRequestsPerSecond"] = measurement.chunkRequestsPerSecond;
+        json["refusedShare"] = measurement.refusedShare;
+        json["processorCores"] = measurement.processorCores;
+        json["holdingsRoundTripP99Ms"] = measurement.holdingsRoundTripP99Ms;
+        json["holdingsRoundTripMaxMs"] = measurement.holdingsRoundTripMaxMs;
         return json;
     }
 
@@ -170,6 +176,12 @@
     // The baseline runs in the same process after the rollout, whose peak hides its own.
     printRow("peak memory of an agent, bytes", "%10.0f", static_cast<double>(measurement.peakBytesPerAgent), nullptr);
     row("control bytes a second and agent", "%10.0f", &RolloutMeasurement::controlBytesPerSecond);
+    row("questions for holdings a second and agent", "%10.1f", &RolloutMeasurement::holdingsRequestsPerSecond);
+    row("requests for chunks a second and agent", "%10.1f", &RolloutMeasurement::chunkRequestsPerSecond);
+    row("requests refused for want of a slot, share", "%10.3f", &RolloutMeasurement::refusedShare);
+    row("processor time of the process, cores", "%10.2f", &RolloutMeasurement::processorCores);
+    row("round trip of holdings, 99 in 100, ms", "%10.1f", &RolloutMeasurement::holdingsRoundTripP99Ms);
+    row("round trip of holdings, longest, ms", "%10.1f", &RolloutMeasurement::holdingsRoundTripMaxMs);
     for (auto& [link, copies] : measurement.copiesByLink)
         printRow(("link " + link + ", copies").c_str(), "%10.3f", copies, nullptr);
 }
--- a/Utilities/Bench/RolloutFleet.cpp
+++ b/Utilities/Bench/RolloutFleet.cpp
@@ -81,6 +81,7 @@
 RolloutFleet::RolloutFleet(const FleetShape& shape)
     : m_links(std::make_shared<RolloutLinks>(shape.rates, regionName(storeRegion)))
     , m_faults(std::make_shared<FaultPlan>())
+    , m_roundTrips(std::make_shared<RolloutRoundTrips>())
     , m_members(std::make_shared<Members>())
     , m_store(std::make_unique<RolloutStore>(m_links, m_clock))
 {
@@ -120,7 +121,10 @@
     auto built = Process::WeightNodeBuilder(settings, *replica->view, m_clock)
                      .withRandom(std::make_shared<Base::SeededRandom>(shape.seed * 1000 + index))
                      .withLinkLimiter(std::make_shared<VmLinkLimiter>(m_links, member.vm))
-                     .withPeerClient([faults = m_faults, region = member.region](std::shared_ptr<Weights::PeerClient> client) { return std::make_shared<FaultyPeerClient>(std::move(client), faults, region); })
+                     .withPeerClient([this, region = member.region](std::shared_ptr<Weights::PeerClient> client) {
+                         auto timed = std::make_shared<TimingPeerClient>(std::move(client), m_roundTrips, m_clock);
+                         return std::make_shared<FaultyPeerClient>(std::move(timed), m_faults, region);
+                     })
                      .build();
     replica->node = Base::takeValue(std::move(built));
     grpc::ServerBuilder builder;
--- a/Utilities/Bench/RolloutFleet.h
+++ b/Utilities/Bench/RolloutFleet.h
@@ -4,6 +4,7 @@
 #include "Bench/FaultyPeerClient.h"
 #include "Bench/RolloutLinks.h"
 #include "Bench/RolloutModel.h"
+#include "Bench/RolloutRoundTrips.h"
 #include "Bench/RolloutStore.h"
 #include "Process/WeightNode.h"
 
@@ -64,6 +65,7 @@
     FaultPlan& faults() { return *m_faults; }
     RolloutStore& store() { return *m_store; }
     RolloutLinks& links() { return *m_links; }
+    const RolloutRoundTrips& roundTrips() const { return *m_roundTrips; }
 
 private:
     struct Members;
@@ -76,6 +78,7 @@
     Base::SystemClock m_clock;
     std::shared_ptr<RolloutLinks> m_links;
     std::shared_ptr<FaultPlan> m_faults;
+    std::shared_ptr<RolloutRoundTrips> m_roundTrips;
     std::shared_ptr<Members> m_members;
     std::unique_ptr<RolloutStore> m_store;
     std::vector<std::unique_ptr<Replica>> m_replicas;
--- /dev/null
+++ b/Utilities/Bench/RolloutRoundTrips.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "Base/Clock.h"
+#include "Weights/PeerClient.h"
+
+#include <chrono>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+namespace Lavenderloft::Bench {
+
+struct RoundTripSummary {
+    std::chrono::duration<double, std::milli> p99 { 0 };
+    std::chrono::duration<double, std::milli> maximum { 0 };
+};
+
+// Round trips of the questions for holdings of all agents of a fleet. May be used from any thread.
+class RolloutRoundTrips {
+public:
+    void add(Base::Duration);
+    RoundTripSummary summarise() const;
+
+private:
+    mutable std::mutex m_lock;
+    std::vector<Base::Duration> m_roundTrips;
+};
+
+// A peer client that measures the round trips of its questions for holdings. The clock must outlive it.
+class TimingPeerClient final : public Weights::PeerClient {
+public:
+    TimingPeerClient(std::shared_ptr<Weights::PeerClient>, std::shared_ptr<RolloutRoundTrips>, const Base::Clock&);
+
+    void getHoldings(const Weights::Participant&, const std::string& manifestDigest, Weights::HoldingsCallback) override;
+    void getManifest(const Weights::Participant&, const std::string& manifestDigest, Weights::ManifestCallback) override;
+    std::shared_ptr<Weights::ChunkFetch> fetchChunk(const Weights::Participant&, const Weights::ChunkRequest&, std::shared_ptr<Weights::ChunkSink>) override;
+
+private:
+    std::shared_ptr<Weights::PeerClient> m_client;
+    std::shared_ptr<RolloutRoundTrips> m_roundTrips;
+    const Base::Clock& m_clock;
+};
+
+} // namespace Lavenderloft::Bench
