--- a/Source/main.cpp
+++ b/Source/main.cpp
@@ -1,7 +1,9 @@
 #include "CommandLine/ProgramCommands.h"
+#include "Transport/GrpcThreads.h"
 
 int main(int argc, char** argv)
 {
-    using namespace Lavenderloft::CommandLine;
-    return CommandTable(programName, makeProgramCommands()).run(argc, argv);
+    using namespace Lavenderloft;
+    Transport::disableMutexDeadlockDetection();
+    return CommandLine::CommandTable(CommandLine::programName, CommandLine::makeProgramCommands()).run(argc, argv);
 }
