Split the forwarding of answers and the naming of failures from the coordinator

Cause: RequestCoordinator.cpp had 566 lines, and resuming a broken stream needs more decisions in the same place. Ruled out: one class for each state of a request; every state needs the same lock and the same members. Change: AnswerForwarder passes parts to the caller within the byte budget and owns the part that waits for room. Queries/DescribeFailure turns refusals, ends and breaks into an AttemptFailure. No behaviour changes. Conclusion: the coordinator keeps the states of a request only. The silent connection test is flaky on a busy machine, before and after.

--- /dev/null
+++ b/Source/Routing/AnswerForwarder.cpp
@@ -0,0 +1,87 @@
+#include "Routing/AnswerForwarder.h"
+
+#include "Routing/RequestCoordinator.h"
+#include "Streaming/Commands/ChargeStream.h"
+#include "Streaming/Queries/FindLongestBlocked.h"
+
+namespace Lavenderloft::Routing {
+
+AnswerForwarder::AnswerForwarder(std::shared_ptr<RoutingContext> context, std::string requestId, std::shared_ptr<AnswerSink> sink)
+    : m_contextOwner(std::move(context))
+    , m_context(*m_contextOwner)
+    , m_requestId(std::move(requestId))
+    , m_sink(std::move(sink))
+{
+}
+
+void AnswerForwarder::forward(std::string bytes, std::function<void()> resume)
+{
+    if (!chargeBudget(bytes.size() + blockedStreamBytes))
+        return waitForBudget({ std::move(bytes), std::move(resume) });
+    m_sink->data(std::move(bytes), [self = shared_from_this(), resume = std::move(resume)](bool ok) { self->written(ok, resume); });
+}
+
+void AnswerForwarder::written(bool ok, const std::function<void()>& resume)
+{
+    Streaming::Commands::releaseStream(m_context.byteBudget, m_requestId);
+    auto request = ok ? std::nullopt : m_context.running.find(m_requestId);
+    if (request)
+        (*request)->callerGone();
+    resume();
+    Streaming::Commands::resumeWaitingStream(m_context.byteBudget);
+}
+
+bool AnswerForwarder::chargeBudget(uint64_t bytes)
+{
+    auto& budget = m_context.byteBudget;
+    auto now = m_context.clock.now();
+    while (!Base::succeeded(Streaming::Commands::chargeStream(budget, m_requestId, bytes, now))) {
+        auto longest = Streaming::Queries::findLongestBlocked(budget, now - Streaming::slowReaderTime);
+        if (!longest)
+            return false;
+        if (auto blocked = m_context.running.find(*longest))
+            (*blocked)->abortSlowReader();
+        Streaming::Commands::releaseStream(budget, *longest);
+    }
+    return true;
+}
+
+void AnswerForwarder::waitForBudget(Part part)
+{
+    {
+        std::lock_guard guard(m_lock);
+        if (m_isClosed)
+            return;
+        m_waitingPart = std::move(part);
+    }
+    m_context.metrics.count("parts_waiting_for_budget_total");
+    m_context.byteBudget.waiting().add([weak = weak_from_this()] {
+        auto self = weak.lock();
+        return self && self->retryWaitingPart();
+    });
+}
+
+bool AnswerForwarder::retryWaitingPart()
+{
+    std::optional<Part> part;
+    {
+        std::lock_guard guard(m_lock);
+        part = std::exchange(m_waitingPart, std::nullopt);
+    }
+    if (!part)
+        return false;
+    forward(std::move(part->bytes), std::move(part->resume));
+    return true;
+}
+
+void AnswerForwarder::close()
+{
+    {
+        std::lock_guard guard(m_lock);
+        m_isClosed = true;
+        m_waitingPart.reset();
+    }
+    Streaming::Commands::releaseStream(m_context.byteBudget, m_requestId);
+}
+
+} // namespace Lavenderloft::Routing
--- /dev/null
+++ b/Source/Routing/AnswerForwarder.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "Routing/AnswerSink.h"
+#include "Routing/RoutingContext.h"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+
+namespace Lavenderloft::Routing {
+
+// What a blocked stream holds beside the part that its caller has not taken: the transport's read
+// buffers, of which a stream pins whole blocks, and the connection. In lavenderloft-bench slow-readers
+// 1,000 blocked streams held 103 KB each, of which 16 KiB were the part.
+inline constexpr uint64_t blockedStreamBytes = 88 * 1024;
+
+// Passes the parts of one answer to its caller within the router's byte budget. Parts come one at a
+// time. To be called without the lock of the request, but for `close`.
+class AnswerForwarder final : public std::enable_shared_from_this<AnswerForwarder> {
+public:
+    AnswerForwarder(std::shared_ptr<RoutingContext>, std::string requestId, std::shared_ptr<AnswerSink>);
+
+    // Calls back once the caller has taken the part, and not at all if the answer was closed before.
+    void forward(std::string bytes, std::function<void()> resume);
+
+    // Tries a part again that waits for room in the budget; false if none waits.
+    bool retryWaitingPart();
+
+    // Drops a part that waits and releases the budget.
+    void close();
+
+private:
+    struct Part {
+        std::string bytes;
+        std::function<void()> resume;
+    };
+
+    // Cuts slow readers until the bytes fit; false if they have to wait for readers that keep up.
+    bool chargeBudget(uint64_t bytes);
+    // Keeps a part until there is room; meanwhile the target's stream is not read.
+    void waitForBudget(Part);
+    void written(bool ok, const std::function<void()>& resume);
+
+    const std::shared_ptr<RoutingContext> m_contextOwner;
+    RoutingContext& m_context;
+    const std::string m_requestId;
+    const std::shared_ptr<AnswerSink> m_sink;
+    std::mutex m_lock;
+    std::optional<Part> m_waitingPart;
+    bool m_isClosed = false;
+};
+
+} // namespace Lavenderloft::Routing
--- a/Source/Routing/RequestCoordinator.cpp
+++ b/Source/Routing/RequestCoordinator.cpp
@@ -4,11 +4,10 @@
 #include "Routing/Commands/ChargeRetryBudget.h"
 #include "Routing/Commands/RecordCrash.h"
 #include "Routing/Events.h"
-#include "Routing/Queries/DescribeRefusal.h"
+#include "Routing/Queries/DescribeFailure.h"
 #include "Routing/Queries/FindQuarantine.h"
 #include "Routing/Queries/SelectTarget.h"
 #include "Streaming/Commands/ChargeStream.h"
-#include "Streaming/Queries/FindLongestBlocked.h"
 
 namespace Lavenderloft::Routing {
 
@@ -19,27 +18,15 @@
 
 namespace {
 
-    // How long a target is left alone that refused for load, that refused for another reason, or that broke.
-    constexpr auto loadPause = 50ms;
-    constexpr auto unreadyPause = 500ms;
+    // How long a target is left alone whose stream broke.
     constexpr auto brokenPause = 1000ms;
 
     // Pause between two rounds of attempts of a hazard message.
     constexpr auto waitPause = 50ms;
 
-    // Advice to callers on when a target may be free again.
-    constexpr auto retryAdvice = 1000ms;
-
     // An agent that does not tell the outcome within this time leaves it unknown.
     constexpr Base::Duration resolveTimeout = 2s;
 
-    Base::Duration pauseAfter(const Refusal& refusal)
-    {
-        if (refusal.kind == RefusalKind::AtLimit)
-            return std::max<Base::Duration>(refusal.retryAfter, loadPause);
-        return std::max<Base::Duration>(refusal.retryAfter, unreadyPause);
-    }
-
 } // namespace
 
 // Hands the events of one attempt to the coordinator together with the attempt's identity.
@@ -69,6 +56,7 @@
     , m_context(*m_contextOwner)
     , m_request(std::move(request))
     , m_sink(std::move(sink))
+    , m_forwarder(std::make_shared<AnswerForwarder>(m_contextOwner, m_request.id, m_sink))
     , m_startedAt(m_context.clock.now())
 {
 }
@@ -179,13 +167,12 @@
         return dropFrame("refusal");
     logEvent(attemptRefused, { { "request", m_request.id }, { "target", m_target->vm() }, { "message", refusal.message } });
     m_context.metrics.count("attempts_refused_total", { { "destination", m_request.destination } });
-    m_target->avoidUntil(m_context.clock.now() + pauseAfter(refusal));
+    m_target->avoidUntil(m_context.clock.now() + Queries::pauseAfter(refusal));
     m_refused.push_back(m_target);
     if (refusal.kind == RefusalKind::AtLimit)
         ++m_loadRefusals;
     leaveAttempt();
-    auto failed = failureOf(refusal);
-    attemptFailed(std::move(lock), failed);
+    attemptFailed(std::move(lock), Queries::refusalFailure(refusal, m_request.keyFromCaller));
 }
 
 void RequestCoordinator::head(const std::string& attemptId, AnswerHead head)
@@ -202,7 +189,7 @@
         lock.unlock();
         attempt->cancel();
         lock.lock();
-        return attemptFailed(std::move(lock), failure(FailureKind::Failed, ErrorCode::OutcomeUnknown, "a target answered from other weights than the pool's", "retry"));
+        return attemptFailed(std::move(lock), Queries::unusableAnswer("a target answered from other weights than the pool's"));
     }
     // The head goes to the caller with the first byte of the body, so that a break in between can be retried.
     m_head = std::move(head);
@@ -223,7 +210,7 @@
         lock.unlock();
         attempt->cancel();
         lock.lock();
-        return attemptFailed(std::move(lock), failure(FailureKind::Failed, ErrorCode::OutcomeUnknown, "a target's answer was malformed", "retry"));
+        return attemptFailed(std::move(lock), Queries::unusableAnswer("a target's answer was malformed"));
     }
     if (m_callerGone || data.bytes.empty()) {
         lock.unlock();
@@ -233,65 +220,7 @@
     lock.unlock();
     if (isFirst)
         m_sink->head(m_request.id, m_head);
-    forward(std::move(data.bytes), std::move(resume));
-}
-
-void RequestCoordinator::forward(std::string bytes, std::function<void()> resume)
-{
-    if (!chargeBudget(bytes.size() + blockedStreamBytes))
-        return waitForBudget(std::move(bytes), std::move(resume));
-    m_sink->data(std::move(bytes), [self = shared_from_this(), resume = std::move(resume)](bool ok) {
-        auto& budget = self->m_context.byteBudget;
-        Streaming::Commands::releaseStream(budget, self->m_request.id);
-        if (!ok)
-            self->callerGone();
-        resume();
-        Streaming::Commands::resumeWaitingStream(budget);
-    });
-}
-
-bool RequestCoordinator::chargeBudget(uint64_t bytes)
-{
-    auto& budget = m_context.byteBudget;
-    auto now = m_context.clock.now();
-    while (!Base::succeeded(Streaming::Commands::chargeStream(budget, m_request.id, bytes, now))) {
-        auto longest = Streaming::Queries::findLongestBlocked(budget, now - Streaming::slowReaderTime);
-        if (!longest)
-            return false;
-        if (auto blocked = m_context.running.find(*longest))
-            (*blocked)->abortSlowReader();
-        Streaming::Commands::releaseStream(budget, *longest);
-    }
-    return true;
-}
-
-void RequestCoordinator::waitForBudget(std::string bytes, std::function<void()> resume)
-{
-    {
-        Lock lock(m_lock);
-        if (m_state == State::Ended)
-            return;
-        m_waitingPart = WaitingPart { std::move(bytes), std::move(resume) };
-    }
-    m_context.metrics.count("parts_waiting_for_budget_total");
-    m_context.byteBudget.waiting().add([weak = weak_from_this()] {
-        auto self = weak.lock();
-        return self && self->retryWaitingPart();
-    });
-}
-
-bool RequestCoordinator::retryWaitingPart()
-{
-    std::optional<WaitingPart> part;
-    {
-        Lock lock(m_lock);
-        if (m_state != State::Ended)
-            part = std::exchange(m_waitingPart, std::nullopt);
-    }
-    if (!part)
-        return false;
-    forward(std::move(part->bytes), std::move(part->resume));
-    return true;
+    m_forwarder->forward(std::move(data.bytes), std::move(resume));
 }
 
 void RequestCoordinator::ended(const std::string& attemptId, const AnswerEnd& end)
@@ -308,9 +237,7 @@
         return completeAnswer(std::move(lock));
     recordBreak(verdict == FrameVerdict::Unusable ? "the answer is not as long as its end says" : end.message);
     leaveAttempt();
-    if (end.kind == EndKind::NotRun)
-        return attemptFailed(std::move(lock), failure(FailureKind::NotRun, ErrorCode::NotRun, "the target could not be reached by its agent", "retry"));
-    attemptFailed(std::move(lock), failure(FailureKind::Failed, ErrorCode::OutcomeUnknown, "the target broke off: " + end.message, "find out whether the call ran before you send it again"));
+    attemptFailed(std::move(lock), Queries::incompleteAnswer(end));
 }
 
 void RequestCoordinator::closed(const std::string& attemptId, const std::string& reason)
@@ -320,11 +247,9 @@
         return;
     recordBreak(reason);
     m_target->avoidUntil(m_context.clock.now() + brokenPause);
-    auto kind = isSent() ? FailureKind::BrokenAfterSend : FailureKind::NotRun;
+    auto failed = Queries::brokenStream(isSent(), m_request.repeatable);
     leaveAttempt();
-    if (kind == FailureKind::NotRun)
-        return attemptFailed(std::move(lock), failure(kind, m_request.repeatable ? ErrorCode::NotRun : ErrorCode::HomeUnreachable, "the target could not be reached before the request was sent", "retry"));
-    attemptFailed(std::move(lock), failure(kind, ErrorCode::OutcomeUnknown, "the connection to the target broke after the request was sent", "find out whether the call ran before you send it again"));
+    attemptFailed(std::move(lock), failed);
 }
 
 void RequestCoordinator::loadReported(const std::string& attemptId, const Membership::TargetLoad& load)
@@ -334,7 +259,7 @@
         m_target->setLoad(load);
 }
 
-void RequestCoordinator::attemptFailed(Lock lock, const Failure& failed)
+void RequestCoordinator::attemptFailed(Lock lock, const AttemptFailure& failed)
 {
     if (m_state == State::Ended)
         return;
@@ -364,7 +289,7 @@
     }
 }
 
-void RequestCoordinator::retry(Lock lock, const Failure& failed, bool fromBudget)
+void RequestCoordinator::retry(Lock lock, const AttemptFailure& failed, bool fromBudget)
 {
     if (failed.kind == FailureKind::BrokenAfterSend || failed.kind == FailureKind::Failed)
         m_mayHaveRun = true;
@@ -401,7 +326,7 @@
     auto outcome = isSameAgent ? resolution.outcome : AttemptOutcome::Unknown;
     logEvent(attemptResolved, { { "request", m_request.id }, { "target", m_target->vm() }, { "notRun", outcome == AttemptOutcome::NotRun }, { "sameAgent", isSameAgent } });
     if (outcome == AttemptOutcome::NotRun)
-        return attemptFailed(std::move(lock), failure(FailureKind::NotRun, ErrorCode::NotRun, "the connection to the target broke and the permit was revoked", "retry"));
+        return attemptFailed(std::move(lock), { FailureKind::NotRun, { ErrorCode::NotRun, "the connection to the target broke and the permit was revoked", "retry", Outcome::NotRun, retryAdvice } });
     m_mayHaveRun = true;
     RoutingError error { ErrorCode::OutcomeUnknown, "the connection to the target broke after the request was sent", "find out whether the call ran, or send it again with Idempotency-Key: " + m_request.key, Outcome::Unknown, retryAdvice };
     if (outcome == AttemptOutcome::Complete)
@@ -440,7 +365,7 @@
         return beginAttempt(std::move(lock));
     lock.unlock();
     // Readers that have become slow meanwhile make room.
-    retryWaitingPart();
+    m_forwarder->retryWaitingPart();
 }
 
 void RequestCoordinator::callerGone()
@@ -527,7 +452,7 @@
 {
     auto attempt = leaveAttempt();
     m_state = State::Ended;
-    Streaming::Commands::releaseStream(m_context.byteBudget, m_request.id);
+    m_forwarder->close();
     Streaming::Commands::releaseStream(m_context.requestBudget, m_request.id);
     m_context.running.erase(m_request.id);
     m_context.metrics.count("requests_total", { { "destination", m_request.destination }, { "result", result } });
@@ -550,17 +475,4 @@
     m_context.metrics.count("attempts_broken_total", { { "destination", m_request.destination } });
 }
 
-RequestCoordinator::Failure RequestCoordinator::failure(FailureKind kind, ErrorCode code, std::string message, std::string remedy) const
-{
-    return { kind, { code, std::move(message), std::move(remedy), Outcome::NotRun, retryAdvice } };
-}
-
-RequestCoordinator::Failure RequestCoordinator::failureOf(const Refusal& refusal) const
-{
-    Failure failed { Queries::classifyRefusal(refusal), { Queries::refusalCode(refusal.kind), refusal.message, Queries::refusalRemedy(refusal.kind), Queries::refusalOutcome(refusal.kind, m_request.keyFromCaller), refusal.retryAfter } };
-    if (!failed.error.retryAfter.count())
-        failed.error.retryAfter = retryAdvice;
-    return failed;
-}
-
 } // namespace Lavenderloft::Routing
--- a/Source/Routing/RequestCoordinator.h
+++ b/Source/Routing/RequestCoordinator.h
@@ -1,22 +1,15 @@
 #pragma once
 
+#include "Routing/AnswerForwarder.h"
 #include "Routing/AnswerMatcher.h"
-#include "Routing/AnswerSink.h"
-#include "Routing/Queries/DecideRetry.h"
-#include "Routing/RoutingContext.h"
+#include "Routing/AttemptFailure.h"
 
 #include <functional>
 #include <memory>
 #include <mutex>
-#include <optional>
 
 namespace Lavenderloft::Routing {
 
-// What a blocked stream holds beside the part that its caller has not taken: the transport's read
-// buffers, of which a stream pins whole blocks, and the connection. In lavenderloft-bench slow-readers
-// 1,000 blocked streams held 103 KB each, of which 16 KiB were the part.
-inline constexpr uint64_t blockedStreamBytes = 88 * 1024;
-
 // Carries one request from its caller to a target and the answer back: a state machine whose inputs are
 // the events of the current attempt, the caller's departure and the passing of time. Inputs may come
 // from any thread; no lock is held during calls to channels and sinks.
@@ -55,12 +48,6 @@
 
     using Lock = std::unique_lock<std::mutex>;
 
-    // How an attempt failed, for the log and for the caller if no other attempt follows.
-    struct Failure {
-        Queries::FailureKind kind;
-        RoutingError error;
-    };
-
     void permitted(const std::string& attemptId, const Permit&);
     void refused(const std::string& attemptId, const Refusal&);
     void head(const std::string& attemptId, AnswerHead);
@@ -74,23 +61,16 @@
     void beginAttempt(Lock);
     void failQuarantined(Lock, const QuarantineFinding&);
     void openAttempt(Lock, std::shared_ptr<Target>, std::string_view reason);
-    void attemptFailed(Lock, const Failure&);
-    void retry(Lock, const Failure&, bool fromBudget);
+    void attemptFailed(Lock, const AttemptFailure&);
+    void retry(Lock, const AttemptFailure&, bool fromBudget);
     void resolve(Lock);
     void waitOrFail(Lock, const RoutingError&);
     void fail(Lock, RoutingError);
     void cut(Lock, const std::string& reason);
     void completeAnswer(Lock);
-    void forward(std::string bytes, std::function<void()> resume);
 
     bool isCurrent(const std::string& attemptId) const;
     bool isSent() const { return m_state == State::Running; }
-    // Cuts slow readers until the bytes fit; false if they have to wait for readers that keep up.
-    bool chargeBudget(uint64_t bytes);
-    // Keeps a part until there is room; meanwhile the target's stream is not read.
-    void waitForBudget(std::string bytes, std::function<void()> resume);
-    // Returns false if no part waits.
-    bool retryWaitingPart();
     void noteCrash();
     void recordBreak(const std::string& reason);
 
@@ -100,24 +80,16 @@
     // Ends the request; returns the attempt to cancel.
     std::shared_ptr<Attempt> end(const char* result);
 
-    Failure failure(Queries::FailureKind, ErrorCode, std::string message, std::string remedy) const;
-    Failure failureOf(const Refusal&) const;
     void dropFrame(const char* frame);
 
     const std::shared_ptr<RoutingContext> m_contextOwner;
     RoutingContext& m_context;
     const LiveRequest m_request;
     const std::shared_ptr<AnswerSink> m_sink;
+    const std::shared_ptr<AnswerForwarder> m_forwarder;
     const Base::TimePoint m_startedAt;
 
-    // A part of the answer that waits for room in the byte budget.
-    struct WaitingPart {
-        std::string bytes;
-        std::function<void()> resume;
-    };
-
     std::mutex m_lock;
-    std::optional<WaitingPart> m_waitingPart;
     State m_state = State::Waiting;
     Base::TimePoint m_resumeAt;
     Targets m_tried;
