Carry the resume point from the router to the engine and back

Ruled out: reading X-Resumed-From in the router; headers of engines are the agent's matter, and a typed field cannot be half read. The stand-in honours the header and refuses one that is no number. No router sends the field yet. Conclusion: the path of the number is complete below the router.

--- a/Source/Admission/AdmitRequest.h
+++ b/Source/Admission/AdmitRequest.h
@@ -27,6 +27,8 @@
     uint64_t revision = 0;
     // Hash of organisation and body.
     uint64_t fingerprint = 0;
+    // Number of the first token wanted from a model engine.
+    uint64_t resumeFromToken = 0;
 };
 
 } // namespace Lavenderloft::Admission
--- a/Source/Admission/TargetPort.h
+++ b/Source/Admission/TargetPort.h
@@ -33,6 +33,8 @@
     std::string weightsDigest;
     // Whether the answer is the stored one of an earlier call with the same key.
     bool replayed = false;
+    // Number of the first token, as the engine states it.
+    uint64_t resumedFromToken = 0;
 };
 
 // How an answer ended. The numbers are those of the protocol.
--- a/Source/Http/EngineRequest.cpp
+++ b/Source/Http/EngineRequest.cpp
@@ -1,9 +1,19 @@
 #include "Http/EngineRequest.h"
 
+#include <charconv>
+#include <limits>
 #include <nlohmann/json.hpp>
+#include <strings.h>
 
 namespace Lavenderloft::Http {
 
+namespace {
+
+    constexpr auto resumeFromHeader = "X-Resume-From";
+    constexpr auto resumedFromHeader = "X-Resumed-From";
+
+} // namespace
+
 std::string withPriority(const std::string& body, DesiredState::PriorityClass priorityClass)
 {
     auto object = nlohmann::json::parse(body, nullptr, false);
@@ -13,4 +23,22 @@
     return object.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+void setResumeFrom(HttpHeaders& headers, uint64_t token)
+{
+    std::erase_if(headers, [](auto& header) { return !strcasecmp(header.name.c_str(), resumeFromHeader); });
+    if (token)
+        headers.push_back({ resumeFromHeader, std::to_string(token) });
+}
+
+uint64_t resumedFrom(const HttpHeaders& headers)
+{
+    auto text = headerValue(headers, resumedFromHeader);
+    if (text.empty())
+        return 0;
+    uint64_t token = 0;
+    auto end = text.data() + text.size();
+    auto [rest, error] = std::from_chars(text.data(), end, token);
+    return error == std::errc() && rest == end ? token : std::numeric_limits<uint64_t>::max();
+}
+
 } // namespace Lavenderloft::Http
--- a/Source/Process/AgentExchange.cpp
+++ b/Source/Process/AgentExchange.cpp
@@ -159,6 +159,8 @@
         if (Http::isForwarded(header.name))
             request.headers.push_back({ header.name, header.value });
     }
+    if (isModel)
+        Http::setResumeFrom(request.headers, m_request.resumeFromToken);
     request.body = isModel ? Http::withPriority(m_body, m_request.priorityClass) : std::move(m_body);
     return request;
 }
--- a/Source/Process/TargetRun.cpp
+++ b/Source/Process/TargetRun.cpp
@@ -2,6 +2,7 @@
 
 #include "Admission/Commands/AdjustLimit.h"
 #include "Admission/Commands/RunRequest.h"
+#include "Http/EngineRequest.h"
 #include "Http/ForwardedHeaders.h"
 
 #include <algorithm>
@@ -104,6 +105,7 @@
     }
     m_answer.head.status = status;
     m_answer.head.weightsDigest = isModel ? digest : std::string();
+    m_answer.head.resumedFromToken = isModel ? Http::resumedFrom(headers) : 0;
     for (auto& header : headers) {
         if (Http::isForwarded(header.name))
             m_answer.head.headers.push_back({ header.name, header.value });
--- a/Source/Routing/TargetChannel.h
+++ b/Source/Routing/TargetChannel.h
@@ -28,6 +28,8 @@
     uint64_t bodyBytes = 0;
     uint64_t revision = 0;
     uint64_t fingerprint = 0;
+    // Number of the first token wanted; not zero for the rest of an answer whose stream broke.
+    uint64_t resumeFromToken = 0;
 };
 
 // A single-use admission granted by an agent.
@@ -72,6 +74,8 @@
     std::string weightsDigest;
     // The answer is a stored one of an earlier call with the same key.
     bool replayed = false;
+    // Number of the first token, as the engine states it.
+    uint64_t resumedFromToken = 0;
 };
 
 struct AnswerData {
@@ -106,7 +110,7 @@
     virtual void refused(const Refusal&) = 0;
     virtual void head(AnswerHead) = 0;
 
-    // No further frame comes until `resume` is called, which gives back pressure.
+    // No further event comes until `resume` is called, not even `closed`, which gives back pressure.
     virtual void data(AnswerData, std::function<void()> resume) = 0;
 
     virtual void ended(const AnswerEnd&) = 0;
--- a/Source/Transport/TargetCodec.cpp
+++ b/Source/Transport/TargetCodec.cpp
@@ -103,6 +103,7 @@
     admit.set_body_bytes(admission.bodyBytes);
     admit.set_revision(admission.revision);
     admit.set_fingerprint(admission.fingerprint);
+    admit.set_resume_from_token(admission.resumeFromToken);
     return admit;
 }
 
@@ -139,6 +140,7 @@
         decoded.headers.push_back({ header.name(), header.value() });
     decoded.weightsDigest = std::move(*head.mutable_weights_digest());
     decoded.replayed = head.replayed();
+    decoded.resumedFromToken = head.resumed_from_token();
     return decoded;
 }
 
--- a/Tests/Standin/ModelEngineTest.cpp
+++ b/Tests/Standin/ModelEngineTest.cpp
@@ -46,10 +46,10 @@
         return send("POST", "/engine/orders", R"({"order":"load","fence":)" + std::to_string(fence) + R"(,"digest":")" + digest + "\"}");
     }
 
-    Base::Result<Http::HttpResponse, Http::HttpError> generate(const std::string& prompt, unsigned maxTokens)
+    Base::Result<Http::HttpResponse, Http::HttpError> generate(const std::string& prompt, unsigned maxTokens, Http::HttpHeaders headers = {})
     {
         auto body = R"({"prompt":")" + prompt + R"(","maxTokens":)" + std::to_string(maxTokens) + "}";
-        return client.fetch({ "127.0.0.1", engine.port() }, { "POST", "/engine/generate", {}, body }, hangLimit);
+        return client.fetch({ "127.0.0.1", engine.port() }, { "POST", "/engine/generate", std::move(headers), body }, hangLimit);
     }
 
     void waitFor(Standin::EngineMode mode)
@@ -97,6 +97,23 @@
     cr_assert(lines[5] == Standin::doneLine);
 }
 
+// Guards against a stand-in that resumes an answer elsewhere than it says, which would hide faults of the router.
+Test(ModelEngine, resumesAtTheTokenOfTheHeader)
+{
+    EngineFixture fixture;
+    auto model = makeModel("1");
+    fixture.deliver(model, 1);
+    cr_assert_eq(fixture.load(model.digest(), 1), 202);
+    fixture.waitFor(Standin::EngineMode::Ready);
+    auto answer = Base::valueOf(fixture.generate("r-17 hello", 5, { { "X-Resume-From", "3" } }));
+    cr_assert(Http::headerValue(answer.headers, "X-Resumed-From") == "3");
+    auto lines = linesOf(answer.body);
+    cr_assert_eq(lines.size(), 3);
+    cr_assert_eq(Standin::parseToken(lines[0])->number, 3);
+    cr_assert(lines[2] == Standin::doneLine);
+    cr_assert_eq(Base::valueOf(fixture.generate("r-17 hello", 5, { { "X-Resume-From", "three" } })).status, 400);
+}
+
 // Guards against a manifest that is taken without a check, or that chunks need not match.
 Test(ModelEngine, comparesChunksWithAManifestThatItWasGiven)
 {
--- a/Tests/Transport/EngineHttpClientTest.cpp
+++ b/Tests/Transport/EngineHttpClientTest.cpp
@@ -3,6 +3,7 @@
 #include "Http/ForwardedHeaders.h"
 
 #include <criterion/criterion.h>
+#include <limits>
 #include <string>
 
 using namespace Lavenderloft;
@@ -43,3 +44,17 @@
     cr_assert_not(Http::isForwarded("Transfer-Encoding"));
     cr_assert(Http::isForwarded("Content-Type"));
 }
+
+// Guards against callers that choose where their answer starts, and against an engine's statement that is half read.
+Test(EngineRequest, replacesTheCallersResumePoint)
+{
+    Http::HttpHeaders headers { { "x-resume-from", "3" }, { "Content-Type", "text/plain" } };
+    Http::setResumeFrom(headers, 7);
+    cr_assert(Http::headerValue(headers, "X-Resume-From") == "7");
+    Http::setResumeFrom(headers, 0);
+    cr_assert_eq(headers.size(), 1);
+    cr_assert_eq(Http::resumedFrom(headers), 0);
+    cr_assert_eq(Http::resumedFrom({ { "X-Resumed-From", "7" } }), 7);
+    for (auto* text : { "7x", "-1", "99999999999999999999", " " })
+        cr_assert_eq(Http::resumedFrom({ { "X-Resumed-From", text } }), std::numeric_limits<uint64_t>::max(), "%s", text);
+}
--- a/Utilities/Standin/EngineJson.cpp
+++ b/Utilities/Standin/EngineJson.cpp
@@ -75,7 +75,6 @@
     request.identifier = promptIdentifier(prompt);
     request.promptBytes = prompt.size();
     request.maxTokens = object.value("maxTokens", defaultMaxTokens);
-    request.firstToken = object.value("resumeFrom", 0u);
     request.priority = object.contains("priority") ? readPriority(object.at("priority")) : 0;
     request.crashesEngine = !crashMarker.empty() && prompt.find(crashMarker) != std::string::npos;
     return request;
--- a/Utilities/Standin/EngineJson.h
+++ b/Utilities/Standin/EngineJson.h
@@ -13,7 +13,7 @@
 // Replaces the members of the behaviour that the object names.
 void readBehaviour(const nlohmann::json&, EngineBehaviour&);
 
-// Reads {"prompt","maxTokens","priority","resumeFrom"}; all but the prompt may be absent. The priority is
+// Reads {"prompt","maxTokens","priority"}; all but the prompt may be absent. The priority is
 // a number or one of "hazard", "interactive" and "summary".
 GenerationRequest readGenerationRequest(const nlohmann::json&, const std::string& crashMarker);
 
--- a/Utilities/Standin/ModelEngine.cpp
+++ b/Utilities/Standin/ModelEngine.cpp
@@ -11,6 +11,8 @@
 #include "Standin/Timer.h"
 #include "Standin/TokenText.h"
 
+#include <limits>
+
 namespace Lavenderloft::Standin {
 
 namespace {
@@ -130,7 +132,7 @@
         if (name == "orders" && request.method == "POST")
             return takeOrder(nlohmann::json::parse(request.body), stream);
         if (name == "generate" && request.method == "POST")
-            return generate(nlohmann::json::parse(request.body), stream);
+            return generate(request, stream);
         respondNotFound(stream, request);
     }
 
@@ -174,10 +176,15 @@
         respondJson(stream, 202, toJson(Queries::engineStatus(m_state)));
     }
 
-    void generate(const nlohmann::json& body, const std::shared_ptr<Http::ResponseStream>& stream)
+    void generate(const Http::HttpRequest& request, const std::shared_ptr<Http::ResponseStream>& stream)
     {
+        auto resumeFrom = Http::headerValue(request.headers, "X-Resume-From");
+        auto firstToken = resumeFrom.empty() ? 0 : parseNumber(resumeFrom);
+        if (!firstToken || *firstToken > std::numeric_limits<unsigned>::max())
+            return respondError(stream, 400, "malformed_request", "the header X-Resume-From is not the number of a token", "send a whole number from 0");
         auto generation = std::make_shared<Generation>();
-        generation->request = readGenerationRequest(body, Queries::engineBehaviour(m_state).crashMarker);
+        generation->request = readGenerationRequest(nlohmann::json::parse(request.body), Queries::engineBehaviour(m_state).crashMarker);
+        generation->request.firstToken = static_cast<unsigned>(*firstToken);
         auto sink = std::make_shared<HttpTokenSink>(stream);
         generation->sink = sink;
         auto digest = Queries::engineStatus(m_state).digest;
@@ -186,7 +193,10 @@
             return crash();
         if (!Base::succeeded(admitted))
             return respondEngineError(stream, Base::errorOf(admitted));
-        sink->start({ { "Content-Type", "text/plain" }, { "X-Weights-Digest", digest } });
+        Http::HttpHeaders headers { { "Content-Type", "text/plain" }, { "X-Weights-Digest", digest } };
+        if (!resumeFrom.empty())
+            headers.push_back({ "X-Resumed-From", std::string(resumeFrom) });
+        sink->start(std::move(headers));
         stream->onDisconnect([weak = weak_from_this(), number = generation->number] {
             if (auto self = weak.lock())
                 self->forget(number);
