Resume a broken answer of a model pool at the exact token

AnswerMatcher takes only an answer that states the token. Event LL4015, metric answers_resumed_total. After an engine crash an answer waits 1 s: the request to blame is often one that is retried at once, and a second crash proves nothing when the same answers run beside it again. An answer that has started ends by an abort only. Tests: Coordinator/cutsAnAnswerThatBreaksAfterItsFirstByte expected the old rule for pools.

--- a/Source/Routing/AnswerMatcher.cpp
+++ b/Source/Routing/AnswerMatcher.cpp
@@ -8,12 +8,20 @@
 {
 }
 
+void AnswerMatcher::requireResume(uint64_t token, unsigned status)
+{
+    m_firstToken = token;
+    m_status = status;
+}
+
 FrameVerdict AnswerMatcher::head(const AnswerHead& head)
 {
     if (head.attemptId != m_attemptId || m_headSeen)
         return FrameVerdict::Drop;
     m_headSeen = true;
-    return head.weightsDigest == m_weightsDigest || m_weightsDigest.empty() ? FrameVerdict::Accept : FrameVerdict::Unusable;
+    bool isFromWeights = head.weightsDigest == m_weightsDigest || m_weightsDigest.empty();
+    bool isFromToken = head.resumedFromToken == m_firstToken && (head.status == m_status || !m_status);
+    return isFromWeights && isFromToken ? FrameVerdict::Accept : FrameVerdict::Unusable;
 }
 
 FrameVerdict AnswerMatcher::data(const AnswerData& data)
--- a/Source/Routing/AnswerMatcher.h
+++ b/Source/Routing/AnswerMatcher.h
@@ -24,6 +24,9 @@
     // An empty digest stands for a plain service, of which any is accepted.
     AnswerMatcher(std::string attemptId, std::string weightsDigest);
 
+    // Accepts only an answer with that status that states the number of its first token.
+    void requireResume(uint64_t token, unsigned status);
+
     FrameVerdict head(const AnswerHead&);
     FrameVerdict data(const AnswerData&);
     FrameVerdict end(const AnswerEnd&);
@@ -33,6 +36,9 @@
 private:
     std::string m_attemptId;
     std::string m_weightsDigest;
+    // Zero for any status.
+    unsigned m_status = 0;
+    uint64_t m_firstToken = 0;
     uint64_t m_receivedBytes = 0;
     bool m_headSeen = false;
 };
--- a/Source/Routing/AttemptFailure.h
+++ b/Source/Routing/AttemptFailure.h
@@ -12,6 +12,7 @@
 struct AttemptFailure {
     Queries::FailureKind kind;
     RoutingError error;
+    bool engineCrashed = false;
 };
 
 } // namespace Lavenderloft::Routing
--- a/Source/Routing/Events.h
+++ b/Source/Routing/Events.h
@@ -19,8 +19,9 @@
 inline constexpr Event slowReaderCut { 4009, "slow-reader-cut", Level::Warning, "The stream blocked longest was closed because the streams held streamBudgetBytes." };
 inline constexpr Event crashRecorded { 4010, "crash-recorded", Level::Warning, "A target's engine crashed while a request ran." };
 inline constexpr Event requestQuarantined { 4011, "request-quarantined", Level::Warning, "A request was refused because it crashed two targets." };
-inline constexpr Event requestWaiting { 4012, "request-waiting", Level::Info, "A hazard message waits for a free target." };
+inline constexpr Event requestWaiting { 4012, "request-waiting", Level::Info, "A hazard message or a broken answer waits for a free target." };
 inline constexpr Event channelReplaced { 4013, "channel-replaced", Level::Warning, "A silent or broken connection to an agent is replaced." };
 inline constexpr Event requestHeld { 4014, "request-held", Level::Warning, "A request that ran on two crashed targets was refused until the reports on the crashes are complete." };
+inline constexpr Event answerResumed { 4015, "answer-resumed", Level::Warning, "An answer whose stream broke is continued by another target from the token given." };
 
 } // namespace Lavenderloft::Routing
--- a/Source/Routing/Queries/DecideRetry.cpp
+++ b/Source/Routing/Queries/DecideRetry.cpp
@@ -17,12 +17,30 @@
             || facts.priorityClass == DesiredState::PriorityClass::Hazard;
     }
 
+    RetryVerdict decideResume(const RetryFacts& facts)
+    {
+        if (!facts.repeatable || !facts.isResumable)
+            return RetryVerdict::Cut;
+        switch (facts.failure) {
+        case FailureKind::RefusedForGood:
+            return RetryVerdict::Cut;
+        case FailureKind::RefusedForLoad:
+        case FailureKind::RefusedElsewhere:
+            return isRefusalFree(facts) && facts.attempts < maximumAttempts ? RetryVerdict::RetryFree : RetryVerdict::AwaitTarget;
+        case FailureKind::NotRun:
+        case FailureKind::BrokenAfterSend:
+        case FailureKind::Failed:
+            return facts.resumes < maximumResumes ? RetryVerdict::RetryFromBudget : RetryVerdict::Cut;
+        }
+        return RetryVerdict::Cut;
+    }
+
 } // namespace
 
 RetryVerdict decideRetry(const RetryFacts& facts)
 {
     if (facts.answerStarted)
-        return RetryVerdict::Cut;
+        return decideResume(facts);
     bool exhausted = facts.attempts >= maximumAttempts || facts.breaks >= maximumBreaks;
     switch (facts.failure) {
     case FailureKind::RefusedForGood:
--- a/Source/Routing/Queries/DecideRetry.h
+++ b/Source/Routing/Queries/DecideRetry.h
@@ -14,6 +14,10 @@
 // Refusals for load after which further attempts are paid from the retry budget.
 inline constexpr unsigned freeLoadRefusals = 2;
 
+// Times that one answer is resumed after a break, so that a request that breaks every target it runs on does not
+// go round the whole pool.
+inline constexpr unsigned maximumResumes = 3;
+
 // How an attempt failed, as far as retries are concerned.
 enum class FailureKind {
     // Refused because the target has no free slot.
@@ -35,6 +39,10 @@
     bool repeatable = false;
     // Whether a byte of the answer has gone to the caller.
     bool answerStarted = false;
+    // Whether another target can continue the answer.
+    bool isResumable = false;
+    // Times that the answer was resumed.
+    unsigned resumes = 0;
     // Whether an earlier attempt of the request may have run.
     bool mayHaveRun = false;
     unsigned attempts = 0;
@@ -47,6 +55,8 @@
 enum class RetryVerdict {
     RetryFree,
     RetryFromBudget,
+    // Ask again after a pause, because a part of the answer has gone to the caller.
+    AwaitTarget,
     // Ask the agent what became of the attempt.
     Resolve,
     FailNotRun,
@@ -55,7 +65,8 @@
     Cut,
 };
 
-// Retries only what certainly did not run, or what may be repeated and of which the caller has seen nothing.
+// Retries only what certainly did not run, or what may be repeated and of which the caller has seen nothing or
+// the rest can be had.
 RetryVerdict decideRetry(const RetryFacts&);
 
 // The kind of failure that a refusal is.
--- a/Source/Routing/Queries/DescribeFailure.cpp
+++ b/Source/Routing/Queries/DescribeFailure.cpp
@@ -31,7 +31,9 @@
 {
     if (end.kind == EndKind::NotRun)
         return makeFailure(FailureKind::NotRun, ErrorCode::NotRun, "the target could not be reached by its agent", "retry");
-    return makeFailure(FailureKind::Failed, ErrorCode::OutcomeUnknown, "the target broke off: " + end.message, "find out whether the call ran before you send it again");
+    auto failed = makeFailure(FailureKind::Failed, ErrorCode::OutcomeUnknown, "the target broke off: " + end.message, "find out whether the call ran before you send it again");
+    failed.engineCrashed = end.engineCrashed;
+    return failed;
 }
 
 AttemptFailure unusableAnswer(std::string message)
--- a/Source/Routing/Queries/SelectTarget.cpp
+++ b/Source/Routing/Queries/SelectTarget.cpp
@@ -77,7 +77,7 @@
     return Base::chooseMember(request.organisation + '\0' + request.key, request.keyHomes);
 }
 
-Selection selectTarget(const TargetTable& table, const LiveRequest& request, const Targets& tried, const TargetPolicy& policy, Base::RandomSource& random, Base::TimePoint now)
+Selection selectTarget(const TargetTable& table, const LiveRequest& request, const Targets& tried, const TargetPolicy& policy, Base::RandomSource& random, Base::TimePoint now, const std::string& digest)
 {
     if (!request.repeatable)
         return selectHome(table, request);
@@ -85,7 +85,7 @@
     if (!subset || (*subset)->empty())
         return { nullptr, "no-target-ready" };
     Targets left;
-    std::copy_if((*subset)->begin(), (*subset)->end(), std::back_inserter(left), [&](auto& target) { return !contains(tried, target); });
+    std::copy_if((*subset)->begin(), (*subset)->end(), std::back_inserter(left), [&](auto& target) { return !contains(tried, target) && (digest.empty() || target->servingDigest() == digest); });
     if (left.empty())
         return { nullptr, "all-targets-tried" };
     auto candidates = preferResponsive(std::move(left), now);
--- a/Source/Routing/Queries/SelectTarget.h
+++ b/Source/Routing/Queries/SelectTarget.h
@@ -18,8 +18,9 @@
     std::string_view reason;
 };
 
-// The target for the next attempt of a request, given the targets already tried.
-Selection selectTarget(const TargetTable&, const LiveRequest&, const Targets& tried, const TargetPolicy&, Base::RandomSource&, Base::TimePoint now);
+// The target for the next attempt of a request, given the targets already tried. Only targets that serve
+// the digest are candidates, unless it is empty.
+Selection selectTarget(const TargetTable&, const LiveRequest&, const Targets& tried, const TargetPolicy&, Base::RandomSource&, Base::TimePoint now, const std::string& digest = {});
 
 // The name of the VM that alone may run calls with the request's key.
 std::string keyHome(const LiveRequest&);
--- a/Source/Routing/RequestCoordinator.cpp
+++ b/Source/Routing/RequestCoordinator.cpp
@@ -1,11 +1,13 @@
 #include "Routing/RequestCoordinator.h"
 
 #include "Observability/Log.h"
+#include "Routing/Commands/AdvanceStream.h"
 #include "Routing/Commands/ChargeRetryBudget.h"
 #include "Routing/Commands/RecordCrash.h"
 #include "Routing/Events.h"
 #include "Routing/Queries/DescribeFailure.h"
 #include "Routing/Queries/FindQuarantine.h"
+#include "Routing/Queries/FindResumePoint.h"
 #include "Routing/Queries/SelectTarget.h"
 #include "Streaming/Commands/ChargeStream.h"
 
@@ -24,6 +26,13 @@
     // Pause between two rounds of attempts of a hazard message.
     constexpr auto waitPause = 50ms;
 
+    // Pause between two rounds of attempts to continue an answer.
+    constexpr auto resumePause = 200ms;
+
+    // A request that crashes its engine before the first token is retried at once. The answers that broke with
+    // that engine follow later, because a second crash proves nothing when they run beside it again.
+    constexpr auto crashPause = 1000ms;
+
     // An agent that does not tell the outcome within this time leaves it unknown.
     constexpr Base::Duration resolveTimeout = 2s;
 
@@ -81,10 +90,11 @@
         return fail(std::move(lock), { ErrorCode::DeadlineExceeded, "the deadline passed before a target took the request", "send a longer X-Deadline-Ms or retry", Outcome::NotRun, retryAdvice });
     if (auto finding = Queries::findQuarantine(m_context.quarantine, m_request.fingerprint, now); finding.state != QuarantineState::Free)
         return failQuarantined(std::move(lock), finding);
-    auto selection = Queries::selectTarget(m_context.targets, m_request, m_tried, m_context.policy, m_context.random, now);
+    auto digest = m_answerStarted ? m_head.weightsDigest : std::string();
+    auto selection = Queries::selectTarget(m_context.targets, m_request, m_tried, m_context.policy, m_context.random, now, digest);
     // A target that broke off is better than none; one that refused is not.
     if (!selection.target)
-        selection = Queries::selectTarget(m_context.targets, m_request, m_refused, m_context.policy, m_context.random, now);
+        selection = Queries::selectTarget(m_context.targets, m_request, m_refused, m_context.policy, m_context.random, now, digest);
     if (!selection.target) {
         auto code = m_request.repeatable ? ErrorCode::NoTarget : ErrorCode::HomeUnreachable;
         return waitOrFail(std::move(lock), { code, "no target of " + m_request.destination + " can take the request: " + std::string(selection.reason), "retry later; operators find the state of targets with lavenderloft status", Outcome::NotRun, retryAdvice });
@@ -96,9 +106,11 @@
 {
     bool isPending = finding.state == QuarantineState::Pending;
     logEvent(isPending ? requestHeld : requestQuarantined, { { "request", m_request.id }, { "fingerprint", m_request.fingerprint } });
+    if (isPending && m_answerStarted)
+        return wait(std::move(lock), finding.pendingFor, "reports on crashes are awaited");
     if (isPending) {
-        auto wait = std::chrono::ceil<std::chrono::milliseconds>(finding.pendingFor);
-        return fail(std::move(lock), { ErrorCode::QuarantinePending, "the request ran on two targets that crashed, and reports of other routers are awaited", "retry after retryAfterMs", Outcome::NotRun, wait });
+        auto pending = std::chrono::ceil<std::chrono::milliseconds>(finding.pendingFor);
+        return fail(std::move(lock), { ErrorCode::QuarantinePending, "the request ran on two targets that crashed, and reports of other routers are awaited", "retry after retryAfterMs", Outcome::NotRun, pending });
     }
     fail(std::move(lock), { ErrorCode::Quarantined, "the request crashed two targets and is not run for now", "change the request; the quarantine ends after ten minutes", Outcome::NotRun, QuarantineTable::retention });
 }
@@ -112,9 +124,14 @@
     m_tried.push_back(m_target);
     m_attemptId = m_context.random.identifier();
     // The answer must come from the version that this target serves; the request is bound to no version.
-    auto weightsDigest = m_target->servingDigest();
+    auto weightsDigest = m_answerStarted ? m_head.weightsDigest : m_target->servingDigest();
     m_matcher = AnswerMatcher(m_attemptId, weightsDigest);
     Admission admission;
+    if (m_answerStarted) {
+        admission.resumeFromToken = m_position.tokens;
+        m_matcher.requireResume(m_position.tokens, m_head.status);
+        Commands::resumeStream(m_position);
+    }
     admission.attemptId = m_attemptId;
     admission.requestId = m_request.id;
     admission.organisation = m_request.organisation;
@@ -183,16 +200,21 @@
     auto verdict = m_matcher.head(head);
     if (verdict == FrameVerdict::Drop)
         return dropFrame("head");
-    if (verdict == FrameVerdict::Unusable) {
-        recordBreak("the answer comes from other weights than admitted");
-        auto attempt = leaveAttempt();
-        lock.unlock();
-        attempt->cancel();
-        lock.lock();
-        return attemptFailed(std::move(lock), Queries::unusableAnswer("a target answered from other weights than the pool's"));
-    }
+    if (verdict == FrameVerdict::Unusable)
+        return rejectAnswer(std::move(lock), m_answerStarted ? "a target did not continue the answer at the token asked for" : "a target answered from other weights than the pool's");
     // The head goes to the caller with the first byte of the body, so that a break in between can be retried.
-    m_head = std::move(head);
+    if (!m_answerStarted)
+        m_head = std::move(head);
+}
+
+void RequestCoordinator::rejectAnswer(Lock lock, const std::string& reason)
+{
+    recordBreak(reason);
+    auto attempt = leaveAttempt();
+    lock.unlock();
+    attempt->cancel();
+    lock.lock();
+    attemptFailed(std::move(lock), Queries::unusableAnswer(reason));
 }
 
 void RequestCoordinator::data(const std::string& attemptId, AnswerData data, std::function<void()> resume)
@@ -204,13 +226,11 @@
         lock.unlock();
         return resume();
     }
-    if (verdict == FrameVerdict::Unusable) {
-        recordBreak("a part of the answer came before its head");
-        auto attempt = leaveAttempt();
-        lock.unlock();
-        attempt->cancel();
-        lock.lock();
-        return attemptFailed(std::move(lock), Queries::unusableAnswer("a target's answer was malformed"));
+    if (verdict == FrameVerdict::Unusable)
+        return rejectAnswer(std::move(lock), "a part of a target's answer came before its head");
+    if (m_request.kind == DesiredState::RouteKind::ToPool) {
+        if (auto advanced = Commands::advanceStream(m_position, data.bytes); !Base::succeeded(advanced))
+            return cut(std::move(lock), Base::errorOf(advanced).message);
     }
     if (m_callerGone || data.bytes.empty()) {
         lock.unlock();
@@ -233,8 +253,12 @@
         return dropFrame("end");
     if (end.engineCrashed)
         noteCrash();
-    if (verdict == FrameVerdict::Accept && end.kind == EndKind::Complete)
+    bool isWhole = verdict == FrameVerdict::Accept && end.kind == EndKind::Complete;
+    if (isWhole && Queries::hasRepeatedAll(m_position))
         return completeAnswer(std::move(lock));
+    // A frame was lost or doubled, or the resumed answer is shorter than what the caller has received.
+    if (m_answerStarted && (isWhole || verdict == FrameVerdict::Unusable))
+        return cut(std::move(lock), "the answer is not as long as its end says");
     recordBreak(verdict == FrameVerdict::Unusable ? "the answer is not as long as its end says" : end.message);
     leaveAttempt();
     attemptFailed(std::move(lock), Queries::incompleteAnswer(end));
@@ -267,6 +291,8 @@
     facts.failure = failed.kind;
     facts.repeatable = m_request.repeatable && !m_callerGone;
     facts.answerStarted = m_answerStarted;
+    facts.isResumable = Queries::findResumePoint(m_request, m_head, m_position).has_value();
+    facts.resumes = m_resumes;
     facts.mayHaveRun = m_mayHaveRun;
     facts.attempts = m_attempts;
     facts.breaks = m_breaks;
@@ -277,6 +303,8 @@
         return retry(std::move(lock), failed, false);
     case RetryVerdict::RetryFromBudget:
         return retry(std::move(lock), failed, true);
+    case RetryVerdict::AwaitTarget:
+        return startNewRound(std::move(lock), resumePause, failed.error.message);
     case RetryVerdict::Resolve:
         return resolve(std::move(lock));
     case RetryVerdict::FailNotRun:
@@ -300,10 +328,22 @@
         return fail(std::move(lock), { ErrorCode::RetryBudgetSpent, failed.error.message + "; the retry budget is spent", "retry later", Outcome::NotRun, retryAdvice });
     }
     m_context.metrics.count("retries_total", { { "paid", fromBudget ? "true" : "false" } });
+    if (fromBudget && m_answerStarted)
+        return resumeAnswer(std::move(lock), failed);
     logEvent(attemptRetried, { { "request", m_request.id }, { "reason", failed.error.message } });
     beginAttempt(std::move(lock));
 }
 
+void RequestCoordinator::resumeAnswer(Lock lock, const AttemptFailure& failed)
+{
+    ++m_resumes;
+    m_context.metrics.count("answers_resumed_total", { { "destination", m_request.destination } });
+    logEvent(answerResumed, { { "request", m_request.id }, { "token", m_position.tokens }, { "resumes", m_resumes }, { "reason", failed.error.message } });
+    if (failed.engineCrashed)
+        return wait(std::move(lock), crashPause, failed.error.message);
+    beginAttempt(std::move(lock));
+}
+
 void RequestCoordinator::resolve(Lock lock)
 {
     m_state = State::Resolving;
@@ -336,18 +376,28 @@
 
 void RequestCoordinator::waitOrFail(Lock lock, const RoutingError& error)
 {
-    auto resumeAt = m_context.clock.now() + waitPause;
-    bool mayWait = m_request.priorityClass == DesiredState::PriorityClass::Hazard && !m_callerGone && resumeAt < m_request.deadline;
+    Base::Duration pause = m_answerStarted ? resumePause : waitPause;
+    bool mayWait = (m_answerStarted || m_request.priorityClass == DesiredState::PriorityClass::Hazard) && !m_callerGone && m_context.clock.now() + pause < m_request.deadline;
     if (!mayWait)
         return fail(std::move(lock), error);
-    logEvent(requestWaiting, { { "request", m_request.id }, { "reason", error.message } });
-    m_state = State::Waiting;
-    m_resumeAt = resumeAt;
+    startNewRound(std::move(lock), pause, error.message);
+}
+
+void RequestCoordinator::startNewRound(Lock lock, Base::Duration pause, const std::string& reason)
+{
     m_tried.clear();
     m_refused.clear();
     m_attempts = 0;
     m_breaks = 0;
     m_loadRefusals = 0;
+    wait(std::move(lock), pause, reason);
+}
+
+void RequestCoordinator::wait(Lock, Base::Duration pause, const std::string& reason)
+{
+    logEvent(requestWaiting, { { "request", m_request.id }, { "reason", reason } });
+    m_state = State::Waiting;
+    m_resumeAt = m_context.clock.now() + pause;
 }
 
 void RequestCoordinator::tick(Base::TimePoint now)
@@ -402,6 +452,8 @@
 
 void RequestCoordinator::fail(Lock lock, RoutingError error)
 {
+    if (m_answerStarted)
+        return cut(std::move(lock), error.message);
     if (m_mayHaveRun && error.outcome == Outcome::NotRun)
         error.outcome = Outcome::Unknown;
     logEvent(requestFailed, { { "request", m_request.id }, { "code", codeName(error.code) }, { "outcome", outcomeName(error.outcome) }, { "reason", error.message } });
--- a/Source/Routing/RequestCoordinator.h
+++ b/Source/Routing/RequestCoordinator.h
@@ -3,6 +3,8 @@
 #include "Routing/AnswerForwarder.h"
 #include "Routing/AnswerMatcher.h"
 #include "Routing/AttemptFailure.h"
+#include "Routing/RoutingContext.h"
+#include "Routing/StreamPosition.h"
 
 #include <functional>
 #include <memory>
@@ -63,8 +65,14 @@
     void openAttempt(Lock, std::shared_ptr<Target>, std::string_view reason);
     void attemptFailed(Lock, const AttemptFailure&);
     void retry(Lock, const AttemptFailure&, bool fromBudget);
+    void resumeAnswer(Lock, const AttemptFailure&);
+    void rejectAnswer(Lock, const std::string& reason);
     void resolve(Lock);
     void waitOrFail(Lock, const RoutingError&);
+    // Forgets which targets were tried, and waits.
+    void startNewRound(Lock, Base::Duration pause, const std::string& reason);
+    // Makes the next attempt after the pause.
+    void wait(Lock, Base::Duration pause, const std::string& reason);
     void fail(Lock, RoutingError);
     void cut(Lock, const std::string& reason);
     void completeAnswer(Lock);
@@ -98,6 +106,7 @@
     unsigned m_attempts = 0;
     unsigned m_breaks = 0;
     unsigned m_loadRefusals = 0;
+    unsigned m_resumes = 0;
     bool m_mayHaveRun = false;
     bool m_answerStarted = false;
     bool m_callerGone = false;
@@ -109,7 +118,10 @@
     std::shared_ptr<Attempt> m_attempt;
     Permit m_permit;
     AnswerMatcher m_matcher;
+
+    // Head of the answer that the caller gets, and what has been forwarded of it.
     AnswerHead m_head;
+    StreamPosition m_position;
 };
 
 } // namespace Lavenderloft::Routing
--- a/Tests/Routing/CoordinatorTest.cpp
+++ b/Tests/Routing/CoordinatorTest.cpp
@@ -63,11 +63,13 @@
     cr_assert(caller->body == "hello");
 }
 
-// Guards against a second answer being appended to a part of the first.
-Test(Coordinator, cutsAnAnswerThatBreaksAfterItsFirstByte)
+// Guards against a second answer of a plain service, which has no tokens to resume at, being appended to a part of the first.
+Test(Coordinator, cutsAServicesAnswerThatBreaksAfterItsFirstByte)
 {
     RoutingFixture fixture;
-    auto caller = fixture.start(fixture.poolRequest());
+    auto request = fixture.booking("");
+    request.repeatable = true;
+    auto caller = fixture.start(std::move(request));
     fixture.channels.last().permit();
     fixture.channels.last().head();
     fixture.channels.last().data("hel");
--- a/Tests/Routing/RoutingFixture.h
+++ b/Tests/Routing/RoutingFixture.h
@@ -40,7 +40,7 @@
     const std::string& id() const { return admission.attemptId; }
     void permit() { events->permitted({ "permit-" + id(), std::chrono::seconds(2), 1, 1 }); }
     void refuse(RefusalKind kind) { events->refused({ kind, "refused", true, {} }); }
-    void head() { events->head({ id(), 200, {}, admission.weightsDigest, false }); }
+    void head() { events->head({ id(), 200, {}, admission.weightsDigest, false, admission.resumeFromToken }); }
     void data(std::string bytes)
     {
         events->data({ id(), std::move(bytes) }, [] {});
@@ -100,13 +100,18 @@
     std::optional<RoutingError> error;
     std::string body;
     bool started = false;
+    unsigned heads = 0;
     bool whole = false;
     bool aborted = false;
     bool reads = true;
     std::function<void(bool)> pending;
 
     void reject(const std::string&, const RoutingError& rejection) override { error = rejection; }
-    void head(const std::string&, const AnswerHead&) override { started = true; }
+    void head(const std::string&, const AnswerHead&) override
+    {
+        started = true;
+        ++heads;
+    }
 
     void data(std::string bytes, std::function<void(bool)> written) override
     {
