Let a route name an adapter of its pool

Cause: agents fetch the adapters of a pool, but no request can name one. Ruled out: naming the adapter by a request header (callers would have to know digests, and check could not find a name that no replica loads). It must be one of the pool's adapters; a route to a service may not have one. diff shows the adapter of a route, and no longer announces a switch of replicas when only adapters change, because loading an adapter takes no replica out of service.

--- a/Source/DesiredState/Document.h
+++ b/Source/DesiredState/Document.h
@@ -77,6 +77,8 @@
     std::string destination;
     bool repeatable = false;
     PriorityClass priorityClass = PriorityClass::Interactive;
+    // Digest of the pool's adapter that answers; empty if the base model does.
+    std::string adapter;
 };
 
 struct Organisation {
--- a/Source/DesiredState/Queries/CheckDocument.cpp
+++ b/Source/DesiredState/Queries/CheckDocument.cpp
@@ -1,5 +1,6 @@
 #include "DesiredState/Queries/CheckDocument.h"
 
+#include "Base/Digest.h"
 #include "Json/TextChecks.h"
 
 #include <algorithm>
@@ -120,6 +121,19 @@
             "start with '/' and use at most " + std::to_string(maxPathLength) + " ASCII characters without blanks, '?' and '#'");
     }
 
+    // The adapter of a route must be one of its pool, whose replicas load no others.
+    void checkRouteAdapter(ProblemSink& problems, const Document& document, const Route& route, const std::string& pointer)
+    {
+        Json::checkDigest(problems, pointer, route.adapter);
+        auto* pool = document.findPool(route.destination);
+        if (!pool || !Base::isDigest(route.adapter))
+            return;
+        if (std::find(pool->adapters.begin(), pool->adapters.end(), route.adapter) != pool->adapters.end())
+            return;
+        problems.addProblem(ProblemKind::DanglingReference, pointer, "pool " + pool->name + " has no adapter with this digest",
+            "add it to the pool's \"adapters\" or correct the digest");
+    }
+
     void checkRoutes(ProblemSink& problems, const Document& document)
     {
         UniquenessCheck unique(problems, "path");
@@ -128,9 +142,10 @@
             auto pointer = entryPointer("routes", i, "path");
             checkPath(problems, pointer, route.path);
             unique.add(pointer, route.path);
-            if (route.kind == RouteKind::ToPool)
+            if (route.kind == RouteKind::ToPool) {
                 checkReference(problems, entryPointer("routes", i, "pool"), route.destination, document.findPool(route.destination), "pool");
-            else
+                checkRouteAdapter(problems, document, route, entryPointer("routes", i, "adapter"));
+            } else
                 checkReference(problems, entryPointer("routes", i, "service"), route.destination, document.findService(route.destination), "service");
         }
     }
--- a/Source/DesiredState/Queries/DiffPools.cpp
+++ b/Source/DesiredState/Queries/DiffPools.cpp
@@ -4,14 +4,8 @@
 
 namespace {
 
-    // Enough digits to tell versions apart by eye.
     constexpr size_t shownDigestDigits = 12;
 
-    std::string shownDigest(const std::string& digest)
-    {
-        return digest.substr(0, shownDigestDigits);
-    }
-
     // Requests at a time that all warm replicas bear.
     uint64_t capacityOf(const Pool& pool)
     {
@@ -26,16 +20,15 @@
 
     void diffVersion(const Pool& old, const Pool& pool, ConsequenceList& consequences)
     {
-        bool isSameVersion = old.manifest == pool.manifest && old.adapters == pool.adapters;
-        if (isSameVersion)
-            return;
         auto subject = "pool " + pool.name;
-        if (old.manifest != pool.manifest)
-            consequences.note(subject, "version " + shownDigest(old.manifest) + " -> " + shownDigest(pool.manifest));
         for (auto& adapter : namesMissing(old.adapters, pool.adapters))
             consequences.note(subject, "adapter " + shownDigest(adapter) + " is removed");
         for (auto& adapter : namesMissing(pool.adapters, old.adapters))
             consequences.note(subject, "adapter " + shownDigest(adapter) + " is added");
+        // Loading an adapter takes no replica out of service.
+        if (old.manifest == pool.manifest)
+            return;
+        consequences.note(subject, "version " + shownDigest(old.manifest) + " -> " + shownDigest(pool.manifest));
         consequences.note(subject, "capacity while replicas switch: at least " + std::to_string(capacityDuringSwitch(pool)) + " requests at a time");
         if (pool.replicas && !capacityDuringSwitch(pool))
             consequences.warn(subject, "all replicas may switch at once", "lower maxUnavailable below " + std::to_string(pool.replicas));
@@ -84,6 +77,11 @@
 
 } // namespace
 
+std::string shownDigest(const std::string& digest)
+{
+    return digest.substr(0, shownDigestDigits);
+}
+
 void diffPools(const Document& before, const Document& after, ConsequenceList& consequences)
 {
     for (auto& old : before.pools) {
--- a/Source/DesiredState/Queries/DiffSections.h
+++ b/Source/DesiredState/Queries/DiffSections.h
@@ -48,6 +48,9 @@
 // Names of the data centres that are in and may hold replicas of the pool.
 std::vector<std::string> usableDataCentres(const Document&, const Pool&);
 
+// The first digits of a digest, enough to tell versions apart by eye.
+std::string shownDigest(const std::string& digest);
+
 // The texts separated by commas, or "none".
 std::string joinNames(const std::vector<std::string>&);
 
--- a/Source/DesiredState/Queries/DiffServices.cpp
+++ b/Source/DesiredState/Queries/DiffServices.cpp
@@ -42,7 +42,8 @@
 
     std::string describeTarget(const Route& route)
     {
-        return (route.kind == RouteKind::ToPool ? "pool " : "service ") + route.destination;
+        auto target = (route.kind == RouteKind::ToPool ? "pool " : "service ") + route.destination;
+        return route.adapter.empty() ? target : target + " with adapter " + shownDigest(route.adapter);
     }
 
     std::string describeRepeatable(const Route& route)
--- a/Source/DesiredState/Queries/ParseDocument.cpp
+++ b/Source/DesiredState/Queries/ParseDocument.cpp
@@ -106,6 +106,11 @@
         route.kind = reader.has("pool") ? RouteKind::ToPool : RouteKind::ToService;
         route.destination = reader.has("pool") ? pool : service;
         bool isToPool = route.kind == RouteKind::ToPool;
+        route.adapter = reader.optionalText("adapter");
+        if (!isToPool && reader.has("adapter")) {
+            file.addProblem(Json::ProblemKind::Contradiction, reader.pointerTo("adapter"),
+                "a route that leads to a service names an adapter", "remove \"adapter\" or lead the route to a pool");
+        }
         route.repeatable = reader.optionalFlag("repeatable", isToPool);
         if (isToPool && !route.repeatable) {
             file.addProblem(Json::ProblemKind::Contradiction, reader.pointerTo("repeatable"),
--- a/Tests/CommandLine/CheckAndDiffTest.cpp
+++ b/Tests/CommandLine/CheckAndDiffTest.cpp
@@ -166,6 +166,15 @@
     cr_assert(outcome.prints("route /signs/status: class interactive -> summary"));
     cr_assert_not(outcome.prints("refused"));
 
+    auto adapted = document();
+    adapted["revision"] = 6;
+    adapted["pools"][0]["adapters"] = { std::string(64, 'c') };
+    adapted["routes"][0]["adapter"] = std::string(64, 'c');
+    auto adapterOutcome = diff(document(), adapted);
+    cr_assert(adapterOutcome.prints("pool hazard: adapter cccccccccccc is added"));
+    cr_assert(adapterOutcome.prints("route /hazard: calls go to pool hazard with adapter cccccccccccc instead of pool hazard"));
+    cr_assert_not(adapterOutcome.prints("while replicas switch"));
+
     auto narrowed = document();
     narrowed["revision"] = 6;
     narrowed["pools"][0]["dataCentres"] = { "kut-1" };
--- a/Tests/DesiredState/ParseDocumentTest.cpp
+++ b/Tests/DesiredState/ParseDocumentTest.cpp
@@ -26,7 +26,8 @@
                     "priority": 7, "dataCentres": ["mak-1"], "maxUnavailable": 2, "coldLimit": 3, "fullLimit": 17,
                     "warmWindowMs": 1500, "checksFence": true }],
         "services": [{ "name": "ledger", "vms": ["mak-ledger-1"], "limit": 5, "paused": true, "resendWindowMs": 700000 }],
-        "routes": [{ "path": "/v1/assistant", "pool": "assistant", "class": "hazard" },
+        "routes": [{ "path": "/v1/assistant", "pool": "assistant", "adapter": ")"
+        + digestB + R"(", "class": "hazard" },
                    { "path": "/ledger", "service": "ledger", "repeatable": true, "class": "summary" },
                    { "path": "/ledger/bookings", "service": "ledger" }],
         "organisations": [{ "name": "school-1", "share": 10 }],
@@ -74,7 +75,8 @@
     auto& service = document.services.at(0);
     cr_assert(service.vms.at(0) == "mak-ledger-1" && service.limit == 5 && service.paused && service.resendWindow == 700s);
     cr_assert(document.findRoute("/v1/assistant")->priorityClass == PriorityClass::Hazard);
-    cr_assert(document.findRoute("/v1/assistant")->repeatable);
+    cr_assert(document.findRoute("/v1/assistant")->repeatable && document.findRoute("/v1/assistant")->adapter == digestB);
+    cr_assert(document.findRoute("/ledger")->adapter.empty());
     cr_assert(document.findRoute("/ledger/x")->repeatable);
     cr_assert_not(document.findRoute("/ledger/bookings")->repeatable);
     cr_assert(document.organisations.at(0).share == 10 && document.isDrained("mak-t3"));
@@ -122,6 +124,9 @@
     expectOnly("/organisations/0/name", nullptr, ProblemKind::WrongType, "/organisations/0/name");
     expectOnly("/services/1", nlohmann::ordered_json::parse(R"({"name":"sign","vms":["mak-ledger-1"]})"), ProblemKind::DuplicateName, "/services/1/vms/0");
     expectOnly("/routes/0/repeatable", false, ProblemKind::Contradiction, "/routes/0/repeatable");
+    expectOnly("/routes/0/adapter", digestA, ProblemKind::DanglingReference, "/routes/0/adapter");
+    expectOnly("/routes/0/adapter", "b", ProblemKind::Malformed, "/routes/0/adapter");
+    expectOnly("/routes/1/adapter", digestB, ProblemKind::Contradiction, "/routes/1/adapter");
     expectOnly("/routes/1/path", "/ledger/bookings", ProblemKind::DuplicateName, "/routes/2/path");
     expectOnly("/organisations/0/share", 0, ProblemKind::OutOfRange, "/organisations/0/share");
     expectOnly("/regions/1", nlohmann::ordered_json::parse(R"({"name":"a b"})"), ProblemKind::Malformed, "/regions/1/name");
--- a/Tests/Schemas/SchemaTest.cpp
+++ b/Tests/Schemas/SchemaTest.cpp
@@ -50,9 +50,11 @@
     auto sample = json::parse(readFile(sourceFolder + "/Examples/kalamos/desired-state.json"));
     sample["pools"][0]["dataCentres"] = { "mak-1" };
     sample["pools"][0]["adapters"] = { std::string(64, 'a') };
+    sample["routes"][0]["adapter"] = std::string(64, 'a');
+    sample["routes"][1].erase("adapter");
     sample["drains"] = { "mak-t3" };
     Tests::SchemaWalker walker(json::parse(readFile(sourceFolder + "/docs/desired-state.schema.json")), sample, documentProblems);
-    expectAgreement(walker, 35);
+    expectAgreement(walker, 36);
 }
 
 // As above, for settings.
