Support adapters in the stand-in engine

Cause: no test can load an adapter or see which one answered. Ruled out: tokens that name the adapter alone (a mixed answer of one adapter on two base models would look whole). Change: ModelEngine takes the orders loadAdapter and unloadAdapter with the same staging and verification as a base model, lists adapters in its status, and answers a request with X-Adapter from the adapter, whose digest is part of each token's prefix. A load of a base model and a crash drop all adapters. AnswerChecker knows the prefix; LoadDriver reads X-Adapter-Digest. The new test uses orders that the engine before this change answered with 400 unknown_order.

--- a/Tests/Standin/ModelEngineTest.cpp
+++ b/Tests/Standin/ModelEngineTest.cpp
@@ -41,15 +41,15 @@
             cr_assert_eq(send("PUT", "/engine/weights/" + model.digest() + "/" + std::to_string(i), model.chunk(i), fence), 204);
     }
 
-    unsigned load(const std::string& digest, uint64_t fence)
+    unsigned load(const std::string& digest, uint64_t fence, const std::string& order = "load")
     {
-        return send("POST", "/engine/orders", R"({"order":"load","fence":)" + std::to_string(fence) + R"(,"digest":")" + digest + "\"}");
+        return send("POST", "/engine/orders", R"({"order":")" + order + R"(","fence":)" + std::to_string(fence) + R"(,"digest":")" + digest + "\"}");
     }
 
-    Base::Result<Http::HttpResponse, Http::HttpError> generate(const std::string& prompt, unsigned maxTokens)
+    Base::Result<Http::HttpResponse, Http::HttpError> generate(const std::string& prompt, unsigned maxTokens, const std::string& adapter = {})
     {
         auto body = R"({"prompt":")" + prompt + R"(","maxTokens":)" + std::to_string(maxTokens) + "}";
-        return client.fetch({ "127.0.0.1", engine.port() }, { "POST", "/engine/generate", {}, body }, hangLimit);
+        return client.fetch({ "127.0.0.1", engine.port() }, { "POST", "/engine/generate", { { "X-Adapter", adapter } }, body }, hangLimit);
     }
 
     void waitFor(Standin::EngineMode mode)
@@ -174,6 +174,38 @@
     cr_assert(second.digest().starts_with(Standin::parseToken(lines[199])->digestPrefix));
 }
 
+// Guards against an adapter that is listed without its bytes, that outlives its base model, or whose answers
+// cannot be told from those of the base model.
+Test(ModelEngine, answersFromTheAdapterNamed)
+{
+    EngineFixture fixture;
+    auto base = makeModel("1");
+    auto adapter = makeModel("adapter");
+    fixture.deliver(adapter, 1);
+    cr_assert_eq(fixture.load(adapter.digest(), 1, "loadAdapter"), 503);
+    fixture.deliver(base, 2);
+    fixture.load(base.digest(), 2);
+    fixture.waitFor(Standin::EngineMode::Ready);
+    cr_assert_eq(fixture.load(adapter.digest(), 3, "loadAdapter"), 422);
+    fixture.deliver(adapter, 3);
+    cr_assert_eq(fixture.load(adapter.digest(), 2, "loadAdapter"), 409);
+    cr_assert_eq(Base::valueOf(fixture.generate("x", 1, adapter.digest())).status, 503);
+    cr_assert_eq(fixture.load(adapter.digest(), 3, "loadAdapter"), 202);
+    cr_assert(fixture.engine.status().adapters == std::set<std::string> { adapter.digest() });
+    auto answer = Base::valueOf(fixture.generate("x", 1, adapter.digest()));
+    cr_assert(Http::headerValue(answer.headers, "X-Adapter-Digest") == adapter.digest());
+    cr_assert(answer.body.starts_with(base.digest().substr(0, 12) + "+" + adapter.digest().substr(0, 12) + " x 0\n"));
+    cr_assert(Base::valueOf(fixture.generate("x", 1)).body.starts_with(base.digest().substr(0, 12) + " x 0\n"));
+    cr_assert_eq(fixture.load(adapter.digest(), 4, "unloadAdapter"), 202);
+    cr_assert_eq(Base::valueOf(fixture.generate("x", 1, adapter.digest())).status, 503);
+    fixture.deliver(adapter, 5);
+    fixture.load(adapter.digest(), 5, "loadAdapter");
+    auto other = makeModel("2");
+    fixture.deliver(other, 6);
+    fixture.load(other.digest(), 6);
+    cr_assert(fixture.engine.status().adapters.empty());
+}
+
 // Guards against a prompt that should crash the engine and does not, and against a lost memory limit.
 Test(ModelEngine, crashesOnTheMarkerAndBeyondItsMemory)
 {
--- a/Utilities/Standin/AnswerChecker.cpp
+++ b/Utilities/Standin/AnswerChecker.cpp
@@ -13,7 +13,12 @@
 void AnswerChecker::setDigest(std::string digest)
 {
     m_digest = std::move(digest);
-    m_prefix = m_digest.substr(0, tokenDigestLength);
+    m_prefix = tokenPrefix(m_digest, {});
+}
+
+void AnswerChecker::setAdapter(const std::string& adapter)
+{
+    m_prefix = tokenPrefix(m_digest, adapter);
 }
 
 void AnswerChecker::add(std::string_view bytes)
--- a/Utilities/Standin/AnswerChecker.h
+++ b/Utilities/Standin/AnswerChecker.h
@@ -11,7 +11,7 @@
     Whole,
     // A token or the last line is missing, or a line is malformed or out of order.
     Incomplete,
-    // Tokens carry different digests, or one that differs from the head of the response.
+    // Tokens carry different digests of weights or adapter, or one that differs from the head of the response.
     MixedWeights,
     // A token carries the identifier of another request.
     Foreign,
@@ -24,6 +24,10 @@
 
     // The value of X-Weights-Digest.
     void setDigest(std::string);
+
+    // The value of X-Adapter-Digest; empty if the base model answered.
+    void setAdapter(const std::string&);
+
     const std::string& digest() const { return m_digest; }
 
     void add(std::string_view bytes);
--- a/Utilities/Standin/Commands/EngineCommands.cpp
+++ b/Utilities/Standin/Commands/EngineCommands.cpp
@@ -34,6 +34,19 @@
         return { EngineErrorKind::BadWeights, error.message, error.remedy };
     }
 
+    // Takes over the parts received if their digest is the one expected.
+    EngineResult takeStaged(EngineModel& model, const std::string& digest)
+    {
+        auto staged = model.staged.digest();
+        if (!Base::succeeded(staged))
+            return badWeights(Base::errorOf(staged));
+        if (Base::valueOf(staged) != digest)
+            return EngineError { EngineErrorKind::BadWeights, "the weights received have the digest " + Base::valueOf(staged) + ", not " + digest, "deliver the chunks of that manifest" };
+        model.staged = ModelVerifier();
+        model.stagedManifest.clear();
+        return Base::Done {};
+    }
+
     // Starts anew or checks that the chunk is the next one of the same model.
     EngineResult prepareStaging(EngineModel& model, const std::string& manifestDigest, uint64_t index)
     {
@@ -97,19 +110,46 @@
         return fenceChecked;
     if (digest == model.digest && model.mode != EngineMode::Empty)
         return Base::Done {};
-    auto staged = model.staged.digest();
-    if (!Base::succeeded(staged))
-        return badWeights(Base::errorOf(staged));
-    if (Base::valueOf(staged) != digest)
-        return EngineError { EngineErrorKind::BadWeights, "the weights received have the digest " + Base::valueOf(staged) + ", not " + digest, "deliver the chunks of that manifest" };
+    auto taken = takeStaged(model, digest);
+    if (!Base::succeeded(taken))
+        return taken;
     model.digest = digest;
-    model.staged = ModelVerifier();
-    model.stagedManifest.clear();
+    model.adapters.clear();
     ++model.counters.loads;
     changeMode(model, EngineMode::Loading);
     return Base::Done {};
 }
 
+EngineResult acceptAdapterOrder(EngineState& state, uint64_t fence, const std::string& digest)
+{
+    auto& model = state.model;
+    std::lock_guard guard(model.lock);
+    auto fenceChecked = checkFence(model, fence);
+    if (!Base::succeeded(fenceChecked))
+        return fenceChecked;
+    if (!hasModel(model))
+        return EngineError { EngineErrorKind::NotReady, "the engine has no weights loaded", "load a base model first" };
+    if (model.adapters.contains(digest))
+        return Base::Done {};
+    auto taken = takeStaged(model, digest);
+    if (!Base::succeeded(taken))
+        return taken;
+    model.adapters.insert(digest);
+    ++model.counters.adapterLoads;
+    return Base::Done {};
+}
+
+EngineResult acceptAdapterRemoval(EngineState& state, uint64_t fence, const std::string& digest)
+{
+    auto& model = state.model;
+    std::lock_guard guard(model.lock);
+    auto fenceChecked = checkFence(model, fence);
+    if (!Base::succeeded(fenceChecked))
+        return fenceChecked;
+    model.counters.adapterUnloads += model.adapters.erase(digest);
+    return Base::Done {};
+}
+
 void finishLoading(EngineState& state, uint64_t modeChange)
 {
     auto& model = state.model;
@@ -150,6 +190,7 @@
         std::lock_guard guard(model.lock);
         model.incarnation = std::move(incarnation);
         model.digest.clear();
+        model.adapters.clear();
         model.staged = ModelVerifier();
         model.stagedManifest.clear();
         model.highestFence = 0;
@@ -165,6 +206,9 @@
         std::lock_guard guard(state.model.lock);
         if (!hasModel(state.model))
             return EngineError { EngineErrorKind::NotReady, "the engine has no weights loaded", "send the request to a ready engine" };
+        auto& adapter = generation->request.adapter;
+        if (!adapter.empty() && !state.model.adapters.contains(adapter))
+            return EngineError { EngineErrorKind::NotReady, "the engine has not loaded the adapter " + adapter, "send the request to an engine that lists the adapter" };
     }
     generation->number = state.nextNumber++;
     generation->nextToken = generation->request.firstToken;
--- a/Utilities/Standin/EngineJson.cpp
+++ b/Utilities/Standin/EngineJson.cpp
@@ -41,7 +41,7 @@
 
 nlohmann::json toJson(const EngineStatus& status)
 {
-    return { { "incarnation", status.incarnation }, { "state", modeName(status.mode) }, { "digest", status.digest }, { "running", status.running },
+    return { { "incarnation", status.incarnation }, { "state", modeName(status.mode) }, { "digest", status.digest }, { "adapters", status.adapters }, { "running", status.running },
         { "queued", status.queued }, { "memoryBytes", status.memoryBytes }, { "memoryLimitBytes", status.memoryLimitBytes },
         { "highestFence", status.highestFence }, { "checksFence", status.checksFence } };
 }
@@ -49,6 +49,7 @@
 nlohmann::json toJson(const EngineCounters& counters)
 {
     return { { "started", counters.started }, { "completed", counters.completed }, { "crashes", counters.crashes }, { "loads", counters.loads },
+        { "adapterLoads", counters.adapterLoads }, { "adapterUnloads", counters.adapterUnloads },
         { "staleFences", counters.staleFences }, { "peakHeld", counters.peakHeld }, { "peakHeldCold", counters.peakHeldCold } };
 }
 
--- a/Utilities/Standin/EngineState.h
+++ b/Utilities/Standin/EngineState.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 
 namespace Lavenderloft::Standin {
@@ -71,6 +72,8 @@
     unsigned firstToken = 0;
     // Higher numbers run first.
     int priority = 0;
+    // Digest of the adapter that is to answer; empty for the base model.
+    std::string adapter;
     bool crashesEngine = false;
 };
 
@@ -87,6 +90,8 @@
     uint64_t completed = 0;
     uint64_t crashes = 0;
     uint64_t loads = 0;
+    uint64_t adapterLoads = 0;
+    uint64_t adapterUnloads = 0;
     uint64_t staleFences = 0;
     // The most requests held at once, and the most while cold.
     uint64_t peakHeld = 0;
@@ -101,6 +106,8 @@
     EngineMode mode = EngineMode::Empty;
     // Digest of the weights loaded or being loaded.
     std::string digest;
+    // Digests of the adapters loaded beside the weights.
+    std::set<std::string> adapters;
     ModelVerifier staged;
     std::string stagedManifest;
     uint64_t highestFence = 0;
@@ -120,6 +127,7 @@
     std::string incarnation;
     EngineMode mode = EngineMode::Empty;
     std::string digest;
+    std::set<std::string> adapters;
     uint64_t running = 0;
     uint64_t queued = 0;
     uint64_t memoryBytes = 0;
--- a/Utilities/Standin/LoadDriver.cpp
+++ b/Utilities/Standin/LoadDriver.cpp
@@ -145,6 +145,7 @@
     {
         m_status = status;
         m_checker.setDigest(std::string(Http::headerValue(headers, "X-Weights-Digest")));
+        m_checker.setAdapter(std::string(Http::headerValue(headers, "X-Adapter-Digest")));
     }
 
     void data(std::string bytes, std::function<void()> resume) override
--- a/Utilities/Standin/ModelEngine.cpp
+++ b/Utilities/Standin/ModelEngine.cpp
@@ -34,6 +34,18 @@
         }
     }
 
+    using OrderCommand = Commands::EngineResult (*)(EngineState&, uint64_t, const std::string&);
+
+    // Null if the order is not known.
+    OrderCommand findOrder(const std::string& name)
+    {
+        if (name == "load")
+            return Commands::acceptLoadOrder;
+        if (name == "loadAdapter")
+            return Commands::acceptAdapterOrder;
+        return name == "unloadAdapter" ? Commands::acceptAdapterRemoval : nullptr;
+    }
+
 } // namespace
 
 class ModelEngine::Front final : public Http::HttpHandler, public std::enable_shared_from_this<Front> {
@@ -130,7 +142,7 @@
         if (name == "orders" && request.method == "POST")
             return takeOrder(nlohmann::json::parse(request.body), stream);
         if (name == "generate" && request.method == "POST")
-            return generate(nlohmann::json::parse(request.body), stream);
+            return generate(request, stream);
         respondNotFound(stream, request);
     }
 
@@ -163,10 +175,11 @@
 
     void takeOrder(const nlohmann::json& order, const std::shared_ptr<Http::ResponseStream>& stream)
     {
-        if (order.at("order") != "load")
-            return respondError(stream, 400, "unknown_order", "the order is not known", R"(send {"fence","order":"load","digest"})");
+        auto command = findOrder(order.at("order"));
+        if (!command)
+            return respondError(stream, 400, "unknown_order", "the order is not known", R"(send {"fence","order":"load"|"loadAdapter"|"unloadAdapter","digest"})");
         auto before = Queries::engineStatus(m_state).modeChange;
-        auto accepted = Commands::acceptLoadOrder(m_state, order.at("fence"), order.at("digest"));
+        auto accepted = command(m_state, order.at("fence"), order.at("digest"));
         if (!Base::succeeded(accepted))
             return respondEngineError(stream, Base::errorOf(accepted));
         if (Queries::engineStatus(m_state).modeChange != before)
@@ -174,10 +187,11 @@
         respondJson(stream, 202, toJson(Queries::engineStatus(m_state)));
     }
 
-    void generate(const nlohmann::json& body, const std::shared_ptr<Http::ResponseStream>& stream)
+    void generate(const Http::HttpRequest& request, const std::shared_ptr<Http::ResponseStream>& stream)
     {
         auto generation = std::make_shared<Generation>();
-        generation->request = readGenerationRequest(body, Queries::engineBehaviour(m_state).crashMarker);
+        generation->request = readGenerationRequest(nlohmann::json::parse(request.body), Queries::engineBehaviour(m_state).crashMarker);
+        generation->request.adapter = Http::headerValue(request.headers, "X-Adapter");
         auto sink = std::make_shared<HttpTokenSink>(stream);
         generation->sink = sink;
         auto digest = Queries::engineStatus(m_state).digest;
@@ -186,7 +200,10 @@
             return crash();
         if (!Base::succeeded(admitted))
             return respondEngineError(stream, Base::errorOf(admitted));
-        sink->start({ { "Content-Type", "text/plain" }, { "X-Weights-Digest", digest } });
+        Http::HttpHeaders headers { { "Content-Type", "text/plain" }, { "X-Weights-Digest", digest } };
+        if (!generation->request.adapter.empty())
+            headers.push_back({ "X-Adapter-Digest", generation->request.adapter });
+        sink->start(std::move(headers));
         stream->onDisconnect([weak = weak_from_this(), number = generation->number] {
             if (auto self = weak.lock())
                 self->forget(number);
--- a/Utilities/Standin/ModelEngine.h
+++ b/Utilities/Standin/ModelEngine.h
@@ -12,7 +12,7 @@
     EngineBehaviour behaviour;
 };
 
-// Stand-in for a model engine: weights, orders to load, continuous batching, cold starts and crashes.
+// Stand-in for a model engine: weights, orders to load models and adapters, continuous batching, cold starts and crashes.
 //
 // How it knows the digest of its weights: it hashes each chunk as it arrives and keeps no bytes. A
 // manifest may come first, as PUT /engine/weights/{digest}/manifest; its SHA-256 must be the digest, and
@@ -24,6 +24,8 @@
 // Each token is a line "PREFIX IDENTIFIER NUMBER": the first digits of the digest of the weights loaded
 // when the token is generated, the first word of the prompt, and the number of the token. A request that
 // is running while other weights are loaded goes on with these, so that mixed answers can be seen.
+// With the header X-Adapter, PREFIX also has the first digits of the adapter, while it is loaded. Adapters
+// are delivered as weights are, and verified in the same way.
 class ModelEngine {
 public:
     // Throws std::runtime_error if the address cannot be bound.
--- a/Utilities/Standin/Queries/EngineQueries.cpp
+++ b/Utilities/Standin/Queries/EngineQueries.cpp
@@ -28,6 +28,7 @@
     status.incarnation = model.incarnation;
     status.mode = model.mode;
     status.digest = model.digest;
+    status.adapters = model.adapters;
     status.running = std::min<uint64_t>(held, model.behaviour.maximumBatch);
     status.queued = held - status.running;
     status.memoryLimitBytes = model.behaviour.memoryLimitBytes;
@@ -68,7 +69,9 @@
     std::lock_guard guard(state.model.lock);
     if (state.model.mode != EngineMode::Cold && state.model.mode != EngineMode::Ready)
         return std::nullopt;
-    return formatToken({ state.model.digest.substr(0, tokenDigestLength), generation.request.identifier, generation.nextToken });
+    auto& adapter = generation.request.adapter;
+    auto prefix = tokenPrefix(state.model.digest, state.model.adapters.contains(adapter) ? adapter : std::string());
+    return formatToken({ prefix, generation.request.identifier, generation.nextToken });
 }
 
 } // namespace Lavenderloft::Standin::Queries
--- a/Utilities/Standin/Queries/EngineQueries.h
+++ b/Utilities/Standin/Queries/EngineQueries.h
@@ -21,7 +21,7 @@
 std::chrono::nanoseconds stepDuration(const EngineState&, size_t batch);
 
 // The text of the token that the request gets next; empty while the engine cannot generate.
-// It consists of the first digits of the digest of the weights loaded now, the identifier and the number.
+// It consists of the prefix of the weights and the adapter loaded now, the identifier and the number.
 std::optional<std::string> nextTokenText(const EngineState&, const Generation&);
 
 } // namespace Lavenderloft::Standin::Queries
--- a/Utilities/Standin/TokenText.cpp
+++ b/Utilities/Standin/TokenText.cpp
@@ -13,6 +13,12 @@
 
 } // namespace
 
+std::string tokenPrefix(const std::string& digest, const std::string& adapter)
+{
+    auto prefix = digest.substr(0, tokenDigestLength);
+    return adapter.empty() ? prefix : prefix + '+' + adapter.substr(0, tokenDigestLength);
+}
+
 std::string formatToken(const TokenText& token)
 {
     return token.digestPrefix + ' ' + token.identifier + ' ' + std::to_string(token.number) + '\n';
--- a/Utilities/Standin/TokenText.h
+++ b/Utilities/Standin/TokenText.h
@@ -20,6 +20,10 @@
     unsigned number = 0;
 };
 
+// What tokens of an answer start with: the first digits of the digest of the weights and, after a plus
+// sign, those of the adapter, if there is one.
+std::string tokenPrefix(const std::string& digest, const std::string& adapter);
+
 // The line with its newline.
 std::string formatToken(const TokenText&);
 
