Keep members of other data centres by the shared part of their record

Cause: one flat table spread full member records to the whole fleet.

Ruled out: a third shared state for replicas that wait to switch. It would make three shared changes for each replica and rollout instead of two. Moving TargetLoad::accepting into the shared part was ruled out for the same reason; a distant target that accepts nothing refuses.

Change: a member has a shared version, which UpdateSelf raises only when the shared part changes. Members of other data centres are merged, compared, hashed and forwarded by their shared part. Messages between data centres, and to addresses whose data centre is not known yet, carry shared parts and the hash over shared versions, with a page position and a count of transmissions of their own. An update is sent as often as the data centre, or the relays, need, not the fleet. The switching bound counts a member of another data centre that serves an old version as waiting, unless its phase is Failed, which is therefore shared as Loading is. TestFleet::waitForReplicas asks an agent of another data centre for its load, because the router no longer knows it; the condition is the same.

Conclusion: other data centres hear of 2 of 14 changes of a rollout.

--- a/Source/Membership/Commands/ChangeStatus.cpp
+++ b/Source/Membership/Commands/ChangeStatus.cpp
@@ -32,7 +32,7 @@
     m_table.entries().eraseIf([&](const std::string&, const MemberTable::Entry& entry) {
         if (entry.member.status != Status::Dead || now - entry.statusSince < tombstoneTime)
             return false;
-        m_table.recordChange(MemberTable::hashOf(entry.member), 0);
+        m_table.recordChange(MemberTable::hashesOf(entry.member), {});
         return true;
     });
 }
@@ -46,11 +46,12 @@
         if (found == entries.end() || found->second.member.status != from)
             return;
         auto& entry = found->second;
-        auto oldHash = MemberTable::hashOf(entry.member);
+        auto before = MemberTable::hashesOf(entry.member);
         entry.member.status = to;
         entry.statusSince = now;
         entry.timesSent = 0;
-        m_table.recordChange(oldHash, MemberTable::hashOf(entry.member));
+        entry.timesSentAcross = 0;
+        m_table.recordChange(before, MemberTable::hashesOf(entry.member));
         Observability::logEvent(to == Status::Suspect ? memberSuspected : to == Status::Dead ? memberDied
                                                                                              : memberLeaving,
             { { "vm", vm } });
--- a/Source/Membership/Commands/MergeMembers.cpp
+++ b/Source/Membership/Commands/MergeMembers.cpp
@@ -11,7 +11,25 @@
 
     auto precedence(const Member& member)
     {
-        return std::make_tuple(member.incarnation, member.version, static_cast<int>(member.status));
+        return std::make_tuple(member.incarnation, member.version, member.sharedVersion, static_cast<int>(member.status));
+    }
+
+    auto sharedPrecedence(const Member& member)
+    {
+        return std::make_tuple(member.incarnation, member.sharedVersion, static_cast<int>(member.status));
+    }
+
+    // Whether a report of this process is not older than its own record.
+    bool isCurrent(const Member& report, const Member& self)
+    {
+        return report.hasDetail ? report.version >= self.version : report.sharedVersion >= self.sharedVersion;
+    }
+
+    // The status belongs to the shared part, so that both versions grow.
+    void raiseVersions(Member& self, const Member& report)
+    {
+        self.version = std::max(self.version, report.version) + 1;
+        self.sharedVersion = std::max(self.sharedVersion, report.sharedVersion) + 1;
     }
 
     void logTransition(const Member& before, const Member& after, bool isNew)
@@ -44,17 +62,14 @@
 
 void MergeMembers::mergeOther(const Member& report, Base::TimePoint now)
 {
+    if (report.dataCentre != m_table.dataCentre())
+        return mergeShared(report.sharedPart(), now);
+    if (!report.hasDetail)
+        return mergeShared(report, now);
     m_table.entries().withShard(report.vm, [&](auto& entries) {
         auto found = entries.find(report.vm);
-        if (found == entries.end()) {
-            // A member that is unknown here and dead elsewhere need not be learnt.
-            if (report.status == Status::Dead)
-                return;
-            entries.emplace(report.vm, MemberTable::Entry { report, now });
-            m_table.recordChange(0, MemberTable::hashOf(report));
-            logTransition(report, report, true);
-            return;
-        }
+        if (found == entries.end())
+            return add(entries, report, now);
         auto& entry = found->second;
         if (precedence(report) < precedence(entry.member))
             return;
@@ -63,16 +78,55 @@
             entry.member.revision = std::max(entry.member.revision, report.revision);
             return;
         }
-        auto oldHash = MemberTable::hashOf(entry.member);
-        logTransition(entry.member, report, false);
-        if (entry.member.status != report.status || entry.member.incarnation != report.incarnation)
-            entry.statusSince = now;
-        entry.member = report;
-        entry.timesSent = 0;
-        m_table.recordChange(oldHash, MemberTable::hashOf(report));
+        replace(entry, report, now);
+    });
+}
+
+void MergeMembers::mergeShared(const Member& report, Base::TimePoint now)
+{
+    m_table.entries().withShard(report.vm, [&](auto& entries) {
+        auto found = entries.find(report.vm);
+        if (found == entries.end())
+            return add(entries, report, now);
+        auto& entry = found->second;
+        if (sharedPrecedence(report) <= sharedPrecedence(entry.member))
+            return;
+        bool hasDetail = entry.member.hasDetail && report.incarnation == entry.member.incarnation;
+        if (!hasDetail)
+            return replace(entry, report, now);
+        // The detail of a member of the own data centre stays; its next full record brings the shared part.
+        // A later status is taken over, so that the member hears of a suspicion and refutes it.
+        if (report.status <= entry.member.status)
+            return;
+        auto member = entry.member;
+        member.status = report.status;
+        replace(entry, member, now);
     });
 }
 
+void MergeMembers::add(MemberTable::Entries::Entries& entries, const Member& report, Base::TimePoint now)
+{
+    // A member that is unknown here and dead elsewhere need not be learnt.
+    if (report.status == Status::Dead)
+        return;
+    entries.emplace(report.vm, MemberTable::Entry { report, now });
+    m_table.recordChange({}, MemberTable::hashesOf(report));
+    logTransition(report, report, true);
+}
+
+void MergeMembers::replace(MemberTable::Entry& entry, const Member& report, Base::TimePoint now)
+{
+    auto before = MemberTable::hashesOf(entry.member);
+    logTransition(entry.member, report, false);
+    if (entry.member.status != report.status || entry.member.incarnation != report.incarnation)
+        entry.statusSince = now;
+    if (sharedPrecedence(entry.member) != sharedPrecedence(report))
+        entry.timesSentAcross = 0;
+    entry.member = report;
+    entry.timesSent = 0;
+    m_table.recordChange(before, MemberTable::hashesOf(report));
+}
+
 void MergeMembers::mergeSelf(const Member& report, Base::TimePoint now)
 {
     m_table.entries().withShard(report.vm, [&](auto& entries) {
@@ -81,27 +135,28 @@
             return;
         auto& entry = found->second;
         auto& self = entry.member;
-        auto oldHash = MemberTable::hashOf(self);
+        auto before = MemberTable::hashesOf(self);
         if (report.incarnation > self.incarnation && report.status != Status::Dead && self.status != Status::Leaving) {
             // Two live processes must not act under one name; the newer one keeps it.
             Observability::logEvent(superseded, { { "vm", self.vm }, { "incarnation", self.incarnation }, { "newer", report.incarnation } });
             self.status = Status::Leaving;
-            ++self.version;
+            raiseVersions(self, {});
             entry.statusSince = now;
         } else if (report.incarnation == self.incarnation && report.status == Status::Leaving && self.status == Status::Alive) {
             self.status = Status::Leaving;
-            self.version = std::max(self.version, report.version) + 1;
+            raiseVersions(self, report);
             entry.statusSince = now;
             Observability::logEvent(memberLeaving, { { "vm", self.vm } });
-        } else if (report.incarnation == self.incarnation && report.version >= self.version
+        } else if (report.incarnation == self.incarnation && isCurrent(report, self)
             && (report.status == Status::Suspect || report.status == Status::Dead)) {
-            self.version = report.version + 1;
+            raiseVersions(self, report);
             Observability::logEvent(suspicionRefuted, { { "vm", self.vm }, { "version", self.version } });
         } else {
             return;
         }
         entry.timesSent = 0;
-        m_table.recordChange(oldHash, MemberTable::hashOf(self));
+        entry.timesSentAcross = 0;
+        m_table.recordChange(before, MemberTable::hashesOf(self));
     });
 }
 
--- a/Source/Membership/Commands/MergeMembers.h
+++ b/Source/Membership/Commands/MergeMembers.h
@@ -9,7 +9,8 @@
 namespace Lavenderloft::Membership::Commands {
 
 // Merges reports of members into the view. Of two reports the one with the higher incarnation wins,
-// then the higher version, then the later status. A report that this process is suspect or dead is
+// then the higher version, then the later status. Of members of other data centres only the shared part is
+// taken, and the shared version counts. A report that this process is suspect or dead is
 // refuted by raising the own version.
 class MergeMembers {
 public:
@@ -22,6 +23,9 @@
 
 private:
     void mergeOther(const Member& report, Base::TimePoint now);
+    void mergeShared(const Member& report, Base::TimePoint now);
+    void add(MemberTable::Entries::Entries&, const Member& report, Base::TimePoint now);
+    void replace(MemberTable::Entry&, const Member& report, Base::TimePoint now);
     void mergeSelf(const Member& report, Base::TimePoint now);
 
     MemberTable& m_table;
--- a/Source/Membership/Commands/RecordTransmission.h
+++ b/Source/Membership/Commands/RecordTransmission.h
@@ -1,9 +1,8 @@
 #pragma once
 
+#include "Membership/GossipMessage.h"
 #include "Membership/MemberTable.h"
 
-#include <vector>
-
 namespace Lavenderloft::Membership::Commands {
 
 // Counts that the updates were sent once more, so that each is sent a bounded number of times.
@@ -14,13 +13,18 @@
     {
     }
 
-    void execute(const std::vector<Member>& sent)
+    void execute(const GossipMessage& sent)
     {
-        for (auto& member : sent) {
+        for (auto& member : sent.members) {
             m_table.entries().withShard(member.vm, [&](auto& entries) {
                 auto found = entries.find(member.vm);
-                if (found != entries.end() && found->second.member.version == member.version)
-                    ++found->second.timesSent;
+                if (found == entries.end() || found->second.member.sharedVersion != member.sharedVersion)
+                    return;
+                auto& entry = found->second;
+                if (sent.isShared)
+                    ++entry.timesSentAcross;
+                else if (entry.member.version == member.version)
+                    ++entry.timesSent;
             });
         }
     }
--- a/Source/Membership/Commands/UpdateSelf.cpp
+++ b/Source/Membership/Commands/UpdateSelf.cpp
@@ -18,13 +18,20 @@
             || before.phase != after.phase || before.reason != after.reason || progressStep(before) != progressStep(after);
     }
 
+    bool isSharedPartChanged(const Member& before, const Member& after)
+    {
+        return before.sharedPart() != after.sharedPart();
+    }
+
     bool isWorthAnnouncing(const Member& before, const Member& after)
     {
-        if (before.status != after.status || before.refusedDocument != after.refusedDocument)
+        if (isSharedPartChanged(before, after))
+            return true;
+        if (before.refusedDocument != after.refusedDocument)
             return true;
         if (before.load.accepting != after.load.accepting || before.load.limit != after.load.limit)
             return true;
-        if (before.replicas.size() != after.replicas.size() || before.address != after.address)
+        if (before.replicas.size() != after.replicas.size())
             return true;
         for (size_t i = 0; i < before.replicas.size(); ++i) {
             if (isWorthAnnouncing(before.replicas[i], after.replicas[i]))
@@ -38,7 +45,7 @@
 void UpdateSelf::introduce(const Member& self, Base::TimePoint now)
 {
     m_table.entries().set(self.vm, { self, now });
-    m_table.recordChange(0, MemberTable::hashOf(self));
+    m_table.recordChange({}, MemberTable::hashesOf(self));
 }
 
 void UpdateSelf::announce()
@@ -47,10 +54,10 @@
         auto found = entries.find(m_table.selfVm());
         if (found == entries.end())
             return;
-        auto oldHash = MemberTable::hashOf(found->second.member);
+        auto before = MemberTable::hashesOf(found->second.member);
         ++found->second.member.version;
         found->second.timesSent = 0;
-        m_table.recordChange(oldHash, MemberTable::hashOf(found->second.member));
+        m_table.recordChange(before, MemberTable::hashesOf(found->second.member));
     });
 }
 
@@ -67,9 +74,13 @@
             return;
         if (before.status != entry.member.status)
             entry.statusSince = now;
+        if (isSharedPartChanged(before, entry.member)) {
+            ++entry.member.sharedVersion;
+            entry.timesSentAcross = 0;
+        }
         ++entry.member.version;
         entry.timesSent = 0;
-        m_table.recordChange(MemberTable::hashOf(before), MemberTable::hashOf(entry.member));
+        m_table.recordChange(MemberTable::hashesOf(before), MemberTable::hashesOf(entry.member));
     });
 }
 
--- a/Source/Membership/Commands/UpdateSelf.h
+++ b/Source/Membership/Commands/UpdateSelf.h
@@ -8,7 +8,7 @@
 
 // Changes the record of this process in the view. The version grows, and the record is sent on, when
 // anything but the load, the revision and small progress of a transfer changed: those change too often to
-// be gossiped.
+// be gossiped. The shared version grows only when the shared part of the record changed.
 class UpdateSelf {
 public:
     explicit UpdateSelf(MemberTable& table)
--- a/Source/Membership/GossipMessage.h
+++ b/Source/Membership/GossipMessage.h
@@ -21,6 +21,11 @@
 // What two processes tell each other in one exchange, in either direction.
 struct GossipMessage {
     std::string fromVm;
+    // Data centre of the sender. Messages between data centres carry only the shared parts of members, and
+    // their hash of the view is the one over the shared parts.
+    std::string fromDataCentre;
+    // Whether the members and the hash of the view are reduced to the shared parts.
+    bool isShared = false;
     // Revision and digest of the document in force; zero and empty without one.
     uint64_t revision = 0;
     std::string documentDigest;
--- /dev/null
+++ b/Source/Membership/Member.cpp
@@ -0,0 +1,44 @@
+#include "Membership/Member.h"
+
+namespace Lavenderloft::Membership {
+
+namespace {
+
+    // Progress towards the next weights is a detail. A failure is shared, because replicas of other data
+    // centres must not wait for the turn of one that cannot switch.
+    ReplicaPhase sharedPhase(ReplicaPhase phase)
+    {
+        switch (phase) {
+        case ReplicaPhase::Loading:
+        case ReplicaPhase::Failed:
+            return phase;
+        default:
+            return ReplicaPhase::Idle;
+        }
+    }
+
+} // namespace
+
+Member Member::sharedPart() const
+{
+    Member shared;
+    shared.vm = vm;
+    shared.address = address;
+    shared.dataCentre = dataCentre;
+    shared.region = region;
+    shared.role = role;
+    shared.status = status;
+    shared.incarnation = incarnation;
+    shared.hasDetail = false;
+    shared.sharedVersion = sharedVersion;
+    shared.replicas.reserve(replicas.size());
+    for (auto& replica : replicas) {
+        auto& entry = shared.replicas.emplace_back();
+        entry.pool = replica.pool;
+        entry.servingDigest = replica.servingDigest;
+        entry.phase = sharedPhase(replica.phase);
+    }
+    return shared;
+}
+
+} // namespace Lavenderloft::Membership
--- a/Source/Membership/Member.h
+++ b/Source/Membership/Member.h
@@ -67,8 +67,12 @@
     Status status = Status::Alive;
     // Grows with each start of the process.
     uint64_t incarnation = 0;
-    // Grows with each change that the member itself makes.
+    // Whether the record has more than the shared part. Records of members of other data centres have not.
+    bool hasDetail = true;
+    // Grows with each change that the member itself makes; zero without detail.
     uint64_t version = 0;
+    // Grows only with changes of the shared part.
+    uint64_t sharedVersion = 0;
     // Revision of the desired state in force there.
     uint64_t revision = 0;
     TargetLoad load;
@@ -77,6 +81,11 @@
     std::string refusedDocument;
 
     bool operator==(const Member&) const = default;
+
+    // The part of the record that other data centres receive: identity, address, place, role, status and
+    // incarnation, and for each replica the pool, the digest that it serves, and whether it is out of
+    // service for loading or has failed. Every other field has its default.
+    Member sharedPart() const;
 };
 
 } // namespace Lavenderloft::Membership
--- a/Source/Membership/MemberTable.cpp
+++ b/Source/Membership/MemberTable.cpp
@@ -4,18 +4,20 @@
 
 namespace Lavenderloft::Membership {
 
-uint64_t MemberTable::hashOf(const Member& member)
+MemberTable::Hashes MemberTable::hashesOf(const Member& member)
 {
     auto identity = Base::stableHash(member.vm, member.incarnation);
-    return Base::stableHash(std::to_string(member.version) + ':' + std::to_string(static_cast<int>(member.status)), identity);
+    auto shared = Base::stableHash(std::to_string(member.sharedVersion) + ':' + std::to_string(static_cast<int>(member.status)), identity);
+    return { Base::stableHash(std::to_string(member.version), shared), shared };
 }
 
-void MemberTable::recordChange(uint64_t oldHash, uint64_t newHash)
+void MemberTable::recordChange(const Hashes& before, const Hashes& after)
 {
-    if (oldHash == newHash)
+    if (before.full == after.full)
         return;
-    // Exclusive or makes the hash independent of the order of changes.
-    m_viewHash.fetch_xor(oldHash ^ newHash);
+    // Exclusive or makes the hashes independent of the order of changes.
+    m_viewHash.fetch_xor(before.full ^ after.full);
+    m_sharedViewHash.fetch_xor(before.shared ^ after.shared);
     ++m_changes;
 }
 
--- a/Source/Membership/MemberTable.h
+++ b/Source/Membership/MemberTable.h
@@ -19,36 +19,52 @@
         Base::TimePoint statusSince {};
         // In how many messages this state of the member was sent on.
         unsigned timesSent = 0;
+        // The same for messages to other data centres, which carry the shared part only.
+        unsigned timesSentAcross = 0;
     };
 
     using Entries = Base::ShardedMap<std::string, Entry>;
 
-    explicit MemberTable(std::string selfVm)
+    // Members of other data centres than the given one are kept by their shared part only.
+    MemberTable(std::string selfVm, std::string dataCentre)
         : m_selfVm(std::move(selfVm))
+        , m_dataCentre(std::move(dataCentre))
     {
     }
 
     const std::string& selfVm() const { return m_selfVm; }
+    const std::string& dataCentre() const { return m_dataCentre; }
 
     Entries& entries() { return m_entries; }
     const Entries& entries() const { return m_entries; }
 
-    // Hash over identity, version and status of all members; equal views have equal hashes.
+    // Hash over identity, versions and status of all members; equal views of one data centre have equal hashes.
     uint64_t viewHash() const { return m_viewHash.load(); }
 
+    // Hash over identity, shared version and status of all members; equal in views of all data centres
+    // whose shared parts are equal.
+    uint64_t sharedViewHash() const { return m_sharedViewHash.load(); }
+
     // Number of changes of the view since the start.
     uint64_t changeCount() const { return m_changes.load(); }
 
-    // Contribution of one member to the hash of the view.
-    static uint64_t hashOf(const Member&);
+    // Contribution of one member to the hashes of the view; zero in both stands for an absent member.
+    struct Hashes {
+        uint64_t full = 0;
+        uint64_t shared = 0;
+    };
+
+    static Hashes hashesOf(const Member&);
 
-    // Accounts for a change of an entry; zero stands for an absent one.
-    void recordChange(uint64_t oldHash, uint64_t newHash);
+    // Accounts for a change of an entry.
+    void recordChange(const Hashes& before, const Hashes& after);
 
 private:
     const std::string m_selfVm;
+    const std::string m_dataCentre;
     Entries m_entries;
     std::atomic<uint64_t> m_viewHash { 0 };
+    std::atomic<uint64_t> m_sharedViewHash { 0 };
     std::atomic<uint64_t> m_changes { 0 };
 };
 
--- a/Source/Membership/Queries/ComposeGossip.cpp
+++ b/Source/Membership/Queries/ComposeGossip.cpp
@@ -1,7 +1,5 @@
 #include "Membership/Queries/ComposeGossip.h"
 
-#include "Membership/Queries/SelectUpdates.h"
-
 namespace Lavenderloft::Membership::Queries {
 
 namespace {
@@ -14,36 +12,40 @@
 
 } // namespace
 
-GossipMessage ComposeGossip::request(const DocumentState& document, uint64_t pageCursor) const
+GossipMessage ComposeGossip::request(const std::string& peerDataCentre, const DocumentState& document, uint64_t pageCursor) const
 {
-    auto message = compose(document);
+    auto message = compose(document, peerDataCentre == m_table.dataCentre() ? Extent::Full : Extent::Shared);
     message.pageCursor = pageCursor;
     return message;
 }
 
 GossipMessage ComposeGossip::response(const GossipMessage& request, const DocumentState& document) const
 {
-    auto message = compose(document);
-    if (request.viewHash == message.viewHash)
+    auto extent = request.fromDataCentre == m_table.dataCentre() ? Extent::Full : Extent::Shared;
+    auto message = compose(document, extent);
+    auto ownHash = request.isShared ? m_table.sharedViewHash() : m_table.viewHash();
+    if (request.viewHash == ownHash)
         return message;
     bool newcomer = static_cast<double>(request.memberCount) < newcomerShare * static_cast<double>(message.memberCount);
-    auto page = SelectUpdates(m_table).page(request.pageCursor, newcomer ? maximumPage : smallPage);
+    auto page = SelectUpdates(m_table).page(request.pageCursor, newcomer ? maximumPage : smallPage, extent);
     for (auto& member : page.members)
         message.members.push_back(std::move(member));
     message.pageCursor = page.nextCursor;
     return message;
 }
 
-GossipMessage ComposeGossip::compose(const DocumentState& document) const
+GossipMessage ComposeGossip::compose(const DocumentState& document, Extent extent) const
 {
     GossipMessage message;
     message.fromVm = m_table.selfVm();
     message.revision = document.revision;
     message.documentDigest = document.digest;
     message.confirmationAge = document.confirmationAge;
-    message.viewHash = m_table.viewHash();
+    message.fromDataCentre = m_table.dataCentre();
+    message.isShared = extent == Extent::Shared;
+    message.viewHash = message.isShared ? m_table.sharedViewHash() : m_table.viewHash();
     message.memberCount = m_table.entries().size();
-    message.members = SelectUpdates(m_table).recent();
+    message.members = SelectUpdates(m_table).recent(extent);
     return message;
 }
 
--- a/Source/Membership/Queries/ComposeGossip.h
+++ b/Source/Membership/Queries/ComposeGossip.h
@@ -2,6 +2,7 @@
 
 #include "Membership/GossipMessage.h"
 #include "Membership/MemberTable.h"
+#include "Membership/Queries/SelectUpdates.h"
 
 namespace Lavenderloft::Membership::Queries {
 
@@ -20,14 +21,15 @@
     {
     }
 
-    // Opens an exchange; the cursor is where the last page of members ended.
-    GossipMessage request(const DocumentState&, uint64_t pageCursor) const;
+    // Opens an exchange with a process of the data centre, which is empty if it is not known. The cursor is
+    // where the last page of members ended. Only processes of the own data centre receive full records.
+    GossipMessage request(const std::string& peerDataCentre, const DocumentState&, uint64_t pageCursor) const;
 
     // Answers one. If the views differ, the response carries a page of members beside the updates.
     GossipMessage response(const GossipMessage& request, const DocumentState&) const;
 
 private:
-    GossipMessage compose(const DocumentState&) const;
+    GossipMessage compose(const DocumentState&, Extent) const;
 
     const MemberTable& m_table;
 };
--- a/Source/Membership/Queries/SelectUpdates.cpp
+++ b/Source/Membership/Queries/SelectUpdates.cpp
@@ -2,47 +2,68 @@
 
 #include "Base/RendezvousHash.h"
 #include "Membership/Queries/LiveMembers.h"
+#include "Membership/Queries/SelectPeers.h"
 
 #include <algorithm>
 #include <bit>
+#include <set>
 
 namespace Lavenderloft::Membership::Queries {
 
 namespace {
 
-    // An update sent this often by each process that learns of it reaches nearly all; the pages of
-    // differing views reach the rest.
-    unsigned transmissionLimit(size_t members)
+    // An update sent this often by each process that learns of it reaches nearly all of the given number;
+    // the pages of differing views reach the rest.
+    unsigned transmissionLimit(size_t processes)
     {
-        return 2 + static_cast<unsigned>(std::bit_width(members));
+        return 2 + static_cast<unsigned>(std::bit_width(processes));
+    }
+
+    // Processes among which updates of the extent spread: those of the data centre, or the relays of all.
+    size_t countReceivers(const MemberTable& table, Extent extent)
+    {
+        size_t own = 0;
+        std::set<std::string> dataCentres;
+        table.entries().forEach([&](const std::string&, const MemberTable::Entry& entry) {
+            own += entry.member.dataCentre == table.dataCentre();
+            if (extent == Extent::Shared)
+                dataCentres.insert(entry.member.dataCentre);
+        });
+        return extent == Extent::Full ? own : dataCentres.size() * relaysPerDataCentre;
+    }
+
+    Member reduce(const Member& member, Extent extent)
+    {
+        return extent == Extent::Full ? member : member.sharedPart();
     }
 
 } // namespace
 
-std::vector<Member> SelectUpdates::recent() const
+std::vector<Member> SelectUpdates::recent(Extent extent) const
 {
-    auto limit = transmissionLimit(m_table.entries().size());
+    auto limit = transmissionLimit(countReceivers(m_table, extent));
     std::vector<std::pair<unsigned, Member>> candidates;
     m_table.entries().forEach([&](const std::string& vm, const MemberTable::Entry& entry) {
-        if (vm != m_table.selfVm() && entry.timesSent < limit)
-            candidates.emplace_back(entry.timesSent, entry.member);
+        auto timesSent = extent == Extent::Full ? entry.timesSent : entry.timesSentAcross;
+        if (vm != m_table.selfVm() && timesSent < limit)
+            candidates.emplace_back(timesSent, reduce(entry.member, extent));
     });
     auto count = std::min(maximumUpdates, candidates.size());
     std::partial_sort(candidates.begin(), candidates.begin() + static_cast<long>(count), candidates.end(),
         [](auto& a, auto& b) { return a.first < b.first; });
-    std::vector<Member> updates { LiveMembers(m_table).self() };
+    std::vector<Member> updates { reduce(LiveMembers(m_table).self(), extent) };
     for (size_t i = 0; i < count; ++i)
         updates.push_back(std::move(candidates[i].second));
     return updates;
 }
 
-MemberPage SelectUpdates::page(uint64_t cursor, size_t count) const
+MemberPage SelectUpdates::page(uint64_t cursor, size_t count, Extent extent) const
 {
     std::vector<std::pair<uint64_t, Member>> candidates;
     m_table.entries().forEach([&](const std::string& vm, const MemberTable::Entry& entry) {
         auto position = Base::stableHash(vm);
         if (position > cursor)
-            candidates.emplace_back(position, entry.member);
+            candidates.emplace_back(position, reduce(entry.member, extent));
     });
     MemberPage page;
     auto taken = std::min(count, candidates.size());
--- a/Source/Membership/Queries/SelectUpdates.h
+++ b/Source/Membership/Queries/SelectUpdates.h
@@ -13,6 +13,14 @@
 // Members in one page sent to a process that knows far fewer.
 inline constexpr size_t maximumPage = 256;
 
+// How much of a record a message carries.
+enum class Extent {
+    // The shared part, for other data centres.
+    Shared,
+    // All that is known, for the own data centre.
+    Full,
+};
+
 // A part of the view in the order of member hashes.
 struct MemberPage {
     std::vector<Member> members;
@@ -28,12 +36,12 @@
     {
     }
 
-    // Changed members that have been sent fewer times than the spread through the fleet needs, the
-    // least sent first; this process's own record is always the first.
-    std::vector<Member> recent() const;
+    // Changed members that have been sent fewer times than the spread through the data centre, or among the
+    // relays of all data centres, needs, the least sent first; this process's own record is always the first.
+    std::vector<Member> recent(Extent) const;
 
     // Members after a position, for a peer whose view differs.
-    MemberPage page(uint64_t cursor, size_t count) const;
+    MemberPage page(uint64_t cursor, size_t count, Extent) const;
 
 private:
     const MemberTable& m_table;
--- a/Source/Membership/Queries/SummarizeFleet.cpp
+++ b/Source/Membership/Queries/SummarizeFleet.cpp
@@ -64,7 +64,7 @@
             summary.refusals.push_back(member.vm + ": " + member.refusedDocument);
         if (member.status == Status::Suspect)
             summary.partial.push_back(member.vm + " does not answer");
-        if (member.revision < status.revision)
+        if (member.hasDetail && member.revision < status.revision)
             summary.partial.push_back(member.vm + " has revision " + std::to_string(member.revision) + " in force");
     }
     if (status.confirmationAge > staleConfirmation)
--- a/Source/Placement/Queries/SwitchAllowed.cpp
+++ b/Source/Placement/Queries/SwitchAllowed.cpp
@@ -25,10 +25,16 @@
         return replica && !replica->servingDigest.empty() && replica->phase != ReplicaPhase::Loading;
     }
 
-    bool waitsToSwitch(const Member& member, const std::string& pool)
+    // Whether the member may be about to switch. Of a member of another data centre only the shared part is
+    // known: one that serves an old version counts as waiting, unless it has failed.
+    bool waitsToSwitch(const Member& member, const Pool& pool)
     {
-        auto* replica = findReplica(member, pool);
-        return replica && replica->phase == ReplicaPhase::Waiting && !replica->servingDigest.empty();
+        auto* replica = findReplica(member, pool.name);
+        if (!replica || replica->servingDigest.empty())
+            return false;
+        if (member.hasDetail)
+            return replica->phase == ReplicaPhase::Waiting;
+        return replica->servingDigest != pool.manifest && replica->phase == ReplicaPhase::Idle;
     }
 
     // Replicas of the pool, without the candidate, that do not serve now.
@@ -49,7 +55,7 @@
     {
         std::vector<std::string> waiting { candidate };
         for (auto& member : members) {
-            if (member.vm != candidate && waitsToSwitch(member, pool.name))
+            if (member.vm != candidate && waitsToSwitch(member, pool))
                 waiting.push_back(member.vm);
         }
         auto ranking = Base::rankMembers(pool.manifest, std::move(waiting));
--- a/Source/Process/ControlNode.cpp
+++ b/Source/Process/ControlNode.cpp
@@ -76,7 +76,7 @@
 ControlNode::ControlNode(const Settings::ProcessSettings& settings, Membership::Role role, ControlNodeParts parts)
     : m_settings(settings)
     , m_parts(parts)
-    , m_table(settings.vm)
+    , m_table(settings.vm, settings.dataCentre)
 {
     Membership::Member self;
     self.vm = settings.vm;
@@ -86,6 +86,7 @@
     self.role = role;
     self.incarnation = startIncarnation(parts.clock);
     self.version = 1;
+    self.sharedVersion = 1;
     UpdateSelf(m_table).introduce(self, parts.clock.now());
 }
 
@@ -213,7 +214,7 @@
         learnDocument(sender->address, request);
     auto response = ComposeGossip(m_table).response(request, documentState(m_revisions, confirmationAge()));
     response.crashEvidence = m_evidence.newest(m_parts.clock.now());
-    RecordTransmission(m_table).execute(response.members);
+    RecordTransmission(m_table).execute(response);
     return response;
 }
 
@@ -299,16 +300,16 @@
 
 void ControlNode::gossipWith(const Membership::Member& peer)
 {
-    contact(peer.address, peer.vm);
+    contact(peer.address, peer.vm, peer.dataCentre);
 }
 
-void ControlNode::contact(const std::string& address, const std::string& vm)
+void ControlNode::contact(const std::string& address, const std::string& vm, const std::string& dataCentre)
 {
     if (!beginCall())
         return;
-    auto message = ComposeGossip(m_table).request(documentState(m_revisions, confirmationAge()), m_pageCursor);
+    auto message = ComposeGossip(m_table).request(dataCentre, documentState(m_revisions, confirmationAge()), dataCentre == m_settings.dataCentre ? m_pageCursor : m_sharedPageCursor);
     message.crashEvidence = m_evidence.newest(m_parts.clock.now());
-    RecordTransmission(m_table).execute(message.members);
+    RecordTransmission(m_table).execute(message);
     m_parts.peers.exchange(address, message, exchangeTimeout, [this, address, vm](std::optional<Membership::GossipMessage> response) {
         if (response)
             noteResponse(address, *response);
@@ -322,7 +323,7 @@
 {
     m_heardPeer = true;
     RecordRead(m_schedule, m_parts.random).peerAnswered(m_parts.clock.now());
-    m_pageCursor = response.pageCursor;
+    (response.isShared ? m_sharedPageCursor : m_pageCursor) = response.pageCursor;
     receive(response);
     learnDocument(address, response);
     notifyIfChanged();
@@ -341,7 +342,7 @@
             return;
         contactAddress = m_unknownContacts[m_parts.random.below(m_unknownContacts.size())];
     }
-    contact(contactAddress.first, {});
+    contact(contactAddress.first, {}, {});
 }
 
 void ControlNode::receive(const Membership::GossipMessage& message)
--- a/Source/Process/ControlNode.h
+++ b/Source/Process/ControlNode.h
@@ -70,7 +70,7 @@
     void tick();
     void detectPause();
     void gossipWith(const Membership::Member&);
-    void contact(const std::string& address, const std::string& vm);
+    void contact(const std::string& address, const std::string& vm, const std::string& dataCentre);
     void noteResponse(const std::string& address, const Membership::GossipMessage&);
     void contactUnknown();
     void receive(const Membership::GossipMessage&);
@@ -101,6 +101,7 @@
     std::atomic<bool> m_heardPeer { false };
     std::atomic<bool> m_fetching { false };
     std::atomic<uint64_t> m_pageCursor { 0 };
+    std::atomic<uint64_t> m_sharedPageCursor { 0 };
     std::atomic<uint64_t> m_notifiedChange { 0 };
     uint64_t m_announcedRevision = 0;
     Base::TimePoint m_announcedAt {};
--- a/Source/Process/RouterProcess.cpp
+++ b/Source/Process/RouterProcess.cpp
@@ -5,6 +5,7 @@
 #include "Process/Events.h"
 #include "Process/RouterAdminHandler.h"
 #include "Routing/Commands/ExpireRequests.h"
+#include "Routing/Commands/ForgetDistantLoads.h"
 #include "Routing/Commands/RecordCrash.h"
 #include "Routing/Commands/UpdateTargets.h"
 #include "Routing/Queries/FindQuarantine.h"
@@ -129,6 +130,7 @@
     void keepHouse(Base::TimePoint now)
     {
         Routing::Commands::forgetOldCrashes(quarantine, now);
+        Routing::Commands::forgetDistantLoads(targets);
         returnFreedMemory();
         parts.metrics.set("requests_running", {}, static_cast<double>(running.size()));
         parts.metrics.set("stream_bytes_held", {}, static_cast<double>(byteBudget.heldBytes()));
--- a/Source/Routing/Commands/UpdateTargets.cpp
+++ b/Source/Routing/Commands/UpdateTargets.cpp
@@ -23,7 +23,8 @@
     {
         if (member.status == Membership::Status::Leaving || member.status == Membership::Status::Dead)
             return false;
-        return member.load.accepting && !document.isDataCentreOut(member.dataCentre) && !document.isDrained(member.vm);
+        // Of a target in another data centre only the shared part is known; if it accepts nothing, it refuses.
+        return (!member.hasDetail || member.load.accepting) && !document.isDataCentreOut(member.dataCentre) && !document.isDrained(member.vm);
     }
 
     // The replica by which a member serves a destination, or null. A pool's replica serves while it holds
@@ -46,7 +47,8 @@
                 entry = std::make_shared<Target>(member.vm, member.address, member.dataCentre, tierOf(member, self), member.incarnation);
             return entry;
         });
-        target->setLoad(member.load);
+        if (member.hasDetail)
+            target->setLoad(member.load);
         return target;
     }
 
--- a/Source/Routing/Target.cpp
+++ b/Source/Routing/Target.cpp
@@ -44,6 +44,12 @@
     m_limit = load.limit;
 }
 
+void Target::forgetReportedLoad()
+{
+    m_running = 0;
+    m_queued = 0;
+}
+
 void Target::avoidUntil(Base::TimePoint until)
 {
     m_avoidUntil = until;
--- a/Source/Routing/Target.h
+++ b/Source/Routing/Target.h
@@ -44,6 +44,9 @@
     void setServingDigest(std::string);
 
     void setLoad(const Membership::TargetLoad&);
+
+    // Drops the reported load but for the limit.
+    void forgetReportedLoad();
     void avoidUntil(Base::TimePoint);
     void attemptStarted() { ++m_underWay; }
     void attemptEnded() { --m_underWay; }
--- a/Source/Transport/ControlCodec.cpp
+++ b/Source/Transport/ControlCodec.cpp
@@ -82,6 +82,7 @@
         message.set_document_digest(gossip.documentDigest);
         message.set_confirmation_age_ms(toMilliseconds(gossip.confirmationAge));
         message.set_view_hash(gossip.viewHash);
+        message.set_shared(gossip.isShared);
         for (auto& member : gossip.members)
             encode(member, *message.add_members());
         for (auto& evidence : gossip.crashEvidence) {
@@ -100,6 +101,7 @@
         gossip.documentDigest = message.document_digest();
         gossip.confirmationAge = std::chrono::milliseconds(message.confirmation_age_ms());
         gossip.viewHash = message.view_hash();
+        gossip.isShared = message.shared();
         for (auto& member : message.members())
             gossip.members.push_back(decode(member));
         for (auto& entry : message.quarantines())
@@ -119,9 +121,10 @@
     message.set_status(toProto<proto::MemberStatus>(member.status));
     message.set_incarnation(member.incarnation);
     message.set_version(member.version);
+    message.set_shared_version(member.sharedVersion);
     message.set_revision(member.revision);
     message.set_refused_document(member.refusedDocument);
-    if (member.role == Membership::Role::Agent)
+    if (member.role == Membership::Role::Agent && member.hasDetail)
         encodeLoad(member.load, *message.mutable_load());
     for (auto& replica : member.replicas)
         encodeReplica(replica, *message.add_replicas());
@@ -138,6 +141,8 @@
     member.status = fromProto(message.status(), Membership::Status::Dead, Membership::Status::Suspect);
     member.incarnation = message.incarnation();
     member.version = message.version();
+    member.hasDetail = member.version > 0;
+    member.sharedVersion = message.shared_version();
     member.revision = message.revision();
     member.refusedDocument = message.refused_document();
     member.load = decodeLoad(message.load());
@@ -150,6 +155,7 @@
 {
     encodeCommon(gossip, message);
     message.set_from_vm(gossip.fromVm);
+    message.set_from_data_centre(gossip.fromDataCentre);
     message.set_member_count(static_cast<uint32_t>(gossip.memberCount));
     message.set_page_cursor(gossip.pageCursor);
 }
@@ -164,6 +170,7 @@
 {
     auto gossip = decodeCommon(message);
     gossip.fromVm = message.from_vm();
+    gossip.fromDataCentre = message.from_data_centre();
     gossip.memberCount = message.member_count();
     gossip.pageCursor = message.page_cursor();
     return gossip;
--- a/Tests/EndToEnd/TestFleet.cpp
+++ b/Tests/EndToEnd/TestFleet.cpp
@@ -14,6 +14,7 @@
     // Ends a hang; no test measures time against it.
     constexpr std::chrono::seconds hangLimit { 60 };
     constexpr std::chrono::milliseconds pollInterval { 10 };
+    constexpr std::chrono::milliseconds answerTimeout { 2000 };
     constexpr uint64_t modelBytes = 256 * 1024;
     constexpr uint64_t chunkBytes = 64 * 1024;
 
@@ -152,12 +153,21 @@
     cr_assert(vmList.setState(vm, "leaving"));
 }
 
+// The load of a member of another data centre is known only there.
+bool TestFleet::isAccepting(const Membership::Member& member)
+{
+    if (member.hasDetail)
+        return member.load.accepting;
+    auto status = m_control.fetchStatus(member.address, answerTimeout);
+    return Base::succeeded(status) && Base::valueOf(status).self.load.accepting;
+}
+
 void TestFleet::waitForReplicas(TestRouter& router, const std::string& digest, unsigned count)
 {
     waitUntil("replicas that serve " + digest, [&] {
         auto members = router.control().members();
         return static_cast<unsigned>(std::count_if(members.begin(), members.end(), [&](auto& member) {
-            return member.load.accepting && std::any_of(member.replicas.begin(), member.replicas.end(), [&](auto& replica) { return replica.servingDigest == digest; });
+            return isAccepting(member) && std::any_of(member.replicas.begin(), member.replicas.end(), [&](auto& replica) { return replica.servingDigest == digest; });
         })) >= count;
     });
 }
--- a/Tests/EndToEnd/TestFleet.h
+++ b/Tests/EndToEnd/TestFleet.h
@@ -75,10 +75,12 @@
 
 private:
     Settings::ProcessSettings makeSettings(const std::string& vm, const std::string& dataCentre) const;
+    bool isAccepting(const Membership::Member&);
     void enlist(const std::string& vm, const std::string& dataCentre, const std::string& role, const std::string& address);
 
     std::vector<Standin::VmEntry> m_vms;
     Http::HttpClient m_client { 2 };
+    Transport::ControlServiceClient m_control { Transport::makeLoopbackCredentials() };
 };
 
 // Whether the answer has every token of its own request from the version that its head names.
--- a/Tests/Membership/MembershipTest.cpp
+++ b/Tests/Membership/MembershipTest.cpp
@@ -2,6 +2,7 @@
 #include "Base/SeededRandom.h"
 #include "Membership/Commands/ChangeStatus.h"
 #include "Membership/Commands/MergeMembers.h"
+#include "Membership/Commands/RecordTransmission.h"
 #include "Membership/Commands/UpdateSelf.h"
 #include "Membership/Queries/ComposeGossip.h"
 #include "Membership/Queries/LiveMembers.h"
@@ -9,6 +10,7 @@
 
 #include <algorithm>
 #include <criterion/criterion.h>
+#include <functional>
 #include <map>
 #include <memory>
 
@@ -25,13 +27,14 @@
     member.dataCentre = dataCentre;
     member.incarnation = incarnation;
     member.version = 1;
+    member.sharedVersion = 1;
     return member;
 }
 
-std::unique_ptr<MemberTable> makeTable(const std::string& vm, Base::TimePoint now)
+std::unique_ptr<MemberTable> makeTable(const std::string& vm, Base::TimePoint now, const std::string& dataCentre = "one")
 {
-    auto table = std::make_unique<MemberTable>(vm);
-    Commands::UpdateSelf(*table).introduce(makeMember(vm), now);
+    auto table = std::make_unique<MemberTable>(vm, dataCentre);
+    Commands::UpdateSelf(*table).introduce(makeMember(vm, dataCentre), now);
     return table;
 }
 
@@ -43,7 +46,7 @@
 // One exchange between two tables, both ways.
 void exchange(MemberTable& from, MemberTable& to, Base::TimePoint now, uint64_t& cursor)
 {
-    auto request = Queries::ComposeGossip(from).request({}, cursor);
+    auto request = Queries::ComposeGossip(from).request(to.dataCentre(), {}, cursor);
     Commands::MergeMembers(to).execute(request.members, now);
     auto response = Queries::ComposeGossip(to).response(request, {});
     Commands::MergeMembers(from).execute(response.members, now);
@@ -138,3 +141,103 @@
     cr_assert(converged());
     cr_assert_eq(tables.begin()->second->entries().size(), count);
 }
+
+// Guards against details of members that cross into other data centres, and against changes of details that
+// make the views of two data centres differ.
+Test(Membership, onlySharedPartsCrossDataCentres)
+{
+    Base::ManualClock clock;
+    auto own = makeTable("a", clock.now());
+    auto other = makeTable("b", clock.now(), "two");
+    auto change = [&](std::function<void(Replica&)> change) {
+        Commands::UpdateSelf(*own).execute([&](Member& self) { self.replicas.resize(1); change(self.replicas[0]); }, clock.now());
+    };
+    change([](Replica& replica) { replica = { "pool", "v1", "v2", ReplicaPhase::Fetching, 1, 10, "slow" }; });
+    uint64_t cursor = 0;
+    exchange(*own, *other, clock.now(), cursor);
+    auto known = Queries::LiveMembers(*other).find("a").value();
+    cr_assert(known == Queries::LiveMembers(*own).self().sharedPart());
+    cr_assert(!known.hasDetail && !known.version && known.replicas[0].wantedDigest.empty() && known.replicas[0].reason.empty());
+    cr_assert_eq(own->sharedViewHash(), other->sharedViewHash());
+
+    change([](Replica& replica) { replica.chunksHeld = 9; replica.phase = ReplicaPhase::Waiting; });
+    cr_assert_eq(own->sharedViewHash(), other->sharedViewHash());
+    change([](Replica& replica) { replica.phase = ReplicaPhase::Loading; });
+    cr_assert_neq(own->sharedViewHash(), other->sharedViewHash());
+    exchange(*own, *other, clock.now(), cursor);
+    cr_assert(Queries::LiveMembers(*other).find("a")->replicas[0].phase == ReplicaPhase::Loading);
+
+    // A full record of another data centre, from whatever source, loses its detail.
+    auto full = makeMember("c", "one");
+    full.load.running = 7;
+    Commands::MergeMembers(*other).execute({ full }, clock.now());
+    cr_assert(Queries::LiveMembers(*other).find("c").value() == full.sharedPart());
+}
+
+// Guards against a shared record that wipes out the detail of a member of the own data centre, and against
+// a suspicion in another data centre that is never refuted.
+Test(Membership, sharedRecordsOfTheOwnDataCentreOnlyRaiseTheStatus)
+{
+    Base::ManualClock clock;
+    auto own = makeTable("a", clock.now());
+    auto mate = makeTable("b", clock.now());
+    auto other = makeTable("c", clock.now(), "two");
+    Commands::UpdateSelf(*own).execute([](Member& self) { self.replicas = { { "pool", "v1", "v2", ReplicaPhase::Fetching } }; }, clock.now());
+    uint64_t cursor = 0;
+    exchange(*own, *mate, clock.now(), cursor);
+    exchange(*own, *other, clock.now(), cursor);
+    Commands::ChangeStatus(*other).recordFailedProbe("a", clock.now());
+    exchange(*mate, *other, clock.now(), cursor);
+    auto known = Queries::LiveMembers(*mate).find("a").value();
+    cr_assert(known.hasDetail && known.replicas[0].wantedDigest == "v2" && known.status == Status::Suspect);
+    exchange(*mate, *own, clock.now(), cursor);
+    exchange(*mate, *own, clock.now(), cursor);
+    cr_assert(statusOf(*mate, "a") == Status::Alive);
+    exchange(*mate, *other, clock.now(), cursor);
+    cr_assert(statusOf(*other, "a") == Status::Alive);
+}
+
+// Guards against a rollout whose every step is told to the whole fleet: of the steps that one replica goes
+// through, other data centres hear of two.
+Test(Membership, aRolloutCrossesDataCentresTwiceForEachReplica)
+{
+    Base::ManualClock clock;
+    auto table = makeTable("self", clock.now());
+    Commands::UpdateSelf update(*table);
+    auto report = [&](const Replica& replica) { update.execute([&](Member& self) { self.replicas = { replica }; }, clock.now()); };
+    report({ "pool", "v1", "", ReplicaPhase::Ready });
+    auto before = Queries::LiveMembers(*table).self();
+    for (unsigned held = 0; held <= 100; ++held)
+        report({ "pool", "v1", "v2", ReplicaPhase::Fetching, held, 100 });
+    report({ "pool", "v1", "v2", ReplicaPhase::Waiting, 100, 100 });
+    report({ "pool", "v1", "v2", ReplicaPhase::Loading, 100, 100 });
+    report({ "pool", "v2", "", ReplicaPhase::Ready, 100, 100 });
+    auto after = Queries::LiveMembers(*table).self();
+    cr_assert_eq(after.sharedVersion - before.sharedVersion, 2);
+    cr_assert_eq(after.version - before.version, 14);
+}
+
+// Guards against a change of a detail that is counted as news for other data centres.
+Test(Membership, transmissionsAcrossDataCentresAreCountedApart)
+{
+    Base::ManualClock clock;
+    auto table = makeTable("self", clock.now());
+    auto mate = makeMember("mate");
+    Commands::MergeMembers(*table).execute({ mate }, clock.now());
+    size_t messages = 0;
+    auto sendAcross = [&] {
+        auto message = Queries::ComposeGossip(*table).request("two", {}, 0);
+        Commands::RecordTransmission(*table).execute(message);
+        return message.members.size() == 2;
+    };
+    while (sendAcross())
+        cr_assert_lt(++messages, 20);
+    ++mate.version;
+    Commands::MergeMembers(*table).execute({ mate }, clock.now());
+    cr_assert_not(sendAcross());
+    cr_assert_eq(Queries::ComposeGossip(*table).request("one", {}, 0).members.size(), 2);
+    ++mate.version;
+    ++mate.sharedVersion;
+    Commands::MergeMembers(*table).execute({ mate }, clock.now());
+    cr_assert(sendAcross());
+}
--- a/Tests/Placement/SwitchTest.cpp
+++ b/Tests/Placement/SwitchTest.cpp
@@ -129,6 +129,40 @@
     }
 }
 
+// Guards against agents that need details of other data centres for their rank, and against a replica elsewhere
+// that has failed and keeps all others from switching.
+Test(Switch, knowsOtherDataCentresByTheirSharedPart)
+{
+    Rollout rollout(1);
+    auto viewOf = [&](const Membership::Member& self) {
+        auto members = rollout.members;
+        for (auto& member : members)
+            member = member.dataCentre == self.dataCentre ? member : member.sharedPart();
+        return members;
+    };
+    auto allowed = [&] {
+        std::vector<std::string> vms;
+        for (auto& member : rollout.members) {
+            auto phase = member.replicas.front().phase;
+            bool isCandidate = phase == ReplicaPhase::Waiting || phase == ReplicaPhase::Loading;
+            if (isCandidate && maySwitch(rollout.document, viewOf(member), Rollout::candidate(member)))
+                vms.push_back(member.vm);
+        }
+        return vms;
+    };
+    auto first = allowed();
+    cr_assert_eq(first.size(), 1);
+    auto member = std::find_if(rollout.members.begin(), rollout.members.end(), [&](auto& candidate) { return candidate.vm == first.front(); });
+    member->replicas.front().phase = ReplicaPhase::Loading;
+    cr_assert(allowed() == first);
+    member->replicas.front() = { "assistant", "v2", "", ReplicaPhase::Ready };
+    auto second = allowed();
+    cr_assert(second.size() == 1 && second != first);
+    auto failing = std::find_if(rollout.members.begin(), rollout.members.end(), [&](auto& candidate) { return candidate.vm == second.front(); });
+    failing->replicas.front().phase = ReplicaPhase::Failed;
+    cr_assert_eq(allowed().size(), 1);
+}
+
 // Guards against a pool that is emptied because its members move to another pool.
 Test(Switch, keepsEnoughReplicasInThePoolThatIsLeft)
 {
--- a/Tests/Routing/SelectionTest.cpp
+++ b/Tests/Routing/SelectionTest.cpp
@@ -1,4 +1,5 @@
 #include "Base/RendezvousHash.h"
+#include "Routing/Commands/ForgetDistantLoads.h"
 #include "Routing/Queries/ReadRequest.h"
 #include "Routing/Queries/SelectTarget.h"
 #include "Routing/RoundRobinPolicy.h"
@@ -70,6 +71,25 @@
     cr_assert(targetsOf(fixture, fixture.policy) == (std::set<std::string> { "out1", "out2", "out3" }), "a data centre that is back gets work again");
 }
 
+// Guards against targets of other data centres that get no work because their load is not known, and against
+// one that counts as full for ever because it was full at its last answer.
+Test(Selection, usesTargetsKnownByTheirSharedPart)
+{
+    RoutingFixture fixture(0);
+    addMembers(fixture, "far", 1, "dc-2", "r-1");
+    fixture.members.back() = fixture.members.back().sharedPart();
+    fixture.update();
+    auto target = select(fixture).target;
+    cr_assert(target && target->vm() == "far1");
+    Membership::TargetLoad full;
+    full.running = full.limit = 4;
+    target->setLoad(full);
+    fixture.update();
+    cr_assert_eq(target->relativeLoad(), 1);
+    Commands::forgetDistantLoads(fixture.targets);
+    cr_assert_eq(target->relativeLoad(), 0);
+}
+
 // Guards against a rollout during which no target counts as ready: old weights serve until the new ones
 // are whole, and each answer is bound to the version of its target.
 Test(Selection, usesTargetsThatStillServeThePreviousVersion)
