Load the declared adapters into engines and report them

Cause: an agent fetched the adapters of its pool and never gave them to its engine. Ruled out: steps for adapters in the life cycle of the replica (loading one must not take the replica out, and a failed one must not fail it); loading them while a new base model is fetched or loaded (the load drops them, and their chunks would mix with its chunks). Change: Placement decides on one adapter at a time, in nextAdapterOrder, when the replica is ready and needs no step itself: deliver and load what is declared and complete, unload what is not declared and no permit or running request uses, believe only the engine's status. Permits name their adapter. Replica reports list the adapters that engine and document both list, and a change of them is announced at once. The messages of the live path are in the .proto already.

--- a/Source/Admission/AdmitRequest.h
+++ b/Source/Admission/AdmitRequest.h
@@ -27,6 +27,8 @@
     uint64_t revision = 0;
     // Hash of organisation and body.
     uint64_t fingerprint = 0;
+    // Digest of the adapter that is to answer; empty for the base model.
+    std::string adapter;
 };
 
 } // namespace Lavenderloft::Admission
--- a/Source/Admission/Commands/GrantPermit.cpp
+++ b/Source/Admission/Commands/GrantPermit.cpp
@@ -14,6 +14,7 @@
         permit.expiresAt = clock.now() + permitLifetime;
         permit.bodyBytes = request.bodyBytes;
         permit.fingerprint = request.fingerprint;
+        permit.adapter = request.adapter;
         return permit;
     }
 
--- a/Source/Admission/Permit.h
+++ b/Source/Admission/Permit.h
@@ -20,6 +20,8 @@
     Base::TimePoint expiresAt;
     uint64_t bodyBytes = 0;
     uint64_t fingerprint = 0;
+    // Digest of the adapter that is to answer; empty for the base model.
+    std::string adapter;
 };
 
 } // namespace Lavenderloft::Admission
--- a/Source/Http/EngineHttpClient.cpp
+++ b/Source/Http/EngineHttpClient.cpp
@@ -62,6 +62,7 @@
         status.incarnation = readIncarnation(object.at("incarnation"));
         status.mode = readMode(object.at("state").get<std::string>());
         status.digest = object.at("digest").is_null() ? std::string() : object.at("digest").get<std::string>();
+        status.adapters = object.value("adapters", std::set<std::string>());
         status.running = object.value("running", 0u);
         status.queued = object.value("queued", 0u);
         status.memoryBytes = object.value("memoryBytes", uint64_t { 0 });
@@ -81,6 +82,16 @@
         return request;
     }
 
+    HttpRequest makeOrder(const char* name, const std::string& digest, uint64_t fence)
+    {
+        HttpRequest request;
+        request.method = "POST";
+        request.target = "/engine/orders";
+        request.headers.push_back({ "Content-Type", "application/json" });
+        request.body = nlohmann::json { { "fence", fence }, { "order", name }, { "digest", digest } }.dump();
+        return request;
+    }
+
 } // namespace
 
 Base::Result<EngineStatus, EngineError> parseEngineStatus(const std::string& body)
@@ -135,12 +146,17 @@
 
 Base::Result<Base::Done, EngineError> EngineHttpClient::load(const std::string& digest, uint64_t fence)
 {
-    HttpRequest request;
-    request.method = "POST";
-    request.target = "/engine/orders";
-    request.headers.push_back({ "Content-Type", "application/json" });
-    request.body = nlohmann::json { { "fence", fence }, { "order", "load" }, { "digest", digest } }.dump();
-    return order(std::move(request));
+    return order(makeOrder("load", digest, fence));
+}
+
+Base::Result<Base::Done, EngineError> EngineHttpClient::loadAdapter(const std::string& digest, uint64_t fence)
+{
+    return order(makeOrder("loadAdapter", digest, fence));
+}
+
+Base::Result<Base::Done, EngineError> EngineHttpClient::unloadAdapter(const std::string& digest, uint64_t fence)
+{
+    return order(makeOrder("unloadAdapter", digest, fence));
 }
 
 } // namespace Lavenderloft::Http
--- a/Source/Http/EngineHttpClient.h
+++ b/Source/Http/EngineHttpClient.h
@@ -14,6 +14,8 @@
     Base::Result<Base::Done, Placement::EngineError> sendManifest(const std::string& digest, const std::string& bytes, uint64_t fence) override;
     Base::Result<Base::Done, Placement::EngineError> sendChunk(const std::string& digest, unsigned index, const std::string& bytes, uint64_t fence) override;
     Base::Result<Base::Done, Placement::EngineError> load(const std::string& digest, uint64_t fence) override;
+    Base::Result<Base::Done, Placement::EngineError> loadAdapter(const std::string& digest, uint64_t fence) override;
+    Base::Result<Base::Done, Placement::EngineError> unloadAdapter(const std::string& digest, uint64_t fence) override;
 
 private:
     Base::Result<Base::Done, Placement::EngineError> order(HttpRequest);
--- a/Source/Membership/Commands/UpdateSelf.cpp
+++ b/Source/Membership/Commands/UpdateSelf.cpp
@@ -15,7 +15,7 @@
     bool isWorthAnnouncing(const Replica& before, const Replica& after)
     {
         return before.pool != after.pool || before.servingDigest != after.servingDigest || before.wantedDigest != after.wantedDigest
-            || before.phase != after.phase || before.reason != after.reason || progressStep(before) != progressStep(after);
+            || before.phase != after.phase || before.reason != after.reason || before.adapters != after.adapters || progressStep(before) != progressStep(after);
     }
 
     bool isWorthAnnouncing(const Member& before, const Member& after)
--- a/Source/Membership/Member.h
+++ b/Source/Membership/Member.h
@@ -52,6 +52,8 @@
     unsigned chunksTotal = 0;
     // Why the replica is late, for operators.
     std::string reason;
+    // Digests of the adapters that it serves beside the base model.
+    std::vector<std::string> adapters;
 
     bool operator==(const Replica&) const = default;
 };
--- a/Source/Placement/Commands/ApplyOrder.cpp
+++ b/Source/Placement/Commands/ApplyOrder.cpp
@@ -15,6 +15,7 @@
     {
         record.state.apply(event);
         record.upload = {};
+        record.adapters = {};
         record.reason = std::move(reason);
     }
 
@@ -57,8 +58,11 @@
 {
     if (record.poolOfManifest.size() > maximumManifests)
         record.poolOfManifest.clear();
-    for (auto& pool : document.pools)
+    record.adaptersOfPool.clear();
+    for (auto& pool : document.pools) {
         record.poolOfManifest[pool.manifest] = pool.name;
+        record.adaptersOfPool[pool.name] = { pool.adapters.begin(), pool.adapters.end() };
+    }
 }
 
 void noteDone(ReplicaRecord& record, const Order& order, const Observation& seen)
@@ -108,6 +112,7 @@
 
 void dropOrders(ReplicaRecord& record)
 {
+    record.adapters.step = {};
     if (record.state.phase() == Membership::ReplicaPhase::Loading)
         restart(record, ReplicaEvent::Drifted, "the process was paused");
 }
--- a/Source/Placement/Commands/ApplyOrder.h
+++ b/Source/Placement/Commands/ApplyOrder.h
@@ -9,7 +9,7 @@
 // version of the pool in hand counts at once.
 std::optional<DesiredReplica> settleAssignment(ReplicaRecord&, const std::optional<DesiredReplica>&, Base::TimePoint now);
 
-// Notes which pool each model version belongs to.
+// Notes which pool each model version belongs to, and the adapters of each pool.
 void learnDocument(ReplicaRecord&, const DesiredState::Document&);
 
 // Notes that an order was carried out.
--- a/Source/Placement/EngineClient.h
+++ b/Source/Placement/EngineClient.h
@@ -3,6 +3,7 @@
 #include "Base/Result.h"
 
 #include <cstdint>
+#include <set>
 #include <string>
 
 namespace Lavenderloft::Placement {
@@ -22,6 +23,8 @@
     EngineMode mode = EngineMode::Empty;
     // Digest of the weights loaded or being loaded.
     std::string digest;
+    // Digests of the adapters loaded beside the weights.
+    std::set<std::string> adapters;
     unsigned running = 0;
     unsigned queued = 0;
     uint64_t memoryBytes = 0;
@@ -53,6 +56,8 @@
     virtual Base::Result<Base::Done, EngineError> sendManifest(const std::string& digest, const std::string& bytes, uint64_t fence) = 0;
     virtual Base::Result<Base::Done, EngineError> sendChunk(const std::string& digest, unsigned index, const std::string& bytes, uint64_t fence) = 0;
     virtual Base::Result<Base::Done, EngineError> load(const std::string& digest, uint64_t fence) = 0;
+    virtual Base::Result<Base::Done, EngineError> loadAdapter(const std::string& digest, uint64_t fence) = 0;
+    virtual Base::Result<Base::Done, EngineError> unloadAdapter(const std::string& digest, uint64_t fence) = 0;
 };
 
 } // namespace Lavenderloft::Placement
--- a/Source/Placement/Queries/ServedPool.cpp
+++ b/Source/Placement/Queries/ServedPool.cpp
@@ -1,5 +1,7 @@
 #include "Placement/Queries/ServedPool.h"
 
+#include <algorithm>
+
 namespace Lavenderloft::Placement::Queries {
 
 namespace {
@@ -12,25 +14,48 @@
         Replica replica;
         replica.pool = served.pool;
         replica.servingDigest = served.digest;
+        replica.adapters = served.adapters;
         replica.phase = isSwitching ? ReplicaPhase::Loading : ReplicaPhase::Ready;
         return replica;
     }
 
-    Replica reportWanted(const ReplicaRecord& record, const Served& served, const Weights::TransferProgress& progress)
+    // Why an adapter is late; empty if none is.
+    std::string adapterReason(const ReplicaRecord& record, const std::vector<DeclaredAdapter>& adapters)
+    {
+        if (!record.adapters.reason.empty())
+            return record.adapters.reason;
+        auto late = std::find_if(adapters.begin(), adapters.end(), [](auto& adapter) { return !adapter.progress.reason.empty(); });
+        return late == adapters.end() ? std::string() : "adapter " + late->digest + ": " + late->progress.reason;
+    }
+
+    Replica reportWanted(const ReplicaRecord& record, const Served& served, const Weights::TransferProgress& progress, const std::vector<DeclaredAdapter>& adapters)
     {
         Replica replica;
         replica.pool = record.wanted.pool;
-        if (served.pool == replica.pool)
+        if (served.pool == replica.pool) {
             replica.servingDigest = served.digest;
+            replica.adapters = served.adapters;
+        }
         if (record.wanted.manifest != replica.servingDigest)
             replica.wantedDigest = record.wanted.manifest;
         replica.phase = record.state.phase();
         replica.chunksHeld = progress.chunksHeld;
         replica.chunksTotal = progress.chunksTotal;
         replica.reason = record.reason.empty() ? progress.reason : record.reason;
+        if (replica.reason.empty())
+            replica.reason = adapterReason(record, adapters);
         return replica;
     }
 
+    std::vector<std::string> servedAdapters(const ReplicaRecord& record, const std::string& pool, const EngineStatus& engine)
+    {
+        std::vector<std::string> served;
+        auto declared = record.adaptersOfPool.find(pool);
+        if (declared != record.adaptersOfPool.end())
+            std::set_intersection(engine.adapters.begin(), engine.adapters.end(), declared->second.begin(), declared->second.end(), std::back_inserter(served));
+        return served;
+    }
+
 } // namespace
 
 Served servedPool(const ReplicaRecord& record, const std::optional<EngineStatus>& engine)
@@ -39,11 +64,11 @@
     if (!engine || !engine->isServing() || record.state.phase() == ReplicaPhase::Idle)
         return {};
     if (engine->digest == record.wanted.manifest)
-        return { record.wanted.pool, engine->digest };
+        return { record.wanted.pool, engine->digest, servedAdapters(record, record.wanted.pool, *engine) };
     auto pool = record.poolOfManifest.find(engine->digest);
     if (pool == record.poolOfManifest.end())
         return {};
-    return { pool->second, engine->digest };
+    return { pool->second, engine->digest, servedAdapters(record, pool->second, *engine) };
 }
 
 bool isSwitching(const ReplicaRecord& record)
@@ -51,14 +76,14 @@
     return record.state.phase() == ReplicaPhase::Loading && record.upload.isBegun;
 }
 
-std::vector<Replica> reportedReplicas(const ReplicaRecord& record, const Served& served, const Weights::TransferProgress& progress)
+std::vector<Replica> reportedReplicas(const ReplicaRecord& record, const Served& served, const Weights::TransferProgress& progress, const std::vector<DeclaredAdapter>& adapters)
 {
     std::vector<Replica> replicas;
     bool hasWanted = record.state.phase() != ReplicaPhase::Idle;
     if (!served.pool.empty() && (!hasWanted || served.pool != record.wanted.pool))
         replicas.push_back(reportServed(served, isSwitching(record)));
     if (hasWanted)
-        replicas.push_back(reportWanted(record, served, progress));
+        replicas.push_back(reportWanted(record, served, progress, adapters));
     return replicas;
 }
 
--- a/Source/Placement/ReplicaRecord.h
+++ b/Source/Placement/ReplicaRecord.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "Base/Clock.h"
+#include "Placement/AdapterWork.h"
 #include "Placement/ReplicaState.h"
 
 #include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace Lavenderloft::Placement {
@@ -47,6 +49,7 @@
     ReplicaState state;
     DesiredReplica wanted;
     Upload upload;
+    AdapterWork adapters;
     Base::TimePoint claimedAt;
     Base::TimePoint retryAt;
     std::string reason;
@@ -54,6 +57,8 @@
     uint64_t lastFence = 0;
     // Pool that each model version belongs to, in all documents seen since the start.
     std::map<std::string, std::string> poolOfManifest;
+    // Adapters that the document in force lists, by pool.
+    std::map<std::string, std::set<std::string>> adaptersOfPool;
     // The newest assignment and since when it stays.
     std::optional<DesiredReplica> proposed;
     Base::TimePoint proposedSince;
--- a/Source/Process/ReplicaDriver.cpp
+++ b/Source/Process/ReplicaDriver.cpp
@@ -1,6 +1,8 @@
 #include "Process/ReplicaDriver.h"
 
+#include "Admission/Queries/AdaptersInUse.h"
 #include "Observability/Log.h"
+#include "Placement/Commands/ApplyAdapterOrder.h"
 #include "Placement/Commands/ApplyOrder.h"
 #include "Placement/Events.h"
 #include "Placement/Queries/DesiredWeights.h"
@@ -14,6 +16,7 @@
 
 namespace {
 
+    using Placement::Queries::AdapterOrderKind;
     using Placement::Queries::OrderKind;
 
     const char* orderName(OrderKind kind)
@@ -25,6 +28,17 @@
         return names.at(static_cast<size_t>(kind));
     }
 
+    const char* orderName(AdapterOrderKind kind)
+    {
+        static constexpr std::array names { "none", "send-manifest", "send-chunk", "send-load", "send-unload", "confirm", "abandon", "fail" };
+        return names.at(static_cast<size_t>(kind));
+    }
+
+    Placement::EngineError notHeld()
+    {
+        return { Placement::EngineErrorKind::Refused, "the chunk is no longer held", "wait until it is fetched again" };
+    }
+
 } // namespace
 
 ReplicaDriver::ReplicaDriver(Parts parts)
@@ -168,7 +182,7 @@
     auto order = Placement::Queries::nextOrder(m_record, seen);
     if (order.kind == OrderKind::None) {
         updateSituation();
-        return false;
+        return stepAdapter(guard, seen);
     }
     if (order.kind != OrderKind::SendChunk)
         Observability::logEvent(Placement::orderDecided, { { "order", orderName(order.kind) }, { "pool", seen.desired ? seen.desired->pool : std::string() }, { "manifest", seen.desired ? seen.desired->manifest : std::string() }, { "reason", order.reason } });
@@ -182,37 +196,117 @@
     return true;
 }
 
-void ReplicaDriver::carryOut(std::unique_lock<std::mutex>& guard, const Order& order, const Observation& seen)
+template <typename Send>
+std::optional<ReplicaDriver::EngineResult> ReplicaDriver::sendUnlocked(std::unique_lock<std::mutex>& guard, const Placement::EngineStatus& engine, Send&& send)
 {
-    auto fence = Placement::Queries::nextFence(m_record, *seen.engine, m_parts.clock.wallTime());
+    auto fence = Placement::Queries::nextFence(m_record, engine, m_parts.clock.wallTime());
     m_record.lastFence = fence;
-    auto manifest = m_record.wanted.manifest;
     auto generation = m_generation;
     guard.unlock();
+    std::optional<EngineResult> result;
     // The process may have been paused since the decision.
-    if (!mayAct())
-        return guard.lock();
-    auto result = send(order, manifest, fence);
+    if (mayAct())
+        result = std::forward<Send>(send)(fence);
     guard.lock();
     if (generation != m_generation)
+        return std::nullopt;
+    return result;
+}
+
+void ReplicaDriver::carryOut(std::unique_lock<std::mutex>& guard, const Order& order, const Observation& seen)
+{
+    auto manifest = m_record.wanted.manifest;
+    auto result = sendUnlocked(guard, *seen.engine, [&](uint64_t fence) { return send(order, manifest, fence); });
+    if (!result)
         return;
-    if (Base::succeeded(result))
+    if (Base::succeeded(*result))
         return Placement::Commands::noteDone(m_record, order, seen);
-    auto reason = Base::errorOf(result).describe();
+    auto reason = Base::errorOf(*result).describe();
     Observability::logEvent(Placement::orderRefused, { { "order", orderName(order.kind) }, { "manifest", manifest }, { "reason", reason } });
     Placement::Commands::noteRefused(m_record, reason, m_parts.clock.now());
 }
 
-Base::Result<Base::Done, Placement::EngineError> ReplicaDriver::send(const Order& order, const std::string& manifest, uint64_t fence)
+ReplicaDriver::EngineResult ReplicaDriver::sendManifest(const std::string& digest, uint64_t fence)
+{
+    auto bytes = m_parts.weights.manifestBytes(digest);
+    return bytes ? m_parts.engine.sendManifest(digest, *bytes, fence) : EngineResult { notHeld() };
+}
+
+ReplicaDriver::EngineResult ReplicaDriver::sendChunk(const std::string& digest, unsigned index, uint64_t fence)
+{
+    auto bytes = m_parts.weights.chunk(digest, index);
+    return bytes ? m_parts.engine.sendChunk(digest, index, *bytes, fence) : EngineResult { notHeld() };
+}
+
+ReplicaDriver::EngineResult ReplicaDriver::send(const Order& order, const std::string& manifest, uint64_t fence)
 {
     if (order.kind == OrderKind::SendLoad)
         return m_parts.engine.load(manifest, fence);
-    auto bytes = order.kind == OrderKind::SendManifest ? m_parts.weights.manifestBytes(manifest) : m_parts.weights.chunk(manifest, order.chunk);
-    if (!bytes)
-        return Placement::EngineError { Placement::EngineErrorKind::Refused, "the chunk is no longer held", "wait until it is fetched again" };
     if (order.kind == OrderKind::SendManifest)
-        return m_parts.engine.sendManifest(manifest, *bytes, fence);
-    return m_parts.engine.sendChunk(manifest, order.chunk, *bytes, fence);
+        return sendManifest(manifest, fence);
+    return sendChunk(manifest, order.chunk, fence);
+}
+
+ReplicaDriver::AdapterObservation ReplicaDriver::observeAdapters(const Observation& base) const
+{
+    AdapterObservation seen;
+    seen.now = base.now;
+    seen.engine = base.engine;
+    auto document = m_parts.control.document();
+    auto* pool = base.desired ? document->findPool(base.desired->pool) : nullptr;
+    if (!pool)
+        return seen;
+    for (auto& digest : pool->adapters)
+        seen.declared.push_back({ digest, m_parts.weights.progress(digest) });
+    // The permits of the target are counted only when an adapter is to go.
+    if (seen.engine && Placement::Queries::hasSurplusAdapter(*seen.engine, seen.declared))
+        seen.inUse = Admission::Queries::adaptersInUse(m_parts.target.state.permits);
+    return seen;
+}
+
+bool ReplicaDriver::isForEngine(const AdapterOrder& order)
+{
+    return order.kind >= AdapterOrderKind::SendManifest && order.kind <= AdapterOrderKind::SendUnload;
+}
+
+bool ReplicaDriver::stepAdapter(std::unique_lock<std::mutex>& guard, const Observation& base)
+{
+    if (!base.desired)
+        return false;
+    auto seen = observeAdapters(base);
+    auto order = Placement::Queries::nextAdapterOrder(m_record, seen);
+    if (order.kind == AdapterOrderKind::None)
+        return false;
+    if (order.kind != AdapterOrderKind::SendChunk)
+        Observability::logEvent(Placement::adapterOrderDecided, { { "order", orderName(order.kind) }, { "pool", base.desired->pool }, { "adapter", order.digest }, { "reason", order.reason } });
+    if (isForEngine(order))
+        carryOut(guard, order, seen);
+    else
+        Placement::Commands::noteAdapterDone(m_record, order, seen);
+    return true;
+}
+
+ReplicaDriver::EngineResult ReplicaDriver::send(const AdapterOrder& order, uint64_t fence)
+{
+    if (order.kind == AdapterOrderKind::SendLoad)
+        return m_parts.engine.loadAdapter(order.digest, fence);
+    if (order.kind == AdapterOrderKind::SendUnload)
+        return m_parts.engine.unloadAdapter(order.digest, fence);
+    if (order.kind == AdapterOrderKind::SendManifest)
+        return sendManifest(order.digest, fence);
+    return sendChunk(order.digest, order.chunk, fence);
+}
+
+void ReplicaDriver::carryOut(std::unique_lock<std::mutex>& guard, const AdapterOrder& order, const AdapterObservation& seen)
+{
+    auto result = sendUnlocked(guard, *seen.engine, [&](uint64_t fence) { return send(order, fence); });
+    if (!result)
+        return;
+    if (Base::succeeded(*result))
+        return Placement::Commands::noteAdapterDone(m_record, order, seen);
+    auto reason = Base::errorOf(*result).describe();
+    Observability::logEvent(Placement::adapterOrderRefused, { { "order", orderName(order.kind) }, { "adapter", order.digest }, { "reason", reason } });
+    Placement::Commands::noteAdapterRefused(m_record, order, reason, m_parts.clock.now());
 }
 
 void ReplicaDriver::publish()
@@ -221,7 +315,12 @@
     {
         std::lock_guard guard(m_lock);
         auto progress = m_record.wanted.manifest.empty() ? Weights::TransferProgress {} : m_parts.weights.progress(m_record.wanted.manifest);
-        replicas = Placement::Queries::reportedReplicas(m_record, Placement::Queries::servedPool(m_record, m_engine), progress);
+        std::vector<Placement::Queries::DeclaredAdapter> adapters;
+        for (auto& wanted : m_wantedManifests) {
+            if (wanted.digest != m_record.wanted.manifest)
+                adapters.push_back({ wanted.digest, m_parts.weights.progress(wanted.digest) });
+        }
+        replicas = Placement::Queries::reportedReplicas(m_record, Placement::Queries::servedPool(m_record, m_engine), progress, adapters);
     }
     m_parts.control.publish(m_parts.target.load(), replicas);
 }
--- a/Source/Process/ReplicaDriver.h
+++ b/Source/Process/ReplicaDriver.h
@@ -2,6 +2,7 @@
 
 #include "Placement/AssignmentCache.h"
 #include "Placement/EngineClient.h"
+#include "Placement/Queries/NextAdapterOrder.h"
 #include "Placement/Queries/NextOrder.h"
 #include "Placement/ReplicaRecord.h"
 #include "Process/AgentSituation.h"
@@ -50,6 +51,9 @@
 private:
     using Order = Placement::Queries::Order;
     using Observation = Placement::Queries::Observation;
+    using AdapterOrder = Placement::Queries::AdapterOrder;
+    using AdapterObservation = Placement::Queries::AdapterObservation;
+    using EngineResult = Base::Result<Base::Done, Placement::EngineError>;
 
     void run();
     bool isStopping();
@@ -62,8 +66,20 @@
     void want(std::vector<Weights::WantedManifest>);
     // Whether the order goes to the engine.
     static bool isForEngine(const Order&);
-    Base::Result<Base::Done, Placement::EngineError> send(const Order&, const std::string& manifest, uint64_t fence);
+    EngineResult send(const Order&, const std::string& manifest, uint64_t fence);
+    EngineResult sendManifest(const std::string& digest, uint64_t fence);
+    EngineResult sendChunk(const std::string& digest, unsigned index, uint64_t fence);
+    // Sends an order without the lock. Nothing if it was not sent, or if orders were dropped meanwhile.
+    template <typename Send>
+    std::optional<EngineResult> sendUnlocked(std::unique_lock<std::mutex>&, const Placement::EngineStatus&, Send&&);
     void carryOut(std::unique_lock<std::mutex>&, const Order&, const Observation&);
+
+    // Takes one step for an adapter while there is none for the base model; false if there is nothing to do.
+    bool stepAdapter(std::unique_lock<std::mutex>&, const Observation&);
+    AdapterObservation observeAdapters(const Observation&) const;
+    static bool isForEngine(const AdapterOrder&);
+    EngineResult send(const AdapterOrder&, uint64_t fence);
+    void carryOut(std::unique_lock<std::mutex>&, const AdapterOrder&, const AdapterObservation&);
     void updateSituation();
 
     Parts m_parts;
--- a/Source/Transport/ControlCodec.cpp
+++ b/Source/Transport/ControlCodec.cpp
@@ -60,6 +60,7 @@
         message.set_chunks_held(replica.chunksHeld);
         message.set_chunks_total(replica.chunksTotal);
         message.set_reason(replica.reason);
+        message.mutable_adapters()->Assign(replica.adapters.begin(), replica.adapters.end());
     }
 
     Membership::Replica decodeReplica(const proto::Replica& message)
@@ -72,6 +73,7 @@
         replica.chunksHeld = message.chunks_held();
         replica.chunksTotal = message.chunks_total();
         replica.reason = message.reason();
+        replica.adapters.assign(message.adapters().begin(), message.adapters().end());
         return replica;
     }
 
--- a/Tests/Membership/MembershipTest.cpp
+++ b/Tests/Membership/MembershipTest.cpp
@@ -95,6 +95,17 @@
     cr_assert(statusOf(*table, "self") == Status::Leaving);
 }
 
+// Guards against an adapter that a replica serves and that no router learns of.
+Test(Membership, adaptersOfAReplicaAreAnnounced)
+{
+    Base::ManualClock clock;
+    auto table = makeTable("self", clock.now());
+    Commands::UpdateSelf(*table).execute([](Member& self) { self.replicas.resize(1); }, clock.now());
+    auto before = table->viewHash();
+    Commands::UpdateSelf(*table).execute([](Member& self) { self.replicas[0].adapters = { "a1" }; }, clock.now());
+    cr_assert_neq(table->viewHash(), before);
+}
+
 // Guards against gossip traffic that grows with load reports, or with the fleet at each new revision.
 Test(Membership, loadAndRevisionAloneAreNotAnnounced)
 {
