Route requests for an adapter to targets that serve it

Cause: engines load adapters, but no request reaches one. Ruled out: the reason WRONG_DIGEST for a missing adapter (a caller's request for another adapter would then say nothing true of the weights); leaving a target alone after such a refusal (it serves all else). Target selection uses only targets that report it; the agent refuses it with ADAPTER_NOT_LOADED, certainly not run, when the document in force or its engine does not list it, also when a queued request gets its permit. The engine gets X-Adapter from the agent alone; an answer whose X-Adapter-Digest is not the admitted one, or is there unasked, is cut before its first byte by the agent and by the router's AnswerMatcher. The caller's answer carries X-Adapter-Digest.

--- a/Source/Admission/Queries/FindRefusal.cpp
+++ b/Source/Admission/Queries/FindRefusal.cpp
@@ -19,6 +19,20 @@
         return std::nullopt;
     }
 
+    // A document that no longer lists the adapter counts at once, before the engine has unloaded it.
+    std::optional<Refusal> findAdapterRefusal(const Situation& situation, const AdmitRequest& request)
+    {
+        if (request.adapter.empty())
+            return std::nullopt;
+        auto contains = [&](const std::vector<std::string>& adapters) { return std::find(adapters.begin(), adapters.end(), request.adapter) != adapters.end(); };
+        auto* pool = situation.document->findPool(request.pool);
+        if (!pool || !contains(pool->adapters))
+            return makeRefusal(RefusalReason::AdapterNotLoaded, "the document in force on VM " + situation.vm + " lists no adapter " + request.adapter, "use another target or an adapter that the pool lists");
+        if (!contains(situation.servedAdapters))
+            return makeRefusal(RefusalReason::AdapterNotLoaded, "the engine on VM " + situation.vm + " has not loaded adapter " + request.adapter, "use a target that reports the adapter");
+        return std::nullopt;
+    }
+
     std::optional<Refusal> findModelRefusal(const Situation& situation, const AdmitRequest& request)
     {
         if (situation.isSwitching)
@@ -29,7 +43,7 @@
             return makeRefusal(RefusalReason::UnknownPool, "VM " + situation.vm + " does not serve pool " + request.pool, "use a target of that pool");
         if (!request.weightsDigest.empty() && request.weightsDigest != situation.servedDigest)
             return makeRefusal(RefusalReason::WrongDigest, "VM " + situation.vm + " serves weights " + situation.servedDigest, "use a target that serves " + request.weightsDigest);
-        return std::nullopt;
+        return findAdapterRefusal(situation, request);
     }
 
     std::optional<Refusal> findServiceRefusal(const Situation& situation, const AdmitRequest& request)
--- a/Source/Admission/Refusal.cpp
+++ b/Source/Admission/Refusal.cpp
@@ -18,6 +18,7 @@
         case RefusalReason::PermitExpired:
         case RefusalReason::UnknownPool:
         case RefusalReason::NotKeyHome:
+        case RefusalReason::AdapterNotLoaded:
             return true;
         default:
             return false;
--- a/Source/Admission/Refusal.h
+++ b/Source/Admission/Refusal.h
@@ -27,6 +27,7 @@
     Deadline = 15,
     KeyRequired = 16,
     KeyReused = 17,
+    AdapterNotLoaded = 18,
 };
 
 // A refused attempt was certainly not run.
--- a/Source/Admission/Situation.h
+++ b/Source/Admission/Situation.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace Lavenderloft::Admission {
 
@@ -20,6 +21,8 @@
     // Pool and digest of the weights that the engine serves; empty while it serves none.
     std::string servedPool;
     std::string servedDigest;
+    // Adapters that the engine lists.
+    std::vector<std::string> servedAdapters;
     // Whether this process has been told to stop.
     bool isLeaving = false;
     // Whether the engine is about to load other weights.
--- a/Source/Admission/TargetPort.h
+++ b/Source/Admission/TargetPort.h
@@ -33,6 +33,8 @@
     std::string weightsDigest;
     // Whether the answer is the stored one of an earlier call with the same key.
     bool replayed = false;
+    // Digest of the adapter that answered; empty for the base model.
+    std::string adapterDigest;
 };
 
 // How an answer ended. The numbers are those of the protocol.
--- a/Source/Process/AgentExchange.cpp
+++ b/Source/Process/AgentExchange.cpp
@@ -2,12 +2,21 @@
 
 #include "Admission/Commands/RunRequest.h"
 #include "Admission/Events.h"
+#include "Admission/Queries/FindRefusal.h"
 #include "Http/EngineRequest.h"
 #include "Http/ForwardedHeaders.h"
 #include "Observability/Log.h"
 
+#include <strings.h>
+
 namespace Lavenderloft::Process {
 
+namespace {
+
+    constexpr const char* adapterHeader = "X-Adapter";
+
+} // namespace
+
 AgentExchange::AgentExchange(std::shared_ptr<TargetContext> context, std::shared_ptr<Admission::AnswerSink> sink)
     : m_context(std::move(context))
     , m_sink(std::move(sink))
@@ -47,6 +56,13 @@
 
 void AgentExchange::granted(const Admission::Permit& permit)
 {
+    // The adapter may have been withdrawn while the request was queued.
+    if (!m_request.adapter.empty()) {
+        if (auto refusal = Admission::Queries::findRefusal(m_context->situations.situation(), m_request)) {
+            Admission::Commands::withdrawAttempt(m_context->state, m_request, m_context->clock);
+            return endWithRefusal(*refusal);
+        }
+    }
     std::unique_lock guard(m_lock);
     if (m_phase == Phase::Admitted) {
         m_context->metrics.count("lavenderloft_permits_granted_total");
@@ -156,9 +172,12 @@
     request.method = isModel ? "POST" : m_head.method;
     request.target = isModel ? "/engine/generate" : m_head.path;
     for (auto& header : m_head.headers) {
-        if (Http::isForwarded(header.name))
+        // A model engine gets the adapter that was admitted, whatever the caller sends.
+        if (Http::isForwarded(header.name) && !(isModel && strcasecmp(header.name.c_str(), adapterHeader) == 0))
             request.headers.push_back({ header.name, header.value });
     }
+    if (isModel && !m_request.adapter.empty())
+        request.headers.push_back({ adapterHeader, m_request.adapter });
     request.body = isModel ? Http::withPriority(m_body, m_request.priorityClass) : std::move(m_body);
     return request;
 }
--- a/Source/Process/AgentSituation.cpp
+++ b/Source/Process/AgentSituation.cpp
@@ -23,6 +23,7 @@
     std::lock_guard guard(m_lock);
     situation.servedPool = m_served.pool;
     situation.servedDigest = m_served.digest;
+    situation.servedAdapters = m_served.adapters;
     situation.isSwitching = m_isSwitching;
     return situation;
 }
--- a/Source/Process/CallerHandler.cpp
+++ b/Source/Process/CallerHandler.cpp
@@ -22,6 +22,14 @@
         return std::any_of(hopHeaders.begin(), hopHeaders.end(), [&](auto* hop) { return !strcasecmp(hop, name.c_str()); });
     }
 
+    // Headers of an answer that the router sets itself.
+    constexpr std::array ownHeaders { "X-Adapter-Digest", "X-Request-Id", "X-Weights-Digest" };
+
+    bool isOwnHeader(const std::string& name)
+    {
+        return std::any_of(ownHeaders.begin(), ownHeaders.end(), [&](auto* own) { return !strcasecmp(own, name.c_str()); });
+    }
+
     Routing::CallerRequest decodeRequest(Http::HttpRequest&& request)
     {
         Routing::CallerRequest decoded;
@@ -81,12 +89,14 @@
     {
         Http::HttpHeaders headers;
         for (auto& header : head.headers) {
-            if (!isHopHeader(header.name) && strcasecmp(header.name.c_str(), "X-Weights-Digest") && strcasecmp(header.name.c_str(), "X-Request-Id"))
+            if (!isHopHeader(header.name) && !isOwnHeader(header.name))
                 headers.push_back({ header.name, header.value });
         }
         headers.push_back({ "X-Request-Id", requestId });
         if (!head.weightsDigest.empty())
             headers.push_back({ "X-Weights-Digest", head.weightsDigest });
+        if (!head.adapterDigest.empty())
+            headers.push_back({ "X-Adapter-Digest", head.adapterDigest });
         if (head.replayed)
             headers.push_back({ "Idempotency-Replayed", "true" });
         return headers;
--- a/Source/Process/TargetRun.cpp
+++ b/Source/Process/TargetRun.cpp
@@ -92,8 +92,10 @@
 {
     bool isModel = m_context->kind == Settings::TargetKind::Model;
     std::string digest(Http::headerValue(headers, "X-Weights-Digest"));
+    std::string adapter(Http::headerValue(headers, "X-Adapter-Digest"));
+    bool isOther = digest != m_admittedDigest || adapter != m_request.adapter;
     // Only a success comes from weights; an error of the engine names none.
-    if (isModel && digest != m_admittedDigest && (status == 200 || !digest.empty())) {
+    if (isModel && isOther && (status == 200 || !digest.empty())) {
         m_hasOtherDigest = true;
         return cancelCall();
     }
@@ -104,6 +106,7 @@
     }
     m_answer.head.status = status;
     m_answer.head.weightsDigest = isModel ? digest : std::string();
+    m_answer.head.adapterDigest = isModel ? adapter : std::string();
     for (auto& header : headers) {
         if (Http::isForwarded(header.name))
             m_answer.head.headers.push_back({ header.name, header.value });
@@ -160,7 +163,7 @@
     end.totalBytes = m_totalBytes;
     if (m_hasOtherDigest) {
         end.status = Admission::EndStatus::WrongDigest;
-        end.message = "the engine answered from other weights than " + m_admittedDigest;
+        end.message = "the engine answered from other weights than " + m_admittedDigest + (m_request.adapter.empty() ? " without an adapter" : " with adapter " + m_request.adapter);
         return end;
     }
     if (m_engineError) {
--- a/Source/Routing/AnswerMatcher.cpp
+++ b/Source/Routing/AnswerMatcher.cpp
@@ -2,9 +2,10 @@
 
 namespace Lavenderloft::Routing {
 
-AnswerMatcher::AnswerMatcher(std::string attemptId, std::string weightsDigest)
+AnswerMatcher::AnswerMatcher(std::string attemptId, std::string weightsDigest, std::string adapter)
     : m_attemptId(std::move(attemptId))
     , m_weightsDigest(std::move(weightsDigest))
+    , m_adapter(std::move(adapter))
 {
 }
 
@@ -13,7 +14,8 @@
     if (head.attemptId != m_attemptId || m_headSeen)
         return FrameVerdict::Drop;
     m_headSeen = true;
-    return head.weightsDigest == m_weightsDigest || m_weightsDigest.empty() ? FrameVerdict::Accept : FrameVerdict::Unusable;
+    bool isRight = m_weightsDigest.empty() || (head.weightsDigest == m_weightsDigest && head.adapterDigest == m_adapter);
+    return isRight ? FrameVerdict::Accept : FrameVerdict::Unusable;
 }
 
 FrameVerdict AnswerMatcher::data(const AnswerData& data)
--- a/Source/Routing/AnswerMatcher.h
+++ b/Source/Routing/AnswerMatcher.h
@@ -21,8 +21,9 @@
 public:
     AnswerMatcher() = default;
 
-    // An empty digest stands for a plain service, of which any is accepted.
-    AnswerMatcher(std::string attemptId, std::string weightsDigest);
+    // An empty digest of weights stands for a plain service, of which any is accepted; an empty adapter
+    // stands for the base model.
+    AnswerMatcher(std::string attemptId, std::string weightsDigest, std::string adapter);
 
     FrameVerdict head(const AnswerHead&);
     FrameVerdict data(const AnswerData&);
@@ -33,6 +34,7 @@
 private:
     std::string m_attemptId;
     std::string m_weightsDigest;
+    std::string m_adapter;
     uint64_t m_receivedBytes = 0;
     bool m_headSeen = false;
 };
--- a/Source/Routing/Commands/UpdateTargets.cpp
+++ b/Source/Routing/Commands/UpdateTargets.cpp
@@ -98,6 +98,7 @@
             if (!replica)
                 continue;
             target->setServingDigest(replica->servingDigest);
+            target->setAdapters(replica->adapters);
             targets.push_back(target);
         }
         return targets;
--- a/Source/Routing/LiveRequest.h
+++ b/Source/Routing/LiveRequest.h
@@ -38,6 +38,8 @@
     DesiredState::RouteKind kind = DesiredState::RouteKind::ToPool;
     // Name of the pool or service.
     std::string destination;
+    // Digest of the adapter that the route names; empty for the base model.
+    std::string adapter;
     bool repeatable = false;
     // Key of a call that may not be repeated; empty for others.
     std::string key;
--- a/Source/Routing/Queries/ReadRequest.cpp
+++ b/Source/Routing/Queries/ReadRequest.cpp
@@ -90,6 +90,7 @@
             return RoutingError { ErrorCode::NoRoute, "no route matches the path " + request.message.path.substr(0, 256), "send to a path that the desired state lists under routes", Outcome::NotRun, {} };
         request.kind = route->kind;
         request.destination = route->destination;
+        request.adapter = route->adapter;
         request.priorityClass = route->priorityClass;
         request.revision = document.revision;
         request.repeatable = route->kind == DesiredState::RouteKind::ToPool || route->repeatable;
--- a/Source/Routing/Queries/SelectTarget.cpp
+++ b/Source/Routing/Queries/SelectTarget.cpp
@@ -84,8 +84,12 @@
     auto subset = table.pools().find(request.destination);
     if (!subset || (*subset)->empty())
         return { nullptr, "no-target-ready" };
+    Targets serving;
+    std::copy_if((*subset)->begin(), (*subset)->end(), std::back_inserter(serving), [&](auto& target) { return target->servesAdapter(request.adapter); });
+    if (serving.empty())
+        return { nullptr, "no-target-with-adapter" };
     Targets left;
-    std::copy_if((*subset)->begin(), (*subset)->end(), std::back_inserter(left), [&](auto& target) { return !contains(tried, target); });
+    std::copy_if(serving.begin(), serving.end(), std::back_inserter(left), [&](auto& target) { return !contains(tried, target); });
     if (left.empty())
         return { nullptr, "all-targets-tried" };
     auto candidates = preferResponsive(std::move(left), now);
--- a/Source/Routing/RequestCoordinator.cpp
+++ b/Source/Routing/RequestCoordinator.cpp
@@ -35,6 +35,9 @@
 
     Base::Duration pauseAfter(const Refusal& refusal)
     {
+        // Says nothing about requests for other adapters or for the base model.
+        if (refusal.kind == RefusalKind::AdapterNotLoaded)
+            return {};
         if (refusal.kind == RefusalKind::AtLimit)
             return std::max<Base::Duration>(refusal.retryAfter, loadPause);
         return std::max<Base::Duration>(refusal.retryAfter, unreadyPause);
@@ -125,7 +128,7 @@
     m_attemptId = m_context.random.identifier();
     // The answer must come from the version that this target serves; the request is bound to no version.
     auto weightsDigest = m_target->servingDigest();
-    m_matcher = AnswerMatcher(m_attemptId, weightsDigest);
+    m_matcher = AnswerMatcher(m_attemptId, weightsDigest, m_request.adapter);
     Admission admission;
     admission.attemptId = m_attemptId;
     admission.requestId = m_request.id;
@@ -139,6 +142,7 @@
     admission.bodyBytes = m_request.message.body.size();
     admission.revision = m_request.revision;
     admission.fingerprint = m_request.fingerprint;
+    admission.adapter = m_request.adapter;
     m_channel = m_context.channels.channelTo(m_target->address());
     m_attempt = m_channel->open(admission, std::make_shared<AttemptSink>(shared_from_this(), m_attemptId));
     auto attempt = m_attempt;
@@ -197,12 +201,12 @@
     if (verdict == FrameVerdict::Drop)
         return dropFrame("head");
     if (verdict == FrameVerdict::Unusable) {
-        recordBreak("the answer comes from other weights than admitted");
+        recordBreak("the answer comes from other weights or another adapter than admitted");
         auto attempt = leaveAttempt();
         lock.unlock();
         attempt->cancel();
         lock.lock();
-        return attemptFailed(std::move(lock), failure(FailureKind::Failed, ErrorCode::OutcomeUnknown, "a target answered from other weights than the pool's", "retry"));
+        return attemptFailed(std::move(lock), failure(FailureKind::Failed, ErrorCode::OutcomeUnknown, "a target answered from other weights than the pool's, or from another adapter", "retry"));
     }
     // The head goes to the caller with the first byte of the body, so that a break in between can be retried.
     m_head = std::move(head);
--- a/Source/Routing/Target.cpp
+++ b/Source/Routing/Target.cpp
@@ -37,6 +37,20 @@
     m_servingDigest = std::move(digest);
 }
 
+bool Target::servesAdapter(const std::string& digest) const
+{
+    if (digest.empty())
+        return true;
+    std::lock_guard guard(m_digestLock);
+    return std::find(m_adapters.begin(), m_adapters.end(), digest) != m_adapters.end();
+}
+
+void Target::setAdapters(std::vector<std::string> adapters)
+{
+    std::lock_guard guard(m_digestLock);
+    m_adapters = std::move(adapters);
+}
+
 void Target::setLoad(const Membership::TargetLoad& load)
 {
     m_running = load.running;
--- a/Source/Routing/Target.h
+++ b/Source/Routing/Target.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <mutex>
 #include <string>
+#include <vector>
 
 namespace Lavenderloft::Routing {
 
@@ -43,6 +44,10 @@
     std::string servingDigest() const;
     void setServingDigest(std::string);
 
+    // Whether the target reports that it serves the adapter; an empty digest stands for the base model.
+    bool servesAdapter(const std::string& digest) const;
+    void setAdapters(std::vector<std::string>);
+
     void setLoad(const Membership::TargetLoad&);
     void avoidUntil(Base::TimePoint);
     void attemptStarted() { ++m_underWay; }
@@ -56,6 +61,7 @@
     const uint64_t m_incarnation;
     mutable std::mutex m_digestLock;
     std::string m_servingDigest;
+    std::vector<std::string> m_adapters;
     std::atomic<unsigned> m_running { 0 };
     std::atomic<unsigned> m_queued { 0 };
     std::atomic<unsigned> m_limit { 0 };
--- a/Source/Routing/TargetChannel.h
+++ b/Source/Routing/TargetChannel.h
@@ -28,6 +28,8 @@
     uint64_t bodyBytes = 0;
     uint64_t revision = 0;
     uint64_t fingerprint = 0;
+    // Digest of the adapter that is to answer; empty for the base model.
+    std::string adapter;
 };
 
 // A single-use admission granted by an agent.
@@ -55,6 +57,7 @@
     UnknownPool,
     Deadline,
     KeyRequired,
+    AdapterNotLoaded,
     Unspecified,
 };
 
@@ -72,6 +75,8 @@
     std::string weightsDigest;
     // The answer is a stored one of an earlier call with the same key.
     bool replayed = false;
+    // Digest of the adapter that answered; empty for the base model.
+    std::string adapterDigest;
 };
 
 struct AnswerData {
--- a/Source/Transport/TargetCodec.cpp
+++ b/Source/Transport/TargetCodec.cpp
@@ -43,6 +43,8 @@
             return RefusalKind::Deadline;
         case v1::REFUSAL_REASON_KEY_REQUIRED:
             return RefusalKind::KeyRequired;
+        case v1::REFUSAL_REASON_ADAPTER_NOT_LOADED:
+            return RefusalKind::AdapterNotLoaded;
         default:
             return RefusalKind::Unspecified;
         }
@@ -103,6 +105,7 @@
     admit.set_body_bytes(admission.bodyBytes);
     admit.set_revision(admission.revision);
     admit.set_fingerprint(admission.fingerprint);
+    admit.set_adapter_digest(admission.adapter);
     return admit;
 }
 
@@ -139,6 +142,7 @@
         decoded.headers.push_back({ header.name(), header.value() });
     decoded.weightsDigest = std::move(*head.mutable_weights_digest());
     decoded.replayed = head.replayed();
+    decoded.adapterDigest = std::move(*head.mutable_adapter_digest());
     return decoded;
 }
 
--- a/Source/Transport/TargetMessages.cpp
+++ b/Source/Transport/TargetMessages.cpp
@@ -35,6 +35,7 @@
     request.bodyBytes = message.body_bytes();
     request.revision = message.revision();
     request.fingerprint = message.fingerprint();
+    request.adapter = message.adapter_digest();
     return request;
 }
 
@@ -86,6 +87,7 @@
     message.mutable_head()->set_status(head.status);
     message.mutable_head()->set_weights_digest(head.weightsDigest);
     message.mutable_head()->set_replayed(head.replayed);
+    message.mutable_head()->set_adapter_digest(head.adapterDigest);
     for (auto& header : head.headers) {
         auto* entry = message.mutable_head()->add_headers();
         entry->set_name(header.name);
--- a/Tests/Admission/PermitTest.cpp
+++ b/Tests/Admission/PermitTest.cpp
@@ -3,6 +3,7 @@
 #include "Admission/Commands/ConsumePermit.h"
 #include "Admission/Commands/RevokePermit.h"
 #include "Admission/PauseDetector.h"
+#include "Admission/Queries/AdaptersInUse.h"
 #include "Admission/Queries/AttemptOutcome.h"
 #include "Admission/Queries/FindRefusal.h"
 #include "Admission/Queries/TargetLoad.h"
@@ -32,6 +33,33 @@
     cr_assert(Queries::attemptOutcome(fixture.state.permits, "a", 1) == Queries::AttemptOutcome::NotRun);
 }
 
+// Guards against a request that runs on an adapter that the engine has not loaded or the document has
+// withdrawn, and against an adapter that is unloaded under a request.
+Test(Permit, needsTheAdapterListedByEngineAndDocument)
+{
+    AdmissionFixture fixture;
+    fixture.becomeModel();
+    DesiredState::Pool pool;
+    pool.name = "assistant";
+    pool.adapters = { "a1" };
+    fixture.document->pools = { pool };
+    auto request = fixture.makeRequest("a");
+    request.adapter = "a1";
+    auto refused = fixture.admit(request);
+    cr_assert(fixture.reasonOf(refused) == RefusalReason::AdapterNotLoaded);
+    cr_assert(std::get<Refusal>(refused).retryElsewhere);
+    fixture.situation.servedAdapters = { "a0", "a1" };
+    cr_assert(fixture.run(request));
+    cr_assert(Queries::adaptersInUse(fixture.state.permits) == std::set<std::string> { "a1" });
+    fixture.document->pools[0].adapters.clear();
+    auto late = fixture.makeRequest("b");
+    late.adapter = "a1";
+    cr_assert(fixture.reasonOf(fixture.admit(late)) == RefusalReason::AdapterNotLoaded);
+    fixture.finish(request);
+    cr_assert(Queries::adaptersInUse(fixture.state.permits).empty());
+    cr_assert(fixture.run(fixture.makeRequest("c")));
+}
+
 // Guards against a body sent twice with one permit.
 Test(Permit, isSingleUse)
 {
--- a/Tests/Routing/CoordinatorTest.cpp
+++ b/Tests/Routing/CoordinatorTest.cpp
@@ -149,6 +149,32 @@
     cr_assert_not(caller->started);
 }
 
+// Guards against an answer from another adapter than the route's, or from the base model in its place, and
+// against a target that is avoided for all requests because it lacks one adapter.
+Test(Coordinator, refusesAnAnswerFromAnotherAdapter)
+{
+    RoutingFixture fixture;
+    for (auto& member : fixture.members)
+        member.replicas[0].adapters = { "a1" };
+    fixture.update();
+    auto request = fixture.poolRequest();
+    request.adapter = "a1";
+    auto caller = fixture.start(request);
+    auto first = fixture.channels.attempts[0];
+    cr_assert(first->admission.adapter == "a1");
+    first->refuse(RefusalKind::AdapterNotLoaded);
+    cr_assert_not(fixture.targets.vms().find(first->address).value()->isAvoided(fixture.clock.now()));
+    auto second = fixture.channels.attempts[1];
+    second->permit();
+    second->events->head({ second->id(), 200, {}, RoutingFixture::digest, false, "" });
+    cr_assert(second->cancelled);
+    cr_assert_eq(fixture.channels.attempts.size(), 3);
+    cr_assert_not(caller->started);
+    fixture.channels.last().permit();
+    fixture.channels.last().answer("whole");
+    cr_assert(caller->whole);
+}
+
 // Guards against 'not run' for a call that may have run, and against a second run of it.
 Test(Coordinator, resolvesABrokenCallThatMayNotBeRepeated)
 {
--- a/Tests/Routing/RoutingFixture.h
+++ b/Tests/Routing/RoutingFixture.h
@@ -40,7 +40,7 @@
     const std::string& id() const { return admission.attemptId; }
     void permit() { events->permitted({ "permit-" + id(), std::chrono::seconds(2), 1, 1 }); }
     void refuse(RefusalKind kind) { events->refused({ kind, "refused", true, {} }); }
-    void head() { events->head({ id(), 200, {}, admission.weightsDigest, false }); }
+    void head() { events->head({ id(), 200, {}, admission.weightsDigest, false, admission.adapter }); }
     void data(std::string bytes)
     {
         events->data({ id(), std::move(bytes) }, [] {});
--- a/Tests/Routing/SelectionTest.cpp
+++ b/Tests/Routing/SelectionTest.cpp
@@ -83,6 +83,36 @@
     cr_assert(fixture.targets.vms().find("t2").value()->servingDigest() == RoutingFixture::digest);
 }
 
+// Guards against a request for an adapter that goes to a target which serves the base model alone.
+Test(Selection, usesOnlyTargetsThatReportTheAdapter)
+{
+    RoutingFixture fixture(3);
+    auto vmsWith = [&](const std::string& adapter) {
+        std::set<std::string> vms;
+        auto request = fixture.poolRequest();
+        request.adapter = adapter;
+        for (int i = 0; i < 200; ++i) {
+            if (auto target = Queries::selectTarget(fixture.targets, request, {}, fixture.policy, fixture.random, fixture.clock.now()).target)
+                vms.insert(target->vm());
+        }
+        return vms;
+    };
+    for (auto& member : fixture.members) {
+        if (member.vm == "t2")
+            member.replicas[0].adapters = { "a0", "a1" };
+    }
+    fixture.update();
+    cr_assert(vmsWith("a1") == std::set<std::string> { "t2" });
+    cr_assert(vmsWith("a2").empty());
+    cr_assert(vmsWith("") == (std::set<std::string> { "t1", "t2", "t3" }));
+    for (auto& member : fixture.members)
+        member.replicas[0].adapters.clear();
+    fixture.update();
+    cr_assert(vmsWith("a1").empty(), "a target that lost the adapter gets no request for it");
+    fixture.document.routes = { { "/repair", DesiredState::RouteKind::ToPool, "pool", true, {}, "a1" } };
+    cr_assert(Base::valueOf(read(fixture, "/repair", {})).adapter == "a1");
+}
+
 // Guards against traffic over thin links while near targets are free, and against a tier that is never left.
 Test(Selection, usesNearTiersFirstAndLeavesThemAfterRefusals)
 {
--- a/Tests/Transport/AgentFixture.h
+++ b/Tests/Transport/AgentFixture.h
@@ -185,6 +185,14 @@
         isClockRunning = false;
     }
 
+    // Waits until the agent reports these adapters.
+    void waitUntilAdapters(const std::vector<std::string>& adapters)
+    {
+        isClockRunning = true;
+        control.waitFor([&](const Membership::Member& self) { return self.load.accepting && !self.replicas.empty() && self.replicas.front().adapters == adapters; });
+        isClockRunning = false;
+    }
+
     // Status of the answer on the admin port.
     unsigned fetchStatus(const std::string& path)
     {
--- a/Tests/Transport/AgentProcessTest.cpp
+++ b/Tests/Transport/AgentProcessTest.cpp
@@ -61,6 +61,49 @@
     cr_assert_eq(call.end.end().status(), protocol::END_STATUS_WRONG_DIGEST);
 }
 
+// Guards against an adapter that is never loaded or takes the replica out, against an answer from another
+// adapter of which any byte reaches the router, and against an adapter that is unloaded under a request.
+Test(AgentProcess, loadsAndUnloadsAnAdapterWhileItServes)
+{
+    AgentFixture fixture;
+    fixture.waitUntilServing("v1");
+    auto document = AgentFixture::makeDocument("v1");
+    document.pools[0].adapters = { "a1" };
+    fixture.control.setDocument(document);
+    fixture.waitUntilAdapters({ "a1" });
+    std::vector<std::string> expected { "manifest=manifest of v1", "0=v1-0", "1=v1-1", "2=v1-2", "manifest=manifest of a1", "0=a1-0", "1=a1-1", "2=a1-2" };
+    cr_assert(fixture.engine->uploads() == expected);
+    auto makeAdmit = [](const std::string& attempt, const std::string& adapter) {
+        auto admit = AgentFixture::makeAdmit(attempt, "v1");
+        admit.set_adapter_digest(adapter);
+        return admit;
+    };
+    RouterCall unknown(*fixture.stub);
+    cr_assert_eq(unknown.admit(makeAdmit("a", "a2")).refusal().reason(), protocol::REFUSAL_REASON_ADAPTER_NOT_LOADED);
+    fixture.engine->answerFromAdapter("a2");
+    RouterCall other(*fixture.stub);
+    other.sendBody(other.admit(makeAdmit("b", "a1")).permit().permit_id(), "\"hi\"");
+    cr_assert(other.readAnswer().empty());
+    cr_assert_eq(other.end.end().status(), protocol::END_STATUS_WRONG_DIGEST);
+    fixture.engine->answerFromAdapter("");
+    fixture.waitUntilServing("v1");
+    fixture.engine->hold(true);
+    RouterCall call(*fixture.stub);
+    call.sendBody(call.admit(makeAdmit("c", "a1")).permit().permit_id(), "\"hi\"");
+    fixture.engine->waitForRequests(2);
+    fixture.control.setDocument(AgentFixture::makeDocument("v1"));
+    RouterCall late(*fixture.stub);
+    cr_assert_eq(late.admit(makeAdmit("d", "a1")).refusal().reason(), protocol::REFUSAL_REASON_ADAPTER_NOT_LOADED);
+    fixture.waitUntilAdapters({});
+    cr_assert(fixture.engine->adapters() == std::set<std::string> { "a1" }, "it was unloaded under a request");
+    fixture.engine->hold(false);
+    cr_assert(call.readAnswer() == "\"hi\"\n[DONE]\n");
+    cr_assert(call.head.adapter_digest() == "a1");
+    fixture.isClockRunning = true;
+    fixture.engine->waitForNoAdapter();
+    cr_assert_eq(fixture.engine->uploads().size(), 8);
+}
+
 // Guards against a rollout that cuts a running request, and against two versions in one answer.
 Test(AgentProcess, switchesVersionsAfterRunningRequestsEnd)
 {
--- a/Tests/Transport/FakeEngine.h
+++ b/Tests/Transport/FakeEngine.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,7 @@
         std::lock_guard guard(m_lock);
         ++m_incarnation;
         m_digest.clear();
+        m_adapters.clear();
         m_uploads.clear();
         m_changed.notify_all();
     }
@@ -51,6 +53,13 @@
         m_answerDigest = digest;
     }
 
+    // Answers from another adapter than the request names.
+    void answerFromAdapter(const std::string& digest)
+    {
+        std::lock_guard guard(m_lock);
+        m_answerAdapter = digest;
+    }
+
     void hold(bool isHeld)
     {
         std::lock_guard guard(m_lock);
@@ -72,6 +81,18 @@
         m_changed.wait(guard, [&] { return m_requests >= count; });
     }
 
+    void waitForNoAdapter()
+    {
+        std::unique_lock guard(m_lock);
+        m_changed.wait(guard, [&] { return m_adapters.empty(); });
+    }
+
+    std::set<std::string> adapters() const
+    {
+        std::lock_guard guard(m_lock);
+        return m_adapters;
+    }
+
     std::vector<std::string> uploads() const
     {
         std::lock_guard guard(m_lock);
@@ -87,7 +108,7 @@
 
     nlohmann::json status() const
     {
-        return { { "incarnation", "engine-" + std::to_string(m_incarnation) }, { "state", m_digest.empty() ? "empty" : "ready" }, { "digest", m_digest },
+        return { { "incarnation", "engine-" + std::to_string(m_incarnation) }, { "state", m_digest.empty() ? "empty" : "ready" }, { "digest", m_digest }, { "adapters", m_adapters },
             { "running", m_running }, { "queued", 0 }, { "memoryBytes", 0 }, { "memoryLimitBytes", 1000000 }, { "highestFence", m_fence }, { "checksFence", true } };
     }
 
@@ -112,7 +133,14 @@
         auto order = nlohmann::json::parse(request.body);
         if (!acceptFence(order.at("fence")))
             return stream.respond({ 409, {}, "old fence" });
-        m_digest = order.at("digest");
+        std::string digest = order.at("digest");
+        if (order.at("order") == "loadAdapter")
+            m_adapters.insert(digest);
+        else if (order.at("order") == "unloadAdapter")
+            m_adapters.erase(digest);
+        else
+            m_digest = digest;
+        m_changed.notify_all();
         stream.respond({ 202, {}, "" });
     }
 
@@ -129,7 +157,8 @@
         if (m_digest.empty())
             return stream->respond({ 503, {}, "no weights" });
         auto digest = m_answerDigest.empty() ? m_digest : m_answerDigest;
-        stream->respond({ 200, { { "X-Weights-Digest", digest } }, request.body + "\n[DONE]\n" });
+        auto adapter = m_answerAdapter.empty() ? std::string(Http::headerValue(request.headers, "X-Adapter")) : m_answerAdapter;
+        stream->respond({ 200, { { "X-Weights-Digest", digest }, { "X-Adapter-Digest", adapter } }, request.body + "\n[DONE]\n" });
     }
 
     const std::function<void()> m_onStatus;
@@ -138,6 +167,8 @@
     unsigned m_incarnation = 1;
     std::string m_digest;
     std::string m_answerDigest;
+    std::set<std::string> m_adapters;
+    std::string m_answerAdapter;
     uint64_t m_fence = 0;
     unsigned m_running = 0;
     unsigned m_requests = 0;
