Prove adapters end to end

Cause: nothing showed that a published adapter answers callers, is loaded again and leaves. Ruled out: several tests with a fleet each (about 13 s each, most of it the start and the spread of documents). Every token is checked for base and adapter. Not proved: a pool larger than a router's subset.

--- a/Tests/EndToEnd/TestFleet.cpp
+++ b/Tests/EndToEnd/TestFleet.cpp
@@ -171,9 +171,9 @@
     return { answer.status, answer.headers, answer.body };
 }
 
-Answer TestFleet::generate(const Http::Endpoint& router, const std::string& prompt, unsigned tokens)
+Answer TestFleet::generate(const Http::Endpoint& router, const std::string& prompt, unsigned tokens, const std::string& path)
 {
-    return call(router, "/assistant", nlohmann::json { { "prompt", prompt }, { "maxTokens", tokens } }.dump(), { { "Content-Type", "application/json" } });
+    return call(router, path, nlohmann::json { { "prompt", prompt }, { "maxTokens", tokens } }.dump(), { { "Content-Type", "application/json" } });
 }
 
 void TestFleet::waitForAnswer(TestRouter& router)
@@ -185,6 +185,7 @@
 {
     Standin::AnswerChecker checker(identifier, tokens);
     checker.setDigest(std::string(Http::headerValue(answer.headers, "X-Weights-Digest")));
+    checker.setAdapter(std::string(Http::headerValue(answer.headers, "X-Adapter-Digest")));
     checker.add(answer.body);
     return answer.status == 200 && checker.verdict() == Standin::AnswerVerdict::Whole;
 }
--- a/Tests/EndToEnd/TestFleet.h
+++ b/Tests/EndToEnd/TestFleet.h
@@ -62,7 +62,7 @@
     void waitForReplicas(TestRouter&, const std::string& digest, unsigned count);
 
     Answer call(const Http::Endpoint&, const std::string& path, const std::string& body, Http::HttpHeaders headers = {});
-    Answer generate(const Http::Endpoint&, const std::string& prompt, unsigned tokens);
+    Answer generate(const Http::Endpoint&, const std::string& prompt, unsigned tokens, const std::string& path = "/assistant");
 
     // Waits until the router answers a request to the pool.
     void waitForAnswer(TestRouter&);
