--- a/Source/Admission/AdmitRequest.h
+++ b/Source/Admission/AdmitRequest.h
@@ -29,6 +29,8 @@
     uint64_t fingerprint = 0;
     // Number of the first token wanted from a model engine.
     uint64_t resumeFromToken = 0;
+    // Digest of the adapter that is to answer; empty for the base model.
+    std::string adapter;
 };
 
 } // namespace Lavenderloft::Admission
--- a/Source/Admission/TargetPort.h
+++ b/Source/Admission/TargetPort.h
@@ -35,6 +35,8 @@
     bool replayed = false;
     // Number of the first token, as the engine states it.
     uint64_t resumedFromToken = 0;
+    // Digest of the adapter that answered; empty for the base model.
+    std::string adapterDigest;
 };
 
 // How an answer ended. The numbers are those of the protocol.
--- a/Source/Membership/Member.cpp
+++ b/Source/Membership/Member.cpp
@@ -37,6 +37,7 @@
         entry.pool = replica.pool;
         entry.servingDigest = replica.servingDigest;
         entry.phase = sharedPhase(replica.phase);
+        entry.adapters = replica.adapters;
     }
     return shared;
 }
--- a/Source/Routing/AnswerMatcher.cpp
+++ b/Source/Routing/AnswerMatcher.cpp
@@ -2,9 +2,10 @@
 
 namespace Lavenderloft::Routing {
 
-AnswerMatcher::AnswerMatcher(std::string attemptId, std::string weightsDigest)
+AnswerMatcher::AnswerMatcher(std::string attemptId, std::string weightsDigest, std::string adapter)
     : m_attemptId(std::move(attemptId))
     , m_weightsDigest(std::move(weightsDigest))
+    , m_adapter(std::move(adapter))
 {
 }
 
@@ -19,7 +20,7 @@
     if (head.attemptId != m_attemptId || m_headSeen)
         return FrameVerdict::Drop;
     m_headSeen = true;
-    bool isFromWeights = head.weightsDigest == m_weightsDigest || m_weightsDigest.empty();
+    bool isFromWeights = m_weightsDigest.empty() || (head.weightsDigest == m_weightsDigest && head.adapterDigest == m_adapter);
     bool isFromToken = head.resumedFromToken == m_firstToken && (head.status == m_status || !m_status);
     return isFromWeights && isFromToken ? FrameVerdict::Accept : FrameVerdict::Unusable;
 }
--- a/Source/Routing/AnswerMatcher.h
+++ b/Source/Routing/AnswerMatcher.h
@@ -21,8 +21,9 @@
 public:
     AnswerMatcher() = default;
 
-    // An empty digest stands for a plain service, of which any is accepted.
-    AnswerMatcher(std::string attemptId, std::string weightsDigest);
+    // An empty digest of weights stands for a plain service, of which any is accepted; an empty adapter
+    // stands for the base model.
+    AnswerMatcher(std::string attemptId, std::string weightsDigest, std::string adapter);
 
     // Accepts only an answer with that status that states the number of its first token.
     void requireResume(uint64_t token, unsigned status);
@@ -39,6 +40,7 @@
     // Zero for any status.
     unsigned m_status = 0;
     uint64_t m_firstToken = 0;
+    std::string m_adapter;
     uint64_t m_receivedBytes = 0;
     bool m_headSeen = false;
 };
--- a/Source/Routing/Queries/DescribeFailure.cpp
+++ b/Source/Routing/Queries/DescribeFailure.cpp
@@ -50,6 +50,9 @@
 
 Base::Duration pauseAfter(const Refusal& refusal)
 {
+    // Says nothing about requests for other adapters or for the base model.
+    if (refusal.kind == RefusalKind::AdapterNotLoaded)
+        return {};
     if (refusal.kind == RefusalKind::AtLimit)
         return std::max<Base::Duration>(refusal.retryAfter, loadPause);
     return std::max<Base::Duration>(refusal.retryAfter, unreadyPause);
--- a/Source/Routing/RequestCoordinator.cpp
+++ b/Source/Routing/RequestCoordinator.cpp
@@ -125,7 +125,7 @@
     m_attemptId = m_context.random.identifier();
     // The answer must come from the version that this target serves; the request is bound to no version.
     auto weightsDigest = m_answerStarted ? m_head.weightsDigest : m_target->servingDigest();
-    m_matcher = AnswerMatcher(m_attemptId, weightsDigest);
+    m_matcher = AnswerMatcher(m_attemptId, weightsDigest, m_request.adapter);
     Admission admission;
     if (m_answerStarted) {
         admission.resumeFromToken = m_position.tokens;
@@ -144,6 +144,7 @@
     admission.bodyBytes = m_request.message.body.size();
     admission.revision = m_request.revision;
     admission.fingerprint = m_request.fingerprint;
+    admission.adapter = m_request.adapter;
     m_channel = m_context.channels.channelTo(m_target->address());
     m_attempt = m_channel->open(admission, std::make_shared<AttemptSink>(shared_from_this(), m_attemptId));
     auto attempt = m_attempt;
@@ -201,7 +202,7 @@
     if (verdict == FrameVerdict::Drop)
         return dropFrame("head");
     if (verdict == FrameVerdict::Unusable)
-        return rejectAnswer(std::move(lock), m_answerStarted ? "a target did not continue the answer at the token asked for" : "a target answered from other weights than the pool's");
+        return rejectAnswer(std::move(lock), m_answerStarted ? "a target did not continue the answer at the token asked for" : "a target answered from other weights than the pool's, or from another adapter");
     // The head goes to the caller with the first byte of the body, so that a break in between can be retried.
     if (!m_answerStarted)
         m_head = std::move(head);
--- a/Source/Routing/TargetChannel.h
+++ b/Source/Routing/TargetChannel.h
@@ -30,6 +30,8 @@
     uint64_t fingerprint = 0;
     // Number of the first token wanted; not zero for the rest of an answer whose stream broke.
     uint64_t resumeFromToken = 0;
+    // Digest of the adapter that is to answer; empty for the base model.
+    std::string adapter;
 };
 
 // A single-use admission granted by an agent.
@@ -57,6 +59,7 @@
     UnknownPool,
     Deadline,
     KeyRequired,
+    AdapterNotLoaded,
     Unspecified,
 };
 
@@ -76,6 +79,8 @@
     bool replayed = false;
     // Number of the first token, as the engine states it.
     uint64_t resumedFromToken = 0;
+    // Digest of the adapter that answered; empty for the base model.
+    std::string adapterDigest;
 };
 
 struct AnswerData {
--- a/Source/Transport/TargetCodec.cpp
+++ b/Source/Transport/TargetCodec.cpp
@@ -43,6 +43,8 @@
             return RefusalKind::Deadline;
         case v1::REFUSAL_REASON_KEY_REQUIRED:
             return RefusalKind::KeyRequired;
+        case v1::REFUSAL_REASON_ADAPTER_NOT_LOADED:
+            return RefusalKind::AdapterNotLoaded;
         default:
             return RefusalKind::Unspecified;
         }
@@ -104,6 +106,7 @@
     admit.set_revision(admission.revision);
     admit.set_fingerprint(admission.fingerprint);
     admit.set_resume_from_token(admission.resumeFromToken);
+    admit.set_adapter_digest(admission.adapter);
     return admit;
 }
 
@@ -141,6 +144,7 @@
     decoded.weightsDigest = std::move(*head.mutable_weights_digest());
     decoded.replayed = head.replayed();
     decoded.resumedFromToken = head.resumed_from_token();
+    decoded.adapterDigest = std::move(*head.mutable_adapter_digest());
     return decoded;
 }
 
--- a/Source/Transport/TargetMessages.cpp
+++ b/Source/Transport/TargetMessages.cpp
@@ -36,6 +36,7 @@
     request.revision = message.revision();
     request.fingerprint = message.fingerprint();
     request.resumeFromToken = message.resume_from_token();
+    request.adapter = message.adapter_digest();
     return request;
 }
 
@@ -88,6 +89,7 @@
     message.mutable_head()->set_weights_digest(head.weightsDigest);
     message.mutable_head()->set_replayed(head.replayed);
     message.mutable_head()->set_resumed_from_token(head.resumedFromToken);
+    message.mutable_head()->set_adapter_digest(head.adapterDigest);
     for (auto& header : head.headers) {
         auto* entry = message.mutable_head()->add_headers();
         entry->set_name(header.name);
