Report pools of each data centre to the others through relays

Cause: since members of other data centres are known only by the shared part of their record, the status no longer showed their phases, revisions and delays.

Ruled out: spreading the reports to every process by gossip. 20 data centres with 10 pools that are counted anew every 10 s would make 20 updates a second in each process. Only relays keep the reports, and `lavenderloft status` asks the two relays of the data centre of the process that it is given.

Change: a relay adds to each message for another data centre at most 16 reports of the pools in its own data centre (replicas wanted, ready, loading, fetching and late, and the oldest revision in force), in rotation. The receiver keeps the newest of each pool and data centre, at most 16,384, for two hours. `wanted` counts the members that report the pool; the assignment is not computed for it. `status` prints them as a table and as `otherDataCentres` in JSON, marks one that is older than 60 s as old, and names data centres that serve a pool but have not reported.

Bytes: none measured in this commit.

Conclusion: an operator sees other data centres by counts with an age, at a bounded size of messages.

--- a/Source/CommandLine/StatusCommand.cpp
+++ b/Source/CommandLine/StatusCommand.cpp
@@ -1,7 +1,10 @@
 #include "CommandLine/StatusCommand.h"
 
+#include "Base/SystemClock.h"
 #include "CommandLine/CheckedInput.h"
 #include "CommandLine/OptionParser.h"
+#include "Membership/PoolReportTable.h"
+#include "Membership/Queries/SelectPeers.h"
 #include "Membership/Queries/SummarizeFleet.h"
 #include "Transport/ControlServiceClient.h"
 #include "Transport/Credentials.h"
@@ -71,6 +74,25 @@
         return Transport::makeLoopbackCredentials();
     }
 
+    int64_t secondsOf(Base::Duration duration)
+    {
+        return std::chrono::duration_cast<std::chrono::seconds>(duration).count();
+    }
+
+    void printReports(std::ostream& output, const std::vector<Membership::PoolReport>& reports)
+    {
+        if (reports.empty())
+            return;
+        output << "\nreported by other data centres\n"
+               << std::left << std::setw(20) << "data centre" << std::setw(20) << "pool or service" << std::right << std::setw(9) << "wanted" << std::setw(9) << "ready"
+               << std::setw(9) << "loading" << std::setw(9) << "fetching" << std::setw(9) << "late" << std::setw(10) << "revision" << std::setw(8) << "age" << '\n';
+        for (auto& report : reports) {
+            output << std::left << std::setw(20) << report.dataCentre << std::setw(20) << report.pool << std::right << std::setw(9) << report.wanted << std::setw(9) << report.ready
+                   << std::setw(9) << report.loading << std::setw(9) << report.fetching << std::setw(9) << report.late << std::setw(10) << report.oldestRevision
+                   << std::setw(6) << secondsOf(report.age) << " s" << (report.age > Membership::Queries::oldReport ? " old" : "") << '\n';
+        }
+    }
+
     nlohmann::ordered_json toJson(const Membership::FleetStatus& status, const FleetSummary& summary)
     {
         nlohmann::ordered_json json;
@@ -89,6 +111,12 @@
             json["pools"].push_back({ { "name", name }, { "ready", pool.ready }, { "fetching", pool.fetching }, { "waiting", pool.waiting },
                 { "loading", pool.loading }, { "failed", pool.failed }, { "leaving", pool.leaving }, { "serving", pool.readyByDigest }, { "late", pool.late } });
         }
+        json["otherDataCentres"] = nlohmann::ordered_json::array();
+        for (auto& report : summary.reports) {
+            json["otherDataCentres"].push_back({ { "dataCentre", report.dataCentre }, { "pool", report.pool }, { "wanted", report.wanted }, { "ready", report.ready },
+                { "loading", report.loading }, { "fetching", report.fetching }, { "late", report.late }, { "oldestRevision", report.oldestRevision },
+                { "ageSeconds", secondsOf(report.age) }, { "old", report.age > Membership::Queries::oldReport } });
+        }
         json["refusals"] = summary.refusals;
         json["partial"] = summary.partial;
         return json;
@@ -115,6 +143,7 @@
             for (auto& reason : pool.late)
                 output << "    late: " << reason << '\n';
         }
+        printReports(output, summary.reports);
         if (!status.refusedDocument.empty())
             output << "\nrefused document: " << status.refusedDocument << '\n';
         for (auto& refusal : summary.refusals)
@@ -125,6 +154,23 @@
             output << "    " << reason << '\n';
     }
 
+    // Only relays receive the reports of other data centres, so that the relays of the asked VM's data centre
+    // are asked too. A relay that does not answer leaves its reports out; the summary names what is missing.
+    void addReportsOfRelays(Transport::ControlServiceClient& client, Membership::FleetStatus& status)
+    {
+        Membership::PoolReportTable reports;
+        auto now = Base::SystemClock().now();
+        reports.merge(status.poolReports, now);
+        for (auto& relay : Membership::Queries::relaysAmong(status.members, status.self.dataCentre)) {
+            if (relay.vm == status.self.vm)
+                continue;
+            auto answer = client.fetchStatus(relay.address, answerTimeout);
+            if (Base::succeeded(answer))
+                reports.merge(Base::valueOf(answer).poolReports, now);
+        }
+        status.poolReports = reports.all(now);
+    }
+
 } // namespace
 
 ExitCode StatusCommand::run(const std::vector<std::string>& arguments)
@@ -155,7 +201,8 @@
         std::cerr << "lavenderloft status: " << Base::errorOf(result).describe() << '\n';
         return ExitCode::Refused;
     }
-    auto& status = Base::valueOf(result);
+    auto status = Base::takeValue(std::move(result));
+    addReportsOfRelays(client, status);
     auto summary = Membership::Queries::summarizeFleet(status);
     if (json)
         std::cout << toJson(status, summary).dump(2) << '\n';
--- a/Source/Membership/ControlHandler.h
+++ b/Source/Membership/ControlHandler.h
@@ -12,6 +12,8 @@
 struct FleetStatus {
     Member self;
     std::vector<Member> members;
+    // Pools of other data centres; only relays have them.
+    std::vector<PoolReport> poolReports;
     uint64_t revision = 0;
     std::string documentDigest;
     std::string refusedDocument;
--- a/Source/Membership/GossipMessage.h
+++ b/Source/Membership/GossipMessage.h
@@ -2,6 +2,7 @@
 
 #include "Base/Clock.h"
 #include "Membership/Member.h"
+#include "Membership/PoolReport.h"
 
 #include <string>
 #include <vector>
@@ -32,6 +33,8 @@
     // The sender's own record first, then updates.
     std::vector<Member> members;
     std::vector<CrashEvidence> crashEvidence;
+    // Pools of the sender's data centre; only in messages between data centres.
+    std::vector<PoolReport> poolReports;
     // Age of the newest confirmation of the document by the configuration service.
     Base::Duration confirmationAge {};
     uint64_t viewHash = 0;
--- a/Source/Membership/Queries/SelectPeers.cpp
+++ b/Source/Membership/Queries/SelectPeers.cpp
@@ -50,9 +50,7 @@
 std::vector<Member> SelectPeers::acrossDataCentres() const
 {
     auto self = LiveMembers(m_table).self();
-    auto ownRelays = relaysOf(self.dataCentre);
-    auto isSelf = [&](const Member& member) { return member.vm == self.vm; };
-    if (std::none_of(ownRelays.begin(), ownRelays.end(), isSelf))
+    if (!isRelay())
         return {};
     std::set<std::string> others;
     m_table.entries().forEach([&](const std::string&, const MemberTable::Entry& entry) {
@@ -68,14 +66,30 @@
     return { relays[m_random.below(relays.size())] };
 }
 
+bool SelectPeers::isRelay() const
+{
+    auto relays = relaysOf(m_table.dataCentre());
+    return std::any_of(relays.begin(), relays.end(), [&](const Member& member) { return member.vm == m_table.selfVm(); });
+}
+
 std::vector<Member> SelectPeers::relaysOf(const std::string& dataCentre) const
 {
-    std::map<std::string, Member> alive;
-    std::map<std::string, Member> rest;
-    m_table.entries().forEach([&](const std::string& vm, const MemberTable::Entry& entry) {
+    std::vector<Member> members;
+    m_table.entries().forEach([&](const std::string&, const MemberTable::Entry& entry) {
         if (entry.member.dataCentre == dataCentre)
-            (entry.member.status == Status::Alive ? alive : rest).emplace(vm, entry.member);
+            members.push_back(entry.member);
     });
+    return relaysAmong(members, dataCentre);
+}
+
+std::vector<Member> relaysAmong(const std::vector<Member>& members, const std::string& dataCentre)
+{
+    std::map<std::string, Member> alive;
+    std::map<std::string, Member> rest;
+    for (auto& member : members) {
+        if (member.dataCentre == dataCentre)
+            (member.status == Status::Alive ? alive : rest).emplace(member.vm, member);
+    }
     // A data centre that seems gone is still tried, so that a healed partition is found.
     auto& candidates = alive.empty() ? rest : alive;
     std::vector<std::string> names;
--- a/Source/Membership/Queries/SelectPeers.h
+++ b/Source/Membership/Queries/SelectPeers.h
@@ -11,6 +11,10 @@
 // Relays of a data centre: the members that exchange with other data centres.
 inline constexpr size_t relaysPerDataCentre = 2;
 
+// The relays of a data centre among the members: the first by rendezvous hashing over those that are alive,
+// or over all others if none is.
+std::vector<Member> relaysAmong(const std::vector<Member>&, const std::string& dataCentre);
+
 // Chooses with whom to exchange next.
 class SelectPeers {
 public:
@@ -32,6 +36,9 @@
     // members stay eligible, so that a healed partition is found from either side.
     std::vector<Member> neighbours() const;
 
+    // Whether this process is a relay of its data centre.
+    bool isRelay() const;
+
 private:
     std::vector<Member> relaysOf(const std::string& dataCentre) const;
 
--- a/Source/Process/ControlNode.cpp
+++ b/Source/Process/ControlNode.cpp
@@ -12,6 +12,7 @@
 #include "Membership/Commands/UpdateSelf.h"
 #include "Membership/Queries/ComposeGossip.h"
 #include "Membership/Queries/LiveMembers.h"
+#include "Membership/Queries/ReportPools.h"
 #include "Membership/Queries/SelectPeers.h"
 #include "Observability/Log.h"
 #include "Process/Events.h"
@@ -213,7 +214,7 @@
     if (sender)
         learnDocument(sender->address, request);
     auto response = ComposeGossip(m_table).response(request, documentState(m_revisions, confirmationAge()));
-    response.crashEvidence = m_evidence.newest(m_parts.clock.now());
+    addReports(response);
     RecordTransmission(m_table).execute(response);
     return response;
 }
@@ -237,6 +238,7 @@
     Membership::FleetStatus status;
     status.self = self();
     status.members = members();
+    status.poolReports = m_poolReports.all(m_parts.clock.now());
     status.confirmationAge = confirmationAge();
     if (auto current = m_revisions.current()) {
         status.revision = current->document.revision;
@@ -308,7 +310,7 @@
     if (!beginCall())
         return;
     auto message = ComposeGossip(m_table).request(dataCentre, documentState(m_revisions, confirmationAge()), dataCentre == m_settings.dataCentre ? m_pageCursor : m_sharedPageCursor);
-    message.crashEvidence = m_evidence.newest(m_parts.clock.now());
+    addReports(message);
     RecordTransmission(m_table).execute(message);
     m_parts.peers.exchange(address, message, exchangeTimeout, [this, address, vm](std::optional<Membership::GossipMessage> response) {
         if (response)
@@ -345,11 +347,21 @@
     contact(contactAddress.first, {}, {});
 }
 
+void ControlNode::addReports(Membership::GossipMessage& message)
+{
+    message.crashEvidence = m_evidence.newest(m_parts.clock.now());
+    if (!message.isShared || !SelectPeers(m_table, m_parts.random).isRelay())
+        return;
+    message.poolReports = Membership::Queries::reportPools(m_table, m_poolsReported);
+    m_poolsReported += message.poolReports.size();
+}
+
 void ControlNode::receive(const Membership::GossipMessage& message)
 {
     auto now = m_parts.clock.now();
     MergeMembers(m_table).execute(message.members, now);
     m_evidence.merge(message.crashEvidence, now);
+    m_poolReports.merge(message.poolReports, now);
     // A confirmation by the service counts only for the document that this process holds too.
     auto current = m_revisions.current();
     if (!current || current->digest != message.documentDigest)
--- a/Source/Process/ControlNode.h
+++ b/Source/Process/ControlNode.h
@@ -9,6 +9,7 @@
 #include "Membership/CrashEvidenceTable.h"
 #include "Membership/MemberTable.h"
 #include "Membership/PeerClient.h"
+#include "Membership/PoolReportTable.h"
 #include "Observability/Metrics.h"
 #include "Process/ConfigurationSource.h"
 #include "Process/ControlView.h"
@@ -73,6 +74,7 @@
     void contact(const std::string& address, const std::string& vm, const std::string& dataCentre);
     void noteResponse(const std::string& address, const Membership::GossipMessage&);
     void contactUnknown();
+    void addReports(Membership::GossipMessage&);
     void receive(const Membership::GossipMessage&);
     void learnDocument(const std::string& address, const Membership::GossipMessage&);
     void acceptFromPeer(const Membership::DocumentReply&);
@@ -95,6 +97,9 @@
     Membership::MemberTable m_table;
     Configuration::RevisionStore m_revisions;
     Membership::CrashEvidenceTable m_evidence;
+    Membership::PoolReportTable m_poolReports;
+    // Pools that the reports sent so far have covered.
+    std::atomic<size_t> m_poolsReported { 0 };
 
     Configuration::ReadSchedule m_schedule;
     std::atomic<bool> m_synchronised { false };
--- a/Source/Transport/ControlCodec.cpp
+++ b/Source/Transport/ControlCodec.cpp
@@ -85,6 +85,8 @@
         message.set_shared(gossip.isShared);
         for (auto& member : gossip.members)
             encode(member, *message.add_members());
+        for (auto& report : gossip.poolReports)
+            encode(report, *message.add_pool_reports());
         for (auto& evidence : gossip.crashEvidence) {
             auto* entry = message.add_quarantines();
             entry->set_fingerprint(evidence.fingerprint);
@@ -104,6 +106,8 @@
         gossip.isShared = message.shared();
         for (auto& member : message.members())
             gossip.members.push_back(decode(member));
+        for (auto& report : message.pool_reports())
+            gossip.poolReports.push_back(decode(report));
         for (auto& entry : message.quarantines())
             gossip.crashEvidence.push_back({ entry.fingerprint(), entry.target(), std::chrono::milliseconds(entry.age_ms()) });
         return gossip;
@@ -151,6 +155,34 @@
     return member;
 }
 
+void encode(const Membership::PoolReport& report, proto::PoolReport& message)
+{
+    message.set_data_centre(report.dataCentre);
+    message.set_pool(report.pool);
+    message.set_wanted(report.wanted);
+    message.set_ready(report.ready);
+    message.set_loading(report.loading);
+    message.set_fetching(report.fetching);
+    message.set_late(report.late);
+    message.set_oldest_revision(report.oldestRevision);
+    message.set_age_ms(toMilliseconds(report.age));
+}
+
+Membership::PoolReport decode(const proto::PoolReport& message)
+{
+    Membership::PoolReport report;
+    report.dataCentre = message.data_centre();
+    report.pool = message.pool();
+    report.wanted = message.wanted();
+    report.ready = message.ready();
+    report.loading = message.loading();
+    report.fetching = message.fetching();
+    report.late = message.late();
+    report.oldestRevision = message.oldest_revision();
+    report.age = std::chrono::milliseconds(message.age_ms());
+    return report;
+}
+
 void encode(const Membership::GossipMessage& gossip, proto::ExchangeRequest& message)
 {
     encodeCommon(gossip, message);
--- a/Source/Transport/ControlServiceClient.cpp
+++ b/Source/Transport/ControlServiceClient.cpp
@@ -149,6 +149,8 @@
     status.self = decode(call->response.self());
     for (auto& member : call->response.members())
         status.members.push_back(decode(member));
+    for (auto& report : call->response.pool_reports())
+        status.poolReports.push_back(decode(report));
     status.revision = call->response.revision();
     status.documentDigest = call->response.document_digest();
     status.refusedDocument = call->response.refused_document();
--- a/Source/Transport/ControlServiceServer.cpp
+++ b/Source/Transport/ControlServiceServer.cpp
@@ -38,6 +38,8 @@
         encode(status.self, *response->mutable_self());
         for (auto& member : status.members)
             encode(member, *response->add_members());
+        for (auto& report : status.poolReports)
+            encode(report, *response->add_pool_reports());
         response->set_revision(status.revision);
         response->set_document_digest(status.documentDigest);
         response->set_refused_document(status.refusedDocument);
--- a/Tests/Fuzzing/ControlCodecFuzzer.cpp
+++ b/Tests/Fuzzing/ControlCodecFuzzer.cpp
@@ -26,6 +26,8 @@
     require(message.confirmationAge >= Base::Duration::zero());
     for (auto& evidence : message.crashEvidence)
         require(evidence.age >= Base::Duration::zero());
+    for (auto& report : message.poolReports)
+        require(report.age >= Base::Duration::zero());
     for (auto& member : message.members)
         checkMember(member);
 }
@@ -54,6 +56,8 @@
         checkGossip(Transport::decode(response, "vm"));
         checkRoundTrip(response, [](auto& message) { return Transport::decode(message, "vm"); });
     }
+    if (proto::PoolReport report; report.ParseFromArray(data, length))
+        checkRoundTrip(report, [](auto& message) { return Transport::decode(message); });
     if (proto::Member member; member.ParseFromArray(data, length)) {
         checkMember(Transport::decode(member));
         checkRoundTrip(member, [](auto& message) { return Transport::decode(message); });
--- a/Tests/Membership/MembershipTest.cpp
+++ b/Tests/Membership/MembershipTest.cpp
@@ -4,15 +4,19 @@
 #include "Membership/Commands/MergeMembers.h"
 #include "Membership/Commands/RecordTransmission.h"
 #include "Membership/Commands/UpdateSelf.h"
+#include "Membership/PoolReportTable.h"
 #include "Membership/Queries/ComposeGossip.h"
 #include "Membership/Queries/LiveMembers.h"
+#include "Membership/Queries/ReportPools.h"
 #include "Membership/Queries/SelectPeers.h"
+#include "Membership/Queries/SummarizeFleet.h"
 
 #include <algorithm>
 #include <criterion/criterion.h>
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 
 using namespace Lavenderloft;
 using namespace Lavenderloft::Membership;
@@ -241,3 +245,64 @@
     Commands::MergeMembers(*table).execute({ mate }, clock.now());
     cr_assert(sendAcross());
 }
+
+// Guards against reports that count members of other data centres or leave out pools, and against reports in
+// one message that grow with the number of pools.
+Test(Membership, relaysReportEachPoolOfTheirOwnDataCentre)
+{
+    Base::ManualClock clock;
+    auto table = makeTable("self", clock.now());
+    auto addMember = [&](const std::string& vm, const std::string& dataCentre, uint64_t revision, const Replica& replica) {
+        auto member = makeMember(vm, dataCentre);
+        member.revision = revision;
+        member.replicas = { replica };
+        Commands::MergeMembers(*table).execute({ member }, clock.now());
+    };
+    Commands::UpdateSelf(*table).execute([](Member& self) { self.revision = 9; }, clock.now());
+    addMember("a", "one", 8, { "pool", "v1", "", ReplicaPhase::Ready });
+    addMember("b", "one", 7, { "pool", "v1", "v2", ReplicaPhase::Fetching, 1, 10, "slow" });
+    addMember("c", "two", 1, { "pool", "v1", "", ReplicaPhase::Ready });
+    auto reports = Queries::reportPools(*table, 0);
+    cr_assert_eq(reports.size(), 1);
+    cr_assert(reports[0] == (PoolReport { "one", "pool", 2, 1, 0, 1, 1, 7, {} }));
+
+    constexpr size_t pools = 2 * Queries::maximumReports + 1;
+    for (size_t i = 1; i < pools; ++i)
+        addMember("vm" + std::to_string(i), "one", 9, { "pool" + std::to_string(i), "v1", "", ReplicaPhase::Ready });
+    std::set<std::string> reported;
+    for (size_t skipped = 0; skipped < pools; skipped += Queries::maximumReports) {
+        auto some = Queries::reportPools(*table, skipped);
+        cr_assert_eq(some.size(), Queries::maximumReports);
+        for (auto& report : some)
+            reported.insert(report.pool);
+    }
+    cr_assert_eq(reported.size(), pools);
+}
+
+// Guards against an old report that replaces a newer one, and against a status that shows old figures as current.
+Test(Membership, oldReportsAreNamed)
+{
+    Base::ManualClock clock;
+    clock.advance(1h);
+    PoolReportTable table;
+    table.merge({ { "two", "pool", 3, 3, 0, 0, 0, 9, 1s } }, clock.now());
+    table.merge({ { "two", "pool", 3, 1, 0, 2, 0, 8, 5s } }, clock.now());
+    FleetStatus status;
+    status.revision = 9;
+    status.poolReports = table.all(clock.now());
+    cr_assert(status.poolReports.size() == 1 && status.poolReports[0].ready == 3 && status.poolReports[0].age == 1s);
+    auto summary = Queries::summarizeFleet(status);
+    cr_assert(summary.partial.empty() && summary.pools["pool"].ready == 3);
+    clock.advance(Queries::oldReport);
+    status.poolReports = table.all(clock.now());
+    cr_assert_eq(Queries::summarizeFleet(status).partial.size(), 1);
+    clock.advance(PoolReportTable::retention);
+    cr_assert(table.all(clock.now()).empty());
+
+    // A data centre that serves but has not reported is named too.
+    auto far = makeMember("far", "two");
+    far.replicas = { { "pool", "v1" } };
+    status.poolReports.clear();
+    status.members = { far.sharedPart() };
+    cr_assert_eq(Queries::summarizeFleet(status).partial.size(), 1);
+}
