Wait for a target that can be reached before an answer is given up

Ruled out: a higher number of resumes (the dead VM stays in the table for 5 s); pausing every resume (an answer with another target at hand would wait for nothing). Change: a resume whose target could not be reached before the request was sent asks again after 200 ms without a further charge, until the deadline; an answer that has started goes to a target that broke it only in a new round.

--- a/Source/Routing/Queries/DecideRetry.cpp
+++ b/Source/Routing/Queries/DecideRetry.cpp
@@ -28,6 +28,8 @@
         case FailureKind::RefusedElsewhere:
             return isRefusalFree(facts) && facts.attempts < maximumAttempts ? RetryVerdict::RetryFree : RetryVerdict::AwaitTarget;
         case FailureKind::NotRun:
+            // The resume is paid for; a target that cannot be reached must not use up those that are left.
+            return RetryVerdict::AwaitTarget;
         case FailureKind::BrokenAfterSend:
         case FailureKind::Failed:
             return facts.resumes < maximumResumes ? RetryVerdict::RetryFromBudget : RetryVerdict::Cut;
--- a/Source/Routing/RequestCoordinator.cpp
+++ b/Source/Routing/RequestCoordinator.cpp
@@ -92,8 +92,8 @@
         return failQuarantined(std::move(lock), finding);
     auto digest = m_answerStarted ? m_head.weightsDigest : std::string();
     auto selection = Queries::selectTarget(m_context.targets, m_request, m_tried, m_context.policy, m_context.random, now, digest);
-    // A target that broke off is better than none; one that refused is not.
-    if (!selection.target)
+    // A target that broke off is better than none; one that refused is not. An answer that has started can wait.
+    if (!selection.target && !m_answerStarted)
         selection = Queries::selectTarget(m_context.targets, m_request, m_refused, m_context.policy, m_context.random, now, digest);
     if (!selection.target) {
         auto code = m_request.repeatable ? ErrorCode::NoTarget : ErrorCode::HomeUnreachable;
--- a/Tests/Routing/ResumeTest.cpp
+++ b/Tests/Routing/ResumeTest.cpp
@@ -134,6 +134,23 @@
     cr_assert(answer.caller->body == answerFrom(0));
 }
 
+// Guards against a stream that is given up because the router does not know yet that the VMs it asks are gone.
+Test(Resume, waitsWhileNoTargetCanBeReached)
+{
+    StartedAnswer answer("one\n", 1);
+    answer.fixture.channels.onStart = [](FakeAttempt& attempt) { attempt.breakOff(); };
+    answer.fixture.channels.last().breakOff();
+    for (int i = 0; i < 20; ++i)
+        answer.fixture.pass(200ms);
+    cr_assert_not(answer.caller->isOver());
+    cr_assert_leq(answer.attempts(), 1 + 20);
+    answer.fixture.channels.onStart = [](FakeAttempt& attempt) { attempt.permit(); };
+    answer.fixture.channels.onSend = [](FakeAttempt& attempt) { attempt.answer(answerFrom(attempt.admission.resumeFromToken)); };
+    answer.fixture.pass(200ms);
+    cr_assert(answer.caller->whole);
+    cr_assert(answer.caller->body == answerFrom(0));
+}
+
 // Guards against resumes that multiply the traffic while targets fail.
 Test(Resume, isPaidFromTheRetryBudget)
 {
