Charge streams before they are opened

Cause: above the budget a part waited uncharged, and each open stream lets the transport read ahead whatever the router does, so that 1,000 streams that started at once held all they could hold until slow readers were cut. Found by counts with a budget that cuts nobody: 96 KB a stream with answers of 1 MiB, 62 KB with 128 KiB, 32 KB with 64 KiB, which fit into the kernel's buffers. Ruled out: a read-ahead of 4 KiB saves 14 of 96 KB; smaller read blocks of gRPC save nothing. Charging 88 KiB whenever a read is under way would let 630 answers that wait for their engines fill a budget of 64 MiB. Change: a stream is charged 32 KiB before its request is sent to a target; open streams may hold half of the budget, so that parts always find room; a part is charged the rest of the 88 KiB and its bytes. Requests without room wait, without a stream, until their deadline. Who is cut first is unchanged. A stream is in the list of waiting parts once; each tick added it again. The test giveBackPressureToTheTarget expected nothing held once the caller took the part; now it expects exactly the open stream's charge then, and nothing after the answer's end.

--- a/Source/Routing/RequestCoordinator.cpp
+++ b/Source/Routing/RequestCoordinator.cpp
@@ -81,7 +81,55 @@
     Lock lock(m_lock);
     if (!Base::succeeded(charged))
         return fail(std::move(lock), { ErrorCode::AtLimit, "the requests under way at this router hold streamBudgetBytes", "retry after retryAfterMs", Outcome::NotRun, retryAdvice });
-    beginAttempt(std::move(lock));
+    lock.unlock();
+    openStream();
+}
+
+void RequestCoordinator::openStream()
+{
+    auto& budget = m_context.byteBudget;
+    bool isOpen = chargeBudget([&] { return Base::succeeded(Streaming::Commands::openStream(budget)); });
+    Lock lock(m_lock);
+    if (m_state == State::Ended) {
+        lock.unlock();
+        if (isOpen)
+            Streaming::Commands::closeStream(budget);
+        return;
+    }
+    m_isOpen = isOpen;
+    m_waitsToOpen = !isOpen;
+    if (isOpen)
+        return beginAttempt(std::move(lock));
+    bool isListed = std::exchange(m_isOpenListed, true);
+    lock.unlock();
+    if (!isListed)
+        listWaitingStream();
+}
+
+void RequestCoordinator::listWaitingStream()
+{
+    m_context.metrics.count("streams_waiting_for_budget_total");
+    m_context.byteBudget.waitingToOpen().add([weak = weak_from_this()] {
+        auto self = weak.lock();
+        if (!self)
+            return false;
+        {
+            Lock lock(self->m_lock);
+            self->m_isOpenListed = false;
+        }
+        return self->retryOpen();
+    });
+}
+
+bool RequestCoordinator::retryOpen()
+{
+    {
+        Lock lock(m_lock);
+        if (!std::exchange(m_waitsToOpen, false) || m_state == State::Ended)
+            return false;
+    }
+    openStream();
+    return true;
 }
 
 void RequestCoordinator::beginAttempt(Lock lock)
@@ -238,7 +286,10 @@
 
 void RequestCoordinator::forward(std::string bytes, std::function<void()> resume)
 {
-    if (!chargeBudget(bytes.size() + blockedStreamBytes))
+    auto charge = [&] {
+        return Base::succeeded(Streaming::Commands::chargeStream(m_context.byteBudget, m_request.id, bytes.size() + blockedStreamBytes - Streaming::openStreamBytes, m_context.clock.now()));
+    };
+    if (!chargeBudget(charge))
         return waitForBudget(std::move(bytes), std::move(resume));
     m_sink->data(std::move(bytes), [self = shared_from_this(), resume = std::move(resume)](bool ok) {
         auto& budget = self->m_context.byteBudget;
@@ -250,11 +301,11 @@
     });
 }
 
-bool RequestCoordinator::chargeBudget(uint64_t bytes)
+bool RequestCoordinator::chargeBudget(const std::function<bool()>& charge)
 {
     auto& budget = m_context.byteBudget;
     auto now = m_context.clock.now();
-    while (!Base::succeeded(Streaming::Commands::chargeStream(budget, m_request.id, bytes, now))) {
+    while (!charge()) {
         auto longest = Streaming::Queries::findLongestBlocked(budget, now - Streaming::slowReaderTime);
         if (!longest)
             return false;
@@ -272,11 +323,19 @@
         if (m_state == State::Ended)
             return;
         m_waitingPart = WaitingPart { std::move(bytes), std::move(resume) };
+        if (std::exchange(m_isPartListed, true))
+            return;
     }
     m_context.metrics.count("parts_waiting_for_budget_total");
     m_context.byteBudget.waiting().add([weak = weak_from_this()] {
         auto self = weak.lock();
-        return self && self->retryWaitingPart();
+        if (!self)
+            return false;
+        {
+            Lock lock(self->m_lock);
+            self->m_isPartListed = false;
+        }
+        return self->retryWaitingPart();
     });
 }
 
@@ -441,6 +500,7 @@
     lock.unlock();
     // Readers that have become slow meanwhile make room.
     retryWaitingPart();
+    retryOpen();
 }
 
 void RequestCoordinator::callerGone()
@@ -509,6 +569,7 @@
     if (isFirst)
         m_sink->head(m_request.id, m_head);
     m_sink->complete();
+    Streaming::Commands::resumeWaitingStream(m_context.byteBudget);
 }
 
 std::shared_ptr<Attempt> RequestCoordinator::leaveAttempt()
@@ -527,6 +588,8 @@
 {
     auto attempt = leaveAttempt();
     m_state = State::Ended;
+    if (std::exchange(m_isOpen, false))
+        Streaming::Commands::closeStream(m_context.byteBudget);
     Streaming::Commands::releaseStream(m_context.byteBudget, m_request.id);
     Streaming::Commands::releaseStream(m_context.requestBudget, m_request.id);
     m_context.running.erase(m_request.id);
--- a/Source/Routing/RequestCoordinator.h
+++ b/Source/Routing/RequestCoordinator.h
@@ -85,8 +85,13 @@
 
     bool isCurrent(const std::string& attemptId) const;
     bool isSent() const { return m_state == State::Running; }
-    // Cuts slow readers until the bytes fit; false if they have to wait for readers that keep up.
-    bool chargeBudget(uint64_t bytes);
+    // Cuts slow readers until the charge fits; false if it has to wait for readers that keep up.
+    bool chargeBudget(const std::function<bool()>& charge);
+    // Opens the stream as soon as the budget has room for what it holds, then makes the first attempt.
+    void openStream();
+    // Returns false if the stream does not wait to be opened.
+    bool retryOpen();
+    void listWaitingStream();
     // Keeps a part until there is room; meanwhile the target's stream is not read.
     void waitForBudget(std::string bytes, std::function<void()> resume);
     // Returns false if no part waits.
@@ -118,6 +123,12 @@
 
     std::mutex m_lock;
     std::optional<WaitingPart> m_waitingPart;
+    // Whether the budget is charged for the open stream, and whether the stream waits for that.
+    bool m_isOpen = false;
+    bool m_waitsToOpen = false;
+    // Whether the stream is in the budget's lists of waiting parts and streams; ticks try again besides.
+    bool m_isPartListed = false;
+    bool m_isOpenListed = false;
     State m_state = State::Waiting;
     Base::TimePoint m_resumeAt;
     Targets m_tried;
--- a/Source/Streaming/ByteBudget.h
+++ b/Source/Streaming/ByteBudget.h
@@ -26,10 +26,15 @@
 // also when many parts are under way at once.
 inline constexpr std::chrono::milliseconds slowReaderTime { 250 };
 
-// Streams whose next part waits for room in the budget, in the order of their arrival.
+// What an open stream holds while no part of it is blocked: the call with its read-ahead, the part under way
+// and the connection. In lavenderloft-bench slow-readers 1,000 streams whose answers fit into the kernel's
+// buffers held 32 KB each.
+inline constexpr uint64_t openStreamBytes = 32 * 1024;
+
+// Streams that wait for room in the budget, in the order of their arrival.
 class WaitingStreams {
 public:
-    // Tries to send the part; returns false if it is no longer waiting.
+    // Tries to go on; returns false if the stream is no longer waiting.
     using Retry = std::function<bool()>;
 
     void add(Retry retry)
@@ -67,12 +72,18 @@
     uint64_t limitBytes() const { return m_limitBytes; }
     uint64_t heldBytes() const { return m_heldBytes; }
     uint64_t peakBytes() const { return m_peakBytes; }
+    // Open streams may hold half of the budget, so that there is always room for parts of some of them.
+    uint64_t openLimitBytes() const { return m_limitBytes / 2; }
 
     std::atomic<uint64_t>& held() { return m_heldBytes; }
     std::atomic<uint64_t>& peak() { return m_peakBytes; }
+    // Of the held bytes, those of open streams without their parts.
+    std::atomic<uint64_t>& open() { return m_openBytes; }
     // Streams that were aborted because the budget was spent.
     std::atomic<uint64_t>& cutStreams() { return m_cutStreams; }
+    // Streams with a part that waits, and streams that wait to be opened.
     WaitingStreams& waiting() { return m_waiting; }
+    WaitingStreams& waitingToOpen() { return m_waitingToOpen; }
     Streams& streams() { return m_streams; }
     const Streams& streams() const { return m_streams; }
 
@@ -80,8 +91,10 @@
     const uint64_t m_limitBytes;
     std::atomic<uint64_t> m_heldBytes { 0 };
     std::atomic<uint64_t> m_peakBytes { 0 };
+    std::atomic<uint64_t> m_openBytes { 0 };
     std::atomic<uint64_t> m_cutStreams { 0 };
     WaitingStreams m_waiting;
+    WaitingStreams m_waitingToOpen;
     Streams m_streams;
 };
 
--- a/Source/Streaming/Commands/ChargeStream.cpp
+++ b/Source/Streaming/Commands/ChargeStream.cpp
@@ -17,8 +17,43 @@
         return true;
     }
 
+    // Adds to the share of open streams unless it would exceed that share.
+    bool reserveOpen(ByteBudget& budget)
+    {
+        auto open = budget.open().load();
+        do {
+            if (open + openStreamBytes > budget.openLimitBytes())
+                return false;
+        } while (!budget.open().compare_exchange_weak(open, open + openStreamBytes));
+        return true;
+    }
+
+    void resumeFirst(WaitingStreams& streams)
+    {
+        auto retry = streams.takeFirst();
+        while (retry && !retry())
+            retry = streams.takeFirst();
+    }
+
 } // namespace
 
+Base::Result<Base::Done, ChargeError> openStream(ByteBudget& budget)
+{
+    ChargeError overBudget { ChargeErrorKind::OverBudget, "the streams hold the whole of streamBudgetBytes", "abort the stream blocked longest, or wait" };
+    if (!reserveOpen(budget))
+        return overBudget;
+    if (reserve(budget, openStreamBytes))
+        return Base::Done {};
+    budget.open() -= openStreamBytes;
+    return overBudget;
+}
+
+void closeStream(ByteBudget& budget)
+{
+    budget.open() -= openStreamBytes;
+    budget.held() -= openStreamBytes;
+}
+
 Base::Result<Base::Done, ChargeError> chargeStream(ByteBudget& budget, const std::string& stream, uint64_t bytes, Base::TimePoint now)
 {
     if (!reserve(budget, bytes))
@@ -45,9 +80,8 @@
 
 void resumeWaitingStream(ByteBudget& budget)
 {
-    auto retry = budget.waiting().takeFirst();
-    while (retry && !retry())
-        retry = budget.waiting().takeFirst();
+    resumeFirst(budget.waiting());
+    resumeFirst(budget.waitingToOpen());
 }
 
 } // namespace Lavenderloft::Streaming::Commands
--- a/Source/Streaming/Commands/ChargeStream.h
+++ b/Source/Streaming/Commands/ChargeStream.h
@@ -18,7 +18,13 @@
 // Releases what the stream holds.
 void releaseStream(ByteBudget&, const std::string& stream);
 
-// Lets the stream that has waited longest for room try again. To be called without any lock.
+// Charges what an open stream holds beside its parts, before anything is read from it.
+Base::Result<Base::Done, ChargeError> openStream(ByteBudget&);
+
+// Releases what openStream charged.
+void closeStream(ByteBudget&);
+
+// Lets the part and the stream that have waited longest for room try again. To be called without any lock.
 void resumeWaitingStream(ByteBudget&);
 
 } // namespace Lavenderloft::Streaming::Commands
--- a/Tests/Streaming/ByteBudgetTest.cpp
+++ b/Tests/Streaming/ByteBudgetTest.cpp
@@ -90,5 +90,45 @@
     cr_assert_not(resumed);
     std::exchange(caller->pending, nullptr)(true);
     cr_assert(resumed);
+    cr_assert_eq(fixture.byteBudget.heldBytes(), Streaming::openStreamBytes);
+    attempt.end(4);
+    cr_assert(caller->whole);
+    cr_assert_eq(fixture.byteBudget.heldBytes(), 0);
+}
+
+// Guards against a burst whose streams are all opened before the first of them is charged, and against streams that
+// are never opened once others have ended.
+Test(StreamBudget, opensStreamsAsTheBudgetHasRoom)
+{
+    constexpr int callerCount = 64;
+    constexpr size_t openAtOnce = 8;
+    Routing::RoutingFixture fixture(3, 2 * openAtOnce * Streaming::openStreamBytes);
+    std::vector<std::shared_ptr<Routing::FakeCaller>> callers;
+    for (int i = 0; i < callerCount; ++i)
+        callers.push_back(fixture.start(fixture.poolRequest(std::to_string(i))));
+    cr_assert_eq(fixture.channels.attempts.size(), openAtOnce);
+    for (size_t i = 0; i < fixture.channels.attempts.size(); ++i) {
+        auto attempt = fixture.channels.attempts[i];
+        attempt->permit();
+        attempt->answer("hello");
+        cr_assert_leq(fixture.channels.attempts.size(), i + 1 + openAtOnce);
+        cr_assert_leq(fixture.byteBudget.open().load(), fixture.byteBudget.openLimitBytes());
+    }
+    for (auto& caller : callers)
+        cr_assert(caller->whole);
+    cr_assert_eq(fixture.byteBudget.heldBytes(), 0);
+    cr_assert_eq(fixture.byteBudget.open().load(), 0);
+}
+
+// Guards against requests that wait for the budget past their deadline.
+Test(StreamBudget, endsWaitingStreamsAtTheirDeadline)
+{
+    Routing::RoutingFixture fixture(3, 2 * Streaming::openStreamBytes);
+    auto first = fixture.start(fixture.poolRequest("first"));
+    auto second = fixture.start(fixture.poolRequest("second"));
+    cr_assert_eq(fixture.channels.attempts.size(), 1);
+    fixture.pass(30s);
+    cr_assert(second->error.has_value());
+    cr_assert(second->error->outcome == Routing::Outcome::NotRun);
     cr_assert_eq(fixture.byteBudget.heldBytes(), 0);
 }
--- a/Utilities/Bench/ChildProcess.cpp
+++ b/Utilities/Bench/ChildProcess.cpp
@@ -98,6 +98,18 @@
     return resident * static_cast<uint64_t>(sysconf(_SC_PAGESIZE));
 }
 
+uint64_t ChildProcess::peakResidentBytes() const
+{
+    std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
+    std::string field;
+    uint64_t kibibytes = 0;
+    while (status >> field) {
+        if (field == "VmHWM:")
+            status >> kibibytes;
+    }
+    return kibibytes * 1024;
+}
+
 double ChildProcess::processorSeconds() const
 {
     std::ifstream stat("/proc/" + std::to_string(m_pid) + "/stat");
--- a/Utilities/Bench/ChildProcess.h
+++ b/Utilities/Bench/ChildProcess.h
@@ -42,6 +42,9 @@
     // Resident memory in bytes.
     uint64_t residentBytes() const;
 
+    // The most that was resident at any time so far.
+    uint64_t peakResidentBytes() const;
+
     // Processor time used so far in seconds.
     double processorSeconds() const;
 
--- a/Utilities/Bench/SlowReadersBench.cpp
+++ b/Utilities/Bench/SlowReadersBench.cpp
@@ -95,6 +95,7 @@
             { "residentBytesBefore", result.residentBytesBefore },
             { "residentBytesBurst", result.residentBytesBurst },
             { "residentBytesSettled", result.residentBytesSettled },
+            { "residentBytesPeak", result.residentBytesPeak },
             { "readers", result.readers },
             { "readersCut", result.readersCut },
             { "answersCut", result.answersCut },
@@ -136,6 +137,7 @@
     result.residentBytesBurst = router.residentBytes();
     auto beside = generator.runPaced(options.rate, duration, fastCall);
     result.residentBytesSettled = router.residentBytes();
+    result.residentBytesPeak = router.peakResidentBytes();
     auto counts = readers.finish(finishLimit);
     router.writeLine("report");
     result.peakHeldBytes = std::stoull(router.readLine());
--- a/Utilities/Bench/SlowReadersBench.h
+++ b/Utilities/Bench/SlowReadersBench.h
@@ -24,6 +24,8 @@
     // A second after all readers started at once, and at the end.
     uint64_t residentBytesBurst = 0;
     uint64_t residentBytesSettled = 0;
+    // The most during the phase with slow readers.
+    uint64_t residentBytesPeak = 0;
     unsigned readers = 0;
     // Streams that the router cut, and answers that ended without and with the final chunk.
     unsigned readersCut = 0;
