Drop unused permits when the engine changes

A permit survived a cold state, the end of service and an answer from other weights, and might start a request within 2 s. A permit that was being granted while all others were dropped survived as well. Ruled out: a shorter lifetime of permits, which would also cut healthy uploads. Change: each drop begins a new epoch of the permit table, and a permit of an earlier epoch is rejected when its body arrives. Permits are dropped when a poll shows a cold engine, other weights, a restart or no service, and when an answer comes from other weights or says that the engine has none. A rejected body is refused as PERMIT_EXPIRED, which the router counts as not run and retries elsewhere.

--- a/Source/Admission/Commands/ConsumePermit.cpp
+++ b/Source/Admission/Commands/ConsumePermit.cpp
@@ -21,7 +21,7 @@
             return Verdict::Unknown;
         auto& record = entry->second;
         record.changedAt = clock.now();
-        if (clock.now() < record.permit.expiresAt && record.permit.engineIncarnation == table.engineIncarnation) {
+        if (clock.now() < record.permit.expiresAt && record.permit.engineIncarnation == table.engineIncarnation && record.permit.epoch == table.epoch) {
             record.state = AttemptState::Running;
             return Verdict::Valid;
         }
--- a/Source/Admission/Commands/GrantPermit.cpp
+++ b/Source/Admission/Commands/GrantPermit.cpp
@@ -21,9 +21,12 @@
 
 Base::Result<Permit, Refusal> grantPermit(PermitTable& table, const AdmitRequest& request, const Base::Clock& clock, Base::RandomSource& random)
 {
+    // Read before the slot is taken: a drop in between must also end this permit.
+    auto epoch = table.epoch.load();
     if (!table.occupancy.tryTake(request.bodyBytes))
         return makeRefusal(RefusalReason::AtLimit, "the target is at its limit", "try another target or retry later");
     auto permit = makePermit(table, request, clock, random);
+    permit.epoch = epoch;
     bool isNew = table.attempts.withShard(request.attemptId, [&](auto& records) {
         return records.try_emplace(request.attemptId, AttemptRecord { AttemptState::Granted, permit, clock.now() }).second;
     });
--- a/Source/Admission/Commands/RevokePermit.cpp
+++ b/Source/Admission/Commands/RevokePermit.cpp
@@ -53,6 +53,7 @@
 
 void revokeAllPermits(PermitTable& table, const Base::Clock& clock)
 {
+    ++table.epoch;
     for (auto& attemptId : findUnused(table, [](const AttemptRecord&) { return true; }))
         revokeIfUnused(table, attemptId, clock);
 }
--- a/Source/Admission/Commands/RunRequest.cpp
+++ b/Source/Admission/Commands/RunRequest.cpp
@@ -104,7 +104,9 @@
     if (restarted && previous.incarnation)
         crashed = Queries::fingerprintsRunningSince(state.permits, before.engineSeenAt);
     state.permits.engineIncarnation = condition.incarnation;
-    if (restarted || previous.digest != condition.digest)
+    bool turnedCold = previous.isWarm && !condition.isWarm;
+    bool endedService = previous.isUsable && !condition.isUsable;
+    if (restarted || turnedCold || endedService || previous.digest != condition.digest)
         dropPermits(state, clock);
     return crashed;
 }
--- a/Source/Admission/Commands/RunRequest.h
+++ b/Source/Admission/Commands/RunRequest.h
@@ -28,10 +28,11 @@
 void expireRecords(TargetState&, std::chrono::milliseconds resendWindow, const Base::Clock&);
 
 // Takes over what the engine's poll told: adjusts the limits and, when the incarnation or the digest
-// changed, revokes all permits. Returns the fingerprints of requests that ran when the incarnation changed.
+// changed or the engine turned cold or ended its service, revokes all permits. Returns the fingerprints
+// of requests that ran when the incarnation changed.
 std::vector<uint64_t> applyEngineCondition(TargetState&, const EngineCondition&, const Base::Clock&);
 
-// Revokes every permit that is not used yet and frees the keys, after a pause.
+// Revokes every permit that is not used yet and frees the keys, after a pause or a change of the engine.
 void dropPermits(TargetState&, const Base::Clock&);
 
 // Copies the limit in force to the slots.
--- a/Source/Admission/Permit.h
+++ b/Source/Admission/Permit.h
@@ -17,6 +17,8 @@
     std::string attemptId;
     uint64_t agentIncarnation = 0;
     uint64_t engineIncarnation = 0;
+    // Valid only while the table's epoch is the same.
+    uint64_t epoch = 0;
     Base::TimePoint expiresAt;
     uint64_t bodyBytes = 0;
     uint64_t fingerprint = 0;
--- a/Source/Admission/PermitTable.h
+++ b/Source/Admission/PermitTable.h
@@ -49,6 +49,9 @@
 
     const uint64_t agentIncarnation;
     std::atomic<uint64_t> engineIncarnation { 0 };
+    // Increases whenever all unused permits are dropped. A permit that is being granted at that moment, and so
+    // escapes the search for unused ones, carries the previous epoch.
+    std::atomic<uint64_t> epoch { 0 };
     Occupancy occupancy;
     Base::ShardedMap<std::string, AttemptRecord> attempts;
 };
--- a/Source/Process/TargetRun.cpp
+++ b/Source/Process/TargetRun.cpp
@@ -204,6 +204,9 @@
         Admission::Commands::suspectEngine(m_context->state.limit);
         Admission::Commands::applyLimit(m_context->state);
     }
+    // The engine has other weights or none; permits were granted for the admitted ones.
+    if (end.status == Admission::EndStatus::WrongDigest || m_engineError == notReadyStatus)
+        Admission::Commands::dropPermits(m_context->state, m_context->clock);
     Admission::Commands::RunResult result { attemptStateOf(end.status), m_answer.head.status < firstServerError, nullptr };
     if (isKeyed() && end.status == Admission::EndStatus::Complete && !m_isAnswerTooLarge)
         result.answer = std::make_shared<Admission::StoredAnswer>(m_answer);
--- a/Tests/Admission/PermitTest.cpp
+++ b/Tests/Admission/PermitTest.cpp
@@ -63,6 +63,47 @@
     cr_assert_eq(fixture.state.permits.occupancy.figures().taken, 1);
 }
 
+// Guards against a request that starts under a permit granted before the engine turned cold, got other weights, ended
+// its service or fell silent, and against cutting those that run.
+Test(Permit, diesWhenTheEngineChanges)
+{
+    const EngineCondition warm { true, 5, "digest-1", true, true };
+    const std::vector<EngineCondition> changes {
+        { true, 5, "digest-1", true, false },
+        { true, 5, "digest-2", true, true },
+        { true, 5, "digest-1", false, true },
+        { false, 5, "digest-1", false, false },
+    };
+    for (auto& change : changes) {
+        AdmissionFixture fixture;
+        fixture.becomeModel();
+        Commands::applyEngineCondition(fixture.state, warm, fixture.clock);
+        auto unused = fixture.makeRequest("unused");
+        auto running = fixture.makeRequest("running");
+        auto permit = std::get<Permit>(fixture.admit(unused));
+        cr_assert(fixture.run(running));
+        Commands::applyEngineCondition(fixture.state, change, fixture.clock);
+        auto started = Commands::startRequest(fixture.state, unused, permit.id, fixture.clock);
+        cr_assert_not(Base::succeeded(started));
+        cr_assert(Base::errorOf(started).kind == RefusalReason::PermitExpired);
+        cr_assert(Base::errorOf(started).retryElsewhere);
+        cr_assert(Queries::attemptOutcome(fixture.state.permits, "unused", 1) == Queries::AttemptOutcome::NotRun);
+        cr_assert(Queries::attemptOutcome(fixture.state.permits, "running", 1) == Queries::AttemptOutcome::Running);
+        cr_assert_eq(fixture.state.permits.occupancy.figures().taken, 1);
+    }
+}
+
+// Guards against a permit that was being granted while all others were dropped.
+Test(Permit, ofAnEarlierEpochIsRejected)
+{
+    AdmissionFixture fixture;
+    auto request = fixture.makeRequest("a");
+    auto permit = std::get<Permit>(fixture.admit(request));
+    ++fixture.state.permits.epoch;
+    cr_assert_not(Base::succeeded(Commands::startRequest(fixture.state, request, permit.id, fixture.clock)));
+    cr_assert_eq(fixture.state.permits.occupancy.figures().taken, 0);
+}
+
 // Guards against crash evidence lost because the request broke off before the poll that tells of the restart.
 Test(Permit, namesRequestsThatBrokeOffWithTheEngine)
 {
--- a/Tests/Transport/AgentProcessTest.cpp
+++ b/Tests/Transport/AgentProcessTest.cpp
@@ -61,6 +61,25 @@
     cr_assert_eq(call.end.end().status(), protocol::END_STATUS_WRONG_DIGEST);
 }
 
+// Guards against a body that runs under a permit granted before an answer showed that the engine has other weights.
+Test(AgentProcess, rejectsABodyWhosePermitWasDropped)
+{
+    AgentFixture fixture;
+    fixture.waitUntilServing("v1");
+    RouterCall late(*fixture.stub);
+    auto permit = late.admit(AgentFixture::makeAdmit("late", "v1"));
+    cr_assert(permit.has_permit());
+    fixture.engine->answerFrom("v0");
+    RouterCall call(*fixture.stub);
+    runToEnd(call, "a", "v1");
+    cr_assert_eq(call.end.end().status(), protocol::END_STATUS_WRONG_DIGEST);
+    late.sendBody(permit.permit().permit_id(), "\"hi\"");
+    late.readAnswer();
+    cr_assert_eq(late.end.refusal().reason(), protocol::REFUSAL_REASON_PERMIT_EXPIRED);
+    cr_assert(late.end.refusal().retry_elsewhere());
+    cr_assert_eq(fixture.engine->requests(), 1);
+}
+
 // Guards against a rollout that cuts a running request, and against two versions in one answer.
 Test(AgentProcess, switchesVersionsAfterRunningRequestsEnd)
 {
--- a/Tests/Transport/FakeEngine.h
+++ b/Tests/Transport/FakeEngine.h
@@ -72,6 +72,12 @@
         m_changed.wait(guard, [&] { return m_requests >= count; });
     }
 
+    unsigned requests() const
+    {
+        std::lock_guard guard(m_lock);
+        return m_requests;
+    }
+
     std::vector<std::string> uploads() const
     {
         std::lock_guard guard(m_lock);
