End streams whose write failed and replace broken channels at once

Cause: replacesASilentConnection failed in 3 of 12, then 3 of 10 runs of several at once (load average 22): the request waited until its deadline of 15 s. A trace shows that the first attempt ended after 4 s by the keep-alive watchdog, that the second one started on the same dying connection, and that gRPC moved the third one to the new connection while it reported its writes as failed. The router then dropped the rest of the body, and the agent waited for it. Ruled out: the budget of streams and the fake agent's limit (the agent had 16 slots); pings on the new connection were answered. Change: a stream whose write failed is cancelled, which ends the attempt. A channel that has worked is replaced at its first failure; one that never worked after three, as before, so that a dead VM keeps its back-off. Figures: the test passes 30 of 30 runs, ten at a time, load average 22 to 26. test-Routing, test-Transport and test-Security pass. A request whose connection falls silent is answered over a new one after about 4 s.

--- a/Source/Transport/ExecuteCall.cpp
+++ b/Source/Transport/ExecuteCall.cpp
@@ -56,14 +56,19 @@
 
 void ExecuteCall::OnWriteDone(bool ok)
 {
-    std::lock_guard guard(m_lock);
-    if (!ok) {
-        m_writes.clear();
+    std::unique_lock guard(m_lock);
+    if (ok) {
+        m_writes.pop_front();
+        if (m_held)
+            writeNext();
         return;
     }
-    m_writes.pop_front();
-    if (m_held)
-        writeNext();
+    m_writes.clear();
+    m_hasWriteFailed = true;
+    guard.unlock();
+    // gRPC moves a call from a connection that has just broken to a new one and still reports its writes as
+    // failed. Such a stream would stay open without the rest of the request.
+    m_context.TryCancel();
 }
 
 void ExecuteCall::cancel()
@@ -138,13 +143,15 @@
 
 void ExecuteCall::OnDone(const grpc::Status& status)
 {
-    m_finished(status.error_code() != grpc::StatusCode::UNAVAILABLE && status.error_code() != grpc::StatusCode::DEADLINE_EXCEEDED);
+    bool connectionWorked = status.error_code() != grpc::StatusCode::UNAVAILABLE && status.error_code() != grpc::StatusCode::DEADLINE_EXCEEDED;
     std::shared_ptr<Routing::AttemptEvents> receiver;
     {
         std::lock_guard guard(m_lock);
+        connectionWorked = connectionWorked && (status.ok() || !m_hasWriteFailed);
         receiver = std::move(m_events);
         m_held = false;
     }
+    m_finished(connectionWorked);
     if (receiver)
         receiver->closed(status.ok() ? "the agent closed the stream" : status.error_message());
     auto self = std::move(m_self);
--- a/Source/Transport/ExecuteCall.h
+++ b/Source/Transport/ExecuteCall.h
@@ -50,6 +50,7 @@
     std::deque<v1::ExecuteRequest> m_writes;
     // Reads and writes may be started from outside a reaction only while the hold is there.
     bool m_held = false;
+    bool m_hasWriteFailed = false;
 };
 
 } // namespace Lavenderloft::Transport
--- a/Source/Transport/TargetClient.cpp
+++ b/Source/Transport/TargetClient.cpp
@@ -21,7 +21,7 @@
     constexpr int readAheadBytes = 16 * 1024;
     constexpr int maximumMessageBytes = 1024 * 1024;
 
-    // Failures in a row after which the whole channel is replaced.
+    // Failures in a row after which a channel that never worked is replaced.
     constexpr unsigned failuresUntilReplaced = 3;
 
     grpc::ChannelArguments channelArguments()
@@ -60,6 +60,7 @@
 
     std::shared_ptr<v1::TargetService::Stub> stub;
     std::atomic<unsigned> failures { 0 };
+    std::atomic<bool> hasWorked { false };
 };
 
 TargetClient::TargetClient(std::string address, SharedCredentials credentials)
@@ -82,9 +83,12 @@
 {
     if (connectionWorked) {
         connection->failures = 0;
+        connection->hasWorked = true;
         return;
     }
-    if (++connection->failures < failuresUntilReplaced)
+    // A channel hands out its broken connection for a moment after the first call on it has failed, so that
+    // retries would fail as well. One that never worked keeps its back-off.
+    if (++connection->failures < failuresUntilReplaced && !connection->hasWorked)
         return;
     std::lock_guard guard(m_lock);
     if (m_connection != connection)
