--- a/Source/Routing/AnswerForwarder.cpp
+++ b/Source/Routing/AnswerForwarder.cpp
@@ -14,9 +14,65 @@
 {
 }
 
+void AnswerForwarder::open(std::function<void()> opened)
+{
+    if (!chargeBudget([&] { return Base::succeeded(Streaming::Commands::openStream(m_context.byteBudget)); }))
+        return waitToOpen(std::move(opened));
+    if (markOpen())
+        return opened();
+    Streaming::Commands::closeStream(m_context.byteBudget);
+}
+
+bool AnswerForwarder::markOpen()
+{
+    std::lock_guard guard(m_lock);
+    m_isOpen = !m_isClosed;
+    return m_isOpen;
+}
+
+void AnswerForwarder::waitToOpen(std::function<void()> opened)
+{
+    {
+        std::lock_guard guard(m_lock);
+        if (m_isClosed)
+            return;
+        m_waitingOpen = std::move(opened);
+        if (std::exchange(m_isOpenListed, true))
+            return;
+    }
+    m_context.metrics.count("streams_waiting_for_budget_total");
+    m_context.byteBudget.waitingToOpen().add([weak = weak_from_this()] {
+        auto self = weak.lock();
+        return self && self->takeFromList(self->m_isOpenListed) && self->retryOpen();
+    });
+}
+
+bool AnswerForwarder::takeFromList(bool& isListed)
+{
+    std::lock_guard guard(m_lock);
+    return std::exchange(isListed, false);
+}
+
+bool AnswerForwarder::retryOpen()
+{
+    std::function<void()> opened;
+    {
+        std::lock_guard guard(m_lock);
+        opened = std::exchange(m_waitingOpen, nullptr);
+    }
+    if (!opened)
+        return false;
+    open(std::move(opened));
+    return true;
+}
+
 void AnswerForwarder::forward(std::string bytes, std::function<void()> resume)
 {
-    if (!chargeBudget(bytes.size() + blockedStreamBytes))
+    auto charge = [&] {
+        auto held = bytes.size() + blockedStreamBytes - Streaming::openStreamBytes;
+        return Base::succeeded(Streaming::Commands::chargeStream(m_context.byteBudget, m_requestId, held, m_context.clock.now()));
+    };
+    if (!chargeBudget(charge))
         return waitForBudget({ std::move(bytes), std::move(resume) });
     m_sink->data(std::move(bytes), [self = shared_from_this(), resume = std::move(resume)](bool ok) { self->written(ok, resume); });
 }
@@ -31,11 +87,11 @@
     Streaming::Commands::resumeWaitingStream(m_context.byteBudget);
 }
 
-bool AnswerForwarder::chargeBudget(uint64_t bytes)
+bool AnswerForwarder::chargeBudget(const std::function<bool()>& charge)
 {
     auto& budget = m_context.byteBudget;
     auto now = m_context.clock.now();
-    while (!Base::succeeded(Streaming::Commands::chargeStream(budget, m_requestId, bytes, now))) {
+    while (!charge()) {
         auto longest = Streaming::Queries::findLongestBlocked(budget, now - Streaming::slowReaderTime);
         if (!longest)
             return false;
@@ -53,11 +109,13 @@
         if (m_isClosed)
             return;
         m_waitingPart = std::move(part);
+        if (std::exchange(m_isPartListed, true))
+            return;
     }
     m_context.metrics.count("parts_waiting_for_budget_total");
     m_context.byteBudget.waiting().add([weak = weak_from_this()] {
         auto self = weak.lock();
-        return self && self->retryWaitingPart();
+        return self && self->takeFromList(self->m_isPartListed) && self->retryWaitingPart();
     });
 }
 
@@ -74,13 +132,24 @@
     return true;
 }
 
+void AnswerForwarder::retry()
+{
+    retryWaitingPart();
+    retryOpen();
+}
+
 void AnswerForwarder::close()
 {
+    bool wasOpen = false;
     {
         std::lock_guard guard(m_lock);
         m_isClosed = true;
         m_waitingPart.reset();
+        m_waitingOpen = nullptr;
+        wasOpen = std::exchange(m_isOpen, false);
     }
+    if (wasOpen)
+        Streaming::Commands::closeStream(m_context.byteBudget);
     Streaming::Commands::releaseStream(m_context.byteBudget, m_requestId);
 }
 
--- a/Source/Routing/AnswerForwarder.h
+++ b/Source/Routing/AnswerForwarder.h
@@ -21,11 +21,15 @@
 public:
     AnswerForwarder(std::shared_ptr<RoutingContext>, std::string requestId, std::shared_ptr<AnswerSink>);
 
+    // Calls back as soon as the budget has room for what an open stream holds, and not at all if the answer
+    // was closed before.
+    void open(std::function<void()> opened);
+
     // Calls back once the caller has taken the part, and not at all if the answer was closed before.
     void forward(std::string bytes, std::function<void()> resume);
 
-    // Tries a part again that waits for room in the budget; false if none waits.
-    bool retryWaitingPart();
+    // Tries again what waits for room in the budget.
+    void retry();
 
     // Drops a part that waits and releases the budget.
     void close();
@@ -36,8 +40,17 @@
         std::function<void()> resume;
     };
 
-    // Cuts slow readers until the bytes fit; false if they have to wait for readers that keep up.
-    bool chargeBudget(uint64_t bytes);
+    // Cuts slow readers until the charge fits; false if it has to wait for readers that keep up.
+    bool chargeBudget(const std::function<bool()>& charge);
+    // False if the answer was closed meanwhile.
+    bool markOpen();
+    void waitToOpen(std::function<void()> opened);
+    // Returns false if the stream does not wait to be opened.
+    bool retryOpen();
+    // Returns false if no part waits.
+    bool retryWaitingPart();
+    // Notes that the budget's list no longer holds the stream.
+    bool takeFromList(bool& isListed);
     // Keeps a part until there is room; meanwhile the target's stream is not read.
     void waitForBudget(Part);
     void written(bool ok, const std::function<void()>& resume);
@@ -48,6 +61,12 @@
     const std::shared_ptr<AnswerSink> m_sink;
     std::mutex m_lock;
     std::optional<Part> m_waitingPart;
+    std::function<void()> m_waitingOpen;
+    // Whether the budget is charged for the open stream.
+    bool m_isOpen = false;
+    // Whether the stream is in the budget's lists of waiting parts and of streams that wait to be opened.
+    bool m_isPartListed = false;
+    bool m_isOpenListed = false;
     bool m_isClosed = false;
 };
 
--- a/Source/Routing/RequestCoordinator.cpp
+++ b/Source/Routing/RequestCoordinator.cpp
@@ -78,7 +78,11 @@
     Lock lock(m_lock);
     if (!Base::succeeded(charged))
         return fail(std::move(lock), { ErrorCode::AtLimit, "the requests under way at this router hold streamBudgetBytes", "retry after retryAfterMs", Outcome::NotRun, retryAdvice });
-    beginAttempt(std::move(lock));
+    lock.unlock();
+    m_forwarder->open([weak = weak_from_this()] {
+        if (auto self = weak.lock())
+            self->beginAttempt(Lock(self->m_lock));
+    });
 }
 
 void RequestCoordinator::beginAttempt(Lock lock)
@@ -416,7 +420,7 @@
         return beginAttempt(std::move(lock));
     lock.unlock();
     // Readers that have become slow meanwhile make room.
-    m_forwarder->retryWaitingPart();
+    m_forwarder->retry();
 }
 
 void RequestCoordinator::callerGone()
@@ -487,6 +491,7 @@
     if (isFirst)
         m_sink->head(m_request.id, m_head);
     m_sink->complete();
+    Streaming::Commands::resumeWaitingStream(m_context.byteBudget);
 }
 
 std::shared_ptr<Attempt> RequestCoordinator::leaveAttempt()
--- a/Tests/Transport/FakeEngine.h
+++ b/Tests/Transport/FakeEngine.h
@@ -93,6 +93,12 @@
         return m_adapters;
     }
 
+    unsigned requests() const
+    {
+        std::lock_guard guard(m_lock);
+        return m_requests;
+    }
+
     std::vector<std::string> uploads() const
     {
         std::lock_guard guard(m_lock);
