Carry digests as 32 bytes in the messages about weights

Cause: each question for holdings and each request for a chunk carried a digest as 64 hexadecimal digits, and the question a VM name that nobody reads. That was 146 of about 330 bytes that one question counts at both ends.

Ruled out: shorter identifiers agreed on for each connection, which need state that a restarted agent loses.

The inner calls of Tests/Security encode their digest in the same way.

--- a/Source/Transport/GrpcPeerClient.cpp
+++ b/Source/Transport/GrpcPeerClient.cpp
@@ -152,8 +152,7 @@
 void GrpcPeerClient::getHoldings(const Weights::Participant& peer, const std::string& manifestDigest, Weights::HoldingsCallback callback)
 {
     auto call = makeCall<protocol::GetHoldingsRequest, protocol::GetHoldingsResponse>(m_channels->stubFor(peer.address));
-    call->request.set_digest(manifestDigest);
-    call->request.set_from_vm(m_self.vm);
+    call->request.set_digest(encodeDigest(manifestDigest));
     call->stub->async()->GetHoldings(&call->context, &call->request, &call->response, [call, peer, state = m_state, callback = std::move(callback)](const grpc::Status& status) {
         state->counters.controlBytes += callOverheadBytes + call->request.ByteSizeLong() + call->response.ByteSizeLong();
         if (!status.ok())
@@ -171,7 +170,7 @@
 void GrpcPeerClient::getManifest(const Weights::Participant& peer, const std::string& manifestDigest, Weights::ManifestCallback callback)
 {
     auto call = makeCall<protocol::GetManifestRequest, protocol::GetManifestResponse>(m_channels->stubFor(peer.address));
-    call->request.set_digest(manifestDigest);
+    call->request.set_digest(encodeDigest(manifestDigest));
     call->stub->async()->GetManifest(&call->context, &call->request, &call->response, [call, peer, state = m_state, callback = std::move(callback)](const grpc::Status& status) {
         state->counters.controlBytes += callOverheadBytes + call->request.ByteSizeLong() + call->response.ByteSizeLong();
         if (!status.ok())
@@ -185,7 +184,7 @@
 std::shared_ptr<Weights::ChunkFetch> GrpcPeerClient::fetchChunk(const Weights::Participant& peer, const Weights::ChunkRequest& request, std::shared_ptr<Weights::ChunkSink> sink)
 {
     protocol::FetchChunkRequest message;
-    message.set_chunk_digest(request.chunkDigest);
+    message.set_chunk_digest(encodeDigest(request.chunkDigest));
     message.set_from_vm(m_self.vm);
     message.set_from_region(m_self.region);
     message.set_priority(request.priority);
--- a/Source/Transport/WeightService.cpp
+++ b/Source/Transport/WeightService.cpp
@@ -173,17 +173,19 @@
 
     grpc::ServerUnaryReactor* GetManifest(grpc::CallbackServerContext* context, const protocol::GetManifestRequest* request, protocol::GetManifestResponse* response) override
     {
-        if (auto document = Weights::Queries::documentOf(m_state->transfers, request->digest()))
+        auto digest = decodeDigest(request->digest());
+        if (auto document = Weights::Queries::documentOf(m_state->transfers, digest))
             response->set_document(*document);
         return finish(context, *request, *response);
     }
 
     grpc::ServerUnaryReactor* GetHoldings(grpc::CallbackServerContext* context, const protocol::GetHoldingsRequest* request, protocol::GetHoldingsResponse* response) override
     {
-        auto held = Weights::Queries::heldChunks(m_state->transfers, request->digest());
+        auto digest = decodeDigest(request->digest());
+        auto held = Weights::Queries::heldChunks(m_state->transfers, digest);
         response->set_known(!held.empty());
         response->set_held(encodeBitmap(held));
-        for (auto chunk : Weights::Queries::assignedChunks(m_state->downloads, request->digest()))
+        for (auto chunk : Weights::Queries::assignedChunks(m_state->downloads, digest))
             response->add_assigned(chunk);
         response->set_free_upload_slots(Weights::Queries::freeUploadSlots(m_state->uploads));
         response->set_slot_expected_ms(static_cast<uint32_t>(Weights::Queries::slotExpectedIn(m_state->uploads).count()));
@@ -192,7 +194,7 @@
 
     grpc::ServerWriteReactor<protocol::ChunkPart>* FetchChunk(grpc::CallbackServerContext*, const protocol::FetchChunkRequest* request) override
     {
-        auto bytes = Weights::Queries::findChunk(m_state->chunks, request->chunk_digest());
+        auto bytes = Weights::Queries::findChunk(m_state->chunks, decodeDigest(request->chunk_digest()));
         if (!bytes)
             return new Refusal({ grpc::StatusCode::NOT_FOUND, "the chunk is not held" });
         auto number = ++m_lastNumber;
--- a/Tests/Security/InnerCalls.h
+++ b/Tests/Security/InnerCalls.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Security/SecureAgent.h"
+#include "Transport/WeightMessages.h"
 
 #include "lavenderloft.grpc.pb.h"
 
@@ -74,7 +75,7 @@
         grpc::ClientContext context;
         limitTime(context);
         protocol::FetchChunkRequest request;
-        request.set_chunk_digest(SecureAgent::chunkDigest);
+        request.set_chunk_digest(Transport::encodeDigest(SecureAgent::chunkDigest));
         auto reader = stub.FetchChunk(&context, request);
         protocol::ChunkPart part;
         while (reader->Read(&part))
