Give the resumed token in the head of a coordinator test

Cause: the merge of resumed answers and of adapters put a field before the adapter in AnswerHead. Ruled out: a change of the order of the fields, which other tests use. Change: the test names both. Figures: none measured; the test did not compile before. Conclusion: the tree builds after the merge.

--- a/Tests/Routing/CoordinatorTest.cpp
+++ b/Tests/Routing/CoordinatorTest.cpp
@@ -168,7 +168,7 @@
     cr_assert_not(fixture.targets.vms().find(first->address).value()->isAvoided(fixture.clock.now()));
     auto second = fixture.channels.attempts[1];
     second->permit();
-    second->events->head({ second->id(), 200, {}, RoutingFixture::digest, false, "" });
+    second->events->head({ second->id(), 200, {}, RoutingFixture::digest, false, 0, "" });
     cr_assert(second->cancelled);
     cr_assert_eq(fixture.channels.attempts.size(), 3);
     cr_assert_not(caller->started);
