Use smaller chunks in the rollout benchmark beyond 100 replicas

The test scalesTheBenchmarkOnlyBeyondOneProcess does not compile without the change.

Conclusion: the process of the benchmark caused the stalls, not the exchange.

--- a/Tests/Weights/RolloutTest.cpp
+++ b/Tests/Weights/RolloutTest.cpp
@@ -195,3 +195,16 @@
     auto exceeded = findExceededBounds(Base::valueOf(bounds), options, measurement, BoundsScope::Counts);
     cr_assert(exceeded.empty(), "%s", exceeded.empty() ? "" : exceeded.front().c_str());
 }
+
+// Guards against large fleets whose figures show the limits of the one benchmark process, and against small fleets whose
+// figures can no longer be compared with earlier ones.
+Test(Rollout, scalesTheBenchmarkOnlyBeyondOneProcess)
+{
+    RolloutOptions options;
+    options.replicas = replicasOfOneProcess;
+    cr_assert_eq(scaleToFleet(options).chunkBytes, options.chunkBytes);
+    options.replicas = 2 * replicasOfOneProcess;
+    auto scaled = scaleToFleet(options);
+    cr_assert_lt(scaled.chunkBytes, options.chunkBytes);
+    cr_assert(scaled.floor == options.floor);
+}
--- a/Utilities/Bench/RolloutBenchmark.cpp
+++ b/Utilities/Bench/RolloutBenchmark.cpp
@@ -1,6 +1,7 @@
 #include "Bench/RolloutBenchmark.h"
 
 #include "Weights/Queries/ChunkDuties.h"
+#include "Weights/TransferLimits.h"
 
 #include <algorithm>
 #include <array>
@@ -243,6 +244,15 @@
 
 } // namespace
 
+RolloutOptions scaleToFleet(RolloutOptions options)
+{
+    if (options.replicas <= replicasOfOneProcess)
+        return options;
+    constexpr size_t chunkBytes = 2 * Weights::minimumPartBytes;
+    options.chunkBytes = std::min(options.chunkBytes, chunkBytes);
+    return options;
+}
+
 RolloutMeasurement measureRollout(const RolloutOptions& options)
 {
     return RolloutRun(options).run();
--- a/Utilities/Bench/RolloutCommand.cpp
+++ b/Utilities/Bench/RolloutCommand.cpp
@@ -57,7 +57,7 @@
 
 std::string RolloutCommand::argumentSynopsis() const
 {
-    return "--replicas N --regions R --seed S [--fault corrupt|stall|kill|version-change|partition] [--floor-ms MS] [--chunks C]"
+    return "--replicas N --regions R --seed S [--fault corrupt|stall|kill|version-change|partition] [--floor-ms MS] [--chunks C] [--chunk-bytes BYTES]"
            " [--json FILE] [--check BOUNDS] [--no-baseline] [--log]";
 }
 
@@ -82,6 +82,7 @@
     int replicas = static_cast<int>(m_options.replicas);
     int regions = static_cast<int>(m_options.regions);
     int floorMs = static_cast<int>(m_options.floor.count());
+    int chunkBytes = 0;
     int chunks = static_cast<int>(m_options.chunkCount);
     long seed = static_cast<long>(m_options.seed);
     char* fault = nullptr;
@@ -95,6 +96,7 @@
         { "seed", 's', POPT_ARG_LONG, &seed, 0, "Seed of the random choices", "S" },
         { "fault", 'f', POPT_ARG_STRING, &fault, 0, "corrupt, stall, kill, version-change or partition", "FAULT" },
         { "floor-ms", 0, POPT_ARG_INT, &floorMs, 0, "Time for one copy over a VM's link", "MS" },
+        { "chunk-bytes", 0, POPT_ARG_INT, &chunkBytes, 0, "Size of a chunk; 40960 by default, less above 100 replicas", "BYTES" },
         { "chunks", 0, POPT_ARG_INT, &chunks, 0, "Chunks of the model", "C" },
         { "json", 0, POPT_ARG_STRING, &json, 0, "Write the figures to this file", "FILE" },
         { "check", 0, POPT_ARG_STRING, &bounds, 0, "Compare with the bounds in this file", "FILE" },
@@ -119,8 +121,8 @@
         std::cerr << "rollout: argument \"" << poptPeekArg(context.get()) << "\" is not known; see --help\n";
         return false;
     }
-    if (replicas < 1 || regions < 1 || regions > replicas || floorMs < 1 || chunks < 1) {
-        std::cerr << "rollout: --replicas, --regions, --floor-ms and --chunks must be at least 1, and --regions at most --replicas\n";
+    if (replicas < 1 || regions < 1 || regions > replicas || floorMs < 1 || chunks < 1 || chunkBytes < 0) {
+        std::cerr << "rollout: --replicas, --regions, --floor-ms and --chunks must be at least 1, --chunk-bytes not negative, and --regions at most --replicas\n";
         return false;
     }
     auto parsedFault = parseFault(fault ? fault : "none");
@@ -137,6 +139,9 @@
     m_options.seed = static_cast<uint64_t>(seed);
     m_options.fault = *parsedFault;
     m_options.floor = std::chrono::milliseconds(floorMs);
+    m_options = scaleToFleet(m_options);
+    if (chunkBytes)
+        m_options.chunkBytes = static_cast<size_t>(chunkBytes);
     m_options.chunkCount = static_cast<size_t>(chunks);
     m_withBaseline = !noBaseline;
     m_jsonPath = json ? json : "";
@@ -157,8 +162,8 @@
 
 void RolloutCommand::printTable(const RolloutMeasurement& measurement, const RolloutMeasurement* baseline) const
 {
-    std::printf("rollout: %u replicas, %u regions, seed %lu, fault %s, %zu chunks, floor %ld ms%s\n", m_options.replicas, m_options.regions,
-        static_cast<unsigned long>(m_options.seed), faultName(m_options.fault).c_str(), m_options.chunkCount, static_cast<long>(m_options.floor.count()),
+    std::printf("rollout: %u replicas, %u regions, seed %lu, fault %s, %zu chunks of %zu bytes, floor %ld ms%s\n", m_options.replicas, m_options.regions,
+        static_cast<unsigned long>(m_options.seed), faultName(m_options.fault).c_str(), m_options.chunkCount, m_options.chunkBytes, static_cast<long>(m_options.floor.count()),
         baseline ? "; second column: every replica reads the origin" : "");
     auto row = [&](const char* name, const char* format, auto member) {
         double other = baseline ? static_cast<double>(baseline->*member) : 0;
