Say why an adapter is never unloaded under a new permit

Cause: the second look at the document when a permit is granted reads as a mere courtesy; it is half of what keeps an adapter loaded under a run. Ruled out: a lock across permits and orders (an order waits for the engine, and no permit may wait for that). Change: a comment.

--- a/Source/Process/AgentExchange.cpp
+++ b/Source/Process/AgentExchange.cpp
@@ -56,7 +56,8 @@
 
 void AgentExchange::granted(const Admission::Permit& permit)
 {
-    // The adapter may have been withdrawn while the request was queued.
+    // The adapter may have been withdrawn while the request was queued. The permit is recorded before this look
+    // at the document, and the order to unload looks at the permits after the document, so one sees the other.
     if (!m_request.adapter.empty()) {
         if (auto refusal = Admission::Queries::findRefusal(m_context->situations.situation(), m_request)) {
             Admission::Commands::withdrawAttempt(m_context->state, m_request, m_context->clock);
