--- a/Source/Process/ControlStack.h
+++ b/Source/Process/ControlStack.h
@@ -5,6 +5,7 @@
 #include "Observability/Metrics.h"
 #include "Process/ControlNode.h"
 #include "Process/HttpConfigurationSource.h"
+#include "Routing/TargetChannel.h"
 #include "Settings/ProcessSettings.h"
 #include "Transport/ControlServiceClient.h"
 #include "Transport/ControlServiceServer.h"
@@ -20,6 +21,8 @@
     std::shared_ptr<const Base::Clock> clock;
     std::shared_ptr<Membership::PeerClient> peers;
     std::shared_ptr<ConfigurationSource> source;
+    // Routers only.
+    std::shared_ptr<Routing::TargetChannels> channels;
 };
 
 // What every process is built on: clock, random source, metrics and the control plane with its transport.
@@ -29,6 +32,8 @@
     ControlStack(const Settings::ProcessSettings&, Membership::Role, OutsideParts = {});
 
     const Base::Clock& clock() const { return *m_outside.clock; }
+    // Null unless the channels to targets were replaced.
+    const std::shared_ptr<Routing::TargetChannels>& channels() const { return m_outside.channels; }
     const std::shared_ptr<Base::RandomSource>& random() const { return m_random; }
     const std::shared_ptr<Observability::Metrics>& metrics() const { return m_metrics; }
     const Transport::SharedCredentials& credentials() const { return m_credentials; }
--- a/Source/Process/RouterComposition.cpp
+++ b/Source/Process/RouterComposition.cpp
@@ -11,7 +11,7 @@
     : m_host(settings.inner.substr(0, settings.inner.rfind(':')))
     , m_stack(settings, Membership::Role::Router, std::move(outside))
     , m_server(startInnerServer(settings.inner))
-    , m_router(RouterBuilder(settings, m_stack.node(), m_stack.clock(), *m_stack.metrics()).random(m_stack.random()).credentials(m_stack.credentials()).build())
+    , m_router(RouterBuilder(settings, m_stack.node(), m_stack.clock(), *m_stack.metrics()).random(m_stack.random()).credentials(m_stack.credentials()).channels(m_stack.channels()).build())
 {
     shareCrashEvidence();
 }
--- a/Tests/EndToEnd/TestFleet.cpp
+++ b/Tests/EndToEnd/TestFleet.cpp
@@ -119,12 +119,12 @@
     vmList.replace(m_vms);
 }
 
-std::unique_ptr<TestRouter> TestFleet::startRouter(const std::string& vm, const std::string& dataCentre, uint64_t streamBudgetBytes)
+std::unique_ptr<TestRouter> TestFleet::startRouter(const std::string& vm, const std::string& dataCentre, uint64_t streamBudgetBytes, std::shared_ptr<Routing::TargetChannels> channels)
 {
     auto settings = makeSettings(vm, dataCentre);
     settings.callers = "127.0.0.1:0";
     settings.streamBudgetBytes = streamBudgetBytes;
-    auto router = std::make_unique<TestRouter>(ProcessPlace { settings, faults });
+    auto router = std::make_unique<TestRouter>(ProcessPlace { settings, faults, std::move(channels) });
     enlist(vm, dataCentre, "entry", router->switches().address());
     return router;
 }
@@ -133,7 +133,7 @@
 {
     auto settings = makeSettings(vm, dataCentre);
     settings.target = Settings::TargetSettings { Settings::TargetKind::Model, loopback(engine.port()), {} };
-    auto agent = std::make_unique<TestAgent>(ProcessPlace { settings, faults });
+    auto agent = std::make_unique<TestAgent>(ProcessPlace { settings, faults, nullptr });
     enlist(vm, dataCentre, "target", agent->switches().address());
     return agent;
 }
@@ -142,7 +142,7 @@
 {
     auto settings = makeSettings(vm, dataCentre);
     settings.target = Settings::TargetSettings { Settings::TargetKind::Service, loopback(service.port()), "ledger" };
-    auto agent = std::make_unique<TestAgent>(ProcessPlace { settings, faults });
+    auto agent = std::make_unique<TestAgent>(ProcessPlace { settings, faults, nullptr });
     enlist(vm, dataCentre, "target", agent->switches().address());
     return agent;
 }
--- a/Tests/EndToEnd/TestFleet.h
+++ b/Tests/EndToEnd/TestFleet.h
@@ -51,7 +51,7 @@
     // Declares the service "ledger" with the route "/bookings", whose calls may not be repeated.
     nlohmann::json& declareService(const std::vector<std::string>& vms);
 
-    std::unique_ptr<TestRouter> startRouter(const std::string& vm, const std::string& dataCentre, uint64_t streamBudgetBytes = 64 * 1024 * 1024);
+    std::unique_ptr<TestRouter> startRouter(const std::string& vm, const std::string& dataCentre, uint64_t streamBudgetBytes = 64 * 1024 * 1024, std::shared_ptr<Routing::TargetChannels> = nullptr);
     std::unique_ptr<TestAgent> startModelAgent(const std::string& vm, const std::string& dataCentre, const Standin::ModelEngine&);
     std::unique_ptr<TestAgent> startServiceAgent(const std::string& vm, const std::string& dataCentre, const Standin::PlainService&);
 
--- a/Tests/EndToEnd/TestProcess.cpp
+++ b/Tests/EndToEnd/TestProcess.cpp
@@ -23,12 +23,13 @@
     : m_clock(std::make_shared<SkippingClock>())
     , m_peers(std::make_shared<SwitchedPeers>(place.faults))
     , m_source(std::make_shared<SwitchedSource>(endpointOf(place.settings.configurationService), endpointOf(place.settings.vmList)))
+    , m_channels(place.channels)
 {
 }
 
 Process::OutsideParts ProcessSwitches::parts() const
 {
-    return { m_clock, std::shared_ptr<Membership::PeerClient>(m_peers, &m_peers->stale), m_source };
+    return { m_clock, std::shared_ptr<Membership::PeerClient>(m_peers, &m_peers->stale), m_source, m_channels };
 }
 
 void ProcessSwitches::setAddress(std::string address)
--- a/Tests/EndToEnd/TestProcess.h
+++ b/Tests/EndToEnd/TestProcess.h
@@ -13,6 +13,8 @@
 struct ProcessPlace {
     Settings::ProcessSettings settings;
     const Bench::Spread::NetworkFaults& faults;
+    // Replaces a router's channels to targets; null for the real ones.
+    std::shared_ptr<Routing::TargetChannels> channels;
 };
 
 // The fault switches of one process.
@@ -41,6 +43,7 @@
     std::shared_ptr<SkippingClock> m_clock;
     std::shared_ptr<SwitchedPeers> m_peers;
     std::shared_ptr<SwitchedSource> m_source;
+    std::shared_ptr<Routing::TargetChannels> m_channels;
     std::string m_address;
 };
 
