Refuse stream budgets that no part fits into

Cause: a part is charged its bytes and 56 KiB, and open streams may hold half of the budget, so that with the minimum of 64 KiB every answer would wait until its deadline. Ruled out: a smaller charge for small budgets, which would understate what a blocked stream holds. Change: streamBudgetBytes is at least 256 KiB: half of it holds the largest part of 64 KiB with its 56 KiB.

--- a/Source/Settings/Queries/CheckSettings.cpp
+++ b/Source/Settings/Queries/CheckSettings.cpp
@@ -10,8 +10,9 @@
     using Json::ProblemKind;
     using Json::ProblemSink;
 
-    // One stream buffers up to 64 KiB, and a budget that holds no stream would abort every answer.
-    constexpr uint64_t minStreamBudgetBytes = 64 * 1024;
+    // Half of the budget must hold the largest part, of 64 KiB, with the 56 KiB that its blocked stream holds
+    // besides; with less a part would wait for ever.
+    constexpr uint64_t minStreamBudgetBytes = 256 * 1024;
     constexpr uint64_t minWeightMemoryBytes = 64 * 1024;
     constexpr uint64_t maxBytes = 1ULL << 44;
     constexpr uint64_t minReloadSeconds = 1;
