Turn off gRPC's transparent retry on connections to agents

Cause: RouterProcess/replacesASilentConnection failed on a busy machine: the request was permitted over the new connection and then waited until its deadline. The trace (GRPC_TRACE=http) shows the attempt starting on the transport that has just failed, gRPC's retry filter moving it to the new one, and the write of the request's head never completing, so that the body is not sent. Change: GRPC_ARG_ENABLE_RETRIES is 0 in TargetClient. Retries are the router's decision, paid from its budget. Conclusion: a request that meets a silent connection is answered over a new one.

--- a/Source/Transport/TargetClient.cpp
+++ b/Source/Transport/TargetClient.cpp
@@ -38,6 +38,9 @@
         arguments.SetInt(GRPC_ARG_HTTP2_BDP_PROBE, 0);
         arguments.SetInt(GRPC_ARG_HTTP2_STREAM_LOOKAHEAD_BYTES, readAheadBytes);
         arguments.SetMaxReceiveMessageSize(maximumMessageBytes);
+        // The router decides on retries. gRPC's own transparent retry, which moves a call from a connection that has
+        // just failed to the next one, also left calls without an answer after their permit.
+        arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
         // A replaced channel must not share its predecessor's connection.
         arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
         return arguments;
