Wait for the store's region before reading the origin from another one

Change: an agent outside the store's region that knows of no participant there fetches nothing from afar in the first 3 s (participantsSettleLimit). A pool without agents in the store's region starts up to 3 s later.

--- a/Source/Process/TransferDriver.cpp
+++ b/Source/Process/TransferDriver.cpp
@@ -97,7 +97,9 @@
 {
     auto now = m_environment.runtime->clock.now();
     bool needsDuties = snapshot.manifest && !plan.duties;
-    auto interval = Queries::areParticipantsSettled(snapshot.phaseSince, plan.participantsChangedAt, now) ? planRefreshInterval : settlingRefreshInterval;
+    bool settled = Queries::areParticipantsSettled(snapshot.phaseSince, plan.participantsChangedAt, now)
+        && !Queries::isStoreRegionAwaited(plan.participants, m_environment.self, m_environment.storeRegion, snapshot.phaseSince, now);
+    auto interval = settled ? planRefreshInterval : settlingRefreshInterval;
     if (!needsDuties && plan.refreshedAt != Base::TimePoint {} && now - plan.refreshedAt < interval)
         return;
     plan.refreshedAt = now;
@@ -186,7 +188,7 @@
         *plan.duties,
         peers,
         m_environment.self,
-        haveNeighboursAnswered(plan, peers) && Queries::areParticipantsSettled(snapshot.phaseSince, plan.participantsChangedAt, now),
+        mayReachOut(plan, snapshot, peers, now),
         Queries::isOriginUsable(state.origin, now),
         now,
     };
@@ -280,6 +282,12 @@
     Observability::logEvent(Weights::transferDelayed, { { "manifest", snapshot.digest }, { "missing", missing } });
 }
 
+bool TransferDriver::mayReachOut(const Plan& plan, const TransferSnapshot& snapshot, const Queries::PeerViews& peers, Base::TimePoint now) const
+{
+    return haveNeighboursAnswered(plan, peers) && Queries::areParticipantsSettled(snapshot.phaseSince, plan.participantsChangedAt, now)
+        && !Queries::isStoreRegionAwaited(plan.participants, m_environment.self, m_environment.storeRegion, snapshot.phaseSince, now);
+}
+
 bool TransferDriver::haveNeighboursAnswered(const Plan& plan, const Queries::PeerViews& peers) const
 {
     return std::all_of(plan.neighbours.begin(), plan.neighbours.end(), [&](auto& neighbour) {
--- a/Source/Weights/Queries/SourceDecisions.cpp
+++ b/Source/Weights/Queries/SourceDecisions.cpp
@@ -74,6 +74,13 @@
     return now - participantsChangedAt >= participantsSettleTime || now - transferSince >= participantsSettleLimit;
 }
 
+bool isStoreRegionAwaited(const std::vector<Participant>& participants, const Participant& self, const std::string& storeRegion, Base::TimePoint transferSince, Base::TimePoint now)
+{
+    if (self.region == storeRegion || now - transferSince >= participantsSettleLimit)
+        return false;
+    return std::none_of(participants.begin(), participants.end(), [&](auto& participant) { return participant.region == storeRegion; });
+}
+
 std::chrono::milliseconds originPause(unsigned failures)
 {
     auto pause = originRetryFirst;
--- a/Source/Weights/Queries/SourceDecisions.h
+++ b/Source/Weights/Queries/SourceDecisions.h
@@ -28,6 +28,11 @@
 // Whether the list of participants can be relied on, so that agents that rank differ no more than the list does.
 bool areParticipantsSettled(Base::TimePoint transferSince, Base::TimePoint participantsChangedAt, Base::TimePoint now);
 
+// Whether an agent outside the store's region waits for agents of that region, none of which is known to want the manifest.
+// What they want arrives later than what the own region wants; an agent that does not wait reads from the origin the
+// chunks that they read as well.
+bool isStoreRegionAwaited(const std::vector<Participant>&, const Participant& self, const std::string& storeRegion, Base::TimePoint transferSince, Base::TimePoint now);
+
 // Pause before the origin is asked again after a number of failures in sequence.
 std::chrono::milliseconds originPause(unsigned failures);
 
--- a/Tests/Weights/SourceDecisionsTest.cpp
+++ b/Tests/Weights/SourceDecisionsTest.cpp
@@ -118,3 +118,18 @@
     cr_assert_not(failed.complete());
     cr_assert(failed.phase() == TransferPhase::Failed);
 }
+
+// Guards against chunks that a region reads from the origin because it does not know yet that the store's region reads
+// them, and against a wait without end when no agent there wants the manifest.
+Test(Participants, ofTheStoreRegionAreAwaitedForAWhile)
+{
+    Base::ManualClock clock;
+    auto since = clock.now();
+    Participant near { "a", "", "", "store" };
+    Participant far { "b", "", "", "far" };
+    cr_assert(Queries::isStoreRegionAwaited({ far }, far, "store", since, clock.now()));
+    cr_assert_not(Queries::isStoreRegionAwaited({ near, far }, far, "store", since, clock.now()));
+    cr_assert_not(Queries::isStoreRegionAwaited({ near }, near, "store", since, clock.now()));
+    clock.advance(participantsSettleLimit);
+    cr_assert_not(Queries::isStoreRegionAwaited({ far }, far, "store", since, clock.now()));
+}
