Split the control node into classes with one job each

Ruled out: a class for the list of VMs; its 25 lines need most of the node.

Change: DocumentReader reads and watches the service, DocumentExchange fetches, checks and hands out documents, GossipRounds exchanges members, evidence and reports, CallGate ends loops and counts calls under way. ControlNode connects them. Behaviour is unchanged, but that an exchange is now answered before the fetch of the sender's greater document begins, not after.

--- a/Source/Process/ControlNode.h
+++ b/Source/Process/ControlNode.h
@@ -1,37 +1,22 @@
 #pragma once
 
-#include "Base/Clock.h"
-#include "Base/RandomSource.h"
-#include "Configuration/Queries/NextRead.h"
-#include "Configuration/ReadSchedule.h"
 #include "Configuration/RevisionStore.h"
 #include "Membership/ControlHandler.h"
-#include "Membership/CrashEvidenceTable.h"
 #include "Membership/MemberTable.h"
-#include "Membership/PeerClient.h"
-#include "Membership/PoolReportTable.h"
-#include "Membership/Queries/ComposeGossip.h"
-#include "Observability/Metrics.h"
-#include "Process/ConfigurationSource.h"
+#include "Process/CallGate.h"
+#include "Process/ControlNodeParts.h"
 #include "Process/ControlView.h"
+#include "Process/DocumentExchange.h"
+#include "Process/DocumentReader.h"
+#include "Process/GossipRounds.h"
 #include "Settings/ProcessSettings.h"
 
 #include <atomic>
-#include <condition_variable>
 #include <mutex>
 #include <thread>
 
 namespace Lavenderloft::Process {
 
-// What a control node works with; all referenced objects must outlive it.
-struct ControlNodeParts {
-    const Base::Clock& clock;
-    Base::RandomSource& random;
-    Membership::PeerClient& peers;
-    ConfigurationSource& source;
-    Observability::Metrics& metrics;
-};
-
 // The control plane of one process: gossips members and documents, watches the configuration service
 // when it is its turn, and shows the rest of the process what is in force.
 class ControlNode final : public ControlView, public Membership::ControlHandler {
@@ -67,66 +52,38 @@
 
 private:
     void gossipLoop();
-    void readLoop();
     void vmListLoop();
+    void noteListed(const ListedVm&);
     void tick();
     void detectPause();
-    void gossipWith(const Membership::Member&);
-    void contact(const std::string& address, const std::string& vm, const std::string& dataCentre);
     void noteResponse(const std::string& address, const Membership::GossipMessage&);
-    void contactUnknown();
-    void addReports(Membership::GossipMessage&);
-    void receive(const Membership::GossipMessage&);
-    void learnDocument(const std::string& address, const Membership::GossipMessage&);
-    void acceptFromPeer(const Membership::DocumentReply&);
-    void accept(const std::string& bytes, const char* origin);
-    void readOnce(Configuration::Queries::ReadKind);
-    Configuration::Queries::ReadSituation readSituation() const;
-    bool isReader() const;
-    bool wait(std::chrono::milliseconds);
-    bool beginCall();
-    void endCall();
+    void noteConfirmation(const Membership::GossipMessage&);
+    void noteOffered(bool isAccepted);
     void notifyIfChanged();
-    void spreadNow();
     void finishSynchronising();
     void announceRevision();
     void updateMetrics();
-    Base::Duration confirmationAge() const;
+    Membership::Queries::DocumentState documentState() const;
 
     const Settings::ProcessSettings m_settings;
     ControlNodeParts m_parts;
     Membership::MemberTable m_table;
     Configuration::RevisionStore m_revisions;
-    Membership::CrashEvidenceTable m_evidence;
-    Membership::PoolReportTable m_poolReports;
-    // Pools that the reports sent so far have covered.
-    std::atomic<size_t> m_poolsReported { 0 };
+    CallGate m_gate;
+    DocumentReader m_reader;
+    DocumentExchange m_documents;
+    GossipRounds m_gossip;
 
-    Configuration::ReadSchedule m_schedule;
     std::atomic<bool> m_synchronised { false };
     std::atomic<bool> m_heardPeer { false };
-    std::atomic<bool> m_fetching { false };
-    // For exchanges within the data centre, and for those with others.
-    std::atomic<Membership::Queries::PageState> m_page;
-    std::atomic<Membership::Queries::PageState> m_sharedPage;
     std::atomic<uint64_t> m_notifiedChange { 0 };
     uint64_t m_announcedRevision = 0;
     Base::TimePoint m_announcedAt {};
-    std::atomic<uint64_t> m_ticks { 0 };
-    // Processes in the list of VMs; 0 until it was read.
-    std::atomic<size_t> m_fleetSize { 0 };
     std::atomic<Base::TimePoint> m_lastTick { Base::TimePoint {} };
 
-    std::mutex m_contactsLock;
-    std::vector<std::pair<std::string, std::string>> m_unknownContacts;
-
     std::mutex m_callbacksLock;
     std::vector<std::function<void()>> m_callbacks;
 
-    std::mutex m_stopLock;
-    std::condition_variable m_stopCondition;
-    bool m_stopped = false;
-    size_t m_callsUnderWay = 0;
     std::vector<std::thread> m_threads;
 };
 
--- /dev/null
+++ b/Source/Process/ControlNodeParts.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "Base/Clock.h"
+#include "Base/RandomSource.h"
+#include "Membership/PeerClient.h"
+#include "Observability/Metrics.h"
+#include "Process/ConfigurationSource.h"
+
+namespace Lavenderloft::Process {
+
+// What a control node works with; all referenced objects must outlive it.
+struct ControlNodeParts {
+    const Base::Clock& clock;
+    Base::RandomSource& random;
+    Membership::PeerClient& peers;
+    ConfigurationSource& source;
+    Observability::Metrics& metrics;
+};
+
+} // namespace Lavenderloft::Process
