Read the options of the rollout and spread benchmarks with OptionTable

Ruled out: a table that also checks ranges (only these two need them). Change: both use OptionTable and refuse more than 1,000 nodes with the bound in the message.

--- a/Utilities/Bench/RolloutCommand.cpp
+++ b/Utilities/Bench/RolloutCommand.cpp
@@ -1,13 +1,13 @@
 #include "Bench/RolloutCommand.h"
 
 #include "Bench/RolloutBounds.h"
+#include "CommandLine/OptionTable.h"
 #include "Observability/Log.h"
 
 #include <cstdio>
 #include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
-#include <popt.h>
 
 namespace Lavenderloft::Bench {
 
@@ -15,6 +15,15 @@
 
     using CommandLine::ExitCode;
 
+    // Every node holds threads and file descriptors of the one process.
+    constexpr uint64_t maximumReplicas = 1000;
+
+    ExitCode refuse(const std::string& message)
+    {
+        std::cerr << "lavenderloft-bench rollout: " << message << '\n';
+        return ExitCode::Usage;
+    }
+
     // At the origin's rate N copies take N/2 floors; the baseline's floor is shortened so that it ends in about this time.
     constexpr std::chrono::milliseconds baselineDuration { 20000 };
 
@@ -63,8 +72,8 @@
 
 ExitCode RolloutCommand::run(const std::vector<std::string>& arguments)
 {
-    if (!parse(arguments))
-        return ExitCode::Usage;
+    if (auto code = parse(arguments))
+        return *code;
     auto measurement = measureRollout(m_options);
     std::optional<RolloutMeasurement> baseline;
     if (m_withBaseline)
@@ -77,78 +86,47 @@
     return checkBounds(measurement);
 }
 
-bool RolloutCommand::parse(const std::vector<std::string>& arguments)
+std::optional<ExitCode> RolloutCommand::parse(const std::vector<std::string>& arguments)
 {
-    int replicas = static_cast<int>(m_options.replicas);
-    int regions = static_cast<int>(m_options.regions);
-    int floorMs = static_cast<int>(m_options.floor.count());
-    int chunkBytes = 0;
-    int chunks = static_cast<int>(m_options.chunkCount);
-    long seed = static_cast<long>(m_options.seed);
-    char* fault = nullptr;
-    char* json = nullptr;
-    char* bounds = nullptr;
-    int noBaseline = 0;
-    int log = 0;
-    poptOption options[] = {
-        { "replicas", 'n', POPT_ARG_INT, &replicas, 0, "Number of replicas", "N" },
-        { "regions", 'r', POPT_ARG_INT, &regions, 0, "Number of regions", "R" },
-        { "seed", 's', POPT_ARG_LONG, &seed, 0, "Seed of the random choices", "S" },
-        { "fault", 'f', POPT_ARG_STRING, &fault, 0, "corrupt, stall, kill, version-change or partition", "FAULT" },
-        { "floor-ms", 0, POPT_ARG_INT, &floorMs, 0, "Time for one copy over a VM's link", "MS" },
-        { "chunk-bytes", 0, POPT_ARG_INT, &chunkBytes, 0, "Size of a chunk; 40960 by default, less above 100 replicas", "BYTES" },
-        { "chunks", 0, POPT_ARG_INT, &chunks, 0, "Chunks of the model", "C" },
-        { "json", 0, POPT_ARG_STRING, &json, 0, "Write the figures to this file", "FILE" },
-        { "check", 0, POPT_ARG_STRING, &bounds, 0, "Compare with the bounds in this file", "FILE" },
-        { "no-baseline", 0, POPT_ARG_NONE, &noBaseline, 0, "Leave out the baseline", nullptr },
-        { "log", 0, POPT_ARG_NONE, &log, 0, "Log each decision on standard error", nullptr },
-        POPT_AUTOHELP
-            POPT_TABLEEND
-    };
-    std::vector<const char*> argv { "lavenderloft-bench rollout" };
-    for (auto& argument : arguments)
-        argv.push_back(argument.c_str());
-    std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(poptGetContext("rollout", static_cast<int>(argv.size()), argv.data(), options, 0), poptFreeContext);
-    auto status = poptGetNextOpt(context.get());
-    std::unique_ptr<char, decltype(&free)> faultText(fault, free);
-    std::unique_ptr<char, decltype(&free)> jsonText(json, free);
-    std::unique_ptr<char, decltype(&free)> boundsText(bounds, free);
-    if (status < -1) {
-        std::cerr << "rollout: option " << poptBadOption(context.get(), 0) << ": " << poptStrerror(status) << "; see --help\n";
-        return false;
-    }
-    if (poptPeekArg(context.get())) {
-        std::cerr << "rollout: argument \"" << poptPeekArg(context.get()) << "\" is not known; see --help\n";
-        return false;
-    }
-    if (replicas < 1 || regions < 1 || regions > replicas || floorMs < 1 || chunks < 1 || chunkBytes < 0) {
-        std::cerr << "rollout: --replicas, --regions, --floor-ms and --chunks must be at least 1, --chunk-bytes not negative, and --regions at most --replicas\n";
-        return false;
-    }
-    auto parsedFault = parseFault(fault ? fault : "none");
-    if (!parsedFault) {
-        std::cerr << "rollout: --fault \"" << fault << "\" is not known; give corrupt, stall, kill, version-change or partition\n";
-        return false;
-    }
-    if (parsedFault == RolloutFault::Partition && regions < 2) {
-        std::cerr << "rollout: --fault partition needs --regions of at least 2\n";
-        return false;
-    }
+    uint64_t replicas = m_options.replicas;
+    uint64_t regions = m_options.regions;
+    uint64_t chunks = m_options.chunkCount;
+    uint64_t chunkBytes = 0;
+    std::string fault = "none";
+    bool noBaseline = false;
+    bool log = false;
+    CommandLine::OptionTable table("lavenderloft-bench", *this);
+    table.number("replicas", replicas, "Number of replicas").shownAs('n');
+    table.number("regions", regions, "Number of regions").shownAs('r');
+    table.number("seed", m_options.seed, "Seed of the random choices").shownAs('s');
+    table.text("fault", fault, "corrupt, stall, kill, version-change or partition").shownAs('f', "FAULT");
+    table.milliseconds("floor-ms", m_options.floor, "Time for one copy over a VM's link");
+    table.number("chunk-bytes", chunkBytes, "Size of a chunk; 40960 by default, less above 100 replicas");
+    table.number("chunks", chunks, "Chunks of the model");
+    table.text("json", m_jsonPath, "Write the figures to this file").shownAs('\0', "FILE");
+    table.text("check", m_boundsPath, "Compare with the bounds in this file").shownAs('\0', "FILE");
+    table.flag("no-baseline", noBaseline, "Leave out the baseline");
+    table.flag("log", log, "Log each decision on standard error");
+    if (auto code = table.parseOrExplain(arguments))
+        return code;
+    if (replicas < 1 || replicas > maximumReplicas || regions < 1 || regions > replicas || m_options.floor.count() < 1 || chunks < 1)
+        return refuse("--replicas must be 1 to " + std::to_string(maximumReplicas) + ", --regions, --floor-ms and --chunks at least 1, and --regions at most --replicas");
+    auto parsedFault = parseFault(fault);
+    if (!parsedFault)
+        return refuse("--fault \"" + fault + "\" is not known; give corrupt, stall, kill, version-change or partition");
+    if (parsedFault == RolloutFault::Partition && regions < 2)
+        return refuse("--fault partition needs --regions of at least 2");
     m_options.replicas = static_cast<unsigned>(replicas);
     m_options.regions = static_cast<unsigned>(regions);
-    m_options.seed = static_cast<uint64_t>(seed);
     m_options.fault = *parsedFault;
-    m_options.floor = std::chrono::milliseconds(floorMs);
     m_options = scaleToFleet(m_options);
     if (chunkBytes)
-        m_options.chunkBytes = static_cast<size_t>(chunkBytes);
-    m_options.chunkCount = static_cast<size_t>(chunks);
+        m_options.chunkBytes = chunkBytes;
+    m_options.chunkCount = chunks;
     m_withBaseline = !noBaseline;
-    m_jsonPath = json ? json : "";
-    m_boundsPath = bounds ? bounds : "";
     if (log)
         Observability::configureLogging(Observability::Level::Info, Observability::Layout::Plain);
-    return true;
+    return std::nullopt;
 }
 
 RolloutMeasurement RolloutCommand::measureBaseline() const
--- a/Utilities/Bench/RolloutCommand.h
+++ b/Utilities/Bench/RolloutCommand.h
@@ -3,6 +3,8 @@
 #include "Bench/RolloutBenchmark.h"
 #include "CommandLine/Command.h"
 
+#include <optional>
+
 namespace Lavenderloft::Bench {
 
 // lavenderloft-bench rollout: measures how a model spreads over a fleet.
@@ -14,7 +16,8 @@
     CommandLine::ExitCode run(const std::vector<std::string>& arguments) override;
 
 private:
-    bool parse(const std::vector<std::string>& arguments);
+    // Gives the exit code if help was asked for or an option is wrong.
+    std::optional<CommandLine::ExitCode> parse(const std::vector<std::string>& arguments);
     RolloutMeasurement measureBaseline() const;
     void printTable(const RolloutMeasurement&, const RolloutMeasurement* baseline) const;
     bool writeJson(const RolloutMeasurement&, const RolloutMeasurement* baseline) const;
--- a/Utilities/Bench/Spread/SpreadCommand.cpp
+++ b/Utilities/Bench/Spread/SpreadCommand.cpp
@@ -1,13 +1,13 @@
 #include "Bench/Spread/SpreadCommand.h"
 
 #include "Bench/Spread/SpreadBenchmark.h"
+#include "CommandLine/OptionTable.h"
 #include "Observability/Log.h"
 
 #include <algorithm>
 #include <iostream>
 #include <map>
 #include <nlohmann/json.hpp>
-#include <popt.h>
 
 namespace Lavenderloft::Bench::Spread {
 
@@ -15,6 +15,9 @@
 
 namespace {
 
+    // Every node holds threads and file descriptors of the one process.
+    constexpr uint64_t maximumNodes = 1000;
+
     const std::map<std::string, Fault> faultNames {
         { "none", Fault::None },
         { "loss", Fault::Loss },
@@ -50,43 +53,33 @@
 
 ExitCode SpreadCommand::run(const std::vector<std::string>& arguments)
 {
-    int nodes = 50;
-    int dataCentres = 5;
-    int seed = 1;
-    int changes = 5;
-    int pools = 20;
-    char* faultText = nullptr;
-    poptOption options[] = {
-        { "nodes", 0, POPT_ARG_INT, &nodes, 0, "Processes", "N" },
-        { "data-centres", 0, POPT_ARG_INT, &dataCentres, 0, "Data centres", "D" },
-        { "seed", 0, POPT_ARG_INT, &seed, 0, "Seed of all random choices", "S" },
-        { "changes", 0, POPT_ARG_INT, &changes, 0, "Documents published one after the other", "C" },
-        { "pools", 0, POPT_ARG_INT, &pools, 0, "Pools in the document", "P" },
-        { "fault", 0, POPT_ARG_STRING, &faultText, 0, "loss, service-down or partition", "FAULT" },
-        POPT_AUTOHELP POPT_TABLEEND
-    };
-    std::vector<const char*> argumentVector { "spread" };
-    for (auto& argument : arguments)
-        argumentVector.push_back(argument.c_str());
-    std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(
-        poptGetContext("spread", static_cast<int>(argumentVector.size()), argumentVector.data(), options, 0), poptFreeContext);
-    auto status = poptGetNextOpt(context.get());
-    std::string fault = faultText ? faultText : "none";
-    free(faultText);
-    if (status < -1 || nodes < 1 || dataCentres < 1 || changes < 0 || pools < 1 || !faultNames.count(fault)) {
-        std::cerr << "lavenderloft-bench spread: an option is malformed or out of range; see lavenderloft-bench --help\n";
+    SpreadOptions options;
+    uint64_t nodes = 50;
+    uint64_t dataCentres = 5;
+    uint64_t changes = 5;
+    uint64_t pools = 20;
+    std::string fault = "none";
+    CommandLine::OptionTable table("lavenderloft-bench", *this);
+    table.number("nodes", nodes, "Processes");
+    table.number("data-centres", dataCentres, "Data centres");
+    table.number("seed", options.seed, "Seed of all random choices");
+    table.number("changes", changes, "Documents published one after the other");
+    table.number("pools", pools, "Pools in the document");
+    table.text("fault", fault, "loss, service-down or partition").shownAs('\0', "FAULT");
+    if (auto code = table.parseOrExplain(arguments))
+        return *code;
+    if (!nodes || nodes > maximumNodes || !dataCentres || !pools || !faultNames.count(fault)) {
+        std::cerr << "lavenderloft-bench spread: --nodes must be 1 to " << maximumNodes << ", --data-centres and --pools at least 1, and --fault one of loss, service-down and partition\n";
         return ExitCode::Usage;
     }
-    SpreadOptions spread;
-    spread.nodes = static_cast<size_t>(nodes);
-    spread.dataCentres = static_cast<size_t>(dataCentres);
-    spread.seed = static_cast<uint64_t>(seed);
-    spread.changes = static_cast<size_t>(changes);
-    spread.pools = static_cast<size_t>(pools);
-    spread.fault = faultNames.at(fault);
+    options.nodes = nodes;
+    options.dataCentres = dataCentres;
+    options.changes = changes;
+    options.pools = pools;
+    options.fault = faultNames.at(fault);
     Observability::configureLogging(Observability::Level::Info, Observability::Layout::Plain);
-    auto report = SpreadBenchmark(spread).run();
-    std::cout << toJson(spread, fault, report).dump(2) << '\n';
+    auto report = SpreadBenchmark(options).run();
+    std::cout << toJson(options, fault, report).dump(2) << '\n';
     bool held = report.converged && !report.revisionsLost && !report.reverted;
     return held ? ExitCode::Success : ExitCode::Refused;
 }
