--- a/Tests/Membership/MembershipTest.cpp
+++ b/Tests/Membership/MembershipTest.cpp
@@ -243,20 +243,20 @@
 {
     Base::ManualClock clock;
     auto own = makeTable("a", clock.now());
-    auto mate = makeTable("b", clock.now());
+    auto peer = makeTable("b", clock.now());
     auto other = makeTable("c", clock.now(), "two");
     Commands::UpdateSelf(*own).execute([](Member& self) { self.replicas = { { "pool", "v1", "v2", ReplicaPhase::Fetching } }; }, clock.now());
     uint64_t cursor = 0;
-    exchange(*own, *mate, clock.now(), cursor);
+    exchange(*own, *peer, clock.now(), cursor);
     exchange(*own, *other, clock.now(), cursor);
     Commands::ChangeStatus(*other).recordFailedProbe("a", clock.now());
-    exchange(*mate, *other, clock.now(), cursor);
-    auto known = Queries::LiveMembers(*mate).find("a").value();
+    exchange(*peer, *other, clock.now(), cursor);
+    auto known = Queries::LiveMembers(*peer).find("a").value();
     cr_assert(known.hasDetail && known.replicas[0].wantedDigest == "v2" && known.status == Status::Suspect);
-    exchange(*mate, *own, clock.now(), cursor);
-    exchange(*mate, *own, clock.now(), cursor);
-    cr_assert(statusOf(*mate, "a") == Status::Alive);
-    exchange(*mate, *other, clock.now(), cursor);
+    exchange(*peer, *own, clock.now(), cursor);
+    exchange(*peer, *own, clock.now(), cursor);
+    cr_assert(statusOf(*peer, "a") == Status::Alive);
+    exchange(*peer, *other, clock.now(), cursor);
     cr_assert(statusOf(*other, "a") == Status::Alive);
 }
 
@@ -296,8 +296,8 @@
 {
     Base::ManualClock clock;
     auto table = makeTable("self", clock.now());
-    auto mate = makeMember("mate");
-    Commands::MergeMembers(*table).execute({ mate }, clock.now());
+    auto peer = makeMember("peer");
+    Commands::MergeMembers(*table).execute({ peer }, clock.now());
     size_t messages = 0;
     auto sendAcross = [&] {
         auto message = Queries::ComposeGossip(*table).request("two", {}, {});
@@ -306,13 +306,13 @@
     };
     while (sendAcross())
         cr_assert_lt(++messages, 20);
-    ++mate.version;
-    Commands::MergeMembers(*table).execute({ mate }, clock.now());
+    ++peer.version;
+    Commands::MergeMembers(*table).execute({ peer }, clock.now());
     cr_assert_not(sendAcross());
     cr_assert_eq(Queries::ComposeGossip(*table).request("one", {}, {}).members.size(), 2);
-    ++mate.version;
-    ++mate.sharedVersion;
-    Commands::MergeMembers(*table).execute({ mate }, clock.now());
+    ++peer.version;
+    ++peer.sharedVersion;
+    Commands::MergeMembers(*table).execute({ peer }, clock.now());
     cr_assert(sendAcross());
 }
 
