Move the errors and the admission of the coordinator into queries

Ruled out: a split of the states (the lock and the state belong together). Change: quarantineError, deadlineError and noTargetError in DescribeFailure, composeAdmission in a query of its own.

--- a/Source/Routing/Queries/DescribeFailure.cpp
+++ b/Source/Routing/Queries/DescribeFailure.cpp
@@ -48,6 +48,25 @@
     return makeFailure(FailureKind::BrokenAfterSend, ErrorCode::OutcomeUnknown, "the connection to the target broke after the request was sent", "find out whether the call ran before you send it again");
 }
 
+RoutingError quarantineError(const QuarantineFinding& finding)
+{
+    if (finding.state == QuarantineState::Quarantined)
+        return { ErrorCode::Quarantined, "the request crashed two targets and is not run for now", "change the request; the quarantine ends after ten minutes", Outcome::NotRun, QuarantineTable::retention };
+    auto wait = std::chrono::ceil<std::chrono::milliseconds>(finding.pendingFor);
+    return { ErrorCode::QuarantinePending, "the request ran on two targets that crashed, and reports of other routers are awaited", "retry after retryAfterMs", Outcome::NotRun, wait };
+}
+
+RoutingError deadlineError(std::string message)
+{
+    return { ErrorCode::DeadlineExceeded, std::move(message), "send a longer X-Deadline-Ms or retry", Outcome::NotRun, retryAdvice };
+}
+
+RoutingError noTargetError(const LiveRequest& request, std::string_view reason)
+{
+    auto code = request.repeatable ? ErrorCode::NoTarget : ErrorCode::HomeUnreachable;
+    return { code, "no target of " + request.destination + " can take the request: " + std::string(reason), "retry later; operators find the state of targets with lavenderloft status", Outcome::NotRun, retryAdvice };
+}
+
 Base::Duration pauseAfter(const Refusal& refusal)
 {
     // Says nothing about requests for other adapters or for the base model.
--- a/Source/Routing/Queries/DescribeFailure.h
+++ b/Source/Routing/Queries/DescribeFailure.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "Routing/AttemptFailure.h"
+#include "Routing/LiveRequest.h"
+#include "Routing/QuarantineTable.h"
 
 namespace Lavenderloft::Routing::Queries {
 
@@ -16,6 +18,15 @@
 // The failure of a stream that broke before or after the request was sent.
 AttemptFailure brokenStream(bool isSent, bool isRepeatable);
 
+// The error of a request that is quarantined, or held until the reports on its crashes are complete.
+RoutingError quarantineError(const QuarantineFinding&);
+
+// The error of a request whose deadline has passed.
+RoutingError deadlineError(std::string message);
+
+// The error of a request for which no target was found, for the reason given.
+RoutingError noTargetError(const LiveRequest&, std::string_view reason);
+
 // How long a target that refused is better left alone.
 Base::Duration pauseAfter(const Refusal&);
 
--- a/Source/Routing/RequestCoordinator.cpp
+++ b/Source/Routing/RequestCoordinator.cpp
@@ -5,6 +5,7 @@
 #include "Routing/Commands/ChargeRetryBudget.h"
 #include "Routing/Commands/RecordCrash.h"
 #include "Routing/Events.h"
+#include "Routing/Queries/ComposeAdmission.h"
 #include "Routing/Queries/DescribeFailure.h"
 #include "Routing/Queries/FindQuarantine.h"
 #include "Routing/Queries/FindResumePoint.h"
@@ -91,7 +92,7 @@
         return;
     auto now = m_context.clock.now();
     if (now >= m_request.deadline)
-        return fail(std::move(lock), { ErrorCode::DeadlineExceeded, "the deadline passed before a target took the request", "send a longer X-Deadline-Ms or retry", Outcome::NotRun, retryAdvice });
+        return fail(std::move(lock), Queries::deadlineError("the deadline passed before a target took the request"));
     if (auto finding = Queries::findQuarantine(m_context.quarantine, m_request.fingerprint, now); finding.state != QuarantineState::Free)
         return failQuarantined(std::move(lock), finding);
     auto digest = m_answerStarted ? m_head.weightsDigest : std::string();
@@ -99,10 +100,8 @@
     // A target that broke off is better than none; one that refused is not. An answer that has started can wait.
     if (!selection.target && !m_answerStarted)
         selection = Queries::selectTarget(m_context.targets, m_request, m_refused, m_context.policy, m_context.random, now, digest);
-    if (!selection.target) {
-        auto code = m_request.repeatable ? ErrorCode::NoTarget : ErrorCode::HomeUnreachable;
-        return waitOrFail(std::move(lock), { code, "no target of " + m_request.destination + " can take the request: " + std::string(selection.reason), "retry later; operators find the state of targets with lavenderloft status", Outcome::NotRun, retryAdvice });
-    }
+    if (!selection.target)
+        return waitOrFail(std::move(lock), Queries::noTargetError(m_request, selection.reason));
     openAttempt(std::move(lock), std::move(selection.target), selection.reason);
 }
 
@@ -112,11 +111,7 @@
     logEvent(isPending ? requestHeld : requestQuarantined, { { "request", m_request.id }, { "fingerprint", m_request.fingerprint } });
     if (isPending && m_answerStarted)
         return wait(std::move(lock), finding.pendingFor, "reports on crashes are awaited");
-    if (isPending) {
-        auto pending = std::chrono::ceil<std::chrono::milliseconds>(finding.pendingFor);
-        return fail(std::move(lock), { ErrorCode::QuarantinePending, "the request ran on two targets that crashed, and reports of other routers are awaited", "retry after retryAfterMs", Outcome::NotRun, pending });
-    }
-    fail(std::move(lock), { ErrorCode::Quarantined, "the request crashed two targets and is not run for now", "change the request; the quarantine ends after ten minutes", Outcome::NotRun, QuarantineTable::retention });
+    fail(std::move(lock), Queries::quarantineError(finding));
 }
 
 void RequestCoordinator::openAttempt(Lock lock, std::shared_ptr<Target> target, std::string_view reason)
@@ -130,25 +125,12 @@
     // The answer must come from the version that this target serves; the request is bound to no version.
     auto weightsDigest = m_answerStarted ? m_head.weightsDigest : m_target->servingDigest();
     m_matcher = AnswerMatcher(m_attemptId, weightsDigest, m_request.adapter);
-    Admission admission;
+    auto admission = Queries::composeAdmission(m_request, m_attemptId, weightsDigest, m_context.clock.now());
     if (m_answerStarted) {
         admission.resumeFromToken = m_position.tokens;
         m_matcher.requireResume(m_position.tokens, m_head.status);
         Commands::resumeStream(m_position);
     }
-    admission.attemptId = m_attemptId;
-    admission.requestId = m_request.id;
-    admission.organisation = m_request.organisation;
-    admission.priorityClass = m_request.priorityClass;
-    admission.timeLeft = m_request.deadline - m_context.clock.now();
-    admission.destination = m_request.destination;
-    admission.weightsDigest = weightsDigest;
-    admission.key = m_request.key;
-    admission.repeatable = m_request.repeatable;
-    admission.bodyBytes = m_request.message.body.size();
-    admission.revision = m_request.revision;
-    admission.fingerprint = m_request.fingerprint;
-    admission.adapter = m_request.adapter;
     m_channel = m_context.channels.channelTo(m_target->address());
     m_attempt = m_channel->open(admission, std::make_shared<AttemptSink>(shared_from_this(), m_attemptId));
     auto attempt = m_attempt;
@@ -414,7 +396,7 @@
         if (m_answerStarted)
             return cut(std::move(lock), "the deadline passed");
         m_mayHaveRun = m_mayHaveRun || isSent() || m_state == State::Resolving;
-        return fail(std::move(lock), { ErrorCode::DeadlineExceeded, "the deadline passed before the answer began", "send a longer X-Deadline-Ms", Outcome::NotRun, retryAdvice });
+        return fail(std::move(lock), Queries::deadlineError("the deadline passed before the answer began"));
     }
     if (m_state == State::Waiting && now >= m_resumeAt && m_resumeAt != Base::TimePoint())
         return beginAttempt(std::move(lock));
