Run the five servers of the stand-ins from one subcommand class

Ruled out: a common base class of the stand-ins (only their port is shared, which a template reaches without one). Change: ServerSubcommand holds these steps; the five add their options and what they prepare. Conclusion: one place for how a stand-in's program starts and ends.

--- a/Utilities/Standin/Subcommands/EngineSubcommand.cpp
+++ b/Utilities/Standin/Subcommands/EngineSubcommand.cpp
@@ -1,14 +1,11 @@
 #include "Standin/Subcommands/EngineSubcommand.h"
 
-#include "Standin/StopSignal.h"
-
 namespace Lavenderloft::Standin::Subcommands {
 
-void EngineSubcommand::addOptions(OptionTable& options)
+void EngineSubcommand::addServerOptions(OptionTable& options)
 {
     auto& behaviour = m_options.behaviour;
-    options.text("listen", m_listen, "IP:port to serve on; port 0 picks a free one")
-        .real("tokens-per-second", behaviour.tokensPerSecond, "Tokens of all running requests together")
+    options.real("tokens-per-second", behaviour.tokensPerSecond, "Tokens of all running requests together")
         .milliseconds("step-ms", behaviour.stepTime, "Shortest time between two tokens of one request")
         .number("maximum-batch", m_maximumBatch, "Requests that run at once")
         .milliseconds("load-ms", behaviour.loadTime, "Time from the order to load until the engine answers")
@@ -22,17 +19,11 @@
         .milliseconds("status-lag-ms", behaviour.statusLag, "How old a status may be");
 }
 
-ExitCode EngineSubcommand::runWithOptions()
+void EngineSubcommand::completeOptions()
 {
-    StopSignal stop;
-    m_options.listen = endpointOption("listen", m_listen);
     m_options.behaviour.checksFence = !m_ignoreFence;
     m_options.behaviour.maximumBatch = static_cast<unsigned>(m_maximumBatch);
     m_options.behaviour.coldLimit = static_cast<unsigned>(m_coldLimit);
-    ModelEngine engine(m_options);
-    announceReady(m_options.listen.host, engine.port());
-    stop.wait();
-    return ExitCode::Success;
 }
 
 } // namespace Lavenderloft::Standin::Subcommands
--- a/Utilities/Standin/Subcommands/EngineSubcommand.h
+++ b/Utilities/Standin/Subcommands/EngineSubcommand.h
@@ -1,26 +1,24 @@
 #pragma once
 
 #include "Standin/ModelEngine.h"
-#include "Standin/Subcommands/Subcommand.h"
+#include "Standin/Subcommands/ServerSubcommand.h"
 
 namespace Lavenderloft::Standin::Subcommands {
 
 // Runs a ModelEngine until a stop signal.
-class EngineSubcommand final : public Subcommand {
+class EngineSubcommand final : public ServerSubcommand<ModelEngine, EngineOptions> {
 public:
     std::string name() const override { return "engine"; }
     std::string summary() const override { return "Serve a model engine"; }
 
 protected:
-    void addOptions(OptionTable&) override;
-    ExitCode runWithOptions() override;
+    void addServerOptions(OptionTable&) override;
+    void completeOptions() override;
 
 private:
-    std::string m_listen = "127.0.0.1:0";
     bool m_ignoreFence = false;
     uint64_t m_maximumBatch = 16;
     uint64_t m_coldLimit = 2;
-    EngineOptions m_options;
 };
 
 } // namespace Lavenderloft::Standin::Subcommands
