--- a/Source/CommandLine/ProgramCommands.cpp
+++ b/Source/CommandLine/ProgramCommands.cpp
@@ -3,6 +3,8 @@
 #include "CommandLine/AgentCommand.h"
 #include "CommandLine/CheckCommand.h"
 #include "CommandLine/DiffCommand.h"
+#include "CommandLine/NodeAgentCommand.h"
+#include "CommandLine/NodeRouterCommand.h"
 #include "CommandLine/RouterCommand.h"
 #include "CommandLine/StatusCommand.h"
 
@@ -19,4 +21,10 @@
     return commands;
 }
 
+void addNodeCommands(CommandList& commands, const Process::NodePlatform& platform)
+{
+    commands.push_back(std::make_unique<NodeAgentCommand>(platform));
+    commands.push_back(std::make_unique<NodeRouterCommand>(platform));
+}
+
 } // namespace Lavenderloft::CommandLine
--- /dev/null
+++ b/Source/CommandLine/ServeNode.cpp
@@ -0,0 +1,31 @@
+#include "CommandLine/ServeNode.h"
+
+#include "CommandLine/OptionTable.h"
+#include "Observability/Log.h"
+
+#include <iostream>
+#include <stdexcept>
+
+namespace Lavenderloft::CommandLine {
+
+ExitCode serveNode(const Command& command, const std::vector<std::string>& arguments, const Process::NodePlatform& platform, const NodeProcess& process)
+{
+    OptionTable options(programName, command);
+    if (auto code = options.parseOrExplain(arguments))
+        return *code;
+    auto settings = platform.readSettings();
+    if (!Base::succeeded(settings)) {
+        std::cerr << "lavenderloft " << command.name() << ": " << Base::errorOf(settings).describe() << '\n';
+        return ExitCode::Refused;
+    }
+    Observability::configureLogging(Observability::Level::Info, Observability::Layout::Json, Observability::Output::StandardOutput);
+    try {
+        process(Base::valueOf(settings), platform);
+    } catch (const std::runtime_error& error) {
+        std::cerr << "lavenderloft " << command.name() << ": " << error.what() << '\n';
+        return ExitCode::Refused;
+    }
+    return ExitCode::Success;
+}
+
+} // namespace Lavenderloft::CommandLine
--- /dev/null
+++ b/Source/CommandLine/ServeNode.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "CommandLine/Command.h"
+#include "Process/NodePlatform.h"
+
+#include <functional>
+
+namespace Lavenderloft::CommandLine {
+
+using NodeProcess = std::function<void(const Fleet::NodeSettings&, const Process::NodePlatform&)>;
+
+// Reads the settings from the platform, sets up the log on standard output and runs the process until it is
+// told to stop. What the settings or the VM do not allow is printed on standard error.
+ExitCode serveNode(const Command&, const std::vector<std::string>& arguments, const Process::NodePlatform&, const NodeProcess&);
+
+} // namespace Lavenderloft::CommandLine
--- /dev/null
+++ b/Source/Dispatch/Commands/ServeQueue.cpp
@@ -0,0 +1,64 @@
+#include "Dispatch/Commands/ServeQueue.h"
+
+#include "Dispatch/Queries/FindCandidates.h"
+#include "Fleet/Queries/ReadFleet.h"
+
+#include <algorithm>
+
+namespace Lavenderloft::Dispatch::Commands {
+
+namespace {
+
+    void takeColdToken(DispatchState& state, const std::string& serviceName, const Fleet::KnownTarget& target, TargetRuntime& runtime, Base::TimePoint now)
+    {
+        auto snapshot = Fleet::Queries::currentSnapshot(state.fleet());
+        if (!snapshot->configuration || !target.isCold(now))
+            return;
+        auto service = snapshot->configuration->services.find(serviceName);
+        if (service == snapshot->configuration->services.end())
+            return;
+        auto rate = Queries::coldShare(state, service->second);
+        auto capacity = std::max(1.0, rate);
+        if (runtime.coldRefilledAt == Base::TimePoint())
+            runtime.coldTokens = 1;
+        else
+            runtime.coldTokens = std::min(capacity, runtime.coldTokens + std::chrono::duration<double>(now - runtime.coldRefilledAt).count() * rate);
+        runtime.coldRefilledAt = now;
+        runtime.coldTokens -= 1;
+    }
+
+} // namespace
+
+std::optional<Lease> takePlace(DispatchState& state, ServiceState& service, const RequestTraits& traits, Base::TimePoint now)
+{
+    auto candidates = Queries::findCandidates(state, service, traits, now);
+    if (candidates.free.empty())
+        return std::nullopt;
+    auto& chosen = candidates.free[state.choose(candidates.free, traits)];
+    auto& runtime = service.targets[chosen.target->entry.id];
+    takeColdToken(state, traits.service, *chosen.target, runtime, now);
+    ++runtime.underWay;
+    return Lease { chosen.target, candidates.requiredWeights, chosen.occupancy, {} };
+}
+
+ServiceLoad describeLoad(DispatchState& state, const ServiceState& service, const RequestTraits& traits, Base::TimePoint now)
+{
+    auto candidates = Queries::findCandidates(state, service, traits, now);
+    return { candidates.usable, candidates.places, service.waiting.size(), service.completionsPerSecond };
+}
+
+void serveQueue(DispatchState& state, ServiceState& service, Base::TimePoint now)
+{
+    for (auto waiting = service.waiting.begin(); waiting != service.waiting.end();) {
+        auto lease = takePlace(state, service, waiting->traits, now);
+        if (!lease) {
+            ++waiting;
+            continue;
+        }
+        lease->waited = std::chrono::duration_cast<std::chrono::milliseconds>(now - waiting->since);
+        waiting->observer->waitEnded(std::move(*lease));
+        waiting = service.waiting.erase(waiting);
+    }
+}
+
+} // namespace Lavenderloft::Dispatch::Commands
--- /dev/null
+++ b/Source/Dispatch/Decision.cpp
@@ -0,0 +1,20 @@
+#include "Dispatch/Decision.h"
+
+namespace Lavenderloft::Dispatch {
+
+std::string_view refusalName(RefusalReason reason)
+{
+    switch (reason) {
+    case RefusalReason::NoTarget:
+        return "no_target";
+    case RefusalReason::Overloaded:
+        return "overloaded";
+    case RefusalReason::RetryBudget:
+        return "retry_budget";
+    case RefusalReason::OutOfTime:
+        return "out_of_time";
+    }
+    return "unknown";
+}
+
+} // namespace Lavenderloft::Dispatch
--- /dev/null
+++ b/Source/Dispatch/DispatchState.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "Base/Clock.h"
+#include "Base/RandomSource.h"
+#include "Dispatch/AdmissionPolicy.h"
+#include "Dispatch/Decision.h"
+#include "Dispatch/PlacementPolicy.h"
+#include "Dispatch/RetryLedger.h"
+#include "Dispatch/TargetRuntime.h"
+#include "Fleet/FleetState.h"
+#include "Fleet/NodeSettings.h"
+
+#include <array>
+#include <atomic>
+#include <list>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+
+namespace Lavenderloft::Dispatch {
+
+// A request that waits for a place.
+struct WaitingRequest {
+    RequestTraits traits;
+    Base::TimePoint since {};
+    std::shared_ptr<WaitObserver> observer;
+};
+
+// Load of one service.
+struct ServiceState {
+    std::unordered_map<std::string, TargetRuntime> targets;
+    // The most urgent first, then by arrival.
+    std::list<WaitingRequest> waiting;
+    RetryLedger retries;
+    // Moving rate of requests that ended.
+    double completionsPerSecond = 0;
+    Base::TimePoint completionsCountedAt {};
+};
+
+// State of all dispatch decisions of a router: the services, spread over shards with a lock each. Changed
+// by Commands/, read by Queries/.
+class DispatchState {
+public:
+    static constexpr size_t shardCount = 8;
+
+    DispatchState(const Fleet::FleetState&, Fleet::NodeSettings, std::unique_ptr<PlacementPolicy>, std::unique_ptr<AdmissionPolicy>, std::unique_ptr<Base::RandomSource>);
+
+    // Calls the function with the state of the service, its shard locked.
+    template <typename Function>
+    auto withService(const std::string& service, Function&& function)
+    {
+        auto& shard = m_shards[std::hash<std::string> {}(service) % shardCount];
+        std::lock_guard guard(shard.lock);
+        return std::forward<Function>(function)(shard.services[service]);
+    }
+
+    // Calls the function with the name and the state of each service, one locked shard after the other.
+    template <typename Function>
+    void forEachService(Function&& function)
+    {
+        for (auto& shard : m_shards) {
+            std::lock_guard guard(shard.lock);
+            for (auto& [name, service] : shard.services)
+                function(name, service);
+        }
+    }
+
+    const Fleet::FleetState& fleet() const { return m_fleet; }
+    const Fleet::NodeSettings& settings() const { return m_settings; }
+    const PlacementPolicy& placement() const { return *m_placement; }
+    const AdmissionPolicy& admission() const { return *m_admission; }
+
+    // Not safe for use by several threads beyond what the lock of a shard gives: guarded by a lock of its own.
+    double randomFraction();
+    size_t choose(const std::vector<Candidate>&, const RequestTraits&);
+
+    // Routers that share the limits that are sums over all of them, this one included.
+    unsigned routerCount() const { return m_routerCount; }
+    void setRouterCount(unsigned count) { m_routerCount = count > 0 ? count : 1; }
+
+private:
+    struct Shard {
+        std::mutex lock;
+        std::unordered_map<std::string, ServiceState> services;
+    };
+
+    const Fleet::FleetState& m_fleet;
+    Fleet::NodeSettings m_settings;
+    std::unique_ptr<PlacementPolicy> m_placement;
+    std::unique_ptr<AdmissionPolicy> m_admission;
+    std::mutex m_randomLock;
+    std::unique_ptr<Base::RandomSource> m_random;
+    std::atomic<unsigned> m_routerCount { 1 };
+    std::array<Shard, shardCount> m_shards;
+};
+
+} // namespace Lavenderloft::Dispatch
--- /dev/null
+++ b/Source/Dispatch/PlacementPolicy.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "Base/Clock.h"
+#include "Base/RandomSource.h"
+#include "Dispatch/RequestTraits.h"
+#include "Fleet/FleetSnapshot.h"
+
+#include <memory>
+#include <vector>
+
+namespace Lavenderloft::Dispatch {
+
+// A target to which a request may go now.
+struct Candidate {
+    std::shared_ptr<const Fleet::KnownTarget> target;
+    // Requests there by all routers, as far as known.
+    unsigned occupancy = 0;
+    // Requests that the target runs at once.
+    unsigned slots = 1;
+    bool sameDataCentre = false;
+    bool sameRegion = false;
+    double failureShare = 0;
+};
+
+// Chooses among targets with a free place.
+class PlacementPolicy {
+public:
+    virtual ~PlacementPolicy() = default;
+
+    // Index of the chosen candidate; the list is not empty.
+    virtual size_t choose(const std::vector<Candidate>&, const RequestTraits&, Base::RandomSource&) const = 0;
+};
+
+} // namespace Lavenderloft::Dispatch
--- /dev/null
+++ b/Source/Dispatch/Queries/FindCandidates.cpp
@@ -0,0 +1,137 @@
+#include "Dispatch/Queries/FindCandidates.h"
+
+#include "Fleet/Queries/ReadFleet.h"
+
+#include <algorithm>
+
+namespace Lavenderloft::Dispatch::Queries {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // Old weights are given up so long before the bound, to leave time for the way to the engine.
+    constexpr std::chrono::milliseconds weightsMargin = 1000ms;
+
+    bool contains(const std::vector<std::string>& texts, const std::string& text)
+    {
+        return std::find(texts.begin(), texts.end(), text) != texts.end();
+    }
+
+    // What all candidates of one request have in common.
+    class CandidateFilter {
+    public:
+        CandidateFilter(DispatchState& state, const RequestTraits& traits, const Fleet::FleetSnapshot& snapshot, Base::TimePoint now)
+            : m_state(state)
+            , m_traits(traits)
+            , m_snapshot(snapshot)
+            , m_now(now)
+        {
+            if (!snapshot.configuration)
+                return;
+            auto found = snapshot.configuration->services.find(traits.service);
+            if (found != snapshot.configuration->services.end())
+                m_service = &found->second;
+            if (m_service && m_service->weights && !m_service->weights->models.empty())
+                m_oldestWeights = oldestUsableWeights(snapshot, m_service->weights->models.front(), state.settings().bounds.weights, now);
+        }
+
+        bool isEngine() const { return m_service && m_service->weights; }
+        uint64_t oldestWeights() const { return m_oldestWeights; }
+
+        bool mayUse(const Fleet::KnownTarget& target, const TargetRuntime* runtime) const
+        {
+            auto& entry = target.entry;
+            if (entry.draining || m_snapshot.evacuatedDataCentres.contains(entry.dataCentre))
+                return false;
+            if (contains(m_traits.triedTargets, entry.id))
+                return false;
+            if (!m_traits.allowedRegions.empty() && !contains(m_traits.allowedRegions, m_state.settings().regionOf(entry.dataCentre)))
+                return false;
+            if (runtime && runtime->avoidUntil > m_now)
+                return false;
+            return !isEngine() || holdsUsableWeights(target, runtime);
+        }
+
+        bool hasColdRate(const Fleet::KnownTarget& target, const TargetRuntime* runtime) const
+        {
+            if (!m_service || m_service->coldRequestsPerSecond <= 0 || !target.isCold(m_now))
+                return true;
+            auto rate = coldShare(m_state, *m_service);
+            if (!runtime || runtime->coldRefilledAt == Base::TimePoint())
+                return true;
+            auto elapsed = std::chrono::duration<double>(m_now - runtime->coldRefilledAt).count();
+            return std::min(std::max(1.0, rate), runtime->coldTokens + elapsed * rate) >= 1;
+        }
+
+    private:
+        bool holdsUsableWeights(const Fleet::KnownTarget& target, const TargetRuntime* runtime) const
+        {
+            auto version = Fleet::wholeVersionOf(target.entry.layers, m_service->weights->layers);
+            if (runtime && runtime->hasReport(m_now)) {
+                if (runtime->report.paused)
+                    return false;
+                version = runtime->report.wholeVersion;
+            }
+            return version > 0 && version >= m_oldestWeights;
+        }
+
+        DispatchState& m_state;
+        const RequestTraits& m_traits;
+        const Fleet::FleetSnapshot& m_snapshot;
+        const Base::TimePoint m_now;
+        const Fleet::Service* m_service = nullptr;
+        uint64_t m_oldestWeights = 0;
+    };
+
+} // namespace
+
+uint64_t oldestUsableWeights(const Fleet::FleetSnapshot& snapshot, const std::string& model, std::chrono::milliseconds bound, Base::TimePoint now)
+{
+    auto declared = snapshot.weights.find(model);
+    if (declared == snapshot.weights.end())
+        return 0;
+    uint64_t oldest = 0;
+    for (auto& declaration : declared->second) {
+        if (now >= declaration.learnedAt + bound - weightsMargin)
+            oldest = std::max(oldest, declaration.version);
+    }
+    return oldest;
+}
+
+double coldShare(const DispatchState& state, const Fleet::Service& service)
+{
+    return service.coldRequestsPerSecond / state.routerCount();
+}
+
+CandidateSet findCandidates(DispatchState& state, const ServiceState& service, const RequestTraits& traits, Base::TimePoint now)
+{
+    CandidateSet set;
+    auto snapshot = Fleet::Queries::currentSnapshot(state.fleet());
+    auto targets = snapshot->targetsByService.find(traits.service);
+    if (targets == snapshot->targetsByService.end())
+        return set;
+    CandidateFilter filter(state, traits, *snapshot, now);
+    if (filter.oldestWeights() > 0)
+        set.requiredWeights = filter.oldestWeights();
+    for (auto& target : targets->second) {
+        auto found = service.targets.find(target->entry.id);
+        auto* runtime = found == service.targets.end() ? nullptr : &found->second;
+        if (!filter.mayUse(*target, runtime))
+            continue;
+        Candidate candidate;
+        candidate.target = target;
+        candidate.occupancy = runtime ? runtime->occupancy(now) : 0;
+        candidate.slots = state.admission().placesOf(target->entry.slots, filter.isEngine());
+        candidate.sameDataCentre = target->entry.dataCentre == state.settings().dataCentre;
+        candidate.sameRegion = state.settings().regionOf(target->entry.dataCentre) == state.settings().region;
+        candidate.failureShare = runtime ? runtime->failureShare : 0;
+        ++set.usable;
+        set.places += candidate.slots;
+        if (candidate.occupancy < candidate.slots && filter.hasColdRate(*target, runtime))
+            set.free.push_back(std::move(candidate));
+    }
+    return set;
+}
+
+} // namespace Lavenderloft::Dispatch::Queries
--- /dev/null
+++ b/Source/Dispatch/Queries/FindCandidates.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "Dispatch/DispatchState.h"
+
+#include <optional>
+#include <vector>
+
+namespace Lavenderloft::Dispatch::Queries {
+
+// Targets of a service for one request.
+struct CandidateSet {
+    // Those with a free place.
+    std::vector<Candidate> free;
+    // Those that may be used, full ones included.
+    size_t usable = 0;
+    size_t places = 0;
+    // Weights that the engine must hold.
+    std::optional<uint64_t> requiredWeights;
+};
+
+// Sorts out the targets that may take the request now. The service's state is locked by the caller.
+CandidateSet findCandidates(DispatchState&, const ServiceState&, const RequestTraits&, Base::TimePoint now);
+
+// The oldest version of the model that may still be used; zero if every version may.
+uint64_t oldestUsableWeights(const Fleet::FleetSnapshot&, const std::string& model, std::chrono::milliseconds bound, Base::TimePoint now);
+
+// This router's part of a cold target's rate, in requests a second.
+double coldShare(const DispatchState&, const Fleet::Service&);
+
+} // namespace Lavenderloft::Dispatch::Queries
--- /dev/null
+++ b/Source/Dispatch/RequestTraits.h
@@ -0,0 +1,36 @@
+#pragma once
+
+// Dispatch: which target a request goes to, whether it waits, is refused or is sent again. The module does
+// no input or output; it is told of arrivals, ends and reports, and reads the fleet's snapshot.
+
+#include "Base/Clock.h"
+#include "Fleet/Configuration.h"
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Lavenderloft::Dispatch {
+
+// What decides on one request.
+struct RequestTraits {
+    std::string requestId;
+    std::shared_ptr<const Fleet::Route> route;
+    std::string service;
+    // Name of the model that the request asks for; empty for a plain service.
+    std::string model;
+    // 0 is the most urgent.
+    int priority = 0;
+    Base::TimePoint arrivedAt {};
+    // The caller has left, or the route's timeout has passed.
+    Base::TimePoint deadline {};
+    // Regions in which the request may be handled; empty means all.
+    std::vector<std::string> allowedRegions;
+    // Targets to which it was sent before.
+    std::vector<std::string> triedTargets;
+    uint64_t promptTokens = 0;
+    uint64_t outputTokens = 0;
+};
+
+} // namespace Lavenderloft::Dispatch
--- /dev/null
+++ b/Source/Dispatch/TargetRuntime.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "Base/Clock.h"
+
+#include <chrono>
+#include <cstdint>
+
+namespace Lavenderloft::Dispatch {
+
+// What the agent beside a target says of it; load is the sum over all routers.
+struct TargetReport {
+    unsigned running = 0;
+    unsigned queued = 0;
+    // Version of whole weights that the engine holds; zero if it holds none.
+    uint64_t wholeVersion = 0;
+    // The engine is about to load weights and takes nothing new.
+    bool paused = false;
+};
+
+// What this router knows of one target beside its entry.
+struct TargetRuntime {
+    // A report older than this says nothing any more.
+    static constexpr std::chrono::milliseconds reportLifetime { 1000 };
+
+    // Requests of this router at the target.
+    unsigned underWay = 0;
+    // Requests of other routers there, as of the last report.
+    unsigned underWayElsewhere = 0;
+    TargetReport report;
+    Base::TimePoint reportedAt {};
+    // Failures without a success in between.
+    unsigned consecutiveFailures = 0;
+    // Moving share of attempts that failed, 0 to 1.
+    double failureShare = 0;
+    Base::TimePoint avoidUntil {};
+    // Rate of requests while the target is cold.
+    double coldTokens = 0;
+    Base::TimePoint coldRefilledAt {};
+
+    bool hasReport(Base::TimePoint now) const { return reportedAt != Base::TimePoint() && now - reportedAt < reportLifetime; }
+
+    unsigned occupancy(Base::TimePoint now) const { return underWay + (hasReport(now) ? underWayElsewhere : 0); }
+};
+
+} // namespace Lavenderloft::Dispatch
--- /dev/null
+++ b/Source/Fleet/Commands/ApplyItems.cpp
@@ -0,0 +1,163 @@
+#include "Fleet/Commands/ApplyItems.h"
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace Lavenderloft::Fleet::Commands {
+
+namespace {
+
+    using Contents = FleetState::Contents;
+    using Record = FleetState::Record;
+
+    class SnapshotBuilder {
+    public:
+        explicit SnapshotBuilder(FleetSnapshot& snapshot)
+            : m_snapshot(snapshot)
+        {
+        }
+
+        void add(const Record& record)
+        {
+            m_record = &record;
+            std::visit(*this, record.publication);
+        }
+
+        void operator()(const Unrelated&) { }
+        void operator()(const Unreadable&) { }
+        void operator()(const ConfigurationPublished& published) { m_snapshot.configuration = published.configuration; }
+        void operator()(const DataCentreEvacuated& evacuation) { m_snapshot.evacuatedDataCentres.insert(evacuation.dataCentre); }
+
+        void operator()(const TargetPublished& published)
+        {
+            auto target = std::make_shared<const KnownTarget>(KnownTarget { published.entry, m_record->learnedAt });
+            m_snapshot.targetsByService[published.entry.service].push_back(std::move(target));
+        }
+
+        // Declarations come from the history, which holds more than the newest.
+        void operator()(const WeightsDeclared&) { }
+
+    private:
+        FleetSnapshot& m_snapshot;
+        const Record* m_record = nullptr;
+    };
+
+    void publishSnapshot(Contents& contents)
+    {
+        auto snapshot = std::make_shared<FleetSnapshot>();
+        snapshot->revision = contents.revision;
+        snapshot->weights = contents.declaredWeights;
+        SnapshotBuilder builder(*snapshot);
+        for (auto& [key, record] : contents.records) {
+            if (!record.item.deleted || record.lapsesAt)
+                builder.add(record);
+        }
+        contents.snapshot = std::move(snapshot);
+    }
+
+    void removeRecord(Record& record, const PublicationDecoder& decoder, uint64_t revision, bool storeRegained, Base::TimePoint now)
+    {
+        auto* target = std::get_if<TargetPublished>(&record.publication);
+        bool mayReturn = storeRegained && target && !target->entry.draining && !record.item.deleted && decoder.namesTarget(record.item.key);
+        record.item.revision = revision;
+        record.item.deleted = true;
+        record.item.value.clear();
+        record.learnedAt = now;
+        if (mayReturn) {
+            record.lapsesAt = now + FleetState::lapsedEntryGrace;
+            return;
+        }
+        record.lapsesAt.reset();
+        record.publication = Unrelated {};
+    }
+
+    void noteDeclaration(Contents& contents, const WeightsDeclared& declared, Base::TimePoint now)
+    {
+        auto& history = contents.declaredWeights[declared.model];
+        if (!history.empty() && history.back().version >= declared.version)
+            return;
+        history.push_back({ declared.version, now });
+        if (history.size() > FleetState::declarationsPerModel)
+            history.erase(history.begin());
+    }
+
+    void mergeItem(Contents& contents, const PublicationDecoder& decoder, PublishedItem item, bool storeRegained, Base::TimePoint now, AppliedChange& change)
+    {
+        auto known = contents.records.find(item.key);
+        if (known != contents.records.end() && known->second.item.revision >= item.revision)
+            return;
+        change.anything = true;
+        if (item.deleted) {
+            auto& record = contents.records[item.key];
+            record.item.key = item.key;
+            removeRecord(record, decoder, item.revision, storeRegained, now);
+            return;
+        }
+        auto publication = decoder.decode(item);
+        if (auto* unreadable = std::get_if<Unreadable>(&publication)) {
+            change.unreadable.push_back(item.key + ": " + unreadable->reason);
+            // A configuration that can't be read leaves the former one in force.
+            if (known != contents.records.end() && std::holds_alternative<ConfigurationPublished>(known->second.publication))
+                publication = known->second.publication;
+        }
+        if (auto* published = std::get_if<ConfigurationPublished>(&publication))
+            change.configuration = published->configuration;
+        if (auto* declared = std::get_if<WeightsDeclared>(&publication))
+            noteDeclaration(contents, *declared, now);
+        auto& record = contents.records[item.key];
+        record = Record { std::move(item), std::move(publication), now, std::nullopt };
+    }
+
+} // namespace
+
+AppliedChange applyItems(FleetState& state, const PublicationDecoder& decoder, std::vector<PublishedItem> items, uint64_t revision, bool storeRegained, Base::TimePoint now)
+{
+    return state.withContents([&](Contents& contents) {
+        AppliedChange change;
+        for (auto& item : items)
+            mergeItem(contents, decoder, std::move(item), storeRegained, now, change);
+        contents.revision = std::max(contents.revision, revision);
+        if (change.anything)
+            publishSnapshot(contents);
+        return change;
+    });
+}
+
+AppliedChange applyListing(FleetState& state, const PublicationDecoder& decoder, const std::string& prefix, const std::vector<std::string>& listedKeys, uint64_t revision, bool storeRegained, Base::TimePoint now)
+{
+    std::unordered_set<std::string> listed(listedKeys.begin(), listedKeys.end());
+    return state.withContents([&](Contents& contents) {
+        AppliedChange change;
+        for (auto& [key, record] : contents.records) {
+            if (!key.starts_with(prefix) || listed.contains(key) || record.item.deleted || record.item.revision > revision)
+                continue;
+            removeRecord(record, decoder, revision, storeRegained, now);
+            change.anything = true;
+        }
+        if (change.anything)
+            publishSnapshot(contents);
+        return change;
+    });
+}
+
+void expireDeletions(FleetState& state, Base::TimePoint now)
+{
+    state.withContents([&](Contents& contents) {
+        bool changed = false;
+        for (auto& [key, record] : contents.records) {
+            if (!record.lapsesAt || *record.lapsesAt > now)
+                continue;
+            record.lapsesAt.reset();
+            record.publication = Unrelated {};
+            changed = true;
+        }
+        std::erase_if(contents.records, [&](auto& entry) {
+            auto& record = entry.second;
+            return record.item.deleted && !record.lapsesAt && record.learnedAt + FleetState::deletionRetention < now;
+        });
+        if (changed)
+            publishSnapshot(contents);
+    });
+}
+
+} // namespace Lavenderloft::Fleet::Commands
--- /dev/null
+++ b/Source/Fleet/Queries/ReadFleet.cpp
@@ -0,0 +1,45 @@
+#include "Fleet/Queries/ReadFleet.h"
+
+namespace Lavenderloft::Fleet::Queries {
+
+std::shared_ptr<const FleetSnapshot> currentSnapshot(const FleetState& state)
+{
+    return state.withContents([](const FleetState::Contents& contents) { return contents.snapshot; });
+}
+
+uint64_t knownRevision(const FleetState& state)
+{
+    return state.withContents([](const FleetState::Contents& contents) { return contents.revision; });
+}
+
+std::vector<PublishedItem> itemsAfter(const FleetState& state, uint64_t revision)
+{
+    return state.withContents([&](const FleetState::Contents& contents) {
+        std::vector<PublishedItem> items;
+        for (auto& [key, record] : contents.records) {
+            if (record.item.revision > revision)
+                items.push_back(record.item);
+        }
+        return items;
+    });
+}
+
+std::shared_ptr<const Route> matchRoute(const Configuration& configuration, std::string_view host, std::string_view path)
+{
+    auto routes = configuration.routes.find(std::string(host));
+    if (routes == configuration.routes.end())
+        return nullptr;
+    for (auto& route : routes->second) {
+        if (path.starts_with(route->prefix))
+            return route;
+    }
+    return nullptr;
+}
+
+std::shared_ptr<const Organisation> findOrganisation(const Configuration& configuration, const std::string& key)
+{
+    auto found = configuration.organisationsByKey.find(key);
+    return found == configuration.organisationsByKey.end() ? nullptr : found->second;
+}
+
+} // namespace Lavenderloft::Fleet::Queries
--- /dev/null
+++ b/Source/Http/KeptClient.cpp
@@ -0,0 +1,85 @@
+#include "Http/KeptClient.h"
+
+#include "Http/WireFormat.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+
+namespace Lavenderloft::Http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+    // An answer of a service that the node relies on may be as long as this, in bytes.
+    constexpr size_t maximumAnswerBytes = 8 * 1024 * 1024;
+
+    HttpError describe(const Endpoint& endpoint, HttpErrorKind kind, const beast::error_code& error)
+    {
+        if (error == beast::error::timeout)
+            kind = HttpErrorKind::TimedOut;
+        return { kind, endpoint.toString() + ": " + error.message(), "check that the server runs and can be reached" };
+    }
+
+} // namespace
+
+KeptClient::KeptClient(asio::any_io_executor executor, Endpoint endpoint)
+    : m_executor(std::move(executor))
+    , m_endpoint(std::move(endpoint))
+{
+}
+
+KeptClient::~KeptClient() = default;
+
+void KeptClient::disconnect()
+{
+    m_connection.reset();
+}
+
+asio::awaitable<Base::Result<HttpResponse, HttpError>> KeptClient::call(HttpRequest request, std::chrono::milliseconds timeout)
+{
+    beast::error_code error;
+    auto token = asio::redirect_error(asio::use_awaitable, error);
+    if (!m_connection) {
+        auto connection = std::make_unique<Connection>(m_executor);
+        connection->stream.expires_after(timeout);
+        asio::ip::tcp::endpoint server(asio::ip::make_address(m_endpoint.host), m_endpoint.port);
+        co_await connection->stream.async_connect(server, token);
+        if (error)
+            co_return describe(m_endpoint, HttpErrorKind::NotSent, error);
+        connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+        m_connection = std::move(connection);
+    }
+    auto& connection = *m_connection;
+    connection.stream.expires_after(timeout);
+    request.headers.push_back({ "Host", m_endpoint.toString() });
+    auto bytes = serializeRequest(request);
+    co_await asio::async_write(connection.stream, asio::buffer(bytes), token);
+    if (error) {
+        m_connection.reset();
+        co_return describe(m_endpoint, HttpErrorKind::Broken, error);
+    }
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(maximumAnswerBytes);
+    co_await http::async_read(connection.stream, connection.buffer, parser, token);
+    if (error) {
+        m_connection.reset();
+        co_return describe(m_endpoint, HttpErrorKind::Broken, error);
+    }
+    auto message = parser.release();
+    HttpResponse response;
+    response.status = message.result_int();
+    response.headers = copyHeaders(message);
+    response.body = std::move(message.body());
+    if (!message.keep_alive() || connection.buffer.size() > 0)
+        m_connection.reset();
+    else
+        connection.stream.expires_never();
+    co_return response;
+}
+
+} // namespace Lavenderloft::Http
--- /dev/null
+++ b/Source/Http/KeptClient.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "Http/HttpClient.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <chrono>
+#include <memory>
+#include <optional>
+
+namespace Lavenderloft::Http {
+
+// Calls one server over a connection that is kept between the calls. Used by one coroutine at a time.
+class KeptClient {
+public:
+    KeptClient(boost::asio::any_io_executor, Endpoint);
+    ~KeptClient();
+
+    const Endpoint& endpoint() const { return m_endpoint; }
+
+    // Sends the request and reads the whole answer; the timeout is for all of it.
+    boost::asio::awaitable<Base::Result<HttpResponse, HttpError>> call(HttpRequest, std::chrono::milliseconds timeout);
+
+    void disconnect();
+
+private:
+    struct Connection {
+        explicit Connection(const boost::asio::any_io_executor& executor)
+            : stream(executor)
+        {
+        }
+
+        boost::beast::tcp_stream stream;
+        boost::beast::flat_buffer buffer;
+    };
+
+    boost::asio::any_io_executor m_executor;
+    Endpoint m_endpoint;
+    std::unique_ptr<Connection> m_connection;
+};
+
+} // namespace Lavenderloft::Http
--- /dev/null
+++ b/Source/Http/WireFormat.cpp
@@ -0,0 +1,88 @@
+#include "Http/WireFormat.h"
+
+#include <boost/beast/http/status.hpp>
+#include <charconv>
+
+namespace Lavenderloft::Http {
+
+namespace {
+
+    void appendHeaders(std::string& bytes, const HttpHeaders& headers)
+    {
+        for (auto& header : headers) {
+            bytes.append(header.name).append(": ").append(header.value).append("\r\n");
+        }
+    }
+
+    void appendStatusLine(std::string& bytes, unsigned status)
+    {
+        auto reason = boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(status));
+        bytes.append("HTTP/1.1 ").append(std::to_string(status)).append(" ");
+        bytes.append(reason.data(), reason.size()).append("\r\n");
+    }
+
+    void appendConnection(std::string& bytes, bool keepAlive)
+    {
+        if (!keepAlive)
+            bytes.append("Connection: close\r\n");
+    }
+
+    bool hasNoBody(unsigned status)
+    {
+        return status < 200 || status == 204 || status == 304;
+    }
+
+} // namespace
+
+HttpHeaders copyHeaders(const boost::beast::http::fields& fields)
+{
+    HttpHeaders headers;
+    for (auto& field : fields)
+        headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    return headers;
+}
+
+std::string serializeRequest(const HttpRequest& request)
+{
+    std::string bytes;
+    bytes.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
+    appendHeaders(bytes, request.headers);
+    if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD"))
+        bytes.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
+    bytes.append("\r\n").append(request.body);
+    return bytes;
+}
+
+std::string serializeResponse(const HttpResponse& response, bool keepAlive)
+{
+    std::string bytes;
+    appendStatusLine(bytes, response.status);
+    appendHeaders(bytes, response.headers);
+    appendConnection(bytes, keepAlive);
+    if (!hasNoBody(response.status))
+        bytes.append("Content-Length: ").append(std::to_string(response.body.size())).append("\r\n");
+    bytes.append("\r\n").append(response.body);
+    return bytes;
+}
+
+std::string serializeChunkedHead(unsigned status, const HttpHeaders& headers, bool keepAlive)
+{
+    std::string bytes;
+    appendStatusLine(bytes, status);
+    appendHeaders(bytes, headers);
+    appendConnection(bytes, keepAlive);
+    bytes.append("Transfer-Encoding: chunked\r\n\r\n");
+    return bytes;
+}
+
+std::string serializeChunk(std::string_view bytes)
+{
+    char size[16];
+    auto end = std::to_chars(size, size + sizeof(size), bytes.size(), 16).ptr;
+    std::string chunk;
+    chunk.reserve(bytes.size() + 20);
+    chunk.append(size, end).append("\r\n").append(bytes).append("\r\n");
+    return chunk;
+}
+
+} // namespace Lavenderloft::Http
--- a/Source/Observability/Log.cpp
+++ b/Source/Observability/Log.cpp
@@ -78,7 +78,7 @@
 
 } // namespace
 
-void configureLogging(Level minimum, Layout layout)
+void configureLogging(Level minimum, Layout layout, Output output)
 {
     // The JSON layout keeps one JSON object a line, so the time goes in as its own prefix-free field.
     const auto* pattern = layout == Layout::Json
@@ -88,7 +88,7 @@
     log4cxx::LogString converted;
     log4cxx::helpers::Transcoder::decode(std::string(pattern), converted);
     patternLayout->setConversionPattern(converted);
-    auto appender = std::make_shared<log4cxx::ConsoleAppender>(patternLayout, log4cxx::ConsoleAppender::getSystemErr());
+    auto appender = std::make_shared<log4cxx::ConsoleAppender>(patternLayout, output == Output::StandardOutput ? log4cxx::ConsoleAppender::getSystemOut() : log4cxx::ConsoleAppender::getSystemErr());
     log4cxx::BasicConfigurator::resetConfiguration();
     log4cxx::BasicConfigurator::configure(appender);
     logger()->setLevel(toLog4cxx(minimum));
--- a/Source/Observability/Log.h
+++ b/Source/Observability/Log.h
@@ -65,8 +65,13 @@
     Json,
 };
 
-// Sets up log4cxx with a console appender on standard error. Until it is called, nothing is logged.
-void configureLogging(Level minimum, Layout);
+enum class Output {
+    StandardError,
+    StandardOutput,
+};
+
+// Sets up log4cxx with a console appender. Until it is called, nothing is logged.
+void configureLogging(Level minimum, Layout, Output = Output::StandardError);
 
 // Whether lines of the event would be written, to spare building costly fields.
 bool isLogged(const Event&);
--- /dev/null
+++ b/Source/Peering/PeerTable.h
@@ -0,0 +1,53 @@
+#pragma once
+
+// Peering: the nodes of one fleet tell each other what was published, who they are and how loaded the
+// engines beside them are. Nothing of it is kept; a node that starts learns everything anew.
+
+#include "Base/Clock.h"
+#include "Base/ShardedMap.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Lavenderloft::Peering {
+
+// A router as this node knows it.
+struct PeerRouter {
+    std::string address;
+    std::string dataCentre;
+    Base::TimePoint heardAt {};
+    // Revision that the router itself named last.
+    uint64_t revision = 0;
+};
+
+// An agent that reports to this router.
+struct PeerAgent {
+    std::string address;
+    Base::TimePoint heardAt {};
+    Base::TimePoint answeredAt {};
+    uint64_t revision = 0;
+};
+
+// Routers and agents by address. Changed by Commands/RecordPeer, read by Queries/ListPeers.
+class PeerTable {
+public:
+    // A router that was not heard for this time gets no messages.
+    static constexpr std::chrono::seconds routerSilence { 5 };
+    // It counts this long among those that share the fleet's limits: it may live behind a partition.
+    static constexpr std::chrono::seconds routerRetention { 60 };
+
+    using Routers = Base::ShardedMap<std::string, PeerRouter>;
+    using Agents = Base::ShardedMap<std::string, PeerAgent>;
+
+    Routers& routers() { return m_routers; }
+    const Routers& routers() const { return m_routers; }
+    Agents& agents() { return m_agents; }
+    const Agents& agents() const { return m_agents; }
+
+private:
+    Routers m_routers;
+    Agents m_agents;
+};
+
+} // namespace Lavenderloft::Peering
--- /dev/null
+++ b/Source/Peering/PeeringCodec.cpp
@@ -0,0 +1,81 @@
+#include "Peering/PeeringCodec.h"
+
+#include "peering.pb.h"
+
+namespace Lavenderloft::Peering {
+
+namespace protocol = lavenderloft::peering::v1;
+
+std::string encodeMessage(const NodeMessage& message)
+{
+    protocol::Heartbeat encoded;
+    encoded.set_sender(message.sender);
+    encoded.set_data_centre(message.dataCentre);
+    encoded.set_is_router(message.isRouter);
+    encoded.set_leaving(message.leaving);
+    encoded.set_revision(message.revision);
+    for (auto& router : message.routers) {
+        auto* known = encoded.add_routers();
+        known->set_address(router.address);
+        known->set_data_centre(router.dataCentre);
+        known->set_age_ms(static_cast<uint32_t>(router.age.count()));
+    }
+    if (message.load) {
+        auto* load = encoded.mutable_load();
+        load->set_service(message.load->service);
+        load->set_engine_address(message.load->engineAddress);
+        load->set_running(message.load->running);
+        load->set_queued(message.load->queued);
+        load->set_whole_version(message.load->wholeVersion);
+        load->set_paused(message.load->paused);
+    }
+    return encoded.SerializeAsString();
+}
+
+std::optional<NodeMessage> decodeMessage(const std::string& bytes)
+{
+    protocol::Heartbeat encoded;
+    if (!encoded.ParseFromString(bytes) || encoded.sender().empty())
+        return std::nullopt;
+    NodeMessage message;
+    message.sender = encoded.sender();
+    message.dataCentre = encoded.data_centre();
+    message.isRouter = encoded.is_router();
+    message.leaving = encoded.leaving();
+    message.revision = encoded.revision();
+    for (auto& router : encoded.routers())
+        message.routers.push_back({ router.address(), router.data_centre(), std::chrono::milliseconds(router.age_ms()) });
+    if (encoded.has_load()) {
+        auto& load = encoded.load();
+        message.load = EngineLoad { load.service(), load.engine_address(), load.running(), load.queued(), load.whole_version(), load.paused() };
+    }
+    return message;
+}
+
+std::string encodeItems(const ItemBatch& batch)
+{
+    protocol::ItemBatch encoded;
+    encoded.set_revision(batch.revision);
+    for (auto& item : batch.items) {
+        auto* added = encoded.add_items();
+        added->set_key(item.key);
+        added->set_value(item.value);
+        added->set_revision(item.revision);
+        added->set_deleted(item.deleted);
+    }
+    return encoded.SerializeAsString();
+}
+
+std::optional<ItemBatch> decodeItems(const std::string& bytes)
+{
+    protocol::ItemBatch encoded;
+    if (!encoded.ParseFromString(bytes))
+        return std::nullopt;
+    ItemBatch batch;
+    batch.revision = encoded.revision();
+    for (auto& item : encoded.items())
+        batch.items.push_back({ item.key(), item.value(), item.revision(), item.deleted() });
+    return batch;
+}
+
+} // namespace Lavenderloft::Peering
--- /dev/null
+++ b/Source/Peering/PeeringCodec.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "Fleet/Publication.h"
+#include "Peering/PeerTable.h"
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Lavenderloft::Peering {
+
+// Load of the engine beside an agent, as routers are told.
+struct EngineLoad {
+    std::string service;
+    std::string engineAddress;
+    unsigned running = 0;
+    unsigned queued = 0;
+    uint64_t wholeVersion = 0;
+    bool paused = false;
+};
+
+// A router that the sender of a message has heard of.
+struct HeardRouter {
+    std::string address;
+    std::string dataCentre;
+    std::chrono::milliseconds age { 0 };
+};
+
+// What a node tells of itself.
+struct NodeMessage {
+    std::string sender;
+    std::string dataCentre;
+    bool isRouter = false;
+    bool leaving = false;
+    uint64_t revision = 0;
+    std::vector<HeardRouter> routers;
+    std::optional<EngineLoad> load;
+};
+
+std::string encodeMessage(const NodeMessage&);
+
+// Nothing if the bytes are no message.
+std::optional<NodeMessage> decodeMessage(const std::string& bytes);
+
+// Items after a revision, and the revision up to which they are complete.
+struct ItemBatch {
+    uint64_t revision = 0;
+    std::vector<Fleet::PublishedItem> items;
+};
+
+std::string encodeItems(const ItemBatch&);
+std::optional<ItemBatch> decodeItems(const std::string& bytes);
+
+} // namespace Lavenderloft::Peering
--- /dev/null
+++ b/Source/Peering/PeeringNode.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "Fleet/NodeSettings.h"
+#include "Http/KeptClient.h"
+#include "Peering/ItemIntake.h"
+#include "Peering/PeerTable.h"
+#include "Peering/PeeringCodec.h"
+
+#include <array>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Lavenderloft::Peering {
+
+// Sends and receives the messages between nodes, and fetches published items from a router that knows more.
+// Runs on one event loop.
+class PeeringNode {
+public:
+    // What a router does with the load of an engine.
+    using LoadHandler = std::function<void(const EngineLoad&)>;
+
+    // Throws std::runtime_error with the address if it cannot be bound.
+    PeeringNode(boost::asio::io_context&, const Fleet::NodeSettings&, PeerTable&, ItemIntake&, const Base::Clock&, bool isRouter);
+
+    void setLoadHandler(LoadHandler handler) { m_onLoad = std::move(handler); }
+
+    void start();
+
+    // Tells all routers the load of the engine beside this node.
+    void sendLoad(const EngineLoad&);
+
+    // Tells the other nodes that this one is about to end.
+    void announceLeaving();
+
+    // Items after the revision that the query of the request names, for another node.
+    Http::HttpResponse answerItems(const Http::HttpRequest&) const;
+
+    // Whether some router was heard lately.
+    bool hearsRouters() const;
+
+    static constexpr std::string_view itemsPath = "/items";
+
+private:
+    boost::asio::awaitable<void> receiveMessages();
+    boost::asio::awaitable<void> sendHeartbeats();
+    boost::asio::awaitable<void> fetchWhenBehind();
+    boost::asio::awaitable<bool> fetchFrom(const PeerRouter&);
+    void handle(const NodeMessage&);
+    NodeMessage describeSelf() const;
+    void sendTo(const std::string& address, const std::string& bytes);
+    void noteRouter(const std::string& address, const std::string& dataCentre, std::chrono::milliseconds age, uint64_t revision);
+
+    boost::asio::io_context& m_context;
+    const Fleet::NodeSettings& m_settings;
+    PeerTable& m_peers;
+    ItemIntake& m_intake;
+    const Base::Clock& m_clock;
+    const bool m_isRouter;
+    boost::asio::ip::udp::socket m_socket;
+    boost::asio::steady_timer m_behind;
+    std::unique_ptr<Http::KeptClient> m_client;
+    LoadHandler m_onLoad;
+};
+
+} // namespace Lavenderloft::Peering
--- /dev/null
+++ b/Source/Peering/StoreFollower.cpp
@@ -0,0 +1,148 @@
+#include "Peering/StoreFollower.h"
+
+#include "Observability/Log.h"
+#include "Peering/Events.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace Lavenderloft::Peering {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr std::chrono::milliseconds listTimeout = 1500ms;
+    // Longest time that a call waits for a change; calls are priced, so it is long.
+    constexpr std::chrono::milliseconds watchWait = 8000ms;
+    // Time for the answer beyond the wait; a connection that is silent for longer is given up.
+    constexpr std::chrono::milliseconds watchSlack = 1000ms;
+    constexpr std::chrono::milliseconds firstBackoff = 150ms;
+    constexpr std::chrono::milliseconds longestBackoff = 1200ms;
+    constexpr std::chrono::milliseconds idleCheckInterval = 500ms;
+    // Entries that lapsed while the store was away may be missing this long after its return.
+    constexpr std::chrono::milliseconds regainedPeriod = 2000ms;
+
+} // namespace
+
+StoreFollower::StoreFollower(asio::io_context& context, Http::Endpoint store, const Fleet::StoreProtocol& protocol, ItemIntake& intake, const Base::Clock& clock, std::string prefix)
+    : m_context(context)
+    , m_client(context.get_executor(), std::move(store))
+    , m_protocol(protocol)
+    , m_intake(intake)
+    , m_clock(clock)
+    , m_prefix(std::move(prefix))
+{
+}
+
+asio::awaitable<void> StoreFollower::sleepFor(std::chrono::milliseconds duration)
+{
+    boost::system::error_code ignored;
+    asio::steady_timer timer(m_context, duration);
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+asio::awaitable<void> StoreFollower::run(std::function<bool()> isNeeded)
+{
+    while (true) {
+        if (!isNeeded()) {
+            m_revision.reset();
+            m_client.disconnect();
+            co_await sleepFor(idleCheckInterval);
+            continue;
+        }
+        bool answered = false;
+        if (m_revision)
+            answered = co_await waitForChanges();
+        else
+            answered = co_await listAll();
+        if (answered) {
+            m_backoff = 0ms;
+            continue;
+        }
+        m_backoff = m_backoff == 0ms ? firstBackoff : std::min(m_backoff * 2, longestBackoff);
+        co_await sleepFor(m_backoff);
+    }
+}
+
+bool StoreFollower::hasJustRegained() const
+{
+    return m_regainedAt && m_clock.now() - *m_regainedAt < regainedPeriod;
+}
+
+void StoreFollower::noteConnected(bool connected, const std::string& reason)
+{
+    if (connected == m_connected)
+        return;
+    m_connected = connected;
+    if (connected)
+        m_regainedAt = m_clock.now();
+    Observability::logEvent(connected ? Events::storeReached : Events::storeLost, { { "prefix", m_prefix }, { "reason", reason } });
+}
+
+asio::awaitable<bool> StoreFollower::listAll()
+{
+    std::vector<std::string> keys;
+    std::vector<Fleet::PublishedItem> items;
+    std::optional<uint64_t> revision;
+    std::string afterKey;
+    while (true) {
+        auto answer = co_await m_client.call(m_protocol.listRequest(m_prefix, afterKey), listTimeout);
+        if (!Base::succeeded(answer)) {
+            noteConnected(false, Base::errorOf(answer).describe());
+            co_return false;
+        }
+        auto page = m_protocol.readList(Base::valueOf(answer));
+        if (!Base::succeeded(page)) {
+            noteConnected(false, Base::errorOf(page).describe());
+            co_return false;
+        }
+        auto& listed = Base::valueOf(page);
+        // Pages are no snapshot: only what stood before the first of them is known to be complete.
+        if (!revision)
+            revision = listed.revision;
+        for (auto& item : listed.items) {
+            keys.push_back(item.key);
+            items.push_back(item);
+        }
+        if (!listed.morePages || listed.items.empty())
+            break;
+        afterKey = keys.back();
+    }
+    noteConnected(true, "listed");
+    m_revision = revision;
+    m_intake.apply(std::move(items), *revision, hasJustRegained(), "store");
+    m_intake.applyListing(m_prefix, keys, *revision, hasJustRegained());
+    co_return true;
+}
+
+asio::awaitable<bool> StoreFollower::waitForChanges()
+{
+    auto answer = co_await m_client.call(m_protocol.watchRequest(m_prefix, *m_revision, watchWait), watchWait + watchSlack);
+    if (!Base::succeeded(answer)) {
+        noteConnected(false, Base::errorOf(answer).describe());
+        m_client.disconnect();
+        co_return false;
+    }
+    auto batch = m_protocol.readChanges(Base::valueOf(answer));
+    if (!Base::succeeded(batch)) {
+        auto& error = Base::errorOf(batch);
+        if (error.kind == Fleet::StoreErrorKind::HistoryLost) {
+            m_revision.reset();
+            co_return true;
+        }
+        noteConnected(false, error.describe());
+        co_return false;
+    }
+    noteConnected(true, "watching");
+    auto& changes = Base::valueOf(batch);
+    m_revision = std::max(*m_revision, changes.revision);
+    if (!changes.changes.empty())
+        m_intake.apply(changes.changes, *m_revision, hasJustRegained(), "store");
+    co_return true;
+}
+
+} // namespace Lavenderloft::Peering
--- /dev/null
+++ b/Source/Peering/StoreFollower.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "Base/Clock.h"
+#include "Fleet/StoreProtocol.h"
+#include "Http/KeptClient.h"
+#include "Peering/ItemIntake.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace Lavenderloft::Peering {
+
+// Follows what is published below one prefix: lists everything once, then waits for changes. While the store
+// does not answer, it is asked again at growing intervals.
+class StoreFollower {
+public:
+    StoreFollower(boost::asio::io_context&, Http::Endpoint store, const Fleet::StoreProtocol&, ItemIntake&, const Base::Clock&, std::string prefix);
+
+    // Runs until the event loop ends. While `isNeeded` returns false, the store is left alone.
+    boost::asio::awaitable<void> run(std::function<bool()> isNeeded);
+
+    // Whether the last call was answered.
+    bool isConnected() const { return m_connected; }
+
+private:
+    boost::asio::awaitable<bool> listAll();
+    boost::asio::awaitable<bool> waitForChanges();
+    boost::asio::awaitable<void> sleepFor(std::chrono::milliseconds);
+    void noteConnected(bool connected, const std::string& reason);
+    bool hasJustRegained() const;
+
+    boost::asio::io_context& m_context;
+    Http::KeptClient m_client;
+    const Fleet::StoreProtocol& m_protocol;
+    ItemIntake& m_intake;
+    const Base::Clock& m_clock;
+    std::string m_prefix;
+    bool m_connected = false;
+    // It failed since the last listing, so that entries may have lapsed meanwhile.
+    std::optional<Base::TimePoint> m_regainedAt;
+    std::optional<uint64_t> m_revision;
+    std::chrono::milliseconds m_backoff { 0 };
+};
+
+} // namespace Lavenderloft::Peering
--- /dev/null
+++ b/Source/Process/FleetAgent.cpp
@@ -0,0 +1,117 @@
+#include "Process/FleetAgent.h"
+
+#include "Base/SystemClock.h"
+#include "Fleet/Commands/ApplyItems.h"
+#include "Http/NodeServer.h"
+#include "Http/WorkerPool.h"
+#include "Observability/Log.h"
+#include "Peering/PeeringNode.h"
+#include "Peering/StoreFollower.h"
+#include "Process/FleetEvents.h"
+#include "Staging/StagingNode.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+
+namespace Lavenderloft::Process {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr std::chrono::milliseconds housekeepingInterval = 1000ms;
+    // The store is asked only if no router was heard for so long after the start.
+    constexpr std::chrono::milliseconds routerPatience = 2500ms;
+
+    // An agent and all its parts.
+    class FleetAgent {
+    public:
+        FleetAgent(const Fleet::NodeSettings& settings, const NodePlatform& platform)
+            : m_settings(settings)
+            , m_pool(1)
+            , m_intake(m_fleet, platform.publications(), m_clock)
+            , m_peering(m_pool.context(0), m_settings, m_peers, m_intake, m_clock, false)
+            , m_staging(m_pool.context(0), m_settings, m_fleet, platform.engines(), m_peering, m_clock)
+            , m_signals(m_pool.context(0), SIGTERM, SIGINT)
+            , m_startedAt(m_clock.now())
+        {
+            for (auto& prefix : platform.publications().prefixes())
+                m_followers.push_back(std::make_unique<Peering::StoreFollower>(m_pool.context(0), settings.store, platform.store(), m_intake, m_clock, prefix));
+        }
+
+        void run()
+        {
+            auto& context = m_pool.context(0);
+            m_nodes = Http::NodeServer::start(context, { m_settings.address, m_settings.firstPeerPort }, [this](Http::HttpRequest request) { return answerNode(std::move(request)); });
+            m_peering.start();
+            for (auto& follower : m_followers)
+                asio::co_spawn(context, follower->run([this] { return needsStore(); }), asio::detached);
+            m_staging.start();
+            asio::co_spawn(context, keepHouse(), asio::detached);
+            m_signals.async_wait([this](const boost::system::error_code&, int) { m_pool.stop(); });
+            Observability::logEvent(FleetEvents::nodeStarted, { { "node", m_settings.node }, { "role", "agent" }, { "data_centre", m_settings.dataCentre } });
+            m_pool.run();
+            Observability::logEvent(FleetEvents::nodeStopped, { { "node", m_settings.node } });
+        }
+
+    private:
+        // Routers pass on what is published, which spares calls to the store.
+        bool needsStore() const
+        {
+            return !m_peering.hearsRouters() && m_clock.now() - m_startedAt > routerPatience;
+        }
+
+        asio::awaitable<Http::HttpResponse> answerNode(Http::HttpRequest request)
+        {
+            if (request.target.starts_with(Staging::StagingNode::piecePath))
+                return m_staging.answerPiece(std::move(request));
+            return answerItems(std::move(request));
+        }
+
+        asio::awaitable<Http::HttpResponse> answerItems(Http::HttpRequest request)
+        {
+            if (request.target.starts_with(Peering::PeeringNode::itemsPath))
+                co_return m_peering.answerItems(request);
+            co_return Http::HttpResponse { 404, {}, "" };
+        }
+
+        asio::awaitable<void> keepHouse()
+        {
+            asio::steady_timer timer(m_pool.context(0));
+            while (true) {
+                boost::system::error_code ignored;
+                timer.expires_after(housekeepingInterval);
+                co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+                Fleet::Commands::expireDeletions(m_fleet, m_clock.now());
+            }
+        }
+
+        Fleet::NodeSettings m_settings;
+        Base::SystemClock m_clock;
+        Http::WorkerPool m_pool;
+        Fleet::FleetState m_fleet;
+        Peering::ItemIntake m_intake;
+        Peering::PeerTable m_peers;
+        Peering::PeeringNode m_peering;
+        Staging::StagingNode m_staging;
+        asio::signal_set m_signals;
+        Base::TimePoint m_startedAt;
+        std::vector<std::unique_ptr<Peering::StoreFollower>> m_followers;
+        std::shared_ptr<Http::NodeServer> m_nodes;
+    };
+
+} // namespace
+
+void runFleetAgent(const Fleet::NodeSettings& settings, const NodePlatform& platform)
+{
+    FleetAgent agent(settings, platform);
+    agent.run();
+}
+
+} // namespace Lavenderloft::Process
--- /dev/null
+++ b/Source/Process/FleetRouter.cpp
@@ -0,0 +1,190 @@
+#include "Process/FleetRouter.h"
+
+#include "Base/SeededRandom.h"
+#include "Base/SystemClock.h"
+#include "Dispatch/BoundedWaitPolicy.h"
+#include "Dispatch/Commands/AcquireTarget.h"
+#include "Dispatch/Commands/RecordOutcome.h"
+#include "Dispatch/LeastOccupiedPolicy.h"
+#include "Fleet/Commands/ApplyItems.h"
+#include "Fleet/Queries/ReadFleet.h"
+#include "Http/NodeServer.h"
+#include "Http/WorkerPool.h"
+#include "Observability/Log.h"
+#include "Peering/PeeringNode.h"
+#include "Peering/Queries/ListPeers.h"
+#include "Peering/StoreFollower.h"
+#include "Process/FleetEvents.h"
+#include "Proxy/CallerServer.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+#include <random>
+
+namespace Lavenderloft::Process {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr unsigned workerCount = 2;
+    // Waiting requests are matched again with targets that became usable without an event of their own.
+    constexpr std::chrono::milliseconds queueInterval = 50ms;
+    constexpr std::chrono::milliseconds housekeepingInterval = 1000ms;
+    // The entry of the platform takes this long to notice that a node is not ready.
+    constexpr std::chrono::milliseconds shortestDrain = 3000ms;
+    // Left of the grace when the node ends at the latest.
+    constexpr std::chrono::milliseconds drainMargin = 400ms;
+    constexpr std::chrono::milliseconds drainCheckInterval = 100ms;
+
+    uint64_t randomSeed()
+    {
+        std::random_device device;
+        return (static_cast<uint64_t>(device()) << 32) | device();
+    }
+
+    // A router and all its parts.
+    class FleetRouter {
+    public:
+        FleetRouter(const Fleet::NodeSettings& settings, const NodePlatform& platform)
+            : m_settings(settings)
+            , m_pool(workerCount)
+            , m_intake(m_fleet, platform.publications(), m_clock)
+            , m_dispatch(m_fleet, settings, std::make_unique<Dispatch::LeastOccupiedPolicy>(), std::make_unique<Dispatch::BoundedWaitPolicy>(), std::make_unique<Base::SeededRandom>(randomSeed()))
+            , m_proxy { platform.callers(), m_fleet, m_dispatch, m_clock, m_metrics }
+            , m_peering(m_pool.context(0), settings, m_peers, m_intake, m_clock, true)
+            , m_signals(m_pool.context(0), SIGTERM, SIGINT)
+        {
+            for (auto& prefix : platform.publications().prefixes())
+                m_followers.push_back(std::make_unique<Peering::StoreFollower>(m_pool.context(0), settings.store, platform.store(), m_intake, m_clock, prefix));
+            for (size_t i = 0; i < m_pool.size(); ++i)
+                m_workers.emplace_back(new Proxy::ProxyWorker { m_pool.context(i), {} });
+        }
+
+        void run()
+        {
+            auto& context = m_pool.context(0);
+            m_callers = std::make_shared<Proxy::CallerServer>(m_proxy, m_workers, *m_settings.callerListen);
+            m_ready = Http::NodeServer::start(context, *m_settings.readyListen, [this](Http::HttpRequest request) { return answerReadiness(std::move(request)); });
+            m_nodes = Http::NodeServer::start(context, { m_settings.address, m_settings.firstPeerPort }, [this](Http::HttpRequest request) { return answerNode(std::move(request)); });
+            m_callers->start();
+            m_peering.setLoadHandler([this](const Peering::EngineLoad& load) { noteLoad(load); });
+            m_peering.start();
+            for (auto& follower : m_followers)
+                asio::co_spawn(context, follower->run([] { return true; }), asio::detached);
+            asio::co_spawn(context, serveQueues(), asio::detached);
+            asio::co_spawn(context, keepHouse(), asio::detached);
+            asio::co_spawn(context, drainOnSignal(), asio::detached);
+            Observability::logEvent(FleetEvents::nodeStarted, { { "node", m_settings.node }, { "role", "router" }, { "data_centre", m_settings.dataCentre } });
+            m_pool.run();
+            Observability::logEvent(FleetEvents::nodeStopped, { { "node", m_settings.node }, { "open_requests", m_proxy.openRequests.load() } });
+        }
+
+    private:
+        asio::awaitable<Http::HttpResponse> answerReadiness(Http::HttpRequest)
+        {
+            bool isReady = !m_proxy.draining && Fleet::Queries::currentSnapshot(m_fleet)->configuration;
+            co_return Http::HttpResponse { isReady ? 200u : 503u, {}, "" };
+        }
+
+        asio::awaitable<Http::HttpResponse> answerNode(Http::HttpRequest request)
+        {
+            if (request.target.starts_with(Peering::PeeringNode::itemsPath))
+                co_return m_peering.answerItems(request);
+            if (request.target == "/metrics")
+                co_return Http::HttpResponse { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.serialize() };
+            co_return Http::HttpResponse { 404, {}, "" };
+        }
+
+        void noteLoad(const Peering::EngineLoad& load)
+        {
+            auto snapshot = Fleet::Queries::currentSnapshot(m_fleet);
+            auto targets = snapshot->targetsByService.find(load.service);
+            if (targets == snapshot->targetsByService.end())
+                return;
+            for (auto& target : targets->second) {
+                if (target->entry.address.toString() != load.engineAddress)
+                    continue;
+                Dispatch::TargetReport report { load.running, load.queued, load.wholeVersion, load.paused };
+                Dispatch::Commands::recordReport(m_dispatch, load.service, target->entry.id, report, m_clock.now());
+            }
+        }
+
+        asio::awaitable<void> sleepFor(std::chrono::milliseconds duration)
+        {
+            boost::system::error_code ignored;
+            asio::steady_timer timer(m_pool.context(0), duration);
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        }
+
+        asio::awaitable<void> serveQueues()
+        {
+            while (true) {
+                co_await sleepFor(queueInterval);
+                Dispatch::Commands::serveWaiting(m_dispatch, m_clock.now());
+            }
+        }
+
+        asio::awaitable<void> keepHouse()
+        {
+            while (true) {
+                co_await sleepFor(housekeepingInterval);
+                auto now = m_clock.now();
+                Fleet::Commands::expireDeletions(m_fleet, now);
+                Dispatch::Commands::forgetGoneTargets(m_dispatch);
+                m_dispatch.setRouterCount(static_cast<unsigned>(Peering::Queries::countPossibleRouters(m_peers)) + 1);
+                for (auto& worker : m_workers)
+                    asio::post(worker->context, [&connections = worker->connections, now] { connections.closeExpired(now); });
+            }
+        }
+
+        asio::awaitable<void> drainOnSignal()
+        {
+            co_await m_signals.async_wait(asio::use_awaitable);
+            m_proxy.draining = true;
+            m_peering.announceLeaving();
+            Observability::logEvent(FleetEvents::nodeDraining, { { "open_requests", m_proxy.openRequests.load() } });
+            auto start = m_clock.now();
+            auto latest = start + m_settings.bounds.grace - drainMargin;
+            while (m_clock.now() < latest) {
+                co_await sleepFor(drainCheckInterval);
+                if (m_proxy.openRequests == 0 && m_clock.now() - start >= shortestDrain)
+                    break;
+            }
+            m_callers->stop();
+            m_pool.stop();
+        }
+
+        Fleet::NodeSettings m_settings;
+        Base::SystemClock m_clock;
+        Observability::Metrics m_metrics;
+        Http::WorkerPool m_pool;
+        Fleet::FleetState m_fleet;
+        Peering::ItemIntake m_intake;
+        Peering::PeerTable m_peers;
+        Dispatch::DispatchState m_dispatch;
+        Proxy::ProxyContext m_proxy;
+        Peering::PeeringNode m_peering;
+        asio::signal_set m_signals;
+        std::vector<std::unique_ptr<Peering::StoreFollower>> m_followers;
+        std::vector<std::unique_ptr<Proxy::ProxyWorker>> m_workers;
+        std::shared_ptr<Proxy::CallerServer> m_callers;
+        std::shared_ptr<Http::NodeServer> m_ready;
+        std::shared_ptr<Http::NodeServer> m_nodes;
+    };
+
+} // namespace
+
+void runFleetRouter(const Fleet::NodeSettings& settings, const NodePlatform& platform)
+{
+    FleetRouter router(settings, platform);
+    router.run();
+}
+
+} // namespace Lavenderloft::Process
--- /dev/null
+++ b/Source/Proxy/CallerServer.cpp
@@ -0,0 +1,147 @@
+#include "Proxy/CallerServer.h"
+
+#include "Fleet/Queries/ReadFleet.h"
+#include "Http/NodeServer.h"
+#include "Http/WireFormat.h"
+#include "Proxy/RequestRun.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+
+namespace Lavenderloft::Proxy {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr std::chrono::milliseconds acceptRetryDelay = 50ms;
+    // Time for the body after the head.
+    constexpr std::chrono::seconds bodyTimeout = 10s;
+    constexpr size_t firstReadBytes = 2048;
+
+    Fleet::CallerLimits limitsInForce(const ProxyContext& context)
+    {
+        auto snapshot = Fleet::Queries::currentSnapshot(context.fleet);
+        return snapshot->configuration ? snapshot->configuration->limits : Fleet::CallerLimits {};
+    }
+
+    // Status for a request that can't be read; zero closes the connection without an answer.
+    unsigned statusOf(const beast::error_code& error)
+    {
+        if (error == http::error::header_limit)
+            return 431;
+        if (error == http::error::body_limit)
+            return 413;
+        if (error == beast::error::timeout || error == http::error::end_of_stream || error == http::error::partial_message)
+            return 0;
+        return error.category() == beast::error_code(http::error::bad_method).category() ? 400 : 0;
+    }
+
+    asio::awaitable<void> rejectMalformed(beast::tcp_stream& stream, unsigned status)
+    {
+        Http::HttpResponse response;
+        response.status = status;
+        auto bytes = Http::serializeResponse(response, false);
+        beast::error_code error;
+        stream.expires_after(bodyTimeout);
+        co_await asio::async_write(stream, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+        stream.socket().shutdown(tcp::socket::shutdown_send, error);
+    }
+
+} // namespace
+
+CallerServer::CallerServer(ProxyContext& context, std::vector<std::unique_ptr<ProxyWorker>>& workers, const Http::Endpoint& endpoint)
+    : m_context(context)
+    , m_workers(workers)
+    , m_acceptor(Http::listenAt(workers.front()->context, endpoint))
+{
+}
+
+void CallerServer::start()
+{
+    asio::co_spawn(
+        m_acceptor.get_executor(), [self = shared_from_this()] { return self->acceptConnections(); }, asio::detached);
+}
+
+void CallerServer::stop()
+{
+    beast::error_code ignored;
+    m_acceptor.close(ignored);
+}
+
+asio::awaitable<void> CallerServer::acceptConnections()
+{
+    auto self = shared_from_this();
+    size_t next = 0;
+    while (m_acceptor.is_open()) {
+        auto& worker = *m_workers[next++ % m_workers.size()];
+        beast::error_code error;
+        auto socket = co_await m_acceptor.async_accept(worker.context, asio::redirect_error(asio::use_awaitable, error));
+        if (error == asio::error::operation_aborted)
+            co_return;
+        if (error) {
+            asio::steady_timer timer(m_acceptor.get_executor(), acceptRetryDelay);
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+            continue;
+        }
+        asio::co_spawn(
+            worker.context, [self, &worker, socket = std::move(socket)]() mutable { return self->serve(worker, std::move(socket)); }, asio::detached);
+    }
+}
+
+asio::awaitable<void> CallerServer::serve(ProxyWorker& worker, tcp::socket socket)
+{
+    auto self = shared_from_this();
+    beast::tcp_stream stream(std::move(socket));
+    beast::flat_buffer buffer;
+    beast::error_code error;
+    auto token = asio::redirect_error(asio::use_awaitable, error);
+    stream.socket().set_option(tcp::no_delay(true), error);
+    bool keepAlive = true;
+    while (keepAlive) {
+        auto limits = limitsInForce(m_context);
+        if (buffer.size() == 0) {
+            stream.expires_after(limits.idleTimeout);
+            auto count = co_await stream.async_read_some(buffer.prepare(firstReadBytes), token);
+            if (error)
+                co_return;
+            buffer.commit(count);
+        }
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(static_cast<uint32_t>(limits.maximumHeaderBytes));
+        parser.body_limit(limits.maximumBodyBytes);
+        stream.expires_after(limits.headerTimeout);
+        co_await http::async_read_header(stream, buffer, parser, token);
+        if (!error) {
+            stream.expires_after(bodyTimeout);
+            co_await http::async_read(stream, buffer, parser, token);
+        }
+        if (error) {
+            if (auto status = statusOf(error))
+                co_await rejectMalformed(stream, status);
+            co_return;
+        }
+        auto message = parser.release();
+        Http::HttpRequest request;
+        request.method = std::string(message.method_string());
+        request.target = std::string(message.target());
+        request.headers = Http::copyHeaders(message);
+        request.body = std::move(message.body());
+        auto run = std::make_unique<RequestRun>(m_context, worker, stream, std::move(request), message.keep_alive());
+        keepAlive = co_await run->run();
+    }
+    // Sends what is left before the end, rather than a reset.
+    stream.socket().shutdown(tcp::socket::shutdown_send, error);
+}
+
+} // namespace Lavenderloft::Proxy
--- /dev/null
+++ b/Source/Proxy/CallerWatch.cpp
@@ -0,0 +1,48 @@
+#include "Proxy/CallerWatch.h"
+
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/buffer.hpp>
+
+namespace Lavenderloft::Proxy {
+
+namespace asio = boost::asio;
+
+CallerWatch::CallerWatch(asio::ip::tcp::socket& socket)
+    : m_socket(socket)
+{
+}
+
+void CallerWatch::start()
+{
+    m_active = true;
+    auto self = shared_from_this();
+    auto handler = [self](const boost::system::error_code& error) { self->becameReadable(error); };
+    m_socket.async_wait(asio::socket_base::wait_read, asio::bind_cancellation_slot(m_signal.slot(), handler));
+}
+
+void CallerWatch::stop()
+{
+    if (!m_active)
+        return;
+    m_active = false;
+    m_cancel = nullptr;
+    m_signal.emit(asio::cancellation_type::total);
+}
+
+void CallerWatch::becameReadable(const boost::system::error_code& error)
+{
+    if (!m_active || error == asio::error::operation_aborted)
+        return;
+    boost::system::error_code peekError;
+    m_socket.non_blocking(true, peekError);
+    char byte = 0;
+    auto count = m_socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, peekError);
+    // Bytes of the next request do not mean that the caller left.
+    if (count > 0 || peekError == asio::error::would_block)
+        return;
+    m_callerLeft = true;
+    if (m_cancel)
+        m_cancel();
+}
+
+} // namespace Lavenderloft::Proxy
--- /dev/null
+++ b/Source/Proxy/PlaceWaiter.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "Dispatch/Decision.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <optional>
+
+namespace Lavenderloft::Proxy {
+
+// Lets a coroutine wait for a place that another thread may grant.
+class PlaceWaiter final : public Dispatch::WaitObserver, public std::enable_shared_from_this<PlaceWaiter> {
+public:
+    using Outcome = std::variant<Dispatch::Lease, Dispatch::Refusal>;
+
+    explicit PlaceWaiter(boost::asio::io_context&);
+
+    void waitEnded(Outcome) override;
+
+    // Waits for the time, an outcome or a call to cancel.
+    boost::asio::awaitable<void> waitFor(Base::Duration);
+
+    void cancel() { m_timer.cancel(); }
+
+    std::optional<Outcome>& outcome() { return m_outcome; }
+
+private:
+    boost::asio::io_context& m_context;
+    boost::asio::steady_timer m_timer;
+    std::optional<Outcome> m_outcome;
+};
+
+} // namespace Lavenderloft::Proxy
--- /dev/null
+++ b/Source/Proxy/ProxyContext.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "Base/Clock.h"
+#include "Dispatch/DispatchState.h"
+#include "Fleet/FleetState.h"
+#include "Fleet/NodeSettings.h"
+#include "Observability/Metrics.h"
+#include "Proxy/CallerProtocol.h"
+#include "Proxy/ConnectionPool.h"
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+
+namespace Lavenderloft::Proxy {
+
+// What all connections of a router share.
+struct ProxyContext {
+    const CallerProtocol& protocol;
+    const Fleet::FleetState& fleet;
+    Dispatch::DispatchState& dispatch;
+    const Base::Clock& clock;
+    Observability::Metrics& metrics;
+    // Connections are closed after the answer under way.
+    std::atomic<bool> draining { false };
+    // Requests that were read and not yet answered.
+    std::atomic<size_t> openRequests { 0 };
+};
+
+// What the connections of one event loop share.
+struct ProxyWorker {
+    boost::asio::io_context& context;
+    ConnectionPool connections;
+};
+
+} // namespace Lavenderloft::Proxy
--- /dev/null
+++ b/Source/Proxy/RequestRun.cpp
@@ -0,0 +1,455 @@
+#include "Proxy/RequestRun.h"
+
+#include "Base/RendezvousHash.h"
+#include "Dispatch/Commands/AcquireTarget.h"
+#include "Dispatch/Commands/RecordOutcome.h"
+#include "Fleet/Queries/ReadFleet.h"
+#include "Http/WireFormat.h"
+#include "Observability/Log.h"
+#include "Proxy/Events.h"
+
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+namespace Lavenderloft::Proxy {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using Dispatch::Commands::AttemptResult;
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // A caller that does not say how long it waits is given this time.
+    constexpr std::chrono::milliseconds defaultDeadline = 30000ms;
+    // A caller that takes nothing of a whole answer for this time is cut off.
+    constexpr std::chrono::seconds callerWriteTimeout = 10s;
+    // A repeatable request goes elsewhere after this multiple of the time in which the answer should begin.
+    constexpr int silenceFactor = 3;
+    constexpr std::chrono::milliseconds shortestSilence = 1000ms;
+    constexpr std::chrono::milliseconds noConfigurationRetryAfter = 500ms;
+    // Stands for "no region", because an empty list allows all.
+    const std::string noRegion;
+    constexpr int leastUrgentPriority = 9;
+
+    std::string_view pathOf(std::string_view target)
+    {
+        return target.substr(0, target.find('?'));
+    }
+
+    std::string_view withoutPort(std::string_view host)
+    {
+        return host.substr(0, host.find(':'));
+    }
+
+    std::vector<std::string> commonRegions(const std::vector<std::string>& left, const std::vector<std::string>& right)
+    {
+        if (left.empty())
+            return right;
+        if (right.empty())
+            return left;
+        std::vector<std::string> common;
+        for (auto& region : left) {
+            if (std::find(right.begin(), right.end(), region) != right.end())
+                common.push_back(region);
+        }
+        if (common.empty())
+            common.push_back(noRegion);
+        return common;
+    }
+
+    // Splits the requests of a route among its services by their ids.
+    const std::string& chooseService(const Fleet::Route& route, const std::string& requestId)
+    {
+        uint64_t total = 0;
+        for (auto& part : route.services)
+            total += part.weight;
+        auto point = Base::stableHash(requestId) % total;
+        for (auto& part : route.services) {
+            if (point < part.weight)
+                return part.service;
+            point -= part.weight;
+        }
+        return route.services.back().service;
+    }
+
+    // A status that promises that the request did not run.
+    bool promisesNotExecuted(unsigned status)
+    {
+        return status == 408 || status == 421 || status == 429 || status == 503;
+    }
+
+    std::string formatSeconds(std::chrono::milliseconds duration)
+    {
+        auto thousandths = std::to_string(duration.count() % 1000);
+        return std::to_string(duration.count() / 1000) + "." + std::string(3 - thousandths.size(), '0') + thousandths;
+    }
+
+} // namespace
+
+RequestRun::RequestRun(ProxyContext& context, ProxyWorker& worker, beast::tcp_stream& caller, Http::HttpRequest request, bool keepAlive)
+    : m_context(context)
+    , m_worker(worker)
+    , m_caller(caller)
+    , m_request(std::move(request))
+    , m_head(context.protocol.readHead(m_request.headers))
+    , m_keepAlive(keepAlive)
+    , m_watch(std::make_shared<CallerWatch>(caller.socket()))
+{
+    m_traits.arrivedAt = context.clock.now();
+    ++m_context.openRequests;
+}
+
+asio::awaitable<bool> RequestRun::run()
+{
+    m_caller.expires_never();
+    m_watch->start();
+    bool isAllowed = co_await resolve();
+    if (isAllowed)
+        co_await serve();
+    m_watch->stop();
+    --m_context.openRequests;
+    bool mayKeep = m_keepAlive && !m_watch->callerLeft();
+    co_return mayKeep;
+}
+
+asio::awaitable<bool> RequestRun::resolve()
+{
+    m_snapshot = Fleet::Queries::currentSnapshot(m_context.fleet);
+    if (!m_snapshot->configuration) {
+        co_await answer(503, "no_configuration", noConfigurationRetryAfter);
+        co_return false;
+    }
+    auto& configuration = *m_snapshot->configuration;
+    auto host = withoutPort(Http::headerValue(m_request.headers, "Host"));
+    m_traits.route = Fleet::Queries::matchRoute(configuration, host, pathOf(m_request.target));
+    if (!m_traits.route) {
+        co_await answer(404, "no_route");
+        co_return false;
+    }
+    if (configuration.hasOrganisations && !m_traits.route->isPublic) {
+        m_organisation = Fleet::Queries::findOrganisation(configuration, m_head.key.value_or(""));
+        if (!m_organisation) {
+            co_await answer(401, "unknown_key");
+            co_return false;
+        }
+    }
+    prepareTraits();
+    co_return true;
+}
+
+void RequestRun::prepareTraits()
+{
+    auto& route = *m_traits.route;
+    m_traits.requestId = m_head.requestId;
+    m_traits.service = chooseService(route, m_head.requestId);
+    m_traits.model = m_head.model;
+    m_traits.priority = m_organisation && m_organisation->priority ? *m_organisation->priority : route.priority;
+    m_traits.allowedRegions = commonRegions(route.allowedRegions, m_organisation ? m_organisation->allowedRegions : std::vector<std::string>());
+    auto deadline = m_head.deadline.value_or(defaultDeadline);
+    if (route.timeout > 0ms)
+        deadline = std::min(deadline, route.timeout);
+    m_traits.deadline = m_traits.arrivedAt + deadline;
+    m_traits.promptTokens = m_head.promptTokens;
+    m_traits.outputTokens = m_head.estimatedOutputTokens.value_or(m_head.maximumOutputTokens);
+}
+
+asio::awaitable<std::optional<PlaceWaiter::Outcome>> RequestRun::acquire()
+{
+    auto waiter = std::make_shared<PlaceWaiter>(m_worker.context);
+    auto now = m_context.clock.now();
+    auto decision = m_history.attempts == 0 ? Dispatch::Commands::acquireTarget(m_context.dispatch, m_traits, waiter, now)
+                                            : Dispatch::Commands::acquireRepeat(m_context.dispatch, m_traits, m_reachedTarget, waiter, now);
+    if (auto* lease = std::get_if<Dispatch::Lease>(&decision))
+        co_return std::move(*lease);
+    if (auto* refusal = std::get_if<Dispatch::Refusal>(&decision))
+        co_return *refusal;
+    m_watch->setCancellation([waiter] { waiter->cancel(); });
+    auto until = std::get<Dispatch::Queued>(decision).until;
+    if (!m_watch->callerLeft())
+        co_await waiter->waitFor(until - m_context.clock.now());
+    if (!waiter->outcome()) {
+        if (auto refusal = Dispatch::Commands::endWait(m_context.dispatch, m_traits, waiter.get(), m_context.clock.now()))
+            co_return *refusal;
+        // The outcome is on its way from another thread.
+        while (!waiter->outcome())
+            co_await waiter->waitFor(1s);
+    }
+    co_return std::move(*waiter->outcome());
+}
+
+asio::awaitable<void> RequestRun::serve()
+{
+    auto lastEnd = AttemptEnd::NotSent;
+    while (true) {
+        auto outcome = co_await acquire();
+        if (auto* refusal = std::get_if<Dispatch::Refusal>(&*outcome)) {
+            if (m_history.runs > 0 || m_headSent)
+                co_await fail(lastEnd);
+            else
+                co_await refuse(*refusal);
+            co_return;
+        }
+        auto& lease = std::get<Dispatch::Lease>(*outcome);
+        m_waited += lease.waited;
+        m_lastTarget = lease.target->entry.id;
+        auto attempted = finishedAs(AttemptResult::Abandoned);
+        if (!m_watch->callerLeft())
+            attempted = co_await attempt(lease);
+        Dispatch::Commands::releaseTarget(m_context.dispatch, m_traits.service, lease.target->entry.id, attempted.result, m_context.clock.now());
+        if (m_watch->callerLeft() && !m_finished) {
+            m_keepAlive = false;
+            logFinished(Events::requestAbandoned, 0, "caller_left");
+            co_return;
+        }
+        if (attempted.finished)
+            co_return;
+        lastEnd = attempted.end;
+        m_traits.triedTargets.push_back(lease.target->entry.id);
+        bool repeat = m_traits.deadline > m_context.clock.now() && Dispatch::Queries::mayRepeat(*m_traits.route, m_history, lastEnd);
+        if (Observability::isLogged(Events::attemptFailed)) {
+            Observability::logEvent(Events::attemptFailed, { { "request", m_head.requestId }, { "target", lease.target->entry.id }, { "end", static_cast<int>(lastEnd) }, { "attempts", m_history.attempts }, { "runs", m_history.runs }, { "repeat", repeat } });
+        }
+        if (!repeat) {
+            co_await fail(lastEnd);
+            co_return;
+        }
+    }
+}
+
+Http::HttpRequest RequestRun::forwardedRequest(const Dispatch::Lease& lease) const
+{
+    Forwarding forwarding;
+    forwarding.timeLeft = timeLeft();
+    forwarding.expectedTarget = lease.target->entry.id;
+    if (m_organisation)
+        forwarding.organisation = m_organisation->name;
+    forwarding.priority = std::clamp(m_traits.priority, 0, leastUrgentPriority);
+    forwarding.expectedWeights = lease.requiredWeights;
+    if (m_headSent)
+        forwarding.lastEventId = m_events.lastEventId();
+    Http::HttpRequest request;
+    request.method = m_request.method;
+    request.target = m_request.target;
+    request.headers = m_context.protocol.forwardedHeaders(m_request.headers, forwarding);
+    request.body = m_request.body;
+    return request;
+}
+
+RequestRun::AttemptOutcome RequestRun::failed(AttemptEnd end) const
+{
+    switch (end) {
+    case AttemptEnd::NotExecuted:
+        return { false, end, AttemptResult::Rejected };
+    case AttemptEnd::ErrorAnswer:
+        return { false, end, AttemptResult::ErrorAnswer };
+    case AttemptEnd::Silent:
+        // The time that the caller left may be too short to blame the target.
+        return { false, end, m_context.clock.now() >= m_traits.deadline ? AttemptResult::Abandoned : AttemptResult::Failed };
+    case AttemptEnd::NotSent:
+    case AttemptEnd::Broken:
+        break;
+    }
+    return { false, end, AttemptResult::Failed };
+}
+
+RequestRun::AttemptOutcome RequestRun::finishedAs(AttemptResult result) const
+{
+    return { true, AttemptEnd::Broken, result };
+}
+
+asio::awaitable<RequestRun::AttemptOutcome> RequestRun::attempt(const Dispatch::Lease& lease)
+{
+    TargetExchange exchange(m_context, m_worker, *m_watch, *lease.target);
+    ++m_history.attempts;
+    auto failure = co_await exchange.send(forwardedRequest(lease), mayRepeat(), m_traits.deadline);
+    if (failure == AttemptEnd::NotSent)
+        co_return failed(*failure);
+    m_reachedTarget = true;
+    ++m_history.runs;
+    auto until = m_traits.deadline;
+    if (mayRepeat()) {
+        auto patience = std::max(shortestSilence, m_traits.route->targetLatency * silenceFactor);
+        until = std::min(until, m_context.clock.now() + patience);
+    }
+    if (!failure)
+        failure = co_await exchange.readHead(m_head.requestId, m_request.method == "HEAD", until);
+    if (failure) {
+        m_watch->setCancellation(nullptr);
+        co_return failed(*failure);
+    }
+    auto outcome = co_await relay(exchange);
+    m_watch->setCancellation(nullptr);
+    exchange.finish();
+    co_return outcome;
+}
+
+asio::awaitable<RequestRun::AttemptOutcome> RequestRun::relay(TargetExchange& exchange)
+{
+    auto& answer = exchange.answer();
+    if (answer.head.notExecuted && promisesNotExecuted(answer.status)) {
+        --m_history.runs;
+        std::string ignored;
+        while (!exchange.isComplete()) {
+            auto failure = co_await exchange.readBody(ignored, m_traits.deadline);
+            if (failure)
+                break;
+        }
+        co_return failed(AttemptEnd::NotExecuted);
+    }
+    bool isSuccess = answer.status >= 200 && answer.status < 300;
+    // A success without a seal is not the target's, and a promise without the mark is not to be passed on.
+    if ((isSuccess && !answer.head.sealed) || promisesNotExecuted(answer.status))
+        co_return failed(AttemptEnd::ErrorAnswer);
+    if (answer.status >= 500 && Dispatch::Queries::mayRepeat(*m_traits.route, m_history, AttemptEnd::ErrorAnswer))
+        co_return failed(AttemptEnd::ErrorAnswer);
+    if (m_headSent && !isSuccess)
+        co_return failed(AttemptEnd::ErrorAnswer);
+    if (isSuccess && m_traits.route->kind == Fleet::RequestKind::Stream)
+        co_return co_await relayEvents(exchange);
+    co_return co_await relayWhole(exchange);
+}
+
+asio::awaitable<RequestRun::AttemptOutcome> RequestRun::relayWhole(TargetExchange& exchange)
+{
+    Http::HttpResponse response;
+    response.status = exchange.answer().status;
+    response.headers = m_context.protocol.returnedHeaders(exchange.answer().headers);
+    while (!exchange.isComplete()) {
+        auto failure = co_await exchange.readBody(response.body, m_traits.deadline);
+        if (failure)
+            co_return failed(*failure);
+    }
+    m_keepAlive = m_keepAlive && !m_context.draining;
+    m_caller.expires_after(callerWriteTimeout);
+    auto bytes = Http::serializeResponse(response, m_keepAlive);
+    bool written = co_await writeToCaller(bytes);
+    m_finished = written;
+    logFinished(written ? Events::requestServed : Events::requestAbandoned, response.status, "answered");
+    co_return finishedAs(response.status >= 500 ? AttemptResult::ErrorAnswer : AttemptResult::Served);
+}
+
+asio::awaitable<RequestRun::AttemptOutcome> RequestRun::relayEvents(TargetExchange& exchange)
+{
+    auto pause = std::max(shortestSilence, m_traits.route->longestPause * silenceFactor);
+    if (m_headSent) {
+        m_events.reset();
+        m_events.skipThrough(m_events.lastEventId());
+    }
+    std::string pendingHead;
+    if (!m_headSent) {
+        m_keepAlive = m_keepAlive && !m_context.draining;
+        pendingHead = Http::serializeChunkedHead(exchange.answer().status, m_context.protocol.returnedHeaders(exchange.answer().headers), m_keepAlive);
+    }
+    std::string received;
+    while (!exchange.isComplete()) {
+        received.clear();
+        auto until = mayRepeat() ? std::min(m_traits.deadline, m_context.clock.now() + pause) : m_traits.deadline;
+        auto failure = co_await exchange.readBody(received, until);
+        if (failure)
+            co_return failed(*failure);
+        auto events = m_events.take(received);
+        if (exchange.isComplete())
+            events.append(m_events.remainder());
+        if (events.empty())
+            continue;
+        m_caller.expires_after(timeLeft());
+        auto bytes = pendingHead + Http::serializeChunk(events);
+        bool written = co_await writeToCaller(bytes);
+        if (!written)
+            co_return finishedAs(AttemptResult::Abandoned);
+        pendingHead.clear();
+        m_headSent = true;
+    }
+    m_caller.expires_after(timeLeft());
+    auto end = pendingHead + std::string(Http::finalChunk);
+    m_finished = co_await writeToCaller(end);
+    logFinished(m_finished ? Events::requestServed : Events::requestAbandoned, exchange.answer().status, "streamed");
+    co_return finishedAs(AttemptResult::Served);
+}
+
+asio::awaitable<bool> RequestRun::writeToCaller(std::string_view bytes)
+{
+    beast::error_code error;
+    co_await asio::async_write(m_caller, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+    m_caller.expires_never();
+    if (error)
+        m_keepAlive = false;
+    co_return !error;
+}
+
+asio::awaitable<void> RequestRun::answer(unsigned status, const char* code, std::optional<std::chrono::milliseconds> retryAfter)
+{
+    Http::HttpResponse response;
+    response.status = status;
+    response.headers = { { "Content-Type", "application/json" } };
+    if (retryAfter)
+        response.headers.push_back({ "Retry-After", formatSeconds(*retryAfter) });
+    response.body = std::string(R"({"error":")") + code + "\"}";
+    m_keepAlive = m_keepAlive && !m_context.draining;
+    m_caller.expires_after(callerWriteTimeout);
+    auto bytes = Http::serializeResponse(response, m_keepAlive);
+    m_finished = co_await writeToCaller(bytes);
+    bool isDenial = status >= 400 && status < 429;
+    logFinished(isDenial ? Events::requestDenied : status == 503 ? Events::requestRefused
+                                                                 : Events::requestFailed,
+        status, code);
+}
+
+asio::awaitable<void> RequestRun::refuse(const Dispatch::Refusal& refusal)
+{
+    auto name = Dispatch::refusalName(refusal.reason);
+    co_await answer(503, name.data(), refusal.retryAfter);
+}
+
+asio::awaitable<void> RequestRun::fail(AttemptEnd end)
+{
+    if (m_watch->callerLeft()) {
+        m_keepAlive = false;
+        logFinished(Events::requestAbandoned, 0, "caller_left");
+        co_return;
+    }
+    if (m_headSent) {
+        // The caller must see that the answer is not whole.
+        m_keepAlive = false;
+        m_caller.close();
+        logFinished(Events::requestFailed, 0, "stream_broken");
+        co_return;
+    }
+    if (m_history.runs == 0) {
+        Dispatch::Refusal refusal { Dispatch::RefusalReason::NoTarget, noConfigurationRetryAfter };
+        co_await refuse(refusal);
+        co_return;
+    }
+    bool isLate = m_context.clock.now() >= m_traits.deadline;
+    co_await answer(isLate || end == AttemptEnd::Silent ? 504 : 502, isLate ? "timeout" : "target_failed");
+}
+
+void RequestRun::logFinished(const Observability::Event& event, unsigned status, std::string_view reason)
+{
+    auto route = m_traits.route ? m_traits.route->name : std::string();
+    m_context.metrics.count("requests_total", { { "outcome", std::string(event.name) }, { "reason", std::string(reason) } });
+    if (!Observability::isLogged(event))
+        return;
+    Observability::logEvent(event,
+        { { "request", m_head.requestId }, { "route", route }, { "organisation", m_organisation ? m_organisation->name : std::string() },
+            { "target", m_lastTarget }, { "status", status }, { "reason", reason }, { "attempts", m_history.attempts }, { "runs", m_history.runs },
+            { "waited", m_waited }, { "elapsed", elapsed() }, { "configuration", m_snapshot && m_snapshot->configuration ? m_snapshot->configuration->version : 0 },
+            { "revision", m_snapshot ? m_snapshot->revision : 0 } });
+}
+
+std::chrono::milliseconds RequestRun::elapsed() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(m_context.clock.now() - m_traits.arrivedAt);
+}
+
+std::chrono::milliseconds RequestRun::timeLeft() const
+{
+    auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_traits.deadline - m_context.clock.now());
+    return std::max(left, 1ms);
+}
+
+} // namespace Lavenderloft::Proxy
--- /dev/null
+++ b/Source/Staging/PieceChecklist.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "Staging/EngineProtocol.h"
+
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace Lavenderloft::Staging {
+
+// Which pieces of one version lie at the engine and were found to be right.
+class PieceChecklist {
+public:
+    explicit PieceChecklist(PieceManifest);
+
+    const PieceManifest& manifest() const { return m_manifest; }
+    unsigned pieceCount() const { return static_cast<unsigned>(m_manifest.digests.size()); }
+
+    // Whether the bytes are those of the piece.
+    bool matches(unsigned piece, std::string_view bytes) const;
+
+    void markPresent(unsigned piece) { m_present[piece] = true; }
+    void markMissing(unsigned piece) { m_present[piece] = false; }
+    bool isPresent(unsigned piece) const { return m_present[piece]; }
+    bool isComplete() const;
+
+    std::vector<unsigned> missing() const;
+
+private:
+    PieceManifest m_manifest;
+    std::vector<bool> m_present;
+};
+
+} // namespace Lavenderloft::Staging
--- /dev/null
+++ b/Source/Staging/StagingNode.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "Base/Clock.h"
+#include "Fleet/FleetState.h"
+#include "Fleet/NodeSettings.h"
+#include "Http/KeptClient.h"
+#include "Peering/PeeringNode.h"
+#include "Staging/EngineProtocol.h"
+#include "Staging/PieceChecklist.h"
+#include "Staging/Queries/ChooseSource.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace Lavenderloft::Staging {
+
+// Watches the engine on this VM, tells routers its load, and brings the declared weights to it. Gives pieces
+// that lie at the engine to other agents. Runs on one event loop.
+class StagingNode {
+public:
+    StagingNode(boost::asio::io_context&, const Fleet::NodeSettings&, const Fleet::FleetState&, const EngineProtocol&, Peering::PeeringNode&, const Base::Clock&);
+
+    void start();
+
+    // Answers another agent that asks for a piece.
+    boost::asio::awaitable<Http::HttpResponse> answerPiece(Http::HttpRequest);
+
+    static constexpr std::string_view piecePath = "/piece/";
+
+private:
+    // The version of a model that the engine should hold.
+    struct Wanted {
+        std::string model;
+        Fleet::DeclaredWeights declared;
+        unsigned layers = 0;
+        Http::Endpoint origin;
+    };
+
+    boost::asio::awaitable<void> watchEngine();
+    boost::asio::awaitable<void> keepWeights();
+    boost::asio::awaitable<void> bring(const Wanted&);
+    boost::asio::awaitable<bool> prepareChecklist(const Wanted&);
+    boost::asio::awaitable<void> checkStoredPieces();
+    boost::asio::awaitable<void> fetchMissing(const Wanted&);
+    boost::asio::awaitable<void> fetchPieces(const Wanted&, std::shared_ptr<std::vector<unsigned>> queue, std::shared_ptr<unsigned> running);
+    boost::asio::awaitable<bool> fetchPiece(const Wanted&, unsigned piece, std::map<std::string, std::unique_ptr<Http::KeptClient>>& clients);
+    boost::asio::awaitable<void> load(const Wanted&);
+    boost::asio::awaitable<void> sleepFor(std::chrono::milliseconds);
+    boost::asio::awaitable<std::optional<std::string>> readStored(Http::KeptClient&, const std::string& model, unsigned piece);
+
+    std::optional<Wanted> findWanted() const;
+    bool engineHolds(const Wanted&) const;
+    bool isStillWanted(const Wanted&) const;
+    uint64_t wholeVersion() const;
+    void report();
+
+    boost::asio::io_context& m_context;
+    const Fleet::NodeSettings& m_settings;
+    const Fleet::FleetState& m_fleet;
+    const EngineProtocol& m_protocol;
+    Peering::PeeringNode& m_peering;
+    const Base::Clock& m_clock;
+    std::optional<EngineReport> m_engine;
+    std::optional<PieceChecklist> m_checklist;
+    // Start of the engine for which the checklist was made.
+    uint64_t m_checkedEngineStart = 0;
+    // Routers are told to send nothing: the engine is about to load.
+    bool m_paused = false;
+};
+
+} // namespace Lavenderloft::Staging
--- a/Source/main.cpp
+++ b/Source/main.cpp
@@ -1,9 +1,13 @@
 #include "CommandLine/ProgramCommands.h"
 #include "Transport/GrpcThreads.h"
+#include "platform/PlatformAdapter.h"
 
 int main(int argc, char** argv)
 {
     using namespace Lavenderloft;
     Transport::disableMutexDeadlockDetection();
-    return CommandLine::CommandTable(CommandLine::programName, CommandLine::makeProgramCommands()).run(argc, argv);
+    Platform::PlatformAdapter platform;
+    auto commands = CommandLine::makeProgramCommands();
+    CommandLine::addNodeCommands(commands, platform);
+    return CommandLine::CommandTable(CommandLine::programName, std::move(commands)).run(argc, argv);
 }
