Keep the age of declared weights over restarts, pace pieces, drain in order

Ruled out: lost watches (the router's log shows each revision within 0.1 s); the origin's link (5 copies sent, but refused connections while it was down held up only new fetches). Change: items carry their longest possible age, known from the last complete answer of the store or from another router; an agent has the duty to fetch certain pieces first and holds a request for a piece until it has it; uploads take 0.6 of the link; a draining router closes idle connections after 2.3 s and refuses after 2.8 s; SIGHUP reads the settings again.

--- a/Source/Dispatch/Commands/AcquireTarget.cpp
+++ b/Source/Dispatch/Commands/AcquireTarget.cpp
@@ -49,7 +49,7 @@
         // Part of the fleet's budget that routers use; the rest covers requests that two routers count
         // into different windows.
         constexpr double usedPart = 0.8;
-        auto& bounds = state.settings().bounds;
+        auto bounds = state.bounds();
         return { usedPart * bounds.retryRatio, usedPart * bounds.retrySlack / state.routerCount() };
     }
 
--- a/Source/Dispatch/Commands/ServeQueue.cpp
+++ b/Source/Dispatch/Commands/ServeQueue.cpp
@@ -38,7 +38,10 @@
     auto& runtime = service.targets[chosen.target->entry.id];
     takeColdToken(state, traits.service, *chosen.target, runtime, now);
     ++runtime.underWay;
-    return Lease { chosen.target, candidates.requiredWeights, chosen.occupancy, {} };
+    Lease lease { chosen.target, std::nullopt, chosen.occupancy, {} };
+    if (candidates.checkWeights)
+        lease.expectedWeights = chosen.weights;
+    return lease;
 }
 
 ServiceLoad describeLoad(DispatchState& state, const ServiceState& service, const RequestTraits& traits, Base::TimePoint now)
--- a/Source/Dispatch/Decision.h
+++ b/Source/Dispatch/Decision.h
@@ -15,8 +15,8 @@
 // The right to send one request to a target; to be given back with releaseTarget.
 struct Lease {
     std::shared_ptr<const Fleet::KnownTarget> target;
-    // Weights that the engine must hold; set once older ones may no longer be used.
-    std::optional<uint64_t> requiredWeights;
+    // Weights that the engine is expected to hold; set while some weights may no longer be used.
+    std::optional<uint64_t> expectedWeights;
     unsigned occupancy = 0;
     std::chrono::milliseconds waited { 0 };
 };
--- a/Source/Dispatch/DispatchState.cpp
+++ b/Source/Dispatch/DispatchState.cpp
@@ -11,6 +11,18 @@
 {
 }
 
+Fleet::FleetBounds DispatchState::bounds() const
+{
+    std::lock_guard guard(m_boundsLock);
+    return m_settings.bounds;
+}
+
+void DispatchState::setBounds(const Fleet::FleetBounds& bounds)
+{
+    std::lock_guard guard(m_boundsLock);
+    m_settings.bounds = bounds;
+}
+
 double DispatchState::randomFraction()
 {
     std::lock_guard guard(m_randomLock);
--- a/Source/Dispatch/DispatchState.h
+++ b/Source/Dispatch/DispatchState.h
@@ -67,7 +67,10 @@
     }
 
     const Fleet::FleetState& fleet() const { return m_fleet; }
+    // Place and regions of this node, which do not change.
     const Fleet::NodeSettings& settings() const { return m_settings; }
+    Fleet::FleetBounds bounds() const;
+    void setBounds(const Fleet::FleetBounds&);
     const PlacementPolicy& placement() const { return *m_placement; }
     const AdmissionPolicy& admission() const { return *m_admission; }
 
@@ -87,6 +90,7 @@
 
     const Fleet::FleetState& m_fleet;
     Fleet::NodeSettings m_settings;
+    mutable std::mutex m_boundsLock;
     std::unique_ptr<PlacementPolicy> m_placement;
     std::unique_ptr<AdmissionPolicy> m_admission;
     std::mutex m_randomLock;
--- a/Source/Dispatch/PlacementPolicy.h
+++ b/Source/Dispatch/PlacementPolicy.h
@@ -20,6 +20,8 @@
     bool sameDataCentre = false;
     bool sameRegion = false;
     double failureShare = 0;
+    // Version of the weights that the engine is known to hold; zero for a plain target.
+    uint64_t weights = 0;
 };
 
 // Chooses among targets with a free place.
--- a/Source/Dispatch/Queries/FindCandidates.cpp
+++ b/Source/Dispatch/Queries/FindCandidates.cpp
@@ -11,7 +11,7 @@
     using namespace std::chrono_literals;
 
     // Old weights are given up so long before the bound, to leave time for the way to the engine.
-    constexpr std::chrono::milliseconds weightsMargin = 1000ms;
+    constexpr std::chrono::milliseconds weightsMargin = 800ms;
 
     bool contains(const std::vector<std::string>& texts, const std::string& text)
     {
@@ -33,7 +33,7 @@
             if (found != snapshot.configuration->services.end())
                 m_service = &found->second;
             if (m_service && m_service->weights && !m_service->weights->models.empty())
-                m_oldestWeights = oldestUsableWeights(snapshot, m_service->weights->models.front(), state.settings().bounds.weights, now);
+                m_oldestWeights = oldestUsableWeights(snapshot, m_service->weights->models.front(), state.bounds().weights, now);
         }
 
         bool isEngine() const { return m_service && m_service->weights; }
@@ -50,7 +50,22 @@
                 return false;
             if (runtime && runtime->avoidUntil > m_now)
                 return false;
-            return !isEngine() || holdsUsableWeights(target, runtime);
+            if (!isEngine())
+                return true;
+            if (runtime && runtime->hasReport(m_now) && runtime->report.paused)
+                return false;
+            auto weights = knownWeights(target, runtime);
+            return weights > 0 && weights >= m_oldestWeights;
+        }
+
+        // Version of whole weights at the engine; the report of the agent beside it is fresher than its entry.
+        uint64_t knownWeights(const Fleet::KnownTarget& target, const TargetRuntime* runtime) const
+        {
+            if (!isEngine())
+                return 0;
+            if (runtime && runtime->hasReport(m_now))
+                return runtime->report.wholeVersion;
+            return Fleet::wholeVersionOf(target.entry.layers, m_service->weights->layers);
         }
 
         bool hasColdRate(const Fleet::KnownTarget& target, const TargetRuntime* runtime) const
@@ -65,17 +80,6 @@
         }
 
     private:
-        bool holdsUsableWeights(const Fleet::KnownTarget& target, const TargetRuntime* runtime) const
-        {
-            auto version = Fleet::wholeVersionOf(target.entry.layers, m_service->weights->layers);
-            if (runtime && runtime->hasReport(m_now)) {
-                if (runtime->report.paused)
-                    return false;
-                version = runtime->report.wholeVersion;
-            }
-            return version > 0 && version >= m_oldestWeights;
-        }
-
         DispatchState& m_state;
         const RequestTraits& m_traits;
         const Fleet::FleetSnapshot& m_snapshot;
@@ -112,8 +116,7 @@
     if (targets == snapshot->targetsByService.end())
         return set;
     CandidateFilter filter(state, traits, *snapshot, now);
-    if (filter.oldestWeights() > 0)
-        set.requiredWeights = filter.oldestWeights();
+    set.checkWeights = filter.oldestWeights() > 0;
     for (auto& target : targets->second) {
         auto found = service.targets.find(target->entry.id);
         auto* runtime = found == service.targets.end() ? nullptr : &found->second;
@@ -125,6 +128,7 @@
         candidate.slots = state.admission().placesOf(target->entry.slots, filter.isEngine());
         candidate.sameDataCentre = target->entry.dataCentre == state.settings().dataCentre;
         candidate.sameRegion = state.settings().regionOf(target->entry.dataCentre) == state.settings().region;
+        candidate.weights = filter.knownWeights(*target, runtime);
         candidate.failureShare = runtime ? runtime->failureShare : 0;
         ++set.usable;
         set.places += candidate.slots;
--- a/Source/Dispatch/Queries/FindCandidates.h
+++ b/Source/Dispatch/Queries/FindCandidates.h
@@ -14,8 +14,8 @@
     // Those that may be used, full ones included.
     size_t usable = 0;
     size_t places = 0;
-    // Weights that the engine must hold.
-    std::optional<uint64_t> requiredWeights;
+    // Some weights may no longer be used, so that engines are to be told which they are expected to hold.
+    bool checkWeights = false;
 };
 
 // Sorts out the targets that may take the request now. The service's state is locked by the caller.
--- a/Source/Fleet/Commands/ApplyItems.cpp
+++ b/Source/Fleet/Commands/ApplyItems.cpp
@@ -71,21 +71,36 @@
         record.publication = Unrelated {};
     }
 
-    void noteDeclaration(Contents& contents, const WeightsDeclared& declared, Base::TimePoint now)
+    void noteDeclaration(Contents& contents, const WeightsDeclared& declared, Base::TimePoint declaredAt)
     {
         auto& history = contents.declaredWeights[declared.model];
+        for (auto& known : history) {
+            // A node that saw the declaration come knows its time better than one that listed it later.
+            if (known.version == declared.version)
+                known.learnedAt = std::max(known.learnedAt, declaredAt);
+        }
         if (!history.empty() && history.back().version >= declared.version)
             return;
-        history.push_back({ declared.version, now });
+        history.push_back({ declared.version, declaredAt });
         if (history.size() > FleetState::declarationsPerModel)
             history.erase(history.begin());
     }
 
+    // The same item from a node that knows its age better.
+    void refineDeclaration(Contents& contents, const Record& record, const PublishedItem& item, Base::TimePoint now)
+    {
+        auto* declared = std::get_if<WeightsDeclared>(&record.publication);
+        if (declared && record.item.revision == item.revision)
+            noteDeclaration(contents, *declared, now - item.age);
+    }
+
     void mergeItem(Contents& contents, const PublicationDecoder& decoder, PublishedItem item, bool storeRegained, Base::TimePoint now, AppliedChange& change)
     {
         auto known = contents.records.find(item.key);
-        if (known != contents.records.end() && known->second.item.revision >= item.revision)
+        if (known != contents.records.end() && known->second.item.revision >= item.revision) {
+            refineDeclaration(contents, known->second, item, now);
             return;
+        }
         change.anything = true;
         if (item.deleted) {
             auto& record = contents.records[item.key];
@@ -103,7 +118,7 @@
         if (auto* published = std::get_if<ConfigurationPublished>(&publication))
             change.configuration = published->configuration;
         if (auto* declared = std::get_if<WeightsDeclared>(&publication))
-            noteDeclaration(contents, *declared, now);
+            noteDeclaration(contents, *declared, now - item.age);
         auto& record = contents.records[item.key];
         record = Record { std::move(item), std::move(publication), now, std::nullopt };
     }
--- a/Source/Fleet/NodeSettings.h
+++ b/Source/Fleet/NodeSettings.h
@@ -52,6 +52,8 @@
     // Engine on the same VM.
     std::optional<Http::Endpoint> localEngine;
     std::string localService;
+    // Rate of this VM's own link; zero if it is not told.
+    double linkBitsPerSecond = 0;
     FleetBounds bounds;
 
     std::string regionOf(const std::string& otherDataCentre) const
--- a/Source/Fleet/Publication.h
+++ b/Source/Fleet/Publication.h
@@ -3,6 +3,7 @@
 #include "Fleet/Configuration.h"
 #include "Fleet/TargetEntry.h"
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -18,6 +19,8 @@
     std::string value;
     uint64_t revision = 0;
     bool deleted = false;
+    // Longest time since it was published, as far as the sender knows.
+    std::chrono::milliseconds age { 0 };
 };
 
 struct ConfigurationPublished {
--- a/Source/Fleet/Queries/ReadFleet.cpp
+++ b/Source/Fleet/Queries/ReadFleet.cpp
@@ -12,13 +12,34 @@
     return state.withContents([](const FleetState::Contents& contents) { return contents.revision; });
 }
 
-std::vector<PublishedItem> itemsAfter(const FleetState& state, uint64_t revision)
+namespace {
+
+    Base::TimePoint declaredAt(const FleetState::Contents& contents, const FleetState::Record& record)
+    {
+        auto* declared = std::get_if<WeightsDeclared>(&record.publication);
+        if (!declared)
+            return record.learnedAt;
+        auto history = contents.declaredWeights.find(declared->model);
+        if (history == contents.declaredWeights.end())
+            return record.learnedAt;
+        for (auto& known : history->second) {
+            if (known.version == declared->version)
+                return known.learnedAt;
+        }
+        return record.learnedAt;
+    }
+
+} // namespace
+
+std::vector<PublishedItem> itemsAfter(const FleetState& state, uint64_t revision, Base::TimePoint now)
 {
     return state.withContents([&](const FleetState::Contents& contents) {
         std::vector<PublishedItem> items;
         for (auto& [key, record] : contents.records) {
-            if (record.item.revision > revision)
-                items.push_back(record.item);
+            if (record.item.revision <= revision)
+                continue;
+            items.push_back(record.item);
+            items.back().age = std::chrono::duration_cast<std::chrono::milliseconds>(now - declaredAt(contents, record));
         }
         return items;
     });
--- a/Source/Fleet/Queries/ReadFleet.h
+++ b/Source/Fleet/Queries/ReadFleet.h
@@ -14,7 +14,7 @@
 uint64_t knownRevision(const FleetState&);
 
 // The items, deletions included, that are newer than the revision.
-std::vector<PublishedItem> itemsAfter(const FleetState&, uint64_t revision);
+std::vector<PublishedItem> itemsAfter(const FleetState&, uint64_t revision, Base::TimePoint now);
 
 // The route with the longest prefix of the path among those of the host; null if there is none.
 std::shared_ptr<const Route> matchRoute(const Configuration&, std::string_view host, std::string_view path);
--- a/Source/Http/KeptClient.cpp
+++ b/Source/Http/KeptClient.cpp
@@ -2,6 +2,7 @@
 
 #include "Http/WireFormat.h"
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -15,6 +16,7 @@
 
 namespace {
 
+    constexpr std::chrono::milliseconds connectTimeout { 700 };
     // An answer of a service that the node relies on may be as long as this, in bytes.
     constexpr size_t maximumAnswerBytes = 8 * 1024 * 1024;
 
@@ -46,7 +48,7 @@
     auto token = asio::redirect_error(asio::use_awaitable, error);
     if (!m_connection) {
         auto connection = std::make_unique<Connection>(m_executor);
-        connection->stream.expires_after(timeout);
+        connection->stream.expires_after(std::min(timeout, connectTimeout));
         asio::ip::tcp::endpoint server(asio::ip::make_address(m_endpoint.host), m_endpoint.port);
         co_await connection->stream.async_connect(server, token);
         if (error)
--- a/Source/Peering/PeeringCodec.cpp
+++ b/Source/Peering/PeeringCodec.cpp
@@ -62,6 +62,7 @@
         added->set_value(item.value);
         added->set_revision(item.revision);
         added->set_deleted(item.deleted);
+        added->set_age_ms(static_cast<uint64_t>(item.age.count()));
     }
     return encoded.SerializeAsString();
 }
@@ -74,7 +75,7 @@
     ItemBatch batch;
     batch.revision = encoded.revision();
     for (auto& item : encoded.items())
-        batch.items.push_back({ item.key(), item.value(), item.revision(), item.deleted() });
+        batch.items.push_back({ item.key(), item.value(), item.revision(), item.deleted(), std::chrono::milliseconds(item.age_ms()) });
     return batch;
 }
 
--- a/Source/Peering/PeeringNode.cpp
+++ b/Source/Peering/PeeringNode.cpp
@@ -184,7 +184,7 @@
             Commands::forgetRouter(m_peers, message.sender);
         else
             noteRouter(message.sender, message.dataCentre, std::chrono::milliseconds(0), message.revision);
-        if (message.revision > ownRevision)
+        if (message.revision > ownRevision || (!m_fetchedAll && message.revision > 0))
             m_behind.cancel();
         return;
     }
@@ -209,7 +209,7 @@
         co_await m_behind.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         delay.expires_after(m_isRouter ? routerFetchDelay : agentFetchDelay);
         co_await delay.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        auto revision = Fleet::Queries::knownRevision(m_intake.fleet());
+        auto revision = m_fetchedAll ? Fleet::Queries::knownRevision(m_intake.fleet()) : 0;
         auto router = Queries::routerAhead(m_peers, revision, m_settings.dataCentre, m_clock.now());
         if (!router)
             continue;
@@ -226,13 +226,15 @@
     if (!m_client || !(m_client->endpoint() == endpoint))
         m_client = std::make_unique<Http::KeptClient>(m_context.get_executor(), endpoint);
     Http::HttpRequest request;
-    request.target = std::string(itemsPath) + "?after=" + std::to_string(Fleet::Queries::knownRevision(m_intake.fleet()));
+    auto revision = m_fetchedAll ? Fleet::Queries::knownRevision(m_intake.fleet()) : 0;
+    request.target = std::string(itemsPath) + "?after=" + std::to_string(revision);
     auto answer = co_await m_client->call(std::move(request), fetchTimeout);
     if (!Base::succeeded(answer) || Base::valueOf(answer).status != 200)
         co_return false;
     auto batch = decodeItems(Base::valueOf(answer).body);
     if (!batch)
         co_return false;
+    m_fetchedAll = true;
     m_intake.apply(std::move(batch->items), batch->revision, false, router.address);
     co_return true;
 }
@@ -244,7 +246,7 @@
         return { 400, {}, "the query must name a revision: /items?after=REVISION" };
     ItemBatch batch;
     batch.revision = Fleet::Queries::knownRevision(m_intake.fleet());
-    batch.items = Fleet::Queries::itemsAfter(m_intake.fleet(), *revision);
+    batch.items = Fleet::Queries::itemsAfter(m_intake.fleet(), *revision, m_clock.now());
     return { 200, { { "Content-Type", "application/octet-stream" } }, encodeItems(batch) };
 }
 
--- a/Source/Peering/PeeringNode.h
+++ b/Source/Peering/PeeringNode.h
@@ -64,6 +64,8 @@
     boost::asio::ip::udp::socket m_socket;
     boost::asio::steady_timer m_behind;
     std::unique_ptr<Http::KeptClient> m_client;
+    // Everything was fetched from another router once, which tells the age of what stands in the store.
+    bool m_fetchedAll = false;
     LoadHandler m_onLoad;
 };
 
--- a/Source/Peering/StoreFollower.cpp
+++ b/Source/Peering/StoreFollower.cpp
@@ -25,6 +25,8 @@
     constexpr std::chrono::milliseconds idleCheckInterval = 500ms;
     // Entries that lapsed while the store was away may be missing this long after its return.
     constexpr std::chrono::milliseconds regainedPeriod = 2000ms;
+    // Assumed for what stood in the store before this process started.
+    constexpr std::chrono::milliseconds unknownAge = 1h;
 
 } // namespace
 
@@ -73,6 +75,14 @@
     return m_regainedAt && m_clock.now() - *m_regainedAt < regainedPeriod;
 }
 
+// Longest time since the publication of something that is seen only now.
+std::chrono::milliseconds StoreFollower::longestAge() const
+{
+    if (!m_completeAt)
+        return unknownAge;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - *m_completeAt);
+}
+
 void StoreFollower::noteConnected(bool connected, const std::string& reason)
 {
     if (connected == m_connected)
@@ -107,6 +117,7 @@
         for (auto& item : listed.items) {
             keys.push_back(item.key);
             items.push_back(item);
+            items.back().age = longestAge();
         }
         if (!listed.morePages || listed.items.empty())
             break;
@@ -114,6 +125,7 @@
     }
     noteConnected(true, "listed");
     m_revision = revision;
+    m_completeAt = m_clock.now();
     m_intake.apply(std::move(items), *revision, hasJustRegained(), "store");
     m_intake.applyListing(m_prefix, keys, *revision, hasJustRegained());
     co_return true;
@@ -139,6 +151,7 @@
     }
     noteConnected(true, "watching");
     auto& changes = Base::valueOf(batch);
+    m_completeAt = m_clock.now();
     m_revision = std::max(*m_revision, changes.revision);
     if (!changes.changes.empty())
         m_intake.apply(changes.changes, *m_revision, hasJustRegained(), "store");
--- a/Source/Peering/StoreFollower.h
+++ b/Source/Peering/StoreFollower.h
@@ -32,6 +32,7 @@
     boost::asio::awaitable<void> sleepFor(std::chrono::milliseconds);
     void noteConnected(bool connected, const std::string& reason);
     bool hasJustRegained() const;
+    std::chrono::milliseconds longestAge() const;
 
     boost::asio::io_context& m_context;
     Http::KeptClient m_client;
@@ -43,6 +44,8 @@
     // It failed since the last listing, so that entries may have lapsed meanwhile.
     std::optional<Base::TimePoint> m_regainedAt;
     std::optional<uint64_t> m_revision;
+    // When the store last told everything that had changed.
+    std::optional<Base::TimePoint> m_completeAt;
     std::chrono::milliseconds m_backoff { 0 };
 };
 
--- a/Source/Process/FleetAgent.cpp
+++ b/Source/Process/FleetAgent.cpp
@@ -7,7 +7,8 @@
 #include "Observability/Log.h"
 #include "Peering/PeeringNode.h"
 #include "Peering/StoreFollower.h"
-#include "Process/FleetEvents.h"
+#include "Process/Events.h"
+#include "Process/SettingsReload.h"
 #include "Staging/StagingNode.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -39,6 +40,7 @@
             , m_peering(m_pool.context(0), m_settings, m_peers, m_intake, m_clock, false)
             , m_staging(m_pool.context(0), m_settings, m_fleet, platform.engines(), m_peering, m_clock)
             , m_signals(m_pool.context(0), SIGTERM, SIGINT)
+            , m_reload(platform)
             , m_startedAt(m_clock.now())
         {
             for (auto& prefix : platform.publications().prefixes())
@@ -54,10 +56,14 @@
                 asio::co_spawn(context, follower->run([this] { return needsStore(); }), asio::detached);
             m_staging.start();
             asio::co_spawn(context, keepHouse(), asio::detached);
+            m_reload.watch(context, [this](const Fleet::NodeSettings& settings) {
+                m_settings.seedAddresses = settings.seedAddresses;
+                m_settings.bounds = settings.bounds;
+            });
             m_signals.async_wait([this](const boost::system::error_code&, int) { m_pool.stop(); });
-            Observability::logEvent(FleetEvents::nodeStarted, { { "node", m_settings.node }, { "role", "agent" }, { "data_centre", m_settings.dataCentre } });
+            Observability::logEvent(processStarted, { { "node", m_settings.node }, { "role", "agent" }, { "data_centre", m_settings.dataCentre } });
             m_pool.run();
-            Observability::logEvent(FleetEvents::nodeStopped, { { "node", m_settings.node } });
+            Observability::logEvent(processStopped, { { "node", m_settings.node } });
         }
 
     private:
@@ -101,6 +107,7 @@
         Peering::PeeringNode m_peering;
         Staging::StagingNode m_staging;
         asio::signal_set m_signals;
+        SettingsReload m_reload;
         Base::TimePoint m_startedAt;
         std::vector<std::unique_ptr<Peering::StoreFollower>> m_followers;
         std::shared_ptr<Http::NodeServer> m_nodes;
--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -14,7 +14,8 @@
 #include "Peering/PeeringNode.h"
 #include "Peering/Queries/ListPeers.h"
 #include "Peering/StoreFollower.h"
-#include "Process/FleetEvents.h"
+#include "Process/Events.h"
+#include "Process/SettingsReload.h"
 #include "Proxy/CallerServer.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -38,9 +39,12 @@
     constexpr std::chrono::milliseconds queueInterval = 50ms;
     constexpr std::chrono::milliseconds housekeepingInterval = 1000ms;
     // The entry of the platform takes this long to notice that a node is not ready.
-    constexpr std::chrono::milliseconds shortestDrain = 3000ms;
+    constexpr std::chrono::milliseconds shortestDrain = 3200ms;
+    // Counted from the signal to stop: connections without a request are closed, and no request is begun.
+    constexpr std::chrono::milliseconds idleConnectionsClose = 2300ms;
+    constexpr std::chrono::milliseconds lastRequest = 2800ms;
     // Left of the grace when the node ends at the latest.
-    constexpr std::chrono::milliseconds drainMargin = 400ms;
+    constexpr std::chrono::milliseconds drainMargin = 250ms;
     constexpr std::chrono::milliseconds drainCheckInterval = 100ms;
 
     uint64_t randomSeed()
@@ -60,6 +64,7 @@
             , m_proxy { platform.callers(), m_fleet, m_dispatch, m_clock, m_metrics }
             , m_peering(m_pool.context(0), settings, m_peers, m_intake, m_clock, true)
             , m_signals(m_pool.context(0), SIGTERM, SIGINT)
+            , m_reload(platform)
         {
             for (auto& prefix : platform.publications().prefixes())
                 m_followers.push_back(std::make_unique<Peering::StoreFollower>(m_pool.context(0), settings.store, platform.store(), m_intake, m_clock, prefix));
@@ -81,9 +86,10 @@
             asio::co_spawn(context, serveQueues(), asio::detached);
             asio::co_spawn(context, keepHouse(), asio::detached);
             asio::co_spawn(context, drainOnSignal(), asio::detached);
-            Observability::logEvent(FleetEvents::nodeStarted, { { "node", m_settings.node }, { "role", "router" }, { "data_centre", m_settings.dataCentre } });
+            m_reload.watch(context, [this](const Fleet::NodeSettings& settings) { applySettings(settings); });
+            Observability::logEvent(processStarted, { { "node", m_settings.node }, { "role", "router" }, { "data_centre", m_settings.dataCentre } });
             m_pool.run();
-            Observability::logEvent(FleetEvents::nodeStopped, { { "node", m_settings.node }, { "open_requests", m_proxy.openRequests.load() } });
+            Observability::logEvent(processStopped, { { "node", m_settings.node }, { "open_requests", m_proxy.openRequests.load() } });
         }
 
     private:
@@ -102,6 +108,14 @@
             co_return Http::HttpResponse { 404, {}, "" };
         }
 
+        // Addresses of this node do not change while it runs.
+        void applySettings(const Fleet::NodeSettings& settings)
+        {
+            m_settings.seedAddresses = settings.seedAddresses;
+            m_settings.bounds = settings.bounds;
+            m_dispatch.setBounds(settings.bounds);
+        }
+
         void noteLoad(const Peering::EngineLoad& load)
         {
             auto snapshot = Fleet::Queries::currentSnapshot(m_fleet);
@@ -149,12 +163,18 @@
             co_await m_signals.async_wait(asio::use_awaitable);
             m_proxy.draining = true;
             m_peering.announceLeaving();
-            Observability::logEvent(FleetEvents::nodeDraining, { { "open_requests", m_proxy.openRequests.load() } });
+            Observability::logEvent(processStopping, { { "open_requests", m_proxy.openRequests.load() } });
             auto start = m_clock.now();
             auto latest = start + m_settings.bounds.grace - drainMargin;
             while (m_clock.now() < latest) {
                 co_await sleepFor(drainCheckInterval);
-                if (m_proxy.openRequests == 0 && m_clock.now() - start >= shortestDrain)
+                auto elapsed = m_clock.now() - start;
+                // The entry has noticed by then: what still comes goes elsewhere.
+                if (elapsed >= idleConnectionsClose)
+                    m_callers->closeIdleConnections();
+                if (elapsed >= lastRequest)
+                    m_proxy.closing = true;
+                if (m_proxy.openRequests == 0 && elapsed >= shortestDrain)
                     break;
             }
             m_callers->stop();
@@ -172,6 +192,7 @@
         Proxy::ProxyContext m_proxy;
         Peering::PeeringNode m_peering;
         asio::signal_set m_signals;
+        SettingsReload m_reload;
         std::vector<std::unique_ptr<Peering::StoreFollower>> m_followers;
         std::vector<std::unique_ptr<Proxy::ProxyWorker>> m_workers;
         std::shared_ptr<Proxy::CallerServer> m_callers;
--- a/Source/Proxy/CallerServer.cpp
+++ b/Source/Proxy/CallerServer.cpp
@@ -73,6 +73,16 @@
         m_acceptor.get_executor(), [self = shared_from_this()] { return self->acceptConnections(); }, asio::detached);
 }
 
+void CallerServer::closeIdleConnections()
+{
+    for (auto& worker : m_workers) {
+        asio::post(worker->context, [&idle = worker->idleCallers] {
+            for (auto* stream : idle)
+                stream->cancel();
+        });
+    }
+}
+
 void CallerServer::stop()
 {
     beast::error_code ignored;
@@ -112,7 +122,9 @@
         auto limits = limitsInForce(m_context);
         if (buffer.size() == 0) {
             stream.expires_after(limits.idleTimeout);
+            worker.idleCallers.insert(&stream);
             auto count = co_await stream.async_read_some(buffer.prepare(firstReadBytes), token);
+            worker.idleCallers.erase(&stream);
             if (error)
                 co_return;
             buffer.commit(count);
--- a/Source/Proxy/CallerServer.h
+++ b/Source/Proxy/CallerServer.h
@@ -18,6 +18,9 @@
     void start();
     void stop();
 
+    // Closes the connections on which no request is under way.
+    void closeIdleConnections();
+
 private:
     boost::asio::awaitable<void> acceptConnections();
     boost::asio::awaitable<void> serve(ProxyWorker&, boost::asio::ip::tcp::socket);
--- a/Source/Proxy/ProxyContext.h
+++ b/Source/Proxy/ProxyContext.h
@@ -10,6 +10,8 @@
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <unordered_set>
 
 namespace Lavenderloft::Proxy {
 
@@ -22,6 +24,8 @@
     Observability::Metrics& metrics;
     // Connections are closed after the answer under way.
     std::atomic<bool> draining { false };
+    // Too late before the end of the process to begin a request: it is refused.
+    std::atomic<bool> closing { false };
     // Requests that were read and not yet answered.
     std::atomic<size_t> openRequests { 0 };
 };
@@ -30,6 +34,8 @@
 struct ProxyWorker {
     boost::asio::io_context& context;
     ConnectionPool connections;
+    // Connections of callers that wait for the next request.
+    std::unordered_set<boost::beast::tcp_stream*> idleCallers;
 };
 
 } // namespace Lavenderloft::Proxy
--- a/Source/Proxy/RequestRun.cpp
+++ b/Source/Proxy/RequestRun.cpp
@@ -31,6 +31,8 @@
     constexpr int silenceFactor = 3;
     constexpr std::chrono::milliseconds shortestSilence = 1000ms;
     constexpr std::chrono::milliseconds noConfigurationRetryAfter = 500ms;
+    // Another node takes the caller's next connection.
+    constexpr std::chrono::milliseconds closingRetryAfter = 50ms;
     // Stands for "no region", because an empty list allows all.
     const std::string noRegion;
     constexpr int leastUrgentPriority = 9;
@@ -119,6 +121,10 @@
 asio::awaitable<bool> RequestRun::resolve()
 {
     m_snapshot = Fleet::Queries::currentSnapshot(m_context.fleet);
+    if (m_context.closing) {
+        co_await answer(503, "closing", closingRetryAfter);
+        co_return false;
+    }
     if (!m_snapshot->configuration) {
         co_await answer(503, "no_configuration", noConfigurationRetryAfter);
         co_return false;
@@ -228,7 +234,7 @@
     if (m_organisation)
         forwarding.organisation = m_organisation->name;
     forwarding.priority = std::clamp(m_traits.priority, 0, leastUrgentPriority);
-    forwarding.expectedWeights = lease.requiredWeights;
+    forwarding.expectedWeights = lease.expectedWeights;
     if (m_headSent)
         forwarding.lastEventId = m_events.lastEventId();
     Http::HttpRequest request;
--- a/Source/Staging/Queries/ChooseSource.cpp
+++ b/Source/Staging/Queries/ChooseSource.cpp
@@ -8,10 +8,6 @@
 
 namespace {
 
-    // Attempts at the agent that should have the piece before others are asked.
-    constexpr unsigned attemptsAtOwner = 4;
-    constexpr unsigned originInterval = 3;
-
     std::vector<std::string> addressesOf(const std::vector<SourceAgent>& agents, const std::string* region, bool holdersOnly)
     {
         std::vector<std::string> addresses;
@@ -22,19 +18,16 @@
         return addresses;
     }
 
-    PieceSource fromOwner(const std::vector<SourceAgent>& others, const Fleet::NodeSettings& settings, const std::string& key)
+    // The agent among the others and this one that has the duty for the key.
+    std::string ownerAmong(std::vector<std::string> addresses, const Fleet::NodeSettings& settings, const std::string& key)
     {
-        auto inRegion = addressesOf(others, &settings.region, false);
-        inRegion.push_back(settings.address);
-        auto regionOwner = Base::chooseMember(key, inRegion);
-        if (regionOwner != settings.address)
-            return FromAgent { regionOwner };
-        auto everywhere = addressesOf(others, nullptr, false);
-        everywhere.push_back(settings.address);
-        auto fleetOwner = Base::chooseMember(key, everywhere);
-        if (fleetOwner != settings.address)
-            return FromAgent { fleetOwner };
-        return FromOrigin {};
+        addresses.push_back(settings.address);
+        return Base::chooseMember(key, addresses);
+    }
+
+    std::string pieceKey(const std::string& version, unsigned piece)
+    {
+        return version + "/" + std::to_string(piece);
     }
 
 } // namespace
@@ -55,24 +48,37 @@
     return agents;
 }
 
+PieceDuty dutyFor(const std::vector<SourceAgent>& others, const Fleet::NodeSettings& settings, const std::string& version, unsigned piece)
+{
+    auto key = pieceKey(version, piece);
+    if (ownerAmong(addressesOf(others, &settings.region, false), settings, key) != settings.address)
+        return PieceDuty::None;
+    if (ownerAmong(addressesOf(others, nullptr, false), settings, key) != settings.address)
+        return PieceDuty::ForRegion;
+    return PieceDuty::ForFleet;
+}
+
 PieceSource chooseSource(const std::vector<SourceAgent>& others, const Fleet::NodeSettings& settings, const std::string& version, unsigned piece, unsigned attempt)
 {
-    auto key = version + "/" + std::to_string(piece);
+    auto key = pieceKey(version, piece);
     // Engines that have loaded the version are sources at once, those of the region first.
     auto holders = addressesOf(others, &settings.region, true);
     if (holders.empty())
         holders = addressesOf(others, nullptr, true);
-    if (holders.empty() && attempt < attemptsAtOwner)
-        return fromOwner(others, settings, key);
-    if (attempt >= attemptsAtOwner && attempt % originInterval == 0)
-        return FromOrigin {};
-    if (holders.empty())
-        holders = addressesOf(others, nullptr, false);
-    if (holders.empty())
+    if (!holders.empty()) {
+        // Each receiver has an order of its own, which spreads the load over the holders.
+        auto ranked = Base::rankMembers(key + "/" + settings.address, holders);
+        return FromAgent { ranked[attempt % ranked.size()] };
+    }
+    switch (dutyFor(others, settings, version, piece)) {
+    case PieceDuty::ForFleet:
         return FromOrigin {};
-    // Each receiver has an order of its own, which spreads the load over the holders.
-    auto ranked = Base::rankMembers(key + "/" + settings.address, holders);
-    return FromAgent { ranked[attempt % ranked.size()] };
+    case PieceDuty::ForRegion:
+        return FromAgent { ownerAmong(addressesOf(others, nullptr, false), settings, key) };
+    case PieceDuty::None:
+        break;
+    }
+    return FromAgent { ownerAmong(addressesOf(others, &settings.region, false), settings, key) };
 }
 
 } // namespace Lavenderloft::Staging::Queries
--- a/Source/Staging/Queries/ChooseSource.h
+++ b/Source/Staging/Queries/ChooseSource.h
@@ -28,13 +28,25 @@
     bool holdsVersion = false;
 };
 
-// The engines of the service beside the one at `ownAddress`, with and without the version.
+// The engines of the service beside the one on this VM, with and without the version.
 std::vector<SourceAgent> listSourceAgents(const Fleet::FleetSnapshot&, const Fleet::NodeSettings&, uint64_t version);
 
-// From where to fetch a piece on the given attempt, counted from zero. One agent of the fleet takes each
-// piece from the origin, one of each other region takes it from there, and the rest from the agent of their
-// region: the origin's link and those between regions carry each piece once. Later attempts spread over
-// other agents, and every third goes to the origin.
+// How a piece reaches this VM if no engine has loaded the version yet; pieces that others wait for come first.
+enum class PieceDuty {
+    // This agent fetches it from the origin for the whole fleet.
+    ForFleet,
+    // This agent fetches it from another region for its own.
+    ForRegion,
+    // Another agent of the region has the duty.
+    None,
+};
+
+PieceDuty dutyFor(const std::vector<SourceAgent>& others, const Fleet::NodeSettings&, const std::string& version, unsigned piece);
+
+// From where to fetch a piece on the given attempt, counted from zero. While no engine has loaded the
+// version, one agent of the fleet takes each piece from the origin, one of each other region takes it from
+// there, and the rest from the agent of their region: the origin's link and those between regions carry each
+// piece once. The caller leaves out agents that can't be reached, so that others take over their duties.
 PieceSource chooseSource(const std::vector<SourceAgent>& others, const Fleet::NodeSettings&, const std::string& version, unsigned piece, unsigned attempt);
 
 } // namespace Lavenderloft::Staging::Queries
--- a/Source/Staging/StagingNode.cpp
+++ b/Source/Staging/StagingNode.cpp
@@ -1,5 +1,6 @@
 #include "Staging/StagingNode.h"
 
+#include "Base/RendezvousHash.h"
 #include "Fleet/Queries/ReadFleet.h"
 #include "Observability/Log.h"
 #include "Staging/Events.h"
@@ -26,12 +27,15 @@
     constexpr std::chrono::milliseconds checkInterval = 100ms;
     // Waited before the next attempt at a piece that no source gave.
     constexpr std::chrono::milliseconds fetchRetryDelay = 120ms;
-    // A piece may queue behind others on the link of the agent that has it.
-    constexpr std::chrono::milliseconds agentTimeout = 2500ms;
+    // An agent may wait for the piece itself, and for its turn on the link.
+    constexpr std::chrono::milliseconds agentTimeout = 4000ms;
+    // How long an agent waits for a piece that another one asks for.
+    constexpr std::chrono::milliseconds longestPieceWait = 1500ms;
+    constexpr std::chrono::milliseconds pieceWaitInterval = 25ms;
     constexpr std::chrono::milliseconds originTimeout = 5000ms;
     constexpr std::chrono::milliseconds connectionRetryDelay = 500ms;
     // Pieces that are fetched at the same time.
-    constexpr unsigned parallelFetches = 4;
+    constexpr unsigned parallelFetches = 3;
     // Time for the routers to hear that the engine takes nothing new.
     constexpr std::chrono::milliseconds pauseNotice = 60ms;
     // An order that shows no effect by then is given again.
@@ -79,6 +83,7 @@
     , m_protocol(protocol)
     , m_peering(peering)
     , m_clock(clock)
+    , m_uploads(settings.linkBitsPerSecond)
 {
 }
 
@@ -266,9 +271,32 @@
     }
 }
 
+std::vector<Queries::SourceAgent> StagingNode::reachableAgents(const Wanted& wanted) const
+{
+    auto snapshot = Fleet::Queries::currentSnapshot(m_fleet);
+    auto agents = Queries::listSourceAgents(*snapshot, m_settings, wanted.declared.version);
+    auto now = m_clock.now();
+    std::erase_if(agents, [&](const Queries::SourceAgent& agent) { return m_sources.isAvoided(agent.address, now); });
+    return agents;
+}
+
+// The pieces for which others wait come last, as they are taken from the end.
+std::vector<unsigned> StagingNode::missingByDuty(const Wanted& wanted) const
+{
+    auto agents = reachableAgents(wanted);
+    auto version = std::to_string(wanted.declared.version);
+    auto pieces = m_checklist->missing();
+    // Agents begin at different pieces, so that they do not all ask the same one at once.
+    std::rotate(pieces.begin(), pieces.begin() + static_cast<std::ptrdiff_t>(Base::stableHash(m_settings.address) % std::max<size_t>(pieces.size(), 1)), pieces.end());
+    std::stable_sort(pieces.begin(), pieces.end(), [&](unsigned left, unsigned right) {
+        return Queries::dutyFor(agents, m_settings, version, left) > Queries::dutyFor(agents, m_settings, version, right);
+    });
+    return pieces;
+}
+
 asio::awaitable<void> StagingNode::fetchMissing(const Wanted& wanted)
 {
-    auto queue = std::make_shared<std::vector<unsigned>>(m_checklist->missing());
+    auto queue = std::make_shared<std::vector<unsigned>>(missingByDuty(wanted));
     auto running = std::make_shared<unsigned>(parallelFetches);
     for (unsigned i = 0; i < parallelFetches; ++i)
         asio::co_spawn(m_context, fetchPieces(wanted, queue, running), asio::detached);
@@ -279,58 +307,78 @@
 asio::awaitable<void> StagingNode::fetchPieces(const Wanted& wantedNow, std::shared_ptr<std::vector<unsigned>> queue, std::shared_ptr<unsigned> running)
 {
     auto wanted = wantedNow;
-    std::map<std::string, std::unique_ptr<Http::KeptClient>> clients;
-    unsigned attempt = 0;
+    ClientsByAddress clients;
     while (!queue->empty() && isStillWanted(wanted) && m_engine) {
-        // Pieces are taken from both ends at random places, so that agents do not all ask for the same one.
-        auto index = (attempt * 7 + queue->size() / 2) % queue->size();
-        auto piece = (*queue)[index];
-        queue->erase(queue->begin() + static_cast<std::ptrdiff_t>(index));
+        auto piece = queue->back();
+        queue->pop_back();
         bool fetched = co_await fetchPiece(wanted, piece, clients);
         if (!fetched)
-            queue->push_back(piece);
-        ++attempt;
+            queue->insert(queue->begin(), piece);
     }
     --*running;
 }
 
-asio::awaitable<bool> StagingNode::fetchPiece(const Wanted& wanted, unsigned piece, std::map<std::string, std::unique_ptr<Http::KeptClient>>& clients)
+asio::awaitable<std::optional<std::string>> StagingNode::askSource(const Wanted& wanted, unsigned piece, const Queries::PieceSource& source, ClientsByAddress& clients)
 {
-    constexpr unsigned maximumAttempts = 12;
-    for (unsigned attempt = 0; attempt < maximumAttempts && isStillWanted(wanted); ++attempt) {
-        auto snapshot = Fleet::Queries::currentSnapshot(m_fleet);
-        auto agents = Queries::listSourceAgents(*snapshot, m_settings, wanted.declared.version);
-        auto source = Queries::chooseSource(agents, m_settings, std::to_string(wanted.declared.version), piece, attempt);
-        auto* agent = std::get_if<Queries::FromAgent>(&source);
-        auto endpoint = agent ? Http::Endpoint { agent->address, m_settings.firstPeerPort } : wanted.origin;
-        auto& client = clients[endpoint.toString()];
-        if (!client)
-            client = std::make_unique<Http::KeptClient>(m_context.get_executor(), endpoint);
-        Http::HttpRequest request;
+    auto* agent = std::get_if<Queries::FromAgent>(&source);
+    auto endpoint = agent ? Http::Endpoint { agent->address, m_settings.firstPeerPort } : wanted.origin;
+    auto& client = clients[endpoint.toString()];
+    if (!client)
+        client = std::make_unique<Http::KeptClient>(m_context.get_executor(), endpoint);
+    Http::HttpRequest request;
+    if (agent)
+        request.target = piecePathOf(wanted.model, wanted.declared.version, piece);
+    else
+        request = m_protocol.pieceRequest(wanted.model, wanted.declared.version, piece);
+    auto answer = co_await client->call(std::move(request), agent ? agentTimeout : originTimeout);
+    std::string problem;
+    if (!Base::succeeded(answer)) {
+        problem = Base::errorOf(answer).describe();
         if (agent)
-            request.target = piecePathOf(wanted.model, wanted.declared.version, piece);
-        else
-            request = m_protocol.pieceRequest(wanted.model, wanted.declared.version, piece);
-        auto answer = co_await client->call(std::move(request), agent ? agentTimeout : originTimeout);
-        if (!Base::succeeded(answer) || Base::valueOf(answer).status != 200) {
-            if (attempt > 0)
-                Observability::logEvent(Events::pieceUnavailable, { { "piece", piece }, { "source", endpoint.toString() }, { "attempt", attempt }, { "problem", Base::succeeded(answer) ? std::to_string(Base::valueOf(answer).status) : Base::errorOf(answer).describe() } });
+            m_sources.noteUnreachable(agent->address, m_clock.now());
+    } else if (Base::valueOf(answer).status != 200) {
+        problem = "status " + std::to_string(Base::valueOf(answer).status);
+    } else if (!m_checklist->matches(piece, Base::valueOf(answer).body)) {
+        Observability::logEvent(Events::pieceRejected, { { "piece", piece }, { "version", wanted.declared.version }, { "source", endpoint.toString() } });
+        co_return std::nullopt;
+    }
+    if (!problem.empty()) {
+        Observability::logEvent(Events::pieceUnavailable, { { "piece", piece }, { "version", wanted.declared.version }, { "source", endpoint.toString() }, { "problem", problem } });
+        co_return std::nullopt;
+    }
+    if (agent)
+        m_sources.noteReached(agent->address);
+    co_return Base::takeValue(std::move(answer)).body;
+}
+
+asio::awaitable<bool> StagingNode::storePiece(const Wanted& wanted, unsigned piece, std::string bytes)
+{
+    Http::KeptClient engine(m_context.get_executor(), *m_settings.localEngine);
+    auto stored = co_await engine.call(m_protocol.storePieceRequest(wanted.model, piece, std::move(bytes)), engineTimeout);
+    bool isStored = Base::succeeded(stored) && Base::valueOf(stored).status / 100 == 2;
+    if (!isStored)
+        Observability::logEvent(Events::pieceUnavailable, { { "piece", piece }, { "source", "engine" }, { "problem", Base::succeeded(stored) ? "status " + std::to_string(Base::valueOf(stored).status) : Base::errorOf(stored).describe() } });
+    co_return isStored;
+}
+
+asio::awaitable<bool> StagingNode::fetchPiece(const Wanted& wanted, unsigned piece, ClientsByAddress& clients)
+{
+    // The piece is put back into the queue then, so that others are tried meanwhile.
+    constexpr unsigned maximumAttempts = 4;
+    for (unsigned attempt = 0; attempt < maximumAttempts && isStillWanted(wanted); ++attempt) {
+        auto source = Queries::chooseSource(reachableAgents(wanted), m_settings, std::to_string(wanted.declared.version), piece, attempt);
+        auto bytes = co_await askSource(wanted, piece, source, clients);
+        if (!bytes) {
             co_await sleepFor(fetchRetryDelay);
             continue;
         }
-        auto bytes = Base::takeValue(std::move(answer)).body;
-        if (!m_checklist->matches(piece, bytes)) {
-            Observability::logEvent(Events::pieceRejected, { { "piece", piece }, { "version", wanted.declared.version }, { "source", endpoint.toString() } });
+        bool isStored = co_await storePiece(wanted, piece, std::move(*bytes));
+        if (!isStored) {
+            co_await sleepFor(fetchRetryDelay);
             continue;
         }
-        Http::KeptClient engine(m_context.get_executor(), *m_settings.localEngine);
-        auto stored = co_await engine.call(m_protocol.storePieceRequest(wanted.model, piece, std::move(bytes)), engineTimeout);
-        if (Base::succeeded(stored) && Base::valueOf(stored).status / 100 == 2) {
-            m_checklist->markPresent(piece);
-            co_return true;
-        }
-        Observability::logEvent(Events::pieceUnavailable, { { "piece", piece }, { "source", "engine" }, { "problem", Base::succeeded(stored) ? std::to_string(Base::valueOf(stored).status) : Base::errorOf(stored).describe() } });
-        co_await sleepFor(fetchRetryDelay);
+        m_checklist->markPresent(piece);
+        co_return true;
     }
     co_return false;
 }
@@ -354,14 +402,23 @@
         Observability::logEvent(Events::weightsLoaded, { { "model", wanted.model }, { "version", wanted.declared.version } });
 }
 
+bool StagingNode::mayGive(uint64_t version, unsigned piece) const
+{
+    if (m_checklist && m_checklist->manifest().version == version)
+        return piece < m_checklist->pieceCount() && m_checklist->isPresent(piece);
+    // An engine that started with its weights holds pieces that this agent has no manifest of.
+    return wholeVersion() == version;
+}
+
 asio::awaitable<Http::HttpResponse> StagingNode::answerPiece(Http::HttpRequest request)
 {
     auto name = parsePiecePath(request.target);
     if (!name)
         co_return Http::HttpResponse { 400, {}, "the path must be /piece/MODEL/VERSION/INDEX" };
-    bool isChecked = m_checklist && m_checklist->manifest().version == name->version && name->piece < m_checklist->pieceCount() && m_checklist->isPresent(name->piece);
-    // An engine that started with its weights holds pieces that this agent has no manifest of.
-    if (!isChecked && wholeVersion() != name->version)
+    auto until = m_clock.now() + longestPieceWait;
+    while (!mayGive(name->version, name->piece) && m_clock.now() < until)
+        co_await sleepFor(pieceWaitInterval);
+    if (!mayGive(name->version, name->piece))
         co_return Http::HttpResponse { 404, {}, "the piece is not here" };
     Http::KeptClient engine(m_context.get_executor(), *m_settings.localEngine);
     auto bytes = co_await readStored(engine, name->model, name->piece);
@@ -369,6 +426,10 @@
         co_return Http::HttpResponse { 404, {}, "the engine does not hold the piece" };
     if (m_checklist && m_checklist->manifest().version == name->version && !m_checklist->matches(name->piece, *bytes))
         co_return Http::HttpResponse { 404, {}, "the piece has turned bad here" };
+    auto turn = m_uploads.reserve(bytes->size(), m_clock.now());
+    if (!turn)
+        co_return Http::HttpResponse { 503, {}, "too many pieces are to be sent" };
+    co_await sleepFor(std::chrono::duration_cast<std::chrono::milliseconds>(*turn));
     co_return Http::HttpResponse { 200, { { "Content-Type", "application/octet-stream" } }, std::move(*bytes) };
 }
 
--- a/Source/Staging/StagingNode.h
+++ b/Source/Staging/StagingNode.h
@@ -8,6 +8,8 @@
 #include "Staging/EngineProtocol.h"
 #include "Staging/PieceChecklist.h"
 #include "Staging/Queries/ChooseSource.h"
+#include "Staging/SourceHealth.h"
+#include "Staging/UploadPacer.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -40,6 +42,8 @@
         Http::Endpoint origin;
     };
 
+    using ClientsByAddress = std::map<std::string, std::unique_ptr<Http::KeptClient>>;
+
     boost::asio::awaitable<void> watchEngine();
     boost::asio::awaitable<void> keepWeights();
     boost::asio::awaitable<void> bring(const Wanted&);
@@ -47,7 +51,12 @@
     boost::asio::awaitable<void> checkStoredPieces();
     boost::asio::awaitable<void> fetchMissing(const Wanted&);
     boost::asio::awaitable<void> fetchPieces(const Wanted&, std::shared_ptr<std::vector<unsigned>> queue, std::shared_ptr<unsigned> running);
-    boost::asio::awaitable<bool> fetchPiece(const Wanted&, unsigned piece, std::map<std::string, std::unique_ptr<Http::KeptClient>>& clients);
+    boost::asio::awaitable<bool> fetchPiece(const Wanted&, unsigned piece, ClientsByAddress&);
+    boost::asio::awaitable<std::optional<std::string>> askSource(const Wanted&, unsigned piece, const Queries::PieceSource&, ClientsByAddress&);
+    boost::asio::awaitable<bool> storePiece(const Wanted&, unsigned piece, std::string bytes);
+    std::vector<unsigned> missingByDuty(const Wanted&) const;
+    std::vector<Queries::SourceAgent> reachableAgents(const Wanted&) const;
+    bool mayGive(uint64_t version, unsigned piece) const;
     boost::asio::awaitable<void> load(const Wanted&);
     boost::asio::awaitable<void> sleepFor(std::chrono::milliseconds);
     boost::asio::awaitable<std::optional<std::string>> readStored(Http::KeptClient&, const std::string& model, unsigned piece);
@@ -70,6 +79,8 @@
     uint64_t m_checkedEngineStart = 0;
     // Routers are told to send nothing: the engine is about to load.
     bool m_paused = false;
+    SourceHealth m_sources;
+    UploadPacer m_uploads;
 };
 
 } // namespace Lavenderloft::Staging
