--- a/Source/Dispatch/Queries/DecideRepeat.cpp
+++ b/Source/Dispatch/Queries/DecideRepeat.cpp
@@ -9,6 +9,23 @@
 
 } // namespace
 
+std::string_view attemptEndName(AttemptEnd end)
+{
+    switch (end) {
+    case AttemptEnd::NotSent:
+        return "not_sent";
+    case AttemptEnd::NotExecuted:
+        return "not_executed";
+    case AttemptEnd::Broken:
+        return "broken";
+    case AttemptEnd::Silent:
+        return "silent";
+    case AttemptEnd::ErrorAnswer:
+        return "error_answer";
+    }
+    return "unknown";
+}
+
 bool mayRepeat(const Fleet::Route& route, const RequestHistory& history, AttemptEnd end)
 {
     if (history.attempts >= maximumAttemptsOfAnyKind)
--- a/Source/Dispatch/Queries/DecideRepeat.h
+++ b/Source/Dispatch/Queries/DecideRepeat.h
@@ -2,6 +2,8 @@
 
 #include "Fleet/Configuration.h"
 
+#include <string_view>
+
 namespace Lavenderloft::Dispatch::Queries {
 
 // How the last attempt of a request ended, as far as it matters for sending it again.
@@ -18,6 +20,9 @@
     ErrorAnswer,
 };
 
+// Name of the end in logs.
+std::string_view attemptEndName(AttemptEnd);
+
 // What a request has been through.
 struct RequestHistory {
     // Attempts that may have run.
--- a/Source/Dispatch/Queries/FindCandidates.cpp
+++ b/Source/Dispatch/Queries/FindCandidates.cpp
@@ -10,8 +10,8 @@
 
     using namespace std::chrono_literals;
 
-    // Old weights are given up so long before the bound, to leave time for the way to the engine.
-    constexpr std::chrono::milliseconds weightsMargin = 800ms;
+    // Old weights are given up so long before the bound: a request may wait at the engine before it begins.
+    constexpr std::chrono::milliseconds weightsMargin = 1200ms;
 
     bool contains(const std::vector<std::string>& texts, const std::string& text)
     {
--- a/Source/Proxy/ConnectionPool.h
+++ b/Source/Proxy/ConnectionPool.h
@@ -14,7 +14,7 @@
 public:
     // Where a target does not say how long it keeps an idle connection, this is assumed.
     static constexpr std::chrono::seconds defaultKeepAlive { 4 };
-    static constexpr size_t maximumIdlePerTarget = 16;
+    static constexpr size_t maximumIdlePerTarget = 6;
 
     // The connection that was used last, if one is left that looks alive and has been idle for no longer.
     std::unique_ptr<TargetConnection> take(const std::string& targetId, Base::Duration longestIdle, Base::TimePoint now);
--- a/Source/Proxy/RequestRun.cpp
+++ b/Source/Proxy/RequestRun.cpp
@@ -217,7 +217,7 @@
         m_traits.triedTargets.push_back(lease.target->entry.id);
         bool repeat = m_traits.deadline > m_context.clock.now() && Dispatch::Queries::mayRepeat(*m_traits.route, m_history, lastEnd);
         if (Observability::isLogged(Events::attemptFailed)) {
-            Observability::logEvent(Events::attemptFailed, { { "request", m_head.requestId }, { "target", lease.target->entry.id }, { "end", static_cast<int>(lastEnd) }, { "attempts", m_history.attempts }, { "runs", m_history.runs }, { "repeat", repeat } });
+            Observability::logEvent(Events::attemptFailed, { { "request", m_head.requestId }, { "target", lease.target->entry.id }, { "end", Dispatch::Queries::attemptEndName(lastEnd) }, { "status", attempted.status }, { "attempts", m_history.attempts }, { "runs", m_history.runs }, { "repeat", repeat } });
         }
         if (!repeat) {
             co_await fail(lastEnd);
@@ -245,13 +245,13 @@
     return request;
 }
 
-RequestRun::AttemptOutcome RequestRun::failed(AttemptEnd end) const
+RequestRun::AttemptOutcome RequestRun::failed(AttemptEnd end, unsigned status) const
 {
     switch (end) {
     case AttemptEnd::NotExecuted:
-        return { false, end, AttemptResult::Rejected };
+        return { false, end, AttemptResult::Rejected, status };
     case AttemptEnd::ErrorAnswer:
-        return { false, end, AttemptResult::ErrorAnswer };
+        return { false, end, AttemptResult::ErrorAnswer, status };
     case AttemptEnd::Silent:
         // The time that the caller left may be too short to blame the target.
         return { false, end, m_context.clock.now() >= m_traits.deadline ? AttemptResult::Abandoned : AttemptResult::Failed };
@@ -304,16 +304,16 @@
             if (failure)
                 break;
         }
-        co_return failed(AttemptEnd::NotExecuted);
+        co_return failed(AttemptEnd::NotExecuted, answer.status);
     }
     bool isSuccess = answer.status >= 200 && answer.status < 300;
     // A success without a seal is not the target's, and a promise without the mark is not to be passed on.
     if ((isSuccess && !answer.head.sealed) || promisesNotExecuted(answer.status))
-        co_return failed(AttemptEnd::ErrorAnswer);
+        co_return failed(AttemptEnd::ErrorAnswer, answer.status);
     if (answer.status >= 500 && Dispatch::Queries::mayRepeat(*m_traits.route, m_history, AttemptEnd::ErrorAnswer))
-        co_return failed(AttemptEnd::ErrorAnswer);
+        co_return failed(AttemptEnd::ErrorAnswer, answer.status);
     if (m_headSent && !isSuccess)
-        co_return failed(AttemptEnd::ErrorAnswer);
+        co_return failed(AttemptEnd::ErrorAnswer, answer.status);
     if (isSuccess && m_traits.route->kind == Fleet::RequestKind::Stream)
         co_return co_await relayEvents(exchange);
     co_return co_await relayWhole(exchange);
--- a/Source/Proxy/RequestRun.h
+++ b/Source/Proxy/RequestRun.h
@@ -32,6 +32,8 @@
         bool finished = false;
         AttemptEnd end = AttemptEnd::Broken;
         Dispatch::Commands::AttemptResult result {};
+        // Status of the target's answer, if there was one.
+        unsigned status = 0;
     };
 
     // Finds route and organisation. Returns false if the request was answered with a denial.
@@ -46,7 +48,7 @@
     boost::asio::awaitable<AttemptOutcome> relayEvents(TargetExchange&);
     Http::HttpRequest forwardedRequest(const Dispatch::Lease&) const;
 
-    AttemptOutcome failed(AttemptEnd) const;
+    AttemptOutcome failed(AttemptEnd, unsigned status = 0) const;
     AttemptOutcome finishedAs(Dispatch::Commands::AttemptResult) const;
 
     boost::asio::awaitable<bool> writeToCaller(std::string_view bytes);
--- a/Source/Staging/Queries/ChooseSource.cpp
+++ b/Source/Staging/Queries/ChooseSource.cpp
@@ -18,16 +18,13 @@
         return addresses;
     }
 
-    // The agent among the others and this one that has the duty for the key.
-    std::string ownerAmong(std::vector<std::string> addresses, const Fleet::NodeSettings& settings, const std::string& key)
+    // The agent among the others and this one that has the duty for the piece. Pieces are dealt in turn, so
+    // that no agent has many more than another.
+    std::string ownerAmong(std::vector<std::string> addresses, const Fleet::NodeSettings& settings, const std::string& version, unsigned piece)
     {
         addresses.push_back(settings.address);
-        return Base::chooseMember(key, addresses);
-    }
-
-    std::string pieceKey(const std::string& version, unsigned piece)
-    {
-        return version + "/" + std::to_string(piece);
+        auto ranked = Base::rankMembers(version, std::move(addresses));
+        return ranked[piece % ranked.size()];
     }
 
 } // namespace
@@ -50,35 +47,33 @@
 
 PieceDuty dutyFor(const std::vector<SourceAgent>& others, const Fleet::NodeSettings& settings, const std::string& version, unsigned piece)
 {
-    auto key = pieceKey(version, piece);
-    if (ownerAmong(addressesOf(others, &settings.region, false), settings, key) != settings.address)
-        return PieceDuty::None;
-    if (ownerAmong(addressesOf(others, nullptr, false), settings, key) != settings.address)
+    if (ownerAmong(addressesOf(others, nullptr, false), settings, version, piece) == settings.address)
+        return PieceDuty::ForFleet;
+    if (ownerAmong(addressesOf(others, &settings.region, false), settings, version, piece) == settings.address)
         return PieceDuty::ForRegion;
-    return PieceDuty::ForFleet;
+    return PieceDuty::None;
 }
 
 PieceSource chooseSource(const std::vector<SourceAgent>& others, const Fleet::NodeSettings& settings, const std::string& version, unsigned piece, unsigned attempt)
 {
-    auto key = pieceKey(version, piece);
     // Engines that have loaded the version are sources at once, those of the region first.
     auto holders = addressesOf(others, &settings.region, true);
     if (holders.empty())
         holders = addressesOf(others, nullptr, true);
     if (!holders.empty()) {
         // Each receiver has an order of its own, which spreads the load over the holders.
-        auto ranked = Base::rankMembers(key + "/" + settings.address, holders);
+        auto ranked = Base::rankMembers(version + "/" + std::to_string(piece) + "/" + settings.address, holders);
         return FromAgent { ranked[attempt % ranked.size()] };
     }
     switch (dutyFor(others, settings, version, piece)) {
     case PieceDuty::ForFleet:
         return FromOrigin {};
     case PieceDuty::ForRegion:
-        return FromAgent { ownerAmong(addressesOf(others, nullptr, false), settings, key) };
+        return FromAgent { ownerAmong(addressesOf(others, nullptr, false), settings, version, piece) };
     case PieceDuty::None:
         break;
     }
-    return FromAgent { ownerAmong(addressesOf(others, &settings.region, false), settings, key) };
+    return FromAgent { ownerAmong(addressesOf(others, &settings.region, false), settings, version, piece) };
 }
 
 } // namespace Lavenderloft::Staging::Queries
--- a/Source/Staging/Queries/PlanLoad.cpp
+++ b/Source/Staging/Queries/PlanLoad.cpp
@@ -11,8 +11,8 @@
     // Groups of engines that load one after the other.
     constexpr unsigned turns = 3;
     // Parts of the bound for new weights: when the first turn begins, and the length of each.
-    constexpr double firstTurnShare = 0.46;
-    constexpr double turnShare = 0.13;
+    constexpr double firstTurnShare = 0.41;
+    constexpr double turnShare = 0.12;
 
 } // namespace
 
