--- a/Source/Dispatch/BoundedWaitPolicy.cpp
+++ b/Source/Dispatch/BoundedWaitPolicy.cpp
@@ -12,7 +12,7 @@
     constexpr double waitShare = 0.35;
     // Requests beyond the slots of a plain target that it may queue itself.
     constexpr unsigned plainQueueFactor = 2;
-    constexpr std::chrono::milliseconds shortestRetryAfter = 200ms;
+    constexpr std::chrono::milliseconds shortestRetryAfter = 500ms;
     constexpr std::chrono::milliseconds longestRetryAfter = 2000ms;
 
 } // namespace
--- a/Source/Dispatch/Commands/AcquireTarget.cpp
+++ b/Source/Dispatch/Commands/AcquireTarget.cpp
@@ -14,7 +14,7 @@
     // With less time left no answer can be expected.
     constexpr std::chrono::milliseconds shortestUsefulTime = 20ms;
     // A place is looked for again after this time where no target can be used now.
-    constexpr std::chrono::milliseconds noTargetRetryAfter = 1000ms;
+    constexpr std::chrono::milliseconds noTargetRetryAfter = 1800ms;
 
     void insertByUrgency(std::list<WaitingRequest>& waiting, WaitingRequest request)
     {
--- a/Source/Dispatch/Commands/RecordOutcome.cpp
+++ b/Source/Dispatch/Commands/RecordOutcome.cpp
@@ -20,6 +20,8 @@
     constexpr std::chrono::milliseconds longestAvoidance = 4000ms;
     // A target that is full is left alone until its load is likely to have changed.
     constexpr std::chrono::milliseconds fullAvoidance = 60ms;
+    // Its entry is out of date; a new one comes within about a heartbeat.
+    constexpr std::chrono::milliseconds misdirectedAvoidance = 700ms;
     // One failure may be chance; from this many in a row on, a target is avoided.
     constexpr unsigned toleratedFailures = 1;
     constexpr std::chrono::seconds rateWindow = 2s;
@@ -43,6 +45,9 @@
         case AttemptResult::Rejected:
             runtime.avoidUntil = std::max(runtime.avoidUntil, now + fullAvoidance);
             return;
+        case AttemptResult::Misdirected:
+            runtime.avoidUntil = std::max(runtime.avoidUntil, now + misdirectedAvoidance);
+            return;
         case AttemptResult::Failed:
             noteFailure(runtime, now);
             [[fallthrough]];
@@ -71,6 +76,8 @@
         auto& runtime = service.targets[targetId];
         if (runtime.underWay > 0)
             --runtime.underWay;
+        if (result == AttemptResult::Served)
+            runtime.retainedPlaces.push_back(now + TargetRuntime::placeRetention);
         noteResult(runtime, result, now);
         countCompletion(service, now);
         serveQueue(state, service, now);
@@ -83,6 +90,7 @@
         auto& runtime = service.targets[targetId];
         auto total = report.running + report.queued;
         runtime.underWayElsewhere = total > runtime.underWay ? total - runtime.underWay : 0;
+        runtime.grantsLeft = report.granted;
         runtime.report = report;
         runtime.reportedAt = now;
         if (!service.waiting.empty())
--- a/Source/Dispatch/Commands/RecordOutcome.h
+++ b/Source/Dispatch/Commands/RecordOutcome.h
@@ -9,6 +9,8 @@
     Served,
     // The target said that it did not run the request.
     Rejected,
+    // Another target has the address, or it lacks what the request needs.
+    Misdirected,
     // The target did not answer, or not as it should.
     Failed,
     // The target answered with an error of its own.
--- a/Source/Dispatch/Commands/ServeQueue.cpp
+++ b/Source/Dispatch/Commands/ServeQueue.cpp
@@ -27,6 +27,17 @@
         runtime.coldTokens -= 1;
     }
 
+    // A place of this router's own is used before one that was dealt to it.
+    void takeSharedPlace(TargetRuntime& runtime, Base::TimePoint now)
+    {
+        while (!runtime.retainedPlaces.empty() && runtime.retainedPlaces.front() <= now)
+            runtime.retainedPlaces.pop_front();
+        if (!runtime.retainedPlaces.empty())
+            runtime.retainedPlaces.pop_front();
+        else if (runtime.grantsLeft > 0)
+            --runtime.grantsLeft;
+    }
+
 } // namespace
 
 std::optional<Lease> takePlace(DispatchState& state, ServiceState& service, const RequestTraits& traits, Base::TimePoint now)
@@ -38,6 +49,7 @@
     auto& runtime = service.targets[chosen.target->entry.id];
     takeColdToken(state, traits.service, *chosen.target, runtime, now);
     ++runtime.underWay;
+    takeSharedPlace(runtime, now);
     Lease lease { chosen.target, std::nullopt, chosen.occupancy, {} };
     if (candidates.checkWeights)
         lease.expectedWeights = chosen.weights;
--- a/Source/Dispatch/Queries/FindCandidates.cpp
+++ b/Source/Dispatch/Queries/FindCandidates.cpp
@@ -88,6 +88,21 @@
         uint64_t m_oldestWeights = 0;
     };
 
+    // Whether a request may be begun at the target. Routers share the places of an engine: while many are
+    // free, each takes what it needs; the last ones are dealt by the agent, so that routers do not take the
+    // same one at once. Without news of the agent a router keeps to its share.
+    bool hasPlace(const DispatchState& state, const Candidate& candidate, const TargetRuntime* runtime, bool isEngine, Base::TimePoint now)
+    {
+        if (!isEngine)
+            return candidate.occupancy < candidate.slots;
+        auto routers = state.routerCount();
+        if (!runtime || !runtime->hasReport(now))
+            return (runtime ? runtime->underWay : 0) < std::max(1u, candidate.slots / routers);
+        if (candidate.occupancy + routers <= candidate.slots)
+            return true;
+        return runtime->grantsLeft > 0 || runtime->hasRetainedPlace(now);
+    }
+
 } // namespace
 
 uint64_t oldestUsableWeights(const Fleet::FleetSnapshot& snapshot, const std::string& model, std::chrono::milliseconds bound, Base::TimePoint now)
@@ -132,7 +147,7 @@
         candidate.failureShare = runtime ? runtime->failureShare : 0;
         ++set.usable;
         set.places += candidate.slots;
-        if (candidate.occupancy < candidate.slots && filter.hasColdRate(*target, runtime))
+        if (hasPlace(state, candidate, runtime, filter.isEngine(), now) && filter.hasColdRate(*target, runtime))
             set.free.push_back(std::move(candidate));
     }
     return set;
--- a/Source/Dispatch/RetryLedger.cpp
+++ b/Source/Dispatch/RetryLedger.cpp
@@ -21,6 +21,22 @@
     return slice;
 }
 
+bool RetryLedger::isInWindow(const Slice& slice, int64_t newest) const
+{
+    return slice.index >= 0 && slice.index <= newest && newest - slice.index <= static_cast<int64_t>(slices);
+}
+
+double RetryLedger::requestsPerSecond(Base::TimePoint now) const
+{
+    auto newest = indexAt(now);
+    double requests = 0;
+    for (auto& slice : m_slices) {
+        if (isInWindow(slice, newest))
+            requests += slice.requests;
+    }
+    return requests / std::chrono::duration<double>(m_sliceLength * static_cast<int>(slices)).count();
+}
+
 void RetryLedger::countRequest(Base::TimePoint now)
 {
     ++sliceAt(now).requests;
@@ -32,7 +48,7 @@
     double requests = 0;
     double repeats = 0;
     for (auto& slice : m_slices) {
-        if (slice.index < 0 || slice.index > newest || newest - slice.index > static_cast<int64_t>(slices))
+        if (!isInWindow(slice, newest))
             continue;
         requests += slice.requests;
         repeats += slice.repeats;
--- a/Source/Dispatch/RetryLedger.h
+++ b/Source/Dispatch/RetryLedger.h
@@ -23,6 +23,9 @@
 
     void countRequest(Base::TimePoint now);
 
+    // Requests a second over the window.
+    double requestsPerSecond(Base::TimePoint now) const;
+
     // Counts a repeat if the allowance has room for it.
     bool tryRepeat(const RetryAllowance&, Base::TimePoint now);
 
@@ -37,6 +40,7 @@
 
     Slice& sliceAt(Base::TimePoint now);
     int64_t indexAt(Base::TimePoint now) const;
+    bool isInWindow(const Slice&, int64_t newest) const;
 
     Base::Duration m_sliceLength;
     std::array<Slice, slices + 1> m_slices;
--- a/Source/Dispatch/TargetRuntime.h
+++ b/Source/Dispatch/TargetRuntime.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 
 namespace Lavenderloft::Dispatch {
 
@@ -15,12 +16,17 @@
     uint64_t wholeVersion = 0;
     // The engine is about to load weights and takes nothing new.
     bool paused = false;
+    // Requests that this router may begin there until the next report.
+    unsigned granted = 0;
 };
 
 // What this router knows of one target beside its entry.
 struct TargetRuntime {
     // A report older than this says nothing any more.
     static constexpr std::chrono::milliseconds reportLifetime { 1000 };
+    // A place that a request of this router gave back stays with the router for this time; the agent deals
+    // it to others only later.
+    static constexpr std::chrono::milliseconds placeRetention { 90 };
 
     // Requests of this router at the target.
     unsigned underWay = 0;
@@ -28,6 +34,10 @@
     unsigned underWayElsewhere = 0;
     TargetReport report;
     Base::TimePoint reportedAt {};
+    // Requests that may still be begun under the last report.
+    unsigned grantsLeft = 0;
+    // Ends of the retention of places that were given back, the oldest first.
+    std::deque<Base::TimePoint> retainedPlaces;
     // Failures without a success in between.
     unsigned consecutiveFailures = 0;
     // Moving share of attempts that failed, 0 to 1.
@@ -40,6 +50,8 @@
     bool hasReport(Base::TimePoint now) const { return reportedAt != Base::TimePoint() && now - reportedAt < reportLifetime; }
 
     unsigned occupancy(Base::TimePoint now) const { return underWay + (hasReport(now) ? underWayElsewhere : 0); }
+
+    bool hasRetainedPlace(Base::TimePoint now) const { return !retainedPlaces.empty() && retainedPlaces.back() > now; }
 };
 
 } // namespace Lavenderloft::Dispatch
--- a/Source/Peering/Commands/RecordPeer.cpp
+++ b/Source/Peering/Commands/RecordPeer.cpp
@@ -23,8 +23,10 @@
         if (known.heardAt > router.heardAt)
             return;
         auto revision = std::max(known.revision, router.revision);
+        auto demand = router.demand > 0 ? router.demand : known.demand;
         known = router;
         known.revision = revision;
+        known.demand = demand;
     });
 }
 
--- a/Source/Peering/PeerTable.h
+++ b/Source/Peering/PeerTable.h
@@ -19,6 +19,8 @@
     Base::TimePoint heardAt {};
     // Revision that the router itself named last.
     uint64_t revision = 0;
+    // Requests for engines that the router gets in a second; zero while it has not said so itself.
+    double demand = 0;
 };
 
 // An agent that reports to this router.
--- a/Source/Peering/PeeringCodec.cpp
+++ b/Source/Peering/PeeringCodec.cpp
@@ -14,6 +14,7 @@
     encoded.set_is_router(message.isRouter);
     encoded.set_leaving(message.leaving);
     encoded.set_revision(message.revision);
+    encoded.set_demand(message.demand);
     for (auto& router : message.routers) {
         auto* known = encoded.add_routers();
         known->set_address(router.address);
@@ -28,6 +29,7 @@
         load->set_queued(message.load->queued);
         load->set_whole_version(message.load->wholeVersion);
         load->set_paused(message.load->paused);
+        load->set_granted(message.load->granted);
     }
     return encoded.SerializeAsString();
 }
@@ -43,11 +45,12 @@
     message.isRouter = encoded.is_router();
     message.leaving = encoded.leaving();
     message.revision = encoded.revision();
+    message.demand = encoded.demand();
     for (auto& router : encoded.routers())
         message.routers.push_back({ router.address(), router.data_centre(), std::chrono::milliseconds(router.age_ms()) });
     if (encoded.has_load()) {
         auto& load = encoded.load();
-        message.load = EngineLoad { load.service(), load.engine_address(), load.running(), load.queued(), load.whole_version(), load.paused() };
+        message.load = EngineLoad { load.service(), load.engine_address(), load.running(), load.queued(), load.whole_version(), load.paused(), load.granted() };
     }
     return message;
 }
--- a/Source/Peering/PeeringCodec.h
+++ b/Source/Peering/PeeringCodec.h
@@ -18,6 +18,8 @@
     unsigned queued = 0;
     uint64_t wholeVersion = 0;
     bool paused = false;
+    // Requests that the receiver may begin there until the next message.
+    unsigned granted = 0;
 };
 
 // A router that the sender of a message has heard of.
@@ -34,6 +36,8 @@
     bool isRouter = false;
     bool leaving = false;
     uint64_t revision = 0;
+    // Requests for engines that a router gets in a second.
+    double demand = 0;
     std::vector<HeardRouter> routers;
     std::optional<EngineLoad> load;
 };
--- a/Source/Peering/PeeringNode.cpp
+++ b/Source/Peering/PeeringNode.cpp
@@ -86,6 +86,7 @@
     message.sender = m_settings.address;
     message.dataCentre = m_settings.dataCentre;
     message.isRouter = m_isRouter;
+    message.demand = m_demand;
     message.revision = Fleet::Queries::knownRevision(m_intake.fleet());
     return message;
 }
@@ -128,13 +129,15 @@
     }
 }
 
-void PeeringNode::sendLoad(const EngineLoad& load)
+void PeeringNode::sendLoad(const EngineLoad& load, const std::map<std::string, unsigned>& grantsByRouter)
 {
     auto message = describeSelf();
     message.load = load;
-    auto bytes = encodeMessage(message);
-    for (auto& router : Queries::liveRouters(m_peers, m_clock.now()))
-        sendTo(router.address, bytes);
+    for (auto& router : Queries::liveRouters(m_peers, m_clock.now())) {
+        auto granted = grantsByRouter.find(router.address);
+        message.load->granted = granted == grantsByRouter.end() ? 0 : granted->second;
+        sendTo(router.address, encodeMessage(message));
+    }
 }
 
 void PeeringNode::announceLeaving()
@@ -165,25 +168,25 @@
     }
 }
 
-void PeeringNode::noteRouter(const std::string& address, const std::string& dataCentre, std::chrono::milliseconds age, uint64_t revision)
+void PeeringNode::noteRouter(const PeerRouter& router)
 {
-    if (address == m_settings.address)
+    if (router.address == m_settings.address)
         return;
-    if (!m_peers.routers().find(address))
-        Observability::logEvent(Events::routerFound, { { "address", address }, { "data_centre", dataCentre } });
-    Commands::recordRouter(m_peers, { address, dataCentre, m_clock.now() - age, revision });
+    if (!m_peers.routers().find(router.address))
+        Observability::logEvent(Events::routerFound, { { "address", router.address }, { "data_centre", router.dataCentre } });
+    Commands::recordRouter(m_peers, router);
 }
 
 void PeeringNode::handle(const NodeMessage& message)
 {
     for (auto& router : message.routers)
-        noteRouter(router.address, router.dataCentre, router.age, 0);
+        noteRouter({ router.address, router.dataCentre, m_clock.now() - router.age, 0, 0 });
     auto ownRevision = Fleet::Queries::knownRevision(m_intake.fleet());
     if (message.isRouter) {
         if (message.leaving)
             Commands::forgetRouter(m_peers, message.sender);
         else
-            noteRouter(message.sender, message.dataCentre, std::chrono::milliseconds(0), message.revision);
+            noteRouter({ message.sender, message.dataCentre, m_clock.now(), message.revision, message.demand });
         if (message.revision > ownRevision || (!m_fetchedAll && message.revision > 0))
             m_behind.cancel();
         return;
--- a/Source/Peering/PeeringNode.h
+++ b/Source/Peering/PeeringNode.h
@@ -12,6 +12,7 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -31,8 +32,11 @@
 
     void start();
 
-    // Tells all routers the load of the engine beside this node.
-    void sendLoad(const EngineLoad&);
+    // Tells all routers the load of the engine beside this node, and each what it may begin there.
+    void sendLoad(const EngineLoad&, const std::map<std::string, unsigned>& grantsByRouter);
+
+    // Sets the number of requests for engines that this router gets in a second.
+    void setDemand(double requestsPerSecond) { m_demand = requestsPerSecond; }
 
     // Tells the other nodes that this one is about to end.
     void announceLeaving();
@@ -53,7 +57,7 @@
     void handle(const NodeMessage&);
     NodeMessage describeSelf() const;
     void sendTo(const std::string& address, const std::string& bytes);
-    void noteRouter(const std::string& address, const std::string& dataCentre, std::chrono::milliseconds age, uint64_t revision);
+    void noteRouter(const PeerRouter&);
 
     boost::asio::io_context& m_context;
     const Fleet::NodeSettings& m_settings;
@@ -67,6 +71,7 @@
     // Everything was fetched from another router once, which tells the age of what stands in the store.
     bool m_fetchedAll = false;
     LoadHandler m_onLoad;
+    double m_demand = 0;
 };
 
 } // namespace Lavenderloft::Peering
--- a/Source/Process/FleetAgent.cpp
+++ b/Source/Process/FleetAgent.cpp
@@ -1,5 +1,6 @@
 #include "Process/FleetAgent.h"
 
+#include "Base/SeededRandom.h"
 #include "Base/SystemClock.h"
 #include "Fleet/Commands/ApplyItems.h"
 #include "Http/NodeServer.h"
@@ -35,10 +36,11 @@
     public:
         FleetAgent(const Fleet::NodeSettings& settings, const NodePlatform& platform)
             : m_settings(settings)
+            , m_random(Base::SeededRandom::fromDevice())
             , m_pool(1)
             , m_intake(m_fleet, platform.publications(), m_clock)
             , m_peering(m_pool.context(0), m_settings, m_peers, m_intake, m_clock, false)
-            , m_staging(m_pool.context(0), m_settings, m_fleet, platform.engines(), m_peering, m_clock)
+            , m_staging(m_pool.context(0), m_settings, m_fleet, platform.engines(), m_peering, m_peers, m_clock, m_random)
             , m_signals(m_pool.context(0), SIGTERM, SIGINT)
             , m_reload(platform)
             , m_startedAt(m_clock.now())
@@ -100,6 +102,7 @@
 
         Fleet::NodeSettings m_settings;
         Base::SystemClock m_clock;
+        Base::SeededRandom m_random;
         Http::WorkerPool m_pool;
         Fleet::FleetState m_fleet;
         Peering::ItemIntake m_intake;
--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -6,6 +6,7 @@
 #include "Dispatch/Commands/AcquireTarget.h"
 #include "Dispatch/Commands/RecordOutcome.h"
 #include "Dispatch/LeastOccupiedPolicy.h"
+#include "Dispatch/Queries/EngineDemand.h"
 #include "Fleet/Commands/ApplyItems.h"
 #include "Fleet/Queries/ReadFleet.h"
 #include "Http/NodeServer.h"
@@ -125,7 +126,7 @@
             for (auto& target : targets->second) {
                 if (target->entry.address.toString() != load.engineAddress)
                     continue;
-                Dispatch::TargetReport report { load.running, load.queued, load.wholeVersion, load.paused };
+                Dispatch::TargetReport report { load.running, load.queued, load.wholeVersion, load.paused, load.granted };
                 Dispatch::Commands::recordReport(m_dispatch, load.service, target->entry.id, report, m_clock.now());
             }
         }
@@ -152,6 +153,7 @@
                 auto now = m_clock.now();
                 Fleet::Commands::expireDeletions(m_fleet, now);
                 Dispatch::Commands::forgetGoneTargets(m_dispatch);
+                m_peering.setDemand(Dispatch::Queries::engineDemand(m_dispatch, now));
                 m_dispatch.setRouterCount(static_cast<unsigned>(Peering::Queries::countPossibleRouters(m_peers)) + 1);
                 for (auto& worker : m_workers)
                     asio::post(worker->context, [&connections = worker->connections, now] { connections.closeExpired(now); });
--- a/Source/Proxy/RequestRun.cpp
+++ b/Source/Proxy/RequestRun.cpp
@@ -36,6 +36,7 @@
     // Stands for "no region", because an empty list allows all.
     const std::string noRegion;
     constexpr int leastUrgentPriority = 9;
+    constexpr unsigned misdirectedStatus = 421;
 
     std::string_view pathOf(std::string_view target)
     {
@@ -249,7 +250,7 @@
 {
     switch (end) {
     case AttemptEnd::NotExecuted:
-        return { false, end, AttemptResult::Rejected, status };
+        return { false, end, status == misdirectedStatus ? AttemptResult::Misdirected : AttemptResult::Rejected, status };
     case AttemptEnd::ErrorAnswer:
         return { false, end, AttemptResult::ErrorAnswer, status };
     case AttemptEnd::Silent:
--- a/Source/Staging/StagingNode.cpp
+++ b/Source/Staging/StagingNode.cpp
@@ -4,7 +4,9 @@
 #include "Fleet/Queries/ReadFleet.h"
 #include "Observability/Log.h"
 #include "Staging/Events.h"
+#include "Peering/Queries/ListPeers.h"
 #include "Staging/Queries/PlanLoad.h"
+#include "Staging/Queries/ShareGrants.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -76,13 +78,15 @@
 
 } // namespace
 
-StagingNode::StagingNode(asio::io_context& context, const Fleet::NodeSettings& settings, const Fleet::FleetState& fleet, const EngineProtocol& protocol, Peering::PeeringNode& peering, const Base::Clock& clock)
+StagingNode::StagingNode(asio::io_context& context, const Fleet::NodeSettings& settings, const Fleet::FleetState& fleet, const EngineProtocol& protocol, Peering::PeeringNode& peering, const Peering::PeerTable& peers, const Base::Clock& clock, Base::RandomSource& random)
     : m_context(context)
     , m_settings(settings)
     , m_fleet(fleet)
     , m_protocol(protocol)
     , m_peering(peering)
+    , m_peers(peers)
     , m_clock(clock)
+    , m_random(random)
     , m_uploads(settings.linkBitsPerSecond)
 {
 }
@@ -147,7 +151,25 @@
     load.queued = m_engine->queued;
     load.wholeVersion = wholeVersion();
     load.paused = m_paused || m_engine->busy;
-    m_peering.sendLoad(load);
+    auto free = load.paused ? 0 : freePlaces();
+    auto routers = Peering::Queries::liveRouters(m_peers, m_clock.now());
+    m_peering.sendLoad(load, Queries::shareGrants(std::min(free, m_formerlyFree), routers, m_settings.dataCentre, m_random));
+    m_formerlyFree = free;
+}
+
+// Requests that the engine could begin now beside those it has.
+unsigned StagingNode::freePlaces() const
+{
+    auto snapshot = Fleet::Queries::currentSnapshot(m_fleet);
+    auto targets = snapshot->targetsByService.find(m_settings.localService);
+    if (targets == snapshot->targetsByService.end())
+        return 0;
+    auto taken = m_engine->running + m_engine->queued;
+    for (auto& target : targets->second) {
+        if (target->entry.address == *m_settings.localEngine)
+            return target->entry.slots > taken ? target->entry.slots - taken : 0;
+    }
+    return 0;
 }
 
 std::optional<StagingNode::Wanted> StagingNode::findWanted() const
--- a/Source/Staging/StagingNode.h
+++ b/Source/Staging/StagingNode.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/Clock.h"
+#include "Base/RandomSource.h"
 #include "Fleet/FleetState.h"
 #include "Fleet/NodeSettings.h"
 #include "Http/KeptClient.h"
@@ -24,7 +25,7 @@
 // that lie at the engine to other agents. Runs on one event loop.
 class StagingNode {
 public:
-    StagingNode(boost::asio::io_context&, const Fleet::NodeSettings&, const Fleet::FleetState&, const EngineProtocol&, Peering::PeeringNode&, const Base::Clock&);
+    StagingNode(boost::asio::io_context&, const Fleet::NodeSettings&, const Fleet::FleetState&, const EngineProtocol&, Peering::PeeringNode&, const Peering::PeerTable&, const Base::Clock&, Base::RandomSource&);
 
     void start();
 
@@ -66,19 +67,25 @@
     bool isStillWanted(const Wanted&) const;
     uint64_t wholeVersion() const;
     void report();
+    unsigned freePlaces() const;
 
     boost::asio::io_context& m_context;
     const Fleet::NodeSettings& m_settings;
     const Fleet::FleetState& m_fleet;
     const EngineProtocol& m_protocol;
     Peering::PeeringNode& m_peering;
+    const Peering::PeerTable& m_peers;
     const Base::Clock& m_clock;
+    Base::RandomSource& m_random;
     std::optional<EngineReport> m_engine;
     std::optional<PieceChecklist> m_checklist;
     // Start of the engine for which the checklist was made.
     uint64_t m_checkedEngineStart = 0;
     // Routers are told to send nothing: the engine is about to load.
     bool m_paused = false;
+    // Free places at the report before: a place that a router has just given back is not dealt to others at
+    // once, as that router may use it again.
+    unsigned m_formerlyFree = 0;
     SourceHealth m_sources;
     UploadPacer m_uploads;
 };
