Let views of duties for pieces differ, defer only deletions of the store's first answers

Change: duties by rendezvous hash again; an agent that does not have a duty says so and is left out by the asker, who comes closer to the duty itself; one that has it holds the request. Deletions are deferred only in answers within 0.3 s of the store's return, until 1.9 s after it.

--- a/Source/Fleet/Commands/ApplyItems.cpp
+++ b/Source/Fleet/Commands/ApplyItems.cpp
@@ -55,16 +55,16 @@
         contents.snapshot = std::move(snapshot);
     }
 
-    void removeRecord(Record& record, const PublicationDecoder& decoder, uint64_t revision, bool storeRegained, Base::TimePoint now)
+    void removeRecord(Record& record, const PublicationDecoder& decoder, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil, Base::TimePoint now)
     {
         auto* target = std::get_if<TargetPublished>(&record.publication);
-        bool mayReturn = storeRegained && target && !target->entry.draining && !record.item.deleted && decoder.namesTarget(record.item.key);
+        bool mayReturn = deferDeletionsUntil && target && !target->entry.draining && !record.item.deleted && decoder.namesTarget(record.item.key);
         record.item.revision = revision;
         record.item.deleted = true;
         record.item.value.clear();
         record.learnedAt = now;
         if (mayReturn) {
-            record.lapsesAt = now + FleetState::lapsedEntryGrace;
+            record.lapsesAt = *deferDeletionsUntil;
             return;
         }
         record.lapsesAt.reset();
@@ -94,7 +94,7 @@
             noteDeclaration(contents, *declared, now - item.age);
     }
 
-    void mergeItem(Contents& contents, const PublicationDecoder& decoder, PublishedItem item, bool storeRegained, Base::TimePoint now, AppliedChange& change)
+    void mergeItem(Contents& contents, const PublicationDecoder& decoder, PublishedItem item, const std::optional<Base::TimePoint>& deferDeletionsUntil, Base::TimePoint now, AppliedChange& change)
     {
         auto known = contents.records.find(item.key);
         if (known != contents.records.end() && known->second.item.revision >= item.revision) {
@@ -105,7 +105,7 @@
         if (item.deleted) {
             auto& record = contents.records[item.key];
             record.item.key = item.key;
-            removeRecord(record, decoder, item.revision, storeRegained, now);
+            removeRecord(record, decoder, item.revision, deferDeletionsUntil, now);
             return;
         }
         auto publication = decoder.decode(item);
@@ -125,12 +125,12 @@
 
 } // namespace
 
-AppliedChange applyItems(FleetState& state, const PublicationDecoder& decoder, std::vector<PublishedItem> items, uint64_t revision, bool storeRegained, Base::TimePoint now)
+AppliedChange applyItems(FleetState& state, const PublicationDecoder& decoder, std::vector<PublishedItem> items, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil, Base::TimePoint now)
 {
     return state.withContents([&](Contents& contents) {
         AppliedChange change;
         for (auto& item : items)
-            mergeItem(contents, decoder, std::move(item), storeRegained, now, change);
+            mergeItem(contents, decoder, std::move(item), deferDeletionsUntil, now, change);
         contents.revision = std::max(contents.revision, revision);
         if (change.anything)
             publishSnapshot(contents);
@@ -138,7 +138,7 @@
     });
 }
 
-AppliedChange applyListing(FleetState& state, const PublicationDecoder& decoder, const std::string& prefix, const std::vector<std::string>& listedKeys, uint64_t revision, bool storeRegained, Base::TimePoint now)
+AppliedChange applyListing(FleetState& state, const PublicationDecoder& decoder, const std::string& prefix, const std::vector<std::string>& listedKeys, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil, Base::TimePoint now)
 {
     std::unordered_set<std::string> listed(listedKeys.begin(), listedKeys.end());
     return state.withContents([&](Contents& contents) {
@@ -146,7 +146,7 @@
         for (auto& [key, record] : contents.records) {
             if (!key.starts_with(prefix) || listed.contains(key) || record.item.deleted || record.item.revision > revision)
                 continue;
-            removeRecord(record, decoder, revision, storeRegained, now);
+            removeRecord(record, decoder, revision, deferDeletionsUntil, now);
             change.anything = true;
         }
         if (change.anything)
--- a/Source/Fleet/Commands/ApplyItems.h
+++ b/Source/Fleet/Commands/ApplyItems.h
@@ -16,12 +16,13 @@
 };
 
 // Merges items into the state and publishes a new snapshot if anything changed. `revision` is the
-// revision up to which the source has told everything. Deletions of targets are deferred by the grace for
-// lapsed entries while `storeRegained` holds.
-AppliedChange applyItems(FleetState&, const PublicationDecoder&, std::vector<PublishedItem>, uint64_t revision, bool storeRegained, Base::TimePoint now);
+// revision up to which the source has told everything. Deletions of targets take
+// effect only at `deferDeletionsUntil`, if it is set: entries that lapsed while the store was away may come
+// back until then.
+AppliedChange applyItems(FleetState&, const PublicationDecoder&, std::vector<PublishedItem>, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil, Base::TimePoint now);
 
 // Deletes the keys below the prefix that a complete listing as of `revision` did not name.
-AppliedChange applyListing(FleetState&, const PublicationDecoder&, const std::string& prefix, const std::vector<std::string>& listedKeys, uint64_t revision, bool storeRegained, Base::TimePoint now);
+AppliedChange applyListing(FleetState&, const PublicationDecoder&, const std::string& prefix, const std::vector<std::string>& listedKeys, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil, Base::TimePoint now);
 
 // Puts deferred deletions into effect that are due, and forgets old ones.
 void expireDeletions(FleetState&, Base::TimePoint now);
--- a/Source/Fleet/FleetState.h
+++ b/Source/Fleet/FleetState.h
@@ -17,8 +17,6 @@
 // never replaces a newer one. Changed by Commands/ApplyItems, read by Queries/.
 class FleetState {
 public:
-    // An entry of a target that lapsed while the store was unreachable may come back within this time.
-    static constexpr std::chrono::milliseconds lapsedEntryGrace { 1800 };
     // Deletions are remembered so that a node that lags can't bring a key back.
     static constexpr std::chrono::minutes deletionRetention { 2 };
     static constexpr size_t declarationsPerModel = 8;
--- a/Source/Peering/ItemIntake.cpp
+++ b/Source/Peering/ItemIntake.cpp
@@ -12,14 +12,14 @@
 {
 }
 
-void ItemIntake::apply(std::vector<Fleet::PublishedItem> items, uint64_t revision, bool storeRegained, std::string_view source)
+void ItemIntake::apply(std::vector<Fleet::PublishedItem> items, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil, std::string_view source)
 {
-    report(Fleet::Commands::applyItems(m_fleet, m_decoder, std::move(items), revision, storeRegained, m_clock.now()), revision, source);
+    report(Fleet::Commands::applyItems(m_fleet, m_decoder, std::move(items), revision, deferDeletionsUntil, m_clock.now()), revision, source);
 }
 
-void ItemIntake::applyListing(const std::string& prefix, const std::vector<std::string>& keys, uint64_t revision, bool storeRegained)
+void ItemIntake::applyListing(const std::string& prefix, const std::vector<std::string>& keys, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil)
 {
-    report(Fleet::Commands::applyListing(m_fleet, m_decoder, prefix, keys, revision, storeRegained, m_clock.now()), revision, "store_listing");
+    report(Fleet::Commands::applyListing(m_fleet, m_decoder, prefix, keys, revision, deferDeletionsUntil, m_clock.now()), revision, "store_listing");
 }
 
 void ItemIntake::report(const Fleet::Commands::AppliedChange& change, uint64_t revision, std::string_view source)
--- a/Source/Peering/ItemIntake.h
+++ b/Source/Peering/ItemIntake.h
@@ -3,6 +3,7 @@
 #include "Base/Clock.h"
 #include "Fleet/Commands/ApplyItems.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -13,8 +14,8 @@
 public:
     ItemIntake(Fleet::FleetState&, const Fleet::PublicationDecoder&, const Base::Clock&);
 
-    void apply(std::vector<Fleet::PublishedItem>, uint64_t revision, bool storeRegained, std::string_view source);
-    void applyListing(const std::string& prefix, const std::vector<std::string>& keys, uint64_t revision, bool storeRegained);
+    void apply(std::vector<Fleet::PublishedItem>, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil, std::string_view source);
+    void applyListing(const std::string& prefix, const std::vector<std::string>& keys, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil);
 
     Fleet::FleetState& fleet() { return m_fleet; }
 
--- a/Source/Peering/PeeringNode.cpp
+++ b/Source/Peering/PeeringNode.cpp
@@ -238,7 +238,7 @@
     if (!batch)
         co_return false;
     m_fetchedAll = true;
-    m_intake.apply(std::move(batch->items), batch->revision, false, router.address);
+    m_intake.apply(std::move(batch->items), batch->revision, std::nullopt, router.address);
     co_return true;
 }
 
--- a/Source/Peering/StoreFollower.cpp
+++ b/Source/Peering/StoreFollower.cpp
@@ -24,7 +24,9 @@
     constexpr std::chrono::milliseconds longestBackoff = 1200ms;
     constexpr std::chrono::milliseconds idleCheckInterval = 500ms;
     // Entries that lapsed while the store was away may be missing this long after its return.
-    constexpr std::chrono::milliseconds regainedPeriod = 2000ms;
+    constexpr std::chrono::milliseconds lapsedEntryGrace = 1900ms;
+    // Deletions that are seen later after the return did not happen while the store was away.
+    constexpr std::chrono::milliseconds firstAnswersPeriod = 300ms;
     // Assumed for what stood in the store before this process started.
     constexpr std::chrono::milliseconds unknownAge = 1h;
 
@@ -70,9 +72,12 @@
     }
 }
 
-bool StoreFollower::hasJustRegained() const
+// Entries that lapsed while the store was away show as deletions in its first answers.
+std::optional<Base::TimePoint> StoreFollower::deletionsDeferredUntil() const
 {
-    return m_regainedAt && m_clock.now() - *m_regainedAt < regainedPeriod;
+    if (!m_regainedAt || m_clock.now() - *m_regainedAt > firstAnswersPeriod)
+        return std::nullopt;
+    return *m_regainedAt + lapsedEntryGrace;
 }
 
 // Longest time since the publication of something that is seen only now.
@@ -88,7 +93,7 @@
     if (connected == m_connected)
         return;
     m_connected = connected;
-    if (connected)
+    if (connected && m_completeAt)
         m_regainedAt = m_clock.now();
     Observability::logEvent(connected ? Events::storeReached : Events::storeLost, { { "prefix", m_prefix }, { "reason", reason } });
 }
@@ -126,8 +131,8 @@
     noteConnected(true, "listed");
     m_revision = revision;
     m_completeAt = m_clock.now();
-    m_intake.apply(std::move(items), *revision, hasJustRegained(), "store");
-    m_intake.applyListing(m_prefix, keys, *revision, hasJustRegained());
+    m_intake.apply(std::move(items), *revision, deletionsDeferredUntil(), "store");
+    m_intake.applyListing(m_prefix, keys, *revision, deletionsDeferredUntil());
     co_return true;
 }
 
@@ -154,7 +159,7 @@
     m_completeAt = m_clock.now();
     m_revision = std::max(*m_revision, changes.revision);
     if (!changes.changes.empty())
-        m_intake.apply(changes.changes, *m_revision, hasJustRegained(), "store");
+        m_intake.apply(changes.changes, *m_revision, deletionsDeferredUntil(), "store");
     co_return true;
 }
 
--- a/Source/Peering/StoreFollower.h
+++ b/Source/Peering/StoreFollower.h
@@ -31,7 +31,7 @@
     boost::asio::awaitable<bool> waitForChanges();
     boost::asio::awaitable<void> sleepFor(std::chrono::milliseconds);
     void noteConnected(bool connected, const std::string& reason);
-    bool hasJustRegained() const;
+    std::optional<Base::TimePoint> deletionsDeferredUntil() const;
     std::chrono::milliseconds longestAge() const;
 
     boost::asio::io_context& m_context;
--- a/Source/Process/FleetAgent.cpp
+++ b/Source/Process/FleetAgent.cpp
@@ -27,7 +27,7 @@
 
     using namespace std::chrono_literals;
 
-    constexpr std::chrono::milliseconds housekeepingInterval = 1000ms;
+    constexpr std::chrono::milliseconds housekeepingInterval = 250ms;
     // The store is asked only if no router was heard for so long after the start.
     constexpr std::chrono::milliseconds routerPatience = 2500ms;
 
--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -38,7 +38,7 @@
     constexpr unsigned workerCount = 2;
     // Waiting requests are matched again with targets that became usable without an event of their own.
     constexpr std::chrono::milliseconds queueInterval = 50ms;
-    constexpr std::chrono::milliseconds housekeepingInterval = 1000ms;
+    constexpr std::chrono::milliseconds housekeepingInterval = 250ms;
     // The entry of the platform takes this long to notice that a node is not ready.
     constexpr std::chrono::milliseconds shortestDrain = 3200ms;
     // Counted from the signal to stop: connections without a request are closed, and no request is begun.
--- a/Source/Staging/Queries/ChooseSource.cpp
+++ b/Source/Staging/Queries/ChooseSource.cpp
@@ -18,13 +18,16 @@
         return addresses;
     }
 
-    // The agent among the others and this one that has the duty for the piece. Pieces are dealt in turn, so
-    // that no agent has many more than another.
+    std::string pieceKey(const std::string& version, unsigned piece)
+    {
+        return version + "/" + std::to_string(piece);
+    }
+
+    // The agent with the duty for the piece, this one included.
     std::string ownerAmong(std::vector<std::string> addresses, const Fleet::NodeSettings& settings, const std::string& version, unsigned piece)
     {
         addresses.push_back(settings.address);
-        auto ranked = Base::rankMembers(version, std::move(addresses));
-        return ranked[piece % ranked.size()];
+        return Base::chooseMember(pieceKey(version, piece), addresses);
     }
 
 } // namespace
@@ -45,13 +48,18 @@
     return agents;
 }
 
-PieceDuty dutyFor(const std::vector<SourceAgent>& others, const Fleet::NodeSettings& settings, const std::string& version, unsigned piece)
+std::vector<PieceDuty> dutiesFor(const std::vector<SourceAgent>& others, const Fleet::NodeSettings& settings, const std::string& version, unsigned pieces)
 {
-    if (ownerAmong(addressesOf(others, nullptr, false), settings, version, piece) == settings.address)
-        return PieceDuty::ForFleet;
-    if (ownerAmong(addressesOf(others, &settings.region, false), settings, version, piece) == settings.address)
-        return PieceDuty::ForRegion;
-    return PieceDuty::None;
+    auto everywhere = addressesOf(others, nullptr, false);
+    auto inRegion = addressesOf(others, &settings.region, false);
+    std::vector<PieceDuty> duties(pieces, PieceDuty::None);
+    for (unsigned piece = 0; piece < pieces; ++piece) {
+        if (ownerAmong(everywhere, settings, version, piece) == settings.address)
+            duties[piece] = PieceDuty::ForFleet;
+        else if (ownerAmong(inRegion, settings, version, piece) == settings.address)
+            duties[piece] = PieceDuty::ForRegion;
+    }
+    return duties;
 }
 
 PieceSource chooseSource(const std::vector<SourceAgent>& others, const Fleet::NodeSettings& settings, const std::string& version, unsigned piece, unsigned attempt)
@@ -62,18 +70,14 @@
         holders = addressesOf(others, nullptr, true);
     if (!holders.empty()) {
         // Each receiver has an order of its own, which spreads the load over the holders.
-        auto ranked = Base::rankMembers(version + "/" + std::to_string(piece) + "/" + settings.address, holders);
+        auto ranked = Base::rankMembers(pieceKey(version, piece) + "/" + settings.address, holders);
         return FromAgent { ranked[attempt % ranked.size()] };
     }
-    switch (dutyFor(others, settings, version, piece)) {
-    case PieceDuty::ForFleet:
+    auto fleetOwner = ownerAmong(addressesOf(others, nullptr, false), settings, version, piece);
+    if (fleetOwner == settings.address)
         return FromOrigin {};
-    case PieceDuty::ForRegion:
-        return FromAgent { ownerAmong(addressesOf(others, nullptr, false), settings, version, piece) };
-    case PieceDuty::None:
-        break;
-    }
-    return FromAgent { ownerAmong(addressesOf(others, &settings.region, false), settings, version, piece) };
+    auto regionOwner = ownerAmong(addressesOf(others, &settings.region, false), settings, version, piece);
+    return FromAgent { regionOwner == settings.address ? fleetOwner : regionOwner };
 }
 
 } // namespace Lavenderloft::Staging::Queries
--- a/Source/Staging/Queries/ChooseSource.h
+++ b/Source/Staging/Queries/ChooseSource.h
@@ -41,12 +41,14 @@
     None,
 };
 
-PieceDuty dutyFor(const std::vector<SourceAgent>& others, const Fleet::NodeSettings&, const std::string& version, unsigned piece);
+// Duties of this agent for all pieces of a version, by index.
+std::vector<PieceDuty> dutiesFor(const std::vector<SourceAgent>& others, const Fleet::NodeSettings&, const std::string& version, unsigned pieces);
 
 // From where to fetch a piece on the given attempt, counted from zero. While no engine has loaded the
 // version, one agent of the fleet takes each piece from the origin, one of each other region takes it from
 // there, and the rest from the agent of their region: the origin's link and those between regions carry each
-// piece once. The caller leaves out agents that can't be reached, so that others take over their duties.
+// piece once. The caller leaves out agents that can't be reached or that say that they do not have the duty:
+// views of the fleet differ, and with each agent that is left out the asking one comes closer to the duty.
 PieceSource chooseSource(const std::vector<SourceAgent>& others, const Fleet::NodeSettings&, const std::string& version, unsigned piece, unsigned attempt);
 
 } // namespace Lavenderloft::Staging::Queries
--- a/Source/Staging/StagingNode.cpp
+++ b/Source/Staging/StagingNode.cpp
@@ -3,8 +3,8 @@
 #include "Base/RendezvousHash.h"
 #include "Fleet/Queries/ReadFleet.h"
 #include "Observability/Log.h"
-#include "Staging/Events.h"
 #include "Peering/Queries/ListPeers.h"
+#include "Staging/Events.h"
 #include "Staging/Queries/PlanLoad.h"
 #include "Staging/Queries/ShareGrants.h"
 
@@ -33,7 +33,8 @@
     constexpr std::chrono::milliseconds agentTimeout = 4000ms;
     // How long an agent waits for a piece that another one asks for.
     constexpr std::chrono::milliseconds longestPieceWait = 1500ms;
-    constexpr std::chrono::milliseconds pieceWaitInterval = 25ms;
+    constexpr std::chrono::milliseconds pieceWaitInterval = 40ms;
+    constexpr unsigned notHereStatus = 404;
     constexpr std::chrono::milliseconds originTimeout = 5000ms;
     constexpr std::chrono::milliseconds connectionRetryDelay = 500ms;
     // Pieces that are fetched at the same time.
@@ -305,19 +306,17 @@
 // The pieces for which others wait come last, as they are taken from the end.
 std::vector<unsigned> StagingNode::missingByDuty(const Wanted& wanted) const
 {
-    auto agents = reachableAgents(wanted);
-    auto version = std::to_string(wanted.declared.version);
+    auto duties = Queries::dutiesFor(reachableAgents(wanted), m_settings, std::to_string(wanted.declared.version), m_checklist->pieceCount());
     auto pieces = m_checklist->missing();
     // Agents begin at different pieces, so that they do not all ask the same one at once.
     std::rotate(pieces.begin(), pieces.begin() + static_cast<std::ptrdiff_t>(Base::stableHash(m_settings.address) % std::max<size_t>(pieces.size(), 1)), pieces.end());
-    std::stable_sort(pieces.begin(), pieces.end(), [&](unsigned left, unsigned right) {
-        return Queries::dutyFor(agents, m_settings, version, left) > Queries::dutyFor(agents, m_settings, version, right);
-    });
+    std::stable_sort(pieces.begin(), pieces.end(), [&](unsigned left, unsigned right) { return duties[left] > duties[right]; });
     return pieces;
 }
 
 asio::awaitable<void> StagingNode::fetchMissing(const Wanted& wanted)
 {
+    m_disclaimers.clear();
     auto queue = std::make_shared<std::vector<unsigned>>(missingByDuty(wanted));
     auto running = std::make_shared<unsigned>(parallelFetches);
     for (unsigned i = 0; i < parallelFetches; ++i)
@@ -340,7 +339,8 @@
     --*running;
 }
 
-asio::awaitable<std::optional<std::string>> StagingNode::askSource(const Wanted& wanted, unsigned piece, const Queries::PieceSource& source, ClientsByAddress& clients)
+// Takes the piece from one source; says in `disclaimed` if that agent does not have the duty for it.
+asio::awaitable<std::optional<std::string>> StagingNode::askSource(const Wanted& wanted, unsigned piece, const Queries::PieceSource& source, ClientsByAddress& clients, bool& disclaimed)
 {
     auto* agent = std::get_if<Queries::FromAgent>(&source);
     auto endpoint = agent ? Http::Endpoint { agent->address, m_settings.firstPeerPort } : wanted.origin;
@@ -360,6 +360,7 @@
             m_sources.noteUnreachable(agent->address, m_clock.now());
     } else if (Base::valueOf(answer).status != 200) {
         problem = "status " + std::to_string(Base::valueOf(answer).status);
+        disclaimed = agent && Base::valueOf(answer).status == notHereStatus;
     } else if (!m_checklist->matches(piece, Base::valueOf(answer).body)) {
         Observability::logEvent(Events::pieceRejected, { { "piece", piece }, { "version", wanted.declared.version }, { "source", endpoint.toString() } });
         co_return std::nullopt;
@@ -386,10 +387,18 @@
 asio::awaitable<bool> StagingNode::fetchPiece(const Wanted& wanted, unsigned piece, ClientsByAddress& clients)
 {
     // The piece is put back into the queue then, so that others are tried meanwhile.
-    constexpr unsigned maximumAttempts = 4;
+    constexpr unsigned maximumAttempts = 6;
     for (unsigned attempt = 0; attempt < maximumAttempts && isStillWanted(wanted); ++attempt) {
-        auto source = Queries::chooseSource(reachableAgents(wanted), m_settings, std::to_string(wanted.declared.version), piece, attempt);
-        auto bytes = co_await askSource(wanted, piece, source, clients);
+        auto agents = reachableAgents(wanted);
+        auto& disclaimers = m_disclaimers[piece];
+        std::erase_if(agents, [&](const Queries::SourceAgent& agent) { return disclaimers.contains(agent.address); });
+        auto source = Queries::chooseSource(agents, m_settings, std::to_string(wanted.declared.version), piece, attempt);
+        bool disclaimed = false;
+        auto bytes = co_await askSource(wanted, piece, source, clients, disclaimed);
+        if (disclaimed) {
+            m_disclaimers[piece].insert(std::get<Queries::FromAgent>(source).address);
+            continue;
+        }
         if (!bytes) {
             co_await sleepFor(fetchRetryDelay);
             continue;
@@ -432,22 +441,37 @@
     return wholeVersion() == version;
 }
 
+// Whether this agent has the duty to fetch the piece, or may learn of it at any moment.
+bool StagingNode::mayGet(uint64_t version, unsigned piece) const
+{
+    auto wanted = findWanted();
+    if (!wanted || !m_engine || wanted->declared.version > version)
+        return false;
+    if (wanted->declared.version < version || !m_checklist || m_checklist->manifest().version != version)
+        return true;
+    auto duties = Queries::dutiesFor(reachableAgents(*wanted), m_settings, std::to_string(version), m_checklist->pieceCount());
+    return piece < duties.size() && duties[piece] != Queries::PieceDuty::None;
+}
+
 asio::awaitable<Http::HttpResponse> StagingNode::answerPiece(Http::HttpRequest request)
 {
     auto name = parsePiecePath(request.target);
     if (!name)
         co_return Http::HttpResponse { 400, {}, "the path must be /piece/MODEL/VERSION/INDEX" };
     auto until = m_clock.now() + longestPieceWait;
-    while (!mayGive(name->version, name->piece) && m_clock.now() < until)
+    while (!mayGive(name->version, name->piece) && m_clock.now() < until && mayGet(name->version, name->piece))
         co_await sleepFor(pieceWaitInterval);
-    if (!mayGive(name->version, name->piece))
-        co_return Http::HttpResponse { 404, {}, "the piece is not here" };
+    if (!mayGive(name->version, name->piece)) {
+        if (mayGet(name->version, name->piece))
+            co_return Http::HttpResponse { 503, {}, "the piece is being fetched" };
+        co_return Http::HttpResponse { notHereStatus, {}, "another agent has the duty for the piece" };
+    }
     Http::KeptClient engine(m_context.get_executor(), *m_settings.localEngine);
     auto bytes = co_await readStored(engine, name->model, name->piece);
     if (!bytes)
-        co_return Http::HttpResponse { 404, {}, "the engine does not hold the piece" };
+        co_return Http::HttpResponse { notHereStatus, {}, "the engine does not hold the piece" };
     if (m_checklist && m_checklist->manifest().version == name->version && !m_checklist->matches(name->piece, *bytes))
-        co_return Http::HttpResponse { 404, {}, "the piece has turned bad here" };
+        co_return Http::HttpResponse { notHereStatus, {}, "the piece has turned bad here" };
     auto turn = m_uploads.reserve(bytes->size(), m_clock.now());
     if (!turn)
         co_return Http::HttpResponse { 503, {}, "too many pieces are to be sent" };
--- a/Source/Staging/StagingNode.h
+++ b/Source/Staging/StagingNode.h
@@ -17,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace Lavenderloft::Staging {
@@ -53,11 +54,12 @@
     boost::asio::awaitable<void> fetchMissing(const Wanted&);
     boost::asio::awaitable<void> fetchPieces(const Wanted&, std::shared_ptr<std::vector<unsigned>> queue, std::shared_ptr<unsigned> running);
     boost::asio::awaitable<bool> fetchPiece(const Wanted&, unsigned piece, ClientsByAddress&);
-    boost::asio::awaitable<std::optional<std::string>> askSource(const Wanted&, unsigned piece, const Queries::PieceSource&, ClientsByAddress&);
+    boost::asio::awaitable<std::optional<std::string>> askSource(const Wanted&, unsigned piece, const Queries::PieceSource&, ClientsByAddress&, bool& disclaimed);
     boost::asio::awaitable<bool> storePiece(const Wanted&, unsigned piece, std::string bytes);
     std::vector<unsigned> missingByDuty(const Wanted&) const;
     std::vector<Queries::SourceAgent> reachableAgents(const Wanted&) const;
     bool mayGive(uint64_t version, unsigned piece) const;
+    bool mayGet(uint64_t version, unsigned piece) const;
     boost::asio::awaitable<void> load(const Wanted&);
     boost::asio::awaitable<void> sleepFor(std::chrono::milliseconds);
     boost::asio::awaitable<std::optional<std::string>> readStored(Http::KeptClient&, const std::string& model, unsigned piece);
@@ -87,6 +89,8 @@
     // once, as that router may use it again.
     unsigned m_formerlyFree = 0;
     SourceHealth m_sources;
+    // Agents that said of a piece that they do not have the duty for it.
+    std::map<unsigned, std::set<std::string>> m_disclaimers;
     UploadPacer m_uploads;
 };
 
