--- a/Source/Fleet/Commands/ApplyItems.cpp
+++ b/Source/Fleet/Commands/ApplyItems.cpp
@@ -86,19 +86,21 @@
             history.erase(history.begin());
     }
 
-    // The same item from a node that knows its age better.
-    void refineDeclaration(Contents& contents, const Record& record, const PublishedItem& item, Base::TimePoint now)
+    // Takes the same item from a node that knows its age better. Returns whether it is a declaration.
+    bool refineDeclaration(Contents& contents, const Record& record, const PublishedItem& item, Base::TimePoint now)
     {
         auto* declared = std::get_if<WeightsDeclared>(&record.publication);
-        if (declared && record.item.revision == item.revision)
-            noteDeclaration(contents, *declared, now - item.age);
+        if (!declared || record.item.revision != item.revision)
+            return false;
+        noteDeclaration(contents, *declared, now - item.age);
+        return true;
     }
 
     void mergeItem(Contents& contents, const PublicationDecoder& decoder, PublishedItem item, const std::optional<Base::TimePoint>& deferDeletionsUntil, Base::TimePoint now, AppliedChange& change)
     {
         auto known = contents.records.find(item.key);
         if (known != contents.records.end() && known->second.item.revision >= item.revision) {
-            refineDeclaration(contents, known->second, item, now);
+            change.anything |= refineDeclaration(contents, known->second, item, now);
             return;
         }
         change.anything = true;
--- a/Source/Observability/Log.cpp
+++ b/Source/Observability/Log.cpp
@@ -1,10 +1,14 @@
 #include "Observability/Log.h"
 
+#include "Observability/LogBudget.h"
+
 #include <atomic>
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
+#include <memory>
 #include <nlohmann/json.hpp>
 
 namespace Lavenderloft::Observability {
@@ -14,6 +18,8 @@
     std::atomic<bool> s_configured { false };
     std::atomic<Level> s_minimum { Level::Info };
     std::atomic<Layout> s_layout { Layout::Plain };
+    // Set before the threads of the process start.
+    std::unique_ptr<LogBudget> s_budget;
 
     const log4cxx::LoggerPtr& logger()
     {
@@ -78,23 +84,54 @@
 
 } // namespace
 
+namespace {
+
+    log4cxx::AppenderPtr makeConsoleAppender(Layout layout, Output output)
+    {
+        // The JSON layout keeps one JSON object a line, so the time goes in as its own prefix-free field.
+        const auto* pattern = layout == Layout::Json
+            ? "{\"time\":\"%d{yyyy-MM-ddTHH:mm:ss.SSS}\",\"entry\":%m}%n"
+            : "%d{yyyy-MM-ddTHH:mm:ss.SSS} %-5p %m%n";
+        auto patternLayout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR(""));
+        log4cxx::LogString converted;
+        log4cxx::helpers::Transcoder::decode(std::string(pattern), converted);
+        patternLayout->setConversionPattern(converted);
+        return std::make_shared<log4cxx::ConsoleAppender>(patternLayout, output == Output::StandardOutput ? log4cxx::ConsoleAppender::getSystemOut() : log4cxx::ConsoleAppender::getSystemErr());
+    }
+
+    void configure(Level minimum, Layout layout, const log4cxx::AppenderPtr& appender)
+    {
+        log4cxx::BasicConfigurator::resetConfiguration();
+        log4cxx::BasicConfigurator::configure(appender);
+        logger()->setLevel(toLog4cxx(minimum));
+        s_minimum = minimum;
+        s_layout = layout;
+        s_configured = true;
+    }
+
+} // namespace
+
 void configureLogging(Level minimum, Layout layout, Output output)
 {
-    // The JSON layout keeps one JSON object a line, so the time goes in as its own prefix-free field.
-    const auto* pattern = layout == Layout::Json
-        ? "{\"time\":\"%d{yyyy-MM-ddTHH:mm:ss.SSS}\",\"entry\":%m}%n"
-        : "%d{yyyy-MM-ddTHH:mm:ss.SSS} %-5p %m%n";
-    auto patternLayout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR(""));
-    log4cxx::LogString converted;
-    log4cxx::helpers::Transcoder::decode(std::string(pattern), converted);
-    patternLayout->setConversionPattern(converted);
-    auto appender = std::make_shared<log4cxx::ConsoleAppender>(patternLayout, output == Output::StandardOutput ? log4cxx::ConsoleAppender::getSystemOut() : log4cxx::ConsoleAppender::getSystemErr());
-    log4cxx::BasicConfigurator::resetConfiguration();
-    log4cxx::BasicConfigurator::configure(appender);
-    logger()->setLevel(toLog4cxx(minimum));
-    s_minimum = minimum;
-    s_layout = layout;
-    s_configured = true;
+    s_budget.reset();
+    configure(minimum, layout, makeConsoleAppender(layout, output));
+}
+
+void configureBoundedLogging(Level minimum, Layout layout, Output output)
+{
+    // Lines that may wait for the reader.
+    constexpr int bufferedLines = 256;
+    auto appender = std::make_shared<log4cxx::AsyncAppender>();
+    appender->setBufferSize(bufferedLines);
+    appender->setBlocking(false);
+    appender->addAppender(makeConsoleAppender(layout, output));
+    s_budget = std::make_unique<LogBudget>();
+    configure(minimum, layout, appender);
+}
+
+uint64_t takeLeftOutLines()
+{
+    return s_budget ? s_budget->takeLeftOut() : 0;
 }
 
 bool isLogged(const Event& event)
@@ -106,6 +143,8 @@
 {
     if (!isLogged(event))
         return;
+    if (s_budget && !s_budget->admit(event, std::chrono::steady_clock::now()))
+        return;
     auto line = s_layout.load() == Layout::Json ? jsonLine(event, fields) : plainLine(event, fields);
     log4cxx::LogString converted;
     log4cxx::helpers::Transcoder::decode(line, converted);
--- a/Source/Observability/Log.h
+++ b/Source/Observability/Log.h
@@ -73,6 +73,13 @@
 // Sets up log4cxx with a console appender. Until it is called, nothing is logged.
 void configureLogging(Level minimum, Layout, Output = Output::StandardError);
 
+// As above, for a process whose lines nobody may read for a while: lines are bounded in number and written
+// by a thread of their own, and what the reader does not take is dropped and counted.
+void configureBoundedLogging(Level minimum, Layout, Output);
+
+// Lines that were left out since the last call because of the bound.
+uint64_t takeLeftOutLines();
+
 // Whether lines of the event would be written, to spare building costly fields.
 bool isLogged(const Event&);
 
--- a/Source/Process/Events.h
+++ b/Source/Process/Events.h
@@ -14,5 +14,6 @@
 inline constexpr Event processPaused { 1004, "process-paused", Level::Warning, "The process did not run for longer than the pause limit." };
 inline constexpr Event settingsReloaded { 1005, "settings-reloaded", Level::Info, "Changed settings are in force." };
 inline constexpr Event settingsRefused { 1006, "settings-refused", Level::Warning, "The settings file has become unusable; the former settings stay in force." };
+inline constexpr Event logLinesLeftOut { 1007, "log-lines-left-out", Level::Warning, "Lines were left out of the log because there were too many." };
 
 } // namespace Lavenderloft::Process
--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -152,6 +152,8 @@
                 co_await sleepFor(housekeepingInterval);
                 auto now = m_clock.now();
                 Fleet::Commands::expireDeletions(m_fleet, now);
+                if (auto lines = Observability::takeLeftOutLines())
+                    Observability::logEvent(logLinesLeftOut, { { "lines", lines } });
                 Dispatch::Commands::forgetGoneTargets(m_dispatch);
                 m_peering.setDemand(Dispatch::Queries::engineDemand(m_dispatch, now));
                 m_dispatch.setRouterCount(static_cast<unsigned>(Peering::Queries::countPossibleRouters(m_peers)) + 1);
--- a/Source/Proxy/CallerServer.h
+++ b/Source/Proxy/CallerServer.h
@@ -18,6 +18,9 @@
     void start();
     void stop();
 
+    // The port in use, also when 0 was asked for.
+    uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+
     // Closes the connections on which no request is under way.
     void closeIdleConnections();
 
--- /dev/null
+++ b/Tests/Dispatch/CandidatesTest.cpp
@@ -0,0 +1,151 @@
+#include "Dispatch/DispatchFixture.h"
+#include "Dispatch/Queries/FindCandidates.h"
+
+#include <criterion/criterion.h>
+
+using namespace Lavenderloft;
+using namespace Lavenderloft::Dispatch;
+using namespace std::chrono_literals;
+
+// Guards against new work for a target that said that it leaves.
+Test(Candidates, leaveOutDrainingTargets)
+{
+    TestDispatch test;
+    auto target = targetOf("1", "s");
+    target.entry.draining = true;
+    test.fleet.publish("t/1", target);
+    cr_assert(refusalOf(test.acquire("s")) == RefusalReason::NoTarget);
+}
+
+// Guards against new work in a data centre that operators have taken out, also when it is the only one.
+Test(Candidates, leaveOutEvacuatedDataCentres)
+{
+    TestDispatch test;
+    test.fleet.publish("t/1", targetOf("1", "s", "dc-b"));
+    cr_assert(isLease(test.acquire("s")));
+    test.fleet.publish("e/dc-b", Fleet::DataCentreEvacuated { "dc-b" });
+    cr_assert(refusalOf(test.acquire("s")) == RefusalReason::NoTarget);
+    test.fleet.remove("e/dc-b");
+    cr_assert(isLease(test.acquire("s")));
+}
+
+// Guards against a request that is handled outside the regions that route and organisation allow.
+Test(Candidates, keepToAllowedRegions)
+{
+    TestDispatch test;
+    test.fleet.publish("t/1", targetOf("1", "s", "dc-b"));
+    auto traits = test.request("s");
+    traits.allowedRegions = { "r-a" };
+    cr_assert(refusalOf(test.acquire(traits)) == RefusalReason::NoTarget);
+    traits.allowedRegions = { "r-b" };
+    cr_assert(isLease(test.acquire(traits)));
+}
+
+// Guards against a repeat at the target that just failed.
+Test(Candidates, leaveOutTargetsThatWereTried)
+{
+    TestDispatch test;
+    test.fleet.publish("t/1", targetOf("1", "s"));
+    auto traits = test.request("s");
+    traits.triedTargets = { "1" };
+    cr_assert(refusalOf(test.acquire(traits)) == RefusalReason::NoTarget);
+}
+
+// Guards against answers of an engine that holds no weights, or a part of them.
+Test(Candidates, leaveOutEnginesWithoutWholeWeights)
+{
+    TestDispatch test;
+    test.fleet.publish("c", configurationOf(1, { engineService("e") }));
+    test.fleet.publish("t/1", engineOf("1", "e", 0));
+    auto part = engineOf("2", "e", 1);
+    part.entry.layers->to = 8;
+    test.fleet.publish("t/2", part);
+    cr_assert(refusalOf(test.acquire("e")) == RefusalReason::NoTarget);
+}
+
+// Guards against requests that begin on old weights after the bound for new ones.
+Test(Candidates, giveUpOldWeightsBeforeTheBound)
+{
+    TestDispatch test;
+    test.fleet.publish("c", configurationOf(1, { engineService("e") }));
+    test.fleet.publish("t/1", engineOf("1", "e", 1));
+    test.fleet.publish("w", Fleet::WeightsDeclared { "m", 2 });
+    test.fleet.clock.advance(6s);
+    auto early = test.acquire("e");
+    cr_assert(isLease(early));
+    cr_assert_not(std::get<Lease>(early).expectedWeights.has_value());
+    // The bound is 8 s.
+    test.fleet.clock.advance(1s);
+    cr_assert(refusalOf(test.acquire("e")) == RefusalReason::NoTarget);
+    test.fleet.publish("t/1", engineOf("1", "e", 2));
+    auto late = test.acquire("e");
+    cr_assert(isLease(late));
+    cr_assert(std::get<Lease>(late).expectedWeights == 2);
+}
+
+// Guards against a router that restarts after a declaration and uses old weights for another full period.
+Test(Candidates, giveUpOldWeightsAtOnceAfterARestart)
+{
+    TestDispatch test;
+    test.fleet.publish("c", configurationOf(1, { engineService("e") }));
+    test.fleet.publish("t/1", engineOf("1", "e", 1));
+    test.fleet.publish("w", Fleet::WeightsDeclared { "m", 2 }, 1h);
+    cr_assert(refusalOf(test.acquire("e")) == RefusalReason::NoTarget);
+}
+
+// Guards against an entry that still names weights which the engine lost; the agent's report is fresher.
+Test(Candidates, believeTheReportMoreThanTheEntry)
+{
+    TestDispatch test;
+    test.fleet.publish("c", configurationOf(1, { engineService("e") }));
+    test.fleet.publish("t/1", engineOf("1", "e", 1));
+    test.report("e", "1", { 0, 0, 0, false, 0 });
+    cr_assert(refusalOf(test.acquire("e")) == RefusalReason::NoTarget);
+    test.report("e", "1", { 0, 0, 1, true, 4 });
+    cr_assert(refusalOf(test.acquire("e")) == RefusalReason::NoTarget, "a paused engine takes nothing");
+    test.report("e", "1", { 0, 0, 1, false, 4 });
+    cr_assert(isLease(test.acquire("e")));
+}
+
+// Guards against a full load on a target that has just started. Four routers share its rate.
+Test(Candidates, shareTheRateOfAColdTarget)
+{
+    TestDispatch test;
+    auto service = plainService("s");
+    service.coldRequestsPerSecond = 8;
+    test.fleet.publish("c", configurationOf(1, { service }));
+    auto target = targetOf("1", "s", "dc-a", 100);
+    target.entry.coldRemaining = 3000ms;
+    test.fleet.publish("t/1", target);
+    test.state->setRouterCount(4);
+    unsigned granted = 0;
+    for (int step = 0; step < 20; ++step) {
+        auto observer = std::make_shared<RecordingObserver>();
+        auto traits = test.request("s");
+        if (isLease(test.acquire(traits, observer)))
+            ++granted;
+        Commands::endWait(*test.state, traits, observer.get(), test.fleet.clock.now());
+        test.fleet.clock.advance(50ms);
+    }
+    // Two a second, and the one that may come first.
+    cr_assert_leq(granted, 3, "%u requests in a second", granted);
+    cr_assert_geq(granted, 2);
+    test.fleet.clock.advance(3s);
+    cr_assert(isLease(test.acquire("s")));
+    cr_assert(isLease(test.acquire("s")));
+}
+
+// Guards against a target that is asked again and again though it fails, and against one that is never
+// asked again.
+Test(Candidates, avoidTargetsThatFailForAWhile)
+{
+    TestDispatch test;
+    test.fleet.publish("t/1", targetOf("1", "s"));
+    for (int i = 0; i < 2; ++i) {
+        cr_assert(isLease(test.acquire("s")));
+        test.release("s", "1", Commands::AttemptResult::Failed);
+    }
+    cr_assert(refusalOf(test.acquire("s")) == RefusalReason::NoTarget);
+    test.fleet.clock.advance(300ms);
+    cr_assert(isLease(test.acquire("s")));
+}
--- /dev/null
+++ b/Tests/Dispatch/QueueTest.cpp
@@ -0,0 +1,86 @@
+#include "Dispatch/DispatchFixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace Lavenderloft;
+using namespace Lavenderloft::Dispatch;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A plain target of one slot, which takes two requests.
+struct SmallService : TestDispatch {
+    SmallService()
+    {
+        fleet.publish("t/1", targetOf("1", "s", "dc-a", 1));
+        cr_assert(isLease(acquire("s")));
+        cr_assert(isLease(acquire("s")));
+    }
+
+    std::shared_ptr<RecordingObserver> wait(int priority)
+    {
+        auto observer = std::make_shared<RecordingObserver>();
+        cr_assert(std::holds_alternative<Queued>(acquire(request("s", priority), observer)));
+        return observer;
+    }
+};
+
+} // namespace
+
+// Guards against less urgent work that displaces more urgent work, and against overtaking within a rank.
+Test(Queue, servesTheMostUrgentFirstThenByArrival)
+{
+    SmallService test;
+    auto late = test.wait(2);
+    auto first = test.wait(1);
+    auto second = test.wait(1);
+    test.release("s", "1");
+    cr_assert(first->outcome && !second->outcome && !late->outcome);
+    test.release("s", "1");
+    cr_assert(second->outcome && !late->outcome);
+    test.release("s", "1");
+    cr_assert(late->outcome.has_value());
+}
+
+// Guards against a request that is held until its deadline: it waits a part of its target latency.
+Test(Queue, boundsTheWait)
+{
+    SmallService test;
+    auto decision = test.acquire("s");
+    auto* queued = std::get_if<Queued>(&decision);
+    cr_assert(queued);
+    cr_assert_leq((queued->until - test.fleet.clock.now()).count(), Base::Duration(200ms).count());
+}
+
+// Guards against a request whose wait is ended and that is given a place all the same.
+Test(Queue, endsAWaitOnce)
+{
+    SmallService test;
+    auto observer = std::make_shared<RecordingObserver>();
+    auto traits = test.request("s");
+    test.acquire(traits, observer);
+    auto refusal = Commands::endWait(*test.state, traits, observer.get(), test.fleet.clock.now());
+    cr_assert(refusal && refusal->reason == RefusalReason::Overloaded);
+    cr_assert_gt(refusal->retryAfter.count(), 0);
+    cr_assert_not(Commands::endWait(*test.state, traits, observer.get(), test.fleet.clock.now()));
+    test.release("s", "1");
+    cr_assert_not(observer->outcome.has_value());
+}
+
+// Guards against a request that is refused as overloaded though a place is free.
+Test(Queue, givesAFreePlaceAtOnce)
+{
+    SmallService test;
+    test.release("s", "1");
+    cr_assert(isLease(test.acquire("s")));
+}
+
+// Guards against a wait for a request that has no time left to be served.
+Test(Queue, refusesWhatHasNoTimeLeft)
+{
+    TestDispatch test;
+    test.fleet.publish("t/1", targetOf("1", "s"));
+    auto traits = test.request("s");
+    traits.deadline = test.fleet.clock.now() + 5ms;
+    cr_assert(refusalOf(test.acquire(traits)) == RefusalReason::OutOfTime);
+}
--- /dev/null
+++ b/Tests/Fleet/ApplyItemsTest.cpp
@@ -0,0 +1,165 @@
+#include "Fleet/FleetFixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace Lavenderloft;
+using namespace Lavenderloft::Fleet;
+using namespace std::chrono_literals;
+
+// Guards against a configuration that goes back when news arrives out of order.
+Test(ApplyItems, neverReplacesANewerRevisionByAnOlderOne)
+{
+    TestFleetState fleet;
+    fleet.publish("c", configurationOf(1));
+    fleet.publish("c", configurationOf(2));
+    fleet.apply({ "c", "1", 1, false, {} });
+    cr_assert_eq(fleet.snapshot()->configuration->version, 2);
+}
+
+// Guards against a record that loses its key as the item is moved into it: the configuration was gone with
+// the next change.
+Test(ApplyItems, keepsTheConfigurationWhenOtherItemsChange)
+{
+    TestFleetState fleet;
+    fleet.publish("c", configurationOf(1));
+    fleet.publish("t/1", targetOf("1", "s"));
+    fleet.publish("t/2", targetOf("2", "s"));
+    cr_assert(fleet.snapshot()->configuration);
+    cr_assert_eq(fleet.targetCount("s"), 2);
+}
+
+// Guards against a router without any configuration because an item could not be read.
+Test(ApplyItems, leavesTheFormerConfigurationInForceIfTheNextIsUnreadable)
+{
+    TestFleetState fleet;
+    fleet.publish("c", configurationOf(1));
+    fleet.publish("c", Unreadable { "no JSON" });
+    cr_assert_eq(fleet.snapshot()->configuration->version, 1);
+    fleet.publish("c", configurationOf(3));
+    cr_assert_eq(fleet.snapshot()->configuration->version, 3);
+}
+
+// Guards against requests to a target whose entry was overwritten with bytes that name none.
+Test(ApplyItems, anUnreadableEntryNamesNoTarget)
+{
+    TestFleetState fleet;
+    fleet.publish("t/1", targetOf("1", "s"));
+    fleet.publish("t/1", Unreadable { "no state" });
+    cr_assert_eq(fleet.targetCount("s"), 0);
+}
+
+// Guards against a deleted key that a node with older news brings back.
+Test(ApplyItems, remembersDeletions)
+{
+    TestFleetState fleet;
+    fleet.publish("t/1", targetOf("1", "s"));
+    fleet.remove("t/1");
+    fleet.apply({ "t/1", "1", 1, false, {} });
+    cr_assert_eq(fleet.targetCount("s"), 0);
+}
+
+// Guards against an outage of the store that empties the fleet: entries lapse while it is away.
+Test(ApplyItems, keepsALapsedEntryUntilItsTimeIsUp)
+{
+    TestFleetState fleet;
+    fleet.publish("t/1", targetOf("1", "s"));
+    fleet.remove("t/1", fleet.clock.now() + 1900ms);
+    cr_assert_eq(fleet.targetCount("s"), 1);
+    fleet.clock.advance(1899ms);
+    Commands::expireDeletions(fleet.state, fleet.clock.now());
+    cr_assert_eq(fleet.targetCount("s"), 1);
+    fleet.clock.advance(2ms);
+    Commands::expireDeletions(fleet.state, fleet.clock.now());
+    cr_assert_eq(fleet.targetCount("s"), 0);
+}
+
+// Guards against a draining target that is kept because its entry lapsed.
+Test(ApplyItems, doesNotKeepALapsedEntryOfADrainingTarget)
+{
+    TestFleetState fleet;
+    auto target = targetOf("1", "s");
+    target.entry.draining = true;
+    fleet.publish("t/1", target);
+    fleet.remove("t/1", fleet.clock.now() + 1900ms);
+    cr_assert_eq(fleet.targetCount("s"), 0);
+}
+
+// Guards against targets that left while the history of changes was lost.
+Test(ApplyItems, aListingDeletesWhatItDoesNotName)
+{
+    TestFleetState fleet;
+    fleet.publish("t/1", targetOf("1", "s"));
+    fleet.publish("t/2", targetOf("2", "s"));
+    Commands::applyListing(fleet.state, fleet.decoder, "t/", { "t/2" }, 2, std::nullopt, fleet.clock.now());
+    cr_assert_eq(fleet.targetCount("s"), 1);
+    // An entry that is newer than the listing was created after it.
+    fleet.publish("t/3", targetOf("3", "s"));
+    Commands::applyListing(fleet.state, fleet.decoder, "t/", { "t/2" }, 2, std::nullopt, fleet.clock.now());
+    cr_assert_eq(fleet.targetCount("s"), 2);
+}
+
+// Guards against a router that restarts and takes an old declaration of weights for a new one.
+Test(ApplyItems, countsTheAgeOfADeclaration)
+{
+    TestFleetState fleet;
+    fleet.clock.advance(2h);
+    fleet.publish("w", WeightsDeclared { "m", 2 }, 1h);
+    auto history = fleet.snapshot()->weights.at("m");
+    cr_assert_eq(history.size(), 1);
+    cr_assert(history.back().learnedAt == fleet.clock.now() - 1h);
+}
+
+// Guards against engines that are given up at once because a router that restarted does not know when their
+// weights were replaced, though another router does.
+Test(ApplyItems, takesTheAgeOfADeclarationFromANodeThatKnowsItBetter)
+{
+    TestFleetState fleet;
+    fleet.clock.advance(2h);
+    fleet.publish("w", WeightsDeclared { "m", 2 }, 1h);
+    fleet.apply({ "w", "1", 1, false, 3s });
+    cr_assert(fleet.snapshot()->weights.at("m").back().learnedAt == fleet.clock.now() - 3s);
+}
+
+// Guards against a second declaration that hides the bound of the first.
+Test(ApplyItems, keepsTheHistoryOfDeclarations)
+{
+    TestFleetState fleet;
+    fleet.publish("w", WeightsDeclared { "m", 2 });
+    fleet.clock.advance(2s);
+    fleet.publish("w", WeightsDeclared { "m", 3 });
+    auto history = fleet.snapshot()->weights.at("m");
+    cr_assert_eq(history.size(), 2);
+    cr_assert_eq(history.front().version, 2);
+}
+
+// Guards against a node that fetches from another and misses what that one has deleted.
+Test(ItemsAfter, namesDeletionsAndAges)
+{
+    TestFleetState fleet;
+    fleet.publish("t/1", targetOf("1", "s"));
+    fleet.publish("w", WeightsDeclared { "m", 2 });
+    fleet.remove("t/1");
+    fleet.clock.advance(5s);
+    auto items = Queries::itemsAfter(fleet.state, 1, fleet.clock.now());
+    cr_assert_eq(items.size(), 2);
+    cr_assert(items[0].deleted);
+    cr_assert_eq(items[1].age.count(), 5000);
+}
+
+// Guards against a request that goes to the route of a shorter prefix.
+Test(MatchRoute, takesTheLongestPrefixOfTheHost)
+{
+    Configuration configuration;
+    auto add = [&](const std::string& name, const std::string& prefix) {
+        auto route = std::make_shared<Route>();
+        route->name = name;
+        route->prefix = prefix;
+        configuration.routes["h"].push_back(route);
+    };
+    add("long", "/a/b/");
+    add("short", "/a/");
+    cr_assert_eq(Queries::matchRoute(configuration, "h", "/a/b/c")->name, "long");
+    cr_assert_eq(Queries::matchRoute(configuration, "h", "/a/c")->name, "short");
+    cr_assert_null(Queries::matchRoute(configuration, "h", "/b/").get());
+    cr_assert_null(Queries::matchRoute(configuration, "other", "/a/").get());
+}
--- /dev/null
+++ b/Tests/Platform/HeaderCodecTest.cpp
@@ -0,0 +1,76 @@
+#include "platform/HeaderCodec.h"
+
+#include <criterion/criterion.h>
+
+using namespace Lavenderloft;
+using namespace Lavenderloft::Platform;
+using Http::headerValue;
+
+// Guards against a field of the caller that is read wrongly.
+Test(HeaderCodec, readsTheHeadOfARequest)
+{
+    auto head = HeaderCodec().readHead({ { "lavenderloft-request-id", "abc" }, { "Lavenderloft-Deadline-Ms", "6000" }, { "Api-Key", "k" }, { "Lavenderloft-Token-Usage", "1460,80" }, { "Last-Event-Id", "12" }, { "Lavenderloft-Length-Hint", "soon" } });
+    cr_assert_eq(head.requestId, "abc");
+    cr_assert_eq(head.deadline->count(), 6000);
+    cr_assert_eq(*head.key, "k");
+    cr_assert_eq(head.promptTokens, 1460);
+    cr_assert_eq(head.maximumOutputTokens, 80);
+    cr_assert(head.lastEventId == 12);
+    cr_assert_not(head.estimatedOutputTokens.has_value());
+}
+
+// Guards against a caller's key that reaches a target, and against an organisation that a caller names itself.
+Test(HeaderCodec, setsTheSystemsOwnFields)
+{
+    Proxy::Forwarding forwarding;
+    forwarding.timeLeft = std::chrono::milliseconds(4200);
+    forwarding.expectedTarget = "i-1";
+    forwarding.organisation = "n";
+    forwarding.priority = 3;
+    auto headers = HeaderCodec().forwardedHeaders({ { "Api-Key", "secret" }, { "Lavenderloft-Tenant", "forged" }, { "Lavenderloft-Deadline-Ms", "6000" }, { "Lavenderloft-Request-Id", "abc" }, { "X-Own", "kept" } }, forwarding);
+    cr_assert(headerValue(headers, "Api-Key").empty());
+    cr_assert_eq(headerValue(headers, "Lavenderloft-Tenant"), "n");
+    cr_assert_eq(headerValue(headers, "Lavenderloft-Deadline-Ms"), "4200");
+    cr_assert_eq(headerValue(headers, "Lavenderloft-Request-Id"), "abc");
+    cr_assert_eq(headerValue(headers, "Lavenderloft-Expect-Instance"), "i-1");
+    cr_assert_eq(headerValue(headers, "X-Own"), "kept");
+    forwarding.organisation.reset();
+    headers = HeaderCodec().forwardedHeaders({ { "Lavenderloft-Tenant", "forged" } }, forwarding);
+    cr_assert(headerValue(headers, "Lavenderloft-Tenant").empty());
+}
+
+// Guards against fields of one connection that are passed on to another, by which requests can be smuggled.
+Test(HeaderCodec, dropsFieldsOfTheConnection)
+{
+    Http::HttpHeaders sent { { "Connection", "close, X-Hop" }, { "X-Hop", "1" }, { "Keep-Alive", "timeout=5" }, { "Transfer-Encoding", "chunked" }, { "Content-Length", "3" }, { "Host", "h" } };
+    auto forwarded = HeaderCodec().forwardedHeaders(sent, {});
+    for (auto* name : { "Connection", "X-Hop", "Keep-Alive", "Transfer-Encoding", "Content-Length" })
+        cr_expect(headerValue(forwarded, name).empty(), "%s was passed on", name);
+    cr_assert_eq(headerValue(forwarded, "Host"), "h");
+    cr_assert(headerValue(HeaderCodec().returnedHeaders(sent), "X-Hop").empty());
+}
+
+// Guards against a stream that goes on from the caller's event instead of the last one passed on.
+Test(HeaderCodec, replacesTheLastEventWhenAStreamGoesOn)
+{
+    Proxy::Forwarding forwarding;
+    auto headers = HeaderCodec().forwardedHeaders({ { "Last-Event-Id", "3" } }, forwarding);
+    cr_assert_eq(headerValue(headers, "Last-Event-Id"), "3");
+    forwarding.lastEventId = 9;
+    headers = HeaderCodec().forwardedHeaders({ { "Last-Event-Id", "3" } }, forwarding);
+    cr_assert_eq(headerValue(headers, "Last-Event-Id"), "9");
+    cr_assert_eq(headers.size(), 3);
+}
+
+// Guards against an answer that is wrongly taken as a promise that the request did not run.
+Test(HeaderCodec, tellsWhatDidNotRun)
+{
+    HeaderCodec codec;
+    cr_assert(codec.readAnswer(503, { { "Lavenderloft-Not-Executed", "1" } }).notExecuted);
+    cr_assert(codec.readAnswer(421, {}).notExecuted);
+    cr_assert_not(codec.readAnswer(503, {}).notExecuted);
+    auto head = codec.readAnswer(200, { { "Lavenderloft-Response-Seal", "x" }, { "Keep-Alive", "timeout=5, max=9" }, { "Lavenderloft-Cold-Ms", "120" } });
+    cr_assert(head.sealed);
+    cr_assert_eq(head.keepAlive->count(), 5);
+    cr_assert_eq(head.coldRemaining->count(), 120);
+}
--- /dev/null
+++ b/Tests/Platform/StoreCodecTest.cpp
@@ -0,0 +1,118 @@
+#include "platform/StoreCodec.h"
+
+#include <criterion/criterion.h>
+
+using namespace Lavenderloft;
+using namespace Lavenderloft::Platform;
+
+namespace {
+
+const std::string goodEntry = R"({"service":"s","address":"10.0.0.9:8080","zone":"dc-a","version":"v1","slots":16,"state":"ready","cold_remaining_ms":1500,"layers":{"from":0,"to":16,"version":3},"sequence":4,"new_field":1})";
+
+Fleet::Publication decodeEntry(const std::string& value)
+{
+    return StoreCodec().decode({ "servers/i-1", value, 5, false, {} });
+}
+
+} // namespace
+
+// Guards against fields of an entry that are read wrongly; unknown fields are ignored.
+Test(StoreCodec, readsTheEntryOfATarget)
+{
+    auto publication = decodeEntry(goodEntry);
+    auto* target = std::get_if<Fleet::TargetPublished>(&publication);
+    cr_assert(target);
+    cr_assert_eq(target->entry.id, "i-1");
+    cr_assert_eq(target->entry.address.port, 8080);
+    cr_assert_eq(target->entry.slots, 16);
+    cr_assert_eq(target->entry.coldRemaining.count(), 1500);
+    cr_assert_not(target->entry.draining);
+    cr_assert(target->entry.layers == (Fleet::HeldLayers { 0, 16, 3 }));
+    cr_assert_eq(Fleet::wholeVersionOf(target->entry.layers, 16), 3);
+    cr_assert_eq(Fleet::wholeVersionOf(target->entry.layers, 32), 0);
+}
+
+// Guards against a request to a target whose entry another writer has spoilt.
+Test(StoreCodec, aSpoiltEntryNamesNoTarget)
+{
+    auto replaced = [](const std::string& from, const std::string& to) {
+        auto entry = goodEntry;
+        entry.replace(entry.find(from), from.size(), to);
+        return entry;
+    };
+    for (auto& spoilt : { std::string("{"), std::string("[]"), std::string("\xff\xfe"), replaced("\"s\"", "7"), replaced("\"ready\"", "\"resting\""), replaced("10.0.0.9:8080", "nowhere"), replaced("16,\"state\"", "\"many\",\"state\""), replaced("\"zone\"", "\"zones\"") }) {
+        auto publication = decodeEntry(spoilt);
+        cr_expect(std::holds_alternative<Fleet::Unreadable>(publication), "%s was accepted", spoilt.c_str());
+    }
+}
+
+// Guards against values that are decoded wrongly, and against a batch that fails because of one item.
+Test(StoreCodec, readsChanges)
+{
+    Http::HttpResponse response { 200, {}, R"({"events":[{"key":"op/version/m","value":"eyJtb2RlbCI6Im0iLCJ2ZXJzaW9uIjoyfQ==","revision":8,"create_revision":8,"lease":0},{"key":"servers/i-1","revision":9,"deleted":true},{"no_key":1},{"key":"servers/i-2","value":"%%%","revision":10}],"as_of":10})" };
+    auto changes = StoreCodec().readChanges(response);
+    cr_assert(Base::succeeded(changes));
+    auto& items = Base::valueOf(changes).changes;
+    cr_assert_eq(Base::valueOf(changes).revision, 10);
+    cr_assert_eq(items.size(), 3);
+    auto publication = StoreCodec().decode(items[0]);
+    auto* declared = std::get_if<Fleet::WeightsDeclared>(&publication);
+    cr_assert(declared && declared->model == "m" && declared->version == 2);
+    cr_assert(items[1].deleted);
+    cr_assert(std::holds_alternative<Fleet::Unreadable>(StoreCodec().decode(items[2])));
+}
+
+// Guards against a store that refuses a call and is taken for one that lost its history, or the reverse.
+Test(StoreCodec, tellsRefusalsFromLostHistory)
+{
+    auto kindOf = [](unsigned status) { return Base::errorOf(StoreCodec().readChanges({ status, {}, "" })).kind; };
+    cr_assert(kindOf(410) == Fleet::StoreErrorKind::HistoryLost);
+    cr_assert(kindOf(429) == Fleet::StoreErrorKind::Refused);
+    cr_assert(kindOf(503) == Fleet::StoreErrorKind::Refused);
+    cr_assert(kindOf(200) == Fleet::StoreErrorKind::Malformed);
+}
+
+// Guards against calls that the platform does not take.
+Test(StoreCodec, writesItsCalls)
+{
+    StoreCodec codec;
+    cr_assert_eq(codec.listRequest("", "").target, "/api/kv-range?prefix=");
+    cr_assert_eq(codec.listRequest("servers/", "servers/i 1").target, "/api/kv-range?prefix=servers/&after=servers/i%201");
+    cr_assert_eq(codec.watchRequest("", 12, std::chrono::milliseconds(8000)).target, "/api/kv-watch?prefix=&after=12&wait_ms=8000");
+}
+
+// Guards against routes, keys and services that are read wrongly from the operators' configuration.
+Test(StoreCodec, readsTheConfiguration)
+{
+    const std::string document = R"({"version":7,"routes":[
+        {"name":"short","host":"h","prefix":"/a/","kind":"safe","timeout_ms":800,"target_latency_ms":150,"priority":2,"service":"s","max_attempts":2,"public":true},
+        {"name":"long","host":"h","prefix":"/a/b/","kind":"streaming","timeout_ms":6000,"target_latency_ms":400,"priority":1,"traffic_split":[{"service":"s","weight":90},{"service":"t","weight":10},{"service":"u","weight":0}],"max_attempts":2,"resumable":true,"gap_aim_ms":300,"allowed_regions":["r"]},
+        {"name":"once","host":"g","prefix":"/","kind":"unsafe","service":"s"}],
+        "services":[{"name":"s","engine":{"layers":16,"chunks":48,"chunk_bytes":100,"models":[{"name":"m","warm_s":0.3}]},"cold_start_s":3.0,"cold_per_s":28.0},{"name":"o","origin":"172.20.0.3:8006"}],
+        "limits":{"max_header_bytes":1000,"max_body_bytes":2000,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+        "tenants":[{"name":"n","api_keys":["k1","k2"],"priority":1,"allowed_regions":["r"]}]})";
+    auto publication = StoreCodec().decode({ "op/config", document, 1, false, {} });
+    auto* published = std::get_if<Fleet::ConfigurationPublished>(&publication);
+    cr_assert(published);
+    auto& configuration = *published->configuration;
+    cr_assert_eq(configuration.version, 7);
+    auto& routes = configuration.routes.at("h");
+    cr_assert_eq(routes[0]->name, "long");
+    cr_assert(routes[0]->kind == Fleet::RequestKind::Stream && routes[0]->mayRepeat());
+    cr_assert_eq(routes[0]->services.size(), 2, "a weight of zero sends nothing");
+    cr_assert_eq(routes[0]->longestPause.count(), 300);
+    cr_assert(routes[1]->isPublic && routes[1]->kind == Fleet::RequestKind::Idempotent);
+    cr_assert_not(configuration.routes.at("g")[0]->mayRepeat());
+    cr_assert_eq(configuration.services.at("s").weights->pieces, 48);
+    cr_assert_eq(configuration.services.at("o").origin->port, 8006);
+    cr_assert_eq(configuration.limits.maximumBodyBytes, 2000);
+    cr_assert(configuration.hasOrganisations);
+    cr_assert_eq(configuration.organisationsByKey.at("k2")->name, "n");
+}
+
+// Guards against a configuration without a version that comes into force.
+Test(StoreCodec, refusesAConfigurationWithoutAVersion)
+{
+    auto publication = StoreCodec().decode({ "op/config", R"({"routes":[]})", 1, false, {} });
+    cr_assert(std::holds_alternative<Fleet::Unreadable>(publication));
+}
--- /dev/null
+++ b/Tests/Proxy/ScriptedTarget.h
@@ -0,0 +1,175 @@
+#pragma once
+
+#include <atomic>
+#include <boost/asio.hpp>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace Lavenderloft::Proxy {
+
+// What a scripted target does with one request.
+struct ScriptedReply {
+    enum class Then {
+        KeepOpen,
+        Close,
+        // Sends a reset instead of an orderly end.
+        Reset,
+        // Says nothing more until the other end closes.
+        Hang,
+    };
+
+    std::string bytes;
+    Then then = Then::KeepOpen;
+};
+
+// A target on loopback that answers each request as the test's script says.
+class ScriptedTarget {
+public:
+    // Called with the head of the request and its number, counted from zero over all connections.
+    using Script = std::function<ScriptedReply(const std::string& head, unsigned number)>;
+
+    explicit ScriptedTarget(Script script)
+        : m_script(std::move(script))
+        , m_acceptor(m_context, boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
+        , m_accepting([this] { accept(); })
+    {
+    }
+
+    ~ScriptedTarget()
+    {
+        m_stopped = true;
+        boost::system::error_code ignored;
+        boost::asio::ip::tcp::socket wake(m_context);
+        wake.connect(m_acceptor.local_endpoint(), ignored);
+        m_accepting.join();
+        {
+            std::lock_guard guard(m_lock);
+            for (auto& socket : m_sockets)
+                socket->shutdown(boost::asio::socket_base::shutdown_both, ignored);
+        }
+        for (auto& thread : m_threads)
+            thread.join();
+    }
+
+    uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+    unsigned requests() const { return m_requests; }
+
+    // Waits until that many requests have come; ctest bounds a wait that does not end.
+    void waitForRequests(unsigned count) const
+    {
+        std::unique_lock guard(m_lock);
+        m_changed.wait(guard, [&] { return m_heads.size() >= count; });
+    }
+
+    // Waits until the other end has closed a connection on which this target says nothing.
+    void waitForHangEnd() const
+    {
+        std::unique_lock guard(m_lock);
+        m_changed.wait(guard, [&] { return m_hangsEnded > 0; });
+    }
+
+    // Heads of the requests so far.
+    std::vector<std::string> heads() const
+    {
+        std::lock_guard guard(m_lock);
+        return m_heads;
+    }
+
+private:
+    using Socket = boost::asio::ip::tcp::socket;
+
+    void accept()
+    {
+        while (!m_stopped) {
+            auto socket = std::make_shared<Socket>(m_context);
+            boost::system::error_code error;
+            m_acceptor.accept(*socket, error);
+            if (error || m_stopped)
+                return;
+            std::lock_guard guard(m_lock);
+            m_sockets.push_back(socket);
+            m_threads.emplace_back([this, socket] { serve(*socket); });
+        }
+    }
+
+    void serve(Socket& socket)
+    {
+        boost::system::error_code error;
+        std::string buffer;
+        while (!m_stopped) {
+            auto length = boost::asio::read_until(socket, boost::asio::dynamic_buffer(buffer), "\r\n\r\n", error);
+            if (error)
+                return;
+            auto head = buffer.substr(0, length);
+            buffer.erase(0, length + bodyLength(head));
+            unsigned number = m_requests++;
+            {
+                std::lock_guard guard(m_lock);
+                m_heads.push_back(head);
+            }
+            m_changed.notify_all();
+            auto reply = m_script(head, number);
+            boost::asio::write(socket, boost::asio::buffer(reply.bytes), error);
+            if (reply.then == ScriptedReply::Then::KeepOpen)
+                continue;
+            end(socket, reply.then);
+            return;
+        }
+    }
+
+    // The requests of these tests have no body, or one that arrived with the head.
+    static size_t bodyLength(const std::string& head)
+    {
+        auto start = head.find("Content-Length: ");
+        return start == std::string::npos ? 0 : std::stoul(head.substr(start + 16));
+    }
+
+    void end(Socket& socket, ScriptedReply::Then then)
+    {
+        boost::system::error_code error;
+        if (then == ScriptedReply::Then::Hang) {
+            char byte = 0;
+            socket.read_some(boost::asio::buffer(&byte, 1), error);
+            {
+                std::lock_guard guard(m_lock);
+                ++m_hangsEnded;
+            }
+            m_changed.notify_all();
+        }
+        if (then == ScriptedReply::Then::Reset)
+            socket.set_option(boost::asio::socket_base::linger(true, 0), error);
+        if (then == ScriptedReply::Then::Close)
+            socket.shutdown(boost::asio::socket_base::shutdown_both, error);
+        std::lock_guard guard(m_lock);
+        socket.close(error);
+    }
+
+    Script m_script;
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::atomic<bool> m_stopped { false };
+    std::atomic<unsigned> m_requests { 0 };
+    mutable std::mutex m_lock;
+    mutable std::condition_variable m_changed;
+    unsigned m_hangsEnded = 0;
+    std::vector<std::shared_ptr<Socket>> m_sockets;
+    std::vector<std::string> m_heads;
+    std::vector<std::thread> m_threads;
+    std::thread m_accepting;
+};
+
+// Value of a field of a request's head; empty if it is missing.
+inline std::string fieldOf(const std::string& head, const std::string& name)
+{
+    auto start = head.find("\r\n" + name + ": ");
+    if (start == std::string::npos)
+        return {};
+    start += name.size() + 4;
+    return head.substr(start, head.find("\r\n", start) - start);
+}
+
+} // namespace Lavenderloft::Proxy
--- /dev/null
+++ b/Tests/Proxy/TestRouter.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "Base/SeededRandom.h"
+#include "Base/SystemClock.h"
+#include "Dispatch/BoundedWaitPolicy.h"
+#include "Dispatch/LeastOccupiedPolicy.h"
+#include "Fleet/FleetFixture.h"
+#include "Http/WorkerPool.h"
+#include "Proxy/CallerServer.h"
+#include "Proxy/ScriptedTarget.h"
+#include "platform/HeaderCodec.h"
+
+#include <thread>
+
+namespace Lavenderloft::Proxy {
+
+// The proxy of a router on loopback, with a fleet that the test publishes.
+class TestRouter {
+public:
+    TestRouter()
+        : m_pool(2)
+        , m_dispatch(m_fleet.state, nodeSettings(), std::make_unique<Dispatch::LeastOccupiedPolicy>(), std::make_unique<Dispatch::BoundedWaitPolicy>(), std::make_unique<Base::SeededRandom>(1))
+        , m_context { m_codec, m_fleet.state, m_dispatch, m_clock, m_metrics }
+    {
+        for (size_t i = 0; i < m_pool.size(); ++i)
+            m_workers.emplace_back(new ProxyWorker { m_pool.context(i), {}, {} });
+        m_server = std::make_shared<CallerServer>(m_context, m_workers, Http::Endpoint { "127.0.0.1", 0 });
+        m_server->start();
+        m_thread = std::thread([this] { m_pool.run(); });
+    }
+
+    ~TestRouter()
+    {
+        m_pool.stop();
+        m_thread.join();
+    }
+
+    // Publishes a configuration with one route for the host "h".
+    void setRoute(Fleet::RequestKind kind, unsigned maximumAttempts, bool resumable = false, std::chrono::milliseconds timeout = std::chrono::milliseconds(5000))
+    {
+        auto route = std::make_shared<Fleet::Route>();
+        route->name = "r";
+        route->host = "h";
+        route->prefix = "/";
+        route->kind = kind;
+        route->timeout = timeout;
+        route->targetLatency = std::chrono::milliseconds(300);
+        route->longestPause = std::chrono::milliseconds(300);
+        route->services = { { "s", 1 } };
+        route->maximumAttempts = maximumAttempts;
+        route->resumable = resumable;
+        auto configuration = std::make_shared<Fleet::Configuration>();
+        configuration->version = 1;
+        configuration->routes["h"] = { route };
+        m_fleet.publish("c", Fleet::ConfigurationPublished { configuration });
+    }
+
+    void addTarget(const std::string& id, const ScriptedTarget& target)
+    {
+        auto published = Fleet::targetOf(id, "s");
+        published.entry.address = { "127.0.0.1", target.port() };
+        m_fleet.publish("t/" + id, published);
+    }
+
+    // Sends a request and returns all bytes up to the end of the connection.
+    std::string exchange(const std::string& method = "GET", const std::string& headers = "", const std::string& host = "h")
+    {
+        boost::asio::io_context context;
+        auto socket = send(context, method, headers + "Connection: close\r\n", host);
+        return readAll(socket);
+    }
+
+    boost::asio::ip::tcp::socket send(boost::asio::io_context& context, const std::string& method, const std::string& headers, const std::string& host = "h")
+    {
+        boost::asio::ip::tcp::socket socket(context);
+        socket.connect({ boost::asio::ip::make_address("127.0.0.1"), m_server->port() });
+        auto request = method + " /p HTTP/1.1\r\nHost: " + host + "\r\nLavenderloft-Request-Id: id-1\r\nLavenderloft-Deadline-Ms: 5000\r\n" + headers + "\r\n";
+        boost::asio::write(socket, boost::asio::buffer(request));
+        return socket;
+    }
+
+    static std::string readAll(boost::asio::ip::tcp::socket& socket)
+    {
+        std::string bytes;
+        boost::system::error_code error;
+        boost::asio::read(socket, boost::asio::dynamic_buffer(bytes), error);
+        return bytes;
+    }
+
+    ProxyContext& context() { return m_context; }
+    CallerServer& server() { return *m_server; }
+
+private:
+    static Fleet::NodeSettings nodeSettings()
+    {
+        Fleet::NodeSettings settings;
+        settings.dataCentre = "dc-a";
+        settings.region = "r-a";
+        settings.regionByDataCentre = { { "dc-a", "r-a" } };
+        return settings;
+    }
+
+    Base::SystemClock m_clock;
+    Platform::HeaderCodec m_codec;
+    Observability::Metrics m_metrics;
+    Fleet::TestFleetState m_fleet;
+    Http::WorkerPool m_pool;
+    Dispatch::DispatchState m_dispatch;
+    ProxyContext m_context;
+    std::vector<std::unique_ptr<ProxyWorker>> m_workers;
+    std::shared_ptr<CallerServer> m_server;
+    std::thread m_thread;
+};
+
+// An answer of a target with its seal, to the request with the given head.
+inline std::string sealedAnswer(const std::string& head, const std::string& body, unsigned status = 200)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\nLavenderloft-Request-Id: " + fieldOf(head, "Lavenderloft-Request-Id") + "\r\nLavenderloft-Response-Seal: seal\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// The head of a sealed answer whose body ends with the connection or in chunks.
+inline std::string sealedStreamHead(const std::string& head)
+{
+    return "HTTP/1.1 200 OK\r\nLavenderloft-Request-Id: " + fieldOf(head, "Lavenderloft-Request-Id") + "\r\nLavenderloft-Response-Seal: seal\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+inline std::string chunkOf(const std::string& bytes)
+{
+    char size[16];
+    std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+    return size + bytes + "\r\n";
+}
+
+inline bool contains(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+
+} // namespace Lavenderloft::Proxy
--- /dev/null
+++ b/Tests/Staging/PacingTest.cpp
@@ -0,0 +1,104 @@
+#include "Base/ManualClock.h"
+#include "Base/SeededRandom.h"
+#include "Staging/PieceChecklist.h"
+#include "Staging/Queries/PlanLoad.h"
+#include "Staging/Queries/ShareGrants.h"
+#include "Staging/SourceHealth.h"
+#include "Staging/UploadPacer.h"
+
+#include "Base/Digest.h"
+
+#include <criterion/criterion.h>
+
+using namespace Lavenderloft;
+using namespace Lavenderloft::Staging;
+using namespace std::chrono_literals;
+
+// Guards against pieces that fill the link over which the engine's answers leave.
+Test(UploadPacer, keepsToItsPartOfTheLink)
+{
+    // 8,000 bits a second: 800 bytes a second for uploads.
+    UploadPacer pacer(8000);
+    Base::ManualClock clock;
+    cr_assert(pacer.reserve(800, clock.now()) == Base::Duration::zero());
+    auto second = pacer.reserve(800, clock.now());
+    cr_assert(second.has_value());
+    cr_assert(std::chrono::abs(*second - 1s) < 1ms);
+    cr_assert_not(pacer.reserve(800, clock.now()).has_value(), "a receiver is to ask elsewhere");
+    clock.advance(2s);
+    cr_assert(pacer.reserve(800, clock.now()) == Base::Duration::zero());
+}
+
+// Guards against pieces that are taken for right though a byte of them has changed.
+Test(PieceChecklist, tellsASpoiltPiece)
+{
+    PieceChecklist checklist({ "m", 2, { Base::sha256("first"), Base::sha256("second") } });
+    cr_assert(checklist.matches(0, "first"));
+    cr_assert_not(checklist.matches(0, "Second"));
+    cr_assert_not(checklist.matches(2, "first"));
+    checklist.markPresent(0);
+    cr_assert_not(checklist.isComplete());
+    cr_assert_eq(checklist.missing().size(), 1);
+    checklist.markPresent(1);
+    cr_assert(checklist.isComplete());
+    checklist.markMissing(0);
+    cr_assert_eq(checklist.missing().front(), 0);
+}
+
+// Guards against a dead agent whose duties nobody takes over, and against one that is never asked again.
+Test(SourceHealth, avoidsAnAgentForAWhile)
+{
+    SourceHealth health;
+    Base::ManualClock clock;
+    health.noteUnreachable("a", clock.now());
+    cr_assert(health.isAvoided("a", clock.now()));
+    cr_assert_not(health.isAvoided("b", clock.now()));
+    clock.advance(SourceHealth::avoidance);
+    cr_assert_not(health.isAvoided("a", clock.now()));
+}
+
+// Guards against one free place that is given to two routers, and against routers that get nothing.
+Test(ShareGrants, dealsEachPlaceOnce)
+{
+    std::vector<Peering::PeerRouter> routers { { "a", "dc-a", {}, 0, 10 }, { "b", "dc-b", {}, 0, 10 }, { "c", "dc-b", {}, 0, 0 } };
+    Base::SeededRandom random(7);
+    std::map<std::string, unsigned> dealt;
+    for (int round = 0; round < 300; ++round) {
+        auto grants = Queries::shareGrants(2, routers, "dc-a", random);
+        unsigned total = 0;
+        for (auto& [router, count] : grants) {
+            total += count;
+            dealt[router] += count;
+        }
+        cr_assert_eq(total, 2);
+    }
+    cr_assert_gt(dealt["a"], dealt["b"], "the router in the engine's data centre comes first");
+    cr_assert_gt(dealt["c"], 0, "a router whose demand is unknown gets some");
+    cr_assert(Queries::shareGrants(3, {}, "dc-a", random).empty());
+}
+
+// Guards against engines that all stop at once to load new weights, and against turns that end after the
+// bound for them.
+Test(PlanLoad, enginesTakeTurnsWithinTheBound)
+{
+    Fleet::FleetSnapshot snapshot;
+    for (int i = 0; i < 12; ++i) {
+        Fleet::KnownTarget target;
+        target.entry.address = { "10.0.0." + std::to_string(i), 1 };
+        snapshot.targetsByService["e"].push_back(std::make_shared<Fleet::KnownTarget>(target));
+    }
+    Base::ManualClock clock;
+    Fleet::DeclaredWeights declared { 2, clock.now() };
+    std::map<Base::TimePoint, unsigned> starts;
+    for (int i = 0; i < 12; ++i) {
+        Fleet::NodeSettings settings;
+        settings.address = "10.0.0." + std::to_string(i);
+        settings.localService = "e";
+        ++starts[Queries::planLoad(snapshot, settings, declared)];
+    }
+    cr_assert_eq(starts.size(), 3);
+    for (auto& [start, engines] : starts) {
+        cr_assert_eq(engines, 4);
+        cr_assert(start - declared.learnedAt < Fleet::FleetBounds().weights - 2s);
+    }
+}
--- /dev/null
+++ b/Tests/Staging/SourceTest.cpp
@@ -0,0 +1,121 @@
+#include "Staging/Queries/ChooseSource.h"
+
+#include <criterion/criterion.h>
+#include <map>
+#include <set>
+
+using namespace Lavenderloft;
+using namespace Lavenderloft::Staging;
+using namespace Lavenderloft::Staging::Queries;
+
+namespace {
+
+constexpr unsigned pieces = 48;
+const std::string version = "2";
+
+// Agents in three regions, each with the list of the others that it knows.
+struct TestAgents {
+    std::vector<SourceAgent> all;
+
+    explicit TestAgents(unsigned count)
+    {
+        for (unsigned i = 0; i < count; ++i)
+            all.push_back({ "10.0.0." + std::to_string(i + 1), "r" + std::to_string(i % 3), false });
+    }
+
+    std::vector<SourceAgent> othersOf(const std::string& address) const
+    {
+        auto others = all;
+        std::erase_if(others, [&](auto& agent) { return agent.address == address; });
+        return others;
+    }
+
+    Fleet::NodeSettings settingsOf(const SourceAgent& agent) const
+    {
+        Fleet::NodeSettings settings;
+        settings.address = agent.address;
+        settings.region = agent.region;
+        return settings;
+    }
+
+    const SourceAgent& find(const std::string& address) const
+    {
+        return *std::find_if(all.begin(), all.end(), [&](auto& agent) { return agent.address == address; });
+    }
+};
+
+} // namespace
+
+// Guards against an origin whose narrow link carries a piece more than once, and against links between
+// regions that do.
+Test(PieceSource, eachPieceLeavesTheOriginOnceAndEntersEachRegionOnce)
+{
+    TestAgents agents(11);
+    for (unsigned piece = 0; piece < pieces; ++piece) {
+        unsigned fromOrigin = 0;
+        std::map<std::string, unsigned> entering;
+        for (auto& agent : agents.all) {
+            auto source = chooseSource(agents.othersOf(agent.address), agents.settingsOf(agent), version, piece, 0);
+            auto* other = std::get_if<FromAgent>(&source);
+            if (!other)
+                ++fromOrigin;
+            else if (agents.find(other->address).region != agent.region)
+                ++entering[agent.region];
+        }
+        cr_assert_eq(fromOrigin, 1);
+        cr_assert_leq(entering.size(), 2);
+        for (auto& [region, count] : entering)
+            cr_assert_eq(count, 1);
+    }
+}
+
+// Guards against agents that wait for each other for good because their lists of agents differ: an agent
+// that disclaims the duty is left out, until the asking one takes the piece from the origin itself.
+Test(PieceSource, differingViewsStillLeadToTheOrigin)
+{
+    TestAgents agents(9);
+    for (unsigned piece = 0; piece < pieces; ++piece) {
+        auto& asking = agents.all[piece % agents.all.size()];
+        auto others = agents.othersOf(asking.address);
+        bool atOrigin = false;
+        for (unsigned attempt = 0; attempt <= agents.all.size() && !atOrigin; ++attempt) {
+            auto source = chooseSource(others, agents.settingsOf(asking), version, piece, attempt);
+            atOrigin = std::holds_alternative<FromOrigin>(source);
+            if (auto* other = std::get_if<FromAgent>(&source))
+                std::erase_if(others, [&](auto& agent) { return agent.address == other->address; });
+        }
+        cr_assert(atOrigin, "piece %u is never fetched from the origin", piece);
+    }
+}
+
+// Guards against duties that change for all when one agent comes or goes.
+Test(PieceSource, oneAgentMoreMovesFewDuties)
+{
+    TestAgents agents(12);
+    auto& agent = agents.all.front();
+    auto before = dutiesFor(agents.othersOf(agent.address), agents.settingsOf(agent), version, pieces);
+    auto others = agents.othersOf(agent.address);
+    others.pop_back();
+    auto after = dutiesFor(others, agents.settingsOf(agent), version, pieces);
+    for (unsigned piece = 0; piece < pieces; ++piece)
+        cr_expect(before[piece] != PieceDuty::ForFleet || after[piece] == PieceDuty::ForFleet, "the duty for piece %u was lost", piece);
+}
+
+// Guards against a new engine that draws on the origin though others have loaded the weights.
+Test(PieceSource, enginesThatHoldTheVersionComeFirst)
+{
+    TestAgents agents(6);
+    for (auto& agent : agents.all)
+        agent.holdsVersion = true;
+    auto& newcomer = agents.all.front();
+    newcomer.holdsVersion = false;
+    std::set<std::string> asked;
+    for (unsigned piece = 0; piece < pieces; ++piece) {
+        auto source = chooseSource(agents.othersOf(newcomer.address), agents.settingsOf(newcomer), version, piece, 0);
+        auto* other = std::get_if<FromAgent>(&source);
+        cr_assert(other && agents.find(other->address).region == newcomer.region);
+        asked.insert(other->address);
+    }
+    // The other agent of its region is the only holder there.
+    cr_assert_eq(asked.size(), 1);
+}
