Deal the duties for pieces in equal shares and let no two regions wait for each other

Pieces with a duty that were not there yet went to the end of the queue, and the region waited for them. Ruled out: the processor (dealing the duties once in half a second changed nothing); the origin (done 1.3 s after the declaration). Change: the asker names its region, and only an agent that takes the piece from the origin lets another region wait; equal shares by rendezvous hash; a piece with a duty is tried again after two others; uploads at 0.95 of the link; five turns of loading; old weights are given up 1.0 s before the bound.

--- a/Source/Dispatch/Queries/FindCandidates.cpp
+++ b/Source/Dispatch/Queries/FindCandidates.cpp
@@ -11,7 +11,7 @@
     using namespace std::chrono_literals;
 
     // Old weights are given up so long before the bound: a request may wait at the engine before it begins.
-    constexpr std::chrono::milliseconds weightsMargin = 1200ms;
+    constexpr std::chrono::milliseconds weightsMargin = 1000ms;
 
     bool contains(const std::vector<std::string>& texts, const std::string& text)
     {
--- a/Source/Process/FleetAgent.cpp
+++ b/Source/Process/FleetAgent.cpp
@@ -77,7 +77,7 @@
 
         asio::awaitable<Http::HttpResponse> answerNode(Http::HttpRequest request)
         {
-            if (request.target.starts_with(Staging::StagingNode::piecePath))
+            if (request.target.starts_with(Staging::piecePathPrefix))
                 return m_staging.answerPiece(std::move(request));
             return answerItems(std::move(request));
         }
--- a/Source/Staging/Queries/ChooseSource.cpp
+++ b/Source/Staging/Queries/ChooseSource.cpp
@@ -3,6 +3,7 @@
 #include "Base/RendezvousHash.h"
 
 #include <algorithm>
+#include <map>
 
 namespace Lavenderloft::Staging::Queries {
 
@@ -23,11 +24,21 @@
         return version + "/" + std::to_string(piece);
     }
 
-    // The agent with the duty for the piece, this one included.
-    std::string ownerAmong(std::vector<std::string> addresses, const Fleet::NodeSettings& settings, const std::string& version, unsigned piece)
+    // Deals the pieces to the agents by rendezvous hash, no agent more than its share: an agent more or less
+    // moves few of them.
+    std::vector<std::string> dealPieces(std::vector<std::string> addresses, const std::string& ownAddress, const std::string& version, unsigned pieces)
     {
-        addresses.push_back(settings.address);
-        return Base::chooseMember(pieceKey(version, piece), addresses);
+        addresses.push_back(ownAddress);
+        auto share = (pieces + addresses.size() - 1) / addresses.size();
+        std::map<std::string, size_t> dealt;
+        std::vector<std::string> owners;
+        for (unsigned piece = 0; piece < pieces; ++piece) {
+            auto ranked = Base::rankMembers(pieceKey(version, piece), addresses);
+            auto owner = std::find_if(ranked.begin(), ranked.end(), [&](auto& address) { return dealt[address] < share; });
+            ++dealt[*owner];
+            owners.push_back(*owner);
+        }
+        return owners;
     }
 
 } // namespace
@@ -48,21 +59,21 @@
     return agents;
 }
 
-std::vector<PieceDuty> dutiesFor(const std::vector<SourceAgent>& others, const Fleet::NodeSettings& settings, const std::string& version, unsigned pieces)
+PieceDuties::PieceDuties(const std::vector<SourceAgent>& others, const Fleet::NodeSettings& settings, const std::string& version, unsigned pieces)
+    : m_ownAddress(settings.address)
+    , m_fleetOwners(dealPieces(addressesOf(others, nullptr, false), settings.address, version, pieces))
+    , m_regionOwners(dealPieces(addressesOf(others, &settings.region, false), settings.address, version, pieces))
 {
-    auto everywhere = addressesOf(others, nullptr, false);
-    auto inRegion = addressesOf(others, &settings.region, false);
-    std::vector<PieceDuty> duties(pieces, PieceDuty::None);
-    for (unsigned piece = 0; piece < pieces; ++piece) {
-        if (ownerAmong(everywhere, settings, version, piece) == settings.address)
-            duties[piece] = PieceDuty::ForFleet;
-        else if (ownerAmong(inRegion, settings, version, piece) == settings.address)
-            duties[piece] = PieceDuty::ForRegion;
-    }
-    return duties;
 }
 
-PieceSource chooseSource(const std::vector<SourceAgent>& others, const Fleet::NodeSettings& settings, const std::string& version, unsigned piece, unsigned attempt)
+PieceDuty PieceDuties::ownDuty(unsigned piece) const
+{
+    if (m_fleetOwners[piece] == m_ownAddress)
+        return PieceDuty::ForFleet;
+    return m_regionOwners[piece] == m_ownAddress ? PieceDuty::ForRegion : PieceDuty::None;
+}
+
+PieceSource chooseSource(const std::vector<SourceAgent>& others, const Fleet::NodeSettings& settings, const PieceDuties& duties, const std::string& version, unsigned piece, unsigned attempt)
 {
     // Engines that have loaded the version are sources at once, those of the region first.
     auto holders = addressesOf(others, &settings.region, true);
@@ -73,11 +84,15 @@
         auto ranked = Base::rankMembers(pieceKey(version, piece) + "/" + settings.address, holders);
         return FromAgent { ranked[attempt % ranked.size()] };
     }
-    auto fleetOwner = ownerAmong(addressesOf(others, nullptr, false), settings, version, piece);
-    if (fleetOwner == settings.address)
+    switch (duties.ownDuty(piece)) {
+    case PieceDuty::ForFleet:
         return FromOrigin {};
-    auto regionOwner = ownerAmong(addressesOf(others, &settings.region, false), settings, version, piece);
-    return FromAgent { regionOwner == settings.address ? fleetOwner : regionOwner };
+    case PieceDuty::ForRegion:
+        return FromAgent { duties.fleetOwner(piece) };
+    case PieceDuty::None:
+        break;
+    }
+    return FromAgent { duties.regionOwner(piece) };
 }
 
 } // namespace Lavenderloft::Staging::Queries
--- a/Source/Staging/Queries/ChooseSource.h
+++ b/Source/Staging/Queries/ChooseSource.h
@@ -41,14 +41,31 @@
     None,
 };
 
-// Duties of this agent for all pieces of a version, by index.
-std::vector<PieceDuty> dutiesFor(const std::vector<SourceAgent>& others, const Fleet::NodeSettings&, const std::string& version, unsigned pieces);
+// Which agent has the duty for each piece of a version, in this agent's view of the fleet.
+class PieceDuties {
+public:
+    PieceDuties(const std::vector<SourceAgent>& others, const Fleet::NodeSettings&, const std::string& version, unsigned pieces);
+
+    PieceDuty ownDuty(unsigned piece) const;
+
+    // Addresses of the agents that take the piece from the origin, and from another region for this one.
+    const std::string& fleetOwner(unsigned piece) const { return m_fleetOwners[piece]; }
+    const std::string& regionOwner(unsigned piece) const { return m_regionOwners[piece]; }
+
+    unsigned pieceCount() const { return static_cast<unsigned>(m_fleetOwners.size()); }
+
+private:
+    std::string m_ownAddress;
+    std::vector<std::string> m_fleetOwners;
+    std::vector<std::string> m_regionOwners;
+};
 
 // From where to fetch a piece on the given attempt, counted from zero. While no engine has loaded the
 // version, one agent of the fleet takes each piece from the origin, one of each other region takes it from
 // there, and the rest from the agent of their region: the origin's link and those between regions carry each
 // piece once. The caller leaves out agents that can't be reached or that say that they do not have the duty:
 // views of the fleet differ, and with each agent that is left out the asking one comes closer to the duty.
-PieceSource chooseSource(const std::vector<SourceAgent>& others, const Fleet::NodeSettings&, const std::string& version, unsigned piece, unsigned attempt);
+// The duties are those among the agents that are left.
+PieceSource chooseSource(const std::vector<SourceAgent>& others, const Fleet::NodeSettings&, const PieceDuties&, const std::string& version, unsigned piece, unsigned attempt);
 
 } // namespace Lavenderloft::Staging::Queries
--- a/Source/Staging/Queries/PlanLoad.cpp
+++ b/Source/Staging/Queries/PlanLoad.cpp
@@ -9,10 +9,10 @@
 namespace {
 
     // Groups of engines that load one after the other.
-    constexpr unsigned turns = 3;
+    constexpr unsigned turns = 5;
     // Parts of the bound for new weights: when the first turn begins, and the length of each.
-    constexpr double firstTurnShare = 0.41;
-    constexpr double turnShare = 0.12;
+    constexpr double firstTurnShare = 0.3;
+    constexpr double turnShare = 0.08;
 
 } // namespace
 
--- a/Source/Staging/StagingNode.cpp
+++ b/Source/Staging/StagingNode.cpp
@@ -14,7 +14,6 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <charconv>
 
 namespace Lavenderloft::Staging {
 
@@ -27,54 +26,33 @@
     constexpr std::chrono::milliseconds reportInterval = 100ms;
     constexpr std::chrono::milliseconds engineTimeout = 1500ms;
     constexpr std::chrono::milliseconds checkInterval = 100ms;
-    // Waited before the next attempt at a piece that no source gave.
-    constexpr std::chrono::milliseconds fetchRetryDelay = 120ms;
+    // Waited before the next piece where a source did not give one.
+    constexpr std::chrono::milliseconds fetchRetryDelay = 30ms;
     // An agent may wait for the piece itself, and for its turn on the link.
     constexpr std::chrono::milliseconds agentTimeout = 4000ms;
     // How long an agent waits for a piece that another one asks for.
-    constexpr std::chrono::milliseconds longestPieceWait = 1500ms;
+    constexpr std::chrono::milliseconds longestPieceWait = 200ms;
     constexpr std::chrono::milliseconds pieceWaitInterval = 40ms;
+    // The duties for all pieces are costly to deal, and change only with the fleet.
+    constexpr std::chrono::milliseconds dutiesLifetime = 500ms;
     constexpr unsigned notHereStatus = 404;
     constexpr std::chrono::milliseconds originTimeout = 5000ms;
     constexpr std::chrono::milliseconds connectionRetryDelay = 500ms;
     // Pieces that are fetched at the same time.
-    constexpr unsigned parallelFetches = 3;
+    constexpr unsigned parallelFetches = 4;
     // Time for the routers to hear that the engine takes nothing new.
     constexpr std::chrono::milliseconds pauseNotice = 60ms;
     // An order that shows no effect by then is given again.
     constexpr std::chrono::seconds loadTimeout = 8s;
     constexpr std::chrono::milliseconds loadPollInterval = 100ms;
 
-    // The parts of "/piece/MODEL/VERSION/INDEX".
-    struct PieceName {
-        std::string model;
-        uint64_t version = 0;
-        unsigned piece = 0;
-    };
-
-    std::string piecePathOf(const std::string& model, uint64_t version, unsigned piece)
-    {
-        return std::string(StagingNode::piecePath) + model + "/" + std::to_string(version) + "/" + std::to_string(piece);
-    }
-
-    std::optional<PieceName> parsePiecePath(std::string_view path)
+    // A piece for which others wait is tried again after a few others, any other one at the end.
+    void putBack(std::vector<unsigned>& queue, unsigned piece, Queries::PieceDuty duty)
     {
-        path.remove_prefix(std::min(StagingNode::piecePath.size(), path.size()));
-        auto lastSlash = path.rfind('/');
-        if (lastSlash == std::string_view::npos || lastSlash == 0)
-            return std::nullopt;
-        auto middleSlash = path.rfind('/', lastSlash - 1);
-        if (middleSlash == std::string_view::npos)
-            return std::nullopt;
-        PieceName name;
-        name.model = path.substr(0, middleSlash);
-        auto version = path.substr(middleSlash + 1, lastSlash - middleSlash - 1);
-        auto piece = path.substr(lastSlash + 1);
-        auto versionError = std::from_chars(version.data(), version.data() + version.size(), name.version).ec;
-        auto pieceError = std::from_chars(piece.data(), piece.data() + piece.size(), name.piece).ec;
-        if (versionError != std::errc() || pieceError != std::errc())
-            return std::nullopt;
-        return name;
+        constexpr std::ptrdiff_t piecesBetween = 2;
+        auto size = static_cast<std::ptrdiff_t>(queue.size());
+        auto position = duty == Queries::PieceDuty::None ? 0 : std::max<std::ptrdiff_t>(size - piecesBetween, 0);
+        queue.insert(queue.begin() + position, piece);
     }
 
 } // namespace
@@ -303,14 +281,26 @@
     return agents;
 }
 
+const Queries::PieceDuties& StagingNode::currentDuties(const Wanted& wanted)
+{
+    auto now = m_clock.now();
+    bool isCurrent = m_duties && m_dutiesVersion == wanted.declared.version && now - m_dutiesAt < dutiesLifetime;
+    if (!isCurrent) {
+        m_duties.emplace(reachableAgents(wanted), m_settings, std::to_string(wanted.declared.version), m_checklist->pieceCount());
+        m_dutiesVersion = wanted.declared.version;
+        m_dutiesAt = now;
+    }
+    return *m_duties;
+}
+
 // The pieces for which others wait come last, as they are taken from the end.
-std::vector<unsigned> StagingNode::missingByDuty(const Wanted& wanted) const
+std::vector<unsigned> StagingNode::missingByDuty(const Wanted& wanted)
 {
-    auto duties = Queries::dutiesFor(reachableAgents(wanted), m_settings, std::to_string(wanted.declared.version), m_checklist->pieceCount());
+    auto& duties = currentDuties(wanted);
     auto pieces = m_checklist->missing();
     // Agents begin at different pieces, so that they do not all ask the same one at once.
     std::rotate(pieces.begin(), pieces.begin() + static_cast<std::ptrdiff_t>(Base::stableHash(m_settings.address) % std::max<size_t>(pieces.size(), 1)), pieces.end());
-    std::stable_sort(pieces.begin(), pieces.end(), [&](unsigned left, unsigned right) { return duties[left] > duties[right]; });
+    std::stable_sort(pieces.begin(), pieces.end(), [&](unsigned left, unsigned right) { return duties.ownDuty(left) > duties.ownDuty(right); });
     return pieces;
 }
 
@@ -334,7 +324,7 @@
         queue->pop_back();
         bool fetched = co_await fetchPiece(wanted, piece, clients);
         if (!fetched)
-            queue->insert(queue->begin(), piece);
+            putBack(*queue, piece, currentDuties(wanted).ownDuty(piece));
     }
     --*running;
 }
@@ -349,7 +339,7 @@
         client = std::make_unique<Http::KeptClient>(m_context.get_executor(), endpoint);
     Http::HttpRequest request;
     if (agent)
-        request.target = piecePathOf(wanted.model, wanted.declared.version, piece);
+        request.target = encodePiecePath({ wanted.model, wanted.declared.version, piece, m_settings.region });
     else
         request = m_protocol.pieceRequest(wanted.model, wanted.declared.version, piece);
     auto answer = co_await client->call(std::move(request), agent ? agentTimeout : originTimeout);
@@ -386,31 +376,31 @@
 
 asio::awaitable<bool> StagingNode::fetchPiece(const Wanted& wanted, unsigned piece, ClientsByAddress& clients)
 {
-    // The piece is put back into the queue then, so that others are tried meanwhile.
+    // Agents that may disclaim the duty for the piece before it is put back into the queue.
     constexpr unsigned maximumAttempts = 6;
     for (unsigned attempt = 0; attempt < maximumAttempts && isStillWanted(wanted); ++attempt) {
         auto agents = reachableAgents(wanted);
         auto& disclaimers = m_disclaimers[piece];
         std::erase_if(agents, [&](const Queries::SourceAgent& agent) { return disclaimers.contains(agent.address); });
-        auto source = Queries::chooseSource(agents, m_settings, std::to_string(wanted.declared.version), piece, attempt);
+        auto version = std::to_string(wanted.declared.version);
+        auto duties = disclaimers.empty() ? currentDuties(wanted) : Queries::PieceDuties(agents, m_settings, version, m_checklist->pieceCount());
+        auto source = Queries::chooseSource(agents, m_settings, duties, version, piece, attempt);
         bool disclaimed = false;
         auto bytes = co_await askSource(wanted, piece, source, clients, disclaimed);
         if (disclaimed) {
             m_disclaimers[piece].insert(std::get<Queries::FromAgent>(source).address);
             continue;
         }
-        if (!bytes) {
-            co_await sleepFor(fetchRetryDelay);
-            continue;
-        }
+        // Other pieces are tried meanwhile; their sources may have them already.
+        if (!bytes)
+            break;
         bool isStored = co_await storePiece(wanted, piece, std::move(*bytes));
-        if (!isStored) {
-            co_await sleepFor(fetchRetryDelay);
-            continue;
-        }
+        if (!isStored)
+            break;
         m_checklist->markPresent(piece);
         co_return true;
     }
+    co_await sleepFor(fetchRetryDelay);
     co_return false;
 }
 
@@ -441,28 +431,32 @@
     return wholeVersion() == version;
 }
 
-// Whether this agent has the duty to fetch the piece, or may learn of it at any moment.
-bool StagingNode::mayGet(uint64_t version, unsigned piece) const
+// Whether this agent has the duty to fetch the piece for one in the given region, or may learn of it at any
+// moment. An agent of another region waits only for one that takes the piece from the origin: two agents
+// that each take the other for that one would wait for good.
+bool StagingNode::mayGet(const PieceName& name)
 {
     auto wanted = findWanted();
-    if (!wanted || !m_engine || wanted->declared.version > version)
+    if (!wanted || !m_engine || wanted->declared.version > name.version)
         return false;
-    if (wanted->declared.version < version || !m_checklist || m_checklist->manifest().version != version)
+    if (wanted->declared.version < name.version || !m_checklist || m_checklist->manifest().version != name.version)
         return true;
-    auto duties = Queries::dutiesFor(reachableAgents(*wanted), m_settings, std::to_string(version), m_checklist->pieceCount());
-    return piece < duties.size() && duties[piece] != Queries::PieceDuty::None;
+    if (name.piece >= m_checklist->pieceCount())
+        return false;
+    auto duty = currentDuties(*wanted).ownDuty(name.piece);
+    return duty == Queries::PieceDuty::ForFleet || (duty == Queries::PieceDuty::ForRegion && name.region == m_settings.region);
 }
 
 asio::awaitable<Http::HttpResponse> StagingNode::answerPiece(Http::HttpRequest request)
 {
-    auto name = parsePiecePath(request.target);
+    auto name = decodePiecePath(request.target);
     if (!name)
-        co_return Http::HttpResponse { 400, {}, "the path must be /piece/MODEL/VERSION/INDEX" };
+        co_return Http::HttpResponse { 400, {}, "the path must be /piece/REGION/MODEL/VERSION/INDEX" };
     auto until = m_clock.now() + longestPieceWait;
-    while (!mayGive(name->version, name->piece) && m_clock.now() < until && mayGet(name->version, name->piece))
+    while (!mayGive(name->version, name->piece) && m_clock.now() < until && mayGet(*name))
         co_await sleepFor(pieceWaitInterval);
     if (!mayGive(name->version, name->piece)) {
-        if (mayGet(name->version, name->piece))
+        if (mayGet(*name))
             co_return Http::HttpResponse { 503, {}, "the piece is being fetched" };
         co_return Http::HttpResponse { notHereStatus, {}, "another agent has the duty for the piece" };
     }
--- a/Source/Staging/StagingNode.h
+++ b/Source/Staging/StagingNode.h
@@ -8,6 +8,7 @@
 #include "Peering/PeeringNode.h"
 #include "Staging/EngineProtocol.h"
 #include "Staging/PieceChecklist.h"
+#include "Staging/PieceName.h"
 #include "Staging/Queries/ChooseSource.h"
 #include "Staging/SourceHealth.h"
 #include "Staging/UploadPacer.h"
@@ -33,8 +34,6 @@
     // Answers another agent that asks for a piece.
     boost::asio::awaitable<Http::HttpResponse> answerPiece(Http::HttpRequest);
 
-    static constexpr std::string_view piecePath = "/piece/";
-
 private:
     // The version of a model that the engine should hold.
     struct Wanted {
@@ -56,10 +55,11 @@
     boost::asio::awaitable<bool> fetchPiece(const Wanted&, unsigned piece, ClientsByAddress&);
     boost::asio::awaitable<std::optional<std::string>> askSource(const Wanted&, unsigned piece, const Queries::PieceSource&, ClientsByAddress&, bool& disclaimed);
     boost::asio::awaitable<bool> storePiece(const Wanted&, unsigned piece, std::string bytes);
-    std::vector<unsigned> missingByDuty(const Wanted&) const;
+    std::vector<unsigned> missingByDuty(const Wanted&);
+    const Queries::PieceDuties& currentDuties(const Wanted&);
     std::vector<Queries::SourceAgent> reachableAgents(const Wanted&) const;
     bool mayGive(uint64_t version, unsigned piece) const;
-    bool mayGet(uint64_t version, unsigned piece) const;
+    bool mayGet(const PieceName&);
     boost::asio::awaitable<void> load(const Wanted&);
     boost::asio::awaitable<void> sleepFor(std::chrono::milliseconds);
     boost::asio::awaitable<std::optional<std::string>> readStored(Http::KeptClient&, const std::string& model, unsigned piece);
@@ -88,6 +88,9 @@
     // Free places at the report before: a place that a router has just given back is not dealt to others at
     // once, as that router may use it again.
     unsigned m_formerlyFree = 0;
+    std::optional<Queries::PieceDuties> m_duties;
+    uint64_t m_dutiesVersion = 0;
+    Base::TimePoint m_dutiesAt {};
     SourceHealth m_sources;
     // Agents that said of a piece that they do not have the duty for it.
     std::map<unsigned, std::set<std::string>> m_disclaimers;
--- a/Source/Staging/UploadPacer.h
+++ b/Source/Staging/UploadPacer.h
@@ -12,7 +12,7 @@
 class UploadPacer {
 public:
     // Part of the link that uploads may use.
-    static constexpr double linkShare = 0.8;
+    static constexpr double linkShare = 0.95;
     // An upload that would have to wait for longer is refused, so that the receiver can ask elsewhere.
     static constexpr std::chrono::milliseconds longestWait { 1500 };
 
--- a/Tests/Staging/PacingTest.cpp
+++ b/Tests/Staging/PacingTest.cpp
@@ -17,8 +17,8 @@
 // Guards against pieces that fill the link over which the engine's answers leave.
 Test(UploadPacer, keepsToItsPartOfTheLink)
 {
-    // 8,000 bits a second: 800 bytes a second for uploads.
-    UploadPacer pacer(8000);
+    // 800 bytes a second for uploads.
+    UploadPacer pacer(6400 / UploadPacer::linkShare);
     Base::ManualClock clock;
     cr_assert(pacer.reserve(800, clock.now()) == Base::Duration::zero());
     auto second = pacer.reserve(800, clock.now());
@@ -96,9 +96,9 @@
         settings.localService = "e";
         ++starts[Queries::planLoad(snapshot, settings, declared)];
     }
-    cr_assert_eq(starts.size(), 3);
+    cr_assert_geq(starts.size(), 3);
     for (auto& [start, engines] : starts) {
-        cr_assert_eq(engines, 4);
+        cr_assert_leq(engines, 4);
         cr_assert(start - declared.learnedAt < Fleet::FleetBounds().weights - 2s);
     }
 }
--- a/Tests/Staging/SourceTest.cpp
+++ b/Tests/Staging/SourceTest.cpp
@@ -1,3 +1,4 @@
+#include "Staging/PieceName.h"
 #include "Staging/Queries/ChooseSource.h"
 
 #include <criterion/criterion.h>
@@ -44,6 +45,11 @@
     }
 };
 
+PieceSource ask(const std::vector<SourceAgent>& others, const Fleet::NodeSettings& settings, unsigned piece, unsigned attempt)
+{
+    return chooseSource(others, settings, PieceDuties(others, settings, version, pieces), version, piece, attempt);
+}
+
 } // namespace
 
 // Guards against an origin whose narrow link carries a piece more than once, and against links between
@@ -55,7 +61,7 @@
         unsigned fromOrigin = 0;
         std::map<std::string, unsigned> entering;
         for (auto& agent : agents.all) {
-            auto source = chooseSource(agents.othersOf(agent.address), agents.settingsOf(agent), version, piece, 0);
+            auto source = ask(agents.othersOf(agent.address), agents.settingsOf(agent), piece, 0);
             auto* other = std::get_if<FromAgent>(&source);
             if (!other)
                 ++fromOrigin;
@@ -79,7 +85,7 @@
         auto others = agents.othersOf(asking.address);
         bool atOrigin = false;
         for (unsigned attempt = 0; attempt <= agents.all.size() && !atOrigin; ++attempt) {
-            auto source = chooseSource(others, agents.settingsOf(asking), version, piece, attempt);
+            auto source = ask(others, agents.settingsOf(asking), piece, attempt);
             atOrigin = std::holds_alternative<FromOrigin>(source);
             if (auto* other = std::get_if<FromAgent>(&source))
                 std::erase_if(others, [&](auto& agent) { return agent.address == other->address; });
@@ -93,12 +99,38 @@
 {
     TestAgents agents(12);
     auto& agent = agents.all.front();
-    auto before = dutiesFor(agents.othersOf(agent.address), agents.settingsOf(agent), version, pieces);
     auto others = agents.othersOf(agent.address);
+    PieceDuties before(others, agents.settingsOf(agent), version, pieces);
     others.pop_back();
-    auto after = dutiesFor(others, agents.settingsOf(agent), version, pieces);
+    PieceDuties after(others, agents.settingsOf(agent), version, pieces);
+    unsigned moved = 0;
     for (unsigned piece = 0; piece < pieces; ++piece)
-        cr_expect(before[piece] != PieceDuty::ForFleet || after[piece] == PieceDuty::ForFleet, "the duty for piece %u was lost", piece);
+        moved += before.fleetOwner(piece) != after.fleetOwner(piece);
+    // The pieces of the agent that left, and those that its absence pushes on.
+    cr_assert_leq(moved, pieces / 3, "%u of %u duties moved", moved, pieces);
+}
+
+// Guards against an agent whose link has to carry twice the pieces of another.
+Test(PieceSource, agentsHaveEqualShares)
+{
+    TestAgents agents(8);
+    auto& agent = agents.all.front();
+    PieceDuties duties(agents.othersOf(agent.address), agents.settingsOf(agent), version, pieces);
+    std::map<std::string, unsigned> dealt;
+    for (unsigned piece = 0; piece < pieces; ++piece)
+        ++dealt[duties.fleetOwner(piece)];
+    cr_assert_eq(dealt.size(), 8);
+    for (auto& [address, count] : dealt)
+        cr_expect_eq(count, 6);
+}
+
+// Guards against a request for a piece that another agent takes for a different one.
+Test(PieceName, isReadAsItWasWritten)
+{
+    PieceName name { "m-1", 7, 31, "r-a" };
+    cr_assert(decodePiecePath(encodePiecePath(name)) == name);
+    for (auto* path : { "/piece/r/m/2", "/piece/r/m/2/x", "/piece/r/m/2/3/4", "/items/r/m/2/3", "/piece/" })
+        cr_expect_not(decodePiecePath(path).has_value(), "%s was accepted", path);
 }
 
 // Guards against a new engine that draws on the origin though others have loaded the weights.
@@ -111,7 +143,7 @@
     newcomer.holdsVersion = false;
     std::set<std::string> asked;
     for (unsigned piece = 0; piece < pieces; ++piece) {
-        auto source = chooseSource(agents.othersOf(newcomer.address), agents.settingsOf(newcomer), version, piece, 0);
+        auto source = ask(agents.othersOf(newcomer.address), agents.settingsOf(newcomer), piece, 0);
         auto* other = std::get_if<FromAgent>(&source);
         cr_assert(other && agents.find(other->address).region == newcomer.region);
         asked.insert(other->address);
