Begin to load new weights when staging usually ends

Cause: three turns began before the pieces were whole, so that most engines loaded at the same time. Change: turns from 0.43 to 0.71 of the bound. Ruled out: more turns (the last would end after old weights are given up).

--- a/Source/Staging/Queries/PlanLoad.cpp
+++ b/Source/Staging/Queries/PlanLoad.cpp
@@ -11,8 +11,8 @@
     // Groups of engines that load one after the other.
     constexpr unsigned turns = 5;
     // Parts of the bound for new weights: when the first turn begins, and the length of each.
-    constexpr double firstTurnShare = 0.3;
-    constexpr double turnShare = 0.08;
+    constexpr double firstTurnShare = 0.43;
+    constexpr double turnShare = 0.07;
 
 } // namespace
 
