Choose the less occupied of two engines, begin one request between reports

Ruled out: waiting in the router (98 of 359 waited, under 0.1 s). Change: two random candidates, the less occupied is taken; while places are free a router begins one request at an engine between two reports, more only with a grant. The log names the time to the first byte and the occupancy.

--- a/Source/Dispatch/Commands/RecordOutcome.cpp
+++ b/Source/Dispatch/Commands/RecordOutcome.cpp
@@ -91,6 +91,7 @@
         auto total = report.running + report.queued;
         runtime.underWayElsewhere = total > runtime.underWay ? total - runtime.underWay : 0;
         runtime.grantsLeft = report.granted;
+        runtime.begunSinceReport = 0;
         runtime.report = report;
         runtime.reportedAt = now;
         if (!service.waiting.empty())
--- a/Source/Dispatch/Commands/ServeQueue.cpp
+++ b/Source/Dispatch/Commands/ServeQueue.cpp
@@ -49,6 +49,7 @@
     auto& runtime = service.targets[chosen.target->entry.id];
     takeColdToken(state, traits.service, *chosen.target, runtime, now);
     ++runtime.underWay;
+    ++runtime.begunSinceReport;
     takeSharedPlace(runtime, now);
     Lease lease { chosen.target, std::nullopt, chosen.occupancy, {} };
     if (candidates.checkWeights)
--- a/Source/Dispatch/Queries/FindCandidates.cpp
+++ b/Source/Dispatch/Queries/FindCandidates.cpp
@@ -88,9 +88,10 @@
         uint64_t m_oldestWeights = 0;
     };
 
-    // Whether a request may be begun at the target. Routers share the places of an engine: while many are
-    // free, each takes what it needs; the last ones are dealt by the agent, so that routers do not take the
-    // same one at once. Without news of the agent a router keeps to its share.
+    // Whether a request may be begun at the target. Routers share the places of an engine: the agent deals
+    // them, so that routers do not take the same one at once. While many are free, each router may also
+    // begin one request between two reports; more would make an engine that has just become free read many
+    // prompts at once. Without news of the agent a router keeps to its share.
     bool hasPlace(const DispatchState& state, const Candidate& candidate, const TargetRuntime* runtime, bool isEngine, Base::TimePoint now)
     {
         if (!isEngine)
@@ -98,9 +99,9 @@
         auto routers = state.routerCount();
         if (!runtime || !runtime->hasReport(now))
             return (runtime ? runtime->underWay : 0) < std::max(1u, candidate.slots / routers);
-        if (candidate.occupancy + routers <= candidate.slots)
+        if (runtime->grantsLeft > 0 || runtime->hasRetainedPlace(now))
             return true;
-        return runtime->grantsLeft > 0 || runtime->hasRetainedPlace(now);
+        return runtime->begunSinceReport == 0 && candidate.occupancy + routers <= candidate.slots;
     }
 
 } // namespace
--- a/Source/Dispatch/TargetRuntime.h
+++ b/Source/Dispatch/TargetRuntime.h
@@ -36,6 +36,9 @@
     Base::TimePoint reportedAt {};
     // Requests that may still be begun under the last report.
     unsigned grantsLeft = 0;
+    // Requests of this router that were begun since the last report. Their prompts are read one after the
+    // other, and those of other routers beside them.
+    unsigned begunSinceReport = 0;
     // Ends of the retention of places that were given back, the oldest first.
     std::deque<Base::TimePoint> retainedPlaces;
     // Failures without a success in between.
--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -5,7 +5,7 @@
 #include "Dispatch/BoundedWaitPolicy.h"
 #include "Dispatch/Commands/AcquireTarget.h"
 #include "Dispatch/Commands/RecordOutcome.h"
-#include "Dispatch/LeastOccupiedPolicy.h"
+#include "Dispatch/LessOccupiedOfTwoPolicy.h"
 #include "Dispatch/Queries/EngineDemand.h"
 #include "Fleet/Commands/ApplyItems.h"
 #include "Fleet/Queries/ReadFleet.h"
@@ -61,7 +61,7 @@
             : m_settings(settings)
             , m_pool(workerCount)
             , m_intake(m_fleet, platform.publications(), m_clock)
-            , m_dispatch(m_fleet, settings, std::make_unique<Dispatch::LeastOccupiedPolicy>(), std::make_unique<Dispatch::BoundedWaitPolicy>(), std::make_unique<Base::SeededRandom>(randomSeed()))
+            , m_dispatch(m_fleet, settings, std::make_unique<Dispatch::LessOccupiedOfTwoPolicy>(), std::make_unique<Dispatch::BoundedWaitPolicy>(), std::make_unique<Base::SeededRandom>(randomSeed()))
             , m_proxy { platform.callers(), m_fleet, m_dispatch, m_clock, m_metrics }
             , m_peering(m_pool.context(0), settings, m_peers, m_intake, m_clock, true)
             , m_signals(m_pool.context(0), SIGTERM, SIGINT)
--- a/Source/Proxy/RequestRun.cpp
+++ b/Source/Proxy/RequestRun.cpp
@@ -202,6 +202,7 @@
         }
         auto& lease = std::get<Dispatch::Lease>(*outcome);
         m_waited += lease.waited;
+        m_occupancy = lease.occupancy;
         m_lastTarget = lease.target->entry.id;
         auto attempted = finishedAs(AttemptResult::Abandoned);
         if (!m_watch->callerLeft())
@@ -369,6 +370,8 @@
         if (!written)
             co_return finishedAs(AttemptResult::Abandoned);
         pendingHead.clear();
+        if (!m_headSent)
+            m_firstByte = elapsed();
         m_headSent = true;
     }
     m_caller.expires_after(timeLeft());
@@ -444,7 +447,7 @@
     Observability::logEvent(event,
         { { "request", m_head.requestId }, { "route", route }, { "organisation", m_organisation ? m_organisation->name : std::string() },
             { "target", m_lastTarget }, { "status", status }, { "reason", reason }, { "attempts", m_history.attempts }, { "runs", m_history.runs },
-            { "waited", m_waited }, { "elapsed", elapsed() }, { "configuration", m_snapshot && m_snapshot->configuration ? m_snapshot->configuration->version : 0 },
+            { "waited", m_waited }, { "occupancy", m_occupancy }, { "first_byte", m_firstByte }, { "elapsed", elapsed() }, { "configuration", m_snapshot && m_snapshot->configuration ? m_snapshot->configuration->version : 0 },
             { "revision", m_snapshot ? m_snapshot->revision : 0 } });
 }
 
--- a/Source/Proxy/RequestRun.h
+++ b/Source/Proxy/RequestRun.h
@@ -79,6 +79,10 @@
     bool m_finished = false;
     std::string m_lastTarget;
     std::chrono::milliseconds m_waited { 0 };
+    // From the arrival of the request to the first byte of the answer's body.
+    std::chrono::milliseconds m_firstByte { 0 };
+    // Requests at the last target when this one was sent there.
+    unsigned m_occupancy = 0;
     EventSplitter m_events;
     // Whether any byte of the body was passed on in this answer.
     bool m_resuming = false;
