Prefer engines of the region while several are less than half full

Cause: choosing among all engines sent more bytes between regions. Change: near engines below half of their places, if there are three or more.

--- a/Source/Dispatch/LessOccupiedOfTwoPolicy.cpp
+++ b/Source/Dispatch/LessOccupiedOfTwoPolicy.cpp
@@ -8,6 +8,10 @@
     constexpr double otherRegionPenalty = 0.3;
     constexpr double otherDataCentrePenalty = 0.1;
     constexpr double failurePenalty = 1.5;
+    // Share of places from which on targets of other regions are taken as well.
+    constexpr double nearlyFull = 0.5;
+    // With fewer near targets all routers of the region would choose the same one.
+    constexpr size_t fewestToChooseFrom = 3;
 
     double scoreOf(const Candidate& candidate)
     {
@@ -19,15 +23,29 @@
         return score + failurePenalty * candidate.failureShare;
     }
 
+    // Indexes of the candidates of this region that are not nearly full; of all if these are few.
+    std::vector<size_t> nearCandidates(const std::vector<Candidate>& candidates)
+    {
+        std::vector<size_t> near;
+        std::vector<size_t> all;
+        for (size_t i = 0; i < candidates.size(); ++i) {
+            all.push_back(i);
+            if (candidates[i].sameRegion && candidates[i].occupancy < nearlyFull * candidates[i].slots)
+                near.push_back(i);
+        }
+        return near.size() < fewestToChooseFrom ? all : near;
+    }
+
 } // namespace
 
 size_t LessOccupiedOfTwoPolicy::choose(const std::vector<Candidate>& candidates, const RequestTraits&, Base::RandomSource& random) const
 {
-    auto first = random.below(candidates.size());
-    if (candidates.size() == 1)
-        return first;
-    auto second = (first + 1 + random.below(candidates.size() - 1)) % candidates.size();
-    return scoreOf(candidates[first]) <= scoreOf(candidates[second]) ? first : second;
+    auto near = nearCandidates(candidates);
+    if (near.size() == 1)
+        return near.front();
+    auto first = random.below(near.size());
+    auto second = (first + 1 + random.below(near.size() - 1)) % near.size();
+    return scoreOf(candidates[near[first]]) <= scoreOf(candidates[near[second]]) ? near[first] : near[second];
 }
 
 } // namespace Lavenderloft::Dispatch
