Leave out sources that gave a spoilt piece

Ruled out: the origin (it answered), the links. Change: PieceSources remembers for each piece who refused it, gave it spoilt or can't be reached; each refusal leads closer to the origin.

--- a/Source/Staging/Queries/ChooseSource.cpp
+++ b/Source/Staging/Queries/ChooseSource.cpp
@@ -73,16 +73,15 @@
     return m_regionOwners[piece] == m_ownAddress ? PieceDuty::ForRegion : PieceDuty::None;
 }
 
-PieceSource chooseSource(const std::vector<SourceAgent>& others, const Fleet::NodeSettings& settings, const PieceDuties& duties, const std::string& version, unsigned piece, unsigned attempt)
+PieceSource chooseSource(const std::vector<SourceAgent>& others, const Fleet::NodeSettings& settings, const PieceDuties& duties, const std::string& version, unsigned piece)
 {
     // Engines that have loaded the version are sources at once, those of the region first.
     auto holders = addressesOf(others, &settings.region, true);
     if (holders.empty())
         holders = addressesOf(others, nullptr, true);
     if (!holders.empty()) {
-        // Each receiver has an order of its own, which spreads the load over the holders.
-        auto ranked = Base::rankMembers(pieceKey(version, piece) + "/" + settings.address, holders);
-        return FromAgent { ranked[attempt % ranked.size()] };
+        // Each receiver asks in an order of its own, which spreads the load over the holders.
+        return FromAgent { Base::chooseMember(pieceKey(version, piece) + "/" + settings.address, holders) };
     }
     switch (duties.ownDuty(piece)) {
     case PieceDuty::ForFleet:
--- a/Source/Staging/Queries/ChooseSource.h
+++ b/Source/Staging/Queries/ChooseSource.h
@@ -60,12 +60,11 @@
     std::vector<std::string> m_regionOwners;
 };
 
-// From where to fetch a piece on the given attempt, counted from zero. While no engine has loaded the
-// version, one agent of the fleet takes each piece from the origin, one of each other region takes it from
-// there, and the rest from the agent of their region: the origin's link and those between regions carry each
-// piece once. The caller leaves out agents that can't be reached or that say that they do not have the duty:
-// views of the fleet differ, and with each agent that is left out the asking one comes closer to the duty.
-// The duties are those among the agents that are left.
-PieceSource chooseSource(const std::vector<SourceAgent>& others, const Fleet::NodeSettings&, const PieceDuties&, const std::string& version, unsigned piece, unsigned attempt);
+// From where to fetch a piece. While no engine has loaded the version, one agent of the fleet takes each piece
+// from the origin, one of each other region takes it from there, and the rest from the agent of their region:
+// the origin's link and those between regions carry each piece once. The caller leaves out agents that can't
+// be reached or that can't give the piece: views of the fleet differ, and with each agent that is left out the
+// asking one comes closer to the duty. The duties are those among the agents that are left.
+PieceSource chooseSource(const std::vector<SourceAgent>& others, const Fleet::NodeSettings&, const PieceDuties&, const std::string& version, unsigned piece);
 
 } // namespace Lavenderloft::Staging::Queries
--- a/Source/Staging/StagingNode.cpp
+++ b/Source/Staging/StagingNode.cpp
@@ -33,8 +33,6 @@
     // How long an agent waits for a piece that another one asks for.
     constexpr std::chrono::milliseconds longestPieceWait = 200ms;
     constexpr std::chrono::milliseconds pieceWaitInterval = 40ms;
-    // The duties for all pieces are costly to deal, and change only with the fleet.
-    constexpr std::chrono::milliseconds dutiesLifetime = 500ms;
     constexpr unsigned notHereStatus = 404;
     constexpr std::chrono::milliseconds originTimeout = 5000ms;
     constexpr std::chrono::milliseconds connectionRetryDelay = 500ms;
@@ -66,6 +64,7 @@
     , m_peers(peers)
     , m_clock(clock)
     , m_random(random)
+    , m_sources(settings)
     , m_uploads(settings.linkBitsPerSecond)
 {
 }
@@ -243,6 +242,7 @@
             co_return false;
         }
         m_checklist.emplace(Base::valueOf(manifest));
+        m_sources.begin(wanted.declared.version, m_checklist->pieceCount());
     }
     Observability::logEvent(Events::stagingStarted, { { "model", wanted.model }, { "version", wanted.declared.version }, { "pieces", m_checklist->pieceCount() }, { "held_version", wholeVersion() } });
     co_await checkStoredPieces();
@@ -272,41 +272,26 @@
     }
 }
 
-std::vector<Queries::SourceAgent> StagingNode::reachableAgents(const Wanted& wanted) const
+std::vector<Queries::SourceAgent> StagingNode::otherAgents(const Wanted& wanted) const
 {
-    auto snapshot = Fleet::Queries::currentSnapshot(m_fleet);
-    auto agents = Queries::listSourceAgents(*snapshot, m_settings, wanted.declared.version);
-    auto now = m_clock.now();
-    std::erase_if(agents, [&](const Queries::SourceAgent& agent) { return m_sources.isAvoided(agent.address, now); });
-    return agents;
-}
-
-const Queries::PieceDuties& StagingNode::currentDuties(const Wanted& wanted)
-{
-    auto now = m_clock.now();
-    bool isCurrent = m_duties && m_dutiesVersion == wanted.declared.version && now - m_dutiesAt < dutiesLifetime;
-    if (!isCurrent) {
-        m_duties.emplace(reachableAgents(wanted), m_settings, std::to_string(wanted.declared.version), m_checklist->pieceCount());
-        m_dutiesVersion = wanted.declared.version;
-        m_dutiesAt = now;
-    }
-    return *m_duties;
+    return Queries::listSourceAgents(*Fleet::Queries::currentSnapshot(m_fleet), m_settings, wanted.declared.version);
 }
 
 // The pieces for which others wait come last, as they are taken from the end.
 std::vector<unsigned> StagingNode::missingByDuty(const Wanted& wanted)
 {
-    auto& duties = currentDuties(wanted);
+    auto agents = otherAgents(wanted);
+    auto now = m_clock.now();
     auto pieces = m_checklist->missing();
     // Agents begin at different pieces, so that they do not all ask the same one at once.
     std::rotate(pieces.begin(), pieces.begin() + static_cast<std::ptrdiff_t>(Base::stableHash(m_settings.address) % std::max<size_t>(pieces.size(), 1)), pieces.end());
-    std::stable_sort(pieces.begin(), pieces.end(), [&](unsigned left, unsigned right) { return duties.ownDuty(left) > duties.ownDuty(right); });
+    std::stable_sort(pieces.begin(), pieces.end(), [&](unsigned left, unsigned right) { return m_sources.duty(agents, left, now) > m_sources.duty(agents, right, now); });
     return pieces;
 }
 
 asio::awaitable<void> StagingNode::fetchMissing(const Wanted& wanted)
 {
-    m_disclaimers.clear();
+    m_sources.begin(wanted.declared.version, m_checklist->pieceCount());
     auto queue = std::make_shared<std::vector<unsigned>>(missingByDuty(wanted));
     auto running = std::make_shared<unsigned>(parallelFetches);
     for (unsigned i = 0; i < parallelFetches; ++i)
@@ -324,13 +309,25 @@
         queue->pop_back();
         bool fetched = co_await fetchPiece(wanted, piece, clients);
         if (!fetched)
-            putBack(*queue, piece, currentDuties(wanted).ownDuty(piece));
+            putBack(*queue, piece, m_sources.duty(otherAgents(wanted), piece, m_clock.now()));
     }
     --*running;
 }
 
-// Takes the piece from one source; says in `disclaimed` if that agent does not have the duty for it.
-asio::awaitable<std::optional<std::string>> StagingNode::askSource(const Wanted& wanted, unsigned piece, const Queries::PieceSource& source, ClientsByAddress& clients, bool& disclaimed)
+// What an answer to a request for a piece means.
+SourceOutcome StagingNode::judge(const Base::Result<Http::HttpResponse, Http::HttpError>& answer, unsigned piece) const
+{
+    if (!Base::succeeded(answer))
+        return SourceOutcome::Unreachable;
+    auto& response = Base::valueOf(answer);
+    if (response.status == notHereStatus)
+        return SourceOutcome::Disclaimed;
+    if (response.status != 200)
+        return SourceOutcome::NotYet;
+    return m_checklist->matches(piece, response.body) ? SourceOutcome::Delivered : SourceOutcome::Spoilt;
+}
+
+asio::awaitable<std::optional<std::string>> StagingNode::askSource(const Wanted& wanted, unsigned piece, const Queries::PieceSource& source, ClientsByAddress& clients)
 {
     auto* agent = std::get_if<Queries::FromAgent>(&source);
     auto endpoint = agent ? Http::Endpoint { agent->address, m_settings.firstPeerPort } : wanted.origin;
@@ -343,25 +340,14 @@
     else
         request = m_protocol.pieceRequest(wanted.model, wanted.declared.version, piece);
     auto answer = co_await client->call(std::move(request), agent ? agentTimeout : originTimeout);
-    std::string problem;
-    if (!Base::succeeded(answer)) {
-        problem = Base::errorOf(answer).describe();
-        if (agent)
-            m_sources.noteUnreachable(agent->address, m_clock.now());
-    } else if (Base::valueOf(answer).status != 200) {
-        problem = "status " + std::to_string(Base::valueOf(answer).status);
-        disclaimed = agent && Base::valueOf(answer).status == notHereStatus;
-    } else if (!m_checklist->matches(piece, Base::valueOf(answer).body)) {
-        Observability::logEvent(Events::pieceRejected, { { "piece", piece }, { "version", wanted.declared.version }, { "source", endpoint.toString() } });
-        co_return std::nullopt;
-    }
-    if (!problem.empty()) {
-        Observability::logEvent(Events::pieceUnavailable, { { "piece", piece }, { "version", wanted.declared.version }, { "source", endpoint.toString() }, { "problem", problem } });
-        co_return std::nullopt;
-    }
-    if (agent)
-        m_sources.noteReached(agent->address);
-    co_return Base::takeValue(std::move(answer)).body;
+    auto outcome = judge(answer, piece);
+    m_sources.note(piece, source, outcome, m_clock.now());
+    if (outcome == SourceOutcome::Delivered)
+        co_return Base::takeValue(std::move(answer)).body;
+    auto& event = outcome == SourceOutcome::Spoilt ? Events::pieceRejected : Events::pieceUnavailable;
+    auto problem = Base::succeeded(answer) ? "status " + std::to_string(Base::valueOf(answer).status) : Base::errorOf(answer).describe();
+    Observability::logEvent(event, { { "piece", piece }, { "version", wanted.declared.version }, { "source", endpoint.toString() }, { "problem", problem } });
+    co_return std::nullopt;
 }
 
 asio::awaitable<bool> StagingNode::storePiece(const Wanted& wanted, unsigned piece, std::string bytes)
@@ -376,32 +362,16 @@
 
 asio::awaitable<bool> StagingNode::fetchPiece(const Wanted& wanted, unsigned piece, ClientsByAddress& clients)
 {
-    // Agents that may disclaim the duty for the piece before it is put back into the queue.
-    constexpr unsigned maximumAttempts = 6;
-    for (unsigned attempt = 0; attempt < maximumAttempts && isStillWanted(wanted); ++attempt) {
-        auto agents = reachableAgents(wanted);
-        auto& disclaimers = m_disclaimers[piece];
-        std::erase_if(agents, [&](const Queries::SourceAgent& agent) { return disclaimers.contains(agent.address); });
-        auto version = std::to_string(wanted.declared.version);
-        auto duties = disclaimers.empty() ? currentDuties(wanted) : Queries::PieceDuties(agents, m_settings, version, m_checklist->pieceCount());
-        auto source = Queries::chooseSource(agents, m_settings, duties, version, piece, attempt);
-        bool disclaimed = false;
-        auto bytes = co_await askSource(wanted, piece, source, clients, disclaimed);
-        if (disclaimed) {
-            m_disclaimers[piece].insert(std::get<Queries::FromAgent>(source).address);
-            continue;
-        }
-        // Other pieces are tried meanwhile; their sources may have them already.
-        if (!bytes)
-            break;
-        bool isStored = co_await storePiece(wanted, piece, std::move(*bytes));
-        if (!isStored)
-            break;
+    auto source = m_sources.next(otherAgents(wanted), piece, m_clock.now());
+    auto bytes = co_await askSource(wanted, piece, source, clients);
+    bool isStored = false;
+    if (bytes)
+        isStored = co_await storePiece(wanted, piece, std::move(*bytes));
+    if (isStored)
         m_checklist->markPresent(piece);
-        co_return true;
-    }
-    co_await sleepFor(fetchRetryDelay);
-    co_return false;
+    else
+        co_await sleepFor(fetchRetryDelay);
+    co_return isStored;
 }
 
 asio::awaitable<void> StagingNode::load(const Wanted& wanted)
@@ -443,7 +413,7 @@
         return true;
     if (name.piece >= m_checklist->pieceCount())
         return false;
-    auto duty = currentDuties(*wanted).ownDuty(name.piece);
+    auto duty = m_sources.duty(otherAgents(*wanted), name.piece, m_clock.now());
     return duty == Queries::PieceDuty::ForFleet || (duty == Queries::PieceDuty::ForRegion && name.region == m_settings.region);
 }
 
--- a/Source/Staging/StagingNode.h
+++ b/Source/Staging/StagingNode.h
@@ -9,8 +9,8 @@
 #include "Staging/EngineProtocol.h"
 #include "Staging/PieceChecklist.h"
 #include "Staging/PieceName.h"
+#include "Staging/PieceSources.h"
 #include "Staging/Queries/ChooseSource.h"
-#include "Staging/SourceHealth.h"
 #include "Staging/UploadPacer.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -18,7 +18,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace Lavenderloft::Staging {
@@ -53,11 +52,11 @@
     boost::asio::awaitable<void> fetchMissing(const Wanted&);
     boost::asio::awaitable<void> fetchPieces(const Wanted&, std::shared_ptr<std::vector<unsigned>> queue, std::shared_ptr<unsigned> running);
     boost::asio::awaitable<bool> fetchPiece(const Wanted&, unsigned piece, ClientsByAddress&);
-    boost::asio::awaitable<std::optional<std::string>> askSource(const Wanted&, unsigned piece, const Queries::PieceSource&, ClientsByAddress&, bool& disclaimed);
+    boost::asio::awaitable<std::optional<std::string>> askSource(const Wanted&, unsigned piece, const Queries::PieceSource&, ClientsByAddress&);
     boost::asio::awaitable<bool> storePiece(const Wanted&, unsigned piece, std::string bytes);
     std::vector<unsigned> missingByDuty(const Wanted&);
-    const Queries::PieceDuties& currentDuties(const Wanted&);
-    std::vector<Queries::SourceAgent> reachableAgents(const Wanted&) const;
+    std::vector<Queries::SourceAgent> otherAgents(const Wanted&) const;
+    SourceOutcome judge(const Base::Result<Http::HttpResponse, Http::HttpError>&, unsigned piece) const;
     bool mayGive(uint64_t version, unsigned piece) const;
     bool mayGet(const PieceName&);
     boost::asio::awaitable<void> load(const Wanted&);
@@ -88,12 +87,7 @@
     // Free places at the report before: a place that a router has just given back is not dealt to others at
     // once, as that router may use it again.
     unsigned m_formerlyFree = 0;
-    std::optional<Queries::PieceDuties> m_duties;
-    uint64_t m_dutiesVersion = 0;
-    Base::TimePoint m_dutiesAt {};
-    SourceHealth m_sources;
-    // Agents that said of a piece that they do not have the duty for it.
-    std::map<unsigned, std::set<std::string>> m_disclaimers;
+    PieceSources m_sources;
     UploadPacer m_uploads;
 };
 
--- a/Tests/Staging/SourceTest.cpp
+++ b/Tests/Staging/SourceTest.cpp
@@ -1,6 +1,8 @@
 #include "Staging/PieceName.h"
+#include "Staging/PieceSources.h"
 #include "Staging/Queries/ChooseSource.h"
 
+#include <climits>
 #include <criterion/criterion.h>
 #include <map>
 #include <set>
@@ -45,9 +47,9 @@
     }
 };
 
-PieceSource ask(const std::vector<SourceAgent>& others, const Fleet::NodeSettings& settings, unsigned piece, unsigned attempt)
+PieceSource ask(const std::vector<SourceAgent>& others, const Fleet::NodeSettings& settings, unsigned piece)
 {
-    return chooseSource(others, settings, PieceDuties(others, settings, version, pieces), version, piece, attempt);
+    return chooseSource(others, settings, PieceDuties(others, settings, version, pieces), version, piece);
 }
 
 } // namespace
@@ -61,7 +63,7 @@
         unsigned fromOrigin = 0;
         std::map<std::string, unsigned> entering;
         for (auto& agent : agents.all) {
-            auto source = ask(agents.othersOf(agent.address), agents.settingsOf(agent), piece, 0);
+            auto source = ask(agents.othersOf(agent.address), agents.settingsOf(agent), piece);
             auto* other = std::get_if<FromAgent>(&source);
             if (!other)
                 ++fromOrigin;
@@ -85,7 +87,7 @@
         auto others = agents.othersOf(asking.address);
         bool atOrigin = false;
         for (unsigned attempt = 0; attempt <= agents.all.size() && !atOrigin; ++attempt) {
-            auto source = ask(others, agents.settingsOf(asking), piece, attempt);
+            auto source = ask(others, agents.settingsOf(asking), piece);
             atOrigin = std::holds_alternative<FromOrigin>(source);
             if (auto* other = std::get_if<FromAgent>(&source))
                 std::erase_if(others, [&](auto& agent) { return agent.address == other->address; });
@@ -143,7 +145,7 @@
     newcomer.holdsVersion = false;
     std::set<std::string> asked;
     for (unsigned piece = 0; piece < pieces; ++piece) {
-        auto source = ask(agents.othersOf(newcomer.address), agents.settingsOf(newcomer), piece, 0);
+        auto source = ask(agents.othersOf(newcomer.address), agents.settingsOf(newcomer), piece);
         auto* other = std::get_if<FromAgent>(&source);
         cr_assert(other && agents.find(other->address).region == newcomer.region);
         asked.insert(other->address);
@@ -151,3 +153,62 @@
     // The other agent of its region is the only holder there.
     cr_assert_eq(asked.size(), 1);
 }
+
+namespace {
+
+// Asks for a piece as an agent does that always gets the same outcome from agents; returns the number of
+// attempts until the origin is asked.
+unsigned attemptsUntilOrigin(const TestAgents& agents, SourceOutcome outcome, unsigned piece)
+{
+    auto settings = agents.settingsOf(agents.all.front());
+    PieceSources sources(settings);
+    sources.begin(2, pieces);
+    auto others = agents.othersOf(settings.address);
+    for (unsigned attempt = 0; attempt < 3 * agents.all.size(); ++attempt) {
+        auto source = sources.next(others, piece, {});
+        if (std::holds_alternative<FromOrigin>(source))
+            return attempt;
+        sources.note(piece, source, outcome, {});
+    }
+    return UINT_MAX;
+}
+
+} // namespace
+
+// Guards against an agent that asks the same holder of a spoilt piece again and again, while a new engine
+// stays without weights.
+Test(PieceSources, spoiltPiecesLeadToTheOrigin)
+{
+    TestAgents agents(9);
+    for (auto& agent : agents.all)
+        agent.holdsVersion = true;
+    for (unsigned piece = 0; piece < pieces; ++piece)
+        cr_assert_leq(attemptsUntilOrigin(agents, SourceOutcome::Spoilt, piece), 8);
+}
+
+// Guards against agents that wait for each other for good because their lists of agents differ.
+Test(PieceSources, disclaimedDutiesLeadToTheOrigin)
+{
+    TestAgents agents(9);
+    for (unsigned piece = 0; piece < pieces; ++piece)
+        cr_assert_leq(attemptsUntilOrigin(agents, SourceOutcome::Disclaimed, piece), 8);
+}
+
+// Guards against duties of agents that can't be reached and that nobody takes over.
+Test(PieceSources, dutiesOfUnreachableAgentsAreTakenOver)
+{
+    TestAgents agents(9);
+    for (unsigned piece = 0; piece < pieces; ++piece)
+        cr_assert_leq(attemptsUntilOrigin(agents, SourceOutcome::Unreachable, piece), 8);
+}
+
+// Guards against an origin that every agent asks because the one with the duty is not ready yet.
+Test(PieceSources, anAgentThatFetchesThePieceIsAskedAgain)
+{
+    TestAgents agents(9);
+    unsigned atOrigin = 0;
+    for (unsigned piece = 0; piece < pieces; ++piece)
+        atOrigin += attemptsUntilOrigin(agents, SourceOutcome::NotYet, piece) != UINT_MAX;
+    // Its own share of the pieces.
+    cr_assert_leq(atOrigin, pieces / 9 + 1);
+}
