--- a/Source/Proxy/RequestRun.cpp
+++ b/Source/Proxy/RequestRun.cpp
@@ -194,10 +194,12 @@
     while (true) {
         auto outcome = co_await acquire();
         if (auto* refusal = std::get_if<Dispatch::Refusal>(&*outcome)) {
-            if (m_history.runs > 0 || m_headSent)
-                co_await fail(lastEnd);
-            else
+            if (m_history.runs == 0 && !m_headSent) {
                 co_await refuse(*refusal);
+                co_return;
+            }
+            m_repeatRefusal = Dispatch::refusalName(refusal->reason);
+            co_await fail(lastEnd);
             co_return;
         }
         auto& lease = std::get<Dispatch::Lease>(*outcome);
@@ -446,7 +448,7 @@
         return;
     Observability::logEvent(event,
         { { "request", m_head.requestId }, { "route", route }, { "organisation", m_organisation ? m_organisation->name : std::string() },
-            { "target", m_lastTarget }, { "status", status }, { "reason", reason }, { "attempts", m_history.attempts }, { "runs", m_history.runs },
+            { "target", m_lastTarget }, { "status", status }, { "reason", reason }, { "repeat_refused", m_repeatRefusal }, { "attempts", m_history.attempts }, { "runs", m_history.runs },
             { "waited", m_waited }, { "occupancy", m_occupancy }, { "first_byte", m_firstByte }, { "elapsed", elapsed() }, { "configuration", m_snapshot && m_snapshot->configuration ? m_snapshot->configuration->version : 0 },
             { "revision", m_snapshot ? m_snapshot->revision : 0 } });
 }
--- a/Source/Proxy/RequestRun.h
+++ b/Source/Proxy/RequestRun.h
@@ -78,6 +78,8 @@
     bool m_headSent = false;
     bool m_finished = false;
     std::string m_lastTarget;
+    // Why the request was not sent again; empty if it was not refused that.
+    std::string_view m_repeatRefusal;
     std::chrono::milliseconds m_waited { 0 };
     // From the arrival of the request to the first byte of the answer's body.
     std::chrono::milliseconds m_firstByte { 0 };
--- a/Source/Staging/PieceSources.cpp
+++ b/Source/Staging/PieceSources.cpp
@@ -61,6 +61,8 @@
         return;
     case SourceOutcome::Unreachable:
         m_health.noteUnreachable(agent->address, now);
+        // Its duties pass to others at once.
+        m_duties.reset();
         return;
     }
 }
--- a/Tests/Dispatch/SharedPlacesTest.cpp
+++ b/Tests/Dispatch/SharedPlacesTest.cpp
@@ -17,6 +17,11 @@
         state->setRouterCount(7);
     }
 
+    size_t waiting()
+    {
+        return state->withService("e", [](ServiceState& service) { return service.waiting.size(); });
+    }
+
     unsigned leases(unsigned attempts)
     {
         unsigned granted = 0;
@@ -47,12 +52,20 @@
     cr_assert_eq(test.leases(5), 2);
 }
 
-// Guards against routers that hold back while an engine is mostly idle.
-Test(SharedPlaces, manyFreePlacesNeedNoGrant)
+// Guards against routers that wait for a grant while an engine is mostly idle, and against seven of them that
+// each send several requests to an engine which has just become free: it would read their prompts one after
+// the other.
+Test(SharedPlaces, oneRequestBetweenTwoReportsNeedsNoGrant)
 {
     FullEngine test;
     test.report("e", "1", { 2, 0, 1, false, 0 });
-    cr_assert_eq(test.leases(7), 7);
+    cr_assert_eq(test.leases(1), 1);
+    cr_assert_eq(test.leases(7), 0);
+    cr_assert_eq(test.waiting(), 7);
+    test.report("e", "1", { 3, 0, 1, false, 0 });
+    cr_assert_eq(test.waiting(), 6);
+    test.report("e", "1", { 4, 0, 1, false, 3 });
+    cr_assert_eq(test.waiting(), 3);
 }
 
 // Guards against places that stay idle until the next report: a router uses again what it gave back.
