Count an address that is published twice once when duties are dealt

Ruled out: memory (2.9 MB), the engine's end during an order (guarded now all the same). Change: addresses are made unique; the new test crashed before.

--- a/Source/Staging/Queries/ChooseSource.cpp
+++ b/Source/Staging/Queries/ChooseSource.cpp
@@ -29,6 +29,9 @@
     std::vector<std::string> dealPieces(std::vector<std::string> addresses, const std::string& ownAddress, const std::string& version, unsigned pieces)
     {
         addresses.push_back(ownAddress);
+        // An engine that was replaced may be published twice for a while.
+        std::sort(addresses.begin(), addresses.end());
+        addresses.erase(std::unique(addresses.begin(), addresses.end()), addresses.end());
         auto share = (pieces + addresses.size() - 1) / addresses.size();
         std::map<std::string, size_t> dealt;
         std::vector<std::string> owners;
--- a/Source/Staging/StagingNode.cpp
+++ b/Source/Staging/StagingNode.cpp
@@ -377,7 +377,8 @@
 asio::awaitable<void> StagingNode::load(const Wanted& wanted)
 {
     m_paused = true;
-    report();
+    if (m_engine)
+        report();
     co_await sleepFor(pauseNotice);
     Http::KeptClient engine(m_context.get_executor(), *m_settings.localEngine);
     auto answer = co_await engine.call(m_protocol.loadRequest(wanted.model, wanted.declared.version), engineTimeout);
--- a/Tests/Staging/SourceTest.cpp
+++ b/Tests/Staging/SourceTest.cpp
@@ -126,6 +126,24 @@
         cr_expect_eq(count, 6);
 }
 
+// Guards against a crash while an engine that was replaced is published twice at one address: the shares of
+// the agents then did not suffice for all pieces.
+Test(PieceSource, anAddressThatIsPublishedTwiceCountsOnce)
+{
+    TestAgents agents(3);
+    auto& agent = agents.all.front();
+    auto others = agents.othersOf(agent.address);
+    for (int copy = 0; copy < 5; ++copy)
+        others.push_back(others.front());
+    PieceDuties duties(others, agents.settingsOf(agent), version, pieces);
+    std::map<std::string, unsigned> dealt;
+    for (unsigned piece = 0; piece < pieces; ++piece)
+        ++dealt[duties.fleetOwner(piece)];
+    cr_assert_eq(dealt.size(), 3);
+    for (auto& [address, count] : dealt)
+        cr_expect_eq(count, 16);
+}
+
 // Guards against a request for a piece that another agent takes for a different one.
 Test(PieceName, isReadAsItWasWritten)
 {
