Keep one copy of the coroutine's sleep, drop unused fields

Cause: four classes had the same sleepFor; traits and bounds carried fields that nothing read. Change: Http::sleepFor; fields removed. The agent's line on its engine names the version that it holds now, not the former one.

--- a/Source/Dispatch/RequestTraits.h
+++ b/Source/Dispatch/RequestTraits.h
@@ -15,11 +15,8 @@
 
 // What decides on one request.
 struct RequestTraits {
-    std::string requestId;
     std::shared_ptr<const Fleet::Route> route;
     std::string service;
-    // Name of the model that the request asks for; empty for a plain service.
-    std::string model;
     // 0 is the most urgent.
     int priority = 0;
     Base::TimePoint arrivedAt {};
@@ -29,8 +26,6 @@
     std::vector<std::string> allowedRegions;
     // Targets to which it was sent before.
     std::vector<std::string> triedTargets;
-    uint64_t promptTokens = 0;
-    uint64_t outputTokens = 0;
 };
 
 } // namespace Lavenderloft::Dispatch
--- a/Source/Fleet/NodeSettings.h
+++ b/Source/Fleet/NodeSettings.h
@@ -15,16 +15,11 @@
 struct FleetBounds {
     // From SIGTERM to SIGKILL.
     std::chrono::milliseconds grace { 8000 };
-    // A target that leaves gets no new request after this time.
-    std::chrono::milliseconds drain { 2000 };
     // Declared weights are in force within this time.
     std::chrono::milliseconds weights { 8000 };
     double retryRatio = 0.2;
     std::chrono::seconds retryWindow { 10 };
     double retrySlack = 100;
-    // A cold target may get this multiple of its rate, and so many requests more, in one second.
-    double coldOverage = 1.5;
-    double coldSlack = 5;
 };
 
 enum class NodeSettingsErrorKind {
--- a/Source/Peering/PeeringNode.cpp
+++ b/Source/Peering/PeeringNode.cpp
@@ -1,6 +1,7 @@
 #include "Peering/PeeringNode.h"
 
 #include "Fleet/Queries/ReadFleet.h"
+#include "Http/Sleep.h"
 #include "Observability/Log.h"
 #include "Peering/Commands/RecordPeer.h"
 #include "Peering/Events.h"
@@ -102,7 +103,6 @@
 
 asio::awaitable<void> PeeringNode::sendHeartbeats()
 {
-    asio::steady_timer timer(m_context);
     while (true) {
         auto now = m_clock.now();
         Commands::forgetSilentPeers(m_peers, now);
@@ -123,9 +123,7 @@
             if (!isKnown && seed != m_settings.address)
                 sendTo(seed, bytes);
         }
-        boost::system::error_code ignored;
-        timer.expires_after(heartbeatInterval);
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await Http::sleepFor(m_context, heartbeatInterval);
     }
 }
 
@@ -205,13 +203,11 @@
 
 asio::awaitable<void> PeeringNode::fetchWhenBehind()
 {
-    asio::steady_timer delay(m_context);
     boost::system::error_code ignored;
     while (true) {
         m_behind.expires_after(fetchCheckInterval);
         co_await m_behind.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        delay.expires_after(m_isRouter ? routerFetchDelay : agentFetchDelay);
-        co_await delay.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await Http::sleepFor(m_context, m_isRouter ? routerFetchDelay : agentFetchDelay);
         auto revision = m_fetchedAll ? Fleet::Queries::knownRevision(m_intake.fleet()) : 0;
         auto router = Queries::routerAhead(m_peers, revision, m_settings.dataCentre, m_clock.now());
         if (!router)
--- a/Source/Peering/StoreFollower.cpp
+++ b/Source/Peering/StoreFollower.cpp
@@ -1,12 +1,9 @@
 #include "Peering/StoreFollower.h"
 
+#include "Http/Sleep.h"
 #include "Observability/Log.h"
 #include "Peering/Events.h"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 namespace Lavenderloft::Peering {
 
 namespace asio = boost::asio;
@@ -42,20 +39,13 @@
 {
 }
 
-asio::awaitable<void> StoreFollower::sleepFor(std::chrono::milliseconds duration)
-{
-    boost::system::error_code ignored;
-    asio::steady_timer timer(m_context, duration);
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 asio::awaitable<void> StoreFollower::run(std::function<bool()> isNeeded)
 {
     while (true) {
         if (!isNeeded()) {
             m_revision.reset();
             m_client.disconnect();
-            co_await sleepFor(idleCheckInterval);
+            co_await Http::sleepFor(m_context, idleCheckInterval);
             continue;
         }
         bool answered = false;
@@ -68,7 +58,7 @@
             continue;
         }
         m_backoff = m_backoff == 0ms ? firstBackoff : std::min(m_backoff * 2, longestBackoff);
-        co_await sleepFor(m_backoff);
+        co_await Http::sleepFor(m_context, m_backoff);
     }
 }
 
--- a/Source/Peering/StoreFollower.h
+++ b/Source/Peering/StoreFollower.h
@@ -29,7 +29,6 @@
 private:
     boost::asio::awaitable<bool> listAll();
     boost::asio::awaitable<bool> waitForChanges();
-    boost::asio::awaitable<void> sleepFor(std::chrono::milliseconds);
     void noteConnected(bool connected, const std::string& reason);
     std::optional<Base::TimePoint> deletionsDeferredUntil() const;
     std::chrono::milliseconds longestAge() const;
--- a/Source/Process/FleetAgent.cpp
+++ b/Source/Process/FleetAgent.cpp
@@ -4,6 +4,7 @@
 #include "Base/SystemClock.h"
 #include "Fleet/Commands/ApplyItems.h"
 #include "Http/NodeServer.h"
+#include "Http/Sleep.h"
 #include "Http/WorkerPool.h"
 #include "Observability/Log.h"
 #include "Peering/PeeringNode.h"
@@ -14,9 +15,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <csignal>
 
 namespace Lavenderloft::Process {
@@ -91,11 +90,8 @@
 
         asio::awaitable<void> keepHouse()
         {
-            asio::steady_timer timer(m_pool.context(0));
             while (true) {
-                boost::system::error_code ignored;
-                timer.expires_after(housekeepingInterval);
-                co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+                co_await Http::sleepFor(m_pool.context(0), housekeepingInterval);
                 Fleet::Commands::expireDeletions(m_fleet, m_clock.now());
             }
         }
--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -10,6 +10,7 @@
 #include "Fleet/Commands/ApplyItems.h"
 #include "Fleet/Queries/ReadFleet.h"
 #include "Http/NodeServer.h"
+#include "Http/Sleep.h"
 #include "Http/WorkerPool.h"
 #include "Observability/Log.h"
 #include "Peering/PeeringNode.h"
@@ -21,7 +22,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
@@ -131,17 +131,10 @@
             }
         }
 
-        asio::awaitable<void> sleepFor(std::chrono::milliseconds duration)
-        {
-            boost::system::error_code ignored;
-            asio::steady_timer timer(m_pool.context(0), duration);
-            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        }
-
         asio::awaitable<void> serveQueues()
         {
             while (true) {
-                co_await sleepFor(queueInterval);
+                co_await Http::sleepFor(m_pool.context(0), queueInterval);
                 Dispatch::Commands::serveWaiting(m_dispatch, m_clock.now());
             }
         }
@@ -149,7 +142,7 @@
         asio::awaitable<void> keepHouse()
         {
             while (true) {
-                co_await sleepFor(housekeepingInterval);
+                co_await Http::sleepFor(m_pool.context(0), housekeepingInterval);
                 auto now = m_clock.now();
                 Fleet::Commands::expireDeletions(m_fleet, now);
                 if (auto lines = Observability::takeLeftOutLines())
@@ -171,7 +164,7 @@
             auto start = m_clock.now();
             auto latest = start + m_settings.bounds.grace - drainMargin;
             while (m_clock.now() < latest) {
-                co_await sleepFor(drainCheckInterval);
+                co_await Http::sleepFor(m_pool.context(0), drainCheckInterval);
                 auto elapsed = m_clock.now() - start;
                 // The entry has noticed by then: what still comes goes elsewhere.
                 if (elapsed >= idleConnectionsClose)
--- a/Source/Proxy/RequestRun.cpp
+++ b/Source/Proxy/RequestRun.cpp
@@ -151,17 +151,13 @@
 void RequestRun::prepareTraits()
 {
     auto& route = *m_traits.route;
-    m_traits.requestId = m_head.requestId;
     m_traits.service = chooseService(route, m_head.requestId);
-    m_traits.model = m_head.model;
     m_traits.priority = m_organisation && m_organisation->priority ? *m_organisation->priority : route.priority;
     m_traits.allowedRegions = commonRegions(route.allowedRegions, m_organisation ? m_organisation->allowedRegions : std::vector<std::string>());
     auto deadline = m_head.deadline.value_or(defaultDeadline);
     if (route.timeout > 0ms)
         deadline = std::min(deadline, route.timeout);
     m_traits.deadline = m_traits.arrivedAt + deadline;
-    m_traits.promptTokens = m_head.promptTokens;
-    m_traits.outputTokens = m_head.estimatedOutputTokens.value_or(m_head.maximumOutputTokens);
 }
 
 asio::awaitable<std::optional<PlaceWaiter::Outcome>> RequestRun::acquire()
--- a/Source/Staging/StagingNode.cpp
+++ b/Source/Staging/StagingNode.cpp
@@ -2,6 +2,7 @@
 
 #include "Base/RendezvousHash.h"
 #include "Fleet/Queries/ReadFleet.h"
+#include "Http/Sleep.h"
 #include "Observability/Log.h"
 #include "Peering/Queries/ListPeers.h"
 #include "Staging/Events.h"
@@ -11,9 +12,6 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 namespace Lavenderloft::Staging {
 
@@ -77,13 +75,6 @@
         m_context, [this] { return keepWeights(); }, asio::detached);
 }
 
-asio::awaitable<void> StagingNode::sleepFor(std::chrono::milliseconds duration)
-{
-    boost::system::error_code ignored;
-    asio::steady_timer timer(m_context, duration);
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 asio::awaitable<void> StagingNode::watchEngine()
 {
     Http::KeptClient client(m_context.get_executor(), *m_settings.localEngine);
@@ -101,14 +92,14 @@
         } else {
             problem = Base::errorOf(answer).describe();
         }
-        if (report.has_value() != wasReached) {
-            wasReached = report.has_value();
-            Observability::logEvent(wasReached ? Events::engineReached : Events::engineLost, { { "problem", problem }, { "whole_version", report ? wholeVersion() : 0 } });
-        }
         m_engine = report;
+        if (m_engine.has_value() != wasReached) {
+            wasReached = m_engine.has_value();
+            Observability::logEvent(wasReached ? Events::engineReached : Events::engineLost, { { "problem", problem }, { "whole_version", wholeVersion() } });
+        }
         if (m_engine)
             this->report();
-        co_await sleepFor(reportInterval);
+        co_await Http::sleepFor(m_context, reportInterval);
     }
 }
 
@@ -189,7 +180,7 @@
         auto wanted = findWanted();
         if (m_engine && wanted && !wanted->origin.host.empty() && !engineHolds(*wanted) && !m_engine->busy)
             co_await bring(*wanted);
-        co_await sleepFor(checkInterval);
+        co_await Http::sleepFor(m_context, checkInterval);
     }
 }
 
@@ -209,7 +200,7 @@
     if (wholeVersion() > 0) {
         auto turn = Queries::planLoad(*snapshot, m_settings, wanted.declared);
         while (m_clock.now() < turn && isStillWanted(wanted))
-            co_await sleepFor(checkInterval);
+            co_await Http::sleepFor(m_context, checkInterval);
     }
     if (!isStillWanted(wanted))
         co_return;
@@ -232,13 +223,13 @@
         auto answer = co_await origin.call(m_protocol.manifestRequest(wanted.model, wanted.declared.version), originTimeout);
         if (!Base::succeeded(answer)) {
             Observability::logEvent(Events::pieceUnavailable, { { "source", "origin" }, { "problem", Base::errorOf(answer).describe() } });
-            co_await sleepFor(connectionRetryDelay);
+            co_await Http::sleepFor(m_context, connectionRetryDelay);
             co_return false;
         }
         auto manifest = m_protocol.readManifest(Base::valueOf(answer));
         if (!Base::succeeded(manifest)) {
             Observability::logEvent(Events::pieceUnavailable, { { "source", "origin" }, { "problem", Base::errorOf(manifest).describe() } });
-            co_await sleepFor(connectionRetryDelay);
+            co_await Http::sleepFor(m_context, connectionRetryDelay);
             co_return false;
         }
         m_checklist.emplace(Base::valueOf(manifest));
@@ -297,7 +288,7 @@
     for (unsigned i = 0; i < parallelFetches; ++i)
         asio::co_spawn(m_context, fetchPieces(wanted, queue, running), asio::detached);
     while (*running > 0)
-        co_await sleepFor(checkInterval / 2);
+        co_await Http::sleepFor(m_context, checkInterval / 2);
 }
 
 asio::awaitable<void> StagingNode::fetchPieces(const Wanted& wantedNow, std::shared_ptr<std::vector<unsigned>> queue, std::shared_ptr<unsigned> running)
@@ -370,7 +361,7 @@
     if (isStored)
         m_checklist->markPresent(piece);
     else
-        co_await sleepFor(fetchRetryDelay);
+        co_await Http::sleepFor(m_context, fetchRetryDelay);
     co_return isStored;
 }
 
@@ -379,7 +370,7 @@
     m_paused = true;
     if (m_engine)
         report();
-    co_await sleepFor(pauseNotice);
+    co_await Http::sleepFor(m_context, pauseNotice);
     Http::KeptClient engine(m_context.get_executor(), *m_settings.localEngine);
     auto answer = co_await engine.call(m_protocol.loadRequest(wanted.model, wanted.declared.version), engineTimeout);
     auto accepted = Base::succeeded(answer) ? m_protocol.readLoadAnswer(Base::valueOf(answer)) : LoadAnswer::Refused;
@@ -388,7 +379,7 @@
     bool mayLoad = accepted != LoadAnswer::Conflict;
     auto until = m_clock.now() + (mayLoad ? loadTimeout : std::chrono::seconds(0));
     while (m_clock.now() < until && m_engine && !engineHolds(wanted) && isStillWanted(wanted))
-        co_await sleepFor(loadPollInterval);
+        co_await Http::sleepFor(m_context, loadPollInterval);
     m_paused = false;
     if (engineHolds(wanted))
         Observability::logEvent(Events::weightsLoaded, { { "model", wanted.model }, { "version", wanted.declared.version } });
@@ -425,7 +416,7 @@
         co_return Http::HttpResponse { 400, {}, "the path must be /piece/REGION/MODEL/VERSION/INDEX" };
     auto until = m_clock.now() + longestPieceWait;
     while (!mayGive(name->version, name->piece) && m_clock.now() < until && mayGet(*name))
-        co_await sleepFor(pieceWaitInterval);
+        co_await Http::sleepFor(m_context, pieceWaitInterval);
     if (!mayGive(name->version, name->piece)) {
         if (mayGet(*name))
             co_return Http::HttpResponse { 503, {}, "the piece is being fetched" };
@@ -440,7 +431,7 @@
     auto turn = m_uploads.reserve(bytes->size(), m_clock.now());
     if (!turn)
         co_return Http::HttpResponse { 503, {}, "too many pieces are to be sent" };
-    co_await sleepFor(std::chrono::duration_cast<std::chrono::milliseconds>(*turn));
+    co_await Http::sleepFor(m_context, std::chrono::duration_cast<std::chrono::milliseconds>(*turn));
     co_return Http::HttpResponse { 200, { { "Content-Type", "application/octet-stream" } }, std::move(*bytes) };
 }
 
--- a/Source/Staging/StagingNode.h
+++ b/Source/Staging/StagingNode.h
@@ -60,7 +60,6 @@
     bool mayGive(uint64_t version, unsigned piece) const;
     bool mayGet(const PieceName&);
     boost::asio::awaitable<void> load(const Wanted&);
-    boost::asio::awaitable<void> sleepFor(std::chrono::milliseconds);
     boost::asio::awaitable<std::optional<std::string>> readStored(Http::KeptClient&, const std::string& model, unsigned piece);
 
     std::optional<Wanted> findWanted() const;
