--- a/Source/Dispatch/DispatchState.cpp
+++ b/Source/Dispatch/DispatchState.cpp
@@ -23,12 +23,6 @@
     m_settings.bounds = bounds;
 }
 
-double DispatchState::randomFraction()
-{
-    std::lock_guard guard(m_randomLock);
-    return m_random->fraction();
-}
-
 size_t DispatchState::choose(const std::vector<Candidate>& candidates, const RequestTraits& traits)
 {
     std::lock_guard guard(m_randomLock);
--- a/Source/Dispatch/DispatchState.h
+++ b/Source/Dispatch/DispatchState.h
@@ -74,8 +74,7 @@
     const PlacementPolicy& placement() const { return *m_placement; }
     const AdmissionPolicy& admission() const { return *m_admission; }
 
-    // Not safe for use by several threads beyond what the lock of a shard gives: guarded by a lock of its own.
-    double randomFraction();
+    // Lets the placement policy choose; its random numbers are guarded by a lock of their own.
     size_t choose(const std::vector<Candidate>&, const RequestTraits&);
 
     // Routers that share the limits that are sums over all of them, this one included.
--- a/Source/Fleet/Configuration.h
+++ b/Source/Fleet/Configuration.h
@@ -59,11 +59,8 @@
 // What a model service says of the weights of its replicas.
 struct WeightLayout {
     unsigned pieces = 0;
-    uint64_t pieceBytes = 0;
     unsigned layers = 0;
     std::vector<std::string> models;
-    // Time that an engine needs to load all layers.
-    std::chrono::milliseconds loadTime { 0 };
 };
 
 struct Service {
--- a/Source/Peering/StoreFollower.h
+++ b/Source/Peering/StoreFollower.h
@@ -23,9 +23,6 @@
     // Runs until the event loop ends. While `isNeeded` returns false, the store is left alone.
     boost::asio::awaitable<void> run(std::function<bool()> isNeeded);
 
-    // Whether the last call was answered.
-    bool isConnected() const { return m_connected; }
-
 private:
     boost::asio::awaitable<bool> listAll();
     boost::asio::awaitable<bool> waitForChanges();
--- a/Source/Proxy/RequestRun.h
+++ b/Source/Proxy/RequestRun.h
@@ -86,8 +86,6 @@
     // Requests at the last target when this one was sent there.
     unsigned m_occupancy = 0;
     EventSplitter m_events;
-    // Whether any byte of the body was passed on in this answer.
-    bool m_resuming = false;
 };
 
 } // namespace Lavenderloft::Proxy
--- a/Tests/Dispatch/DispatchFixture.h
+++ b/Tests/Dispatch/DispatchFixture.h
@@ -32,7 +32,7 @@
 inline Fleet::Service engineService(const std::string& name)
 {
     auto service = plainService(name);
-    service.weights = Fleet::WeightLayout { 4, 100, 16, { "m" }, std::chrono::milliseconds(300) };
+    service.weights = Fleet::WeightLayout { 4, 16, { "m" } };
     return service;
 }
 
