Give a router that has just started no share of common limits

Engines had lost their weights and answered 421, and every router that had just been restarted took itself for the only one, so that it had the whole slack for repeats. A cold target's rate was shared the same way, and with 36 routers one request at hand of each is more than the target bears. Ruled out: the ratio; 0.8 of 0.2 of the requests stays within the bound. Change: for 1.5 s after its start a router does not know how many there are: it has no part of the slack and sends nothing to cold targets. The agent of a cold engine deals places at the rate that the engine bears; routers use only these. A cold target without an agent's word gets nothing where the share of a router is under 2 a second.

--- a/Source/Dispatch/Commands/AcquireTarget.cpp
+++ b/Source/Dispatch/Commands/AcquireTarget.cpp
@@ -50,7 +50,8 @@
         // into different windows.
         constexpr double usedPart = 0.8;
         auto bounds = state.bounds();
-        return { usedPart * bounds.retryRatio, usedPart * bounds.retrySlack / state.routerCount() };
+        auto routers = state.routerCount();
+        return { usedPart * bounds.retryRatio, routers ? usedPart * bounds.retrySlack / *routers : 0 };
     }
 
 } // namespace
--- a/Source/Dispatch/DispatchState.h
+++ b/Source/Dispatch/DispatchState.h
@@ -15,6 +15,7 @@
 #include <list>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -77,9 +78,14 @@
     // Lets the placement policy choose; its random numbers are guarded by a lock of their own.
     size_t choose(const std::vector<Candidate>&, const RequestTraits&);
 
-    // Routers that share the limits that are sums over all of them, this one included.
-    unsigned routerCount() const { return m_routerCount; }
-    void setRouterCount(unsigned count) { m_routerCount = count > 0 ? count : 1; }
+    // Routers that share the limits that are sums over all of them, this one included; nothing while this
+    // router has just started and can't know the others, so that it has no share.
+    std::optional<unsigned> routerCount() const
+    {
+        unsigned count = m_routerCount;
+        return count > 0 ? std::optional(count) : std::nullopt;
+    }
+    void setRouterCount(std::optional<unsigned> count) { m_routerCount = count.value_or(0); }
 
 private:
     struct Shard {
@@ -94,6 +100,7 @@
     std::unique_ptr<AdmissionPolicy> m_admission;
     std::mutex m_randomLock;
     std::unique_ptr<Base::RandomSource> m_random;
+    // Zero stands for a number that is not known.
     std::atomic<unsigned> m_routerCount { 1 };
     std::array<Shard, shardCount> m_shards;
 };
--- a/Source/Dispatch/Queries/FindCandidates.cpp
+++ b/Source/Dispatch/Queries/FindCandidates.cpp
@@ -13,6 +13,10 @@
     // Old weights are given up so long before the bound: a request may wait at the engine before it begins.
     constexpr std::chrono::milliseconds weightsMargin = 1000ms;
 
+    // Each router may have one request at hand for a cold target. With a smaller share, in requests a second,
+    // these would add up to more than the target bears.
+    constexpr double smallestColdShare = 2;
+
     bool contains(const std::vector<std::string>& texts, const std::string& text)
     {
         return std::find(texts.begin(), texts.end(), text) != texts.end();
@@ -72,7 +76,11 @@
         {
             if (!m_service || m_service->coldRequestsPerSecond <= 0 || !target.isCold(m_now))
                 return true;
+            if (isEngine() && runtime && runtime->hasReport(m_now))
+                return runtime->report.cold;
             auto rate = coldShare(m_state, *m_service);
+            if (rate <= 0)
+                return false;
             if (!runtime || runtime->coldRefilledAt == Base::TimePoint())
                 return true;
             auto elapsed = std::chrono::duration<double>(m_now - runtime->coldRefilledAt).count();
@@ -98,10 +106,15 @@
             return candidate.occupancy < candidate.slots;
         auto routers = state.routerCount();
         if (!runtime || !runtime->hasReport(now))
-            return (runtime ? runtime->underWay : 0) < std::max(1u, candidate.slots / routers);
-        if (runtime->hasGrant(now) || runtime->hasRetainedPlace(now))
+            return (runtime ? runtime->underWay : 0) < std::max(1u, candidate.slots / routers.value_or(candidate.slots));
+        if (runtime->hasGrant(now))
             return true;
-        return runtime->begunSinceReport == 0 && candidate.occupancy + routers <= candidate.slots;
+        // The grants of a cold engine are dealt at the rate that it bears.
+        if (runtime->report.cold)
+            return false;
+        if (runtime->hasRetainedPlace(now))
+            return true;
+        return runtime->begunSinceReport == 0 && candidate.occupancy + routers.value_or(candidate.slots) <= candidate.slots;
     }
 
 } // namespace
@@ -121,7 +134,11 @@
 
 double coldShare(const DispatchState& state, const Fleet::Service& service)
 {
-    return service.coldRequestsPerSecond / state.routerCount();
+    auto routers = state.routerCount();
+    if (!routers)
+        return 0;
+    auto share = service.coldRequestsPerSecond / *routers;
+    return share < smallestColdShare ? 0 : share;
 }
 
 CandidateSet findCandidates(DispatchState& state, const ServiceState& service, const RequestTraits& traits, Base::TimePoint now)
--- a/Source/Dispatch/Queries/FindCandidates.h
+++ b/Source/Dispatch/Queries/FindCandidates.h
@@ -24,7 +24,8 @@
 // The oldest version of the model that may still be used; zero if every version may.
 uint64_t oldestUsableWeights(const Fleet::FleetSnapshot&, const std::string& model, std::chrono::milliseconds bound, Base::TimePoint now);
 
-// This router's part of a cold target's rate, in requests a second.
+// This router's part of a cold target's rate, in requests a second. Zero while the other routers are not known,
+// and where they are so many that one request of each at a time would be too much.
 double coldShare(const DispatchState&, const Fleet::Service&);
 
 } // namespace Lavenderloft::Dispatch::Queries
--- a/Source/Dispatch/TargetRuntime.h
+++ b/Source/Dispatch/TargetRuntime.h
@@ -18,6 +18,8 @@
     bool paused = false;
     // Requests that this router may begin there until the next report.
     unsigned granted = 0;
+    // The engine has just started; its grants are dealt at the rate that it bears.
+    bool cold = false;
 };
 
 // What this router knows of one target beside its entry.
--- a/Source/Peering/PeeringCodec.cpp
+++ b/Source/Peering/PeeringCodec.cpp
@@ -31,6 +31,7 @@
         load->set_queued(message.load->queued);
         load->set_whole_version(message.load->wholeVersion);
         load->set_paused(message.load->paused);
+        load->set_cold(message.load->cold);
         load->set_granted(message.load->granted);
     }
     return encoded.SerializeAsString();
@@ -54,7 +55,7 @@
         message.routers.push_back({ router.address(), router.data_centre(), std::chrono::milliseconds(router.age_ms()) });
     if (encoded.has_load()) {
         auto& load = encoded.load();
-        message.load = EngineLoad { load.service(), load.engine_address(), load.running(), load.queued(), load.whole_version(), load.paused(), load.granted() };
+        message.load = EngineLoad { load.service(), load.engine_address(), load.running(), load.queued(), load.whole_version(), load.paused(), load.granted(), load.cold() };
     }
     return message;
 }
--- a/Source/Peering/PeeringCodec.h
+++ b/Source/Peering/PeeringCodec.h
@@ -20,6 +20,8 @@
     bool paused = false;
     // Requests that the receiver may begin there until the next message.
     unsigned granted = 0;
+    // The engine has just started; its grants are dealt at the rate that it bears.
+    bool cold = false;
 };
 
 // A router that the sender of a message has heard of.
--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -36,6 +36,8 @@
     using namespace std::chrono_literals;
 
     constexpr unsigned workerCount = 2;
+    // A router that starts has heard of all others by then, so that it knows its share of common limits.
+    constexpr std::chrono::milliseconds acquaintanceTime = 1500ms;
     // Waiting requests are matched again with targets that became usable without an event of their own.
     constexpr std::chrono::milliseconds queueInterval = 50ms;
     constexpr std::chrono::milliseconds housekeepingInterval = 250ms;
@@ -66,7 +68,9 @@
             , m_peering(m_pool.context(0), settings, m_peers, m_intake, m_clock, true)
             , m_signals(m_pool.context(0), SIGTERM, SIGINT)
             , m_reload(platform)
+            , m_startedAt(m_clock.now())
         {
+            m_dispatch.setRouterCount(std::nullopt);
             for (auto& prefix : platform.publications().prefixes())
                 m_followers.push_back(std::make_unique<Peering::StoreFollower>(m_pool.context(0), settings.store, platform.store(), m_intake, m_clock, prefix));
             for (size_t i = 0; i < m_pool.size(); ++i)
@@ -142,7 +146,7 @@
             for (auto& target : targets->second) {
                 if (target->entry.address.toString() != load.engineAddress)
                     continue;
-                Dispatch::TargetReport report { load.running, load.queued, load.wholeVersion, load.paused, load.granted };
+                Dispatch::TargetReport report { load.running, load.queued, load.wholeVersion, load.paused, load.granted, load.cold };
                 Dispatch::Commands::recordReport(m_dispatch, load.service, target->entry.id, report, m_clock.now());
             }
         }
@@ -165,7 +169,8 @@
                     Observability::logEvent(logLinesLeftOut, { { "lines", lines } });
                 Dispatch::Commands::forgetGoneTargets(m_dispatch);
                 m_peering.setDemand(Dispatch::Queries::engineDemand(m_dispatch, now));
-                m_dispatch.setRouterCount(static_cast<unsigned>(Peering::Queries::countPossibleRouters(m_peers)) + 1);
+                if (now - m_startedAt >= acquaintanceTime)
+                    m_dispatch.setRouterCount(static_cast<unsigned>(Peering::Queries::countPossibleRouters(m_peers)) + 1);
                 for (auto& worker : m_workers)
                     asio::post(worker->context, [&connections = worker->connections, now] { connections.closeExpired(now); });
             }
@@ -206,6 +211,7 @@
         Peering::PeeringNode m_peering;
         asio::signal_set m_signals;
         SettingsReload m_reload;
+        Base::TimePoint m_startedAt;
         std::vector<std::unique_ptr<Peering::StoreFollower>> m_followers;
         std::vector<std::unique_ptr<Proxy::ProxyWorker>> m_workers;
         std::shared_ptr<Proxy::CallerServer> m_callers;
--- a/Source/Staging/StagingNode.cpp
+++ b/Source/Staging/StagingNode.cpp
@@ -91,6 +91,7 @@
             problem = Base::errorOf(answer).describe();
         }
         m_engine = report;
+        noteEngineStart();
         if (m_engine.has_value() != wasReached) {
             wasReached = m_engine.has_value();
             Observability::logEvent(wasReached ? Events::engineReached : Events::engineLost, { { "problem", problem }, { "whole_version", wholeVersion() } });
@@ -119,24 +120,71 @@
     load.wholeVersion = wholeVersion();
     load.paused = m_paused || m_engine->busy;
     auto free = load.paused ? 0 : freePlaces();
+    load.cold = coldRate().has_value();
     auto routers = m_peering.nextLoadReceivers();
-    m_peering.sendLoad(load, routers, Queries::shareGrants(std::min(free, m_formerlyFree), routers, m_settings.dataCentre, m_random));
+    m_peering.sendLoad(load, routers, Queries::shareGrants(grantsToDeal(free), routers, m_settings.dataCentre, m_random));
     m_formerlyFree = free;
 }
 
-// Requests that the engine could begin now beside those it has.
-unsigned StagingNode::freePlaces() const
+unsigned StagingNode::grantsToDeal(unsigned free)
+{
+    auto dealt = std::min(free, m_formerlyFree);
+    auto rate = coldRate();
+    if (rate)
+        return m_coldGrants.take(dealt, *rate, m_clock.now());
+    m_coldGrants.reset();
+    return dealt;
+}
+
+// The entry of an engine that has just started comes later than its first report.
+void StagingNode::noteEngineStart()
 {
+    if (!m_engine || m_engine->startedAt == m_engineStart)
+        return;
     auto snapshot = Fleet::Queries::currentSnapshot(m_fleet);
-    auto targets = snapshot->targetsByService.find(m_settings.localService);
-    if (targets == snapshot->targetsByService.end())
-        return 0;
-    auto taken = m_engine->running + m_engine->queued;
+    bool wasKnown = m_engineStart != 0;
+    m_engineStart = m_engine->startedAt;
+    if (!wasKnown || !snapshot->configuration)
+        return;
+    auto service = snapshot->configuration->services.find(m_settings.localService);
+    if (service != snapshot->configuration->services.end())
+        m_coldUntil = m_clock.now() + service->second.coldStart;
+}
+
+// Requests a second that the engine bears while it is cold; nothing if it is not, or bears any number.
+std::optional<double> StagingNode::coldRate() const
+{
+    auto snapshot = Fleet::Queries::currentSnapshot(m_fleet);
+    if (!snapshot->configuration)
+        return std::nullopt;
+    auto service = snapshot->configuration->services.find(m_settings.localService);
+    if (service == snapshot->configuration->services.end() || service->second.coldRequestsPerSecond <= 0)
+        return std::nullopt;
+    auto now = m_clock.now();
+    auto target = findOwnTarget(*snapshot);
+    if (now < m_coldUntil || (target && target->isCold(now)))
+        return service->second.coldRequestsPerSecond;
+    return std::nullopt;
+}
+
+std::shared_ptr<const Fleet::KnownTarget> StagingNode::findOwnTarget(const Fleet::FleetSnapshot& snapshot) const
+{
+    auto targets = snapshot.targetsByService.find(m_settings.localService);
+    if (targets == snapshot.targetsByService.end())
+        return nullptr;
     for (auto& target : targets->second) {
         if (target->entry.address == *m_settings.localEngine)
-            return target->entry.slots > taken ? target->entry.slots - taken : 0;
+            return target;
     }
-    return 0;
+    return nullptr;
+}
+
+// Requests that the engine could begin now beside those it has.
+unsigned StagingNode::freePlaces() const
+{
+    auto target = findOwnTarget(*Fleet::Queries::currentSnapshot(m_fleet));
+    auto taken = m_engine->running + m_engine->queued;
+    return target && target->entry.slots > taken ? target->entry.slots - taken : 0;
 }
 
 std::optional<StagingNode::Wanted> StagingNode::findWanted() const
--- a/Source/Staging/StagingNode.h
+++ b/Source/Staging/StagingNode.h
@@ -6,6 +6,7 @@
 #include "Fleet/NodeSettings.h"
 #include "Http/KeptClient.h"
 #include "Peering/PeeringNode.h"
+#include "Staging/ColdGrants.h"
 #include "Staging/EngineProtocol.h"
 #include "Staging/PieceChecklist.h"
 #include "Staging/PieceName.h"
@@ -68,6 +69,10 @@
     uint64_t wholeVersion() const;
     void report();
     unsigned freePlaces() const;
+    void noteEngineStart();
+    std::optional<double> coldRate() const;
+    std::shared_ptr<const Fleet::KnownTarget> findOwnTarget(const Fleet::FleetSnapshot&) const;
+    unsigned grantsToDeal(unsigned free);
 
     boost::asio::io_context& m_context;
     const Fleet::NodeSettings& m_settings;
@@ -85,6 +90,10 @@
     // Free places at the report before: a place that a router has just given back is not dealt to others at
     // once, as that router may use it again.
     unsigned m_formerlyFree = 0;
+    // Start that the engine last named, and until when one that started anew is taken for cold.
+    uint64_t m_engineStart = 0;
+    Base::TimePoint m_coldUntil {};
+    ColdGrants m_coldGrants;
     PieceSources m_sources;
     UploadPacer m_uploads;
 };
--- a/Tests/Dispatch/CandidatesTest.cpp
+++ b/Tests/Dispatch/CandidatesTest.cpp
@@ -149,3 +149,66 @@
     test.fleet.clock.advance(300ms);
     cr_assert(isLease(test.acquire("s")));
 }
+
+// Guards against a router that has just started and takes the whole rate of a cold target, or the whole slack for
+// repeats, because it has not heard the others yet: after many restarts at once the sum broke the fleet's bound.
+Test(Candidates, aRouterThatHasJustStartedHasNoShareOfCommonLimits)
+{
+    TestDispatch test;
+    auto service = plainService("s");
+    service.coldRequestsPerSecond = 8;
+    test.fleet.publish("c", configurationOf(1, { service }));
+    auto target = targetOf("1", "s", "dc-a", 100);
+    target.entry.coldRemaining = 3000ms;
+    test.fleet.publish("t/1", target);
+    test.state->setRouterCount(std::nullopt);
+    auto observer = std::make_shared<RecordingObserver>();
+    auto traits = test.request("s");
+    cr_assert_not(isLease(test.acquire(traits, observer)));
+    Commands::endWait(*test.state, traits, observer.get(), test.fleet.clock.now());
+    auto repeat = Commands::acquireRepeat(*test.state, test.request("s"), true, std::make_shared<RecordingObserver>(), test.fleet.clock.now());
+    cr_assert(refusalOf(repeat) == RefusalReason::RetryBudget);
+    test.state->setRouterCount(4);
+    cr_assert(isLease(test.acquire("s")));
+}
+
+// Guards against many routers that each have one request at hand for a cold target.
+Test(Candidates, manyRoutersLeaveAColdTargetWithoutNewsAlone)
+{
+    TestDispatch test;
+    auto service = engineService("e");
+    service.coldRequestsPerSecond = 28;
+    test.fleet.publish("c", configurationOf(1, { service }));
+    auto engine = engineOf("1", "e", 1, 16);
+    engine.entry.coldRemaining = 3000ms;
+    test.fleet.publish("t/1", engine);
+    test.state->setRouterCount(36);
+    cr_assert_not(isLease(test.acquire("e")));
+}
+
+// Guards against requests to a cold engine beyond the grants that its agent deals at the rate which it bears.
+Test(Candidates, aColdEngineTakesWhatItsAgentGrants)
+{
+    TestDispatch test;
+    auto service = engineService("e");
+    service.coldRequestsPerSecond = 28;
+    test.fleet.publish("c", configurationOf(1, { service }));
+    auto engine = engineOf("1", "e", 1, 16);
+    engine.entry.coldRemaining = 3000ms;
+    test.fleet.publish("t/1", engine);
+    test.state->setRouterCount(7);
+    auto leases = [&](TargetReport report) {
+        test.report("e", "1", report);
+        unsigned granted = 0;
+        for (int i = 0; i < 6; ++i) {
+            auto observer = std::make_shared<RecordingObserver>();
+            auto traits = test.request("e");
+            granted += isLease(test.acquire(traits, observer));
+            Commands::endWait(*test.state, traits, observer.get(), test.fleet.clock.now());
+        }
+        return granted;
+    };
+    cr_assert_eq(leases({ 0, 0, 1, false, 0, true }), 0);
+    cr_assert_eq(leases({ 0, 0, 1, false, 3, true }), 3);
+    cr_assert_eq(leases({ 0, 0, 1, false, 6, false }), 0, "the agent has not heard yet that the engine is cold");
+}
