Move the last requests of an engine that is to load new weights

Ruled out: the load itself (0.4 s); the turns being too few (a turn for each engine changed nothing as long as it took 2.2 s). Change: the first 65 in 100 engines in the order wait 0.7 s and then load; what still runs there is cut off and resumed by its router at another engine, on the same weights (new: an answer is never resumed on other weights). Engines say when they will cut, and resumed answers avoid those; the last engines let their requests end. Only where all routes to the pool can be resumed. The turns count from the earliest declaration that an engine does not meet.

--- a/Source/Dispatch/Commands/RecordOutcome.cpp
+++ b/Source/Dispatch/Commands/RecordOutcome.cpp
@@ -49,6 +49,9 @@
             runtime.avoidUntil = std::max(runtime.avoidUntil, now + misdirectedAvoidance);
             return;
         case AttemptResult::Failed:
+            // An engine that is about to load cuts off what it can't end in time.
+            if (runtime.hasReport(now) && runtime.report.paused)
+                return;
             noteFailure(runtime, now);
             [[fallthrough]];
         case AttemptResult::ErrorAnswer:
--- a/Source/Dispatch/LessOccupiedOfTwoPolicy.cpp
+++ b/Source/Dispatch/LessOccupiedOfTwoPolicy.cpp
@@ -23,24 +23,38 @@
         return score + failurePenalty * candidate.failureShare;
     }
 
-    // Indexes of the candidates of this region that are not nearly full; of all if these are few.
-    std::vector<size_t> nearCandidates(const std::vector<Candidate>& candidates)
+    // Indexes of the candidates that do not cut off their requests soon, if there are any and the request has been
+    // cut off before: its attempts may be used up.
+    std::vector<size_t> lastingCandidates(const std::vector<Candidate>& candidates, const RequestTraits& traits)
     {
-        std::vector<size_t> near;
+        std::vector<size_t> lasting;
         std::vector<size_t> all;
         for (size_t i = 0; i < candidates.size(); ++i) {
             all.push_back(i);
+            if (!candidates[i].cutsSoon)
+                lasting.push_back(i);
+        }
+        bool wasCutOff = traits.requiredWeights > 0;
+        return wasCutOff && !lasting.empty() ? lasting : all;
+    }
+
+    // Of these the ones of this region that are not nearly full; all if those are few.
+    std::vector<size_t> nearCandidates(const std::vector<Candidate>& candidates, const RequestTraits& traits)
+    {
+        auto lasting = lastingCandidates(candidates, traits);
+        std::vector<size_t> near;
+        for (auto i : lasting) {
             if (candidates[i].sameRegion && candidates[i].occupancy < nearlyFull * candidates[i].slots)
                 near.push_back(i);
         }
-        return near.size() < fewestToChooseFrom ? all : near;
+        return near.size() < fewestToChooseFrom ? lasting : near;
     }
 
 } // namespace
 
-size_t LessOccupiedOfTwoPolicy::choose(const std::vector<Candidate>& candidates, const RequestTraits&, Base::RandomSource& random) const
+size_t LessOccupiedOfTwoPolicy::choose(const std::vector<Candidate>& candidates, const RequestTraits& traits, Base::RandomSource& random) const
 {
-    auto near = nearCandidates(candidates);
+    auto near = nearCandidates(candidates, traits);
     if (near.size() == 1)
         return near.front();
     auto first = random.below(near.size());
--- a/Source/Dispatch/PlacementPolicy.h
+++ b/Source/Dispatch/PlacementPolicy.h
@@ -20,6 +20,8 @@
     bool sameDataCentre = false;
     bool sameRegion = false;
     double failureShare = 0;
+    // The engine is about to cut off its requests to load new weights.
+    bool cutsSoon = false;
     // Version of the weights that the engine is known to hold; zero for a plain target.
     uint64_t weights = 0;
 };
--- a/Source/Dispatch/Queries/FindCandidates.cpp
+++ b/Source/Dispatch/Queries/FindCandidates.cpp
@@ -59,6 +59,8 @@
             if (runtime && runtime->hasReport(m_now) && runtime->report.paused)
                 return false;
             auto weights = knownWeights(target, runtime);
+            if (m_traits.requiredWeights > 0 && weights != m_traits.requiredWeights)
+                return false;
             return weights > 0 && weights >= m_oldestWeights;
         }
 
@@ -96,6 +98,14 @@
         uint64_t m_oldestWeights = 0;
     };
 
+    // An answer that is resumed is likely to end within this time.
+    constexpr std::chrono::milliseconds resumedRest = 2000ms;
+
+    bool cutsSoon(const TargetRuntime* runtime, Base::TimePoint now)
+    {
+        return runtime && runtime->hasReport(now) && runtime->report.cutsAt && *runtime->report.cutsAt < now + resumedRest;
+    }
+
     // Whether a request may be begun at the target. Routers share the places of an engine: the agent deals
     // them, so that routers do not take the same one at once. While many are free, each router may also
     // begin one request between two reports; more would make an engine that has just become free read many
@@ -149,7 +159,7 @@
     if (targets == snapshot->targetsByService.end())
         return set;
     CandidateFilter filter(state, traits, *snapshot, now);
-    set.checkWeights = filter.oldestWeights() > 0;
+    set.checkWeights = filter.oldestWeights() > 0 || traits.requiredWeights > 0;
     for (auto& target : targets->second) {
         auto found = service.targets.find(target->entry.id);
         auto* runtime = found == service.targets.end() ? nullptr : &found->second;
@@ -163,6 +173,7 @@
         candidate.sameRegion = state.settings().regionOf(target->entry.dataCentre) == state.settings().region;
         candidate.weights = filter.knownWeights(*target, runtime);
         candidate.failureShare = runtime ? runtime->failureShare : 0;
+        candidate.cutsSoon = cutsSoon(runtime, now);
         ++set.usable;
         set.places += candidate.slots;
         if (hasPlace(state, candidate, runtime, filter.isEngine(), now) && filter.hasColdRate(*target, runtime))
--- a/Source/Dispatch/Queries/FindCandidates.h
+++ b/Source/Dispatch/Queries/FindCandidates.h
@@ -14,7 +14,7 @@
     // Those that may be used, full ones included.
     size_t usable = 0;
     size_t places = 0;
-    // Some weights may no longer be used, so that engines are to be told which they are expected to hold.
+    // Some weights may not be used, so that engines are to be told which they are expected to hold.
     bool checkWeights = false;
 };
 
--- a/Source/Dispatch/RequestTraits.h
+++ b/Source/Dispatch/RequestTraits.h
@@ -24,6 +24,8 @@
     Base::TimePoint deadline {};
     // Regions in which the request may be handled; empty means all.
     std::vector<std::string> allowedRegions;
+    // Version of the weights from which an answer that is resumed began; zero if none has begun.
+    uint64_t requiredWeights = 0;
     // Targets to which it was sent before.
     std::vector<std::string> triedTargets;
 };
--- a/Source/Dispatch/TargetRuntime.h
+++ b/Source/Dispatch/TargetRuntime.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <optional>
 
 namespace Lavenderloft::Dispatch {
 
@@ -20,6 +21,8 @@
     unsigned granted = 0;
     // The engine has just started; its grants are dealt at the rate that it bears.
     bool cold = false;
+    // When the engine cuts off its requests to load new weights; nothing if it is not about to.
+    std::optional<Base::TimePoint> cutsAt;
 };
 
 // What this router knows of one target beside its entry.
--- a/Source/Peering/PeeringCodec.cpp
+++ b/Source/Peering/PeeringCodec.cpp
@@ -32,6 +32,8 @@
         load->set_whole_version(message.load->wholeVersion);
         load->set_paused(message.load->paused);
         load->set_cold(message.load->cold);
+        if (message.load->cutsIn)
+            load->set_cuts_in_ms(static_cast<uint32_t>(message.load->cutsIn->count()));
         load->set_granted(message.load->granted);
     }
     return encoded.SerializeAsString();
@@ -55,7 +57,9 @@
         message.routers.push_back({ router.address(), router.data_centre(), std::chrono::milliseconds(router.age_ms()) });
     if (encoded.has_load()) {
         auto& load = encoded.load();
-        message.load = EngineLoad { load.service(), load.engine_address(), load.running(), load.queued(), load.whole_version(), load.paused(), load.granted(), load.cold() };
+        message.load = EngineLoad { load.service(), load.engine_address(), load.running(), load.queued(), load.whole_version(), load.paused(), load.granted(), load.cold(), std::nullopt };
+        if (load.has_cuts_in_ms())
+            message.load->cutsIn = std::chrono::milliseconds(load.cuts_in_ms());
     }
     return message;
 }
--- a/Source/Peering/PeeringCodec.h
+++ b/Source/Peering/PeeringCodec.h
@@ -22,6 +22,8 @@
     unsigned granted = 0;
     // The engine has just started; its grants are dealt at the rate that it bears.
     bool cold = false;
+    // Time until the engine cuts off its requests to load new weights; nothing if it is not about to.
+    std::optional<std::chrono::milliseconds> cutsIn;
 };
 
 // A router that the sender of a message has heard of.
--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -143,11 +143,14 @@
             auto targets = snapshot->targetsByService.find(load.service);
             if (targets == snapshot->targetsByService.end())
                 return;
+            auto now = m_clock.now();
             for (auto& target : targets->second) {
                 if (target->entry.address.toString() != load.engineAddress)
                     continue;
-                Dispatch::TargetReport report { load.running, load.queued, load.wholeVersion, load.paused, load.granted, load.cold };
-                Dispatch::Commands::recordReport(m_dispatch, load.service, target->entry.id, report, m_clock.now());
+                Dispatch::TargetReport report { load.running, load.queued, load.wholeVersion, load.paused, load.granted, load.cold, std::nullopt };
+                if (load.cutsIn)
+                    report.cutsAt = now + *load.cutsIn;
+                Dispatch::Commands::recordReport(m_dispatch, load.service, target->entry.id, report, now);
             }
         }
 
--- a/Source/Proxy/RequestRun.cpp
+++ b/Source/Proxy/RequestRun.cpp
@@ -350,6 +350,8 @@
         m_keepAlive = m_keepAlive && !m_context.draining;
         pendingHead = Http::serializeChunkedHead(exchange.answer().status, m_context.protocol.returnedHeaders(exchange.answer().headers), m_keepAlive);
     }
+    if (m_traits.requiredWeights == 0)
+        m_traits.requiredWeights = exchange.answer().head.weights.value_or(0);
     std::string received;
     while (!exchange.isComplete()) {
         received.clear();
--- a/Source/Staging/EngineProtocol.h
+++ b/Source/Staging/EngineProtocol.h
@@ -54,6 +54,13 @@
     Refused,
 };
 
+// What happens to the requests that run as an engine is told to load weights.
+enum class LoadMode {
+    AfterRunning,
+    // They are cut off, and routers resume them at other engines.
+    CutRunning,
+};
+
 // Encodes the calls to the engine and to the origin of weights and decodes their answers.
 class EngineProtocol {
 public:
@@ -72,8 +79,8 @@
     virtual Http::HttpRequest storePieceRequest(const std::string& model, unsigned piece, std::string bytes) const = 0;
     virtual Http::HttpRequest storedPieceRequest(const std::string& model, unsigned piece) const = 0;
 
-    // Loads the pieces that lie at the engine, after the requests that run.
-    virtual Http::HttpRequest loadRequest(const std::string& model, uint64_t version) const = 0;
+    // Loads the pieces that lie at the engine.
+    virtual Http::HttpRequest loadRequest(const std::string& model, uint64_t version, LoadMode) const = 0;
     virtual LoadAnswer readLoadAnswer(const Http::HttpResponse&) const = 0;
 };
 
--- a/Source/Staging/Queries/PlanLoad.cpp
+++ b/Source/Staging/Queries/PlanLoad.cpp
@@ -8,15 +8,45 @@
 
 namespace {
 
-    // Groups of engines that load one after the other.
-    constexpr unsigned turns = 5;
-    // Parts of the bound for new weights: when the first turn begins, and the length of each.
+    // Parts of the bound for new weights at which the first and the last engine begin to load. Before the first
+    // the pieces are on their way; after the last the requests under way have to end before the bound.
     constexpr double firstTurnShare = 0.43;
-    constexpr double turnShare = 0.07;
+    constexpr double lastTurnShare = 0.73;
+
+    // The declaration whose bound ends first among those that the engine does not meet yet.
+    Base::TimePoint earliestDeclaration(const Fleet::FleetSnapshot& snapshot, const std::string& model, const Fleet::DeclaredWeights& wanted, uint64_t heldVersion)
+    {
+        auto earliest = wanted.learnedAt;
+        auto declared = snapshot.weights.find(model);
+        if (declared == snapshot.weights.end())
+            return earliest;
+        for (auto& declaration : declared->second) {
+            if (declaration.version > heldVersion)
+                earliest = std::min(earliest, declaration.learnedAt);
+        }
+        return earliest;
+    }
+
+    // Part of the engines, the first in the order, that cut off what runs.
+    constexpr double cuttingShare = 0.65;
+    // With fewer engines the ones that go on would be too few for the requests that are cut off.
+    constexpr size_t fewestEnginesToCut = 4;
+
+    bool allCanBeResumed(const Fleet::Configuration& configuration, const std::string& service)
+    {
+        for (auto& [host, routes] : configuration.routes) {
+            for (auto& route : routes) {
+                bool leadsHere = std::any_of(route->services.begin(), route->services.end(), [&](auto& part) { return part.service == service; });
+                if (leadsHere && !(route->kind == Fleet::RequestKind::Stream && route->mayRepeat()))
+                    return false;
+            }
+        }
+        return true;
+    }
 
 } // namespace
 
-Base::TimePoint planLoad(const Fleet::FleetSnapshot& snapshot, const Fleet::NodeSettings& settings, const Fleet::DeclaredWeights& declared)
+LoadPlan planLoad(const Fleet::FleetSnapshot& snapshot, const Fleet::NodeSettings& settings, const std::string& model, const Fleet::DeclaredWeights& wanted, uint64_t heldVersion)
 {
     std::vector<std::string> addresses;
     auto targets = snapshot.targetsByService.find(settings.localService);
@@ -25,11 +55,17 @@
             addresses.push_back(target->entry.address.host);
     }
     if (addresses.size() <= 1)
-        return declared.learnedAt;
-    auto ranked = Base::rankMembers(std::to_string(declared.version), addresses);
-    auto rank = static_cast<unsigned>(std::find(ranked.begin(), ranked.end(), settings.address) - ranked.begin());
-    auto share = firstTurnShare + turnShare * (rank % turns);
-    return declared.learnedAt + std::chrono::duration_cast<Base::Duration>(settings.bounds.weights * share);
+        return { wanted.learnedAt, LoadMode::AfterRunning };
+    auto ranked = Base::rankMembers(std::to_string(wanted.version), addresses);
+    auto rank = static_cast<double>(std::find(ranked.begin(), ranked.end(), settings.address) - ranked.begin());
+    auto position = std::min(1.0, rank / static_cast<double>(addresses.size() - 1));
+    auto share = firstTurnShare + (lastTurnShare - firstTurnShare) * position;
+    LoadPlan plan;
+    plan.turn = earliestDeclaration(snapshot, model, wanted, heldVersion) + std::chrono::duration_cast<Base::Duration>(settings.bounds.weights * share);
+    bool mayCut = addresses.size() >= fewestEnginesToCut && snapshot.configuration && allCanBeResumed(*snapshot.configuration, settings.localService);
+    if (mayCut && position < cuttingShare)
+        plan.mode = LoadMode::CutRunning;
+    return plan;
 }
 
 } // namespace Lavenderloft::Staging::Queries
--- a/Source/Staging/StagingNode.cpp
+++ b/Source/Staging/StagingNode.cpp
@@ -37,6 +37,8 @@
     constexpr unsigned parallelFetches = 4;
     // Time for the routers to hear that the engine takes nothing new.
     constexpr std::chrono::milliseconds pauseNotice = 60ms;
+    // How long requests may go on before they are moved to other engines.
+    constexpr std::chrono::milliseconds drainPatience = 700ms;
     // An order that shows no effect by then is given again.
     constexpr std::chrono::seconds loadTimeout = 8s;
     constexpr std::chrono::milliseconds loadPollInterval = 100ms;
@@ -121,6 +123,7 @@
     load.paused = m_paused || m_engine->busy;
     auto free = load.paused ? 0 : freePlaces();
     load.cold = coldRate().has_value();
+    load.cutsIn = timeToCut();
     auto routers = m_peering.nextLoadReceivers();
     m_peering.sendLoad(load, routers, Queries::shareGrants(grantsToDeal(free), routers, m_settings.dataCentre, m_random));
     m_formerlyFree = free;
@@ -232,6 +235,7 @@
 
 asio::awaitable<void> StagingNode::bring(const Wanted& wanted)
 {
+    planTurn(wanted);
     bool isPrepared = co_await prepareChecklist(wanted);
     if (!isPrepared)
         co_return;
@@ -241,13 +245,7 @@
             co_return;
     }
     Observability::logEvent(Events::stagingComplete, { { "model", wanted.model }, { "version", wanted.declared.version } });
-    auto snapshot = Fleet::Queries::currentSnapshot(m_fleet);
-    // An engine that serves nothing has no turn to wait for.
-    if (wholeVersion() > 0) {
-        auto turn = Queries::planLoad(*snapshot, m_settings, wanted.declared);
-        while (m_clock.now() < turn && isStillWanted(wanted))
-            co_await Http::sleepFor(m_context, checkInterval);
-    }
+    co_await waitForTurn(wanted);
     if (!isStillWanted(wanted))
         co_return;
     co_await checkStoredPieces();
@@ -255,6 +253,29 @@
         co_await load(wanted);
 }
 
+// Routers are told of the plan while pieces are still on their way. An engine that serves nothing has no turn to
+// wait for.
+void StagingNode::planTurn(const Wanted& wanted)
+{
+    m_plan.reset();
+    if (wholeVersion() > 0)
+        m_plan = Queries::planLoad(*Fleet::Queries::currentSnapshot(m_fleet), m_settings, wanted.model, wanted.declared, wholeVersion());
+}
+
+asio::awaitable<void> StagingNode::waitForTurn(const Wanted& wanted)
+{
+    while (m_plan && m_clock.now() < m_plan->turn && isStillWanted(wanted))
+        co_await Http::sleepFor(m_context, checkInterval);
+}
+
+std::optional<std::chrono::milliseconds> StagingNode::timeToCut() const
+{
+    if (!m_plan || m_plan->mode != LoadMode::CutRunning)
+        return std::nullopt;
+    auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_plan->turn - m_clock.now());
+    return std::max(left, std::chrono::milliseconds(0));
+}
+
 asio::awaitable<bool> StagingNode::prepareChecklist(const Wanted& wanted)
 {
     bool isCurrent = m_checklist && m_checklist->manifest().version == wanted.declared.version && m_checkedEngineStart == m_engine->startedAt;
@@ -411,22 +432,34 @@
     co_return isStored;
 }
 
+// Most requests end by themselves meanwhile; the few long ones would keep the engine for seconds.
+asio::awaitable<void> StagingNode::waitForRunning()
+{
+    auto until = m_clock.now() + drainPatience;
+    while (m_clock.now() < until && m_engine && m_engine->running + m_engine->queued > 0)
+        co_await Http::sleepFor(m_context, loadPollInterval / 2);
+}
+
 asio::awaitable<void> StagingNode::load(const Wanted& wanted)
 {
     m_paused = true;
     if (m_engine)
         report();
     co_await Http::sleepFor(m_context, pauseNotice);
+    auto mode = m_plan ? m_plan->mode : LoadMode::AfterRunning;
+    if (mode == LoadMode::CutRunning)
+        co_await waitForRunning();
     Http::KeptClient engine(m_context.get_executor(), *m_settings.localEngine);
-    auto answer = co_await engine.call(m_protocol.loadRequest(wanted.model, wanted.declared.version), engineTimeout);
+    auto answer = co_await engine.call(m_protocol.loadRequest(wanted.model, wanted.declared.version, mode), engineTimeout);
     auto accepted = Base::succeeded(answer) ? m_protocol.readLoadAnswer(Base::valueOf(answer)) : LoadAnswer::Refused;
-    Observability::logEvent(Events::loadOrdered, { { "model", wanted.model }, { "version", wanted.declared.version }, { "status", Base::succeeded(answer) ? Base::valueOf(answer).status : 0 }, { "problem", Base::succeeded(answer) ? std::string() : Base::errorOf(answer).describe() } });
+    Observability::logEvent(Events::loadOrdered, { { "model", wanted.model }, { "version", wanted.declared.version }, { "running", m_engine ? m_engine->running : 0 }, { "queued", m_engine ? m_engine->queued : 0 }, { "status", Base::succeeded(answer) ? Base::valueOf(answer).status : 0 }, { "problem", Base::succeeded(answer) ? std::string() : Base::errorOf(answer).describe() } });
     // A missing answer may mean that the order was accepted; the report tells.
     bool mayLoad = accepted != LoadAnswer::Conflict;
     auto until = m_clock.now() + (mayLoad ? loadTimeout : std::chrono::seconds(0));
     while (m_clock.now() < until && m_engine && !engineHolds(wanted) && isStillWanted(wanted))
         co_await Http::sleepFor(m_context, loadPollInterval);
     m_paused = false;
+    m_plan.reset();
     if (engineHolds(wanted))
         Observability::logEvent(Events::weightsLoaded, { { "model", wanted.model }, { "version", wanted.declared.version } });
 }
--- a/Source/Staging/StagingNode.h
+++ b/Source/Staging/StagingNode.h
@@ -12,6 +12,7 @@
 #include "Staging/PieceName.h"
 #include "Staging/PieceSources.h"
 #include "Staging/Queries/ChooseSource.h"
+#include "Staging/Queries/PlanLoad.h"
 #include "Staging/UploadPacer.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -61,6 +62,7 @@
     bool mayGive(uint64_t version, unsigned piece) const;
     bool mayGet(const PieceName&);
     boost::asio::awaitable<void> load(const Wanted&);
+    boost::asio::awaitable<void> waitForRunning();
     boost::asio::awaitable<std::optional<std::string>> readStored(Http::KeptClient&, const std::string& model, unsigned piece);
 
     std::optional<Wanted> findWanted() const;
@@ -73,6 +75,9 @@
     std::optional<double> coldRate() const;
     std::shared_ptr<const Fleet::KnownTarget> findOwnTarget(const Fleet::FleetSnapshot&) const;
     unsigned grantsToDeal(unsigned free);
+    std::optional<std::chrono::milliseconds> timeToCut() const;
+    void planTurn(const Wanted&);
+    boost::asio::awaitable<void> waitForTurn(const Wanted&);
 
     boost::asio::io_context& m_context;
     const Fleet::NodeSettings& m_settings;
@@ -90,6 +95,8 @@
     // Free places at the report before: a place that a router has just given back is not dealt to others at
     // once, as that router may use it again.
     unsigned m_formerlyFree = 0;
+    // How the engine beside this agent will load what is being fetched; nothing if it serves nothing meanwhile.
+    std::optional<Queries::LoadPlan> m_plan;
     // Start that the engine last named, and until when one that started anew is taken for cold.
     uint64_t m_engineStart = 0;
     Base::TimePoint m_coldUntil {};
--- a/Tests/Dispatch/CandidatesTest.cpp
+++ b/Tests/Dispatch/CandidatesTest.cpp
@@ -2,6 +2,7 @@
 #include "Dispatch/Queries/FindCandidates.h"
 
 #include <criterion/criterion.h>
+#include <set>
 
 using namespace Lavenderloft;
 using namespace Lavenderloft::Dispatch;
@@ -212,3 +213,47 @@
     cr_assert_eq(leases({ 0, 0, 1, false, 3, true }), 3);
     cr_assert_eq(leases({ 0, 0, 1, false, 6, false }), 0, "the agent has not heard yet that the engine is cold");
 }
+
+// Guards against an answer that is cut off a second time, after which it may not be sent again: engines that load
+// new weights cut off what runs.
+Test(Candidates, resumedAnswersGoToEnginesThatDoNotCutSoon)
+{
+    TestDispatch test;
+    test.fleet.publish("c", configurationOf(1, { engineService("e") }));
+    for (auto id : { "1", "2", "3" })
+        test.fleet.publish("t/" + std::string(id), engineOf(id, "e", 1, 16));
+    auto report = [&](const std::string& id, std::optional<Base::TimePoint> cutsAt) {
+        test.report("e", id, { 0, 0, 1, false, 16, false, cutsAt });
+    };
+    report("1", test.fleet.clock.now() + 500ms);
+    report("2", test.fleet.clock.now() + 1s);
+    report("3", std::nullopt);
+    auto traits = test.request("e");
+    std::set<std::string> used;
+    for (int i = 0; i < 8; ++i)
+        used.insert(std::get<Lease>(test.acquire(traits)).target->entry.id);
+    cr_assert_gt(used.size(), 1);
+    traits.requiredWeights = 1;
+    for (int i = 0; i < 8; ++i)
+        cr_assert_eq(std::get<Lease>(test.acquire(traits)).target->entry.id, "3");
+    report("3", test.fleet.clock.now() + 100ms);
+    cr_assert(isLease(test.acquire(traits)));
+}
+
+// Guards against an answer that goes on with other weights than it began with.
+Test(Candidates, resumedAnswersStayOnTheirWeights)
+{
+    TestDispatch test;
+    test.fleet.publish("c", configurationOf(1, { engineService("e") }));
+    test.fleet.publish("t/1", engineOf("1", "e", 1, 16));
+    test.fleet.publish("t/2", engineOf("2", "e", 2, 16));
+    auto traits = test.request("e");
+    traits.requiredWeights = 1;
+    for (int i = 0; i < 4; ++i) {
+        auto lease = std::get<Lease>(test.acquire(traits));
+        cr_assert_eq(lease.target->entry.id, "1");
+        cr_assert(lease.expectedWeights == 1u, "the engine refuses it if it has loaded others meanwhile");
+    }
+    traits.requiredWeights = 3;
+    cr_assert(refusalOf(test.acquire(traits)) == RefusalReason::NoTarget);
+}
--- a/Tests/Peering/PeeringTest.cpp
+++ b/Tests/Peering/PeeringTest.cpp
@@ -22,7 +22,7 @@
     message.demand = 12.5;
     message.storeAge = 250ms;
     message.routers = { { "10.0.0.2", "dc-b", 30ms } };
-    message.load = EngineLoad { "e", "10.0.0.3:80", 4, 2, 9, true, 3, true };
+    message.load = EngineLoad { "e", "10.0.0.3:80", 4, 2, 9, true, 3, true, 120ms };
     auto decoded = decodeMessage(encodeMessage(message));
     cr_assert(decoded.has_value());
     cr_assert_eq(decoded->sender, "10.0.0.1");
@@ -33,6 +33,7 @@
     cr_assert_eq(decoded->routers.front().age.count(), 30);
     cr_assert_eq(decoded->load->granted, 3);
     cr_assert(decoded->load->cold);
+    cr_assert(decoded->load->cutsIn == 120ms);
     cr_assert_eq(decoded->load->wholeVersion, 9);
     cr_assert(decoded->load->paused);
 }
--- a/Tests/Staging/PacingTest.cpp
+++ b/Tests/Staging/PacingTest.cpp
@@ -94,7 +94,7 @@
         Fleet::NodeSettings settings;
         settings.address = "10.0.0." + std::to_string(i);
         settings.localService = "e";
-        ++starts[Queries::planLoad(snapshot, settings, declared)];
+        ++starts[Queries::planLoad(snapshot, settings, "m", declared, 1).turn];
     }
     cr_assert_geq(starts.size(), 3);
     for (auto& [start, engines] : starts) {
@@ -102,3 +102,74 @@
         cr_assert(start - declared.learnedAt < Fleet::FleetBounds().weights - 2s);
     }
 }
+
+// Guards against engines that go on with weights which are no longer allowed because a second version was declared
+// before they had loaded the first: the bound of the first one still holds.
+Test(PlanLoad, aLaterDeclarationDoesNotPutTheTurnOff)
+{
+    Fleet::FleetSnapshot snapshot;
+    for (int i = 0; i < 2; ++i) {
+        Fleet::KnownTarget target;
+        target.entry.address = { "10.0.0." + std::to_string(i), 1 };
+        snapshot.targetsByService["e"].push_back(std::make_shared<Fleet::KnownTarget>(target));
+    }
+    Base::ManualClock clock;
+    Fleet::DeclaredWeights first { 2, clock.now() };
+    Fleet::DeclaredWeights second { 3, clock.now() + 3s };
+    snapshot.weights["m"] = { first, second };
+    Fleet::NodeSettings settings;
+    settings.address = "10.0.0.0";
+    settings.localService = "e";
+    auto holdsOldest = Queries::planLoad(snapshot, settings, "m", second, 1).turn;
+    auto holdsFirst = Queries::planLoad(snapshot, settings, "m", second, 2).turn;
+    cr_assert(holdsOldest < first.learnedAt + Fleet::FleetBounds().weights - 2s);
+    cr_assert(holdsFirst == holdsOldest + 3s);
+}
+
+namespace {
+
+// Routes to one service, all of the kind and resumable or not.
+std::shared_ptr<const Fleet::Configuration> routesTo(const std::string& service, Fleet::RequestKind kind, bool resumable)
+{
+    auto route = std::make_shared<Fleet::Route>();
+    route->kind = kind;
+    route->resumable = resumable;
+    route->services = { { service, 1 } };
+    auto configuration = std::make_shared<Fleet::Configuration>();
+    configuration->routes["h"] = { route };
+    return configuration;
+}
+
+// Engines of twelve that would cut off their requests.
+unsigned countCutting(const std::shared_ptr<const Fleet::Configuration>& configuration)
+{
+    Fleet::FleetSnapshot snapshot;
+    snapshot.configuration = configuration;
+    for (int i = 0; i < 12; ++i) {
+        Fleet::KnownTarget target;
+        target.entry.address = { "10.0.0." + std::to_string(i), 1 };
+        snapshot.targetsByService["e"].push_back(std::make_shared<Fleet::KnownTarget>(target));
+    }
+    unsigned cutting = 0;
+    for (int i = 0; i < 12; ++i) {
+        Fleet::NodeSettings settings;
+        settings.address = "10.0.0." + std::to_string(i);
+        settings.localService = "e";
+        cutting += Queries::planLoad(snapshot, settings, "m", { 2, {} }, 1).mode == LoadMode::CutRunning;
+    }
+    return cutting;
+}
+
+} // namespace
+
+// Guards against a change of weights that cuts off what can't be resumed, or leaves no engine that takes what was
+// cut off.
+Test(PlanLoad, cutsOffOnlyWhatCanBeResumedElsewhere)
+{
+    auto cutting = countCutting(routesTo("e", Fleet::RequestKind::Stream, true));
+    cr_assert_geq(cutting, 6);
+    cr_assert_leq(cutting, 9);
+    cr_assert_eq(countCutting(routesTo("e", Fleet::RequestKind::Stream, false)), 0);
+    cr_assert_eq(countCutting(routesTo("e", Fleet::RequestKind::Idempotent, false)), 0, "its answer would begin anew");
+    cr_assert_eq(countCutting(nullptr), 0);
+}
