Do not take an unknown age of a declaration for a long one

Ruled out: the change of weights itself; it had not begun (log of the agents). Change: how long something may have been published is one piece of state, in ItemIntake: it counts from the time at which this node last knew everything, from the store or from a router that follows it, or from its last call that failed. A node that does not know an age says so, and the receiver uses its own bound. Test ItemIntake/doesNotTakeTheAgeOfANodeThatHasJustStarted.

--- a/Source/Peering/ItemIntake.cpp
+++ b/Source/Peering/ItemIntake.cpp
@@ -3,8 +3,19 @@
 #include "Observability/Log.h"
 #include "Peering/Events.h"
 
+#include <algorithm>
+
 namespace Lavenderloft::Peering {
 
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // Assumed for what stood in the store before this process started.
+    constexpr std::chrono::milliseconds unknownAge = 1h;
+
+} // namespace
+
 ItemIntake::ItemIntake(Fleet::FleetState& fleet, const Fleet::PublicationDecoder& decoder, const Base::Clock& clock)
     : m_fleet(fleet)
     , m_decoder(decoder)
@@ -22,6 +33,39 @@
     report(Fleet::Commands::applyListing(m_fleet, m_decoder, prefix, keys, revision, deferDeletionsUntil, m_clock.now()), revision, "store_listing");
 }
 
+void ItemIntake::noteComplete(Base::TimePoint time)
+{
+    m_completeAt = std::max(time, m_completeAt.value_or(time));
+}
+
+void ItemIntake::noteStoreFailure(Base::TimePoint time)
+{
+    m_storeFailedAt = time;
+}
+
+void ItemIntake::noteCompleteAsOfFailure()
+{
+    if (m_storeFailedAt)
+        noteComplete(*m_storeFailedAt);
+}
+
+std::chrono::milliseconds ItemIntake::longestAge() const
+{
+    if (!m_completeAt)
+        return unknownAge;
+    auto since = std::max(*m_completeAt, m_storeFailedAt.value_or(*m_completeAt));
+    return std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - since);
+}
+
+void ItemIntake::applyFromPeer(std::vector<Fleet::PublishedItem> items, uint64_t revision, std::string_view source)
+{
+    for (auto& item : items) {
+        if (item.age >= unknownAge)
+            item.age = longestAge();
+    }
+    apply(std::move(items), revision, std::nullopt, source);
+}
+
 void ItemIntake::report(const Fleet::Commands::AppliedChange& change, uint64_t revision, std::string_view source)
 {
     for (auto& problem : change.unreadable)
--- a/Source/Peering/ItemIntake.h
+++ b/Source/Peering/ItemIntake.h
@@ -3,6 +3,7 @@
 #include "Base/Clock.h"
 #include "Fleet/Commands/ApplyItems.h"
 
+#include <chrono>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -17,6 +18,23 @@
     void apply(std::vector<Fleet::PublishedItem>, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil, std::string_view source);
     void applyListing(const std::string& prefix, const std::vector<std::string>& keys, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil);
 
+    // Everything that was published up to this time is known here.
+    void noteComplete(Base::TimePoint);
+
+    // The store did not answer, or turned this node away. While it is away nothing is published; what it tells
+    // others meanwhile comes from them with its age.
+    void noteStoreFailure(Base::TimePoint);
+
+    // A node that has no contact with the store either told all that it knows: nothing else was published before
+    // this node's last call to the store failed.
+    void noteCompleteAsOfFailure();
+
+    // Longest time since the publication of something that is seen only now.
+    std::chrono::milliseconds longestAge() const;
+
+    // Items from another node, which may not know their age either.
+    void applyFromPeer(std::vector<Fleet::PublishedItem>, uint64_t revision, std::string_view source);
+
     Fleet::FleetState& fleet() { return m_fleet; }
 
 private:
@@ -25,6 +43,8 @@
     Fleet::FleetState& m_fleet;
     const Fleet::PublicationDecoder& m_decoder;
     const Base::Clock& m_clock;
+    std::optional<Base::TimePoint> m_completeAt;
+    std::optional<Base::TimePoint> m_storeFailedAt;
 };
 
 } // namespace Lavenderloft::Peering
--- a/Source/Peering/PeeringNode.cpp
+++ b/Source/Peering/PeeringNode.cpp
@@ -314,8 +314,13 @@
     auto batch = decodeItems(Base::valueOf(answer).body);
     if (!batch)
         co_return false;
+    bool isFirst = !m_fetchedAll;
     m_fetchedAll = true;
-    m_intake.apply(std::move(batch->items), batch->revision, std::nullopt, router.address);
+    m_intake.applyFromPeer(std::move(batch->items), batch->revision, router.address);
+    if (router.store.claimedAt)
+        m_intake.noteComplete(router.store.completeAt);
+    else if (isFirst)
+        m_intake.noteCompleteAsOfFailure();
     // What came from another region is news to this one.
     if (m_isRouter && m_settings.regionOf(router.dataCentre) != m_settings.region)
         announceRevision();
--- a/Source/Peering/StoreFollower.cpp
+++ b/Source/Peering/StoreFollower.cpp
@@ -29,8 +29,6 @@
     constexpr std::chrono::milliseconds firstAnswersPeriod = 300ms;
     // Other nodes tell what is published at most so much later than the store.
     constexpr std::chrono::milliseconds standInDelay = 1500ms;
-    // Assumed for what stood in the store before this process started.
-    constexpr std::chrono::milliseconds unknownAge = 1h;
 
 } // namespace
 
@@ -77,7 +75,7 @@
 {
     auto known = Fleet::Queries::knownRevision(m_intake.fleet());
     if (m_leftAloneAt) {
-        m_completeAt = *m_leftAloneAt - standInDelay;
+        m_intake.noteComplete(*m_leftAloneAt - standInDelay);
         m_leftAloneAt.reset();
         if (known > 0)
             m_revision = known;
@@ -94,7 +92,7 @@
         return;
     }
     m_backoff = m_backoff == 0ms ? firstBackoff : std::min(m_backoff * 2, longestBackoff);
-    m_lastFailureAt = m_clock.now();
+    m_intake.noteStoreFailure(m_clock.now());
 }
 
 // Entries that lapsed while the store was away show as deletions in its first answers.
@@ -105,16 +103,6 @@
     return *m_regainedAt + lapsedEntryGrace;
 }
 
-// Longest time since the publication of something that is seen only now. While the store is away nothing is
-// published; what it told others while it turned this node away comes from them with its age.
-std::chrono::milliseconds StoreFollower::longestAge() const
-{
-    if (!m_completeAt)
-        return unknownAge;
-    auto since = std::max(*m_completeAt, m_lastFailureAt.value_or(*m_completeAt));
-    return std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - since);
-}
-
 void StoreFollower::noteConnected(bool connected, const std::string& reason)
 {
     if (connected == m_connected)
@@ -149,7 +137,7 @@
         for (auto& item : listed.items) {
             keys.push_back(item.key);
             items.push_back(item);
-            items.back().age = longestAge();
+            items.back().age = m_intake.longestAge();
         }
         if (!listed.morePages || listed.items.empty())
             break;
@@ -158,6 +146,7 @@
     noteConnected(true, "listed");
     m_revision = revision;
     m_completeAt = m_clock.now();
+    m_intake.noteComplete(*m_completeAt);
     m_intake.apply(std::move(items), *revision, deletionsDeferredUntil(), "store");
     m_intake.applyListing(m_prefix, keys, *revision, deletionsDeferredUntil());
     m_isFollowing = true;
@@ -194,10 +183,11 @@
 {
     auto changes = batch.changes;
     // A call that waits is answered at once, but no call waits in the pause after the one before.
-    auto age = m_isFollowing ? changePause : longestAge();
+    auto age = m_isFollowing ? changePause : m_intake.longestAge();
     for (auto& change : changes)
         change.age = age;
     m_completeAt = m_clock.now();
+    m_intake.noteComplete(*m_completeAt);
     m_isFollowing = true;
     m_revision = std::max(*m_revision, batch.revision);
     if (changes.empty())
--- a/Source/Peering/StoreFollower.h
+++ b/Source/Peering/StoreFollower.h
@@ -35,7 +35,6 @@
     boost::asio::awaitable<bool> waitForChanges();
     void noteConnected(bool connected, const std::string& reason);
     std::optional<Base::TimePoint> deletionsDeferredUntil() const;
-    std::chrono::milliseconds longestAge() const;
     void leaveAlone();
     void resume();
     void noteAnswered(bool answered);
@@ -50,7 +49,6 @@
     std::function<void()> m_onChange;
     bool m_isFollowing = false;
     bool m_connected = false;
-    std::optional<Base::TimePoint> m_lastFailureAt;
     // When other nodes last stood in for the store.
     std::optional<Base::TimePoint> m_leftAloneAt;
     // It failed since the last listing, so that entries may have lapsed meanwhile.
--- a/Tests/Peering/StoreFollowerTest.cpp
+++ b/Tests/Peering/StoreFollowerTest.cpp
@@ -155,3 +155,34 @@
     test.run([] { return true; });
     cr_assert_eq(test.calls.size(), 3);
 }
+
+// Guards against engines whose weights count as too old because a router that has just started listed the
+// declaration, does not know its age, and tells the others before they hear of it from the store.
+Test(ItemIntake, doesNotTakeTheAgeOfANodeThatHasJustStarted)
+{
+    TestFollower started;
+    TestFollower other;
+    Fleet::PublishedItem declaration { "w", "2", 2, false, {} };
+    started.fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
+    other.fleet.decoder = started.fleet.decoder;
+    declaration.age = started.intake.longestAge();
+    started.intake.apply({ declaration }, 2, std::nullopt, "store");
+    other.intake.noteComplete(other.fleet.clock.now());
+    other.fleet.clock.advance(8s);
+    other.intake.noteStoreFailure(other.fleet.clock.now());
+    other.fleet.clock.advance(500ms);
+    other.intake.applyFromPeer(Fleet::Queries::itemsAfter(started.fleet.state, 0, started.fleet.clock.now()), 2, "10.0.0.1");
+    auto ageAt = [](TestFollower& node) {
+        auto age = node.fleet.clock.now() - node.fleet.snapshot()->weights.at("m").back().learnedAt;
+        return std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+    };
+    cr_assert_eq(ageAt(other), 500);
+    cr_assert_geq(ageAt(started), 3600 * 1000, "it must not use old weights for longer than allowed");
+    // A node that knows the age is believed.
+    TestFollower third;
+    third.fleet.decoder = started.fleet.decoder;
+    third.intake.noteComplete(third.fleet.clock.now());
+    third.fleet.clock.advance(100ms);
+    third.intake.applyFromPeer(Fleet::Queries::itemsAfter(other.fleet.state, 0, other.fleet.clock.now()), 2, "10.0.0.2");
+    cr_assert_eq(ageAt(third), 500);
+}
