Refuse a request that crashed three targets on every router

Ruled out: counting broken connections alone; they also break while a target goes on, and innocent requests run beside. Change: Dispatch keeps a ledger of runs that broke, by a hash of organisation, method, path and body. A run counts as a crash once its target can't be reached or its entry is gone, within 6 s; after crashes of three targets the request is refused for 60 s from the crash. Routers tell each other confirmed crashes for a second. 4,096 requests at most.

--- a/Source/Dispatch/Commands/AcquireTarget.cpp
+++ b/Source/Dispatch/Commands/AcquireTarget.cpp
@@ -2,6 +2,7 @@
 
 #include "Dispatch/Commands/ServeQueue.h"
 #include "Dispatch/Queries/FindCandidates.h"
+#include "Dispatch/Queries/FindQuarantine.h"
 
 #include <algorithm>
 
@@ -58,6 +59,8 @@
 
 Decision acquireTarget(DispatchState& state, const RequestTraits& traits, std::shared_ptr<WaitObserver> observer, Base::TimePoint now)
 {
+    if (auto time = Queries::quarantinedFor(state, traits.fingerprint, now))
+        return Refusal { RefusalReason::Quarantined, *time };
     return state.withService(traits.service, [&](ServiceState& service) {
         service.retries.countRequest(now);
         return admit(state, service, traits, std::move(observer), now);
@@ -66,6 +69,8 @@
 
 Decision acquireRepeat(DispatchState& state, const RequestTraits& traits, bool reachedTarget, std::shared_ptr<WaitObserver> observer, Base::TimePoint now)
 {
+    if (auto time = Queries::quarantinedFor(state, traits.fingerprint, now))
+        return Refusal { RefusalReason::Quarantined, *time };
     return state.withService(traits.service, [&](ServiceState& service) -> Decision {
         if (reachedTarget && !service.retries.tryRepeat(allowanceOf(state), now))
             return Refusal { RefusalReason::RetryBudget, noTargetRetryAfter };
--- /dev/null
+++ b/Source/Dispatch/Commands/RecordCrash.cpp
@@ -0,0 +1,117 @@
+#include "Dispatch/Commands/RecordCrash.h"
+
+#include "Fleet/Queries/ReadFleet.h"
+
+#include <algorithm>
+
+namespace Lavenderloft::Dispatch::Commands {
+
+namespace {
+
+    using namespace std::chrono_literals;
+    using Entries = CrashLedger::Runs::Entries;
+
+    // A report is repeated for this time, because a datagram may be lost.
+    constexpr std::chrono::milliseconds reportTime = 1000ms;
+
+    // Adds a run unless one at the same target is known, and returns it; nothing if the ledger is full.
+    BrokenRun* findOrAdd(bool isFull, Entries& entries, uint64_t fingerprint, BrokenRun run)
+    {
+        auto known = entries.find(fingerprint);
+        if (known == entries.end() && isFull)
+            return nullptr;
+        auto& runs = entries[fingerprint];
+        auto same = std::find_if(runs.begin(), runs.end(), [&](auto& other) { return other.target == run.target; });
+        if (same != runs.end())
+            return &*same;
+        runs.push_back(std::move(run));
+        return &runs.back();
+    }
+
+    void addRun(CrashLedger& ledger, uint64_t fingerprint, BrokenRun run)
+    {
+        bool isFull = ledger.runs().size() >= CrashLedger::maximumRequests;
+        ledger.runs().withShard(fingerprint, [&](Entries& entries) {
+            auto confirmedAt = run.confirmedAt;
+            auto* added = findOrAdd(isFull, entries, fingerprint, std::move(run));
+            if (added && !added->isConfirmed())
+                added->confirmedAt = confirmedAt;
+        });
+    }
+
+    bool isPublished(const Fleet::FleetSnapshot& snapshot, const BrokenRun& run)
+    {
+        auto targets = snapshot.targetsByService.find(run.service);
+        if (targets == snapshot.targetsByService.end())
+            return false;
+        return std::any_of(targets->second.begin(), targets->second.end(), [&](auto& target) { return target->entry.id == run.target; });
+    }
+
+    bool hasEnded(DispatchState& state, const Fleet::FleetSnapshot& snapshot, const BrokenRun& run)
+    {
+        if (!isPublished(snapshot, run))
+            return true;
+        return state.withService(run.service, [&](ServiceState& service) {
+            auto runtime = service.targets.find(run.target);
+            return runtime != service.targets.end() && runtime->second.unreachableAt >= run.brokeAt;
+        });
+    }
+
+    bool isOver(const BrokenRun& run, Base::TimePoint now)
+    {
+        return now - run.brokeAt > (run.isConfirmed() ? CrashLedger::retention : CrashLedger::confirmationPeriod);
+    }
+
+    // Looks at the targets without a lock on the ledger, because a service has a lock of its own.
+    void confirmEndedTargets(DispatchState& state, Base::TimePoint now)
+    {
+        std::vector<std::pair<uint64_t, BrokenRun>> open;
+        state.crashes().runs().forEach([&](uint64_t fingerprint, const std::vector<BrokenRun>& all) {
+            for (auto& run : all) {
+                if (!run.isConfirmed() && !isOver(run, now))
+                    open.emplace_back(fingerprint, run);
+            }
+        });
+        auto snapshot = Fleet::Queries::currentSnapshot(state.fleet());
+        for (auto& [fingerprint, run] : open) {
+            if (!hasEnded(state, *snapshot, run))
+                continue;
+            run.confirmedAt = now;
+            addRun(state.crashes(), fingerprint, run);
+        }
+    }
+
+} // namespace
+
+void recordBrokenRun(DispatchState& state, uint64_t fingerprint, const std::string& service, const std::string& target, Base::TimePoint now)
+{
+    addRun(state.crashes(), fingerprint, { service, target, now, {} });
+}
+
+std::vector<CrashReport> confirmCrashes(DispatchState& state, Base::TimePoint now)
+{
+    auto& runs = state.crashes().runs();
+    confirmEndedTargets(state, now);
+    runs.eraseIf([&](uint64_t, const std::vector<BrokenRun>& all) {
+        return std::all_of(all.begin(), all.end(), [&](auto& run) { return isOver(run, now); });
+    });
+    std::vector<CrashReport> reports;
+    runs.forEach([&](uint64_t fingerprint, const std::vector<BrokenRun>& all) {
+        for (auto& run : all) {
+            bool isOwn = !run.service.empty();
+            if (isOwn && run.isConfirmed() && now - run.confirmedAt <= reportTime)
+                reports.push_back({ fingerprint, run.target, std::chrono::duration_cast<std::chrono::milliseconds>(now - run.brokeAt) });
+        }
+    });
+    return reports;
+}
+
+void mergeCrashReports(DispatchState& state, const std::vector<CrashReport>& reports, Base::TimePoint now)
+{
+    for (auto& report : reports) {
+        if (report.age <= CrashLedger::retention)
+            addRun(state.crashes(), report.fingerprint, { "", report.target, now - report.age, now });
+    }
+}
+
+} // namespace Lavenderloft::Dispatch::Commands
--- a/Source/Dispatch/Commands/RecordOutcome.cpp
+++ b/Source/Dispatch/Commands/RecordOutcome.cpp
@@ -48,6 +48,9 @@
         case AttemptResult::Misdirected:
             runtime.avoidUntil = std::max(runtime.avoidUntil, now + misdirectedAvoidance);
             return;
+        case AttemptResult::Unreachable:
+            runtime.unreachableAt = now;
+            [[fallthrough]];
         case AttemptResult::Failed:
             // An engine that is about to load cuts off what it can't end in time.
             if (runtime.hasReport(now) && runtime.report.paused)
--- a/Source/Dispatch/Commands/RecordOutcome.h
+++ b/Source/Dispatch/Commands/RecordOutcome.h
@@ -11,6 +11,8 @@
     Rejected,
     // Another target has the address, or it lacks what the request needs.
     Misdirected,
+    // No connection to the target could be made.
+    Unreachable,
     // The target did not answer, or not as it should.
     Failed,
     // The target answered with an error of its own.
--- a/Source/Dispatch/Decision.cpp
+++ b/Source/Dispatch/Decision.cpp
@@ -11,6 +11,8 @@
         return "overloaded";
     case RefusalReason::RetryBudget:
         return "retry_budget";
+    case RefusalReason::Quarantined:
+        return "quarantined";
     case RefusalReason::OutOfTime:
         return "out_of_time";
     }
--- a/Source/Dispatch/Decision.h
+++ b/Source/Dispatch/Decision.h
@@ -28,6 +28,8 @@
     Overloaded,
     // The budget for sending requests again is used up.
     RetryBudget,
+    // The request crashed the targets that ran it.
+    Quarantined,
     // The time left is not enough to be served.
     OutOfTime,
 };
--- a/Source/Dispatch/RequestTraits.h
+++ b/Source/Dispatch/RequestTraits.h
@@ -17,6 +17,8 @@
 struct RequestTraits {
     std::shared_ptr<const Fleet::Route> route;
     std::string service;
+    // Hash of organisation, method, path and body, which stay the same when the request comes again.
+    uint64_t fingerprint = 0;
     // 0 is the most urgent.
     int priority = 0;
     Base::TimePoint arrivedAt {};
--- a/Source/Dispatch/TargetRuntime.h
+++ b/Source/Dispatch/TargetRuntime.h
@@ -54,6 +54,8 @@
     // Moving share of attempts that failed, 0 to 1.
     double failureShare = 0;
     Base::TimePoint avoidUntil {};
+    // When a connection to the target could last not be made.
+    Base::TimePoint unreachableAt {};
     // Rate of requests while the target is cold.
     double coldTokens = 0;
     Base::TimePoint coldRefilledAt {};
--- a/Source/Peering/PeeringCodec.cpp
+++ b/Source/Peering/PeeringCodec.cpp
@@ -36,6 +36,12 @@
             load->set_cuts_in_ms(static_cast<uint32_t>(message.load->cutsIn->count()));
         load->set_granted(message.load->granted);
     }
+    for (auto& crash : message.crashes) {
+        auto* report = encoded.add_crashes();
+        report->set_fingerprint(crash.fingerprint);
+        report->set_target(crash.target);
+        report->set_age_ms(static_cast<uint32_t>(crash.age.count()));
+    }
     return encoded.SerializeAsString();
 }
 
@@ -61,6 +67,8 @@
         if (load.has_cuts_in_ms())
             message.load->cutsIn = std::chrono::milliseconds(load.cuts_in_ms());
     }
+    for (auto& crash : encoded.crashes())
+        message.crashes.push_back({ crash.fingerprint(), crash.target(), std::chrono::milliseconds(crash.age_ms()) });
     return message;
 }
 
--- a/Source/Peering/PeeringCodec.h
+++ b/Source/Peering/PeeringCodec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Dispatch/CrashLedger.h"
 #include "Fleet/Publication.h"
 #include "Peering/PeerTable.h"
 
@@ -46,6 +47,8 @@
     std::optional<std::chrono::milliseconds> storeAge;
     std::vector<HeardRouter> routers;
     std::optional<EngineLoad> load;
+    // Crashes that the sender, a router, confirmed lately.
+    std::vector<Dispatch::CrashReport> crashes;
 };
 
 std::string encodeMessage(const NodeMessage&);
--- a/Source/Peering/PeeringNode.cpp
+++ b/Source/Peering/PeeringNode.cpp
@@ -33,6 +33,8 @@
     constexpr size_t otherRegionsFanout = 4;
     // Routers of other regions that are told a load at a time; bytes between regions are scarce.
     constexpr size_t loadFanout = 8;
+    // Crashes that one message carries; more would not fit into a datagram.
+    constexpr size_t crashesPerMessage = 32;
     // A router whose own watch of the store is about to deliver the news waits for it this long.
     constexpr std::chrono::milliseconds watcherFetchDelay = 250ms;
     constexpr std::chrono::milliseconds fetchDelay = 5ms;
@@ -190,6 +192,15 @@
         sendTo(router.address, bytes);
 }
 
+void PeeringNode::announceCrashes(const std::vector<Dispatch::CrashReport>& crashes)
+{
+    auto message = describeSelf();
+    message.crashes.assign(crashes.begin(), crashes.begin() + static_cast<std::ptrdiff_t>(std::min(crashes.size(), crashesPerMessage)));
+    auto bytes = encodeMessage(message);
+    for (auto& router : Queries::liveRouters(m_peers, m_clock.now()))
+        sendTo(router.address, bytes);
+}
+
 bool PeeringNode::mayLeaveStoreToOthers() const
 {
     auto now = m_clock.now();
@@ -249,6 +260,8 @@
     auto ownRevision = Fleet::Queries::knownRevision(m_intake.fleet());
     if (message.isRouter) {
         noteRouterMessage(message);
+        if (!message.crashes.empty() && m_onCrashes)
+            m_onCrashes(message.crashes);
         if (message.revision > ownRevision || (!m_fetchedAll && message.revision > 0))
             m_behind.cancel();
         return;
--- a/Source/Peering/PeeringNode.h
+++ b/Source/Peering/PeeringNode.h
@@ -24,6 +24,8 @@
 public:
     // What a router does with the load of an engine.
     using LoadHandler = std::function<void(const EngineLoad&)>;
+    // What a router does with crashes that another one confirmed.
+    using CrashHandler = std::function<void(const std::vector<Dispatch::CrashReport>&)>;
     // When the store last told this node everything; nothing if it does not follow the store.
     using StoreContact = std::function<std::optional<Base::TimePoint>()>;
 
@@ -32,6 +34,7 @@
 
     void setLoadHandler(LoadHandler handler) { m_onLoad = std::move(handler); }
 
+    void setCrashHandler(CrashHandler handler) { m_onCrashes = std::move(handler); }
     void setStoreContact(StoreContact contact) { m_storeContact = std::move(contact); }
 
     void start();
@@ -51,6 +54,9 @@
     // Tells the routers of the region, and some of others, at once that this router knows a new revision.
     void announceRevision();
 
+    // Tells the other routers of crashes.
+    void announceCrashes(const std::vector<Dispatch::CrashReport>&);
+
     // Whether a router of the region follows the store, so that this one learns what is published from it.
     bool mayLeaveStoreToOthers() const;
 
@@ -89,6 +95,7 @@
     // Everything was fetched from another router once, which tells the age of what stands in the store.
     bool m_fetchedAll = false;
     LoadHandler m_onLoad;
+    CrashHandler m_onCrashes;
     StoreContact m_storeContact;
     double m_demand = 0;
     // Positions among the routers that are named, greeted and told of loads in turn.
--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -4,6 +4,7 @@
 #include "Base/SystemClock.h"
 #include "Dispatch/BoundedWaitPolicy.h"
 #include "Dispatch/Commands/AcquireTarget.h"
+#include "Dispatch/Commands/RecordCrash.h"
 #include "Dispatch/Commands/RecordOutcome.h"
 #include "Dispatch/LessOccupiedOfTwoPolicy.h"
 #include "Dispatch/Queries/EngineDemand.h"
@@ -85,6 +86,7 @@
             m_nodes = Http::NodeServer::start(context, { m_settings.address, m_settings.firstPeerPort }, [this](Http::HttpRequest request) { return answerNode(std::move(request)); });
             m_callers->start();
             m_peering.setLoadHandler([this](const Peering::EngineLoad& load) { noteLoad(load); });
+            m_peering.setCrashHandler([this](const std::vector<Dispatch::CrashReport>& crashes) { Dispatch::Commands::mergeCrashReports(m_dispatch, crashes, m_clock.now()); });
             m_peering.setStoreContact([this] { return storeCompleteAt(); });
             m_peering.start();
             for (auto& follower : m_followers) {
@@ -170,6 +172,8 @@
                 Fleet::Commands::expireDeletions(m_fleet, now);
                 if (auto lines = Observability::takeLeftOutLines())
                     Observability::logEvent(logLinesLeftOut, { { "lines", lines } });
+                if (auto crashes = Dispatch::Commands::confirmCrashes(m_dispatch, now); !crashes.empty())
+                    m_peering.announceCrashes(crashes);
                 Dispatch::Commands::forgetGoneTargets(m_dispatch);
                 m_peering.setDemand(Dispatch::Queries::engineDemand(m_dispatch, now));
                 if (now - m_startedAt >= acquaintanceTime)
--- a/Source/Proxy/RequestRun.cpp
+++ b/Source/Proxy/RequestRun.cpp
@@ -2,6 +2,7 @@
 
 #include "Base/RendezvousHash.h"
 #include "Dispatch/Commands/AcquireTarget.h"
+#include "Dispatch/Commands/RecordCrash.h"
 #include "Dispatch/Commands/RecordOutcome.h"
 #include "Fleet/Queries/ReadFleet.h"
 #include "Http/WireFormat.h"
@@ -154,6 +155,8 @@
     m_traits.service = chooseService(route, m_head.requestId);
     m_traits.priority = m_organisation && m_organisation->priority ? *m_organisation->priority : route.priority;
     m_traits.allowedRegions = commonRegions(route.allowedRegions, m_organisation ? m_organisation->allowedRegions : std::vector<std::string>());
+    auto owner = m_organisation ? m_organisation->name : std::string();
+    m_traits.fingerprint = Base::stableHash(owner + '\0' + m_request.method + '\0' + m_request.target + '\0' + m_request.body);
     auto deadline = m_head.deadline.value_or(defaultDeadline);
     if (route.timeout > 0ms)
         deadline = std::min(deadline, route.timeout);
@@ -214,6 +217,8 @@
         if (attempted.finished)
             co_return;
         lastEnd = attempted.end;
+        if (lastEnd == AttemptEnd::Broken)
+            Dispatch::Commands::recordBrokenRun(m_context.dispatch, m_traits.fingerprint, m_traits.service, lease.target->entry.id, m_context.clock.now());
         m_traits.triedTargets.push_back(lease.target->entry.id);
         bool repeat = m_traits.deadline > m_context.clock.now() && Dispatch::Queries::mayRepeat(*m_traits.route, m_history, lastEnd);
         if (Observability::isLogged(Events::attemptFailed)) {
@@ -256,6 +261,7 @@
         // The time that the caller left may be too short to blame the target.
         return { false, end, m_context.clock.now() >= m_traits.deadline ? AttemptResult::Abandoned : AttemptResult::Failed };
     case AttemptEnd::NotSent:
+        return { false, end, AttemptResult::Unreachable };
     case AttemptEnd::Broken:
         break;
     }
--- a/Tests/Peering/PeeringTest.cpp
+++ b/Tests/Peering/PeeringTest.cpp
@@ -23,7 +23,11 @@
     message.storeAge = 250ms;
     message.routers = { { "10.0.0.2", "dc-b", 30ms } };
     message.load = EngineLoad { "e", "10.0.0.3:80", 4, 2, 9, true, 3, true, 120ms };
+    message.crashes = { { 0xfedcba9876543210, "i-1", 40ms } };
     auto decoded = decodeMessage(encodeMessage(message));
+    cr_assert_eq(decoded->crashes.front().fingerprint, 0xfedcba9876543210);
+    cr_assert_eq(decoded->crashes.front().target, "i-1");
+    cr_assert_eq(decoded->crashes.front().age.count(), 40);
     cr_assert(decoded.has_value());
     cr_assert_eq(decoded->sender, "10.0.0.1");
     cr_assert(decoded->isRouter && decoded->leaving);
--- a/Tests/Proxy/RelayTest.cpp
+++ b/Tests/Proxy/RelayTest.cpp
@@ -1,3 +1,4 @@
+#include "Dispatch/Commands/RecordCrash.h"
 #include "Proxy/TestRouter.h"
 
 #include <criterion/criterion.h>
@@ -211,3 +212,28 @@
     cr_assert(contains(answer, "HTTP/1.1 503") && contains(answer, "Connection: close") && contains(answer, "Retry-After"));
     cr_assert_eq(target.requests(), 0);
 }
+
+// Guards against a request that crashes a fourth target when its caller sends it again.
+Test(Relay, keepsARequestThatCrashedThreeTargetsFromOthers)
+{
+    TestRouter router;
+    auto crash = [](const std::string&, unsigned) { return ScriptedReply { "", Then::Reset }; };
+    ScriptedTarget first(crash);
+    ScriptedTarget second(crash);
+    ScriptedTarget third(crash);
+    router.setRoute(Fleet::RequestKind::Idempotent, 3);
+    router.addTarget("1", first);
+    router.addTarget("2", second);
+    router.addTarget("3", third);
+    cr_assert(contains(router.exchange(), "HTTP/1.1 502"));
+    cr_assert_eq(first.requests() + second.requests() + third.requests(), 3);
+    for (auto id : { "1", "2", "3" })
+        router.removeTarget(id);
+    Dispatch::Commands::confirmCrashes(router.context().dispatch, Base::SystemClock().now());
+    ScriptedTarget fourth(answersWith("done"));
+    router.addTarget("4", fourth);
+    auto refused = router.exchange();
+    cr_assert(contains(refused, "HTTP/1.1 503") && contains(refused, "Retry-After") && contains(refused, "quarantined"), "%s", refused.c_str());
+    cr_assert_eq(fourth.requests(), 0);
+    cr_assert(contains(router.exchange("OPTIONS"), "done"), "another request is served");
+}
--- a/Tests/Proxy/TestRouter.h
+++ b/Tests/Proxy/TestRouter.h
@@ -62,6 +62,8 @@
         m_fleet.publish("t/" + id, published);
     }
 
+    void removeTarget(const std::string& id) { m_fleet.remove("t/" + id); }
+
     // Sends a request and returns all bytes up to the end of the connection.
     std::string exchange(const std::string& method = "GET", const std::string& headers = "", const std::string& host = "h")
     {
