Count outcomes, waits and first bytes in histograms

Cause: the metrics of a router held counters of outcomes and connections only; an engineer could not tell waits from slow targets, or the age of the news. Change: histograms of the whole time by outcome, of the wait for a place and of the first byte; counters of failed attempts by their end and of log lines left out; gauges of configuration, revision, contact with the store, known routers, waiting requests and published targets, set as they are read. Conclusion: kept.

--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -114,7 +114,7 @@
             if (request.target.starts_with(Peering::PeeringNode::itemsPath))
                 co_return m_peering.answerItems(request);
             if (request.target == "/metrics")
-                co_return Http::HttpResponse { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.serialize() };
+                co_return Http::HttpResponse { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, describeMetrics() };
             co_return Http::HttpResponse { 404, {}, "" };
         }
 
@@ -170,8 +170,10 @@
                 co_await Http::sleepFor(m_pool.context(0), housekeepingInterval);
                 auto now = m_clock.now();
                 Fleet::Commands::expireDeletions(m_fleet, now);
-                if (auto lines = Observability::takeLeftOutLines())
+                if (auto lines = Observability::takeLeftOutLines()) {
+                    m_metrics.count("log_lines_left_out_total", {}, static_cast<double>(lines));
                     Observability::logEvent(logLinesLeftOut, { { "lines", lines } });
+                }
                 if (auto crashes = Dispatch::Commands::confirmCrashes(m_dispatch, now); !crashes.empty())
                     m_peering.announceCrashes(crashes);
                 Dispatch::Commands::forgetGoneTargets(m_dispatch);
@@ -183,6 +185,27 @@
             }
         }
 
+        // Gauges are set as they are read, so that they cost nothing between.
+        std::string describeMetrics()
+        {
+            auto now = m_clock.now();
+            auto snapshot = Fleet::Queries::currentSnapshot(m_fleet);
+            m_metrics.set("configuration_version", {}, snapshot->configuration ? static_cast<double>(snapshot->configuration->version) : 0);
+            m_metrics.set("published_revision", {}, static_cast<double>(snapshot->revision));
+            m_metrics.set("routers_known", {}, static_cast<double>(Peering::Queries::countPossibleRouters(m_peers)) + 1);
+            m_metrics.set("open_requests", {}, static_cast<double>(m_proxy.openRequests));
+            auto completeAt = storeCompleteAt();
+            m_metrics.set("store_followed", {}, completeAt ? 1 : 0);
+            if (completeAt)
+                m_metrics.set("store_age_seconds", {}, std::chrono::duration<double>(now - *completeAt).count());
+            m_dispatch.forEachService([&](const std::string& name, Dispatch::ServiceState& service) {
+                m_metrics.set("requests_waiting", { { "service", name } }, static_cast<double>(service.waiting.size()));
+            });
+            for (auto& [service, targets] : snapshot->targetsByService)
+                m_metrics.set("targets_published", { { "service", service } }, static_cast<double>(targets.size()));
+            return m_metrics.serialize();
+        }
+
         asio::awaitable<void> drainOnSignal()
         {
             co_await m_signals.async_wait(asio::use_awaitable);
--- a/Source/Proxy/RequestRun.cpp
+++ b/Source/Proxy/RequestRun.cpp
@@ -220,6 +220,7 @@
         if (lastEnd == AttemptEnd::Broken)
             Dispatch::Commands::recordBrokenRun(m_context.dispatch, m_traits.fingerprint, m_traits.service, lease.target->entry.id, m_context.clock.now());
         m_traits.triedTargets.push_back(lease.target->entry.id);
+        m_context.metrics.count("attempts_failed_total", { { "end", std::string(Dispatch::Queries::attemptEndName(lastEnd)) } });
         bool repeat = m_traits.deadline > m_context.clock.now() && Dispatch::Queries::mayRepeat(*m_traits.route, m_history, lastEnd);
         if (Observability::isLogged(Events::attemptFailed)) {
             Observability::logEvent(Events::attemptFailed, { { "request", m_head.requestId }, { "target", lease.target->entry.id }, { "end", Dispatch::Queries::attemptEndName(lastEnd) }, { "status", attempted.status }, { "attempts", m_history.attempts }, { "runs", m_history.runs }, { "repeat", repeat } });
@@ -447,7 +448,7 @@
 void RequestRun::logFinished(const Observability::Event& event, unsigned status, std::string_view reason)
 {
     auto route = m_traits.route ? m_traits.route->name : std::string();
-    m_context.metrics.count("requests_total", { { "outcome", std::string(event.name) }, { "reason", std::string(reason) } });
+    countFinished(event, reason);
     if (!Observability::isLogged(event))
         return;
     Observability::logEvent(event,
@@ -457,6 +458,18 @@
             { "revision", m_snapshot ? m_snapshot->revision : 0 } });
 }
 
+void RequestRun::countFinished(const Observability::Event& event, std::string_view reason)
+{
+    auto seconds = [](std::chrono::milliseconds duration) { return std::chrono::duration<double>(duration).count(); };
+    std::string outcome(event.name);
+    m_context.metrics.count("requests_total", { { "outcome", outcome }, { "reason", std::string(reason) } });
+    m_context.metrics.observe("request_seconds", { { "outcome", outcome } }, seconds(elapsed()));
+    if (m_history.attempts > 0)
+        m_context.metrics.observe("request_wait_seconds", {}, seconds(m_waited));
+    if (m_headSent)
+        m_context.metrics.observe("first_byte_seconds", {}, seconds(m_firstByte));
+}
+
 std::chrono::milliseconds RequestRun::elapsed() const
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(m_context.clock.now() - m_traits.arrivedAt);
--- a/Source/Proxy/RequestRun.h
+++ b/Source/Proxy/RequestRun.h
@@ -58,6 +58,7 @@
     boost::asio::awaitable<void> fail(AttemptEnd);
 
     void logFinished(const Observability::Event&, unsigned status, std::string_view reason);
+    void countFinished(const Observability::Event&, std::string_view reason);
     std::chrono::milliseconds elapsed() const;
     std::chrono::milliseconds timeLeft() const;
     bool mayRepeat() const { return m_traits.route->mayRepeat(); }
--- a/Tests/Proxy/RelayTest.cpp
+++ b/Tests/Proxy/RelayTest.cpp
@@ -237,3 +237,19 @@
     cr_assert_eq(fourth.requests(), 0);
     cr_assert(contains(router.exchange("OPTIONS"), "done"), "another request is served");
 }
+
+// Guards against figures that an operator misses after a complaint: outcomes, their times and failed attempts.
+Test(Relay, countsOutcomesAndTimes)
+{
+    TestRouter router;
+    ScriptedTarget target(answersWith("hello"));
+    router.setRoute(Fleet::RequestKind::Idempotent, 2);
+    router.addTarget("1", target);
+    router.exchange();
+    router.exchange("GET", "", "other");
+    auto metrics = router.metrics();
+    cr_assert(contains(metrics, "lavenderloft_requests_total{outcome=\"request-served\",reason=\"answered\"} 1"), "%s", metrics.c_str());
+    cr_assert(contains(metrics, "lavenderloft_requests_total{outcome=\"request-denied\",reason=\"no_route\"} 1"));
+    cr_assert(contains(metrics, "lavenderloft_request_seconds_count{outcome=\"request-served\"} 1"));
+    cr_assert(contains(metrics, "lavenderloft_request_wait_seconds_count 1"));
+}
--- a/Tests/Proxy/TestRouter.h
+++ b/Tests/Proxy/TestRouter.h
@@ -89,6 +89,7 @@
         return bytes;
     }
 
+    std::string metrics() const { return m_metrics.serialize(); }
     ProxyContext& context() { return m_context; }
     CallerServer& server() { return *m_server; }
 
