Keep the time of a declaration once it is known

All nodes took the youngest age that anyone told. A follower whose watch answered late told the declaration once more with an age of 150 ms, and every node that heard of it moved the time. The cause is read in the code: the log does not tell ages. Change: a time is either seen or an upper bound, and is passed on as such. A bound gives way to a seen time and to a tighter bound; a seen time never changes. The test takesTheAgeOfADeclarationFromANodeThatKnowsItBetter marked nothing as a bound; it now does, and a new test holds that a seen time stays.

--- a/Source/Fleet/Commands/ApplyItems.cpp
+++ b/Source/Fleet/Commands/ApplyItems.cpp
@@ -71,17 +71,27 @@
         record.publication = Unrelated {};
     }
 
-    void noteDeclaration(Contents& contents, const WeightsDeclared& declared, Base::TimePoint declaredAt)
+    // A node that saw the declaration come knows its time better than one that listed it later. A time that is
+    // known does not change: the store may tell the same once more over a slow connection, which would make the
+    // declaration look younger than it is.
+    void refineTime(DeclaredWeights& known, const DeclaredWeights& told)
     {
-        auto& history = contents.declaredWeights[declared.model];
+        if (!known.isBound)
+            return;
+        known.learnedAt = told.isBound ? std::max(known.learnedAt, told.learnedAt) : told.learnedAt;
+        known.isBound = told.isBound;
+    }
+
+    void noteDeclaration(Contents& contents, const std::string& model, const DeclaredWeights& told)
+    {
+        auto& history = contents.declaredWeights[model];
         for (auto& known : history) {
-            // A node that saw the declaration come knows its time better than one that listed it later.
-            if (known.version == declared.version)
-                known.learnedAt = std::max(known.learnedAt, declaredAt);
+            if (known.version == told.version)
+                refineTime(known, told);
         }
-        if (!history.empty() && history.back().version >= declared.version)
+        if (!history.empty() && history.back().version >= told.version)
             return;
-        history.push_back({ declared.version, declaredAt });
+        history.push_back(told);
         if (history.size() > FleetState::declarationsPerModel)
             history.erase(history.begin());
     }
@@ -92,7 +102,7 @@
         auto* declared = std::get_if<WeightsDeclared>(&record.publication);
         if (!declared || record.item.revision != item.revision)
             return false;
-        noteDeclaration(contents, *declared, now - item.age);
+        noteDeclaration(contents, declared->model, { declared->version, now - item.age, item.ageIsBound });
         return true;
     }
 
@@ -121,7 +131,7 @@
         if (auto* published = std::get_if<ConfigurationPublished>(&publication))
             change.configuration = published->configuration;
         if (auto* declared = std::get_if<WeightsDeclared>(&publication))
-            noteDeclaration(contents, *declared, now - item.age);
+            noteDeclaration(contents, declared->model, { declared->version, now - item.age, item.ageIsBound });
         auto& record = contents.records[item.key];
         record = Record { std::move(item), std::move(publication), now, std::nullopt };
     }
--- a/Source/Fleet/FleetSnapshot.h
+++ b/Source/Fleet/FleetSnapshot.h
@@ -25,7 +25,10 @@
 // The version of a model that operators declared.
 struct DeclaredWeights {
     uint64_t version = 0;
+    // When it was published, as far as is known.
     Base::TimePoint learnedAt {};
+    // It may have been published later: nobody saw it come.
+    bool isBound = false;
 };
 
 // What is published, as of one revision; immutable.
--- a/Source/Fleet/Publication.h
+++ b/Source/Fleet/Publication.h
@@ -21,6 +21,8 @@
     bool deleted = false;
     // Longest time since it was published, as far as the sender knows.
     std::chrono::milliseconds age { 0 };
+    // The age is an upper bound: nobody saw the item come.
+    bool ageIsBound = false;
     // A deletion takes effect only after this time, because the target may come back until then.
     std::chrono::milliseconds deletionDelay { 0 };
 };
--- a/Source/Fleet/Queries/ReadFleet.cpp
+++ b/Source/Fleet/Queries/ReadFleet.cpp
@@ -21,19 +21,20 @@
         return std::chrono::ceil<std::chrono::milliseconds>(*record.lapsesAt - now);
     }
 
-    Base::TimePoint declaredAt(const FleetState::Contents& contents, const FleetState::Record& record)
+    // The declaration of the record with its time; nothing if the record holds none.
+    const DeclaredWeights* findDeclaration(const FleetState::Contents& contents, const FleetState::Record& record)
     {
         auto* declared = std::get_if<WeightsDeclared>(&record.publication);
         if (!declared)
-            return record.learnedAt;
+            return nullptr;
         auto history = contents.declaredWeights.find(declared->model);
         if (history == contents.declaredWeights.end())
-            return record.learnedAt;
+            return nullptr;
         for (auto& known : history->second) {
             if (known.version == declared->version)
-                return known.learnedAt;
+                return &known;
         }
-        return record.learnedAt;
+        return nullptr;
     }
 
 } // namespace
@@ -46,7 +47,10 @@
             if (record.item.revision <= revision)
                 continue;
             items.push_back(record.item);
-            items.back().age = std::chrono::duration_cast<std::chrono::milliseconds>(now - declaredAt(contents, record));
+            auto* declaration = findDeclaration(contents, record);
+            auto knownSince = declaration ? declaration->learnedAt : record.learnedAt;
+            items.back().age = std::chrono::duration_cast<std::chrono::milliseconds>(now - knownSince);
+            items.back().ageIsBound = declaration && declaration->isBound;
             items.back().deletionDelay = deletionDelayOf(record, now);
         }
         return items;
--- a/Source/Peering/ItemIntake.cpp
+++ b/Source/Peering/ItemIntake.cpp
@@ -60,8 +60,8 @@
 void ItemIntake::applyFromPeer(std::vector<Fleet::PublishedItem> items, uint64_t revision, std::string_view source)
 {
     for (auto& item : items) {
-        if (item.age >= unknownAge)
-            item.age = longestAge();
+        if (item.ageIsBound)
+            item.age = std::min(item.age, longestAge());
     }
     apply(std::move(items), revision, std::nullopt, source);
 }
--- a/Source/Peering/PeeringCodec.cpp
+++ b/Source/Peering/PeeringCodec.cpp
@@ -83,6 +83,7 @@
         added->set_revision(item.revision);
         added->set_deleted(item.deleted);
         added->set_age_ms(static_cast<uint64_t>(item.age.count()));
+        added->set_age_is_bound(item.ageIsBound);
         added->set_deletion_delay_ms(static_cast<uint64_t>(item.deletionDelay.count()));
     }
     return encoded.SerializeAsString();
@@ -96,7 +97,7 @@
     ItemBatch batch;
     batch.revision = encoded.revision();
     for (auto& item : encoded.items())
-        batch.items.push_back({ item.key(), item.value(), item.revision(), item.deleted(), std::chrono::milliseconds(item.age_ms()), std::chrono::milliseconds(item.deletion_delay_ms()) });
+        batch.items.push_back({ item.key(), item.value(), item.revision(), item.deleted(), std::chrono::milliseconds(item.age_ms()), item.age_is_bound(), std::chrono::milliseconds(item.deletion_delay_ms()) });
     return batch;
 }
 
--- a/Source/Peering/StoreFollower.cpp
+++ b/Source/Peering/StoreFollower.cpp
@@ -138,6 +138,7 @@
             keys.push_back(item.key);
             items.push_back(item);
             items.back().age = m_intake.longestAge();
+            items.back().ageIsBound = true;
         }
         if (!listed.morePages || listed.items.empty())
             break;
@@ -184,8 +185,10 @@
     auto changes = batch.changes;
     // A call that waits is answered at once, but no call waits in the pause after the one before.
     auto age = m_isFollowing ? changePause : m_intake.longestAge();
-    for (auto& change : changes)
+    for (auto& change : changes) {
         change.age = age;
+        change.ageIsBound = !m_isFollowing;
+    }
     m_completeAt = m_clock.now();
     m_intake.noteComplete(*m_completeAt);
     m_isFollowing = true;
--- a/Tests/Fleet/ApplyItemsTest.cpp
+++ b/Tests/Fleet/ApplyItemsTest.cpp
@@ -115,11 +115,25 @@
 {
     TestFleetState fleet;
     fleet.clock.advance(2h);
-    fleet.publish("w", WeightsDeclared { "m", 2 }, 1h);
+    fleet.publish("w", WeightsDeclared { "m", 2 }, 1h, true);
     fleet.apply({ "w", "1", 1, false, 3s });
     cr_assert(fleet.snapshot()->weights.at("m").back().learnedAt == fleet.clock.now() - 3s);
 }
 
+// Guards against old weights that are used beyond their bound: a slow store tells of a declaration that others had
+// told of seconds before, which made it look new, here and at all nodes that heard of it from this one.
+Test(ApplyItems, aDeclarationThatIsToldOnceMoreDoesNotBecomeYounger)
+{
+    TestFleetState fleet;
+    fleet.clock.advance(2h);
+    fleet.publish("w", WeightsDeclared { "m", 2 }, 100ms);
+    auto declaredAt = fleet.snapshot()->weights.at("m").back().learnedAt;
+    fleet.clock.advance(4s);
+    fleet.apply({ "w", "1", 1, false, 150ms });
+    fleet.apply({ "w", "1", 1, false, 0ms, true });
+    cr_assert(fleet.snapshot()->weights.at("m").back().learnedAt == declaredAt);
+}
+
 // Guards against a second declaration that hides the bound of the first.
 Test(ApplyItems, keepsTheHistoryOfDeclarations)
 {
--- a/Tests/Fleet/FleetFixture.h
+++ b/Tests/Fleet/FleetFixture.h
@@ -31,12 +31,12 @@
     FleetState state;
     uint64_t revision = 0;
 
-    void publish(const std::string& key, Publication publication, std::chrono::milliseconds age = std::chrono::milliseconds(0))
+    void publish(const std::string& key, Publication publication, std::chrono::milliseconds age = std::chrono::milliseconds(0), bool ageIsBound = false)
     {
         ++revision;
         auto value = std::to_string(revision);
         decoder.publications[key + "=" + value] = std::move(publication);
-        apply({ key, value, revision, false, age });
+        apply({ key, value, revision, false, age, ageIsBound });
     }
 
     void remove(const std::string& key, const std::optional<Base::TimePoint>& deferredUntil = std::nullopt)
--- a/Tests/Peering/PeeringTest.cpp
+++ b/Tests/Peering/PeeringTest.cpp
@@ -54,12 +54,13 @@
 Test(PeeringCodec, keepsItemsByteForByte)
 {
     std::string bytes("\0\xff\n", 3);
-    auto decoded = decodeItems(encodeItems({ 9, { { "k", bytes, 8, false, 1500ms }, { "d", "", 9, true, 0ms, 700ms } } }));
+    auto decoded = decodeItems(encodeItems({ 9, { { "k", bytes, 8, false, 1500ms }, { "d", "", 9, true, 0ms, true, 700ms } } }));
     cr_assert(decoded.has_value());
     cr_assert_eq(decoded->revision, 9);
     cr_assert(decoded->items[0].value == bytes);
     cr_assert_eq(decoded->items[0].age.count(), 1500);
     cr_assert(decoded->items[1].deleted);
+    cr_assert(decoded->items[1].ageIsBound);
     cr_assert_eq(decoded->items[1].deletionDelay.count(), 700);
 }
 
--- a/Tests/Peering/StoreFollowerTest.cpp
+++ b/Tests/Peering/StoreFollowerTest.cpp
@@ -166,6 +166,7 @@
     started.fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
     other.fleet.decoder = started.fleet.decoder;
     declaration.age = started.intake.longestAge();
+    declaration.ageIsBound = true;
     started.intake.apply({ declaration }, 2, std::nullopt, "store");
     other.intake.noteComplete(other.fleet.clock.now());
     other.fleet.clock.advance(8s);
@@ -178,11 +179,13 @@
     };
     cr_assert_eq(ageAt(other), 500);
     cr_assert_geq(ageAt(started), 3600 * 1000, "it must not use old weights for longer than allowed");
-    // A node that knows the age is believed.
+    // A node that saw it come is believed.
     TestFollower third;
     third.fleet.decoder = started.fleet.decoder;
     third.intake.noteComplete(third.fleet.clock.now());
     third.fleet.clock.advance(100ms);
-    third.intake.applyFromPeer(Fleet::Queries::itemsAfter(other.fleet.state, 0, other.fleet.clock.now()), 2, "10.0.0.2");
+    declaration.age = 500ms;
+    declaration.ageIsBound = false;
+    third.intake.applyFromPeer({ declaration }, 2, "10.0.0.2");
     cr_assert_eq(ageAt(third), 500);
 }
