Let agents that can't reach the origin take no duties for pieces

The origin is away from 2.5 s to 8.5 s after the declaration. Agents of engines that were added meanwhile have no manifest, were dealt duties all the same and answered "the piece is being fetched", 216 and 222 times from two of them in one play; staging of all others ended at 24 to 26.7 s in place of 22. Change: an agent whose call for the manifest failed in the last 3 s says that it has not the duty, so that the asker comes to the agents that hold the piece.

--- a/Source/Staging/StagingNode.cpp
+++ b/Source/Staging/StagingNode.cpp
@@ -33,6 +33,8 @@
     constexpr unsigned notHereStatus = 404;
     constexpr std::chrono::milliseconds originTimeout = 5000ms;
     constexpr std::chrono::milliseconds connectionRetryDelay = 500ms;
+    // An agent that could not reach the origin takes no duties for so long.
+    constexpr std::chrono::milliseconds originAvoidance = 3000ms;
     // Pieces that are fetched at the same time.
     constexpr unsigned parallelFetches = 4;
     // Time for the routers to hear that the engine takes nothing new.
@@ -278,28 +280,20 @@
 
 asio::awaitable<bool> StagingNode::prepareChecklist(const Wanted& wanted)
 {
-    bool isCurrent = m_checklist && m_checklist->manifest().version == wanted.declared.version && m_checkedEngineStart == m_engine->startedAt;
-    if (isCurrent)
+    bool hasManifest = m_checklist && m_checklist->manifest().version == wanted.declared.version;
+    if (hasManifest && m_checkedEngineStart == m_engine->startedAt)
         co_return true;
-    bool hadManifest = m_checklist && m_checklist->manifest().version == wanted.declared.version;
     m_checkedEngineStart = m_engine->startedAt;
-    if (hadManifest) {
+    if (hasManifest) {
         m_checklist.emplace(m_checklist->manifest());
     } else {
-        Http::KeptClient origin(m_context.get_executor(), wanted.origin);
-        auto answer = co_await origin.call(m_protocol.manifestRequest(wanted.model, wanted.declared.version), originTimeout);
-        if (!Base::succeeded(answer)) {
-            Observability::logEvent(Events::pieceUnavailable, { { "source", "origin" }, { "problem", Base::errorOf(answer).describe() } });
+        auto manifest = co_await fetchManifest(wanted);
+        if (!manifest) {
+            m_manifestFailedAt = m_clock.now();
             co_await Http::sleepFor(m_context, connectionRetryDelay);
             co_return false;
         }
-        auto manifest = m_protocol.readManifest(Base::valueOf(answer));
-        if (!Base::succeeded(manifest)) {
-            Observability::logEvent(Events::pieceUnavailable, { { "source", "origin" }, { "problem", Base::errorOf(manifest).describe() } });
-            co_await Http::sleepFor(m_context, connectionRetryDelay);
-            co_return false;
-        }
-        m_checklist.emplace(Base::valueOf(manifest));
+        m_checklist.emplace(std::move(*manifest));
         m_sources.begin(wanted.declared.version, m_checklist->pieceCount());
     }
     Observability::logEvent(Events::stagingStarted, { { "model", wanted.model }, { "version", wanted.declared.version }, { "pieces", m_checklist->pieceCount() }, { "held_version", wholeVersion() } });
@@ -307,6 +301,23 @@
     co_return true;
 }
 
+asio::awaitable<std::optional<PieceManifest>> StagingNode::fetchManifest(const Wanted& wanted)
+{
+    Http::KeptClient origin(m_context.get_executor(), wanted.origin);
+    auto answer = co_await origin.call(m_protocol.manifestRequest(wanted.model, wanted.declared.version), originTimeout);
+    std::string problem;
+    if (Base::succeeded(answer)) {
+        auto manifest = m_protocol.readManifest(Base::valueOf(answer));
+        if (Base::succeeded(manifest))
+            co_return Base::takeValue(std::move(manifest));
+        problem = Base::errorOf(manifest).describe();
+    } else {
+        problem = Base::errorOf(answer).describe();
+    }
+    Observability::logEvent(Events::pieceUnavailable, { { "source", "origin" }, { "problem", problem } });
+    co_return std::nullopt;
+}
+
 asio::awaitable<std::optional<std::string>> StagingNode::readStored(Http::KeptClient& engine, const std::string& model, unsigned piece)
 {
     auto answer = co_await engine.call(m_protocol.storedPieceRequest(model, piece), engineTimeout);
@@ -480,8 +491,11 @@
     auto wanted = findWanted();
     if (!wanted || !m_engine || wanted->declared.version > name.version)
         return false;
-    if (wanted->declared.version < name.version || !m_checklist || m_checklist->manifest().version != name.version)
-        return true;
+    if (wanted->declared.version < name.version || !m_checklist || m_checklist->manifest().version != name.version) {
+        // Without the origin this agent can't begin, while others may hold the piece already.
+        bool lacksOrigin = m_manifestFailedAt && m_clock.now() - *m_manifestFailedAt < originAvoidance;
+        return !lacksOrigin;
+    }
     if (name.piece >= m_checklist->pieceCount())
         return false;
     auto duty = m_sources.duty(otherAgents(*wanted), name.piece, m_clock.now());
--- a/Source/Staging/StagingNode.h
+++ b/Source/Staging/StagingNode.h
@@ -50,6 +50,7 @@
     boost::asio::awaitable<void> keepWeights();
     boost::asio::awaitable<void> bring(const Wanted&);
     boost::asio::awaitable<bool> prepareChecklist(const Wanted&);
+    boost::asio::awaitable<std::optional<PieceManifest>> fetchManifest(const Wanted&);
     boost::asio::awaitable<void> checkStoredPieces();
     boost::asio::awaitable<void> fetchMissing(const Wanted&);
     boost::asio::awaitable<void> fetchPieces(const Wanted&, std::shared_ptr<std::vector<unsigned>> queue, std::shared_ptr<unsigned> running);
@@ -88,6 +89,7 @@
     Base::RandomSource& m_random;
     std::optional<EngineReport> m_engine;
     std::optional<PieceChecklist> m_checklist;
+    std::optional<Base::TimePoint> m_manifestFailedAt;
     // Start of the engine for which the checklist was made.
     uint64_t m_checkedEngineStart = 0;
     // Routers are told to send nothing: the engine is about to load.
