Give manifests from agent to agent, after the engines that serve

Change: an agent that can't reach the origin asks up to three others for the manifest, and takes it if model, version and number of pieces fit. An engine that serves nothing begins to fetch only when the first turn to load comes, as long as others serve older weights.

--- a/Source/Process/FleetAgent.cpp
+++ b/Source/Process/FleetAgent.cpp
@@ -11,6 +11,7 @@
 #include "Peering/StoreFollower.h"
 #include "Process/Events.h"
 #include "Process/SettingsReload.h"
+#include "Staging/ManifestCodec.h"
 #include "Staging/StagingNode.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -78,11 +79,13 @@
         {
             if (request.target.starts_with(Staging::piecePathPrefix))
                 return m_staging.answerPiece(std::move(request));
-            return answerItems(std::move(request));
+            return answerShort(std::move(request));
         }
 
-        asio::awaitable<Http::HttpResponse> answerItems(Http::HttpRequest request)
+        asio::awaitable<Http::HttpResponse> answerShort(Http::HttpRequest request)
         {
+            if (request.target.starts_with(Staging::manifestPathPrefix))
+                co_return m_staging.answerManifest(request);
             if (request.target.starts_with(Peering::PeeringNode::itemsPath))
                 co_return m_peering.answerItems(request);
             co_return Http::HttpResponse { 404, {}, "" };
--- a/Source/Staging/Queries/PlanLoad.cpp
+++ b/Source/Staging/Queries/PlanLoad.cpp
@@ -46,6 +46,20 @@
 
 } // namespace
 
+Base::TimePoint earliestFetch(const Fleet::FleetSnapshot& snapshot, const Fleet::NodeSettings& settings, const Fleet::DeclaredWeights& wanted, unsigned layers)
+{
+    auto targets = snapshot.targetsByService.find(settings.localService);
+    if (targets == snapshot.targetsByService.end())
+        return wanted.learnedAt;
+    bool othersServe = std::any_of(targets->second.begin(), targets->second.end(), [&](auto& target) {
+        auto version = Fleet::wholeVersionOf(target->entry.layers, layers);
+        return target->entry.address.host != settings.address && version > 0 && version < wanted.version;
+    });
+    if (!othersServe)
+        return wanted.learnedAt;
+    return wanted.learnedAt + std::chrono::duration_cast<Base::Duration>(settings.bounds.weights * firstTurnShare);
+}
+
 LoadPlan planLoad(const Fleet::FleetSnapshot& snapshot, const Fleet::NodeSettings& settings, const std::string& model, const Fleet::DeclaredWeights& wanted, uint64_t heldVersion)
 {
     std::vector<std::string> addresses;
--- a/Source/Staging/Queries/PlanLoad.h
+++ b/Source/Staging/Queries/PlanLoad.h
@@ -21,4 +21,8 @@
 // of the earliest declaration that the engine does not meet.
 LoadPlan planLoad(const Fleet::FleetSnapshot&, const Fleet::NodeSettings&, const std::string& model, const Fleet::DeclaredWeights& wanted, uint64_t heldVersion);
 
+// From when on an engine that serves nothing may fetch the pieces of a declared version: engines that serve older
+// weights go first, because they can't go on with these.
+Base::TimePoint earliestFetch(const Fleet::FleetSnapshot&, const Fleet::NodeSettings&, const Fleet::DeclaredWeights& wanted, unsigned layers);
+
 } // namespace Lavenderloft::Staging::Queries
--- a/Source/Staging/StagingNode.cpp
+++ b/Source/Staging/StagingNode.cpp
@@ -5,6 +5,7 @@
 #include "Http/Sleep.h"
 #include "Observability/Log.h"
 #include "Staging/Events.h"
+#include "Staging/ManifestCodec.h"
 #include "Staging/Queries/PlanLoad.h"
 #include "Staging/Queries/ShareGrants.h"
 
@@ -33,6 +34,9 @@
     constexpr unsigned notHereStatus = 404;
     constexpr std::chrono::milliseconds originTimeout = 5000ms;
     constexpr std::chrono::milliseconds connectionRetryDelay = 500ms;
+    // Other agents that are asked for a manifest before the origin is asked again.
+    constexpr unsigned manifestSources = 3;
+    constexpr std::chrono::milliseconds manifestTimeout = 1000ms;
     // An agent that could not reach the origin takes no duties for so long.
     constexpr std::chrono::milliseconds originAvoidance = 3000ms;
     // Pieces that are fetched at the same time.
@@ -204,6 +208,7 @@
     Wanted wanted;
     wanted.model = service->second.weights->models.front();
     wanted.layers = service->second.weights->layers;
+    wanted.pieces = service->second.weights->pieces;
     auto declared = snapshot->weights.find(wanted.model);
     // Until a version is declared, the first one is in force.
     wanted.declared = declared == snapshot->weights.end() || declared->second.empty() ? Fleet::DeclaredWeights { 1, {} } : declared->second.back();
@@ -238,6 +243,8 @@
 asio::awaitable<void> StagingNode::bring(const Wanted& wanted)
 {
     planTurn(wanted);
+    if (holdsBack(wanted))
+        co_return;
     bool isPrepared = co_await prepareChecklist(wanted);
     if (!isPrepared)
         co_return;
@@ -255,6 +262,13 @@
         co_await load(wanted);
 }
 
+bool StagingNode::holdsBack(const Wanted& wanted) const
+{
+    if (wholeVersion() > 0)
+        return false;
+    return m_clock.now() < Queries::earliestFetch(*Fleet::Queries::currentSnapshot(m_fleet), m_settings, wanted.declared, wanted.layers);
+}
+
 // Routers are told of the plan while pieces are still on their way. An engine that serves nothing has no turn to
 // wait for.
 void StagingNode::planTurn(const Wanted& wanted)
@@ -315,9 +329,38 @@
         problem = Base::errorOf(answer).describe();
     }
     Observability::logEvent(Events::pieceUnavailable, { { "source", "origin" }, { "problem", problem } });
+    auto agents = otherAgents(wanted);
+    for (unsigned i = 0; i < manifestSources && !agents.empty(); ++i) {
+        auto& agent = agents[m_random.below(agents.size())];
+        auto manifest = co_await askForManifest(wanted, agent.address);
+        if (manifest)
+            co_return manifest;
+    }
     co_return std::nullopt;
 }
 
+asio::awaitable<std::optional<PieceManifest>> StagingNode::askForManifest(const Wanted& wanted, const std::string& address)
+{
+    Http::KeptClient client(m_context.get_executor(), Http::Endpoint { address, m_settings.firstPeerPort });
+    Http::HttpRequest request;
+    request.target = encodeManifestPath(wanted.model, wanted.declared.version);
+    auto answer = co_await client.call(std::move(request), manifestTimeout);
+    if (!Base::succeeded(answer) || Base::valueOf(answer).status != 200)
+        co_return std::nullopt;
+    auto manifest = decodeManifest(Base::valueOf(answer).body);
+    bool fits = manifest && manifest->model == wanted.model && manifest->version == wanted.declared.version && manifest->digests.size() == wanted.pieces;
+    if (!fits)
+        co_return std::nullopt;
+    co_return manifest;
+}
+
+Http::HttpResponse StagingNode::answerManifest(const Http::HttpRequest& request) const
+{
+    if (!m_checklist || request.target != encodeManifestPath(m_checklist->manifest().model, m_checklist->manifest().version))
+        return { notHereStatus, {}, "this agent has no manifest of that version" };
+    return { 200, { { "Content-Type", "application/octet-stream" } }, encodeManifest(m_checklist->manifest()) };
+}
+
 asio::awaitable<std::optional<std::string>> StagingNode::readStored(Http::KeptClient& engine, const std::string& model, unsigned piece)
 {
     auto answer = co_await engine.call(m_protocol.storedPieceRequest(model, piece), engineTimeout);
@@ -494,7 +537,7 @@
     if (wanted->declared.version < name.version || !m_checklist || m_checklist->manifest().version != name.version) {
         // Without the origin this agent can't begin, while others may hold the piece already.
         bool lacksOrigin = m_manifestFailedAt && m_clock.now() - *m_manifestFailedAt < originAvoidance;
-        return !lacksOrigin;
+        return !lacksOrigin && !holdsBack(*wanted);
     }
     if (name.piece >= m_checklist->pieceCount())
         return false;
--- a/Source/Staging/StagingNode.h
+++ b/Source/Staging/StagingNode.h
@@ -32,6 +32,9 @@
 
     void start();
 
+    // Answers another agent that asks for the manifest of a version.
+    Http::HttpResponse answerManifest(const Http::HttpRequest&) const;
+
     // Answers another agent that asks for a piece.
     boost::asio::awaitable<Http::HttpResponse> answerPiece(Http::HttpRequest);
 
@@ -41,6 +44,7 @@
         std::string model;
         Fleet::DeclaredWeights declared;
         unsigned layers = 0;
+        unsigned pieces = 0;
         Http::Endpoint origin;
     };
 
@@ -51,6 +55,7 @@
     boost::asio::awaitable<void> bring(const Wanted&);
     boost::asio::awaitable<bool> prepareChecklist(const Wanted&);
     boost::asio::awaitable<std::optional<PieceManifest>> fetchManifest(const Wanted&);
+    boost::asio::awaitable<std::optional<PieceManifest>> askForManifest(const Wanted&, const std::string& address);
     boost::asio::awaitable<void> checkStoredPieces();
     boost::asio::awaitable<void> fetchMissing(const Wanted&);
     boost::asio::awaitable<void> fetchPieces(const Wanted&, std::shared_ptr<std::vector<unsigned>> queue, std::shared_ptr<unsigned> running);
@@ -78,6 +83,8 @@
     unsigned grantsToDeal(unsigned free);
     std::optional<std::chrono::milliseconds> timeToCut() const;
     void planTurn(const Wanted&);
+    // Whether the pieces are left to engines that need them sooner.
+    bool holdsBack(const Wanted&) const;
     boost::asio::awaitable<void> waitForTurn(const Wanted&);
 
     boost::asio::io_context& m_context;
--- a/Tests/Staging/PacingTest.cpp
+++ b/Tests/Staging/PacingTest.cpp
@@ -173,3 +173,29 @@
     cr_assert_eq(countCutting(routesTo("e", Fleet::RequestKind::Idempotent, false)), 0, "its answer would begin anew");
     cr_assert_eq(countCutting(nullptr), 0);
 }
+
+// Guards against engines that are added during a change of weights and take the links from those that serve: these
+// have to give up the former weights at the bound.
+Test(EarliestFetch, enginesThatServeNothingComeAfterThoseThatDo)
+{
+    Fleet::FleetSnapshot snapshot;
+    Fleet::NodeSettings settings;
+    settings.address = "10.0.0.9";
+    settings.localService = "e";
+    Base::ManualClock clock;
+    Fleet::DeclaredWeights wanted { 2, clock.now() };
+    cr_assert(Queries::earliestFetch(snapshot, settings, wanted, 16) == wanted.learnedAt);
+    Fleet::KnownTarget serving;
+    serving.entry.address = { "10.0.0.1", 1 };
+    serving.entry.layers = Fleet::HeldLayers { 0, 16, 1 };
+    snapshot.targetsByService["e"].push_back(std::make_shared<Fleet::KnownTarget>(serving));
+    auto earliest = Queries::earliestFetch(snapshot, settings, wanted, 16);
+    cr_assert(earliest > wanted.learnedAt + 2s);
+    cr_assert(earliest < wanted.learnedAt + Fleet::FleetBounds().weights - 3s);
+    // All engines lost their weights, or have the new ones.
+    for (uint64_t version : { 0, 2 }) {
+        serving.entry.layers = version > 0 ? std::optional(Fleet::HeldLayers { 0, 16, version }) : std::nullopt;
+        snapshot.targetsByService["e"] = { std::make_shared<Fleet::KnownTarget>(serving) };
+        cr_assert(Queries::earliestFetch(snapshot, settings, wanted, 16) == wanted.learnedAt);
+    }
+}
