Ask another router when one names a revision that it no longer knows

Cause: read in the diff. A router that starts anew is remembered with the revision that it named before; a node behind it would ask it again and again, 5 ms apart, and get nothing new. A manifest that another agent gave and that does not fit is logged; the fuzz target decodes manifests as well. Measured: tests of Peering and Staging, fuzz target NodeMessages.

--- a/Source/Peering/PeeringNode.cpp
+++ b/Source/Peering/PeeringNode.cpp
@@ -290,8 +290,9 @@
         if (!router)
             continue;
         bool fetched = co_await fetchFrom(*router);
-        // Another router is asked next, as this one may be behind a partition.
-        if (!fetched)
+        // Another router is asked next: this one may be behind a partition, or has started anew and knows less than
+        // before.
+        if (!fetched || Fleet::Queries::knownRevision(m_intake.fleet()) < router->revision)
             Commands::avoidRouter(m_peers, router->address, m_clock.now());
         noteLag();
     }
--- a/Source/Staging/StagingNode.cpp
+++ b/Source/Staging/StagingNode.cpp
@@ -345,13 +345,20 @@
     Http::HttpRequest request;
     request.target = encodeManifestPath(wanted.model, wanted.declared.version);
     auto answer = co_await client.call(std::move(request), manifestTimeout);
-    if (!Base::succeeded(answer) || Base::valueOf(answer).status != 200)
-        co_return std::nullopt;
-    auto manifest = decodeManifest(Base::valueOf(answer).body);
-    bool fits = manifest && manifest->model == wanted.model && manifest->version == wanted.declared.version && manifest->digests.size() == wanted.pieces;
-    if (!fits)
-        co_return std::nullopt;
-    co_return manifest;
+    std::string problem;
+    if (!Base::succeeded(answer)) {
+        problem = Base::errorOf(answer).describe();
+    } else if (Base::valueOf(answer).status != 200) {
+        problem = "status " + std::to_string(Base::valueOf(answer).status);
+    } else {
+        auto manifest = decodeManifest(Base::valueOf(answer).body);
+        bool fits = manifest && manifest->model == wanted.model && manifest->version == wanted.declared.version && manifest->digests.size() == wanted.pieces;
+        if (fits)
+            co_return manifest;
+        problem = "the answer is no manifest of the declared version";
+    }
+    Observability::logEvent(Events::pieceUnavailable, { { "source", address }, { "problem", problem } });
+    co_return std::nullopt;
 }
 
 Http::HttpResponse StagingNode::answerManifest(const Http::HttpRequest& request) const
--- a/Tests/Fuzzing/NodeMessagesFuzzer.cpp
+++ b/Tests/Fuzzing/NodeMessagesFuzzer.cpp
@@ -1,6 +1,7 @@
 #include "Fuzzing/FuzzingChecks.h"
 #include "Peering/PeeringCodec.h"
 #include "Proxy/EventSplitter.h"
+#include "Staging/ManifestCodec.h"
 #include "Staging/PieceName.h"
 
 #include <cstddef>
@@ -9,7 +10,7 @@
 using namespace Lavenderloft;
 using Fuzzing::require;
 
-// Decodes what other nodes and targets send: datagrams, items, names of pieces and event streams.
+// Decodes what other nodes and targets send: datagrams, items, names of pieces, manifests and event streams.
 extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size)
 {
     std::string bytes(reinterpret_cast<const char*>(data), size);
@@ -19,6 +20,8 @@
         require(Peering::decodeItems(Peering::encodeItems(*batch))->items.size() == batch->items.size());
     if (auto name = Staging::decodePiecePath(bytes))
         require(Staging::decodePiecePath(Staging::encodePiecePath(*name)) == name);
+    if (auto manifest = Staging::decodeManifest(bytes))
+        require(Staging::decodeManifest(Staging::encodeManifest(*manifest))->digests == manifest->digests);
     // A stream is the same however its bytes are cut.
     Proxy::EventSplitter whole;
     Proxy::EventSplitter cut;
