--- a/Source/Staging/Queries/PlanLoad.cpp
+++ b/Source/Staging/Queries/PlanLoad.cpp
@@ -13,6 +13,9 @@
     constexpr double firstTurnShare = 0.43;
     constexpr double lastTurnShare = 0.73;
 
+    // Part of the bound after which engines that serve nothing fetch pieces; the others have theirs by then.
+    constexpr double newcomerShare = 0.58;
+
     // The declaration whose bound ends first among those that the engine does not meet yet.
     Base::TimePoint earliestDeclaration(const Fleet::FleetSnapshot& snapshot, const std::string& model, const Fleet::DeclaredWeights& wanted, uint64_t heldVersion)
     {
@@ -57,7 +60,7 @@
     });
     if (!othersServe)
         return wanted.learnedAt;
-    return wanted.learnedAt + std::chrono::duration_cast<Base::Duration>(settings.bounds.weights * firstTurnShare);
+    return wanted.learnedAt + std::chrono::duration_cast<Base::Duration>(settings.bounds.weights * newcomerShare);
 }
 
 LoadPlan planLoad(const Fleet::FleetSnapshot& snapshot, const Fleet::NodeSettings& settings, const std::string& model, const Fleet::DeclaredWeights& wanted, uint64_t heldVersion)
