Defer no deletion while other routers reached the store

Deletions in the first 0.3 s after the store's return are held back for 1.9 s, because entries lapse while the store is away. The store had not been away, and the delay was passed on to the other routers. Housekeeping then dropped the entry up to 0.25 s late. Change: a node notes when a router that follows the store last told it everything; within 2.5 s of that a deletion is not held back. Entries that lapsed are dropped every 50 ms in place of 250 ms. Test StoreFollower/defersNoDeletionWhileOthersReachedTheStore: could not be written before (nothing told the two cases apart).

--- a/Source/Peering/ItemIntake.cpp
+++ b/Source/Peering/ItemIntake.cpp
@@ -13,6 +13,8 @@
 
     // Assumed for what stood in the store before this process started.
     constexpr std::chrono::milliseconds unknownAge = 1h;
+    // Followers of the store hear from it at least this often, also when nothing changes.
+    constexpr std::chrono::milliseconds lately = 2500ms;
 
 } // namespace
 
@@ -38,6 +40,17 @@
     m_completeAt = std::max(time, m_completeAt.value_or(time));
 }
 
+void ItemIntake::noteTold(Base::TimePoint time)
+{
+    m_toldAt = std::max(time, m_toldAt.value_or(time));
+    noteComplete(time);
+}
+
+bool ItemIntake::wasToldLately() const
+{
+    return m_toldAt && m_clock.now() - *m_toldAt < lately;
+}
+
 void ItemIntake::noteStoreFailure(Base::TimePoint time)
 {
     m_storeFailedAt = time;
--- a/Source/Peering/ItemIntake.h
+++ b/Source/Peering/ItemIntake.h
@@ -29,9 +29,15 @@
     // this node's last call to the store failed.
     void noteCompleteAsOfFailure();
 
+    // Whether a router that follows the store told this node lately all that is published.
+    bool wasToldLately() const;
+
     // Longest time since the publication of something that is seen only now.
     std::chrono::milliseconds longestAge() const;
 
+    // A router that follows the store had been told everything by then, and told this node.
+    void noteTold(Base::TimePoint);
+
     // Items from another node, which may not know their age either.
     void applyFromPeer(std::vector<Fleet::PublishedItem>, uint64_t revision, std::string_view source);
 
@@ -44,6 +50,7 @@
     const Fleet::PublicationDecoder& m_decoder;
     const Base::Clock& m_clock;
     std::optional<Base::TimePoint> m_completeAt;
+    std::optional<Base::TimePoint> m_toldAt;
     std::optional<Base::TimePoint> m_storeFailedAt;
 };
 
--- a/Source/Peering/PeeringNode.cpp
+++ b/Source/Peering/PeeringNode.cpp
@@ -244,8 +244,11 @@
     noteFound(message.sender, message.dataCentre);
     auto now = m_clock.now();
     PeerRouter router { message.sender, message.dataCentre, now, message.revision, message.demand };
-    if (message.storeAge)
+    if (message.storeAge) {
         router.store = { now, now - *message.storeAge };
+        if (Fleet::Queries::knownRevision(m_intake.fleet()) >= message.revision)
+            m_intake.noteTold(router.store.completeAt);
+    }
     Commands::recordRouter(m_peers, router);
 }
 
@@ -332,7 +335,7 @@
     m_fetchedAll = true;
     m_intake.applyFromPeer(std::move(batch->items), batch->revision, router.address);
     if (router.store.claimedAt)
-        m_intake.noteComplete(router.store.completeAt);
+        m_intake.noteTold(router.store.completeAt);
     else if (isFirst)
         m_intake.noteCompleteAsOfFailure();
     // What came from another region is news to this one.
--- a/Source/Peering/StoreFollower.cpp
+++ b/Source/Peering/StoreFollower.cpp
@@ -108,7 +108,8 @@
     if (connected == m_connected)
         return;
     m_connected = connected;
-    if (connected && m_completeAt)
+    // While others reached the store it was not away, and no entry lapsed for that.
+    if (connected && m_completeAt && !m_intake.wasToldLately())
         m_regainedAt = m_clock.now();
     Observability::logEvent(connected ? Events::storeReached : Events::storeLost, { { "prefix", m_prefix }, { "reason", reason } });
 }
--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -39,7 +39,8 @@
     constexpr unsigned workerCount = 2;
     // A router that starts has heard of all others by then, so that it knows its share of common limits.
     constexpr std::chrono::milliseconds acquaintanceTime = 1500ms;
-    // Waiting requests are matched again with targets that became usable without an event of their own.
+    // Targets whose entries lapsed are dropped, and waiting requests are matched again with targets that became
+    // usable without an event of their own.
     constexpr std::chrono::milliseconds queueInterval = 50ms;
     constexpr std::chrono::milliseconds housekeepingInterval = 250ms;
     // The entry of the platform takes this long to notice that a node is not ready.
@@ -160,6 +161,7 @@
         {
             while (true) {
                 co_await Http::sleepFor(m_pool.context(0), queueInterval);
+                Fleet::Commands::expireDeletions(m_fleet, m_clock.now());
                 Dispatch::Commands::serveWaiting(m_dispatch, m_clock.now());
             }
         }
@@ -169,7 +171,6 @@
             while (true) {
                 co_await Http::sleepFor(m_pool.context(0), housekeepingInterval);
                 auto now = m_clock.now();
-                Fleet::Commands::expireDeletions(m_fleet, now);
                 if (auto lines = Observability::takeLeftOutLines()) {
                     m_metrics.count("log_lines_left_out_total", {}, static_cast<double>(lines));
                     Observability::logEvent(logLinesLeftOut, { { "lines", lines } });
--- a/Tests/Peering/StoreFollowerTest.cpp
+++ b/Tests/Peering/StoreFollowerTest.cpp
@@ -189,3 +189,32 @@
     third.intake.applyFromPeer({ declaration }, 2, "10.0.0.2");
     cr_assert_eq(ageAt(third), 500);
 }
+
+// Guards against requests to a target whose entry is removed just after the store had turned this node away: that
+// looked like an entry which lapsed while the store was away, and the target was kept for another two seconds.
+Test(StoreFollower, defersNoDeletionWhileOthersReachedTheStore)
+{
+    for (bool othersReachedIt : { true, false }) {
+        TestFollower test;
+        test.fleet.publish("t/1", Fleet::targetOf("1", "s"));
+        test.protocol.listing = { Fleet::Queries::itemsAfter(test.fleet.state, 0, test.fleet.clock.now()), false, 1 };
+        test.protocol.changes["removed"] = { { { "t/1", "", 2, true, {} } }, 2 };
+        test.answer = [&](const std::string& target) -> Http::HttpResponse {
+            if (target == "/list")
+                return { 200, {}, "" };
+            if (test.calls.size() == 2) {
+                test.fleet.clock.advance(8s);
+                if (othersReachedIt)
+                    test.intake.noteTold(test.fleet.clock.now());
+                return refused;
+            }
+            test.context.stop();
+            return { 200, {}, "removed" };
+        };
+        test.run([] { return true; });
+        test.context.restart();
+        while (Fleet::Queries::knownRevision(test.fleet.state) < 2)
+            test.context.run_one();
+        cr_assert_eq(test.fleet.targetCount("s"), othersReachedIt ? 0 : 1);
+    }
+}
