--- a/Tests/Platform/StoreCodecTest.cpp
+++ b/Tests/Platform/StoreCodecTest.cpp
@@ -116,3 +116,15 @@
     auto publication = StoreCodec().decode({ "op/config", R"({"routes":[]})", 1, false, {} });
     cr_assert(std::holds_alternative<Fleet::Unreadable>(publication));
 }
+
+// Guards against memory that is overwritten by a value without its padding: the decoder wrote beyond the buffer.
+Test(StoreCodec, aValueWithoutPaddingIsUnreadable)
+{
+    for (size_t length : { 21u, 22u, 23u }) {
+        auto value = std::string("eyJtb2RlbCI6Im0iLCJ2ZXJ").substr(0, length);
+        auto changes = StoreCodec().readChanges({ 200, {}, R"({"events":[{"key":"op/version/m","value":")" + value + R"(","revision":8}],"as_of":8})" });
+        cr_assert(Base::succeeded(changes));
+        auto publication = StoreCodec().decode(Base::valueOf(changes).changes.front());
+        cr_assert(std::holds_alternative<Fleet::Unreadable>(publication));
+    }
+}
