Publish the cold engine of two tests in one fixture

Cause: two tests of cold engines published the same engine in the same lines. Ruled out: the other pairs that the check for repetition names; they are generated code or the shape of declarations. Change: a fixture ColdEngine; the checks are as they were.

--- a/Tests/Dispatch/CandidatesTest.cpp
+++ b/Tests/Dispatch/CandidatesTest.cpp
@@ -173,16 +173,27 @@
     cr_assert(isLease(test.acquire("s")));
 }
 
+namespace {
+
+// An engine of 16 places that has just started and bears 28 requests a second.
+struct ColdEngine : TestDispatch {
+    ColdEngine()
+    {
+        auto service = engineService("e");
+        service.coldRequestsPerSecond = 28;
+        fleet.publish("c", configurationOf(1, { service }));
+        auto engine = engineOf("1", "e", 1, 16);
+        engine.entry.coldRemaining = 3000ms;
+        fleet.publish("t/1", engine);
+    }
+};
+
+} // namespace
+
 // Guards against many routers that each have one request at hand for a cold target.
 Test(Candidates, manyRoutersLeaveAColdTargetWithoutNewsAlone)
 {
-    TestDispatch test;
-    auto service = engineService("e");
-    service.coldRequestsPerSecond = 28;
-    test.fleet.publish("c", configurationOf(1, { service }));
-    auto engine = engineOf("1", "e", 1, 16);
-    engine.entry.coldRemaining = 3000ms;
-    test.fleet.publish("t/1", engine);
+    ColdEngine test;
     test.state->setRouterCount(36);
     cr_assert_not(isLease(test.acquire("e")));
 }
@@ -190,13 +201,7 @@
 // Guards against requests to a cold engine beyond the grants that its agent deals at the rate which it bears.
 Test(Candidates, aColdEngineTakesWhatItsAgentGrants)
 {
-    TestDispatch test;
-    auto service = engineService("e");
-    service.coldRequestsPerSecond = 28;
-    test.fleet.publish("c", configurationOf(1, { service }));
-    auto engine = engineOf("1", "e", 1, 16);
-    engine.entry.coldRemaining = 3000ms;
-    test.fleet.publish("t/1", engine);
+    ColdEngine test;
     test.state->setRouterCount(7);
     auto leases = [&](TargetReport report) {
         test.report("e", "1", report);
