--- a/Source/Fleet/Commands/ApplyItems.cpp
+++ b/Source/Fleet/Commands/ApplyItems.cpp
@@ -74,35 +74,39 @@
     // Replaces a lower bound by a more accurate time: a node that observed the declaration knows its time exactly, one
     // that listed it later does not. An exact time never changes, because the same declaration may arrive again over a
     // slow connection, which would make it look more recent than it is.
-    void refineTime(DeclaredWeights& known, const DeclaredWeights& received)
+    // Returns whether the known declaration changed.
+    bool refineTime(DeclaredWeights& known, const DeclaredWeights& received)
     {
         if (!known.learnedAtIsLowerBound)
-            return;
+            return false;
+        auto before = known;
         known.learnedAt = received.learnedAtIsLowerBound ? std::max(known.learnedAt, received.learnedAt) : received.learnedAt;
         known.learnedAtIsLowerBound = received.learnedAtIsLowerBound;
+        return known.learnedAt != before.learnedAt || known.learnedAtIsLowerBound != before.learnedAtIsLowerBound;
     }
 
-    void recordDeclaration(Contents& contents, const std::string& model, const DeclaredWeights& received)
+    void recordDeclaration(Contents& contents, const std::string& model, const DeclaredWeights& received, AppliedChange& change)
     {
         auto& history = contents.declaredWeights[model];
         for (auto& known : history) {
-            if (known.version == received.version)
-                refineTime(known, received);
+            if (known.version == received.version && refineTime(known, received))
+                change.declarations.push_back({ model, known });
         }
         if (!history.empty() && history.back().version >= received.version)
             return;
         history.push_back(received);
+        change.declarations.push_back({ model, received });
         if (history.size() > FleetState::maximumDeclarationsPerModel)
             history.erase(history.begin());
     }
 
     // Refines the time of a declaration from another copy of the same item. Returns whether the item is a declaration.
-    bool refineDeclaration(Contents& contents, const Record& record, const PublishedItem& item, Base::TimePoint now)
+    bool refineDeclaration(Contents& contents, const Record& record, const PublishedItem& item, Base::TimePoint now, AppliedChange& change)
     {
         auto* declared = std::get_if<WeightsDeclared>(&record.publication);
         if (!declared || record.item.revision != item.revision)
             return false;
-        recordDeclaration(contents, declared->model, { declared->version, now - item.age, item.ageIsBound });
+        recordDeclaration(contents, declared->model, { declared->version, now - item.age, item.ageIsBound }, change);
         return true;
     }
 
@@ -110,7 +114,7 @@
     {
         auto known = contents.records.find(item.key);
         if (known != contents.records.end() && known->second.item.revision >= item.revision) {
-            change.anything |= refineDeclaration(contents, known->second, item, now);
+            change.anything |= refineDeclaration(contents, known->second, item, now, change);
             return;
         }
         change.anything = true;
@@ -131,7 +135,7 @@
         if (auto* published = std::get_if<ConfigurationPublished>(&publication))
             change.configuration = published->configuration;
         if (auto* declared = std::get_if<WeightsDeclared>(&publication))
-            recordDeclaration(contents, declared->model, { declared->version, now - item.age, item.ageIsBound });
+            recordDeclaration(contents, declared->model, { declared->version, now - item.age, item.ageIsBound }, change);
         auto& record = contents.records[item.key];
         record = Record { std::move(item), std::move(publication), now, std::nullopt };
     }
--- a/Source/Fleet/Commands/ApplyItems.h
+++ b/Source/Fleet/Commands/ApplyItems.h
@@ -7,6 +7,12 @@
 
 namespace Lavenderloft::Fleet::Commands {
 
+// A declaration that became known, or whose time became known more accurately.
+struct LearnedDeclaration {
+    std::string model;
+    DeclaredWeights declared;
+};
+
 // The changes made by applyItems or applyListing.
 struct AppliedChange {
     bool anything = false;
@@ -14,6 +20,7 @@
     std::shared_ptr<const Configuration> configuration;
     // Key and reason of each item that could not be decoded.
     std::vector<std::string> unreadable;
+    std::vector<LearnedDeclaration> declarations;
 };
 
 // Merges items into the state and publishes a new snapshot if anything changed. The items are complete up to
--- a/Source/Peering/Events.h
+++ b/Source/Peering/Events.h
@@ -15,5 +15,6 @@
 inline constexpr Event itemUnreadable { 7505, "item-unreadable", Level::Warning, "A published item cannot be decoded and is ignored." };
 inline constexpr Event configurationInForce { 7506, "configuration-in-force", Level::Info, "A different version of the configuration came into force." };
 inline constexpr Event messageUnreadable { 7507, "message-unreadable", Level::Warning, "A datagram that is not a valid peer message was dropped." };
+inline constexpr Event declarationLearned { 7508, "declaration-learned", Level::Info, "A declaration of weights, or a more accurate time of it, became known; outdated weights are excluded by its age." };
 
 } // namespace Lavenderloft::Peering::Events
--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -205,6 +205,7 @@
         auto& lease = std::get<Dispatch::Lease>(*outcome);
         m_waited += lease.waited;
         m_occupancy = lease.occupancy;
+        m_expectedWeights = lease.expectedWeights.value_or(0);
         m_lastTarget = lease.target->entry.id;
         auto attempted = finishedAs(AttemptResult::Abandoned);
         if (!m_disconnectMonitor->callerDisconnected())
@@ -456,7 +457,7 @@
     Observability::logEvent(event,
         { { "request", m_head.requestId }, { "route", route }, { "organisation", m_organisation ? m_organisation->name : std::string() },
             { "target", m_lastTarget }, { "status", status }, { "reason", reason }, { "repeat_refused", m_retryRefusal }, { "attempts", m_history.attempts }, { "runs", m_history.runs },
-            { "waited", m_waited }, { "occupancy", m_occupancy }, { "first_byte", m_firstByte }, { "elapsed", elapsed() }, { "configuration", m_snapshot && m_snapshot->configuration ? m_snapshot->configuration->version : 0 },
+            { "waited", m_waited }, { "occupancy", m_occupancy }, { "first_byte", m_firstByte }, { "elapsed", elapsed() }, { "weights", m_traits.requiredWeights }, { "weights_expected", m_expectedWeights }, { "configuration", m_snapshot && m_snapshot->configuration ? m_snapshot->configuration->version : 0 },
             { "revision", m_snapshot ? m_snapshot->revision : 0 } });
 }
 
--- a/Source/Proxy/RequestHandler.h
+++ b/Source/Proxy/RequestHandler.h
@@ -86,6 +86,8 @@
     std::chrono::milliseconds m_firstByte { 0 };
     // Requests at the last target when this request was sent there.
     unsigned m_occupancy = 0;
+    // Weights version that the last target was required to hold; zero if any version was allowed.
+    uint64_t m_expectedWeights = 0;
     EventSplitter m_events;
 };
 
