Do not let a relayed declaration make a known one look recent

Callers saw requests run on weights whose deadline had passed (VERSION), first 14.7 s after the next version was acknowledged, where 8 s are allowed.

Cause: a router that starts lists the store and cannot know when the listed weights were declared, so it assumes an hour. The time since its last sync limits the age of items that it did not know. This limit was applied to every item of a peer, also to those that the router knew already. A router that listed a declaration, heard from a store follower that nothing newer exists, and then fetched all items from a router once, took the declaration for milliseconds old, used old weights for another 8 s, and relayed the wrong age to all nodes that had no exact one. The store follower's second listing, after the store discarded its history, had the same fault.

Change: the limit for new items goes into the merge and is applied there, under the lock, to items that are really new. A known declaration keeps its lower bound unless another node has a better one of its own.

--- a/Source/Fleet/Commands/ApplyItems.cpp
+++ b/Source/Fleet/Commands/ApplyItems.cpp
@@ -110,7 +110,7 @@
         return true;
     }
 
-    void mergeItem(Contents& contents, const PublicationDecoder& decoder, PublishedItem item, const std::optional<Base::TimePoint>& deferDeletionsUntil, Base::TimePoint now, AppliedChange& change)
+    void mergeItem(Contents& contents, const PublicationDecoder& decoder, PublishedItem item, const ItemBatchOrigin& origin, Base::TimePoint now, AppliedChange& change)
     {
         auto known = contents.records.find(item.key);
         if (known != contents.records.end() && known->second.item.revision >= item.revision) {
@@ -118,10 +118,12 @@
             return;
         }
         change.anything = true;
+        if (item.ageIsBound)
+            item.age = std::min(item.age, origin.maximumNewItemAge);
         if (item.deleted) {
             auto& record = contents.records[item.key];
             record.item.key = item.key;
-            auto deferUntil = item.deletionDelay > std::chrono::milliseconds(0) ? std::optional(now + item.deletionDelay) : deferDeletionsUntil;
+            auto deferUntil = item.deletionDelay > std::chrono::milliseconds(0) ? std::optional(now + item.deletionDelay) : origin.deferDeletionsUntil;
             removeRecord(record, decoder, item.revision, deferUntil, now);
             return;
         }
@@ -142,13 +144,13 @@
 
 } // namespace
 
-AppliedChange applyItems(FleetState& state, const PublicationDecoder& decoder, std::vector<PublishedItem> items, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil, Base::TimePoint now)
+AppliedChange applyItems(FleetState& state, const PublicationDecoder& decoder, std::vector<PublishedItem> items, const ItemBatchOrigin& origin, Base::TimePoint now)
 {
     return state.withContents([&](Contents& contents) {
         AppliedChange change;
         for (auto& item : items)
-            mergeItem(contents, decoder, std::move(item), deferDeletionsUntil, now, change);
-        contents.revision = std::max(contents.revision, revision);
+            mergeItem(contents, decoder, std::move(item), origin, now, change);
+        contents.revision = std::max(contents.revision, origin.revision);
         if (change.anything)
             publishSnapshot(contents);
         return change;
--- a/Source/Fleet/Commands/ApplyItems.h
+++ b/Source/Fleet/Commands/ApplyItems.h
@@ -23,10 +23,19 @@
     std::vector<LearnedDeclaration> declarations;
 };
 
-// Merges items into the state and publishes a new snapshot if anything changed. The items are complete up to
-// `revision`. If `deferDeletionsUntil` is set, deletions of targets take effect only then, because entries that expired
-// during an outage of the store may be published again.
-AppliedChange applyItems(FleetState&, const PublicationDecoder&, std::vector<PublishedItem>, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil, Base::TimePoint now);
+// How a batch of items was received.
+struct ItemBatchOrigin {
+    // The items are complete up to this revision.
+    uint64_t revision = 0;
+    // If set, deletions of targets take effect only then, because entries that expired during an outage of the store may
+    // be published again.
+    std::optional<Base::TimePoint> deferDeletionsUntil;
+    // Upper bound for the age of items that are not known yet. Says nothing about the age of an item that is known.
+    std::chrono::milliseconds maximumNewItemAge = std::chrono::milliseconds::max();
+};
+
+// Merges items into the state and publishes a new snapshot if anything changed.
+AppliedChange applyItems(FleetState&, const PublicationDecoder&, std::vector<PublishedItem>, const ItemBatchOrigin&, Base::TimePoint now);
 
 // Deletes the keys below the prefix that are missing in a complete listing as of `revision`.
 AppliedChange applyListing(FleetState&, const PublicationDecoder&, const std::string& prefix, const std::vector<std::string>& listedKeys, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil, Base::TimePoint now);
--- a/Source/Peering/ItemMerger.cpp
+++ b/Source/Peering/ItemMerger.cpp
@@ -11,8 +11,6 @@
 
     using namespace std::chrono_literals;
 
-    // Assumed for items that were in the store before this process started.
-    constexpr std::chrono::milliseconds unknownAge = 1h;
     // Store followers receive a response at least this often, even without changes.
     constexpr std::chrono::milliseconds relayedSyncLifetime = 2500ms;
 
@@ -27,7 +25,8 @@
 
 void ItemMerger::apply(std::vector<Fleet::PublishedItem> items, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil, std::string_view source)
 {
-    logChange(Fleet::Commands::applyItems(m_fleet, m_decoder, std::move(items), revision, deferDeletionsUntil, m_clock.now()), revision, source);
+    Fleet::Commands::ItemBatchOrigin origin { revision, deferDeletionsUntil, maximumNewItemAge() };
+    logChange(Fleet::Commands::applyItems(m_fleet, m_decoder, std::move(items), origin, m_clock.now()), revision, source);
 }
 
 void ItemMerger::applyListing(const std::string& prefix, const std::vector<std::string>& keys, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil)
@@ -62,7 +61,7 @@
         recordSync(*m_storeFailedAt);
 }
 
-std::chrono::milliseconds ItemMerger::maximumAge() const
+std::chrono::milliseconds ItemMerger::maximumNewItemAge() const
 {
     if (!m_syncedAt)
         return unknownAge;
@@ -70,15 +69,6 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - since);
 }
 
-void ItemMerger::applyFromPeer(std::vector<Fleet::PublishedItem> items, uint64_t revision, std::string_view source)
-{
-    for (auto& item : items) {
-        if (item.ageIsBound)
-            item.age = std::min(item.age, maximumAge());
-    }
-    apply(std::move(items), revision, std::nullopt, source);
-}
-
 void ItemMerger::logChange(const Fleet::Commands::AppliedChange& change, uint64_t revision, std::string_view source)
 {
     for (auto& problem : change.unreadable)
--- a/Source/Peering/ItemMerger.h
+++ b/Source/Peering/ItemMerger.h
@@ -16,6 +16,11 @@
 public:
     ItemMerger(Fleet::FleetState&, const Fleet::PublicationDecoder&, const Base::Clock&);
 
+    // Assumed for items that were in the store before this process started.
+    static constexpr std::chrono::milliseconds unknownAge = std::chrono::hours(1);
+
+    // Merges items of the store or of a peer. Ages that are only upper bounds are limited by maximumNewItemAge() for
+    // items that this node did not know.
     void apply(std::vector<Fleet::PublishedItem>, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil, std::string_view source);
     void applyListing(const std::string& prefix, const std::vector<std::string>& keys, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil);
 
@@ -33,15 +38,12 @@
     // Whether a router that follows the store has recently relayed all published items to this node.
     bool hasRecentRelayedSync() const;
 
-    // Upper bound for the age of an item that this node did not know before.
-    std::chrono::milliseconds maximumAge() const;
+    // Upper bound for the age of an item that this node did not know before: it was published after the last sync.
+    std::chrono::milliseconds maximumNewItemAge() const;
 
     // Records that a router relayed all items that it had received from the store up to the given time.
     void recordRelayedSync(Base::TimePoint);
 
-    // Merges items of a peer, and limits ages that the peer knows only as an upper bound by maximumAge().
-    void applyFromPeer(std::vector<Fleet::PublishedItem>, uint64_t revision, std::string_view source);
-
     Fleet::FleetState& fleet() { return m_fleet; }
 
 private:
--- a/Source/Peering/PeeringNode.cpp
+++ b/Source/Peering/PeeringNode.cpp
@@ -332,7 +332,7 @@
         co_return false;
     bool isFirst = !m_hasFetchedAll;
     m_hasFetchedAll = true;
-    m_merger.applyFromPeer(std::move(batch->items), batch->revision, router.address);
+    m_merger.apply(std::move(batch->items), batch->revision, std::nullopt, router.address);
     if (router.storeSync.reportedAt)
         m_merger.recordRelayedSync(router.storeSync.syncedAt);
     else if (isFirst)
--- a/Source/Peering/StoreFollower.cpp
+++ b/Source/Peering/StoreFollower.cpp
@@ -138,7 +138,7 @@
         for (auto& item : listed.items) {
             keys.push_back(item.key);
             items.push_back(item);
-            items.back().age = m_merger.maximumAge();
+            items.back().age = ItemMerger::unknownAge;
             items.back().ageIsBound = true;
         }
         if (!listed.morePages || listed.items.empty())
@@ -148,9 +148,10 @@
     updateConnection(true, "listed");
     m_revision = revision;
     m_syncedAt = m_clock.now();
-    m_merger.recordSync(*m_syncedAt);
+    // The age of items that are new is limited by the previous sync, so this one is recorded afterwards.
     m_merger.apply(std::move(items), *revision, deletionsDeferredUntil(), "store");
     m_merger.applyListing(m_prefix, keys, *revision, deletionsDeferredUntil());
+    m_merger.recordSync(*m_syncedAt);
     m_isFollowing = true;
     if (m_onChange)
         m_onChange();
@@ -185,19 +186,19 @@
     auto changes = batch.changes;
     // The store responds to a waiting request at once, so a change is at most as old as the delay between requests.
     // Otherwise, it may have been made at any time since the last synchronisation.
-    auto age = m_isFollowing ? changeBatchDelay : m_merger.maximumAge();
+    auto age = m_isFollowing ? changeBatchDelay : ItemMerger::unknownAge;
     for (auto& change : changes) {
         change.age = age;
         change.ageIsBound = !m_isFollowing;
     }
     m_syncedAt = m_clock.now();
-    m_merger.recordSync(*m_syncedAt);
     m_isFollowing = true;
     m_revision = std::max(*m_revision, batch.revision);
-    if (changes.empty())
-        return;
-    m_merger.apply(std::move(changes), *m_revision, deletionsDeferredUntil(), "store");
-    if (m_onChange)
+    bool hasChanges = !changes.empty();
+    if (hasChanges)
+        m_merger.apply(std::move(changes), *m_revision, deletionsDeferredUntil(), "store");
+    m_merger.recordSync(*m_syncedAt);
+    if (hasChanges && m_onChange)
         m_onChange();
 }
 
--- a/Tests/Fleet/FleetFixture.h
+++ b/Tests/Fleet/FleetFixture.h
@@ -42,13 +42,13 @@
     void remove(const std::string& key, const std::optional<Base::TimePoint>& deferredUntil = std::nullopt)
     {
         ++revision;
-        Commands::applyItems(state, decoder, { { key, "", revision, true, {} } }, revision, deferredUntil, clock.now());
+        Commands::applyItems(state, decoder, { { key, "", revision, true, {} } }, { revision, deferredUntil }, clock.now());
     }
 
     Commands::AppliedChange apply(PublishedItem item)
     {
         auto itemRevision = item.revision;
-        return Commands::applyItems(state, decoder, { std::move(item) }, itemRevision, std::nullopt, clock.now());
+        return Commands::applyItems(state, decoder, { std::move(item) }, { itemRevision, std::nullopt }, clock.now());
     }
 
     std::shared_ptr<const FleetSnapshot> snapshot() const { return Queries::currentSnapshot(state); }
--- a/Tests/Peering/StoreFollowerTest.cpp
+++ b/Tests/Peering/StoreFollowerTest.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+constexpr unsigned historyLostStatus = 410;
+
 // Encodes each request as a path. The test provides the listing and the changes.
 class ScriptedProtocol final : public Fleet::StoreProtocol {
 public:
@@ -31,6 +33,8 @@
     Http::HttpRequest watchRequest(const std::string&, uint64_t afterRevision, std::chrono::milliseconds) const override { return get("/watch/" + std::to_string(afterRevision)); }
     Base::Result<Fleet::ChangeBatch, Fleet::StoreError> readChanges(const Http::HttpResponse& response) const override
     {
+        if (response.status == historyLostStatus)
+            return Fleet::StoreError { Fleet::StoreErrorKind::HistoryLost, "history lost", "list all items again" };
         auto found = changes.find(response.body);
         if (response.status != 200 || found == changes.end())
             return Fleet::StoreError { Fleet::StoreErrorKind::Refused, "rejected", "retry" };
@@ -78,6 +82,7 @@
 };
 
 const Http::HttpResponse rejected { 503, {}, "" };
+const Http::HttpResponse historyLost { historyLostStatus, {}, "" };
 
 } // namespace
 
@@ -165,14 +170,14 @@
     Fleet::PublishedItem declaration { "w", "2", 2, false, {} };
     started.fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
     other.fleet.decoder = started.fleet.decoder;
-    declaration.age = started.merger.maximumAge();
+    declaration.age = ItemMerger::unknownAge;
     declaration.ageIsBound = true;
     started.merger.apply({ declaration }, 2, std::nullopt, "store");
     other.merger.recordSync(other.fleet.clock.now());
     other.fleet.clock.advance(8s);
     other.merger.recordStoreFailure(other.fleet.clock.now());
     other.fleet.clock.advance(500ms);
-    other.merger.applyFromPeer(Fleet::Queries::itemsAfter(started.fleet.state, 0, started.fleet.clock.now()), 2, "10.0.0.1");
+    other.merger.apply(Fleet::Queries::itemsAfter(started.fleet.state, 0, started.fleet.clock.now()), 2, std::nullopt, "10.0.0.1");
     auto ageAt = [](TestFollower& node) {
         auto age = node.fleet.clock.now() - node.fleet.snapshot()->weights.at("m").back().learnedAt;
         return std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
@@ -186,7 +191,7 @@
     third.fleet.clock.advance(100ms);
     declaration.age = 500ms;
     declaration.ageIsBound = false;
-    third.merger.applyFromPeer({ declaration }, 2, "10.0.0.2");
+    third.merger.apply({ declaration }, 2, std::nullopt, "10.0.0.2");
     cr_assert_eq(ageAt(third), 500);
 }
 
@@ -218,3 +223,45 @@
         cr_assert_eq(test.fleet.targetCount("s"), othersReachedStore ? 0 : 1);
     }
 }
+
+// Guards against outdated weights that look recent: a router that has just started lists a declaration of unknown age,
+// learns that it has all items of the store follower, and then receives the same declaration from another router.
+Test(ItemMerger, aKnownDeclarationIsNoMoreRecentThanItsFirstListing)
+{
+    TestFollower started;
+    Fleet::PublishedItem declaration { "w", "2", 2, false, {} };
+    started.fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
+    declaration.age = ItemMerger::unknownAge;
+    declaration.ageIsBound = true;
+    started.merger.apply({ declaration }, 2, std::nullopt, "store");
+    started.merger.recordSync(started.fleet.clock.now());
+    started.fleet.clock.advance(200ms);
+    started.merger.recordRelayedSync(started.fleet.clock.now());
+    started.merger.apply({ declaration }, 2, std::nullopt, "10.0.0.1");
+    auto age = started.fleet.clock.now() - started.fleet.snapshot()->weights.at("m").back().learnedAt;
+    cr_assert_geq(std::chrono::duration_cast<std::chrono::seconds>(age).count(), 3600, "the declaration may be that old");
+}
+
+// Guards against outdated weights that look recent after the store discarded its history: the follower lists all items
+// again, among them a declaration whose age it never knew.
+Test(StoreFollower, aSecondListingDoesNotMakeADeclarationMoreRecent)
+{
+    TestFollower test;
+    test.fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
+    test.protocol.listing = { { { "w", "2", 2, false, {} } }, false, 2 };
+    unsigned listings = 0;
+    test.respond = [&](const std::string& target) -> Http::HttpResponse {
+        if (target == "/list" && ++listings == 2)
+            test.context.stop();
+        if (target == "/list")
+            return { 200, {}, "" };
+        test.fleet.clock.advance(1s);
+        return historyLost;
+    };
+    test.run([] { return true; });
+    test.context.restart();
+    while (!test.fleet.snapshot()->weights.contains("m") || !test.follower->syncedAt() || *test.follower->syncedAt() < test.fleet.clock.now())
+        test.context.run_one();
+    auto age = test.fleet.clock.now() - test.fleet.snapshot()->weights.at("m").back().learnedAt;
+    cr_assert_geq(std::chrono::duration_cast<std::chrono::seconds>(age).count(), 3600);
+}
