Trust no exact age of a change that waited during a stall

Cause: a store follower reports a change as at most 150 ms old, because the store responds to a waiting request at once. If the follower's VM is suspended or starved while the response waits, the change is as old as the stall, the wrong age counts as exact, is relayed as exact and is never corrected. The same holds for the first watch after a listing, for the sync time that a response or a router's datagram is taken for, and for items fetched from a router whose response waits. Class of fault: an age measured by the time of arrival.

Change: Base::StallMonitor sees from the ticks of the event loop that it stood still. A change that may have waited gets an upper bound instead of an exact age; the sync then counts from the request; sync times in datagrams handled right after a stall are ignored; the duration of a fetch is added to the ages in it.

Measured: StoreFollower/aChangeThatWaitedDuringAStallHasNoExactAge failed before (exact age of 150 ms after a stall of 5 s).

--- a/Source/Peering/PeeringNode.cpp
+++ b/Source/Peering/PeeringNode.cpp
@@ -43,6 +43,9 @@
     // Longer than a fetch takes. A router that stays behind for longer follows the store itself.
     constexpr std::chrono::milliseconds maximumLag = 700ms;
 
+    // After a stall of the event loop, all datagrams that arrived meanwhile are handled within this time.
+    constexpr std::chrono::milliseconds datagramWaitTime = 300ms;
+
     std::optional<uint64_t> revisionInQuery(const std::string& target)
     {
         constexpr std::string_view parameter = "?after=";
@@ -59,12 +62,13 @@
 
 } // namespace
 
-PeeringNode::PeeringNode(asio::io_context& context, const Fleet::NodeSettings& settings, PeerTable& peers, ItemMerger& merger, const Base::Clock& clock, bool isRouter)
+PeeringNode::PeeringNode(asio::io_context& context, const Fleet::NodeSettings& settings, PeerTable& peers, ItemMerger& merger, const Base::Clock& clock, const Base::StallMonitor& stalls, bool isRouter)
     : m_context(context)
     , m_settings(settings)
     , m_peers(peers)
     , m_merger(merger)
     , m_clock(clock)
+    , m_stalls(stalls)
     , m_isRouter(isRouter)
     , m_socket(context)
     , m_fetchTimer(context)
@@ -233,6 +237,12 @@
         Observability::logEvent(Events::routerFound, { { "address", address }, { "data_centre", dataCentre } });
 }
 
+// Whether a datagram may have waited at this node, so that the ages in it are too small.
+bool PeeringNode::mayHaveWaited() const
+{
+    return m_stalls.hasStalledSince(m_clock.now() - datagramWaitTime);
+}
+
 void PeeringNode::handleRouterMessage(const NodeMessage& message)
 {
     if (message.sender == m_settings.address)
@@ -244,7 +254,7 @@
     logNewRouter(message.sender, message.dataCentre);
     auto now = m_clock.now();
     PeerRouter router { message.sender, message.dataCentre, now, message.revision, message.demand };
-    if (message.storeAge) {
+    if (message.storeAge && !mayHaveWaited()) {
         router.storeSync = { now, now - *message.storeAge };
         if (Fleet::Queries::knownRevision(m_merger.fleet()) >= message.revision)
             m_merger.recordRelayedSync(router.storeSync.syncedAt);
@@ -324,12 +334,17 @@
     Http::HttpRequest request;
     auto revision = m_hasFetchedAll ? Fleet::Queries::knownRevision(m_merger.fleet()) : 0;
     request.target = std::string(itemsPath) + "?after=" + std::to_string(revision);
+    auto requestedAt = m_clock.now();
     auto result = co_await m_client->call(std::move(request), fetchTimeout);
     if (!Base::succeeded(result) || Base::valueOf(result).status != 200)
         co_return false;
     auto batch = decodeItems(Base::valueOf(result).body);
     if (!batch)
         co_return false;
+    // The ages are those at the time when the router responded.
+    auto duration = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - requestedAt);
+    for (auto& item : batch->items)
+        item.age += duration;
     bool isFirst = !m_hasFetchedAll;
     m_hasFetchedAll = true;
     m_merger.apply(std::move(batch->items), batch->revision, std::nullopt, router.address);
--- a/Source/Peering/PeeringNode.h
+++ b/Source/Peering/PeeringNode.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Base/StallMonitor.h"
 #include "Fleet/NodeSettings.h"
 #include "Http/PersistentHttpClient.h"
 #include "Peering/ItemMerger.h"
@@ -30,7 +31,7 @@
     using StoreSyncTimeProvider = std::function<std::optional<Base::TimePoint>()>;
 
     // Throws std::runtime_error that names the address if the UDP socket cannot be bound.
-    PeeringNode(boost::asio::io_context&, const Fleet::NodeSettings&, PeerTable&, ItemMerger&, const Base::Clock&, bool isRouter);
+    PeeringNode(boost::asio::io_context&, const Fleet::NodeSettings&, PeerTable&, ItemMerger&, const Base::Clock&, const Base::StallMonitor&, bool isRouter);
 
     void setLoadHandler(LoadHandler handler) { m_onLoad = std::move(handler); }
     void setCrashHandler(CrashHandler handler) { m_onCrashes = std::move(handler); }
@@ -81,12 +82,14 @@
     void sendTo(const std::string& address, const std::string& bytes);
     void logNewRouter(const std::string& address, const std::string& dataCentre);
     void handleRouterMessage(const NodeMessage&);
+    bool mayHaveWaited() const;
 
     boost::asio::io_context& m_context;
     const Fleet::NodeSettings& m_settings;
     PeerTable& m_peers;
     ItemMerger& m_merger;
     const Base::Clock& m_clock;
+    const Base::StallMonitor& m_stalls;
     const bool m_isRouter;
     boost::asio::ip::udp::socket m_socket;
     boost::asio::steady_timer m_fetchTimer;
--- a/Source/Peering/StoreFollower.cpp
+++ b/Source/Peering/StoreFollower.cpp
@@ -32,12 +32,13 @@
 
 } // namespace
 
-StoreFollower::StoreFollower(asio::io_context& context, Http::Endpoint store, const Fleet::StoreProtocol& protocol, ItemMerger& merger, const Base::Clock& clock, std::string prefix)
+StoreFollower::StoreFollower(asio::io_context& context, Http::Endpoint store, const Fleet::StoreProtocol& protocol, ItemMerger& merger, const Base::Clock& clock, const Base::StallMonitor& stalls, std::string prefix)
     : m_context(context)
     , m_client(context.get_executor(), std::move(store))
     , m_protocol(protocol)
     , m_merger(merger)
     , m_clock(clock)
+    , m_stalls(stalls)
     , m_prefix(std::move(prefix))
 {
 }
@@ -65,6 +66,7 @@
 {
     m_revision.reset();
     m_isFollowing = false;
+    m_isWatching = false;
     m_suspendedAt = m_clock.now();
     m_client.disconnect();
 }
@@ -87,6 +89,7 @@
 void StoreFollower::recordResult(bool succeeded)
 {
     m_isFollowing = succeeded;
+    m_isWatching = m_isWatching && succeeded;
     if (succeeded) {
         m_backoff = 0ms;
         return;
@@ -120,6 +123,8 @@
     std::vector<Fleet::PublishedItem> items;
     std::optional<uint64_t> revision;
     std::string afterKey;
+    m_isWatching = false;
+    auto requestedAt = m_clock.now();
     while (true) {
         auto result = co_await m_client.call(m_protocol.listRequest(m_prefix, afterKey), listTimeout);
         if (!Base::succeeded(result)) {
@@ -147,7 +152,7 @@
     }
     updateConnection(true, "listed");
     m_revision = revision;
-    m_syncedAt = m_clock.now();
+    m_syncedAt = syncTime(requestedAt);
     // The age of items that are new is limited by the previous sync, so this one is recorded afterwards.
     m_merger.apply(std::move(items), *revision, deletionsDeferredUntil(), "store");
     m_merger.applyListing(m_prefix, keys, *revision, deletionsDeferredUntil());
@@ -160,6 +165,7 @@
 
 asio::awaitable<bool> StoreFollower::waitForChanges()
 {
+    auto requestedAt = m_clock.now();
     auto result = co_await m_client.call(m_protocol.watchRequest(m_prefix, *m_revision, watchWait), watchWait + watchMargin);
     if (!Base::succeeded(result)) {
         updateConnection(false, Base::errorOf(result).describe());
@@ -177,22 +183,35 @@
         co_return false;
     }
     updateConnection(true, "watching");
-    applyChanges(Base::valueOf(batch));
+    applyChanges(Base::valueOf(batch), requestedAt);
     co_return true;
 }
 
-void StoreFollower::applyChanges(const Fleet::ChangeBatch& batch)
+// Whether the last response was handled as soon as the store sent it. The store responds to a waiting request at once,
+// so a change is then at most as old as the delay between requests.
+bool StoreFollower::observedAtOnce() const
+{
+    return m_isWatching && m_syncedAt && !m_stalls.hasStalledSince(*m_syncedAt);
+}
+
+// Time up to which a response has all items. A response that arrived while this process stood still may have been sent
+// at any time since the request.
+Base::TimePoint StoreFollower::syncTime(Base::TimePoint requestedAt) const
+{
+    return m_stalls.hasStalledSince(requestedAt) ? requestedAt : m_clock.now();
+}
+
+void StoreFollower::applyChanges(const Fleet::ChangeBatch& batch, Base::TimePoint requestedAt)
 {
     auto changes = batch.changes;
-    // The store responds to a waiting request at once, so a change is at most as old as the delay between requests.
-    // Otherwise, it may have been made at any time since the last synchronisation.
-    auto age = m_isFollowing ? changeBatchDelay : ItemMerger::unknownAge;
+    bool isAgeKnown = observedAtOnce();
     for (auto& change : changes) {
-        change.age = age;
-        change.ageIsBound = !m_isFollowing;
+        change.age = isAgeKnown ? changeBatchDelay : ItemMerger::unknownAge;
+        change.ageIsBound = !isAgeKnown;
     }
-    m_syncedAt = m_clock.now();
+    m_syncedAt = syncTime(requestedAt);
     m_isFollowing = true;
+    m_isWatching = true;
     m_revision = std::max(*m_revision, batch.revision);
     bool hasChanges = !changes.empty();
     if (hasChanges)
--- a/Source/Peering/StoreFollower.h
+++ b/Source/Peering/StoreFollower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/Clock.h"
+#include "Base/StallMonitor.h"
 #include "Fleet/StoreProtocol.h"
 #include "Http/PersistentHttpClient.h"
 #include "Peering/ItemMerger.h"
@@ -18,7 +19,7 @@
 // are retried with exponential backoff.
 class StoreFollower {
 public:
-    StoreFollower(boost::asio::io_context&, Http::Endpoint store, const Fleet::StoreProtocol&, ItemMerger&, const Base::Clock&, std::string prefix);
+    StoreFollower(boost::asio::io_context&, Http::Endpoint store, const Fleet::StoreProtocol&, ItemMerger&, const Base::Clock&, const Base::StallMonitor&, std::string prefix);
 
     // Called after items from the store were merged.
     void setChangeHandler(std::function<void()> handler) { m_onChange = std::move(handler); }
@@ -38,16 +39,21 @@
     void suspend();
     void resume();
     void recordResult(bool succeeded);
-    void applyChanges(const Fleet::ChangeBatch&);
+    void applyChanges(const Fleet::ChangeBatch&, Base::TimePoint requestedAt);
+    bool observedAtOnce() const;
+    Base::TimePoint syncTime(Base::TimePoint requestedAt) const;
 
     boost::asio::io_context& m_context;
     Http::PersistentHttpClient m_client;
     const Fleet::StoreProtocol& m_protocol;
     ItemMerger& m_merger;
     const Base::Clock& m_clock;
+    const Base::StallMonitor& m_stalls;
     std::string m_prefix;
     std::function<void()> m_onChange;
     bool m_isFollowing = false;
+    // The last response was that of a watch, so the next one has the changes made since, and no older ones.
+    bool m_isWatching = false;
     bool m_connected = false;
     // When this node last relied on other nodes instead of the store.
     std::optional<Base::TimePoint> m_suspendedAt;
--- a/Source/Process/FleetAgent.cpp
+++ b/Source/Process/FleetAgent.cpp
@@ -1,6 +1,7 @@
 #include "Process/FleetAgent.h"
 
 #include "Base/SeededRandom.h"
+#include "Base/StallMonitor.h"
 #include "Base/SystemClock.h"
 #include "Fleet/Commands/ApplyItems.h"
 #include "Http/IoContextPool.h"
@@ -37,15 +38,16 @@
             : m_settings(settings)
             , m_random(Base::SeededRandom::fromDevice())
             , m_pool(1)
+            , m_stalls(m_clock, housekeepingInterval)
             , m_merger(m_fleet, platform.publications(), m_clock)
-            , m_peering(m_pool.context(0), m_settings, m_peers, m_merger, m_clock, false)
+            , m_peering(m_pool.context(0), m_settings, m_peers, m_merger, m_clock, m_stalls, false)
             , m_staging(m_pool.context(0), m_settings, m_fleet, platform.engines(), m_peering, m_clock, m_random)
             , m_signals(m_pool.context(0), SIGTERM, SIGINT)
             , m_reload(platform)
             , m_startedAt(m_clock.now())
         {
             for (auto& prefix : platform.publications().prefixes())
-                m_followers.push_back(std::make_unique<Peering::StoreFollower>(m_pool.context(0), settings.store, platform.store(), m_merger, m_clock, prefix));
+                m_followers.push_back(std::make_unique<Peering::StoreFollower>(m_pool.context(0), settings.store, platform.store(), m_merger, m_clock, m_stalls, prefix));
         }
 
         void run()
@@ -94,12 +96,15 @@
         {
             while (true) {
                 co_await Http::sleepFor(m_pool.context(0), housekeepingInterval);
+                m_stalls.tick();
                 Fleet::Commands::expireDeletions(m_fleet, m_clock.now());
             }
         }
 
         Fleet::NodeSettings m_settings;
         Base::SystemClock m_clock;
+        // Of the event loop that exchanges messages and follows the store.
+        Base::StallMonitor m_stalls;
         Base::SeededRandom m_random;
         Http::IoContextPool m_pool;
         Fleet::FleetState m_fleet;
--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -1,6 +1,7 @@
 #include "Process/FleetRouter.h"
 
 #include "Base/SeededRandom.h"
+#include "Base/StallMonitor.h"
 #include "Base/SystemClock.h"
 #include "Dispatch/BoundedWaitPolicy.h"
 #include "Dispatch/Commands/AcquireTarget.h"
@@ -63,17 +64,18 @@
         FleetRouter(const Fleet::NodeSettings& settings, const NodePlatform& platform)
             : m_settings(settings)
             , m_pool(workerCount)
+            , m_stalls(m_clock, queueServiceInterval)
             , m_merger(m_fleet, platform.publications(), m_clock)
             , m_dispatch(m_fleet, settings, std::make_unique<Dispatch::PowerOfTwoChoicesPolicy>(), std::make_unique<Dispatch::BoundedWaitPolicy>(), std::make_unique<Base::SeededRandom>(randomSeed()))
             , m_proxy { platform.callers(), m_fleet, m_dispatch, m_clock, m_metrics }
-            , m_peering(m_pool.context(0), settings, m_peers, m_merger, m_clock, true)
+            , m_peering(m_pool.context(0), settings, m_peers, m_merger, m_clock, m_stalls, true)
             , m_signals(m_pool.context(0), SIGTERM, SIGINT)
             , m_reload(platform)
             , m_startedAt(m_clock.now())
         {
             m_dispatch.setRouterCount(std::nullopt);
             for (auto& prefix : platform.publications().prefixes())
-                m_followers.push_back(std::make_unique<Peering::StoreFollower>(m_pool.context(0), settings.store, platform.store(), m_merger, m_clock, prefix));
+                m_followers.push_back(std::make_unique<Peering::StoreFollower>(m_pool.context(0), settings.store, platform.store(), m_merger, m_clock, m_stalls, prefix));
             for (size_t i = 0; i < m_pool.size(); ++i)
                 m_workers.emplace_back(new Proxy::ProxyWorker { m_pool.context(i), {} });
         }
@@ -160,6 +162,7 @@
         {
             while (true) {
                 co_await Http::sleepFor(m_pool.context(0), queueServiceInterval);
+                m_stalls.tick();
                 Fleet::Commands::expireDeletions(m_fleet, m_clock.now());
                 Dispatch::Commands::serveWaiting(m_dispatch, m_clock.now());
             }
@@ -231,6 +234,8 @@
 
         Fleet::NodeSettings m_settings;
         Base::SystemClock m_clock;
+        // Of the event loop that exchanges messages and follows the store.
+        Base::StallMonitor m_stalls;
         Observability::Metrics m_metrics;
         Http::IoContextPool m_pool;
         Fleet::FleetState m_fleet;
--- a/Tests/Peering/StoreFollowerTest.cpp
+++ b/Tests/Peering/StoreFollowerTest.cpp
@@ -58,6 +58,7 @@
     Fleet::TestFleetState fleet;
     ScriptedProtocol protocol;
     ItemMerger merger { fleet.state, fleet.decoder, fleet.clock };
+    Base::StallMonitor stalls { fleet.clock, 50ms };
     std::vector<std::string> requests;
     Responder respond;
     std::shared_ptr<Http::NodeServer> server;
@@ -66,12 +67,13 @@
     TestFollower()
     {
         fleet.clock.advance(1h);
+        stalls.tick();
         server = Http::NodeServer::start(context, { "127.0.0.1", 0 }, [this](Http::HttpRequest request) -> boost::asio::awaitable<Http::HttpResponse> {
             requests.push_back(request.target);
             auto response = respond(request.target);
             co_return response;
         });
-        follower = std::make_unique<StoreFollower>(context, Http::Endpoint { "127.0.0.1", server->port() }, protocol, merger, fleet.clock, "");
+        follower = std::make_unique<StoreFollower>(context, Http::Endpoint { "127.0.0.1", server->port() }, protocol, merger, fleet.clock, stalls, "");
     }
 
     void run(std::function<bool()> isNeeded)
@@ -265,3 +267,33 @@
     auto age = test.fleet.clock.now() - test.fleet.snapshot()->weights.at("m").back().learnedAt;
     cr_assert_geq(std::chrono::duration_cast<std::chrono::seconds>(age).count(), 3600);
 }
+
+// Guards against outdated weights that look recent because the follower's VM was suspended while the store's response
+// waited: the change was relayed as just observed, and an exact age is never corrected.
+Test(StoreFollower, aChangeThatWaitedDuringAStallHasNoExactAge)
+{
+    for (bool isSuspended : { true, false }) {
+        TestFollower test;
+        test.fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
+        test.protocol.listing.revision = 1;
+        test.protocol.changes["none"] = { {}, 1 };
+        test.protocol.changes["declared"] = { { { "w", "2", 2, false, {} } }, 2 };
+        test.respond = [&](const std::string& target) -> Http::HttpResponse {
+            if (target == "/list")
+                return { 200, {}, "" };
+            if (test.requests.size() == 2)
+                return { 200, {}, "none" };
+            test.fleet.clock.advance(isSuspended ? 5000ms : 100ms);
+            test.context.stop();
+            return { 200, {}, "declared" };
+        };
+        test.run([] { return true; });
+        test.context.restart();
+        while (test.fleet.snapshot()->weights.empty())
+            test.context.run_one();
+        auto declared = test.fleet.snapshot()->weights.at("m").back();
+        cr_assert_eq(declared.learnedAtIsLowerBound, isSuspended);
+        if (isSuspended)
+            cr_assert_geq(std::chrono::duration_cast<std::chrono::milliseconds>(test.fleet.clock.now() - declared.learnedAt).count(), 5000);
+    }
+}
