Keep the deadline of an earlier declaration over a restart

Cause: the store and the routers hand on only the last declaration of a model. A router that starts after a second declaration does not know the first one, whose deadline comes earlier: it may use the oldest weights until the deadline of the second, 8 s after it. If all routers that saw a declaration are killed together, the others have only an upper bound of its age and refuse weights that may still be used, although agents know the exact time.

Change: a version missing before a listed declaration is assumed to have been declared as early as possible. Nodes add to their datagrams, for twice the deadline, the declarations whose exact times they know; a node merges these into those that are published, so that the assumption gives way. Exact times never change.

Measured: ApplyItems/assumesAMissedDeclarationBeforeAListedOne failed before (a history of one entry).

--- a/Source/Fleet/Commands/ApplyItems.cpp
+++ b/Source/Fleet/Commands/ApplyItems.cpp
@@ -1,5 +1,7 @@
 #include "Fleet/Commands/ApplyItems.h"
 
+#include "Fleet/Commands/RecordDeclaration.h"
+
 #include <algorithm>
 #include <unordered_set>
 
@@ -71,42 +73,21 @@
         record.publication = Unrelated {};
     }
 
-    // Replaces a lower bound by a more accurate time: a node that observed the declaration knows its time exactly, one
-    // that listed it later does not. An exact time never changes, because the same declaration may arrive again over a
-    // slow connection, which would make it look more recent than it is.
-    // Returns whether the known declaration changed.
-    bool refineTime(DeclaredWeights& known, const DeclaredWeights& received)
+    void recordDeclared(Contents& contents, const WeightsDeclared& declared, const PublishedItem& item, const ItemBatchOrigin& origin, Base::TimePoint now, AppliedChange& change)
     {
-        if (!known.learnedAtIsLowerBound)
-            return false;
-        auto before = known;
-        known.learnedAt = received.learnedAtIsLowerBound ? std::max(known.learnedAt, received.learnedAt) : received.learnedAt;
-        known.learnedAtIsLowerBound = received.learnedAtIsLowerBound;
-        return known.learnedAt != before.learnedAt || known.learnedAtIsLowerBound != before.learnedAtIsLowerBound;
-    }
-
-    void recordDeclaration(Contents& contents, const std::string& model, const DeclaredWeights& received, AppliedChange& change)
-    {
-        auto& history = contents.declaredWeights[model];
-        for (auto& known : history) {
-            if (known.version == received.version && refineTime(known, received))
-                change.declarations.push_back({ model, known });
-        }
-        if (!history.empty() && history.back().version >= received.version)
-            return;
-        history.push_back(received);
-        change.declarations.push_back({ model, received });
-        if (history.size() > FleetState::maximumDeclarationsPerModel)
-            history.erase(history.begin());
+        DeclaredWeights received { declared.version, now - item.age, item.ageIsBound };
+        auto changed = recordDeclaration(contents.declaredWeights[declared.model], received, now - origin.maximumNewItemAge);
+        for (auto& entry : changed)
+            change.declarations.push_back({ declared.model, entry });
     }
 
     // Refines the time of a declaration from another copy of the same item. Returns whether the item is a declaration.
-    bool refineDeclaration(Contents& contents, const Record& record, const PublishedItem& item, Base::TimePoint now, AppliedChange& change)
+    bool refineDeclaration(Contents& contents, const Record& record, const PublishedItem& item, const ItemBatchOrigin& origin, Base::TimePoint now, AppliedChange& change)
     {
         auto* declared = std::get_if<WeightsDeclared>(&record.publication);
         if (!declared || record.item.revision != item.revision)
             return false;
-        recordDeclaration(contents, declared->model, { declared->version, now - item.age, item.ageIsBound }, change);
+        recordDeclared(contents, *declared, item, origin, now, change);
         return true;
     }
 
@@ -114,7 +95,7 @@
     {
         auto known = contents.records.find(item.key);
         if (known != contents.records.end() && known->second.item.revision >= item.revision) {
-            change.anything |= refineDeclaration(contents, known->second, item, now, change);
+            change.anything |= refineDeclaration(contents, known->second, item, origin, now, change);
             return;
         }
         change.anything = true;
@@ -137,7 +118,7 @@
         if (auto* published = std::get_if<ConfigurationPublished>(&publication))
             change.configuration = published->configuration;
         if (auto* declared = std::get_if<WeightsDeclared>(&publication))
-            recordDeclaration(contents, declared->model, { declared->version, now - item.age, item.ageIsBound }, change);
+            recordDeclared(contents, *declared, item, origin, now, change);
         auto& record = contents.records[item.key];
         record = Record { std::move(item), std::move(publication), now, std::nullopt };
     }
@@ -174,6 +155,24 @@
     });
 }
 
+AppliedChange applyObservedDeclarations(FleetState& state, const std::vector<ObservedDeclaration>& declarations, Base::TimePoint now)
+{
+    return state.withContents([&](Contents& contents) {
+        AppliedChange change;
+        for (auto& observed : declarations) {
+            auto history = contents.declaredWeights.find(observed.model);
+            if (history == contents.declaredWeights.end())
+                continue;
+            for (auto& entry : recordObservedDeclaration(history->second, { observed.version, now - observed.age, false }))
+                change.declarations.push_back({ observed.model, entry });
+        }
+        change.anything = !change.declarations.empty();
+        if (change.anything)
+            publishSnapshot(contents);
+        return change;
+    });
+}
+
 void expireDeletions(FleetState& state, Base::TimePoint now)
 {
     state.withContents([&](Contents& contents) {
--- a/Source/Fleet/Commands/ApplyItems.h
+++ b/Source/Fleet/Commands/ApplyItems.h
@@ -31,12 +31,15 @@
     // be published again.
     std::optional<Base::TimePoint> deferDeletionsUntil;
     // Upper bound for the age of items that are not known yet. Says nothing about the age of an item that is known.
-    std::chrono::milliseconds maximumNewItemAge = std::chrono::milliseconds::max();
+    std::chrono::milliseconds maximumNewItemAge = FleetState::unknownAge;
 };
 
 // Merges items into the state and publishes a new snapshot if anything changed.
 AppliedChange applyItems(FleetState&, const PublicationDecoder&, std::vector<PublishedItem>, const ItemBatchOrigin&, Base::TimePoint now);
 
+// Merges declarations that another node observed, with their exact ages, into those that are published.
+AppliedChange applyObservedDeclarations(FleetState&, const std::vector<ObservedDeclaration>&, Base::TimePoint now);
+
 // Deletes the keys below the prefix that are missing in a complete listing as of `revision`.
 AppliedChange applyListing(FleetState&, const PublicationDecoder&, const std::string& prefix, const std::vector<std::string>& listedKeys, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil, Base::TimePoint now);
 
--- /dev/null
+++ b/Source/Fleet/Commands/RecordDeclaration.cpp
@@ -0,0 +1,71 @@
+#include "Fleet/Commands/RecordDeclaration.h"
+
+#include <algorithm>
+
+namespace Lavenderloft::Fleet::Commands {
+
+namespace {
+
+    constexpr size_t maximumDeclarations = 8;
+    // In force before the first declaration.
+    constexpr uint64_t initialVersion = 1;
+
+    // Replaces a lower bound by a more accurate time: a node that observed the declaration knows its time exactly, one
+    // that listed it later does not. An exact time never changes, because the same declaration may arrive again over a
+    // slow connection, which would make it look more recent than it is. Returns whether the known time changed.
+    bool refineTime(DeclaredWeights& known, const DeclaredWeights& received)
+    {
+        if (!known.learnedAtIsLowerBound)
+            return false;
+        if (received.learnedAtIsLowerBound && received.learnedAt <= known.learnedAt)
+            return false;
+        known.learnedAt = received.learnedAt;
+        known.learnedAtIsLowerBound = received.learnedAtIsLowerBound;
+        return true;
+    }
+
+    void removeOldest(DeclarationHistory& history)
+    {
+        if (history.size() > maximumDeclarations)
+            history.erase(history.begin(), history.end() - maximumDeclarations);
+    }
+
+    // First entry that is not older than the version.
+    DeclarationHistory::iterator findPosition(DeclarationHistory& history, uint64_t version)
+    {
+        return std::lower_bound(history.begin(), history.end(), version, [](const DeclaredWeights& known, uint64_t sought) { return known.version < sought; });
+    }
+
+} // namespace
+
+std::vector<DeclaredWeights> recordDeclaration(DeclarationHistory& history, const DeclaredWeights& received, Base::TimePoint missedSince)
+{
+    auto position = findPosition(history, received.version);
+    if (position != history.end()) {
+        bool isRefined = position->version == received.version && refineTime(*position, received);
+        return isRefined ? std::vector<DeclaredWeights> { *position } : std::vector<DeclaredWeights> {};
+    }
+    std::vector<DeclaredWeights> added;
+    auto lastVersion = history.empty() ? initialVersion : history.back().version;
+    if (received.version > lastVersion + 1)
+        added.push_back({ received.version - 1, missedSince, true });
+    added.push_back(received);
+    history.insert(history.end(), added.begin(), added.end());
+    removeOldest(history);
+    return added;
+}
+
+std::vector<DeclaredWeights> recordObservedDeclaration(DeclarationHistory& history, const DeclaredWeights& observed)
+{
+    auto position = findPosition(history, observed.version);
+    // The published item has not arrived yet.
+    if (position == history.end())
+        return {};
+    if (position->version == observed.version)
+        return refineTime(*position, observed) ? std::vector<DeclaredWeights> { *position } : std::vector<DeclaredWeights> {};
+    history.insert(position, observed);
+    removeOldest(history);
+    return { observed };
+}
+
+} // namespace Lavenderloft::Fleet::Commands
--- a/Source/Fleet/FleetState.h
+++ b/Source/Fleet/FleetState.h
@@ -19,7 +19,8 @@
 public:
     // Deleted keys are retained, so that a node with an older revision can't restore them.
     static constexpr std::chrono::minutes deletionRetention { 2 };
-    static constexpr size_t maximumDeclarationsPerModel = 8;
+    // Assumed for items that were in the store before this process started.
+    static constexpr std::chrono::milliseconds unknownAge = std::chrono::hours(1);
 
     struct Record {
         PublishedItem item;
--- a/Source/Fleet/Publication.h
+++ b/Source/Fleet/Publication.h
@@ -44,6 +44,14 @@
     uint64_t version = 0;
 };
 
+// A declaration whose time a node knows exactly, as relayed to other nodes. An item alone does not tell them when the
+// versions before it were declared.
+struct ObservedDeclaration {
+    std::string model;
+    uint64_t version = 0;
+    std::chrono::milliseconds age { 0 };
+};
+
 // The item is not used by the system.
 struct Unrelated { };
 
--- a/Source/Fleet/Queries/ReadFleet.cpp
+++ b/Source/Fleet/Queries/ReadFleet.cpp
@@ -57,6 +57,20 @@
     });
 }
 
+std::vector<ObservedDeclaration> observedDeclarations(const FleetState& state, std::chrono::milliseconds maximumAge, Base::TimePoint now)
+{
+    std::vector<ObservedDeclaration> observed;
+    auto snapshot = currentSnapshot(state);
+    for (auto& [model, history] : snapshot->weights) {
+        for (auto& declared : history) {
+            auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - declared.learnedAt);
+            if (!declared.learnedAtIsLowerBound && age <= maximumAge)
+                observed.push_back({ model, declared.version, age });
+        }
+    }
+    return observed;
+}
+
 std::shared_ptr<const Route> matchRoute(const Configuration& configuration, std::string_view host, std::string_view path)
 {
     auto routes = configuration.routes.find(std::string(host));
--- a/Source/Fleet/Queries/ReadFleet.h
+++ b/Source/Fleet/Queries/ReadFleet.h
@@ -16,6 +16,9 @@
 // Returns the items that are newer than the revision, including deletions.
 std::vector<PublishedItem> itemsAfter(const FleetState&, uint64_t revision, Base::TimePoint now);
 
+// Returns the declarations whose times this process knows exactly and which are not older than `maximumAge`.
+std::vector<ObservedDeclaration> observedDeclarations(const FleetState&, std::chrono::milliseconds maximumAge, Base::TimePoint now);
+
 // Returns the host's route with the longest matching path prefix, or null.
 std::shared_ptr<const Route> matchRoute(const Configuration&, std::string_view host, std::string_view path);
 
--- a/Source/Peering/ItemMerger.cpp
+++ b/Source/Peering/ItemMerger.cpp
@@ -1,5 +1,6 @@
 #include "Peering/ItemMerger.h"
 
+#include "Fleet/Queries/ReadFleet.h"
 #include "Observability/Log.h"
 #include "Peering/Events.h"
 
@@ -34,6 +35,11 @@
     logChange(Fleet::Commands::applyListing(m_fleet, m_decoder, prefix, keys, revision, deferDeletionsUntil, m_clock.now()), revision, "store_listing");
 }
 
+void ItemMerger::applyObserved(const std::vector<Fleet::ObservedDeclaration>& declarations, std::string_view source)
+{
+    logChange(Fleet::Commands::applyObservedDeclarations(m_fleet, declarations, m_clock.now()), Fleet::Queries::knownRevision(m_fleet), source);
+}
+
 void ItemMerger::recordSync(Base::TimePoint time)
 {
     m_syncedAt = std::max(time, m_syncedAt.value_or(time));
@@ -64,7 +70,7 @@
 std::chrono::milliseconds ItemMerger::maximumNewItemAge() const
 {
     if (!m_syncedAt)
-        return unknownAge;
+        return Fleet::FleetState::unknownAge;
     auto since = std::max(*m_syncedAt, m_storeFailedAt.value_or(*m_syncedAt));
     return std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - since);
 }
--- a/Source/Peering/ItemMerger.h
+++ b/Source/Peering/ItemMerger.h
@@ -16,14 +16,14 @@
 public:
     ItemMerger(Fleet::FleetState&, const Fleet::PublicationDecoder&, const Base::Clock&);
 
-    // Assumed for items that were in the store before this process started.
-    static constexpr std::chrono::milliseconds unknownAge = std::chrono::hours(1);
-
     // Merges items of the store or of a peer. Ages that are only upper bounds are limited by maximumNewItemAge() for
     // items that this node did not know.
     void apply(std::vector<Fleet::PublishedItem>, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil, std::string_view source);
     void applyListing(const std::string& prefix, const std::vector<std::string>& keys, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil);
 
+    // Merges declarations that another node observed.
+    void applyObserved(const std::vector<Fleet::ObservedDeclaration>&, std::string_view source);
+
     // Records that all items published up to the given time are known.
     void recordSync(Base::TimePoint);
 
--- a/Source/Peering/PeeringCodec.cpp
+++ b/Source/Peering/PeeringCodec.cpp
@@ -42,6 +42,12 @@
         report->set_target(crash.target);
         report->set_age_ms(static_cast<uint32_t>(crash.age.count()));
     }
+    for (auto& declaration : message.declarations) {
+        auto* observed = encoded.add_declarations();
+        observed->set_model(declaration.model);
+        observed->set_version(declaration.version);
+        observed->set_age_ms(static_cast<uint32_t>(declaration.age.count()));
+    }
     return encoded.SerializeAsString();
 }
 
@@ -69,6 +75,8 @@
     }
     for (auto& crash : encoded.crashes())
         message.crashes.push_back({ crash.fingerprint(), crash.target(), std::chrono::milliseconds(crash.age_ms()) });
+    for (auto& declaration : encoded.declarations())
+        message.declarations.push_back({ declaration.model(), declaration.version(), std::chrono::milliseconds(declaration.age_ms()) });
     return message;
 }
 
--- a/Source/Peering/PeeringCodec.h
+++ b/Source/Peering/PeeringCodec.h
@@ -49,6 +49,8 @@
     std::optional<EngineLoad> load;
     // Crashes recently confirmed by the sender, a router.
     std::vector<Dispatch::CrashReport> crashes;
+    // Recent declarations of weights whose times the sender knows exactly.
+    std::vector<Fleet::ObservedDeclaration> declarations;
 };
 
 std::string encodeMessage(const NodeMessage&);
--- a/Source/Peering/PeeringNode.cpp
+++ b/Source/Peering/PeeringNode.cpp
@@ -43,6 +43,8 @@
     // Longer than a fetch takes. A router that stays behind for longer follows the store itself.
     constexpr std::chrono::milliseconds maximumLag = 700ms;
 
+    // Declarations are relayed for this multiple of the time within which they take effect.
+    constexpr int declarationRelayFactor = 2;
     // After a stall of the event loop, all datagrams that arrived meanwhile are handled within this time.
     constexpr std::chrono::milliseconds datagramWaitTime = 300ms;
 
@@ -104,6 +106,7 @@
     message.revision = Fleet::Queries::knownRevision(m_merger.fleet());
     if (auto syncedAt = m_storeSyncTime ? m_storeSyncTime() : std::nullopt)
         message.storeAge = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - *syncedAt);
+    message.declarations = Fleet::Queries::observedDeclarations(m_merger.fleet(), m_settings.bounds.weights * declarationRelayFactor, m_clock.now());
     return message;
 }
 
@@ -270,6 +273,8 @@
         if (router.address != m_settings.address)
             Commands::recordGossip(m_peers, router.address, router.dataCentre, now - router.age);
     }
+    if (!message.declarations.empty() && !mayHaveWaited())
+        m_merger.applyObserved(message.declarations, message.sender);
     auto ownRevision = Fleet::Queries::knownRevision(m_merger.fleet());
     if (message.isRouter) {
         handleRouterMessage(message);
--- a/Source/Peering/StoreFollower.cpp
+++ b/Source/Peering/StoreFollower.cpp
@@ -143,7 +143,7 @@
         for (auto& item : listed.items) {
             keys.push_back(item.key);
             items.push_back(item);
-            items.back().age = ItemMerger::unknownAge;
+            items.back().age = Fleet::FleetState::unknownAge;
             items.back().ageIsBound = true;
         }
         if (!listed.morePages || listed.items.empty())
@@ -206,7 +206,7 @@
     auto changes = batch.changes;
     bool isAgeKnown = observedAtOnce();
     for (auto& change : changes) {
-        change.age = isAgeKnown ? changeBatchDelay : ItemMerger::unknownAge;
+        change.age = isAgeKnown ? changeBatchDelay : Fleet::FleetState::unknownAge;
         change.ageIsBound = !isAgeKnown;
     }
     m_syncedAt = syncTime(requestedAt);
--- a/Tests/Fleet/ApplyItemsTest.cpp
+++ b/Tests/Fleet/ApplyItemsTest.cpp
@@ -146,6 +146,54 @@
     cr_assert_eq(history.front().version, 2);
 }
 
+// Guards against a restarted router that uses weights whose deadline has passed: it lists only the last declaration, and
+// missed the one before.
+Test(ApplyItems, assumesAMissedDeclarationBeforeAListedOne)
+{
+    TestFleetState fleet;
+    fleet.clock.advance(2h);
+    fleet.publish("w", WeightsDeclared { "m", 3 }, 500ms);
+    auto history = fleet.snapshot()->weights.at("m");
+    cr_assert_eq(history.size(), 2);
+    cr_assert_eq(history.front().version, 2);
+    cr_assert(history.front().learnedAt == fleet.clock.now() - FleetState::unknownAge);
+    // Version 1 is in force before the first declaration.
+    fleet.publish("x", WeightsDeclared { "n", 2 });
+    cr_assert_eq(fleet.snapshot()->weights.at("n").size(), 1);
+}
+
+// Guards against a restarted router that refuses all requests because it assumes that an earlier declaration is old,
+// although other nodes know its time.
+Test(ApplyItems, refinesAMissedDeclarationByAnObservedOne)
+{
+    TestFleetState fleet;
+    fleet.clock.advance(2h);
+    fleet.publish("w", WeightsDeclared { "m", 4 }, 1h, true);
+    Commands::applyObservedDeclarations(fleet.state, { { "m", 2, 9s }, { "m", 3, 5s }, { "m", 4, 1s }, { "m", 5, 0s }, { "n", 2, 0s } }, fleet.clock.now());
+    auto history = fleet.snapshot()->weights.at("m");
+    cr_assert_eq(history.size(), 3, "a declaration that is not published yet must not be added");
+    cr_assert(history[0].version == 2 && history[0].learnedAt == fleet.clock.now() - 9s);
+    cr_assert(history[1].version == 3 && history[1].learnedAt == fleet.clock.now() - 5s);
+    cr_assert(history[2].version == 4 && history[2].learnedAt == fleet.clock.now() - 1s);
+    // Observed times are exact and never change.
+    Commands::applyObservedDeclarations(fleet.state, { { "m", 3, 0s } }, fleet.clock.now());
+    cr_assert(fleet.snapshot()->weights.at("m")[1].learnedAt == fleet.clock.now() - 5s);
+    cr_assert_not(fleet.snapshot()->weights.contains("n"));
+}
+
+// Guards against a node that relays an upper bound as an observed time.
+Test(ObservedDeclarations, areExactAndRecent)
+{
+    TestFleetState fleet;
+    fleet.clock.advance(2h);
+    fleet.publish("w", WeightsDeclared { "m", 2 }, 20s);
+    fleet.publish("w", WeightsDeclared { "m", 3 }, 2s);
+    fleet.publish("x", WeightsDeclared { "n", 2 }, 1s, true);
+    auto observed = Queries::observedDeclarations(fleet.state, 16s, fleet.clock.now());
+    cr_assert_eq(observed.size(), 1);
+    cr_assert(observed.front().model == "m" && observed.front().version == 3 && observed.front().age == 2s);
+}
+
 // Guards against omitting deletions from the items that another node fetches.
 Test(ItemsAfter, includesDeletionsAndAges)
 {
--- a/Tests/Peering/PeeringCodecTest.cpp
+++ b/Tests/Peering/PeeringCodecTest.cpp
@@ -20,7 +20,12 @@
     message.routers = { { "10.0.0.2", "dc-b", 30ms } };
     message.load = EngineLoad { "e", "10.0.0.3:80", 4, 2, 9, true, 3, true, 120ms };
     message.crashes = { { 0xfedcba9876543210, "i-1", 40ms } };
+    message.declarations = { { "m", 3, 70ms } };
     auto decoded = decodeMessage(encodeMessage(message));
+    cr_assert_eq(decoded->declarations.size(), 1);
+    cr_assert_eq(decoded->declarations.front().model, "m");
+    cr_assert_eq(decoded->declarations.front().version, 3);
+    cr_assert(decoded->declarations.front().age == 70ms);
     cr_assert_eq(decoded->crashes.front().fingerprint, 0xfedcba9876543210);
     cr_assert_eq(decoded->crashes.front().target, "i-1");
     cr_assert_eq(decoded->crashes.front().age.count(), 40);
--- a/Tests/Peering/StoreFollowerTest.cpp
+++ b/Tests/Peering/StoreFollowerTest.cpp
@@ -172,7 +172,7 @@
     Fleet::PublishedItem declaration { "w", "2", 2, false, {} };
     started.fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
     other.fleet.decoder = started.fleet.decoder;
-    declaration.age = ItemMerger::unknownAge;
+    declaration.age = Fleet::FleetState::unknownAge;
     declaration.ageIsBound = true;
     started.merger.apply({ declaration }, 2, std::nullopt, "store");
     other.merger.recordSync(other.fleet.clock.now());
@@ -233,7 +233,7 @@
     TestFollower started;
     Fleet::PublishedItem declaration { "w", "2", 2, false, {} };
     started.fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
-    declaration.age = ItemMerger::unknownAge;
+    declaration.age = Fleet::FleetState::unknownAge;
     declaration.ageIsBound = true;
     started.merger.apply({ declaration }, 2, std::nullopt, "store");
     started.merger.recordSync(started.fleet.clock.now());
