Keep the manifest when an engine restarts while its weights are staged

Cause: when the engine restarted, the checklist was begun again with optional::emplace(manifest()), which destroys the old value before it copies the manifest out of it. The digests were read from freed memory, so that no piece matched any more, or the agent could have crashed. Change: PieceChecklist::markAllMissing keeps the manifest.

--- a/Source/Staging/PieceChecklist.h
+++ b/Source/Staging/PieceChecklist.h
@@ -21,6 +21,7 @@
 
     void markPresent(unsigned piece) { m_present[piece] = true; }
     void markMissing(unsigned piece) { m_present[piece] = false; }
+    void markAllMissing() { m_present.assign(m_present.size(), false); }
     bool isPresent(unsigned piece) const { return m_present[piece]; }
     bool isComplete() const;
 
--- a/Tests/Staging/PieceChecklistTest.cpp
+++ b/Tests/Staging/PieceChecklistTest.cpp
@@ -21,3 +21,17 @@
     checklist.markMissing(0);
     cr_assert_eq(checklist.missing().front(), 0);
 }
+
+// Guards against a manifest that is lost or damaged when the engine restarts: the pieces are then verified again from
+// the start, against the digests of the same manifest.
+Test(PieceChecklist, keepsTheManifestWhenAllPiecesAreMissingAgain)
+{
+    PieceChecklist checklist({ "m", 2, { Base::sha256("first"), Base::sha256("second") } });
+    checklist.markPresent(0);
+    checklist.markPresent(1);
+    checklist.markAllMissing();
+    cr_assert_eq(checklist.missing().size(), 2);
+    cr_assert_eq(checklist.manifest().version, 2);
+    cr_assert(checklist.matches(0, "first"));
+    cr_assert(checklist.matches(1, "second"));
+}
