Split StagingNode by job: monitor, load reporter, loader, fetcher, store, server

Cause: StagingNode.cpp held six jobs, and the decisions among them had no tests of their own. Change: StagingNode only composes EngineMonitor (poll), LoadReporter (load, grants), WeightLoader (when to load, load), ManifestFetcher, PieceFetcher, EnginePieces (pieces at the engine, checklist) and PieceServer (other agents). Decisions without I/O are Commands/RecordEngineStart, TakeGrantableSlots, RequeuePiece and Queries/FindDesiredWeights, FindOwnTarget, OrderPieces, ClassifyResponse, ExpectPiece; isFetchDeferred and timeUntilAbort join Queries/PlanLoad. Constants, events and messages are unchanged.

--- /dev/null
+++ b/Source/Staging/EngineMonitor.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "Staging/StagingContext.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace Lavenderloft::Staging {
+
+// Polls the local engine and keeps its last report. Runs on one event loop.
+class EngineMonitor {
+public:
+    // Called after each report of the engine.
+    using ReportHandler = std::function<void(const EngineReport&)>;
+
+    explicit EngineMonitor(const StagingContext&);
+
+    // Polls the engine until the event loop ends.
+    boost::asio::awaitable<void> run(ReportHandler);
+
+    // The last report; empty while the engine does not respond.
+    const std::optional<EngineReport>& report() const { return m_report; }
+
+    // The version of the desired model of which the engine has loaded all layers; 0 if there is none.
+    uint64_t wholeVersion() const;
+
+    bool hasLoaded(const DesiredWeights&) const;
+
+    // Whether the engine responds and is running requests or has some in its queue.
+    bool hasRequests() const;
+
+private:
+    boost::asio::awaitable<std::string> poll(Http::PersistentHttpClient&);
+
+    const StagingContext& m_context;
+    std::optional<EngineReport> m_report;
+};
+
+} // namespace Lavenderloft::Staging
--- /dev/null
+++ b/Source/Staging/EnginePieces.cpp
@@ -0,0 +1,78 @@
+#include "Staging/EnginePieces.h"
+
+#include "Observability/Log.h"
+#include "Staging/Events.h"
+
+namespace Lavenderloft::Staging {
+
+namespace asio = boost::asio;
+
+EnginePieces::EnginePieces(const StagingContext& context, const EngineMonitor& monitor)
+    : m_context(context)
+    , m_monitor(monitor)
+{
+}
+
+bool EnginePieces::hasChecklistOf(uint64_t version) const
+{
+    return m_checklist && m_checklist->manifest().version == version;
+}
+
+bool EnginePieces::isSameEngine() const
+{
+    return m_monitor.report() && m_monitor.report()->startedAt == m_engineStart;
+}
+
+void EnginePieces::recordEngine()
+{
+    m_engineStart = m_monitor.report()->startedAt;
+}
+
+void EnginePieces::startChecklist(PieceManifest manifest)
+{
+    m_checklist.emplace(std::move(manifest));
+}
+
+void EnginePieces::restartChecklist()
+{
+    m_checklist->markAllMissing();
+}
+
+asio::awaitable<void> EnginePieces::verify()
+{
+    auto engine = m_context.engineClient();
+    for (unsigned piece = 0; piece < m_checklist->pieceCount(); ++piece) {
+        auto bytes = co_await read(engine, m_checklist->manifest().model, piece);
+        if (bytes && m_checklist->matches(piece, *bytes)) {
+            m_checklist->markPresent(piece);
+            continue;
+        }
+        if (bytes && m_checklist->isPresent(piece))
+            Observability::logEvent(Events::pieceRejected, { { "piece", piece }, { "version", m_checklist->manifest().version }, { "source", "engine" } });
+        m_checklist->markMissing(piece);
+    }
+}
+
+asio::awaitable<bool> EnginePieces::store(const std::string& model, unsigned piece, std::string bytes)
+{
+    auto engine = m_context.engineClient();
+    auto stored = co_await engine.call(m_context.protocol.storePieceRequest(model, piece, std::move(bytes)), StagingContext::engineTimeout);
+    bool isStored = Base::succeeded(stored) && Base::valueOf(stored).status / 100 == 2;
+    if (isStored) {
+        m_checklist->markPresent(piece);
+        co_return true;
+    }
+    auto problem = Base::succeeded(stored) ? "status " + std::to_string(Base::valueOf(stored).status) : Base::errorOf(stored).describe();
+    Observability::logEvent(Events::pieceUnavailable, { { "piece", piece }, { "source", "engine" }, { "problem", problem } });
+    co_return false;
+}
+
+asio::awaitable<std::optional<std::string>> EnginePieces::read(Http::PersistentHttpClient& engine, const std::string& model, unsigned piece) const
+{
+    auto result = co_await engine.call(m_context.protocol.storedPieceRequest(model, piece), StagingContext::engineTimeout);
+    if (!Base::succeeded(result) || Base::valueOf(result).status != 200)
+        co_return std::nullopt;
+    co_return Base::takeValue(std::move(result)).body;
+}
+
+} // namespace Lavenderloft::Staging
--- /dev/null
+++ b/Source/Staging/EnginePieces.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "Staging/EngineMonitor.h"
+#include "Staging/PieceChecklist.h"
+#include "Staging/StagingContext.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <optional>
+#include <string>
+
+namespace Lavenderloft::Staging {
+
+// Stores pieces at the local engine, and tracks which pieces of one model version are stored there and verified. Runs
+// on one event loop.
+class EnginePieces {
+public:
+    EnginePieces(const StagingContext&, const EngineMonitor&);
+
+    // Empty until the first manifest is known.
+    const std::optional<PieceChecklist>& checklist() const { return m_checklist; }
+
+    bool hasChecklistOf(uint64_t version) const;
+
+    // Whether the engine that the checklist describes is still the one that runs.
+    bool isSameEngine() const;
+
+    // Makes the checklist describe the engine that runs now. The engine must have reported.
+    void recordEngine();
+
+    // Replaces the checklist by one on which all pieces are missing.
+    void startChecklist(PieceManifest);
+
+    // Marks all pieces of the checklist as missing.
+    void restartChecklist();
+
+    // Reads each piece of the checklist back from the engine and compares its digest.
+    boost::asio::awaitable<void> verify();
+
+    // Stores a piece and marks it as present. Returns false if the engine did not accept it.
+    boost::asio::awaitable<bool> store(const std::string& model, unsigned piece, std::string bytes);
+
+    // Reads a piece back from the engine; nullopt if it is not stored there.
+    boost::asio::awaitable<std::optional<std::string>> read(Http::PersistentHttpClient& engine, const std::string& model, unsigned piece) const;
+
+private:
+    const StagingContext& m_context;
+    const EngineMonitor& m_monitor;
+    std::optional<PieceChecklist> m_checklist;
+    // EngineReport::startedAt of the engine that the checklist describes.
+    uint64_t m_engineStart = 0;
+};
+
+} // namespace Lavenderloft::Staging
--- /dev/null
+++ b/Source/Staging/LoadReporter.cpp
@@ -0,0 +1,51 @@
+#include "Staging/LoadReporter.h"
+
+#include "Staging/Commands/RecordEngineStart.h"
+#include "Staging/Commands/TakeGrantableSlots.h"
+#include "Staging/Queries/DistributeGrants.h"
+#include "Staging/Queries/FindOwnTarget.h"
+
+namespace Lavenderloft::Staging {
+
+LoadReporter::LoadReporter(const StagingContext& context, const EngineMonitor& monitor, const LoadIntent& intent, Peering::PeeringNode& peering)
+    : m_context(context)
+    , m_monitor(monitor)
+    , m_intent(intent)
+    , m_peering(peering)
+{
+}
+
+void LoadReporter::engineReported(const EngineReport& report)
+{
+    Commands::recordEngineStart(m_engineStart, report.startedAt, *m_context.snapshot(), m_context.settings, m_context.clock.now());
+    send(report);
+}
+
+void LoadReporter::reportNow()
+{
+    if (m_monitor.report())
+        send(*m_monitor.report());
+}
+
+void LoadReporter::send(const EngineReport& report)
+{
+    auto& settings = m_context.settings;
+    auto snapshot = m_context.snapshot();
+    auto now = m_context.clock.now();
+    auto coldRate = Queries::findColdRate(*snapshot, settings, m_engineStart, now);
+    Peering::EngineLoad load;
+    load.service = settings.localService;
+    load.engineAddress = settings.localEngine->toString();
+    load.running = report.running;
+    load.queued = report.queued;
+    load.wholeVersion = m_monitor.wholeVersion();
+    load.paused = m_intent.isPaused || report.busy;
+    load.cold = coldRate.has_value();
+    load.abortsIn = Queries::timeUntilAbort(m_intent.plan, now);
+    auto free = load.paused ? 0 : Queries::countFreeSlots(*snapshot, settings, report);
+    auto grantable = Commands::takeGrantableSlots(m_slots, free, coldRate, now);
+    auto routers = m_peering.nextLoadReceivers();
+    m_peering.sendLoad(load, routers, Queries::distributeGrants(grantable, routers, settings.dataCentre, m_context.random));
+}
+
+} // namespace Lavenderloft::Staging
--- /dev/null
+++ b/Source/Staging/LoadReporter.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "Peering/PeeringNode.h"
+#include "Staging/EngineMonitor.h"
+#include "Staging/EngineStart.h"
+#include "Staging/GrantableSlots.h"
+#include "Staging/LoadIntent.h"
+#include "Staging/StagingContext.h"
+
+namespace Lavenderloft::Staging {
+
+// Reports the load of the local engine to the routers and grants them its free slots. Runs on one event loop.
+class LoadReporter {
+public:
+    LoadReporter(const StagingContext&, const EngineMonitor&, const LoadIntent&, Peering::PeeringNode&);
+
+    // Sends a report after the engine's own one.
+    void engineReported(const EngineReport&);
+
+    // Sends a report at once, unless the engine does not respond.
+    void reportNow();
+
+private:
+    void send(const EngineReport&);
+
+    const StagingContext& m_context;
+    const EngineMonitor& m_monitor;
+    const LoadIntent& m_intent;
+    Peering::PeeringNode& m_peering;
+    EngineStart m_engineStart;
+    GrantableSlots m_slots;
+};
+
+} // namespace Lavenderloft::Staging
--- /dev/null
+++ b/Source/Staging/PieceFetcher.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "Staging/EngineMonitor.h"
+#include "Staging/EnginePieces.h"
+#include "Staging/ManifestFetcher.h"
+#include "Staging/PieceSources.h"
+#include "Staging/StagingContext.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Lavenderloft::Staging {
+
+// Fetches the missing pieces of the desired weights from the origin and from other agents, and stores them at the local
+// engine. Runs on one event loop.
+class PieceFetcher {
+public:
+    PieceFetcher(const StagingContext&, const EngineMonitor&, ManifestFetcher&, EnginePieces&);
+
+    // Begins the checklist of the desired weights, unless it describes them and the running engine already. Returns
+    // false if the manifest is not available.
+    boost::asio::awaitable<bool> prepare(const DesiredWeights&);
+
+    // Fetches until no piece is missing, other weights are desired or the engine does not respond.
+    boost::asio::awaitable<void> fetchMissing(const DesiredWeights&);
+
+    // This agent's assignment for a piece of the version that the checklist describes.
+    Queries::PieceAssignment assignment(const DesiredWeights&, unsigned piece);
+
+private:
+    using ClientsByAddress = std::map<std::string, std::unique_ptr<Http::PersistentHttpClient>>;
+    using Queue = std::vector<unsigned>;
+
+    boost::asio::awaitable<void> processQueue(const DesiredWeights&, std::shared_ptr<Queue>, std::shared_ptr<unsigned> running);
+    boost::asio::awaitable<bool> fetchPiece(const DesiredWeights&, unsigned piece, ClientsByAddress&);
+    boost::asio::awaitable<std::optional<std::string>> fetchFromSource(const DesiredWeights&, unsigned piece, const Queries::PieceSource&, ClientsByAddress&);
+    Http::PersistentHttpClient& clientTo(const Http::Endpoint&, ClientsByAddress&) const;
+    Http::HttpRequest makeRequest(const DesiredWeights&, unsigned piece, bool isFromAgent) const;
+    Queue orderMissing(const DesiredWeights&);
+    std::vector<Queries::SourceAgent> otherAgents(const DesiredWeights&) const;
+
+    const StagingContext& m_context;
+    const EngineMonitor& m_monitor;
+    ManifestFetcher& m_manifests;
+    EnginePieces& m_pieces;
+    PieceSources m_sources;
+};
+
+} // namespace Lavenderloft::Staging
--- a/Source/Staging/PieceSources.cpp
+++ b/Source/Staging/PieceSources.cpp
@@ -67,9 +67,9 @@
     }
 }
 
-Queries::PieceAssignment PieceSources::assignment(const std::vector<SourceAgent>& others, unsigned piece, Base::TimePoint now)
+const PieceAssignments& PieceSources::assignments(const std::vector<SourceAgent>& others, Base::TimePoint now)
 {
-    return currentAssignments(reachable(others, now), now).ownAssignment(piece);
+    return currentAssignments(reachable(others, now), now);
 }
 
 } // namespace Lavenderloft::Staging
--- a/Source/Staging/PieceSources.h
+++ b/Source/Staging/PieceSources.h
@@ -39,8 +39,8 @@
 
     void recordOutcome(unsigned piece, const Queries::PieceSource&, SourceOutcome, Base::TimePoint now);
 
-    // This agent's assignment for the piece, among the agents that are reachable.
-    Queries::PieceAssignment assignment(const std::vector<Queries::SourceAgent>& others, unsigned piece, Base::TimePoint now);
+    // The assignments of all pieces, among the agents that are reachable. Valid until the next call.
+    const Queries::PieceAssignments& assignments(const std::vector<Queries::SourceAgent>& others, Base::TimePoint now);
 
 private:
     // Computing the assignments of all pieces is expensive, and they change only with the fleet.
--- a/Source/Staging/Queries/PlanLoad.cpp
+++ b/Source/Staging/Queries/PlanLoad.cpp
@@ -86,4 +86,19 @@
     return plan;
 }
 
+bool isFetchDeferred(const Fleet::FleetSnapshot& snapshot, const Fleet::NodeSettings& settings, const DesiredWeights& desired, uint64_t heldVersion, Base::TimePoint now)
+{
+    if (heldVersion > 0)
+        return false;
+    return now < earliestFetch(snapshot, settings, desired.declared, desired.layers);
+}
+
+std::optional<std::chrono::milliseconds> timeUntilAbort(const std::optional<LoadPlan>& plan, Base::TimePoint now)
+{
+    if (!plan || plan->mode != LoadMode::AbortRunning)
+        return std::nullopt;
+    auto left = std::chrono::duration_cast<std::chrono::milliseconds>(plan->startAt - now);
+    return std::max(left, std::chrono::milliseconds(0));
+}
+
 } // namespace Lavenderloft::Staging::Queries
--- a/Source/Staging/Queries/PlanLoad.h
+++ b/Source/Staging/Queries/PlanLoad.h
@@ -3,8 +3,12 @@
 #include "Base/Clock.h"
 #include "Fleet/FleetSnapshot.h"
 #include "Fleet/NodeSettings.h"
+#include "Staging/DesiredWeights.h"
 #include "Staging/EngineProtocol.h"
 
+#include <chrono>
+#include <optional>
+
 namespace Lavenderloft::Staging::Queries {
 
 // When and how an engine replaces its weights.
@@ -25,4 +29,10 @@
 // serve an older version go first, because they must stop serving it at the deadline.
 Base::TimePoint earliestFetch(const Fleet::FleetSnapshot&, const Fleet::NodeSettings&, const Fleet::DeclaredWeights& declared, unsigned layers);
 
+// Whether fetching the desired weights is deferred in favour of engines that need the pieces sooner.
+bool isFetchDeferred(const Fleet::FleetSnapshot&, const Fleet::NodeSettings&, const DesiredWeights&, uint64_t heldVersion, Base::TimePoint now);
+
+// Time until the engine aborts its running requests; nullopt if no abort is planned.
+std::optional<std::chrono::milliseconds> timeUntilAbort(const std::optional<LoadPlan>&, Base::TimePoint now);
+
 } // namespace Lavenderloft::Staging::Queries
--- /dev/null
+++ b/Source/Staging/WeightLoader.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "Staging/EngineMonitor.h"
+#include "Staging/EnginePieces.h"
+#include "Staging/LoadIntent.h"
+#include "Staging/LoadReporter.h"
+#include "Staging/PieceFetcher.h"
+#include "Staging/StagingContext.h"
+
+#include <boost/asio/awaitable.hpp>
+
+namespace Lavenderloft::Staging {
+
+// Keeps the desired weights loaded at the local engine: has their pieces fetched, waits for the planned load start, and
+// requests the engine to load them. Runs on one event loop.
+class WeightLoader {
+public:
+    WeightLoader(const StagingContext&, const EngineMonitor&, LoadIntent&, LoadReporter&, EnginePieces&, PieceFetcher&);
+
+    // Checks the engine's weights until the event loop ends.
+    boost::asio::awaitable<void> run();
+
+private:
+    bool needsWeights(const std::optional<DesiredWeights>&) const;
+    boost::asio::awaitable<void> stageAndLoad(const DesiredWeights&);
+    boost::asio::awaitable<bool> stage(const DesiredWeights&);
+    void updatePlan(const DesiredWeights&);
+    boost::asio::awaitable<void> waitForLoadStart(const DesiredWeights&);
+    boost::asio::awaitable<void> load(const DesiredWeights&);
+    boost::asio::awaitable<void> pauseRequests(LoadMode);
+    boost::asio::awaitable<void> waitForRunningRequests();
+    boost::asio::awaitable<LoadResponse> requestLoad(const DesiredWeights&, LoadMode);
+    boost::asio::awaitable<void> waitUntilLoaded(const DesiredWeights&);
+
+    const StagingContext& m_context;
+    const EngineMonitor& m_monitor;
+    LoadIntent& m_intent;
+    LoadReporter& m_reporter;
+    EnginePieces& m_pieces;
+    PieceFetcher& m_fetcher;
+};
+
+} // namespace Lavenderloft::Staging
