Test StagingNode on loopback: load, restart of the engine, serving of pieces

Cause: no test ran the coroutines of StagingNode, neither those that were split nor the earlier ones. Change: a test engine with its origin on loopback, and three tests.

--- /dev/null
+++ b/Tests/Staging/StagingNodeTest.cpp
@@ -0,0 +1,75 @@
+#include "Staging/ManifestCodec.h"
+#include "Staging/TestEngine.h"
+
+#include <criterion/criterion.h>
+
+using namespace Lavenderloft;
+using namespace Lavenderloft::Staging;
+
+namespace {
+
+bool holdsAllPieces(const TestEngine& engine)
+{
+    for (unsigned piece = 0; piece < TestEngine::pieceCount; ++piece) {
+        auto found = engine.stored.find(piece);
+        if (found == engine.stored.end() || found->second != TestEngine::contentOf(piece))
+            return false;
+    }
+    return true;
+}
+
+} // namespace
+
+// Guards against an engine that never receives the declared weights, or that loads a corrupt piece.
+Test(StagingNode, fetchesVerifiesAndLoadsTheDeclaredWeights)
+{
+    TestStaging staging;
+    staging.engine.corruptPiece = 3;
+    staging.declare(2);
+    staging.node.start();
+    cr_assert(staging.runUntilLoaded(1));
+    cr_assert(holdsAllPieces(staging.engine));
+    cr_assert_eq(staging.engine.report.layers->version, 2);
+    cr_assert_eq(staging.engine.fetches[3], 2, "the corrupt piece is fetched again");
+    cr_assert_eq(staging.engine.fetches[0], 1);
+}
+
+// Guards against an engine that stays without weights after a restart: its pieces are lost, while the agent still has
+// the manifest.
+Test(StagingNode, loadsTheWeightsAgainAfterTheEngineRestarted)
+{
+    TestStaging staging;
+    staging.declare(2);
+    staging.node.start();
+    cr_assert(staging.runUntilLoaded(1));
+    staging.engine.restart();
+    cr_assert(staging.runUntilLoaded(2));
+    cr_assert(holdsAllPieces(staging.engine));
+    cr_assert_eq(staging.engine.loads, 2);
+    staging.declare(3);
+    cr_assert(staging.runUntilLoaded(3));
+    cr_assert_eq(staging.engine.report.layers->version, 3);
+}
+
+// Guards against an agent that serves no pieces, or that serves one which the engine has lost or damaged.
+Test(StagingNode, servesVerifiedPiecesAndTheirManifest)
+{
+    TestStaging staging;
+    staging.declare(2);
+    staging.node.start();
+    cr_assert(staging.runUntilLoaded(1));
+    auto served = staging.requestPiece(encodePiecePath({ "m", 2, 1, "south" }));
+    cr_assert_eq(served.status, 200);
+    cr_assert(served.body == TestEngine::contentOf(1));
+    staging.engine.stored[1] = "damaged";
+    cr_assert_eq(staging.requestPiece(encodePiecePath({ "m", 2, 1, "south" })).status, 404);
+    cr_assert_eq(staging.requestPiece(encodePiecePath({ "m", 1, 1, "south" })).status, 404);
+    cr_assert_eq(staging.requestPiece("/piece/").status, 400);
+    Http::HttpRequest request;
+    request.target = encodeManifestPath("m", 2);
+    auto manifest = decodeManifest(staging.node.handleManifestRequest(request).body);
+    cr_assert(manifest.has_value());
+    cr_assert_eq(manifest->digests.size(), TestEngine::pieceCount);
+    request.target = encodeManifestPath("m", 3);
+    cr_assert_eq(staging.node.handleManifestRequest(request).status, 404);
+}
--- /dev/null
+++ b/Tests/Staging/TestEngine.h
@@ -0,0 +1,222 @@
+#pragma once
+
+#include "Base/Digest.h"
+#include "Base/SeededRandom.h"
+#include "Base/SystemClock.h"
+#include "Fleet/FleetState.h"
+#include "Fleet/Publication.h"
+#include "Http/NodeServer.h"
+#include "Staging/StagingNode.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <functional>
+#include <map>
+#include <stdexcept>
+
+namespace Lavenderloft::Staging {
+
+// An engine and its weight origin on loopback, with a protocol of plain paths. Reports come from the object itself.
+class TestEngine final : public EngineProtocol {
+public:
+    static constexpr unsigned pieceCount = 6;
+    static constexpr unsigned layerCount = 16;
+
+    explicit TestEngine(boost::asio::io_context& context)
+        : m_server(Http::NodeServer::start(context, { "127.0.0.1", 0 }, [this](Http::HttpRequest request) -> boost::asio::awaitable<Http::HttpResponse> {
+            auto response = respond(request);
+            co_return response;
+        }))
+    {
+        report.startedAt = 100;
+    }
+
+    static std::string contentOf(unsigned piece) { return "content of piece " + std::to_string(piece); }
+
+    Http::Endpoint endpoint() const { return { "127.0.0.1", m_server->port() }; }
+
+    // The engine loses its weights and its pieces.
+    void restart()
+    {
+        ++report.startedAt;
+        report.layers.reset();
+        stored.clear();
+    }
+
+    Http::HttpRequest reportRequest() const override { return makeRequest("/report"); }
+    Base::Result<EngineReport, EngineError> readReport(const Http::HttpResponse&) const override { return report; }
+    Http::HttpRequest manifestRequest(const std::string&, uint64_t version) const override { return makeRequest("/manifest/" + std::to_string(version)); }
+
+    Base::Result<PieceManifest, EngineError> readManifest(const Http::HttpResponse& response) const override
+    {
+        if (response.status != 200)
+            return EngineError { EngineErrorKind::NotFound, "no such version", "declare it" };
+        PieceManifest manifest { "m", std::stoul(response.body), {} };
+        for (unsigned piece = 0; piece < pieceCount; ++piece)
+            manifest.digests.push_back(Base::sha256(contentOf(piece)));
+        return manifest;
+    }
+
+    Http::HttpRequest pieceRequest(const std::string&, uint64_t, unsigned piece) const override { return makeRequest("/origin/" + std::to_string(piece)); }
+    Http::HttpRequest storePieceRequest(const std::string&, unsigned piece, std::string bytes) const override { return makeRequest("/store/" + std::to_string(piece), std::move(bytes)); }
+    Http::HttpRequest storedPieceRequest(const std::string&, unsigned piece) const override { return makeRequest("/stored/" + std::to_string(piece)); }
+    Http::HttpRequest loadRequest(const std::string&, uint64_t version, LoadMode) const override { return makeRequest("/load/" + std::to_string(version)); }
+    LoadResponse readLoadResponse(const Http::HttpResponse& response) const override { return response.status == 200 ? LoadResponse::Started : LoadResponse::Refused; }
+
+    EngineReport report;
+    std::map<unsigned, std::string> stored;
+    unsigned loads = 0;
+    // Reports sent so far.
+    unsigned reports = 0;
+    // Requests of pieces at the origin.
+    std::map<unsigned, unsigned> fetches;
+    // The first response of the origin for this piece is corrupt.
+    std::optional<unsigned> corruptPiece;
+
+private:
+    static Http::HttpRequest makeRequest(std::string target, std::string body = {})
+    {
+        return { body.empty() ? "GET" : "PUT", std::move(target), {}, std::move(body) };
+    }
+
+    Http::HttpResponse respond(const Http::HttpRequest& request)
+    {
+        auto slash = request.target.rfind('/');
+        auto action = request.target.substr(0, slash);
+        if (action.empty()) {
+            ++reports;
+            return { 200, {}, "report" };
+        }
+        auto number = static_cast<unsigned>(std::stoul(request.target.substr(slash + 1)));
+        if (action == "/manifest")
+            return { 200, {}, std::to_string(number) };
+        if (action == "/origin")
+            return { 200, {}, fetch(number) };
+        if (action == "/store")
+            return store(number, request.body);
+        if (action == "/stored")
+            return stored.contains(number) ? Http::HttpResponse { 200, {}, stored[number] } : Http::HttpResponse { 404, {}, "" };
+        if (action == "/load")
+            return load(number);
+        return { 400, {}, "" };
+    }
+
+    std::string fetch(unsigned piece)
+    {
+        bool isCorrupt = !fetches[piece]++ && piece == corruptPiece;
+        return isCorrupt ? "corrupt" : contentOf(piece);
+    }
+
+    Http::HttpResponse store(unsigned piece, const std::string& bytes)
+    {
+        stored[piece] = bytes;
+        return { 200, {}, "" };
+    }
+
+    Http::HttpResponse load(uint64_t version)
+    {
+        ++loads;
+        report.layers = Fleet::HeldLayers { 0, layerCount, version };
+        return { 200, {}, "" };
+    }
+
+    std::shared_ptr<Http::NodeServer> m_server;
+};
+
+struct NoPublications final : Fleet::PublicationDecoder {
+    std::vector<std::string> prefixes() const override { return {}; }
+    Fleet::Publication decode(const Fleet::PublishedItem&) const override { return Fleet::Unrelated {}; }
+    bool isTargetKey(std::string_view) const override { return false; }
+};
+
+// A staging node on loopback beside a test engine. The only agent of its service.
+class TestStaging {
+public:
+    TestStaging()
+        : engine(context)
+        , m_settings(makeSettings(engine))
+        , m_merger(m_fleet, m_decoder, m_clock)
+        , m_peering(context, m_settings, m_peers, m_merger, m_clock, false)
+        , node(context, m_settings, m_fleet, engine, m_peering, m_clock, m_random)
+    {
+    }
+
+    // Declares a version, which replaces all earlier declarations.
+    void declare(uint64_t version)
+    {
+        auto snapshot = std::make_shared<Fleet::FleetSnapshot>();
+        snapshot->configuration = makeConfiguration();
+        snapshot->weights["m"] = { { version, m_clock.now() } };
+        m_fleet.withContents([&](Fleet::FleetState::Contents& contents) { contents.snapshot = snapshot; });
+    }
+
+    // Runs the event loop until the condition holds. Returns false if it does not within the time that ends a hang.
+    bool runUntil(const std::function<bool()>& condition)
+    {
+        constexpr std::chrono::seconds hangTimeout { 20 };
+        auto until = m_clock.now() + hangTimeout;
+        while (!condition() && m_clock.now() < until)
+            context.run_one_for(std::chrono::milliseconds(50));
+        return condition();
+    }
+
+    // Runs until the agent has loaded weights this many times and has learned of it by the engine's reports.
+    bool runUntilLoaded(unsigned loads)
+    {
+        constexpr unsigned reportsToSettle = 5;
+        if (!runUntil([&] { return engine.loads >= loads; }))
+            return false;
+        auto settledAt = engine.reports + reportsToSettle;
+        return runUntil([&] { return engine.reports >= settledAt; });
+    }
+
+    Http::HttpResponse requestPiece(const std::string& path)
+    {
+        std::optional<Http::HttpResponse> response;
+        Http::HttpRequest request;
+        request.target = path;
+        boost::asio::co_spawn(context, node.handlePieceRequest(std::move(request)), [&](std::exception_ptr, Http::HttpResponse received) { response = std::move(received); });
+        if (!runUntil([&] { return response.has_value(); }))
+            throw std::runtime_error("no response to " + path);
+        return *response;
+    }
+
+    boost::asio::io_context context { 1 };
+    TestEngine engine;
+
+private:
+    static Fleet::NodeSettings makeSettings(const TestEngine& engine)
+    {
+        Fleet::NodeSettings settings;
+        settings.address = "127.0.0.1";
+        settings.region = "north";
+        settings.localEngine = engine.endpoint();
+        settings.localService = "engines";
+        return settings;
+    }
+
+    std::shared_ptr<const Fleet::Configuration> makeConfiguration() const
+    {
+        Fleet::Service engines;
+        engines.weights = Fleet::WeightLayout { TestEngine::pieceCount, TestEngine::layerCount, { "m" } };
+        Fleet::Service origin;
+        origin.origin = engine.endpoint();
+        auto configuration = std::make_shared<Fleet::Configuration>();
+        configuration->services = { { "engines", engines }, { "origin", origin } };
+        return configuration;
+    }
+
+    Base::SystemClock m_clock;
+    Base::SeededRandom m_random { 7 };
+    Fleet::NodeSettings m_settings;
+    Fleet::FleetState m_fleet;
+    NoPublications m_decoder;
+    Peering::ItemMerger m_merger;
+    Peering::PeerTable m_peers;
+    Peering::PeeringNode m_peering;
+
+public:
+    StagingNode node;
+};
+
+} // namespace Lavenderloft::Staging
