Take the log, the attempt, the ending and decisions out of RequestCoordinator

Cause: RequestCoordinator.cpp mixed the state machine of a request with its events and metrics, the bookkeeping of an attempt, the ways to end and decisions that had no tests of their own. Change: RequestLog writes events and metrics, CurrentAttempt keeps the open attempt and its count at the target, RequestState holds the state under the lock, RequestEnding ends a request. Queries/SelectNextTarget, MakeRetryInput, DelayNextRound and ReadResolution decide without I/O; two errors move to DescribeFailure. Names of events, metrics and log fields are unchanged.

--- /dev/null
+++ b/Source/Routing/AttemptHistory.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "Routing/TargetTable.h"
+
+namespace Lavenderloft::Routing {
+
+// What the attempts of one request have led to so far. Read by Queries/SelectNextTarget and Queries/MakeRetryInput.
+struct AttemptHistory {
+    // One round of attempts. A round ends when no target is left to try.
+    struct Round {
+        Targets tried;
+        // Subset of `tried`.
+        Targets refused;
+        unsigned attempts = 0;
+        unsigned brokenAttempts = 0;
+        unsigned loadRefusals = 0;
+    };
+
+    Round round;
+    // Number of times that the response was resumed.
+    unsigned resumes = 0;
+    // Whether any attempt may have run the request.
+    bool mayHaveRun = false;
+};
+
+} // namespace Lavenderloft::Routing
--- a/Source/Routing/Queries/DescribeFailure.cpp
+++ b/Source/Routing/Queries/DescribeFailure.cpp
@@ -48,6 +48,18 @@
     return makeFailure(FailureKind::DisconnectedAfterSend, ErrorCode::OutcomeUnknown, "the connection to the target was lost after the request was sent", "check whether the call took effect before sending it again");
 }
 
+RoutingError requestBudgetError()
+{
+    return { ErrorCode::AtLimit, "the requests in flight at this router have reached streamBudgetBytes", "retry after retryAfterMs", Outcome::NotRun, defaultRetryAfter };
+}
+
+RoutingError deniedRetryError(const AttemptFailure& failed)
+{
+    if (failed.kind == FailureKind::RefusedForLoad)
+        return failed.error;
+    return { ErrorCode::RetryBudgetSpent, failed.error.message + "; the retry budget is exhausted", "retry later", Outcome::NotRun, defaultRetryAfter };
+}
+
 RoutingError quarantineError(const QuarantineStatus& status)
 {
     if (status.state == QuarantineState::Quarantined)
--- a/Source/Routing/Queries/DescribeFailure.h
+++ b/Source/Routing/Queries/DescribeFailure.h
@@ -18,6 +18,12 @@
 // A stream that broke before or after the request was sent.
 AttemptFailure connectionFailure(bool isSent, bool isRepeatable);
 
+// A request for which the router has no memory left.
+RoutingError requestBudgetError();
+
+// A request whose attempt failed when the retry budget was exhausted.
+RoutingError deniedRetryError(const AttemptFailure&);
+
 // A request that is quarantined or whose quarantine is pending.
 RoutingError quarantineError(const QuarantineStatus&);
 
--- a/Source/Routing/RequestCoordinator.cpp
+++ b/Source/Routing/RequestCoordinator.cpp
@@ -1,20 +1,20 @@
 #include "Routing/RequestCoordinator.h"
 
-#include "Observability/Log.h"
 #include "Routing/Commands/AdvanceStream.h"
 #include "Routing/Commands/ChargeRetryBudget.h"
 #include "Routing/Commands/RecordCrash.h"
-#include "Routing/Events.h"
+#include "Routing/Queries/DelayNextRound.h"
 #include "Routing/Queries/DescribeFailure.h"
 #include "Routing/Queries/FindQuarantine.h"
 #include "Routing/Queries/FindResumePoint.h"
 #include "Routing/Queries/MakeAdmissionRequest.h"
-#include "Routing/Queries/SelectTarget.h"
+#include "Routing/Queries/MakeRetryInput.h"
+#include "Routing/Queries/ReadResolution.h"
+#include "Routing/Queries/SelectNextTarget.h"
 #include "Streaming/Commands/ChargeStream.h"
 
 namespace Lavenderloft::Routing {
 
-using Observability::logEvent;
 using Queries::FailureKind;
 using Queries::RetryDecision;
 using namespace std::chrono_literals;
@@ -24,12 +24,6 @@
     // Backoff of a target after its stream broke.
     constexpr auto disconnectBackoff = 1000ms;
 
-    // Delay between two rounds of attempts for a hazard message.
-    constexpr auto hazardRetryInterval = 50ms;
-
-    // Delay between two rounds of attempts to resume a response.
-    constexpr auto resumeRetryInterval = 200ms;
-
     // Delay before a response interrupted by an engine crash is resumed. A request that crashes its engine before
     // the first token is retried at once; if the interrupted requests ran next to it again, a second crash could
     // not tell them apart.
@@ -66,42 +60,39 @@
     : m_contextOwner(std::move(context))
     , m_context(*m_contextOwner)
     , m_request(std::move(request))
+    , m_log(m_request, m_context.metrics)
     , m_writer(std::move(writer))
     , m_forwarder(std::make_shared<ResponseForwarder>(m_contextOwner, m_request.id, m_writer))
-    , m_startedAt(m_context.clock.now())
+    , m_state(m_context, m_request.fingerprint)
+    , m_ending(m_context, m_request, m_log, m_state, *m_forwarder, *m_writer)
 {
 }
 
 void RequestCoordinator::start()
 {
     Commands::creditRequest(m_context.retryBudget);
-    auto charged = Streaming::Commands::chargeStream(m_context.requestBudget, m_request.id, m_request.message.body.size(), m_startedAt);
+    auto charged = Streaming::Commands::chargeStream(m_context.requestBudget, m_request.id, m_request.message.body.size(), m_state.startedAt);
     m_context.running.set(m_request.id, shared_from_this());
-    Lock lock(m_lock);
+    Lock lock(m_state.lock);
     if (!Base::succeeded(charged))
-        return fail(std::move(lock), { ErrorCode::AtLimit, "the requests in flight at this router have reached streamBudgetBytes", "retry after retryAfterMs", Outcome::NotRun, defaultRetryAfter });
+        return m_ending.fail(std::move(lock), Queries::requestBudgetError());
     lock.unlock();
     m_forwarder->open([weak = weak_from_this()] {
         if (auto self = weak.lock())
-            self->beginAttempt(Lock(self->m_lock));
+            self->beginAttempt(Lock(self->m_state.lock));
     });
 }
 
 void RequestCoordinator::beginAttempt(Lock lock)
 {
-    if (m_state == State::Ended)
+    if (m_state.hasEnded())
         return;
     auto now = m_context.clock.now();
     if (now >= m_request.deadline)
-        return fail(std::move(lock), Queries::deadlineError("the deadline passed before a target accepted the request"));
+        return m_ending.fail(std::move(lock), Queries::deadlineError("the deadline passed before a target accepted the request"));
     if (auto status = Queries::findQuarantine(m_context.quarantine, m_request.fingerprint, now); status.state != QuarantineState::Free)
         return failQuarantined(std::move(lock), status);
-    auto digest = m_responseStarted ? m_head.weightsDigest : std::string();
-    auto selection = Queries::selectTarget(m_context.targets, m_request, m_tried, m_context.policy, m_context.random, now, digest);
-    // If no other target is left, a target whose stream broke may be tried again, but not one that refused. A
-    // response that has started waits for another target instead.
-    if (!selection.target && !m_responseStarted)
-        selection = Queries::selectTarget(m_context.targets, m_request, m_refused, m_context.policy, m_context.random, now, digest);
+    auto selection = Queries::selectNextTarget(m_context.targets, m_request, m_state.history, m_state.response, m_context.policy, m_context.random, now);
     if (!selection.target)
         return retryLaterOrFail(std::move(lock), Queries::noTargetError(m_request, selection.reason));
     openAttempt(std::move(lock), std::move(selection.target), selection.reason);
@@ -110,91 +101,75 @@
 void RequestCoordinator::failQuarantined(Lock lock, const QuarantineStatus& status)
 {
     bool isPending = status.state == QuarantineState::Pending;
-    logEvent(isPending ? requestHeld : requestQuarantined, { { "request", m_request.id }, { "fingerprint", m_request.fingerprint } });
-    if (isPending && m_responseStarted)
+    m_log.quarantined(isPending);
+    if (isPending && m_state.response.isStarted)
         return scheduleAttempt(std::move(lock), status.pendingFor, "crash reports of other routers are not complete");
-    fail(std::move(lock), Queries::quarantineError(status));
+    m_ending.fail(std::move(lock), Queries::quarantineError(status));
 }
 
 void RequestCoordinator::openAttempt(Lock lock, std::shared_ptr<Target> target, std::string_view reason)
 {
-    m_state = State::Admitting;
-    ++m_attempts;
-    m_target = std::move(target);
-    m_target->attemptStarted();
-    m_tried.push_back(m_target);
-    m_attemptId = m_context.random.nextIdentifier();
+    m_state.phase = Phase::Admitting;
+    ++m_state.history.round.attempts;
+    m_state.history.round.tried.push_back(target);
+    auto attemptId = m_context.random.nextIdentifier();
     // The response must come from the weights that this target serves. A resumed one must come from the same
     // weights as its first part.
-    auto weightsDigest = m_responseStarted ? m_head.weightsDigest : m_target->servingDigest();
-    m_matcher = ResponseMatcher(m_attemptId, weightsDigest, m_request.adapter);
-    auto admission = Queries::makeAdmissionRequest(m_request, m_attemptId, weightsDigest, m_context.clock.now());
-    if (m_responseStarted) {
-        admission.resumeFromToken = m_position.tokens;
-        m_matcher.requireResume(m_position.tokens, m_head.status);
-        Commands::resumeStream(m_position);
-    }
-    m_channel = m_context.channels.channelTo(m_target->address());
-    m_attempt = m_channel->open(admission, std::make_shared<AttemptSink>(shared_from_this(), m_attemptId));
-    auto attempt = m_attempt;
-    if (Observability::isLogged(attemptRouted))
-        logEvent(attemptRouted, { { "request", m_request.id }, { "destination", m_request.destination }, { "target", m_target->vm() }, { "attempt", m_attempts }, { "reason", reason } });
+    auto weightsDigest = m_state.response.isStarted ? m_state.response.head.weightsDigest : target->servingDigest();
+    ResponseMatcher matcher(attemptId, weightsDigest, m_request.adapter);
+    auto admission = Queries::makeAdmissionRequest(m_request, attemptId, weightsDigest, m_context.clock.now());
+    if (m_state.response.isStarted)
+        prepareResume(admission, matcher);
+    auto attempt = m_state.attempt.open(std::move(target), admission, std::move(matcher), std::make_shared<AttemptSink>(shared_from_this(), attemptId));
+    m_log.attemptRouted(*m_state.attempt.target(), m_state.history.round.attempts, reason);
     lock.unlock();
     attempt->start();
 }
 
-bool RequestCoordinator::isCurrent(const std::string& attemptId) const
-{
-    return m_attempt && m_attemptId == attemptId && (m_state == State::Admitting || m_state == State::Running);
-}
-
-void RequestCoordinator::dropFrame(const char* frame)
+void RequestCoordinator::prepareResume(AdmissionRequest& admission, ResponseMatcher& matcher)
 {
-    m_context.metrics.count("frames_dropped_total", { { "frame", frame } });
-    logEvent(frameDropped, { { "request", m_request.id }, { "frame", frame } });
+    admission.resumeFromToken = m_state.response.position.tokens;
+    matcher.requireResume(m_state.response.position.tokens, m_state.response.head.status);
+    Commands::resumeStream(m_state.response.position);
 }
 
 void RequestCoordinator::permitted(const std::string& attemptId, const Permit& permit)
 {
-    Lock lock(m_lock);
-    if (!isCurrent(attemptId) || m_state != State::Admitting)
-        return dropFrame("permit");
-    m_state = State::Running;
-    m_permit = permit;
-    Commands::recordRunStart(m_context.quarantine, m_target->vm(), m_request.fingerprint);
-    auto attempt = m_attempt;
+    Lock lock(m_state.lock);
+    if (!isCurrent(attemptId) || m_state.phase != Phase::Admitting)
+        return m_log.frameDropped("permit");
+    m_state.phase = Phase::Running;
+    auto attempt = m_state.attempt.permit(permit);
     lock.unlock();
     attempt->send(permit.id, m_request.message);
 }
 
 void RequestCoordinator::refused(const std::string& attemptId, const Refusal& refusal)
 {
-    Lock lock(m_lock);
+    Lock lock(m_state.lock);
     if (!isCurrent(attemptId))
-        return dropFrame("refusal");
-    logEvent(attemptRefused, { { "request", m_request.id }, { "target", m_target->vm() }, { "message", refusal.message } });
-    m_context.metrics.count("attempts_refused_total", { { "destination", m_request.destination } });
-    m_target->setBackoffUntil(m_context.clock.now() + Queries::backoffAfter(refusal));
-    m_refused.push_back(m_target);
+        return m_log.frameDropped("refusal");
+    m_log.attemptRefused(*m_state.attempt.target(), refusal);
+    m_state.attempt.target()->setBackoffUntil(m_context.clock.now() + Queries::backoffAfter(refusal));
+    m_state.history.round.refused.push_back(m_state.attempt.target());
     if (refusal.kind == RefusalKind::AtLimit)
-        ++m_loadRefusals;
+        ++m_state.history.round.loadRefusals;
     releaseAttempt();
     attemptFailed(std::move(lock), Queries::refusalFailure(refusal, m_request.keyFromCaller));
 }
 
 void RequestCoordinator::head(const std::string& attemptId, ResponseHead head)
 {
-    Lock lock(m_lock);
+    Lock lock(m_state.lock);
     if (!isCurrent(attemptId))
-        return dropFrame("head");
-    auto verdict = m_matcher.head(head);
+        return m_log.frameDropped("head");
+    auto verdict = m_state.attempt.matcher().head(head);
     if (verdict == FrameVerdict::Drop)
-        return dropFrame("head");
+        return m_log.frameDropped("head");
     if (verdict == FrameVerdict::Invalid)
-        return rejectResponse(std::move(lock), m_responseStarted ? "the target did not resume the response at the requested token" : "the response comes from different weights or another adapter than requested");
-    // The head is sent together with the first byte of the body, so that a failure before that can be retried.
-    if (!m_responseStarted)
-        m_head = std::move(head);
+        return rejectResponse(std::move(lock), m_state.response.isStarted ? "the target did not resume the response at the requested token" : "the response comes from different weights or another adapter than requested");
+    if (!m_state.response.isStarted)
+        m_state.response.head = std::move(head);
 }
 
 void RequestCoordinator::rejectResponse(Lock lock, const std::string& reason)
@@ -209,46 +184,46 @@
 
 void RequestCoordinator::data(const std::string& attemptId, ResponseData data, std::function<void()> resume)
 {
-    Lock lock(m_lock);
-    auto verdict = isCurrent(attemptId) ? m_matcher.data(data) : FrameVerdict::Drop;
+    Lock lock(m_state.lock);
+    auto verdict = isCurrent(attemptId) ? m_state.attempt.matcher().data(data) : FrameVerdict::Drop;
     if (verdict == FrameVerdict::Drop) {
-        dropFrame("data");
+        m_log.frameDropped("data");
         lock.unlock();
         return resume();
     }
     if (verdict == FrameVerdict::Invalid)
         return rejectResponse(std::move(lock), "received response data before the response head");
     if (m_request.kind == DesiredState::RouteKind::ToPool) {
-        if (auto advanced = Commands::advanceStream(m_position, data.bytes); !Base::succeeded(advanced))
-            return abortResponse(std::move(lock), Base::errorOf(advanced).message);
+        if (auto advanced = Commands::advanceStream(m_state.response.position, data.bytes); !Base::succeeded(advanced))
+            return m_ending.abort(std::move(lock), Base::errorOf(advanced).message);
     }
-    if (m_callerDisconnected || data.bytes.empty()) {
+    if (m_state.callerDisconnected || data.bytes.empty()) {
         lock.unlock();
         return resume();
     }
-    bool isFirst = !std::exchange(m_responseStarted, true);
+    bool isFirst = !std::exchange(m_state.response.isStarted, true);
     lock.unlock();
     if (isFirst)
-        m_writer->head(m_request.id, m_head);
+        m_writer->head(m_request.id, m_state.response.head);
     m_forwarder->forward(std::move(data.bytes), std::move(resume));
 }
 
 void RequestCoordinator::ended(const std::string& attemptId, const ResponseEnd& end)
 {
-    Lock lock(m_lock);
+    Lock lock(m_state.lock);
     if (!isCurrent(attemptId))
-        return dropFrame("end");
-    auto verdict = m_matcher.end(end);
+        return m_log.frameDropped("end");
+    auto verdict = m_state.attempt.matcher().end(end);
     if (verdict == FrameVerdict::Drop)
-        return dropFrame("end");
+        return m_log.frameDropped("end");
     if (end.engineCrashed)
         recordEngineCrash();
     bool isComplete = verdict == FrameVerdict::Accept && end.kind == EndKind::Complete;
-    if (isComplete && Queries::isOverlapConsumed(m_position))
-        return completeResponse(std::move(lock));
+    if (isComplete && Queries::isOverlapConsumed(m_state.response.position))
+        return m_ending.complete(std::move(lock));
     // A frame was lost or duplicated, or the resumed response is shorter than the part already sent.
-    if (m_responseStarted && (isComplete || verdict == FrameVerdict::Invalid))
-        return abortResponse(std::move(lock), "the length of the response does not match its end frame");
+    if (m_state.response.isStarted && (isComplete || verdict == FrameVerdict::Invalid))
+        return m_ending.abort(std::move(lock), "the length of the response does not match its end frame");
     recordBrokenAttempt(verdict == FrameVerdict::Invalid ? "the length of the response does not match its end frame" : end.message);
     releaseAttempt();
     attemptFailed(std::move(lock), Queries::incompleteResponseFailure(end));
@@ -256,79 +231,66 @@
 
 void RequestCoordinator::closed(const std::string& attemptId, const std::string& reason)
 {
-    Lock lock(m_lock);
+    Lock lock(m_state.lock);
     if (!isCurrent(attemptId))
         return;
     recordBrokenAttempt(reason);
-    m_target->setBackoffUntil(m_context.clock.now() + disconnectBackoff);
-    auto failed = Queries::connectionFailure(isSent(), m_request.repeatable);
+    m_state.attempt.target()->setBackoffUntil(m_context.clock.now() + disconnectBackoff);
+    auto failed = Queries::connectionFailure(m_state.attempt.isSent(), m_request.repeatable);
     releaseAttempt();
     attemptFailed(std::move(lock), failed);
 }
 
 void RequestCoordinator::loadReported(const std::string& attemptId, const Membership::TargetLoad& load)
 {
-    Lock lock(m_lock);
-    if (m_target && m_attemptId == attemptId)
-        m_target->setLoad(load);
+    Lock lock(m_state.lock);
+    if (m_state.attempt.hasId(attemptId))
+        m_state.attempt.target()->setLoad(load);
 }
 
 void RequestCoordinator::attemptFailed(Lock lock, const AttemptFailure& failed)
 {
-    if (m_state == State::Ended)
+    if (m_state.hasEnded())
         return;
-    Queries::RetryInput input;
-    input.failure = failed.kind;
-    input.repeatable = m_request.repeatable && !m_callerDisconnected;
-    input.responseStarted = m_responseStarted;
-    input.isResumable = Queries::findResumePoint(m_request, m_head, m_position).has_value();
-    input.resumes = m_resumes;
-    input.mayHaveRun = m_mayHaveRun;
-    input.attempts = m_attempts;
-    input.brokenAttempts = m_brokenAttempts;
-    input.loadRefusals = m_loadRefusals;
-    input.priorityClass = m_request.priorityClass;
+    auto input = Queries::makeRetryInput(failed.kind, m_request, m_state.history, m_state.response, m_state.callerDisconnected);
     switch (Queries::decideRetry(input)) {
     case RetryDecision::RetryUncharged:
         return retry(std::move(lock), failed, false);
     case RetryDecision::RetryCharged:
         return retry(std::move(lock), failed, true);
     case RetryDecision::WaitForTarget:
-        return startNewRound(std::move(lock), resumeRetryInterval, failed.error.message);
+        return startNewRound(std::move(lock), Queries::resumeRetryInterval, failed.error.message);
     case RetryDecision::ResolveOutcome:
         return resolve(std::move(lock));
     case RetryDecision::FailNotRun:
-        return failed.kind == FailureKind::RefusedPermanently ? fail(std::move(lock), failed.error) : retryLaterOrFail(std::move(lock), failed.error);
+        return failed.kind == FailureKind::RefusedPermanently ? m_ending.fail(std::move(lock), failed.error) : retryLaterOrFail(std::move(lock), failed.error);
     case RetryDecision::FailUnknown:
-        m_mayHaveRun = true;
-        return fail(std::move(lock), failed.error);
+        m_state.history.mayHaveRun = true;
+        return m_ending.fail(std::move(lock), failed.error);
     case RetryDecision::AbortResponse:
-        return abortResponse(std::move(lock), failed.error.message);
+        return m_ending.abort(std::move(lock), failed.error.message);
     }
 }
 
 void RequestCoordinator::retry(Lock lock, const AttemptFailure& failed, bool fromBudget)
 {
     if (failed.kind == FailureKind::DisconnectedAfterSend || failed.kind == FailureKind::Failed)
-        m_mayHaveRun = true;
+        m_state.history.mayHaveRun = true;
     if (fromBudget && !Base::succeeded(Commands::chargeRetry(m_context.retryBudget))) {
-        m_context.metrics.count("retries_denied_total");
-        if (failed.kind == FailureKind::RefusedForLoad)
-            return fail(std::move(lock), failed.error);
-        return fail(std::move(lock), { ErrorCode::RetryBudgetSpent, failed.error.message + "; the retry budget is exhausted", "retry later", Outcome::NotRun, defaultRetryAfter });
+        m_log.retryDenied();
+        return m_ending.fail(std::move(lock), Queries::deniedRetryError(failed));
     }
-    m_context.metrics.count("retries_total", { { "paid", fromBudget ? "true" : "false" } });
-    if (fromBudget && m_responseStarted)
+    m_log.retryCounted(fromBudget);
+    if (fromBudget && m_state.response.isStarted)
         return resumeResponse(std::move(lock), failed);
-    logEvent(attemptRetried, { { "request", m_request.id }, { "reason", failed.error.message } });
+    m_log.retried(failed.error.message);
     beginAttempt(std::move(lock));
 }
 
 void RequestCoordinator::resumeResponse(Lock lock, const AttemptFailure& failed)
 {
-    ++m_resumes;
-    m_context.metrics.count("answers_resumed_total", { { "destination", m_request.destination } });
-    logEvent(answerResumed, { { "request", m_request.id }, { "token", m_position.tokens }, { "resumes", m_resumes }, { "reason", failed.error.message } });
+    ++m_state.history.resumes;
+    m_log.resumed(m_state.response.position.tokens, m_state.history.resumes, failed.error.message);
     if (failed.engineCrashed)
         return scheduleAttempt(std::move(lock), crashRetryDelay, failed.error.message);
     beginAttempt(std::move(lock));
@@ -336,10 +298,10 @@
 
 void RequestCoordinator::resolve(Lock lock)
 {
-    m_state = State::Resolving;
-    auto channel = m_channel;
-    auto attemptId = m_attemptId;
-    auto permit = m_permit;
+    m_state.phase = Phase::Resolving;
+    auto channel = m_state.attempt.channel();
+    auto attemptId = m_state.attempt.id();
+    auto permit = m_state.attempt.grantedPermit();
     lock.unlock();
     channel->resolve(attemptId, permit, resolveTimeout, [self = shared_from_this(), attemptId](const Resolution& resolution) {
         self->resolved(attemptId, resolution);
@@ -348,60 +310,51 @@
 
 void RequestCoordinator::resolved(const std::string& attemptId, const Resolution& resolution)
 {
-    Lock lock(m_lock);
-    if (m_state != State::Resolving || m_attemptId != attemptId)
+    Lock lock(m_state.lock);
+    if (m_state.phase != Phase::Resolving || !m_state.attempt.hasId(attemptId))
         return;
-    // An agent that has restarted has no record of the attempt.
-    bool isSameAgent = resolution.agentIncarnation == m_permit.agentIncarnation;
-    auto outcome = isSameAgent ? resolution.outcome : AttemptOutcome::Unknown;
-    logEvent(attemptResolved, { { "request", m_request.id }, { "target", m_target->vm() }, { "notRun", outcome == AttemptOutcome::NotRun }, { "sameAgent", isSameAgent } });
-    if (outcome == AttemptOutcome::NotRun)
-        return attemptFailed(std::move(lock), { FailureKind::NotRun, { ErrorCode::NotRun, "the connection to the target was lost and the permit was revoked", "retry", Outcome::NotRun, defaultRetryAfter } });
-    m_mayHaveRun = true;
-    RoutingError error { ErrorCode::OutcomeUnknown, "the connection to the target was lost after the request was sent", "check whether the call took effect, or send it again with Idempotency-Key: " + m_request.key, Outcome::Unknown, defaultRetryAfter };
-    if (outcome == AttemptOutcome::Complete)
-        error.outcome = Outcome::Complete;
-    fail(std::move(lock), std::move(error));
+    auto outcome = Queries::outcomeOf(resolution, m_state.attempt.grantedPermit());
+    bool isNotRun = outcome == AttemptOutcome::NotRun;
+    m_log.attemptResolved(*m_state.attempt.target(), isNotRun, Queries::isFromSameAgent(resolution, m_state.attempt.grantedPermit()));
+    if (isNotRun)
+        return attemptFailed(std::move(lock), Queries::revokedFailure());
+    m_state.history.mayHaveRun = true;
+    m_ending.fail(std::move(lock), Queries::resolvedError(outcome, m_request));
 }
 
 void RequestCoordinator::retryLaterOrFail(Lock lock, const RoutingError& error)
 {
-    Base::Duration delay = m_responseStarted ? resumeRetryInterval : hazardRetryInterval;
-    bool canWait = (m_responseStarted || m_request.priorityClass == DesiredState::PriorityClass::Hazard) && !m_callerDisconnected && m_context.clock.now() + delay < m_request.deadline;
-    if (!canWait)
-        return fail(std::move(lock), error);
-    startNewRound(std::move(lock), delay, error.message);
+    auto delay = Queries::delayNextRound(m_request, m_state.response.isStarted, m_state.callerDisconnected, m_context.clock.now());
+    if (!delay)
+        return m_ending.fail(std::move(lock), error);
+    startNewRound(std::move(lock), *delay, error.message);
 }
 
 void RequestCoordinator::startNewRound(Lock lock, Base::Duration delay, const std::string& reason)
 {
-    m_tried.clear();
-    m_refused.clear();
-    m_attempts = 0;
-    m_brokenAttempts = 0;
-    m_loadRefusals = 0;
+    m_state.history.round = {};
     scheduleAttempt(std::move(lock), delay, reason);
 }
 
 void RequestCoordinator::scheduleAttempt(Lock, Base::Duration delay, const std::string& reason)
 {
-    logEvent(requestWaiting, { { "request", m_request.id }, { "reason", reason } });
-    m_state = State::Waiting;
-    m_nextAttemptAt = m_context.clock.now() + delay;
+    m_log.waiting(reason);
+    m_state.phase = Phase::Waiting;
+    m_state.nextAttemptAt = m_context.clock.now() + delay;
 }
 
 void RequestCoordinator::tick(Base::TimePoint now)
 {
-    Lock lock(m_lock);
-    if (m_state == State::Ended)
+    Lock lock(m_state.lock);
+    if (m_state.hasEnded())
         return;
     if (now >= m_request.deadline) {
-        if (m_responseStarted)
-            return abortResponse(std::move(lock), "the deadline passed");
-        m_mayHaveRun = m_mayHaveRun || isSent() || m_state == State::Resolving;
-        return fail(std::move(lock), Queries::deadlineError("the deadline passed before the response started"));
+        if (m_state.response.isStarted)
+            return m_ending.abort(std::move(lock), "the deadline passed");
+        m_state.history.mayHaveRun = m_state.history.mayHaveRun || m_state.isOutcomeOpen();
+        return m_ending.fail(std::move(lock), Queries::deadlineError("the deadline passed before the response started"));
     }
-    if (m_state == State::Waiting && now >= m_nextAttemptAt && m_nextAttemptAt != Base::TimePoint())
+    if (m_state.phase == Phase::Waiting && now >= m_state.nextAttemptAt && m_state.nextAttemptAt != Base::TimePoint())
         return beginAttempt(std::move(lock));
     lock.unlock();
     // Readers that have become slow in the meantime can now be aborted to free budget.
@@ -410,112 +363,51 @@
 
 void RequestCoordinator::callerDisconnected()
 {
-    Lock lock(m_lock);
-    m_callerDisconnected = true;
+    Lock lock(m_state.lock);
+    m_state.callerDisconnected = true;
     // A call that may not be repeated runs to completion, so that the outcome of its key becomes known.
-    if (m_state == State::Ended || (!m_request.repeatable && m_state != State::Waiting && m_state != State::Admitting))
+    if (m_state.hasEnded() || (!m_request.repeatable && m_state.phase != Phase::Waiting && m_state.phase != Phase::Admitting))
         return;
-    auto attempt = finish("caller-gone");
-    lock.unlock();
-    if (attempt)
-        attempt->cancel();
-    m_writer->abort();
+    m_ending.callerGone(std::move(lock));
 }
 
 void RequestCoordinator::abortSlowReader()
 {
-    Lock lock(m_lock);
-    if (m_state == State::Ended)
+    Lock lock(m_state.lock);
+    if (m_state.hasEnded())
         return;
-    logEvent(slowReaderCut, { { "request", m_request.id }, { "sent", m_matcher.receivedBytes() } });
-    m_context.metrics.count("slow_readers_cut_total");
+    m_log.slowReaderAborted(m_state.attempt.matcher().receivedBytes());
     ++m_context.byteBudget.abortedStreams();
-    abortResponse(std::move(lock), "slow_reader");
+    m_ending.abort(std::move(lock), "slow_reader");
 }
 
 void RequestCoordinator::abandon()
 {
-    Lock lock(m_lock);
-    if (m_state != State::Ended)
-        abortResponse(std::move(lock), "the router stopped");
-}
-
-void RequestCoordinator::fail(Lock lock, RoutingError error)
-{
-    if (m_responseStarted)
-        return abortResponse(std::move(lock), error.message);
-    if (m_mayHaveRun && error.outcome == Outcome::NotRun)
-        error.outcome = Outcome::Unknown;
-    logEvent(requestFailed, { { "request", m_request.id }, { "code", codeName(error.code) }, { "outcome", outcomeName(error.outcome) }, { "reason", error.message } });
-    m_context.metrics.count("errors_total", { { "code", std::string(codeName(error.code)) }, { "outcome", std::string(outcomeName(error.outcome)) } });
-    auto attempt = finish("failed");
-    lock.unlock();
-    if (attempt)
-        attempt->cancel();
-    m_writer->reject(m_request.id, error);
-}
-
-void RequestCoordinator::abortResponse(Lock lock, const std::string& reason)
-{
-    logEvent(requestCut, { { "request", m_request.id }, { "reason", reason } });
-    auto attempt = finish("cut");
-    lock.unlock();
-    if (attempt)
-        attempt->cancel();
-    m_writer->abort();
-}
-
-void RequestCoordinator::completeResponse(Lock lock)
-{
-    bool isFirst = !std::exchange(m_responseStarted, true);
-    bool callerDisconnected = m_callerDisconnected;
-    finish("complete");
-    lock.unlock();
-    if (callerDisconnected)
-        return m_writer->abort();
-    if (isFirst)
-        m_writer->head(m_request.id, m_head);
-    m_writer->complete();
-    Streaming::Commands::resumeWaitingStream(m_context.byteBudget);
+    Lock lock(m_state.lock);
+    if (!m_state.hasEnded())
+        m_ending.abort(std::move(lock), "the router stopped");
 }
 
 std::shared_ptr<Attempt> RequestCoordinator::releaseAttempt()
 {
-    if (!m_attempt)
+    auto attempt = m_state.attempt.release();
+    if (!attempt)
         return nullptr;
-    if (isSent())
-        Commands::recordRunEnd(m_context.quarantine, m_target->vm(), m_request.fingerprint);
-    m_target->attemptEnded();
-    m_state = State::Waiting;
-    m_nextAttemptAt = {};
-    return std::exchange(m_attempt, nullptr);
-}
-
-std::shared_ptr<Attempt> RequestCoordinator::finish(const char* result)
-{
-    auto attempt = releaseAttempt();
-    m_state = State::Ended;
-    m_forwarder->close();
-    Streaming::Commands::releaseStream(m_context.requestBudget, m_request.id);
-    m_context.running.erase(m_request.id);
-    m_context.metrics.count("requests_total", { { "destination", m_request.destination }, { "result", result } });
-    std::chrono::duration<double> seconds = m_context.clock.now() - m_startedAt;
-    m_context.metrics.observe("request_seconds", { { "destination", m_request.destination } }, seconds.count());
+    m_state.phase = Phase::Waiting;
+    m_state.nextAttemptAt = {};
     return attempt;
 }
 
 void RequestCoordinator::recordEngineCrash()
 {
-    Commands::recordCrash(m_context.quarantine, m_target->vm(), m_request.fingerprint, m_context.clock.now());
-    logEvent(crashRecorded, { { "request", m_request.id }, { "target", m_target->vm() }, { "fingerprint", m_request.fingerprint } });
-    m_context.metrics.count("engine_crashes_seen_total");
+    Commands::recordCrash(m_context.quarantine, m_state.attempt.target()->vm(), m_request.fingerprint, m_context.clock.now());
+    m_log.engineCrashed(*m_state.attempt.target());
 }
 
 void RequestCoordinator::recordBrokenAttempt(const std::string& reason)
 {
-    ++m_brokenAttempts;
-    logEvent(attemptBroken, { { "request", m_request.id }, { "target", m_target->vm() }, { "sent", isSent() }, { "reason", reason } });
-    m_context.metrics.count("attempts_broken_total", { { "destination", m_request.destination } });
+    ++m_state.history.round.brokenAttempts;
+    m_log.attemptBroken(*m_state.attempt.target(), m_state.attempt.isSent(), reason);
 }
 
 } // namespace Lavenderloft::Routing
--- a/Source/Routing/RequestCoordinator.h
+++ b/Source/Routing/RequestCoordinator.h
@@ -1,10 +1,11 @@
 #pragma once
 
 #include "Routing/AttemptFailure.h"
+#include "Routing/RequestEnding.h"
+#include "Routing/RequestLog.h"
+#include "Routing/RequestState.h"
 #include "Routing/ResponseForwarder.h"
-#include "Routing/ResponseMatcher.h"
 #include "Routing/RoutingContext.h"
-#include "Routing/StreamPosition.h"
 
 #include <functional>
 #include <memory>
@@ -36,19 +37,10 @@
 private:
     class AttemptSink;
 
-    enum class State {
-        // Between two attempts.
-        Waiting,
-        Admitting,
-        // The request was sent.
-        Running,
-        // The stream broke, and the agent was asked for the outcome.
-        Resolving,
-        Ended,
-    };
-
-    using Lock = std::unique_lock<std::mutex>;
+    using Lock = RequestState::Lock;
+    using Phase = RequestState::Phase;
 
+    // Events of the attempt with the ID.
     void permitted(const std::string& attemptId, const Permit&);
     void refused(const std::string& attemptId, const Refusal&);
     void head(const std::string& attemptId, ResponseHead);
@@ -71,55 +63,23 @@
     // Clears the list of targets tried and schedules an attempt.
     void startNewRound(Lock, Base::Duration delay, const std::string& reason);
     void scheduleAttempt(Lock, Base::Duration delay, const std::string& reason);
-    void fail(Lock, RoutingError);
-    void abortResponse(Lock, const std::string& reason);
-    void completeResponse(Lock);
 
-    bool isCurrent(const std::string& attemptId) const;
-    bool isSent() const { return m_state == State::Running; }
+    bool isCurrent(const std::string& attemptId) const { return m_state.attempt.isOpen() && m_state.attempt.hasId(attemptId); }
+    void prepareResume(AdmissionRequest&, ResponseMatcher&);
     void recordEngineCrash();
     void recordBrokenAttempt(const std::string& reason);
 
     // Detaches the current attempt and returns it, so that it can be cancelled after unlocking.
     std::shared_ptr<Attempt> releaseAttempt();
 
-    // Ends the request. Returns the attempt to cancel, if any.
-    std::shared_ptr<Attempt> finish(const char* result);
-
-    void dropFrame(const char* frame);
-
     const std::shared_ptr<RoutingContext> m_contextOwner;
     RoutingContext& m_context;
     const LiveRequest m_request;
+    const RequestLog m_log;
     const std::shared_ptr<ResponseWriter> m_writer;
     const std::shared_ptr<ResponseForwarder> m_forwarder;
-    const Base::TimePoint m_startedAt;
-
-    std::mutex m_lock;
-    State m_state = State::Waiting;
-    Base::TimePoint m_nextAttemptAt;
-    Targets m_tried;
-    // Subset of m_tried.
-    Targets m_refused;
-    unsigned m_attempts = 0;
-    unsigned m_brokenAttempts = 0;
-    unsigned m_loadRefusals = 0;
-    unsigned m_resumes = 0;
-    bool m_mayHaveRun = false;
-    bool m_responseStarted = false;
-    bool m_callerDisconnected = false;
-
-    // The current attempt.
-    std::string m_attemptId;
-    std::shared_ptr<Target> m_target;
-    std::shared_ptr<TargetChannel> m_channel;
-    std::shared_ptr<Attempt> m_attempt;
-    Permit m_permit;
-    ResponseMatcher m_matcher;
-
-    // Head of the response and the position up to which it was forwarded.
-    ResponseHead m_head;
-    StreamPosition m_position;
+    RequestState m_state;
+    RequestEnding m_ending;
 };
 
 } // namespace Lavenderloft::Routing
