Separate the sequence of a request's attempts from the receipt of their events

Cause: RequestCoordinator still both received frames and decided what follows a failed attempt. Change: AttemptSequence begins attempts and decides what follows a failed one; RequestCoordinator receives the events of attempts, caller and timer, and makes the receivers of events through the interface AttemptOwner. The code moved without changes other than the parameter name failure.

--- a/Source/Routing/RequestCoordinator.h
+++ b/Source/Routing/RequestCoordinator.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Routing/AttemptFailure.h"
+#include "Routing/AttemptSequence.h"
 #include "Routing/RequestEnding.h"
 #include "Routing/RequestLog.h"
 #include "Routing/RequestState.h"
@@ -14,9 +14,9 @@
 namespace Lavenderloft::Routing {
 
 // Routes one request to a target and the response back to the caller. A state machine driven by the events of
-// the current attempt, the caller's disconnection and a timer. Thread-safe; no lock is held during calls to
-// channels and writers.
-class RequestCoordinator final : public std::enable_shared_from_this<RequestCoordinator> {
+// the current attempt, the caller's disconnection and a timer, which it passes to the parts that continue or end
+// the request. Thread-safe; no lock is held during calls to channels and writers.
+class RequestCoordinator final : public std::enable_shared_from_this<RequestCoordinator>, private AttemptOwner {
 public:
     RequestCoordinator(std::shared_ptr<RoutingContext>, LiveRequest, std::shared_ptr<ResponseWriter>);
 
@@ -40,6 +40,9 @@
     using Lock = RequestState::Lock;
     using Phase = RequestState::Phase;
 
+    std::shared_ptr<AttemptEvents> makeEvents(const std::string& attemptId) override;
+    std::function<void(Resolution)> makeResolutionHandler(const std::string& attemptId) override;
+
     // Events of the attempt with the ID.
     void permitted(const std::string& attemptId, const Permit&);
     void refused(const std::string& attemptId, const Refusal&);
@@ -50,28 +53,13 @@
     void loadReported(const std::string& attemptId, const Membership::TargetLoad&);
     void resolved(const std::string& attemptId, const Resolution&);
 
-    // Called with the lock held. They release it before calling channels, attempts or the writer.
-    void beginAttempt(Lock);
-    void failQuarantined(Lock, const QuarantineStatus&);
-    void openAttempt(Lock, std::shared_ptr<Target>, std::string_view reason);
-    void attemptFailed(Lock, const AttemptFailure&);
-    void retry(Lock, const AttemptFailure&, bool fromBudget);
-    void resumeResponse(Lock, const AttemptFailure&);
+    // Called with the lock held. Releases it before calling the attempt.
     void rejectResponse(Lock, const std::string& reason);
-    void resolve(Lock);
-    void retryLaterOrFail(Lock, const RoutingError&);
-    // Clears the list of targets tried and schedules an attempt.
-    void startNewRound(Lock, Base::Duration delay, const std::string& reason);
-    void scheduleAttempt(Lock, Base::Duration delay, const std::string& reason);
 
     bool isCurrent(const std::string& attemptId) const { return m_state.attempt.isOpen() && m_state.attempt.hasId(attemptId); }
-    void prepareResume(AdmissionRequest&, ResponseMatcher&);
     void recordEngineCrash();
     void recordBrokenAttempt(const std::string& reason);
 
-    // Detaches the current attempt and returns it, so that it can be cancelled after unlocking.
-    std::shared_ptr<Attempt> releaseAttempt();
-
     const std::shared_ptr<RoutingContext> m_contextOwner;
     RoutingContext& m_context;
     const LiveRequest m_request;
@@ -80,6 +68,7 @@
     const std::shared_ptr<ResponseForwarder> m_forwarder;
     RequestState m_state;
     RequestEnding m_ending;
+    AttemptSequence m_attempts;
 };
 
 } // namespace Lavenderloft::Routing
--- a/Source/Routing/RequestState.h
+++ b/Source/Routing/RequestState.h
@@ -35,6 +35,18 @@
     // Whether the attempt may have run, whatever its target reports.
     bool isOutcomeOpen() const { return attempt.isSent() || phase == Phase::Resolving; }
 
+    // Closes the current attempt and waits for the next one, which is not scheduled yet. Returns the attempt, so that it
+    // can be cancelled without the lock; null if none is open.
+    std::shared_ptr<Attempt> releaseAttempt()
+    {
+        auto released = attempt.release();
+        if (released) {
+            phase = Phase::Waiting;
+            nextAttemptAt = {};
+        }
+        return released;
+    }
+
     const Base::TimePoint startedAt;
     std::mutex lock;
     Phase phase = Phase::Waiting;
