--- a/Source/Routing/RequestCoordinator.h
+++ b/Source/Routing/RequestCoordinator.h
@@ -1,10 +1,11 @@
 #pragma once
 
-#include "Routing/AttemptFailure.h"
+#include "Routing/AttemptSequence.h"
+#include "Routing/RequestEnding.h"
+#include "Routing/RequestLog.h"
+#include "Routing/RequestState.h"
 #include "Routing/ResponseForwarder.h"
-#include "Routing/ResponseMatcher.h"
 #include "Routing/RoutingContext.h"
-#include "Routing/StreamPosition.h"
 
 #include <functional>
 #include <memory>
@@ -13,9 +14,9 @@
 namespace Lavenderloft::Routing {
 
 // Routes one request to a target and the response back to the caller. A state machine driven by the events of
-// the current attempt, the caller's disconnection and a timer. Thread-safe; no lock is held during calls to
-// channels and writers.
-class RequestCoordinator final : public std::enable_shared_from_this<RequestCoordinator> {
+// the current attempt, the caller's disconnection and a timer, which it passes to the parts that continue or end
+// the request. Thread-safe; no lock is held during calls to channels and writers.
+class RequestCoordinator final : public std::enable_shared_from_this<RequestCoordinator>, private AttemptOwner {
 public:
     RequestCoordinator(std::shared_ptr<RoutingContext>, LiveRequest, std::shared_ptr<ResponseWriter>);
 
@@ -36,19 +37,13 @@
 private:
     class AttemptSink;
 
-    enum class State {
-        // Between two attempts.
-        Waiting,
-        Admitting,
-        // The request was sent.
-        Running,
-        // The stream broke, and the agent was asked for the outcome.
-        Resolving,
-        Ended,
-    };
+    using Lock = RequestState::Lock;
+    using Phase = RequestState::Phase;
 
-    using Lock = std::unique_lock<std::mutex>;
+    std::shared_ptr<AttemptEvents> makeEvents(const std::string& attemptId) override;
+    std::function<void(Resolution)> makeResolutionHandler(const std::string& attemptId) override;
 
+    // Events of the attempt with the ID.
     void permitted(const std::string& attemptId, const Permit&);
     void refused(const std::string& attemptId, const Refusal&);
     void head(const std::string& attemptId, ResponseHead);
@@ -58,68 +53,22 @@
     void loadReported(const std::string& attemptId, const Membership::TargetLoad&);
     void resolved(const std::string& attemptId, const Resolution&);
 
-    // Called with the lock held. They release it before calling channels, attempts or the writer.
-    void beginAttempt(Lock);
-    void failQuarantined(Lock, const QuarantineStatus&);
-    void openAttempt(Lock, std::shared_ptr<Target>, std::string_view reason);
-    void attemptFailed(Lock, const AttemptFailure&);
-    void retry(Lock, const AttemptFailure&, bool fromBudget);
-    void resumeResponse(Lock, const AttemptFailure&);
+    // Called with the lock held. Releases it before calling the attempt.
     void rejectResponse(Lock, const std::string& reason);
-    void resolve(Lock);
-    void retryLaterOrFail(Lock, const RoutingError&);
-    // Clears the list of targets tried and schedules an attempt.
-    void startNewRound(Lock, Base::Duration delay, const std::string& reason);
-    void scheduleAttempt(Lock, Base::Duration delay, const std::string& reason);
-    void fail(Lock, RoutingError);
-    void abortResponse(Lock, const std::string& reason);
-    void completeResponse(Lock);
-
-    bool isCurrent(const std::string& attemptId) const;
-    bool isSent() const { return m_state == State::Running; }
+
+    bool isCurrent(const std::string& attemptId) const { return m_state.attempt.isOpen() && m_state.attempt.hasId(attemptId); }
     void recordEngineCrash();
     void recordBrokenAttempt(const std::string& reason);
 
-    // Detaches the current attempt and returns it, so that it can be cancelled after unlocking.
-    std::shared_ptr<Attempt> releaseAttempt();
-
-    // Ends the request. Returns the attempt to cancel, if any.
-    std::shared_ptr<Attempt> finish(const char* result);
-
-    void dropFrame(const char* frame);
-
     const std::shared_ptr<RoutingContext> m_contextOwner;
     RoutingContext& m_context;
     const LiveRequest m_request;
+    const RequestLog m_log;
     const std::shared_ptr<ResponseWriter> m_writer;
     const std::shared_ptr<ResponseForwarder> m_forwarder;
-    const Base::TimePoint m_startedAt;
-
-    std::mutex m_lock;
-    State m_state = State::Waiting;
-    Base::TimePoint m_nextAttemptAt;
-    Targets m_tried;
-    // Subset of m_tried.
-    Targets m_refused;
-    unsigned m_attempts = 0;
-    unsigned m_brokenAttempts = 0;
-    unsigned m_loadRefusals = 0;
-    unsigned m_resumes = 0;
-    bool m_mayHaveRun = false;
-    bool m_responseStarted = false;
-    bool m_callerDisconnected = false;
-
-    // The current attempt.
-    std::string m_attemptId;
-    std::shared_ptr<Target> m_target;
-    std::shared_ptr<TargetChannel> m_channel;
-    std::shared_ptr<Attempt> m_attempt;
-    Permit m_permit;
-    ResponseMatcher m_matcher;
-
-    // Head of the response and the position up to which it was forwarded.
-    ResponseHead m_head;
-    StreamPosition m_position;
+    RequestState m_state;
+    RequestEnding m_ending;
+    AttemptSequence m_attempts;
 };
 
 } // namespace Lavenderloft::Routing
