Keep no idle connection to the origin of weights

Callers saw most requests refused for up to 16 s after the deadline of new weights, because no engine had loaded them.

Cause: each agent fetches with four loops, and each loop kept its connection to the origin open while it waited for pieces of other agents. The origin accepts 48 connections; 76 agents hold up to 304. After the origin had been down, the agents that were assigned to the last pieces were reset at every attempt, and all others waited for them with the idle connections in their hands. Class of fault: a shared limited resource held while waiting for its other users.

Change: the connection to the origin is closed after each piece.

Measured: StagingNode/keepsNoIdleConnectionToTheOrigin failed before (a connection was still open after 20 s of retries).

--- a/Source/Http/NodeServer.cpp
+++ b/Source/Http/NodeServer.cpp
@@ -89,6 +89,13 @@
 asio::awaitable<void> NodeServer::serve(tcp::socket socket)
 {
     auto self = shared_from_this();
+    ++m_openConnections;
+    co_await answerRequests(std::move(socket));
+    --m_openConnections;
+}
+
+asio::awaitable<void> NodeServer::answerRequests(tcp::socket socket)
+{
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer;
     beast::error_code error;
--- a/Source/Http/NodeServer.h
+++ b/Source/Http/NodeServer.h
@@ -24,15 +24,20 @@
     // Returns the bound port, also if port 0 was requested.
     uint16_t port() const { return m_acceptor.local_endpoint().port(); }
 
+    // Returns the number of connections that are open, idle ones included.
+    size_t openConnections() const { return m_openConnections; }
+
 private:
     NodeServer(boost::asio::io_context&, const Endpoint&, Handler);
 
     boost::asio::awaitable<void> acceptConnections();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket);
+    boost::asio::awaitable<void> answerRequests(boost::asio::ip::tcp::socket);
 
     boost::asio::io_context& m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
     Handler m_handler;
+    size_t m_openConnections = 0;
 };
 
 // Returns an acceptor that listens on the address. Throws std::runtime_error with the address if it cannot be bound.
--- a/Source/Staging/PieceFetcher.cpp
+++ b/Source/Staging/PieceFetcher.cpp
@@ -137,6 +137,9 @@
     auto endpoint = agent ? Http::Endpoint { agent->address, m_context.settings.firstPeerPort } : desired.origin;
     auto& client = clientTo(endpoint, clients);
     auto result = co_await client.call(makeRequest(desired, piece, agent != nullptr), agent ? agentTimeout : StagingContext::originTimeout);
+    // The origin accepts fewer connections than there are agents, so an idle one would shut out another agent.
+    if (!agent)
+        client.disconnect();
     auto outcome = Queries::classifyResponse(result, *m_pieces.checklist(), piece);
     m_sources.recordOutcome(piece, source, outcome, m_context.clock.now());
     if (outcome == SourceOutcome::Delivered)
--- a/Tests/Staging/StagingNodeTest.cpp
+++ b/Tests/Staging/StagingNodeTest.cpp
@@ -73,3 +73,17 @@
     request.target = encodeManifestPath("m", 3);
     cr_assert_eq(staging.node.handleManifestRequest(request).status, 404);
 }
+
+// Guards against agents that wait for a piece and meanwhile keep idle connections to the origin, which then rejects the
+// agents that are assigned to fetch that piece.
+Test(StagingNode, keepsNoIdleConnectionToTheOrigin)
+{
+    TestStaging staging;
+    staging.engine.missingPiece = 3;
+    staging.declare(2);
+    staging.node.start();
+    cr_assert(staging.runUntil([&] { return staging.engine.stored.size() == TestEngine::pieceCount - 1; }));
+    cr_assert(staging.runUntil([&] { return staging.engine.openOriginConnections() == 0; }), "connections stay open between attempts");
+    staging.engine.missingPiece.reset();
+    cr_assert(staging.runUntilLoaded(1));
+}
--- a/Tests/Staging/TestEngine.h
+++ b/Tests/Staging/TestEngine.h
@@ -23,10 +23,8 @@
     static constexpr unsigned layerCount = 16;
 
     explicit TestEngine(boost::asio::io_context& context)
-        : m_server(Http::NodeServer::start(context, { "127.0.0.1", 0 }, [this](Http::HttpRequest request) -> boost::asio::awaitable<Http::HttpResponse> {
-            auto response = respond(request);
-            co_return response;
-        }))
+        : m_server(startServer(context))
+        , m_origin(startServer(context))
     {
         report.startedAt = 100;
     }
@@ -34,6 +32,8 @@
     static std::string contentOf(unsigned piece) { return "content of piece " + std::to_string(piece); }
 
     Http::Endpoint endpoint() const { return { "127.0.0.1", m_server->port() }; }
+    Http::Endpoint origin() const { return { "127.0.0.1", m_origin->port() }; }
+    size_t openOriginConnections() const { return m_origin->openConnections(); }
 
     // The engine loses its weights and its pieces.
     void restart()
@@ -72,8 +72,18 @@
     std::map<unsigned, unsigned> fetches;
     // The first response of the origin for this piece is corrupt.
     std::optional<unsigned> corruptPiece;
+    // The origin does not deliver this piece.
+    std::optional<unsigned> missingPiece;
 
 private:
+    std::shared_ptr<Http::NodeServer> startServer(boost::asio::io_context& context)
+    {
+        return Http::NodeServer::start(context, { "127.0.0.1", 0 }, [this](Http::HttpRequest request) -> boost::asio::awaitable<Http::HttpResponse> {
+            auto response = respond(request);
+            co_return response;
+        });
+    }
+
     static Http::HttpRequest makeRequest(std::string target, std::string body = {})
     {
         return { body.empty() ? "GET" : "PUT", std::move(target), {}, std::move(body) };
@@ -90,6 +100,8 @@
         auto number = static_cast<unsigned>(std::stoul(request.target.substr(slash + 1)));
         if (action == "/manifest")
             return { 200, {}, std::to_string(number) };
+        if (action == "/origin" && number == missingPiece)
+            return { 503, {}, "" };
         if (action == "/origin")
             return { 200, {}, fetch(number) };
         if (action == "/store")
@@ -121,6 +133,7 @@
     }
 
     std::shared_ptr<Http::NodeServer> m_server;
+    std::shared_ptr<Http::NodeServer> m_origin;
 };
 
 struct NoPublications final : Fleet::PublicationDecoder {
@@ -136,7 +149,7 @@
         : engine(context)
         , m_settings(makeSettings(engine))
         , m_merger(m_fleet, m_decoder, m_clock)
-        , m_peering(context, m_settings, m_peers, m_merger, m_clock, false)
+        , m_peering(context, m_settings, m_peers, m_merger, m_clock, m_stalls, false)
         , node(context, m_settings, m_fleet, engine, m_peering, m_clock, m_random)
     {
     }
@@ -200,13 +213,14 @@
         Fleet::Service engines;
         engines.weights = Fleet::WeightLayout { TestEngine::pieceCount, TestEngine::layerCount, { "m" } };
         Fleet::Service origin;
-        origin.origin = engine.endpoint();
+        origin.origin = engine.origin();
         auto configuration = std::make_shared<Fleet::Configuration>();
         configuration->services = { { "engines", engines }, { "origin", origin } };
         return configuration;
     }
 
     Base::SystemClock m_clock;
+    Base::StallMonitor m_stalls { m_clock, std::chrono::milliseconds(250) };
     Base::SeededRandom m_random { 7 };
     Fleet::NodeSettings m_settings;
     Fleet::FleetState m_fleet;
