Call a retry that the budget pays for charged everywhere in Routing

Cause: RetryDecision and RequestLog say charged, a parameter said fromBudget. Change: sed -i 's/\bfromBudget\b/isCharged/g' Source/Routing/AttemptSequence.h Source/Routing/AttemptSequence.cpp The metric label paid stays. Measured: test-Routing 60 tests pass.

--- a/Source/Routing/AttemptSequence.cpp
+++ b/Source/Routing/AttemptSequence.cpp
@@ -111,16 +111,16 @@
     }
 }
 
-void AttemptSequence::retry(Lock lock, const AttemptFailure& failure, bool fromBudget)
+void AttemptSequence::retry(Lock lock, const AttemptFailure& failure, bool isCharged)
 {
     if (failure.kind == FailureKind::DisconnectedAfterSend || failure.kind == FailureKind::Failed)
         m_state.history.mayHaveRun = true;
-    if (fromBudget && !Base::succeeded(Commands::chargeRetry(m_context.retryBudget))) {
+    if (isCharged && !Base::succeeded(Commands::chargeRetry(m_context.retryBudget))) {
         m_log.retryDenied();
         return m_ending.fail(std::move(lock), Queries::deniedRetryError(failure));
     }
-    m_log.retryCounted(fromBudget);
-    if (fromBudget && m_state.response.isStarted)
+    m_log.retryCounted(isCharged);
+    if (isCharged && m_state.response.isStarted)
         return resumeResponse(std::move(lock), failure);
     m_log.retried(failure.error.message);
     begin(std::move(lock));
--- a/Source/Routing/AttemptSequence.h
+++ b/Source/Routing/AttemptSequence.h
@@ -43,7 +43,7 @@
     void failQuarantined(Lock, const QuarantineStatus&);
     void open(Lock, std::shared_ptr<Target>, std::string_view reason);
     void prepareResume(AdmissionRequest&, ResponseMatcher&);
-    void retry(Lock, const AttemptFailure&, bool fromBudget);
+    void retry(Lock, const AttemptFailure&, bool isCharged);
     void resumeResponse(Lock, const AttemptFailure&);
     void resolve(Lock);
     void retryLaterOrFail(Lock, const RoutingError&);
