--- a/Source/Routing/Queries/DescribeFailure.cpp
+++ b/Source/Routing/Queries/DescribeFailure.cpp
@@ -21,19 +21,19 @@
 
 AttemptFailure refusalFailure(const Refusal& refusal, bool keyFromCaller)
 {
-    AttemptFailure failed { classifyRefusal(refusal), { refusalCode(refusal.kind), refusal.message, refusalRemedy(refusal.kind), refusalOutcome(refusal.kind, keyFromCaller), refusal.retryAfter } };
-    if (!failed.error.retryAfter.count())
-        failed.error.retryAfter = defaultRetryAfter;
-    return failed;
+    AttemptFailure failure { classifyRefusal(refusal), { refusalCode(refusal.kind), refusal.message, refusalRemedy(refusal.kind), refusalOutcome(refusal.kind, keyFromCaller), refusal.retryAfter } };
+    if (!failure.error.retryAfter.count())
+        failure.error.retryAfter = defaultRetryAfter;
+    return failure;
 }
 
 AttemptFailure incompleteResponseFailure(const ResponseEnd& end)
 {
     if (end.kind == EndKind::NotRun)
         return makeFailure(FailureKind::NotRun, ErrorCode::NotRun, "the agent could not connect to the target", "retry");
-    auto failed = makeFailure(FailureKind::Failed, ErrorCode::OutcomeUnknown, "the target did not complete the response: " + end.message, "check whether the call took effect before sending it again");
-    failed.engineCrashed = end.engineCrashed;
-    return failed;
+    auto failure = makeFailure(FailureKind::Failed, ErrorCode::OutcomeUnknown, "the target did not complete the response: " + end.message, "check whether the call took effect before sending it again");
+    failure.engineCrashed = end.engineCrashed;
+    return failure;
 }
 
 AttemptFailure invalidResponseFailure(std::string message)
@@ -53,11 +53,11 @@
     return { ErrorCode::AtLimit, "the requests in flight at this router have reached streamBudgetBytes", "retry after retryAfterMs", Outcome::NotRun, defaultRetryAfter };
 }
 
-RoutingError deniedRetryError(const AttemptFailure& failed)
+RoutingError deniedRetryError(const AttemptFailure& failure)
 {
-    if (failed.kind == FailureKind::RefusedForLoad)
-        return failed.error;
-    return { ErrorCode::RetryBudgetSpent, failed.error.message + "; the retry budget is exhausted", "retry later", Outcome::NotRun, defaultRetryAfter };
+    if (failure.kind == FailureKind::RefusedForLoad)
+        return failure.error;
+    return { ErrorCode::RetryBudgetSpent, failure.error.message + "; the retry budget is exhausted", "retry later", Outcome::NotRun, defaultRetryAfter };
 }
 
 RoutingError quarantineError(const QuarantineStatus& status)
--- a/Source/Routing/RequestCoordinator.cpp
+++ b/Source/Routing/RequestCoordinator.cpp
@@ -181,9 +181,9 @@
         return;
     recordBrokenAttempt(reason);
     m_state.attempt.target()->setBackoffUntil(m_context.clock.now() + disconnectBackoff);
-    auto failed = Queries::connectionFailure(m_state.attempt.isSent(), m_request.repeatable);
+    auto failure = Queries::connectionFailure(m_state.attempt.isSent(), m_request.repeatable);
     m_state.releaseAttempt();
-    m_attempts.failed(std::move(lock), failed);
+    m_attempts.failed(std::move(lock), failure);
 }
 
 void RequestCoordinator::loadReported(const std::string& attemptId, const Membership::TargetLoad& load)
