Bound the numbers of entries, configurations and header fields

Callers would have seen an engine without complete weights serve, routers end, and timers that differ between arm64 and x86-64, after another writer had left a number that is too large.

Cause: numbers were converted without a look at their range. 2^32 + 16 slots or layers became 16, so an engine that holds "layers" 2^32 to 2^32 + 16 counted as whole; conversions from 1e300 or -1 to an integer are undefined; times such as 9e15 ms overflow where they are added to a clock. The weights of a route were truncated, so that 0.75 and 0.25 added up to zero, by which the choice of a service divides.

--- a/Tests/Platform/OddEntriesTest.cpp
+++ b/Tests/Platform/OddEntriesTest.cpp
@@ -1,16 +1,20 @@
 #include "platform/EngineCodec.h"
+#include "platform/HeaderCodec.h"
 #include "platform/StoreCodec.h"
 
 #include <criterion/criterion.h>
+#include <numeric>
 #include <sys/resource.h>
 
 using namespace Lavenderloft;
 using namespace Lavenderloft::Platform;
+using namespace std::chrono_literals;
 
 namespace {
 
 // The largest value that the store accepts.
 constexpr size_t maximumValueBytes = 1024 * 1024;
+constexpr std::chrono::milliseconds longestDuration = 24h;
 
 const std::string readableEntry = R"({"service":"s","address":"10.0.0.9:8080","zone":"dc-a","slots":16,"state":"ready","cold_remaining_ms":1500,"layers":{"from":0,"to":16,"version":3}})";
 
@@ -38,6 +42,11 @@
     return std::holds_alternative<Fleet::Unreadable>(decode(key, value));
 }
 
+bool isUnreadableEntry(const std::string& from, const std::string& to)
+{
+    return isUnreadable("servers/i-1", replaced(readableEntry, from, to));
+}
+
 // The most memory that the process has used so far.
 size_t peakMemoryBytes()
 {
@@ -60,6 +69,30 @@
     };
 }
 
+Fleet::Configuration readConfiguration(const std::string& document)
+{
+    auto publication = decode("op/config", document);
+    auto* published = std::get_if<Fleet::ConfigurationPublished>(&publication);
+    cr_assert(published, "%s", document.c_str());
+    return *published->configuration;
+}
+
+Fleet::Route readRoute(const std::string& fields)
+{
+    auto configuration = readConfiguration(R"({"version":1,"routes":[{"host":"h","prefix":"/","service":"s",)" + fields + "}]}");
+    return *configuration.routes.at("h").front();
+}
+
+uint64_t totalWeight(const Fleet::Route& route)
+{
+    return std::accumulate(route.services.begin(), route.services.end(), uint64_t { 0 }, [](uint64_t sum, auto& part) { return sum + part.weight; });
+}
+
+bool isBounded(std::chrono::milliseconds duration)
+{
+    return duration >= 0ms && duration <= longestDuration;
+}
+
 } // namespace
 
 // Guards against a process that ends for lack of memory because another writer left a value of a million nested arrays:
@@ -98,6 +131,75 @@
     cr_assert_leq(unreadable->reason.size(), 300);
 }
 
+// Guards against a number that is out of range: its conversion is undefined, differs between processors, and turned 2^32
+// + 16 slots into 16.
+Test(OddEntries, anEntryWithANumberOutOfRangeNamesNoTarget)
+{
+    for (auto* number : { "-1", "4000000000", "4294967312", "18446744073709551615", "18446744073709551632", "1e300", "1e999", "-1e300", "NaN", "Infinity", "\"16\"", "null" })
+        cr_expect(isUnreadableEntry("16,\"state\"", std::string(number) + ",\"state\""), "slots %s", number);
+    for (auto* number : { "9e15", "1e19", "1e300", "-1e300", "1e999", "9223372036854775807", "18446744073709551615", "NaN", "\"1500\"", "null" })
+        cr_expect(isUnreadableEntry("1500", number), "cold_remaining_ms %s", number);
+}
+
+// Guards against an engine without weights that counts as complete: 2^32 + 16 layers were read as 16.
+Test(OddEntries, layersOutOfRangeAreNoWholeWeights)
+{
+    for (auto* layers : { R"({"from":0,"to":4294967312,"version":3})", R"({"from":4294967296,"to":4294967312,"version":3})", R"({"from":0,"to":1000000000000000000,"version":3})",
+             R"({"from":-1,"to":16,"version":3})", R"({"from":0,"to":1e300,"version":3})", R"([[[]]])" }) {
+        auto publication = decode("servers/i-1", replaced(readableEntry, R"({"from":0,"to":16,"version":3})", layers));
+        auto* target = std::get_if<Fleet::TargetPublished>(&publication);
+        cr_expect(!target || Fleet::wholeVersionOf(target->entry.layers, 16) == 0, "%s", layers);
+    }
+}
+
+// Guards against the end of a router by a division by zero: the weights of a route are added up, and fractions were
+// truncated to zero.
+Test(OddEntries, weightsOfARouteNeverAddUpToZero)
+{
+    auto route = readRoute(R"("traffic_split":[{"service":"s","weight":0.75},{"service":"t","weight":0.25}])");
+    cr_assert_eq(route.services.size(), 2);
+    cr_assert_gt(totalWeight(route), 0);
+    cr_assert_eq(route.services[0].weight, 3 * route.services[1].weight);
+    for (auto* weight : { "1e-300", "4294967296", "1e300", "18446744073709551615" })
+        cr_expect_gt(totalWeight(readRoute(R"("traffic_split":[{"service":"s","weight":)" + std::string(weight) + "}]")), 0, "%s", weight);
+    for (auto* weight : { "0", "-1", "-1e300", "\"1\"" }) {
+        auto unused = readRoute(R"("traffic_split":[{"service":"t","weight":)" + std::string(weight) + "}]");
+        cr_expect_eq(unused.services.front().service, "s", "%s", weight);
+    }
+}
+
+// Guards against undefined conversions of the configuration's numbers, and against times whose sum with the clock
+// overflows.
+Test(OddEntries, numbersOfTheConfigurationStayInRange)
+{
+    for (std::string number : { "-1", "-1e300", "1e300", "9223372036854775807", "18446744073709551615", "1e19" }) {
+        auto route = readRoute("\"timeout_ms\":" + number + ",\"target_latency_ms\":" + number + ",\"gap_aim_ms\":" + number + ",\"priority\":" + number + ",\"max_attempts\":" + number);
+        cr_expect(isBounded(route.timeout) && isBounded(route.targetLatency) && isBounded(route.maximumEventGap), "%s", number.c_str());
+        cr_expect(route.priority >= 0 && route.priority <= 1000, "%s", number.c_str());
+        cr_expect(route.maximumAttempts >= 1 && route.maximumAttempts <= 1000, "%s", number.c_str());
+        auto configuration = readConfiguration(R"({"version":1,"services":[{"name":"s","max_connections":)" + number + ",\"cold_start_s\":" + number + ",\"cold_per_s\":" + number + ",\"engine\":{\"chunks\":" + number + ",\"layers\":" + number
+            + R"(}}],"tenants":[{"name":"n","api_keys":["k"],"priority":)" + number + R"(}],"limits":{"header_timeout_ms":)" + number + ",\"idle_timeout_ms\":" + number + "}}");
+        auto& service = configuration.services.at("s");
+        cr_expect(isBounded(service.coldStart), "%s", number.c_str());
+        cr_expect(service.coldRequestsPerSecond >= 0 && service.coldRequestsPerSecond <= 1e9, "%s", number.c_str());
+        cr_expect(isBounded(configuration.limits.headerTimeout) && isBounded(configuration.limits.idleTimeout), "%s", number.c_str());
+        auto priority = configuration.organisationsByKey.at("k")->priority;
+        cr_expect(priority && *priority >= 0 && *priority <= 1000, "%s", number.c_str());
+    }
+}
+
+// Guards against times in header fields whose sum with the clock overflows.
+Test(OddEntries, timesInHeaderFieldsStayInRange)
+{
+    for (std::string number : { "18446744073709551615", "9223372036854775808", "9223372036854775807", "10000000000000000" }) {
+        auto request = HeaderCodec().readRequestHead({ { "Lavenderloft-Deadline-Ms", number } });
+        cr_expect(!request.deadline || isBounded(*request.deadline), "%s", number.c_str());
+        auto response = HeaderCodec().readResponseHead(200, { { "Lavenderloft-Cold-Ms", number }, { "Keep-Alive", "timeout=" + number } });
+        cr_expect(!response.coldRemaining || isBounded(*response.coldRemaining), "%s", number.c_str());
+        cr_expect(!response.keepAlive || isBounded(*response.keepAlive), "%s", number.c_str());
+    }
+}
+
 // Guards against the end of a process by an exception, whatever a value is.
 Test(OddEntries, noValueEndsTheProcess)
 {
