--- a/Source/Http/HttpMessage.cpp
+++ b/Source/Http/HttpMessage.cpp
@@ -13,6 +13,12 @@
         return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
     }
 
+    // The parser of IP addresses ignores what follows a NUL byte, and accepts any text as the scope of an IPv6 address.
+    bool hasAddressCharactersOnly(std::string_view host)
+    {
+        return host.find_first_not_of("0123456789abcdefABCDEF.:") == std::string_view::npos;
+    }
+
     EndpointError malformedEndpoint(std::string_view text)
     {
         return { EndpointErrorKind::Malformed, "address \"" + std::string(text) + "\" is not IP:port", "give an IP address and a port, such as 127.0.0.1:8080" };
@@ -40,7 +46,7 @@
     auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), endpoint.port);
     boost::system::error_code addressError;
     boost::asio::ip::make_address(endpoint.host, addressError);
-    if (addressError || error != std::errc() || end != digits.data() + digits.size())
+    if (addressError || !hasAddressCharactersOnly(endpoint.host) || error != std::errc() || end != digits.data() + digits.size())
         return malformedEndpoint(text);
     return endpoint;
 }
--- a/Tests/Platform/OddEntriesTest.cpp
+++ b/Tests/Platform/OddEntriesTest.cpp
@@ -200,6 +200,27 @@
     }
 }
 
+// Guards against requests to an address that is none: port 0 was accepted, and so were bytes behind an address that is
+// cut off at a NUL byte or continued by a scope, which then went into a header field.
+Test(OddEntries, anEntryWithAnOddAddressNamesNoTarget)
+{
+    for (auto* address : { "", ":", ":80", "10.0.0.9", "10.0.0.9:", "10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:99999999999", "10.0.0.9:-1", "10.0.0.9:80/path", "10.0.0.9/path:80", "host:80", "10.0.0.9 :80",
+             R"(10.0.0.9\u0000:80)", R"(10.0.0.9\u0000\r\nA: b:80)", R"(fe80::1%\r\nA: b:80)", R"(10.0.0.9\r\nA: b:80)" })
+        cr_expect(isUnreadableEntry("10.0.0.9:8080", address), "%s", address);
+    cr_assert_not(isUnreadableEntry("10.0.0.9:8080", "::1:8080"));
+}
+
+// Guards against forged header fields: the id of a target goes into a header field of each request to it.
+Test(OddEntries, anOddIdNamesNoTarget)
+{
+    using namespace std::string_literals;
+    for (auto& id : { ""s, "a\r\nA: b"s, "a\n"s, "a\0b"s, "a\x7f"s, "\x1b[2J"s, " a"s, "a "s, std::string(1000, 'a') })
+        cr_expect(isUnreadable("servers/" + id, readableEntry), "%s", id.c_str());
+    cr_assert(isUnreadableEntry("\"s\"", "\"\""), "a service without a name");
+    for (auto& id : { "i-7f3a91c2"s, "a b"s, "\xc3\xa4"s, std::string(190, 'a') })
+        cr_expect_not(isUnreadable("servers/" + id, readableEntry), "%s", id.c_str());
+}
+
 // Guards against the end of a process by an exception, whatever a value is.
 Test(OddEntries, noValueEndsTheProcess)
 {
