Read the items of a response one by one

Operators saw machines that stopped following the list: one item with bytes that aren't UTF-8, a lone surrogate, a number beyond the range of a double or a field nested too deeply made the whole response unreadable, on every attempt.

Cause: a response of the store was parsed as one document.

Json::splitObject and splitArray cut a text into its parts without reading them, by counting brackets, so nesting takes no stack and no memory. The codec reads "as_of", "more_pages" and of each item "key", "revision", "deleted" and "value", each on its own and at most 4 levels deep. An item without a readable key or revision is skipped; one without a readable value keeps its key, so it replaces the previous value and names no target. Keys are UTF-8 in any case, without which peers would refuse a whole batch. A listing without an array "items" is malformed: as an empty listing it would have deleted all that is known.

--- a/Tests/Json/BoundedParserTest.cpp
+++ b/Tests/Json/BoundedParserTest.cpp
@@ -1,4 +1,5 @@
 #include "Json/BoundedParser.h"
+#include "Json/Splitter.h"
 
 #include <criterion/criterion.h>
 
@@ -60,3 +61,28 @@
     for (auto c : message)
         cr_assert(c >= 0x20 && c <= 0x7e);
 }
+
+// Guards against parts that end at a bracket or comma inside a string, or inside a nested value.
+Test(Splitter, findsTheEndOfEachPart)
+{
+    auto members = splitObject(R"( { "a" : [1,{"b":"]},\""}] , "c\"," : "}" ,"d":1e999} )");
+    cr_assert(members && members->size() == 3);
+    cr_assert((*members)[0].name == "\"a\"" && (*members)[0].value == R"([1,{"b":"]},\""}])");
+    cr_assert((*members)[1].name == R"("c\",")" && (*members)[1].value == "\"}\"");
+    cr_assert((*members)[2].value == "1e999");
+    auto elements = splitArray(R"([ [[]] ,{}, "\\" ,7 ])");
+    cr_assert(elements && elements->size() == 4);
+    cr_assert((*elements)[0] == "[[]]" && (*elements)[2] == R"("\\")" && (*elements)[3] == "7");
+    cr_assert(splitArray("[]")->empty() && splitObject("{ }")->empty());
+}
+
+// Guards against a text that was cut off and is taken for a whole one.
+Test(Splitter, refusesIncompleteText)
+{
+    for (auto* text : { "", " ", "[", "[1", "[1,", "[1,]", "[,1]", "[]]", "[1}", "[\"]", "[\"\\", "[{]", "{}" })
+        cr_assert_not(splitArray(text).has_value(), "%s", text);
+    for (auto* text : { "", "{", "{\"", "{\"a\"", "{\"a\":", "{\"a\":}", "{\"a\":1", "{\"a\":1,", "{\"a\":1,}", "{a:1}", "{\"a\":1}}", "{\"a\":1]", "[]" })
+        cr_assert_not(splitObject(text).has_value(), "%s", text);
+    cr_assert(splitArray("[" + nested(1000000) + "]").has_value());
+    cr_assert_not(splitArray(std::string(1000000, '[')).has_value());
+}
--- a/Tests/Peering/PeeringCodecTest.cpp
+++ b/Tests/Peering/PeeringCodecTest.cpp
@@ -59,3 +59,16 @@
     cr_assert(decoded->items[1].ageIsBound);
     cr_assert_eq(decoded->items[1].deletionDelay.count(), 700);
 }
+
+// Guards against a router that never catches up because peers refuse a batch with an odd key in it. Keys are UTF-8, as
+// the store's responses are; a batch with another key would be refused whole.
+Test(PeeringCodec, relaysOddKeys)
+{
+    using namespace std::string_literals;
+    for (auto& key : { ""s, "servers/\0"s, "servers/a\r\nA: b"s, "servers/\xc3\xa4\xef\xbf\xbd"s, std::string(100000, 'k') }) {
+        auto decoded = decodeItems(encodeItems({ 9, { { key, "odd", 8, false, 0ms }, { "k", "v", 9, false, 0ms } } }));
+        cr_assert(decoded.has_value());
+        cr_assert(decoded->items.size() == 2 && decoded->items[0].key == key);
+    }
+    cr_assert_not(decodeItems(encodeItems({ 9, { { "servers/\xff", "odd", 8, false, 0ms } } })).has_value());
+}
--- a/Tests/Platform/OddEntriesTest.cpp
+++ b/Tests/Platform/OddEntriesTest.cpp
@@ -93,6 +93,14 @@
     return duration >= 0ms && duration <= longestDuration;
 }
 
+std::vector<std::string> keysOf(const std::vector<Fleet::PublishedItem>& items)
+{
+    std::vector<std::string> keys;
+    for (auto& item : items)
+        keys.push_back(item.key);
+    return keys;
+}
+
 } // namespace
 
 // Guards against a process that ends for lack of memory because another writer left a value of a million nested arrays:
@@ -221,6 +229,49 @@
         cr_expect_not(isUnreadable("servers/" + id, readableEntry), "%s", id.c_str());
 }
 
+// Guards against a response that can't be read because of one item: the listing never ended, or the watch stopped.
+Test(OddEntries, anOddItemDoesNotHideTheOthers)
+{
+    const std::string deep = std::string(100000, '[') + std::string(100000, ']');
+    const std::string items = R"([{"key":"servers/a","value":"","revision":1},)"
+                              R"({"key":"servers/b","value":"","revision":2,"lease":1e999},)"
+                              R"({"key":"servers/c","value":"","revision":3,"lease":)"
+        + deep + R"(},{"key":"servers/\udc80","value":"","revision":4},{"key":")" + "servers/\xff" + R"(","value":"","revision":5},)"
+        + deep + R"(,7,null,"text]}",{},{"key":7,"revision":6},{"key":"servers/d","revision":-1},{"key":"servers/e","value":[1],"revision":7},)"
+                 R"({"value":"\ud800","revision":8,"key":"servers/f"},{"key":"servers/g\"]}\\","value":"","revision":9}])";
+    const std::vector<std::string> expected { "servers/a", "servers/b", "servers/c", "servers/e", "servers/f", "servers/g\"]}\\" };
+    auto page = StoreCodec().readList({ 200, {}, "{\"items\":" + items + ",\"more_pages\":true,\"as_of\":9}" });
+    cr_assert(Base::succeeded(page));
+    cr_expect(keysOf(Base::valueOf(page).items) == expected);
+    cr_expect(Base::valueOf(page).morePages);
+    auto changes = StoreCodec().readChanges({ 200, {}, " { \"as_of\" : 9 , \"events\" : " + items + " } " });
+    cr_assert(Base::succeeded(changes));
+    cr_expect(keysOf(Base::valueOf(changes).changes) == expected);
+    cr_expect_eq(Base::valueOf(changes).revision, 9);
+}
+
+// Guards against following a response that was cut off or is none.
+Test(OddEntries, anIncompleteResponseIsMalformed)
+{
+    const std::string whole = R"({"items":[{"key":"servers/a","value":"","revision":1}],"events":[],"more_pages":false,"as_of":9})";
+    for (size_t length = 0; length < whole.size(); ++length) {
+        cr_expect_not(Base::succeeded(StoreCodec().readList({ 200, {}, whole.substr(0, length) })), "%zu bytes", length);
+        cr_expect_not(Base::succeeded(StoreCodec().readChanges({ 200, {}, whole.substr(0, length) })), "%zu bytes", length);
+    }
+    for (std::string body : { whole + "}", whole + whole, "[" + whole + "]", std::string(R"({"items":[],"as_of":1e999})"), std::string(R"({"items":[],"as_of":-1})"), std::string(R"({"items":{},"as_of":9})"), std::string(R"({"as_of":9})"), std::string("{\"a\"}"), std::string("{]"), std::string("{\"items\":[}],\"as_of\":1}"), std::string(1000000, '[') })
+        cr_expect_not(Base::succeeded(StoreCodec().readList({ 200, {}, body })), "%.60s", body.c_str());
+}
+
+// Guards against rejecting an empty response because it names no array.
+Test(OddEntries, anEmptyResponseIsReadable)
+{
+    for (auto* body : { R"({"items":[],"events":[],"as_of":9})", R"({"items":null,"events":null,"as_of":9})" }) {
+        cr_expect(Base::succeeded(StoreCodec().readList({ 200, {}, body })), "%s", body);
+        cr_expect(Base::succeeded(StoreCodec().readChanges({ 200, {}, body })), "%s", body);
+    }
+    cr_assert(Base::succeeded(StoreCodec().readChanges({ 200, {}, R"({"as_of":9})" })));
+}
+
 // Guards against the end of a process by an exception, whatever a value is.
 Test(OddEntries, noValueEndsTheProcess)
 {
