End a listing whose next page brings nothing new

Operators saw routers that sent read calls without a pause and never followed the list, or that forgot all replicas.

Cause: the next page is requested behind the last key of the previous one, with no look at what comes back. A store that doesn't find that key, because the key came out of its response differently, sends the same page again: an endless loop that keeps every item. A page without readable items was taken for the last one, and what wasn't listed yet was deleted, although more pages followed.

If more pages follow, the last key of a page must be a new one. Otherwise the listing fails like a lost response: the follower backs off and keeps what it knows. A full page of items without any readable key still can't be passed; peers relay the changes then.

--- a/Source/Peering/StoreFollower.cpp
+++ b/Source/Peering/StoreFollower.cpp
@@ -5,6 +5,8 @@
 #include "Observability/Log.h"
 #include "Peering/Events.h"
 
+#include <set>
+
 namespace Lavenderloft::Peering {
 
 namespace asio = boost::asio;
@@ -120,6 +122,7 @@
     std::vector<Fleet::PublishedItem> items;
     std::optional<uint64_t> revision;
     std::string afterKey;
+    std::set<std::string> lastKeys;
     while (true) {
         auto result = co_await m_client.call(m_protocol.listRequest(m_prefix, afterKey), listTimeout);
         if (!Base::succeeded(result)) {
@@ -132,6 +135,11 @@
             co_return false;
         }
         auto& listed = Base::valueOf(page);
+        // The next page begins after the last key of this one. Without a new last key the listing would never end.
+        if (listed.morePages && (listed.items.empty() || !lastKeys.insert(listed.items.back().key).second)) {
+            updateConnection(false, "a page of the listing does not continue the previous one");
+            co_return false;
+        }
         // The pages are not one snapshot: the listing is complete only up to the revision of the first page.
         if (!revision)
             revision = listed.revision;
@@ -141,7 +149,7 @@
             items.back().age = m_merger.maximumAge();
             items.back().ageIsBound = true;
         }
-        if (!listed.morePages || listed.items.empty())
+        if (!listed.morePages)
             break;
         afterKey = keys.back();
     }
--- a/Tests/Peering/StoreFollowerTest.cpp
+++ b/Tests/Peering/StoreFollowerTest.cpp
@@ -218,3 +218,57 @@
         cr_assert_eq(test.fleet.targetCount("s"), othersReachedStore ? 0 : 1);
     }
 }
+
+// Guards against a listing that never ends: the next page is requested behind the last key of the previous one, and a
+// store that does not know this key, or ignores it, sent the same page again and again. What is known stays in force.
+Test(StoreFollower, backsOffIfTheNextPageIsTheSame)
+{
+    TestFollower test;
+    test.fleet.publish("t/1", Fleet::targetOf("1", "s"));
+    test.protocol.listing = { { { "a", "", 1, false, {} }, { "b", "", 2, false, {} } }, true, 9 };
+    constexpr size_t requestsOfTwoListings = 4;
+    auto startedAt = std::chrono::steady_clock::now();
+    test.respond = [&](const std::string&) -> Http::HttpResponse {
+        if (test.requests.size() == requestsOfTwoListings)
+            test.context.stop();
+        return { 200, {}, "" };
+    };
+    test.run([] { return true; });
+    cr_assert_geq((std::chrono::steady_clock::now() - startedAt) / 1ms, 100, "the second listing must wait");
+    cr_assert_eq(test.fleet.targetCount("s"), 1);
+    cr_assert_not(test.follower->syncedAt().has_value());
+}
+
+// Guards against the removal of all targets that are not on a page from which no item could be read although more pages
+// follow.
+Test(StoreFollower, keepsWhatIsKnownIfAPageHasNoItems)
+{
+    TestFollower test;
+    test.fleet.publish("t/1", Fleet::targetOf("1", "s"));
+    test.protocol.listing = { {}, true, 9 };
+    test.respond = [&](const std::string&) -> Http::HttpResponse {
+        if (test.requests.size() == 2)
+            test.context.stop();
+        return { 200, {}, "" };
+    };
+    test.run([] { return true; });
+    cr_assert_eq(test.fleet.targetCount("s"), 1);
+}
+
+// Guards against the end of a listing at an unreadable item, and against the use of its previous value.
+Test(StoreFollower, listsTheItemsBesideAnUnreadableOne)
+{
+    TestFollower test;
+    test.fleet.publish("t/1", Fleet::targetOf("1", "s"));
+    test.fleet.decoder.publications["t/1=odd"] = Fleet::Unreadable { "odd" };
+    test.fleet.decoder.publications["t/2=2"] = Fleet::targetOf("2", "s");
+    test.protocol.listing = { { { "t/1", "odd", 5, false, {} }, { "t/2", "2", 6, false, {} } }, false, 9 };
+    test.respond = [&](const std::string& target) -> Http::HttpResponse {
+        if (target != "/list")
+            test.context.stop();
+        return { 200, {}, "" };
+    };
+    test.run([] { return true; });
+    cr_assert_eq(test.fleet.targetCount("s"), 1);
+    cr_assert_eq(test.fleet.snapshot()->targetsByService.at("s").front()->entry.id, "2");
+}
