Forward a deeply nested request body as it is

A caller could end an agent with one request: a body of 2 MB whose values are nested a million levels deep.

Cause: the agent sets the member "priority" in a model request's body, and nlohmann::json writes a document by recursion, one frame a level, on the thread of the event loop.

withPriority returns a body that is nested deeper than 256 levels as it is, like one that isn't JSON; the engine judges it. The number of values isn't limited, because that of a prompt of tokens may be large.

Before: leavesADeeplyNestedBodyUnchanged ended the test process by a signal. Now it passes.

--- a/Source/Http/EngineRequest.cpp
+++ b/Source/Http/EngineRequest.cpp
@@ -1,8 +1,9 @@
 #include "Http/EngineRequest.h"
 
+#include "Json/BoundedParser.h"
+
 #include <charconv>
 #include <limits>
-#include <nlohmann/json.hpp>
 #include <strings.h>
 
 namespace Lavenderloft::Http {
@@ -11,14 +12,17 @@
 
     constexpr auto resumeFromHeader = "X-Resume-From";
     constexpr auto resumedFromHeader = "X-Resumed-From";
+    // A body is written anew by recursion. Its values are limited by its size.
+    constexpr Json::DocumentLimits bodyLimits { 256, std::numeric_limits<size_t>::max() };
 
 } // namespace
 
 std::string withPriority(const std::string& body, DesiredState::PriorityClass priorityClass)
 {
-    auto object = nlohmann::json::parse(body, nullptr, false);
-    if (!object.is_object())
+    auto document = Json::parseBounded(body, bodyLimits);
+    if (!Base::succeeded(document) || !Base::valueOf(document).is_object())
         return body;
+    auto object = Base::takeValue(std::move(document));
     object["priority"] = DesiredState::priorityClassCount - 1 - static_cast<size_t>(priorityClass);
     return object.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
--- a/Source/Http/EngineRequest.h
+++ b/Source/Http/EngineRequest.h
@@ -8,7 +8,7 @@
 namespace Lavenderloft::Http {
 
 // Returns the request body with its member "priority" set; the engine runs higher numbers first. A body that
-// is not a JSON object is returned unchanged and left for the engine to reject.
+// is not a JSON object, or is nested too deeply, is returned unchanged and left for the engine to judge.
 std::string withPriority(const std::string& body, DesiredState::PriorityClass);
 
 // Sets the header that asks the engine to resume the response at a token; zero removes it. A header sent by the
--- a/Tests/Transport/EngineHttpClientTest.cpp
+++ b/Tests/Transport/EngineHttpClientTest.cpp
@@ -45,6 +45,15 @@
     cr_assert(Http::isForwarded("Content-Type"));
 }
 
+// Guards against a caller that ends the agent: the body was written anew with its priority by a recursion as deep as the
+// body's values are nested, which exceeded the stack.
+Test(EngineRequest, leavesADeeplyNestedBodyUnchanged)
+{
+    constexpr size_t depth = 1000000;
+    auto body = "{\"prompt\":" + std::string(depth, '[') + std::string(depth, ']') + "}";
+    cr_assert(Http::withPriority(body, DesiredState::PriorityClass::Hazard) == body);
+}
+
 // Guards against callers that set the resume point themselves, and against partial parsing of the engine's header.
 Test(EngineRequest, replacesTheCallersResumePoint)
 {
