Bound engine status, VM list and manifest in the same way

Agents of the product's own fleets had the same faults as the readers of the store's items: an engine's "running": -1 was four billion running requests, 1e300 an undefined conversion, and nested values took many times their size.

Engine status and VM list are parsed by Json::parseBounded; the engine's numbers must be unsigned integers that fit, else the status is malformed, which is retried. A manifest, which rejects duplicate keys with its own parser, ends at 16 levels. Settings files and desired-state documents had limits before (Json::ParsedFile).

Before: refusesNumbersOutOfRange failed for all eight numbers but 1e999, aNestedManifestTakesLittleMemory with 36,880,384 bytes where 24 MB are allowed. Now they pass. There is no test of the VM list with odd values.

Run: test-Transport (25), test-Weights (50).

--- a/Source/Http/EngineHttpClient.cpp
+++ b/Source/Http/EngineHttpClient.cpp
@@ -1,8 +1,10 @@
 #include "Http/EngineHttpClient.h"
 
 #include "Base/RendezvousHash.h"
+#include "Json/BoundedParser.h"
 
-#include <nlohmann/json.hpp>
+#include <limits>
+#include <stdexcept>
 
 namespace Lavenderloft::Http {
 
@@ -45,6 +47,18 @@
         return hash ? hash : 1;
     }
 
+    // An optional member. A number that the type can't hold would be changed by its conversion.
+    template <typename Number>
+    Number readNumber(const nlohmann::json& object, const char* name)
+    {
+        auto member = object.find(name);
+        if (member == object.end())
+            return 0;
+        if (!member->is_number_unsigned() || member->get<uint64_t>() > std::numeric_limits<Number>::max())
+            throw std::invalid_argument(std::string("\"") + name + "\" is not an unsigned integer in range");
+        return member->get<Number>();
+    }
+
     EngineMode readMode(const std::string& name)
     {
         if (name == "empty")
@@ -65,11 +79,11 @@
         status.mode = readMode(object.at("state").get<std::string>());
         status.digest = object.at("digest").is_null() ? std::string() : object.at("digest").get<std::string>();
         status.adapters = object.value("adapters", std::set<std::string>());
-        status.running = object.value("running", 0u);
-        status.queued = object.value("queued", 0u);
-        status.memoryBytes = object.value("memoryBytes", uint64_t { 0 });
-        status.memoryLimitBytes = object.value("memoryLimitBytes", uint64_t { 0 });
-        status.highestFence = object.value("highestFence", uint64_t { 0 });
+        status.running = readNumber<unsigned>(object, "running");
+        status.queued = readNumber<unsigned>(object, "queued");
+        status.memoryBytes = readNumber<uint64_t>(object, "memoryBytes");
+        status.memoryLimitBytes = readNumber<uint64_t>(object, "memoryLimitBytes");
+        status.highestFence = readNumber<uint64_t>(object, "highestFence");
         status.checksFence = object.value("checksFence", false);
         return status;
     }
@@ -98,10 +112,16 @@
 
 Base::Result<EngineStatus, EngineError> parseEngineStatus(const std::string& body)
 {
+    auto malformed = [](const std::string& reason) {
+        return EngineError { EngineErrorKind::Malformed, "malformed engine status: " + reason, "check that the endpoint is a model engine" };
+    };
+    auto document = Json::parseBounded(body);
+    if (!Base::succeeded(document))
+        return malformed(Base::errorOf(document).message);
     try {
-        return readStatus(nlohmann::json::parse(body));
+        return readStatus(Base::valueOf(document));
     } catch (const std::exception& error) {
-        return EngineError { EngineErrorKind::Malformed, std::string("malformed engine status: ") + error.what(), "check that the endpoint is a model engine" };
+        return malformed(error.what());
     }
 }
 
--- a/Source/Process/HttpConfigurationSource.cpp
+++ b/Source/Process/HttpConfigurationSource.cpp
@@ -1,6 +1,6 @@
 #include "Process/HttpConfigurationSource.h"
 
-#include <nlohmann/json.hpp>
+#include "Json/BoundedParser.h"
 
 namespace Lavenderloft::Process {
 
@@ -13,9 +13,9 @@
         return { SourceErrorKind::Unavailable, what + " is unavailable: " + reason, "check its address in the settings" };
     }
 
-    SourceError malformedListError(const char* reason)
+    SourceError malformedListError(const std::string& reason)
     {
-        return { SourceErrorKind::Malformed, std::string("the VM list is malformed: ") + reason, "check that the setting \"vmList\" is the address of the platform's VM list" };
+        return { SourceErrorKind::Malformed, "the VM list is malformed: " + reason, "check that the setting \"vmList\" is the address of the platform's VM list" };
     }
 
 } // namespace
@@ -48,7 +48,10 @@
     auto result = m_client.fetch(m_vmList, std::move(request), responseTimeout);
     if (!Base::succeeded(result))
         return unavailableError("the VM list", Base::errorOf(result).message);
-    auto document = nlohmann::json::parse(Base::valueOf(result).body, nullptr, false);
+    auto parsed = Json::parseBounded(Base::valueOf(result).body);
+    if (!Base::succeeded(parsed))
+        return malformedListError(Base::errorOf(parsed).message);
+    auto document = Base::takeValue(std::move(parsed));
     if (!document.is_object() || !document.contains("vms") || !document["vms"].is_array())
         return malformedListError("no array \"vms\"");
     std::vector<ListedVm> vms;
--- a/Source/Weights/Manifest.cpp
+++ b/Source/Weights/Manifest.cpp
@@ -14,6 +14,9 @@
 
     using Json = nlohmann::json;
 
+    // The deepest value of a valid manifest is at level 4.
+    constexpr int maximumNesting = 16;
+
     // Thrown to abort parsing; caught in parseManifest() only.
     struct MalformedDocument {
         std::string message;
@@ -32,7 +35,9 @@
     Json parseJson(std::string_view document)
     {
         std::vector<std::set<std::string>> keys;
-        auto checkKeys = [&](int, Json::parse_event_t event, Json& parsed) {
+        auto checkKeys = [&](int depth, Json::parse_event_t event, Json& parsed) {
+            if (depth > maximumNesting)
+                reject("document", "is nested deeper than " + std::to_string(maximumNesting) + " levels");
             if (event == Json::parse_event_t::object_start)
                 keys.emplace_back();
             if (event == Json::parse_event_t::object_end)
--- a/Tests/Transport/EngineHttpClientTest.cpp
+++ b/Tests/Transport/EngineHttpClientTest.cpp
@@ -21,6 +21,19 @@
     }
 }
 
+// Guards against numbers that wrap around: -1 running requests were read as four billion.
+Test(EngineHttpClient, refusesNumbersOutOfRange)
+{
+    for (const char* number : { "-1", "4294967297", "1e300", "18446744073709551615", "1e999" }) {
+        auto status = Http::parseEngineStatus(R"({"incarnation":1,"state":"ready","digest":"d","running":)" + std::string(number) + "}");
+        cr_expect_not(Base::succeeded(status), "accepted %s", number);
+    }
+    for (const char* number : { "-1", "1e300", "18446744073709551616" }) {
+        auto status = Http::parseEngineStatus(R"({"incarnation":1,"state":"ready","digest":"d","memoryBytes":)" + std::string(number) + "}");
+        cr_expect_not(Base::succeeded(status), "accepted %s", number);
+    }
+}
+
 // Guards against different incarnations given as strings that map to the same number.
 Test(EngineHttpClient, readsIncarnationsOfBothKinds)
 {
--- a/Tests/Weights/ManifestTest.cpp
+++ b/Tests/Weights/ManifestTest.cpp
@@ -2,6 +2,7 @@
 #include "Base/Digest.h"
 
 #include <criterion/criterion.h>
+#include <sys/resource.h>
 
 using namespace Lavenderloft;
 using namespace Lavenderloft::Weights;
@@ -82,3 +83,20 @@
     cr_assert(Base::errorOf(parsed).message.find('\n') == std::string::npos);
     cr_assert(Base::errorOf(parsed).message.find("line?break") != std::string::npos);
 }
+
+// Guards against an agent that ends for lack of memory because of a manifest of nested arrays.
+Test(Manifest, aNestedManifestTakesLittleMemory)
+{
+    constexpr size_t depth = 500000;
+    constexpr size_t allowedBytes = 24 * 1024 * 1024;
+    auto peakMemoryBytes = [] {
+        rusage usage {};
+        getrusage(RUSAGE_SELF, &usage);
+        return static_cast<size_t>(usage.ru_maxrss) * 1024;
+    };
+    auto document = "{\"model\":" + std::string(depth, '[') + std::string(depth, ']') + "}";
+    auto before = peakMemoryBytes();
+    auto result = parseManifest(document);
+    cr_assert_not(Base::succeeded(result));
+    cr_assert_lt(peakMemoryBytes() - before, allowedBytes, "%zu bytes", peakMemoryBytes() - before);
+}
