Don't keep large values that no node uses

Routers took memory for whatever other writers left in the store, and a router that had just started could fail to catch up for good.

Cause: all keys are watched, and the value of each is kept and relayed in its encoded form, whether it is of use or not. Eight unusable values of 1 MB exceed the 8 MB that a node accepts in a response of a peer, so no peer could hand over its items any more.

The value of an item that has no meaning here, or of a target's key that can't be decoded, is dropped if it is larger than 16 KB. Key and revision stay, so the item replaces the previous one at peers too, where an empty value of a target can't be decoded either. Values of operators' keys that can't be decoded are kept, because a newer program among the peers may understand them.

Before: doesNotKeepLargeValuesThatAreNotUsed failed with 16,777,216 bytes that are relayed for 16 items; now there are none. reportsAnUnreadableItemOnce passed before: a revision is decoded and logged once, however often it is listed or relayed.

A listing still holds all values, used or not, until its last page.

--- a/Source/Fleet/Commands/ApplyItems.cpp
+++ b/Source/Fleet/Commands/ApplyItems.cpp
@@ -106,6 +106,14 @@
         return true;
     }
 
+    // An operator's item that this process can't decode is kept, because a newer program among the peers may.
+    bool isUnused(const Publication& publication, const std::string& key, const PublicationDecoder& decoder)
+    {
+        if (std::holds_alternative<Unrelated>(publication))
+            return true;
+        return std::holds_alternative<Unreadable>(publication) && decoder.isTargetKey(key);
+    }
+
     void mergeItem(Contents& contents, const PublicationDecoder& decoder, PublishedItem item, const std::optional<Base::TimePoint>& deferDeletionsUntil, Base::TimePoint now, AppliedChange& change)
     {
         auto known = contents.records.find(item.key);
@@ -122,6 +130,8 @@
             return;
         }
         auto publication = decoder.decode(item);
+        if (item.value.size() > FleetState::maximumUnusedValueBytes && isUnused(publication, item.key, decoder))
+            item.value = std::string();
         if (auto* unreadable = std::get_if<Unreadable>(&publication)) {
             change.unreadable.push_back(item.key + ": " + unreadable->reason);
             // If a configuration can't be decoded, the previous one stays in force.
--- a/Source/Fleet/FleetState.h
+++ b/Source/Fleet/FleetState.h
@@ -20,6 +20,8 @@
     // Deleted keys are retained, so that a node with an older revision can't restore them.
     static constexpr std::chrono::minutes deletionRetention { 2 };
     static constexpr size_t maximumDeclarationsPerModel = 8;
+    // Larger values that no node uses are not kept, and are relayed empty.
+    static constexpr size_t maximumUnusedValueBytes = 16 * 1024;
 
     struct Record {
         PublishedItem item;
--- a/Tests/Fleet/ApplyItemsTest.cpp
+++ b/Tests/Fleet/ApplyItemsTest.cpp
@@ -201,3 +201,34 @@
     Commands::expireDeletions(other.state, other.clock.now());
     cr_assert_eq(other.targetCount("s"), 0);
 }
+
+// Guards against a log line for each listing, and for each peer that relays the item.
+Test(ApplyItems, reportsAnUnreadableItemOnce)
+{
+    TestFleetState fleet;
+    fleet.decoder.publications["t/1=odd"] = Unreadable { "odd" };
+    cr_assert_eq(fleet.apply({ "t/1", "odd", 3, false, {} }).unreadable.size(), 1);
+    auto again = fleet.apply({ "t/1", "odd", 3, false, {} });
+    cr_assert(again.unreadable.empty() && !again.anything);
+}
+
+// Guards against routers that never catch up, and against memory taken by other writers: values that are of no use
+// were kept and relayed whole, until they exceeded what a node accepts in one response.
+Test(ApplyItems, doesNotKeepLargeValuesThatAreNotUsed)
+{
+    constexpr size_t valueBytes = 1024 * 1024;
+    TestFleetState fleet;
+    auto value = std::string(valueBytes, 'x');
+    for (uint64_t revision = 1; revision <= 16; ++revision) {
+        auto key = "t/" + std::to_string(revision);
+        if (revision % 2)
+            fleet.decoder.publications[key + "=" + value] = Unreadable { "odd" };
+        fleet.apply({ key, value, revision, false, {} });
+    }
+    size_t bytes = 0;
+    auto items = Queries::itemsAfter(fleet.state, 0, fleet.clock.now());
+    for (auto& item : items)
+        bytes += item.value.size();
+    cr_assert_eq(items.size(), 16);
+    cr_assert_eq(bytes, 0, "%zu bytes", bytes);
+}
