--- a/Source/Fleet/FleetState.h
+++ b/Source/Fleet/FleetState.h
@@ -21,6 +21,8 @@
     static constexpr std::chrono::minutes deletionRetention { 2 };
     // Assumed for items that were in the store before this process started.
     static constexpr std::chrono::milliseconds unknownAge = std::chrono::hours(1);
+    // Larger values that no node uses are not kept, and are relayed empty.
+    static constexpr size_t maximumUnusedValueBytes = 16 * 1024;
 
     struct Record {
         PublishedItem item;
--- a/Source/Peering/StoreFollower.cpp
+++ b/Source/Peering/StoreFollower.cpp
@@ -5,6 +5,8 @@
 #include "Observability/Log.h"
 #include "Peering/Events.h"
 
+#include <set>
+
 namespace Lavenderloft::Peering {
 
 namespace asio = boost::asio;
@@ -125,6 +127,7 @@
     std::string afterKey;
     m_isWatching = false;
     auto requestedAt = m_clock.now();
+    std::set<std::string> lastKeys;
     while (true) {
         auto result = co_await m_client.call(m_protocol.listRequest(m_prefix, afterKey), listTimeout);
         if (!Base::succeeded(result)) {
@@ -137,6 +140,11 @@
             co_return false;
         }
         auto& listed = Base::valueOf(page);
+        // The next page begins after the last key of this one. Without a new last key the listing would never end.
+        if (listed.morePages && (listed.items.empty() || !lastKeys.insert(listed.items.back().key).second)) {
+            updateConnection(false, "a page of the listing does not continue the previous one");
+            co_return false;
+        }
         // The pages are not one snapshot: the listing is complete only up to the revision of the first page.
         if (!revision)
             revision = listed.revision;
@@ -146,7 +154,7 @@
             items.back().age = Fleet::FleetState::unknownAge;
             items.back().ageIsBound = true;
         }
-        if (!listed.morePages || listed.items.empty())
+        if (!listed.morePages)
             break;
         afterKey = keys.back();
     }
--- a/Tests/Transport/EngineHttpClientTest.cpp
+++ b/Tests/Transport/EngineHttpClientTest.cpp
@@ -21,6 +21,19 @@
     }
 }
 
+// Guards against numbers that wrap around: -1 running requests were read as four billion.
+Test(EngineHttpClient, refusesNumbersOutOfRange)
+{
+    for (const char* number : { "-1", "4294967297", "1e300", "18446744073709551615", "1e999" }) {
+        auto status = Http::parseEngineStatus(R"({"incarnation":1,"state":"ready","digest":"d","running":)" + std::string(number) + "}");
+        cr_expect_not(Base::succeeded(status), "accepted %s", number);
+    }
+    for (const char* number : { "-1", "1e300", "18446744073709551616" }) {
+        auto status = Http::parseEngineStatus(R"({"incarnation":1,"state":"ready","digest":"d","memoryBytes":)" + std::string(number) + "}");
+        cr_expect_not(Base::succeeded(status), "accepted %s", number);
+    }
+}
+
 // Guards against different incarnations given as strings that map to the same number.
 Test(EngineHttpClient, readsIncarnationsOfBothKinds)
 {
@@ -45,6 +58,15 @@
     cr_assert(Http::isForwarded("Content-Type"));
 }
 
+// Guards against a caller that ends the agent: the body was written anew with its priority by a recursion as deep as the
+// body's values are nested, which exceeded the stack.
+Test(EngineRequest, leavesADeeplyNestedBodyUnchanged)
+{
+    constexpr size_t depth = 1000000;
+    auto body = "{\"prompt\":" + std::string(depth, '[') + std::string(depth, ']') + "}";
+    cr_assert(Http::withPriority(body, DesiredState::PriorityClass::Hazard) == body);
+}
+
 // Guards against callers that set the resume point themselves, and against partial parsing of the engine's header.
 Test(EngineRequest, replacesTheCallersResumePoint)
 {
