Treat a stream that ends inside an event as broken

Seen by callers: a stream whose target broke off inside an event ended as if it were complete, with half an event as its last one. Cause: at the end of a response the rest after the last event was passed on, also where the response had neither a length nor chunks and ended with its connection. A target that breaks off and still sends its last chunk had the same effect. Change: such a response is a broken run. It is continued at another target where the route allows that, else the connection to the caller is closed without the last chunk. Line breaks after the last event are still passed on. Whether a connection is kept follows the parser, which knows that a response ended with its connection. Ruled out by tests that passed before as well: a stream or an answer without a length that is closed after its last event is complete; one that is reset is not, and an answer that is reset gives 502.

--- a/Source/Proxy/EventSplitter.h
+++ b/Source/Proxy/EventSplitter.h
@@ -20,6 +20,9 @@
     // Bytes after the last complete event.
     const std::string& remainder() const { return m_pending; }
 
+    // Whether the stream stopped inside an event. Line breaks after the last event belong to no event.
+    bool hasIncompleteEvent() const { return m_pending.find_first_not_of("\r\n") != std::string::npos; }
+
     // Discards the incomplete event of a broken run.
     void reset() { m_pending.clear(); }
 
--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -362,6 +362,7 @@
     if (m_traits.requiredWeights == 0)
         m_traits.requiredWeights = exchange.response().head.weights.value_or(0);
     std::string received;
+    std::optional<AttemptEnd> streamEnd;
     while (!exchange.isComplete()) {
         received.clear();
         auto until = mayRetry() ? std::min(m_traits.deadline, m_context.clock.now() + eventTimeout) : m_traits.deadline;
@@ -369,7 +370,10 @@
         if (failure)
             co_return failedAs(*failure);
         auto events = m_events.take(received);
-        if (exchange.isComplete())
+        // The target broke off, even if the end of its response is well-formed.
+        if (exchange.isComplete() && m_events.hasIncompleteEvent())
+            streamEnd = AttemptEnd::Broken;
+        else if (exchange.isComplete())
             events.append(m_events.remainder());
         if (events.empty())
             continue;
@@ -383,6 +387,8 @@
             m_firstByte = elapsed();
         m_headSent = true;
     }
+    if (streamEnd)
+        co_return failedAs(*streamEnd);
     m_caller.expires_after(timeLeft());
     auto end = pendingHead + std::string(Http::finalChunk);
     m_finished = co_await writeToCaller(end);
--- a/Source/Proxy/TargetExchange.cpp
+++ b/Source/Proxy/TargetExchange.cpp
@@ -164,7 +164,7 @@
 {
     if (!m_connection)
         return;
-    bool mayKeep = isComplete() && m_parser->get().keep_alive() && m_connection->buffer.size() == 0;
+    bool mayKeep = isComplete() && m_parser->keep_alive() && m_connection->buffer.size() == 0;
     if (mayKeep) {
         auto keepAlive = m_response.head.keepAlive ? Base::Duration(*m_response.head.keepAlive) : Base::Duration(ConnectionPool::defaultKeepAlive);
         m_worker.connections.put(std::move(m_connection), keepAlive, m_context.clock.now());
--- a/Tests/Proxy/TestRouter.h
+++ b/Tests/Proxy/TestRouter.h
@@ -17,8 +17,9 @@
 // The proxy of a router on loopback, with a fleet published by the test.
 class TestRouter {
 public:
-    TestRouter()
-        : m_pool(2)
+    // Connections of callers, and the idle connections to targets, are distributed over the event loops.
+    explicit TestRouter(unsigned eventLoops = 2)
+        : m_pool(eventLoops)
         , m_dispatch(m_fleet.state, nodeSettings(), std::make_unique<Dispatch::PowerOfTwoChoicesPolicy>(), std::make_unique<Dispatch::BoundedWaitPolicy>(), std::make_unique<Base::SeededRandom>(1))
         , m_context { m_codec, m_fleet.state, m_dispatch, m_clock, m_metrics }
     {
@@ -73,10 +74,16 @@
     }
 
     boost::asio::ip::tcp::socket send(boost::asio::io_context& context, const std::string& method, const std::string& headers, const std::string& host = "h")
+    {
+        auto identified = "Lavenderloft-Request-Id: id-" + std::to_string(++m_requests) + "\r\n" + headers;
+        return sendWithoutId(context, method, identified, host);
+    }
+
+    boost::asio::ip::tcp::socket sendWithoutId(boost::asio::io_context& context, const std::string& method, const std::string& headers, const std::string& host = "h")
     {
         boost::asio::ip::tcp::socket socket(context);
         socket.connect({ boost::asio::ip::make_address("127.0.0.1"), m_server->port() });
-        auto request = method + " /p HTTP/1.1\r\nHost: " + host + "\r\nLavenderloft-Request-Id: id-1\r\nLavenderloft-Deadline-Ms: 5000\r\n" + headers + "\r\n";
+        auto request = method + " /p HTTP/1.1\r\nHost: " + host + "\r\nLavenderloft-Deadline-Ms: 5000\r\n" + headers + "\r\n";
         boost::asio::write(socket, boost::asio::buffer(request));
         return socket;
     }
@@ -113,6 +120,8 @@
     std::vector<std::unique_ptr<ProxyWorker>> m_workers;
     std::shared_ptr<CallerServer> m_server;
     std::thread m_thread;
+    // Requests sent so far; each has an id of its own.
+    unsigned m_requests = 0;
 };
 
 // A sealed response to the request with the given head.
@@ -127,6 +136,12 @@
     return "HTTP/1.1 200 OK\r\nLavenderloft-Request-Id: " + fieldOf(head, "Lavenderloft-Request-Id") + "\r\nLavenderloft-Response-Seal: seal\r\nTransfer-Encoding: chunked\r\n\r\n";
 }
 
+// Head of a sealed response with neither a length nor chunks, which ends with its connection.
+inline std::string sealedUnboundedHead(const std::string& head)
+{
+    return "HTTP/1.1 200 OK\r\nLavenderloft-Request-Id: " + fieldOf(head, "Lavenderloft-Request-Id") + "\r\nLavenderloft-Response-Seal: seal\r\n\r\n";
+}
+
 inline std::string chunkOf(const std::string& bytes)
 {
     char size[16];
