Believe a response without an id on a new connection only

Seen by callers: a request that a target was running was answered with 503 "not run", or was sent to a second target and ran twice, when the target wrote an earlier refusal without an id once more on a kept connection. An earlier error without an id reached the wrong caller, and an earlier success without an id cost the request its response (502). Cause: a response without an id was taken for the response to the request that waited, on any connection, unless it was a success. Change: a response belongs to a request if it bears its id, or if it bears none and the connection is new and nothing else has come on it. Others are skipped as responses to other requests are. A connection is not kept after a response without an id. A request without an id always uses a new connection. Ruled out: bytes that are in the buffer or the socket before the next request (extra bytes, test doesNotReuseAConnectionWithExtraBytes; it now uses one event loop, since its second request had a pool of its own and proved nothing); an earlier refusal with its id (skipped before as well); an attempt that meets its own refusal (a target that refused an attempt does not receive it again); a refusal behind a response (it is part of the body or an extra byte).

--- a/Source/Proxy/ConnectionPool.cpp
+++ b/Source/Proxy/ConnectionPool.cpp
@@ -31,10 +31,8 @@
     while (!idle.empty()) {
         auto connection = std::move(idle.back());
         idle.pop_back();
-        if (now < connection->usableUntil && now - connection->idleSince <= maximumIdle && isReusable(*connection)) {
-            connection->reused = true;
+        if (now < connection->usableUntil && now - connection->idleSince <= maximumIdle && isReusable(*connection))
             return connection;
-        }
     }
     return nullptr;
 }
--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -277,7 +277,7 @@
 
 asio::awaitable<RequestHandler::AttemptOutcome> RequestHandler::attempt(const Dispatch::Lease& lease)
 {
-    TargetExchange exchange(m_context, m_worker, *m_disconnectMonitor, *lease.target);
+    TargetExchange exchange(m_context, m_worker, *m_disconnectMonitor, *lease.target, m_head.requestId);
     ++m_history.attempts;
     auto failure = co_await exchange.send(forwardedRequest(lease), mayRetry(), m_traits.deadline);
     if (failure == AttemptEnd::NotSent)
@@ -290,7 +290,7 @@
         until = std::min(until, m_context.clock.now() + responseTimeout);
     }
     if (!failure)
-        failure = co_await exchange.readHead(m_head.requestId, m_request.method == "HEAD", until);
+        failure = co_await exchange.readHead(m_request.method == "HEAD", until);
     if (failure) {
         m_disconnectMonitor->setCancelHandler(nullptr);
         co_return failedAs(*failure);
--- a/Source/Proxy/TargetConnection.h
+++ b/Source/Proxy/TargetConnection.h
@@ -19,7 +19,6 @@
     // Bytes that were read beyond the last response.
     boost::beast::flat_buffer buffer;
     std::string targetId;
-    bool reused = false;
     Base::TimePoint idleSince {};
     // Not reused after this time, because the target may close it.
     Base::TimePoint usableUntil {};
--- a/Source/Proxy/TargetExchange.cpp
+++ b/Source/Proxy/TargetExchange.cpp
@@ -32,11 +32,12 @@
 
 } // namespace
 
-TargetExchange::TargetExchange(ProxyContext& context, ProxyWorker& worker, DisconnectMonitor& disconnectMonitor, const Fleet::KnownTarget& target)
+TargetExchange::TargetExchange(ProxyContext& context, ProxyWorker& worker, DisconnectMonitor& disconnectMonitor, const Fleet::KnownTarget& target, std::string requestId)
     : m_context(context)
     , m_worker(worker)
     , m_disconnectMonitor(disconnectMonitor)
     , m_target(target)
+    , m_requestId(std::move(requestId))
 {
 }
 
@@ -74,7 +75,10 @@
 asio::awaitable<TargetExchange::Failure> TargetExchange::send(const Http::HttpRequest& request, bool mayRetry, Base::TimePoint deadline)
 {
     auto idle = mayRetry ? Base::Duration(maximumIdle) : Base::Duration(maximumIdleWithoutRetry);
-    m_connection = m_worker.connections.take(m_target.entry.id, idle, m_context.clock.now());
+    // The response to a request without an id can be recognised on a new connection only.
+    if (!m_requestId.empty())
+        m_connection = m_worker.connections.take(m_target.entry.id, idle, m_context.clock.now());
+    m_mayReadOtherResponses = m_connection != nullptr;
     if (!m_connection) {
         auto failure = co_await connect(deadline);
         if (failure)
@@ -119,21 +123,31 @@
     co_return std::nullopt;
 }
 
-asio::awaitable<TargetExchange::Failure> TargetExchange::readHead(const std::string& requestId, bool isHeadRequest, Base::TimePoint until)
+bool TargetExchange::isOwnResponse() const
+{
+    auto& echoedId = m_response.head.requestId;
+    if (!echoedId.empty())
+        return echoedId == m_requestId;
+    // The target may write the response to an earlier request once more. If there was none, a component of the target
+    // responded that does not know the id.
+    return !m_mayReadOtherResponses;
+}
+
+asio::awaitable<TargetExchange::Failure> TargetExchange::readHead(bool isHeadRequest, Base::TimePoint until)
 {
     for (unsigned unrelated = 0; unrelated <= maximumUnrelatedResponses; ++unrelated) {
         auto failure = co_await readOneHead(isHeadRequest, until);
         if (failure)
             co_return failure;
         bool isInterim = m_response.status < 200;
-        bool belongsToOtherRequest = !m_response.head.requestId.empty() && m_response.head.requestId != requestId;
-        // A success must carry the request id. Other responses may come from a component of the target that does not
-        // know the id.
-        bool isSuccessWithoutId = m_response.head.requestId.empty() && m_response.status < 300;
-        if (isSuccessWithoutId && !isInterim)
-            co_return AttemptEnd::Broken;
-        if (!isInterim && !belongsToOtherRequest)
-            co_return std::nullopt;
+        bool isSuccess = !isInterim && m_response.status < 300;
+        if (!isInterim && isOwnResponse()) {
+            // A success must carry the request id.
+            bool isInvalid = isSuccess && m_response.head.requestId.empty();
+            co_return isInvalid ? Failure(AttemptEnd::Broken) : std::nullopt;
+        }
+        if (!isInterim)
+            m_mayReadOtherResponses = true;
         failure = co_await skipBody(until);
         if (failure)
             co_return failure;
@@ -164,7 +178,9 @@
 {
     if (!m_connection)
         return;
-    bool mayKeep = isComplete() && m_parser->keep_alive() && m_connection->buffer.size() == 0;
+    // After a response without an id it is unknown whether further responses follow.
+    bool isIdentified = !m_response.head.requestId.empty();
+    bool mayKeep = isComplete() && isIdentified && m_parser->keep_alive() && m_connection->buffer.size() == 0;
     if (mayKeep) {
         auto keepAlive = m_response.head.keepAlive ? Base::Duration(*m_response.head.keepAlive) : Base::Duration(ConnectionPool::defaultKeepAlive);
         m_worker.connections.put(std::move(m_connection), keepAlive, m_context.clock.now());
--- a/Source/Proxy/TargetExchange.h
+++ b/Source/Proxy/TargetExchange.h
@@ -25,13 +25,14 @@
     // How the attempt failed; nothing on success.
     using Failure = std::optional<Dispatch::Queries::AttemptEnd>;
 
-    TargetExchange(ProxyContext&, ProxyWorker&, DisconnectMonitor&, const Fleet::KnownTarget&);
+    // The request id is empty if the caller sent none.
+    TargetExchange(ProxyContext&, ProxyWorker&, DisconnectMonitor&, const Fleet::KnownTarget&, std::string requestId);
 
     // Sends the request over a pooled or a new connection.
     boost::asio::awaitable<Failure> send(const Http::HttpRequest&, bool mayRetry, Base::TimePoint deadline);
 
     // Reads the head of the response; skips responses to other requests.
-    boost::asio::awaitable<Failure> readHead(const std::string& requestId, bool isHeadRequest, Base::TimePoint until);
+    boost::asio::awaitable<Failure> readHead(bool isHeadRequest, Base::TimePoint until);
 
     const Response& response() const { return m_response; }
 
@@ -49,6 +50,8 @@
     boost::asio::awaitable<Failure> connect(Base::TimePoint deadline);
     boost::asio::awaitable<Failure> readOneHead(bool isHeadRequest, Base::TimePoint until);
     boost::asio::awaitable<Failure> skipBody(Base::TimePoint until);
+    // Whether the response that is being read surely belongs to this request.
+    bool isOwnResponse() const;
     Base::Duration timeUntil(Base::TimePoint) const;
     Failure describeFailure(const boost::system::error_code&) const;
 
@@ -56,7 +59,10 @@
     ProxyWorker& m_worker;
     DisconnectMonitor& m_disconnectMonitor;
     const Fleet::KnownTarget& m_target;
+    std::string m_requestId;
     std::unique_ptr<TargetConnection> m_connection;
+    // A response on the connection may belong to an earlier request.
+    bool m_mayReadOtherResponses = false;
     std::optional<Parser> m_parser;
     Response m_response;
 };
--- a/Tests/Proxy/RelayTest.cpp
+++ b/Tests/Proxy/RelayTest.cpp
@@ -96,7 +96,7 @@
 // Extra bytes after a response must not be taken for the next response.
 Test(Relay, doesNotReuseAConnectionWithExtraBytes)
 {
-    TestRouter router;
+    TestRouter router(1);
     ScriptedTarget target([](const std::string& head, unsigned number) {
         return ScriptedReply { sealedResponse(head, "body" + std::to_string(number)) + (number == 0 ? "HTTP/1.1 200 X\r\nContent-Length: 1\r\n\r\nx" : "") };
     });
@@ -104,6 +104,7 @@
     router.addTarget("1", target);
     cr_assert(contains(router.exchange("POST"), "body0"));
     cr_assert(contains(router.exchange("POST"), "body1"));
+    cr_assert(contains(router.metrics(), "lavenderloft_target_connections_total 2"));
 }
 
 // A success without a seal does not come from the target.
