Move what a caller receives into CallerResponse

Change: CallerResponse forwards responses and event streams, sends the node's own ones and keeps what has been sent; RequestHandler decides. No behaviour towards callers changes. A caller that does not read its stream in time is logged as request-abandoned now (it had no line), and one that leaves while a short response is written is counted once (it was counted twice).

--- /dev/null
+++ b/Source/Proxy/CallerResponse.cpp
@@ -0,0 +1,121 @@
+#include "Proxy/CallerResponse.h"
+
+#include "Http/WireFormat.h"
+
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+namespace Lavenderloft::Proxy {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using Dispatch::Queries::AttemptEnd;
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // The connection is closed if a caller does not read a complete response within this time.
+    constexpr std::chrono::seconds callerWriteTimeout = 10s;
+    // Shortest time for a write, so that the end of a response is sent at its deadline.
+    constexpr std::chrono::milliseconds minimumWriteTimeout = 1ms;
+
+} // namespace
+
+CallerResponse::CallerResponse(ProxyContext& context, beast::tcp_stream& caller, bool keepAlive)
+    : m_context(context)
+    , m_caller(caller)
+    , m_keepAlive(keepAlive)
+{
+}
+
+bool CallerResponse::decideKeepAlive()
+{
+    m_keepAlive = m_keepAlive && !m_context.draining;
+    return m_keepAlive;
+}
+
+Base::Duration CallerResponse::timeUntil(Base::TimePoint time) const
+{
+    return std::max(time - m_context.clock.now(), Base::Duration(minimumWriteTimeout));
+}
+
+asio::awaitable<bool> CallerResponse::write(std::string_view bytes, Base::Duration timeout)
+{
+    beast::error_code error;
+    m_caller.expires_after(timeout);
+    co_await asio::async_write(m_caller, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+    m_caller.expires_never();
+    if (error)
+        m_keepAlive = false;
+    co_return !error;
+}
+
+void CallerResponse::abort()
+{
+    m_keepAlive = false;
+    m_caller.close();
+}
+
+asio::awaitable<bool> CallerResponse::send(const Http::HttpResponse& response)
+{
+    auto bytes = Http::serializeResponse(response, decideKeepAlive());
+    bool written = co_await write(bytes, callerWriteTimeout);
+    co_return written;
+}
+
+asio::awaitable<CallerResponse::Forwarded> CallerResponse::forward(TargetExchange& exchange, Base::TimePoint deadline)
+{
+    Http::HttpResponse response;
+    response.status = exchange.response().status;
+    response.headers = m_context.protocol.returnedHeaders(exchange.response().headers);
+    while (!exchange.isComplete()) {
+        auto failure = co_await exchange.readBody(response.body, deadline);
+        if (failure)
+            co_return Forwarded { failure };
+    }
+    bool written = co_await send(response);
+    co_return Forwarded { std::nullopt, !written };
+}
+
+asio::awaitable<CallerResponse::Forwarded> CallerResponse::forwardEvents(TargetExchange& exchange, Base::TimePoint deadline, std::optional<Base::Duration> eventTimeout)
+{
+    std::string pendingHead;
+    if (isStarted()) {
+        m_events.reset();
+        m_events.skipThrough(m_events.lastEventId());
+    } else
+        pendingHead = Http::serializeChunkedHead(exchange.response().status, m_context.protocol.returnedHeaders(exchange.response().headers), decideKeepAlive());
+    std::string received;
+    bool isBrokenOff = false;
+    while (!exchange.isComplete()) {
+        received.clear();
+        auto until = eventTimeout ? std::min(deadline, m_context.clock.now() + *eventTimeout) : deadline;
+        auto failure = co_await exchange.readBody(received, until);
+        if (failure)
+            co_return Forwarded { failure };
+        auto events = m_events.take(received);
+        // The target broke off, even if the end of its response is well-formed.
+        isBrokenOff = exchange.isComplete() && m_events.hasIncompleteEvent();
+        if (exchange.isComplete() && !isBrokenOff)
+            events.append(m_events.remainder());
+        if (events.empty())
+            continue;
+        auto bytes = pendingHead + Http::serializeChunk(events);
+        bool written = co_await write(bytes, timeUntil(deadline));
+        if (!written)
+            co_return Forwarded { std::nullopt, true };
+        pendingHead.clear();
+        if (!m_firstByteAt)
+            m_firstByteAt = m_context.clock.now();
+    }
+    if (isBrokenOff)
+        co_return Forwarded { AttemptEnd::Broken };
+    auto end = pendingHead + std::string(Http::finalChunk);
+    bool written = co_await write(end, timeUntil(deadline));
+    co_return Forwarded { std::nullopt, !written };
+}
+
+} // namespace Lavenderloft::Proxy
--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -5,14 +5,11 @@
 #include "Dispatch/Commands/RecordCrash.h"
 #include "Dispatch/Commands/RecordOutcome.h"
 #include "Fleet/Queries/ReadFleet.h"
-#include "Http/WireFormat.h"
 #include "Observability/Log.h"
 #include "Proxy/Events.h"
 
 #include <algorithm>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 
 namespace Lavenderloft::Proxy {
 
@@ -26,8 +23,6 @@
 
     // Used if the caller sends no deadline.
     constexpr std::chrono::milliseconds defaultDeadline = 30000ms;
-    // The connection is closed if a caller does not read a complete response within this time.
-    constexpr std::chrono::seconds callerWriteTimeout = 10s;
     // A repeatable request is retried at another target if there is no response within this multiple of the target
     // latency, or no event within this multiple of the longest pause.
     constexpr int responseTimeoutFactor = 3;
@@ -87,6 +82,11 @@
         return status == 408 || status == 421 || status == 429 || status == 503;
     }
 
+    bool isServerError(unsigned status)
+    {
+        return status >= 500;
+    }
+
     std::string formatSeconds(std::chrono::milliseconds duration)
     {
         auto thousandths = std::to_string(duration.count() % 1000);
@@ -101,7 +101,7 @@
     , m_caller(caller)
     , m_request(std::move(request))
     , m_head(context.protocol.readRequestHead(m_request.headers))
-    , m_keepAlive(keepAlive)
+    , m_response(context, caller, keepAlive)
     , m_disconnectMonitor(std::make_shared<DisconnectMonitor>(caller.socket()))
 {
     m_traits.arrivedAt = context.clock.now();
@@ -117,7 +117,7 @@
         co_await serve();
     m_disconnectMonitor->stop();
     --m_context.openRequests;
-    bool mayKeep = m_keepAlive && !m_disconnectMonitor->callerDisconnected();
+    bool mayKeep = m_response.mayKeepConnection() && !m_disconnectMonitor->callerDisconnected();
     co_return mayKeep;
 }
 
@@ -194,7 +194,7 @@
     while (true) {
         auto outcome = co_await acquire();
         if (auto* refusal = std::get_if<Dispatch::Refusal>(&*outcome)) {
-            if (m_history.runs == 0 && !m_headSent) {
+            if (m_history.runs == 0 && !m_response.isStarted()) {
                 co_await respondWithRefusal(*refusal);
                 co_return;
             }
@@ -211,7 +211,6 @@
             attempted = co_await attempt(lease);
         Dispatch::Commands::releaseTarget(m_context.dispatch, m_traits.service, lease.target->entry.id, attempted.result, m_context.clock.now());
         if (m_disconnectMonitor->callerDisconnected() && !m_finished) {
-            m_keepAlive = false;
             logFinished(Events::requestAbandoned, 0, "caller_left");
             co_return;
         }
@@ -242,8 +241,8 @@
         forwarding.organisation = m_organisation->name;
     forwarding.priority = std::clamp(m_traits.priority, 0, lowestPriority);
     forwarding.expectedWeights = lease.expectedWeights;
-    if (m_headSent)
-        forwarding.lastEventId = m_events.lastEventId();
+    if (m_response.isStarted())
+        forwarding.lastEventId = m_response.lastEventId();
     Http::HttpRequest request;
     request.method = m_request.method;
     request.target = m_request.target;
@@ -319,91 +318,40 @@
     // not be forwarded unless the target stated so explicitly.
     if ((isSuccess && !response.head.sealed) || impliesNotExecuted(response.status))
         co_return failedAs(AttemptEnd::ErrorResponse, response.status);
-    if (response.status >= 500 && Dispatch::Queries::mayRetry(*m_traits.route, m_history, AttemptEnd::ErrorResponse))
+    if (isServerError(response.status) && Dispatch::Queries::mayRetry(*m_traits.route, m_history, AttemptEnd::ErrorResponse))
         co_return failedAs(AttemptEnd::ErrorResponse, response.status);
-    if (m_headSent && !isSuccess)
+    if (m_response.isStarted() && !isSuccess)
         co_return failedAs(AttemptEnd::ErrorResponse, response.status);
     if (isSuccess && m_traits.route->kind == Fleet::RequestKind::Stream)
-        co_return co_await relayEventStream(exchange);
-    co_return co_await relayBuffered(exchange);
+        co_return co_await forwardEvents(exchange);
+    co_return co_await forward(exchange);
 }
 
-asio::awaitable<RequestHandler::AttemptOutcome> RequestHandler::relayBuffered(TargetExchange& exchange)
+RequestHandler::AttemptOutcome RequestHandler::outcomeOf(const CallerResponse::Forwarded& forwarded, unsigned status, std::string_view reason)
 {
-    Http::HttpResponse response;
-    response.status = exchange.response().status;
-    response.headers = m_context.protocol.returnedHeaders(exchange.response().headers);
-    while (!exchange.isComplete()) {
-        auto failure = co_await exchange.readBody(response.body, m_traits.deadline);
-        if (failure)
-            co_return failedAs(*failure);
-    }
-    m_keepAlive = m_keepAlive && !m_context.draining;
-    m_caller.expires_after(callerWriteTimeout);
-    auto bytes = Http::serializeResponse(response, m_keepAlive);
-    bool written = co_await writeToCaller(bytes);
-    m_finished = written;
-    logFinished(written ? Events::requestServed : Events::requestAbandoned, response.status, "answered");
-    co_return finishedAs(response.status >= 500 ? AttemptResult::ErrorResponse : AttemptResult::Served);
+    if (forwarded.failure)
+        return failedAs(*forwarded.failure);
+    logFinished(forwarded.callerLeft ? Events::requestAbandoned : Events::requestServed, status, reason);
+    if (forwarded.callerLeft)
+        return finishedAs(AttemptResult::Abandoned);
+    return finishedAs(isServerError(status) ? AttemptResult::ErrorResponse : AttemptResult::Served);
 }
 
-asio::awaitable<RequestHandler::AttemptOutcome> RequestHandler::relayEventStream(TargetExchange& exchange)
+asio::awaitable<RequestHandler::AttemptOutcome> RequestHandler::forward(TargetExchange& exchange)
 {
-    auto eventTimeout = std::max(minimumResponseTimeout, m_traits.route->maximumEventGap * responseTimeoutFactor);
-    if (m_headSent) {
-        m_events.reset();
-        m_events.skipThrough(m_events.lastEventId());
-    }
-    std::string pendingHead;
-    if (!m_headSent) {
-        m_keepAlive = m_keepAlive && !m_context.draining;
-        pendingHead = Http::serializeChunkedHead(exchange.response().status, m_context.protocol.returnedHeaders(exchange.response().headers), m_keepAlive);
-    }
-    if (m_traits.requiredWeights == 0)
-        m_traits.requiredWeights = exchange.response().head.weights.value_or(0);
-    std::string received;
-    std::optional<AttemptEnd> streamEnd;
-    while (!exchange.isComplete()) {
-        received.clear();
-        auto until = mayRetry() ? std::min(m_traits.deadline, m_context.clock.now() + eventTimeout) : m_traits.deadline;
-        auto failure = co_await exchange.readBody(received, until);
-        if (failure)
-            co_return failedAs(*failure);
-        auto events = m_events.take(received);
-        // The target broke off, even if the end of its response is well-formed.
-        if (exchange.isComplete() && m_events.hasIncompleteEvent())
-            streamEnd = AttemptEnd::Broken;
-        else if (exchange.isComplete())
-            events.append(m_events.remainder());
-        if (events.empty())
-            continue;
-        m_caller.expires_after(timeLeft());
-        auto bytes = pendingHead + Http::serializeChunk(events);
-        bool written = co_await writeToCaller(bytes);
-        if (!written)
-            co_return finishedAs(AttemptResult::Abandoned);
-        pendingHead.clear();
-        if (!m_headSent)
-            m_firstByte = elapsed();
-        m_headSent = true;
-    }
-    if (streamEnd)
-        co_return failedAs(*streamEnd);
-    m_caller.expires_after(timeLeft());
-    auto end = pendingHead + std::string(Http::finalChunk);
-    m_finished = co_await writeToCaller(end);
-    logFinished(m_finished ? Events::requestServed : Events::requestAbandoned, exchange.response().status, "streamed");
-    co_return finishedAs(AttemptResult::Served);
+    auto forwarded = co_await m_response.forward(exchange, m_traits.deadline);
+    co_return outcomeOf(forwarded, exchange.response().status, "answered");
 }
 
-asio::awaitable<bool> RequestHandler::writeToCaller(std::string_view bytes)
+asio::awaitable<RequestHandler::AttemptOutcome> RequestHandler::forwardEvents(TargetExchange& exchange)
 {
-    beast::error_code error;
-    co_await asio::async_write(m_caller, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
-    m_caller.expires_never();
-    if (error)
-        m_keepAlive = false;
-    co_return !error;
+    if (m_traits.requiredWeights == 0)
+        m_traits.requiredWeights = exchange.response().head.weights.value_or(0);
+    std::optional<Base::Duration> eventTimeout;
+    if (mayRetry())
+        eventTimeout = std::max(minimumResponseTimeout, m_traits.route->maximumEventGap * responseTimeoutFactor);
+    auto forwarded = co_await m_response.forwardEvents(exchange, m_traits.deadline, eventTimeout);
+    co_return outcomeOf(forwarded, exchange.response().status, "streamed");
 }
 
 asio::awaitable<void> RequestHandler::respondWithError(unsigned status, const char* code, std::optional<std::chrono::milliseconds> retryAfter)
@@ -414,10 +362,7 @@
     if (retryAfter)
         response.headers.push_back({ "Retry-After", formatSeconds(*retryAfter) });
     response.body = std::string(R"({"error":")") + code + "\"}";
-    m_keepAlive = m_keepAlive && !m_context.draining;
-    m_caller.expires_after(callerWriteTimeout);
-    auto bytes = Http::serializeResponse(response, m_keepAlive);
-    m_finished = co_await writeToCaller(bytes);
+    co_await m_response.send(response);
     bool isDenial = status >= 400 && status < 429;
     logFinished(isDenial ? Events::requestDenied : status == 503 ? Events::requestRefused
                                                                  : Events::requestFailed,
@@ -433,14 +378,11 @@
 asio::awaitable<void> RequestHandler::respondWithFailure(AttemptEnd end)
 {
     if (m_disconnectMonitor->callerDisconnected()) {
-        m_keepAlive = false;
         logFinished(Events::requestAbandoned, 0, "caller_left");
         co_return;
     }
-    if (m_headSent) {
-        // The caller must be able to detect that the response is incomplete.
-        m_keepAlive = false;
-        m_caller.close();
+    if (m_response.isStarted()) {
+        m_response.abort();
         logFinished(Events::requestFailed, 0, "stream_broken");
         co_return;
     }
@@ -456,13 +398,14 @@
 void RequestHandler::logFinished(const Observability::Event& event, unsigned status, std::string_view reason)
 {
     auto route = m_traits.route ? m_traits.route->name : std::string();
+    m_finished = true;
     countFinished(event, reason);
     if (!Observability::isLogged(event))
         return;
     Observability::logEvent(event,
         { { "request", m_head.requestId }, { "route", route }, { "organisation", m_organisation ? m_organisation->name : std::string() },
             { "target", m_lastTarget }, { "status", status }, { "reason", reason }, { "repeat_refused", m_retryRefusal }, { "attempts", m_history.attempts }, { "runs", m_history.runs },
-            { "waited", m_waited }, { "occupancy", m_occupancy }, { "first_byte", m_firstByte }, { "elapsed", elapsed() }, { "configuration", m_snapshot && m_snapshot->configuration ? m_snapshot->configuration->version : 0 },
+            { "waited", m_waited }, { "occupancy", m_occupancy }, { "first_byte", timeToFirstByte() }, { "elapsed", elapsed() }, { "configuration", m_snapshot && m_snapshot->configuration ? m_snapshot->configuration->version : 0 },
             { "revision", m_snapshot ? m_snapshot->revision : 0 } });
 }
 
@@ -474,8 +417,8 @@
     m_context.metrics.observe("request_seconds", { { "outcome", outcome } }, seconds(elapsed()));
     if (m_history.attempts > 0)
         m_context.metrics.observe("request_wait_seconds", {}, seconds(m_waited));
-    if (m_headSent)
-        m_context.metrics.observe("first_byte_seconds", {}, seconds(m_firstByte));
+    if (m_response.isStarted())
+        m_context.metrics.observe("first_byte_seconds", {}, seconds(timeToFirstByte()));
 }
 
 std::chrono::milliseconds RequestHandler::elapsed() const
@@ -483,6 +426,13 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(m_context.clock.now() - m_traits.arrivedAt);
 }
 
+std::chrono::milliseconds RequestHandler::timeToFirstByte() const
+{
+    if (!m_response.isStarted())
+        return 0ms;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(*m_response.firstByteAt() - m_traits.arrivedAt);
+}
+
 std::chrono::milliseconds RequestHandler::timeLeft() const
 {
     auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_traits.deadline - m_context.clock.now());
--- a/Source/Proxy/RequestHandler.h
+++ b/Source/Proxy/RequestHandler.h
@@ -2,8 +2,8 @@
 
 #include "Dispatch/Commands/RecordOutcome.h"
 #include "Observability/Event.h"
+#include "Proxy/CallerResponse.h"
 #include "Proxy/DisconnectMonitor.h"
-#include "Proxy/EventSplitter.h"
 #include "Proxy/LeaseWaiter.h"
 #include "Proxy/ProxyContext.h"
 #include "Proxy/TargetExchange.h"
@@ -44,14 +44,14 @@
     boost::asio::awaitable<void> serve();
     boost::asio::awaitable<AttemptOutcome> attempt(const Dispatch::Lease&);
     boost::asio::awaitable<AttemptOutcome> relay(TargetExchange&);
-    boost::asio::awaitable<AttemptOutcome> relayBuffered(TargetExchange&);
-    boost::asio::awaitable<AttemptOutcome> relayEventStream(TargetExchange&);
+    boost::asio::awaitable<AttemptOutcome> forward(TargetExchange&);
+    boost::asio::awaitable<AttemptOutcome> forwardEvents(TargetExchange&);
+    AttemptOutcome outcomeOf(const CallerResponse::Forwarded&, unsigned status, std::string_view reason);
     Http::HttpRequest forwardedRequest(const Dispatch::Lease&) const;
 
     AttemptOutcome failedAs(AttemptEnd, unsigned status = 0) const;
     AttemptOutcome finishedAs(Dispatch::Commands::AttemptResult) const;
 
-    boost::asio::awaitable<bool> writeToCaller(std::string_view bytes);
     boost::asio::awaitable<void> respondWithError(unsigned status, const char* code, std::optional<std::chrono::milliseconds> retryAfter = std::nullopt);
     boost::asio::awaitable<void> respondWithRefusal(const Dispatch::Refusal&);
     // Ends a request whose last attempt failed.
@@ -60,6 +60,8 @@
     void logFinished(const Observability::Event&, unsigned status, std::string_view reason);
     void countFinished(const Observability::Event&, std::string_view reason);
     std::chrono::milliseconds elapsed() const;
+    // From the arrival of the request to the first byte of the response body; zero without one.
+    std::chrono::milliseconds timeToFirstByte() const;
     std::chrono::milliseconds timeLeft() const;
     bool mayRetry() const { return m_traits.route->isRepeatable(); }
 
@@ -68,7 +70,7 @@
     boost::beast::tcp_stream& m_caller;
     Http::HttpRequest m_request;
     RequestHead m_head;
-    bool m_keepAlive;
+    CallerResponse m_response;
     std::shared_ptr<DisconnectMonitor> m_disconnectMonitor;
     std::shared_ptr<const Fleet::FleetSnapshot> m_snapshot;
     std::shared_ptr<const Fleet::Organisation> m_organisation;
@@ -76,17 +78,14 @@
     Dispatch::Queries::RequestHistory m_history;
     // Some target received the request, so retries are charged to the retry budget.
     bool m_reachedTarget = false;
-    bool m_headSent = false;
+    // The outcome of the request has been logged.
     bool m_finished = false;
     std::string m_lastTarget;
     // Why a retry was refused; empty if none was.
     std::string_view m_retryRefusal;
     std::chrono::milliseconds m_waited { 0 };
-    // From the arrival of the request to the first byte of the response body.
-    std::chrono::milliseconds m_firstByte { 0 };
     // Requests at the last target when this request was sent there.
     unsigned m_occupancy = 0;
-    EventSplitter m_events;
 };
 
 } // namespace Lavenderloft::Proxy
