Drop the first event of a broken run before the stream starts anew

Seen by callers: an event joined from two runs, as "id: 1\ndaid: 1\ndata: a", where a target broke off inside the first event and another one started the stream anew. Cause: the incomplete event of a broken run was dropped only if the caller had received events before. Change: it is dropped at the start of each run.

--- a/Source/Proxy/CallerResponse.cpp
+++ b/Source/Proxy/CallerResponse.cpp
@@ -83,10 +83,9 @@
 asio::awaitable<CallerResponse::Forwarded> CallerResponse::forwardEvents(TargetExchange& exchange, Base::TimePoint deadline, std::optional<Base::Duration> eventTimeout)
 {
     std::string pendingHead;
-    if (isStarted()) {
-        m_events.reset();
-        m_events.skipThrough(m_events.lastEventId());
-    } else
+    m_events.reset();
+    m_events.skipThrough(m_events.lastEventId());
+    if (!isStarted())
         pendingHead = Http::serializeChunkedHead(exchange.response().status, m_context.protocol.returnedHeaders(exchange.response().headers), decideKeepAlive());
     std::string received;
     bool isBrokenOff = false;
--- a/Tests/Proxy/BrokenResponseTest.cpp
+++ b/Tests/Proxy/BrokenResponseTest.cpp
@@ -111,3 +111,25 @@
     auto response = responseTo(Fleet::RequestKind::AtMostOnce, sealedUnboundedHead, "part", Then::Reset);
     cr_assert(contains(response, "HTTP/1.1 502") && !contains(response, "part"), "%s", response.c_str());
 }
+
+// Guards against an event that is joined from two runs: a target breaks off inside the first event, of which the caller
+// has nothing yet, and another target starts the stream anew.
+Test(BrokenResponse, aStreamThatEndsInsideItsFirstEventIsStartedAnew)
+{
+    TestRouter router;
+    std::promise<void> otherIsKnown;
+    ScriptedTarget broken([&](const std::string& head, unsigned) {
+        otherIsKnown.get_future().wait();
+        return ScriptedReply { sealedStreamHead(head) + chunkOf("id: 1\nda"), Then::Close };
+    });
+    ScriptedTarget whole([](const std::string& head, unsigned) { return ScriptedReply { sealedStreamHead(head) + chunkOf("id: 1\ndata: a\n\n") + finalChunk }; });
+    router.setRoute(Fleet::RequestKind::Stream, 2, true);
+    router.addTarget("1", broken);
+    boost::asio::io_context context;
+    auto socket = router.send(context, "POST", "Connection: close\r\n");
+    broken.waitForRequests(1);
+    router.addTarget("2", whole);
+    otherIsKnown.set_value();
+    auto response = TestRouter::readAll(socket);
+    cr_assert(response.ends_with(chunkOf("id: 1\ndata: a\n\n") + finalChunk), "%s", response.c_str());
+}
