Limit what is read between the parts of a target's response

Seen by callers: a request whose target sent a chunk header, a trailer or a response to another request without end was held until its deadline (504), while the router read, and for chunk headers and trailers kept, all of it. Cause: the buffer of a connection had no limit, so that the HTTP parser read on until it found the end of a line; the body of a response that is skipped was limited like one that is forwarded, to 64 MB. Ruled out by tests that passed before: a head without end, bytes that are not HTTP, interim responses without end (502 at once); heads and bodies that arrive byte by byte (504 at the deadline; the timer covers a whole head). Before: aChunkHeaderWithoutEndIsCutOff, aTrailerWithoutEndIsCutOff and anotherResponseWithoutEndIsCutOff failed: the target got rid of all 40 MB that it sends in the test, and the caller got 504 after 2 s.

--- a/Source/Proxy/TargetExchange.cpp
+++ b/Source/Proxy/TargetExchange.cpp
@@ -28,6 +28,8 @@
     constexpr size_t readBytes = 4096;
     // Responses to earlier requests, and interim responses, that are skipped before the connection is considered broken.
     constexpr unsigned maximumUnrelatedResponses = 2;
+    constexpr size_t maximumUnrelatedBytes = 1024 * 1024;
+    constexpr uint32_t maximumHeadBytes = 8 * 1024;
     constexpr uint64_t maximumResponseBytes = 64 * 1024 * 1024;
 
 } // namespace
@@ -97,6 +99,7 @@
 asio::awaitable<TargetExchange::Failure> TargetExchange::readOneHead(bool isHeadRequest, Base::TimePoint until)
 {
     m_parser.emplace();
+    m_parser->header_limit(maximumHeadBytes);
     m_parser->body_limit(maximumResponseBytes);
     m_parser->skip(isHeadRequest);
     beast::error_code error;
@@ -111,18 +114,6 @@
     co_return std::nullopt;
 }
 
-asio::awaitable<TargetExchange::Failure> TargetExchange::skipBody(Base::TimePoint until)
-{
-    std::string ignored;
-    while (!isComplete()) {
-        ignored.clear();
-        auto failure = co_await readBody(ignored, until);
-        if (failure)
-            co_return failure;
-    }
-    co_return std::nullopt;
-}
-
 bool TargetExchange::isOwnResponse() const
 {
     auto& echoedId = m_response.head.requestId;
@@ -148,7 +139,7 @@
         }
         if (!isInterim)
             m_mayReadOtherResponses = true;
-        failure = co_await skipBody(until);
+        failure = co_await discardBody(maximumUnrelatedBytes, until);
         if (failure)
             co_return failure;
     }
@@ -174,6 +165,22 @@
     co_return std::nullopt;
 }
 
+asio::awaitable<TargetExchange::Failure> TargetExchange::discardBody(size_t maximumBytes, Base::TimePoint until)
+{
+    std::string bytes;
+    size_t discarded = 0;
+    while (!isComplete()) {
+        bytes.clear();
+        auto failure = co_await readBody(bytes, until);
+        if (failure)
+            co_return failure;
+        discarded += bytes.size();
+        if (discarded > maximumBytes)
+            co_return AttemptEnd::Broken;
+    }
+    co_return std::nullopt;
+}
+
 void TargetExchange::releaseConnection()
 {
     if (!m_connection)
--- a/Source/Proxy/TargetExchange.h
+++ b/Source/Proxy/TargetExchange.h
@@ -39,6 +39,9 @@
     // Appends the next available bytes of the body; appends nothing at its end.
     boost::asio::awaitable<Failure> readBody(std::string& bytes, Base::TimePoint until);
 
+    // Reads and discards the rest of the body. Fails if it is longer or not complete in time.
+    boost::asio::awaitable<Failure> discardBody(size_t maximumBytes, Base::TimePoint until);
+
     bool isComplete() const { return m_parser && m_parser->is_done(); }
 
     // Returns the connection to the pool if the response was complete, and closes it otherwise.
@@ -49,7 +52,6 @@
 
     boost::asio::awaitable<Failure> connect(Base::TimePoint deadline);
     boost::asio::awaitable<Failure> readOneHead(bool isHeadRequest, Base::TimePoint until);
-    boost::asio::awaitable<Failure> skipBody(Base::TimePoint until);
     // Whether the response that is being read surely belongs to this request.
     bool isOwnResponse() const;
     Base::Duration timeUntil(Base::TimePoint) const;
--- /dev/null
+++ b/Tests/Proxy/EndlessResponseTest.cpp
@@ -0,0 +1,118 @@
+#include "Proxy/TestRouter.h"
+
+#include <criterion/criterion.h>
+
+using namespace Lavenderloft;
+using namespace Lavenderloft::Proxy;
+using namespace std::chrono_literals;
+using Then = ScriptedReply::Then;
+
+namespace {
+
+using Head = std::string (*)(const std::string&);
+
+constexpr auto finalChunk = "0\r\n\r\n";
+constexpr auto routeTimeout = 2000ms;
+
+std::string noHead(const std::string&)
+{
+    return {};
+}
+
+std::string repeatedUnit(const std::string& part)
+{
+    std::string unit;
+    while (unit.size() < 64 * 1024)
+        unit += part;
+    return unit;
+}
+
+struct Observed {
+    std::string response;
+    // The router read more than a response may have.
+    bool readEverything = false;
+    std::string metrics;
+};
+
+// What the caller receives from a target that sends some bytes and then others without end.
+Observed observeEndless(Fleet::RequestKind kind, Head makeHead, const std::string& bytes, const std::string& repeated)
+{
+    TestRouter router;
+    ScriptedTarget target([&](const std::string& head, unsigned) { return ScriptedReply { makeHead(head) + bytes, Then::Repeat, repeatedUnit(repeated) }; });
+    router.setRoute(kind, 1, false, routeTimeout);
+    router.addTarget("1", target);
+    Observed observed;
+    observed.response = router.exchange("POST");
+    observed.readEverything = target.sentAllRepeats();
+    observed.metrics = router.metrics();
+    return observed;
+}
+
+// The target must count as failed, and the caller must see that.
+void expectFailure(const Observed& observed)
+{
+    cr_expect_not(observed.readEverything, "the router reads without a limit");
+    cr_expect(contains(observed.metrics, "lavenderloft_attempts_failed_total{end=\"broken\"} 1"), "%s", observed.metrics.c_str());
+    bool isRejected = contains(observed.response, "HTTP/1.1 502");
+    bool isCut = contains(observed.response, "HTTP/1.1 200") && !observed.response.ends_with(finalChunk);
+    cr_expect(isRejected || isCut || observed.response.empty(), "%s", observed.response.substr(0, 200).c_str());
+}
+
+} // namespace
+
+// Guards against memory that fills up while the HTTP parser looks for the end of a line between two chunks.
+Test(EndlessResponse, aChunkHeaderWithoutEndIsCutOff)
+{
+    expectFailure(observeEndless(Fleet::RequestKind::AtMostOnce, sealedStreamHead, "1;", "x"));
+    expectFailure(observeEndless(Fleet::RequestKind::Stream, sealedStreamHead, "1;", "x"));
+}
+
+// Guards against the same after the last chunk, where fields may follow.
+Test(EndlessResponse, aTrailerWithoutEndIsCutOff)
+{
+    expectFailure(observeEndless(Fleet::RequestKind::AtMostOnce, sealedStreamHead, "0\r\n", "A: b\r\n"));
+}
+
+// Guards against memory that fills up while the router looks for the end of a head.
+Test(EndlessResponse, aHeadWithoutEndIsCutOff)
+{
+    expectFailure(observeEndless(Fleet::RequestKind::AtMostOnce, noHead, "HTTP/1.1 200 OK\r\n", "A: b\r\n"));
+}
+
+// Guards against a wait for a head in bytes that are not HTTP.
+Test(EndlessResponse, bytesThatAreNotHttpAreCutOff)
+{
+    expectFailure(observeEndless(Fleet::RequestKind::AtMostOnce, noHead, "", "x"));
+}
+
+// Guards against a request that is held until its deadline by interim responses.
+Test(EndlessResponse, interimResponsesWithoutEndAreCutOff)
+{
+    expectFailure(observeEndless(Fleet::RequestKind::AtMostOnce, noHead, "", "HTTP/1.1 100 Continue\r\n\r\n"));
+}
+
+// Guards against a request that is held until its deadline by a response to another request.
+Test(EndlessResponse, anotherResponseWithoutEndIsCutOff)
+{
+    expectFailure(observeEndless(Fleet::RequestKind::AtMostOnce, unboundedHeadOfAnotherRequest, "", "x"));
+}
+
+// Guards against a limit in bytes alone: a head that arrives byte by byte must not hold the request beyond its deadline.
+Test(EndlessResponse, aSlowHeadEndsAtTheDeadline)
+{
+    TestRouter router;
+    ScriptedTarget target([](const std::string&, unsigned) { return ScriptedReply { "HTTP/1.1 200 OK\r\nA: ", Then::Repeat, "x", 20ms }; });
+    router.setRoute(Fleet::RequestKind::AtMostOnce, 1, false, 300ms);
+    router.addTarget("1", target);
+    cr_assert(contains(router.exchange("POST"), "HTTP/1.1 504"));
+}
+
+// Guards against a body that arrives byte by byte and holds the request beyond its deadline.
+Test(EndlessResponse, aSlowBodyEndsAtTheDeadline)
+{
+    TestRouter router;
+    ScriptedTarget target([](const std::string& head, unsigned) { return ScriptedReply { sealedUnboundedHead(head), Then::Repeat, "x", 20ms }; });
+    router.setRoute(Fleet::RequestKind::AtMostOnce, 1, false, 300ms);
+    router.addTarget("1", target);
+    cr_assert(contains(router.exchange("POST"), "HTTP/1.1 504"));
+}
--- a/Tests/Proxy/ScriptedTarget.h
+++ b/Tests/Proxy/ScriptedTarget.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <boost/asio.hpp>
+#include <chrono>
 #include <condition_variable>
 #include <functional>
 #include <mutex>
@@ -20,15 +21,22 @@
         Reset,
         // Sends nothing more until the other side closes the connection.
         Hang,
+        // Sends `repeated` again and again until the other side closes the connection.
+        Repeat,
     };
 
     std::string bytes;
     Then then = Then::KeepOpen;
+    std::string repeated {};
+    std::chrono::milliseconds pauseBeforeRepeat { 0 };
 };
 
 // A target on loopback that replies to each request according to the test's script.
 class ScriptedTarget {
 public:
+    // A repeating target stops after this many bytes and hangs, so that a test of unlimited reading stays small.
+    static constexpr size_t maximumRepeatedBytes = 40 * 1024 * 1024;
+
     // Called with the head of the request and its number, counted from zero over all connections.
     using Script = std::function<ScriptedReply(const std::string& head, unsigned number)>;
 
@@ -72,6 +80,9 @@
         m_changed.wait(guard, [&] { return m_hangsEnded > 0; });
     }
 
+    // Whether the other side accepted everything that a repeating target sends.
+    bool sentAllRepeats() const { return m_sentAllRepeats; }
+
     // Heads of the requests so far.
     std::vector<std::string> heads() const
     {
@@ -116,6 +127,8 @@
             boost::asio::write(socket, boost::asio::buffer(reply.bytes), error);
             if (reply.then == ScriptedReply::Then::KeepOpen)
                 continue;
+            if (reply.then == ScriptedReply::Then::Repeat)
+                repeat(socket, reply);
             end(socket, reply.then);
             return;
         }
@@ -128,10 +141,21 @@
         return start == std::string::npos ? 0 : std::stoul(head.substr(start + 16));
     }
 
+    void repeat(Socket& socket, const ScriptedReply& reply)
+    {
+        boost::system::error_code error;
+        size_t sent = 0;
+        while (!m_stopped && !error && sent < maximumRepeatedBytes) {
+            std::this_thread::sleep_for(reply.pauseBeforeRepeat);
+            sent += boost::asio::write(socket, boost::asio::buffer(reply.repeated), error);
+        }
+        m_sentAllRepeats = sent >= maximumRepeatedBytes;
+    }
+
     void end(Socket& socket, ScriptedReply::Then then)
     {
         boost::system::error_code error;
-        if (then == ScriptedReply::Then::Hang) {
+        if (then == ScriptedReply::Then::Hang || m_sentAllRepeats) {
             char byte = 0;
             socket.read_some(boost::asio::buffer(&byte, 1), error);
             {
@@ -153,6 +177,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::atomic<bool> m_stopped { false };
     std::atomic<unsigned> m_requests { 0 };
+    std::atomic<bool> m_sentAllRepeats { false };
     mutable std::mutex m_lock;
     mutable std::condition_variable m_changed;
     unsigned m_hangsEnded = 0;
--- a/Tests/Proxy/TestRouter.h
+++ b/Tests/Proxy/TestRouter.h
@@ -149,6 +149,12 @@
     return size + bytes + "\r\n";
 }
 
+// Head of a response without a length that belongs to another request.
+inline std::string unboundedHeadOfAnotherRequest(const std::string&)
+{
+    return "HTTP/1.1 200 OK\r\nLavenderloft-Request-Id: other\r\nLavenderloft-Response-Seal: seal\r\n\r\n";
+}
+
 inline bool contains(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
 
 } // namespace Lavenderloft::Proxy
