Retry a refused request without waiting for the rest of the refusal

Seen by callers: a request that a target refused was not offered to a free target, and got 503 at its deadline, when the body of the refusal did not arrive. Cause: the body was read to its end, until the deadline, into one string. Change: the head decides. The body is read for the sake of the connection only, 16 KB and 100 ms at most; else the connection is closed.

--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -32,6 +32,9 @@
     constexpr std::chrono::milliseconds closingRetryAfter = 50ms;
     // Matches no region; an empty list would allow all regions.
     const std::string noRegion;
+    constexpr size_t maximumRefusalBytes = 16 * 1024;
+    // Time for the body of a refusal whose head has arrived.
+    constexpr std::chrono::milliseconds refusalBodyTimeout = 100ms;
     constexpr int lowestPriority = 9;
     constexpr unsigned misdirectedStatus = 421;
 
@@ -305,12 +308,9 @@
     auto& response = exchange.response();
     if (response.head.notExecuted && impliesNotExecuted(response.status)) {
         --m_history.runs;
-        std::string ignored;
-        while (!exchange.isComplete()) {
-            auto failure = co_await exchange.readBody(ignored, m_traits.deadline);
-            if (failure)
-                break;
-        }
+        // Without the rest of the refusal only the connection is lost.
+        auto until = std::min(m_traits.deadline, m_context.clock.now() + refusalBodyTimeout);
+        co_await exchange.discardBody(maximumRefusalBytes, until);
         co_return failedAs(AttemptEnd::NotExecuted, response.status);
     }
     bool isSuccess = response.status >= 200 && response.status < 300;
--- a/Tests/Proxy/EndlessResponseTest.cpp
+++ b/Tests/Proxy/EndlessResponseTest.cpp
@@ -1,6 +1,7 @@
 #include "Proxy/TestRouter.h"
 
 #include <criterion/criterion.h>
+#include <future>
 
 using namespace Lavenderloft;
 using namespace Lavenderloft::Proxy;
@@ -116,3 +117,30 @@
     router.addTarget("1", target);
     cr_assert(contains(router.exchange("POST"), "HTTP/1.1 504"));
 }
+
+// Guards against a refused request that waits for the rest of the refusal, and is not offered to a target that is free.
+Test(EndlessResponse, aRefusalWhoseBodyIsMissingIsRetriedAtOnce)
+{
+    for (bool isEndless : { false, true }) {
+        TestRouter router;
+        std::promise<void> otherIsKnown;
+        ScriptedTarget full([&](const std::string& head, unsigned) {
+            otherIsKnown.get_future().wait();
+            auto refusal = "HTTP/1.1 503 X\r\nLavenderloft-Request-Id: " + fieldOf(head, "Lavenderloft-Request-Id") + "\r\nLavenderloft-Not-Executed: 1\r\n";
+            if (isEndless)
+                return ScriptedReply { refusal + "\r\n", Then::Repeat, repeatedUnit("x") };
+            return ScriptedReply { refusal + "Content-Length: 10\r\n\r\n", Then::Hang };
+        });
+        ScriptedTarget free([](const std::string& head, unsigned) { return ScriptedReply { sealedResponse(head, "done") }; });
+        router.setRoute(Fleet::RequestKind::AtMostOnce, 1, false, routeTimeout);
+        router.addTarget("1", full);
+        boost::asio::io_context context;
+        auto socket = router.send(context, "POST", "Connection: close\r\n");
+        full.waitForRequests(1);
+        router.addTarget("2", free);
+        otherIsKnown.set_value();
+        auto response = TestRouter::readAll(socket);
+        cr_expect(response.ends_with("\r\n\r\ndone"), "%s", response.c_str());
+        cr_expect_not(full.sentAllRepeats(), "the router reads without a limit");
+    }
+}
