Limit the length and the time of one event

Seen by callers: a stream whose target sent an event without end, or byte by byte, stood still until the caller's deadline, also where another target could have continued it. On such bytes the event loop looked for the end of the event from its start after each 4 KB, so that all requests of the loop stood still. Cause: EventSplitter kept an event of any length, searched it anew for each part, and moved its bytes once for each event; the timeout of an event began again with each byte. The search goes on where it stopped. The timeout counts from the last event.

--- a/Source/Proxy/CallerResponse.cpp
+++ b/Source/Proxy/CallerResponse.cpp
@@ -89,15 +89,16 @@
         pendingHead = Http::serializeChunkedHead(exchange.response().status, m_context.protocol.returnedHeaders(exchange.response().headers), decideKeepAlive());
     std::string received;
     bool isBrokenOff = false;
-    while (!exchange.isComplete()) {
+    auto lastEventAt = m_context.clock.now();
+    while (!exchange.isComplete() && !isBrokenOff) {
         received.clear();
-        auto until = eventTimeout ? std::min(deadline, m_context.clock.now() + *eventTimeout) : deadline;
+        auto until = eventTimeout ? std::min(deadline, lastEventAt + *eventTimeout) : deadline;
         auto failure = co_await exchange.readBody(received, until);
         if (failure)
             co_return Forwarded { failure };
         auto events = m_events.take(received);
         // The target broke off, even if the end of its response is well-formed.
-        isBrokenOff = exchange.isComplete() && m_events.hasIncompleteEvent();
+        isBrokenOff = m_events.isEventTooLong() || (exchange.isComplete() && m_events.hasIncompleteEvent());
         if (exchange.isComplete() && !isBrokenOff)
             events.append(m_events.remainder());
         if (events.empty())
@@ -107,8 +108,9 @@
         if (!written)
             co_return Forwarded { std::nullopt, true };
         pendingHead.clear();
+        lastEventAt = m_context.clock.now();
         if (!m_firstByteAt)
-            m_firstByteAt = m_context.clock.now();
+            m_firstByteAt = lastEventAt;
     }
     if (isBrokenOff)
         co_return Forwarded { AttemptEnd::Broken };
--- a/Source/Proxy/EventSplitter.cpp
+++ b/Source/Proxy/EventSplitter.cpp
@@ -27,31 +27,50 @@
     return std::nullopt;
 }
 
-size_t EventSplitter::firstEventLength() const
+void EventSplitter::reset()
 {
-    auto plain = m_pending.find("\n\n");
-    auto carriage = m_pending.find("\r\n\r\n");
-    size_t plainEnd = plain == std::string::npos ? 0 : plain + 2;
-    size_t carriageEnd = carriage == std::string::npos ? 0 : carriage + 4;
-    if (!plainEnd || !carriageEnd)
-        return std::max(plainEnd, carriageEnd);
-    return std::min(plainEnd, carriageEnd);
+    m_pending.clear();
+    m_searched = 0;
+}
+
+size_t EventSplitter::findEventEnd(size_t start)
+{
+    std::string_view pending(m_pending);
+    auto lineEnd = pending.find('\n', std::max(start, m_searched));
+    while (lineEnd != std::string_view::npos) {
+        auto next = pending.substr(lineEnd + 1);
+        bool isCarriageReturn = lineEnd > start && pending[lineEnd - 1] == '\r';
+        if (next.starts_with("\n"))
+            return lineEnd + 2;
+        if (isCarriageReturn && next.starts_with("\r\n"))
+            return lineEnd + 3;
+        // The rest of the blank line may not have arrived yet.
+        if (next.empty() || next == "\r")
+            break;
+        lineEnd = pending.find('\n', lineEnd + 1);
+    }
+    m_searched = std::min(lineEnd, pending.size());
+    return 0;
 }
 
 std::string EventSplitter::take(std::string_view bytes)
 {
     m_pending.append(bytes);
     std::string events;
-    while (auto length = firstEventLength()) {
-        auto id = eventIdOf(std::string_view(m_pending).substr(0, length));
+    size_t start = 0;
+    while (auto end = findEventEnd(start)) {
+        auto event = std::string_view(m_pending).substr(start, end - start);
+        auto id = eventIdOf(event);
         bool isSkipped = id && m_skipThrough && *id <= *m_skipThrough;
         if (!isSkipped) {
-            events.append(m_pending, 0, length);
+            events.append(event);
             if (id)
                 m_lastEventId = id;
         }
-        m_pending.erase(0, length);
+        start = end;
     }
+    m_pending.erase(0, start);
+    m_searched -= std::min(m_searched, start);
     return events;
 }
 
--- a/Source/Proxy/EventSplitter.h
+++ b/Source/Proxy/EventSplitter.h
@@ -11,6 +11,9 @@
 // another target would have to complete.
 class EventSplitter {
 public:
+    // Longest event; it is held until its end has arrived.
+    static constexpr size_t maximumEventBytes = 64 * 1024;
+
     // Drops events up to and including this one, when a stream is resumed at another target.
     void skipThrough(std::optional<uint64_t> eventId) { m_skipThrough = eventId; }
 
@@ -23,17 +26,22 @@
     // Whether the stream stopped inside an event. Line breaks after the last event belong to no event.
     bool hasIncompleteEvent() const { return m_pending.find_first_not_of("\r\n") != std::string::npos; }
 
+    // Whether the incomplete event is longer than any that is forwarded.
+    bool isEventTooLong() const { return m_pending.size() > maximumEventBytes; }
+
     // Discards the incomplete event of a broken run.
-    void reset() { m_pending.clear(); }
+    void reset();
 
     // Id of the last event that was returned.
     std::optional<uint64_t> lastEventId() const { return m_lastEventId; }
 
 private:
-    // Length of the first complete event, including its blank line; zero if there is none.
-    size_t firstEventLength() const;
+    // Position behind the blank line that ends the event at the given position; zero if the event is incomplete.
+    size_t findEventEnd(size_t start);
 
     std::string m_pending;
+    // No event ends before this position.
+    size_t m_searched = 0;
     std::optional<uint64_t> m_lastEventId;
     std::optional<uint64_t> m_skipThrough;
 };
--- a/Tests/Proxy/EndlessResponseTest.cpp
+++ b/Tests/Proxy/EndlessResponseTest.cpp
@@ -61,6 +61,12 @@
 
 } // namespace
 
+// Guards against memory that fills up while the router looks for the end of an event.
+Test(EndlessResponse, anEventWithoutEndIsCutOff)
+{
+    expectFailure(observeEndless(Fleet::RequestKind::Stream, sealedUnboundedHead, "id: 1\ndata: ", "x"));
+}
+
 // Guards against memory that fills up while the HTTP parser looks for the end of a line between two chunks.
 Test(EndlessResponse, aChunkHeaderWithoutEndIsCutOff)
 {
@@ -118,6 +124,22 @@
     cr_assert(contains(router.exchange("POST"), "HTTP/1.1 504"));
 }
 
+// Guards against a stream that stalls because a target sends an event byte by byte: another target must continue it.
+Test(EndlessResponse, aStreamWithASlowEventIsResumed)
+{
+    TestRouter router;
+    ScriptedTarget slow([](const std::string& head, unsigned) { return ScriptedReply { sealedUnboundedHead(head) + "id: 1\ndata: a\n\nid: 2\ndata: ", Then::Repeat, "x", 20ms }; });
+    ScriptedTarget whole([](const std::string& head, unsigned) { return ScriptedReply { sealedStreamHead(head) + chunkOf("id: 2\ndata: b\n\n") + finalChunk }; });
+    router.setRoute(Fleet::RequestKind::Stream, 2, true);
+    router.addTarget("1", slow);
+    boost::asio::io_context context;
+    auto socket = router.send(context, "POST", "Connection: close\r\n");
+    slow.waitForRequests(1);
+    router.addTarget("2", whole);
+    auto response = TestRouter::readAll(socket);
+    cr_assert(contains(response, "id: 1\ndata: a\n\n") && contains(response, "id: 2\ndata: b\n\n") && response.ends_with(finalChunk), "%s", response.c_str());
+}
+
 // Guards against a refused request that waits for the rest of the refusal, and is not offered to a target that is free.
 Test(EndlessResponse, aRefusalWhoseBodyIsMissingIsRetriedAtOnce)
 {
--- a/Tests/Proxy/EventSplitterTest.cpp
+++ b/Tests/Proxy/EventSplitterTest.cpp
@@ -49,3 +49,32 @@
     cr_assert_not(eventIdOf("id: nine\n\n").has_value());
     cr_assert(eventIdOf("data: x\nid:12\n\n") == 12);
 }
+
+// Guards against an event whose end is missed because its blank line arrives in two parts.
+Test(EventSplitter, findsABlankLineThatIsSplit)
+{
+    for (std::string event : { "id: 1\ndata: a\n\n", "id: 1\r\ndata: a\r\n\r\n" }) {
+        EventSplitter splitter;
+        std::string events;
+        for (char byte : event + event)
+            events += splitter.take(std::string_view(&byte, 1));
+        cr_expect_eq(events, event + event);
+        cr_expect(splitter.remainder().empty());
+    }
+}
+
+// Guards against memory that fills up with an event without end, and against time that grows with the square of its
+// length.
+Test(EventSplitter, reportsAnEventThatIsTooLong)
+{
+    EventSplitter splitter;
+    const std::string part(EventSplitter::maximumEventBytes / 2, 'x');
+    splitter.take(part);
+    splitter.take(part);
+    cr_assert_not(splitter.isEventTooLong());
+    splitter.take("x");
+    cr_assert(splitter.isEventTooLong());
+    splitter.reset();
+    cr_assert_not(splitter.isEventTooLong());
+    cr_assert_eq(splitter.take("id: 1\n\n"), "id: 1\n\n");
+}
