Forward a long response as it arrives

Seen by callers: nothing of a long response before its end. A body without end was kept in memory up to 64 MB for each request, on VMs that have 160 to 260 MB, and the caller got 504 at its deadline. Cause: a response that is no event stream was held until it was complete. A response has 16 MB at most, more than a VM's link carries within a deadline. The cost: a broken response of more than 64 KB is no longer retried.

--- a/Source/Dispatch/Queries/DecideRetry.cpp
+++ b/Source/Dispatch/Queries/DecideRetry.cpp
@@ -28,7 +28,7 @@
 
 bool mayRetry(const Fleet::Route& route, const RequestHistory& history, AttemptEnd end)
 {
-    if (history.attempts >= maximumTotalAttempts)
+    if (history.cannotResume || history.attempts >= maximumTotalAttempts)
         return false;
     if (end == AttemptEnd::NotSent || end == AttemptEnd::NotExecuted)
         return true;
--- a/Source/Dispatch/Queries/DecideRetry.h
+++ b/Source/Dispatch/Queries/DecideRetry.h
@@ -28,6 +28,8 @@
     unsigned runs = 0;
     // All attempts, including those that did not run.
     unsigned attempts = 0;
+    // The caller has part of a response that no other target can continue.
+    bool cannotResume = false;
 };
 
 // Whether a request may be sent to another target after an attempt that ended in the given way.
--- a/Source/Proxy/CallerResponse.cpp
+++ b/Source/Proxy/CallerResponse.cpp
@@ -19,6 +19,8 @@
 
     // The connection is closed if a caller does not read a complete response within this time.
     constexpr std::chrono::seconds callerWriteTimeout = 10s;
+    // Of a response that is not an event stream. The request can be retried while nothing of it has been sent.
+    constexpr size_t maximumHeldBytes = 64 * 1024;
     // Shortest time for a write, so that the end of a response is sent at its deadline.
     constexpr std::chrono::milliseconds minimumWriteTimeout = 1ms;
 
@@ -66,27 +68,70 @@
     co_return written;
 }
 
+void CallerResponse::startParts(const TargetExchange::Response& response)
+{
+    m_pendingHead = Http::serializeChunkedHead(response.status, m_context.protocol.returnedHeaders(response.headers), decideKeepAlive());
+}
+
+asio::awaitable<bool> CallerResponse::writePart(std::string_view part, Base::TimePoint deadline)
+{
+    auto bytes = m_pendingHead + Http::serializeChunk(part);
+    bool written = co_await write(bytes, timeUntil(deadline));
+    m_pendingHead.clear();
+    if (written && !m_firstByteAt)
+        m_firstByteAt = m_context.clock.now();
+    co_return written;
+}
+
+asio::awaitable<bool> CallerResponse::writeLastPart(Base::TimePoint deadline)
+{
+    auto bytes = m_pendingHead + std::string(Http::finalChunk);
+    bool written = co_await write(bytes, timeUntil(deadline));
+    co_return written;
+}
+
 asio::awaitable<CallerResponse::Forwarded> CallerResponse::forward(TargetExchange& exchange, Base::TimePoint deadline)
 {
     Http::HttpResponse response;
     response.status = exchange.response().status;
     response.headers = m_context.protocol.returnedHeaders(exchange.response().headers);
-    while (!exchange.isComplete()) {
+    while (!exchange.isComplete() && response.body.size() < maximumHeldBytes) {
         auto failure = co_await exchange.readBody(response.body, deadline);
         if (failure)
             co_return Forwarded { failure };
     }
+    if (!exchange.isComplete()) {
+        auto forwarded = co_await forwardParts(exchange, std::move(response.body), deadline);
+        co_return forwarded;
+    }
     bool written = co_await send(response);
     co_return Forwarded { std::nullopt, !written };
 }
 
+asio::awaitable<CallerResponse::Forwarded> CallerResponse::forwardParts(TargetExchange& exchange, std::string received, Base::TimePoint deadline)
+{
+    startParts(exchange.response());
+    bool written = co_await writePart(received, deadline);
+    while (written && !exchange.isComplete()) {
+        received.clear();
+        auto failure = co_await exchange.readBody(received, deadline);
+        if (failure)
+            co_return Forwarded { failure };
+        if (!received.empty())
+            written = co_await writePart(received, deadline);
+    }
+    if (!written)
+        co_return Forwarded { std::nullopt, true };
+    written = co_await writeLastPart(deadline);
+    co_return Forwarded { std::nullopt, !written };
+}
+
 asio::awaitable<CallerResponse::Forwarded> CallerResponse::forwardEvents(TargetExchange& exchange, Base::TimePoint deadline, std::optional<Base::Duration> eventTimeout)
 {
-    std::string pendingHead;
     m_events.reset();
     m_events.skipThrough(m_events.lastEventId());
     if (!isStarted())
-        pendingHead = Http::serializeChunkedHead(exchange.response().status, m_context.protocol.returnedHeaders(exchange.response().headers), decideKeepAlive());
+        startParts(exchange.response());
     std::string received;
     bool isBrokenOff = false;
     auto lastEventAt = m_context.clock.now();
@@ -103,19 +148,14 @@
             events.append(m_events.remainder());
         if (events.empty())
             continue;
-        auto bytes = pendingHead + Http::serializeChunk(events);
-        bool written = co_await write(bytes, timeUntil(deadline));
+        bool written = co_await writePart(events, deadline);
         if (!written)
             co_return Forwarded { std::nullopt, true };
-        pendingHead.clear();
         lastEventAt = m_context.clock.now();
-        if (!m_firstByteAt)
-            m_firstByteAt = lastEventAt;
     }
     if (isBrokenOff)
         co_return Forwarded { AttemptEnd::Broken };
-    auto end = pendingHead + std::string(Http::finalChunk);
-    bool written = co_await write(end, timeUntil(deadline));
+    bool written = co_await writeLastPart(deadline);
     co_return Forwarded { std::nullopt, !written };
 }
 
--- a/Source/Proxy/CallerResponse.h
+++ b/Source/Proxy/CallerResponse.h
@@ -7,6 +7,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace Lavenderloft::Proxy {
@@ -28,7 +29,7 @@
     // Sends a response of this node. Returns false if the caller left.
     boost::asio::awaitable<bool> send(const Http::HttpResponse&);
 
-    // Forwards a response once it is complete.
+    // Forwards a response. A short one is sent once it is complete, a longer one as it arrives.
     boost::asio::awaitable<Forwarded> forward(TargetExchange&, Base::TimePoint deadline);
 
     // Forwards complete events as they arrive, and only those that the caller does not have yet. Without an event timeout
@@ -49,12 +50,18 @@
 private:
     // Decides whether the connection is kept; the head of the response tells the caller.
     bool decideKeepAlive();
+    // Starts a response of unknown length; its head is sent with the first part.
+    void startParts(const TargetExchange::Response&);
+    boost::asio::awaitable<bool> writePart(std::string_view bytes, Base::TimePoint deadline);
+    boost::asio::awaitable<bool> writeLastPart(Base::TimePoint deadline);
+    boost::asio::awaitable<Forwarded> forwardParts(TargetExchange&, std::string received, Base::TimePoint deadline);
     boost::asio::awaitable<bool> write(std::string_view bytes, Base::Duration timeout);
     Base::Duration timeUntil(Base::TimePoint) const;
 
     ProxyContext& m_context;
     boost::beast::tcp_stream& m_caller;
     bool m_keepAlive;
+    std::string m_pendingHead;
     std::optional<Base::TimePoint> m_firstByteAt;
     EventSplitter m_events;
 };
--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -340,6 +340,7 @@
 asio::awaitable<RequestHandler::AttemptOutcome> RequestHandler::forward(TargetExchange& exchange)
 {
     auto forwarded = co_await m_response.forward(exchange, m_traits.deadline);
+    m_history.cannotResume = m_response.isStarted();
     co_return outcomeOf(forwarded, exchange.response().status, "answered");
 }
 
--- a/Source/Proxy/TargetExchange.cpp
+++ b/Source/Proxy/TargetExchange.cpp
@@ -30,7 +30,8 @@
     constexpr unsigned maximumUnrelatedResponses = 2;
     constexpr size_t maximumUnrelatedBytes = 1024 * 1024;
     constexpr uint32_t maximumHeadBytes = 8 * 1024;
-    constexpr uint64_t maximumResponseBytes = 64 * 1024 * 1024;
+    // More than the link of a VM carries within a deadline.
+    constexpr uint64_t maximumResponseBytes = 16 * 1024 * 1024;
 
 } // namespace
 
--- a/Tests/Dispatch/RetryTest.cpp
+++ b/Tests/Dispatch/RetryTest.cpp
@@ -31,6 +31,15 @@
         cr_assert_not(Queries::mayRetry(route, { 1, 1 }, end));
 }
 
+// Guards against two responses that are joined: a caller has part of a response that no other target can continue.
+Test(Retry, aRequestIsNotRetriedBehindPartOfItsResponse)
+{
+    auto route = routeOf(Fleet::RequestKind::Idempotent, 3);
+    Queries::RequestHistory history { 1, 1, true };
+    for (auto end : { AttemptEnd::NotSent, AttemptEnd::NotExecuted, AttemptEnd::Broken, AttemptEnd::TimedOut, AttemptEnd::ErrorResponse })
+        cr_assert_not(Queries::mayRetry(route, history, end));
+}
+
 // A stream must not be restarted if it cannot be resumed.
 Test(Retry, aStreamIsRetriedOnlyWhereItIsResumable)
 {
--- a/Tests/Proxy/EndlessResponseTest.cpp
+++ b/Tests/Proxy/EndlessResponseTest.cpp
@@ -1,5 +1,6 @@
 #include "Proxy/TestRouter.h"
 
+#include <algorithm>
 #include <criterion/criterion.h>
 #include <future>
 
@@ -14,12 +15,20 @@
 
 constexpr auto finalChunk = "0\r\n\r\n";
 constexpr auto routeTimeout = 2000ms;
+// Does not occur in the heads of responses.
+constexpr char bodyByte = '~';
+constexpr size_t longBodyBytes = 1024 * 1024;
 
 std::string noHead(const std::string&)
 {
     return {};
 }
 
+std::string lengthHead(const std::string& head, size_t length)
+{
+    return "HTTP/1.1 200 OK\r\nLavenderloft-Request-Id: " + fieldOf(head, "Lavenderloft-Request-Id") + "\r\nLavenderloft-Response-Seal: seal\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n";
+}
+
 std::string repeatedUnit(const std::string& part)
 {
     std::string unit;
@@ -61,6 +70,12 @@
 
 } // namespace
 
+// Guards against memory and links that fill up because a target sends a body without end.
+Test(EndlessResponse, aBodyWithoutEndIsCutOff)
+{
+    expectFailure(observeEndless(Fleet::RequestKind::AtMostOnce, sealedUnboundedHead, "", std::string(1, bodyByte)));
+}
+
 // Guards against memory that fills up while the router looks for the end of an event.
 Test(EndlessResponse, anEventWithoutEndIsCutOff)
 {
@@ -166,3 +181,69 @@
         cr_expect_not(full.sentAllRepeats(), "the router reads without a limit");
     }
 }
+
+// Guards against a long response being held in memory until it is complete.
+Test(EndlessResponse, aLongBodyIsForwardedAsItArrives)
+{
+    TestRouter router;
+    ScriptedTarget target([](const std::string& head, unsigned) { return ScriptedReply { lengthHead(head, 2 * longBodyBytes) + std::string(longBodyBytes, bodyByte), Then::Hang }; });
+    router.setRoute(Fleet::RequestKind::AtMostOnce, 1, false, routeTimeout);
+    router.addTarget("1", target);
+    boost::asio::io_context context;
+    auto socket = router.send(context, "POST", "Connection: close\r\n");
+    std::string received(longBodyBytes / 2, ' ');
+    boost::system::error_code error;
+    boost::asio::read(socket, boost::asio::buffer(received), error);
+    cr_assert(!error && received.starts_with("HTTP/1.1 200"), "%s", received.substr(0, 200).c_str());
+}
+
+// Guards against limits that cut off a long response.
+Test(EndlessResponse, aLongBodyIsForwardedWhole)
+{
+    TestRouter router;
+    ScriptedTarget target([](const std::string& head, unsigned) { return ScriptedReply { lengthHead(head, longBodyBytes) + std::string(longBodyBytes, bodyByte) }; });
+    router.setRoute(Fleet::RequestKind::AtMostOnce, 1);
+    router.addTarget("1", target);
+    auto response = router.exchange("POST");
+    cr_assert(response.starts_with("HTTP/1.1 200"));
+    cr_assert_eq(std::count(response.begin(), response.end(), bodyByte), longBodyBytes);
+    cr_assert(response.ends_with(finalChunk) || response.back() == bodyByte);
+}
+
+// Guards against two responses that are joined, and against a truncated one that looks complete: a target breaks off a
+// response of which the caller already has a part.
+Test(EndlessResponse, aLongBodyThatBreaksIsAbortedAndNotRepeated)
+{
+    TestRouter router;
+    std::promise<void> otherIsKnown;
+    ScriptedTarget broken([&](const std::string& head, unsigned) {
+        otherIsKnown.get_future().wait();
+        return ScriptedReply { lengthHead(head, 2 * longBodyBytes) + std::string(longBodyBytes, bodyByte), Then::Close };
+    });
+    ScriptedTarget other([](const std::string& head, unsigned) { return ScriptedReply { sealedResponse(head, "done") }; });
+    router.setRoute(Fleet::RequestKind::Idempotent, 2);
+    router.addTarget("1", broken);
+    boost::asio::io_context context;
+    auto socket = router.send(context, "GET", "Connection: close\r\n");
+    broken.waitForRequests(1);
+    router.addTarget("2", other);
+    otherIsKnown.set_value();
+    auto response = TestRouter::readAll(socket);
+    cr_expect(!contains(response, "done") && !response.ends_with(finalChunk), "%s", response.substr(0, 200).c_str());
+    cr_expect_eq(other.requests(), 0);
+}
+
+// Guards against a failure that a retry could have avoided: the caller has no part of a short response yet.
+Test(EndlessResponse, aShortBodyThatBreaksIsRepeated)
+{
+    TestRouter router;
+    ScriptedTarget broken([](const std::string& head, unsigned) { return ScriptedReply { lengthHead(head, 20000) + std::string(10000, bodyByte), Then::Close }; });
+    ScriptedTarget other([](const std::string& head, unsigned) { return ScriptedReply { sealedResponse(head, "done") }; });
+    router.setRoute(Fleet::RequestKind::Idempotent, 2);
+    router.addTarget("1", broken);
+    router.addTarget("2", other);
+    for (unsigned i = 0; i < 4; ++i) {
+        auto response = router.exchange();
+        cr_expect(response.ends_with("\r\n\r\ndone"), "%s", response.substr(0, 200).c_str());
+    }
+}
