Do not count a caller who leaves as a failure of the target

Seen by callers: a healthy target that was not used for 250 ms and more, because two callers of long requests had left. Cause: the attempt is cancelled when its caller leaves, and its end was recorded as a broken connection or an unreachable target. Change: an attempt that ends without a response after its caller left is recorded as abandoned. Before: Relay/aCallerThatLeavesIsNoFailureOfItsTarget failed, with consecutive failures recorded. After: it passes. The message of quarantinesARequestThatCrashedThreeTargets names the requests of each target; the check is as it was.

--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -256,6 +256,10 @@
 
 RequestHandler::AttemptOutcome RequestHandler::failedAs(AttemptEnd end, unsigned status) const
 {
+    bool hasResponse = end == AttemptEnd::NotExecuted || end == AttemptEnd::ErrorResponse;
+    // The attempt was cancelled, which says nothing about the target.
+    if (!hasResponse && m_disconnectMonitor->callerDisconnected())
+        return { false, end, AttemptResult::Abandoned };
     switch (end) {
     case AttemptEnd::NotExecuted:
         return { false, end, status == misdirectedStatus ? AttemptResult::Misdirected : AttemptResult::Rejected, status };
--- a/Tests/Proxy/RelayTest.cpp
+++ b/Tests/Proxy/RelayTest.cpp
@@ -190,6 +190,26 @@
     cr_assert_eq(target.requests(), 1);
 }
 
+// Guards against a healthy target that is not used for a while because callers of long requests left.
+Test(Relay, aCallerThatLeavesIsNoFailureOfItsTarget)
+{
+    TestRouter router;
+    ScriptedTarget target([](const std::string&, unsigned) { return ScriptedReply { "", Then::Hang }; });
+    router.setRoute(Fleet::RequestKind::Idempotent, 1);
+    router.addTarget("1", target);
+    boost::asio::io_context context;
+    for (unsigned requests = 1; requests <= 2; ++requests) {
+        auto socket = router.send(context, "GET", "");
+        target.waitForRequests(requests);
+        socket.close();
+    }
+    auto abandoned = "lavenderloft_requests_total{outcome=\"request-abandoned\",reason=\"caller_left\"} 2";
+    while (!contains(router.metrics(), abandoned))
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    auto failures = router.context().dispatch.withService("s", [](auto& service) { return service.targets["1"].consecutiveFailures; });
+    cr_assert_eq(failures, 0);
+}
+
 // A request must not be held beyond the timeout of its route.
 Test(Relay, respondsAtTheTimeoutOfTheRoute)
 {
@@ -227,7 +247,7 @@
     router.addTarget("2", second);
     router.addTarget("3", third);
     cr_assert(contains(router.exchange(), "HTTP/1.1 502"));
-    cr_assert_eq(first.requests() + second.requests() + third.requests(), 3);
+    cr_assert_eq(first.requests() + second.requests() + third.requests(), 3, "requests: %u, %u and %u; %s", first.requests(), second.requests(), third.requests(), router.metrics().c_str());
     for (auto id : { "1", "2", "3" })
         router.removeTarget(id);
     Dispatch::Commands::confirmCrashes(router.context().dispatch, Base::SystemClock().now());
