Do not reuse a connection on which a response arrived unasked

Seen: a response that the store, an agent or an engine wrote once more while a connection of PersistentHttpClient was idle was taken for the response to the next request; these have no ids. A call failed if the server had closed the idle connection. Cause: the client reused its connection without a look at it. Change: it looks for data or an end first, as the pool of connections to targets does, and connects anew; both use Http::isReusable. A response that arrives between that look and the own one cannot be told apart without an id.

--- a/Source/Http/PersistentHttpClient.cpp
+++ b/Source/Http/PersistentHttpClient.cpp
@@ -1,5 +1,6 @@
 #include "Http/PersistentHttpClient.h"
 
+#include "Http/IdleConnection.h"
 #include "Http/WireFormat.h"
 
 #include <algorithm>
@@ -46,6 +47,9 @@
 {
     beast::error_code error;
     auto token = asio::redirect_error(asio::use_awaitable, error);
+    // A response that arrives unasked would be taken for the response to this request.
+    if (m_connection && !isReusable(m_connection->stream.socket()))
+        m_connection.reset();
     if (!m_connection) {
         auto connection = std::make_unique<Connection>(m_executor);
         connection->stream.expires_after(std::min(timeout, connectTimeout));
--- a/Source/Proxy/ConnectionPool.cpp
+++ b/Source/Proxy/ConnectionPool.cpp
@@ -1,5 +1,7 @@
 #include "Proxy/ConnectionPool.h"
 
+#include "Http/IdleConnection.h"
+
 namespace Lavenderloft::Proxy {
 
 namespace {
@@ -7,19 +9,6 @@
     // Fraction of the target's keep-alive time for which an idle connection is reused.
     constexpr double usedKeepAliveFraction = 0.7;
 
-    // Whether the connection is still open and received no unexpected data while it was idle.
-    bool isReusable(TargetConnection& connection)
-    {
-        auto& socket = connection.stream.socket();
-        boost::system::error_code error;
-        socket.non_blocking(true, error);
-        if (error)
-            return false;
-        char byte = 0;
-        socket.receive(boost::asio::buffer(&byte, 1), boost::asio::socket_base::message_peek, error);
-        return error == boost::asio::error::would_block || error == boost::asio::error::try_again;
-    }
-
 } // namespace
 
 std::unique_ptr<TargetConnection> ConnectionPool::take(const std::string& targetId, Base::Duration maximumIdle, Base::TimePoint now)
@@ -31,7 +20,7 @@
     while (!idle.empty()) {
         auto connection = std::move(idle.back());
         idle.pop_back();
-        if (now < connection->usableUntil && now - connection->idleSince <= maximumIdle && isReusable(*connection))
+        if (now < connection->usableUntil && now - connection->idleSince <= maximumIdle && Http::isReusable(connection->stream.socket()))
             return connection;
     }
     return nullptr;
--- /dev/null
+++ b/Tests/Http/PersistentHttpClientTest.cpp
@@ -0,0 +1,73 @@
+#include "Http/PersistentHttpClient.h"
+#include "Proxy/ScriptedTarget.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_future.hpp>
+#include <criterion/criterion.h>
+
+using namespace Lavenderloft;
+using namespace Lavenderloft::Http;
+using namespace std::chrono_literals;
+using Proxy::ScriptedReply;
+using Proxy::ScriptedTarget;
+using Then = ScriptedReply::Then;
+
+namespace {
+
+constexpr auto timeout = 1000ms;
+
+std::string responseOf(const std::string& body)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// A client with an event loop of its own.
+struct TestClient {
+    explicit TestClient(const ScriptedTarget& target)
+        : client(context.get_executor(), Endpoint { "127.0.0.1", target.port() })
+    {
+    }
+
+    Base::Result<HttpResponse, HttpError> call()
+    {
+        auto result = boost::asio::co_spawn(context, client.call(HttpRequest {}, timeout), boost::asio::use_future);
+        context.restart();
+        context.run();
+        return result.get();
+    }
+
+    boost::asio::io_context context;
+    PersistentHttpClient client;
+};
+
+} // namespace
+
+// Guards against a response that a server writes once more while the connection is idle, and that would be taken for the
+// response to the next request.
+Test(PersistentHttpClient, doesNotReadAResponseThatArrivedUnasked)
+{
+    ScriptedTarget server([](const std::string&, unsigned number) {
+        if (number > 0)
+            return ScriptedReply { responseOf("second") };
+        return ScriptedReply { responseOf("first"), Then::Repeat, responseOf("first"), 10ms };
+    });
+    TestClient client(server);
+    auto first = client.call();
+    cr_assert(Base::succeeded(first) && Base::valueOf(first).body == "first");
+    std::this_thread::sleep_for(100ms);
+    auto second = client.call();
+    cr_assert(Base::succeeded(second));
+    cr_assert_eq(Base::valueOf(second).body, "second");
+}
+
+// Guards against a call that fails because the server closed the connection while it was idle.
+Test(PersistentHttpClient, reconnectsAfterTheServerClosed)
+{
+    ScriptedTarget server([](const std::string&, unsigned) { return ScriptedReply { responseOf("done"), Then::Close }; });
+    TestClient client(server);
+    for (unsigned i = 0; i < 3; ++i) {
+        auto result = client.call();
+        cr_assert(Base::succeeded(result));
+        std::this_thread::sleep_for(20ms);
+    }
+}
