Limit what HTTP clients read and how long they wait

Seen: HttpClient::fetch kept a body of any length, and blocked its thread for as long as a server sent a byte now and then; both clients kept a chunk header without end. So an engine, the store or the configuration service could fill the memory of a node or stop its poll. Cause: no limit of the buffer and of a fetched body; the timeout of fetch() began again with each read. Change: 64 KB between the parts of a response; 16 MB for a fetched body; connecting, sending and the response of fetch() each end within the timeout. HttpClient::send streams to a sink with back pressure and stays without a limit on the length. PersistentHttpClient had 8 MB and one timeout for a call before; the largest page of the store (a value of 1 MB behind 1 MB of others, in base64) fits. Before: Http/failsOnAResponseWithoutEnd and PersistentHttpClient/ failsOnAResponseWithoutEnd failed (the server got rid of all 40 MB), and Http/fetchFailsOnAResponseThatIsTooSlow, still blocked after 5 s at a timeout of 300 ms. failsOnAResponseThatIsTooSlow, readsALongPage and Http/doesNotReadAResponseThatArrivedUnasked passed before.

--- a/Source/Http/HttpClient.cpp
+++ b/Source/Http/HttpClient.cpp
@@ -25,26 +25,43 @@
     std::vector<std::weak_ptr<HttpCall>> calls;
     bool shutDown = false;
 
-    // Registers a call for cancellation by shutDown(). Returns false if the client is shut down already.
-    bool registerCall(const std::shared_ptr<HttpCall>& call)
+    // Registers a call for cancellation by shutDown(), and cancels it if the client is shut down already.
+    void track(const std::shared_ptr<HttpCall>& call)
     {
-        std::lock_guard guard(lock);
-        std::erase_if(calls, [](auto& candidate) { return candidate.expired(); });
-        calls.push_back(call);
-        return !shutDown;
+        bool isShutDown = false;
+        {
+            std::lock_guard guard(lock);
+            std::erase_if(calls, [](auto& candidate) { return candidate.expired(); });
+            calls.push_back(call);
+            isShutDown = shutDown;
+        }
+        if (isShutDown)
+            call->cancel();
     }
 };
 
 namespace {
 
     constexpr size_t readBufferBytes = 16 * 1024;
+    // Limit of what the parser keeps while it looks for the end of a head, a chunk header or a trailer.
+    constexpr size_t maximumBufferedBytes = 64 * 1024;
+    // Limit for a response that is held in memory.
+    constexpr uint64_t maximumFetchedBytes = 16 * 1024 * 1024;
+
+    // How much of a response a call reads.
+    struct ResponseLimits {
+        uint64_t bodyBytes = std::numeric_limits<uint64_t>::max();
+        // The timeout applies to the response as a whole instead of each read.
+        bool timeoutCoversResponse = false;
+    };
 
     class Call final : public HttpCall, public std::enable_shared_from_this<Call> {
     public:
-        Call(asio::io_context& context, Endpoint endpoint, std::chrono::milliseconds idleTimeout, std::shared_ptr<ResponseSink> sink)
+        Call(asio::io_context& context, Endpoint endpoint, std::chrono::milliseconds idleTimeout, ResponseLimits limits, std::shared_ptr<ResponseSink> sink)
             : m_stream(asio::make_strand(context))
             , m_endpoint(std::move(endpoint))
             , m_idleTimeout(idleTimeout)
+            , m_limits(limits)
             , m_sink(std::move(sink))
         {
         }
@@ -60,7 +77,7 @@
             m_request.set(http::field::connection, "close");
             m_request.body() = std::move(request.body);
             m_request.prepare_payload();
-            m_parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+            m_parser.body_limit(m_limits.bodyBytes);
             asio::dispatch(m_stream.get_executor(), [self = shared_from_this()] { self->connect(); });
         }
 
@@ -125,7 +142,8 @@
                 return succeed();
             m_parser.get().body().data = m_readBuffer.data();
             m_parser.get().body().size = m_readBuffer.size();
-            m_stream.expires_after(m_idleTimeout);
+            if (!m_limits.timeoutCoversResponse)
+                m_stream.expires_after(m_idleTimeout);
             http::async_read_some(m_stream, m_buffer, m_parser, [self = shared_from_this()](beast::error_code error, size_t) {
                 if (error == http::error::need_buffer)
                     error = {};
@@ -143,7 +161,8 @@
             if (!count)
                 return readBody();
             // No timeout applies until the sink resumes the transfer.
-            m_stream.expires_never();
+            if (!m_limits.timeoutCoversResponse)
+                m_stream.expires_never();
             m_sink->data(std::string(m_readBuffer.data(), count), [self = shared_from_this()] {
                 asio::post(self->m_stream.get_executor(), [self] { self->readBody(); });
             });
@@ -175,10 +194,11 @@
         beast::tcp_stream m_stream;
         Endpoint m_endpoint;
         std::chrono::milliseconds m_idleTimeout;
+        ResponseLimits m_limits;
         std::shared_ptr<ResponseSink> m_sink;
         http::request<http::string_body> m_request;
         http::response_parser<http::buffer_body> m_parser;
-        beast::flat_buffer m_buffer;
+        beast::flat_buffer m_buffer { maximumBufferedBytes };
         std::array<char, readBufferBytes> m_readBuffer {};
         bool m_cancelled = false;
         bool m_ended = false;
@@ -233,18 +253,20 @@
 
 std::shared_ptr<HttpCall> HttpClient::send(const Endpoint& endpoint, HttpRequest request, std::chrono::milliseconds idleTimeout, std::shared_ptr<ResponseSink> sink)
 {
-    auto call = std::make_shared<Call>(m_state->context, endpoint, idleTimeout, std::move(sink));
+    auto call = std::make_shared<Call>(m_state->context, endpoint, idleTimeout, ResponseLimits {}, std::move(sink));
     call->start(std::move(request));
-    if (!m_state->registerCall(call))
-        call->cancel();
+    m_state->track(call);
     return call;
 }
 
-Base::Result<HttpResponse, HttpError> HttpClient::fetch(const Endpoint& endpoint, HttpRequest request, std::chrono::milliseconds idleTimeout)
+Base::Result<HttpResponse, HttpError> HttpClient::fetch(const Endpoint& endpoint, HttpRequest request, std::chrono::milliseconds timeout)
 {
     auto collector = std::make_shared<ResponseCollector>();
     auto future = collector->future();
-    send(endpoint, std::move(request), idleTimeout, collector);
+    ResponseLimits limits { maximumFetchedBytes, true };
+    auto call = std::make_shared<Call>(m_state->context, endpoint, timeout, limits, collector);
+    call->start(std::move(request));
+    m_state->track(call);
     return future.get();
 }
 
--- a/Source/Http/HttpClient.h
+++ b/Source/Http/HttpClient.h
@@ -51,9 +51,10 @@
     // request and to each read of the response, not to the whole exchange.
     std::shared_ptr<HttpCall> send(const Endpoint&, HttpRequest, std::chrono::milliseconds idleTimeout, std::shared_ptr<ResponseSink>);
 
-    // Sends a request and blocks until the response is complete. Must not be called on a thread of this client, which
-    // could block the thread that has to process the response.
-    Base::Result<HttpResponse, HttpError> fetch(const Endpoint&, HttpRequest, std::chrono::milliseconds idleTimeout);
+    // Sends a request and blocks until the response is complete. Connecting, sending and the response each have to finish
+    // within the timeout, and the body is limited to 16 MiB. Must not be called on a thread of this client, which could
+    // block the thread that has to process the response.
+    Base::Result<HttpResponse, HttpError> fetch(const Endpoint&, HttpRequest, std::chrono::milliseconds timeout);
 
     // Cancels pending requests and all later ones, so that no thread stays blocked in fetch().
     void shutDown();
--- a/Source/Http/PersistentHttpClient.cpp
+++ b/Source/Http/PersistentHttpClient.cpp
@@ -20,6 +20,8 @@
     constexpr std::chrono::milliseconds connectTimeout { 700 };
     // Largest response body accepted from a service that the node depends on.
     constexpr size_t maximumResponseBytes = 8 * 1024 * 1024;
+    // Limit of what the parser keeps while it looks for the end of a head, a chunk header or a trailer.
+    constexpr size_t maximumBufferedBytes = 64 * 1024;
 
     HttpError toHttpError(const Endpoint& endpoint, HttpErrorKind kind, const beast::error_code& error)
     {
@@ -61,6 +63,7 @@
         m_connection = std::move(connection);
     }
     auto& connection = *m_connection;
+    connection.buffer.max_size(maximumBufferedBytes);
     connection.stream.expires_after(timeout);
     request.headers.push_back({ "Host", m_endpoint.toString() });
     auto bytes = serializeRequest(request);
--- a/Tests/Http/HttpTest.cpp
+++ b/Tests/Http/HttpTest.cpp
@@ -1,7 +1,9 @@
 #include "Http/HttpClient.h"
 #include "Http/HttpServer.h"
+#include "Proxy/ScriptedTarget.h"
 
 #include <criterion/criterion.h>
+#include <future>
 
 using namespace Lavenderloft;
 using namespace Lavenderloft::Http;
@@ -103,3 +105,49 @@
     cr_assert_not(Base::succeeded(parseEndpoint("127.0.0.1:99999")));
     cr_assert_not(Base::succeeded(parseEndpoint("127.0.0.1")));
 }
+
+// Guards against memory that fills up because a server sends a response without end.
+Test(Http, failsOnAResponseWithoutEnd)
+{
+    const std::string repeated(64 * 1024, 'x');
+    for (auto* start : { "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "" }) {
+        Proxy::ScriptedTarget server([&](const std::string&, unsigned) { return Proxy::ScriptedReply { start, Proxy::ScriptedReply::Then::Repeat, repeated }; });
+        HttpClient client;
+        auto result = client.fetch({ "127.0.0.1", server.port() }, makeRequest("/"), 1s);
+        cr_expect_not(Base::succeeded(result));
+        cr_expect_not(server.sentAllRepeats(), "the client reads without a limit after \"%s\"", start);
+    }
+}
+
+// Guards against a thread that is blocked for as long as a server sends a byte now and then.
+Test(Http, fetchFailsOnAResponseThatIsTooSlow)
+{
+    Proxy::ScriptedTarget server([](const std::string&, unsigned) { return Proxy::ScriptedReply { "HTTP/1.1 200 OK\r\n\r\n", Proxy::ScriptedReply::Then::Repeat, "x", 20ms }; });
+    HttpClient client;
+    auto result = std::async(std::launch::async, [&] { return client.fetch({ "127.0.0.1", server.port() }, makeRequest("/"), 300ms); });
+    bool hasEnded = result.wait_for(5s) == std::future_status::ready;
+    client.shutDown();
+    auto fetched = result.get();
+    cr_assert(hasEnded && !Base::succeeded(fetched));
+    cr_assert(Base::errorOf(fetched).kind == HttpErrorKind::TimedOut);
+}
+
+// Guards against a response that a server writes once more and that is taken for the response to the next request: a
+// refusal of the engine must belong to the request that it ends. Each request has a connection of its own.
+Test(Http, doesNotReadAResponseThatArrivedUnasked)
+{
+    Proxy::ScriptedTarget server([](const std::string&, unsigned number) {
+        const std::string refusal = "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n";
+        if (number == 0)
+            return Proxy::ScriptedReply { refusal, Proxy::ScriptedReply::Then::Repeat, refusal, 10ms };
+        return Proxy::ScriptedReply { "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone" };
+    });
+    HttpClient client;
+    Endpoint endpoint { "127.0.0.1", server.port() };
+    auto refused = client.fetch(endpoint, makeRequest("/"), 1s);
+    cr_assert(Base::succeeded(refused) && Base::valueOf(refused).status == 503);
+    std::this_thread::sleep_for(50ms);
+    auto done = client.fetch(endpoint, makeRequest("/"), 1s);
+    cr_assert(Base::succeeded(done));
+    cr_assert_eq(Base::valueOf(done).body, "done");
+}
--- a/Tests/Http/PersistentHttpClientTest.cpp
+++ b/Tests/Http/PersistentHttpClientTest.cpp
@@ -21,6 +21,14 @@
     return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+std::string repeatedUnit(const std::string& part)
+{
+    std::string unit;
+    while (unit.size() < 64 * 1024)
+        unit += part;
+    return unit;
+}
+
 // A client with an event loop of its own.
 struct TestClient {
     explicit TestClient(const ScriptedTarget& target)
@@ -71,3 +79,42 @@
         std::this_thread::sleep_for(20ms);
     }
 }
+
+// Guards against memory that fills up because a server sends a head, a chunk header or a body without end.
+Test(PersistentHttpClient, failsOnAResponseWithoutEnd)
+{
+    const std::pair<std::string, std::string> endless[] = {
+        { "HTTP/1.1 200 OK\r\n", "A: b\r\n" },
+        { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x" },
+        { "HTTP/1.1 200 OK\r\n\r\n", "x" },
+        { "", "x" },
+    };
+    for (auto& [start, repeated] : endless) {
+        ScriptedTarget server([&](const std::string&, unsigned) { return ScriptedReply { start, Then::Repeat, repeatedUnit(repeated) }; });
+        TestClient client(server);
+        cr_expect_not(Base::succeeded(client.call()));
+        client.client.disconnect();
+        cr_expect_not(server.sentAllRepeats(), "the client reads without a limit after \"%s\"", start.c_str());
+    }
+}
+
+// Guards against a call that lasts for as long as a server sends a byte now and then.
+Test(PersistentHttpClient, failsOnAResponseThatIsTooSlow)
+{
+    ScriptedTarget server([&](const std::string&, unsigned) { return ScriptedReply { "HTTP/1.1 200 OK\r\n\r\n", Then::Repeat, "x", 20ms }; });
+    TestClient client(server);
+    auto result = client.call();
+    cr_assert_not(Base::succeeded(result));
+    cr_assert(Base::errorOf(result).kind == HttpErrorKind::TimedOut);
+}
+
+// Guards against limits that cut off a page of the store: values of up to a megabyte in base64.
+Test(PersistentHttpClient, readsALongPage)
+{
+    const std::string page(4 * 1024 * 1024, 'x');
+    ScriptedTarget server([&](const std::string&, unsigned) { return ScriptedReply { responseOf(page) }; });
+    TestClient client(server);
+    auto result = client.call();
+    cr_assert(Base::succeeded(result));
+    cr_assert_eq(Base::valueOf(result).body.size(), page.size());
+}
