--- a/Source/Http/PersistentHttpClient.cpp
+++ b/Source/Http/PersistentHttpClient.cpp
@@ -1,5 +1,6 @@
 #include "Http/PersistentHttpClient.h"
 
+#include "Http/IdleConnection.h"
 #include "Http/WireFormat.h"
 
 #include <algorithm>
@@ -19,6 +20,8 @@
     constexpr std::chrono::milliseconds connectTimeout { 700 };
     // Largest response body accepted from a service that the node depends on.
     constexpr size_t maximumResponseBytes = 8 * 1024 * 1024;
+    // Limit of what the parser keeps while it looks for the end of a head, a chunk header or a trailer.
+    constexpr size_t maximumBufferedBytes = 64 * 1024;
 
     HttpError toHttpError(const Endpoint& endpoint, HttpErrorKind kind, const beast::error_code& error)
     {
@@ -46,6 +49,9 @@
 {
     beast::error_code error;
     auto token = asio::redirect_error(asio::use_awaitable, error);
+    // A response that arrives unasked would be taken for the response to this request.
+    if (m_connection && !isReusable(m_connection->stream.socket()))
+        m_connection.reset();
     if (!m_connection) {
         auto connection = std::make_unique<Connection>(m_executor);
         connection->stream.expires_after(std::min(timeout, connectTimeout));
@@ -57,6 +63,7 @@
         m_connection = std::move(connection);
     }
     auto& connection = *m_connection;
+    connection.buffer.max_size(maximumBufferedBytes);
     connection.stream.expires_after(timeout);
     request.headers.push_back({ "Host", m_endpoint.toString() });
     auto bytes = serializeRequest(request);
