Refuse requests with a prompt part that crashes its targets

A request was known by its fingerprint only, so that requests that share one part of their prompt, and are otherwise no two alike, crashed target after target. Each router now keeps crashes and responses by prompt part: a part that was in three crashes of different targets (five for a part of served requests), with no response in between, is refused on every router. A crash counts once it is confirmed, now also by the report of the agent beside the engine, and only for runs that had produced no event. Test and fix land together: test-Proxy Relay/refusesRequestsWithAPartThatCrashedThreeTargets failed before, because a fourth target ran the request and the caller got 200.

--- a/Source/Dispatch/Commands/AcquireTarget.cpp
+++ b/Source/Dispatch/Commands/AcquireTarget.cpp
@@ -1,6 +1,8 @@
 #include "Dispatch/Commands/AcquireTarget.h"
 
+#include "Dispatch/Commands/RecordPartEvidence.h"
 #include "Dispatch/Commands/ServeQueue.h"
+#include "Dispatch/Queries/FindBlockedPart.h"
 #include "Dispatch/Queries/FindCandidates.h"
 #include "Dispatch/Queries/FindQuarantine.h"
 
@@ -45,6 +47,18 @@
         return Queued { now + wait };
     }
 
+    // Refuses a request that crashed its targets, or that has a prompt part whose requests did.
+    std::optional<Refusal> refuseCrashing(DispatchState& state, const RequestTraits& traits, Base::TimePoint now)
+    {
+        if (auto blocked = Queries::findBlockedPart(state, traits.sharedParts, now)) {
+            recordPartRefused(state, blocked->part, now);
+            return Refusal { RefusalReason::BlockedPart, blocked->remaining };
+        }
+        if (auto time = Queries::quarantinedFor(state, traits.fingerprint, now))
+            return Refusal { RefusalReason::Quarantined, *time };
+        return std::nullopt;
+    }
+
     RetryLimits retryLimits(const DispatchState& state)
     {
         // Fraction of the fleet-wide budget that routers use. The rest covers requests that two routers count in
@@ -59,8 +73,8 @@
 
 Decision acquireTarget(DispatchState& state, const RequestTraits& traits, std::shared_ptr<WaitObserver> observer, Base::TimePoint now)
 {
-    if (auto time = Queries::quarantinedFor(state, traits.fingerprint, now))
-        return Refusal { RefusalReason::Quarantined, *time };
+    if (auto refusal = refuseCrashing(state, traits, now))
+        return *refusal;
     return state.withService(traits.service, [&](ServiceState& service) {
         service.retryWindow.countRequest(now);
         return admit(state, service, traits, std::move(observer), now);
@@ -69,8 +83,8 @@
 
 Decision acquireForRetry(DispatchState& state, const RequestTraits& traits, bool reachedTarget, std::shared_ptr<WaitObserver> observer, Base::TimePoint now)
 {
-    if (auto time = Queries::quarantinedFor(state, traits.fingerprint, now))
-        return Refusal { RefusalReason::Quarantined, *time };
+    if (auto refusal = refuseCrashing(state, traits, now))
+        return *refusal;
     return state.withService(traits.service, [&](ServiceState& service) -> Decision {
         if (reachedTarget && !service.retryWindow.tryRetry(retryLimits(state), now))
             return Refusal { RefusalReason::RetryBudget, noTargetRetryAfter };
--- a/Source/Dispatch/Commands/RecordCrash.cpp
+++ b/Source/Dispatch/Commands/RecordCrash.cpp
@@ -1,5 +1,6 @@
 #include "Dispatch/Commands/RecordCrash.h"
 
+#include "Dispatch/Commands/RecordPartEvidence.h"
 #include "Fleet/Queries/ReadFleet.h"
 
 #include <algorithm>
@@ -13,6 +14,8 @@
 
     // Reports are sent again for this time, because datagrams may be lost.
     constexpr std::chrono::milliseconds reportRepeatPeriod = 1000ms;
+    // An agent may see the end of its engine this long before or after a router sees a connection break.
+    constexpr std::chrono::milliseconds endReportTolerance = 1000ms;
 
     // Returns the run of the request at the same target, adding it if needed; null if the history is full.
     BrokenRun* findOrAdd(bool isFull, Entries& entries, uint64_t fingerprint, BrokenRun run)
@@ -47,13 +50,20 @@
         return std::any_of(targets->second.begin(), targets->second.end(), [&](auto& target) { return target->entry.id == run.target; });
     }
 
+    bool isSameEnd(Base::TimePoint endedAt, Base::TimePoint brokeAt)
+    {
+        return endedAt != Base::TimePoint() && endedAt + endReportTolerance >= brokeAt && endedAt <= brokeAt + endReportTolerance;
+    }
+
     bool hasTargetEnded(DispatchState& state, const Fleet::FleetSnapshot& snapshot, const BrokenRun& run)
     {
         if (!isPublished(snapshot, run))
             return true;
         return state.withService(run.service, [&](ServiceState& service) {
             auto runtime = service.targets.find(run.target);
-            return runtime != service.targets.end() && runtime->second.unreachableAt >= run.brokeAt;
+            if (runtime == service.targets.end())
+                return false;
+            return runtime->second.unreachableAt >= run.brokeAt || isSameEnd(runtime->second.endedAt, run.brokeAt);
         });
     }
 
@@ -78,14 +88,16 @@
                 continue;
             run.confirmedAt = now;
             addRun(state.crashes(), fingerprint, run);
+            for (auto part : run.suspectParts)
+                recordPartCrash(state, part, run.target, run.brokeAt, now);
         }
     }
 
 } // namespace
 
-void recordBrokenRun(DispatchState& state, uint64_t fingerprint, const std::string& service, const std::string& target, Base::TimePoint now)
+void recordBrokenRun(DispatchState& state, uint64_t fingerprint, const std::string& service, const std::string& target, Base::TimePoint now, std::vector<uint64_t> suspectParts)
 {
-    addRun(state.crashes(), fingerprint, { service, target, now, {} });
+    addRun(state.crashes(), fingerprint, { service, target, now, {}, std::move(suspectParts) });
 }
 
 std::vector<CrashReport> confirmCrashes(DispatchState& state, Base::TimePoint now)
@@ -110,7 +122,7 @@
 {
     for (auto& report : reports) {
         if (report.age <= CrashHistory::retention)
-            addRun(state.crashes(), report.fingerprint, { "", report.target, now - report.age, now });
+            addRun(state.crashes(), report.fingerprint, { "", report.target, now - report.age, now, {} });
     }
 }
 
--- a/Source/Dispatch/Commands/RecordCrash.h
+++ b/Source/Dispatch/Commands/RecordCrash.h
@@ -4,10 +4,11 @@
 
 namespace Lavenderloft::Dispatch::Commands {
 
-// Records that the connection of a run broke; the target may have crashed.
-void recordBrokenRun(DispatchState&, uint64_t fingerprint, const std::string& service, const std::string& target, Base::TimePoint now);
+// Records that the connection of a run broke; the target may have crashed. The parts are those of a run that had
+// produced no event.
+void recordBrokenRun(DispatchState&, uint64_t fingerprint, const std::string& service, const std::string& target, Base::TimePoint now, std::vector<uint64_t> suspectParts = {});
 
-// Confirms the crashes of broken runs whose targets have ended, removes expired runs, and returns recently confirmed
+// Confirms the crashes of broken runs whose targets have ended, records them for their suspect parts, removes expired runs, and returns recently confirmed
 // crashes for the other routers.
 std::vector<CrashReport> confirmCrashes(DispatchState&, Base::TimePoint now);
 
--- a/Source/Dispatch/Commands/RecordOutcome.cpp
+++ b/Source/Dispatch/Commands/RecordOutcome.cpp
@@ -105,6 +105,11 @@
     });
 }
 
+void recordTargetEnd(DispatchState& state, const std::string& serviceName, const std::string& targetId, Base::TimePoint endedAt)
+{
+    state.withService(serviceName, [&](ServiceState& service) { service.targets[targetId].endedAt = endedAt; });
+}
+
 void removeUnpublishedTargets(DispatchState& state)
 {
     auto snapshot = Fleet::Queries::currentSnapshot(state.fleet());
--- a/Source/Dispatch/Commands/RecordOutcome.h
+++ b/Source/Dispatch/Commands/RecordOutcome.h
@@ -27,6 +27,9 @@
 // Records the report of the target's agent.
 void recordReport(DispatchState&, const std::string& service, const std::string& targetId, const TargetReport&, Base::TimePoint now);
 
+// Records that the agent saw the target end or restart.
+void recordTargetEnd(DispatchState&, const std::string& service, const std::string& targetId, Base::TimePoint endedAt);
+
 // Removes targets that are no longer published and have no requests in flight.
 void removeUnpublishedTargets(DispatchState&);
 
--- a/Source/Dispatch/CrashHistory.h
+++ b/Source/Dispatch/CrashHistory.h
@@ -17,6 +17,8 @@
     Base::TimePoint brokeAt {};
     // When the target was found to have ended. Until then only the connection is known to have broken.
     Base::TimePoint confirmedAt {};
+    // Shared parts of the prompt, if the run had produced no event; one of them may be the cause.
+    std::vector<uint64_t> suspectParts {};
 
     bool isConfirmed() const { return confirmedAt != Base::TimePoint(); }
 };
--- a/Source/Dispatch/Decision.cpp
+++ b/Source/Dispatch/Decision.cpp
@@ -13,6 +13,8 @@
         return "retry_budget";
     case RefusalReason::Quarantined:
         return "quarantined";
+    case RefusalReason::BlockedPart:
+        return "blocked_part";
     case RefusalReason::OutOfTime:
         return "out_of_time";
     }
--- a/Source/Dispatch/Decision.h
+++ b/Source/Dispatch/Decision.h
@@ -30,6 +30,8 @@
     RetryBudget,
     // The request crashed the targets that ran it.
     Quarantined,
+    // Requests with a part of its prompt crashed the targets that ran them.
+    BlockedPart,
     // Too little time is left before the deadline.
     OutOfTime,
 };
--- a/Source/Dispatch/DispatchState.h
+++ b/Source/Dispatch/DispatchState.h
@@ -5,6 +5,7 @@
 #include "Dispatch/AdmissionPolicy.h"
 #include "Dispatch/CrashHistory.h"
 #include "Dispatch/Decision.h"
+#include "Dispatch/PartEvidence.h"
 #include "Dispatch/PlacementPolicy.h"
 #include "Dispatch/RetryWindow.h"
 #include "Dispatch/TargetRuntime.h"
@@ -77,6 +78,9 @@
     CrashHistory& crashes() { return m_crashes; }
     const CrashHistory& crashes() const { return m_crashes; }
 
+    PartEvidence& parts() { return m_parts; }
+    const PartEvidence& parts() const { return m_parts; }
+
     // Applies the placement policy. The random source has its own lock.
     size_t choose(const std::vector<Candidate>&, const RequestTraits&);
 
@@ -106,6 +110,7 @@
     std::atomic<unsigned> m_routerCount { 1 };
     std::array<Shard, shardCount> m_shards;
     CrashHistory m_crashes;
+    PartEvidence m_parts;
 };
 
 } // namespace Lavenderloft::Dispatch
--- /dev/null
+++ b/Source/Dispatch/Queries/ListPartReports.cpp
@@ -0,0 +1,52 @@
+#include "Dispatch/Queries/ListPartReports.h"
+
+#include <algorithm>
+
+namespace Lavenderloft::Dispatch::Queries {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // Reports are sent again for this time, because datagrams may be lost.
+    constexpr std::chrono::milliseconds reportRepeatPeriod = 1000ms;
+
+    std::chrono::milliseconds ageOf(Base::TimePoint time, Base::TimePoint now)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(now - time);
+    }
+
+    bool isRecent(Base::TimePoint time, Base::TimePoint now)
+    {
+        return time != Base::TimePoint() && now - time <= reportRepeatPeriod;
+    }
+
+    bool isReported(const PartRecord& record, const PartCrash& crash, Base::TimePoint now)
+    {
+        bool isRefusing = record.blockedAt && isRecent(record.refusedAt, now);
+        return isRefusing || (crash.confirmedAt && isRecent(*crash.confirmedAt, now));
+    }
+
+} // namespace
+
+PartReports listPartReports(const DispatchState& state, Base::TimePoint now)
+{
+    PartReports reports;
+    std::vector<std::pair<uint64_t, PartRecord>> suspects;
+    state.parts().records().forEach([&](uint64_t part, const PartRecord& record) {
+        if (!record.crashes.empty())
+            suspects.emplace_back(part, record);
+        if (record.announceServedUntil > now)
+            reports.served.push_back({ part, ageOf(record.servedAt, now) });
+    });
+    std::stable_sort(suspects.begin(), suspects.end(), [](auto& left, auto& right) { return left.second.crashes.size() > right.second.crashes.size(); });
+    for (auto& [part, record] : suspects) {
+        for (auto& crash : record.crashes) {
+            if (isReported(record, crash, now))
+                reports.crashes.push_back({ part, crash.target, ageOf(crash.at, now) });
+        }
+    }
+    return reports;
+}
+
+} // namespace Lavenderloft::Dispatch::Queries
--- a/Source/Dispatch/RequestTraits.h
+++ b/Source/Dispatch/RequestTraits.h
@@ -4,6 +4,7 @@
 // input or output: commands record arrivals, results and reports, and queries read the fleet snapshot.
 
 #include "Base/Clock.h"
+#include "Dispatch/PartEvidence.h"
 #include "Fleet/Configuration.h"
 
 #include <chrono>
@@ -19,6 +20,8 @@
     std::string service;
     // Hash of organisation, method, path and body, which stay the same when the caller resends the request.
     uint64_t fingerprint = 0;
+    // Parts of the prompt that other requests may have too: all but the last.
+    std::vector<PromptPart> sharedParts;
     // 0 is the highest.
     int priority = 0;
     Base::TimePoint arrivedAt {};
--- a/Source/Dispatch/TargetRuntime.h
+++ b/Source/Dispatch/TargetRuntime.h
@@ -55,6 +55,8 @@
     Base::TimePoint backoffUntil {};
     // Time of the last failed connection attempt.
     Base::TimePoint unreachableAt {};
+    // When the agent last saw the target end or restart.
+    Base::TimePoint endedAt {};
     // Token bucket that limits the request rate while the target is cold.
     double coldTokens = 0;
     Base::TimePoint coldRefilledAt {};
--- a/Source/Peering/PeeringCodec.cpp
+++ b/Source/Peering/PeeringCodec.cpp
@@ -34,6 +34,8 @@
         load->set_cold(message.load->cold);
         if (message.load->abortsIn)
             load->set_cuts_in_ms(static_cast<uint32_t>(message.load->abortsIn->count()));
+        if (message.load->endedAgo)
+            load->set_ended_ago_ms(static_cast<uint32_t>(message.load->endedAgo->count()));
         load->set_granted(message.load->granted);
     }
     for (auto& crash : message.crashes) {
@@ -42,6 +44,17 @@
         report->set_target(crash.target);
         report->set_age_ms(static_cast<uint32_t>(crash.age.count()));
     }
+    for (auto& crash : message.parts.crashes) {
+        auto* report = encoded.add_part_crashes();
+        report->set_part(crash.part);
+        report->set_target(crash.target);
+        report->set_age_ms(static_cast<uint32_t>(crash.age.count()));
+    }
+    for (auto& served : message.parts.served) {
+        auto* report = encoded.add_parts_served();
+        report->set_part(served.part);
+        report->set_age_ms(static_cast<uint32_t>(served.age.count()));
+    }
     return encoded.SerializeAsString();
 }
 
@@ -63,12 +76,18 @@
         message.routers.push_back({ router.address(), router.data_centre(), std::chrono::milliseconds(router.age_ms()) });
     if (encoded.has_load()) {
         auto& load = encoded.load();
-        message.load = EngineLoad { load.service(), load.engine_address(), load.running(), load.queued(), load.whole_version(), load.paused(), load.granted(), load.cold(), std::nullopt };
+        message.load = EngineLoad { load.service(), load.engine_address(), load.running(), load.queued(), load.whole_version(), load.paused(), load.granted(), load.cold(), std::nullopt, std::nullopt };
         if (load.has_cuts_in_ms())
             message.load->abortsIn = std::chrono::milliseconds(load.cuts_in_ms());
+        if (load.has_ended_ago_ms())
+            message.load->endedAgo = std::chrono::milliseconds(load.ended_ago_ms());
     }
     for (auto& crash : encoded.crashes())
         message.crashes.push_back({ crash.fingerprint(), crash.target(), std::chrono::milliseconds(crash.age_ms()) });
+    for (auto& crash : encoded.part_crashes())
+        message.parts.crashes.push_back({ crash.part(), crash.target(), std::chrono::milliseconds(crash.age_ms()) });
+    for (auto& served : encoded.parts_served())
+        message.parts.served.push_back({ served.part(), std::chrono::milliseconds(served.age_ms()) });
     return message;
 }
 
--- a/Source/Peering/PeeringCodec.h
+++ b/Source/Peering/PeeringCodec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Dispatch/CrashHistory.h"
+#include "Dispatch/PartEvidence.h"
 #include "Fleet/Publication.h"
 #include "Peering/PeerTable.h"
 
@@ -25,6 +26,8 @@
     bool cold = false;
     // Time until the engine aborts its requests to load new weights; empty if no abort is planned.
     std::optional<std::chrono::milliseconds> abortsIn;
+    // Time since the agent saw the engine end or restart; empty if that was long ago.
+    std::optional<std::chrono::milliseconds> endedAgo {};
 };
 
 // A router known to the sender of a message.
@@ -49,6 +52,7 @@
     std::optional<EngineLoad> load;
     // Crashes recently confirmed by the sender, a router.
     std::vector<Dispatch::CrashReport> crashes;
+    Dispatch::PartReports parts;
 };
 
 std::string encodeMessage(const NodeMessage&);
--- a/Source/Peering/PeeringNode.cpp
+++ b/Source/Peering/PeeringNode.cpp
@@ -35,6 +35,8 @@
     constexpr size_t loadFanout = 8;
     // More crashes would not fit into a datagram.
     constexpr size_t maximumCrashesPerMessage = 32;
+    constexpr size_t maximumPartCrashesPerMessage = 64;
+    constexpr size_t maximumPartsServedPerMessage = 64;
     // A router that follows the store waits for its own watch to deliver the change before it fetches from a peer.
     constexpr std::chrono::milliseconds followerFetchDelay = 250ms;
     constexpr std::chrono::milliseconds fetchDelay = 5ms;
@@ -43,6 +45,13 @@
     // Longer than a fetch takes. A router that stays behind for longer follows the store itself.
     constexpr std::chrono::milliseconds maximumLag = 700ms;
 
+    template <typename Report>
+    void truncate(std::vector<Report>& reports, size_t maximum)
+    {
+        if (reports.size() > maximum)
+            reports.resize(maximum);
+    }
+
     std::optional<uint64_t> revisionInQuery(const std::string& target)
     {
         constexpr std::string_view parameter = "?after=";
@@ -192,10 +201,14 @@
         sendTo(router.address, bytes);
 }
 
-void PeeringNode::announceCrashes(const std::vector<Dispatch::CrashReport>& crashes)
+void PeeringNode::announceCrashes(const std::vector<Dispatch::CrashReport>& crashes, const Dispatch::PartReports& parts)
 {
     auto message = describeSelf();
-    message.crashes.assign(crashes.begin(), crashes.begin() + static_cast<std::ptrdiff_t>(std::min(crashes.size(), maximumCrashesPerMessage)));
+    message.crashes = crashes;
+    truncate(message.crashes, maximumCrashesPerMessage);
+    message.parts = parts;
+    truncate(message.parts.crashes, maximumPartCrashesPerMessage);
+    truncate(message.parts.served, maximumPartsServedPerMessage);
     auto bytes = encodeMessage(message);
     for (auto& router : Queries::liveRouters(m_peers, m_clock.now()))
         sendTo(router.address, bytes);
@@ -265,6 +278,8 @@
         handleRouterMessage(message);
         if (!message.crashes.empty() && m_onCrashes)
             m_onCrashes(message.crashes);
+        if (!message.parts.isEmpty() && m_onParts)
+            m_onParts(message.parts);
         if (message.revision > ownRevision || (!m_hasFetchedAll && message.revision > 0))
             m_fetchTimer.cancel();
         return;
--- a/Source/Peering/PeeringNode.h
+++ b/Source/Peering/PeeringNode.h
@@ -26,6 +26,8 @@
     using LoadHandler = std::function<void(const EngineLoad&)>;
     // Called by a router for crashes confirmed by another router.
     using CrashHandler = std::function<void(const std::vector<Dispatch::CrashReport>&)>;
+    // Called by a router for what another router reports of prompt parts.
+    using PartHandler = std::function<void(const Dispatch::PartReports&)>;
     // Returns when this node was last synchronised with the store; nullopt if it does not follow the store.
     using StoreSyncTimeProvider = std::function<std::optional<Base::TimePoint>()>;
 
@@ -34,6 +36,7 @@
 
     void setLoadHandler(LoadHandler handler) { m_onLoad = std::move(handler); }
     void setCrashHandler(CrashHandler handler) { m_onCrashes = std::move(handler); }
+    void setPartHandler(PartHandler handler) { m_onParts = std::move(handler); }
     void setStoreSyncTimeProvider(StoreSyncTimeProvider provider) { m_storeSyncTime = std::move(provider); }
 
     void start();
@@ -53,8 +56,9 @@
     // Notifies the routers of the own region, and a rotating subset of the others, of a new revision.
     void announceRevision();
 
-    // Notifies the other routers of crashes.
-    void announceCrashes(const std::vector<Dispatch::CrashReport>&);
+    // Notifies the other routers of crashes, and of what is known of prompt parts. As much as fits into a datagram is sent,
+    // from the front.
+    void announceCrashes(const std::vector<Dispatch::CrashReport>&, const Dispatch::PartReports&);
 
     // Whether this router can receive published items from a router of its region that follows the store.
     bool canRelyOnStoreFollower() const;
@@ -95,6 +99,7 @@
     bool m_hasFetchedAll = false;
     LoadHandler m_onLoad;
     CrashHandler m_onCrashes;
+    PartHandler m_onParts;
     StoreSyncTimeProvider m_storeSyncTime;
     double m_demand = 0;
     // Positions of the rotations over known routers, heartbeat receivers and load receivers.
--- a/Source/Process/Events.h
+++ b/Source/Process/Events.h
@@ -15,5 +15,7 @@
 inline constexpr Event settingsReloaded { 1005, "settings-reloaded", Level::Info, "Changed settings are in force." };
 inline constexpr Event settingsRefused { 1006, "settings-refused", Level::Warning, "The changed settings are invalid; the previous settings stay in force." };
 inline constexpr Event logLinesLeftOut { 1007, "log-lines-left-out", Level::Warning, "Log lines were dropped because the log budget was exceeded." };
+inline constexpr Event promptPartBlocked { 1008, "prompt-part-blocked", Level::Warning, "Targets crashed one after the other while requests with this prompt part ran there, and none was answered; such requests are refused." };
+inline constexpr Event promptPartReleased { 1009, "prompt-part-released", Level::Info, "Requests with this prompt part are accepted again." };
 
 } // namespace Lavenderloft::Process
--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -6,8 +6,11 @@
 #include "Dispatch/Commands/AcquireTarget.h"
 #include "Dispatch/Commands/RecordCrash.h"
 #include "Dispatch/Commands/RecordOutcome.h"
+#include "Dispatch/Commands/RecordPartEvidence.h"
 #include "Dispatch/PowerOfTwoChoicesPolicy.h"
 #include "Dispatch/Queries/EngineDemand.h"
+#include "Dispatch/Queries/FindBlockedPart.h"
+#include "Dispatch/Queries/ListPartReports.h"
 #include "Fleet/Commands/ApplyItems.h"
 #include "Fleet/Queries/ReadFleet.h"
 #include "Http/IoContextPool.h"
@@ -21,11 +24,14 @@
 #include "Process/SettingsReload.h"
 #include "Proxy/CallerServer.h"
 
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <charconv>
 #include <csignal>
+#include <map>
 #include <random>
 
 namespace Lavenderloft::Process {
@@ -58,6 +64,14 @@
         return (static_cast<uint64_t>(device()) << 32) | device();
     }
 
+    // As callers write it in the header of their requests.
+    std::string formatPartId(uint64_t part)
+    {
+        std::array<char, 16> digits {};
+        auto end = std::to_chars(digits.data(), digits.data() + digits.size(), part, 16).ptr;
+        return { digits.data(), end };
+    }
+
     class FleetRouter {
     public:
         FleetRouter(const Fleet::NodeSettings& settings, const NodePlatform& platform)
@@ -87,6 +101,7 @@
             m_callers->start();
             m_peering.setLoadHandler([this](const Peering::EngineLoad& load) { recordLoad(load); });
             m_peering.setCrashHandler([this](const std::vector<Dispatch::CrashReport>& crashes) { Dispatch::Commands::mergeCrashReports(m_dispatch, crashes, m_clock.now()); });
+            m_peering.setPartHandler([this](const Dispatch::PartReports& reports) { mergePartReports(reports); });
             m_peering.setStoreSyncTimeProvider([this] { return storeSyncedAt(); });
             m_peering.start();
             for (auto& follower : m_followers) {
@@ -152,10 +167,47 @@
                 Dispatch::TargetReport report { load.running, load.queued, load.wholeVersion, load.paused, load.granted, load.cold, std::nullopt };
                 if (load.abortsIn)
                     report.abortsAt = now + *load.abortsIn;
+                if (load.endedAgo)
+                    Dispatch::Commands::recordTargetEnd(m_dispatch, load.service, target->entry.id, now - *load.endedAgo);
                 Dispatch::Commands::recordReport(m_dispatch, load.service, target->entry.id, report, now);
             }
         }
 
+        void mergePartReports(const Dispatch::PartReports& reports)
+        {
+            auto now = m_clock.now();
+            Dispatch::Commands::mergePartReports(m_dispatch, reports, now);
+            Dispatch::Commands::refuseBlockedWaiting(m_dispatch, now);
+        }
+
+        void exchangeCrashes(Base::TimePoint now)
+        {
+            auto crashes = Dispatch::Commands::confirmCrashes(m_dispatch, now);
+            Dispatch::Commands::expirePartEvidence(m_dispatch, now);
+            Dispatch::Commands::refuseBlockedWaiting(m_dispatch, now);
+            auto parts = Dispatch::Queries::listPartReports(m_dispatch, now);
+            if (!crashes.empty() || !parts.isEmpty())
+                m_peering.announceCrashes(crashes, parts);
+            logBlockedParts(now);
+        }
+
+        // Logs which parts were blocked or released since the last call.
+        void logBlockedParts(Base::TimePoint now)
+        {
+            std::map<uint64_t, size_t> blocked;
+            for (auto& part : Dispatch::Queries::listBlockedParts(m_dispatch, now))
+                blocked[part.part] = part.crashes;
+            for (auto& [part, crashes] : blocked) {
+                if (!m_blockedParts.contains(part))
+                    Observability::logEvent(promptPartBlocked, { { "part", formatPartId(part) }, { "crashes", crashes } });
+            }
+            for (auto& [part, crashes] : m_blockedParts) {
+                if (!blocked.contains(part))
+                    Observability::logEvent(promptPartReleased, { { "part", formatPartId(part) } });
+            }
+            m_blockedParts = std::move(blocked);
+        }
+
         asio::awaitable<void> serveQueues()
         {
             while (true) {
@@ -174,8 +226,7 @@
                     m_metrics.count("log_lines_left_out_total", {}, static_cast<double>(lines));
                     Observability::logEvent(logLinesLeftOut, { { "lines", lines } });
                 }
-                if (auto crashes = Dispatch::Commands::confirmCrashes(m_dispatch, now); !crashes.empty())
-                    m_peering.announceCrashes(crashes);
+                exchangeCrashes(now);
                 Dispatch::Commands::removeUnpublishedTargets(m_dispatch);
                 m_peering.setDemand(Dispatch::Queries::engineDemand(m_dispatch, now));
                 if (now - m_startedAt >= routerDiscoveryTime)
@@ -193,6 +244,7 @@
             m_metrics.set("configuration_version", {}, snapshot->configuration ? static_cast<double>(snapshot->configuration->version) : 0);
             m_metrics.set("published_revision", {}, static_cast<double>(snapshot->revision));
             m_metrics.set("routers_known", {}, static_cast<double>(Peering::Queries::countRetainedRouters(m_peers)) + 1);
+            m_metrics.set("prompt_parts_blocked", {}, static_cast<double>(m_dispatch.parts().blockedCount()));
             m_metrics.set("open_requests", {}, static_cast<double>(m_proxy.openRequests));
             auto syncedAt = storeSyncedAt();
             m_metrics.set("store_followed", {}, syncedAt ? 1 : 0);
@@ -242,6 +294,8 @@
         asio::signal_set m_signals;
         SettingsReload m_reload;
         Base::TimePoint m_startedAt;
+        // Logged as blocked, with the number of crashes.
+        std::map<uint64_t, size_t> m_blockedParts;
         std::vector<std::unique_ptr<Peering::StoreFollower>> m_followers;
         std::vector<std::unique_ptr<Proxy::ProxyWorker>> m_workers;
         std::shared_ptr<Proxy::CallerServer> m_callers;
--- a/Source/Proxy/CallerProtocol.h
+++ b/Source/Proxy/CallerProtocol.h
@@ -3,12 +3,14 @@
 // Proxy owns the connections to callers and targets. Decisions are made in Dispatch and Fleet; only CallerProtocol
 // knows the names of header fields.
 
+#include "Dispatch/PartEvidence.h"
 #include "Http/HttpMessage.h"
 
 #include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Lavenderloft::Proxy {
 
@@ -20,6 +22,8 @@
     std::optional<std::string> key;
     std::string model;
     uint64_t promptTokens = 0;
+    // In order; the last one belongs to this request alone.
+    std::vector<Dispatch::PromptPart> promptParts;
     uint64_t maximumOutputTokens = 0;
     // The caller's estimate of the output tokens; correct at the median, but single estimates are often far off.
     std::optional<uint64_t> estimatedOutputTokens;
--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -4,6 +4,7 @@
 #include "Dispatch/Commands/AcquireTarget.h"
 #include "Dispatch/Commands/RecordCrash.h"
 #include "Dispatch/Commands/RecordOutcome.h"
+#include "Dispatch/Commands/RecordPartEvidence.h"
 #include "Fleet/Queries/ReadFleet.h"
 #include "Http/WireFormat.h"
 #include "Observability/Log.h"
@@ -158,6 +159,8 @@
     m_traits.allowedRegions = commonRegions(route.allowedRegions, m_organisation ? m_organisation->allowedRegions : std::vector<std::string>());
     auto owner = m_organisation ? m_organisation->name : std::string();
     m_traits.fingerprint = Base::stableHash(owner + '\0' + m_request.method + '\0' + m_request.target + '\0' + m_request.body);
+    if (!m_head.promptParts.empty())
+        m_traits.sharedParts.assign(m_head.promptParts.begin(), std::prev(m_head.promptParts.end()));
     auto deadline = m_head.deadline.value_or(defaultDeadline);
     if (route.timeout > 0ms)
         deadline = std::min(deadline, route.timeout);
@@ -206,10 +209,12 @@
         m_waited += lease.waited;
         m_occupancy = lease.occupancy;
         m_lastTarget = lease.target->entry.id;
+        auto eventBefore = m_events.lastEventId();
         auto attempted = finishedAs(AttemptResult::Abandoned);
         if (!m_disconnectMonitor->callerDisconnected())
             attempted = co_await attempt(lease);
         Dispatch::Commands::releaseTarget(m_context.dispatch, m_traits.service, lease.target->entry.id, attempted.result, m_context.clock.now());
+        recordEvidence(attempted, lease.target->entry.id, eventBefore);
         if (m_disconnectMonitor->callerDisconnected() && !m_finished) {
             m_keepAlive = false;
             logFinished(Events::requestAbandoned, 0, "caller_left");
@@ -218,8 +223,6 @@
         if (attempted.finished)
             co_return;
         lastEnd = attempted.end;
-        if (lastEnd == AttemptEnd::Broken)
-            Dispatch::Commands::recordBrokenRun(m_context.dispatch, m_traits.fingerprint, m_traits.service, lease.target->entry.id, m_context.clock.now());
         m_traits.triedTargets.push_back(lease.target->entry.id);
         m_context.metrics.count("attempts_failed_total", { { "end", std::string(Dispatch::Queries::attemptEndName(lastEnd)) } });
         bool retry = m_traits.deadline > m_context.clock.now() && Dispatch::Queries::mayRetry(*m_traits.route, m_history, lastEnd);
@@ -233,6 +236,24 @@
     }
 }
 
+void RequestHandler::recordEvidence(const AttemptOutcome& attempted, const std::string& target, std::optional<uint64_t> eventBefore)
+{
+    auto now = m_context.clock.now();
+    if (attempted.finished) {
+        if (attempted.result == AttemptResult::Served)
+            Dispatch::Commands::recordPartsServed(m_context.dispatch, m_traits.sharedParts, now);
+        return;
+    }
+    if (attempted.end != AttemptEnd::Broken || m_disconnectMonitor->callerDisconnected())
+        return;
+    std::vector<uint64_t> suspectParts;
+    if (m_events.lastEventId() == eventBefore) {
+        for (auto& part : m_traits.sharedParts)
+            suspectParts.push_back(part.id);
+    }
+    Dispatch::Commands::recordBrokenRun(m_context.dispatch, m_traits.fingerprint, m_traits.service, target, now, std::move(suspectParts));
+}
+
 Http::HttpRequest RequestHandler::forwardedRequest(const Dispatch::Lease& lease) const
 {
     ForwardedFields forwarding;
--- a/Source/Proxy/RequestHandler.h
+++ b/Source/Proxy/RequestHandler.h
@@ -39,6 +39,8 @@
     // Finds the route and organisation. Returns false if the request was rejected and the response has been sent.
     boost::asio::awaitable<bool> resolve();
     void prepareTraits();
+    // Records what the attempt says of the parts of the prompt. The event is the last one before the attempt.
+    void recordEvidence(const AttemptOutcome&, const std::string& target, std::optional<uint64_t> eventBefore);
 
     boost::asio::awaitable<std::optional<LeaseWaiter::Outcome>> acquire();
     boost::asio::awaitable<void> serve();
--- a/Source/Staging/StagingNode.cpp
+++ b/Source/Staging/StagingNode.cpp
@@ -22,6 +22,8 @@
     using namespace std::chrono_literals;
 
     constexpr std::chrono::milliseconds reportInterval = 100ms;
+    // The end of the engine is reported for this time, because datagrams may be lost.
+    constexpr std::chrono::milliseconds endReportPeriod = 1000ms;
     constexpr std::chrono::milliseconds engineTimeout = 1500ms;
     constexpr std::chrono::milliseconds checkInterval = 100ms;
     // Delay after a source failed to deliver a piece.
@@ -48,6 +50,11 @@
     constexpr std::chrono::seconds loadTimeout = 8s;
     constexpr std::chrono::milliseconds loadPollInterval = 100ms;
 
+    bool failedAs(const Base::Result<Http::HttpResponse, Http::HttpError>& result, Http::HttpErrorKind kind)
+    {
+        return !Base::succeeded(result) && Base::errorOf(result).kind == kind;
+    }
+
     // Puts a piece back after a failed attempt. Pieces are taken from the end of the queue: one that other agents
     // wait for is retried after a few others, any other one last.
     void requeue(std::vector<unsigned>& queue, unsigned piece, Queries::PieceAssignment assignment)
@@ -87,6 +94,9 @@
     bool wasReached = false;
     while (true) {
         auto result = co_await client.call(m_protocol.reportRequest(), engineTimeout);
+        // The engine may only have closed an idle connection; if it has ended, it accepts no new one.
+        if (failedAs(result, Http::HttpErrorKind::Broken))
+            result = co_await client.call(m_protocol.reportRequest(), engineTimeout);
         std::optional<EngineReport> report;
         std::string problem;
         if (Base::succeeded(result)) {
@@ -98,6 +108,9 @@
         } else {
             problem = Base::errorOf(result).describe();
         }
+        bool hasRestarted = m_engine && report && report->startedAt != m_engine->startedAt;
+        if (hasRestarted || (m_engine && failedAs(result, Http::HttpErrorKind::NotSent)))
+            m_engineEndedAt = m_clock.now();
         m_engine = report;
         detectEngineStart();
         if (m_engine.has_value() != wasReached) {
@@ -106,6 +119,8 @@
         }
         if (m_engine)
             reportLoad();
+        else if (timeSinceEnd())
+            reportEnd();
         co_await Http::sleepFor(m_context, reportInterval);
     }
 }
@@ -118,11 +133,32 @@
     return Fleet::wholeVersionOf(m_engine->layers, desired->layers);
 }
 
+// Time since the engine was seen to end or restart; nothing if that was long ago.
+std::optional<std::chrono::milliseconds> StagingNode::timeSinceEnd() const
+{
+    if (m_engineEndedAt == Base::TimePoint())
+        return std::nullopt;
+    auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - m_engineEndedAt);
+    return elapsed < endReportPeriod ? std::optional(elapsed) : std::nullopt;
+}
+
+// Tells the routers that the engine has ended, so that they need not find out by failed connections.
+void StagingNode::reportEnd()
+{
+    Peering::EngineLoad load;
+    load.service = m_settings.localService;
+    load.engineAddress = m_settings.localEngine->toString();
+    load.paused = true;
+    load.endedAgo = timeSinceEnd();
+    m_peering.sendLoad(load, m_peering.nextLoadReceivers(), {});
+}
+
 void StagingNode::reportLoad()
 {
     Peering::EngineLoad load;
     load.service = m_settings.localService;
     load.engineAddress = m_settings.localEngine->toString();
+    load.endedAgo = timeSinceEnd();
     load.running = m_engine->running;
     load.queued = m_engine->queued;
     load.wholeVersion = wholeVersion();
--- a/Source/Staging/StagingNode.h
+++ b/Source/Staging/StagingNode.h
@@ -76,6 +76,8 @@
     bool isStillDesired(const DesiredWeights&) const;
     uint64_t wholeVersion() const;
     void reportLoad();
+    void reportEnd();
+    std::optional<std::chrono::milliseconds> timeSinceEnd() const;
     unsigned freeSlots() const;
     void detectEngineStart();
     std::optional<double> coldRate() const;
@@ -108,6 +110,8 @@
     std::optional<Queries::LoadPlan> m_plan;
     // The last EngineReport::startedAt.
     uint64_t m_engineStart = 0;
+    // When the engine was last seen to end or restart.
+    Base::TimePoint m_engineEndedAt {};
     // An engine that restarted counts as cold until this time.
     Base::TimePoint m_coldUntil {};
     ColdStartLimiter m_coldStartLimiter;
--- a/Tests/Platform/HeaderCodecTest.cpp
+++ b/Tests/Platform/HeaderCodecTest.cpp
@@ -19,6 +19,27 @@
     cr_assert_not(head.estimatedOutputTokens.has_value());
 }
 
+// Guards against taking different prompt parts for the same one, and against malformed entries from a caller.
+Test(HeaderCodec, readsThePartsOfAPrompt)
+{
+    auto partsOf = [](const std::string& value) { return HeaderCodec().readRequestHead({ { "Lavenderloft-Prompt-Prefix", value } }).promptParts; };
+    auto parts = partsOf("5c1e07a2:800, 91bd3f06:410,e4402b7d:250");
+    cr_assert_eq(parts.size(), 3);
+    cr_assert_eq(parts[0].id, 0x5c1e07a2);
+    cr_assert_eq(parts[0].tokens, 800);
+    cr_assert_eq(parts[1].id, 0x91bd3f06);
+    cr_assert_eq(parts[2].tokens, 250);
+    cr_assert(partsOf("").empty() && partsOf(",,:5,").empty());
+    auto unusual = partsOf("x-1:5,x-2,5c1e07a25c1e07a25c1e07a2:99999999999");
+    cr_assert_eq(unusual.size(), 3);
+    cr_assert_neq(unusual[0].id, unusual[1].id);
+    cr_assert_eq(unusual[1].tokens, 0);
+    std::string many;
+    for (int i = 0; i < 1000; ++i)
+        many += "1:1,";
+    cr_assert_leq(partsOf(many).size(), 32);
+}
+
 // Guards against forwarding a caller's API key to a target, and against trusting an organisation named by the caller.
 Test(HeaderCodec, overridesReservedFields)
 {
--- a/Tests/Proxy/RelayTest.cpp
+++ b/Tests/Proxy/RelayTest.cpp
@@ -238,6 +238,58 @@
     cr_assert(contains(router.exchange("OPTIONS"), "done"), "another request is served");
 }
 
+// Requests that share one part of their prompt crash one target after the other, although no two are alike. Guards against
+// further ones reaching targets, and against refusing requests that share the other parts.
+Test(Relay, refusesRequestsWithAPartThatCrashedThreeTargets)
+{
+    TestRouter router;
+    ScriptedTarget crashing([](const std::string&, unsigned) { return ScriptedReply { "", Then::Reset }; });
+    router.setRoute(Fleet::RequestKind::Stream, 1);
+    auto confirm = [&] { Dispatch::Commands::confirmCrashes(router.context().dispatch, Base::SystemClock().now()); };
+    unsigned number = 0;
+    for (auto method : { "POST", "PUT", "PATCH" }) {
+        auto id = std::to_string(++number);
+        router.addTarget(id, crashing);
+        cr_assert(contains(router.exchange(method, "Lavenderloft-Prompt-Prefix: aa:40,bad:20,f" + id + ":9\r\n"), "HTTP/1.1 502"));
+        router.removeTarget(id);
+        confirm();
+        // Crashes at the same moment would count once.
+        std::this_thread::sleep_for(Dispatch::PartEvidence::commonCauseWindow);
+        ScriptedTarget sound(respondsWith("done"));
+        router.addTarget("sound-" + id, sound);
+        cr_assert(contains(router.exchange("OPTIONS", "Lavenderloft-Prompt-Prefix: aa:40,e1:7\r\n"), "done"));
+        router.removeTarget("sound-" + id);
+    }
+    ScriptedTarget fourth(respondsWith("done"));
+    router.addTarget("4", fourth);
+    auto refused = router.exchange("DELETE", "Lavenderloft-Prompt-Prefix: cc:12,bad:20,f4:9\r\n");
+    cr_assert(contains(refused, "HTTP/1.1 503") && contains(refused, "Retry-After") && contains(refused, "blocked_part"), "%s", refused.c_str());
+    cr_assert_eq(fourth.requests(), 0);
+    cr_assert(contains(router.exchange("DELETE", "Lavenderloft-Prompt-Prefix: aa:40,f5:9\r\n"), "done"), "the other parts are not refused");
+    cr_assert(contains(router.exchange("DELETE", "Lavenderloft-Prompt-Prefix: aa:40,bad:9\r\n"), "done"), "the last part belongs to the request alone");
+}
+
+// A stream that breaks after its first event is no evidence against the parts of its prompt, because the request had begun
+// to be answered. Guards against refusing requests that ran beside the one that crashed the target.
+Test(Relay, aStreamThatBreaksAfterAnEventIsNoEvidence)
+{
+    TestRouter router;
+    ScriptedTarget crashing([](const std::string& head, unsigned) { return ScriptedReply { sealedStreamHead(head) + chunkOf("id: 1\ndata: x\n\n"), Then::Reset }; });
+    router.setRoute(Fleet::RequestKind::Stream, 1);
+    unsigned number = 0;
+    for (auto method : { "POST", "PUT", "PATCH" }) {
+        auto id = std::to_string(++number);
+        router.addTarget(id, crashing);
+        router.exchange(method, "Lavenderloft-Prompt-Prefix: aa:40,f" + id + ":9\r\n");
+        router.removeTarget(id);
+        Dispatch::Commands::confirmCrashes(router.context().dispatch, Base::SystemClock().now());
+        std::this_thread::sleep_for(Dispatch::PartEvidence::commonCauseWindow);
+    }
+    ScriptedTarget sound(respondsWith("done"));
+    router.addTarget("4", sound);
+    cr_assert(contains(router.exchange("DELETE", "Lavenderloft-Prompt-Prefix: aa:40,f4:9\r\n"), "done"));
+}
+
 // Operators need the outcomes and their durations to follow up on a complaint.
 Test(Relay, countsOutcomesAndTimes)
 {
