Do not block the sound parts of requests that crash their targets

A request that crashes its target also has sound parts, which are in the same crashes. Now a crash that a blocked part explains is not counted for the others; the part without any response, in most crashes and furthest from the front is judged first; routers tell each other which reported parts they have served, and a part is cleared as soon as a request goes on to be answered, not at its end. The report of an agent is acted on at once instead of at the next round of 0.25 s.

--- a/Source/Dispatch/Commands/RecordCrash.cpp
+++ b/Source/Dispatch/Commands/RecordCrash.cpp
@@ -88,8 +88,7 @@
                 continue;
             run.confirmedAt = now;
             addRun(state.crashes(), fingerprint, run);
-            for (auto part : run.suspectParts)
-                recordPartCrash(state, part, run.target, run.brokeAt, now);
+            recordPartCrash(state, run.suspectParts, run.target, run.brokeAt, now);
         }
     }
 
--- a/Source/Dispatch/Commands/RecordPartEvidence.h
+++ b/Source/Dispatch/Commands/RecordPartEvidence.h
@@ -6,8 +6,9 @@
 
 namespace Lavenderloft::Dispatch::Commands {
 
-// Records that a target crashed, as confirmed by this router, while a request with the part ran there.
-void recordPartCrash(DispatchState&, uint64_t part, const std::string& target, Base::TimePoint brokeAt, Base::TimePoint now);
+// Records that a target crashed, as confirmed by this router, while a request with the parts, in the order of the prompt,
+// ran there.
+void recordPartCrash(DispatchState&, const std::vector<uint64_t>& parts, const std::string& target, Base::TimePoint brokeAt, Base::TimePoint now);
 
 // Records a complete response to a request with the parts, which clears them of all earlier crashes.
 void recordPartsServed(DispatchState&, const std::vector<PromptPart>&, Base::TimePoint now);
--- a/Source/Dispatch/PartEvidence.h
+++ b/Source/Dispatch/PartEvidence.h
@@ -34,14 +34,20 @@
     std::vector<PartCrash> crashes;
     // Last complete response to a request with the part, at any router.
     Base::TimePoint servedAt {};
-    // Until then the other routers are told of the last response, because one of them reported a crash.
+    // Last response of which another router has told all routers.
+    Base::TimePoint announcedServedAt {};
+    // Until then the other routers are told of the last response, because a router reported a crash.
     Base::TimePoint announceServedUntil {};
+    // Last crash that any router reported, even if a response had cleared the part of it.
+    Base::TimePoint lastCrashAt {};
     // Since when requests with the part are refused; nothing if they are not.
     std::optional<Base::TimePoint> blockedAt;
     // Last time at which a router refused a request with the part. A block ends some time after it.
     Base::TimePoint renewedAt {};
     // Last time at which this router refused a request with the part.
     Base::TimePoint refusedAt {};
+    // Position in the prompt. Parts at the front are shared by more requests.
+    uint32_t position = 0;
     // The part was blocked before; one more crash blocks it again.
     bool wasBlocked = false;
 
@@ -53,6 +59,7 @@
     uint64_t part = 0;
     std::string target;
     std::chrono::milliseconds age { 0 };
+    uint32_t position = 0;
 };
 
 // A complete response to a request with the part, exchanged between routers.
@@ -69,7 +76,7 @@
 };
 
 // Crashes and responses by prompt part. A part whose requests crashed several targets, without one response in between,
-// is blocked. Changed by Commands/RecordPartEvidence, read by Queries/FindBlockedPart.
+// is blocked, unless its crashes are explained by a part that is blocked already. Changed by Commands/RecordPartEvidence, read by Queries/FindBlockedPart.
 class PartEvidence {
 public:
     // For a part that no request with a complete response is known to have had.
@@ -84,11 +91,12 @@
     static constexpr std::chrono::seconds sameCrashWindow { 1 };
     // Evidence is kept for this time after the last crash or response.
     static constexpr std::chrono::minutes retention { 10 };
-    static constexpr std::chrono::seconds servedRetention { 60 };
     // A block ends this long after the last refused request, and at the latest maximumBlock after it began.
     static constexpr std::chrono::seconds blockPeriod { 60 };
     static constexpr std::chrono::minutes maximumBlock { 10 };
     static constexpr size_t maximumParts = 8192;
+    // Records of parts without crashes leave room for those with crashes.
+    static constexpr size_t maximumServedParts = 6144;
     static constexpr size_t maximumBlockedParts = 16;
     static constexpr size_t maximumCrashesPerPart = 8;
 
--- a/Source/Dispatch/Queries/FindBlockedPart.cpp
+++ b/Source/Dispatch/Queries/FindBlockedPart.cpp
@@ -30,10 +30,11 @@
     if (evidence.blockedCount() == 0)
         return std::nullopt;
     for (auto& part : parts) {
-        auto record = evidence.records().find(part.id);
-        if (!record)
-            continue;
-        if (auto blocked = describe(part.id, *record, now))
+        auto blocked = evidence.records().withShard(part.id, [&](const PartEvidence::Records::Entries& entries) -> std::optional<BlockedPart> {
+            auto record = entries.find(part.id);
+            return record == entries.end() ? std::nullopt : describe(part.id, record->second, now);
+        });
+        if (blocked)
             return blocked;
     }
     return std::nullopt;
--- a/Source/Dispatch/Queries/ListPartReports.cpp
+++ b/Source/Dispatch/Queries/ListPartReports.cpp
@@ -21,6 +21,15 @@
         return time != Base::TimePoint() && now - time <= reportRepeatPeriod;
     }
 
+    // Whether the other routers should be told of the last response: no router has told them of any, or only of one before
+    // the crash.
+    bool isNews(const PartRecord& record)
+    {
+        if (record.announcedServedAt == Base::TimePoint())
+            return true;
+        return record.announcedServedAt < record.lastCrashAt && record.servedAt >= record.lastCrashAt;
+    }
+
     bool isReported(const PartRecord& record, const PartCrash& crash, Base::TimePoint now)
     {
         bool isRefusing = record.blockedAt && isRecent(record.refusedAt, now);
@@ -36,14 +45,14 @@
     state.parts().records().forEach([&](uint64_t part, const PartRecord& record) {
         if (!record.crashes.empty())
             suspects.emplace_back(part, record);
-        if (record.announceServedUntil > now)
+        if (record.announceServedUntil > now && isNews(record))
             reports.served.push_back({ part, ageOf(record.servedAt, now) });
     });
     std::stable_sort(suspects.begin(), suspects.end(), [](auto& left, auto& right) { return left.second.crashes.size() > right.second.crashes.size(); });
     for (auto& [part, record] : suspects) {
         for (auto& crash : record.crashes) {
             if (isReported(record, crash, now))
-                reports.crashes.push_back({ part, crash.target, ageOf(crash.at, now) });
+                reports.crashes.push_back({ part, crash.target, ageOf(crash.at, now), record.position });
         }
     }
     return reports;
--- a/Source/Peering/PeeringCodec.cpp
+++ b/Source/Peering/PeeringCodec.cpp
@@ -46,6 +46,7 @@
     }
     for (auto& crash : message.parts.crashes) {
         auto* report = encoded.add_part_crashes();
+        report->set_position(crash.position);
         report->set_part(crash.part);
         report->set_target(crash.target);
         report->set_age_ms(static_cast<uint32_t>(crash.age.count()));
@@ -85,7 +86,7 @@
     for (auto& crash : encoded.crashes())
         message.crashes.push_back({ crash.fingerprint(), crash.target(), std::chrono::milliseconds(crash.age_ms()) });
     for (auto& crash : encoded.part_crashes())
-        message.parts.crashes.push_back({ crash.part(), crash.target(), std::chrono::milliseconds(crash.age_ms()) });
+        message.parts.crashes.push_back({ crash.part(), crash.target(), std::chrono::milliseconds(crash.age_ms()), crash.position() });
     for (auto& served : encoded.parts_served())
         message.parts.served.push_back({ served.part(), std::chrono::milliseconds(served.age_ms()) });
     return message;
--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -49,6 +49,8 @@
     // target can become usable without an event of its own.
     constexpr std::chrono::milliseconds queueServiceInterval = 50ms;
     constexpr std::chrono::milliseconds housekeepingInterval = 250ms;
+    // A report of the end of an engine that is older is a repeated one.
+    constexpr std::chrono::milliseconds newEndAge = 50ms;
     // The load balancer of the platform takes this long to detect that a node is not ready.
     constexpr std::chrono::milliseconds minimumDrainTime = 3200ms;
     // Times after the stop signal from which idle connections are closed and new requests are rejected.
@@ -167,10 +169,13 @@
                 Dispatch::TargetReport report { load.running, load.queued, load.wholeVersion, load.paused, load.granted, load.cold, std::nullopt };
                 if (load.abortsIn)
                     report.abortsAt = now + *load.abortsIn;
+                Dispatch::Commands::recordReport(m_dispatch, load.service, target->entry.id, report, now);
                 if (load.endedAgo)
                     Dispatch::Commands::recordTargetEnd(m_dispatch, load.service, target->entry.id, now - *load.endedAgo);
-                Dispatch::Commands::recordReport(m_dispatch, load.service, target->entry.id, report, now);
             }
+            // Later reports of the same end are left to the housekeeping.
+            if (load.endedAgo && *load.endedAgo < newEndAge)
+                exchangeCrashes(now);
         }
 
         void mergePartReports(const Dispatch::PartReports& reports)
--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -39,6 +39,8 @@
     // Matches no region; an empty list would allow all regions.
     const std::string noRegion;
     constexpr int lowestPriority = 9;
+    // A target that crashes when it begins to write may still send a first event.
+    constexpr unsigned arrivalsOfSoundPrompt = 2;
     constexpr unsigned misdirectedStatus = 421;
 
     std::string_view pathOf(std::string_view target)
@@ -209,12 +211,12 @@
         m_waited += lease.waited;
         m_occupancy = lease.occupancy;
         m_lastTarget = lease.target->entry.id;
-        auto eventBefore = m_events.lastEventId();
+        m_eventArrivals = 0;
         auto attempted = finishedAs(AttemptResult::Abandoned);
         if (!m_disconnectMonitor->callerDisconnected())
             attempted = co_await attempt(lease);
         Dispatch::Commands::releaseTarget(m_context.dispatch, m_traits.service, lease.target->entry.id, attempted.result, m_context.clock.now());
-        recordEvidence(attempted, lease.target->entry.id, eventBefore);
+        recordEvidence(attempted, lease.target->entry.id);
         if (m_disconnectMonitor->callerDisconnected() && !m_finished) {
             m_keepAlive = false;
             logFinished(Events::requestAbandoned, 0, "caller_left");
@@ -236,7 +238,14 @@
     }
 }
 
-void RequestHandler::recordEvidence(const AttemptOutcome& attempted, const std::string& target, std::optional<uint64_t> eventBefore)
+void RequestHandler::countEvents()
+{
+    ++m_eventArrivals;
+    if (m_eventArrivals == arrivalsOfSoundPrompt)
+        Dispatch::Commands::recordPartsServed(m_context.dispatch, m_traits.sharedParts, m_context.clock.now());
+}
+
+void RequestHandler::recordEvidence(const AttemptOutcome& attempted, const std::string& target)
 {
     auto now = m_context.clock.now();
     if (attempted.finished) {
@@ -247,7 +256,7 @@
     if (attempted.end != AttemptEnd::Broken || m_disconnectMonitor->callerDisconnected())
         return;
     std::vector<uint64_t> suspectParts;
-    if (m_events.lastEventId() == eventBefore) {
+    if (m_eventArrivals < arrivalsOfSoundPrompt) {
         for (auto& part : m_traits.sharedParts)
             suspectParts.push_back(part.id);
     }
@@ -394,6 +403,7 @@
             events.append(m_events.remainder());
         if (events.empty())
             continue;
+        countEvents();
         m_caller.expires_after(timeLeft());
         auto bytes = pendingHead + Http::serializeChunk(events);
         bool written = co_await writeToCaller(bytes);
--- a/Source/Proxy/RequestHandler.h
+++ b/Source/Proxy/RequestHandler.h
@@ -39,8 +39,10 @@
     // Finds the route and organisation. Returns false if the request was rejected and the response has been sent.
     boost::asio::awaitable<bool> resolve();
     void prepareTraits();
-    // Records what the attempt says of the parts of the prompt. The event is the last one before the attempt.
-    void recordEvidence(const AttemptOutcome&, const std::string& target, std::optional<uint64_t> eventBefore);
+    // Counts events of the current attempt. Once it goes on to write, its prompt cannot have crashed the target.
+    void countEvents();
+    // Records what the end of the attempt says of the parts of the prompt.
+    void recordEvidence(const AttemptOutcome&, const std::string& target);
 
     boost::asio::awaitable<std::optional<LeaseWaiter::Outcome>> acquire();
     boost::asio::awaitable<void> serve();
@@ -80,6 +82,8 @@
     bool m_reachedTarget = false;
     bool m_headSent = false;
     bool m_finished = false;
+    // How often events of the current attempt arrived.
+    unsigned m_eventArrivals = 0;
     std::string m_lastTarget;
     // Why a retry was refused; empty if none was.
     std::string_view m_retryRefusal;
--- a/Tests/Dispatch/PartEvidenceTest.cpp
+++ b/Tests/Dispatch/PartEvidenceTest.cpp
@@ -125,6 +125,48 @@
     cr_assert(router.isBlocked(commonPart), "new weights can make a part crash targets that was served before");
 }
 
+// Guards against refusing sound requests that share the first part with the crashing ones, while none of them has been
+// answered yet: both parts were in the same crashes.
+Test(PartEvidence, aBlockedPartExplainsTheCrashesOfOthers)
+{
+    Router router;
+    for (unsigned i = 0; i < 3; ++i) {
+        router.crash({ commonPart, crashingPart });
+        router.fleet.clock.advance(200ms);
+    }
+    cr_assert(router.isBlocked(crashingPart));
+    cr_assert_not(router.isBlocked(commonPart));
+    router.crashSeveral(3, { commonPart });
+    cr_assert(router.isBlocked(commonPart), "its own crashes count");
+}
+
+// Guards against the same when the crashes were confirmed by another router.
+Test(PartEvidence, reportsTellWhichPartIsMoreSuspect)
+{
+    Router reporting;
+    Router router;
+    router.serve(commonPart);
+    router.fleet.clock.advance(10ms);
+    for (unsigned i = 0; i < 3; ++i) {
+        reporting.crash({ commonPart, crashingPart });
+        reporting.fleet.clock.advance(200ms);
+        router.fleet.clock.advance(200ms);
+    }
+    auto reports = reporting.reports();
+    router.merge(reports);
+    cr_assert(router.isBlocked(crashingPart));
+    cr_assert_not(router.isBlocked(commonPart));
+    auto answer = router.reports();
+    cr_assert_eq(answer.served.size(), 1, "the others learn that requests with the part were served before");
+    reporting.merge(answer);
+    Router third;
+    third.serve(commonPart);
+    third.fleet.clock.advance(1s);
+    third.merge(answer);
+    third.merge(reports);
+    cr_assert(third.reports().served.empty(), "one router's answer is enough");
+}
+
 // Guards against a queued request with a blocked part reaching a target that becomes free.
 Test(PartEvidence, refusesQueuedRequests)
 {
@@ -250,7 +292,7 @@
     PartReports reports;
     for (uint64_t part = 1; part <= 2 * PartEvidence::maximumParts; ++part) {
         for (auto age : { 3000ms, 2000ms, 1000ms })
-            reports.crashes.push_back({ part, "t" + std::to_string(age.count()), age });
+            reports.crashes.push_back({ part, "t" + std::to_string(part) + "-" + std::to_string(age.count()), age });
     }
     router.merge(reports);
     cr_assert_leq(router.state->parts().records().size(), PartEvidence::maximumParts);
--- a/Tests/Peering/PeeringCodecTest.cpp
+++ b/Tests/Peering/PeeringCodecTest.cpp
@@ -20,12 +20,13 @@
     message.routers = { { "10.0.0.2", "dc-b", 30ms } };
     message.load = EngineLoad { "e", "10.0.0.3:80", 4, 2, 9, true, 3, true, 120ms, 250ms };
     message.crashes = { { 0xfedcba9876543210, "i-1", 40ms } };
-    message.parts.crashes = { { 0xfedcba9876543211, "i-2", 60ms } };
+    message.parts.crashes = { { 0xfedcba9876543211, "i-2", 60ms, 2 } };
     message.parts.served = { { 0xfedcba9876543212, 70ms } };
     auto decoded = decodeMessage(encodeMessage(message));
     cr_assert_eq(decoded->parts.crashes.front().part, 0xfedcba9876543211);
     cr_assert_eq(decoded->parts.crashes.front().target, "i-2");
     cr_assert_eq(decoded->parts.crashes.front().age.count(), 60);
+    cr_assert_eq(decoded->parts.crashes.front().position, 2);
     cr_assert_eq(decoded->parts.served.front().part, 0xfedcba9876543212);
     cr_assert_eq(decoded->parts.served.front().age.count(), 70);
     cr_assert(decoded->load->endedAgo == 250ms);
--- a/Tests/Proxy/RelayTest.cpp
+++ b/Tests/Proxy/RelayTest.cpp
@@ -269,25 +269,29 @@
     cr_assert(contains(router.exchange("DELETE", "Lavenderloft-Prompt-Prefix: aa:40,bad:9\r\n"), "done"), "the last part belongs to the request alone");
 }
 
-// A stream that breaks after its first event is no evidence against the parts of its prompt, because the request had begun
-// to be answered. Guards against refusing requests that ran beside the one that crashed the target.
-Test(Relay, aStreamThatBreaksAfterAnEventIsNoEvidence)
+// A target that crashes when it begins to write may send a first event; a request that goes on to be answered was not the
+// cause. Guards against refusing requests that ran beside the one that crashed the target, and against sparing that one.
+Test(Relay, aStreamThatBreaksAfterSeveralEventsIsNoEvidence)
 {
-    TestRouter router;
-    ScriptedTarget crashing([](const std::string& head, unsigned) { return ScriptedReply { sealedStreamHead(head) + chunkOf("id: 1\ndata: x\n\n"), Then::Reset }; });
-    router.setRoute(Fleet::RequestKind::Stream, 1);
-    unsigned number = 0;
-    for (auto method : { "POST", "PUT", "PATCH" }) {
-        auto id = std::to_string(++number);
-        router.addTarget(id, crashing);
-        router.exchange(method, "Lavenderloft-Prompt-Prefix: aa:40,f" + id + ":9\r\n");
-        router.removeTarget(id);
-        Dispatch::Commands::confirmCrashes(router.context().dispatch, Base::SystemClock().now());
-        std::this_thread::sleep_for(Dispatch::PartEvidence::commonCauseWindow);
+    for (bool goesOn : { true, false }) {
+        TestRouter router;
+        ScriptedTarget crashing([=](const std::string& head, unsigned) {
+            return ScriptedReply { sealedStreamHead(head) + chunkOf("id: 1\ndata: x\n\n"), Then::Reset, goesOn ? chunkOf("id: 2\ndata: y\n\n") : "" };
+        });
+        router.setRoute(Fleet::RequestKind::Stream, 1);
+        unsigned number = 0;
+        for (auto method : { "POST", "PUT", "PATCH" }) {
+            auto id = std::to_string(++number);
+            router.addTarget(id, crashing);
+            router.exchange(method, "Lavenderloft-Prompt-Prefix: aa:40,f" + id + ":9\r\n");
+            router.removeTarget(id);
+            Dispatch::Commands::confirmCrashes(router.context().dispatch, Base::SystemClock().now());
+            std::this_thread::sleep_for(Dispatch::PartEvidence::commonCauseWindow);
+        }
+        ScriptedTarget sound(respondsWith("done"));
+        router.addTarget("4", sound);
+        cr_assert_eq(contains(router.exchange("DELETE", "Lavenderloft-Prompt-Prefix: aa:40,f4:9\r\n"), "done"), goesOn);
     }
-    ScriptedTarget sound(respondsWith("done"));
-    router.addTarget("4", sound);
-    cr_assert(contains(router.exchange("DELETE", "Lavenderloft-Prompt-Prefix: aa:40,f4:9\r\n"), "done"));
 }
 
 // Operators need the outcomes and their durations to follow up on a complaint.
--- a/Tests/Proxy/ScriptedTarget.h
+++ b/Tests/Proxy/ScriptedTarget.h
@@ -24,6 +24,8 @@
 
     std::string bytes;
     Then then = Then::KeepOpen;
+    // Sent after the bytes and a pause, so that it arrives separately.
+    std::string later {};
 };
 
 // A target on loopback that replies to each request according to the test's script.
@@ -114,6 +116,11 @@
             m_changed.notify_all();
             auto reply = m_script(head, number);
             boost::asio::write(socket, boost::asio::buffer(reply.bytes), error);
+            if (!reply.later.empty()) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(50));
+                boost::asio::write(socket, boost::asio::buffer(reply.later), error);
+                std::this_thread::sleep_for(std::chrono::milliseconds(50));
+            }
             if (reply.then == ScriptedReply::Then::KeepOpen)
                 continue;
             end(socket, reply.then);
