--- a/Source/Dispatch/PartEvidence.h
+++ b/Source/Dispatch/PartEvidence.h
@@ -20,6 +20,9 @@
     bool operator==(const PromptPart&) const = default;
 };
 
+// Hexadecimal, as callers write it.
+std::string formatPartId(uint64_t part);
+
 // A crash of a target while a request with the part ran there without having produced an event.
 struct PartCrash {
     std::string target;
--- a/Source/Peering/PeeringCodec.h
+++ b/Source/Peering/PeeringCodec.h
@@ -55,6 +55,12 @@
     Dispatch::PartReports parts;
 };
 
+// A datagram must not be larger. With the most reports of each kind a message stays below it.
+inline constexpr size_t maximumMessageBytes = 8192;
+inline constexpr size_t maximumCrashesPerMessage = 32;
+inline constexpr size_t maximumPartCrashesPerMessage = 64;
+inline constexpr size_t maximumPartsServedPerMessage = 64;
+
 std::string encodeMessage(const NodeMessage&);
 
 // Returns nullopt unless the bytes are a valid message.
--- a/Source/Peering/PeeringNode.cpp
+++ b/Source/Peering/PeeringNode.cpp
@@ -25,7 +25,6 @@
     using namespace std::chrono_literals;
 
     constexpr std::chrono::milliseconds heartbeatInterval = 400ms;
-    constexpr size_t maximumMessageBytes = 8192;
     // Known routers listed in one message, in rotation, so that the message size does not grow with the fleet.
     constexpr size_t maximumRoutersPerMessage = 8;
     // Receivers of one heartbeat, in rotation, so that the message rate does not grow with the fleet.
@@ -33,10 +32,6 @@
     constexpr size_t otherRegionsFanout = 4;
     // Receivers of one load report in other regions, because bandwidth between regions is scarce.
     constexpr size_t loadFanout = 8;
-    // More crashes would not fit into a datagram.
-    constexpr size_t maximumCrashesPerMessage = 32;
-    constexpr size_t maximumPartCrashesPerMessage = 64;
-    constexpr size_t maximumPartsServedPerMessage = 64;
     // A router that follows the store waits for its own watch to deliver the change before it fetches from a peer.
     constexpr std::chrono::milliseconds followerFetchDelay = 250ms;
     constexpr std::chrono::milliseconds fetchDelay = 5ms;
--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -24,12 +24,10 @@
 #include "Process/SettingsReload.h"
 #include "Proxy/CallerServer.h"
 
-#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <charconv>
 #include <csignal>
 #include <map>
 #include <random>
@@ -66,14 +64,6 @@
         return (static_cast<uint64_t>(device()) << 32) | device();
     }
 
-    // As callers write it in the header of their requests.
-    std::string formatPartId(uint64_t part)
-    {
-        std::array<char, 16> digits {};
-        auto end = std::to_chars(digits.data(), digits.data() + digits.size(), part, 16).ptr;
-        return { digits.data(), end };
-    }
-
     class FleetRouter {
     public:
         FleetRouter(const Fleet::NodeSettings& settings, const NodePlatform& platform)
@@ -204,11 +194,11 @@
                 blocked[part.part] = part.crashes;
             for (auto& [part, crashes] : blocked) {
                 if (!m_blockedParts.contains(part))
-                    Observability::logEvent(promptPartBlocked, { { "part", formatPartId(part) }, { "crashes", crashes } });
+                    Observability::logEvent(promptPartBlocked, { { "part", Dispatch::formatPartId(part) }, { "crashes", crashes } });
             }
             for (auto& [part, crashes] : m_blockedParts) {
                 if (!blocked.contains(part))
-                    Observability::logEvent(promptPartReleased, { { "part", formatPartId(part) } });
+                    Observability::logEvent(promptPartReleased, { { "part", Dispatch::formatPartId(part) } });
             }
             m_blockedParts = std::move(blocked);
         }
--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -90,6 +90,15 @@
         return status == 408 || status == 421 || status == 429 || status == 503;
     }
 
+    // Hexadecimal and separated by commas, as callers write them.
+    std::string formatParts(const std::vector<Dispatch::PromptPart>& parts)
+    {
+        std::string text;
+        for (auto& part : parts)
+            text += (text.empty() ? "" : ",") + Dispatch::formatPartId(part.id);
+        return text;
+    }
+
     std::string formatSeconds(std::chrono::milliseconds duration)
     {
         auto thousandths = std::to_string(duration.count() % 1000);
@@ -229,7 +238,7 @@
         m_context.metrics.count("attempts_failed_total", { { "end", std::string(Dispatch::Queries::attemptEndName(lastEnd)) } });
         bool retry = m_traits.deadline > m_context.clock.now() && Dispatch::Queries::mayRetry(*m_traits.route, m_history, lastEnd);
         if (Observability::isLogged(Events::attemptFailed)) {
-            Observability::logEvent(Events::attemptFailed, { { "request", m_head.requestId }, { "target", lease.target->entry.id }, { "end", Dispatch::Queries::attemptEndName(lastEnd) }, { "status", attempted.status }, { "attempts", m_history.attempts }, { "runs", m_history.runs }, { "repeat", retry } });
+            Observability::logEvent(Events::attemptFailed, { { "request", m_head.requestId }, { "target", lease.target->entry.id }, { "end", Dispatch::Queries::attemptEndName(lastEnd) }, { "status", attempted.status }, { "attempts", m_history.attempts }, { "runs", m_history.runs }, { "repeat", retry }, { "arrivals", m_eventArrivals }, { "parts", formatParts(m_traits.sharedParts) } });
         }
         if (!retry) {
             co_await respondWithFailure(lastEnd);
--- a/Tests/Peering/PeeringCodecTest.cpp
+++ b/Tests/Peering/PeeringCodecTest.cpp
@@ -47,6 +47,27 @@
     cr_assert(decoded->load->paused);
 }
 
+// Guards against crash reports that do not fit into a datagram, which the receiver would cut and drop.
+Test(PeeringCodec, theMostReportsFitIntoADatagram)
+{
+    NodeMessage message;
+    message.sender = "255.255.255.255";
+    message.dataCentre = "a-data-centre-with-a-long-name";
+    message.isRouter = true;
+    message.revision = UINT64_MAX;
+    message.storeAge = 100000ms;
+    auto empty = encodeMessage(message).size();
+    const std::string target = "a-target-with-an-id-of-32-bytes-";
+    message.parts.crashes.assign(maximumPartCrashesPerMessage, { UINT64_MAX, target, 600000ms, 31 });
+    auto withCrashes = encodeMessage(message).size();
+    message.parts.served.assign(maximumPartsServedPerMessage, { UINT64_MAX, 600000ms });
+    auto withServed = encodeMessage(message).size();
+    message.crashes.assign(maximumCrashesPerMessage, { UINT64_MAX, target, 60000ms });
+    auto full = encodeMessage(message).size();
+    cr_log_info("bytes: %zu, a part's crash %zu, a served part %zu, full %zu", empty, (withCrashes - empty) / maximumPartCrashesPerMessage, (withServed - withCrashes) / maximumPartsServedPerMessage, full);
+    cr_assert_leq(full, maximumMessageBytes);
+}
+
 // Guards against a crash on datagrams from other programs.
 Test(PeeringCodec, rejectsInvalidBytes)
 {
