Let one router report a blocked part for all routers that refuse its requests

While all routers refuse requests with a part, each sent its crashes to all others four times a second: at 890 routers about 700 KB a second to each, worked out. A router is now silent while another one has reported the part within the last second.

--- a/Source/Dispatch/Commands/RecordPartEvidence.cpp
+++ b/Source/Dispatch/Commands/RecordPartEvidence.cpp
@@ -157,6 +157,8 @@
         withRecord(state, part, PartEvidence::maximumParts, [&](PartRecord& record) {
             record.position = std::max(record.position, position);
             record.lastCrashAt = std::max(record.lastCrashAt, crash.at);
+            if (!crash.confirmedAt)
+                record.reportedElsewhereAt = now;
             if (record.isKnownSound())
                 record.announceServedUntil = now + announceServedPeriod;
             // A part of a request that was served later cannot have caused the crash.
--- a/Source/Dispatch/PartEvidence.h
+++ b/Source/Dispatch/PartEvidence.h
@@ -47,6 +47,8 @@
     std::optional<Base::TimePoint> blockedAt;
     // Last time at which a router refused a request with the part. A block ends some time after it.
     Base::TimePoint renewedAt {};
+    // Last time at which another router reported crashes of the part.
+    Base::TimePoint reportedElsewhereAt {};
     // Last time at which this router refused a request with the part.
     Base::TimePoint refusedAt {};
     // Position in the prompt. Parts at the front are shared by more requests.
--- a/Source/Dispatch/Queries/ListPartReports.cpp
+++ b/Source/Dispatch/Queries/ListPartReports.cpp
@@ -30,9 +30,10 @@
         return record.announcedServedAt < record.lastCrashAt && record.servedAt >= record.lastCrashAt;
     }
 
+    // Another router may have reported the blocked part for all that refuse its requests.
     bool isReported(const PartRecord& record, const PartCrash& crash, Base::TimePoint now)
     {
-        bool isRefusing = record.blockedAt && isRecent(record.refusedAt, now);
+        bool isRefusing = record.blockedAt && isRecent(record.refusedAt, now) && !isRecent(record.reportedElsewhereAt, now);
         return isRefusing || (crash.confirmedAt && isRecent(*crash.confirmedAt, now));
     }
 
--- a/Tests/Dispatch/PartEvidenceTest.cpp
+++ b/Tests/Dispatch/PartEvidenceTest.cpp
@@ -240,6 +240,23 @@
     cr_assert(started.isBlocked(crashingPart));
 }
 
+// Guards against messages that grow with the square of the routers while all of them refuse requests with the same part.
+Test(PartEvidence, oneRouterReportsABlockedPartForAll)
+{
+    Router first;
+    Router second;
+    first.crashSeveral(3, { crashingPart });
+    first.fleet.clock.advance(20s);
+    second.fleet.clock.advance(21500ms);
+    cr_assert(first.isBlocked(crashingPart));
+    second.merge(first.reports());
+    cr_assert(second.isBlocked(crashingPart));
+    cr_assert(second.reports().isEmpty());
+    second.fleet.clock.advance(1500ms);
+    cr_assert(second.isBlocked(crashingPart));
+    cr_assert_eq(second.reports().crashes.size(), 3, "it takes over when the other one is silent");
+}
+
 // Guards against another five crashes each time a block ends.
 Test(PartEvidence, aBlockLastsWhileRequestsComeAndOneCrashRenewsIt)
 {
