--- a/Source/Peering/PeeringCodec.h
+++ b/Source/Peering/PeeringCodec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Dispatch/CrashHistory.h"
+#include "Dispatch/PartEvidence.h"
 #include "Fleet/Publication.h"
 #include "Peering/PeerTable.h"
 
@@ -25,6 +26,8 @@
     bool cold = false;
     // Time until the engine aborts its requests to load new weights; empty if no abort is planned.
     std::optional<std::chrono::milliseconds> abortsIn;
+    // Time since the agent saw the engine end or restart; empty if that was long ago.
+    std::optional<std::chrono::milliseconds> endedAgo {};
 };
 
 // A router known to the sender of a message.
@@ -51,8 +54,16 @@
     std::vector<Dispatch::CrashReport> crashes;
     // Recent declarations of weights whose times the sender knows exactly.
     std::vector<Fleet::ObservedDeclaration> declarations;
+    Dispatch::PartReports parts;
 };
 
+// A datagram must not be larger. With the most reports of each kind a message stays below it.
+inline constexpr size_t maximumMessageBytes = 8192;
+inline constexpr size_t maximumCrashesPerMessage = 32;
+inline constexpr size_t maximumPartCrashesPerMessage = 64;
+inline constexpr size_t maximumPartsServedPerMessage = 64;
+inline constexpr size_t maximumDeclarationsPerMessage = 16;
+
 std::string encodeMessage(const NodeMessage&);
 
 // Returns nullopt unless the bytes are a valid message.
--- a/Source/Peering/PeeringNode.cpp
+++ b/Source/Peering/PeeringNode.cpp
@@ -25,7 +25,6 @@
     using namespace std::chrono_literals;
 
     constexpr std::chrono::milliseconds heartbeatInterval = 400ms;
-    constexpr size_t maximumMessageBytes = 8192;
     // Known routers listed in one message, in rotation, so that the message size does not grow with the fleet.
     constexpr size_t maximumRoutersPerMessage = 8;
     // Receivers of one heartbeat, in rotation, so that the message rate does not grow with the fleet.
@@ -33,8 +32,6 @@
     constexpr size_t otherRegionsFanout = 4;
     // Receivers of one load report in other regions, because bandwidth between regions is scarce.
     constexpr size_t loadFanout = 8;
-    // More crashes would not fit into a datagram.
-    constexpr size_t maximumCrashesPerMessage = 32;
     // A router that follows the store waits for its own watch to deliver the change before it fetches from a peer.
     constexpr std::chrono::milliseconds followerFetchDelay = 250ms;
     constexpr std::chrono::milliseconds fetchDelay = 5ms;
@@ -48,6 +45,13 @@
     // After a stall of the event loop, all datagrams that arrived meanwhile are handled within this time.
     constexpr std::chrono::milliseconds datagramWaitTime = 300ms;
 
+    template <typename Report>
+    void truncate(std::vector<Report>& reports, size_t maximum)
+    {
+        if (reports.size() > maximum)
+            reports.resize(maximum);
+    }
+
     std::optional<uint64_t> revisionInQuery(const std::string& target)
     {
         constexpr std::string_view parameter = "?after=";
@@ -107,6 +111,7 @@
     if (auto syncedAt = m_storeSyncTime ? m_storeSyncTime() : std::nullopt)
         message.storeAge = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - *syncedAt);
     message.declarations = Fleet::Queries::observedDeclarations(m_merger.fleet(), m_settings.bounds.weights * declarationRelayFactor, m_clock.now());
+    truncate(message.declarations, maximumDeclarationsPerMessage);
     return message;
 }
 
@@ -199,10 +204,14 @@
         sendTo(router.address, bytes);
 }
 
-void PeeringNode::announceCrashes(const std::vector<Dispatch::CrashReport>& crashes)
+void PeeringNode::announceCrashes(const std::vector<Dispatch::CrashReport>& crashes, const Dispatch::PartReports& parts)
 {
     auto message = describeSelf();
-    message.crashes.assign(crashes.begin(), crashes.begin() + static_cast<std::ptrdiff_t>(std::min(crashes.size(), maximumCrashesPerMessage)));
+    message.crashes = crashes;
+    truncate(message.crashes, maximumCrashesPerMessage);
+    message.parts = parts;
+    truncate(message.parts.crashes, maximumPartCrashesPerMessage);
+    truncate(message.parts.served, maximumPartsServedPerMessage);
     auto bytes = encodeMessage(message);
     for (auto& router : Queries::liveRouters(m_peers, m_clock.now()))
         sendTo(router.address, bytes);
@@ -280,6 +289,8 @@
         handleRouterMessage(message);
         if (!message.crashes.empty() && m_onCrashes)
             m_onCrashes(message.crashes);
+        if (!message.parts.isEmpty() && m_onParts)
+            m_onParts(message.parts);
         if (message.revision > ownRevision || (!m_hasFetchedAll && message.revision > 0))
             m_fetchTimer.cancel();
         return;
--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -7,8 +7,11 @@
 #include "Dispatch/Commands/AcquireTarget.h"
 #include "Dispatch/Commands/RecordCrash.h"
 #include "Dispatch/Commands/RecordOutcome.h"
+#include "Dispatch/Commands/RecordPartEvidence.h"
 #include "Dispatch/PowerOfTwoChoicesPolicy.h"
 #include "Dispatch/Queries/EngineDemand.h"
+#include "Dispatch/Queries/FindBlockedPart.h"
+#include "Dispatch/Queries/ListPartReports.h"
 #include "Fleet/Commands/ApplyItems.h"
 #include "Fleet/Queries/ReadFleet.h"
 #include "Http/IoContextPool.h"
@@ -27,6 +30,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
+#include <map>
 #include <random>
 
 namespace Lavenderloft::Process {
@@ -44,6 +48,8 @@
     // target can become usable without an event of its own.
     constexpr std::chrono::milliseconds queueServiceInterval = 50ms;
     constexpr std::chrono::milliseconds housekeepingInterval = 250ms;
+    // A report of the end of an engine that is older is a repeated one.
+    constexpr std::chrono::milliseconds newEndAge = 50ms;
     // The load balancer of the platform takes this long to detect that a node is not ready.
     constexpr std::chrono::milliseconds minimumDrainTime = 3200ms;
     // Times after the stop signal from which idle connections are closed and new requests are rejected.
@@ -89,6 +95,7 @@
             m_callers->start();
             m_peering.setLoadHandler([this](const Peering::EngineLoad& load) { recordLoad(load); });
             m_peering.setCrashHandler([this](const std::vector<Dispatch::CrashReport>& crashes) { Dispatch::Commands::mergeCrashReports(m_dispatch, crashes, m_clock.now()); });
+            m_peering.setPartHandler([this](const Dispatch::PartReports& reports) { mergePartReports(reports); });
             m_peering.setStoreSyncTimeProvider([this] { return storeSyncedAt(); });
             m_peering.start();
             for (auto& follower : m_followers) {
@@ -155,7 +162,47 @@
                 if (load.abortsIn)
                     report.abortsAt = now + *load.abortsIn;
                 Dispatch::Commands::recordReport(m_dispatch, load.service, target->entry.id, report, now);
+                if (load.endedAgo)
+                    Dispatch::Commands::recordTargetEnd(m_dispatch, load.service, target->entry.id, now - *load.endedAgo);
             }
+            // Later reports of the same end are left to the housekeeping.
+            if (load.endedAgo && *load.endedAgo < newEndAge)
+                exchangeCrashes(now);
+        }
+
+        void mergePartReports(const Dispatch::PartReports& reports)
+        {
+            auto now = m_clock.now();
+            Dispatch::Commands::mergePartReports(m_dispatch, reports, now);
+            Dispatch::Commands::refuseBlockedWaiting(m_dispatch, now);
+        }
+
+        void exchangeCrashes(Base::TimePoint now)
+        {
+            auto crashes = Dispatch::Commands::confirmCrashes(m_dispatch, now);
+            Dispatch::Commands::expirePartEvidence(m_dispatch, now);
+            Dispatch::Commands::refuseBlockedWaiting(m_dispatch, now);
+            auto parts = Dispatch::Queries::listPartReports(m_dispatch, now);
+            if (!crashes.empty() || !parts.isEmpty())
+                m_peering.announceCrashes(crashes, parts);
+            logBlockedParts(now);
+        }
+
+        // Logs which parts were blocked or released since the last call.
+        void logBlockedParts(Base::TimePoint now)
+        {
+            std::map<uint64_t, size_t> blocked;
+            for (auto& part : Dispatch::Queries::listBlockedParts(m_dispatch, now))
+                blocked[part.part] = part.crashes;
+            for (auto& [part, crashes] : blocked) {
+                if (!m_blockedParts.contains(part))
+                    Observability::logEvent(promptPartBlocked, { { "part", Dispatch::formatPartId(part) }, { "crashes", crashes } });
+            }
+            for (auto& [part, crashes] : m_blockedParts) {
+                if (!blocked.contains(part))
+                    Observability::logEvent(promptPartReleased, { { "part", Dispatch::formatPartId(part) } });
+            }
+            m_blockedParts = std::move(blocked);
         }
 
         asio::awaitable<void> serveQueues()
@@ -177,8 +224,7 @@
                     m_metrics.count("log_lines_left_out_total", {}, static_cast<double>(lines));
                     Observability::logEvent(logLinesLeftOut, { { "lines", lines } });
                 }
-                if (auto crashes = Dispatch::Commands::confirmCrashes(m_dispatch, now); !crashes.empty())
-                    m_peering.announceCrashes(crashes);
+                exchangeCrashes(now);
                 Dispatch::Commands::removeUnpublishedTargets(m_dispatch);
                 m_peering.setDemand(Dispatch::Queries::engineDemand(m_dispatch, now));
                 if (now - m_startedAt >= routerDiscoveryTime)
@@ -196,6 +242,7 @@
             m_metrics.set("configuration_version", {}, snapshot->configuration ? static_cast<double>(snapshot->configuration->version) : 0);
             m_metrics.set("published_revision", {}, static_cast<double>(snapshot->revision));
             m_metrics.set("routers_known", {}, static_cast<double>(Peering::Queries::countRetainedRouters(m_peers)) + 1);
+            m_metrics.set("prompt_parts_blocked", {}, static_cast<double>(m_dispatch.parts().blockedCount()));
             m_metrics.set("open_requests", {}, static_cast<double>(m_proxy.openRequests));
             auto syncedAt = storeSyncedAt();
             m_metrics.set("store_followed", {}, syncedAt ? 1 : 0);
@@ -247,6 +294,8 @@
         asio::signal_set m_signals;
         SettingsReload m_reload;
         Base::TimePoint m_startedAt;
+        // Logged as blocked, with the number of crashes.
+        std::map<uint64_t, size_t> m_blockedParts;
         std::vector<std::unique_ptr<Peering::StoreFollower>> m_followers;
         std::vector<std::unique_ptr<Proxy::ProxyWorker>> m_workers;
         std::shared_ptr<Proxy::CallerServer> m_callers;
--- a/Source/Proxy/CallerResponse.cpp
+++ b/Source/Proxy/CallerResponse.cpp
@@ -126,7 +126,7 @@
     co_return Forwarded { std::nullopt, !written };
 }
 
-asio::awaitable<CallerResponse::Forwarded> CallerResponse::forwardEvents(TargetExchange& exchange, Base::TimePoint deadline, std::optional<Base::Duration> eventTimeout)
+asio::awaitable<CallerResponse::Forwarded> CallerResponse::forwardEvents(TargetExchange& exchange, Base::TimePoint deadline, std::optional<Base::Duration> eventTimeout, std::function<void()> onEvents)
 {
     m_events.reset();
     m_events.skipThrough(m_events.lastEventId());
@@ -148,6 +148,7 @@
             events.append(m_events.remainder());
         if (events.empty())
             continue;
+        onEvents();
         bool written = co_await writePart(events, deadline);
         if (!written)
             co_return Forwarded { std::nullopt, true };
--- a/Source/Proxy/CallerResponse.h
+++ b/Source/Proxy/CallerResponse.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -34,8 +35,8 @@
     boost::asio::awaitable<Forwarded> forward(TargetExchange&, Base::TimePoint startBy, Base::TimePoint deadline);
 
     // Forwards complete events as they arrive, and only those that the caller does not have yet. Without an event timeout
-    // events are awaited until the deadline.
-    boost::asio::awaitable<Forwarded> forwardEvents(TargetExchange&, Base::TimePoint deadline, std::optional<Base::Duration> eventTimeout);
+    // events are awaited until the deadline. `onEvents` is called each time that complete events arrive.
+    boost::asio::awaitable<Forwarded> forwardEvents(TargetExchange&, Base::TimePoint deadline, std::optional<Base::Duration> eventTimeout, std::function<void()> onEvents);
 
     // Closes the connection, so that the caller can detect that the response is incomplete.
     void abort();
--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -4,6 +4,7 @@
 #include "Dispatch/Commands/AcquireTarget.h"
 #include "Dispatch/Commands/RecordCrash.h"
 #include "Dispatch/Commands/RecordOutcome.h"
+#include "Dispatch/Commands/RecordPartEvidence.h"
 #include "Fleet/Queries/ReadFleet.h"
 #include "Observability/Log.h"
 #include "Proxy/Events.h"
@@ -36,6 +37,8 @@
     // Time for the body of a refusal whose head has arrived.
     constexpr std::chrono::milliseconds refusalBodyTimeout = 100ms;
     constexpr int lowestPriority = 9;
+    // A target that crashes when it begins to write may still send a first event.
+    constexpr unsigned arrivalsOfSoundPrompt = 2;
     constexpr unsigned misdirectedStatus = 421;
 
     std::string_view pathOf(std::string_view target)
@@ -90,6 +93,15 @@
         return status >= 500;
     }
 
+    // Hexadecimal and separated by commas, as callers write them.
+    std::string formatParts(const std::vector<Dispatch::PromptPart>& parts)
+    {
+        std::string text;
+        for (auto& part : parts)
+            text += (text.empty() ? "" : ",") + Dispatch::formatPartId(part.id);
+        return text;
+    }
+
     std::string formatSeconds(std::chrono::milliseconds duration)
     {
         auto thousandths = std::to_string(duration.count() % 1000);
@@ -161,6 +173,8 @@
     m_traits.allowedRegions = commonRegions(route.allowedRegions, m_organisation ? m_organisation->allowedRegions : std::vector<std::string>());
     auto owner = m_organisation ? m_organisation->name : std::string();
     m_traits.fingerprint = Base::stableHash(owner + '\0' + m_request.method + '\0' + m_request.target + '\0' + m_request.body);
+    if (!m_head.promptParts.empty())
+        m_traits.sharedParts.assign(m_head.promptParts.begin(), std::prev(m_head.promptParts.end()));
     auto deadline = m_head.deadline.value_or(defaultDeadline);
     if (route.timeout > 0ms)
         deadline = std::min(deadline, route.timeout);
@@ -210,10 +224,12 @@
         m_occupancy = lease.occupancy;
         m_expectedWeights = lease.expectedWeights.value_or(0);
         m_lastTarget = lease.target->entry.id;
+        m_eventArrivals = 0;
         auto attempted = finishedAs(AttemptResult::Abandoned);
         if (!m_disconnectMonitor->callerDisconnected())
             attempted = co_await attempt(lease);
         Dispatch::Commands::releaseTarget(m_context.dispatch, m_traits.service, lease.target->entry.id, attempted.result, m_context.clock.now());
+        recordEvidence(attempted, lease.target->entry.id);
         if (m_disconnectMonitor->callerDisconnected() && !m_finished) {
             logFinished(Events::requestAbandoned, 0, "caller_left");
             co_return;
@@ -221,13 +237,11 @@
         if (attempted.finished)
             co_return;
         lastEnd = attempted.end;
-        if (lastEnd == AttemptEnd::Broken)
-            Dispatch::Commands::recordBrokenRun(m_context.dispatch, m_traits.fingerprint, m_traits.service, lease.target->entry.id, m_context.clock.now());
         m_traits.triedTargets.push_back(lease.target->entry.id);
         m_context.metrics.count("attempts_failed_total", { { "end", std::string(Dispatch::Queries::attemptEndName(lastEnd)) } });
         bool retry = m_traits.deadline > m_context.clock.now() && Dispatch::Queries::mayRetry(*m_traits.route, m_history, lastEnd);
         if (Observability::isLogged(Events::attemptFailed)) {
-            Observability::logEvent(Events::attemptFailed, { { "request", m_head.requestId }, { "target", lease.target->entry.id }, { "end", Dispatch::Queries::attemptEndName(lastEnd) }, { "status", attempted.status }, { "attempts", m_history.attempts }, { "runs", m_history.runs }, { "repeat", retry } });
+            Observability::logEvent(Events::attemptFailed, { { "request", m_head.requestId }, { "target", lease.target->entry.id }, { "end", Dispatch::Queries::attemptEndName(lastEnd) }, { "status", attempted.status }, { "attempts", m_history.attempts }, { "runs", m_history.runs }, { "repeat", retry }, { "arrivals", m_eventArrivals }, { "parts", formatParts(m_traits.sharedParts) } });
         }
         if (!retry) {
             co_await respondWithFailure(lastEnd);
@@ -236,6 +250,31 @@
     }
 }
 
+void RequestHandler::countEvents()
+{
+    ++m_eventArrivals;
+    if (m_eventArrivals == arrivalsOfSoundPrompt)
+        Dispatch::Commands::recordPartsServed(m_context.dispatch, m_traits.sharedParts, m_context.clock.now());
+}
+
+void RequestHandler::recordEvidence(const AttemptOutcome& attempted, const std::string& target)
+{
+    auto now = m_context.clock.now();
+    if (attempted.finished) {
+        if (attempted.result == AttemptResult::Served)
+            Dispatch::Commands::recordPartsServed(m_context.dispatch, m_traits.sharedParts, now);
+        return;
+    }
+    if (attempted.end != AttemptEnd::Broken || m_disconnectMonitor->callerDisconnected())
+        return;
+    std::vector<uint64_t> suspectParts;
+    if (m_eventArrivals < arrivalsOfSoundPrompt) {
+        for (auto& part : m_traits.sharedParts)
+            suspectParts.push_back(part.id);
+    }
+    Dispatch::Commands::recordBrokenRun(m_context.dispatch, m_traits.fingerprint, m_traits.service, target, now, std::move(suspectParts));
+}
+
 Http::HttpRequest RequestHandler::forwardedRequest(const Dispatch::Lease& lease) const
 {
     ForwardedFields forwarding;
@@ -351,7 +390,7 @@
     std::optional<Base::Duration> eventTimeout;
     if (mayRetry())
         eventTimeout = std::max(minimumResponseTimeout, m_traits.route->maximumEventGap * responseTimeoutFactor);
-    auto forwarded = co_await m_response.forwardEvents(exchange, m_traits.deadline, eventTimeout);
+    auto forwarded = co_await m_response.forwardEvents(exchange, m_traits.deadline, eventTimeout, [this] { countEvents(); });
     co_return outcomeOf(forwarded, exchange.response().status, "streamed");
 }
 
--- a/Source/Proxy/RequestHandler.h
+++ b/Source/Proxy/RequestHandler.h
@@ -39,6 +39,10 @@
     // Finds the route and organisation. Returns false if the request was rejected and the response has been sent.
     boost::asio::awaitable<bool> resolve();
     void prepareTraits();
+    // Counts events of the current attempt. Once it goes on to write, its prompt cannot have crashed the target.
+    void countEvents();
+    // Records what the end of the attempt says of the parts of the prompt.
+    void recordEvidence(const AttemptOutcome&, const std::string& target);
 
     boost::asio::awaitable<std::optional<LeaseWaiter::Outcome>> acquire();
     boost::asio::awaitable<void> serve();
@@ -82,6 +86,8 @@
     bool m_reachedTarget = false;
     // The outcome of the request has been logged.
     bool m_finished = false;
+    // How often events of the current attempt arrived.
+    unsigned m_eventArrivals = 0;
     std::string m_lastTarget;
     // Why a retry was refused; empty if none was.
     std::string_view m_retryRefusal;
--- a/Source/Staging/EngineMonitor.cpp
+++ b/Source/Staging/EngineMonitor.cpp
@@ -11,6 +11,13 @@
 namespace {
 
     constexpr std::chrono::milliseconds pollInterval { 100 };
+    // The end of the engine is reported for this time, because datagrams may be lost.
+    constexpr std::chrono::milliseconds endReportPeriod { 1000 };
+
+    bool failedAs(const Base::Result<Http::HttpResponse, Http::HttpError>& result, Http::HttpErrorKind kind)
+    {
+        return !Base::succeeded(result) && Base::errorOf(result).kind == kind;
+    }
 
 } // namespace
 
@@ -19,7 +26,7 @@
 {
 }
 
-asio::awaitable<void> EngineMonitor::run(ReportHandler onReport)
+asio::awaitable<void> EngineMonitor::run(ReportHandler onReport, EndHandler onEnd)
 {
     auto client = m_context.engineClient();
     bool wasReached = false;
@@ -31,6 +38,8 @@
         }
         if (m_report)
             onReport(*m_report);
+        else if (timeSinceEnd())
+            onEnd();
         co_await Http::sleepFor(m_context.loop, pollInterval);
     }
 }
@@ -39,17 +48,42 @@
 asio::awaitable<std::string> EngineMonitor::poll(Http::PersistentHttpClient& client)
 {
     auto response = co_await client.call(m_context.protocol.reportRequest(), StagingContext::engineTimeout);
-    if (!Base::succeeded(response)) {
-        m_report.reset();
-        co_return Base::errorOf(response).describe();
-    }
+    // The engine may only have closed an idle connection; if it has ended, it accepts no new one.
+    if (failedAs(response, Http::HttpErrorKind::Broken))
+        response = co_await client.call(m_context.protocol.reportRequest(), StagingContext::engineTimeout);
+    auto before = m_report;
+    auto problem = takeReport(response);
+    detectEnd(before, response);
+    co_return problem;
+}
+
+std::string EngineMonitor::takeReport(const PollResult& response)
+{
+    m_report.reset();
+    if (!Base::succeeded(response))
+        return Base::errorOf(response).describe();
     auto report = m_context.protocol.readReport(Base::valueOf(response));
-    if (!Base::succeeded(report)) {
-        m_report.reset();
-        co_return Base::errorOf(report).describe();
-    }
+    if (!Base::succeeded(report))
+        return Base::errorOf(report).describe();
     m_report = Base::valueOf(report);
-    co_return std::string();
+    return {};
+}
+
+void EngineMonitor::detectEnd(const std::optional<EngineReport>& before, const PollResult& response)
+{
+    if (!before)
+        return;
+    bool hasRestarted = m_report && m_report->startedAt != before->startedAt;
+    if (hasRestarted || failedAs(response, Http::HttpErrorKind::NotSent))
+        m_endedAt = m_context.clock.now();
+}
+
+std::optional<std::chrono::milliseconds> EngineMonitor::timeSinceEnd() const
+{
+    if (!m_endedAt)
+        return std::nullopt;
+    auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(m_context.clock.now() - *m_endedAt);
+    return elapsed < endReportPeriod ? std::optional(elapsed) : std::nullopt;
 }
 
 uint64_t EngineMonitor::wholeVersion() const
--- a/Source/Staging/EngineMonitor.h
+++ b/Source/Staging/EngineMonitor.h
@@ -14,11 +14,13 @@
 public:
     // Called after each report of the engine.
     using ReportHandler = std::function<void(const EngineReport&)>;
+    // Called after each poll that found no engine, for some time after its end.
+    using EndHandler = std::function<void()>;
 
     explicit EngineMonitor(const StagingContext&);
 
     // Polls the engine until the event loop ends.
-    boost::asio::awaitable<void> run(ReportHandler);
+    boost::asio::awaitable<void> run(ReportHandler, EndHandler);
 
     // The last report; empty while the engine does not respond.
     const std::optional<EngineReport>& report() const { return m_report; }
@@ -28,14 +30,23 @@
 
     bool hasLoaded(const DesiredWeights&) const;
 
+    // Time since the engine was seen to end or restart; nothing if that was long ago.
+    std::optional<std::chrono::milliseconds> timeSinceEnd() const;
+
     // Whether the engine responds and is running requests or has some in its queue.
     bool hasRequests() const;
 
 private:
+    using PollResult = Base::Result<Http::HttpResponse, Http::HttpError>;
+
     boost::asio::awaitable<std::string> poll(Http::PersistentHttpClient&);
+    std::string takeReport(const PollResult&);
+    void detectEnd(const std::optional<EngineReport>& before, const PollResult&);
 
     const StagingContext& m_context;
     std::optional<EngineReport> m_report;
+    // When the engine was last seen to end or restart.
+    std::optional<Base::TimePoint> m_endedAt;
 };
 
 } // namespace Lavenderloft::Staging
--- a/Source/Staging/LoadReporter.cpp
+++ b/Source/Staging/LoadReporter.cpp
@@ -21,6 +21,16 @@
     send(report);
 }
 
+void LoadReporter::engineEnded()
+{
+    Peering::EngineLoad load;
+    load.service = m_context.settings.localService;
+    load.engineAddress = m_context.settings.localEngine->toString();
+    load.paused = true;
+    load.endedAgo = m_monitor.timeSinceEnd();
+    m_peering.sendLoad(load, m_peering.nextLoadReceivers(), {});
+}
+
 void LoadReporter::reportNow()
 {
     if (m_monitor.report())
@@ -36,6 +46,7 @@
     Peering::EngineLoad load;
     load.service = settings.localService;
     load.engineAddress = settings.localEngine->toString();
+    load.endedAgo = m_monitor.timeSinceEnd();
     load.running = report.running;
     load.queued = report.queued;
     load.wholeVersion = m_monitor.wholeVersion();
--- a/Source/Staging/LoadReporter.h
+++ b/Source/Staging/LoadReporter.h
@@ -17,6 +17,9 @@
     // Sends a report after the engine's own one.
     void engineReported(const EngineReport&);
 
+    // Tells the routers that the engine has ended, so that they need not find out by failed connections.
+    void engineEnded();
+
     // Sends a report at once, unless the engine does not respond.
     void reportNow();
 
--- a/Source/Staging/StagingNode.cpp
+++ b/Source/Staging/StagingNode.cpp
@@ -22,7 +22,7 @@
 void StagingNode::start()
 {
     auto onReport = [this](const EngineReport& report) { m_reporter.engineReported(report); };
-    asio::co_spawn(m_context.loop, m_monitor.run(onReport), asio::detached);
+    asio::co_spawn(m_context.loop, m_monitor.run(onReport, [this] { m_reporter.engineEnded(); }), asio::detached);
     asio::co_spawn(m_context.loop, m_loader.run(), asio::detached);
 }
 
--- a/Tests/Peering/PeeringCodecTest.cpp
+++ b/Tests/Peering/PeeringCodecTest.cpp
@@ -18,10 +18,19 @@
     message.demand = 12.5;
     message.storeAge = 250ms;
     message.routers = { { "10.0.0.2", "dc-b", 30ms } };
-    message.load = EngineLoad { "e", "10.0.0.3:80", 4, 2, 9, true, 3, true, 120ms };
+    message.load = EngineLoad { "e", "10.0.0.3:80", 4, 2, 9, true, 3, true, 120ms, 250ms };
     message.crashes = { { 0xfedcba9876543210, "i-1", 40ms } };
     message.declarations = { { "m", 3, 70ms } };
+    message.parts.crashes = { { 0xfedcba9876543211, "i-2", 60ms, 2 } };
+    message.parts.served = { { 0xfedcba9876543212, 70ms } };
     auto decoded = decodeMessage(encodeMessage(message));
+    cr_assert_eq(decoded->parts.crashes.front().part, 0xfedcba9876543211);
+    cr_assert_eq(decoded->parts.crashes.front().target, "i-2");
+    cr_assert_eq(decoded->parts.crashes.front().age.count(), 60);
+    cr_assert_eq(decoded->parts.crashes.front().position, 2);
+    cr_assert_eq(decoded->parts.served.front().part, 0xfedcba9876543212);
+    cr_assert_eq(decoded->parts.served.front().age.count(), 70);
+    cr_assert(decoded->load->endedAgo == 250ms);
     cr_assert_eq(decoded->declarations.size(), 1);
     cr_assert_eq(decoded->declarations.front().model, "m");
     cr_assert_eq(decoded->declarations.front().version, 3);
@@ -43,6 +52,27 @@
     cr_assert(decoded->load->paused);
 }
 
+// Guards against crash reports that do not fit into a datagram, which the receiver would cut and drop.
+Test(PeeringCodec, theMostReportsFitIntoADatagram)
+{
+    NodeMessage message;
+    message.sender = "255.255.255.255";
+    message.dataCentre = "a-data-centre-with-a-long-name";
+    message.isRouter = true;
+    message.revision = UINT64_MAX;
+    message.storeAge = 100000ms;
+    auto empty = encodeMessage(message).size();
+    const std::string target = "a-target-with-an-id-of-32-bytes-";
+    message.parts.crashes.assign(maximumPartCrashesPerMessage, { UINT64_MAX, target, 600000ms, 31 });
+    auto withCrashes = encodeMessage(message).size();
+    message.parts.served.assign(maximumPartsServedPerMessage, { UINT64_MAX, 600000ms });
+    auto withServed = encodeMessage(message).size();
+    message.crashes.assign(maximumCrashesPerMessage, { UINT64_MAX, target, 60000ms });
+    auto full = encodeMessage(message).size();
+    cr_log_info("bytes: %zu, a part's crash %zu, a served part %zu, full %zu", empty, (withCrashes - empty) / maximumPartCrashesPerMessage, (withServed - withCrashes) / maximumPartsServedPerMessage, full);
+    cr_assert_leq(full, maximumMessageBytes);
+}
+
 // Guards against a crash on datagrams from other programs.
 Test(PeeringCodec, rejectsInvalidBytes)
 {
--- a/Tests/Proxy/ScriptedTarget.h
+++ b/Tests/Proxy/ScriptedTarget.h
@@ -29,6 +29,8 @@
     Then then = Then::KeepOpen;
     std::string repeated {};
     std::chrono::milliseconds pauseBeforeRepeat { 0 };
+    // Sent after the bytes and a pause, so that it arrives separately.
+    std::string later {};
 };
 
 // A target on loopback that replies to each request according to the test's script.
@@ -125,6 +127,11 @@
             m_changed.notify_all();
             auto reply = m_script(head, number);
             boost::asio::write(socket, boost::asio::buffer(reply.bytes), error);
+            if (!reply.later.empty()) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(50));
+                boost::asio::write(socket, boost::asio::buffer(reply.later), error);
+                std::this_thread::sleep_for(std::chrono::milliseconds(50));
+            }
             if (reply.then == ScriptedReply::Then::KeepOpen)
                 continue;
             if (reply.then == ScriptedReply::Then::Repeat)
