Count a store request without a response from its start

Cause: the age of a change that nobody observed is limited by the time of the follower's last failure, because nothing is published while the store is down. A connection that falls silent fails only at the timeout, 2.6 s after the request, while the store goes on. A change made meanwhile arrives on the next connection and was taken for 0.15 s old. If the connections of all followers fall silent together, no node has an exact age, the wrong bound is relayed, and old weights are used up to 2.5 s longer than is allowed. Class of fault: a fact taken for newer than it is.

Change: a request that got no response counts as a failure at the time when it was sent. A rejection counts from its arrival, as before.

--- a/Source/Peering/StoreFollower.cpp
+++ b/Source/Peering/StoreFollower.cpp
@@ -97,7 +97,14 @@
         return;
     }
     m_backoff = m_backoff == 0ms ? initialBackoff : std::min(m_backoff * 2, maximumBackoff);
-    m_merger.recordStoreFailure(m_clock.now());
+}
+
+// Without a response, the store may have been up until the timeout, on a connection that fell silent: only the time of
+// the request counts. A rejection counts from its arrival.
+void StoreFollower::recordFailure(const std::string& reason, Base::TimePoint failedAt)
+{
+    updateConnection(false, reason);
+    m_merger.recordStoreFailure(failedAt);
 }
 
 // Entries that expired during an outage of the store appear as deletions in its first responses.
@@ -131,18 +138,18 @@
     while (true) {
         auto result = co_await m_client.call(m_protocol.listRequest(m_prefix, afterKey), listTimeout);
         if (!Base::succeeded(result)) {
-            updateConnection(false, Base::errorOf(result).describe());
+            recordFailure(Base::errorOf(result).describe(), requestedAt);
             co_return false;
         }
         auto page = m_protocol.readList(Base::valueOf(result));
         if (!Base::succeeded(page)) {
-            updateConnection(false, Base::errorOf(page).describe());
+            recordFailure(Base::errorOf(page).describe(), m_clock.now());
             co_return false;
         }
         auto& listed = Base::valueOf(page);
         // The next page begins after the last key of this one. Without a new last key the listing would never end.
         if (listed.morePages && (listed.items.empty() || !lastKeys.insert(listed.items.back().key).second)) {
-            updateConnection(false, "a page of the listing does not continue the previous one");
+            recordFailure("a page of the listing does not continue the previous one", m_clock.now());
             co_return false;
         }
         // The pages are not one snapshot: the listing is complete only up to the revision of the first page.
@@ -176,7 +183,7 @@
     auto requestedAt = m_clock.now();
     auto result = co_await m_client.call(m_protocol.watchRequest(m_prefix, *m_revision, watchWait), watchWait + watchMargin);
     if (!Base::succeeded(result)) {
-        updateConnection(false, Base::errorOf(result).describe());
+        recordFailure(Base::errorOf(result).describe(), requestedAt);
         m_client.disconnect();
         co_return false;
     }
@@ -187,7 +194,7 @@
             m_revision.reset();
             co_return true;
         }
-        updateConnection(false, error.describe());
+        recordFailure(error.describe(), m_clock.now());
         co_return false;
     }
     updateConnection(true, "watching");
--- a/Source/Peering/StoreFollower.h
+++ b/Source/Peering/StoreFollower.h
@@ -39,6 +39,7 @@
     void suspend();
     void resume();
     void recordResult(bool succeeded);
+    void recordFailure(const std::string& reason, Base::TimePoint failedAt);
     void applyChanges(const Fleet::ChangeBatch&, Base::TimePoint requestedAt);
     bool observedAtOnce() const;
     Base::TimePoint syncTime(Base::TimePoint requestedAt) const;
--- a/Tests/Peering/StoreFollowerTest.cpp
+++ b/Tests/Peering/StoreFollowerTest.cpp
@@ -85,6 +85,8 @@
 
 const Http::HttpResponse rejected { 503, {}, "" };
 const Http::HttpResponse historyLost { historyLostStatus, {}, "" };
+// The client can't read it, so the request fails as it does on a connection that breaks or falls silent.
+const Http::HttpResponse unreadable { 200, { { "not a name", "" } }, "" };
 
 } // namespace
 
@@ -298,6 +300,33 @@
     }
 }
 
+// Guards against outdated weights that look recent because the connection to the store fell silent: a declaration made
+// while the follower waited for the timeout counted as made after it.
+Test(StoreFollower, aChangeDuringASilentConnectionIsAsOldAsTheRequest)
+{
+    TestFollower test;
+    test.fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
+    test.protocol.listing.revision = 1;
+    test.protocol.changes["declared"] = { { { "w", "2", 2, false, {} } }, 2 };
+    test.respond = [&](const std::string& target) -> Http::HttpResponse {
+        if (target == "/list")
+            return { 200, {}, "" };
+        if (test.requests.size() == 2) {
+            test.fleet.clock.advance(2600ms);
+            return unreadable;
+        }
+        test.context.stop();
+        return { 200, {}, "declared" };
+    };
+    test.run([] { return true; });
+    test.context.restart();
+    while (test.fleet.snapshot()->weights.empty())
+        test.context.run_one();
+    auto declared = test.fleet.snapshot()->weights.at("m").back();
+    cr_assert(declared.learnedAtIsLowerBound);
+    cr_assert_geq((test.fleet.clock.now() - declared.learnedAt) / 1ms, 2600);
+}
+
 // Guards against a listing that never ends: the next page is requested behind the last key of the previous one, and a
 // store that does not know this key, or ignores it, sent the same page again and again. What is known stays in force.
 Test(StoreFollower, backsOffIfTheNextPageIsTheSame)
