Trust no assumed relay delay when a router follows the store again

Cause: a router that had relied on the store follower of its region took everything published up to 1.5 s before it resumed for known. A follower on a silent connection still counts as following for up to 3 s (storeTimeout) and reports its last response; what was published since then, it did not relay. A change that this router then received first was taken for up to 1.5 s younger than it may be; an agent, which resumes only after 5 s without a router, for up to 3.5 s. Class of fault: a fact taken for newer than it is.

Change: the limit comes only from the sync times in the followers' reports, which the merger records as they arrive.

--- a/Source/Peering/StoreFollower.cpp
+++ b/Source/Peering/StoreFollower.cpp
@@ -29,8 +29,6 @@
     constexpr std::chrono::milliseconds expiredEntryGracePeriod = 1900ms;
     // Deletions received later than this after a reconnection did not happen during the outage.
     constexpr std::chrono::milliseconds reconnectWindow = 300ms;
-    // Upper bound for the delay with which other nodes relay published items.
-    constexpr std::chrono::milliseconds relayDelay = 1500ms;
 
 } // namespace
 
@@ -69,18 +67,18 @@
     m_revision.reset();
     m_isFollowing = false;
     m_isWatching = false;
-    m_suspendedAt = m_clock.now();
+    m_isSuspended = true;
     m_client.disconnect();
 }
 
 // Continues from the revision that other nodes relayed while the store was not followed or did not respond. This saves
-// a listing, which would also lack the age of the items.
+// a listing, which would also lack the age of the items. How recent that revision is, the merger knows from the reports
+// of the followers: the one that this node relied on may itself have waited on a silent connection.
 void StoreFollower::resume()
 {
     auto known = Fleet::Queries::knownRevision(m_merger.fleet());
-    if (m_suspendedAt) {
-        m_merger.recordSync(*m_suspendedAt - relayDelay);
-        m_suspendedAt.reset();
+    if (m_isSuspended) {
+        m_isSuspended = false;
         if (known > 0)
             m_revision = known;
     }
--- a/Source/Peering/StoreFollower.h
+++ b/Source/Peering/StoreFollower.h
@@ -56,8 +56,8 @@
     // The last response was that of a watch, so the next one has the changes made since, and no older ones.
     bool m_isWatching = false;
     bool m_connected = false;
-    // When this node last relied on other nodes instead of the store.
-    std::optional<Base::TimePoint> m_suspendedAt;
+    // This node relies on other nodes instead of the store.
+    bool m_isSuspended = false;
     // When the store responded again after a failure. Entries may have expired during the outage.
     std::optional<Base::TimePoint> m_reconnectedAt;
     std::optional<uint64_t> m_revision;
--- a/Tests/Peering/StoreFollowerTest.cpp
+++ b/Tests/Peering/StoreFollowerTest.cpp
@@ -327,6 +327,32 @@
     cr_assert_geq((test.fleet.clock.now() - declared.learnedAt) / 1ms, 2600);
 }
 
+// Guards against outdated weights that look recent because a router relied on a store follower whose connection to the
+// store had fallen silent: what that follower did not have counted as known.
+Test(StoreFollower, aChangeThatWasNotRelayedIsAsOldAsTheLastRelayedSync)
+{
+    TestFollower test;
+    test.fleet.publish("t/1", Fleet::targetOf("1", "s"));
+    test.fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
+    test.protocol.changes["declared"] = { { { "w", "2", 2, false, {} } }, 2 };
+    test.merger.recordRelayedSync(test.fleet.clock.now());
+    test.respond = [&](const std::string&) -> Http::HttpResponse {
+        test.context.stop();
+        return { 200, {}, "declared" };
+    };
+    unsigned checks = 0;
+    test.run([&] {
+        if (++checks == 1)
+            test.fleet.clock.advance(2900ms);
+        return checks > 1;
+    });
+    test.context.restart();
+    while (test.fleet.snapshot()->weights.empty())
+        test.context.run_one();
+    auto declared = test.fleet.snapshot()->weights.at("m").back();
+    cr_assert_geq((test.fleet.clock.now() - declared.learnedAt) / 1ms, 2900);
+}
+
 // Guards against a listing that never ends: the next page is requested behind the last key of the previous one, and a
 // store that does not know this key, or ignores it, sent the same page again and again. What is known stays in force.
 Test(StoreFollower, backsOffIfTheNextPageIsTheSame)
