Test the ages that a peering node takes from datagrams and fetches

No test ran PeeringNode, so nothing failed without the check for a stall in datagrams, without the time after a stall in which they may still wait, or without the duration that is added to fetched ages.

--- /dev/null
+++ b/Tests/Peering/PeeringNodeTest.cpp
@@ -0,0 +1,130 @@
+#include "Peering/PeeringNode.h"
+#include "Fleet/FleetFixture.h"
+#include "Http/NodeServer.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <criterion/criterion.h>
+
+using namespace Lavenderloft;
+using namespace Lavenderloft::Peering;
+using namespace std::chrono_literals;
+using boost::asio::ip::udp;
+
+namespace {
+
+constexpr auto tickInterval = 50ms;
+
+// A router on loopback. The test plays its peers, and moves its clock.
+struct TestNode {
+    boost::asio::io_context context;
+    Fleet::TestFleetState fleet;
+    Fleet::NodeSettings settings;
+    PeerTable peers;
+    ItemMerger merger { fleet.state, fleet.decoder, fleet.clock };
+    Base::StallMonitor stalls { fleet.clock, tickInterval };
+    udp::socket peerSocket { context, udp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0) };
+    std::unique_ptr<PeeringNode> node;
+
+    TestNode()
+    {
+        settings.address = "127.0.0.1";
+        settings.firstPeerPort = findFreePort();
+        fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
+        fleet.clock.advance(2h);
+        stalls.tick();
+        node = std::make_unique<PeeringNode>(context, settings, peers, merger, fleet.clock, stalls, true);
+        node->start();
+    }
+
+    uint16_t findFreePort()
+    {
+        return udp::socket(context, udp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)).local_endpoint().port();
+    }
+
+    // Returns false if the condition does not hold within the time that ends a hang.
+    bool runUntil(const std::function<bool()>& condition)
+    {
+        constexpr std::chrono::seconds hangTimeout { 10 };
+        auto until = std::chrono::steady_clock::now() + hangTimeout;
+        while (!condition() && std::chrono::steady_clock::now() < until)
+            context.run_one_for(tickInterval);
+        return condition();
+    }
+
+    // Sends the message and waits until the node has handled it. The sender must be new to the node.
+    void deliver(const NodeMessage& message)
+    {
+        udp::endpoint receiver(boost::asio::ip::make_address(settings.address), settings.firstPeerPort);
+        peerSocket.send_to(boost::asio::buffer(encodeMessage(message)), receiver);
+        cr_assert(runUntil([&] { return peers.routers().find(message.sender).has_value(); }));
+    }
+
+    void advanceWithTicks(std::chrono::milliseconds time)
+    {
+        for (; time > 0ms; time -= tickInterval) {
+            fleet.clock.advance(tickInterval);
+            stalls.tick();
+        }
+    }
+
+    Fleet::DeclaredWeights declared() const { return fleet.snapshot()->weights.at("m").back(); }
+};
+
+NodeMessage messageFrom(const std::string& sender)
+{
+    NodeMessage message;
+    message.sender = sender;
+    message.isRouter = true;
+    message.storeAge = 0ms;
+    return message;
+}
+
+// The response waits for the given time before the client reads it.
+boost::asio::awaitable<Http::HttpResponse> respondLate(Base::ManualClock& clock, Base::Duration delay, Http::HttpResponse response)
+{
+    clock.advance(delay);
+    co_return response;
+}
+
+} // namespace
+
+// Guards against outdated weights that look recent because a datagram waited while this node's VM was suspended: the
+// ages in it were taken for those at its arrival, as exact ones, which are never corrected.
+Test(PeeringNode, trustsNoAgeInADatagramThatWaitedDuringAStall)
+{
+    TestNode test;
+    test.fleet.apply({ "w", "2", 2, false, 1h, true });
+    auto message = messageFrom("127.0.0.8");
+    message.declarations = { { "m", 2, 1s } };
+    test.fleet.clock.advance(5s);
+    test.deliver(message);
+    cr_assert(test.declared().learnedAtIsLowerBound);
+    cr_assert_not(test.peers.routers().find("127.0.0.8")->storeSync.reportedAt.has_value());
+    test.stalls.tick();
+    // Other datagrams may still wait.
+    message.sender = "127.0.0.9";
+    test.deliver(message);
+    cr_assert(test.declared().learnedAtIsLowerBound);
+    test.advanceWithTicks(1s);
+    message.sender = "127.0.0.10";
+    test.deliver(message);
+    cr_assert_not(test.declared().learnedAtIsLowerBound);
+    cr_assert(test.declared().learnedAt == test.fleet.clock.now() - 1s);
+    cr_assert(test.peers.routers().find("127.0.0.10")->storeSync.reportedAt.has_value());
+}
+
+// Guards against outdated weights that look recent because the response of a router waited: the ages in it are those at
+// the time when the router responded.
+Test(PeeringNode, addsTheDurationOfAFetchToTheAges)
+{
+    TestNode test;
+    ItemBatch batch { 2, { { "w", "2", 2, false, 1s } } };
+    auto handler = [&](Http::HttpRequest) { return respondLate(test.fleet.clock, 4s, { 200, {}, encodeItems(batch) }); };
+    auto server = Http::NodeServer::start(test.context, { "127.0.0.2", test.settings.firstPeerPort }, handler);
+    auto message = messageFrom("127.0.0.2");
+    message.revision = 2;
+    test.deliver(message);
+    cr_assert(test.runUntil([&] { return Fleet::Queries::knownRevision(test.fleet.state) == 2; }));
+    cr_assert(test.declared().learnedAt == test.fleet.clock.now() - 5s);
+}
