Count a listing as complete only up to its start

What was published after the first page was sent comes with the first watch, but the limit for the age of new items counted from the end of the listing. With several pages, each of which may take 1.5 s, a declaration made meanwhile looked younger than it is. Class of fault: a fact taken for newer than it is.

Change: the sync time of a listing is that of its first request.

--- a/Source/Peering/StoreFollower.cpp
+++ b/Source/Peering/StoreFollower.cpp
@@ -165,7 +165,8 @@
     }
     updateConnection(true, "listed");
     m_revision = revision;
-    m_syncedAt = syncTime(requestedAt);
+    // Items that changed after their page was sent come with the first watch.
+    m_syncedAt = requestedAt;
     // The age of items that are new is limited by the previous sync, so this one is recorded afterwards.
     m_merger.apply(std::move(items), *revision, deletionsDeferredUntil(), "store");
     m_merger.applyListing(m_prefix, keys, *revision, deletionsDeferredUntil());
--- a/Tests/Peering/StoreFollowerTest.cpp
+++ b/Tests/Peering/StoreFollowerTest.cpp
@@ -76,6 +76,15 @@
         follower = std::make_unique<StoreFollower>(context, Http::Endpoint { "127.0.0.1", server->port() }, protocol, merger, fleet.clock, stalls, "");
     }
 
+    // Time passes while the event loop runs, so that it does not count as stalled.
+    void advanceWithTicks(std::chrono::milliseconds time)
+    {
+        for (constexpr auto step = 50ms; time > 0ms; time -= step) {
+            fleet.clock.advance(step);
+            stalls.tick();
+        }
+    }
+
     void run(std::function<bool()> isNeeded)
     {
         boost::asio::co_spawn(context, follower->run(std::move(isNeeded)), boost::asio::detached);
@@ -353,6 +362,31 @@
     cr_assert_geq((test.fleet.clock.now() - declared.learnedAt) / 1ms, 2900);
 }
 
+// Guards against outdated weights that look recent because they were declared between the first page of a listing and
+// the last: the listing counted as complete up to its end.
+Test(StoreFollower, aChangeDuringAListingIsAsOldAsItsFirstPage)
+{
+    TestFollower test;
+    test.fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
+    test.protocol.changes["declared"] = { { { "w", "2", 2, false, {} } }, 2 };
+    test.respond = [&](const std::string& target) -> Http::HttpResponse {
+        bool isFirstPage = test.requests.size() == 1;
+        test.protocol.listing = { { { isFirstPage ? "a" : "z", "", 1, false, {} } }, isFirstPage, 1 };
+        if (!isFirstPage && target == "/list")
+            test.advanceWithTicks(1200ms);
+        if (target == "/list")
+            return { 200, {}, "" };
+        test.context.stop();
+        return { 200, {}, "declared" };
+    };
+    test.run([] { return true; });
+    test.context.restart();
+    while (test.fleet.snapshot()->weights.empty())
+        test.context.run_one();
+    auto declared = test.fleet.snapshot()->weights.at("m").back();
+    cr_assert_geq((test.fleet.clock.now() - declared.learnedAt) / 1ms, 1200);
+}
+
 // Guards against a listing that never ends: the next page is requested behind the last key of the previous one, and a
 // store that does not know this key, or ignores it, sent the same page again and again. What is known stays in force.
 Test(StoreFollower, backsOffIfTheNextPageIsTheSame)
