Take the duration of a fetch off the delays of deletions

Cause: a router relays how much longer a deleted target may return. The receiver counted this from the arrival of the response. A response that waits, for up to 1.5 s or for as long as the VM is suspended, keeps a target that is gone in use for longer, beyond the 1.9 s that the store follower allows. Class of fault: a time measured by its arrival.

Change: the duration of the fetch is taken off, as it is added to ages.

--- a/Source/Peering/PeeringNode.cpp
+++ b/Source/Peering/PeeringNode.cpp
@@ -346,10 +346,12 @@
     auto batch = decodeItems(Base::valueOf(result).body);
     if (!batch)
         co_return false;
-    // The ages are those at the time when the router responded.
+    // The ages and delays are those at the time when the router responded.
     auto duration = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - requestedAt);
-    for (auto& item : batch->items)
+    for (auto& item : batch->items) {
         item.age += duration;
+        item.deletionDelay = std::max(item.deletionDelay - duration, 0ms);
+    }
     bool isFirst = !m_hasFetchedAll;
     m_hasFetchedAll = true;
     m_merger.apply(std::move(batch->items), batch->revision, std::nullopt, router.address);
--- a/Tests/Peering/PeeringNodeTest.cpp
+++ b/Tests/Peering/PeeringNodeTest.cpp
@@ -128,3 +128,23 @@
     cr_assert(test.runUntil([&] { return Fleet::Queries::knownRevision(test.fleet.state) == 2; }));
     cr_assert(test.declared().learnedAt == test.fleet.clock.now() - 5s);
 }
+
+// Guards against requests to a target that is gone: the response of a router waited, and the delay of a deletion in it
+// was counted from its arrival.
+Test(PeeringNode, takesTheDurationOfAFetchOffTheDelayOfADeletion)
+{
+    TestNode test;
+    test.fleet.publish("t/1", Fleet::targetOf("1", "s"));
+    ItemBatch batch { 3, { { "t/1", "", 3, true, 0ms, false, 1900ms } } };
+    auto handler = [&](Http::HttpRequest) { return respondLate(test.fleet.clock, 1500ms, { 200, {}, encodeItems(batch) }); };
+    auto server = Http::NodeServer::start(test.context, { "127.0.0.2", test.settings.firstPeerPort }, handler);
+    auto message = messageFrom("127.0.0.2");
+    message.revision = 3;
+    test.deliver(message);
+    cr_assert(test.runUntil([&] { return Fleet::Queries::knownRevision(test.fleet.state) == 3; }));
+    Fleet::Commands::expireDeletions(test.fleet.state, test.fleet.clock.now());
+    cr_assert_eq(test.fleet.targetCount("s"), 1);
+    test.fleet.clock.advance(400ms);
+    Fleet::Commands::expireDeletions(test.fleet.state, test.fleet.clock.now());
+    cr_assert_eq(test.fleet.targetCount("s"), 0);
+}
