Keep the store follower's report during a short stall

Cause: since ages in datagrams that may have waited are not trusted, such a datagram was recorded as one of a router that does not follow the store. This cancelled the earlier report, which was valid for up to 1.3 s. Each delay of the event loop over 250 ms, as on a router short of processor time, thus made the router follow the store itself until a later report.

Change: a datagram that may have waited leaves the previous report as it is; it expires as before. A router that says it has lost the store still cancels its report at once.

The number of calls to the store was not measured.

--- a/Source/Peering/PeeringNode.cpp
+++ b/Source/Peering/PeeringNode.cpp
@@ -257,7 +257,11 @@
     logNewRouter(message.sender, message.dataCentre);
     auto now = m_clock.now();
     PeerRouter router { message.sender, message.dataCentre, now, message.revision, message.demand };
-    if (message.storeAge && !mayHaveWaited()) {
+    if (message.storeAge && mayHaveWaited()) {
+        // The previous report stays valid until it expires.
+        if (auto known = m_peers.routers().find(message.sender))
+            router.storeSync = known->storeSync;
+    } else if (message.storeAge) {
         router.storeSync = { now, now - *message.storeAge };
         if (Fleet::Queries::knownRevision(m_merger.fleet()) >= message.revision)
             m_merger.recordRelayedSync(router.storeSync.syncedAt);
--- a/Tests/Peering/PeeringNodeTest.cpp
+++ b/Tests/Peering/PeeringNodeTest.cpp
@@ -52,7 +52,7 @@
         return condition();
     }
 
-    // Sends the message and waits until the node has handled it. The sender must be new to the node.
+    // Sends the message and waits until the node knows the sender.
     void deliver(const NodeMessage& message)
     {
         udp::endpoint receiver(boost::asio::ip::make_address(settings.address), settings.firstPeerPort);
@@ -114,6 +114,29 @@
     cr_assert(test.peers.routers().find("127.0.0.10")->storeSync.reportedAt.has_value());
 }
 
+// Guards against routers that all follow the store themselves whenever their event loops are late: a message that had
+// waited cancelled the earlier report of the store follower, which was still valid.
+Test(PeeringNode, keepsTheReportOfTheStoreFollowerDuringAShortStall)
+{
+    TestNode test;
+    test.advanceWithTicks(1s);
+    auto message = messageFrom("127.0.0.8");
+    test.deliver(message);
+    auto reportedAt = test.peers.routers().find("127.0.0.8")->storeSync.reportedAt;
+    cr_assert(reportedAt.has_value());
+    test.fleet.clock.advance(400ms);
+    message.demand = 7;
+    test.deliver(message);
+    cr_assert(test.runUntil([&] { return test.peers.routers().find("127.0.0.8")->demand == 7; }));
+    cr_assert(test.peers.routers().find("127.0.0.8")->storeSync.reportedAt == reportedAt);
+    // A router that has lost the store says so.
+    message.storeAge.reset();
+    message.demand = 8;
+    test.deliver(message);
+    cr_assert(test.runUntil([&] { return test.peers.routers().find("127.0.0.8")->demand == 8; }));
+    cr_assert_not(test.peers.routers().find("127.0.0.8")->storeSync.reportedAt.has_value());
+}
+
 // Guards against outdated weights that look recent because the response of a router waited: the ages in it are those at
 // the time when the router responded.
 Test(PeeringNode, addsTheDurationOfAFetchToTheAges)
