--- a/Source/Peering/PeeringNode.cpp
+++ b/Source/Peering/PeeringNode.cpp
@@ -266,7 +266,11 @@
     logNewRouter(message.sender, message.dataCentre);
     auto now = m_clock.now();
     PeerRouter router { message.sender, message.dataCentre, now, message.revision, message.demand };
-    if (message.storeAge && !mayHaveWaited()) {
+    if (message.storeAge && mayHaveWaited()) {
+        // The previous report stays valid until it expires.
+        if (auto known = m_peers.routers().find(message.sender))
+            router.storeSync = known->storeSync;
+    } else if (message.storeAge) {
         router.storeSync = { now, now - *message.storeAge };
         if (Fleet::Queries::knownRevision(m_merger.fleet()) >= message.revision)
             m_merger.recordRelayedSync(router.storeSync.syncedAt);
@@ -357,10 +361,12 @@
     auto batch = decodeItems(Base::valueOf(result).body);
     if (!batch)
         co_return false;
-    // The ages are those at the time when the router responded.
+    // The ages and delays are those at the time when the router responded.
     auto duration = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - requestedAt);
-    for (auto& item : batch->items)
+    for (auto& item : batch->items) {
         item.age += duration;
+        item.deletionDelay = std::max(item.deletionDelay - duration, 0ms);
+    }
     bool isFirst = !m_hasFetchedAll;
     m_hasFetchedAll = true;
     m_merger.apply(std::move(batch->items), batch->revision, std::nullopt, router.address);
--- a/Source/Peering/StoreFollower.cpp
+++ b/Source/Peering/StoreFollower.cpp
@@ -29,8 +29,6 @@
     constexpr std::chrono::milliseconds expiredEntryGracePeriod = 1900ms;
     // Deletions received later than this after a reconnection did not happen during the outage.
     constexpr std::chrono::milliseconds reconnectWindow = 300ms;
-    // Upper bound for the delay with which other nodes relay published items.
-    constexpr std::chrono::milliseconds relayDelay = 1500ms;
 
 } // namespace
 
@@ -69,18 +67,18 @@
     m_revision.reset();
     m_isFollowing = false;
     m_isWatching = false;
-    m_suspendedAt = m_clock.now();
+    m_isSuspended = true;
     m_client.disconnect();
 }
 
 // Continues from the revision that other nodes relayed while the store was not followed or did not respond. This saves
-// a listing, which would also lack the age of the items.
+// a listing, which would also lack the age of the items. How recent that revision is, the merger knows from the reports
+// of the followers: the one that this node relied on may itself have waited on a silent connection.
 void StoreFollower::resume()
 {
     auto known = Fleet::Queries::knownRevision(m_merger.fleet());
-    if (m_suspendedAt) {
-        m_merger.recordSync(*m_suspendedAt - relayDelay);
-        m_suspendedAt.reset();
+    if (m_isSuspended) {
+        m_isSuspended = false;
         if (known > 0)
             m_revision = known;
     }
@@ -97,7 +95,14 @@
         return;
     }
     m_backoff = m_backoff == 0ms ? initialBackoff : std::min(m_backoff * 2, maximumBackoff);
-    m_merger.recordStoreFailure(m_clock.now());
+}
+
+// Without a response, the store may have been up until the timeout, on a connection that fell silent: only the time of
+// the request counts. A rejection counts from its arrival.
+void StoreFollower::recordFailure(const std::string& reason, Base::TimePoint failedAt)
+{
+    updateConnection(false, reason);
+    m_merger.recordStoreFailure(failedAt);
 }
 
 // Entries that expired during an outage of the store appear as deletions in its first responses.
@@ -131,18 +136,18 @@
     while (true) {
         auto result = co_await m_client.call(m_protocol.listRequest(m_prefix, afterKey), listTimeout);
         if (!Base::succeeded(result)) {
-            updateConnection(false, Base::errorOf(result).describe());
+            recordFailure(Base::errorOf(result).describe(), requestedAt);
             co_return false;
         }
         auto page = m_protocol.readList(Base::valueOf(result));
         if (!Base::succeeded(page)) {
-            updateConnection(false, Base::errorOf(page).describe());
+            recordFailure(Base::errorOf(page).describe(), m_clock.now());
             co_return false;
         }
         auto& listed = Base::valueOf(page);
         // The next page begins after the last key of this one. Without a new last key the listing would never end.
         if (listed.morePages && (listed.items.empty() || !lastKeys.insert(listed.items.back().key).second)) {
-            updateConnection(false, "a page of the listing does not continue the previous one");
+            recordFailure("a page of the listing does not continue the previous one", m_clock.now());
             co_return false;
         }
         // The pages are not one snapshot: the listing is complete only up to the revision of the first page.
@@ -160,7 +165,8 @@
     }
     updateConnection(true, "listed");
     m_revision = revision;
-    m_syncedAt = syncTime(requestedAt);
+    // Items that changed after their page was sent come with the first watch.
+    m_syncedAt = requestedAt;
     // The age of items that are new is limited by the previous sync, so this one is recorded afterwards.
     m_merger.apply(std::move(items), *revision, deletionsDeferredUntil(), "store");
     m_merger.applyListing(m_prefix, keys, *revision, deletionsDeferredUntil());
@@ -176,7 +182,7 @@
     auto requestedAt = m_clock.now();
     auto result = co_await m_client.call(m_protocol.watchRequest(m_prefix, *m_revision, watchWait), watchWait + watchMargin);
     if (!Base::succeeded(result)) {
-        updateConnection(false, Base::errorOf(result).describe());
+        recordFailure(Base::errorOf(result).describe(), requestedAt);
         m_client.disconnect();
         co_return false;
     }
@@ -187,7 +193,7 @@
             m_revision.reset();
             co_return true;
         }
-        updateConnection(false, error.describe());
+        recordFailure(error.describe(), m_clock.now());
         co_return false;
     }
     updateConnection(true, "watching");
--- a/Tests/Peering/StoreFollowerTest.cpp
+++ b/Tests/Peering/StoreFollowerTest.cpp
@@ -76,6 +76,15 @@
         follower = std::make_unique<StoreFollower>(context, Http::Endpoint { "127.0.0.1", server->port() }, protocol, merger, fleet.clock, stalls, "");
     }
 
+    // Time passes while the event loop runs, so that it does not count as stalled.
+    void advanceWithTicks(std::chrono::milliseconds time)
+    {
+        for (constexpr auto step = 50ms; time > 0ms; time -= step) {
+            fleet.clock.advance(step);
+            stalls.tick();
+        }
+    }
+
     void run(std::function<bool()> isNeeded)
     {
         boost::asio::co_spawn(context, follower->run(std::move(isNeeded)), boost::asio::detached);
@@ -85,6 +94,8 @@
 
 const Http::HttpResponse rejected { 503, {}, "" };
 const Http::HttpResponse historyLost { historyLostStatus, {}, "" };
+// The client can't read it, so the request fails as it does on a connection that breaks or falls silent.
+const Http::HttpResponse unreadable { 200, { { "not a name", "" } }, "" };
 
 } // namespace
 
@@ -298,6 +309,84 @@
     }
 }
 
+// Guards against outdated weights that look recent because the connection to the store fell silent: a declaration made
+// while the follower waited for the timeout counted as made after it.
+Test(StoreFollower, aChangeDuringASilentConnectionIsAsOldAsTheRequest)
+{
+    TestFollower test;
+    test.fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
+    test.protocol.listing.revision = 1;
+    test.protocol.changes["declared"] = { { { "w", "2", 2, false, {} } }, 2 };
+    test.respond = [&](const std::string& target) -> Http::HttpResponse {
+        if (target == "/list")
+            return { 200, {}, "" };
+        if (test.requests.size() == 2) {
+            test.fleet.clock.advance(2600ms);
+            return unreadable;
+        }
+        test.context.stop();
+        return { 200, {}, "declared" };
+    };
+    test.run([] { return true; });
+    test.context.restart();
+    while (test.fleet.snapshot()->weights.empty())
+        test.context.run_one();
+    auto declared = test.fleet.snapshot()->weights.at("m").back();
+    cr_assert(declared.learnedAtIsLowerBound);
+    cr_assert_geq((test.fleet.clock.now() - declared.learnedAt) / 1ms, 2600);
+}
+
+// Guards against outdated weights that look recent because a router relied on a store follower whose connection to the
+// store had fallen silent: what that follower did not have counted as known.
+Test(StoreFollower, aChangeThatWasNotRelayedIsAsOldAsTheLastRelayedSync)
+{
+    TestFollower test;
+    test.fleet.publish("t/1", Fleet::targetOf("1", "s"));
+    test.fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
+    test.protocol.changes["declared"] = { { { "w", "2", 2, false, {} } }, 2 };
+    test.merger.recordRelayedSync(test.fleet.clock.now());
+    test.respond = [&](const std::string&) -> Http::HttpResponse {
+        test.context.stop();
+        return { 200, {}, "declared" };
+    };
+    unsigned checks = 0;
+    test.run([&] {
+        if (++checks == 1)
+            test.fleet.clock.advance(2900ms);
+        return checks > 1;
+    });
+    test.context.restart();
+    while (test.fleet.snapshot()->weights.empty())
+        test.context.run_one();
+    auto declared = test.fleet.snapshot()->weights.at("m").back();
+    cr_assert_geq((test.fleet.clock.now() - declared.learnedAt) / 1ms, 2900);
+}
+
+// Guards against outdated weights that look recent because they were declared between the first page of a listing and
+// the last: the listing counted as complete up to its end.
+Test(StoreFollower, aChangeDuringAListingIsAsOldAsItsFirstPage)
+{
+    TestFollower test;
+    test.fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
+    test.protocol.changes["declared"] = { { { "w", "2", 2, false, {} } }, 2 };
+    test.respond = [&](const std::string& target) -> Http::HttpResponse {
+        bool isFirstPage = test.requests.size() == 1;
+        test.protocol.listing = { { { isFirstPage ? "a" : "z", "", 1, false, {} } }, isFirstPage, 1 };
+        if (!isFirstPage && target == "/list")
+            test.advanceWithTicks(1200ms);
+        if (target == "/list")
+            return { 200, {}, "" };
+        test.context.stop();
+        return { 200, {}, "declared" };
+    };
+    test.run([] { return true; });
+    test.context.restart();
+    while (test.fleet.snapshot()->weights.empty())
+        test.context.run_one();
+    auto declared = test.fleet.snapshot()->weights.at("m").back();
+    cr_assert_geq((test.fleet.clock.now() - declared.learnedAt) / 1ms, 1200);
+}
+
 // Guards against a listing that never ends: the next page is requested behind the last key of the previous one, and a
 // store that does not know this key, or ignores it, sent the same page again and again. What is known stays in force.
 Test(StoreFollower, backsOffIfTheNextPageIsTheSame)
