--- a/Tests/Proxy/RelayTest.cpp
+++ b/Tests/Proxy/RelayTest.cpp
@@ -297,7 +297,7 @@
     for (bool goesOn : { true, false }) {
         TestRouter router;
         ScriptedTarget crashing([=](const std::string& head, unsigned) {
-            return ScriptedReply { sealedStreamHead(head) + chunkOf("id: 1\ndata: x\n\n"), Then::Reset, goesOn ? chunkOf("id: 2\ndata: y\n\n") : "" };
+            return ScriptedReply { .bytes = sealedStreamHead(head) + chunkOf("id: 1\ndata: x\n\n"), .then = Then::Reset, .later = goesOn ? chunkOf("id: 2\ndata: y\n\n") : "" };
         });
         router.setRoute(Fleet::RequestKind::Stream, 1);
         unsigned number = 0;
