Call the time of a declaration publishedAt

Cause: learnedAt was the time of publication in DeclaredWeights, but the time of receipt in KnownTarget and FleetState::Record.

Change: a rename in DeclaredWeights, no change of behaviour.

--- a/Source/Dispatch/Queries/FindCandidates.cpp
+++ b/Source/Dispatch/Queries/FindCandidates.cpp
@@ -136,7 +136,7 @@
         return 0;
     uint64_t oldest = 0;
     for (auto& declaration : declared->second) {
-        if (now >= declaration.learnedAt + bound - weightsMargin)
+        if (now >= declaration.publishedAt + bound - weightsMargin)
             oldest = std::max(oldest, declaration.version);
     }
     return oldest;
--- a/Source/Fleet/Commands/RecordDeclaration.cpp
+++ b/Source/Fleet/Commands/RecordDeclaration.cpp
@@ -15,12 +15,12 @@
     // slow connection, which would make it look more recent than it is. Returns whether the known time changed.
     bool refineTime(DeclaredWeights& known, const DeclaredWeights& received)
     {
-        if (!known.learnedAtIsLowerBound)
+        if (!known.publishedAtIsLowerBound)
             return false;
-        if (received.learnedAtIsLowerBound && received.learnedAt <= known.learnedAt)
+        if (received.publishedAtIsLowerBound && received.publishedAt <= known.publishedAt)
             return false;
-        known.learnedAt = received.learnedAt;
-        known.learnedAtIsLowerBound = received.learnedAtIsLowerBound;
+        known.publishedAt = received.publishedAt;
+        known.publishedAtIsLowerBound = received.publishedAtIsLowerBound;
         return true;
     }
 
--- a/Source/Fleet/FleetSnapshot.h
+++ b/Source/Fleet/FleetSnapshot.h
@@ -26,9 +26,9 @@
 struct DeclaredWeights {
     uint64_t version = 0;
     // Time of the publication, as known to this process.
-    Base::TimePoint learnedAt {};
-    // It may have been published later than learnedAt, because no node observed the publication.
-    bool learnedAtIsLowerBound = false;
+    Base::TimePoint publishedAt {};
+    // It may have been published later than publishedAt, because no node observed the publication.
+    bool publishedAtIsLowerBound = false;
 };
 
 // The published state as of one revision. Immutable.
--- a/Source/Fleet/Queries/ReadFleet.cpp
+++ b/Source/Fleet/Queries/ReadFleet.cpp
@@ -48,9 +48,9 @@
                 continue;
             items.push_back(record.item);
             auto* declaration = findDeclaration(contents, record);
-            auto publishedAt = declaration ? declaration->learnedAt : record.learnedAt;
+            auto publishedAt = declaration ? declaration->publishedAt : record.learnedAt;
             items.back().age = std::chrono::duration_cast<std::chrono::milliseconds>(now - publishedAt);
-            items.back().ageIsBound = declaration && declaration->learnedAtIsLowerBound;
+            items.back().ageIsBound = declaration && declaration->publishedAtIsLowerBound;
             items.back().deletionDelay = remainingDeletionDelay(record, now);
         }
         return items;
@@ -63,8 +63,8 @@
     auto snapshot = currentSnapshot(state);
     for (auto& [model, history] : snapshot->weights) {
         for (auto& declared : history) {
-            auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - declared.learnedAt);
-            if (!declared.learnedAtIsLowerBound && age <= maximumAge)
+            auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - declared.publishedAt);
+            if (!declared.publishedAtIsLowerBound && age <= maximumAge)
                 observed.push_back({ model, declared.version, age });
         }
     }
--- a/Source/Peering/ItemMerger.cpp
+++ b/Source/Peering/ItemMerger.cpp
@@ -82,8 +82,8 @@
     if (change.configuration)
         Observability::logEvent(Events::configurationInForce, { { "version", change.configuration->version }, { "revision", revision }, { "source", source } });
     for (auto& learned : change.declarations) {
-        auto age = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - learned.declared.learnedAt);
-        Observability::logEvent(Events::declarationLearned, { { "model", learned.model }, { "version", learned.declared.version }, { "age", age }, { "age_is_bound", learned.declared.learnedAtIsLowerBound }, { "revision", revision }, { "source", source } });
+        auto age = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - learned.declared.publishedAt);
+        Observability::logEvent(Events::declarationLearned, { { "model", learned.model }, { "version", learned.declared.version }, { "age", age }, { "age_is_bound", learned.declared.publishedAtIsLowerBound }, { "revision", revision }, { "source", source } });
     }
     if (change.anything)
         Observability::logEvent(Events::itemsApplied, { { "revision", revision }, { "source", source } });
--- a/Source/Staging/Queries/PlanLoad.cpp
+++ b/Source/Staging/Queries/PlanLoad.cpp
@@ -20,13 +20,13 @@
     // Time of the earliest declaration that the engine does not satisfy yet.
     Base::TimePoint earliestDeclaration(const Fleet::FleetSnapshot& snapshot, const std::string& model, const Fleet::DeclaredWeights& declared, uint64_t heldVersion)
     {
-        auto earliest = declared.learnedAt;
+        auto earliest = declared.publishedAt;
         auto declarations = snapshot.weights.find(model);
         if (declarations == snapshot.weights.end())
             return earliest;
         for (auto& declaration : declarations->second) {
             if (declaration.version > heldVersion)
-                earliest = std::min(earliest, declaration.learnedAt);
+                earliest = std::min(earliest, declaration.publishedAt);
         }
         return earliest;
     }
@@ -54,14 +54,14 @@
 {
     auto targets = snapshot.targetsByService.find(settings.localService);
     if (targets == snapshot.targetsByService.end())
-        return declared.learnedAt;
+        return declared.publishedAt;
     bool othersServe = std::any_of(targets->second.begin(), targets->second.end(), [&](auto& target) {
         auto version = Fleet::wholeVersionOf(target->entry.layers, layers);
         return target->entry.address.host != settings.address && version > 0 && version < declared.version;
     });
     if (!othersServe)
-        return declared.learnedAt;
-    return declared.learnedAt + std::chrono::duration_cast<Base::Duration>(settings.bounds.weights * idleEngineFetchShare);
+        return declared.publishedAt;
+    return declared.publishedAt + std::chrono::duration_cast<Base::Duration>(settings.bounds.weights * idleEngineFetchShare);
 }
 
 LoadPlan planLoad(const Fleet::FleetSnapshot& snapshot, const Fleet::NodeSettings& settings, const std::string& model, const Fleet::DeclaredWeights& declared, uint64_t heldVersion)
@@ -73,7 +73,7 @@
             addresses.push_back(target->entry.address.host);
     }
     if (addresses.size() <= 1)
-        return { declared.learnedAt, LoadMode::FinishRunning };
+        return { declared.publishedAt, LoadMode::FinishRunning };
     auto ranked = Base::rankMembers(std::to_string(declared.version), addresses);
     auto rank = static_cast<double>(std::find(ranked.begin(), ranked.end(), settings.address) - ranked.begin());
     auto position = std::min(1.0, rank / static_cast<double>(addresses.size() - 1));
--- a/Tests/Fleet/ApplyItemsTest.cpp
+++ b/Tests/Fleet/ApplyItemsTest.cpp
@@ -106,7 +106,7 @@
     fleet.publish("w", WeightsDeclared { "m", 2 }, 1h);
     auto history = fleet.snapshot()->weights.at("m");
     cr_assert_eq(history.size(), 1);
-    cr_assert(history.back().learnedAt == fleet.clock.now() - 1h);
+    cr_assert(history.back().publishedAt == fleet.clock.now() - 1h);
 }
 
 // Guards against a restarted router that stops using engines at once because it does not know when their weights were
@@ -117,7 +117,7 @@
     fleet.clock.advance(2h);
     fleet.publish("w", WeightsDeclared { "m", 2 }, 1h, true);
     fleet.apply({ "w", "1", 1, false, 3s });
-    cr_assert(fleet.snapshot()->weights.at("m").back().learnedAt == fleet.clock.now() - 3s);
+    cr_assert(fleet.snapshot()->weights.at("m").back().publishedAt == fleet.clock.now() - 3s);
 }
 
 // Guards against using old weights past their deadline: a slow store delivers a declaration that other nodes relayed
@@ -127,11 +127,11 @@
     TestFleetState fleet;
     fleet.clock.advance(2h);
     fleet.publish("w", WeightsDeclared { "m", 2 }, 100ms);
-    auto declaredAt = fleet.snapshot()->weights.at("m").back().learnedAt;
+    auto declaredAt = fleet.snapshot()->weights.at("m").back().publishedAt;
     fleet.clock.advance(4s);
     fleet.apply({ "w", "1", 1, false, 150ms });
     fleet.apply({ "w", "1", 1, false, 0ms, true });
-    cr_assert(fleet.snapshot()->weights.at("m").back().learnedAt == declaredAt);
+    cr_assert(fleet.snapshot()->weights.at("m").back().publishedAt == declaredAt);
 }
 
 // Guards against a second declaration that cancels the deadline of the first.
@@ -156,7 +156,7 @@
     auto history = fleet.snapshot()->weights.at("m");
     cr_assert_eq(history.size(), 2);
     cr_assert_eq(history.front().version, 2);
-    cr_assert(history.front().learnedAt == fleet.clock.now() - FleetState::unknownAge);
+    cr_assert(history.front().publishedAt == fleet.clock.now() - FleetState::unknownAge);
     // Version 1 is in force before the first declaration.
     fleet.publish("x", WeightsDeclared { "n", 2 });
     cr_assert_eq(fleet.snapshot()->weights.at("n").size(), 1);
@@ -172,12 +172,12 @@
     Commands::applyObservedDeclarations(fleet.state, { { "m", 2, 9s }, { "m", 3, 5s }, { "m", 4, 1s }, { "m", 5, 0s }, { "n", 2, 0s } }, fleet.clock.now());
     auto history = fleet.snapshot()->weights.at("m");
     cr_assert_eq(history.size(), 3, "a declaration that is not published yet must not be added");
-    cr_assert(history[0].version == 2 && history[0].learnedAt == fleet.clock.now() - 9s);
-    cr_assert(history[1].version == 3 && history[1].learnedAt == fleet.clock.now() - 5s);
-    cr_assert(history[2].version == 4 && history[2].learnedAt == fleet.clock.now() - 1s);
+    cr_assert(history[0].version == 2 && history[0].publishedAt == fleet.clock.now() - 9s);
+    cr_assert(history[1].version == 3 && history[1].publishedAt == fleet.clock.now() - 5s);
+    cr_assert(history[2].version == 4 && history[2].publishedAt == fleet.clock.now() - 1s);
     // Observed times are exact and never change.
     Commands::applyObservedDeclarations(fleet.state, { { "m", 3, 0s } }, fleet.clock.now());
-    cr_assert(fleet.snapshot()->weights.at("m")[1].learnedAt == fleet.clock.now() - 5s);
+    cr_assert(fleet.snapshot()->weights.at("m")[1].publishedAt == fleet.clock.now() - 5s);
     cr_assert_not(fleet.snapshot()->weights.contains("n"));
 }
 
--- a/Tests/Peering/PeeringNodeTest.cpp
+++ b/Tests/Peering/PeeringNodeTest.cpp
@@ -99,18 +99,18 @@
     message.declarations = { { "m", 2, 1s } };
     test.fleet.clock.advance(5s);
     test.deliver(message);
-    cr_assert(test.declared().learnedAtIsLowerBound);
+    cr_assert(test.declared().publishedAtIsLowerBound);
     cr_assert_not(test.peers.routers().find("127.0.0.8")->storeSync.reportedAt.has_value());
     test.stalls.tick();
     // Other datagrams may still wait.
     message.sender = "127.0.0.9";
     test.deliver(message);
-    cr_assert(test.declared().learnedAtIsLowerBound);
+    cr_assert(test.declared().publishedAtIsLowerBound);
     test.advanceWithTicks(1s);
     message.sender = "127.0.0.10";
     test.deliver(message);
-    cr_assert_not(test.declared().learnedAtIsLowerBound);
-    cr_assert(test.declared().learnedAt == test.fleet.clock.now() - 1s);
+    cr_assert_not(test.declared().publishedAtIsLowerBound);
+    cr_assert(test.declared().publishedAt == test.fleet.clock.now() - 1s);
     cr_assert(test.peers.routers().find("127.0.0.10")->storeSync.reportedAt.has_value());
 }
 
@@ -149,7 +149,7 @@
     message.revision = 2;
     test.deliver(message);
     cr_assert(test.runUntil([&] { return Fleet::Queries::knownRevision(test.fleet.state) == 2; }));
-    cr_assert(test.declared().learnedAt == test.fleet.clock.now() - 5s);
+    cr_assert(test.declared().publishedAt == test.fleet.clock.now() - 5s);
 }
 
 // Guards against requests to a target that is gone: the response of a router waited, and the delay of a deletion in it
--- a/Tests/Peering/StoreFollowerTest.cpp
+++ b/Tests/Peering/StoreFollowerTest.cpp
@@ -123,7 +123,7 @@
     test.context.restart();
     while (test.fleet.snapshot()->weights.empty())
         test.context.run_one();
-    auto age = test.fleet.clock.now() - test.fleet.snapshot()->weights.at("m").back().learnedAt;
+    auto age = test.fleet.clock.now() - test.fleet.snapshot()->weights.at("m").back().publishedAt;
     cr_assert_leq(std::chrono::duration_cast<std::chrono::milliseconds>(age).count(), 1200);
 }
 
@@ -192,7 +192,7 @@
     other.fleet.clock.advance(500ms);
     other.merger.apply(Fleet::Queries::itemsAfter(started.fleet.state, 0, started.fleet.clock.now()), 2, std::nullopt, "10.0.0.1");
     auto ageAt = [](TestFollower& node) {
-        auto age = node.fleet.clock.now() - node.fleet.snapshot()->weights.at("m").back().learnedAt;
+        auto age = node.fleet.clock.now() - node.fleet.snapshot()->weights.at("m").back().publishedAt;
         return std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
     };
     cr_assert_eq(ageAt(other), 500);
@@ -251,7 +251,7 @@
     started.fleet.clock.advance(200ms);
     started.merger.recordRelayedSync(started.fleet.clock.now());
     started.merger.apply({ declaration }, 2, std::nullopt, "10.0.0.1");
-    auto age = started.fleet.clock.now() - started.fleet.snapshot()->weights.at("m").back().learnedAt;
+    auto age = started.fleet.clock.now() - started.fleet.snapshot()->weights.at("m").back().publishedAt;
     cr_assert_geq(std::chrono::duration_cast<std::chrono::seconds>(age).count(), 3600, "the declaration may be that old");
 }
 
@@ -275,7 +275,7 @@
     test.context.restart();
     while (!test.fleet.snapshot()->weights.contains("m") || !test.follower->syncedAt() || *test.follower->syncedAt() < test.fleet.clock.now())
         test.context.run_one();
-    auto age = test.fleet.clock.now() - test.fleet.snapshot()->weights.at("m").back().learnedAt;
+    auto age = test.fleet.clock.now() - test.fleet.snapshot()->weights.at("m").back().publishedAt;
     cr_assert_geq(std::chrono::duration_cast<std::chrono::seconds>(age).count(), 3600);
 }
 
@@ -303,9 +303,9 @@
         while (test.fleet.snapshot()->weights.empty())
             test.context.run_one();
         auto declared = test.fleet.snapshot()->weights.at("m").back();
-        cr_assert_eq(declared.learnedAtIsLowerBound, isSuspended);
+        cr_assert_eq(declared.publishedAtIsLowerBound, isSuspended);
         if (isSuspended)
-            cr_assert_geq(std::chrono::duration_cast<std::chrono::milliseconds>(test.fleet.clock.now() - declared.learnedAt).count(), 5000);
+            cr_assert_geq(std::chrono::duration_cast<std::chrono::milliseconds>(test.fleet.clock.now() - declared.publishedAt).count(), 5000);
     }
 }
 
@@ -332,8 +332,8 @@
     while (test.fleet.snapshot()->weights.empty())
         test.context.run_one();
     auto declared = test.fleet.snapshot()->weights.at("m").back();
-    cr_assert(declared.learnedAtIsLowerBound);
-    cr_assert_geq((test.fleet.clock.now() - declared.learnedAt) / 1ms, 2600);
+    cr_assert(declared.publishedAtIsLowerBound);
+    cr_assert_geq((test.fleet.clock.now() - declared.publishedAt) / 1ms, 2600);
 }
 
 // Guards against outdated weights that look recent because a router relied on a store follower whose connection to the
@@ -359,7 +359,7 @@
     while (test.fleet.snapshot()->weights.empty())
         test.context.run_one();
     auto declared = test.fleet.snapshot()->weights.at("m").back();
-    cr_assert_geq((test.fleet.clock.now() - declared.learnedAt) / 1ms, 2900);
+    cr_assert_geq((test.fleet.clock.now() - declared.publishedAt) / 1ms, 2900);
 }
 
 // Guards against outdated weights that look recent because they were declared between the first page of a listing and
@@ -384,7 +384,7 @@
     while (test.fleet.snapshot()->weights.empty())
         test.context.run_one();
     auto declared = test.fleet.snapshot()->weights.at("m").back();
-    cr_assert_geq((test.fleet.clock.now() - declared.learnedAt) / 1ms, 1200);
+    cr_assert_geq((test.fleet.clock.now() - declared.publishedAt) / 1ms, 1200);
 }
 
 // Guards against a listing that never ends: the next page is requested behind the last key of the previous one, and a
--- a/Tests/Staging/PlanLoadTest.cpp
+++ b/Tests/Staging/PlanLoadTest.cpp
@@ -30,7 +30,7 @@
     cr_assert_geq(starts.size(), 3);
     for (auto& [start, engines] : starts) {
         cr_assert_leq(engines, 4);
-        cr_assert(start - declared.learnedAt < Fleet::FleetBounds().weights - 2s);
+        cr_assert(start - declared.publishedAt < Fleet::FleetBounds().weights - 2s);
     }
 }
 
@@ -53,7 +53,7 @@
     settings.localService = "e";
     auto holdsOldest = Queries::planLoad(snapshot, settings, "m", second, 1).startAt;
     auto holdsFirst = Queries::planLoad(snapshot, settings, "m", second, 2).startAt;
-    cr_assert(holdsOldest < first.learnedAt + Fleet::FleetBounds().weights - 2s);
+    cr_assert(holdsOldest < first.publishedAt + Fleet::FleetBounds().weights - 2s);
     cr_assert(holdsFirst == holdsOldest + 3s);
 }
 
@@ -115,18 +115,18 @@
     settings.localService = "e";
     Base::ManualClock clock;
     Fleet::DeclaredWeights declared { 2, clock.now() };
-    cr_assert(Queries::earliestFetch(snapshot, settings, declared, 16) == declared.learnedAt);
+    cr_assert(Queries::earliestFetch(snapshot, settings, declared, 16) == declared.publishedAt);
     Fleet::KnownTarget serving;
     serving.entry.address = { "10.0.0.1", 1 };
     serving.entry.layers = Fleet::HeldLayers { 0, 16, 1 };
     snapshot.targetsByService["e"].push_back(std::make_shared<Fleet::KnownTarget>(serving));
     auto earliest = Queries::earliestFetch(snapshot, settings, declared, 16);
-    cr_assert(earliest > declared.learnedAt + 2s);
-    cr_assert(earliest < declared.learnedAt + Fleet::FleetBounds().weights - 3s);
+    cr_assert(earliest > declared.publishedAt + 2s);
+    cr_assert(earliest < declared.publishedAt + Fleet::FleetBounds().weights - 3s);
     // No engine serves an older version: they have lost their weights, or have loaded the declared ones.
     for (uint64_t version : { 0, 2 }) {
         serving.entry.layers = version > 0 ? std::optional(Fleet::HeldLayers { 0, 16, version }) : std::nullopt;
         snapshot.targetsByService["e"] = { std::make_shared<Fleet::KnownTarget>(serving) };
-        cr_assert(Queries::earliestFetch(snapshot, settings, declared, 16) == declared.learnedAt);
+        cr_assert(Queries::earliestFetch(snapshot, settings, declared, 16) == declared.publishedAt);
     }
 }
