Load the weights after each restart of an engine, not only the first

When an engine restarted, its agent made the list of stored pieces anew from the manifest in the same std::optional, which destroys the manifest first. From the second list on, the coroutine that keeps the weights up to date ended with an exception, and the engine stayed empty until the agent itself was restarted. Test and fix land together: test-Staging StagingNode/loadsTheWeightsAfterEachRestartOfTheEngine failed before, the engine was ordered to load 1 times instead of 2.

--- a/Source/Staging/PieceChecklist.h
+++ b/Source/Staging/PieceChecklist.h
@@ -21,6 +21,8 @@
 
     void markPresent(unsigned piece) { m_present[piece] = true; }
     void markMissing(unsigned piece) { m_present[piece] = false; }
+    // The engine has restarted, so that each piece has to be verified again.
+    void markAllMissing() { m_present.assign(m_present.size(), false); }
     bool isPresent(unsigned piece) const { return m_present[piece]; }
     bool isComplete() const;
 
--- a/Source/Staging/StagingNode.cpp
+++ b/Source/Staging/StagingNode.cpp
@@ -335,7 +335,7 @@
         co_return true;
     m_checkedEngineStart = m_engine->startedAt;
     if (hasManifest) {
-        m_checklist.emplace(m_checklist->manifest());
+        m_checklist->markAllMissing();
     } else {
         auto manifest = co_await fetchManifest(desired);
         if (!manifest) {
