--- a/Tests/Staging/StagingNodeTest.cpp
+++ b/Tests/Staging/StagingNodeTest.cpp
@@ -46,8 +46,10 @@
     cr_assert(staging.runUntilLoaded(2));
     cr_assert(holdsAllPieces(staging.engine));
     cr_assert_eq(staging.engine.loads, 2);
+    staging.engine.restart();
+    cr_assert(staging.runUntilLoaded(3), "after each restart, not only the first");
     staging.declare(3);
-    cr_assert(staging.runUntilLoaded(3));
+    cr_assert(staging.runUntilLoaded(4));
     cr_assert_eq(staging.engine.report.layers->version, 3);
 }
 
