Start a task again when an exception leaves it

Cause: the tasks of a node that last as long as the process (following the store, messages, the engine's poll, loading weights, queues) were detached coroutines. A fetch loop that ended this way also left fetchMissing waiting.

Change: Http::superviseTask logs task-failed and starts the task again after half a second; a fetch loop is counted as ended however it ends.

Not provoked in a running node.

--- a/Source/Peering/PeeringNode.cpp
+++ b/Source/Peering/PeeringNode.cpp
@@ -2,14 +2,13 @@
 
 #include "Fleet/Queries/ReadFleet.h"
 #include "Http/Sleep.h"
+#include "Http/TaskSupervisor.h"
 #include "Observability/Log.h"
 #include "Peering/Commands/RecordPeer.h"
 #include "Peering/Events.h"
 #include "Peering/Queries/ListPeers.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <charconv>
@@ -92,12 +91,9 @@
 
 void PeeringNode::start()
 {
-    asio::co_spawn(
-        m_context, [this] { return receiveMessages(); }, asio::detached);
-    asio::co_spawn(
-        m_context, [this] { return sendHeartbeats(); }, asio::detached);
-    asio::co_spawn(
-        m_context, [this] { return fetchMissingItems(); }, asio::detached);
+    Http::superviseTask(m_context, "receive-messages", [this] { return receiveMessages(); });
+    Http::superviseTask(m_context, "send-heartbeats", [this] { return sendHeartbeats(); });
+    Http::superviseTask(m_context, "fetch-items", [this] { return fetchMissingItems(); });
 }
 
 NodeMessage PeeringNode::describeSelf() const
--- a/Source/Process/FleetAgent.cpp
+++ b/Source/Process/FleetAgent.cpp
@@ -7,6 +7,7 @@
 #include "Http/IoContextPool.h"
 #include "Http/NodeServer.h"
 #include "Http/Sleep.h"
+#include "Http/TaskSupervisor.h"
 #include "Observability/Log.h"
 #include "Peering/PeeringNode.h"
 #include "Peering/StoreFollower.h"
@@ -15,8 +16,6 @@
 #include "Staging/ManifestCodec.h"
 #include "Staging/StagingNode.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 
@@ -56,9 +55,9 @@
             m_nodes = Http::NodeServer::start(context, { m_settings.address, m_settings.firstPeerPort }, [this](Http::HttpRequest request) { return handlePeerRequest(std::move(request)); });
             m_peering.start();
             for (auto& follower : m_followers)
-                asio::co_spawn(context, follower->run([this] { return needsStore(); }), asio::detached);
+                Http::superviseTask(context, "follow-store", [this, &follower = *follower] { return follower.run([this] { return needsStore(); }); });
             m_staging.start();
-            asio::co_spawn(context, runHousekeeping(), asio::detached);
+            Http::superviseTask(context, "housekeeping", [this] { return runHousekeeping(); });
             m_reload.watch(context, [this](const Fleet::NodeSettings& settings) {
                 m_settings.seedAddresses = settings.seedAddresses;
                 m_settings.bounds = settings.bounds;
--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -17,6 +17,7 @@
 #include "Http/IoContextPool.h"
 #include "Http/NodeServer.h"
 #include "Http/Sleep.h"
+#include "Http/TaskSupervisor.h"
 #include "Observability/Log.h"
 #include "Peering/PeeringNode.h"
 #include "Peering/Queries/ListPeers.h"
@@ -100,10 +101,10 @@
             m_peering.start();
             for (auto& follower : m_followers) {
                 follower->setChangeHandler([this] { m_peering.announceRevision(); });
-                asio::co_spawn(context, follower->run([this] { return !m_peering.canRelyOnStoreFollower(); }), asio::detached);
+                Http::superviseTask(context, "follow-store", [this, &follower = *follower] { return follower.run([this] { return !m_peering.canRelyOnStoreFollower(); }); });
             }
-            asio::co_spawn(context, serveQueues(), asio::detached);
-            asio::co_spawn(context, runHousekeeping(), asio::detached);
+            Http::superviseTask(context, "serve-queues", [this] { return serveQueues(); });
+            Http::superviseTask(context, "housekeeping", [this] { return runHousekeeping(); });
             asio::co_spawn(context, drainOnSignal(), asio::detached);
             m_reload.watch(context, [this](const Fleet::NodeSettings& settings) { applySettings(settings); });
             Observability::logEvent(processStarted, { { "node", m_settings.node }, { "role", "router" }, { "data_centre", m_settings.dataCentre } });
--- a/Source/Staging/PieceFetcher.cpp
+++ b/Source/Staging/PieceFetcher.cpp
@@ -90,6 +90,8 @@
 
 asio::awaitable<void> PieceFetcher::processQueue(const DesiredWeights& initialDesired, std::shared_ptr<Queue> queue, std::shared_ptr<unsigned> running)
 {
+    // Also when an exception leaves this coroutine; fetchMissing() would wait forever otherwise.
+    std::shared_ptr<void> endOfQueue(nullptr, [running](void*) { --*running; });
     auto desired = initialDesired;
     ClientsByAddress clients;
     while (!queue->empty() && m_context.isStillDesired(desired) && m_monitor.report()) {
@@ -99,7 +101,6 @@
         if (!isStored)
             Commands::requeuePiece(*queue, piece, assignment(desired, piece));
     }
-    --*running;
 }
 
 asio::awaitable<bool> PieceFetcher::fetchPiece(const DesiredWeights& desired, unsigned piece, ClientsByAddress& clients)
--- a/Source/Staging/StagingNode.cpp
+++ b/Source/Staging/StagingNode.cpp
@@ -1,7 +1,6 @@
 #include "Staging/StagingNode.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "Http/TaskSupervisor.h"
 
 namespace Lavenderloft::Staging {
 
@@ -22,8 +21,9 @@
 void StagingNode::start()
 {
     auto onReport = [this](const EngineReport& report) { m_reporter.engineReported(report); };
-    asio::co_spawn(m_context.loop, m_monitor.run(onReport, [this] { m_reporter.engineEnded(); }), asio::detached);
-    asio::co_spawn(m_context.loop, m_loader.run(), asio::detached);
+    auto onEnd = [this] { m_reporter.engineEnded(); };
+    Http::superviseTask(m_context.loop, "monitor-engine", [=, this] { return m_monitor.run(onReport, onEnd); });
+    Http::superviseTask(m_context.loop, "load-weights", [this] { return m_loader.run(); });
 }
 
 Http::HttpResponse StagingNode::handleManifestRequest(const Http::HttpRequest& request) const
