Give a control connection two seconds, not 0.2

Operators saw "no status from ...: connection attempt timed out before receiving SETTINGS frame" from a process that was up.

Cause: the control channels set the least time of a connection attempt (GRPC_ARG_MIN_RECONNECT_BACKOFF_MS) to the initial backoff of 0.2 s. The attempt includes the TLS handshake, which takes longer on a busy VM or between regions; then every attempt fails.

Change: a constant of its own, 2 s. Refused connections fail at once as before; the deadlines of the calls are unchanged.

--- a/Source/Transport/ControlServiceClient.cpp
+++ b/Source/Transport/ControlServiceClient.cpp
@@ -24,13 +24,16 @@
     // Lets a peer that restarts be reconnected within a few probe intervals.
     constexpr int maximumReconnectBackoffMs = 2000;
     constexpr int initialReconnectBackoffMs = 200;
+    // Includes the TLS handshake, which takes long between regions and on a busy VM.
+    constexpr int connectTimeoutMs = 2000;
 
     grpc::ChannelArguments channelArguments()
     {
         grpc::ChannelArguments arguments;
         arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, maximumReconnectBackoffMs);
         arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, initialReconnectBackoffMs);
-        arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, initialReconnectBackoffMs);
+        // gRPC gives a connection attempt at least this time, whatever the backoff.
+        arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, connectTimeoutMs);
         // A connection is not shared with other channels, so that an unresponsive one can be replaced independently.
         arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
         return arguments;
