Take the exchange of published items out of PeeringNode

Cause: PeeringNode had grown to 395 lines with two jobs, datagrams between nodes and the fetching and serving of published items.

Change: ItemExchange fetches and serves items; PeeringNode keeps the datagrams. The code moved without a change of behaviour.

--- /dev/null
+++ b/Source/Peering/ItemExchange.cpp
@@ -0,0 +1,155 @@
+#include "Peering/ItemExchange.h"
+
+#include "Fleet/Queries/ReadFleet.h"
+#include "Http/Sleep.h"
+#include "Peering/Commands/RecordPeer.h"
+#include "Peering/PeeringCodec.h"
+#include "Peering/Queries/ListPeers.h"
+
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <charconv>
+
+namespace Lavenderloft::Peering {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // A router that follows the store waits for its own watch to deliver the change before it fetches from a peer.
+    constexpr std::chrono::milliseconds followerFetchDelay = 250ms;
+    constexpr std::chrono::milliseconds fetchDelay = 5ms;
+    constexpr std::chrono::milliseconds fetchTimeout = 1500ms;
+    constexpr std::chrono::seconds checkInterval = 1s;
+    // Longer than a fetch takes. A router that stays behind for longer follows the store itself.
+    constexpr std::chrono::milliseconds maximumLag = 700ms;
+
+    std::optional<uint64_t> revisionInQuery(const std::string& target)
+    {
+        constexpr std::string_view parameter = "?after=";
+        auto start = target.find(parameter);
+        if (start == std::string::npos)
+            return std::nullopt;
+        uint64_t revision = 0;
+        auto* begin = target.data() + start + parameter.size();
+        auto [end, error] = std::from_chars(begin, target.data() + target.size(), revision);
+        if (error != std::errc())
+            return std::nullopt;
+        return revision;
+    }
+
+    // The ages and delays of a response are those at the time when the router responded.
+    void addWaitingTime(std::vector<Fleet::PublishedItem>& items, std::chrono::milliseconds duration)
+    {
+        for (auto& item : items) {
+            item.age += duration;
+            item.deletionDelay = std::max(item.deletionDelay - duration, 0ms);
+        }
+    }
+
+} // namespace
+
+ItemExchange::ItemExchange(asio::io_context& context, const Fleet::NodeSettings& settings, PeerTable& peers, ItemMerger& merger, const Base::Clock& clock)
+    : m_context(context)
+    , m_settings(settings)
+    , m_peers(peers)
+    , m_merger(merger)
+    , m_clock(clock)
+    , m_timer(context)
+{
+}
+
+asio::awaitable<void> ItemExchange::run(FollowsStore followsStore, FetchHandler onFetched)
+{
+    boost::system::error_code ignored;
+    while (true) {
+        if (!routerToFetchFrom()) {
+            m_timer.expires_after(checkInterval);
+            co_await m_timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        }
+        updateLag();
+        co_await Http::sleepFor(m_context, followsStore() ? followerFetchDelay : fetchDelay);
+        auto router = routerToFetchFrom();
+        if (!router)
+            continue;
+        bool fetched = co_await fetchFrom(*router);
+        if (fetched)
+            onFetched(*router);
+        // Uses another router next: this one may be unreachable, or has restarted with an older revision.
+        if (!fetched || Fleet::Queries::knownRevision(m_merger.fleet()) < router->revision)
+            Commands::startRouterBackoff(m_peers, router->address, m_clock.now());
+        updateLag();
+    }
+}
+
+void ItemExchange::revisionReported(uint64_t revision)
+{
+    if (revision > completeRevision())
+        m_timer.cancel();
+}
+
+bool ItemExchange::isLagging() const
+{
+    return m_laggingSince && m_clock.now() - *m_laggingSince > maximumLag;
+}
+
+uint64_t ItemExchange::completeRevision() const
+{
+    return m_hasFetchedAll ? Fleet::Queries::knownRevision(m_merger.fleet()) : 0;
+}
+
+// Returns a router with a newer revision than this node.
+std::optional<PeerRouter> ItemExchange::routerToFetchFrom() const
+{
+    return Queries::findRouterAhead(m_peers, completeRevision(), m_settings.dataCentre, m_clock.now());
+}
+
+void ItemExchange::updateLag()
+{
+    auto newest = Queries::newestRevision(m_peers, m_clock.now());
+    if (newest <= Fleet::Queries::knownRevision(m_merger.fleet()))
+        m_laggingSince.reset();
+    else if (!m_laggingSince)
+        m_laggingSince = m_clock.now();
+}
+
+asio::awaitable<bool> ItemExchange::fetchFrom(const PeerRouter& router)
+{
+    Http::Endpoint endpoint { router.address, m_settings.firstPeerPort };
+    if (!m_client || !(m_client->endpoint() == endpoint))
+        m_client = std::make_unique<Http::PersistentHttpClient>(m_context.get_executor(), endpoint);
+    Http::HttpRequest request;
+    request.target = std::string(path) + "?after=" + std::to_string(completeRevision());
+    auto requestedAt = m_clock.now();
+    auto result = co_await m_client->call(std::move(request), fetchTimeout);
+    if (!Base::succeeded(result) || Base::valueOf(result).status != 200)
+        co_return false;
+    auto batch = decodeItems(Base::valueOf(result).body);
+    if (!batch)
+        co_return false;
+    addWaitingTime(batch->items, std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - requestedAt));
+    bool isFirst = !m_hasFetchedAll;
+    m_hasFetchedAll = true;
+    m_merger.apply(std::move(batch->items), batch->revision, std::nullopt, router.address);
+    if (router.storeSync.reportedAt)
+        m_merger.recordRelayedSync(router.storeSync.syncedAt);
+    else if (isFirst)
+        m_merger.recordSyncAsOfStoreFailure();
+    co_return true;
+}
+
+Http::HttpResponse ItemExchange::respond(const Http::HttpRequest& request) const
+{
+    auto revision = revisionInQuery(request.target);
+    if (!revision)
+        return { 400, {}, "missing revision: expected /items?after=REVISION" };
+    ItemBatch batch;
+    batch.revision = Fleet::Queries::knownRevision(m_merger.fleet());
+    batch.items = Fleet::Queries::itemsAfter(m_merger.fleet(), *revision, m_clock.now());
+    return { 200, { { "Content-Type", "application/octet-stream" } }, encodeItems(batch) };
+}
+
+} // namespace Lavenderloft::Peering
--- /dev/null
+++ b/Source/Peering/ItemExchange.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "Fleet/NodeSettings.h"
+#include "Http/PersistentHttpClient.h"
+#include "Peering/ItemMerger.h"
+#include "Peering/PeerTable.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string_view>
+
+namespace Lavenderloft::Peering {
+
+// Fetches the published items that this node misses from a router with a newer revision, and serves the items of this
+// node to others. Runs on one event loop.
+class ItemExchange {
+public:
+    // Whether this node follows the store itself.
+    using FollowsStore = std::function<bool()>;
+    // Called after items were fetched from the router.
+    using FetchHandler = std::function<void(const PeerRouter&)>;
+
+    static constexpr std::string_view path = "/items";
+
+    ItemExchange(boost::asio::io_context&, const Fleet::NodeSettings&, PeerTable&, ItemMerger&, const Base::Clock&);
+
+    // Fetches until the event loop ends.
+    boost::asio::awaitable<void> run(FollowsStore, FetchHandler);
+
+    // Fetches at once if the revision, which a router reported, is newer than that of this node.
+    void revisionReported(uint64_t revision);
+
+    // Whether all items were fetched from another router once, with the age of each. Items listed from the store have no
+    // age.
+    bool hasFetchedAll() const { return m_hasFetchedAll; }
+
+    // Whether this node has been behind other routers for longer than a fetch takes.
+    bool isLagging() const;
+
+    // Responds with the items after the revision that is given in the request's query.
+    Http::HttpResponse respond(const Http::HttpRequest&) const;
+
+private:
+    boost::asio::awaitable<bool> fetchFrom(const PeerRouter&);
+    std::optional<PeerRouter> routerToFetchFrom() const;
+    // Revision after which items are missing.
+    uint64_t completeRevision() const;
+    void updateLag();
+
+    boost::asio::io_context& m_context;
+    const Fleet::NodeSettings& m_settings;
+    PeerTable& m_peers;
+    ItemMerger& m_merger;
+    const Base::Clock& m_clock;
+    boost::asio::steady_timer m_timer;
+    std::unique_ptr<Http::PersistentHttpClient> m_client;
+    bool m_hasFetchedAll = false;
+    // Since when another router has had a newer revision.
+    std::optional<Base::TimePoint> m_laggingSince;
+};
+
+} // namespace Lavenderloft::Peering
--- a/Source/Peering/PeeringNode.cpp
+++ b/Source/Peering/PeeringNode.cpp
@@ -11,7 +11,6 @@
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <charconv>
 #include <stdexcept>
 
 namespace Lavenderloft::Peering {
@@ -31,14 +30,6 @@
     constexpr size_t otherRegionsFanout = 4;
     // Receivers of one load report in other regions, because bandwidth between regions is scarce.
     constexpr size_t loadFanout = 8;
-    // A router that follows the store waits for its own watch to deliver the change before it fetches from a peer.
-    constexpr std::chrono::milliseconds followerFetchDelay = 250ms;
-    constexpr std::chrono::milliseconds fetchDelay = 5ms;
-    constexpr std::chrono::milliseconds fetchTimeout = 1500ms;
-    constexpr std::chrono::seconds fetchCheckInterval = 1s;
-    // Longer than a fetch takes. A router that stays behind for longer follows the store itself.
-    constexpr std::chrono::milliseconds maximumLag = 700ms;
-
     // Declarations are relayed for this multiple of the time within which they take effect.
     constexpr int declarationRelayFactor = 2;
     // After a stall of the event loop, all datagrams that arrived meanwhile are handled within this time.
@@ -51,20 +42,6 @@
             reports.resize(maximum);
     }
 
-    std::optional<uint64_t> revisionInQuery(const std::string& target)
-    {
-        constexpr std::string_view parameter = "?after=";
-        auto start = target.find(parameter);
-        if (start == std::string::npos)
-            return std::nullopt;
-        uint64_t revision = 0;
-        auto* begin = target.data() + start + parameter.size();
-        auto [end, error] = std::from_chars(begin, target.data() + target.size(), revision);
-        if (error != std::errc())
-            return std::nullopt;
-        return revision;
-    }
-
 } // namespace
 
 PeeringNode::PeeringNode(asio::io_context& context, const Fleet::NodeSettings& settings, PeerTable& peers, ItemMerger& merger, const Base::Clock& clock, const Base::StallMonitor& stalls, bool isRouter)
@@ -76,7 +53,7 @@
     , m_stalls(stalls)
     , m_isRouter(isRouter)
     , m_socket(context)
-    , m_fetchTimer(context)
+    , m_items(context, settings, peers, merger, clock)
 {
     boost::system::error_code error;
     udp::endpoint address(asio::ip::make_address(settings.address, error), settings.firstPeerPort);
@@ -93,7 +70,7 @@
 {
     Http::superviseTask(m_context, "receive-messages", [this] { return receiveMessages(); });
     Http::superviseTask(m_context, "send-heartbeats", [this] { return sendHeartbeats(); });
-    Http::superviseTask(m_context, "fetch-items", [this] { return fetchMissingItems(); });
+    Http::superviseTask(m_context, "fetch-items", [this] { return m_items.run([this] { return followsStore(); }, [this](const PeerRouter& source) { announceFetched(source); }); });
 }
 
 NodeMessage PeeringNode::describeSelf() const
@@ -121,9 +98,8 @@
 // The router that follows the store sends each heartbeat to all routers of its region, because they depend on it.
 std::vector<PeerRouter> PeeringNode::nextHeartbeatReceivers(const std::vector<PeerRouter>& routers)
 {
-    bool followsStore = m_storeSyncTime && m_storeSyncTime();
     auto split = Queries::splitByRegion(routers, m_settings);
-    auto receivers = followsStore ? split.own : Queries::nextInRotation(split.own, ownRegionFanout, m_ownRegionPosition);
+    auto receivers = followsStore() ? split.own : Queries::nextInRotation(split.own, ownRegionFanout, m_ownRegionPosition);
     auto others = Queries::nextInRotation(split.others, otherRegionsFanout, m_otherRegionsPosition);
     receivers.insert(receivers.end(), others.begin(), others.end());
     return receivers;
@@ -216,8 +192,7 @@
 bool PeeringNode::canRelyOnStoreFollower() const
 {
     auto now = m_clock.now();
-    bool isLagging = m_laggingSince && now - *m_laggingSince > maximumLag;
-    return !isLagging && m_hasFetchedAll && Queries::isStoreFollowedByPeer(m_peers, m_settings, now);
+    return !m_items.isLagging() && m_items.hasFetchedAll() && Queries::isStoreFollowedByPeer(m_peers, m_settings, now);
 }
 
 asio::awaitable<void> PeeringNode::receiveMessages()
@@ -291,8 +266,7 @@
             m_onCrashes(message.crashes);
         if (!message.parts.isEmpty() && m_onParts)
             m_onParts(message.parts);
-        if (message.revision > ownRevision || (!m_hasFetchedAll && message.revision > 0))
-            m_fetchTimer.cancel();
+        m_items.revisionReported(message.revision);
         return;
     }
     if (message.load && m_onLoad)
@@ -304,87 +278,16 @@
     sendTo(message.sender, encodeMessage(reply));
 }
 
-asio::awaitable<void> PeeringNode::fetchMissingItems()
-{
-    boost::system::error_code ignored;
-    while (true) {
-        if (!routerToFetchFrom()) {
-            m_fetchTimer.expires_after(fetchCheckInterval);
-            co_await m_fetchTimer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        }
-        updateLag();
-        bool followsStore = m_storeSyncTime && m_storeSyncTime();
-        co_await Http::sleepFor(m_context, followsStore ? followerFetchDelay : fetchDelay);
-        auto router = routerToFetchFrom();
-        if (!router)
-            continue;
-        bool fetched = co_await fetchFrom(*router);
-        // Uses another router next: this one may be unreachable, or has restarted with an older revision.
-        if (!fetched || Fleet::Queries::knownRevision(m_merger.fleet()) < router->revision)
-            Commands::startRouterBackoff(m_peers, router->address, m_clock.now());
-        updateLag();
-    }
-}
-
-// Returns a router with a newer revision than this node.
-std::optional<PeerRouter> PeeringNode::routerToFetchFrom() const
-{
-    auto revision = m_hasFetchedAll ? Fleet::Queries::knownRevision(m_merger.fleet()) : 0;
-    return Queries::findRouterAhead(m_peers, revision, m_settings.dataCentre, m_clock.now());
-}
-
-void PeeringNode::updateLag()
+// Items from another region are new to the routers of this one.
+void PeeringNode::announceFetched(const PeerRouter& source)
 {
-    auto newest = Queries::newestRevision(m_peers, m_clock.now());
-    if (newest <= Fleet::Queries::knownRevision(m_merger.fleet()))
-        m_laggingSince.reset();
-    else if (!m_laggingSince)
-        m_laggingSince = m_clock.now();
-}
-
-asio::awaitable<bool> PeeringNode::fetchFrom(const PeerRouter& router)
-{
-    Http::Endpoint endpoint { router.address, m_settings.firstPeerPort };
-    if (!m_client || !(m_client->endpoint() == endpoint))
-        m_client = std::make_unique<Http::PersistentHttpClient>(m_context.get_executor(), endpoint);
-    Http::HttpRequest request;
-    auto revision = m_hasFetchedAll ? Fleet::Queries::knownRevision(m_merger.fleet()) : 0;
-    request.target = std::string(itemsPath) + "?after=" + std::to_string(revision);
-    auto requestedAt = m_clock.now();
-    auto result = co_await m_client->call(std::move(request), fetchTimeout);
-    if (!Base::succeeded(result) || Base::valueOf(result).status != 200)
-        co_return false;
-    auto batch = decodeItems(Base::valueOf(result).body);
-    if (!batch)
-        co_return false;
-    // The ages and delays are those at the time when the router responded.
-    auto duration = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - requestedAt);
-    for (auto& item : batch->items) {
-        item.age += duration;
-        item.deletionDelay = std::max(item.deletionDelay - duration, 0ms);
-    }
-    bool isFirst = !m_hasFetchedAll;
-    m_hasFetchedAll = true;
-    m_merger.apply(std::move(batch->items), batch->revision, std::nullopt, router.address);
-    if (router.storeSync.reportedAt)
-        m_merger.recordRelayedSync(router.storeSync.syncedAt);
-    else if (isFirst)
-        m_merger.recordSyncAsOfStoreFailure();
-    // Items from another region are new to the routers of this one.
-    if (m_isRouter && m_settings.regionOf(router.dataCentre) != m_settings.region)
+    if (m_isRouter && m_settings.regionOf(source.dataCentre) != m_settings.region)
         announceRevision();
-    co_return true;
 }
 
-Http::HttpResponse PeeringNode::handleItemsRequest(const Http::HttpRequest& request) const
+bool PeeringNode::followsStore() const
 {
-    auto revision = revisionInQuery(request.target);
-    if (!revision)
-        return { 400, {}, "missing revision: expected /items?after=REVISION" };
-    ItemBatch batch;
-    batch.revision = Fleet::Queries::knownRevision(m_merger.fleet());
-    batch.items = Fleet::Queries::itemsAfter(m_merger.fleet(), *revision, m_clock.now());
-    return { 200, { { "Content-Type", "application/octet-stream" } }, encodeItems(batch) };
+    return m_storeSyncTime && m_storeSyncTime();
 }
 
 bool PeeringNode::hasLiveRouters() const
--- a/Source/Peering/PeeringNode.h
+++ b/Source/Peering/PeeringNode.h
@@ -2,7 +2,7 @@
 
 #include "Base/StallMonitor.h"
 #include "Fleet/NodeSettings.h"
-#include "Http/PersistentHttpClient.h"
+#include "Peering/ItemExchange.h"
 #include "Peering/ItemMerger.h"
 #include "Peering/PeerTable.h"
 #include "Peering/PeeringCodec.h"
@@ -65,24 +65,22 @@
     bool canRelyOnStoreFollower() const;
 
     // Serves the items after the revision that is given in the request's query.
-    Http::HttpResponse handleItemsRequest(const Http::HttpRequest&) const;
+    Http::HttpResponse handleItemsRequest(const Http::HttpRequest& request) const { return m_items.respond(request); }
 
     // Whether a message from any router was received recently.
     bool hasLiveRouters() const;
 
-    static constexpr std::string_view itemsPath = "/items";
+    static constexpr std::string_view itemsPath = ItemExchange::path;
 
 private:
     boost::asio::awaitable<void> receiveMessages();
     boost::asio::awaitable<void> sendHeartbeats();
-    boost::asio::awaitable<void> fetchMissingItems();
-    boost::asio::awaitable<bool> fetchFrom(const PeerRouter&);
     void handleMessage(const NodeMessage&);
     NodeMessage describeSelf() const;
     void addKnownRouters(NodeMessage&);
     std::vector<PeerRouter> nextHeartbeatReceivers(const std::vector<PeerRouter>& routers);
-    std::optional<PeerRouter> routerToFetchFrom() const;
-    void updateLag();
+    void announceFetched(const PeerRouter& source);
+    bool followsStore() const;
     void sendTo(const std::string& address, const std::string& bytes);
     void logNewRouter(const std::string& address, const std::string& dataCentre);
     void handleRouterMessage(const NodeMessage&);
@@ -96,10 +94,7 @@
     const Base::StallMonitor& m_stalls;
     const bool m_isRouter;
     boost::asio::ip::udp::socket m_socket;
-    boost::asio::steady_timer m_fetchTimer;
-    std::unique_ptr<Http::PersistentHttpClient> m_client;
-    // All items were fetched from another router once, with the age of each. Items listed from the store have no age.
-    bool m_hasFetchedAll = false;
+    ItemExchange m_items;
     LoadHandler m_onLoad;
     CrashHandler m_onCrashes;
     PartHandler m_onParts;
@@ -110,8 +105,6 @@
     size_t m_ownRegionPosition = 0;
     size_t m_otherRegionsPosition = 0;
     size_t m_loadPosition = 0;
-    // Since when another router has had a newer revision.
-    std::optional<Base::TimePoint> m_laggingSince;
 };
 
 } // namespace Lavenderloft::Peering
