Split the loop over a request's attempts in RequestHandler

Cause: RequestHandler::serve had grown to 45 lines with the bookkeeping and the log of each attempt.

Change: recordLease and logFailedAttempt; no change of behaviour.

--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -220,11 +220,7 @@
             co_return;
         }
         auto& lease = std::get<Dispatch::Lease>(*outcome);
-        m_waited += lease.waited;
-        m_occupancy = lease.occupancy;
-        m_expectedWeights = lease.expectedWeights.value_or(0);
-        m_lastTarget = lease.target->entry.id;
-        m_eventArrivals = 0;
+        recordLease(lease);
         auto attempted = finishedAs(AttemptResult::Abandoned);
         if (!m_disconnectMonitor->callerDisconnected())
             attempted = co_await attempt(lease);
@@ -238,11 +234,8 @@
             co_return;
         lastEnd = attempted.end;
         m_traits.triedTargets.push_back(lease.target->entry.id);
-        m_context.metrics.count("attempts_failed_total", { { "end", std::string(Dispatch::Queries::attemptEndName(lastEnd)) } });
         bool retry = m_traits.deadline > m_context.clock.now() && Dispatch::Queries::mayRetry(*m_traits.route, m_history, lastEnd);
-        if (Observability::isLogged(Events::attemptFailed)) {
-            Observability::logEvent(Events::attemptFailed, { { "request", m_head.requestId }, { "target", lease.target->entry.id }, { "end", Dispatch::Queries::attemptEndName(lastEnd) }, { "status", attempted.status }, { "attempts", m_history.attempts }, { "runs", m_history.runs }, { "repeat", retry }, { "arrivals", m_eventArrivals }, { "parts", formatParts(m_traits.sharedParts) } });
-        }
+        logFailedAttempt(attempted, retry);
         if (!retry) {
             co_await respondWithFailure(lastEnd);
             co_return;
@@ -250,6 +243,26 @@
     }
 }
 
+void RequestHandler::recordLease(const Dispatch::Lease& lease)
+{
+    m_waited += lease.waited;
+    m_occupancy = lease.occupancy;
+    m_expectedWeights = lease.expectedWeights.value_or(0);
+    m_lastTarget = lease.target->entry.id;
+    m_eventArrivals = 0;
+}
+
+void RequestHandler::logFailedAttempt(const AttemptOutcome& attempted, bool retry)
+{
+    auto end = Dispatch::Queries::attemptEndName(attempted.end);
+    m_context.metrics.count("attempts_failed_total", { { "end", std::string(end) } });
+    if (!Observability::isLogged(Events::attemptFailed))
+        return;
+    Observability::logEvent(Events::attemptFailed,
+        { { "request", m_head.requestId }, { "target", m_lastTarget }, { "end", end }, { "status", attempted.status }, { "attempts", m_history.attempts },
+            { "runs", m_history.runs }, { "repeat", retry }, { "arrivals", m_eventArrivals }, { "parts", formatParts(m_traits.sharedParts) } });
+}
+
 void RequestHandler::countEvents()
 {
     ++m_eventArrivals;
--- a/Source/Proxy/RequestHandler.h
+++ b/Source/Proxy/RequestHandler.h
@@ -61,6 +61,9 @@
     // Ends a request whose last attempt failed.
     boost::asio::awaitable<void> respondWithFailure(AttemptEnd);
 
+    // Keeps what the log says of an attempt.
+    void recordLease(const Dispatch::Lease&);
+    void logFailedAttempt(const AttemptOutcome&, bool retry);
     void logFinished(const Observability::Event&, unsigned status, std::string_view reason);
     void countFinished(const Observability::Event&, std::string_view reason);
     std::chrono::milliseconds elapsed() const;
