Say that one event loop uses a StallMonitor

Cause: its members were atomic, which suggested that other threads use it; tick() was not safe against them.

Change: plain members, and the loop is named in the comment.

--- a/Source/Base/StallMonitor.h
+++ b/Source/Base/StallMonitor.h
@@ -2,13 +2,14 @@
 
 #include "Base/Clock.h"
 
-#include <atomic>
 #include <chrono>
+#include <optional>
 
 namespace Lavenderloft::Base {
 
 // Detects that an event loop stood still: its VM was suspended, its process stopped or starved of processor time. What
-// arrived meanwhile is handled late, so an age that was measured by its arrival would be too small.
+// arrived meanwhile is handled late, so an age that was measured by its arrival would be too small. Used by the tasks of
+// that one loop.
 class StallMonitor {
 public:
     // A loop that is later than this counts as stalled.
@@ -18,29 +19,30 @@
     StallMonitor(const Clock& clock, std::chrono::milliseconds tickInterval)
         : m_clock(clock)
         , m_limit(tickInterval + tolerance)
-        , m_lastTick(clock.now().time_since_epoch())
+        , m_lastTick(clock.now())
     {
     }
 
     void tick()
     {
-        auto now = m_clock.now().time_since_epoch();
-        if (now - m_lastTick.exchange(now) > m_limit)
+        auto now = m_clock.now();
+        if (now - m_lastTick > m_limit)
             m_lastStallEnd = now;
+        m_lastTick = now;
     }
 
     // Whether the loop stood still at some time after the given one, or has just resumed and not ticked yet.
     bool hasStalledSince(TimePoint time) const
     {
-        bool isResuming = m_clock.now().time_since_epoch() - m_lastTick.load() > m_limit;
-        return isResuming || m_lastStallEnd.load() > time.time_since_epoch();
+        bool isResuming = m_clock.now() - m_lastTick > m_limit;
+        return isResuming || (m_lastStallEnd && *m_lastStallEnd > time);
     }
 
 private:
     const Clock& m_clock;
     const Duration m_limit;
-    std::atomic<Duration> m_lastTick;
-    std::atomic<Duration> m_lastStallEnd { Duration::min() };
+    TimePoint m_lastTick;
+    std::optional<TimePoint> m_lastStallEnd;
 };
 
 } // namespace Lavenderloft::Base
--- a/Source/Json/BoundedParser.h
+++ b/Source/Json/BoundedParser.h
@@ -7,7 +7,7 @@
 
 namespace Lavenderloft::Json {
 
-// Limits of a document from outside the process. Without them a megabyte takes seventy times its size in memory, and
+// Limits of a document from outside the process. Without them a document takes many times its size in memory, and
 // nested values exceed the stack of functions that visit them recursively.
 struct DocumentLimits {
     size_t nesting = 64;
