--- a/review/standins/CorruptManifest.cpp
+++ b/review/standins/CorruptManifest.cpp
@@ -65,7 +65,7 @@
             manifest[at + 10] ^= 1;
         });
     }
-    std::thread client([&] { requestStreams(record, 0, routerAddress, fleet.site.frontPort(), stop, [](long, bool) { }); });
+    std::thread client([&] { requestStreams(record, 0, routerAddress, fleet.site.frontPort(), stop, [](long, bool) {}); });
     sleepFor(3000);
     fleet.declare(2);
     bool isLoaded = fleet.waitForVersion(2, 15000);
--- a/review/standins/DarkReplica.cpp
+++ b/review/standins/DarkReplica.cpp
@@ -55,7 +55,8 @@
                 ++counts.answered;
             if (result == ReadResult::TimedOut)
                 ++counts.leftAtDeadline;
-            record.line("client %s: %s", id.c_str(), result == ReadResult::Complete ? std::to_string(response.status).c_str() : result == ReadResult::TimedOut ? "deadline passed, connection closed" : "connection closed by the router");
+            record.line("client %s: %s", id.c_str(), result == ReadResult::Complete ? std::to_string(response.status).c_str() : result == ReadResult::TimedOut ? "deadline passed, connection closed"
+                                                                                                                                                               : "connection closed by the router");
         }
         connection.reset();
         sleepFor(static_cast<long>(random() % 200));
--- a/review/standins/FrozenAgent.cpp
+++ b/review/standins/FrozenAgent.cpp
@@ -32,7 +32,7 @@
     if (!waitUntilReady(routerAddress, site.readyPort(), 10000))
         return 2;
     std::atomic<bool> stop { false };
-    std::thread client([&] { requestStreams(record, 0, routerAddress, site.frontPort(), stop, [](long, bool) { }); });
+    std::thread client([&] { requestStreams(record, 0, routerAddress, site.frontPort(), stop, [](long, bool) {}); });
     sleepFor(3000);
 
     std::atomic<bool> isChecked { false };
--- a/review/standins/WeightsSite.h
+++ b/review/standins/WeightsSite.h
@@ -351,7 +351,8 @@
             result = connection->read(response, Clock::now() + std::chrono::seconds(7));
         }
         bool isServed = result == ReadResult::Complete && response.status == 200;
-        record.line("client %s: %s", id.c_str(), isServed ? ("200, weights " + response.header("Lavenderloft-Weight-Versions")).c_str() : result == ReadResult::Complete ? (std::to_string(response.status) + " " + response.body).c_str() : "no whole answer");
+        record.line("client %s: %s", id.c_str(), isServed ? ("200, weights " + response.header("Lavenderloft-Weight-Versions")).c_str() : result == ReadResult::Complete ? (std::to_string(response.status) + " " + response.body).c_str()
+                                                                                                                                                                         : "no whole answer");
         onEnd(sentAt, isServed);
         sleepFor(200);
     }
