--- a/review/standins/DarkReplica.cpp
+++ b/review/standins/DarkReplica.cpp
@@ -46,6 +46,7 @@
     for (int number = 0; !counts.stop; ++number) {
         auto id = "reserve-" + std::to_string(client) + "-" + std::to_string(number);
         auto connection = connectTo(routerAddress, port);
+        record.line("client sends %s", id.c_str());
         auto sentAt = Clock::now();
         if (connection && connection->write(requestText("POST", "reserve.example", "/stock/item", id, shortDeadline, "item " + id))) {
             ++counts.sent;
@@ -76,6 +77,7 @@
             continue;
         }
         Message response;
+        record.line("client sends %s", id.c_str());
         bool isSent = connection->write(requestText("POST", "booking.example", "/loans/new", id, bookingDeadline, "loan " + id));
         auto result = isSent ? connection->read(response, Clock::now() + milliseconds(bookingDeadline + 1000)) : ReadResult::Closed;
         if (result == ReadResult::Complete) {
--- a/review/standins/WeightsSite.h
+++ b/review/standins/WeightsSite.h
@@ -288,6 +288,7 @@
             ++m_active;
             version = m_version;
             bad = m_badPieces;
+            m_record.line("replica runs %s on version %lu", id.c_str(), version);
         }
         bool isOpen = connection.write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + echo + "Lavenderloft-Response-Seal: seal." + id + "\r\nLavenderloft-Weight-Versions: " + std::to_string(version) + "\r\nTransfer-Encoding: chunked\r\n\r\n");
         for (int token = 1; isOpen && token <= 5; ++token) {
@@ -344,6 +345,7 @@
     for (int number = 0; !stop; ++number) {
         auto id = "draft-" + std::to_string(client) + "-" + std::to_string(number);
         long sentAt = millisecondsSinceStart();
+        record.line("client sends %s", id.c_str());
         Message response;
         auto result = ReadResult::Closed;
         if (auto connection = connectTo(ip, port)) {
