Verify staged pieces again if a load request was delayed

Cause: the agent verifies the pieces, announces the pause and waits 60 to 760 ms, and then requests the load over a new connection, without a look at how long that took or at which process answers. An agent that was stopped meanwhile relied on a check that was seconds old; one whose engine had restarted would have had nothing loaded.

Change: the load request goes over the connection of the verification, and only if that one began at most 2 s ago and is still connected; else the pieces are verified first, three times at most. Weights that are no longer desired are not loaded. load-ordered says how old the verification was.

--- a/Source/Http/PersistentHttpClient.cpp
+++ b/Source/Http/PersistentHttpClient.cpp
@@ -40,6 +40,11 @@
 
 PersistentHttpClient::~PersistentHttpClient() = default;
 
+bool PersistentHttpClient::isConnected() const
+{
+    return m_connection && isReusable(m_connection->stream.socket());
+}
+
 void PersistentHttpClient::disconnect()
 {
     m_connection.reset();
@@ -50,7 +55,7 @@
     beast::error_code error;
     auto token = asio::redirect_error(asio::use_awaitable, error);
     // A response that arrives unasked would be taken for the response to this request.
-    if (m_connection && !isReusable(m_connection->stream.socket()))
+    if (!isConnected())
         m_connection.reset();
     if (!m_connection) {
         auto connection = std::make_unique<Connection>(m_executor);
--- a/Source/Http/PersistentHttpClient.h
+++ b/Source/Http/PersistentHttpClient.h
@@ -24,6 +24,9 @@
     // Sends the request and reads the complete response. Connecting and the exchange each have to finish within the timeout.
     boost::asio::awaitable<Base::Result<HttpResponse, HttpError>> call(HttpRequest, std::chrono::milliseconds timeout);
 
+    // Whether the connection of the last call is open, so that the next call is sent at once and to the same process.
+    bool isConnected() const;
+
     void disconnect();
 
 private:
--- a/Source/Staging/EnginePieces.cpp
+++ b/Source/Staging/EnginePieces.cpp
@@ -38,9 +38,9 @@
     m_checklist->markAllMissing();
 }
 
-asio::awaitable<void> EnginePieces::verify()
+asio::awaitable<void> EnginePieces::verify(Http::PersistentHttpClient& engine)
 {
-    auto engine = m_context.engineClient();
+    m_verificationStart = m_context.clock.now();
     for (unsigned piece = 0; piece < m_checklist->pieceCount(); ++piece) {
         auto bytes = co_await read(engine, m_checklist->manifest().model, piece);
         if (bytes && m_checklist->matches(piece, *bytes)) {
--- a/Source/Staging/EnginePieces.h
+++ b/Source/Staging/EnginePieces.h
@@ -34,7 +34,10 @@
     void restartChecklist();
 
     // Reads each piece of the checklist back from the engine and compares its digest.
-    boost::asio::awaitable<void> verify();
+    boost::asio::awaitable<void> verify(Http::PersistentHttpClient& engine);
+
+    // Time since the start of the last verification: a piece that it found whole may have turned bad since.
+    Base::Duration verificationAge() const { return m_context.clock.now() - m_verificationStart; }
 
     // Stores a piece and marks it as present. Returns false if the engine did not accept it.
     boost::asio::awaitable<bool> store(const std::string& model, unsigned piece, std::string bytes);
@@ -48,6 +51,7 @@
     std::optional<PieceChecklist> m_checklist;
     // EngineReport::startedAt of the engine that the checklist describes.
     uint64_t m_engineStart = 0;
+    Base::TimePoint m_verificationStart {};
 };
 
 } // namespace Lavenderloft::Staging
--- a/Source/Staging/PieceFetcher.cpp
+++ b/Source/Staging/PieceFetcher.cpp
@@ -62,7 +62,8 @@
         m_sources.startVersion(desired.declared.version, m_pieces.checklist()->pieceCount());
     }
     Observability::logEvent(Events::stagingStarted, { { "model", desired.model }, { "version", desired.declared.version }, { "pieces", m_pieces.checklist()->pieceCount() }, { "held_version", m_monitor.wholeVersion() } });
-    co_await m_pieces.verify();
+    auto engine = m_context.engineClient();
+    co_await m_pieces.verify(engine);
     co_return true;
 }
 
--- a/Source/Staging/WeightLoader.cpp
+++ b/Source/Staging/WeightLoader.cpp
@@ -22,6 +22,11 @@
     // A load request without effect is repeated after this time.
     constexpr std::chrono::seconds loadTimeout = 8s;
     constexpr std::chrono::milliseconds loadCheckInterval = 100ms;
+    // A load request relies on a verification that is no older. Longer than a verification and a drain take; a longer time
+    // means that the process stood still, while stored pieces may have turned bad.
+    constexpr std::chrono::milliseconds verificationLifetime = 2000ms;
+    // Verifications before a load is given up and planned anew.
+    constexpr unsigned maximumVerifications = 3;
 
 } // namespace
 
@@ -62,9 +67,10 @@
     co_await waitForLoadStart(desired);
     if (!m_monitor.isStillDesired(desired))
         co_return;
-    co_await m_pieces.verify();
+    auto engine = m_context.engineClient();
+    co_await m_pieces.verify(engine);
     if (m_pieces.checklist()->isComplete())
-        co_await load(desired);
+        co_await load(desired, engine);
 }
 
 // First made before the pieces are fetched, so that load reports can announce the abort in time. An engine that serves
@@ -97,11 +103,16 @@
         co_await Http::sleepFor(m_context.loop, checkInterval);
 }
 
-asio::awaitable<void> WeightLoader::load(const DesiredWeights& desired)
+asio::awaitable<void> WeightLoader::load(const DesiredWeights& desired, Http::PersistentHttpClient& engine)
 {
     auto mode = m_intent.plan ? m_intent.plan->mode : LoadMode::FinishRunning;
     co_await pauseRequests(mode);
-    auto response = co_await requestLoad(desired, mode);
+    bool areConfirmed = co_await confirmPieces(engine);
+    if (!areConfirmed || !m_monitor.isStillDesired(desired)) {
+        m_intent = {};
+        co_return;
+    }
+    auto response = co_await requestLoad(desired, mode, engine);
     // Without a response, the request may still have been accepted; the engine's reports show whether it was.
     if (response != LoadResponse::Conflict)
         co_await waitUntilLoaded(desired);
@@ -110,6 +121,25 @@
         Observability::logEvent(Events::weightsLoaded, { { "model", desired.model }, { "version", desired.declared.version } });
 }
 
+bool WeightLoader::isVerificationRecent() const
+{
+    return m_pieces.verificationAge() <= verificationLifetime;
+}
+
+// Returns whether the stored pieces are whole, by a verification that is recent and was made over this connection. An
+// engine that restarted since may have lost them; its end has closed the connection.
+asio::awaitable<bool> WeightLoader::confirmPieces(Http::PersistentHttpClient& engine)
+{
+    bool isConfirmed = isVerificationRecent() && engine.isConnected();
+    for (unsigned i = 0; i < maximumVerifications && !isConfirmed; ++i) {
+        co_await m_pieces.verify(engine);
+        if (!m_pieces.checklist()->isComplete())
+            co_return false;
+        isConfirmed = isVerificationRecent();
+    }
+    co_return isConfirmed;
+}
+
 asio::awaitable<void> WeightLoader::pauseRequests(LoadMode mode)
 {
     m_intent.isPaused = true;
@@ -127,14 +157,14 @@
         co_await Http::sleepFor(m_context.loop, drainCheckInterval);
 }
 
-asio::awaitable<LoadResponse> WeightLoader::requestLoad(const DesiredWeights& desired, LoadMode mode)
+asio::awaitable<LoadResponse> WeightLoader::requestLoad(const DesiredWeights& desired, LoadMode mode, Http::PersistentHttpClient& engine)
 {
-    auto engine = m_context.engineClient();
+    auto verifiedBefore = std::chrono::duration_cast<std::chrono::milliseconds>(m_pieces.verificationAge());
     auto result = co_await engine.call(m_context.protocol.loadRequest(desired.model, desired.declared.version, mode), StagingContext::engineTimeout);
     auto& report = m_monitor.report();
     auto status = Base::succeeded(result) ? Base::valueOf(result).status : 0;
     auto problem = Base::succeeded(result) ? std::string() : Base::errorOf(result).describe();
-    Observability::logEvent(Events::loadOrdered, { { "model", desired.model }, { "version", desired.declared.version }, { "running", report ? report->running : 0 }, { "queued", report ? report->queued : 0 }, { "status", status }, { "problem", problem } });
+    Observability::logEvent(Events::loadOrdered, { { "model", desired.model }, { "version", desired.declared.version }, { "running", report ? report->running : 0 }, { "queued", report ? report->queued : 0 }, { "verified_before", verifiedBefore }, { "status", status }, { "problem", problem } });
     co_return Base::succeeded(result) ? m_context.protocol.readLoadResponse(Base::valueOf(result)) : LoadResponse::Refused;
 }
 
--- a/Source/Staging/WeightLoader.h
+++ b/Source/Staging/WeightLoader.h
@@ -26,10 +26,12 @@
     boost::asio::awaitable<bool> stage(const DesiredWeights&);
     void updatePlan(const DesiredWeights&, const std::optional<Base::TimePoint>& stagedAt);
     boost::asio::awaitable<void> waitForLoadStart(const DesiredWeights&);
-    boost::asio::awaitable<void> load(const DesiredWeights&);
+    boost::asio::awaitable<void> load(const DesiredWeights&, Http::PersistentHttpClient& engine);
+    boost::asio::awaitable<bool> confirmPieces(Http::PersistentHttpClient& engine);
+    bool isVerificationRecent() const;
     boost::asio::awaitable<void> pauseRequests(LoadMode);
     boost::asio::awaitable<void> waitForRunningRequests();
-    boost::asio::awaitable<LoadResponse> requestLoad(const DesiredWeights&, LoadMode);
+    boost::asio::awaitable<LoadResponse> requestLoad(const DesiredWeights&, LoadMode, Http::PersistentHttpClient& engine);
     boost::asio::awaitable<void> waitUntilLoaded(const DesiredWeights&);
 
     const StagingContext& m_context;
--- a/Tests/Staging/StagingNodeTest.cpp
+++ b/Tests/Staging/StagingNodeTest.cpp
@@ -8,14 +8,18 @@
 
 namespace {
 
-bool holdsAllPieces(const TestEngine& engine)
+constexpr unsigned lastPiece = TestEngine::pieceCount - 1;
+
+// Calls the function once, when the engine has been read whole for the first time.
+void onFirstVerification(TestEngine& engine, std::function<void()> function)
 {
-    for (unsigned piece = 0; piece < TestEngine::pieceCount; ++piece) {
-        auto found = engine.stored.find(piece);
-        if (found == engine.stored.end() || found->second != TestEngine::contentOf(piece))
-            return false;
-    }
-    return true;
+    engine.onStoredPieceRead = [&engine, function = std::move(function)](unsigned piece) {
+        if (piece != lastPiece || !engine.holdsAllPieces())
+            return;
+        auto onVerified = function;
+        engine.onStoredPieceRead = nullptr;
+        onVerified();
+    };
 }
 
 } // namespace
@@ -28,7 +32,7 @@
     staging.declare(2);
     staging.node.start();
     cr_assert(staging.runUntilLoaded(1));
-    cr_assert(holdsAllPieces(staging.engine));
+    cr_assert(staging.engine.holdsAllPieces());
     cr_assert_eq(staging.engine.report.layers->version, 2);
     cr_assert_eq(staging.engine.fetches[3], 2, "the corrupt piece is fetched again");
     cr_assert_eq(staging.engine.fetches[0], 1);
@@ -44,7 +48,7 @@
     cr_assert(staging.runUntilLoaded(1));
     staging.engine.restart();
     cr_assert(staging.runUntilLoaded(2));
-    cr_assert(holdsAllPieces(staging.engine));
+    cr_assert(staging.engine.holdsAllPieces());
     cr_assert_eq(staging.engine.loads, 2);
     staging.engine.restart();
     cr_assert(staging.runUntilLoaded(3), "after each restart, not only the first");
@@ -114,3 +118,33 @@
     cr_assert(staging.runUntil([&] { return staging.node.handleManifestRequest(request).status == 200; }));
     cr_assert_eq(staging.engine.loads, 0, "version 2 is incomplete and still wanted");
 }
+
+// Guards against an engine that loads a piece which turned bad while the agent was stopped between the verification of
+// the pieces and the load request.
+Test(StagingNode, verifiesThePiecesAgainAfterItWasStopped)
+{
+    TestStaging staging;
+    onFirstVerification(staging.engine, [&] {
+        staging.clock.skip(std::chrono::seconds(4));
+        staging.engine.stored[2] = "damaged";
+    });
+    staging.declare(2);
+    staging.node.start();
+    cr_assert(staging.runUntilLoaded(1));
+    cr_assert_eq(staging.engine.brokenLoads, 0);
+    cr_assert_eq(staging.engine.fetches[2], 2, "the damaged piece is fetched again");
+}
+
+// Guards against an engine that is asked to load pieces which it lost by restarting after their verification.
+Test(StagingNode, loadsNothingAtAnEngineThatRestartedAfterTheVerification)
+{
+    TestStaging staging;
+    onFirstVerification(staging.engine, [&] {
+        staging.engine.restart();
+        staging.engine.closesConnection = true;
+    });
+    staging.declare(2);
+    staging.node.start();
+    cr_assert(staging.runUntilLoaded(1));
+    cr_assert_eq(staging.engine.brokenLoads, 0);
+}
--- a/Tests/Staging/TestEngine.h
+++ b/Tests/Staging/TestEngine.h
@@ -16,6 +16,18 @@
 
 namespace Lavenderloft::Staging {
 
+// The system's clock, which a test may set forward, as if the process had been stopped for that time.
+class SkippingClock final : public Base::Clock {
+public:
+    Base::TimePoint now() const override { return m_clock.now() + m_skipped; }
+    Base::WallTime wallTime() const override { return m_clock.wallTime() + m_skipped; }
+    void skip(Base::Duration duration) { m_skipped += duration; }
+
+private:
+    Base::SystemClock m_clock;
+    Base::Duration m_skipped {};
+};
+
 // An engine and its weight origin on loopback, with a protocol of plain paths. Reports come from the object itself.
 class TestEngine final : public EngineProtocol {
 public:
@@ -29,6 +41,16 @@
         report.startedAt = 100;
     }
 
+    bool holdsAllPieces() const
+    {
+        for (unsigned piece = 0; piece < pieceCount; ++piece) {
+            auto found = stored.find(piece);
+            if (found == stored.end() || found->second != contentOf(piece))
+                return false;
+        }
+        return true;
+    }
+
     static std::string contentOf(unsigned piece) { return "content of piece " + std::to_string(piece); }
 
     Http::Endpoint endpoint() const { return { "127.0.0.1", m_server->port() }; }
@@ -66,6 +88,12 @@
     EngineReport report;
     std::map<unsigned, std::string> stored;
     unsigned loads = 0;
+    // Load requests that were accepted while a piece was missing or damaged.
+    unsigned brokenLoads = 0;
+    // Called before each response to the request of a stored piece.
+    std::function<void(unsigned piece)> onStoredPieceRead;
+    // The engine closes the connection after the next response.
+    bool closesConnection = false;
     std::vector<uint64_t> loadedVersions;
     // Reports sent so far.
     unsigned reports = 0;
@@ -108,7 +136,7 @@
         if (action == "/store")
             return store(number, request.body);
         if (action == "/stored")
-            return stored.contains(number) ? Http::HttpResponse { 200, {}, stored[number] } : Http::HttpResponse { 404, {}, "" };
+            return readStored(number);
         if (action == "/load")
             return load(number);
         return { 400, {}, "" };
@@ -120,6 +148,17 @@
         return isCorrupt ? "corrupt" : contentOf(piece);
     }
 
+    Http::HttpResponse readStored(unsigned piece)
+    {
+        auto response = stored.contains(piece) ? Http::HttpResponse { 200, {}, stored[piece] } : Http::HttpResponse { 404, {}, "" };
+        if (onStoredPieceRead)
+            onStoredPieceRead(piece);
+        if (closesConnection)
+            response.headers.push_back({ "Connection", "close" });
+        closesConnection = false;
+        return response;
+    }
+
     Http::HttpResponse store(unsigned piece, const std::string& bytes)
     {
         stored[piece] = bytes;
@@ -129,6 +168,8 @@
     Http::HttpResponse load(uint64_t version)
     {
         ++loads;
+        if (!holdsAllPieces())
+            ++brokenLoads;
         loadedVersions.push_back(version);
         report.layers = Fleet::HeldLayers { 0, layerCount, version };
         return { 200, {}, "" };
@@ -150,9 +191,9 @@
     TestStaging()
         : engine(context)
         , m_settings(makeSettings(engine))
-        , m_merger(m_fleet, m_decoder, m_clock)
-        , m_peering(context, m_settings, m_peers, m_merger, m_clock, m_stalls, false)
-        , node(context, m_settings, m_fleet, engine, m_peering, m_clock, m_random)
+        , m_merger(m_fleet, m_decoder, clock)
+        , m_peering(context, m_settings, m_peers, m_merger, clock, m_stalls, false)
+        , node(context, m_settings, m_fleet, engine, m_peering, clock, m_random)
     {
     }
 
@@ -161,7 +202,7 @@
     {
         auto snapshot = std::make_shared<Fleet::FleetSnapshot>();
         snapshot->configuration = makeConfiguration();
-        snapshot->weights["m"] = { { version, m_clock.now() } };
+        snapshot->weights["m"] = { { version, clock.now() } };
         m_fleet.withContents([&](Fleet::FleetState::Contents& contents) { contents.snapshot = snapshot; });
     }
 
@@ -174,7 +215,7 @@
         configuration->services["origin"].originBitsPerSecond = 8 * pieceBytes * TestEngine::pieceCount;
         auto snapshot = std::make_shared<Fleet::FleetSnapshot>();
         snapshot->configuration = configuration;
-        snapshot->weights["m"] = { { first, m_clock.now() - interval }, { second, m_clock.now() } };
+        snapshot->weights["m"] = { { first, clock.now() - interval }, { second, clock.now() } };
         m_fleet.withContents([&](Fleet::FleetState::Contents& contents) { contents.snapshot = snapshot; });
     }
 
@@ -182,8 +223,8 @@
     bool runUntil(const std::function<bool()>& condition)
     {
         constexpr std::chrono::seconds hangTimeout { 20 };
-        auto until = m_clock.now() + hangTimeout;
-        while (!condition() && m_clock.now() < until)
+        auto until = clock.now() + hangTimeout;
+        while (!condition() && clock.now() < until)
             context.run_one_for(std::chrono::milliseconds(50));
         return condition();
     }
@@ -211,6 +252,7 @@
 
     boost::asio::io_context context { 1 };
     TestEngine engine;
+    SkippingClock clock;
 
 private:
     static Fleet::NodeSettings makeSettings(const TestEngine& engine)
@@ -234,8 +276,7 @@
         return configuration;
     }
 
-    Base::SystemClock m_clock;
-    Base::StallMonitor m_stalls { m_clock, std::chrono::milliseconds(250) };
+    Base::StallMonitor m_stalls { clock, std::chrono::milliseconds(250) };
     Base::SeededRandom m_random { 7 };
     Fleet::NodeSettings m_settings;
     Fleet::FleetState m_fleet;
