Reject a manifest of other weights from the origin as well

Cause: ManifestFetcher kept the origin's manifest under the version in the response. The comparison with what had been declared was made for responses of agents only. One changed bit in the version made the digests of version 2 those of version 3, and the pieces that were still staged matched them.

Change: one check for both sources, before a manifest is kept. The log line names what the response is a manifest of.

--- a/Source/Staging/ManifestFetcher.cpp
+++ b/Source/Staging/ManifestFetcher.cpp
@@ -25,11 +25,21 @@
         Observability::logEvent(Events::pieceUnavailable, { { "source", source }, { "problem", problem } });
     }
 
+    // The response may be corrupted. One with another version in it would let the engine load the pieces of that version.
     bool isManifestOf(const PieceManifest& manifest, const DesiredWeights& desired)
     {
         return manifest.model == desired.model && manifest.version == desired.declared.version && manifest.digests.size() == desired.pieces;
     }
 
+    // Returns the manifest if it is that of the desired weights.
+    std::optional<PieceManifest> checked(PieceManifest manifest, const DesiredWeights& desired, const std::string& source)
+    {
+        if (isManifestOf(manifest, desired))
+            return manifest;
+        logUnavailable(source, "response is a manifest of " + manifest.model + " version " + std::to_string(manifest.version) + " with " + std::to_string(manifest.digests.size()) + " pieces, not of the declared weights");
+        return std::nullopt;
+    }
+
 } // namespace
 
 ManifestFetcher::ManifestFetcher(const StagingContext& context, const EngineMonitor& monitor)
@@ -112,7 +122,7 @@
         logUnavailable("origin", Base::errorOf(manifest).describe());
         co_return std::nullopt;
     }
-    co_return Base::takeValue(std::move(manifest));
+    co_return checked(Base::takeValue(std::move(manifest)), desired, "origin");
 }
 
 asio::awaitable<std::optional<PieceManifest>> ManifestFetcher::fetchFromAnyAgent(const DesiredWeights& desired)
@@ -143,9 +153,9 @@
         co_return std::nullopt;
     }
     auto manifest = decodeManifest(response.body);
-    if (manifest && isManifestOf(*manifest, desired))
-        co_return manifest;
-    logUnavailable(address, "response is not a manifest of the declared version");
+    if (manifest)
+        co_return checked(std::move(*manifest), desired, address);
+    logUnavailable(address, "response is not a manifest");
     co_return std::nullopt;
 }
 
--- a/Tests/Staging/StagingNodeTest.cpp
+++ b/Tests/Staging/StagingNodeTest.cpp
@@ -148,3 +148,21 @@
     cr_assert(staging.runUntilLoaded(1));
     cr_assert_eq(staging.engine.brokenLoads, 0);
 }
+
+// Guards against an engine that loads the pieces of one version as the next one: the version number in the origin's
+// manifest was corrupted, and the manifest was kept for the version that it names.
+Test(StagingNode, rejectsAManifestThatNamesAnotherVersion)
+{
+    TestStaging staging;
+    staging.engine.corruptManifest = [](PieceManifest& manifest) { manifest.version = 3; };
+    staging.declare(2);
+    staging.node.start();
+    cr_assert(staging.runUntilLoaded(1));
+    Http::HttpRequest request;
+    request.target = encodeManifestPath("m", 3);
+    cr_assert_eq(staging.node.handleManifestRequest(request).status, 404, "the manifest of version 2 is kept as that of version 3");
+    staging.engine.edition = " of version 3";
+    staging.declare(3);
+    cr_assert(staging.runUntilLoaded(2));
+    cr_assert_eq(staging.engine.brokenLoads, 0);
+}
--- a/Tests/Staging/TestEngine.h
+++ b/Tests/Staging/TestEngine.h
@@ -45,13 +45,14 @@
     {
         for (unsigned piece = 0; piece < pieceCount; ++piece) {
             auto found = stored.find(piece);
-            if (found == stored.end() || found->second != contentOf(piece))
+            if (found == stored.end() || found->second != publishedContentOf(piece))
                 return false;
         }
         return true;
     }
 
     static std::string contentOf(unsigned piece) { return "content of piece " + std::to_string(piece); }
+    std::string publishedContentOf(unsigned piece) const { return contentOf(piece) + edition; }
 
     Http::Endpoint endpoint() const { return { "127.0.0.1", m_server->port() }; }
     Http::Endpoint origin() const { return { "127.0.0.1", m_origin->port() }; }
@@ -75,7 +76,9 @@
             return EngineError { EngineErrorKind::NotFound, "no such version", "declare it" };
         PieceManifest manifest { "m", std::stoul(response.body), {} };
         for (unsigned piece = 0; piece < pieceCount; ++piece)
-            manifest.digests.push_back(Base::sha256(contentOf(piece)));
+            manifest.digests.push_back(Base::sha256(publishedContentOf(piece)));
+        if (!m_manifestsRead++ && corruptManifest)
+            corruptManifest(manifest);
         return manifest;
     }
 
@@ -87,6 +90,8 @@
 
     EngineReport report;
     std::map<unsigned, std::string> stored;
+    // Makes the pieces of the published version differ from those of the versions before.
+    std::string edition;
     unsigned loads = 0;
     // Load requests that were accepted while a piece was missing or damaged.
     unsigned brokenLoads = 0;
@@ -101,6 +106,10 @@
     std::map<unsigned, unsigned> fetches;
     // The first response of the origin for this piece is corrupt.
     std::optional<unsigned> corruptPiece;
+    // Changes the first manifest that the origin sends.
+    std::function<void(PieceManifest&)> corruptManifest;
+    // Manifests that the origin has sent.
+    unsigned manifestsRead() const { return m_manifestsRead; }
     // The origin does not deliver this piece.
     std::optional<unsigned> missingPiece;
 
@@ -145,7 +154,7 @@
     std::string fetch(unsigned piece)
     {
         bool isCorrupt = !fetches[piece]++ && piece == corruptPiece;
-        return isCorrupt ? "corrupt" : contentOf(piece);
+        return isCorrupt ? "corrupt" : publishedContentOf(piece);
     }
 
     Http::HttpResponse readStored(unsigned piece)
@@ -177,6 +186,7 @@
 
     std::shared_ptr<Http::NodeServer> m_server;
     std::shared_ptr<Http::NodeServer> m_origin;
+    mutable unsigned m_manifestsRead = 0;
 };
 
 struct NoPublications final : Fleet::PublicationDecoder {
