End the registration of a cancelled attempt with the attempt

Cause: TargetExchange gave the DisconnectMonitor a function with its own address and relied on RequestHandler to take it back. The way out after a failed connect did not. If the caller closed its connection before the 503 had been written, the monitor called into the destroyed exchange.

Change: a CancelRegistration that its owner holds; the exchange ends it with itself and before its connection goes back to the pool, the wait for a lease at the end of its scope. There is nothing left to take back by hand.

--- a/Source/Proxy/DisconnectMonitor.cpp
+++ b/Source/Proxy/DisconnectMonitor.cpp
@@ -7,6 +7,27 @@
 
 namespace asio = boost::asio;
 
+CancelRegistration::CancelRegistration(std::shared_ptr<DisconnectMonitor> monitor)
+    : m_monitor(std::move(monitor))
+{
+}
+
+CancelRegistration::CancelRegistration(CancelRegistration&&) noexcept = default;
+
+CancelRegistration& CancelRegistration::operator=(CancelRegistration&& other) noexcept
+{
+    reset();
+    m_monitor = std::move(other.m_monitor);
+    return *this;
+}
+
+void CancelRegistration::reset()
+{
+    if (m_monitor)
+        m_monitor->m_cancel = nullptr;
+    m_monitor.reset();
+}
+
 DisconnectMonitor::DisconnectMonitor(asio::ip::tcp::socket& socket)
     : m_socket(socket)
 {
@@ -29,6 +50,12 @@
     m_signal.emit(asio::cancellation_type::total);
 }
 
+CancelRegistration DisconnectMonitor::callOnDisconnect(std::function<void()> cancel)
+{
+    m_cancel = std::move(cancel);
+    return CancelRegistration(shared_from_this());
+}
+
 void DisconnectMonitor::onReadable(const boost::system::error_code& error)
 {
     if (!m_active || error == asio::error::operation_aborted)
--- a/Source/Proxy/DisconnectMonitor.h
+++ b/Source/Proxy/DisconnectMonitor.h
@@ -7,6 +7,27 @@
 
 namespace Lavenderloft::Proxy {
 
+class DisconnectMonitor;
+
+// Keeps a function that cancels a pending operation registered at a DisconnectMonitor. Owned by what the function uses, so
+// that the monitor cannot call it after that is gone.
+class [[nodiscard]] CancelRegistration {
+public:
+    CancelRegistration() = default;
+    CancelRegistration(CancelRegistration&&) noexcept;
+    CancelRegistration& operator=(CancelRegistration&&) noexcept;
+    ~CancelRegistration() { reset(); }
+
+    // The monitor no longer calls the function.
+    void reset();
+
+private:
+    friend class DisconnectMonitor;
+    explicit CancelRegistration(std::shared_ptr<DisconnectMonitor>);
+
+    std::shared_ptr<DisconnectMonitor> m_monitor;
+};
+
 // Detects that a caller closes its connection while its request is in progress. Used on the event loop of the
 // connection.
 class DisconnectMonitor : public std::enable_shared_from_this<DisconnectMonitor> {
@@ -18,10 +39,13 @@
 
     bool callerDisconnected() const { return m_callerDisconnected; }
 
-    // Called when the caller disconnects, to cancel the pending operation of the request.
-    void setCancelHandler(std::function<void()> cancel) { m_cancel = std::move(cancel); }
+    // Has the function called when the caller disconnects, to cancel the pending operation of the request, for as long as
+    // the registration exists. There is one at a time: the former registration has to be reset before.
+    CancelRegistration callOnDisconnect(std::function<void()> cancel);
 
 private:
+    friend class CancelRegistration;
+
     void onReadable(const boost::system::error_code&);
 
     boost::asio::ip::tcp::socket& m_socket;
--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -206,7 +206,7 @@
         co_return std::move(*lease);
     if (auto* refusal = std::get_if<Dispatch::Refusal>(&decision))
         co_return *refusal;
-    m_disconnectMonitor->setCancelHandler([waiter] { waiter->cancel(); });
+    auto registration = m_disconnectMonitor->callOnDisconnect([waiter] { waiter->cancel(); });
     auto until = std::get<Dispatch::Queued>(decision).until;
     if (!m_disconnectMonitor->callerDisconnected())
         co_await waiter->waitFor(until - m_context.clock.now());
@@ -369,13 +369,10 @@
     ++m_history.runs;
     if (!failure)
         failure = co_await exchange.readHead(m_request.method == "HEAD", responseStartLimit(lease));
-    if (failure) {
-        m_disconnectMonitor->setCancelHandler(nullptr);
+    if (failure)
         co_return failedAs(*failure);
-    }
     recordStatement(lease.target->entry, exchange.response().head.statement);
     auto outcome = co_await relay(exchange);
-    m_disconnectMonitor->setCancelHandler(nullptr);
     exchange.releaseConnection();
     co_return outcome;
 }
--- a/Source/Proxy/TargetExchange.cpp
+++ b/Source/Proxy/TargetExchange.cpp
@@ -60,7 +60,7 @@
 {
     m_connection = std::make_unique<TargetConnection>(m_worker.context.get_executor());
     m_connection->targetId = m_target.entry.id;
-    m_disconnectMonitor.setCancelHandler([this] { m_connection->stream.cancel(); });
+    cancelOnDisconnect();
     auto& address = m_target.entry.address;
     beast::error_code error;
     auto parsed = asio::ip::make_address(address.host, error);
@@ -75,6 +75,12 @@
     co_return std::nullopt;
 }
 
+void TargetExchange::cancelOnDisconnect()
+{
+    m_cancelRegistration.reset();
+    m_cancelRegistration = m_disconnectMonitor.callOnDisconnect([this] { m_connection->stream.cancel(); });
+}
+
 asio::awaitable<TargetExchange::Failure> TargetExchange::send(const Http::HttpRequest& request, bool mayRetry, Base::TimePoint deadline)
 {
     auto idle = mayRetry ? Base::Duration(maximumIdle) : Base::Duration(maximumIdleWithoutRetry);
@@ -87,7 +93,7 @@
         if (failure)
             co_return failure;
     }
-    m_disconnectMonitor.setCancelHandler([this] { m_connection->stream.cancel(); });
+    cancelOnDisconnect();
     auto bytes = Http::serializeRequest(request);
     beast::error_code error;
     m_connection->stream.expires_after(timeUntil(deadline));
@@ -184,6 +190,7 @@
 
 void TargetExchange::releaseConnection()
 {
+    m_cancelRegistration.reset();
     if (!m_connection)
         return;
     // After a response without an id it is unknown whether further responses follow.
--- a/Source/Proxy/TargetExchange.h
+++ b/Source/Proxy/TargetExchange.h
@@ -51,6 +51,8 @@
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
     boost::asio::awaitable<Failure> connect(Base::TimePoint deadline);
+    // Has pending operations on the connection cancelled when the caller disconnects.
+    void cancelOnDisconnect();
     boost::asio::awaitable<Failure> readOneHead(bool isHeadRequest, Base::TimePoint until);
     // Whether the response that is being read surely belongs to this request.
     bool isOwnResponse() const;
@@ -67,6 +69,8 @@
     bool m_mayReadOtherResponses = false;
     std::optional<Parser> m_parser;
     Response m_response;
+    // Ends before the members that the registered function uses.
+    CancelRegistration m_cancelRegistration;
 };
 
 } // namespace Lavenderloft::Proxy
