Take the earliest observed time of a declaration

Cause: an observed time counts as exact, and an exact time never changed. But whatever delays the news makes an age too small: a datagram that waits on a link that is full of pieces counts as sent just then. A router that starts takes the first one that arrives, keeps it for good and passes it on.

Hypotheses: late datagrams (this commit); a slow store, seen by the users as an error of 190 ms, which is too small alone; a report of another region that limits an age. Ruled out by the record: a wait at the engine, 0.12 s.

Change: the errors have one sign, so the earliest observed time is the most accurate: it replaces a later one, with a tolerance of 25 ms that keeps the gossip quiet. What had to be prevented, a declaration that becomes more recent, still is. An item that a long fetch brought has an age that is too large by up to the fetch: it counts as a bound then.

Result: ApplyItems/anEarlierObservedTimeReplacesALaterOne failed on the former sources and passes.

--- a/Source/Fleet/Commands/RecordDeclaration.cpp
+++ b/Source/Fleet/Commands/RecordDeclaration.cpp
@@ -10,14 +10,23 @@
     // In force before the first declaration.
     constexpr uint64_t initialVersion = 1;
 
-    // Replaces a lower bound by a more accurate time: a node that observed the declaration knows its time exactly, one
-    // that listed it later does not. An exact time never changes, because the same declaration may arrive again over a
-    // slow connection, which would make it look more recent than it is. Returns whether the known time changed.
+    // A smaller difference to an observed time is not worth a new snapshot at every node.
+    constexpr std::chrono::milliseconds minimumRefinement { 25 };
+
+    // Whether the received time is more accurate than the known one. A node that observed the declaration knows its time,
+    // one that listed it later only a lower bound. What delays the news of an observation, a slow store or a datagram that
+    // waits on a link, makes the time look too late, never too early: the earliest observed time is the most accurate.
+    bool isMoreAccurate(const DeclaredWeights& received, const DeclaredWeights& known)
+    {
+        if (known.publishedAtIsLowerBound)
+            return !received.publishedAtIsLowerBound || received.publishedAt > known.publishedAt;
+        return !received.publishedAtIsLowerBound && known.publishedAt - received.publishedAt >= minimumRefinement;
+    }
+
+    // Returns whether the known time changed.
     bool refineTime(DeclaredWeights& known, const DeclaredWeights& received)
     {
-        if (!known.publishedAtIsLowerBound)
-            return false;
-        if (received.publishedAtIsLowerBound && received.publishedAt <= known.publishedAt)
+        if (!isMoreAccurate(received, known))
             return false;
         known.publishedAt = received.publishedAt;
         known.publishedAtIsLowerBound = received.publishedAtIsLowerBound;
--- a/Source/Peering/ItemExchange.cpp
+++ b/Source/Peering/ItemExchange.cpp
@@ -26,6 +26,8 @@
     constexpr std::chrono::seconds checkInterval = 1s;
     // Longer than a fetch takes. A router that stays behind for longer follows the store itself.
     constexpr std::chrono::milliseconds maximumLag = 700ms;
+    // Error of an age that still counts as exact.
+    constexpr std::chrono::milliseconds exactAgeTolerance = 50ms;
 
     std::optional<uint64_t> revisionInQuery(const std::string& target)
     {
@@ -41,11 +43,13 @@
         return revision;
     }
 
-    // The ages and delays of a response are those at the time when the router responded.
+    // The ages and delays of a response are those at the time when the router responded, at some time during the fetch. A
+    // long fetch leaves only an upper bound of the ages.
     void addWaitingTime(std::vector<Fleet::PublishedItem>& items, std::chrono::milliseconds duration)
     {
         for (auto& item : items) {
             item.age += duration;
+            item.ageIsBound = item.ageIsBound || duration > exactAgeTolerance;
             item.deletionDelay = std::max(item.deletionDelay - duration, 0ms);
         }
     }
--- a/Tests/Fleet/ApplyItemsTest.cpp
+++ b/Tests/Fleet/ApplyItemsTest.cpp
@@ -134,6 +134,22 @@
     cr_assert(fleet.snapshot()->weights.at("m").back().publishedAt == declaredAt);
 }
 
+// Guards against requests on old weights after the first news of a declaration had waited on a link: the node, and all to
+// which it passed the time on, took the declaration for more recent than it was, although better news arrived later.
+Test(ApplyItems, anEarlierObservedTimeReplacesALaterOne)
+{
+    TestFleetState fleet;
+    fleet.clock.advance(2h);
+    fleet.publish("w", WeightsDeclared { "m", 2 });
+    fleet.clock.advance(4s);
+    Commands::applyObservedDeclarations(fleet.state, { { "m", 2, 4940ms } }, fleet.clock.now());
+    auto& declared = fleet.snapshot()->weights.at("m").back();
+    cr_assert(declared.publishedAt == fleet.clock.now() - 4940ms);
+    cr_assert_not(declared.publishedAtIsLowerBound);
+    fleet.apply({ "w", "1", 1, false, 6s, true });
+    cr_assert(fleet.snapshot()->weights.at("m").back().publishedAt == fleet.clock.now() - 4940ms, "a bound says nothing about an observed time");
+}
+
 // Guards against a second declaration that cancels the deadline of the first.
 Test(ApplyItems, keepsTheHistoryOfDeclarations)
 {
