Count the response time of the store in the age of a declaration

What callers saw: nothing yet by itself; the users saw followers learn at 8.54 s, as exactly 150 ms old, what had been declared at 8.20 s, with platform_slow from 7.6 s. It takes 0.19 s of the margin of 1 s before old weights end.

Cause: a watch response counted as sent when it arrived, for the age of its changes and for the time up to which all items are known.

Change: a response without changes was sent after its wait, however late it arrives, so that is the time of the sync; the difference is the store's response time, by which other responses are taken back. A declaration that was observed is an upper bound first; the follower then sends a watch that waits 1 ms, and makes the time exact with what that took: the change may be as old as the delay between requests and two response times. Over 0.5 s it stays a bound. One more call for each declaration and follower.

Ruled out: a shorter wait of all watches, which bounds the error without an estimate but multiplies the calls to the store, which are priced.

aChangeThatWaitedDuringAStallHasNoExactAge waits for the second response now, because a time is exact only then; it demands what it did.

--- a/Source/Fleet/Commands/ApplyItems.cpp
+++ b/Source/Fleet/Commands/ApplyItems.cpp
@@ -78,7 +78,7 @@
         DeclaredWeights received { declared.version, now - item.age, item.ageIsBound };
         auto changed = recordDeclaration(contents.declaredWeights[declared.model], received, now - origin.maximumNewItemAge);
         for (auto& entry : changed)
-            change.declarations.push_back({ declared.model, entry });
+            change.declarations.push_back({ declared.model, entry, entry.version != declared.version });
     }
 
     // Refines the time of a declaration from another copy of the same item. Returns whether the item is a declaration.
@@ -174,7 +174,7 @@
             if (history == contents.declaredWeights.end())
                 continue;
             for (auto& entry : recordObservedDeclaration(history->second, { observed.version, now - observed.age, false }))
-                change.declarations.push_back({ observed.model, entry });
+                change.declarations.push_back({ observed.model, entry, false });
         }
         change.anything = !change.declarations.empty();
         if (change.anything)
--- a/Source/Fleet/Commands/ApplyItems.h
+++ b/Source/Fleet/Commands/ApplyItems.h
@@ -11,6 +11,8 @@
 struct LearnedDeclaration {
     std::string model;
     DeclaredWeights declared;
+    // Not published by itself: it is assumed to have been declared before a later version.
+    bool isAssumed = false;
 };
 
 // The changes made by applyItems or applyListing.
--- a/Source/Peering/ItemMerger.cpp
+++ b/Source/Peering/ItemMerger.cpp
@@ -24,10 +24,17 @@
 {
 }
 
-void ItemMerger::apply(std::vector<Fleet::PublishedItem> items, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil, std::string_view source)
+std::vector<Fleet::ObservedDeclaration> ItemMerger::apply(std::vector<Fleet::PublishedItem> items, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil, std::string_view source)
 {
     Fleet::Commands::ItemBatchOrigin origin { revision, deferDeletionsUntil, maximumNewItemAge() };
-    logChange(Fleet::Commands::applyItems(m_fleet, m_decoder, std::move(items), origin, m_clock.now()), revision, source);
+    auto change = Fleet::Commands::applyItems(m_fleet, m_decoder, std::move(items), origin, m_clock.now());
+    logChange(change, revision, source);
+    std::vector<Fleet::ObservedDeclaration> inexact;
+    for (auto& learned : change.declarations) {
+        if (learned.declared.publishedAtIsLowerBound && !learned.isAssumed)
+            inexact.push_back({ learned.model, learned.declared.version, {} });
+    }
+    return inexact;
 }
 
 void ItemMerger::applyListing(const std::string& prefix, const std::vector<std::string>& keys, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil)
--- a/Source/Peering/ItemMerger.h
+++ b/Source/Peering/ItemMerger.h
@@ -17,8 +17,8 @@
     ItemMerger(Fleet::FleetState&, const Fleet::PublicationDecoder&, const Base::Clock&);
 
     // Merges items of the store or of a peer. Ages that are only upper bounds are limited by maximumNewItemAge() for
-    // items that this node did not know.
-    void apply(std::vector<Fleet::PublishedItem>, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil, std::string_view source);
+    // items that this node did not know. Returns the declarations among the items whose times are new and not exact.
+    std::vector<Fleet::ObservedDeclaration> apply(std::vector<Fleet::PublishedItem>, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil, std::string_view source);
     void applyListing(const std::string& prefix, const std::vector<std::string>& keys, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil);
 
     // Merges declarations that another node observed.
--- a/Source/Peering/StoreFollower.cpp
+++ b/Source/Peering/StoreFollower.cpp
@@ -27,6 +27,10 @@
     constexpr std::chrono::milliseconds idleCheckInterval = 200ms;
     // How long after an outage targets may need to restore entries that expired during it.
     constexpr std::chrono::milliseconds expiredEntryGracePeriod = 1900ms;
+    // Wait of a watch request that measures how long the store takes to respond.
+    constexpr std::chrono::milliseconds probeWait = 1ms;
+    // Within this response time of the store, the time of an observed change is exact enough.
+    constexpr std::chrono::milliseconds maximumExactResponseTime = 500ms;
     // Deletions received later than this after a reconnection did not happen during the outage.
     constexpr std::chrono::milliseconds reconnectWindow = 300ms;
 
@@ -58,6 +62,8 @@
         else
             succeeded = co_await listAll();
         recordResult(succeeded);
+        if (succeeded && m_unconfirmed)
+            continue;
         co_await Http::sleepFor(m_context, succeeded ? changeBatchDelay : m_backoff);
     }
 }
@@ -68,6 +74,7 @@
     m_isFollowing = false;
     m_isWatching = false;
     m_isSuspended = true;
+    m_unconfirmed.reset();
     m_client.disconnect();
 }
 
@@ -94,6 +101,7 @@
         m_backoff = 0ms;
         return;
     }
+    m_unconfirmed.reset();
     m_backoff = m_backoff == 0ms ? initialBackoff : std::min(m_backoff * 2, maximumBackoff);
 }
 
@@ -177,12 +185,17 @@
     co_return true;
 }
 
+std::chrono::milliseconds StoreFollower::nextWait() const
+{
+    return m_unconfirmed ? probeWait : watchWait;
+}
+
 asio::awaitable<bool> StoreFollower::waitForChanges()
 {
-    auto requestedAt = m_clock.now();
-    auto result = co_await m_client.call(m_protocol.watchRequest(m_prefix, *m_revision, watchWait), watchWait + watchMargin);
+    SentWatch watch { m_clock.now(), nextWait() };
+    auto result = co_await m_client.call(m_protocol.watchRequest(m_prefix, *m_revision, watch.wait), watch.wait + watchMargin);
     if (!Base::succeeded(result)) {
-        recordFailure(Base::errorOf(result).describe(), requestedAt);
+        recordFailure(Base::errorOf(result).describe(), watch.requestedAt);
         m_client.disconnect();
         co_return false;
     }
@@ -191,48 +204,81 @@
         auto& error = Base::errorOf(batch);
         if (error.kind == Fleet::StoreErrorKind::HistoryLost) {
             m_revision.reset();
+            m_unconfirmed.reset();
             co_return true;
         }
         recordFailure(error.describe(), m_clock.now());
         co_return false;
     }
     updateConnection(true, "watching");
-    applyChanges(Base::valueOf(batch), requestedAt);
+    applyChanges(Base::valueOf(batch), watch);
     co_return true;
 }
 
-// Whether the last response was handled as soon as the store sent it. The store responds to a waiting request at once,
-// so a change is then at most as old as the delay between requests.
+// Whether the last response was handled as soon as it arrived. The store responds to a waiting request at once, so a
+// change is then at most as old as the delay between requests and the store's response time.
 bool StoreFollower::observedAtOnce() const
 {
     return m_isWatching && m_syncedAt && !m_stalls.hasStalledSince(*m_syncedAt);
 }
 
-// Time up to which a response has all items. A response that arrived while this process stood still may have been sent
-// at any time since the request.
-Base::TimePoint StoreFollower::syncTime(Base::TimePoint requestedAt) const
+// Time up to which a response has all items. Without changes the store sent it after the wait, however late it arrived. A
+// response with changes was sent at once, but at what time can only be estimated; while this process stood still, it may
+// have been sent at any time since the request.
+Base::TimePoint StoreFollower::syncTime(const Fleet::ChangeBatch& batch, const SentWatch& watch) const
 {
-    return m_stalls.hasStalledSince(requestedAt) ? requestedAt : m_clock.now();
+    auto now = m_clock.now();
+    auto waitEnd = watch.requestedAt + watch.wait;
+    if (batch.changes.empty() && waitEnd <= now)
+        return waitEnd;
+    if (m_stalls.hasStalledSince(watch.requestedAt))
+        return watch.requestedAt;
+    return std::max(watch.requestedAt, now - m_responseTime);
 }
 
-void StoreFollower::applyChanges(const Fleet::ChangeBatch& batch, Base::TimePoint requestedAt)
+void StoreFollower::applyChanges(const Fleet::ChangeBatch& batch, const SentWatch& watch)
 {
+    auto now = m_clock.now();
+    if (batch.changes.empty())
+        m_responseTime = std::max(now - watch.requestedAt - watch.wait, Base::Duration::zero());
+    else if (watch.wait == probeWait)
+        m_responseTime = now - watch.requestedAt;
+    if (m_unconfirmed)
+        confirmObserved();
+    bool isObserved = observedAtOnce();
     auto changes = batch.changes;
-    bool isAgeKnown = observedAtOnce();
     for (auto& change : changes) {
-        change.age = isAgeKnown ? changeBatchDelay : Fleet::FleetState::unknownAge;
-        change.ageIsBound = !isAgeKnown;
+        change.age = Fleet::FleetState::unknownAge;
+        change.ageIsBound = true;
     }
-    m_syncedAt = syncTime(requestedAt);
+    m_syncedAt = syncTime(batch, watch);
     m_isFollowing = true;
     m_isWatching = true;
     m_revision = std::max(*m_revision, batch.revision);
     bool hasChanges = !changes.empty();
-    if (hasChanges)
-        m_merger.apply(std::move(changes), *m_revision, deletionsDeferredUntil(), "store");
+    if (hasChanges) {
+        auto declared = m_merger.apply(std::move(changes), *m_revision, deletionsDeferredUntil(), "store");
+        if (isObserved && !declared.empty())
+            m_unconfirmed = { std::move(declared), now };
+    }
     m_merger.recordSync(*m_syncedAt);
     if (hasChanges && m_onChange)
         m_onChange();
 }
 
+// The change may have come just after the response before was sent, and both responses may have taken as long as this one.
+void StoreFollower::confirmObserved()
+{
+    auto unconfirmed = std::move(*m_unconfirmed);
+    m_unconfirmed.reset();
+    if (m_responseTime > maximumExactResponseTime || m_stalls.hasStalledSince(unconfirmed.receivedAt))
+        return;
+    auto age = m_clock.now() - unconfirmed.receivedAt + changeBatchDelay + 2 * m_responseTime;
+    for (auto& declaration : unconfirmed.declarations)
+        declaration.age = std::chrono::ceil<std::chrono::milliseconds>(age);
+    m_merger.applyObserved(unconfirmed.declarations, "store");
+    if (m_onChange)
+        m_onChange();
+}
+
 } // namespace Lavenderloft::Peering
--- a/Source/Peering/StoreFollower.h
+++ b/Source/Peering/StoreFollower.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Lavenderloft::Peering {
 
@@ -32,6 +33,19 @@
     std::optional<Base::TimePoint> syncedAt() const { return m_isFollowing ? m_syncedAt : std::nullopt; }
 
 private:
+    // A watch request that the store has answered.
+    struct SentWatch {
+        Base::TimePoint requestedAt;
+        std::chrono::milliseconds wait;
+    };
+
+    // Declarations in a response that was handled as soon as it arrived. Their time is exact once the next response shows
+    // how long the store takes to respond.
+    struct UnconfirmedDeclarations {
+        std::vector<Fleet::ObservedDeclaration> declarations;
+        Base::TimePoint receivedAt;
+    };
+
     boost::asio::awaitable<bool> listAll();
     boost::asio::awaitable<bool> waitForChanges();
     void updateConnection(bool connected, const std::string& reason);
@@ -40,9 +54,11 @@
     void resume();
     void recordResult(bool succeeded);
     void recordFailure(const std::string& reason, Base::TimePoint failedAt);
-    void applyChanges(const Fleet::ChangeBatch&, Base::TimePoint requestedAt);
+    std::chrono::milliseconds nextWait() const;
+    void applyChanges(const Fleet::ChangeBatch&, const SentWatch&);
     bool observedAtOnce() const;
-    Base::TimePoint syncTime(Base::TimePoint requestedAt) const;
+    Base::TimePoint syncTime(const Fleet::ChangeBatch&, const SentWatch&) const;
+    void confirmObserved();
 
     boost::asio::io_context& m_context;
     Http::PersistentHttpClient m_client;
@@ -64,6 +80,9 @@
     // When this node last had all changes from the store.
     std::optional<Base::TimePoint> m_syncedAt;
     std::chrono::milliseconds m_backoff { 0 };
+    // How long the store took for the last response whose time of sending is known.
+    Base::Duration m_responseTime {};
+    std::optional<UnconfirmedDeclarations> m_unconfirmed;
 };
 
 } // namespace Lavenderloft::Peering
--- a/Tests/Peering/StoreFollowerTest.cpp
+++ b/Tests/Peering/StoreFollowerTest.cpp
@@ -294,13 +294,16 @@
                 return { 200, {}, "" };
             if (test.requests.size() == 2)
                 return { 200, {}, "none" };
+            if (test.requests.size() > 3)
+                return { 200, {}, "none" };
             test.fleet.clock.advance(isSuspended ? 5000ms : 100ms);
             test.context.stop();
             return { 200, {}, "declared" };
         };
         test.run([] { return true; });
         test.context.restart();
-        while (test.fleet.snapshot()->weights.empty())
+        // The second response after the change shows how long the store takes.
+        while (test.requests.size() < 5)
             test.context.run_one();
         auto declared = test.fleet.snapshot()->weights.at("m").back();
         cr_assert_eq(declared.publishedAtIsLowerBound, isSuspended);
@@ -440,3 +443,57 @@
     cr_assert_eq(test.fleet.targetCount("s"), 1);
     cr_assert_eq(test.fleet.snapshot()->targetsByService.at("s").front()->entry.id, "2");
 }
+
+// Guards against requests on old weights because the store was slow: a change that took long to arrive counted as just
+// made, and its time as exact.
+Test(StoreFollower, aSlowResponseDoesNotMakeADeclarationMoreRecent)
+{
+    for (auto responseTime : { 200ms, 350ms, 800ms }) {
+        TestFollower test;
+        test.fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
+        test.protocol.listing.revision = 1;
+        test.protocol.changes["none"] = { {}, 1 };
+        test.protocol.changes["declared"] = { { { "w", "2", 2, false, {} } }, 2 };
+        Base::TimePoint declaredAt;
+        test.respond = [&](const std::string& target) -> Http::HttpResponse {
+            if (target == "/list")
+                return { 200, {}, "" };
+            if (test.requests.size() == 2)
+                return { 200, {}, "none" };
+            if (test.requests.size() == 3)
+                declaredAt = test.fleet.clock.now();
+            test.advanceWithTicks(responseTime);
+            return { 200, {}, test.requests.size() == 3 ? "declared" : "none" };
+        };
+        boost::asio::co_spawn(test.context, test.follower->run([] { return true; }), boost::asio::detached);
+        while (test.requests.size() < 5)
+            test.context.run_one();
+        auto declared = test.fleet.snapshot()->weights.at("m").back();
+        cr_assert_leq(declared.publishedAt.time_since_epoch().count(), declaredAt.time_since_epoch().count());
+        cr_assert_leq((declaredAt - declared.publishedAt) / 1ms, 1000, "not much older than it is either");
+        test.context.stop();
+    }
+}
+
+// Guards against items that count as complete up to the arrival of a response that was sent long before: a declaration
+// made meanwhile would look more recent than it is.
+Test(StoreFollower, aLateResponseWithoutChangesIsAsOldAsItsWait)
+{
+    TestFollower test;
+    test.protocol.listing.revision = 1;
+    test.protocol.changes["none"] = { {}, 1 };
+    Base::TimePoint requestedAt;
+    test.respond = [&](const std::string& target) -> Http::HttpResponse {
+        if (target == "/list")
+            return { 200, {}, "" };
+        if (test.requests.size() == 2) {
+            requestedAt = test.fleet.clock.now();
+            test.advanceWithTicks(1600ms + 400ms);
+        }
+        return { 200, {}, "none" };
+    };
+    boost::asio::co_spawn(test.context, test.follower->run([] { return true; }), boost::asio::detached);
+    while (test.requests.size() < 3)
+        test.context.run_one();
+    cr_assert_eq((*test.follower->syncedAt() - requestedAt) / 1ms, 1600);
+}
