Limit the ages of items by reports of the own region only

A heartbeat from another region may wait on the link between the regions and counts as sent just then. It already did not make the items complete; it still limited the ages of items that the node learned afterwards, so that a declaration looked younger than it was until an observed time arrived.

Change: such a report neither limits ages nor completes the items. A region without contact to the store takes a new declaration for older until the observed time arrives with the next datagram.

--- a/Source/Peering/ItemMerger.cpp
+++ b/Source/Peering/ItemMerger.cpp
@@ -61,9 +61,8 @@
 void ItemMerger::recordRelayedSync(Base::TimePoint time, bool isFromOwnRegion)
 {
     m_relayedSyncAt = std::max(time, m_relayedSyncAt.value_or(time));
-    extendSync(time);
     if (isFromOwnRegion)
-        Fleet::Commands::recordCompleteness(m_fleet, time);
+        recordSync(time);
 }
 
 bool ItemMerger::hasRecentRelayedSync() const
--- a/Source/Peering/ItemMerger.h
+++ b/Source/Peering/ItemMerger.h
@@ -42,8 +42,8 @@
     std::chrono::milliseconds maximumNewItemAge() const;
 
     // Records that a router relayed all items that it had received from the store up to the given time. A report from
-    // another region may have waited on the link between the regions, so that its time is too recent: it limits the ages
-    // of items, but does not make the items complete.
+    // another region may have waited on the link between the regions, so that its time is too recent: it neither limits the
+    // ages of items nor makes them complete.
     void recordRelayedSync(Base::TimePoint, bool isFromOwnRegion);
 
     Fleet::FleetState& fleet() { return m_fleet; }
--- a/Tests/Peering/PeeringNodeTest.cpp
+++ b/Tests/Peering/PeeringNodeTest.cpp
@@ -172,6 +172,27 @@
     cr_assert_eq(test.fleet.targetCount("s"), 0);
 }
 
+// Guards against requests on old weights because a report from another region waited on the congested link between the
+// regions: a declaration that the node learned afterwards counted as made after that report arrived.
+Test(PeeringNode, reportsFromOtherRegionsDoNotLimitTheAgesOfItems)
+{
+    TestNode test;
+    test.settings.region = "r-a";
+    test.settings.regionByDataCentre = { { "dc-a", "r-a" }, { "dc-b", "r-b" } };
+    auto message = messageFrom("127.0.0.9");
+    message.dataCentre = "dc-a";
+    test.deliver(message);
+    test.advanceWithTicks(2s);
+    message.sender = "127.0.0.8";
+    message.dataCentre = "dc-b";
+    test.deliver(message);
+    cr_assert_geq(test.merger.maximumNewItemAge() / 1ms, 2000);
+    message.sender = "127.0.0.9";
+    message.dataCentre = "dc-a";
+    test.deliver(message);
+    cr_assert(test.runUntil([&] { return test.merger.maximumNewItemAge() < 2000ms; }));
+}
+
 // Guards against a router that takes its configuration for the present one because a report from another region waited on
 // the congested link between the regions: on salinan-sijil-grown, scale-1, requests got 404 by an outdated configuration.
 Test(PeeringNode, reportsFromOtherRegionsDoNotMakeTheItemsComplete)
