Fetch a manifest again if the pieces contradict it

Cause: a manifest that is kept was never fetched again, and a piece that does not match was always counted against its source. With one changed bit in a digest the agent asked for that piece several times a second until its process ended.

Change: MismatchEvidence remembers the digests of bytes that did not match. The same bytes in two responses of the origin, or from two sources, contradict the manifest: it is fetched again, and a different one restarts the checklist, which keeps what matches. An agent that sends its one bad piece again and again is no evidence.

--- a/Source/Staging/Events.h
+++ b/Source/Staging/Events.h
@@ -16,5 +16,6 @@
 inline constexpr Event engineLost { 8006, "engine-lost", Level::Warning, "The local engine does not respond." };
 inline constexpr Event engineReached { 8007, "engine-reached", Level::Info, "The local engine responds." };
 inline constexpr Event pieceUnavailable { 8008, "piece-unavailable", Level::Info, "A source did not deliver a piece; trying another one." };
+inline constexpr Event manifestDisputed { 8009, "manifest-disputed", Level::Warning, "Sources agree on the bytes of a piece that does not match the manifest; fetching the manifest again." };
 
 } // namespace Lavenderloft::Staging::Events
--- a/Source/Staging/ManifestFetcher.cpp
+++ b/Source/Staging/ManifestFetcher.cpp
@@ -61,7 +61,7 @@
     }
 }
 
-// The versions that the engine may have to load, whose manifests are missing, the newest first.
+// The versions that the engine may have to load, whose manifests are missing or disputed, the newest first.
 std::vector<DesiredWeights> ManifestFetcher::missing() const
 {
     std::vector<DesiredWeights> versions;
@@ -70,13 +70,23 @@
     if (!m_monitor.report() || !newest || newest->origin.host.empty())
         return versions;
     auto heldVersion = m_monitor.wholeVersion();
-    if (newest->declared.version > heldVersion && !find(newest->declared.version))
+    if (newest->declared.version > heldVersion && isWanted(newest->declared.version))
         versions.push_back(*newest);
-    if (next->declared.version != newest->declared.version && next->declared.version > heldVersion && !find(next->declared.version))
+    if (next->declared.version != newest->declared.version && next->declared.version > heldVersion && isWanted(next->declared.version))
         versions.push_back(*next);
     return versions;
 }
 
+bool ManifestFetcher::isWanted(uint64_t version) const
+{
+    return !find(version) || m_disputed.contains(version);
+}
+
+void ManifestFetcher::dispute(uint64_t version)
+{
+    m_disputed.insert(version);
+}
+
 const PieceManifest* ManifestFetcher::find(uint64_t version) const
 {
     auto found = m_manifests.find(version);
@@ -91,6 +101,7 @@
 void ManifestFetcher::keep(PieceManifest manifest)
 {
     auto version = manifest.version;
+    m_disputed.erase(version);
     m_manifests[version] = std::move(manifest);
     if (m_manifests.size() > maximumManifests)
         m_manifests.erase(m_manifests.begin());
--- a/Source/Staging/ManifestFetcher.h
+++ b/Source/Staging/ManifestFetcher.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace Lavenderloft::Staging {
@@ -26,6 +27,10 @@
     // Returns the manifest of a version, or null if it has not been fetched yet.
     const PieceManifest* find(uint64_t version) const;
 
+    // Has the manifest of a version fetched again, because the pieces of several sources contradict it. The known one stays
+    // in use until then.
+    void dispute(uint64_t version);
+
     const std::map<uint64_t, PieceManifest>& all() const { return m_manifests; }
 
     // Whether the manifest of the version is missing and a fetch failed within failureBackoff.
@@ -40,11 +45,13 @@
     boost::asio::awaitable<std::optional<PieceManifest>> fetchFromAnyAgent(const DesiredWeights&);
     boost::asio::awaitable<std::optional<PieceManifest>> fetchFromAgent(const DesiredWeights&, const std::string& address);
     std::vector<DesiredWeights> missing() const;
+    bool isWanted(uint64_t version) const;
     void keep(PieceManifest);
 
     const StagingContext& m_context;
     const EngineMonitor& m_monitor;
     std::map<uint64_t, PieceManifest> m_manifests;
+    std::set<uint64_t> m_disputed;
     std::optional<Base::TimePoint> m_failedAt;
 };
 
--- a/Source/Staging/PieceFetcher.cpp
+++ b/Source/Staging/PieceFetcher.cpp
@@ -1,5 +1,6 @@
 #include "Staging/PieceFetcher.h"
 
+#include "Base/Digest.h"
 #include "Http/Sleep.h"
 #include "Observability/Log.h"
 #include "Staging/Commands/RequeuePiece.h"
@@ -37,7 +38,7 @@
 
 } // namespace
 
-PieceFetcher::PieceFetcher(const StagingContext& context, const EngineMonitor& monitor, const ManifestFetcher& manifests, EnginePieces& pieces)
+PieceFetcher::PieceFetcher(const StagingContext& context, const EngineMonitor& monitor, ManifestFetcher& manifests, EnginePieces& pieces)
     : m_context(context)
     , m_monitor(monitor)
     , m_manifests(manifests)
@@ -48,11 +49,11 @@
 
 asio::awaitable<bool> PieceFetcher::prepare(const DesiredWeights& desired)
 {
-    bool hasManifest = m_pieces.hasChecklistOf(desired.declared.version);
-    if (hasManifest && m_pieces.isSameEngine())
+    bool hasChecklist = hasCurrentChecklist(desired);
+    if (hasChecklist && m_pieces.isSameEngine())
         co_return true;
     m_pieces.recordEngine();
-    if (hasManifest) {
+    if (hasChecklist) {
         m_pieces.restartChecklist();
     } else {
         auto* manifest = m_manifests.find(desired.declared.version);
@@ -60,6 +61,7 @@
             co_return false;
         m_pieces.startChecklist(*manifest);
         m_sources.startVersion(desired.declared.version, m_pieces.checklist()->pieceCount());
+        m_mismatches.clear();
     }
     Observability::logEvent(Events::stagingStarted, { { "model", desired.model }, { "version", desired.declared.version }, { "pieces", m_pieces.checklist()->pieceCount() }, { "held_version", m_monitor.wholeVersion() } });
     auto engine = m_context.engineClient();
@@ -67,6 +69,14 @@
     co_return true;
 }
 
+bool PieceFetcher::hasCurrentChecklist(const DesiredWeights& desired) const
+{
+    if (!m_pieces.hasChecklistOf(desired.declared.version))
+        return false;
+    auto* manifest = m_manifests.find(desired.declared.version);
+    return !manifest || manifest->digests == m_pieces.checklist()->manifest().digests;
+}
+
 bool PieceFetcher::canFetchNewest() const
 {
     auto newest = m_context.findNewestWeights();
@@ -106,7 +116,7 @@
     std::shared_ptr<void> endOfQueue(nullptr, [running](void*) { --*running; });
     auto desired = initialDesired;
     ClientsByAddress clients;
-    while (!queue->empty() && m_monitor.isStillDesired(desired) && m_monitor.report()) {
+    while (!queue->empty() && m_monitor.isStillDesired(desired) && m_monitor.report() && hasCurrentChecklist(desired)) {
         auto piece = takeDuePiece(desired, *queue);
         if (!piece) {
             co_await Http::sleepFor(m_context.loop, dueCheckInterval);
@@ -204,10 +214,23 @@
     m_sources.recordOutcome(piece, source, outcome, m_context.clock.now());
     if (outcome == SourceOutcome::Delivered)
         return Base::takeValue(std::move(result)).body;
+    if (outcome == SourceOutcome::Corrupt)
+        recordMismatch(desired, piece, Base::valueOf(result).body, source);
     auto& event = outcome == SourceOutcome::Corrupt ? Events::pieceRejected : Events::pieceUnavailable;
     auto problem = Base::succeeded(result) ? "status " + std::to_string(Base::valueOf(result).status) : Base::errorOf(result).describe();
     Observability::logEvent(event, { { "piece", piece }, { "version", desired.declared.version }, { "source", endpoint.toString() }, { "problem", problem } });
     return std::nullopt;
 }
 
+void PieceFetcher::recordMismatch(const DesiredWeights& desired, unsigned piece, const std::string& bytes, const Queries::PieceSource& source)
+{
+    auto* agent = std::get_if<Queries::FromAgent>(&source);
+    auto kind = agent ? MismatchEvidence::Source::Agent : MismatchEvidence::Source::Origin;
+    if (!m_mismatches.record(piece, Base::sha256(bytes), kind, agent ? agent->address : "origin"))
+        return;
+    m_mismatches.clear();
+    m_manifests.dispute(desired.declared.version);
+    Observability::logEvent(Events::manifestDisputed, { { "piece", piece }, { "version", desired.declared.version }, { "source", agent ? agent->address : "origin" } });
+}
+
 } // namespace Lavenderloft::Staging
--- a/Source/Staging/PieceFetcher.h
+++ b/Source/Staging/PieceFetcher.h
@@ -3,6 +3,7 @@
 #include "Staging/EngineMonitor.h"
 #include "Staging/EnginePieces.h"
 #include "Staging/ManifestFetcher.h"
+#include "Staging/MismatchEvidence.h"
 #include "Staging/PieceSources.h"
 #include "Staging/StagingContext.h"
 
@@ -19,7 +20,7 @@
 // engine. Runs on one event loop.
 class PieceFetcher {
 public:
-    PieceFetcher(const StagingContext&, const EngineMonitor&, const ManifestFetcher&, EnginePieces&);
+    PieceFetcher(const StagingContext&, const EngineMonitor&, ManifestFetcher&, EnginePieces&);
 
     // Begins the checklist of the desired weights, unless it describes them and the running engine already. Returns
     // false if the manifest is not available.
@@ -47,15 +48,19 @@
     boost::asio::awaitable<std::optional<std::string>> fetchFromOrigin(const DesiredWeights&, unsigned piece);
     void recordOriginState(bool isReachable);
     std::optional<std::string> takePieceFrom(const DesiredWeights&, unsigned piece, const Queries::PieceSource&, const Http::Endpoint&, PieceResult);
+    void recordMismatch(const DesiredWeights&, unsigned piece, const std::string& bytes, const Queries::PieceSource&);
+    // Whether the checklist is that of the manifest, which may have been fetched again.
+    bool hasCurrentChecklist(const DesiredWeights&) const;
     std::optional<unsigned> takeDuePiece(const DesiredWeights&, Queue&);
     Queue orderMissing(const DesiredWeights&);
     std::vector<Queries::SourceAgent> otherAgents(const DesiredWeights&) const;
 
     const StagingContext& m_context;
     const EngineMonitor& m_monitor;
-    const ManifestFetcher& m_manifests;
+    ManifestFetcher& m_manifests;
     EnginePieces& m_pieces;
     PieceSources m_sources;
+    MismatchEvidence m_mismatches;
     bool m_isUsingOrigin = false;
     bool m_isOriginAway = false;
     Base::TimePoint m_originBackoffUntil {};
--- a/Tests/Staging/StagingNodeTest.cpp
+++ b/Tests/Staging/StagingNodeTest.cpp
@@ -166,3 +166,17 @@
     cr_assert(staging.runUntilLoaded(2));
     cr_assert_eq(staging.engine.brokenLoads, 0);
 }
+
+// Guards against an agent that asks for one piece for ever, and an engine that never gets its weights: a digest in the
+// origin's manifest was corrupted.
+Test(StagingNode, fetchesTheManifestAgainIfTheOriginContradictsIt)
+{
+    TestStaging staging;
+    staging.engine.corruptManifest = [](PieceManifest& manifest) { manifest.digests[3].front() ^= 1; };
+    staging.declare(2);
+    staging.node.start();
+    cr_assert(staging.runUntilLoaded(1));
+    cr_assert_eq(staging.engine.brokenLoads, 0);
+    cr_assert_eq(staging.engine.manifestsRead(), 2);
+    cr_assert_eq(staging.engine.fetches[0], 1, "pieces that match are not fetched again");
+}
