Hold each request body once, and all of them within a limit

Cause: a body was held as received, in the request for the target, and serialized, until its target had read it; nothing limited the sum of bodies.

Change: the head is serialized alone and the body sent from where it is held. BodyBudget limits all bodies to half of memory_mb; a body that does not fit is refused before it is read (503, Retry-After, body_memory), one in chunks once it does not fit any more. The rest of a request that is not read whole is discarded for up to 3 s, so that the caller can read the response. CallerServer::serve is split at the request.

--- a/Source/Fleet/NodeSettings.h
+++ b/Source/Fleet/NodeSettings.h
@@ -54,6 +54,8 @@
     std::string localService;
     // Bandwidth of this VM's link; zero if unknown.
     double linkBitsPerSecond = 0;
+    // Memory that the process may use; zero if unknown.
+    uint64_t memoryBytes = 0;
     FleetBounds bounds;
 
     std::string regionOf(const std::string& otherDataCentre) const
--- a/Source/Http/WireFormat.cpp
+++ b/Source/Http/WireFormat.cpp
@@ -42,17 +42,22 @@
     return headers;
 }
 
-std::string serializeRequest(const HttpRequest& request)
+std::string serializeRequestHead(const HttpRequest& request, size_t bodyBytes)
 {
     std::string bytes;
     bytes.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
     appendHeaders(bytes, request.headers);
-    if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD"))
-        bytes.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
-    bytes.append("\r\n").append(request.body);
+    if (bodyBytes > 0 || (request.method != "GET" && request.method != "HEAD"))
+        bytes.append("Content-Length: ").append(std::to_string(bodyBytes)).append("\r\n");
+    bytes.append("\r\n");
     return bytes;
 }
 
+std::string serializeRequest(const HttpRequest& request)
+{
+    return serializeRequestHead(request, request.body.size()).append(request.body);
+}
+
 std::string serializeResponse(const HttpResponse& response, bool keepAlive)
 {
     std::string bytes;
--- a/Source/Http/WireFormat.h
+++ b/Source/Http/WireFormat.h
@@ -10,6 +10,9 @@
 
 HttpHeaders copyHeaders(const boost::beast::http::fields&);
 
+// Serializes the request line and headers of a request whose body follows separately.
+std::string serializeRequestHead(const HttpRequest&, size_t bodyBytes);
+
 // Adds a Content-Length header if the body is not empty or the method is neither GET nor HEAD.
 std::string serializeRequest(const HttpRequest&);
 
--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -61,6 +61,12 @@
     constexpr std::chrono::milliseconds drainMargin = 250ms;
     constexpr std::chrono::milliseconds drainCheckInterval = 100ms;
 
+    // Request bodies may use half of the memory. The rest is for the fleet state, connections and streams.
+    uint64_t bodyLimitBytes(const Fleet::NodeSettings& settings)
+    {
+        return settings.memoryBytes > 0 ? settings.memoryBytes / 2 : Proxy::BodyBudget::defaultLimitBytes;
+    }
+
     uint64_t randomSeed()
     {
         std::random_device device;
@@ -75,7 +81,7 @@
             , m_stalls(m_clock, queueServiceInterval)
             , m_merger(m_fleet, platform.publications(), m_clock)
             , m_dispatch(m_fleet, settings, std::make_unique<Dispatch::PowerOfTwoChoicesPolicy>(), std::make_unique<Dispatch::BoundedWaitPolicy>(), std::make_unique<Base::SeededRandom>(randomSeed()))
-            , m_proxy { platform.callers(), m_fleet, m_dispatch, m_clock, m_metrics }
+            , m_proxy { platform.callers(), m_fleet, m_dispatch, m_clock, m_metrics, Proxy::BodyBudget(bodyLimitBytes(settings)) }
             , m_peering(m_pool.context(0), settings, m_peers, m_merger, m_clock, m_stalls, true)
             , m_signals(m_pool.context(0), SIGTERM, SIGINT)
             , m_reload(platform)
--- /dev/null
+++ b/Source/Proxy/BodyBudget.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+
+namespace Lavenderloft::Proxy {
+
+// Limit for the memory of all request bodies that a router holds: a body is held until its target has read it, and targets
+// may read slowly. Thread-safe.
+class BodyBudget {
+public:
+    // For a VM whose memory is unknown.
+    static constexpr uint64_t defaultLimitBytes = 64 * 1024 * 1024;
+
+    explicit BodyBudget(uint64_t limitBytes)
+        : m_limitBytes(limitBytes)
+    {
+    }
+
+    // Reserves the bytes. Returns false and reserves nothing if that would exceed the limit.
+    bool tryReserve(uint64_t bytes);
+
+    void release(uint64_t bytes) { m_heldBytes -= bytes; }
+
+    uint64_t heldBytes() const { return m_heldBytes; }
+
+private:
+    const uint64_t m_limitBytes;
+    std::atomic<uint64_t> m_heldBytes { 0 };
+};
+
+// What one request has reserved of the budget; released at the end of its life.
+class BodyReservation {
+public:
+    explicit BodyReservation(BodyBudget& budget)
+        : m_budget(budget)
+    {
+    }
+
+    BodyReservation(const BodyReservation&) = delete;
+    BodyReservation& operator=(const BodyReservation&) = delete;
+    ~BodyReservation() { m_budget.release(m_bytes); }
+
+    // Makes the reservation at least that large. Returns false if the budget is exhausted.
+    bool growTo(uint64_t bytes);
+
+private:
+    BodyBudget& m_budget;
+    uint64_t m_bytes = 0;
+};
+
+} // namespace Lavenderloft::Proxy
--- a/Source/Proxy/CallerServer.cpp
+++ b/Source/Proxy/CallerServer.cpp
@@ -5,6 +5,7 @@
 #include "Http/WireFormat.h"
 #include "Proxy/RequestHandler.h"
 
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -28,6 +29,9 @@
     // Time to receive the body after the head, and to send an error for a malformed request.
     constexpr std::chrono::seconds bodyTimeout = 10s;
     constexpr size_t firstReadBytes = 2048;
+    // After a response to a request that was not read whole. Longer than a caller takes to send the largest body.
+    constexpr std::chrono::seconds discardTimeout = 3s;
+    constexpr size_t discardBytes = 4096;
 
     Fleet::CallerLimits limitsInForce(const ProxyContext& context)
     {
@@ -47,6 +51,17 @@
         return error.category() == beast::error_code(http::error::bad_method).category() ? 400 : 0;
     }
 
+    // Reads what the caller still sends, so that closing the connection does not reset it before the response was read.
+    asio::awaitable<void> discardUntilClosed(beast::tcp_stream& stream)
+    {
+        beast::error_code error;
+        stream.socket().shutdown(tcp::socket::shutdown_send, error);
+        stream.expires_after(discardTimeout);
+        std::array<char, discardBytes> bytes;
+        while (!error)
+            co_await stream.async_read_some(asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+    }
+
     asio::awaitable<void> rejectMalformed(beast::tcp_stream& stream, unsigned status)
     {
         Http::HttpResponse response;
@@ -55,7 +70,42 @@
         beast::error_code error;
         stream.expires_after(bodyTimeout);
         co_await asio::async_write(stream, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
-        stream.socket().shutdown(tcp::socket::shutdown_send, error);
+        co_await discardUntilClosed(stream);
+    }
+
+    using RequestParser = http::request_parser<http::string_body>;
+
+    enum class BodyRead {
+        Complete,
+        Failed,
+        NoMemory,
+    };
+
+    // Reads the body as far as there is memory for it.
+    asio::awaitable<BodyRead> readBody(beast::tcp_stream& stream, beast::flat_buffer& buffer, RequestParser& parser, BodyReservation& reservation, beast::error_code& error)
+    {
+        auto length = parser.content_length();
+        if (length && !reservation.growTo(*length))
+            co_return BodyRead::NoMemory;
+        stream.expires_after(bodyTimeout);
+        while (!parser.is_done()) {
+            co_await http::async_read_some(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+            if (error)
+                co_return BodyRead::Failed;
+            if (!reservation.growTo(parser.get().body().size()))
+                co_return BodyRead::NoMemory;
+        }
+        co_return BodyRead::Complete;
+    }
+
+    Http::HttpRequest takeRequest(http::request<http::string_body> message)
+    {
+        Http::HttpRequest request;
+        request.method = std::string(message.method_string());
+        request.target = std::string(message.target());
+        request.headers = Http::copyHeaders(message);
+        request.body = std::move(message.body());
+        return request;
     }
 
 } // namespace
@@ -109,6 +159,36 @@
     }
 }
 
+asio::awaitable<bool> CallerServer::serveRequest(ProxyWorker& worker, beast::tcp_stream& stream, beast::flat_buffer& buffer)
+{
+    auto limits = limitsInForce(m_context);
+    RequestParser parser;
+    parser.header_limit(static_cast<uint32_t>(limits.maximumHeaderBytes));
+    parser.body_limit(limits.maximumBodyBytes);
+    stream.expires_after(limits.headerTimeout);
+    beast::error_code error;
+    co_await http::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    BodyReservation reservation(m_context.bodies);
+    auto body = BodyRead::Failed;
+    if (!error)
+        body = co_await readBody(stream, buffer, parser, reservation, error);
+    if (body == BodyRead::Failed) {
+        if (auto status = statusOf(error))
+            co_await rejectMalformed(stream, status);
+        co_return false;
+    }
+    auto message = parser.release();
+    bool keepAlive = message.keep_alive() && body == BodyRead::Complete;
+    auto handler = std::make_unique<RequestHandler>(m_context, worker, stream, takeRequest(std::move(message)), keepAlive);
+    if (body == BodyRead::NoMemory) {
+        co_await handler->refuseForMemory();
+        co_await discardUntilClosed(stream);
+        co_return false;
+    }
+    bool mayContinue = co_await handler->run();
+    co_return mayContinue;
+}
+
 asio::awaitable<void> CallerServer::serve(ProxyWorker& worker, tcp::socket socket)
 {
     auto self = shared_from_this();
@@ -119,9 +199,8 @@
     stream.socket().set_option(tcp::no_delay(true), error);
     bool keepAlive = true;
     while (keepAlive) {
-        auto limits = limitsInForce(m_context);
         if (buffer.size() == 0) {
-            stream.expires_after(limits.idleTimeout);
+            stream.expires_after(limitsInForce(m_context).idleTimeout);
             worker.idleCallers.insert(&stream);
             auto count = co_await stream.async_read_some(buffer.prepare(firstReadBytes), token);
             worker.idleCallers.erase(&stream);
@@ -129,28 +208,7 @@
                 co_return;
             buffer.commit(count);
         }
-        http::request_parser<http::string_body> parser;
-        parser.header_limit(static_cast<uint32_t>(limits.maximumHeaderBytes));
-        parser.body_limit(limits.maximumBodyBytes);
-        stream.expires_after(limits.headerTimeout);
-        co_await http::async_read_header(stream, buffer, parser, token);
-        if (!error) {
-            stream.expires_after(bodyTimeout);
-            co_await http::async_read(stream, buffer, parser, token);
-        }
-        if (error) {
-            if (auto status = statusOf(error))
-                co_await rejectMalformed(stream, status);
-            co_return;
-        }
-        auto message = parser.release();
-        Http::HttpRequest request;
-        request.method = std::string(message.method_string());
-        request.target = std::string(message.target());
-        request.headers = Http::copyHeaders(message);
-        request.body = std::move(message.body());
-        auto handler = std::make_unique<RequestHandler>(m_context, worker, stream, std::move(request), message.keep_alive());
-        keepAlive = co_await handler->run();
+        keepAlive = co_await serveRequest(worker, stream, buffer);
     }
     // Flushes pending data instead of resetting the connection.
     stream.socket().shutdown(tcp::socket::shutdown_send, error);
--- a/Source/Proxy/CallerServer.h
+++ b/Source/Proxy/CallerServer.h
@@ -4,6 +4,8 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
 #include <memory>
 #include <vector>
 
@@ -26,6 +28,8 @@
 
 private:
     boost::asio::awaitable<void> acceptConnections();
+    // Reads one request and serves it. Returns whether the connection can be used for another one.
+    boost::asio::awaitable<bool> serveRequest(ProxyWorker&, boost::beast::tcp_stream&, boost::beast::flat_buffer&);
     boost::asio::awaitable<void> serve(ProxyWorker&, boost::asio::ip::tcp::socket);
 
     ProxyContext& m_context;
--- a/Source/Proxy/ProxyContext.h
+++ b/Source/Proxy/ProxyContext.h
@@ -5,6 +5,7 @@
 #include "Fleet/FleetState.h"
 #include "Fleet/NodeSettings.h"
 #include "Observability/Metrics.h"
+#include "Proxy/BodyBudget.h"
 #include "Proxy/CallerProtocol.h"
 #include "Proxy/ConnectionPool.h"
 
@@ -22,6 +23,7 @@
     Dispatch::DispatchState& dispatch;
     const Base::Clock& clock;
     Observability::Metrics& metrics;
+    BodyBudget bodies { BodyBudget::defaultLimitBytes };
     // Connections are closed after the response in progress.
     std::atomic<bool> draining { false };
     // The process is about to exit; new requests are refused.
--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -39,6 +39,8 @@
     constexpr std::chrono::milliseconds outdatedConfigurationRetryAfter = 300ms;
     // Short, because the next connection of the caller goes to another node.
     constexpr std::chrono::milliseconds closingRetryAfter = 50ms;
+    // Targets that read slowly free the memory of a body within seconds.
+    constexpr std::chrono::milliseconds bodyMemoryRetryAfter = 1000ms;
     // Matches no region; an empty list would allow all regions.
     const std::string noRegion;
     constexpr size_t maximumRefusalBytes = 16 * 1024;
@@ -151,6 +153,12 @@
     co_return mayKeep;
 }
 
+asio::awaitable<void> RequestHandler::refuseForMemory()
+{
+    co_await respondWithError(503, "body_memory", bodyMemoryRetryAfter);
+    --m_context.openRequests;
+}
+
 asio::awaitable<bool> RequestHandler::resolve()
 {
     m_snapshot = Fleet::Queries::currentSnapshot(m_context.fleet);
@@ -303,7 +311,7 @@
     Dispatch::Commands::recordBrokenRun(m_context.dispatch, m_traits.fingerprint, m_traits.service, target, now, std::move(suspectParts));
 }
 
-Http::HttpRequest RequestHandler::forwardedRequest(const Dispatch::Lease& lease) const
+Http::HttpRequest RequestHandler::forwardedHead(const Dispatch::Lease& lease) const
 {
     ForwardedFields forwarding;
     forwarding.timeLeft = timeLeft();
@@ -318,7 +326,6 @@
     request.method = m_request.method;
     request.target = m_request.target;
     request.headers = m_context.protocol.forwardedHeaders(m_request.headers, forwarding);
-    request.body = m_request.body;
     return request;
 }
 
@@ -362,7 +369,7 @@
 {
     TargetExchange exchange(m_context, m_worker, *m_disconnectMonitor, *lease.target, m_head.requestId);
     ++m_history.attempts;
-    auto failure = co_await exchange.send(forwardedRequest(lease), mayRetry(), m_traits.deadline);
+    auto failure = co_await exchange.send(forwardedHead(lease), m_request.body, mayRetry(), m_traits.deadline);
     if (failure == AttemptEnd::NotSent)
         co_return failedAs(*failure);
     m_reachedTarget = true;
--- a/Source/Proxy/RequestHandler.h
+++ b/Source/Proxy/RequestHandler.h
@@ -23,6 +23,10 @@
     // Sends the response. Returns whether the caller's connection can be used for another request.
     boost::asio::awaitable<bool> run();
 
+    // Refuses the request, because there is no memory for its body. The rest of the request is not read, so the connection
+    // can't be used again.
+    boost::asio::awaitable<void> refuseForMemory();
+
 private:
     using AttemptEnd = Dispatch::Queries::AttemptEnd;
 
@@ -51,7 +55,8 @@
     boost::asio::awaitable<AttemptOutcome> forward(TargetExchange&);
     boost::asio::awaitable<AttemptOutcome> forwardEvents(TargetExchange&);
     AttemptOutcome outcomeOf(const CallerResponse::Forwarded&, unsigned status, std::string_view reason);
-    Http::HttpRequest forwardedRequest(const Dispatch::Lease&) const;
+    // The request that the target gets, without its body.
+    Http::HttpRequest forwardedHead(const Dispatch::Lease&) const;
 
     AttemptOutcome failedAs(AttemptEnd, unsigned status = 0) const;
     AttemptOutcome finishedAs(Dispatch::Commands::AttemptResult) const;
--- a/Source/Proxy/TargetExchange.cpp
+++ b/Source/Proxy/TargetExchange.cpp
@@ -3,6 +3,7 @@
 #include "Http/WireFormat.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -81,7 +82,7 @@
     m_cancelRegistration = m_disconnectMonitor.callOnDisconnect([this] { m_connection->stream.cancel(); });
 }
 
-asio::awaitable<TargetExchange::Failure> TargetExchange::send(const Http::HttpRequest& request, bool mayRetry, Base::TimePoint deadline)
+asio::awaitable<TargetExchange::Failure> TargetExchange::send(const Http::HttpRequest& head, std::string_view body, bool mayRetry, Base::TimePoint deadline)
 {
     auto idle = mayRetry ? Base::Duration(maximumIdle) : Base::Duration(maximumIdleWithoutRetry);
     // The response to a request without an id can be recognised on a new connection only.
@@ -94,10 +95,11 @@
             co_return failure;
     }
     cancelOnDisconnect();
-    auto bytes = Http::serializeRequest(request);
+    auto serializedHead = Http::serializeRequestHead(head, body.size());
+    std::array<asio::const_buffer, 2> buffers { asio::buffer(serializedHead), asio::buffer(body) };
     beast::error_code error;
     m_connection->stream.expires_after(timeUntil(deadline));
-    co_await asio::async_write(m_connection->stream, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+    co_await asio::async_write(m_connection->stream, buffers, asio::redirect_error(asio::use_awaitable, error));
     if (error)
         co_return describeFailure(error);
     co_return std::nullopt;
--- a/Source/Proxy/TargetExchange.h
+++ b/Source/Proxy/TargetExchange.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace Lavenderloft::Proxy {
 
@@ -28,8 +29,9 @@
     // The request id is empty if the caller sent none.
     TargetExchange(ProxyContext&, ProxyWorker&, DisconnectMonitor&, const Fleet::KnownTarget&, std::string requestId);
 
-    // Sends the request over a pooled or a new connection.
-    boost::asio::awaitable<Failure> send(const Http::HttpRequest&, bool mayRetry, Base::TimePoint deadline);
+    // Sends the request over a pooled or a new connection. The body is taken from where it is held, because it may be large
+    // and its target slow.
+    boost::asio::awaitable<Failure> send(const Http::HttpRequest& head, std::string_view body, bool mayRetry, Base::TimePoint deadline);
 
     // Reads the head of the response; skips responses to other requests.
     boost::asio::awaitable<Failure> readHead(bool isHeadRequest, Base::TimePoint until);
--- a/Tests/Platform/SettingsDecoderTest.cpp
+++ b/Tests/Platform/SettingsDecoderTest.cpp
@@ -25,6 +25,7 @@
   - "10.2.0.37:8000"
 limits:
   link_mbps: 9.4
+  memory_mb: 160
 some_new_field: [1, 2]
 bounds:
   grace_s: 8
@@ -50,6 +51,7 @@
     cr_assert_eq(settings.bounds.weights.count(), 9000);
     cr_assert_eq(settings.bounds.grace.count(), 8000);
     cr_assert_float_eq(settings.linkBitsPerSecond, 9.4e6, 1);
+    cr_assert_eq(settings.memoryBytes, 160u * 1024 * 1024);
     cr_assert_not(settings.localEngine.has_value());
 }
 
--- a/Tests/Proxy/DisconnectTest.cpp
+++ b/Tests/Proxy/DisconnectTest.cpp
@@ -72,7 +72,7 @@
     ExchangeStorage storage;
     auto& exchange = storage.construct(router.context(), worker, *caller.monitor, target, "id");
     std::optional<TargetExchange::Failure> failure;
-    boost::asio::co_spawn(context, exchange.send({}, false, router.clock().now() + std::chrono::seconds(1)), [&](std::exception_ptr, TargetExchange::Failure ended) { failure = ended; });
+    boost::asio::co_spawn(context, exchange.send({}, {}, false, router.clock().now() + std::chrono::seconds(1)), [&](std::exception_ptr, TargetExchange::Failure ended) { failure = ended; });
     while (!failure)
         context.run_one();
     cr_assert(*failure == Dispatch::Queries::AttemptEnd::NotSent);
--- a/Tests/Proxy/TestRouter.h
+++ b/Tests/Proxy/TestRouter.h
@@ -21,10 +21,10 @@
     static constexpr std::chrono::milliseconds callerDeadline { 30000 };
 
     // Connections of callers, and the idle connections to targets, are distributed over the event loops.
-    explicit TestRouter(unsigned eventLoops = 2)
+    explicit TestRouter(unsigned eventLoops = 2, uint64_t bodyLimitBytes = BodyBudget::defaultLimitBytes)
         : m_pool(eventLoops)
         , m_dispatch(m_fleet.state, nodeSettings(), std::make_unique<Dispatch::PowerOfTwoChoicesPolicy>(), std::make_unique<Dispatch::BoundedWaitPolicy>(), std::make_unique<Base::SeededRandom>(1))
-        , m_context { m_codec, m_fleet.state, m_dispatch, m_clock, m_metrics }
+        , m_context { m_codec, m_fleet.state, m_dispatch, m_clock, m_metrics, BodyBudget(bodyLimitBytes) }
     {
         for (size_t i = 0; i < m_pool.size(); ++i)
             m_workers.emplace_back(new ProxyWorker { m_pool.context(i), {}, {} });
@@ -82,10 +82,12 @@
         m_fleet.publish("w", Fleet::WeightsDeclared { "m", 2 }, age);
     }
 
-    void addTarget(const std::string& id, const ScriptedTarget& target)
+    void addTarget(const std::string& id, const ScriptedTarget& target) { addTargetAt(id, target.port()); }
+
+    void addTargetAt(const std::string& id, uint16_t port, unsigned slots = 4)
     {
-        auto published = Fleet::targetOf(id, "s");
-        published.entry.address = { "127.0.0.1", target.port() };
+        auto published = Fleet::targetOf(id, "s", "dc-a", slots);
+        published.entry.address = { "127.0.0.1", port };
         published.entry.layers = Fleet::HeldLayers { 0, m_layers, 1 };
         m_fleet.publish("t/" + id, published);
     }
