Add a soak of real router processes under overlapping faults

The soak starts routers as processes, a store, targets behind links that delay, lose and reset, and callers that keep their connections until these are closed. Signals (stop, kill, freeze, reload), configurations, draining targets, a slow, rejecting or silent store, and misbehaving targets are drawn from a seed and overlap. Even seeds have planned work only, and every request that a target ran must be answered. Checked from what callers and targets see: MIXED, UNASKED, TWICE, REFUSED, ORDER, DENIED, processes that end by themselves or not within the grace period, and that the fleet serves again; with planned work also LOST and answers after the deadline.

LAVENDERLOFT_SOAK_SEED, _RUNS and _ROUTERS set longer runs by hand.

--- /dev/null
+++ b/Tests/Soak/NodeProcess.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <optional>
+#include <string>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace Lavenderloft::Soak {
+
+// A program of this build that runs as a process of its own and is faulted by signals.
+class NodeProcess {
+public:
+    NodeProcess(std::string command, std::string settingsPath, std::string logPath)
+        : m_command(std::move(command))
+        , m_settingsPath(std::move(settingsPath))
+        , m_logPath(std::move(logPath))
+    {
+        start();
+    }
+
+    NodeProcess(const NodeProcess&) = delete;
+    NodeProcess& operator=(const NodeProcess&) = delete;
+    ~NodeProcess() { kill(); }
+
+    void start()
+    {
+        m_pid = ::fork();
+        if (m_pid == 0)
+            runChild();
+    }
+
+    bool isRunning() const { return m_pid > 0; }
+
+    void signal(int number) const
+    {
+        if (m_pid > 0)
+            ::kill(m_pid, number);
+    }
+
+    // Ends the process and waits for its end.
+    void kill()
+    {
+        if (m_pid <= 0)
+            return;
+        ::kill(m_pid, SIGKILL);
+        ::waitpid(m_pid, nullptr, 0);
+        m_pid = -1;
+    }
+
+    // Returns the wait status once the process has ended by itself or after a signal.
+    std::optional<int> takeEnd()
+    {
+        int status = 0;
+        if (m_pid <= 0 || ::waitpid(m_pid, &status, WNOHANG) != m_pid)
+            return std::nullopt;
+        m_pid = -1;
+        return status;
+    }
+
+private:
+    [[noreturn]] void runChild()
+    {
+        // The process ends with the test, also if that is killed.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+        int log = ::open(m_logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+        ::dup2(log, STDOUT_FILENO);
+        ::dup2(log, STDERR_FILENO);
+        ::setenv("LAVENDERLOFT_SETTINGS", m_settingsPath.c_str(), 1);
+        ::execl(LAVENDERLOFT_BINARY_DIR "/lavenderloft", "lavenderloft", m_command.c_str(), static_cast<char*>(nullptr));
+        ::_exit(127);
+    }
+
+    std::string m_command;
+    std::string m_settingsPath;
+    std::string m_logPath;
+    pid_t m_pid = -1;
+};
+
+} // namespace Lavenderloft::Soak
--- /dev/null
+++ b/Tests/Soak/SoakCallers.h
@@ -0,0 +1,185 @@
+#pragma once
+
+#include "Http/PersistentHttpClient.h"
+#include "Soak/SoakFleet.h"
+
+namespace Lavenderloft::Soak {
+
+// Callers that keep using open connections until these are closed, and the load balancer in front of the routers.
+class SoakCallers {
+public:
+    static constexpr std::chrono::milliseconds deadline { 2000 };
+
+    // If all faults are planned ones, each request that a target runs must be answered.
+    SoakCallers(SoakFleet& fleet, bool expectsAllAnswers, unsigned seed)
+        : m_fleet(fleet)
+        , m_expectsAllAnswers(expectsAllAnswers)
+        , m_random(seed)
+    {
+    }
+
+    void start(unsigned callersPerKind)
+    {
+        for (size_t i = 0; i < m_fleet.routers.size(); ++i)
+            asio::co_spawn(m_fleet.context, probe(i), asio::detached);
+        for (auto kind : { RequestKind::Idempotent, RequestKind::AtMostOnce, RequestKind::Stream }) {
+            for (unsigned i = 0; i < callersPerKind; ++i)
+                asio::co_spawn(m_fleet.context, call(kind), asio::detached);
+        }
+    }
+
+    void stop() { m_isStopping = true; }
+    bool haveAllStopped() const { return m_running == 0; }
+    bool isAnyRouterReady() const
+    {
+        return std::any_of(m_fleet.routers.begin(), m_fleet.routers.end(), [](auto& router) { return router.isReady; });
+    }
+
+private:
+    using Response = http::response<http::string_body>;
+
+    // The balancer takes a router out after two checks in a row without a 200.
+    asio::awaitable<void> probe(size_t index)
+    {
+        unsigned failures = 0;
+        while (!m_isStopping) {
+            Http::PersistentHttpClient client(m_fleet.context.get_executor(), { m_fleet.routers[index].address, m_fleet.readyPort() });
+            Http::HttpRequest request;
+            request.target = "/api/readyz";
+            auto result = co_await client.call(std::move(request), std::chrono::milliseconds(300));
+            bool isReady = Base::succeeded(result) && Base::valueOf(result).status == 200;
+            failures = isReady ? 0 : failures + 1;
+            m_fleet.routers[index].isReady = isReady || (m_fleet.routers[index].isReady && failures < 2);
+            co_await pause(std::chrono::milliseconds(400));
+        }
+    }
+
+    std::string chooseRouter()
+    {
+        std::vector<std::string> ready;
+        for (auto& router : m_fleet.routers) {
+            if (router.isReady)
+                ready.push_back(router.address);
+        }
+        return ready.empty() ? std::string() : ready[m_random() % ready.size()];
+    }
+
+    asio::awaitable<void> call(RequestKind kind)
+    {
+        ++m_running;
+        std::unique_ptr<beast::tcp_stream> stream;
+        while (!m_isStopping) {
+            co_await pause(std::chrono::milliseconds(20 + m_random() % 100));
+            if (!stream)
+                stream = co_await connect();
+            if (!stream)
+                continue;
+            bool isOpen = co_await sendRequest(*stream, kind);
+            if (!isOpen)
+                stream.reset();
+        }
+        --m_running;
+    }
+
+    asio::awaitable<std::unique_ptr<beast::tcp_stream>> connect()
+    {
+        auto address = chooseRouter();
+        if (address.empty())
+            co_return nullptr;
+        auto stream = std::make_unique<beast::tcp_stream>(m_fleet.context);
+        boost::system::error_code error;
+        stream->expires_after(std::chrono::milliseconds(500));
+        co_await stream->async_connect(tcp::endpoint(asio::ip::make_address(address), m_fleet.callerPort()), asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            stream.reset();
+        co_return stream;
+    }
+
+    static std::string serialize(RequestKind kind, const std::string& id)
+    {
+        auto line = kind == RequestKind::Idempotent ? "GET /stock/1" : kind == RequestKind::AtMostOnce ? "POST /loan/1"
+                                                                                                       : "POST /draft/1";
+        auto body = RequestLedger::bodyOf(id);
+        return std::string(line) + " HTTP/1.1\r\nHost: soak.example\r\nLavenderloft-Request-Id: " + id + "\r\nLavenderloft-Deadline-Ms: " + std::to_string(deadline.count()) + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    // Returns whether the connection can be used again.
+    asio::awaitable<bool> sendRequest(beast::tcp_stream& stream, RequestKind kind)
+    {
+        auto id = m_fleet.ledger.open(kind);
+        auto bytes = serialize(kind, id);
+        boost::system::error_code error;
+        stream.expires_after(deadline + answerSlack);
+        co_await asio::async_write(stream, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+        http::response_parser<http::string_body> parser;
+        parser.eager(true);
+        beast::flat_buffer buffer;
+        if (!error)
+            co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            recordMissingAnswer(id, kind, error, parser);
+            co_return false;
+        }
+        bool isServed = checkAnswer(id, kind, parser.get());
+        m_fleet.ledger.recordEnd(id, isServed);
+        if (buffer.size() > 0)
+            m_fleet.ledger.addViolation("MIXED", id + " got bytes behind its answer");
+        co_return parser.get().keep_alive();
+    }
+
+    void recordMissingAnswer(const std::string& id, RequestKind kind, const boost::system::error_code& error, const http::response_parser<http::string_body>& parser)
+    {
+        auto& ledger = m_fleet.ledger;
+        ledger.recordEnd(id, false);
+        if (error.category() == beast::error_code(http::error::bad_method).category() && error != http::error::end_of_stream && error != http::error::partial_message)
+            ledger.addViolation("MIXED", id + " got bytes that are no answer: " + error.message());
+        if (parser.is_header_done() && parser.get().result_int() / 100 == 2)
+            checkEvents(id, kind, parser.get().body(), false);
+        if (m_expectsAllAnswers && ledger.hasRun(id))
+            ledger.addViolation("LOST", id + " was run and its connection ended without a complete answer: " + error.message());
+        if (m_expectsAllAnswers && error == beast::error::timeout)
+            ledger.addViolation("HELD", id + " had no answer after its deadline");
+    }
+
+    bool checkAnswer(const std::string& id, RequestKind kind, const Response& response)
+    {
+        auto status = response.result_int();
+        auto& ledger = m_fleet.ledger;
+        if (status / 100 == 2) {
+            bool isOwn = response["Lavenderloft-Response-Seal"] == "seal." + id;
+            if (!isOwn || (kind != RequestKind::Stream && response.body() != RequestLedger::answerTo(id)))
+                ledger.addViolation("MIXED", id + " got another answer: " + response.body());
+            if (kind == RequestKind::Stream)
+                checkEvents(id, kind, response.body(), true);
+            return true;
+        }
+        if (status == 408 || status == 421 || status == 429 || status == 503)
+            ledger.recordRefusal(id, status);
+        else if (status < 500)
+            ledger.addViolation("DENIED", id + " got " + std::to_string(status));
+        return false;
+    }
+
+    // The events of a stream must follow each other; one that ends as complete must have all of them.
+    void checkEvents(const std::string& id, RequestKind kind, const std::string& body, bool isComplete)
+    {
+        if (kind != RequestKind::Stream)
+            return;
+        std::string expected;
+        for (unsigned number = 1; number <= streamEvents; ++number)
+            expected += eventOf(id, number);
+        if (isComplete ? body != expected : !expected.starts_with(body))
+            m_fleet.ledger.addViolation("ORDER", id + " got the events: " + body);
+    }
+
+    // How much later than its deadline a caller waits for an answer.
+    static constexpr std::chrono::milliseconds answerSlack { 1500 };
+
+    SoakFleet& m_fleet;
+    bool m_expectsAllAnswers;
+    std::mt19937 m_random;
+    bool m_isStopping = false;
+    unsigned m_running = 0;
+};
+
+} // namespace Lavenderloft::Soak
--- /dev/null
+++ b/Tests/Soak/SoakTarget.h
@@ -0,0 +1,168 @@
+#pragma once
+
+#include "Soak/FaultyLink.h"
+#include "Soak/RequestLedger.h"
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <random>
+
+namespace Lavenderloft::Soak {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+inline constexpr unsigned streamEvents = 10;
+
+inline std::string eventOf(const std::string& id, unsigned number)
+{
+    return "id: " + std::to_string(number) + "\ndata: " + id + " " + std::to_string(number) + "\n\n";
+}
+
+// A target of a plain service or of streams, which misbehaves as it is told.
+class SoakTarget {
+public:
+    enum class Behaviour {
+        Sound,
+        // Refuses each request and states that it did not run.
+        Refusing,
+        // Runs each request and resets the connection.
+        Resetting,
+        // Runs each request and closes the connection inside the head of the response.
+        CuttingHead,
+        // Runs each request and sends nothing.
+        Hanging,
+        // Runs each request and responds late.
+        Slow,
+        // Runs each request and sends the response twice.
+        Repeating,
+    };
+
+    SoakTarget(asio::io_context& context, RequestLedger& ledger, unsigned seed)
+        : m_context(context)
+        , m_ledger(ledger)
+        , m_random(seed)
+        , m_acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+        , m_link(context, m_acceptor.local_endpoint().port())
+    {
+        asio::co_spawn(context, accept(), asio::detached);
+    }
+
+    FaultyLink& link() { return m_link; }
+
+    // The id under which the target is published; requests for another one are rejected.
+    std::string id;
+    Behaviour behaviour = Behaviour::Sound;
+    // While true, the target accepts nothing and its connections are reset.
+    bool isDown = false;
+
+    void crash()
+    {
+        isDown = true;
+        m_link.resetConnections();
+    }
+
+private:
+    using Request = http::request<http::string_body>;
+
+    asio::awaitable<void> accept()
+    {
+        while (true) {
+            boost::system::error_code error;
+            auto socket = co_await m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+            if (error)
+                co_return;
+            if (!isDown)
+                asio::co_spawn(m_context, serve(std::move(socket)), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> serve(tcp::socket socket)
+    {
+        beast::tcp_stream stream(std::move(socket));
+        beast::flat_buffer buffer;
+        boost::system::error_code error;
+        bool isOpen = true;
+        while (isOpen) {
+            Request request;
+            co_await http::async_read(stream, buffer, request, asio::redirect_error(asio::use_awaitable, error));
+            if (error || isDown)
+                co_return;
+            isOpen = co_await respond(stream, request);
+        }
+    }
+
+    static std::string headOf(unsigned status, const std::string& id, const std::string& fields)
+    {
+        return "HTTP/1.1 " + std::to_string(status) + " X\r\nLavenderloft-Request-Id: " + id + "\r\n" + fields;
+    }
+
+    asio::awaitable<bool> write(beast::tcp_stream& stream, std::string bytes)
+    {
+        boost::system::error_code error;
+        co_await asio::async_write(stream, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+        co_return !error;
+    }
+
+    // Returns whether the connection stays open.
+    asio::awaitable<bool> respond(beast::tcp_stream& stream, const Request& request)
+    {
+        auto requestId = std::string(request["Lavenderloft-Request-Id"]);
+        if (request["Lavenderloft-Expect-Instance"] != id)
+            co_return co_await write(stream, headOf(421, requestId, "Content-Length: 0\r\n\r\n"));
+        if (behaviour == Behaviour::Refusing)
+            co_return co_await write(stream, headOf(503, requestId, "Lavenderloft-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"));
+        m_ledger.recordRun(requestId, request.body());
+        auto current = behaviour;
+        co_await pause(std::chrono::milliseconds(10 + m_random() % 60));
+        if (current == Behaviour::Slow)
+            co_await pause(std::chrono::milliseconds(700));
+        if (current == Behaviour::Hanging)
+            co_await pause(std::chrono::seconds(6));
+        if (current == Behaviour::Hanging)
+            co_return false;
+        if (current == Behaviour::Resetting) {
+            boost::system::error_code ignored;
+            stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+            co_return false;
+        }
+        auto seal = "Lavenderloft-Response-Seal: seal." + requestId + "\r\nKeep-Alive: timeout=10\r\n";
+        if (current == Behaviour::CuttingHead) {
+            co_await write(stream, headOf(200, requestId, seal));
+            co_return false;
+        }
+        if (request.target().starts_with("/draft"))
+            co_return co_await respondWithEvents(stream, request, headOf(200, requestId, seal));
+        auto body = RequestLedger::answerTo(requestId);
+        auto response = headOf(200, requestId, seal) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        if (current == Behaviour::Repeating)
+            response += response;
+        co_return co_await write(stream, response);
+    }
+
+    asio::awaitable<bool> respondWithEvents(beast::tcp_stream& stream, const Request& request, std::string head)
+    {
+        auto requestId = std::string(request["Lavenderloft-Request-Id"]);
+        auto lastEvent = std::string(request["Last-Event-Id"]);
+        unsigned next = lastEvent.empty() ? 1 : static_cast<unsigned>(std::stoul(lastEvent)) + 1;
+        bool isOpen = co_await write(stream, head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        for (; isOpen && next <= streamEvents; ++next) {
+            co_await pause(std::chrono::milliseconds(20));
+            auto event = eventOf(requestId, next);
+            char size[16];
+            std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
+            isOpen = co_await write(stream, size + event + "\r\n");
+        }
+        if (isOpen)
+            isOpen = co_await write(stream, "0\r\n\r\n");
+        co_return isOpen;
+    }
+
+    asio::io_context& m_context;
+    RequestLedger& m_ledger;
+    std::mt19937 m_random;
+    tcp::acceptor m_acceptor;
+    FaultyLink m_link;
+};
+
+} // namespace Lavenderloft::Soak
--- /dev/null
+++ b/Tests/Soak/SoakTest.cpp
@@ -0,0 +1,307 @@
+#include "Soak/SoakCallers.h"
+
+#include <criterion/criterion.h>
+#include <iostream>
+
+using namespace Lavenderloft;
+using namespace Lavenderloft::Soak;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto startTimeout = 10s;
+// Time in which faults begin, and the longest duration of one.
+constexpr auto faultTime = 7000ms;
+constexpr auto maximumFaultDuration = 2500ms;
+// After the last fault, until the fleet must serve again, and for how long that is measured.
+constexpr auto recoveryTime = 4000ms;
+constexpr auto measuredTime = 1500ms;
+constexpr unsigned callersPerKind = 6;
+
+unsigned numberFromEnvironment(const char* name, unsigned standard)
+{
+    auto* value = std::getenv(name);
+    return value ? static_cast<unsigned>(std::stoul(value)) : standard;
+}
+
+// One run: a fleet, its callers, and faults that are drawn from a seed and overlap.
+class SoakRun {
+public:
+    SoakRun(unsigned seed, unsigned routers)
+        : m_isPlanned(seed % 2 == 0)
+        , m_random(seed)
+        , m_fleet(seed, routers)
+        , m_callers(m_fleet, m_isPlanned, seed)
+    {
+    }
+
+    // Returns the broken promises.
+    std::vector<std::string> run()
+    {
+        asio::co_spawn(m_fleet.context, watchProcesses(), asio::detached);
+        m_callers.start(callersPerKind);
+        auto startedBy = SteadyClock::now() + startTimeout;
+        runWhile([&] { return !m_callers.isAnyRouterReady() && SteadyClock::now() < startedBy; });
+        runFor(1s);
+        startFaults();
+        runFor(faultTime + maximumFaultDuration);
+        runWhile([&] { return m_faults > 0; });
+        runFor(recoveryTime);
+        auto measuredSince = SteadyClock::now();
+        runFor(measuredTime);
+        checkRecovery(measuredSince);
+        m_callers.stop();
+        auto stoppedBy = SteadyClock::now() + 2 * SoakCallers::deadline;
+        runWhile([&] { return !m_callers.haveAllStopped() && SteadyClock::now() < stoppedBy; });
+        if (m_fleet.ledger.violations().empty())
+            m_fleet.removeFolder();
+        return m_fleet.ledger.violations();
+    }
+
+    std::string describe() const
+    {
+        return std::string(m_isPlanned ? "planned work" : "faults") + ", " + std::to_string(m_begun) + " begun, " + std::to_string(m_fleet.ledger.requestCount()) + " requests; logs in " + m_fleet.describeFolder();
+    }
+
+private:
+    using Fault = asio::awaitable<void> (SoakRun::*)();
+
+    void runWhile(const std::function<bool()>& condition)
+    {
+        while (condition())
+            m_fleet.context.run_one_for(20ms);
+    }
+
+    void runFor(std::chrono::milliseconds duration)
+    {
+        auto until = SteadyClock::now() + duration;
+        runWhile([&] { return SteadyClock::now() < until; });
+    }
+
+    std::chrono::milliseconds drawDuration(std::chrono::milliseconds minimum, std::chrono::milliseconds maximum)
+    {
+        return minimum + std::chrono::milliseconds(m_random() % static_cast<unsigned>((maximum - minimum).count()));
+    }
+
+    SoakTarget& drawTarget() { return *m_fleet.targets[m_random() % m_fleet.targets.size()]; }
+
+    void startFaults()
+    {
+        static const std::vector<Fault> planned { &SoakRun::stopRouter, &SoakRun::stopRouter, &SoakRun::reloadRouter, &SoakRun::changeConfiguration, &SoakRun::drainTarget, &SoakRun::slowStore };
+        static const std::vector<Fault> unplanned { &SoakRun::stopRouter, &SoakRun::killRouter, &SoakRun::freezeRouter, &SoakRun::reloadRouter, &SoakRun::changeConfiguration, &SoakRun::drainTarget,
+            &SoakRun::slowStore, &SoakRun::rejectAtStore, &SoakRun::silenceStore, &SoakRun::crashTarget, &SoakRun::misbehaveTarget, &SoakRun::misbehaveTarget, &SoakRun::misbehaveTarget,
+            &SoakRun::delayLink, &SoakRun::silenceLink, &SoakRun::resetLink };
+        auto& kinds = m_isPlanned ? planned : unplanned;
+        unsigned count = m_isPlanned ? 8 : 20;
+        for (unsigned i = 0; i < count; ++i)
+            asio::co_spawn(m_fleet.context, runFault(kinds[m_random() % kinds.size()], drawDuration(0ms, faultTime)), asio::detached);
+    }
+
+    asio::awaitable<void> runFault(Fault fault, std::chrono::milliseconds start)
+    {
+        ++m_faults;
+        ++m_begun;
+        co_await pause(start);
+        co_await (this->*fault)();
+        --m_faults;
+    }
+
+    // Routers that end are started again. One that ends without an order is at fault.
+    asio::awaitable<void> watchProcesses()
+    {
+        while (true) {
+            for (auto& router : m_fleet.routers) {
+                auto status = router.process->takeEnd();
+                if (!status)
+                    continue;
+                bool isClean = WIFEXITED(*status) && WEXITSTATUS(*status) == 0;
+                if (!router.mayEnd || !isClean)
+                    m_fleet.ledger.addViolation("ENDED", router.address + " ended by itself, wait status " + std::to_string(*status));
+                router.mayEnd = false;
+                router.process->start();
+            }
+            co_await pause(20ms);
+        }
+    }
+
+    // The first router that runs and is not stopping, beginning at a random one; null unless another one is ready.
+    SoakRouter* drawRouter()
+    {
+        auto& routers = m_fleet.routers;
+        auto ready = std::count_if(routers.begin(), routers.end(), [](auto& router) { return router.isReady && !router.mayEnd; });
+        for (size_t i = 0, first = m_random() % routers.size(); i < routers.size() && ready > 1; ++i) {
+            auto& router = routers[(first + i) % routers.size()];
+            if (router.isReady && !router.mayEnd)
+                return &router;
+        }
+        return nullptr;
+    }
+
+    asio::awaitable<void> stopRouter()
+    {
+        auto* router = drawRouter();
+        if (!router)
+            co_return;
+        router->mayEnd = true;
+        router->process->signal(SIGTERM);
+        auto until = SteadyClock::now() + SoakFleet::grace;
+        while (router->mayEnd && SteadyClock::now() < until)
+            co_await pause(20ms);
+        if (router->mayEnd) {
+            m_fleet.ledger.addViolation("STOP", router->address + " did not end within the grace period");
+            restart(*router);
+        }
+    }
+
+    void restart(SoakRouter& router)
+    {
+        router.process->kill();
+        router.mayEnd = false;
+        router.process->start();
+    }
+
+    asio::awaitable<void> killRouter()
+    {
+        if (auto* router = drawRouter())
+            restart(*router);
+        co_return;
+    }
+
+    asio::awaitable<void> freezeRouter()
+    {
+        auto* router = drawRouter();
+        if (!router)
+            co_return;
+        router->process->signal(SIGSTOP);
+        co_await pause(drawDuration(200ms, maximumFaultDuration));
+        router->process->signal(SIGCONT);
+    }
+
+    asio::awaitable<void> reloadRouter()
+    {
+        for (unsigned i = 0; i < 3; ++i) {
+            if (auto* router = drawRouter())
+                router->process->signal(SIGHUP);
+            co_await pause(100ms);
+        }
+    }
+
+    asio::awaitable<void> changeConfiguration()
+    {
+        for (unsigned i = 0; i < 3; ++i) {
+            m_fleet.publishConfiguration();
+            co_await pause(drawDuration(20ms, 300ms));
+        }
+    }
+
+    // A planned end of a target: it reports that it drains, leaves, and another one takes its address.
+    asio::awaitable<void> drainTarget()
+    {
+        auto index = static_cast<unsigned>(m_random() % m_fleet.targets.size());
+        auto id = m_fleet.targets[index]->id;
+        m_fleet.publishTarget(index, "draining");
+        co_await pause(maximumFaultDuration);
+        if (m_fleet.targets[index]->id != id)
+            co_return;
+        m_fleet.removeTarget(index);
+        m_fleet.publishTarget(index, "ready");
+    }
+
+    asio::awaitable<void> slowStore()
+    {
+        m_fleet.store.responseTime = 200ms;
+        co_await pause(drawDuration(500ms, maximumFaultDuration));
+        m_fleet.store.responseTime = 2ms;
+    }
+
+    asio::awaitable<void> rejectAtStore()
+    {
+        m_fleet.store.isRejecting = true;
+        co_await pause(drawDuration(500ms, maximumFaultDuration));
+        m_fleet.store.isRejecting = false;
+    }
+
+    asio::awaitable<void> silenceStore()
+    {
+        m_fleet.store.link().isSilentToCaller = true;
+        co_await pause(drawDuration(500ms, maximumFaultDuration));
+        m_fleet.store.link().isSilentToCaller = false;
+        m_fleet.store.link().resetConnections();
+    }
+
+    asio::awaitable<void> crashTarget()
+    {
+        auto& target = drawTarget();
+        target.crash();
+        co_await pause(drawDuration(300ms, maximumFaultDuration));
+        target.isDown = false;
+    }
+
+    asio::awaitable<void> misbehaveTarget()
+    {
+        static constexpr SoakTarget::Behaviour behaviours[] { SoakTarget::Behaviour::Refusing, SoakTarget::Behaviour::Resetting, SoakTarget::Behaviour::CuttingHead, SoakTarget::Behaviour::Hanging, SoakTarget::Behaviour::Slow, SoakTarget::Behaviour::Repeating };
+        auto& target = drawTarget();
+        target.behaviour = behaviours[m_random() % std::size(behaviours)];
+        co_await pause(drawDuration(300ms, maximumFaultDuration));
+        target.behaviour = SoakTarget::Behaviour::Sound;
+    }
+
+    asio::awaitable<void> delayLink()
+    {
+        auto& link = drawTarget().link();
+        link.delay = drawDuration(100ms, 900ms);
+        co_await pause(drawDuration(300ms, maximumFaultDuration));
+        link.delay = 0ms;
+    }
+
+    asio::awaitable<void> silenceLink()
+    {
+        auto& link = drawTarget().link();
+        auto& isSilent = m_random() % 2 ? link.isSilentToServer : link.isSilentToCaller;
+        isSilent = true;
+        co_await pause(drawDuration(300ms, maximumFaultDuration));
+        isSilent = false;
+        link.resetConnections();
+    }
+
+    asio::awaitable<void> resetLink()
+    {
+        drawTarget().link().resetConnections();
+        co_return;
+    }
+
+    void checkRecovery(SteadyClock::time_point since)
+    {
+        auto [ended, served] = m_fleet.ledger.endsSince(since);
+        if (ended == 0 || served * 10 < ended * 9)
+            m_fleet.ledger.addViolation("RECOVER", std::to_string(served) + " of " + std::to_string(ended) + " requests are served after the last fault");
+    }
+
+    bool m_isPlanned;
+    std::mt19937 m_random;
+    SoakFleet m_fleet;
+    SoakCallers m_callers;
+    unsigned m_faults = 0;
+    unsigned m_begun = 0;
+};
+
+} // namespace
+
+// Real router processes under signals and faults in overlapping series. The number of runs, the first seed and the number
+// of routers can be set in the environment for longer runs by hand.
+Test(Soak, keepsItsPromises)
+{
+    auto first = numberFromEnvironment("LAVENDERLOFT_SOAK_SEED", 1);
+    auto runs = numberFromEnvironment("LAVENDERLOFT_SOAK_RUNS", 4);
+    auto routers = numberFromEnvironment("LAVENDERLOFT_SOAK_ROUTERS", 3);
+    size_t broken = 0;
+    for (auto seed = first; seed < first + runs; ++seed) {
+        SoakRun run(seed, routers);
+        auto violations = run.run();
+        std::cerr << "soak seed " << seed << ": " << run.describe() << "; " << violations.size() << " broken promises" << std::endl;
+        for (auto& violation : violations)
+            std::cerr << "  " << violation << std::endl;
+        broken += violations.empty() ? 0 : 1;
+    }
+    cr_assert_eq(broken, 0, "%zu of %u seeds broke a promise", broken, runs);
+}
