Use the seeds of a reload between routers too

Cause: the router gave its peering node the settings of its start, while a reload changes the router's own copy. A router whose seeds had all been replaced before it started never found the others, whatever the settings file said later.

Change: the peering node refers to the copy that reloads change; both run on the first event loop.

--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -82,7 +82,7 @@
             , m_merger(m_fleet, platform.publications(), m_clock)
             , m_dispatch(m_fleet, settings, std::make_unique<Dispatch::PowerOfTwoChoicesPolicy>(), std::make_unique<Dispatch::BoundedWaitPolicy>(), std::make_unique<Base::SeededRandom>(randomSeed()))
             , m_proxy { platform.callers(), m_fleet, m_dispatch, m_clock, m_metrics, Proxy::BodyBudget(bodyLimitBytes(settings)) }
-            , m_peering(m_pool.context(0), settings, m_peers, m_merger, m_clock, m_stalls, true)
+            , m_peering(m_pool.context(0), m_settings, m_peers, m_merger, m_clock, m_stalls, true)
             , m_signals(m_pool.context(0), SIGTERM, SIGINT)
             , m_reload(platform)
             , m_startedAt(m_clock.now())
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -26,7 +26,8 @@
     static constexpr unsigned targetsPerService = 3;
     static constexpr std::chrono::milliseconds grace { 8000 };
 
-    SoakFleet(unsigned seed, unsigned routerCount)
+    // Without known seeds, the settings of the routers name only an address at which nobody is.
+    SoakFleet(unsigned seed, unsigned routerCount, bool areSeedsKnown = true)
         : store(context)
         , m_folder(makeFolder(seed))
         , m_subnet("127.0." + std::to_string(1 + seed % 250) + ".")
@@ -38,9 +39,26 @@
         }
         publishConfiguration();
         for (unsigned i = 0; i < routerCount; ++i)
-            routers.push_back(startRouter(i));
+            routers.push_back(startRouter(i, areSeedsKnown ? std::vector<unsigned> { 0, 1 } : std::vector<unsigned> { unusedRouter }));
     }
 
+    // Writes the settings file of a router, with the given routers as its seeds.
+    void writeSettings(unsigned router, const std::vector<unsigned>& seeds) const
+    {
+        auto address = addressOf(router);
+        std::ofstream file(settingsOf(router));
+        file << "node: \"" << nameOf(router) << "\"\nip: \"" << address << "\"\nzone: \"zone-a\"\nregion: \"region-a\"\nzones:\n  zone-a: \"region-a\"\n"
+             << "listen:\n  front: \"" << address << ":" << callerPort() << "\"\n  ready: \"" << address << ":" << readyPort() << "\"\n"
+             << "port_range:\n  - " << m_firstPort << "\n  - " << m_firstPort + 15 << "\nseeds:\n";
+        for (auto seed : seeds)
+            file << "  - \"" << addressOf(seed) << ":" << m_firstPort + 19 << "\"\n";
+        file << "limits: {memory_mb: 260, link_mbps: 1000.0}\nbounds: {grace_s: " << grace / std::chrono::seconds(1) << ", config_apply_ms: 2000, version_ms: 8000, retry_budget_ratio: 0.2, budget_window_s: 10, retry_slack: 100}\n"
+             << "platform: {address: \"127.0.0.1:" << store.link().port() << "\"}\n";
+    }
+
+    // Address and port of a router's metrics.
+    Http::Endpoint metricsOf(unsigned router) const { return { addressOf(router), m_firstPort }; }
+
     std::string describeFolder() const { return m_folder.string(); }
     void removeFolder() const { std::filesystem::remove_all(m_folder); }
 
@@ -131,24 +149,21 @@
         }
     }
 
-    SoakRouter startRouter(unsigned index)
+    static std::string nameOf(unsigned router) { return "router-" + std::to_string(router); }
+    std::filesystem::path settingsOf(unsigned router) const { return m_folder / (nameOf(router) + ".yaml"); }
+
+    SoakRouter startRouter(unsigned index, const std::vector<unsigned>& seeds)
     {
-        auto address = addressOf(index);
-        auto name = "router-" + std::to_string(index);
-        auto settings = m_folder / (name + ".yaml");
-        std::ofstream file(settings);
-        file << "node: \"" << name << "\"\nip: \"" << address << "\"\nzone: \"zone-a\"\nregion: \"region-a\"\nzones:\n  zone-a: \"region-a\"\n"
-             << "listen:\n  front: \"" << address << ":" << callerPort() << "\"\n  ready: \"" << address << ":" << readyPort() << "\"\n"
-             << "port_range:\n  - " << m_firstPort << "\n  - " << m_firstPort + 15 << "\nseeds:\n  - \"" << addressOf(0) << ":" << m_firstPort + 19 << "\"\n  - \"" << addressOf(1) << ":" << m_firstPort + 19 << "\"\n"
-             << "limits: {memory_mb: 260, link_mbps: 1000.0}\nbounds: {grace_s: " << grace / std::chrono::seconds(1) << ", config_apply_ms: 2000, version_ms: 8000, retry_budget_ratio: 0.2, budget_window_s: 10, retry_slack: 100}\n"
-             << "platform: {address: \"127.0.0.1:" << store.link().port() << "\"}\n";
-        file.close();
+        writeSettings(index, seeds);
         SoakRouter router;
-        router.address = address;
-        router.process = std::make_unique<NodeProcess>("node-router", settings, m_folder / (name + ".log"));
+        router.address = addressOf(index);
+        router.process = std::make_unique<NodeProcess>("node-router", settingsOf(index), m_folder / (nameOf(index) + ".log"));
         return router;
     }
 
+    // No router has this number.
+    static constexpr unsigned unusedRouter = 250;
+
     std::filesystem::path m_folder;
     std::string m_subnet;
     unsigned m_starts = 0;
--- a/Tests/Soak/SoakStore.h
+++ b/Tests/Soak/SoakStore.h
@@ -19,6 +19,7 @@
     }
 
     FaultyLink& link() { return m_link; }
+    const FaultyLink& link() const { return m_link; }
     bool isRejecting = false;
     std::chrono::milliseconds responseTime { 2 };
 
