Keep requests with allowed regions from targets in unknown data centres

Cause: a data centre that the settings do not name has the empty region, and so has the list for a route and an organisation without a region in common. Such a target seemed to be allowed to just those requests that no region may serve. It takes an entry with an odd zone.

Change: a target without a region is in none of the allowed ones.

Result: Candidates/excludeUnknownDataCentresFromAllowedRegions failed on the former sources and passes.

--- a/Source/Dispatch/Queries/FindCandidates.cpp
+++ b/Source/Dispatch/Queries/FindCandidates.cpp
@@ -47,7 +47,7 @@
                 return false;
             if (contains(m_traits.triedTargets, entry.id))
                 return false;
-            if (!m_traits.allowedRegions.empty() && !contains(m_traits.allowedRegions, m_state.settings().regionOf(entry.dataCentre)))
+            if (!m_traits.allowedRegions.empty() && !isInAllowedRegion(entry))
                 return false;
             if (runtime && (runtime->backoffUntil > m_now || refusesRequests(entry, *runtime)))
                 return false;
@@ -61,6 +61,13 @@
             return weights > 0 && weights >= m_minimumWeightsVersion;
         }
 
+        // A target in a data centre that the settings do not name is in no region, so it is in none of the allowed ones.
+        bool isInAllowedRegion(const Fleet::TargetEntry& entry) const
+        {
+            auto region = m_state.settings().regionOf(entry.dataCentre);
+            return !region.empty() && contains(m_traits.allowedRegions, region);
+        }
+
         // Whether the target has said that it takes no requests. This goes before what its entry says.
         bool refusesRequests(const Fleet::TargetEntry& entry, const TargetRuntime& runtime) const
         {
--- a/Tests/Dispatch/CandidatesTest.cpp
+++ b/Tests/Dispatch/CandidatesTest.cpp
@@ -42,6 +42,19 @@
     cr_assert(isLease(test.acquire(traits)));
 }
 
+// Guards against requests that leave their regions: a route and an organisation without a region in common are given one
+// that does not exist, and a target in an unknown data centre seemed to be there.
+Test(Candidates, excludeUnknownDataCentresFromAllowedRegions)
+{
+    TestDispatch test;
+    test.fleet.publish("t/1", targetOf("1", "s", "dc-unknown"));
+    auto traits = test.request("s");
+    traits.allowedRegions = { "" };
+    cr_assert(refusalOf(test.acquire(traits)) == RefusalReason::NoTarget);
+    traits.allowedRegions = {};
+    cr_assert(isLease(test.acquire(traits)));
+}
+
 // A retry must not go to a target that has already been tried.
 Test(Candidates, excludeTriedTargets)
 {
