Ignore a hangup until the settings are watched

Cause: SIGHUP had its default action until the settings were watched, some tens of milliseconds after the start, and ended the node. Settings change in series with restarts. Noted by the review, without a case. What comes before main() still ends the process. SIGPIPE is ignored as well, so that no library has to be relied on for it.

--- a/Source/CommandLine/ServeNode.cpp
+++ b/Source/CommandLine/ServeNode.cpp
@@ -3,13 +3,27 @@
 #include "CommandLine/OptionTable.h"
 #include "Observability/Log.h"
 
+#include <csignal>
 #include <iostream>
 #include <stdexcept>
 
 namespace Lavenderloft::CommandLine {
 
+namespace {
+
+    // A signal to read the settings again must not end the process before the settings are watched, nor may a reader of the
+    // log that closes its end.
+    void ignoreEarlySignals()
+    {
+        std::signal(SIGHUP, SIG_IGN);
+        std::signal(SIGPIPE, SIG_IGN);
+    }
+
+} // namespace
+
 ExitCode serveNode(const Command& command, const std::vector<std::string>& arguments, const Process::NodePlatform& platform, const NodeProcess& process)
 {
+    ignoreEarlySignals();
     OptionTable options(programName, command);
     if (auto code = options.parseOrExplain(arguments))
         return *code;
