Count open requests by scope

The count was taken back at the end of run(); an exception on the way left it, and a planned stop would have waited until the end of the grace period. The handler now holds the count, and stops the monitor of the caller's connection with its own end. Nothing else changes; no exception is known that gets there.

--- a/Source/Proxy/ProxyContext.h
+++ b/Source/Proxy/ProxyContext.h
@@ -32,6 +32,23 @@
     std::atomic<size_t> openRequests { 0 };
 };
 
+// Counts a request as open for as long as this object exists.
+class OpenRequest {
+public:
+    explicit OpenRequest(ProxyContext& context)
+        : m_context(context)
+    {
+        ++m_context.openRequests;
+    }
+
+    OpenRequest(const OpenRequest&) = delete;
+    OpenRequest& operator=(const OpenRequest&) = delete;
+    ~OpenRequest() { --m_context.openRequests; }
+
+private:
+    ProxyContext& m_context;
+};
+
 // Shared by the connections of one event loop.
 struct ProxyWorker {
     boost::asio::io_context& context;
--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -129,6 +129,7 @@
 
 RequestHandler::RequestHandler(ProxyContext& context, ProxyWorker& worker, beast::tcp_stream& caller, Http::HttpRequest request, bool keepAlive)
     : m_context(context)
+    , m_openRequest(context)
     , m_worker(worker)
     , m_caller(caller)
     , m_request(std::move(request))
@@ -137,7 +138,11 @@
     , m_disconnectMonitor(std::make_shared<DisconnectMonitor>(caller.socket()))
 {
     m_traits.arrivedAt = context.clock.now();
-    ++m_context.openRequests;
+}
+
+RequestHandler::~RequestHandler()
+{
+    m_disconnectMonitor->stop();
 }
 
 asio::awaitable<bool> RequestHandler::run()
@@ -148,7 +153,6 @@
     if (isAllowed)
         co_await serve();
     m_disconnectMonitor->stop();
-    --m_context.openRequests;
     bool mayKeep = m_response.mayKeepConnection() && !m_disconnectMonitor->callerDisconnected();
     co_return mayKeep;
 }
@@ -156,7 +160,6 @@
 asio::awaitable<void> RequestHandler::refuseForMemory()
 {
     co_await respondWithError(503, "body_memory", bodyMemoryRetryAfter);
-    --m_context.openRequests;
 }
 
 asio::awaitable<bool> RequestHandler::resolve()
--- a/Source/Proxy/RequestHandler.h
+++ b/Source/Proxy/RequestHandler.h
@@ -19,6 +19,7 @@
 class RequestHandler {
 public:
     RequestHandler(ProxyContext&, ProxyWorker&, boost::beast::tcp_stream& caller, Http::HttpRequest, bool keepAlive);
+    ~RequestHandler();
 
     // Sends the response. Returns whether the caller's connection can be used for another request.
     boost::asio::awaitable<bool> run();
@@ -87,6 +88,7 @@
     bool mayRetry() const { return m_traits.route->isRepeatable(); }
 
     ProxyContext& m_context;
+    OpenRequest m_openRequest;
     ProxyWorker& m_worker;
     boost::beast::tcp_stream& m_caller;
     Http::HttpRequest m_request;
