Log when an engine accepts a load request and when it answers one

Cause: load-ordered states the age of the comparison of the pieces when the request is written. An engine that accepts it seconds later, or one that accepts a request of an earlier process, leaves no trace, so that the hypotheses of the WHOLE incident can't be told apart. Change: the engine's count of accepted load requests is decoded; load-accepted says when it changes, load-ordered how long the response took and what the count was.

--- a/Source/Staging/EngineMonitor.cpp
+++ b/Source/Staging/EngineMonitor.cpp
@@ -55,6 +55,7 @@
     auto before = m_report;
     auto problem = takeReport(response);
     detectEnd(before, response);
+    logAcceptedLoads(before);
     co_return problem;
 }
 
@@ -79,6 +80,13 @@
         m_endedAt = m_context.clock.now();
 }
 
+void EngineMonitor::logAcceptedLoads(const std::optional<EngineReport>& before) const
+{
+    if (!before || !m_report || m_report->startedAt != before->startedAt || m_report->acceptedLoads == before->acceptedLoads)
+        return;
+    Observability::logEvent(Events::loadAccepted, { { "accepted_loads", m_report->acceptedLoads.value_or(0) }, { "accepted_before", before->acceptedLoads.value_or(0) }, { "busy", m_report->busy }, { "loaded_version", m_report->layers ? m_report->layers->version : 0 } });
+}
+
 std::optional<std::chrono::milliseconds> EngineMonitor::timeSinceEnd() const
 {
     if (!m_endedAt)
--- a/Source/Staging/EngineMonitor.h
+++ b/Source/Staging/EngineMonitor.h
@@ -48,6 +48,7 @@
     boost::asio::awaitable<std::string> poll(Http::PersistentHttpClient&);
     std::string takeReport(const PollResult&);
     void detectEnd(const std::optional<EngineReport>& before, const PollResult&);
+    void logAcceptedLoads(const std::optional<EngineReport>& before) const;
 
     const StagingContext& m_context;
     std::optional<EngineReport> m_report;
--- a/Source/Staging/EngineProtocol.h
+++ b/Source/Staging/EngineProtocol.h
@@ -22,6 +22,8 @@
     uint64_t totalTokens = 0;
     // The engine is executing a load request.
     bool busy = false;
+    // Number of load requests that the engine has accepted since its start; empty if it does not count them.
+    std::optional<uint64_t> acceptedLoads;
     // Slowdown relative to the model's nominal speed; above 1 means slower.
     double pace = 1;
     std::optional<Fleet::HeldLayers> layers;
--- a/Source/Staging/Events.h
+++ b/Source/Staging/Events.h
@@ -17,5 +17,6 @@
 inline constexpr Event engineReached { 8007, "engine-reached", Level::Info, "The local engine responds." };
 inline constexpr Event pieceUnavailable { 8008, "piece-unavailable", Level::Info, "A source did not deliver a piece; trying another one." };
 inline constexpr Event manifestDisputed { 8009, "manifest-disputed", Level::Warning, "Sources agree on the bytes of a piece that does not match the manifest; fetching the manifest again." };
+inline constexpr Event loadAccepted { 8010, "load-accepted", Level::Info, "The engine has accepted a load request; its count of accepted requests has changed." };
 
 } // namespace Lavenderloft::Staging::Events
--- a/Source/Staging/WeightLoader.cpp
+++ b/Source/Staging/WeightLoader.cpp
@@ -160,11 +160,13 @@
 asio::awaitable<LoadResponse> WeightLoader::requestLoad(const DesiredWeights& desired, LoadMode mode, Http::PersistentHttpClient& engine)
 {
     auto verifiedBefore = std::chrono::duration_cast<std::chrono::milliseconds>(m_pieces.verificationAge());
+    auto requestedAt = m_context.clock.now();
     auto result = co_await engine.call(m_context.protocol.loadRequest(desired.model, desired.declared.version, mode), StagingContext::engineTimeout);
+    auto answeredAfter = std::chrono::duration_cast<std::chrono::milliseconds>(m_context.clock.now() - requestedAt);
     auto& report = m_monitor.report();
     auto status = Base::succeeded(result) ? Base::valueOf(result).status : 0;
     auto problem = Base::succeeded(result) ? std::string() : Base::errorOf(result).describe();
-    Observability::logEvent(Events::loadOrdered, { { "model", desired.model }, { "version", desired.declared.version }, { "running", report ? report->running : 0 }, { "queued", report ? report->queued : 0 }, { "verified_before", verifiedBefore }, { "status", status }, { "problem", problem } });
+    Observability::logEvent(Events::loadOrdered, { { "model", desired.model }, { "version", desired.declared.version }, { "running", report ? report->running : 0 }, { "queued", report ? report->queued : 0 }, { "verified_before", verifiedBefore }, { "answered_after", answeredAfter }, { "accepted_loads", report ? report->acceptedLoads.value_or(0) : 0 }, { "status", status }, { "problem", problem } });
     co_return Base::succeeded(result) ? m_context.protocol.readLoadResponse(Base::valueOf(result)) : LoadResponse::Refused;
 }
 
--- a/Tests/Platform/EngineCodecTest.cpp
+++ b/Tests/Platform/EngineCodecTest.cpp
@@ -9,11 +9,12 @@
 Test(EngineCodec, readsReportAndManifest)
 {
     EngineCodec codec;
-    auto report = codec.readReport({ 200, {}, R"({"layers":{"from":0,"to":16,"version":2},"busy":true,"queued":1,"active":12,"kv_used":41,"kv_total":90,"born":1782253595882,"pace":1.5})" });
+    auto report = codec.readReport({ 200, {}, R"({"layers":{"from":0,"to":16,"version":2},"busy":true,"sequence":7,"queued":1,"active":12,"kv_used":41,"kv_total":90,"born":1782253595882,"pace":1.5})" });
     cr_assert(Base::succeeded(report));
     cr_assert_eq(Base::valueOf(report).running, 12);
     cr_assert_eq(Base::valueOf(report).layers->version, 2);
     cr_assert(Base::valueOf(report).busy);
+    cr_assert_eq(Base::valueOf(report).acceptedLoads, std::optional<uint64_t>(7));
     cr_assert_eq(Base::valueOf(report).startedAt, 1782253595882);
     cr_assert(Base::errorOf(codec.readReport({ 200, {}, "[]" })).kind == Staging::EngineErrorKind::Malformed);
     auto manifest = codec.readManifest({ 200, {}, R"({"model":"m","version":2,"digests":["aa","bb"]})" });
