Let load requests name layers and the number of requests accepted before

Cause: a load request could neither be made void by a later one nor name a part of the layers. Change: EngineProtocol::loadRequest takes a LoadRequest with both; the platform's adapter encodes them, the loader sends the same request as before. The engine of the tests checks the count, keeps layers that it holds and can hold requests before it accepts them. No behaviour changes.

--- a/Source/Staging/EngineProtocol.h
+++ b/Source/Staging/EngineProtocol.h
@@ -8,6 +8,7 @@
 #include "Http/HttpMessage.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -64,6 +65,18 @@
     AbortRunning,
 };
 
+// Asks the engine to load pieces that are stored there.
+struct LoadRequest {
+    std::string model;
+    Fleet::HeldLayers layers;
+    // Names all layers of the model.
+    bool loadsAllLayers = true;
+    LoadMode mode = LoadMode::FinishRunning;
+    // The engine rejects the request if it has accepted another number of load requests by then; empty if it does not
+    // count them.
+    std::optional<uint64_t> acceptedBefore;
+};
+
 // Encodes requests to the engine and to the weight origin, and decodes their responses.
 class EngineProtocol {
 public:
@@ -83,8 +96,8 @@
     // Reads a stored piece back from the engine.
     virtual Http::HttpRequest storedPieceRequest(const std::string& model, unsigned piece) const = 0;
 
-    // Loads the pieces that are stored at the engine.
-    virtual Http::HttpRequest loadRequest(const std::string& model, uint64_t version, LoadMode) const = 0;
+    // Loads the pieces that are stored at the engine when it accepts the request.
+    virtual Http::HttpRequest loadRequest(const LoadRequest&) const = 0;
     virtual LoadResponse readLoadResponse(const Http::HttpResponse&) const = 0;
 };
 
--- a/Source/Staging/WeightLoader.cpp
+++ b/Source/Staging/WeightLoader.cpp
@@ -161,7 +161,8 @@
 {
     auto verifiedBefore = std::chrono::duration_cast<std::chrono::milliseconds>(m_pieces.verificationAge());
     auto requestedAt = m_context.clock.now();
-    auto result = co_await engine.call(m_context.protocol.loadRequest(desired.model, desired.declared.version, mode), StagingContext::engineTimeout);
+    LoadRequest request { desired.model, { 0, desired.layers, desired.declared.version }, true, mode, std::nullopt };
+    auto result = co_await engine.call(m_context.protocol.loadRequest(request), StagingContext::engineTimeout);
     auto answeredAfter = std::chrono::duration_cast<std::chrono::milliseconds>(m_context.clock.now() - requestedAt);
     auto& report = m_monitor.report();
     auto status = Base::succeeded(result) ? Base::valueOf(result).status : 0;
--- a/Tests/Platform/EngineCodecTest.cpp
+++ b/Tests/Platform/EngineCodecTest.cpp
@@ -29,8 +29,8 @@
     cr_assert_eq(codec.pieceRequest("m", 2, 5).target, "/api/piece/m?sample_count=5&version=2");
     cr_assert_eq(codec.storePieceRequest("m", 5, "x").target, "/api/stage-put/m?sample_count=5");
     cr_assert_eq(codec.storePieceRequest("m", 5, "x").method, "PUT");
-    cr_assert_neq(codec.loadRequest("m", 2, Staging::LoadMode::FinishRunning).body.find("\"mode\":\"queue\""), std::string::npos);
-    cr_assert_neq(codec.loadRequest("m", 2, Staging::LoadMode::AbortRunning).body.find("\"mode\":\"truncate\""), std::string::npos);
+    cr_assert_eq(codec.loadRequest({ "m", { 0, 16, 2 }, true, Staging::LoadMode::FinishRunning, std::nullopt }).body, R"({"mode":"queue","model":"m","operation":"start","version":2})");
+    cr_assert_eq(codec.loadRequest({ "m", { 0, 8, 2 }, false, Staging::LoadMode::AbortRunning, 3 }).body, R"({"expected":3,"from":0,"mode":"truncate","model":"m","operation":"start","to":8,"version":2})");
     cr_assert(codec.readLoadResponse({ 202, {}, "" }) == Staging::LoadResponse::Started);
     cr_assert(codec.readLoadResponse({ 409, {}, "" }) == Staging::LoadResponse::Conflict);
 }
--- a/Tests/Staging/TestEngine.h
+++ b/Tests/Staging/TestEngine.h
@@ -6,12 +6,15 @@
 #include "Fleet/FleetState.h"
 #include "Fleet/Publication.h"
 #include "Http/NodeServer.h"
+#include "Http/Sleep.h"
 #include "Staging/StagingNode.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <functional>
 #include <map>
+#include <set>
+#include <sstream>
 #include <stdexcept>
 
 namespace Lavenderloft::Staging {
@@ -35,10 +38,12 @@
     static constexpr unsigned layerCount = 16;
 
     explicit TestEngine(boost::asio::io_context& context)
-        : m_server(startServer(context))
+        : m_context(context)
+        , m_server(startServer(context))
         , m_origin(startServer(context))
     {
         report.startedAt = 100;
+        report.acceptedLoads = 0;
     }
 
     bool holdsAllPieces() const
@@ -53,6 +58,11 @@
 
     static std::string contentOf(unsigned piece) { return "content of piece " + std::to_string(piece); }
     std::string publishedContentOf(unsigned piece) const { return contentOf(piece) + edition; }
+    std::string contentOfVersion(unsigned piece, uint64_t version) const
+    {
+        auto found = editions.find(version);
+        return found == editions.end() ? publishedContentOf(piece) : contentOf(piece) + found->second;
+    }
 
     Http::Endpoint endpoint() const { return { "127.0.0.1", m_server->port() }; }
     Http::Endpoint origin() const { return { "127.0.0.1", m_origin->port() }; }
@@ -63,9 +73,14 @@
     {
         ++report.startedAt;
         report.layers.reset();
+        report.acceptedLoads = 0;
+        badLayers.clear();
         stored.clear();
     }
 
+    // Accepts a load request of another process.
+    void acceptOtherLoad(uint64_t version) { load({ 0, layerCount, version }, std::nullopt); }
+
     Http::HttpRequest reportRequest() const override { return makeRequest("/report"); }
     Base::Result<EngineReport, EngineError> readReport(const Http::HttpResponse&) const override { return report; }
     Http::HttpRequest manifestRequest(const std::string&, uint64_t version) const override { return makeRequest("/manifest/" + std::to_string(version)); }
@@ -76,7 +91,7 @@
             return EngineError { EngineErrorKind::NotFound, "no such version", "declare it" };
         PieceManifest manifest { "m", std::stoul(response.body), {} };
         for (unsigned piece = 0; piece < pieceCount; ++piece)
-            manifest.digests.push_back(Base::sha256(publishedContentOf(piece)));
+            manifest.digests.push_back(Base::sha256(contentOfVersion(piece, manifest.version)));
         if (!m_manifestsRead++ && corruptManifest)
             corruptManifest(manifest);
         return manifest;
@@ -85,13 +100,33 @@
     Http::HttpRequest pieceRequest(const std::string&, uint64_t, unsigned piece) const override { return makeRequest("/origin/" + std::to_string(piece)); }
     Http::HttpRequest storePieceRequest(const std::string&, unsigned piece, std::string bytes) const override { return makeRequest("/store/" + std::to_string(piece), std::move(bytes)); }
     Http::HttpRequest storedPieceRequest(const std::string&, unsigned piece) const override { return makeRequest("/stored/" + std::to_string(piece)); }
-    Http::HttpRequest loadRequest(const std::string&, uint64_t version, LoadMode) const override { return makeRequest("/load/" + std::to_string(version)); }
-    LoadResponse readLoadResponse(const Http::HttpResponse& response) const override { return response.status == 200 ? LoadResponse::Started : LoadResponse::Refused; }
+    Http::HttpRequest loadRequest(const LoadRequest& load) const override
+    {
+        auto expected = load.acceptedBefore ? std::to_string(*load.acceptedBefore) : "any";
+        return makeRequest("/load/" + std::to_string(load.layers.version), std::to_string(load.layers.from) + " " + std::to_string(load.layers.to) + " " + expected);
+    }
+    LoadResponse readLoadResponse(const Http::HttpResponse& response) const override
+    {
+        if (response.status == 202)
+            return LoadResponse::Started;
+        return response.status == 200 ? LoadResponse::AlreadyLoaded : LoadResponse::Conflict;
+    }
 
     EngineReport report;
     std::map<unsigned, std::string> stored;
     // Makes the pieces of the published version differ from those of the versions before.
     std::string edition;
+    // Editions of versions whose pieces differ from the published ones.
+    std::map<uint64_t, std::string> editions;
+    // Layers that are loaded from missing or damaged pieces, or from pieces of another version.
+    std::set<unsigned> badLayers;
+    // This many load requests are accepted after this time only. All other requests are answered meanwhile.
+    unsigned heldLoads = 0;
+    std::chrono::milliseconds loadHold { 0 };
+    // Called when a load request arrives.
+    std::function<void()> onLoadRequest;
+    // Called when a load request is about to be accepted.
+    std::function<void()> onLoadAccepted;
     unsigned loads = 0;
     // Load requests that were accepted while a piece was missing or damaged.
     unsigned brokenLoads = 0;
@@ -117,11 +152,23 @@
     std::shared_ptr<Http::NodeServer> startServer(boost::asio::io_context& context)
     {
         return Http::NodeServer::start(context, { "127.0.0.1", 0 }, [this](Http::HttpRequest request) -> boost::asio::awaitable<Http::HttpResponse> {
+            if (request.target.starts_with("/load/"))
+                co_await holdLoad();
             auto response = respond(request);
             co_return response;
         });
     }
 
+    boost::asio::awaitable<void> holdLoad()
+    {
+        if (onLoadRequest)
+            onLoadRequest();
+        if (heldLoads == 0)
+            co_return;
+        --heldLoads;
+        co_await Http::sleepFor(m_context, loadHold);
+    }
+
     static Http::HttpRequest makeRequest(std::string target, std::string body = {})
     {
         return { body.empty() ? "GET" : "PUT", std::move(target), {}, std::move(body) };
@@ -147,7 +194,7 @@
         if (action == "/stored")
             return readStored(number);
         if (action == "/load")
-            return load(number);
+            return loadAsRequested(number, request.body);
         return { 400, {}, "" };
     }
 
@@ -174,16 +221,63 @@
         return { 200, {}, "" };
     }
 
-    Http::HttpResponse load(uint64_t version)
+    Http::HttpResponse loadAsRequested(uint64_t version, const std::string& text)
+    {
+        std::istringstream input(text);
+        Fleet::HeldLayers layers { 0, 0, version };
+        std::string expected;
+        input >> layers.from >> layers.to >> expected;
+        return load(layers, expected == "any" ? std::nullopt : std::optional<uint64_t>(std::stoul(expected)));
+    }
+
+    Http::HttpResponse load(const Fleet::HeldLayers& layers, const std::optional<uint64_t>& expected)
     {
+        if (expected && expected != report.acceptedLoads)
+            return { 409, {}, "" };
+        if (report.layers == layers)
+            return { 200, {}, "" };
+        if (auto accepted = std::exchange(onLoadAccepted, nullptr))
+            accepted();
         ++loads;
-        if (!holdsAllPieces())
+        ++*report.acceptedLoads;
+        loadedVersions.push_back(layers.version);
+        bool isBroken = false;
+        for (unsigned layer = 0; layer < layerCount; ++layer)
+            isBroken = loadLayer(layer, layers) || isBroken;
+        if (isBroken)
             ++brokenLoads;
-        loadedVersions.push_back(version);
-        report.layers = Fleet::HeldLayers { 0, layerCount, version };
-        return { 200, {}, "" };
+        report.layers = layers;
+        return { 202, {}, "" };
+    }
+
+    // Layers of the same version that are held already stay as they are. Returns whether a bad layer was loaded.
+    bool loadLayer(unsigned layer, const Fleet::HeldLayers& requested)
+    {
+        bool isRequested = requested.from <= layer && layer < requested.to;
+        auto& held = report.layers;
+        bool isHeld = held && held->version == requested.version && held->from <= layer && layer < held->to;
+        if (isRequested && isHeld)
+            return false;
+        badLayers.erase(layer);
+        bool isBad = isRequested && !hasPiecesOf(layer, requested.version);
+        if (isBad)
+            badLayers.insert(layer);
+        return isBad;
+    }
+
+    bool hasPiecesOf(unsigned layer, uint64_t version) const
+    {
+        auto from = layer * pieceCount / layerCount;
+        auto to = ((layer + 1) * pieceCount + layerCount - 1) / layerCount;
+        for (auto piece = from; piece < to; ++piece) {
+            auto found = stored.find(piece);
+            if (found == stored.end() || found->second != contentOfVersion(piece, version))
+                return false;
+        }
+        return true;
     }
 
+    boost::asio::io_context& m_context;
     std::shared_ptr<Http::NodeServer> m_server;
     std::shared_ptr<Http::NodeServer> m_origin;
     mutable unsigned m_manifestsRead = 0;
