Rely on loaded layers only if their pieces were whole when the engine accepted the request

Cause: an engine loads what is stored when it accepts a load request. The agent bounded the age of its verification at the write, took a request without a response for one without effect, stored the next version's pieces over it, and believed any version that the engine named afterwards.

Change: a load request is pending until its effect is known. Its weights stay the desired ones meanwhile, so that nothing else is stored, and it is repeated with the count of requests that the engine had accepted, so that the engine accepts one attempt only. A response within 2 s of the verification settles it; otherwise the pieces are verified after the acceptance. Layers for which that fails, and layers that a request of an earlier process loaded, are in doubt: the agent reports no version and replaces them in steps. Stores without a response count as unsettled for 30 s and make that verification necessary too.

A response in time still needs one request.

--- a/Source/Staging/EngineMonitor.cpp
+++ b/Source/Staging/EngineMonitor.cpp
@@ -2,8 +2,10 @@
 
 #include "Http/Sleep.h"
 #include "Observability/Log.h"
+#include "Staging/Commands/RecordLoadReport.h"
 #include "Staging/Events.h"
 #include "Staging/Queries/FindDesiredWeights.h"
+#include "Staging/Queries/ReadLoadState.h"
 
 namespace Lavenderloft::Staging {
 
@@ -22,8 +24,9 @@
 
 } // namespace
 
-EngineMonitor::EngineMonitor(const StagingContext& context)
+EngineMonitor::EngineMonitor(const StagingContext& context, LoadState& load)
     : m_context(context)
+    , m_load(load)
 {
 }
 
@@ -48,12 +51,16 @@
 // Returns the problem if the engine gave no valid report, and an empty string otherwise.
 asio::awaitable<std::string> EngineMonitor::poll(Http::PersistentHttpClient& client)
 {
+    auto polledAt = m_context.clock.now();
     auto response = co_await client.call(m_context.protocol.reportRequest(), StagingContext::engineTimeout);
     // The engine may only have closed an idle connection; if it has ended, it accepts no new one.
     if (failedAs(response, Http::HttpErrorKind::Broken))
         response = co_await client.call(m_context.protocol.reportRequest(), StagingContext::engineTimeout);
     auto before = m_report;
     auto problem = takeReport(response);
+    m_polledAt = polledAt;
+    if (m_report)
+        recordLoads(polledAt);
     detectEnd(before, response);
     logAcceptedLoads(before);
     co_return problem;
@@ -71,6 +78,14 @@
     return {};
 }
 
+void EngineMonitor::recordLoads(Base::TimePoint polledAt)
+{
+    bool wasInDoubt = m_load.isInDoubt;
+    Commands::recordLoadReport(m_load, *m_report, polledAt);
+    if (m_load.isInDoubt && !wasInDoubt)
+        Observability::logEvent(Events::loadInDoubt, { { "version", m_report->layers ? m_report->layers->version : 0 }, { "accepted_loads", m_report->acceptedLoads.value_or(0) }, { "cause", "the engine accepted a load request that this process did not send" } });
+}
+
 void EngineMonitor::detectEnd(const std::optional<EngineReport>& before, const PollResult& response)
 {
     if (!before)
@@ -99,14 +114,15 @@
 {
     auto snapshot = m_context.snapshot();
     auto* layout = Queries::findWeightLayout(*snapshot, m_context.settings);
-    if (!m_report || !layout)
+    if (!m_report || !layout || !Queries::canRelyOnLayers(m_load))
         return 0;
     return Fleet::wholeVersionOf(m_report->layers, layout->layers);
 }
 
 std::optional<DesiredWeights> EngineMonitor::findDesiredWeights() const
 {
-    return m_context.findDesiredWeights(wholeVersion());
+    auto pending = Queries::findPendingWeights(m_load);
+    return pending ? pending : m_context.findDesiredWeights(wholeVersion());
 }
 
 bool EngineMonitor::isStillDesired(const DesiredWeights& desired) const
--- a/Source/Staging/EngineMonitor.h
+++ b/Source/Staging/EngineMonitor.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Staging/LoadState.h"
 #include "Staging/StagingContext.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -17,7 +18,7 @@
     // Called after each poll that found no engine, for some time after its end.
     using EndHandler = std::function<void()>;
 
-    explicit EngineMonitor(const StagingContext&);
+    EngineMonitor(const StagingContext&, LoadState&);
 
     // Polls the engine until the event loop ends.
     boost::asio::awaitable<void> run(ReportHandler, EndHandler);
@@ -25,10 +26,13 @@
     // The last report; empty while the engine does not respond.
     const std::optional<EngineReport>& report() const { return m_report; }
 
-    // The version of the desired model of which the engine has loaded all layers; 0 if there is none.
+    // When the last report was requested.
+    Base::TimePoint polledAt() const { return m_polledAt; }
+
+    // The version of the desired model of which the engine has loaded all layers from whole pieces; 0 if there is none.
     uint64_t wholeVersion() const;
 
-    // What the engine should load next.
+    // What the engine should load next. While a load request is pending, its weights.
     std::optional<DesiredWeights> findDesiredWeights() const;
 
     // Whether the engine should still load these weights next, and not others.
@@ -47,11 +51,14 @@
 
     boost::asio::awaitable<std::string> poll(Http::PersistentHttpClient&);
     std::string takeReport(const PollResult&);
+    void recordLoads(Base::TimePoint polledAt);
     void detectEnd(const std::optional<EngineReport>& before, const PollResult&);
     void logAcceptedLoads(const std::optional<EngineReport>& before) const;
 
     const StagingContext& m_context;
+    LoadState& m_load;
     std::optional<EngineReport> m_report;
+    Base::TimePoint m_polledAt {};
     // When the engine was last seen to end or restart.
     std::optional<Base::TimePoint> m_endedAt;
 };
--- a/Source/Staging/EnginePieces.cpp
+++ b/Source/Staging/EnginePieces.cpp
@@ -7,9 +7,19 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // A store that had no response, also one of an earlier process, takes no effect after this time.
+    constexpr std::chrono::seconds unsettledStoreLifetime = 30s;
+
+} // namespace
+
 EnginePieces::EnginePieces(const StagingContext& context, const EngineMonitor& monitor)
     : m_context(context)
     , m_monitor(monitor)
+    , m_storesUnsettledUntil(context.clock.now() + unsettledStoreLifetime)
 {
 }
 
@@ -56,7 +66,11 @@
 asio::awaitable<bool> EnginePieces::store(const std::string& model, unsigned piece, std::string bytes)
 {
     auto engine = m_context.engineClient();
+    m_lastStoreAt = m_context.clock.now();
     auto stored = co_await engine.call(m_context.protocol.storePieceRequest(model, piece, std::move(bytes)), StagingContext::engineTimeout);
+    m_lastStoreAt = m_context.clock.now();
+    if (!Base::succeeded(stored))
+        m_storesUnsettledUntil = m_lastStoreAt + unsettledStoreLifetime;
     bool isStored = Base::succeeded(stored) && Base::valueOf(stored).status / 100 == 2;
     if (isStored) {
         m_checklist->markPresent(piece);
--- a/Source/Staging/EnginePieces.h
+++ b/Source/Staging/EnginePieces.h
@@ -39,6 +39,12 @@
     // Time since the start of the last verification: a piece that it found whole may have turned bad since.
     Base::Duration verificationAge() const { return m_context.clock.now() - m_verificationStart; }
 
+    // When a piece was last sent to the engine to be stored.
+    Base::TimePoint lastStoreAt() const { return m_lastStoreAt; }
+
+    // Whether a store that had no response may still take effect, over a piece that was stored since.
+    bool hasUnsettledStores() const { return m_context.clock.now() < m_storesUnsettledUntil; }
+
     // Stores a piece and marks it as present. Returns false if the engine did not accept it.
     boost::asio::awaitable<bool> store(const std::string& model, unsigned piece, std::string bytes);
 
@@ -52,6 +58,8 @@
     // EngineReport::startedAt of the engine that the checklist describes.
     uint64_t m_engineStart = 0;
     Base::TimePoint m_verificationStart {};
+    Base::TimePoint m_lastStoreAt {};
+    Base::TimePoint m_storesUnsettledUntil;
 };
 
 } // namespace Lavenderloft::Staging
--- a/Source/Staging/Events.h
+++ b/Source/Staging/Events.h
@@ -18,5 +18,8 @@
 inline constexpr Event pieceUnavailable { 8008, "piece-unavailable", Level::Info, "A source did not deliver a piece; trying another one." };
 inline constexpr Event manifestDisputed { 8009, "manifest-disputed", Level::Warning, "Sources agree on the bytes of a piece that does not match the manifest; fetching the manifest again." };
 inline constexpr Event loadAccepted { 8010, "load-accepted", Level::Info, "The engine has accepted a load request; its count of accepted requests has changed." };
+inline constexpr Event loadUnsettled { 8011, "load-unsettled", Level::Warning, "A load request had no response and may still be accepted; no pieces of another version are stored until that is known." };
+inline constexpr Event loadVerified { 8012, "load-verified", Level::Info, "The pieces were verified after the engine had accepted a load request late." };
+inline constexpr Event loadInDoubt { 8013, "load-in-doubt", Level::Warning, "The engine may have loaded damaged pieces or pieces of another version; it serves nothing until it has loaded them again." };
 
 } // namespace Lavenderloft::Staging::Events
--- a/Source/Staging/LoadReporter.cpp
+++ b/Source/Staging/LoadReporter.cpp
@@ -7,10 +7,11 @@
 
 namespace Lavenderloft::Staging {
 
-LoadReporter::LoadReporter(const StagingContext& context, const EngineMonitor& monitor, const LoadIntent& intent, Peering::PeeringNode& peering)
+LoadReporter::LoadReporter(const StagingContext& context, const EngineMonitor& monitor, const LoadIntent& intent, const LoadState& loadState, Peering::PeeringNode& peering)
     : m_context(context)
     , m_monitor(monitor)
     , m_intent(intent)
+    , m_load(loadState)
     , m_peering(peering)
 {
 }
@@ -50,7 +51,8 @@
     load.running = report.running;
     load.queued = report.queued;
     load.wholeVersion = m_monitor.wholeVersion();
-    load.paused = m_intent.isPaused || report.busy;
+    // An engine that may still accept a load request would abort or reject what it is sent meanwhile.
+    load.paused = m_intent.isPaused || report.busy || m_load.pending;
     load.cold = coldRate.has_value();
     load.abortsIn = Queries::timeUntilAbort(m_intent.plan, now);
     auto free = load.paused ? 0 : Queries::countFreeSlots(*snapshot, settings, report);
--- a/Source/Staging/LoadReporter.h
+++ b/Source/Staging/LoadReporter.h
@@ -12,7 +12,7 @@
 // Reports the load of the local engine to the routers and grants them its free slots. Runs on one event loop.
 class LoadReporter {
 public:
-    LoadReporter(const StagingContext&, const EngineMonitor&, const LoadIntent&, Peering::PeeringNode&);
+    LoadReporter(const StagingContext&, const EngineMonitor&, const LoadIntent&, const LoadState&, Peering::PeeringNode&);
 
     // Sends a report after the engine's own one.
     void engineReported(const EngineReport&);
@@ -29,6 +29,7 @@
     const StagingContext& m_context;
     const EngineMonitor& m_monitor;
     const LoadIntent& m_intent;
+    const LoadState& m_load;
     Peering::PeeringNode& m_peering;
     EngineStart m_engineStart;
     GrantableSlots m_slots;
--- a/Source/Staging/WeightLoader.cpp
+++ b/Source/Staging/WeightLoader.cpp
@@ -2,8 +2,10 @@
 
 #include "Http/Sleep.h"
 #include "Observability/Log.h"
+#include "Staging/Commands/RecordLoadRequest.h"
 #include "Staging/Events.h"
 #include "Staging/Queries/PlanLoad.h"
+#include "Staging/Queries/ReadLoadState.h"
 
 namespace Lavenderloft::Staging {
 
@@ -22,6 +24,8 @@
     // A load request without effect is repeated after this time.
     constexpr std::chrono::seconds loadTimeout = 8s;
     constexpr std::chrono::milliseconds loadCheckInterval = 100ms;
+    // Delay after the engine rejected a load request.
+    constexpr std::chrono::milliseconds rejectedLoadDelay = 500ms;
     // A load request relies on a verification that is no older. Longer than a verification and a drain take; a longer time
     // means that the process stood still, while stored pieces may have turned bad.
     constexpr std::chrono::milliseconds verificationLifetime = 2000ms;
@@ -30,10 +34,11 @@
 
 } // namespace
 
-WeightLoader::WeightLoader(const StagingContext& context, const EngineMonitor& monitor, LoadIntent& intent, LoadReporter& reporter, EnginePieces& pieces, PieceFetcher& fetcher)
+WeightLoader::WeightLoader(const StagingContext& context, const EngineMonitor& monitor, LoadIntent& intent, LoadState& loadState, LoadReporter& reporter, EnginePieces& pieces, PieceFetcher& fetcher)
     : m_context(context)
     , m_monitor(monitor)
     , m_intent(intent)
+    , m_load(loadState)
     , m_reporter(reporter)
     , m_pieces(pieces)
     , m_fetcher(fetcher)
@@ -44,7 +49,9 @@
 {
     while (true) {
         auto desired = m_monitor.findDesiredWeights();
-        if (needsWeights(desired))
+        if (m_monitor.report() && m_load.lifeCycle.phase() == LoadPhase::Unverified)
+            co_await verifyLoad();
+        else if (needsWeights(desired))
             co_await stageAndLoad(*desired);
         co_await Http::sleepFor(m_context.loop, checkInterval);
     }
@@ -74,12 +81,12 @@
 }
 
 // First made before the pieces are fetched, so that load reports can announce the abort in time. An engine that serves
-// nothing loads without a plan, as soon as it can.
+// nothing, or that may accept a load request at any time, loads without a plan, as soon as it can.
 void WeightLoader::updatePlan(const DesiredWeights& desired, const std::optional<Base::TimePoint>& stagedAt)
 {
     m_intent.plan.reset();
     auto heldVersion = m_monitor.wholeVersion();
-    if (heldVersion > 0)
+    if (heldVersion > 0 && !m_load.pending)
         m_intent.plan = Queries::planLoad(*m_context.snapshot(), m_context.settings, desired.model, desired.declared, heldVersion, { stagedAt, m_fetcher.canFetchNewest() });
 }
 
@@ -108,15 +115,27 @@
     auto mode = m_intent.plan ? m_intent.plan->mode : LoadMode::FinishRunning;
     co_await pauseRequests(mode);
     bool areConfirmed = co_await confirmPieces(engine);
-    if (!areConfirmed || !m_monitor.isStillDesired(desired)) {
-        m_intent = {};
-        co_return;
+    if (areConfirmed && m_monitor.report() && m_monitor.isStillDesired(desired)) {
+        auto layers = Queries::chooseLayers(m_load, m_monitor.report()->layers, desired.declared.version, desired.layers);
+        auto response = co_await requestLoad(desired, layers, mode, engine);
+        if (m_load.lifeCycle.phase() == LoadPhase::Unverified)
+            co_await verifyLoad();
+        co_await waitForEffect(desired, layers, response);
     }
-    auto response = co_await requestLoad(desired, mode, engine);
-    // Without a response, the request may still have been accepted; the engine's reports show whether it was.
-    if (response != LoadResponse::Conflict)
-        co_await waitUntilLoaded(desired);
     m_intent = {};
+}
+
+// An engine that rejects the request is asked again later. One that does not respond may still accept it, and is asked again
+// at once: it accepts only one of the attempts.
+asio::awaitable<void> WeightLoader::waitForEffect(const DesiredWeights& desired, const Fleet::HeldLayers& layers, const std::optional<LoadResponse>& response)
+{
+    if (!response)
+        co_return;
+    if (*response == LoadResponse::Conflict || *response == LoadResponse::Refused) {
+        co_await Http::sleepFor(m_context.loop, rejectedLoadDelay);
+        co_return;
+    }
+    co_await waitUntilLoaded(desired, layers);
     if (m_monitor.hasLoaded(desired))
         Observability::logEvent(Events::weightsLoaded, { { "model", desired.model }, { "version", desired.declared.version } });
 }
@@ -157,25 +176,66 @@
         co_await Http::sleepFor(m_context.loop, drainCheckInterval);
 }
 
-asio::awaitable<LoadResponse> WeightLoader::requestLoad(const DesiredWeights& desired, LoadMode mode, Http::PersistentHttpClient& engine)
+PendingLoad WeightLoader::makePendingLoad(const DesiredWeights& desired, const Fleet::HeldLayers& layers) const
+{
+    auto& held = m_monitor.report()->layers;
+    return { desired, layers, m_load.acceptedLoads, Queries::replacesAllLayers(layers, held), m_context.clock.now(), m_monitor.polledAt() };
+}
+
+// Returns nothing if the engine did not respond.
+asio::awaitable<std::optional<LoadResponse>> WeightLoader::requestLoad(const DesiredWeights& desired, const Fleet::HeldLayers& layers, LoadMode mode, Http::PersistentHttpClient& engine)
 {
     auto verifiedBefore = std::chrono::duration_cast<std::chrono::milliseconds>(m_pieces.verificationAge());
     auto requestedAt = m_context.clock.now();
-    LoadRequest request { desired.model, { 0, desired.layers, desired.declared.version }, true, mode, std::nullopt };
+    Commands::recordLoadRequest(m_load, makePendingLoad(desired, layers));
+    LoadRequest request { desired.model, layers, layers.from == 0 && layers.to == desired.layers, mode, m_load.pending->acceptedBefore };
     auto result = co_await engine.call(m_context.protocol.loadRequest(request), StagingContext::engineTimeout);
+    std::optional<LoadResponse> response;
+    if (Base::succeeded(result))
+        response = m_context.protocol.readLoadResponse(Base::valueOf(result));
+    Commands::recordLoadResponse(m_load, response, isVerificationValid());
     auto answeredAfter = std::chrono::duration_cast<std::chrono::milliseconds>(m_context.clock.now() - requestedAt);
     auto& report = m_monitor.report();
     auto status = Base::succeeded(result) ? Base::valueOf(result).status : 0;
     auto problem = Base::succeeded(result) ? std::string() : Base::errorOf(result).describe();
-    Observability::logEvent(Events::loadOrdered, { { "model", desired.model }, { "version", desired.declared.version }, { "running", report ? report->running : 0 }, { "queued", report ? report->queued : 0 }, { "verified_before", verifiedBefore }, { "answered_after", answeredAfter }, { "accepted_loads", report ? report->acceptedLoads.value_or(0) : 0 }, { "status", status }, { "problem", problem } });
-    co_return Base::succeeded(result) ? m_context.protocol.readLoadResponse(Base::valueOf(result)) : LoadResponse::Refused;
+    Observability::logEvent(Events::loadOrdered, { { "model", desired.model }, { "version", desired.declared.version }, { "from", layers.from }, { "to", layers.to }, { "running", report ? report->running : 0 }, { "queued", report ? report->queued : 0 }, { "verified_before", verifiedBefore }, { "answered_after", answeredAfter }, { "accepted_loads", request.acceptedBefore.value_or(0) }, { "status", status }, { "problem", problem } });
+    if (!response)
+        Observability::logEvent(Events::loadUnsettled, { { "model", desired.model }, { "version", desired.declared.version }, { "accepted_loads", request.acceptedBefore.value_or(0) } });
+    co_return response;
+}
+
+// Whether a request that was accepted by now was accepted while the pieces were whole.
+bool WeightLoader::isVerificationValid() const
+{
+    return isVerificationRecent() && !m_pieces.hasUnsettledStores();
 }
 
-asio::awaitable<void> WeightLoader::waitUntilLoaded(const DesiredWeights& desired)
+// Verifies the pieces of a load request that was accepted long after their last verification. Stored pieces only turn bad;
+// if they are whole now and none was stored since the engine may have accepted the request, it loaded whole ones.
+asio::awaitable<void> WeightLoader::verifyLoad()
+{
+    auto load = *m_load.pending;
+    auto engine = m_context.engineClient();
+    co_await m_pieces.verify(engine);
+    bool isWhole = m_pieces.checklist()->isComplete() && m_pieces.hasChecklistOf(load.weights.declared.version);
+    bool isUnchanged = m_pieces.lastStoreAt() <= load.notAcceptedAt;
+    Commands::recordLoadVerification(m_load, isWhole && isUnchanged);
+    Observability::logEvent(Events::loadVerified, { { "model", load.weights.model }, { "version", load.weights.declared.version }, { "is_whole", isWhole }, { "is_unchanged", isUnchanged } });
+    if (m_load.isInDoubt)
+        Observability::logEvent(Events::loadInDoubt, { { "version", load.weights.declared.version }, { "accepted_loads", m_load.acceptedLoads.value_or(0) }, { "cause", "the pieces were not whole all the time until the engine accepted the load request" } });
+}
+
+asio::awaitable<void> WeightLoader::waitUntilLoaded(const DesiredWeights& desired, const Fleet::HeldLayers& layers)
 {
     auto until = m_context.clock.now() + loadTimeout;
-    while (m_context.clock.now() < until && m_monitor.report() && !m_monitor.hasLoaded(desired) && m_monitor.isStillDesired(desired))
+    while (m_context.clock.now() < until && m_monitor.report() && !isLoadComplete(desired, layers) && m_monitor.isStillDesired(desired))
         co_await Http::sleepFor(m_context.loop, loadCheckInterval);
 }
 
+bool WeightLoader::isLoadComplete(const DesiredWeights& desired, const Fleet::HeldLayers& layers) const
+{
+    auto& report = m_monitor.report();
+    return m_monitor.hasLoaded(desired) || (report && !report->busy && report->layers == layers);
+}
+
 } // namespace Lavenderloft::Staging
--- a/Source/Staging/WeightLoader.h
+++ b/Source/Staging/WeightLoader.h
@@ -15,7 +15,7 @@
 // requests the engine to load them. Runs on one event loop.
 class WeightLoader {
 public:
-    WeightLoader(const StagingContext&, const EngineMonitor&, LoadIntent&, LoadReporter&, EnginePieces&, PieceFetcher&);
+    WeightLoader(const StagingContext&, const EngineMonitor&, LoadIntent&, LoadState&, LoadReporter&, EnginePieces&, PieceFetcher&);
 
     // Checks the engine's weights until the event loop ends.
     boost::asio::awaitable<void> run();
@@ -31,12 +31,18 @@
     bool isVerificationRecent() const;
     boost::asio::awaitable<void> pauseRequests(LoadMode);
     boost::asio::awaitable<void> waitForRunningRequests();
-    boost::asio::awaitable<LoadResponse> requestLoad(const DesiredWeights&, LoadMode, Http::PersistentHttpClient& engine);
-    boost::asio::awaitable<void> waitUntilLoaded(const DesiredWeights&);
+    boost::asio::awaitable<std::optional<LoadResponse>> requestLoad(const DesiredWeights&, const Fleet::HeldLayers&, LoadMode, Http::PersistentHttpClient& engine);
+    PendingLoad makePendingLoad(const DesiredWeights&, const Fleet::HeldLayers&) const;
+    bool isVerificationValid() const;
+    boost::asio::awaitable<void> verifyLoad();
+    boost::asio::awaitable<void> waitForEffect(const DesiredWeights&, const Fleet::HeldLayers&, const std::optional<LoadResponse>&);
+    boost::asio::awaitable<void> waitUntilLoaded(const DesiredWeights&, const Fleet::HeldLayers&);
+    bool isLoadComplete(const DesiredWeights&, const Fleet::HeldLayers&) const;
 
     const StagingContext& m_context;
     const EngineMonitor& m_monitor;
     LoadIntent& m_intent;
+    LoadState& m_load;
     LoadReporter& m_reporter;
     EnginePieces& m_pieces;
     PieceFetcher& m_fetcher;
