Keep routers from an engine whose agent reported no weights and fell silent

Callers could get tokens of layers that their agent did not rely on. Cause: after 1 s without a report of the agent, a router took the version of the engine's published entry, which names a version also if its pieces were bad. Open: an agent that stays away for longer, and one that starts again, does not know what its predecessor doubted.

--- a/Source/Dispatch/Queries/FindCandidates.cpp
+++ b/Source/Dispatch/Queries/FindCandidates.cpp
@@ -88,6 +88,8 @@
                 return 0;
             if (runtime && runtime->hasReport(m_now))
                 return runtime->report.wholeVersion;
+            if (runtime && runtime->isKnownWithoutWeights(m_now))
+                return 0;
             return Fleet::wholeVersionOf(target.entry.layers, m_service->weights->layers);
         }
 
--- a/Tests/Dispatch/CandidatesTest.cpp
+++ b/Tests/Dispatch/CandidatesTest.cpp
@@ -292,3 +292,20 @@
     test.fleet.publish("t/1", engineOf("1", "e", 3));
     cr_assert_not(std::get<Lease>(test.acquire("e")).beginBy.has_value());
 }
+
+// Guards against routers that use layers in doubt because their agent was stopped, ended or cut off.
+Test(Candidates, routersUseNoLayersThatTheAgentDidNotRelyOn)
+{
+    TestDispatch test;
+    test.fleet.publish("c", configurationOf(1, { engineService("e") }));
+    test.fleet.publish("t/1", engineOf("1", "e", 2));
+    TargetReport report;
+    report.wholeVersion = 0;
+    report.granted = 4;
+    test.report("e", "1", report);
+    cr_assert_not(isLease(test.acquire("e")));
+    test.fleet.clock.advance(1100ms);
+    cr_assert_not(isLease(test.acquire("e")), "the engine has neither restarted nor loaded again");
+    test.fleet.clock.advance(TargetRuntime::noWeightsLifetime);
+    cr_assert(isLease(test.acquire("e")), "its agent does not come back");
+}
--- a/Tests/Staging/TestEngine.h
+++ b/Tests/Staging/TestEngine.h
@@ -102,6 +102,7 @@
     Http::HttpRequest storedPieceRequest(const std::string&, unsigned piece) const override { return makeRequest("/stored/" + std::to_string(piece)); }
     Http::HttpRequest loadRequest(const LoadRequest& load) const override
     {
+        loadModes.push_back(load.mode);
         auto expected = load.acceptedBefore ? std::to_string(*load.acceptedBefore) : "any";
         return makeRequest("/load/" + std::to_string(load.layers.version), std::to_string(load.layers.from) + " " + std::to_string(load.layers.to) + " " + expected);
     }
@@ -125,6 +126,16 @@
     std::chrono::milliseconds loadHold { 0 };
     // Called when a load request arrives.
     std::function<void()> onLoadRequest;
+    // An accepted load takes this time. The engine is busy meanwhile and reports the layers that it held before.
+    std::chrono::milliseconds loadDuration { 0 };
+    // The modes of the load requests sent so far.
+    mutable std::vector<LoadMode> loadModes;
+    // Load requests that have arrived.
+    unsigned loadRequests = 0;
+    // This many reads of stored pieces fail.
+    unsigned failedReads = 0;
+    // Time after which the engine answers the request of a report.
+    std::chrono::milliseconds reportDelay { 0 };
     // Called when a load request is about to be accepted.
     std::function<void()> onLoadAccepted;
     unsigned loads = 0;
@@ -154,6 +165,8 @@
         return Http::NodeServer::start(context, { "127.0.0.1", 0 }, [this](Http::HttpRequest request) -> boost::asio::awaitable<Http::HttpResponse> {
             if (request.target.starts_with("/load/"))
                 co_await holdLoad();
+            if (request.target == "/report")
+                co_await Http::sleepFor(m_context, reportDelay);
             auto response = respond(request);
             co_return response;
         });
@@ -161,6 +174,7 @@
 
     boost::asio::awaitable<void> holdLoad()
     {
+        ++loadRequests;
         if (onLoadRequest)
             onLoadRequest();
         if (heldLoads == 0)
@@ -206,6 +220,10 @@
 
     Http::HttpResponse readStored(unsigned piece)
     {
+        if (failedReads > 0) {
+            --failedReads;
+            return { 503, {}, "" };
+        }
         auto response = stored.contains(piece) ? Http::HttpResponse { 200, {}, stored[piece] } : Http::HttpResponse { 404, {}, "" };
         if (onStoredPieceRead)
             onStoredPieceRead(piece);
@@ -234,7 +252,7 @@
     {
         if (expected && expected != report.acceptedLoads)
             return { 409, {}, "" };
-        if (report.layers == layers)
+        if (report.layers == layers || m_loading == layers)
             return { 200, {}, "" };
         if (auto accepted = std::exchange(onLoadAccepted, nullptr))
             accepted();
@@ -246,10 +264,31 @@
             isBroken = loadLayer(layer, layers) || isBroken;
         if (isBroken)
             ++brokenLoads;
-        report.layers = layers;
+        finishLoad(layers);
         return { 202, {}, "" };
     }
 
+    void finishLoad(const Fleet::HeldLayers& layers)
+    {
+        if (loadDuration == std::chrono::milliseconds(0)) {
+            report.layers = layers;
+            return;
+        }
+        m_loading = layers;
+        report.busy = true;
+        boost::asio::co_spawn(m_context, finishLoadLater(layers), boost::asio::detached);
+    }
+
+    boost::asio::awaitable<void> finishLoadLater(Fleet::HeldLayers layers)
+    {
+        co_await Http::sleepFor(m_context, loadDuration);
+        if (m_loading != layers)
+            co_return;
+        m_loading.reset();
+        report.layers = layers;
+        report.busy = false;
+    }
+
     // Layers of the same version that are held already stay as they are. Returns whether a bad layer was loaded.
     bool loadLayer(unsigned layer, const Fleet::HeldLayers& requested)
     {
@@ -281,6 +320,8 @@
     std::shared_ptr<Http::NodeServer> m_server;
     std::shared_ptr<Http::NodeServer> m_origin;
     mutable unsigned m_manifestsRead = 0;
+    // The layers that are being loaded.
+    std::optional<Fleet::HeldLayers> m_loading;
 };
 
 struct NoPublications final : Fleet::PublicationDecoder {
