Settle a load request only by what the engine shows to have accepted

Requests that ran on layers in doubt went on.

Change: a late acceptance is settled by a report that the engine is idle and holds the requested layers, after the pieces were found whole; anything else is a doubt. An attempt can't have been accepted before it was sent; attempts go on 0.5 s apart; only stores of this process that had no response count as unsettled; requests on layers in doubt are aborted.

--- a/Source/Staging/Commands/RecordLoadReport.cpp
+++ b/Source/Staging/Commands/RecordLoadReport.cpp
@@ -1,20 +1,26 @@
 #include "Staging/Commands/RecordLoadReport.h"
 
+#include "Staging/Commands/RecordLoadRequest.h"
+
+#include <algorithm>
+
 namespace Lavenderloft::Staging::Commands {
 
 namespace {
 
     using namespace std::chrono_literals;
 
-    // A request without a response is no longer waited for after this time. If it is accepted later, the engine is in doubt.
+    // A request without a response is no longer waited for after this time, if it can't be repeated. If it is accepted later,
+    // the engine is in doubt.
     constexpr std::chrono::seconds pendingLifetime = 10s;
 
-    bool isCountHigher(const std::optional<uint64_t>& count, const std::optional<uint64_t>& before)
+    bool isHigher(const std::optional<uint64_t>& count, const std::optional<uint64_t>& before)
     {
         return count && before && *count > *before;
     }
 
-    // An engine that does not count the requests shows by its layers that it has accepted one.
+    // Whether the engine has accepted the request, or another one with the same count before it. An engine that does not
+    // count the requests shows it by its layers.
     bool hasAccepted(const EngineReport& report, const PendingLoad& load)
     {
         if (report.acceptedLoads && load.acceptedBefore)
@@ -32,31 +38,47 @@
         state.isInDoubt = isFirstReport && report.busy;
     }
 
-    void expire(LoadState& state, Base::TimePoint now)
+    void recordRequestedLoad(LoadState& state, const EngineReport& report, Base::TimePoint polledAt)
+    {
+        if (hasAccepted(report, *state.pending)) {
+            state.lifeCycle.accept();
+            return;
+        }
+        if (!report.busy)
+            state.pending->notAcceptedAt = std::max(state.pending->notAcceptedAt, polledAt);
+        if (polledAt - state.pending->requestedAt >= pendingLifetime)
+            abandonLoad(state);
+    }
+
+    // Once the engine has loaded, its layers show whether it accepted the pending request.
+    void recordAcceptedLoad(LoadState& state, const EngineReport& report)
     {
-        if (now - state.pending->requestedAt < pendingLifetime)
+        if (!state.pending->isVerified || report.busy || !hasAccepted(report, *state.pending))
             return;
-        state.pending.reset();
-        state.lifeCycle.settle();
+        if (report.layers == state.pending->layers)
+            settleAsLoaded(state);
+        else
+            settleInDoubt(state);
     }
 
 } // namespace
 
 void recordLoadReport(LoadState& state, const EngineReport& report, Base::TimePoint polledAt)
 {
-    if (report.startedAt != state.engineStart) {
+    if (report.startedAt != 0 && report.startedAt != state.engineStart) {
         startEngine(state, report);
         return;
     }
-    if (state.lifeCycle.phase() == LoadPhase::Requested) {
-        if (hasAccepted(report, *state.pending)) {
-            state.lifeCycle.accept();
-        } else {
-            state.pending->notAcceptedAt = polledAt;
-            expire(state, polledAt);
-        }
-    } else if (isCountHigher(report.acceptedLoads, state.acceptedLoads)) {
-        state.isInDoubt = true;
+    switch (state.lifeCycle.phase()) {
+    case LoadPhase::Requested:
+        recordRequestedLoad(state, report, polledAt);
+        break;
+    case LoadPhase::Unverified:
+        recordAcceptedLoad(state, report);
+        break;
+    case LoadPhase::Settled:
+        state.isInDoubt = state.isInDoubt || isHigher(report.acceptedLoads, state.acceptedLoads);
+        break;
     }
     state.acceptedLoads = std::max(state.acceptedLoads, report.acceptedLoads);
 }
--- a/Source/Staging/Commands/RecordLoadRequest.cpp
+++ b/Source/Staging/Commands/RecordLoadRequest.cpp
@@ -4,28 +4,26 @@
 
 namespace {
 
-    void settle(LoadState& state)
-    {
-        state.pending.reset();
-        state.lifeCycle.settle();
-    }
-
-    // The engine has loaded whole pieces. Layers that it loaded before are as they were.
-    void settleAsLoaded(LoadState& state)
-    {
-        state.isInDoubt = state.isInDoubt && !state.pending->replacesAllLayers;
-        state.hasLoaded = true;
-        settle(state);
-    }
-
     void recordAcceptance(LoadState& state, bool isVerificationValid)
     {
         if (state.pending->acceptedBefore)
             state.acceptedLoads = *state.pending->acceptedBefore + 1;
-        if (isVerificationValid)
+        if (isVerificationValid && !state.isInDoubt) {
             settleAsLoaded(state);
-        else
+            return;
+        }
+        // Layers in doubt are held until the engine has loaded others.
+        state.pending->isVerified = isVerificationValid;
+        state.lifeCycle.accept();
+    }
+
+    // The engine holds the layers already. That tells nothing of when it loaded them, unless an earlier attempt did it.
+    void recordEarlierLoad(LoadState& state)
+    {
+        if (state.pending->hasUnansweredAttempt)
             state.lifeCycle.accept();
+        else
+            settleInDoubt(state);
     }
 
     // The last attempt had no effect. Earlier ones that were not answered may have one.
@@ -33,20 +31,41 @@
     {
         if (state.pending->hasUnansweredAttempt)
             return;
-        // The engine has accepted a request, and it was not the pending one: one of an earlier process.
-        bool isOtherAccepted = state.lifeCycle.phase() == LoadPhase::Unverified;
-        state.isInDoubt = state.isInDoubt || isOtherAccepted;
-        settle(state);
+        // The engine has accepted a request meanwhile, and it was not this one.
+        if (state.lifeCycle.phase() == LoadPhase::Unverified)
+            settleInDoubt(state);
+        else
+            abandonLoad(state);
     }
 
 } // namespace
 
+void settleAsLoaded(LoadState& state)
+{
+    state.isInDoubt = state.isInDoubt && !state.pending->replacesAllLayers;
+    state.hasLoaded = true;
+    abandonLoad(state);
+}
+
+void settleInDoubt(LoadState& state)
+{
+    state.isInDoubt = true;
+    abandonLoad(state);
+}
+
+void abandonLoad(LoadState& state)
+{
+    state.pending.reset();
+    state.lifeCycle.settle();
+}
+
 void recordLoadRequest(LoadState& state, PendingLoad load)
 {
     bool isRepeated = !state.lifeCycle.request();
     if (isRepeated)
-        return;
-    state.pending = std::move(load);
+        state.pending->requestedAt = load.requestedAt;
+    else
+        state.pending = std::move(load);
 }
 
 void recordLoadResponse(LoadState& state, const std::optional<LoadResponse>& response, bool isVerificationValid)
@@ -63,7 +82,7 @@
         recordAcceptance(state, isVerificationValid);
         break;
     case LoadResponse::AlreadyLoaded:
-        state.lifeCycle.accept();
+        recordEarlierLoad(state);
         break;
     case LoadResponse::Conflict:
     case LoadResponse::Refused:
@@ -76,12 +95,10 @@
 {
     if (state.lifeCycle.phase() != LoadPhase::Unverified)
         return;
-    if (provesLoad) {
-        settleAsLoaded(state);
-        return;
-    }
-    state.isInDoubt = true;
-    settle(state);
+    if (provesLoad)
+        state.pending->isVerified = true;
+    else
+        settleInDoubt(state);
 }
 
 } // namespace Lavenderloft::Staging::Commands
--- a/Source/Staging/Commands/RecordLoadRequest.h
+++ b/Source/Staging/Commands/RecordLoadRequest.h
@@ -19,4 +19,13 @@
 // were whole, and not stored again since the engine may have accepted it.
 void recordLoadVerification(LoadState&, bool provesLoad);
 
+// The engine has loaded whole pieces for the pending request. Layers that it loaded before are as they were.
+void settleAsLoaded(LoadState&);
+
+// The engine may have loaded other pieces than those of the pending request, or others than the agent knows of.
+void settleInDoubt(LoadState&);
+
+// Nothing is known to have come of the pending request.
+void abandonLoad(LoadState&);
+
 } // namespace Lavenderloft::Staging::Commands
--- a/Source/Staging/EngineMonitor.cpp
+++ b/Source/Staging/EngineMonitor.cpp
@@ -26,7 +26,7 @@
 
 EngineMonitor::EngineMonitor(const StagingContext& context, LoadState& load)
     : m_context(context)
-    , m_load(load)
+    , m_loadState(load)
 {
 }
 
@@ -58,7 +58,6 @@
         response = co_await client.call(m_context.protocol.reportRequest(), StagingContext::engineTimeout);
     auto before = m_report;
     auto problem = takeReport(response);
-    m_polledAt = polledAt;
     if (m_report)
         recordLoads(polledAt);
     detectEnd(before, response);
@@ -80,9 +79,9 @@
 
 void EngineMonitor::recordLoads(Base::TimePoint polledAt)
 {
-    bool wasInDoubt = m_load.isInDoubt;
-    Commands::recordLoadReport(m_load, *m_report, polledAt);
-    if (m_load.isInDoubt && !wasInDoubt)
+    bool wasInDoubt = m_loadState.isInDoubt;
+    Commands::recordLoadReport(m_loadState, *m_report, polledAt);
+    if (m_loadState.isInDoubt && !wasInDoubt)
         Observability::logEvent(Events::loadInDoubt, { { "version", m_report->layers ? m_report->layers->version : 0 }, { "accepted_loads", m_report->acceptedLoads.value_or(0) }, { "cause", "the engine accepted a load request that this process did not send" } });
 }
 
@@ -114,14 +113,14 @@
 {
     auto snapshot = m_context.snapshot();
     auto* layout = Queries::findWeightLayout(*snapshot, m_context.settings);
-    if (!m_report || !layout || !Queries::canRelyOnLayers(m_load))
+    if (!m_report || !layout || !Queries::canRelyOnLayers(m_loadState))
         return 0;
     return Fleet::wholeVersionOf(m_report->layers, layout->layers);
 }
 
 std::optional<DesiredWeights> EngineMonitor::findDesiredWeights() const
 {
-    auto pending = Queries::findPendingWeights(m_load);
+    auto pending = Queries::findPendingWeights(m_loadState);
     return pending ? pending : m_context.findDesiredWeights(wholeVersion());
 }
 
--- a/Source/Staging/EngineMonitor.h
+++ b/Source/Staging/EngineMonitor.h
@@ -26,9 +26,6 @@
     // The last report; empty while the engine does not respond.
     const std::optional<EngineReport>& report() const { return m_report; }
 
-    // When the last report was requested.
-    Base::TimePoint polledAt() const { return m_polledAt; }
-
     // The version of the desired model of which the engine has loaded all layers from whole pieces; 0 if there is none.
     uint64_t wholeVersion() const;
 
@@ -56,9 +53,8 @@
     void logAcceptedLoads(const std::optional<EngineReport>& before) const;
 
     const StagingContext& m_context;
-    LoadState& m_load;
+    LoadState& m_loadState;
     std::optional<EngineReport> m_report;
-    Base::TimePoint m_polledAt {};
     // When the engine was last seen to end or restart.
     std::optional<Base::TimePoint> m_endedAt;
 };
--- a/Source/Staging/EnginePieces.cpp
+++ b/Source/Staging/EnginePieces.cpp
@@ -11,15 +11,27 @@
 
     using namespace std::chrono_literals;
 
-    // A store that had no response, also one of an earlier process, takes no effect after this time.
+    // How long a store that had no response is expected to take effect still.
     constexpr std::chrono::seconds unsettledStoreLifetime = 30s;
 
+    // Whether the engine said that the piece is stored there or that it is not.
+    bool isAnswer(const Base::Result<Http::HttpResponse, Http::HttpError>& result)
+    {
+        return Base::succeeded(result) && (Base::valueOf(result).status == 200 || Base::valueOf(result).status == 404);
+    }
+
+    std::optional<std::string> takePiece(Base::Result<Http::HttpResponse, Http::HttpError> result)
+    {
+        if (!Base::succeeded(result) || Base::valueOf(result).status != 200)
+            return std::nullopt;
+        return Base::takeValue(std::move(result)).body;
+    }
+
 } // namespace
 
 EnginePieces::EnginePieces(const StagingContext& context, const EngineMonitor& monitor)
     : m_context(context)
     , m_monitor(monitor)
-    , m_storesUnsettledUntil(context.clock.now() + unsettledStoreLifetime)
 {
 }
 
@@ -48,19 +60,27 @@
     m_checklist->markAllMissing();
 }
 
-asio::awaitable<void> EnginePieces::verify(Http::PersistentHttpClient& engine)
+asio::awaitable<bool> EnginePieces::verify(Http::PersistentHttpClient& engine)
 {
     m_verificationStart = m_context.clock.now();
+    bool isAnswered = true;
     for (unsigned piece = 0; piece < m_checklist->pieceCount(); ++piece) {
-        auto bytes = co_await read(engine, m_checklist->manifest().model, piece);
-        if (bytes && m_checklist->matches(piece, *bytes)) {
-            m_checklist->markPresent(piece);
-            continue;
-        }
-        if (bytes && m_checklist->isPresent(piece))
-            Observability::logEvent(Events::pieceRejected, { { "piece", piece }, { "version", m_checklist->manifest().version }, { "source", "engine" } });
-        m_checklist->markMissing(piece);
+        auto result = co_await requestPiece(engine, m_checklist->manifest().model, piece);
+        isAnswered = isAnswered && isAnswer(result);
+        recordVerified(piece, takePiece(std::move(result)));
+    }
+    co_return isAnswered;
+}
+
+void EnginePieces::recordVerified(unsigned piece, const std::optional<std::string>& bytes)
+{
+    if (bytes && m_checklist->matches(piece, *bytes)) {
+        m_checklist->markPresent(piece);
+        return;
     }
+    if (bytes && m_checklist->isPresent(piece))
+        Observability::logEvent(Events::pieceRejected, { { "piece", piece }, { "version", m_checklist->manifest().version }, { "source", "engine" } });
+    m_checklist->markMissing(piece);
 }
 
 asio::awaitable<bool> EnginePieces::store(const std::string& model, unsigned piece, std::string bytes)
@@ -81,12 +101,16 @@
     co_return false;
 }
 
-asio::awaitable<std::optional<std::string>> EnginePieces::read(Http::PersistentHttpClient& engine, const std::string& model, unsigned piece) const
+asio::awaitable<EnginePieces::ReadResult> EnginePieces::requestPiece(Http::PersistentHttpClient& engine, const std::string& model, unsigned piece) const
 {
     auto result = co_await engine.call(m_context.protocol.storedPieceRequest(model, piece), StagingContext::engineTimeout);
-    if (!Base::succeeded(result) || Base::valueOf(result).status != 200)
-        co_return std::nullopt;
-    co_return Base::takeValue(std::move(result)).body;
+    co_return result;
+}
+
+asio::awaitable<std::optional<std::string>> EnginePieces::read(Http::PersistentHttpClient& engine, const std::string& model, unsigned piece) const
+{
+    auto result = co_await requestPiece(engine, model, piece);
+    co_return takePiece(std::move(result));
 }
 
 } // namespace Lavenderloft::Staging
--- a/Source/Staging/EnginePieces.h
+++ b/Source/Staging/EnginePieces.h
@@ -33,8 +33,9 @@
     // Marks all pieces of the checklist as missing.
     void restartChecklist();
 
-    // Reads each piece of the checklist back from the engine and compares its digest.
-    boost::asio::awaitable<void> verify(Http::PersistentHttpClient& engine);
+    // Reads each piece of the checklist back from the engine and compares its digest. Returns whether the engine answered
+    // every time; pieces for which it did not are marked as missing.
+    boost::asio::awaitable<bool> verify(Http::PersistentHttpClient& engine);
 
     // Time since the start of the last verification: a piece that it found whole may have turned bad since.
     Base::Duration verificationAge() const { return m_context.clock.now() - m_verificationStart; }
@@ -42,16 +43,22 @@
     // When a piece was last sent to the engine to be stored.
     Base::TimePoint lastStoreAt() const { return m_lastStoreAt; }
 
-    // Whether a store that had no response may still take effect, over a piece that was stored since.
+    // Whether a store of this process that had no response is expected to take effect still, over a piece that was stored
+    // since.
     bool hasUnsettledStores() const { return m_context.clock.now() < m_storesUnsettledUntil; }
 
     // Stores a piece and marks it as present. Returns false if the engine did not accept it.
     boost::asio::awaitable<bool> store(const std::string& model, unsigned piece, std::string bytes);
 
-    // Reads a piece back from the engine; nullopt if it is not stored there.
+    // Reads a piece back from the engine; nullopt if it is not stored there or the engine does not answer.
     boost::asio::awaitable<std::optional<std::string>> read(Http::PersistentHttpClient& engine, const std::string& model, unsigned piece) const;
 
 private:
+    using ReadResult = Base::Result<Http::HttpResponse, Http::HttpError>;
+
+    boost::asio::awaitable<ReadResult> requestPiece(Http::PersistentHttpClient& engine, const std::string& model, unsigned piece) const;
+    void recordVerified(unsigned piece, const std::optional<std::string>& bytes);
+
     const StagingContext& m_context;
     const EngineMonitor& m_monitor;
     std::optional<PieceChecklist> m_checklist;
@@ -59,7 +66,7 @@
     uint64_t m_engineStart = 0;
     Base::TimePoint m_verificationStart {};
     Base::TimePoint m_lastStoreAt {};
-    Base::TimePoint m_storesUnsettledUntil;
+    Base::TimePoint m_storesUnsettledUntil {};
 };
 
 } // namespace Lavenderloft::Staging
--- a/Source/Staging/LoadLifeCycle.h
+++ b/Source/Staging/LoadLifeCycle.h
@@ -9,7 +9,8 @@
     Settled,
     // A load request was sent; whether the engine has accepted it, or still will, is not known.
     Requested,
-    // The engine has accepted the load request too long after the pieces were verified to rely on that verification.
+    // The engine has accepted a load request, too long after the pieces were verified to rely on that verification. Its
+    // reports will show whether it was this one.
     Unverified,
 };
 
--- a/Source/Staging/LoadReporter.cpp
+++ b/Source/Staging/LoadReporter.cpp
@@ -11,7 +11,7 @@
     : m_context(context)
     , m_monitor(monitor)
     , m_intent(intent)
-    , m_load(loadState)
+    , m_loadState(loadState)
     , m_peering(peering)
 {
 }
@@ -52,7 +52,7 @@
     load.queued = report.queued;
     load.wholeVersion = m_monitor.wholeVersion();
     // An engine that may still accept a load request would abort or reject what it is sent meanwhile.
-    load.paused = m_intent.isPaused || report.busy || m_load.pending;
+    load.paused = m_intent.isPaused || report.busy || m_loadState.pending;
     load.cold = coldRate.has_value();
     load.abortsIn = Queries::timeUntilAbort(m_intent.plan, now);
     auto free = load.paused ? 0 : Queries::countFreeSlots(*snapshot, settings, report);
--- a/Source/Staging/LoadReporter.h
+++ b/Source/Staging/LoadReporter.h
@@ -29,7 +29,7 @@
     const StagingContext& m_context;
     const EngineMonitor& m_monitor;
     const LoadIntent& m_intent;
-    const LoadState& m_load;
+    const LoadState& m_loadState;
     Peering::PeeringNode& m_peering;
     EngineStart m_engineStart;
     GrantableSlots m_slots;
--- a/Source/Staging/LoadState.h
+++ b/Source/Staging/LoadState.h
@@ -18,12 +18,14 @@
     std::optional<uint64_t> acceptedBefore;
     // If it is accepted, the engine keeps no layers that it loaded earlier.
     bool replacesAllLayers = true;
-    // Of the first attempt.
+    // Of the last attempt.
     Base::TimePoint requestedAt {};
     // The last time at which the engine is known not to have accepted it.
     Base::TimePoint notAcceptedAt {};
     // An attempt had no response. The engine may still accept it.
     bool hasUnansweredAttempt = false;
+    // The pieces were found whole after the engine had accepted it.
+    bool isVerified = false;
 };
 
 // What is known of the load requests at the local engine, and whether its layers can be relied on. An engine loads the
--- a/Source/Staging/StagingNode.cpp
+++ b/Source/Staging/StagingNode.cpp
@@ -8,13 +8,13 @@
 
 StagingNode::StagingNode(asio::io_context& loop, const Fleet::NodeSettings& settings, const Fleet::FleetState& fleet, const EngineProtocol& protocol, Peering::PeeringNode& peering, const Base::Clock& clock, Base::RandomSource& random)
     : m_context { loop, settings, fleet, protocol, clock, random }
-    , m_monitor(m_context, m_load)
-    , m_reporter(m_context, m_monitor, m_intent, m_load, peering)
+    , m_monitor(m_context, m_loadState)
+    , m_reporter(m_context, m_monitor, m_intent, m_loadState, peering)
     , m_manifests(m_context, m_monitor)
     , m_pieces(m_context, m_monitor)
     , m_fetcher(m_context, m_monitor, m_manifests, m_pieces)
     , m_server(m_context, m_monitor, m_manifests, m_pieces, m_fetcher)
-    , m_loader(m_context, m_monitor, m_intent, m_load, m_reporter, m_pieces, m_fetcher)
+    , m_loader(m_context, m_monitor, m_intent, m_loadState, m_reporter, m_pieces, m_fetcher)
 {
 }
 
--- a/Source/Staging/StagingNode.h
+++ b/Source/Staging/StagingNode.h
@@ -35,7 +35,7 @@
     // The parts refer to each other and are constructed in this order.
     const StagingContext m_context;
     LoadIntent m_intent;
-    LoadState m_load;
+    LoadState m_loadState;
     EngineMonitor m_monitor;
     LoadReporter m_reporter;
     ManifestFetcher m_manifests;
--- a/Source/Staging/WeightLoader.cpp
+++ b/Source/Staging/WeightLoader.cpp
@@ -24,8 +24,8 @@
     // A load request without effect is repeated after this time.
     constexpr std::chrono::seconds loadTimeout = 8s;
     constexpr std::chrono::milliseconds loadCheckInterval = 100ms;
-    // Delay after the engine rejected a load request.
-    constexpr std::chrono::milliseconds rejectedLoadDelay = 500ms;
+    // Delay after a load request that was rejected or had no response.
+    constexpr std::chrono::milliseconds repeatedLoadDelay = 500ms;
     // A load request relies on a verification that is no older. Longer than a verification and a drain take; a longer time
     // means that the process stood still, while stored pieces may have turned bad.
     constexpr std::chrono::milliseconds verificationLifetime = 2000ms;
@@ -38,7 +38,7 @@
     : m_context(context)
     , m_monitor(monitor)
     , m_intent(intent)
-    , m_load(loadState)
+    , m_loadState(loadState)
     , m_reporter(reporter)
     , m_pieces(pieces)
     , m_fetcher(fetcher)
@@ -47,9 +47,11 @@
 
 asio::awaitable<void> WeightLoader::run()
 {
+    // An exception may have ended a load.
+    m_intent = {};
     while (true) {
         auto desired = m_monitor.findDesiredWeights();
-        if (m_monitor.report() && m_load.lifeCycle.phase() == LoadPhase::Unverified)
+        if (needsVerification())
             co_await verifyLoad();
         else if (needsWeights(desired))
             co_await stageAndLoad(*desired);
@@ -57,10 +59,15 @@
     }
 }
 
+bool WeightLoader::needsVerification() const
+{
+    return m_monitor.report() && m_loadState.lifeCycle.phase() == LoadPhase::Unverified && !m_loadState.pending->isVerified;
+}
+
 bool WeightLoader::needsWeights(const std::optional<DesiredWeights>& desired) const
 {
     auto& report = m_monitor.report();
-    return report && desired && !desired->origin.host.empty() && !m_monitor.hasLoaded(*desired) && !report->busy;
+    return report && desired && !desired->origin.host.empty() && !m_monitor.hasLoaded(*desired) && !report->busy && m_loadState.lifeCycle.phase() != LoadPhase::Unverified;
 }
 
 asio::awaitable<void> WeightLoader::stageAndLoad(const DesiredWeights& desired)
@@ -86,7 +93,7 @@
 {
     m_intent.plan.reset();
     auto heldVersion = m_monitor.wholeVersion();
-    if (heldVersion > 0 && !m_load.pending)
+    if (heldVersion > 0 && !m_loadState.pending)
         m_intent.plan = Queries::planLoad(*m_context.snapshot(), m_context.settings, desired.model, desired.declared, heldVersion, { stagedAt, m_fetcher.canFetchNewest() });
 }
 
@@ -112,27 +119,32 @@
 
 asio::awaitable<void> WeightLoader::load(const DesiredWeights& desired, Http::PersistentHttpClient& engine)
 {
-    auto mode = m_intent.plan ? m_intent.plan->mode : LoadMode::FinishRunning;
+    auto mode = chooseMode();
     co_await pauseRequests(mode);
     bool areConfirmed = co_await confirmPieces(engine);
     if (areConfirmed && m_monitor.report() && m_monitor.isStillDesired(desired)) {
-        auto layers = Queries::chooseLayers(m_load, m_monitor.report()->layers, desired.declared.version, desired.layers);
+        auto layers = Queries::chooseLayers(m_loadState, m_monitor.report()->layers, desired.declared.version, desired.layers);
         auto response = co_await requestLoad(desired, layers, mode, engine);
-        if (m_load.lifeCycle.phase() == LoadPhase::Unverified)
+        if (needsVerification())
             co_await verifyLoad();
         co_await waitForEffect(desired, layers, response);
     }
     m_intent = {};
 }
 
-// An engine that rejects the request is asked again later. One that does not respond may still accept it, and is asked again
-// at once: it accepts only one of the attempts.
+// Requests that run on layers in doubt are aborted, whatever they have produced.
+LoadMode WeightLoader::chooseMode() const
+{
+    if (m_loadState.isInDoubt)
+        return LoadMode::AbortRunning;
+    return m_intent.plan ? m_intent.plan->mode : LoadMode::FinishRunning;
+}
+
+// An engine that rejects the request, or does not respond, is asked again. It accepts only one of the attempts.
 asio::awaitable<void> WeightLoader::waitForEffect(const DesiredWeights& desired, const Fleet::HeldLayers& layers, const std::optional<LoadResponse>& response)
 {
-    if (!response)
-        co_return;
-    if (*response == LoadResponse::Conflict || *response == LoadResponse::Refused) {
-        co_await Http::sleepFor(m_context.loop, rejectedLoadDelay);
+    if (response != LoadResponse::Started) {
+        co_await Http::sleepFor(m_context.loop, repeatedLoadDelay);
         co_return;
     }
     co_await waitUntilLoaded(desired, layers);
@@ -179,31 +191,51 @@
 PendingLoad WeightLoader::makePendingLoad(const DesiredWeights& desired, const Fleet::HeldLayers& layers) const
 {
     auto& held = m_monitor.report()->layers;
-    return { desired, layers, m_load.acceptedLoads, Queries::replacesAllLayers(layers, held), m_context.clock.now(), m_monitor.polledAt() };
+    return { desired, layers, m_loadState.acceptedLoads, Queries::replacesAllLayers(layers, held), m_context.clock.now(), m_context.clock.now() };
 }
 
 // Returns nothing if the engine did not respond.
 asio::awaitable<std::optional<LoadResponse>> WeightLoader::requestLoad(const DesiredWeights& desired, const Fleet::HeldLayers& layers, LoadMode mode, Http::PersistentHttpClient& engine)
 {
-    auto verifiedBefore = std::chrono::duration_cast<std::chrono::milliseconds>(m_pieces.verificationAge());
-    auto requestedAt = m_context.clock.now();
-    Commands::recordLoadRequest(m_load, makePendingLoad(desired, layers));
-    LoadRequest request { desired.model, layers, layers.from == 0 && layers.to == desired.layers, mode, m_load.pending->acceptedBefore };
+    RequestTimes times { m_context.clock.now(), m_pieces.verificationAge() };
+    Commands::recordLoadRequest(m_loadState, makePendingLoad(desired, layers));
+    LoadRequest request { desired.model, layers, layers.from == 0 && layers.to == desired.layers, mode, m_loadState.pending->acceptedBefore };
     auto result = co_await engine.call(m_context.protocol.loadRequest(request), StagingContext::engineTimeout);
-    std::optional<LoadResponse> response;
-    if (Base::succeeded(result))
-        response = m_context.protocol.readLoadResponse(Base::valueOf(result));
-    Commands::recordLoadResponse(m_load, response, isVerificationValid());
-    auto answeredAfter = std::chrono::duration_cast<std::chrono::milliseconds>(m_context.clock.now() - requestedAt);
-    auto& report = m_monitor.report();
-    auto status = Base::succeeded(result) ? Base::valueOf(result).status : 0;
-    auto problem = Base::succeeded(result) ? std::string() : Base::errorOf(result).describe();
-    Observability::logEvent(Events::loadOrdered, { { "model", desired.model }, { "version", desired.declared.version }, { "from", layers.from }, { "to", layers.to }, { "running", report ? report->running : 0 }, { "queued", report ? report->queued : 0 }, { "verified_before", verifiedBefore }, { "answered_after", answeredAfter }, { "accepted_loads", request.acceptedBefore.value_or(0) }, { "status", status }, { "problem", problem } });
+    auto response = readResponse(result);
+    Commands::recordLoadResponse(m_loadState, response, isVerificationValid());
+    logRequest(request, times, result);
     if (!response)
         Observability::logEvent(Events::loadUnsettled, { { "model", desired.model }, { "version", desired.declared.version }, { "accepted_loads", request.acceptedBefore.value_or(0) } });
     co_return response;
 }
 
+std::optional<LoadResponse> WeightLoader::readResponse(const CallResult& result) const
+{
+    if (Base::succeeded(result))
+        return m_context.protocol.readLoadResponse(Base::valueOf(result));
+    bool isSent = Base::errorOf(result).kind != Http::HttpErrorKind::NotSent;
+    return isSent ? std::nullopt : std::optional(LoadResponse::Refused);
+}
+
+void WeightLoader::logRequest(const LoadRequest& request, const RequestTimes& times, const CallResult& result) const
+{
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    auto& report = m_monitor.report();
+    Observability::logEvent(Events::loadOrdered,
+        { { "model", request.model },
+            { "version", request.layers.version },
+            { "from", request.layers.from },
+            { "to", request.layers.to },
+            { "running", report ? report->running : 0 },
+            { "queued", report ? report->queued : 0 },
+            { "verified_before", duration_cast<milliseconds>(times.verificationAge) },
+            { "answered_after", duration_cast<milliseconds>(m_context.clock.now() - times.requestedAt) },
+            { "accepted_loads", request.acceptedBefore.value_or(0) },
+            { "status", Base::succeeded(result) ? Base::valueOf(result).status : 0 },
+            { "problem", Base::succeeded(result) ? std::string() : Base::errorOf(result).describe() } });
+}
+
 // Whether a request that was accepted by now was accepted while the pieces were whole.
 bool WeightLoader::isVerificationValid() const
 {
@@ -214,15 +246,19 @@
 // if they are whole now and none was stored since the engine may have accepted the request, it loaded whole ones.
 asio::awaitable<void> WeightLoader::verifyLoad()
 {
-    auto load = *m_load.pending;
+    auto load = *m_loadState.pending;
     auto engine = m_context.engineClient();
-    co_await m_pieces.verify(engine);
+    bool isAnswered = co_await m_pieces.verify(engine);
     bool isWhole = m_pieces.checklist()->isComplete() && m_pieces.hasChecklistOf(load.weights.declared.version);
+    // An engine that does not answer tells nothing of its pieces; they are verified again.
+    if (!isAnswered)
+        co_return;
     bool isUnchanged = m_pieces.lastStoreAt() <= load.notAcceptedAt;
-    Commands::recordLoadVerification(m_load, isWhole && isUnchanged);
+    bool wasInDoubt = m_loadState.isInDoubt;
+    Commands::recordLoadVerification(m_loadState, isWhole && isUnchanged);
     Observability::logEvent(Events::loadVerified, { { "model", load.weights.model }, { "version", load.weights.declared.version }, { "is_whole", isWhole }, { "is_unchanged", isUnchanged } });
-    if (m_load.isInDoubt)
-        Observability::logEvent(Events::loadInDoubt, { { "version", load.weights.declared.version }, { "accepted_loads", m_load.acceptedLoads.value_or(0) }, { "cause", "the pieces were not whole all the time until the engine accepted the load request" } });
+    if (m_loadState.isInDoubt && !wasInDoubt)
+        Observability::logEvent(Events::loadInDoubt, { { "version", load.weights.declared.version }, { "accepted_loads", m_loadState.acceptedLoads.value_or(0) }, { "cause", "the pieces were not whole all the time until the engine accepted the load request" } });
 }
 
 asio::awaitable<void> WeightLoader::waitUntilLoaded(const DesiredWeights& desired, const Fleet::HeldLayers& layers)
--- a/Source/Staging/WeightLoader.h
+++ b/Source/Staging/WeightLoader.h
@@ -21,6 +21,15 @@
     boost::asio::awaitable<void> run();
 
 private:
+    using CallResult = Base::Result<Http::HttpResponse, Http::HttpError>;
+
+    // Of a load request, for the log.
+    struct RequestTimes {
+        Base::TimePoint requestedAt;
+        Base::Duration verificationAge;
+    };
+
+    bool needsVerification() const;
     bool needsWeights(const std::optional<DesiredWeights>&) const;
     boost::asio::awaitable<void> stageAndLoad(const DesiredWeights&);
     boost::asio::awaitable<bool> stage(const DesiredWeights&);
@@ -32,9 +41,12 @@
     boost::asio::awaitable<void> pauseRequests(LoadMode);
     boost::asio::awaitable<void> waitForRunningRequests();
     boost::asio::awaitable<std::optional<LoadResponse>> requestLoad(const DesiredWeights&, const Fleet::HeldLayers&, LoadMode, Http::PersistentHttpClient& engine);
+    std::optional<LoadResponse> readResponse(const CallResult&) const;
+    void logRequest(const LoadRequest&, const RequestTimes&, const CallResult&) const;
     PendingLoad makePendingLoad(const DesiredWeights&, const Fleet::HeldLayers&) const;
     bool isVerificationValid() const;
     boost::asio::awaitable<void> verifyLoad();
+    LoadMode chooseMode() const;
     boost::asio::awaitable<void> waitForEffect(const DesiredWeights&, const Fleet::HeldLayers&, const std::optional<LoadResponse>&);
     boost::asio::awaitable<void> waitUntilLoaded(const DesiredWeights&, const Fleet::HeldLayers&);
     bool isLoadComplete(const DesiredWeights&, const Fleet::HeldLayers&) const;
@@ -42,7 +54,7 @@
     const StagingContext& m_context;
     const EngineMonitor& m_monitor;
     LoadIntent& m_intent;
-    LoadState& m_load;
+    LoadState& m_loadState;
     LoadReporter& m_reporter;
     EnginePieces& m_pieces;
     PieceFetcher& m_fetcher;
--- a/Tests/Staging/LoadStateTest.cpp
+++ b/Tests/Staging/LoadStateTest.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr unsigned layerCount = 16;
+constexpr Fleet::HeldLayers allLayers { 0, layerCount, 2 };
 
 EngineReport makeReport(uint64_t acceptedLoads, std::optional<Fleet::HeldLayers> layers = std::nullopt)
 {
@@ -51,10 +52,47 @@
     recordLoadResponse(fixture.state, LoadResponse::Started, false);
     cr_assert_not(canRelyOnLayers(fixture.state));
     recordLoadVerification(fixture.state, true);
+    cr_assert_not(canRelyOnLayers(fixture.state), "the engine has not loaded yet");
+    recordLoadReport(fixture.state, makeReport(3), fixture.clock.now());
+    cr_assert(findPendingWeights(fixture.state).has_value(), "a report from before the acceptance");
+    recordLoadReport(fixture.state, makeReport(4, allLayers), fixture.clock.now());
     cr_assert(canRelyOnLayers(fixture.state));
     cr_assert_not(findPendingWeights(fixture.state).has_value());
 }
 
+// Guards against an engine that is believed to hold the requested version although it accepted an earlier request for
+// another one, over the pieces of the requested version.
+Test(LoadState, theLayersShowWhichRequestWasAccepted)
+{
+    Fixture fixture;
+    recordLoadResponse(fixture.state, std::nullopt, true);
+    recordLoadReport(fixture.state, makeReport(4), fixture.clock.now());
+    recordLoadVerification(fixture.state, true);
+    recordLoadReport(fixture.state, makeReport(4, Fleet::HeldLayers { 0, layerCount, 1 }), fixture.clock.now());
+    cr_assert(fixture.state.isInDoubt);
+}
+
+// Guards against layers that are believed because the engine says that it holds them already.
+Test(LoadState, layersThatWereHeldBeforeTheRequestStayInDoubt)
+{
+    Fixture fixture;
+    fixture.state.isInDoubt = true;
+    recordLoadResponse(fixture.state, LoadResponse::AlreadyLoaded, true);
+    cr_assert(fixture.state.isInDoubt);
+    cr_assert_not(findPendingWeights(fixture.state).has_value());
+}
+
+// Guards against doubts that end because a report lacks the time of the engine's start.
+Test(LoadState, aReportWithoutStartTimeEndsNoDoubt)
+{
+    Fixture fixture;
+    fixture.state.isInDoubt = true;
+    auto report = makeReport(3);
+    report.startedAt = 0;
+    recordLoadReport(fixture.state, report, fixture.clock.now());
+    cr_assert(fixture.state.isInDoubt);
+}
+
 // Guards against a delay of loads whose response arrives in time.
 Test(LoadState, anAcceptanceInTimeIsSettled)
 {
@@ -128,11 +166,10 @@
     Fixture fixture;
     recordLoadResponse(fixture.state, LoadResponse::Started, false);
     recordLoadVerification(fixture.state, false);
-    Fleet::HeldLayers all { 0, layerCount, 2 };
     Fleet::HeldLayers lower { 0, layerCount / 2, 2 };
     Fleet::HeldLayers upper { layerCount / 2, layerCount, 2 };
-    cr_assert(chooseLayers(fixture.state, all, 2, layerCount) == lower);
-    cr_assert_not(replacesAllLayers(lower, all), "the lower layers stay as they are");
+    cr_assert(chooseLayers(fixture.state, allLayers, 2, layerCount) == lower);
+    cr_assert_not(replacesAllLayers(lower, allLayers), "the lower layers stay as they are");
     cr_assert(chooseLayers(fixture.state, lower, 2, layerCount) == upper);
     cr_assert(replacesAllLayers(upper, lower));
     PendingLoad load;
@@ -140,9 +177,11 @@
     load.replacesAllLayers = true;
     recordLoadRequest(fixture.state, load);
     recordLoadResponse(fixture.state, LoadResponse::Started, true);
+    cr_assert_not(canRelyOnLayers(fixture.state), "the engine still holds the lower layers");
+    recordLoadReport(fixture.state, makeReport(5, upper), fixture.clock.now());
     cr_assert(canRelyOnLayers(fixture.state));
-    cr_assert(chooseLayers(fixture.state, upper, 2, layerCount) == all);
-    cr_assert(chooseLayers(fixture.state, all, 3, layerCount) == (Fleet::HeldLayers { 0, layerCount, 3 }));
+    cr_assert(chooseLayers(fixture.state, upper, 2, layerCount) == allLayers);
+    cr_assert(chooseLayers(fixture.state, allLayers, 3, layerCount) == (Fleet::HeldLayers { 0, layerCount, 3 }));
 }
 
 // Guards against an agent that keeps a part of the layers which an earlier process had begun to replace.
