--- a/Tests/Soak/FaultyLink.h
+++ b/Tests/Soak/FaultyLink.h
@@ -22,10 +22,11 @@
 // direction or both, and reset.
 class FaultyLink {
 public:
-    FaultyLink(asio::io_context& context, uint16_t serverPort)
+    // The server listens on 127.0.0.1 and is reached through the link at the given loopback address.
+    FaultyLink(asio::io_context& context, uint16_t serverPort, const std::string& address = "127.0.0.1")
         : m_context(context)
         , m_server(asio::ip::make_address("127.0.0.1"), serverPort)
-        , m_acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+        , m_acceptor(context, tcp::endpoint(asio::ip::make_address(address), 0))
     {
         asio::co_spawn(context, accept(), asio::detached);
     }
--- a/Tests/Soak/NodeProcess.h
+++ b/Tests/Soak/NodeProcess.h
@@ -11,7 +11,8 @@
 
 namespace Lavenderloft::Soak {
 
-// A program of this build that runs as a process of its own and is faulted by signals.
+// A program of this build that runs as a process of its own and is faulted by signals. LAVENDERLOFT_SOAK_PROGRAM names
+// another build's program, for comparisons by hand.
 class NodeProcess {
 public:
     NodeProcess(std::string command, std::string settingsPath, std::string logPath)
@@ -70,7 +71,8 @@
         ::dup2(log, STDOUT_FILENO);
         ::dup2(log, STDERR_FILENO);
         ::setenv("LAVENDERLOFT_SETTINGS", m_settingsPath.c_str(), 1);
-        ::execl(LAVENDERLOFT_BINARY_DIR "/lavenderloft", "lavenderloft", m_command.c_str(), static_cast<char*>(nullptr));
+        const char* program = std::getenv("LAVENDERLOFT_SOAK_PROGRAM");
+        ::execl(program ? program : LAVENDERLOFT_BINARY_DIR "/lavenderloft", "lavenderloft", m_command.c_str(), static_cast<char*>(nullptr));
         ::_exit(127);
     }
 
--- a/Tests/Soak/SoakCallers.h
+++ b/Tests/Soak/SoakCallers.h
@@ -100,7 +100,7 @@
         auto line = kind == RequestKind::Idempotent ? "GET /stock/1" : kind == RequestKind::AtMostOnce ? "POST /loan/1"
                                                                                                        : "POST /draft/1";
         auto body = RequestLedger::bodyOf(id);
-        return std::string(line) + " HTTP/1.1\r\nHost: soak.example\r\nLavenderloft-Request-Id: " + id + "\r\nLavenderloft-Deadline-Ms: " + std::to_string(deadline.count()) + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        return std::string(line) + " HTTP/1.1\r\nHost: soak.example\r\nLavenderloft-Request-Id: " + id + "\r\nLavenderloft-Model: " + SoakWeights::model + "\r\nLavenderloft-Token-Usage: 60,30\r\nLavenderloft-Deadline-Ms: " + std::to_string(deadline.count()) + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     }
 
     // Returns whether the connection can be used again.
--- a/Tests/Soak/SoakStore.h
+++ b/Tests/Soak/SoakStore.h
@@ -2,6 +2,7 @@
 
 #include "Http/NodeServer.h"
 #include "Soak/FaultyLink.h"
+#include "Soak/QueryNumber.h"
 
 #include <boost/beast/core/detail/base64.hpp>
 #include <map>
@@ -48,12 +49,6 @@
         return { { "key", key }, { "revision", item.revision }, { "create_revision", item.revision }, { "lease", 0 }, { "value", encodeBase64(item.value) } };
     }
 
-    static uint64_t numberIn(const std::string& target, const std::string& name)
-    {
-        auto start = target.find(name + "=");
-        return start == std::string::npos ? 0 : std::stoull(target.substr(start + name.size() + 1));
-    }
-
     asio::awaitable<Http::HttpResponse> respond(Http::HttpRequest request)
     {
         auto rejected = Http::HttpResponse { 503, {}, "" };
--- a/Tests/Soak/SoakTest.cpp
+++ b/Tests/Soak/SoakTest.cpp
@@ -1,3 +1,4 @@
+#include "Soak/FaultSeries.h"
 #include "Soak/SoakCallers.h"
 
 #include <criterion/criterion.h>
@@ -18,19 +19,13 @@
 constexpr auto measuredTime = 1500ms;
 constexpr unsigned callersPerKind = 6;
 
-unsigned numberFromEnvironment(const char* name, unsigned standard)
-{
-    auto* value = std::getenv(name);
-    return value ? static_cast<unsigned>(std::stoul(value)) : standard;
-}
-
 // One run: a fleet, its callers, and faults that are drawn from a seed and overlap.
 class SoakRun {
 public:
     SoakRun(unsigned seed, unsigned routers)
         : m_isPlanned(seed % 2 == 0)
-        , m_random(seed)
         , m_fleet(seed, routers)
+        , m_series(m_fleet.context, seed)
         , m_callers(m_fleet, m_isPlanned, seed)
     {
     }
@@ -41,18 +36,18 @@
         asio::co_spawn(m_fleet.context, watchProcesses(), asio::detached);
         m_callers.start(callersPerKind);
         auto startedBy = SteadyClock::now() + startTimeout;
-        runWhile([&] { return !m_callers.isAnyRouterReady() && SteadyClock::now() < startedBy; });
-        runFor(1s);
+        m_series.runWhile([&] { return !m_callers.isAnyRouterReady() && SteadyClock::now() < startedBy; });
+        m_series.runFor(1s);
         startFaults();
-        runFor(faultTime + maximumFaultDuration);
-        runWhile([&] { return m_faults > 0; });
-        runFor(recoveryTime);
+        m_series.runFor(faultTime + maximumFaultDuration);
+        m_series.runWhile([&] { return !m_series.areOver(); });
+        m_series.runFor(recoveryTime);
         auto measuredSince = SteadyClock::now();
-        runFor(measuredTime);
+        m_series.runFor(measuredTime);
         checkRecovery(measuredSince);
         m_callers.stop();
         auto stoppedBy = SteadyClock::now() + 2 * SoakCallers::deadline;
-        runWhile([&] { return !m_callers.haveAllStopped() && SteadyClock::now() < stoppedBy; });
+        m_series.runWhile([&] { return !m_callers.haveAllStopped() && SteadyClock::now() < stoppedBy; });
         if (m_fleet.ledger.violations().empty())
             m_fleet.removeFolder();
         return m_fleet.ledger.violations();
@@ -60,30 +55,13 @@
 
     std::string describe() const
     {
-        return std::string(m_isPlanned ? "planned work" : "faults") + ", " + std::to_string(m_begun) + " begun, " + std::to_string(m_fleet.ledger.requestCount()) + " requests; logs in " + m_fleet.describeFolder();
+        return std::string(m_isPlanned ? "planned work" : "faults") + ", " + std::to_string(m_series.begun()) + " begun, " + std::to_string(m_fleet.ledger.requestCount()) + " requests; logs in " + m_fleet.describeFolder();
     }
 
 private:
     using Fault = asio::awaitable<void> (SoakRun::*)();
 
-    void runWhile(const std::function<bool()>& condition)
-    {
-        while (condition())
-            m_fleet.context.run_one_for(20ms);
-    }
-
-    void runFor(std::chrono::milliseconds duration)
-    {
-        auto until = SteadyClock::now() + duration;
-        runWhile([&] { return SteadyClock::now() < until; });
-    }
-
-    std::chrono::milliseconds drawDuration(std::chrono::milliseconds minimum, std::chrono::milliseconds maximum)
-    {
-        return minimum + std::chrono::milliseconds(m_random() % static_cast<unsigned>((maximum - minimum).count()));
-    }
-
-    SoakTarget& drawTarget() { return *m_fleet.targets[m_random() % m_fleet.targets.size()]; }
+    SoakTarget& drawTarget() { return *m_fleet.targets[m_series.random()() % m_fleet.targets.size()]; }
 
     void startFaults()
     {
@@ -91,19 +69,10 @@
         static const std::vector<Fault> unplanned { &SoakRun::stopRouter, &SoakRun::killRouter, &SoakRun::freezeRouter, &SoakRun::reloadRouter, &SoakRun::changeConfiguration, &SoakRun::drainTarget,
             &SoakRun::slowStore, &SoakRun::rejectAtStore, &SoakRun::silenceStore, &SoakRun::crashTarget, &SoakRun::misbehaveTarget, &SoakRun::misbehaveTarget, &SoakRun::misbehaveTarget,
             &SoakRun::delayLink, &SoakRun::silenceLink, &SoakRun::resetLink };
-        auto& kinds = m_isPlanned ? planned : unplanned;
-        unsigned count = m_isPlanned ? 8 : 20;
-        for (unsigned i = 0; i < count; ++i)
-            asio::co_spawn(m_fleet.context, runFault(kinds[m_random() % kinds.size()], drawDuration(0ms, faultTime)), asio::detached);
-    }
-
-    asio::awaitable<void> runFault(Fault fault, std::chrono::milliseconds start)
-    {
-        ++m_faults;
-        ++m_begun;
-        co_await pause(start);
-        co_await (this->*fault)();
-        --m_faults;
+        std::vector<FaultSeries::Fault> kinds;
+        for (auto fault : m_isPlanned ? planned : unplanned)
+            kinds.push_back([this, fault] { return (this->*fault)(); });
+        m_series.start(kinds, m_isPlanned ? 8 : 20, faultTime);
     }
 
     // Routers that end are started again. One that ends without an order is at fault.
@@ -129,7 +98,7 @@
     {
         auto& routers = m_fleet.routers;
         auto ready = std::count_if(routers.begin(), routers.end(), [](auto& router) { return router.isReady && !router.mayEnd; });
-        for (size_t i = 0, first = m_random() % routers.size(); i < routers.size() && ready > 1; ++i) {
+        for (size_t i = 0, first = m_series.random()() % routers.size(); i < routers.size() && ready > 1; ++i) {
             auto& router = routers[(first + i) % routers.size()];
             if (router.isReady && !router.mayEnd)
                 return &router;
@@ -173,7 +142,7 @@
         if (!router)
             co_return;
         router->process->signal(SIGSTOP);
-        co_await pause(drawDuration(200ms, maximumFaultDuration));
+        co_await pause(m_series.drawDuration(200ms, maximumFaultDuration));
         router->process->signal(SIGCONT);
     }
 
@@ -190,14 +159,14 @@
     {
         for (unsigned i = 0; i < 3; ++i) {
             m_fleet.publishConfiguration();
-            co_await pause(drawDuration(20ms, 300ms));
+            co_await pause(m_series.drawDuration(20ms, 300ms));
         }
     }
 
     // A planned end of a target: it reports that it drains, leaves, and another one takes its address.
     asio::awaitable<void> drainTarget()
     {
-        auto index = static_cast<unsigned>(m_random() % m_fleet.targets.size());
+        auto index = static_cast<unsigned>(m_series.random()() % m_fleet.targets.size());
         auto id = m_fleet.targets[index]->id;
         m_fleet.publishTarget(index, "draining");
         co_await pause(maximumFaultDuration);
@@ -210,21 +179,21 @@
     asio::awaitable<void> slowStore()
     {
         m_fleet.store.responseTime = 200ms;
-        co_await pause(drawDuration(500ms, maximumFaultDuration));
+        co_await pause(m_series.drawDuration(500ms, maximumFaultDuration));
         m_fleet.store.responseTime = 2ms;
     }
 
     asio::awaitable<void> rejectAtStore()
     {
         m_fleet.store.isRejecting = true;
-        co_await pause(drawDuration(500ms, maximumFaultDuration));
+        co_await pause(m_series.drawDuration(500ms, maximumFaultDuration));
         m_fleet.store.isRejecting = false;
     }
 
     asio::awaitable<void> silenceStore()
     {
         m_fleet.store.link().isSilentToCaller = true;
-        co_await pause(drawDuration(500ms, maximumFaultDuration));
+        co_await pause(m_series.drawDuration(500ms, maximumFaultDuration));
         m_fleet.store.link().isSilentToCaller = false;
         m_fleet.store.link().resetConnections();
     }
@@ -233,7 +202,7 @@
     {
         auto& target = drawTarget();
         target.crash();
-        co_await pause(drawDuration(300ms, maximumFaultDuration));
+        co_await pause(m_series.drawDuration(300ms, maximumFaultDuration));
         target.isDown = false;
     }
 
@@ -241,25 +210,25 @@
     {
         static constexpr SoakTarget::Behaviour behaviours[] { SoakTarget::Behaviour::Refusing, SoakTarget::Behaviour::Resetting, SoakTarget::Behaviour::CuttingHead, SoakTarget::Behaviour::Hanging, SoakTarget::Behaviour::Slow, SoakTarget::Behaviour::Repeating };
         auto& target = drawTarget();
-        target.behaviour = behaviours[m_random() % std::size(behaviours)];
-        co_await pause(drawDuration(300ms, maximumFaultDuration));
+        target.behaviour = behaviours[m_series.random()() % std::size(behaviours)];
+        co_await pause(m_series.drawDuration(300ms, maximumFaultDuration));
         target.behaviour = SoakTarget::Behaviour::Sound;
     }
 
     asio::awaitable<void> delayLink()
     {
         auto& link = drawTarget().link();
-        link.delay = drawDuration(100ms, 900ms);
-        co_await pause(drawDuration(300ms, maximumFaultDuration));
+        link.delay = m_series.drawDuration(100ms, 900ms);
+        co_await pause(m_series.drawDuration(300ms, maximumFaultDuration));
         link.delay = 0ms;
     }
 
     asio::awaitable<void> silenceLink()
     {
         auto& link = drawTarget().link();
-        auto& isSilent = m_random() % 2 ? link.isSilentToServer : link.isSilentToCaller;
+        auto& isSilent = m_series.random()() % 2 ? link.isSilentToServer : link.isSilentToCaller;
         isSilent = true;
-        co_await pause(drawDuration(300ms, maximumFaultDuration));
+        co_await pause(m_series.drawDuration(300ms, maximumFaultDuration));
         isSilent = false;
         link.resetConnections();
     }
@@ -278,11 +247,9 @@
     }
 
     bool m_isPlanned;
-    std::mt19937 m_random;
     SoakFleet m_fleet;
+    FaultSeries m_series;
     SoakCallers m_callers;
-    unsigned m_faults = 0;
-    unsigned m_begun = 0;
 };
 
 } // namespace
