--- a/Tests/Soak/WeightsSoakTest.cpp
+++ b/Tests/Soak/WeightsSoakTest.cpp
@@ -180,7 +180,8 @@
 // version: an order or a store took effect seconds after it was sent, beside what the agent or its successor did meanwhile.
 Test(WeightsSoak, runsNothingOnUnsoundLayers)
 {
-    auto first = numberFromEnvironment("LAVENDERLOFT_SOAK_SEED", 1);
+    // A seed with which agents that do not verify the pieces after a late acceptance break the promise.
+    auto first = numberFromEnvironment("LAVENDERLOFT_SOAK_SEED", 11);
     auto runs = numberFromEnvironment("LAVENDERLOFT_SOAK_RUNS", 1);
     auto engines = numberFromEnvironment("LAVENDERLOFT_SOAK_ENGINES", 4);
     size_t broken = 0;
