Reset the connection of an attempt that ends without a complete response

The kernel goes on delivering what waits in the send buffer, so neither the caller's leaving nor the deadline of the weights bounds when the request arrives. The connection is now reset, which discards it.

Proxy/LateDelivery anAbandonedRequestIsNotDelivered failed before: the target received all 200,042 bytes (with a body of 200,000).

--- a/Source/Proxy/TargetExchange.cpp
+++ b/Source/Proxy/TargetExchange.cpp
@@ -45,6 +45,12 @@
 {
 }
 
+TargetExchange::~TargetExchange()
+{
+    m_cancelRegistration.reset();
+    resetConnection();
+}
+
 // Timers use a clock that stops while the VM is suspended, unlike the clock of the decisions, so deadlines are converted
 // to remaining times here.
 Base::Duration TargetExchange::timeUntil(Base::TimePoint time) const
@@ -57,7 +63,7 @@
     return error == beast::error::timeout ? AttemptEnd::TimedOut : AttemptEnd::Broken;
 }
 
-asio::awaitable<TargetExchange::Failure> TargetExchange::connect(Base::TimePoint deadline)
+asio::awaitable<TargetExchange::Failure> TargetExchange::connect(Base::TimePoint until)
 {
     m_connection = std::make_unique<TargetConnection>(m_worker.context.get_executor());
     m_connection->targetId = m_target.entry.id;
@@ -67,7 +73,7 @@
     auto parsed = asio::ip::make_address(address.host, error);
     if (error)
         co_return AttemptEnd::NotSent;
-    m_connection->stream.expires_after(std::min(timeUntil(deadline), Base::Duration(connectTimeout)));
+    m_connection->stream.expires_after(std::min(timeUntil(until), Base::Duration(connectTimeout)));
     co_await m_connection->stream.async_connect(asio::ip::tcp::endpoint(parsed, address.port), asio::redirect_error(asio::use_awaitable, error));
     m_context.metrics.count("target_connections_total");
     if (error)
@@ -82,7 +88,7 @@
     m_cancelRegistration = m_disconnectMonitor.callOnDisconnect([this] { m_connection->stream.cancel(); });
 }
 
-asio::awaitable<TargetExchange::Failure> TargetExchange::send(const Http::HttpRequest& head, std::string_view body, bool mayRetry, Base::TimePoint deadline)
+asio::awaitable<TargetExchange::Failure> TargetExchange::send(const Http::HttpRequest& head, std::string_view body, bool mayRetry, Base::TimePoint until)
 {
     auto idle = mayRetry ? Base::Duration(maximumIdle) : Base::Duration(maximumIdleWithoutRetry);
     // The response to a request without an id can be recognised on a new connection only.
@@ -90,7 +96,7 @@
         m_connection = m_worker.connections.take(m_target.entry.id, idle, m_context.clock.now());
     m_mayReadOtherResponses = m_connection != nullptr;
     if (!m_connection) {
-        auto failure = co_await connect(deadline);
+        auto failure = co_await connect(until);
         if (failure)
             co_return failure;
     }
@@ -98,7 +104,7 @@
     auto serializedHead = Http::serializeRequestHead(head, body.size());
     std::array<asio::const_buffer, 2> buffers { asio::buffer(serializedHead), asio::buffer(body) };
     beast::error_code error;
-    m_connection->stream.expires_after(timeUntil(deadline));
+    m_connection->stream.expires_after(timeUntil(until));
     co_await asio::async_write(m_connection->stream, buffers, asio::redirect_error(asio::use_awaitable, error));
     if (error)
         co_return describeFailure(error);
@@ -198,10 +204,21 @@
     // After a response without an id it is unknown whether further responses follow.
     bool isIdentified = !m_response.head.requestId.empty();
     bool mayKeep = isComplete() && isIdentified && m_parser->keep_alive() && m_connection->buffer.size() == 0;
-    if (mayKeep) {
-        auto keepAlive = m_response.head.keepAlive ? Base::Duration(*m_response.head.keepAlive) : Base::Duration(ConnectionPool::defaultKeepAlive);
-        m_worker.connections.put(std::move(m_connection), keepAlive, m_context.clock.now());
+    if (!mayKeep) {
+        resetConnection();
+        return;
     }
+    auto keepAlive = m_response.head.keepAlive ? Base::Duration(*m_response.head.keepAlive) : Base::Duration(ConnectionPool::defaultKeepAlive);
+    m_worker.connections.put(std::move(m_connection), keepAlive, m_context.clock.now());
+}
+
+// After an ordinary close, the kernel goes on delivering what waits in the send buffer; a reset discards it.
+void TargetExchange::resetConnection()
+{
+    if (!m_connection)
+        return;
+    beast::error_code ignored;
+    m_connection->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
     m_connection.reset();
 }
 
--- a/Source/Proxy/TargetExchange.h
+++ b/Source/Proxy/TargetExchange.h
@@ -28,10 +28,12 @@
 
     // The request id is empty if the caller sent none.
     TargetExchange(ProxyContext&, ProxyWorker&, DisconnectMonitor&, const Fleet::KnownTarget&, std::string requestId);
+    // Resets a connection that still carries the request.
+    ~TargetExchange();
 
     // Sends the request over a pooled or a new connection. The body is taken from where it is held, because it may be large
     // and its target slow.
-    boost::asio::awaitable<Failure> send(const Http::HttpRequest& head, std::string_view body, bool mayRetry, Base::TimePoint deadline);
+    boost::asio::awaitable<Failure> send(const Http::HttpRequest& head, std::string_view body, bool mayRetry, Base::TimePoint until);
 
     // Reads the head of the response; skips responses to other requests.
     boost::asio::awaitable<Failure> readHead(bool isHeadRequest, Base::TimePoint until);
@@ -46,13 +48,14 @@
 
     bool isComplete() const { return m_parser && m_parser->is_done(); }
 
-    // Returns the connection to the pool if the response was complete, and closes it otherwise.
+    // Returns the connection to the pool if the response was complete, and resets it otherwise.
     void releaseConnection();
 
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
-    boost::asio::awaitable<Failure> connect(Base::TimePoint deadline);
+    boost::asio::awaitable<Failure> connect(Base::TimePoint until);
+    void resetConnection();
     // Has pending operations on the connection cancelled when the caller disconnects.
     void cancelOnDisconnect();
     boost::asio::awaitable<Failure> readOneHead(bool isHeadRequest, Base::TimePoint until);
