Stop sending a request when the weights of its engine expire

A request whose engine reads it slowly was written until its caller's deadline, and could begin on expired weights: the limit that the weights set applied to the response only. A router that was suspended between the choice of the target and the write wrote the request whatever the time was. The limit now applies to the sending too, and nothing is written after it.

Proxy/LateDelivery, without the change: aRequestIsNotWrittenAfterItsTime failed; aRequestThatIsStillBeingSentWhenItsWeightsExpireIsWithdrawn failed after 30.3 s, the deadline of the caller (only the argument of the send taken back). With it all 81 tests of Proxy pass.

--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -359,26 +359,26 @@
     return { true, AttemptEnd::Broken, result };
 }
 
-// A request that still waits at an engine when its weights expire is withdrawn, so that it does not begin on them.
-Base::TimePoint RequestHandler::responseStartLimit(const Dispatch::Lease& lease) const
+// A request that is still being sent, or waits at an engine, when the weights expire is withdrawn, so that it does not begin
+// on them.
+Base::TimePoint RequestHandler::withdrawnBy(const Dispatch::Lease& lease) const
 {
-    auto limit = retryTime();
-    if (lease.beginBy)
-        limit = std::min<Base::TimePoint>(limit, *lease.beginBy - withdrawalTime);
-    return limit;
+    if (!lease.beginBy)
+        return m_traits.deadline;
+    return std::min<Base::TimePoint>(m_traits.deadline, *lease.beginBy - withdrawalTime);
 }
 
 asio::awaitable<RequestHandler::AttemptOutcome> RequestHandler::attempt(const Dispatch::Lease& lease)
 {
     TargetExchange exchange(m_context, m_worker, *m_disconnectMonitor, *lease.target, m_head.requestId);
     ++m_history.attempts;
-    auto failure = co_await exchange.send(forwardedHead(lease), m_request.body, mayRetry(), m_traits.deadline);
+    auto failure = co_await exchange.send(forwardedHead(lease), m_request.body, mayRetry(), withdrawnBy(lease));
     if (failure == AttemptEnd::NotSent)
         co_return failedAs(*failure);
     m_reachedTarget = true;
     ++m_history.runs;
     if (!failure)
-        failure = co_await exchange.readHead(m_request.method == "HEAD", responseStartLimit(lease));
+        failure = co_await exchange.readHead(m_request.method == "HEAD", std::min(retryTime(), withdrawnBy(lease)));
     if (failure)
         co_return failedAs(*failure);
     recordStatement(lease.target->entry, exchange.response().head.statement);
--- a/Source/Proxy/RequestHandler.h
+++ b/Source/Proxy/RequestHandler.h
@@ -81,8 +81,8 @@
     // From the arrival of the request to the first byte of the response body; zero without one.
     std::chrono::milliseconds timeToFirstByte() const;
     std::chrono::milliseconds timeLeft() const;
-    // When the first part of the response must have arrived, or the attempt is given up.
-    Base::TimePoint responseStartLimit(const Dispatch::Lease&) const;
+    // When a request that has no response yet is withdrawn from its target.
+    Base::TimePoint withdrawnBy(const Dispatch::Lease&) const;
     // When the request is retried at another target unless the awaited part of the response arrives.
     Base::TimePoint retryTime() const;
     bool mayRetry() const { return m_traits.route->isRepeatable(); }
--- a/Source/Proxy/TargetExchange.cpp
+++ b/Source/Proxy/TargetExchange.cpp
@@ -100,6 +100,9 @@
         if (failure)
             co_return failure;
     }
+    // The VM may have been suspended since the target was chosen.
+    if (m_context.clock.now() >= until)
+        co_return AttemptEnd::NotSent;
     cancelOnDisconnect();
     auto serializedHead = Http::serializeRequestHead(head, body.size());
     std::array<asio::const_buffer, 2> buffers { asio::buffer(serializedHead), asio::buffer(body) };
--- a/Source/Proxy/TargetExchange.h
+++ b/Source/Proxy/TargetExchange.h
@@ -32,7 +32,7 @@
     ~TargetExchange();
 
     // Sends the request over a pooled or a new connection. The body is taken from where it is held, because it may be large
-    // and its target slow.
+    // and its target slow. After the given time nothing is written any more.
     boost::asio::awaitable<Failure> send(const Http::HttpRequest& head, std::string_view body, bool mayRetry, Base::TimePoint until);
 
     // Reads the head of the response; skips responses to other requests.
--- a/Tests/Proxy/LateDeliveryTest.cpp
+++ b/Tests/Proxy/LateDeliveryTest.cpp
@@ -7,6 +7,7 @@
 using namespace Lavenderloft;
 using namespace Lavenderloft::Proxy;
 using boost::asio::ip::tcp;
+using Dispatch::Queries::AttemptEnd;
 
 namespace {
 
@@ -95,3 +96,36 @@
     auto received = target.read();
     cr_assert_lt(received, body.size(), "the target received the whole request, %zu bytes", received);
 }
+
+// Guards against a request that is written after its time has passed, because the process was suspended between the choice
+// of the target and the write.
+Test(LateDelivery, aRequestIsNotWrittenAfterItsTime)
+{
+    boost::asio::io_context context;
+    SlowLinkTarget target(context);
+    Sender sender(target.port());
+    auto failure = sender.send("body", std::chrono::milliseconds(-1));
+    cr_assert(failure == AttemptEnd::NotSent);
+}
+
+// Guards against a request that begins on expired weights because its target reads it slowly: the time limit of the weights
+// applied to the response, not to the sending of the request.
+Test(LateDelivery, aRequestThatIsStillBeingSentWhenItsWeightsExpireIsWithdrawn)
+{
+    constexpr size_t moreThanTheKernelHolds = 4'000'000;
+    TestRouter router;
+    boost::asio::io_context context;
+    SlowLinkTarget target(context);
+    router.setRoute(Fleet::RequestKind::Stream, 1, true);
+    router.addTargetAt("1", target.port());
+    // Routers choose engines with old weights until one second before the deadline.
+    router.declareWeights(Fleet::FleetBounds().weights - std::chrono::milliseconds(2500));
+    auto sentAt = std::chrono::steady_clock::now();
+    auto caller = router.send(context, "POST", "Connection: close\r\nContent-Length: " + std::to_string(moreThanTheKernelHolds) + "\r\n");
+    boost::asio::write(caller, boost::asio::buffer(std::string(moreThanTheKernelHolds, 'b')));
+    target.accept();
+    auto response = TestRouter::readAll(caller);
+    auto elapsed = std::chrono::steady_clock::now() - sentAt;
+    cr_assert(elapsed < std::chrono::milliseconds(2500), "the router ended the attempt after the deadline of the weights");
+    cr_assert_not(contains(response, "HTTP/1.1 2"), "%s", response.c_str());
+}
