Print the whole measurement when a LivePath test fails

Cause: a failed test showed one count, so refusals under load could not be told apart from lost calls. Change: the zone-leave result counts errors by class and code, and both tests print their results on failure. No assertion changes.

--- a/Tests/LivePath/LivePathTest.cpp
+++ b/Tests/LivePath/LivePathTest.cpp
@@ -15,12 +15,13 @@
     options.returnSeconds = 3;
     options.seed = 5;
     auto result = runZoneLeave(options, false);
-    cr_assert_gt(result.calls, 0);
-    cr_assert_eq(result.lostOrCut, 0);
-    cr_assert_eq(result.doubled, 0);
-    cr_assert_eq(result.refusedHazard, 0);
-    cr_assert_eq(result.permitsWhileOut, 0);
-    cr_assert_gt(result.permitsAfterReturn, 0, "the data centre must receive requests after its return");
+    auto text = toText(result);
+    cr_assert_gt(result.calls, 0, "%s", text.c_str());
+    cr_assert_eq(result.lostOrCut, 0, "%s", text.c_str());
+    cr_assert_eq(result.doubled, 0, "%s", text.c_str());
+    cr_assert_eq(result.refusedHazard, 0, "%s", text.c_str());
+    cr_assert_eq(result.permitsWhileOut, 0, "%s", text.c_str());
+    cr_assert_gt(result.permitsAfterReturn, 0, "the data centre must receive requests after its return: %s", text.c_str());
 }
 
 // Guards against memory that grows with the number of slow readers, against an aborted response that appears complete
@@ -32,9 +33,10 @@
     options.seconds = 1;
     options.budgetMebibytes = 8;
     auto result = runSlowReaders(options, false);
-    cr_assert_leq(result.peakHeldBytes, result.budgetBytes);
-    cr_assert_gt(result.readersCut, 0, "300 readers need more than 8 MiB, so some must be aborted");
-    cr_assert_eq(result.answersCut, result.readersCut);
-    cr_assert_eq(result.answersWhole, result.readers - result.readersCut);
-    cr_assert_eq(result.fastFailed, 0);
+    auto text = toText(result);
+    cr_assert_leq(result.peakHeldBytes, result.budgetBytes, "%s", text.c_str());
+    cr_assert_gt(result.readersCut, 0, "300 readers need more than 8 MiB, so some must be aborted: %s", text.c_str());
+    cr_assert_eq(result.answersCut, result.readersCut, "%s", text.c_str());
+    cr_assert_eq(result.answersWhole, result.readers - result.readersCut, "%s", text.c_str());
+    cr_assert_eq(result.fastFailed, 0, "%s", text.c_str());
 }
--- a/Utilities/Bench/SlowReadersBench.cpp
+++ b/Utilities/Bench/SlowReadersBench.cpp
@@ -113,6 +113,11 @@
 
 } // namespace
 
+std::string toText(const SlowReadersResult& result)
+{
+    return toJson(result).dump();
+}
+
 SlowReadersResult runSlowReaders(const SlowReadersOptions& options, bool unbounded)
 {
     ChildProcess agents([&](ParentLink& parent) { runAgents(parent, options); });
--- a/Utilities/Bench/SlowReadersBench.h
+++ b/Utilities/Bench/SlowReadersBench.h
@@ -44,6 +44,8 @@
 };
 
 // Must be called before this process starts threads.
+std::string toText(const SlowReadersResult&);
+
 SlowReadersResult runSlowReaders(const SlowReadersOptions&, bool unbounded);
 
 // Measures the memory held for slow readers and the latency of concurrent fast calls.
--- a/Utilities/Bench/ZoneLeaveBench.cpp
+++ b/Utilities/Bench/ZoneLeaveBench.cpp
@@ -227,10 +227,11 @@
         std::thread m_thread;
     };
 
+    constexpr std::array<const char*, 3> classes { "hazard", "interactive", "summary" };
+
     // 10% of the calls are of class hazard, 60% interactive and 30% summary.
     PlannedCall planCall(size_t index, Base::RandomSource& random)
     {
-        constexpr std::array<const char*, 3> classes { "hazard", "interactive", "summary" };
         auto draw = random.nextBelow(10);
         PlannedCall call;
         call.group = draw == 0 ? Hazard : draw < 7 ? Interactive
@@ -248,12 +249,22 @@
         return result.status != 200 && result.error.find("\"outcome\":\"not_run\"") != std::string::npos;
     }
 
+    // The code of an error in the body, or the text of a connection's error.
+    std::string errorCode(const CallResult& result)
+    {
+        auto json = nlohmann::json::parse(result.error, nullptr, false);
+        if (!json.is_object() || !json.contains("error"))
+            return result.error;
+        return json["error"].value("code", "");
+    }
+
     void countCalls(const std::vector<CallResult>& results, ZoneLeaveResult& summary)
     {
         summary.calls = results.size();
         for (auto& result : results) {
             if (result.status == 200)
                 continue;
+            ++summary.errors[std::string(classes.at(result.group)) + " " + errorCode(result)];
             if (!isNotRun(result))
                 ++summary.lostOrCut;
             else
@@ -270,6 +281,7 @@
             { "refusedHazard", result.refusedHazard },
             { "refusedInteractive", result.refusedInteractive },
             { "refusedSummary", result.refusedSummary },
+            { "errors", result.errors },
             { "doubled", result.doubled },
             { "hazardP95UndisturbedMs", result.hazardP95UndisturbedMs },
             { "hazardP95DisturbedMs", result.hazardP95DisturbedMs },
@@ -286,6 +298,11 @@
 
 } // namespace
 
+std::string toText(const ZoneLeaveResult& result)
+{
+    return toJson(result).dump();
+}
+
 ZoneLeaveResult runZoneLeave(const ZoneLeaveOptions& options, bool roundRobin)
 {
     Fleet fleet(options, roundRobin);
--- a/Utilities/Bench/ZoneLeaveBench.h
+++ b/Utilities/Bench/ZoneLeaveBench.h
@@ -4,6 +4,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
+#include <string>
 
 namespace Lavenderloft::Bench {
 
@@ -25,6 +27,8 @@
     size_t refusedHazard = 0;
     size_t refusedInteractive = 0;
     size_t refusedSummary = 0;
+    // Refused and failed calls by class and error code, for example "hazard at_limit".
+    std::map<std::string, size_t> errors;
     // Calls that were executed more than once.
     size_t doubled = 0;
     double hazardP95UndisturbedMs = 0;
@@ -42,6 +46,8 @@
     uint64_t permitsAfterReturn = 0;
 };
 
+std::string toText(const ZoneLeaveResult&);
+
 ZoneLeaveResult runZoneLeave(const ZoneLeaveOptions&, bool roundRobin);
 
 // Measures the service of three data centres at 70% load by default, of which one is taken out and returns.
