Spread the replicas of the rollout benchmark over processes

Cause: one process ran all nodes, and with 200 replicas the threads with which gRPC serves its callbacks did not keep up, so that the benchmark measured the process. Change: child processes run at most 25 replicas each (--replicas-per-process); the links' token buckets and byte counts are in shared memory, the store is in the parent, and the counters are summed at the end. An intermediate state, which sent no members to the other processes, had exactly as many copies as processes; asksTheReplicasOfOtherProcesses guards against it.

--- a/Tests/Weights/RolloutTest.cpp
+++ b/Tests/Weights/RolloutTest.cpp
@@ -1,3 +1,4 @@
+#include "Bench/ChildProcess.h"
 #include "Bench/RolloutBounds.h"
 #include "Bench/RolloutFleet.h"
 
@@ -197,6 +198,41 @@
     cr_assert(exceeded.empty(), "%s", exceeded.empty() ? "" : exceeded.front().c_str());
 }
 
+// Guards against replicas that do not know those of the other processes and read all chunks from the origin. With one
+// replica in a process, all holdings requests go to other processes.
+Test(Rollout, asksTheReplicasOfOtherProcesses)
+{
+    RolloutOptions options;
+    options.replicas = 3;
+    options.replicasPerProcess = 1;
+    options.chunkCount = 60;
+    options.floor = 3000ms;
+    auto measurement = measureRollout(options);
+    cr_assert(measurement.complete);
+    cr_assert_eq(measurement.wrongReplicas, 0);
+    cr_assert_gt(measurement.holdingsRequestsPerSecond, 0);
+    cr_assert_lt(measurement.originCopies, 3, "each replica read all chunks from the origin");
+}
+
+// Guards against processes that each have the full capacity of a link, and against bytes that are not counted because
+// another process sent them.
+Test(Rollout, sharesLinksBetweenProcesses)
+{
+    constexpr uint64_t bytesPerSecond = 1000;
+    RolloutLinks links({ bytesPerSecond, bytesPerSecond, bytesPerSecond }, "a", { { "vm-1", "a" }, { "vm-2", "b" } });
+    Base::TimePoint now { 1h };
+    ChildProcess child([&](ParentLink& parent) {
+        links.reserveFromOrigin("vm-2", bytesPerSecond, now);
+        parent.writeLine("reserved");
+        parent.readLine();
+    });
+    child.readLine();
+    cr_assert_eq(links.originBytes(), bytesPerSecond);
+    cr_assert_eq(links.bytesInto("b"), bytesPerSecond);
+    cr_assert_geq(links.reserveFromOrigin("vm-1", bytesPerSecond, now), 1900ms, "the origin's link carries both");
+    cr_assert_geq(links.reserveBetweenVms("vm-1", "vm-2", bytesPerSecond, now), 1900ms, "the link into the region carries both");
+}
+
 // Guards against measuring the limits of the benchmark process instead of a large fleet, and against results of small
 // fleets that cannot be compared with earlier ones.
 Test(Rollout, scalesTheBenchmarkOnlyBeyondOneProcess)
--- a/Utilities/Bench/RolloutBenchmark.cpp
+++ b/Utilities/Bench/RolloutBenchmark.cpp
@@ -1,11 +1,13 @@
 #include "Bench/RolloutBenchmark.h"
 
+#include "Bench/RolloutWorkers.h"
 #include "Weights/Queries/ChunkOwnership.h"
 #include "Weights/TransferLimits.h"
 
 #include <algorithm>
 #include <array>
 #include <sys/resource.h>
+#include <thread>
 
 namespace Lavenderloft::Bench {
 
@@ -22,6 +24,7 @@
     constexpr double partitionDurationFloors = 0.5;
     // Time until failure detection removes a dead member.
     constexpr std::chrono::milliseconds failureDetectionTime { 5000 };
+    constexpr std::chrono::milliseconds pollInterval { 20 };
 
     struct FaultEntry {
         RolloutFault fault;
@@ -37,15 +40,7 @@
         FaultEntry { RolloutFault::Partition, "partition" },
     };
 
-    uint64_t residentPeakBytes()
-    {
-        rusage usage {};
-        getrusage(RUSAGE_SELF, &usage);
-        constexpr uint64_t bytesPerKilobyte = 1024;
-        return static_cast<uint64_t>(usage.ru_maxrss) * bytesPerKilobyte;
-    }
-
-    std::chrono::duration<double> processorTime()
+    std::chrono::duration<double> ownProcessorTime()
     {
         rusage usage {};
         getrusage(RUSAGE_SELF, &usage);
@@ -60,20 +55,24 @@
             : m_options(options)
             , m_model(makeModel({ "1", options.chunkCount, options.chunkBytes, options.seed, 2 }))
             , m_successorModel(makeModel({ "2", options.chunkCount, options.chunkBytes, options.seed, 2 }))
-            , m_memoryBefore(residentPeakBytes())
-            , m_fleet(makeShape())
+            , m_models { { m_model.digest, m_model }, { m_successorModel.digest, m_successorModel } }
+            , m_shape(makeShape())
+            , m_links(RolloutFleet::makeLinks(m_shape))
+            , m_workers(m_shape, options.replicasPerProcess, m_links, m_models)
+            , m_store(m_links, m_clock)
+            , m_faultyVm(findBusiestReplica())
         {
-            m_fleet.addModel(m_model);
-            m_fleet.addModel(m_successorModel);
-            m_faultyReplica = findBusiestReplica();
+            m_store.addModel(m_model);
+            m_store.addModel(m_successorModel);
+            m_workers.start(m_store.address());
         }
 
         RolloutMeasurement run()
         {
             m_start = m_clock.now();
             m_processorBefore = processorTime();
-            m_fleet.setWanted(std::vector { m_model.digest });
-            m_measurement.complete = m_fleet.waitUntil([this] { return step(); }, m_options.limit);
+            m_workers.setWanted(m_model.digest);
+            m_measurement.complete = waitUntilComplete();
             m_measurement.timeInFloors = elapsedFloors();
             collect();
             return m_measurement;
@@ -93,24 +92,37 @@
         }
 
         // The replica in the store's region that ranks first for the most chunks: its failure delays the rollout most.
-        unsigned findBusiestReplica() const
+        std::string findBusiestReplica() const
         {
             std::vector<Weights::Participant> participants;
-            for (unsigned i = 0; i < m_fleet.size(); ++i)
-                participants.push_back({ m_fleet.vm(i), "", "", m_fleet.region(i) });
+            for (unsigned i = 0; i < m_shape.replicas; ++i)
+                participants.push_back({ RolloutFleet::vmName(i), "", "", RolloutFleet::regionName(i % m_shape.regions) });
             auto storeRegion = RolloutFleet::regionName(0);
             auto manifest = Base::takeValue(Weights::parseManifest(m_model.document));
             std::map<std::string, unsigned> chunksByVm;
             for (auto& ownership : Weights::Queries::assignOwnership(manifest, participants, storeRegion, storeRegion).chunks)
                 ++chunksByVm[ownership.ranked.front()];
-            unsigned busiest = 0;
-            for (unsigned i = 0; i < m_fleet.size(); ++i) {
-                if (chunksByVm[m_fleet.vm(i)] > chunksByVm[m_fleet.vm(busiest)])
-                    busiest = i;
+            std::string busiest = participants.front().vm;
+            for (auto& participant : participants) {
+                if (chunksByVm[participant.vm] > chunksByVm[busiest])
+                    busiest = participant.vm;
             }
             return busiest;
         }
 
+        std::chrono::duration<double> processorTime() const { return ownProcessorTime() + m_workers.processorTime(); }
+
+        // Returns false on time-out.
+        bool waitUntilComplete()
+        {
+            while (!step()) {
+                if (m_clock.now() - m_start >= m_options.limit)
+                    return false;
+                std::this_thread::sleep_for(pollInterval);
+            }
+            return true;
+        }
+
         double elapsedFloors() const
         {
             return std::chrono::duration<double>(m_clock.now() - m_start) / std::chrono::duration<double>(m_options.floor);
@@ -129,64 +141,49 @@
                 beginFault();
             if (m_faultBegan)
                 continueFault(elapsed);
-            auto complete = countComplete();
+            auto complete = m_workers.countComplete(finalModel().digest);
             if (!m_measurement.medianInFloors && complete * 2 >= m_options.replicas)
                 m_measurement.medianInFloors = elapsed;
-            return complete == countAlive() && (m_faultBegan || m_options.fault == RolloutFault::None);
+            return complete == m_alive && (m_faultBegan || m_options.fault == RolloutFault::None);
         }
 
         void beginFault()
         {
             m_faultBegan = true;
             m_faultBeganAt = m_clock.now();
-            auto faulty = m_faultyReplica;
             switch (m_options.fault) {
             case RolloutFault::None:
                 return;
             case RolloutFault::Corrupt:
-                return m_fleet.faults().corruptChunksFrom(m_fleet.vm(faulty));
+                return m_workers.corruptChunksFrom(m_faultyVm);
             case RolloutFault::Stall:
-                return m_fleet.faults().stallChunksFrom(m_fleet.vm(faulty));
+                return m_workers.stallChunksFrom(m_faultyVm);
             case RolloutFault::Kill:
-                return m_fleet.kill(faulty);
+                --m_alive;
+                return m_workers.kill(m_faultyVm);
             case RolloutFault::VersionChange:
-                return m_fleet.setWanted(std::vector { m_successorModel.digest });
+                return m_workers.setWanted(m_successorModel.digest);
             case RolloutFault::Partition: {
                 auto region = RolloutFleet::regionName(m_options.regions - 1);
-                m_fleet.faults().partitionRegion(region);
-                return m_fleet.store().setPartitionedRegions({ region });
+                m_workers.partitionRegion(region);
+                return m_store.setPartitionedRegions({ region });
             }
             }
         }
 
         void continueFault(double elapsed)
         {
-            if (m_options.fault == RolloutFault::Partition && elapsed >= faultStartFloors + partitionDurationFloors) {
-                m_fleet.faults().healPartition();
-                m_fleet.store().setPartitionedRegions({});
+            if (m_options.fault == RolloutFault::Partition && !m_partitionHealed && elapsed >= faultStartFloors + partitionDurationFloors) {
+                m_partitionHealed = true;
+                m_workers.partitionRegion("");
+                m_store.setPartitionedRegions({});
             }
             if (m_options.fault == RolloutFault::Kill && !m_memberRemoved && m_clock.now() - m_faultBeganAt >= failureDetectionTime) {
                 m_memberRemoved = true;
-                m_fleet.removeMember(m_faultyReplica);
+                m_workers.removeMember(m_faultyVm);
             }
         }
 
-        unsigned countAlive() const
-        {
-            unsigned count = 0;
-            for (unsigned i = 0; i < m_fleet.size(); ++i)
-                count += m_fleet.isAlive(i) ? 1 : 0;
-            return count;
-        }
-
-        unsigned countComplete()
-        {
-            unsigned count = 0;
-            for (unsigned i = 0; i < m_fleet.size(); ++i)
-                count += m_fleet.isAlive(i) && m_fleet.node(i).progress(finalModel().digest).status == Weights::TransferStatus::Complete ? 1 : 0;
-            return count;
-        }
-
         double toCopies(uint64_t bytes) const
         {
             return static_cast<double>(bytes) / static_cast<double>(m_model.totalBytes);
@@ -196,50 +193,43 @@
         {
             auto seconds = std::chrono::duration<double>(m_clock.now() - m_start).count();
             m_measurement.processorCores = (processorTime() - m_processorBefore).count() / seconds;
-            auto roundTrips = m_fleet.roundTrips().summarise();
-            m_measurement.holdingsRoundTripP99Ms = roundTrips.p99.count();
-            m_measurement.holdingsRoundTripMaxMs = roundTrips.maximum.count();
-            m_measurement.peakBytesPerAgent = (residentPeakBytes() - m_memoryBefore) / m_options.replicas;
-            m_measurement.originCopies = toCopies(m_fleet.links().originBytes());
-            for (auto& [link, bytes] : m_fleet.links().interRegionBytes())
+            m_measurement.peakBytesPerAgent = m_workers.peakGrowthBytes() / m_options.replicas;
+            m_measurement.originCopies = toCopies(m_links->originBytes());
+            for (auto& [link, bytes] : m_links->interRegionBytes())
                 m_measurement.copiesByLink[link] = toCopies(bytes);
             for (unsigned i = 0; i < m_options.regions; ++i)
-                m_measurement.interRegionCopies = std::max(m_measurement.interRegionCopies, toCopies(m_fleet.links().bytesInto(RolloutFleet::regionName(i))));
-            uint64_t controlBytes = 0;
-            uint64_t holdingsRequests = 0;
-            uint64_t chunkRequests = 0;
-            uint64_t busyRefusals = 0;
-            for (unsigned i = 0; i < m_fleet.size(); ++i) {
-                auto& counters = m_fleet.node(i).counters();
-                m_measurement.corruptChunks += counters.corruptChunks;
-                m_measurement.stalledDownloads += counters.stalledDownloads;
-                m_measurement.failedDownloads += counters.failedDownloads;
-                controlBytes += counters.controlBytes;
-                holdingsRequests += counters.holdingsRequests;
-                chunkRequests += counters.chunkRequests;
-                busyRefusals += counters.busyRefusals;
-                if (m_fleet.isAlive(i) && !m_fleet.holdsExactly(i, finalModel()))
-                    ++m_measurement.wrongReplicas;
-            }
+                m_measurement.interRegionCopies = std::max(m_measurement.interRegionCopies, toCopies(m_links->bytesInto(RolloutFleet::regionName(i))));
+            auto totals = m_workers.collect(finalModel().digest);
+            m_measurement.wrongReplicas = totals.wrongReplicas;
+            m_measurement.corruptChunks = totals.corruptChunks;
+            m_measurement.stalledDownloads = totals.stalledDownloads;
+            m_measurement.failedDownloads = totals.failedDownloads;
+            m_measurement.holdingsRoundTripP99Ms = totals.roundTrips.p99.count();
+            m_measurement.holdingsRoundTripMaxMs = totals.roundTrips.maximum.count();
             auto perSecondAndAgent = [&](uint64_t count) { return static_cast<double>(count) / seconds / m_options.replicas; };
-            m_measurement.controlBytesPerSecond = perSecondAndAgent(controlBytes);
-            m_measurement.holdingsRequestsPerSecond = perSecondAndAgent(holdingsRequests);
-            m_measurement.chunkRequestsPerSecond = perSecondAndAgent(chunkRequests);
-            m_measurement.refusedShare = chunkRequests ? static_cast<double>(busyRefusals) / static_cast<double>(chunkRequests) : 0;
+            m_measurement.controlBytesPerSecond = perSecondAndAgent(totals.controlBytes);
+            m_measurement.holdingsRequestsPerSecond = perSecondAndAgent(totals.holdingsRequests);
+            m_measurement.chunkRequestsPerSecond = perSecondAndAgent(totals.chunkRequests);
+            m_measurement.refusedShare = totals.chunkRequests ? static_cast<double>(totals.busyRefusals) / static_cast<double>(totals.chunkRequests) : 0;
         }
 
         RolloutOptions m_options;
         Model m_model;
         Model m_successorModel;
-        uint64_t m_memoryBefore;
-        RolloutFleet m_fleet;
+        std::map<std::string, Model> m_models;
+        FleetShape m_shape;
         Base::SystemClock m_clock;
+        std::shared_ptr<RolloutLinks> m_links;
+        RolloutWorkers m_workers;
+        RolloutStore m_store;
+        std::string m_faultyVm;
         Base::TimePoint m_start;
         std::chrono::duration<double> m_processorBefore { 0 };
         Base::TimePoint m_faultBeganAt;
-        unsigned m_faultyReplica = 0;
         bool m_faultBegan = false;
         bool m_memberRemoved = false;
+        bool m_partitionHealed = false;
+        unsigned m_alive = m_options.replicas;
         RolloutMeasurement m_measurement;
     };
 
--- a/Utilities/Bench/RolloutBenchmark.h
+++ b/Utilities/Bench/RolloutBenchmark.h
@@ -35,13 +35,15 @@
     size_t chunkCount = 200;
     size_t chunkBytes = 40960;
     bool originOnly = false;
+    // The replicas are spread over processes of at most this many.
+    unsigned replicasPerProcess = 25;
     // Time-out of the whole rollout.
     std::chrono::milliseconds limit { 240000 };
 };
 
-// Largest fleet in one process with chunks of the default size. In larger fleets the process, not the chunk exchange,
-// limits the rollout: with 200 replicas half of the holdings requests, which no simulated link limits, took longer than
-// 300 ms, and many exceeded their deadline of one second.
+// Largest fleet with chunks of the default size. In larger fleets the processor time, not the chunk exchange, limits the
+// rollout: with 200 replicas in one process half of the holdings requests, which no simulated link limits, took longer
+// than 300 ms, and many exceeded their deadline of one second.
 inline constexpr unsigned maximumReplicasAtDefaultChunkSize = 100;
 
 // Reduces the chunk size of larger fleets, so that a chunk is sent in two messages instead of eight. Link rates shrink
@@ -72,14 +74,14 @@
     double chunkRequestsPerSecond = 0;
     // Fraction of the chunk requests that were refused because no upload slot was free.
     double refusedShare = 0;
-    // CPU time of the process divided by the duration. In a run without a fault, slow holdings round trips mean that
-    // the process is overloaded, because no simulated link limits these messages.
+    // CPU time of all processes divided by the duration. In a run without a fault, slow holdings round trips mean that
+    // a process is overloaded, because no simulated link limits these messages.
     double processorCores = 0;
     double holdingsRoundTripP99Ms = 0;
     double holdingsRoundTripMaxMs = 0;
 };
 
-// Rolls a model out to a fleet in this process.
+// Rolls a model out to a fleet in child processes. Must be called before this process starts threads.
 RolloutMeasurement measureRollout(const RolloutOptions&);
 
 // Returns no value if no fault has this name.
--- a/Utilities/Bench/RolloutCommand.cpp
+++ b/Utilities/Bench/RolloutCommand.cpp
@@ -4,6 +4,7 @@
 #include "CommandLine/OptionTable.h"
 #include "Observability/Log.h"
 
+#include <algorithm>
 #include <cstdio>
 #include <fstream>
 #include <iostream>
@@ -15,7 +16,7 @@
 
     using CommandLine::ExitCode;
 
-    // Limited by the threads and file descriptors of one process, which all nodes share.
+    // Limited by the threads and ports of the machine, which all nodes share.
     constexpr uint64_t maximumReplicas = 1000;
 
     ExitCode reportUsageError(const std::string& message)
@@ -67,7 +68,7 @@
 
 std::string RolloutCommand::argumentSynopsis() const
 {
-    return "--replicas N --regions R --seed S [--fault corrupt|stall|kill|version-change|partition] [--floor-ms MS] [--chunks C] [--chunk-bytes BYTES]"
+    return "--replicas N --regions R --seed S [--fault corrupt|stall|kill|version-change|partition] [--floor-ms MS] [--chunks C] [--chunk-bytes BYTES] [--replicas-per-process P]"
            " [--json FILE] [--check BOUNDS] [--no-baseline] [--log]";
 }
 
@@ -93,6 +94,7 @@
     uint64_t regions = m_options.regions;
     uint64_t chunks = m_options.chunkCount;
     uint64_t chunkBytes = 0;
+    uint64_t replicasPerProcess = m_options.replicasPerProcess;
     std::string fault = "none";
     bool noBaseline = false;
     bool log = false;
@@ -104,14 +106,15 @@
     table.milliseconds("floor-ms", m_options.floor, "Transfer time of one copy of the model over a VM's link");
     table.number("chunk-bytes", chunkBytes, "Size of a chunk; 40960 by default, less above 100 replicas");
     table.number("chunks", chunks, "Number of chunks of the model");
+    table.number("replicas-per-process", replicasPerProcess, "Largest number of replicas in one process");
     table.text("json", m_jsonPath, "Write the results to this file").shortName('\0', "FILE");
     table.text("check", m_boundsPath, "Check the results against the bounds in this file").shortName('\0', "FILE");
     table.flag("no-baseline", noBaseline, "Skip the baseline");
     table.flag("log", log, "Write log lines to standard error");
     if (auto code = table.parseOrExplain(arguments))
         return code;
-    if (replicas < 1 || replicas > maximumReplicas || regions < 1 || regions > replicas || m_options.floor.count() < 1 || chunks < 1)
-        return reportUsageError("--replicas must be 1 to " + std::to_string(maximumReplicas) + ", --regions, --floor-ms and --chunks at least 1, and --regions at most --replicas");
+    if (replicas < 1 || replicas > maximumReplicas || regions < 1 || regions > replicas || m_options.floor.count() < 1 || chunks < 1 || replicasPerProcess < 1)
+        return reportUsageError("--replicas must be 1 to " + std::to_string(maximumReplicas) + ", --regions, --floor-ms, --chunks and --replicas-per-process at least 1, and --regions at most --replicas");
     auto parsedFault = parseFault(fault);
     if (!parsedFault)
         return reportUsageError("--fault \"" + fault + "\" is unknown; expected corrupt, stall, kill, version-change or partition");
@@ -124,6 +127,7 @@
     if (chunkBytes)
         m_options.chunkBytes = chunkBytes;
     m_options.chunkCount = chunks;
+    m_options.replicasPerProcess = static_cast<unsigned>(std::min(replicas, replicasPerProcess));
     m_withBaseline = !noBaseline;
     if (log)
         Observability::configureLogging(Observability::Level::Info, Observability::Layout::Plain);
@@ -163,7 +167,7 @@
     row("holdings requests per second and agent", "%10.1f", &RolloutMeasurement::holdingsRequestsPerSecond);
     row("chunk requests per second and agent", "%10.1f", &RolloutMeasurement::chunkRequestsPerSecond);
     row("chunk requests refused as busy, fraction", "%10.3f", &RolloutMeasurement::refusedShare);
-    row("CPU time of the process, cores", "%10.2f", &RolloutMeasurement::processorCores);
+    row("CPU time of all processes, cores", "%10.2f", &RolloutMeasurement::processorCores);
     row("holdings round trip, 99th percentile, ms", "%10.1f", &RolloutMeasurement::holdingsRoundTripP99Ms);
     row("holdings round trip, maximum, ms", "%10.1f", &RolloutMeasurement::holdingsRoundTripMaxMs);
     for (auto& [link, copies] : measurement.copiesByLink)
--- a/Utilities/Bench/RolloutFleet.cpp
+++ b/Utilities/Bench/RolloutFleet.cpp
@@ -79,14 +79,24 @@
 };
 
 RolloutFleet::RolloutFleet(const FleetShape& shape)
-    : m_links(std::make_shared<RolloutLinks>(shape.rates, regionName(storeRegion)))
+    : m_links(makeLinks(shape))
     , m_faults(std::make_shared<FaultPlan>())
     , m_roundTrips(std::make_shared<RolloutRoundTrips>())
     , m_members(std::make_shared<Members>())
     , m_store(std::make_unique<RolloutStore>(m_links, m_clock))
 {
     for (unsigned i = 0; i < shape.replicas; ++i)
-        addReplica(shape, i);
+        addReplica(shape, i, m_store->address());
+}
+
+RolloutFleet::RolloutFleet(const FleetShape& shape, const FleetPart& part)
+    : m_links(part.links)
+    , m_faults(std::make_shared<FaultPlan>())
+    , m_roundTrips(std::make_shared<RolloutRoundTrips>())
+    , m_members(std::make_shared<Members>())
+{
+    for (unsigned i = 0; i < part.replicas; ++i)
+        addReplica(shape, part.firstReplica + i, part.storeAddress);
 }
 
 RolloutFleet::~RolloutFleet()
@@ -95,15 +105,22 @@
         kill(i);
 }
 
-void RolloutFleet::addReplica(const FleetShape& shape, unsigned index)
+std::shared_ptr<RolloutLinks> RolloutFleet::makeLinks(const FleetShape& shape)
+{
+    std::vector<LinkedVm> vms;
+    for (unsigned i = 0; i < shape.replicas; ++i)
+        vms.push_back({ vmName(i), regionName(i % shape.regions) });
+    return std::make_shared<RolloutLinks>(shape.rates, regionName(storeRegion), vms);
+}
+
+void RolloutFleet::addReplica(const FleetShape& shape, unsigned index, const std::string& storeAddress)
 {
     auto replica = std::make_unique<Replica>();
     auto& member = replica->member;
-    member.vm = "vm-" + std::to_string(index);
+    member.vm = vmName(index);
     member.region = regionName(index % shape.regions);
     member.dataCentre = member.region + "-" + std::to_string(index / shape.regions % shape.dataCentresPerRegion);
     member.role = Membership::Role::Agent;
-    m_links->addVm(member.vm, member.region);
 
     replica->view = std::make_unique<Replica::View>(m_members, member, shape.originOnly);
 
@@ -111,7 +128,7 @@
     settings.vm = member.vm;
     settings.region = member.region;
     settings.dataCentre = member.dataCentre;
-    settings.weightStore = m_store->address();
+    settings.weightStore = storeAddress;
     settings.plainTextOnLoopback = true;
     settings.weightStoreRegion = shape.originOnly ? member.region : regionName(storeRegion);
     settings.weightMemoryBytes = shape.weightMemoryBytes;
@@ -157,8 +174,7 @@
 void RolloutFleet::setWanted(const std::vector<Weights::WantedManifest>& wanted)
 {
     // The membership is updated first, so that no replica starts with a view in which it is the only member.
-    for (unsigned i = 0; i < size(); ++i)
-        publishWanted(i, wanted);
+    publishWanted(std::nullopt, wanted);
     for (auto& replica : m_replicas) {
         if (replica->alive)
             replica->node->setWanted(wanted);
@@ -167,15 +183,15 @@
 
 void RolloutFleet::setWantedAt(unsigned replica, const std::vector<Weights::WantedManifest>& wanted)
 {
-    publishWanted(replica, wanted);
+    publishWanted(vm(replica), wanted);
     node(replica).setWanted(wanted);
 }
 
-void RolloutFleet::publishWanted(unsigned replica, const std::vector<Weights::WantedManifest>& wanted)
+void RolloutFleet::publishWanted(const std::optional<std::string>& vm, const std::vector<Weights::WantedManifest>& wanted)
 {
     m_members->update([&](auto& members) {
         for (auto& member : members) {
-            if (member.vm != vm(replica))
+            if (vm && member.vm != *vm)
                 continue;
             member.replicas.clear();
             for (auto& manifest : wanted) {
@@ -223,12 +239,27 @@
 }
 
 void RolloutFleet::removeMember(unsigned index)
+{
+    removeMember(vm(index));
+}
+
+void RolloutFleet::removeMember(const std::string& vm)
 {
     m_members->update([&](auto& members) {
-        std::erase_if(members, [&](auto& member) { return member.vm == vm(index); });
+        std::erase_if(members, [&](auto& member) { return member.vm == vm; });
     });
 }
 
+void RolloutFleet::addMembers(const std::vector<Membership::Member>& added)
+{
+    m_members->update([&](auto& members) { members.insert(members.end(), added.begin(), added.end()); });
+}
+
+const Membership::Member& RolloutFleet::member(unsigned replica) const
+{
+    return m_replicas[replica]->member;
+}
+
 unsigned RolloutFleet::size() const
 {
     return static_cast<unsigned>(m_replicas.size());
@@ -254,6 +285,11 @@
     return m_replicas[replica]->member.region;
 }
 
+std::string RolloutFleet::vmName(unsigned index)
+{
+    return "vm-" + std::to_string(index);
+}
+
 std::string RolloutFleet::regionName(unsigned index)
 {
     return "region-" + std::to_string(index);
--- a/Utilities/Bench/RolloutFleet.h
+++ b/Utilities/Bench/RolloutFleet.h
@@ -9,6 +9,7 @@
 #include "Process/WeightNode.h"
 
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace Lavenderloft::Bench {
@@ -24,13 +25,33 @@
     bool originOnly = false;
 };
 
+// The replicas of a fleet that run in this process, and what the processes share.
+struct FleetPart {
+    unsigned firstReplica = 0;
+    unsigned replicas = 0;
+    std::shared_ptr<RolloutLinks> links;
+    std::string storeAddress;
+};
+
 // Several WeightNodes in one process, each with its own gRPC server on loopback, and a weight store. Replicas are
 // assigned to the regions round-robin; the store is in the first region.
 class RolloutFleet {
 public:
     explicit RolloutFleet(const FleetShape&);
+
+    // A part of a fleet, whose weight store and other replicas are in other processes. Replicas are numbered from the
+    // first of the part.
+    RolloutFleet(const FleetShape&, const FleetPart&);
     ~RolloutFleet();
 
+    static std::shared_ptr<RolloutLinks> makeLinks(const FleetShape&);
+
+    // Adds replicas of other processes to the membership.
+    void addMembers(const std::vector<Membership::Member>&);
+
+    // The member of a replica of this process.
+    const Membership::Member& member(unsigned replica) const;
+
     void addModel(const Model&);
 
     // Replaces the set of manifests that every live replica must hold.
@@ -51,18 +72,21 @@
 
     // Removes the replica's membership entry.
     void removeMember(unsigned replica);
+    void removeMember(const std::string& vm);
 
     unsigned size() const;
     bool isAlive(unsigned replica) const;
     Process::WeightNode& node(unsigned replica);
     std::string vm(unsigned replica) const;
     std::string region(unsigned replica) const;
+    static std::string vmName(unsigned replicaOfFleet);
     static std::string regionName(unsigned);
 
     // Whether the replica holds every chunk of the model with the correct content.
     bool holdsExactly(unsigned replica, const Model&);
 
     FaultPlan& faults() { return *m_faults; }
+    // Must not be called for a part of a fleet.
     RolloutStore& store() { return *m_store; }
     RolloutLinks& links() { return *m_links; }
     const RolloutRoundTrips& roundTrips() const { return *m_roundTrips; }
@@ -71,9 +95,9 @@
     struct Members;
     struct Replica;
 
-    // Publishes the replica's wanted manifests in the membership.
-    void publishWanted(unsigned replica, const std::vector<Weights::WantedManifest>&);
-    void addReplica(const FleetShape&, unsigned index);
+    // Publishes the wanted manifests of one replica, or of all, in the membership.
+    void publishWanted(const std::optional<std::string>& vm, const std::vector<Weights::WantedManifest>&);
+    void addReplica(const FleetShape&, unsigned replicaOfFleet, const std::string& storeAddress);
 
     Base::SystemClock m_clock;
     std::shared_ptr<RolloutLinks> m_links;
--- a/Utilities/Bench/RolloutLinks.h
+++ b/Utilities/Bench/RolloutLinks.h
@@ -4,11 +4,11 @@
 #include "Base/TokenBucket.h"
 #include "Weights/LinkLimiter.h"
 
-#include <atomic>
+#include <boost/interprocess/mapped_region.hpp>
 #include <map>
 #include <memory>
-#include <mutex>
 #include <string>
+#include <vector>
 
 namespace Lavenderloft::Bench {
 
@@ -19,12 +19,18 @@
     double interRegion = 0;
 };
 
-// Simulates the links of a fleet by token buckets and counts the bytes sent over them. Thread-safe.
+// A VM and the region whose links it uses.
+struct LinkedVm {
+    std::string name;
+    std::string region;
+};
+
+// Simulates the links of a fleet by token buckets and counts the bytes sent over them. Thread-safe. The state is in
+// shared memory, so that processes forked after the construction share the links.
 class RolloutLinks {
 public:
-    RolloutLinks(LinkRates, std::string storeRegion);
-
-    void addVm(const std::string& vm, const std::string& region);
+    RolloutLinks(LinkRates, std::string storeRegion, const std::vector<LinkedVm>&);
+    ~RolloutLinks();
 
     // Reserves link capacity from the origin to the VM and returns the delay before the bytes may be sent.
     Base::Duration reserveFromOrigin(const std::string& vm, uint64_t bytes, Base::TimePoint);
@@ -32,7 +38,7 @@
     // Reserves link capacity between two VMs and returns the delay before the bytes may be sent.
     Base::Duration reserveBetweenVms(const std::string& sender, const std::string& receiver, uint64_t bytes, Base::TimePoint);
 
-    uint64_t originBytes() const { return m_originBytes; }
+    uint64_t originBytes() const;
 
     // Bytes sent over each inter-region link, by "from-to".
     std::map<std::string, uint64_t> interRegionBytes() const;
@@ -43,27 +49,27 @@
     std::string regionOf(const std::string& vm) const;
 
 private:
+    struct State;
+    struct VmLinks;
+    struct InterRegionLink;
+
     struct Vm {
         std::string region;
-        std::unique_ptr<Base::TokenBucket> uplink;
-        std::unique_ptr<Base::TokenBucket> downlink;
-    };
-
-    struct InterRegionLink {
-        std::unique_ptr<Base::TokenBucket> bucket;
-        uint64_t bytes = 0;
+        size_t index = 0;
     };
 
-    std::unique_ptr<Base::TokenBucket> makeBucket(double rate) const;
+    // These require the lock of the shared state.
     Base::Duration reserveInterRegion(const std::string& from, const std::string& to, uint64_t bytes, Base::TimePoint);
+    VmLinks& linksOf(const Vm&) const;
+    InterRegionLink& link(const std::string& from, const std::string& to) const;
 
-    LinkRates m_rates;
     std::string m_storeRegion;
-    Base::TokenBucket m_origin;
-    std::atomic<uint64_t> m_originBytes { 0 };
-    mutable std::mutex m_lock;
     std::map<std::string, Vm> m_vms;
-    std::map<std::pair<std::string, std::string>, InterRegionLink> m_interRegion;
+    std::map<std::string, size_t> m_regions;
+    boost::interprocess::mapped_region m_memory;
+    State* m_state = nullptr;
+    VmLinks* m_vmLinks = nullptr;
+    InterRegionLink* m_interRegionLinks = nullptr;
 };
 
 // Limits the uploads of one VM by the simulated links.
--- a/Utilities/Bench/RolloutRoundTrips.cpp
+++ b/Utilities/Bench/RolloutRoundTrips.cpp
@@ -12,15 +12,19 @@
 
 RoundTripSummary RolloutRoundTrips::summarise() const
 {
-    std::unique_lock guard(m_lock);
-    auto sorted = m_roundTrips;
-    guard.unlock();
+    auto sorted = all();
     if (sorted.empty())
         return {};
     std::sort(sorted.begin(), sorted.end());
     return { sorted[(sorted.size() - 1) * 99 / 100], sorted.back() };
 }
 
+std::vector<Base::Duration> RolloutRoundTrips::all() const
+{
+    std::lock_guard guard(m_lock);
+    return m_roundTrips;
+}
+
 TimingPeerClient::TimingPeerClient(std::shared_ptr<Weights::PeerClient> client, std::shared_ptr<RolloutRoundTrips> roundTrips, const Base::Clock& clock)
     : m_client(std::move(client))
     , m_roundTrips(std::move(roundTrips))
--- a/Utilities/Bench/RolloutRoundTrips.h
+++ b/Utilities/Bench/RolloutRoundTrips.h
@@ -20,6 +20,7 @@
 public:
     void add(Base::Duration);
     RoundTripSummary summarise() const;
+    std::vector<Base::Duration> all() const;
 
 private:
     mutable std::mutex m_lock;
