Rely on layers that an earlier process loaded only if their pieces are whole

Cause: what an agent knows of its load requests ends with its process, and its successor believed whatever the engine named if it was not busy. Change: an engine that has accepted load requests before the agent's first report is in doubt until the pieces of its version are read and found whole, which needs no load, or until it has loaded again.

--- a/Source/Staging/Commands/RecordLoadReport.cpp
+++ b/Source/Staging/Commands/RecordLoadReport.cpp
@@ -34,8 +34,9 @@
         state = {};
         state.engineStart = report.startedAt;
         state.acceptedLoads = report.acceptedLoads;
-        // An earlier process has requested a load, and its pieces may have changed since.
-        state.isInDoubt = isFirstReport && report.busy;
+        // An earlier process has requested loads. What became of them, and whether it relied on them, is not known.
+        state.isInherited = isFirstReport && (report.busy || report.acceptedLoads.value_or(0) > 0);
+        state.isInDoubt = state.isInherited;
     }
 
     void recordRequestedLoad(LoadState& state, const EngineReport& report, Base::TimePoint polledAt)
--- a/Source/Staging/Commands/RecordLoadRequest.cpp
+++ b/Source/Staging/Commands/RecordLoadRequest.cpp
@@ -6,6 +6,7 @@
 
     void recordAcceptance(LoadState& state, bool isVerificationValid)
     {
+        state.isInherited = false;
         if (state.pending->acceptedBefore)
             state.acceptedLoads = *state.pending->acceptedBefore + 1;
         if (isVerificationValid && !state.isInDoubt) {
@@ -40,6 +41,13 @@
 
 } // namespace
 
+void recordInheritedPiecesWhole(LoadState& state)
+{
+    state.isInDoubt = false;
+    state.isInherited = false;
+    state.hasLoaded = true;
+}
+
 void settleAsLoaded(LoadState& state)
 {
     state.isInDoubt = state.isInDoubt && !state.pending->replacesAllLayers;
@@ -50,6 +58,7 @@
 void settleInDoubt(LoadState& state)
 {
     state.isInDoubt = true;
+    state.isInherited = false;
     abandonLoad(state);
 }
 
--- a/Source/Staging/Commands/RecordLoadRequest.h
+++ b/Source/Staging/Commands/RecordLoadRequest.h
@@ -19,6 +19,10 @@
 // were whole, and not stored again since the engine may have accepted it.
 void recordLoadVerification(LoadState&, bool provesLoad);
 
+// The pieces of the layers that the engine holds are whole, and this process has stored none of them: an earlier process
+// had the engine load whole ones.
+void recordInheritedPiecesWhole(LoadState&);
+
 // The engine has loaded whole pieces for the pending request. Layers that it loaded before are as they were.
 void settleAsLoaded(LoadState&);
 
--- a/Source/Staging/EngineMonitor.cpp
+++ b/Source/Staging/EngineMonitor.cpp
@@ -82,7 +82,7 @@
     bool wasInDoubt = m_loadState.isInDoubt;
     Commands::recordLoadReport(m_loadState, *m_report, polledAt);
     if (m_loadState.isInDoubt && !wasInDoubt)
-        Observability::logEvent(Events::loadInDoubt, { { "version", m_report->layers ? m_report->layers->version : 0 }, { "accepted_loads", m_report->acceptedLoads.value_or(0) }, { "cause", "the engine accepted a load request that this process did not send" } });
+        Observability::logEvent(Events::loadInDoubt, { { "version", m_report->layers ? m_report->layers->version : 0 }, { "accepted_loads", m_report->acceptedLoads.value_or(0) }, { "cause", "the engine has accepted load requests that this process did not send" } });
 }
 
 void EngineMonitor::detectEnd(const std::optional<EngineReport>& before, const PollResult& response)
--- a/Source/Staging/LoadState.h
+++ b/Source/Staging/LoadState.h
@@ -42,6 +42,8 @@
     bool hasLoaded = false;
     // The engine may hold layers that it loaded from damaged pieces or from pieces of another version.
     bool isInDoubt = false;
+    // The doubt is about layers that an earlier process of this VM had the engine load.
+    bool isInherited = false;
 };
 
 } // namespace Lavenderloft::Staging
--- a/Source/Staging/Queries/ReadLoadState.cpp
+++ b/Source/Staging/Queries/ReadLoadState.cpp
@@ -7,6 +7,11 @@
     return !state.isInDoubt && state.lifeCycle.phase() != LoadPhase::Unverified;
 }
 
+bool canRelyOnInheritedPieces(const LoadState& state, const EngineReport& report, const Fleet::HeldLayers& all)
+{
+    return state.isInherited && !state.pending && !report.busy && report.layers == all;
+}
+
 std::optional<DesiredWeights> findPendingWeights(const LoadState& state)
 {
     return state.pending ? std::optional(state.pending->weights) : std::nullopt;
--- a/Source/Staging/Queries/ReadLoadState.h
+++ b/Source/Staging/Queries/ReadLoadState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Fleet/TargetEntry.h"
+#include "Staging/EngineProtocol.h"
 #include "Staging/LoadState.h"
 
 #include <optional>
@@ -10,6 +11,9 @@
 // Whether the layers that the engine reports were loaded from whole pieces of their version.
 bool canRelyOnLayers(const LoadState&);
 
+// Whether whole pieces of a version, which this process has not stored, show that the engine loaded whole ones.
+bool canRelyOnInheritedPieces(const LoadState&, const EngineReport&, const Fleet::HeldLayers& all);
+
 // The weights of a load request that may still be accepted. The pieces of no other version may be stored before that is
 // settled, because the engine would load them.
 std::optional<DesiredWeights> findPendingWeights(const LoadState&);
--- a/Source/Staging/WeightLoader.cpp
+++ b/Source/Staging/WeightLoader.cpp
@@ -83,8 +83,20 @@
         co_return;
     auto engine = m_context.engineClient();
     co_await m_pieces.verify(engine);
-    if (m_pieces.checklist()->isComplete())
-        co_await load(desired, engine);
+    if (!m_pieces.checklist()->isComplete() || relyOnInheritedPieces(desired))
+        co_return;
+    co_await load(desired, engine);
+}
+
+// Returns whether the engine needs no load, because an earlier process had it load the pieces that are stored there.
+bool WeightLoader::relyOnInheritedPieces(const DesiredWeights& desired)
+{
+    Fleet::HeldLayers all { 0, desired.layers, desired.declared.version };
+    bool hasStored = m_pieces.lastStoreAt() != Base::TimePoint();
+    if (hasStored || !m_monitor.report() || !Queries::canRelyOnInheritedPieces(m_loadState, *m_monitor.report(), all))
+        return false;
+    Commands::recordInheritedPiecesWhole(m_loadState);
+    return true;
 }
 
 // First made before the pieces are fetched, so that load reports can announce the abort in time. An engine that serves
--- a/Source/Staging/WeightLoader.h
+++ b/Source/Staging/WeightLoader.h
@@ -32,6 +32,7 @@
     bool needsVerification() const;
     bool needsWeights(const std::optional<DesiredWeights>&) const;
     boost::asio::awaitable<void> stageAndLoad(const DesiredWeights&);
+    bool relyOnInheritedPieces(const DesiredWeights&);
     boost::asio::awaitable<bool> stage(const DesiredWeights&);
     void updatePlan(const DesiredWeights&, const std::optional<Base::TimePoint>& stagedAt);
     boost::asio::awaitable<void> waitForLoadStart(const DesiredWeights&);
--- a/Tests/Staging/LoadDoubtTest.cpp
+++ b/Tests/Staging/LoadDoubtTest.cpp
@@ -33,7 +33,11 @@
 
 // An engine that holds version 1 and has accepted three load requests.
 struct Fixture {
-    Fixture() { recordLoadReport(state, makeReport(3, allLayers(1)), clock.now()); }
+    Fixture()
+    {
+        recordLoadReport(state, makeReport(3, allLayers(1)), clock.now());
+        recordInheritedPiecesWhole(state);
+    }
 
     PendingLoad makeLoad(uint64_t version) const
     {
@@ -217,6 +221,33 @@
     cr_assert_eq(staging.engine.loads, 1, "%u loads", staging.engine.loads);
 }
 
+// Guards against an agent that relies on layers which its predecessor had in doubt, or which were loaded after its end.
+Test(LoadDoubt, replacesBadLayersThatWereLoadedBeforeItsStart)
+{
+    TestStaging staging;
+    staging.engine.acceptOtherLoad(2);
+    cr_assert_not(staging.engine.badLayers.empty());
+    staging.declare(2);
+    staging.node.start();
+    cr_assert(runUntilSound(staging, 2));
+}
+
+// Guards against needless loads after each start of an agent.
+Test(LoadDoubt, wholePiecesNeedNoLoadAfterARestartOfTheAgent)
+{
+    TestStaging staging;
+    for (unsigned piece = 0; piece < TestEngine::pieceCount; ++piece)
+        staging.engine.stored[piece] = TestEngine::contentOf(piece);
+    staging.engine.acceptOtherLoad(2);
+    staging.declare(2);
+    staging.node.start();
+    auto path = encodePiecePath({ "m", 2, 0, "north" });
+    cr_assert(staging.runUntil([&] { return staging.requestPiece(path).status == 200; }));
+    runFor(staging, 1s);
+    cr_assert_eq(staging.engine.loads, 1);
+    cr_assert(staging.engine.fetches.empty());
+}
+
 // Guards against requests that go on with layers in doubt until they end.
 Test(LoadDoubt, requestsOnLayersInDoubtAreAborted)
 {
--- a/Tests/Staging/LoadStateTest.cpp
+++ b/Tests/Staging/LoadStateTest.cpp
@@ -30,6 +30,7 @@
     Fixture()
     {
         recordLoadReport(state, makeReport(3), clock.now());
+        recordInheritedPiecesWhole(state);
         PendingLoad load;
         load.weights.declared.version = 2;
         load.layers = { 0, layerCount, 2 };
