Keep routers from an engine that loaded after its agent's last report

Cause: a report that the engine is about to load was forgotten after 1 s, and the published entry named the new version. Change: such a report goes before the entry for 10 s, as one without weights does. The test was not run on the code before; by its rule a report older than 1 s counted for nothing there.

--- a/Source/Dispatch/Queries/FindCandidates.cpp
+++ b/Source/Dispatch/Queries/FindCandidates.cpp
@@ -88,7 +88,7 @@
                 return 0;
             if (runtime && runtime->hasReport(m_now))
                 return runtime->report.wholeVersion;
-            if (runtime && runtime->isKnownWithoutWeights(m_now))
+            if (runtime && runtime->isReportedUnusable(m_now))
                 return 0;
             return Fleet::wholeVersionOf(target.entry.layers, m_service->weights->layers);
         }
--- a/Source/Dispatch/TargetRuntime.h
+++ b/Source/Dispatch/TargetRuntime.h
@@ -30,9 +30,9 @@
 struct TargetRuntime {
     // Older reports are ignored.
     static constexpr std::chrono::milliseconds reportLifetime { 1000 };
-    // A report that the engine holds no weights to rely on goes before its published entry for this time, also if its agent
-    // has stopped reporting. Longer than an agent needs to start again.
-    static constexpr std::chrono::milliseconds noWeightsLifetime { 10000 };
+    // A report that the engine holds no weights to rely on, or is about to load, goes before its published entry for this
+    // time, also if its agent has stopped reporting. Longer than an agent needs to start again.
+    static constexpr std::chrono::milliseconds unusableLifetime { 10000 };
     // Grants are valid for slightly longer than the interval between reports. An agent that does not report to every
     // router each time may have granted the slots to others by then.
     static constexpr std::chrono::milliseconds grantLifetime { 160 };
@@ -68,7 +68,11 @@
 
     bool hasReport(Base::TimePoint now) const { return reportedAt != Base::TimePoint() && now - reportedAt < reportLifetime; }
 
-    bool isKnownWithoutWeights(Base::TimePoint now) const { return reportedAt != Base::TimePoint() && report.wholeVersion == 0 && now - reportedAt < noWeightsLifetime; }
+    bool isReportedUnusable(Base::TimePoint now) const
+    {
+        bool isUnusable = report.wholeVersion == 0 || report.paused;
+        return reportedAt != Base::TimePoint() && isUnusable && now - reportedAt < unusableLifetime;
+    }
 
     bool hasGrant(Base::TimePoint now) const { return remainingGrants > 0 && now - reportedAt < grantLifetime; }
 
--- a/Tests/Dispatch/CandidatesTest.cpp
+++ b/Tests/Dispatch/CandidatesTest.cpp
@@ -306,6 +306,21 @@
     cr_assert_not(isLease(test.acquire("e")));
     test.fleet.clock.advance(1100ms);
     cr_assert_not(isLease(test.acquire("e")), "the engine has neither restarted nor loaded again");
-    test.fleet.clock.advance(TargetRuntime::noWeightsLifetime);
+    test.fleet.clock.advance(TargetRuntime::unusableLifetime);
     cr_assert(isLease(test.acquire("e")), "its agent does not come back");
 }
+
+// Guards against routers that use layers which an engine loaded while its agent stood still: the entry names them at once,
+// and the agent, which had announced the load, has not verified them.
+Test(Candidates, routersUseNoLayersThatWereLoadedAfterTheLastReport)
+{
+    TestDispatch test;
+    test.fleet.publish("c", configurationOf(1, { engineService("e") }));
+    test.fleet.publish("t/1", engineOf("1", "e", 2));
+    TargetReport report;
+    report.wholeVersion = 1;
+    report.paused = true;
+    test.report("e", "1", report);
+    test.fleet.clock.advance(1100ms);
+    cr_assert_not(isLease(test.acquire("e")));
+}
