Remember for a minute that an engine was about to load

Change: the report goes before the entry for 60 s. An engine whose agent stays away gets no other weights either, so little is lost.

--- a/Source/Dispatch/TargetRuntime.h
+++ b/Source/Dispatch/TargetRuntime.h
@@ -31,8 +31,9 @@
     // Older reports are ignored.
     static constexpr std::chrono::milliseconds reportLifetime { 1000 };
     // A report that the engine holds no weights to rely on, or is about to load, goes before its published entry for this
-    // time, also if its agent has stopped reporting. Longer than an agent needs to start again.
-    static constexpr std::chrono::milliseconds unusableLifetime { 10000 };
+    // time, also if its agent has stopped reporting. Longer than an agent stands still or needs to start again; without an
+    // agent the engine gets no other weights either.
+    static constexpr std::chrono::milliseconds unusableLifetime { 60000 };
     // Grants are valid for slightly longer than the interval between reports. An agent that does not report to every
     // router each time may have granted the slots to others by then.
     static constexpr std::chrono::milliseconds grantLifetime { 160 };
