Log how long a target was silent and the time left when an attempt fails

attempt-failed and request-failed did not tell a wait that ended on silence, long before the deadline, from one that ended at the deadline. The fields silent_for and time_left do; no decision is changed.

--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -276,6 +276,7 @@
     m_expectedWeights = lease.expectedWeights.value_or(0);
     m_lastTarget = lease.target->entry.id;
     m_eventArrivals = 0;
+    m_lastHeardAt = m_context.clock.now();
 }
 
 void RequestHandler::logFailedAttempt(const AttemptOutcome& attempted, bool retry)
@@ -286,12 +287,13 @@
         return;
     Observability::logEvent(Events::attemptFailed,
         { { "request", m_head.requestId }, { "target", m_lastTarget }, { "end", end }, { "status", attempted.status }, { "attempts", m_history.attempts },
-            { "runs", m_history.runs }, { "repeat", retry }, { "arrivals", m_eventArrivals }, { "parts", formatParts(m_traits.sharedParts) } });
+            { "runs", m_history.runs }, { "repeat", retry }, { "arrivals", m_eventArrivals }, { "silent_for", silentFor() }, { "time_left", timeLeft() }, { "parts", formatParts(m_traits.sharedParts) } });
 }
 
 void RequestHandler::countEvents()
 {
     ++m_eventArrivals;
+    m_lastHeardAt = m_context.clock.now();
     if (m_eventArrivals == arrivalsOfSoundPrompt)
         Dispatch::Commands::recordPartsServed(m_context.dispatch, m_traits.sharedParts, m_context.clock.now());
 }
@@ -512,7 +514,7 @@
     Observability::logEvent(event,
         { { "request", m_head.requestId }, { "route", route }, { "organisation", m_organisation ? m_organisation->name : std::string() },
             { "target", m_lastTarget }, { "status", status }, { "reason", reason }, { "repeat_refused", m_retryRefusal }, { "attempts", m_history.attempts }, { "runs", m_history.runs },
-            { "waited", m_waited }, { "occupancy", m_occupancy }, { "first_byte", timeToFirstByte() }, { "elapsed", elapsed() }, { "weights", m_traits.requiredWeights }, { "weights_expected", m_expectedWeights }, { "configuration", m_snapshot && m_snapshot->configuration ? m_snapshot->configuration->version : 0 },
+            { "waited", m_waited }, { "occupancy", m_occupancy }, { "first_byte", timeToFirstByte() }, { "elapsed", elapsed() }, { "time_left", timeLeft() }, { "weights", m_traits.requiredWeights }, { "weights_expected", m_expectedWeights }, { "configuration", m_snapshot && m_snapshot->configuration ? m_snapshot->configuration->version : 0 },
             { "revision", m_snapshot ? m_snapshot->revision : 0 } });
 }
 
@@ -533,6 +535,11 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(m_context.clock.now() - m_traits.arrivedAt);
 }
 
+std::chrono::milliseconds RequestHandler::silentFor() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(m_context.clock.now() - m_lastHeardAt);
+}
+
 std::chrono::milliseconds RequestHandler::timeToFirstByte() const
 {
     if (!m_response.isStarted())
--- a/Source/Proxy/RequestHandler.h
+++ b/Source/Proxy/RequestHandler.h
@@ -81,6 +81,8 @@
     // From the arrival of the request to the first byte of the response body; zero without one.
     std::chrono::milliseconds timeToFirstByte() const;
     std::chrono::milliseconds timeLeft() const;
+    // Since the current attempt began or its last complete event arrived.
+    std::chrono::milliseconds silentFor() const;
     // When a request that has no response yet is withdrawn from its target.
     Base::TimePoint withdrawnBy(const Dispatch::Lease&) const;
     // When the request is retried at another target unless the awaited part of the response arrives.
@@ -105,6 +107,8 @@
     bool m_finished = false;
     // How often events of the current attempt arrived.
     unsigned m_eventArrivals = 0;
+    // When the current attempt began, or the last of its events arrived.
+    Base::TimePoint m_lastHeardAt {};
     std::string m_lastTarget;
     // Why a retry was refused; empty if none was.
     std::string_view m_retryRefusal;
