Keep a silent attempt until another target has responded

Callers saw: streams that ended without a whole answer while their target worked, counted as LOST around a stop of the router.

Cause: after a limit without a byte (1 s, or three times the longest pause) the router closed the connection to the target. It did so in the last allowed run as well, and in an earlier run before it had a lease at another target; if that was refused or failed, the response that would have gone on was cut. Silence says nothing certain about a target.

Change: the attempt goes on. After the limit the router looks for another target beside it (ReplacementAttempt); the response continues with whichever sends the next part first, and the other attempt is cancelled. If no other run is allowed, no target is found or the second one fails, the first is awaited until the deadline. The limits follow what the targets of the service take at present, a second run is not started if it would typically end after the deadline, and a silent target is passed over for new requests only while others respond. RequestHandler is split: ProxyRequest holds the request, TargetAttempt one attempt, RequestLog its events; new events attempt-silent and replacement-ended.

Test: Proxy/SilentTarget, 8 tests; 6 of them failed on (theLastAllowedRunIsAwaited, aStreamGoesOnIfThereIsNoOtherTarget, aStreamGoesOnIfTheReplacementFails, theTargetThatRespondsFirstContinues, aSlowResponseIsAwaited, aServiceThatIsSlowAsAWholeIsServed) and pass now. Dispatch/Silence covers the limits.

--- /dev/null
+++ b/Source/Dispatch/Commands/RecordProgress.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "Dispatch/DispatchState.h"
+
+namespace Lavenderloft::Dispatch::Commands {
+
+// Records the time from a request to the first part of its response.
+void recordFirstPart(DispatchState&, const std::string& service, Base::Duration, Base::TimePoint now);
+
+// Records the longest pause within a response.
+void recordLongestPause(DispatchState&, const std::string& service, Base::Duration, Base::TimePoint now);
+
+// Records that an attempt at the target passed its silence limit. A target that is repeatedly silent gets no requests for
+// some time, while other targets of the service respond.
+void recordSilence(DispatchState&, const std::string& service, const std::string& targetId, Base::TimePoint now);
+
+// Records that such an attempt has received a part of the response: the target is slow and not lost.
+void recordEndOfSilence(DispatchState&, const std::string& service, const std::string& targetId);
+
+} // namespace Lavenderloft::Dispatch::Commands
--- a/Source/Dispatch/DispatchState.h
+++ b/Source/Dispatch/DispatchState.h
@@ -7,6 +7,7 @@
 #include "Dispatch/Decision.h"
 #include "Dispatch/PartEvidence.h"
 #include "Dispatch/PlacementPolicy.h"
+#include "Dispatch/ResponseTimes.h"
 #include "Dispatch/RetryWindow.h"
 #include "Dispatch/TargetRuntime.h"
 #include "Fleet/FleetState.h"
@@ -34,6 +35,7 @@
     // Sorted by priority, then by arrival.
     std::list<WaitingRequest> waiting;
     RetryWindow retryWindow;
+    ResponseTimes responseTimes;
     // Moving average.
     double completionsPerSecond = 0;
     Base::TimePoint completionsCountedAt {};
--- a/Source/Dispatch/Queries/FindCandidates.cpp
+++ b/Source/Dispatch/Queries/FindCandidates.cpp
@@ -43,11 +43,7 @@
         bool isEligible(const Fleet::KnownTarget& target, const TargetRuntime* runtime) const
         {
             auto& entry = target.entry;
-            if (entry.draining || m_snapshot.evacuatedDataCentres.contains(entry.dataCentre))
-                return false;
-            if (contains(m_traits.triedTargets, entry.id))
-                return false;
-            if (!m_traits.allowedRegions.empty() && !isInAllowedRegion(entry))
+            if (!isAllowed(entry))
                 return false;
             if (runtime && (runtime->backoffUntil > m_now || refusesRequests(entry, *runtime)))
                 return false;
@@ -117,6 +113,15 @@
         }
 
     private:
+        bool isAllowed(const Fleet::TargetEntry& entry) const
+        {
+            if (entry.draining || m_snapshot.evacuatedDataCentres.contains(entry.dataCentre))
+                return false;
+            if (contains(m_traits.triedTargets, entry.id))
+                return false;
+            return m_traits.allowedRegions.empty() || isInAllowedRegion(entry);
+        }
+
         DispatchState& m_state;
         const RequestTraits& m_traits;
         const Fleet::FleetSnapshot& m_snapshot;
@@ -194,23 +199,10 @@
     return share < minimumColdRateShare ? 0 : share;
 }
 
-CandidateSet findCandidates(DispatchState& state, const ServiceState& service, const RequestTraits& traits, Base::TimePoint now)
-{
-    CandidateSet set;
-    auto snapshot = Fleet::Queries::currentSnapshot(state.fleet());
-    auto targets = snapshot->targetsByService.find(traits.service);
-    if (targets == snapshot->targetsByService.end())
-        return set;
-    CandidateFilter filter(state, traits, *snapshot, now);
-    set.checkWeights = filter.minimumVersion() > 0 || traits.requiredWeights > 0;
-    for (auto& target : targets->second) {
-        auto found = service.targets.find(target->entry.id);
-        auto* runtime = found == service.targets.end() ? nullptr : &found->second;
-        if (!filter.isEligible(*target, runtime)) {
-            if (filter.isHeldBack(*target, runtime))
-                set.heldBackUntil = std::min(set.heldBackUntil.value_or(runtime->knowledge.heldBackUntil), runtime->knowledge.heldBackUntil);
-            continue;
-        }
+namespace {
+
+    Candidate describeCandidate(const DispatchState& state, const CandidateFilter& filter, const std::shared_ptr<const Fleet::KnownTarget>& target, const TargetRuntime* runtime, Base::TimePoint now)
+    {
         Candidate candidate;
         candidate.target = target;
         candidate.occupancy = runtime ? runtime->occupancy(now) : 0;
@@ -221,11 +213,50 @@
         candidate.weightsDeadline = filter.deadlineOf(candidate.weights);
         candidate.failureShare = runtime ? runtime->failureShare : 0;
         candidate.abortsSoon = abortsSoon(runtime, now);
-        ++set.eligible;
-        set.capacity += candidate.capacity;
-        if (hasCapacity(state, candidate, runtime, filter.isEngine(), now) && filter.hasColdToken(*target, runtime))
-            set.free.push_back(std::move(candidate));
+        return candidate;
+    }
+
+    // Whether targets that are silent are candidates too.
+    enum class SilentTargets {
+        Excluded,
+        Included,
+    };
+
+    CandidateSet collectCandidates(DispatchState& state, const ServiceState& service, const CandidateFilter& filter, const std::vector<std::shared_ptr<const Fleet::KnownTarget>>& targets, SilentTargets silentTargets, Base::TimePoint now)
+    {
+        CandidateSet set;
+        for (auto& target : targets) {
+            auto found = service.targets.find(target->entry.id);
+            auto* runtime = found == service.targets.end() ? nullptr : &found->second;
+            bool isExcluded = silentTargets == SilentTargets::Excluded && runtime && runtime->silentUntil > now;
+            if (isExcluded || !filter.isEligible(*target, runtime)) {
+                if (filter.isHeldBack(*target, runtime))
+                    set.heldBackUntil = std::min(set.heldBackUntil.value_or(runtime->knowledge.heldBackUntil), runtime->knowledge.heldBackUntil);
+                continue;
+            }
+            auto candidate = describeCandidate(state, filter, target, runtime, now);
+            ++set.eligible;
+            set.capacity += candidate.capacity;
+            if (hasCapacity(state, candidate, runtime, filter.isEngine(), now) && filter.hasColdToken(*target, runtime))
+                set.free.push_back(std::move(candidate));
+        }
+        return set;
     }
+
+} // namespace
+
+CandidateSet findCandidates(DispatchState& state, const ServiceState& service, const RequestTraits& traits, Base::TimePoint now)
+{
+    auto snapshot = Fleet::Queries::currentSnapshot(state.fleet());
+    auto targets = snapshot->targetsByService.find(traits.service);
+    if (targets == snapshot->targetsByService.end())
+        return {};
+    CandidateFilter filter(state, traits, *snapshot, now);
+    auto set = collectCandidates(state, service, filter, targets->second, SilentTargets::Excluded, now);
+    // If all targets are silent, the service as a whole is slow.
+    if (set.eligible == 0)
+        set = collectCandidates(state, service, filter, targets->second, SilentTargets::Included, now);
+    set.checkWeights = filter.minimumVersion() > 0 || traits.requiredWeights > 0;
     return set;
 }
 
--- a/Source/Dispatch/TargetRuntime.h
+++ b/Source/Dispatch/TargetRuntime.h
@@ -59,6 +59,10 @@
     // Moving average of failed attempts, 0 to 1.
     double failureShare = 0;
     Base::TimePoint backoffUntil {};
+    // Attempts in a row at which the target was silent for longer than expected, and until when it gets no requests for that
+    // while others respond.
+    unsigned consecutiveSilences = 0;
+    Base::TimePoint silentUntil {};
     // Time of the last failed connection attempt.
     Base::TimePoint unreachableAt {};
     // When the agent last saw the target end or restart.
--- a/Source/Proxy/CallerResponse.cpp
+++ b/Source/Proxy/CallerResponse.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <utility>
 
 namespace Lavenderloft::Proxy {
 
@@ -19,8 +20,6 @@
 
     // The connection is closed if a caller does not read a complete response within this time.
     constexpr std::chrono::seconds callerWriteTimeout = 10s;
-    // Of a response that is not an event stream. The request can be retried while nothing of it has been sent.
-    constexpr size_t maximumHeldBytes = 64 * 1024;
     // Shortest time for a write, so that the end of a response is sent at its deadline.
     constexpr std::chrono::milliseconds minimumWriteTimeout = 1ms;
 
@@ -90,16 +89,19 @@
     co_return written;
 }
 
-asio::awaitable<CallerResponse::Forwarded> CallerResponse::forward(TargetExchange& exchange, Base::TimePoint startBy, Base::TimePoint deadline)
+asio::awaitable<CallerResponse::Forwarded> CallerResponse::forward(TargetExchange& exchange, std::string received, Base::TimePoint deadline, ResponseListener& listener)
 {
     Http::HttpResponse response;
     response.status = exchange.response().status;
     response.headers = m_context.protocol.returnedHeaders(exchange.response().headers);
+    response.body = std::move(received);
+    listener.awaitingPart();
     while (!exchange.isComplete() && response.body.size() < maximumHeldBytes) {
-        auto failure = co_await exchange.readBody(response.body, startBy);
+        auto failure = co_await exchange.readBody(response.body, deadline);
         if (failure)
             co_return Forwarded { failure };
     }
+    listener.partReceived();
     if (!exchange.isComplete()) {
         auto forwarded = co_await forwardParts(exchange, std::move(response.body), deadline);
         co_return forwarded;
@@ -126,32 +128,31 @@
     co_return Forwarded { std::nullopt, !written };
 }
 
-asio::awaitable<CallerResponse::Forwarded> CallerResponse::forwardEvents(TargetExchange& exchange, Base::TimePoint deadline, std::optional<Base::Duration> eventTimeout, std::function<void()> onEvents)
+asio::awaitable<CallerResponse::Forwarded> CallerResponse::forwardEvents(TargetExchange& exchange, std::string received, Base::TimePoint deadline, ResponseListener& listener)
 {
     m_events.startRun();
     if (!isStarted())
         startParts(exchange.response());
-    std::string received;
     bool isBrokenOff = false;
-    auto lastEventAt = m_context.clock.now();
-    while (!exchange.isComplete() && !isBrokenOff) {
-        received.clear();
-        auto until = eventTimeout ? std::min(deadline, lastEventAt + *eventTimeout) : deadline;
-        auto failure = co_await exchange.readBody(received, until);
-        if (failure)
-            co_return Forwarded { failure };
-        auto events = m_events.take(received);
+    listener.awaitingPart();
+    while (!isBrokenOff && (!received.empty() || !exchange.isComplete())) {
+        if (received.empty()) {
+            auto failure = co_await exchange.readBody(received, deadline);
+            if (failure)
+                co_return Forwarded { failure };
+        }
+        auto events = m_events.take(std::exchange(received, {}));
         // The target broke off, even if the end of its response is well-formed.
         isBrokenOff = m_events.isMisplaced() || m_events.isEventTooLong() || (exchange.isComplete() && m_events.hasIncompleteEvent());
         if (exchange.isComplete() && !isBrokenOff)
             events.append(m_events.remainder());
         if (events.empty())
             continue;
-        onEvents();
+        listener.partReceived();
         bool written = co_await writePart(events, deadline);
         if (!written)
             co_return Forwarded { std::nullopt, true };
-        lastEventAt = m_context.clock.now();
+        listener.awaitingPart();
     }
     if (isBrokenOff)
         co_return Forwarded { AttemptEnd::Broken };
--- a/Source/Proxy/CallerResponse.h
+++ b/Source/Proxy/CallerResponse.h
@@ -2,11 +2,11 @@
 
 #include "Proxy/EventSplitter.h"
 #include "Proxy/ProxyContext.h"
+#include "Proxy/ResponseListener.h"
 #include "Proxy/TargetExchange.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -17,6 +17,10 @@
 // request, because an event stream may be continued at another target.
 class CallerResponse {
 public:
+    // Size up to which a response that is not an event stream is held until it is complete. The request can be retried while
+    // nothing of it has been sent.
+    static constexpr size_t maximumHeldBytes = 64 * 1024;
+
     // How forwarding the response of a target ended.
     struct Forwarded {
         // Why the target's response is incomplete; nothing if it is complete or the caller left.
@@ -27,16 +31,18 @@
 
     CallerResponse(ProxyContext&, boost::beast::tcp_stream& caller, bool keepAlive);
 
+    // Ends the time limit for receiving the request.
+    void awaitCaller() { m_caller.expires_never(); }
+
     // Sends a response of this node. Returns false if the caller left.
     boost::asio::awaitable<bool> send(const Http::HttpResponse&);
 
-    // Forwards a response. A short one is sent once it is complete, a longer one as it arrives. Fails if nothing can be sent
-    // by the time given in `startBy`.
-    boost::asio::awaitable<Forwarded> forward(TargetExchange&, Base::TimePoint startBy, Base::TimePoint deadline);
+    // Forwards a response of which some bytes have been read already. A short one is sent once it is complete, a longer one
+    // as it arrives.
+    boost::asio::awaitable<Forwarded> forward(TargetExchange&, std::string received, Base::TimePoint deadline, ResponseListener&);
 
-    // Forwards complete events as they arrive, and only those that the caller does not have yet. Without an event timeout
-    // events are awaited until the deadline. `onEvents` is called each time that complete events arrive.
-    boost::asio::awaitable<Forwarded> forwardEvents(TargetExchange&, Base::TimePoint deadline, std::optional<Base::Duration> eventTimeout, std::function<void()> onEvents);
+    // As above for an event stream: forwards complete events, and only those that the caller does not have yet.
+    boost::asio::awaitable<Forwarded> forwardEvents(TargetExchange&, std::string received, Base::TimePoint deadline, ResponseListener&);
 
     // Closes the connection, so that the caller can detect that the response is incomplete.
     void abort();
@@ -45,6 +51,8 @@
     bool isStarted() const { return m_firstByteAt.has_value(); }
     std::optional<Base::TimePoint> firstByteAt() const { return m_firstByteAt; }
     std::optional<uint64_t> lastEventId() const { return m_events.lastEventId(); }
+    // The position from which another target has to continue the event stream.
+    const EventSplitter& events() const { return m_events; }
 
     // Whether another target can continue the event stream.
     bool canContinue() const { return m_events.canContinue(); }
--- a/Source/Proxy/DisconnectMonitor.cpp
+++ b/Source/Proxy/DisconnectMonitor.cpp
@@ -7,8 +7,9 @@
 
 namespace asio = boost::asio;
 
-CancelRegistration::CancelRegistration(std::shared_ptr<DisconnectMonitor> monitor)
+CancelRegistration::CancelRegistration(std::shared_ptr<DisconnectMonitor> monitor, uint64_t number)
     : m_monitor(std::move(monitor))
+    , m_number(number)
 {
 }
 
@@ -18,13 +19,14 @@
 {
     reset();
     m_monitor = std::move(other.m_monitor);
+    m_number = other.m_number;
     return *this;
 }
 
 void CancelRegistration::reset()
 {
     if (m_monitor)
-        m_monitor->m_cancel = nullptr;
+        m_monitor->m_cancels.erase(m_number);
     m_monitor.reset();
 }
 
@@ -46,14 +48,15 @@
     if (!m_active)
         return;
     m_active = false;
-    m_cancel = nullptr;
+    m_cancels.clear();
     m_signal.emit(asio::cancellation_type::total);
 }
 
 CancelRegistration DisconnectMonitor::callOnDisconnect(std::function<void()> cancel)
 {
-    m_cancel = std::move(cancel);
-    return CancelRegistration(shared_from_this());
+    auto number = ++m_registrations;
+    m_cancels.emplace(number, std::move(cancel));
+    return CancelRegistration(shared_from_this(), number);
 }
 
 void DisconnectMonitor::onReadable(const boost::system::error_code& error)
@@ -68,8 +71,12 @@
     if (count > 0 || receiveError == asio::error::would_block)
         return;
     m_callerDisconnected = true;
-    if (m_cancel)
-        m_cancel();
+    // A function may end registrations.
+    auto cancels = m_cancels;
+    for (auto& [number, cancel] : cancels) {
+        if (m_cancels.contains(number))
+            cancel();
+    }
 }
 
 } // namespace Lavenderloft::Proxy
--- a/Source/Proxy/DisconnectMonitor.h
+++ b/Source/Proxy/DisconnectMonitor.h
@@ -2,7 +2,9 @@
 
 #include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 
 namespace Lavenderloft::Proxy {
@@ -23,9 +25,10 @@
 
 private:
     friend class DisconnectMonitor;
-    explicit CancelRegistration(std::shared_ptr<DisconnectMonitor>);
+    CancelRegistration(std::shared_ptr<DisconnectMonitor>, uint64_t number);
 
     std::shared_ptr<DisconnectMonitor> m_monitor;
+    uint64_t m_number = 0;
 };
 
 // Detects that a caller closes its connection while its request is in progress. Used on the event loop of the
@@ -39,8 +42,8 @@
 
     bool callerDisconnected() const { return m_callerDisconnected; }
 
-    // Has the function called when the caller disconnects, to cancel the pending operation of the request, for as long as
-    // the registration exists. There is one at a time: the former registration has to be reset before.
+    // Has the function called when the caller disconnects, to cancel a pending operation of the request, for as long as the
+    // registration exists.
     CancelRegistration callOnDisconnect(std::function<void()> cancel);
 
 private:
@@ -50,7 +53,9 @@
 
     boost::asio::ip::tcp::socket& m_socket;
     boost::asio::cancellation_signal m_signal;
-    std::function<void()> m_cancel;
+    // By number of their registration.
+    std::map<uint64_t, std::function<void()>> m_cancels;
+    uint64_t m_registrations = 0;
     bool m_active = false;
     bool m_callerDisconnected = false;
 };
--- a/Source/Proxy/Events.h
+++ b/Source/Proxy/Events.h
@@ -17,5 +17,7 @@
 
 inline constexpr Event targetLeaving { 7007, "target-leaving", Level::Info, "A target said in a response that it leaves; it gets no new requests from this router." };
 inline constexpr Event targetHeldBack { 7008, "target-held-back", Level::Info, "A target refused a request and asked this router to wait; it gets no requests until then." };
+inline constexpr Event attemptSilent { 7009, "attempt-silent", Level::Info, "A target has sent nothing for longer than expected; its attempt goes on until another target responds or the deadline passes." };
+inline constexpr Event replacementEnded { 7010, "replacement-ended", Level::Info, "The attempt at a second target, made because the first one was silent, has ended; the field result says whether it continues the response." };
 
 } // namespace Lavenderloft::Proxy::Events
--- /dev/null
+++ b/Source/Proxy/TargetAttempt.cpp
@@ -0,0 +1,219 @@
+#include "Proxy/TargetAttempt.h"
+
+#include "Dispatch/Commands/RecordCrash.h"
+#include "Dispatch/Commands/RecordPartEvidence.h"
+#include "Dispatch/Commands/RecordProgress.h"
+#include "Dispatch/Commands/RecordStatement.h"
+#include "Observability/Log.h"
+#include "Proxy/Events.h"
+
+#include <algorithm>
+
+namespace Lavenderloft::Proxy {
+
+namespace asio = boost::asio;
+using Dispatch::Commands::AttemptResult;
+using Dispatch::Queries::AttemptEnd;
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // For the close of a connection to reach the target, which then drops the request that waits there.
+    constexpr std::chrono::milliseconds withdrawalTime = 300ms;
+    constexpr int lowestPriority = 9;
+    // A target that crashes when it begins to write may still send a first event.
+    constexpr unsigned partsOfSoundPrompt = 2;
+    constexpr unsigned misdirectedStatus = 421;
+
+} // namespace
+
+TargetAttempt::TargetAttempt(std::shared_ptr<ProxyRequest> request, Dispatch::Lease lease)
+    : m_request(std::move(request))
+    , m_lease(std::move(lease))
+    , m_exchange(m_request->context, m_request->worker, *m_request->disconnectMonitor, *m_lease.target, m_request->head.requestId)
+{
+    // A target is tried once, also while an attempt at it goes on.
+    m_request->traits.triedTargets.push_back(targetId());
+    ++m_request->history.attempts;
+}
+
+TargetAttempt::~TargetAttempt()
+{
+    release({ true, AttemptEnd::Broken, AttemptResult::Abandoned });
+}
+
+Http::HttpRequest TargetAttempt::forwardedHead(std::optional<uint64_t> lastEventId) const
+{
+    ForwardedFields forwarding;
+    forwarding.timeLeft = m_request->timeLeft();
+    forwarding.expectedTarget = targetId();
+    if (m_request->organisation)
+        forwarding.organisation = m_request->organisation->name;
+    forwarding.priority = std::clamp(m_request->traits.priority, 0, lowestPriority);
+    forwarding.expectedWeights = m_lease.expectedWeights;
+    forwarding.lastEventId = lastEventId;
+    Http::HttpRequest head;
+    head.method = m_request->message.method;
+    head.target = m_request->message.target;
+    head.headers = m_request->context.protocol.forwardedHeaders(m_request->message.headers, forwarding);
+    return head;
+}
+
+// A request that is still being sent, or waits at an engine, when the weights expire is withdrawn, so that it does not begin
+// on them.
+Base::TimePoint TargetAttempt::withdrawnBy() const
+{
+    auto deadline = m_request->traits.deadline;
+    if (!m_lease.beginBy)
+        return deadline;
+    return std::min<Base::TimePoint>(deadline, *m_lease.beginBy - withdrawalTime);
+}
+
+asio::awaitable<TargetAttempt::Failure> TargetAttempt::send(std::optional<uint64_t> lastEventId)
+{
+    m_lastHeardAt = m_request->now();
+    auto failure = co_await m_exchange.send(forwardedHead(lastEventId), m_request->message.body, m_request->isRepeatable(), withdrawnBy());
+    if (failure == AttemptEnd::NotSent)
+        co_return failure;
+    m_request->reachedTarget = true;
+    ++m_request->history.runs;
+    m_sentAt = m_request->now();
+    m_lastHeardAt = m_sentAt;
+    co_return failure;
+}
+
+asio::awaitable<TargetAttempt::Failure> TargetAttempt::readHead()
+{
+    auto failure = co_await m_exchange.readHead(m_request->message.method == "HEAD", withdrawnBy());
+    if (failure)
+        co_return failure;
+    m_hasHead = true;
+    recordStatement();
+    if (isNotExecuted())
+        --m_request->history.runs;
+    co_return std::nullopt;
+}
+
+void TargetAttempt::recordStatement()
+{
+    auto& target = m_lease.target->entry;
+    auto& service = m_request->traits.service;
+    auto& statement = m_exchange.response().head.statement;
+    auto learned = Dispatch::Commands::recordStatement(m_request->context.dispatch, service, target, statement, m_request->now());
+    auto& requestId = m_request->head.requestId;
+    if (learned.isNewlyLeaving)
+        Observability::logEvent(Events::targetLeaving, { { "target", target.id }, { "service", service }, { "incarnation", target.startedAt }, { "request", requestId } });
+    if (learned.heldBackFor)
+        Observability::logEvent(Events::targetHeldBack, { { "target", target.id }, { "service", service }, { "incarnation", target.startedAt }, { "request", requestId }, { "asked", *statement.retryAfter }, { "held_back_for", *learned.heldBackFor } });
+}
+
+bool TargetAttempt::isSuccess() const
+{
+    auto& response = m_exchange.response();
+    return response.status >= 200 && response.status < 300 && response.head.sealed;
+}
+
+bool TargetAttempt::isEventStream() const
+{
+    // A target need not name the type of a stream.
+    auto type = Http::headerValue(m_exchange.response().headers, "Content-Type");
+    return isSuccess() && (type.empty() || type.starts_with("text/event-stream"));
+}
+
+bool TargetAttempt::isNotExecuted() const
+{
+    auto& response = m_exchange.response();
+    return response.head.notExecuted && impliesNotExecuted(response.status);
+}
+
+void TargetAttempt::cancel()
+{
+    m_exchange.cancel();
+}
+
+void TargetAttempt::recordPart()
+{
+    auto now = m_request->now();
+    auto& dispatch = m_request->context.dispatch;
+    auto& service = m_request->traits.service;
+    ++m_parts;
+    if (m_parts == 1)
+        Dispatch::Commands::recordFirstPart(dispatch, service, now - m_sentAt, now);
+    else
+        m_longestPause = std::max(m_longestPause, now - m_lastHeardAt);
+    if (std::exchange(m_isSilent, false))
+        Dispatch::Commands::recordEndOfSilence(dispatch, service, targetId());
+    if (m_parts == partsOfSoundPrompt)
+        Dispatch::Commands::recordPartsServed(dispatch, m_request->traits.sharedParts, now);
+    m_lastHeardAt = now;
+}
+
+void TargetAttempt::recordSilence()
+{
+    if (!std::exchange(m_isSilent, true))
+        Dispatch::Commands::recordSilence(m_request->context.dispatch, m_request->traits.service, targetId(), m_request->now());
+}
+
+void TargetAttempt::release(const AttemptOutcome& outcome)
+{
+    if (std::exchange(m_isReleased, true))
+        return;
+    m_exchange.releaseConnection();
+    auto now = m_request->now();
+    auto& dispatch = m_request->context.dispatch;
+    if (m_longestPause > Base::Duration::zero())
+        Dispatch::Commands::recordLongestPause(dispatch, m_request->traits.service, m_longestPause, now);
+    Dispatch::Commands::releaseTarget(dispatch, m_request->traits.service, targetId(), outcome.result, now);
+    recordEvidence(outcome);
+}
+
+void TargetAttempt::recordEvidence(const AttemptOutcome& outcome)
+{
+    auto now = m_request->now();
+    auto& dispatch = m_request->context.dispatch;
+    auto& traits = m_request->traits;
+    if (outcome.finished) {
+        if (outcome.result == AttemptResult::Served)
+            Dispatch::Commands::recordPartsServed(dispatch, traits.sharedParts, now);
+        return;
+    }
+    if (outcome.end != AttemptEnd::Broken || m_request->callerDisconnected())
+        return;
+    std::vector<uint64_t> suspectParts;
+    if (m_parts < partsOfSoundPrompt) {
+        for (auto& part : traits.sharedParts)
+            suspectParts.push_back(part.id);
+    }
+    Dispatch::Commands::recordBrokenRun(dispatch, traits.fingerprint, traits.service, targetId(), now, std::move(suspectParts));
+}
+
+AttemptOutcome TargetAttempt::failedAs(AttemptEnd end, unsigned status) const
+{
+    bool hasResponse = end == AttemptEnd::NotExecuted || end == AttemptEnd::ErrorResponse;
+    // The attempt was cancelled, which says nothing about the target.
+    if (!hasResponse && m_request->callerDisconnected())
+        return { false, end, AttemptResult::Abandoned };
+    switch (end) {
+    case AttemptEnd::NotExecuted:
+        return { false, end, status == misdirectedStatus ? AttemptResult::Misdirected : AttemptResult::Rejected, status };
+    case AttemptEnd::ErrorResponse:
+        return { false, end, AttemptResult::ErrorResponse, status };
+    case AttemptEnd::TimedOut:
+        // The caller's deadline may have been too short, so the target is not at fault.
+        return { false, end, m_request->now() >= m_request->traits.deadline ? AttemptResult::Abandoned : AttemptResult::Failed };
+    case AttemptEnd::NotSent:
+        return { false, end, AttemptResult::Unreachable };
+    case AttemptEnd::Broken:
+        break;
+    }
+    return { false, end, AttemptResult::Failed };
+}
+
+// Whether the status tells the caller that the request did not run.
+bool impliesNotExecuted(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+} // namespace Lavenderloft::Proxy
--- a/Source/Proxy/TargetExchange.cpp
+++ b/Source/Proxy/TargetExchange.cpp
@@ -85,7 +85,7 @@
 void TargetExchange::cancelOnDisconnect()
 {
     m_cancelRegistration.reset();
-    m_cancelRegistration = m_disconnectMonitor.callOnDisconnect([this] { m_connection->stream.cancel(); });
+    m_cancelRegistration = m_disconnectMonitor.callOnDisconnect([this] { cancel(); });
 }
 
 asio::awaitable<TargetExchange::Failure> TargetExchange::send(const Http::HttpRequest& head, std::string_view body, bool mayRetry, Base::TimePoint until)
@@ -199,6 +199,12 @@
     co_return std::nullopt;
 }
 
+void TargetExchange::cancel()
+{
+    if (m_connection)
+        m_connection->stream.cancel();
+}
+
 void TargetExchange::releaseConnection()
 {
     m_cancelRegistration.reset();
--- a/Source/Proxy/TargetExchange.h
+++ b/Source/Proxy/TargetExchange.h
@@ -48,6 +48,9 @@
 
     bool isComplete() const { return m_parser && m_parser->is_done(); }
 
+    // Ends the pending operation, which then fails.
+    void cancel();
+
     // Returns the connection to the pool if the response was complete, and resets it otherwise.
     void releaseConnection();
 
--- a/Tests/Proxy/ScriptedTarget.h
+++ b/Tests/Proxy/ScriptedTarget.h
@@ -31,6 +31,7 @@
     std::chrono::milliseconds pauseBeforeRepeat { 0 };
     // Sent after the bytes and a pause, so that it arrives separately.
     std::string later {};
+    std::chrono::milliseconds pauseBeforeLater { 50 };
 };
 
 // A target on loopback that replies to each request according to the test's script.
@@ -128,7 +129,7 @@
             auto reply = m_script(head, number);
             boost::asio::write(socket, boost::asio::buffer(reply.bytes), error);
             if (!reply.later.empty()) {
-                std::this_thread::sleep_for(std::chrono::milliseconds(50));
+                std::this_thread::sleep_for(reply.pauseBeforeLater);
                 boost::asio::write(socket, boost::asio::buffer(reply.later), error);
                 std::this_thread::sleep_for(std::chrono::milliseconds(50));
             }
--- a/Tests/Proxy/TestRouter.h
+++ b/Tests/Proxy/TestRouter.h
@@ -21,6 +21,10 @@
     static constexpr std::chrono::milliseconds callerDeadline { 30000 };
 
     // Connections of callers, and the idle connections to targets, are distributed over the event loops.
+    // Target latency and longest pause of routes that are published afterwards. Another target is looked for after three
+    // times as long, and at least a second, so that a target that is slow on a busy machine is not replaced.
+    std::chrono::milliseconds expectedPause { 2000 };
+
     explicit TestRouter(unsigned eventLoops = 2, uint64_t bodyLimitBytes = BodyBudget::defaultLimitBytes)
         : m_pool(eventLoops)
         , m_dispatch(m_fleet.state, nodeSettings(), std::make_unique<Dispatch::PowerOfTwoChoicesPolicy>(), std::make_unique<Dispatch::BoundedWaitPolicy>(), std::make_unique<Base::SeededRandom>(1))
@@ -54,9 +58,8 @@
         route->prefix = "/";
         route->kind = kind;
         route->timeout = timeout;
-        // A silent target is given up after three times as long, so that a target that is slow on a busy machine is not.
-        route->targetLatency = std::chrono::seconds(2);
-        route->maximumEventGap = std::chrono::seconds(2);
+        route->targetLatency = expectedPause;
+        route->maximumEventGap = expectedPause;
         route->services = { { "s", 1 } };
         route->maximumAttempts = maximumAttempts;
         route->resumable = resumable;
@@ -155,7 +158,7 @@
     std::shared_ptr<CallerServer> m_server;
     std::thread m_thread;
     // Requests sent so far; each has an id of its own.
-    unsigned m_requests = 0;
+    std::atomic<unsigned> m_requests { 0 };
 };
 
 // A sealed response to the request with the given head.
