Let an interrupted request wait for another target until its deadline

Cause: a retry was admitted like a new request: refused if the queue was long, waiting for a third of the target latency at most, and refused if all other targets were in a backoff for a moment. A new request can be told that it has not run; an interrupted one can only fail.

Change: a request that a target ran waits until its deadline, before requests of its priority that have not begun, also for targets that return, unless no target will hold the weights of its response again. A retry that the budget does not allow is tried again while there is time, and one that gets no target is no longer charged.

--- a/Source/Dispatch/AdmissionPolicy.h
+++ b/Source/Dispatch/AdmissionPolicy.h
@@ -12,6 +12,8 @@
 // Load of a service when a request arrives.
 struct ServiceLoad {
     size_t targets = 0;
+    // Targets that may become eligible, for example after a backoff.
+    size_t returningTargets = 0;
     // Sum of the concurrency limits of these targets.
     size_t capacity = 0;
     size_t waiting = 0;
@@ -29,7 +31,7 @@
     // Most requests that all routers together may have in flight at a target with that many slots.
     virtual unsigned concurrencyLimit(unsigned slots, bool isEngine) const = 0;
 
-    // How long the request may wait for a free slot; zero refuses it immediately.
+    // How long the request may wait for a free slot, at most until its deadline; zero refuses it immediately.
     virtual Base::Duration maximumWait(const RequestTraits&, const ServiceLoad&) const = 0;
 
     // When a refused request is likely to find a free slot.
--- a/Source/Dispatch/BoundedWaitPolicy.cpp
+++ b/Source/Dispatch/BoundedWaitPolicy.cpp
@@ -25,6 +25,9 @@
 
 Base::Duration BoundedWaitPolicy::maximumWait(const RequestTraits& traits, const ServiceLoad& load) const
 {
+    // The alternative is a response that breaks off. Slots are freed often.
+    if (traits.isInterrupted)
+        return Base::Duration::max();
     auto longest = std::chrono::duration_cast<Base::Duration>(traits.route->targetLatency * waitFraction);
     if (load.completionsPerSecond <= 0)
         return longest;
--- a/Source/Dispatch/Commands/AcquireTarget.cpp
+++ b/Source/Dispatch/Commands/AcquireTarget.cpp
@@ -21,10 +21,18 @@
     // Retry-After if no target is eligible.
     constexpr std::chrono::milliseconds noTargetRetryAfter = 1800ms;
 
+    // Whether the first request has to be served before the second one, which arrived later.
+    bool precedes(const RequestTraits& first, const RequestTraits& second)
+    {
+        if (first.priority != second.priority)
+            return first.priority < second.priority;
+        return first.isInterrupted || !second.isInterrupted;
+    }
+
     void insertByPriority(std::list<WaitingRequest>& waiting, WaitingRequest request)
     {
         auto position = std::find_if(waiting.rbegin(), waiting.rend(), [&](const WaitingRequest& other) {
-            return other.traits.priority <= request.traits.priority;
+            return precedes(other.traits, request.traits);
         });
         waiting.insert(position.base(), std::move(request));
     }
@@ -39,7 +47,7 @@
         return std::chrono::ceil<std::chrono::milliseconds>(remaining + std::chrono::duration_cast<Base::Duration>(longest * (spreadShare * position)));
     }
 
-    Decision admit(DispatchState& state, ServiceState& service, const RequestTraits& traits, std::shared_ptr<WaitObserver> observer, Base::TimePoint now)
+    Decision admit(DispatchState& state, ServiceState& service, const RequestTraits& traits, std::shared_ptr<WaitObserver> observer, bool isCharged, Base::TimePoint now)
     {
         if (traits.deadline - now < minimumTimeLeft)
             return Refusal { RefusalReason::OutOfTime, 0ms };
@@ -49,14 +57,15 @@
                 return std::move(*lease);
         }
         auto load = describeLoad(state, service, traits, now);
-        if (load.targets == 0 && load.heldBackUntil)
+        bool mayWaitForTarget = traits.isInterrupted && load.returningTargets > 0;
+        if (load.targets == 0 && load.heldBackUntil && !mayWaitForTarget)
             return Refusal { RefusalReason::HeldBack, retryAfterHoldBack(traits, *load.heldBackUntil - now) };
-        if (load.targets == 0)
+        if (load.targets == 0 && !mayWaitForTarget)
             return Refusal { RefusalReason::NoTarget, noTargetRetryAfter };
         auto wait = std::min(state.admission().maximumWait(traits, load), Base::Duration(traits.deadline - now));
         if (wait <= Base::Duration::zero())
             return Refusal { RefusalReason::Overloaded, state.admission().retryAfter(traits, load) };
-        insertByPriority(service.waiting, WaitingRequest { traits, now, std::move(observer) });
+        insertByPriority(service.waiting, WaitingRequest { traits, now, std::move(observer), isCharged });
         serveQueue(state, service, now);
         return Queued { now + wait };
     }
@@ -91,7 +100,7 @@
         return *refusal;
     return state.withService(traits.service, [&](ServiceState& service) {
         service.retryWindow.countRequest(now);
-        return admit(state, service, traits, std::move(observer), now);
+        return admit(state, service, traits, std::move(observer), false, now);
     });
 }
 
@@ -102,16 +111,22 @@
     return state.withService(traits.service, [&](ServiceState& service) -> Decision {
         if (reachedTarget && !service.retryWindow.tryRetry(retryLimits(state), now))
             return Refusal { RefusalReason::RetryBudget, noTargetRetryAfter };
-        return admit(state, service, traits, std::move(observer), now);
+        auto decision = admit(state, service, traits, std::move(observer), reachedTarget, now);
+        if (reachedTarget && std::holds_alternative<Refusal>(decision))
+            service.retryWindow.undoRetry(now);
+        return decision;
     });
 }
 
 std::optional<Refusal> cancelWait(DispatchState& state, const RequestTraits& traits, const WaitObserver* observer, Base::TimePoint now)
 {
     return state.withService(traits.service, [&](ServiceState& service) -> std::optional<Refusal> {
-        auto isObserved = [&](const WaitingRequest& request) { return request.observer.get() == observer; };
-        if (std::erase_if(service.waiting, isObserved) == 0)
+        auto waiting = std::find_if(service.waiting.begin(), service.waiting.end(), [&](const WaitingRequest& request) { return request.observer.get() == observer; });
+        if (waiting == service.waiting.end())
             return std::nullopt;
+        if (waiting->isCharged)
+            service.retryWindow.undoRetry(now);
+        service.waiting.erase(waiting);
         return Refusal { RefusalReason::Overloaded, state.admission().retryAfter(traits, describeLoad(state, service, traits, now)) };
     });
 }
--- a/Source/Dispatch/DispatchState.h
+++ b/Source/Dispatch/DispatchState.h
@@ -28,11 +28,13 @@
     RequestTraits traits;
     Base::TimePoint since {};
     std::shared_ptr<WaitObserver> observer;
+    // The retry budget was charged for it.
+    bool isCharged = false;
 };
 
 struct ServiceState {
     std::unordered_map<std::string, TargetRuntime> targets;
-    // Sorted by priority, then by arrival.
+    // Sorted by priority; of the same priority, interrupted requests come first, then by arrival.
     std::list<WaitingRequest> waiting;
     RetryWindow retryWindow;
     ResponseTimes responseTimes;
--- a/Source/Dispatch/Queries/FindCandidates.cpp
+++ b/Source/Dispatch/Queries/FindCandidates.cpp
@@ -57,6 +57,17 @@
             return weights > 0 && weights >= m_minimumWeightsVersion;
         }
 
+        // Whether the target may become eligible without a new entry. Engines never return to older weights.
+        bool mayReturn(const Fleet::KnownTarget& target, const TargetRuntime* runtime) const
+        {
+            bool isLeaving = runtime && runtime->knowledge.incarnation == target.entry.startedAt && runtime->knowledge.leavingSince;
+            if (!isAllowed(target.entry) || isLeaving)
+                return false;
+            if (!isEngine() || m_traits.requiredWeights == 0)
+                return true;
+            return m_traits.requiredWeights >= m_minimumWeightsVersion && knownWeights(target, runtime) <= m_traits.requiredWeights;
+        }
+
         // A target in a data centre that the settings do not name is in no region, so it is in none of the allowed ones.
         bool isInAllowedRegion(const Fleet::TargetEntry& entry) const
         {
@@ -230,6 +241,8 @@
             auto* runtime = found == service.targets.end() ? nullptr : &found->second;
             bool isExcluded = silentTargets == SilentTargets::Excluded && runtime && runtime->silentUntil > now;
             if (isExcluded || !filter.isEligible(*target, runtime)) {
+                if (filter.mayReturn(*target, runtime))
+                    ++set.returning;
                 if (filter.isHeldBack(*target, runtime))
                     set.heldBackUntil = std::min(set.heldBackUntil.value_or(runtime->knowledge.heldBackUntil), runtime->knowledge.heldBackUntil);
                 continue;
--- a/Source/Dispatch/Queries/FindCandidates.h
+++ b/Source/Dispatch/Queries/FindCandidates.h
@@ -13,6 +13,8 @@
     std::vector<Candidate> free;
     // Number of eligible targets, including full ones.
     size_t eligible = 0;
+    // Number of targets that are not eligible now and may be later.
+    size_t returning = 0;
     // Sum of the concurrency limits of the eligible targets.
     size_t capacity = 0;
     // The earliest time at which a target takes requests that now holds this router back.
--- a/Source/Dispatch/RetryWindow.cpp
+++ b/Source/Dispatch/RetryWindow.cpp
@@ -59,4 +59,16 @@
     return true;
 }
 
+void RetryWindow::undoRetry(Base::TimePoint now)
+{
+    auto newest = indexAt(now);
+    for (int64_t age = 0; age <= static_cast<int64_t>(slices); ++age) {
+        auto& slice = m_slices[static_cast<size_t>(newest - age) % m_slices.size()];
+        if (slice.index != newest - age || slice.retries == 0)
+            continue;
+        --slice.retries;
+        return;
+    }
+}
+
 } // namespace Lavenderloft::Dispatch
--- a/Source/Dispatch/RetryWindow.h
+++ b/Source/Dispatch/RetryWindow.h
@@ -29,6 +29,9 @@
     // Counts a retry if the limits allow it; returns whether they do.
     bool tryRetry(const RetryLimits&, Base::TimePoint now);
 
+    // Takes back a retry that was counted and sent to no target.
+    void undoRetry(Base::TimePoint now);
+
 private:
     static constexpr size_t slices = 20;
 
--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -36,6 +36,8 @@
     constexpr size_t maximumRefusalBytes = 16 * 1024;
     // Time for the body of a refusal whose head has arrived.
     constexpr std::chrono::milliseconds refusalBodyTimeout = 100ms;
+    // Until a retry that the budget did not allow is tried again.
+    constexpr std::chrono::milliseconds retryBudgetInterval = 200ms;
 
     std::string_view pathOf(std::string_view target)
     {
@@ -177,14 +179,24 @@
 
 asio::awaitable<std::optional<RequestHandler::NextAttempt>> RequestHandler::acquire()
 {
-    auto waiter = std::make_shared<LeaseWaiter>(m_request->worker.context);
-    auto outcome = co_await acquireLease(m_request, waiter);
-    if (auto* lease = std::get_if<Dispatch::Lease>(&*outcome)) {
-        NextAttempt next = std::make_unique<TargetAttempt>(m_request, std::move(*lease));
-        co_return next;
+    m_request->traits.isInterrupted = m_request->history.runs > 0;
+    while (true) {
+        auto waiter = std::make_shared<LeaseWaiter>(m_request->worker.context);
+        auto outcome = co_await acquireLease(m_request, waiter);
+        if (auto* lease = std::get_if<Dispatch::Lease>(&*outcome)) {
+            NextAttempt next = std::make_unique<TargetAttempt>(m_request, std::move(*lease));
+            co_return next;
+        }
+        auto refusal = std::get<Dispatch::Refusal>(*outcome);
+        // The budget recovers within its window.
+        bool mayWait = refusal.reason == Dispatch::RefusalReason::RetryBudget && m_request->traits.isInterrupted && m_request->timeLeft() > retryBudgetInterval;
+        if (!mayWait || m_request->callerDisconnected()) {
+            NextAttempt next = refusal;
+            co_return next;
+        }
+        auto registration = m_request->disconnectMonitor->callOnDisconnect([waiter] { waiter->cancel(); });
+        co_await waiter->waitFor(retryBudgetInterval);
     }
-    NextAttempt next = std::get<Dispatch::Refusal>(*outcome);
-    co_return next;
 }
 
 asio::awaitable<std::unique_ptr<TargetAttempt>> RequestHandler::takeReplacement()
@@ -367,6 +379,7 @@
     m_log.attemptSilent(*m_current, limit, isReplaced ? "replace" : "wait");
     if (!isReplaced)
         return;
+    m_request->traits.isInterrupted = false;
     auto lastEventId = m_response.isStarted() ? m_response.lastEventId() : std::nullopt;
     ReplacementAttempt::Observer& observer = *this;
     m_replacement = std::make_shared<ReplacementAttempt>(m_request, observer, m_response.events(), lastEventId);
--- a/Tests/Proxy/ResumedStreamTest.cpp
+++ b/Tests/Proxy/ResumedStreamTest.cpp
@@ -107,3 +107,31 @@
     cr_expect_eq(response.find("data: a"), response.rfind("data: a"), "%s", response.c_str());
     cr_expect_not(response.ends_with(finalChunk));
 }
+
+// Guards against a stream that is given up at once because the only other target is full for a moment.
+Test(ResumedStream, waitsForASlot)
+{
+    constexpr unsigned slots = 1;
+    constexpr unsigned streamsOfFullTarget = 2;
+    const std::string lastEvent = "id: 3\ndata: c\n\n";
+    TestRouter router;
+    router.expectedPause = std::chrono::milliseconds(100);
+    router.setRoute(Fleet::RequestKind::Stream, 2, true);
+    ScriptedTarget full([&](const std::string& head, unsigned number) {
+        ScriptedReply reply { sealedStreamHead(head) };
+        reply.later = chunkOf(number < streamsOfFullTarget ? firstEvents : lastEvent) + finalChunk;
+        reply.pauseBeforeLater = std::chrono::milliseconds(number < streamsOfFullTarget ? 600 : 0);
+        return reply;
+    });
+    ScriptedTarget broken([](const std::string& head, unsigned) { return ScriptedReply { sealedStreamHead(head) + chunkOf(firstEvents), Then::Reset }; });
+    router.addTargetAt("2", full.port(), slots);
+    boost::asio::io_context context;
+    auto first = router.send(context, "POST", "Connection: close\r\n");
+    auto second = router.send(context, "POST", "Connection: close\r\n");
+    full.waitForRequests(streamsOfFullTarget);
+    router.addTarget("1", broken);
+    auto response = router.exchange("POST");
+    cr_expect(contains(response, firstEvents), "%s", response.c_str());
+    cr_expect(contains(response, lastEvent), "%s", response.c_str());
+    cr_expect(response.ends_with(finalChunk), "%s", response.c_str());
+}
