Give open requests a final response before the grace period ends

Callers would see: requests that end without an answer at the end of a planned stop, also those that no target has and that could be told so. Not seen in the record, which could not show it: nothing was logged for what was cut there.

Cause: 250 ms before the end of the grace period the event loops stopped, whatever was open.

Change: 450 ms before it, requests that no target has get a 503, those that a target has and that have no response yet a 504, and responses that have begun break off visibly; 200 ms later the connections of callers that do not read are closed. A lease is not returned any more once the event loop has stopped, because the state may be gone by then.

Test: Proxy/PlannedStop. On the code before there was nothing to call; the loops ended with the requests open.

--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -59,7 +59,12 @@
     constexpr std::chrono::milliseconds requestRejectionDelay = 2800ms;
     // The node stops at the latest this long before the end of the grace period.
     constexpr std::chrono::milliseconds drainMargin = 250ms;
+    // Time before that in which the requests that are still open get a final response.
+    constexpr std::chrono::milliseconds finalResponseTime = 200ms;
+    // For the requests whose connections are closed at the end.
+    constexpr std::chrono::milliseconds cutTime = 30ms;
     constexpr std::chrono::milliseconds drainCheckInterval = 100ms;
+    constexpr std::chrono::milliseconds finalResponseInterval = 10ms;
 
     // Request bodies may use half of the memory. The rest is for the fleet state, connections and streams.
     uint64_t bodyLimitBytes(const Fleet::NodeSettings& settings)
@@ -285,7 +290,7 @@
             Observability::logEvent(processStopping, { { "open_requests", m_proxy.openRequests.load() } });
             auto start = m_clock.now();
             auto deadline = start + m_settings.bounds.grace - drainMargin;
-            while (m_clock.now() < deadline) {
+            while (m_clock.now() < deadline - finalResponseTime) {
                 co_await Http::sleepFor(m_pool.context(0), drainCheckInterval);
                 auto elapsed = m_clock.now() - start;
                 // By then the load balancer has detected the drain and sends new requests to other nodes.
@@ -296,10 +301,26 @@
                 if (m_proxy.openRequests == 0 && elapsed >= minimumDrainTime)
                     break;
             }
+            co_await endOpenRequests(deadline);
             m_callers->stop();
             m_pool.stop();
         }
 
+        // Ends the requests that are still open, and closes the connections of those whose callers do not read.
+        asio::awaitable<void> endOpenRequests(Base::TimePoint deadline)
+        {
+            if (m_proxy.openRequests == 0)
+                co_return;
+            Observability::logEvent(requestsEnded, { { "open_requests", m_proxy.openRequests.load() } });
+            m_callers->endOpenRequests();
+            while (m_proxy.openRequests > 0 && m_clock.now() < deadline)
+                co_await Http::sleepFor(m_pool.context(0), finalResponseInterval);
+            if (m_proxy.openRequests == 0)
+                co_return;
+            m_callers->cutOpenRequests();
+            co_await Http::sleepFor(m_pool.context(0), cutTime);
+        }
+
         Fleet::NodeSettings m_settings;
         Base::SystemClock m_clock;
         // Of the event loop that exchanges messages and follows the store.
--- a/Source/Proxy/CallerResponse.cpp
+++ b/Source/Proxy/CallerResponse.cpp
@@ -95,7 +95,8 @@
     response.status = exchange.response().status;
     response.headers = m_context.protocol.returnedHeaders(exchange.response().headers);
     response.body = std::move(received);
-    listener.awaitingPart();
+    if (!listener.awaitPart())
+        co_return Forwarded { AttemptEnd::Broken };
     while (!exchange.isComplete() && response.body.size() < maximumHeldBytes) {
         auto failure = co_await exchange.readBody(response.body, deadline);
         if (failure)
@@ -134,8 +135,8 @@
     if (!isStarted())
         startParts(exchange.response());
     bool isBrokenOff = false;
-    listener.awaitingPart();
-    while (!isBrokenOff && (!received.empty() || !exchange.isComplete())) {
+    bool goesOn = listener.awaitPart();
+    while (goesOn && !isBrokenOff && (!received.empty() || !exchange.isComplete())) {
         if (received.empty()) {
             auto failure = co_await exchange.readBody(received, deadline);
             if (failure)
@@ -152,9 +153,9 @@
         bool written = co_await writePart(events, deadline);
         if (!written)
             co_return Forwarded { std::nullopt, true };
-        listener.awaitingPart();
+        goesOn = listener.awaitPart();
     }
-    if (isBrokenOff)
+    if (isBrokenOff || (!goesOn && !exchange.isComplete()))
         co_return Forwarded { AttemptEnd::Broken };
     bool written = co_await writeLastPart(deadline);
     co_return Forwarded { std::nullopt, !written };
--- a/Source/Proxy/CallerServer.cpp
+++ b/Source/Proxy/CallerServer.cpp
@@ -133,6 +133,26 @@
     }
 }
 
+void CallerServer::endOpenRequests()
+{
+    for (auto& worker : m_workers) {
+        asio::post(worker->context, [&requests = worker->openRequests] {
+            for (auto* request : requests)
+                request->endForStop();
+        });
+    }
+}
+
+void CallerServer::cutOpenRequests()
+{
+    for (auto& worker : m_workers) {
+        asio::post(worker->context, [&requests = worker->openRequests] {
+            for (auto* request : requests)
+                request->cutForStop();
+        });
+    }
+}
+
 void CallerServer::stop()
 {
     beast::error_code ignored;
--- a/Source/Proxy/CallerServer.h
+++ b/Source/Proxy/CallerServer.h
@@ -26,6 +26,12 @@
     // Closes connections without a request in progress.
     void closeIdleConnections();
 
+    // Ends the requests in progress with a final response, because the process stops.
+    void endOpenRequests();
+
+    // Closes the connections of requests that have not ended.
+    void cutOpenRequests();
+
 private:
     boost::asio::awaitable<void> acceptConnections();
     // Reads one request and serves it. Returns whether the connection can be used for another one.
--- a/Source/Proxy/ProxyContext.h
+++ b/Source/Proxy/ProxyContext.h
@@ -49,12 +49,25 @@
     ProxyContext& m_context;
 };
 
+// A request in progress, as the shutdown of the process sees it. Used on its event loop.
+class InterruptibleRequest {
+public:
+    virtual ~InterruptibleRequest() = default;
+
+    // Ends the request with a final response, or visibly breaks off a response that has begun.
+    virtual void endForStop() = 0;
+
+    // Closes the connection of the caller if the request has not ended.
+    virtual void cutForStop() = 0;
+};
+
 // Shared by the connections of one event loop.
 struct ProxyWorker {
     boost::asio::io_context& context;
     ConnectionPool connections;
     // Connections to callers that are waiting for the next request.
     std::unordered_set<boost::beast::tcp_stream*> idleCallers;
+    std::unordered_set<InterruptibleRequest*> openRequests;
 };
 
 } // namespace Lavenderloft::Proxy
--- a/Source/Proxy/ProxyRequest.h
+++ b/Source/Proxy/ProxyRequest.h
@@ -17,6 +17,7 @@
     ProxyRequest(ProxyContext& context, ProxyWorker& worker, boost::asio::ip::tcp::socket& caller, Http::HttpRequest received)
         : context(context)
         , worker(worker)
+        , loop(worker.context)
         , disconnectMonitor(std::make_shared<DisconnectMonitor>(caller))
         , message(std::move(received))
         , head(context.protocol.readRequestHead(message.headers))
@@ -25,6 +26,9 @@
 
     Base::TimePoint now() const { return context.clock.now(); }
 
+    // Whether the event loop has ended. What the request refers to may then be gone.
+    bool isLoopStopped() const { return loop.stopped(); }
+
     bool callerDisconnected() const { return disconnectMonitor->callerDisconnected(); }
 
     bool isRepeatable() const { return traits.route->isRepeatable(); }
@@ -38,6 +42,7 @@
 
     ProxyContext& context;
     ProxyWorker& worker;
+    boost::asio::io_context& loop;
     std::shared_ptr<DisconnectMonitor> disconnectMonitor;
     Http::HttpRequest message;
     RequestHead head;
--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -102,6 +102,7 @@
     , m_silence(std::make_shared<SilenceTimer>(worker.context, [this] { targetSilent(); }))
 {
     m_request->traits.arrivedAt = context.clock.now();
+    worker.openRequests.insert(this);
 }
 
 RequestHandler::~RequestHandler()
@@ -109,6 +110,8 @@
     m_silence->stop();
     abandonReplacement();
     m_request->disconnectMonitor->stop();
+    if (!m_request->isLoopStopped())
+        m_request->worker.openRequests.erase(this);
 }
 
 asio::awaitable<bool> RequestHandler::run()
@@ -181,8 +184,8 @@
 {
     m_request->traits.isInterrupted = m_request->history.runs > 0;
     while (true) {
-        auto waiter = std::make_shared<LeaseWaiter>(m_request->worker.context);
-        auto outcome = co_await acquireLease(m_request, waiter);
+        m_waiter = std::make_shared<LeaseWaiter>(m_request->worker.context);
+        auto outcome = co_await acquireLease(m_request, m_waiter);
         if (auto* lease = std::get_if<Dispatch::Lease>(&*outcome)) {
             NextAttempt next = std::make_unique<TargetAttempt>(m_request, std::move(*lease));
             co_return next;
@@ -190,12 +193,12 @@
         auto refusal = std::get<Dispatch::Refusal>(*outcome);
         // The budget recovers within its window.
         bool mayWait = refusal.reason == Dispatch::RefusalReason::RetryBudget && m_request->traits.isInterrupted && m_request->timeLeft() > retryBudgetInterval;
-        if (!mayWait || m_request->callerDisconnected()) {
+        if (!mayWait || m_isStopping || m_request->callerDisconnected()) {
             NextAttempt next = refusal;
             co_return next;
         }
-        auto registration = m_request->disconnectMonitor->callOnDisconnect([waiter] { waiter->cancel(); });
-        co_await waiter->waitFor(retryBudgetInterval);
+        auto registration = m_request->disconnectMonitor->callOnDisconnect([waiter = m_waiter] { waiter->cancel(); });
+        co_await m_waiter->waitFor(retryBudgetInterval);
     }
 }
 
@@ -229,6 +232,10 @@
     auto lastEnd = AttemptEnd::NotSent;
     while (true) {
         auto next = co_await nextAttempt();
+        if (m_isStopping) {
+            co_await respondForStop();
+            co_return;
+        }
         auto* refusal = next ? std::get_if<Dispatch::Refusal>(&*next) : nullptr;
         if (!next || refusal) {
             if (refusal && m_request->history.runs == 0 && !m_response.isStarted()) {
@@ -249,8 +256,12 @@
         if (outcome.finished)
             co_return;
         lastEnd = outcome.end;
-        bool isRetried = m_replacement || mayRetry(lastEnd);
+        bool isRetried = !m_isStopping && (m_replacement || mayRetry(lastEnd));
         m_log.attemptFailed(*current, outcome, isRetried);
+        if (m_isStopping) {
+            co_await respondForStop();
+            co_return;
+        }
         if (!isRetried) {
             co_await respondWithFailure(lastEnd);
             co_return;
@@ -273,8 +284,8 @@
         outcome = co_await exchange(attempt);
     m_current = nullptr;
     m_silence->disarm();
-    // The attempt was ended because another target responded first, which says no more than that it was silent.
-    if (m_isSuperseded && !outcome.finished)
+    // The attempt was ended by this router, which says nothing of its target.
+    if ((m_isSuperseded || m_isStopping) && !outcome.finished)
         outcome = { false, AttemptEnd::TimedOut, AttemptResult::Abandoned };
     attempt.release(outcome);
     co_return outcome;
@@ -285,8 +296,10 @@
     if (!attempt.hasHead()) {
         auto lastEventId = m_response.isStarted() ? m_response.lastEventId() : std::nullopt;
         auto failure = co_await attempt.send(lastEventId);
+        if (!failure && m_isStopping)
+            failure = AttemptEnd::Broken;
         if (!failure) {
-            awaitNextPart();
+            watchSilence();
             failure = co_await attempt.readHead();
         }
         if (failure)
@@ -350,10 +363,11 @@
     co_return outcomeOf(attempt, forwarded, attempt.exchange().response().status, "streamed");
 }
 
-void RequestHandler::awaitingPart()
+bool RequestHandler::awaitPart()
 {
-    if (m_current->parts() > 0)
-        awaitNextPart();
+    if (m_current->parts() > 0 && !m_isStopping)
+        watchSilence();
+    return !m_isStopping;
 }
 
 void RequestHandler::partReceived()
@@ -365,7 +379,7 @@
 }
 
 // The silence of a target that alone may run the request changes nothing, so it is not watched.
-void RequestHandler::awaitNextPart()
+void RequestHandler::watchSilence()
 {
     if (m_request->isRepeatable())
         m_silence->arm(m_current->parts() > 0 ? m_limits.betweenParts : m_limits.firstPart);
@@ -410,7 +424,26 @@
         return;
     }
     m_replacement.reset();
-    awaitNextPart();
+    watchSilence();
+}
+
+void RequestHandler::endForStop()
+{
+    m_isStopping = true;
+    m_silence->stop();
+    if (m_replacement)
+        m_replacement->abandon();
+    if (m_waiter)
+        m_waiter->cancel();
+    if (m_current)
+        m_current->cancel();
+}
+
+void RequestHandler::cutForStop()
+{
+    if (!m_log.isFinished())
+        m_log.finished(Events::requestFailed, 0, "cut_at_stop");
+    m_response.abort();
 }
 
 void RequestHandler::abandonReplacement()
@@ -471,4 +504,15 @@
     co_await respondWithError(isLate || end == AttemptEnd::TimedOut ? 504 : 502, isLate ? "timeout" : "target_failed");
 }
 
+asio::awaitable<void> RequestHandler::respondForStop()
+{
+    if (m_response.isStarted()) {
+        m_response.abort();
+        m_log.finished(Events::requestFailed, 0, "router_stopped");
+    } else if (m_request->history.runs == 0)
+        co_await respondWithError(503, "closing", closingRetryAfter);
+    else
+        co_await respondWithError(504, "router_stopped");
+}
+
 } // namespace Lavenderloft::Proxy
--- a/Source/Proxy/RequestHandler.h
+++ b/Source/Proxy/RequestHandler.h
@@ -18,7 +18,7 @@
 
 // Handles one request of a caller, from its head to the end of the response. An attempt whose target is silent goes on until
 // another target has responded; the response continues with whichever is first.
-class RequestHandler final : private ResponseListener, private ReplacementAttempt::Observer {
+class RequestHandler final : public InterruptibleRequest, private ResponseListener, private ReplacementAttempt::Observer {
 public:
     RequestHandler(ProxyContext&, ProxyWorker&, boost::beast::tcp_stream& caller, Http::HttpRequest, bool keepAlive);
     ~RequestHandler() override;
@@ -30,6 +30,10 @@
     // can't be used again.
     boost::asio::awaitable<void> refuseForMemory();
 
+    // InterruptibleRequest
+    void endForStop() override;
+    void cutForStop() override;
+
 private:
     using AttemptEnd = Dispatch::Queries::AttemptEnd;
     using NextAttempt = std::variant<std::unique_ptr<TargetAttempt>, Dispatch::Refusal>;
@@ -54,13 +58,13 @@
     bool mayRetry(AttemptEnd) const;
 
     // ResponseListener
-    void awaitingPart() override;
+    bool awaitPart() override;
     void partReceived() override;
 
     // ReplacementAttempt::Observer
     void replacementEnded() override;
 
-    void awaitNextPart();
+    void watchSilence();
     void targetSilent();
     // Whether a second target may run the request while the first one has it.
     bool mayReplace() const;
@@ -73,6 +77,8 @@
     boost::asio::awaitable<void> respondWithRefusal(const Dispatch::Refusal&);
     // Ends a request that gets no other attempt.
     boost::asio::awaitable<void> respondWithFailure(AttemptEnd);
+    // Ends a request because the process stops.
+    boost::asio::awaitable<void> respondForStop();
 
     ProxyContext& m_context;
     OpenRequest m_openRequest;
@@ -84,8 +90,12 @@
     Dispatch::SilenceLimits m_limits;
     TargetAttempt* m_current = nullptr;
     std::shared_ptr<ReplacementAttempt> m_replacement;
+    // While the request waits for a target.
+    std::shared_ptr<LeaseWaiter> m_waiter;
     // The replacement of the current attempt is ready, so the attempt was ended.
     bool m_isSuperseded = false;
+    // The process stops, so there are no other attempts.
+    bool m_isStopping = false;
 };
 
 } // namespace Lavenderloft::Proxy
--- a/Source/Proxy/TargetAttempt.cpp
+++ b/Source/Proxy/TargetAttempt.cpp
@@ -40,7 +40,8 @@
 
 TargetAttempt::~TargetAttempt()
 {
-    release({ true, AttemptEnd::Broken, AttemptResult::Abandoned });
+    if (!m_request->isLoopStopped())
+        release({ true, AttemptEnd::Broken, AttemptResult::Abandoned });
 }
 
 Http::HttpRequest TargetAttempt::forwardedHead(std::optional<uint64_t> lastEventId) const
--- /dev/null
+++ b/Tests/Proxy/PlannedStopTest.cpp
@@ -0,0 +1,104 @@
+#include "Proxy/TestRouter.h"
+
+#include <criterion/criterion.h>
+
+using namespace Lavenderloft;
+using namespace Lavenderloft::Proxy;
+using namespace std::chrono_literals;
+using boost::asio::ip::tcp;
+using Then = ScriptedReply::Then;
+
+namespace {
+
+constexpr auto finalChunk = "0\r\n\r\n";
+const std::string firstEvent = "id: 1\ndata: a\n\n";
+
+// Sends a request, ends all requests once it is at the target, and returns the response.
+std::string responseAtStop(TestRouter& router, const ScriptedTarget& target, const std::string& method)
+{
+    boost::asio::io_context context;
+    auto socket = router.send(context, method, "");
+    target.waitForRequests(1);
+    std::this_thread::sleep_for(50ms);
+    router.server().endOpenRequests();
+    return TestRouter::readAll(socket);
+}
+
+void waitForOpenRequests(TestRouter& router, size_t count)
+{
+    while (router.context().openRequests != count)
+        std::this_thread::sleep_for(5ms);
+}
+
+} // namespace
+
+// Guards against requests that are cut without a response at the end of the grace period, though no target has them.
+Test(PlannedStop, aWaitingRequestIsRefused)
+{
+    TestRouter router;
+    router.setRoute(Fleet::RequestKind::AtMostOnce, 1);
+    ScriptedTarget target([](const std::string&, unsigned) { return ScriptedReply { "", Then::Hang }; });
+    router.addTargetAt("1", target.port(), 1);
+    boost::asio::io_context context;
+    auto first = router.send(context, "POST", "");
+    auto second = router.send(context, "POST", "");
+    target.waitForRequests(2);
+    auto waiting = router.send(context, "POST", "");
+    waitForOpenRequests(router, 3);
+    std::this_thread::sleep_for(50ms);
+    router.server().endOpenRequests();
+    auto response = TestRouter::readAll(waiting);
+    cr_expect(response.starts_with("HTTP/1.1 503"), "%s", response.c_str());
+    cr_expect(contains(response, "Retry-After"), "%s", response.c_str());
+    waitForOpenRequests(router, 0);
+    cr_expect_eq(target.requests(), 2);
+}
+
+// Guards against requests that are cut without a response at the end of the grace period, and against a caller that is told
+// that its request did not run.
+Test(PlannedStop, aRequestAtATargetGetsAFinalResponse)
+{
+    for (auto kind : { Fleet::RequestKind::AtMostOnce, Fleet::RequestKind::Idempotent, Fleet::RequestKind::Stream }) {
+        TestRouter router;
+        router.setRoute(kind, 2, true);
+        ScriptedTarget target([](const std::string&, unsigned) { return ScriptedReply { "", Then::Hang }; });
+        router.addTarget("1", target);
+        auto response = responseAtStop(router, target, "POST");
+        cr_expect(response.starts_with("HTTP/1.1 504"), "%s", response.c_str());
+        target.waitForHangEnd();
+        waitForOpenRequests(router, 0);
+    }
+}
+
+// Guards against a stream that looks complete although the process stopped in it.
+Test(PlannedStop, aStreamThatHasBegunIsVisiblyBroken)
+{
+    TestRouter router;
+    router.setRoute(Fleet::RequestKind::Stream, 2, true);
+    ScriptedTarget target([](const std::string& head, unsigned) { return ScriptedReply { sealedStreamHead(head) + chunkOf(firstEvent), Then::Hang }; });
+    router.addTarget("1", target);
+    auto response = responseAtStop(router, target, "POST");
+    cr_expect(contains(response, firstEvent), "%s", response.c_str());
+    cr_expect_not(response.ends_with(finalChunk), "%s", response.c_str());
+    cr_expect_eq(response.find("HTTP/1.1"), response.rfind("HTTP/1.1"));
+    waitForOpenRequests(router, 0);
+}
+
+// Guards against a process that ends with requests of callers that do not read, of which nothing is logged.
+Test(PlannedStop, aResponseThatIsNotReadIsCut)
+{
+    TestRouter router;
+    router.setRoute(Fleet::RequestKind::Idempotent, 1);
+    ScriptedTarget target([](const std::string& head, unsigned) { return ScriptedReply { sealedResponse(head, std::string(15 * 1024 * 1024, 'x')) }; });
+    router.addTarget("1", target);
+    boost::asio::io_context context;
+    auto socket = router.send(context, "GET", "");
+    target.waitForRequests(1);
+    std::this_thread::sleep_for(100ms);
+    router.server().endOpenRequests();
+    std::this_thread::sleep_for(50ms);
+    cr_expect_eq(router.context().openRequests.load(), 1);
+    router.server().cutOpenRequests();
+    waitForOpenRequests(router, 0);
+    cr_expect(contains(router.metrics(), "cut_at_stop"));
+}
