Do not let a waiting interrupted request hold up new ones

Found by reading: an interrupted request may wait for an engine with the weights of its response until its deadline. New requests then went to the queue, and if the queue was expected to take too long, were refused as overloaded, although other slots were free.

Change: if only interrupted requests wait, they are served first and a new request may then take a free slot.

Test: Dispatch/InterruptedRequest doesNotHoldUpOthers, failed before (the second request was queued).

--- a/Source/Dispatch/Commands/AcquireTarget.cpp
+++ b/Source/Dispatch/Commands/AcquireTarget.cpp
@@ -47,12 +47,22 @@
         return std::chrono::ceil<std::chrono::milliseconds>(remaining + std::chrono::duration_cast<Base::Duration>(longest * (spreadShare * position)));
     }
 
+    // A new request must not overtake queued ones. Interrupted requests may wait for a particular target and for long, so
+    // they are served first and do not hold up the others.
+    bool mayPassQueue(DispatchState& state, ServiceState& service, Base::TimePoint now)
+    {
+        bool holdsUp = std::any_of(service.waiting.begin(), service.waiting.end(), [](const WaitingRequest& request) { return !request.traits.isInterrupted; });
+        if (holdsUp)
+            return false;
+        serveQueue(state, service, now);
+        return true;
+    }
+
     Decision admit(DispatchState& state, ServiceState& service, const RequestTraits& traits, std::shared_ptr<WaitObserver> observer, bool isCharged, Base::TimePoint now)
     {
         if (traits.deadline - now < minimumTimeLeft)
             return Refusal { RefusalReason::OutOfTime, 0ms };
-        // A new request must not overtake queued ones.
-        if (service.waiting.empty()) {
+        if (mayPassQueue(state, service, now)) {
             if (auto lease = tryAcquireLease(state, service, traits, now))
                 return std::move(*lease);
         }
--- a/Tests/Dispatch/InterruptedRequestTest.cpp
+++ b/Tests/Dispatch/InterruptedRequestTest.cpp
@@ -110,3 +110,20 @@
     cr_assert(isLease(test.retry(traits)));
     cr_assert(refusalOf(test.retry(traits)) == RefusalReason::RetryBudget);
 }
+
+// Guards against new requests that are queued or refused while slots are free, because an interrupted request waits for an
+// engine with other weights.
+Test(InterruptedRequest, doesNotHoldUpOthers)
+{
+    TestDispatch test;
+    test.fleet.publish("c", configurationOf(1, { engineService("e") }));
+    test.fleet.publish("t/1", engineOf("1", "e", 1));
+    test.fleet.publish("t/2", engineOf("2", "e", 2));
+    auto traits = test.request("e");
+    traits.isInterrupted = true;
+    traits.requiredWeights = 1;
+    test.report("e", "1", TargetReport { .wholeVersion = 1, .paused = true });
+    auto decision = Commands::acquireForRetry(*test.state, traits, true, std::make_shared<RecordingObserver>(), test.fleet.clock.now());
+    cr_assert(std::holds_alternative<Queued>(decision));
+    cr_assert(isLease(test.acquire("e")));
+}
