Count silences of a target only until it serves a request

An attempt that another target superseded no longer lowered the score of its target, as a failed one had.

Change: a served request ends the count. The result Superseded counts in the failure share, without a backoff.

Test: Dispatch/Silence aServedRequestEndsTheCount, failed before.

--- a/Source/Dispatch/Commands/RecordOutcome.cpp
+++ b/Source/Dispatch/Commands/RecordOutcome.cpp
@@ -41,6 +41,8 @@
         switch (result) {
         case AttemptResult::Served:
             runtime.consecutiveFailures = 0;
+            runtime.consecutiveSilences = 0;
+            runtime.silentUntil = {};
             runtime.knowledge.isProbed = false;
             runtime.failureShare *= 1 - failureWeight;
             return;
@@ -60,6 +62,7 @@
             recordFailure(runtime, now);
             [[fallthrough]];
         case AttemptResult::ErrorResponse:
+        case AttemptResult::Superseded:
             runtime.failureShare = runtime.failureShare * (1 - failureWeight) + failureWeight;
             return;
         case AttemptResult::Abandoned:
--- a/Source/Dispatch/Commands/RecordOutcome.h
+++ b/Source/Dispatch/Commands/RecordOutcome.h
@@ -17,6 +17,8 @@
     Failed,
     // The target responded with an error.
     ErrorResponse,
+    // Another target responded sooner, while this one was silent.
+    Superseded,
     // The caller disconnected or the deadline passed; does not affect the health of the target.
     Abandoned,
 };
--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -284,9 +284,11 @@
         outcome = co_await exchange(attempt);
     m_current = nullptr;
     m_silence->disarm();
-    // The attempt was ended by this router, which says nothing of its target.
-    if ((m_isSuperseded || m_isStopping) && !outcome.finished)
-        outcome = { false, AttemptEnd::TimedOut, AttemptResult::Abandoned };
+    // The attempt was ended by this router, so how it failed says nothing of its target.
+    if (m_isStopping && !outcome.finished)
+        outcome.result = AttemptResult::Abandoned;
+    else if (m_isSuperseded && !outcome.finished)
+        outcome = { false, AttemptEnd::TimedOut, AttemptResult::Superseded };
     attempt.release(outcome);
     co_return outcome;
 }
--- a/Tests/Dispatch/SilenceTest.cpp
+++ b/Tests/Dispatch/SilenceTest.cpp
@@ -104,3 +104,18 @@
         Commands::recordFirstPart(*test.state, "s", i % 5 == 0 ? 5000ms : 100ms, test.fleet.clock.now());
     cr_assert_eq(test.limits().firstPart.count(), Base::Duration(1200ms).count());
 }
+
+// Guards against a target that is passed over because of silences long ago.
+Test(Silence, aServedRequestEndsTheCount)
+{
+    TwoTargets test;
+    for (unsigned i = 0; i < 4; ++i) {
+        Commands::recordSilence(*test.state, "s", "1", test.fleet.clock.now());
+        test.release("s", "1");
+    }
+    Commands::recordSilence(*test.state, "s", "1", test.fleet.clock.now());
+    bool isChosen = false;
+    for (unsigned i = 0; i < 6; ++i)
+        isChosen = isChosen || test.chosenTarget() == "1";
+    cr_assert(isChosen);
+}
