Count a request as open from its first byte

Found by reading: a router that drains ends once no request is open, but a request counted only when it had been read as a whole. One whose body was arriving as the last answer went out was cut by the end of the process.

Test: Proxy/PlannedStop aRequestThatArrivesIsOpen, which waits for ever on the code before (open_requests stays 0).

--- a/Source/Proxy/CallerServer.cpp
+++ b/Source/Proxy/CallerServer.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
+#include <optional>
 
 namespace Lavenderloft::Proxy {
 
@@ -181,6 +182,8 @@
 
 asio::awaitable<bool> CallerServer::serveRequest(ProxyWorker& worker, beast::tcp_stream& stream, beast::flat_buffer& buffer)
 {
+    // From its first byte on: the process must not end while a request arrives.
+    std::optional<OpenRequest> openRequest(std::in_place, m_context);
     auto limits = limitsInForce(m_context);
     RequestParser parser;
     parser.header_limit(static_cast<uint32_t>(limits.maximumHeaderBytes));
@@ -193,6 +196,7 @@
     if (!error)
         body = co_await readBody(stream, buffer, parser, reservation, error);
     if (body == BodyRead::Failed) {
+        openRequest.reset();
         if (auto status = statusOf(error))
             co_await rejectMalformed(stream, status);
         co_return false;
@@ -202,6 +206,7 @@
     auto handler = std::make_unique<RequestHandler>(m_context, worker, stream, takeRequest(std::move(message)), keepAlive);
     if (body == BodyRead::NoMemory) {
         co_await handler->refuseForMemory();
+        openRequest.reset();
         co_await discardUntilClosed(stream);
         co_return false;
     }
--- a/Source/Proxy/ProxyContext.h
+++ b/Source/Proxy/ProxyContext.h
@@ -28,7 +28,7 @@
     std::atomic<bool> draining { false };
     // The process is about to exit; new requests are refused.
     std::atomic<bool> closing { false };
-    // Requests that were received and have no complete response yet.
+    // Requests of which a byte was received and that have no complete response yet.
     std::atomic<size_t> openRequests { 0 };
 };
 
--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -95,7 +95,6 @@
 
 RequestHandler::RequestHandler(ProxyContext& context, ProxyWorker& worker, beast::tcp_stream& caller, Http::HttpRequest request, bool keepAlive)
     : m_context(context)
-    , m_openRequest(context)
     , m_request(std::make_shared<ProxyRequest>(context, worker, caller.socket(), std::move(request)))
     , m_response(context, caller, keepAlive)
     , m_log(m_request, m_response)
--- a/Source/Proxy/RequestHandler.h
+++ b/Source/Proxy/RequestHandler.h
@@ -81,7 +81,6 @@
     boost::asio::awaitable<void> respondForStop();
 
     ProxyContext& m_context;
-    OpenRequest m_openRequest;
     std::shared_ptr<ProxyRequest> m_request;
     CallerResponse m_response;
     RequestLog m_log;
--- a/Tests/Proxy/PlannedStopTest.cpp
+++ b/Tests/Proxy/PlannedStopTest.cpp
@@ -102,3 +102,17 @@
     waitForOpenRequests(router, 0);
     cr_expect(contains(router.metrics(), "cut_at_stop"));
 }
+
+// Guards against a process that ends while a request arrives, because no request is open.
+Test(PlannedStop, aRequestThatArrivesIsOpen)
+{
+    TestRouter router;
+    router.setRoute(Fleet::RequestKind::Idempotent, 1);
+    boost::asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect({ boost::asio::ip::make_address("127.0.0.1"), router.server().port() });
+    boost::asio::write(socket, boost::asio::buffer(std::string("POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\na")));
+    waitForOpenRequests(router, 1);
+    boost::asio::write(socket, boost::asio::buffer(std::string("b")));
+    waitForOpenRequests(router, 0);
+}
