Use one backoff for failures and silences of a target

The same exponential backoff stood in RecordOutcome and RecordProgress. It is in TargetBackoff now; a later failure no longer shortens a backoff that another result has set.

--- a/Source/Dispatch/Commands/RecordOutcome.cpp
+++ b/Source/Dispatch/Commands/RecordOutcome.cpp
@@ -1,6 +1,7 @@
 #include "Dispatch/Commands/RecordOutcome.h"
 
 #include "Dispatch/Commands/ServeQueue.h"
+#include "Dispatch/TargetBackoff.h"
 #include "Fleet/Queries/ReadFleet.h"
 
 #include <algorithm>
@@ -15,25 +16,17 @@
 
     // Weight of one attempt in the moving average of failures.
     constexpr double failureWeight = 0.15;
-    // Exponential backoff, doubled with each consecutive failure.
-    constexpr std::chrono::milliseconds initialBackoff = 250ms;
-    constexpr std::chrono::milliseconds maximumBackoff = 4000ms;
     // For a full target, until its load is likely to have changed.
     constexpr std::chrono::milliseconds rejectedBackoff = 60ms;
     // The entry of the target is out of date; a new one arrives within about a heartbeat.
     constexpr std::chrono::milliseconds misdirectedBackoff = 700ms;
-    // Consecutive failures without backoff, because a single one may be accidental.
-    constexpr unsigned toleratedFailures = 1;
     constexpr std::chrono::seconds rateWindow = 2s;
     constexpr std::chrono::minutes leavingRetention = 2min;
 
     void recordFailure(TargetRuntime& runtime, Base::TimePoint now)
     {
         ++runtime.consecutiveFailures;
-        if (runtime.consecutiveFailures <= toleratedFailures)
-            return;
-        auto doublings = std::min(runtime.consecutiveFailures - toleratedFailures - 1, 4u);
-        runtime.backoffUntil = now + std::min(initialBackoff * (1 << doublings), maximumBackoff);
+        runtime.backoffUntil = std::max<Base::TimePoint>(runtime.backoffUntil, now + backoffAfter(runtime.consecutiveFailures));
     }
 
     void recordResult(TargetRuntime& runtime, AttemptResult result, Base::TimePoint now)
--- a/Source/Dispatch/Commands/RecordProgress.cpp
+++ b/Source/Dispatch/Commands/RecordProgress.cpp
@@ -1,22 +1,9 @@
 #include "Dispatch/Commands/RecordProgress.h"
 
-#include <algorithm>
+#include "Dispatch/TargetBackoff.h"
 
 namespace Lavenderloft::Dispatch::Commands {
 
-namespace {
-
-    using namespace std::chrono_literals;
-
-    // A single silence may be accidental.
-    constexpr unsigned toleratedSilences = 1;
-    // Exponential backoff, doubled with each further silence.
-    constexpr std::chrono::milliseconds initialBackoff = 250ms;
-    constexpr std::chrono::milliseconds maximumBackoff = 4000ms;
-    constexpr unsigned maximumDoublings = 4;
-
-} // namespace
-
 void recordFirstPart(DispatchState& state, const std::string& serviceName, Base::Duration duration, Base::TimePoint now)
 {
     state.withService(serviceName, [&](ServiceState& service) { service.responseTimes.firstPart.record(duration, now); });
@@ -35,10 +22,7 @@
         if (runtime.hasReport(now) && runtime.report.paused)
             return;
         ++runtime.consecutiveSilences;
-        if (runtime.consecutiveSilences <= toleratedSilences)
-            return;
-        auto doublings = std::min(runtime.consecutiveSilences - toleratedSilences - 1, maximumDoublings);
-        runtime.silentUntil = now + std::min(initialBackoff * (1 << doublings), maximumBackoff);
+        runtime.silentUntil = now + backoffAfter(runtime.consecutiveSilences);
     });
 }
 
