Send no request to an engine that may take longer to begin it than its weights are valid

Cause: the margin was the same for each engine, however long its requests stayed unanswered.

Change: a router knows since when its requests at a target are unanswered and how long the last answer took. An engine whose weights expire gets a request only if that time, doubled for an unanswered one, and the time to withdraw it end before.

Test: Dispatch/Candidates excludeUnresponsiveEnginesWhoseWeightsExpire; without the change the request is sent.

--- a/Source/Dispatch/Commands/RecordProgress.cpp
+++ b/Source/Dispatch/Commands/RecordProgress.cpp
@@ -4,9 +4,31 @@
 
 namespace Lavenderloft::Dispatch::Commands {
 
-void recordFirstPart(DispatchState& state, const std::string& serviceName, Base::Duration duration, Base::TimePoint now)
+namespace {
+
+    void endWait(TargetRuntime& runtime, Base::TimePoint assignedAt)
+    {
+        auto waiting = runtime.unanswered.find(assignedAt);
+        if (waiting != runtime.unanswered.end())
+            runtime.unanswered.erase(waiting);
+    }
+
+} // namespace
+
+void recordFirstPart(DispatchState& state, const std::string& serviceName, const std::string& targetId, Base::TimePoint assignedAt, Base::TimePoint sentAt, Base::TimePoint now)
+{
+    state.withService(serviceName, [&](ServiceState& service) {
+        service.responseTimes.firstPart.record(now - sentAt, now);
+        auto& runtime = service.targets[targetId];
+        endWait(runtime, assignedAt);
+        runtime.lastFirstPart = now - assignedAt;
+        runtime.lastFirstPartAt = now;
+    });
+}
+
+void recordUnanswered(DispatchState& state, const std::string& serviceName, const std::string& targetId, Base::TimePoint assignedAt)
 {
-    state.withService(serviceName, [&](ServiceState& service) { service.responseTimes.firstPart.record(duration, now); });
+    state.withService(serviceName, [&](ServiceState& service) { endWait(service.targets[targetId], assignedAt); });
 }
 
 void recordLongestPause(DispatchState& state, const std::string& serviceName, Base::Duration duration, Base::TimePoint now)
--- a/Source/Dispatch/Commands/RecordProgress.h
+++ b/Source/Dispatch/Commands/RecordProgress.h
@@ -4,8 +4,12 @@
 
 namespace Lavenderloft::Dispatch::Commands {
 
-// Records the time from a request to the first part of its response.
-void recordFirstPart(DispatchState&, const std::string& service, Base::Duration, Base::TimePoint now);
+// Records that the first part of the response to a request has arrived, which was assigned to the target and sent at these
+// times.
+void recordFirstPart(DispatchState&, const std::string& service, const std::string& targetId, Base::TimePoint assignedAt, Base::TimePoint sentAt, Base::TimePoint now);
+
+// Records that the request will get no response from the target.
+void recordUnanswered(DispatchState&, const std::string& service, const std::string& targetId, Base::TimePoint assignedAt);
 
 // Records the longest pause within a response.
 void recordLongestPause(DispatchState&, const std::string& service, Base::Duration, Base::TimePoint now);
--- a/Source/Dispatch/Commands/ServeQueue.cpp
+++ b/Source/Dispatch/Commands/ServeQueue.cpp
@@ -50,11 +50,13 @@
     consumeColdToken(state, traits.service, *chosen.target, runtime, now);
     ++runtime.inFlight;
     ++runtime.startedSinceReport;
+    runtime.unanswered.insert(now);
     consumeSlotOrGrant(runtime, now);
     Lease lease { chosen.target, std::nullopt, chosen.occupancy, {} };
     if (candidates.checkWeights)
         lease.expectedWeights = chosen.weights;
     lease.beginBy = chosen.weightsDeadline;
+    lease.assignedAt = now;
     return lease;
 }
 
--- a/Source/Dispatch/Decision.h
+++ b/Source/Dispatch/Decision.h
@@ -12,6 +12,9 @@
 
 namespace Lavenderloft::Dispatch {
 
+// For the withdrawal of a request to reach its target, which then drops the request.
+inline constexpr std::chrono::milliseconds withdrawalTime { 300 };
+
 // Permission to send one request to a target. Returned with releaseTarget.
 struct Lease {
     std::shared_ptr<const Fleet::KnownTarget> target;
@@ -19,6 +22,7 @@
     std::optional<uint64_t> expectedWeights;
     unsigned occupancy = 0;
     std::chrono::milliseconds waited { 0 };
+    Base::TimePoint assignedAt {};
     // When the request must have begun to run at the target, because the target's weights may not be used afterwards.
     std::optional<Base::TimePoint> beginBy {};
 };
--- a/Source/Dispatch/Queries/FindCandidates.cpp
+++ b/Source/Dispatch/Queries/FindCandidates.cpp
@@ -52,6 +52,8 @@
             if (runtime && runtime->hasReport(m_now) && runtime->report.paused)
                 return false;
             auto weights = knownWeights(target, runtime);
+            if (runtime && !mayBeginInTime(weights, *runtime))
+                return false;
             if (m_traits.requiredWeights > 0 && weights != m_traits.requiredWeights)
                 return false;
             return weights > 0 && weights >= m_minimumWeightsVersion;
@@ -124,6 +126,14 @@
         }
 
     private:
+        // Whether a request that is sent now can be expected to begin before the weights expire. Otherwise it could wait at
+        // the target, or on the way there, for longer than it can be withdrawn.
+        bool mayBeginInTime(uint64_t weights, const TargetRuntime& runtime) const
+        {
+            auto deadline = deadlineOf(weights);
+            return !deadline || m_now + runtime.expectedDelay(m_now) + withdrawalTime < *deadline;
+        }
+
         bool isAllowed(const Fleet::TargetEntry& entry) const
         {
             if (entry.draining || m_snapshot.evacuatedDataCentres.contains(entry.dataCentre))
--- a/Source/Dispatch/TargetRuntime.h
+++ b/Source/Dispatch/TargetRuntime.h
@@ -3,10 +3,12 @@
 #include "Base/Clock.h"
 #include "Dispatch/TargetStatement.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <set>
 
 namespace Lavenderloft::Dispatch {
 
@@ -41,6 +43,9 @@
     // other routers only afterwards.
     static constexpr std::chrono::milliseconds slotRetention { 90 };
 
+    // The time that an answered request took says nothing of the target afterwards.
+    static constexpr std::chrono::milliseconds delayLifetime { 1000 };
+
     // Requests of this router.
     unsigned inFlight = 0;
     // Requests of other routers as of the last report.
@@ -63,6 +68,11 @@
     // while others respond.
     unsigned consecutiveSilences = 0;
     Base::TimePoint silentUntil {};
+    // When the requests of this router were assigned to which the target has not begun to respond.
+    std::multiset<Base::TimePoint> unanswered;
+    // Time from the assignment of the last answered request to the first part of its response, and when that came.
+    Base::Duration lastFirstPart {};
+    Base::TimePoint lastFirstPartAt {};
     // Time of the last failed connection attempt.
     Base::TimePoint unreachableAt {};
     // When the agent last saw the target end or restart.
@@ -73,6 +83,14 @@
 
     bool hasReport(Base::TimePoint now) const { return reportedAt != Base::TimePoint() && now - reportedAt < reportLifetime; }
 
+    // How long a request that is sent now may take to begin at the target. An unanswered request takes longer than it has
+    // waited so far; on average twice as long.
+    Base::Duration expectedDelay(Base::TimePoint now) const
+    {
+        auto delay = now - lastFirstPartAt < delayLifetime ? lastFirstPart : Base::Duration::zero();
+        return unanswered.empty() ? delay : std::max(delay, 2 * (now - *unanswered.begin()));
+    }
+
     bool isReportedUnusable(Base::TimePoint now) const
     {
         bool isUnusable = report.wholeVersion == 0 || report.paused;
--- a/Source/Proxy/TargetAttempt.cpp
+++ b/Source/Proxy/TargetAttempt.cpp
@@ -19,8 +19,6 @@
 
     using namespace std::chrono_literals;
 
-    // For the close of a connection to reach the target, which then drops the request that waits there.
-    constexpr std::chrono::milliseconds withdrawalTime = 300ms;
     constexpr int lowestPriority = 9;
     // A target that crashes when it begins to write may still send a first event.
     constexpr unsigned partsOfSoundPrompt = 2;
@@ -68,7 +66,7 @@
     auto deadline = m_request->traits.deadline;
     if (!m_lease.beginBy)
         return deadline;
-    return std::min<Base::TimePoint>(deadline, *m_lease.beginBy - withdrawalTime);
+    return std::min<Base::TimePoint>(deadline, *m_lease.beginBy - Dispatch::withdrawalTime);
 }
 
 asio::awaitable<TargetAttempt::Failure> TargetAttempt::send(std::optional<uint64_t> lastEventId)
@@ -140,7 +138,7 @@
     auto& service = m_request->traits.service;
     ++m_parts;
     if (m_parts == 1)
-        Dispatch::Commands::recordFirstPart(dispatch, service, now - m_sentAt, now);
+        Dispatch::Commands::recordFirstPart(dispatch, service, targetId(), m_lease.assignedAt, m_sentAt, now);
     else
         m_longestPause = std::max(m_longestPause, now - m_lastHeardAt);
     if (std::exchange(m_isSilent, false))
@@ -163,6 +161,8 @@
     m_exchange.releaseConnection();
     auto now = m_request->now();
     auto& dispatch = m_request->context.dispatch;
+    if (m_parts == 0)
+        Dispatch::Commands::recordUnanswered(dispatch, m_request->traits.service, targetId(), m_lease.assignedAt);
     if (m_longestPause > Base::Duration::zero())
         Dispatch::Commands::recordLongestPause(dispatch, m_request->traits.service, m_longestPause, now);
     Dispatch::Commands::releaseTarget(dispatch, m_request->traits.service, targetId(), outcome.result, now);
--- a/Tests/Dispatch/CandidatesTest.cpp
+++ b/Tests/Dispatch/CandidatesTest.cpp
@@ -1,3 +1,4 @@
+#include "Dispatch/Commands/RecordProgress.h"
 #include "Dispatch/DispatchFixture.h"
 #include "Dispatch/Queries/FindCandidates.h"
 
@@ -324,3 +325,21 @@
     test.fleet.clock.advance(1100ms);
     cr_assert_not(isLease(test.acquire("e")));
 }
+
+// Guards against requests that begin on expired weights, because they wait on the narrow link to their engine longer than
+// they can be withdrawn.
+Test(Candidates, excludeUnresponsiveEnginesWhoseWeightsExpire)
+{
+    TestDispatch test;
+    test.fleet.publish("c", configurationOf(1, { engineService("e") }));
+    test.fleet.publish("t/1", engineOf("1", "e", 1));
+    test.fleet.publish("w", Fleet::WeightsDeclared { "m", 2 });
+    test.fleet.clock.advance(4300ms);
+    auto unanswered = test.acquire("e");
+    cr_assert(isLease(unanswered));
+    test.fleet.clock.advance(1200ms);
+    cr_assert(refusalOf(test.acquire("e")) == RefusalReason::NoTarget, "2.5 s are left; a request may take 2.4 s, and 0.3 s to withdraw");
+    auto assignedAt = std::get<Lease>(unanswered).assignedAt;
+    Commands::recordFirstPart(*test.state, "e", "1", assignedAt, assignedAt, test.fleet.clock.now());
+    cr_assert(isLease(test.acquire("e")), "the engine has responded after 1.2 s");
+}
--- a/Tests/Dispatch/SilenceTest.cpp
+++ b/Tests/Dispatch/SilenceTest.cpp
@@ -23,6 +23,13 @@
             Commands::recordSilence(*state, "s", target, fleet.clock.now());
     }
 
+    // As if a request had been sent so long ago.
+    void respondAfter(std::chrono::milliseconds time)
+    {
+        auto now = fleet.clock.now();
+        Commands::recordFirstPart(*state, "s", "1", now - time, now - time, now);
+    }
+
     std::string chosenTarget()
     {
         auto decision = acquire("s");
@@ -76,7 +83,7 @@
     TwoTargets test;
     cr_assert_eq(test.limits().firstPart.count(), Base::Duration(1200ms).count());
     for (unsigned i = 0; i < 20; ++i) {
-        Commands::recordFirstPart(*test.state, "s", 1500ms, test.fleet.clock.now());
+        test.respondAfter(1500ms);
         Commands::recordLongestPause(*test.state, "s", 900ms, test.fleet.clock.now());
     }
     cr_assert_gt(test.limits().firstPart.count(), Base::Duration(3000ms).count());
@@ -89,10 +96,10 @@
 {
     TwoTargets test;
     for (unsigned i = 0; i < 20; ++i)
-        Commands::recordFirstPart(*test.state, "s", 1500ms, test.fleet.clock.now());
+        test.respondAfter(1500ms);
     test.fleet.clock.advance(8s);
     for (unsigned i = 0; i < 20; ++i)
-        Commands::recordFirstPart(*test.state, "s", 100ms, test.fleet.clock.now());
+        test.respondAfter(100ms);
     cr_assert_eq(test.limits().firstPart.count(), Base::Duration(1200ms).count());
 }
 
@@ -101,7 +108,7 @@
 {
     TwoTargets test;
     for (unsigned i = 0; i < 20; ++i)
-        Commands::recordFirstPart(*test.state, "s", i % 5 == 0 ? 5000ms : 100ms, test.fleet.clock.now());
+        test.respondAfter(i % 5 == 0 ? 5000ms : 100ms);
     cr_assert_eq(test.limits().firstPart.count(), Base::Duration(1200ms).count());
 }
 
