Withdraw a silent request early enough from an engine whose weights expire

Cause: on a link that delays a request, its withdrawal is delayed as well.

Change: a request without a response is withdrawn when half of the time that its weights had left has passed, but not before its silence limit, and 0.3 s before they expire at the latest. Its caller loses nothing certain: it waits for another engine until its deadline. A target that has left requests unanswered for longer than the request has time gets no request; an unanswered request that is older than an answered one says nothing of the others.

Test: Dispatch/Candidates requestsAreWithdrawnInTime, excludeTargetsThatMayBeginTooLate. The tests of SilentTarget wait for what they need instead of a time: one failed at a load of 30 on 8 cores, because the second target was too late.

--- a/Source/Dispatch/Commands/RecordProgress.cpp
+++ b/Source/Dispatch/Commands/RecordProgress.cpp
@@ -2,6 +2,8 @@
 
 #include "Dispatch/TargetBackoff.h"
 
+#include <algorithm>
+
 namespace Lavenderloft::Dispatch::Commands {
 
 namespace {
@@ -23,6 +25,7 @@
         endWait(runtime, assignedAt);
         runtime.lastFirstPart = now - assignedAt;
         runtime.lastFirstPartAt = now;
+        runtime.answeredAssignedAt = std::max(runtime.answeredAssignedAt, assignedAt);
     });
 }
 
--- a/Source/Dispatch/Queries/FindCandidates.cpp
+++ b/Source/Dispatch/Queries/FindCandidates.cpp
@@ -47,13 +47,13 @@
                 return false;
             if (runtime && (runtime->backoffUntil > m_now || refusesRequests(entry, *runtime)))
                 return false;
+            auto weights = knownWeights(target, runtime);
+            if (runtime && !mayBeginInTime(weights, *runtime))
+                return false;
             if (!isEngine())
                 return true;
             if (runtime && runtime->hasReport(m_now) && runtime->report.paused)
                 return false;
-            auto weights = knownWeights(target, runtime);
-            if (runtime && !mayBeginInTime(weights, *runtime))
-                return false;
             if (m_traits.requiredWeights > 0 && weights != m_traits.requiredWeights)
                 return false;
             return weights > 0 && weights >= m_minimumWeightsVersion;
@@ -126,10 +126,12 @@
         }
 
     private:
-        // Whether a request that is sent now can be expected to begin before the weights expire. Otherwise it could wait at
-        // the target, or on the way there, for longer than it can be withdrawn.
+        // Whether a request that is sent now can be expected to begin before its caller leaves and before the weights expire.
+        // Otherwise it could wait at the target, or on the way there, for longer than it can be withdrawn.
         bool mayBeginInTime(uint64_t weights, const TargetRuntime& runtime) const
         {
+            if (m_now + runtime.unansweredFor(m_now) > m_traits.deadline)
+                return false;
             auto deadline = deadlineOf(weights);
             return !deadline || m_now + runtime.expectedDelay(m_now) + withdrawalTime < *deadline;
         }
--- a/Source/Dispatch/TargetRuntime.h
+++ b/Source/Dispatch/TargetRuntime.h
@@ -73,6 +73,8 @@
     // Time from the assignment of the last answered request to the first part of its response, and when that came.
     Base::Duration lastFirstPart {};
     Base::TimePoint lastFirstPartAt {};
+    // The latest assignment of an answered request.
+    Base::TimePoint answeredAssignedAt {};
     // Time of the last failed connection attempt.
     Base::TimePoint unreachableAt {};
     // When the agent last saw the target end or restart.
@@ -83,12 +85,19 @@
 
     bool hasReport(Base::TimePoint now) const { return reportedAt != Base::TimePoint() && now - reportedAt < reportLifetime; }
 
+    // How long the target has left requests unanswered. One that is older than an answered one says nothing of the others.
+    Base::Duration unansweredFor(Base::TimePoint now) const
+    {
+        auto oldest = unanswered.upper_bound(answeredAssignedAt);
+        return oldest == unanswered.end() ? Base::Duration::zero() : now - *oldest;
+    }
+
     // How long a request that is sent now may take to begin at the target. An unanswered request takes longer than it has
     // waited so far; on average twice as long.
     Base::Duration expectedDelay(Base::TimePoint now) const
     {
         auto delay = now - lastFirstPartAt < delayLifetime ? lastFirstPart : Base::Duration::zero();
-        return unanswered.empty() ? delay : std::max(delay, 2 * (now - *unanswered.begin()));
+        return std::max(delay, 2 * unansweredFor(now));
     }
 
     bool isReportedUnusable(Base::TimePoint now) const
--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -276,7 +276,6 @@
 asio::awaitable<AttemptOutcome> RequestHandler::attempt(TargetAttempt& attempt)
 {
     m_log.attemptStarted(attempt.lease());
-    m_limits = Dispatch::Queries::findSilenceLimits(m_context.dispatch, m_request->traits);
     m_current = &attempt;
     AttemptOutcome outcome { true, AttemptEnd::Broken, AttemptResult::Abandoned };
     if (!m_request->callerDisconnected())
@@ -383,15 +382,14 @@
 void RequestHandler::watchSilence()
 {
     if (m_request->isRepeatable())
-        m_silence->arm(m_current->parts() > 0 ? m_limits.betweenParts : m_limits.firstPart);
+        m_silence->arm(m_current->silenceLimit());
 }
 
 void RequestHandler::targetSilent()
 {
     m_current->recordSilence();
     bool isReplaced = mayReplace();
-    auto limit = m_current->parts() > 0 ? m_limits.betweenParts : m_limits.firstPart;
-    m_log.attemptSilent(*m_current, limit, isReplaced ? "replace" : "wait");
+    m_log.attemptSilent(*m_current, m_current->silenceLimit(), isReplaced ? "replace" : "wait");
     if (!isReplaced)
         return;
     m_request->traits.isInterrupted = false;
@@ -405,7 +403,7 @@
 {
     bool canContinue = !m_response.isStarted() || (m_request->traits.route->kind == Fleet::RequestKind::Stream && m_response.canContinue());
     // Another target is no help if it takes as long as is left.
-    bool isInTime = m_request->timeLeft() > m_limits.typicalFirstPart;
+    bool isInTime = m_request->timeLeft() > m_current->limits().typicalFirstPart;
     return canContinue && isInTime && mayRetry(AttemptEnd::TimedOut);
 }
 
--- a/Source/Proxy/RequestHandler.h
+++ b/Source/Proxy/RequestHandler.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "Dispatch/Queries/FindSilenceLimits.h"
 #include "Proxy/CallerResponse.h"
 #include "Proxy/ProxyRequest.h"
 #include "Proxy/ReplacementAttempt.h"
@@ -85,8 +84,6 @@
     CallerResponse m_response;
     RequestLog m_log;
     std::shared_ptr<SilenceTimer> m_silence;
-    // Of the current attempt.
-    Dispatch::SilenceLimits m_limits;
     TargetAttempt* m_current = nullptr;
     std::shared_ptr<ReplacementAttempt> m_replacement;
     // While the request waits for a target.
--- a/Source/Proxy/TargetAttempt.cpp
+++ b/Source/Proxy/TargetAttempt.cpp
@@ -4,6 +4,7 @@
 #include "Dispatch/Commands/RecordPartEvidence.h"
 #include "Dispatch/Commands/RecordProgress.h"
 #include "Dispatch/Commands/RecordStatement.h"
+#include "Dispatch/Queries/DecideWithdrawal.h"
 #include "Observability/Log.h"
 #include "Proxy/Events.h"
 
@@ -29,6 +30,7 @@
 TargetAttempt::TargetAttempt(std::shared_ptr<ProxyRequest> request, Dispatch::Lease lease)
     : m_request(std::move(request))
     , m_lease(std::move(lease))
+    , m_limits(Dispatch::Queries::findSilenceLimits(m_request->context.dispatch, m_request->traits))
     , m_exchange(m_request->context, m_request->worker, *m_request->disconnectMonitor, *m_lease.target, m_request->head.requestId)
 {
     // A target is tried once, also while an attempt at it goes on.
@@ -59,14 +61,11 @@
     return head;
 }
 
-// A request that is still being sent, or waits at an engine, when the weights expire is withdrawn, so that it does not begin
-// on them.
 Base::TimePoint TargetAttempt::withdrawnBy() const
 {
     auto deadline = m_request->traits.deadline;
-    if (!m_lease.beginBy)
-        return deadline;
-    return std::min<Base::TimePoint>(deadline, *m_lease.beginBy - Dispatch::withdrawalTime);
+    auto withdrawal = Dispatch::Queries::withdrawalTimeOf(m_lease, m_lease.assignedAt, m_limits.firstPart);
+    return std::min(deadline, withdrawal.value_or(deadline));
 }
 
 asio::awaitable<TargetAttempt::Failure> TargetAttempt::send(std::optional<uint64_t> lastEventId)
--- a/Source/Proxy/TargetAttempt.h
+++ b/Source/Proxy/TargetAttempt.h
@@ -2,6 +2,7 @@
 
 #include "Dispatch/Commands/RecordOutcome.h"
 #include "Dispatch/Decision.h"
+#include "Dispatch/Queries/FindSilenceLimits.h"
 #include "Proxy/ProxyRequest.h"
 #include "Proxy/TargetExchange.h"
 
@@ -71,6 +72,10 @@
     AttemptOutcome failedAs(Dispatch::Queries::AttemptEnd, unsigned status = 0) const;
 
     const Dispatch::Lease& lease() const { return m_lease; }
+    // How long the target may be silent now.
+    Base::Duration silenceLimit() const { return m_parts > 0 ? m_limits.betweenParts : m_limits.firstPart; }
+    // As of the beginning of the attempt.
+    const Dispatch::SilenceLimits& limits() const { return m_limits; }
     const std::string& targetId() const { return m_lease.target->entry.id; }
     TargetExchange& exchange() { return m_exchange; }
 
@@ -92,6 +97,7 @@
 
     std::shared_ptr<ProxyRequest> m_request;
     Dispatch::Lease m_lease;
+    Dispatch::SilenceLimits m_limits;
     TargetExchange m_exchange;
     bool m_hasHead = false;
     bool m_isReleased = false;
--- a/Tests/Dispatch/CandidatesTest.cpp
+++ b/Tests/Dispatch/CandidatesTest.cpp
@@ -1,5 +1,6 @@
 #include "Dispatch/Commands/RecordProgress.h"
 #include "Dispatch/DispatchFixture.h"
+#include "Dispatch/Queries/DecideWithdrawal.h"
 #include "Dispatch/Queries/FindCandidates.h"
 
 #include <criterion/criterion.h>
@@ -343,3 +344,34 @@
     Commands::recordFirstPart(*test.state, "e", "1", assignedAt, assignedAt, test.fleet.clock.now());
     cr_assert(isLease(test.acquire("e")), "the engine has responded after 1.2 s");
 }
+
+// Guards against requests that reach a slow target after their callers have left.
+Test(Candidates, excludeTargetsThatMayBeginTooLate)
+{
+    TestDispatch test;
+    test.fleet.publish("t/1", targetOf("1", "s"));
+    cr_assert(isLease(test.acquire("s")));
+    test.fleet.clock.advance(2s);
+    auto traits = test.request("s");
+    cr_assert(isLease(test.acquire(traits)));
+    traits.deadline = test.fleet.clock.now() + 1900ms;
+    cr_assert(refusalOf(test.acquire(traits)) == RefusalReason::NoTarget, "a request has been unanswered for 2 s");
+    auto assignedAt = test.fleet.clock.now();
+    Commands::recordFirstPart(*test.state, "s", "1", assignedAt, assignedAt, test.fleet.clock.now());
+    cr_assert(isLease(test.acquire(traits)), "a later request has been answered");
+}
+
+// Guards against requests that begin on expired weights: their withdrawal takes as long as they have been under way. A target
+// gets the usual time to respond, as long as there is time at all to withdraw the request.
+Test(Candidates, requestsAreWithdrawnInTime)
+{
+    Base::TimePoint sentAt { 100s };
+    Lease lease;
+    cr_assert_not(Queries::withdrawalTimeOf(lease, sentAt, 1s).has_value());
+    lease.beginBy = sentAt + 8s;
+    cr_assert(Queries::withdrawalTimeOf(lease, sentAt, 1s) == sentAt + 4s);
+    lease.beginBy = sentAt + 1500ms;
+    cr_assert(Queries::withdrawalTimeOf(lease, sentAt, 1s) == sentAt + 1s);
+    lease.beginBy = sentAt + 1100ms;
+    cr_assert(Queries::withdrawalTimeOf(lease, sentAt, 1s) == sentAt + 800ms);
+}
--- a/Tests/Proxy/ScriptedTarget.h
+++ b/Tests/Proxy/ScriptedTarget.h
@@ -32,6 +32,8 @@
     // Sent after the bytes and a pause, so that it arrives separately.
     std::string later {};
     std::chrono::milliseconds pauseBeforeLater { 50 };
+    // Returns when that pause may begin.
+    std::function<void()> waitBeforeLater {};
 };
 
 // A target on loopback that replies to each request according to the test's script.
@@ -129,6 +131,8 @@
             auto reply = m_script(head, number);
             boost::asio::write(socket, boost::asio::buffer(reply.bytes), error);
             if (!reply.later.empty()) {
+                if (reply.waitBeforeLater)
+                    reply.waitBeforeLater();
                 std::this_thread::sleep_for(reply.pauseBeforeLater);
                 boost::asio::write(socket, boost::asio::buffer(reply.later), error);
                 std::this_thread::sleep_for(std::chrono::milliseconds(50));
--- a/Tests/Proxy/SilentTargetTest.cpp
+++ b/Tests/Proxy/SilentTargetTest.cpp
@@ -31,6 +31,15 @@
     return reply;
 }
 
+// As above; the rest comes some time after the other target has the request too.
+ScriptedReply silentStreamUntil(const std::string& head, const ScriptedTarget& other, std::chrono::milliseconds pause)
+{
+    auto reply = silentStream(head);
+    reply.waitBeforeLater = [&other] { other.waitForRequests(1); };
+    reply.pauseBeforeLater = pause;
+    return reply;
+}
+
 // Goes on with the events after the one that the request names.
 ScriptedReply resumedStream(const std::string& head)
 {
@@ -113,8 +122,8 @@
     };
     for (auto& failure : failures) {
         SilentStream test(2);
-        ScriptedTarget first([](const std::string& head, unsigned) { return silentStream(head); });
         ScriptedTarget second(failure);
+        ScriptedTarget first([&](const std::string& head, unsigned) { return silentStreamUntil(head, second, 300ms); });
         expectWholeStream(test.responseWith(first, second));
         cr_expect_geq(second.requests(), 1);
     }
@@ -134,8 +143,8 @@
 Test(SilentTarget, theTargetThatRespondsFirstContinues)
 {
     SilentStream test(2);
-    ScriptedTarget first([](const std::string& head, unsigned) { return silentStream(head); });
     ScriptedTarget second([](const std::string& head, unsigned) { return ScriptedReply { sealedStreamHead(head), Then::Hang }; });
+    ScriptedTarget first([&](const std::string& head, unsigned) { return silentStreamUntil(head, second, 300ms); });
     expectWholeStream(test.responseWith(first, second));
     second.waitForHangEnd();
 }
@@ -144,19 +153,18 @@
 Test(SilentTarget, aReplacementOutlivesTheFirstTarget)
 {
     SilentStream test(2);
-    ScriptedTarget first([](const std::string& head, unsigned) {
-        auto reply = silentStream(head);
-        reply.later = "x";
-        reply.pauseBeforeLater = 1300ms;
-        reply.then = Then::Reset;
-        return reply;
-    });
     ScriptedTarget second([](const std::string& head, unsigned) {
         ScriptedReply reply { sealedStreamHead(head) };
         reply.later = endingWith(secondEvent + lastEvent);
         reply.pauseBeforeLater = 800ms;
         return reply;
     });
+    ScriptedTarget first([&](const std::string& head, unsigned) {
+        auto reply = silentStreamUntil(head, second, 200ms);
+        reply.later = "x";
+        reply.then = Then::Reset;
+        return reply;
+    });
     expectWholeStream(test.responseWith(first, second));
 }
 
