--- a/Tests/Dispatch/InterruptedRequestTest.cpp
+++ b/Tests/Dispatch/InterruptedRequestTest.cpp
@@ -110,3 +110,92 @@
     cr_assert(isLease(test.retry(traits)));
     cr_assert(refusalOf(test.retry(traits)) == RefusalReason::RetryBudget);
 }
+
+// Guards against requests that are refused although slots are free, while one interrupted request waits for a target that
+// is in a backoff.
+Test(InterruptedRequest, doesNotKeepOthersFromFreeSlots)
+{
+    FullService test;
+    test.fleet.publish("t/2", targetOf("2", "s", "dc-a", 1));
+    test.release("s", "1", Commands::AttemptResult::Failed);
+    test.release("s", "1", Commands::AttemptResult::Failed);
+    auto traits = test.interruptedRequest();
+    traits.triedTargets = { "2" };
+    auto interrupted = std::make_shared<RecordingObserver>();
+    cr_assert(std::holds_alternative<Queued>(test.retry(traits, interrupted)));
+    auto observer = std::make_shared<RecordingObserver>();
+    auto decision = test.acquire(test.request("s"), observer);
+    cr_assert_not(std::holds_alternative<Refusal>(decision));
+    cr_assert(isLease(decision) || observer->outcome.has_value());
+    cr_assert_not(interrupted->outcome.has_value());
+}
+
+// Guards against more retries in one window than the budget allows, if some waited for a target for longer than the window.
+Test(InterruptedRequest, aRetryCountsWhenItIsSent)
+{
+    FullService test;
+    auto bounds = test.state->bounds();
+    bounds.retryRatio = 0;
+    bounds.retrySlack = 1.25;
+    test.state->setBounds(bounds);
+    auto traits = test.interruptedRequest();
+    traits.deadline = test.fleet.clock.now() + 30s;
+    auto first = std::make_shared<RecordingObserver>();
+    cr_assert(std::holds_alternative<Queued>(test.retry(traits, first)));
+    test.fleet.clock.advance(12s);
+    auto second = std::make_shared<RecordingObserver>();
+    auto decision = test.retry(traits, second);
+    test.release("s", "1");
+    test.release("s", "1");
+    cr_assert(first->outcome.has_value());
+    cr_assert(refusalOf(decision) == RefusalReason::RetryBudget, "two retries in one window");
+}
+
+// Guards against a retry budget that is exceeded, because a retry that waited for longer than the window takes back the
+// charge of another one that was sent.
+Test(InterruptedRequest, takesBackOnlyItsOwnCharge)
+{
+    FullService test;
+    auto bounds = test.state->bounds();
+    bounds.retryRatio = 0;
+    bounds.retrySlack = 1.25;
+    test.state->setBounds(bounds);
+    auto traits = test.interruptedRequest();
+    traits.deadline = test.fleet.clock.now() + 30s;
+    traits.triedTargets = { "1" };
+    test.fleet.publish("t/2", targetOf("2", "s", "dc-a", 1));
+    cr_assert(isLease(test.acquire("s")));
+    cr_assert(isLease(test.acquire("s")));
+    auto waiting = std::make_shared<RecordingObserver>();
+    cr_assert(std::holds_alternative<Queued>(test.retry(traits, waiting)));
+    test.fleet.clock.advance(12s);
+    test.release("s", "1");
+    test.release("s", "1");
+    auto other = test.interruptedRequest();
+    auto sent = std::make_shared<RecordingObserver>();
+    auto decision = test.retry(other, sent);
+    bool isSent = isLease(decision) || sent->outcome.has_value();
+    cr_assert(Commands::cancelWait(*test.state, traits, waiting.get(), test.fleet.clock.now()).has_value());
+    auto further = test.retry(other);
+    bool isFurtherSent = !std::holds_alternative<Refusal>(further);
+    cr_assert_not(isSent && isFurtherSent, "two retries in one window");
+}
+
+// Guards against a request that waits until its deadline for weights that no target will hold again.
+Test(InterruptedRequest, endsItsWaitWhenItsWeightsAreGone)
+{
+    TestDispatch test;
+    test.fleet.publish("c", configurationOf(1, { engineService("e") }));
+    test.fleet.publish("t/1", engineOf("1", "e", 1, 1));
+    cr_assert(isLease(test.acquire("e")));
+    auto traits = test.request("e");
+    traits.isInterrupted = true;
+    traits.requiredWeights = 1;
+    auto observer = std::make_shared<RecordingObserver>();
+    auto decision = Commands::acquireForRetry(*test.state, traits, true, observer, test.fleet.clock.now());
+    cr_assert(std::holds_alternative<Queued>(decision));
+    test.fleet.publish("t/1", engineOf("1", "e", 2, 1));
+    test.release("e", "1");
+    cr_assert(observer->outcome.has_value());
+    cr_assert(std::holds_alternative<Refusal>(*observer->outcome));
+}
--- a/Tests/Dispatch/SilenceTest.cpp
+++ b/Tests/Dispatch/SilenceTest.cpp
@@ -104,3 +104,31 @@
         Commands::recordFirstPart(*test.state, "s", i % 5 == 0 ? 5000ms : 100ms, test.fleet.clock.now());
     cr_assert_eq(test.limits().firstPart.count(), Base::Duration(1200ms).count());
 }
+
+// Guards against limits that still follow a time of slow responses after hours without a request.
+Test(Silence, limitsForgetEarlierTimesWithoutFurtherResponses)
+{
+    TwoTargets test;
+    for (unsigned i = 0; i < 20; ++i)
+        Commands::recordFirstPart(*test.state, "s", 10s, test.fleet.clock.now());
+    test.fleet.clock.advance(1h);
+    cr_assert_eq(test.limits().firstPart.count(), Base::Duration(1200ms).count());
+    cr_assert_eq(test.limits().typicalFirstPart.count(), 0);
+}
+
+// Guards against a sound target that is passed over because of single silences that lie far apart.
+Test(Silence, silencesBetweenServedRequestsAreNotInARow)
+{
+    TwoTargets test;
+    for (unsigned i = 0; i < 6; ++i) {
+        Commands::recordSilence(*test.state, "s", "1", test.fleet.clock.now());
+        test.fleet.clock.advance(1h);
+        for (unsigned request = 0; request < 10; ++request)
+            test.release("s", "1", Commands::AttemptResult::Served);
+    }
+    Commands::recordSilence(*test.state, "s", "1", test.fleet.clock.now());
+    bool isChosen = false;
+    for (unsigned i = 0; i < 6; ++i)
+        isChosen = isChosen || test.chosenTarget() == "1";
+    cr_assert(isChosen);
+}
--- a/Tests/Proxy/SilentTargetTest.cpp
+++ b/Tests/Proxy/SilentTargetTest.cpp
@@ -1,3 +1,4 @@
+#include "Dispatch/Queries/FindSilenceLimits.h"
 #include "Proxy/TestRouter.h"
 
 #include <criterion/criterion.h>
@@ -212,3 +213,134 @@
         total += caller.get();
     cr_expect_eq(total, callers * requestsOfCaller);
 }
+
+// Guards against a request that waits for its deadline because its first two targets are lost, although its route allows a
+// third run and a sound target is there.
+Test(SilentTarget, aThirdTargetIsTriedIfTwoAreLost)
+{
+    TestRouter router;
+    router.expectedPause = 100ms;
+    router.setRoute(Fleet::RequestKind::Idempotent, 3, false, 6s);
+    ScriptedTarget first([](const std::string&, unsigned) { return ScriptedReply { "", Then::Hang }; });
+    ScriptedTarget second([](const std::string&, unsigned) { return ScriptedReply { "", Then::Hang }; });
+    ScriptedTarget third([](const std::string& head, unsigned) { return ScriptedReply { sealedResponse(head, "sound") }; });
+    router.addTarget("1", first);
+    boost::asio::io_context context;
+    auto socket = router.send(context, "GET", "Connection: close\r\n");
+    first.waitForRequests(1);
+    router.addTarget("2", second);
+    second.waitForRequests(1);
+    router.addTarget("3", third);
+    auto response = TestRouter::readAll(socket);
+    cr_expect(response.ends_with("sound"), "%s", response.c_str());
+}
+
+// Guards against a failure in place of a target's response that is no success, because the first target is lost.
+Test(SilentTarget, aResponseOfTheReplacementThatIsNoSuccessIsForwarded)
+{
+    for (auto kind : { Fleet::RequestKind::Idempotent, Fleet::RequestKind::Stream }) {
+        TestRouter router;
+        router.expectedPause = 100ms;
+        router.setRoute(kind, 2, true, 4s);
+        ScriptedTarget first([](const std::string&, unsigned) { return ScriptedReply { "", Then::Hang }; });
+        ScriptedTarget second([](const std::string& head, unsigned) { return ScriptedReply { sealedResponse(head, "none", 404) }; });
+        router.addTarget("1", first);
+        boost::asio::io_context context;
+        auto socket = router.send(context, "GET", "Connection: close\r\n");
+        first.waitForRequests(1);
+        router.addTarget("2", second);
+        auto response = TestRouter::readAll(socket);
+        cr_expect(response.starts_with("HTTP/1.1 404"), "%s", response.c_str());
+        cr_expect(response.ends_with("none"), "%s", response.c_str());
+    }
+}
+
+// Guards against targets that go on working after the caller has left, at the silent attempt and at its replacement.
+Test(SilentTarget, bothAttemptsEndWhenTheCallerLeaves)
+{
+    for (bool hasBegun : { false, true }) {
+        SilentStream test(2);
+        auto hang = [=](const std::string& head, unsigned) {
+            return ScriptedReply { hasBegun ? sealedStreamHead(head) : "", Then::Hang };
+        };
+        ScriptedTarget first(hang);
+        ScriptedTarget second(hang);
+        test.router.addTarget("1", first);
+        {
+            boost::asio::io_context context;
+            auto socket = test.router.send(context, "POST", "");
+            first.waitForRequests(1);
+            test.router.addTarget("2", second);
+            second.waitForRequests(1);
+        }
+        auto leftAt = std::chrono::steady_clock::now();
+        first.waitForHangEnd();
+        second.waitForHangEnd();
+        cr_expect_lt((std::chrono::steady_clock::now() - leftAt).count(), std::chrono::steady_clock::duration(500ms).count());
+        // The slots of both targets are free again.
+        auto requestsInFlight = [&] {
+            return test.router.context().dispatch.withService("s", [](auto& service) { return service.targets["1"].inFlight + service.targets["2"].inFlight; });
+        };
+        while ((requestsInFlight() > 0 || test.router.context().openRequests > 0) && std::chrono::steady_clock::now() - leftAt < 2s)
+            std::this_thread::sleep_for(1ms);
+        cr_expect_eq(requestsInFlight(), 0);
+        cr_expect_eq(test.router.context().openRequests, 0);
+    }
+}
+
+// Guards against a lost target that gets requests without end, because it was silent only as a replacement.
+Test(SilentTarget, aLostReplacementCountsAsSilent)
+{
+    SilentStream test(2);
+    ScriptedTarget first([](const std::string& head, unsigned) {
+        auto reply = silentStream(head);
+        reply.pauseBeforeLater = 2800ms;
+        return reply;
+    });
+    ScriptedTarget second([](const std::string&, unsigned) { return ScriptedReply { "", Then::Hang }; });
+    expectWholeStream(test.responseWith(first, second));
+    cr_expect_eq(second.requests(), 1);
+    test.router.context().dispatch.withService("s", [](auto& service) { cr_expect_eq(service.targets["2"].consecutiveSilences, 1); });
+}
+
+// Guards against use of the dispatch state after its end, when a router stops with requests in progress.
+Test(SilentTarget, aRouterMayEndWithBothAttemptsInProgress)
+{
+    boost::asio::io_context context;
+    ScriptedTarget first([](const std::string&, unsigned) { return ScriptedReply { "", Then::Hang }; });
+    ScriptedTarget second([](const std::string&, unsigned) { return ScriptedReply { "", Then::Hang }; });
+    SilentStream test(2);
+    test.router.addTarget("1", first);
+    auto socket = test.router.send(context, "POST", "");
+    first.waitForRequests(1);
+    test.router.addTarget("2", second);
+    second.waitForRequests(1);
+}
+
+// Guards against silence limits that grow because callers read slowly.
+Test(SilentTarget, theTimeOfASlowCallerIsNoPauseOfItsTarget)
+{
+    // More than the buffers of both connections hold.
+    constexpr unsigned events = 250;
+    SilentStream test(2);
+    ScriptedTarget target([](const std::string& head, unsigned) {
+        std::string all;
+        for (unsigned i = 1; i <= events; ++i)
+            all += chunkOf("id: " + std::to_string(i) + "\ndata: " + std::string(50000, 'x') + "\n\n");
+        return ScriptedReply { sealedStreamHead(head) + all + finalChunk };
+    });
+    test.router.addTarget("1", target);
+    for (unsigned i = 0; i < 5; ++i) {
+        boost::asio::io_context context;
+        auto socket = test.router.send(context, "POST", "Connection: close\r\n");
+        target.waitForRequests(i + 1);
+        std::this_thread::sleep_for(700ms);
+        cr_expect(TestRouter::readAll(socket).ends_with(finalChunk));
+    }
+    Dispatch::RequestTraits traits;
+    traits.service = "s";
+    auto route = std::make_shared<Fleet::Route>();
+    traits.route = route;
+    auto limits = Dispatch::Queries::findSilenceLimits(test.router.context().dispatch, traits);
+    cr_expect_leq(std::chrono::duration_cast<std::chrono::milliseconds>(limits.betweenParts).count(), 1000);
+}
