Count a retry against the budget when it is sent

Cause: a retry was charged when it began to wait, which may last longer than the window of the budget. It was then sent without being counted in its window, and a cancelled one took back the charge of another retry.

Change: a waiting retry holds a reservation, which counts in every window, and is counted when its lease is granted.

--- a/Source/Dispatch/Commands/AcquireTarget.cpp
+++ b/Source/Dispatch/Commands/AcquireTarget.cpp
@@ -47,7 +47,7 @@
         return std::chrono::ceil<std::chrono::milliseconds>(remaining + std::chrono::duration_cast<Base::Duration>(longest * (spreadShare * position)));
     }
 
-    Decision admit(DispatchState& state, ServiceState& service, const RequestTraits& traits, std::shared_ptr<WaitObserver> observer, bool isCharged, Base::TimePoint now)
+    Decision admit(DispatchState& state, ServiceState& service, const RequestTraits& traits, std::shared_ptr<WaitObserver> observer, bool hasReservedRetry, Base::TimePoint now)
     {
         if (traits.deadline - now < minimumTimeLeft)
             return Refusal { RefusalReason::OutOfTime, 0ms };
@@ -65,7 +65,7 @@
         auto wait = std::min(state.admission().maximumWait(traits, load), Base::Duration(traits.deadline - now));
         if (wait <= Base::Duration::zero())
             return Refusal { RefusalReason::Overloaded, state.admission().retryAfter(traits, load) };
-        insertByPriority(service.waiting, WaitingRequest { traits, now, std::move(observer), isCharged });
+        insertByPriority(service.waiting, WaitingRequest { traits, now, std::move(observer), hasReservedRetry });
         serveQueue(state, service, now);
         return Queued { now + wait };
     }
@@ -109,11 +109,13 @@
     if (auto refusal = refuseCrashing(state, traits, now))
         return *refusal;
     return state.withService(traits.service, [&](ServiceState& service) -> Decision {
-        if (reachedTarget && !service.retryWindow.tryRetry(retryLimits(state), now))
+        if (reachedTarget && !service.retryWindow.reserveRetry(retryLimits(state), now))
             return Refusal { RefusalReason::RetryBudget, noTargetRetryAfter };
         auto decision = admit(state, service, traits, std::move(observer), reachedTarget, now);
+        if (reachedTarget && std::holds_alternative<Lease>(decision))
+            service.retryWindow.countReservedRetry(now);
         if (reachedTarget && std::holds_alternative<Refusal>(decision))
-            service.retryWindow.undoRetry(now);
+            service.retryWindow.cancelReservedRetry();
         return decision;
     });
 }
@@ -124,8 +126,8 @@
         auto waiting = std::find_if(service.waiting.begin(), service.waiting.end(), [&](const WaitingRequest& request) { return request.observer.get() == observer; });
         if (waiting == service.waiting.end())
             return std::nullopt;
-        if (waiting->isCharged)
-            service.retryWindow.undoRetry(now);
+        if (waiting->hasReservedRetry)
+            service.retryWindow.cancelReservedRetry();
         service.waiting.erase(waiting);
         return Refusal { RefusalReason::Overloaded, state.admission().retryAfter(traits, describeLoad(state, service, traits, now)) };
     });
--- a/Source/Dispatch/Commands/RecordPartEvidence.cpp
+++ b/Source/Dispatch/Commands/RecordPartEvidence.cpp
@@ -273,6 +273,8 @@
             if (found == blocked.end())
                 return false;
             refused.push_back(found->part);
+            if (waiting.hasReservedRetry)
+                service.retryWindow.cancelReservedRetry();
             waiting.observer->waitEnded(Refusal { RefusalReason::BlockedPart, found->remaining });
             return true;
         });
--- a/Source/Dispatch/Commands/ServeQueue.cpp
+++ b/Source/Dispatch/Commands/ServeQueue.cpp
@@ -72,6 +72,8 @@
             ++waiting;
             continue;
         }
+        if (waiting->hasReservedRetry)
+            service.retryWindow.countReservedRetry(now);
         lease->waited = std::chrono::duration_cast<std::chrono::milliseconds>(now - waiting->since);
         waiting->observer->waitEnded(std::move(*lease));
         waiting = service.waiting.erase(waiting);
--- a/Source/Dispatch/DispatchState.h
+++ b/Source/Dispatch/DispatchState.h
@@ -28,8 +28,8 @@
     RequestTraits traits;
     Base::TimePoint since {};
     std::shared_ptr<WaitObserver> observer;
-    // The retry budget was charged for it.
-    bool isCharged = false;
+    // The retry budget holds a reservation for it.
+    bool hasReservedRetry = false;
 };
 
 struct ServiceState {
--- a/Source/Dispatch/RetryWindow.cpp
+++ b/Source/Dispatch/RetryWindow.cpp
@@ -42,11 +42,11 @@
     ++sliceAt(now).requests;
 }
 
-bool RetryWindow::tryRetry(const RetryLimits& limits, Base::TimePoint now)
+bool RetryWindow::reserveRetry(const RetryLimits& limits, Base::TimePoint now)
 {
     auto newest = indexAt(now);
     double requests = 0;
-    double retries = 0;
+    double retries = m_reservedRetries;
     for (auto& slice : m_slices) {
         if (!isInWindow(slice, newest))
             continue;
@@ -55,20 +55,27 @@
     }
     if (retries + 1 > limits.ratio * requests + limits.slack)
         return false;
-    ++sliceAt(now).retries;
+    ++m_reservedRetries;
     return true;
 }
 
-void RetryWindow::undoRetry(Base::TimePoint now)
+void RetryWindow::countReservedRetry(Base::TimePoint now)
 {
-    auto newest = indexAt(now);
-    for (int64_t age = 0; age <= static_cast<int64_t>(slices); ++age) {
-        auto& slice = m_slices[static_cast<size_t>(newest - age) % m_slices.size()];
-        if (slice.index != newest - age || slice.retries == 0)
-            continue;
-        --slice.retries;
-        return;
-    }
+    --m_reservedRetries;
+    ++sliceAt(now).retries;
+}
+
+void RetryWindow::cancelReservedRetry()
+{
+    --m_reservedRetries;
+}
+
+bool RetryWindow::tryRetry(const RetryLimits& limits, Base::TimePoint now)
+{
+    bool isAllowed = reserveRetry(limits, now);
+    if (isAllowed)
+        countReservedRetry(now);
+    return isAllowed;
 }
 
 } // namespace Lavenderloft::Dispatch
--- a/Source/Dispatch/RetryWindow.h
+++ b/Source/Dispatch/RetryWindow.h
@@ -26,11 +26,17 @@
     // Average over the window.
     double requestsPerSecond(Base::TimePoint now) const;
 
-    // Counts a retry if the limits allow it; returns whether they do.
-    bool tryRetry(const RetryLimits&, Base::TimePoint now);
+    // Reserves a retry if the limits allow it besides those sent in the window and those reserved; returns whether they do.
+    bool reserveRetry(const RetryLimits&, Base::TimePoint now);
+
+    // Counts a reserved retry as sent now.
+    void countReservedRetry(Base::TimePoint now);
 
-    // Takes back a retry that was counted and sent to no target.
-    void undoRetry(Base::TimePoint now);
+    // Takes back a reserved retry that is sent to no target.
+    void cancelReservedRetry();
+
+    // Counts a retry as sent now if the limits allow it; returns whether they do.
+    bool tryRetry(const RetryLimits&, Base::TimePoint now);
 
 private:
     static constexpr size_t slices = 20;
@@ -47,6 +53,8 @@
 
     Base::Duration m_sliceLength;
     std::array<Slice, slices + 1> m_slices;
+    // They may be sent at any time, so they count in every window.
+    uint32_t m_reservedRetries = 0;
 };
 
 } // namespace Lavenderloft::Dispatch
