Serve a new request from free slots while others wait for other targets

Cause: a new request was refused as overloaded by the length of the queue, also if the queue held only an interrupted request that cannot use the free slots. Such a request waits until its deadline.

Before: InterruptedRequest/doesNotKeepOthersFromFreeSlots: refused.

--- a/Source/Dispatch/AdmissionPolicy.h
+++ b/Source/Dispatch/AdmissionPolicy.h
@@ -16,6 +16,8 @@
     size_t returningTargets = 0;
     // Sum of the concurrency limits of these targets.
     size_t capacity = 0;
+    // Those of the targets that can take the request now.
+    size_t freeTargets = 0;
     size_t waiting = 0;
     // Moving average.
     double completionsPerSecond = 0;
--- a/Source/Dispatch/Commands/AcquireTarget.cpp
+++ b/Source/Dispatch/Commands/AcquireTarget.cpp
@@ -63,7 +63,8 @@
         if (load.targets == 0 && !mayWaitForTarget)
             return Refusal { RefusalReason::NoTarget, noTargetRetryAfter };
         auto wait = std::min(state.admission().maximumWait(traits, load), Base::Duration(traits.deadline - now));
-        if (wait <= Base::Duration::zero())
+        // The requests in the queue may wait for other targets than those with free slots.
+        if (wait <= Base::Duration::zero() && load.freeTargets == 0)
             return Refusal { RefusalReason::Overloaded, state.admission().retryAfter(traits, load) };
         insertByPriority(service.waiting, WaitingRequest { traits, now, std::move(observer), hasReservedRetry });
         serveQueue(state, service, now);
--- a/Source/Dispatch/Commands/ServeQueue.cpp
+++ b/Source/Dispatch/Commands/ServeQueue.cpp
@@ -61,7 +61,7 @@
 ServiceLoad describeLoad(DispatchState& state, const ServiceState& service, const RequestTraits& traits, Base::TimePoint now)
 {
     auto candidates = Queries::findCandidates(state, service, traits, now);
-    return { candidates.eligible, candidates.returning, candidates.capacity, service.waiting.size(), service.completionsPerSecond, candidates.heldBackUntil };
+    return { candidates.eligible, candidates.returning, candidates.capacity, candidates.free.size(), service.waiting.size(), service.completionsPerSecond, candidates.heldBackUntil };
 }
 
 void serveQueue(DispatchState& state, ServiceState& service, Base::TimePoint now)
