Refuse an interrupted request when no target can serve it any more

Cause: whether a target may serve it was decided only as the wait began. If the last one took later weights or left, the request waited until its deadline.

--- a/Source/Dispatch/Commands/ServeQueue.cpp
+++ b/Source/Dispatch/Commands/ServeQueue.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+    using namespace std::chrono_literals;
+
     void consumeColdToken(DispatchState& state, const std::string& serviceName, const Fleet::KnownTarget& target, TargetRuntime& runtime, Base::TimePoint now)
     {
         auto snapshot = Fleet::Queries::currentSnapshot(state.fleet());
@@ -64,10 +66,35 @@
     return { candidates.eligible, candidates.returning, candidates.capacity, candidates.free.size(), service.waiting.size(), service.completionsPerSecond, candidates.heldBackUntil };
 }
 
+namespace {
+
+    // Whether the target that the request waits for is not known any more, or no longer holds what the request needs.
+    bool isWaitInVain(DispatchState& state, const ServiceState& service, const RequestTraits& traits, Base::TimePoint now)
+    {
+        if (!traits.isInterrupted)
+            return false;
+        auto load = describeLoad(state, service, traits, now);
+        return load.targets == 0 && load.returningTargets == 0;
+    }
+
+    void refuseWaiting(ServiceState& service, const WaitingRequest& waiting)
+    {
+        if (waiting.hasReservedRetry)
+            service.retryWindow.cancelReservedRetry();
+        waiting.observer->waitEnded(Refusal { RefusalReason::NoTarget, 0ms });
+    }
+
+} // namespace
+
 void serveQueue(DispatchState& state, ServiceState& service, Base::TimePoint now)
 {
     for (auto waiting = service.waiting.begin(); waiting != service.waiting.end();) {
         auto lease = tryAcquireLease(state, service, waiting->traits, now);
+        if (!lease && isWaitInVain(state, service, waiting->traits, now)) {
+            refuseWaiting(service, *waiting);
+            waiting = service.waiting.erase(waiting);
+            continue;
+        }
         if (!lease) {
             ++waiting;
             continue;
