Let the silence limits decay without further responses

Cause: the weights of recent durations were reduced only when another one was recorded, so the first requests after a slow period had its limits, and no replacement, however long ago it was.

Before: Silence/limitsForgetEarlierTimesWithoutFurtherResponses failed.

--- a/Source/Dispatch/Queries/FindSilenceLimits.cpp
+++ b/Source/Dispatch/Queries/FindSilenceLimits.cpp
@@ -24,12 +24,12 @@
 
 } // namespace
 
-SilenceLimits findSilenceLimits(DispatchState& state, const RequestTraits& traits)
+SilenceLimits findSilenceLimits(DispatchState& state, const RequestTraits& traits, Base::TimePoint now)
 {
     return state.withService(traits.service, [&](ServiceState& service) {
         auto& times = service.responseTimes;
-        auto firstPart = times.firstPart.quantile(typicalShare).value_or(Base::Duration::zero());
-        auto pause = times.longestPause.quantile(typicalShare).value_or(Base::Duration::zero());
+        auto firstPart = times.firstPart.quantile(typicalShare, now).value_or(Base::Duration::zero());
+        auto pause = times.longestPause.quantile(typicalShare, now).value_or(Base::Duration::zero());
         return SilenceLimits { limitOf(traits.route->targetLatency, firstPart), limitOf(traits.route->maximumEventGap, pause), firstPart };
     });
 }
--- a/Source/Dispatch/Queries/FindSilenceLimits.h
+++ b/Source/Dispatch/Queries/FindSilenceLimits.h
@@ -17,7 +17,7 @@
 
 namespace Queries {
 
-    SilenceLimits findSilenceLimits(DispatchState&, const RequestTraits&);
+    SilenceLimits findSilenceLimits(DispatchState&, const RequestTraits&, Base::TimePoint now);
 
 } // namespace Queries
 
--- a/Source/Dispatch/ResponseTimes.cpp
+++ b/Source/Dispatch/ResponseTimes.cpp
@@ -36,12 +36,17 @@
 DurationHistogram::DurationHistogram(DurationHistogram&&) noexcept = default;
 DurationHistogram& DurationHistogram::operator=(DurationHistogram&&) noexcept = default;
 
+double DurationHistogram::remainingShare(Base::TimePoint now) const
+{
+    auto halvings = static_cast<double>((now - m_decayedAt) / halfLife);
+    return std::exp2(-halvings);
+}
+
 void DurationHistogram::decay(Base::TimePoint now)
 {
     if (now - m_decayedAt < halfLife)
         return;
-    auto halvings = static_cast<double>((now - m_decayedAt) / halfLife);
-    m_counts->histogram *= std::exp2(-halvings);
+    m_counts->histogram *= remainingShare(now);
     m_decayedAt = now;
 }
 
@@ -51,12 +56,12 @@
     m_counts->histogram(std::chrono::duration<double>(duration).count());
 }
 
-std::optional<Base::Duration> DurationHistogram::quantile(double share) const
+std::optional<Base::Duration> DurationHistogram::quantile(double share, Base::TimePoint now) const
 {
     double total = 0;
     for (auto&& bin : histogram::indexed(m_counts->histogram, histogram::coverage::all))
         total += *bin;
-    if (total < minimumWeight)
+    if (total * remainingShare(now) < minimumWeight)
         return std::nullopt;
     double sum = 0;
     for (auto&& bin : histogram::indexed(m_counts->histogram, histogram::coverage::all)) {
--- a/Source/Dispatch/ResponseTimes.h
+++ b/Source/Dispatch/ResponseTimes.h
@@ -18,11 +18,13 @@
     void record(Base::Duration, Base::TimePoint now);
 
     // The duration that the given share of the recent ones does not exceed, within a tenth. Nothing if there are too few.
-    std::optional<Base::Duration> quantile(double share) const;
+    std::optional<Base::Duration> quantile(double share, Base::TimePoint now) const;
 
 private:
     struct Counts;
 
+    // Factor by which the weights have fallen since they were last decayed.
+    double remainingShare(Base::TimePoint now) const;
     void decay(Base::TimePoint now);
 
     std::unique_ptr<Counts> m_counts;
--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -266,7 +266,7 @@
 asio::awaitable<AttemptOutcome> RequestHandler::attempt(TargetAttempt& attempt)
 {
     m_log.attemptStarted(attempt.lease());
-    m_limits = Dispatch::Queries::findSilenceLimits(m_context.dispatch, m_request->traits);
+    m_limits = Dispatch::Queries::findSilenceLimits(m_context.dispatch, m_request->traits, m_request->now());
     m_current = &attempt;
     AttemptOutcome outcome { true, AttemptEnd::Broken, AttemptResult::Abandoned };
     if (!m_request->callerDisconnected())
--- a/Tests/Dispatch/SilenceTest.cpp
+++ b/Tests/Dispatch/SilenceTest.cpp
@@ -30,7 +30,7 @@
         return lease ? lease->target->entry.id : "";
     }
 
-    SilenceLimits limits() { return Queries::findSilenceLimits(*state, request("s")); }
+    SilenceLimits limits() { return Queries::findSilenceLimits(*state, request("s"), fleet.clock.now()); }
 };
 
 } // namespace
--- a/Tests/Proxy/SilentTargetTest.cpp
+++ b/Tests/Proxy/SilentTargetTest.cpp
@@ -341,6 +341,6 @@
     traits.service = "s";
     auto route = std::make_shared<Fleet::Route>();
     traits.route = route;
-    auto limits = Dispatch::Queries::findSilenceLimits(test.router.context().dispatch, traits);
+    auto limits = Dispatch::Queries::findSilenceLimits(test.router.context().dispatch, traits, test.router.clock().now());
     cr_expect_leq(std::chrono::duration_cast<std::chrono::milliseconds>(limits.betweenParts).count(), 1000);
 }
