Reset the silences of a target when it serves a request

Cause: only an attempt that had been silent itself reset the count, so single silences hours apart added up to the longest exclusion.

Before: Silence/silencesBetweenServedRequestsAreNotInARow failed.

--- a/Source/Dispatch/Commands/RecordOutcome.cpp
+++ b/Source/Dispatch/Commands/RecordOutcome.cpp
@@ -41,6 +41,7 @@
         switch (result) {
         case AttemptResult::Served:
             runtime.consecutiveFailures = 0;
+            runtime.consecutiveSilences = 0;
             runtime.knowledge.isProbed = false;
             runtime.failureShare *= 1 - failureWeight;
             return;
