Release the lease of an attempt explicitly

Cause: the destructor of an attempt released its lease. FleetRouter destroys the dispatch state before the event loops, and with these the attempts that are in progress, so a router that ended with open requests used freed memory.

Change: leases are released by the code that ends the attempt; the handler abandons its replacement at the end of run().

Before: SilentTarget/aRouterMayEndWithBothAttemptsInProgress crashed with MALLOC_PERTURB_=165 and GLIBC_TUNABLES=glibc.malloc.tcache_count=0. After: it passes with the same settings.

--- a/Source/Proxy/ReplacementAttempt.cpp
+++ b/Source/Proxy/ReplacementAttempt.cpp
@@ -34,9 +34,10 @@
 
 void ReplacementAttempt::abandon()
 {
-    if (m_state != State::Waiting && m_state != State::Running)
-        return;
+    bool isReady = m_state == State::Ready;
     m_state = State::Abandoned;
+    if (isReady)
+        discardAttempt();
     m_waiter->cancel();
     if (m_attempt)
         m_attempt->cancel();
@@ -64,7 +65,7 @@
     m_state = State::Running;
     auto failure = co_await sendAndRead();
     if (isAbandoned()) {
-        m_attempt.reset();
+        discardAttempt();
         co_return;
     }
     if (failure)
@@ -82,7 +83,7 @@
         m_attempt = std::make_unique<TargetAttempt>(m_request, std::move(std::get<Dispatch::Lease>(*outcome)));
     // A lease that was granted as the replacement was abandoned goes back.
     if (isAbandoned())
-        m_attempt.reset();
+        discardAttempt();
 }
 
 asio::awaitable<TargetAttempt::Failure> ReplacementAttempt::sendAndRead()
@@ -146,6 +147,12 @@
     co_return m_position.hasIncompleteEvent() ? TargetAttempt::Failure(AttemptEnd::Broken) : std::nullopt;
 }
 
+void ReplacementAttempt::discardAttempt()
+{
+    if (auto attempt = std::move(m_attempt))
+        attempt->abandon();
+}
+
 void ReplacementAttempt::fail(AttemptEnd failure)
 {
     auto status = m_attempt->hasHead() ? m_attempt->exchange().response().status : 0;
--- a/Source/Proxy/ReplacementAttempt.h
+++ b/Source/Proxy/ReplacementAttempt.h
@@ -61,6 +61,7 @@
     boost::asio::awaitable<TargetAttempt::Failure> readFirstPart();
     boost::asio::awaitable<TargetAttempt::Failure> readFirstEvent();
     boost::asio::awaitable<TargetAttempt::Failure> readBody();
+    void discardAttempt();
     void fail(Dispatch::Queries::AttemptEnd);
     void end(State);
 
--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -107,7 +107,6 @@
 RequestHandler::~RequestHandler()
 {
     m_silence->stop();
-    abandonReplacement();
     m_request->disconnectMonitor->stop();
 }
 
@@ -118,6 +117,7 @@
     bool isAllowed = co_await resolve();
     if (isAllowed)
         co_await serve();
+    abandonReplacement();
     m_request->disconnectMonitor->stop();
     bool mayKeep = m_response.mayKeepConnection() && !m_request->callerDisconnected();
     co_return mayKeep;
--- a/Source/Proxy/TargetAttempt.cpp
+++ b/Source/Proxy/TargetAttempt.cpp
@@ -38,11 +38,6 @@
     ++m_request->history.attempts;
 }
 
-TargetAttempt::~TargetAttempt()
-{
-    release({ true, AttemptEnd::Broken, AttemptResult::Abandoned });
-}
-
 Http::HttpRequest TargetAttempt::forwardedHead(std::optional<uint64_t> lastEventId) const
 {
     ForwardedFields forwarding;
--- a/Source/Proxy/TargetAttempt.h
+++ b/Source/Proxy/TargetAttempt.h
@@ -26,15 +26,13 @@
 };
 
 // One attempt of a request at a target, with its lease. Records in the request that it was made, and in Dispatch what its
-// target says of itself and how fast it responds. Used on one event loop.
+// target says of itself and how fast it responds. Used on one event loop. The lease has to be released explicitly: attempts
+// that are in progress when a router ends are destroyed with the event loops, after the dispatch state.
 class TargetAttempt {
 public:
     using Failure = TargetExchange::Failure;
 
     TargetAttempt(std::shared_ptr<ProxyRequest>, Dispatch::Lease);
-    // Releases the lease as that of an abandoned attempt, unless that has been done.
-    ~TargetAttempt();
-
     TargetAttempt(const TargetAttempt&) = delete;
     TargetAttempt& operator=(const TargetAttempt&) = delete;
 
@@ -67,6 +65,9 @@
     // Releases the lease, and records what the outcome says of the target and of the parts of the prompt.
     void release(const AttemptOutcome&);
 
+    // Releases the lease of an attempt whose response is not needed.
+    void abandon() { release({ true, Dispatch::Queries::AttemptEnd::Broken, Dispatch::Commands::AttemptResult::Abandoned }); }
+
     // What the failure of the attempt says of its target.
     AttemptOutcome failedAs(Dispatch::Queries::AttemptEnd, unsigned status = 0) const;
 
