Forward a response of the replacement that is no success

Cause: a sealed 3xx or 4xx of the replacement counted as its failure, and the lost first target was awaited until the deadline.

Before: SilentTarget/aResponseOfTheReplacementThatIsNoSuccessIsForwarded: 504 instead of 404.

--- a/Source/Proxy/ReplacementAttempt.cpp
+++ b/Source/Proxy/ReplacementAttempt.cpp
@@ -15,11 +15,12 @@
 namespace asio = boost::asio;
 using Dispatch::Queries::AttemptEnd;
 
-ReplacementAttempt::ReplacementAttempt(std::shared_ptr<ProxyRequest> request, Observer& observer, EventSplitter position, std::optional<uint64_t> lastEventId)
+ReplacementAttempt::ReplacementAttempt(std::shared_ptr<ProxyRequest> request, Observer& observer, EventSplitter position, std::optional<uint64_t> lastEventId, bool isContinuation)
     : m_request(std::move(request))
     , m_observer(observer)
     , m_position(std::move(position))
     , m_lastEventId(lastEventId)
+    , m_isContinuation(isContinuation)
     , m_waiter(std::make_shared<LeaseWaiter>(m_request->worker.context))
     , m_ended(m_request->worker.context, asio::steady_timer::time_point::max())
 {
@@ -96,16 +97,24 @@
         co_return failure;
     if (m_attempt->isNotExecuted())
         co_return AttemptEnd::NotExecuted;
-    if (!m_attempt->isSuccess())
+    if (!isForwardable())
         co_return AttemptEnd::ErrorResponse;
     failure = co_await readFirstPart();
     co_return failure;
 }
 
+bool ReplacementAttempt::isForwardable() const
+{
+    auto& response = m_attempt->exchange().response();
+    bool isServerError = response.status >= 500;
+    bool isFinalError = response.head.sealed && !isServerError && !impliesNotExecuted(response.status);
+    return m_attempt->isSuccess() || (isFinalError && !m_isContinuation);
+}
+
 asio::awaitable<TargetAttempt::Failure> ReplacementAttempt::readFirstPart()
 {
     TargetAttempt::Failure failure;
-    bool isStream = m_request->traits.route->kind == Fleet::RequestKind::Stream;
+    bool isStream = m_attempt->isSuccess() && m_request->traits.route->kind == Fleet::RequestKind::Stream;
     if (!isStream)
         failure = co_await readBody();
     else if (m_attempt->isEventStream())
--- a/Source/Proxy/ReplacementAttempt.h
+++ b/Source/Proxy/ReplacementAttempt.h
@@ -32,9 +32,10 @@
         Abandoned,
     };
 
-    // The splitter holds the position from which a stream has to go on. The observer must live until the replacement has
+    // The splitter holds the position from which a stream has to go on. A continuation follows a part of the response that
+    // the caller has already. The observer must live until the replacement has
     // ended or is abandoned.
-    ReplacementAttempt(std::shared_ptr<ProxyRequest>, Observer&, EventSplitter position, std::optional<uint64_t> lastEventId);
+    ReplacementAttempt(std::shared_ptr<ProxyRequest>, Observer&, EventSplitter position, std::optional<uint64_t> lastEventId, bool isContinuation);
 
     void start();
 
@@ -57,6 +58,8 @@
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> acquire();
     boost::asio::awaitable<TargetAttempt::Failure> sendAndRead();
+    // Whether the response can be sent to the caller in place of the one that is awaited from the first target.
+    bool isForwardable() const;
     // Reads until there is something to forward.
     boost::asio::awaitable<TargetAttempt::Failure> readFirstPart();
     boost::asio::awaitable<TargetAttempt::Failure> readFirstEvent();
@@ -69,6 +72,7 @@
     Observer& m_observer;
     EventSplitter m_position;
     std::optional<uint64_t> m_lastEventId;
+    const bool m_isContinuation;
     State m_state = State::Waiting;
     std::shared_ptr<LeaseWaiter> m_waiter;
     std::unique_ptr<TargetAttempt> m_attempt;
