Count the silence of a replacement against its target

Cause: only the first attempt was watched, and an abandoned replacement says nothing, so a lost target could be chosen as a replacement again and again.

--- a/Source/Proxy/ReplacementAttempt.cpp
+++ b/Source/Proxy/ReplacementAttempt.cpp
@@ -15,12 +15,14 @@
 namespace asio = boost::asio;
 using Dispatch::Queries::AttemptEnd;
 
-ReplacementAttempt::ReplacementAttempt(std::shared_ptr<ProxyRequest> request, Observer& observer, EventSplitter position, std::optional<uint64_t> lastEventId, bool isContinuation)
+ReplacementAttempt::ReplacementAttempt(std::shared_ptr<ProxyRequest> request, Observer& observer, EventSplitter position, std::optional<uint64_t> lastEventId, bool isContinuation, Base::Duration silenceLimit)
     : m_request(std::move(request))
     , m_observer(observer)
     , m_position(std::move(position))
     , m_lastEventId(lastEventId)
     , m_isContinuation(isContinuation)
+    , m_silenceLimit(silenceLimit)
+    , m_silence(std::make_shared<SilenceTimer>(m_request->worker.context, [this] { m_attempt->recordSilence(); }))
     , m_waiter(std::make_shared<LeaseWaiter>(m_request->worker.context))
     , m_ended(m_request->worker.context, asio::steady_timer::time_point::max())
 {
@@ -65,6 +67,7 @@
     }
     m_state = State::Running;
     auto failure = co_await sendAndRead();
+    m_silence->stop();
     if (isAbandoned()) {
         discardAttempt();
         co_return;
@@ -92,6 +95,7 @@
     auto failure = co_await m_attempt->send(m_lastEventId);
     if (failure || isAbandoned())
         co_return failure;
+    m_silence->arm(m_silenceLimit);
     failure = co_await m_attempt->readHead();
     if (failure || isAbandoned())
         co_return failure;
--- a/Source/Proxy/ReplacementAttempt.h
+++ b/Source/Proxy/ReplacementAttempt.h
@@ -3,6 +3,7 @@
 #include "Dispatch/Decision.h"
 #include "Proxy/EventSplitter.h"
 #include "Proxy/LeaseWaiter.h"
+#include "Proxy/SilenceTimer.h"
 #include "Proxy/TargetAttempt.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -35,7 +36,7 @@
     // The splitter holds the position from which a stream has to go on. A continuation follows a part of the response that
     // the caller has already. The observer must live until the replacement has
     // ended or is abandoned.
-    ReplacementAttempt(std::shared_ptr<ProxyRequest>, Observer&, EventSplitter position, std::optional<uint64_t> lastEventId, bool isContinuation);
+    ReplacementAttempt(std::shared_ptr<ProxyRequest>, Observer&, EventSplitter position, std::optional<uint64_t> lastEventId, bool isContinuation, Base::Duration silenceLimit);
 
     void start();
 
@@ -73,6 +74,8 @@
     EventSplitter m_position;
     std::optional<uint64_t> m_lastEventId;
     const bool m_isContinuation;
+    const Base::Duration m_silenceLimit;
+    std::shared_ptr<SilenceTimer> m_silence;
     State m_state = State::Waiting;
     std::shared_ptr<LeaseWaiter> m_waiter;
     std::unique_ptr<TargetAttempt> m_attempt;
--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -382,7 +382,7 @@
     m_request->traits.isInterrupted = false;
     auto lastEventId = m_response.isStarted() ? m_response.lastEventId() : std::nullopt;
     ReplacementAttempt::Observer& observer = *this;
-    m_replacement = std::make_shared<ReplacementAttempt>(m_request, observer, m_response.events(), lastEventId, m_response.isStarted());
+    m_replacement = std::make_shared<ReplacementAttempt>(m_request, observer, m_response.events(), lastEventId, m_response.isStarted(), m_limits.firstPart);
     m_replacement->start();
 }
 
