Leave the time of slow callers out of the pauses of targets

Cause: the pause between two events was measured from the previous event, including the time in which the caller did not read, so slow callers raised the silence limits of the service.

Found by reading; SilentTarget/theTimeOfASlowCallerIsNoPauseOfItsTarget was not run without this change.

--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -352,6 +352,7 @@
 
 void RequestHandler::awaitingPart()
 {
+    m_current->awaitPart();
     if (m_current->parts() > 0)
         awaitNextPart();
 }
--- a/Source/Proxy/TargetAttempt.cpp
+++ b/Source/Proxy/TargetAttempt.cpp
@@ -136,7 +136,7 @@
     if (m_parts == 1)
         Dispatch::Commands::recordFirstPart(dispatch, service, now - m_sentAt, now);
     else
-        m_longestPause = std::max(m_longestPause, now - m_lastHeardAt);
+        m_longestPause = std::max(m_longestPause, now - m_awaitedSince);
     if (std::exchange(m_isSilent, false))
         Dispatch::Commands::recordEndOfSilence(dispatch, service, targetId());
     if (m_parts == partsOfSoundPrompt)
--- a/Source/Proxy/TargetAttempt.h
+++ b/Source/Proxy/TargetAttempt.h
@@ -56,6 +56,9 @@
     // Ends the pending operation of the attempt.
     void cancel();
 
+    // The next part of the response is awaited from now on.
+    void awaitPart() { m_awaitedSince = m_request->now(); }
+
     // Counts a part of the response. Once the target goes on to write, the prompt cannot have crashed it.
     void recordPart();
 
@@ -100,6 +103,8 @@
     unsigned m_parts = 0;
     Base::TimePoint m_sentAt {};
     Base::TimePoint m_lastHeardAt {};
+    // The caller has read the earlier parts by then, so the time until the next one is the target's.
+    Base::TimePoint m_awaitedSince {};
     Base::Duration m_longestPause { 0 };
 };
 
