Show the pauses of slow callers with enough responses at once

Cause: the test sent its requests one after the other, so the distribution had lost too much weight to give a limit, and the test passed with and without the change.

Seen: with the pause measured from the previous event the limit exceeds 1 s and the test fails; on this code it passes.

--- a/Tests/Proxy/SilentTargetTest.cpp
+++ b/Tests/Proxy/SilentTargetTest.cpp
@@ -321,7 +321,7 @@
 Test(SilentTarget, theTimeOfASlowCallerIsNoPauseOfItsTarget)
 {
     // More than the buffers of both connections hold.
-    constexpr unsigned events = 250;
+    constexpr unsigned events = 300;
     SilentStream test(2);
     ScriptedTarget target([](const std::string& head, unsigned) {
         std::string all;
@@ -329,14 +329,14 @@
             all += chunkOf("id: " + std::to_string(i) + "\ndata: " + std::string(50000, 'x') + "\n\n");
         return ScriptedReply { sealedStreamHead(head) + all + finalChunk };
     });
-    test.router.addTarget("1", target);
-    for (unsigned i = 0; i < 5; ++i) {
-        boost::asio::io_context context;
-        auto socket = test.router.send(context, "POST", "Connection: close\r\n");
-        target.waitForRequests(i + 1);
-        std::this_thread::sleep_for(700ms);
-        cr_expect(TestRouter::readAll(socket).ends_with(finalChunk));
-    }
+    test.router.addTargetAt("1", target.port(), 8);
+    boost::asio::io_context context;
+    std::vector<boost::asio::ip::tcp::socket> callers;
+    for (unsigned i = 0; i < 5; ++i)
+        callers.push_back(test.router.send(context, "POST", "Connection: close\r\n"));
+    std::this_thread::sleep_for(1500ms);
+    for (auto& caller : callers)
+        cr_expect(TestRouter::readAll(caller).ends_with(finalChunk));
     Dispatch::RequestTraits traits;
     traits.service = "s";
     auto route = std::make_shared<Fleet::Route>();
