--- a/Source/Proxy/ReplacementAttempt.cpp
+++ b/Source/Proxy/ReplacementAttempt.cpp
@@ -15,11 +15,13 @@
 namespace asio = boost::asio;
 using Dispatch::Queries::AttemptEnd;
 
-ReplacementAttempt::ReplacementAttempt(std::shared_ptr<ProxyRequest> request, Observer& observer, EventSplitter position, std::optional<uint64_t> lastEventId)
+ReplacementAttempt::ReplacementAttempt(std::shared_ptr<ProxyRequest> request, Observer& observer, EventSplitter position, std::optional<uint64_t> lastEventId, bool isContinuation)
     : m_request(std::move(request))
     , m_observer(observer)
     , m_position(std::move(position))
     , m_lastEventId(lastEventId)
+    , m_isContinuation(isContinuation)
+    , m_silence(std::make_shared<SilenceTimer>(m_request->worker.context, [this] { targetSilent(); }))
     , m_waiter(std::make_shared<LeaseWaiter>(m_request->worker.context))
     , m_ended(m_request->worker.context, asio::steady_timer::time_point::max())
 {
@@ -34,9 +36,10 @@
 
 void ReplacementAttempt::abandon()
 {
-    if (m_state != State::Waiting && m_state != State::Running)
-        return;
+    bool isReady = m_state == State::Ready;
     m_state = State::Abandoned;
+    if (isReady)
+        discardAttempt();
     m_waiter->cancel();
     if (m_attempt)
         m_attempt->cancel();
@@ -63,8 +66,9 @@
     }
     m_state = State::Running;
     auto failure = co_await sendAndRead();
+    m_silence->stop();
     if (isAbandoned()) {
-        m_attempt.reset();
+        discardAttempt();
         co_return;
     }
     if (failure)
@@ -82,7 +86,7 @@
         m_attempt = std::make_unique<TargetAttempt>(m_request, std::move(std::get<Dispatch::Lease>(*outcome)));
     // A lease that was granted as the replacement was abandoned goes back.
     if (isAbandoned())
-        m_attempt.reset();
+        discardAttempt();
 }
 
 asio::awaitable<TargetAttempt::Failure> ReplacementAttempt::sendAndRead()
@@ -90,21 +94,30 @@
     auto failure = co_await m_attempt->send(m_lastEventId);
     if (failure || isAbandoned())
         co_return failure;
+    m_silence->arm(m_attempt->silenceLimit());
     failure = co_await m_attempt->readHead();
     if (failure || isAbandoned())
         co_return failure;
     if (m_attempt->isNotExecuted())
         co_return AttemptEnd::NotExecuted;
-    if (!m_attempt->isSuccess())
+    if (!isForwardable())
         co_return AttemptEnd::ErrorResponse;
     failure = co_await readFirstPart();
     co_return failure;
 }
 
+bool ReplacementAttempt::isForwardable() const
+{
+    auto& response = m_attempt->exchange().response();
+    bool isServerError = response.status >= 500;
+    bool isFinalError = response.head.sealed && !isServerError && !impliesNotExecuted(response.status);
+    return m_attempt->isSuccess() || (isFinalError && !m_isContinuation);
+}
+
 asio::awaitable<TargetAttempt::Failure> ReplacementAttempt::readFirstPart()
 {
     TargetAttempt::Failure failure;
-    bool isStream = m_request->traits.route->kind == Fleet::RequestKind::Stream;
+    bool isStream = m_attempt->isSuccess() && m_request->traits.route->kind == Fleet::RequestKind::Stream;
     if (!isStream)
         failure = co_await readBody();
     else if (m_attempt->isEventStream())
@@ -146,6 +159,19 @@
     co_return m_position.hasIncompleteEvent() ? TargetAttempt::Failure(AttemptEnd::Broken) : std::nullopt;
 }
 
+void ReplacementAttempt::targetSilent()
+{
+    m_attempt->recordSilence();
+    if (!isAbandoned())
+        m_observer.replacementSilent(*this);
+}
+
+void ReplacementAttempt::discardAttempt()
+{
+    if (auto attempt = std::move(m_attempt))
+        attempt->abandon();
+}
+
 void ReplacementAttempt::fail(AttemptEnd failure)
 {
     auto status = m_attempt->hasHead() ? m_attempt->exchange().response().status : 0;
@@ -158,7 +184,7 @@
 {
     m_state = state;
     m_ended.cancel();
-    m_observer.replacementEnded();
+    m_observer.replacementEnded(*this);
 }
 
 } // namespace Lavenderloft::Proxy
--- a/Source/Proxy/ReplacementAttempt.h
+++ b/Source/Proxy/ReplacementAttempt.h
@@ -3,6 +3,7 @@
 #include "Dispatch/Decision.h"
 #include "Proxy/EventSplitter.h"
 #include "Proxy/LeaseWaiter.h"
+#include "Proxy/SilenceTimer.h"
 #include "Proxy/TargetAttempt.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -17,11 +18,13 @@
 // still go on. Used on one event loop.
 class ReplacementAttempt : public std::enable_shared_from_this<ReplacementAttempt> {
 public:
-    // Is told once that the replacement is ready or has failed.
     class Observer {
     public:
         virtual ~Observer() = default;
-        virtual void replacementEnded() = 0;
+        // The target of the replacement is silent as well.
+        virtual void replacementSilent(ReplacementAttempt&) = 0;
+        // The replacement is ready or has failed. Called once.
+        virtual void replacementEnded(ReplacementAttempt&) = 0;
     };
 
     enum class State {
@@ -32,9 +35,9 @@
         Abandoned,
     };
 
-    // The splitter holds the position from which a stream has to go on. The observer must live until the replacement has
-    // ended or is abandoned.
-    ReplacementAttempt(std::shared_ptr<ProxyRequest>, Observer&, EventSplitter position, std::optional<uint64_t> lastEventId);
+    // The splitter holds the position from which a stream has to go on. A continuation follows a part of the response that
+    // the caller has already. The observer must live until the replacement has ended or is abandoned.
+    ReplacementAttempt(std::shared_ptr<ProxyRequest>, Observer&, EventSplitter position, std::optional<uint64_t> lastEventId, bool isContinuation);
 
     void start();
 
@@ -57,10 +60,14 @@
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> acquire();
     boost::asio::awaitable<TargetAttempt::Failure> sendAndRead();
+    // Whether the response can be sent to the caller in place of the one that is awaited from the first target.
+    bool isForwardable() const;
     // Reads until there is something to forward.
     boost::asio::awaitable<TargetAttempt::Failure> readFirstPart();
     boost::asio::awaitable<TargetAttempt::Failure> readFirstEvent();
     boost::asio::awaitable<TargetAttempt::Failure> readBody();
+    void targetSilent();
+    void discardAttempt();
     void fail(Dispatch::Queries::AttemptEnd);
     void end(State);
 
@@ -68,6 +75,8 @@
     Observer& m_observer;
     EventSplitter m_position;
     std::optional<uint64_t> m_lastEventId;
+    const bool m_isContinuation;
+    std::shared_ptr<SilenceTimer> m_silence;
     State m_state = State::Waiting;
     std::shared_ptr<LeaseWaiter> m_waiter;
     std::unique_ptr<TargetAttempt> m_attempt;
--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -107,7 +107,6 @@
 RequestHandler::~RequestHandler()
 {
     m_silence->stop();
-    abandonReplacement();
     m_request->disconnectMonitor->stop();
     if (!m_request->isLoopStopped())
         m_request->worker.openRequests.erase(this);
@@ -120,6 +119,7 @@
     bool isAllowed = co_await resolve();
     if (isAllowed)
         co_await serve();
+    abandonReplacements();
     m_request->disconnectMonitor->stop();
     bool mayKeep = m_response.mayKeepConnection() && !m_request->callerDisconnected();
     co_return mayKeep;
@@ -203,17 +203,20 @@
 
 asio::awaitable<std::unique_ptr<TargetAttempt>> RequestHandler::takeReplacement()
 {
-    auto replacement = m_replacement;
-    co_await replacement->waitUntilEnded();
-    m_replacement.reset();
+    std::unique_ptr<TargetAttempt> attempt;
+    while (!attempt && !m_replacements.empty()) {
+        auto replacement = m_replacements.back();
+        co_await replacement->waitUntilEnded();
+        attempt = replacement->take();
+        std::erase(m_replacements, replacement);
+    }
     m_isSuperseded = false;
-    auto attempt = replacement->take();
     co_return attempt;
 }
 
 asio::awaitable<std::optional<RequestHandler::NextAttempt>> RequestHandler::nextAttempt()
 {
-    if (m_replacement) {
+    if (!m_replacements.empty()) {
         auto replacement = co_await takeReplacement();
         if (replacement) {
             NextAttempt next = std::move(replacement);
@@ -255,7 +258,7 @@
         if (outcome.finished)
             co_return;
         lastEnd = outcome.end;
-        bool isRetried = !m_isStopping && (m_replacement || mayRetry(lastEnd));
+        bool isRetried = !m_isStopping && (!m_replacements.empty() || mayRetry(lastEnd));
         m_log.attemptFailed(*current, outcome, isRetried);
         if (m_isStopping) {
             co_await respondForStop();
@@ -323,7 +326,7 @@
     // not be forwarded unless the target stated so explicitly.
     if ((isSuccess && !attempt.isSuccess()) || impliesNotExecuted(status))
         co_return attempt.failedAs(AttemptEnd::ErrorResponse, status);
-    if (isServerError(status) && (m_replacement || mayRetry(AttemptEnd::ErrorResponse)))
+    if (isServerError(status) && (!m_replacements.empty() || mayRetry(AttemptEnd::ErrorResponse)))
         co_return attempt.failedAs(AttemptEnd::ErrorResponse, status);
     // The caller has a part of an event stream; nothing else may follow.
     if (m_response.isStarted() && !attempt.isEventStream())
@@ -365,7 +368,8 @@
 
 bool RequestHandler::awaitPart()
 {
-    if (m_current->parts() > 0 && !m_isStopping)
+    m_current->awaitPart();
+    if (m_current->parts() > 0 && !m_isStopping && !m_current->exchange().isComplete())
         watchSilence();
     return !m_isStopping;
 }
@@ -373,8 +377,9 @@
 void RequestHandler::partReceived()
 {
     m_silence->disarm();
-    m_isSuperseded = false;
-    abandonReplacement();
+    if (std::exchange(m_isSuperseded, false))
+        m_current->goOn();
+    abandonReplacements();
     m_current->recordPart();
 }
 
@@ -390,48 +395,64 @@
     m_current->recordSilence();
     bool isReplaced = mayReplace();
     m_log.attemptSilent(*m_current, m_current->silenceLimit(), isReplaced ? "replace" : "wait");
-    if (!isReplaced)
-        return;
+    if (isReplaced)
+        startReplacement();
+}
+
+void RequestHandler::startReplacement()
+{
     m_request->traits.isInterrupted = false;
     auto lastEventId = m_response.isStarted() ? m_response.lastEventId() : std::nullopt;
     ReplacementAttempt::Observer& observer = *this;
-    m_replacement = std::make_shared<ReplacementAttempt>(m_request, observer, m_response.events(), lastEventId);
-    m_replacement->start();
+    m_replacements.push_back(std::make_shared<ReplacementAttempt>(m_request, observer, m_response.events(), lastEventId, m_response.isStarted()));
+    m_replacements.back()->start();
 }
 
 bool RequestHandler::mayReplace() const
 {
     bool canContinue = !m_response.isStarted() || (m_request->traits.route->kind == Fleet::RequestKind::Stream && m_response.canContinue());
     // Another target is no help if it takes as long as is left.
-    bool isInTime = m_request->timeLeft() > m_current->limits().typicalFirstPart;
+    auto limits = Dispatch::Queries::findSilenceLimits(m_context.dispatch, m_request->traits, m_request->now());
+    bool isInTime = m_request->timeLeft() > limits.typicalFirstPart;
     return canContinue && isInTime && mayRetry(AttemptEnd::TimedOut);
 }
 
-void RequestHandler::replacementEnded()
+void RequestHandler::replacementSilent(ReplacementAttempt& replacement)
 {
-    bool isReady = m_replacement->state() == ReplacementAttempt::State::Ready;
-    auto& refusal = m_replacement->refusal();
-    m_log.replacementEnded(isReady ? "ready" : refusal ? "refused"
-                                                       : "failed",
-        refusal ? Dispatch::refusalName(refusal->reason) : "");
-    // The first attempt has failed in the meantime; serve() waits for the replacement.
-    if (!m_current)
-        return;
-    if (isReady) {
-        m_isSuperseded = true;
-        m_current->cancel();
+    bool isLast = &replacement == m_replacements.back().get();
+    if (isLast && mayReplace())
+        startReplacement();
+}
+
+void RequestHandler::replacementEnded(ReplacementAttempt& replacement)
+{
+    bool isReady = replacement.state() == ReplacementAttempt::State::Ready;
+    auto& refusal = replacement.refusal();
+    auto result = isReady ? "ready" : refusal ? "refused"
+                                              : "failed";
+    m_log.replacementEnded(result, refusal ? Dispatch::refusalName(refusal->reason) : "");
+    if (!isReady) {
+        std::erase_if(m_replacements, [&](auto& other) { return other.get() == &replacement; });
+        if (m_current && m_replacements.empty())
+            watchSilence();
         return;
     }
-    m_replacement.reset();
-    watchSilence();
+    for (auto& other : m_replacements) {
+        if (other.get() != &replacement)
+            other->abandon();
+    }
+    // Without a current attempt, serve() waits for the replacement.
+    m_isSuperseded = m_current != nullptr;
+    if (m_current)
+        m_current->cancel();
 }
 
 void RequestHandler::endForStop()
 {
     m_isStopping = true;
     m_silence->stop();
-    if (m_replacement)
-        m_replacement->abandon();
+    for (auto& replacement : m_replacements)
+        replacement->abandon();
     if (m_waiter)
         m_waiter->cancel();
     if (m_current)
@@ -445,9 +466,9 @@
     m_response.abort();
 }
 
-void RequestHandler::abandonReplacement()
+void RequestHandler::abandonReplacements()
 {
-    if (auto replacement = std::exchange(m_replacement, nullptr))
+    for (auto& replacement : std::exchange(m_replacements, {}))
         replacement->abandon();
 }
 
--- a/Source/Proxy/RequestHandler.h
+++ b/Source/Proxy/RequestHandler.h
@@ -42,8 +42,8 @@
     void prepareTraits();
 
     boost::asio::awaitable<void> serve();
-    // The replacement of the last attempt if there is one, and otherwise an attempt at any target. Nothing if the replacement
-    // failed and no other attempt is allowed.
+    // The replacement of the last attempt if there is one, and otherwise an attempt at any target. Nothing if all
+    // replacements failed and no other attempt is allowed.
     boost::asio::awaitable<std::optional<NextAttempt>> nextAttempt();
     boost::asio::awaitable<std::unique_ptr<TargetAttempt>> takeReplacement();
     boost::asio::awaitable<std::optional<NextAttempt>> acquire();
@@ -61,13 +61,15 @@
     void partReceived() override;
 
     // ReplacementAttempt::Observer
-    void replacementEnded() override;
+    void replacementSilent(ReplacementAttempt&) override;
+    void replacementEnded(ReplacementAttempt&) override;
 
     void watchSilence();
     void targetSilent();
     // Whether a second target may run the request while the first one has it.
     bool mayReplace() const;
-    void abandonReplacement();
+    void startReplacement();
+    void abandonReplacements();
 
     boost::asio::awaitable<void> respondWithError(unsigned status, const char* code, std::optional<std::chrono::milliseconds> retryAfter = std::nullopt);
     // Responds to a request that the known configuration does not allow. If a newer configuration should be in force by
@@ -85,10 +87,11 @@
     RequestLog m_log;
     std::shared_ptr<SilenceTimer> m_silence;
     TargetAttempt* m_current = nullptr;
-    std::shared_ptr<ReplacementAttempt> m_replacement;
+    // Each was started because the one before it was silent too.
+    std::vector<std::shared_ptr<ReplacementAttempt>> m_replacements;
     // While the request waits for a target.
     std::shared_ptr<LeaseWaiter> m_waiter;
-    // The replacement of the current attempt is ready, so the attempt was ended.
+    // A replacement of the current attempt is ready, so the attempt was ended.
     bool m_isSuperseded = false;
     // The process stops, so there are no other attempts.
     bool m_isStopping = false;
--- a/Source/Proxy/TargetAttempt.cpp
+++ b/Source/Proxy/TargetAttempt.cpp
@@ -30,7 +30,7 @@
 TargetAttempt::TargetAttempt(std::shared_ptr<ProxyRequest> request, Dispatch::Lease lease)
     : m_request(std::move(request))
     , m_lease(std::move(lease))
-    , m_limits(Dispatch::Queries::findSilenceLimits(m_request->context.dispatch, m_request->traits))
+    , m_limits(Dispatch::Queries::findSilenceLimits(m_request->context.dispatch, m_request->traits, m_request->now()))
     , m_exchange(m_request->context, m_request->worker, *m_request->disconnectMonitor, *m_lease.target, m_request->head.requestId)
 {
     // A target is tried once, also while an attempt at it goes on.
@@ -139,7 +139,7 @@
     if (m_parts == 1)
         Dispatch::Commands::recordFirstPart(dispatch, service, targetId(), m_lease.assignedAt, m_sentAt, now);
     else
-        m_longestPause = std::max(m_longestPause, now - m_lastHeardAt);
+        m_longestPause = std::max(m_longestPause, now - m_awaitedSince);
     if (std::exchange(m_isSilent, false))
         Dispatch::Commands::recordEndOfSilence(dispatch, service, targetId());
     if (m_parts == partsOfSoundPrompt)
--- a/Source/Proxy/TargetAttempt.h
+++ b/Source/Proxy/TargetAttempt.h
@@ -27,15 +27,15 @@
 };
 
 // One attempt of a request at a target, with its lease. Records in the request that it was made, and in Dispatch what its
-// target says of itself and how fast it responds. Used on one event loop.
+// target says of itself and how fast it responds. Used on one event loop. The lease has to be released explicitly: attempts
+// that are in progress when a router ends are destroyed with the event loops, after the dispatch state.
 class TargetAttempt {
 public:
     using Failure = TargetExchange::Failure;
 
     TargetAttempt(std::shared_ptr<ProxyRequest>, Dispatch::Lease);
-    // Releases the lease as that of an abandoned attempt, unless that has been done.
+    // Releases the lease as that of an abandoned attempt, unless that has been done or the event loop has stopped.
     ~TargetAttempt();
-
     TargetAttempt(const TargetAttempt&) = delete;
     TargetAttempt& operator=(const TargetAttempt&) = delete;
 
@@ -56,8 +56,13 @@
     // Whether the target states that it did not run the request. Such an attempt does not count as a run.
     bool isNotExecuted() const;
 
-    // Ends the pending operation of the attempt.
+    // Ends the pending operation of the attempt, and those that follow.
     void cancel();
+    // Takes that back.
+    void goOn() { m_exchange.goOn(); }
+
+    // The next part of the response is awaited from now on.
+    void awaitPart() { m_awaitedSince = m_request->now(); }
 
     // Counts a part of the response. Once the target goes on to write, the prompt cannot have crashed it.
     void recordPart();
@@ -68,6 +73,9 @@
     // Releases the lease, and records what the outcome says of the target and of the parts of the prompt.
     void release(const AttemptOutcome&);
 
+    // Releases the lease of an attempt whose response is not needed.
+    void abandon() { release({ true, Dispatch::Queries::AttemptEnd::Broken, Dispatch::Commands::AttemptResult::Abandoned }); }
+
     // What the failure of the attempt says of its target.
     AttemptOutcome failedAs(Dispatch::Queries::AttemptEnd, unsigned status = 0) const;
 
@@ -105,6 +113,8 @@
     unsigned m_parts = 0;
     Base::TimePoint m_sentAt {};
     Base::TimePoint m_lastHeardAt {};
+    // The caller has read the earlier parts by then, so the time until the next one is the target's.
+    Base::TimePoint m_awaitedSince {};
     Base::Duration m_longestPause { 0 };
 };
 
--- a/Source/Proxy/TargetExchange.cpp
+++ b/Source/Proxy/TargetExchange.cpp
@@ -101,7 +101,7 @@
             co_return failure;
     }
     // The VM may have been suspended since the target was chosen.
-    if (m_context.clock.now() >= until)
+    if (m_isCancelled || m_context.clock.now() >= until)
         co_return AttemptEnd::NotSent;
     cancelOnDisconnect();
     auto serializedHead = Http::serializeRequestHead(head, body.size());
@@ -116,6 +116,8 @@
 
 asio::awaitable<TargetExchange::Failure> TargetExchange::readOneHead(bool isHeadRequest, Base::TimePoint until)
 {
+    if (m_isCancelled)
+        co_return AttemptEnd::Broken;
     m_parser.emplace();
     m_parser->header_limit(maximumHeadBytes);
     m_parser->body_limit(maximumResponseBytes);
@@ -168,6 +170,8 @@
 {
     if (isComplete())
         co_return std::nullopt;
+    if (m_isCancelled)
+        co_return AttemptEnd::Broken;
     auto start = bytes.size();
     bytes.resize(start + readBytes);
     auto& body = m_parser->get().body();
@@ -201,6 +205,7 @@
 
 void TargetExchange::cancel()
 {
+    m_isCancelled = true;
     if (m_connection)
         m_connection->stream.cancel();
 }
--- a/Source/Proxy/TargetExchange.h
+++ b/Source/Proxy/TargetExchange.h
@@ -48,8 +48,10 @@
 
     bool isComplete() const { return m_parser && m_parser->is_done(); }
 
-    // Ends the pending operation, which then fails.
+    // Ends the pending operation, which then fails, and lets later ones fail until goOn(). An operation whose result is
+    // already on its way succeeds.
     void cancel();
+    void goOn() { m_isCancelled = false; }
 
     // Returns the connection to the pool if the response was complete, and resets it otherwise.
     void releaseConnection();
@@ -73,6 +75,7 @@
     const Fleet::KnownTarget& m_target;
     std::string m_requestId;
     std::unique_ptr<TargetConnection> m_connection;
+    bool m_isCancelled = false;
     // A response on the connection may belong to an earlier request.
     bool m_mayReadOtherResponses = false;
     std::optional<Parser> m_parser;
--- a/Tests/Dispatch/SilenceTest.cpp
+++ b/Tests/Dispatch/SilenceTest.cpp
@@ -37,7 +37,7 @@
         return lease ? lease->target->entry.id : "";
     }
 
-    SilenceLimits limits() { return Queries::findSilenceLimits(*state, request("s")); }
+    SilenceLimits limits() { return Queries::findSilenceLimits(*state, request("s"), fleet.clock.now()); }
 };
 
 } // namespace
@@ -126,3 +126,31 @@
         isChosen = isChosen || test.chosenTarget() == "1";
     cr_assert(isChosen);
 }
+
+// Guards against limits that still follow a time of slow responses after hours without a request.
+Test(Silence, limitsForgetEarlierTimesWithoutFurtherResponses)
+{
+    TwoTargets test;
+    for (unsigned i = 0; i < 20; ++i)
+        test.respondAfter(10s);
+    test.fleet.clock.advance(1h);
+    cr_assert_eq(test.limits().firstPart.count(), Base::Duration(1200ms).count());
+    cr_assert_eq(test.limits().typicalFirstPart.count(), 0);
+}
+
+// Guards against a sound target that is passed over because of single silences that lie far apart.
+Test(Silence, silencesBetweenServedRequestsAreNotInARow)
+{
+    TwoTargets test;
+    for (unsigned i = 0; i < 6; ++i) {
+        Commands::recordSilence(*test.state, "s", "1", test.fleet.clock.now());
+        test.fleet.clock.advance(1h);
+        for (unsigned request = 0; request < 10; ++request)
+            test.release("s", "1", Commands::AttemptResult::Served);
+    }
+    Commands::recordSilence(*test.state, "s", "1", test.fleet.clock.now());
+    bool isChosen = false;
+    for (unsigned i = 0; i < 6; ++i)
+        isChosen = isChosen || test.chosenTarget() == "1";
+    cr_assert(isChosen);
+}
--- a/Tests/Proxy/PlannedStopTest.cpp
+++ b/Tests/Proxy/PlannedStopTest.cpp
@@ -24,6 +24,17 @@
     return TestRouter::readAll(socket);
 }
 
+// Waits until the buffers of a connection that is not read are full.
+void waitUntilNothingArrives(tcp::socket& socket)
+{
+    constexpr auto quietTime = 500ms;
+    size_t arrived = 0;
+    do {
+        arrived = socket.available();
+        std::this_thread::sleep_for(quietTime);
+    } while (arrived == 0 || socket.available() != arrived);
+}
+
 void waitForOpenRequests(TestRouter& router, size_t count)
 {
     while (router.context().openRequests != count)
@@ -93,8 +104,7 @@
     router.addTarget("1", target);
     boost::asio::io_context context;
     auto socket = router.send(context, "GET", "");
-    target.waitForRequests(1);
-    std::this_thread::sleep_for(100ms);
+    waitUntilNothingArrives(socket);
     router.server().endOpenRequests();
     std::this_thread::sleep_for(50ms);
     cr_expect_eq(router.context().openRequests.load(), 1);
