Bound how long a datagram waited before using the ages in it

Suspected, now shown: two tests deliver a datagram 2 s after it was sent.

Cause: a message said nothing of when it was sent, so that the ages in it counted from the arrival; mayHaveWaited() sees only stalls of the own process.

Change: a message bears the sender's monotonic clock and a time on the receiver's clock that had passed when it was sent, from the least difference between sending and arrival of the receiver's earlier messages (PeerClocks). That bounds the wait without synchronised clocks. The bound is added to the age of a sync, which errs towards too old. The age of a declaration is used only if the bound is at most 0.3 s: such times are relayed, and bounds added at each relay would add up without end. A router that has had no message of this process is answered at once. Load reports bear the 24 bytes and the declarations once a second to each router, so that most of them are no larger than before.

--- a/Source/Peering/PeeringCodec.cpp
+++ b/Source/Peering/PeeringCodec.cpp
@@ -6,6 +6,50 @@
 
 namespace protocol = lavenderloft::peering::v1;
 
+namespace {
+
+    void writeTimes(const MessageTimes& times, protocol::Heartbeat& encoded)
+    {
+        if (times.sentAt) {
+            encoded.set_sent_at_ms(static_cast<uint64_t>(times.sentAt->time.count()));
+            encoded.set_incarnation(times.sentAt->incarnation);
+        }
+        if (times.notSentBefore) {
+            encoded.set_not_sent_before_ms(static_cast<uint64_t>(times.notSentBefore->time.count()));
+            encoded.set_receiver_incarnation(times.notSentBefore->incarnation);
+        }
+    }
+
+    // No monotonic clock reads more; sums with larger times could overflow.
+    constexpr uint64_t maximumReadingMs = uint64_t(100) * 365 * 24 * 3600 * 1000;
+
+    std::optional<ClockReading> readingOf(uint32_t incarnation, uint64_t milliseconds)
+    {
+        if (milliseconds > maximumReadingMs)
+            return std::nullopt;
+        return ClockReading { incarnation, std::chrono::milliseconds(milliseconds) };
+    }
+
+    MessageTimes readTimes(const protocol::Heartbeat& encoded)
+    {
+        MessageTimes times;
+        if (encoded.has_sent_at_ms())
+            times.sentAt = readingOf(encoded.incarnation(), encoded.sent_at_ms());
+        if (encoded.has_not_sent_before_ms())
+            times.notSentBefore = readingOf(encoded.receiver_incarnation(), encoded.not_sent_before_ms());
+        return times;
+    }
+
+} // namespace
+
+// Of concatenated messages, the receiver sees one with the fields of both.
+std::string encodeTimes(const MessageTimes& times)
+{
+    protocol::Heartbeat encoded;
+    writeTimes(times, encoded);
+    return encoded.SerializeAsString();
+}
+
 std::string encodeMessage(const NodeMessage& message)
 {
     protocol::Heartbeat encoded;
@@ -62,6 +106,7 @@
         report->set_part(served.part);
         report->set_age_ms(static_cast<uint32_t>(served.age.count()));
     }
+    writeTimes(message.times, encoded);
     return encoded.SerializeAsString();
 }
 
@@ -97,6 +142,7 @@
         message.parts.crashes.push_back({ crash.part(), crash.target(), std::chrono::milliseconds(crash.age_ms()), crash.position() });
     for (auto& served : encoded.parts_served())
         message.parts.served.push_back({ served.part(), std::chrono::milliseconds(served.age_ms()) });
+    message.times = readTimes(encoded);
     return message;
 }
 
--- a/Source/Peering/PeeringCodec.h
+++ b/Source/Peering/PeeringCodec.h
@@ -3,6 +3,7 @@
 #include "Dispatch/CrashHistory.h"
 #include "Dispatch/PartEvidence.h"
 #include "Fleet/Publication.h"
+#include "Peering/PeerClocks.h"
 #include "Peering/PeerTable.h"
 
 #include <chrono>
@@ -55,6 +56,7 @@
     // Recent declarations of weights whose times the sender knows exactly.
     std::vector<Fleet::ObservedDeclaration> declarations;
     Dispatch::PartReports parts;
+    MessageTimes times {};
 };
 
 // A datagram must not be larger. With the most reports of each kind a message stays below it.
@@ -66,6 +68,10 @@
 
 std::string encodeMessage(const NodeMessage&);
 
+// Returns bytes that set the times of the encoded message to which they are appended, so that a message to many receivers
+// is encoded once.
+std::string encodeTimes(const MessageTimes&);
+
 // Returns nullopt unless the bytes are a valid message.
 std::optional<NodeMessage> decodeMessage(const std::string& bytes);
 
--- a/Source/Peering/PeeringNode.cpp
+++ b/Source/Peering/PeeringNode.cpp
@@ -11,7 +11,9 @@
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <random>
 #include <stdexcept>
+#include <utility>
 
 namespace Lavenderloft::Peering {
 
@@ -34,6 +36,10 @@
     constexpr int declarationRelayFactor = 2;
     // After a stall of the event loop, all datagrams that arrived meanwhile are handled within this time.
     constexpr std::chrono::milliseconds datagramWaitTime = 300ms;
+    // A datagram that may have waited for longer, on a link or at a node, gives no exact times.
+    constexpr std::chrono::milliseconds maximumExactWait = 300ms;
+    // Interval of the load reports to one router that bear times and declarations: the other reports stay small.
+    constexpr std::chrono::milliseconds timedLoadInterval = 1000ms;
 
     template <typename Report>
     void truncate(std::vector<Report>& reports, size_t maximum)
@@ -42,6 +48,11 @@
             reports.resize(maximum);
     }
 
+    uint32_t randomIncarnation()
+    {
+        return std::random_device()();
+    }
+
 } // namespace
 
 PeeringNode::PeeringNode(asio::io_context& context, const Fleet::NodeSettings& settings, PeerTable& peers, ItemMerger& merger, const Base::Clock& clock, const Base::StallMonitor& stalls, bool isRouter)
@@ -53,6 +64,7 @@
     , m_stalls(stalls)
     , m_isRouter(isRouter)
     , m_socket(context)
+    , m_incarnation(randomIncarnation())
     , m_items(context, settings, peers, merger, clock)
 {
     boost::system::error_code error;
@@ -114,24 +126,38 @@
         m_socket.send_to(asio::buffer(bytes), receiver, 0, error);
 }
 
+// Adds what the receiver needs to bound the time for which the message waits on its way.
+void PeeringNode::sendTimed(const std::string& address, const std::string& bytes)
+{
+    auto now = m_clock.now();
+    sendTo(address, bytes + encodeTimes({ PeerClocks::readingAt(now, m_incarnation), m_peerClocks.passedTime(address, now) }));
+}
+
+void PeeringNode::removeExpired()
+{
+    auto now = m_clock.now();
+    Commands::removeExpiredPeers(m_peers, now);
+    m_peerClocks.removeExpired(now);
+    std::erase_if(m_timedLoadSentAt, [&](auto& sent) { return now - sent.second > PeerTable::routerTimeout; });
+}
+
 asio::awaitable<void> PeeringNode::sendHeartbeats()
 {
     while (true) {
-        auto now = m_clock.now();
-        Commands::removeExpiredPeers(m_peers, now);
-        auto routers = Queries::liveRouters(m_peers, now);
+        removeExpired();
+        auto routers = Queries::liveRouters(m_peers, m_clock.now());
         auto message = describeSelf();
         addKnownRouters(message);
         auto bytes = encodeMessage(message);
         if (m_isRouter) {
             for (auto& router : nextHeartbeatReceivers(routers))
-                sendTo(router.address, bytes);
+                sendTimed(router.address, bytes);
         }
         // Seeds that are not among the live routers get every heartbeat, which also rejoins a partitioned fleet.
         for (auto& seed : m_settings.seedAddresses) {
             bool isKnown = std::any_of(routers.begin(), routers.end(), [&](auto& router) { return router.address == seed; });
             if (!isKnown && seed != m_settings.address)
-                sendTo(seed, bytes);
+                sendTimed(seed, bytes);
         }
         co_await Http::sleepFor(m_context, heartbeatInterval);
     }
@@ -146,14 +172,31 @@
     return receivers;
 }
 
+bool PeeringNode::isTimedLoadDue(const std::string& address)
+{
+    auto now = m_clock.now();
+    auto [sent, isFirst] = m_timedLoadSentAt.try_emplace(address, now);
+    if (!isFirst && now - sent->second < timedLoadInterval)
+        return false;
+    sent->second = now;
+    return true;
+}
+
 void PeeringNode::sendLoad(const EngineLoad& load, const std::vector<PeerRouter>& receivers, const std::map<std::string, unsigned>& grantsByRouter)
 {
     auto message = describeSelf();
     message.load = load;
+    auto declarations = std::exchange(message.declarations, {});
     for (auto& router : receivers) {
         auto granted = grantsByRouter.find(router.address);
         message.load->granted = granted == grantsByRouter.end() ? 0 : granted->second;
-        sendTo(router.address, encodeMessage(message));
+        if (!isTimedLoadDue(router.address)) {
+            sendTo(router.address, encodeMessage(message));
+            continue;
+        }
+        auto timed = message;
+        timed.declarations = declarations;
+        sendTimed(router.address, encodeMessage(timed));
     }
 }
 
@@ -171,9 +214,9 @@
     auto bytes = encodeMessage(describeSelf());
     auto split = Queries::splitByRegion(Queries::liveRouters(m_peers, m_clock.now()), m_settings);
     for (auto& router : split.own)
-        sendTo(router.address, bytes);
+        sendTimed(router.address, bytes);
     for (auto& router : Queries::nextInRotation(split.others, otherRegionsFanout, m_otherRegionsPosition))
-        sendTo(router.address, bytes);
+        sendTimed(router.address, bytes);
 }
 
 void PeeringNode::announceCrashes(const std::vector<Dispatch::CrashReport>& crashes, const Dispatch::PartReports& parts)
@@ -186,7 +229,7 @@
     truncate(message.parts.served, maximumPartsServedPerMessage);
     auto bytes = encodeMessage(message);
     for (auto& router : Queries::liveRouters(m_peers, m_clock.now()))
-        sendTo(router.address, bytes);
+        sendTimed(router.address, bytes);
 }
 
 bool PeeringNode::shouldFollowStore()
@@ -230,6 +273,36 @@
     return m_stalls.hasStalledSince(m_clock.now() - datagramWaitTime);
 }
 
+// Whether a message came so soon after it was sent that the ages in it count from its arrival. A router that has no message
+// of this node yet does not know, so its ages are not used.
+bool PeeringNode::isPrompt(const NodeMessage& message) const
+{
+    auto wait = PeerClocks::maximumWait(message.times, m_incarnation, m_clock.now());
+    return wait && *wait <= maximumExactWait && !mayHaveWaited();
+}
+
+// The time for which the message may have waited is added to its age, which errs towards an older sync.
+StoreSyncReport PeeringNode::syncReportOf(const NodeMessage& message)
+{
+    if (!message.storeAge)
+        return {};
+    auto now = m_clock.now();
+    auto wait = PeerClocks::maximumWait(message.times, m_incarnation, now);
+    if (wait && !mayHaveWaited())
+        return { now, now - *message.storeAge - *wait };
+    // The previous report stays valid until it expires.
+    auto known = m_peers.routers().find(message.sender);
+    return known ? known->storeSync : StoreSyncReport {};
+}
+
+// Answers a router that does not know this process yet, so that the ages in its next message can be used.
+void PeeringNode::introduceTo(const NodeMessage& message)
+{
+    bool isKnown = PeerClocks::maximumWait(message.times, m_incarnation, m_clock.now()).has_value();
+    if (m_isRouter && message.times.sentAt && !isKnown)
+        sendTimed(message.sender, encodeMessage(describeSelf()));
+}
+
 void PeeringNode::handleRouterMessage(const NodeMessage& message)
 {
     if (message.sender == m_settings.address)
@@ -240,28 +313,25 @@
     }
     logNewRouter(message.sender, message.dataCentre);
     auto now = m_clock.now();
-    PeerRouter router { message.sender, message.dataCentre, now, message.revision, message.demand };
-    if (message.storeAge && mayHaveWaited()) {
-        // The previous report stays valid until it expires.
-        if (auto known = m_peers.routers().find(message.sender))
-            router.storeSync = known->storeSync;
-    } else if (message.storeAge) {
-        router.storeSync = { now, now - *message.storeAge };
-        if (Fleet::Queries::knownRevision(m_merger.fleet()) >= message.revision)
-            m_merger.recordRelayedSync(router.storeSync.syncedAt, m_settings.regionOf(message.dataCentre) == m_settings.region);
-    }
+    PeerRouter router { message.sender, message.dataCentre, now, message.revision, message.demand, syncReportOf(message) };
+    bool isNewReport = router.storeSync.reportedAt == now;
+    if (isNewReport && Fleet::Queries::knownRevision(m_merger.fleet()) >= message.revision)
+        m_merger.recordRelayedSync(router.storeSync.syncedAt, m_settings.regionOf(message.dataCentre) == m_settings.region);
     Commands::recordRouter(m_peers, router);
+    introduceTo(message);
 }
 
 void PeeringNode::handleMessage(const NodeMessage& message)
 {
     auto now = m_clock.now();
+    if (message.times.sentAt)
+        m_peerClocks.recordArrival(message.sender, *message.times.sentAt, now);
     for (auto& router : message.routers) {
         logNewRouter(router.address, router.dataCentre);
         if (router.address != m_settings.address)
             Commands::recordGossip(m_peers, router.address, router.dataCentre, now - router.age);
     }
-    if (!message.declarations.empty() && !mayHaveWaited())
+    if (!message.declarations.empty() && isPrompt(message))
         m_merger.applyObserved(message.declarations, message.sender);
     auto ownRevision = Fleet::Queries::knownRevision(m_merger.fleet());
     if (message.isRouter) {
@@ -279,7 +349,7 @@
         return;
     auto reply = describeSelf();
     addKnownRouters(reply);
-    sendTo(message.sender, encodeMessage(reply));
+    sendTimed(message.sender, encodeMessage(reply));
 }
 
 // Items from another region are new to the routers of this one.
--- a/Source/Peering/PeeringNode.h
+++ b/Source/Peering/PeeringNode.h
@@ -4,6 +4,7 @@
 #include "Fleet/NodeSettings.h"
 #include "Peering/ItemExchange.h"
 #include "Peering/ItemMerger.h"
+#include "Peering/PeerClocks.h"
 #include "Peering/PeerTable.h"
 #include "Peering/PeeringCodec.h"
 #include "Peering/StoreTakeover.h"
@@ -84,8 +85,14 @@
     void announceFetched(const PeerRouter& source);
     bool followsStore() const;
     void sendTo(const std::string& address, const std::string& bytes);
+    void sendTimed(const std::string& address, const std::string& bytes);
+    bool isTimedLoadDue(const std::string& address);
+    bool isPrompt(const NodeMessage&) const;
+    void removeExpired();
     void logNewRouter(const std::string& address, const std::string& dataCentre);
     void handleRouterMessage(const NodeMessage&);
+    void introduceTo(const NodeMessage&);
+    StoreSyncReport syncReportOf(const NodeMessage&);
     bool mayHaveWaited() const;
 
     boost::asio::io_context& m_context;
@@ -96,6 +103,11 @@
     const Base::StallMonitor& m_stalls;
     const bool m_isRouter;
     boost::asio::ip::udp::socket m_socket;
+    PeerClocks m_peerClocks;
+    // Identifies this process to its peers.
+    const uint32_t m_incarnation;
+    // When each router was last sent a load report with the times of the message.
+    std::map<std::string, Base::TimePoint> m_timedLoadSentAt;
     ItemExchange m_items;
     StoreTakeover m_takeover;
     LoadHandler m_onLoad;
--- a/Tests/Peering/PeeringCodecTest.cpp
+++ b/Tests/Peering/PeeringCodecTest.cpp
@@ -23,7 +23,12 @@
     message.declarations = { { "m", 3, 70ms } };
     message.parts.crashes = { { 0xfedcba9876543211, "i-2", 60ms, 2 } };
     message.parts.served = { { 0xfedcba9876543212, 70ms } };
+    message.times = { ClockReading { 0xfedcba98, 5000000000ms }, ClockReading { 0xfedcba97, 6000000000ms } };
     auto decoded = decodeMessage(encodeMessage(message));
+    cr_assert_eq(decoded->times.sentAt->incarnation, 0xfedcba98);
+    cr_assert(decoded->times.sentAt->time == 5000000000ms);
+    cr_assert_eq(decoded->times.notSentBefore->incarnation, 0xfedcba97);
+    cr_assert(decoded->times.notSentBefore->time == 6000000000ms);
     cr_assert_eq(decoded->parts.crashes.front().part, 0xfedcba9876543211);
     cr_assert_eq(decoded->parts.crashes.front().target, "i-2");
     cr_assert_eq(decoded->parts.crashes.front().age.count(), 60);
@@ -52,6 +57,39 @@
     cr_assert(decoded->load->paused);
 }
 
+// Guards against a message to many receivers that bears the times of another one, or none.
+Test(PeeringCodec, appendedTimesBelongToTheMessage)
+{
+    NodeMessage message;
+    message.sender = "10.0.0.1";
+    message.revision = 7;
+    auto bytes = encodeMessage(message);
+    cr_assert_not(decodeMessage(bytes)->times.sentAt.has_value());
+    MessageTimes times { ClockReading { 1, 5000000000ms }, ClockReading { 2, 6000000000ms } };
+    auto appended = encodeTimes(times);
+    auto decoded = decodeMessage(bytes + appended);
+    cr_assert_eq(decoded->sender, "10.0.0.1");
+    cr_assert_eq(decoded->revision, 7);
+    cr_assert(decoded->times.sentAt->time == 5000000000ms);
+    cr_assert_eq(decoded->times.notSentBefore->incarnation, 2);
+    cr_log_info("bytes of the times: %zu", appended.size());
+    cr_assert_leq(appended.size(), 25);
+}
+
+// Guards against an overflow of sums with the times of a malformed message.
+Test(PeeringCodec, dropsImpossibleTimes)
+{
+    NodeMessage message;
+    message.sender = "10.0.0.1";
+    for (auto time : { std::chrono::milliseconds::max(), std::chrono::milliseconds(-1), std::chrono::milliseconds(101 * 8760h) }) {
+        message.times = { ClockReading { 1, time }, ClockReading { 2, time } };
+        auto decoded = decodeMessage(encodeMessage(message));
+        cr_assert(decoded.has_value());
+        cr_assert_not(decoded->times.sentAt.has_value());
+        cr_assert_not(decoded->times.notSentBefore.has_value());
+    }
+}
+
 // Guards against crash reports that do not fit into a datagram, which the receiver would cut and drop.
 Test(PeeringCodec, theMostReportsFitIntoADatagram)
 {
@@ -61,6 +99,7 @@
     message.isRouter = true;
     message.revision = UINT64_MAX;
     message.storeAge = 100000ms;
+    message.times = { ClockReading { UINT32_MAX, 99 * 8760h }, ClockReading { UINT32_MAX, 99 * 8760h } };
     auto empty = encodeMessage(message).size();
     const std::string target = "a-target-with-an-id-of-32-bytes-";
     message.parts.crashes.assign(maximumPartCrashesPerMessage, { UINT64_MAX, target, 600000ms, 31 });
--- a/Tests/Peering/PeeringNodeTest.cpp
+++ b/Tests/Peering/PeeringNodeTest.cpp
@@ -25,11 +25,26 @@
     Base::StallMonitor stalls { fleet.clock, tickInterval };
     udp::socket peerSocket { context, udp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0) };
     std::unique_ptr<PeeringNode> node;
+    // A reading of the node's clock that its peers have.
+    ClockReading nodeClock;
 
     TestNode()
     {
-        settings.address = "127.0.0.1";
-        settings.firstPeerPort = findFreePort();
+        start({ "127.0.0.1", findFreePort() }, {});
+        nodeClock = *exchangeWithAgent(agentMessage()).times.sentAt;
+    }
+
+    // A node that other nodes of the test talk to.
+    TestNode(const Http::Endpoint& endpoint, const std::string& seed)
+    {
+        start(endpoint, { seed });
+    }
+
+    void start(const Http::Endpoint& endpoint, std::vector<std::string> seeds)
+    {
+        settings.address = endpoint.host;
+        settings.firstPeerPort = endpoint.port;
+        settings.seedAddresses = std::move(seeds);
         fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
         fleet.clock.advance(2h);
         stalls.tick();
@@ -37,6 +52,26 @@
         node->start();
     }
 
+    static NodeMessage agentMessage()
+    {
+        NodeMessage message;
+        message.sender = "127.0.0.200";
+        return message;
+    }
+
+    // Returns the reply of the node to a message of an agent.
+    NodeMessage exchangeWithAgent(const NodeMessage& message)
+    {
+        udp::socket agent(context, udp::endpoint(boost::asio::ip::make_address(message.sender), settings.firstPeerPort));
+        agent.send_to(boost::asio::buffer(encodeMessage(message)), nodeEndpoint());
+        cr_assert(runUntil([&] { return agent.available() > 0; }));
+        std::string buffer(maximumMessageBytes, '\0');
+        buffer.resize(agent.receive(boost::asio::buffer(buffer)));
+        return *decodeMessage(buffer);
+    }
+
+    udp::endpoint nodeEndpoint() const { return { boost::asio::ip::make_address(settings.address), settings.firstPeerPort }; }
+
     uint16_t findFreePort()
     {
         return udp::socket(context, udp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)).local_endpoint().port();
@@ -52,11 +87,23 @@
         return condition();
     }
 
+    // The message as a peer sends it now that has had prompt messages of the node.
+    NodeMessage sentNow(NodeMessage message) const
+    {
+        message.times.notSentBefore = PeerClocks::readingAt(fleet.clock.now(), nodeClock.incarnation);
+        return message;
+    }
+
     // Sends the message and waits until the node knows the sender.
     void deliver(const NodeMessage& message)
     {
-        udp::endpoint receiver(boost::asio::ip::make_address(settings.address), settings.firstPeerPort);
-        peerSocket.send_to(boost::asio::buffer(encodeMessage(message)), receiver);
+        deliverLate(sentNow(message));
+    }
+
+    // Delivers a message that was sent earlier.
+    void deliverLate(const NodeMessage& message)
+    {
+        peerSocket.send_to(boost::asio::buffer(encodeMessage(message)), nodeEndpoint());
         cr_assert(runUntil([&] { return peers.routers().find(message.sender).has_value(); }));
     }
 
@@ -114,6 +161,118 @@
     cr_assert(test.peers.routers().find("127.0.0.10")->storeSync.reportedAt.has_value());
 }
 
+// Guards against outdated weights that look recent because a datagram waited on a narrow link: on kalamos-loans, day
+// draw-5010, a router took a declaration for 2.35 s younger than it was.
+Test(PeeringNode, trustsNoDeclarationAgeInADatagramThatWaitedOnALink)
+{
+    TestNode test;
+    test.fleet.apply({ "w", "2", 2, false, 1h, true });
+    auto message = messageFrom("127.0.0.8");
+    message.declarations = { { "m", 2, 1s } };
+    auto late = test.sentNow(message);
+    test.advanceWithTicks(2s);
+    test.deliverLate(late);
+    cr_expect(test.declared().publishedAtIsLowerBound);
+    cr_expect_leq(test.declared().publishedAt, test.fleet.clock.now() - 3s, "too young by %lld ms", static_cast<long long>((test.declared().publishedAt - test.fleet.clock.now() + 3s) / 1ms));
+    message.sender = "127.0.0.9";
+    test.deliver(message);
+    cr_expect_not(test.declared().publishedAtIsLowerBound);
+    cr_expect(test.declared().publishedAt == test.fleet.clock.now() - 1s);
+}
+
+// Guards against a configuration that looks recent because the report of the store follower waited on a narrow link.
+Test(PeeringNode, addsTheWaitOnALinkToTheAgeOfASync)
+{
+    TestNode test;
+    auto late = test.sentNow(messageFrom("127.0.0.8"));
+    test.advanceWithTicks(2s);
+    test.deliverLate(late);
+    cr_expect_eq(test.merger.maximumNewItemAge() / 1ms, 2000);
+    auto syncedAt = test.peers.routers().find("127.0.0.8")->storeSync.syncedAt;
+    cr_expect_eq((test.fleet.clock.now() - syncedAt) / 1ms, 2000);
+}
+
+// Guards against a first message of a router that counts as prompt because nothing is known of the link.
+Test(PeeringNode, trustsNoAgeFromARouterThatDoesNotKnowTheNode)
+{
+    TestNode test;
+    test.fleet.apply({ "w", "2", 2, false, 1h, true });
+    auto message = messageFrom("127.0.0.8");
+    message.declarations = { { "m", 2, 1s } };
+    test.deliverLate(message);
+    cr_expect(test.declared().publishedAtIsLowerBound);
+    cr_expect_not(test.peers.routers().find("127.0.0.8")->storeSync.reportedAt.has_value());
+    // The message was meant for an earlier process at the address.
+    message = test.sentNow(messageFrom("127.0.0.9"));
+    message.declarations = { { "m", 2, 1s } };
+    message.times.notSentBefore->incarnation ^= 1;
+    test.deliverLate(message);
+    cr_expect(test.declared().publishedAtIsLowerBound);
+    cr_expect_not(test.peers.routers().find("127.0.0.9")->storeSync.reportedAt.has_value());
+}
+
+// Guards against a router that starts and follows the store itself, because the reports of the follower can't be used until
+// the next heartbeat in rotation tells the follower its clock.
+Test(PeeringNode, introducesItselfToARouterThatDoesNotKnowIt)
+{
+    TestNode test;
+    auto message = messageFrom("127.0.0.8");
+    message.times.sentAt = ClockReading { 7, 500s };
+    udp::socket router(test.context, udp::endpoint(boost::asio::ip::make_address(message.sender), test.settings.firstPeerPort));
+    test.deliverLate(message);
+    cr_assert_gt(router.available(), 0);
+    std::string buffer(maximumMessageBytes, '\0');
+    buffer.resize(router.receive(boost::asio::buffer(buffer)));
+    auto answer = decodeMessage(buffer);
+    cr_expect_eq(answer->times.notSentBefore->incarnation, 7);
+    // A router that knows this process gets no answer.
+    message.sender = "127.0.0.9";
+    udp::socket informed(test.context, udp::endpoint(boost::asio::ip::make_address(message.sender), test.settings.firstPeerPort));
+    test.deliver(message);
+    cr_expect_eq(informed.available(), 0);
+}
+
+// Guards against nodes that never learn exact times from each other, although their messages are prompt.
+Test(PeeringNode, learnsExactTimesFromARouterWithAnotherClock)
+{
+    uint16_t port = TestNode().settings.firstPeerPort;
+    TestNode first({ "127.0.0.2", port }, "127.0.0.3");
+    TestNode second({ "127.0.0.3", port }, "127.0.0.2");
+    second.advanceWithTicks(10min);
+    first.fleet.apply({ "w", "2", 2, false, 1s, false });
+    second.fleet.apply({ "w", "2", 2, false, 1h, true });
+    first.node->setStoreSyncTimeProvider([&] { return first.fleet.clock.now() - 500ms; });
+    auto isExact = [&] {
+        first.context.run_for(10ms);
+        return !second.declared().publishedAtIsLowerBound;
+    };
+    cr_assert(second.runUntil(isExact));
+    cr_expect(second.declared().publishedAt == second.fleet.clock.now() - 1s);
+    auto report = second.peers.routers().find("127.0.0.2")->storeSync;
+    cr_expect(report.reportedAt.has_value());
+    cr_expect_eq((second.fleet.clock.now() - report.syncedAt) / 1ms, 500);
+}
+
+// Guards against peers that take the ages of this node's messages for uncertain, or for too recent, because the node told
+// them a wrong time of their clocks.
+Test(PeeringNode, tellsItsPeersTheTimeOnTheirClocks)
+{
+    TestNode test;
+    test.advanceWithTicks(2s);
+    auto message = TestNode::agentMessage();
+    message.times.sentAt = ClockReading { 7, 500s };
+    auto reply = test.exchangeWithAgent(message);
+    cr_assert(reply.times.notSentBefore.has_value());
+    cr_expect_eq(reply.times.notSentBefore->incarnation, 7);
+    cr_expect(reply.times.notSentBefore->time == 500s);
+    cr_expect_eq(reply.times.sentAt->incarnation, test.nodeClock.incarnation);
+    // This message waits for 3 s: the time on the agent's clock is known from the first.
+    test.advanceWithTicks(5s);
+    message.times.sentAt->time += 2s;
+    reply = test.exchangeWithAgent(message);
+    cr_expect(reply.times.notSentBefore->time == 505s);
+}
+
 // Guards against routers that all follow the store themselves whenever their event loops are late: a message that had
 // waited cancelled the earlier report of the store follower, which was still valid.
 Test(PeeringNode, keepsTheReportOfTheStoreFollowerDuringAShortStall)
