Grant no permits while a load order may still be accepted

Seen: found by reading, now shown. After a load order without a response the product's own agent granted permits again, and an engine that accepted the order afterwards aborted the requests.

Cause: recordOrderFailed, Repair, Adopt and dropOrders reset the upload, and with it the only trace of the order.

Change: the order's fencing token and the engine's incarnation are kept from before the order is sent until the engine's status tells: it names the token or a newer one, it loads the weights, or it has restarted. Until then the replica counts as switching and is reported as loading. An order that is no longer wanted is voided: the manifest of the wanted weights is sent with a newer token, every 2 s until the status shows it. An engine that reports no tokens does not tell; 30 s after the order it counts as lost. A refusal settles the order at once.

--- a/Source/Placement/Commands/RecordOrder.cpp
+++ b/Source/Placement/Commands/RecordOrder.cpp
@@ -1,5 +1,7 @@
 #include "Placement/Commands/RecordOrder.h"
 
+#include "Placement/Commands/SettleLoad.h"
+
 namespace Lavenderloft::Placement::Commands {
 
 namespace {
@@ -101,6 +103,8 @@
         return restart(record, ReplicaEvent::Failed, order.reason);
     case OrderKind::Retry:
         return restart(record, ReplicaEvent::Retried, record.reason);
+    case OrderKind::VoidLoad:
+        return recordVoidSent(record, observation.now);
     }
 }
 
--- a/Source/Placement/Queries/NextOrder.cpp
+++ b/Source/Placement/Queries/NextOrder.cpp
@@ -1,5 +1,7 @@
 #include "Placement/Queries/NextOrder.h"
 
+#include "Placement/Queries/UnsettledLoad.h"
+
 #include <algorithm>
 
 namespace Lavenderloft::Placement::Queries {
@@ -67,29 +69,37 @@
         return makeOrder(OrderKind::SendLoad);
     }
 
+    Order nextStep(const ReplicaRecord& record, const Observation& observation)
+    {
+        auto phase = record.state.phase();
+        if (!observation.desired)
+            return makeOrder(phase != ReplicaPhase::Idle && observation.mayRelease ? OrderKind::Release : OrderKind::None);
+        if (phase == ReplicaPhase::Idle || record.wanted != *observation.desired)
+            return makeOrder(OrderKind::Adopt);
+        if (phase == ReplicaPhase::Failed)
+            return makeOrder(observation.now >= record.retryAt ? OrderKind::Retry : OrderKind::None);
+        if (!observation.engine)
+            return phase == ReplicaPhase::Fetching ? whileFetching(observation) : Order {};
+        bool isServed = observation.engine->serves(record.wanted.manifest);
+        if (phase == ReplicaPhase::Ready)
+            return isServed ? Order {} : makeOrder(OrderKind::Repair, "the engine no longer serves the weights");
+        if (isServed)
+            return makeOrder(OrderKind::Confirm);
+        if (phase == ReplicaPhase::Fetching)
+            return whileFetching(observation);
+        if (phase == ReplicaPhase::Waiting)
+            return whileWaiting(observation);
+        return whileLoading(record, observation);
+    }
+
 } // namespace
 
 Order nextOrder(const ReplicaRecord& record, const Observation& observation)
 {
-    auto phase = record.state.phase();
-    if (!observation.desired)
-        return makeOrder(phase != ReplicaPhase::Idle && observation.mayRelease ? OrderKind::Release : OrderKind::None);
-    if (phase == ReplicaPhase::Idle || record.wanted != *observation.desired)
-        return makeOrder(OrderKind::Adopt);
-    if (phase == ReplicaPhase::Failed)
-        return makeOrder(observation.now >= record.retryAt ? OrderKind::Retry : OrderKind::None);
-    if (!observation.engine)
-        return phase == ReplicaPhase::Fetching ? whileFetching(observation) : Order {};
-    bool isServed = observation.engine->serves(record.wanted.manifest);
-    if (phase == ReplicaPhase::Ready)
-        return isServed ? Order {} : makeOrder(OrderKind::Repair, "the engine no longer serves the weights");
-    if (isServed)
-        return makeOrder(OrderKind::Confirm);
-    if (phase == ReplicaPhase::Fetching)
-        return whileFetching(observation);
-    if (phase == ReplicaPhase::Waiting)
-        return whileWaiting(observation);
-    return whileLoading(record, observation);
+    auto order = nextStep(record, observation);
+    if (order.kind == OrderKind::None && isVoidDue(record, observation))
+        return makeOrder(OrderKind::VoidLoad, "the effect of a load order is not known");
+    return order;
 }
 
 uint64_t nextFence(const ReplicaRecord& record, const EngineStatus& engine, Base::WallTime now)
--- a/Source/Placement/Queries/NextOrder.h
+++ b/Source/Placement/Queries/NextOrder.h
@@ -43,6 +43,8 @@
     Repair,
     Fail,
     Retry,
+    // Void a load order whose effect is not known.
+    VoidLoad,
 };
 
 struct Order {
--- a/Source/Placement/Queries/ServedPool.cpp
+++ b/Source/Placement/Queries/ServedPool.cpp
@@ -38,7 +38,8 @@
         }
         if (record.wanted.manifest != replica.servingDigest)
             replica.wantedDigest = record.wanted.manifest;
-        replica.phase = record.state.phase();
+        // A replica that grants no permits does not count as serving.
+        replica.phase = record.unsettledLoad ? ReplicaPhase::Loading : record.state.phase();
         replica.chunksHeld = progress.chunksHeld;
         replica.chunksTotal = progress.chunksTotal;
         replica.reason = record.reason.empty() ? progress.reason : record.reason;
@@ -73,7 +74,8 @@
 
 bool isSwitching(const ReplicaRecord& record)
 {
-    return record.state.phase() == ReplicaPhase::Loading && record.upload.hasStarted;
+    bool isUploading = record.state.phase() == ReplicaPhase::Loading && record.upload.hasStarted;
+    return isUploading || record.unsettledLoad;
 }
 
 std::vector<Replica> reportedReplicas(const ReplicaRecord& record, const ServedWeights& served, const Weights::TransferProgress& progress, const std::vector<DeclaredAdapter>& adapters)
--- a/Source/Placement/Queries/ServedPool.h
+++ b/Source/Placement/Queries/ServedPool.h
@@ -23,7 +23,7 @@
 
 ServedWeights servedPool(const ReplicaRecord&, const std::optional<EngineStatus>&);
 
-// Whether no permits may be granted because the engine is about to load other weights.
+// Whether no permits may be granted because the engine is about to load other weights, or may be.
 bool isSwitching(const ReplicaRecord&);
 
 // The replicas to report: the weights being served and those to be served. The reported reason is that of the
--- a/Source/Placement/ReplicaRecord.h
+++ b/Source/Placement/ReplicaRecord.h
@@ -44,11 +44,25 @@
     std::optional<Base::TimePoint> loadOrderedAt;
 };
 
+// A load order whose effect on the engine is not known. Until it is, the engine may accept the order and abort its
+// requests.
+struct UnsettledLoad {
+    std::string manifest;
+    uint64_t fence = 0;
+    // Incarnation of the engine to which the order was sent.
+    uint64_t engineIncarnation = 0;
+    Base::TimePoint sentAt;
+    // When to send the next order that voids this one.
+    Base::TimePoint voidAt;
+};
+
 // The agent's state of the replica on its VM. Not thread-safe.
 struct ReplicaRecord {
     ReplicaState state;
     DesiredReplica wanted;
     EngineUpload upload;
+    // The last load order, which may concern weights that are no longer wanted.
+    std::optional<UnsettledLoad> unsettledLoad;
     AdapterState adapters;
     Base::TimePoint claimedAt;
     Base::TimePoint retryAt;
--- a/Source/Process/ReplicaDriver.cpp
+++ b/Source/Process/ReplicaDriver.cpp
@@ -4,6 +4,7 @@
 #include "Observability/Log.h"
 #include "Placement/Commands/RecordAdapterOrder.h"
 #include "Placement/Commands/RecordOrder.h"
+#include "Placement/Commands/SettleLoad.h"
 #include "Placement/Events.h"
 #include "Placement/Queries/DesiredWeights.h"
 #include "Placement/Queries/ServedPool.h"
@@ -23,7 +24,7 @@
     {
         static constexpr std::array names {
             "none", "adopt", "release", "mark-fetched", "claim", "withdraw", "begin-upload", "send-manifest",
-            "send-chunk", "send-load", "confirm", "repair", "fail", "retry"
+            "send-chunk", "send-load", "confirm", "repair", "fail", "retry", "void-load"
         };
         return names.at(static_cast<size_t>(kind));
     }
@@ -100,6 +101,8 @@
 {
     std::lock_guard guard(m_lock);
     m_engine = status;
+    if (status)
+        Placement::Commands::recordEngineStatus(m_record, *status, m_dependencies.clock.now());
     updateAgentState();
     return Placement::Queries::servedPool(m_record, m_engine);
 }
@@ -163,7 +166,7 @@
 
 bool ReplicaDriver::isForEngine(const Order& order)
 {
-    return order.kind == OrderKind::SendManifest || order.kind == OrderKind::SendChunk || order.kind == OrderKind::SendLoad;
+    return order.kind == OrderKind::SendManifest || order.kind == OrderKind::SendChunk || order.kind == OrderKind::SendLoad || order.kind == OrderKind::VoidLoad;
 }
 
 bool ReplicaDriver::maySendOrders() const
@@ -196,17 +199,21 @@
     return true;
 }
 
+uint64_t ReplicaDriver::takeFence(const Placement::EngineStatus& engine)
+{
+    m_record.lastFence = Placement::Queries::nextFence(m_record, engine, m_dependencies.clock.wallTime());
+    return m_record.lastFence;
+}
+
 template <typename Send>
-std::optional<ReplicaDriver::EngineResult> ReplicaDriver::sendUnlocked(std::unique_lock<std::mutex>& guard, const Placement::EngineStatus& engine, Send&& send)
+std::optional<ReplicaDriver::EngineResult> ReplicaDriver::sendUnlocked(std::unique_lock<std::mutex>& guard, Send&& send)
 {
-    auto fence = Placement::Queries::nextFence(m_record, engine, m_dependencies.clock.wallTime());
-    m_record.lastFence = fence;
     auto generation = m_generation;
     guard.unlock();
     std::optional<EngineResult> result;
     // The process may have been paused since the order was decided.
     if (maySendOrders())
-        result = std::forward<Send>(send)(fence);
+        result = std::forward<Send>(send)();
     guard.lock();
     if (generation != m_generation)
         return std::nullopt;
@@ -214,15 +221,53 @@
 }
 
 void ReplicaDriver::execute(std::unique_lock<std::mutex>& guard, const Order& order, const Observation& observation)
+{
+    if (order.kind == OrderKind::SendLoad)
+        return executeLoad(guard, order, observation);
+    if (order.kind == OrderKind::VoidLoad)
+        return executeVoid(guard, order, observation);
+    auto manifest = m_record.wanted.manifest;
+    auto fence = takeFence(*observation.engine);
+    auto result = sendUnlocked(guard, [&] { return send(order, manifest, fence); });
+    if (result)
+        recordResult(order, observation, *result);
+}
+
+// The order is recorded before it is sent, because a pause of the process may hide its result.
+void ReplicaDriver::executeLoad(std::unique_lock<std::mutex>& guard, const Order& order, const Observation& observation)
 {
     auto manifest = m_record.wanted.manifest;
-    auto result = sendUnlocked(guard, *observation.engine, [&](uint64_t fence) { return send(order, manifest, fence); });
+    auto fence = takeFence(*observation.engine);
+    auto previous = m_record.unsettledLoad;
+    Placement::Commands::recordLoadSent(m_record, *observation.engine, fence, observation.now);
+    bool isSent = false;
+    auto result = sendUnlocked(guard, [&] {
+        isSent = true;
+        return m_dependencies.engine.load(manifest, fence);
+    });
+    if (!isSent)
+        m_record.unsettledLoad = previous;
     if (!result)
         return;
-    if (Base::succeeded(*result))
+    Placement::Commands::recordLoadResult(m_record, *result);
+    recordResult(order, observation, *result);
+}
+
+// The result does not matter: the engine's status tells whether the fencing token has arrived.
+void ReplicaDriver::executeVoid(std::unique_lock<std::mutex>& guard, const Order& order, const Observation& observation)
+{
+    auto manifest = m_record.wanted.manifest;
+    auto fence = takeFence(*observation.engine);
+    Placement::Commands::recordOrderExecuted(m_record, order, observation);
+    sendUnlocked(guard, [&] { return sendManifest(manifest, fence); });
+}
+
+void ReplicaDriver::recordResult(const Order& order, const Observation& observation, const EngineResult& result)
+{
+    if (Base::succeeded(result))
         return Placement::Commands::recordOrderExecuted(m_record, order, observation);
-    auto reason = Base::errorOf(*result).describe();
-    Observability::logEvent(Placement::orderRefused, { { "order", orderName(order.kind) }, { "manifest", manifest }, { "reason", reason } });
+    auto reason = Base::errorOf(result).describe();
+    Observability::logEvent(Placement::orderRefused, { { "order", orderName(order.kind) }, { "manifest", m_record.wanted.manifest }, { "reason", reason } });
     Placement::Commands::recordOrderFailed(m_record, reason, m_dependencies.clock.now());
 }
 
@@ -240,8 +285,6 @@
 
 ReplicaDriver::EngineResult ReplicaDriver::send(const Order& order, const std::string& manifest, uint64_t fence)
 {
-    if (order.kind == OrderKind::SendLoad)
-        return m_dependencies.engine.load(manifest, fence);
     if (order.kind == OrderKind::SendManifest)
         return sendManifest(manifest, fence);
     return sendChunk(manifest, order.chunk, fence);
@@ -299,7 +342,8 @@
 
 void ReplicaDriver::execute(std::unique_lock<std::mutex>& guard, const AdapterOrder& order, const AdapterObservation& observation)
 {
-    auto result = sendUnlocked(guard, *observation.engine, [&](uint64_t fence) { return send(order, fence); });
+    auto fence = takeFence(*observation.engine);
+    auto result = sendUnlocked(guard, [&] { return send(order, fence); });
     if (!result)
         return;
     if (Base::succeeded(*result))
--- a/Source/Process/ReplicaDriver.h
+++ b/Source/Process/ReplicaDriver.h
@@ -69,10 +69,16 @@
     EngineResult send(const Order&, const std::string& manifest, uint64_t fence);
     EngineResult sendManifest(const std::string& digest, uint64_t fence);
     EngineResult sendChunk(const std::string& digest, unsigned index, uint64_t fence);
+    // Returns the fencing token of the next order.
+    uint64_t takeFence(const Placement::EngineStatus&);
     // Releases the lock while an order is sent. Returns nothing if it was not sent or orders were dropped meanwhile.
     template <typename Send>
-    std::optional<EngineResult> sendUnlocked(std::unique_lock<std::mutex>&, const Placement::EngineStatus&, Send&&);
+    std::optional<EngineResult> sendUnlocked(std::unique_lock<std::mutex>&, Send&&);
     void execute(std::unique_lock<std::mutex>&, const Order&, const Observation&);
+    void executeLoad(std::unique_lock<std::mutex>&, const Order&, const Observation&);
+    // Sends the manifest of the wanted weights for its fencing token only.
+    void executeVoid(std::unique_lock<std::mutex>&, const Order&, const Observation&);
+    void recordResult(const Order&, const Observation&, const EngineResult&);
 
     // Executes one order for an adapter if there is none for the base model; returns false if there is none.
     bool stepAdapter(std::unique_lock<std::mutex>&, const Observation&);
--- a/Tests/Placement/ReconcileTest.cpp
+++ b/Tests/Placement/ReconcileTest.cpp
@@ -1,4 +1,5 @@
 #include "Placement/Commands/RecordOrder.h"
+#include "Placement/Commands/SettleLoad.h"
 #include "Placement/Queries/DesiredWeights.h"
 #include "Placement/Queries/ServedPool.h"
 
@@ -66,6 +67,27 @@
         cr_assert(phase() == ReplicaPhase::Ready);
     }
 
+    // Brings an engine that serves v1 to the load order for v2.
+    void orderLoadOfSuccessor()
+    {
+        becomeReady();
+        record.poolOfManifest = { { "v1", "assistant" }, { "v2", "assistant" } };
+        observation.desired->manifest = "v2";
+        runUntilIdle();
+        clock.advance(claimSettleTime);
+        while (next().kind != OrderKind::SendLoad)
+            Commands::recordOrderExecuted(record, next(), observation);
+        sendLoad();
+    }
+
+    void sendLoad()
+    {
+        cr_assert_eq(next().kind, OrderKind::SendLoad);
+        Commands::recordLoadSent(record, *observation.engine, Queries::nextFence(record, *observation.engine, clock.wallTime()), clock.now());
+    }
+
+    bool grantsPermits() const { return !Queries::isSwitching(record) && !Queries::servedPool(record, observation.engine).pool.empty(); }
+
     ReplicaPhase phase() const { return record.state.phase(); }
 
     Base::ManualClock clock;
@@ -178,6 +200,115 @@
     cr_assert(replica.next().kind == OrderKind::Retry);
 }
 
+// Guards against requests that the engine aborts because it accepts a load order late: after an order without a response
+// the agent granted permits again while the engine still reported the old weights.
+Test(Reconcile, grantsNoPermitsAfterALoadOrderWithoutAResponse)
+{
+    ReplicaFixture replica;
+    replica.orderLoadOfSuccessor();
+    Commands::recordOrderFailed(replica.record, "the engine does not respond", replica.clock.now());
+    cr_expect_not(replica.grantsPermits(), "after the order");
+    replica.clock.advance(retryDelay);
+    replica.runUntilIdle();
+    cr_expect_not(replica.grantsPermits(), "after the retry");
+}
+
+// Guards against the same when the former version is wanted again.
+Test(Reconcile, grantsNoPermitsWhenTheOrderedWeightsAreNoLongerWanted)
+{
+    ReplicaFixture replica;
+    replica.orderLoadOfSuccessor();
+    Commands::recordOrderFailed(replica.record, "the engine does not respond", replica.clock.now());
+    replica.observation.desired->manifest = "v1";
+    replica.runUntilIdle();
+    cr_expect_not(replica.grantsPermits());
+}
+
+// Guards against the same after a pause of the process, which drops the order while it is sent.
+Test(Reconcile, grantsNoPermitsAfterAPauseDuringALoadOrder)
+{
+    ReplicaFixture replica;
+    replica.orderLoadOfSuccessor();
+    Commands::dropOrders(replica.record);
+    cr_expect_not(replica.grantsPermits());
+}
+
+// Guards against an agent that never grants permits again, or too early, because it misreads the status of the engine.
+Test(Reconcile, grantsPermitsWhenTheStatusTellsTheEffectOfALoadOrder)
+{
+    auto orderWithoutResponse = [](ReplicaFixture& replica) {
+        replica.orderLoadOfSuccessor();
+        Commands::recordOrderFailed(replica.record, "the engine does not respond", replica.clock.now());
+        replica.observation.desired->manifest = "v1";
+        replica.runUntilIdle();
+    };
+    auto recordStatus = [](ReplicaFixture& replica) { Commands::recordEngineStatus(replica.record, *replica.observation.engine, replica.clock.now()); };
+    ReplicaFixture arrived;
+    orderWithoutResponse(arrived);
+    auto fence = arrived.record.unsettledLoad->fence;
+    arrived.observation.engine->checksFence = true;
+    arrived.observation.engine->highestFence = fence - 1;
+    arrived.clock.advance(1h);
+    recordStatus(arrived);
+    cr_expect_not(arrived.grantsPermits(), "the order has not arrived");
+    arrived.observation.engine->highestFence = fence;
+    recordStatus(arrived);
+    cr_expect(arrived.grantsPermits(), "the order has arrived without effect");
+    ReplicaFixture restarted;
+    orderWithoutResponse(restarted);
+    restarted.observation.engine->incarnation = 2;
+    recordStatus(restarted);
+    cr_expect(restarted.grantsPermits(), "the engine has restarted");
+    // An engine that reports no fencing tokens.
+    ReplicaFixture unfenced;
+    orderWithoutResponse(unfenced);
+    unfenced.clock.advance(29s);
+    recordStatus(unfenced);
+    cr_expect_not(unfenced.grantsPermits());
+    unfenced.clock.advance(1s);
+    recordStatus(unfenced);
+    cr_expect(unfenced.grantsPermits());
+    ReplicaFixture refused;
+    refused.orderLoadOfSuccessor();
+    Commands::recordLoadResult(refused.record, EngineError { EngineErrorKind::Unreachable, "no response", "" });
+    cr_expect(refused.record.unsettledLoad.has_value());
+    Commands::recordLoadResult(refused.record, EngineError { EngineErrorKind::Refused, "refused", "" });
+    cr_expect_not(refused.record.unsettledLoad.has_value());
+}
+
+// Guards against a replica without permits for ever because the load order was lost, and against voiding an order whose
+// effect is still wanted.
+Test(Reconcile, voidsALoadOrderThatIsNoLongerWanted)
+{
+    ReplicaFixture replica;
+    replica.observation.engine->checksFence = true;
+    replica.orderLoadOfSuccessor();
+    Commands::recordOrderExecuted(replica.record, replica.next(), replica.observation);
+    cr_expect(replica.next().kind == OrderKind::None, "the order is under way");
+    replica.observation.desired->manifest = "v1";
+    std::vector expected { OrderKind::Adopt, OrderKind::Confirm, OrderKind::VoidLoad };
+    cr_expect(replica.runUntilIdle() == expected);
+    replica.clock.advance(retryDelay);
+    cr_expect(replica.runUntilIdle() == std::vector { OrderKind::VoidLoad });
+    replica.observation.engine->highestFence = replica.record.unsettledLoad->fence + 1;
+    Commands::recordEngineStatus(replica.record, *replica.observation.engine, replica.clock.now());
+    replica.clock.advance(retryDelay);
+    cr_expect(replica.runUntilIdle().empty());
+    cr_expect(replica.grantsPermits());
+}
+
+// Guards against other replicas that switch although this one grants no permits.
+Test(Reconcile, reportsAnUnsettledLoadAsLoading)
+{
+    ReplicaFixture replica;
+    replica.orderLoadOfSuccessor();
+    Commands::recordOrderFailed(replica.record, "the engine does not respond", replica.clock.now());
+    auto served = Queries::servedPool(replica.record, replica.observation.engine);
+    auto reported = Queries::reportedReplicas(replica.record, served, replica.observation.progress, {});
+    cr_expect_eq(reported.front().servingDigest, "v1");
+    cr_expect(reported.front().phase == ReplicaPhase::Loading);
+}
+
 // Guards against a transfer that continues after its version was withdrawn or replaced.
 Test(Reconcile, followsTheDocumentImmediately)
 {
--- a/Tests/Transport/AgentProcessTest.cpp
+++ b/Tests/Transport/AgentProcessTest.cpp
@@ -274,3 +274,18 @@
     fixture.engine->holdStatus(false);
     waiting.join();
 }
+
+// Guards against requests that the engine aborts because it accepts a load order late: the response was lost, the former
+// version is wanted again, and the agent serves it.
+Test(AgentProcess, servesNothingWhileALoadOrderMayStillArrive)
+{
+    AgentFixture fixture;
+    fixture.waitUntilServing("v1");
+    fixture.engine->delayNextLoad();
+    fixture.control.setDocument(AgentFixture::makeDocument("v2"));
+    fixture.isClockRunning = true;
+    fixture.engine->waitForDelayedLoad();
+    fixture.control.setDocument(AgentFixture::makeDocument("v1"));
+    fixture.waitUntilServing("v1");
+    cr_assert_not(fixture.engine->deliverDelayedLoad());
+}
--- a/Tests/Transport/FakeEngine.h
+++ b/Tests/Transport/FakeEngine.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -76,6 +77,29 @@
         m_changed.notify_all();
     }
 
+    // Keeps the next load order back and closes its connection without a response.
+    void delayNextLoad()
+    {
+        std::lock_guard guard(m_lock);
+        m_isNextLoadDelayed = true;
+    }
+
+    void waitForDelayedLoad()
+    {
+        std::unique_lock guard(m_lock);
+        m_changed.wait(guard, [&] { return m_delayedLoad.has_value(); });
+    }
+
+    // Delivers the load order that was kept back; returns whether the engine accepts it.
+    bool deliverDelayedLoad()
+    {
+        std::lock_guard guard(m_lock);
+        if (!acceptFence(m_delayedLoad->fence))
+            return false;
+        m_digest = m_delayedLoad->digest;
+        return true;
+    }
+
     void waitForRequests(unsigned count)
     {
         std::unique_lock guard(m_lock);
@@ -107,6 +131,11 @@
     }
 
 private:
+    struct LoadOrder {
+        uint64_t fence = 0;
+        std::string digest;
+    };
+
     void respondStatus(std::unique_lock<std::mutex>& guard, Http::ResponseStream& stream)
     {
         m_changed.wait(guard, [&] { return !m_isStatusHeld; });
@@ -138,6 +167,12 @@
     void applyOrder(const Http::HttpRequest& request, Http::ResponseStream& stream)
     {
         auto order = nlohmann::json::parse(request.body);
+        if (m_isNextLoadDelayed && order.at("order") == "load") {
+            m_isNextLoadDelayed = false;
+            m_delayedLoad = LoadOrder { order.at("fence"), order.at("digest") };
+            m_changed.notify_all();
+            return stream.abort();
+        }
         if (!acceptFence(order.at("fence")))
             return stream.respond({ 409, {}, "old fence" });
         std::string digest = order.at("digest");
@@ -180,6 +215,8 @@
     unsigned m_running = 0;
     unsigned m_requests = 0;
     bool m_isHeld = false;
+    bool m_isNextLoadDelayed = false;
+    std::optional<LoadOrder> m_delayedLoad;
     bool m_isStatusHeld = false;
     std::vector<std::string> m_uploads;
 };
