Say what the router knows when a test times out waiting for replicas

Seen: CrashingRequest/isQuarantinedOnBothRouters once timed out after 60 s waiting for replicas; its message did not tell whether a replica was missing, fetching, failed or not accepting.

Change: the message lists the members that the router knows, with the phase, chunks and reason of each replica.

--- a/Tests/EndToEnd/TestFleet.cpp
+++ b/Tests/EndToEnd/TestFleet.cpp
@@ -33,11 +33,13 @@
 
 } // namespace
 
-void waitUntil(const std::string& what, const std::function<bool()>& condition)
+void waitUntil(const std::string& what, const std::function<bool()>& condition, const std::function<std::string()>& describe)
 {
     auto end = std::chrono::steady_clock::now() + hangTimeout;
     while (!condition()) {
-        cr_assert(std::chrono::steady_clock::now() < end, "timed out after 60 s waiting for %s", what.c_str());
+        bool isInTime = std::chrono::steady_clock::now() < end;
+        auto state = isInTime || !describe ? std::string() : ": " + describe();
+        cr_assert(isInTime, "timed out after 60 s waiting for %s%s", what.c_str(), state.c_str());
         std::this_thread::sleep_for(pollInterval);
     }
 }
@@ -164,12 +166,25 @@
 
 void TestFleet::waitForReplicas(TestRouter& router, const std::string& digest, unsigned count)
 {
-    waitUntil("replicas serving " + digest, [&] {
+    waitUntil(
+        "replicas serving " + digest, [&] {
         auto members = router.control().members();
         return static_cast<unsigned>(std::count_if(members.begin(), members.end(), [&](auto& member) {
             return isAccepting(member) && std::any_of(member.replicas.begin(), member.replicas.end(), [&](auto& replica) { return replica.servingDigest == digest; });
-        })) >= count;
-    });
+        })) >= count; },
+        [&] { return describeMembers(router); });
+}
+
+std::string TestFleet::describeMembers(TestRouter& router)
+{
+    auto description = nlohmann::json::array();
+    for (auto& member : router.control().members()) {
+        nlohmann::json entry { { "vm", member.vm }, { "status", static_cast<int>(member.status) }, { "revision", member.revision }, { "accepting", isAccepting(member) } };
+        for (auto& replica : member.replicas)
+            entry["replicas"].push_back({ { "phase", static_cast<int>(replica.phase) }, { "serving", replica.servingDigest }, { "wanted", replica.wantedDigest }, { "chunks", replica.chunksHeld }, { "reason", replica.reason } });
+        description.push_back(std::move(entry));
+    }
+    return description.dump();
 }
 
 Response TestFleet::call(const Http::Endpoint& router, const std::string& path, const std::string& body, Http::HttpHeaders headers)
--- a/Tests/EndToEnd/TestFleet.h
+++ b/Tests/EndToEnd/TestFleet.h
@@ -17,7 +17,8 @@
 namespace Lavenderloft::Testing {
 
 // Waits until the condition holds. Fails the test after 60 s with a message that names `what`.
-void waitUntil(const std::string& what, const std::function<bool()>& condition);
+// If the time-out passes, the message of the failure has what `describe` returns.
+void waitUntil(const std::string& what, const std::function<bool()>& condition, const std::function<std::string()>& describe = {});
 
 // The response that a caller received.
 struct Response {
@@ -76,6 +77,8 @@
 private:
     Settings::ProcessSettings makeSettings(const std::string& vm, const std::string& dataCentre) const;
     bool isAccepting(const Membership::Member&);
+    // What the router knows of the members, as JSON.
+    std::string describeMembers(TestRouter&);
     void addToVmList(const std::string& vm, const std::string& dataCentre, const std::string& role, const std::string& address);
 
     std::vector<Standin::VmEntry> m_vms;
