Let an interrupted request of the product wait for a target and the budget

Callers saw: a stream through the product's own router that was aborted at once, with most of its deadline left, because its target broke off while the retry budget was spent; and 502 with an unknown outcome at once for a repeatable request whose run was interrupted while the other targets were at their limits or not yet ready.

Cause: AttemptSequence treated an interrupted request like one that has not run and can be refused. The waits that existed covered only a response that had begun, and not the retry budget.

Change: a response that has begun waits until the budget allows the resume, and is aborted at its deadline at the latest. A repeatable request that may have run waits for another target in the same way; a refusal or an unreachable target is not charged again. Such a request still runs at most three times (interruptedRuns), which rounds of attempts don't reset.

Resume/isChargedToTheRetryBudget demanded that the response is aborted at once; it now demands that no attempt is made while the budget is spent, that the resume is charged, and that the response ends at its deadline.

--- a/Source/Routing/AttemptHistory.h
+++ b/Source/Routing/AttemptHistory.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "Routing/AttemptFailure.h"
 #include "Routing/TargetTable.h"
 
+#include <optional>
+
 namespace Lavenderloft::Routing {
 
 // What the attempts of one request have led to so far. Read by Queries/SelectNextTarget and Queries/MakeRetryInput.
@@ -19,8 +22,12 @@
     Round round;
     // Number of times that the response was resumed.
     unsigned resumes = 0;
+    // Number of attempts that may have run the request and sent no complete response.
+    unsigned interruptedRuns = 0;
     // Whether any attempt may have run the request.
     bool mayHaveRun = false;
+    // The failure that is followed by a retry as soon as the retry budget allows it.
+    std::optional<AttemptFailure> unchargedFailure;
 };
 
 } // namespace Lavenderloft::Routing
--- a/Source/Routing/AttemptSequence.cpp
+++ b/Source/Routing/AttemptSequence.cpp
@@ -22,6 +22,9 @@
     // not tell them apart.
     constexpr auto crashRetryDelay = 1000ms;
 
+    // Delay before a retry that the budget did not allow is tried again.
+    constexpr auto retryBudgetInterval = 200ms;
+
     // The outcome is unknown if the agent does not report it within this time.
     constexpr Base::Duration resolveTimeout = 2s;
 
@@ -44,6 +47,8 @@
     auto now = m_context.clock.now();
     if (now >= m_request.deadline)
         return m_ending.fail(std::move(lock), Queries::deadlineError("the deadline passed before a target accepted the request"));
+    if (auto failure = std::exchange(m_state.history.unchargedFailure, std::nullopt))
+        return retry(std::move(lock), *failure, true);
     if (auto status = Queries::findQuarantine(m_context.quarantine, m_request.fingerprint, now); status.state != QuarantineState::Free)
         return failQuarantined(std::move(lock), status);
     auto selection = Queries::selectNextTarget(m_context.targets, m_request, m_state.history, m_state.response, m_context.policy, m_context.random, now);
@@ -91,6 +96,8 @@
 {
     if (m_state.hasEnded())
         return;
+    if (failure.kind == FailureKind::DisconnectedAfterSend || failure.kind == FailureKind::Failed)
+        ++m_state.history.interruptedRuns;
     auto input = Queries::makeRetryInput(failure.kind, m_request, m_state.history, m_state.response, m_state.callerDisconnected);
     switch (Queries::decideRetry(input)) {
     case RetryDecision::RetryUncharged:
@@ -115,10 +122,27 @@
 {
     if (failure.kind == FailureKind::DisconnectedAfterSend || failure.kind == FailureKind::Failed)
         m_state.history.mayHaveRun = true;
-    if (isCharged && !Base::succeeded(Commands::chargeRetry(m_context.retryBudget))) {
-        m_log.retryDenied();
+    if (!isCharged || Base::succeeded(Commands::chargeRetry(m_context.retryBudget)))
+        return continueAfter(std::move(lock), failure, isCharged);
+    m_log.retryDenied();
+    if (!m_state.response.isStarted)
         return m_ending.fail(std::move(lock), Queries::deniedRetryError(failure));
-    }
+    waitForRetryBudget(std::move(lock), failure);
+}
+
+bool AttemptSequence::isInterrupted() const
+{
+    return m_state.response.isStarted || (m_state.history.mayHaveRun && m_request.repeatable);
+}
+
+void AttemptSequence::waitForRetryBudget(Lock lock, const AttemptFailure& failure)
+{
+    m_state.history.unchargedFailure = failure;
+    scheduleAttempt(std::move(lock), retryBudgetInterval, "the retry budget is exhausted");
+}
+
+void AttemptSequence::continueAfter(Lock lock, const AttemptFailure& failure, bool isCharged)
+{
     m_log.retryCounted(isCharged);
     if (isCharged && m_state.response.isStarted)
         return resumeResponse(std::move(lock), failure);
@@ -147,7 +171,7 @@
 
 void AttemptSequence::retryLaterOrFail(Lock lock, const RoutingError& error)
 {
-    auto delay = Queries::delayNextRound(m_request, m_state.response.isStarted, m_state.callerDisconnected, m_context.clock.now());
+    auto delay = Queries::delayNextRound(m_request, isInterrupted(), m_state.callerDisconnected, m_context.clock.now());
     if (!delay)
         return m_ending.fail(std::move(lock), error);
     startNewRound(std::move(lock), *delay, error.message);
--- a/Source/Routing/AttemptSequence.h
+++ b/Source/Routing/AttemptSequence.h
@@ -43,7 +43,12 @@
     void failQuarantined(Lock, const QuarantineStatus&);
     void open(Lock, std::shared_ptr<Target>, std::string_view reason);
     void prepareResume(AdmissionRequest&, ResponseMatcher&);
+    // Whether an attempt may have run the request and another one can continue or repeat it. Such a request waits for a
+    // target until its deadline, because it can't be refused as not run.
+    bool isInterrupted() const;
     void retry(Lock, const AttemptFailure&, bool isCharged);
+    void continueAfter(Lock, const AttemptFailure&, bool isCharged);
+    void waitForRetryBudget(Lock, const AttemptFailure&);
     void resumeResponse(Lock, const AttemptFailure&);
     void resolve(Lock);
     void retryLaterOrFail(Lock, const RoutingError&);
--- a/Source/Routing/Queries/DecideRetry.cpp
+++ b/Source/Routing/Queries/DecideRetry.cpp
@@ -17,6 +17,14 @@
             || input.priorityClass == DesiredState::PriorityClass::Hazard;
     }
 
+    // Another target can still run the request. The retry after the interruption has already been charged; a target that
+    // refuses it or is unreachable must not consume another one.
+    RetryDecision decideNextTarget(const RetryInput& input)
+    {
+        bool isRefusal = input.failure == FailureKind::RefusedForLoad || input.failure == FailureKind::RefusedByTarget;
+        return isRefusal && isUncharged(input) && input.attempts < maximumAttempts ? RetryDecision::RetryUncharged : RetryDecision::WaitForTarget;
+    }
+
     RetryDecision decideResume(const RetryInput& input)
     {
         if (!input.repeatable || !input.isResumable)
@@ -26,10 +34,8 @@
             return RetryDecision::AbortResponse;
         case FailureKind::RefusedForLoad:
         case FailureKind::RefusedByTarget:
-            return isUncharged(input) && input.attempts < maximumAttempts ? RetryDecision::RetryUncharged : RetryDecision::WaitForTarget;
         case FailureKind::NotRun:
-            // The resume has already been charged; an unreachable target must not consume another one.
-            return RetryDecision::WaitForTarget;
+            return decideNextTarget(input);
         case FailureKind::DisconnectedAfterSend:
         case FailureKind::Failed:
             return input.resumes < maximumResumes ? RetryDecision::RetryCharged : RetryDecision::AbortResponse;
@@ -43,7 +49,13 @@
 {
     if (input.responseStarted)
         return decideResume(input);
-    bool exhausted = input.attempts >= maximumAttempts || input.brokenAttempts >= maximumBrokenAttempts;
+    bool isRun = input.failure == FailureKind::DisconnectedAfterSend || input.failure == FailureKind::Failed;
+    // Rounds of attempts don't reset the number of runs, so that a request which breaks its targets does not reach all.
+    bool exhaustedRuns = input.interruptedRuns >= maximumBrokenAttempts && input.priorityClass != DesiredState::PriorityClass::Hazard;
+    bool exhausted = input.attempts >= maximumAttempts || input.brokenAttempts >= maximumBrokenAttempts || (isRun && exhaustedRuns);
+    bool isInterrupted = input.mayHaveRun && input.repeatable;
+    if (isInterrupted && !isRun && input.failure != FailureKind::RefusedPermanently)
+        return decideNextTarget(input);
     switch (input.failure) {
     case FailureKind::RefusedPermanently:
         return failure(input);
--- a/Source/Routing/Queries/DecideRetry.h
+++ b/Source/Routing/Queries/DecideRetry.h
@@ -43,6 +43,8 @@
     bool isResumable = false;
     // Number of times that the response was resumed.
     unsigned resumes = 0;
+    // Number of attempts that may have run the request and sent no complete response, including the current one.
+    unsigned interruptedRuns = 0;
     // Whether an earlier attempt of the request may have run.
     bool mayHaveRun = false;
     unsigned attempts = 0;
@@ -55,7 +57,7 @@
 enum class RetryDecision {
     RetryUncharged,
     RetryCharged,
-    // Retry after a delay, because a part of the response was sent to the caller.
+    // Retry after a delay, because the request was interrupted and can't be refused as not run.
     WaitForTarget,
     // Ask the agent for the outcome of the attempt.
     ResolveOutcome,
--- a/Source/Routing/Queries/DelayNextRound.cpp
+++ b/Source/Routing/Queries/DelayNextRound.cpp
@@ -9,12 +9,12 @@
 
 } // namespace
 
-std::optional<Base::Duration> delayNextRound(const LiveRequest& request, bool responseStarted, bool callerDisconnected, Base::TimePoint now)
+std::optional<Base::Duration> delayNextRound(const LiveRequest& request, bool isInterrupted, bool callerDisconnected, Base::TimePoint now)
 {
-    bool mayWait = responseStarted || request.priorityClass == DesiredState::PriorityClass::Hazard;
+    bool mayWait = isInterrupted || request.priorityClass == DesiredState::PriorityClass::Hazard;
     if (!mayWait || callerDisconnected)
         return std::nullopt;
-    Base::Duration delay = responseStarted ? resumeRetryInterval : hazardRetryInterval;
+    Base::Duration delay = isInterrupted ? resumeRetryInterval : hazardRetryInterval;
     if (now + delay >= request.deadline)
         return std::nullopt;
     return delay;
--- a/Source/Routing/Queries/MakeRetryInput.cpp
+++ b/Source/Routing/Queries/MakeRetryInput.cpp
@@ -12,6 +12,7 @@
     input.responseStarted = response.isStarted;
     input.isResumable = findResumePoint(request, response.head, response.position).has_value();
     input.resumes = history.resumes;
+    input.interruptedRuns = history.interruptedRuns;
     input.mayHaveRun = history.mayHaveRun;
     input.attempts = history.round.attempts;
     input.brokenAttempts = history.round.brokenAttempts;
--- a/Tests/Routing/CoordinatorTest.cpp
+++ b/Tests/Routing/CoordinatorTest.cpp
@@ -63,6 +63,55 @@
     cr_assert(caller->body == "hello");
 }
 
+// Guards against reporting an unknown outcome at once because no other target accepts a request that was interrupted. Its
+// deadline is far away, and the response can only be had from another run.
+Test(Coordinator, anInterruptedRequestWaitsForATarget)
+{
+    for (bool isRefused : { true, false }) {
+        RoutingFixture fixture(isRefused ? 3 : 1);
+        auto caller = fixture.start(fixture.poolRequest());
+        fixture.channels.last().permit();
+        auto broken = fixture.channels.attempts.back();
+        if (isRefused)
+            fixture.channels.onStart = [](FakeAttempt& attempt) { attempt.refuse(RefusalKind::AtLimit); };
+        else
+            fixture.members[0].replicas[0].servingDigest.clear();
+        fixture.update();
+        broken->breakOff();
+        fixture.advance(1s);
+        cr_assert_not(caller->hasEnded());
+        fixture.channels.onStart = [](FakeAttempt& attempt) { attempt.permit(); };
+        fixture.channels.onSend = [](FakeAttempt& attempt) { attempt.respond("hello"); };
+        fixture.members[0].replicas[0].servingDigest = RoutingFixture::digest;
+        fixture.update();
+        fixture.advance(1s);
+        cr_assert(caller->completed);
+        cr_assert(caller->body == "hello");
+    }
+}
+
+// Guards against a request that waits for targets and breaks them one after the other.
+Test(Coordinator, anInterruptedRequestRunsAtMostThreeTimes)
+{
+    RoutingFixture fixture(10);
+    unsigned runs = 0;
+    bool isRefusing = false;
+    fixture.channels.onStart = [&](FakeAttempt& attempt) { isRefusing ? attempt.refuse(RefusalKind::AtLimit) : attempt.permit(); };
+    fixture.channels.onSend = [&](FakeAttempt& attempt) {
+        ++runs;
+        isRefusing = true;
+        attempt.breakOff();
+    };
+    auto caller = fixture.start(fixture.poolRequest());
+    for (int i = 0; i < 100 && !caller->hasEnded(); ++i) {
+        isRefusing = false;
+        fixture.advance(200ms);
+    }
+    cr_assert_eq(runs, Queries::maximumBrokenAttempts);
+    cr_assert(caller->error);
+    cr_assert(caller->error->outcome == Outcome::Unknown);
+}
+
 // Guards against appending a second response to a part of the first one. The response of a plain service has no tokens
 // at which it could be resumed.
 Test(Coordinator, abortsAServiceResponseThatBreaksAfterItsFirstByte)
--- a/Tests/Routing/ResumeTest.cpp
+++ b/Tests/Routing/ResumeTest.cpp
@@ -151,14 +151,31 @@
     cr_assert(response.caller->body == responseFrom(0));
 }
 
-// Guards against resumes that multiply the traffic while targets fail.
+// Guards against resumes that multiply the traffic while targets fail, and against a response that is aborted although the
+// budget recovers before its deadline.
 Test(Resume, isChargedToTheRetryBudget)
 {
-    StartedResponse response("one\n");
-    while (Base::succeeded(Commands::chargeRetry(response.fixture.retryBudget))) { }
-    response.fixture.channels.last().breakOff();
-    cr_assert(response.caller->aborted);
-    cr_assert_eq(response.attempts(), 1);
+    for (bool recovers : { true, false }) {
+        StartedResponse response("one\n");
+        auto& fixture = response.fixture;
+        while (Base::succeeded(Commands::chargeRetry(fixture.retryBudget))) { }
+        fixture.channels.last().breakOff();
+        fixture.advance(10s);
+        cr_assert_not(response.caller->hasEnded());
+        cr_assert_eq(response.attempts(), 1);
+        for (int64_t i = 0; recovers && i < RetryBudget::requestsPerRetry; ++i)
+            Commands::creditRequest(fixture.retryBudget);
+        fixture.advance(200ms);
+        cr_assert_eq(response.attempts(), recovers ? 2 : 1);
+        if (recovers) {
+            cr_assert_not(Base::succeeded(Commands::chargeRetry(fixture.retryBudget)));
+            fixture.channels.last().permit();
+            fixture.channels.last().respond(responseFrom(1));
+        }
+        fixture.advance(20s);
+        cr_assert_eq(response.caller->completed, recovers);
+        cr_assert_eq(response.caller->aborted, !recovers);
+    }
 }
 
 // Guards against a request that is resumed indefinitely because it breaks each target, even if it makes progress.
