Answer the requests that are open when a router's drain ends

Callers saw: at the limit of a planned stop of the product's router, connections that were closed without a response, also for requests that no target had run; they could not tell whether their request had run.

Cause: the drain ended with closed connections, and only then were the open requests ended, so that their errors went nowhere. The limit was the 60 s after which the platform stops the VM.

Change: at the limit the router ends its open requests while the connections are still open, with an error that says whether the request may have run, or by aborting a response that has begun, and sends these for up to 0.5 s. The limit is 58 s.

--- a/Source/Process/Events.h
+++ b/Source/Process/Events.h
@@ -18,5 +18,6 @@
 inline constexpr Event promptPartBlocked { 1008, "prompt-part-blocked", Level::Warning, "Targets crashed one after the other while requests with this prompt part ran there, and none was answered; such requests are refused." };
 inline constexpr Event promptPartReleased { 1009, "prompt-part-released", Level::Info, "Requests with this prompt part are accepted again." };
 inline constexpr Event targetHoldBackEnded { 1010, "target-hold-back-ended", Level::Info, "The time for which a target held this router back has passed; it gets one request at a time until it has served one." };
+inline constexpr Event drainLimitReached { 1011, "drain-limit-reached", Level::Warning, "The limit of a graceful shutdown is reached; the requests that are still open get an error, or an aborted response if that has begun." };
 
 } // namespace Lavenderloft::Process
--- a/Source/Process/RouterLauncher.cpp
+++ b/Source/Process/RouterLauncher.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-    // The platform stops a VM 60 s after SIGTERM.
-    constexpr std::chrono::seconds drainLimit { 60 };
+    // The platform stops a VM 60 s after SIGTERM. The rest is for the errors of requests that are open at the limit.
+    constexpr std::chrono::seconds drainLimit { 58 };
 
     void waitForStopSignal()
     {
--- a/Source/Process/RouterProcess.cpp
+++ b/Source/Process/RouterProcess.cpp
@@ -33,6 +33,9 @@
     // Interval at which a graceful shutdown checks for running requests.
     constexpr std::chrono::milliseconds drainCheckInterval { 20 };
 
+    // Time to send the errors of the requests that are open when the limit of a graceful shutdown is reached.
+    constexpr std::chrono::milliseconds errorFlushTime { 500 };
+
     // During this time callers with idle connections may still send a request; its response tells them to close
     // the connection.
     constexpr std::chrono::seconds idleConnectionGracePeriod { 2 };
@@ -150,6 +153,16 @@
             malloc_trim(0);
     }
 
+    // Closed connections would not tell the callers of open requests whether these have run.
+    void abandonRequests()
+    {
+        auto abandoned = Routing::Commands::abandonRequests(running);
+        logEvent(drainLimitReached, { { "vm", dependencies.settings.vm }, { "abandoned", abandoned } });
+        auto deadline = dependencies.clock.now() + errorFlushTime;
+        while (callers->connectionCount() && dependencies.clock.now() < deadline)
+            std::this_thread::sleep_for(drainCheckInterval);
+    }
+
     void stopTimer()
     {
         {
@@ -249,8 +262,11 @@
     std::unique_lock guard(m_state->lock);
     while (m_state->callers->connectionCount()) {
         now = m_state->dependencies.clock.now();
-        if (now >= deadline)
+        if (now >= deadline) {
+            guard.unlock();
+            m_state->abandonRequests();
             return false;
+        }
         if (runningRequests())
             idleSince = now;
         else if (now - idleSince >= idleConnectionGracePeriod)
--- a/Source/Routing/Queries/DescribeFailure.cpp
+++ b/Source/Routing/Queries/DescribeFailure.cpp
@@ -73,6 +73,13 @@
     return { ErrorCode::DeadlineExceeded, std::move(message), "send a longer X-Deadline-Ms or retry", Outcome::NotRun, defaultRetryAfter };
 }
 
+RoutingError stoppedError(bool mayHaveRun)
+{
+    if (mayHaveRun)
+        return { ErrorCode::OutcomeUnknown, "the router stopped before the request ended", "check whether the call took effect before sending it again", Outcome::Unknown, defaultRetryAfter };
+    return { ErrorCode::NotRun, "the router stopped before a target ran the request", "retry", Outcome::NotRun, defaultRetryAfter };
+}
+
 RoutingError noTargetError(const LiveRequest& request, std::string_view reason)
 {
     auto code = request.repeatable ? ErrorCode::NoTarget : ErrorCode::HomeUnreachable;
--- a/Source/Routing/Queries/DescribeFailure.h
+++ b/Source/Routing/Queries/DescribeFailure.h
@@ -31,6 +31,9 @@
 RoutingError deadlineError(std::string message);
 
 // A request for which no target was selected.
+// The error of a request that is open when the router's time to drain ends.
+RoutingError stoppedError(bool mayHaveRun);
+
 RoutingError noTargetError(const LiveRequest&, std::string_view reason);
 
 // Backoff of a target after the refusal.
--- a/Source/Routing/RequestCoordinator.cpp
+++ b/Source/Routing/RequestCoordinator.cpp
@@ -246,8 +246,10 @@
 void RequestCoordinator::abandon()
 {
     Lock lock(m_state.lock);
-    if (!m_state.hasEnded())
-        m_ending.abort(std::move(lock), "the router stopped");
+    if (m_state.hasEnded())
+        return;
+    m_state.history.mayHaveRun = m_state.history.mayHaveRun || m_state.isOutcomeOpen();
+    m_ending.fail(std::move(lock), Queries::stoppedError(m_state.history.mayHaveRun));
 }
 void RequestCoordinator::recordEngineCrash()
 {
--- a/Source/Routing/RequestCoordinator.h
+++ b/Source/Routing/RequestCoordinator.h
@@ -31,7 +31,7 @@
     // Ends the response because its reader has blocked for the longest time.
     void abortSlowReader();
 
-    // Ends the request because the router stops.
+    // Ends the request because the router stops: with an error, or by aborting a response that has begun.
     void abandon();
 
 private:
--- a/Tests/Routing/RouterProcessTest.cpp
+++ b/Tests/Routing/RouterProcessTest.cpp
@@ -168,6 +168,24 @@
     cr_assert_eq(Base::valueOf(response).status, 200);
 }
 
+// Guards against connections that are closed without a response at the end of a drain, so that callers don't know whether
+// their requests have run.
+Test(RouterProcess, answersOpenRequestsAtTheDrainLimit)
+{
+    Bench::FakeAgentOptions options;
+    options.serviceTime = 10s;
+    Fleet fleet(options);
+    auto running = std::async(std::launch::async, [&] { return fleet.post("/assistant", "slow"); });
+    while (!fleet.model.counts().runs)
+        std::this_thread::sleep_for(1ms);
+    cr_assert_not(fleet.router->drain(100ms));
+    fleet.router.reset();
+    auto response = running.get();
+    cr_assert(Base::succeeded(response));
+    cr_assert_eq(Base::valueOf(response).status, 502);
+    cr_assert(Base::valueOf(response).body.find("\"outcome\":\"unknown\"") != std::string::npos);
+}
+
 // Guards against sending chunks in a response to HEAD, which a caller would read as the next response.
 Test(RouterProcess, sendsNoBodyInResponseToHead)
 {
