Follow the response times of a slow store or router in Peering

Callers saw: nothing of a configuration, a removed target or declared weights at routers whose store was slow and sound: they never followed it, as long as each response came later than a fixed limit (1.5 s for a listing, 1.0 s beyond the wait of a watch). Likewise a router whose items arrive over a narrow link, later than 1.5 s, never learned them.

Cause: each request that passed the limit was given up shortly before its response, and the next one began anew with the same limit on a new connection. Slow was taken for unreachable.

Change: AdaptiveTimeout doubles the limit after each request that timed out, up to four times, and afterwards takes twice the last response time, at least the initial limit. StoreFollower uses one for listings and one for watches, ItemExchange one for fetches. A dead connection is still given up after the initial limit first.

--- a/Source/Peering/ItemExchange.cpp
+++ b/Source/Peering/ItemExchange.cpp
@@ -23,6 +23,8 @@
     constexpr std::chrono::milliseconds followerFetchDelay = 250ms;
     constexpr std::chrono::milliseconds fetchDelay = 5ms;
     constexpr std::chrono::milliseconds fetchTimeout = 1500ms;
+    // All items of a large fleet may take that long on a narrow link.
+    constexpr std::chrono::milliseconds maximumFetchTimeout = 6000ms;
     constexpr std::chrono::seconds checkInterval = 1s;
     // Longer than a fetch takes. A router that stays behind for longer follows the store itself.
     constexpr std::chrono::milliseconds maximumLag = 700ms;
@@ -63,6 +65,7 @@
     , m_merger(merger)
     , m_clock(clock)
     , m_timer(context)
+    , m_fetchTimeout(fetchTimeout, maximumFetchTimeout)
 {
 }
 
@@ -128,7 +131,11 @@
     Http::HttpRequest request;
     request.target = std::string(path) + "?after=" + std::to_string(completeRevision());
     auto requestedAt = m_clock.now();
-    auto result = co_await m_client->call(std::move(request), fetchTimeout);
+    auto result = co_await m_client->call(std::move(request), m_fetchTimeout.current());
+    if (Base::succeeded(result))
+        m_fetchTimeout.recordResponse(m_clock.now() - requestedAt);
+    else if (Base::errorOf(result).kind == Http::HttpErrorKind::TimedOut)
+        m_fetchTimeout.recordTimeout();
     if (!Base::succeeded(result) || Base::valueOf(result).status != 200)
         co_return false;
     auto batch = decodeItems(Base::valueOf(result).body);
--- a/Source/Peering/ItemExchange.h
+++ b/Source/Peering/ItemExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Base/AdaptiveTimeout.h"
 #include "Fleet/NodeSettings.h"
 #include "Http/PersistentHttpClient.h"
 #include "Peering/ItemMerger.h"
@@ -58,6 +59,7 @@
     const Base::Clock& m_clock;
     boost::asio::steady_timer m_timer;
     std::unique_ptr<Http::PersistentHttpClient> m_client;
+    Base::AdaptiveTimeout m_fetchTimeout;
     bool m_hasFetchedAll = false;
     // Since when another router has had a newer revision.
     std::optional<Base::TimePoint> m_laggingSince;
--- a/Source/Peering/StoreFollower.cpp
+++ b/Source/Peering/StoreFollower.cpp
@@ -16,12 +16,14 @@
     using namespace std::chrono_literals;
 
     constexpr std::chrono::milliseconds listTimeout = 1500ms;
+    constexpr std::chrono::milliseconds maximumListTimeout = 6000ms;
     // How long a watch request waits for a change. Also limits how late a dead connection is detected.
     constexpr std::chrono::milliseconds watchWait = 1600ms;
     // Delay between watch requests, to fetch a burst of changes with one request: the store limits the request rate.
     constexpr std::chrono::milliseconds changeBatchDelay = 150ms;
     // Time for the response in addition to watchWait. The connection is closed after both have passed.
     constexpr std::chrono::milliseconds watchMargin = 1000ms;
+    constexpr std::chrono::milliseconds maximumWatchMargin = 4000ms;
     constexpr std::chrono::milliseconds initialBackoff = 150ms;
     constexpr std::chrono::milliseconds maximumBackoff = 1200ms;
     constexpr std::chrono::milliseconds idleCheckInterval = 200ms;
@@ -44,6 +46,8 @@
     , m_clock(clock)
     , m_stalls(stalls)
     , m_prefix(std::move(prefix))
+    , m_listTimeout(listTimeout, maximumListTimeout)
+    , m_watchMargin(watchMargin, maximumWatchMargin)
 {
 }
 
@@ -113,6 +117,12 @@
     m_merger.recordStoreFailure(failedAt);
 }
 
+void StoreFollower::recordTimeout(const Http::HttpError& error, Base::AdaptiveTimeout& timeout)
+{
+    if (error.kind == Http::HttpErrorKind::TimedOut)
+        timeout.recordTimeout();
+}
+
 // Entries that expired during an outage of the store appear as deletions in its first responses.
 std::optional<Base::TimePoint> StoreFollower::deletionsDeferredUntil() const
 {
@@ -142,11 +152,14 @@
     auto requestedAt = m_clock.now();
     std::set<std::string> lastKeys;
     while (true) {
-        auto result = co_await m_client.call(m_protocol.listRequest(m_prefix, afterKey), listTimeout);
+        auto pageRequestedAt = m_clock.now();
+        auto result = co_await m_client.call(m_protocol.listRequest(m_prefix, afterKey), m_listTimeout.current());
         if (!Base::succeeded(result)) {
+            recordTimeout(Base::errorOf(result), m_listTimeout);
             recordFailure(Base::errorOf(result).describe(), requestedAt);
             co_return false;
         }
+        m_listTimeout.recordResponse(m_clock.now() - pageRequestedAt);
         auto page = m_protocol.readList(Base::valueOf(result));
         if (!Base::succeeded(page)) {
             recordFailure(Base::errorOf(page).describe(), m_clock.now());
@@ -193,8 +206,9 @@
 asio::awaitable<bool> StoreFollower::waitForChanges()
 {
     SentWatch watch { m_clock.now(), nextWait() };
-    auto result = co_await m_client.call(m_protocol.watchRequest(m_prefix, *m_revision, watch.wait), watch.wait + watchMargin);
+    auto result = co_await m_client.call(m_protocol.watchRequest(m_prefix, *m_revision, watch.wait), watch.wait + m_watchMargin.current());
     if (!Base::succeeded(result)) {
+        recordTimeout(Base::errorOf(result), m_watchMargin);
         recordFailure(Base::errorOf(result).describe(), watch.requestedAt);
         m_client.disconnect();
         co_return false;
@@ -236,13 +250,19 @@
     return std::max(watch.requestedAt, now - m_responseTime);
 }
 
+void StoreFollower::recordResponseTime(Base::Duration time)
+{
+    m_responseTime = time;
+    m_watchMargin.recordResponse(time);
+}
+
 void StoreFollower::applyChanges(const Fleet::ChangeBatch& batch, const SentWatch& watch)
 {
     auto now = m_clock.now();
     if (batch.changes.empty())
-        m_responseTime = std::max(now - watch.requestedAt - watch.wait, Base::Duration::zero());
+        recordResponseTime(std::max(now - watch.requestedAt - watch.wait, Base::Duration::zero()));
     else if (watch.wait == probeWait)
-        m_responseTime = now - watch.requestedAt;
+        recordResponseTime(now - watch.requestedAt);
     if (m_unconfirmed)
         confirmObserved();
     bool isObserved = observedAtOnce();
--- a/Source/Peering/StoreFollower.h
+++ b/Source/Peering/StoreFollower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Base/AdaptiveTimeout.h"
 #include "Base/Clock.h"
 #include "Base/StallMonitor.h"
 #include "Fleet/StoreProtocol.h"
@@ -54,7 +55,9 @@
     void resume();
     void recordResult(bool succeeded);
     void recordFailure(const std::string& reason, Base::TimePoint failedAt);
+    static void recordTimeout(const Http::HttpError&, Base::AdaptiveTimeout&);
     std::chrono::milliseconds nextWait() const;
+    void recordResponseTime(Base::Duration);
     void applyChanges(const Fleet::ChangeBatch&, const SentWatch&);
     bool observedAtOnce() const;
     Base::TimePoint syncTime(const Fleet::ChangeBatch&, const SentWatch&) const;
@@ -67,6 +70,8 @@
     const Base::Clock& m_clock;
     const Base::StallMonitor& m_stalls;
     std::string m_prefix;
+    Base::AdaptiveTimeout m_listTimeout;
+    Base::AdaptiveTimeout m_watchMargin;
     std::function<void()> m_onChange;
     bool m_isFollowing = false;
     // The last response was that of a watch, so the next one has the changes made since, and no older ones.
--- a/Tests/Base/BaseTest.cpp
+++ b/Tests/Base/BaseTest.cpp
@@ -1,3 +1,4 @@
+#include "Base/AdaptiveTimeout.h"
 #include "Base/Digest.h"
 #include "Base/ManualClock.h"
 #include "Base/RendezvousHash.h"
@@ -31,6 +32,22 @@
     cr_assert_not(bucket.tryTake(1, clock.now()));
 }
 
+// Guards against a slow peer that always times out, and against a long timeout after the peer has become fast again.
+Test(AdaptiveTimeout, followsTheResponseTimes)
+{
+    AdaptiveTimeout timeout(1000ms, 4000ms);
+    cr_assert(timeout.current() == 1000ms);
+    timeout.recordTimeout();
+    cr_assert(timeout.current() == 2000ms);
+    timeout.recordResponse(1200ms);
+    cr_assert(timeout.current() == 2400ms);
+    for (int i = 0; i < 3; ++i)
+        timeout.recordTimeout();
+    cr_assert(timeout.current() == 4000ms);
+    timeout.recordResponse(10ms);
+    cr_assert(timeout.current() == 1000ms);
+}
+
 // Guards against a ranking in which the removal of one member reorders the others.
 Test(RendezvousHash, keepsTheOrderOfRemainingMembers)
 {
--- a/Tests/Peering/PeeringNodeTest.cpp
+++ b/Tests/Peering/PeeringNodeTest.cpp
@@ -1,6 +1,7 @@
 #include "Peering/PeeringNode.h"
 #include "Fleet/FleetFixture.h"
 #include "Http/NodeServer.h"
+#include "Http/Sleep.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -87,6 +88,12 @@
     co_return response;
 }
 
+boost::asio::awaitable<Http::HttpResponse> respondSlowly(boost::asio::io_context& context, std::chrono::milliseconds delay, Http::HttpResponse response)
+{
+    co_await Http::sleepFor(context, delay);
+    co_return response;
+}
+
 } // namespace
 
 // Guards against outdated weights that look recent because a datagram waited while this node's VM was suspended: the
@@ -152,6 +159,26 @@
     cr_assert(test.declared().publishedAt == test.fleet.clock.now() - 5s);
 }
 
+// Guards against a router that never learns the published items because their transfer on a narrow link takes longer than
+// a fixed timeout: each response was dropped before it had been read, and the next fetch began anew.
+Test(PeeringNode, fetchesFromASlowRouter)
+{
+    TestNode test;
+    ItemBatch batch { 2, { { "w", "2", 2, false, 1s } } };
+    auto handler = [&](Http::HttpRequest) { return respondSlowly(test.context, 1800ms, { 200, {}, encodeItems(batch) }); };
+    auto server = Http::NodeServer::start(test.context, { "127.0.0.2", test.settings.firstPeerPort }, handler);
+    auto message = messageFrom("127.0.0.2");
+    message.revision = 2;
+    test.deliver(message);
+    auto firstTimeout = std::chrono::steady_clock::now() + 1700ms;
+    cr_assert(test.runUntil([&] { return std::chrono::steady_clock::now() > firstTimeout; }));
+    cr_assert_eq(Fleet::Queries::knownRevision(test.fleet.state), 0);
+    // The router is asked again after its backoff.
+    test.advanceWithTicks(3500ms);
+    test.deliver(message);
+    cr_assert(test.runUntil([&] { return Fleet::Queries::knownRevision(test.fleet.state) == 2; }));
+}
+
 // Guards against requests to a target that is gone: the response of a router waited, and the delay of a deletion in it
 // was counted from its arrival.
 Test(PeeringNode, takesTheDurationOfAFetchOffTheDelayOfADeletion)
--- a/Tests/Peering/StoreFollowerTest.cpp
+++ b/Tests/Peering/StoreFollowerTest.cpp
@@ -1,6 +1,7 @@
 #include "Peering/StoreFollower.h"
 #include "Fleet/FleetFixture.h"
 #include "Http/NodeServer.h"
+#include "Http/Sleep.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -61,6 +62,8 @@
     Base::StallMonitor stalls { fleet.clock, 50ms };
     std::vector<std::string> requests;
     Responder respond;
+    // Time until the fake store responds.
+    std::chrono::milliseconds responseDelay { 0 };
     std::shared_ptr<Http::NodeServer> server;
     std::unique_ptr<StoreFollower> follower;
 
@@ -70,6 +73,7 @@
         stalls.tick();
         server = Http::NodeServer::start(context, { "127.0.0.1", 0 }, [this](Http::HttpRequest request) -> boost::asio::awaitable<Http::HttpResponse> {
             requests.push_back(request.target);
+            co_await Http::sleepFor(context, responseDelay);
             auto response = respond(request.target);
             co_return response;
         });
@@ -497,3 +501,26 @@
         test.context.run_one();
     cr_assert_eq((*test.follower->syncedAt() - requestedAt) / 1ms, 1600);
 }
+
+// Guards against a router that never follows a store which is slow and sound: each request was given up shortly before
+// its response, on a new connection.
+Test(StoreFollower, followsASlowStore)
+{
+    TestFollower test;
+    test.fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
+    test.protocol.listing.revision = 1;
+    test.protocol.changes["declared"] = { { { "w", "2", 2, false, {} } }, 2 };
+    // Longer than the timeout of a listing, and than a watch waits, plus its margin.
+    test.responseDelay = 1700ms;
+    test.respond = [&](const std::string& target) -> Http::HttpResponse {
+        if (target != "/list")
+            return { 200, {}, "declared" };
+        test.responseDelay = 2800ms;
+        return { 200, {}, "" };
+    };
+    boost::asio::co_spawn(test.context, test.follower->run([] { return true; }), boost::asio::detached);
+    auto until = std::chrono::steady_clock::now() + 15s;
+    while (test.fleet.snapshot()->weights.empty() && std::chrono::steady_clock::now() < until)
+        test.context.run_one_for(50ms);
+    cr_assert_not(test.fleet.snapshot()->weights.empty());
+}
