Keep a slow download while no other agent holds the chunk

Users could see weights that spread late over slow links: a sender that was not asked for 10 s, chunks fetched again.

Cause: a download that got no part for 1 s was cancelled, what had arrived was dropped, and its sender was not asked for 10 s. On a slow link every part takes longer, so that agents gave up the only sender that had the chunk.

Change: a stalled download is given up after 1 s only if it can be replaced: another peer that can be asked holds the chunk, or the sender does not respond to requests for its holdings either. Otherwise it is given up after 8 s.

--- a/Source/Process/TransferDriver.cpp
+++ b/Source/Process/TransferDriver.cpp
@@ -261,6 +261,8 @@
     auto runtime = m_dependencies.runtime;
     auto now = runtime->clock.now();
     for (auto& [chunkDigest, download] : Queries::stalledDownloads(runtime->state->downloads, now - Weights::stallTimeout)) {
+        if (now - download.progressAt < Weights::onlySenderStallTimeout && !isReplaceable(download, now))
+            continue;
         Commands::markDownloadCancelled(runtime->state->downloads, chunkDigest);
         ++runtime->state->counters.stalledDownloads;
         Observability::logEvent(Weights::downloadStalled, { { "manifest", download.manifestDigest }, { "chunk", download.chunk }, { "source", sourceName(download.source) }, { "vm", download.vm } });
@@ -269,6 +271,15 @@
     }
 }
 
+bool TransferDriver::isReplaceable(const Weights::Download& download, Base::TimePoint now) const
+{
+    auto plan = m_plans.find(download.manifestDigest);
+    if (plan == m_plans.end())
+        return true;
+    auto peers = Queries::viewPeers(m_dependencies.runtime->state->peers, plan->second.sources, download.manifestDigest, now);
+    return Queries::isReplaceable(peers, download.vm, download.chunk);
+}
+
 void TransferDriver::reportDelay(Plan& plan, const TransferSnapshot& snapshot, const Queries::ScheduleInput& input)
 {
     if (input.now - snapshot.progressAt < Weights::delayReportThreshold || input.now < plan.nextDelayReport)
--- a/Source/Process/TransferDriver.h
+++ b/Source/Process/TransferDriver.h
@@ -63,6 +63,7 @@
     void requestHoldings(const Weights::Participant&, const std::string& manifestDigest);
     void beginDownload(const Plan&, const Weights::Queries::TransferSnapshot&, const Weights::Queries::ChunkAssignment&);
     void cancelStalledDownloads();
+    bool isReplaceable(const Weights::Download&, Base::TimePoint now) const;
     void reportDelay(Plan&, const Weights::Queries::TransferSnapshot&, const Weights::Queries::ScheduleInput&);
     bool mayFetchExternally(const Plan&, const Weights::Queries::TransferSnapshot&, const Weights::Queries::PeerViews&, Base::TimePoint now) const;
     bool haveNeighboursResponded(const Plan&, const Weights::Queries::PeerViews&) const;
--- a/Source/Weights/Queries/PeerQueries.cpp
+++ b/Source/Weights/Queries/PeerQueries.cpp
@@ -1,5 +1,7 @@
 #include "Weights/Queries/PeerQueries.h"
 
+#include <algorithm>
+
 namespace Lavenderloft::Weights::Queries {
 
 PeerViews viewPeers(const PeerTable& table, const std::vector<Participant>& participants, const std::string& manifestDigest, Base::TimePoint now)
@@ -23,4 +25,15 @@
     return views;
 }
 
+bool isReplaceable(const PeerViews& peers, const std::string& sender, unsigned chunk)
+{
+    auto found = peers.find(sender);
+    if (found == peers.end() || found->second.progress.failedAt > found->second.progress.respondedAt)
+        return true;
+    return std::any_of(peers.begin(), peers.end(), [&](auto& entry) {
+        auto& peer = entry.second;
+        return entry.first != sender && !peer.inBackoff && !peer.busy && peer.holds(chunk);
+    });
+}
+
 } // namespace Lavenderloft::Weights::Queries
--- a/Source/Weights/Queries/PeerQueries.h
+++ b/Source/Weights/Queries/PeerQueries.h
@@ -29,4 +29,8 @@
 // The current view of the participants, keyed by VM name. The list must outlive the result.
 PeerViews viewPeers(const PeerTable&, const std::vector<Participant>&, const std::string& manifestDigest, Base::TimePoint);
 
+// Whether a download that makes no progress should be given up: a peer other than the sender can be asked for the chunk,
+// or the sender does not respond to other calls either.
+bool isReplaceable(const PeerViews&, const std::string& sender, unsigned chunk);
+
 } // namespace Lavenderloft::Weights::Queries
--- a/Source/Weights/TransferLimits.h
+++ b/Source/Weights/TransferLimits.h
@@ -43,8 +43,11 @@
 inline constexpr size_t relaxedCandidateThreshold = 3 * maximumDownloads;
 inline constexpr std::chrono::milliseconds watchInterval = 1000ms;
 inline constexpr std::chrono::milliseconds peerCallTimeout = 1000ms;
-// A download from a peer that makes no progress for this long is cancelled.
+// A download from a peer that makes no progress for this long is cancelled if it can be replaced.
 inline constexpr std::chrono::milliseconds stallTimeout = 1000ms;
+// The same if no other peer holds the chunk and the sender responds to other calls. It may only be slow, and what has
+// arrived would be dropped.
+inline constexpr std::chrono::milliseconds onlySenderStallTimeout = 8000ms;
 inline constexpr std::chrono::milliseconds stalledPeerBackoff = 10000ms;
 inline constexpr std::chrono::milliseconds corruptPeerBackoff = 30000ms;
 // Delay before the next request to a peer that refused one because it had no free slot.
--- a/Tests/Weights/ChunkSchedulerTest.cpp
+++ b/Tests/Weights/ChunkSchedulerTest.cpp
@@ -212,6 +212,25 @@
     cr_assert_not(fixture.schedule().empty());
 }
 
+// Guards against a slow download that is given up although no other agent holds the chunk, and against waiting for a sender
+// that does not respond at all.
+Test(PeerQueries, onlyAReplaceableDownloadIsGivenUp)
+{
+    SchedulerFixture fixture(storeRegionOf(3), 0, 20);
+    auto isReplaceable = [&] { return fixture.withInput([](auto& input) { return Queries::isReplaceable(input.peers, "vm-1", 5); }); };
+    fixture.clock.advance(1s);
+    fixture.receiveHoldings("vm-1", fixture.allChunks());
+    fixture.receiveHoldings("vm-2", fixture.noChunks());
+    cr_assert_not(isReplaceable());
+    fixture.receiveHoldings("vm-2", fixture.allChunks());
+    cr_assert(isReplaceable());
+    Commands::startPeerBackoff(fixture.table, "vm-2", fixture.clock.now() + 1s);
+    cr_assert_not(isReplaceable());
+    fixture.clock.advance(1ms);
+    Commands::recordUnreachable(fixture.table, "vm-1", fixture.manifest.digest, fixture.clock.now());
+    cr_assert(isReplaceable());
+}
+
 // Guards against chunks that are transferred over an inter-region link more than once.
 Test(ChunkScheduler, onlyTheOwnerFetchesFromAnotherRegion)
 {
--- a/Tests/Weights/RolloutTest.cpp
+++ b/Tests/Weights/RolloutTest.cpp
@@ -109,6 +109,16 @@
     cr_assert_gt(rollout.sum(&Weights::WeightCounters::stalledDownloads), 0);
 }
 
+// Guards against downloads over slow links that are cancelled although no other agent holds the chunk: what had arrived was
+// dropped, the only sender was not asked for 10 s, and the chunk was read from the origin again.
+Test(Rollout, awaitsTheOnlySenderOnASlowLink)
+{
+    Rollout rollout({ .replicas = 2, .rates = { 60000, 2500, 60000 } }, 8);
+    rollout.fleet.setWanted(std::vector { rollout.model.digest });
+    cr_assert(rollout.completesCorrectly(rollout.model));
+    cr_assert_eq(rollout.sum(&Weights::WeightCounters::stalledDownloads), 0);
+}
+
 // Guards against chunks that are never fetched because their owner has died.
 Test(Rollout, completesWhenAChunkOwnerDies)
 {
