Keep the holdings of a peer whose response is late

Users could see chunks of weights read from the origin again although an agent of the region held them.

A late response says nothing about them, and an agent never discards chunks of a wanted version.

Change: recordHoldingsFailed, in place of recordUnreachable, keeps the list if the request timed out, and drops it if the connection is lost.

--- a/Source/Process/TransferDriver.cpp
+++ b/Source/Process/TransferDriver.cpp
@@ -233,7 +233,7 @@
         if (Base::succeeded(result))
             Commands::recordHoldings(runtime->state->peers, vm, manifestDigest, Base::valueOf(result), now);
         else
-            Commands::recordUnreachable(runtime->state->peers, vm, manifestDigest, now);
+            Commands::recordHoldingsFailed(runtime->state->peers, vm, manifestDigest, Base::errorOf(result).kind, now);
     });
 }
 
--- a/Source/Weights/Commands/PeerCommands.cpp
+++ b/Source/Weights/Commands/PeerCommands.cpp
@@ -45,12 +45,13 @@
         pausePeer(table, vm, now + holdings.slotExpectedIn);
 }
 
-void recordUnreachable(PeerTable& table, const std::string& vm, const std::string& manifestDigest, Base::TimePoint now)
+void recordHoldingsFailed(PeerTable& table, const std::string& vm, const std::string& manifestDigest, WeightErrorKind kind, Base::TimePoint now)
 {
     updateProgress(table, vm, manifestDigest, [&](PeerProgress& progress) {
         progress.requestPending = false;
         progress.failedAt = now;
-        progress.holdings = nullptr;
+        if (kind != WeightErrorKind::Stalled)
+            progress.holdings = nullptr;
     });
 }
 
--- a/Source/Weights/Commands/PeerCommands.h
+++ b/Source/Weights/Commands/PeerCommands.h
@@ -10,7 +10,9 @@
 // Records the response. If the peer announces when an upload slot becomes free, no chunk is requested before then.
 void recordHoldings(PeerTable&, const std::string& vm, const std::string& manifestDigest, const Holdings&, Base::TimePoint);
 
-void recordUnreachable(PeerTable&, const std::string& vm, const std::string& manifestDigest, Base::TimePoint);
+// Records a request for holdings that failed. The last reported holdings count until the connection is lost: a response that
+// is late says nothing about them, and an agent never discards chunks of a wanted version.
+void recordHoldingsFailed(PeerTable&, const std::string& vm, const std::string& manifestDigest, WeightErrorKind, Base::TimePoint);
 
 void recordDownloadBegun(PeerTable&, const std::string& vm);
 void recordDownloadEnded(PeerTable&, const std::string& vm);
--- a/Tests/Weights/ChunkSchedulerTest.cpp
+++ b/Tests/Weights/ChunkSchedulerTest.cpp
@@ -212,6 +212,23 @@
     cr_assert_not(fixture.schedule().empty());
 }
 
+// Guards against dropping what a peer holds because one response with its holdings was late: its chunks counted as held by
+// nobody and were read from the origin again.
+Test(ChunkScheduler, keepsTheHoldingsOfAPeerThatRespondsLate)
+{
+    for (auto kind : { WeightErrorKind::Stalled, WeightErrorKind::Unreachable }) {
+        SchedulerFixture fixture(storeRegionOf(2), 0, 20);
+        fixture.receiveHoldings("vm-1", fixture.allChunks());
+        fixture.clock.advance(400ms);
+        Commands::recordHoldingsRequested(fixture.table, "vm-1", fixture.manifest.digest, fixture.clock.now());
+        fixture.clock.advance(peerCallTimeout);
+        Commands::recordHoldingsFailed(fixture.table, "vm-1", fixture.manifest.digest, kind, fixture.clock.now());
+        auto assignments = fixture.schedule();
+        cr_assert_not(assignments.empty());
+        cr_assert(allFrom(assignments, kind == WeightErrorKind::Stalled ? SourceKind::Peer : SourceKind::Origin));
+    }
+}
+
 // Guards against a slow download that is given up although no other agent holds the chunk, and against waiting for a sender
 // that does not respond at all.
 Test(PeerQueries, onlyAReplaceableDownloadIsGivenUp)
@@ -227,7 +244,7 @@
     Commands::startPeerBackoff(fixture.table, "vm-2", fixture.clock.now() + 1s);
     cr_assert_not(isReplaceable());
     fixture.clock.advance(1ms);
-    Commands::recordUnreachable(fixture.table, "vm-1", fixture.manifest.digest, fixture.clock.now());
+    Commands::recordHoldingsFailed(fixture.table, "vm-1", fixture.manifest.digest, WeightErrorKind::Stalled, fixture.clock.now());
     cr_assert(isReplaceable());
 }
 
