Queue resumed responses before new requests at an agent

Callers saw: streams that broke off and were resumed waited at the next agent behind all new requests of their class, or were refused by its full queue, up to their deadline.

Cause: the queue of an agent did not know which requests continue a response.

Change: a resumed response is queued before the new requests of its class and organisation, and displaces the newest new request of its class if the queue is full. Classes and the shares of organisations stay as they were.

--- a/Source/Admission/Commands/QueueRequest.cpp
+++ b/Source/Admission/Commands/QueueRequest.cpp
@@ -57,16 +57,33 @@
         return taken;
     }
 
-    // Removes the newest request of the organisation with the longest queue.
-    std::optional<WaitingRequest> shedFromClass(ClassQueue& queue)
+    // Whether a part of its response was sent to the caller.
+    bool isResumed(const WaitingRequest& waiting)
+    {
+        return waiting.request.resumeFromToken > 0;
+    }
+
+    // Whether the incoming request may displace the waiting one: one of a lower class, or for a resumed response also a new
+    // request of its own class.
+    bool mayDisplace(const WaitingRequest& incoming, const WaitingRequest& waiting)
+    {
+        if (classIndex(waiting.request) != classIndex(incoming.request))
+            return classIndex(waiting.request) > classIndex(incoming.request);
+        return isResumed(incoming) && !isResumed(waiting);
+    }
+
+    // Removes the newest request that may be displaced, of the organisation with the longest queue.
+    std::optional<WaitingRequest> shedFromClass(ClassQueue& queue, const WaitingRequest& incoming)
     {
         std::lock_guard guard(queue.lock);
         OrganisationQueue* longest = nullptr;
         for (auto& [name, organisation] : queue.organisations) {
-            if (!longest || organisation.requests.size() > longest->requests.size())
+            // Resumed responses stand first, so the last request is a new one if there are any.
+            bool isCandidate = !organisation.requests.empty() && mayDisplace(incoming, organisation.requests.back());
+            if (isCandidate && (!longest || organisation.requests.size() > longest->requests.size()))
                 longest = &organisation;
         }
-        if (!longest || longest->requests.empty())
+        if (!longest)
             return std::nullopt;
         auto shed = std::move(longest->requests.back());
         longest->requests.pop_back();
@@ -74,11 +91,11 @@
         return shed;
     }
 
-    bool shedLowerClass(WaitingQueue& queue, size_t incomingClass)
+    bool shedFor(WaitingQueue& queue, const WaitingRequest& incoming)
     {
-        for (size_t index = queue.classes.size(); index-- > incomingClass + 1;) {
-            if (auto shed = shedFromClass(queue.classes[index])) {
-                shed->waiter->refused(makeRefusal(RefusalReason::AtLimit, "the request was displaced from the queue by one of a higher class", "try another target or retry later"));
+        for (size_t index = queue.classes.size(); index-- > classIndex(incoming.request);) {
+            if (auto shed = shedFromClass(queue.classes[index], incoming)) {
+                shed->waiter->refused(makeRefusal(RefusalReason::AtLimit, "the request was displaced from the queue by one that takes precedence", "try another target or retry later"));
                 return true;
             }
         }
@@ -136,7 +153,7 @@
 Base::Result<Base::Done, Refusal> queueRequest(WaitingQueue& queue, WaitingRequest incoming)
 {
     while (!fits(queue, incoming)) {
-        if (!shedLowerClass(queue, classIndex(incoming.request)))
+        if (!shedFor(queue, incoming))
             return makeRefusal(RefusalReason::AtLimit, "the target and its queue are full", "try another target or retry later");
     }
     auto& classQueue = queue.classes[classIndex(incoming.request)];
@@ -145,7 +162,9 @@
     auto& organisation = classQueue.organisations[incoming.request.organisation];
     if (organisation.requests.empty())
         organisation.virtualTime = std::max(organisation.virtualTime, classQueue.virtualTime);
-    organisation.requests.push_back(std::move(incoming));
+    auto& requests = organisation.requests;
+    auto position = isResumed(incoming) ? std::find_if_not(requests.begin(), requests.end(), isResumed) : requests.end();
+    requests.insert(position, std::move(incoming));
     return Base::Done {};
 }
 
--- a/Source/Admission/Commands/QueueRequest.h
+++ b/Source/Admission/Commands/QueueRequest.h
@@ -7,8 +7,9 @@
 
 namespace Lavenderloft::Admission::Commands {
 
-// Queues a request. If the queue is full, requests of lower classes are shed, starting with the newest of the
-// lowest class. If there are none, the request itself is refused with AtLimit.
+// Queues a request; a resumed response is queued before the new requests of its class and organisation. If the queue is
+// full, requests of lower classes are shed, starting with the newest of the lowest class, and for a resumed response also
+// new requests of its class. If there are none, the request itself is refused with AtLimit.
 Base::Result<Base::Done, Refusal> queueRequest(WaitingQueue&, WaitingRequest);
 
 // Removes the next request. Every 20th request is taken from the lowest waiting class, all others from the highest.
--- a/Tests/Admission/LimitTest.cpp
+++ b/Tests/Admission/LimitTest.cpp
@@ -116,9 +116,10 @@
 struct QueueFixture : AdmissionFixture {
     QueueFixture() { state.permits.occupancy.setLimit(0); }
 
-    std::shared_ptr<RecordingWaiter> wait(const std::string& name, const std::string& organisation, DesiredState::PriorityClass priorityClass)
+    std::shared_ptr<RecordingWaiter> wait(const std::string& name, const std::string& organisation, DesiredState::PriorityClass priorityClass, uint64_t resumeFromToken = 0)
     {
         auto request = makeRequest(name + "-" + std::to_string(m_next++));
+        request.resumeFromToken = resumeFromToken;
         request.organisation = organisation;
         request.priorityClass = priorityClass;
         request.bodyBytes = 0;
@@ -194,6 +195,38 @@
     cr_assert_eq(Queries::queueStatistics(fixture.state.queue).requests, 2);
 }
 
+// Guards against a response that has begun and waits behind requests that have not, until its caller's deadline.
+Test(Queue, servesResumedResponsesFirst)
+{
+    QueueFixture fixture;
+    fixture.wait("new", "small", interactive);
+    fixture.wait("new", "small", interactive);
+    fixture.wait("resumed 1", "small", interactive, 5);
+    fixture.wait("resumed 2", "small", interactive, 3);
+    fixture.wait("hazard", "small", hazard);
+    fixture.grant(4);
+    std::vector<std::string> expected { "hazard", "resumed 1", "resumed 2", "new" };
+    cr_assert(fixture.grants == expected);
+}
+
+// Guards against refusing a response that has begun because the queue is full of requests that have not.
+Test(Queue, displacesANewRequestByAResumedResponse)
+{
+    QueueFixture fixture;
+    fixture.state.queue.maximumRequests = 2;
+    auto first = fixture.wait("new", "small", interactive);
+    auto second = fixture.wait("new", "small", interactive);
+    auto resumed = fixture.wait("resumed", "large", interactive, 5);
+    cr_assert_not(first->refusal.has_value());
+    cr_assert(second->refusal.has_value());
+    cr_assert_not(resumed->refusal.has_value());
+    auto another = fixture.wait("resumed", "large", interactive, 5);
+    cr_assert(first->refusal.has_value());
+    cr_assert(fixture.wait("resumed", "large", interactive, 5)->refusal.has_value());
+    cr_assert_not(resumed->refusal.has_value());
+    cr_assert_not(another->refusal.has_value());
+}
+
 // Guards against keeping a request in the queue after its deadline or after the router has withdrawn it.
 Test(Queue, removesExpiredAndWithdrawnRequests)
 {
