Shed queued requests only for one that will fit

Callers saw: requests of a lower class refused by an agent in favour of one that was then refused as well.

Cause: with its queue full of bytes, an agent shed requests of lower classes one by one, and found only afterwards that the incoming request did not fit even without all of them.

Change: nothing is shed unless the queue has room once every request that may be displaced is gone.

Test: Queue/shedsNothingForARequestThatStaysRefused failed before and passes now, with all 35 tests of test-Admission.

--- a/Source/Admission/Commands/QueueRequest.cpp
+++ b/Source/Admission/Commands/QueueRequest.cpp
@@ -108,6 +108,24 @@
         return statistics.requests < queue.maximumRequests && statistics.bytes + incoming.request.bodyBytes <= queue.maximumBytes;
     }
 
+    // Whether the queue has room once every request that may be displaced has been shed.
+    bool canMakeRoom(const WaitingQueue& queue, const WaitingRequest& incoming)
+    {
+        size_t requests = 0;
+        uint64_t bytes = incoming.request.bodyBytes;
+        for (auto& classQueue : queue.classes) {
+            std::lock_guard guard(classQueue.lock);
+            for (auto& [name, organisation] : classQueue.organisations) {
+                for (auto& waiting : organisation.requests) {
+                    bool isKept = !mayDisplace(incoming, waiting);
+                    requests += isKept ? 1 : 0;
+                    bytes += isKept ? waiting.request.bodyBytes : 0;
+                }
+            }
+        }
+        return requests < queue.maximumRequests && bytes <= queue.maximumBytes;
+    }
+
     std::vector<size_t> waitingClasses(const WaitingQueue& queue)
     {
         std::vector<size_t> waiting;
@@ -153,7 +171,7 @@
 Base::Result<Base::Done, Refusal> queueRequest(WaitingQueue& queue, WaitingRequest incoming)
 {
     while (!fits(queue, incoming)) {
-        if (!shedFor(queue, incoming))
+        if (!canMakeRoom(queue, incoming) || !shedFor(queue, incoming))
             return makeRefusal(RefusalReason::AtLimit, "the target and its queue are full", "try another target or retry later");
     }
     auto& classQueue = queue.classes[classIndex(incoming.request)];
--- a/Tests/Admission/LimitTest.cpp
+++ b/Tests/Admission/LimitTest.cpp
@@ -195,6 +195,30 @@
     cr_assert_eq(Queries::queueStatistics(fixture.state.queue).requests, 2);
 }
 
+// Guards against refusing requests of a lower class although the incoming one does not fit even without them.
+Test(Queue, shedsNothingForARequestThatStaysRefused)
+{
+    QueueFixture fixture;
+    fixture.state.queue.maximumBytes = 100;
+    auto wait = [&](const std::string& name, DesiredState::PriorityClass priorityClass, uint64_t bytes) {
+        auto request = fixture.makeRequest(name);
+        request.priorityClass = priorityClass;
+        request.bodyBytes = bytes;
+        auto waiter = std::make_shared<RecordingWaiter>(name, fixture.grants);
+        auto result = fixture.admit(request, waiter);
+        if (auto* refusal = std::get_if<Refusal>(&result))
+            waiter->refused(*refusal);
+        return waiter;
+    };
+    auto low = wait("low", summary, 20);
+    auto high = wait("high", interactive, 70);
+    cr_assert(wait("incoming", interactive, 40)->refusal.has_value());
+    cr_assert_not(low->refusal.has_value());
+    cr_assert_not(wait("fitting", interactive, 30)->refusal.has_value());
+    cr_assert(low->refusal.has_value());
+    cr_assert_not(high->refusal.has_value());
+}
+
 // Guards against a response that has begun and waits behind requests that have not, until its caller's deadline.
 Test(Queue, servesResumedResponsesFirst)
 {
