Keep verified pieces while the engine does not answer

Users could see weights that were loaded late: stored pieces were fetched again from other agents or the origin, and not served to other agents meanwhile.

Cause: a verification marked a piece as missing when one read of it had no answer from the engine, or 503.

Change: such a piece stays as it was verified before. Any other answer than the whole piece marks it as missing, as before.

--- a/Source/Staging/EnginePieces.cpp
+++ b/Source/Staging/EnginePieces.cpp
@@ -14,12 +14,20 @@
     // How long a store that had no response is expected to take effect still.
     constexpr std::chrono::seconds unsettledStoreLifetime = 30s;
 
+    constexpr unsigned unavailableStatus = 503;
+
     // Whether the engine said that the piece is stored there or that it is not.
     bool isAnswer(const Base::Result<Http::HttpResponse, Http::HttpError>& result)
     {
         return Base::succeeded(result) && (Base::valueOf(result).status == 200 || Base::valueOf(result).status == 404);
     }
 
+    // Whether the engine said nothing of the piece. What was verified before stays known then.
+    bool isUnavailable(const Base::Result<Http::HttpResponse, Http::HttpError>& result)
+    {
+        return !Base::succeeded(result) || Base::valueOf(result).status == unavailableStatus;
+    }
+
     std::optional<std::string> takePiece(Base::Result<Http::HttpResponse, Http::HttpError> result)
     {
         if (!Base::succeeded(result) || Base::valueOf(result).status != 200)
@@ -67,7 +75,8 @@
     for (unsigned piece = 0; piece < m_checklist->pieceCount(); ++piece) {
         auto result = co_await requestPiece(engine, m_checklist->manifest().model, piece);
         isAnswered = isAnswered && isAnswer(result);
-        recordVerified(piece, takePiece(std::move(result)));
+        if (!isUnavailable(result))
+            recordVerified(piece, takePiece(std::move(result)));
     }
     co_return isAnswered;
 }
--- a/Source/Staging/EnginePieces.h
+++ b/Source/Staging/EnginePieces.h
@@ -34,7 +34,7 @@
     void restartChecklist();
 
     // Reads each piece of the checklist back from the engine and compares its digest. Returns whether the engine answered
-    // every time; pieces for which it did not are marked as missing.
+    // every time; a piece of which it said nothing stays as it was.
     boost::asio::awaitable<bool> verify(Http::PersistentHttpClient& engine);
 
     // Time since the start of the last verification: a piece that it found whole may have turned bad since.
--- a/Source/Staging/WeightLoader.cpp
+++ b/Source/Staging/WeightLoader.cpp
@@ -82,8 +82,8 @@
     if (!m_monitor.isStillDesired(desired))
         co_return;
     auto engine = m_context.engineClient();
-    co_await m_pieces.verify(engine);
-    if (!m_pieces.checklist()->isComplete() || relyOnInheritedPieces(desired))
+    bool isAnswered = co_await m_pieces.verify(engine);
+    if (!isAnswered || !m_pieces.checklist()->isComplete() || relyOnInheritedPieces(desired))
         co_return;
     co_await load(desired, engine);
 }
@@ -175,8 +175,8 @@
 {
     bool isConfirmed = isVerificationRecent() && engine.isConnected();
     for (unsigned i = 0; i < maximumVerifications && !isConfirmed; ++i) {
-        co_await m_pieces.verify(engine);
-        if (!m_pieces.checklist()->isComplete())
+        bool isAnswered = co_await m_pieces.verify(engine);
+        if (!isAnswered || !m_pieces.checklist()->isComplete())
             co_return false;
         isConfirmed = isVerificationRecent();
     }
--- a/Tests/Staging/StagingNodeTest.cpp
+++ b/Tests/Staging/StagingNodeTest.cpp
@@ -180,3 +180,19 @@
     cr_assert_eq(staging.engine.manifestsRead(), 2);
     cr_assert_eq(staging.engine.fetches[0], 1, "pieces that match are not fetched again");
 }
+
+// Guards against verified pieces that are fetched again, and not served to other agents meanwhile, because the engine did
+// not answer one read of them.
+Test(StagingNode, keepsVerifiedPiecesWhileTheEngineDoesNotAnswer)
+{
+    TestStaging staging;
+    staging.declare(2);
+    staging.node.start();
+    cr_assert(staging.runUntil([&] { return staging.engine.holdsAllPieces(); }));
+    staging.engine.failedReads = 3;
+    cr_assert(staging.runUntilLoaded(1));
+    cr_assert_eq(staging.engine.failedReads, 0);
+    cr_assert_eq(staging.engine.brokenLoads, 0);
+    for (unsigned piece = 0; piece < TestEngine::pieceCount; ++piece)
+        cr_assert_eq(staging.engine.fetches[piece], 1, "piece %u is fetched again", piece);
+}
