Give a piece that timed out more time at the next attempt

Users could see weights that were never loaded: a piece whose transfer over a slow link took longer than 5 s from the origin, or 4 s from another agent, was dropped before its end and begun anew for ever.

Cause: the timeouts of a piece were fixed, whatever its transfers took.

Change: each piece has its own timeouts (AdaptiveTimeout), which are doubled after a request that timed out, up to four times the initial ones.

Test: StagingNode/fetchesAPieceOverASlowLink, with an origin that needs 5.5 s for one piece, failed before (nothing loaded after 20 s) and passes now (11.3 s), with all 94 tests of test-Staging.

--- a/Source/Staging/PieceFetcher.cpp
+++ b/Source/Staging/PieceFetcher.cpp
@@ -35,6 +35,9 @@
     constexpr std::chrono::milliseconds retryDelay = 30ms;
     // Covers the time that an agent waits for the piece itself and for upload bandwidth.
     constexpr std::chrono::milliseconds agentTimeout = 4000ms;
+    // Over a slow link, or one that many agents share, a piece may take that long.
+    constexpr std::chrono::milliseconds maximumAgentTimeout = 16000ms;
+    constexpr std::chrono::milliseconds maximumOriginTimeout = 20000ms;
 
 } // namespace
 
@@ -62,6 +65,8 @@
         m_pieces.startChecklist(*manifest);
         m_sources.startVersion(desired.declared.version, m_pieces.checklist()->pieceCount());
         m_mismatches.clear();
+        m_agentTimeouts.clear();
+        m_originTimeouts.clear();
     }
     Observability::logEvent(Events::stagingStarted, { { "model", desired.model }, { "version", desired.declared.version }, { "pieces", m_pieces.checklist()->pieceCount() }, { "held_version", m_monitor.wholeVersion() } });
     auto engine = m_context.engineClient();
@@ -178,7 +183,9 @@
     Http::Endpoint endpoint { agent->address, m_context.settings.firstPeerPort };
     Http::HttpRequest request;
     request.target = encodePiecePath({ desired.model, desired.declared.version, piece, m_context.settings.region });
-    auto result = co_await clientTo(endpoint, clients).call(std::move(request), agentTimeout);
+    auto requestedAt = m_context.clock.now();
+    auto result = co_await clientTo(endpoint, clients).call(std::move(request), agentTimeoutOf(piece).current());
+    recordResponseTime(agentTimeoutOf(piece), result, requestedAt);
     co_return takePieceFrom(desired, piece, source, endpoint, std::move(result));
 }
 
@@ -192,11 +199,31 @@
     std::shared_ptr<void> endOfUse(nullptr, [this](void*) { m_isUsingOrigin = false; });
     auto request = m_context.protocol.pieceRequest(desired.model, desired.declared.version, piece);
     Http::PersistentHttpClient client(m_context.loop.get_executor(), desired.origin, originConnectTimeout);
-    auto result = co_await client.call(std::move(request), StagingContext::originTimeout);
+    auto requestedAt = m_context.clock.now();
+    auto result = co_await client.call(std::move(request), originTimeoutOf(piece).current());
+    recordResponseTime(originTimeoutOf(piece), result, requestedAt);
     recordOriginState(Base::succeeded(result));
     co_return takePieceFrom(desired, piece, Queries::FromOrigin {}, desired.origin, std::move(result));
 }
 
+Base::AdaptiveTimeout& PieceFetcher::agentTimeoutOf(unsigned piece)
+{
+    return m_agentTimeouts.try_emplace(piece, agentTimeout, maximumAgentTimeout).first->second;
+}
+
+Base::AdaptiveTimeout& PieceFetcher::originTimeoutOf(unsigned piece)
+{
+    return m_originTimeouts.try_emplace(piece, StagingContext::originTimeout, maximumOriginTimeout).first->second;
+}
+
+void PieceFetcher::recordResponseTime(Base::AdaptiveTimeout& timeout, const PieceResult& result, Base::TimePoint requestedAt) const
+{
+    if (Base::succeeded(result) && Base::valueOf(result).status == 200)
+        timeout.recordResponse(m_context.clock.now() - requestedAt);
+    if (!Base::succeeded(result) && Base::errorOf(result).kind == Http::HttpErrorKind::TimedOut)
+        timeout.recordTimeout();
+}
+
 void PieceFetcher::recordOriginState(bool isReachable)
 {
     auto now = m_context.clock.now();
--- a/Source/Staging/PieceFetcher.h
+++ b/Source/Staging/PieceFetcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Base/AdaptiveTimeout.h"
 #include "Staging/EngineMonitor.h"
 #include "Staging/EnginePieces.h"
 #include "Staging/ManifestFetcher.h"
@@ -46,6 +47,9 @@
     boost::asio::awaitable<std::optional<std::string>> fetchFromSource(const DesiredWeights&, unsigned piece, const Queries::PieceSource&, ClientsByAddress&);
     Http::PersistentHttpClient& clientTo(const Http::Endpoint&, ClientsByAddress&) const;
     boost::asio::awaitable<std::optional<std::string>> fetchFromOrigin(const DesiredWeights&, unsigned piece);
+    Base::AdaptiveTimeout& agentTimeoutOf(unsigned piece);
+    Base::AdaptiveTimeout& originTimeoutOf(unsigned piece);
+    void recordResponseTime(Base::AdaptiveTimeout&, const PieceResult&, Base::TimePoint requestedAt) const;
     void recordOriginState(bool isReachable);
     std::optional<std::string> takePieceFrom(const DesiredWeights&, unsigned piece, const Queries::PieceSource&, const Http::Endpoint&, PieceResult);
     void recordMismatch(const DesiredWeights&, unsigned piece, const std::string& bytes, const Queries::PieceSource&);
@@ -61,6 +65,9 @@
     EnginePieces& m_pieces;
     PieceSources m_sources;
     MismatchEvidence m_mismatches;
+    // By piece, so that fast transfers of others don't shorten that of a slow one.
+    std::map<unsigned, Base::AdaptiveTimeout> m_agentTimeouts;
+    std::map<unsigned, Base::AdaptiveTimeout> m_originTimeouts;
     bool m_isUsingOrigin = false;
     bool m_isOriginAway = false;
     Base::TimePoint m_originBackoffUntil {};
--- a/Tests/Staging/StagingNodeTest.cpp
+++ b/Tests/Staging/StagingNodeTest.cpp
@@ -196,3 +196,15 @@
     for (unsigned piece = 0; piece < TestEngine::pieceCount; ++piece)
         cr_assert_eq(staging.engine.fetches[piece], 1, "piece %u is fetched again", piece);
 }
+
+// Guards against a piece that never arrives because its transfer over a slow link takes longer than a fixed timeout: each
+// transfer was dropped before its end, and the next one began anew.
+Test(StagingNode, fetchesAPieceOverASlowLink)
+{
+    TestStaging staging;
+    staging.engine.slowPiece = 2;
+    staging.engine.slowPieceDelay = StagingContext::originTimeout + std::chrono::milliseconds(500);
+    staging.declare(2);
+    staging.node.start();
+    cr_assert(staging.runUntilLoaded(1));
+}
--- a/Tests/Staging/TestEngine.h
+++ b/Tests/Staging/TestEngine.h
@@ -158,6 +158,9 @@
     unsigned manifestsRead() const { return m_manifestsRead; }
     // The origin does not deliver this piece.
     std::optional<unsigned> missingPiece;
+    // Time after which the origin delivers this piece.
+    std::optional<unsigned> slowPiece;
+    std::chrono::milliseconds slowPieceDelay { 0 };
 
 private:
     std::shared_ptr<Http::NodeServer> startServer(boost::asio::io_context& context)
@@ -165,6 +168,8 @@
         return Http::NodeServer::start(context, { "127.0.0.1", 0 }, [this](Http::HttpRequest request) -> boost::asio::awaitable<Http::HttpResponse> {
             if (request.target.starts_with("/load/"))
                 co_await holdLoad();
+            if (slowPiece && request.target == "/origin/" + std::to_string(*slowPiece))
+                co_await Http::sleepFor(m_context, slowPieceDelay);
             if (request.target == "/report")
                 co_await Http::sleepFor(m_context, reportDelay);
             auto response = respond(request);
