Ask a silent agent again for the outcome of a call

Callers saw: 502 with an unknown outcome for a call that may not be repeated, 2 s after its connection had broken, although its deadline was far away and the agent could have told a moment later that it was complete or had not run.

Cause: the router asked the agent once, and took an agent that did not answer within 2 s for one that does not know.

Change: an agent that does not answer is asked again after 0.5 s, until the deadline of the call, or until its VM is no longer a member. An answer of the agent, or of another incarnation, counts as before.

Test: Coordinator/asksAgainForTheOutcomeOfACall and Coordinator/reportsAnUnknownOutcomeIfTheAgentStaysSilent failed before and pass now. Coordinator/runsACallAtMostOnceUnderBrokenStreams advances the clock until each call has ended; its assertions are unchanged.

--- a/Source/Routing/AttemptSequence.cpp
+++ b/Source/Routing/AttemptSequence.cpp
@@ -25,8 +25,9 @@
     // Delay before a retry that the budget did not allow is tried again.
     constexpr auto retryBudgetInterval = 200ms;
 
-    // The outcome is unknown if the agent does not report it within this time.
+    // Time for the agent to report an outcome, and delay before it is asked again.
     constexpr Base::Duration resolveTimeout = 2s;
+    constexpr auto resolveInterval = 500ms;
 
 } // namespace
 
@@ -162,6 +163,7 @@
 void AttemptSequence::resolve(Lock lock)
 {
     m_state.phase = Phase::Resolving;
+    m_state.nextAttemptAt = {};
     auto channel = m_state.attempt.channel();
     auto attemptId = m_state.attempt.id();
     auto permit = m_state.attempt.grantedPermit();
@@ -169,6 +171,12 @@
     channel->resolve(attemptId, permit, resolveTimeout, m_owner.makeResolutionHandler(attemptId));
 }
 
+void AttemptSequence::scheduleResolution(Lock)
+{
+    m_log.waiting("the agent did not report the outcome");
+    m_state.nextAttemptAt = m_context.clock.now() + resolveInterval;
+}
+
 void AttemptSequence::retryLaterOrFail(Lock lock, const RoutingError& error)
 {
     auto delay = Queries::delayNextRound(m_request, isInterrupted(), m_state.callerDisconnected, m_context.clock.now());
--- a/Source/Routing/AttemptSequence.h
+++ b/Source/Routing/AttemptSequence.h
@@ -39,6 +39,12 @@
     // Continues after an attempt that failed and was released.
     void failed(Lock, const AttemptFailure&);
 
+    // Asks the agent of the last attempt for its outcome.
+    void resolve(Lock);
+
+    // Schedules another question to an agent that did not answer. Its silence says nothing of the outcome.
+    void scheduleResolution(Lock);
+
 private:
     void failQuarantined(Lock, const QuarantineStatus&);
     void open(Lock, std::shared_ptr<Target>, std::string_view reason);
@@ -50,7 +56,6 @@
     void continueAfter(Lock, const AttemptFailure&, bool isCharged);
     void waitForRetryBudget(Lock, const AttemptFailure&);
     void resumeResponse(Lock, const AttemptFailure&);
-    void resolve(Lock);
     void retryLaterOrFail(Lock, const RoutingError&);
     // Clears the list of targets tried and schedules an attempt.
     void startNewRound(Lock, Base::Duration delay, const std::string& reason);
--- a/Source/Routing/Queries/ReadResolution.cpp
+++ b/Source/Routing/Queries/ReadResolution.cpp
@@ -2,6 +2,11 @@
 
 namespace Lavenderloft::Routing::Queries {
 
+bool isAnswered(const Resolution& resolution)
+{
+    return resolution.agentIncarnation != 0;
+}
+
 bool isFromSameAgent(const Resolution& resolution, const Permit& permit)
 {
     return resolution.agentIncarnation == permit.agentIncarnation;
--- a/Source/Routing/Queries/ReadResolution.h
+++ b/Source/Routing/Queries/ReadResolution.h
@@ -7,6 +7,9 @@
 
 namespace Lavenderloft::Routing::Queries {
 
+// Whether an agent has answered the question for the outcome.
+bool isAnswered(const Resolution&);
+
 // Whether the resolution comes from the agent that granted the permit. An agent that has restarted has no record of the
 // attempt.
 bool isFromSameAgent(const Resolution&, const Permit&);
--- a/Source/Routing/RequestCoordinator.cpp
+++ b/Source/Routing/RequestCoordinator.cpp
@@ -197,6 +197,8 @@
     Lock lock(m_state.lock);
     if (m_state.phase != Phase::Resolving || !m_state.attempt.hasId(attemptId))
         return;
+    if (!Queries::isAnswered(resolution) && m_context.targets.vms().find(m_state.attempt.target()->vm()))
+        return m_attempts.scheduleResolution(std::move(lock));
     auto outcome = Queries::outcomeOf(resolution, m_state.attempt.grantedPermit());
     bool isNotRun = outcome == AttemptOutcome::NotRun;
     m_log.attemptResolved(*m_state.attempt.target(), isNotRun, Queries::isFromSameAgent(resolution, m_state.attempt.grantedPermit()));
@@ -214,10 +216,14 @@
         if (m_state.response.isStarted)
             return m_ending.abort(std::move(lock), "the deadline passed");
         m_state.history.mayHaveRun = m_state.history.mayHaveRun || m_state.isOutcomeOpen();
+        if (m_state.phase == Phase::Resolving)
+            return m_ending.fail(std::move(lock), Queries::resolvedError(AttemptOutcome::Unknown, m_request));
         return m_ending.fail(std::move(lock), Queries::deadlineError("the deadline passed before the response started"));
     }
-    if (m_state.phase == Phase::Waiting && now >= m_state.nextAttemptAt && m_state.nextAttemptAt != Base::TimePoint())
+    if (m_state.phase == Phase::Waiting && m_state.isDue(now))
         return m_attempts.begin(std::move(lock));
+    if (m_state.phase == Phase::Resolving && m_state.isDue(now))
+        return m_attempts.resolve(std::move(lock));
     lock.unlock();
     // Readers that have become slow in the meantime can now be aborted to free budget.
     m_forwarder->retry();
--- a/Source/Routing/RequestState.h
+++ b/Source/Routing/RequestState.h
@@ -32,6 +32,9 @@
 
     bool hasEnded() const { return phase == Phase::Ended; }
 
+    // Whether what was scheduled is due.
+    bool isDue(Base::TimePoint now) const { return nextAttemptAt != Base::TimePoint() && now >= nextAttemptAt; }
+
     // Whether the attempt may have run, whatever its target reports.
     bool isOutcomeOpen() const { return attempt.isSent() || phase == Phase::Resolving; }
 
@@ -50,7 +53,7 @@
     const Base::TimePoint startedAt;
     std::mutex lock;
     Phase phase = Phase::Waiting;
-    // When the next attempt is due in the phase Waiting; zero if none is scheduled.
+    // When the next attempt is due in the phase Waiting, or the next question in Resolving; zero if none is scheduled.
     Base::TimePoint nextAttemptAt;
     AttemptHistory history;
     CurrentAttempt attempt;
--- a/Tests/Routing/CoordinatorTest.cpp
+++ b/Tests/Routing/CoordinatorTest.cpp
@@ -255,6 +255,49 @@
     cr_assert(fixture.channels.attempts[0]->address == fixture.channels.attempts[1]->address);
 }
 
+// Guards against reporting an unknown outcome because the agent was silent when it was asked first, and against asking the
+// agent of a VM that is gone until the deadline.
+Test(Coordinator, asksAgainForTheOutcomeOfACall)
+{
+    for (bool isGone : { false, true }) {
+        RoutingFixture fixture;
+        unsigned questions = 0;
+        fixture.channels.onResolve = [&](auto&) { return ++questions < 3 ? Resolution {} : Resolution { AttemptOutcome::Complete, 1 }; };
+        auto caller = fixture.start(fixture.booking("k1"));
+        fixture.channels.last().permit();
+        fixture.channels.last().breakOff();
+        cr_assert_not(caller->hasEnded());
+        if (isGone) {
+            for (auto& member : fixture.members)
+                member.status = Membership::Status::Dead;
+            fixture.update();
+        }
+        fixture.advance(1s);
+        fixture.advance(1s);
+        cr_assert(caller->error);
+        cr_assert_eq(questions, isGone ? 2 : 3);
+        cr_assert(caller->error->outcome == (isGone ? Outcome::Unknown : Outcome::Complete));
+        cr_assert_eq(fixture.channels.attempts.size(), 1);
+    }
+}
+
+// Guards against a call whose outcome stays open for longer than its deadline, or is then reported as NotRun.
+Test(Coordinator, reportsAnUnknownOutcomeIfTheAgentStaysSilent)
+{
+    RoutingFixture fixture;
+    fixture.channels.onResolve = [](auto&) { return Resolution {}; };
+    auto caller = fixture.start(fixture.booking("k1"));
+    fixture.channels.last().permit();
+    fixture.channels.last().breakOff();
+    for (int i = 0; i < 29; ++i)
+        fixture.advance(1s);
+    cr_assert_not(caller->hasEnded());
+    fixture.advance(1s);
+    cr_assert(caller->error);
+    cr_assert(caller->error->code == ErrorCode::OutcomeUnknown);
+    cr_assert(caller->error->outcome == Outcome::Unknown);
+}
+
 // Guards against reporting NotRun at the deadline for a call that may have run.
 Test(Coordinator, reportsTheOutcomeAtTheDeadline)
 {
@@ -301,6 +344,9 @@
     for (int i = 0; i < 2000; ++i) {
         auto key = "key-" + std::to_string(i);
         auto caller = fixture.start(fixture.booking(key));
+        // An agent that does not report the outcome is asked again.
+        for (int question = 0; question < 30 && !caller->hasEnded(); ++question)
+            fixture.advance(500ms);
         cr_assert(caller->hasEnded());
         cr_assert_leq(runs[key], 1);
         cr_assert(!caller->completed || runs[key] == 1);
