Keep the limit of a warm engine that did not answer

Callers saw: requests that queued or were refused at a warm engine with free slots, because it had not answered two polls of its status in a row, for instance while it was busy.

Cause: an engine that did not answer counted as unusable and not warm, so that its limit fell to the cold one and had to be doubled window by window, although the same incarnation with the same weights reported that it was warm.

Change: while the engine does not answer, nothing is granted and permits are revoked, as before; its last known condition is kept, and the next answer is compared with that. After a restart, with other weights, cold or unusable, the limit is reset as before.

Test: Limit/isKeptWhileTheEngineDoesNotAnswer failed before (limit 2 instead of 16) and passes now, with all 36 tests of test-Admission and the 6 of test-EndToEnd in ColdEngine, CrashingRequest, Pause and Rollout suites (load average 36).

--- a/Source/Admission/Commands/AdjustLimit.cpp
+++ b/Source/Admission/Commands/AdjustLimit.cpp
@@ -64,11 +64,12 @@
 void observeEngine(LimitState& state, const EngineCondition& condition, Base::TimePoint now)
 {
     state.withData([&](Data& data) {
+        // Silence says nothing of the engine's condition. No request is sent until the next answer tells.
+        data.isSuspect = !condition.isReachable;
+        if (data.isSuspect)
+            return;
+        data.engineSeenAt = now;
         auto previous = std::exchange(data.engine, condition);
-        if (condition.isReachable) {
-            data.engineSeenAt = now;
-            data.isSuspect = false;
-        }
         bool hasChanged = previous.incarnation != condition.incarnation || previous.digest != condition.digest;
         if (hasChanged)
             data.warmAverage = {};
--- a/Source/Admission/Commands/AdjustLimit.h
+++ b/Source/Admission/Commands/AdjustLimit.h
@@ -8,7 +8,7 @@
 void configureLimit(LimitState&, const LimitSettings&);
 
 // Applies the engine's condition. The limit is reset to the cold limit when the incarnation or digest changes
-// or the engine becomes cold, and is zero while the engine is not usable.
+// or the engine becomes cold, and is zero while the engine is not usable or does not answer.
 void observeEngine(LimitState&, const EngineCondition&, Base::TimePoint now);
 
 // Stops grants until the engine answers the next poll. Called after the engine broke off or refused a request.
--- a/Tests/Admission/LimitTest.cpp
+++ b/Tests/Admission/LimitTest.cpp
@@ -102,6 +102,31 @@
     cr_assert_eq(fixture.limit(), 16);
 }
 
+// Guards against a warm engine that is taken for a cold one because it did not answer two polls: its limit fell to that of
+// an engine that has just started.
+Test(Limit, isKeptWhileTheEngineDoesNotAnswer)
+{
+    const EngineCondition silent { false, 1, "digest", false, false };
+    const std::vector<std::pair<EngineCondition, unsigned>> returns {
+        { { true, 1, "digest", true, true }, 16 },
+        { { true, 1, "digest", true, false }, 2 },
+        { { true, 2, "digest", true, true }, 2 },
+        { { true, 1, "other", true, true }, 2 },
+        { { true, 1, "digest", false, true }, 0 },
+    };
+    for (auto& [condition, limit] : returns) {
+        LimitFixture fixture;
+        fixture.warmUp();
+        fixture.observe(silent);
+        cr_assert_eq(fixture.limit(), 0);
+        fixture.clock.advance(2s);
+        Commands::closeWindow(fixture.state, fixture.clock.now());
+        cr_assert_eq(fixture.limit(), 0);
+        fixture.observe(condition);
+        cr_assert_eq(fixture.limit(), limit);
+    }
+}
+
 // Guards against filling the engine's memory with request bodies.
 Test(Limit, reservesPartOfTheEnginesMemory)
 {
