Await a silent target until the caller's deadline

Callers saw: responses with a deadline of more than 60 s that were broken off when their engine or service sent nothing for 60 s; for a call that may not be repeated, an unknown outcome.

Cause: the agent gave up the connection after 60 s of silence, whatever the deadline.

Change: silenceLimit() is the deadline of the request, and 60 s without one.

No pause of that length was run from end to end.

--- a/Source/Process/TargetRun.cpp
+++ b/Source/Process/TargetRun.cpp
@@ -2,6 +2,7 @@
 
 #include "Admission/Commands/AdjustLimit.h"
 #include "Admission/Commands/RunRequest.h"
+#include "Admission/Queries/SilenceLimit.h"
 #include "Http/EngineRequest.h"
 #include "Http/ForwardedHeaders.h"
 
@@ -11,7 +12,6 @@
 
 namespace {
 
-    constexpr std::chrono::milliseconds maximumIdleTimeout { 60000 };
     constexpr unsigned firstServerErrorStatus = 500;
     // An engine without weights responds with this status; it has not run the request.
     constexpr unsigned notReadyStatus = 503;
@@ -19,11 +19,6 @@
     // Large enough for the marker and a line ending.
     constexpr size_t tailBytes = 16;
 
-    std::chrono::milliseconds idleTimeout(const Admission::AdmissionRequest& request)
-    {
-        return request.deadline.count() ? std::min(request.deadline, maximumIdleTimeout) : maximumIdleTimeout;
-    }
-
     bool endsWithMarker(std::string_view tail)
     {
         while (!tail.empty() && (tail.back() == '\n' || tail.back() == '\r'))
@@ -55,7 +50,7 @@
 
 void TargetRun::start(Http::HttpRequest request)
 {
-    auto call = m_context->client.send(m_context->endpoint, std::move(request), idleTimeout(m_request), shared_from_this());
+    auto call = m_context->client.send(m_context->endpoint, std::move(request), Admission::Queries::silenceLimit(m_request), shared_from_this());
     bool isCancelled = false;
     {
         std::lock_guard guard(m_lock);
--- a/Tests/Admission/PermitTest.cpp
+++ b/Tests/Admission/PermitTest.cpp
@@ -6,6 +6,7 @@
 #include "Admission/Queries/AdaptersInUse.h"
 #include "Admission/Queries/AttemptOutcome.h"
 #include "Admission/Queries/FindRefusal.h"
+#include "Admission/Queries/SilenceLimit.h"
 #include "Admission/Queries/TargetLoad.h"
 
 #include <atomic>
@@ -278,3 +279,15 @@
     cr_assert_eq(fixture.state.permits.occupancy.usage().slots, 0);
     cr_assert_eq(fixture.state.keys.recordCount.load(), 0);
 }
+
+// Guards against a long response that is given up because its target paused, with time left until the caller's deadline,
+// and against a response without a deadline that is awaited for ever.
+Test(SilenceLimit, isTheDeadlineOfTheCaller)
+{
+    AdmissionRequest request;
+    cr_assert(Queries::silenceLimit(request) == 60s);
+    request.deadline = 5s;
+    cr_assert(Queries::silenceLimit(request) == 5s);
+    request.deadline = 600s;
+    cr_assert(Queries::silenceLimit(request) == 600s);
+}
