Give a manifest that timed out more time at the next attempt

Users could see a region that never got new weights: its agents fetch the manifest from other agents, and a manifest whose transfer over a slow link took longer than 1 s was given up before its end and begun anew for ever.

Cause: the timeout of a request to another agent for a manifest was fixed.

Change: manifestTimeout() doubles it after each request that timed out, up to 8 s. TransferDriver passes it to the client, which only encodes it. The fault plan of the tests can make manifests slow.

--- a/Source/Process/TransferDriver.cpp
+++ b/Source/Process/TransferDriver.cpp
@@ -157,9 +157,11 @@
     auto source = Queries::chooseManifestSource(ownership, m_dependencies.self, plan.neighbours, plan.manifestAttempts, now - snapshot.phaseSince, *m_dependencies.random);
     plan.nextManifestAttempt = now + Queries::manifestRetryDelay(plan.manifestAttempts);
     ++plan.manifestAttempts;
-    auto received = [runtime = m_dependencies.runtime, digest = snapshot.digest, pending = plan.manifestPending](const Base::Result<std::string, Weights::WeightError>& result) {
+    auto received = [runtime = m_dependencies.runtime, digest = snapshot.digest, pending = plan.manifestPending, timeouts = plan.manifestTimeouts](const Base::Result<std::string, Weights::WeightError>& result) {
         auto& state = *runtime->state;
         if (!Base::succeeded(result)) {
+            if (Base::errorOf(result).kind == Weights::WeightErrorKind::Stalled)
+                ++*timeouts;
             Commands::setDelayReason(state.transfers, digest, "the manifest has not arrived: " + Base::errorOf(result).describe());
         } else {
             auto accepted = Commands::acceptManifest(state.transfers, state.chunks, digest, Base::valueOf(result), runtime->clock.now());
@@ -171,7 +173,7 @@
     };
     if (source.origin)
         return m_dependencies.origin->fetchManifest(snapshot.digest, received);
-    m_dependencies.peers->getManifest(plan.byVm.at(source.vm), snapshot.digest, received);
+    m_dependencies.peers->getManifest(plan.byVm.at(source.vm), snapshot.digest, Queries::manifestTimeout(*plan.manifestTimeouts), received);
 }
 
 void TransferDriver::fetchChunks(Plan& plan, const TransferSnapshot& snapshot)
--- a/Source/Process/TransferDriver.h
+++ b/Source/Process/TransferDriver.h
@@ -8,6 +8,7 @@
 #include "Weights/Queries/ChunkScheduler.h"
 #include "Weights/Queries/TransferQueries.h"
 
+#include <atomic>
 #include <map>
 
 namespace Lavenderloft::Process {
@@ -46,6 +47,8 @@
         Base::TimePoint refreshedAt;
         Base::TimePoint participantsChangedAt;
         unsigned manifestAttempts = 0;
+        // Number of requests to peers for the manifest that timed out.
+        std::shared_ptr<std::atomic<unsigned>> manifestTimeouts = std::make_shared<std::atomic<unsigned>>(0);
         Base::TimePoint nextManifestAttempt;
         std::shared_ptr<std::atomic<bool>> manifestPending = std::make_shared<std::atomic<bool>>(false);
         Weights::TransferPhase reportedPhase = Weights::TransferPhase::FetchingManifest;
--- a/Source/Transport/WeightServiceClient.cpp
+++ b/Source/Transport/WeightServiceClient.cpp
@@ -55,11 +55,11 @@
     };
 
     template <typename Request, typename Response>
-    std::shared_ptr<UnaryCall<Request, Response>> makeCall(const std::shared_ptr<Stub>& stub)
+    std::shared_ptr<UnaryCall<Request, Response>> makeCall(const std::shared_ptr<Stub>& stub, std::chrono::milliseconds timeout)
     {
         auto call = std::make_shared<UnaryCall<Request, Response>>();
         call->stub = stub;
-        call->context.set_deadline(std::chrono::system_clock::now() + Weights::peerCallTimeout);
+        call->context.set_deadline(std::chrono::system_clock::now() + timeout);
         return call;
     }
 
@@ -153,7 +153,7 @@
 
 void WeightServiceClient::getHoldings(const Weights::Participant& peer, const std::string& manifestDigest, Weights::HoldingsCallback callback)
 {
-    auto call = makeCall<protocol::GetHoldingsRequest, protocol::GetHoldingsResponse>(m_channels->stubFor(peer.address));
+    auto call = makeCall<protocol::GetHoldingsRequest, protocol::GetHoldingsResponse>(m_channels->stubFor(peer.address), Weights::peerCallTimeout);
     call->request.set_digest(encodeDigest(manifestDigest));
     call->stub->async()->GetHoldings(&call->context, &call->request, &call->response, [call, peer, state = m_state, callback = std::move(callback)](const grpc::Status& status) {
         state->counters.controlBytes += callOverheadBytes + call->request.ByteSizeLong() + call->response.ByteSizeLong();
@@ -169,9 +169,9 @@
     });
 }
 
-void WeightServiceClient::getManifest(const Weights::Participant& peer, const std::string& manifestDigest, Weights::ManifestCallback callback)
+void WeightServiceClient::getManifest(const Weights::Participant& peer, const std::string& manifestDigest, std::chrono::milliseconds timeout, Weights::ManifestCallback callback)
 {
-    auto call = makeCall<protocol::GetManifestRequest, protocol::GetManifestResponse>(m_channels->stubFor(peer.address));
+    auto call = makeCall<protocol::GetManifestRequest, protocol::GetManifestResponse>(m_channels->stubFor(peer.address), timeout);
     call->request.set_digest(encodeDigest(manifestDigest));
     call->stub->async()->GetManifest(&call->context, &call->request, &call->response, [call, peer, state = m_state, callback = std::move(callback)](const grpc::Status& status) {
         state->counters.controlBytes += callOverheadBytes + call->request.ByteSizeLong() + call->response.ByteSizeLong();
--- a/Source/Weights/PeerClient.h
+++ b/Source/Weights/PeerClient.h
@@ -48,7 +48,7 @@
     virtual ~PeerClient() = default;
 
     virtual void getHoldings(const Participant&, const std::string& manifestDigest, HoldingsCallback) = 0;
-    virtual void getManifest(const Participant&, const std::string& manifestDigest, ManifestCallback) = 0;
+    virtual void getManifest(const Participant&, const std::string& manifestDigest, std::chrono::milliseconds timeout, ManifestCallback) = 0;
     virtual std::shared_ptr<ChunkFetch> fetchChunk(const Participant&, const ChunkRequest&, std::shared_ptr<ChunkSink>) = 0;
 };
 
--- a/Source/Weights/Queries/SourceSelection.cpp
+++ b/Source/Weights/Queries/SourceSelection.cpp
@@ -13,6 +13,10 @@
     constexpr std::chrono::milliseconds shortRetryDelay = 50ms;
     constexpr std::chrono::milliseconds longRetryDelay = 500ms;
 
+    // A peer may only be slow, so the timeout of a manifest is doubled each time.
+    constexpr std::chrono::milliseconds maximumManifestTimeout = 8000ms;
+    constexpr unsigned maximumManifestDoublings = 3;
+
     ManifestSource chooseUpstreamSource(const ChunkOwnership& ownership, unsigned attempt)
     {
         if (ownership.upstream.empty())
@@ -42,6 +46,11 @@
     return { false, neighbours[random.nextBelow(neighbours.size())].vm };
 }
 
+std::chrono::milliseconds manifestTimeout(unsigned timeouts)
+{
+    return std::min(peerCallTimeout * (1 << std::min(timeouts, maximumManifestDoublings)), maximumManifestTimeout);
+}
+
 std::chrono::milliseconds manifestRetryDelay(unsigned attempt)
 {
     return attempt < shortDelayAttempts ? shortRetryDelay : longRetryDelay;
--- a/Source/Weights/Queries/SourceSelection.h
+++ b/Source/Weights/Queries/SourceSelection.h
@@ -19,6 +19,9 @@
 // between the owner and random neighbours. The next agent in rank takes over after the deadline.
 ManifestSource chooseManifestSource(const ChunkOwnership&, const Participant& self, const std::vector<Participant>& neighbours, unsigned attempt, Base::Duration elapsed, Base::RandomSource&);
 
+// Timeout of a request to a peer for a manifest, after this many that timed out.
+std::chrono::milliseconds manifestTimeout(unsigned timeouts);
+
 // Delay before the next request for a manifest.
 std::chrono::milliseconds manifestRetryDelay(unsigned attempt);
 
--- a/Tests/Weights/RolloutTest.cpp
+++ b/Tests/Weights/RolloutTest.cpp
@@ -119,6 +119,17 @@
     cr_assert_eq(rollout.sum(&Weights::WeightCounters::stalledDownloads), 0);
 }
 
+// Guards against a region that never gets a manifest because its transfer over a slow link takes longer than a fixed
+// timeout: each request was given up before its end, and the next one began anew.
+Test(Rollout, completesWhenManifestsArriveSlowly)
+{
+    Rollout rollout({ .replicas = 4, .regions = 2 });
+    rollout.fleet.faults().setManifestTransferTime(3s);
+    rollout.fleet.setWanted(std::vector { rollout.model.digest });
+    cr_assert(rollout.fleet.waitUntilComplete(rollout.model.digest, 30s));
+    cr_assert(rollout.completesCorrectly(rollout.model));
+}
+
 // Guards against chunks that are never fetched because their owner has died.
 Test(Rollout, completesWhenAChunkOwnerDies)
 {
--- a/Utilities/Bench/FaultyWeightsPeerClient.cpp
+++ b/Utilities/Bench/FaultyWeightsPeerClient.cpp
@@ -116,6 +116,18 @@
     partitionRegion("");
 }
 
+void FaultPlan::setManifestTransferTime(std::chrono::milliseconds time)
+{
+    std::lock_guard guard(m_lock);
+    m_manifestTransferTime = time;
+}
+
+std::chrono::milliseconds FaultPlan::manifestTransferTime() const
+{
+    std::lock_guard guard(m_lock);
+    return m_manifestTransferTime;
+}
+
 bool FaultPlan::isCorrupt(const std::string& vm) const
 {
     std::lock_guard guard(m_lock);
@@ -162,11 +174,13 @@
     });
 }
 
-void FaultyWeightsPeerClient::getManifest(const Weights::Participant& peer, const std::string& manifestDigest, Weights::ManifestCallback callback)
+void FaultyWeightsPeerClient::getManifest(const Weights::Participant& peer, const std::string& manifestDigest, std::chrono::milliseconds timeout, Weights::ManifestCallback callback)
 {
     if (m_plan->arePartitioned(m_ownRegion, peer.region))
         return callback(partitionError());
-    m_client->getManifest(peer, manifestDigest, std::move(callback));
+    if (timeout < m_plan->manifestTransferTime())
+        return callback(Weights::WeightError { Weights::WeightErrorKind::Stalled, "the manifest takes longer than the timeout", "" });
+    m_client->getManifest(peer, manifestDigest, timeout, std::move(callback));
 }
 
 std::shared_ptr<Weights::ChunkFetch> FaultyWeightsPeerClient::fetchChunk(const Weights::Participant& peer, const Weights::ChunkRequest& request, std::shared_ptr<Weights::ChunkSink> sink)
--- a/Utilities/Bench/FaultyWeightsPeerClient.h
+++ b/Utilities/Bench/FaultyWeightsPeerClient.h
@@ -2,6 +2,7 @@
 
 #include "Weights/PeerClient.h"
 
+#include <chrono>
 #include <memory>
 #include <mutex>
 #include <set>
@@ -25,9 +26,13 @@
     void partitionRegion(const std::string& region);
     void healPartition();
 
+    // Fails requests for a manifest whose timeout is shorter.
+    void setManifestTransferTime(std::chrono::milliseconds);
+
     bool isCorrupt(const std::string& vm) const;
     bool isStalled(const std::string& vm) const;
     bool claimsAllChunksHeld(const std::string& vm) const;
+    std::chrono::milliseconds manifestTransferTime() const;
     bool arePartitioned(const std::string& from, const std::string& to) const;
 
 private:
@@ -36,6 +41,7 @@
     std::set<std::string> m_stalled;
     std::set<std::string> m_claimingAllChunks;
     std::string m_partitionedRegion;
+    std::chrono::milliseconds m_manifestTransferTime { 0 };
 };
 
 // Injects the faults of a FaultPlan into the calls of another client for weights.
@@ -44,7 +50,7 @@
     FaultyWeightsPeerClient(std::shared_ptr<Weights::PeerClient>, std::shared_ptr<const FaultPlan>, std::string ownRegion);
 
     void getHoldings(const Weights::Participant&, const std::string& manifestDigest, Weights::HoldingsCallback) override;
-    void getManifest(const Weights::Participant&, const std::string& manifestDigest, Weights::ManifestCallback) override;
+    void getManifest(const Weights::Participant&, const std::string& manifestDigest, std::chrono::milliseconds timeout, Weights::ManifestCallback) override;
     std::shared_ptr<Weights::ChunkFetch> fetchChunk(const Weights::Participant&, const Weights::ChunkRequest&, std::shared_ptr<Weights::ChunkSink>) override;
 
 private:
--- a/Utilities/Bench/RolloutRoundTrips.cpp
+++ b/Utilities/Bench/RolloutRoundTrips.cpp
@@ -40,9 +40,9 @@
     });
 }
 
-void TimingPeerClient::getManifest(const Weights::Participant& peer, const std::string& manifestDigest, Weights::ManifestCallback callback)
+void TimingPeerClient::getManifest(const Weights::Participant& peer, const std::string& manifestDigest, std::chrono::milliseconds timeout, Weights::ManifestCallback callback)
 {
-    m_client->getManifest(peer, manifestDigest, std::move(callback));
+    m_client->getManifest(peer, manifestDigest, timeout, std::move(callback));
 }
 
 std::shared_ptr<Weights::ChunkFetch> TimingPeerClient::fetchChunk(const Weights::Participant& peer, const Weights::ChunkRequest& request, std::shared_ptr<Weights::ChunkSink> sink)
--- a/Utilities/Bench/RolloutRoundTrips.h
+++ b/Utilities/Bench/RolloutRoundTrips.h
@@ -33,7 +33,7 @@
     TimingPeerClient(std::shared_ptr<Weights::PeerClient>, std::shared_ptr<RolloutRoundTrips>, const Base::Clock&);
 
     void getHoldings(const Weights::Participant&, const std::string& manifestDigest, Weights::HoldingsCallback) override;
-    void getManifest(const Weights::Participant&, const std::string& manifestDigest, Weights::ManifestCallback) override;
+    void getManifest(const Weights::Participant&, const std::string& manifestDigest, std::chrono::milliseconds timeout, Weights::ManifestCallback) override;
     std::shared_ptr<Weights::ChunkFetch> fetchChunk(const Weights::Participant&, const Weights::ChunkRequest&, std::shared_ptr<Weights::ChunkSink>) override;
 
 private:
