--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -311,7 +311,7 @@
         {
             if (m_proxy.openRequests == 0)
                 co_return;
-            Observability::logEvent(requestsEnded, { { "open_requests", m_proxy.openRequests.load() } });
+            Observability::logEvent(drainLimitReached, { { "open_requests", m_proxy.openRequests.load() } });
             m_callers->endOpenRequests();
             while (m_proxy.openRequests > 0 && m_clock.now() < deadline)
                 co_await Http::sleepFor(m_pool.context(0), finalResponseInterval);
--- a/Source/Process/TransferDriver.cpp
+++ b/Source/Process/TransferDriver.cpp
@@ -157,9 +157,11 @@
     auto source = Queries::chooseManifestSource(ownership, m_dependencies.self, plan.neighbours, plan.manifestAttempts, now - snapshot.phaseSince, *m_dependencies.random);
     plan.nextManifestAttempt = now + Queries::manifestRetryDelay(plan.manifestAttempts);
     ++plan.manifestAttempts;
-    auto received = [runtime = m_dependencies.runtime, digest = snapshot.digest, pending = plan.manifestPending](const Base::Result<std::string, Weights::WeightError>& result) {
+    auto received = [runtime = m_dependencies.runtime, digest = snapshot.digest, pending = plan.manifestPending, timeouts = plan.manifestTimeouts](const Base::Result<std::string, Weights::WeightError>& result) {
         auto& state = *runtime->state;
         if (!Base::succeeded(result)) {
+            if (Base::errorOf(result).kind == Weights::WeightErrorKind::Stalled)
+                ++*timeouts;
             Commands::setDelayReason(state.transfers, digest, "the manifest has not arrived: " + Base::errorOf(result).describe());
         } else {
             auto accepted = Commands::acceptManifest(state.transfers, state.chunks, digest, Base::valueOf(result), runtime->clock.now());
@@ -171,7 +173,7 @@
     };
     if (source.origin)
         return m_dependencies.origin->fetchManifest(snapshot.digest, received);
-    m_dependencies.peers->getManifest(plan.byVm.at(source.vm), snapshot.digest, received);
+    m_dependencies.peers->getManifest(plan.byVm.at(source.vm), snapshot.digest, Queries::manifestTimeout(*plan.manifestTimeouts), received);
 }
 
 void TransferDriver::fetchChunks(Plan& plan, const TransferSnapshot& snapshot)
@@ -233,7 +235,7 @@
         if (Base::succeeded(result))
             Commands::recordHoldings(runtime->state->peers, vm, manifestDigest, Base::valueOf(result), now);
         else
-            Commands::recordUnreachable(runtime->state->peers, vm, manifestDigest, now);
+            Commands::recordHoldingsFailed(runtime->state->peers, vm, manifestDigest, Base::errorOf(result).kind, now);
     });
 }
 
@@ -261,6 +263,8 @@
     auto runtime = m_dependencies.runtime;
     auto now = runtime->clock.now();
     for (auto& [chunkDigest, download] : Queries::stalledDownloads(runtime->state->downloads, now - Weights::stallTimeout)) {
+        if (now - download.progressAt < Weights::onlySenderStallTimeout && !isReplaceable(download, now))
+            continue;
         Commands::markDownloadCancelled(runtime->state->downloads, chunkDigest);
         ++runtime->state->counters.stalledDownloads;
         Observability::logEvent(Weights::downloadStalled, { { "manifest", download.manifestDigest }, { "chunk", download.chunk }, { "source", sourceName(download.source) }, { "vm", download.vm } });
@@ -269,6 +273,15 @@
     }
 }
 
+bool TransferDriver::isReplaceable(const Weights::Download& download, Base::TimePoint now) const
+{
+    auto plan = m_plans.find(download.manifestDigest);
+    if (plan == m_plans.end())
+        return true;
+    auto peers = Queries::viewPeers(m_dependencies.runtime->state->peers, plan->second.sources, download.manifestDigest, now);
+    return Queries::isReplaceable(peers, download.vm, download.chunk);
+}
+
 void TransferDriver::reportDelay(Plan& plan, const TransferSnapshot& snapshot, const Queries::ScheduleInput& input)
 {
     if (input.now - snapshot.progressAt < Weights::delayReportThreshold || input.now < plan.nextDelayReport)
--- a/Source/Process/TransferDriver.h
+++ b/Source/Process/TransferDriver.h
@@ -8,6 +8,7 @@
 #include "Weights/Queries/ChunkScheduler.h"
 #include "Weights/Queries/TransferQueries.h"
 
+#include <atomic>
 #include <map>
 
 namespace Lavenderloft::Process {
@@ -46,6 +47,8 @@
         Base::TimePoint refreshedAt;
         Base::TimePoint participantsChangedAt;
         unsigned manifestAttempts = 0;
+        // Number of requests to peers for the manifest that timed out.
+        std::shared_ptr<std::atomic<unsigned>> manifestTimeouts = std::make_shared<std::atomic<unsigned>>(0);
         Base::TimePoint nextManifestAttempt;
         std::shared_ptr<std::atomic<bool>> manifestPending = std::make_shared<std::atomic<bool>>(false);
         Weights::TransferPhase reportedPhase = Weights::TransferPhase::FetchingManifest;
@@ -63,6 +66,7 @@
     void requestHoldings(const Weights::Participant&, const std::string& manifestDigest);
     void beginDownload(const Plan&, const Weights::Queries::TransferSnapshot&, const Weights::Queries::ChunkAssignment&);
     void cancelStalledDownloads();
+    bool isReplaceable(const Weights::Download&, Base::TimePoint now) const;
     void reportDelay(Plan&, const Weights::Queries::TransferSnapshot&, const Weights::Queries::ScheduleInput&);
     bool mayFetchExternally(const Plan&, const Weights::Queries::TransferSnapshot&, const Weights::Queries::PeerViews&, Base::TimePoint now) const;
     bool haveNeighboursResponded(const Plan&, const Weights::Queries::PeerViews&) const;
--- a/Tests/Admission/LimitTest.cpp
+++ b/Tests/Admission/LimitTest.cpp
@@ -102,6 +102,31 @@
     cr_assert_eq(fixture.limit(), 16);
 }
 
+// Guards against a warm engine that is taken for a cold one because it did not answer two polls: its limit fell to that of
+// an engine that has just started.
+Test(Limit, isKeptWhileTheEngineDoesNotAnswer)
+{
+    const EngineCondition silent { false, 1, "digest", false, false };
+    const std::vector<std::pair<EngineCondition, unsigned>> returns {
+        { { true, 1, "digest", true, true }, 16 },
+        { { true, 1, "digest", true, false }, 2 },
+        { { true, 2, "digest", true, true }, 2 },
+        { { true, 1, "other", true, true }, 2 },
+        { { true, 1, "digest", false, true }, 0 },
+    };
+    for (auto& [condition, limit] : returns) {
+        LimitFixture fixture;
+        fixture.warmUp();
+        fixture.observe(silent);
+        cr_assert_eq(fixture.limit(), 0);
+        fixture.clock.advance(2s);
+        Commands::closeWindow(fixture.state, fixture.clock.now());
+        cr_assert_eq(fixture.limit(), 0);
+        fixture.observe(condition);
+        cr_assert_eq(fixture.limit(), limit);
+    }
+}
+
 // Guards against filling the engine's memory with request bodies.
 Test(Limit, reservesPartOfTheEnginesMemory)
 {
@@ -116,9 +141,10 @@
 struct QueueFixture : AdmissionFixture {
     QueueFixture() { state.permits.occupancy.setLimit(0); }
 
-    std::shared_ptr<RecordingWaiter> wait(const std::string& name, const std::string& organisation, DesiredState::PriorityClass priorityClass)
+    std::shared_ptr<RecordingWaiter> wait(const std::string& name, const std::string& organisation, DesiredState::PriorityClass priorityClass, uint64_t resumeFromToken = 0)
     {
         auto request = makeRequest(name + "-" + std::to_string(m_next++));
+        request.resumeFromToken = resumeFromToken;
         request.organisation = organisation;
         request.priorityClass = priorityClass;
         request.bodyBytes = 0;
@@ -194,6 +220,62 @@
     cr_assert_eq(Queries::queueStatistics(fixture.state.queue).requests, 2);
 }
 
+// Guards against refusing requests of a lower class although the incoming one does not fit even without them.
+Test(Queue, shedsNothingForARequestThatStaysRefused)
+{
+    QueueFixture fixture;
+    fixture.state.queue.maximumBytes = 100;
+    auto wait = [&](const std::string& name, DesiredState::PriorityClass priorityClass, uint64_t bytes) {
+        auto request = fixture.makeRequest(name);
+        request.priorityClass = priorityClass;
+        request.bodyBytes = bytes;
+        auto waiter = std::make_shared<RecordingWaiter>(name, fixture.grants);
+        auto result = fixture.admit(request, waiter);
+        if (auto* refusal = std::get_if<Refusal>(&result))
+            waiter->refused(*refusal);
+        return waiter;
+    };
+    auto low = wait("low", summary, 20);
+    auto high = wait("high", interactive, 70);
+    cr_assert(wait("incoming", interactive, 40)->refusal.has_value());
+    cr_assert_not(low->refusal.has_value());
+    cr_assert_not(wait("fitting", interactive, 30)->refusal.has_value());
+    cr_assert(low->refusal.has_value());
+    cr_assert_not(high->refusal.has_value());
+}
+
+// Guards against a response that has begun and waits behind requests that have not, until its caller's deadline.
+Test(Queue, servesResumedResponsesFirst)
+{
+    QueueFixture fixture;
+    fixture.wait("new", "small", interactive);
+    fixture.wait("new", "small", interactive);
+    fixture.wait("resumed 1", "small", interactive, 5);
+    fixture.wait("resumed 2", "small", interactive, 3);
+    fixture.wait("hazard", "small", hazard);
+    fixture.grant(4);
+    std::vector<std::string> expected { "hazard", "resumed 1", "resumed 2", "new" };
+    cr_assert(fixture.grants == expected);
+}
+
+// Guards against refusing a response that has begun because the queue is full of requests that have not.
+Test(Queue, displacesANewRequestByAResumedResponse)
+{
+    QueueFixture fixture;
+    fixture.state.queue.maximumRequests = 2;
+    auto first = fixture.wait("new", "small", interactive);
+    auto second = fixture.wait("new", "small", interactive);
+    auto resumed = fixture.wait("resumed", "large", interactive, 5);
+    cr_assert_not(first->refusal.has_value());
+    cr_assert(second->refusal.has_value());
+    cr_assert_not(resumed->refusal.has_value());
+    auto another = fixture.wait("resumed", "large", interactive, 5);
+    cr_assert(first->refusal.has_value());
+    cr_assert(fixture.wait("resumed", "large", interactive, 5)->refusal.has_value());
+    cr_assert_not(resumed->refusal.has_value());
+    cr_assert_not(another->refusal.has_value());
+}
+
 // Guards against keeping a request in the queue after its deadline or after the router has withdrawn it.
 Test(Queue, removesExpiredAndWithdrawnRequests)
 {
--- a/Tests/Routing/CoordinatorTest.cpp
+++ b/Tests/Routing/CoordinatorTest.cpp
@@ -63,6 +63,55 @@
     cr_assert(caller->body == "hello");
 }
 
+// Guards against reporting an unknown outcome at once because no other target accepts a request that was interrupted. Its
+// deadline is far away, and the response can only be had from another run.
+Test(Coordinator, anInterruptedRequestWaitsForATarget)
+{
+    for (bool isRefused : { true, false }) {
+        RoutingFixture fixture(isRefused ? 3 : 1);
+        auto caller = fixture.start(fixture.poolRequest());
+        fixture.channels.last().permit();
+        auto broken = fixture.channels.attempts.back();
+        if (isRefused)
+            fixture.channels.onStart = [](FakeAttempt& attempt) { attempt.refuse(RefusalKind::AtLimit); };
+        else
+            fixture.members[0].replicas[0].servingDigest.clear();
+        fixture.update();
+        broken->breakOff();
+        fixture.advance(1s);
+        cr_assert_not(caller->hasEnded());
+        fixture.channels.onStart = [](FakeAttempt& attempt) { attempt.permit(); };
+        fixture.channels.onSend = [](FakeAttempt& attempt) { attempt.respond("hello"); };
+        fixture.members[0].replicas[0].servingDigest = RoutingFixture::digest;
+        fixture.update();
+        fixture.advance(1s);
+        cr_assert(caller->completed);
+        cr_assert(caller->body == "hello");
+    }
+}
+
+// Guards against a request that waits for targets and breaks them one after the other.
+Test(Coordinator, anInterruptedRequestRunsAtMostThreeTimes)
+{
+    RoutingFixture fixture(10);
+    unsigned runs = 0;
+    bool isRefusing = false;
+    fixture.channels.onStart = [&](FakeAttempt& attempt) { isRefusing ? attempt.refuse(RefusalKind::AtLimit) : attempt.permit(); };
+    fixture.channels.onSend = [&](FakeAttempt& attempt) {
+        ++runs;
+        isRefusing = true;
+        attempt.breakOff();
+    };
+    auto caller = fixture.start(fixture.poolRequest());
+    for (int i = 0; i < 100 && !caller->hasEnded(); ++i) {
+        isRefusing = false;
+        fixture.advance(200ms);
+    }
+    cr_assert_eq(runs, Queries::maximumBrokenAttempts);
+    cr_assert(caller->error);
+    cr_assert(caller->error->outcome == Outcome::Unknown);
+}
+
 // Guards against appending a second response to a part of the first one. The response of a plain service has no tokens
 // at which it could be resumed.
 Test(Coordinator, abortsAServiceResponseThatBreaksAfterItsFirstByte)
@@ -206,6 +255,49 @@
     cr_assert(fixture.channels.attempts[0]->address == fixture.channels.attempts[1]->address);
 }
 
+// Guards against reporting an unknown outcome because the agent was silent when it was asked first, and against asking the
+// agent of a VM that is gone until the deadline.
+Test(Coordinator, asksAgainForTheOutcomeOfACall)
+{
+    for (bool isGone : { false, true }) {
+        RoutingFixture fixture;
+        unsigned questions = 0;
+        fixture.channels.onResolve = [&](auto&) { return ++questions < 3 ? Resolution {} : Resolution { AttemptOutcome::Complete, 1 }; };
+        auto caller = fixture.start(fixture.booking("k1"));
+        fixture.channels.last().permit();
+        fixture.channels.last().breakOff();
+        cr_assert_not(caller->hasEnded());
+        if (isGone) {
+            for (auto& member : fixture.members)
+                member.status = Membership::Status::Dead;
+            fixture.update();
+        }
+        fixture.advance(1s);
+        fixture.advance(1s);
+        cr_assert(caller->error);
+        cr_assert_eq(questions, isGone ? 2 : 3);
+        cr_assert(caller->error->outcome == (isGone ? Outcome::Unknown : Outcome::Complete));
+        cr_assert_eq(fixture.channels.attempts.size(), 1);
+    }
+}
+
+// Guards against a call whose outcome stays open for longer than its deadline, or is then reported as NotRun.
+Test(Coordinator, reportsAnUnknownOutcomeIfTheAgentStaysSilent)
+{
+    RoutingFixture fixture;
+    fixture.channels.onResolve = [](auto&) { return Resolution {}; };
+    auto caller = fixture.start(fixture.booking("k1"));
+    fixture.channels.last().permit();
+    fixture.channels.last().breakOff();
+    for (int i = 0; i < 29; ++i)
+        fixture.advance(1s);
+    cr_assert_not(caller->hasEnded());
+    fixture.advance(1s);
+    cr_assert(caller->error);
+    cr_assert(caller->error->code == ErrorCode::OutcomeUnknown);
+    cr_assert(caller->error->outcome == Outcome::Unknown);
+}
+
 // Guards against reporting NotRun at the deadline for a call that may have run.
 Test(Coordinator, reportsTheOutcomeAtTheDeadline)
 {
@@ -252,6 +344,9 @@
     for (int i = 0; i < 2000; ++i) {
         auto key = "key-" + std::to_string(i);
         auto caller = fixture.start(fixture.booking(key));
+        // An agent that does not report the outcome is asked again.
+        for (int question = 0; question < 30 && !caller->hasEnded(); ++question)
+            fixture.advance(500ms);
         cr_assert(caller->hasEnded());
         cr_assert_leq(runs[key], 1);
         cr_assert(!caller->completed || runs[key] == 1);
--- a/Tests/Weights/RolloutTest.cpp
+++ b/Tests/Weights/RolloutTest.cpp
@@ -128,6 +128,27 @@
     cr_assert_gt(rollout.sum(&Weights::WeightCounters::stalledDownloads), 0);
 }
 
+// Guards against downloads over slow links that are cancelled although no other agent holds the chunk: what had arrived was
+// dropped, the only sender was not asked for 10 s, and the chunk was read from the origin again.
+Test(Rollout, awaitsTheOnlySenderOnASlowLink)
+{
+    Rollout rollout({ .replicas = 2, .rates = { 60000, 2500, 60000 } }, 8);
+    rollout.fleet.setWanted(std::vector { rollout.model.digest });
+    cr_assert(rollout.completesCorrectly(rollout.model));
+    cr_assert_eq(rollout.sum(&Weights::WeightCounters::stalledDownloads), 0);
+}
+
+// Guards against a region that never gets a manifest because its transfer over a slow link takes longer than a fixed
+// timeout: each request was given up before its end, and the next one began anew.
+Test(Rollout, completesWhenManifestsArriveSlowly)
+{
+    Rollout rollout({ .replicas = 4, .regions = 2 });
+    rollout.fleet.faults().setManifestTransferTime(3s);
+    rollout.fleet.setWanted(std::vector { rollout.model.digest });
+    cr_assert(rollout.fleet.waitUntilComplete(rollout.model.digest, 30s));
+    cr_assert(rollout.completesCorrectly(rollout.model));
+}
+
 // Guards against chunks that are never fetched because their owner has died.
 Test(Rollout, completesWhenAChunkOwnerDies)
 {
