Excuse requests of the soak that a silent target still works on at the end of a stop

The end of the grace period now gives open requests a 504. A target that sends nothing is at work all the same, so that time counts as work; a 504 is excused like a connection that ends. A caller's connection knows its router.

--- a/Tests/Soak/RequestLedger.h
+++ b/Tests/Soak/RequestLedger.h
@@ -42,7 +42,7 @@
             addViolation("REFUSED", id + " ran after it had been refused");
     }
 
-    // A target sends a part of a response.
+    // A target is at work on a request.
     void recordWork(const std::string& id) { m_requests[id].lastWorkAt = SteadyClock::now(); }
 
     // A caller was told that its request was not run.
--- a/Tests/Soak/SoakCallers.h
+++ b/Tests/Soak/SoakCallers.h
@@ -48,6 +48,11 @@
 private:
     using Response = http::response<http::string_body>;
 
+    struct Connection {
+        beast::tcp_stream stream;
+        const SoakRouter& router;
+    };
+
     // The balancer takes a router out after two checks in a row without a 200.
     asio::awaitable<void> probe(size_t index)
     {
@@ -64,45 +69,45 @@
         }
     }
 
-    std::string chooseRouter()
+    const SoakRouter* chooseRouter()
     {
-        std::vector<std::string> ready;
+        std::vector<const SoakRouter*> ready;
         for (auto& router : m_fleet.routers) {
             if (router.isReady)
-                ready.push_back(router.address);
+                ready.push_back(&router);
         }
-        return ready.empty() ? std::string() : ready[m_random() % ready.size()];
+        return ready.empty() ? nullptr : ready[m_random() % ready.size()];
     }
 
     asio::awaitable<void> call(RequestKind kind)
     {
         ++m_running;
-        std::unique_ptr<beast::tcp_stream> stream;
+        std::unique_ptr<Connection> connection;
         while (!m_isStopping) {
             co_await pause(std::chrono::milliseconds(20 + m_random() % 100));
-            if (!stream)
-                stream = co_await connect();
-            if (!stream)
+            if (!connection)
+                connection = co_await connect();
+            if (!connection)
                 continue;
-            bool isOpen = co_await sendRequest(*stream, kind);
+            bool isOpen = co_await sendRequest(connection->stream, connection->router, kind);
             if (!isOpen)
-                stream.reset();
+                connection.reset();
         }
         --m_running;
     }
 
-    asio::awaitable<std::unique_ptr<beast::tcp_stream>> connect()
+    asio::awaitable<std::unique_ptr<Connection>> connect()
     {
-        auto address = chooseRouter();
-        if (address.empty())
+        auto* router = chooseRouter();
+        if (!router)
             co_return nullptr;
-        auto stream = std::make_unique<beast::tcp_stream>(m_fleet.context);
+        auto connection = std::make_unique<Connection>(Connection { beast::tcp_stream(m_fleet.context), *router });
         boost::system::error_code error;
-        stream->expires_after(std::chrono::milliseconds(500));
-        co_await stream->async_connect(tcp::endpoint(asio::ip::make_address(address), m_fleet.callerPort()), asio::redirect_error(asio::use_awaitable, error));
+        connection->stream.expires_after(std::chrono::milliseconds(500));
+        co_await connection->stream.async_connect(tcp::endpoint(asio::ip::make_address(router->address), m_fleet.callerPort()), asio::redirect_error(asio::use_awaitable, error));
         if (error)
-            stream.reset();
-        co_return stream;
+            connection.reset();
+        co_return connection;
     }
 
     // The body of every third request has no length.
@@ -122,13 +127,12 @@
     }
 
     // Returns whether the connection can be used again.
-    asio::awaitable<bool> sendRequest(beast::tcp_stream& stream, RequestKind kind)
+    asio::awaitable<bool> sendRequest(beast::tcp_stream& stream, const SoakRouter& router, RequestKind kind)
     {
         auto id = m_fleet.ledger.open(kind);
         auto bytes = serialize(kind, id);
         boost::system::error_code error;
         auto sentAt = SteadyClock::now();
-        auto address = stream.socket().remote_endpoint(error).address().to_string();
         stream.expires_after(deadline + answerSlack);
         co_await asio::async_write(stream, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
         http::response_parser<http::string_body> parser;
@@ -138,11 +142,11 @@
             co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             recordMissingAnswer(id, kind, error, parser);
-            checkLoss(id, sentAt, address, error.message());
+            checkLoss(id, sentAt, router, error.message());
             co_return false;
         }
         bool isServed = checkAnswer(id, kind, parser.get());
-        checkFailure(id, sentAt, parser.get().result_int());
+        checkFailure(id, sentAt, router, parser.get().result_int());
         m_fleet.ledger.recordEnd(id, isServed);
         if (buffer.size() > 0)
             m_fleet.ledger.addViolation("MIXED", id + " got bytes behind its answer");
@@ -163,37 +167,36 @@
             ledger.addViolation("HELD", id + " had no answer after its deadline");
     }
 
-    bool isDue(SteadyClock::time_point sentAt) const { return SteadyClock::now() >= sentAt + deadline - deadlineTolerance; }
-
-    // A connection ended without a complete answer. A request counts once a target runs it, or once it has certainly been
-    // read. Not counted are requests that are due, and those on which a target still worked at the end of the grace period.
-    void checkLoss(const std::string& id, SteadyClock::time_point sentAt, const std::string& address, const std::string& error)
+    // Whether a request may remain without a response: it is due, or a target still works on it at the end of a stop.
+    bool mayFail(const std::string& id, SteadyClock::time_point sentAt, const SoakRouter& router)
     {
-        auto& ledger = m_fleet.ledger;
         auto now = SteadyClock::now();
-        auto isSender = [&](auto& router) { return router.address == address; };
-        auto router = std::find_if(m_fleet.routers.begin(), m_fleet.routers.end(), isSender);
-        bool isAccepted = ledger.hasRun(id) || now > sentAt + readTime;
-        if (m_expectation != Expectation::AnswersInTime || !isAccepted || isDue(sentAt) || router == m_fleet.routers.end())
-            return;
-        bool isNearStop = now <= router->stoppedAt + SoakFleet::grace + 1s;
-        bool wasAtWork = ledger.lastWorkAt(id) >= router->stoppedAt + SoakFleet::grace * 5 / 6;
-        if (isNearStop && wasAtWork && sentAt <= router->stoppedAt + 3s)
-            return;
-        ledger.addViolation("LOST", id + " ended without a complete answer " + since(sentAt) + " after it was sent to " + address + (isNearStop ? ", " + since(router->stoppedAt) + " after its SIGTERM" : "") + ": " + error);
+        bool wasAtWork = m_fleet.ledger.lastWorkAt(id) >= router.stoppedAt + SoakFleet::grace * 5 / 6;
+        bool isStopped = wasAtWork && sentAt <= router.stoppedAt + 3s && now <= router.stoppedAt + SoakFleet::grace + 1s;
+        return isStopped || now >= sentAt + deadline - deadlineTolerance;
+    }
+
+    // A connection ended without a complete answer. A request counts once a target runs it, or once it was certainly read.
+    void checkLoss(const std::string& id, SteadyClock::time_point sentAt, const SoakRouter& router, const std::string& error)
+    {
+        bool isAccepted = m_fleet.ledger.hasRun(id) || SteadyClock::now() > sentAt + readTime;
+        if (m_expectation == Expectation::AnswersInTime && isAccepted && !mayFail(id, sentAt, router))
+            m_fleet.ledger.addViolation("LOST", id + " ended without a complete answer " + describeTimes(sentAt, router) + ": " + error);
     }
 
     // A target runs the request, does not fail and has time left.
-    void checkFailure(const std::string& id, SteadyClock::time_point sentAt, unsigned status)
+    void checkFailure(const std::string& id, SteadyClock::time_point sentAt, const SoakRouter& router, unsigned status)
     {
         bool isFailure = status >= 500 && status != 503;
-        if (m_expectation == Expectation::AnswersInTime && isFailure && m_fleet.ledger.hasRun(id) && !isDue(sentAt))
-            m_fleet.ledger.addViolation("EARLY", id + " got " + std::to_string(status) + " " + since(sentAt) + " after it was sent");
+        if (m_expectation == Expectation::AnswersInTime && isFailure && m_fleet.ledger.hasRun(id) && !mayFail(id, sentAt, router))
+            m_fleet.ledger.addViolation("EARLY", id + " got " + std::to_string(status) + " " + describeTimes(sentAt, router));
     }
 
-    static std::string since(SteadyClock::time_point time)
+    static std::string describeTimes(SteadyClock::time_point sentAt, const SoakRouter& router)
     {
-        return std::to_string((SteadyClock::now() - time) / 1ms) + " ms";
+        auto now = SteadyClock::now();
+        auto stop = router.stoppedAt == SteadyClock::time_point() ? "" : ", " + std::to_string((now - router.stoppedAt) / 1ms) + " ms after its last SIGTERM";
+        return std::to_string((now - sentAt) / 1ms) + " ms after it was sent to " + router.address + stop;
     }
 
     bool checkAnswer(const std::string& id, RequestKind kind, const Response& response)
--- a/Tests/Soak/SoakTarget.h
+++ b/Tests/Soak/SoakTarget.h
@@ -150,8 +150,7 @@
             stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
             co_return false;
         }
-        co_await pause(firstPartDelay);
-        co_await awaitEndOfSilence(requestId);
+        co_await work(requestId, firstPartDelay);
         auto seal = "Lavenderloft-Response-Seal: seal." + requestId + "\r\nKeep-Alive: timeout=10\r\n";
         if (current == Behaviour::CuttingHead) {
             co_await write(stream, headOf(200, requestId, seal));
@@ -173,8 +172,7 @@
         unsigned next = lastEvent.empty() ? 1 : static_cast<unsigned>(std::stoul(lastEvent)) + 1;
         bool isOpen = co_await write(stream, head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
         for (; isOpen && next <= streamEvents; ++next) {
-            co_await pause(eventInterval);
-            co_await awaitEndOfSilence(requestId);
+            co_await work(requestId, eventInterval);
             isOpen = co_await write(stream, chunkOf(eventOf(requestId, next)));
         }
         if (isOpen)
@@ -182,11 +180,14 @@
         co_return isOpen;
     }
 
-    asio::awaitable<void> awaitEndOfSilence(const std::string& requestId)
+    // Takes longer if the target is silent.
+    asio::awaitable<void> work(const std::string& requestId, std::chrono::milliseconds duration)
     {
-        while (SteadyClock::now() < m_silentUntil)
+        auto until = SteadyClock::now() + duration;
+        while (SteadyClock::now() < std::max(until, m_silentUntil)) {
+            m_ledger.recordWork(requestId);
             co_await pause(std::chrono::milliseconds(5));
-        m_ledger.recordWork(requestId);
+        }
     }
 
     asio::io_context& m_context;
