Do not close a connection as idle before its first request

Callers saw: at a draining router, new connections closed in the same millisecond in which the request was sent, while the router ran on for up to 3.4 s. The request was not passed on.

Cause: from 2.3 s after SIGTERM the router closes all connections without a request every 100 ms, also those that it has just accepted.

Change: a connection is closed as idle once it has had no request for 500 ms.

Test: Proxy/PlannedStop aNewConnectionIsNotClosedAsIdle, which failed without the change; aConnectionThatHasBeenIdleIsClosed passed before and after.

--- a/Source/Proxy/CallerServer.cpp
+++ b/Source/Proxy/CallerServer.cpp
@@ -32,6 +32,8 @@
     // After a response to a request that was not read whole. Longer than a caller takes to send the largest body.
     constexpr std::chrono::seconds discardTimeout = 3s;
     constexpr size_t discardBytes = 4096;
+    // The request of a connection that has just been accepted is probably on its way.
+    constexpr std::chrono::milliseconds minimumIdleTime = 500ms;
 
     Fleet::CallerLimits limitsInForce(const ProxyContext& context)
     {
@@ -126,9 +128,11 @@
 void CallerServer::closeIdleConnections()
 {
     for (auto& worker : m_workers) {
-        asio::post(worker->context, [&idle = worker->idleCallers] {
-            for (auto* stream : idle)
-                stream->cancel();
+        asio::post(worker->context, [&idle = worker->idleCallers, since = m_context.clock.now() - minimumIdleTime] {
+            for (auto& [stream, idleSince] : idle) {
+                if (idleSince <= since)
+                    stream->cancel();
+            }
         });
     }
 }
@@ -221,7 +225,7 @@
     while (keepAlive) {
         if (buffer.size() == 0) {
             stream.expires_after(limitsInForce(m_context).idleTimeout);
-            worker.idleCallers.insert(&stream);
+            worker.idleCallers.emplace(&stream, m_context.clock.now());
             auto count = co_await stream.async_read_some(buffer.prepare(firstReadBytes), token);
             worker.idleCallers.erase(&stream);
             if (error)
--- a/Source/Proxy/CallerServer.h
+++ b/Source/Proxy/CallerServer.h
@@ -23,7 +23,7 @@
     // The bound port, even if the endpoint had port 0.
     uint16_t port() const { return m_acceptor.local_endpoint().port(); }
 
-    // Closes connections without a request in progress.
+    // Closes connections that have had no request in progress for some time.
     void closeIdleConnections();
 
     // Ends the requests in progress with a final response, because the process stops.
--- a/Source/Proxy/ProxyContext.h
+++ b/Source/Proxy/ProxyContext.h
@@ -12,6 +12,7 @@
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <unordered_map>
 #include <unordered_set>
 
 namespace Lavenderloft::Proxy {
@@ -65,8 +66,8 @@
 struct ProxyWorker {
     boost::asio::io_context& context;
     ConnectionPool connections;
-    // Connections to callers that are waiting for the next request.
-    std::unordered_set<boost::beast::tcp_stream*> idleCallers;
+    // Connections to callers that are waiting for the next request, with the start of the wait.
+    std::unordered_map<boost::beast::tcp_stream*, Base::TimePoint> idleCallers;
     std::unordered_set<InterruptibleRequest*> openRequests;
 };
 
--- a/Tests/Proxy/PlannedStopTest.cpp
+++ b/Tests/Proxy/PlannedStopTest.cpp
@@ -102,3 +102,36 @@
     waitForOpenRequests(router, 0);
     cr_expect(contains(router.metrics(), "cut_at_stop"));
 }
+
+// Guards against a draining router that closes a connection which it has just accepted, as the first request arrives.
+Test(PlannedStop, aNewConnectionIsNotClosedAsIdle)
+{
+    TestRouter router;
+    router.setRoute(Fleet::RequestKind::AtMostOnce, 1);
+    ScriptedTarget target([](const std::string& head, unsigned) { return ScriptedReply { sealedResponse(head, "ok") }; });
+    router.addTarget("1", target);
+    router.context().draining = true;
+    boost::asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect({ boost::asio::ip::make_address("127.0.0.1"), router.server().port() });
+    std::this_thread::sleep_for(30ms);
+    router.server().closeIdleConnections();
+    std::this_thread::sleep_for(30ms);
+    boost::system::error_code ignored;
+    boost::asio::write(socket, boost::asio::buffer(std::string("POST /p HTTP/1.1\r\nHost: h\r\nLavenderloft-Request-Id: id-1\r\nContent-Length: 0\r\n\r\n")), ignored);
+    auto response = TestRouter::readAll(socket);
+    cr_expect(response.starts_with("HTTP/1.1 200"), "%s", response.c_str());
+}
+
+// Guards against connections that remain open after the balancer has turned to other nodes, so that callers use them until
+// the process ends.
+Test(PlannedStop, aConnectionThatHasBeenIdleIsClosed)
+{
+    TestRouter router;
+    boost::asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect({ boost::asio::ip::make_address("127.0.0.1"), router.server().port() });
+    std::this_thread::sleep_for(700ms);
+    router.server().closeIdleConnections();
+    cr_expect_eq(TestRouter::readAll(socket), "");
+}
