Reserve descriptors before the first thread starts

Cause: the kernel lets an RCU grace period pass when the descriptor table of a process with several threads grows, and other threads that need a descriptor wait for it.

Change: routers and agents enlarge the table to 8192 entries (66 KB), or to the limit of the process, while they have one thread.

--- a/Source/CommandLine/ServeNode.cpp
+++ b/Source/CommandLine/ServeNode.cpp
@@ -1,5 +1,6 @@
 #include "CommandLine/ServeNode.h"
 
+#include "Base/FileDescriptors.h"
 #include "CommandLine/OptionTable.h"
 #include "Observability/Log.h"
 
@@ -11,6 +12,9 @@
 
 namespace {
 
+    // Connections to callers, targets and nodes; takes 66 KB.
+    constexpr size_t reservedDescriptors = 8192;
+
     // A signal to read the settings again must not end the process before the settings are watched, nor may a reader of the
     // log that closes its end.
     void ignoreEarlySignals()
@@ -32,6 +36,8 @@
         std::cerr << "lavenderloft " << command.name() << ": " << Base::errorOf(settings).describe() << '\n';
         return ExitCode::Refused;
     }
+    // Before the thread of the log starts.
+    Base::reserveFileDescriptors(reservedDescriptors);
     Observability::configureRateLimitedLogging(Observability::Level::Info, Observability::Layout::Json, Observability::Output::StandardOutput);
     try {
         process(Base::valueOf(settings), platform);
