Do not drop a request that arrives before its connection is closed as idle

Cause: the cancellation of the idle wait runs before the event loop looks at its sockets again, and the rest of the connection is closed with the request in it.

Change: a connection with bytes to read is read and not closed as idle.

Test: Proxy/PlannedStop aRequestThatWasNotReadYetIsServed, which failed without the change.

--- a/Source/Proxy/CallerServer.cpp
+++ b/Source/Proxy/CallerServer.cpp
@@ -224,6 +224,7 @@
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer;
     beast::error_code error;
+    beast::error_code ignored;
     auto token = asio::redirect_error(asio::use_awaitable, error);
     stream.socket().set_option(tcp::no_delay(true), error);
     bool keepAlive = true;
@@ -233,6 +234,9 @@
             worker.idleCallers.emplace(&stream, m_context.clock.now());
             auto count = co_await stream.async_read_some(buffer.prepare(firstReadBytes), token);
             worker.idleCallers.erase(&stream);
+            // A request has arrived that the event loop had not read when the connection was closed as idle.
+            if (error == asio::error::operation_aborted && stream.socket().available(ignored) > 0)
+                continue;
             if (error)
                 co_return;
             buffer.commit(count);
--- a/Tests/Proxy/PlannedStopTest.cpp
+++ b/Tests/Proxy/PlannedStopTest.cpp
@@ -136,6 +136,27 @@
     cr_expect_eq(TestRouter::readAll(socket), "");
 }
 
+// Guards against a request that has arrived and is dropped with its connection, because the connection is closed as idle
+// before an event loop that was held up has read it.
+Test(PlannedStop, aRequestThatWasNotReadYetIsServed)
+{
+    TestRouter router(1);
+    router.setRoute(Fleet::RequestKind::AtMostOnce, 1);
+    ScriptedTarget target([](const std::string& head, unsigned) { return ScriptedReply { sealedResponse(head, "ok") }; });
+    router.addTarget("1", target);
+    router.context().draining = true;
+    boost::asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect({ boost::asio::ip::make_address("127.0.0.1"), router.server().port() });
+    std::this_thread::sleep_for(700ms);
+    boost::asio::post(router.eventLoop(), [] { std::this_thread::sleep_for(300ms); });
+    std::this_thread::sleep_for(100ms);
+    boost::asio::write(socket, boost::asio::buffer(std::string("POST /p HTTP/1.1\r\nHost: h\r\nLavenderloft-Request-Id: id-1\r\nContent-Length: 0\r\n\r\n")));
+    router.server().closeIdleConnections();
+    auto response = TestRouter::readAll(socket);
+    cr_expect(response.starts_with("HTTP/1.1 200"), "%s", response.c_str());
+}
+
 // Guards against a process that ends while a request arrives, because no request is open.
 Test(PlannedStop, aRequestThatArrivesIsOpen)
 {
--- a/Tests/Proxy/TestRouter.h
+++ b/Tests/Proxy/TestRouter.h
@@ -133,6 +133,7 @@
     std::string metrics() const { return m_metrics.serialize(); }
     ProxyContext& context() { return m_context; }
     CallerServer& server() { return *m_server; }
+    boost::asio::io_context& eventLoop() { return m_pool.context(0); }
 
 private:
     static Fleet::NodeSettings nodeSettings()
