--- a/Source/Proxy/CallerServer.cpp
+++ b/Source/Proxy/CallerServer.cpp
@@ -33,6 +33,8 @@
     // After a response to a request that was not read whole. Longer than a caller takes to send the largest body.
     constexpr std::chrono::seconds discardTimeout = 3s;
     constexpr size_t discardBytes = 4096;
+    // The request of a connection that has just been accepted is probably on its way.
+    constexpr std::chrono::milliseconds minimumIdleTime = 500ms;
 
     Fleet::CallerLimits limitsInForce(const ProxyContext& context)
     {
@@ -127,9 +129,11 @@
 void CallerServer::closeIdleConnections()
 {
     for (auto& worker : m_workers) {
-        asio::post(worker->context, [&idle = worker->idleCallers] {
-            for (auto* stream : idle)
-                stream->cancel();
+        asio::post(worker->context, [&idle = worker->idleCallers, since = m_context.clock.now() - minimumIdleTime] {
+            for (auto& [stream, idleSince] : idle) {
+                if (idleSince <= since)
+                    stream->cancel();
+            }
         });
     }
 }
@@ -220,15 +224,19 @@
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer;
     beast::error_code error;
+    beast::error_code ignored;
     auto token = asio::redirect_error(asio::use_awaitable, error);
     stream.socket().set_option(tcp::no_delay(true), error);
     bool keepAlive = true;
     while (keepAlive) {
         if (buffer.size() == 0) {
             stream.expires_after(limitsInForce(m_context).idleTimeout);
-            worker.idleCallers.insert(&stream);
+            worker.idleCallers.emplace(&stream, m_context.clock.now());
             auto count = co_await stream.async_read_some(buffer.prepare(firstReadBytes), token);
             worker.idleCallers.erase(&stream);
+            // A request has arrived that the event loop had not read when the connection was closed as idle.
+            if (error == asio::error::operation_aborted && stream.socket().available(ignored) > 0)
+                continue;
             if (error)
                 co_return;
             buffer.commit(count);
