--- a/Tests/Weights/SimulatedRollout.cpp
+++ b/Tests/Weights/SimulatedRollout.cpp
@@ -351,7 +351,7 @@
             });
         }
 
-        void getManifest(const Weights::Participant& peer, const std::string& digest, Weights::ManifestCallback callback) override
+        void getManifest(const Weights::Participant& peer, const std::string& digest, std::chrono::milliseconds, Weights::ManifestCallback callback) override
         {
             if (m_world.isCut(m_self.region, peer.region))
                 return m_world.send([callback] { callback(makeError(WeightErrorKind::Unreachable)); });
