Let replacements wait for a slot, and send nothing to a target that holds requests without a sign

Change: a replacement waits for a slot as an interrupted request does; the wait ends when the first target responds. A target that has left requests unanswered for a second gets no others while other targets are left.

Test: Dispatch/Silence aTargetThatHoldsRequestsGetsNoOthers fails without the second part.

--- a/Source/Dispatch/Queries/FindCandidates.cpp
+++ b/Source/Dispatch/Queries/FindCandidates.cpp
@@ -251,7 +251,7 @@
         for (auto& target : targets) {
             auto found = service.targets.find(target->entry.id);
             auto* runtime = found == service.targets.end() ? nullptr : &found->second;
-            bool isExcluded = silentTargets == SilentTargets::Excluded && runtime && runtime->silentUntil > now;
+            bool isExcluded = silentTargets == SilentTargets::Excluded && runtime && runtime->isSilent(now);
             if (isExcluded || !filter.isEligible(*target, runtime)) {
                 if (filter.mayReturn(*target, runtime))
                     ++set.returning;
--- a/Source/Dispatch/RequestTraits.h
+++ b/Source/Dispatch/RequestTraits.h
@@ -32,7 +32,7 @@
     // Version of the weights with which a resumed response started; zero if no response has started.
     uint64_t requiredWeights = 0;
     std::vector<std::string> triedTargets;
-    // A target ran the request and broke off. The request can be continued or fail, but not be refused as not run.
+    // A target ran the request and broke off, or has it and is silent. The request can be continued or fail, but not be refused as not run.
     bool isInterrupted = false;
 };
 
--- a/Source/Dispatch/TargetRuntime.h
+++ b/Source/Dispatch/TargetRuntime.h
@@ -43,6 +43,8 @@
     // other routers only afterwards.
     static constexpr std::chrono::milliseconds slotRetention { 90 };
 
+    // A target counts as silent while it has left requests unanswered for longer, as far as other targets respond.
+    static constexpr std::chrono::milliseconds silentAfter { 1000 };
     // The time that an answered request took says nothing of the target afterwards.
     static constexpr std::chrono::milliseconds delayLifetime { 1000 };
 
@@ -92,6 +94,8 @@
         return oldest == unanswered.end() ? Base::Duration::zero() : now - *oldest;
     }
 
+    bool isSilent(Base::TimePoint now) const { return silentUntil > now || unansweredFor(now) > silentAfter; }
+
     // How long a request that is sent now may take to begin at the target. An unanswered request takes longer than it has
     // waited so far; on average twice as long.
     Base::Duration expectedDelay(Base::TimePoint now) const
--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -401,7 +401,8 @@
 
 void RequestHandler::startReplacement()
 {
-    m_request->traits.isInterrupted = false;
+    // The target may never respond, and the wait ends if it does.
+    m_request->traits.isInterrupted = true;
     auto lastEventId = m_response.isStarted() ? m_response.lastEventId() : std::nullopt;
     ReplacementAttempt::Observer& observer = *this;
     m_replacements.push_back(std::make_shared<ReplacementAttempt>(m_request, observer, m_response.events(), lastEventId, m_response.isStarted()));
--- a/Tests/Dispatch/SilenceTest.cpp
+++ b/Tests/Dispatch/SilenceTest.cpp
@@ -3,6 +3,7 @@
 #include "Dispatch/Queries/FindSilenceLimits.h"
 
 #include <criterion/criterion.h>
+#include <optional>
 
 using namespace Lavenderloft;
 using namespace Lavenderloft::Dispatch;
@@ -154,3 +155,27 @@
         isChosen = isChosen || test.chosenTarget() == "1";
     cr_assert(isChosen);
 }
+
+// Guards against requests at a target that still holds earlier ones without a sign, and keeps them after their callers have
+// left.
+Test(Silence, aTargetThatHoldsRequestsGetsNoOthers)
+{
+    TwoTargets test;
+    std::optional<Lease> held;
+    while (!held) {
+        auto decision = test.acquire("s");
+        auto& lease = std::get<Lease>(decision);
+        if (lease.target->entry.id == "1")
+            held = lease;
+        else
+            Commands::recordFirstPart(*test.state, "s", "2", lease.assignedAt, lease.assignedAt, test.fleet.clock.now());
+    }
+    test.fleet.clock.advance(1100ms);
+    for (unsigned i = 0; i < 6; ++i)
+        cr_assert_eq(test.chosenTarget(), "2");
+    Commands::recordFirstPart(*test.state, "s", "1", held->assignedAt, held->assignedAt, test.fleet.clock.now());
+    bool isChosen = false;
+    for (unsigned i = 0; i < 6; ++i)
+        isChosen = isChosen || test.chosenTarget() == "1";
+    cr_assert(isChosen);
+}
