Learn deletions that a router's listing of the store lacks

Cause: a listing contains no deleted keys. A router that had just started answered a request for the items after a revision before its listing without the deletions in between, and the receiver took over its revision; and it added items of a peer that were older than its own listing and missing in it.

Such a router now responds with 410; the node asks another router, or for all items, and deletes what is missing among these. Items of a peer that the own listing lacks although it is as recent are ignored.

--- a/Source/Fleet/Commands/ApplyItems.cpp
+++ b/Source/Fleet/Commands/ApplyItems.cpp
@@ -99,6 +99,14 @@
         return std::holds_alternative<Unreadable>(publication) && decoder.isTargetKey(key);
     }
 
+    // Whether a listing that is at least as recent as the item lacks it. Items of peers may be older than the listing.
+    bool isMissingInListing(const Contents& contents, const PublishedItem& item)
+    {
+        return std::any_of(contents.listedRevisions.begin(), contents.listedRevisions.end(), [&](auto& listed) {
+            return item.key.starts_with(listed.first) && item.revision <= listed.second;
+        });
+    }
+
     void mergeItem(Contents& contents, const PublicationDecoder& decoder, PublishedItem item, const ItemBatchOrigin& origin, Base::TimePoint now, AppliedChange& change)
     {
         auto known = contents.records.find(item.key);
@@ -106,6 +114,8 @@
             change.anything |= refineDeclaration(contents, known->second, item, origin, now, change);
             return;
         }
+        if (known == contents.records.end() && !item.deleted && isMissingInListing(contents, item))
+            return;
         change.anything = true;
         if (item.ageIsBound)
             item.age = std::min(item.age, origin.maximumNewItemAge);
@@ -159,6 +169,8 @@
             removeRecord(record, decoder, revision, deferDeletionsUntil, now);
             change.anything = true;
         }
+        auto& listedRevision = contents.listedRevisions[prefix];
+        listedRevision = std::max(listedRevision, revision);
         if (change.anything)
             publishSnapshot(contents);
         return change;
--- a/Source/Fleet/Commands/ApplyItems.h
+++ b/Source/Fleet/Commands/ApplyItems.h
@@ -42,7 +42,8 @@
 // Merges declarations that another node observed, with their exact ages, into those that are published.
 AppliedChange applyObservedDeclarations(FleetState&, const std::vector<ObservedDeclaration>&, Base::TimePoint now);
 
-// Deletes the keys below the prefix that are missing in a complete listing as of `revision`.
+// Deletes the keys below the prefix that are missing in a complete listing as of `revision`. The listed items have to be
+// applied before.
 AppliedChange applyListing(FleetState&, const PublicationDecoder&, const std::string& prefix, const std::vector<std::string>& listedKeys, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil, Base::TimePoint now);
 
 // Records that all items published up to the given time have been applied.
--- a/Source/Fleet/FleetState.h
+++ b/Source/Fleet/FleetState.h
@@ -39,6 +39,9 @@
         // the earlier one, so the history is retained.
         std::map<std::string, std::vector<DeclaredWeights>> declaredWeights;
         uint64_t revision = 0;
+        // Revision of the last listing of each prefix. A listing does not contain deleted keys, so deletions up to this
+        // revision may be unknown, except those of keys that were known before.
+        std::map<std::string, uint64_t> listedRevisions;
         // All items published up to this time are known; nothing before the first contact with the store, or with a node
         // that follows it.
         std::optional<Base::TimePoint> completeAsOf;
--- a/Source/Fleet/Queries/ReadFleet.cpp
+++ b/Source/Fleet/Queries/ReadFleet.cpp
@@ -1,5 +1,7 @@
 #include "Fleet/Queries/ReadFleet.h"
 
+#include <algorithm>
+
 namespace Lavenderloft::Fleet::Queries {
 
 std::shared_ptr<const FleetSnapshot> currentSnapshot(const FleetState& state)
@@ -63,6 +65,13 @@
     });
 }
 
+bool mayMissDeletions(const FleetState& state, uint64_t revision)
+{
+    return state.withContents([&](const FleetState::Contents& contents) {
+        return std::any_of(contents.listedRevisions.begin(), contents.listedRevisions.end(), [&](auto& listed) { return revision < listed.second; });
+    });
+}
+
 std::vector<ObservedDeclaration> observedDeclarations(const FleetState& state, std::chrono::milliseconds maximumAge, Base::TimePoint now)
 {
     std::vector<ObservedDeclaration> observed;
--- a/Source/Fleet/Queries/ReadFleet.h
+++ b/Source/Fleet/Queries/ReadFleet.h
@@ -19,6 +19,10 @@
 // Returns the items that are newer than the revision, including deletions.
 std::vector<PublishedItem> itemsAfter(const FleetState&, uint64_t revision, Base::TimePoint now);
 
+// Whether deletions after the revision may be missing among these items, because the process only listed what the store
+// had at a later revision.
+bool mayMissDeletions(const FleetState&, uint64_t revision);
+
 // Returns the declarations whose times this process knows exactly and which are not older than `maximumAge`.
 std::vector<ObservedDeclaration> observedDeclarations(const FleetState&, std::chrono::milliseconds maximumAge, Base::TimePoint now);
 
--- a/Source/Peering/ItemExchange.cpp
+++ b/Source/Peering/ItemExchange.cpp
@@ -26,6 +26,8 @@
     constexpr std::chrono::seconds checkInterval = 1s;
     // Longer than a fetch takes. A router that stays behind for longer follows the store itself.
     constexpr std::chrono::milliseconds maximumLag = 700ms;
+    // The router lacks deletions after the requested revision.
+    constexpr unsigned historyLostStatus = 410;
     // Error of an age that still counts as exact.
     constexpr std::chrono::milliseconds exactAgeTolerance = 50ms;
 
@@ -120,24 +122,48 @@
         m_laggingSince = m_clock.now();
 }
 
-asio::awaitable<bool> ItemExchange::fetchFrom(const PeerRouter& router)
+asio::awaitable<std::optional<Http::HttpResponse>> ItemExchange::requestItems(const PeerRouter& router, uint64_t afterRevision)
 {
     Http::Endpoint endpoint { router.address, m_settings.firstPeerPort };
     if (!m_client || !(m_client->endpoint() == endpoint))
         m_client = std::make_unique<Http::PersistentHttpClient>(m_context.get_executor(), endpoint);
     Http::HttpRequest request;
-    request.target = std::string(path) + "?after=" + std::to_string(completeRevision());
-    auto requestedAt = m_clock.now();
+    request.target = std::string(path) + "?after=" + std::to_string(afterRevision);
     auto result = co_await m_client->call(std::move(request), fetchTimeout);
-    if (!Base::succeeded(result) || Base::valueOf(result).status != 200)
+    std::optional<Http::HttpResponse> response;
+    if (Base::succeeded(result))
+        response = std::move(Base::valueOf(result));
+    co_return response;
+}
+
+asio::awaitable<bool> ItemExchange::fetchFrom(const PeerRouter& router)
+{
+    auto afterRevision = completeRevision();
+    auto requestedAt = m_clock.now();
+    auto response = co_await requestItems(router, afterRevision);
+    if (response && response->status == historyLostStatus) {
+        // Another router may still have the deletions; its response is smaller.
+        Commands::startRouterBackoff(m_peers, router.address, m_clock.now());
+        if (routerToFetchFrom())
+            co_return false;
+        afterRevision = 0;
+        requestedAt = m_clock.now();
+        response = co_await requestItems(router, afterRevision);
+    }
+    if (!response || response->status != 200)
         co_return false;
-    auto batch = decodeItems(Base::valueOf(result).body);
+    auto batch = decodeItems(response->body);
     if (!batch)
         co_return false;
+    std::vector<std::string> keys;
+    for (auto& item : batch->items)
+        keys.push_back(item.key);
     addWaitingTime(batch->items, std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - requestedAt));
     bool isFirst = !m_hasFetchedAll;
     m_hasFetchedAll = true;
     m_merger.apply(std::move(batch->items), batch->revision, std::nullopt, router.address);
+    if (afterRevision == 0)
+        m_merger.applyListing("", keys, batch->revision, std::nullopt);
     // A router that has restarted since its report may have fewer items than it reported.
     if (router.storeSync.reportedAt && batch->revision >= router.revision)
         m_merger.recordRelayedSync(router.storeSync.syncedAt, m_settings.regionOf(router.dataCentre) == m_settings.region);
@@ -151,6 +177,8 @@
     auto revision = revisionInQuery(request.target);
     if (!revision)
         return { 400, {}, "missing revision: expected /items?after=REVISION" };
+    if (*revision > 0 && Fleet::Queries::mayMissDeletions(m_merger.fleet(), *revision))
+        return { historyLostStatus, {}, "deletions after this revision may be unknown here: request all items with after=0" };
     ItemBatch batch;
     batch.revision = Fleet::Queries::knownRevision(m_merger.fleet());
     batch.items = Fleet::Queries::itemsAfter(m_merger.fleet(), *revision, m_clock.now());
--- a/Source/Peering/ItemExchange.h
+++ b/Source/Peering/ItemExchange.h
@@ -41,11 +41,14 @@
     // Whether this node has been behind other routers for longer than a fetch takes.
     bool isLagging() const;
 
-    // Responds with the items after the revision that is given in the request's query.
+    // Responds with the items after the revision that is given in the request's query, or with 410 if this node may lack
+    // deletions after it.
     Http::HttpResponse respond(const Http::HttpRequest&) const;
 
 private:
     boost::asio::awaitable<bool> fetchFrom(const PeerRouter&);
+    // Requests the items after the revision; all items if it is zero.
+    boost::asio::awaitable<std::optional<Http::HttpResponse>> requestItems(const PeerRouter&, uint64_t afterRevision);
     std::optional<PeerRouter> routerToFetchFrom() const;
     // Revision after which items are missing.
     uint64_t completeRevision() const;
--- a/Tests/Fleet/ApplyItemsTest.cpp
+++ b/Tests/Fleet/ApplyItemsTest.cpp
@@ -266,6 +266,28 @@
     cr_assert_eq(other.targetCount("s"), 0);
 }
 
+// Guards against requests to a target that is gone: a router that had just listed the store took the target from a peer
+// that did not know of its deletion yet.
+Test(ApplyItems, doesNotRestoreAnItemThatANewerListingLacks)
+{
+    TestFleetState peer;
+    peer.publish("t/1", targetOf("1", "s"));
+    peer.publish("t/2", targetOf("2", "s"));
+    TestFleetState started;
+    started.decoder = peer.decoder;
+    auto items = Queries::itemsAfter(peer.state, 0, peer.clock.now());
+    started.apply(items.back());
+    Commands::applyListing(started.state, started.decoder, "t/", { "t/2" }, 3, std::nullopt, started.clock.now());
+    Commands::applyItems(started.state, started.decoder, items, { 2, std::nullopt }, started.clock.now());
+    cr_assert_eq(started.targetCount("s"), 1);
+    // The target may be published again.
+    peer.revision = 3;
+    peer.publish("t/1", targetOf("1", "s"));
+    started.decoder = peer.decoder;
+    Commands::applyItems(started.state, started.decoder, Queries::itemsAfter(peer.state, 3, peer.clock.now()), { 4, std::nullopt }, started.clock.now());
+    cr_assert_eq(started.targetCount("s"), 2);
+}
+
 // Guards against a log line for each listing, and for each peer that relays the item.
 Test(ApplyItems, reportsAnUnreadableItemOnce)
 {
--- a/Tests/Peering/PeeringNodeTest.cpp
+++ b/Tests/Peering/PeeringNodeTest.cpp
@@ -1,6 +1,7 @@
 #include "Peering/PeeringNode.h"
 #include "Fleet/FleetFixture.h"
 #include "Http/NodeServer.h"
+#include "Peering/ItemExchange.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -172,6 +173,41 @@
     cr_assert_eq(test.fleet.targetCount("s"), 0);
 }
 
+// Guards against requests to a target that is gone: the node took the changes after its own revision from a router that
+// had just listed the store, in which deleted keys are missing, and never learned of the deletion.
+Test(PeeringNode, learnsOfADeletionFromARouterThatHasListedTheStoreAfterIt)
+{
+    TestNode test;
+    test.advanceWithTicks(1s);
+    test.fleet.publish("t/1", Fleet::targetOf("1", "s"));
+    test.fleet.publish("t/2", Fleet::targetOf("2", "s"));
+    Fleet::TestFleetState started;
+    started.decoder = test.fleet.decoder;
+    ItemMerger merger { started.state, started.decoder, started.clock };
+    auto listed = Fleet::Queries::itemsAfter(test.fleet.state, 1, test.fleet.clock.now());
+    merger.apply(std::move(listed), 3, std::nullopt, "store");
+    merger.applyListing("", { "t/2" }, 3, std::nullopt);
+    Fleet::NodeSettings settings;
+    PeerTable peers;
+    ItemExchange startedItems(test.context, settings, peers, merger, started.clock);
+    auto startedHandler = [&](Http::HttpRequest request) { return respondLate(test.fleet.clock, 0s, startedItems.respond(request)); };
+    // The node has fetched all items from another router before, so it asks only for changes.
+    ItemBatch known { 2, Fleet::Queries::itemsAfter(test.fleet.state, 0, test.fleet.clock.now()) };
+    auto knownHandler = [&](Http::HttpRequest) { return respondLate(test.fleet.clock, 0s, { 200, {}, encodeItems(known) }); };
+    auto knownServer = Http::NodeServer::start(test.context, { "127.0.0.2", test.settings.firstPeerPort }, knownHandler);
+    auto startedServer = Http::NodeServer::start(test.context, { "127.0.0.3", test.settings.firstPeerPort }, startedHandler);
+    auto message = messageFrom("127.0.0.2");
+    message.revision = 2;
+    test.deliver(message);
+    cr_assert(test.runUntil([&] { return test.merger.hasRecentRelayedSync(); }));
+    cr_assert_eq(test.fleet.targetCount("s"), 2);
+    message = messageFrom("127.0.0.3");
+    message.revision = 3;
+    test.deliver(message);
+    cr_assert(test.runUntil([&] { return Fleet::Queries::knownRevision(test.fleet.state) == 3; }));
+    cr_assert_eq(test.fleet.targetCount("s"), 1);
+}
+
 // Guards against requests on old weights because a report from another region waited on the congested link between the
 // regions: a declaration that the node learned afterwards counted as made after that report arrived.
 Test(PeeringNode, reportsFromOtherRegionsDoNotLimitTheAgesOfItems)
