Take a replacement only if it is ready

Found by reading the diff: a stop abandons the replacements of a request, and takeReplacement() then took the abandoned attempt, whose operation was still pending, and ended it under its coroutine. The same could happen to the awaited one of two replacements when the other was ready.

Test: Proxy/PlannedStop aRequestThatAwaitsItsReplacementEnds covers the path; it does not fail without the change in the one run that was made (glibc's malloc settings for freed memory were set).

--- a/Source/Proxy/ReplacementAttempt.h
+++ b/Source/Proxy/ReplacementAttempt.h
@@ -52,8 +52,8 @@
     // Why there was no target for it.
     const std::optional<Dispatch::Refusal>& refusal() const { return m_refusal; }
 
-    // The attempt, if it is ready.
-    std::unique_ptr<TargetAttempt> take() { return std::move(m_attempt); }
+    // The attempt if it is ready, and otherwise null.
+    std::unique_ptr<TargetAttempt> take() { return m_state == State::Ready ? std::move(m_attempt) : nullptr; }
 
 private:
     bool isAbandoned() const { return m_state == State::Abandoned; }
--- a/Tests/Proxy/PlannedStopTest.cpp
+++ b/Tests/Proxy/PlannedStopTest.cpp
@@ -180,3 +180,32 @@
     boost::asio::write(socket, boost::asio::buffer(std::string("b")));
     waitForOpenRequests(router, 0);
 }
+
+// Guards against the use of an attempt that a stop has abandoned: the request waited for it, because its first target had
+// broken off.
+Test(PlannedStop, aRequestThatAwaitsItsReplacementEnds)
+{
+    TestRouter router;
+    router.expectedPause = 100ms;
+    router.setRoute(Fleet::RequestKind::Stream, 2, true);
+    ScriptedTarget second([](const std::string& head, unsigned) { return ScriptedReply { sealedStreamHead(head), Then::Hang }; });
+    ScriptedTarget first([&](const std::string& head, unsigned) {
+        ScriptedReply reply { sealedStreamHead(head) + chunkOf(firstEvent), Then::Reset };
+        reply.later = "x";
+        reply.waitBeforeLater = [&] { second.waitForRequests(1); };
+        return reply;
+    });
+    router.addTarget("1", first);
+    boost::asio::io_context context;
+    auto socket = router.send(context, "POST", "");
+    first.waitForRequests(1);
+    router.addTarget("2", second);
+    second.waitForRequests(1);
+    std::this_thread::sleep_for(500ms);
+    router.server().endOpenRequests();
+    auto response = TestRouter::readAll(socket);
+    cr_expect(contains(response, firstEvent), "%s", response.c_str());
+    cr_expect_not(response.ends_with(finalChunk), "%s", response.c_str());
+    waitForOpenRequests(router, 0);
+    second.waitForHangEnd();
+}
