Log up to when a router believes to be complete, and who told it

The record of requests denied by an older configuration shows neither, so it can't tell a late response that counts as recent from a change that was skipped, nor from one that is only slow. New events: configuration-age at each request that the configuration does not allow, store-responded with the time since the request, items-fetched with size and time.

--- a/Source/Fleet/Commands/ApplyItems.cpp
+++ b/Source/Fleet/Commands/ApplyItems.cpp
@@ -195,10 +195,11 @@
     });
 }
 
-void recordCompleteness(FleetState& state, Base::TimePoint time)
+void recordCompleteness(FleetState& state, Completeness completeness)
 {
     state.withContents([&](Contents& contents) {
-        contents.completeAsOf = std::max(time, contents.completeAsOf.value_or(time));
+        if (!contents.completeness || contents.completeness->asOf < completeness.asOf)
+            contents.completeness = std::move(completeness);
     });
 }
 
--- a/Source/Fleet/Commands/ApplyItems.h
+++ b/Source/Fleet/Commands/ApplyItems.h
@@ -46,8 +46,8 @@
 // applied before.
 AppliedChange applyListing(FleetState&, const PublicationDecoder&, const std::string& prefix, const std::vector<std::string>& listedKeys, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil, Base::TimePoint now);
 
-// Records that all items published up to the given time have been applied.
-void recordCompleteness(FleetState&, Base::TimePoint);
+// Records that all items published up to a time have been applied. An earlier time than the known one is ignored.
+void recordCompleteness(FleetState&, Completeness);
 
 // Applies deferred deletions that are due, and discards deleted keys after FleetState::deletionRetention.
 void expireDeletions(FleetState&, Base::TimePoint now);
--- a/Source/Fleet/FleetState.h
+++ b/Source/Fleet/FleetState.h
@@ -12,6 +12,13 @@
 
 namespace Lavenderloft::Fleet {
 
+// All items published up to a time are known.
+struct Completeness {
+    Base::TimePoint asOf;
+    // Who reported it: the store, or the address of a node.
+    std::string source;
+};
+
 // The newest revision of every published item known to this process, and the snapshot built from them. Items arrive
 // from the store and from other nodes in any order; an older revision of a key never replaces a newer one. Modified by
 // Commands/ApplyItems, read by Queries/.
@@ -42,9 +49,8 @@
         // Revision of the last listing of each prefix. A listing does not contain deleted keys, so deletions up to this
         // revision may be unknown, except those of keys that were known before.
         std::map<std::string, uint64_t> listedRevisions;
-        // All items published up to this time are known; nothing before the first contact with the store, or with a node
-        // that follows it.
-        std::optional<Base::TimePoint> completeAsOf;
+        // Nothing before the first contact with the store, or with a node that follows it.
+        std::optional<Completeness> completeness;
         std::shared_ptr<const FleetSnapshot> snapshot = std::make_shared<FleetSnapshot>();
     };
 
--- a/Source/Fleet/Queries/ReadFleet.cpp
+++ b/Source/Fleet/Queries/ReadFleet.cpp
@@ -14,10 +14,15 @@
     return state.withContents([](const FleetState::Contents& contents) { return contents.revision; });
 }
 
+std::optional<Completeness> completeness(const FleetState& state)
+{
+    return state.withContents([](const FleetState::Contents& contents) { return contents.completeness; });
+}
+
 bool mayBeOutdated(const FleetState& state, std::chrono::milliseconds maximumAge, Base::TimePoint now)
 {
-    auto completeAsOf = state.withContents([](const FleetState::Contents& contents) { return contents.completeAsOf; });
-    return !completeAsOf || now - *completeAsOf > maximumAge;
+    auto known = completeness(state);
+    return !known || now - known->asOf > maximumAge;
 }
 
 namespace {
--- a/Source/Fleet/Queries/ReadFleet.h
+++ b/Source/Fleet/Queries/ReadFleet.h
@@ -3,6 +3,7 @@
 #include "Fleet/FleetState.h"
 
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -13,6 +14,9 @@
 // Revision up to which all items are known to this process.
 uint64_t knownRevision(const FleetState&);
 
+// Up to when all items are known, and who reported it; nullopt before the first contact.
+std::optional<Completeness> completeness(const FleetState&);
+
 // Whether an item that was published longer than `maximumAge` ago may still be unknown to this process.
 bool mayBeOutdated(const FleetState&, std::chrono::milliseconds maximumAge, Base::TimePoint now);
 
--- a/Source/Peering/Events.h
+++ b/Source/Peering/Events.h
@@ -14,6 +14,8 @@
 inline constexpr Event itemsApplied { 7504, "items-applied", Level::Info, "Published items from the named source came into force." };
 inline constexpr Event itemUnreadable { 7505, "item-unreadable", Level::Warning, "A published item cannot be decoded and is ignored." };
 inline constexpr Event configurationInForce { 7506, "configuration-in-force", Level::Info, "A different version of the configuration came into force." };
+inline constexpr Event storeResponded { 7509, "store-responded", Level::Info, "The store sent changes: the time since the request, and the age of the last change that this node may still lack." };
+inline constexpr Event itemsFetched { 7510, "items-fetched", Level::Info, "Items were fetched from another router; revision and size of its response and the time since the request." };
 inline constexpr Event messageUnreadable { 7507, "message-unreadable", Level::Warning, "A datagram that is not a valid peer message was dropped." };
 inline constexpr Event declarationLearned { 7508, "declaration-learned", Level::Info, "A declaration of weights, or a more accurate time of it, became known; outdated weights are excluded by its age." };
 
--- a/Source/Peering/ItemExchange.cpp
+++ b/Source/Peering/ItemExchange.cpp
@@ -2,7 +2,9 @@
 
 #include "Fleet/Queries/ReadFleet.h"
 #include "Http/Sleep.h"
+#include "Observability/Log.h"
 #include "Peering/Commands/RecordPeer.h"
+#include "Peering/Events.h"
 #include "Peering/PeeringCodec.h"
 #include "Peering/Queries/ListPeers.h"
 
@@ -166,7 +168,9 @@
     std::vector<std::string> keys;
     for (auto& item : batch->items)
         keys.push_back(item.key);
-    addWaitingTime(batch->items, std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - requestedAt));
+    auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - requestedAt);
+    Observability::logEvent(Events::itemsFetched, { { "source", router.address }, { "after", afterRevision }, { "revision", batch->revision }, { "bytes", response->body.size() }, { "elapsed", elapsed } });
+    addWaitingTime(batch->items, elapsed);
     bool isFirst = !m_hasFetchedAll;
     m_hasFetchedAll = true;
     m_merger.apply(std::move(batch->items), batch->revision, std::nullopt, router.address);
@@ -174,7 +178,7 @@
         m_merger.applyListing("", keys, batch->revision, std::nullopt);
     // A router that has restarted since its report may have fewer items than it reported.
     if (router.storeSync.reportedAt && batch->revision >= router.revision)
-        m_merger.recordRelayedSync(router.storeSync.syncedAt, m_settings.regionOf(router.dataCentre) == m_settings.region);
+        m_merger.recordRelayedSync(router.storeSync.syncedAt, m_settings.regionOf(router.dataCentre) == m_settings.region, router.address);
     else if (isFirst)
         m_merger.recordSyncAsOfStoreFailure();
     co_return true;
--- a/Source/Peering/ItemMerger.cpp
+++ b/Source/Peering/ItemMerger.cpp
@@ -47,10 +47,10 @@
     logChange(Fleet::Commands::applyObservedDeclarations(m_fleet, declarations, m_clock.now()), Fleet::Queries::knownRevision(m_fleet), source);
 }
 
-void ItemMerger::recordSync(Base::TimePoint time)
+void ItemMerger::recordSync(Base::TimePoint time, std::string_view source)
 {
     extendSync(time);
-    Fleet::Commands::recordCompleteness(m_fleet, time);
+    Fleet::Commands::recordCompleteness(m_fleet, { time, std::string(source) });
 }
 
 void ItemMerger::extendSync(Base::TimePoint time)
@@ -58,11 +58,11 @@
     m_syncedAt = std::max(time, m_syncedAt.value_or(time));
 }
 
-void ItemMerger::recordRelayedSync(Base::TimePoint time, bool isFromOwnRegion)
+void ItemMerger::recordRelayedSync(Base::TimePoint time, bool isFromOwnRegion, std::string_view source)
 {
     m_relayedSyncAt = std::max(time, m_relayedSyncAt.value_or(time));
     if (isFromOwnRegion)
-        recordSync(time);
+        recordSync(time, source);
 }
 
 bool ItemMerger::hasRecentRelayedSync() const
--- a/Source/Peering/ItemMerger.h
+++ b/Source/Peering/ItemMerger.h
@@ -24,8 +24,8 @@
     // Merges declarations that another node observed.
     void applyObserved(const std::vector<Fleet::ObservedDeclaration>&, std::string_view source);
 
-    // Records that all items published up to the given time are known from the store.
-    void recordSync(Base::TimePoint);
+    // Records that all items published up to the given time are known from the store, directly or through the named node.
+    void recordSync(Base::TimePoint, std::string_view source);
 
     // Records that the store did not respond, or rejected a request. While the store is down nothing is published; if
     // it only rejects this node, other nodes relay new items together with their age.
@@ -44,7 +44,7 @@
     // Records that a router relayed all items that it had received from the store up to the given time. A report from
     // another region may have waited on the link between the regions, so that its time is too recent: it neither limits the
     // ages of items nor makes them complete.
-    void recordRelayedSync(Base::TimePoint, bool isFromOwnRegion);
+    void recordRelayedSync(Base::TimePoint, bool isFromOwnRegion, std::string_view source);
 
     Fleet::FleetState& fleet() { return m_fleet; }
 
--- a/Source/Peering/PeeringNode.cpp
+++ b/Source/Peering/PeeringNode.cpp
@@ -316,7 +316,7 @@
     PeerRouter router { message.sender, message.dataCentre, now, message.revision, message.demand, syncReportOf(message) };
     bool isNewReport = router.storeSync.reportedAt == now;
     if (isNewReport && Fleet::Queries::knownRevision(m_merger.fleet()) >= message.revision)
-        m_merger.recordRelayedSync(router.storeSync.syncedAt, m_settings.regionOf(message.dataCentre) == m_settings.region);
+        m_merger.recordRelayedSync(router.storeSync.syncedAt, m_settings.regionOf(message.dataCentre) == m_settings.region, message.sender);
     Commands::recordRouter(m_peers, router);
     introduceTo(message);
 }
--- a/Source/Peering/StoreFollower.cpp
+++ b/Source/Peering/StoreFollower.cpp
@@ -15,6 +15,7 @@
 
     using namespace std::chrono_literals;
 
+    constexpr std::string_view storeSource = "store";
     constexpr std::chrono::milliseconds listTimeout = 1500ms;
     constexpr std::chrono::milliseconds maximumListTimeout = 6000ms;
     // How long a watch request waits for a change. Also limits how late a dead connection is detected.
@@ -189,9 +190,9 @@
     // Items that changed after their page was sent come with the first watch.
     m_syncedAt = requestedAt;
     // The age of items that are new is limited by the previous sync, so this one is recorded afterwards.
-    m_merger.apply(std::move(items), *revision, deletionsDeferredUntil(), "store");
+    m_merger.apply(std::move(items), *revision, deletionsDeferredUntil(), storeSource);
     m_merger.applyListing(m_prefix, keys, *revision, deletionsDeferredUntil());
-    m_merger.recordSync(*m_syncedAt);
+    m_merger.recordSync(*m_syncedAt, storeSource);
     m_isFollowing = true;
     if (m_onChange)
         m_onChange();
@@ -277,15 +278,23 @@
     m_revision = std::max(*m_revision, batch.revision);
     bool hasChanges = !changes.empty();
     if (hasChanges) {
-        auto declared = m_merger.apply(std::move(changes), *m_revision, deletionsDeferredUntil(), "store");
+        logChanges(changes.size(), watch, now);
+        auto declared = m_merger.apply(std::move(changes), *m_revision, deletionsDeferredUntil(), storeSource);
         if (isObserved && !declared.empty())
             m_unconfirmed = { std::move(declared), now };
     }
-    m_merger.recordSync(*m_syncedAt);
+    m_merger.recordSync(*m_syncedAt, storeSource);
     if (hasChanges && m_onChange)
         m_onChange();
 }
 
+void StoreFollower::logChanges(size_t count, const SentWatch& watch, Base::TimePoint now) const
+{
+    auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now - watch.requestedAt);
+    auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - *m_syncedAt);
+    Observability::logEvent(Events::storeResponded, { { "changes", count }, { "revision", *m_revision }, { "elapsed", elapsed }, { "sync_age", age } });
+}
+
 // The change may have come just after the response before was sent, and both responses may have taken as long as this one.
 void StoreFollower::confirmObserved()
 {
@@ -296,7 +305,7 @@
     auto age = m_clock.now() - unconfirmed.receivedAt + changeBatchDelay + 2 * m_responseTime;
     for (auto& declaration : unconfirmed.declarations)
         declaration.age = std::chrono::ceil<std::chrono::milliseconds>(age);
-    m_merger.applyObserved(unconfirmed.declarations, "store");
+    m_merger.applyObserved(unconfirmed.declarations, storeSource);
     if (m_onChange)
         m_onChange();
 }
--- a/Source/Peering/StoreFollower.h
+++ b/Source/Peering/StoreFollower.h
@@ -59,6 +59,7 @@
     std::chrono::milliseconds nextWait() const;
     void recordResponseTime(Base::Duration);
     void applyChanges(const Fleet::ChangeBatch&, const SentWatch&);
+    void logChanges(size_t count, const SentWatch&, Base::TimePoint now) const;
     bool observedAtOnce() const;
     Base::TimePoint syncTime(const Fleet::ChangeBatch&, const SentWatch&) const;
     void confirmObserved();
--- a/Source/Proxy/Events.h
+++ b/Source/Proxy/Events.h
@@ -19,5 +19,6 @@
 inline constexpr Event targetHeldBack { 7008, "target-held-back", Level::Info, "A target refused a request and asked this router to wait; it gets no requests until then." };
 inline constexpr Event attemptSilent { 7009, "attempt-silent", Level::Info, "A target has sent nothing for longer than expected; its attempt goes on until another target responds or the deadline passes." };
 inline constexpr Event replacementEnded { 7010, "replacement-ended", Level::Info, "The attempt at a second target, made because the first one was silent, has ended; the field result says whether it continues the response." };
+inline constexpr Event configurationAge { 7011, "configuration-age", Level::Info, "A configuration that may be outdated does not allow a request: the time up to which all published items were known, and who reported it." };
 
 } // namespace Lavenderloft::Proxy::Events
--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -493,6 +493,7 @@
 {
     auto maximumAge = std::chrono::duration_cast<std::chrono::milliseconds>(m_context.dispatch.bounds().configuration * usableConfigurationShare);
     bool isOutdated = Fleet::Queries::mayBeOutdated(m_context.fleet, maximumAge, m_context.clock.now());
+    m_log.deniedByConfiguration(Fleet::Queries::completeness(m_context.fleet), isOutdated);
     if (isOutdated)
         co_await respondWithError(503, "configuration_outdated", outdatedConfigurationRetryAfter);
     else
--- a/Source/Proxy/RequestLog.cpp
+++ b/Source/Proxy/RequestLog.cpp
@@ -76,6 +76,15 @@
         { { "request", m_request->head.requestId }, { "result", result }, { "repeat_refused", refusal }, { "runs", m_request->history.runs }, { "time_left", m_request->timeLeft() } });
 }
 
+void RequestLog::deniedByConfiguration(const std::optional<Fleet::Completeness>& completeness, bool isOutdated)
+{
+    m_request->context.metrics.count("configuration_denials_total", { { "outdated", isOutdated ? "true" : "false" } });
+    if (!completeness || !Observability::isLogged(Events::configurationAge))
+        return;
+    Observability::logEvent(Events::configurationAge,
+        { { "request", m_request->head.requestId }, { "age", inMilliseconds(m_request->now() - completeness->asOf) }, { "reported_by", completeness->source }, { "outdated", isOutdated } });
+}
+
 void RequestLog::finished(const Observability::Event& event, unsigned status, std::string_view reason)
 {
     m_isFinished = true;
--- a/Source/Proxy/RequestLog.h
+++ b/Source/Proxy/RequestLog.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "Fleet/FleetState.h"
 #include "Observability/Event.h"
 #include "Proxy/CallerResponse.h"
 #include "Proxy/TargetAttempt.h"
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -30,6 +32,9 @@
 
     void retryRefused(std::string_view refusal) { m_retryRefusal = refusal; }
 
+    // The configuration does not allow the request.
+    void deniedByConfiguration(const std::optional<Fleet::Completeness>&, bool isOutdated);
+
     // The request has its final outcome.
     void finished(const Observability::Event&, unsigned status, std::string_view reason);
     bool isFinished() const { return m_isFinished; }
--- a/Tests/Peering/StoreFollowerTest.cpp
+++ b/Tests/Peering/StoreFollowerTest.cpp
@@ -190,7 +190,7 @@
     declaration.age = Fleet::FleetState::unknownAge;
     declaration.ageIsBound = true;
     started.merger.apply({ declaration }, 2, std::nullopt, "store");
-    other.merger.recordSync(other.fleet.clock.now());
+    other.merger.recordSync(other.fleet.clock.now(), "store");
     other.fleet.clock.advance(8s);
     other.merger.recordStoreFailure(other.fleet.clock.now());
     other.fleet.clock.advance(500ms);
@@ -204,7 +204,7 @@
     // An exact age is used unchanged.
     TestFollower third;
     third.fleet.decoder = started.fleet.decoder;
-    third.merger.recordSync(third.fleet.clock.now());
+    third.merger.recordSync(third.fleet.clock.now(), "store");
     third.fleet.clock.advance(100ms);
     declaration.age = 500ms;
     declaration.ageIsBound = false;
@@ -227,7 +227,7 @@
             if (test.requests.size() == 2) {
                 test.fleet.clock.advance(8s);
                 if (othersReachedStore)
-                    test.merger.recordRelayedSync(test.fleet.clock.now(), true);
+                    test.merger.recordRelayedSync(test.fleet.clock.now(), true, "10.0.0.1");
                 return rejected;
             }
             test.context.stop();
@@ -251,9 +251,9 @@
     declaration.age = Fleet::FleetState::unknownAge;
     declaration.ageIsBound = true;
     started.merger.apply({ declaration }, 2, std::nullopt, "store");
-    started.merger.recordSync(started.fleet.clock.now());
+    started.merger.recordSync(started.fleet.clock.now(), "store");
     started.fleet.clock.advance(200ms);
-    started.merger.recordRelayedSync(started.fleet.clock.now(), true);
+    started.merger.recordRelayedSync(started.fleet.clock.now(), true, "10.0.0.1");
     started.merger.apply({ declaration }, 2, std::nullopt, "10.0.0.1");
     auto age = started.fleet.clock.now() - started.fleet.snapshot()->weights.at("m").back().publishedAt;
     cr_assert_geq(std::chrono::duration_cast<std::chrono::seconds>(age).count(), 3600, "the declaration may be that old");
@@ -351,7 +351,7 @@
     test.fleet.publish("t/1", Fleet::targetOf("1", "s"));
     test.fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
     test.protocol.changes["declared"] = { { { "w", "2", 2, false, {} } }, 2 };
-    test.merger.recordRelayedSync(test.fleet.clock.now(), true);
+    test.merger.recordRelayedSync(test.fleet.clock.now(), true, "10.0.0.1");
     test.respond = [&](const std::string&) -> Http::HttpResponse {
         test.context.stop();
         return { 200, {}, "declared" };
--- a/Tests/Proxy/TestRouter.h
+++ b/Tests/Proxy/TestRouter.h
@@ -70,7 +70,7 @@
     }
 
     // Records that the router knows all items published up to the given time.
-    void recordContactWithStore(Base::TimePoint time) { Fleet::Commands::recordCompleteness(m_fleet.state, time); }
+    void recordContactWithStore(Base::TimePoint time) { Fleet::Commands::recordCompleteness(m_fleet.state, { time, "store" }); }
 
     // Makes the service one of engines that hold version 1 of their weights, and declares version 2 so long ago.
     void declareWeights(std::chrono::milliseconds age)
