Show that a late response of the store counts as recent

At front-kriti-a-8 a response with one change was 1,698 ms on its way, counted as complete up to its arrival (sync_age 0 ms in store-responded), and a newer configuration had been stored 1 s before that.

--- a/Tests/Peering/StoreFollowerTest.cpp
+++ b/Tests/Peering/StoreFollowerTest.cpp
@@ -524,3 +524,32 @@
         test.context.run_one_for(50ms);
     cr_assert_not(test.fleet.snapshot()->weights.empty());
 }
+
+// Guards against requests that are denied by an older configuration: a response that was on its way for long, because it
+// was large or the store slow, counted as sent when it arrived, by the response time of an earlier one.
+Test(StoreFollower, aLateResponseDoesNotVouchForWhatWasPublishedMeanwhile)
+{
+    TestFollower test;
+    test.protocol.listing.revision = 1;
+    test.protocol.changes["none"] = { {}, 1 };
+    test.protocol.changes["changed"] = { { { "t/1", "", 2, false, {} } }, 2 };
+    Base::TimePoint sentAt;
+    test.respond = [&](const std::string& target) -> Http::HttpResponse {
+        if (target == "/list")
+            return { 200, {}, "" };
+        // Shows a short response time.
+        if (test.requests.size() == 2) {
+            test.advanceWithTicks(1600ms);
+            return { 200, {}, "none" };
+        }
+        sentAt = test.fleet.clock.now();
+        test.advanceWithTicks(3800ms);
+        return { 200, {}, "changed" };
+    };
+    boost::asio::co_spawn(test.context, test.follower->run([] { return true; }), boost::asio::detached);
+    while (Fleet::Queries::knownRevision(test.fleet.state) < 2)
+        test.context.run_one();
+    auto now = test.fleet.clock.now();
+    cr_expect(*test.follower->syncedAt() <= sentAt, "other routers are told");
+    cr_expect(Fleet::Queries::mayBeOutdated(test.fleet.state, 2250ms, now), "a configuration of the last 3.8 s may be missing");
+}
