Count a response with changes as complete as of its request

Callers saw 404 for routes that a confirmed configuration had. A response with changes counted as sent when it arrived, less the response time of an earlier, small response. A large one that is seconds on its way so vouched for what was published meanwhile, at its follower and by its reports in its whole region. Now it counts as of its request, which is certain, and a watch without a wait follows at once, which tells after one round trip that there is no more.

--- a/Source/Peering/StoreFollower.cpp
+++ b/Source/Peering/StoreFollower.cpp
@@ -67,7 +67,7 @@
         else
             succeeded = co_await listAll();
         recordResult(succeeded);
-        if (succeeded && m_unconfirmed)
+        if (succeeded && isConfirmationUrgent())
             continue;
         co_await Http::sleepFor(m_context, succeeded ? changeBatchDelay : m_backoff);
     }
@@ -102,6 +102,7 @@
 {
     m_isFollowing = succeeded;
     m_isWatching = m_isWatching && succeeded;
+    m_hasUnconfirmedChanges = m_hasUnconfirmedChanges && succeeded;
     if (succeeded) {
         m_backoff = 0ms;
         return;
@@ -199,9 +200,16 @@
     co_return true;
 }
 
+// After changes, a watch without a wait tells that these were the last ones.
 std::chrono::milliseconds StoreFollower::nextWait() const
 {
-    return m_unconfirmed ? probeWait : watchWait;
+    return m_hasUnconfirmedChanges ? probeWait : watchWait;
+}
+
+// A probe that brings more changes is repeated after changeBatchDelay, so that a burst does not load the store.
+bool StoreFollower::isConfirmationUrgent() const
+{
+    return m_hasUnconfirmedChanges && !m_wasProbe;
 }
 
 asio::awaitable<bool> StoreFollower::waitForChanges()
@@ -220,6 +228,7 @@
         if (error.kind == Fleet::StoreErrorKind::HistoryLost) {
             m_revision.reset();
             m_unconfirmed.reset();
+            m_hasUnconfirmedChanges = false;
             co_return true;
         }
         recordFailure(error.describe(), m_clock.now());
@@ -237,18 +246,14 @@
     return m_isWatching && m_syncedAt && !m_stalls.hasStalledSince(*m_syncedAt);
 }
 
-// Time up to which a response has all items. Without changes the store sent it after the wait, however late it arrived. A
-// response with changes was sent at once, but at what time can only be estimated; while this process stood still, it may
-// have been sent at any time since the request.
+// Time up to which a response certainly has all items. Without changes the store sent it after the wait, however late it
+// arrived. With changes the store may have sent it at any time since the request: how long it was on its way depends on
+// its size and on the load of the links, so the response times of others say nothing about it.
 Base::TimePoint StoreFollower::syncTime(const Fleet::ChangeBatch& batch, const SentWatch& watch) const
 {
-    auto now = m_clock.now();
     auto waitEnd = watch.requestedAt + watch.wait;
-    if (batch.changes.empty() && waitEnd <= now)
-        return waitEnd;
-    if (m_stalls.hasStalledSince(watch.requestedAt))
-        return watch.requestedAt;
-    return std::max(watch.requestedAt, now - m_responseTime);
+    bool isWaitOver = waitEnd <= m_clock.now();
+    return batch.changes.empty() && isWaitOver ? waitEnd : watch.requestedAt;
 }
 
 void StoreFollower::recordResponseTime(Base::Duration time)
@@ -273,18 +278,19 @@
         change.ageIsBound = true;
     }
     m_syncedAt = syncTime(batch, watch);
+    m_hasUnconfirmedChanges = !changes.empty();
+    m_wasProbe = watch.wait == probeWait;
     m_isFollowing = true;
     m_isWatching = true;
     m_revision = std::max(*m_revision, batch.revision);
-    bool hasChanges = !changes.empty();
-    if (hasChanges) {
+    if (m_hasUnconfirmedChanges) {
         logChanges(changes.size(), watch, now);
         auto declared = m_merger.apply(std::move(changes), *m_revision, deletionsDeferredUntil(), storeSource);
         if (isObserved && !declared.empty())
             m_unconfirmed = { std::move(declared), now };
     }
     m_merger.recordSync(*m_syncedAt, storeSource);
-    if (hasChanges && m_onChange)
+    if (m_hasUnconfirmedChanges && m_onChange)
         m_onChange();
 }
 
--- a/Source/Peering/StoreFollower.h
+++ b/Source/Peering/StoreFollower.h
@@ -57,6 +57,7 @@
     void recordFailure(const std::string& reason, Base::TimePoint failedAt);
     static void recordTimeout(const Http::HttpError&, Base::AdaptiveTimeout&);
     std::chrono::milliseconds nextWait() const;
+    bool isConfirmationUrgent() const;
     void recordResponseTime(Base::Duration);
     void applyChanges(const Fleet::ChangeBatch&, const SentWatch&);
     void logChanges(size_t count, const SentWatch&, Base::TimePoint now) const;
@@ -89,6 +90,10 @@
     // How long the store took for the last response whose time of sending is known.
     Base::Duration m_responseTime {};
     std::optional<UnconfirmedDeclarations> m_unconfirmed;
+    // The last response had changes; whether there are more is not known yet.
+    bool m_hasUnconfirmedChanges = false;
+    // The last response was that of a probe.
+    bool m_wasProbe = false;
 };
 
 } // namespace Lavenderloft::Peering
