Use the reports of the router that follows the store

A new report was recognised by comparing its time with the time of handling, which were two readings of the clock; they are equal only in tests. Both are now one reading.

--- a/Source/Base/ManualClock.cpp
+++ b/Source/Base/ManualClock.cpp
@@ -11,6 +11,7 @@
 TimePoint ManualClock::now() const
 {
     std::lock_guard guard(m_lock);
+    m_now += m_timePerReading;
     return m_now;
 }
 
@@ -27,4 +28,10 @@
     m_wallTime += std::chrono::duration_cast<WallTime::duration>(step);
 }
 
+void ManualClock::setTimePerReading(Duration time)
+{
+    std::lock_guard guard(m_lock);
+    m_timePerReading = time;
+}
+
 } // namespace Lavenderloft::Base
--- a/Source/Peering/PeeringNode.cpp
+++ b/Source/Peering/PeeringNode.cpp
@@ -282,11 +282,10 @@
 }
 
 // The time for which the message may have waited is added to its age, which errs towards an older sync.
-StoreSyncReport PeeringNode::syncReportOf(const NodeMessage& message)
+StoreSyncReport PeeringNode::syncReportOf(const NodeMessage& message, Base::TimePoint now)
 {
     if (!message.storeAge)
         return {};
-    auto now = m_clock.now();
     auto wait = PeerClocks::maximumWait(message.times, m_incarnation, now);
     if (wait && !mayHaveWaited())
         return { now, now - *message.storeAge - *wait };
@@ -313,7 +312,7 @@
     }
     logNewRouter(message.sender, message.dataCentre);
     auto now = m_clock.now();
-    PeerRouter router { message.sender, message.dataCentre, now, message.revision, message.demand, syncReportOf(message) };
+    PeerRouter router { message.sender, message.dataCentre, now, message.revision, message.demand, syncReportOf(message, now) };
     bool isNewReport = router.storeSync.reportedAt == now;
     if (isNewReport && Fleet::Queries::knownRevision(m_merger.fleet()) >= message.revision)
         m_merger.recordRelayedSync(router.storeSync.syncedAt, m_settings.regionOf(message.dataCentre) == m_settings.region, message.sender);
--- a/Source/Peering/PeeringNode.h
+++ b/Source/Peering/PeeringNode.h
@@ -92,7 +92,7 @@
     void logNewRouter(const std::string& address, const std::string& dataCentre);
     void handleRouterMessage(const NodeMessage&);
     void introduceTo(const NodeMessage&);
-    StoreSyncReport syncReportOf(const NodeMessage&);
+    StoreSyncReport syncReportOf(const NodeMessage&, Base::TimePoint now);
     bool mayHaveWaited() const;
 
     boost::asio::io_context& m_context;
--- a/Tests/Peering/PeeringNodeTest.cpp
+++ b/Tests/Peering/PeeringNodeTest.cpp
@@ -415,6 +415,21 @@
     cr_assert(test.runUntil([&] { return test.merger.maximumNewItemAge() < 2000ms; }));
 }
 
+// Guards against routers that refuse what their configuration does not allow with 503 for ever, because they use no report
+// of the router that follows the store: the report was recognised by an equal time, and two readings of a clock differ.
+Test(PeeringNode, usesReportsWhileTimePasses)
+{
+    TestNode test;
+    test.settings.region = "r-a";
+    test.settings.regionByDataCentre = { { "dc-a", "r-a" } };
+    test.advanceWithTicks(1s);
+    test.fleet.clock.setTimePerReading(1us);
+    auto message = messageFrom("127.0.0.9");
+    message.dataCentre = "dc-a";
+    test.deliver(message);
+    cr_assert_not(Fleet::Queries::mayBeOutdated(test.fleet.state, 2s, test.fleet.clock.now()));
+}
+
 // Guards against a router that takes its configuration for the present one because a report from another region waited on
 // the congested link between the regions: on salinan-sijil-grown, scale-1, requests got 404 by an outdated configuration.
 Test(PeeringNode, reportsFromOtherRegionsDoNotMakeTheItemsComplete)
