Send large values between nodes as differences

Large values are compressed with zstd, with the receiver's value of the key as prefix; a digest guards the result, and a node that lacks the base asks for plain values.

--- a/Source/Fleet/Commands/ApplyItems.cpp
+++ b/Source/Fleet/Commands/ApplyItems.cpp
@@ -107,6 +107,13 @@
         });
     }
 
+    std::shared_ptr<const FleetState::PreviousValue> takePreviousValue(PublishedItem& replaced)
+    {
+        if (replaced.value.size() < FleetState::minimumPreviousValueBytes)
+            return nullptr;
+        return std::make_shared<const FleetState::PreviousValue>(FleetState::PreviousValue { std::move(replaced.value), replaced.revision });
+    }
+
     void mergeItem(Contents& contents, const PublicationDecoder& decoder, PublishedItem item, const ItemBatchOrigin& origin, Base::TimePoint now, AppliedChange& change)
     {
         auto known = contents.records.find(item.key);
@@ -140,7 +147,8 @@
         if (auto* declared = std::get_if<WeightsDeclared>(&publication))
             recordDeclared(contents, *declared, item, origin, now, change);
         auto& record = contents.records[item.key];
-        record = Record { std::move(item), std::move(publication), now, std::nullopt };
+        auto previous = takePreviousValue(record.item);
+        record = Record { std::move(item), std::move(publication), now, std::nullopt, std::move(previous) };
     }
 
 } // namespace
@@ -208,6 +216,8 @@
     state.withContents([&](Contents& contents) {
         bool changed = false;
         for (auto& [key, record] : contents.records) {
+            if (record.learnedAt + FleetState::previousValueRetention < now)
+                record.previous.reset();
             if (!record.deletionDueAt || *record.deletionDueAt > now)
                 continue;
             record.deletionDueAt.reset();
--- a/Source/Fleet/Commands/ApplyItems.h
+++ b/Source/Fleet/Commands/ApplyItems.h
@@ -49,7 +49,7 @@
 // Records that all items published up to a time have been applied. An earlier time than the known one is ignored.
 void recordCompleteness(FleetState&, Completeness);
 
-// Applies deferred deletions that are due, and discards deleted keys after FleetState::deletionRetention.
+// Applies deferred deletions that are due, and discards deleted keys and previous values after their retention.
 void expireDeletions(FleetState&, Base::TimePoint now);
 
 } // namespace Lavenderloft::Fleet::Commands
--- a/Source/Fleet/FleetState.h
+++ b/Source/Fleet/FleetState.h
@@ -31,12 +31,24 @@
     // Larger values that no node uses are not kept, and are relayed empty.
     static constexpr size_t maximumUnusedValueBytes = 16 * 1024;
 
+    // Values of this size or more are kept for previousValueRetention after they were replaced, so that nodes which still
+    // have them need only the difference.
+    static constexpr size_t minimumPreviousValueBytes = 4096;
+    static constexpr std::chrono::minutes previousValueRetention { 1 };
+
+    struct PreviousValue {
+        std::string value;
+        uint64_t revision = 0;
+    };
+
     struct Record {
         PublishedItem item;
         Publication publication;
         Base::TimePoint learnedAt {};
         // When a deferred deletion takes effect. Until then the previous publication stays in force.
         std::optional<Base::TimePoint> deletionDueAt;
+        // The value before the present one; null if it was small or is expired.
+        std::shared_ptr<const PreviousValue> previous {};
     };
 
     // Protected by one lock.
--- a/Source/Fleet/Queries/ReadFleet.cpp
+++ b/Source/Fleet/Queries/ReadFleet.cpp
@@ -70,6 +70,19 @@
     });
 }
 
+std::shared_ptr<const FleetState::PreviousValue> valueAsOf(const FleetState& state, const std::string& key, uint64_t revision)
+{
+    return state.withContents([&](const FleetState::Contents& contents) -> std::shared_ptr<const FleetState::PreviousValue> {
+        auto found = contents.records.find(key);
+        if (found == contents.records.end())
+            return nullptr;
+        auto& record = found->second;
+        if (record.item.revision <= revision)
+            return std::make_shared<const FleetState::PreviousValue>(FleetState::PreviousValue { record.item.value, record.item.revision });
+        return record.previous && record.previous->revision <= revision ? record.previous : nullptr;
+    });
+}
+
 bool mayMissDeletions(const FleetState& state, uint64_t revision)
 {
     return state.withContents([&](const FleetState::Contents& contents) {
--- a/Source/Fleet/Queries/ReadFleet.h
+++ b/Source/Fleet/Queries/ReadFleet.h
@@ -23,6 +23,9 @@
 // Returns the items that are newer than the revision, including deletions.
 std::vector<PublishedItem> itemsAfter(const FleetState&, uint64_t revision, Base::TimePoint now);
 
+// The key's value as of the revision, which is the present or the previous one; null if it is not known any more.
+std::shared_ptr<const FleetState::PreviousValue> valueAsOf(const FleetState&, const std::string& key, uint64_t revision);
+
 // Whether deletions after the revision may be missing among these items, because the process only listed what the store
 // had at a later revision.
 bool mayMissDeletions(const FleetState&, uint64_t revision);
--- a/Source/Peering/ItemExchange.cpp
+++ b/Source/Peering/ItemExchange.cpp
@@ -49,6 +49,9 @@
         return revision;
     }
 
+    // Marks requests of nodes that restore packed values.
+    constexpr std::string_view packedParameter = "&packed=1";
+
     // The ages and delays of a response are those at the time when the router responded, at some time during the fetch. A
     // long fetch leaves only an upper bound of the ages.
     void addWaitingTime(std::vector<Fleet::PublishedItem>& items, std::chrono::milliseconds duration)
@@ -60,6 +63,13 @@
         }
     }
 
+    std::optional<ItemBatch> readBatch(const std::optional<Http::HttpResponse>& response)
+    {
+        if (!response || response->status != 200)
+            return std::nullopt;
+        return decodeItems(response->body);
+    }
+
 } // namespace
 
 ItemExchange::ItemExchange(asio::io_context& context, const Fleet::NodeSettings& settings, PeerTable& peers, ItemMerger& merger, const Base::Clock& clock)
@@ -127,13 +137,15 @@
         m_laggingSince = m_clock.now();
 }
 
-asio::awaitable<std::optional<Http::HttpResponse>> ItemExchange::requestItems(const PeerRouter& router, uint64_t afterRevision)
+asio::awaitable<std::optional<Http::HttpResponse>> ItemExchange::requestItems(const PeerRouter& router, uint64_t afterRevision, ValueEncoding encoding)
 {
     Http::Endpoint endpoint { router.address, m_settings.firstPeerPort };
     if (!m_client || !(m_client->endpoint() == endpoint))
         m_client = std::make_unique<Http::PersistentHttpClient>(m_context.get_executor(), endpoint);
     Http::HttpRequest request;
     request.target = std::string(path) + "?after=" + std::to_string(afterRevision);
+    if (encoding == ValueEncoding::Packed)
+        request.target += packedParameter;
     auto requestedAt = m_clock.now();
     auto result = co_await m_client->call(std::move(request), m_fetchTimeout.current());
     std::optional<Http::HttpResponse> response;
@@ -150,7 +162,7 @@
 {
     auto afterRevision = completeRevision();
     auto requestedAt = m_clock.now();
-    auto response = co_await requestItems(router, afterRevision);
+    auto response = co_await requestItems(router, afterRevision, ValueEncoding::Packed);
     if (response && response->status == historyLostStatus) {
         // Another router may still have the deletions; its response is smaller.
         Commands::startRouterBackoff(m_peers, router.address, m_clock.now());
@@ -158,12 +170,16 @@
             co_return false;
         afterRevision = 0;
         requestedAt = m_clock.now();
-        response = co_await requestItems(router, afterRevision);
+        response = co_await requestItems(router, afterRevision, ValueEncoding::Packed);
     }
-    if (!response || response->status != 200)
-        co_return false;
-    auto batch = decodeItems(response->body);
-    if (!batch)
+    auto batch = readBatch(response);
+    if (batch && !unpackValues(*batch, m_merger.fleet())) {
+        // This node does not have the values that the packed ones are based on.
+        requestedAt = m_clock.now();
+        response = co_await requestItems(router, afterRevision, ValueEncoding::Plain);
+        batch = readBatch(response);
+    }
+    if (!batch || !unpackValues(*batch, m_merger.fleet()))
         co_return false;
     std::vector<std::string> keys;
     for (auto& item : batch->items)
@@ -184,7 +200,7 @@
     co_return true;
 }
 
-Http::HttpResponse ItemExchange::respond(const Http::HttpRequest& request) const
+Http::HttpResponse ItemExchange::respond(const Http::HttpRequest& request)
 {
     auto revision = revisionInQuery(request.target);
     if (!revision)
@@ -194,6 +210,8 @@
     ItemBatch batch;
     batch.revision = Fleet::Queries::knownRevision(m_merger.fleet());
     batch.items = Fleet::Queries::itemsAfter(m_merger.fleet(), *revision, m_clock.now());
+    if (request.target.ends_with(packedParameter))
+        m_packer.pack(batch, m_merger.fleet(), *revision);
     return { 200, { { "Content-Type", "application/octet-stream" } }, encodeItems(batch) };
 }
 
--- a/Source/Peering/ItemExchange.h
+++ b/Source/Peering/ItemExchange.h
@@ -5,6 +5,7 @@
 #include "Http/PersistentHttpClient.h"
 #include "Peering/ItemMerger.h"
 #include "Peering/PeerTable.h"
+#include "Peering/ValuePacker.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -42,14 +43,20 @@
     // Whether this node has been behind other routers for longer than a fetch takes.
     bool isLagging() const;
 
-    // Responds with the items after the revision that is given in the request's query, or with 410 if this node may lack
+    // Responds with the items after the revision that is given in the request's query, large values packed if asked for, or with 410 if this node may lack
     // deletions after it.
-    Http::HttpResponse respond(const Http::HttpRequest&) const;
+    Http::HttpResponse respond(const Http::HttpRequest&);
 
 private:
+    enum class ValueEncoding {
+        // Large values as differences.
+        Packed,
+        Plain,
+    };
+
     boost::asio::awaitable<bool> fetchFrom(const PeerRouter&);
     // Requests the items after the revision; all items if it is zero.
-    boost::asio::awaitable<std::optional<Http::HttpResponse>> requestItems(const PeerRouter&, uint64_t afterRevision);
+    boost::asio::awaitable<std::optional<Http::HttpResponse>> requestItems(const PeerRouter&, uint64_t afterRevision, ValueEncoding);
     std::optional<PeerRouter> routerToFetchFrom() const;
     // Revision after which items are missing.
     uint64_t completeRevision() const;
@@ -61,6 +68,7 @@
     ItemMerger& m_merger;
     const Base::Clock& m_clock;
     boost::asio::steady_timer m_timer;
+    ValuePacker m_packer;
     std::unique_ptr<Http::PersistentHttpClient> m_client;
     Base::AdaptiveTimeout m_fetchTimeout;
     bool m_hasFetchedAll = false;
--- a/Source/Peering/PeeringCodec.cpp
+++ b/Source/Peering/PeeringCodec.cpp
@@ -153,7 +153,14 @@
     for (auto& item : batch.items) {
         auto* added = encoded.add_items();
         added->set_key(item.key);
-        added->set_value(item.value);
+        auto packed = batch.packedValues.find(item.key);
+        if (packed == batch.packedValues.end()) {
+            added->set_value(item.value);
+        } else {
+            added->set_packed_value(packed->second.bytes);
+            added->set_base_revision(packed->second.baseRevision);
+            added->set_value_digest(packed->second.digest);
+        }
         added->set_revision(item.revision);
         added->set_deleted(item.deleted);
         added->set_age_ms(static_cast<uint64_t>(item.age.count()));
@@ -170,8 +177,11 @@
         return std::nullopt;
     ItemBatch batch;
     batch.revision = encoded.revision();
-    for (auto& item : encoded.items())
+    for (auto& item : encoded.items()) {
+        if (!item.packed_value().empty())
+            batch.packedValues[item.key()] = { item.packed_value(), item.base_revision(), item.value_digest() };
         batch.items.push_back({ item.key(), item.value(), item.revision(), item.deleted(), std::chrono::milliseconds(item.age_ms()), item.age_is_bound(), std::chrono::milliseconds(item.deletion_delay_ms()) });
+    }
     return batch;
 }
 
--- a/Source/Peering/PeeringCodec.h
+++ b/Source/Peering/PeeringCodec.h
@@ -7,6 +7,7 @@
 #include "Peering/PeerTable.h"
 
 #include <chrono>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -75,10 +76,21 @@
 // Returns nullopt unless the bytes are a valid message.
 std::optional<NodeMessage> decodeMessage(const std::string& bytes);
 
+// A value that was compressed for its way to another node.
+struct PackedValue {
+    std::string bytes;
+    // Revision of the key's value that the receiver needs to restore this one; zero if it needs none.
+    uint64_t baseRevision = 0;
+    // Digest of the whole value.
+    uint64_t digest = 0;
+};
+
 // Items published after some revision, complete up to `revision`.
 struct ItemBatch {
     uint64_t revision = 0;
     std::vector<Fleet::PublishedItem> items;
+    // Values by key that are sent in place of those of the items.
+    std::map<std::string, PackedValue> packedValues {};
 };
 
 std::string encodeItems(const ItemBatch&);
--- a/Source/Peering/PeeringNode.h
+++ b/Source/Peering/PeeringNode.h
@@ -68,7 +68,7 @@
     bool shouldFollowStore();
 
     // Serves the items after the revision that is given in the request's query.
-    Http::HttpResponse handleItemsRequest(const Http::HttpRequest& request) const { return m_items.respond(request); }
+    Http::HttpResponse handleItemsRequest(const Http::HttpRequest& request) { return m_items.respond(request); }
 
     // Whether a message from any router was received recently.
     bool hasLiveRouters() const;
