Give no exact time to a declaration that came in a large response

Beside a large change it was on its way for longer, so that old weights looked usable for longer than allowed. Responses over 64 KB now leave a bound, and the response times before and after both count.

--- a/Source/Peering/StoreFollower.cpp
+++ b/Source/Peering/StoreFollower.cpp
@@ -34,6 +34,8 @@
     constexpr std::chrono::milliseconds probeWait = 1ms;
     // Within this response time of the store, the time of an observed change is exact enough.
     constexpr std::chrono::milliseconds maximumExactResponseTime = 500ms;
+    // A larger response may be on its way for longer than a probe shows.
+    constexpr size_t maximumExactResponseBytes = 64 * 1024;
     // Deletions received later than this after a reconnection did not happen during the outage.
     constexpr std::chrono::milliseconds reconnectWindow = 300ms;
 
@@ -214,7 +216,7 @@
 
 asio::awaitable<bool> StoreFollower::waitForChanges()
 {
-    SentWatch watch { m_clock.now(), nextWait() };
+    SentWatch watch { m_clock.now(), nextWait(), 0 };
     auto result = co_await m_client.call(m_protocol.watchRequest(m_prefix, *m_revision, watch.wait), watch.wait + m_watchMargin.current());
     if (!Base::succeeded(result)) {
         recordTimeout(Base::errorOf(result), m_watchMargin);
@@ -235,6 +237,7 @@
         co_return false;
     }
     updateConnection(true, "watching");
+    watch.responseBytes = Base::valueOf(result).body.size();
     applyChanges(Base::valueOf(batch), watch);
     co_return true;
 }
@@ -271,7 +274,7 @@
         recordResponseTime(now - watch.requestedAt);
     if (m_unconfirmed)
         confirmObserved();
-    bool isObserved = observedAtOnce();
+    bool isObserved = observedAtOnce() && watch.responseBytes <= maximumExactResponseBytes;
     auto changes = batch.changes;
     for (auto& change : changes) {
         change.age = Fleet::FleetState::unknownAge;
@@ -287,7 +290,7 @@
         logChanges(changes.size(), watch, now);
         auto declared = m_merger.apply(std::move(changes), *m_revision, deletionsDeferredUntil(), storeSource);
         if (isObserved && !declared.empty())
-            m_unconfirmed = { std::move(declared), now };
+            m_unconfirmed = { std::move(declared), now, m_responseTime };
     }
     m_merger.recordSync(*m_syncedAt, storeSource);
     if (m_hasUnconfirmedChanges && m_onChange)
@@ -301,14 +304,16 @@
     Observability::logEvent(Events::storeResponded, { { "changes", count }, { "revision", *m_revision }, { "elapsed", elapsed }, { "sync_age", age } });
 }
 
-// The change may have come just after the response before was sent, and both responses may have taken as long as this one.
+// The change may have come just after the response before was sent, and both responses may have taken as long
+// as the one before them or this one.
 void StoreFollower::confirmObserved()
 {
     auto unconfirmed = std::move(*m_unconfirmed);
     m_unconfirmed.reset();
-    if (m_responseTime > maximumExactResponseTime || m_stalls.hasStalledSince(unconfirmed.receivedAt))
+    auto responseTime = std::max(m_responseTime, unconfirmed.responseTimeBefore);
+    if (responseTime > maximumExactResponseTime || m_stalls.hasStalledSince(unconfirmed.receivedAt))
         return;
-    auto age = m_clock.now() - unconfirmed.receivedAt + changeBatchDelay + 2 * m_responseTime;
+    auto age = m_clock.now() - unconfirmed.receivedAt + changeBatchDelay + 2 * responseTime;
     for (auto& declaration : unconfirmed.declarations)
         declaration.age = std::chrono::ceil<std::chrono::milliseconds>(age);
     m_merger.applyObserved(unconfirmed.declarations, storeSource);
--- a/Source/Peering/StoreFollower.h
+++ b/Source/Peering/StoreFollower.h
@@ -38,6 +38,7 @@
     struct SentWatch {
         Base::TimePoint requestedAt;
         std::chrono::milliseconds wait;
+        size_t responseBytes;
     };
 
     // Declarations in a response that was handled as soon as it arrived. Their time is exact once the next response shows
@@ -45,6 +46,8 @@
     struct UnconfirmedDeclarations {
         std::vector<Fleet::ObservedDeclaration> declarations;
         Base::TimePoint receivedAt;
+        // As measured before the declarations were received.
+        Base::Duration responseTimeBefore;
     };
 
     boost::asio::awaitable<bool> listAll();
--- a/Tests/Peering/StoreFollowerTest.cpp
+++ b/Tests/Peering/StoreFollowerTest.cpp
@@ -553,3 +553,35 @@
     cr_expect(*test.follower->syncedAt() <= sentAt, "other routers are told");
     cr_expect(Fleet::Queries::mayBeOutdated(test.fleet.state, 2250ms, now), "a configuration of the last 3.8 s may be missing");
 }
+
+// Guards against requests on old weights: a declaration that came beside a large change, in a response that was on its way
+// for long, counted as just made, because the small response after it came at once.
+Test(StoreFollower, aDeclarationInALargeResponseHasNoExactTime)
+{
+    constexpr size_t largeBytes = 200 * 1024;
+    for (bool isLarge : { true, false }) {
+        TestFollower test;
+        test.fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
+        test.protocol.listing.revision = 1;
+        std::string declared(isLarge ? largeBytes : 1, 'd');
+        test.protocol.changes["none"] = { {}, 1 };
+        test.protocol.changes[declared] = { { { "w", "2", 2, false, {} } }, 2 };
+        Base::TimePoint declaredAt;
+        test.respond = [&](const std::string& target) -> Http::HttpResponse {
+            if (target == "/list")
+                return { 200, {}, "" };
+            if (test.requests.size() != 3)
+                return { 200, {}, "none" };
+            declaredAt = test.fleet.clock.now();
+            test.advanceWithTicks(isLarge ? 1500ms : 0ms);
+            return { 200, {}, declared };
+        };
+        boost::asio::co_spawn(test.context, test.follower->run([] { return true; }), boost::asio::detached);
+        while (test.requests.size() < 5)
+            test.context.run_one();
+        auto known = test.fleet.snapshot()->weights.at("m").back();
+        cr_expect_eq(known.publishedAtIsLowerBound, isLarge);
+        cr_expect_leq(known.publishedAt.time_since_epoch().count(), declaredAt.time_since_epoch().count());
+        test.context.stop();
+    }
+}
