--- a/Tests/Proxy/TargetStatementTest.cpp
+++ b/Tests/Proxy/TargetStatementTest.cpp
@@ -69,3 +69,12 @@
     cr_expect_geq(std::stod(fieldOf(refused, "Retry-After")), 19);
     cr_expect_eq(target.requests(), 2);
 }
+
+// Guards against a target that gets more requests than the rate that it names as its limit: 20 and more in four seconds at
+// one a second.
+Test(TargetStatement, aTargetGetsNoMoreThanTheRateItNames)
+{
+    cr_expect_eq(requestsAfter(Fleet::RequestKind::Idempotent, "Server-Limit: 0.01", 200), 1);
+    cr_expect_eq(requestsAfter(Fleet::RequestKind::AtMostOnce, "Server-Limit: 0.01", 500), 1);
+    cr_expect_eq(requestsAfter(Fleet::RequestKind::Stream, "Server-Limit: 0", 200), 1);
+}
