Share the limit that a target names among few routers

Callers' requests overran targets that asked for less: 20 to 28 requests in 4 s at 1 a second, 11 allowed. Nothing read the limit. Now it is part of what a target states in a response, by incarnation, next to its leaving and its Retry-After; it changes, ends and is unreadable in a defined way. It is the limit of all routers together, so a few routers of the target's data centre hold it, chosen by rendezvous hashing, with a bucket that starts empty; the others use other targets or refuse at once. Leases for repeats, resumed streams and replacements take from the same bucket. Routers tell each other what they heard, with its age.

--- a/Source/Dispatch/Commands/RecordOutcome.cpp
+++ b/Source/Dispatch/Commands/RecordOutcome.cpp
@@ -21,7 +21,7 @@
     // The entry of the target is out of date; a new one arrives within about a heartbeat.
     constexpr std::chrono::milliseconds misdirectedBackoff = 700ms;
     constexpr std::chrono::seconds rateWindow = 2s;
-    constexpr std::chrono::minutes leavingRetention = 2min;
+    constexpr std::chrono::minutes statementRetention = 2min;
 
     void recordFailure(TargetRuntime& runtime, Base::TimePoint now)
     {
@@ -119,11 +119,14 @@
                 published.insert(target->entry.id);
         }
         std::erase_if(service.targets, [&](auto& entry) {
-            auto& leavingSince = entry.second.knowledge.leavingSince;
-            // The entry of a target that is leaving may be published again.
-            bool isRetained = leavingSince && now - *leavingSince < leavingRetention;
+            auto& knowledge = entry.second.knowledge;
+            // The entry of a target that is leaving, or that names a limit, may be published again.
+            bool isLeaving = knowledge.leavingSince && now - *knowledge.leavingSince < statementRetention;
+            bool isLimited = knowledge.isLimited() && now - knowledge.limit->statedAt < statementRetention;
+            bool isRetained = isLeaving || isLimited;
             return entry.second.inFlight == 0 && !published.contains(entry.first) && !isRetained;
         });
+        service.mayHaveLimits = std::any_of(service.targets.begin(), service.targets.end(), [](auto& entry) { return entry.second.knowledge.isLimited(); });
     });
 }
 
--- a/Source/Dispatch/Commands/RecordStatement.cpp
+++ b/Source/Dispatch/Commands/RecordStatement.cpp
@@ -1,5 +1,7 @@
 #include "Dispatch/Commands/RecordStatement.h"
 
+#include "Dispatch/Commands/ShareLimits.h"
+
 #include <algorithm>
 
 namespace Lavenderloft::Dispatch::Commands {
@@ -9,7 +11,7 @@
     void startIncarnation(TargetKnowledge& knowledge, uint64_t incarnation)
     {
         if (knowledge.incarnation != incarnation)
-            knowledge = { incarnation, std::nullopt, {}, false };
+            knowledge = { incarnation, std::nullopt, {}, false, std::nullopt };
     }
 
     bool recordLeaving(TargetKnowledge& knowledge, Base::TimePoint now)
@@ -30,22 +32,69 @@
         return duration;
     }
 
+    // Returns whether the limit is another one than before.
+    bool learnLimit(ServiceState& service, TargetKnowledge& knowledge, const KnownLimit& stated)
+    {
+        if (knowledge.limit && stated.statedAt <= knowledge.limit->statedAt)
+            return false;
+        auto before = knowledge.limit ? knowledge.limit->requestsPerSecond : std::nullopt;
+        knowledge.limit = stated;
+        service.mayHaveLimits |= knowledge.isLimited();
+        return before != stated.requestsPerSecond;
+    }
+
+    // A response without a limit ends one only if its request was sent after the limit was named: heads on different
+    // connections overtake each other.
+    bool recordLimit(ServiceState& service, TargetKnowledge& knowledge, const StatedLimit& stated, Base::TimePoint assignedAt, Base::TimePoint now)
+    {
+        if (stated.kind == StatedLimit::Kind::Named)
+            return learnLimit(service, knowledge, { stated.requestsPerSecond, now });
+        if (stated.kind == StatedLimit::Kind::None && knowledge.isLimited())
+            return learnLimit(service, knowledge, { std::nullopt, assignedAt });
+        return false;
+    }
+
+    bool saysAnything(const TargetStatement& statement)
+    {
+        return statement.isLeaving || statement.retryAfter || statement.limit.kind == StatedLimit::Kind::Named;
+    }
+
 } // namespace
 
-LearnedStatement recordStatement(DispatchState& state, const std::string& serviceName, const Fleet::TargetEntry& target, const TargetStatement& statement, Base::TimePoint now)
+LearnedStatement recordStatement(DispatchState& state, const std::string& serviceName, const Fleet::TargetEntry& target, const TargetStatement& statement, Base::TimePoint assignedAt, Base::TimePoint now)
 {
     LearnedStatement learned;
-    if (!statement.isLeaving && !statement.retryAfter)
-        return learned;
     state.withService(serviceName, [&](ServiceState& service) {
+        auto known = service.targets.find(target.id);
+        bool isLimited = known != service.targets.end() && known->second.knowledge.isLimited();
+        if (!saysAnything(statement) && !isLimited)
+            return;
         auto& knowledge = service.targets[target.id].knowledge;
         startIncarnation(knowledge, target.startedAt);
         if (statement.isLeaving)
             learned.isNewlyLeaving = recordLeaving(knowledge, now);
         if (statement.retryAfter)
             learned.heldBackFor = holdBack(knowledge, *statement.retryAfter, now);
+        learned.hasNewLimit = recordLimit(service, knowledge, statement.limit, assignedAt, now);
+        if (learned.hasNewLimit)
+            updateLimitShares(state, serviceName, service, now);
     });
     return learned;
 }
 
+void mergeLimitReports(DispatchState& state, const std::vector<LimitReport>& reports, Base::TimePoint now)
+{
+    for (auto& report : reports) {
+        state.withService(report.service, [&](ServiceState& service) {
+            auto& knowledge = service.targets[report.target].knowledge;
+            // Incarnations are numbered by the time of their start.
+            if (report.incarnation < knowledge.incarnation)
+                return;
+            startIncarnation(knowledge, report.incarnation);
+            if (learnLimit(service, knowledge, { report.requestsPerSecond, now - report.age }))
+                updateLimitShares(state, report.service, service, now);
+        });
+    }
+}
+
 } // namespace Lavenderloft::Dispatch::Commands
--- a/Source/Dispatch/Commands/ServeQueue.cpp
+++ b/Source/Dispatch/Commands/ServeQueue.cpp
@@ -1,5 +1,6 @@
 #include "Dispatch/Commands/ServeQueue.h"
 
+#include "Dispatch/Commands/ShareLimits.h"
 #include "Dispatch/Queries/FindCandidates.h"
 #include "Fleet/Queries/ReadFleet.h"
 
@@ -44,6 +45,7 @@
 
 std::optional<Lease> tryAcquireLease(DispatchState& state, ServiceState& service, const RequestTraits& traits, Base::TimePoint now)
 {
+    updateLimitShares(state, traits.service, service, now);
     auto candidates = Queries::findCandidates(state, service, traits, now);
     if (candidates.free.empty())
         return std::nullopt;
@@ -54,6 +56,8 @@
     ++runtime.startedSinceReport;
     runtime.unanswered.insert(now);
     consumeSlotOrGrant(runtime, now);
+    if (runtime.knowledge.isLimited())
+        runtime.limitBucket.take(now);
     Lease lease { chosen.target, std::nullopt, chosen.occupancy, {} };
     if (candidates.checkWeights)
         lease.expectedWeights = chosen.weights;
--- a/Source/Dispatch/DispatchState.cpp
+++ b/Source/Dispatch/DispatchState.cpp
@@ -1,5 +1,7 @@
 #include "Dispatch/DispatchState.h"
 
+#include "Dispatch/FewRoutersPolicy.h"
+
 namespace Lavenderloft::Dispatch {
 
 DispatchState::DispatchState(const Fleet::FleetState& fleet, Fleet::NodeSettings settings, std::unique_ptr<PlacementPolicy> placement, std::unique_ptr<AdmissionPolicy> admission, std::unique_ptr<Base::RandomSource> random)
@@ -8,7 +10,9 @@
     , m_placement(std::move(placement))
     , m_admission(std::move(admission))
     , m_random(std::move(random))
+    , m_limitShares(std::make_unique<FewRoutersPolicy>())
 {
+    setRouters({ { m_settings.address, m_settings.dataCentre, m_settings.region } });
 }
 
 Fleet::FleetBounds DispatchState::bounds() const
@@ -23,6 +27,25 @@
     m_settings.bounds = bounds;
 }
 
+void DispatchState::setRouters(std::vector<RouterPlace> routers)
+{
+    std::lock_guard guard(m_routersLock);
+    if (m_routers && *m_routers == routers)
+        return;
+    m_routers = std::make_shared<const std::vector<RouterPlace>>(std::move(routers));
+    ++m_routersVersion;
+}
+
+double DispatchState::limitShare(const Fleet::TargetEntry& target, double requestsPerSecond) const
+{
+    std::shared_ptr<const std::vector<RouterPlace>> routers;
+    {
+        std::lock_guard guard(m_routersLock);
+        routers = m_routers;
+    }
+    return m_limitShares->share(target, requestsPerSecond, m_settings.address, *routers, m_settings.regionOf(target.dataCentre));
+}
+
 size_t DispatchState::choose(const std::vector<Candidate>& candidates, const RequestTraits& traits)
 {
     std::lock_guard guard(m_randomLock);
--- a/Source/Dispatch/DispatchState.h
+++ b/Source/Dispatch/DispatchState.h
@@ -5,6 +5,7 @@
 #include "Dispatch/AdmissionPolicy.h"
 #include "Dispatch/CrashHistory.h"
 #include "Dispatch/Decision.h"
+#include "Dispatch/LimitSharePolicy.h"
 #include "Dispatch/PartEvidence.h"
 #include "Dispatch/PlacementPolicy.h"
 #include "Dispatch/ResponseTimes.h"
@@ -38,6 +39,8 @@
     std::list<WaitingRequest> waiting;
     RetryWindow retryWindow;
     ResponseTimes responseTimes;
+    // Whether a target may name a limit; spares the search for one.
+    bool mayHaveLimits = false;
     // Moving average.
     double completionsPerSecond = 0;
     Base::TimePoint completionsCountedAt {};
@@ -97,6 +100,16 @@
     }
     void setRouterCount(std::optional<unsigned> count) { m_routerCount = count.value_or(0); }
 
+    // The live routers including this one. Empty while this router has just started and does not know the others; it has no
+    // part of the limits of targets then.
+    void setRouters(std::vector<RouterPlace>);
+
+    // Increases with each change of the live routers.
+    uint64_t routersVersion() const { return m_routersVersion; }
+
+    // This router's part of the limit that the target names, in requests per second.
+    double limitShare(const Fleet::TargetEntry&, double requestsPerSecond) const;
+
 private:
     struct Shard {
         std::mutex lock;
@@ -112,6 +125,11 @@
     std::unique_ptr<Base::RandomSource> m_random;
     // Zero if unknown.
     std::atomic<unsigned> m_routerCount { 1 };
+    std::unique_ptr<LimitSharePolicy> m_limitShares;
+    mutable std::mutex m_routersLock;
+    // Replaced as a whole.
+    std::shared_ptr<const std::vector<RouterPlace>> m_routers;
+    std::atomic<uint64_t> m_routersVersion { 0 };
     std::array<Shard, shardCount> m_shards;
     CrashHistory m_crashes;
     PartEvidence m_parts;
--- a/Source/Dispatch/Queries/FindCandidates.cpp
+++ b/Source/Dispatch/Queries/FindCandidates.cpp
@@ -14,6 +14,9 @@
     // would together exceed the rate that the target can sustain.
     constexpr double minimumColdRateShare = 2;
 
+    // Retry-After if other routers hold the limits of all targets. The caller is likely to reach one of them then.
+    constexpr std::chrono::milliseconds limitedRetryTime = 1000ms;
+
     bool contains(const std::vector<std::string>& texts, const std::string& text)
     {
         return std::find(texts.begin(), texts.end(), text) != texts.end();
@@ -81,7 +84,30 @@
         bool refusesRequests(const Fleet::TargetEntry& entry, const TargetRuntime& runtime) const
         {
             auto& knowledge = runtime.knowledge;
-            return knowledge.incarnation == entry.startedAt && (knowledge.leavingSince || knowledge.heldBackUntil > m_now);
+            return knowledge.incarnation == entry.startedAt && (knowledge.leavingSince || knowledge.heldBackUntil > m_now || isLeftToOthers(entry, runtime));
+        }
+
+        bool isLimited(const Fleet::TargetEntry& entry, const TargetRuntime& runtime) const
+        {
+            return runtime.knowledge.incarnation == entry.startedAt && runtime.knowledge.isLimited();
+        }
+
+        // Whether other routers hold the limit that the target names.
+        bool isLeftToOthers(const Fleet::TargetEntry& entry, const TargetRuntime& runtime) const
+        {
+            return isLimited(entry, runtime) && runtime.limitBucket.share <= 0;
+        }
+
+        bool hasLimitToken(const Fleet::KnownTarget& target, const TargetRuntime* runtime) const
+        {
+            return !runtime || !isLimited(target.entry, *runtime) || runtime->limitBucket.available(m_now) >= 1;
+        }
+
+        // When a target takes requests of this router again that now refuses them.
+        Base::TimePoint refusesUntil(const Fleet::TargetEntry& entry, const TargetRuntime& runtime) const
+        {
+            auto heldBackUntil = runtime.knowledge.heldBackUntil;
+            return isLeftToOthers(entry, runtime) ? std::max<Base::TimePoint>(heldBackUntil, m_now + limitedRetryTime) : heldBackUntil;
         }
 
         // Whether the target takes requests again after the time for which it holds this router back.
@@ -256,13 +282,13 @@
                 if (filter.mayReturn(*target, runtime))
                     ++set.returning;
                 if (filter.isHeldBack(*target, runtime))
-                    set.heldBackUntil = std::min(set.heldBackUntil.value_or(runtime->knowledge.heldBackUntil), runtime->knowledge.heldBackUntil);
+                    set.heldBackUntil = std::min(set.heldBackUntil.value_or(filter.refusesUntil(target->entry, *runtime)), filter.refusesUntil(target->entry, *runtime));
                 continue;
             }
             auto candidate = describeCandidate(state, filter, target, runtime, now);
             ++set.eligible;
             set.capacity += candidate.capacity;
-            if (hasCapacity(state, candidate, runtime, filter.isEngine(), now) && filter.hasColdToken(*target, runtime))
+            if (hasCapacity(state, candidate, runtime, filter.isEngine(), now) && filter.hasColdToken(*target, runtime) && filter.hasLimitToken(*target, runtime))
                 set.free.push_back(std::move(candidate));
         }
         return set;
--- a/Source/Dispatch/TargetRuntime.h
+++ b/Source/Dispatch/TargetRuntime.h
@@ -28,6 +28,45 @@
     std::optional<Base::TimePoint> abortsAt;
 };
 
+// This router's part of the limit that a target names.
+struct LimitBucket {
+    // What the share was computed from.
+    struct Basis {
+        double requestsPerSecond = 0;
+        uint64_t routersVersion = 0;
+
+        bool operator==(const Basis&) const = default;
+    };
+
+    Basis basis;
+    // Requests per second; zero while the other routers send them.
+    double share = 0;
+    double tokens = 0;
+    Base::TimePoint refilledAt {};
+
+    // Starts empty with a new share: others may have used the one before until now.
+    void setShare(double newShare, Base::TimePoint now)
+    {
+        if (newShare == share)
+            return;
+        share = newShare;
+        tokens = 0;
+        refilledAt = now;
+    }
+
+    double available(Base::TimePoint now) const
+    {
+        auto elapsed = std::chrono::duration<double>(now - refilledAt).count();
+        return std::min(std::max(1.0, share), tokens + elapsed * share);
+    }
+
+    void take(Base::TimePoint now)
+    {
+        tokens = available(now) - 1;
+        refilledAt = now;
+    }
+};
+
 // Load and health of one target as seen by this router.
 struct TargetRuntime {
     // Older reports are ignored.
@@ -62,6 +101,7 @@
     // Expiry times of the reservations of released slots, the earliest first.
     std::deque<Base::TimePoint> retainedSlots;
     TargetKnowledge knowledge;
+    LimitBucket limitBucket;
     unsigned consecutiveFailures = 0;
     // Moving average of failed attempts, 0 to 1.
     double failureShare = 0;
--- a/Source/Peering/PeeringCodec.cpp
+++ b/Source/Peering/PeeringCodec.cpp
@@ -2,6 +2,8 @@
 
 #include "peering.pb.h"
 
+#include <cmath>
+
 namespace Lavenderloft::Peering {
 
 namespace protocol = lavenderloft::peering::v1;
@@ -106,6 +108,15 @@
         report->set_part(served.part);
         report->set_age_ms(static_cast<uint32_t>(served.age.count()));
     }
+    for (auto& limit : message.limits) {
+        auto* report = encoded.add_limits();
+        report->set_service(limit.service);
+        report->set_target(limit.target);
+        report->set_incarnation(limit.incarnation);
+        if (limit.requestsPerSecond)
+            report->set_requests_per_second(*limit.requestsPerSecond);
+        report->set_age_ms(static_cast<uint32_t>(limit.age.count()));
+    }
     writeTimes(message.times, encoded);
     return encoded.SerializeAsString();
 }
@@ -142,6 +153,13 @@
         message.parts.crashes.push_back({ crash.part(), crash.target(), std::chrono::milliseconds(crash.age_ms()), crash.position() });
     for (auto& served : encoded.parts_served())
         message.parts.served.push_back({ served.part(), std::chrono::milliseconds(served.age_ms()) });
+    for (auto& limit : encoded.limits()) {
+        bool isValid = !limit.has_requests_per_second() || (limit.requests_per_second() >= 0 && std::isfinite(limit.requests_per_second()));
+        if (!isValid)
+            continue;
+        auto rate = limit.has_requests_per_second() ? std::optional(limit.requests_per_second()) : std::nullopt;
+        message.limits.push_back({ limit.service(), limit.target(), limit.incarnation(), rate, std::chrono::milliseconds(limit.age_ms()) });
+    }
     message.times = readTimes(encoded);
     return message;
 }
--- a/Source/Peering/PeeringCodec.h
+++ b/Source/Peering/PeeringCodec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Dispatch/CrashHistory.h"
+#include "Dispatch/LimitReport.h"
 #include "Dispatch/PartEvidence.h"
 #include "Fleet/Publication.h"
 #include "Peering/PeerClocks.h"
@@ -58,6 +59,8 @@
     std::vector<Fleet::ObservedDeclaration> declarations;
     Dispatch::PartReports parts;
     MessageTimes times {};
+    // Limits that targets name, as the sender, a router, knows them.
+    std::vector<Dispatch::LimitReport> limits {};
 };
 
 // A datagram must not be larger. With the most reports of each kind a message stays below it.
@@ -66,6 +69,7 @@
 inline constexpr size_t maximumPartCrashesPerMessage = 64;
 inline constexpr size_t maximumPartsServedPerMessage = 64;
 inline constexpr size_t maximumDeclarationsPerMessage = 16;
+inline constexpr size_t maximumLimitsPerMessage = 8;
 
 std::string encodeMessage(const NodeMessage&);
 
--- a/Source/Peering/PeeringNode.cpp
+++ b/Source/Peering/PeeringNode.cpp
@@ -117,6 +117,27 @@
     return receivers;
 }
 
+// A few in each message, in rotation, so that the message size does not grow with the number of limited targets.
+void PeeringNode::addLimits(NodeMessage& message)
+{
+    auto limits = m_limits ? m_limits() : std::vector<Dispatch::LimitReport> {};
+    for (size_t i = 0; i < std::min(limits.size(), maximumLimitsPerMessage); ++i)
+        message.limits.push_back(limits[(m_limitsPosition + i) % limits.size()]);
+    m_limitsPosition += message.limits.size();
+}
+
+// Ages in a message count from its sending, and without a bound for its way they are not used.
+void PeeringNode::handleLimits(const NodeMessage& message)
+{
+    auto wait = PeerClocks::maximumWait(message.times, m_incarnation, m_clock.now());
+    if (message.limits.empty() || !m_onLimits || !wait || mayHaveWaited())
+        return;
+    auto limits = message.limits;
+    for (auto& limit : limits)
+        limit.age += *wait;
+    m_onLimits(limits);
+}
+
 void PeeringNode::sendTo(const std::string& address, const std::string& bytes)
 {
     boost::system::error_code error;
@@ -148,6 +169,7 @@
         auto routers = Queries::liveRouters(m_peers, m_clock.now());
         auto message = describeSelf();
         addKnownRouters(message);
+        addLimits(message);
         auto bytes = encodeMessage(message);
         if (m_isRouter) {
             for (auto& router : nextHeartbeatReceivers(routers))
@@ -339,6 +361,7 @@
             m_onCrashes(message.crashes);
         if (!message.parts.isEmpty() && m_onParts)
             m_onParts(message.parts);
+        handleLimits(message);
         m_items.revisionReported(message.revision);
         return;
     }
--- a/Source/Peering/PeeringNode.h
+++ b/Source/Peering/PeeringNode.h
@@ -31,6 +31,10 @@
     using CrashHandler = std::function<void(const std::vector<Dispatch::CrashReport>&)>;
     // Called by a router for what another router reports of prompt parts.
     using PartHandler = std::function<void(const Dispatch::PartReports&)>;
+    // Called by a router for the limits that another router reports, with ages as of now.
+    using LimitHandler = std::function<void(const std::vector<Dispatch::LimitReport>&)>;
+    // Returns the limits that this router knows, the most recently stated ones first.
+    using LimitProvider = std::function<std::vector<Dispatch::LimitReport>()>;
     // Returns when this node was last synchronised with the store; nullopt if it does not follow the store.
     using StoreSyncTimeProvider = std::function<std::optional<Base::TimePoint>()>;
 
@@ -40,6 +44,8 @@
     void setLoadHandler(LoadHandler handler) { m_onLoad = std::move(handler); }
     void setCrashHandler(CrashHandler handler) { m_onCrashes = std::move(handler); }
     void setPartHandler(PartHandler handler) { m_onParts = std::move(handler); }
+    void setLimitHandler(LimitHandler handler) { m_onLimits = std::move(handler); }
+    void setLimitProvider(LimitProvider provider) { m_limits = std::move(provider); }
     void setStoreSyncTimeProvider(StoreSyncTimeProvider provider) { m_storeSyncTime = std::move(provider); }
 
     void start();
@@ -92,6 +98,8 @@
     void logNewRouter(const std::string& address, const std::string& dataCentre);
     void handleRouterMessage(const NodeMessage&);
     void introduceTo(const NodeMessage&);
+    void addLimits(NodeMessage&);
+    void handleLimits(const NodeMessage&);
     StoreSyncReport syncReportOf(const NodeMessage&, Base::TimePoint now);
     bool mayHaveWaited() const;
 
@@ -113,6 +121,9 @@
     LoadHandler m_onLoad;
     CrashHandler m_onCrashes;
     PartHandler m_onParts;
+    LimitHandler m_onLimits;
+    LimitProvider m_limits;
+    size_t m_limitsPosition = 0;
     StoreSyncTimeProvider m_storeSyncTime;
     double m_demand = 0;
     // Positions of the rotations over known routers, heartbeat receivers and load receivers.
--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -8,9 +8,11 @@
 #include "Dispatch/Commands/RecordCrash.h"
 #include "Dispatch/Commands/RecordOutcome.h"
 #include "Dispatch/Commands/RecordPartEvidence.h"
+#include "Dispatch/Commands/RecordStatement.h"
 #include "Dispatch/PowerOfTwoChoicesPolicy.h"
 #include "Dispatch/Queries/EngineDemand.h"
 #include "Dispatch/Queries/FindBlockedPart.h"
+#include "Dispatch/Queries/ListLimitReports.h"
 #include "Dispatch/Queries/ListPartReports.h"
 #include "Dispatch/Queries/ListReluctantTargets.h"
 #include "Fleet/Commands/ApplyItems.h"
@@ -93,6 +95,7 @@
             , m_startedAt(m_clock.now())
         {
             m_dispatch.setRouterCount(std::nullopt);
+            m_dispatch.setRouters({});
             for (auto& prefix : platform.publications().prefixes())
                 m_followers.push_back(std::make_unique<Peering::StoreFollower>(m_pool.context(0), settings.store, platform.store(), m_merger, m_clock, m_stalls, prefix));
             for (size_t i = 0; i < m_pool.size(); ++i)
@@ -109,6 +112,8 @@
             m_peering.setLoadHandler([this](const Peering::EngineLoad& load) { recordLoad(load); });
             m_peering.setCrashHandler([this](const std::vector<Dispatch::CrashReport>& crashes) { Dispatch::Commands::mergeCrashReports(m_dispatch, crashes, m_clock.now()); });
             m_peering.setPartHandler([this](const Dispatch::PartReports& reports) { mergePartReports(reports); });
+            m_peering.setLimitHandler([this](const std::vector<Dispatch::LimitReport>& reports) { Dispatch::Commands::mergeLimitReports(m_dispatch, reports, m_clock.now()); });
+            m_peering.setLimitProvider([this] { return Dispatch::Queries::listLimitReports(m_dispatch, m_clock.now()); });
             m_peering.setStoreSyncTimeProvider([this] { return storeSyncedAt(); });
             m_peering.start();
             for (auto& follower : m_followers) {
@@ -239,6 +244,16 @@
             }
         }
 
+        // Tells the dispatch which routers share the fleet-wide limits.
+        void shareLimits(Base::TimePoint now)
+        {
+            m_dispatch.setRouterCount(static_cast<unsigned>(Peering::Queries::countRetainedRouters(m_peers)) + 1);
+            std::vector<Dispatch::RouterPlace> routers { { m_settings.address, m_settings.dataCentre, m_settings.region } };
+            for (auto& router : Peering::Queries::liveRouters(m_peers, now))
+                routers.push_back({ router.address, router.dataCentre, m_settings.regionOf(router.dataCentre) });
+            m_dispatch.setRouters(std::move(routers));
+        }
+
         asio::awaitable<void> runHousekeeping()
         {
             while (true) {
@@ -253,7 +268,7 @@
                 logReluctantTargets(now);
                 m_peering.setDemand(Dispatch::Queries::engineDemand(m_dispatch, now));
                 if (now - m_startedAt >= routerDiscoveryTime)
-                    m_dispatch.setRouterCount(static_cast<unsigned>(Peering::Queries::countRetainedRouters(m_peers)) + 1);
+                    shareLimits(now);
                 for (auto& worker : m_workers)
                     asio::post(worker->context, [&connections = worker->connections, now] { connections.closeExpired(now); });
             }
--- a/Source/Proxy/Events.h
+++ b/Source/Proxy/Events.h
@@ -17,6 +17,7 @@
 
 inline constexpr Event targetLeaving { 7007, "target-leaving", Level::Info, "A target said in a response that it leaves; it gets no new requests from this router." };
 inline constexpr Event targetHeldBack { 7008, "target-held-back", Level::Info, "A target refused a request and asked this router to wait; it gets no requests until then." };
+inline constexpr Event targetLimited { 7012, "target-limited", Level::Info, "A target named another limit in a response: the requests per second that it takes from all routers together; empty if it has none any more." };
 inline constexpr Event attemptSilent { 7009, "attempt-silent", Level::Info, "A target has sent nothing for longer than expected; its attempt goes on until another target responds or the deadline passes." };
 inline constexpr Event replacementEnded { 7010, "replacement-ended", Level::Info, "The attempt at a second target, made because the first one was silent, has ended; the field result says whether it continues the response." };
 inline constexpr Event configurationAge { 7011, "configuration-age", Level::Info, "A configuration that may be outdated does not allow a request: the time up to which all published items were known, and who reported it." };
--- a/Source/Proxy/TargetAttempt.cpp
+++ b/Source/Proxy/TargetAttempt.cpp
@@ -25,6 +25,12 @@
     constexpr unsigned partsOfSoundPrompt = 2;
     constexpr unsigned misdirectedStatus = 421;
 
+    // Empty if the target names no limit.
+    std::string describeLimit(const Dispatch::StatedLimit& limit)
+    {
+        return limit.kind == Dispatch::StatedLimit::Kind::Named ? std::to_string(limit.requestsPerSecond) : std::string();
+    }
+
 } // namespace
 
 TargetAttempt::TargetAttempt(std::shared_ptr<ProxyRequest> request, Dispatch::Lease lease)
@@ -98,12 +104,14 @@
     auto& target = m_lease.target->entry;
     auto& service = m_request->traits.service;
     auto& statement = m_exchange.response().head.statement;
-    auto learned = Dispatch::Commands::recordStatement(m_request->context.dispatch, service, target, statement, m_request->now());
+    auto learned = Dispatch::Commands::recordStatement(m_request->context.dispatch, service, target, statement, m_lease.assignedAt, m_request->now());
     auto& requestId = m_request->head.requestId;
     if (learned.isNewlyLeaving)
         Observability::logEvent(Events::targetLeaving, { { "target", target.id }, { "service", service }, { "incarnation", target.startedAt }, { "request", requestId } });
     if (learned.heldBackFor)
         Observability::logEvent(Events::targetHeldBack, { { "target", target.id }, { "service", service }, { "incarnation", target.startedAt }, { "request", requestId }, { "asked", *statement.retryAfter }, { "held_back_for", *learned.heldBackFor } });
+    if (learned.hasNewLimit)
+        Observability::logEvent(Events::targetLimited, { { "target", target.id }, { "service", service }, { "incarnation", target.startedAt }, { "request", requestId }, { "limit", describeLimit(statement.limit) } });
 }
 
 bool TargetAttempt::isSuccess() const
--- a/Tests/Dispatch/TargetStatementTest.cpp
+++ b/Tests/Dispatch/TargetStatementTest.cpp
@@ -30,7 +30,7 @@
 
     Commands::LearnedStatement state(const std::string& id, const TargetStatement& statement)
     {
-        return Commands::recordStatement(*TestDispatch::state, "s", startedTarget(id).entry, statement, fleet.clock.now());
+        return Commands::recordStatement(*TestDispatch::state, "s", startedTarget(id).entry, statement, fleet.clock.now(), fleet.clock.now());
     }
 
     std::chrono::milliseconds retryAfter(uint64_t fingerprint)
--- a/Tests/Peering/PeeringCodecTest.cpp
+++ b/Tests/Peering/PeeringCodecTest.cpp
@@ -1,6 +1,7 @@
 #include "Peering/PeeringCodec.h"
 
 #include <criterion/criterion.h>
+#include <limits>
 
 using namespace Lavenderloft;
 using namespace Lavenderloft::Peering;
@@ -23,8 +24,16 @@
     message.declarations = { { "m", 3, 70ms } };
     message.parts.crashes = { { 0xfedcba9876543211, "i-2", 60ms, 2 } };
     message.parts.served = { { 0xfedcba9876543212, 70ms } };
+    message.limits = { { "s", "i-3", 1700000000000, 2.5, 80ms }, { "s", "i-4", 1700000000001, std::nullopt, 90ms } };
     message.times = { ClockReading { 0xfedcba98, 5000000000ms }, ClockReading { 0xfedcba97, 6000000000ms } };
     auto decoded = decodeMessage(encodeMessage(message));
+    cr_assert_eq(decoded->limits.size(), 2);
+    cr_assert_eq(decoded->limits.front().service, "s");
+    cr_assert_eq(decoded->limits.front().target, "i-3");
+    cr_assert_eq(decoded->limits.front().incarnation, 1700000000000);
+    cr_assert(decoded->limits.front().requestsPerSecond == 2.5);
+    cr_assert_eq(decoded->limits.front().age.count(), 80);
+    cr_assert_not(decoded->limits.back().requestsPerSecond.has_value());
     cr_assert_eq(decoded->times.sentAt->incarnation, 0xfedcba98);
     cr_assert(decoded->times.sentAt->time == 5000000000ms);
     cr_assert_eq(decoded->times.notSentBefore->incarnation, 0xfedcba97);
@@ -107,6 +116,7 @@
     message.parts.served.assign(maximumPartsServedPerMessage, { UINT64_MAX, 600000ms });
     auto withServed = encodeMessage(message).size();
     message.crashes.assign(maximumCrashesPerMessage, { UINT64_MAX, target, 60000ms });
+    message.limits.assign(maximumLimitsPerMessage, { target, target, UINT64_MAX, 0.1, 600000ms });
     auto full = encodeMessage(message).size();
     cr_log_info("bytes: %zu, a part's crash %zu, a served part %zu, full %zu", empty, (withCrashes - empty) / maximumPartCrashesPerMessage, (withServed - withCrashes) / maximumPartsServedPerMessage, full);
     cr_assert_leq(full, maximumMessageBytes);
@@ -146,3 +156,15 @@
     }
     cr_assert_not(decodeItems(encodeItems({ 9, { { "servers/\xff", "odd", 8, false, 0ms } } })).has_value());
 }
+
+// Guards against numbers of a damaged or foreign message that no limit can have.
+Test(PeeringCodec, dropsImpossibleLimits)
+{
+    NodeMessage message;
+    message.sender = "10.0.0.1";
+    for (double rate : { -1.0, std::numeric_limits<double>::infinity(), std::numeric_limits<double>::quiet_NaN(), 3.0 })
+        message.limits.push_back({ "s", "i-1", 1, rate, 0ms });
+    auto decoded = decodeMessage(encodeMessage(message));
+    cr_assert_eq(decoded->limits.size(), 1);
+    cr_assert(decoded->limits.front().requestsPerSecond == 3.0);
+}
--- a/Tests/Peering/PeeringNodeTest.cpp
+++ b/Tests/Peering/PeeringNodeTest.cpp
@@ -451,3 +451,24 @@
     test.fleet.clock.advance(3s);
     cr_assert(isOutdated());
 }
+
+// Guards against routers that each have to learn the limit of a target by requests of their own.
+Test(PeeringNode, tellsOtherRoutersTheLimitsOfTargets)
+{
+    TestNode test;
+    test.advanceWithTicks(1s);
+    std::vector<Dispatch::LimitReport> heard;
+    test.node->setLimitHandler([&](const std::vector<Dispatch::LimitReport>& reports) { heard = reports; });
+    auto message = messageFrom("127.0.0.9");
+    message.limits = { { "s", "i-1", 7, 1.5, 200ms } };
+    auto sent = test.sentNow(message);
+    test.advanceWithTicks(100ms);
+    test.deliverLate(sent);
+    cr_assert_eq(heard.size(), 1);
+    cr_assert_eq(heard.front().age / 1ms, 300, "with the time on the way");
+    // Without a bound of that time the age is not known.
+    heard.clear();
+    message.sender = "127.0.0.8";
+    test.deliverLate(message);
+    cr_assert(heard.empty());
+}
--- a/Tests/Platform/HeaderCodecTest.cpp
+++ b/Tests/Platform/HeaderCodecTest.cpp
@@ -113,3 +113,32 @@
         cr_assert_not(codec.readResponseHead(200, { { "Server-Leaving", value } }).statement.isLeaving);
     cr_assert(codec.returnedHeaders({ { "Server-Leaving", "1" } }).empty());
 }
+
+// Guards against a limit that is set or ended by a field which can't be read, and against one that an odd number lifts.
+Test(HeaderCodec, readsTheLimitOfATarget)
+{
+    using Kind = Dispatch::StatedLimit::Kind;
+    Platform::HeaderCodec codec;
+    auto limitOf = [&](const Http::HttpHeaders& headers, unsigned status = 200) { return codec.readResponseHead(status, headers).statement.limit; };
+    auto rateOf = [&](const std::string& value) {
+        auto limit = limitOf({ { "Server-Limit", value } });
+        cr_expect(limit.kind == Kind::Named, "%s", value.c_str());
+        return limit.requestsPerSecond;
+    };
+    cr_assert(limitOf({}).kind == Kind::None);
+    cr_assert_eq(rateOf("1"), 1);
+    cr_assert_eq(rateOf("2.5"), 2.5);
+    cr_assert_eq(rateOf(".5"), 0.5);
+    cr_assert_eq(rateOf("0"), 0);
+    cr_assert_eq(rateOf("0.0"), 0);
+    cr_assert_eq(rateOf("99999999999999999999"), 1e6);
+    for (auto value : { "", "-1", "1e9", "nan", "inf", "many", "1,5", "1.2.3", ".", "1 " })
+        cr_expect(limitOf({ { "Server-Limit", value } }).kind == Kind::Unreadable, "%s", value);
+    // Of two fields the smaller number holds; one that can't be read is left out.
+    cr_assert_eq(limitOf({ { "Server-Limit", "4" }, { "server-limit", "2" } }).requestsPerSecond, 2);
+    cr_assert_eq(limitOf({ { "Server-Limit", "many" }, { "Server-Limit", "3" } }).requestsPerSecond, 3);
+    cr_assert(limitOf({ { "Server-Limit", "3" }, { "Server-Limit", "many" } }).kind == Kind::Named);
+    cr_assert_eq(limitOf({ { "Server-Limit", "1" } }, 500).requestsPerSecond, 1);
+    cr_assert(limitOf({ { "Server-Limit", "1" } }, 421).kind == Kind::Unreadable, "another target may have sent it");
+    cr_assert(codec.returnedHeaders({ { "Server-Limit", "1" } }).empty());
+}
