--- a/Tests/Soak/SoakCallers.h
+++ b/Tests/Soak/SoakCallers.h
@@ -14,6 +14,8 @@
     Answers,
     // All that a router accepts, until their deadline, if a target may be silent for longer. Targets do not fail.
     AnswersInTime,
+    // No target gets more than the limit that it names. Routers run throughout.
+    Limits,
 };
 
 // Callers that keep using open connections until these are closed, and the load balancer in front of the routers.
--- a/Tests/Soak/SoakTarget.h
+++ b/Tests/Soak/SoakTarget.h
@@ -5,6 +5,8 @@
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <deque>
+#include <optional>
 #include <random>
 
 namespace Lavenderloft::Soak {
@@ -71,6 +73,9 @@
     // Sends nothing to anyone for a time and goes on then. All requests are at work meanwhile.
     void fallSilent(std::chrono::milliseconds duration) { m_silentUntil = SteadyClock::now() + duration; }
 
+    // From now on the target names a limit of requests per second, as long as it has its present id.
+    void nameLimit(double requestsPerSecond) { m_limit = NamedLimit { id, requestsPerSecond, SteadyClock::now(), {} }; }
+
     void crash()
     {
         isDown = true;
@@ -78,6 +83,18 @@
     }
 
 private:
+    struct NamedLimit {
+        std::string id;
+        double requestsPerSecond;
+        SteadyClock::time_point since;
+        // Requests in the last limitWindow, after all routers could know the limit.
+        std::deque<SteadyClock::time_point> arrivals;
+    };
+
+    static constexpr std::chrono::seconds limitWindow { 4 };
+    // Until then routers may not have heard of a limit.
+    static constexpr std::chrono::milliseconds limitNoticeTime { 3500 };
+
     using Request = http::request<http::string_body>;
 
     asio::awaitable<void> accept()
@@ -107,9 +124,26 @@
         }
     }
 
-    static std::string headOf(unsigned status, const std::string& id, const std::string& fields)
+    std::string headOf(unsigned status, const std::string& requestId, const std::string& fields) const
+    {
+        auto limit = isLimited() ? "Server-Limit: " + std::to_string(m_limit->requestsPerSecond) + "\r\n" : std::string();
+        return "HTTP/1.1 " + std::to_string(status) + " X\r\nLavenderloft-Request-Id: " + requestId + "\r\n" + limit + fields;
+    }
+
+    bool isLimited() const { return m_limit && m_limit->id == id; }
+
+    void checkLimit()
     {
-        return "HTTP/1.1 " + std::to_string(status) + " X\r\nLavenderloft-Request-Id: " + id + "\r\n" + fields;
+        auto now = SteadyClock::now();
+        if (!isLimited() || now < m_limit->since + limitNoticeTime)
+            return;
+        auto& arrivals = m_limit->arrivals;
+        arrivals.push_back(now);
+        while (arrivals.front() <= now - limitWindow)
+            arrivals.pop_front();
+        auto allowed = static_cast<size_t>(1.5 * m_limit->requestsPerSecond * std::chrono::duration<double>(limitWindow).count() + 5);
+        if (arrivals.size() > allowed)
+            m_ledger.addViolation("LIMIT", id + " got " + std::to_string(arrivals.size()) + " requests in 4 s, allowed " + std::to_string(allowed));
     }
 
     asio::awaitable<bool> write(beast::tcp_stream& stream, std::string bytes)
@@ -125,6 +159,7 @@
         auto requestId = std::string(request["Lavenderloft-Request-Id"]);
         if (request["Lavenderloft-Expect-Instance"] != id)
             co_return co_await write(stream, headOf(421, requestId, "Content-Length: 0\r\n\r\n"));
+        checkLimit();
         if (behaviour == Behaviour::Refusing || m_running >= capacity)
             co_return co_await write(stream, headOf(503, requestId, "Lavenderloft-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"));
         m_ledger.recordRun(requestId, request.body());
@@ -195,6 +230,7 @@
     std::mt19937 m_random;
     unsigned m_running = 0;
     SteadyClock::time_point m_silentUntil;
+    std::optional<NamedLimit> m_limit;
     tcp::acceptor m_acceptor;
     FaultyLink m_link;
 };
--- a/Tests/Soak/SoakTest.cpp
+++ b/Tests/Soak/SoakTest.cpp
@@ -60,7 +60,7 @@
 
     std::string describe() const
     {
-        const char* names[] { "faults", "planned work", "planned work beside silent targets" };
+        const char* names[] { "faults", "planned work", "planned work beside silent targets", "targets that name limits" };
         return std::string(names[static_cast<size_t>(m_expectation)]) + ", " + std::to_string(m_series.begun()) + " begun, " + std::to_string(m_fleet.ledger.requestCount()) + " requests; logs in " + m_fleet.describeFolder();
     }
 
@@ -90,8 +90,9 @@
             &SoakRun::slowStore, &SoakRun::rejectAtStore, &SoakRun::silenceStore, &SoakRun::crashTarget, &SoakRun::misbehaveTarget, &SoakRun::misbehaveTarget, &SoakRun::misbehaveTarget,
             &SoakRun::delayLink, &SoakRun::silenceLink, &SoakRun::resetLink };
         static const std::vector<Fault> silent { &SoakRun::stopRouter, &SoakRun::stopRouter, &SoakRun::silenceTarget, &SoakRun::silenceTarget, &SoakRun::slowService, &SoakRun::reloadRouter, &SoakRun::changeConfiguration, &SoakRun::drainTarget };
+        static const std::vector<Fault> limits { &SoakRun::limitTarget, &SoakRun::limitTarget, &SoakRun::silenceTarget, &SoakRun::reloadRouter, &SoakRun::changeConfiguration, &SoakRun::drainTarget, &SoakRun::slowStore, &SoakRun::resetLink };
         std::vector<FaultSeries::Fault> kinds;
-        const std::vector<Fault>* faults[] { &unplanned, &planned, &silent };
+        const std::vector<Fault>* faults[] { &unplanned, &planned, &silent, &limits };
         for (auto fault : *faults[static_cast<size_t>(m_expectation)])
             kinds.push_back([this, fault] { return (this->*fault)(); });
         m_series.start(kinds, m_expectation == Expectation::Answers ? 8 : 20, faultTime);
@@ -246,6 +247,13 @@
         co_await pause(duration);
     }
 
+    asio::awaitable<void> limitTarget()
+    {
+        static constexpr double limits[] { 0.5, 1, 2.5, 6 };
+        drawTarget().nameLimit(limits[m_series.random()() % std::size(limits)]);
+        co_return;
+    }
+
     // All targets take longer than usual. Some requests must be served meanwhile.
     asio::awaitable<void> slowService()
     {
@@ -333,3 +341,9 @@
 {
     cr_assert_eq(countBroken(304, 2, [](unsigned) { return Expectation::AnswersInTime; }), 0);
 }
+
+// Guards against targets that get more requests from all routers together than the limit that they name.
+Test(Soak, keepsToTheLimitsOfTargets)
+{
+    cr_assert_eq(countBroken(501, 2, [](unsigned) { return Expectation::Limits; }), 0);
+}
