Let routers take over following the store in groups

A slow store is followed by ever more routers: none of them gets items in time, so each takes over from those before it, and their large responses share its link.

--- a/Source/Peering/StoreTakeover.cpp
+++ b/Source/Peering/StoreTakeover.cpp
@@ -12,7 +12,8 @@
 
 bool StoreTakeover::isDue(size_t rank, Base::TimePoint now) const
 {
-    return m_unsuppliedSince && now - *m_unsuppliedSince >= step * rank;
+    auto delay = groupStep * (rank / groupSize) + step * (rank % groupSize);
+    return m_unsuppliedSince && now - *m_unsuppliedSince >= delay;
 }
 
 } // namespace Lavenderloft::Peering
--- a/Tests/Peering/PeerTableTest.cpp
+++ b/Tests/Peering/PeerTableTest.cpp
@@ -112,6 +112,29 @@
     cr_assert_eq(countDue(), 0);
 }
 
+// Guards against all routers of a region that load a slow store: none of them gets items in time, so that each one takes
+// over from those before it.
+Test(StoreTakeover, fewRoutersOfARegionFollowASlowStore)
+{
+    Base::ManualClock clock;
+    constexpr size_t routers = 36;
+    StoreTakeover takeover;
+    takeover.recordSupply(false, clock.now());
+    auto countDue = [&] {
+        size_t due = 0;
+        for (size_t rank = 0; rank < routers; ++rank)
+            due += takeover.isDue(rank, clock.now());
+        return due;
+    };
+    clock.advance(5s);
+    cr_assert_eq(countDue(), 3);
+    clock.advance(3s);
+    cr_assert_eq(countDue(), 6);
+    // In the end all of them do, in case the store turns away the first ones.
+    clock.advance(120s);
+    cr_assert_eq(countDue(), routers);
+}
+
 // Guards against replying to every report of an agent, and against not replying to an agent that is behind.
 Test(RecordAgent, repliesRarelyUnlessTheAgentIsBehind)
 {
