Split the router's own responses from RequestHandler

ErrorResponder holds the seven responses that end a request without a target's answer, their codes and their Retry-After.

--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -21,16 +21,6 @@
 
     // Used if the caller sends no deadline.
     constexpr std::chrono::milliseconds defaultDeadline = 30000ms;
-    constexpr std::chrono::milliseconds noConfigurationRetryAfter = 500ms;
-    // Fraction of the bound for configurations for which a router relies on its own one after the last news. The rest is
-    // for reports that waited on a link.
-    constexpr double usableConfigurationShare = 0.75;
-    // A router usually learns of a new configuration within this time.
-    constexpr std::chrono::milliseconds outdatedConfigurationRetryAfter = 300ms;
-    // Short, because the next connection of the caller goes to another node.
-    constexpr std::chrono::milliseconds closingRetryAfter = 50ms;
-    // Targets that read slowly free the memory of a body within seconds.
-    constexpr std::chrono::milliseconds bodyMemoryRetryAfter = 1000ms;
     // Matches no region; an empty list would allow all regions.
     const std::string noRegion;
     constexpr size_t maximumRefusalBytes = 16 * 1024;
@@ -85,12 +75,6 @@
         return status >= 500;
     }
 
-    std::string formatSeconds(std::chrono::milliseconds duration)
-    {
-        auto thousandths = std::to_string(duration.count() % 1000);
-        return std::to_string(duration.count() / 1000) + "." + std::string(3 - thousandths.size(), '0') + thousandths;
-    }
-
 } // namespace
 
 RequestHandler::RequestHandler(ProxyContext& context, ProxyWorker& worker, beast::tcp_stream& caller, Http::HttpRequest request, bool keepAlive)
@@ -98,6 +82,7 @@
     , m_request(std::make_shared<ProxyRequest>(context, worker, caller.socket(), std::move(request)))
     , m_response(context, caller, keepAlive)
     , m_log(m_request, m_response)
+    , m_responder(m_request, m_response, m_log)
     , m_silence(std::make_shared<SilenceTimer>(worker.context, [this] { targetSilent(); }))
 {
     m_request->traits.arrivedAt = context.clock.now();
@@ -127,31 +112,31 @@
 
 asio::awaitable<void> RequestHandler::refuseForMemory()
 {
-    co_await respondWithError(503, "body_memory", bodyMemoryRetryAfter);
+    co_await m_responder.refuseForMemory();
 }
 
 asio::awaitable<bool> RequestHandler::resolve()
 {
     m_request->snapshot = Fleet::Queries::currentSnapshot(m_context.fleet);
     if (m_context.closing) {
-        co_await respondWithError(503, "closing", closingRetryAfter);
+        co_await m_responder.refuseForStop();
         co_return false;
     }
     if (!m_request->snapshot->configuration) {
-        co_await respondWithError(503, "no_configuration", noConfigurationRetryAfter);
+        co_await m_responder.refuseWithoutConfiguration();
         co_return false;
     }
     auto& configuration = *m_request->snapshot->configuration;
     auto host = withoutPort(Http::headerValue(m_request->message.headers, "Host"));
     m_request->traits.route = Fleet::Queries::matchRoute(configuration, host, pathOf(m_request->message.target));
     if (!m_request->traits.route) {
-        co_await deny(404, "no_route");
+        co_await m_responder.deny(404, "no_route");
         co_return false;
     }
     if (configuration.hasOrganisations && !m_request->traits.route->isPublic) {
         m_request->organisation = Fleet::Queries::findOrganisation(configuration, m_request->head.key.value_or(""));
         if (!m_request->organisation) {
-            co_await deny(401, "unknown_key");
+            co_await m_responder.deny(401, "unknown_key");
             co_return false;
         }
     }
@@ -235,18 +220,18 @@
     while (true) {
         auto next = co_await nextAttempt();
         if (m_isStopping) {
-            co_await respondForStop();
+            co_await m_responder.endForStop();
             co_return;
         }
         auto* refusal = next ? std::get_if<Dispatch::Refusal>(&*next) : nullptr;
         if (!next || refusal) {
             if (refusal && m_request->history.runs == 0 && !m_response.isStarted()) {
-                co_await respondWithRefusal(*refusal);
+                co_await m_responder.refuse(*refusal);
                 co_return;
             }
             if (refusal)
                 m_log.retryRefused(Dispatch::refusalName(refusal->reason));
-            co_await respondWithFailure(lastEnd);
+            co_await m_responder.fail(lastEnd);
             co_return;
         }
         auto current = std::move(std::get<std::unique_ptr<TargetAttempt>>(*next));
@@ -261,11 +246,11 @@
         bool isRetried = !m_isStopping && (!m_replacements.empty() || mayRetry(lastEnd));
         m_log.attemptFailed(*current, outcome, isRetried);
         if (m_isStopping) {
-            co_await respondForStop();
+            co_await m_responder.endForStop();
             co_return;
         }
         if (!isRetried) {
-            co_await respondWithFailure(lastEnd);
+            co_await m_responder.fail(lastEnd);
             co_return;
         }
     }
@@ -473,68 +458,4 @@
         replacement->abandon();
 }
 
-asio::awaitable<void> RequestHandler::respondWithError(unsigned status, const char* code, std::optional<std::chrono::milliseconds> retryAfter)
-{
-    Http::HttpResponse response;
-    response.status = status;
-    response.headers = { { "Content-Type", "application/json" } };
-    if (retryAfter)
-        response.headers.push_back({ "Retry-After", formatSeconds(*retryAfter) });
-    response.body = std::string(R"({"error":")") + code + "\"}";
-    co_await m_response.send(response);
-    bool isDenial = status >= 400 && status < 429;
-    m_log.finished(isDenial ? Events::requestDenied : status == 503 ? Events::requestRefused
-                                                                    : Events::requestFailed,
-        status, code);
-}
-
-// A configuration that is in force elsewhere may allow the request.
-asio::awaitable<void> RequestHandler::deny(unsigned status, const char* code)
-{
-    auto maximumAge = std::chrono::duration_cast<std::chrono::milliseconds>(m_context.dispatch.bounds().configuration * usableConfigurationShare);
-    bool isOutdated = Fleet::Queries::mayBeOutdated(m_context.fleet, maximumAge, m_context.clock.now());
-    m_log.deniedByConfiguration(Fleet::Queries::completeness(m_context.fleet), isOutdated);
-    if (isOutdated)
-        co_await respondWithError(503, "configuration_outdated", outdatedConfigurationRetryAfter);
-    else
-        co_await respondWithError(status, code);
-}
-
-asio::awaitable<void> RequestHandler::respondWithRefusal(const Dispatch::Refusal& refusal)
-{
-    auto name = Dispatch::refusalName(refusal.reason);
-    co_await respondWithError(503, name.data(), refusal.retryAfter);
-}
-
-asio::awaitable<void> RequestHandler::respondWithFailure(AttemptEnd end)
-{
-    if (m_request->callerDisconnected()) {
-        m_log.finished(Events::requestAbandoned, 0, "caller_left");
-        co_return;
-    }
-    if (m_response.isStarted()) {
-        m_response.abort();
-        m_log.finished(Events::requestFailed, 0, "stream_broken");
-        co_return;
-    }
-    if (m_request->history.runs == 0) {
-        Dispatch::Refusal refusal { Dispatch::RefusalReason::NoTarget, noConfigurationRetryAfter };
-        co_await respondWithRefusal(refusal);
-        co_return;
-    }
-    bool isLate = m_context.clock.now() >= m_request->traits.deadline;
-    co_await respondWithError(isLate || end == AttemptEnd::TimedOut ? 504 : 502, isLate ? "timeout" : "target_failed");
-}
-
-asio::awaitable<void> RequestHandler::respondForStop()
-{
-    if (m_response.isStarted()) {
-        m_response.abort();
-        m_log.finished(Events::requestFailed, 0, "router_stopped");
-    } else if (m_request->history.runs == 0)
-        co_await respondWithError(503, "closing", closingRetryAfter);
-    else
-        co_await respondWithError(504, "router_stopped");
-}
-
 } // namespace Lavenderloft::Proxy
--- a/Source/Proxy/RequestHandler.h
+++ b/Source/Proxy/RequestHandler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Proxy/CallerResponse.h"
+#include "Proxy/ErrorResponder.h"
 #include "Proxy/ProxyRequest.h"
 #include "Proxy/ReplacementAttempt.h"
 #include "Proxy/RequestLog.h"
@@ -71,20 +72,11 @@
     void startReplacement();
     void abandonReplacements();
 
-    boost::asio::awaitable<void> respondWithError(unsigned status, const char* code, std::optional<std::chrono::milliseconds> retryAfter = std::nullopt);
-    // Responds to a request that the known configuration does not allow. If a newer configuration should be in force by
-    // now but may not have arrived, the request is refused instead.
-    boost::asio::awaitable<void> deny(unsigned status, const char* code);
-    boost::asio::awaitable<void> respondWithRefusal(const Dispatch::Refusal&);
-    // Ends a request that gets no other attempt.
-    boost::asio::awaitable<void> respondWithFailure(AttemptEnd);
-    // Ends a request because the process stops.
-    boost::asio::awaitable<void> respondForStop();
-
     ProxyContext& m_context;
     std::shared_ptr<ProxyRequest> m_request;
     CallerResponse m_response;
     RequestLog m_log;
+    ErrorResponder m_responder;
     std::shared_ptr<SilenceTimer> m_silence;
     TargetAttempt* m_current = nullptr;
     // Each was started because the one before it was silent too.
