--- a/Source/Peering/ItemExchange.cpp
+++ b/Source/Peering/ItemExchange.cpp
@@ -173,13 +173,15 @@
         response = co_await requestItems(router, afterRevision, ValueEncoding::Packed);
     }
     auto batch = readBatch(response);
-    if (batch && !unpackValues(*batch, m_merger.fleet())) {
+    bool isRestored = batch && unpackValues(*batch, m_merger.fleet());
+    if (batch && !isRestored) {
         // This node does not have the values that the packed ones are based on.
         requestedAt = m_clock.now();
         response = co_await requestItems(router, afterRevision, ValueEncoding::Plain);
         batch = readBatch(response);
+        isRestored = batch && unpackValues(*batch, m_merger.fleet());
     }
-    if (!batch || !unpackValues(*batch, m_merger.fleet()))
+    if (!isRestored)
         co_return false;
     std::vector<std::string> keys;
     for (auto& item : batch->items)
