Ignore what a response of an earlier incarnation states

A response of the incarnation before that came late began a new knowledge of the target: a limit, a leaving or a hold-back of the present one was forgotten, and the target got requests that it did not want. Found by reading.

--- a/Source/Dispatch/Commands/RecordStatement.cpp
+++ b/Source/Dispatch/Commands/RecordStatement.cpp
@@ -70,6 +70,9 @@
         if (!saysAnything(statement) && !isLimited)
             return;
         auto& knowledge = service.targets[target.id].knowledge;
+        // A response of an earlier incarnation, which may come late, says nothing of the present one.
+        if (target.startedAt < knowledge.incarnation)
+            return;
         startIncarnation(knowledge, target.startedAt);
         if (statement.isLeaving)
             learned.isNewlyLeaving = recordLeaving(knowledge, now);
@@ -87,7 +90,6 @@
     for (auto& report : reports) {
         state.withService(report.service, [&](ServiceState& service) {
             auto& knowledge = service.targets[report.target].knowledge;
-            // Incarnations are numbered by the time of their start.
             if (report.incarnation < knowledge.incarnation)
                 return;
             startIncarnation(knowledge, report.incarnation);
--- a/Source/Dispatch/TargetStatement.h
+++ b/Source/Dispatch/TargetStatement.h
@@ -43,6 +43,7 @@
 // What this router knows of one target from the target's own responses. Holds for one incarnation of the target; a later
 // one at the same address is not bound by it.
 struct TargetKnowledge {
+    // The time of its start, so a larger number is a later incarnation.
     uint64_t incarnation = 0;
     // When the target first said that it leaves.
     std::optional<Base::TimePoint> leavingSince;
--- a/Tests/Dispatch/TargetLimitTest.cpp
+++ b/Tests/Dispatch/TargetLimitTest.cpp
@@ -198,6 +198,20 @@
     cr_assert(isLease(test.acquire(0)), "another incarnation is not bound by it");
 }
 
+// Guards against a limit that a late response of the incarnation before ends.
+Test(TargetLimit, aLateResponseOfAnEarlierIncarnationDoesNotEndIt)
+{
+    TestRouters test(1);
+    test.publish("1");
+    auto earlier = test.fleet.snapshot()->targetsByService.at("s").front()->entry;
+    test.publish("1", 2);
+    auto present = test.fleet.snapshot()->targetsByService.at("s").front()->entry;
+    Commands::recordStatement(*test.routers[0], "s", present, names(0.5), test.fleet.clock.now(), test.fleet.clock.now());
+    test.fleet.clock.advance(100ms);
+    Commands::recordStatement(*test.routers[0], "s", earlier, {}, test.fleet.clock.now(), test.fleet.clock.now());
+    cr_assert_not(isLease(test.acquire(0)));
+}
+
 // Guards against a target that wants no requests and is never asked again whether that still holds.
 Test(TargetLimit, aTargetThatWantsNoneIsAskedOnceAMinute)
 {
