Order queues in a module of their own, and count only what precedes a request

An urgent request was refused because less urgent ones waited: the expected wait counted the whole queue, although the request would have been served first. The order of a queue is now a decision of Scheduling, and the expected wait counts the requests that precede the new one. lessUrgentRequestsDoNotRefuseAnUrgentOne fails on the former code.

Requests carry their organisation and size for the decisions that follow.

--- a/Source/Dispatch/BoundedWaitPolicy.cpp
+++ b/Source/Dispatch/BoundedWaitPolicy.cpp
@@ -32,7 +32,7 @@
     if (load.completionsPerSecond <= 0)
         return longest;
     // Refuses immediately if the queue is not expected to drain within that time.
-    auto expected = std::chrono::duration<double>(static_cast<double>(load.waiting) / load.completionsPerSecond);
+    auto expected = std::chrono::duration<double>(static_cast<double>(load.preceding) / load.completionsPerSecond);
     return expected > longest ? Base::Duration::zero() : longest;
 }
 
@@ -40,7 +40,7 @@
 {
     if (load.completionsPerSecond <= 0)
         return maximumRetryAfter;
-    auto expected = std::chrono::duration<double>(static_cast<double>(load.waiting + 1) / load.completionsPerSecond);
+    auto expected = std::chrono::duration<double>(static_cast<double>(load.preceding + 1) / load.completionsPerSecond);
     return std::clamp(std::chrono::duration_cast<std::chrono::milliseconds>(expected), minimumRetryAfter, maximumRetryAfter);
 }
 
--- a/Source/Dispatch/Commands/AcquireTarget.cpp
+++ b/Source/Dispatch/Commands/AcquireTarget.cpp
@@ -21,18 +21,11 @@
     // Retry-After if no target is eligible.
     constexpr std::chrono::milliseconds noTargetRetryAfter = 1800ms;
 
-    // Whether the first request has to be served before the second one, which arrived later.
-    bool precedes(const RequestTraits& first, const RequestTraits& second)
-    {
-        if (first.priority != second.priority)
-            return first.priority < second.priority;
-        return first.isInterrupted || !second.isInterrupted;
-    }
-
-    void insertByPriority(std::list<WaitingRequest>& waiting, WaitingRequest request)
+    void insertInOrder(const Scheduling::QueueOrder& order, std::list<WaitingRequest>& waiting, WaitingRequest request)
     {
+        auto work = request.traits.queuedWork();
         auto position = std::find_if(waiting.rbegin(), waiting.rend(), [&](const WaitingRequest& other) {
-            return precedes(other.traits, request.traits);
+            return order.precedes(other.traits.queuedWork(), work);
         });
         waiting.insert(position.base(), std::move(request));
     }
@@ -47,12 +40,15 @@
         return std::chrono::ceil<std::chrono::milliseconds>(remaining + std::chrono::duration_cast<Base::Duration>(longest * (spreadShare * position)));
     }
 
-    // A new request must not overtake queued ones. Interrupted requests may wait for a particular target and for long, so
-    // they are served first and do not hold up the others.
-    bool mayPassQueue(DispatchState& state, ServiceState& service, Base::TimePoint now)
+    // A new request must not overtake queued ones that precede it. Interrupted requests may wait for a particular target and
+    // for long, so they are served first and do not hold up the others.
+    bool mayPassQueue(DispatchState& state, ServiceState& service, const RequestTraits& traits, Base::TimePoint now)
     {
-        bool holdsUp = std::any_of(service.waiting.begin(), service.waiting.end(), [](const WaitingRequest& request) { return !request.traits.isInterrupted; });
-        if (holdsUp)
+        auto work = traits.queuedWork();
+        bool isHeldUp = std::any_of(service.waiting.begin(), service.waiting.end(), [&](const WaitingRequest& request) {
+            return !request.traits.isInterrupted && state.queueOrder().precedes(request.traits.queuedWork(), work);
+        });
+        if (isHeldUp)
             return false;
         serveQueue(state, service, now);
         return true;
@@ -62,7 +58,7 @@
     {
         if (traits.deadline - now < minimumTimeLeft)
             return Refusal { RefusalReason::OutOfTime, 0ms };
-        if (mayPassQueue(state, service, now)) {
+        if (mayPassQueue(state, service, traits, now)) {
             if (auto lease = tryAcquireLease(state, service, traits, now))
                 return std::move(*lease);
         }
@@ -76,7 +72,7 @@
         // The requests in the queue may wait for other targets than those with free slots.
         if (wait <= Base::Duration::zero() && load.freeTargets == 0)
             return Refusal { RefusalReason::Overloaded, state.admission().retryAfter(traits, load) };
-        insertByPriority(service.waiting, WaitingRequest { traits, now, std::move(observer), hasReservedRetry });
+        insertInOrder(state.queueOrder(), service.waiting, WaitingRequest { traits, now, std::move(observer), hasReservedRetry });
         serveQueue(state, service, now);
         return Queued { now + wait };
     }
--- a/Source/Dispatch/Commands/ServeQueue.cpp
+++ b/Source/Dispatch/Commands/ServeQueue.cpp
@@ -69,7 +69,10 @@
 ServiceLoad describeLoad(DispatchState& state, const ServiceState& service, const RequestTraits& traits, Base::TimePoint now)
 {
     auto candidates = Queries::findCandidates(state, service, traits, now);
-    return { candidates.eligible, candidates.returning, candidates.capacity, candidates.free.size(), service.waiting.size(), service.completionsPerSecond, candidates.heldBackUntil };
+    auto work = traits.queuedWork();
+    auto precedes = [&](const WaitingRequest& waiting) { return state.queueOrder().precedes(waiting.traits.queuedWork(), work); };
+    auto preceding = static_cast<size_t>(std::count_if(service.waiting.begin(), service.waiting.end(), precedes));
+    return { candidates.eligible, candidates.returning, candidates.capacity, candidates.free.size(), preceding, service.completionsPerSecond, candidates.heldBackUntil };
 }
 
 namespace {
--- a/Source/Dispatch/DispatchState.cpp
+++ b/Source/Dispatch/DispatchState.cpp
@@ -1,6 +1,7 @@
 #include "Dispatch/DispatchState.h"
 
 #include "Dispatch/FewRoutersPolicy.h"
+#include "Scheduling/UrgencyOrder.h"
 
 namespace Lavenderloft::Dispatch {
 
@@ -9,6 +10,7 @@
     , m_settings(std::move(settings))
     , m_placement(std::move(placement))
     , m_admission(std::move(admission))
+    , m_queueOrder(std::make_unique<Scheduling::UrgencyOrder>())
     , m_random(std::move(random))
     , m_limitShares(std::make_unique<FewRoutersPolicy>())
 {
--- a/Source/Dispatch/DispatchState.h
+++ b/Source/Dispatch/DispatchState.h
@@ -13,6 +13,7 @@
 #include "Dispatch/TargetRuntime.h"
 #include "Fleet/FleetState.h"
 #include "Fleet/NodeSettings.h"
+#include "Scheduling/QueueOrder.h"
 
 #include <array>
 #include <atomic>
@@ -35,7 +36,7 @@
 
 struct ServiceState {
     std::unordered_map<std::string, TargetRuntime> targets;
-    // Sorted by priority; of the same priority, interrupted requests come first, then by arrival.
+    // In the order of DispatchState::queueOrder.
     std::list<WaitingRequest> waiting;
     RetryWindow retryWindow;
     ResponseTimes responseTimes;
@@ -81,6 +82,7 @@
     void setBounds(const Fleet::FleetBounds&);
     const PlacementPolicy& placement() const { return *m_placement; }
     const AdmissionPolicy& admission() const { return *m_admission; }
+    const Scheduling::QueueOrder& queueOrder() const { return *m_queueOrder; }
 
     CrashHistory& crashes() { return m_crashes; }
     const CrashHistory& crashes() const { return m_crashes; }
@@ -121,6 +123,7 @@
     mutable std::mutex m_boundsLock;
     std::unique_ptr<PlacementPolicy> m_placement;
     std::unique_ptr<AdmissionPolicy> m_admission;
+    std::unique_ptr<Scheduling::QueueOrder> m_queueOrder;
     std::mutex m_randomLock;
     std::unique_ptr<Base::RandomSource> m_random;
     // Zero if unknown.
--- a/Source/Dispatch/RequestTraits.h
+++ b/Source/Dispatch/RequestTraits.h
@@ -6,6 +6,7 @@
 #include "Base/Clock.h"
 #include "Dispatch/PartEvidence.h"
 #include "Fleet/Configuration.h"
+#include "Scheduling/QueuedWork.h"
 
 #include <chrono>
 #include <memory>
@@ -24,6 +25,9 @@
     std::vector<PromptPart> sharedParts;
     // 0 is the highest.
     int priority = 0;
+    // Empty if the configuration names no organisations.
+    std::string organisation;
+    Scheduling::RequestSize size;
     Base::TimePoint arrivedAt {};
     // The earlier of the caller's deadline and the route's timeout.
     Base::TimePoint deadline {};
@@ -34,6 +38,8 @@
     std::vector<std::string> triedTargets;
     // A target ran the request and broke off, or has it and is silent. The request can be continued or fail, but not be refused as not run.
     bool isInterrupted = false;
+
+    Scheduling::QueuedWork queuedWork() const { return { priority, isInterrupted, organisation, size }; }
 };
 
 } // namespace Lavenderloft::Dispatch
--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -153,8 +153,9 @@
     traits.service = chooseService(route, m_request->head.requestId);
     traits.priority = organisation && organisation->priority ? *organisation->priority : route.priority;
     traits.allowedRegions = commonRegions(route.allowedRegions, organisation ? organisation->allowedRegions : std::vector<std::string>());
-    auto owner = organisation ? organisation->name : std::string();
-    traits.fingerprint = Base::stableHash(owner + '\0' + message.method + '\0' + message.target + '\0' + message.body);
+    traits.organisation = organisation ? organisation->name : std::string();
+    traits.size = { m_request->head.promptTokens, m_request->head.estimatedOutputTokens.value_or(m_request->head.maximumOutputTokens) };
+    traits.fingerprint = Base::stableHash(traits.organisation + '\0' + message.method + '\0' + message.target + '\0' + message.body);
     auto& promptParts = m_request->head.promptParts;
     if (!promptParts.empty())
         traits.sharedParts.assign(promptParts.begin(), std::prev(promptParts.end()));
--- a/Tests/Dispatch/QueueTest.cpp
+++ b/Tests/Dispatch/QueueTest.cpp
@@ -84,3 +84,26 @@
     traits.deadline = test.fleet.clock.now() + 5ms;
     cr_assert(refusalOf(test.acquire(traits)) == RefusalReason::OutOfTime);
 }
+
+// An urgent request must not be refused because less urgent ones wait: it is served before them. The queue holds more of them
+// than the service completes within the wait of a request.
+Test(Queue, lessUrgentRequestsDoNotRefuseAnUrgentOne)
+{
+    SmallService test;
+    // Makes the rate of completions known.
+    test.release("s", "1");
+    cr_assert(isLease(test.acquire("s")));
+    std::vector<std::shared_ptr<RecordingObserver>> digests;
+    while (true) {
+        auto observer = std::make_shared<RecordingObserver>();
+        if (!std::holds_alternative<Queued>(test.acquire(test.request("s", 2), observer)))
+            break;
+        digests.push_back(observer);
+    }
+    auto urgent = std::make_shared<RecordingObserver>();
+    cr_assert(std::holds_alternative<Queued>(test.acquire(test.request("s", 0), urgent)));
+    test.release("s", "1");
+    cr_assert(urgent->outcome && std::holds_alternative<Lease>(*urgent->outcome));
+    for (auto& digest : digests)
+        cr_assert_not(digest->outcome.has_value());
+}
