Share queues among organisations by predicted work, and refuse early what others displace

Requests of one urgency were served by arrival, so that an organisation at eight times its usual load took the service. They are now served by start-time fair queueing over the organisations, whose cost is the predicted work (prompt and output tokens). A queued request that can no longer be served within its wait, because others take precedence, is refused at once. Retry-After is spread.

--- a/Source/Dispatch/AdmissionPolicy.h
+++ b/Source/Dispatch/AdmissionPolicy.h
@@ -18,8 +18,8 @@
     size_t capacity = 0;
     // Those of the targets that can take the request now.
     size_t freeTargets = 0;
-    // Queued requests that are served before the new one.
-    size_t preceding = 0;
+    // Predicted work of the queued requests that are served before the new one, in requests of mean size.
+    double precedingRequests = 0;
     // Moving average.
     double completionsPerSecond = 0;
     // When the first target takes requests again; set if targets hold this router back.
--- a/Source/Dispatch/BoundedWaitPolicy.cpp
+++ b/Source/Dispatch/BoundedWaitPolicy.cpp
@@ -14,6 +14,9 @@
     constexpr unsigned plainQueueFactor = 2;
     constexpr std::chrono::milliseconds minimumRetryAfter = 500ms;
     constexpr std::chrono::milliseconds maximumRetryAfter = 2000ms;
+    // Callers that are refused at the same time return spread over this part of the expected time.
+    constexpr double retrySpread = 0.5;
+    constexpr uint64_t spreadSteps = 1000;
 
 } // namespace
 
@@ -32,16 +35,19 @@
     if (load.completionsPerSecond <= 0)
         return longest;
     // Refuses immediately if the queue is not expected to drain within that time.
-    auto expected = std::chrono::duration<double>(static_cast<double>(load.preceding) / load.completionsPerSecond);
+    auto expected = std::chrono::duration<double>(load.precedingRequests / load.completionsPerSecond);
     return expected > longest ? Base::Duration::zero() : longest;
 }
 
-std::chrono::milliseconds BoundedWaitPolicy::retryAfter(const RequestTraits&, const ServiceLoad& load) const
+std::chrono::milliseconds BoundedWaitPolicy::retryAfter(const RequestTraits& traits, const ServiceLoad& load) const
 {
     if (load.completionsPerSecond <= 0)
         return maximumRetryAfter;
-    auto expected = std::chrono::duration<double>(static_cast<double>(load.preceding + 1) / load.completionsPerSecond);
-    return std::clamp(std::chrono::duration_cast<std::chrono::milliseconds>(expected), minimumRetryAfter, maximumRetryAfter);
+    std::chrono::duration<double> expected((load.precedingRequests + 1) / load.completionsPerSecond);
+    expected = std::max<std::chrono::duration<double>>(expected, minimumRetryAfter);
+    auto position = static_cast<double>(traits.fingerprint % spreadSteps) / spreadSteps;
+    auto spread = expected * (1 + retrySpread * position);
+    return std::min(std::chrono::duration_cast<std::chrono::milliseconds>(spread), maximumRetryAfter);
 }
 
 } // namespace Lavenderloft::Dispatch
--- a/Source/Dispatch/Commands/AcquireTarget.cpp
+++ b/Source/Dispatch/Commands/AcquireTarget.cpp
@@ -5,6 +5,7 @@
 #include "Dispatch/Queries/FindBlockedPart.h"
 #include "Dispatch/Queries/FindCandidates.h"
 #include "Dispatch/Queries/FindQuarantine.h"
+#include "Scheduling/Commands/RecordWork.h"
 
 #include <algorithm>
 
@@ -23,9 +24,8 @@
 
     void insertInOrder(const Scheduling::QueueOrder& order, std::list<WaitingRequest>& waiting, WaitingRequest request)
     {
-        auto work = request.traits.queuedWork();
         auto position = std::find_if(waiting.rbegin(), waiting.rend(), [&](const WaitingRequest& other) {
-            return order.precedes(other.traits.queuedWork(), work);
+            return order.precedes(other.queuedWork(), request.queuedWork());
         });
         waiting.insert(position.base(), std::move(request));
     }
@@ -42,11 +42,10 @@
 
     // A new request must not overtake queued ones that precede it. Interrupted requests may wait for a particular target and
     // for long, so they are served first and do not hold up the others.
-    bool mayPassQueue(DispatchState& state, ServiceState& service, const RequestTraits& traits, Base::TimePoint now)
+    bool mayPassQueue(DispatchState& state, ServiceState& service, const Scheduling::QueuedWork& arrival, Base::TimePoint now)
     {
-        auto work = traits.queuedWork();
         bool isHeldUp = std::any_of(service.waiting.begin(), service.waiting.end(), [&](const WaitingRequest& request) {
-            return !request.traits.isInterrupted && state.queueOrder().precedes(request.traits.queuedWork(), work);
+            return !request.traits.isInterrupted && state.queueOrder().precedes(request.queuedWork(), arrival);
         });
         if (isHeldUp)
             return false;
@@ -54,15 +53,27 @@
         return true;
     }
 
+    void recordArrival(ServiceState& service, const Scheduling::QueuedWork& arrival)
+    {
+        // Weight of one request in the moving average.
+        constexpr double weight = 0.05;
+        service.meanWork += (service.meanWork > 0 ? weight : 1) * (arrival.work - service.meanWork);
+    }
+
     Decision admit(DispatchState& state, ServiceState& service, const RequestTraits& traits, std::shared_ptr<WaitObserver> observer, bool hasReservedRetry, Base::TimePoint now)
     {
         if (traits.deadline - now < minimumTimeLeft)
             return Refusal { RefusalReason::OutOfTime, 0ms };
-        if (mayPassQueue(state, service, traits, now)) {
-            if (auto lease = tryAcquireLease(state, service, traits, now))
+        auto arrival = describeArrival(state, service, traits);
+        recordArrival(service, arrival);
+        if (mayPassQueue(state, service, arrival, now)) {
+            if (auto lease = tryAcquireLease(state, service, traits, now)) {
+                Scheduling::Commands::chargeArrival(service.shares, arrival);
+                recordStart(service, arrival);
                 return std::move(*lease);
+            }
         }
-        auto load = describeLoad(state, service, traits, now);
+        auto load = describeLoad(state, service, traits, arrival, now);
         bool mayWaitForTarget = traits.isInterrupted && load.returningTargets > 0;
         if (load.targets == 0 && load.heldBackUntil && !mayWaitForTarget)
             return Refusal { RefusalReason::HeldBack, retryAfterHoldBack(traits, *load.heldBackUntil - now) };
@@ -72,8 +83,10 @@
         // The requests in the queue may wait for other targets than those with free slots.
         if (wait <= Base::Duration::zero() && load.freeTargets == 0)
             return Refusal { RefusalReason::Overloaded, state.admission().retryAfter(traits, load) };
-        insertInOrder(state.queueOrder(), service.waiting, WaitingRequest { traits, now, std::move(observer), hasReservedRetry });
+        Scheduling::Commands::chargeArrival(service.shares, arrival);
+        insertInOrder(state.queueOrder(), service.waiting, WaitingRequest { traits, arrival.work, arrival.startTag, now, now + wait, std::move(observer), hasReservedRetry });
         serveQueue(state, service, now);
+        displaceUnservable(state, service, now);
         return Queued { now + wait };
     }
 
@@ -133,10 +146,10 @@
         auto waiting = std::find_if(service.waiting.begin(), service.waiting.end(), [&](const WaitingRequest& request) { return request.observer.get() == observer; });
         if (waiting == service.waiting.end())
             return std::nullopt;
-        if (waiting->hasReservedRetry)
-            service.retryWindow.cancelReservedRetry();
+        auto load = describeLoad(state, service, traits, waiting->queuedWork(), now);
+        releaseCharges(service, *waiting);
         service.waiting.erase(waiting);
-        return Refusal { RefusalReason::Overloaded, state.admission().retryAfter(traits, describeLoad(state, service, traits, now)) };
+        return Refusal { RefusalReason::Overloaded, state.admission().retryAfter(traits, load) };
     });
 }
 
--- a/Source/Dispatch/Commands/RecordPartEvidence.cpp
+++ b/Source/Dispatch/Commands/RecordPartEvidence.cpp
@@ -1,5 +1,6 @@
 #include "Dispatch/Commands/RecordPartEvidence.h"
 
+#include "Dispatch/Commands/ServeQueue.h"
 #include "Dispatch/Queries/FindBlockedPart.h"
 
 #include <algorithm>
@@ -273,8 +274,7 @@
             if (found == blocked.end())
                 return false;
             refused.push_back(found->part);
-            if (waiting.hasReservedRetry)
-                service.retryWindow.cancelReservedRetry();
+            releaseCharges(service, waiting);
             waiting.observer->waitEnded(Refusal { RefusalReason::BlockedPart, found->remaining });
             return true;
         });
--- a/Source/Dispatch/Decision.cpp
+++ b/Source/Dispatch/Decision.cpp
@@ -11,6 +11,8 @@
         return "held_back";
     case RefusalReason::Overloaded:
         return "overloaded";
+    case RefusalReason::Displaced:
+        return "displaced";
     case RefusalReason::RetryBudget:
         return "retry_budget";
     case RefusalReason::Quarantined:
--- a/Source/Dispatch/Decision.h
+++ b/Source/Dispatch/Decision.h
@@ -34,6 +34,8 @@
     HeldBack,
     // All targets are full and the expected wait is too long.
     Overloaded,
+    // The request waited, and others that take precedence leave too little capacity for it.
+    Displaced,
     // The retry budget is exhausted.
     RetryBudget,
     // The request crashed the targets that ran it.
--- a/Source/Dispatch/DispatchState.cpp
+++ b/Source/Dispatch/DispatchState.cpp
@@ -1,7 +1,8 @@
 #include "Dispatch/DispatchState.h"
 
 #include "Dispatch/FewRoutersPolicy.h"
-#include "Scheduling/UrgencyOrder.h"
+#include "Scheduling/FairOrder.h"
+#include "Scheduling/TokenWorkEstimator.h"
 
 namespace Lavenderloft::Dispatch {
 
@@ -10,7 +11,8 @@
     , m_settings(std::move(settings))
     , m_placement(std::move(placement))
     , m_admission(std::move(admission))
-    , m_queueOrder(std::make_unique<Scheduling::UrgencyOrder>())
+    , m_queueOrder(std::make_unique<Scheduling::FairOrder>())
+    , m_workEstimator(std::make_unique<Scheduling::TokenWorkEstimator>())
     , m_random(std::move(random))
     , m_limitShares(std::make_unique<FewRoutersPolicy>())
 {
--- a/Source/Dispatch/DispatchState.h
+++ b/Source/Dispatch/DispatchState.h
@@ -13,7 +13,10 @@
 #include "Dispatch/TargetRuntime.h"
 #include "Fleet/FleetState.h"
 #include "Fleet/NodeSettings.h"
+#include "Scheduling/FairShares.h"
 #include "Scheduling/QueueOrder.h"
+#include "Scheduling/StarvationFloor.h"
+#include "Scheduling/WorkEstimator.h"
 
 #include <array>
 #include <atomic>
@@ -28,16 +31,32 @@
 
 struct WaitingRequest {
     RequestTraits traits;
+    // As of its arrival, see Scheduling::QueuedWork.
+    double work = 1;
+    double startTag = 0;
     Base::TimePoint since {};
+    Base::TimePoint until {};
     std::shared_ptr<WaitObserver> observer;
     // The retry budget holds a reservation for it.
     bool hasReservedRetry = false;
+
+    Scheduling::QueuedWork queuedWork() const
+    {
+        auto queued = traits.queuedWork();
+        queued.work = work;
+        queued.startTag = startTag;
+        return queued;
+    }
 };
 
 struct ServiceState {
     std::unordered_map<std::string, TargetRuntime> targets;
     // In the order of DispatchState::queueOrder.
     std::list<WaitingRequest> waiting;
+    Scheduling::SharesByUrgency shares;
+    Scheduling::StarvationFloor floor;
+    // Moving average of the predicted work of arriving requests.
+    double meanWork = 0;
     RetryWindow retryWindow;
     ResponseTimes responseTimes;
     // Whether a target may name a limit; spares the search for one.
@@ -83,6 +102,7 @@
     const PlacementPolicy& placement() const { return *m_placement; }
     const AdmissionPolicy& admission() const { return *m_admission; }
     const Scheduling::QueueOrder& queueOrder() const { return *m_queueOrder; }
+    const Scheduling::WorkEstimator& workEstimator() const { return *m_workEstimator; }
 
     CrashHistory& crashes() { return m_crashes; }
     const CrashHistory& crashes() const { return m_crashes; }
@@ -124,6 +144,7 @@
     std::unique_ptr<PlacementPolicy> m_placement;
     std::unique_ptr<AdmissionPolicy> m_admission;
     std::unique_ptr<Scheduling::QueueOrder> m_queueOrder;
+    std::unique_ptr<Scheduling::WorkEstimator> m_workEstimator;
     std::mutex m_randomLock;
     std::unique_ptr<Base::RandomSource> m_random;
     // Zero if unknown.
--- a/Source/Scheduling/QueuedWork.h
+++ b/Source/Scheduling/QueuedWork.h
@@ -24,6 +24,10 @@
     // Empty if the configuration names no organisations.
     std::string_view organisation;
     RequestSize size;
+    // Predicted work, see WorkEstimator.
+    double work = 1;
+    // Position in the fair order of the organisations, see FairShares.
+    double startTag = 0;
 };
 
 } // namespace Lavenderloft::Scheduling
--- a/Tests/Dispatch/QueueTest.cpp
+++ b/Tests/Dispatch/QueueTest.cpp
@@ -104,6 +104,60 @@
     cr_assert(std::holds_alternative<Queued>(test.acquire(test.request("s", 0), urgent)));
     test.release("s", "1");
     cr_assert(urgent->outcome && std::holds_alternative<Lease>(*urgent->outcome));
+    // They go on waiting, or have been displaced.
     for (auto& digest : digests)
-        cr_assert_not(digest->outcome.has_value());
+        cr_assert(!digest->outcome || std::holds_alternative<Refusal>(*digest->outcome));
+}
+
+// When urgent requests arrive, waiting ones that can no longer be served in time must be told so at once.
+Test(Queue, urgentArrivalsDisplaceRequestsThatCannotBeServedInTime)
+{
+    SmallService test;
+    test.release("s", "1");
+    cr_assert(isLease(test.acquire("s")));
+    auto digest = test.wait(2);
+    for (int i = 0; i < 20 && !digest->outcome; ++i)
+        test.acquire(test.request("s", 0), std::make_shared<RecordingObserver>());
+    cr_assert(digest->outcome.has_value());
+    auto* refusal = std::get_if<Refusal>(&*digest->outcome);
+    cr_assert(refusal && refusal->reason == RefusalReason::Displaced);
+    cr_assert_gt(refusal->retryAfter.count(), 0);
+}
+
+// Urgent requests that alone exceed the capacity must not keep all others from being served.
+Test(Queue, theLeastUrgentRequestsKeepAFloorOfService)
+{
+    SmallService test;
+    // A wide target latency, so that the request waits long enough.
+    auto traits = test.request("s", 2);
+    auto route = std::make_shared<Fleet::Route>(*traits.route);
+    route->targetLatency = 60s;
+    traits.route = route;
+    traits.deadline = test.fleet.clock.now() + 60s;
+    auto digest = std::make_shared<RecordingObserver>();
+    cr_assert(std::holds_alternative<Queued>(test.acquire(traits, digest)));
+    for (unsigned i = 0; i < Scheduling::StarvationFloor::startsPerFloorStart; ++i) {
+        test.acquire(test.request("s", 0), std::make_shared<RecordingObserver>());
+        test.release("s", "1");
+    }
+    cr_assert(digest->outcome && std::holds_alternative<Lease>(*digest->outcome));
+}
+
+// Of two organisations of the same urgency, one that sends eight times as much must not take the whole service.
+Test(Queue, servesOrganisationsOfAnUrgencyByTurns)
+{
+    SmallService test;
+    auto arrive = [&](const std::string& organisation) {
+        auto traits = test.request("s");
+        traits.organisation = organisation;
+        auto observer = std::make_shared<RecordingObserver>();
+        test.acquire(traits, observer);
+        return observer;
+    };
+    for (int i = 0; i < 8; ++i)
+        arrive("heavy");
+    auto light = arrive("light");
+    test.release("s", "1");
+    test.release("s", "1");
+    cr_assert(light->outcome && std::holds_alternative<Lease>(*light->outcome));
 }
