Let routes decide the urgency among organisations of one priority

The priority of an organisation replaced that of the route. Where all organisations have the same priority, all requests had the same urgency, so that the most urgent kind waited and was refused like any other. The priority of the organisation now goes first, and that of the route decides between organisations of the same priority; requests carry the rank among the urgencies of the configuration.

--- a/Source/Dispatch/RequestTraits.h
+++ b/Source/Dispatch/RequestTraits.h
@@ -23,7 +23,7 @@
     uint64_t fingerprint = 0;
     // Parts of the prompt that other requests may have too: all but the last.
     std::vector<PromptPart> sharedParts;
-    // 0 is the highest.
+    // Rank among the urgencies of the configuration; 0 is the most urgent.
     int priority = 0;
     // Empty if the configuration names no organisations.
     std::string organisation;
--- a/Source/Fleet/Configuration.h
+++ b/Source/Fleet/Configuration.h
@@ -6,6 +6,7 @@
 #include "Http/HttpMessage.h"
 
 #include <chrono>
+#include <compare>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -83,6 +84,15 @@
     std::vector<std::string> allowedRegions;
 };
 
+// Urgency of a request, 0 being the most urgent. The priority of the organisation takes precedence over that of the route,
+// which decides between requests of organisations of the same priority.
+struct Urgency {
+    int organisationPriority = 0;
+    int routePriority = 0;
+
+    auto operator<=>(const Urgency&) const = default;
+};
+
 // Limits for requests and connections of callers.
 struct CallerLimits {
     size_t maximumHeaderBytes = 16 * 1024;
@@ -100,6 +110,8 @@
     CallerLimits limits;
     bool hasOrganisations = false;
     std::unordered_map<std::string, std::shared_ptr<const Organisation>> organisationsByKey;
+    // Those that requests can have, the most urgent one first.
+    std::vector<Urgency> urgencies;
 };
 
 } // namespace Lavenderloft::Fleet
--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -1,6 +1,7 @@
 #include "Proxy/RequestHandler.h"
 
 #include "Base/RendezvousHash.h"
+#include "Fleet/Queries/FindUrgency.h"
 #include "Fleet/Queries/ReadFleet.h"
 #include "Proxy/AcquireLease.h"
 #include "Proxy/Events.h"
@@ -151,7 +152,7 @@
     auto& message = m_request->message;
     auto* organisation = m_request->organisation.get();
     traits.service = chooseService(route, m_request->head.requestId);
-    traits.priority = organisation && organisation->priority ? *organisation->priority : route.priority;
+    traits.priority = Fleet::Queries::findUrgency(*m_request->snapshot->configuration, route, organisation);
     traits.allowedRegions = commonRegions(route.allowedRegions, organisation ? organisation->allowedRegions : std::vector<std::string>());
     traits.organisation = organisation ? organisation->name : std::string();
     traits.size = { m_request->head.promptTokens, m_request->head.estimatedOutputTokens.value_or(m_request->head.maximumOutputTokens) };
