Relay the pace that engines report

Engines tell in their report how much slower than usual they run. Agents read the field and routers never saw it, so that they kept sending requests to engines that were slow. EngineLoad has it as field 11. Test: PeeringCodec/keepsAllFieldsOfAMessage.

--- a/Source/Peering/PeeringCodec.cpp
+++ b/Source/Peering/PeeringCodec.cpp
@@ -83,6 +83,7 @@
         if (message.load->endedAgo)
             load->set_ended_ago_ms(static_cast<uint32_t>(message.load->endedAgo->count()));
         load->set_granted(message.load->granted);
+        load->set_pace(message.load->pace);
     }
     for (auto& crash : message.crashes) {
         auto* report = encoded.add_crashes();
@@ -139,7 +140,7 @@
         message.routers.push_back({ router.address(), router.data_centre(), std::chrono::milliseconds(router.age_ms()) });
     if (encoded.has_load()) {
         auto& load = encoded.load();
-        message.load = EngineLoad { load.service(), load.engine_address(), load.running(), load.queued(), load.whole_version(), load.paused(), load.granted(), load.cold(), std::nullopt, std::nullopt };
+        message.load = EngineLoad { load.service(), load.engine_address(), load.running(), load.queued(), load.whole_version(), load.paused(), load.granted(), load.cold(), std::nullopt, std::nullopt, load.pace() };
         if (load.has_cuts_in_ms())
             message.load->abortsIn = std::chrono::milliseconds(load.cuts_in_ms());
         if (load.has_ended_ago_ms())
--- a/Source/Peering/PeeringCodec.h
+++ b/Source/Peering/PeeringCodec.h
@@ -31,6 +31,8 @@
     std::optional<std::chrono::milliseconds> abortsIn;
     // Time since the agent saw the engine end or restart; empty if that was long ago.
     std::optional<std::chrono::milliseconds> endedAgo {};
+    // How many times slower than usual the engine says that it runs; zero if it does not say.
+    double pace = 0;
 };
 
 // A router known to the sender of a message.
--- a/Tests/Peering/PeeringCodecTest.cpp
+++ b/Tests/Peering/PeeringCodecTest.cpp
@@ -19,7 +19,7 @@
     message.demand = 12.5;
     message.storeAge = 250ms;
     message.routers = { { "10.0.0.2", "dc-b", 30ms } };
-    message.load = EngineLoad { "e", "10.0.0.3:80", 4, 2, 9, true, 3, true, 120ms, 250ms };
+    message.load = EngineLoad { "e", "10.0.0.3:80", 4, 2, 9, true, 3, true, 120ms, 250ms, 2.5 };
     message.crashes = { { 0xfedcba9876543210, "i-1", 40ms } };
     message.declarations = { { "m", 3, 70ms } };
     message.parts.crashes = { { 0xfedcba9876543211, "i-2", 60ms, 2 } };
@@ -45,6 +45,7 @@
     cr_assert_eq(decoded->parts.served.front().part, 0xfedcba9876543212);
     cr_assert_eq(decoded->parts.served.front().age.count(), 70);
     cr_assert(decoded->load->endedAgo == 250ms);
+    cr_assert_float_eq(decoded->load->pace, 2.5, 1e-9);
     cr_assert_eq(decoded->declarations.size(), 1);
     cr_assert_eq(decoded->declarations.front().model, "m");
     cr_assert_eq(decoded->declarations.front().version, 3);
