Predict from the configuration how long an engine takes for a request

Placement knew only how many requests run at an engine. The object engine of a service tells its speed; Scheduling::EngineModel predicts the first event and the finish from the tokens of a request and from what runs. A value that is missing or makes no sense leaves the model out.

--- a/Source/Fleet/Configuration.h
+++ b/Source/Fleet/Configuration.h
@@ -4,6 +4,7 @@
 // formats, which are behind the interfaces PublicationDecoder and StoreProtocol.
 
 #include "Http/HttpMessage.h"
+#include "Scheduling/EngineModel.h"
 
 #include <chrono>
 #include <cstdint>
@@ -71,6 +72,8 @@
     double coldRequestsPerSecond = 0;
     // Set for a service of model engines.
     std::optional<WeightLayout> weights;
+    // Null if the configuration doesn't tell the speed of the engines.
+    std::shared_ptr<const Scheduling::EngineModel> engineModel;
     // Set if the service is a weight origin.
     std::optional<Http::Endpoint> origin;
     // Bandwidth of the origin's link; zero if unknown.
