Place requests of services with an engine model by predicted finish

Placement compared counts: an engine that was slow, or that read a long prompt, looked as good as others, and requests left their data centre by occupancy. Services with a model now choose of two random targets the one with the earlier predicted finish. Each target's prediction is corrected by the engine's pace and by observed times, relative to the other targets, with a half-life of 300 ms. Other services are placed as before. The log has the prediction, and placements_total counts the places.

--- a/Source/Dispatch/Commands/RecordProgress.cpp
+++ b/Source/Dispatch/Commands/RecordProgress.cpp
@@ -1,6 +1,8 @@
 #include "Dispatch/Commands/RecordProgress.h"
 
 #include "Dispatch/TargetBackoff.h"
+#include "Scheduling/Commands/RecordRatio.h"
+#include "Scheduling/Queries/FindRatio.h"
 
 #include <algorithm>
 
@@ -8,11 +10,26 @@
 
 namespace {
 
-    void endWait(TargetRuntime& runtime, Base::TimePoint assignedAt)
+    // Returns what was predicted, if anything was.
+    std::optional<PredictedPlacement> endWait(TargetRuntime& runtime, Base::TimePoint assignedAt)
     {
         auto waiting = runtime.unanswered.find(assignedAt);
-        if (waiting != runtime.unanswered.end())
-            runtime.unanswered.erase(waiting);
+        if (waiting == runtime.unanswered.end())
+            return std::nullopt;
+        auto predicted = waiting->second;
+        runtime.unanswered.erase(waiting);
+        return predicted;
+    }
+
+    // The part of the target is relative to the others, so that a model which is wrong for all engines alike does not make
+    // those look slow that were used last.
+    void correctPrediction(ServiceState& service, TargetRuntime& runtime, const PredictedPlacement& predicted, Base::Duration observed, Base::TimePoint now)
+    {
+        auto bias = Scheduling::Queries::findRatio(service.modelRatio, now);
+        auto nominal = predicted.nominal.firstEvent;
+        auto expected = std::chrono::duration_cast<Base::Duration>(nominal * bias);
+        Scheduling::Commands::recordRatio(runtime.firstPartRatio, observed, expected, now);
+        Scheduling::Commands::recordRatio(service.modelRatio, observed, nominal, now);
     }
 
 } // namespace
@@ -22,7 +39,8 @@
     state.withService(serviceName, [&](ServiceState& service) {
         service.responseTimes.firstPart.record(now - sentAt, now);
         auto& runtime = service.targets[targetId];
-        endWait(runtime, assignedAt);
+        if (auto predicted = endWait(runtime, assignedAt))
+            correctPrediction(service, runtime, *predicted, now - assignedAt, now);
         runtime.lastFirstPart = now - assignedAt;
         runtime.lastFirstPartAt = now;
         runtime.answeredAssignedAt = std::max(runtime.answeredAssignedAt, assignedAt);
--- a/Source/Dispatch/Commands/ServeQueue.cpp
+++ b/Source/Dispatch/Commands/ServeQueue.cpp
@@ -4,6 +4,7 @@
 #include "Dispatch/Queries/FindCandidates.h"
 #include "Fleet/Queries/ReadFleet.h"
 #include "Scheduling/Commands/RecordWork.h"
+#include "Scheduling/Queries/FindRatio.h"
 #include "Scheduling/Queries/FindStartTag.h"
 #include "Scheduling/Queries/FindUnservable.h"
 
@@ -33,6 +34,12 @@
         runtime.coldTokens -= 1;
     }
 
+    PlacementContext describePlacement(const DispatchState& state, const ServiceState& service, const RequestTraits& traits, const Scheduling::EngineModel* model, Base::TimePoint now)
+    {
+        auto bias = model ? Scheduling::Queries::findRatio(service.modelRatio, now) : 1;
+        return { traits, model, bias, service.isSpilling, state.settings().dataCentre, state.settings().linkBitsPerSecond, now };
+    }
+
     // Retained slots are used before grants.
     void consumeSlotOrGrant(TargetRuntime& runtime, Base::TimePoint now)
     {
@@ -52,12 +59,14 @@
     auto candidates = Queries::findCandidates(state, service, traits, now);
     if (candidates.free.empty())
         return std::nullopt;
-    auto& chosen = candidates.free[state.choose(candidates.free, traits)];
+    auto placement = state.choose(candidates.free, describePlacement(state, service, traits, candidates.model.get(), now));
+    service.isSpilling = placement.spills.value_or(service.isSpilling);
+    auto& chosen = candidates.free[placement.index];
     auto& runtime = service.targets[chosen.target->entry.id];
     consumeColdToken(state, traits.service, *chosen.target, runtime, now);
     ++runtime.inFlight;
     ++runtime.startedSinceReport;
-    runtime.unanswered.insert(now);
+    runtime.unanswered.emplace(now, placement.predicted);
     consumeSlotOrGrant(runtime, now);
     if (runtime.knowledge.isLimited())
         runtime.limitBucket.take(now);
@@ -66,6 +75,8 @@
         lease.expectedWeights = chosen.weights;
     lease.beginBy = chosen.weightsDeadline;
     lease.assignedAt = now;
+    lease.predicted = placement.predicted;
+    lease.spills = placement.spills.value_or(false);
     return lease;
 }
 
--- a/Source/Dispatch/Decision.h
+++ b/Source/Dispatch/Decision.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/Clock.h"
+#include "Dispatch/PredictedPlacement.h"
 #include "Fleet/FleetSnapshot.h"
 
 #include <chrono>
@@ -25,6 +26,10 @@
     Base::TimePoint assignedAt {};
     // When the request must have begun to run at the target, because the target's weights may not be used afterwards.
     std::optional<Base::TimePoint> beginBy {};
+    // Set if the service has a model of its engines.
+    std::optional<PredictedPlacement> predicted {};
+    // The request goes to another data centre although this one had free capacity.
+    bool spills = false;
 };
 
 enum class RefusalReason {
--- a/Source/Dispatch/DispatchState.cpp
+++ b/Source/Dispatch/DispatchState.cpp
@@ -1,6 +1,7 @@
 #include "Dispatch/DispatchState.h"
 
 #include "Dispatch/FewRoutersPolicy.h"
+#include "Dispatch/PredictedFinishPolicy.h"
 #include "Scheduling/FairOrder.h"
 #include "Scheduling/TokenWorkEstimator.h"
 
@@ -10,6 +11,7 @@
     : m_fleet(fleet)
     , m_settings(std::move(settings))
     , m_placement(std::move(placement))
+    , m_predictedPlacement(std::make_unique<PredictedFinishPolicy>())
     , m_admission(std::move(admission))
     , m_queueOrder(std::make_unique<Scheduling::FairOrder>())
     , m_workEstimator(std::make_unique<Scheduling::TokenWorkEstimator>())
@@ -50,10 +52,11 @@
     return m_limitShares->share(target, requestsPerSecond, m_settings.address, *routers, m_settings.regionOf(target.dataCentre));
 }
 
-size_t DispatchState::choose(const std::vector<Candidate>& candidates, const RequestTraits& traits)
+Placement DispatchState::choose(const std::vector<Candidate>& candidates, const PlacementContext& context)
 {
     std::lock_guard guard(m_randomLock);
-    return m_placement->choose(candidates, traits, *m_random);
+    auto& policy = context.model ? m_predictedPlacement : m_placement;
+    return policy->choose(candidates, context, *m_random);
 }
 
 } // namespace Lavenderloft::Dispatch
--- a/Source/Dispatch/DispatchState.h
+++ b/Source/Dispatch/DispatchState.h
@@ -15,6 +15,7 @@
 #include "Fleet/NodeSettings.h"
 #include "Scheduling/FairShares.h"
 #include "Scheduling/QueueOrder.h"
+#include "Scheduling/RatioAverage.h"
 #include "Scheduling/StarvationFloor.h"
 #include "Scheduling/WorkEstimator.h"
 
@@ -61,6 +62,10 @@
     ResponseTimes responseTimes;
     // Whether a target may name a limit; spares the search for one.
     bool mayHaveLimits = false;
+    // Of observed to predicted times to the first part, over all targets of a service with a model of its engines.
+    Scheduling::RatioAverage modelRatio { std::chrono::seconds(5) };
+    // The last request that could stay in this data centre went to another one.
+    bool isSpilling = false;
     // Moving average.
     double completionsPerSecond = 0;
     Base::TimePoint completionsCountedAt {};
@@ -110,8 +115,9 @@
     PartEvidence& parts() { return m_parts; }
     const PartEvidence& parts() const { return m_parts; }
 
-    // Applies the placement policy. The random source has its own lock.
-    size_t choose(const std::vector<Candidate>&, const RequestTraits&);
+    // Applies the placement policy, which predicts if the service has a model of its engines. The random source has its own
+    // lock.
+    Placement choose(const std::vector<Candidate>&, const PlacementContext&);
 
     // Number of routers that share the fleet-wide limits, including this one. Nothing while this router has just started
     // and does not know the others; its share is then zero.
@@ -142,6 +148,7 @@
     Fleet::NodeSettings m_settings;
     mutable std::mutex m_boundsLock;
     std::unique_ptr<PlacementPolicy> m_placement;
+    std::unique_ptr<PlacementPolicy> m_predictedPlacement;
     std::unique_ptr<AdmissionPolicy> m_admission;
     std::unique_ptr<Scheduling::QueueOrder> m_queueOrder;
     std::unique_ptr<Scheduling::WorkEstimator> m_workEstimator;
--- a/Source/Dispatch/PowerOfTwoChoicesPolicy.cpp
+++ b/Source/Dispatch/PowerOfTwoChoicesPolicy.cpp
@@ -1,5 +1,7 @@
 #include "Dispatch/PowerOfTwoChoicesPolicy.h"
 
+#include "Dispatch/Queries/FindLastingCandidates.h"
+
 namespace Lavenderloft::Dispatch {
 
 namespace {
@@ -23,25 +25,10 @@
         return score + failurePenalty * candidate.failureShare;
     }
 
-    // Indexes of the candidates to choose from. For a resumed request these are the ones that do not abort their requests
-    // soon, if there are any, because it may have no attempts left.
-    std::vector<size_t> candidatesNotAbortingSoon(const std::vector<Candidate>& candidates, const RequestTraits& traits)
-    {
-        std::vector<size_t> remaining;
-        std::vector<size_t> all;
-        for (size_t i = 0; i < candidates.size(); ++i) {
-            all.push_back(i);
-            if (!candidates[i].abortsSoon)
-                remaining.push_back(i);
-        }
-        bool wasAborted = traits.requiredWeights > 0;
-        return wasAborted && !remaining.empty() ? remaining : all;
-    }
-
     // Narrows these down to the ones in this region below the spillover occupancy, unless those are too few.
     std::vector<size_t> preferLocalCandidates(const std::vector<Candidate>& candidates, const RequestTraits& traits)
     {
-        auto remaining = candidatesNotAbortingSoon(candidates, traits);
+        auto remaining = Queries::findLastingCandidates(candidates, traits);
         std::vector<size_t> local;
         for (auto i : remaining) {
             if (candidates[i].sameRegion && candidates[i].occupancy < spilloverOccupancy * candidates[i].capacity)
@@ -52,14 +39,14 @@
 
 } // namespace
 
-size_t PowerOfTwoChoicesPolicy::choose(const std::vector<Candidate>& candidates, const RequestTraits& traits, Base::RandomSource& random) const
+Placement PowerOfTwoChoicesPolicy::choose(const std::vector<Candidate>& candidates, const PlacementContext& context, Base::RandomSource& random) const
 {
-    auto local = preferLocalCandidates(candidates, traits);
+    auto local = preferLocalCandidates(candidates, context.traits);
     if (local.size() == 1)
-        return local.front();
+        return { local.front() };
     auto first = random.nextBelow(local.size());
     auto second = (first + 1 + random.nextBelow(local.size() - 1)) % local.size();
-    return scoreOf(candidates[local[first]]) <= scoreOf(candidates[local[second]]) ? local[first] : local[second];
+    return { scoreOf(candidates[local[first]]) <= scoreOf(candidates[local[second]]) ? local[first] : local[second] };
 }
 
 } // namespace Lavenderloft::Dispatch
--- a/Source/Dispatch/PowerOfTwoChoicesPolicy.h
+++ b/Source/Dispatch/PowerOfTwoChoicesPolicy.h
@@ -9,7 +9,7 @@
 // with failures.
 class PowerOfTwoChoicesPolicy final : public PlacementPolicy {
 public:
-    size_t choose(const std::vector<Candidate>&, const RequestTraits&, Base::RandomSource&) const override;
+    Placement choose(const std::vector<Candidate>&, const PlacementContext&, Base::RandomSource&) const override;
 };
 
 } // namespace Lavenderloft::Dispatch
--- a/Source/Dispatch/Queries/FindCandidates.cpp
+++ b/Source/Dispatch/Queries/FindCandidates.cpp
@@ -41,6 +41,7 @@
         }
 
         bool isEngine() const { return m_service && m_service->weights; }
+        std::shared_ptr<const Scheduling::EngineModel> engineModel() const { return m_service ? m_service->engineModel : nullptr; }
         uint64_t minimumVersion() const { return m_minimumWeightsVersion; }
 
         bool isEligible(const Fleet::KnownTarget& target, const TargetRuntime* runtime) const
@@ -262,6 +263,7 @@
         candidate.weightsDeadline = filter.deadlineOf(candidate.weights);
         candidate.failureShare = runtime ? runtime->failureShare : 0;
         candidate.abortsSoon = abortsSoon(runtime, now);
+        candidate.runtime = runtime;
         return candidate;
     }
 
@@ -307,6 +309,7 @@
     // If all targets are silent, the service as a whole is slow.
     if (set.eligible == 0)
         set = collectCandidates(state, service, filter, targets->second, SilentTargets::Included, now);
+    set.model = filter.engineModel();
     set.checkWeights = filter.minimumVersion() > 0 || traits.requiredWeights > 0;
     return set;
 }
--- a/Source/Dispatch/Queries/FindCandidates.h
+++ b/Source/Dispatch/Queries/FindCandidates.h
@@ -2,6 +2,7 @@
 
 #include "Dispatch/DispatchState.h"
 
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -21,6 +22,8 @@
     std::optional<Base::TimePoint> heldBackUntil;
     // Some versions of the weights may not be used, so requests must name the expected one.
     bool checkWeights = false;
+    // Of the service's engines; null if the configuration has none.
+    std::shared_ptr<const Scheduling::EngineModel> model {};
 };
 
 // Finds the targets that can take the request. The caller holds the service's lock.
--- a/Source/Dispatch/TargetRuntime.h
+++ b/Source/Dispatch/TargetRuntime.h
@@ -1,14 +1,16 @@
 #pragma once
 
 #include "Base/Clock.h"
+#include "Dispatch/PredictedPlacement.h"
 #include "Dispatch/TargetStatement.h"
+#include "Scheduling/RatioAverage.h"
 
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
-#include <set>
 
 namespace Lavenderloft::Dispatch {
 
@@ -26,6 +28,8 @@
     bool cold = false;
     // When the engine aborts its requests to load new weights; nothing if no load is planned.
     std::optional<Base::TimePoint> abortsAt;
+    // How many times slower than usual the engine says that it runs; zero if it does not say.
+    double pace = 0;
 };
 
 // This router's part of the limit that a target names.
@@ -110,13 +114,17 @@
     // while others respond.
     unsigned consecutiveSilences = 0;
     Base::TimePoint silentUntil {};
-    // When the requests of this router were assigned to which the target has not begun to respond.
-    std::multiset<Base::TimePoint> unanswered;
+    // Requests of this router to which the target has not begun to respond, by the time of their assignment. What was
+    // predicted is set for services with a model.
+    std::multimap<Base::TimePoint, std::optional<PredictedPlacement>> unanswered;
     // Time from the assignment of the last answered request to the first part of its response, and when that came.
     Base::Duration lastFirstPart {};
     Base::TimePoint lastFirstPartAt {};
     // The latest assignment of an answered request.
     Base::TimePoint answeredAssignedAt {};
+    // Of observed to predicted times to the first part, relative to the other targets of the service. Halved fast, because
+    // engines are slow for some hundred milliseconds at a time.
+    Scheduling::RatioAverage firstPartRatio { std::chrono::milliseconds(300) };
     // Time of the last failed connection attempt.
     Base::TimePoint unreachableAt {};
     // When the agent last saw the target end or restart.
@@ -131,7 +139,7 @@
     Base::Duration unansweredFor(Base::TimePoint now) const
     {
         auto oldest = unanswered.upper_bound(answeredAssignedAt);
-        return oldest == unanswered.end() ? Base::Duration::zero() : now - *oldest;
+        return oldest == unanswered.end() ? Base::Duration::zero() : now - oldest->first;
     }
 
     bool isSilent(Base::TimePoint now) const { return silentUntil > now || unansweredFor(now) > silentAfter; }
--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -176,7 +176,7 @@
             for (auto& target : targets->second) {
                 if (target->entry.address.toString() != load.engineAddress)
                     continue;
-                Dispatch::TargetReport report { load.running, load.queued, load.wholeVersion, load.paused, load.granted, load.cold, std::nullopt };
+                Dispatch::TargetReport report { load.running, load.queued, load.wholeVersion, load.paused, load.granted, load.cold, std::nullopt, load.pace };
                 if (load.abortsIn)
                     report.abortsAt = now + *load.abortsIn;
                 Dispatch::Commands::recordReport(m_dispatch, load.service, target->entry.id, report, now);
--- a/Source/Proxy/RequestLog.cpp
+++ b/Source/Proxy/RequestLog.cpp
@@ -9,6 +9,9 @@
 
     using namespace std::chrono_literals;
 
+    // Slowness from which a placement counts as one at a slow target.
+    constexpr double slowTarget = 1.5;
+
     // Hexadecimal and separated by commas, as callers write them.
     std::string formatParts(const std::vector<Dispatch::PromptPart>& parts)
     {
@@ -40,10 +43,22 @@
 {
     m_waited += lease.waited;
     m_occupancy = lease.occupancy;
+    m_predicted = lease.predicted;
+    countPlacement(lease);
     m_expectedWeights = lease.expectedWeights.value_or(0);
     m_lastTarget = lease.target->entry.id;
 }
 
+void RequestLog::countPlacement(const Dispatch::Lease& lease)
+{
+    if (!lease.predicted)
+        return;
+    auto& settings = m_request->context.dispatch.settings();
+    std::string place = lease.spills ? "spilled" : lease.target->entry.dataCentre == settings.dataCentre ? "home"
+                                                                                                         : "away";
+    m_request->context.metrics.count("placements_total", { { "place", place }, { "slow", lease.predicted->slowness >= slowTarget ? "true" : "false" } });
+}
+
 void RequestLog::attemptFailed(const TargetAttempt& attempt, const AttemptOutcome& outcome, bool isRetried)
 {
     auto end = Dispatch::Queries::attemptEndName(outcome.end);
@@ -99,6 +114,7 @@
     Observability::logEvent(event,
         { { "request", m_request->head.requestId }, { "route", route }, { "organisation", organisation }, { "target", m_lastTarget }, { "status", status }, { "reason", reason },
             { "repeat_refused", m_retryRefusal }, { "attempts", m_request->history.attempts }, { "runs", m_request->history.runs }, { "waited", m_waited }, { "occupancy", m_occupancy },
+            { "predicted", inMilliseconds(m_predicted ? m_predicted->corrected.firstEvent : Base::Duration::zero()) }, { "pace", m_predicted ? m_predicted->slowness : 0 },
             { "first_byte", timeToFirstByte() }, { "elapsed", elapsed() }, { "time_left", m_request->timeLeft() }, { "weights", traits.requiredWeights },
             { "weights_expected", m_expectedWeights }, { "configuration", configuration }, { "revision", snapshot ? snapshot->revision : 0 } });
 }
--- a/Source/Proxy/RequestLog.h
+++ b/Source/Proxy/RequestLog.h
@@ -40,6 +40,7 @@
     bool isFinished() const { return m_isFinished; }
 
 private:
+    void countPlacement(const Dispatch::Lease&);
     void countFinished(const Observability::Event&, std::string_view reason);
     std::chrono::milliseconds elapsed() const;
     // From the arrival of the request to the first byte of the response body; zero without one.
@@ -54,6 +55,8 @@
     std::chrono::milliseconds m_waited { 0 };
     // Requests at the last target when this request was sent there.
     unsigned m_occupancy = 0;
+    // Predicted at the last assignment; nothing if the service has no model of its engines.
+    std::optional<Dispatch::PredictedPlacement> m_predicted;
     // Weights version that the last target was required to hold; zero if any version was allowed.
     uint64_t m_expectedWeights = 0;
 };
--- a/Source/Scheduling/EngineModel.cpp
+++ b/Source/Scheduling/EngineModel.cpp
@@ -10,8 +10,6 @@
 
     using namespace std::chrono_literals;
 
-    // Callers state the tokens themselves; none may claim more work than an engine has memory for.
-    constexpr uint64_t maximumTokens = 1'000'000;
     constexpr double tokensPerThousand = 1000;
     constexpr double pairsPerMillion = 1'000'000;
     // A step or the reading of a token that takes longer is a mistake in the configuration.
@@ -21,7 +19,7 @@
 
     double tokensOrUsual(uint64_t tokens, uint64_t usual)
     {
-        return static_cast<double>(std::min(tokens > 0 ? tokens : usual, maximumTokens));
+        return static_cast<double>(std::min(tokens > 0 ? tokens : usual, EngineModel::maximumTokens));
     }
 
     double nanoseconds(Base::Duration duration)
@@ -39,7 +37,7 @@
         auto isTime = [](Base::Duration time) { return time >= 0ns && time <= longestStep; };
         auto times = { parameters.step, parameters.stepPerWriter, parameters.stepPerThousandContext, parameters.readPerToken, parameters.readPerMillionPairs, parameters.reportLag };
         bool hasTimes = std::all_of(times.begin(), times.end(), isTime) && parameters.step > 0ns && parameters.readPerToken > 0ns;
-        auto isCount = [](uint64_t count) { return count > 0 && count <= maximumTokens; };
+        auto isCount = [](uint64_t count) { return count > 0 && count <= EngineModel::maximumTokens; };
         return hasTimes && isCount(parameters.chunk) && isCount(parameters.stride) && isCount(parameters.usual.promptTokens) && isCount(parameters.usual.outputTokens);
     }
 
--- a/Source/Scheduling/EngineModel.h
+++ b/Source/Scheduling/EngineModel.h
@@ -48,6 +48,9 @@
 // same pass it executes the steps of the requests that write. The last pass over a prompt yields the first event.
 class EngineModel {
 public:
+    // Callers state the tokens themselves; none may claim more work than an engine has memory for.
+    static constexpr uint64_t maximumTokens = 1'000'000;
+
     // Returns null if a value is missing, negative or longer than a prediction may be.
     static std::shared_ptr<const EngineModel> create(EngineParameters);
 
