--- a/Source/Dispatch/TargetRuntime.h
+++ b/Source/Dispatch/TargetRuntime.h
@@ -28,7 +28,7 @@
     bool cold = false;
     // When the engine aborts its requests to load new weights; nothing if no load is planned.
     std::optional<Base::TimePoint> abortsAt;
-    // How many times slower than usual the engine says that it runs; zero if it does not say.
+    // How many times slower than usual the engine says that it runs; zero if it is not slow or does not say.
     double pace = 0;
 };
 
--- a/Source/Peering/PeeringCodec.h
+++ b/Source/Peering/PeeringCodec.h
@@ -31,7 +31,7 @@
     std::optional<std::chrono::milliseconds> abortsIn;
     // Time since the agent saw the engine end or restart; empty if that was long ago.
     std::optional<std::chrono::milliseconds> endedAgo {};
-    // How many times slower than usual the engine says that it runs; zero if it does not say.
+    // How many times slower than usual the engine says that it runs; zero if it is not slow or does not say.
     double pace = 0;
 };
 
--- a/Source/Staging/LoadReporter.cpp
+++ b/Source/Staging/LoadReporter.cpp
@@ -50,7 +50,7 @@
     load.endedAgo = m_monitor.timeSinceEnd();
     load.running = report.running;
     load.queued = report.queued;
-    load.pace = report.pace;
+    load.pace = report.pace > 1 ? report.pace : 0;
     load.wholeVersion = m_monitor.wholeVersion();
     // An engine that may still accept a load request would abort or reject what it is sent meanwhile.
     load.paused = m_intent.isPaused || report.busy || m_loadState.pending;
--- a/Tests/Dispatch/PlacementTest.cpp
+++ b/Tests/Dispatch/PlacementTest.cpp
@@ -139,7 +139,9 @@
 Test(Placement, avoidsAnEngineThatAnsweredLateForAShortTime)
 {
     ModelDispatch test(4, 0);
-    auto predicted = test.lease().predicted->nominal.firstEvent;
+    auto first = test.lease();
+    auto predicted = first.predicted->nominal.firstEvent;
+    test.answer(first, predicted);
     for (int i = 0; i < 8; ++i)
         test.answer(test.lease(), predicted);
     auto slow = test.lease();
@@ -150,6 +152,33 @@
     cr_assert_geq(test.countAt(slow.target->entry.id, 40), 4);
 }
 
+// Guards against an engine that is believed slow for good because it gets no request that would show otherwise.
+Test(Placement, probesAnEngineThatIsBelievedSlow)
+{
+    ModelDispatch test(4, 0);
+    auto first = test.lease();
+    auto predicted = first.predicted->nominal.firstEvent;
+    test.answer(first, predicted);
+    for (int i = 0; i < 8; ++i)
+        test.answer(test.lease(), predicted);
+    auto slow = test.lease();
+    test.answer(slow, 20 * predicted);
+    auto& id = slow.target->entry.id;
+    test.fleet.clock.advance(300ms);
+    test.reportAll();
+    cr_assert_geq(test.countAt(id, 40), 1);
+    TargetReport report { 0, 0, 1, false, 4 };
+    report.pace = 3;
+    for (int i = 0; i < 20; ++i) {
+        test.reportAll();
+        test.report("e", id, report);
+        auto taken = test.lease();
+        cr_assert_neq(taken.target->entry.id, id, "an engine that says that it is slow needs no probe");
+        Commands::recordUnanswered(*test.state, "e", taken.target->entry.id, taken.assignedAt);
+        test.release("e", taken.target->entry.id, Commands::AttemptResult::Abandoned);
+    }
+}
+
 // Guards against requests to an engine that says that it is slow, before any of its responses is late.
 Test(Placement, avoidsAnEngineThatSaysItIsSlow)
 {
--- a/Tests/Platform/StoreCodecTest.cpp
+++ b/Tests/Platform/StoreCodecTest.cpp
@@ -88,7 +88,7 @@
         {"name":"short","host":"h","prefix":"/a/","kind":"safe","timeout_ms":800,"target_latency_ms":150,"priority":2,"service":"s","max_attempts":2,"public":true},
         {"name":"long","host":"h","prefix":"/a/b/","kind":"streaming","timeout_ms":6000,"target_latency_ms":400,"priority":1,"traffic_split":[{"service":"s","weight":90},{"service":"t","weight":10},{"service":"u","weight":0}],"max_attempts":2,"resumable":true,"gap_aim_ms":300,"allowed_regions":["r"]},
         {"name":"once","host":"g","prefix":"/","kind":"unsafe","service":"s"}],
-        "services":[{"name":"s","engine":{"layers":16,"chunks":48,"chunk_bytes":100,"models":[{"name":"m","warm_s":0.3}]},"cold_start_s":3.0,"cold_per_s":28.0},{"name":"o","origin":"172.20.0.3:8006"}],
+        "services":[{"name":"s","engine":{"layers":16,"chunks":48,"chunk_bytes":100,"models":[{"name":"m","warm_s":0.3}]},"cold_start_s":3.0,"cold_per_s":28.0},{"name":"o","origin":"172.20.0.3:8006","engine":{"step_ms":10,"per_seq_ms":0.5,"context_per_k":0.1,"read_per_s":9000,"pairs_per_m":1,"chunk":512,"stride":4,"usual":{"prompt":900,"answer":100}}}],
         "limits":{"max_header_bytes":1000,"max_body_bytes":2000,"header_timeout_ms":3000,"idle_timeout_ms":15000},
         "tenants":[{"name":"n","api_keys":["k1","k2"],"priority":1,"allowed_regions":["r"]}]})";
     auto publication = StoreCodec().decode({ "op/config", document, 1, false, {} });
@@ -104,6 +104,8 @@
     cr_assert(routes[1]->isPublic && routes[1]->kind == Fleet::RequestKind::Idempotent);
     cr_assert_not(configuration.routes.at("g")[0]->isRepeatable());
     cr_assert_eq(configuration.services.at("s").weights->pieces, 48);
+    cr_assert_not(configuration.services.at("s").engineModel, "the speed of the engines is not given");
+    cr_assert(configuration.services.at("o").engineModel);
     cr_assert_eq(configuration.services.at("o").origin->port, 8006);
     cr_assert_eq(configuration.limits.maximumBodyBytes, 2000);
     cr_assert(configuration.hasOrganisations);
