Report demand by urgency to the agents

Cause: the demand of a router was one number, and agents learned it once a second, so that they could not tell urgent requests that wait.

While urgent requests wait, and for a second after, a router tells the agents its demand more often, with at most 8 KB a second. Numbers out of bounds are clamped, counted and logged.

--- a/Source/Peering/Commands/RecordPeer.cpp
+++ b/Source/Peering/Commands/RecordPeer.cpp
@@ -68,6 +68,18 @@
         if (known.lastRepliedAt != Base::TimePoint() && now - known.lastRepliedAt < interval)
             return false;
         known.lastRepliedAt = now;
+        known.demandSentAt = now;
+        return true;
+    });
+}
+
+bool takeDemandReply(PeerTable& table, const std::string& address, std::chrono::milliseconds interval, Base::TimePoint now)
+{
+    return table.agents().withShard(address, [&](PeerTable::Agents::Entries& entries) {
+        auto known = entries.find(address);
+        if (known == entries.end() || now - known->second.demandSentAt < interval)
+            return false;
+        known->second.demandSentAt = now;
         return true;
     });
 }
--- a/Source/Peering/Commands/RecordPeer.h
+++ b/Source/Peering/Commands/RecordPeer.h
@@ -19,6 +19,9 @@
 // Records a message from an agent. Returns whether to reply: the agent is behind, or the last reply is too old.
 bool recordAgent(PeerTable&, const std::string& address, uint64_t revision, uint64_t ownRevision, Base::TimePoint now);
 
+// Returns whether to tell the agent the demand now, and records that. At most once in the interval, replies included.
+bool takeDemandReply(PeerTable&, const std::string& address, std::chrono::milliseconds interval, Base::TimePoint now);
+
 // Removes nodes whose retention period has expired.
 void removeExpiredPeers(PeerTable&, Base::TimePoint now);
 
--- a/Source/Peering/Events.h
+++ b/Source/Peering/Events.h
@@ -16,6 +16,7 @@
 inline constexpr Event configurationInForce { 7506, "configuration-in-force", Level::Info, "A different version of the configuration came into force." };
 inline constexpr Event storeResponded { 7509, "store-responded", Level::Info, "The store sent changes: the time since the request, and the age of the last change that this node may still lack." };
 inline constexpr Event itemsFetched { 7510, "items-fetched", Level::Info, "Items were fetched from another router; revision and size of its response and the time since the request." };
+inline constexpr Event demandClamped { 7511, "demand-clamped", Level::Warning, "A message from the named router bears demands that no router can have; they were brought within their bounds." };
 inline constexpr Event messageUnreadable { 7507, "message-unreadable", Level::Warning, "A datagram that is not a valid peer message was dropped." };
 inline constexpr Event declarationLearned { 7508, "declaration-learned", Level::Info, "A declaration of weights, or a more accurate time of it, became known; outdated weights are excluded by its age." };
 
--- a/Source/Peering/PeerTable.h
+++ b/Source/Peering/PeerTable.h
@@ -5,6 +5,7 @@
 
 #include "Base/Clock.h"
 #include "Base/ShardedMap.h"
+#include "Scheduling/UrgencyDemand.h"
 
 #include <cstdint>
 #include <optional>
@@ -34,6 +35,10 @@
     StoreSyncReport storeSync {};
     // The router did not respond to a request for items; no further request is sent to it before this time.
     Base::TimePoint backoffUntil {};
+    // Empty if the router does not report it.
+    Scheduling::DemandByUrgency urgencyDemand {};
+    // When the router itself reported the demand.
+    Base::TimePoint demandAt {};
 };
 
 // An agent that reports its load to this router.
@@ -41,6 +46,8 @@
     std::string address;
     Base::TimePoint lastSeenAt {};
     Base::TimePoint lastRepliedAt {};
+    // When the agent was last told the demand, in a reply or on its own.
+    Base::TimePoint demandSentAt {};
     uint64_t revision = 0;
 };
 
@@ -52,6 +59,9 @@
     // A silent router keeps its share of the fleet-wide limits for this long, because it may be running behind a network
     // partition.
     static constexpr std::chrono::seconds routerRetention { 60 };
+    // Requests of a router that has not reported for longer do not count as waiting: it may be frozen, and replies come once
+    // a second even if none waits.
+    static constexpr std::chrono::milliseconds waitingLifetime { 1200 };
 
     using Routers = Base::ShardedMap<std::string, PeerRouter>;
     using Agents = Base::ShardedMap<std::string, PeerAgent>;
--- a/Source/Peering/PeeringCodec.cpp
+++ b/Source/Peering/PeeringCodec.cpp
@@ -1,5 +1,7 @@
 #include "Peering/PeeringCodec.h"
 
+#include "Scheduling/Queries/ClampDemand.h"
+
 #include "peering.pb.h"
 
 #include <cmath>
@@ -42,6 +44,50 @@
         return times;
     }
 
+    void writeDemand(const Scheduling::DemandByUrgency& demand, protocol::Heartbeat& encoded)
+    {
+        for (size_t band = 0; band < demand.bands.size(); ++band) {
+            auto& own = demand.bands[band];
+            if (own.isEmpty())
+                continue;
+            auto* added = encoded.add_urgency_demands();
+            added->set_urgency(static_cast<uint32_t>(band));
+            added->set_requests_per_second(own.requestsPerSecond);
+            added->set_waiting(own.waiting);
+            added->set_starts_per_second(own.startsPerSecond);
+        }
+    }
+
+    // The sender may be faulty, and a number without a bound would give it the slots of the other routers.
+    void readDemand(const protocol::Heartbeat& encoded, NodeMessage& message)
+    {
+        message.demand = Scheduling::Queries::clampRate(encoded.demand());
+        if (message.demand != encoded.demand())
+            ++message.clampedDemands;
+        for (auto& band : encoded.urgency_demands()) {
+            Scheduling::UrgencyDemand demand { band.requests_per_second(), band.waiting(), band.starts_per_second() };
+            if (band.urgency() >= Scheduling::DemandByUrgency::bandCount || Scheduling::Queries::isOutOfBounds(demand))
+                ++message.clampedDemands;
+            if (band.urgency() < Scheduling::DemandByUrgency::bandCount)
+                message.urgencyDemand.bands[band.urgency()] = Scheduling::Queries::clampDemand(demand);
+        }
+    }
+
+    void writeReuse(const std::optional<Scheduling::ReuseLimit>& reuse, protocol::EngineLoad& encoded)
+    {
+        if (!reuse)
+            return;
+        encoded.set_reuse_urgency(static_cast<uint32_t>(reuse->urgency));
+        encoded.set_reuse_per_second(reuse->requestsPerSecond);
+    }
+
+    std::optional<Scheduling::ReuseLimit> readReuse(const protocol::EngineLoad& encoded)
+    {
+        if (!encoded.has_reuse_urgency() || encoded.reuse_urgency() >= Scheduling::DemandByUrgency::bandCount)
+            return std::nullopt;
+        return Scheduling::ReuseLimit { static_cast<int>(encoded.reuse_urgency()), Scheduling::Queries::clampRate(encoded.reuse_per_second()) };
+    }
+
 } // namespace
 
 // Of concatenated messages, the receiver sees one with the fields of both.
@@ -83,6 +129,7 @@
         if (message.load->endedAgo)
             load->set_ended_ago_ms(static_cast<uint32_t>(message.load->endedAgo->count()));
         load->set_granted(message.load->granted);
+        writeReuse(message.load->reuse, *load);
     }
     for (auto& crash : message.crashes) {
         auto* report = encoded.add_crashes();
@@ -117,6 +164,7 @@
             report->set_requests_per_second(*limit.requestsPerSecond);
         report->set_age_ms(static_cast<uint32_t>(limit.age.count()));
     }
+    writeDemand(message.urgencyDemand, encoded);
     writeTimes(message.times, encoded);
     return encoded.SerializeAsString();
 }
@@ -132,7 +180,7 @@
     message.isRouter = encoded.is_router();
     message.leaving = encoded.leaving();
     message.revision = encoded.revision();
-    message.demand = encoded.demand();
+    readDemand(encoded, message);
     if (encoded.has_store_age_ms())
         message.storeAge = std::chrono::milliseconds(encoded.store_age_ms());
     for (auto& router : encoded.routers())
@@ -144,6 +192,7 @@
             message.load->abortsIn = std::chrono::milliseconds(load.cuts_in_ms());
         if (load.has_ended_ago_ms())
             message.load->endedAgo = std::chrono::milliseconds(load.ended_ago_ms());
+        message.load->reuse = readReuse(load);
     }
     for (auto& crash : encoded.crashes())
         message.crashes.push_back({ crash.fingerprint(), crash.target(), std::chrono::milliseconds(crash.age_ms()) });
--- a/Source/Peering/PeeringCodec.h
+++ b/Source/Peering/PeeringCodec.h
@@ -6,6 +6,8 @@
 #include "Fleet/Publication.h"
 #include "Peering/PeerClocks.h"
 #include "Peering/PeerTable.h"
+#include "Scheduling/ReuseAllowance.h"
+#include "Scheduling/UrgencyDemand.h"
 
 #include <chrono>
 #include <map>
@@ -31,6 +33,8 @@
     std::optional<std::chrono::milliseconds> abortsIn;
     // Time since the agent saw the engine end or restart; empty if that was long ago.
     std::optional<std::chrono::milliseconds> endedAgo {};
+    // Limit on the slots that the receiver reuses; empty if it is not limited.
+    std::optional<Scheduling::ReuseLimit> reuse {};
 };
 
 // A router known to the sender of a message.
@@ -61,6 +65,10 @@
     MessageTimes times {};
     // Limits that targets name, as the sender, a router, knows them.
     std::vector<Dispatch::LimitReport> limits {};
+    // Demand for engines at a router; empty if its routes do not differ in priority.
+    Scheduling::DemandByUrgency urgencyDemand {};
+    // Numbers of a demand that were out of their bounds when the message was decoded.
+    unsigned clampedDemands = 0;
 };
 
 // A datagram must not be larger. With the most reports of each kind a message stays below it.
--- a/Source/Peering/PeeringNode.cpp
+++ b/Source/Peering/PeeringNode.cpp
@@ -41,6 +41,9 @@
     // Interval of the load reports to one router that bear times and declarations: the other reports stay small.
     constexpr std::chrono::milliseconds timedLoadInterval = 1000ms;
 
+    // Agents are told of the demand more often for this time after urgent requests waited, so that they learn of its end.
+    constexpr std::chrono::milliseconds urgentReplyTime = 1000ms;
+
     template <typename Report>
     void truncate(std::vector<Report>& reports, size_t maximum)
     {
@@ -92,6 +95,7 @@
     message.dataCentre = m_settings.dataCentre;
     message.isRouter = m_isRouter;
     message.demand = m_demand;
+    message.urgencyDemand = m_urgencyDemand;
     message.revision = Fleet::Queries::knownRevision(m_merger.fleet());
     if (auto syncedAt = m_storeSyncTime ? m_storeSyncTime() : std::nullopt)
         message.storeAge = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - *syncedAt);
@@ -204,14 +208,15 @@
     return true;
 }
 
-void PeeringNode::sendLoad(const EngineLoad& load, const std::vector<PeerRouter>& receivers, const std::map<std::string, unsigned>& grantsByRouter)
+void PeeringNode::sendLoad(const EngineLoad& load, const std::vector<PeerRouter>& receivers, const std::map<std::string, RouterShare>& shares)
 {
     auto message = describeSelf();
     message.load = load;
     auto declarations = std::exchange(message.declarations, {});
     for (auto& router : receivers) {
-        auto granted = grantsByRouter.find(router.address);
-        message.load->granted = granted == grantsByRouter.end() ? 0 : granted->second;
+        auto share = shares.find(router.address);
+        message.load->granted = share == shares.end() ? 0 : share->second.granted;
+        message.load->reuse = share == shares.end() ? std::nullopt : share->second.reuse;
         if (!isTimedLoadDue(router.address)) {
             sendTo(router.address, encodeMessage(message));
             continue;
@@ -334,7 +339,7 @@
     }
     logNewRouter(message.sender, message.dataCentre);
     auto now = m_clock.now();
-    PeerRouter router { message.sender, message.dataCentre, now, message.revision, message.demand, syncReportOf(message, now) };
+    PeerRouter router { message.sender, message.dataCentre, now, message.revision, message.demand, syncReportOf(message, now), {}, message.urgencyDemand, now };
     bool isNewReport = router.storeSync.reportedAt == now;
     if (isNewReport && Fleet::Queries::knownRevision(m_merger.fleet()) >= message.revision)
         m_merger.recordRelayedSync(router.storeSync.syncedAt, m_settings.regionOf(message.dataCentre) == m_settings.region, message.sender);
@@ -354,7 +359,7 @@
     }
     if (!message.declarations.empty() && isPrompt(message))
         m_merger.applyObserved(message.declarations, message.sender);
-    auto ownRevision = Fleet::Queries::knownRevision(m_merger.fleet());
+    recordClampedDemands(message);
     if (message.isRouter) {
         handleRouterMessage(message);
         if (!message.crashes.empty() && m_onCrashes)
@@ -367,11 +372,56 @@
     }
     if (message.load && m_onLoad)
         m_onLoad(*message.load);
-    if (!m_isRouter || !Commands::recordAgent(m_peers, message.sender, message.revision, ownRevision, m_clock.now()))
+    if (m_isRouter)
+        replyToAgent(message.sender, message.revision);
+}
+
+void PeeringNode::replyToAgent(const std::string& address, uint64_t revision)
+{
+    auto now = m_clock.now();
+    if (Commands::recordAgent(m_peers, address, revision, Fleet::Queries::knownRevision(m_merger.fleet()), now)) {
+        auto reply = describeSelf();
+        addKnownRouters(reply);
+        sendTimed(address, encodeMessage(reply));
+        return;
+    }
+    if (m_urgentWaitedAt && now - *m_urgentWaitedAt < urgentReplyTime)
+        sendDemand(address);
+}
+
+// A message with nothing but the demand, so that many can be sent.
+void PeeringNode::sendDemand(const std::string& address)
+{
+    NodeMessage message;
+    message.sender = m_settings.address;
+    message.dataCentre = m_settings.dataCentre;
+    message.isRouter = true;
+    message.demand = m_demand;
+    message.revision = Fleet::Queries::knownRevision(m_merger.fleet());
+    message.urgencyDemand = m_urgencyDemand;
+    auto bytes = encodeMessage(message);
+    if (Commands::takeDemandReply(m_peers, address, Queries::demandReplyInterval(m_peers, bytes.size()), m_clock.now()))
+        sendTo(address, bytes);
+}
+
+void PeeringNode::setUrgencyDemand(const Scheduling::DemandByUrgency& demand, bool isUrgentWaiting)
+{
+    m_urgencyDemand = demand;
+    if (isUrgentWaiting)
+        m_urgentWaitedAt = m_clock.now();
+}
+
+std::vector<PeerRouter> PeeringNode::knownRouters() const
+{
+    return Queries::liveRouters(m_peers, m_clock.now());
+}
+
+void PeeringNode::recordClampedDemands(const NodeMessage& message)
+{
+    if (message.clampedDemands == 0)
         return;
-    auto reply = describeSelf();
-    addKnownRouters(reply);
-    sendTimed(message.sender, encodeMessage(reply));
+    m_clampedDemands += message.clampedDemands;
+    Observability::logEvent(Events::demandClamped, { { "sender", message.sender }, { "numbers", message.clampedDemands } });
 }
 
 // Items from another region are new to the routers of this one.
--- a/Source/Peering/PeeringNode.h
+++ b/Source/Peering/PeeringNode.h
@@ -10,6 +10,7 @@
 #include "Peering/StoreTakeover.h"
 
 #include <array>
+#include <atomic>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -21,6 +22,13 @@
 
 namespace Lavenderloft::Peering {
 
+// Part of the slots of the local engine that a router may use until the next report.
+struct RouterShare {
+    unsigned granted = 0;
+    // Empty if the router may reuse all slots that it releases.
+    std::optional<Scheduling::ReuseLimit> reuse {};
+};
+
 // Exchanges messages with the other nodes, and fetches missing published items from a router with a newer revision.
 // Runs on one event loop.
 class PeeringNode {
@@ -53,12 +61,22 @@
     // Returns the routers that receive the next load report: all of the own region and a rotating subset of the others.
     std::vector<PeerRouter> nextLoadReceivers();
 
-    // Sends the load of the local engine to the routers, to each with its number of grants.
-    void sendLoad(const EngineLoad&, const std::vector<PeerRouter>&, const std::map<std::string, unsigned>& grantsByRouter);
+    // Sends the load of the local engine to the routers, to each with its share of the slots.
+    void sendLoad(const EngineLoad&, const std::vector<PeerRouter>&, const std::map<std::string, RouterShare>&);
 
     // Sets the rate of requests for engines that this router reports.
     void setDemand(double requestsPerSecond) { m_demand = requestsPerSecond; }
 
+    // Sets the demand by urgency that this router reports, and whether urgent requests wait, of which agents are told more
+    // often.
+    void setUrgencyDemand(const Scheduling::DemandByUrgency&, bool isUrgentWaiting);
+
+    // Live routers that have been heard of, with what they report.
+    std::vector<PeerRouter> knownRouters() const;
+
+    // Numbers in the demands of other routers that were out of their bounds.
+    uint64_t clampedDemands() const { return m_clampedDemands; }
+
     // Notifies the routers that this node is shutting down.
     void announceLeaving();
 
@@ -90,6 +108,9 @@
     std::vector<PeerRouter> nextHeartbeatReceivers(const std::vector<PeerRouter>& routers);
     void announceFetched(const PeerRouter& source);
     bool followsStore() const;
+    void replyToAgent(const std::string& address, uint64_t revision);
+    void sendDemand(const std::string& address);
+    void recordClampedDemands(const NodeMessage&);
     void sendTo(const std::string& address, const std::string& bytes);
     void sendTimed(const std::string& address, const std::string& bytes);
     bool isTimedLoadDue(const std::string& address);
@@ -126,6 +147,10 @@
     size_t m_limitsPosition = 0;
     StoreSyncTimeProvider m_storeSyncTime;
     double m_demand = 0;
+    Scheduling::DemandByUrgency m_urgencyDemand;
+    // When urgent requests last waited; empty if none did.
+    std::optional<Base::TimePoint> m_urgentWaitedAt;
+    std::atomic<uint64_t> m_clampedDemands { 0 };
     // Positions of the rotations over known routers, heartbeat receivers and load receivers.
     size_t m_knownRoutersPosition = 0;
     size_t m_ownRegionPosition = 0;
--- a/Source/Peering/Queries/ListPeers.cpp
+++ b/Source/Peering/Queries/ListPeers.cpp
@@ -101,4 +101,28 @@
     return best;
 }
 
+Scheduling::DemandByUrgency currentDemand(const PeerRouter& router, Base::TimePoint now)
+{
+    auto demand = router.urgencyDemand;
+    if (demand.isEmpty()) {
+        demand.bands[Scheduling::DemandByUrgency::leastUrgentBand] = { router.demand, 0, router.demand };
+        return demand;
+    }
+    if (now - router.demandAt > PeerTable::waitingLifetime) {
+        for (auto& band : demand.bands)
+            band = { band.startsPerSecond, 0, band.startsPerSecond };
+    }
+    return demand;
+}
+
+std::chrono::milliseconds demandReplyInterval(const PeerTable& table, size_t replyBytes)
+{
+    // A node sends at most 12 KB of control messages a second; the rest is for heartbeats and replies.
+    constexpr double bytesPerSecond = 8000;
+    // Agents report at this interval.
+    constexpr std::chrono::milliseconds minimum { 100 };
+    auto seconds = std::chrono::duration<double>(static_cast<double>(table.agents().size() * replyBytes) / bytesPerSecond);
+    return std::max(minimum, std::chrono::ceil<std::chrono::milliseconds>(seconds));
+}
+
 } // namespace Lavenderloft::Peering::Queries
--- a/Source/Peering/Queries/ListPeers.h
+++ b/Source/Peering/Queries/ListPeers.h
@@ -34,6 +34,14 @@
 // The newest revision of the live routers; zero if there are none.
 uint64_t newestRevision(const PeerTable&, Base::TimePoint now);
 
+// Demand of the router by urgency. A router that does not report it counts as one of the least urgent requests, and requests
+// that it reported as waiting are not counted after PeerTable::waitingLifetime.
+Scheduling::DemandByUrgency currentDemand(const PeerRouter&, Base::TimePoint now);
+
+// Interval between demand replies to one agent, so that those to all agents stay within the part of a router's control
+// messages. The reply has that many bytes.
+std::chrono::milliseconds demandReplyInterval(const PeerTable&, size_t replyBytes);
+
 // Returns a live router with a newer revision, preferably one in the node's data centre.
 std::optional<PeerRouter> findRouterAhead(const PeerTable&, uint64_t revision, const Fleet::NodeSettings&, Base::TimePoint now);
 
--- a/Tests/Peering/PeerTableTest.cpp
+++ b/Tests/Peering/PeerTableTest.cpp
@@ -249,3 +249,73 @@
     Commands::recordRouter(table, { "10.0.0.3", "dc-a", clock.now(), 1, 0, { clock.now(), clock.now() - 4s } });
     cr_assert_not(Queries::isStoreFollowedByPeer(table, settings, clock.now()), "it has not been synchronised for too long");
 }
+
+// Guards against agents that learn of waiting requests only once a second, and against control messages that grow with the
+// number of agents.
+Test(DemandReplies, staysWithinABudgetForAnyNumberOfAgents)
+{
+    constexpr size_t replyBytes = 100;
+    for (size_t agents : { 1, 58, 890, 6700 }) {
+        PeerTable table;
+        Base::ManualClock clock;
+        clock.advance(1h);
+        for (size_t i = 0; i < agents; ++i)
+            Commands::recordAgent(table, std::to_string(i), 5, 5, clock.now());
+        auto interval = Queries::demandReplyInterval(table, replyBytes);
+        cr_assert_geq(interval.count(), 100);
+        size_t replies = 0;
+        constexpr auto time = 10s;
+        for (auto elapsed = 0ms; elapsed < time; elapsed += 100ms) {
+            clock.advance(100ms);
+            for (size_t i = 0; i < agents; ++i)
+                replies += Commands::takeDemandReply(table, std::to_string(i), interval, clock.now());
+        }
+        auto bytesPerSecond = replies * replyBytes / 10;
+        cr_log_warn("%zu agents: interval %ld ms, %zu bytes a second", agents, static_cast<long>(interval.count()), bytesPerSecond);
+        cr_assert_leq(bytesPerSecond, 8000);
+    }
+}
+
+// Guards against more messages than needed: an ordinary reply bears the demand too.
+Test(DemandReplies, countOrdinaryReplies)
+{
+    PeerTable table;
+    Base::ManualClock clock;
+    clock.advance(1h);
+    cr_assert_not(Commands::takeDemandReply(table, "x", 100ms, clock.now()), "the agent has not reported");
+    cr_assert(Commands::recordAgent(table, "x", 5, 5, clock.now()));
+    cr_assert_not(Commands::takeDemandReply(table, "x", 100ms, clock.now()));
+    clock.advance(100ms);
+    cr_assert(Commands::takeDemandReply(table, "x", 100ms, clock.now()));
+}
+
+// A router of an earlier program must count as one of the least urgent requests, and a frozen one must not count as waiting.
+Test(CurrentDemand, countsOldAndFrozenRouters)
+{
+    Base::ManualClock clock;
+    clock.advance(1h);
+    PeerRouter old { "a", "dc-a", clock.now(), 1, 7 };
+    cr_assert_float_eq(Queries::currentDemand(old, clock.now()).bands[3].requestsPerSecond, 7, 1e-9);
+    PeerRouter frozen { "b", "dc-a", clock.now(), 1, 7 };
+    frozen.urgencyDemand.bands[0] = { 5, 3, 2 };
+    frozen.demandAt = clock.now();
+    cr_assert_eq(Queries::currentDemand(frozen, clock.now()).bands[0].waiting, 3);
+    clock.advance(PeerTable::waitingLifetime + 1ms);
+    cr_assert_not(Queries::currentDemand(frozen, clock.now()).bands[0].isUnmet());
+}
+
+// Guards against gossip that makes the demand of a frozen router look recent.
+Test(CurrentDemand, isNotRefreshedByGossip)
+{
+    PeerTable table;
+    Base::ManualClock clock;
+    clock.advance(1h);
+    PeerRouter router { "a", "dc-a", clock.now(), 1, 7 };
+    router.urgencyDemand.bands[0] = { 5, 3, 2 };
+    router.demandAt = clock.now();
+    Commands::recordRouter(table, router);
+    clock.advance(PeerTable::waitingLifetime + 1ms);
+    Commands::recordGossip(table, "a", "dc-a", clock.now());
+    auto known = Queries::liveRouters(table, clock.now()).front();
+    cr_assert_eq(Queries::currentDemand(known, clock.now()).bands[0].waiting, 0);
+}
--- a/Tests/Peering/PeeringCodecTest.cpp
+++ b/Tests/Peering/PeeringCodecTest.cpp
@@ -1,5 +1,6 @@
 #include "Peering/PeeringCodec.h"
 
+#include <cmath>
 #include <criterion/criterion.h>
 #include <limits>
 
@@ -117,6 +118,8 @@
     auto withServed = encodeMessage(message).size();
     message.crashes.assign(maximumCrashesPerMessage, { UINT64_MAX, target, 60000ms });
     message.limits.assign(maximumLimitsPerMessage, { target, target, UINT64_MAX, 0.1, 600000ms });
+    message.urgencyDemand.bands.fill({ 0.1, 1000, 0.1 });
+    message.load = EngineLoad { target, target, UINT32_MAX, UINT32_MAX, UINT64_MAX, true, UINT32_MAX, true, 100000ms, 100000ms, Scheduling::ReuseLimit { 3, 0.1 } };
     auto full = encodeMessage(message).size();
     cr_log_info("bytes: %zu, a part's crash %zu, a served part %zu, full %zu", empty, (withCrashes - empty) / maximumPartCrashesPerMessage, (withServed - withCrashes) / maximumPartsServedPerMessage, full);
     cr_assert_leq(full, maximumMessageBytes);
@@ -168,3 +171,58 @@
     cr_assert_eq(decoded->limits.size(), 1);
     cr_assert(decoded->limits.front().requestsPerSecond == 3.0);
 }
+
+// Guards against demands that do not reach the agents.
+Test(PeeringCodec, preservesDemands)
+{
+    NodeMessage message;
+    message.sender = "10.0.0.1";
+    message.urgencyDemand.bands[0] = { 1.5, 3, 2.5 };
+    message.urgencyDemand.bands[2] = { 0, 20, 0 };
+    message.load = EngineLoad {};
+    message.load->reuse = Scheduling::ReuseLimit { 2, 0.25 };
+    auto decoded = decodeMessage(encodeMessage(message));
+    cr_assert_eq(decoded->clampedDemands, 0);
+    cr_assert_float_eq(decoded->urgencyDemand.bands[0].requestsPerSecond, 1.5, 1e-9);
+    cr_assert_eq(decoded->urgencyDemand.bands[0].waiting, 3);
+    cr_assert_float_eq(decoded->urgencyDemand.bands[0].startsPerSecond, 2.5, 1e-9);
+    cr_assert_eq(decoded->urgencyDemand.bands[2].waiting, 20);
+    cr_assert(decoded->urgencyDemand.bands[1].isEmpty());
+    cr_assert_eq(decoded->load->reuse->urgency, 2);
+    cr_assert_float_eq(decoded->load->reuse->requestsPerSecond, 0.25, 1e-9);
+    message.load->reuse = std::nullopt;
+    cr_assert_not(decodeMessage(encodeMessage(message))->load->reuse.has_value());
+}
+
+// Guards against numbers of a faulty router that would give it the slots of all others, or that no computation survives.
+Test(PeeringCodec, clampsDemands)
+{
+    for (auto rate : { -1.0, std::numeric_limits<double>::infinity(), std::nan(""), 1e300 }) {
+        NodeMessage message;
+        message.sender = "10.0.0.1";
+        message.demand = rate;
+        message.urgencyDemand.bands[1] = { rate, UINT32_MAX, rate };
+        message.load = EngineLoad {};
+        message.load->reuse = Scheduling::ReuseLimit { 1, rate };
+        auto decoded = decodeMessage(encodeMessage(message));
+        cr_assert(decoded.has_value());
+        cr_assert_eq(decoded->clampedDemands, 2);
+        auto expected = rate > 1e9 && std::isfinite(rate) ? 10000.0 : 0.0;
+        cr_assert_float_eq(decoded->demand, expected, 1e-9);
+        cr_assert_float_eq(decoded->urgencyDemand.bands[1].requestsPerSecond, expected, 1e-9);
+        cr_assert_eq(decoded->urgencyDemand.bands[1].waiting, 1000);
+        cr_assert_float_eq(decoded->load->reuse->requestsPerSecond, expected, 1e-9);
+    }
+}
+
+// Guards against messages that grow with the fleet: the demand has a fixed number of bands.
+Test(PeeringCodec, aDemandIsSmall)
+{
+    NodeMessage message;
+    message.sender = "255.255.255.255";
+    auto without = encodeMessage(message).size();
+    message.urgencyDemand.bands.fill({ 123.456, 1000, 123.456 });
+    auto added = encodeMessage(message).size() - without;
+    cr_log_warn("bytes of a demand: %zu", added);
+    cr_assert_leq(added, 4 * 28);
+}
