Let slots move to urgent requests at other routers

Cause: slots hardly moved between routers under saturation, because each router used the slots that it released again.

Change: the agents distribute grants by urgency and tell each router how much it may reuse while urgent requests lack a slot. Deployments whose routes to engines have one priority are served as before.

--- a/Source/Dispatch/Commands/AcquireTarget.cpp
+++ b/Source/Dispatch/Commands/AcquireTarget.cpp
@@ -5,6 +5,7 @@
 #include "Dispatch/Queries/FindBlockedPart.h"
 #include "Dispatch/Queries/FindCandidates.h"
 #include "Dispatch/Queries/FindQuarantine.h"
+#include "Scheduling/Commands/RecordUrgency.h"
 #include "Scheduling/Commands/RecordWork.h"
 
 #include <algorithm>
@@ -120,6 +121,7 @@
         return *refusal;
     return state.withService(traits.service, [&](ServiceState& service) {
         service.retryWindow.countRequest(now);
+        Scheduling::Commands::countArrival(service.urgencyRates, traits.priority, now);
         return admit(state, service, traits, std::move(observer), false, now);
     });
 }
--- a/Source/Dispatch/Commands/RecordOutcome.cpp
+++ b/Source/Dispatch/Commands/RecordOutcome.cpp
@@ -81,7 +81,7 @@
         if (runtime.inFlight > 0)
             --runtime.inFlight;
         if (result == AttemptResult::Served)
-            runtime.retainedSlots.push_back(now + TargetRuntime::slotRetention);
+            runtime.retainSlot(now);
         recordResult(runtime, result, now);
         countCompletion(service, now);
         serveQueue(state, service, now);
@@ -97,6 +97,7 @@
         runtime.remainingGrants = report.granted;
         runtime.startedSinceReport = 0;
         runtime.report = report;
+        runtime.reuse.setLimit(report.reuse, now);
         runtime.reportedAt = now;
         if (!service.waiting.empty())
             serveQueue(state, service, now);
--- a/Source/Dispatch/Commands/ServeQueue.cpp
+++ b/Source/Dispatch/Commands/ServeQueue.cpp
@@ -3,6 +3,7 @@
 #include "Dispatch/Commands/ShareLimits.h"
 #include "Dispatch/Queries/FindCandidates.h"
 #include "Fleet/Queries/ReadFleet.h"
+#include "Scheduling/Commands/RecordUrgency.h"
 #include "Scheduling/Commands/RecordWork.h"
 #include "Scheduling/Queries/FindStartTag.h"
 #include "Scheduling/Queries/FindUnservable.h"
@@ -33,12 +34,14 @@
         runtime.coldTokens -= 1;
     }
 
-    // Retained slots are used before grants.
-    void consumeSlotOrGrant(TargetRuntime& runtime, Base::TimePoint now)
+    // Retained slots are used before grants, if the request may use them.
+    void consumeSlotOrGrant(TargetRuntime& runtime, int urgency, Base::TimePoint now)
     {
+        bool mayReuse = runtime.reuse.allows(urgency, now);
+        runtime.reuse.recordStart(urgency, now);
         while (!runtime.retainedSlots.empty() && runtime.retainedSlots.front() <= now)
             runtime.retainedSlots.pop_front();
-        if (!runtime.retainedSlots.empty())
+        if (mayReuse && !runtime.retainedSlots.empty())
             runtime.retainedSlots.pop_front();
         else if (runtime.remainingGrants > 0)
             --runtime.remainingGrants;
@@ -58,7 +61,8 @@
     ++runtime.inFlight;
     ++runtime.startedSinceReport;
     runtime.unanswered.insert(now);
-    consumeSlotOrGrant(runtime, now);
+    consumeSlotOrGrant(runtime, traits.priority, now);
+    Scheduling::Commands::countStart(service.urgencyRates, traits.priority, now);
     if (runtime.knowledge.isLimited())
         runtime.limitBucket.take(now);
     Lease lease { chosen.target, std::nullopt, chosen.occupancy, {} };
--- a/Source/Dispatch/DispatchState.h
+++ b/Source/Dispatch/DispatchState.h
@@ -16,6 +16,7 @@
 #include "Scheduling/FairShares.h"
 #include "Scheduling/QueueOrder.h"
 #include "Scheduling/StarvationFloor.h"
+#include "Scheduling/UrgencyRates.h"
 #include "Scheduling/WorkEstimator.h"
 
 #include <array>
@@ -55,6 +56,7 @@
     std::list<WaitingRequest> waiting;
     Scheduling::SharesByUrgency shares;
     Scheduling::StarvationFloor floor;
+    Scheduling::UrgencyRates urgencyRates;
     // Moving average of the predicted work of arriving requests.
     double meanWork = 0;
     RetryWindow retryWindow;
--- a/Source/Dispatch/Queries/EngineDemand.cpp
+++ b/Source/Dispatch/Queries/EngineDemand.cpp
@@ -1,9 +1,45 @@
 #include "Dispatch/Queries/EngineDemand.h"
 
 #include "Fleet/Queries/ReadFleet.h"
+#include "Scheduling/Queries/ReadUrgencyRates.h"
+
+#include <algorithm>
+#include <set>
 
 namespace Lavenderloft::Dispatch::Queries {
 
+namespace {
+
+    bool isEngineService(const Fleet::Configuration& configuration, const std::string& name)
+    {
+        auto found = configuration.services.find(name);
+        return found != configuration.services.end() && found->second.weights;
+    }
+
+    bool leadsToEngines(const Fleet::Configuration& configuration, const Fleet::Route& route)
+    {
+        return std::any_of(route.services.begin(), route.services.end(), [&](auto& service) { return isEngineService(configuration, service.service); });
+    }
+
+    // Bands that requests for engines can have.
+    std::set<size_t> engineBands(const Fleet::Configuration& configuration)
+    {
+        std::set<size_t> bands;
+        for (auto& [host, routes] : configuration.routes) {
+            for (auto& route : routes) {
+                if (leadsToEngines(configuration, *route))
+                    bands.insert(Scheduling::DemandByUrgency::bandOf(route->priority));
+            }
+        }
+        for (auto& [key, organisation] : configuration.organisationsByKey) {
+            if (organisation->priority)
+                bands.insert(Scheduling::DemandByUrgency::bandOf(*organisation->priority));
+        }
+        return bands;
+    }
+
+} // namespace
+
 double engineDemand(DispatchState& state, Base::TimePoint now)
 {
     auto snapshot = Fleet::Queries::currentSnapshot(state.fleet());
@@ -19,4 +55,37 @@
     return demand;
 }
 
+Scheduling::DemandByUrgency engineDemandByUrgency(DispatchState& state, Base::TimePoint now)
+{
+    Scheduling::DemandByUrgency demand;
+    auto snapshot = Fleet::Queries::currentSnapshot(state.fleet());
+    if (!snapshot->configuration || engineBands(*snapshot->configuration).size() < 2)
+        return demand;
+    state.forEachService([&](const std::string& name, ServiceState& service) {
+        if (!isEngineService(*snapshot->configuration, name))
+            return;
+        Scheduling::Queries::addRates(demand, service.urgencyRates, now);
+        for (auto& waiting : service.waiting)
+            ++demand.bands[Scheduling::DemandByUrgency::bandOf(waiting.traits.priority)].waiting;
+    });
+    return demand;
+}
+
+size_t countReuseLimits(DispatchState& state, Base::TimePoint now)
+{
+    size_t count = 0;
+    state.forEachService([&](const std::string&, ServiceState& service) {
+        for (auto& [id, runtime] : service.targets)
+            count += runtime.reuse.isLimited(now) ? 1 : 0;
+    });
+    return count;
+}
+
+bool isUrgentWaiting(DispatchState& state, const Scheduling::DemandByUrgency& demand)
+{
+    auto snapshot = Fleet::Queries::currentSnapshot(state.fleet());
+    auto bands = snapshot->configuration ? engineBands(*snapshot->configuration) : std::set<size_t>();
+    return std::any_of(bands.begin(), bands.end(), [&](size_t band) { return band < *bands.rbegin() && demand.bands[band].isUnmet(); });
+}
+
 } // namespace Lavenderloft::Dispatch::Queries
--- a/Source/Dispatch/Queries/FindCandidates.cpp
+++ b/Source/Dispatch/Queries/FindCandidates.cpp
@@ -41,6 +41,7 @@
         }
 
         bool isEngine() const { return m_service && m_service->weights; }
+        int urgency() const { return m_traits.priority; }
         uint64_t minimumVersion() const { return m_minimumWeightsVersion; }
 
         bool isEligible(const Fleet::KnownTarget& target, const TargetRuntime* runtime) const
@@ -191,7 +192,7 @@
     // them as grants so that two routers do not use the same one. While many slots are free, each router may also start
     // one request between two reports without a grant; more would make an engine that has just become free process many
     // prompts at once. Without a recent report a router keeps to its share of the slots.
-    bool hasCapacity(const DispatchState& state, const Candidate& candidate, const TargetRuntime* runtime, bool isEngine, Base::TimePoint now)
+    bool hasCapacity(const DispatchState& state, const Candidate& candidate, const TargetRuntime* runtime, bool isEngine, int urgency, Base::TimePoint now)
     {
         if (runtime && runtime->knowledge.isProbed && runtime->inFlight > 0)
             return false;
@@ -205,7 +206,7 @@
         // A cold engine takes only granted requests; its agent grants them at the rate that it can sustain.
         if (runtime->report.cold)
             return false;
-        if (runtime->hasRetainedSlot(now))
+        if (runtime->hasRetainedSlot(now) && runtime->reuse.allows(urgency, now))
             return true;
         return runtime->startedSinceReport == 0 && candidate.occupancy + routers.value_or(candidate.capacity) <= candidate.capacity;
     }
@@ -288,7 +289,7 @@
             auto candidate = describeCandidate(state, filter, target, runtime, now);
             ++set.eligible;
             set.capacity += candidate.capacity;
-            if (hasCapacity(state, candidate, runtime, filter.isEngine(), now) && filter.hasColdToken(*target, runtime) && filter.hasLimitToken(*target, runtime))
+            if (hasCapacity(state, candidate, runtime, filter.isEngine(), filter.urgency(), now) && filter.hasColdToken(*target, runtime) && filter.hasLimitToken(*target, runtime))
                 set.free.push_back(std::move(candidate));
         }
         return set;
--- a/Source/Dispatch/TargetRuntime.h
+++ b/Source/Dispatch/TargetRuntime.h
@@ -2,6 +2,7 @@
 
 #include "Base/Clock.h"
 #include "Dispatch/TargetStatement.h"
+#include "Scheduling/ReuseAllowance.h"
 
 #include <algorithm>
 #include <chrono>
@@ -26,6 +27,8 @@
     bool cold = false;
     // When the engine aborts its requests to load new weights; nothing if no load is planned.
     std::optional<Base::TimePoint> abortsAt;
+    // Limit on the slots that this router reuses while more urgent requests wait elsewhere.
+    std::optional<Scheduling::ReuseLimit> reuse {};
 };
 
 // This router's part of the limit that a target names.
@@ -81,6 +84,9 @@
     // A slot that a request of this router released stays reserved for the router for this time; the agent grants it to
     // other routers only afterwards.
     static constexpr std::chrono::milliseconds slotRetention { 90 };
+    // A router whose reuse is limited gives a slot up if no request can have it at once, because requests of other routers
+    // wait for it.
+    static constexpr std::chrono::milliseconds limitedSlotRetention { 1 };
 
     // A target counts as silent while it has left requests unanswered for longer, as far as other targets respond.
     static constexpr std::chrono::milliseconds silentAfter { 1000 };
@@ -100,6 +106,7 @@
     unsigned startedSinceReport = 0;
     // Expiry times of the reservations of released slots, the earliest first.
     std::deque<Base::TimePoint> retainedSlots;
+    Scheduling::ReuseAllowance reuse;
     TargetKnowledge knowledge;
     LimitBucket limitBucket;
     unsigned consecutiveFailures = 0;
@@ -154,6 +161,12 @@
 
     unsigned occupancy(Base::TimePoint now) const { return inFlight + (hasReport(now) ? inFlightElsewhere : 0); }
 
+    void retainSlot(Base::TimePoint now)
+    {
+        auto until = now + (reuse.isLimited(now) ? limitedSlotRetention : slotRetention);
+        retainedSlots.insert(std::upper_bound(retainedSlots.begin(), retainedSlots.end(), until), until);
+    }
+
     bool hasRetainedSlot(Base::TimePoint now) const { return !retainedSlots.empty() && retainedSlots.back() > now; }
 };
 
--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -176,7 +176,7 @@
             for (auto& target : targets->second) {
                 if (target->entry.address.toString() != load.engineAddress)
                     continue;
-                Dispatch::TargetReport report { load.running, load.queued, load.wholeVersion, load.paused, load.granted, load.cold, std::nullopt };
+                Dispatch::TargetReport report { load.running, load.queued, load.wholeVersion, load.paused, load.granted, load.cold, std::nullopt, load.reuse };
                 if (load.abortsIn)
                     report.abortsAt = now + *load.abortsIn;
                 Dispatch::Commands::recordReport(m_dispatch, load.service, target->entry.id, report, now);
@@ -234,6 +234,13 @@
             m_reluctantTargets = std::move(reluctant);
         }
 
+        // As often as queues are served, because waiting requests are reported.
+        void reportDemand(Base::TimePoint now)
+        {
+            auto demand = Dispatch::Queries::engineDemandByUrgency(m_dispatch, now);
+            m_peering.setUrgencyDemand(demand, Dispatch::Queries::isUrgentWaiting(m_dispatch, demand));
+        }
+
         asio::awaitable<void> serveQueues()
         {
             while (true) {
@@ -241,6 +248,7 @@
                 m_stalls.tick();
                 Fleet::Commands::expireDeletions(m_fleet, m_clock.now());
                 Dispatch::Commands::serveWaiting(m_dispatch, m_clock.now());
+                reportDemand(m_clock.now());
             }
         }
 
@@ -274,6 +282,18 @@
             }
         }
 
+        void serializeDemand(Base::TimePoint now)
+        {
+            auto demand = Dispatch::Queries::engineDemandByUrgency(m_dispatch, now);
+            for (size_t band = 0; band < demand.bands.size(); ++band) {
+                auto urgency = std::to_string(band);
+                m_metrics.set("engine_requests_waiting", { { "urgency", urgency } }, demand.bands[band].waiting);
+                m_metrics.set("engine_requests_per_second", { { "urgency", urgency } }, demand.bands[band].requestsPerSecond);
+                m_metrics.set("engine_starts_per_second", { { "urgency", urgency } }, demand.bands[band].startsPerSecond);
+            }
+            m_metrics.set("engines_with_reuse_limit", {}, static_cast<double>(Dispatch::Queries::countReuseLimits(m_dispatch, now)));
+        }
+
         // Gauges are updated only when they are read, which costs nothing between two reads.
         std::string serializeMetrics()
         {
@@ -292,6 +312,8 @@
             m_dispatch.forEachService([&](const std::string& name, Dispatch::ServiceState& service) {
                 m_metrics.set("requests_waiting", { { "service", name } }, static_cast<double>(service.waiting.size()));
             });
+            m_metrics.set("peer_demands_clamped", {}, static_cast<double>(m_peering.clampedDemands()));
+            serializeDemand(now);
             for (auto& [service, targets] : snapshot->targetsByService)
                 m_metrics.set("targets_published", { { "service", service } }, static_cast<double>(targets.size()));
             return m_metrics.serialize();
--- a/Source/Staging/Events.h
+++ b/Source/Staging/Events.h
@@ -21,5 +21,7 @@
 inline constexpr Event loadUnsettled { 8011, "load-unsettled", Level::Warning, "A load request had no response and may still be accepted; no pieces of another version are stored until that is known." };
 inline constexpr Event loadVerified { 8012, "load-verified", Level::Info, "The pieces were verified after the engine had accepted a load request late." };
 inline constexpr Event loadInDoubt { 8013, "load-in-doubt", Level::Warning, "The engine may have loaded damaged pieces or pieces of another version; it serves nothing until it has loaded them again." };
+inline constexpr Event slotsMove { 8014, "slots-move", Level::Info, "Urgent requests wait at a router while the engine is full: the routers are told how many of the slots that they release they may reuse for less urgent requests." };
+inline constexpr Event slotsStay { 8015, "slots-stay", Level::Info, "The routers may reuse all slots that they release again." };
 
 } // namespace Lavenderloft::Staging::Events
--- a/Source/Staging/LoadReporter.cpp
+++ b/Source/Staging/LoadReporter.cpp
@@ -1,8 +1,9 @@
 #include "Staging/LoadReporter.h"
 
+#include "Observability/Log.h"
 #include "Staging/Commands/RecordEngineStart.h"
 #include "Staging/Commands/TakeGrantableSlots.h"
-#include "Staging/Queries/DistributeGrants.h"
+#include "Staging/Events.h"
 #include "Staging/Queries/FindOwnTarget.h"
 
 namespace Lavenderloft::Staging {
@@ -58,7 +59,35 @@
     auto free = load.paused ? 0 : Queries::countFreeSlots(*snapshot, settings, report);
     auto grantable = Commands::takeGrantableSlots(m_slots, free, coldRate, now);
     auto routers = m_peering.nextLoadReceivers();
-    m_peering.sendLoad(load, routers, Queries::distributeGrants(grantable, routers, settings.dataCentre, m_context.random));
+    Queries::GrantBasis basis { settings.dataCentre, m_slots.meanGranted, Queries::findEnginePart(*snapshot, settings), now };
+    m_peering.sendLoad(load, routers, shareSlots(grantable, routers, basis));
+}
+
+// Limits depend on all live routers, also on those that do not receive this report.
+std::map<std::string, Peering::RouterShare> LoadReporter::shareSlots(unsigned grantable, const std::vector<Peering::PeerRouter>& receivers, const Queries::GrantBasis& basis)
+{
+    std::map<std::string, Peering::RouterShare> shares;
+    for (auto& [address, granted] : Queries::distributeGrants(grantable, receivers, basis, m_context.random))
+        shares[address].granted = granted;
+    auto routers = m_peering.knownRouters();
+    Commands::recordUrgentNeed(m_slots, Queries::isUrgentUnmet(routers, basis.now), basis.now);
+    std::map<std::string, Scheduling::ReuseLimit> limits;
+    if (m_slots.isUrgentUnmet(basis.now))
+        limits = Queries::findReuseLimits(routers, basis);
+    // Receivers are those of the own region and a part of the others.
+    constexpr size_t reportsWithinLimit = 3;
+    Commands::recordReuseLimits(m_slots, !limits.empty(), routers.size() <= receivers.size() * reportsWithinLimit);
+    for (auto& [address, limit] : limits)
+        shares[address].reuse = limit;
+    recordLimited(!limits.empty());
+    return shares;
+}
+
+void LoadReporter::recordLimited(bool isLimited)
+{
+    if (isLimited != m_isReuseLimited)
+        Observability::logEvent(isLimited ? Events::slotsMove : Events::slotsStay, { { "service", m_context.settings.localService }, { "granted", m_slots.meanGranted } });
+    m_isReuseLimited = isLimited;
 }
 
 } // namespace Lavenderloft::Staging
--- a/Source/Staging/LoadReporter.h
+++ b/Source/Staging/LoadReporter.h
@@ -5,6 +5,7 @@
 #include "Staging/EngineStart.h"
 #include "Staging/GrantableSlots.h"
 #include "Staging/LoadIntent.h"
+#include "Staging/Queries/DistributeGrants.h"
 #include "Staging/StagingContext.h"
 
 namespace Lavenderloft::Staging {
@@ -25,6 +26,8 @@
 
 private:
     void send(const EngineReport&);
+    std::map<std::string, Peering::RouterShare> shareSlots(unsigned grantable, const std::vector<Peering::PeerRouter>& receivers, const Queries::GrantBasis&);
+    void recordLimited(bool);
 
     const StagingContext& m_context;
     const EngineMonitor& m_monitor;
@@ -33,6 +36,8 @@
     Peering::PeeringNode& m_peering;
     EngineStart m_engineStart;
     GrantableSlots m_slots;
+    // Whether the last report limited the reuse of slots.
+    bool m_isReuseLimited = false;
 };
 
 } // namespace Lavenderloft::Staging
--- a/Source/Staging/Queries/FindOwnTarget.cpp
+++ b/Source/Staging/Queries/FindOwnTarget.cpp
@@ -21,6 +21,23 @@
     return target && target->entry.slots > taken ? target->entry.slots - taken : 0;
 }
 
+Scheduling::Queries::EnginePart findEnginePart(const Fleet::FleetSnapshot& snapshot, const Fleet::NodeSettings& settings)
+{
+    Scheduling::Queries::EnginePart part;
+    auto own = findOwnTarget(snapshot, settings);
+    part.ownSlots = own ? own->entry.slots : 0;
+    if (!snapshot.configuration)
+        return part;
+    for (auto& [name, targets] : snapshot.targetsByService) {
+        auto service = snapshot.configuration->services.find(name);
+        if (service == snapshot.configuration->services.end() || !service->second.weights)
+            continue;
+        for (auto& target : targets)
+            part.fleetSlots += target->entry.draining ? 0 : target->entry.slots;
+    }
+    return part;
+}
+
 std::optional<double> findColdRate(const Fleet::FleetSnapshot& snapshot, const Fleet::NodeSettings& settings, const EngineStart& start, Base::TimePoint now)
 {
     if (!snapshot.configuration)
--- /dev/null
+++ b/Tests/Dispatch/SharesBetweenRoutersTest.cpp
@@ -0,0 +1,447 @@
+#include "Dispatch/Commands/RecordProgress.h"
+#include "Dispatch/DispatchFixture.h"
+#include "Dispatch/Queries/EngineDemand.h"
+#include "Peering/Queries/ListPeers.h"
+#include "Staging/Commands/TakeGrantableSlots.h"
+#include "Staging/Queries/DistributeGrants.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+#include <map>
+#include <vector>
+
+using namespace Lavenderloft;
+using namespace Lavenderloft::Dispatch;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr unsigned slots = 12;
+constexpr auto step = 10ms;
+constexpr auto reportInterval = 100ms;
+// Interval of the reports of a router to each of 58 agents within its control budget, see Queries::demandReplyInterval.
+constexpr auto demandInterval = 730ms;
+
+// Whether routers report their demand by urgency. Without it slots are shared as by earlier programs.
+enum class Rule {
+    ByDemandAlone,
+    ByUrgency,
+};
+
+Fleet::ConfigurationPublished configurationWithPriorities()
+{
+    auto configuration = std::make_shared<Fleet::Configuration>();
+    configuration->version = 1;
+    configuration->services["e"] = engineService("e");
+    for (int priority : { 0, 2 }) {
+        auto route = std::make_shared<Fleet::Route>();
+        route->priority = priority;
+        route->services.push_back({ "e", 1 });
+        configuration->routes["h"].push_back(route);
+    }
+    return { configuration };
+}
+
+struct Router {
+    TestDispatch dispatch;
+    Peering::PeerRouter known;
+    bool isCutOff = false;
+    std::vector<std::shared_ptr<RecordingObserver>> urgentObservers;
+};
+
+struct Run {
+    size_t router = 0;
+    Base::TimePoint endsAt {};
+};
+
+struct Engine {
+    std::string id;
+    std::vector<Run> runs;
+    Staging::GrantableSlots grantable;
+};
+
+struct Outcome {
+    unsigned sent = 0;
+    unsigned served = 0;
+};
+
+// Routers that share engines through the reports of the engines' agents, on one manual clock.
+class Replay {
+public:
+    Replay(Rule rule, size_t routers, size_t engines, std::chrono::milliseconds duration)
+        : m_rule(rule)
+        , m_duration(duration)
+        , m_routers(routers)
+        , m_engines(engines)
+    {
+        for (size_t i = 0; i < engines; ++i)
+            m_engines[i].id = std::to_string(i);
+        for (size_t i = 0; i < routers; ++i) {
+            auto& router = m_routers[i];
+            router.known.address = std::to_string(i);
+            router.known.dataCentre = "dc-a";
+            router.dispatch.fleet.publish("c", configurationWithPriorities());
+            for (auto& engine : m_engines)
+                router.dispatch.fleet.publish("t/" + engine.id, engineOf(engine.id, "e", 1, slots));
+            // As many as share the engines of the deployment; the others have no requests now.
+            router.dispatch.state->setRouterCount(30);
+        }
+    }
+
+    // Keeps so many requests waiting at the router.
+    void setBacklog(size_t router, size_t waiting) { m_backlog[router] = waiting; }
+    void setUrgentRate(size_t router, double perSecond) { m_urgentRate[router] = perSecond; }
+    void cutOff(size_t router, bool isCutOff) { m_routers[router].isCutOff = isCutOff; }
+
+    void sendUrgent(size_t router)
+    {
+        auto observer = std::make_shared<RecordingObserver>();
+        auto decision = m_routers[router].dispatch.acquire(m_routers[router].dispatch.request("e", 0), observer);
+        ++m_urgent[router].sent;
+        if (auto* lease = std::get_if<Lease>(&decision)) {
+            ++m_urgent[router].served;
+            begin(router, *lease);
+        } else if (std::holds_alternative<Queued>(decision)) {
+            m_routers[router].urgentObservers.push_back(observer);
+        }
+    }
+
+    void run(std::chrono::milliseconds time)
+    {
+        for (auto elapsed = 0ms; elapsed < time; elapsed += step)
+            advance();
+    }
+
+    Outcome urgent(size_t router) { return m_urgent[router]; }
+    unsigned lessUrgentServed(size_t router) { return m_lessUrgentServed[router]; }
+    void resetCounts()
+    {
+        m_urgent.clear();
+        m_lessUrgentServed.clear();
+        m_idleSlotSteps = 0;
+        m_steps = 0;
+    }
+
+    double idleShare() const { return m_idleSlotSteps / static_cast<double>(m_steps * m_engines.size() * slots); }
+    size_t mostRunning() const { return m_mostRunning; }
+
+private:
+    Base::TimePoint now() { return m_routers.front().dispatch.fleet.clock.now(); }
+
+    void advance()
+    {
+        for (auto& router : m_routers)
+            router.dispatch.fleet.clock.advance(step);
+        m_elapsed += step;
+        ++m_steps;
+        endRuns();
+        for (size_t i = 0; i < m_routers.size(); ++i)
+            arrive(i);
+        if (m_elapsed % demandInterval == 0ms)
+            reportDemands();
+        for (size_t i = 0; i < m_engines.size(); ++i) {
+            // Agents do not report at the same moment.
+            if ((m_elapsed + step * static_cast<long>(i % 10)) % reportInterval == 0ms)
+                report(m_engines[i]);
+            m_idleSlotSteps += slots - std::min<size_t>(slots, m_engines[i].runs.size());
+            m_mostRunning = std::max(m_mostRunning, m_engines[i].runs.size());
+        }
+        collect();
+    }
+
+    void endRuns()
+    {
+        for (auto& engine : m_engines) {
+            for (size_t i = 0; i < engine.runs.size();) {
+                if (engine.runs[i].endsAt > now()) {
+                    ++i;
+                    continue;
+                }
+                auto router = engine.runs[i].router;
+                engine.runs.erase(engine.runs.begin() + static_cast<std::ptrdiff_t>(i));
+                m_routers[router].dispatch.release("e", engine.id);
+                collect();
+            }
+        }
+    }
+
+    void arrive(size_t router)
+    {
+        auto& due = m_urgentDue[router];
+        due += m_urgentRate[router] * std::chrono::duration<double>(step).count();
+        for (; due >= 1; due -= 1)
+            sendUrgent(router);
+        auto& waiting = m_lessUrgent[router];
+        while (waiting.size() < m_backlog[router]) {
+            auto observer = std::make_shared<RecordingObserver>();
+            auto traits = m_routers[router].dispatch.request("e", 2);
+            // Waits until it is served.
+            traits.isInterrupted = true;
+            traits.deadline = now() + 1h;
+            auto decision = m_routers[router].dispatch.acquire(traits, observer);
+            if (auto* lease = std::get_if<Lease>(&decision)) {
+                ++m_lessUrgentServed[router];
+                begin(router, *lease);
+            } else if (std::holds_alternative<Queued>(decision)) {
+                waiting.push_back(observer);
+            } else {
+                break;
+            }
+        }
+    }
+
+    // Begins the queued requests that were served.
+    void collect()
+    {
+        for (size_t i = 0; i < m_routers.size(); ++i) {
+            m_urgent[i].served += collect(i, m_routers[i].urgentObservers);
+            m_lessUrgentServed[i] += collect(i, m_lessUrgent[i]);
+        }
+    }
+
+    unsigned collect(size_t router, std::vector<std::shared_ptr<RecordingObserver>>& observers)
+    {
+        unsigned served = 0;
+        std::erase_if(observers, [&](auto& observer) {
+            if (!observer->outcome)
+                return false;
+            if (auto* lease = std::get_if<Lease>(&*observer->outcome)) {
+                begin(router, *lease);
+                ++served;
+            }
+            return true;
+        });
+        return served;
+    }
+
+    void begin(size_t router, const Lease& lease)
+    {
+        auto& engine = m_engines[std::stoul(lease.target->entry.id)];
+        // Durations differ, so that slots become free one after the other.
+        auto duration = m_duration * (80 + (m_begun++ * 37) % 41) / 100;
+        engine.runs.push_back({ router, now() + duration });
+        Commands::recordFirstPart(*m_routers[router].dispatch.state, "e", engine.id, lease.assignedAt, now(), now());
+    }
+
+    void reportDemands()
+    {
+        for (auto& router : m_routers) {
+            if (router.isCutOff)
+                continue;
+            auto& state = *router.dispatch.state;
+            router.known.demand = Queries::engineDemand(state, now());
+            router.known.demandAt = now();
+            router.known.lastSeenAt = now();
+            if (m_rule == Rule::ByUrgency)
+                router.known.urgencyDemand = Queries::engineDemandByUrgency(state, now());
+        }
+    }
+
+    void report(Engine& engine)
+    {
+        auto running = static_cast<unsigned>(engine.runs.size());
+        auto free = running < slots ? slots - running : 0;
+        auto grantable = Staging::Commands::takeGrantableSlots(engine.grantable, free, std::nullopt, now());
+        std::vector<Peering::PeerRouter> known;
+        for (auto& router : m_routers)
+            known.push_back(router.known);
+        Staging::Queries::GrantBasis basis { "dc-a", engine.grantable.meanGranted, { static_cast<unsigned>(slots * m_engines.size()), slots }, now() };
+        auto grants = Staging::Queries::distributeGrants(grantable, known, basis, m_random);
+        Staging::Commands::recordUrgentNeed(engine.grantable, Staging::Queries::isUrgentUnmet(known, now()), now());
+        std::map<std::string, Scheduling::ReuseLimit> limits;
+        if (engine.grantable.isUrgentUnmet(now()))
+            limits = Staging::Queries::findReuseLimits(known, basis);
+        Staging::Commands::recordReuseLimits(engine.grantable, !limits.empty(), true);
+        for (auto& router : m_routers) {
+            if (router.isCutOff)
+                continue;
+            TargetReport report { running, 0, 1, false, grants[router.known.address], false, std::nullopt };
+            auto limit = limits.find(router.known.address);
+            if (limit != limits.end())
+                report.reuse = limit->second;
+            router.dispatch.report("e", engine.id, report);
+        }
+        collect();
+    }
+
+    const Rule m_rule;
+    const std::chrono::milliseconds m_duration;
+    std::vector<Router> m_routers;
+    std::vector<Engine> m_engines;
+    Base::SeededRandom m_random { 11 };
+    std::chrono::milliseconds m_elapsed { 0 };
+    std::map<size_t, size_t> m_backlog;
+    std::map<size_t, double> m_urgentRate;
+    std::map<size_t, double> m_urgentDue;
+    std::map<size_t, std::vector<std::shared_ptr<RecordingObserver>>> m_lessUrgent;
+    std::map<size_t, Outcome> m_urgent;
+    std::map<size_t, unsigned> m_lessUrgentServed;
+    size_t m_begun = 0;
+    size_t m_steps = 0;
+    double m_idleSlotSteps = 0;
+    size_t m_mostRunning = 0;
+};
+
+// Router 0 has always twenty less urgent requests, and its runs hold all slots; router 1 gets six urgent ones a second.
+Replay replayOfTwoRouters(Rule rule)
+{
+    Replay replay(rule, 2, 1, 1000ms);
+    replay.setBacklog(0, 20);
+    replay.run(3000ms);
+    replay.resetCounts();
+    replay.setUrgentRate(1, 6);
+    replay.run(10000ms);
+    return replay;
+}
+
+double servedShare(Outcome outcome)
+{
+    return static_cast<double>(outcome.served) / std::max(1u, outcome.sent);
+}
+
+} // namespace
+
+// A router with twenty digests keeps the slots of an engine that it releases while another router refuses urgent requests:
+// the slots must move.
+Test(SharesBetweenRouters, slotsMoveToUrgentRequests)
+{
+    auto former = replayOfTwoRouters(Rule::ByDemandAlone);
+    auto replay = replayOfTwoRouters(Rule::ByUrgency);
+    cr_log_warn("urgent served: by demand alone %.2f, by urgency %.2f; less urgent %u and %u; idle %.3f and %.3f", servedShare(former.urgent(1)), servedShare(replay.urgent(1)), former.lessUrgentServed(0), replay.lessUrgentServed(0), former.idleShare(), replay.idleShare());
+    cr_expect_lt(servedShare(former.urgent(1)), 0.5, "without urgencies slots do not move");
+    cr_expect_geq(servedShare(replay.urgent(1)), 0.9);
+    cr_expect_gt(replay.lessUrgentServed(0), 0);
+    cr_expect_leq(replay.mostRunning(), slots, "no two routers use the same slot");
+}
+
+// A burst of the least urgent requests at all routers takes every slot. Urgent requests that arrive meanwhile, at routers that
+// hold few slots, must get those that become free.
+Test(SharesBetweenRouters, urgentRequestsGetThroughABurst)
+{
+    auto replayBurst = [](Rule rule) {
+        constexpr size_t routers = 6;
+        Replay replay(rule, routers, 4, 1000ms);
+        for (size_t i = 0; i < routers; ++i)
+            replay.setBacklog(i, 20);
+        replay.run(3000ms);
+        replay.resetCounts();
+        for (size_t i = 0; i < routers; ++i)
+            replay.setUrgentRate(i, i < 2 ? 9 : 1);
+        replay.run(6000ms);
+        Outcome all;
+        for (size_t i = 0; i < routers; ++i) {
+            all.sent += replay.urgent(i).sent;
+            all.served += replay.urgent(i).served;
+        }
+        cr_log_warn("burst: urgent served %.2f, idle %.3f, most running %zu", servedShare(all), replay.idleShare(), replay.mostRunning());
+        cr_expect_leq(replay.mostRunning(), slots);
+        return servedShare(all);
+    };
+    auto former = replayBurst(Rule::ByDemandAlone);
+    auto now = replayBurst(Rule::ByUrgency);
+    cr_expect_geq(now, 0.9);
+    cr_expect_gt(now, former);
+}
+
+// Slots that nobody else needs must not be withheld, neither before urgent requests come nor after they have ended.
+Test(SharesBetweenRouters, lendsWhatUrgentRequestsDoNotUse)
+{
+    Replay replay(Rule::ByUrgency, 2, 1, 1000ms);
+    replay.setBacklog(0, 20);
+    replay.run(3000ms);
+    replay.resetCounts();
+    replay.run(3000ms);
+    cr_expect_float_eq(replay.idleShare(), 0, 1e-9);
+    replay.setUrgentRate(1, 6);
+    replay.run(3000ms);
+    replay.setUrgentRate(1, 0);
+    replay.run(4000ms);
+    replay.resetCounts();
+    replay.run(3000ms);
+    cr_expect_float_eq(replay.idleShare(), 0, 1e-9);
+}
+
+// Urgent requests beyond the capacity must leave the least urgent ones their floor.
+Test(SharesBetweenRouters, leastUrgentRequestsKeepAFloor)
+{
+    Replay replay(Rule::ByUrgency, 2, 1, 1000ms);
+    replay.setBacklog(0, 20);
+    replay.setUrgentRate(1, 40);
+    replay.run(3000ms);
+    replay.resetCounts();
+    replay.run(20000ms);
+    auto total = replay.lessUrgentServed(0) + replay.urgent(1).served;
+    cr_log_warn("floor: %u of %u", replay.lessUrgentServed(0), total);
+    cr_expect_geq(replay.lessUrgentServed(0), total / 20);
+    cr_expect_leq(replay.lessUrgentServed(0), total / 4);
+}
+
+// A router that freezes with urgent requests waiting must not hold back the others for longer than its report counts.
+Test(SharesBetweenRouters, aFrozenRouterHoldsNothingBack)
+{
+    Replay replay(Rule::ByUrgency, 3, 1, 1000ms);
+    replay.setBacklog(0, 20);
+    replay.setUrgentRate(1, 6);
+    replay.run(4000ms);
+    replay.setUrgentRate(1, 0);
+    replay.cutOff(1, true);
+    replay.run(Peering::PeerTable::waitingLifetime + Staging::GrantableSlots::urgentNeedLifetime + 1000ms);
+    replay.resetCounts();
+    replay.run(3000ms);
+    cr_log_warn("frozen router: idle %.3f", replay.idleShare());
+    // A free slot is granted to it now and then, as by the minimum weight.
+    cr_expect_leq(replay.idleShare(), 0.02);
+}
+
+// A router that has just started, or has no demand yet, must get slots for its urgent requests while others hold all.
+Test(SharesBetweenRouters, aRouterThatStartsGetsSlots)
+{
+    Replay replay(Rule::ByUrgency, 4, 2, 1000ms);
+    for (size_t i = 0; i < 3; ++i)
+        replay.setBacklog(i, 20);
+    replay.run(5000ms);
+    replay.setUrgentRate(3, 3);
+    replay.run(1000ms);
+    replay.resetCounts();
+    replay.run(5000ms);
+    cr_log_warn("started router: urgent served %.2f", servedShare(replay.urgent(3)));
+    cr_expect_geq(servedShare(replay.urgent(3)), 0.9);
+}
+
+// Deployments whose routes have one priority must be served as before: their routers report no demand by urgency.
+Test(SharesBetweenRouters, isReportedOnlyIfPrioritiesDiffer)
+{
+    TestDispatch test;
+    test.fleet.publish("c", configurationOf(1, { engineService("e") }));
+    test.fleet.publish("t/1", engineOf("1", "e", 1));
+    test.acquire("e");
+    cr_assert(Queries::engineDemandByUrgency(*test.state, test.fleet.clock.now()).isEmpty());
+    test.fleet.publish("c", configurationWithPriorities());
+    auto demand = Queries::engineDemandByUrgency(*test.state, test.fleet.clock.now());
+    cr_assert_gt(demand.bands[0].requestsPerSecond, 0);
+    cr_assert_gt(demand.bands[0].startsPerSecond, 0);
+}
+
+// A router that hears nothing more from an agent must not keep the limit, and without any report must keep to its part of
+// the slots.
+Test(SharesBetweenRouters, aLimitEndsWithoutReports)
+{
+    TestDispatch test;
+    test.fleet.publish("c", configurationWithPriorities());
+    test.fleet.publish("t/1", engineOf("1", "e", 1, slots));
+    test.state->setRouterCount(30);
+    TargetReport report { slots, 0, 1, false, 1, false, std::nullopt };
+    report.reuse = Scheduling::ReuseLimit { 2, 0 };
+    test.report("e", "1", report);
+    cr_assert(isLease(test.acquire(test.request("e", 2))), "a grant may be used for any request");
+    test.release("e", "1");
+    auto waiting = std::make_shared<RecordingObserver>();
+    cr_assert(std::holds_alternative<Queued>(test.acquire(test.request("e", 2), waiting)), "the slot is for more urgent requests of other routers");
+    cr_assert_eq(Queries::countReuseLimits(*test.state, test.fleet.clock.now()), 1);
+    test.fleet.clock.advance(Scheduling::ReuseAllowance::limitLifetime);
+    cr_assert_eq(Queries::countReuseLimits(*test.state, test.fleet.clock.now()), 0);
+    test.fleet.clock.advance(TargetRuntime::reportLifetime);
+    Commands::serveWaiting(*test.state, test.fleet.clock.now());
+    cr_assert(waiting->outcome.has_value());
+    cr_assert_not(isLease(test.acquire(test.request("e", 2))), "one slot, which is more than its part of 12 slots among 30 routers");
+}
--- a/Tests/Staging/DistributeGrantsTest.cpp
+++ b/Tests/Staging/DistributeGrantsTest.cpp
@@ -13,7 +13,7 @@
     Base::SeededRandom random(7);
     std::map<std::string, unsigned> granted;
     for (int round = 0; round < 300; ++round) {
-        auto grants = Queries::distributeGrants(2, routers, "dc-a", random);
+        auto grants = Queries::distributeGrants(2, routers, { "dc-a" }, random);
         unsigned total = 0;
         for (auto& [router, count] : grants) {
             total += count;
@@ -23,5 +23,5 @@
     }
     cr_assert_gt(granted["a"], granted["b"], "the router in the engine's data centre is preferred");
     cr_assert_gt(granted["c"], 0, "a router with unknown demand gets some grants");
-    cr_assert(Queries::distributeGrants(3, {}, "dc-a", random).empty());
+    cr_assert(Queries::distributeGrants(3, {}, { "dc-a" }, random).empty());
 }
