--- a/Source/Peering/PeerTable.h
+++ b/Source/Peering/PeerTable.h
@@ -59,9 +59,9 @@
     // A silent router keeps its share of the fleet-wide limits for this long, because it may be running behind a network
     // partition.
     static constexpr std::chrono::seconds routerRetention { 60 };
-    // Requests of a router that has not reported for longer do not count as waiting: it may be frozen, and replies come once
-    // a second even if none waits.
-    static constexpr std::chrono::milliseconds waitingLifetime { 1200 };
+    // A router that has not reported for longer has no urgent demand: it may be frozen, and would leave the slots unused.
+    // Replies come once a second.
+    static constexpr std::chrono::milliseconds demandLifetime { 1500 };
 
     using Routers = Base::ShardedMap<std::string, PeerRouter>;
     using Agents = Base::ShardedMap<std::string, PeerAgent>;
--- a/Source/Peering/Queries/ListPeers.cpp
+++ b/Source/Peering/Queries/ListPeers.cpp
@@ -108,11 +108,7 @@
         demand.bands[Scheduling::DemandByUrgency::leastUrgentBand] = { router.demand, 0, router.demand };
         return demand;
     }
-    if (now - router.demandAt > PeerTable::waitingLifetime) {
-        for (auto& band : demand.bands)
-            band = { band.startsPerSecond, 0, band.startsPerSecond };
-    }
-    return demand;
+    return now - router.demandAt > PeerTable::demandLifetime ? Scheduling::DemandByUrgency() : demand;
 }
 
 std::chrono::milliseconds demandReplyInterval(const PeerTable& table, size_t replyBytes)
--- a/Source/Peering/Queries/ListPeers.h
+++ b/Source/Peering/Queries/ListPeers.h
@@ -34,8 +34,8 @@
 // The newest revision of the live routers; zero if there are none.
 uint64_t newestRevision(const PeerTable&, Base::TimePoint now);
 
-// Demand of the router by urgency. A router that does not report it counts as one of the least urgent requests, and requests
-// that it reported as waiting are not counted after PeerTable::waitingLifetime.
+// Demand of the router by urgency. A router that does not report it counts as one of the least urgent requests. A report
+// counts for PeerTable::demandLifetime.
 Scheduling::DemandByUrgency currentDemand(const PeerRouter&, Base::TimePoint now);
 
 // Interval between demand replies to one agent, so that those to all agents stay within the part of a router's control
--- a/Tests/Dispatch/SharesBetweenRoutersTest.cpp
+++ b/Tests/Dispatch/SharesBetweenRoutersTest.cpp
@@ -385,7 +385,7 @@
     replay.run(4000ms);
     replay.setUrgentRate(1, 0);
     replay.cutOff(1, true);
-    replay.run(Peering::PeerTable::waitingLifetime + Staging::GrantableSlots::urgentNeedLifetime + 1000ms);
+    replay.run(Peering::PeerTable::demandLifetime + Staging::GrantableSlots::urgentNeedLifetime + 1000ms);
     replay.resetCounts();
     replay.run(3000ms);
     cr_log_warn("frozen router: idle %.3f", replay.idleShare());
--- a/Tests/Peering/PeerTableTest.cpp
+++ b/Tests/Peering/PeerTableTest.cpp
@@ -300,7 +300,7 @@
     frozen.urgencyDemand.bands[0] = { 5, 3, 2 };
     frozen.demandAt = clock.now();
     cr_assert_eq(Queries::currentDemand(frozen, clock.now()).bands[0].waiting, 3);
-    clock.advance(PeerTable::waitingLifetime + 1ms);
+    clock.advance(PeerTable::demandLifetime + 1ms);
     cr_assert_not(Queries::currentDemand(frozen, clock.now()).bands[0].isUnmet());
 }
 
@@ -314,7 +314,7 @@
     router.urgencyDemand.bands[0] = { 5, 3, 2 };
     router.demandAt = clock.now();
     Commands::recordRouter(table, router);
-    clock.advance(PeerTable::waitingLifetime + 1ms);
+    clock.advance(PeerTable::demandLifetime + 1ms);
     Commands::recordGossip(table, "a", "dc-a", clock.now());
     auto known = Queries::liveRouters(table, clock.now()).front();
     cr_assert_eq(Queries::currentDemand(known, clock.now()).bands[0].waiting, 0);
