--- a/Source/Dispatch/DispatchState.h
+++ b/Source/Dispatch/DispatchState.h
@@ -17,6 +17,7 @@
 #include "Scheduling/QueueOrder.h"
 #include "Scheduling/RatioAverage.h"
 #include "Scheduling/StarvationFloor.h"
+#include "Scheduling/UrgencyRates.h"
 #include "Scheduling/WorkEstimator.h"
 
 #include <array>
@@ -56,6 +57,7 @@
     std::list<WaitingRequest> waiting;
     Scheduling::SharesByUrgency shares;
     Scheduling::StarvationFloor floor;
+    Scheduling::UrgencyRates urgencyRates;
     // Moving average of the predicted work of arriving requests.
     double meanWork = 0;
     RetryWindow retryWindow;
--- a/Source/Dispatch/TargetRuntime.h
+++ b/Source/Dispatch/TargetRuntime.h
@@ -4,6 +4,7 @@
 #include "Dispatch/PredictedPlacement.h"
 #include "Dispatch/TargetStatement.h"
 #include "Scheduling/RatioAverage.h"
+#include "Scheduling/ReuseAllowance.h"
 
 #include <algorithm>
 #include <chrono>
@@ -30,6 +31,8 @@
     std::optional<Base::TimePoint> abortsAt;
     // How many times slower than usual the engine says that it runs; zero if it is not slow or does not say.
     double pace = 0;
+    // Limit on the slots that this router reuses while more urgent requests wait elsewhere.
+    std::optional<Scheduling::ReuseLimit> reuse {};
 };
 
 // This router's part of the limit that a target names.
@@ -85,6 +88,9 @@
     // A slot that a request of this router released stays reserved for the router for this time; the agent grants it to
     // other routers only afterwards.
     static constexpr std::chrono::milliseconds slotRetention { 90 };
+    // A router whose reuse is limited gives a slot up if no request can have it at once, because requests of other routers
+    // wait for it.
+    static constexpr std::chrono::milliseconds limitedSlotRetention { 1 };
 
     // A target counts as silent while it has left requests unanswered for longer, as far as other targets respond.
     static constexpr std::chrono::milliseconds silentAfter { 1000 };
@@ -104,6 +110,7 @@
     unsigned startedSinceReport = 0;
     // Expiry times of the reservations of released slots, the earliest first.
     std::deque<Base::TimePoint> retainedSlots;
+    Scheduling::ReuseAllowance reuse;
     TargetKnowledge knowledge;
     LimitBucket limitBucket;
     unsigned consecutiveFailures = 0;
@@ -162,6 +169,12 @@
 
     unsigned occupancy(Base::TimePoint now) const { return inFlight + (hasReport(now) ? inFlightElsewhere : 0); }
 
+    void retainSlot(Base::TimePoint now)
+    {
+        auto until = now + (reuse.isLimited(now) ? limitedSlotRetention : slotRetention);
+        retainedSlots.insert(std::upper_bound(retainedSlots.begin(), retainedSlots.end(), until), until);
+    }
+
     bool hasRetainedSlot(Base::TimePoint now) const { return !retainedSlots.empty() && retainedSlots.back() > now; }
 };
 
--- a/Source/Peering/PeeringCodec.h
+++ b/Source/Peering/PeeringCodec.h
@@ -6,6 +6,8 @@
 #include "Fleet/Publication.h"
 #include "Peering/PeerClocks.h"
 #include "Peering/PeerTable.h"
+#include "Scheduling/ReuseAllowance.h"
+#include "Scheduling/UrgencyDemand.h"
 
 #include <chrono>
 #include <map>
@@ -33,6 +35,8 @@
     std::optional<std::chrono::milliseconds> endedAgo {};
     // How many times slower than usual the engine says that it runs; zero if it is not slow or does not say.
     double pace = 0;
+    // Limit on the slots that the receiver reuses; empty if it is not limited.
+    std::optional<Scheduling::ReuseLimit> reuse {};
 };
 
 // A router known to the sender of a message.
@@ -63,6 +67,10 @@
     MessageTimes times {};
     // Limits that targets name, as the sender, a router, knows them.
     std::vector<Dispatch::LimitReport> limits {};
+    // Demand for engines at a router; empty if its routes do not differ in priority.
+    Scheduling::DemandByUrgency urgencyDemand {};
+    // Numbers of a demand that were out of their bounds when the message was decoded.
+    unsigned clampedDemands = 0;
 };
 
 // A datagram must not be larger. With the most reports of each kind a message stays below it.
