--- a/Source/Fleet/Commands/ApplyItems.cpp
+++ b/Source/Fleet/Commands/ApplyItems.cpp
@@ -1,6 +1,7 @@
 #include "Fleet/Commands/ApplyItems.h"
 
 #include "Fleet/Commands/RecordDeclaration.h"
+#include "Fleet/Queries/FindRetained.h"
 
 #include <algorithm>
 #include <unordered_set>
@@ -47,7 +48,7 @@
     void publishSnapshot(Contents& contents)
     {
         auto snapshot = std::make_shared<FleetSnapshot>();
-        snapshot->revision = contents.revision;
+        snapshot->position = contents.position;
         snapshot->weights = contents.declaredWeights;
         SnapshotBuilder builder(*snapshot);
         for (auto& [key, record] : contents.records) {
@@ -57,20 +58,36 @@
         contents.snapshot = std::move(snapshot);
     }
 
-    void removeRecord(Record& record, const PublicationDecoder& decoder, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil, Base::TimePoint now)
+    // Until when deletions do not take effect.
+    struct DeletionDelays {
+        std::optional<Base::TimePoint> targetsUntil;
+        std::optional<Base::TimePoint> evacuationsUntil;
+    };
+
+    std::optional<Base::TimePoint> delayOf(const Record& record, const PublicationDecoder& decoder, const DeletionDelays& delays)
     {
+        if (record.item.deleted)
+            return std::nullopt;
+        if (std::holds_alternative<DataCentreEvacuated>(record.publication))
+            return delays.evacuationsUntil;
         auto* target = std::get_if<TargetPublished>(&record.publication);
-        bool mayReturn = deferDeletionsUntil && target && !target->entry.draining && !record.item.deleted && decoder.isTargetKey(record.item.key);
-        record.item.revision = revision;
+        bool mayReturn = target && !target->entry.draining && decoder.isTargetKey(record.item.key);
+        return mayReturn ? delays.targetsUntil : std::nullopt;
+    }
+
+    void removeRecord(Record& record, const PublicationDecoder& decoder, StorePosition position, const DeletionDelays& delays, Base::TimePoint now)
+    {
+        auto delayedUntil = delayOf(record, decoder, delays);
+        if (auto* target = std::get_if<TargetPublished>(&record.publication))
+            record.endedIncarnation = target->entry.startedAt;
+        record.item.position = position;
         record.item.deleted = true;
         record.item.value.clear();
         record.learnedAt = now;
-        if (mayReturn) {
-            record.deletionDueAt = *deferDeletionsUntil;
-            return;
-        }
-        record.deletionDueAt.reset();
-        record.publication = Unrelated {};
+        record.retained.reset();
+        record.deletionDueAt = delayedUntil;
+        if (!delayedUntil)
+            record.publication = Unrelated {};
     }
 
     void recordDeclared(Contents& contents, const WeightsDeclared& declared, const PublishedItem& item, const ItemBatchOrigin& origin, Base::TimePoint now, AppliedChange& change)
@@ -85,7 +102,7 @@
     bool refineDeclaration(Contents& contents, const Record& record, const PublishedItem& item, const ItemBatchOrigin& origin, Base::TimePoint now, AppliedChange& change)
     {
         auto* declared = std::get_if<WeightsDeclared>(&record.publication);
-        if (!declared || record.item.revision != item.revision)
+        if (!declared || record.item.position != item.position)
             return false;
         recordDeclared(contents, *declared, item, origin, now, change);
         return true;
@@ -102,8 +119,8 @@
     // Whether a listing that is at least as recent as the item lacks it. Items of peers may be older than the listing.
     bool isMissingInListing(const Contents& contents, const PublishedItem& item)
     {
-        return std::any_of(contents.listedRevisions.begin(), contents.listedRevisions.end(), [&](auto& listed) {
-            return item.key.starts_with(listed.first) && item.revision <= listed.second;
+        return std::any_of(contents.listedPositions.begin(), contents.listedPositions.end(), [&](auto& listed) {
+            return item.key.starts_with(listed.first) && item.position <= listed.second;
         });
     }
 
@@ -111,13 +128,13 @@
     {
         if (replaced.value.size() < FleetState::minimumPreviousValueBytes)
             return nullptr;
-        return std::make_shared<const FleetState::PreviousValue>(FleetState::PreviousValue { std::move(replaced.value), replaced.revision });
+        return std::make_shared<const FleetState::PreviousValue>(FleetState::PreviousValue { std::move(replaced.value), replaced.position });
     }
 
     void mergeItem(Contents& contents, const PublicationDecoder& decoder, PublishedItem item, const ItemBatchOrigin& origin, Base::TimePoint now, AppliedChange& change)
     {
         auto known = contents.records.find(item.key);
-        if (known != contents.records.end() && known->second.item.revision >= item.revision) {
+        if (known != contents.records.end() && known->second.item.position >= item.position) {
             change.anything |= refineDeclaration(contents, known->second, item, origin, now, change);
             return;
         }
@@ -129,11 +146,23 @@
         if (item.deleted) {
             auto& record = contents.records[item.key];
             record.item.key = item.key;
-            auto deferUntil = item.deletionDelay > std::chrono::milliseconds(0) ? std::optional(now + item.deletionDelay) : origin.deferDeletionsUntil;
-            removeRecord(record, decoder, item.revision, deferUntil, now);
+            DeletionDelays delays { origin.deferDeletionsUntil, std::nullopt };
+            if (item.deletionDelay > std::chrono::milliseconds(0))
+                delays = { now + item.deletionDelay, now + item.deletionDelay };
+            removeRecord(record, decoder, item.position, delays, now);
             return;
         }
         auto publication = decoder.decode(item);
+        std::optional<FleetState::Retained> retained;
+        if (known != contents.records.end()) {
+            if (auto version = Queries::findRetained(known->second, item, publication, now)) {
+                change.retained.push_back(item.key);
+                retained = FleetState::Retained { std::move(publication), version->until };
+                publication = std::move(version->publication);
+                if (version->keepsValue)
+                    item.value = known->second.item.value;
+            }
+        }
         if (item.value.size() > FleetState::maximumUnusedValueBytes && isUnused(publication, item.key, decoder))
             item.value = std::string();
         if (auto* unreadable = std::get_if<Unreadable>(&publication)) {
@@ -148,7 +177,27 @@
             recordDeclared(contents, *declared, item, origin, now, change);
         auto& record = contents.records[item.key];
         auto previous = takePreviousValue(record.item);
-        record = Record { std::move(item), std::move(publication), now, std::nullopt, std::move(previous) };
+        record = Record { std::move(item), std::move(publication), now, std::nullopt, std::move(previous), std::move(retained), std::nullopt };
+    }
+
+    // A listing of a later era may lack what the store lost and what is written again soon.
+    DeletionDelays delaysOfListing(const Record& record, StorePosition listing, const std::optional<Base::TimePoint>& targetsUntil, Base::TimePoint now)
+    {
+        if (record.item.position.era >= listing.era)
+            return { targetsUntil, std::nullopt };
+        Base::TimePoint entriesUntil = now + FleetState::lostEntryRetention;
+        return { std::max(targetsUntil.value_or(entriesUntil), entriesUntil), now + FleetState::lostWriteRetention };
+    }
+
+    // Puts what the store shows in force if nothing was written in the time for which another version was retained. Returns
+    // whether it did.
+    bool endRetention(Record& record, Base::TimePoint now)
+    {
+        if (!record.retained || !record.retained->until || *record.retained->until > now)
+            return false;
+        record.publication = std::move(record.retained->shown);
+        record.retained.reset();
+        return true;
     }
 
 } // namespace
@@ -159,26 +208,30 @@
         AppliedChange change;
         for (auto& item : items)
             mergeItem(contents, decoder, std::move(item), origin, now, change);
-        contents.revision = std::max(contents.revision, origin.revision);
+        contents.position = std::max(contents.position, origin.position);
         if (change.anything)
             publishSnapshot(contents);
         return change;
     });
 }
 
-AppliedChange applyListing(FleetState& state, const PublicationDecoder& decoder, const std::string& prefix, const std::vector<std::string>& listedKeys, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil, Base::TimePoint now)
+AppliedChange applyListing(FleetState& state, const PublicationDecoder& decoder, const std::string& prefix, const std::vector<std::string>& listedKeys, StorePosition position, const std::optional<Base::TimePoint>& deferDeletionsUntil, Base::TimePoint now)
 {
     std::unordered_set<std::string> listed(listedKeys.begin(), listedKeys.end());
     return state.withContents([&](Contents& contents) {
         AppliedChange change;
         for (auto& [key, record] : contents.records) {
-            if (!key.starts_with(prefix) || listed.contains(key) || record.item.deleted || record.item.revision > revision)
+            if (!key.starts_with(prefix) || listed.contains(key) || record.item.deleted || record.item.position > position)
+                continue;
+            if (Queries::isRetainedIfMissing(record, position)) {
+                change.retained.push_back(key);
                 continue;
-            removeRecord(record, decoder, revision, deferDeletionsUntil, now);
+            }
+            removeRecord(record, decoder, position, delaysOfListing(record, position, deferDeletionsUntil, now), now);
             change.anything = true;
         }
-        auto& listedRevision = contents.listedRevisions[prefix];
-        listedRevision = std::max(listedRevision, revision);
+        auto& listedPosition = contents.listedPositions[prefix];
+        listedPosition = std::max(listedPosition, position);
         if (change.anything)
             publishSnapshot(contents);
         return change;
@@ -218,6 +271,7 @@
         for (auto& [key, record] : contents.records) {
             if (record.learnedAt + FleetState::previousValueRetention < now)
                 record.previous.reset();
+            changed |= endRetention(record, now);
             if (!record.deletionDueAt || *record.deletionDueAt > now)
                 continue;
             record.deletionDueAt.reset();
--- a/Source/Fleet/Commands/ApplyItems.h
+++ b/Source/Fleet/Commands/ApplyItems.h
@@ -23,12 +23,14 @@
     // Key and reason of each item that could not be decoded.
     std::vector<std::string> unreadable;
     std::vector<LearnedDeclaration> declarations;
+    // Keys of the items that stay in force although an older copy of the store shows an earlier version.
+    std::vector<std::string> retained;
 };
 
 // How a batch of items was received.
 struct ItemBatchOrigin {
-    // The items are complete up to this revision.
-    uint64_t revision = 0;
+    // The items are complete up to this position.
+    StorePosition position;
     // If set, deletions of targets take effect only then, because entries that expired during an outage of the store may
     // be published again.
     std::optional<Base::TimePoint> deferDeletionsUntil;
@@ -42,9 +44,9 @@
 // Merges declarations that another node observed, with their exact ages, into those that are published.
 AppliedChange applyObservedDeclarations(FleetState&, const std::vector<ObservedDeclaration>&, Base::TimePoint now);
 
-// Deletes the keys below the prefix that are missing in a complete listing as of `revision`. The listed items have to be
+// Deletes the keys below the prefix that are missing in a complete listing as of the position. The listed items have to be
 // applied before.
-AppliedChange applyListing(FleetState&, const PublicationDecoder&, const std::string& prefix, const std::vector<std::string>& listedKeys, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil, Base::TimePoint now);
+AppliedChange applyListing(FleetState&, const PublicationDecoder&, const std::string& prefix, const std::vector<std::string>& listedKeys, StorePosition, const std::optional<Base::TimePoint>& deferDeletionsUntil, Base::TimePoint now);
 
 // Records that all items published up to a time have been applied. An earlier time than the known one is ignored.
 void recordCompleteness(FleetState&, Completeness);
--- a/Source/Fleet/FleetSnapshot.h
+++ b/Source/Fleet/FleetSnapshot.h
@@ -2,6 +2,7 @@
 
 #include "Base/Clock.h"
 #include "Fleet/Configuration.h"
+#include "Fleet/StorePosition.h"
 #include "Fleet/TargetEntry.h"
 
 #include <map>
@@ -31,9 +32,9 @@
     bool publishedAtIsLowerBound = false;
 };
 
-// The published state as of one revision. Immutable.
+// The published state as of one position. Immutable.
 struct FleetSnapshot {
-    uint64_t revision = 0;
+    StorePosition position;
     std::shared_ptr<const Configuration> configuration;
     std::unordered_map<std::string, std::vector<std::shared_ptr<const KnownTarget>>> targetsByService;
     std::set<std::string> evacuatedDataCentres;
--- a/Source/Fleet/FleetState.h
+++ b/Source/Fleet/FleetState.h
@@ -19,8 +19,8 @@
     std::string source;
 };
 
-// The newest revision of every published item known to this process, and the snapshot built from them. Items arrive
-// from the store and from other nodes in any order; an older revision of a key never replaces a newer one. Modified by
+// The newest version of every published item known to this process, and the snapshot built from them. Items arrive
+// from the store and from other nodes in any order; an older position of a key never replaces a newer one. Modified by
 // Commands/ApplyItems, read by Queries/.
 class FleetState {
 public:
@@ -36,9 +36,22 @@
     static constexpr size_t minimumPreviousValueBytes = 4096;
     static constexpr std::chrono::minutes previousValueRetention { 1 };
 
+    // After the store has returned from an older copy, operators and targets write again what it lost. Until then, or for this
+    // time, an evacuation and its end stay in force.
+    static constexpr std::chrono::seconds lostWriteRetention { 10 };
+    // Targets restore their lost entries within this time.
+    static constexpr std::chrono::milliseconds lostEntryRetention { 1900 };
+
     struct PreviousValue {
         std::string value;
-        uint64_t revision = 0;
+        StorePosition position;
+    };
+
+    // What the store shows of an item of which a later, lost version stays in force.
+    struct Retained {
+        Publication shown;
+        // Until the item is written again if empty.
+        std::optional<Base::TimePoint> until;
     };
 
     struct Record {
@@ -49,6 +62,9 @@
         std::optional<Base::TimePoint> deletionDueAt;
         // The value before the present one; null if it was small or is expired.
         std::shared_ptr<const PreviousValue> previous {};
+        std::optional<Retained> retained {};
+        // Incarnation of the target whose entry was deleted last.
+        std::optional<uint64_t> endedIncarnation {};
     };
 
     // Protected by one lock.
@@ -57,10 +73,10 @@
         // Declarations by model. A declaration made during the rollout of an earlier one does not cancel the deadline of
         // the earlier one, so the history is retained.
         std::map<std::string, std::vector<DeclaredWeights>> declaredWeights;
-        uint64_t revision = 0;
-        // Revision of the last listing of each prefix. A listing does not contain deleted keys, so deletions up to this
-        // revision may be unknown, except those of keys that were known before.
-        std::map<std::string, uint64_t> listedRevisions;
+        StorePosition position;
+        // Position of the last listing of each prefix. A listing does not contain deleted keys, so deletions up to this
+        // position may be unknown, except those of keys that were known before.
+        std::map<std::string, StorePosition> listedPositions;
         // Nothing before the first contact with the store, or with a node that follows it.
         std::optional<Completeness> completeness;
         std::shared_ptr<const FleetSnapshot> snapshot = std::make_shared<FleetSnapshot>();
--- a/Source/Fleet/Publication.h
+++ b/Source/Fleet/Publication.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Fleet/Configuration.h"
+#include "Fleet/StorePosition.h"
 #include "Fleet/TargetEntry.h"
 
 #include <chrono>
@@ -17,7 +18,7 @@
 struct PublishedItem {
     std::string key;
     std::string value;
-    uint64_t revision = 0;
+    StorePosition position;
     bool deleted = false;
     // Time since the publication, as known to the sender.
     std::chrono::milliseconds age { 0 };
--- /dev/null
+++ b/Source/Fleet/Queries/FindRetained.cpp
@@ -0,0 +1,71 @@
+#include "Fleet/Queries/FindRetained.h"
+
+namespace Lavenderloft::Fleet::Queries {
+
+namespace {
+
+    // Version of a publication whose versions only increase.
+    std::optional<uint64_t> versionOf(const Publication& publication)
+    {
+        if (auto* configuration = std::get_if<ConfigurationPublished>(&publication))
+            return configuration->configuration->version;
+        if (auto* weights = std::get_if<WeightsDeclared>(&publication))
+            return weights->version;
+        return std::nullopt;
+    }
+
+    bool isOlderVersion(const Publication& publication, const Publication& known)
+    {
+        auto version = versionOf(publication);
+        auto knownVersion = versionOf(known);
+        return publication.index() == known.index() && version && knownVersion && *version < *knownVersion;
+    }
+
+    // Whether the entry is that of a target which has said that it leaves.
+    bool isOfLeavingTarget(const TargetPublished& shown, const FleetState::Record& known)
+    {
+        auto* target = std::get_if<TargetPublished>(&known.publication);
+        return target && target->entry.draining && !shown.entry.draining && target->entry.startedAt == shown.entry.startedAt;
+    }
+
+    bool isOfEndedTarget(const TargetPublished& shown, const FleetState::Record& known)
+    {
+        return known.item.deleted && !known.deletionDueAt && known.endedIncarnation == shown.entry.startedAt;
+    }
+
+    Publication asLeaving(TargetPublished target)
+    {
+        target.entry.draining = true;
+        return target;
+    }
+
+} // namespace
+
+std::optional<RetainedVersion> findRetained(const FleetState::Record& known, const PublishedItem& shown, const Publication& publication, Base::TimePoint now)
+{
+    bool isFirstOfEra = known.item.position.era < shown.position.era;
+    bool isRetainedSince = known.retained && !known.retained->until;
+    if (!isFirstOfEra && !isRetainedSince)
+        return std::nullopt;
+    if (isOlderVersion(publication, known.publication))
+        return RetainedVersion { known.publication, std::nullopt, true };
+    auto* target = std::get_if<TargetPublished>(&publication);
+    if (target && isOfLeavingTarget(*target, known))
+        return RetainedVersion { known.publication, std::nullopt, true };
+    if (!isFirstOfEra)
+        return std::nullopt;
+    auto until = now + FleetState::lostWriteRetention;
+    if (target && isOfEndedTarget(*target, known))
+        return RetainedVersion { asLeaving(*target), until };
+    bool isEndedEvacuation = std::holds_alternative<DataCentreEvacuated>(publication) && known.item.deleted && !known.deletionDueAt;
+    if (isEndedEvacuation)
+        return RetainedVersion { Unrelated {}, until };
+    return std::nullopt;
+}
+
+bool isRetainedIfMissing(const FleetState::Record& known, StorePosition listing)
+{
+    return known.item.position.era < listing.era && versionOf(known.publication);
+}
+
+} // namespace Lavenderloft::Fleet::Queries
--- /dev/null
+++ b/Source/Fleet/Queries/FindRetained.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "Fleet/FleetState.h"
+
+#include <optional>
+
+namespace Lavenderloft::Fleet::Queries {
+
+// A version of an item that the store lost and that stays in force against the one that an older copy shows.
+struct RetainedVersion {
+    Publication publication;
+    // Until the item is written again if empty.
+    std::optional<Base::TimePoint> until;
+    // The known value is relayed instead of the one that the copy shows.
+    bool keepsValue = false;
+};
+
+// Decides whether what was known of an item stays in force when a store that returned from an older copy shows the item as
+// it was before. Nothing that was acknowledged is undone until it is written again: a configuration and a declaration of
+// weights keep the highest version, a target that is leaving or gone is not used again in its incarnation, and an evacuation
+// that has ended does not return.
+std::optional<RetainedVersion> findRetained(const FleetState::Record& known, const PublishedItem& shown, const Publication& publication, Base::TimePoint now);
+
+// Whether the item stays in force if the listing of a later era lacks it.
+bool isRetainedIfMissing(const FleetState::Record&, StorePosition listing);
+
+} // namespace Lavenderloft::Fleet::Queries
--- a/Source/Fleet/Queries/ReadFleet.cpp
+++ b/Source/Fleet/Queries/ReadFleet.cpp
@@ -9,9 +9,9 @@
     return state.withContents([](const FleetState::Contents& contents) { return contents.snapshot; });
 }
 
-uint64_t knownRevision(const FleetState& state)
+StorePosition knownPosition(const FleetState& state)
 {
-    return state.withContents([](const FleetState::Contents& contents) { return contents.revision; });
+    return state.withContents([](const FleetState::Contents& contents) { return contents.position; });
 }
 
 std::optional<Completeness> completeness(const FleetState& state)
@@ -52,12 +52,12 @@
 
 } // namespace
 
-std::vector<PublishedItem> itemsAfter(const FleetState& state, uint64_t revision, Base::TimePoint now)
+std::vector<PublishedItem> itemsAfter(const FleetState& state, StorePosition position, Base::TimePoint now)
 {
     return state.withContents([&](const FleetState::Contents& contents) {
         std::vector<PublishedItem> items;
         for (auto& [key, record] : contents.records) {
-            if (record.item.revision <= revision)
+            if (record.item.position <= position)
                 continue;
             items.push_back(record.item);
             auto* declaration = findDeclaration(contents, record);
@@ -70,23 +70,23 @@
     });
 }
 
-std::shared_ptr<const FleetState::PreviousValue> valueAsOf(const FleetState& state, const std::string& key, uint64_t revision)
+std::shared_ptr<const FleetState::PreviousValue> valueAsOf(const FleetState& state, const std::string& key, StorePosition position)
 {
     return state.withContents([&](const FleetState::Contents& contents) -> std::shared_ptr<const FleetState::PreviousValue> {
         auto found = contents.records.find(key);
         if (found == contents.records.end())
             return nullptr;
         auto& record = found->second;
-        if (record.item.revision <= revision)
-            return std::make_shared<const FleetState::PreviousValue>(FleetState::PreviousValue { record.item.value, record.item.revision });
-        return record.previous && record.previous->revision <= revision ? record.previous : nullptr;
+        if (record.item.position <= position)
+            return std::make_shared<const FleetState::PreviousValue>(FleetState::PreviousValue { record.item.value, record.item.position });
+        return record.previous && record.previous->position <= position ? record.previous : nullptr;
     });
 }
 
-bool mayMissDeletions(const FleetState& state, uint64_t revision)
+bool mayMissDeletions(const FleetState& state, StorePosition position)
 {
     return state.withContents([&](const FleetState::Contents& contents) {
-        return std::any_of(contents.listedRevisions.begin(), contents.listedRevisions.end(), [&](auto& listed) { return revision < listed.second; });
+        return std::any_of(contents.listedPositions.begin(), contents.listedPositions.end(), [&](auto& listed) { return position < listed.second; });
     });
 }
 
--- a/Source/Fleet/Queries/ReadFleet.h
+++ b/Source/Fleet/Queries/ReadFleet.h
@@ -11,8 +11,8 @@
 
 std::shared_ptr<const FleetSnapshot> currentSnapshot(const FleetState&);
 
-// Revision up to which all items are known to this process.
-uint64_t knownRevision(const FleetState&);
+// Position up to which all items are known to this process.
+StorePosition knownPosition(const FleetState&);
 
 // Up to when all items are known, and who reported it; nullopt before the first contact.
 std::optional<Completeness> completeness(const FleetState&);
@@ -20,15 +20,15 @@
 // Whether an item that was published longer than `maximumAge` ago may still be unknown to this process.
 bool mayBeOutdated(const FleetState&, std::chrono::milliseconds maximumAge, Base::TimePoint now);
 
-// Returns the items that are newer than the revision, including deletions.
-std::vector<PublishedItem> itemsAfter(const FleetState&, uint64_t revision, Base::TimePoint now);
+// Returns the items that are newer than the position, including deletions.
+std::vector<PublishedItem> itemsAfter(const FleetState&, StorePosition, Base::TimePoint now);
 
-// The key's value as of the revision, which is the present or the previous one; null if it is not known any more.
-std::shared_ptr<const FleetState::PreviousValue> valueAsOf(const FleetState&, const std::string& key, uint64_t revision);
+// The key's value as of the position, which is the present or the previous one; null if it is not known any more.
+std::shared_ptr<const FleetState::PreviousValue> valueAsOf(const FleetState&, const std::string& key, StorePosition);
 
-// Whether deletions after the revision may be missing among these items, because the process only listed what the store
-// had at a later revision.
-bool mayMissDeletions(const FleetState&, uint64_t revision);
+// Whether deletions after the position may be missing among these items, because the process only listed what the store
+// had at a later one.
+bool mayMissDeletions(const FleetState&, StorePosition);
 
 // Returns the declarations whose times this process knows exactly and which are not older than `maximumAge`.
 std::vector<ObservedDeclaration> observedDeclarations(const FleetState&, std::chrono::milliseconds maximumAge, Base::TimePoint now);
--- a/Source/Fleet/StoreProtocol.h
+++ b/Source/Fleet/StoreProtocol.h
@@ -25,15 +25,15 @@
 struct ListPage {
     std::vector<PublishedItem> items;
     bool morePages = false;
-    // Revision of the store when it responded.
-    uint64_t revision = 0;
+    // Position of the store when it responded.
+    StorePosition position;
 };
 
 // Changes since a revision.
 struct ChangeBatch {
     std::vector<PublishedItem> changes;
-    // Revision to continue from.
-    uint64_t revision = 0;
+    // Position to continue from.
+    StorePosition position;
 };
 
 // Encodes requests to the store of published items, and decodes its responses.
--- a/Source/Peering/Commands/RecordPeer.cpp
+++ b/Source/Peering/Commands/RecordPeer.cpp
@@ -23,11 +23,11 @@
         auto& known = entries[router.address];
         if (known.lastSeenAt > router.lastSeenAt)
             return;
-        auto revision = std::max(known.revision, router.revision);
+        auto position = std::max(known.position, router.position);
         auto demand = router.demand > 0 ? router.demand : known.demand;
         auto backoffUntil = known.backoffUntil;
         known = router;
-        known.revision = revision;
+        known.position = position;
         known.demand = demand;
         known.backoffUntil = backoffUntil;
     });
@@ -57,14 +57,14 @@
     table.routers().erase(address);
 }
 
-bool recordAgent(PeerTable& table, const std::string& address, uint64_t revision, uint64_t ownRevision, Base::TimePoint now)
+bool recordAgent(PeerTable& table, const std::string& address, Fleet::StorePosition position, Fleet::StorePosition ownPosition, Base::TimePoint now)
 {
     return table.agents().withShard(address, [&](PeerTable::Agents::Entries& entries) {
         auto& known = entries[address];
         known.address = address;
         known.lastSeenAt = now;
-        known.revision = revision;
-        auto interval = revision < ownRevision ? laggingReplyInterval : replyInterval;
+        known.position = position;
+        auto interval = position < ownPosition ? laggingReplyInterval : replyInterval;
         if (known.lastRepliedAt != Base::TimePoint() && now - known.lastRepliedAt < interval)
             return false;
         known.lastRepliedAt = now;
--- a/Source/Peering/Commands/RecordPeer.h
+++ b/Source/Peering/Commands/RecordPeer.h
@@ -17,7 +17,7 @@
 void removeRouter(PeerTable&, const std::string& address);
 
 // Records a message from an agent. Returns whether to reply: the agent is behind, or the last reply is too old.
-bool recordAgent(PeerTable&, const std::string& address, uint64_t revision, uint64_t ownRevision, Base::TimePoint now);
+bool recordAgent(PeerTable&, const std::string& address, Fleet::StorePosition, Fleet::StorePosition ownPosition, Base::TimePoint now);
 
 // Removes nodes whose retention period has expired.
 void removeExpiredPeers(PeerTable&, Base::TimePoint now);
--- a/Source/Peering/Events.h
+++ b/Source/Peering/Events.h
@@ -12,6 +12,9 @@
 inline constexpr Event storeReached { 7502, "store-reached", Level::Info, "The store of published items responds." };
 inline constexpr Event storeLost { 7503, "store-lost", Level::Warning, "The store of published items does not respond; the last known items stay in force." };
 inline constexpr Event itemsApplied { 7504, "items-applied", Level::Info, "Published items from the named source came into force." };
+inline constexpr Event itemRetained { 7511, "item-retained", Level::Info, "The store returned from an older copy that shows an earlier version of the item; the version that was acknowledged stays in force." };
+inline constexpr Event storeEraChanged { 7512, "store-era-changed", Level::Warning, "The store returned from an older copy; all items are listed again." };
+inline constexpr Event staleResponseIgnored { 7513, "stale-response-ignored", Level::Warning, "A response of the store is of an earlier era than what is known, and is ignored." };
 inline constexpr Event itemUnreadable { 7505, "item-unreadable", Level::Warning, "A published item cannot be decoded and is ignored." };
 inline constexpr Event configurationInForce { 7506, "configuration-in-force", Level::Info, "A different version of the configuration came into force." };
 inline constexpr Event storeResponded { 7509, "store-responded", Level::Info, "The store sent changes: the time since the request, and the age of the last change that this node may still lack." };
--- a/Source/Peering/ItemExchange.cpp
+++ b/Source/Peering/ItemExchange.cpp
@@ -35,18 +35,27 @@
     // Error of an age that still counts as exact.
     constexpr std::chrono::milliseconds exactAgeTolerance = 50ms;
 
-    std::optional<uint64_t> revisionInQuery(const std::string& target)
+    constexpr std::string_view revisionParameter = "?after=";
+    // Nodes that do not know eras leave it out.
+    constexpr std::string_view eraParameter = "&era=";
+
+    std::optional<uint64_t> numberInQuery(std::string_view target, std::string_view parameter)
     {
-        constexpr std::string_view parameter = "?after=";
         auto start = target.find(parameter);
-        if (start == std::string::npos)
+        if (start == std::string_view::npos)
             return std::nullopt;
-        uint64_t revision = 0;
-        auto* begin = target.data() + start + parameter.size();
-        auto [end, error] = std::from_chars(begin, target.data() + target.size(), revision);
-        if (error != std::errc())
+        target.remove_prefix(start + parameter.size());
+        uint64_t number = 0;
+        auto [end, error] = std::from_chars(target.data(), target.data() + target.size(), number);
+        return error == std::errc() ? std::optional(number) : std::nullopt;
+    }
+
+    std::optional<Fleet::StorePosition> positionInQuery(const std::string& target)
+    {
+        auto revision = numberInQuery(target, revisionParameter);
+        if (!revision)
             return std::nullopt;
-        return revision;
+        return Fleet::StorePosition { numberInQuery(target, eraParameter).value_or(0), *revision };
     }
 
     // Marks requests of nodes that restore packed values.
@@ -99,16 +108,16 @@
         bool fetched = co_await fetchFrom(*router);
         if (fetched)
             onFetched(*router);
-        // Uses another router next: this one may be unreachable, or has restarted with an older revision.
-        if (!fetched || Fleet::Queries::knownRevision(m_merger.fleet()) < router->revision)
+        // Uses another router next: this one may be unreachable, or has restarted with an older position.
+        if (!fetched || Fleet::Queries::knownPosition(m_merger.fleet()) < router->position)
             Commands::startRouterBackoff(m_peers, router->address, m_clock.now());
         updateLag();
     }
 }
 
-void ItemExchange::revisionReported(uint64_t revision)
+void ItemExchange::positionReported(Fleet::StorePosition position)
 {
-    if (revision > completeRevision())
+    if (position > completePosition())
         m_timer.cancel();
 }
 
@@ -117,33 +126,35 @@
     return m_laggingSince && m_clock.now() - *m_laggingSince > maximumLag;
 }
 
-uint64_t ItemExchange::completeRevision() const
+Fleet::StorePosition ItemExchange::completePosition() const
 {
-    return m_hasFetchedAll ? Fleet::Queries::knownRevision(m_merger.fleet()) : 0;
+    return m_hasFetchedAll ? Fleet::Queries::knownPosition(m_merger.fleet()) : Fleet::StorePosition();
 }
 
-// Returns a router with a newer revision than this node.
+// Returns a router with a newer position than this node.
 std::optional<PeerRouter> ItemExchange::routerToFetchFrom() const
 {
-    return Queries::findRouterAhead(m_peers, completeRevision(), m_settings, m_clock.now());
+    return Queries::findRouterAhead(m_peers, completePosition(), m_settings, m_clock.now());
 }
 
 void ItemExchange::updateLag()
 {
-    auto newest = Queries::newestRevision(m_peers, m_clock.now());
-    if (newest <= Fleet::Queries::knownRevision(m_merger.fleet()))
+    auto newest = Queries::newestPosition(m_peers, m_clock.now());
+    if (newest <= Fleet::Queries::knownPosition(m_merger.fleet()))
         m_laggingSince.reset();
     else if (!m_laggingSince)
         m_laggingSince = m_clock.now();
 }
 
-asio::awaitable<std::optional<Http::HttpResponse>> ItemExchange::requestItems(const PeerRouter& router, uint64_t afterRevision, ValueEncoding encoding)
+asio::awaitable<std::optional<Http::HttpResponse>> ItemExchange::requestItems(const PeerRouter& router, Fleet::StorePosition after, ValueEncoding encoding)
 {
     Http::Endpoint endpoint { router.address, m_settings.firstPeerPort };
     if (!m_client || !(m_client->endpoint() == endpoint))
         m_client = std::make_unique<Http::PersistentHttpClient>(m_context.get_executor(), endpoint);
     Http::HttpRequest request;
-    request.target = std::string(path) + "?after=" + std::to_string(afterRevision);
+    request.target = std::string(path) + std::string(revisionParameter) + std::to_string(after.revision);
+    if (after.era > 0)
+        request.target += std::string(eraParameter) + std::to_string(after.era);
     if (encoding == ValueEncoding::Packed)
         request.target += packedParameter;
     auto requestedAt = m_clock.now();
@@ -160,24 +171,24 @@
 
 asio::awaitable<bool> ItemExchange::fetchFrom(const PeerRouter& router)
 {
-    auto afterRevision = completeRevision();
+    auto after = completePosition();
     auto requestedAt = m_clock.now();
-    auto response = co_await requestItems(router, afterRevision, ValueEncoding::Packed);
+    auto response = co_await requestItems(router, after, ValueEncoding::Packed);
     if (response && response->status == historyLostStatus) {
         // Another router may still have the deletions; its response is smaller.
         Commands::startRouterBackoff(m_peers, router.address, m_clock.now());
         if (routerToFetchFrom())
             co_return false;
-        afterRevision = 0;
+        after = {};
         requestedAt = m_clock.now();
-        response = co_await requestItems(router, afterRevision, ValueEncoding::Packed);
+        response = co_await requestItems(router, after, ValueEncoding::Packed);
     }
     auto batch = readBatch(response);
     bool isRestored = batch && unpackValues(*batch, m_merger.fleet());
     if (batch && !isRestored) {
         // This node does not have the values that the packed ones are based on.
         requestedAt = m_clock.now();
-        response = co_await requestItems(router, afterRevision, ValueEncoding::Plain);
+        response = co_await requestItems(router, after, ValueEncoding::Plain);
         batch = readBatch(response);
         isRestored = batch && unpackValues(*batch, m_merger.fleet());
     }
@@ -187,15 +198,15 @@
     for (auto& item : batch->items)
         keys.push_back(item.key);
     auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - requestedAt);
-    Observability::logEvent(Events::itemsFetched, { { "source", router.address }, { "after", afterRevision }, { "revision", batch->revision }, { "bytes", response->body.size() }, { "elapsed", elapsed } });
+    Observability::logEvent(Events::itemsFetched, { { "source", router.address }, { "after", after.revision }, { "era", batch->position.era }, { "revision", batch->position.revision }, { "bytes", response->body.size() }, { "elapsed", elapsed } });
     addWaitingTime(batch->items, elapsed);
     bool isFirst = !m_hasFetchedAll;
     m_hasFetchedAll = true;
-    m_merger.apply(std::move(batch->items), batch->revision, std::nullopt, router.address);
-    if (afterRevision == 0)
-        m_merger.applyListing("", keys, batch->revision, std::nullopt);
+    m_merger.apply(std::move(batch->items), batch->position, std::nullopt, router.address);
+    if (after == Fleet::StorePosition())
+        m_merger.applyListing("", keys, batch->position, std::nullopt);
     // A router that has restarted since its report may have fewer items than it reported.
-    if (router.storeSync.reportedAt && batch->revision >= router.revision)
+    if (router.storeSync.reportedAt && batch->position >= router.position)
         m_merger.recordRelayedSync(router.storeSync.syncedAt, m_settings.regionOf(router.dataCentre) == m_settings.region, router.address);
     else if (isFirst)
         m_merger.recordSyncAsOfStoreFailure();
@@ -204,16 +215,16 @@
 
 Http::HttpResponse ItemExchange::respond(const Http::HttpRequest& request)
 {
-    auto revision = revisionInQuery(request.target);
-    if (!revision)
+    auto position = positionInQuery(request.target);
+    if (!position)
         return { 400, {}, "missing revision: expected /items?after=REVISION" };
-    if (*revision > 0 && Fleet::Queries::mayMissDeletions(m_merger.fleet(), *revision))
+    if (*position > Fleet::StorePosition() && Fleet::Queries::mayMissDeletions(m_merger.fleet(), *position))
         return { historyLostStatus, {}, "deletions after this revision may be unknown here: request all items with after=0" };
     ItemBatch batch;
-    batch.revision = Fleet::Queries::knownRevision(m_merger.fleet());
-    batch.items = Fleet::Queries::itemsAfter(m_merger.fleet(), *revision, m_clock.now());
+    batch.position = Fleet::Queries::knownPosition(m_merger.fleet());
+    batch.items = Fleet::Queries::itemsAfter(m_merger.fleet(), *position, m_clock.now());
     if (request.target.ends_with(packedParameter))
-        m_packer.pack(batch, m_merger.fleet(), *revision);
+        m_packer.pack(batch, m_merger.fleet(), *position);
     return { 200, { { "Content-Type", "application/octet-stream" } }, encodeItems(batch) };
 }
 
--- a/Source/Peering/ItemExchange.h
+++ b/Source/Peering/ItemExchange.h
@@ -17,7 +17,7 @@
 
 namespace Lavenderloft::Peering {
 
-// Fetches the published items that this node misses from a router with a newer revision, and serves the items of this
+// Fetches the published items that this node misses from a router with a newer position, and serves the items of this
 // node to others. Runs on one event loop.
 class ItemExchange {
 public:
@@ -33,8 +33,8 @@
     // Fetches until the event loop ends.
     boost::asio::awaitable<void> run(FollowsStore, FetchHandler);
 
-    // Fetches at once if the revision, which a router reported, is newer than that of this node.
-    void revisionReported(uint64_t revision);
+    // Fetches at once if the position, which a router reported, is newer than that of this node.
+    void positionReported(Fleet::StorePosition);
 
     // Whether all items were fetched from another router once, with the age of each. Items listed from the store have no
     // age.
@@ -43,7 +43,7 @@
     // Whether this node has been behind other routers for longer than a fetch takes.
     bool isLagging() const;
 
-    // Responds with the items after the revision that is given in the request's query, large values packed if asked for, or with 410 if this node may lack
+    // Responds with the items after the position that is given in the request's query, large values packed if asked for, or with 410 if this node may lack
     // deletions after it.
     Http::HttpResponse respond(const Http::HttpRequest&);
 
@@ -55,11 +55,11 @@
     };
 
     boost::asio::awaitable<bool> fetchFrom(const PeerRouter&);
-    // Requests the items after the revision; all items if it is zero.
-    boost::asio::awaitable<std::optional<Http::HttpResponse>> requestItems(const PeerRouter&, uint64_t afterRevision, ValueEncoding);
+    // Requests the items after the position; all items if it is zero.
+    boost::asio::awaitable<std::optional<Http::HttpResponse>> requestItems(const PeerRouter&, Fleet::StorePosition after, ValueEncoding);
     std::optional<PeerRouter> routerToFetchFrom() const;
-    // Revision after which items are missing.
-    uint64_t completeRevision() const;
+    // Position after which items are missing.
+    Fleet::StorePosition completePosition() const;
     void updateLag();
 
     boost::asio::io_context& m_context;
@@ -72,7 +72,7 @@
     std::unique_ptr<Http::PersistentHttpClient> m_client;
     Base::AdaptiveTimeout m_fetchTimeout;
     bool m_hasFetchedAll = false;
-    // Since when another router has had a newer revision.
+    // Since when another router has had a newer position.
     std::optional<Base::TimePoint> m_laggingSince;
 };
 
--- a/Source/Peering/ItemMerger.cpp
+++ b/Source/Peering/ItemMerger.cpp
@@ -24,11 +24,11 @@
 {
 }
 
-std::vector<Fleet::ObservedDeclaration> ItemMerger::apply(std::vector<Fleet::PublishedItem> items, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil, std::string_view source)
+std::vector<Fleet::ObservedDeclaration> ItemMerger::apply(std::vector<Fleet::PublishedItem> items, Fleet::StorePosition position, const std::optional<Base::TimePoint>& deferDeletionsUntil, std::string_view source)
 {
-    Fleet::Commands::ItemBatchOrigin origin { revision, deferDeletionsUntil, maximumNewItemAge() };
+    Fleet::Commands::ItemBatchOrigin origin { position, deferDeletionsUntil, maximumNewItemAge() };
     auto change = Fleet::Commands::applyItems(m_fleet, m_decoder, std::move(items), origin, m_clock.now());
-    logChange(change, revision, source);
+    logChange(change, position, source);
     std::vector<Fleet::ObservedDeclaration> inexact;
     for (auto& learned : change.declarations) {
         if (learned.declared.publishedAtIsLowerBound && !learned.isAssumed)
@@ -37,14 +37,14 @@
     return inexact;
 }
 
-void ItemMerger::applyListing(const std::string& prefix, const std::vector<std::string>& keys, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil)
+void ItemMerger::applyListing(const std::string& prefix, const std::vector<std::string>& keys, Fleet::StorePosition position, const std::optional<Base::TimePoint>& deferDeletionsUntil)
 {
-    logChange(Fleet::Commands::applyListing(m_fleet, m_decoder, prefix, keys, revision, deferDeletionsUntil, m_clock.now()), revision, "store_listing");
+    logChange(Fleet::Commands::applyListing(m_fleet, m_decoder, prefix, keys, position, deferDeletionsUntil, m_clock.now()), position, "store_listing");
 }
 
 void ItemMerger::applyObserved(const std::vector<Fleet::ObservedDeclaration>& declarations, std::string_view source)
 {
-    logChange(Fleet::Commands::applyObservedDeclarations(m_fleet, declarations, m_clock.now()), Fleet::Queries::knownRevision(m_fleet), source);
+    logChange(Fleet::Commands::applyObservedDeclarations(m_fleet, declarations, m_clock.now()), Fleet::Queries::knownPosition(m_fleet), source);
 }
 
 void ItemMerger::recordSync(Base::TimePoint time, std::string_view source)
@@ -90,18 +90,20 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - since);
 }
 
-void ItemMerger::logChange(const Fleet::Commands::AppliedChange& change, uint64_t revision, std::string_view source)
+void ItemMerger::logChange(const Fleet::Commands::AppliedChange& change, Fleet::StorePosition position, std::string_view source)
 {
     for (auto& problem : change.unreadable)
         Observability::logEvent(Events::itemUnreadable, { { "item", problem }, { "source", source } });
+    for (auto& key : change.retained)
+        Observability::logEvent(Events::itemRetained, { { "item", key }, { "era", position.era }, { "source", source } });
     if (change.configuration)
-        Observability::logEvent(Events::configurationInForce, { { "version", change.configuration->version }, { "revision", revision }, { "source", source } });
+        Observability::logEvent(Events::configurationInForce, { { "version", change.configuration->version }, { "era", position.era }, { "revision", position.revision }, { "source", source } });
     for (auto& learned : change.declarations) {
         auto age = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - learned.declared.publishedAt);
-        Observability::logEvent(Events::declarationLearned, { { "model", learned.model }, { "version", learned.declared.version }, { "age", age }, { "age_is_bound", learned.declared.publishedAtIsLowerBound }, { "revision", revision }, { "source", source } });
+        Observability::logEvent(Events::declarationLearned, { { "model", learned.model }, { "version", learned.declared.version }, { "age", age }, { "age_is_bound", learned.declared.publishedAtIsLowerBound }, { "era", position.era }, { "revision", position.revision }, { "source", source } });
     }
     if (change.anything)
-        Observability::logEvent(Events::itemsApplied, { { "revision", revision }, { "source", source } });
+        Observability::logEvent(Events::itemsApplied, { { "era", position.era }, { "revision", position.revision }, { "source", source } });
 }
 
 } // namespace Lavenderloft::Peering
--- a/Source/Peering/ItemMerger.h
+++ b/Source/Peering/ItemMerger.h
@@ -18,8 +18,8 @@
 
     // Merges items of the store or of a peer. Ages that are only upper bounds are limited by maximumNewItemAge() for
     // items that this node did not know. Returns the declarations among the items whose times are new and not exact.
-    std::vector<Fleet::ObservedDeclaration> apply(std::vector<Fleet::PublishedItem>, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil, std::string_view source);
-    void applyListing(const std::string& prefix, const std::vector<std::string>& keys, uint64_t revision, const std::optional<Base::TimePoint>& deferDeletionsUntil);
+    std::vector<Fleet::ObservedDeclaration> apply(std::vector<Fleet::PublishedItem>, Fleet::StorePosition, const std::optional<Base::TimePoint>& deferDeletionsUntil, std::string_view source);
+    void applyListing(const std::string& prefix, const std::vector<std::string>& keys, Fleet::StorePosition, const std::optional<Base::TimePoint>& deferDeletionsUntil);
 
     // Merges declarations that another node observed.
     void applyObserved(const std::vector<Fleet::ObservedDeclaration>&, std::string_view source);
@@ -50,7 +50,7 @@
 
 private:
     void extendSync(Base::TimePoint);
-    void logChange(const Fleet::Commands::AppliedChange&, uint64_t revision, std::string_view source);
+    void logChange(const Fleet::Commands::AppliedChange&, Fleet::StorePosition, std::string_view source);
 
     Fleet::FleetState& m_fleet;
     const Fleet::PublicationDecoder& m_decoder;
--- a/Source/Peering/PeerTable.h
+++ b/Source/Peering/PeerTable.h
@@ -5,6 +5,7 @@
 
 #include "Base/Clock.h"
 #include "Base/ShardedMap.h"
+#include "Fleet/StorePosition.h"
 
 #include <cstdint>
 #include <optional>
@@ -26,8 +27,8 @@
     std::string address;
     std::string dataCentre;
     Base::TimePoint lastSeenAt {};
-    // Last revision reported by the router itself.
-    uint64_t revision = 0;
+    // Last position reported by the router itself.
+    Fleet::StorePosition position;
     // Rate of requests for engines at the router, per second; zero if the router has not reported it.
     double demand = 0;
     // Last report of the router itself.
@@ -41,7 +42,7 @@
     std::string address;
     Base::TimePoint lastSeenAt {};
     Base::TimePoint lastRepliedAt {};
-    uint64_t revision = 0;
+    Fleet::StorePosition position;
 };
 
 // Routers and agents by address. Modified by Commands/RecordPeer, read by Queries/ListPeers.
--- a/Source/Peering/PeeringCodec.cpp
+++ b/Source/Peering/PeeringCodec.cpp
@@ -59,7 +59,8 @@
     encoded.set_data_centre(message.dataCentre);
     encoded.set_is_router(message.isRouter);
     encoded.set_leaving(message.leaving);
-    encoded.set_revision(message.revision);
+    encoded.set_revision(message.position.revision);
+    encoded.set_store_era(message.position.era);
     encoded.set_demand(message.demand);
     if (message.storeAge)
         encoded.set_store_age_ms(static_cast<uint32_t>(message.storeAge->count()));
@@ -131,7 +132,7 @@
     message.dataCentre = encoded.data_centre();
     message.isRouter = encoded.is_router();
     message.leaving = encoded.leaving();
-    message.revision = encoded.revision();
+    message.position = { encoded.store_era(), encoded.revision() };
     message.demand = encoded.demand();
     if (encoded.has_store_age_ms())
         message.storeAge = std::chrono::milliseconds(encoded.store_age_ms());
@@ -167,7 +168,8 @@
 std::string encodeItems(const ItemBatch& batch)
 {
     protocol::ItemBatch encoded;
-    encoded.set_revision(batch.revision);
+    encoded.set_revision(batch.position.revision);
+    encoded.set_era(batch.position.era);
     for (auto& item : batch.items) {
         auto* added = encoded.add_items();
         added->set_key(item.key);
@@ -176,10 +178,12 @@
             added->set_value(item.value);
         } else {
             added->set_packed_value(packed->second.bytes);
-            added->set_base_revision(packed->second.baseRevision);
+            added->set_base_revision(packed->second.basePosition.revision);
+            added->set_base_era(packed->second.basePosition.era);
             added->set_value_digest(packed->second.digest);
         }
-        added->set_revision(item.revision);
+        added->set_revision(item.position.revision);
+        added->set_era(item.position.era);
         added->set_deleted(item.deleted);
         added->set_age_ms(static_cast<uint64_t>(item.age.count()));
         added->set_age_is_bound(item.ageIsBound);
@@ -194,11 +198,11 @@
     if (!encoded.ParseFromString(bytes))
         return std::nullopt;
     ItemBatch batch;
-    batch.revision = encoded.revision();
+    batch.position = { encoded.era(), encoded.revision() };
     for (auto& item : encoded.items()) {
         if (!item.packed_value().empty())
-            batch.packedValues[item.key()] = { item.packed_value(), item.base_revision(), item.value_digest() };
-        batch.items.push_back({ item.key(), item.value(), item.revision(), item.deleted(), std::chrono::milliseconds(item.age_ms()), item.age_is_bound(), std::chrono::milliseconds(item.deletion_delay_ms()) });
+            batch.packedValues[item.key()] = { item.packed_value(), { item.base_era(), item.base_revision() }, item.value_digest() };
+        batch.items.push_back({ item.key(), item.value(), { item.era(), item.revision() }, item.deleted(), std::chrono::milliseconds(item.age_ms()), item.age_is_bound(), std::chrono::milliseconds(item.deletion_delay_ms()) });
     }
     return batch;
 }
--- a/Source/Peering/PeeringCodec.h
+++ b/Source/Peering/PeeringCodec.h
@@ -46,7 +46,7 @@
     std::string dataCentre;
     bool isRouter = false;
     bool leaving = false;
-    uint64_t revision = 0;
+    Fleet::StorePosition position;
     // Rate of requests for engines at a router, per second.
     double demand = 0;
     // Time since the sender, a router, was last synchronised with the store; empty if it does not follow the store.
@@ -83,15 +83,15 @@
 // A value that was compressed for its way to another node.
 struct PackedValue {
     std::string bytes;
-    // Revision of the key's value that the receiver needs to restore this one; zero if it needs none.
-    uint64_t baseRevision = 0;
+    // Position of the key's value that the receiver needs to restore this one; zero if it needs none.
+    Fleet::StorePosition basePosition;
     // Digest of the whole value.
     uint64_t digest = 0;
 };
 
-// Items published after some revision, complete up to `revision`.
+// Items published after some position, complete up to `position`.
 struct ItemBatch {
-    uint64_t revision = 0;
+    Fleet::StorePosition position;
     std::vector<Fleet::PublishedItem> items;
     // Values by key that are sent in place of those of the items.
     std::map<std::string, PackedValue> packedValues {};
--- a/Source/Peering/PeeringNode.cpp
+++ b/Source/Peering/PeeringNode.cpp
@@ -92,7 +92,7 @@
     message.dataCentre = m_settings.dataCentre;
     message.isRouter = m_isRouter;
     message.demand = m_demand;
-    message.revision = Fleet::Queries::knownRevision(m_merger.fleet());
+    message.position = Fleet::Queries::knownPosition(m_merger.fleet());
     if (auto syncedAt = m_storeSyncTime ? m_storeSyncTime() : std::nullopt)
         message.storeAge = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - *syncedAt);
     message.declarations = Fleet::Queries::observedDeclarations(m_merger.fleet(), m_settings.bounds.weights * declarationRelayFactor, m_clock.now());
@@ -334,9 +334,9 @@
     }
     logNewRouter(message.sender, message.dataCentre);
     auto now = m_clock.now();
-    PeerRouter router { message.sender, message.dataCentre, now, message.revision, message.demand, syncReportOf(message, now) };
+    PeerRouter router { message.sender, message.dataCentre, now, message.position, message.demand, syncReportOf(message, now) };
     bool isNewReport = router.storeSync.reportedAt == now;
-    if (isNewReport && Fleet::Queries::knownRevision(m_merger.fleet()) >= message.revision)
+    if (isNewReport && Fleet::Queries::knownPosition(m_merger.fleet()) >= message.position)
         m_merger.recordRelayedSync(router.storeSync.syncedAt, m_settings.regionOf(message.dataCentre) == m_settings.region, message.sender);
     Commands::recordRouter(m_peers, router);
     introduceTo(message);
@@ -354,7 +354,7 @@
     }
     if (!message.declarations.empty() && isPrompt(message))
         m_merger.applyObserved(message.declarations, message.sender);
-    auto ownRevision = Fleet::Queries::knownRevision(m_merger.fleet());
+    auto ownPosition = Fleet::Queries::knownPosition(m_merger.fleet());
     if (message.isRouter) {
         handleRouterMessage(message);
         if (!message.crashes.empty() && m_onCrashes)
@@ -362,12 +362,12 @@
         if (!message.parts.isEmpty() && m_onParts)
             m_onParts(message.parts);
         handleLimits(message);
-        m_items.revisionReported(message.revision);
+        m_items.positionReported(message.position);
         return;
     }
     if (message.load && m_onLoad)
         m_onLoad(*message.load);
-    if (!m_isRouter || !Commands::recordAgent(m_peers, message.sender, message.revision, ownRevision, m_clock.now()))
+    if (!m_isRouter || !Commands::recordAgent(m_peers, message.sender, message.position, ownPosition, m_clock.now()))
         return;
     auto reply = describeSelf();
     addKnownRouters(reply);
--- a/Source/Peering/Queries/ListPeers.cpp
+++ b/Source/Peering/Queries/ListPeers.cpp
@@ -72,17 +72,17 @@
     return table.routers().size();
 }
 
-uint64_t newestRevision(const PeerTable& table, Base::TimePoint now)
+Fleet::StorePosition newestPosition(const PeerTable& table, Base::TimePoint now)
 {
-    uint64_t newest = 0;
+    Fleet::StorePosition newest;
     for (auto& router : liveRouters(table, now))
-        newest = std::max(newest, router.revision);
+        newest = std::max(newest, router.position);
     return newest;
 }
 
-// Nodes that learn of a revision at the same time choose different routers, because one link can't deliver a large
+// Nodes that learn of a change at the same time choose different routers, because one link can't deliver a large
 // configuration to all of them in time.
-std::optional<PeerRouter> findRouterAhead(const PeerTable& table, uint64_t revision, const Fleet::NodeSettings& settings, Base::TimePoint now)
+std::optional<PeerRouter> findRouterAhead(const PeerTable& table, Fleet::StorePosition position, const Fleet::NodeSettings& settings, Base::TimePoint now)
 {
     auto isNearer = [&](const PeerRouter& left, const PeerRouter& right) {
         bool isLeftLocal = left.dataCentre == settings.dataCentre;
@@ -93,7 +93,7 @@
     };
     std::optional<PeerRouter> best;
     for (auto& router : liveRouters(table, now)) {
-        if (router.revision <= revision || now < router.backoffUntil)
+        if (router.position <= position || now < router.backoffUntil)
             continue;
         if (!best || isNearer(router, *best))
             best = router;
--- a/Source/Peering/Queries/ListPeers.h
+++ b/Source/Peering/Queries/ListPeers.h
@@ -31,10 +31,10 @@
 // Number of known routers, including silent ones, which may still be running.
 size_t countRetainedRouters(const PeerTable&);
 
-// The newest revision of the live routers; zero if there are none.
-uint64_t newestRevision(const PeerTable&, Base::TimePoint now);
+// The newest position of the live routers; zero if there are none.
+Fleet::StorePosition newestPosition(const PeerTable&, Base::TimePoint now);
 
-// Returns a live router with a newer revision, preferably one in the node's data centre.
-std::optional<PeerRouter> findRouterAhead(const PeerTable&, uint64_t revision, const Fleet::NodeSettings&, Base::TimePoint now);
+// Returns a live router with a newer position, preferably one in the node's data centre.
+std::optional<PeerRouter> findRouterAhead(const PeerTable&, Fleet::StorePosition, const Fleet::NodeSettings&, Base::TimePoint now);
 
 } // namespace Lavenderloft::Peering::Queries
--- a/Source/Peering/StoreFollower.cpp
+++ b/Source/Peering/StoreFollower.cpp
@@ -64,7 +64,7 @@
         }
         resume();
         bool succeeded = false;
-        if (m_revision)
+        if (m_position)
             succeeded = co_await waitForChanges();
         else
             succeeded = co_await listAll();
@@ -77,7 +77,7 @@
 
 void StoreFollower::suspend()
 {
-    m_revision.reset();
+    m_position.reset();
     m_isFollowing = false;
     m_isWatching = false;
     m_isSuspended = true;
@@ -85,19 +85,19 @@
     m_client.disconnect();
 }
 
-// Continues from the revision that other nodes relayed while the store was not followed or did not respond. This saves
-// a listing, which would also lack the age of the items. How recent that revision is, the merger knows from the reports
+// Continues from the position that other nodes relayed while the store was not followed or did not respond. This saves
+// a listing, which would also lack the age of the items. How recent that position is, the merger knows from the reports
 // of the followers: the one that this node relied on may itself have waited on a silent connection.
 void StoreFollower::resume()
 {
-    auto known = Fleet::Queries::knownRevision(m_merger.fleet());
+    auto known = Fleet::Queries::knownPosition(m_merger.fleet());
     if (m_isSuspended) {
         m_isSuspended = false;
-        if (known > 0)
-            m_revision = known;
+        if (known > Fleet::StorePosition())
+            m_position = known;
     }
-    if (m_revision && !m_isFollowing)
-        m_revision = std::max(*m_revision, known);
+    if (m_position && !m_isFollowing)
+        m_position = std::max(*m_position, known);
 }
 
 void StoreFollower::recordResult(bool succeeded)
@@ -150,7 +150,7 @@
 {
     std::vector<std::string> keys;
     std::vector<Fleet::PublishedItem> items;
-    std::optional<uint64_t> revision;
+    std::optional<Fleet::StorePosition> position;
     std::string afterKey;
     m_isWatching = false;
     auto requestedAt = m_clock.now();
@@ -170,14 +170,22 @@
             co_return false;
         }
         auto& listed = Base::valueOf(page);
+        if (isStale(listed.position)) {
+            recordFailure("a response of an earlier era", requestedAt);
+            co_return false;
+        }
+        if (position && position->era != listed.position.era) {
+            recordFailure("the store returned from an older copy during the listing", m_clock.now());
+            co_return false;
+        }
         // The next page begins after the last key of this one. Without a new last key the listing would never end.
         if (listed.morePages && (listed.items.empty() || !lastKeys.insert(listed.items.back().key).second)) {
             recordFailure("a page of the listing does not continue the previous one", m_clock.now());
             co_return false;
         }
-        // The pages are not one snapshot: the listing is complete only up to the revision of the first page.
-        if (!revision)
-            revision = listed.revision;
+        // The pages are not one snapshot: the listing is complete only up to the position of the first page.
+        if (!position)
+            position = listed.position;
         for (auto& item : listed.items) {
             keys.push_back(item.key);
             items.push_back(item);
@@ -189,12 +197,13 @@
         afterKey = keys.back();
     }
     updateConnection(true, "listed");
-    m_revision = revision;
+    logEra(*position);
+    m_position = position;
     // Items that changed after their page was sent come with the first watch.
     m_syncedAt = requestedAt;
     // The age of items that are new is limited by the previous sync, so this one is recorded afterwards.
-    m_merger.apply(std::move(items), *revision, deletionsDeferredUntil(), storeSource);
-    m_merger.applyListing(m_prefix, keys, *revision, deletionsDeferredUntil());
+    m_merger.apply(std::move(items), *position, deletionsDeferredUntil(), storeSource);
+    m_merger.applyListing(m_prefix, keys, *position, deletionsDeferredUntil());
     m_merger.recordSync(*m_syncedAt, storeSource);
     m_isFollowing = true;
     if (m_onChange)
@@ -217,7 +226,7 @@
 asio::awaitable<bool> StoreFollower::waitForChanges()
 {
     SentWatch watch { m_clock.now(), nextWait(), 0 };
-    auto result = co_await m_client.call(m_protocol.watchRequest(m_prefix, *m_revision, watch.wait), watch.wait + m_watchMargin.current());
+    auto result = co_await m_client.call(m_protocol.watchRequest(m_prefix, m_position->revision, watch.wait), watch.wait + m_watchMargin.current());
     if (!Base::succeeded(result)) {
         recordTimeout(Base::errorOf(result), m_watchMargin);
         recordFailure(Base::errorOf(result).describe(), watch.requestedAt);
@@ -228,20 +237,54 @@
     if (!Base::succeeded(batch)) {
         auto& error = Base::errorOf(batch);
         if (error.kind == Fleet::StoreErrorKind::HistoryLost) {
-            m_revision.reset();
-            m_unconfirmed.reset();
-            m_hasUnconfirmedChanges = false;
+            discardPosition();
             co_return true;
         }
         recordFailure(error.describe(), m_clock.now());
         co_return false;
     }
+    auto position = Base::valueOf(batch).position;
+    if (isStale(position)) {
+        recordFailure("a response of an earlier era", watch.requestedAt);
+        m_client.disconnect();
+        co_return false;
+    }
+    // The revision to continue from may have been given out again.
+    if (position.era != m_position->era) {
+        discardPosition();
+        co_return true;
+    }
     updateConnection(true, "watching");
     watch.responseBytes = Base::valueOf(result).body.size();
     applyChanges(Base::valueOf(batch), watch);
     co_return true;
 }
 
+// All items are listed next.
+void StoreFollower::discardPosition()
+{
+    m_position.reset();
+    m_unconfirmed.reset();
+    m_hasUnconfirmedChanges = false;
+}
+
+// Whether the response was sent before the store returned from an older copy. It must not undo what was published since.
+bool StoreFollower::isStale(Fleet::StorePosition position) const
+{
+    auto known = Fleet::Queries::knownPosition(m_merger.fleet());
+    if (position.era >= known.era)
+        return false;
+    Observability::logEvent(Events::staleResponseIgnored, { { "prefix", m_prefix }, { "era", position.era }, { "known_era", known.era } });
+    return true;
+}
+
+void StoreFollower::logEra(Fleet::StorePosition position) const
+{
+    auto known = Fleet::Queries::knownPosition(m_merger.fleet());
+    if (known > Fleet::StorePosition() && position.era > known.era)
+        Observability::logEvent(Events::storeEraChanged, { { "prefix", m_prefix }, { "era", position.era }, { "revision", position.revision }, { "known_era", known.era }, { "known_revision", known.revision } });
+}
+
 // Whether the last response was handled as soon as it arrived. The store responds to a waiting request at once, so a
 // change is then at most as old as the delay between requests and the store's response time.
 bool StoreFollower::observedAtOnce() const
@@ -285,10 +328,10 @@
     m_wasProbe = watch.wait == probeWait;
     m_isFollowing = true;
     m_isWatching = true;
-    m_revision = std::max(*m_revision, batch.revision);
+    m_position = std::max(*m_position, batch.position);
     if (m_hasUnconfirmedChanges) {
         logChanges(changes.size(), watch, now);
-        auto declared = m_merger.apply(std::move(changes), *m_revision, deletionsDeferredUntil(), storeSource);
+        auto declared = m_merger.apply(std::move(changes), *m_position, deletionsDeferredUntil(), storeSource);
         if (isObserved && !declared.empty())
             m_unconfirmed = { std::move(declared), now, m_responseTime };
     }
@@ -301,7 +344,7 @@
 {
     auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now - watch.requestedAt);
     auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - *m_syncedAt);
-    Observability::logEvent(Events::storeResponded, { { "changes", count }, { "revision", *m_revision }, { "elapsed", elapsed }, { "sync_age", age } });
+    Observability::logEvent(Events::storeResponded, { { "changes", count }, { "revision", m_position->revision }, { "elapsed", elapsed }, { "sync_age", age } });
 }
 
 // The change may have come just after the response before was sent, and both responses may have taken as long
--- a/Source/Peering/StoreFollower.h
+++ b/Source/Peering/StoreFollower.h
@@ -61,6 +61,9 @@
     static void recordTimeout(const Http::HttpError&, Base::AdaptiveTimeout&);
     std::chrono::milliseconds nextWait() const;
     bool isConfirmationUrgent() const;
+    void discardPosition();
+    bool isStale(Fleet::StorePosition) const;
+    void logEra(Fleet::StorePosition) const;
     void recordResponseTime(Base::Duration);
     void applyChanges(const Fleet::ChangeBatch&, const SentWatch&);
     void logChanges(size_t count, const SentWatch&, Base::TimePoint now) const;
@@ -86,7 +89,7 @@
     bool m_isSuspended = false;
     // When the store responded again after a failure. Entries may have expired during the outage.
     std::optional<Base::TimePoint> m_reconnectedAt;
-    std::optional<uint64_t> m_revision;
+    std::optional<Fleet::StorePosition> m_position;
     // When this node last had all changes from the store.
     std::optional<Base::TimePoint> m_syncedAt;
     std::chrono::milliseconds m_backoff { 0 };
--- a/Source/Peering/ValuePacker.cpp
+++ b/Source/Peering/ValuePacker.cpp
@@ -23,9 +23,9 @@
     bool unpackValue(Fleet::PublishedItem& item, const PackedValue& packed, const Fleet::FleetState& fleet)
     {
         std::shared_ptr<const Fleet::FleetState::PreviousValue> base;
-        if (packed.baseRevision > 0) {
-            base = Fleet::Queries::valueAsOf(fleet, item.key, packed.baseRevision);
-            if (!base || base->revision != packed.baseRevision)
+        if (packed.basePosition > Fleet::StorePosition()) {
+            base = Fleet::Queries::valueAsOf(fleet, item.key, packed.basePosition);
+            if (!base || base->position != packed.basePosition)
                 return false;
         }
         auto value = Configuration::Queries::applyDelta(base ? base->value : std::string(), packed.bytes);
@@ -40,21 +40,21 @@
 const PackedValue& ValuePacker::packed(const Fleet::PublishedItem& item, const Fleet::FleetState::PreviousValue* base)
 {
     auto& versions = m_versions[item.key];
-    if (versions.revision != item.revision)
-        versions = { item.revision, {} };
-    auto baseRevision = base ? base->revision : 0;
-    auto [version, isNew] = versions.byBase.try_emplace(baseRevision);
+    if (versions.position != item.position)
+        versions = { item.position, {} };
+    auto basePosition = base ? base->position : Fleet::StorePosition();
+    auto [version, isNew] = versions.byBase.try_emplace(basePosition);
     if (isNew)
-        version->second = { Configuration::Queries::makeDelta(base ? base->value : std::string(), item.value), baseRevision, digestOf(item.value) };
+        version->second = { Configuration::Queries::makeDelta(base ? base->value : std::string(), item.value), basePosition, digestOf(item.value) };
     return version->second;
 }
 
-void ValuePacker::pack(ItemBatch& batch, const Fleet::FleetState& fleet, uint64_t receiverRevision)
+void ValuePacker::pack(ItemBatch& batch, const Fleet::FleetState& fleet, Fleet::StorePosition receiverPosition)
 {
     for (auto& item : batch.items) {
         if (item.value.size() < minimumPackedBytes || item.value.size() > maximumPackedBytes)
             continue;
-        auto base = Fleet::Queries::valueAsOf(fleet, item.key, receiverRevision);
+        auto base = Fleet::Queries::valueAsOf(fleet, item.key, receiverPosition);
         auto& value = packed(item, base.get());
         if (!value.bytes.empty())
             batch.packedValues[item.key] = value;
--- a/Source/Peering/ValuePacker.h
+++ b/Source/Peering/ValuePacker.h
@@ -13,15 +13,15 @@
 // the cost of a change follows its size instead of the size of the value. Not thread-safe.
 class ValuePacker {
 public:
-    // Compresses the large values of a batch for a receiver that has all items up to the given revision.
-    void pack(ItemBatch&, const Fleet::FleetState&, uint64_t receiverRevision);
+    // Compresses the large values of a batch for a receiver that has all items up to the given position.
+    void pack(ItemBatch&, const Fleet::FleetState&, Fleet::StorePosition receiverPosition);
 
 private:
     // The last results for one key. Many nodes ask for the same change within a short time.
     struct PackedVersions {
-        uint64_t revision = 0;
-        // By revision of the base.
-        std::map<uint64_t, PackedValue> byBase;
+        Fleet::StorePosition position;
+        // By position of the base.
+        std::map<Fleet::StorePosition, PackedValue> byBase;
     };
 
     const PackedValue& packed(const Fleet::PublishedItem&, const Fleet::FleetState::PreviousValue* base);
--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -280,7 +280,8 @@
             auto now = m_clock.now();
             auto snapshot = Fleet::Queries::currentSnapshot(m_fleet);
             m_metrics.set("configuration_version", {}, snapshot->configuration ? static_cast<double>(snapshot->configuration->version) : 0);
-            m_metrics.set("published_revision", {}, static_cast<double>(snapshot->revision));
+            m_metrics.set("published_revision", {}, static_cast<double>(snapshot->position.revision));
+            m_metrics.set("store_era", {}, static_cast<double>(snapshot->position.era));
             m_metrics.set("routers_known", {}, static_cast<double>(Peering::Queries::countRetainedRouters(m_peers)) + 1);
             m_metrics.set("prompt_parts_blocked", {}, static_cast<double>(m_dispatch.parts().blockedCount()));
             m_metrics.set("targets_held_back", {}, static_cast<double>(m_reluctantTargets.size()));
--- a/Source/Proxy/RequestLog.cpp
+++ b/Source/Proxy/RequestLog.cpp
@@ -100,7 +100,7 @@
         { { "request", m_request->head.requestId }, { "route", route }, { "organisation", organisation }, { "target", m_lastTarget }, { "status", status }, { "reason", reason },
             { "repeat_refused", m_retryRefusal }, { "attempts", m_request->history.attempts }, { "runs", m_request->history.runs }, { "waited", m_waited }, { "occupancy", m_occupancy },
             { "first_byte", timeToFirstByte() }, { "elapsed", elapsed() }, { "time_left", m_request->timeLeft() }, { "weights", traits.requiredWeights },
-            { "weights_expected", m_expectedWeights }, { "configuration", configuration }, { "revision", snapshot ? snapshot->revision : 0 } });
+            { "weights_expected", m_expectedWeights }, { "configuration", configuration }, { "revision", snapshot ? snapshot->position.revision : 0 } });
 }
 
 void RequestLog::countFinished(const Observability::Event& event, std::string_view reason)
--- a/Tests/Fleet/FleetFixture.h
+++ b/Tests/Fleet/FleetFixture.h
@@ -47,8 +47,8 @@
 
     Commands::AppliedChange apply(PublishedItem item)
     {
-        auto itemRevision = item.revision;
-        return Commands::applyItems(state, decoder, { std::move(item) }, { itemRevision, std::nullopt }, clock.now());
+        auto position = item.position;
+        return Commands::applyItems(state, decoder, { std::move(item) }, { position, std::nullopt }, clock.now());
     }
 
     std::shared_ptr<const FleetSnapshot> snapshot() const { return Queries::currentSnapshot(state); }
--- a/Tests/Peering/PeerTableTest.cpp
+++ b/Tests/Peering/PeerTableTest.cpp
@@ -178,7 +178,7 @@
     Commands::recordGossip(table, "a", "dc-a", clock.now());
     auto router = Queries::liveRouters(table, clock.now()).front();
     cr_assert(router.lastSeenAt == clock.now());
-    cr_assert_eq(router.revision, 5);
+    cr_assert_eq(router.position, 5);
     cr_assert(router.storeSync.reportedAt == clock.now() - 1s);
 }
 
--- a/Tests/Peering/PeeringCodecTest.cpp
+++ b/Tests/Peering/PeeringCodecTest.cpp
@@ -15,7 +15,7 @@
     message.dataCentre = "dc-a";
     message.isRouter = true;
     message.leaving = true;
-    message.revision = 7;
+    message.position = 7;
     message.demand = 12.5;
     message.storeAge = 250ms;
     message.routers = { { "10.0.0.2", "dc-b", 30ms } };
@@ -55,7 +55,7 @@
     cr_assert(decoded.has_value());
     cr_assert_eq(decoded->sender, "10.0.0.1");
     cr_assert(decoded->isRouter && decoded->leaving);
-    cr_assert_eq(decoded->revision, 7);
+    cr_assert_eq(decoded->position, 7);
     cr_assert_float_eq(decoded->demand, 12.5, 1e-9);
     cr_assert(decoded->storeAge == 250ms);
     cr_assert_eq(decoded->routers.front().age.count(), 30);
@@ -71,14 +71,14 @@
 {
     NodeMessage message;
     message.sender = "10.0.0.1";
-    message.revision = 7;
+    message.position = 7;
     auto bytes = encodeMessage(message);
     cr_assert_not(decodeMessage(bytes)->times.sentAt.has_value());
     MessageTimes times { ClockReading { 1, 5000000000ms }, ClockReading { 2, 6000000000ms } };
     auto appended = encodeTimes(times);
     auto decoded = decodeMessage(bytes + appended);
     cr_assert_eq(decoded->sender, "10.0.0.1");
-    cr_assert_eq(decoded->revision, 7);
+    cr_assert_eq(decoded->position, 7);
     cr_assert(decoded->times.sentAt->time == 5000000000ms);
     cr_assert_eq(decoded->times.notSentBefore->incarnation, 2);
     cr_log_info("bytes of the times: %zu", appended.size());
@@ -106,7 +106,7 @@
     message.sender = "255.255.255.255";
     message.dataCentre = "a-data-centre-with-a-long-name";
     message.isRouter = true;
-    message.revision = UINT64_MAX;
+    message.position = UINT64_MAX;
     message.storeAge = 100000ms;
     message.times = { ClockReading { UINT32_MAX, 99 * 8760h }, ClockReading { UINT32_MAX, 99 * 8760h } };
     auto empty = encodeMessage(message).size();
@@ -136,7 +136,7 @@
     std::string bytes("\0\xff\n", 3);
     auto decoded = decodeItems(encodeItems({ 9, { { "k", bytes, 8, false, 1500ms }, { "d", "", 9, true, 0ms, true, 700ms } } }));
     cr_assert(decoded.has_value());
-    cr_assert_eq(decoded->revision, 9);
+    cr_assert_eq(decoded->position, 9);
     cr_assert(decoded->items[0].value == bytes);
     cr_assert_eq(decoded->items[0].age.count(), 1500);
     cr_assert(decoded->items[1].deleted);
--- a/Tests/Peering/PeeringNodeTest.cpp
+++ b/Tests/Peering/PeeringNodeTest.cpp
@@ -313,9 +313,9 @@
     auto handler = [&](Http::HttpRequest) { return respondLate(test.fleet.clock, 4s, { 200, {}, encodeItems(batch) }); };
     auto server = Http::NodeServer::start(test.context, { "127.0.0.2", test.settings.firstPeerPort }, handler);
     auto message = messageFrom("127.0.0.2");
-    message.revision = 2;
+    message.position = 2;
     test.deliver(message);
-    cr_assert(test.runUntil([&] { return Fleet::Queries::knownRevision(test.fleet.state) == 2; }));
+    cr_assert(test.runUntil([&] { return Fleet::Queries::knownPosition(test.fleet.state) == 2; }));
     cr_assert(test.declared().publishedAt == test.fleet.clock.now() - 5s);
 }
 
@@ -328,15 +328,15 @@
     auto handler = [&](Http::HttpRequest) { return respondSlowly(test.context, 1800ms, { 200, {}, encodeItems(batch) }); };
     auto server = Http::NodeServer::start(test.context, { "127.0.0.2", test.settings.firstPeerPort }, handler);
     auto message = messageFrom("127.0.0.2");
-    message.revision = 2;
+    message.position = 2;
     test.deliver(message);
     auto firstTimeout = std::chrono::steady_clock::now() + 1700ms;
     cr_assert(test.runUntil([&] { return std::chrono::steady_clock::now() > firstTimeout; }));
-    cr_assert_eq(Fleet::Queries::knownRevision(test.fleet.state), 0);
+    cr_assert_eq(Fleet::Queries::knownPosition(test.fleet.state), 0);
     // The router is asked again after its backoff.
     test.advanceWithTicks(3500ms);
     test.deliver(message);
-    cr_assert(test.runUntil([&] { return Fleet::Queries::knownRevision(test.fleet.state) == 2; }));
+    cr_assert(test.runUntil([&] { return Fleet::Queries::knownPosition(test.fleet.state) == 2; }));
 }
 
 // Guards against requests to a target that is gone: the response of a router waited, and the delay of a deletion in it
@@ -349,9 +349,9 @@
     auto handler = [&](Http::HttpRequest) { return respondLate(test.fleet.clock, 1500ms, { 200, {}, encodeItems(batch) }); };
     auto server = Http::NodeServer::start(test.context, { "127.0.0.2", test.settings.firstPeerPort }, handler);
     auto message = messageFrom("127.0.0.2");
-    message.revision = 3;
+    message.position = 3;
     test.deliver(message);
-    cr_assert(test.runUntil([&] { return Fleet::Queries::knownRevision(test.fleet.state) == 3; }));
+    cr_assert(test.runUntil([&] { return Fleet::Queries::knownPosition(test.fleet.state) == 3; }));
     Fleet::Commands::expireDeletions(test.fleet.state, test.fleet.clock.now());
     cr_assert_eq(test.fleet.targetCount("s"), 1);
     test.fleet.clock.advance(400ms);
@@ -383,14 +383,14 @@
     auto knownServer = Http::NodeServer::start(test.context, { "127.0.0.2", test.settings.firstPeerPort }, knownHandler);
     auto startedServer = Http::NodeServer::start(test.context, { "127.0.0.3", test.settings.firstPeerPort }, startedHandler);
     auto message = messageFrom("127.0.0.2");
-    message.revision = 2;
+    message.position = 2;
     test.deliver(message);
     cr_assert(test.runUntil([&] { return test.merger.hasRecentRelayedSync(); }));
     cr_assert_eq(test.fleet.targetCount("s"), 2);
     message = messageFrom("127.0.0.3");
-    message.revision = 3;
+    message.position = 3;
     test.deliver(message);
-    cr_assert(test.runUntil([&] { return Fleet::Queries::knownRevision(test.fleet.state) == 3; }));
+    cr_assert(test.runUntil([&] { return Fleet::Queries::knownPosition(test.fleet.state) == 3; }));
     cr_assert_eq(test.fleet.targetCount("s"), 1);
 }
 
--- a/Tests/Peering/StoreFollowerTest.cpp
+++ b/Tests/Peering/StoreFollowerTest.cpp
@@ -108,7 +108,7 @@
 Test(StoreFollower, excludesAnOutageFromTheAgeOfAChange)
 {
     TestFollower test;
-    test.protocol.listing.revision = 1;
+    test.protocol.listing.position = 1;
     Fleet::PublishedItem declaration { "w", "2", 2, false, {} };
     test.fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
     test.protocol.changes["declared"] = { { declaration }, 2 };
@@ -136,7 +136,7 @@
 Test(StoreFollower, continuesFromTheRelayedRevision)
 {
     TestFollower test;
-    test.protocol.listing.revision = 1;
+    test.protocol.listing.position = 1;
     bool isNeeded = true;
     test.respond = [&](const std::string& target) -> Http::HttpResponse {
         if (target == "/list") {
@@ -163,7 +163,7 @@
 Test(StoreFollower, isNotSyncedWhileTheStoreRejectsRequests)
 {
     TestFollower test;
-    test.protocol.listing.revision = 1;
+    test.protocol.listing.position = 1;
     test.respond = [&](const std::string& target) -> Http::HttpResponse {
         if (target == "/list")
             return { 200, {}, "" };
@@ -235,7 +235,7 @@
         };
         test.run([] { return true; });
         test.context.restart();
-        while (Fleet::Queries::knownRevision(test.fleet.state) < 2)
+        while (Fleet::Queries::knownPosition(test.fleet.state) < 2)
             test.context.run_one();
         cr_assert_eq(test.fleet.targetCount("s"), othersReachedStore ? 0 : 1);
     }
@@ -290,7 +290,7 @@
     for (bool isSuspended : { true, false }) {
         TestFollower test;
         test.fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
-        test.protocol.listing.revision = 1;
+        test.protocol.listing.position = 1;
         test.protocol.changes["none"] = { {}, 1 };
         test.protocol.changes["declared"] = { { { "w", "2", 2, false, {} } }, 2 };
         test.respond = [&](const std::string& target) -> Http::HttpResponse {
@@ -322,7 +322,7 @@
 {
     TestFollower test;
     test.fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
-    test.protocol.listing.revision = 1;
+    test.protocol.listing.position = 1;
     test.protocol.changes["declared"] = { { { "w", "2", 2, false, {} } }, 2 };
     test.respond = [&](const std::string& target) -> Http::HttpResponse {
         if (target == "/list")
@@ -455,7 +455,7 @@
     for (auto responseTime : { 200ms, 350ms, 800ms }) {
         TestFollower test;
         test.fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
-        test.protocol.listing.revision = 1;
+        test.protocol.listing.position = 1;
         test.protocol.changes["none"] = { {}, 1 };
         test.protocol.changes["declared"] = { { { "w", "2", 2, false, {} } }, 2 };
         Base::TimePoint declaredAt;
@@ -484,7 +484,7 @@
 Test(StoreFollower, aLateResponseWithoutChangesIsAsOldAsItsWait)
 {
     TestFollower test;
-    test.protocol.listing.revision = 1;
+    test.protocol.listing.position = 1;
     test.protocol.changes["none"] = { {}, 1 };
     Base::TimePoint requestedAt;
     test.respond = [&](const std::string& target) -> Http::HttpResponse {
@@ -508,7 +508,7 @@
 {
     TestFollower test;
     test.fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
-    test.protocol.listing.revision = 1;
+    test.protocol.listing.position = 1;
     test.protocol.changes["declared"] = { { { "w", "2", 2, false, {} } }, 2 };
     // Longer than the timeout of a listing, and than a watch waits, plus its margin.
     test.responseDelay = 1700ms;
@@ -530,7 +530,7 @@
 Test(StoreFollower, aLateResponseDoesNotVouchForWhatWasPublishedMeanwhile)
 {
     TestFollower test;
-    test.protocol.listing.revision = 1;
+    test.protocol.listing.position = 1;
     test.protocol.changes["none"] = { {}, 1 };
     test.protocol.changes["changed"] = { { { "t/1", "", 2, false, {} } }, 2 };
     Base::TimePoint sentAt;
@@ -547,7 +547,7 @@
         return { 200, {}, "changed" };
     };
     boost::asio::co_spawn(test.context, test.follower->run([] { return true; }), boost::asio::detached);
-    while (Fleet::Queries::knownRevision(test.fleet.state) < 2)
+    while (Fleet::Queries::knownPosition(test.fleet.state) < 2)
         test.context.run_one();
     auto now = test.fleet.clock.now();
     cr_expect(*test.follower->syncedAt() <= sentAt, "other routers are told");
@@ -562,7 +562,7 @@
     for (bool isLarge : { true, false }) {
         TestFollower test;
         test.fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
-        test.protocol.listing.revision = 1;
+        test.protocol.listing.position = 1;
         std::string declared(isLarge ? largeBytes : 1, 'd');
         test.protocol.changes["none"] = { {}, 1 };
         test.protocol.changes[declared] = { { { "w", "2", 2, false, {} } }, 2 };
--- a/Tests/Peering/ValuePackerTest.cpp
+++ b/Tests/Peering/ValuePackerTest.cpp
@@ -21,7 +21,7 @@
 
 ItemBatch batchAfter(const Fleet::TestFleetState& fleet, uint64_t revision)
 {
-    return { Fleet::Queries::knownRevision(fleet.state), Fleet::Queries::itemsAfter(fleet.state, revision, fleet.clock.now()), {} };
+    return { Fleet::Queries::knownPosition(fleet.state), Fleet::Queries::itemsAfter(fleet.state, revision, fleet.clock.now()), {} };
 }
 
 void publish(Fleet::TestFleetState& fleet, const std::string& value, uint64_t revision)
@@ -52,7 +52,7 @@
     auto received = *decodeItems(bytes);
     cr_assert(unpackValues(received, receiver.state));
     cr_assert_eq(received.items.front().value, after);
-    cr_assert_eq(received.items.front().revision, 2);
+    cr_assert_eq(received.items.front().position, 2);
 }
 
 // Guards against a configuration that is restored from another value than it was packed with.
@@ -93,7 +93,7 @@
     for (uint64_t receiverRevision : { 0, 1, 4 }) {
         auto batch = batchAfter(sender, receiverRevision);
         packer.pack(batch, sender.state, receiverRevision);
-        cr_expect_eq(batch.packedValues.at("c").baseRevision, 0);
+        cr_expect_eq(batch.packedValues.at("c").basePosition, Fleet::StorePosition());
         Fleet::TestFleetState receiver;
         auto received = *decodeItems(encodeItems(batch));
         cr_assert(unpackValues(received, receiver.state));
--- a/Tests/Platform/OddEntriesTest.cpp
+++ b/Tests/Platform/OddEntriesTest.cpp
@@ -247,7 +247,7 @@
     auto changes = StoreCodec().readChanges({ 200, {}, " { \"as_of\" : 9 , \"events\" : " + items + " } " });
     cr_assert(Base::succeeded(changes));
     cr_expect(keysOf(Base::valueOf(changes).changes) == expected);
-    cr_expect_eq(Base::valueOf(changes).revision, 9);
+    cr_expect_eq(Base::valueOf(changes).position, 9);
 }
 
 // Guards against following a response that was cut off or is none.
--- a/Tests/Platform/StoreCodecTest.cpp
+++ b/Tests/Platform/StoreCodecTest.cpp
@@ -53,7 +53,7 @@
     auto changes = StoreCodec().readChanges(response);
     cr_assert(Base::succeeded(changes));
     auto& items = Base::valueOf(changes).changes;
-    cr_assert_eq(Base::valueOf(changes).revision, 10);
+    cr_assert_eq(Base::valueOf(changes).position, 10);
     cr_assert_eq(items.size(), 3);
     auto publication = StoreCodec().decode(items[0]);
     auto* declared = std::get_if<Fleet::WeightsDeclared>(&publication);
