--- a/Source/Dispatch/Commands/AcquireTarget.cpp
+++ b/Source/Dispatch/Commands/AcquireTarget.cpp
@@ -5,6 +5,7 @@
 #include "Dispatch/Queries/FindBlockedPart.h"
 #include "Dispatch/Queries/FindCandidates.h"
 #include "Dispatch/Queries/FindQuarantine.h"
+#include "Scheduling/Commands/RecordWork.h"
 
 #include <algorithm>
 
@@ -21,18 +22,10 @@
     // Retry-After if no target is eligible.
     constexpr std::chrono::milliseconds noTargetRetryAfter = 1800ms;
 
-    // Whether the first request has to be served before the second one, which arrived later.
-    bool precedes(const RequestTraits& first, const RequestTraits& second)
-    {
-        if (first.priority != second.priority)
-            return first.priority < second.priority;
-        return first.isInterrupted || !second.isInterrupted;
-    }
-
-    void insertByPriority(std::list<WaitingRequest>& waiting, WaitingRequest request)
+    void insertInOrder(const Scheduling::QueueOrder& order, std::list<WaitingRequest>& waiting, WaitingRequest request)
     {
         auto position = std::find_if(waiting.rbegin(), waiting.rend(), [&](const WaitingRequest& other) {
-            return precedes(other.traits, request.traits);
+            return order.precedes(other.queuedWork(), request.queuedWork());
         });
         waiting.insert(position.base(), std::move(request));
     }
@@ -47,26 +40,40 @@
         return std::chrono::ceil<std::chrono::milliseconds>(remaining + std::chrono::duration_cast<Base::Duration>(longest * (spreadShare * position)));
     }
 
-    // A new request must not overtake queued ones. Interrupted requests may wait for a particular target and for long, so
-    // they are served first and do not hold up the others.
-    bool mayPassQueue(DispatchState& state, ServiceState& service, Base::TimePoint now)
+    // A new request must not overtake queued ones that precede it. Interrupted requests may wait for a particular target and
+    // for long, so they are served first and do not hold up the others.
+    bool mayPassQueue(DispatchState& state, ServiceState& service, const Scheduling::QueuedWork& arrival, Base::TimePoint now)
     {
-        bool holdsUp = std::any_of(service.waiting.begin(), service.waiting.end(), [](const WaitingRequest& request) { return !request.traits.isInterrupted; });
-        if (holdsUp)
+        bool isHeldUp = std::any_of(service.waiting.begin(), service.waiting.end(), [&](const WaitingRequest& request) {
+            return !request.traits.isInterrupted && state.queueOrder().precedes(request.queuedWork(), arrival);
+        });
+        if (isHeldUp)
             return false;
         serveQueue(state, service, now);
         return true;
     }
 
+    void recordArrival(ServiceState& service, const Scheduling::QueuedWork& arrival)
+    {
+        // Weight of one request in the moving average.
+        constexpr double weight = 0.05;
+        service.meanWork += (service.meanWork > 0 ? weight : 1) * (arrival.work - service.meanWork);
+    }
+
     Decision admit(DispatchState& state, ServiceState& service, const RequestTraits& traits, std::shared_ptr<WaitObserver> observer, bool hasReservedRetry, Base::TimePoint now)
     {
         if (traits.deadline - now < minimumTimeLeft)
             return Refusal { RefusalReason::OutOfTime, 0ms };
-        if (mayPassQueue(state, service, now)) {
-            if (auto lease = tryAcquireLease(state, service, traits, now))
+        auto arrival = describeArrival(state, service, traits);
+        recordArrival(service, arrival);
+        if (mayPassQueue(state, service, arrival, now)) {
+            if (auto lease = tryAcquireLease(state, service, traits, now)) {
+                Scheduling::Commands::chargeArrival(service.shares, arrival);
+                recordStart(service, arrival);
                 return std::move(*lease);
+            }
         }
-        auto load = describeLoad(state, service, traits, now);
+        auto load = describeLoad(state, service, traits, arrival, now);
         bool mayWaitForTarget = traits.isInterrupted && load.returningTargets > 0;
         if (load.targets == 0 && load.heldBackUntil && !mayWaitForTarget)
             return Refusal { RefusalReason::HeldBack, retryAfterHoldBack(traits, *load.heldBackUntil - now) };
@@ -76,8 +83,10 @@
         // The requests in the queue may wait for other targets than those with free slots.
         if (wait <= Base::Duration::zero() && load.freeTargets == 0)
             return Refusal { RefusalReason::Overloaded, state.admission().retryAfter(traits, load) };
-        insertByPriority(service.waiting, WaitingRequest { traits, now, std::move(observer), hasReservedRetry });
+        Scheduling::Commands::chargeArrival(service.shares, arrival);
+        insertInOrder(state.queueOrder(), service.waiting, WaitingRequest { traits, arrival.work, arrival.startTag, now, now + wait, std::move(observer), hasReservedRetry });
         serveQueue(state, service, now);
+        displaceUnservable(state, service, now);
         return Queued { now + wait };
     }
 
@@ -137,10 +146,10 @@
         auto waiting = std::find_if(service.waiting.begin(), service.waiting.end(), [&](const WaitingRequest& request) { return request.observer.get() == observer; });
         if (waiting == service.waiting.end())
             return std::nullopt;
-        if (waiting->hasReservedRetry)
-            service.retryWindow.cancelReservedRetry();
+        auto load = describeLoad(state, service, traits, waiting->queuedWork(), now);
+        releaseCharges(service, *waiting);
         service.waiting.erase(waiting);
-        return Refusal { RefusalReason::Overloaded, state.admission().retryAfter(traits, describeLoad(state, service, traits, now)) };
+        return Refusal { RefusalReason::Overloaded, state.admission().retryAfter(traits, load) };
     });
 }
 
