Test positions of two eras in the fleet state, the follower and the messages

Nothing tested what the positions with an era were made for. The tests cover items, listings and watches of two eras, 410, pages of one listing in two eras, a store that returns twice, an era that falls back or is no longer sent, routers on different sides of the return, and messages without an era.

--- a/Tests/Fleet/FleetFixture.h
+++ b/Tests/Fleet/FleetFixture.h
@@ -39,6 +39,14 @@
         apply({ key, value, revision, false, age, ageIsBound });
     }
 
+    // Publishes under a value of its own.
+    void publishAt(const std::string& key, Publication publication, StorePosition position)
+    {
+        auto value = "at " + std::to_string(position.era) + "." + std::to_string(position.revision);
+        decoder.publications[key + "=" + value] = std::move(publication);
+        apply({ key, value, position, false, {} });
+    }
+
     void remove(const std::string& key, const std::optional<Base::TimePoint>& deferredUntil = std::nullopt)
     {
         ++revision;
--- /dev/null
+++ b/Tests/Fleet/StoreEraTest.cpp
@@ -0,0 +1,261 @@
+#include "Fleet/FleetFixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace Lavenderloft;
+using namespace Lavenderloft::Fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A fleet state that lists and watches a store whose era changes.
+struct TestEras : TestFleetState {
+    PublishedItem item(const std::string& key, Publication publication, StorePosition position)
+    {
+        auto value = std::to_string(position.era) + "." + std::to_string(position.revision);
+        decoder.publications[key + "=" + value] = std::move(publication);
+        return { key, value, position, false, {} };
+    }
+
+    Commands::AppliedChange write(const std::string& key, Publication publication, StorePosition position)
+    {
+        return apply(item(key, std::move(publication), position));
+    }
+
+    void removeAt(const std::string& key, StorePosition position)
+    {
+        apply({ key, "", position, true, {} });
+    }
+
+    // The store shows exactly these items.
+    void list(std::vector<PublishedItem> items, StorePosition position)
+    {
+        std::vector<std::string> keys;
+        for (auto& listed : items)
+            keys.push_back(listed.key);
+        Commands::applyItems(state, decoder, std::move(items), { position, std::nullopt }, clock.now());
+        Commands::applyListing(state, decoder, "", keys, position, std::nullopt, clock.now());
+    }
+
+    // Merges all that another node knows, as after a request for everything.
+    void fetchAll(const TestEras& other)
+    {
+        auto items = Queries::itemsAfter(other.state, 0, other.clock.now());
+        for (auto& [key, publication] : other.decoder.publications)
+            decoder.publications[key] = publication;
+        Commands::applyItems(state, decoder, std::move(items), { Queries::knownPosition(other.state), std::nullopt }, clock.now());
+    }
+
+    void advance(std::chrono::milliseconds time)
+    {
+        clock.advance(time);
+        Commands::expireDeletions(state, clock.now());
+    }
+
+    uint64_t configurationVersion() const { return snapshot()->configuration ? snapshot()->configuration->version : 0; }
+    bool isEvacuated() const { return snapshot()->evacuatedDataCentres.contains("dc-a"); }
+    uint64_t weights() const { return snapshot()->weights.at("m").back().version; }
+
+    // Number of the targets that requests are sent to.
+    size_t usableTargets() const
+    {
+        size_t usable = 0;
+        for (auto& [service, targets] : snapshot()->targetsByService) {
+            for (auto& target : targets)
+                usable += target->entry.draining ? 0 : 1;
+        }
+        return usable;
+    }
+};
+
+TargetPublished incarnationOf(uint64_t startedAt, bool isDraining = false)
+{
+    auto target = targetOf("1", "s");
+    target.entry.startedAt = startedAt;
+    target.entry.draining = isDraining;
+    return target;
+}
+
+ConfigurationPublished configurationWithKey(uint64_t version, const std::string& key)
+{
+    auto configuration = std::make_shared<Configuration>();
+    configuration->version = version;
+    configuration->organisationsByKey[key] = std::make_shared<Organisation>();
+    return { configuration };
+}
+
+const DataCentreEvacuated evacuation { "dc-a" };
+
+} // namespace
+
+// Guards against a late response of the earlier era that undoes what was published since, although its revision is larger.
+Test(StoreEra, anItemOfAnEarlierEraReplacesNothing)
+{
+    TestEras fleet;
+    fleet.list({ fleet.item("c", configurationOf(5), { 1, 3 }) }, { 1, 4 });
+    fleet.write("c", configurationOf(6), { 0, 50 });
+    fleet.write("t/1", incarnationOf(1), { 0, 51 });
+    fleet.removeAt("c", { 0, 52 });
+    cr_assert_eq(fleet.configurationVersion(), 5);
+    cr_assert_eq(fleet.targetCount("s"), 0, "the listing of the later era lacks it");
+    cr_assert(Queries::knownPosition(fleet.state) == StorePosition(1, 4));
+}
+
+// Guards against new items that are ignored because the store gave out a smaller revision again.
+Test(StoreEra, anItemOfALaterEraReplacesOneWithALargerRevision)
+{
+    TestEras fleet;
+    fleet.write("t/1", incarnationOf(1), { 0, 50 });
+    fleet.write("c", configurationOf(5), { 0, 51 });
+    fleet.write("t/1", incarnationOf(2), { 1, 3 });
+    fleet.write("c", configurationOf(6), { 1, 4 });
+    cr_assert_eq(fleet.snapshot()->targetsByService.at("s").front()->entry.startedAt, 2);
+    cr_assert_eq(fleet.configurationVersion(), 6);
+}
+
+// Guards against a key that opens the way again after it was withdrawn, because the copy shows the configuration before.
+Test(StoreEra, aWithdrawnKeyStaysWithdrawnUntilItsConfigurationIsWrittenAgain)
+{
+    TestEras fleet;
+    fleet.write("c", configurationWithKey(6, "withdrawn"), { 0, 8 });
+    fleet.write("c", configurationWithKey(7, "valid"), { 0, 9 });
+    auto isWithdrawn = [&] { return !Queries::findOrganisation(*fleet.snapshot()->configuration, "withdrawn"); };
+    fleet.list({ fleet.item("c", configurationWithKey(5, "withdrawn"), { 1, 3 }) }, { 1, 4 });
+    cr_assert(isWithdrawn());
+    fleet.advance(1h);
+    cr_assert(isWithdrawn(), "without a bound in time");
+    fleet.write("c", configurationWithKey(6, "withdrawn"), { 1, 5 });
+    cr_assert(isWithdrawn());
+    fleet.write("c", configurationWithKey(7, "valid"), { 1, 6 });
+    cr_assert(isWithdrawn());
+    // From then on, the operators decide.
+    fleet.write("c", configurationWithKey(6, "withdrawn"), { 1, 7 });
+    cr_assert_not(isWithdrawn());
+}
+
+// Guards against a router without a configuration because the copy is older than the first one.
+Test(StoreEra, aConfigurationThatTheCopyLacksStaysInForce)
+{
+    TestEras fleet;
+    fleet.write("c", configurationOf(2), { 0, 9 });
+    fleet.list({}, { 1, 4 });
+    fleet.list({}, { 1, 5 });
+    cr_assert_eq(fleet.configurationVersion(), 2);
+    fleet.write("c", configurationOf(1), { 1, 6 });
+    cr_assert_eq(fleet.configurationVersion(), 2);
+    fleet.removeAt("c", { 1, 7 });
+    cr_assert_eq(fleet.configurationVersion(), 0, "the operators have removed it");
+}
+
+// Guards against weights that go back to a version before the declared one.
+Test(StoreEra, aDeclaredVersionNeverGoesBack)
+{
+    TestEras fleet;
+    fleet.write("w", WeightsDeclared { "m", 3 }, { 0, 9 });
+    fleet.list({ fleet.item("w", WeightsDeclared { "m", 2 }, { 1, 3 }) }, { 1, 4 });
+    cr_assert_eq(fleet.weights(), 3);
+    fleet.list({}, { 2, 2 });
+    cr_assert_eq(fleet.weights(), 3);
+    fleet.write("w", WeightsDeclared { "m", 3 }, { 2, 3 });
+    fleet.write("w", WeightsDeclared { "m", 4 }, { 2, 4 });
+    cr_assert_eq(fleet.weights(), 4);
+}
+
+// Guards against requests to a target that has said that it leaves.
+Test(StoreEra, aDrainingTargetIsNotUsedAgainInItsIncarnation)
+{
+    TestEras fleet;
+    fleet.write("t/1", incarnationOf(7, true), { 0, 9 });
+    fleet.list({ fleet.item("t/1", incarnationOf(7), { 1, 3 }) }, { 1, 4 });
+    cr_assert_eq(fleet.usableTargets(), 0);
+    fleet.list({ fleet.item("t/1", incarnationOf(7), { 2, 2 }) }, { 2, 3 });
+    fleet.advance(1h);
+    cr_assert_eq(fleet.usableTargets(), 0);
+    fleet.write("t/1", incarnationOf(7, true), { 2, 6 });
+    cr_assert_eq(fleet.usableTargets(), 0);
+    fleet.write("t/1", incarnationOf(8), { 2, 7 });
+    cr_assert_eq(fleet.usableTargets(), 1, "it has started again");
+}
+
+// Guards against a service without targets because the copy is older than their entries, and against one that keeps them.
+Test(StoreEra, targetsThatTheCopyLacksStayInUseUntilTheyHadTimeToBeWritten)
+{
+    TestEras fleet;
+    fleet.write("t/1", incarnationOf(7), { 0, 9 });
+    fleet.list({}, { 1, 4 });
+    fleet.advance(1899ms);
+    cr_assert_eq(fleet.usableTargets(), 1);
+    fleet.advance(2ms);
+    cr_assert_eq(fleet.usableTargets(), 0);
+    fleet.write("t/1", incarnationOf(7), { 1, 5 });
+    cr_assert_eq(fleet.usableTargets(), 1);
+    // One that leaves is not kept.
+    fleet.write("t/1", incarnationOf(7, true), { 1, 6 });
+    fleet.list({}, { 2, 3 });
+    cr_assert_eq(fleet.targetCount("s"), 0);
+}
+
+// Guards against requests to an evacuated data centre because the copy is older than the evacuation.
+Test(StoreEra, anEvacuationStaysInForceUntilItIsWrittenAgain)
+{
+    TestEras fleet;
+    fleet.write("e", evacuation, { 0, 9 });
+    fleet.list({}, { 1, 4 });
+    fleet.advance(9s);
+    cr_assert(fleet.isEvacuated());
+    fleet.write("e", evacuation, { 1, 5 });
+    fleet.advance(1min);
+    cr_assert(fleet.isEvacuated());
+}
+
+// Guards against an evacuation that nobody can end: the operator removed it after the return, or did not write it again.
+Test(StoreEra, anEvacuationThatTheCopyLacksEndsByANewerWriteOrInTime)
+{
+    TestEras removed;
+    removed.write("e", evacuation, { 0, 9 });
+    removed.list({}, { 1, 4 });
+    removed.removeAt("e", { 1, 5 });
+    cr_assert_not(removed.isEvacuated());
+    TestEras forgotten;
+    forgotten.write("e", evacuation, { 0, 9 });
+    forgotten.list({}, { 1, 4 });
+    forgotten.advance(10s + 1ms);
+    cr_assert_not(forgotten.isEvacuated());
+}
+
+// Guards against a data centre that is out of service again because the copy is older than the end of the evacuation.
+Test(StoreEra, anEndedEvacuationDoesNotReturnUntilItIsWrittenAgain)
+{
+    TestEras fleet;
+    fleet.write("e", evacuation, { 0, 8 });
+    fleet.removeAt("e", { 0, 9 });
+    fleet.list({ fleet.item("e", evacuation, { 1, 3 }) }, { 1, 4 });
+    cr_assert_not(fleet.isEvacuated());
+    fleet.write("e", evacuation, { 1, 5 });
+    cr_assert(fleet.isEvacuated(), "a newer write");
+    TestEras forgotten;
+    forgotten.write("e", evacuation, { 0, 8 });
+    forgotten.removeAt("e", { 0, 9 });
+    forgotten.list({ forgotten.item("e", evacuation, { 1, 3 }) }, { 1, 4 });
+    forgotten.advance(9s);
+    cr_assert_not(forgotten.isEvacuated());
+    forgotten.advance(1s + 1ms);
+    cr_assert(forgotten.isEvacuated());
+}
+
+// Guards against a change in the behaviour with a store that has no eras.
+Test(StoreEra, nothingIsRetainedWithoutAnEra)
+{
+    TestEras fleet;
+    fleet.write("c", configurationOf(7), 9);
+    fleet.write("t/1", incarnationOf(7, true), 10);
+    fleet.write("e", evacuation, 11);
+    auto change = fleet.write("c", configurationOf(6), 12);
+    fleet.write("t/1", incarnationOf(7), 13);
+    cr_assert(change.retained.empty());
+    cr_assert_eq(fleet.configurationVersion(), 6);
+    cr_assert_eq(fleet.usableTargets(), 1);
+    fleet.list({}, 14);
+    cr_assert_not(fleet.isEvacuated());
+    cr_assert_eq(fleet.configurationVersion(), 0);
+}
--- a/Tests/Peering/PeeringCodecTest.cpp
+++ b/Tests/Peering/PeeringCodecTest.cpp
@@ -168,3 +168,37 @@
     cr_assert_eq(decoded->limits.size(), 1);
     cr_assert(decoded->limits.front().requestsPerSecond == 3.0);
 }
+
+// Guards against a position that loses its era on the way: a revision of the earlier era looked newer than what followed.
+Test(PeeringCodec, keepsTheErasOfPositions)
+{
+    NodeMessage message;
+    message.sender = "10.0.0.1";
+    message.position = { 3, 7 };
+    cr_assert(decodeMessage(encodeMessage(message))->position == Fleet::StorePosition(3, 7));
+    ItemBatch batch;
+    batch.position = { 3, 9 };
+    batch.items = { { "a", "1", { 2, 8 }, false, {} }, { "b", "", { 3, 6 }, true, {} } };
+    batch.packedValues["a"] = { "packed", { 1, 5 }, 77 };
+    auto decoded = decodeItems(encodeItems(batch));
+    cr_assert(decoded->position == Fleet::StorePosition(3, 9));
+    cr_assert(decoded->items.front().position == Fleet::StorePosition(2, 8));
+    cr_assert(decoded->items.back().position == Fleet::StorePosition(3, 6));
+    cr_assert(decoded->packedValues.at("a").basePosition == Fleet::StorePosition(1, 5));
+}
+
+// Guards against messages of nodes that do not know eras, and of those that never met one: they have the era 0, and take no
+// more bytes than before.
+Test(PeeringCodec, messagesWithoutAnEraHaveTheFirst)
+{
+    NodeMessage message;
+    message.sender = "10.0.0.1";
+    message.position = 7;
+    // Field 19 of Heartbeat would begin with these bytes.
+    cr_assert_eq(encodeMessage(message).find("\x98\x01"), std::string::npos);
+    cr_assert(decodeMessage(encodeMessage(message))->position == Fleet::StorePosition(0, 7));
+    ItemBatch batch { 9, { { "a", "1", 8, false, {} } } };
+    auto decoded = decodeItems(encodeItems(batch));
+    cr_assert(decoded->position == Fleet::StorePosition(0, 9));
+    cr_assert(decoded->items.front().position == Fleet::StorePosition(0, 8));
+}
--- a/Tests/Peering/PeeringNodeTest.cpp
+++ b/Tests/Peering/PeeringNodeTest.cpp
@@ -472,3 +472,68 @@
     test.deliverLate(message);
     cr_assert(heard.empty());
 }
+
+// Guards against two routers on different sides of the return of the store that overwrite each other: the one of the earlier
+// era has the larger revision. It takes everything from the other one, which takes nothing from it.
+Test(PeeringNode, takesItemsOnlyFromRoutersOfTheSameOrALaterEra)
+{
+    TestNode test;
+    test.advanceWithTicks(1s);
+    test.fleet.publishAt("c", Fleet::configurationOf(3), { 0, 60 });
+    test.fleet.publishAt("t/1", Fleet::targetOf("1", "s"), { 0, 61 });
+    test.fleet.decoder.publications["c=later"] = Fleet::configurationOf(4);
+    test.fleet.decoder.publications["c=late"] = Fleet::configurationOf(5);
+    ItemBatch later { { 1, 5 }, { { "c", "later", { 1, 4 }, false, 0ms } } };
+    ItemBatch earlier { { 0, 99 }, { { "c", "late", { 0, 98 }, false, 0ms }, { "t/2", "", { 0, 99 }, false, 0ms } } };
+    std::vector<std::string> laterRequests;
+    unsigned earlierRequests = 0;
+    auto laterServer = Http::NodeServer::start(test.context, { "127.0.0.2", test.settings.firstPeerPort }, [&](Http::HttpRequest request) {
+        laterRequests.push_back(request.target);
+        return respondLate(test.fleet.clock, 0s, { 200, {}, encodeItems(later) });
+    });
+    auto earlierServer = Http::NodeServer::start(test.context, { "127.0.0.3", test.settings.firstPeerPort }, [&](Http::HttpRequest) {
+        ++earlierRequests;
+        return respondLate(test.fleet.clock, 0s, { 200, {}, encodeItems(earlier) });
+    });
+    auto message = messageFrom("127.0.0.2");
+    message.position = { 1, 5 };
+    test.deliver(message);
+    cr_assert(test.runUntil([&] { return Fleet::Queries::knownPosition(test.fleet.state) == Fleet::StorePosition(1, 5); }));
+    cr_assert_eq(test.fleet.snapshot()->configuration->version, 4);
+    message = messageFrom("127.0.0.3");
+    message.position = { 0, 99 };
+    test.deliver(message);
+    // The next request to the router of the later era names the era.
+    later = { { 1, 6 }, { { "t/3", "", { 1, 6 }, false, 0ms } } };
+    message = messageFrom("127.0.0.2");
+    message.position = { 1, 6 };
+    test.deliver(message);
+    cr_assert(test.runUntil([&] { return Fleet::Queries::knownPosition(test.fleet.state) == Fleet::StorePosition(1, 6); }));
+    cr_assert_eq(earlierRequests, 0);
+    cr_assert_eq(laterRequests.back(), "/items?after=5&era=1&packed=1");
+    cr_assert_eq(test.fleet.snapshot()->configuration->version, 4);
+}
+
+// Guards against a node that misses what the copy lacks or shows otherwise because it asks for the changes after a position
+// of the earlier era.
+Test(PeeringNode, listsAllItemsOfARouterOfALaterEra)
+{
+    TestNode test;
+    Fleet::TestFleetState fleet;
+    ItemMerger merger { fleet.state, fleet.decoder, fleet.clock };
+    Fleet::NodeSettings settings;
+    PeerTable peers;
+    ItemExchange items(test.context, settings, peers, merger, fleet.clock);
+    merger.apply({ { "t/2", "", { 1, 3 }, false, {} } }, { 1, 4 }, std::nullopt, "store");
+    merger.applyListing("", { "t/2" }, { 1, 4 }, std::nullopt);
+    auto statusOf = [&](const std::string& query) {
+        Http::HttpRequest request;
+        request.target = "/items?after=" + query;
+        return items.respond(request).status;
+    };
+    cr_assert_eq(statusOf("60"), 410, "a node of the earlier era, or one that knows none");
+    cr_assert_eq(statusOf("3&era=1"), 410, "deletions before the listing are not known");
+    cr_assert_eq(statusOf("4&era=1&packed=1"), 200);
+    cr_assert_eq(statusOf("1&era=2"), 200);
+    cr_assert_eq(statusOf("0"), 200);
+}
--- a/Tests/Peering/StoreFollowerTest.cpp
+++ b/Tests/Peering/StoreFollowerTest.cpp
@@ -585,3 +585,186 @@
         test.context.stop();
     }
 }
+
+// Guards against a late response of the earlier era, from a connection that was slow or led to the store as it was before:
+// it must neither undo what is known nor count as contact with the store.
+Test(StoreFollower, ignoresAWatchResponseOfAnEarlierEra)
+{
+    TestFollower test;
+    test.protocol.listing.position = { 1, 5 };
+    test.fleet.decoder.publications["c=old"] = Fleet::configurationOf(9);
+    test.protocol.changes["old"] = { { { "c", "old", { 1, 60 }, false, {} } }, { 1, 60 } };
+    Base::TimePoint requestedAt;
+    test.respond = [&](const std::string& target) -> Http::HttpResponse {
+        if (target == "/list")
+            return { 200, {}, "" };
+        if (test.requests.size() == 2) {
+            // Another node relays an item of the next era meanwhile.
+            test.fleet.clock.advance(1s);
+            requestedAt = test.fleet.clock.now();
+            test.fleet.publishAt("c", Fleet::configurationOf(3), { 2, 4 });
+            return { 200, {}, "old" };
+        }
+        test.context.stop();
+        return rejected;
+    };
+    test.run([] { return true; });
+    cr_assert_eq(test.fleet.snapshot()->configuration->version, 3);
+    cr_assert_eq(test.requests.back(), "/watch/4", "it goes on from what was relayed");
+    cr_assert(Fleet::Queries::completeness(test.fleet.state)->asOf < requestedAt);
+    cr_assert_not(test.follower->syncedAt().has_value());
+}
+
+// Guards against the removal of all that the listing of an earlier era lacks.
+Test(StoreFollower, ignoresAListingOfAnEarlierEra)
+{
+    TestFollower test;
+    test.fleet.publishAt("t/1", Fleet::targetOf("1", "s"), { 2, 4 });
+    test.protocol.listing = { {}, false, { 1, 90 } };
+    test.respond = [&](const std::string&) -> Http::HttpResponse {
+        if (test.requests.size() == 2)
+            test.context.stop();
+        return { 200, {}, "" };
+    };
+    test.run([] { return true; });
+    cr_assert_eq(test.requests.back(), "/list");
+    cr_assert_eq(test.fleet.targetCount("s"), 1);
+    cr_assert_not(test.follower->syncedAt().has_value());
+    cr_assert_not(Fleet::Queries::completeness(test.fleet.state).has_value());
+}
+
+// Guards against a listing that is a mixture of what the store had before and after its return: what is only on the pages
+// before would stay.
+Test(StoreFollower, startsAListingAgainIfItsPagesAreOfTwoEras)
+{
+    TestFollower test;
+    test.fleet.decoder.publications["a/t/1=1"] = Fleet::targetOf("1", "s");
+    test.fleet.decoder.publications["z/t/2=2"] = Fleet::targetOf("2", "s");
+    test.respond = [&](const std::string& target) -> Http::HttpResponse {
+        Fleet::PublishedItem first { "a/t/1", "1", { 1, 3 }, false, {} };
+        Fleet::PublishedItem second { "z/t/2", "2", { 2, 2 }, false, {} };
+        if (test.requests.size() == 1)
+            test.protocol.listing = { { first }, true, { 1, 3 } };
+        else
+            test.protocol.listing = { { second }, false, { 2, 2 } };
+        if (test.requests.size() == 3)
+            cr_expect(test.fleet.snapshot()->targetsByService.empty());
+        if (target != "/list")
+            test.context.stop();
+        return { 200, {}, "" };
+    };
+    test.run([] { return true; });
+    std::vector<std::string> expected { "/list", "/list", "/list", "/watch/2" };
+    cr_assert(test.requests == expected);
+    cr_assert_eq(test.fleet.snapshot()->targetsByService.at("s").front()->entry.id, "2");
+    cr_assert_eq(test.fleet.targetCount("s"), 1);
+}
+
+// Guards against changes of the new era that are taken for all that changed since a revision of the earlier one: what the
+// copy lacks or shows otherwise was never learned.
+Test(StoreFollower, listsAgainIfAWatchIsAnsweredInALaterEra)
+{
+    TestFollower test;
+    test.fleet.decoder.publications["c=2"] = Fleet::configurationOf(2);
+    test.fleet.decoder.publications["c=3"] = Fleet::configurationOf(3);
+    test.protocol.changes["new"] = { { { "c", "3", { 2, 12 }, false, {} } }, { 2, 12 } };
+    test.protocol.listing = { { { "c", "2", { 1, 9 }, false, {} } }, false, { 1, 10 } };
+    test.respond = [&](const std::string& target) -> Http::HttpResponse {
+        if (test.requests.size() == 3) {
+            cr_expect_eq(test.fleet.snapshot()->configuration->version, 2, "the listing comes first");
+            test.protocol.listing = { { { "c", "3", { 2, 12 }, false, {} } }, false, { 2, 12 } };
+        }
+        if (test.requests.size() == 4)
+            test.context.stop();
+        return { 200, {}, target == "/list" ? "" : "new" };
+    };
+    test.run([] { return true; });
+    std::vector<std::string> expected { "/list", "/watch/10", "/list", "/watch/12" };
+    cr_assert(test.requests == expected);
+    cr_assert_eq(test.fleet.snapshot()->configuration->version, 3);
+}
+
+// Guards against targets without entries after the store has forgotten the revision to continue from, and after it has
+// returned twice: each listing keeps the targets that it lacks until they had time to be written again.
+Test(StoreFollower, keepsWhatTheCopiesLackWhenTheStoreReturnsTwice)
+{
+    TestFollower test;
+    test.fleet.decoder.publications["t/1=1"] = Fleet::targetOf("1", "s");
+    test.fleet.decoder.publications["c=7"] = Fleet::configurationOf(7);
+    test.fleet.decoder.publications["c=5"] = Fleet::configurationOf(5);
+    test.respond = [&](const std::string& target) -> Http::HttpResponse {
+        if (test.requests.size() == 1)
+            test.protocol.listing = { { { "c", "7", { 0, 9 }, false, {} }, { "t/1", "1", { 0, 8 }, false, {} } }, false, { 0, 10 } };
+        else if (test.requests.size() == 3)
+            test.protocol.listing = { { { "c", "5", { 1, 4 }, false, {} } }, false, { 1, 5 } };
+        else
+            test.protocol.listing = { {}, false, { 2, 3 } };
+        if (test.requests.size() == 6)
+            test.context.stop();
+        return target == "/list" ? Http::HttpResponse { 200, {}, "" } : historyLost;
+    };
+    test.run([] { return true; });
+    std::vector<std::string> expected { "/list", "/watch/10", "/list", "/watch/5", "/list", "/watch/3" };
+    cr_assert(test.requests == expected);
+    cr_assert(Fleet::Queries::knownPosition(test.fleet.state) == Fleet::StorePosition(2, 3));
+    cr_assert_eq(test.fleet.snapshot()->configuration->version, 7);
+    cr_assert_eq(test.fleet.targetCount("s"), 1);
+    test.fleet.clock.advance(1901ms);
+    Fleet::Commands::expireDeletions(test.fleet.state, test.fleet.clock.now());
+    cr_assert_eq(test.fleet.targetCount("s"), 0);
+}
+
+// Guards against a store whose era falls back, or that stops to send it: it is ignored until its era is the known one again
+// or higher.
+Test(StoreFollower, ignoresTheStoreWhileItsEraIsLower)
+{
+    for (uint64_t lowerEra : { 2, 0 }) {
+        TestFollower test;
+        test.fleet.decoder.publications["c=4"] = Fleet::configurationOf(4);
+        test.fleet.decoder.publications["c=5"] = Fleet::configurationOf(5);
+        test.fleet.decoder.publications["c=6"] = Fleet::configurationOf(6);
+        test.protocol.changes["fallen"] = { { { "c", "5", { lowerEra, 99 }, false, {} } }, { lowerEra, 99 } };
+        test.protocol.listing = { { { "c", "4", { 3, 8 }, false, {} } }, false, { 3, 9 } };
+        test.respond = [&](const std::string& target) -> Http::HttpResponse {
+            if (target == "/list" && test.requests.size() > 1)
+                test.protocol.listing = { { { "c", "6", { 4, 2 }, false, {} } }, false, { 4, 3 } };
+            if (test.requests.size() == 4) {
+                cr_expect_eq(test.fleet.snapshot()->configuration->version, 4);
+                test.protocol.changes["higher"] = { {}, { 4, 3 } };
+                return { 200, {}, "higher" };
+            }
+            if (test.requests.size() == 6)
+                test.context.stop();
+            return { 200, {}, target == "/list" ? "" : "fallen" };
+        };
+        test.run([] { return true; });
+        std::vector<std::string> expected { "/list", "/watch/9", "/watch/9", "/watch/9", "/list", "/watch/3" };
+        cr_assert(test.requests == expected);
+        cr_assert_eq(test.fleet.snapshot()->configuration->version, 6);
+    }
+}
+
+// Guards against a new router that takes over with a revision of an earlier era after the others relayed the change.
+Test(StoreFollower, takesOverFromTheEraThatOthersRelayed)
+{
+    TestFollower test;
+    test.protocol.listing.position = { 1, 50 };
+    bool isNeeded = true;
+    test.respond = [&](const std::string& target) -> Http::HttpResponse {
+        if (target == "/list") {
+            isNeeded = false;
+            return { 200, {}, "" };
+        }
+        test.context.stop();
+        return rejected;
+    };
+    unsigned checks = 0;
+    test.run([&] {
+        if (!isNeeded && ++checks == 3) {
+            test.fleet.publishAt("t/1", Fleet::targetOf("1", "s"), { 2, 7 });
+            isNeeded = true;
+        }
+        return isNeeded;
+    });
+    cr_assert_eq(test.requests.back(), "/watch/7");
+}
--- a/Tests/Peering/ValuePackerTest.cpp
+++ b/Tests/Peering/ValuePackerTest.cpp
@@ -19,16 +19,16 @@
     return text;
 }
 
-ItemBatch batchAfter(const Fleet::TestFleetState& fleet, uint64_t revision)
+ItemBatch batchAfter(const Fleet::TestFleetState& fleet, Fleet::StorePosition position)
 {
-    return { Fleet::Queries::knownPosition(fleet.state), Fleet::Queries::itemsAfter(fleet.state, revision, fleet.clock.now()), {} };
+    return { Fleet::Queries::knownPosition(fleet.state), Fleet::Queries::itemsAfter(fleet.state, position, fleet.clock.now()), {} };
 }
 
-void publish(Fleet::TestFleetState& fleet, const std::string& value, uint64_t revision)
+void publish(Fleet::TestFleetState& fleet, const std::string& value, Fleet::StorePosition position)
 {
     // A large value that nothing uses would not be kept.
     fleet.decoder.publications["c=" + value] = Fleet::DataCentreEvacuated { "dc-a" };
-    fleet.apply({ "c", value, revision, false, {} });
+    fleet.apply({ "c", value, position, false, {} });
 }
 
 } // namespace
@@ -104,3 +104,45 @@
     Fleet::Commands::expireDeletions(sender.state, sender.clock.now());
     cr_assert_null(Fleet::Queries::valueAsOf(sender.state, "c", 5));
 }
+
+// Guards against a configuration that is restored from the value of another era with the same revision.
+Test(ValuePacker, isNotRestoredFromTheValueOfAnotherEra)
+{
+    Fleet::TestFleetState sender;
+    publish(sender, routes(1, 100), { 1, 5 });
+    publish(sender, routes(1, 101), { 1, 6 });
+    ValuePacker packer;
+    auto batch = batchAfter(sender, { 1, 5 });
+    packer.pack(batch, sender.state, { 1, 5 });
+    auto bytes = encodeItems(batch);
+
+    Fleet::TestFleetState earlier;
+    publish(earlier, routes(1, 100), { 0, 5 });
+    auto received = *decodeItems(bytes);
+    cr_expect_not(unpackValues(received, earlier.state));
+
+    Fleet::TestFleetState same;
+    publish(same, routes(1, 100), { 1, 5 });
+    received = *decodeItems(bytes);
+    cr_assert(unpackValues(received, same.state));
+    cr_assert_eq(received.items.front().value, routes(1, 101));
+}
+
+// Guards against a receiver of the earlier era that gets a difference to a value which it does not have: the router still
+// has the value before the return, and sends the difference to that one.
+Test(ValuePacker, packsWithTheValueBeforeTheReturn)
+{
+    Fleet::TestFleetState sender;
+    Fleet::TestFleetState receiver;
+    publish(sender, routes(1, 4200), { 0, 50 });
+    publish(receiver, routes(1, 4200), { 0, 50 });
+    publish(sender, routes(1, 4200) + routes(2, 1), { 1, 4 });
+    ValuePacker packer;
+    auto batch = batchAfter(sender, { 0, 50 });
+    packer.pack(batch, sender.state, { 0, 50 });
+    auto bytes = encodeItems(batch);
+    cr_assert_lt(bytes.size(), 1000);
+    auto received = *decodeItems(bytes);
+    cr_assert(unpackValues(received, receiver.state));
+    cr_assert_eq(received.items.front().value, routes(1, 4200) + routes(2, 1));
+}
--- a/Tests/Platform/StoreCodecTest.cpp
+++ b/Tests/Platform/StoreCodecTest.cpp
@@ -62,6 +62,29 @@
     cr_assert(std::holds_alternative<Fleet::Unreadable>(StoreCodec().decode(items[2])));
 }
 
+// Guards against positions without the era of the store. A header that is no number is as good as none.
+Test(StoreCodec, readsTheEra)
+{
+    const std::string listing = R"({"items":[{"key":"op/evacuate/dc-a","value":"","revision":8}],"more_pages":false,"as_of":10})";
+    const std::string changes = R"({"events":[{"key":"servers/i-1","revision":9,"deleted":true}],"as_of":10})";
+    auto eraOf = [&](const Http::HttpHeaders& headers) {
+        auto page = StoreCodec().readList({ 200, headers, listing });
+        auto batch = StoreCodec().readChanges({ 200, headers, changes });
+        cr_assert(Base::succeeded(page) && Base::succeeded(batch));
+        auto position = Base::valueOf(page).position;
+        cr_assert_eq(position.revision, 10);
+        cr_assert(Base::valueOf(page).items.front().position == Fleet::StorePosition(position.era, 8));
+        cr_assert(Base::valueOf(batch).position == position);
+        cr_assert(Base::valueOf(batch).changes.front().position == Fleet::StorePosition(position.era, 9));
+        return position.era;
+    };
+    cr_assert_eq(eraOf({ { "Store-Era", "3" } }), 3);
+    cr_assert_eq(eraOf({ { "store-era", "18446744073709551615" } }), UINT64_MAX);
+    cr_assert_eq(eraOf({}), 0);
+    for (auto* value : { "", "-1", "3 4", "x", "18446744073709551616" })
+        cr_assert_eq(eraOf({ { "Store-Era", value } }), 0);
+}
+
 // Guards against confusing a rejected request with lost history.
 Test(StoreCodec, distinguishesRejectionFromLostHistory)
 {
