Keep ended targets and evacuations out as long as stated, and no longer

A target that was known as gone was used again 10 s after the return of the store if the copy showed its entry, and after a second return it was kept out for ever; an evacuation that had ended came back with the second copy. Entries and evacuations that were written after the listing of the new era waited as if the copy showed them. A draining target without an incarnation was never used again. A target that is gone now stays out for the retention of deletions, what is written after the listing is used at once, and a second return renews the bound instead of dropping or removing it.

--- a/Source/Fleet/Commands/ApplyItems.cpp
+++ b/Source/Fleet/Commands/ApplyItems.cpp
@@ -124,6 +124,14 @@
         });
     }
 
+    Queries::WriteTime writeTimeOf(const Contents& contents, const PublishedItem& item)
+    {
+        bool isAfterListing = std::any_of(contents.listedPositions.begin(), contents.listedPositions.end(), [&](auto& listed) {
+            return item.key.starts_with(listed.first) && item.position.era == listed.second.era && item.position > listed.second;
+        });
+        return isAfterListing ? Queries::WriteTime::AfterListing : Queries::WriteTime::Unknown;
+    }
+
     std::shared_ptr<const FleetState::PreviousValue> takePreviousValue(PublishedItem& replaced)
     {
         if (replaced.value.size() < FleetState::minimumPreviousValueBytes)
@@ -155,7 +163,7 @@
         auto publication = decoder.decode(item);
         std::optional<FleetState::Retained> retained;
         if (known != contents.records.end()) {
-            if (auto version = Queries::findRetained(known->second, item, publication, now)) {
+            if (auto version = Queries::findRetained(known->second, item, publication, writeTimeOf(contents, item), now)) {
                 change.retained.push_back(item.key);
                 retained = FleetState::Retained { std::move(publication), version->until };
                 publication = std::move(version->publication);
--- a/Source/Fleet/Queries/FindRetained.cpp
+++ b/Source/Fleet/Queries/FindRetained.cpp
@@ -28,11 +28,26 @@
         return target && target->entry.draining && !shown.entry.draining && target->entry.startedAt == shown.entry.startedAt;
     }
 
+    // Whether the target itself said that it leaves, in an incarnation that its next one can be told from.
+    bool hasLeftForGood(const FleetState::Record& known)
+    {
+        auto* target = std::get_if<TargetPublished>(&known.publication);
+        bool isRetainedForTime = known.retained && known.retained->until;
+        return target && target->entry.startedAt != 0 && !isRetainedForTime;
+    }
+
     bool isOfEndedTarget(const TargetPublished& shown, const FleetState::Record& known)
     {
         return known.item.deleted && !known.deletionDueAt && known.endedIncarnation == shown.entry.startedAt;
     }
 
+    // Whether the item was deleted, also if an older copy has shown it since.
+    bool isEnded(const FleetState::Record& known)
+    {
+        bool isRetainedAsDeleted = known.retained && std::holds_alternative<Unrelated>(known.publication);
+        return isRetainedAsDeleted || (known.item.deleted && !known.deletionDueAt);
+    }
+
     Publication asLeaving(TargetPublished target)
     {
         target.entry.draining = true;
@@ -41,7 +56,7 @@
 
 } // namespace
 
-std::optional<RetainedVersion> findRetained(const FleetState::Record& known, const PublishedItem& shown, const Publication& publication, Base::TimePoint now)
+std::optional<RetainedVersion> findRetained(const FleetState::Record& known, const PublishedItem& shown, const Publication& publication, WriteTime writeTime, Base::TimePoint now)
 {
     bool isFirstOfEra = known.item.position.era < shown.position.era;
     bool isRetainedSince = known.retained && !known.retained->until;
@@ -50,16 +65,14 @@
     if (isOlderVersion(publication, known.publication))
         return RetainedVersion { known.publication, std::nullopt, true };
     auto* target = std::get_if<TargetPublished>(&publication);
-    if (target && isOfLeavingTarget(*target, known))
+    if (target && isOfLeavingTarget(*target, known) && hasLeftForGood(known))
         return RetainedVersion { known.publication, std::nullopt, true };
-    if (!isFirstOfEra)
+    if (!isFirstOfEra || writeTime == WriteTime::AfterListing)
         return std::nullopt;
-    auto until = now + FleetState::lostWriteRetention;
-    if (target && isOfEndedTarget(*target, known))
-        return RetainedVersion { asLeaving(*target), until };
-    bool isEndedEvacuation = std::holds_alternative<DataCentreEvacuated>(publication) && known.item.deleted && !known.deletionDueAt;
-    if (isEndedEvacuation)
-        return RetainedVersion { Unrelated {}, until };
+    if (target && (isOfLeavingTarget(*target, known) || isOfEndedTarget(*target, known)))
+        return RetainedVersion { asLeaving(*target), now + FleetState::deletionRetention };
+    if (std::holds_alternative<DataCentreEvacuated>(publication) && isEnded(known))
+        return RetainedVersion { Unrelated {}, now + FleetState::lostWriteRetention };
     return std::nullopt;
 }
 
--- a/Source/Fleet/Queries/FindRetained.h
+++ b/Source/Fleet/Queries/FindRetained.h
@@ -15,11 +15,19 @@
     bool keepsValue = false;
 };
 
+// When an item was written, as far as it is known.
+enum class WriteTime {
+    // The copy may have it.
+    Unknown,
+    // After a listing of its era.
+    AfterListing,
+};
+
 // Decides whether what was known of an item stays in force when a store that returned from an older copy shows the item as
 // it was before. Nothing that was acknowledged is undone until it is written again: a configuration and a declaration of
 // weights keep the highest version, a target that is leaving or gone is not used again in its incarnation, and an evacuation
 // that has ended does not return.
-std::optional<RetainedVersion> findRetained(const FleetState::Record& known, const PublishedItem& shown, const Publication& publication, Base::TimePoint now);
+std::optional<RetainedVersion> findRetained(const FleetState::Record& known, const PublishedItem& shown, const Publication& publication, WriteTime, Base::TimePoint now);
 
 // Whether the item stays in force if the listing of a later era lacks it.
 bool isRetainedIfMissing(const FleetState::Record&, StorePosition listing);
--- a/Tests/Fleet/StoreEraTest.cpp
+++ b/Tests/Fleet/StoreEraTest.cpp
@@ -177,6 +177,65 @@
     cr_assert_eq(fleet.usableTargets(), 1, "it has started again");
 }
 
+// Guards against a target without an incarnation that is never used again although it has started again.
+Test(StoreEra, aDrainingTargetWithoutIncarnationIsUsedOnceItIsWrittenAgain)
+{
+    TestEras fleet;
+    fleet.write("t/1", incarnationOf(0, true), { 0, 9 });
+    fleet.list({ fleet.item("t/1", incarnationOf(0), { 1, 3 }) }, { 1, 4 });
+    fleet.advance(119s);
+    cr_assert_eq(fleet.usableTargets(), 0);
+    fleet.write("t/1", incarnationOf(0), { 1, 5 });
+    cr_assert_eq(fleet.usableTargets(), 1);
+}
+
+// Guards against requests to a target that is gone and whose entry the copy still shows: after 10 s it counted as ready.
+Test(StoreEra, anEndedTargetIsNotUsedWhileItsDeletionIsRetained)
+{
+    TestEras fleet;
+    fleet.write("t/1", incarnationOf(7), { 0, 8 });
+    fleet.removeAt("t/1", { 0, 9 });
+    fleet.list({ fleet.item("t/1", incarnationOf(7), { 1, 3 }) }, { 1, 4 });
+    fleet.advance(FleetState::deletionRetention - 1s);
+    cr_assert_eq(fleet.usableTargets(), 0);
+    fleet.removeAt("t/1", { 1, 6 });
+    fleet.advance(2min);
+    cr_assert_eq(fleet.targetCount("s"), 0);
+}
+
+// Guards against a target that stays out although it has written its entry: its next incarnation, or one that had expired.
+Test(StoreEra, anEndedTargetIsUsedAgainOnceItIsWritten)
+{
+    for (bool isNextIncarnation : { true, false }) {
+        TestEras fleet;
+        fleet.write("t/1", incarnationOf(7), { 0, 8 });
+        fleet.removeAt("t/1", { 0, 9 });
+        if (isNextIncarnation) {
+            fleet.list({ fleet.item("t/1", incarnationOf(8), { 1, 3 }) }, { 1, 4 });
+        } else {
+            fleet.list({}, { 1, 4 });
+            fleet.write("t/1", incarnationOf(7), { 1, 5 });
+        }
+        cr_assert_eq(fleet.usableTargets(), 1);
+    }
+}
+
+// Guards against a target that is kept out for ever because the store returned twice: at the second time, it counted as one
+// that had said that it leaves.
+Test(StoreEra, anEndedTargetStaysOutForABoundedTimeAfterASecondReturn)
+{
+    TestEras fleet;
+    fleet.write("t/1", incarnationOf(7), { 0, 8 });
+    fleet.removeAt("t/1", { 0, 9 });
+    fleet.list({ fleet.item("t/1", incarnationOf(7), { 1, 3 }) }, { 1, 4 });
+    fleet.advance(5s);
+    fleet.list({ fleet.item("t/1", incarnationOf(7), { 2, 3 }) }, { 2, 4 });
+    fleet.advance(FleetState::deletionRetention - 1s);
+    cr_assert_eq(fleet.usableTargets(), 0);
+    fleet.advance(2s);
+    cr_assert_eq(fleet.usableTargets(), 1);
+}
+
 // Guards against a service without targets because the copy is older than their entries, and against one that keeps them.
 Test(StoreEra, targetsThatTheCopyLacksStayInUseUntilTheyHadTimeToBeWritten)
 {
@@ -243,6 +302,33 @@
     cr_assert(forgotten.isEvacuated());
 }
 
+// Guards against a new evacuation that waits for 10 s because an earlier one of the data centre had ended.
+Test(StoreEra, anEvacuationThatIsWrittenAfterTheListingIsInForceAtOnce)
+{
+    TestEras fleet;
+    fleet.write("e", evacuation, { 0, 8 });
+    fleet.removeAt("e", { 0, 9 });
+    fleet.list({}, { 1, 4 });
+    fleet.write("e", evacuation, { 1, 5 });
+    cr_assert(fleet.isEvacuated());
+}
+
+// Guards against an ended evacuation that returns when the store returns a second time before its end is written again.
+Test(StoreEra, anEndedEvacuationDoesNotReturnWithASecondCopy)
+{
+    TestEras fleet;
+    fleet.write("e", evacuation, { 0, 8 });
+    fleet.removeAt("e", { 0, 9 });
+    fleet.list({ fleet.item("e", evacuation, { 1, 3 }) }, { 1, 4 });
+    fleet.advance(4s);
+    fleet.list({ fleet.item("e", evacuation, { 2, 3 }) }, { 2, 4 });
+    cr_assert_not(fleet.isEvacuated());
+    fleet.advance(9s);
+    cr_assert_not(fleet.isEvacuated());
+    fleet.advance(1s + 1ms);
+    cr_assert(fleet.isEvacuated());
+}
+
 // Guards against a change in the behaviour with a store that has no eras.
 Test(StoreEra, nothingIsRetainedWithoutAnEra)
 {
