Keep the delay of a deletion when another router relays its own

Each router that lists a later era deletes what the copy lacks at the position of its own listing, with a delay. The second such deletion that a router received removed the item at once: an evacuation ended, and targets were not used until they were written again. The delay is now kept if the second deletion has one too, and is never prolonged.

--- a/Source/Fleet/Commands/ApplyItems.cpp
+++ b/Source/Fleet/Commands/ApplyItems.cpp
@@ -66,13 +66,17 @@
 
     std::optional<Base::TimePoint> delayOf(const Record& record, const PublicationDecoder& decoder, const DeletionDelays& delays)
     {
-        if (record.item.deleted)
+        if (record.item.deleted && !record.deletionDueAt)
             return std::nullopt;
-        if (std::holds_alternative<DataCentreEvacuated>(record.publication))
-            return delays.evacuationsUntil;
         auto* target = std::get_if<TargetPublished>(&record.publication);
         bool mayReturn = target && !target->entry.draining && decoder.isTargetKey(record.item.key);
-        return mayReturn ? delays.targetsUntil : std::nullopt;
+        std::optional<Base::TimePoint> until;
+        if (std::holds_alternative<DataCentreEvacuated>(record.publication))
+            until = delays.evacuationsUntil;
+        else if (mayReturn)
+            until = delays.targetsUntil;
+        // Each node that listed the store relays a deletion of its own. The later ones don't prolong the delay.
+        return until && record.deletionDueAt ? std::min(*until, *record.deletionDueAt) : until;
     }
 
     void removeRecord(Record& record, const PublicationDecoder& decoder, StorePosition position, const DeletionDelays& delays, Base::TimePoint now)
--- a/Tests/Fleet/StoreEraTest.cpp
+++ b/Tests/Fleet/StoreEraTest.cpp
@@ -329,6 +329,28 @@
     cr_assert(fleet.isEvacuated());
 }
 
+// Guards against the end of an evacuation, or of a target in use, because a second router that listed the copy a little
+// later relays its own deletion.
+Test(StoreEra, aDelayedDeletionIsNotShortenedByThatOfAnotherRouter)
+{
+    TestEras fleet;
+    fleet.write("e", evacuation, { 0, 8 });
+    fleet.write("t/1", incarnationOf(7), { 0, 9 });
+    fleet.list({}, { 1, 4 });
+    fleet.apply({ "e", "", { 1, 6 }, true, {}, false, 9s });
+    fleet.apply({ "t/1", "", { 1, 6 }, true, {}, false, 1500ms });
+    cr_assert(fleet.isEvacuated());
+    cr_assert_eq(fleet.usableTargets(), 1);
+    // Nor prolonged.
+    fleet.advance(1s);
+    fleet.apply({ "e", "", { 1, 7 }, true, {}, false, 10s });
+    fleet.apply({ "t/1", "", { 1, 7 }, true, {}, false, 1900ms });
+    fleet.advance(501ms);
+    cr_assert_eq(fleet.usableTargets(), 0);
+    fleet.advance(7500ms);
+    cr_assert_not(fleet.isEvacuated());
+}
+
 // Guards against a change in the behaviour with a store that has no eras.
 Test(StoreEra, nothingIsRetainedWithoutAnEra)
 {
