Keep the time of a declaration that is written again

After the return of the store, operators write the lost declaration again. Its item is new, so that the bound of its age replaced the earlier time of the version if that was a bound too: outdated weights looked recent. The follower also measured the time of the second publication as that of the declaration. A bound of the age of a repeated declaration is now ignored.

StoreEra::aDeclarationThatIsWrittenAgainIsAsOldAsBefore fails before and passes now; test-Fleet 41 of 41.

--- a/Source/Fleet/Commands/ApplyItems.cpp
+++ b/Source/Fleet/Commands/ApplyItems.cpp
@@ -112,6 +112,14 @@
         return true;
     }
 
+    // Whether the item repeats a declaration that the record has. A bound of its age says when it was written again, not when
+    // the version was declared.
+    bool repeatsDeclaration(const Record& record, const WeightsDeclared& declared, const PublishedItem& item)
+    {
+        auto* known = std::get_if<WeightsDeclared>(&record.publication);
+        return known && known->model == declared.model && known->version == declared.version && item.ageIsBound;
+    }
+
     // An operator's item that this process can't decode is kept, because a newer program among the peers may.
     bool isUnused(const Publication& publication, const std::string& key, const PublicationDecoder& decoder)
     {
@@ -185,7 +193,8 @@
         }
         if (auto* published = std::get_if<ConfigurationPublished>(&publication))
             change.configuration = published->configuration;
-        if (auto* declared = std::get_if<WeightsDeclared>(&publication))
+        auto* declared = std::get_if<WeightsDeclared>(&publication);
+        if (declared && !(known != contents.records.end() && repeatsDeclaration(known->second, *declared, item)))
             recordDeclared(contents, *declared, item, origin, now, change);
         auto& record = contents.records[item.key];
         auto previous = takePreviousValue(record.item);
--- a/Tests/Fleet/StoreEraTest.cpp
+++ b/Tests/Fleet/StoreEraTest.cpp
@@ -161,6 +161,30 @@
     cr_assert_eq(fleet.weights(), 4);
 }
 
+// Guards against outdated weights that look recent: the version was declared long ago, and only its lost item was written
+// again.
+Test(StoreEra, aDeclarationThatIsWrittenAgainIsAsOldAsBefore)
+{
+    TestEras fleet;
+    fleet.clock.advance(2h);
+    auto declaration = [&](uint64_t version, StorePosition position) {
+        auto declared = fleet.item("w", WeightsDeclared { "m", version }, position);
+        declared.age = FleetState::unknownAge;
+        declared.ageIsBound = true;
+        return declared;
+    };
+    auto merge = [&](PublishedItem declared) {
+        auto position = declared.position;
+        return Commands::applyItems(fleet.state, fleet.decoder, { std::move(declared) }, { position, std::nullopt, 100ms }, fleet.clock.now());
+    };
+    Commands::applyItems(fleet.state, fleet.decoder, { declaration(3, { 0, 9 }) }, { { 0, 9 }, std::nullopt }, fleet.clock.now());
+    auto publishedAt = fleet.snapshot()->weights.at("m").back().publishedAt;
+    fleet.clock.advance(10s);
+    cr_assert(merge(declaration(2, { 1, 3 })).declarations.empty());
+    cr_assert(merge(declaration(3, { 1, 5 })).declarations.empty(), "the follower would take its time for that of the declaration");
+    cr_assert(fleet.snapshot()->weights.at("m").back().publishedAt == publishedAt);
+}
+
 // Guards against requests to a target that has said that it leaves.
 Test(StoreEra, aDrainingTargetIsNotUsedAgainInItsIncarnation)
 {
