Take the higher version that another node retains at the same position

A router that starts after the return lists what the copy shows, or lacks a configuration that the copy does not have. The others relay the version that stays in force, but at the position of the copy's item, or at one before the listing, so that it was ignored: the router served an older configuration, or none, until the operators wrote it again. It now takes a higher version at an equal position, and a configuration or declaration of an earlier era from a node of the later one. Times of declarations are refined only by items with the same value, and packed values are cached by digest too.

--- a/Source/Fleet/Commands/ApplyItems.cpp
+++ b/Source/Fleet/Commands/ApplyItems.cpp
@@ -106,7 +106,8 @@
     bool refineDeclaration(Contents& contents, const Record& record, const PublishedItem& item, const ItemBatchOrigin& origin, Base::TimePoint now, AppliedChange& change)
     {
         auto* declared = std::get_if<WeightsDeclared>(&record.publication);
-        if (!declared || record.item.position != item.position)
+        bool isSame = record.item.position == item.position && record.item.value == item.value;
+        if (!declared || !isSame)
             return false;
         recordDeclared(contents, *declared, item, origin, now, change);
         return true;
@@ -151,14 +152,38 @@
         return std::make_shared<const FleetState::PreviousValue>(FleetState::PreviousValue { std::move(replaced.value), replaced.position });
     }
 
+    // Takes over the higher version that another node retains, while this one knows only what the copy shows at the same
+    // position. Returns whether it did.
+    bool adoptRetained(Contents& contents, const PublicationDecoder& decoder, Record& record, PublishedItem& item, const ItemBatchOrigin& origin, Base::TimePoint now, AppliedChange& change)
+    {
+        bool mayDiffer = item.position.era > 0 && item.position == record.item.position && !item.deleted && !record.item.deleted;
+        if (!mayDiffer || item.value == record.item.value)
+            return false;
+        auto publication = decoder.decode(item);
+        if (!Queries::isHigherVersion(publication, record.publication))
+            return false;
+        change.retained.push_back(item.key);
+        record.retained = FleetState::Retained { std::move(record.publication), std::nullopt };
+        record.publication = std::move(publication);
+        record.item.value = std::move(item.value);
+        record.learnedAt = now;
+        if (auto* published = std::get_if<ConfigurationPublished>(&record.publication))
+            change.configuration = published->configuration;
+        if (auto* declared = std::get_if<WeightsDeclared>(&record.publication))
+            recordDeclared(contents, *declared, item, origin, now, change);
+        return true;
+    }
+
     void mergeItem(Contents& contents, const PublicationDecoder& decoder, PublishedItem item, const ItemBatchOrigin& origin, Base::TimePoint now, AppliedChange& change)
     {
         auto known = contents.records.find(item.key);
         if (known != contents.records.end() && known->second.item.position >= item.position) {
             change.anything |= refineDeclaration(contents, known->second, item, origin, now, change);
+            change.anything |= adoptRetained(contents, decoder, known->second, item, origin, now, change);
             return;
         }
-        if (known == contents.records.end() && !item.deleted && isMissingInListing(contents, item))
+        bool isMissing = known == contents.records.end() && !item.deleted && isMissingInListing(contents, item);
+        if (isMissing && !Queries::isRetainedElsewhere(item, decoder.decode(item), origin.position))
             return;
         change.anything = true;
         if (item.ageIsBound)
--- a/Source/Fleet/Queries/FindRetained.cpp
+++ b/Source/Fleet/Queries/FindRetained.cpp
@@ -76,6 +76,16 @@
     return std::nullopt;
 }
 
+bool isRetainedElsewhere(const PublishedItem& item, const Publication& publication, StorePosition sender)
+{
+    return item.position.era < sender.era && versionOf(publication);
+}
+
+bool isHigherVersion(const Publication& publication, const Publication& known)
+{
+    return isOlderVersion(known, publication);
+}
+
 bool isRetainedIfMissing(const FleetState::Record& known, StorePosition listing)
 {
     return known.item.position.era < listing.era && versionOf(known.publication);
--- a/Source/Fleet/Queries/FindRetained.h
+++ b/Source/Fleet/Queries/FindRetained.h
@@ -29,6 +29,12 @@
 // that has ended does not return.
 std::optional<RetainedVersion> findRetained(const FleetState::Record& known, const PublishedItem& shown, const Publication& publication, WriteTime, Base::TimePoint now);
 
+// Whether a node with that position relays the item because it stays in force although the listing of the later era lacks it.
+bool isRetainedElsewhere(const PublishedItem&, const Publication&, StorePosition sender);
+
+// Whether the publication is a higher version of the known one.
+bool isHigherVersion(const Publication&, const Publication& known);
+
 // Whether the item stays in force if the listing of a later era lacks it.
 bool isRetainedIfMissing(const FleetState::Record&, StorePosition listing);
 
--- a/Source/Peering/ValuePacker.cpp
+++ b/Source/Peering/ValuePacker.cpp
@@ -40,12 +40,14 @@
 const PackedValue& ValuePacker::packed(const Fleet::PublishedItem& item, const Fleet::FleetState::PreviousValue* base)
 {
     auto& versions = m_versions[item.key];
-    if (versions.position != item.position)
-        versions = { item.position, {} };
+    // Of a retained version, the value can change at the same position.
+    auto digest = digestOf(item.value);
+    if (versions.position != item.position || versions.digest != digest)
+        versions = { item.position, digest, {} };
     auto basePosition = base ? base->position : Fleet::StorePosition();
     auto [version, isNew] = versions.byBase.try_emplace(basePosition);
     if (isNew)
-        version->second = { Configuration::Queries::makeDelta(base ? base->value : std::string(), item.value), basePosition, digestOf(item.value) };
+        version->second = { Configuration::Queries::makeDelta(base ? base->value : std::string(), item.value), basePosition, digest };
     return version->second;
 }
 
--- a/Source/Peering/ValuePacker.h
+++ b/Source/Peering/ValuePacker.h
@@ -20,6 +20,7 @@
     // The last results for one key. Many nodes ask for the same change within a short time.
     struct PackedVersions {
         Fleet::StorePosition position;
+        uint64_t digest = 0;
         // By position of the base.
         std::map<Fleet::StorePosition, PackedValue> byBase;
     };
--- a/Tests/Fleet/StoreEraTest.cpp
+++ b/Tests/Fleet/StoreEraTest.cpp
@@ -375,6 +375,54 @@
     cr_assert_not(fleet.isEvacuated());
 }
 
+// Guards against a router that starts after the return and serves what the copy shows although the others know better.
+Test(StoreEra, aNodeThatStartsAfterTheReturnTakesTheHigherVersionFromOthers)
+{
+    for (bool isShownByCopy : { true, false }) {
+        TestEras known;
+        known.write("c", configurationOf(7), { 0, 9 });
+        TestEras started;
+        std::vector<PublishedItem> copy;
+        if (isShownByCopy)
+            copy.push_back(known.item("c", configurationOf(5), { 1, 3 }));
+        started.decoder = known.decoder;
+        known.list(copy, { 1, 4 });
+        started.list(copy, { 1, 4 });
+        cr_assert_eq(started.configurationVersion(), isShownByCopy ? 5 : 0);
+        started.fetchAll(known);
+        cr_assert_eq(started.configurationVersion(), 7);
+        // The higher version stays also in the other direction.
+        TestEras other;
+        other.decoder = known.decoder;
+        other.list(copy, { 1, 4 });
+        known.fetchAll(other);
+        cr_assert_eq(known.configurationVersion(), 7);
+        started.write("c", configurationOf(6), { 1, 5 });
+        cr_assert_eq(started.configurationVersion(), 7);
+    }
+}
+
+// Guards against a time of one version that is taken for that of another: a node that retains a version relays it with its
+// age, at the position at which others have the version that the copy shows.
+Test(StoreEra, theAgeOfARetainedVersionIsNotThatOfTheVersionShown)
+{
+    for (bool isRetained : { true, false }) {
+        TestEras fleet;
+        fleet.clock.advance(2h);
+        auto shown = fleet.item("w", WeightsDeclared { "m", 2 }, { 1, 3 });
+        auto retained = shown;
+        retained.value = "retained";
+        fleet.decoder.publications["w=retained"] = WeightsDeclared { "m", 3 };
+        shown.age = 60s;
+        retained.age = 10s;
+        fleet.apply(isRetained ? retained : shown);
+        fleet.apply(isRetained ? shown : retained);
+        auto declared = fleet.snapshot()->weights.at("m").back();
+        cr_assert_eq(declared.version, 3);
+        cr_assert(declared.publishedAt == fleet.clock.now() - 10s);
+    }
+}
+
 // Guards against a change in the behaviour with a store that has no eras.
 Test(StoreEra, nothingIsRetainedWithoutAnEra)
 {
--- a/Tests/Peering/ValuePackerTest.cpp
+++ b/Tests/Peering/ValuePackerTest.cpp
@@ -146,3 +146,25 @@
     cr_assert(unpackValues(received, receiver.state));
     cr_assert_eq(received.items.front().value, routes(1, 4200) + routes(2, 1));
 }
+
+// Guards against a version that a router retains but never relays: it had packed the value that the copy shows at the same
+// position before it learned of the higher version.
+Test(ValuePacker, packsTheValueThatIsRetainedAtThePosition)
+{
+    Fleet::TestFleetState sender;
+    auto publishVersion = [&](const std::string& value, uint64_t version) {
+        sender.decoder.publications["c=" + value] = Fleet::configurationOf(version);
+        sender.apply({ "c", value, { 1, 5 }, false, {} });
+    };
+    ValuePacker packer;
+    publishVersion(routes(1, 100), 5);
+    auto batch = batchAfter(sender, 0);
+    packer.pack(batch, sender.state, 0);
+    publishVersion(routes(1, 101), 7);
+    batch = batchAfter(sender, 0);
+    packer.pack(batch, sender.state, 0);
+    auto received = *decodeItems(encodeItems(batch));
+    Fleet::TestFleetState receiver;
+    cr_assert(unpackValues(received, receiver.state));
+    cr_assert_eq(received.items.front().value, routes(1, 101));
+}
