Limit no ages by a response of the store that is ignored

A response of an earlier era, or a listing of pages in two eras, counted as a failure of the store. While the store fails nothing is published, so that a declaration that was listed next counted as no older than that response, and outdated weights looked recent. The store is up, so the last sync stays the bound. Each such response also closes the connection.

StoreFollower::anIgnoredResponseDoesNotLimitTheAgesOfItems fails before and passes now.

--- a/Source/Peering/StoreFollower.cpp
+++ b/Source/Peering/StoreFollower.cpp
@@ -121,6 +121,14 @@
     m_merger.recordStoreFailure(failedAt);
 }
 
+// The store is up, so that items may have been published meanwhile: unlike a failure, this limits no ages. The connection
+// may lead to the store as it was before.
+void StoreFollower::recordIgnored(const std::string& reason)
+{
+    updateConnection(false, reason);
+    m_client.disconnect();
+}
+
 void StoreFollower::recordTimeout(const Http::HttpError& error, Base::AdaptiveTimeout& timeout)
 {
     if (error.kind == Http::HttpErrorKind::TimedOut)
@@ -171,11 +179,11 @@
         }
         auto& listed = Base::valueOf(page);
         if (isStale(listed.position)) {
-            recordFailure("a response of an earlier era", requestedAt);
+            recordIgnored("a response of an earlier era");
             co_return false;
         }
         if (position && position->era != listed.position.era) {
-            recordFailure("the store returned from an older copy during the listing", m_clock.now());
+            recordIgnored("the store returned from an older copy during the listing");
             co_return false;
         }
         // The next page begins after the last key of this one. Without a new last key the listing would never end.
@@ -245,8 +253,7 @@
     }
     auto position = Base::valueOf(batch).position;
     if (isStale(position)) {
-        recordFailure("a response of an earlier era", watch.requestedAt);
-        m_client.disconnect();
+        recordIgnored("a response of an earlier era");
         co_return false;
     }
     // The revision to continue from may have been given out again.
--- a/Source/Peering/StoreFollower.h
+++ b/Source/Peering/StoreFollower.h
@@ -58,6 +58,7 @@
     void resume();
     void recordResult(bool succeeded);
     void recordFailure(const std::string& reason, Base::TimePoint failedAt);
+    void recordIgnored(const std::string& reason);
     static void recordTimeout(const Http::HttpError&, Base::AdaptiveTimeout&);
     std::chrono::milliseconds nextWait() const;
     bool isConfirmationUrgent() const;
--- a/Tests/Peering/StoreFollowerTest.cpp
+++ b/Tests/Peering/StoreFollowerTest.cpp
@@ -768,3 +768,29 @@
     });
     cr_assert_eq(test.requests.back(), "/watch/7");
 }
+
+// Guards against outdated weights that look recent: the store was up although its response was not used, so that a
+// declaration may have been made at any time since the last sync.
+Test(StoreFollower, anIgnoredResponseDoesNotLimitTheAgesOfItems)
+{
+    for (bool isMixed : { true, false }) {
+        TestFollower test;
+        test.fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
+        test.fleet.publishAt("t/1", Fleet::targetOf("1", "s"), { 1, 4 });
+        test.merger.recordSync(test.fleet.clock.now(), "store");
+        test.fleet.clock.advance(5s);
+        test.respond = [&](const std::string& target) -> Http::HttpResponse {
+            uint64_t firstEra = isMixed ? 1 : 0;
+            if (test.requests.size() == 1)
+                test.protocol.listing = { { { "t/1", "", { firstEra, 4 }, false, {} } }, isMixed, { firstEra, 4 } };
+            else
+                test.protocol.listing = { { { "w", "2", { 2, 3 }, false, {} } }, false, { 2, 3 } };
+            if (target != "/list")
+                test.context.stop();
+            return { 200, {}, "" };
+        };
+        test.run([] { return true; });
+        auto age = test.fleet.clock.now() - test.fleet.snapshot()->weights.at("m").back().publishedAt;
+        cr_assert_geq(age / 1ms, 5000);
+    }
+}
