Take no sync of a router that is of an earlier era

A router that is cut off, or still has a connection to the store as it was, reports a recent sync for its own era. Nodes of the later era took it as theirs: their items counted as complete, and ages were limited by it, although that router lacks what was published since the return. Reports and fetches now count only within the known era.

--- a/Source/Peering/ItemExchange.cpp
+++ b/Source/Peering/ItemExchange.cpp
@@ -205,10 +205,12 @@
     m_merger.apply(std::move(batch->items), batch->position, std::nullopt, router.address);
     if (after == Fleet::StorePosition())
         m_merger.applyListing("", keys, batch->position, std::nullopt);
-    // A router that has restarted since its report may have fewer items than it reported.
-    if (router.storeSync.reportedAt && batch->position >= router.position)
+    // A router that has restarted since its report may have fewer items than it reported, and one of an earlier era lacks
+    // what was published since.
+    bool isOfKnownEra = batch->position.era == Fleet::Queries::knownPosition(m_merger.fleet()).era;
+    if (router.storeSync.reportedAt && isOfKnownEra && batch->position >= router.position)
         m_merger.recordRelayedSync(router.storeSync.syncedAt, m_settings.regionOf(router.dataCentre) == m_settings.region, router.address);
-    else if (isFirst)
+    else if (isFirst && isOfKnownEra)
         m_merger.recordSyncAsOfStoreFailure();
     co_return true;
 }
--- a/Source/Peering/PeeringNode.cpp
+++ b/Source/Peering/PeeringNode.cpp
@@ -336,7 +336,9 @@
     auto now = m_clock.now();
     PeerRouter router { message.sender, message.dataCentre, now, message.position, message.demand, syncReportOf(message, now) };
     bool isNewReport = router.storeSync.reportedAt == now;
-    if (isNewReport && Fleet::Queries::knownPosition(m_merger.fleet()) >= message.position)
+    auto known = Fleet::Queries::knownPosition(m_merger.fleet());
+    // A router of an earlier era lacks what was published since the store returned.
+    if (isNewReport && known.era == message.position.era && known >= message.position)
         m_merger.recordRelayedSync(router.storeSync.syncedAt, m_settings.regionOf(message.dataCentre) == m_settings.region, message.sender);
     Commands::recordRouter(m_peers, router);
     introduceTo(message);
--- a/Tests/Peering/PeeringNodeTest.cpp
+++ b/Tests/Peering/PeeringNodeTest.cpp
@@ -537,3 +537,31 @@
     cr_assert_eq(statusOf("1&era=2"), 200);
     cr_assert_eq(statusOf("0"), 200);
 }
+
+// Guards against items that count as complete because a router still follows the store of the earlier era: it does not have
+// what was published since the return.
+Test(PeeringNode, aSyncOfAnEarlierEraDoesNotMakeTheItemsComplete)
+{
+    TestNode test;
+    test.advanceWithTicks(1s);
+    test.fleet.publishAt("t/1", Fleet::targetOf("1", "s"), { 1, 5 });
+    test.fleet.decoder.publications["c=9"] = Fleet::configurationOf(9);
+    ItemBatch earlier { { 0, 99 }, { { "c", "9", { 0, 98 }, false, 0ms } } };
+    bool isFetched = false;
+    auto server = Http::NodeServer::start(test.context, { "127.0.0.8", test.settings.firstPeerPort }, [&](Http::HttpRequest) {
+        isFetched = true;
+        return respondLate(test.fleet.clock, 0s, { 200, {}, encodeItems(earlier) });
+    });
+    auto message = messageFrom("127.0.0.8");
+    message.position = { 0, 99 };
+    test.deliver(message);
+    // A node that has only listed the store asks for the ages of all items.
+    cr_assert(test.runUntil([&] { return isFetched; }));
+    cr_assert(test.runUntil([&] { return test.fleet.snapshot()->configuration != nullptr; }));
+    cr_assert_not(Fleet::Queries::completeness(test.fleet.state).has_value());
+    cr_assert_not(test.merger.hasRecentRelayedSync());
+    message = messageFrom("127.0.0.9");
+    message.position = { 1, 5 };
+    test.deliver(message);
+    cr_assert(Fleet::Queries::completeness(test.fleet.state).has_value());
+}
