Let the store of the soak tests return from an older copy

The store returns as it was 1 to 15 s ago, in the next era, which its header names; a watch from a revision that it does not have gets 410. What was lost is written again later. A soak test lets it return once or twice beside real routers: none goes back to an earlier configuration, sends requests to a target that drains, or misses what is published afterwards, and nine of ten requests are served.

--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -114,6 +114,9 @@
         store.put("op/config", configuration.dump());
     }
 
+    // Version that was published last.
+    uint64_t configurationVersion() const { return m_configurationVersion; }
+
     void declareWeights(uint64_t version)
     {
         m_record.write("version " + std::to_string(version) + " is declared");
--- a/Tests/Soak/SoakStore.h
+++ b/Tests/Soak/SoakStore.h
@@ -7,10 +7,13 @@
 #include <boost/beast/core/detail/base64.hpp>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+#include <vector>
 
 namespace Lavenderloft::Soak {
 
-// The platform's store, which can only be read. It may be slow, reject requests or be silent.
+// The platform's store, which can only be read. It may be slow, reject requests or be silent, or return from an older copy.
 class SoakStore {
 public:
     explicit SoakStore(asio::io_context& context)
@@ -24,8 +27,54 @@
     bool isRejecting = false;
     std::chrono::milliseconds responseTime { 2 };
 
-    void put(const std::string& key, const std::string& value) { m_items[key] = { ++m_revision, value, false }; }
-    void remove(const std::string& key) { m_items[key] = { ++m_revision, {}, true }; }
+    void put(const std::string& key, const std::string& value) { write(key, { 0, value, false }); }
+    void remove(const std::string& key) { write(key, { 0, {}, true }); }
+
+    // What was written after the copy, in the order of writing.
+    struct LostWrite {
+        std::string key;
+        std::string value;
+        bool deleted;
+    };
+
+    // The store is as it was that long ago, in the next era. Its revisions are given out again.
+    std::vector<LostWrite> returnFromCopy(std::chrono::milliseconds age)
+    {
+        auto copiedAt = std::chrono::steady_clock::now() - age;
+        std::vector<LostWrite> lost;
+        std::vector<Write> kept;
+        for (auto& write : std::exchange(m_writes, {})) {
+            if (write.time > copiedAt)
+                lost.push_back({ write.key, write.item.value, write.item.deleted });
+            else
+                kept.push_back(std::move(write));
+        }
+        m_items.clear();
+        m_revision = initialRevision;
+        for (auto& write : kept) {
+            m_items[write.key] = write.item;
+            m_revision = write.item.revision;
+        }
+        m_writes = std::move(kept);
+        ++m_era;
+        return lost;
+    }
+
+    // Writes what was lost again, unless the key was written since the return.
+    void writeAgain(const std::vector<LostWrite>& lost)
+    {
+        std::set<std::string> newer;
+        for (auto& write : m_writes) {
+            if (write.era == m_era)
+                newer.insert(write.key);
+        }
+        for (auto& write : lost) {
+            if (!newer.contains(write.key))
+                this->write(write.key, { 0, write.value, write.deleted });
+        }
+    }
+
+    uint64_t era() const { return m_era; }
 
 private:
     struct Item {
@@ -34,6 +83,30 @@
         bool deleted = false;
     };
 
+    struct Write {
+        std::chrono::steady_clock::time_point time;
+        uint64_t era = 0;
+        std::string key;
+        Item item;
+    };
+
+    static constexpr uint64_t initialRevision = 100;
+
+    void write(const std::string& key, Item item)
+    {
+        item.revision = ++m_revision;
+        m_writes.push_back({ std::chrono::steady_clock::now(), m_era, key, item });
+        m_items[key] = std::move(item);
+    }
+
+    Http::HttpResponse respondWith(unsigned status, std::string body) const
+    {
+        Http::HttpResponse response { status, { { "Content-Type", "application/json" } }, std::move(body) };
+        if (m_era > 0)
+            response.headers.push_back({ "Store-Era", std::to_string(m_era) });
+        return response;
+    }
+
     static std::string encodeBase64(const std::string& bytes)
     {
         namespace base64 = boost::beast::detail::base64;
@@ -51,19 +124,21 @@
 
     asio::awaitable<Http::HttpResponse> respond(Http::HttpRequest request)
     {
-        auto rejected = Http::HttpResponse { 503, {}, "" };
         if (isRejecting)
-            co_return rejected;
+            co_return respondWith(503, "");
         bool isWatch = request.target.starts_with("/api/kv-watch");
         auto after = isWatch ? numberIn(request.target, "after") : 0;
         auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(isWatch ? numberIn(request.target, "wait_ms") : 0);
-        while (isWatch && m_revision <= after && std::chrono::steady_clock::now() < until && !isRejecting)
+        auto era = m_era;
+        while (isWatch && m_revision <= after && m_era == era && std::chrono::steady_clock::now() < until && !isRejecting)
             co_await pause(std::chrono::milliseconds(5));
         if (isRejecting)
-            co_return rejected;
-        auto body = isWatch ? changesAfter(after) : listing();
+            co_return respondWith(503, "");
+        // The response to a request before the return is late then, with the era in which it was made.
+        bool isUnknownRevision = isWatch && after > m_revision;
+        auto response = isUnknownRevision ? respondWith(410, "") : respondWith(200, isWatch ? changesAfter(after) : listing());
         co_await pause(responseTime);
-        co_return Http::HttpResponse { 200, { { "Content-Type", "application/json" } }, body };
+        co_return response;
     }
 
     std::string listing() const
@@ -90,7 +165,10 @@
     }
 
     std::map<std::string, Item> m_items;
-    uint64_t m_revision = 100;
+    std::vector<Write> m_writes;
+    uint64_t m_revision = initialRevision;
+    // Zero until the first return: a store that never returned does not send the header.
+    uint64_t m_era = 0;
     std::shared_ptr<Http::NodeServer> m_server;
     FaultyLink m_link;
 };
--- a/Tests/Soak/SoakTarget.h
+++ b/Tests/Soak/SoakTarget.h
@@ -70,6 +70,9 @@
     std::chrono::milliseconds firstPartDelay { 0 };
     std::chrono::milliseconds eventInterval { 20 };
 
+    // Requests are at fault from then on, because every router has to know that the target drains.
+    std::optional<SteadyClock::time_point> drainedSince;
+
     // Sends nothing to anyone for a time and goes on then. All requests are at work meanwhile.
     void fallSilent(std::chrono::milliseconds duration) { m_silentUntil = SteadyClock::now() + duration; }
 
@@ -160,6 +163,8 @@
         if (request["Lavenderloft-Expect-Instance"] != id)
             co_return co_await write(stream, headOf(421, requestId, "Content-Length: 0\r\n\r\n"));
         checkLimit();
+        if (drainedSince && SteadyClock::now() > *drainedSince)
+            m_ledger.addViolation("DRAINED", requestId + " was sent to " + id + ", which drains");
         if (behaviour == Behaviour::Refusing || m_running >= capacity)
             co_return co_await write(stream, headOf(503, requestId, "Lavenderloft-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"));
         m_ledger.recordRun(requestId, request.body());
--- /dev/null
+++ b/Tests/Soak/StoreReturnTest.cpp
@@ -0,0 +1,156 @@
+#include "Soak/FaultSeries.h"
+#include "Soak/SoakCallers.h"
+
+#include <criterion/criterion.h>
+#include <iostream>
+#include <sstream>
+
+using namespace Lavenderloft;
+using namespace Lavenderloft::Soak;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto startTimeout = 10s;
+// In which a change has to be in force at every router (config_apply_ms in the settings).
+constexpr auto applyTime = 2000ms;
+constexpr auto settleTime = 2500ms;
+constexpr unsigned callersPerKind = 4;
+
+// One run: routers, callers, and a store that returns from an older copy while the operators go on.
+class StoreReturnRun {
+public:
+    explicit StoreReturnRun(unsigned seed)
+        : m_fleet(seed, routerCount)
+        , m_series(m_fleet.context, seed)
+        , m_callers(m_fleet, Expectation::Answers, seed)
+    {
+    }
+
+    // Returns the broken promises.
+    std::vector<std::string> run(unsigned returns)
+    {
+        for (unsigned i = 0; i < routerCount; ++i)
+            asio::co_spawn(m_fleet.context, watchMetrics(i), asio::detached);
+        m_callers.start(callersPerKind);
+        auto startedBy = SteadyClock::now() + startTimeout;
+        m_series.runWhile([&] { return !areAllReady() && SteadyClock::now() < startedBy; });
+        m_series.runFor(1s);
+        auto since = SteadyClock::now();
+        auto drained = static_cast<unsigned>(m_series.random()() % m_fleet.targets.size());
+        m_fleet.publishTarget(drained, "draining");
+        m_fleet.publishConfiguration();
+        m_fleet.targets[drained]->drainedSince = SteadyClock::now() + applyTime;
+        m_series.runFor(applyTime + m_series.drawDuration(200ms, 1500ms));
+        for (unsigned i = 0; i < returns; ++i)
+            returnStore();
+        m_fleet.publishConfiguration();
+        m_series.runFor(settleTime);
+        checkOutcome(since);
+        m_callers.stop();
+        auto stoppedBy = SteadyClock::now() + 2 * m_callers.deadline;
+        m_series.runWhile([&] { return !m_callers.haveAllStopped() && SteadyClock::now() < stoppedBy; });
+        if (m_fleet.ledger.violations().empty())
+            m_fleet.removeFolder();
+        return m_fleet.ledger.violations();
+    }
+
+    std::string describe() const { return std::to_string(m_lostWrites) + " writes lost, " + std::to_string(m_fleet.ledger.requestCount()) + " requests; logs in " + m_fleet.describeFolder(); }
+
+private:
+    static constexpr unsigned routerCount = 3;
+
+    // What a router says of itself.
+    struct RouterMetrics {
+        uint64_t configurationVersion = 0;
+        uint64_t storeEra = 0;
+    };
+
+    bool areAllReady() const
+    {
+        return std::all_of(m_fleet.routers.begin(), m_fleet.routers.end(), [](auto& router) { return router.isReady; });
+    }
+
+    // The store is away for a moment. What it lost is written again in the time that targets have to restore entries.
+    void returnStore()
+    {
+        m_fleet.store.isRejecting = true;
+        m_series.runFor(m_series.drawDuration(50ms, 600ms));
+        auto lost = m_fleet.store.returnFromCopy(m_series.drawDuration(1000ms, 15000ms));
+        m_lostWrites += lost.size();
+        m_fleet.store.isRejecting = false;
+        m_series.runFor(m_series.drawDuration(100ms, 1500ms));
+        m_fleet.store.writeAgain(lost);
+        m_series.runFor(m_series.drawDuration(200ms, 1000ms));
+    }
+
+    static uint64_t readMetric(const std::string& body, const std::string& name)
+    {
+        std::istringstream lines(body);
+        for (std::string line; std::getline(lines, line);) {
+            if (line.starts_with(name + " "))
+                return static_cast<uint64_t>(std::stod(line.substr(name.size() + 1)));
+        }
+        return 0;
+    }
+
+    asio::awaitable<void> watchMetrics(unsigned index)
+    {
+        while (true) {
+            Http::PersistentHttpClient client(m_fleet.context.get_executor(), m_fleet.metricsOf(index));
+            Http::HttpRequest request;
+            request.target = "/metrics";
+            auto result = co_await client.call(std::move(request), 500ms);
+            if (Base::succeeded(result) && Base::valueOf(result).status == 200)
+                record(m_metrics[index], Base::valueOf(result).body, index);
+            co_await pause(50ms);
+        }
+    }
+
+    void record(RouterMetrics& metrics, const std::string& body, unsigned index)
+    {
+        auto version = readMetric(body, "lavenderloft_configuration_version");
+        if (version < metrics.configurationVersion)
+            m_fleet.ledger.addViolation("UNDONE", "router " + std::to_string(index) + " went from version " + std::to_string(metrics.configurationVersion) + " of the configuration to " + std::to_string(version));
+        metrics = { version, readMetric(body, "lavenderloft_store_era") };
+    }
+
+    void checkOutcome(SteadyClock::time_point since)
+    {
+        auto& ledger = m_fleet.ledger;
+        for (unsigned i = 0; i < routerCount; ++i) {
+            bool isCurrent = m_metrics[i].configurationVersion == m_fleet.configurationVersion() && m_metrics[i].storeEra == m_fleet.store.era();
+            if (!isCurrent)
+                ledger.addViolation("BEHIND", "router " + std::to_string(i) + " has version " + std::to_string(m_metrics[i].configurationVersion) + " of the configuration and era " + std::to_string(m_metrics[i].storeEra));
+        }
+        auto [ended, served] = ledger.endsSince(since);
+        if (ended == 0 || served * 10 < ended * 9)
+            ledger.addViolation("SERVED", std::to_string(served) + " of " + std::to_string(ended) + " requests were served");
+    }
+
+    SoakFleet m_fleet;
+    FaultSeries m_series;
+    SoakCallers m_callers;
+    RouterMetrics m_metrics[routerCount];
+    size_t m_lostWrites = 0;
+};
+
+} // namespace
+
+// Guards against routers that undo or never learn what is published once the store has returned from an older copy, once or
+// twice: a configuration, a target that drains, and targets that the copy lacks.
+Test(StoreReturn, undoesNothingAtRealRouters)
+{
+    auto first = numberFromEnvironment("LAVENDERLOFT_SOAK_SEED", 601);
+    auto runs = numberFromEnvironment("LAVENDERLOFT_SOAK_RUNS", 3);
+    size_t broken = 0;
+    for (auto seed = first; seed < first + runs; ++seed) {
+        StoreReturnRun run(seed);
+        auto violations = run.run(1 + seed % 2);
+        std::cerr << "store return seed " << seed << ": " << run.describe() << "; " << violations.size() << " broken promises" << std::endl;
+        for (auto& violation : violations)
+            std::cerr << "  " << violation << std::endl;
+        broken += violations.empty() ? 0 : 1;
+    }
+    cr_assert_eq(broken, 0);
+}
