Go on fetching from a router that had to send all items

A node that asked for changes after a position of an earlier era got 410, left the router out for its backoff, and then took everything from it if there was no other. The next changes came only after the backoff: with the store back from an older copy, targets that wrote their entries again were deleted meanwhile, and requests were refused as without a target for up to 1.5 s. The node now asks a router of a later era for everything at once, and ends the backoff of a router from which it takes everything.

--- a/Source/Peering/Commands/RecordPeer.cpp
+++ b/Source/Peering/Commands/RecordPeer.cpp
@@ -52,6 +52,15 @@
     });
 }
 
+void endRouterBackoff(PeerTable& table, const std::string& address)
+{
+    table.routers().withShard(address, [&](PeerTable::Routers::Entries& entries) {
+        auto known = entries.find(address);
+        if (known != entries.end())
+            known->second.backoffUntil = {};
+    });
+}
+
 void removeRouter(PeerTable& table, const std::string& address)
 {
     table.routers().erase(address);
--- a/Source/Peering/Commands/RecordPeer.h
+++ b/Source/Peering/Commands/RecordPeer.h
@@ -12,6 +12,7 @@
 
 // Excludes a router that did not respond from requests for items for some time.
 void startRouterBackoff(PeerTable&, const std::string& address, Base::TimePoint now);
+void endRouterBackoff(PeerTable&, const std::string& address);
 
 // Removes a router that announced its shutdown.
 void removeRouter(PeerTable&, const std::string& address);
--- a/Source/Peering/ItemExchange.cpp
+++ b/Source/Peering/ItemExchange.cpp
@@ -172,6 +172,9 @@
 asio::awaitable<bool> ItemExchange::fetchFrom(const PeerRouter& router)
 {
     auto after = completePosition();
+    // No router of a later era can tell the changes since an earlier one.
+    if (after.era < router.position.era)
+        after = {};
     auto requestedAt = m_clock.now();
     auto response = co_await requestItems(router, after, ValueEncoding::Packed);
     if (response && response->status == historyLostStatus) {
@@ -179,6 +182,8 @@
         Commands::startRouterBackoff(m_peers, router.address, m_clock.now());
         if (routerToFetchFrom())
             co_return false;
+        // It responds, and may be the only one that relays the next changes.
+        Commands::endRouterBackoff(m_peers, router.address);
         after = {};
         requestedAt = m_clock.now();
         response = co_await requestItems(router, after, ValueEncoding::Packed);
--- a/Tests/Peering/PeeringNodeTest.cpp
+++ b/Tests/Peering/PeeringNodeTest.cpp
@@ -565,3 +565,34 @@
     test.deliver(message);
     cr_assert(Fleet::Queries::completeness(test.fleet.state).has_value());
 }
+
+// Guards against services without targets after the return of the store: the node had asked the only router of the later era
+// for changes, which that router could not tell, and then left it alone while the targets wrote their entries again.
+Test(PeeringNode, goesOnFetchingFromARouterThatHadToSendAllItems)
+{
+    for (uint64_t era : { 0, 1 }) {
+        TestNode test;
+        test.advanceWithTicks(1s);
+        Fleet::TestFleetState other;
+        ItemMerger merger { other.state, other.decoder, other.clock };
+        Fleet::NodeSettings settings;
+        PeerTable peers;
+        ItemExchange items(test.context, settings, peers, merger, other.clock);
+        auto handler = [&](Http::HttpRequest request) { return respondLate(test.fleet.clock, 0s, items.respond(request)); };
+        auto server = Http::NodeServer::start(test.context, { "127.0.0.2", test.settings.firstPeerPort }, handler);
+        auto deliverPosition = [&](Fleet::StorePosition position) {
+            auto message = messageFrom("127.0.0.2");
+            message.position = position;
+            test.deliver(message);
+            cr_assert(test.runUntil([&] { return Fleet::Queries::knownPosition(test.fleet.state) == position; }));
+        };
+        merger.apply({ { "t/1", "", { 0, 60 }, false, {} } }, { 0, 60 }, std::nullopt, "store");
+        deliverPosition({ 0, 60 });
+        Fleet::StorePosition listed { era, 70 };
+        merger.apply({ { "t/1", "", { era, 69 }, false, {} } }, listed, std::nullopt, "store");
+        merger.applyListing("", { "t/1" }, listed, std::nullopt);
+        deliverPosition(listed);
+        merger.apply({ { "t/2", "", { era, 71 }, false, {} } }, { era, 71 }, std::nullopt, "store");
+        deliverPosition({ era, 71 });
+    }
+}
