Use no earlier incarnation of a target that drains or is gone

An older copy may show the incarnation before the one that was known as draining or gone. Incarnations grow, so that this one is gone as well, but only the same incarnation was kept out: requests went to it until its entry was written again. A later incarnation is used at once. A false positive of clang-tidy at the order of positions is marked.

--- a/Source/Fleet/Queries/FindRetained.cpp
+++ b/Source/Fleet/Queries/FindRetained.cpp
@@ -21,11 +21,11 @@
         return publication.index() == known.index() && version && knownVersion && *version < *knownVersion;
     }
 
-    // Whether the entry is that of a target which has said that it leaves.
+    // Whether the entry is that of a target which has said that it leaves, in that incarnation or an earlier one.
     bool isOfLeavingTarget(const TargetPublished& shown, const FleetState::Record& known)
     {
         auto* target = std::get_if<TargetPublished>(&known.publication);
-        return target && target->entry.draining && !shown.entry.draining && target->entry.startedAt == shown.entry.startedAt;
+        return target && target->entry.draining && !shown.entry.draining && shown.entry.startedAt <= target->entry.startedAt;
     }
 
     // Whether the target itself said that it leaves, in an incarnation that its next one can be told from.
@@ -38,7 +38,7 @@
 
     bool isOfEndedTarget(const TargetPublished& shown, const FleetState::Record& known)
     {
-        return known.item.deleted && !known.deletionDueAt && known.endedIncarnation == shown.entry.startedAt;
+        return known.item.deleted && !known.deletionDueAt && known.endedIncarnation && shown.entry.startedAt <= *known.endedIncarnation;
     }
 
     // Whether the item was deleted, also if an older copy has shown it since.
--- a/Source/Fleet/StorePosition.h
+++ b/Source/Fleet/StorePosition.h
@@ -21,7 +21,7 @@
     }
 
     // Ordered by era, then by revision.
-    auto operator<=>(const StorePosition&) const = default;
+    auto operator<=>(const StorePosition&) const = default; // NOLINT(modernize-use-nullptr): false positive
 
     uint64_t era = 0;
     uint64_t revision = 0;
--- a/Tests/Fleet/StoreEraTest.cpp
+++ b/Tests/Fleet/StoreEraTest.cpp
@@ -439,3 +439,19 @@
     cr_assert_not(fleet.isEvacuated());
     cr_assert_eq(fleet.configurationVersion(), 0);
 }
+
+// Guards against requests to a target that drains or is gone because the copy shows its incarnation before, and against one
+// that stays out although it has started again before the listing.
+Test(StoreEra, anEarlierIncarnationIsNotUsedEither)
+{
+    for (bool isEnded : { true, false }) {
+        for (uint64_t shown : { 6, 7, 8 }) {
+            TestEras fleet;
+            fleet.write("t/1", incarnationOf(7, !isEnded), { 0, 8 });
+            if (isEnded)
+                fleet.removeAt("t/1", { 0, 9 });
+            fleet.list({ fleet.item("t/1", incarnationOf(shown), { 1, 3 }) }, { 1, 4 });
+            cr_assert_eq(fleet.usableTargets(), shown == 8 ? 1 : 0);
+        }
+    }
+}
