--- a/Source/Peering/PeerTable.h
+++ b/Source/Peering/PeerTable.h
@@ -5,6 +5,7 @@
 
 #include "Base/Clock.h"
 #include "Base/ShardedMap.h"
+#include "Fleet/StorePosition.h"
 #include "Scheduling/UrgencyDemand.h"
 
 #include <cstdint>
@@ -27,8 +28,8 @@
     std::string address;
     std::string dataCentre;
     Base::TimePoint lastSeenAt {};
-    // Last revision reported by the router itself.
-    uint64_t revision = 0;
+    // Last position reported by the router itself.
+    Fleet::StorePosition position;
     // Rate of requests for engines at the router, per second; zero if the router has not reported it.
     double demand = 0;
     // Last report of the router itself.
@@ -48,7 +49,7 @@
     Base::TimePoint lastRepliedAt {};
     // When the agent was last told the demand, in a reply or on its own.
     Base::TimePoint demandSentAt {};
-    uint64_t revision = 0;
+    Fleet::StorePosition position;
 };
 
 // Routers and agents by address. Modified by Commands/RecordPeer, read by Queries/ListPeers.
--- a/Source/Peering/PeeringNode.cpp
+++ b/Source/Peering/PeeringNode.cpp
@@ -96,7 +96,7 @@
     message.isRouter = m_isRouter;
     message.demand = m_demand;
     message.urgencyDemand = m_urgencyDemand;
-    message.revision = Fleet::Queries::knownRevision(m_merger.fleet());
+    message.position = Fleet::Queries::knownPosition(m_merger.fleet());
     if (auto syncedAt = m_storeSyncTime ? m_storeSyncTime() : std::nullopt)
         message.storeAge = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - *syncedAt);
     message.declarations = Fleet::Queries::observedDeclarations(m_merger.fleet(), m_settings.bounds.weights * declarationRelayFactor, m_clock.now());
@@ -339,9 +339,11 @@
     }
     logNewRouter(message.sender, message.dataCentre);
     auto now = m_clock.now();
-    PeerRouter router { message.sender, message.dataCentre, now, message.revision, message.demand, syncReportOf(message, now), {}, message.urgencyDemand, now };
+    PeerRouter router { message.sender, message.dataCentre, now, message.position, message.demand, syncReportOf(message, now), {}, message.urgencyDemand, now };
     bool isNewReport = router.storeSync.reportedAt == now;
-    if (isNewReport && Fleet::Queries::knownRevision(m_merger.fleet()) >= message.revision)
+    auto known = Fleet::Queries::knownPosition(m_merger.fleet());
+    // A router of an earlier era lacks what was published since the store returned.
+    if (isNewReport && known.era == message.position.era && known >= message.position)
         m_merger.recordRelayedSync(router.storeSync.syncedAt, m_settings.regionOf(message.dataCentre) == m_settings.region, message.sender);
     Commands::recordRouter(m_peers, router);
     introduceTo(message);
@@ -367,19 +369,19 @@
         if (!message.parts.isEmpty() && m_onParts)
             m_onParts(message.parts);
         handleLimits(message);
-        m_items.revisionReported(message.revision);
+        m_items.positionReported(message.position);
         return;
     }
     if (message.load && m_onLoad)
         m_onLoad(*message.load);
     if (m_isRouter)
-        replyToAgent(message.sender, message.revision);
+        replyToAgent(message.sender, message.position);
 }
 
-void PeeringNode::replyToAgent(const std::string& address, uint64_t revision)
+void PeeringNode::replyToAgent(const std::string& address, Fleet::StorePosition position)
 {
     auto now = m_clock.now();
-    if (Commands::recordAgent(m_peers, address, revision, Fleet::Queries::knownRevision(m_merger.fleet()), now)) {
+    if (Commands::recordAgent(m_peers, address, position, Fleet::Queries::knownPosition(m_merger.fleet()), now)) {
         auto reply = describeSelf();
         addKnownRouters(reply);
         sendTimed(address, encodeMessage(reply));
@@ -397,7 +399,7 @@
     message.dataCentre = m_settings.dataCentre;
     message.isRouter = true;
     message.demand = m_demand;
-    message.revision = Fleet::Queries::knownRevision(m_merger.fleet());
+    message.position = Fleet::Queries::knownPosition(m_merger.fleet());
     message.urgencyDemand = m_urgencyDemand;
     auto bytes = encodeMessage(message);
     if (Commands::takeDemandReply(m_peers, address, Queries::demandReplyInterval(m_peers, bytes.size()), m_clock.now()))
--- a/Source/Peering/Queries/ListPeers.h
+++ b/Source/Peering/Queries/ListPeers.h
@@ -31,8 +31,8 @@
 // Number of known routers, including silent ones, which may still be running.
 size_t countRetainedRouters(const PeerTable&);
 
-// The newest revision of the live routers; zero if there are none.
-uint64_t newestRevision(const PeerTable&, Base::TimePoint now);
+// The newest position of the live routers; zero if there are none.
+Fleet::StorePosition newestPosition(const PeerTable&, Base::TimePoint now);
 
 // Demand of the router by urgency. A router that does not report it counts as one of the least urgent requests. A report
 // counts for PeerTable::demandLifetime.
@@ -42,7 +42,7 @@
 // messages. The reply has that many bytes.
 std::chrono::milliseconds demandReplyInterval(const PeerTable&, size_t replyBytes);
 
-// Returns a live router with a newer revision, preferably one in the node's data centre.
-std::optional<PeerRouter> findRouterAhead(const PeerTable&, uint64_t revision, const Fleet::NodeSettings&, Base::TimePoint now);
+// Returns a live router with a newer position, preferably one in the node's data centre.
+std::optional<PeerRouter> findRouterAhead(const PeerTable&, Fleet::StorePosition, const Fleet::NodeSettings&, Base::TimePoint now);
 
 } // namespace Lavenderloft::Peering::Queries
--- a/Source/Proxy/RequestLog.cpp
+++ b/Source/Proxy/RequestLog.cpp
@@ -116,7 +116,7 @@
             { "repeat_refused", m_retryRefusal }, { "attempts", m_request->history.attempts }, { "runs", m_request->history.runs }, { "waited", m_waited }, { "occupancy", m_occupancy },
             { "predicted", inMilliseconds(m_predicted ? m_predicted->corrected.firstEvent : Base::Duration::zero()) }, { "pace", m_predicted ? m_predicted->slowness : 0 },
             { "first_byte", timeToFirstByte() }, { "elapsed", elapsed() }, { "time_left", m_request->timeLeft() }, { "weights", traits.requiredWeights },
-            { "weights_expected", m_expectedWeights }, { "configuration", configuration }, { "revision", snapshot ? snapshot->revision : 0 } });
+            { "weights_expected", m_expectedWeights }, { "configuration", configuration }, { "revision", snapshot ? snapshot->position.revision : 0 } });
 }
 
 void RequestLog::countFinished(const Observability::Event& event, std::string_view reason)
--- a/Tests/Peering/PeeringCodecTest.cpp
+++ b/Tests/Peering/PeeringCodecTest.cpp
@@ -16,7 +16,7 @@
     message.dataCentre = "dc-a";
     message.isRouter = true;
     message.leaving = true;
-    message.revision = 7;
+    message.position = 7;
     message.demand = 12.5;
     message.storeAge = 250ms;
     message.routers = { { "10.0.0.2", "dc-b", 30ms } };
@@ -57,7 +57,7 @@
     cr_assert(decoded.has_value());
     cr_assert_eq(decoded->sender, "10.0.0.1");
     cr_assert(decoded->isRouter && decoded->leaving);
-    cr_assert_eq(decoded->revision, 7);
+    cr_assert_eq(decoded->position, 7);
     cr_assert_float_eq(decoded->demand, 12.5, 1e-9);
     cr_assert(decoded->storeAge == 250ms);
     cr_assert_eq(decoded->routers.front().age.count(), 30);
@@ -73,14 +73,14 @@
 {
     NodeMessage message;
     message.sender = "10.0.0.1";
-    message.revision = 7;
+    message.position = 7;
     auto bytes = encodeMessage(message);
     cr_assert_not(decodeMessage(bytes)->times.sentAt.has_value());
     MessageTimes times { ClockReading { 1, 5000000000ms }, ClockReading { 2, 6000000000ms } };
     auto appended = encodeTimes(times);
     auto decoded = decodeMessage(bytes + appended);
     cr_assert_eq(decoded->sender, "10.0.0.1");
-    cr_assert_eq(decoded->revision, 7);
+    cr_assert_eq(decoded->position, 7);
     cr_assert(decoded->times.sentAt->time == 5000000000ms);
     cr_assert_eq(decoded->times.notSentBefore->incarnation, 2);
     cr_log_info("bytes of the times: %zu", appended.size());
@@ -108,7 +108,7 @@
     message.sender = "255.255.255.255";
     message.dataCentre = "a-data-centre-with-a-long-name";
     message.isRouter = true;
-    message.revision = UINT64_MAX;
+    message.position = UINT64_MAX;
     message.storeAge = 100000ms;
     message.times = { ClockReading { UINT32_MAX, 99 * 8760h }, ClockReading { UINT32_MAX, 99 * 8760h } };
     auto empty = encodeMessage(message).size();
@@ -140,7 +140,7 @@
     std::string bytes("\0\xff\n", 3);
     auto decoded = decodeItems(encodeItems({ 9, { { "k", bytes, 8, false, 1500ms }, { "d", "", 9, true, 0ms, true, 700ms } } }));
     cr_assert(decoded.has_value());
-    cr_assert_eq(decoded->revision, 9);
+    cr_assert_eq(decoded->position, 9);
     cr_assert(decoded->items[0].value == bytes);
     cr_assert_eq(decoded->items[0].age.count(), 1500);
     cr_assert(decoded->items[1].deleted);
@@ -226,4 +226,36 @@
     auto added = encodeMessage(message).size() - without;
     cr_log_warn("bytes of a demand: %zu", added);
     cr_assert_leq(added, 4 * 28);
+// Guards against a position that loses its era on the way: a revision of the earlier era looked newer than what followed.
+Test(PeeringCodec, keepsTheErasOfPositions)
+{
+    NodeMessage message;
+    message.sender = "10.0.0.1";
+    message.position = { 3, 7 };
+    cr_assert(decodeMessage(encodeMessage(message))->position == Fleet::StorePosition(3, 7));
+    ItemBatch batch;
+    batch.position = { 3, 9 };
+    batch.items = { { "a", "1", { 2, 8 }, false, {} }, { "b", "", { 3, 6 }, true, {} } };
+    batch.packedValues["a"] = { "packed", { 1, 5 }, 77 };
+    auto decoded = decodeItems(encodeItems(batch));
+    cr_assert(decoded->position == Fleet::StorePosition(3, 9));
+    cr_assert(decoded->items.front().position == Fleet::StorePosition(2, 8));
+    cr_assert(decoded->items.back().position == Fleet::StorePosition(3, 6));
+    cr_assert(decoded->packedValues.at("a").basePosition == Fleet::StorePosition(1, 5));
+}
+
+// Guards against messages of nodes that do not know eras, and of those that never met one: they have the era 0, and take no
+// more bytes than before.
+Test(PeeringCodec, messagesWithoutAnEraHaveTheFirst)
+{
+    NodeMessage message;
+    message.sender = "10.0.0.1";
+    message.position = 7;
+    // Field 19 of Heartbeat would begin with these bytes.
+    cr_assert_eq(encodeMessage(message).find("\x98\x01"), std::string::npos);
+    cr_assert(decodeMessage(encodeMessage(message))->position == Fleet::StorePosition(0, 7));
+    ItemBatch batch { 9, { { "a", "1", 8, false, {} } } };
+    auto decoded = decodeItems(encodeItems(batch));
+    cr_assert(decoded->position == Fleet::StorePosition(0, 9));
+    cr_assert(decoded->items.front().position == Fleet::StorePosition(0, 8));
 }
--- a/Tests/Peering/PeeringNodeTest.cpp
+++ b/Tests/Peering/PeeringNodeTest.cpp
@@ -313,9 +313,9 @@
     auto handler = [&](Http::HttpRequest) { return respondLate(test.fleet.clock, 4s, { 200, {}, encodeItems(batch) }); };
     auto server = Http::NodeServer::start(test.context, { "127.0.0.2", test.settings.firstPeerPort }, handler);
     auto message = messageFrom("127.0.0.2");
-    message.revision = 2;
+    message.position = 2;
     test.deliver(message);
-    cr_assert(test.runUntil([&] { return Fleet::Queries::knownRevision(test.fleet.state) == 2; }));
+    cr_assert(test.runUntil([&] { return Fleet::Queries::knownPosition(test.fleet.state) == 2; }));
     cr_assert(test.declared().publishedAt == test.fleet.clock.now() - 5s);
 }
 
@@ -328,15 +328,15 @@
     auto handler = [&](Http::HttpRequest) { return respondSlowly(test.context, 1800ms, { 200, {}, encodeItems(batch) }); };
     auto server = Http::NodeServer::start(test.context, { "127.0.0.2", test.settings.firstPeerPort }, handler);
     auto message = messageFrom("127.0.0.2");
-    message.revision = 2;
+    message.position = 2;
     test.deliver(message);
     auto firstTimeout = std::chrono::steady_clock::now() + 1700ms;
     cr_assert(test.runUntil([&] { return std::chrono::steady_clock::now() > firstTimeout; }));
-    cr_assert_eq(Fleet::Queries::knownRevision(test.fleet.state), 0);
+    cr_assert_eq(Fleet::Queries::knownPosition(test.fleet.state), 0);
     // The router is asked again after its backoff.
     test.advanceWithTicks(3500ms);
     test.deliver(message);
-    cr_assert(test.runUntil([&] { return Fleet::Queries::knownRevision(test.fleet.state) == 2; }));
+    cr_assert(test.runUntil([&] { return Fleet::Queries::knownPosition(test.fleet.state) == 2; }));
 }
 
 // Guards against requests to a target that is gone: the response of a router waited, and the delay of a deletion in it
@@ -349,9 +349,9 @@
     auto handler = [&](Http::HttpRequest) { return respondLate(test.fleet.clock, 1500ms, { 200, {}, encodeItems(batch) }); };
     auto server = Http::NodeServer::start(test.context, { "127.0.0.2", test.settings.firstPeerPort }, handler);
     auto message = messageFrom("127.0.0.2");
-    message.revision = 3;
+    message.position = 3;
     test.deliver(message);
-    cr_assert(test.runUntil([&] { return Fleet::Queries::knownRevision(test.fleet.state) == 3; }));
+    cr_assert(test.runUntil([&] { return Fleet::Queries::knownPosition(test.fleet.state) == 3; }));
     Fleet::Commands::expireDeletions(test.fleet.state, test.fleet.clock.now());
     cr_assert_eq(test.fleet.targetCount("s"), 1);
     test.fleet.clock.advance(400ms);
@@ -383,14 +383,14 @@
     auto knownServer = Http::NodeServer::start(test.context, { "127.0.0.2", test.settings.firstPeerPort }, knownHandler);
     auto startedServer = Http::NodeServer::start(test.context, { "127.0.0.3", test.settings.firstPeerPort }, startedHandler);
     auto message = messageFrom("127.0.0.2");
-    message.revision = 2;
+    message.position = 2;
     test.deliver(message);
     cr_assert(test.runUntil([&] { return test.merger.hasRecentRelayedSync(); }));
     cr_assert_eq(test.fleet.targetCount("s"), 2);
     message = messageFrom("127.0.0.3");
-    message.revision = 3;
+    message.position = 3;
     test.deliver(message);
-    cr_assert(test.runUntil([&] { return Fleet::Queries::knownRevision(test.fleet.state) == 3; }));
+    cr_assert(test.runUntil([&] { return Fleet::Queries::knownPosition(test.fleet.state) == 3; }));
     cr_assert_eq(test.fleet.targetCount("s"), 1);
 }
 
@@ -502,3 +502,126 @@
     cr_assert_float_eq(known->demand, 0, 1e-9);
     cr_assert_eq(known->urgencyDemand.bands[0].waiting, 1000);
 }
+// Guards against two routers on different sides of the return of the store that overwrite each other: the one of the earlier
+// era has the larger revision. It takes everything from the other one, which takes nothing from it.
+Test(PeeringNode, takesItemsOnlyFromRoutersOfTheSameOrALaterEra)
+{
+    TestNode test;
+    test.advanceWithTicks(1s);
+    test.fleet.publishAt("c", Fleet::configurationOf(3), { 0, 60 });
+    test.fleet.publishAt("t/1", Fleet::targetOf("1", "s"), { 0, 61 });
+    test.fleet.decoder.publications["c=later"] = Fleet::configurationOf(4);
+    test.fleet.decoder.publications["c=late"] = Fleet::configurationOf(5);
+    ItemBatch later { { 1, 5 }, { { "c", "later", { 1, 4 }, false, 0ms } } };
+    ItemBatch earlier { { 0, 99 }, { { "c", "late", { 0, 98 }, false, 0ms }, { "t/2", "", { 0, 99 }, false, 0ms } } };
+    std::vector<std::string> laterRequests;
+    unsigned earlierRequests = 0;
+    auto laterServer = Http::NodeServer::start(test.context, { "127.0.0.2", test.settings.firstPeerPort }, [&](Http::HttpRequest request) {
+        laterRequests.push_back(request.target);
+        return respondLate(test.fleet.clock, 0s, { 200, {}, encodeItems(later) });
+    });
+    auto earlierServer = Http::NodeServer::start(test.context, { "127.0.0.3", test.settings.firstPeerPort }, [&](Http::HttpRequest) {
+        ++earlierRequests;
+        return respondLate(test.fleet.clock, 0s, { 200, {}, encodeItems(earlier) });
+    });
+    auto message = messageFrom("127.0.0.2");
+    message.position = { 1, 5 };
+    test.deliver(message);
+    cr_assert(test.runUntil([&] { return Fleet::Queries::knownPosition(test.fleet.state) == Fleet::StorePosition(1, 5); }));
+    cr_assert_eq(test.fleet.snapshot()->configuration->version, 4);
+    message = messageFrom("127.0.0.3");
+    message.position = { 0, 99 };
+    test.deliver(message);
+    // The next request to the router of the later era names the era.
+    later = { { 1, 6 }, { { "t/3", "", { 1, 6 }, false, 0ms } } };
+    message = messageFrom("127.0.0.2");
+    message.position = { 1, 6 };
+    test.deliver(message);
+    cr_assert(test.runUntil([&] { return Fleet::Queries::knownPosition(test.fleet.state) == Fleet::StorePosition(1, 6); }));
+    cr_assert_eq(earlierRequests, 0);
+    cr_assert_eq(laterRequests.back(), "/items?after=5&era=1&packed=1");
+    cr_assert_eq(test.fleet.snapshot()->configuration->version, 4);
+}
+
+// Guards against a node that misses what the copy lacks or shows otherwise because it asks for the changes after a position
+// of the earlier era.
+Test(PeeringNode, listsAllItemsOfARouterOfALaterEra)
+{
+    TestNode test;
+    Fleet::TestFleetState fleet;
+    ItemMerger merger { fleet.state, fleet.decoder, fleet.clock };
+    Fleet::NodeSettings settings;
+    PeerTable peers;
+    ItemExchange items(test.context, settings, peers, merger, fleet.clock);
+    merger.apply({ { "t/2", "", { 1, 3 }, false, {} } }, { 1, 4 }, std::nullopt, "store");
+    merger.applyListing("", { "t/2" }, { 1, 4 }, std::nullopt);
+    auto statusOf = [&](const std::string& query) {
+        Http::HttpRequest request;
+        request.target = "/items?after=" + query;
+        return items.respond(request).status;
+    };
+    cr_assert_eq(statusOf("60"), 410, "a node of the earlier era, or one that knows none");
+    cr_assert_eq(statusOf("3&era=1"), 410, "deletions before the listing are not known");
+    cr_assert_eq(statusOf("4&era=1&packed=1"), 200);
+    cr_assert_eq(statusOf("1&era=2"), 200);
+    cr_assert_eq(statusOf("0"), 200);
+}
+
+// Guards against items that count as complete because a router still follows the store of the earlier era: it does not have
+// what was published since the return.
+Test(PeeringNode, aSyncOfAnEarlierEraDoesNotMakeTheItemsComplete)
+{
+    TestNode test;
+    test.advanceWithTicks(1s);
+    test.fleet.publishAt("t/1", Fleet::targetOf("1", "s"), { 1, 5 });
+    test.fleet.decoder.publications["c=9"] = Fleet::configurationOf(9);
+    ItemBatch earlier { { 0, 99 }, { { "c", "9", { 0, 98 }, false, 0ms } } };
+    bool isFetched = false;
+    auto server = Http::NodeServer::start(test.context, { "127.0.0.8", test.settings.firstPeerPort }, [&](Http::HttpRequest) {
+        isFetched = true;
+        return respondLate(test.fleet.clock, 0s, { 200, {}, encodeItems(earlier) });
+    });
+    auto message = messageFrom("127.0.0.8");
+    message.position = { 0, 99 };
+    test.deliver(message);
+    // A node that has only listed the store asks for the ages of all items.
+    cr_assert(test.runUntil([&] { return isFetched; }));
+    cr_assert(test.runUntil([&] { return test.fleet.snapshot()->configuration != nullptr; }));
+    cr_assert_not(Fleet::Queries::completeness(test.fleet.state).has_value());
+    cr_assert_not(test.merger.hasRecentRelayedSync());
+    message = messageFrom("127.0.0.9");
+    message.position = { 1, 5 };
+    test.deliver(message);
+    cr_assert(Fleet::Queries::completeness(test.fleet.state).has_value());
+}
+
+// Guards against services without targets after the return of the store: the node had asked the only router of the later era
+// for changes, which that router could not tell, and then left it alone while the targets wrote their entries again.
+Test(PeeringNode, goesOnFetchingFromARouterThatHadToSendAllItems)
+{
+    for (uint64_t era : { 0, 1 }) {
+        TestNode test;
+        test.advanceWithTicks(1s);
+        Fleet::TestFleetState other;
+        ItemMerger merger { other.state, other.decoder, other.clock };
+        Fleet::NodeSettings settings;
+        PeerTable peers;
+        ItemExchange items(test.context, settings, peers, merger, other.clock);
+        auto handler = [&](Http::HttpRequest request) { return respondLate(test.fleet.clock, 0s, items.respond(request)); };
+        auto server = Http::NodeServer::start(test.context, { "127.0.0.2", test.settings.firstPeerPort }, handler);
+        auto deliverPosition = [&](Fleet::StorePosition position) {
+            auto message = messageFrom("127.0.0.2");
+            message.position = position;
+            test.deliver(message);
+            cr_assert(test.runUntil([&] { return Fleet::Queries::knownPosition(test.fleet.state) == position; }));
+        };
+        merger.apply({ { "t/1", "", { 0, 60 }, false, {} } }, { 0, 60 }, std::nullopt, "store");
+        deliverPosition({ 0, 60 });
+        Fleet::StorePosition listed { era, 70 };
+        merger.apply({ { "t/1", "", { era, 69 }, false, {} } }, listed, std::nullopt, "store");
+        merger.applyListing("", { "t/1" }, listed, std::nullopt);
+        deliverPosition(listed);
+        merger.apply({ { "t/2", "", { era, 71 }, false, {} } }, { era, 71 }, std::nullopt, "store");
+        deliverPosition({ era, 71 });
+    }
+}
--- a/Tests/Peering/StoreFollowerTest.cpp
+++ b/Tests/Peering/StoreFollowerTest.cpp
@@ -108,7 +108,7 @@
 Test(StoreFollower, excludesAnOutageFromTheAgeOfAChange)
 {
     TestFollower test;
-    test.protocol.listing.revision = 1;
+    test.protocol.listing.position = 1;
     Fleet::PublishedItem declaration { "w", "2", 2, false, {} };
     test.fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
     test.protocol.changes["declared"] = { { declaration }, 2 };
@@ -136,7 +136,7 @@
 Test(StoreFollower, continuesFromTheRelayedRevision)
 {
     TestFollower test;
-    test.protocol.listing.revision = 1;
+    test.protocol.listing.position = 1;
     bool isNeeded = true;
     test.respond = [&](const std::string& target) -> Http::HttpResponse {
         if (target == "/list") {
@@ -163,7 +163,7 @@
 Test(StoreFollower, isNotSyncedWhileTheStoreRejectsRequests)
 {
     TestFollower test;
-    test.protocol.listing.revision = 1;
+    test.protocol.listing.position = 1;
     test.respond = [&](const std::string& target) -> Http::HttpResponse {
         if (target == "/list")
             return { 200, {}, "" };
@@ -235,7 +235,7 @@
         };
         test.run([] { return true; });
         test.context.restart();
-        while (Fleet::Queries::knownRevision(test.fleet.state) < 2)
+        while (Fleet::Queries::knownPosition(test.fleet.state) < 2)
             test.context.run_one();
         cr_assert_eq(test.fleet.targetCount("s"), othersReachedStore ? 0 : 1);
     }
@@ -290,7 +290,7 @@
     for (bool isSuspended : { true, false }) {
         TestFollower test;
         test.fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
-        test.protocol.listing.revision = 1;
+        test.protocol.listing.position = 1;
         test.protocol.changes["none"] = { {}, 1 };
         test.protocol.changes["declared"] = { { { "w", "2", 2, false, {} } }, 2 };
         test.respond = [&](const std::string& target) -> Http::HttpResponse {
@@ -322,7 +322,7 @@
 {
     TestFollower test;
     test.fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
-    test.protocol.listing.revision = 1;
+    test.protocol.listing.position = 1;
     test.protocol.changes["declared"] = { { { "w", "2", 2, false, {} } }, 2 };
     test.respond = [&](const std::string& target) -> Http::HttpResponse {
         if (target == "/list")
@@ -455,7 +455,7 @@
     for (auto responseTime : { 200ms, 350ms, 800ms }) {
         TestFollower test;
         test.fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
-        test.protocol.listing.revision = 1;
+        test.protocol.listing.position = 1;
         test.protocol.changes["none"] = { {}, 1 };
         test.protocol.changes["declared"] = { { { "w", "2", 2, false, {} } }, 2 };
         Base::TimePoint declaredAt;
@@ -484,7 +484,7 @@
 Test(StoreFollower, aLateResponseWithoutChangesIsAsOldAsItsWait)
 {
     TestFollower test;
-    test.protocol.listing.revision = 1;
+    test.protocol.listing.position = 1;
     test.protocol.changes["none"] = { {}, 1 };
     Base::TimePoint requestedAt;
     test.respond = [&](const std::string& target) -> Http::HttpResponse {
@@ -508,7 +508,7 @@
 {
     TestFollower test;
     test.fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
-    test.protocol.listing.revision = 1;
+    test.protocol.listing.position = 1;
     test.protocol.changes["declared"] = { { { "w", "2", 2, false, {} } }, 2 };
     // Longer than the timeout of a listing, and than a watch waits, plus its margin.
     test.responseDelay = 1700ms;
@@ -530,7 +530,7 @@
 Test(StoreFollower, aLateResponseDoesNotVouchForWhatWasPublishedMeanwhile)
 {
     TestFollower test;
-    test.protocol.listing.revision = 1;
+    test.protocol.listing.position = 1;
     test.protocol.changes["none"] = { {}, 1 };
     test.protocol.changes["changed"] = { { { "t/1", "", 2, false, {} } }, 2 };
     Base::TimePoint sentAt;
@@ -547,7 +547,7 @@
         return { 200, {}, "changed" };
     };
     boost::asio::co_spawn(test.context, test.follower->run([] { return true; }), boost::asio::detached);
-    while (Fleet::Queries::knownRevision(test.fleet.state) < 2)
+    while (Fleet::Queries::knownPosition(test.fleet.state) < 2)
         test.context.run_one();
     auto now = test.fleet.clock.now();
     cr_expect(*test.follower->syncedAt() <= sentAt, "other routers are told");
@@ -562,7 +562,7 @@
     for (bool isLarge : { true, false }) {
         TestFollower test;
         test.fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
-        test.protocol.listing.revision = 1;
+        test.protocol.listing.position = 1;
         std::string declared(isLarge ? largeBytes : 1, 'd');
         test.protocol.changes["none"] = { {}, 1 };
         test.protocol.changes[declared] = { { { "w", "2", 2, false, {} } }, 2 };
@@ -585,3 +585,212 @@
         test.context.stop();
     }
 }
+
+// Guards against a late response of the earlier era, from a connection that was slow or led to the store as it was before:
+// it must neither undo what is known nor count as contact with the store.
+Test(StoreFollower, ignoresAWatchResponseOfAnEarlierEra)
+{
+    TestFollower test;
+    test.protocol.listing.position = { 1, 5 };
+    test.fleet.decoder.publications["c=old"] = Fleet::configurationOf(9);
+    test.protocol.changes["old"] = { { { "c", "old", { 1, 60 }, false, {} } }, { 1, 60 } };
+    Base::TimePoint requestedAt;
+    test.respond = [&](const std::string& target) -> Http::HttpResponse {
+        if (target == "/list")
+            return { 200, {}, "" };
+        if (test.requests.size() == 2) {
+            // Another node relays an item of the next era meanwhile.
+            test.fleet.clock.advance(1s);
+            requestedAt = test.fleet.clock.now();
+            test.fleet.publishAt("c", Fleet::configurationOf(3), { 2, 4 });
+            return { 200, {}, "old" };
+        }
+        test.context.stop();
+        return rejected;
+    };
+    test.run([] { return true; });
+    cr_assert_eq(test.fleet.snapshot()->configuration->version, 3);
+    cr_assert_eq(test.requests.back(), "/watch/4", "it goes on from what was relayed");
+    cr_assert(Fleet::Queries::completeness(test.fleet.state)->asOf < requestedAt);
+    cr_assert_not(test.follower->syncedAt().has_value());
+}
+
+// Guards against the removal of all that the listing of an earlier era lacks.
+Test(StoreFollower, ignoresAListingOfAnEarlierEra)
+{
+    TestFollower test;
+    test.fleet.publishAt("t/1", Fleet::targetOf("1", "s"), { 2, 4 });
+    test.protocol.listing = { {}, false, { 1, 90 } };
+    test.respond = [&](const std::string&) -> Http::HttpResponse {
+        if (test.requests.size() == 2)
+            test.context.stop();
+        return { 200, {}, "" };
+    };
+    test.run([] { return true; });
+    cr_assert_eq(test.requests.back(), "/list");
+    cr_assert_eq(test.fleet.targetCount("s"), 1);
+    cr_assert_not(test.follower->syncedAt().has_value());
+    cr_assert_not(Fleet::Queries::completeness(test.fleet.state).has_value());
+}
+
+// Guards against a listing that is a mixture of what the store had before and after its return: what is only on the pages
+// before would stay.
+Test(StoreFollower, startsAListingAgainIfItsPagesAreOfTwoEras)
+{
+    TestFollower test;
+    test.fleet.decoder.publications["a/t/1=1"] = Fleet::targetOf("1", "s");
+    test.fleet.decoder.publications["z/t/2=2"] = Fleet::targetOf("2", "s");
+    test.respond = [&](const std::string& target) -> Http::HttpResponse {
+        Fleet::PublishedItem first { "a/t/1", "1", { 1, 3 }, false, {} };
+        Fleet::PublishedItem second { "z/t/2", "2", { 2, 2 }, false, {} };
+        if (test.requests.size() == 1)
+            test.protocol.listing = { { first }, true, { 1, 3 } };
+        else
+            test.protocol.listing = { { second }, false, { 2, 2 } };
+        if (test.requests.size() == 3)
+            cr_expect(test.fleet.snapshot()->targetsByService.empty());
+        if (target != "/list")
+            test.context.stop();
+        return { 200, {}, "" };
+    };
+    test.run([] { return true; });
+    std::vector<std::string> expected { "/list", "/list", "/list", "/watch/2" };
+    cr_assert(test.requests == expected);
+    cr_assert_eq(test.fleet.snapshot()->targetsByService.at("s").front()->entry.id, "2");
+    cr_assert_eq(test.fleet.targetCount("s"), 1);
+}
+
+// Guards against changes of the new era that are taken for all that changed since a revision of the earlier one: what the
+// copy lacks or shows otherwise was never learned.
+Test(StoreFollower, listsAgainIfAWatchIsAnsweredInALaterEra)
+{
+    TestFollower test;
+    test.fleet.decoder.publications["c=2"] = Fleet::configurationOf(2);
+    test.fleet.decoder.publications["c=3"] = Fleet::configurationOf(3);
+    test.protocol.changes["new"] = { { { "c", "3", { 2, 12 }, false, {} } }, { 2, 12 } };
+    test.protocol.listing = { { { "c", "2", { 1, 9 }, false, {} } }, false, { 1, 10 } };
+    test.respond = [&](const std::string& target) -> Http::HttpResponse {
+        if (test.requests.size() == 3) {
+            cr_expect_eq(test.fleet.snapshot()->configuration->version, 2, "the listing comes first");
+            test.protocol.listing = { { { "c", "3", { 2, 12 }, false, {} } }, false, { 2, 12 } };
+        }
+        if (test.requests.size() == 4)
+            test.context.stop();
+        return { 200, {}, target == "/list" ? "" : "new" };
+    };
+    test.run([] { return true; });
+    std::vector<std::string> expected { "/list", "/watch/10", "/list", "/watch/12" };
+    cr_assert(test.requests == expected);
+    cr_assert_eq(test.fleet.snapshot()->configuration->version, 3);
+}
+
+// Guards against targets without entries after the store has forgotten the revision to continue from, and after it has
+// returned twice: each listing keeps the targets that it lacks until they had time to be written again.
+Test(StoreFollower, keepsWhatTheCopiesLackWhenTheStoreReturnsTwice)
+{
+    TestFollower test;
+    test.fleet.decoder.publications["t/1=1"] = Fleet::targetOf("1", "s");
+    test.fleet.decoder.publications["c=7"] = Fleet::configurationOf(7);
+    test.fleet.decoder.publications["c=5"] = Fleet::configurationOf(5);
+    test.respond = [&](const std::string& target) -> Http::HttpResponse {
+        if (test.requests.size() == 1)
+            test.protocol.listing = { { { "c", "7", { 0, 9 }, false, {} }, { "t/1", "1", { 0, 8 }, false, {} } }, false, { 0, 10 } };
+        else if (test.requests.size() == 3)
+            test.protocol.listing = { { { "c", "5", { 1, 4 }, false, {} } }, false, { 1, 5 } };
+        else
+            test.protocol.listing = { {}, false, { 2, 3 } };
+        if (test.requests.size() == 6)
+            test.context.stop();
+        return target == "/list" ? Http::HttpResponse { 200, {}, "" } : historyLost;
+    };
+    test.run([] { return true; });
+    std::vector<std::string> expected { "/list", "/watch/10", "/list", "/watch/5", "/list", "/watch/3" };
+    cr_assert(test.requests == expected);
+    cr_assert(Fleet::Queries::knownPosition(test.fleet.state) == Fleet::StorePosition(2, 3));
+    cr_assert_eq(test.fleet.snapshot()->configuration->version, 7);
+    cr_assert_eq(test.fleet.targetCount("s"), 1);
+    test.fleet.clock.advance(1901ms);
+    Fleet::Commands::expireDeletions(test.fleet.state, test.fleet.clock.now());
+    cr_assert_eq(test.fleet.targetCount("s"), 0);
+}
+
+// Guards against a store whose era falls back, or that stops to send it: it is ignored until its era is the known one again
+// or higher.
+Test(StoreFollower, ignoresTheStoreWhileItsEraIsLower)
+{
+    for (uint64_t lowerEra : { 2, 0 }) {
+        TestFollower test;
+        test.fleet.decoder.publications["c=4"] = Fleet::configurationOf(4);
+        test.fleet.decoder.publications["c=5"] = Fleet::configurationOf(5);
+        test.fleet.decoder.publications["c=6"] = Fleet::configurationOf(6);
+        test.protocol.changes["fallen"] = { { { "c", "5", { lowerEra, 99 }, false, {} } }, { lowerEra, 99 } };
+        test.protocol.listing = { { { "c", "4", { 3, 8 }, false, {} } }, false, { 3, 9 } };
+        test.respond = [&](const std::string& target) -> Http::HttpResponse {
+            if (target == "/list" && test.requests.size() > 1)
+                test.protocol.listing = { { { "c", "6", { 4, 2 }, false, {} } }, false, { 4, 3 } };
+            if (test.requests.size() == 4) {
+                cr_expect_eq(test.fleet.snapshot()->configuration->version, 4);
+                test.protocol.changes["higher"] = { {}, { 4, 3 } };
+                return { 200, {}, "higher" };
+            }
+            if (test.requests.size() == 6)
+                test.context.stop();
+            return { 200, {}, target == "/list" ? "" : "fallen" };
+        };
+        test.run([] { return true; });
+        std::vector<std::string> expected { "/list", "/watch/9", "/watch/9", "/watch/9", "/list", "/watch/3" };
+        cr_assert(test.requests == expected);
+        cr_assert_eq(test.fleet.snapshot()->configuration->version, 6);
+    }
+}
+
+// Guards against a new router that takes over with a revision of an earlier era after the others relayed the change.
+Test(StoreFollower, takesOverFromTheEraThatOthersRelayed)
+{
+    TestFollower test;
+    test.protocol.listing.position = { 1, 50 };
+    bool isNeeded = true;
+    test.respond = [&](const std::string& target) -> Http::HttpResponse {
+        if (target == "/list") {
+            isNeeded = false;
+            return { 200, {}, "" };
+        }
+        test.context.stop();
+        return rejected;
+    };
+    unsigned checks = 0;
+    test.run([&] {
+        if (!isNeeded && ++checks == 3) {
+            test.fleet.publishAt("t/1", Fleet::targetOf("1", "s"), { 2, 7 });
+            isNeeded = true;
+        }
+        return isNeeded;
+    });
+    cr_assert_eq(test.requests.back(), "/watch/7");
+}
+
+// Guards against outdated weights that look recent: the store was up although its response was not used, so that a
+// declaration may have been made at any time since the last sync.
+Test(StoreFollower, anIgnoredResponseDoesNotLimitTheAgesOfItems)
+{
+    for (bool isMixed : { true, false }) {
+        TestFollower test;
+        test.fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
+        test.fleet.publishAt("t/1", Fleet::targetOf("1", "s"), { 1, 4 });
+        test.merger.recordSync(test.fleet.clock.now(), "store");
+        test.fleet.clock.advance(5s);
+        test.respond = [&](const std::string& target) -> Http::HttpResponse {
+            uint64_t firstEra = isMixed ? 1 : 0;
+            if (test.requests.size() == 1)
+                test.protocol.listing = { { { "t/1", "", { firstEra, 4 }, false, {} } }, isMixed, { firstEra, 4 } };
+            else
+                test.protocol.listing = { { { "w", "2", { 2, 3 }, false, {} } }, false, { 2, 3 } };
+            if (target != "/list")
+                test.context.stop();
+            return { 200, {}, "" };
+        };
+        test.run([] { return true; });
+        auto age = test.fleet.clock.now() - test.fleet.snapshot()->weights.at("m").back().publishedAt;
+        cr_assert_geq(age / 1ms, 5000);
+    }
+}
