--- a/Tests/Soak/NodeProcess.h
+++ b/Tests/Soak/NodeProcess.h
@@ -15,10 +15,12 @@
 // another build's program, for comparisons by hand.
 class NodeProcess {
 public:
-    NodeProcess(std::string command, std::string settingsPath, std::string logPath)
+    // With an option, the path of the settings is passed by it as well as in the environment.
+    NodeProcess(std::string command, std::string settingsPath, std::string logPath, std::string settingsOption = {})
         : m_command(std::move(command))
         , m_settingsPath(std::move(settingsPath))
         , m_logPath(std::move(logPath))
+        , m_settingsOption(std::move(settingsOption))
     {
         start();
     }
@@ -35,6 +37,7 @@
     }
 
     bool isRunning() const { return m_pid > 0; }
+    pid_t pid() const { return m_pid; }
 
     void signal(int number) const
     {
@@ -72,13 +75,15 @@
         ::dup2(log, STDERR_FILENO);
         ::setenv("LAVENDERLOFT_SETTINGS", m_settingsPath.c_str(), 1);
         const char* program = std::getenv("LAVENDERLOFT_SOAK_PROGRAM");
-        ::execl(program ? program : LAVENDERLOFT_BINARY_DIR "/lavenderloft", "lavenderloft", m_command.c_str(), static_cast<char*>(nullptr));
+        constexpr char* end = nullptr;
+        ::execl(program ? program : LAVENDERLOFT_BINARY_DIR "/lavenderloft", "lavenderloft", m_command.c_str(), m_settingsOption.empty() ? end : m_settingsOption.c_str(), m_settingsPath.c_str(), end);
         ::_exit(127);
     }
 
     std::string m_command;
     std::string m_settingsPath;
     std::string m_logPath;
+    std::string m_settingsOption;
     pid_t m_pid = -1;
 };
 
