Take a status outside 100 to 599 for a broken response

Beast's parser accepts any three digits, and the product's clients took an interim response for the response.

--- a/Source/Http/HttpClient.cpp
+++ b/Source/Http/HttpClient.cpp
@@ -1,5 +1,7 @@
 #include "Http/HttpClient.h"
 
+#include "Http/ResponseStatus.h"
+
 #include <array>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -77,7 +79,6 @@
             m_request.set(http::field::connection, "close");
             m_request.body() = std::move(request.body);
             m_request.prepare_payload();
-            m_parser.body_limit(m_limits.bodyBytes);
             asio::dispatch(m_stream.get_executor(), [self = shared_from_this()] { self->connect(); });
         }
 
@@ -119,32 +120,50 @@
 
         void readHead()
         {
-            m_stream.expires_after(m_idleTimeout);
-            http::async_read_header(m_stream, m_buffer, m_parser, [self = shared_from_this()](beast::error_code error, size_t) {
+            m_parser.emplace();
+            m_parser->body_limit(m_limits.bodyBytes);
+            // Interim responses do not extend the time of a response whose time is limited as a whole.
+            if (!m_limits.timeoutCoversResponse || m_interimResponses == 0)
+                m_stream.expires_after(m_idleTimeout);
+            http::async_read_header(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code error, size_t) {
                 if (error)
                     return self->failWith(error);
                 // cancel() may have run between the arrival of the data and this handler.
                 if (self->m_ended)
                     return;
-                HttpHeaders headers;
-                for (auto& field : self->m_parser.get())
-                    headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
-                self->m_sink->head(self->m_parser.get().result_int(), std::move(headers));
-                self->readBody();
+                self->takeHead();
             });
         }
 
+        void takeHead()
+        {
+            auto& message = m_parser->get();
+            auto status = message.result_int();
+            if (!isValidStatus(status))
+                return fail(HttpErrorKind::Broken, "the status " + std::to_string(status) + " is no status of a response");
+            if (isInterimStatus(status)) {
+                if (++m_interimResponses > maximumInterimResponses)
+                    return fail(HttpErrorKind::Broken, "too many interim responses");
+                return readHead();
+            }
+            HttpHeaders headers;
+            for (auto& field : message)
+                headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+            m_sink->head(status, std::move(headers));
+            readBody();
+        }
+
         void readBody()
         {
             if (m_ended)
                 return;
-            if (m_parser.is_done())
+            if (m_parser->is_done())
                 return succeed();
-            m_parser.get().body().data = m_readBuffer.data();
-            m_parser.get().body().size = m_readBuffer.size();
+            m_parser->get().body().data = m_readBuffer.data();
+            m_parser->get().body().size = m_readBuffer.size();
             if (!m_limits.timeoutCoversResponse)
                 m_stream.expires_after(m_idleTimeout);
-            http::async_read_some(m_stream, m_buffer, m_parser, [self = shared_from_this()](beast::error_code error, size_t) {
+            http::async_read_some(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code error, size_t) {
                 if (error == http::error::need_buffer)
                     error = {};
                 if (error)
@@ -157,7 +176,7 @@
         {
             if (m_ended)
                 return;
-            auto count = m_readBuffer.size() - m_parser.get().body().size;
+            auto count = m_readBuffer.size() - m_parser->get().body().size;
             if (!count)
                 return readBody();
             // No timeout applies until the sink resumes the transfer.
@@ -197,7 +216,8 @@
         ResponseLimits m_limits;
         std::shared_ptr<ResponseSink> m_sink;
         http::request<http::string_body> m_request;
-        http::response_parser<http::buffer_body> m_parser;
+        std::optional<http::response_parser<http::buffer_body>> m_parser;
+        unsigned m_interimResponses = 0;
         beast::flat_buffer m_buffer { maximumBufferedBytes };
         std::array<char, readBufferBytes> m_readBuffer {};
         bool m_cancelled = false;
--- a/Source/Http/PersistentHttpClient.cpp
+++ b/Source/Http/PersistentHttpClient.cpp
@@ -1,6 +1,7 @@
 #include "Http/PersistentHttpClient.h"
 
 #include "Http/IdleConnection.h"
+#include "Http/ResponseStatus.h"
 #include "Http/WireFormat.h"
 
 #include <algorithm>
@@ -77,14 +78,20 @@
         m_connection.reset();
         co_return toHttpError(m_endpoint, HttpErrorKind::Broken, error);
     }
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(maximumResponseBytes);
-    co_await http::async_read(connection.stream, connection.buffer, parser, token);
-    if (error) {
-        m_connection.reset();
-        co_return toHttpError(m_endpoint, HttpErrorKind::Broken, error);
+    std::optional<http::response_parser<http::string_body>> parser;
+    for (unsigned interim = 0; !parser || isInterimStatus(parser->get().result_int()); ++interim) {
+        parser.emplace();
+        parser->body_limit(maximumResponseBytes);
+        co_await http::async_read(connection.stream, connection.buffer, *parser, token);
+        bool isBroken = !error && (!isValidStatus(parser->get().result_int()) || interim > maximumInterimResponses);
+        if (isBroken)
+            error = http::error::bad_status;
+        if (error) {
+            m_connection.reset();
+            co_return toHttpError(m_endpoint, HttpErrorKind::Broken, error);
+        }
     }
-    auto message = parser.release();
+    auto message = parser->release();
     HttpResponse response;
     response.status = message.result_int();
     response.headers = copyHeaders(message);
--- a/Source/Proxy/TargetExchange.cpp
+++ b/Source/Proxy/TargetExchange.cpp
@@ -1,5 +1,6 @@
 #include "Proxy/TargetExchange.h"
 
+#include "Http/ResponseStatus.h"
 #include "Http/WireFormat.h"
 
 #include <algorithm>
@@ -129,6 +130,8 @@
         co_return describeFailure(error);
     auto& message = m_parser->get();
     m_response.status = message.result_int();
+    if (!Http::isValidStatus(m_response.status))
+        co_return AttemptEnd::Broken;
     m_response.headers = Http::copyHeaders(message);
     m_response.head = m_context.protocol.readResponseHead(m_response.status, m_response.headers);
     co_return std::nullopt;
@@ -150,7 +153,7 @@
         auto failure = co_await readOneHead(isHeadRequest, until);
         if (failure)
             co_return failure;
-        bool isInterim = m_response.status < 200;
+        bool isInterim = Http::isInterimStatus(m_response.status);
         bool isSuccess = !isInterim && m_response.status < 300;
         if (!isInterim && isOwnResponse()) {
             // A success must carry the request id.
