Bound what callers can make a router of a platform hold

Callers could grow the buffer of a connection without limit by trailers or chunk extensions, take all descriptors by connections without a complete request, and take all memory for bodies by announcing them.

The buffer of a connection is limited to 64 KB or twice max_header_bytes; callers get half of the descriptors and, at 32 KB a connection, a quarter of the memory; when they are used up, the connection that has waited longest for a request is closed for a new one, those without any response first. Memory for a body is reserved as it arrives, and that of a head above 16 KB too. Trailers are no longer taken for header fields. The servers of the nodes and of readiness have the same bounds with an eighth of the descriptors each, and hold at most 32 MB of unread responses.

--- a/Source/Base/FileDescriptors.cpp
+++ b/Source/Base/FileDescriptors.cpp
@@ -23,4 +23,13 @@
     ::close(source);
 }
 
+size_t fileDescriptorLimit()
+{
+    constexpr size_t usualLimit = 1024;
+    rlimit limit {};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
+        return usualLimit;
+    return limit.rlim_cur;
+}
+
 } // namespace Lavenderloft::Base
--- a/Source/Base/FileDescriptors.h
+++ b/Source/Base/FileDescriptors.h
@@ -9,4 +9,7 @@
 // grows, until an RCU grace period has passed.
 void reserveFileDescriptors(size_t count);
 
+// Number of descriptors that the process may have open. Assumes 1,024 if the system does not tell or sets no limit.
+size_t fileDescriptorLimit();
+
 } // namespace Lavenderloft::Base
--- a/Source/Http/NodeServer.cpp
+++ b/Source/Http/NodeServer.cpp
@@ -1,7 +1,11 @@
 #include "Http/NodeServer.h"
 
+#include "Base/FileDescriptors.h"
+#include "Http/Events.h"
 #include "Http/WireFormat.h"
+#include "Observability/Log.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -28,6 +32,16 @@
     constexpr std::chrono::seconds writeTimeout = 10s;
     constexpr std::chrono::milliseconds acceptRetryDelay = 100ms;
     constexpr size_t maximumRequestBytes = 64 * 1024;
+    // Limit of what a connection keeps of a head, a chunk header, a trailer or requests that were sent ahead.
+    constexpr size_t maximumBufferedBytes = 64 * 1024;
+    // Limit of the responses that are being sent. A single one may be larger.
+    constexpr size_t maximumUnreadBytes = 32 * 1024 * 1024;
+
+    // A process has two such servers; most descriptors are for callers and targets.
+    size_t maximumConnections()
+    {
+        return std::max<size_t>(Base::fileDescriptorLimit() / 8, 16);
+    }
 
 } // namespace
 
@@ -58,6 +72,7 @@
     : m_context(context)
     , m_acceptor(listenAt(context, endpoint))
     , m_handler(std::move(handler))
+    , m_connections(maximumConnections())
 {
 }
 
@@ -89,24 +104,52 @@
 asio::awaitable<void> NodeServer::serve(tcp::socket socket)
 {
     auto self = shared_from_this();
-    ++m_openConnections;
-    co_await answerRequests(std::move(socket));
-    --m_openConnections;
+    auto admission = m_connections.makeRoom();
+    if (admission != WaitingConnections::Admission::Free)
+        countClosed(admission == WaitingConnections::Admission::Refused ? "refused" : "replaced");
+    if (admission == WaitingConnections::Admission::Refused)
+        co_return;
+    beast::tcp_stream stream(std::move(socket));
+    WaitingConnections::Registration registration(m_connections, stream);
+    co_await answerRequests(stream, registration);
 }
 
-asio::awaitable<void> NodeServer::answerRequests(tcp::socket socket)
+void NodeServer::countClosed(std::string_view reason)
 {
-    beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
+    ++m_closedConnections;
+    Observability::logEvent(Events::connectionClosed, { { "reason", reason }, { "open", m_connections.count() } });
+}
+
+asio::awaitable<bool> NodeServer::sendResponse(beast::tcp_stream& stream, HttpResponse response, bool keepAlive)
+{
+    auto bytes = serializeResponse(response, keepAlive);
+    response = {};
+    if (m_unreadBytes > 0 && m_unreadBytes + bytes.size() > maximumUnreadBytes) {
+        countClosed("unread");
+        co_return false;
+    }
+    m_unreadBytes += bytes.size();
+    beast::error_code error;
+    stream.expires_after(writeTimeout);
+    co_await asio::async_write(stream, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+    m_unreadBytes -= bytes.size();
+    co_return !error;
+}
+
+asio::awaitable<void> NodeServer::answerRequests(beast::tcp_stream& stream, WaitingConnections::Registration& registration)
+{
+    beast::flat_buffer buffer { maximumBufferedBytes };
     beast::error_code error;
     stream.socket().set_option(tcp::no_delay(true), error);
     while (true) {
         http::request_parser<http::string_body> parser;
         parser.body_limit(maximumRequestBytes);
         stream.expires_after(requestTimeout);
+        registration.startWaiting(std::chrono::steady_clock::now());
         co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-        if (error)
+        if (error || registration.isClosed())
             co_return;
+        registration.stopWaiting();
         auto message = parser.release();
         HttpRequest request;
         request.method = std::string(message.method_string());
@@ -115,11 +158,10 @@
         request.body = std::move(message.body());
         stream.expires_never();
         auto response = co_await m_handler(std::move(request));
-        auto bytes = serializeResponse(response, message.keep_alive());
-        stream.expires_after(writeTimeout);
-        co_await asio::async_write(stream, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
-        if (error || !message.keep_alive())
+        bool isSent = co_await sendResponse(stream, std::move(response), message.keep_alive());
+        if (!isSent || !message.keep_alive())
             co_return;
+        registration.recordResponse();
     }
 }
 
--- a/Source/Http/NodeServer.h
+++ b/Source/Http/NodeServer.h
@@ -2,12 +2,14 @@
 
 #include "Base/Result.h"
 #include "Http/HttpMessage.h"
+#include "Http/WaitingConnections.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 namespace Lavenderloft::Http {
 
@@ -25,19 +27,27 @@
     uint16_t port() const { return m_acceptor.local_endpoint().port(); }
 
     // Returns the number of connections that are open, idle ones included.
-    size_t openConnections() const { return m_openConnections; }
+    size_t openConnections() const { return m_connections.count(); }
+
+    // Returns the number of connections that were closed or refused because there were too many, or too much unread data.
+    uint64_t closedConnections() const { return m_closedConnections; }
 
 private:
     NodeServer(boost::asio::io_context&, const Endpoint&, Handler);
 
     boost::asio::awaitable<void> acceptConnections();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket);
-    boost::asio::awaitable<void> answerRequests(boost::asio::ip::tcp::socket);
+    boost::asio::awaitable<void> answerRequests(boost::beast::tcp_stream&, WaitingConnections::Registration&);
+    boost::asio::awaitable<bool> sendResponse(boost::beast::tcp_stream&, HttpResponse, bool keepAlive);
+    void countClosed(std::string_view reason);
 
     boost::asio::io_context& m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
     Handler m_handler;
-    size_t m_openConnections = 0;
+    WaitingConnections m_connections;
+    uint64_t m_closedConnections = 0;
+    // Responses that are being sent.
+    size_t m_unreadBytes = 0;
 };
 
 // Returns an acceptor that listens on the address. Throws std::runtime_error with the address if it cannot be bound.
--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -1,5 +1,6 @@
 #include "Process/FleetRouter.h"
 
+#include "Base/FileDescriptors.h"
 #include "Base/SeededRandom.h"
 #include "Base/StallMonitor.h"
 #include "Base/SystemClock.h"
@@ -74,6 +75,18 @@
         return settings.memoryBytes > 0 ? settings.memoryBytes / 2 : Proxy::BodyBudget::defaultLimitBytes;
     }
 
+    // Half of the descriptors is left for targets, nodes and the store. A connection may hold a head of the usual size and
+    // its buffer, for which a quarter of the memory is reserved.
+    size_t maximumCallerConnections(const Fleet::NodeSettings& settings)
+    {
+        constexpr size_t connectionBytes = 32 * 1024;
+        constexpr size_t minimumConnections = 64;
+        auto connections = Base::fileDescriptorLimit() / 2;
+        if (settings.memoryBytes > 0)
+            connections = std::min<size_t>(connections, settings.memoryBytes / 4 / connectionBytes);
+        return std::max(connections, minimumConnections);
+    }
+
     uint64_t randomSeed()
     {
         std::random_device device;
@@ -88,7 +101,7 @@
             , m_stalls(m_clock, queueServiceInterval)
             , m_merger(m_fleet, platform.publications(), m_clock)
             , m_dispatch(m_fleet, settings, std::make_unique<Dispatch::PowerOfTwoChoicesPolicy>(), std::make_unique<Dispatch::BoundedWaitPolicy>(), std::make_unique<Base::SeededRandom>(randomSeed()))
-            , m_proxy { platform.callers(), m_fleet, m_dispatch, m_clock, m_metrics, Proxy::BodyBudget(bodyLimitBytes(settings)) }
+            , m_proxy { platform.callers(), m_fleet, m_dispatch, m_clock, m_metrics, Proxy::BodyBudget(bodyLimitBytes(settings)), maximumCallerConnections(settings) }
             , m_peering(m_pool.context(0), m_settings, m_peers, m_merger, m_clock, m_stalls, true)
             , m_signals(m_pool.context(0), SIGTERM, SIGINT)
             , m_reload(platform)
@@ -282,6 +295,7 @@
             m_metrics.set("configuration_version", {}, snapshot->configuration ? static_cast<double>(snapshot->configuration->version) : 0);
             m_metrics.set("published_revision", {}, static_cast<double>(snapshot->revision));
             m_metrics.set("routers_known", {}, static_cast<double>(Peering::Queries::countRetainedRouters(m_peers)) + 1);
+            m_metrics.set("node_connections_closed", {}, static_cast<double>(m_ready->closedConnections() + m_nodes->closedConnections()));
             m_metrics.set("prompt_parts_blocked", {}, static_cast<double>(m_dispatch.parts().blockedCount()));
             m_metrics.set("targets_held_back", {}, static_cast<double>(m_reluctantTargets.size()));
             m_metrics.set("open_requests", {}, static_cast<double>(m_proxy.openRequests));
--- a/Source/Proxy/BodyBudget.h
+++ b/Source/Proxy/BodyBudget.h
@@ -5,8 +5,8 @@
 
 namespace Lavenderloft::Proxy {
 
-// Limit for the memory of all request bodies that a router holds: a body is held until its target has read it, and targets
-// may read slowly. Thread-safe.
+// Limit for the memory of all request bodies that a router holds, and of unusually large heads: they are held until their
+// target has read them, and targets may read slowly. Thread-safe.
 class BodyBudget {
 public:
     // For a VM whose memory is unknown.
@@ -20,6 +20,9 @@
     // Reserves the bytes. Returns false and reserves nothing if that would exceed the limit.
     bool tryReserve(uint64_t bytes);
 
+    // Whether so many more bytes could be reserved now.
+    bool hasRoomFor(uint64_t bytes) const { return m_heldBytes + bytes <= m_limitBytes; }
+
     void release(uint64_t bytes) { m_heldBytes -= bytes; }
 
     uint64_t heldBytes() const { return m_heldBytes; }
--- a/Source/Proxy/CallerServer.cpp
+++ b/Source/Proxy/CallerServer.cpp
@@ -3,8 +3,11 @@
 #include "Fleet/Queries/ReadFleet.h"
 #include "Http/NodeServer.h"
 #include "Http/WireFormat.h"
+#include "Observability/Log.h"
+#include "Proxy/Events.h"
 #include "Proxy/RequestHandler.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -35,6 +38,16 @@
     constexpr size_t discardBytes = 4096;
     // The request of a connection that has just been accepted is probably on its way.
     constexpr std::chrono::milliseconds minimumIdleTime = 500ms;
+    // Least limit of what a connection keeps of chunk headers and trailers, and of requests that were sent ahead.
+    constexpr size_t minimumBufferLimit = 64 * 1024;
+    // Memory of a head that is part of the memory of its connection. What exceeds it is reserved as the body is.
+    constexpr uint64_t usualHeadBytes = 16 * 1024;
+    // Memory of a header field beside its name and value.
+    constexpr uint64_t fieldBytes = 96;
+    // Connections that may be accepted beyond the limit, because they are refused or replace others only on their own event
+    // loop.
+    constexpr size_t unadmittedConnections = 16;
+    constexpr std::chrono::milliseconds admissionCheckInterval = 5ms;
 
     Fleet::CallerLimits limitsInForce(const ProxyContext& context)
     {
@@ -42,6 +55,20 @@
         return snapshot->configuration ? snapshot->configuration->limits : Fleet::CallerLimits {};
     }
 
+    size_t bufferLimit(const Fleet::CallerLimits& limits)
+    {
+        return std::max<size_t>(2 * limits.maximumHeaderBytes, minimumBufferLimit);
+    }
+
+    // Memory that a head needs beyond the usual.
+    uint64_t extraHeadBytes(const Http::HttpHeaders& headers)
+    {
+        uint64_t bytes = 0;
+        for (auto& header : headers)
+            bytes += fieldBytes + header.name.size() + header.value.size();
+        return bytes > usualHeadBytes ? bytes - usualHeadBytes : 0;
+    }
+
     // Status for a request that cannot be read; zero closes the connection without a response.
     unsigned statusOf(const beast::error_code& error)
     {
@@ -84,33 +111,46 @@
         NoMemory,
     };
 
-    // Reads the body as far as there is memory for it.
-    asio::awaitable<BodyRead> readBody(beast::tcp_stream& stream, beast::flat_buffer& buffer, RequestParser& parser, BodyReservation& reservation, beast::error_code& error)
+    // Reads the body as far as there is memory for it beside the head. Memory is reserved for what has arrived: callers that
+    // announce bodies and do not send them would take it from the others.
+    asio::awaitable<BodyRead> readBody(beast::tcp_stream& stream, beast::flat_buffer& buffer, RequestParser& parser, const BodyBudget& budget, BodyReservation& reservation, uint64_t headBytes, beast::error_code& error)
     {
         auto length = parser.content_length();
-        if (length && !reservation.growTo(*length))
+        if (!reservation.growTo(headBytes) || (length && !budget.hasRoomFor(*length)))
             co_return BodyRead::NoMemory;
         stream.expires_after(bodyTimeout);
         while (!parser.is_done()) {
             co_await http::async_read_some(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
             if (error)
                 co_return BodyRead::Failed;
-            if (!reservation.growTo(parser.get().body().size()))
+            if (!reservation.growTo(headBytes + parser.get().body().size()))
                 co_return BodyRead::NoMemory;
         }
         co_return BodyRead::Complete;
     }
 
-    Http::HttpRequest takeRequest(http::request<http::string_body> message)
+    // Takes the head before the body is read, so that trailers are not taken for header fields, and the fields are held once.
+    Http::HttpRequest takeHead(RequestParser& parser)
     {
+        auto& message = parser.get();
         Http::HttpRequest request;
         request.method = std::string(message.method_string());
         request.target = std::string(message.target());
         request.headers = Http::copyHeaders(message);
-        request.body = std::move(message.body());
+        message.clear();
         return request;
     }
 
+    // Sends as much as the connection accepts at once; it is closed afterwards.
+    void sendRefusal(tcp::socket& socket)
+    {
+        const Http::HttpResponse refusal { 503, { { "Content-Type", "application/json" }, { "Retry-After", "1.000" } }, R"({"error":"connections"})" };
+        beast::error_code ignored;
+        socket.non_blocking(true, ignored);
+        socket.write_some(asio::buffer(Http::serializeResponse(refusal, false)), ignored);
+        socket.shutdown(tcp::socket::shutdown_send, ignored);
+    }
+
 } // namespace
 
 CallerServer::CallerServer(ProxyContext& context, std::vector<std::unique_ptr<ProxyWorker>>& workers, const Http::Endpoint& endpoint)
@@ -118,6 +158,8 @@
     , m_workers(workers)
     , m_acceptor(Http::listenAt(workers.front()->context, endpoint))
 {
+    for (size_t i = 0; i < workers.size(); ++i)
+        m_connections.push_back(std::make_unique<Http::WaitingConnections>(std::max<size_t>(1, context.maximumCallerConnections / workers.size())));
 }
 
 void CallerServer::start()
@@ -169,7 +211,9 @@
     auto self = shared_from_this();
     size_t next = 0;
     while (m_acceptor.is_open()) {
-        auto& worker = *m_workers[next++ % m_workers.size()];
+        co_await awaitAdmissions();
+        auto number = next++ % m_workers.size();
+        auto& worker = *m_workers[number];
         beast::error_code error;
         auto socket = co_await m_acceptor.async_accept(worker.context, asio::redirect_error(asio::use_awaitable, error));
         if (error == asio::error::operation_aborted)
@@ -179,12 +223,36 @@
             co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
             continue;
         }
+        ++m_openConnections;
         asio::co_spawn(
-            worker.context, [self, &worker, socket = std::move(socket)]() mutable { return self->serve(worker, std::move(socket)); }, asio::detached);
+            worker.context, [self, &worker, &connections = *m_connections[number], socket = std::move(socket)]() mutable { return self->serve(worker, connections, std::move(socket)); }, asio::detached);
     }
 }
 
-asio::awaitable<bool> CallerServer::serveRequest(ProxyWorker& worker, beast::tcp_stream& stream, beast::flat_buffer& buffer)
+asio::awaitable<void> CallerServer::awaitAdmissions()
+{
+    while (m_openConnections >= m_context.maximumCallerConnections + unadmittedConnections) {
+        beast::error_code ignored;
+        asio::steady_timer timer(m_acceptor.get_executor(), admissionCheckInterval);
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+bool CallerServer::admit(Http::WaitingConnections& connections, tcp::socket& socket)
+{
+    using Admission = Http::WaitingConnections::Admission;
+    auto admission = connections.makeRoom();
+    if (admission == Admission::Free)
+        return true;
+    bool isRefused = admission == Admission::Refused;
+    m_context.metrics.count("caller_connections_closed_total", { { "reason", isRefused ? "refused" : "replaced" } });
+    Observability::logEvent(Events::callerConnectionClosed, { { "reason", isRefused ? "refused" : "replaced" }, { "open", m_openConnections.load() } });
+    if (isRefused)
+        sendRefusal(socket);
+    return !isRefused;
+}
+
+asio::awaitable<bool> CallerServer::serveRequest(ProxyWorker& worker, beast::tcp_stream& stream, beast::flat_buffer& buffer, Registration& registration)
 {
     // From its first byte on: the process must not end while a request arrives.
     std::optional<OpenRequest> openRequest(std::in_place, m_context);
@@ -193,35 +261,53 @@
     parser.header_limit(static_cast<uint32_t>(limits.maximumHeaderBytes));
     parser.body_limit(limits.maximumBodyBytes);
     stream.expires_after(limits.headerTimeout);
+    buffer.max_size(std::max(bufferLimit(limits), buffer.size()));
+    registration.startWaiting(m_context.clock.now());
     beast::error_code error;
     co_await http::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     BodyReservation reservation(m_context.bodies);
+    Http::HttpRequest request;
     auto body = BodyRead::Failed;
-    if (!error)
-        body = co_await readBody(stream, buffer, parser, reservation, error);
+    if (!error) {
+        request = takeHead(parser);
+        body = co_await readBody(stream, buffer, parser, m_context.bodies, reservation, extraHeadBytes(request.headers), error);
+    }
+    if (registration.isClosed())
+        co_return false;
     if (body == BodyRead::Failed) {
         openRequest.reset();
+        if (error == http::error::buffer_overflow)
+            m_context.metrics.count("caller_requests_rejected_total", { { "reason", "buffer" } });
         if (auto status = statusOf(error))
             co_await rejectMalformed(stream, status);
         co_return false;
     }
-    auto message = parser.release();
-    bool keepAlive = message.keep_alive() && body == BodyRead::Complete;
-    auto handler = std::make_unique<RequestHandler>(m_context, worker, stream, takeRequest(std::move(message)), keepAlive);
+    bool keepAlive = parser.keep_alive() && body == BodyRead::Complete;
+    request.body = std::move(parser.get().body());
+    auto handler = std::make_unique<RequestHandler>(m_context, worker, stream, std::move(request), keepAlive);
     if (body == BodyRead::NoMemory) {
         co_await handler->refuseForMemory();
         openRequest.reset();
         co_await discardUntilClosed(stream);
         co_return false;
     }
+    registration.stopWaiting();
     bool mayContinue = co_await handler->run();
+    registration.recordResponse();
     co_return mayContinue;
 }
 
-asio::awaitable<void> CallerServer::serve(ProxyWorker& worker, tcp::socket socket)
+asio::awaitable<void> CallerServer::serve(ProxyWorker& worker, Http::WaitingConnections& connections, tcp::socket socket)
 {
     auto self = shared_from_this();
+    struct OpenConnection {
+        std::atomic<size_t>& count;
+        ~OpenConnection() { --count; }
+    } openConnection { m_openConnections };
+    if (!admit(connections, socket))
+        co_return;
     beast::tcp_stream stream(std::move(socket));
+    Registration registration(connections, stream);
     beast::flat_buffer buffer;
     beast::error_code error;
     beast::error_code ignored;
@@ -231,17 +317,18 @@
     while (keepAlive) {
         if (buffer.size() == 0) {
             stream.expires_after(limitsInForce(m_context).idleTimeout);
+            registration.startWaiting(m_context.clock.now());
             worker.idleCallers.emplace(&stream, m_context.clock.now());
             auto count = co_await stream.async_read_some(buffer.prepare(firstReadBytes), token);
             worker.idleCallers.erase(&stream);
             // A request has arrived that the event loop had not read when the connection was closed as idle.
-            if (error == asio::error::operation_aborted && stream.socket().available(ignored) > 0)
+            if (error == asio::error::operation_aborted && !registration.isClosed() && stream.socket().available(ignored) > 0)
                 continue;
             if (error)
                 co_return;
             buffer.commit(count);
         }
-        keepAlive = co_await serveRequest(worker, stream, buffer);
+        keepAlive = co_await serveRequest(worker, stream, buffer, registration);
     }
     // Flushes pending data instead of resetting the connection.
     stream.socket().shutdown(tcp::socket::shutdown_send, error);
--- a/Source/Proxy/CallerServer.h
+++ b/Source/Proxy/CallerServer.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "Http/WaitingConnections.h"
 #include "Proxy/ProxyContext.h"
 
+#include <atomic>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -34,13 +36,23 @@
 
 private:
     boost::asio::awaitable<void> acceptConnections();
+    using Registration = Http::WaitingConnections::Registration;
+
+    // Waits while connections that were accepted have not been admitted or refused yet.
+    boost::asio::awaitable<void> awaitAdmissions();
+    // Whether the connection may be served; another one may be closed for it.
+    bool admit(Http::WaitingConnections&, boost::asio::ip::tcp::socket&);
     // Reads one request and serves it. Returns whether the connection can be used for another one.
-    boost::asio::awaitable<bool> serveRequest(ProxyWorker&, boost::beast::tcp_stream&, boost::beast::flat_buffer&);
-    boost::asio::awaitable<void> serve(ProxyWorker&, boost::asio::ip::tcp::socket);
+    boost::asio::awaitable<bool> serveRequest(ProxyWorker&, boost::beast::tcp_stream&, boost::beast::flat_buffer&, Registration&);
+    boost::asio::awaitable<void> serve(ProxyWorker&, Http::WaitingConnections&, boost::asio::ip::tcp::socket);
 
     ProxyContext& m_context;
     std::vector<std::unique_ptr<ProxyWorker>>& m_workers;
     boost::asio::ip::tcp::acceptor m_acceptor;
+    // Of each worker.
+    std::vector<std::unique_ptr<Http::WaitingConnections>> m_connections;
+    // Connections that were accepted and are not closed yet.
+    std::atomic<size_t> m_openConnections { 0 };
 };
 
 } // namespace Lavenderloft::Proxy
--- a/Source/Proxy/Events.h
+++ b/Source/Proxy/Events.h
@@ -21,5 +21,6 @@
 inline constexpr Event attemptSilent { 7009, "attempt-silent", Level::Info, "A target has sent nothing for longer than expected; its attempt goes on until another target responds or the deadline passes." };
 inline constexpr Event replacementEnded { 7010, "replacement-ended", Level::Info, "The attempt at a second target, made because the first one was silent, has ended; the field result says whether it continues the response." };
 inline constexpr Event configurationAge { 7011, "configuration-age", Level::Info, "A configuration that may be outdated does not allow a request: the time up to which all published items were known, and who reported it." };
+inline constexpr Event callerConnectionClosed { 7013, "caller-connection-closed", Level::Info, "There are as many connections of callers as the router accepts: the one that had sent no request for longest was closed for a new one, or the new one was refused." };
 
 } // namespace Lavenderloft::Proxy::Events
--- a/Source/Proxy/ProxyContext.h
+++ b/Source/Proxy/ProxyContext.h
@@ -25,6 +25,8 @@
     const Base::Clock& clock;
     Observability::Metrics& metrics;
     BodyBudget bodies { BodyBudget::defaultLimitBytes };
+    // Of callers, open at the same time.
+    size_t maximumCallerConnections = 4096;
     // Connections are closed after the response in progress.
     std::atomic<bool> draining { false };
     // The process is about to exit; new requests are refused.
