Bound what callers can make the product's own router hold

Its connections are limited by half of the descriptors (64 at the admin address of the router), the buffer of each by 64 KB or twice the header limit, and all bodies that are being received by maximumReceivedBytes, for callers streamBudgetBytes. When all connections are taken, the one that has waited longest for a request is closed for a new one. After a failed accept it waits 50 ms. Trailers are no longer taken for header fields.

--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -1,5 +1,10 @@
 #include "Http/HttpServer.h"
 
+#include "Base/FileDescriptors.h"
+#include "Http/Events.h"
+#include "Observability/Log.h"
+
+#include <algorithm>
 #include <atomic>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -18,12 +23,22 @@
 namespace {
 
     constexpr int listenBacklog = 1024;
+    // After an error, most likely a lack of descriptors or memory. Accepting again at once would spin until that ends.
+    constexpr std::chrono::milliseconds acceptRetryDelay { 50 };
+    // Shortest time between two log lines about closed connections.
+    constexpr std::chrono::seconds closedLogInterval { 1 };
+    // Least limit of what a connection keeps of chunk headers and trailers, and of requests that were sent ahead.
+    constexpr size_t minimumBufferLimit = 64 * 1024;
 
     // Lets State close connections without depending on the Connection template.
     class Closable {
     public:
         virtual ~Closable() = default;
         virtual void close() = 0;
+        // Closes the connection unless its request has been received meanwhile.
+        virtual void closeIfWaiting() = 0;
+        // Since when the connection waits for a request, or the rest of it; nothing if it does not.
+        virtual std::optional<Base::TimePoint> waitingSince() const = 0;
     };
 
 } // namespace
@@ -33,17 +48,23 @@
         : options(std::move(serverOptions))
         , context(static_cast<int>(options.threads))
         , acceptor(asio::make_strand(context))
+        , acceptTimer(acceptor.get_executor())
         , work(asio::make_work_guard(context))
     {
+        options.maximumConnections = std::min(options.maximumConnections, std::max<size_t>(Base::fileDescriptorLimit() / 2, 1));
     }
 
     HttpServerOptions options;
     std::shared_ptr<HttpHandler> handler;
     asio::io_context context;
     tcp::acceptor acceptor;
+    asio::steady_timer acceptTimer;
     asio::executor_work_guard<asio::io_context::executor_type> work;
     std::vector<std::thread> threads;
     std::atomic<size_t> connections { 0 };
+    std::atomic<size_t> receivedBytes { 0 };
+    std::atomic<uint64_t> closedConnections { 0 };
+    std::atomic<Base::TimePoint> closedLoggedAt { Base::TimePoint() };
     std::atomic<bool> draining { false };
     std::atomic<bool> stopped { false };
     std::mutex openConnectionsLock;
@@ -56,6 +77,44 @@
         openConnections.push_back(std::move(connection));
     }
 
+    // Closes the connection that has waited longest for a request. Returns false if there is none.
+    bool closeLongestWaiting()
+    {
+        std::lock_guard guard(openConnectionsLock);
+        std::shared_ptr<Closable> longest;
+        std::optional<Base::TimePoint> longestSince;
+        for (auto& candidate : openConnections) {
+            auto connection = candidate.lock();
+            auto since = connection ? connection->waitingSince() : std::nullopt;
+            if (since && (!longestSince || *since < *longestSince)) {
+                longest = connection;
+                longestSince = since;
+            }
+        }
+        if (longest)
+            longest->closeIfWaiting();
+        return longest != nullptr;
+    }
+
+    // Counts a connection that was closed or refused for a limit, and logs that now and then.
+    void countClosed(std::string_view reason)
+    {
+        auto total = ++closedConnections;
+        auto now = std::chrono::steady_clock::now();
+        auto loggedAt = closedLoggedAt.load();
+        if (now - loggedAt >= closedLogInterval && closedLoggedAt.compare_exchange_strong(loggedAt, now))
+            Observability::logEvent(Events::connectionClosed, { { "reason", reason }, { "open", connections.load() }, { "closed", total } });
+    }
+
+    // Reserves memory for a body that arrives. Returns false and reserves nothing if there is none.
+    bool tryReceive(size_t bytes)
+    {
+        if (receivedBytes.fetch_add(bytes) + bytes <= options.maximumReceivedBytes)
+            return true;
+        receivedBytes -= bytes;
+        return false;
+    }
+
     void closeConnections()
     {
         std::lock_guard guard(openConnectionsLock);
@@ -82,17 +141,26 @@
 
         ~Connection() override
         {
+            releaseReceived();
             --m_state->connections;
         }
 
+        std::optional<Base::TimePoint> waitingSince() const override
+        {
+            auto since = m_waitingSince.load();
+            return since == Base::TimePoint() ? std::nullopt : std::optional(since);
+        }
+
         void readRequest()
         {
             m_parser.emplace();
             m_parser->header_limit(static_cast<uint32_t>(m_state->options.maximumHeaderBytes));
             m_parser->body_limit(m_state->options.maximumBodyBytes);
+            m_buffer.max_size(std::max({ 2 * m_state->options.maximumHeaderBytes, minimumBufferLimit, m_buffer.size() }));
+            m_waitingSince = std::chrono::steady_clock::now();
             m_stream.expires_after(m_state->options.requestTimeout);
             auto self = this->shared_from_this();
-            http::async_read(m_stream, m_buffer, *m_parser, [self](beast::error_code error, size_t) { self->onRequestRead(error); });
+            http::async_read_header(m_stream, m_buffer, *m_parser, [self](beast::error_code error, size_t) { self->onPartRead(error); });
         }
 
         void post(std::function<void()> work) { asio::dispatch(m_stream.get_executor(), std::move(work)); }
@@ -127,6 +195,15 @@
             post([self] { self->closeNow(); });
         }
 
+        void closeIfWaiting() override
+        {
+            auto self = this->shared_from_this();
+            post([self] {
+                if (self->waitingSince())
+                    self->closeNow();
+            });
+        }
+
         void onDisconnect(std::function<void()> callback)
         {
             auto self = this->shared_from_this();
@@ -146,8 +223,47 @@
 
         class Stream;
 
+        // Reads the body in parts, as far as there is memory for it beside those of other connections.
+        void onPartRead(beast::error_code error)
+        {
+            if (error || m_parser->is_done())
+                return onRequestRead(error);
+            if (!m_isHeadTaken)
+                takeHead();
+            auto bytes = m_parser->get().body().size();
+            if (bytes > m_receivedBytes) {
+                if (!m_state->tryReceive(bytes - m_receivedBytes))
+                    return rejectRequest(503);
+                m_receivedBytes = bytes;
+            }
+            auto self = this->shared_from_this();
+            http::async_read_some(m_stream, m_buffer, *m_parser, [self](beast::error_code readError, size_t) { self->onPartRead(readError); });
+        }
+
+        // The trailers of a body are added to the fields of the parser, and are no header fields.
+        void takeHead()
+        {
+            m_isHeadTaken = true;
+            auto& message = m_parser->get();
+            m_request = {};
+            m_request.method = std::string(message.method_string());
+            m_request.target = std::string(message.target());
+            for (auto& field : message)
+                m_request.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+            message.clear();
+        }
+
+        void releaseReceived()
+        {
+            m_state->receivedBytes -= std::exchange(m_receivedBytes, 0);
+        }
+
         void onRequestRead(beast::error_code error)
         {
+            m_waitingSince = Base::TimePoint();
+            releaseReceived();
+            if (m_closed)
+                return;
             if (error == http::error::body_limit || error == http::error::header_limit)
                 return rejectRequest(error == http::error::body_limit ? 413 : 431);
             if (error == http::error::end_of_stream || !m_parser->is_done())
@@ -156,14 +272,12 @@
                     : closeNow();
             if (error)
                 return closeNow();
-            auto message = m_parser->release();
-            m_keepAlive = message.keep_alive();
-            HttpRequest request;
-            request.method = std::string(message.method_string());
-            request.target = std::string(message.target());
-            for (auto& field : message)
-                request.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
-            request.body = std::move(message.body());
+            m_keepAlive = m_parser->keep_alive();
+            if (!m_isHeadTaken)
+                takeHead();
+            m_isHeadTaken = false;
+            auto request = std::exchange(m_request, {});
+            request.body = std::move(m_parser->get().body());
             m_responding = true;
             // No timeout applies while the handler runs; the handler enforces its own deadline.
             m_stream.expires_never();
@@ -174,15 +288,30 @@
         void rejectRequest(unsigned status)
         {
             m_keepAlive = false;
+            m_waitingSince = Base::TimePoint();
+            releaseReceived();
             HttpResponse response;
             response.status = status;
             response.headers = { { "Content-Type", "application/json" } };
+            if (status == 503)
+                return sendOutOfMemory(std::move(response));
             std::string code = status == 413 ? "body_too_large" : status == 431 ? "header_too_large"
                                                                                 : "malformed_request";
             response.body = R"({"error":{"code":")" + code + R"(","message":"the request could not be read","remedy":"send a smaller or well-formed HTTP/1.1 request","outcome":"not_run"}})";
             sendResponse(std::move(response));
         }
 
+        void sendOutOfMemory(HttpResponse response)
+        {
+            // The rest of the request is not read.
+            m_parser.reset();
+            m_request = {};
+            m_state->countClosed("received");
+            response.headers.push_back({ "Retry-After", "1" });
+            response.body = R"({"error":{"code":"AT_LIMIT","message":"the requests that are being received have reached their limit","remedy":"retry after 1 s","outcome":"not_run"}})";
+            sendResponse(std::move(response));
+        }
+
         void watchForClose()
         {
             auto self = this->shared_from_this();
@@ -327,6 +456,12 @@
         std::shared_ptr<State> m_state;
         beast::flat_buffer m_buffer;
         std::optional<http::request_parser<http::string_body>> m_parser;
+        // The head of the request that is being received.
+        HttpRequest m_request;
+        bool m_isHeadTaken = false;
+        size_t m_receivedBytes = 0;
+        // Zero while no request is awaited.
+        std::atomic<Base::TimePoint> m_waitingSince { Base::TimePoint() };
         std::shared_ptr<http::response<http::empty_body>> m_head;
         std::shared_ptr<http::response_serializer<http::empty_body>> m_serializer;
         std::optional<PendingChunk> m_pendingChunk;
@@ -382,13 +517,41 @@
         std::atomic<bool> m_ended { false };
     };
 
+    // Whether another connection may be opened; one that waits for a request may be closed for it.
+    template <typename State>
+    bool makeRoom(State& state)
+    {
+        if (state.connections < state.options.maximumConnections)
+            return true;
+        bool isReplaced = state.closeLongestWaiting();
+        state.countClosed(isReplaced ? "replaced" : "refused");
+        // A connection that is being closed still has its descriptor.
+        constexpr size_t closingConnections = 16;
+        return isReplaced && state.connections < state.options.maximumConnections + closingConnections;
+    }
+
+    template <typename State>
+    void acceptNext(const std::shared_ptr<State>& state);
+
+    template <typename State>
+    void acceptAfterDelay(const std::shared_ptr<State>& state)
+    {
+        state->acceptTimer.expires_after(acceptRetryDelay);
+        state->acceptTimer.async_wait([state](beast::error_code error) {
+            if (!error && !state->stopped && state->acceptor.is_open())
+                acceptNext(state);
+        });
+    }
+
     template <typename State>
     void acceptNext(const std::shared_ptr<State>& state)
     {
         state->acceptor.async_accept(asio::make_strand(state->context), [state](beast::error_code error, tcp::socket socket) {
             if (error == asio::error::operation_aborted || state->stopped)
                 return;
-            if (!error && state->connections < state->options.maximumConnections) {
+            if (error)
+                return acceptAfterDelay(state);
+            if (makeRoom(*state)) {
                 beast::error_code ignored;
                 socket.set_option(tcp::no_delay(true), ignored);
                 if (state->options.sendBufferBytes)
@@ -436,12 +599,18 @@
     return m_state->connections;
 }
 
+uint64_t HttpServer::closedConnections() const
+{
+    return m_state->closedConnections;
+}
+
 void HttpServer::drain()
 {
     m_state->draining = true;
     asio::post(m_state->acceptor.get_executor(), [state = m_state] {
         beast::error_code ignored;
         state->acceptor.close(ignored);
+        state->acceptTimer.cancel();
     });
 }
 
--- a/Source/Http/HttpServer.h
+++ b/Source/Http/HttpServer.h
@@ -49,7 +49,10 @@
     unsigned threads = 2;
     size_t maximumHeaderBytes = 16 * 1024;
     size_t maximumBodyBytes = 4 * 1024 * 1024;
+    // Connections open at the same time; never more than half of the descriptors of the process.
     size_t maximumConnections = 4096;
+    // Limit of the bodies that are being received, over all connections.
+    size_t maximumReceivedBytes = 64 * 1024 * 1024;
     // Longest time to receive a request, including the idle time before it.
     std::chrono::milliseconds requestTimeout { 30000 };
     // Limits the time of each write, so that a caller that stops reading is disconnected.
@@ -70,6 +73,9 @@
 
     size_t connectionCount() const;
 
+    // Number of connections that were closed or refused, because there were too many or too much was being received.
+    uint64_t closedConnections() const;
+
     // Stops accepting connections and closes each open one after its next response.
     void drain();
 
--- a/Source/Process/RouterProcess.cpp
+++ b/Source/Process/RouterProcess.cpp
@@ -48,12 +48,16 @@
         return Base::valueOf(endpoint);
     }
 
+    // For metrics and health checks.
+    constexpr size_t maximumAdminConnections = 64;
+
     Http::HttpServerOptions callerOptions(const RouterProcess::Dependencies& dependencies)
     {
         Http::HttpServerOptions options;
         options.listen = parseEndpointSetting("callers", dependencies.settings.callers);
         options.threads = dependencies.callerThreads;
         options.sendBufferBytes = callerSendBufferBytes;
+        options.maximumReceivedBytes = dependencies.settings.streamBudgetBytes;
         return options;
     }
 
@@ -62,6 +66,7 @@
         Http::HttpServerOptions options;
         options.listen = parseEndpointSetting("admin", dependencies.settings.admin);
         options.threads = 1;
+        options.maximumConnections = maximumAdminConnections;
         return options;
     }
 
@@ -140,6 +145,7 @@
         dependencies.metrics.set("request_bytes_held", {}, static_cast<double>(requestBudget.heldBytes()));
         dependencies.metrics.set("stream_bytes_peak", {}, static_cast<double>(byteBudget.peakBytes()));
         dependencies.metrics.set("caller_connections", {}, static_cast<double>(callers->connectionCount()));
+        dependencies.metrics.set("connections_closed", {}, static_cast<double>(callers->closedConnections() + admin->closedConnections()));
         targets.pools().forEach([&](auto& name, auto& subset) {
             dependencies.metrics.set("targets_ready", { { "destination", name } }, static_cast<double>(subset->size()));
         });
