--- a/Tests/HostileCallers/HostileCallersTest.cpp
+++ b/Tests/HostileCallers/HostileCallersTest.cpp
@@ -201,3 +201,30 @@
     expectWithinBounds(router);
     expectServed(router, std::string(1000, 'b'));
 }
+
+// Guards against limits that refuse a single request inside the limits of the configuration: a head of almost
+// max_header_bytes, of the shortest fields, and a body of almost max_body_bytes, in small chunks and a large one.
+Test(HostileCallers, areNotThoseWithASingleRequestInsideTheLimits)
+{
+    RouterUnderAttack router;
+    awaitReady(router);
+    std::string body;
+    for (unsigned i = 0; i < 10000; ++i)
+        body += "1\r\nb\r\n";
+    body += Proxy::chunkOf(std::string(4000000, 'b')) + "0\r\n\r\n";
+    auto head = RouterUnderAttack::requestHead("POST", "/p", "Connection: close\r\n" + chunkedHead + manyFields(15 * 1024));
+    auto response = exchange(router.callers(), head + body);
+    cr_expect(response.starts_with("HTTP/1.1 200") && response.ends_with("hello"), "%s", response.c_str());
+}
+
+// Guards against a caller that adds header fields, for instance the key of an organisation, behind its body, where no
+// component in front of the router looks for them.
+Test(HostileCallers, cannotAddHeaderFieldsByTrailers)
+{
+    RouterUnderAttack router;
+    awaitReady(router);
+    auto request = RouterUnderAttack::requestHead("POST", "/head", "Connection: close\r\n" + chunkedHead) + "1\r\nx\r\n0\r\nX-Late: added\r\n\r\n";
+    auto response = exchange(router.callers(), request);
+    cr_expect(response.starts_with("HTTP/1.1 200"), "%s", response.c_str());
+    cr_expect_eq(response.find("X-Late"), std::string::npos, "%s", response.c_str());
+}
--- a/Tests/HostileCallers/RouterUnderAttack.h
+++ b/Tests/HostileCallers/RouterUnderAttack.h
@@ -50,6 +50,8 @@
     {
         // Longer than the buffers of the kernel, so that the router is blocked by a caller that does not read.
         static const std::string longBody(8 * 1024 * 1024, 'r');
+        if (head.find(" /head ") != std::string::npos)
+            return { Proxy::sealedResponse(head, head) };
         bool isLong = head.find(" /long ") != std::string::npos;
         return { Proxy::sealedResponse(head, isLong ? longBody : "hello") };
     }
