Keep a connection on which a request has arrived

A server that closed the connection waiting longest could close one whose next request had arrived and was not read yet. Such a connection now counts as one that has just begun to wait, up to eight for each new connection.

--- a/Source/Http/NodeServer.cpp
+++ b/Source/Http/NodeServer.cpp
@@ -104,7 +104,7 @@
 asio::awaitable<void> NodeServer::serve(tcp::socket socket)
 {
     auto self = shared_from_this();
-    auto admission = m_connections.makeRoom();
+    auto admission = m_connections.makeRoom(std::chrono::steady_clock::now());
     if (admission != WaitingConnections::Admission::Free)
         countClosed(admission == WaitingConnections::Admission::Refused ? "refused" : "replaced");
     if (admission == WaitingConnections::Admission::Refused)
--- a/Source/Http/WaitingConnections.cpp
+++ b/Source/Http/WaitingConnections.cpp
@@ -4,6 +4,19 @@
 
 namespace Lavenderloft::Http {
 
+namespace {
+
+    // Bounds the work for one new connection.
+    constexpr unsigned maximumDeferrals = 8;
+
+    bool hasUnreadBytes(boost::beast::tcp_stream& stream)
+    {
+        boost::system::error_code error;
+        return stream.socket().available(error) > 0;
+    }
+
+} // namespace
+
 WaitingConnections::Registration::Registration(WaitingConnections& connections, boost::beast::tcp_stream& stream)
     : m_connections(connections)
     , m_stream(stream)
@@ -29,10 +42,8 @@
     m_isWaiting = false;
 }
 
-WaitingConnections::Admission WaitingConnections::makeRoom()
+WaitingConnections::Registration* WaitingConnections::findLongestWaiting() const
 {
-    if (m_open.size() - m_closing < m_maximumConnections)
-        return Admission::Free;
     Registration* longest = nullptr;
     auto rank = [](const Registration& connection) { return std::tuple(connection.m_hasResponded, connection.m_waitingSince); };
     for (auto& [stream, connection] : m_open) {
@@ -41,6 +52,18 @@
         if (!longest || rank(*connection) < rank(*longest))
             longest = connection;
     }
+    return longest;
+}
+
+WaitingConnections::Admission WaitingConnections::makeRoom(Base::TimePoint now)
+{
+    if (m_open.size() - m_closing < m_maximumConnections)
+        return Admission::Free;
+    auto* longest = findLongestWaiting();
+    for (unsigned i = 0; longest && i < maximumDeferrals && hasUnreadBytes(longest->m_stream); ++i) {
+        longest->m_waitingSince = now;
+        longest = findLongestWaiting();
+    }
     if (!longest)
         return Admission::Refused;
     longest->m_isClosed = true;
--- a/Source/Http/WaitingConnections.h
+++ b/Source/Http/WaitingConnections.h
@@ -53,12 +53,15 @@
         Refused,
     };
 
-    // Makes room for a connection that was accepted and is not registered yet.
-    Admission makeRoom();
+    // Makes room for a connection that was accepted and is not registered yet. A connection on which something has arrived
+    // that was not read yet counts as one that has just begun to wait.
+    Admission makeRoom(Base::TimePoint now);
 
     size_t count() const { return m_open.size(); }
 
 private:
+    Registration* findLongestWaiting() const;
+
     const size_t m_maximumConnections;
     std::unordered_map<boost::beast::tcp_stream*, Registration*> m_open;
     // Connections that were closed and have not ended yet.
--- a/Source/Proxy/CallerServer.cpp
+++ b/Source/Proxy/CallerServer.cpp
@@ -241,7 +241,7 @@
 bool CallerServer::admit(Http::WaitingConnections& connections, tcp::socket& socket)
 {
     using Admission = Http::WaitingConnections::Admission;
-    auto admission = connections.makeRoom();
+    auto admission = connections.makeRoom(m_context.clock.now());
     if (admission == Admission::Free)
         return true;
     bool isRefused = admission == Admission::Refused;
