--- /dev/null
+++ b/Source/Http/WaitingConnections.cpp
@@ -0,0 +1,75 @@
+#include "Http/WaitingConnections.h"
+
+#include <tuple>
+
+namespace Lavenderloft::Http {
+
+namespace {
+
+    // Bounds the work for one new connection.
+    constexpr unsigned maximumDeferrals = 8;
+
+    bool hasUnreadBytes(boost::beast::tcp_stream& stream)
+    {
+        boost::system::error_code error;
+        return stream.socket().available(error) > 0;
+    }
+
+} // namespace
+
+WaitingConnections::Registration::Registration(WaitingConnections& connections, boost::beast::tcp_stream& stream)
+    : m_connections(connections)
+    , m_stream(stream)
+{
+    m_connections.m_open.emplace(&stream, this);
+}
+
+WaitingConnections::Registration::~Registration()
+{
+    if (m_isClosed)
+        --m_connections.m_closing;
+    m_connections.m_open.erase(&m_stream);
+}
+
+void WaitingConnections::Registration::startWaiting(Base::TimePoint now)
+{
+    m_isWaiting = true;
+    m_waitingSince = now;
+}
+
+void WaitingConnections::Registration::stopWaiting()
+{
+    m_isWaiting = false;
+}
+
+WaitingConnections::Registration* WaitingConnections::findLongestWaiting() const
+{
+    Registration* longest = nullptr;
+    auto rank = [](const Registration& connection) { return std::tuple(connection.m_hasResponded, connection.m_waitingSince); };
+    for (auto& [stream, connection] : m_open) {
+        if (!connection->m_isWaiting || connection->m_isClosed)
+            continue;
+        if (!longest || rank(*connection) < rank(*longest))
+            longest = connection;
+    }
+    return longest;
+}
+
+WaitingConnections::Admission WaitingConnections::makeRoom(Base::TimePoint now)
+{
+    if (m_open.size() - m_closing < m_maximumConnections)
+        return Admission::Free;
+    auto* longest = findLongestWaiting();
+    for (unsigned i = 0; longest && i < maximumDeferrals && hasUnreadBytes(longest->m_stream); ++i) {
+        longest->m_waitingSince = now;
+        longest = findLongestWaiting();
+    }
+    if (!longest)
+        return Admission::Refused;
+    longest->m_isClosed = true;
+    ++m_closing;
+    longest->m_stream.close();
+    return Admission::Replaced;
+}
+
+} // namespace Lavenderloft::Http
