--- a/Source/Peering/PeeringNode.h
+++ b/Source/Peering/PeeringNode.h
@@ -108,7 +108,7 @@
     std::vector<PeerRouter> nextHeartbeatReceivers(const std::vector<PeerRouter>& routers);
     void announceFetched(const PeerRouter& source);
     bool followsStore() const;
-    void replyToAgent(const std::string& address, uint64_t revision);
+    void replyToAgent(const std::string& address, Fleet::StorePosition);
     void sendDemand(const std::string& address);
     void recordClampedDemands(const NodeMessage&);
     void sendTo(const std::string& address, const std::string& bytes);
--- a/Tests/Peering/PeeringCodecTest.cpp
+++ b/Tests/Peering/PeeringCodecTest.cpp
@@ -120,7 +120,7 @@
     message.crashes.assign(maximumCrashesPerMessage, { UINT64_MAX, target, 60000ms });
     message.limits.assign(maximumLimitsPerMessage, { target, target, UINT64_MAX, 0.1, 600000ms });
     message.urgencyDemand.bands.fill({ 0.1, 1000, 0.1 });
-    message.load = EngineLoad { target, target, UINT32_MAX, UINT32_MAX, UINT64_MAX, true, UINT32_MAX, true, 100000ms, 100000ms, Scheduling::ReuseLimit { 3, 0.1 } };
+    message.load = EngineLoad { target, target, UINT32_MAX, UINT32_MAX, UINT64_MAX, true, UINT32_MAX, true, 100000ms, 100000ms, 20, Scheduling::ReuseLimit { 3, 0.1 } };
     auto full = encodeMessage(message).size();
     cr_log_info("bytes: %zu, a part's crash %zu, a served part %zu, full %zu", empty, (withCrashes - empty) / maximumPartCrashesPerMessage, (withServed - withCrashes) / maximumPartsServedPerMessage, full);
     cr_assert_leq(full, maximumMessageBytes);
@@ -226,6 +226,8 @@
     auto added = encodeMessage(message).size() - without;
     cr_log_warn("bytes of a demand: %zu", added);
     cr_assert_leq(added, 4 * 28);
+}
+
 // Guards against a position that loses its era on the way: a revision of the earlier era looked newer than what followed.
 Test(PeeringCodec, keepsTheErasOfPositions)
 {
