--- a/Source/Dispatch/Commands/ServeQueue.cpp
+++ b/Source/Dispatch/Commands/ServeQueue.cpp
@@ -3,7 +3,9 @@
 #include "Dispatch/Commands/ShareLimits.h"
 #include "Dispatch/Queries/FindCandidates.h"
 #include "Fleet/Queries/ReadFleet.h"
+#include "Scheduling/Commands/RecordUrgency.h"
 #include "Scheduling/Commands/RecordWork.h"
+#include "Scheduling/Queries/FindRatio.h"
 #include "Scheduling/Queries/FindStartTag.h"
 #include "Scheduling/Queries/FindUnservable.h"
 
@@ -33,12 +35,20 @@
         runtime.coldTokens -= 1;
     }
 
-    // Retained slots are used before grants.
-    void consumeSlotOrGrant(TargetRuntime& runtime, Base::TimePoint now)
+    PlacementContext describePlacement(const DispatchState& state, const ServiceState& service, const RequestTraits& traits, const Scheduling::EngineModel* model, Base::TimePoint now)
     {
+        auto bias = model ? Scheduling::Queries::findRatio(service.modelRatio, now) : 1;
+        return { traits, model, bias, service.isSpilling, state.settings().dataCentre, state.settings().linkBitsPerSecond, now };
+    }
+
+    // Retained slots are used before grants, if the request may use them.
+    void consumeSlotOrGrant(TargetRuntime& runtime, int urgency, Base::TimePoint now)
+    {
+        bool mayReuse = runtime.reuse.allows(urgency, now);
+        runtime.reuse.recordStart(urgency, now);
         while (!runtime.retainedSlots.empty() && runtime.retainedSlots.front() <= now)
             runtime.retainedSlots.pop_front();
-        if (!runtime.retainedSlots.empty())
+        if (mayReuse && !runtime.retainedSlots.empty())
             runtime.retainedSlots.pop_front();
         else if (runtime.remainingGrants > 0)
             --runtime.remainingGrants;
@@ -52,13 +62,16 @@
     auto candidates = Queries::findCandidates(state, service, traits, now);
     if (candidates.free.empty())
         return std::nullopt;
-    auto& chosen = candidates.free[state.choose(candidates.free, traits)];
+    auto placement = state.choose(candidates.free, describePlacement(state, service, traits, candidates.model.get(), now));
+    service.isSpilling = placement.spills.value_or(service.isSpilling);
+    auto& chosen = candidates.free[placement.index];
     auto& runtime = service.targets[chosen.target->entry.id];
     consumeColdToken(state, traits.service, *chosen.target, runtime, now);
     ++runtime.inFlight;
     ++runtime.startedSinceReport;
-    runtime.unanswered.insert(now);
-    consumeSlotOrGrant(runtime, now);
+    runtime.unanswered.emplace(now, placement.predicted);
+    consumeSlotOrGrant(runtime, traits.priority, now);
+    Scheduling::Commands::countStart(service.urgencyRates, traits.priority, now);
     if (runtime.knowledge.isLimited())
         runtime.limitBucket.take(now);
     Lease lease { chosen.target, std::nullopt, chosen.occupancy, {} };
@@ -66,6 +79,8 @@
         lease.expectedWeights = chosen.weights;
     lease.beginBy = chosen.weightsDeadline;
     lease.assignedAt = now;
+    lease.predicted = placement.predicted;
+    lease.spills = placement.spills.value_or(false);
     return lease;
 }
 
--- a/Source/Dispatch/TargetRuntime.h
+++ b/Source/Dispatch/TargetRuntime.h
@@ -1,14 +1,17 @@
 #pragma once
 
 #include "Base/Clock.h"
+#include "Dispatch/PredictedPlacement.h"
 #include "Dispatch/TargetStatement.h"
+#include "Scheduling/RatioAverage.h"
+#include "Scheduling/ReuseAllowance.h"
 
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
-#include <set>
 
 namespace Lavenderloft::Dispatch {
 
@@ -26,6 +29,10 @@
     bool cold = false;
     // When the engine aborts its requests to load new weights; nothing if no load is planned.
     std::optional<Base::TimePoint> abortsAt;
+    // How many times slower than usual the engine says that it runs; zero if it is not slow or does not say.
+    double pace = 0;
+    // Limit on the slots that this router reuses while more urgent requests wait elsewhere.
+    std::optional<Scheduling::ReuseLimit> reuse {};
 };
 
 // This router's part of the limit that a target names.
@@ -81,6 +88,9 @@
     // A slot that a request of this router released stays reserved for the router for this time; the agent grants it to
     // other routers only afterwards.
     static constexpr std::chrono::milliseconds slotRetention { 90 };
+    // A router whose reuse is limited gives a slot up if no request can have it at once, because requests of other routers
+    // wait for it.
+    static constexpr std::chrono::milliseconds limitedSlotRetention { 1 };
 
     // A target counts as silent while it has left requests unanswered for longer, as far as other targets respond.
     static constexpr std::chrono::milliseconds silentAfter { 1000 };
@@ -100,6 +110,7 @@
     unsigned startedSinceReport = 0;
     // Expiry times of the reservations of released slots, the earliest first.
     std::deque<Base::TimePoint> retainedSlots;
+    Scheduling::ReuseAllowance reuse;
     TargetKnowledge knowledge;
     LimitBucket limitBucket;
     unsigned consecutiveFailures = 0;
@@ -110,13 +121,17 @@
     // while others respond.
     unsigned consecutiveSilences = 0;
     Base::TimePoint silentUntil {};
-    // When the requests of this router were assigned to which the target has not begun to respond.
-    std::multiset<Base::TimePoint> unanswered;
+    // Requests of this router to which the target has not begun to respond, by the time of their assignment. What was
+    // predicted is set for services with a model.
+    std::multimap<Base::TimePoint, std::optional<PredictedPlacement>> unanswered;
     // Time from the assignment of the last answered request to the first part of its response, and when that came.
     Base::Duration lastFirstPart {};
     Base::TimePoint lastFirstPartAt {};
     // The latest assignment of an answered request.
     Base::TimePoint answeredAssignedAt {};
+    // Of observed to predicted times to the first part, relative to the other targets of the service. Halved fast, because
+    // engines are slow for some hundred milliseconds at a time.
+    Scheduling::RatioAverage firstPartRatio { std::chrono::milliseconds(300) };
     // Time of the last failed connection attempt.
     Base::TimePoint unreachableAt {};
     // When the agent last saw the target end or restart.
@@ -131,7 +146,7 @@
     Base::Duration unansweredFor(Base::TimePoint now) const
     {
         auto oldest = unanswered.upper_bound(answeredAssignedAt);
-        return oldest == unanswered.end() ? Base::Duration::zero() : now - *oldest;
+        return oldest == unanswered.end() ? Base::Duration::zero() : now - oldest->first;
     }
 
     bool isSilent(Base::TimePoint now) const { return silentUntil > now || unansweredFor(now) > silentAfter; }
@@ -154,6 +169,12 @@
 
     unsigned occupancy(Base::TimePoint now) const { return inFlight + (hasReport(now) ? inFlightElsewhere : 0); }
 
+    void retainSlot(Base::TimePoint now)
+    {
+        auto until = now + (reuse.isLimited(now) ? limitedSlotRetention : slotRetention);
+        retainedSlots.insert(std::upper_bound(retainedSlots.begin(), retainedSlots.end(), until), until);
+    }
+
     bool hasRetainedSlot(Base::TimePoint now) const { return !retainedSlots.empty() && retainedSlots.back() > now; }
 };
 
--- a/Source/Peering/PeerTable.h
+++ b/Source/Peering/PeerTable.h
@@ -5,6 +5,8 @@
 
 #include "Base/Clock.h"
 #include "Base/ShardedMap.h"
+#include "Fleet/StorePosition.h"
+#include "Scheduling/UrgencyDemand.h"
 
 #include <cstdint>
 #include <optional>
@@ -26,14 +28,18 @@
     std::string address;
     std::string dataCentre;
     Base::TimePoint lastSeenAt {};
-    // Last revision reported by the router itself.
-    uint64_t revision = 0;
+    // Last position reported by the router itself.
+    Fleet::StorePosition position;
     // Rate of requests for engines at the router, per second; zero if the router has not reported it.
     double demand = 0;
     // Last report of the router itself.
     StoreSyncReport storeSync {};
     // The router did not respond to a request for items; no further request is sent to it before this time.
     Base::TimePoint backoffUntil {};
+    // Empty if the router does not report it.
+    Scheduling::DemandByUrgency urgencyDemand {};
+    // When the router itself reported the demand.
+    Base::TimePoint demandAt {};
 };
 
 // An agent that reports its load to this router.
@@ -41,7 +47,9 @@
     std::string address;
     Base::TimePoint lastSeenAt {};
     Base::TimePoint lastRepliedAt {};
-    uint64_t revision = 0;
+    // When the agent was last told the demand, in a reply or on its own.
+    Base::TimePoint demandSentAt {};
+    Fleet::StorePosition position;
 };
 
 // Routers and agents by address. Modified by Commands/RecordPeer, read by Queries/ListPeers.
@@ -52,6 +60,9 @@
     // A silent router keeps its share of the fleet-wide limits for this long, because it may be running behind a network
     // partition.
     static constexpr std::chrono::seconds routerRetention { 60 };
+    // A router that has not reported for longer has no urgent demand: it may be frozen, and would leave the slots unused.
+    // Replies come once a second.
+    static constexpr std::chrono::milliseconds demandLifetime { 1500 };
 
     using Routers = Base::ShardedMap<std::string, PeerRouter>;
     using Agents = Base::ShardedMap<std::string, PeerAgent>;
--- a/Source/Peering/PeeringCodec.cpp
+++ b/Source/Peering/PeeringCodec.cpp
@@ -1,5 +1,7 @@
 #include "Peering/PeeringCodec.h"
 
+#include "Scheduling/Queries/ClampDemand.h"
+
 #include "peering.pb.h"
 
 #include <cmath>
@@ -42,6 +44,50 @@
         return times;
     }
 
+    void writeDemand(const Scheduling::DemandByUrgency& demand, protocol::Heartbeat& encoded)
+    {
+        for (size_t band = 0; band < demand.bands.size(); ++band) {
+            auto& own = demand.bands[band];
+            if (own.isEmpty())
+                continue;
+            auto* added = encoded.add_urgency_demands();
+            added->set_urgency(static_cast<uint32_t>(band));
+            added->set_requests_per_second(own.requestsPerSecond);
+            added->set_waiting(own.waiting);
+            added->set_starts_per_second(own.startsPerSecond);
+        }
+    }
+
+    // The sender may be faulty, and a number without a bound would give it the slots of the other routers.
+    void readDemand(const protocol::Heartbeat& encoded, NodeMessage& message)
+    {
+        message.demand = Scheduling::Queries::clampRate(encoded.demand());
+        if (message.demand != encoded.demand())
+            ++message.clampedDemands;
+        for (auto& band : encoded.urgency_demands()) {
+            Scheduling::UrgencyDemand demand { band.requests_per_second(), band.waiting(), band.starts_per_second() };
+            if (band.urgency() >= Scheduling::DemandByUrgency::bandCount || Scheduling::Queries::isOutOfBounds(demand))
+                ++message.clampedDemands;
+            if (band.urgency() < Scheduling::DemandByUrgency::bandCount)
+                message.urgencyDemand.bands[band.urgency()] = Scheduling::Queries::clampDemand(demand);
+        }
+    }
+
+    void writeReuse(const std::optional<Scheduling::ReuseLimit>& reuse, protocol::EngineLoad& encoded)
+    {
+        if (!reuse)
+            return;
+        encoded.set_reuse_urgency(static_cast<uint32_t>(reuse->urgency));
+        encoded.set_reuse_per_second(reuse->requestsPerSecond);
+    }
+
+    std::optional<Scheduling::ReuseLimit> readReuse(const protocol::EngineLoad& encoded)
+    {
+        if (!encoded.has_reuse_urgency() || encoded.reuse_urgency() >= Scheduling::DemandByUrgency::bandCount)
+            return std::nullopt;
+        return Scheduling::ReuseLimit { static_cast<int>(encoded.reuse_urgency()), Scheduling::Queries::clampRate(encoded.reuse_per_second()) };
+    }
+
 } // namespace
 
 // Of concatenated messages, the receiver sees one with the fields of both.
@@ -59,7 +105,8 @@
     encoded.set_data_centre(message.dataCentre);
     encoded.set_is_router(message.isRouter);
     encoded.set_leaving(message.leaving);
-    encoded.set_revision(message.revision);
+    encoded.set_revision(message.position.revision);
+    encoded.set_store_era(message.position.era);
     encoded.set_demand(message.demand);
     if (message.storeAge)
         encoded.set_store_age_ms(static_cast<uint32_t>(message.storeAge->count()));
@@ -83,6 +130,8 @@
         if (message.load->endedAgo)
             load->set_ended_ago_ms(static_cast<uint32_t>(message.load->endedAgo->count()));
         load->set_granted(message.load->granted);
+        load->set_pace(message.load->pace);
+        writeReuse(message.load->reuse, *load);
     }
     for (auto& crash : message.crashes) {
         auto* report = encoded.add_crashes();
@@ -117,6 +166,7 @@
             report->set_requests_per_second(*limit.requestsPerSecond);
         report->set_age_ms(static_cast<uint32_t>(limit.age.count()));
     }
+    writeDemand(message.urgencyDemand, encoded);
     writeTimes(message.times, encoded);
     return encoded.SerializeAsString();
 }
@@ -131,19 +181,20 @@
     message.dataCentre = encoded.data_centre();
     message.isRouter = encoded.is_router();
     message.leaving = encoded.leaving();
-    message.revision = encoded.revision();
-    message.demand = encoded.demand();
+    message.position = { encoded.store_era(), encoded.revision() };
+    readDemand(encoded, message);
     if (encoded.has_store_age_ms())
         message.storeAge = std::chrono::milliseconds(encoded.store_age_ms());
     for (auto& router : encoded.routers())
         message.routers.push_back({ router.address(), router.data_centre(), std::chrono::milliseconds(router.age_ms()) });
     if (encoded.has_load()) {
         auto& load = encoded.load();
-        message.load = EngineLoad { load.service(), load.engine_address(), load.running(), load.queued(), load.whole_version(), load.paused(), load.granted(), load.cold(), std::nullopt, std::nullopt };
+        message.load = EngineLoad { load.service(), load.engine_address(), load.running(), load.queued(), load.whole_version(), load.paused(), load.granted(), load.cold(), std::nullopt, std::nullopt, load.pace() };
         if (load.has_cuts_in_ms())
             message.load->abortsIn = std::chrono::milliseconds(load.cuts_in_ms());
         if (load.has_ended_ago_ms())
             message.load->endedAgo = std::chrono::milliseconds(load.ended_ago_ms());
+        message.load->reuse = readReuse(load);
     }
     for (auto& crash : encoded.crashes())
         message.crashes.push_back({ crash.fingerprint(), crash.target(), std::chrono::milliseconds(crash.age_ms()) });
@@ -167,7 +218,8 @@
 std::string encodeItems(const ItemBatch& batch)
 {
     protocol::ItemBatch encoded;
-    encoded.set_revision(batch.revision);
+    encoded.set_revision(batch.position.revision);
+    encoded.set_era(batch.position.era);
     for (auto& item : batch.items) {
         auto* added = encoded.add_items();
         added->set_key(item.key);
@@ -176,10 +228,12 @@
             added->set_value(item.value);
         } else {
             added->set_packed_value(packed->second.bytes);
-            added->set_base_revision(packed->second.baseRevision);
+            added->set_base_revision(packed->second.basePosition.revision);
+            added->set_base_era(packed->second.basePosition.era);
             added->set_value_digest(packed->second.digest);
         }
-        added->set_revision(item.revision);
+        added->set_revision(item.position.revision);
+        added->set_era(item.position.era);
         added->set_deleted(item.deleted);
         added->set_age_ms(static_cast<uint64_t>(item.age.count()));
         added->set_age_is_bound(item.ageIsBound);
@@ -194,11 +248,11 @@
     if (!encoded.ParseFromString(bytes))
         return std::nullopt;
     ItemBatch batch;
-    batch.revision = encoded.revision();
+    batch.position = { encoded.era(), encoded.revision() };
     for (auto& item : encoded.items()) {
         if (!item.packed_value().empty())
-            batch.packedValues[item.key()] = { item.packed_value(), item.base_revision(), item.value_digest() };
-        batch.items.push_back({ item.key(), item.value(), item.revision(), item.deleted(), std::chrono::milliseconds(item.age_ms()), item.age_is_bound(), std::chrono::milliseconds(item.deletion_delay_ms()) });
+            batch.packedValues[item.key()] = { item.packed_value(), { item.base_era(), item.base_revision() }, item.value_digest() };
+        batch.items.push_back({ item.key(), item.value(), { item.era(), item.revision() }, item.deleted(), std::chrono::milliseconds(item.age_ms()), item.age_is_bound(), std::chrono::milliseconds(item.deletion_delay_ms()) });
     }
     return batch;
 }
--- a/Source/Peering/PeeringCodec.h
+++ b/Source/Peering/PeeringCodec.h
@@ -6,6 +6,8 @@
 #include "Fleet/Publication.h"
 #include "Peering/PeerClocks.h"
 #include "Peering/PeerTable.h"
+#include "Scheduling/ReuseAllowance.h"
+#include "Scheduling/UrgencyDemand.h"
 
 #include <chrono>
 #include <map>
@@ -31,6 +33,10 @@
     std::optional<std::chrono::milliseconds> abortsIn;
     // Time since the agent saw the engine end or restart; empty if that was long ago.
     std::optional<std::chrono::milliseconds> endedAgo {};
+    // How many times slower than usual the engine says that it runs; zero if it is not slow or does not say.
+    double pace = 0;
+    // Limit on the slots that the receiver reuses; empty if it is not limited.
+    std::optional<Scheduling::ReuseLimit> reuse {};
 };
 
 // A router known to the sender of a message.
@@ -46,7 +52,7 @@
     std::string dataCentre;
     bool isRouter = false;
     bool leaving = false;
-    uint64_t revision = 0;
+    Fleet::StorePosition position;
     // Rate of requests for engines at a router, per second.
     double demand = 0;
     // Time since the sender, a router, was last synchronised with the store; empty if it does not follow the store.
@@ -61,6 +67,10 @@
     MessageTimes times {};
     // Limits that targets name, as the sender, a router, knows them.
     std::vector<Dispatch::LimitReport> limits {};
+    // Demand for engines at a router; empty if its routes do not differ in priority.
+    Scheduling::DemandByUrgency urgencyDemand {};
+    // Numbers of a demand that were out of their bounds when the message was decoded.
+    unsigned clampedDemands = 0;
 };
 
 // A datagram must not be larger. With the most reports of each kind a message stays below it.
@@ -83,15 +93,15 @@
 // A value that was compressed for its way to another node.
 struct PackedValue {
     std::string bytes;
-    // Revision of the key's value that the receiver needs to restore this one; zero if it needs none.
-    uint64_t baseRevision = 0;
+    // Position of the key's value that the receiver needs to restore this one; zero if it needs none.
+    Fleet::StorePosition basePosition;
     // Digest of the whole value.
     uint64_t digest = 0;
 };
 
-// Items published after some revision, complete up to `revision`.
+// Items published after some position, complete up to `position`.
 struct ItemBatch {
-    uint64_t revision = 0;
+    Fleet::StorePosition position;
     std::vector<Fleet::PublishedItem> items;
     // Values by key that are sent in place of those of the items.
     std::map<std::string, PackedValue> packedValues {};
--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -1,5 +1,6 @@
 #include "Process/FleetRouter.h"
 
+#include "Base/FileDescriptors.h"
 #include "Base/SeededRandom.h"
 #include "Base/StallMonitor.h"
 #include "Base/SystemClock.h"
@@ -74,6 +75,18 @@
         return settings.memoryBytes > 0 ? settings.memoryBytes / 2 : Proxy::BodyBudget::defaultLimitBytes;
     }
 
+    // Half of the descriptors is left for targets, nodes and the store. A connection may hold a head of the usual size and
+    // its buffer, for which a quarter of the memory is reserved.
+    size_t maximumCallerConnections(const Fleet::NodeSettings& settings)
+    {
+        constexpr size_t connectionBytes = 32 * 1024;
+        constexpr size_t minimumConnections = 64;
+        auto connections = Base::fileDescriptorLimit() / 2;
+        if (settings.memoryBytes > 0)
+            connections = std::min<size_t>(connections, settings.memoryBytes / 4 / connectionBytes);
+        return std::max(connections, minimumConnections);
+    }
+
     uint64_t randomSeed()
     {
         std::random_device device;
@@ -88,7 +101,7 @@
             , m_stalls(m_clock, queueServiceInterval)
             , m_merger(m_fleet, platform.publications(), m_clock)
             , m_dispatch(m_fleet, settings, std::make_unique<Dispatch::PowerOfTwoChoicesPolicy>(), std::make_unique<Dispatch::BoundedWaitPolicy>(), std::make_unique<Base::SeededRandom>(randomSeed()))
-            , m_proxy { platform.callers(), m_fleet, m_dispatch, m_clock, m_metrics, Proxy::BodyBudget(bodyLimitBytes(settings)) }
+            , m_proxy { platform.callers(), m_fleet, m_dispatch, m_clock, m_metrics, Proxy::BodyBudget(bodyLimitBytes(settings)), maximumCallerConnections(settings) }
             , m_peering(m_pool.context(0), m_settings, m_peers, m_merger, m_clock, m_stalls, true)
             , m_signals(m_pool.context(0), SIGTERM, SIGINT)
             , m_reload(platform)
@@ -176,7 +189,7 @@
             for (auto& target : targets->second) {
                 if (target->entry.address.toString() != load.engineAddress)
                     continue;
-                Dispatch::TargetReport report { load.running, load.queued, load.wholeVersion, load.paused, load.granted, load.cold, std::nullopt };
+                Dispatch::TargetReport report { load.running, load.queued, load.wholeVersion, load.paused, load.granted, load.cold, std::nullopt, load.pace, load.reuse };
                 if (load.abortsIn)
                     report.abortsAt = now + *load.abortsIn;
                 Dispatch::Commands::recordReport(m_dispatch, load.service, target->entry.id, report, now);
@@ -234,6 +247,13 @@
             m_reluctantTargets = std::move(reluctant);
         }
 
+        // As often as queues are served, because waiting requests are reported.
+        void reportDemand(Base::TimePoint now)
+        {
+            auto demand = Dispatch::Queries::engineDemandByUrgency(m_dispatch, now);
+            m_peering.setUrgencyDemand(demand, Dispatch::Queries::isUrgentWaiting(m_dispatch, demand));
+        }
+
         asio::awaitable<void> serveQueues()
         {
             while (true) {
@@ -241,6 +261,7 @@
                 m_stalls.tick();
                 Fleet::Commands::expireDeletions(m_fleet, m_clock.now());
                 Dispatch::Commands::serveWaiting(m_dispatch, m_clock.now());
+                reportDemand(m_clock.now());
             }
         }
 
@@ -274,14 +295,28 @@
             }
         }
 
+        void serializeDemand(Base::TimePoint now)
+        {
+            auto demand = Dispatch::Queries::engineDemandByUrgency(m_dispatch, now);
+            for (size_t band = 0; band < demand.bands.size(); ++band) {
+                auto urgency = std::to_string(band);
+                m_metrics.set("engine_requests_waiting", { { "urgency", urgency } }, demand.bands[band].waiting);
+                m_metrics.set("engine_requests_per_second", { { "urgency", urgency } }, demand.bands[band].requestsPerSecond);
+                m_metrics.set("engine_starts_per_second", { { "urgency", urgency } }, demand.bands[band].startsPerSecond);
+            }
+            m_metrics.set("engines_with_reuse_limit", {}, static_cast<double>(Dispatch::Queries::countReuseLimits(m_dispatch, now)));
+        }
+
         // Gauges are updated only when they are read, which costs nothing between two reads.
         std::string serializeMetrics()
         {
             auto now = m_clock.now();
             auto snapshot = Fleet::Queries::currentSnapshot(m_fleet);
             m_metrics.set("configuration_version", {}, snapshot->configuration ? static_cast<double>(snapshot->configuration->version) : 0);
-            m_metrics.set("published_revision", {}, static_cast<double>(snapshot->revision));
+            m_metrics.set("published_revision", {}, static_cast<double>(snapshot->position.revision));
+            m_metrics.set("store_era", {}, static_cast<double>(snapshot->position.era));
             m_metrics.set("routers_known", {}, static_cast<double>(Peering::Queries::countRetainedRouters(m_peers)) + 1);
+            m_metrics.set("node_connections_closed", {}, static_cast<double>(m_ready->closedConnections() + m_nodes->closedConnections()));
             m_metrics.set("prompt_parts_blocked", {}, static_cast<double>(m_dispatch.parts().blockedCount()));
             m_metrics.set("targets_held_back", {}, static_cast<double>(m_reluctantTargets.size()));
             m_metrics.set("open_requests", {}, static_cast<double>(m_proxy.openRequests));
@@ -292,6 +327,8 @@
             m_dispatch.forEachService([&](const std::string& name, Dispatch::ServiceState& service) {
                 m_metrics.set("requests_waiting", { { "service", name } }, static_cast<double>(service.waiting.size()));
             });
+            m_metrics.set("peer_demands_clamped", {}, static_cast<double>(m_peering.clampedDemands()));
+            serializeDemand(now);
             for (auto& [service, targets] : snapshot->targetsByService)
                 m_metrics.set("targets_published", { { "service", service } }, static_cast<double>(targets.size()));
             return m_metrics.serialize();
--- a/Tests/Peering/PeeringCodecTest.cpp
+++ b/Tests/Peering/PeeringCodecTest.cpp
@@ -1,5 +1,6 @@
 #include "Peering/PeeringCodec.h"
 
+#include <cmath>
 #include <criterion/criterion.h>
 #include <limits>
 
@@ -15,11 +16,11 @@
     message.dataCentre = "dc-a";
     message.isRouter = true;
     message.leaving = true;
-    message.revision = 7;
+    message.position = 7;
     message.demand = 12.5;
     message.storeAge = 250ms;
     message.routers = { { "10.0.0.2", "dc-b", 30ms } };
-    message.load = EngineLoad { "e", "10.0.0.3:80", 4, 2, 9, true, 3, true, 120ms, 250ms };
+    message.load = EngineLoad { "e", "10.0.0.3:80", 4, 2, 9, true, 3, true, 120ms, 250ms, 2.5 };
     message.crashes = { { 0xfedcba9876543210, "i-1", 40ms } };
     message.declarations = { { "m", 3, 70ms } };
     message.parts.crashes = { { 0xfedcba9876543211, "i-2", 60ms, 2 } };
@@ -45,6 +46,7 @@
     cr_assert_eq(decoded->parts.served.front().part, 0xfedcba9876543212);
     cr_assert_eq(decoded->parts.served.front().age.count(), 70);
     cr_assert(decoded->load->endedAgo == 250ms);
+    cr_assert_float_eq(decoded->load->pace, 2.5, 1e-9);
     cr_assert_eq(decoded->declarations.size(), 1);
     cr_assert_eq(decoded->declarations.front().model, "m");
     cr_assert_eq(decoded->declarations.front().version, 3);
@@ -55,7 +57,7 @@
     cr_assert(decoded.has_value());
     cr_assert_eq(decoded->sender, "10.0.0.1");
     cr_assert(decoded->isRouter && decoded->leaving);
-    cr_assert_eq(decoded->revision, 7);
+    cr_assert_eq(decoded->position, 7);
     cr_assert_float_eq(decoded->demand, 12.5, 1e-9);
     cr_assert(decoded->storeAge == 250ms);
     cr_assert_eq(decoded->routers.front().age.count(), 30);
@@ -71,14 +73,14 @@
 {
     NodeMessage message;
     message.sender = "10.0.0.1";
-    message.revision = 7;
+    message.position = 7;
     auto bytes = encodeMessage(message);
     cr_assert_not(decodeMessage(bytes)->times.sentAt.has_value());
     MessageTimes times { ClockReading { 1, 5000000000ms }, ClockReading { 2, 6000000000ms } };
     auto appended = encodeTimes(times);
     auto decoded = decodeMessage(bytes + appended);
     cr_assert_eq(decoded->sender, "10.0.0.1");
-    cr_assert_eq(decoded->revision, 7);
+    cr_assert_eq(decoded->position, 7);
     cr_assert(decoded->times.sentAt->time == 5000000000ms);
     cr_assert_eq(decoded->times.notSentBefore->incarnation, 2);
     cr_log_info("bytes of the times: %zu", appended.size());
@@ -106,7 +108,7 @@
     message.sender = "255.255.255.255";
     message.dataCentre = "a-data-centre-with-a-long-name";
     message.isRouter = true;
-    message.revision = UINT64_MAX;
+    message.position = UINT64_MAX;
     message.storeAge = 100000ms;
     message.times = { ClockReading { UINT32_MAX, 99 * 8760h }, ClockReading { UINT32_MAX, 99 * 8760h } };
     auto empty = encodeMessage(message).size();
@@ -117,6 +119,8 @@
     auto withServed = encodeMessage(message).size();
     message.crashes.assign(maximumCrashesPerMessage, { UINT64_MAX, target, 60000ms });
     message.limits.assign(maximumLimitsPerMessage, { target, target, UINT64_MAX, 0.1, 600000ms });
+    message.urgencyDemand.bands.fill({ 0.1, 1000, 0.1 });
+    message.load = EngineLoad { target, target, UINT32_MAX, UINT32_MAX, UINT64_MAX, true, UINT32_MAX, true, 100000ms, 100000ms, 20, Scheduling::ReuseLimit { 3, 0.1 } };
     auto full = encodeMessage(message).size();
     cr_log_info("bytes: %zu, a part's crash %zu, a served part %zu, full %zu", empty, (withCrashes - empty) / maximumPartCrashesPerMessage, (withServed - withCrashes) / maximumPartsServedPerMessage, full);
     cr_assert_leq(full, maximumMessageBytes);
@@ -136,7 +140,7 @@
     std::string bytes("\0\xff\n", 3);
     auto decoded = decodeItems(encodeItems({ 9, { { "k", bytes, 8, false, 1500ms }, { "d", "", 9, true, 0ms, true, 700ms } } }));
     cr_assert(decoded.has_value());
-    cr_assert_eq(decoded->revision, 9);
+    cr_assert_eq(decoded->position, 9);
     cr_assert(decoded->items[0].value == bytes);
     cr_assert_eq(decoded->items[0].age.count(), 1500);
     cr_assert(decoded->items[1].deleted);
@@ -168,3 +172,92 @@
     cr_assert_eq(decoded->limits.size(), 1);
     cr_assert(decoded->limits.front().requestsPerSecond == 3.0);
 }
+
+// Guards against demands that do not reach the agents.
+Test(PeeringCodec, preservesDemands)
+{
+    NodeMessage message;
+    message.sender = "10.0.0.1";
+    message.urgencyDemand.bands[0] = { 1.5, 3, 2.5 };
+    message.urgencyDemand.bands[2] = { 0, 20, 0 };
+    message.load = EngineLoad {};
+    message.load->reuse = Scheduling::ReuseLimit { 2, 0.25 };
+    auto decoded = decodeMessage(encodeMessage(message));
+    cr_assert_eq(decoded->clampedDemands, 0);
+    cr_assert_float_eq(decoded->urgencyDemand.bands[0].requestsPerSecond, 1.5, 1e-9);
+    cr_assert_eq(decoded->urgencyDemand.bands[0].waiting, 3);
+    cr_assert_float_eq(decoded->urgencyDemand.bands[0].startsPerSecond, 2.5, 1e-9);
+    cr_assert_eq(decoded->urgencyDemand.bands[2].waiting, 20);
+    cr_assert(decoded->urgencyDemand.bands[1].isEmpty());
+    cr_assert_eq(decoded->load->reuse->urgency, 2);
+    cr_assert_float_eq(decoded->load->reuse->requestsPerSecond, 0.25, 1e-9);
+    message.load->reuse = std::nullopt;
+    cr_assert_not(decodeMessage(encodeMessage(message))->load->reuse.has_value());
+}
+
+// Guards against numbers of a faulty router that would give it the slots of all others, or that no computation survives.
+Test(PeeringCodec, clampsDemands)
+{
+    for (auto rate : { -1.0, std::numeric_limits<double>::infinity(), std::nan(""), 1e300 }) {
+        NodeMessage message;
+        message.sender = "10.0.0.1";
+        message.demand = rate;
+        message.urgencyDemand.bands[1] = { rate, UINT32_MAX, rate };
+        message.load = EngineLoad {};
+        message.load->reuse = Scheduling::ReuseLimit { 1, rate };
+        auto decoded = decodeMessage(encodeMessage(message));
+        cr_assert(decoded.has_value());
+        cr_assert_eq(decoded->clampedDemands, 2);
+        auto expected = rate > 1e9 && std::isfinite(rate) ? 10000.0 : 0.0;
+        cr_assert_float_eq(decoded->demand, expected, 1e-9);
+        cr_assert_float_eq(decoded->urgencyDemand.bands[1].requestsPerSecond, expected, 1e-9);
+        cr_assert_eq(decoded->urgencyDemand.bands[1].waiting, 1000);
+        cr_assert_float_eq(decoded->load->reuse->requestsPerSecond, expected, 1e-9);
+    }
+}
+
+// Guards against messages that grow with the fleet: the demand has a fixed number of bands.
+Test(PeeringCodec, aDemandIsSmall)
+{
+    NodeMessage message;
+    message.sender = "255.255.255.255";
+    auto without = encodeMessage(message).size();
+    message.urgencyDemand.bands.fill({ 123.456, 1000, 123.456 });
+    auto added = encodeMessage(message).size() - without;
+    cr_log_warn("bytes of a demand: %zu", added);
+    cr_assert_leq(added, 4 * 28);
+}
+
+// Guards against a position that loses its era on the way: a revision of the earlier era looked newer than what followed.
+Test(PeeringCodec, keepsTheErasOfPositions)
+{
+    NodeMessage message;
+    message.sender = "10.0.0.1";
+    message.position = { 3, 7 };
+    cr_assert(decodeMessage(encodeMessage(message))->position == Fleet::StorePosition(3, 7));
+    ItemBatch batch;
+    batch.position = { 3, 9 };
+    batch.items = { { "a", "1", { 2, 8 }, false, {} }, { "b", "", { 3, 6 }, true, {} } };
+    batch.packedValues["a"] = { "packed", { 1, 5 }, 77 };
+    auto decoded = decodeItems(encodeItems(batch));
+    cr_assert(decoded->position == Fleet::StorePosition(3, 9));
+    cr_assert(decoded->items.front().position == Fleet::StorePosition(2, 8));
+    cr_assert(decoded->items.back().position == Fleet::StorePosition(3, 6));
+    cr_assert(decoded->packedValues.at("a").basePosition == Fleet::StorePosition(1, 5));
+}
+
+// Guards against messages of nodes that do not know eras, and of those that never met one: they have the era 0, and take no
+// more bytes than before.
+Test(PeeringCodec, messagesWithoutAnEraHaveTheFirst)
+{
+    NodeMessage message;
+    message.sender = "10.0.0.1";
+    message.position = 7;
+    // Field 19 of Heartbeat would begin with these bytes.
+    cr_assert_eq(encodeMessage(message).find("\x98\x01"), std::string::npos);
+    cr_assert(decodeMessage(encodeMessage(message))->position == Fleet::StorePosition(0, 7));
+    ItemBatch batch { 9, { { "a", "1", 8, false, {} } } };
+    auto decoded = decodeItems(encodeItems(batch));
+    cr_assert(decoded->position == Fleet::StorePosition(0, 9));
+    cr_assert(decoded->items.front().position == Fleet::StorePosition(0, 8));
+}
