--- a/Source/Fleet/Configuration.h
+++ b/Source/Fleet/Configuration.h
@@ -93,7 +93,7 @@
     int organisationPriority = 0;
     int routePriority = 0;
 
-    auto operator<=>(const Urgency&) const = default;
+    auto operator<=>(const Urgency&) const = default; // NOLINT(modernize-use-nullptr): false positive
 };
 
 // Limits for requests and connections of callers.
