Mend what a review of the merged parts found

Found by reading. Urgent requests were shared by raw priorities while requests carry ranks; bands now follow the ranks. A message with nothing but a demand erased at an agent that its sender follows the store. A pace that is no number, or huge, reached the placement; it is bounded when it is read, with a test. An interrupted request that waits for its target kept the least urgent ones from their floor. The slow target at home that a probe tests decided whether requests leave the data centre. An engine without slots divided by zero in the grants. Only the pace has a new test.

--- a/Source/Dispatch/Commands/ServeQueue.cpp
+++ b/Source/Dispatch/Commands/ServeQueue.cpp
@@ -212,7 +212,9 @@
         if (!service.floor.isDue() || service.waiting.empty())
             return;
         auto leastUrgent = service.waiting.back().traits.priority;
-        auto first = std::find_if(service.waiting.begin(), service.waiting.end(), [&](auto& waiting) { return waiting.traits.priority == leastUrgent; });
+        auto first = std::find_if(service.waiting.begin(), service.waiting.end(), [&](auto& waiting) { return waiting.traits.priority == leastUrgent && !waiting.traits.isInterrupted; });
+        if (first == service.waiting.end())
+            return;
         serveWaitingRequest(state, service, first, now);
     }
 
--- a/Source/Dispatch/PredictedFinishPolicy.cpp
+++ b/Source/Dispatch/PredictedFinishPolicy.cpp
@@ -40,15 +40,15 @@
             return isProbe(other) || isClearlyBetter(other, placement) ? other : placement;
         }
 
-    private:
-        Placement placementAt(size_t index) const { return { index, Queries::predictPlacement(m_candidates[index], m_context) }; }
-
         // A request that broke off at another target is not made to test one.
         bool isProbe(const Placement& placement) const
         {
             return !m_context.traits.isInterrupted && Queries::isProbeDue(m_candidates[placement.index], *placement.predicted, m_context.now);
         }
 
+    private:
+        Placement placementAt(size_t index) const { return { index, Queries::predictPlacement(m_candidates[index], m_context) }; }
+
         bool isClearlyBetter(const Placement& placement, const Placement& other) const
         {
             return ratedFinish(m_candidates[placement.index], *placement.predicted) < equalRatio * ratedFinish(m_candidates[other.index], *other.predicted);
@@ -71,6 +71,9 @@
     if (home.empty() || away.empty())
         return choice.chooseOf(home.empty() ? away : home);
     auto atHome = choice.chooseOf(home);
+    // A slow target that is probed says nothing of the others here.
+    if (choice.isProbe(atHome))
+        return atHome;
     auto elsewhere = choice.chooseOf(away);
     Scheduling::Queries::SpillWaits waits { atHome.predicted->corrected.firstEvent, elsewhere.predicted->corrected.firstEvent };
     bool spills = Scheduling::Queries::shouldSpill(waits, context.traits.route->targetLatency, context.isSpilling);
--- a/Source/Dispatch/Queries/EngineDemand.cpp
+++ b/Source/Dispatch/Queries/EngineDemand.cpp
@@ -16,25 +16,12 @@
         return found != configuration.services.end() && found->second.weights;
     }
 
-    bool leadsToEngines(const Fleet::Configuration& configuration, const Fleet::Route& route)
-    {
-        return std::any_of(route.services.begin(), route.services.end(), [&](auto& service) { return isEngineService(configuration, service.service); });
-    }
-
-    // Bands that requests for engines can have.
-    std::set<size_t> engineBands(const Fleet::Configuration& configuration)
+    // Bands of the urgencies that requests can have.
+    std::set<size_t> bandsInUse(const Fleet::Configuration& configuration)
     {
         std::set<size_t> bands;
-        for (auto& [host, routes] : configuration.routes) {
-            for (auto& route : routes) {
-                if (leadsToEngines(configuration, *route))
-                    bands.insert(Scheduling::DemandByUrgency::bandOf(route->priority));
-            }
-        }
-        for (auto& [key, organisation] : configuration.organisationsByKey) {
-            if (organisation->priority)
-                bands.insert(Scheduling::DemandByUrgency::bandOf(*organisation->priority));
-        }
+        for (size_t rank = 0; rank < configuration.urgencies.size(); ++rank)
+            bands.insert(Scheduling::DemandByUrgency::bandOf(static_cast<int>(rank)));
         return bands;
     }
 
@@ -59,7 +46,7 @@
 {
     Scheduling::DemandByUrgency demand;
     auto snapshot = Fleet::Queries::currentSnapshot(state.fleet());
-    if (!snapshot->configuration || engineBands(*snapshot->configuration).size() < 2)
+    if (!snapshot->configuration || bandsInUse(*snapshot->configuration).size() < 2)
         return demand;
     state.forEachService([&](const std::string& name, ServiceState& service) {
         if (!isEngineService(*snapshot->configuration, name))
@@ -84,7 +71,7 @@
 bool isUrgentWaiting(DispatchState& state, const Scheduling::DemandByUrgency& demand)
 {
     auto snapshot = Fleet::Queries::currentSnapshot(state.fleet());
-    auto bands = snapshot->configuration ? engineBands(*snapshot->configuration) : std::set<size_t>();
+    auto bands = snapshot->configuration ? bandsInUse(*snapshot->configuration) : std::set<size_t>();
     return std::any_of(bands.begin(), bands.end(), [&](size_t band) { return band < *bands.rbegin() && demand.bands[band].isUnmet(); });
 }
 
--- a/Source/Peering/PeeringCodec.cpp
+++ b/Source/Peering/PeeringCodec.cpp
@@ -4,6 +4,7 @@
 
 #include "peering.pb.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace Lavenderloft::Peering {
@@ -88,6 +89,13 @@
         return Scheduling::ReuseLimit { static_cast<int>(encoded.reuse_urgency()), Scheduling::Queries::clampRate(encoded.reuse_per_second()) };
     }
 
+    // Zero, which says nothing, for a number that is none.
+    double readPace(double pace)
+    {
+        constexpr double maximumPace = 20;
+        return std::isfinite(pace) ? std::clamp(pace, 0.0, maximumPace) : 0;
+    }
+
 } // namespace
 
 // Of concatenated messages, the receiver sees one with the fields of both.
@@ -189,7 +197,7 @@
         message.routers.push_back({ router.address(), router.data_centre(), std::chrono::milliseconds(router.age_ms()) });
     if (encoded.has_load()) {
         auto& load = encoded.load();
-        message.load = EngineLoad { load.service(), load.engine_address(), load.running(), load.queued(), load.whole_version(), load.paused(), load.granted(), load.cold(), std::nullopt, std::nullopt, load.pace() };
+        message.load = EngineLoad { load.service(), load.engine_address(), load.running(), load.queued(), load.whole_version(), load.paused(), load.granted(), load.cold(), std::nullopt, std::nullopt, readPace(load.pace()) };
         if (load.has_cuts_in_ms())
             message.load->abortsIn = std::chrono::milliseconds(load.cuts_in_ms());
         if (load.has_ended_ago_ms())
--- a/Source/Peering/PeeringNode.cpp
+++ b/Source/Peering/PeeringNode.cpp
@@ -88,6 +88,14 @@
     Http::superviseTask(m_context, "fetch-items", [this] { return m_items.run([this] { return followsStore(); }, [this](const PeerRouter& source) { announceFetched(source); }); });
 }
 
+std::optional<std::chrono::milliseconds> PeeringNode::storeAge() const
+{
+    auto syncedAt = m_storeSyncTime ? m_storeSyncTime() : std::nullopt;
+    if (!syncedAt)
+        return std::nullopt;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - *syncedAt);
+}
+
 NodeMessage PeeringNode::describeSelf() const
 {
     NodeMessage message;
@@ -97,8 +105,7 @@
     message.demand = m_demand;
     message.urgencyDemand = m_urgencyDemand;
     message.position = Fleet::Queries::knownPosition(m_merger.fleet());
-    if (auto syncedAt = m_storeSyncTime ? m_storeSyncTime() : std::nullopt)
-        message.storeAge = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - *syncedAt);
+    message.storeAge = storeAge();
     message.declarations = Fleet::Queries::observedDeclarations(m_merger.fleet(), m_settings.bounds.weights * declarationRelayFactor, m_clock.now());
     truncate(message.declarations, maximumDeclarationsPerMessage);
     return message;
@@ -401,6 +408,8 @@
     message.demand = m_demand;
     message.position = Fleet::Queries::knownPosition(m_merger.fleet());
     message.urgencyDemand = m_urgencyDemand;
+    // Without it the agent would take this router for one that does not follow the store.
+    message.storeAge = storeAge();
     auto bytes = encodeMessage(message);
     if (Commands::takeDemandReply(m_peers, address, Queries::demandReplyInterval(m_peers, bytes.size()), m_clock.now()))
         sendTo(address, bytes);
--- a/Source/Peering/PeeringNode.h
+++ b/Source/Peering/PeeringNode.h
@@ -104,6 +104,8 @@
     boost::asio::awaitable<void> sendHeartbeats();
     void handleMessage(const NodeMessage&);
     NodeMessage describeSelf() const;
+    // Time since this node was last synchronised with the store; nothing if it does not follow the store.
+    std::optional<std::chrono::milliseconds> storeAge() const;
     void addKnownRouters(NodeMessage&);
     std::vector<PeerRouter> nextHeartbeatReceivers(const std::vector<PeerRouter>& routers);
     void announceFetched(const PeerRouter& source);
--- a/Source/Staging/Queries/DistributeGrants.cpp
+++ b/Source/Staging/Queries/DistributeGrants.cpp
@@ -44,7 +44,8 @@
 std::map<std::string, unsigned> distributeGrants(unsigned freeSlots, const std::vector<Peering::PeerRouter>& routers, const GrantBasis& basis, Base::RandomSource& random)
 {
     // Other engines are expected to have as many slots to grant for each of theirs.
-    auto elsewhere = basis.meanGranted * (1 / basis.engine.share() - 1);
+    auto share = basis.engine.share();
+    auto elsewhere = share > 0 ? basis.meanGranted * (1 / share - 1) : 0;
     auto granted = Scheduling::Queries::distributeSlots(freeSlots, claimsOf(routers, basis), elsewhere, random);
     std::map<std::string, unsigned> grants;
     for (size_t i = 0; i < routers.size(); ++i) {
--- a/Tests/Dispatch/SharedEnginesReplay.h
+++ b/Tests/Dispatch/SharedEnginesReplay.h
@@ -3,6 +3,7 @@
 #include "Dispatch/Commands/RecordProgress.h"
 #include "Dispatch/DispatchFixture.h"
 #include "Dispatch/Queries/EngineDemand.h"
+#include "Fleet/Queries/FindUrgency.h"
 #include "Peering/Queries/ListPeers.h"
 #include "Staging/Commands/TakeGrantableSlots.h"
 #include "Staging/Queries/DistributeGrants.h"
@@ -41,6 +42,7 @@
         route->services.push_back({ "e", 1 });
         configuration->routes["h"].push_back(route);
     }
+    configuration->urgencies = Fleet::Queries::listUrgencies(*configuration);
     return { configuration };
 }
 
--- a/Tests/Peering/PeeringCodecTest.cpp
+++ b/Tests/Peering/PeeringCodecTest.cpp
@@ -261,3 +261,17 @@
     cr_assert(decoded->position == Fleet::StorePosition(0, 9));
     cr_assert(decoded->items.front().position == Fleet::StorePosition(0, 8));
 }
+
+// Guards against an engine that counts as infinitely slow, or as of no speed at all, because its agent reports nonsense.
+Test(PeeringCodec, boundsThePaceOfAnEngine)
+{
+    for (double pace : { std::numeric_limits<double>::infinity(), std::numeric_limits<double>::quiet_NaN(), -3.0, 1e9 }) {
+        NodeMessage message;
+        message.sender = "10.0.0.1";
+        message.load = EngineLoad {};
+        message.load->pace = pace;
+        auto decoded = decodeMessage(encodeMessage(message));
+        cr_assert(decoded && decoded->load);
+        cr_expect(decoded->load->pace >= 0 && decoded->load->pace <= 20, "%f", pace);
+    }
+}
