Log the figures of tests as information

Criterion ends a test program with status 1 if a test logs a warning, so that test-Dispatch and test-Peering failed in the whole run although all of their tests passed. The checks are unchanged.

--- a/Tests/Dispatch/SharedEnginesReplay.h
+++ b/Tests/Dispatch/SharedEnginesReplay.h
@@ -330,7 +330,7 @@
         all.sent += replay.urgent(i).sent;
         all.served += replay.urgent(i).served;
     }
-    cr_log_warn("burst: urgent served %.2f, idle %.3f, most running %zu", servedShare(all), replay.idleShare(), replay.mostRunning());
+    cr_log_info("burst: urgent served %.2f, idle %.3f, most running %zu", servedShare(all), replay.idleShare(), replay.mostRunning());
     cr_expect_leq(replay.mostRunning(), slots);
     return servedShare(all);
 }
--- a/Tests/Dispatch/SharesBetweenRoutersTest.cpp
+++ b/Tests/Dispatch/SharesBetweenRoutersTest.cpp
@@ -27,7 +27,7 @@
 {
     auto former = replayOfTwoRouters(Rule::ByDemandAlone);
     auto replay = replayOfTwoRouters(Rule::ByUrgency);
-    cr_log_warn("urgent served: by demand alone %.2f, by urgency %.2f; less urgent %u and %u; idle %.3f and %.3f", servedShare(former.urgent(1)), servedShare(replay.urgent(1)), former.lessUrgentServed(0), replay.lessUrgentServed(0), former.idleShare(), replay.idleShare());
+    cr_log_info("urgent served: by demand alone %.2f, by urgency %.2f; less urgent %u and %u; idle %.3f and %.3f", servedShare(former.urgent(1)), servedShare(replay.urgent(1)), former.lessUrgentServed(0), replay.lessUrgentServed(0), former.idleShare(), replay.idleShare());
     cr_expect_lt(servedShare(former.urgent(1)), 0.5, "without urgencies slots do not move");
     cr_expect_geq(servedShare(replay.urgent(1)), 0.9);
     cr_expect_gt(replay.lessUrgentServed(0), 0);
@@ -71,7 +71,7 @@
     replay.resetCounts();
     replay.run(20000ms);
     auto total = replay.lessUrgentServed(0) + replay.urgent(1).served;
-    cr_log_warn("floor: %u of %u", replay.lessUrgentServed(0), total);
+    cr_log_info("floor: %u of %u", replay.lessUrgentServed(0), total);
     cr_expect_geq(replay.lessUrgentServed(0), total / 20);
     cr_expect_leq(replay.lessUrgentServed(0), total / 4);
 }
@@ -88,7 +88,7 @@
     replay.run(Peering::PeerTable::demandLifetime + Staging::GrantableSlots::urgentNeedLifetime + 1000ms);
     replay.resetCounts();
     replay.run(3000ms);
-    cr_log_warn("frozen router: idle %.3f", replay.idleShare());
+    cr_log_info("frozen router: idle %.3f", replay.idleShare());
     // A free slot is granted to it now and then, as by the minimum weight.
     cr_expect_leq(replay.idleShare(), 0.02);
 }
@@ -104,7 +104,7 @@
     replay.run(1000ms);
     replay.resetCounts();
     replay.run(5000ms);
-    cr_log_warn("started router: urgent served %.2f", servedShare(replay.urgent(3)));
+    cr_log_info("started router: urgent served %.2f", servedShare(replay.urgent(3)));
     cr_expect_geq(servedShare(replay.urgent(3)), 0.9);
 }
 
--- a/Tests/Peering/PeerTableTest.cpp
+++ b/Tests/Peering/PeerTableTest.cpp
@@ -271,7 +271,7 @@
                 replies += Commands::takeDemandReply(table, std::to_string(i), interval, clock.now());
         }
         auto bytesPerSecond = replies * replyBytes / 10;
-        cr_log_warn("%zu agents: interval %ld ms, %zu bytes a second", agents, static_cast<long>(interval.count()), bytesPerSecond);
+        cr_log_info("%zu agents: interval %ld ms, %zu bytes a second", agents, static_cast<long>(interval.count()), bytesPerSecond);
         cr_assert_leq(bytesPerSecond, 8000);
     }
 }
--- a/Tests/Peering/PeeringCodecTest.cpp
+++ b/Tests/Peering/PeeringCodecTest.cpp
@@ -224,7 +224,7 @@
     auto without = encodeMessage(message).size();
     message.urgencyDemand.bands.fill({ 123.456, 1000, 123.456 });
     auto added = encodeMessage(message).size() - without;
-    cr_log_warn("bytes of a demand: %zu", added);
+    cr_log_info("bytes of a demand: %zu", added);
     cr_assert_leq(added, 4 * 28);
 }
 
