--- a/Tests/HostileCallers/OwnRouterUnderAttack.h
+++ b/Tests/HostileCallers/OwnRouterUnderAttack.h
@@ -34,7 +34,7 @@
     // A sixth of the memory of the VM.
     static constexpr size_t streamBudgetBytes = vmMegabytes * 1024 * 1024 / 6;
 
-    static asio::ip::address address() { return asio::ip::make_address("127.0.251.2"); }
+    static asio::ip::address address() { return ownAddress(); }
 
     std::filesystem::path m_folder;
     uint16_t m_firstPort;
--- a/Tests/HostileCallers/ProcessUnderAttack.h
+++ b/Tests/HostileCallers/ProcessUnderAttack.h
@@ -66,6 +66,14 @@
     }
 
 protected:
+    // A loopback address of this test's own, so that tests which run at the same time do not choose the same ports.
+    static asio::ip::address ownAddress()
+    {
+        auto process = static_cast<uint32_t>(::getpid());
+        constexpr uint32_t network = 0x7ffb0000; // 127.251.0.0
+        return asio::ip::address_v4(network | (process & 0xffff));
+    }
+
     void startProcess(const std::string& command, const std::filesystem::path& settings, const std::string& settingsOption = {})
     {
         LoweredDescriptorLimit limit;
--- a/Tests/HostileCallers/RouterUnderAttack.h
+++ b/Tests/HostileCallers/RouterUnderAttack.h
@@ -56,7 +56,7 @@
         return { Proxy::sealedResponse(head, isLong ? longBody : "hello") };
     }
 
-    static asio::ip::address address() { return asio::ip::make_address("127.0.251.1"); }
+    static asio::ip::address address() { return ownAddress(); }
 
     void publish(size_t configurationBytes)
     {
