--- a/Source/Peering/Events.h
+++ b/Source/Peering/Events.h
@@ -20,6 +20,7 @@
 inline constexpr Event storeResponded { 7509, "store-responded", Level::Info, "The store sent changes: the time since the request, and the age of the last change that this node may still lack." };
 inline constexpr Event itemsFetched { 7510, "items-fetched", Level::Info, "Items were fetched from another router; revision and size of its response and the time since the request." };
 inline constexpr Event demandClamped { 7514, "demand-clamped", Level::Warning, "A message from the named router bears demands that no router can have; they were brought within their bounds." };
+inline constexpr Event watchSkippedRevisions { 7515, "watch-skipped-revisions", Level::Warning, "The store answered a watch without changes and named a newer revision than that of the request: changes in between may have been missed." };
 inline constexpr Event messageUnreadable { 7507, "message-unreadable", Level::Warning, "A datagram that is not a valid peer message was dropped." };
 inline constexpr Event declarationLearned { 7508, "declaration-learned", Level::Info, "A declaration of weights, or a more accurate time of it, became known; outdated weights are excluded by its age." };
 
--- a/Source/Peering/StoreFollower.cpp
+++ b/Source/Peering/StoreFollower.cpp
@@ -335,6 +335,8 @@
     m_wasProbe = watch.wait == probeWait;
     m_isFollowing = true;
     m_isWatching = true;
+    if (!m_hasUnconfirmedChanges && batch.position > *m_position)
+        Observability::logEvent(Events::watchSkippedRevisions, { { "prefix", m_prefix }, { "after", m_position->revision }, { "revision", batch.position.revision }, { "era", batch.position.era } });
     m_position = std::max(*m_position, batch.position);
     if (m_hasUnconfirmedChanges) {
         logChanges(changes.size(), watch, now);
--- a/Source/Proxy/RequestLog.cpp
+++ b/Source/Proxy/RequestLog.cpp
@@ -1,5 +1,6 @@
 #include "Proxy/RequestLog.h"
 
+#include "Fleet/Queries/ReadFleet.h"
 #include "Observability/Log.h"
 #include "Proxy/Events.h"
 
@@ -96,8 +97,10 @@
     m_request->context.metrics.count("configuration_denials_total", { { "outdated", isOutdated ? "true" : "false" } });
     if (!completeness || !Observability::isLogged(Events::configurationAge))
         return;
+    auto known = Fleet::Queries::knownPosition(m_request->context.fleet);
     Observability::logEvent(Events::configurationAge,
-        { { "request", m_request->head.requestId }, { "age", inMilliseconds(m_request->now() - completeness->asOf) }, { "reported_by", completeness->source }, { "outdated", isOutdated } });
+        { { "request", m_request->head.requestId }, { "age", inMilliseconds(m_request->now() - completeness->asOf) }, { "reported_by", completeness->source }, { "outdated", isOutdated },
+            { "revision", m_request->snapshot->position.revision }, { "known_revision", known.revision } });
 }
 
 void RequestLog::finished(const Observability::Event& event, unsigned status, std::string_view reason)
