Separate what responses and messages prove from sending them

StoreFollower, ItemExchange and PeeringNode mixed three decisions with input and output: which request follows a response of the store and up to when it makes the items complete, which router is asked for items, and what a message of a peer proves. They can now be tested without a connection: StoreCursor, ItemReceiver, ItemSupplier and PeerReports decide, the former classes send. No decision changes, but that a response of another router that can't be decoded is asked for once more without packed values.

--- a/Source/Peering/ItemExchange.h
+++ b/Source/Peering/ItemExchange.h
@@ -1,11 +1,9 @@
 #pragma once
 
 #include "Base/AdaptiveTimeout.h"
-#include "Fleet/NodeSettings.h"
 #include "Http/PersistentHttpClient.h"
-#include "Peering/ItemMerger.h"
-#include "Peering/PeerTable.h"
-#include "Peering/ValuePacker.h"
+#include "Peering/ItemReceiver.h"
+#include "Peering/ItemSupplier.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -38,42 +36,28 @@
 
     // Whether all items were fetched from another router once, with the age of each. Items listed from the store have no
     // age.
-    bool hasFetchedAll() const { return m_hasFetchedAll; }
+    bool hasFetchedAll() const { return m_receiver.hasFetchedAll(); }
 
     // Whether this node has been behind other routers for longer than a fetch takes.
-    bool isLagging() const;
+    bool isLagging() const { return m_receiver.isLagging(); }
 
-    // Responds with the items after the position that is given in the request's query, large values packed if asked for, or with 410 if this node may lack
-    // deletions after it.
+    // Responds with the items after the position that is given in the request's query, large values packed if asked for, or
+    // with 410 if this node may lack deletions after it.
     Http::HttpResponse respond(const Http::HttpRequest&);
 
 private:
-    enum class ValueEncoding {
-        // Large values as differences.
-        Packed,
-        Plain,
-    };
-
-    boost::asio::awaitable<bool> fetchFrom(const PeerRouter&);
-    // Requests the items after the position; all items if it is zero.
-    boost::asio::awaitable<std::optional<Http::HttpResponse>> requestItems(const PeerRouter&, Fleet::StorePosition after, ValueEncoding);
-    std::optional<PeerRouter> routerToFetchFrom() const;
-    // Position after which items are missing.
-    Fleet::StorePosition completePosition() const;
-    void updateLag();
+    boost::asio::awaitable<bool> fetch(ItemFetch);
+    boost::asio::awaitable<std::optional<Http::HttpResponse>> requestItems(const ItemFetch&, ValueEncoding);
+    bool mergeResponse(const ItemFetch&, const Http::HttpResponse&);
 
     boost::asio::io_context& m_context;
     const Fleet::NodeSettings& m_settings;
-    PeerTable& m_peers;
-    ItemMerger& m_merger;
     const Base::Clock& m_clock;
+    ItemReceiver m_receiver;
+    ItemSupplier m_supplier;
     boost::asio::steady_timer m_timer;
-    ValuePacker m_packer;
     std::unique_ptr<Http::PersistentHttpClient> m_client;
     Base::AdaptiveTimeout m_fetchTimeout;
-    bool m_hasFetchedAll = false;
-    // Since when another router has had a newer position.
-    std::optional<Base::TimePoint> m_laggingSince;
 };
 
 } // namespace Lavenderloft::Peering
--- /dev/null
+++ b/Source/Peering/ItemReceiver.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "Base/Clock.h"
+#include "Fleet/NodeSettings.h"
+#include "Peering/ItemMerger.h"
+#include "Peering/PeerTable.h"
+#include "Peering/PeeringCodec.h"
+
+#include <optional>
+
+namespace Lavenderloft::Peering {
+
+// A request for the items of another router.
+struct ItemFetch {
+    // As it was known when the request was sent.
+    PeerRouter router;
+    // The items after this position were requested; all items if it is zero.
+    Fleet::StorePosition after;
+    Base::TimePoint requestedAt;
+};
+
+// Decides which router this node asks for published items that it misses, and merges its response. Sends nothing itself.
+// Used on one event loop.
+class ItemReceiver {
+public:
+    ItemReceiver(const Fleet::NodeSettings&, PeerTable&, ItemMerger&, const Base::Clock&);
+
+    // Returns the request to send next; nullopt if no router is ahead of this node.
+    std::optional<ItemFetch> nextFetch() const;
+
+    // Decides what follows if the router may lack deletions after the requested position. Returns the request for all items
+    // of the router, or nullopt if another router is asked first.
+    std::optional<ItemFetch> fetchAfterHistoryLost(const ItemFetch&);
+
+    // Restores the packed values of the response and merges its items. Returns false, and merges nothing, if a value that a
+    // packed one is based on is not known here.
+    bool merge(const ItemFetch&, ItemBatch);
+
+    // Records that the request has ended. Another router is asked next if it failed.
+    void recordEnd(const ItemFetch&, bool isMerged);
+
+    // Whether the position is newer than that up to which this node has all items.
+    bool isBehind(Fleet::StorePosition position) const { return position > completePosition(); }
+
+    // Whether all items were fetched from another router once, with the age of each. Items listed from the store have no
+    // age.
+    bool hasFetchedAll() const { return m_hasFetchedAll; }
+
+    // Notes whether another router has a newer position.
+    void updateLag();
+
+    // Whether this node has been behind other routers for longer than a fetch takes.
+    bool isLagging() const;
+
+private:
+    std::optional<PeerRouter> routerToFetchFrom() const;
+    // Position after which items are missing.
+    Fleet::StorePosition completePosition() const;
+    void recordSync(const ItemFetch&, Fleet::StorePosition, bool isFirst);
+
+    const Fleet::NodeSettings& m_settings;
+    PeerTable& m_peers;
+    ItemMerger& m_merger;
+    const Base::Clock& m_clock;
+    bool m_hasFetchedAll = false;
+    // Since when another router has had a newer position.
+    std::optional<Base::TimePoint> m_laggingSince;
+};
+
+} // namespace Lavenderloft::Peering
--- a/Source/Peering/PeeringNode.cpp
+++ b/Source/Peering/PeeringNode.cpp
@@ -11,7 +11,6 @@
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <random>
 #include <stdexcept>
 #include <utility>
 
@@ -34,10 +33,6 @@
     constexpr size_t loadFanout = 8;
     // Declarations are relayed for this multiple of the time within which they take effect.
     constexpr int declarationRelayFactor = 2;
-    // After a stall of the event loop, all datagrams that arrived meanwhile are handled within this time.
-    constexpr std::chrono::milliseconds datagramWaitTime = 300ms;
-    // A datagram that may have waited for longer, on a link or at a node, gives no exact times.
-    constexpr std::chrono::milliseconds maximumExactWait = 300ms;
     // Interval of the load reports to one router that bear times and declarations: the other reports stay small.
     constexpr std::chrono::milliseconds timedLoadInterval = 1000ms;
 
@@ -51,11 +46,6 @@
             reports.resize(maximum);
     }
 
-    uint32_t randomIncarnation()
-    {
-        return std::random_device()();
-    }
-
 } // namespace
 
 PeeringNode::PeeringNode(asio::io_context& context, const Fleet::NodeSettings& settings, PeerTable& peers, ItemMerger& merger, const Base::Clock& clock, const Base::StallMonitor& stalls, bool isRouter)
@@ -64,10 +54,9 @@
     , m_peers(peers)
     , m_merger(merger)
     , m_clock(clock)
-    , m_stalls(stalls)
     , m_isRouter(isRouter)
     , m_socket(context)
-    , m_incarnation(randomIncarnation())
+    , m_reports(settings, peers, merger, clock, stalls)
     , m_items(context, settings, peers, merger, clock)
 {
     boost::system::error_code error;
@@ -140,8 +129,8 @@
 // Ages in a message count from its sending, and without a bound for its way they are not used.
 void PeeringNode::handleLimits(const NodeMessage& message)
 {
-    auto wait = PeerClocks::maximumWait(message.times, m_incarnation, m_clock.now());
-    if (message.limits.empty() || !m_onLimits || !wait || mayHaveWaited())
+    auto wait = m_reports.maximumWait(message);
+    if (message.limits.empty() || !m_onLimits || !wait)
         return;
     auto limits = message.limits;
     for (auto& limit : limits)
@@ -161,15 +150,14 @@
 // Adds what the receiver needs to bound the time for which the message waits on its way.
 void PeeringNode::sendTimed(const std::string& address, const std::string& bytes)
 {
-    auto now = m_clock.now();
-    sendTo(address, bytes + encodeTimes({ PeerClocks::readingAt(now, m_incarnation), m_peerClocks.passedTime(address, now) }));
+    sendTo(address, bytes + encodeTimes(m_reports.timesOfMessage(address)));
 }
 
 void PeeringNode::removeExpired()
 {
     auto now = m_clock.now();
     Commands::removeExpiredPeers(m_peers, now);
-    m_peerClocks.removeExpired(now);
+    m_reports.removeExpired();
     std::erase_if(m_timedLoadSentAt, [&](auto& sent) { return now - sent.second > PeerTable::routerTimeout; });
 }
 
@@ -301,38 +289,10 @@
         Observability::logEvent(Events::routerFound, { { "address", address }, { "data_centre", dataCentre } });
 }
 
-// Whether a datagram may have waited at this node, so that the ages in it are too small.
-bool PeeringNode::mayHaveWaited() const
-{
-    return m_stalls.hasStalledSince(m_clock.now() - datagramWaitTime);
-}
-
-// Whether a message came so soon after it was sent that the ages in it count from its arrival. A router that has no message
-// of this node yet does not know, so its ages are not used.
-bool PeeringNode::isPrompt(const NodeMessage& message) const
-{
-    auto wait = PeerClocks::maximumWait(message.times, m_incarnation, m_clock.now());
-    return wait && *wait <= maximumExactWait && !mayHaveWaited();
-}
-
-// The time for which the message may have waited is added to its age, which errs towards an older sync.
-StoreSyncReport PeeringNode::syncReportOf(const NodeMessage& message, Base::TimePoint now)
-{
-    if (!message.storeAge)
-        return {};
-    auto wait = PeerClocks::maximumWait(message.times, m_incarnation, now);
-    if (wait && !mayHaveWaited())
-        return { now, now - *message.storeAge - *wait };
-    // The previous report stays valid until it expires.
-    auto known = m_peers.routers().find(message.sender);
-    return known ? known->storeSync : StoreSyncReport {};
-}
-
 // Answers a router that does not know this process yet, so that the ages in its next message can be used.
 void PeeringNode::introduceTo(const NodeMessage& message)
 {
-    bool isKnown = PeerClocks::maximumWait(message.times, m_incarnation, m_clock.now()).has_value();
-    if (m_isRouter && message.times.sentAt && !isKnown)
+    if (m_isRouter && message.times.sentAt && !m_reports.isKnownTo(message))
         sendTimed(message.sender, encodeMessage(describeSelf()));
 }
 
@@ -345,28 +305,20 @@
         return;
     }
     logNewRouter(message.sender, message.dataCentre);
-    auto now = m_clock.now();
-    PeerRouter router { message.sender, message.dataCentre, now, message.position, message.demand, syncReportOf(message, now), {}, message.urgencyDemand, now };
-    bool isNewReport = router.storeSync.reportedAt == now;
-    auto known = Fleet::Queries::knownPosition(m_merger.fleet());
-    // A router of an earlier era lacks what was published since the store returned.
-    if (isNewReport && known.era == message.position.era && known >= message.position)
-        m_merger.recordRelayedSync(router.storeSync.syncedAt, m_settings.regionOf(message.dataCentre) == m_settings.region, message.sender);
-    Commands::recordRouter(m_peers, router);
+    m_reports.recordRouter(message);
     introduceTo(message);
 }
 
 void PeeringNode::handleMessage(const NodeMessage& message)
 {
     auto now = m_clock.now();
-    if (message.times.sentAt)
-        m_peerClocks.recordArrival(message.sender, *message.times.sentAt, now);
+    m_reports.recordArrival(message);
     for (auto& router : message.routers) {
         logNewRouter(router.address, router.dataCentre);
         if (router.address != m_settings.address)
             Commands::recordGossip(m_peers, router.address, router.dataCentre, now - router.age);
     }
-    if (!message.declarations.empty() && isPrompt(message))
+    if (!message.declarations.empty() && m_reports.isPrompt(message))
         m_merger.applyObserved(message.declarations, message.sender);
     recordClampedDemands(message);
     if (message.isRouter) {
--- a/Source/Peering/PeeringNode.h
+++ b/Source/Peering/PeeringNode.h
@@ -4,7 +4,7 @@
 #include "Fleet/NodeSettings.h"
 #include "Peering/ItemExchange.h"
 #include "Peering/ItemMerger.h"
-#include "Peering/PeerClocks.h"
+#include "Peering/PeerReports.h"
 #include "Peering/PeerTable.h"
 #include "Peering/PeeringCodec.h"
 #include "Peering/StoreTakeover.h"
@@ -116,27 +116,21 @@
     void sendTo(const std::string& address, const std::string& bytes);
     void sendTimed(const std::string& address, const std::string& bytes);
     bool isTimedLoadDue(const std::string& address);
-    bool isPrompt(const NodeMessage&) const;
     void removeExpired();
     void logNewRouter(const std::string& address, const std::string& dataCentre);
     void handleRouterMessage(const NodeMessage&);
     void introduceTo(const NodeMessage&);
     void addLimits(NodeMessage&);
     void handleLimits(const NodeMessage&);
-    StoreSyncReport syncReportOf(const NodeMessage&, Base::TimePoint now);
-    bool mayHaveWaited() const;
 
     boost::asio::io_context& m_context;
     const Fleet::NodeSettings& m_settings;
     PeerTable& m_peers;
     ItemMerger& m_merger;
     const Base::Clock& m_clock;
-    const Base::StallMonitor& m_stalls;
     const bool m_isRouter;
     boost::asio::ip::udp::socket m_socket;
-    PeerClocks m_peerClocks;
-    // Identifies this process to its peers.
-    const uint32_t m_incarnation;
+    PeerReports m_reports;
     // When each router was last sent a load report with the times of the message.
     std::map<std::string, Base::TimePoint> m_timedLoadSentAt;
     ItemExchange m_items;
