List the store again if a watch without changes skips revisions

Callers would see 404 for a route that a confirmed configuration has, and targets that are gone would stay in use. While the store discards its history, watches hear nothing although changes are made; a watch that ends then may name a revision that includes a change which it did not deliver. The follower went on after that revision. The next change moved the position of the node past the missing one too, so that no watch and no router sent it any more, and every sync vouched for it: a gap that stayed until the next listing.

A watch asks for the changes of all items, so a response without changes whose revision is newer than the one asked for contradicts itself.

Evidence: StoreFollower/aResponseWithoutChangesSkipsNone failed before (an item of revision 2 is missing at position 4, and counts as known) and passes now.

--- a/Source/Peering/StoreCursor.cpp
+++ b/Source/Peering/StoreCursor.cpp
@@ -199,6 +199,11 @@
         return StoreOutcome::Used;
     }
     updateConnection(true, "watching");
+    if (batch.changes.empty() && batch.position > *m_position) {
+        Observability::logEvent(Events::watchSkippedRevisions, { { "prefix", m_prefix }, { "after", watch.after }, { "revision", batch.position.revision }, { "era", batch.position.era } });
+        discardPosition();
+        return StoreOutcome::Used;
+    }
     mergeChanges(batch, watch);
     return StoreOutcome::Used;
 }
@@ -273,8 +278,6 @@
     m_wasProbe = watch.wait == probeWait;
     m_isFollowing = true;
     m_isWatching = true;
-    if (!m_hasUnconfirmedChanges && batch.position > *m_position)
-        Observability::logEvent(Events::watchSkippedRevisions, { { "prefix", m_prefix }, { "after", watch.after }, { "revision", batch.position.revision }, { "era", batch.position.era } });
     m_position = std::max(*m_position, batch.position);
     if (m_hasUnconfirmedChanges) {
         logChanges(changes.size(), watch, now);
--- a/Tests/Peering/StoreFollowerTest.cpp
+++ b/Tests/Peering/StoreFollowerTest.cpp
@@ -794,3 +794,33 @@
         cr_assert_geq(age / 1ms, 5000);
     }
 }
+
+// Guards against a configuration that a router never receives and yet counts as known: while the store dropped its history,
+// a watch ended without changes and named a revision that included one, and the next watch began after it.
+Test(StoreFollower, aResponseWithoutChangesSkipsNone)
+{
+    TestFollower test;
+    test.fleet.decoder.publications["t/1=a"] = Fleet::targetOf("1", "s");
+    test.protocol.listing.position = 1;
+    test.protocol.changes["none"] = { {}, 3 };
+    test.protocol.changes["all"] = { { { "t/1", "a", 2 }, { "t/2", "b", 4 } }, 4 };
+    test.protocol.changes["last"] = { { { "t/2", "b", 4 } }, 4 };
+    test.respond = [&](const std::string& target) -> Http::HttpResponse {
+        if (target == "/list") {
+            if (test.requests.size() > 1)
+                test.protocol.listing = { { { "t/1", "a", 2 } }, false, 3 };
+            return { 200, {}, "" };
+        }
+        if (test.requests.size() > 2)
+            return { 200, {}, target == "/watch/1" ? "all" : "last" };
+        test.advanceWithTicks(1600ms);
+        return { 200, {}, "none" };
+    };
+    boost::asio::co_spawn(test.context, test.follower->run([] { return true; }), boost::asio::detached);
+    while (test.requests.size() < 3)
+        test.context.run_one();
+    cr_expect(Fleet::Queries::mayBeOutdated(test.fleet.state, 1000ms, test.fleet.clock.now()), "the change of revision 2 may be missing");
+    while (Fleet::Queries::knownPosition(test.fleet.state) < 4)
+        test.context.run_one();
+    cr_expect_eq(test.fleet.targetCount("s"), 1, "the change of revision 2 is missing");
+}
