Keep an item missing that a later listing lacked, also after an earlier deletion

A target that is gone could be in use again, for as long as nobody listed the store: a node began to list it, took everything from another router meanwhile, and then merged a page that had been read before the target left. What a listing lacks counts as missing in it, but not if the node still knew an earlier deletion of the key: that one was taken for a sign that the key was there. Only an item that is present is such a sign now.

ApplyItems/anItemThatALaterListingLacksStaysMissing fails without the change and passes with it.

--- a/Source/Fleet/Commands/ApplyItems.cpp
+++ b/Source/Fleet/Commands/ApplyItems.cpp
@@ -182,7 +182,9 @@
             change.anything |= adoptRetained(contents, decoder, known->second, item, origin, now, change);
             return;
         }
-        bool isMissing = known == contents.records.end() && !item.deleted && isMissingInListing(contents, item);
+        // A deletion that is older than the listing does not show that the key was missing in it.
+        bool isPresent = known != contents.records.end() && !known->second.item.deleted;
+        bool isMissing = !isPresent && !item.deleted && isMissingInListing(contents, item);
         if (isMissing && !Queries::isRetainedElsewhere(item, decoder.decode(item), origin.position))
             return;
         change.anything = true;
--- a/Tests/Fleet/ApplyItemsTest.cpp
+++ b/Tests/Fleet/ApplyItemsTest.cpp
@@ -318,3 +318,18 @@
     cr_assert_eq(items.size(), 16);
     cr_assert_eq(bytes, 0, "%zu bytes", bytes);
 }
+
+// Guards against targets that are in use although they are gone: a page of a listing was read before the target left and
+// merged after a later listing, which lacked it, and an earlier deletion hid that.
+Test(ApplyItems, anItemThatALaterListingLacksStaysMissing)
+{
+    TestFleetState fleet;
+    fleet.publish("t/1", targetOf("1", "s"));
+    fleet.remove("t/1");
+    fleet.decoder.publications["t/1=again"] = targetOf("1", "s");
+    Commands::applyListing(fleet.state, fleet.decoder, "", {}, 5, std::nullopt, fleet.clock.now());
+    fleet.apply({ "t/1", "again", 4 });
+    cr_expect_eq(fleet.targetCount("s"), 0, "it was deleted before the listing");
+    fleet.apply({ "t/1", "again", 6 });
+    cr_expect_eq(fleet.targetCount("s"), 1, "it was published after the listing");
+}
