Do not take an earlier deletion for an item of a router's listing

A node that takes all items of another router removes what these lack. Deletions that the router still knew counted as items, so a target that the node knew from after such a deletion stayed in use though it was gone: the router had listed the store since and knew no later deletion. The node counted as complete. Now only items that are present count as listed; deletions are merged by their own positions, as before.

ItemReceiver/anEarlierDeletionDoesNotKeepAnItem fails without the change and passes with it.

--- a/Source/Peering/ItemReceiver.cpp
+++ b/Source/Peering/ItemReceiver.cpp
@@ -67,8 +67,11 @@
     if (!unpackValues(batch, m_merger.fleet()))
         return false;
     std::vector<std::string> keys;
-    for (auto& item : batch.items)
-        keys.push_back(item.key);
+    for (auto& item : batch.items) {
+        // A deletion may be older than what this node knows of the key.
+        if (!item.deleted)
+            keys.push_back(item.key);
+    }
     addWaitingTime(batch.items, std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - fetch.requestedAt));
     bool isFirst = !m_hasFetchedAll;
     m_hasFetchedAll = true;
--- /dev/null
+++ b/Tests/Peering/ItemReceiverTest.cpp
@@ -0,0 +1,24 @@
+#include "Peering/ItemReceiver.h"
+#include "Fleet/FleetFixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace Lavenderloft;
+using namespace Lavenderloft::Peering;
+
+// Guards against targets that stay in use after they are gone: another router listed the store after the target had left, and
+// still knew an earlier deletion of it, which counted as an item of its listing.
+Test(ItemReceiver, anEarlierDeletionDoesNotKeepAnItem)
+{
+    Fleet::TestFleetState fleet;
+    Fleet::NodeSettings settings;
+    PeerTable peers;
+    ItemMerger merger(fleet.state, fleet.decoder, fleet.clock);
+    ItemReceiver receiver(settings, peers, merger, fleet.clock);
+    fleet.publishAt("t/1", Fleet::targetOf("1", "s"), 12);
+    cr_assert_eq(fleet.targetCount("s"), 1);
+    ItemFetch fetchOfAll { { "127.0.0.2", "dc-a" }, {}, fleet.clock.now() };
+    ItemBatch batch { 18, { { "t/1", "", 4, true } } };
+    cr_assert(receiver.merge(fetchOfAll, batch));
+    cr_expect_eq(fleet.targetCount("s"), 0);
+}
