Answer no request for changes after deletions that were forgotten

Nodes forget deletions after two minutes, but answered requests for the changes after any earlier position as if these were all. A node that was cut off from the store and from all routers for longer kept targets that were gone and evacuations that had ended, and counted as complete. A node now notes up to which position it has forgotten deletions, and answers a request from before it like one from before its last listing: with 410, upon which the other one takes everything.

Evidence: ApplyItems/forgottenDeletionsAreNotAnsweredFor failed before and passes now. Nodes that are never behind by two minutes are not concerned.

--- a/Source/Fleet/Commands/ApplyItems.cpp
+++ b/Source/Fleet/Commands/ApplyItems.cpp
@@ -328,7 +328,10 @@
         }
         std::erase_if(contents.records, [&](auto& entry) {
             auto& record = entry.second;
-            return record.item.deleted && !record.deletionDueAt && record.learnedAt + FleetState::deletionRetention < now;
+            bool isForgotten = record.item.deleted && !record.deletionDueAt && record.learnedAt + FleetState::deletionRetention < now;
+            if (isForgotten)
+                contents.forgottenDeletions = std::max(contents.forgottenDeletions, record.item.position);
+            return isForgotten;
         });
         if (changed)
             publishSnapshot(contents);
--- a/Source/Fleet/FleetState.h
+++ b/Source/Fleet/FleetState.h
@@ -77,6 +77,8 @@
         // Position of the last listing of each prefix. A listing does not contain deleted keys, so deletions up to this
         // position may be unknown, except those of keys that were known before.
         std::map<std::string, StorePosition> listedPositions;
+        // Deletions up to this position may have been forgotten after deletionRetention.
+        StorePosition forgottenDeletions;
         // Nothing before the first contact with the store, or with a node that follows it.
         std::optional<Completeness> completeness;
         std::shared_ptr<const FleetSnapshot> snapshot = std::make_shared<FleetSnapshot>();
--- a/Source/Fleet/Queries/ReadFleet.cpp
+++ b/Source/Fleet/Queries/ReadFleet.cpp
@@ -86,6 +86,8 @@
 bool mayMissDeletions(const FleetState& state, StorePosition position)
 {
     return state.withContents([&](const FleetState::Contents& contents) {
+        if (position < contents.forgottenDeletions)
+            return true;
         return std::any_of(contents.listedPositions.begin(), contents.listedPositions.end(), [&](auto& listed) { return position < listed.second; });
     });
 }
--- a/Source/Fleet/Queries/ReadFleet.h
+++ b/Source/Fleet/Queries/ReadFleet.h
@@ -27,7 +27,7 @@
 std::shared_ptr<const FleetState::PreviousValue> valueAsOf(const FleetState&, const std::string& key, StorePosition);
 
 // Whether deletions after the position may be missing among these items, because the process only listed what the store
-// had at a later one.
+// had at a later one, or has forgotten them.
 bool mayMissDeletions(const FleetState&, StorePosition);
 
 // Returns the declarations whose times this process knows exactly and which are not older than `maximumAge`.
--- a/Tests/Fleet/ApplyItemsTest.cpp
+++ b/Tests/Fleet/ApplyItemsTest.cpp
@@ -319,6 +319,23 @@
     cr_assert_eq(bytes, 0, "%zu bytes", bytes);
 }
 
+// Guards against targets and evacuations that stay in force for ever at a node that was cut off for long: others had
+// forgotten the deletions by then, and told it the other changes as if these were all.
+Test(ApplyItems, forgottenDeletionsAreNotAnsweredFor)
+{
+    TestFleetState fleet;
+    fleet.publish("t/1", targetOf("1", "s"));
+    fleet.publish("t/2", targetOf("2", "s"));
+    auto before = Queries::knownPosition(fleet.state);
+    fleet.remove("t/1");
+    auto after = Queries::knownPosition(fleet.state);
+    fleet.clock.advance(FleetState::deletionRetention + std::chrono::seconds(1));
+    cr_expect_not(Queries::mayMissDeletions(fleet.state, before), "the deletion is known");
+    Commands::expireDeletions(fleet.state, fleet.clock.now());
+    cr_expect(Queries::mayMissDeletions(fleet.state, before), "the deletion is forgotten");
+    cr_expect_not(Queries::mayMissDeletions(fleet.state, after));
+}
+
 // Guards against targets that are in use although they are gone: a page of a listing was read before the target left and
 // merged after a later listing, which lacked it, and an earlier deletion hid that.
 Test(ApplyItems, anItemThatALaterListingLacksStaysMissing)
