Report no sync with the store of an earlier era

A router that learned of the store's return from another one reported its last contact with the earlier store beside the position in the later era. Its peers counted as complete up to that time, although the store had lost a configuration that only this router knew, and would have denied what that configuration allows. The time of a sync now holds only in the era of the response that it is due to.

StoreCursor/reportsNoSyncOfAnEarlierEra fails without the change and passes with it. What the store lost stays unknown to the others until it is written again, as docs/design/store-epochs.md says; they only claim less.

--- a/Source/Peering/StoreCursor.cpp
+++ b/Source/Peering/StoreCursor.cpp
@@ -156,6 +156,7 @@
     m_position = listing.position;
     // Items that changed after their page was sent come with the first watch.
     m_syncedAt = listing.requestedAt;
+    m_syncedEra = m_position->era;
     // The age of items that are new is limited by the previous sync, so this one is recorded afterwards.
     m_merger.apply(std::move(listing.items), *m_position, deletionsDeferredUntil(), storeSource);
     m_merger.applyListing(m_prefix, listing.keys, *m_position, deletionsDeferredUntil());
@@ -176,6 +177,13 @@
     return m_hasUnconfirmedChanges && !m_wasProbe;
 }
 
+// What was published in an earlier era may have been lost, and is not relayed with the positions of the later one.
+std::optional<Base::TimePoint> StoreCursor::syncedAt() const
+{
+    bool isOfKnownEra = m_syncedEra == Fleet::Queries::knownPosition(m_merger.fleet()).era;
+    return m_isFollowing && isOfKnownEra ? m_syncedAt : std::nullopt;
+}
+
 bool StoreCursor::takeNews()
 {
     return std::exchange(m_hasNews, false);
@@ -274,6 +282,7 @@
         change.ageIsBound = true;
     }
     m_syncedAt = syncTime(batch, watch);
+    m_syncedEra = batch.position.era;
     m_hasUnconfirmedChanges = !changes.empty();
     m_wasProbe = watch.wait == probeWait;
     m_isFollowing = true;
--- a/Source/Peering/StoreCursor.h
+++ b/Source/Peering/StoreCursor.h
@@ -96,8 +96,9 @@
     // Whether the next watch is sent without delay, to learn whether the last changes were all.
     bool isConfirmationUrgent() const;
 
-    // When this node last had all changes from the store; nullopt while the store is not followed or does not respond.
-    std::optional<Base::TimePoint> syncedAt() const { return m_isFollowing ? m_syncedAt : std::nullopt; }
+    // When this node last had all changes from the store; nullopt while the store is not followed or does not respond, and
+    // while others have told of a later era of the store.
+    std::optional<Base::TimePoint> syncedAt() const;
 
     // Whether items were merged since the last call.
     bool takeNews();
@@ -141,6 +142,8 @@
     std::optional<Base::TimePoint> m_reconnectedAt;
     std::optional<Fleet::StorePosition> m_position;
     std::optional<Base::TimePoint> m_syncedAt;
+    // Era of the response that m_syncedAt is due to.
+    uint64_t m_syncedEra = 0;
     // How long the store took for the last response whose time of sending is known.
     Base::Duration m_responseTime {};
     std::optional<UnconfirmedDeclarations> m_unconfirmed;
