Give a message the time at which its ages were read

A node read the ages in a message (of its contact with the store, of declarations) when it composed it, and the time of sending for each receiver afterwards. If it stood still in between, because its machine was suspended or had no processor time, its peers counted the ages from the later time: items looked complete, and declarations recent, by as much as the node had stood still, and nothing in the message showed it. Routers deny requests by such a report. The times of a message are now those at which its ages were read, so that a pause counts as time on the way, which the receiver adds.

Evidence: PeeringNode/theTimesOfAMessageAreThoseOfItsAges, in which 0.5 s pass with each reading of the clock, failed before and passes now.

--- a/Source/Peering/PeerReports.cpp
+++ b/Source/Peering/PeerReports.cpp
@@ -88,10 +88,10 @@
     return known ? known->storeSync : StoreSyncReport {};
 }
 
-MessageTimes PeerReports::timesOfMessage(const std::string& receiver) const
+// The time of the ages counts, not that of the sending: this process may have stood still in between.
+MessageTimes PeerReports::timesOfMessage(const std::string& receiver, Base::TimePoint agesReadAt) const
 {
-    auto now = m_clock.now();
-    return { PeerClocks::readingAt(now, m_incarnation), m_peerClocks.passedTime(receiver, now) };
+    return { PeerClocks::readingAt(agesReadAt, m_incarnation), m_peerClocks.passedTime(receiver, agesReadAt) };
 }
 
 void PeerReports::removeExpired()
--- a/Source/Peering/PeerReports.h
+++ b/Source/Peering/PeerReports.h
@@ -36,8 +36,8 @@
     // Whether the sender knows this process, so that the ages in its messages can be used.
     bool isKnownTo(const NodeMessage&) const;
 
-    // Returns the times of a message to the node.
-    MessageTimes timesOfMessage(const std::string& receiver) const;
+    // Returns the times of a message to the node whose ages were read at the given time, or later.
+    MessageTimes timesOfMessage(const std::string& receiver, Base::TimePoint agesReadAt) const;
 
     // Removes the nodes without recent messages.
     void removeExpired();
--- a/Source/Peering/PeeringNode.cpp
+++ b/Source/Peering/PeeringNode.cpp
@@ -148,9 +148,9 @@
 }
 
 // Adds what the receiver needs to bound the time for which the message waits on its way.
-void PeeringNode::sendTimed(const std::string& address, const std::string& bytes)
+void PeeringNode::sendTimed(const std::string& address, const std::string& bytes, Base::TimePoint agesReadAt)
 {
-    sendTo(address, bytes + encodeTimes(m_reports.timesOfMessage(address)));
+    sendTo(address, bytes + encodeTimes(m_reports.timesOfMessage(address, agesReadAt)));
 }
 
 void PeeringNode::removeExpired()
@@ -166,19 +166,20 @@
     while (true) {
         removeExpired();
         auto routers = Queries::liveRouters(m_peers, m_clock.now());
+        auto agesReadAt = m_clock.now();
         auto message = describeSelf();
         addKnownRouters(message);
         addLimits(message);
         auto bytes = encodeMessage(message);
         if (m_isRouter) {
             for (auto& router : nextHeartbeatReceivers(routers))
-                sendTimed(router.address, bytes);
+                sendTimed(router.address, bytes, agesReadAt);
         }
         // Seeds that are not among the live routers get every heartbeat, which also rejoins a partitioned fleet.
         for (auto& seed : m_settings.seedAddresses) {
             bool isKnown = std::any_of(routers.begin(), routers.end(), [&](auto& router) { return router.address == seed; });
             if (!isKnown && seed != m_settings.address)
-                sendTimed(seed, bytes);
+                sendTimed(seed, bytes, agesReadAt);
         }
         co_await Http::sleepFor(m_context, heartbeatInterval);
     }
@@ -205,6 +206,7 @@
 
 void PeeringNode::sendLoad(const EngineLoad& load, const std::vector<PeerRouter>& receivers, const std::map<std::string, RouterShare>& shares)
 {
+    auto agesReadAt = m_clock.now();
     auto message = describeSelf();
     message.load = load;
     auto declarations = std::exchange(message.declarations, {});
@@ -218,7 +220,7 @@
         }
         auto timed = message;
         timed.declarations = declarations;
-        sendTimed(router.address, encodeMessage(timed));
+        sendTimed(router.address, encodeMessage(timed), agesReadAt);
     }
 }
 
@@ -233,16 +235,18 @@
 
 void PeeringNode::announceRevision()
 {
+    auto agesReadAt = m_clock.now();
     auto bytes = encodeMessage(describeSelf());
     auto split = Queries::splitByRegion(Queries::liveRouters(m_peers, m_clock.now()), m_settings);
     for (auto& router : split.own)
-        sendTimed(router.address, bytes);
+        sendTimed(router.address, bytes, agesReadAt);
     for (auto& router : Queries::nextInRotation(split.others, otherRegionsFanout, m_otherRegionsPosition))
-        sendTimed(router.address, bytes);
+        sendTimed(router.address, bytes, agesReadAt);
 }
 
 void PeeringNode::announceCrashes(const std::vector<Dispatch::CrashReport>& crashes, const Dispatch::PartReports& parts)
 {
+    auto agesReadAt = m_clock.now();
     auto message = describeSelf();
     message.crashes = crashes;
     truncate(message.crashes, maximumCrashesPerMessage);
@@ -251,7 +255,7 @@
     truncate(message.parts.served, maximumPartsServedPerMessage);
     auto bytes = encodeMessage(message);
     for (auto& router : Queries::liveRouters(m_peers, m_clock.now()))
-        sendTimed(router.address, bytes);
+        sendTimed(router.address, bytes, agesReadAt);
 }
 
 bool PeeringNode::shouldFollowStore()
@@ -292,8 +296,10 @@
 // Answers a router that does not know this process yet, so that the ages in its next message can be used.
 void PeeringNode::introduceTo(const NodeMessage& message)
 {
-    if (m_isRouter && message.times.sentAt && !m_reports.isKnownTo(message))
-        sendTimed(message.sender, encodeMessage(describeSelf()));
+    if (!m_isRouter || !message.times.sentAt || m_reports.isKnownTo(message))
+        return;
+    auto agesReadAt = m_clock.now();
+    sendTimed(message.sender, encodeMessage(describeSelf()), agesReadAt);
 }
 
 void PeeringNode::handleRouterMessage(const NodeMessage& message)
@@ -341,9 +347,10 @@
 {
     auto now = m_clock.now();
     if (Commands::recordAgent(m_peers, address, position, Fleet::Queries::knownPosition(m_merger.fleet()), now)) {
+        auto agesReadAt = m_clock.now();
         auto reply = describeSelf();
         addKnownRouters(reply);
-        sendTimed(address, encodeMessage(reply));
+        sendTimed(address, encodeMessage(reply), agesReadAt);
         return;
     }
     if (m_urgentWaitedAt && now - *m_urgentWaitedAt < urgentReplyTime)
--- a/Source/Peering/PeeringNode.h
+++ b/Source/Peering/PeeringNode.h
@@ -114,7 +114,7 @@
     void sendDemand(const std::string& address);
     void recordClampedDemands(const NodeMessage&);
     void sendTo(const std::string& address, const std::string& bytes);
-    void sendTimed(const std::string& address, const std::string& bytes);
+    void sendTimed(const std::string& address, const std::string& bytes, Base::TimePoint agesReadAt);
     bool isTimedLoadDue(const std::string& address);
     void removeExpired();
     void logNewRouter(const std::string& address, const std::string& dataCentre);
--- a/Tests/Peering/PeeringNodeTest.cpp
+++ b/Tests/Peering/PeeringNodeTest.cpp
@@ -625,3 +625,19 @@
         deliverPosition({ era, 71 });
     }
 }
+
+// Guards against items that count as more recent than they are: a router stood still between the reading of its ages and the
+// sending of the message, and its peers took the ages for those at the time of sending.
+Test(PeeringNode, theTimesOfAMessageAreThoseOfItsAges)
+{
+    TestNode test;
+    auto syncedAt = std::chrono::floor<std::chrono::milliseconds>(test.fleet.clock.now());
+    test.fleet.clock.advance(1s);
+    test.node->setStoreSyncTimeProvider([&] { return std::optional<Base::TimePoint>(syncedAt); });
+    test.fleet.clock.setTimePerReading(500ms);
+    auto message = TestNode::agentMessage();
+    message.sender = "127.0.0.201";
+    auto reply = test.exchangeWithAgent(message);
+    cr_assert(reply.storeAge && reply.times.sentAt);
+    cr_expect_leq((reply.times.sentAt->time - *reply.storeAge).count(), syncedAt.time_since_epoch() / 1ms);
+}
