Deny a request by the completeness that its configuration had

Callers could get 404 or 401 for what a confirmed configuration allows. A router read the configuration first, and up to when its items were complete afterwards, for the answer. Between the two, the event loop that applies items could bring a newer configuration into force and record the sync: the request was then denied by the older one as if that one had just been confirmed. Workers and that loop are different threads, so this takes a worker that waits for the processor, as all do when a suspended machine goes on. Both are now read under one lock, when the request is resolved.

Evidence: Relay/deniesNothingByAConfigurationThatIsReplacedMeanwhile replaces the configuration at each reading of the clock in turn; at the sixth the request got 404 before, at none now.

--- a/Source/Fleet/FleetState.h
+++ b/Source/Fleet/FleetState.h
@@ -19,6 +19,13 @@
     std::string source;
 };
 
+// The published state and up to when it is complete, read at the same moment.
+struct FleetView {
+    std::shared_ptr<const FleetSnapshot> snapshot;
+    // Nothing before the first contact with the store, or with a node that follows it.
+    std::optional<Completeness> completeness;
+};
+
 // The newest version of every published item known to this process, and the snapshot built from them. Items arrive
 // from the store and from other nodes in any order; an older position of a key never replaces a newer one. Modified by
 // Commands/ApplyItems, read by Queries/.
--- a/Source/Fleet/Queries/ReadFleet.cpp
+++ b/Source/Fleet/Queries/ReadFleet.cpp
@@ -9,6 +9,11 @@
     return state.withContents([](const FleetState::Contents& contents) { return contents.snapshot; });
 }
 
+FleetView currentView(const FleetState& state)
+{
+    return state.withContents([](const FleetState::Contents& contents) { return FleetView { contents.snapshot, contents.completeness }; });
+}
+
 StorePosition knownPosition(const FleetState& state)
 {
     return state.withContents([](const FleetState::Contents& contents) { return contents.position; });
@@ -21,7 +26,11 @@
 
 bool mayBeOutdated(const FleetState& state, std::chrono::milliseconds maximumAge, Base::TimePoint now)
 {
-    auto known = completeness(state);
+    return mayBeOutdated(completeness(state), maximumAge, now);
+}
+
+bool mayBeOutdated(const std::optional<Completeness>& known, std::chrono::milliseconds maximumAge, Base::TimePoint now)
+{
     return !known || now - known->asOf > maximumAge;
 }
 
--- a/Source/Fleet/Queries/ReadFleet.h
+++ b/Source/Fleet/Queries/ReadFleet.h
@@ -11,6 +11,9 @@
 
 std::shared_ptr<const FleetSnapshot> currentSnapshot(const FleetState&);
 
+// The snapshot with its completeness. A denial needs both of the same moment: a newer item may arrive between two readings.
+FleetView currentView(const FleetState&);
+
 // Position up to which all items are known to this process.
 StorePosition knownPosition(const FleetState&);
 
@@ -20,6 +23,9 @@
 // Whether an item that was published longer than `maximumAge` ago may still be unknown to this process.
 bool mayBeOutdated(const FleetState&, std::chrono::milliseconds maximumAge, Base::TimePoint now);
 
+// Whether an item that was published longer than `maximumAge` ago may be missing in what was complete up to that time.
+bool mayBeOutdated(const std::optional<Completeness>&, std::chrono::milliseconds maximumAge, Base::TimePoint now);
+
 // Returns the items that are newer than the position, including deletions.
 std::vector<PublishedItem> itemsAfter(const FleetState&, StorePosition, Base::TimePoint now);
 
--- a/Source/Proxy/ErrorResponder.cpp
+++ b/Source/Proxy/ErrorResponder.cpp
@@ -57,8 +57,8 @@
 asio::awaitable<void> ErrorResponder::deny(unsigned status, const char* code)
 {
     auto maximumAge = std::chrono::duration_cast<std::chrono::milliseconds>(m_context.dispatch.bounds().configuration * usableConfigurationShare);
-    bool isOutdated = Fleet::Queries::mayBeOutdated(m_context.fleet, maximumAge, m_context.clock.now());
-    m_log.deniedByConfiguration(Fleet::Queries::completeness(m_context.fleet), isOutdated);
+    bool isOutdated = Fleet::Queries::mayBeOutdated(m_request->completeness, maximumAge, m_context.clock.now());
+    m_log.deniedByConfiguration(isOutdated);
     if (isOutdated)
         co_await respond(503, "configuration_outdated", outdatedConfigurationRetryAfter);
     else
--- a/Source/Proxy/ProxyRequest.h
+++ b/Source/Proxy/ProxyRequest.h
@@ -48,6 +48,7 @@
     RequestHead head;
     // As of the arrival of the request.
     std::shared_ptr<const Fleet::FleetSnapshot> snapshot;
+    std::optional<Fleet::Completeness> completeness;
     std::shared_ptr<const Fleet::Organisation> organisation;
     Dispatch::RequestTraits traits;
     Dispatch::Queries::RequestHistory history;
--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -118,7 +118,9 @@
 
 asio::awaitable<bool> RequestHandler::resolve()
 {
-    m_request->snapshot = Fleet::Queries::currentSnapshot(m_context.fleet);
+    auto view = Fleet::Queries::currentView(m_context.fleet);
+    m_request->snapshot = std::move(view.snapshot);
+    m_request->completeness = std::move(view.completeness);
     if (m_context.closing) {
         co_await m_responder.refuseForStop();
         co_return false;
--- a/Source/Proxy/RequestLog.cpp
+++ b/Source/Proxy/RequestLog.cpp
@@ -92,8 +92,9 @@
         { { "request", m_request->head.requestId }, { "result", result }, { "repeat_refused", refusal }, { "runs", m_request->history.runs }, { "time_left", m_request->timeLeft() } });
 }
 
-void RequestLog::deniedByConfiguration(const std::optional<Fleet::Completeness>& completeness, bool isOutdated)
+void RequestLog::deniedByConfiguration(bool isOutdated)
 {
+    auto& completeness = m_request->completeness;
     m_request->context.metrics.count("configuration_denials_total", { { "outdated", isOutdated ? "true" : "false" } });
     if (!completeness || !Observability::isLogged(Events::configurationAge))
         return;
--- a/Source/Proxy/RequestLog.h
+++ b/Source/Proxy/RequestLog.h
@@ -33,7 +33,7 @@
     void retryRefused(std::string_view refusal) { m_retryRefusal = refusal; }
 
     // The configuration does not allow the request.
-    void deniedByConfiguration(const std::optional<Fleet::Completeness>&, bool isOutdated);
+    void deniedByConfiguration(bool isOutdated);
 
     // The request has its final outcome.
     void finished(const Observability::Event&, unsigned status, std::string_view reason);
--- a/Tests/Proxy/RelayTest.cpp
+++ b/Tests/Proxy/RelayTest.cpp
@@ -57,6 +57,20 @@
     cr_assert(contains(router.exchange("GET", "", "other"), "HTTP/1.1 404"));
 }
 
+// Guards against a request that is denied by an outdated configuration because a newer one came into force while it was
+// handled: the router had read its configuration before, and up to when its items were complete afterwards.
+Test(Relay, deniesNothingByAConfigurationThatIsReplacedMeanwhile)
+{
+    constexpr unsigned readings = 12;
+    for (unsigned reading = 1; reading <= readings; ++reading) {
+        TestRouter router;
+        router.publishNoRoutes();
+        router.interruptedClock().interruptAtReading(reading, [&] { router.setRoute(Fleet::RequestKind::Idempotent, 1); });
+        auto response = router.exchange();
+        cr_expect_not(contains(response, "HTTP/1.1 404"), "replaced at reading %u of the clock", reading);
+    }
+}
+
 // An at-most-once request must not run twice after the connection to its target broke.
 Test(Relay, doesNotRetryAnAtMostOnceRequest)
 {
--- a/Tests/Proxy/TestRouter.h
+++ b/Tests/Proxy/TestRouter.h
@@ -10,10 +10,37 @@
 #include "Proxy/ScriptedTarget.h"
 #include "platform/HeaderCodec.h"
 
+#include <atomic>
+#include <functional>
 #include <thread>
 
 namespace Lavenderloft::Proxy {
 
+// The system's clock, at one reading of which something else happens first, as if another thread went on meanwhile.
+class InterruptedClock final : public Base::Clock {
+public:
+    // The action runs at the reading with the given number, counted from one.
+    void interruptAtReading(unsigned number, std::function<void()> action)
+    {
+        m_action = std::move(action);
+        m_readingsLeft = number;
+    }
+
+    Base::TimePoint now() const override
+    {
+        if (m_readingsLeft > 0 && --m_readingsLeft == 0)
+            m_action();
+        return m_clock.now();
+    }
+
+    Base::WallTime wallTime() const override { return m_clock.wallTime(); }
+
+private:
+    Base::SystemClock m_clock;
+    std::function<void()> m_action;
+    mutable std::atomic<unsigned> m_readingsLeft { 0 };
+};
+
 // The proxy of a router on loopback, with a fleet published by the test.
 class TestRouter {
 public:
@@ -69,6 +96,12 @@
         m_fleet.publish("c", Fleet::ConfigurationPublished { configuration });
     }
 
+    // Publishes a configuration that allows nothing.
+    void publishNoRoutes()
+    {
+        m_fleet.publish("c", Fleet::configurationOf(1));
+    }
+
     // Records that the router knows all items published up to the given time.
     void recordContactWithStore(Base::TimePoint time) { Fleet::Commands::recordCompleteness(m_fleet.state, { time, "store" }); }
 
@@ -96,6 +129,7 @@
     }
 
     const Base::Clock& clock() const { return m_clock; }
+    InterruptedClock& interruptedClock() { return m_clock; }
 
     void removeTarget(const std::string& id) { m_fleet.remove("t/" + id); }
 
@@ -148,7 +182,7 @@
     // Of the weights that the targets hold, if they are engines.
     static constexpr unsigned m_layers = 4;
 
-    Base::SystemClock m_clock;
+    InterruptedClock m_clock;
     Platform::HeaderCodec m_codec;
     Observability::Metrics m_metrics;
     Fleet::TestFleetState m_fleet;
