Follow the whole store with one follower

A node compares what it knows with others by one position, the highest of all its items. With a follower for each of several prefixes, as the interface of the platform allowed, a node whose follower of one prefix hangs would have counted as up to date by the revisions of the other, and would never have been sent what it lacks; and a watch without changes could not be told from one that skips revisions. The platform follows all keys, so the prefixes leave StoreProtocol and PublicationDecoder, and a node has exactly one follower. The requests on the wire are the same.

--- a/Source/Fleet/Publication.h
+++ b/Source/Fleet/Publication.h
@@ -72,9 +72,6 @@
 
     // Whether the key is that of a target. Needed because a deletion has no value to decode.
     virtual bool isTargetKey(std::string_view key) const = 0;
-
-    // Key prefixes of the items that the system uses.
-    virtual std::vector<std::string> prefixes() const = 0;
 };
 
 } // namespace Lavenderloft::Fleet
--- a/Source/Fleet/StoreProtocol.h
+++ b/Source/Fleet/StoreProtocol.h
@@ -41,12 +41,13 @@
 public:
     virtual ~StoreProtocol() = default;
 
-    // Requests a page of the items below the prefix whose keys are greater than `afterKey`.
-    virtual Http::HttpRequest listRequest(const std::string& prefix, const std::string& afterKey) const = 0;
+    // Requests a page of the items whose keys are greater than `afterKey`. All items are followed, also those of no use to the
+    // system: a node knows one position of the store, and has what was published up to it.
+    virtual Http::HttpRequest listRequest(const std::string& afterKey) const = 0;
     virtual Base::Result<ListPage, StoreError> readList(const Http::HttpResponse&) const = 0;
 
-    // Long poll: the store responds as soon as an item below the prefix changes, or after `wait`.
-    virtual Http::HttpRequest watchRequest(const std::string& prefix, uint64_t afterRevision, std::chrono::milliseconds wait) const = 0;
+    // Long poll: the store responds as soon as any item changes, or after `wait`.
+    virtual Http::HttpRequest watchRequest(uint64_t afterRevision, std::chrono::milliseconds wait) const = 0;
     virtual Base::Result<ChangeBatch, StoreError> readChanges(const Http::HttpResponse&) const = 0;
 };
 
--- a/Source/Peering/StoreCursor.cpp
+++ b/Source/Peering/StoreCursor.cpp
@@ -14,6 +14,8 @@
     using namespace std::chrono_literals;
 
     constexpr std::string_view storeSource = "store";
+    // Prefix of all keys.
+    constexpr std::string_view allKeys = "";
     // How long a watch request waits for a change. Also limits how late a dead connection is detected.
     constexpr std::chrono::milliseconds watchWait = 1600ms;
     // Time for the response in addition to watchWait. The connection is closed after both have passed.
@@ -32,11 +34,10 @@
 
 } // namespace
 
-StoreCursor::StoreCursor(ItemMerger& merger, const Base::Clock& clock, const Base::StallMonitor& stalls, std::string prefix)
+StoreCursor::StoreCursor(ItemMerger& merger, const Base::Clock& clock, const Base::StallMonitor& stalls)
     : m_merger(merger)
     , m_clock(clock)
     , m_stalls(stalls)
-    , m_prefix(std::move(prefix))
     , m_watchMargin(watchMargin, maximumWatchMargin)
 {
 }
@@ -111,7 +112,7 @@
     // If other nodes reached the store, there was no outage, so no entries expired because of it.
     if (connected && m_syncedAt && !m_merger.hasRecentRelayedSync())
         m_reconnectedAt = m_clock.now();
-    Observability::logEvent(connected ? Events::storeReached : Events::storeLost, { { "prefix", m_prefix }, { "reason", reason } });
+    Observability::logEvent(connected ? Events::storeReached : Events::storeLost, { { "prefix", allKeys }, { "reason", reason } });
 }
 
 StoreListing StoreCursor::startListing()
@@ -159,7 +160,7 @@
     m_syncedEra = m_position->era;
     // The age of items that are new is limited by the previous sync, so this one is recorded afterwards.
     m_merger.apply(std::move(listing.items), *m_position, deletionsDeferredUntil(), storeSource);
-    m_merger.applyListing(m_prefix, listing.keys, *m_position, deletionsDeferredUntil());
+    m_merger.applyListing(std::string(allKeys), listing.keys, *m_position, deletionsDeferredUntil());
     m_merger.recordSync(*m_syncedAt, storeSource);
     m_isFollowing = true;
     m_hasNews = true;
@@ -208,7 +209,7 @@
     }
     updateConnection(true, "watching");
     if (batch.changes.empty() && batch.position > *m_position) {
-        Observability::logEvent(Events::watchSkippedRevisions, { { "prefix", m_prefix }, { "after", watch.after }, { "revision", batch.position.revision }, { "era", batch.position.era } });
+        Observability::logEvent(Events::watchSkippedRevisions, { { "prefix", allKeys }, { "after", watch.after }, { "revision", batch.position.revision }, { "era", batch.position.era } });
         discardPosition();
         return StoreOutcome::Used;
     }
@@ -230,7 +231,7 @@
     auto known = Fleet::Queries::knownPosition(m_merger.fleet());
     if (position.era >= known.era)
         return false;
-    Observability::logEvent(Events::staleResponseIgnored, { { "prefix", m_prefix }, { "era", position.era }, { "known_era", known.era } });
+    Observability::logEvent(Events::staleResponseIgnored, { { "prefix", allKeys }, { "era", position.era }, { "known_era", known.era } });
     return true;
 }
 
@@ -238,7 +239,7 @@
 {
     auto known = Fleet::Queries::knownPosition(m_merger.fleet());
     if (known > Fleet::StorePosition() && position.era > known.era)
-        Observability::logEvent(Events::storeEraChanged, { { "prefix", m_prefix }, { "era", position.era }, { "revision", position.revision }, { "known_era", known.era }, { "known_revision", known.revision } });
+        Observability::logEvent(Events::storeEraChanged, { { "prefix", allKeys }, { "era", position.era }, { "revision", position.revision }, { "known_era", known.era }, { "known_revision", known.revision } });
 }
 
 // Whether the last response was handled as soon as it arrived. The store responds to a waiting request at once, so a
--- a/Source/Peering/StoreCursor.h
+++ b/Source/Peering/StoreCursor.h
@@ -50,9 +50,9 @@
     Ignored,
 };
 
-// Position of a node in the history of the store, below one prefix of keys. Decides which requests follow, merges the
-// items of the responses, and up to which time these make the items complete. Sends nothing itself. Used on one event
-// loop.
+// Position of a node in the history of the store. Decides which requests follow, merges the items of the responses, and up to
+// which time these make the items complete. Sends nothing itself. Used on one event loop. A node has one cursor, for all keys:
+// what it knows is compared with what others know by one position.
 class StoreCursor {
 public:
     using Page = Base::Result<Fleet::ListPage, Fleet::StoreError>;
@@ -61,7 +61,7 @@
     // Delay between watch requests, to fetch a burst of changes with one request: the store limits the request rate.
     static constexpr std::chrono::milliseconds changeBatchDelay { 150 };
 
-    StoreCursor(ItemMerger&, const Base::Clock&, const Base::StallMonitor&, std::string prefix);
+    StoreCursor(ItemMerger&, const Base::Clock&, const Base::StallMonitor&);
 
     // Other nodes relay the published items: the store is not followed until resume() is called.
     void suspend();
@@ -131,7 +131,6 @@
     ItemMerger& m_merger;
     const Base::Clock& m_clock;
     const Base::StallMonitor& m_stalls;
-    const std::string m_prefix;
     Base::AdaptiveTimeout m_watchMargin;
     bool m_isFollowing = false;
     // The last response was that of a watch, so the next one has the changes made since, and no older ones.
--- a/Source/Peering/StoreFollower.cpp
+++ b/Source/Peering/StoreFollower.cpp
@@ -20,13 +20,12 @@
 
 } // namespace
 
-StoreFollower::StoreFollower(asio::io_context& context, Http::Endpoint store, const Fleet::StoreProtocol& protocol, ItemMerger& merger, const Base::Clock& clock, const Base::StallMonitor& stalls, std::string prefix)
+StoreFollower::StoreFollower(asio::io_context& context, Http::Endpoint store, const Fleet::StoreProtocol& protocol, ItemMerger& merger, const Base::Clock& clock, const Base::StallMonitor& stalls)
     : m_context(context)
     , m_client(context.get_executor(), std::move(store))
     , m_protocol(protocol)
     , m_clock(clock)
-    , m_prefix(std::move(prefix))
-    , m_cursor(merger, clock, stalls, m_prefix)
+    , m_cursor(merger, clock, stalls)
     , m_listTimeout(listTimeout, maximumListTimeout)
 {
 }
@@ -89,7 +88,7 @@
     auto outcome = StoreOutcome::MorePages;
     while (outcome == StoreOutcome::MorePages) {
         auto pageRequestedAt = m_clock.now();
-        auto result = co_await m_client.call(m_protocol.listRequest(m_prefix, listing.lastKey()), m_listTimeout.current());
+        auto result = co_await m_client.call(m_protocol.listRequest(listing.lastKey()), m_listTimeout.current());
         if (!Base::succeeded(result)) {
             recordListTimeout(Base::errorOf(result));
             m_cursor.recordFailure(Base::errorOf(result).describe(), listing.requestedAt);
@@ -105,7 +104,7 @@
 asio::awaitable<bool> StoreFollower::waitForChanges()
 {
     auto watch = m_cursor.nextWatch();
-    auto result = co_await m_client.call(m_protocol.watchRequest(m_prefix, watch.after, watch.wait), m_cursor.timeoutOf(watch));
+    auto result = co_await m_client.call(m_protocol.watchRequest(watch.after, watch.wait), m_cursor.timeoutOf(watch));
     if (!Base::succeeded(result)) {
         if (Base::errorOf(result).kind == Http::HttpErrorKind::TimedOut)
             m_cursor.recordWatchTimeout();
--- a/Source/Peering/StoreFollower.h
+++ b/Source/Peering/StoreFollower.h
@@ -15,11 +15,11 @@
 
 namespace Lavenderloft::Peering {
 
-// Follows the items below one prefix of the store: lists all of them once, then watches for changes. Sends the requests that
+// Follows the items of the store: lists all of them once, then watches for changes. Sends the requests that
 // StoreCursor decides on; failed ones are retried with exponential backoff.
 class StoreFollower {
 public:
-    StoreFollower(boost::asio::io_context&, Http::Endpoint store, const Fleet::StoreProtocol&, ItemMerger&, const Base::Clock&, const Base::StallMonitor&, std::string prefix);
+    StoreFollower(boost::asio::io_context&, Http::Endpoint store, const Fleet::StoreProtocol&, ItemMerger&, const Base::Clock&, const Base::StallMonitor&);
 
     // Called after items from the store were merged.
     void setChangeHandler(std::function<void()> handler) { m_onChange = std::move(handler); }
@@ -44,7 +44,6 @@
     Http::PersistentHttpClient m_client;
     const Fleet::StoreProtocol& m_protocol;
     const Base::Clock& m_clock;
-    std::string m_prefix;
     StoreCursor m_cursor;
     Base::AdaptiveTimeout m_listTimeout;
     std::function<void()> m_onChange;
--- a/Source/Process/FleetAgent.cpp
+++ b/Source/Process/FleetAgent.cpp
@@ -44,9 +44,8 @@
             , m_signals(m_pool.context(0), SIGTERM, SIGINT)
             , m_reload(platform)
             , m_startedAt(m_clock.now())
+            , m_follower(m_pool.context(0), settings.store, platform.store(), m_merger, m_clock, m_stalls)
         {
-            for (auto& prefix : platform.publications().prefixes())
-                m_followers.push_back(std::make_unique<Peering::StoreFollower>(m_pool.context(0), settings.store, platform.store(), m_merger, m_clock, m_stalls, prefix));
         }
 
         void run()
@@ -54,8 +53,7 @@
             auto& context = m_pool.context(0);
             m_nodes = Http::NodeServer::start(context, { m_settings.address, m_settings.firstPeerPort }, [this](Http::HttpRequest request) { return handlePeerRequest(std::move(request)); });
             m_peering.start();
-            for (auto& follower : m_followers)
-                Http::superviseTask(context, "follow-store", [this, &follower = *follower] { return follower.run([this] { return needsStore(); }); });
+            Http::superviseTask(context, "follow-store", [this] { return m_follower.run([this] { return needsStore(); }); });
             m_staging.start();
             Http::superviseTask(context, "housekeeping", [this] { return runHousekeeping(); });
             m_reload.watch(context, [this](const Fleet::NodeSettings& settings) {
@@ -114,7 +112,7 @@
         asio::signal_set m_signals;
         SettingsReload m_reload;
         Base::TimePoint m_startedAt;
-        std::vector<std::unique_ptr<Peering::StoreFollower>> m_followers;
+        Peering::StoreFollower m_follower;
         std::shared_ptr<Http::NodeServer> m_nodes;
     };
 
--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -106,11 +106,10 @@
             , m_signals(m_pool.context(0), SIGTERM, SIGINT)
             , m_reload(platform)
             , m_startedAt(m_clock.now())
+            , m_follower(m_pool.context(0), settings.store, platform.store(), m_merger, m_clock, m_stalls)
         {
             m_dispatch.setRouterCount(std::nullopt);
             m_dispatch.setRouters({});
-            for (auto& prefix : platform.publications().prefixes())
-                m_followers.push_back(std::make_unique<Peering::StoreFollower>(m_pool.context(0), settings.store, platform.store(), m_merger, m_clock, m_stalls, prefix));
             for (size_t i = 0; i < m_pool.size(); ++i)
                 m_workers.emplace_back(new Proxy::ProxyWorker { m_pool.context(i), {} });
         }
@@ -127,12 +126,10 @@
             m_peering.setPartHandler([this](const Dispatch::PartReports& reports) { mergePartReports(reports); });
             m_peering.setLimitHandler([this](const std::vector<Dispatch::LimitReport>& reports) { Dispatch::Commands::mergeLimitReports(m_dispatch, reports, m_clock.now()); });
             m_peering.setLimitProvider([this] { return Dispatch::Queries::listLimitReports(m_dispatch, m_clock.now()); });
-            m_peering.setStoreSyncTimeProvider([this] { return storeSyncedAt(); });
+            m_peering.setStoreSyncTimeProvider([this] { return m_follower.syncedAt(); });
             m_peering.start();
-            for (auto& follower : m_followers) {
-                follower->setChangeHandler([this] { m_peering.announceRevision(); });
-                Http::superviseTask(context, "follow-store", [this, &follower = *follower] { return follower.run([this] { return m_peering.shouldFollowStore(); }); });
-            }
+            m_follower.setChangeHandler([this] { m_peering.announceRevision(); });
+            Http::superviseTask(context, "follow-store", [this] { return m_follower.run([this] { return m_peering.shouldFollowStore(); }); });
             Http::superviseTask(context, "serve-queues", [this] { return serveQueues(); });
             Http::superviseTask(context, "housekeeping", [this] { return runHousekeeping(); });
             asio::co_spawn(context, drainOnSignal(), asio::detached);
@@ -158,19 +155,6 @@
             co_return Http::HttpResponse { 404, {}, "" };
         }
 
-        // Earliest synchronisation time of all followers; nothing unless every prefix of the store is followed.
-        std::optional<Base::TimePoint> storeSyncedAt() const
-        {
-            std::optional<Base::TimePoint> earliest;
-            for (auto& follower : m_followers) {
-                auto syncedAt = follower->syncedAt();
-                if (!syncedAt)
-                    return std::nullopt;
-                earliest = earliest ? std::min(*earliest, *syncedAt) : syncedAt;
-            }
-            return earliest;
-        }
-
         // The addresses of this node do not change while it runs.
         void applySettings(const Fleet::NodeSettings& settings)
         {
@@ -320,7 +304,7 @@
             m_metrics.set("prompt_parts_blocked", {}, static_cast<double>(m_dispatch.parts().blockedCount()));
             m_metrics.set("targets_held_back", {}, static_cast<double>(m_reluctantTargets.size()));
             m_metrics.set("open_requests", {}, static_cast<double>(m_proxy.openRequests));
-            auto syncedAt = storeSyncedAt();
+            auto syncedAt = m_follower.syncedAt();
             m_metrics.set("store_followed", {}, syncedAt ? 1 : 0);
             if (syncedAt)
                 m_metrics.set("store_age_seconds", {}, std::chrono::duration<double>(now - *syncedAt).count());
@@ -392,7 +376,7 @@
         std::map<uint64_t, size_t> m_blockedParts;
         // As of the last look.
         std::map<std::string, Dispatch::Queries::Reluctance> m_reluctantTargets;
-        std::vector<std::unique_ptr<Peering::StoreFollower>> m_followers;
+        Peering::StoreFollower m_follower;
         std::vector<std::unique_ptr<Proxy::ProxyWorker>> m_workers;
         std::shared_ptr<Proxy::CallerServer> m_callers;
         std::shared_ptr<Http::NodeServer> m_ready;
--- a/Tests/Fleet/FleetFixture.h
+++ b/Tests/Fleet/FleetFixture.h
@@ -21,7 +21,6 @@
     }
 
     bool isTargetKey(std::string_view key) const override { return key.starts_with("t/"); }
-    std::vector<std::string> prefixes() const override { return { "" }; }
 };
 
 // A fleet state to which the test publishes items one by one.
--- a/Tests/Peering/ModelFleet.h
+++ b/Tests/Peering/ModelFleet.h
@@ -33,7 +33,7 @@
     PeerReports reports { settings, peers, merger, clock, stalls };
     ItemReceiver receiver { settings, peers, merger, clock };
     ItemSupplier supplier { fleet, clock };
-    StoreCursor cursor { merger, clock, stalls, "" };
+    StoreCursor cursor { merger, clock, stalls };
     StoreTakeover takeover;
     uint64_t highestConfiguration = 0;
     std::map<std::string, Fleet::StorePosition> highestPositions;
--- a/Tests/Peering/StoreCursorTest.cpp
+++ b/Tests/Peering/StoreCursorTest.cpp
@@ -14,7 +14,7 @@
     Fleet::TestFleetState fleet;
     ItemMerger merger(fleet.state, fleet.decoder, fleet.clock);
     Base::StallMonitor stalls(fleet.clock, 50ms);
-    StoreCursor cursor(merger, fleet.clock, stalls, "");
+    StoreCursor cursor(merger, fleet.clock, stalls);
     auto list = [&](Fleet::StorePosition position) {
         auto listing = cursor.startListing();
         cr_assert(cursor.addPage(listing, Fleet::ListPage { {}, false, position }) == StoreOutcome::Used);
--- a/Tests/Peering/StoreFollowerTest.cpp
+++ b/Tests/Peering/StoreFollowerTest.cpp
@@ -23,7 +23,7 @@
     std::map<std::string, Fleet::ChangeBatch> changes;
     Fleet::ListPage listing;
 
-    Http::HttpRequest listRequest(const std::string&, const std::string&) const override { return get("/list"); }
+    Http::HttpRequest listRequest(const std::string&) const override { return get("/list"); }
     Base::Result<Fleet::ListPage, Fleet::StoreError> readList(const Http::HttpResponse& response) const override
     {
         if (response.status != 200)
@@ -31,7 +31,7 @@
         return listing;
     }
 
-    Http::HttpRequest watchRequest(const std::string&, uint64_t afterRevision, std::chrono::milliseconds) const override { return get("/watch/" + std::to_string(afterRevision)); }
+    Http::HttpRequest watchRequest(uint64_t afterRevision, std::chrono::milliseconds) const override { return get("/watch/" + std::to_string(afterRevision)); }
     Base::Result<Fleet::ChangeBatch, Fleet::StoreError> readChanges(const Http::HttpResponse& response) const override
     {
         if (response.status == historyLostStatus)
@@ -77,7 +77,7 @@
             auto response = respond(request.target);
             co_return response;
         });
-        follower = std::make_unique<StoreFollower>(context, Http::Endpoint { "127.0.0.1", server->port() }, protocol, merger, fleet.clock, stalls, "");
+        follower = std::make_unique<StoreFollower>(context, Http::Endpoint { "127.0.0.1", server->port() }, protocol, merger, fleet.clock, stalls);
     }
 
     // Time passes while the event loop runs, so that it does not count as stalled.
--- a/Tests/Platform/StoreCodecTest.cpp
+++ b/Tests/Platform/StoreCodecTest.cpp
@@ -99,9 +99,9 @@
 Test(StoreCodec, encodesRequests)
 {
     StoreCodec codec;
-    cr_assert_eq(codec.listRequest("", "").target, "/api/kv-range?prefix=");
-    cr_assert_eq(codec.listRequest("servers/", "servers/i 1").target, "/api/kv-range?prefix=servers/&after=servers/i%201");
-    cr_assert_eq(codec.watchRequest("", 12, std::chrono::milliseconds(8000)).target, "/api/kv-watch?prefix=&after=12&wait_ms=8000");
+    cr_assert_eq(codec.listRequest("").target, "/api/kv-range?prefix=");
+    cr_assert_eq(codec.listRequest("servers/i 1").target, "/api/kv-range?prefix=&after=servers/i%201");
+    cr_assert_eq(codec.watchRequest(12, std::chrono::milliseconds(8000)).target, "/api/kv-watch?prefix=&after=12&wait_ms=8000");
 }
 
 // Guards against misreading routes, API keys and services in the operators' configuration.
--- a/Tests/Staging/TestEngine.h
+++ b/Tests/Staging/TestEngine.h
@@ -330,7 +330,6 @@
 };
 
 struct NoPublications final : Fleet::PublicationDecoder {
-    std::vector<std::string> prefixes() const override { return {}; }
     Fleet::Publication decode(const Fleet::PublishedItem&) const override { return Fleet::Unrelated {}; }
     bool isTargetKey(std::string_view) const override { return false; }
 };
