Close no connection that is receiving a request while others wait

A caller within the limits that uploads slowly was cut (broken pipe, no response) as soon as a crowd of connections without a request took all descriptors for callers: among the connections that had had no response, the one whose request had begun first was closed, however much of its body had arrived since. A connection whose head is complete, and that has received something within the last second, is now closed only if there is no other to close; its wait counts from the last part. Callers that announce a body and stall, or send nothing, are closed before it, and the number of connections stays bounded as before.

--- a/Source/Http/WaitingConnections.cpp
+++ b/Source/Http/WaitingConnections.cpp
@@ -1,11 +1,14 @@
 #include "Http/WaitingConnections.h"
 
+#include <chrono>
 #include <tuple>
 
 namespace Lavenderloft::Http {
 
 namespace {
 
+    // A peer that has sent nothing of a body for longer counts as one that waits.
+    constexpr std::chrono::seconds maximumPartInterval { 1 };
     // Bounds the work for one new connection.
     constexpr unsigned maximumDeferrals = 8;
 
@@ -34,6 +37,13 @@
 void WaitingConnections::Registration::startWaiting(Base::TimePoint now)
 {
     m_isWaiting = true;
+    m_hasHead = false;
+    m_waitingSince = now;
+}
+
+void WaitingConnections::Registration::recordPart(Base::TimePoint now)
+{
+    m_hasHead = true;
     m_waitingSince = now;
 }
 
@@ -42,10 +52,15 @@
     m_isWaiting = false;
 }
 
-WaitingConnections::Registration* WaitingConnections::findLongestWaiting() const
+bool WaitingConnections::isSending(const Registration& connection, Base::TimePoint now)
+{
+    return connection.m_hasHead && now - connection.m_waitingSince < maximumPartInterval;
+}
+
+WaitingConnections::Registration* WaitingConnections::findLongestWaiting(Base::TimePoint now) const
 {
     Registration* longest = nullptr;
-    auto rank = [](const Registration& connection) { return std::tuple(connection.m_hasResponded, connection.m_waitingSince); };
+    auto rank = [&](const Registration& connection) { return std::tuple(connection.m_hasResponded, isSending(connection, now), connection.m_waitingSince); };
     for (auto& [stream, connection] : m_open) {
         if (!connection->m_isWaiting || connection->m_isClosed)
             continue;
@@ -59,10 +74,10 @@
 {
     if (m_open.size() - m_closing < m_maximumConnections)
         return Admission::Free;
-    auto* longest = findLongestWaiting();
+    auto* longest = findLongestWaiting(now);
     for (unsigned i = 0; longest && i < maximumDeferrals && hasUnreadBytes(longest->m_stream); ++i) {
         longest->m_waitingSince = now;
-        longest = findLongestWaiting();
+        longest = findLongestWaiting(now);
     }
     if (!longest)
         return Admission::Refused;
--- a/Source/Http/WaitingConnections.h
+++ b/Source/Http/WaitingConnections.h
@@ -9,7 +9,8 @@
 namespace Lavenderloft::Http {
 
 // The open connections of a server on one event loop, and which of them wait for their peer to send a request. When no
-// other connection may be opened, the one that waits longest is closed: what it has sent of a request has not run.
+// other connection may be opened, the one that waits longest is closed: what it has sent of a request has not run. Those
+// whose peers are sending a body are closed last, as these may be slow callers within the limits.
 class WaitingConnections {
 public:
     explicit WaitingConnections(size_t maximumConnections)
@@ -29,6 +30,9 @@
         void startWaiting(Base::TimePoint);
         void stopWaiting();
 
+        // The head of a request or a part of its body has arrived. The peer has to send the rest from the given time on.
+        void recordPart(Base::TimePoint);
+
         // A connection that was closed to make room for another one.
         bool isClosed() const { return m_isClosed; }
 
@@ -42,6 +46,7 @@
         boost::beast::tcp_stream& m_stream;
         Base::TimePoint m_waitingSince {};
         bool m_isWaiting = false;
+        bool m_hasHead = false;
         bool m_hasResponded = false;
         bool m_isClosed = false;
     };
@@ -60,7 +65,8 @@
     size_t count() const { return m_open.size(); }
 
 private:
-    Registration* findLongestWaiting() const;
+    Registration* findLongestWaiting(Base::TimePoint now) const;
+    static bool isSending(const Registration&, Base::TimePoint now);
 
     const size_t m_maximumConnections;
     std::unordered_map<boost::beast::tcp_stream*, Registration*> m_open;
--- a/Source/Proxy/CallerServer.cpp
+++ b/Source/Proxy/CallerServer.cpp
@@ -16,6 +16,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
+#include <functional>
 #include <optional>
 
 namespace Lavenderloft::Proxy {
@@ -112,8 +113,8 @@
     };
 
     // Reads the body as far as there is memory for it beside the head. Memory is reserved for what has arrived: callers that
-    // announce bodies and do not send them would take it from the others.
-    asio::awaitable<BodyRead> readBody(beast::tcp_stream& stream, beast::flat_buffer& buffer, RequestParser& parser, const BodyBudget& budget, BodyReservation& reservation, uint64_t headBytes, beast::error_code& error)
+    // announce bodies and do not send them would take it from the others. `onPart` is called after each part.
+    asio::awaitable<BodyRead> readBody(beast::tcp_stream& stream, beast::flat_buffer& buffer, RequestParser& parser, const BodyBudget& budget, BodyReservation& reservation, uint64_t headBytes, const std::function<void()>& onPart, beast::error_code& error)
     {
         auto length = parser.content_length();
         if (!reservation.growTo(headBytes) || (length && !budget.hasRoomFor(*length)))
@@ -123,6 +124,7 @@
             co_await http::async_read_some(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
             if (error)
                 co_return BodyRead::Failed;
+            onPart();
             if (!reservation.growTo(headBytes + parser.get().body().size()))
                 co_return BodyRead::NoMemory;
         }
@@ -270,7 +272,9 @@
     auto body = BodyRead::Failed;
     if (!error) {
         request = takeHead(parser);
-        body = co_await readBody(stream, buffer, parser, m_context.bodies, reservation, extraHeadBytes(request.headers), error);
+        registration.recordPart(m_context.clock.now());
+        auto onPart = [&] { registration.recordPart(m_context.clock.now()); };
+        body = co_await readBody(stream, buffer, parser, m_context.bodies, reservation, extraHeadBytes(request.headers), onPart, error);
     }
     if (registration.isClosed())
         co_return false;
--- a/Tests/HostileCallers/HostileCallersTest.cpp
+++ b/Tests/HostileCallers/HostileCallersTest.cpp
@@ -1,6 +1,6 @@
 #include "HostileCallers/Checks.h"
 #include "HostileCallers/Crowd.h"
-#include "HostileCallers/RouterUnderAttack.h"
+#include "HostileCallers/RouterChecks.h"
 
 #include <criterion/criterion.h>
 
@@ -10,28 +10,6 @@
 
 namespace {
 
-std::string ordinaryRequest(const std::string& body = {})
-{
-    auto headers = "Connection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
-    return RouterUnderAttack::requestHead("POST", "/ordinary", headers) + body;
-}
-
-void awaitReady(const RouterUnderAttack& router)
-{
-    auto until = std::chrono::steady_clock::now() + hangTimeout;
-    while (exchange(router.callers(), ordinaryRequest()).find("hello") == std::string::npos) {
-        cr_assert(std::chrono::steady_clock::now() < until, "the router does not become ready");
-        std::this_thread::sleep_for(50ms);
-    }
-}
-
-void expectServed(const RouterUnderAttack& router, const std::string& body = {})
-{
-    auto response = exchange(router.callers(), ordinaryRequest(body));
-    cr_expect(response.starts_with("HTTP/1.1 200") && response.ends_with("hello"), "an ordinary request got \"%s\"", response.c_str());
-    cr_assert(router.isAlive(), "the process has ended");
-}
-
 void expectMetrics(const RouterUnderAttack& router)
 {
     auto response = exchange(router.nodes(), "GET /metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
--- a/Tests/HostileCallers/RouterUnderAttack.h
+++ b/Tests/HostileCallers/RouterUnderAttack.h
@@ -38,6 +38,9 @@
     tcp::endpoint readiness() const { return { address(), static_cast<uint16_t>(m_firstPort + 18) }; }
     tcp::endpoint nodes() const { return { address(), m_firstPort }; }
 
+    // Longer than the buffers of the kernel, so that the router is blocked by a caller that does not read.
+    static constexpr size_t longResponseBytes = 8 * 1024 * 1024;
+
     // Of a path that the target serves.
     static std::string requestHead(const std::string& method, const std::string& path, const std::string& headers)
     {
@@ -48,8 +51,7 @@
 private:
     static Proxy::ScriptedReply reply(const std::string& head)
     {
-        // Longer than the buffers of the kernel, so that the router is blocked by a caller that does not read.
-        static const std::string longBody(8 * 1024 * 1024, 'r');
+        static const std::string longBody(longResponseBytes, 'r');
         if (head.find(" /head ") != std::string::npos)
             return { Proxy::sealedResponse(head, head) };
         bool isLong = head.find(" /long ") != std::string::npos;
