--- a/Tests/HostileCallers/HostileCallersTest.cpp
+++ b/Tests/HostileCallers/HostileCallersTest.cpp
@@ -1,5 +1,6 @@
 #include "HostileCallers/Checks.h"
 #include "HostileCallers/Crowd.h"
+#include "HostileCallers/Datagrams.h"
 #include "HostileCallers/RouterChecks.h"
 
 #include <criterion/criterion.h>
@@ -206,3 +207,13 @@
     cr_expect(response.starts_with("HTTP/1.1 200"), "%s", response.c_str());
     cr_expect_eq(response.find("X-Late"), std::string::npos, "%s", response.c_str());
 }
+
+// Guards against the end of a router, or memory that fills, by datagrams that no node has sent.
+Test(HostileCallers, sendDatagrams)
+{
+    RouterUnderAttack router;
+    awaitReady(router);
+    sendDatagrams(router.nodes());
+    expectWithinBounds(router);
+    expectServed(router);
+}
--- a/Tests/HostileCallers/RouterUnderAttack.h
+++ b/Tests/HostileCallers/RouterUnderAttack.h
@@ -6,6 +6,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <optional>
 #include <thread>
 
 namespace Lavenderloft::HostileCallers {
@@ -54,10 +55,34 @@
         static const std::string longBody(longResponseBytes, 'r');
         if (head.find(" /head ") != std::string::npos)
             return { Proxy::sealedResponse(head, head) };
+        if (auto endless = replyWithoutEnd(head))
+            return *endless;
         bool isLong = head.find(" /long ") != std::string::npos;
         return { Proxy::sealedResponse(head, isLong ? longBody : "hello") };
     }
 
+    // The reply to a path at which the target does not end its response; nullopt at other paths.
+    static std::optional<Proxy::ScriptedReply> replyWithoutEnd(const std::string& head)
+    {
+        using Then = Proxy::ScriptedReply::Then;
+        auto sealed = Proxy::sealedResponse(head, "hello");
+        auto statusLine = sealed.substr(0, sealed.find("\r\n") + 2);
+        auto chunked = statusLine + "Transfer-Encoding: chunked\r\n\r\n";
+        std::string filler(64 * 1024, 'f');
+        auto isPath = [&](const std::string& path) { return head.find(" " + path + " ") != std::string::npos; };
+        if (isPath("/trailers"))
+            return Proxy::ScriptedReply { chunked + "1\r\nx\r\n0\r\n", Then::Repeat, "x-trailer: " + filler + "\r\n" };
+        if (isPath("/extensions"))
+            return Proxy::ScriptedReply { chunked + "1;", Then::Repeat, filler };
+        if (isPath("/fields"))
+            return Proxy::ScriptedReply { statusLine, Then::Repeat, "x-field: " + filler + "\r\n" };
+        if (isPath("/interim"))
+            return Proxy::ScriptedReply { "", Then::Repeat, "HTTP/1.1 100 Continue\r\n\r\n" };
+        if (isPath("/announced"))
+            return Proxy::ScriptedReply { sealed, Then::Repeat, filler };
+        return std::nullopt;
+    }
+
     static asio::ip::address address() { return ownAddress(); }
 
     void publish(size_t configurationBytes)
