Ignore an era of the store that it can't have reached

One header or batch of items with an era of 2^64-1 was adopted and relayed, and every later response of the store counted as an earlier one until all nodes had restarted: no configuration came into force any more. A node without any position takes every era, so that it can start beside any store.

--- a/Source/Fleet/StorePosition.h
+++ b/Source/Fleet/StorePosition.h
@@ -20,6 +20,16 @@
     {
     }
 
+    // More returns of the store than a node can have missed.
+    static constexpr uint64_t maximumMissedEras = 1000;
+
+    // Whether the store can have got from this position to the other one. A node without any position takes every one.
+    bool mayPrecede(const StorePosition& other) const
+    {
+        bool isUnknown = *this == StorePosition();
+        return isUnknown || other.era <= era || other.era - era <= maximumMissedEras;
+    }
+
     // Ordered by era, then by revision.
     auto operator<=>(const StorePosition&) const = default; // NOLINT(modernize-use-nullptr): false positive
 
--- a/Source/Peering/ItemMerger.cpp
+++ b/Source/Peering/ItemMerger.cpp
@@ -90,6 +90,15 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - since);
 }
 
+bool ItemMerger::isPlausible(Fleet::StorePosition position, std::string_view source) const
+{
+    auto known = Fleet::Queries::knownPosition(m_fleet);
+    if (known.mayPrecede(position))
+        return true;
+    Observability::logEvent(Events::implausibleEraIgnored, { { "source", source }, { "era", position.era }, { "known_era", known.era } });
+    return false;
+}
+
 void ItemMerger::logChange(const Fleet::Commands::AppliedChange& change, Fleet::StorePosition position, std::string_view source)
 {
     for (auto& problem : change.unreadable)
--- a/Source/Peering/ItemMerger.h
+++ b/Source/Peering/ItemMerger.h
@@ -46,6 +46,9 @@
     // ages of items nor makes them complete.
     void recordRelayedSync(Base::TimePoint, bool isFromOwnRegion, std::string_view source);
 
+    // Whether what the source says of the store can be true: one wrong era would make all later items look outdated.
+    bool isPlausible(Fleet::StorePosition, std::string_view source) const;
+
     Fleet::FleetState& fleet() { return m_fleet; }
 
 private:
--- a/Source/Peering/ItemReceiver.cpp
+++ b/Source/Peering/ItemReceiver.cpp
@@ -64,7 +64,9 @@
 
 bool ItemReceiver::merge(const ItemFetch& fetch, ItemBatch batch)
 {
-    if (!unpackValues(batch, m_merger.fleet()))
+    auto isPlausible = [&](const Fleet::StorePosition& position) { return m_merger.isPlausible(position, fetch.router.address); };
+    bool arePlausible = isPlausible(batch.position) && std::all_of(batch.items.begin(), batch.items.end(), [&](auto& item) { return isPlausible(item.position); });
+    if (!arePlausible || !unpackValues(batch, m_merger.fleet()))
         return false;
     std::vector<std::string> keys;
     for (auto& item : batch.items) {
--- a/Source/Peering/ItemReceiver.h
+++ b/Source/Peering/ItemReceiver.h
@@ -33,7 +33,7 @@
     std::optional<ItemFetch> fetchAfterHistoryLost(const ItemFetch&);
 
     // Restores the packed values of the response and merges its items. Returns false, and merges nothing, if a value that a
-    // packed one is based on is not known here.
+    // packed one is based on is not known here, or if the positions are not plausible.
     bool merge(const ItemFetch&, ItemBatch);
 
     // Records that the request has ended. Another router is asked next if it failed.
--- a/Source/Peering/PeerReports.cpp
+++ b/Source/Peering/PeerReports.cpp
@@ -42,7 +42,12 @@
 void PeerReports::recordRouter(const NodeMessage& message)
 {
     auto now = m_clock.now();
+    bool isPlausible = m_merger.isPlausible(message.position, message.sender);
     PeerRouter router { message.sender, message.dataCentre, now, message.position, message.demand, syncReportOf(message, now), {}, message.urgencyDemand, now };
+    if (!isPlausible) {
+        router.position = {};
+        router.storeSync = {};
+    }
     bool isNewReport = router.storeSync.reportedAt == now;
     auto known = Fleet::Queries::knownPosition(m_merger.fleet());
     // A router of an earlier era lacks what was published since the store returned.
--- a/Source/Peering/StoreCursor.cpp
+++ b/Source/Peering/StoreCursor.cpp
@@ -130,6 +130,8 @@
     auto& page = Base::valueOf(result);
     if (isStale(page.position))
         return ignore("a response of an earlier era");
+    if (!m_merger.isPlausible(page.position, storeSource))
+        return ignore("a response of an implausible era");
     if (listing.position && listing.position->era != page.position.era)
         return ignore("the store returned from an older copy during the listing");
     // The next page begins after the last key of this one. Without a new last key the listing would never end.
@@ -202,6 +204,8 @@
     auto& batch = Base::valueOf(result);
     if (isStale(batch.position))
         return ignore("a response of an earlier era");
+    if (!m_merger.isPlausible(batch.position, storeSource))
+        return ignore("a response of an implausible era");
     // The revision to continue from may have been given out again.
     if (batch.position.era != m_position->era) {
         discardPosition();
--- a/Tests/Peering/StoreCursorTest.cpp
+++ b/Tests/Peering/StoreCursorTest.cpp
@@ -2,6 +2,7 @@
 #include "Fleet/FleetFixture.h"
 
 #include <criterion/criterion.h>
+#include <limits>
 
 using namespace Lavenderloft;
 using namespace Lavenderloft::Peering;
@@ -27,3 +28,22 @@
     list({ 2, 3 });
     cr_expect(cursor.syncedAt().has_value());
 }
+
+// Guards against a store that a node ignores for ever: one response named an era that the store can't have reached, and all
+// later responses counted as earlier ones.
+Test(StoreCursor, ignoresAnImplausibleEra)
+{
+    Fleet::TestFleetState fleet;
+    ItemMerger merger(fleet.state, fleet.decoder, fleet.clock);
+    Base::StallMonitor stalls(fleet.clock, 50ms);
+    StoreCursor cursor(merger, fleet.clock, stalls);
+    auto list = [&](Fleet::StorePosition position) {
+        auto listing = cursor.startListing();
+        return cursor.addPage(listing, Fleet::ListPage { {}, false, position });
+    };
+    constexpr auto largest = std::numeric_limits<uint64_t>::max();
+    cr_assert(list({ 1, 5 }) == StoreOutcome::Used);
+    cr_expect(list({ largest, 6 }) == StoreOutcome::Ignored);
+    cr_expect(cursor.applyChanges(Fleet::ChangeBatch { {}, { largest, 6 } }, cursor.nextWatch()) == StoreOutcome::Ignored);
+    cr_expect(list({ 1 + Fleet::StorePosition::maximumMissedEras, 6 }) == StoreOutcome::Used);
+}
