Ask whether the own router is synchronised before reading its document

The class of the incident CONFIG at the product's own router: it read the document in force first, and whether the process had synchronised since its last pause afterwards. A process that paused and synchronised in between denied a request (404, no_route) by the document from before the pause. The order is reversed: a document that is read after the process was synchronised is at least as recent.

Evidence: CallerHandler/deniesNothingByADocumentFromBeforeAPause got 404 before and passes now; all tests of Routing pass.

--- a/Source/Process/CallerHandler.cpp
+++ b/Source/Process/CallerHandler.cpp
@@ -165,8 +165,10 @@
 {
     auto context = m_context.lock();
     bool isHeadRequest = request.method == "HEAD";
+    // Asked first: the process may pause and synchronise in between, and a document from before the pause may be outdated.
+    bool isSynchronised = m_control.isSynchronised();
     auto document = m_control.document();
-    if (!context || !document || !m_control.isSynchronised())
+    if (!context || !document || !isSynchronised)
         return stream->respond(encodeError({}, notSynchronisedError()));
     auto read = Routing::Queries::readRequest(decodeRequest(std::move(request)), *document, { context->clock.now(), context->clock.wallTime() }, context->random);
     if (!Base::succeeded(read)) {
