Split the model of the fleet into routers, checks and events

The decisions of one router and the two properties that are checked after each event have headers of their own.

--- a/Tests/Peering/ModelFleet.h
+++ b/Tests/Peering/ModelFleet.h
@@ -1,14 +1,7 @@
 #pragma once
 
 #include "Base/SeededRandom.h"
-#include "Fleet/FleetFixture.h"
-#include "Peering/Commands/RecordPeer.h"
-#include "Peering/ItemReceiver.h"
-#include "Peering/ItemSupplier.h"
-#include "Peering/ModelStore.h"
-#include "Peering/PeerReports.h"
-#include "Peering/Queries/ListPeers.h"
-#include "Peering/StoreTakeover.h"
+#include "Peering/ModelChecks.h"
 
 #include <deque>
 #include <functional>
@@ -20,55 +13,6 @@
 
 namespace Lavenderloft::Peering {
 
-// The decisions of one router, without input and output.
-struct ModelRouter {
-    static constexpr std::chrono::milliseconds tickInterval { 50 };
-
-    Fleet::NodeSettings settings;
-    Base::ManualClock clock;
-    Fleet::FleetState fleet;
-    PeerTable peers;
-    Base::StallMonitor stalls { clock, tickInterval };
-    ItemMerger merger;
-    PeerReports reports { settings, peers, merger, clock, stalls };
-    ItemReceiver receiver { settings, peers, merger, clock };
-    ItemSupplier supplier { fleet, clock };
-    StoreCursor cursor { merger, clock, stalls };
-    StoreTakeover takeover;
-    uint64_t highestConfiguration = 0;
-    std::map<std::string, Fleet::StorePosition> highestPositions;
-
-    ModelRouter(const Fleet::NodeSettings& nodeSettings, const Fleet::PublicationDecoder& decoder, Base::Duration uptime)
-        : settings(nodeSettings)
-        , merger(fleet, decoder, clock)
-    {
-        clock.advance(uptime);
-        stalls.tick();
-    }
-
-    bool shouldFollowStore()
-    {
-        if (!receiver.hasFetchedAll())
-            return true;
-        auto now = clock.now();
-        takeover.recordSupply(!receiver.isLagging() && Queries::isStoreFollowedByPeer(peers, settings, now), now);
-        return takeover.isDue(Queries::takeoverRank(peers, settings, now), now);
-    }
-
-    NodeMessage messageTo(const std::string& receiverAddress) const
-    {
-        NodeMessage message;
-        message.sender = settings.address;
-        message.dataCentre = settings.dataCentre;
-        message.isRouter = true;
-        message.position = Fleet::Queries::knownPosition(fleet);
-        if (auto syncedAt = cursor.syncedAt())
-            message.storeAge = std::chrono::duration_cast<std::chrono::milliseconds>(clock.now() - *syncedAt);
-        message.times = reports.timesOfMessage(receiverAddress, clock.now());
-        return message;
-    }
-};
-
 // Routers of two regions and a store, in a sequence of events that a seed decides on: late, lost and reordered messages,
 // routers that are suspended, restarted or cut off, and a store that fails in every way that it may.
 class ModelFleet {
@@ -150,8 +94,6 @@
 
     static std::string nameOf(unsigned index) { return "router " + std::to_string(index); }
 
-    static std::string textOf(Fleet::StorePosition position) { return std::to_string(position.era) + "." + std::to_string(position.revision); }
-
     static std::string listOf(const std::vector<Fleet::PublishedItem>& items)
     {
         std::string text;
@@ -558,57 +500,26 @@
     }
 
     void check(unsigned index)
-    {
-        checkOrder(index);
-        checkCompleteness(index);
-    }
-
-    void fail(unsigned index, const std::string& what)
-    {
-        m_violation = nameOf(index) + ": " + what;
-        note(m_violation);
-    }
-
-    // No router goes back to an older version of an item.
-    void checkOrder(unsigned index)
     {
         auto& node = router(index);
-        auto configuration = Fleet::Queries::currentSnapshot(node.fleet)->configuration;
-        auto version = configuration ? configuration->version : 0;
-        if (version < node.highestConfiguration)
-            fail(index, "configuration " + std::to_string(version) + " in force after " + std::to_string(node.highestConfiguration));
-        node.highestConfiguration = version;
-        node.fleet.withContents([&](auto& contents) {
-            for (auto& [key, record] : contents.records) {
-                auto& highest = node.highestPositions[key];
-                if (record.item.position < highest)
-                    fail(index, key + " went back to " + textOf(record.item.position));
-                highest = record.item.position;
-            }
-        });
+        auto asOf = completeSince(node);
+        m_completenessChecks += asOf ? 1 : 0;
+        auto violation = findReversal(node);
+        if (!violation && asOf)
+            violation = findMissingItem(node, m_store, *asOf, m_now);
+        if (!violation)
+            return;
+        m_violation = nameOf(index) + ": " + *violation;
+        note(m_violation);
     }
 
-    // A router whose items count as complete up to a time has what the store had then, or something newer.
-    void checkCompleteness(unsigned index)
+    // Up to when the router counts as complete, by the time of the store.
+    std::optional<Base::TimePoint> completeSince(const ModelRouter& node) const
     {
-        auto& node = router(index);
         auto completeness = Fleet::Queries::completeness(node.fleet);
         if (!completeness)
-            return;
-        ++m_completenessChecks;
-        auto asOf = m_now - (node.clock.now() - completeness->asOf);
-        auto& published = m_store.itemsAt(asOf);
-        node.fleet.withContents([&](auto& contents) {
-            for (auto& [key, version] : published) {
-                auto record = contents.records.find(key);
-                bool isKnown = record != contents.records.end() && record->second.item.position >= version.position;
-                bool isGone = (record == contents.records.end() || record->second.item.deleted) && m_store.isMissingSince(key, asOf);
-                if (!isKnown && !isGone)
-                    fail(index, "lacks " + key + " of " + textOf(version.position) + ", but counts as complete " + std::to_string((m_now - asOf) / Duration(1)) + " ms ago by " + completeness->source);
-                if (isKnown && !record->second.item.deleted && !m_store.mayBeKnownAs(key, record->second.item.value, record->second.item.position))
-                    fail(index, "has a value of " + key + " that was never written at its position");
-            }
-        });
+            return std::nullopt;
+        return m_now - (node.clock.now() - completeness->asOf);
     }
 
     Base::SeededRandom m_random;
