--- a/review/standins-2/HostileClients.cpp
+++ b/review/standins-2/HostileClients.cpp
@@ -6,6 +6,8 @@
 // Exits with 1 if the router exceeded its memory, ended, or left most of the ordinary requests without an answer.
 #include "Standins.h"
 
+#include <set>
+
 using namespace review;
 
 namespace {
@@ -30,12 +32,25 @@
     std::atomic<int> refused { 0 };
     std::atomic<int> unanswered { 0 };
     std::atomic<int> cut { 0 };
+    // Of the cut ones, those that a replica was running.
+    std::atomic<int> cutAtReplica { 0 };
 };
 
 Outcomes calm;
 Outcomes troubled;
 std::atomic<bool> isOver { false };
+// Requests that are sent later may still be under way as the other clients begin.
+double calmUntil = troubleStart;
 std::atomic<int> runs { 0 };
+std::mutex startedLock;
+std::set<std::string> started;
+
+bool hasStarted(const std::string& id)
+{
+    std::lock_guard guard(startedLock);
+    return started.contains(id);
+}
+
 std::atomic<int> nextId { 0 };
 
 std::string hex(int number)
@@ -51,7 +66,7 @@
     Connection connection;
     while (!isOver && secondsSinceStart() < troubleStart + trafficSeconds) {
         auto id = hex(++nextId);
-        auto& outcomes = secondsSinceStart() < troubleStart ? calm : troubled;
+        auto& outcomes = secondsSinceStart() < calmUntil ? calm : troubled;
         bool isBooking = number % 2 == 0;
         auto line = isBooking ? std::string("POST /book/2f") : std::string("GET /stock/2f");
         auto body = isBooking ? std::string(600, 'o') : std::string();
@@ -67,8 +82,10 @@
             record.line("%s %s -> %d after %d ms", id.c_str(), line.c_str(), answer->status(), elapsed);
         } else {
             bool isCut = elapsed < ordinaryDeadlineMs;
+            bool isRunning = hasStarted(id);
             ++(isCut ? outcomes.cut : outcomes.unanswered);
-            record.line("%s %s -> %s after %d ms", id.c_str(), line.c_str(), isCut ? "no answer, connection refused or closed" : "no answer", elapsed);
+            outcomes.cutAtReplica += isCut && isRunning;
+            record.line("%s %s -> %s after %d ms%s", id.c_str(), line.c_str(), isCut ? "no answer, connection refused or closed" : "no answer", elapsed, isRunning ? ", a replica was running it" : "");
             connection.close();
         }
         if (answer && strcasecmp(answer->headers.get("Connection").c_str(), "close") == 0)
@@ -197,6 +214,9 @@
     std::string recordPath = count > 2 ? arguments[2] : "record.txt";
     signal(SIGPIPE, SIG_IGN);
     bool isHostile = hasTrouble();
+    // Where the router is expected to end, requests last longer, so that some are under way then.
+    int workMs = mode == "fields" ? 30 : 350;
+    calmUntil -= 2 * workMs / 1000.0;
     auto folder = temporaryFolder();
     Record record(recordPath);
     record.line("%s, trouble %s", mode.c_str(), isHostile ? "on" : "off");
@@ -207,8 +227,13 @@
     for (int i = 0; i < 7; ++i) {
         auto handle = [&](Message& request, Connection& connection) {
             ++runs;
-            sleepMs(30);
-            return connection.send(response(200, "Lavenderloft-Request-Id: " + request.headers.get("Lavenderloft-Request-Id") + "\r\nLavenderloft-Response-Seal: s1\r\nKeep-Alive: timeout=10\r\n", std::string(800, 'r')));
+            auto id = request.headers.get("Lavenderloft-Request-Id");
+            {
+                std::lock_guard guard(startedLock);
+                started.insert(id);
+            }
+            sleepMs(workMs);
+            return connection.send(response(200, "Lavenderloft-Request-Id: " + id + "\r\nLavenderloft-Response-Seal: s1\r\nKeep-Alive: timeout=10\r\n", std::string(800, 'r')));
         };
         replicas.push_back(std::make_unique<Server>("127.0.0.1", handle));
     }
@@ -235,7 +260,7 @@
     record.line("router ready, resident %ld KB, memory_mb %u", router.residentKb(), settings.memoryMb);
 
     std::vector<std::thread> clients;
-    for (int i = 0; i < 8; ++i)
+    for (int i = 0; i < 12; ++i)
         clients.emplace_back([&, i] { sleepMs(i * 50); runOrdinaryClient(i, settings, record); });
     std::thread([&] {
         for (int sequence = 2;; ++sequence) {
@@ -303,7 +328,7 @@
     for (auto& client : clients)
         client.join();
     auto describe = [&](const char* name, const Outcomes& outcomes) {
-        record.line("%s: %d sent, %d served, %d refused, %d without an answer in time, %d cut", name, outcomes.sent.load(), outcomes.served.load(), outcomes.refused.load(), outcomes.unanswered.load(), outcomes.cut.load());
+        record.line("%s: %d sent, %d served, %d refused, %d without an answer in time, %d cut (%d of them while a replica ran them)", name, outcomes.sent.load(), outcomes.served.load(), outcomes.refused.load(), outcomes.unanswered.load(), outcomes.cut.load(), outcomes.cutAtReplica.load());
     };
     describe("ordinary requests before", calm);
     describe("ordinary requests beside the others", troubled);
@@ -311,7 +336,8 @@
     // The platform keeps a process out of rotation after two misses; here most requests must lack any answer.
     bool isHung = mode == "fields" && 2 * (troubled.unanswered + troubled.cut) > troubled.sent;
     bool isSound = calm.served > 0 && calm.unanswered + calm.cut == 0;
-    int result = !isSound ? 2 : isExceeded || hasEnded || isHung ? 1 : 0;
+    int result = !isSound ? 2 : isExceeded || hasEnded || isHung ? 1
+                                                                 : 0;
     record.line("result %d", result);
     router.end();
     _exit(result);
--- a/review/standins-2/LongField.cpp
+++ b/review/standins-2/LongField.cpp
@@ -153,7 +153,8 @@
         client.join();
     record.line("ordinary requests: %d sent, %d served, %d closed without an answer while a replica ran them, %d other", sent.load(), served.load(), lost.load(), other.load());
     record.line("the router ended %d times", ends);
-    int result = served == 0 ? 2 : ends > 0 || lost > 3 ? 1 : 0;
+    int result = served == 0 ? 2 : ends > 0 || lost > 3 ? 1
+                                                        : 0;
     record.line("result %d", result);
     router.end();
     _exit(result);
--- a/review/standins-2/Standins.h
+++ b/review/standins-2/Standins.h
@@ -489,16 +489,19 @@
     {
         auto at = [&](uint16_t port) { return "\"" + ip + ":" + std::to_string(port) + "\"\n"; };
         std::string text = "node: \"front-" + ip + "\"\nrole: \"router\"\nmachine_class: \"front\"\nserves:\n  - \"front\"\n  - \"control\"\n"
-            "ip: \"" + ip + "\"\nzone: \"" + zone + "\"\nregion: \"" + zone.substr(0, zone.size() - 2) + "\"\n"
-            "zones:\n  makedonia-a: \"makedonia\"\n  attiki-a: \"attiki\"\n  kriti-a: \"kriti\"\n"
-            "listen:\n  front: " + at(front) + "  ready: " + at(ready) + "  control: " + at(control)
+                                                   "ip: \""
+            + ip + "\"\nzone: \"" + zone + "\"\nregion: \"" + zone.substr(0, zone.size() - 2) + "\"\n"
+                                                                                                "zones:\n  makedonia-a: \"makedonia\"\n  attiki-a: \"attiki\"\n  kriti-a: \"kriti\"\n"
+                                                                                                "listen:\n  front: "
+            + at(front) + "  ready: " + at(ready) + "  control: " + at(control)
             + "port_range:\n  - " + std::to_string(firstPort) + "\n  - " + std::to_string(firstPort + 15) + "\nseeds:\n";
         for (auto& seed : seeds)
             text += "  - \"" + seed + "\"\n";
         text += "bootstrap: true\nloss_counts: false\nlimits:\n  cpu_share: 0.25\n  cores: 1\n  memory_mb: " + std::to_string(memoryMb) + "\n  max_fds: " + std::to_string(maximumDescriptors)
             + "\n  link_mbps: 1000.0\n  disk_mb: 0\ndata_dir: null\ndiscovery: \"platform\"\nentry: \"vip\"\nheartbeat_ms: 1200\n"
-            "bounds:\n  contact_ms: 3000\n  drain_ms: 2000\n  grace_s: 8\n  loss_slack_ms: 200\n  config_apply_ms: 2000\n  retry_budget_ratio: 0.2\n  budget_window_s: 10\n  retry_slack: 100\n  version_ms: 8000\n"
-            "platform:\n  address: \"" + store + "\"\n  form: \"read\"\n  reads_per_s: 2000\n  history_s: 20\n  value_bytes: 1048576\n";
+              "bounds:\n  contact_ms: 3000\n  drain_ms: 2000\n  grace_s: 8\n  loss_slack_ms: 200\n  config_apply_ms: 2000\n  retry_budget_ratio: 0.2\n  budget_window_s: 10\n  retry_slack: 100\n  version_ms: 8000\n"
+              "platform:\n  address: \""
+            + store + "\"\n  form: \"read\"\n  reads_per_s: 2000\n  history_s: 20\n  value_bytes: 1048576\n";
         return text;
     }
 };
