Go on after an exception of a handler, and release what its task held

Cause: nothing caught what leaves a handler of an event loop. An exception of a detached coroutine is dropped instead, without a trace, and left things behind: the test finds a lease that nobody releases. A supervised task was not started again if an operation that it awaits raised.

Change: runEventLoop() catches, logs (LL8503) and counts; spawnTask() replaces co_spawn with detached everywhere; the supervisor notices a destroyed run. What a request holds is released by destructors (HeldLease, PendingLease, IdleCaller, OpenConnection), because a coroutine that is destroyed runs no catch block. Same cause looked for in: CallerServer, NodeServer, ReplacementAttempt, PieceFetcher, FleetRouter's drain, AgentProcess, HttpServer, HttpClient.

Tests failed before: on EventLoop/goesOnAfterAnExceptionOfAHandler crashed, TaskSupervisor/startsATaskAgainAfterAnExceptionInsideAnOperation failed, FailedRequest/* failed at reading 11 with one lease left. They pass now, with all tests of Http (26) and Proxy (113).

Why it works: each way in which a task can end now runs the destructors of what it holds, and no way reaches the thread.

--- a/Source/Http/HttpClient.cpp
+++ b/Source/Http/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include "Http/HttpClient.h"
 
+#include "Http/EventLoop.h"
 #include "Http/ResponseStatus.h"
 
 #include <array>
@@ -260,7 +261,7 @@
     : m_state(std::make_shared<State>())
 {
     for (unsigned i = 0; i < threads; ++i)
-        m_state->threads.emplace_back([state = m_state.get()] { state->context.run(); });
+        m_state->threads.emplace_back([state = m_state.get()] { runEventLoop(state->context); });
 }
 
 HttpClient::~HttpClient()
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "Http/HttpServer.h"
 
 #include "Base/FileDescriptors.h"
+#include "Http/EventLoop.h"
 #include "Http/Events.h"
 #include "Observability/Log.h"
 
@@ -581,7 +582,7 @@
         throw std::runtime_error("cannot listen on " + m_state->options.listen.toString() + ": " + error.message() + "; give a free address in the settings");
     acceptNext(m_state);
     for (unsigned i = 0; i < std::max(1u, m_state->options.threads); ++i)
-        m_state->threads.emplace_back([state = m_state] { state->context.run(); });
+        m_state->threads.emplace_back([state = m_state] { runEventLoop(state->context); });
 }
 
 HttpServer::~HttpServer()
--- a/Source/Http/IoContextPool.cpp
+++ b/Source/Http/IoContextPool.cpp
@@ -1,5 +1,7 @@
 #include "Http/IoContextPool.h"
 
+#include "Http/EventLoop.h"
+
 #include <algorithm>
 
 namespace Lavenderloft::Http {
@@ -20,8 +22,8 @@
 void IoContextPool::run()
 {
     for (size_t i = 1; i < m_loops.size(); ++i)
-        m_threads.emplace_back([loop = m_loops[i].get()] { loop->context.run(); });
-    m_loops.front()->context.run();
+        m_threads.emplace_back([loop = m_loops[i].get()] { runEventLoop(loop->context); });
+    runEventLoop(m_loops.front()->context);
 }
 
 void IoContextPool::stop()
--- a/Source/Http/NodeServer.cpp
+++ b/Source/Http/NodeServer.cpp
@@ -2,12 +2,12 @@
 
 #include "Base/FileDescriptors.h"
 #include "Http/Events.h"
+#include "Http/SpawnTask.h"
+#include "Http/TaskSupervisor.h"
 #include "Http/WireFormat.h"
 #include "Observability/Log.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -63,8 +63,7 @@
 std::shared_ptr<NodeServer> NodeServer::start(asio::io_context& context, const Endpoint& endpoint, Handler handler)
 {
     std::shared_ptr<NodeServer> server(new NodeServer(context, endpoint, std::move(handler)));
-    asio::co_spawn(
-        context, [server] { return server->acceptConnections(); }, asio::detached);
+    superviseTask(context, "accept-nodes", [server] { return server->acceptConnections(); });
     return server;
 }
 
@@ -96,8 +95,7 @@
             co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
             continue;
         }
-        asio::co_spawn(
-            m_context, [self, socket = std::move(socket)]() mutable { return self->serve(std::move(socket)); }, asio::detached);
+        spawnTask(m_context, "serve-node", [self, socket = std::move(socket)]() mutable { return self->serve(std::move(socket)); });
     }
 }
 
@@ -129,10 +127,10 @@
         co_return false;
     }
     m_unreadBytes += bytes.size();
+    std::shared_ptr<void> endOfResponse(nullptr, [this, count = bytes.size()](void*) { m_unreadBytes -= count; });
     beast::error_code error;
     stream.expires_after(writeTimeout);
     co_await asio::async_write(stream, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
-    m_unreadBytes -= bytes.size();
     co_return !error;
 }
 
--- a/Source/Process/AgentProcess.cpp
+++ b/Source/Process/AgentProcess.cpp
@@ -7,6 +7,7 @@
 #include "Admission/Events.h"
 #include "Admission/Queries/CurrentLimit.h"
 #include "Admission/Queries/FindRefusal.h"
+#include "Http/EventLoop.h"
 #include "Http/HttpServer.h"
 #include "Observability/Log.h"
 #include "Process/AgentAdminHandler.h"
@@ -128,7 +129,7 @@
         if (driver)
             driver->start();
         tick();
-        context.run();
+        Http::runEventLoop(context);
         server->Shutdown(std::chrono::system_clock::now() + (isAborted ? std::chrono::seconds(0) : streamDrainTimeout));
         if (driver)
             driver->stop();
--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -21,6 +21,8 @@
 #include "Http/IoContextPool.h"
 #include "Http/NodeServer.h"
 #include "Http/Sleep.h"
+#include "Http/SpawnTask.h"
+#include "Http/TaskFailures.h"
 #include "Http/TaskSupervisor.h"
 #include "Observability/Log.h"
 #include "Peering/PeeringNode.h"
@@ -30,8 +32,6 @@
 #include "Process/SettingsReload.h"
 #include "Proxy/CallerServer.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
@@ -132,7 +132,7 @@
             Http::superviseTask(context, "follow-store", [this] { return m_follower.run([this] { return m_peering.shouldFollowStore(); }); });
             Http::superviseTask(context, "serve-queues", [this] { return serveQueues(); });
             Http::superviseTask(context, "housekeeping", [this] { return runHousekeeping(); });
-            asio::co_spawn(context, drainOnSignal(), asio::detached);
+            Http::spawnTask(context, "drain", [this] { return drainOnSignal(); });
             m_reload.watch(context, [this](const Fleet::NodeSettings& settings) { applySettings(settings); });
             Observability::logEvent(processStarted, { { "node", m_settings.node }, { "role", "router" }, { "data_centre", m_settings.dataCentre } });
             m_pool.run();
@@ -301,6 +301,7 @@
             m_metrics.set("store_era", {}, static_cast<double>(snapshot->position.era));
             m_metrics.set("routers_known", {}, static_cast<double>(Peering::Queries::countRetainedRouters(m_peers)) + 1);
             m_metrics.set("node_connections_closed", {}, static_cast<double>(m_ready->closedConnections() + m_nodes->closedConnections()));
+            m_metrics.set("task_failures", {}, static_cast<double>(Http::taskFailures()));
             m_metrics.set("prompt_parts_blocked", {}, static_cast<double>(m_dispatch.parts().blockedCount()));
             m_metrics.set("targets_held_back", {}, static_cast<double>(m_reluctantTargets.size()));
             m_metrics.set("open_requests", {}, static_cast<double>(m_proxy.openRequests));
@@ -321,6 +322,11 @@
         asio::awaitable<void> drainOnSignal()
         {
             co_await m_signals.async_wait(asio::use_awaitable);
+            // Also when an exception ends this coroutine: the process has been told to stop.
+            std::shared_ptr<void> endOfDrain(nullptr, [this, &context = m_pool.context(0)](void*) {
+                if (!context.stopped())
+                    m_pool.stop();
+            });
             m_proxy.draining = true;
             m_peering.announceLeaving();
             Observability::logEvent(processStopping, { { "open_requests", m_proxy.openRequests.load() } });
@@ -339,7 +345,6 @@
             }
             co_await endOpenRequests(deadline);
             m_callers->stop();
-            m_pool.stop();
         }
 
         // Ends the requests that are still open, and closes the connections of those whose callers do not read.
--- a/Source/Proxy/CallerServer.cpp
+++ b/Source/Proxy/CallerServer.cpp
@@ -2,6 +2,8 @@
 
 #include "Fleet/Queries/ReadFleet.h"
 #include "Http/NodeServer.h"
+#include "Http/SpawnTask.h"
+#include "Http/TaskSupervisor.h"
 #include "Http/WireFormat.h"
 #include "Observability/Log.h"
 #include "Proxy/Events.h"
@@ -9,8 +11,6 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -143,6 +143,42 @@
         return request;
     }
 
+    // Counts a connection as open for as long as this object exists.
+    class OpenConnection {
+    public:
+        explicit OpenConnection(std::atomic<size_t>& count)
+            : m_count(count)
+        {
+            ++m_count;
+        }
+
+        OpenConnection(const OpenConnection&) = delete;
+        OpenConnection& operator=(const OpenConnection&) = delete;
+        ~OpenConnection() { --m_count; }
+
+    private:
+        std::atomic<size_t>& m_count;
+    };
+
+    // Lists a connection as waiting for a request for as long as this object exists.
+    class IdleCaller {
+    public:
+        IdleCaller(ProxyWorker& worker, beast::tcp_stream& stream, Base::TimePoint since)
+            : m_worker(worker)
+            , m_stream(stream)
+        {
+            m_worker.idleCallers.emplace(&stream, since);
+        }
+
+        IdleCaller(const IdleCaller&) = delete;
+        IdleCaller& operator=(const IdleCaller&) = delete;
+        ~IdleCaller() { m_worker.idleCallers.erase(&m_stream); }
+
+    private:
+        ProxyWorker& m_worker;
+        beast::tcp_stream& m_stream;
+    };
+
     // Sends as much as the connection accepts at once; it is closed afterwards.
     void sendRefusal(tcp::socket& socket)
     {
@@ -166,8 +202,7 @@
 
 void CallerServer::start()
 {
-    asio::co_spawn(
-        m_acceptor.get_executor(), [self = shared_from_this()] { return self->acceptConnections(); }, asio::detached);
+    Http::superviseTask(m_workers.front()->context, "accept-callers", [self = shared_from_this()] { return self->acceptConnections(); });
 }
 
 void CallerServer::closeIdleConnections()
@@ -225,9 +260,8 @@
             co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
             continue;
         }
-        ++m_openConnections;
-        asio::co_spawn(
-            worker.context, [self, &worker, &connections = *m_connections[number], socket = std::move(socket)]() mutable { return self->serve(worker, connections, std::move(socket)); }, asio::detached);
+        auto openConnection = std::make_shared<OpenConnection>(m_openConnections);
+        Http::spawnTask(worker.context, "serve-caller", [self, openConnection, &worker, &connections = *m_connections[number], socket = std::move(socket)]() mutable { return self->serve(worker, connections, std::move(socket)); });
     }
 }
 
@@ -303,11 +337,6 @@
 
 asio::awaitable<void> CallerServer::serve(ProxyWorker& worker, Http::WaitingConnections& connections, tcp::socket socket)
 {
-    auto self = shared_from_this();
-    struct OpenConnection {
-        std::atomic<size_t>& count;
-        ~OpenConnection() { --count; }
-    } openConnection { m_openConnections };
     if (!admit(connections, socket))
         co_return;
     beast::tcp_stream stream(std::move(socket));
@@ -322,9 +351,11 @@
         if (buffer.size() == 0) {
             stream.expires_after(limitsInForce(m_context).idleTimeout);
             registration.startWaiting(m_context.clock.now());
-            worker.idleCallers.emplace(&stream, m_context.clock.now());
-            auto count = co_await stream.async_read_some(buffer.prepare(firstReadBytes), token);
-            worker.idleCallers.erase(&stream);
+            size_t count = 0;
+            {
+                IdleCaller idleCaller(worker, stream, m_context.clock.now());
+                count = co_await stream.async_read_some(buffer.prepare(firstReadBytes), token);
+            }
             // A request has arrived that the event loop had not read when the connection was closed as idle.
             if (error == asio::error::operation_aborted && !registration.isClosed() && stream.socket().available(ignored) > 0)
                 continue;
--- a/Source/Proxy/LeaseWaiter.cpp
+++ b/Source/Proxy/LeaseWaiter.cpp
@@ -17,11 +17,27 @@
 void LeaseWaiter::waitEnded(Outcome outcome)
 {
     asio::post(m_context, [self = shared_from_this(), outcome = std::move(outcome)]() mutable {
-        self->m_outcome = std::move(outcome);
-        self->m_timer.cancel();
+        self->deliver(std::move(outcome));
     });
 }
 
+void LeaseWaiter::deliver(Outcome outcome)
+{
+    auto* lease = std::get_if<Dispatch::Lease>(&outcome);
+    if (m_returnLease && lease)
+        m_returnLease(*lease);
+    m_outcome = std::move(outcome);
+    m_timer.cancel();
+}
+
+void LeaseWaiter::discard(std::function<void(const Dispatch::Lease&)> returnLease)
+{
+    m_returnLease = std::move(returnLease);
+    auto* lease = m_outcome ? std::get_if<Dispatch::Lease>(&*m_outcome) : nullptr;
+    if (lease)
+        m_returnLease(*lease);
+}
+
 asio::awaitable<void> LeaseWaiter::waitFor(Base::Duration duration)
 {
     if (m_outcome)
--- a/Source/Proxy/LeaseWaiter.h
+++ b/Source/Proxy/LeaseWaiter.h
@@ -5,6 +5,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -24,12 +25,18 @@
 
     void cancel() { m_timer.cancel(); }
 
+    // Nobody waits any more: passes a lease that was granted, or is granted from now on, to the function.
+    void discard(std::function<void(const Dispatch::Lease&)> returnLease);
+
     std::optional<Outcome>& outcome() { return m_outcome; }
 
 private:
+    void deliver(Outcome);
+
     boost::asio::io_context& m_context;
     boost::asio::steady_timer m_timer;
     std::optional<Outcome> m_outcome;
+    std::function<void(const Dispatch::Lease&)> m_returnLease;
 };
 
 } // namespace Lavenderloft::Proxy
--- a/Source/Proxy/ReplacementAttempt.cpp
+++ b/Source/Proxy/ReplacementAttempt.cpp
@@ -1,12 +1,11 @@
 #include "Proxy/ReplacementAttempt.h"
 
+#include "Http/SpawnTask.h"
 #include "Observability/Log.h"
 #include "Proxy/AcquireLease.h"
 #include "Proxy/CallerResponse.h"
 #include "Proxy/Events.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -30,8 +29,7 @@
 
 void ReplacementAttempt::start()
 {
-    asio::co_spawn(
-        m_request->worker.context, [self = shared_from_this()] { return self->run(); }, asio::detached);
+    Http::spawnTask(m_request->worker.context, "replacement-attempt", [self = shared_from_this()] { return self->run(); });
 }
 
 void ReplacementAttempt::abandon()
@@ -57,6 +55,13 @@
 asio::awaitable<void> ReplacementAttempt::run()
 {
     auto self = shared_from_this();
+    // Also when an exception ends this coroutine; the request would otherwise wait for the attempt until its deadline.
+    std::shared_ptr<void> endOfRun(nullptr, [this](void*) { endIfUnfinished(); });
+    co_await attempt();
+}
+
+asio::awaitable<void> ReplacementAttempt::attempt()
+{
     co_await acquire();
     if (isAbandoned())
         co_return;
@@ -180,6 +185,18 @@
     end(State::Failed);
 }
 
+void ReplacementAttempt::endIfUnfinished()
+{
+    bool isUnfinished = m_state == State::Waiting || m_state == State::Running;
+    if (!isUnfinished || m_request->isLoopStopped())
+        return;
+    Http::guardTask("replacement-attempt", [this] {
+        m_silence->stop();
+        discardAttempt();
+        end(State::Failed);
+    });
+}
+
 void ReplacementAttempt::end(State state)
 {
     m_state = state;
--- a/Source/Proxy/ReplacementAttempt.h
+++ b/Source/Proxy/ReplacementAttempt.h
@@ -58,6 +58,7 @@
 private:
     bool isAbandoned() const { return m_state == State::Abandoned; }
     boost::asio::awaitable<void> run();
+    boost::asio::awaitable<void> attempt();
     boost::asio::awaitable<void> acquire();
     boost::asio::awaitable<TargetAttempt::Failure> sendAndRead();
     // Whether the response can be sent to the caller in place of the one that is awaited from the first target.
@@ -69,6 +70,7 @@
     void targetSilent();
     void discardAttempt();
     void fail(Dispatch::Queries::AttemptEnd);
+    void endIfUnfinished();
     void end(State);
 
     std::shared_ptr<ProxyRequest> m_request;
--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -3,6 +3,7 @@
 #include "Base/RendezvousHash.h"
 #include "Fleet/Queries/FindUrgency.h"
 #include "Fleet/Queries/ReadFleet.h"
+#include "Http/TaskFailures.h"
 #include "Proxy/AcquireLease.h"
 #include "Proxy/Events.h"
 
@@ -92,6 +93,9 @@
 
 RequestHandler::~RequestHandler()
 {
+    // After an exception; they refer to this object as their observer.
+    if (!m_request->isLoopStopped())
+        Http::guardTask("abandon-replacements", [this] { abandonReplacements(); });
     m_silence->stop();
     m_request->disconnectMonitor->stop();
     if (!m_request->isLoopStopped())
--- a/Source/Proxy/TargetAttempt.cpp
+++ b/Source/Proxy/TargetAttempt.cpp
@@ -5,6 +5,7 @@
 #include "Dispatch/Commands/RecordProgress.h"
 #include "Dispatch/Commands/RecordStatement.h"
 #include "Dispatch/Queries/DecideWithdrawal.h"
+#include "Http/TaskFailures.h"
 #include "Observability/Log.h"
 #include "Proxy/Events.h"
 
@@ -35,9 +36,9 @@
 
 TargetAttempt::TargetAttempt(std::shared_ptr<ProxyRequest> request, Dispatch::Lease lease)
     : m_request(std::move(request))
-    , m_lease(std::move(lease))
+    , m_lease(m_request, std::move(lease))
     , m_limits(Dispatch::Queries::findSilenceLimits(m_request->context.dispatch, m_request->traits, m_request->now()))
-    , m_exchange(m_request->context, m_request->worker, *m_request->disconnectMonitor, *m_lease.target, m_request->head.requestId)
+    , m_exchange(m_request->context, m_request->worker, *m_request->disconnectMonitor, *m_lease->target, m_request->head.requestId)
 {
     // A target is tried once, also while an attempt at it goes on.
     m_request->traits.triedTargets.push_back(targetId());
@@ -47,7 +48,7 @@
 TargetAttempt::~TargetAttempt()
 {
     if (!m_request->isLoopStopped())
-        release({ true, AttemptEnd::Broken, AttemptResult::Abandoned });
+        Http::guardTask("release-attempt", [this] { abandon(); });
 }
 
 Http::HttpRequest TargetAttempt::forwardedHead(std::optional<uint64_t> lastEventId) const
@@ -58,7 +59,7 @@
     if (m_request->organisation)
         forwarding.organisation = m_request->organisation->name;
     forwarding.priority = std::clamp(m_request->traits.priority, 0, lowestPriority);
-    forwarding.expectedWeights = m_lease.expectedWeights;
+    forwarding.expectedWeights = m_lease->expectedWeights;
     forwarding.lastEventId = lastEventId;
     Http::HttpRequest head;
     head.method = m_request->message.method;
@@ -70,7 +71,7 @@
 Base::TimePoint TargetAttempt::withdrawnBy() const
 {
     auto deadline = m_request->traits.deadline;
-    auto withdrawal = Dispatch::Queries::withdrawalTimeOf(m_lease, m_lease.assignedAt, m_limits.firstPart);
+    auto withdrawal = Dispatch::Queries::withdrawalTimeOf(*m_lease, m_lease->assignedAt, m_limits.firstPart);
     return std::min(deadline, withdrawal.value_or(deadline));
 }
 
@@ -101,10 +102,10 @@
 
 void TargetAttempt::recordStatement()
 {
-    auto& target = m_lease.target->entry;
+    auto& target = m_lease->target->entry;
     auto& service = m_request->traits.service;
     auto& statement = m_exchange.response().head.statement;
-    auto learned = Dispatch::Commands::recordStatement(m_request->context.dispatch, service, target, statement, m_lease.assignedAt, m_request->now());
+    auto learned = Dispatch::Commands::recordStatement(m_request->context.dispatch, service, target, statement, m_lease->assignedAt, m_request->now());
     auto& requestId = m_request->head.requestId;
     if (learned.isNewlyLeaving)
         Observability::logEvent(Events::targetLeaving, { { "target", target.id }, { "service", service }, { "incarnation", target.startedAt }, { "request", requestId } });
@@ -145,7 +146,7 @@
     auto& service = m_request->traits.service;
     ++m_parts;
     if (m_parts == 1)
-        Dispatch::Commands::recordFirstPart(dispatch, service, targetId(), m_lease.assignedAt, m_sentAt, now);
+        Dispatch::Commands::recordFirstPart(dispatch, service, targetId(), m_lease->assignedAt, m_sentAt, now);
     else
         m_longestPause = std::max(m_longestPause, now - m_awaitedSince);
     if (std::exchange(m_isSilent, false))
@@ -163,16 +164,16 @@
 
 void TargetAttempt::release(const AttemptOutcome& outcome)
 {
-    if (std::exchange(m_isReleased, true))
+    if (m_lease.isReleased())
         return;
     m_exchange.releaseConnection();
     auto now = m_request->now();
     auto& dispatch = m_request->context.dispatch;
     if (m_parts == 0)
-        Dispatch::Commands::recordUnanswered(dispatch, m_request->traits.service, targetId(), m_lease.assignedAt);
+        Dispatch::Commands::recordUnanswered(dispatch, m_request->traits.service, targetId(), m_lease->assignedAt);
     if (m_longestPause > Base::Duration::zero())
         Dispatch::Commands::recordLongestPause(dispatch, m_request->traits.service, m_longestPause, now);
-    Dispatch::Commands::releaseTarget(dispatch, m_request->traits.service, targetId(), outcome.result, now);
+    m_lease.release(outcome.result, now);
     recordEvidence(outcome);
 }
 
--- a/Source/Proxy/TargetAttempt.h
+++ b/Source/Proxy/TargetAttempt.h
@@ -3,6 +3,7 @@
 #include "Dispatch/Commands/RecordOutcome.h"
 #include "Dispatch/Decision.h"
 #include "Dispatch/Queries/FindSilenceLimits.h"
+#include "Proxy/HeldLease.h"
 #include "Proxy/ProxyRequest.h"
 #include "Proxy/TargetExchange.h"
 
@@ -79,12 +80,12 @@
     // What the failure of the attempt says of its target.
     AttemptOutcome failedAs(Dispatch::Queries::AttemptEnd, unsigned status = 0) const;
 
-    const Dispatch::Lease& lease() const { return m_lease; }
+    const Dispatch::Lease& lease() const { return *m_lease; }
     // How long the target may be silent now.
     Base::Duration silenceLimit() const { return m_parts > 0 ? m_limits.betweenParts : m_limits.firstPart; }
     // As of the beginning of the attempt.
     const Dispatch::SilenceLimits& limits() const { return m_limits; }
-    const std::string& targetId() const { return m_lease.target->entry.id; }
+    const std::string& targetId() const { return m_lease->target->entry.id; }
     TargetExchange& exchange() { return m_exchange; }
 
     // How often parts of the response arrived.
@@ -104,11 +105,10 @@
     Base::TimePoint withdrawnBy() const;
 
     std::shared_ptr<ProxyRequest> m_request;
-    Dispatch::Lease m_lease;
+    HeldLease m_lease;
     Dispatch::SilenceLimits m_limits;
     TargetExchange m_exchange;
     bool m_hasHead = false;
-    bool m_isReleased = false;
     bool m_isSilent = false;
     unsigned m_parts = 0;
     Base::TimePoint m_sentAt {};
--- a/Source/Staging/PieceFetcher.cpp
+++ b/Source/Staging/PieceFetcher.cpp
@@ -2,6 +2,7 @@
 
 #include "Base/Digest.h"
 #include "Http/Sleep.h"
+#include "Http/SpawnTask.h"
 #include "Observability/Log.h"
 #include "Staging/Commands/RequeuePiece.h"
 #include "Staging/Commands/TakePiece.h"
@@ -11,9 +12,6 @@
 #include "Staging/Queries/EstimateTransfer.h"
 #include "Staging/Queries/OrderPieces.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 namespace Lavenderloft::Staging {
 
 namespace asio = boost::asio;
@@ -110,7 +108,7 @@
     auto queue = std::make_shared<Queue>(orderMissing(desired));
     auto running = std::make_shared<unsigned>(parallelFetches);
     for (unsigned i = 0; i < parallelFetches; ++i)
-        asio::co_spawn(m_context.loop, processQueue(desired, queue, running), asio::detached);
+        Http::spawnTask(m_context.loop, "fetch-pieces", [this, desired, queue, running] { return processQueue(desired, queue, running); });
     while (*running > 0)
         co_await Http::sleepFor(m_context.loop, completionCheckInterval);
 }
--- a/Tests/Http/TaskSupervisorTest.cpp
+++ b/Tests/Http/TaskSupervisorTest.cpp
@@ -1,5 +1,8 @@
 #include "Http/TaskSupervisor.h"
 
+#include "Http/EventLoop.h"
+#include "Http/FailingOperation.h"
+
 #include <criterion/criterion.h>
 #include <stdexcept>
 
@@ -16,6 +19,12 @@
     co_return;
 }
 
+boost::asio::awaitable<void> failInAnOperationAtFirst(boost::asio::io_context& context, unsigned& starts)
+{
+    if (starts++ < failures)
+        co_await awaitFailingOperation(context);
+}
+
 } // namespace
 
 // Guards against a process that goes on without one of its tasks after an exception, for example without following the
@@ -28,3 +37,14 @@
     context.run();
     cr_assert_eq(starts, failures + 1);
 }
+
+// Guards against the same where the exception is raised inside an operation that the task awaits: it does not reach the task,
+// whose coroutine is destroyed without a trace.
+Test(TaskSupervisor, startsATaskAgainAfterAnExceptionInsideAnOperation)
+{
+    boost::asio::io_context context;
+    unsigned starts = 0;
+    superviseTask(context, "task", [&] { return failInAnOperationAtFirst(context, starts); });
+    runEventLoop(context);
+    cr_assert_eq(starts, failures + 1);
+}
--- a/Tests/Proxy/TestRouter.h
+++ b/Tests/Proxy/TestRouter.h
@@ -168,6 +168,19 @@
     ProxyContext& context() { return m_context; }
     CallerServer& server() { return *m_server; }
     boost::asio::io_context& eventLoop() { return m_pool.context(0); }
+    // Of the first event loop.
+    ProxyWorker& worker() { return *m_workers.front(); }
+
+    // Requests of the service that are at a target or wait for one.
+    size_t requestsInDispatch()
+    {
+        return m_dispatch.withService("s", [](Dispatch::ServiceState& service) {
+            auto count = service.waiting.size();
+            for (auto& [id, target] : service.targets)
+                count += target.inFlight;
+            return count;
+        });
+    }
 
 private:
     static Fleet::NodeSettings nodeSettings()
