Parse requests without the fields of Beast's message, so that a long field is served

Cause: basic_fields keeps lengths in 16 bits and throws std::length_error for a name or value of more than 65,533 bytes, in heads and in trailers.

Change: Http/RequestParser, on basic_parser, keeps a head as the list of fields that is forwarded and drops trailers. The servers for callers, nodes and the product's own fleet use it. HttpServer and HttpClient write their heads by WireFormat: responses and requests with such a field threw there too. Limits of heads are clamped, not cut to 32 bits.

Why it works: no length of a field is stored in less than a size_t, and the parser reports each refusal as an error code.

--- a/Source/Http/HttpClient.cpp
+++ b/Source/Http/HttpClient.cpp
@@ -2,7 +2,9 @@
 
 #include "Http/EventLoop.h"
 #include "Http/ResponseStatus.h"
+#include "Http/WireFormat.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -12,6 +14,7 @@
 #include <mutex>
 #include <optional>
 #include <thread>
+#include <unordered_set>
 
 namespace Lavenderloft::Http {
 
@@ -58,6 +61,19 @@
         bool timeoutCoversResponse = false;
     };
 
+    // Leaves the last field of each name, and none that this client sets itself.
+    HttpHeaders withoutRepeatedNames(HttpHeaders headers)
+    {
+        std::unordered_set<std::string> names { "host", "connection", "content-length", "transfer-encoding" };
+        HttpHeaders kept;
+        for (auto header = headers.rbegin(); header != headers.rend(); ++header) {
+            if (names.insert(lowerCaseName(header->name)).second)
+                kept.push_back(std::move(*header));
+        }
+        std::reverse(kept.begin(), kept.end());
+        return kept;
+    }
+
     class Call final : public HttpCall, public std::enable_shared_from_this<Call> {
     public:
         Call(asio::io_context& context, Endpoint endpoint, std::chrono::milliseconds idleTimeout, ResponseLimits limits, std::shared_ptr<ResponseSink> sink)
@@ -71,15 +87,11 @@
 
         void start(HttpRequest request)
         {
-            m_request.method_string(request.method);
-            m_request.target(request.target);
-            m_request.version(11);
-            for (auto& header : request.headers)
-                m_request.set(header.name, header.value);
-            m_request.set(http::field::host, m_endpoint.toString());
-            m_request.set(http::field::connection, "close");
-            m_request.body() = std::move(request.body);
-            m_request.prepare_payload();
+            request.headers = withoutRepeatedNames(std::move(request.headers));
+            request.headers.push_back({ "Host", m_endpoint.toString() });
+            request.headers.push_back({ "Connection", "close" });
+            m_head = serializeRequestHead(request, request.body.size());
+            m_body = std::move(request.body);
             asio::dispatch(m_stream.get_executor(), [self = shared_from_this()] { self->connect(); });
         }
 
@@ -112,7 +124,8 @@
         void sendRequest()
         {
             m_stream.expires_after(m_idleTimeout);
-            http::async_write(m_stream, m_request, [self = shared_from_this()](beast::error_code error, size_t) {
+            std::array<asio::const_buffer, 2> buffers { asio::buffer(m_head), asio::buffer(m_body) };
+            asio::async_write(m_stream, buffers, [self = shared_from_this()](beast::error_code error, size_t) {
                 if (error)
                     return self->failWith(error);
                 self->readHead();
@@ -216,7 +229,9 @@
         std::chrono::milliseconds m_idleTimeout;
         ResponseLimits m_limits;
         std::shared_ptr<ResponseSink> m_sink;
-        http::request<http::string_body> m_request;
+        // Of the request.
+        std::string m_head;
+        std::string m_body;
         std::optional<http::response_parser<http::buffer_body>> m_parser;
         unsigned m_interimResponses = 0;
         beast::flat_buffer m_buffer { maximumBufferedBytes };
--- a/Source/Http/HttpMessage.cpp
+++ b/Source/Http/HttpMessage.cpp
@@ -35,6 +35,13 @@
     return {};
 }
 
+std::string lowerCaseName(std::string_view name)
+{
+    std::string lowerCase(name);
+    std::transform(lowerCase.begin(), lowerCase.end(), lowerCase.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return lowerCase;
+}
+
 Base::Result<Endpoint, EndpointError> parseEndpoint(std::string_view text)
 {
     auto colon = text.rfind(':');
--- a/Source/Http/HttpMessage.h
+++ b/Source/Http/HttpMessage.h
@@ -19,6 +19,9 @@
 // Returns the value of the first header with that name, ignoring case; empty if there is none.
 std::string_view headerValue(const HttpHeaders&, std::string_view name);
 
+// The name in lower case, in which names can be compared and hashed.
+std::string lowerCaseName(std::string_view);
+
 struct HttpRequest {
     std::string method = "GET";
     // Path and query.
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -3,6 +3,8 @@
 #include "Base/FileDescriptors.h"
 #include "Http/EventLoop.h"
 #include "Http/Events.h"
+#include "Http/RequestParser.h"
+#include "Http/WireFormat.h"
 #include "Observability/Log.h"
 
 #include <algorithm>
@@ -154,9 +156,7 @@
 
         void readRequest()
         {
-            m_parser.emplace();
-            m_parser->header_limit(static_cast<uint32_t>(m_state->options.maximumHeaderBytes));
-            m_parser->body_limit(m_state->options.maximumBodyBytes);
+            m_parser.emplace(RequestLimits { m_state->options.maximumHeaderBytes, m_state->options.maximumBodyBytes });
             m_buffer.max_size(std::max({ 2 * m_state->options.maximumHeaderBytes, minimumBufferLimit, m_buffer.size() }));
             m_waitingSince = std::chrono::steady_clock::now();
             m_stream.expires_after(m_state->options.requestTimeout);
@@ -229,9 +229,7 @@
         {
             if (error || m_parser->is_done())
                 return onRequestRead(error);
-            if (!m_isHeadTaken)
-                takeHead();
-            auto bytes = m_parser->get().body().size();
+            auto bytes = m_parser->request().body.size();
             if (bytes > m_receivedBytes) {
                 if (!m_state->tryReceive(bytes - m_receivedBytes))
                     return rejectRequest(503);
@@ -241,19 +239,6 @@
             http::async_read_some(m_stream, m_buffer, *m_parser, [self](beast::error_code readError, size_t) { self->onPartRead(readError); });
         }
 
-        // The trailers of a body are added to the fields of the parser, and are no header fields.
-        void takeHead()
-        {
-            m_isHeadTaken = true;
-            auto& message = m_parser->get();
-            m_request = {};
-            m_request.method = std::string(message.method_string());
-            m_request.target = std::string(message.target());
-            for (auto& field : message)
-                m_request.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
-            message.clear();
-        }
-
         void releaseReceived()
         {
             m_state->receivedBytes -= std::exchange(m_receivedBytes, 0);
@@ -274,16 +259,11 @@
             if (error)
                 return closeNow();
             m_keepAlive = m_parser->keep_alive();
-            if (!m_isHeadTaken)
-                takeHead();
-            m_isHeadTaken = false;
-            auto request = std::exchange(m_request, {});
-            request.body = std::move(m_parser->get().body());
             m_responding = true;
             // No timeout applies while the handler runs; the handler enforces its own deadline.
             m_stream.expires_never();
             watchForClose();
-            m_state->handler->handle(std::move(request), std::make_shared<Stream>(this->shared_from_this()));
+            m_state->handler->handle(m_parser->takeRequest(), std::make_shared<Stream>(this->shared_from_this()));
         }
 
         void rejectRequest(unsigned status)
@@ -306,7 +286,6 @@
         {
             // The rest of the request is not read.
             m_parser.reset();
-            m_request = {};
             m_state->countClosed("received");
             response.headers.push_back({ "Retry-After", "1" });
             response.body = R"({"error":{"code":"AT_LIMIT","message":"the requests that are being received have reached their limit","remedy":"retry after 1 s","outcome":"not_run"}})";
@@ -332,18 +311,11 @@
         {
             if (m_closed)
                 return;
-            auto message = std::make_shared<http::response<http::string_body>>();
-            message->result(response.status);
-            message->version(11);
-            for (auto& header : response.headers)
-                message->insert(header.name, header.value);
             bool closeAfterResponse = !m_keepAlive || m_state->draining;
-            message->keep_alive(!closeAfterResponse);
-            message->body() = std::move(response.body);
-            message->prepare_payload();
+            auto bytes = std::make_shared<std::string>(serializeResponse(response, !closeAfterResponse));
             m_stream.expires_after(m_state->options.writeTimeout);
             auto self = this->shared_from_this();
-            http::async_write(m_stream, *message, [self, message, closeAfterResponse](beast::error_code error, size_t) {
+            asio::async_write(m_stream, asio::buffer(*bytes), [self, bytes, closeAfterResponse](beast::error_code error, size_t) {
                 self->onResponseSent(error, closeAfterResponse);
             });
         }
@@ -352,19 +324,12 @@
         {
             if (m_closed)
                 return;
-            m_head = std::make_shared<http::response<http::empty_body>>();
-            m_head->result(status);
-            m_head->version(11);
-            for (auto& header : headers)
-                m_head->insert(header.name, header.value);
             m_closeAfterResponse = !m_keepAlive || m_state->draining;
-            m_head->keep_alive(!m_closeAfterResponse);
-            m_head->chunked(true);
-            m_serializer = std::make_shared<http::response_serializer<http::empty_body>>(*m_head);
+            auto head = std::make_shared<std::string>(serializeChunkedHead(status, headers, !m_closeAfterResponse));
             m_writing = true;
             m_stream.expires_after(m_state->options.writeTimeout);
             auto self = this->shared_from_this();
-            http::async_write_header(m_stream, *m_serializer, [self](beast::error_code error, size_t) {
+            asio::async_write(m_stream, asio::buffer(*head), [self, head](beast::error_code error, size_t) {
                 self->m_writing = false;
                 if (error)
                     return self->closeNow();
@@ -456,15 +421,10 @@
         beast::tcp_stream m_stream;
         std::shared_ptr<State> m_state;
         beast::flat_buffer m_buffer;
-        std::optional<http::request_parser<http::string_body>> m_parser;
-        // The head of the request that is being received.
-        HttpRequest m_request;
-        bool m_isHeadTaken = false;
+        std::optional<RequestParser> m_parser;
         size_t m_receivedBytes = 0;
         // Zero while no request is awaited.
         std::atomic<Base::TimePoint> m_waitingSince { Base::TimePoint() };
-        std::shared_ptr<http::response<http::empty_body>> m_head;
-        std::shared_ptr<http::response_serializer<http::empty_body>> m_serializer;
         std::optional<PendingChunk> m_pendingChunk;
         std::function<void()> m_disconnectCallback;
         bool m_keepAlive = true;
--- a/Source/Http/NodeServer.cpp
+++ b/Source/Http/NodeServer.cpp
@@ -2,6 +2,7 @@
 
 #include "Base/FileDescriptors.h"
 #include "Http/Events.h"
+#include "Http/RequestParser.h"
 #include "Http/SpawnTask.h"
 #include "Http/TaskSupervisor.h"
 #include "Http/WireFormat.h"
@@ -31,6 +32,7 @@
     constexpr std::chrono::seconds requestTimeout = 30s;
     constexpr std::chrono::seconds writeTimeout = 10s;
     constexpr std::chrono::milliseconds acceptRetryDelay = 100ms;
+    constexpr size_t maximumHeadBytes = 8 * 1024;
     constexpr size_t maximumRequestBytes = 64 * 1024;
     // Limit of what a connection keeps of a head, a chunk header, a trailer or requests that were sent ahead.
     constexpr size_t maximumBufferedBytes = 64 * 1024;
@@ -140,24 +142,17 @@
     beast::error_code error;
     stream.socket().set_option(tcp::no_delay(true), error);
     while (true) {
-        http::request_parser<http::string_body> parser;
-        parser.body_limit(maximumRequestBytes);
+        RequestParser parser({ maximumHeadBytes, maximumRequestBytes });
         stream.expires_after(requestTimeout);
         registration.startWaiting(std::chrono::steady_clock::now());
         co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
         if (error || registration.isClosed())
             co_return;
         registration.stopWaiting();
-        auto message = parser.release();
-        HttpRequest request;
-        request.method = std::string(message.method_string());
-        request.target = std::string(message.target());
-        request.headers = copyHeaders(message);
-        request.body = std::move(message.body());
         stream.expires_never();
-        auto response = co_await m_handler(std::move(request));
-        bool isSent = co_await sendResponse(stream, std::move(response), message.keep_alive());
-        if (!isSent || !message.keep_alive())
+        auto response = co_await m_handler(parser.takeRequest());
+        bool isSent = co_await sendResponse(stream, std::move(response), parser.keep_alive());
+        if (!isSent || !parser.keep_alive())
             co_return;
         registration.recordResponse();
     }
--- /dev/null
+++ b/Source/Http/RequestParser.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "Http/HttpMessage.h"
+
+#include <boost/beast/http/basic_parser.hpp>
+#include <cstddef>
+#include <cstdint>
+
+namespace Lavenderloft::Http {
+
+// How much of a request is read.
+struct RequestLimits {
+    // Request line and header fields.
+    size_t headBytes = 16 * 1024;
+    uint64_t bodyBytes = 4 * 1024 * 1024;
+};
+
+// Parses one request. A field may have any length within the limit of the head, and the limit also holds for a head that
+// arrives in many small parts: header_limit and body_limit are the errors of a request that exceeds its limits. Trailers
+// are checked and dropped, because header fields must not be added behind the body.
+class RequestParser final : public boost::beast::http::basic_parser<true> {
+public:
+    explicit RequestParser(const RequestLimits&);
+
+    // What has arrived so far.
+    const HttpRequest& request() const { return m_request; }
+
+    // Returns the request; the parser is not used again.
+    HttpRequest takeRequest() { return std::move(m_request); }
+
+private:
+    using ErrorCode = boost::beast::error_code;
+    using StringView = boost::beast::string_view;
+
+    void on_request_impl(boost::beast::http::verb, StringView method, StringView target, int version, ErrorCode&) override;
+    void on_response_impl(int, StringView, int, ErrorCode&) override { }
+    void on_field_impl(boost::beast::http::field, StringView name, StringView value, ErrorCode&) override;
+    void on_header_impl(ErrorCode&) override;
+    void on_body_init_impl(const boost::optional<uint64_t>& contentLength, ErrorCode&) override;
+    size_t on_body_impl(StringView body, ErrorCode&) override;
+    void on_chunk_header_impl(uint64_t, StringView, ErrorCode&) override { }
+    size_t on_chunk_body_impl(uint64_t remaining, StringView body, ErrorCode&) override;
+    void on_finish_impl(ErrorCode&) override { }
+
+    // Counts bytes of the head, and sets the error if there are too many.
+    bool countHeadBytes(size_t, ErrorCode&);
+
+    const size_t m_maximumHeadBytes;
+    size_t m_headBytes = 0;
+    bool m_isHeadComplete = false;
+    HttpRequest m_request;
+};
+
+} // namespace Lavenderloft::Http
--- a/Source/Http/WireFormat.cpp
+++ b/Source/Http/WireFormat.cpp
@@ -64,8 +64,9 @@
     appendStatusLine(bytes, response.status);
     appendHeaders(bytes, response.headers);
     appendConnection(bytes, keepAlive);
-    if (!hasNoBody(response.status))
-        bytes.append("Content-Length: ").append(std::to_string(response.body.size())).append("\r\n");
+    if (hasNoBody(response.status))
+        return bytes.append("\r\n");
+    bytes.append("Content-Length: ").append(std::to_string(response.body.size())).append("\r\n");
     bytes.append("\r\n").append(response.body);
     return bytes;
 }
--- a/Source/Proxy/CallerServer.cpp
+++ b/Source/Proxy/CallerServer.cpp
@@ -2,6 +2,7 @@
 
 #include "Fleet/Queries/ReadFleet.h"
 #include "Http/NodeServer.h"
+#include "Http/RequestParser.h"
 #include "Http/SpawnTask.h"
 #include "Http/TaskSupervisor.h"
 #include "Http/WireFormat.h"
@@ -17,6 +18,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 #include <functional>
+#include <limits>
 #include <optional>
 
 namespace Lavenderloft::Proxy {
@@ -58,7 +60,8 @@
 
     size_t bufferLimit(const Fleet::CallerLimits& limits)
     {
-        return std::max<size_t>(2 * limits.maximumHeaderBytes, minimumBufferLimit);
+        auto maximum = std::numeric_limits<size_t>::max() / 2;
+        return std::max<size_t>(2 * std::min(limits.maximumHeaderBytes, maximum), minimumBufferLimit);
     }
 
     // Memory that a head needs beyond the usual.
@@ -104,8 +107,6 @@
         co_await discardUntilClosed(stream);
     }
 
-    using RequestParser = http::request_parser<http::string_body>;
-
     enum class BodyRead {
         Complete,
         Failed,
@@ -114,7 +115,7 @@
 
     // Reads the body as far as there is memory for it beside the head. Memory is reserved for what has arrived: callers that
     // announce bodies and do not send them would take it from the others. `onPart` is called after each part.
-    asio::awaitable<BodyRead> readBody(beast::tcp_stream& stream, beast::flat_buffer& buffer, RequestParser& parser, const BodyBudget& budget, BodyReservation& reservation, uint64_t headBytes, const std::function<void()>& onPart, beast::error_code& error)
+    asio::awaitable<BodyRead> readBody(beast::tcp_stream& stream, beast::flat_buffer& buffer, Http::RequestParser& parser, const BodyBudget& budget, BodyReservation& reservation, uint64_t headBytes, const std::function<void()>& onPart, beast::error_code& error)
     {
         auto length = parser.content_length();
         if (!reservation.growTo(headBytes) || (length && !budget.hasRoomFor(*length)))
@@ -125,24 +126,12 @@
             if (error)
                 co_return BodyRead::Failed;
             onPart();
-            if (!reservation.growTo(headBytes + parser.get().body().size()))
+            if (!reservation.growTo(headBytes + parser.request().body.size()))
                 co_return BodyRead::NoMemory;
         }
         co_return BodyRead::Complete;
     }
 
-    // Takes the head before the body is read, so that trailers are not taken for header fields, and the fields are held once.
-    Http::HttpRequest takeHead(RequestParser& parser)
-    {
-        auto& message = parser.get();
-        Http::HttpRequest request;
-        request.method = std::string(message.method_string());
-        request.target = std::string(message.target());
-        request.headers = Http::copyHeaders(message);
-        message.clear();
-        return request;
-    }
-
     // Counts a connection as open for as long as this object exists.
     class OpenConnection {
     public:
@@ -293,22 +282,18 @@
     // From its first byte on: the process must not end while a request arrives.
     std::optional<OpenRequest> openRequest(std::in_place, m_context);
     auto limits = limitsInForce(m_context);
-    RequestParser parser;
-    parser.header_limit(static_cast<uint32_t>(limits.maximumHeaderBytes));
-    parser.body_limit(limits.maximumBodyBytes);
+    Http::RequestParser parser({ limits.maximumHeaderBytes, limits.maximumBodyBytes });
     stream.expires_after(limits.headerTimeout);
     buffer.max_size(std::max(bufferLimit(limits), buffer.size()));
     registration.startWaiting(m_context.clock.now());
     beast::error_code error;
     co_await http::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     BodyReservation reservation(m_context.bodies);
-    Http::HttpRequest request;
     auto body = BodyRead::Failed;
     if (!error) {
-        request = takeHead(parser);
         registration.recordPart(m_context.clock.now());
         auto onPart = [&] { registration.recordPart(m_context.clock.now()); };
-        body = co_await readBody(stream, buffer, parser, m_context.bodies, reservation, extraHeadBytes(request.headers), onPart, error);
+        body = co_await readBody(stream, buffer, parser, m_context.bodies, reservation, extraHeadBytes(parser.request().headers), onPart, error);
     }
     if (registration.isClosed())
         co_return false;
@@ -321,8 +306,7 @@
         co_return false;
     }
     bool keepAlive = parser.keep_alive() && body == BodyRead::Complete;
-    request.body = std::move(parser.get().body());
-    auto handler = std::make_unique<RequestHandler>(m_context, worker, stream, std::move(request), keepAlive);
+    auto handler = std::make_unique<RequestHandler>(m_context, worker, stream, parser.takeRequest(), keepAlive);
     if (body == BodyRead::NoMemory) {
         co_await handler->refuseForMemory();
         openRequest.reset();
--- a/Tests/HostileCallers/RouterUnderAttack.h
+++ b/Tests/HostileCallers/RouterUnderAttack.h
@@ -14,14 +14,14 @@
 // A router process with one target and a store, at a loopback address of its own.
 class RouterUnderAttack : public ProcessUnderAttack {
 public:
-    explicit RouterUnderAttack(size_t configurationBytes = 0)
+    explicit RouterUnderAttack(size_t configurationBytes = 0, size_t maximumHeaderBytes = 16384)
         : m_target([](const std::string& head, unsigned) { return reply(head); })
         , m_store(m_context)
         , m_folder(std::filesystem::temp_directory_path() / ("lavenderloft-hostile-" + std::to_string(::getpid())))
         , m_firstPort(findFreePorts(address()))
     {
         std::filesystem::create_directories(m_folder);
-        publish(configurationBytes);
+        publish(configurationBytes, maximumHeaderBytes);
         writeSettings();
         m_standIns = std::thread([this] { m_context.run(); });
         startProcess("node-router", m_folder / "router.yaml");
@@ -55,6 +55,10 @@
         static const std::string longBody(longResponseBytes, 'r');
         if (head.find(" /head ") != std::string::npos)
             return { Proxy::sealedResponse(head, head) };
+        if (head.find(" /note ") != std::string::npos) {
+            auto note = Proxy::fieldOf(head, "X-Note");
+            return { Proxy::sealedResponse(head, std::to_string(std::count(note.begin(), note.end(), 'n')) + " of " + std::to_string(note.size())) };
+        }
         if (auto endless = replyWithoutEnd(head))
             return *endless;
         bool isLong = head.find(" /long ") != std::string::npos;
@@ -85,13 +89,13 @@
 
     static asio::ip::address address() { return ownAddress(); }
 
-    void publish(size_t configurationBytes)
+    void publish(size_t configurationBytes, size_t maximumHeaderBytes)
     {
         nlohmann::json route { { "name", "all" }, { "host", "hostile.example" }, { "prefix", "/" }, { "kind", "safe" }, { "timeout_ms", 20000 }, { "target_latency_ms", 400 },
             { "priority", 1 }, { "service", "ledger" }, { "max_attempts", 3 }, { "public", true }, { "session_affinity", false }, { "resumable", false }, { "gap_aim_ms", 300 }, { "allowed_regions", nlohmann::json::array() } };
         nlohmann::json service { { "name", "ledger" }, { "health_check", "/healthz" }, { "max_connections", 96 }, { "protocol", "h1" }, { "tls", false }, { "cold_start_s", 0.0 }, { "cold_per_s", 0.0 } };
         nlohmann::json configuration { { "version", 7 }, { "routes", { route } }, { "services", { service } }, { "padding", std::string(configurationBytes, 'p') },
-            { "limits", { { "max_header_bytes", 16384 }, { "max_body_bytes", 4194304 }, { "header_timeout_ms", 60000 }, { "idle_timeout_ms", 60000 } } } };
+            { "limits", { { "max_header_bytes", maximumHeaderBytes }, { "max_body_bytes", 4194304 }, { "header_timeout_ms", 60000 }, { "idle_timeout_ms", 60000 } } } };
         m_store.put("op/config", configuration.dump());
         nlohmann::json entry { { "service", "ledger" }, { "address", "127.0.0.1:" + std::to_string(m_target.port()) },
             { "zone", "zone-a" }, { "version", "v1" }, { "slots", 512 }, { "state", "ready" }, { "cold_remaining_ms", 0 }, { "sequence", 1 }, { "born", 1000 } };
--- a/Tests/Http/HttpTest.cpp
+++ b/Tests/Http/HttpTest.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-// Responds to /stream in chunks, to /cut with a truncated response, and to other paths with the request body.
+// Responds to /stream in chunks, to /cut with a truncated response, to /field with the value of X-Note, to /return-field
+// with that field, and to other paths with the request body.
 class EchoHandler final : public HttpHandler {
 public:
     void handle(HttpRequest request, std::shared_ptr<ResponseStream> stream) override
@@ -21,6 +22,11 @@
             writeChunks(stream, 100, request.target == "/cut");
             return;
         }
+        auto field = std::string(headerValue(request.headers, "X-Note"));
+        if (request.target == "/field")
+            return stream->respond({ 200, {}, field });
+        if (request.target == "/return-field")
+            return stream->respond({ 200, { { "X-Note", field } }, {} });
         stream->respond({ 200, {}, request.body });
     }
 
@@ -132,6 +138,26 @@
     cr_assert(Base::errorOf(fetched).kind == HttpErrorKind::TimedOut);
 }
 
+// Guards against a process that ends by a field of more than 65,533 bytes that it takes from a caller and sends to a target,
+// or takes from a target and returns.
+Test(Http, carriesLongFields)
+{
+    const std::string value(70000, 'v');
+    HttpServerOptions options;
+    options.maximumHeaderBytes = 131072;
+    HttpServer server(options, std::make_shared<EchoHandler>());
+    HttpClient client;
+    auto request = makeRequest("/field");
+    request.headers.push_back({ "X-Note", value });
+    auto response = client.fetch({ "127.0.0.1", server.port() }, request, 5s);
+    cr_assert(Base::succeeded(response));
+    cr_expect_eq(Base::valueOf(response).body, value);
+    // A client of this project takes no head of that size, so the response is only seen to have ended.
+    request.target = "/return-field";
+    cr_expect_not(Base::succeeded(client.fetch({ "127.0.0.1", server.port() }, request, 5s)));
+    cr_expect(Base::succeeded(client.fetch({ "127.0.0.1", server.port() }, makeRequest("/echo"), 5s)));
+}
+
 // Guards against a response that a server writes once more and that is taken for the response to the next request: a
 // refusal of the engine must belong to the request that it ends. Each request has a connection of its own.
 Test(Http, doesNotReadAResponseThatArrivedUnasked)
