Test that trailer fields of callers take no memory

Cause: the parser added trailer fields to its message, about 80 bytes for a field of 4, which nothing counted.

--- a/Tests/HostileCallers/HostileCallersTest.cpp
+++ b/Tests/HostileCallers/HostileCallersTest.cpp
@@ -36,6 +36,19 @@
     attackAndCheck(router, router.callers(), RouterUnderAttack::requestHead("POST", "/p", chunkedHead) + "1\r\nx\r\n0\r\n", "x-trailer: " + std::string(64 * 1024, 't') + "\r\n");
 }
 
+// Guards against memory that fills with the fields of trailers, each of which took far more memory than it has bytes. The
+// trailers do not end, so that nothing of these requests is served.
+Test(HostileCallers, sendVeryManyTrailers)
+{
+    RouterUnderAttack router;
+    awaitReady(router);
+    Crowd crowd(router.callers(), manyConnections / 4);
+    crowd.repeat(RouterUnderAttack::requestHead("POST", "/p", chunkedHead) + "1\r\nx\r\n0\r\n" + manyFields(62 * 1024) + "no field\r\n\r\n", 62 * 1024 + 200);
+    std::this_thread::sleep_for(settleTime);
+    expectWithinBounds(router);
+    expectServed(router);
+}
+
 // Guards against the same end by extensions of a chunk.
 Test(HostileCallers, sendChunkExtensionsWithoutEnd)
 {
