--- a/Tests/Platform/HeaderCodecTest.cpp
+++ b/Tests/Platform/HeaderCodecTest.cpp
@@ -1,6 +1,7 @@
 #include "platform/HeaderCodec.h"
 
 #include <criterion/criterion.h>
+#include <ctime>
 
 using namespace Lavenderloft;
 using namespace Lavenderloft::Platform;
@@ -142,3 +143,37 @@
     cr_assert(limitOf({ { "Server-Limit", "1" } }, 421).kind == Kind::Unreadable, "another target may have sent it");
     cr_assert(codec.returnedHeaders({ { "Server-Limit", "1" } }).empty());
 }
+
+// Guards against fields that are forwarded although a Connection field lists them, because it is not the first one or has
+// tabs around its names.
+Test(HeaderCodec, excludesWhatAnyConnectionFieldLists)
+{
+    Http::HttpHeaders sent { { "connection", "close" }, { "X-First", "1" }, { "Connection", "x-first\t,\tX-SECOND" }, { "X-Second", "2" }, { "X-Other", "3" } };
+    auto forwarded = HeaderCodec().forwardedHeaders(sent, {});
+    cr_expect(Http::headerValue(forwarded, "X-First").empty());
+    cr_expect(Http::headerValue(forwarded, "X-Second").empty());
+    cr_expect_eq(Http::headerValue(forwarded, "X-Other"), "3");
+    cr_expect(Http::headerValue(HeaderCodec().returnedHeaders(sent), "X-Second").empty());
+}
+
+// Guards against event loops that stand still for a head inside the limits: a comparison of each of its fields with each name
+// that it lists took 0.36 s. A hundred such heads may take no longer than the second in which a caller expects an answer.
+Test(HeaderCodec, takesLittleTimeForManyListedFields)
+{
+    constexpr unsigned fields = 2000;
+    constexpr unsigned listedNames = 4000;
+    constexpr unsigned heads = 100;
+    std::string names;
+    for (unsigned i = 0; i < listedNames; ++i)
+        names += "a,";
+    Http::HttpHeaders sent { { "Connection", names } };
+    for (unsigned i = 0; i < fields; ++i)
+        sent.push_back({ "b", "" });
+    auto start = std::clock();
+    size_t forwarded = 0;
+    for (unsigned i = 0; i < heads; ++i)
+        forwarded += HeaderCodec().forwardedHeaders(sent, {}).size() + HeaderCodec().returnedHeaders(sent).size();
+    auto seconds = static_cast<double>(std::clock() - start) / CLOCKS_PER_SEC;
+    cr_expect_geq(forwarded, 2 * heads * fields);
+    cr_expect_lt(seconds, 1.0, "%f s", seconds);
+}
