Rename BodyBudget to Http/MemoryBudget

The budget is to count all that callers make a process hold, and the servers of nodes and of the product's own fleet are to use it too. No change of behaviour.

--- a/Source/Proxy/BodyBudget.cpp
+++ b/Source/Http/MemoryBudget.cpp
@@ -1,8 +1,8 @@
-#include "Proxy/BodyBudget.h"
+#include "Http/MemoryBudget.h"
 
-namespace Lavenderloft::Proxy {
+namespace Lavenderloft::Http {
 
-bool BodyBudget::tryReserve(uint64_t bytes)
+bool MemoryBudget::tryReserve(uint64_t bytes)
 {
     if (m_heldBytes.fetch_add(bytes) + bytes <= m_limitBytes)
         return true;
@@ -10,7 +10,7 @@
     return false;
 }
 
-bool BodyReservation::growTo(uint64_t bytes)
+bool MemoryReservation::growTo(uint64_t bytes)
 {
     if (bytes <= m_bytes)
         return true;
@@ -20,4 +20,4 @@
     return true;
 }
 
-} // namespace Lavenderloft::Proxy
+} // namespace Lavenderloft::Http
--- a/Source/Proxy/BodyBudget.h
+++ b/Source/Http/MemoryBudget.h
@@ -3,16 +3,16 @@
 #include <atomic>
 #include <cstdint>
 
-namespace Lavenderloft::Proxy {
+namespace Lavenderloft::Http {
 
 // Limit for the memory of all request bodies that a router holds, and of unusually large heads: they are held until their
 // target has read them, and targets may read slowly. Thread-safe.
-class BodyBudget {
+class MemoryBudget {
 public:
     // For a VM whose memory is unknown.
     static constexpr uint64_t defaultLimitBytes = 64 * 1024 * 1024;
 
-    explicit BodyBudget(uint64_t limitBytes)
+    explicit MemoryBudget(uint64_t limitBytes)
         : m_limitBytes(limitBytes)
     {
     }
@@ -33,23 +33,23 @@
 };
 
 // What one request has reserved of the budget; released at the end of its life.
-class BodyReservation {
+class MemoryReservation {
 public:
-    explicit BodyReservation(BodyBudget& budget)
+    explicit MemoryReservation(MemoryBudget& budget)
         : m_budget(budget)
     {
     }
 
-    BodyReservation(const BodyReservation&) = delete;
-    BodyReservation& operator=(const BodyReservation&) = delete;
-    ~BodyReservation() { m_budget.release(m_bytes); }
+    MemoryReservation(const MemoryReservation&) = delete;
+    MemoryReservation& operator=(const MemoryReservation&) = delete;
+    ~MemoryReservation() { m_budget.release(m_bytes); }
 
     // Makes the reservation at least that large. Returns false if the budget is exhausted.
     bool growTo(uint64_t bytes);
 
 private:
-    BodyBudget& m_budget;
+    MemoryBudget& m_budget;
     uint64_t m_bytes = 0;
 };
 
-} // namespace Lavenderloft::Proxy
+} // namespace Lavenderloft::Http
--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -72,7 +72,7 @@
     // Request bodies may use half of the memory. The rest is for the fleet state, connections and streams.
     uint64_t bodyLimitBytes(const Fleet::NodeSettings& settings)
     {
-        return settings.memoryBytes > 0 ? settings.memoryBytes / 2 : Proxy::BodyBudget::defaultLimitBytes;
+        return settings.memoryBytes > 0 ? settings.memoryBytes / 2 : Http::MemoryBudget::defaultLimitBytes;
     }
 
     // Half of the descriptors is left for targets, nodes and the store. A connection may hold a head of the usual size and
@@ -101,7 +101,7 @@
             , m_stalls(m_clock, queueServiceInterval)
             , m_merger(m_fleet, platform.publications(), m_clock)
             , m_dispatch(m_fleet, settings, std::make_unique<Dispatch::PowerOfTwoChoicesPolicy>(), std::make_unique<Dispatch::BoundedWaitPolicy>(), std::make_unique<Base::SeededRandom>(randomSeed()))
-            , m_proxy { platform.callers(), m_fleet, m_dispatch, m_clock, m_metrics, Proxy::BodyBudget(bodyLimitBytes(settings)), maximumCallerConnections(settings) }
+            , m_proxy { platform.callers(), m_fleet, m_dispatch, m_clock, m_metrics, Http::MemoryBudget(bodyLimitBytes(settings)), maximumCallerConnections(settings) }
             , m_peering(m_pool.context(0), m_settings, m_peers, m_merger, m_clock, m_stalls, true)
             , m_signals(m_pool.context(0), SIGTERM, SIGINT)
             , m_reload(platform)
--- a/Source/Proxy/CallerServer.cpp
+++ b/Source/Proxy/CallerServer.cpp
@@ -115,7 +115,7 @@
 
     // Reads the body as far as there is memory for it beside the head. Memory is reserved for what has arrived: callers that
     // announce bodies and do not send them would take it from the others. `onPart` is called after each part.
-    asio::awaitable<BodyRead> readBody(beast::tcp_stream& stream, beast::flat_buffer& buffer, Http::RequestParser& parser, const BodyBudget& budget, BodyReservation& reservation, uint64_t headBytes, const std::function<void()>& onPart, beast::error_code& error)
+    asio::awaitable<BodyRead> readBody(beast::tcp_stream& stream, beast::flat_buffer& buffer, Http::RequestParser& parser, const Http::MemoryBudget& budget, Http::MemoryReservation& reservation, uint64_t headBytes, const std::function<void()>& onPart, beast::error_code& error)
     {
         auto length = parser.content_length();
         if (!reservation.growTo(headBytes) || (length && !budget.hasRoomFor(*length)))
@@ -288,12 +288,12 @@
     registration.startWaiting(m_context.clock.now());
     beast::error_code error;
     co_await http::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-    BodyReservation reservation(m_context.bodies);
+    Http::MemoryReservation reservation(m_context.callerMemory);
     auto body = BodyRead::Failed;
     if (!error) {
         registration.recordPart(m_context.clock.now());
         auto onPart = [&] { registration.recordPart(m_context.clock.now()); };
-        body = co_await readBody(stream, buffer, parser, m_context.bodies, reservation, extraHeadBytes(parser.request().headers), onPart, error);
+        body = co_await readBody(stream, buffer, parser, m_context.callerMemory, reservation, extraHeadBytes(parser.request().headers), onPart, error);
     }
     if (registration.isClosed())
         co_return false;
--- a/Source/Proxy/ProxyContext.h
+++ b/Source/Proxy/ProxyContext.h
@@ -4,8 +4,8 @@
 #include "Dispatch/DispatchState.h"
 #include "Fleet/FleetState.h"
 #include "Fleet/NodeSettings.h"
+#include "Http/MemoryBudget.h"
 #include "Observability/Metrics.h"
-#include "Proxy/BodyBudget.h"
 #include "Proxy/CallerProtocol.h"
 #include "Proxy/ConnectionPool.h"
 
@@ -24,7 +24,7 @@
     Dispatch::DispatchState& dispatch;
     const Base::Clock& clock;
     Observability::Metrics& metrics;
-    BodyBudget bodies { BodyBudget::defaultLimitBytes };
+    Http::MemoryBudget callerMemory { Http::MemoryBudget::defaultLimitBytes };
     // Of callers, open at the same time.
     size_t maximumCallerConnections = 4096;
     // Connections are closed after the response in progress.
--- a/Tests/Proxy/FailedRequestTest.cpp
+++ b/Tests/Proxy/FailedRequestTest.cpp
@@ -26,7 +26,7 @@
 
 bool holdsNothing(TestRouter& router)
 {
-    return router.context().openRequests == 0 && router.context().bodies.heldBytes() == 0 && router.requestsInDispatch() == 0
+    return router.context().openRequests == 0 && router.context().callerMemory.heldBytes() == 0 && router.requestsInDispatch() == 0
         && countOnLoop(router, [](ProxyWorker& worker) { return worker.openRequests.size() + worker.idleCallers.size(); }) == 0;
 }
 
@@ -36,7 +36,7 @@
     while (!holdsNothing(router) && std::chrono::steady_clock::now() < until)
         std::this_thread::sleep_for(2ms);
     cr_assert(holdsNothing(router), "an exception at reading %u leaves %zu open requests, %zu in the dispatch, %zu bytes of bodies", reading,
-        router.context().openRequests.load(), router.requestsInDispatch(), static_cast<size_t>(router.context().bodies.heldBytes()));
+        router.context().openRequests.load(), router.requestsInDispatch(), static_cast<size_t>(router.context().callerMemory.heldBytes()));
 }
 
 // Two requests for a single slot, at one reading of the clock of which an exception is thrown. Returns whether it was.
--- a/Tests/Proxy/LargeBodyTest.cpp
+++ b/Tests/Proxy/LargeBodyTest.cpp
@@ -65,7 +65,7 @@
     auto held = allocatedBytes() - before;
     cr_assert_geq(held, requests * bodyBytes);
     cr_assert_lt(held, requests * bodyBytes * 3 / 2, "%zu bytes for bodies of %zu", held, requests * bodyBytes);
-    cr_assert_eq(router.context().bodies.heldBytes(), requests * bodyBytes);
+    cr_assert_eq(router.context().callerMemory.heldBytes(), requests * bodyBytes);
 }
 
 // Guards against the same end by more bodies than there is memory for. A body that does not fit is refused before it is
@@ -94,7 +94,7 @@
     cr_assert_eq(fast.requests(), 0);
     cr_assert(contains(router.exchange("GET"), "hello"));
     first.close();
-    while (router.context().bodies.heldBytes() > bodyBytes)
+    while (router.context().callerMemory.heldBytes() > bodyBytes)
         std::this_thread::sleep_for(std::chrono::milliseconds(5));
     auto fourth = router.send(context, "POST", contentLength(body.size()) + "Connection: close\r\n");
     boost::asio::write(fourth, boost::asio::buffer(body));
@@ -114,6 +114,6 @@
     auto response = TestRouter::readAll(caller);
     cr_assert(contains(response, "HTTP/1.1 503") && contains(response, "body_memory"), "%s", response.c_str());
     cr_assert_eq(target.requests(), 0);
-    while (router.context().bodies.heldBytes() > 0)
+    while (router.context().callerMemory.heldBytes() > 0)
         std::this_thread::sleep_for(std::chrono::milliseconds(5));
 }
--- a/Tests/Proxy/TestRouter.h
+++ b/Tests/Proxy/TestRouter.h
@@ -52,10 +52,10 @@
     // times as long, and at least a second, so that a target that is slow on a busy machine is not replaced.
     std::chrono::milliseconds expectedPause { 2000 };
 
-    explicit TestRouter(unsigned eventLoops = 2, uint64_t bodyLimitBytes = BodyBudget::defaultLimitBytes)
+    explicit TestRouter(unsigned eventLoops = 2, uint64_t bodyLimitBytes = Http::MemoryBudget::defaultLimitBytes)
         : m_pool(eventLoops)
         , m_dispatch(m_fleet.state, nodeSettings(), std::make_unique<Dispatch::PowerOfTwoChoicesPolicy>(), std::make_unique<Dispatch::BoundedWaitPolicy>(), std::make_unique<Base::SeededRandom>(1))
-        , m_context { m_codec, m_fleet.state, m_dispatch, m_clock, m_metrics, BodyBudget(bodyLimitBytes) }
+        , m_context { m_codec, m_fleet.state, m_dispatch, m_clock, m_metrics, Http::MemoryBudget(bodyLimitBytes) }
     {
         for (size_t i = 0; i < m_pool.size(); ++i)
             m_workers.emplace_back(new ProxyWorker { m_pool.context(i), {}, {} });
