Soak: callers with long fields, listed fields, trailers and chunk extensions

The callers of the soak send, in every seventh head, a field of 70,000 bytes that Connection lists, inside a max_header_bytes of 131072, and end bodies in chunks with an extension and a trailer. Connections that are kept carry such requests between ordinary ones while routers stop, die, freeze and are cut off.

--- a/Tests/Soak/SoakCallers.h
+++ b/Tests/Soak/SoakCallers.h
@@ -112,20 +112,29 @@
         co_return connection;
     }
 
-    // The body of every third request has no length.
+    // The body of every third request has no length. Every seventh head has a field that is longer than a message of Beast
+    // can hold and that is not forwarded.
     std::string serialize(RequestKind kind, const std::string& id) const
     {
         auto line = kind == RequestKind::Idempotent ? "GET /stock/1" : kind == RequestKind::AtMostOnce ? "POST /loan/1"
                                                                                                        : "POST /draft/1";
         auto body = RequestLedger::bodyOf(id);
-        return std::string(line) + " HTTP/1.1\r\nHost: soak.example\r\nLavenderloft-Request-Id: " + id + "\r\nLavenderloft-Model: " + SoakWeights::model + "\r\nLavenderloft-Token-Usage: 60,30\r\nLavenderloft-Deadline-Ms: " + std::to_string(deadline.count()) + "\r\n" + frame(body);
+        return std::string(line) + " HTTP/1.1\r\nHost: soak.example\r\nLavenderloft-Request-Id: " + id + "\r\nLavenderloft-Model: " + SoakWeights::model + "\r\nLavenderloft-Token-Usage: 60,30\r\nLavenderloft-Deadline-Ms: " + std::to_string(deadline.count()) + "\r\n" + oddFields() + frame(body);
+    }
+
+    std::string oddFields() const
+    {
+        constexpr size_t longFieldBytes = 70000;
+        if (m_fleet.ledger.requestCount() % 7 > 0)
+            return {};
+        return "Connection: X-Note, X-Other\r\nX-Note: " + std::string(longFieldBytes, 'n') + "\r\n";
     }
 
     std::string frame(const std::string& body) const
     {
         if (m_fleet.ledger.requestCount() % 3 > 0)
             return "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-        return "Transfer-Encoding: chunked\r\n\r\n" + SoakTarget::chunkOf(body) + "0\r\n\r\n";
+        return "Transfer-Encoding: chunked\r\n\r\n" + SoakTarget::chunkOf(body) + "0;end=1\r\nX-Late: 1\r\n\r\n";
     }
 
     // Returns whether the connection can be used again.
--- a/Tests/Soak/SoakFleet.h
+++ b/Tests/Soak/SoakFleet.h
@@ -110,7 +110,7 @@
         nlohmann::json configuration { { "version", ++m_configurationVersion },
             { "routes", { route("stock", "/stock", "safe", "ledger", 3), route("loan", "/loan", "unsafe", "ledger", 2), route("draft", "/draft", "streaming", agents.empty() ? "drafts" : "pool", 3) } },
             { "services", std::move(services) },
-            { "limits", { { "max_header_bytes", 16384 }, { "max_body_bytes", 4194304 }, { "header_timeout_ms", 3000 }, { "idle_timeout_ms", 15000 } } } };
+            { "limits", { { "max_header_bytes", 131072 }, { "max_body_bytes", 4194304 }, { "header_timeout_ms", 3000 }, { "idle_timeout_ms", 15000 } } } };
         store.put("op/config", configuration.dump());
     }
 
