Refuse what exceeds the default limits while no configuration is known

A 4xx says for certain that the request is not allowed, and callers do not repeat it.

Cause: a router without a configuration reads requests by default limits (heads of 16 KB, bodies of 4 MB), and rejected what exceeds them as if they were the operator's.

Change: such a request is refused with 503, Retry-After and no_configuration, as any other is at that time; it has not run.

Test failed before, on: LargeBody/isNotRejectedForGoodWithoutAConfiguration got 431 and 413. It passes with the other tests of LargeBody.

Why it works: the answer depends on whether the limits that the request was read by were those of a configuration.

--- a/Source/Proxy/CallerServer.cpp
+++ b/Source/Proxy/CallerServer.cpp
@@ -46,10 +46,16 @@
     constexpr size_t unadmittedConnections = 16;
     constexpr std::chrono::milliseconds admissionCheckInterval = 5ms;
 
-    Fleet::CallerLimits limitsInForce(const ProxyContext& context)
+    // Nothing while no configuration is known.
+    std::optional<Fleet::CallerLimits> configuredLimits(const ProxyContext& context)
     {
         auto snapshot = Fleet::Queries::currentSnapshot(context.fleet);
-        return snapshot->configuration ? snapshot->configuration->limits : Fleet::CallerLimits {};
+        return snapshot->configuration ? std::optional(snapshot->configuration->limits) : std::nullopt;
+    }
+
+    Fleet::CallerLimits limitsInForce(const ProxyContext& context)
+    {
+        return configuredLimits(context).value_or(Fleet::CallerLimits {});
     }
 
     size_t bufferLimit(const Fleet::CallerLimits& limits)
@@ -90,10 +96,15 @@
         co_await discardUntilClosed(stream);
     }
 
-    // For a request whose head could not be held. It has not run.
-    Http::HttpResponse outOfMemoryResponse()
+    // Refuses a request that was not read whole. It has not run.
+    Http::HttpResponse refusal(std::string_view reason)
     {
-        return { 503, { { "Content-Type", "application/json" }, { "Retry-After", "1.000" } }, R"({"error":"body_memory"})" };
+        return { 503, { { "Content-Type", "application/json" }, { "Retry-After", "1.000" } }, R"({"error":")" + std::string(reason) + R"("})" };
+    }
+
+    bool exceedsLimit(const beast::error_code& error)
+    {
+        return error == http::error::header_limit || error == http::error::body_limit || error == http::error::buffer_overflow;
     }
 
     // Counts a connection as open for as long as this object exists.
@@ -135,10 +146,9 @@
     // Sends as much as the connection accepts at once; it is closed afterwards.
     void sendRefusal(tcp::socket& socket)
     {
-        const Http::HttpResponse refusal { 503, { { "Content-Type", "application/json" }, { "Retry-After", "1.000" } }, R"({"error":"connections"})" };
         beast::error_code ignored;
         socket.non_blocking(true, ignored);
-        socket.write_some(asio::buffer(Http::serializeResponse(refusal, false)), ignored);
+        socket.write_some(asio::buffer(Http::serializeResponse(refusal("connections"), false)), ignored);
         socket.shutdown(tcp::socket::shutdown_send, ignored);
     }
 
@@ -146,13 +156,21 @@
 
 // What the router holds for a request from its first byte on: the process must not end while a request arrives.
 struct CallerServer::IncomingRequest {
-    IncomingRequest(ProxyContext& context, const Fleet::CallerLimits& limits)
-        : open(context)
+    IncomingRequest(ProxyContext& context, const std::optional<Fleet::CallerLimits>& configured)
+        : IncomingRequest(context, configured.value_or(Fleet::CallerLimits {}), configured.has_value())
+    {
+    }
+
+    IncomingRequest(ProxyContext& context, const Fleet::CallerLimits& limits, bool isConfigured)
+        : hasConfiguration(isConfigured)
+        , open(context)
         , memory(context.callerMemory)
         , parser({ limits.maximumHeaderBytes, limits.maximumBodyBytes }, memory)
     {
     }
 
+    // Whether the limits are those of a configuration, so that a request which exceeds them may be told so for certain.
+    const bool hasConfiguration;
     OpenRequest open;
     Http::MemoryReservation memory;
     Http::RequestParser parser;
@@ -271,14 +289,16 @@
     co_return isRead;
 }
 
-asio::awaitable<void> CallerServer::reject(beast::tcp_stream& stream, const beast::error_code& error)
+asio::awaitable<void> CallerServer::reject(beast::tcp_stream& stream, const beast::error_code& error, bool hasConfiguration)
 {
     bool isOutOfMemory = error == boost::system::errc::not_enough_memory;
     if (isOutOfMemory || error == http::error::buffer_overflow)
         m_context.metrics.count("caller_requests_rejected_total", { { "reason", isOutOfMemory ? "memory" : "buffer" } });
-    auto response = outOfMemoryResponse();
-    if (!isOutOfMemory)
-        response = { statusOf(error), {}, {} };
+    Http::HttpResponse response { statusOf(error), {}, {} };
+    if (isOutOfMemory)
+        response = refusal("body_memory");
+    else if (!hasConfiguration && exceedsLimit(error))
+        response = refusal("no_configuration");
     if (response.status != 0)
         co_await rejectUnread(stream, response);
 }
@@ -286,6 +306,7 @@
 asio::awaitable<void> CallerServer::endUnread(ProxyWorker& worker, beast::tcp_stream& stream, RequestReader& reader, std::optional<IncomingRequest>& incoming)
 {
     auto error = reader.error();
+    bool hasConfiguration = incoming->hasConfiguration;
     bool isRefused = error == boost::system::errc::not_enough_memory && incoming->parser.is_header_done();
     if (isRefused) {
         RequestHandler handler(m_context, worker, stream, incoming->parser.takeRequest(), false);
@@ -297,12 +318,12 @@
     if (isRefused)
         co_await discardUntilClosed(stream);
     else
-        co_await reject(stream, error);
+        co_await reject(stream, error, hasConfiguration);
 }
 
 asio::awaitable<bool> CallerServer::serveRequest(ProxyWorker& worker, beast::tcp_stream& stream, RequestReader& reader, Registration& registration)
 {
-    std::optional<IncomingRequest> incoming(std::in_place, m_context, limitsInForce(m_context));
+    std::optional<IncomingRequest> incoming(std::in_place, m_context, configuredLimits(m_context));
     bool isReceived = co_await receive(stream, reader, incoming->parser, registration);
     if (registration.isClosed())
         co_return false;
--- a/Source/Proxy/CallerServer.h
+++ b/Source/Proxy/CallerServer.h
@@ -50,8 +50,8 @@
     struct IncomingRequest;
     // Refuses or rejects a request that could not be read whole, and frees what it held before its rest is discarded.
     boost::asio::awaitable<void> endUnread(ProxyWorker&, boost::beast::tcp_stream&, RequestReader&, std::optional<IncomingRequest>&);
-    // Responds to a request whose head could not be read, if there is a status for the error.
-    boost::asio::awaitable<void> reject(boost::beast::tcp_stream&, const boost::beast::error_code&);
+    // Responds to a request that could not be read, if there is a status for the error.
+    boost::asio::awaitable<void> reject(boost::beast::tcp_stream&, const boost::beast::error_code&, bool hasConfiguration);
     // Reads one request and serves it. Returns whether the connection can be used for another one.
     boost::asio::awaitable<bool> serveRequest(ProxyWorker&, boost::beast::tcp_stream&, RequestReader&, Registration&);
     boost::asio::awaitable<void> serve(ProxyWorker&, Http::WaitingConnections&, boost::asio::ip::tcp::socket);
--- a/Tests/Proxy/LargeBodyTest.cpp
+++ b/Tests/Proxy/LargeBodyTest.cpp
@@ -136,3 +136,18 @@
         std::this_thread::sleep_for(5ms);
     cr_assert(socket.is_open());
 }
+
+// Guards against a request inside the limits of the operator that is rejected for good by a router which has just started and
+// doesn't know them yet.
+Test(LargeBody, isNotRejectedForGoodWithoutAConfiguration)
+{
+    TestRouter router(1);
+    const std::string largeHead = "X-Note: " + std::string(64 * 1024, 'n') + "\r\n";
+    auto response = router.exchange("GET", largeHead);
+    cr_expect(response.starts_with("HTTP/1.1 503") && contains(response, "Retry-After") && contains(response, "no_configuration"), "%s", response.c_str());
+    response = router.exchange("POST", "Content-Length: 1000000000\r\n");
+    cr_expect(response.starts_with("HTTP/1.1 503") && contains(response, "no_configuration"), "%s", response.c_str());
+    router.setRoute(Fleet::RequestKind::Idempotent, 1);
+    response = router.exchange("GET", largeHead);
+    cr_expect(response.starts_with("HTTP/1.1 431"), "%s", response.c_str());
+}
