--- a/review/standins-3/Harness.h
+++ b/review/standins-3/Harness.h
@@ -701,8 +701,7 @@
     static bool answer(int socket, const Message& request, unsigned status, const std::string& body, const std::string& fields = {})
     {
         auto id = request.header("Lavenderloft-Request-Id");
-        return sendAll(socket, "HTTP/1.1 " + std::to_string(status) + " X\r\nLavenderloft-Request-Id: " + id + "\r\nLavenderloft-Response-Seal: seal." + id + "\r\n" + fields
-                + "Keep-Alive: timeout=10\r\nContent-Type: text/plain\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        return sendAll(socket, "HTTP/1.1 " + std::to_string(status) + " X\r\nLavenderloft-Request-Id: " + id + "\r\nLavenderloft-Response-Seal: seal." + id + "\r\n" + fields + "Keep-Alive: timeout=10\r\nContent-Type: text/plain\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
     }
 
     // Refuses a request that it has not run.
--- a/review/standins-3/StrayBytes.cpp
+++ b/review/standins-3/StrayBytes.cpp
@@ -95,7 +95,8 @@
 {
     std::string shown;
     for (char character : text)
-        shown += character == '\r' ? "\\r" : character == '\n' ? "\\n" : std::string(1, character);
+        shown += character == '\r' ? "\\r" : character == '\n' ? "\\n"
+                                                               : std::string(1, character);
     return shown;
 }
 
