--- a/Source/Peering/Events.h
+++ b/Source/Peering/Events.h
@@ -22,6 +22,7 @@
 inline constexpr Event demandClamped { 7514, "demand-clamped", Level::Warning, "A message from the named router bears demands that no router can have; they were brought within their bounds." };
 inline constexpr Event watchSkippedRevisions { 7515, "watch-skipped-revisions", Level::Warning, "The store answered a watch without changes and named a newer revision than that of the request: changes in between may have been missed." };
 inline constexpr Event implausibleEraIgnored { 7516, "implausible-era-ignored", Level::Warning, "The named source gives an era of the store that lies too far ahead of the known one; its items and its position are ignored." };
+inline constexpr Event storeRequestUnanswered { 7517, "store-request-unanswered", Level::Info, "The store did not answer a request in time: how long this node waited, how long ago the store last answered, and how long the next request is waited for." };
 inline constexpr Event messageUnreadable { 7507, "message-unreadable", Level::Warning, "A datagram that is not a valid peer message was dropped." };
 inline constexpr Event declarationLearned { 7508, "declaration-learned", Level::Info, "A declaration of weights, or a more accurate time of it, became known; outdated weights are excluded by its age." };
 
--- a/Source/Peering/StoreFollower.cpp
+++ b/Source/Peering/StoreFollower.cpp
@@ -1,6 +1,8 @@
 #include "Peering/StoreFollower.h"
 
 #include "Http/Sleep.h"
+#include "Observability/Log.h"
+#include "Peering/Events.h"
 
 #include <algorithm>
 
@@ -82,6 +84,14 @@
         m_listTimeout.recordTimeout();
 }
 
+void StoreFollower::logUnanswered(std::string_view request, Base::TimePoint requestedAt, std::chrono::milliseconds nextTimeout) const
+{
+    auto now = m_clock.now();
+    auto elapsed = [&](Base::TimePoint since) { return std::chrono::duration_cast<std::chrono::milliseconds>(now - since); };
+    auto sinceAnswer = m_answeredAt ? std::to_string(elapsed(*m_answeredAt).count()) : std::string();
+    Observability::logEvent(Events::storeRequestUnanswered, { { "request", request }, { "waited", elapsed(requestedAt) }, { "since_answer", sinceAnswer }, { "next_timeout", nextTimeout } });
+}
+
 asio::awaitable<bool> StoreFollower::listAll()
 {
     auto listing = m_cursor.startListing();
@@ -91,10 +101,13 @@
         auto result = co_await m_client.call(m_protocol.listRequest(listing.lastKey()), m_listTimeout.current());
         if (!Base::succeeded(result)) {
             recordListTimeout(Base::errorOf(result));
+            if (Base::errorOf(result).kind == Http::HttpErrorKind::TimedOut)
+                logUnanswered("list", pageRequestedAt, m_listTimeout.current());
             m_cursor.recordFailure(Base::errorOf(result).describe(), listing.requestedAt);
             co_return false;
         }
-        m_listTimeout.recordResponse(m_clock.now() - pageRequestedAt);
+        m_answeredAt = m_clock.now();
+        m_listTimeout.recordResponse(*m_answeredAt - pageRequestedAt);
         outcome = m_cursor.addPage(listing, m_protocol.readList(Base::valueOf(result)));
     }
     bool isUsed = conclude(outcome);
@@ -106,12 +119,15 @@
     auto watch = m_cursor.nextWatch();
     auto result = co_await m_client.call(m_protocol.watchRequest(watch.after, watch.wait), m_cursor.timeoutOf(watch));
     if (!Base::succeeded(result)) {
-        if (Base::errorOf(result).kind == Http::HttpErrorKind::TimedOut)
+        if (Base::errorOf(result).kind == Http::HttpErrorKind::TimedOut) {
             m_cursor.recordWatchTimeout();
+            logUnanswered("watch", watch.requestedAt, m_cursor.timeoutOf(watch));
+        }
         m_cursor.recordFailure(Base::errorOf(result).describe(), watch.requestedAt);
         m_client.disconnect();
         co_return false;
     }
+    m_answeredAt = m_clock.now();
     watch.responseBytes = Base::valueOf(result).body.size();
     bool isUsed = conclude(m_cursor.applyChanges(m_protocol.readChanges(Base::valueOf(result)), watch));
     co_return isUsed;
--- a/Source/Peering/StoreFollower.h
+++ b/Source/Peering/StoreFollower.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace Lavenderloft::Peering {
 
@@ -39,6 +40,7 @@
     bool conclude(StoreOutcome);
     void recordResult(bool succeeded);
     void recordListTimeout(const Http::HttpError&);
+    void logUnanswered(std::string_view request, Base::TimePoint requestedAt, std::chrono::milliseconds nextTimeout) const;
 
     boost::asio::io_context& m_context;
     Http::PersistentHttpClient m_client;
@@ -48,6 +50,8 @@
     Base::AdaptiveTimeout m_listTimeout;
     std::function<void()> m_onChange;
     std::chrono::milliseconds m_backoff { 0 };
+    // When the store last answered a request; empty until then.
+    std::optional<Base::TimePoint> m_answeredAt;
 };
 
 } // namespace Lavenderloft::Peering
