--- a/Tests/Soak/SoakStore.h
+++ b/Tests/Soak/SoakStore.h
@@ -25,6 +25,8 @@
     FaultyLink& link() { return m_link; }
     const FaultyLink& link() const { return m_link; }
     bool isRejecting = false;
+    // Requests that arrive or wait meanwhile are never answered, also not afterwards.
+    bool isSilent = false;
     std::chrono::milliseconds responseTime { 2 };
 
     void put(const std::string& key, const std::string& value) { write(key, { 0, value, false }); }
@@ -122,16 +124,23 @@
         return { { "key", key }, { "revision", item.revision }, { "create_revision", item.revision }, { "lease", 0 }, { "value", encodeBase64(item.value) } };
     }
 
+    // Longer than any test.
+    static asio::awaitable<void> hang() { co_await pause(std::chrono::hours(1)); }
+
     asio::awaitable<Http::HttpResponse> respond(Http::HttpRequest request)
     {
+        if (isSilent)
+            co_await hang();
         if (isRejecting)
             co_return respondWith(503, "");
         bool isWatch = request.target.starts_with("/api/kv-watch");
         auto after = isWatch ? numberIn(request.target, "after") : 0;
         auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(isWatch ? numberIn(request.target, "wait_ms") : 0);
         auto era = m_era;
-        while (isWatch && m_revision <= after && m_era == era && std::chrono::steady_clock::now() < until && !isRejecting)
+        while (isWatch && m_revision <= after && m_era == era && std::chrono::steady_clock::now() < until && !isRejecting && !isSilent)
             co_await pause(std::chrono::milliseconds(5));
+        if (isSilent)
+            co_await hang();
         if (isRejecting)
             co_return respondWith(503, "");
         // The response to a request before the return is late then, with the era in which it was made.
--- a/Tests/Soak/StoreReturnTest.cpp
+++ b/Tests/Soak/StoreReturnTest.cpp
@@ -1,9 +1,9 @@
 #include "Soak/FaultSeries.h"
+#include "Soak/RouterMetrics.h"
 #include "Soak/SoakCallers.h"
 
 #include <criterion/criterion.h>
 #include <iostream>
-#include <sstream>
 
 using namespace Lavenderloft;
 using namespace Lavenderloft::Soak;
@@ -62,12 +62,6 @@
     // So many that the revisions after the return stay below those before.
     static constexpr unsigned lostConfigurations = 5;
 
-    // What a router says of itself.
-    struct RouterMetrics {
-        uint64_t configurationVersion = 0;
-        uint64_t storeEra = 0;
-    };
-
     bool areAllReady() const
     {
         return std::all_of(m_fleet.routers.begin(), m_fleet.routers.end(), [](auto& router) { return router.isReady; });
@@ -88,35 +82,21 @@
         m_series.runFor(m_series.drawDuration(200ms, 1000ms));
     }
 
-    static uint64_t readMetric(const std::string& body, const std::string& name)
-    {
-        std::istringstream lines(body);
-        for (std::string line; std::getline(lines, line);) {
-            if (line.starts_with(name + " "))
-                return static_cast<uint64_t>(std::stod(line.substr(name.size() + 1)));
-        }
-        return 0;
-    }
-
     asio::awaitable<void> watchMetrics(unsigned index)
     {
         while (true) {
-            Http::PersistentHttpClient client(m_fleet.context.get_executor(), m_fleet.metricsOf(index));
-            Http::HttpRequest request;
-            request.target = "/metrics";
-            auto result = co_await client.call(std::move(request), 500ms);
-            if (Base::succeeded(result) && Base::valueOf(result).status == 200)
-                record(m_metrics[index], Base::valueOf(result).body, index);
+            auto metrics = co_await readMetrics(m_fleet, index);
+            if (metrics)
+                record(m_metrics[index], *metrics, index);
             co_await pause(50ms);
         }
     }
 
-    void record(RouterMetrics& metrics, const std::string& body, unsigned index)
+    void record(RouterMetrics& known, const RouterMetrics& metrics, unsigned index)
     {
-        auto version = readMetric(body, "lavenderloft_configuration_version");
-        if (version < metrics.configurationVersion)
-            m_fleet.ledger.addViolation("UNDONE", "router " + std::to_string(index) + " went from version " + std::to_string(metrics.configurationVersion) + " of the configuration to " + std::to_string(version));
-        metrics = { version, readMetric(body, "lavenderloft_store_era") };
+        if (metrics.configurationVersion < known.configurationVersion)
+            m_fleet.ledger.addViolation("UNDONE", "router " + std::to_string(index) + " went from version " + std::to_string(known.configurationVersion) + " of the configuration to " + std::to_string(metrics.configurationVersion));
+        known = metrics;
     }
 
     void checkOutcome(SteadyClock::time_point since)
