Ask the store again while it does not answer, however long an answer is waited for

Callers were served by dropped keys and old services for up to 6 s after the store had been silent (CONFIG; HOME where a route lost a home).

Cause: a watch that was sent while the store was silent is never answered. Each timeout made the next one longer, up to 5.6 s, and nobody asked meanwhile. At the end of an outage all routers were in that state, so that none could tell another. The class of fault: one time limit answers two questions, how long a slow peer may take and how often a silent one is asked.

Now a request that brings nothing is hedged: a short watch goes out over another connection 0.4 s after the wait is over, and again every 0.5 s; the first answer counts. The timeout still grows for a slow store, and a response that is arriving is not asked for again. While the store does not respond, watches have no wait. The answer to a hedge gives no declaration an exact time.

--- a/Source/Http/PersistentHttpClient.cpp
+++ b/Source/Http/PersistentHttpClient.cpp
@@ -51,6 +51,40 @@
     m_connection.reset();
 }
 
+void PersistentHttpClient::cancel()
+{
+    if (m_connection)
+        m_connection->stream.cancel();
+}
+
+asio::awaitable<beast::error_code> PersistentHttpClient::connect(std::chrono::milliseconds timeout)
+{
+    beast::error_code error;
+    m_connection = std::make_unique<Connection>(m_executor);
+    m_connection->stream.expires_after(std::min(timeout, m_connectTimeout));
+    asio::ip::tcp::endpoint server(asio::ip::make_address(m_endpoint.host), m_endpoint.port);
+    co_await m_connection->stream.async_connect(server, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        m_connection.reset();
+        co_return error;
+    }
+    beast::error_code ignored;
+    m_connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    co_return error;
+}
+
+asio::awaitable<beast::error_code> PersistentHttpClient::readMessage(Parser& parser)
+{
+    auto& connection = *m_connection;
+    beast::error_code error;
+    parser.eager(true);
+    while (!error && !parser.is_done()) {
+        auto count = co_await http::async_read_some(connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        m_receivedBytes += count;
+    }
+    co_return error;
+}
+
 asio::awaitable<Base::Result<HttpResponse, HttpError>> PersistentHttpClient::call(HttpRequest request, std::chrono::milliseconds timeout)
 {
     beast::error_code error;
@@ -59,14 +93,9 @@
     if (!isConnected())
         m_connection.reset();
     if (!m_connection) {
-        auto connection = std::make_unique<Connection>(m_executor);
-        connection->stream.expires_after(std::min(timeout, m_connectTimeout));
-        asio::ip::tcp::endpoint server(asio::ip::make_address(m_endpoint.host), m_endpoint.port);
-        co_await connection->stream.async_connect(server, token);
+        error = co_await connect(timeout);
         if (error)
             co_return toHttpError(m_endpoint, HttpErrorKind::NotSent, error);
-        connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
-        m_connection = std::move(connection);
     }
     auto& connection = *m_connection;
     connection.buffer.max_size(maximumBufferedBytes);
@@ -78,11 +107,11 @@
         m_connection.reset();
         co_return toHttpError(m_endpoint, HttpErrorKind::Broken, error);
     }
-    std::optional<http::response_parser<http::string_body>> parser;
+    std::optional<Parser> parser;
     for (unsigned interim = 0; !parser || isInterimStatus(parser->get().result_int()); ++interim) {
         parser.emplace();
         parser->body_limit(maximumResponseBytes);
-        co_await http::async_read(connection.stream, connection.buffer, *parser, token);
+        error = co_await readMessage(*parser);
         bool isBroken = !error && (!isValidStatus(parser->get().result_int()) || interim > maximumInterimResponses);
         if (isBroken)
             error = http::error::bad_status;
--- a/Source/Peering/StoreCursor.cpp
+++ b/Source/Peering/StoreCursor.cpp
@@ -21,6 +21,10 @@
     // Time for the response in addition to watchWait. The connection is closed after both have passed.
     constexpr std::chrono::milliseconds watchMargin = 1000ms;
     constexpr std::chrono::milliseconds maximumWatchMargin = 4000ms;
+    // Time beyond the wait within which a store that is not slow responds to a watch.
+    constexpr std::chrono::milliseconds minimumHedgeMargin = 400ms;
+    // Ratio of that time to the last response time.
+    constexpr int hedgeMarginFactor = 2;
     // How long after an outage targets may need to restore entries that expired during it.
     constexpr std::chrono::milliseconds expiredEntryGracePeriod = 1900ms;
     // Wait of a watch request that measures how long the store takes to respond.
@@ -168,10 +172,23 @@
     m_hasNews = true;
 }
 
-// After changes, a watch without a wait tells that these were the last ones.
+// After changes, a watch without a wait tells that these were the last ones, and after a failure, whether the store responds.
 SentWatch StoreCursor::nextWatch() const
 {
-    return { m_clock.now(), m_hasUnconfirmedChanges ? probeWait : watchWait, m_position->revision };
+    bool isProbe = m_hasUnconfirmedChanges || !m_connected;
+    return { m_clock.now(), isProbe ? probeWait : watchWait, m_position->revision };
+}
+
+SentWatch StoreCursor::nextProbe() const
+{
+    return { m_clock.now(), probeWait, m_position->revision };
+}
+
+// Follows the responses that arrived, not the timeouts, which an outage makes longer.
+std::chrono::milliseconds StoreCursor::hedgeDelayOf(const SentWatch& watch) const
+{
+    auto usual = std::chrono::ceil<std::chrono::milliseconds>(m_responseTime * hedgeMarginFactor);
+    return watch.wait + std::clamp(usual, minimumHedgeMargin, m_watchMargin.current());
 }
 
 // A probe that brings more changes is repeated after the usual delay, so that a burst does not load the store.
--- a/Source/Peering/StoreCursor.h
+++ b/Source/Peering/StoreCursor.h
@@ -75,9 +75,18 @@
     // Adds a page to the listing, and merges the items after the last one.
     StoreOutcome addPage(StoreListing&, const Page&);
 
-    // The watch request to send next.
+    // The watch request to send next. While the store does not respond it has no wait, so that its answer shows at once.
     SentWatch nextWatch() const;
 
+    // A watch without a wait, which shows whether the store responds.
+    SentWatch nextProbe() const;
+
+    // The watch was not answered, and a later one was: the change that this one brings may be older than its wait.
+    void abandonWatch() { m_isWatching = false; }
+
+    // How long to wait for the response to a watch before the store is asked again beside it.
+    std::chrono::milliseconds hedgeDelayOf(const SentWatch&) const;
+
     // How long to wait for the response to a watch.
     std::chrono::milliseconds timeoutOf(const SentWatch& watch) const { return watch.wait + m_watchMargin.current(); }
 
--- a/Source/Peering/StoreFollower.h
+++ b/Source/Peering/StoreFollower.h
@@ -3,7 +3,7 @@
 #include "Base/AdaptiveTimeout.h"
 #include "Base/Clock.h"
 #include "Fleet/StoreProtocol.h"
-#include "Http/PersistentHttpClient.h"
+#include "Http/HedgedHttpClient.h"
 #include "Peering/StoreCursor.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -17,7 +17,9 @@
 namespace Lavenderloft::Peering {
 
 // Follows the items of the store: lists all of them once, then watches for changes. Sends the requests that
-// StoreCursor decides on; failed ones are retried with exponential backoff.
+// StoreCursor decides on; rejected ones are retried with exponential backoff. How long a request is waited for and how often
+// the store is asked are two things: a slow store is given time, and one that has lost the request in an outage is asked again
+// over another connection at a fixed interval.
 class StoreFollower {
 public:
     StoreFollower(boost::asio::io_context&, Http::Endpoint store, const Fleet::StoreProtocol&, ItemMerger&, const Base::Clock&, const Base::StallMonitor&);
@@ -39,17 +41,21 @@
     // Whether the response was used.
     bool conclude(StoreOutcome);
     void recordResult(bool succeeded);
-    void recordListTimeout(const Http::HttpError&);
+    std::chrono::milliseconds nextDelay(bool succeeded) const;
+    void recordListFailure(const Http::HttpError&, Base::TimePoint requestedAt);
+    void recordWatchFailure(const Http::HttpError&, const SentWatch&);
     void logUnanswered(std::string_view request, Base::TimePoint requestedAt, std::chrono::milliseconds nextTimeout) const;
 
     boost::asio::io_context& m_context;
-    Http::PersistentHttpClient m_client;
+    Http::HedgedHttpClient m_client;
     const Fleet::StoreProtocol& m_protocol;
     const Base::Clock& m_clock;
     StoreCursor m_cursor;
     Base::AdaptiveTimeout m_listTimeout;
     std::function<void()> m_onChange;
     std::chrono::milliseconds m_backoff { 0 };
+    // The last request was not answered in time.
+    bool m_hasTimedOut = false;
     // When the store last answered a request; empty until then.
     std::optional<Base::TimePoint> m_answeredAt;
 };
--- a/Tests/Peering/StoreCursorTest.cpp
+++ b/Tests/Peering/StoreCursorTest.cpp
@@ -47,3 +47,57 @@
     cr_expect(cursor.applyChanges(Fleet::ChangeBatch { {}, { largest, 6 } }, cursor.nextWatch()) == StoreOutcome::Ignored);
     cr_expect(list({ 1 + Fleet::StorePosition::maximumMissedEras, 6 }) == StoreOutcome::Used);
 }
+
+// Guards against outdated weights that look recent: a watch was not answered, and the declaration that the next answer brought
+// counted as made just before it.
+Test(StoreCursor, aChangeAfterAnAbandonedWatchHasNoExactTime)
+{
+    for (bool isAbandoned : { true, false }) {
+        Fleet::TestFleetState fleet;
+        fleet.decoder.publications["w=2"] = Fleet::WeightsDeclared { "m", 2 };
+        ItemMerger merger(fleet.state, fleet.decoder, fleet.clock);
+        Base::StallMonitor stalls(fleet.clock, 50ms);
+        StoreCursor cursor(merger, fleet.clock, stalls);
+        auto listing = cursor.startListing();
+        cr_assert(cursor.addPage(listing, Fleet::ListPage { {}, false, 1 }) == StoreOutcome::Used);
+        auto answerWith = [&](std::vector<Fleet::PublishedItem> changes, uint64_t revision) {
+            auto watch = cursor.nextProbe();
+            cr_assert(cursor.applyChanges(Fleet::ChangeBatch { std::move(changes), revision }, watch) == StoreOutcome::Used);
+            cursor.recordResult(true);
+        };
+        answerWith({}, 1);
+        fleet.clock.advance(100ms);
+        stalls.tick();
+        if (isAbandoned) {
+            cursor.recordFailure("no answer", fleet.clock.now());
+            cursor.abandonWatch();
+        }
+        answerWith({ { "w", "2", 2, false, {} } }, 2);
+        answerWith({}, 2);
+        cr_expect_eq(fleet.snapshot()->weights.at("m").back().publishedAtIsLowerBound, isAbandoned);
+    }
+}
+
+// Guards against a store that is asked late after an outage: the time until it is asked again beside a watch grew with each
+// timeout.
+Test(StoreCursor, asksAgainAsSoonAfterManyTimeoutsAsAfterOne)
+{
+    Fleet::TestFleetState fleet;
+    ItemMerger merger(fleet.state, fleet.decoder, fleet.clock);
+    Base::StallMonitor stalls(fleet.clock, 50ms);
+    StoreCursor cursor(merger, fleet.clock, stalls);
+    auto listing = cursor.startListing();
+    cr_assert(cursor.addPage(listing, Fleet::ListPage { {}, false, 1 }) == StoreOutcome::Used);
+    auto failOnce = [&] {
+        cursor.recordWatchTimeout();
+        cursor.recordFailure("no answer", fleet.clock.now());
+        cursor.recordResult(false);
+        return cursor.hedgeDelayOf(cursor.nextWatch());
+    };
+    auto first = failOnce();
+    auto timeout = cursor.timeoutOf(cursor.nextWatch());
+    for (unsigned i = 0; i < 5; ++i)
+        cr_expect(failOnce() == first);
+    cr_expect(cursor.timeoutOf(cursor.nextWatch()) > timeout, "a slow store is given more time");
+    cr_expect_lt(first / 1ms, 1000, "the store is asked within a second");
+}
