--- a/Source/Peering/ItemExchange.cpp
+++ b/Source/Peering/ItemExchange.cpp
@@ -63,7 +63,6 @@
     , m_receiver(settings, peers, merger, clock)
     , m_supplier(merger.fleet(), clock)
     , m_timer(context)
-    , m_fetchTimeout(fetchTimeout, maximumFetchTimeout)
 {
 }
 
@@ -105,17 +104,26 @@
         request.target += std::string(eraParameter) + std::to_string(fetch.after.era);
     if (encoding == ValueEncoding::Packed)
         request.target += packedParameter;
-    auto result = co_await m_client->call(std::move(request), m_fetchTimeout.current());
+    auto known = m_fetchTimeouts.find(fetch.router.address);
+    auto result = co_await m_client->call(std::move(request), known == m_fetchTimeouts.end() ? fetchTimeout : known->second.current());
+    recordResponseTime(fetch, result);
     std::optional<Http::HttpResponse> response;
-    if (Base::succeeded(result))
-        m_fetchTimeout.recordResponse(m_clock.now() - fetch.requestedAt);
-    else if (Base::errorOf(result).kind == Http::HttpErrorKind::TimedOut)
-        m_fetchTimeout.recordTimeout();
     if (Base::succeeded(result))
         response = std::move(Base::valueOf(result));
     co_return response;
 }
 
+void ItemExchange::recordResponseTime(const ItemFetch& fetch, const Base::Result<Http::HttpResponse, Http::HttpError>& result)
+{
+    auto& timeout = m_fetchTimeouts.try_emplace(fetch.router.address, fetchTimeout, maximumFetchTimeout).first->second;
+    if (Base::succeeded(result))
+        timeout.recordResponse(m_clock.now() - fetch.requestedAt);
+    else if (Base::errorOf(result).kind == Http::HttpErrorKind::TimedOut)
+        timeout.recordTimeout();
+    if (timeout.current() == fetchTimeout)
+        m_fetchTimeouts.erase(fetch.router.address);
+}
+
 asio::awaitable<bool> ItemExchange::fetch(ItemFetch fetch)
 {
     auto response = co_await requestItems(fetch, ValueEncoding::Packed);
--- a/Source/Peering/ItemExchange.h
+++ b/Source/Peering/ItemExchange.h
@@ -9,8 +9,10 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace Lavenderloft::Peering {
@@ -48,6 +50,7 @@
 private:
     boost::asio::awaitable<bool> fetch(ItemFetch);
     boost::asio::awaitable<std::optional<Http::HttpResponse>> requestItems(const ItemFetch&, ValueEncoding);
+    void recordResponseTime(const ItemFetch&, const Base::Result<Http::HttpResponse, Http::HttpError>&);
     bool mergeResponse(const ItemFetch&, const Http::HttpResponse&);
 
     boost::asio::io_context& m_context;
@@ -57,7 +60,8 @@
     ItemSupplier m_supplier;
     boost::asio::steady_timer m_timer;
     std::unique_ptr<Http::PersistentHttpClient> m_client;
-    Base::AdaptiveTimeout m_fetchTimeout;
+    // By address, of routers that did not respond at once: a silent router says nothing of the next one.
+    std::map<std::string, Base::AdaptiveTimeout> m_fetchTimeouts;
 };
 
 } // namespace Lavenderloft::Peering
--- a/Tests/Peering/PeeringNodeTest.cpp
+++ b/Tests/Peering/PeeringNodeTest.cpp
@@ -339,6 +339,30 @@
     cr_assert(test.runUntil([&] { return Fleet::Queries::knownPosition(test.fleet.state) == 2; }));
 }
 
+// Guards against a configuration that arrives late after a partition: each silent router made the wait for the next one longer.
+Test(PeeringNode, waitsForASecondSilentRouterNoLongerThanForTheFirst)
+{
+    TestNode test;
+    ItemBatch batch { 2, { { "w", "2", 2, false, 1s } } };
+    std::vector<std::chrono::steady_clock::time_point> requests;
+    auto handler = [&](Http::HttpRequest) {
+        requests.push_back(std::chrono::steady_clock::now());
+        return respondSlowly(test.context, requests.size() < 3 ? 1h : 0ms, { 200, {}, encodeItems(batch) });
+    };
+    std::vector<std::shared_ptr<Http::NodeServer>> servers;
+    for (std::string address : { "127.0.0.2", "127.0.0.3", "127.0.0.4" }) {
+        servers.push_back(Http::NodeServer::start(test.context, { address, test.settings.firstPeerPort }, handler));
+        auto message = messageFrom(address);
+        message.position = 2;
+        test.deliver(message);
+    }
+    cr_assert(test.runUntil([&] { return Fleet::Queries::knownPosition(test.fleet.state) == 2; }));
+    cr_assert_eq(requests.size(), 3);
+    auto first = requests[1] - requests[0];
+    auto second = requests[2] - requests[1];
+    cr_expect_lt(second / 1ms, first * 3 / 2 / 1ms);
+}
+
 // Guards against requests to a target that is gone: the response of a router waited, and the delay of a deletion in it
 // was counted from its arrival.
 Test(PeeringNode, takesTheDurationOfAFetchOffTheDelayOfADeletion)
