Fetch what another router retains against an older copy of the store

After the store had returned from an older copy, routers went on with different configurations until the operator wrote again: some served a withdrawn key and denied an added route, by the same position as the others.

Cause: what stays in force against the copy is relayed at the copy's position, and a node asks a router for items only if that one has a newer position. A router that was cut off, or not answered by the store, while the store returned took everything from one that knew only the copy, or listed the copy itself, and then had the position of those that knew better.

Routers now report a digest of what they retain. A node with another one fetches everything, once for each digest, and keeps the higher version of each item.

--- a/Source/Fleet/Commands/ApplyItems.cpp
+++ b/Source/Fleet/Commands/ApplyItems.cpp
@@ -54,6 +54,7 @@
         for (auto& [key, record] : contents.records) {
             if (!record.item.deleted || record.deletionDueAt)
                 builder.add(record);
+            snapshot->retainedDigest ^= Queries::digestOfRetained(record, contents.position);
         }
         contents.snapshot = std::move(snapshot);
     }
@@ -273,6 +274,7 @@
                 continue;
             if (Queries::isRetainedIfMissing(record, position)) {
                 change.retained.push_back(key);
+                change.anything = true;
                 continue;
             }
             removeRecord(record, decoder, position, delaysOfListing(record, position, deferDeletionsUntil, now), now);
--- a/Source/Fleet/FleetSnapshot.h
+++ b/Source/Fleet/FleetSnapshot.h
@@ -40,6 +40,9 @@
     std::set<std::string> evacuatedDataCentres;
     // Recent declarations by model, oldest first.
     std::map<std::string, std::vector<DeclaredWeights>> weights;
+    // Of the versions that stay in force although the store, which has returned from an older copy, shows lower ones or none;
+    // zero if there are none.
+    uint64_t retainedDigest = 0;
 };
 
 } // namespace Lavenderloft::Fleet
--- a/Source/Fleet/Queries/FindRetained.cpp
+++ b/Source/Fleet/Queries/FindRetained.cpp
@@ -1,5 +1,7 @@
 #include "Fleet/Queries/FindRetained.h"
 
+#include "Base/RendezvousHash.h"
+
 namespace Lavenderloft::Fleet::Queries {
 
 namespace {
@@ -91,4 +93,14 @@
     return known.item.position.era < listing.era && versionOf(known.publication);
 }
 
+uint64_t digestOfRetained(const FleetState::Record& known, StorePosition position)
+{
+    auto version = versionOf(known.publication);
+    bool isShownOtherwise = known.retained && !known.retained->until;
+    bool isMissing = !known.item.deleted && known.item.position.era < position.era;
+    if (!version || (!isShownOtherwise && !isMissing))
+        return 0;
+    return Base::stableHash(known.item.key + "=" + std::to_string(*version));
+}
+
 } // namespace Lavenderloft::Fleet::Queries
--- a/Source/Fleet/Queries/FindRetained.h
+++ b/Source/Fleet/Queries/FindRetained.h
@@ -38,4 +38,8 @@
 // Whether the item stays in force if the listing of a later era lacks it.
 bool isRetainedIfMissing(const FleetState::Record&, StorePosition listing);
 
+// Digest of the version that the record keeps in force against an older copy of the store; zero if it keeps none. Combined by
+// exclusive or over all records.
+uint64_t digestOfRetained(const FleetState::Record&, StorePosition);
+
 } // namespace Lavenderloft::Fleet::Queries
--- a/Source/Peering/ItemExchange.cpp
+++ b/Source/Peering/ItemExchange.cpp
@@ -87,9 +87,9 @@
     }
 }
 
-void ItemExchange::positionReported(Fleet::StorePosition position)
+void ItemExchange::reportReceived(Fleet::StorePosition position, uint64_t retainedDigest)
 {
-    if (m_receiver.isBehind(position))
+    if (m_receiver.isBehind(position) || m_receiver.mayLackRetained(position, retainedDigest))
         m_timer.cancel();
 }
 
--- a/Source/Peering/ItemExchange.h
+++ b/Source/Peering/ItemExchange.h
@@ -33,8 +33,9 @@
     // Fetches until the event loop ends.
     boost::asio::awaitable<void> run(FollowsStore, FetchHandler);
 
-    // Fetches at once if the position, which a router reported, is newer than that of this node.
-    void positionReported(Fleet::StorePosition);
+    // Fetches at once if the position, which a router reported, is newer than that of this node, or if the router may keep
+    // versions in force that this node does not have.
+    void reportReceived(Fleet::StorePosition, uint64_t retainedDigest);
 
     // Whether all items were fetched from another router once, with the age of each. Items listed from the store have no
     // age.
--- a/Source/Peering/ItemReceiver.cpp
+++ b/Source/Peering/ItemReceiver.cpp
@@ -6,6 +6,7 @@
 #include "Peering/ValuePacker.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Lavenderloft::Peering {
 
@@ -42,8 +43,11 @@
 std::optional<ItemFetch> ItemReceiver::nextFetch() const
 {
     auto router = routerToFetchFrom();
-    if (!router)
-        return std::nullopt;
+    if (!router) {
+        // What a router retains has old positions, so that all items are requested.
+        auto retaining = routerThatRetainsMore();
+        return retaining ? std::optional(ItemFetch { std::move(*retaining), {}, m_clock.now() }) : std::nullopt;
+    }
     auto after = completePosition();
     // No router of a later era can tell the changes since an earlier one.
     if (after.era < router->position.era)
@@ -81,6 +85,8 @@
     if (fetch.after == Fleet::StorePosition())
         m_merger.applyListing("", keys, batch.position, std::nullopt);
     recordSync(fetch, batch.position, isFirst);
+    if (fetch.after == Fleet::StorePosition())
+        recordRetained(fetch.router.retainedDigest);
     return true;
 }
 
@@ -114,8 +120,44 @@
     return Queries::findRouterAhead(m_peers, completePosition(), m_settings, m_clock.now());
 }
 
+uint64_t ItemReceiver::ownRetainedDigest() const
+{
+    return Fleet::Queries::currentSnapshot(m_merger.fleet())->retainedDigest;
+}
+
+// Each digest leads to one fetch: what the router retains may be lower than what this node has.
+void ItemReceiver::recordRetained(uint64_t digest)
+{
+    // More than differ in one era unless the fleet is far apart; a fetch is then repeated.
+    constexpr size_t maximumDigests = 256;
+    auto era = Fleet::Queries::knownPosition(m_merger.fleet()).era;
+    if (std::exchange(m_retainedEra, era) != era || m_knownRetained.size() >= maximumDigests)
+        m_knownRetained.clear();
+    if (digest != 0)
+        m_knownRetained.insert(digest);
+}
+
+bool ItemReceiver::mayLackRetained(Fleet::StorePosition position, uint64_t retainedDigest) const
+{
+    auto era = Fleet::Queries::knownPosition(m_merger.fleet()).era;
+    if (!m_hasFetchedAll || retainedDigest == 0 || position.era != era || retainedDigest == ownRetainedDigest())
+        return false;
+    return m_retainedEra != era || !m_knownRetained.contains(retainedDigest);
+}
+
+std::optional<PeerRouter> ItemReceiver::routerThatRetainsMore() const
+{
+    auto now = m_clock.now();
+    for (auto& router : Queries::liveRouters(m_peers, now)) {
+        if (now >= router.backoffUntil && mayLackRetained(router.position, router.retainedDigest))
+            return router;
+    }
+    return std::nullopt;
+}
+
 void ItemReceiver::updateLag()
 {
+    recordRetained(ownRetainedDigest());
     auto newest = Queries::newestPosition(m_peers, m_clock.now());
     if (newest <= Fleet::Queries::knownPosition(m_merger.fleet()))
         m_laggingSince.reset();
--- a/Source/Peering/ItemReceiver.h
+++ b/Source/Peering/ItemReceiver.h
@@ -6,7 +6,9 @@
 #include "Peering/PeerTable.h"
 #include "Peering/PeeringCodec.h"
 
+#include <cstdint>
 #include <optional>
+#include <set>
 
 namespace Lavenderloft::Peering {
 
@@ -42,11 +44,14 @@
     // Whether the position is newer than that up to which this node has all items.
     bool isBehind(Fleet::StorePosition position) const { return position > completePosition(); }
 
+    // Whether a router with that position and digest of what it retains may keep versions in force that this node does not have.
+    bool mayLackRetained(Fleet::StorePosition, uint64_t retainedDigest) const;
+
     // Whether all items were fetched from another router once, with the age of each. Items listed from the store have no
     // age.
     bool hasFetchedAll() const { return m_hasFetchedAll; }
 
-    // Notes whether another router has a newer position.
+    // Notes whether another router has a newer position, and what this node retains.
     void updateLag();
 
     // Whether this node has been behind other routers for longer than a fetch takes.
@@ -54,6 +59,9 @@
 
 private:
     std::optional<PeerRouter> routerToFetchFrom() const;
+    std::optional<PeerRouter> routerThatRetainsMore() const;
+    uint64_t ownRetainedDigest() const;
+    void recordRetained(uint64_t digest);
     // Position after which items are missing.
     Fleet::StorePosition completePosition() const;
     void recordSync(const ItemFetch&, Fleet::StorePosition, bool isFirst);
@@ -63,6 +71,10 @@
     ItemMerger& m_merger;
     const Base::Clock& m_clock;
     bool m_hasFetchedAll = false;
+    // Era of the store in which m_knownRetained was collected.
+    uint64_t m_retainedEra = 0;
+    // Digests of what this node retains or has retained, and of what the routers retained whose items it has merged.
+    std::set<uint64_t> m_knownRetained;
     // Since when another router has had a newer position.
     std::optional<Base::TimePoint> m_laggingSince;
 };
--- a/Source/Peering/PeerReports.cpp
+++ b/Source/Peering/PeerReports.cpp
@@ -43,10 +43,11 @@
 {
     auto now = m_clock.now();
     bool isPlausible = m_merger.isPlausible(message.position, message.sender);
-    PeerRouter router { message.sender, message.dataCentre, now, message.position, message.demand, syncReportOf(message, now), {}, message.urgencyDemand, now };
+    PeerRouter router { message.sender, message.dataCentre, now, message.position, message.demand, syncReportOf(message, now), {}, message.urgencyDemand, now, message.retainedDigest };
     if (!isPlausible) {
         router.position = {};
         router.storeSync = {};
+        router.retainedDigest = 0;
     }
     bool isNewReport = router.storeSync.reportedAt == now;
     auto known = Fleet::Queries::knownPosition(m_merger.fleet());
--- a/Source/Peering/PeerTable.h
+++ b/Source/Peering/PeerTable.h
@@ -40,6 +40,8 @@
     Scheduling::DemandByUrgency urgencyDemand {};
     // When the router itself reported the demand.
     Base::TimePoint demandAt {};
+    // Last report of the router itself, see Fleet::FleetSnapshot::retainedDigest.
+    uint64_t retainedDigest = 0;
 };
 
 // An agent that reports its load to this router.
--- a/Source/Peering/PeeringCodec.cpp
+++ b/Source/Peering/PeeringCodec.cpp
@@ -115,6 +115,7 @@
     encoded.set_leaving(message.leaving);
     encoded.set_revision(message.position.revision);
     encoded.set_store_era(message.position.era);
+    encoded.set_retained_digest(message.retainedDigest);
     encoded.set_demand(message.demand);
     if (message.storeAge)
         encoded.set_store_age_ms(static_cast<uint32_t>(message.storeAge->count()));
@@ -190,6 +191,7 @@
     message.isRouter = encoded.is_router();
     message.leaving = encoded.leaving();
     message.position = { encoded.store_era(), encoded.revision() };
+    message.retainedDigest = encoded.retained_digest();
     readDemand(encoded, message);
     if (encoded.has_store_age_ms())
         message.storeAge = std::chrono::milliseconds(encoded.store_age_ms());
--- a/Source/Peering/PeeringCodec.h
+++ b/Source/Peering/PeeringCodec.h
@@ -53,6 +53,8 @@
     bool isRouter = false;
     bool leaving = false;
     Fleet::StorePosition position;
+    // See Fleet::FleetSnapshot::retainedDigest.
+    uint64_t retainedDigest = 0;
     // Rate of requests for engines at a router, per second.
     double demand = 0;
     // Time since the sender, a router, was last synchronised with the store; empty if it does not follow the store.
--- a/Source/Peering/PeeringNode.cpp
+++ b/Source/Peering/PeeringNode.cpp
@@ -94,6 +94,7 @@
     message.demand = m_demand;
     message.urgencyDemand = m_urgencyDemand;
     message.position = Fleet::Queries::knownPosition(m_merger.fleet());
+    message.retainedDigest = m_isRouter ? Fleet::Queries::currentSnapshot(m_merger.fleet())->retainedDigest : 0;
     message.storeAge = storeAge();
     message.declarations = Fleet::Queries::observedDeclarations(m_merger.fleet(), m_settings.bounds.weights * declarationRelayFactor, m_clock.now());
     truncate(message.declarations, maximumDeclarationsPerMessage);
@@ -334,7 +335,7 @@
         if (!message.parts.isEmpty() && m_onParts)
             m_onParts(message.parts);
         handleLimits(message);
-        m_items.positionReported(message.position);
+        m_items.reportReceived(message.position, message.retainedDigest);
         return;
     }
     if (message.load && m_onLoad)
@@ -366,6 +367,7 @@
     message.isRouter = true;
     message.demand = m_demand;
     message.position = Fleet::Queries::knownPosition(m_merger.fleet());
+    message.retainedDigest = Fleet::Queries::currentSnapshot(m_merger.fleet())->retainedDigest;
     message.urgencyDemand = m_urgencyDemand;
     // Without it the agent would take this router for one that does not follow the store.
     message.storeAge = storeAge();
--- a/Tests/Peering/ModelChecks.h
+++ b/Tests/Peering/ModelChecks.h
@@ -14,11 +14,16 @@
     return std::to_string(position.era) + "." + std::to_string(position.revision);
 }
 
+inline uint64_t configurationVersion(const ModelRouter& router)
+{
+    auto configuration = Fleet::Queries::currentSnapshot(router.fleet)->configuration;
+    return configuration ? configuration->version : 0;
+}
+
 // Returns what the router went back to: an older configuration, or an older position of an item.
 inline std::optional<std::string> findReversal(ModelRouter& router)
 {
-    auto configuration = Fleet::Queries::currentSnapshot(router.fleet)->configuration;
-    auto version = configuration ? configuration->version : 0;
+    auto version = configurationVersion(router);
     if (version < router.highestConfiguration)
         return "configuration " + std::to_string(version) + " in force after " + std::to_string(router.highestConfiguration);
     router.highestConfiguration = version;
--- a/Tests/Peering/ModelFleet.h
+++ b/Tests/Peering/ModelFleet.h
@@ -27,15 +27,15 @@
         schedule(std::chrono::milliseconds(0), [this] { disturb(); });
     }
 
-    // Runs until the end or until a property does not hold. Returns what does not hold, or an empty string.
+    // Runs until the end, and until the routers had time to agree without disturbances, or until a property does not hold.
+    // Returns what does not hold, or an empty string.
     std::string run()
     {
-        while (m_violation.empty() && !m_events.empty() && m_events.begin()->first <= m_end) {
-            auto event = std::move(m_events.begin()->second);
-            advanceTo(m_events.begin()->first);
-            m_events.erase(m_events.begin());
-            event();
-        }
+        runUntil(m_end);
+        endDisturbances();
+        runUntil(m_end + settleTime);
+        if (m_violation.empty())
+            checkAgreement();
         return m_violation;
     }
 
@@ -47,6 +47,8 @@
     using Duration = std::chrono::milliseconds;
     using Event = std::function<void()>;
 
+    // Longer than routers are suspended, and than a router's way to what another one has.
+    static constexpr Duration settleTime { 15000 };
     static constexpr unsigned routerCount = 4;
     static constexpr unsigned routersPerRegion = 2;
     static constexpr std::chrono::seconds routerUptimeSpread { 7200 };
@@ -83,6 +85,16 @@
 
     static std::string addressOf(unsigned index) { return "127.0.0." + std::to_string(index + 1); }
 
+    void runUntil(Base::TimePoint end)
+    {
+        while (m_violation.empty() && !m_events.empty() && m_events.begin()->first <= end) {
+            auto event = std::move(m_events.begin()->second);
+            advanceTo(m_events.begin()->first);
+            m_events.erase(m_events.begin());
+            event();
+        }
+    }
+
     unsigned draw(unsigned bound) { return static_cast<unsigned>(m_random.next() % bound); }
     bool isDrawn(unsigned percent) { return draw(100) < percent; }
 
@@ -478,6 +490,8 @@
 
     void disturb()
     {
+        if (m_isCalm)
+            return;
         auto index = draw(routerCount);
         auto kind = draw(100);
         if (kind < 35)
@@ -513,6 +527,26 @@
         note(m_violation);
     }
 
+    void endDisturbances()
+    {
+        m_isCalm = true;
+        m_cuts.clear();
+        for (auto& member : m_members)
+            member.second.store = StoreAccess::Up;
+    }
+
+    // After a return of the store from an older copy, the operators may not write again for long.
+    void checkAgreement()
+    {
+        std::set<uint64_t> versions;
+        for (unsigned index = 0; index < routerCount; ++index) {
+            versions.insert(configurationVersion(router(index)));
+            note(nameOf(index) + " has configuration " + std::to_string(configurationVersion(router(index))) + " at " + textOf(Fleet::Queries::knownPosition(router(index).fleet)));
+        }
+        if (versions.size() > 1)
+            m_violation = "the routers do not agree on the configuration";
+    }
+
     // Up to when the router counts as complete, by the time of the store.
     std::optional<Base::TimePoint> completeSince(const ModelRouter& node) const
     {
@@ -534,6 +568,8 @@
     std::set<std::pair<unsigned, unsigned>> m_cuts;
     Base::TimePoint m_deafUntil {};
     unsigned m_watchCuts = 0;
+    // Nothing is disturbed any more.
+    bool m_isCalm = false;
     uint64_t m_version = 0;
     std::vector<std::string> m_steps;
     std::string m_violation;
--- a/Tests/Peering/ModelFleetTest.cpp
+++ b/Tests/Peering/ModelFleetTest.cpp
@@ -30,7 +30,8 @@
 } // namespace
 
 // Guards against requests that are denied by an older configuration, and against a configuration that comes back older: a
-// router counts as complete up to a time although it lacks what was published before. Seeds are set by
+// router counts as complete up to a time although it lacks what was published before. Also against routers that go on with
+// different configurations, because one started, or was cut off, while the store returned from an older copy. Seeds are set by
 // LAVENDERLOFT_MODEL_SEED (the first) and LAVENDERLOFT_MODEL_RUNS.
 Test(ModelFleet, noRouterClaimsMoreThanItKnows)
 {
--- a/Tests/Peering/ModelRouter.h
+++ b/Tests/Peering/ModelRouter.h
@@ -55,6 +55,7 @@
         message.dataCentre = settings.dataCentre;
         message.isRouter = true;
         message.position = Fleet::Queries::knownPosition(fleet);
+        message.retainedDigest = Fleet::Queries::currentSnapshot(fleet)->retainedDigest;
         if (auto syncedAt = cursor.syncedAt())
             message.storeAge = std::chrono::duration_cast<std::chrono::milliseconds>(clock.now() - *syncedAt);
         message.times = reports.timesOfMessage(receiverAddress, clock.now());
--- a/Tests/Peering/PeeringCodecTest.cpp
+++ b/Tests/Peering/PeeringCodecTest.cpp
@@ -17,6 +17,7 @@
     message.isRouter = true;
     message.leaving = true;
     message.position = 7;
+    message.retainedDigest = 0xfedcba9876543213;
     message.demand = 12.5;
     message.storeAge = 250ms;
     message.routers = { { "10.0.0.2", "dc-b", 30ms } };
@@ -58,6 +59,7 @@
     cr_assert_eq(decoded->sender, "10.0.0.1");
     cr_assert(decoded->isRouter && decoded->leaving);
     cr_assert_eq(decoded->position, 7);
+    cr_assert_eq(decoded->retainedDigest, 0xfedcba9876543213);
     cr_assert_float_eq(decoded->demand, 12.5, 1e-9);
     cr_assert(decoded->storeAge == 250ms);
     cr_assert_eq(decoded->routers.front().age.count(), 30);
