Be ready once another router has been asked for what it retains

A router that starts lists the store and was ready at once. If the store had returned from an older copy, it served what that shows until it had heard of another router: for milliseconds as a rule, for longer while the others are suspended or messages are lost.

It is now ready once it has fetched everything from another router, or has found none with anything to fetch for 1.5 s, the time in which a router that starts finds the others. The first fetch no longer waits for an own watch.

StoreOutage/aRouterThatStartsAfterAReturnIsReadyOnceItKnowsWhatTheOthersRetain failed before (both restarts: ready with the older version).

--- a/Source/Peering/ItemExchange.cpp
+++ b/Source/Peering/ItemExchange.cpp
@@ -17,7 +17,8 @@
 
     using namespace std::chrono_literals;
 
-    // A router that follows the store waits for its own watch to deliver the change before it fetches from a peer.
+    // A router that follows the store waits for its own watch to deliver the change before it fetches from a peer, unless it
+    // has just started.
     constexpr std::chrono::milliseconds followerFetchDelay = 250ms;
     constexpr std::chrono::milliseconds fetchDelay = 5ms;
     constexpr std::chrono::milliseconds fetchTimeout = 1500ms;
@@ -75,7 +76,8 @@
             co_await m_timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         }
         m_receiver.updateLag();
-        co_await Http::sleepFor(m_context, followsStore() ? followerFetchDelay : fetchDelay);
+        bool awaitsOwnWatch = followsStore() && hasFetchedAll();
+        co_await Http::sleepFor(m_context, awaitsOwnWatch ? followerFetchDelay : fetchDelay);
         auto next = m_receiver.nextFetch();
         if (!next)
             continue;
--- a/Source/Peering/PeeringNode.h
+++ b/Source/Peering/PeeringNode.h
@@ -91,6 +91,9 @@
     // items in time, and the routers before it have not taken over either.
     bool shouldFollowStore();
 
+    // Whether all items were fetched from another router once.
+    bool hasFetchedItems() const { return m_items.hasFetchedAll(); }
+
     // Serves the items after the revision that is given in the request's query.
     Http::HttpResponse handleItemsRequest(const Http::HttpRequest& request) { return m_items.respond(request); }
 
--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -143,10 +143,17 @@
     private:
         asio::awaitable<Http::HttpResponse> handleReadinessRequest(Http::HttpRequest)
         {
-            bool isReady = !m_proxy.draining && Fleet::Queries::currentSnapshot(m_fleet)->configuration;
+            bool isReady = !m_proxy.draining && mayServe();
             co_return Http::HttpResponse { isReady ? 200u : 503u, {}, "" };
         }
 
+        // What is in force may not be in the store, which may have returned from an older copy of itself. Other routers know it.
+        bool mayServe() const
+        {
+            bool hasAskedOthers = m_peering.hasFetchedItems() || m_clock.now() - m_startedAt >= routerDiscoveryTime;
+            return hasAskedOthers && Fleet::Queries::currentSnapshot(m_fleet)->configuration;
+        }
+
         asio::awaitable<Http::HttpResponse> handlePeerRequest(Http::HttpRequest request)
         {
             if (request.target.starts_with(Peering::PeeringNode::itemsPath))
--- a/Tests/StoreOutage/StoreOutageTest.cpp
+++ b/Tests/StoreOutage/StoreOutageTest.cpp
@@ -64,6 +64,14 @@
         m_leastReadyVersions.erase(router);
     }
 
+    void signalOthers(unsigned router, int number)
+    {
+        for (unsigned other = 0; other < m_fleet.routers.size(); ++other) {
+            if (other != router)
+                m_fleet.routers[other].process->signal(number);
+        }
+    }
+
     void start(unsigned router) { m_fleet.routers[router].process->start(); }
 
 private:
@@ -113,3 +121,36 @@
     test.fleet().store.isSilent = false;
     test.changeConfiguration();
 }
+
+// Guards against a router that starts after the store has returned from an older copy and is sent requests before it knows what
+// the other routers retain: here they are suspended for a moment, so that it hears of them late.
+Test(StoreOutage, aRouterThatStartsAfterAReturnIsReadyOnceItKnowsWhatTheOthersRetain)
+{
+    OutageFleet test(702, 3);
+    test.runFor(3s);
+    test.changeConfiguration();
+    test.fleet().store.isRejecting = true;
+    test.runFor(500ms);
+    test.fleet().store.returnFromCopy(4s);
+    test.fleet().store.isRejecting = false;
+    test.runFor(settleTime);
+    cr_assert_eq(test.version(0), test.fleet().configurationVersion());
+    for (unsigned router : { 0, 2 }) {
+        test.kill(router);
+        test.runFor(settleTime);
+        test.signalOthers(router, SIGSTOP);
+        test.start(router);
+        test.runFor(1s);
+        test.signalOthers(router, SIGCONT);
+        test.waitUntilReady();
+        test.runFor(settleTime);
+        cr_expect_eq(test.leastReadyVersion(router), test.fleet().configurationVersion(), "router %u was ready with version %lu", router, test.leastReadyVersion(router));
+    }
+}
+
+// Guards against a router that is never ready because it waits for others that it can't reach.
+Test(StoreOutage, aRouterThatHearsOfNoOtherIsReadyAfterATime)
+{
+    OutageFleet test(703, 1);
+    cr_expect_eq(test.version(0), test.fleet().configurationVersion());
+}
