--- a/Tests/Soak/StoreReturnTest.cpp
+++ b/Tests/Soak/StoreReturnTest.cpp
@@ -43,8 +43,10 @@
             m_fleet.publishConfiguration();
         m_fleet.targets[drained]->drainedSince = SteadyClock::now() + applyTime;
         m_series.runFor(applyTime + m_series.drawDuration(200ms, 1500ms));
-        for (unsigned i = 0; i < returns; ++i)
+        for (unsigned i = 0; i < returns; ++i) {
             returnStore();
+            restartRouter();
+        }
         m_series.runFor(settleTime);
         checkOutcome(since);
         m_callers.stop();
@@ -67,15 +69,36 @@
         return std::all_of(m_fleet.routers.begin(), m_fleet.routers.end(), [](auto& router) { return router.isReady; });
     }
 
-    // The store is away for a moment. The operators go on with another version of the configuration, with a revision that was
+    // A router that starts after the return. Its process before says nothing of what it knows.
+    void restartRouter()
+    {
+        auto index = static_cast<unsigned>(m_series.random()() % routerCount);
+        auto& router = m_fleet.routers[index];
+        router.stoppedAt = SteadyClock::now();
+        router.process->signal(SIGTERM);
+        bool hasEnded = false;
+        m_series.runWhile([&] {
+            hasEnded = hasEnded || router.process->takeEnd().has_value();
+            return !hasEnded && SteadyClock::now() < router.stoppedAt + SoakFleet::grace;
+        });
+        if (!hasEnded)
+            m_fleet.ledger.addViolation("STOP", router.address + " did not end within the grace period");
+        router.process->kill();
+        m_metrics[index] = {};
+        router.process->start();
+    }
+
+    // The store is away for a moment, rejecting or silent. The operators go on with another version of the configuration, with a revision that was
     // given out before. The rest of what was lost is written again in the time that targets have to restore entries.
     void returnStore()
     {
-        m_fleet.store.isRejecting = true;
+        bool isSilent = m_series.random()() % 2 == 0;
+        (isSilent ? m_fleet.store.isSilent : m_fleet.store.isRejecting) = true;
         m_series.runFor(m_series.drawDuration(50ms, 600ms));
         auto lost = m_fleet.store.returnFromCopy(m_series.drawDuration(1000ms, 15000ms));
         m_lostWrites += lost.size();
         m_fleet.store.isRejecting = false;
+        m_fleet.store.isSilent = false;
         m_fleet.publishConfiguration();
         m_series.runFor(m_series.drawDuration(100ms, 1500ms));
         m_fleet.store.writeAgain(lost);
