--- a/Source/Dispatch/Commands/AcquireTarget.cpp
+++ b/Source/Dispatch/Commands/AcquireTarget.cpp
@@ -5,6 +5,7 @@
 #include "Dispatch/Queries/FindBlockedPart.h"
 #include "Dispatch/Queries/FindCandidates.h"
 #include "Dispatch/Queries/FindQuarantine.h"
+#include "Dispatch/Queries/FindRetryLimits.h"
 #include "Scheduling/Commands/RecordUrgency.h"
 #include "Scheduling/Commands/RecordWork.h"
 
@@ -103,16 +104,6 @@
         return std::nullopt;
     }
 
-    RetryLimits retryLimits(const DispatchState& state)
-    {
-        // Fraction of the fleet-wide budget that routers use. The rest covers requests that two routers count in
-        // different windows.
-        constexpr double usedFraction = 0.8;
-        auto bounds = state.bounds();
-        auto routers = state.routerCount();
-        return { usedFraction * bounds.retryRatio, routers ? usedFraction * bounds.retrySlack / *routers : 0 };
-    }
-
 } // namespace
 
 Decision acquireTarget(DispatchState& state, const RequestTraits& traits, std::shared_ptr<WaitObserver> observer, Base::TimePoint now)
@@ -131,7 +122,7 @@
     if (auto refusal = refuseCrashing(state, traits, now))
         return *refusal;
     return state.withService(traits.service, [&](ServiceState& service) -> Decision {
-        if (reachedTarget && !service.retryWindow.reserveRetry(retryLimits(state), now))
+        if (reachedTarget && !service.retryWindow.reserveRetry(Queries::findRetryLimits(state), now))
             return Refusal { RefusalReason::RetryBudget, noTargetRetryAfter };
         auto decision = admit(state, service, traits, std::move(observer), reachedTarget, now);
         if (reachedTarget && std::holds_alternative<Lease>(decision))
--- a/Source/Dispatch/RetryWindow.cpp
+++ b/Source/Dispatch/RetryWindow.cpp
@@ -26,15 +26,22 @@
     return slice.index >= 0 && slice.index <= newest && newest - slice.index <= static_cast<int64_t>(slices);
 }
 
-double RetryWindow::requestsPerSecond(Base::TimePoint now) const
+RetryUse RetryWindow::use(Base::TimePoint now) const
 {
     auto newest = indexAt(now);
-    double requests = 0;
+    RetryUse use { 0, 0, m_reservedRetries };
     for (auto& slice : m_slices) {
-        if (isInWindow(slice, newest))
-            requests += slice.requests;
+        if (!isInWindow(slice, newest))
+            continue;
+        use.requests += slice.requests;
+        use.retries += slice.retries;
     }
-    return requests / std::chrono::duration<double>(m_sliceLength * static_cast<int>(slices)).count();
+    return use;
+}
+
+double RetryWindow::requestsPerSecond(Base::TimePoint now) const
+{
+    return use(now).requests / std::chrono::duration<double>(m_sliceLength * static_cast<int>(slices)).count();
 }
 
 void RetryWindow::countRequest(Base::TimePoint now)
@@ -44,16 +51,8 @@
 
 bool RetryWindow::reserveRetry(const RetryLimits& limits, Base::TimePoint now)
 {
-    auto newest = indexAt(now);
-    double requests = 0;
-    double retries = m_reservedRetries;
-    for (auto& slice : m_slices) {
-        if (!isInWindow(slice, newest))
-            continue;
-        requests += slice.requests;
-        retries += slice.retries;
-    }
-    if (retries + 1 > limits.ratio * requests + limits.slack)
+    auto used = use(now);
+    if (used.retries + used.reservedRetries + 1 > limits.ratio * used.requests + limits.slack)
         return false;
     ++m_reservedRetries;
     return true;
--- a/Source/Dispatch/RetryWindow.h
+++ b/Source/Dispatch/RetryWindow.h
@@ -16,6 +16,14 @@
     double slack = 0;
 };
 
+// What a window holds.
+struct RetryUse {
+    uint32_t requests = 0;
+    uint32_t retries = 0;
+    // Not sent yet.
+    uint32_t reservedRetries = 0;
+};
+
 // Counts the requests and retries of a service over a sliding window.
 class RetryWindow {
 public:
@@ -23,6 +31,8 @@
 
     void countRequest(Base::TimePoint now);
 
+    RetryUse use(Base::TimePoint now) const;
+
     // Average over the window.
     double requestsPerSecond(Base::TimePoint now) const;
 
--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -13,6 +13,7 @@
 #include "Dispatch/PowerOfTwoChoicesPolicy.h"
 #include "Dispatch/Queries/EngineDemand.h"
 #include "Dispatch/Queries/FindBlockedPart.h"
+#include "Dispatch/Queries/FindRetryLimits.h"
 #include "Dispatch/Queries/ListLimitReports.h"
 #include "Dispatch/Queries/ListPartReports.h"
 #include "Dispatch/Queries/ListReluctantTargets.h"
@@ -299,6 +300,17 @@
             m_metrics.set("engines_with_reuse_limit", {}, static_cast<double>(Dispatch::Queries::countReuseLimits(m_dispatch, now)));
         }
 
+        // What the service's retry budget allows in a window, and what of it is used.
+        void serializeRetries(const std::string& service, const Dispatch::RetryUse& use)
+        {
+            auto limits = Dispatch::Queries::findRetryLimits(m_dispatch);
+            m_metrics.set("retry_window_requests", { { "service", service } }, use.requests);
+            m_metrics.set("retry_window_retries", { { "service", service } }, use.retries);
+            m_metrics.set("retry_window_reserved", { { "service", service } }, use.reservedRetries);
+            m_metrics.set("retry_window_limit", { { "service", service } }, limits.ratio * use.requests + limits.slack);
+            m_metrics.set("retry_window_slack", { { "service", service } }, limits.slack);
+        }
+
         // Gauges are updated only when they are read, which costs nothing between two reads.
         std::string serializeMetrics()
         {
@@ -319,6 +331,7 @@
                 m_metrics.set("store_age_seconds", {}, std::chrono::duration<double>(now - *syncedAt).count());
             m_dispatch.forEachService([&](const std::string& name, Dispatch::ServiceState& service) {
                 m_metrics.set("requests_waiting", { { "service", name } }, static_cast<double>(service.waiting.size()));
+                serializeRetries(name, service.retryWindow.use(now));
             });
             m_metrics.set("peer_demands_clamped", {}, static_cast<double>(m_peering.clampedDemands()));
             serializeDemand(now);
