Give a router that starts no share of the retry slack for one window

Cause: what a process has spent is forgotten with it, and 1.5 s after its start the next one has the same share of the slack in the same window. A router now has none for one window; its part of the ratio is as before.

RetryWindow/aRestartedRouterDoesNotSpendItsSlackOnceMore fails without the change.

--- a/Source/Dispatch/Commands/AcquireTarget.cpp
+++ b/Source/Dispatch/Commands/AcquireTarget.cpp
@@ -122,7 +122,7 @@
     if (auto refusal = refuseCrashing(state, traits, now))
         return *refusal;
     return state.withService(traits.service, [&](ServiceState& service) -> Decision {
-        if (reachedTarget && !service.retryWindow.reserveRetry(Queries::findRetryLimits(state), now))
+        if (reachedTarget && !service.retryWindow.reserveRetry(Queries::findRetryLimits(state, now), now))
             return Refusal { RefusalReason::RetryBudget, noTargetRetryAfter };
         auto decision = admit(state, service, traits, std::move(observer), reachedTarget, now);
         if (reachedTarget && std::holds_alternative<Lease>(decision))
--- a/Source/Dispatch/DispatchState.h
+++ b/Source/Dispatch/DispatchState.h
@@ -130,6 +130,10 @@
     }
     void setRouterCount(std::optional<unsigned> count) { m_routerCount = count.value_or(0); }
 
+    // A process that has just started does not know what the one before it has spent of limits that hold over a time.
+    void setStartedAt(Base::TimePoint time) { m_startedAt = time; }
+    Base::TimePoint startedAt() const { return m_startedAt; }
+
     // The live routers including this one. Empty while this router has just started and does not know the others; it has no
     // part of the limits of targets then.
     void setRouters(std::vector<RouterPlace>);
@@ -158,6 +162,8 @@
     std::unique_ptr<Base::RandomSource> m_random;
     // Zero if unknown.
     std::atomic<unsigned> m_routerCount { 1 };
+    // Set before requests are served.
+    Base::TimePoint m_startedAt {};
     std::unique_ptr<LimitSharePolicy> m_limitShares;
     mutable std::mutex m_routersLock;
     // Replaced as a whole.
--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -110,6 +110,7 @@
             , m_startedAt(m_clock.now())
             , m_follower(m_pool.context(0), settings.store, platform.store(), m_merger, m_clock, m_stalls)
         {
+            m_dispatch.setStartedAt(m_startedAt);
             m_dispatch.setRouterCount(std::nullopt);
             m_dispatch.setRouters({});
             for (size_t i = 0; i < m_pool.size(); ++i)
@@ -301,9 +302,8 @@
         }
 
         // What the service's retry budget allows in a window, and what of it is used.
-        void serializeRetries(const std::string& service, const Dispatch::RetryUse& use)
+        void serializeRetries(const std::string& service, const Dispatch::RetryUse& use, const Dispatch::RetryLimits& limits)
         {
-            auto limits = Dispatch::Queries::findRetryLimits(m_dispatch);
             m_metrics.set("retry_window_requests", { { "service", service } }, use.requests);
             m_metrics.set("retry_window_retries", { { "service", service } }, use.retries);
             m_metrics.set("retry_window_reserved", { { "service", service } }, use.reservedRetries);
@@ -329,9 +329,10 @@
             m_metrics.set("store_followed", {}, syncedAt ? 1 : 0);
             if (syncedAt)
                 m_metrics.set("store_age_seconds", {}, std::chrono::duration<double>(now - *syncedAt).count());
+            auto retryLimits = Dispatch::Queries::findRetryLimits(m_dispatch, now);
             m_dispatch.forEachService([&](const std::string& name, Dispatch::ServiceState& service) {
                 m_metrics.set("requests_waiting", { { "service", name } }, static_cast<double>(service.waiting.size()));
-                serializeRetries(name, service.retryWindow.use(now));
+                serializeRetries(name, service.retryWindow.use(now), retryLimits);
             });
             m_metrics.set("peer_demands_clamped", {}, static_cast<double>(m_peering.clampedDemands()));
             serializeDemand(now);
--- a/Tests/Dispatch/RetryTest.cpp
+++ b/Tests/Dispatch/RetryTest.cpp
@@ -90,6 +90,46 @@
     cr_assert_geq(retries, 5);
 }
 
+// Guards against more retries than the budget allows after routers were killed: what a process had spent of the slack was
+// forgotten with it, and the next one had the same share again within the same window.
+Test(RetryWindow, aRestartedRouterDoesNotSpendItsSlackOnceMore)
+{
+    unsigned retries = 0;
+    std::chrono::milliseconds elapsed { 0 };
+    auto sendRetries = [&](TestDispatch& test, unsigned count) {
+        test.state->setRouterCount(1);
+        for (unsigned i = 0; i < count; ++i)
+            retries += isLease(Commands::acquireForRetry(*test.state, test.request("s"), true, std::make_shared<RecordingObserver>(), test.fleet.clock.now()));
+    };
+    for (unsigned process = 0; process < 4; ++process) {
+        TestDispatch test;
+        test.fleet.publish("t/1", targetOf("1", "s", "dc-a", 5000));
+        test.state->setStartedAt(test.fleet.clock.now());
+        // The first process has been there for long.
+        test.fleet.clock.advance(process == 0 ? 1h : 2s);
+        sendRetries(test, 200);
+        elapsed += 2s;
+    }
+    cr_assert_lt(elapsed / 1s, 10);
+    // The slack of all routers together.
+    cr_expect_leq(retries, 100);
+    cr_expect_geq(retries, 50, "the slack is used");
+}
+
+// Guards against a slack that is never used again after a start.
+Test(RetryWindow, theSlackReturnsAWindowAfterTheStart)
+{
+    TestDispatch test;
+    test.fleet.publish("t/1", targetOf("1", "s", "dc-a", 500));
+    test.state->setRouterCount(1);
+    test.state->setStartedAt(test.fleet.clock.now());
+    auto retry = [&] { return isLease(Commands::acquireForRetry(*test.state, test.request("s"), true, std::make_shared<RecordingObserver>(), test.fleet.clock.now())); };
+    test.fleet.clock.advance(9900ms);
+    cr_expect_not(retry());
+    test.fleet.clock.advance(200ms);
+    cr_expect(retry());
+}
+
 // Requests that reached no target must not be charged to the retry budget.
 Test(RetryWindow, chargesOnlyRequestsThatReachedATarget)
 {
