Count retries over the window that the settings name

budget_window_s was read and never used: retries were counted over 10 s, which all sites name. RetryWindow/hasTheLengthThatTheSettingsName failed before.

--- a/Source/Dispatch/DispatchState.cpp
+++ b/Source/Dispatch/DispatchState.cpp
@@ -10,6 +10,7 @@
 DispatchState::DispatchState(const Fleet::FleetState& fleet, Fleet::NodeSettings settings, std::unique_ptr<PlacementPolicy> placement, std::unique_ptr<AdmissionPolicy> admission, std::unique_ptr<Base::RandomSource> random)
     : m_fleet(fleet)
     , m_settings(std::move(settings))
+    , m_retryWindow(m_settings.bounds.retryWindow)
     , m_placement(std::move(placement))
     , m_predictedPlacement(std::make_unique<PredictedFinishPolicy>())
     , m_admission(std::move(admission))
--- a/Source/Dispatch/DispatchState.h
+++ b/Source/Dispatch/DispatchState.h
@@ -87,7 +87,10 @@
     {
         auto& shard = m_shards[std::hash<std::string> {}(service) % shardCount];
         std::lock_guard guard(shard.lock);
-        return std::forward<Function>(function)(shard.services[service]);
+        auto [entry, isNew] = shard.services.try_emplace(service);
+        if (isNew)
+            entry->second.retryWindow = RetryWindow(m_retryWindow);
+        return std::forward<Function>(function)(entry->second);
     }
 
     // Calls the function with the name and state of each service, locking one shard at a time.
@@ -152,6 +155,8 @@
 
     const Fleet::FleetState& m_fleet;
     Fleet::NodeSettings m_settings;
+    // Does not change while the process runs: the windows of the services have begun with it.
+    const std::chrono::seconds m_retryWindow;
     mutable std::mutex m_boundsLock;
     std::unique_ptr<PlacementPolicy> m_placement;
     std::unique_ptr<PlacementPolicy> m_predictedPlacement;
--- a/Source/Dispatch/RetryWindow.cpp
+++ b/Source/Dispatch/RetryWindow.cpp
@@ -1,9 +1,17 @@
 #include "Dispatch/RetryWindow.h"
 
+#include <algorithm>
+
 namespace Lavenderloft::Dispatch {
 
+namespace {
+
+    constexpr std::chrono::seconds minimumWindow { 1 };
+
+} // namespace
+
 RetryWindow::RetryWindow(std::chrono::seconds window)
-    : m_sliceLength(std::chrono::duration_cast<Base::Duration>(window) / static_cast<int>(slices))
+    : m_sliceLength(std::chrono::duration_cast<Base::Duration>(std::max(window, minimumWindow)) / static_cast<int>(slices))
 {
 }
 
--- a/Source/Dispatch/RetryWindow.h
+++ b/Source/Dispatch/RetryWindow.h
@@ -27,6 +27,7 @@
 // Counts the requests and retries of a service over a sliding window.
 class RetryWindow {
 public:
+    // The window is at least one second.
     explicit RetryWindow(std::chrono::seconds window = std::chrono::seconds(10));
 
     void countRequest(Base::TimePoint now);
--- a/Tests/Dispatch/RetryTest.cpp
+++ b/Tests/Dispatch/RetryTest.cpp
@@ -130,6 +130,26 @@
     cr_expect(retry());
 }
 
+// Guards against a budget that is counted over 10 s whatever window the settings name.
+Test(RetryWindow, hasTheLengthThatTheSettingsName)
+{
+    TestDispatch test;
+    Fleet::NodeSettings settings;
+    settings.bounds.retryWindow = 30s;
+    settings.bounds.retrySlack = 1.25;
+    DispatchState state(test.fleet.state, settings, std::make_unique<PowerOfTwoChoicesPolicy>(), std::make_unique<BoundedWaitPolicy>(), std::make_unique<Base::SeededRandom>(1));
+    auto retry = [&](const std::string& target) {
+        // The ones before leave their requests unanswered.
+        test.fleet.publish("t/" + target, targetOf(target, "s", "dc-a", 500));
+        return isLease(Commands::acquireForRetry(state, test.request("s"), true, std::make_shared<RecordingObserver>(), test.fleet.clock.now()));
+    };
+    cr_expect(retry("1"));
+    test.fleet.clock.advance(15s);
+    cr_expect_not(retry("2"));
+    test.fleet.clock.advance(20s);
+    cr_expect(retry("3"));
+}
+
 // Requests that reached no target must not be charged to the retry budget.
 Test(RetryWindow, chargesOnlyRequestsThatReachedATarget)
 {
