Refuse requests whose transfer coding is not exactly chunked

A POST with "Transfer-Encoding: chunked, identity" and no length was taken for one without a body, and what followed for the next request of the connection.

Cause: Beast's parser frames only what ends in chunked and leaves the rest to the class that uses it; RequestParser kept the field like any other. It now ends with bad_transfer_encoding, so that all servers answer 400 and close, as a message with such a coding has no end that both sides agree on.

--- a/Source/Http/RequestParser.cpp
+++ b/Source/Http/RequestParser.cpp
@@ -1,6 +1,7 @@
 #include "Http/RequestParser.h"
 
 #include <algorithm>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/system/errc.hpp>
 #include <limits>
@@ -55,9 +56,17 @@
     m_request.target.assign(target.data(), target.size());
 }
 
-void RequestParser::on_field_impl(http::field, StringView name, StringView value, ErrorCode& error)
+void RequestParser::on_field_impl(http::field field, StringView name, StringView value, ErrorCode& error)
 {
-    if (m_isHeadComplete || !countHeadBytes(name.size() + value.size() + fieldSeparatorBytes, error))
+    if (m_isHeadComplete)
+        return;
+    // The base class takes a request with another coding for one without a body, and what follows for the next request.
+    bool isKnownFraming = field != http::field::transfer_encoding || boost::beast::iequals(value, "chunked");
+    if (!isKnownFraming) {
+        error = http::error::bad_transfer_encoding;
+        return;
+    }
+    if (!countHeadBytes(name.size() + value.size() + fieldSeparatorBytes, error))
         return;
     m_headMemory += fieldMemory + name.size() + value.size();
     if (!reserveMemory(0, error))
--- a/Source/Http/RequestParser.h
+++ b/Source/Http/RequestParser.h
@@ -19,7 +19,8 @@
 // Parses one request. Before it takes memory for a body or an unusually large head it asks the reservation; without
 // permission the error is not_enough_memory. A field may have any length within the limit of the head, and the limit also holds for a head that
 // arrives in many small parts: header_limit and body_limit are the errors of a request that exceeds its limits. Trailers
-// are checked and dropped, because header fields must not be added behind the body.
+// are checked and dropped, because header fields must not be added behind the body. A transfer coding other than chunked is
+// the error bad_transfer_encoding: where such a request ends can't be told.
 class RequestParser final : public boost::beast::http::basic_parser<true> {
 public:
     // The reservation is used as long as the parser, and covers the request afterwards.
