Send no body behind a response that has none

Cause: who writes a response did not know the method of the request, and the head of a stream was framed in chunks whatever its status. Whether a response may have a body is now decided in one place, from method and status, for all servers; what a response may not have is not written.

--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -247,11 +247,14 @@
             // No timeout applies while the handler runs; the handler enforces its own deadline.
             m_stream.expires_never();
             watchForClose();
-            m_state->handler->handle(m_parser->takeRequest(), std::make_shared<Stream>(this->shared_from_this()));
+            auto request = m_parser->takeRequest();
+            m_method = request.method;
+            m_state->handler->handle(std::move(request), std::make_shared<Stream>(this->shared_from_this()));
         }
 
         void rejectRequest(unsigned status)
         {
+            m_method.clear();
             m_keepAlive = false;
             HttpResponse response;
             response.status = status;
@@ -294,7 +297,7 @@
             if (m_closed)
                 return;
             bool closeAfterResponse = !m_keepAlive || m_state->draining;
-            auto bytes = std::make_shared<std::string>(serializeResponse(response, !closeAfterResponse));
+            auto bytes = std::make_shared<std::string>(serializeResponse(response, !closeAfterResponse, m_method));
             m_stream.expires_after(m_state->options.writeTimeout);
             auto self = this->shared_from_this();
             asio::async_write(m_stream, asio::buffer(*bytes), [self, bytes, closeAfterResponse](beast::error_code error, size_t) {
@@ -307,7 +310,8 @@
             if (m_closed)
                 return;
             m_closeAfterResponse = !m_keepAlive || m_state->draining;
-            auto head = std::make_shared<std::string>(serializeChunkedHead(status, headers, !m_closeAfterResponse));
+            auto head = std::make_shared<std::string>(serializeStreamHead(status, headers, !m_closeAfterResponse, m_method));
+            m_mayHaveBody = mayHaveBody(m_method, status);
             m_writing = true;
             m_stream.expires_after(m_state->options.writeTimeout);
             auto self = this->shared_from_this();
@@ -344,7 +348,7 @@
         {
             auto chunk = std::make_shared<PendingChunk>(std::move(*m_pendingChunk));
             m_pendingChunk.reset();
-            if (chunk->bytes.empty()) {
+            if (chunk->bytes.empty() || !m_mayHaveBody) {
                 // A chunk of size zero would end the response.
                 if (chunk->written)
                     chunk->written(true);
@@ -366,6 +370,8 @@
         void sendFinalChunk()
         {
             m_finishing = false;
+            if (!m_mayHaveBody)
+                return onResponseSent({}, m_closeAfterResponse);
             m_writing = true;
             auto self = this->shared_from_this();
             asio::async_write(m_stream, http::make_chunk_last(), [self](beast::error_code error, size_t) {
@@ -409,6 +415,9 @@
         std::atomic<Base::TimePoint> m_waitingSince { Base::TimePoint() };
         std::optional<PendingChunk> m_pendingChunk;
         std::function<void()> m_disconnectCallback;
+        // Of the request that is being answered.
+        std::string m_method;
+        bool m_mayHaveBody = true;
         bool m_keepAlive = true;
         bool m_closeAfterResponse = false;
         bool m_responding = false;
--- a/Source/Http/NodeServer.cpp
+++ b/Source/Http/NodeServer.cpp
@@ -123,9 +123,9 @@
     Observability::logEvent(Events::connectionClosed, { { "reason", reason }, { "open", m_connections.count() } });
 }
 
-asio::awaitable<bool> NodeServer::sendResponse(beast::tcp_stream& stream, HttpResponse response, bool keepAlive)
+asio::awaitable<bool> NodeServer::sendResponse(beast::tcp_stream& stream, HttpResponse response, std::string_view method, bool keepAlive)
 {
-    auto bytes = serializeResponse(response, keepAlive);
+    auto bytes = serializeResponse(response, keepAlive, method);
     response = {};
     if (m_unreadBytes > 0 && m_unreadBytes + bytes.size() > maximumUnreadBytes) {
         countClosed("unread");
@@ -156,8 +156,10 @@
             co_return;
         registration.stopWaiting();
         stream.expires_never();
-        auto response = co_await m_handler(parser.takeRequest());
-        bool isSent = co_await sendResponse(stream, std::move(response), parser.keep_alive());
+        auto request = parser.takeRequest();
+        auto method = request.method;
+        auto response = co_await m_handler(std::move(request));
+        bool isSent = co_await sendResponse(stream, std::move(response), method, parser.keep_alive());
         if (!isSent || !parser.keep_alive())
             co_return;
         registration.recordResponse();
--- a/Source/Http/NodeServer.h
+++ b/Source/Http/NodeServer.h
@@ -39,7 +39,7 @@
     boost::asio::awaitable<void> acceptConnections();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket);
     boost::asio::awaitable<void> answerRequests(boost::beast::tcp_stream&, WaitingConnections::Registration&);
-    boost::asio::awaitable<bool> sendResponse(boost::beast::tcp_stream&, HttpResponse, bool keepAlive);
+    boost::asio::awaitable<bool> sendResponse(boost::beast::tcp_stream&, HttpResponse, std::string_view method, bool keepAlive);
     void countClosed(std::string_view reason);
 
     boost::asio::io_context& m_context;
--- a/Source/Http/WireFormat.cpp
+++ b/Source/Http/WireFormat.cpp
@@ -27,11 +27,6 @@
             bytes.append("Connection: close\r\n");
     }
 
-    bool hasNoBody(unsigned status)
-    {
-        return status < 200 || status == 204 || status == 304;
-    }
-
 } // namespace
 
 HttpHeaders copyHeaders(const boost::beast::http::fields& fields)
@@ -58,27 +53,34 @@
     return serializeRequestHead(request, request.body.size()).append(request.body);
 }
 
-std::string serializeResponse(const HttpResponse& response, bool keepAlive)
+bool mayHaveBody(std::string_view method, unsigned status)
+{
+    bool isAllowedByStatus = status >= 200 && status != 204 && status != 304;
+    return isAllowedByStatus && method != "HEAD";
+}
+
+std::string serializeResponse(const HttpResponse& response, bool keepAlive, std::string_view method)
 {
     std::string bytes;
     appendStatusLine(bytes, response.status);
     appendHeaders(bytes, response.headers);
     appendConnection(bytes, keepAlive);
-    if (hasNoBody(response.status))
+    if (!mayHaveBody(method, response.status))
         return bytes.append("\r\n");
     bytes.append("Content-Length: ").append(std::to_string(response.body.size())).append("\r\n");
     bytes.append("\r\n").append(response.body);
     return bytes;
 }
 
-std::string serializeChunkedHead(unsigned status, const HttpHeaders& headers, bool keepAlive)
+std::string serializeStreamHead(unsigned status, const HttpHeaders& headers, bool keepAlive, std::string_view method)
 {
     std::string bytes;
     appendStatusLine(bytes, status);
     appendHeaders(bytes, headers);
     appendConnection(bytes, keepAlive);
-    bytes.append("Transfer-Encoding: chunked\r\n\r\n");
-    return bytes;
+    if (mayHaveBody(method, status))
+        bytes.append("Transfer-Encoding: chunked\r\n");
+    return bytes.append("\r\n");
 }
 
 std::string serializeChunk(std::string_view bytes)
--- a/Source/Proxy/CallerResponse.cpp
+++ b/Source/Proxy/CallerResponse.cpp
@@ -25,9 +25,10 @@
 
 } // namespace
 
-CallerResponse::CallerResponse(ProxyContext& context, beast::tcp_stream& caller, bool keepAlive)
+CallerResponse::CallerResponse(ProxyContext& context, beast::tcp_stream& caller, std::string method, bool keepAlive)
     : m_context(context)
     , m_caller(caller)
+    , m_method(std::move(method))
     , m_keepAlive(keepAlive)
 {
 }
@@ -62,21 +63,32 @@
 
 asio::awaitable<bool> CallerResponse::send(const Http::HttpResponse& response)
 {
-    auto bytes = Http::serializeResponse(response, decideKeepAlive());
+    auto bytes = Http::serializeResponse(response, decideKeepAlive(), m_method);
     bool written = co_await write(bytes, callerWriteTimeout);
     co_return written;
 }
 
 void CallerResponse::startParts(const TargetExchange::Response& response)
 {
-    m_pendingHead = Http::serializeChunkedHead(response.status, m_context.protocol.returnedHeaders(response.headers), decideKeepAlive());
+    m_pendingHead = Http::serializeStreamHead(response.status, m_context.protocol.returnedHeaders(response.headers), decideKeepAlive(), m_method);
+    m_mayHaveBody = Http::mayHaveBody(m_method, response.status);
+}
+
+asio::awaitable<bool> CallerResponse::writeOfBody(std::string_view bytes, Base::TimePoint deadline)
+{
+    auto pending = std::exchange(m_pendingHead, {});
+    if (m_mayHaveBody)
+        pending += bytes;
+    if (pending.empty())
+        co_return true;
+    bool written = co_await write(pending, timeUntil(deadline));
+    co_return written;
 }
 
 asio::awaitable<bool> CallerResponse::writePart(std::string_view part, Base::TimePoint deadline)
 {
-    auto bytes = m_pendingHead + Http::serializeChunk(part);
-    bool written = co_await write(bytes, timeUntil(deadline));
-    m_pendingHead.clear();
+    auto chunk = Http::serializeChunk(part);
+    bool written = co_await writeOfBody(chunk, deadline);
     if (written && !m_firstByteAt)
         m_firstByteAt = m_context.clock.now();
     co_return written;
@@ -84,8 +96,7 @@
 
 asio::awaitable<bool> CallerResponse::writeLastPart(Base::TimePoint deadline)
 {
-    auto bytes = m_pendingHead + std::string(Http::finalChunk);
-    bool written = co_await write(bytes, timeUntil(deadline));
+    bool written = co_await writeOfBody(Http::finalChunk, deadline);
     co_return written;
 }
 
--- a/Source/Proxy/CallerResponse.h
+++ b/Source/Proxy/CallerResponse.h
@@ -29,7 +29,8 @@
         bool callerLeft = false;
     };
 
-    CallerResponse(ProxyContext&, boost::beast::tcp_stream& caller, bool keepAlive);
+    // The method is that of the caller's request.
+    CallerResponse(ProxyContext&, boost::beast::tcp_stream& caller, std::string method, bool keepAlive);
 
     // Ends the time limit for receiving the request.
     void awaitCaller() { m_caller.expires_never(); }
@@ -68,13 +69,17 @@
     boost::asio::awaitable<bool> writePart(std::string_view bytes, Base::TimePoint deadline);
     boost::asio::awaitable<bool> writeLastPart(Base::TimePoint deadline);
     boost::asio::awaitable<Forwarded> forwardParts(TargetExchange&, std::string received, Base::TimePoint deadline);
+    // Sends the head, if that has not been done, and then the bytes unless the response may not have a body.
+    boost::asio::awaitable<bool> writeOfBody(std::string_view bytes, Base::TimePoint deadline);
     boost::asio::awaitable<bool> write(std::string_view bytes, Base::Duration timeout);
     Base::Duration timeUntil(Base::TimePoint) const;
 
     ProxyContext& m_context;
     boost::beast::tcp_stream& m_caller;
+    const std::string m_method;
     bool m_keepAlive;
     std::string m_pendingHead;
+    bool m_mayHaveBody = true;
     std::optional<Base::TimePoint> m_firstByteAt;
     EventSplitter m_events;
 };
--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -82,7 +82,7 @@
 RequestHandler::RequestHandler(ProxyContext& context, ProxyWorker& worker, beast::tcp_stream& caller, Http::HttpRequest request, bool keepAlive)
     : m_context(context)
     , m_request(std::make_shared<ProxyRequest>(context, worker, caller.socket(), std::move(request)))
-    , m_response(context, caller, keepAlive)
+    , m_response(context, caller, m_request->message.method, keepAlive)
     , m_log(m_request, m_response)
     , m_responder(m_request, m_response, m_log)
     , m_silence(std::make_shared<SilenceTimer>(worker.context, [this] { targetSilent(); }))
