Count crashes by the start of the target, not by its id alone

Cause: a broken run counted as a crash only if the target's id was gone, if this router happened to fail to connect to it, or if an agent reported its end; and one run was kept for each id, so that a service with one or two replicas was never protected at all. A run now names the process that ran it by the entry's start, a later start under the id confirms the crash, and routers tell each other the start.

Targets that go down and up would make a request that many callers send look like the cause, so a request that is served is cleared of its crashes, as parts of prompts are.

--- a/Source/Dispatch/Commands/RecordCrash.cpp
+++ b/Source/Dispatch/Commands/RecordCrash.cpp
@@ -18,16 +18,23 @@
     // An agent may see the end of its engine this long before or after a router sees a connection break.
     constexpr std::chrono::milliseconds endReportTolerance = 1000ms;
 
-    // Returns the run of the request at the same target, adding it if needed; null if the history is full.
+    bool isAtSameProcess(const BrokenRun& left, const BrokenRun& right)
+    {
+        return left.target == right.target && left.incarnation == right.incarnation;
+    }
+
+    // Returns the run of the request at the same process of a target, adding it if needed; null if the history is full.
     BrokenRun* findOrAdd(bool isFull, Entries& entries, uint64_t fingerprint, BrokenRun run)
     {
         auto known = entries.find(fingerprint);
         if (known == entries.end() && isFull)
             return nullptr;
         auto& runs = entries[fingerprint];
-        auto same = std::find_if(runs.begin(), runs.end(), [&](auto& other) { return other.target == run.target; });
+        auto same = std::find_if(runs.begin(), runs.end(), [&](auto& other) { return isAtSameProcess(other, run); });
         if (same != runs.end())
             return &*same;
+        if (runs.size() >= CrashHistory::maximumRunsPerRequest)
+            runs.erase(runs.begin());
         runs.push_back(std::move(run));
         return &runs.back();
     }
@@ -46,12 +53,16 @@
         });
     }
 
+    // Whether the process that ran the request is published. Its target may have another one by now.
     bool isPublished(const Fleet::FleetSnapshot& snapshot, const BrokenRun& run)
     {
         auto targets = snapshot.targetsByService.find(run.service);
         if (targets == snapshot.targetsByService.end())
             return false;
-        return std::any_of(targets->second.begin(), targets->second.end(), [&](auto& target) { return target->entry.id == run.target; });
+        return std::any_of(targets->second.begin(), targets->second.end(), [&](auto& target) {
+            auto& entry = target->entry;
+            return entry.id == run.target && (run.incarnation == 0 || entry.startedAt <= run.incarnation);
+        });
     }
 
     bool isSameEnd(Base::TimePoint endedAt, Base::TimePoint brokeAt)
@@ -99,9 +110,14 @@
 
 } // namespace
 
-void recordBrokenRun(DispatchState& state, uint64_t fingerprint, const std::string& service, const std::string& target, Base::TimePoint now, std::vector<uint64_t> suspectParts)
+void recordBrokenRun(DispatchState& state, uint64_t fingerprint, const Fleet::TargetEntry& target, Base::TimePoint now, std::vector<uint64_t> suspectParts)
+{
+    addRun(state.crashes(), fingerprint, { target.service, target.id, target.startedAt, now, {}, std::move(suspectParts) });
+}
+
+void recordRequestServed(DispatchState& state, uint64_t fingerprint)
 {
-    addRun(state.crashes(), fingerprint, { service, target, now, {}, std::move(suspectParts) });
+    state.crashes().runs().erase(fingerprint);
 }
 
 std::vector<CrashReport> confirmCrashes(DispatchState& state, Base::TimePoint now)
@@ -116,7 +132,7 @@
         for (auto& run : all) {
             bool isOwn = !run.service.empty();
             if (isOwn && run.isConfirmed() && now - run.confirmedAt <= reportRepeatPeriod)
-                reports.push_back({ fingerprint, run.target, std::chrono::duration_cast<std::chrono::milliseconds>(now - run.brokeAt) });
+                reports.push_back({ fingerprint, run.target, run.incarnation, std::chrono::duration_cast<std::chrono::milliseconds>(now - run.brokeAt) });
         }
     });
     return reports;
@@ -126,7 +142,7 @@
 {
     for (auto& report : reports) {
         if (report.age <= CrashHistory::retention)
-            addRun(state.crashes(), report.fingerprint, { "", report.target, now - report.age, now, {} });
+            addRun(state.crashes(), report.fingerprint, { "", report.target, report.incarnation, now - report.age, now, {} });
     }
 }
 
--- a/Source/Dispatch/CrashHistory.h
+++ b/Source/Dispatch/CrashHistory.h
@@ -12,8 +12,11 @@
 
 // A run of a request that ended because its connection broke.
 struct BrokenRun {
+    // Empty if another router reported the run.
     std::string service;
     std::string target;
+    // Fleet::TargetEntry::startedAt: a target that crashed may start again under its id.
+    uint64_t incarnation = 0;
     Base::TimePoint brokeAt {};
     // When the target was found to have ended. Until then only the connection is known to have broken.
     Base::TimePoint confirmedAt {};
@@ -28,10 +31,12 @@
     // Hash of organisation, method, path and body, because a resent request has a new id.
     uint64_t fingerprint = 0;
     std::string target;
+    uint64_t incarnation = 0;
     std::chrono::milliseconds age { 0 };
 };
 
-// Broken runs by the fingerprint of their request. A request that crashed several targets is quarantined. Changed by
+// Broken runs by the fingerprint of their request. A request that crashed targets several times is quarantined, also if it was
+// the same target, unless it has been served since. Changed by
 // Commands/RecordCrash, read by Queries/FindQuarantine.
 class CrashHistory {
 public:
@@ -42,6 +47,7 @@
     // Within this time a crashed target is unreachable or its entry expires.
     static constexpr std::chrono::seconds confirmationPeriod { 6 };
     static constexpr size_t maximumRequests = 4096;
+    static constexpr size_t maximumRunsPerRequest = 16;
 
     using Runs = Base::ShardedMap<uint64_t, std::vector<BrokenRun>>;
 
--- a/Source/Peering/PeeringCodec.cpp
+++ b/Source/Peering/PeeringCodec.cpp
@@ -146,6 +146,7 @@
         auto* report = encoded.add_crashes();
         report->set_fingerprint(crash.fingerprint);
         report->set_target(crash.target);
+        report->set_incarnation(crash.incarnation);
         report->set_age_ms(static_cast<uint32_t>(crash.age.count()));
     }
     for (auto& declaration : message.declarations) {
@@ -207,7 +208,7 @@
         message.load->reuse = readReuse(load);
     }
     for (auto& crash : encoded.crashes())
-        message.crashes.push_back({ crash.fingerprint(), crash.target(), std::chrono::milliseconds(crash.age_ms()) });
+        message.crashes.push_back({ crash.fingerprint(), crash.target(), crash.incarnation(), std::chrono::milliseconds(crash.age_ms()) });
     for (auto& declaration : encoded.declarations())
         message.declarations.push_back({ declaration.model(), declaration.version(), std::chrono::milliseconds(declaration.age_ms()) });
     for (auto& crash : encoded.part_crashes())
--- a/Source/Proxy/TargetAttempt.cpp
+++ b/Source/Proxy/TargetAttempt.cpp
@@ -183,8 +183,10 @@
     auto& dispatch = m_request->context.dispatch;
     auto& traits = m_request->traits;
     if (outcome.finished) {
-        if (outcome.result == AttemptResult::Served)
+        if (outcome.result == AttemptResult::Served) {
             Dispatch::Commands::recordPartsServed(dispatch, traits.sharedParts, now);
+            Dispatch::Commands::recordRequestServed(dispatch, traits.fingerprint);
+        }
         return;
     }
     if (outcome.end != AttemptEnd::Broken || m_request->callerDisconnected())
@@ -194,7 +196,7 @@
         for (auto& part : traits.sharedParts)
             suspectParts.push_back(part.id);
     }
-    Dispatch::Commands::recordBrokenRun(dispatch, traits.fingerprint, traits.service, targetId(), now, std::move(suspectParts));
+    Dispatch::Commands::recordBrokenRun(dispatch, traits.fingerprint, m_lease->target->entry, now, std::move(suspectParts));
 }
 
 AttemptOutcome TargetAttempt::failedAs(AttemptEnd end, unsigned status) const
--- a/Tests/Dispatch/PartEvidenceTest.cpp
+++ b/Tests/Dispatch/PartEvidenceTest.cpp
@@ -31,7 +31,7 @@
     {
         auto id = "crashed-" + std::to_string(++targets);
         fleet.publish("t/" + id, targetOf(id, "s"));
-        Commands::recordBrokenRun(*state, ++fingerprint, "s", id, fleet.clock.now(), parts);
+        Commands::recordBrokenRun(*state, ++fingerprint, targetOf(id, "s").entry, fleet.clock.now(), parts);
         fleet.remove("t/" + id);
         Commands::confirmCrashes(*state, fleet.clock.now());
     }
@@ -327,7 +327,7 @@
     Router router;
     auto breakAndReport = [&](const std::string& id, std::chrono::milliseconds later) {
         router.fleet.publish("t/" + id, targetOf(id, "s"));
-        Commands::recordBrokenRun(*router.state, ++router.fingerprint, "s", id, router.fleet.clock.now(), { crashingPart });
+        Commands::recordBrokenRun(*router.state, ++router.fingerprint, targetOf(id, "s").entry, router.fleet.clock.now(), { crashingPart });
         Commands::recordTargetEnd(*router.state, "s", id, router.fleet.clock.now() + later);
         router.fleet.clock.advance(300ms);
         Commands::confirmCrashes(*router.state, router.fleet.clock.now());
--- a/Tests/Dispatch/QuarantineTest.cpp
+++ b/Tests/Dispatch/QuarantineTest.cpp
@@ -3,6 +3,7 @@
 #include "Dispatch/Queries/FindQuarantine.h"
 
 #include <criterion/criterion.h>
+#include <map>
 
 using namespace Lavenderloft;
 using namespace Lavenderloft::Dispatch;
@@ -22,7 +23,7 @@
             fleet.publish("t/" + std::string(id), targetOf(id, "s"));
     }
 
-    void breakRun(uint64_t fingerprint, const std::string& target) { Commands::recordBrokenRun(*state, fingerprint, "s", target, fleet.clock.now()); }
+    void breakRun(uint64_t fingerprint, const std::string& target) { Commands::recordBrokenRun(*state, fingerprint, targetOf(target, "s").entry, fleet.clock.now()); }
     std::vector<CrashReport> confirm() { return Commands::confirmCrashes(*state, fleet.clock.now()); }
     bool isQuarantined(uint64_t fingerprint) { return Queries::quarantinedFor(*state, fingerprint, fleet.clock.now()).has_value(); }
 };
@@ -103,3 +104,69 @@
     router.confirm();
     cr_assert_eq(router.state->crashes().runs().size(), 0);
 }
+
+namespace {
+
+// A service whose targets start again under their ids.
+struct RestartingService : Router {
+    uint64_t starts = 1000;
+    std::map<std::string, Fleet::TargetPublished> running;
+
+    void start(const std::string& id)
+    {
+        running[id] = targetOf(id, "s");
+        running[id].entry.startedAt = ++starts;
+        fleet.publish("t/" + id, running[id]);
+    }
+
+    // The target crashes during the request and is back after some seconds.
+    void crash(uint64_t fingerprint, const std::string& id)
+    {
+        Commands::recordBrokenRun(*state, fingerprint, running[id].entry, fleet.clock.now());
+        confirm();
+        fleet.clock.advance(2s);
+        start(id);
+        confirm();
+    }
+};
+
+} // namespace
+
+// Guards against a request that crashes targets without end because they start again under their ids.
+Test(Quarantine, countsTargetsThatStartAgainUnderTheirIds)
+{
+    for (bool isOneTarget : { false, true }) {
+        RestartingService service;
+        for (auto id : { "1", "2", "3" })
+            service.start(id);
+        for (auto id : { "1", "2", "3" }) {
+            cr_expect_not(service.isQuarantined(crashingRequest));
+            service.crash(crashingRequest, isOneTarget ? "1" : id);
+        }
+        cr_expect(service.isQuarantined(crashingRequest));
+    }
+}
+
+// Guards against a request that many callers send and that is refused because a target goes down and up while it runs there.
+Test(Quarantine, aRequestThatIsServedIsNotTheCauseOfCrashes)
+{
+    RestartingService service;
+    service.start("1");
+    for (unsigned i = 0; i < 6; ++i) {
+        service.crash(otherRequest, "1");
+        Commands::recordRequestServed(*service.state, otherRequest);
+        cr_expect_not(service.isQuarantined(otherRequest));
+    }
+}
+
+// The history of one request must stay bounded.
+Test(Quarantine, boundsTheRunsOfARequest)
+{
+    RestartingService service;
+    service.start("1");
+    for (unsigned i = 0; i < 3 * CrashHistory::maximumRunsPerRequest; ++i) {
+        Commands::recordBrokenRun(*service.state, crashingRequest, service.running["1"].entry, service.fleet.clock.now());
+        service.start("1");
+    }
+    cr_expect_leq(service.state->crashes().runs().find(crashingRequest)->size(), CrashHistory::maximumRunsPerRequest);
+}
--- a/Tests/Peering/PeeringCodecTest.cpp
+++ b/Tests/Peering/PeeringCodecTest.cpp
@@ -22,7 +22,7 @@
     message.storeAge = 250ms;
     message.routers = { { "10.0.0.2", "dc-b", 30ms } };
     message.load = EngineLoad { "e", "10.0.0.3:80", 4, 2, 9, true, 3, true, 120ms, 250ms, 2.5 };
-    message.crashes = { { 0xfedcba9876543210, "i-1", 40ms } };
+    message.crashes = { { 0xfedcba9876543210, "i-1", 1700000000002, 40ms } };
     message.declarations = { { "m", 3, 70ms } };
     message.parts.crashes = { { 0xfedcba9876543211, "i-2", 60ms, 2 } };
     message.parts.served = { { 0xfedcba9876543212, 70ms } };
@@ -53,6 +53,7 @@
     cr_assert_eq(decoded->declarations.front().version, 3);
     cr_assert(decoded->declarations.front().age == 70ms);
     cr_assert_eq(decoded->crashes.front().fingerprint, 0xfedcba9876543210);
+    cr_assert_eq(decoded->crashes.front().incarnation, 1700000000002);
     cr_assert_eq(decoded->crashes.front().target, "i-1");
     cr_assert_eq(decoded->crashes.front().age.count(), 40);
     cr_assert(decoded.has_value());
@@ -119,7 +120,7 @@
     auto withCrashes = encodeMessage(message).size();
     message.parts.served.assign(maximumPartsServedPerMessage, { UINT64_MAX, 600000ms });
     auto withServed = encodeMessage(message).size();
-    message.crashes.assign(maximumCrashesPerMessage, { UINT64_MAX, target, 60000ms });
+    message.crashes.assign(maximumCrashesPerMessage, { UINT64_MAX, target, UINT64_MAX, 60000ms });
     message.limits.assign(maximumLimitsPerMessage, { target, target, UINT64_MAX, 0.1, 600000ms });
     message.urgencyDemand.bands.fill({ 0.1, 1000, 0.1 });
     message.load = EngineLoad { target, target, UINT32_MAX, UINT32_MAX, UINT64_MAX, true, UINT32_MAX, true, 100000ms, 100000ms, 20, Scheduling::ReuseLimit { 3, 0.1 } };
