Tell a router that starts of the requests that are refused for their crashes

Crash reports were repeated for 1 s after their confirmation only, and by the router that had seen them.

Each router now adds the crashes of the requests that it refuses to the message with which it introduces itself to a process that does not know it yet. Their ages go with them, so that a quarantine lasts no longer for it.

--- a/Source/Peering/PeeringNode.cpp
+++ b/Source/Peering/PeeringNode.cpp
@@ -294,13 +294,18 @@
         Observability::logEvent(Events::routerFound, { { "address", address }, { "data_centre", dataCentre } });
 }
 
-// Answers a router that does not know this process yet, so that the ages in its next message can be used.
+// Answers a router that does not know this process yet, so that the ages in its next message can be used. If that router has
+// just started, it knows nothing of earlier crashes either.
 void PeeringNode::introduceTo(const NodeMessage& message)
 {
     if (!m_isRouter || !message.times.sentAt || m_reports.isKnownTo(message))
         return;
     auto agesReadAt = m_clock.now();
-    sendTimed(message.sender, encodeMessage(describeSelf()), agesReadAt);
+    auto introduction = describeSelf();
+    if (m_quarantineCrashes)
+        introduction.crashes = m_quarantineCrashes();
+    truncate(introduction.crashes, maximumCrashesPerMessage);
+    sendTimed(message.sender, encodeMessage(introduction), agesReadAt);
 }
 
 void PeeringNode::handleRouterMessage(const NodeMessage& message)
--- a/Source/Peering/PeeringNode.h
+++ b/Source/Peering/PeeringNode.h
@@ -37,6 +37,8 @@
     using LoadHandler = std::function<void(const EngineLoad&)>;
     // Called by a router for crashes confirmed by another router.
     using CrashHandler = std::function<void(const std::vector<Dispatch::CrashReport>&)>;
+    // Returns the crashes of the requests that this router refuses because of them.
+    using CrashProvider = std::function<std::vector<Dispatch::CrashReport>()>;
     // Called by a router for what another router reports of prompt parts.
     using PartHandler = std::function<void(const Dispatch::PartReports&)>;
     // Called by a router for the limits that another router reports, with ages as of now.
@@ -51,6 +53,7 @@
 
     void setLoadHandler(LoadHandler handler) { m_onLoad = std::move(handler); }
     void setCrashHandler(CrashHandler handler) { m_onCrashes = std::move(handler); }
+    void setCrashProvider(CrashProvider provider) { m_quarantineCrashes = std::move(provider); }
     void setPartHandler(PartHandler handler) { m_onParts = std::move(handler); }
     void setLimitHandler(LimitHandler handler) { m_onLimits = std::move(handler); }
     void setLimitProvider(LimitProvider provider) { m_limits = std::move(provider); }
@@ -140,6 +143,7 @@
     StoreTakeover m_takeover;
     LoadHandler m_onLoad;
     CrashHandler m_onCrashes;
+    CrashProvider m_quarantineCrashes;
     PartHandler m_onParts;
     LimitHandler m_onLimits;
     LimitProvider m_limits;
--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -13,6 +13,7 @@
 #include "Dispatch/PowerOfTwoChoicesPolicy.h"
 #include "Dispatch/Queries/EngineDemand.h"
 #include "Dispatch/Queries/FindBlockedPart.h"
+#include "Dispatch/Queries/FindQuarantine.h"
 #include "Dispatch/Queries/FindRetryLimits.h"
 #include "Dispatch/Queries/ListLimitReports.h"
 #include "Dispatch/Queries/ListPartReports.h"
@@ -126,6 +127,7 @@
             m_callers->start();
             m_peering.setLoadHandler([this](const Peering::EngineLoad& load) { recordLoad(load); });
             m_peering.setCrashHandler([this](const std::vector<Dispatch::CrashReport>& crashes) { Dispatch::Commands::mergeCrashReports(m_dispatch, crashes, m_clock.now()); });
+            m_peering.setCrashProvider([this] { return Dispatch::Queries::listQuarantineCrashes(m_dispatch, m_clock.now()); });
             m_peering.setPartHandler([this](const Dispatch::PartReports& reports) { mergePartReports(reports); });
             m_peering.setLimitHandler([this](const std::vector<Dispatch::LimitReport>& reports) { Dispatch::Commands::mergeLimitReports(m_dispatch, reports, m_clock.now()); });
             m_peering.setLimitProvider([this] { return Dispatch::Queries::listLimitReports(m_dispatch, m_clock.now()); });
--- a/Tests/Dispatch/QuarantineTest.cpp
+++ b/Tests/Dispatch/QuarantineTest.cpp
@@ -170,3 +170,26 @@
     }
     cr_expect_leq(service.state->crashes().runs().find(crashingRequest)->size(), CrashHistory::maximumRunsPerRequest);
 }
+
+// Guards against a quarantine that ends with the routers that saw the crashes: each learns of it from those that were there
+// before, and it lasts no longer for that.
+Test(Quarantine, outlivesTheRoutersThatSawTheCrashes)
+{
+    RestartingService first;
+    for (auto id : { "1", "2", "3" }) {
+        first.start(id);
+        first.crash(crashingRequest, id);
+    }
+    auto reports = Queries::listQuarantineCrashes(*first.state, first.fleet.clock.now());
+    auto end = *Queries::quarantinedFor(*first.state, crashingRequest, first.fleet.clock.now());
+    for (unsigned restart = 0; restart < 3; ++restart) {
+        Router router;
+        cr_expect_not(router.isQuarantined(crashingRequest));
+        Commands::mergeCrashReports(*router.state, reports, router.fleet.clock.now());
+        cr_assert(router.isQuarantined(crashingRequest));
+        router.fleet.clock.advance(1s);
+        end -= 1s;
+        reports = Queries::listQuarantineCrashes(*router.state, router.fleet.clock.now());
+        cr_expect(*Queries::quarantinedFor(*router.state, crashingRequest, router.fleet.clock.now()) == end);
+    }
+}
--- a/Tests/Peering/PeeringNodeTest.cpp
+++ b/Tests/Peering/PeeringNodeTest.cpp
@@ -665,3 +665,16 @@
     cr_assert(reply.storeAge && reply.times.sentAt);
     cr_expect_leq((reply.times.sentAt->time - *reply.storeAge).count(), syncedAt.time_since_epoch() / 1ms);
 }
+
+// Guards against a request that goes on crashing targets because the routers that refused it are restarted one after the other.
+Test(PeeringNode, tellsARouterThatStartsOfQuarantines)
+{
+    TestNode test;
+    test.node->setCrashProvider([] { return std::vector<Dispatch::CrashReport> { { 7, "i-1", 1000, 20s } }; });
+    auto message = messageFrom("127.0.0.9");
+    message.times.sentAt = ClockReading { 5, 1ms };
+    auto reply = test.exchangeWithAgent(message);
+    cr_assert_eq(reply.crashes.size(), 1);
+    cr_expect_eq(reply.crashes.front().fingerprint, 7);
+    cr_expect(reply.crashes.front().age == 20s);
+}
