Keep to a Retry-After while the target's entry is away, and beyond a minute

Cause: what is known of a target whose entry is gone was kept only if it leaves or names a limit, and a hold-back was cut to 60 s. It is now kept until its end, and cut to 10 minutes.

--- a/Source/Dispatch/Commands/RecordOutcome.cpp
+++ b/Source/Dispatch/Commands/RecordOutcome.cpp
@@ -121,10 +121,10 @@
         }
         std::erase_if(service.targets, [&](auto& entry) {
             auto& knowledge = entry.second.knowledge;
-            // The entry of a target that is leaving, or that names a limit, may be published again.
+            // The entry of a target that is leaving, holds back or names a limit may be published again.
             bool isLeaving = knowledge.leavingSince && now - *knowledge.leavingSince < statementRetention;
             bool isLimited = knowledge.isLimited() && now - knowledge.limit->statedAt < statementRetention;
-            bool isRetained = isLeaving || isLimited;
+            bool isRetained = isLeaving || isLimited || knowledge.heldBackUntil > now;
             return entry.second.inFlight == 0 && !published.contains(entry.first) && !isRetained;
         });
         service.mayHaveLimits = std::any_of(service.targets.begin(), service.targets.end(), [](auto& entry) { return entry.second.knowledge.isLimited(); });
--- a/Source/Dispatch/Commands/RecordStatement.h
+++ b/Source/Dispatch/Commands/RecordStatement.h
@@ -6,8 +6,8 @@
 
 namespace Lavenderloft::Dispatch::Commands {
 
-// A target can't hold a router back for longer.
-inline constexpr std::chrono::milliseconds maximumHoldBack = std::chrono::seconds(60);
+// A target can't hold a router back for longer. Nobody is served by a target that asks for more.
+inline constexpr std::chrono::milliseconds maximumHoldBack = std::chrono::minutes(10);
 
 // What a router has learned from a statement.
 struct LearnedStatement {
--- a/Tests/Dispatch/TargetStatementTest.cpp
+++ b/Tests/Dispatch/TargetStatementTest.cpp
@@ -97,6 +97,29 @@
     cr_assert_not(test.state("1", holdsBack(0s)).heldBackFor.has_value());
 }
 
+// Guards against requests to a target that asked for none: its entry was away for a moment, and what it had asked for was
+// forgotten, or cut to a minute.
+Test(TargetStatement, aTargetThatHoldsBackIsNotForgottenWhileItsEntryIsAway)
+{
+    TestTargets test { "1", "2" };
+    auto clean = [&] { Commands::removeUnpublishedTargets(*test.TestDispatch::state, test.fleet.clock.now()); };
+    cr_expect(test.state("1", holdsBack(75s)).heldBackFor == 75s);
+    test.fleet.remove("t/1");
+    test.fleet.clock.advance(2s);
+    clean();
+    test.fleet.publish("t/1", startedTarget("1"));
+    test.fleet.clock.advance(72s);
+    clean();
+    for (int i = 0; i < 4; ++i)
+        cr_expect_eq(std::get<Lease>(test.acquire("s")).target->entry.id, "2");
+    test.fleet.clock.advance(1s);
+    cr_expect(Queries::listReluctantTargets(*test.TestDispatch::state, test.fleet.clock.now()).empty());
+    // Afterwards nothing is kept of a target that is gone.
+    test.fleet.remove("t/1");
+    clean();
+    cr_expect(test.TestDispatch::state->withService("s", [](ServiceState& service) { return !service.targets.contains("1"); }));
+}
+
 // Guards against a herd of requests at a target as soon as the time for which it held this router back has passed.
 Test(TargetStatement, aTargetGetsOneRequestAtATimeUntilItHasServedOne)
 {
