Keep a cold target's rate when it is cold again

The bucket now holds 0.2 s of the router's share, one request at least, so that all routers together stay below one and a half times the rate. What reads the bucket and what takes from it share one calculation.

--- a/Source/Dispatch/Commands/ServeQueue.cpp
+++ b/Source/Dispatch/Commands/ServeQueue.cpp
@@ -25,14 +25,7 @@
         auto service = snapshot->configuration->services.find(serviceName);
         if (service == snapshot->configuration->services.end())
             return;
-        auto rate = Queries::coldRateShare(state, service->second);
-        auto capacity = std::max(1.0, rate);
-        if (runtime.coldRefilledAt == Base::TimePoint())
-            runtime.coldTokens = 1;
-        else
-            runtime.coldTokens = std::min(capacity, runtime.coldTokens + std::chrono::duration<double>(now - runtime.coldRefilledAt).count() * rate);
-        runtime.coldRefilledAt = now;
-        runtime.coldTokens -= 1;
+        runtime.coldBucket.take(Queries::coldRateShare(state, service->second), now);
     }
 
     PlacementContext describePlacement(const DispatchState& state, const ServiceState& service, const RequestTraits& traits, const Scheduling::EngineModel* model, Base::TimePoint now)
--- a/Source/Dispatch/Queries/FindCandidates.cpp
+++ b/Source/Dispatch/Queries/FindCandidates.cpp
@@ -145,12 +145,7 @@
             if (isEngine() && runtime && runtime->hasReport(m_now))
                 return runtime->report.cold;
             auto rate = coldRateShare(m_state, *m_service);
-            if (rate <= 0)
-                return false;
-            if (!runtime || runtime->coldRefilledAt == Base::TimePoint())
-                return true;
-            auto elapsed = std::chrono::duration<double>(m_now - runtime->coldRefilledAt).count();
-            return std::min(std::max(1.0, rate), runtime->coldTokens + elapsed * rate) >= 1;
+            return rate > 0 && (!runtime || runtime->coldBucket.available(rate, m_now) >= 1);
         }
 
     private:
--- a/Source/Dispatch/TargetRuntime.h
+++ b/Source/Dispatch/TargetRuntime.h
@@ -74,6 +74,32 @@
     }
 };
 
+// Bounds the rate of requests to a target while it is cold. Starts with one request.
+struct ColdBucket {
+    // Requests of this time may be sent at once. All routers together then stay below one and a half times the rate in any
+    // second: with a share of less than 1 / burst a router has one request.
+    static constexpr std::chrono::milliseconds burst { 200 };
+
+    double tokens = 1;
+    // Empty until the first request.
+    Base::TimePoint refilledAt {};
+
+    double available(double requestsPerSecond, Base::TimePoint now) const
+    {
+        if (refilledAt == Base::TimePoint())
+            return tokens;
+        auto capacity = std::max(1.0, std::chrono::duration<double>(burst).count() * requestsPerSecond);
+        auto elapsed = std::chrono::duration<double>(now - refilledAt).count();
+        return std::min(capacity, tokens + elapsed * requestsPerSecond);
+    }
+
+    void take(double requestsPerSecond, Base::TimePoint now)
+    {
+        tokens = available(requestsPerSecond, now) - 1;
+        refilledAt = now;
+    }
+};
+
 // Load and health of one target as seen by this router.
 struct TargetRuntime {
     // Older reports are ignored.
@@ -136,9 +162,7 @@
     Base::TimePoint unreachableAt {};
     // When the agent last saw the target end or restart.
     Base::TimePoint endedAt {};
-    // Token bucket that limits the request rate while the target is cold.
-    double coldTokens = 0;
-    Base::TimePoint coldRefilledAt {};
+    ColdBucket coldBucket;
 
     bool hasReport(Base::TimePoint now) const { return reportedAt != Base::TimePoint() && now - reportedAt < reportLifetime; }
 
--- a/Tests/Dispatch/CandidatesTest.cpp
+++ b/Tests/Dispatch/CandidatesTest.cpp
@@ -151,6 +151,39 @@
     cr_assert(isLease(test.acquire("s")));
 }
 
+// Guards against twice the rate of a target in the first second in which it is cold again: what had not been used since the
+// first time came on top.
+Test(Candidates, aTargetThatIsColdAgainGetsNoMoreThanTheFirstTime)
+{
+    TestDispatch test;
+    auto service = plainService("s");
+    service.coldRequestsPerSecond = 28;
+    test.fleet.publish("c", configurationOf(1, { service }));
+    auto target = targetOf("1", "s", "dc-a", 1000);
+    target.entry.coldRemaining = 3000ms;
+    test.state->setRouterCount(1);
+    for (unsigned time : { 1, 2 }) {
+        test.fleet.publish("t/1", target);
+        unsigned granted = 0;
+        for (int step = 0; step < 100; ++step) {
+            auto observer = std::make_shared<RecordingObserver>();
+            auto traits = test.request("s");
+            auto decision = test.acquire(traits, observer);
+            if (isLease(decision)) {
+                ++granted;
+                Commands::recordUnanswered(*test.state, "s", "1", std::get<Lease>(decision).assignedAt);
+                test.release("s", "1", Commands::AttemptResult::Served);
+            }
+            Commands::cancelWait(*test.state, traits, observer.get(), test.fleet.clock.now());
+            test.fleet.clock.advance(10ms);
+        }
+        // The rate with the overage that is allowed in any second.
+        cr_expect_leq(granted, 28 * 3 / 2, "time %u: %u requests in a second", time, granted);
+        cr_expect_geq(granted, 25u, "time %u: %u requests, less than the rate", time, granted);
+        test.fleet.clock.advance(10s);
+    }
+}
+
 // A failing target must get no requests during its backoff, and must be tried again afterwards.
 Test(Candidates, backOffFromFailingTargets)
 {
