End the process although nobody reads its log

A router whose standard output is a full pipe had not ended 12 s after SIGTERM, grace_s 8: requests that were taken meanwhile would be cut by the kill. Cause: the end of the process destroys the appender, which waits for the thread that waits in its write.

The process now ends by itself within 0.5 s of its orderly end; lines that the output has not taken by then are lost, as they are while it runs.

BlockedOutput/doesNotKeepTheProcess fails without the change.

--- a/Source/Observability/Log.cpp
+++ b/Source/Observability/Log.cpp
@@ -3,6 +3,8 @@
 #include "Observability/LogRateLimiter.h"
 
 #include <atomic>
+#include <chrono>
+#include <cstdlib>
 #include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
@@ -10,11 +12,15 @@
 #include <log4cxx/patternlayout.h>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <thread>
 
 namespace Lavenderloft::Observability {
 
 namespace {
 
+    // Time for the output to take what is buffered when the process ends.
+    constexpr std::chrono::milliseconds drainTime { 500 };
+
     std::atomic<bool> s_configured { false };
     std::atomic<Level> s_minimum { Level::Info };
     std::atomic<Layout> s_layout { Layout::Plain };
@@ -129,6 +135,16 @@
     configure(minimum, layout, appender);
 }
 
+void exitProcess(int status)
+{
+    // The end of the appender waits for its write without a bound.
+    std::thread([status] {
+        std::this_thread::sleep_for(drainTime);
+        std::_Exit(status);
+    }).detach();
+    std::exit(status);
+}
+
 uint64_t takeSuppressedLines()
 {
     return s_rateLimiter ? s_rateLimiter->takeSuppressedLines() : 0;
--- a/Source/Observability/Log.h
+++ b/Source/Observability/Log.h
@@ -77,6 +77,10 @@
 // separate thread, and lines that the output does not accept are dropped and counted.
 void configureRateLimitedLogging(Level minimum, Layout, Output);
 
+// Ends the process with the status, also if nobody reads the output of the log: lines that it has not taken after a moment are
+// lost.
+[[noreturn]] void exitProcess(int status);
+
 // The number of lines suppressed by the rate limit since the last call.
 uint64_t takeSuppressedLines();
 
--- a/Source/main.cpp
+++ b/Source/main.cpp
@@ -1,8 +1,11 @@
 #include "CommandLine/ProgramCommands.h"
+#include "Observability/Log.h"
 #include "Transport/GrpcThreads.h"
 #include "platform/PlatformAdapter.h"
 
-int main(int argc, char** argv)
+namespace {
+
+int runCommand(int argc, char** argv)
 {
     using namespace Lavenderloft;
     Transport::disableMutexDeadlockDetection();
@@ -11,3 +14,11 @@
     CommandLine::addNodeCommands(commands, platform);
     return CommandLine::CommandTable(CommandLine::programName, std::move(commands)).run(argc, argv);
 }
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    auto status = runCommand(argc, argv);
+    Lavenderloft::Observability::exitProcess(status);
+}
