--- a/Source/Process/FleetRouter.cpp
+++ b/Source/Process/FleetRouter.cpp
@@ -14,7 +14,6 @@
 #include "Dispatch/Queries/EngineDemand.h"
 #include "Dispatch/Queries/FindBlockedPart.h"
 #include "Dispatch/Queries/FindQuarantine.h"
-#include "Dispatch/Queries/FindRetryLimits.h"
 #include "Dispatch/Queries/ListLimitReports.h"
 #include "Dispatch/Queries/ListPartReports.h"
 #include "Dispatch/Queries/ListReluctantTargets.h"
@@ -24,13 +23,13 @@
 #include "Http/NodeServer.h"
 #include "Http/Sleep.h"
 #include "Http/SpawnTask.h"
-#include "Http/TaskFailures.h"
 #include "Http/TaskSupervisor.h"
 #include "Observability/Log.h"
 #include "Peering/PeeringNode.h"
 #include "Peering/Queries/ListPeers.h"
 #include "Peering/StoreFollower.h"
 #include "Process/Events.h"
+#include "Process/FleetRouterGauges.h"
 #include "Process/SettingsReload.h"
 #include "Proxy/CallerServer.h"
 
@@ -100,8 +99,8 @@
     public:
         FleetRouter(const Fleet::NodeSettings& settings, const NodePlatform& platform)
             : m_settings(settings)
-            , m_pool(workerCount)
             , m_stalls(m_clock, queueServiceInterval)
+            , m_pool(workerCount)
             , m_merger(m_fleet, platform.publications(), m_clock)
             , m_dispatch(m_fleet, settings, std::make_unique<Dispatch::PowerOfTwoChoicesPolicy>(), std::make_unique<Dispatch::BoundedWaitPolicy>(), std::make_unique<Base::SeededRandom>(randomSeed()))
             , m_proxy { platform.callers(), m_fleet, m_dispatch, m_clock, m_metrics, Http::MemoryBudget(callerMemoryLimit(settings)), maximumCallerConnections(settings) }
@@ -110,6 +109,7 @@
             , m_reload(platform)
             , m_startedAt(m_clock.now())
             , m_follower(m_pool.context(0), settings.store, platform.store(), m_merger, m_clock, m_stalls)
+            , m_gauges(m_metrics, m_fleet, m_peers, m_dispatch, m_peering, m_follower)
         {
             m_dispatch.setStartedAt(m_startedAt);
             m_dispatch.setRouterCount(std::nullopt);
@@ -291,55 +291,9 @@
             }
         }
 
-        void serializeDemand(Base::TimePoint now)
-        {
-            auto demand = Dispatch::Queries::engineDemandByUrgency(m_dispatch, now);
-            for (size_t band = 0; band < demand.bands.size(); ++band) {
-                auto urgency = std::to_string(band);
-                m_metrics.set("engine_requests_waiting", { { "urgency", urgency } }, demand.bands[band].waiting);
-                m_metrics.set("engine_requests_per_second", { { "urgency", urgency } }, demand.bands[band].requestsPerSecond);
-                m_metrics.set("engine_starts_per_second", { { "urgency", urgency } }, demand.bands[band].startsPerSecond);
-            }
-            m_metrics.set("engines_with_reuse_limit", {}, static_cast<double>(Dispatch::Queries::countReuseLimits(m_dispatch, now)));
-        }
-
-        // What the service's retry budget allows in a window, and what of it is used.
-        void serializeRetries(const std::string& service, const Dispatch::RetryUse& use, const Dispatch::RetryLimits& limits)
-        {
-            m_metrics.set("retry_window_requests", { { "service", service } }, use.requests);
-            m_metrics.set("retry_window_retries", { { "service", service } }, use.retries);
-            m_metrics.set("retry_window_reserved", { { "service", service } }, use.reservedRetries);
-            m_metrics.set("retry_window_limit", { { "service", service } }, limits.ratio * use.requests + limits.slack);
-            m_metrics.set("retry_window_slack", { { "service", service } }, limits.slack);
-        }
-
-        // Gauges are updated only when they are read, which costs nothing between two reads.
         std::string serializeMetrics()
         {
-            auto now = m_clock.now();
-            auto snapshot = Fleet::Queries::currentSnapshot(m_fleet);
-            m_metrics.set("configuration_version", {}, snapshot->configuration ? static_cast<double>(snapshot->configuration->version) : 0);
-            m_metrics.set("published_revision", {}, static_cast<double>(snapshot->position.revision));
-            m_metrics.set("store_era", {}, static_cast<double>(snapshot->position.era));
-            m_metrics.set("routers_known", {}, static_cast<double>(Peering::Queries::countRetainedRouters(m_peers)) + 1);
-            m_metrics.set("node_connections_closed", {}, static_cast<double>(m_ready->closedConnections() + m_nodes->closedConnections()));
-            m_metrics.set("task_failures", {}, static_cast<double>(Http::taskFailures()));
-            m_metrics.set("prompt_parts_blocked", {}, static_cast<double>(m_dispatch.parts().blockedCount()));
-            m_metrics.set("targets_held_back", {}, static_cast<double>(m_reluctantTargets.size()));
-            m_metrics.set("open_requests", {}, static_cast<double>(m_proxy.openRequests));
-            auto syncedAt = m_follower.syncedAt();
-            m_metrics.set("store_followed", {}, syncedAt ? 1 : 0);
-            if (syncedAt)
-                m_metrics.set("store_age_seconds", {}, std::chrono::duration<double>(now - *syncedAt).count());
-            auto retryLimits = Dispatch::Queries::findRetryLimits(m_dispatch, now);
-            m_dispatch.forEachService([&](const std::string& name, Dispatch::ServiceState& service) {
-                m_metrics.set("requests_waiting", { { "service", name } }, static_cast<double>(service.waiting.size()));
-                serializeRetries(name, service.retryWindow.use(now), retryLimits);
-            });
-            m_metrics.set("peer_demands_clamped", {}, static_cast<double>(m_peering.clampedDemands()));
-            serializeDemand(now);
-            for (auto& [service, targets] : snapshot->targetsByService)
-                m_metrics.set("targets_published", { { "service", service } }, static_cast<double>(targets.size()));
+            m_gauges.update({ m_proxy.openRequests, m_reluctantTargets.size(), m_ready->closedConnections() + m_nodes->closedConnections() }, m_clock.now());
             return m_metrics.serialize();
         }
 
@@ -406,6 +360,7 @@
         // As of the last look.
         std::map<std::string, Dispatch::Queries::Reluctance> m_reluctantTargets;
         Peering::StoreFollower m_follower;
+        FleetRouterGauges m_gauges;
         std::vector<std::unique_ptr<Proxy::ProxyWorker>> m_workers;
         std::shared_ptr<Proxy::CallerServer> m_callers;
         std::shared_ptr<Http::NodeServer> m_ready;
--- a/Tests/Peering/ItemReceiverTest.cpp
+++ b/Tests/Peering/ItemReceiverTest.cpp
@@ -8,15 +8,24 @@
 using namespace Lavenderloft;
 using namespace Lavenderloft::Peering;
 
+namespace {
+
+struct TestReceiver {
+    Fleet::TestFleetState fleet;
+    Fleet::NodeSettings settings;
+    PeerTable peers;
+    ItemMerger merger { fleet.state, fleet.decoder, fleet.clock };
+    ItemReceiver receiver { settings, peers, merger, fleet.clock };
+};
+
+} // namespace
+
 // Guards against targets that stay in use after they are gone: another router listed the store after the target had left, and
 // still knew an earlier deletion of it, which counted as an item of its listing.
 Test(ItemReceiver, anEarlierDeletionDoesNotKeepAnItem)
 {
-    Fleet::TestFleetState fleet;
-    Fleet::NodeSettings settings;
-    PeerTable peers;
-    ItemMerger merger(fleet.state, fleet.decoder, fleet.clock);
-    ItemReceiver receiver(settings, peers, merger, fleet.clock);
+    TestReceiver test;
+    auto& [fleet, settings, peers, merger, receiver] = test;
     fleet.publishAt("t/1", Fleet::targetOf("1", "s"), 12);
     cr_assert_eq(fleet.targetCount("s"), 1);
     ItemFetch fetchOfAll { { "127.0.0.2", "dc-a" }, {}, fleet.clock.now() };
@@ -29,11 +38,8 @@
 // and each receiver relayed them.
 Test(ItemReceiver, takesNoItemsOfAnImplausibleEra)
 {
-    Fleet::TestFleetState fleet;
-    Fleet::NodeSettings settings;
-    PeerTable peers;
-    ItemMerger merger(fleet.state, fleet.decoder, fleet.clock);
-    ItemReceiver receiver(settings, peers, merger, fleet.clock);
+    TestReceiver test;
+    auto& [fleet, settings, peers, merger, receiver] = test;
     fleet.publishAt("c", Fleet::configurationOf(1), { 1, 5 });
     ItemFetch fetch { { "127.0.0.2", "dc-a" }, { 1, 5 }, fleet.clock.now() };
     Fleet::StorePosition largest { std::numeric_limits<uint64_t>::max(), 1 };
@@ -46,11 +52,8 @@
 // the operators write again: its position was that of the others, so that it asked none of them.
 Test(ItemReceiver, takesWhatARouterRetainsAtTheSamePosition)
 {
-    Fleet::TestFleetState fleet;
-    Fleet::NodeSettings settings;
-    PeerTable peers;
-    ItemMerger merger(fleet.state, fleet.decoder, fleet.clock);
-    ItemReceiver receiver(settings, peers, merger, fleet.clock);
+    TestReceiver test;
+    auto& [fleet, settings, peers, merger, receiver] = test;
     auto heard = [&](uint64_t retainedDigest) {
         PeerRouter router { "127.0.0.2", "dc-a", fleet.clock.now(), { 1, 5 } };
         router.retainedDigest = retainedDigest;
