Count the parts of a prompt twice, as a request in the queue has a copy

The parts of a long prompt are in the account of callers since they are all read; the copy that waits with the request for a target was not.

--- a/Source/Proxy/RequestHandler.cpp
+++ b/Source/Proxy/RequestHandler.cpp
@@ -30,6 +30,8 @@
     constexpr std::chrono::milliseconds refusalBodyTimeout = 100ms;
     // Memory of the parts of a prompt that is counted with the connection.
     constexpr size_t usualPartBytes = 4 * 1024;
+    // The parts are kept with the request, and once more while it waits for a target.
+    constexpr size_t partCopies = 2;
     // Until a retry that the budget did not allow is tried again.
     constexpr std::chrono::milliseconds retryBudgetInterval = 200ms;
 
@@ -182,7 +184,7 @@
     if (!shared.empty())
         shared.pop_back();
     shared.shrink_to_fit();
-    auto bytes = shared.capacity() * sizeof(Dispatch::PromptPart);
+    auto bytes = partCopies * shared.capacity() * sizeof(Dispatch::PromptPart);
     return m_request->partMemory.growTo(bytes - std::min(bytes, usualPartBytes));
 }
 
